Add the thin whole path as separate processes

Cause: an empty repository; nothing could be run or measured. Ruled out: a fixed single process; the entry, the log service, the instance list, engines and services must fail apart from each other. Before: nothing. After: tests/test_path.py starts eight processes, publishes an inventory by the command line and streams a whole answer through both entries; the openai client reads streamed and whole answers; 3 tests pass. Conclusion: the interfaces of events, effects and stand-ins are in place.

--- /dev/null
+++ b/figstep/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point of ``python -m figstep``."""
+
+from figstep.cli import main
+
+main()
--- /dev/null
+++ b/figstep/application.py
@@ -0,0 +1,193 @@
+"""The application: owns the loop's state, the edges and the effects."""
+
+import asyncio
+import os
+import random
+from collections import deque
+from typing import Any
+
+import logbook
+from mode import Service
+
+from figstep.core.clock import Clock
+from figstep.core.effects import (
+    CancelGeneration,
+    CloseAttempt,
+    Complete,
+    Count,
+    Deliver,
+    DiscardDelivered,
+    Effect,
+    Note,
+    OpenAttempt,
+    Refuse,
+    ResumeAttempt,
+    WakeAt,
+)
+from figstep.core.events import Event, ShutdownRequested, Timer, TimerFired
+from figstep.core.inventory import TargetInfo
+from figstep.core.reducer import reduce
+from figstep.core.state import State
+from figstep.metrics import MemoryMetrics, Metrics, StatsdMetrics
+from figstep.net.callers import CallerEdge
+from figstep.net.clock import SystemClock
+from figstep.net.configuration import ConfigurationEdge
+from figstep.net.exchanges import Exchange
+from figstep.net.instances import InstanceEdge
+from figstep.net.log import HttpLog, LogClient
+from figstep.net.targets import TargetEdge
+from figstep.settings import Settings
+
+_log = logbook.Logger("figstep")
+
+DRAIN_POLL_SECONDS = 0.05
+
+
+class Application(Service):
+    """One entry instance.
+
+    Events are reduced one at a time; effects run at once, and events that they
+    cause wait in the queue, so no event is reduced inside another.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock | None = None,
+        log: LogClient | None = None,
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.metrics = _build_metrics(settings)
+        self.entry_state = State(
+            settings.node,
+            settings.failure_domain,
+            random.Random(int.from_bytes(os.urandom(16))),
+        )
+        self.exchanges: dict[str, Exchange] = {}
+        self._events: deque[Event] = deque()
+        self._reducing = False
+        self._timers: dict[Timer, asyncio.TimerHandle] = {}
+        self._log_client = log or HttpLog(settings.platform.log)
+        self.callers = CallerEdge(
+            settings,
+            self.dispatch,
+            self.exchanges,
+            lambda: self.entry_state.inventory,
+            self.read_status,
+        )
+        self.targets = TargetEdge(self.dispatch, self.find_target, self.list_targets)
+        self.configuration = ConfigurationEdge(self._log_client, self.dispatch)
+        self.instances = InstanceEdge(settings.platform.instances, self.dispatch)
+
+    async def on_start(self) -> None:
+        """Start the edges; the listener opens last."""
+        for edge in (self.targets, self.configuration, self.instances, self.callers):
+            await self.add_runtime_dependency(edge)
+
+    async def on_stop(self) -> None:
+        """Stop timers and close the log client."""
+        for handle in self._timers.values():
+            handle.cancel()
+        await self._log_client.close()
+
+    async def drain(self) -> None:
+        """End gracefully: readiness falls, callers are served to their end."""
+        self.callers.ready = False
+        await asyncio.sleep(self.settings.notice_seconds)
+        self.dispatch(ShutdownRequested())
+        while self.entry_state.requests or self.exchanges:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    def find_target(self, name: str) -> TargetInfo | None:
+        """Return a target's inventory entry."""
+        target = self.entry_state.targets.get(name)
+        return None if target is None else target.info
+
+    def list_targets(self) -> list[TargetInfo]:
+        """Return the inventory entries of all known targets."""
+        return [target.info for target in self.entry_state.targets.values()]
+
+    def read_status(self) -> dict[str, Any]:
+        """Return what ``GET /status`` tells."""
+        targets = {}
+        for name, target in self.entry_state.targets.items():
+            targets[name] = {"in_flight": target.in_flight, "leaving": target.leaving}
+        return {
+            "node": self.settings.node,
+            "configuration_offset": self.entry_state.configuration_offset,
+            "ready": self.callers.ready,
+            "requests": len(self.entry_state.requests),
+            "targets": targets,
+        }
+
+    def dispatch(self, event: Event) -> None:
+        """Reduce an event and run its effects."""
+        self._events.append(event)
+        if self._reducing:
+            return
+        self._reducing = True
+        try:
+            while self._events:
+                now = self.clock.now()
+                for effect in reduce(self.entry_state, self._events.popleft(), now):
+                    self._perform(effect)
+        finally:
+            self._reducing = False
+
+    def _perform(self, effect: Effect) -> None:
+        match effect:
+            case Deliver(request=request, frames=frames):
+                exchange = self.exchanges.get(request)
+                if exchange is not None:
+                    exchange.frames += frames
+                    exchange.notify()
+            case Count(name=name, value=value):
+                self.metrics.count(name, value)
+            case OpenAttempt():
+                self.targets.open_attempt(effect, self.exchanges[effect.request])
+            case ResumeAttempt():
+                self.targets.resume_attempt(effect)
+            case CloseAttempt(attempt=attempt):
+                self.targets.close_attempt(attempt)
+            case CancelGeneration():
+                self.targets.cancel_generation(effect)
+            case Complete(request=request):
+                self._end_exchange(request, None)
+            case Refuse(request=request, problem=problem):
+                self._end_exchange(request, problem)
+            case DiscardDelivered(request=request):
+                exchange = self.exchanges.get(request)
+                if exchange is not None:
+                    exchange.frames.clear()
+            case WakeAt(timer=timer, at=at):
+                self._set_timer(timer, at)
+            case Note(message=message, fields=fields):
+                _log.info(message, extra=dict(fields))
+
+    def _end_exchange(self, request: str, problem: Any) -> None:
+        exchange = self.exchanges.get(request)
+        if exchange is None:
+            return
+        exchange.problem = problem
+        exchange.completed = problem is None
+        exchange.notify()
+
+    def _set_timer(self, timer: Timer, at: int) -> None:
+        before = self._timers.pop(timer, None)
+        if before is not None:
+            before.cancel()
+        delay = max(0, at - self.clock.now()) / 1000
+        loop = asyncio.get_running_loop()
+        self._timers[timer] = loop.call_later(delay, self._fire_timer, timer)
+
+    def _fire_timer(self, timer: Timer) -> None:
+        self._timers.pop(timer, None)
+        self.dispatch(TimerFired(timer))
+
+
+def _build_metrics(settings: Settings) -> Metrics:
+    if settings.statsd is None:
+        return MemoryMetrics()
+    return StatsdMetrics(settings.statsd.host, settings.statsd.port)
--- /dev/null
+++ b/figstep/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: pure state, events in, effects out."""
--- /dev/null
+++ b/figstep/core/effects.py
@@ -0,0 +1,132 @@
+"""Effects: everything the reducer asks the edges to do."""
+
+from dataclasses import dataclass
+
+from figstep.core.clock import Millis
+from figstep.core.events import Timer
+from figstep.core.problems import Problem
+
+
+@dataclass(frozen=True, slots=True)
+class OpenAttempt:
+    """Send the request's body to a target.
+
+    Attributes:
+        request: The request.
+        attempt: Number of the attempt, unique in this process.
+        target: Target name.
+        generation: Generation id for the target to use.
+        priority: Priority for the target.
+    """
+
+    request: str
+    attempt: int
+    target: str
+    generation: str
+    priority: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeAttempt:
+    """Reattach to a generation over a new connection, after ``after``."""
+
+    request: str
+    attempt: int
+    target: str
+    generation: str
+    after: int
+
+
+@dataclass(frozen=True, slots=True)
+class CloseAttempt:
+    """Drop the attempt's connection; the generation may go on."""
+
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class CancelGeneration:
+    """Tell a target to stop a generation that nobody wants."""
+
+    target: str
+    generation: str
+
+
+@dataclass(frozen=True, slots=True)
+class Deliver:
+    """Hand events to the caller, in order."""
+
+    request: str
+    frames: list[bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class DiscardDelivered:
+    """Forget what was gathered for a caller that has seen none of it."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Complete:
+    """The answer is whole: end the caller's response.
+
+    Attributes:
+        request: The request.
+        attempt: Attempt whose gathered service answer is delivered, if any.
+    """
+
+    request: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Give the caller its final answer: a problem."""
+
+    request: str
+    problem: Problem
+
+
+@dataclass(frozen=True, slots=True)
+class WakeAt:
+    """Fire ``timer`` at ``at`` (monotonic); an earlier one is replaced."""
+
+    timer: Timer
+    at: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    """Add to a statsd counter."""
+
+    name: str
+    value: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """Write one line to the structured log.
+
+    Attributes:
+        message: What happened.
+        fields: Request, generation, attempt, target, customer and the like.
+    """
+
+    message: str
+    fields: dict[str, str | int]
+
+
+Effect = (
+    OpenAttempt
+    | ResumeAttempt
+    | CloseAttempt
+    | CancelGeneration
+    | Deliver
+    | DiscardDelivered
+    | Complete
+    | Refuse
+    | WakeAt
+    | Count
+    | Note
+)
--- /dev/null
+++ b/figstep/core/events.py
@@ -0,0 +1,242 @@
+"""Events: everything the reducer reacts to."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from figstep.core.clock import Millis
+from figstep.core.inventory import Inventory
+from figstep.core.problems import Problem
+from figstep.core.specs import RequestSpec
+
+
+class Loss(Enum):
+    """How an attempt was lost, as far as its edge can tell."""
+
+    CONNECT_FAILED = "connect_failed"  # no byte was handed to a connection
+    REFUSED = "refused"  # the target refused before running
+    NOT_FOUND = "not_found"  # a resume named a generation the target lacks
+    BROKEN = "broken"  # the connection broke after bytes went out
+    TRUNCATED = "truncated"  # closed cleanly without the end marker
+    CROSSED = "crossed"  # the answer belongs to another generation
+    FAILED = "failed"  # the target answered with a server error
+
+
+# Callers
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A validated request came in."""
+
+    spec: RequestSpec
+
+
+@dataclass(frozen=True, slots=True)
+class CallerReturned:
+    """A caller whose connection broke wants the rest of a generation.
+
+    Attributes:
+        spec: The returning request, under a new request id.
+        generation: Generation of the last event that it saw.
+        index: Index of the last event that it saw.
+    """
+
+    spec: RequestSpec
+    generation: str
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller closed its connection before the answer ended."""
+
+    request: str
+
+
+# Targets
+
+
+@dataclass(frozen=True, slots=True)
+class TokensArrived:
+    """Consecutive token events of one generation, read in one go.
+
+    Attributes:
+        attempt: Attempt whose connection carried them.
+        generation: Generation that the events name.
+        first: Index of the first event, from 1.
+        frames: The events as they go to the caller, one per index.
+    """
+
+    attempt: int
+    generation: str
+    first: int
+    frames: list[bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """The target sent the end marker: the answer is whole."""
+
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptLost:
+    """An attempt ended without a whole answer.
+
+    Attributes:
+        attempt: The attempt.
+        loss: How it was lost.
+        retry_after: What the target asked for, in milliseconds, or None.
+        detail: For the log.
+    """
+
+    attempt: int
+    loss: Loss
+    retry_after: Millis | None = None
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptRejected:
+    """The target answered that the request itself is wrong (4xx)."""
+
+    attempt: int
+    problem: Problem
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswered:
+    """A plain service answered; the edge holds the body until delivery.
+
+    Attributes:
+        attempt: The attempt.
+        status: HTTP status of the answer.
+    """
+
+    attempt: int
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReported:
+    """A target reported its load; reports lag.
+
+    Attributes:
+        target: Target name.
+        incarnation: Grows each time the target starts anew.
+        leaving: Whether it takes no new work.
+        running: Generations decoding.
+        waiting: Generations queued at the engine.
+        memory_used: Cache memory in use, in tokens.
+        memory_total: Cache memory, in tokens.
+        models: Models loaded, as "name@version".
+        age: Age of the report, in milliseconds.
+    """
+
+    target: str
+    incarnation: int = 0
+    leaving: bool = False
+    running: int = 0
+    waiting: int = 0
+    memory_used: int = 0
+    memory_total: int = 0
+    models: tuple[str, ...] = ()
+    age: Millis = Millis(0)
+
+
+# Platform
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationRead:
+    """A record of the configuration stream.
+
+    Attributes:
+        offset: Offset of the record.
+        base: Accepted offset that the author started from; -1 for none.
+        author: Who published.
+        reason: Why.
+        inventory: The validated document, or None if it is not valid.
+        problems: Why it is not valid.
+    """
+
+    offset: int
+    base: int
+    author: str
+    reason: str
+    inventory: Inventory | None
+    problems: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceInfo:
+    """An entry of the platform's instance list."""
+
+    name: str
+    kind: str
+    address: str
+    failure_domain: str
+    leaving: bool = False
+    incarnation: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class InstancesListed:
+    """The platform's instance list was read; it lags."""
+
+    instances: tuple[InstanceInfo, ...] = field(default_factory=tuple)
+
+
+# Timers and life cycle
+
+
+@dataclass(frozen=True, slots=True)
+class RequestTimer:
+    """Wakes a request: its deadline, or the time to try again."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptTimer:
+    """Checks that an attempt still makes progress."""
+
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class QueueTimer:
+    """Tries to start queued requests."""
+
+
+Timer = RequestTimer | AttemptTimer | QueueTimer
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    """A timer set by a ``WakeAt`` effect came due."""
+
+    timer: Timer
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownRequested:
+    """The process was asked to end; running requests go on."""
+
+
+Event = (
+    RequestArrived
+    | CallerReturned
+    | CallerGone
+    | TokensArrived
+    | AttemptEnded
+    | AttemptLost
+    | AttemptRejected
+    | ServiceAnswered
+    | LoadReported
+    | ConfigurationRead
+    | InstancesListed
+    | TimerFired
+    | ShutdownRequested
+)
--- /dev/null
+++ b/figstep/core/reducer.py
@@ -0,0 +1,77 @@
+"""The reducer: one match over all events, each arm one call."""
+
+from figstep.core import configuration, membership, requests, targets
+from figstep.core.clock import Millis
+from figstep.core.effects import Effect
+from figstep.core.events import (
+    AttemptEnded,
+    AttemptLost,
+    AttemptRejected,
+    AttemptTimer,
+    CallerGone,
+    CallerReturned,
+    ConfigurationRead,
+    Event,
+    InstancesListed,
+    LoadReported,
+    QueueTimer,
+    RequestArrived,
+    RequestTimer,
+    ServiceAnswered,
+    ShutdownRequested,
+    Timer,
+    TimerFired,
+    TokensArrived,
+)
+from figstep.core.state import State
+
+
+def reduce(state: State, event: Event, now: Millis) -> list[Effect]:
+    """Apply one event.
+
+    Args:
+        state: State of this entry; changed in place, here only.
+        event: What happened.
+        now: Monotonic time, in milliseconds.
+
+    Returns:
+        What the edges have to do, in order.
+    """
+    match event:
+        case TokensArrived():
+            return requests.forward_tokens(state, event, now)
+        case RequestArrived():
+            return requests.admit_request(state, event, now)
+        case AttemptEnded():
+            return requests.end_attempt(state, event, now)
+        case ServiceAnswered():
+            return requests.answer_service(state, event, now)
+        case AttemptLost():
+            return requests.recover_attempt(state, event, now)
+        case AttemptRejected():
+            return requests.reject_attempt(state, event, now)
+        case CallerGone():
+            return requests.drop_caller(state, event, now)
+        case CallerReturned():
+            return requests.return_caller(state, event, now)
+        case TimerFired(timer=timer):
+            return _fire_timer(state, timer, now)
+        case LoadReported():
+            return targets.record_load(state, event, now)
+        case ConfigurationRead():
+            return configuration.fold_record(state, event, now)
+        case InstancesListed():
+            return membership.record_instances(state, event, now)
+        case ShutdownRequested():
+            state.shutting_down = True
+            return []
+
+
+def _fire_timer(state: State, timer: Timer, now: Millis) -> list[Effect]:
+    match timer:
+        case QueueTimer():
+            return requests.start_queued(state, now)
+        case RequestTimer():
+            return requests.expire_request(state, timer, now)
+        case AttemptTimer():
+            return requests.check_attempt(state, timer, now)
--- /dev/null
+++ b/figstep/core/state.py
@@ -0,0 +1,117 @@
+"""State of one entry; only the reducer changes it."""
+
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+
+from figstep.core.clock import Millis
+from figstep.core.inventory import Inventory, TargetInfo
+from figstep.core.problems import Ran
+from figstep.core.specs import RequestSpec
+
+
+class Phase(Enum):
+    """Where a request is in its life."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    WAITING = "waiting"  # between two attempts
+
+
+@dataclass(slots=True)
+class RequestState:
+    """A request that has no final answer yet.
+
+    Attributes:
+        spec: What was asked for.
+        arrived: When it came in.
+        phase: Where it is.
+        ran: What is known of whether it ran.
+        generation: Generation that the caller is bound to, or "".
+        target: Target of the last attempt, or "".
+        attempt: Current attempt, or None.
+        delivered: Index of the last event handed to the caller.
+        attempts: Attempts opened so far.
+        failed_targets: Targets that lost it.
+    """
+
+    spec: RequestSpec
+    arrived: Millis
+    phase: Phase = Phase.QUEUED
+    ran: Ran = Ran.NO
+    generation: str = ""
+    target: str = ""
+    attempt: int | None = None
+    delivered: int = 0
+    attempts: int = 0
+    failed_targets: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class AttemptState:
+    """One connection to a target on behalf of a request."""
+
+    attempt: int
+    request: str
+    target: str
+    generation: str
+    opened: Millis
+    last_progress: Millis
+
+
+@dataclass(slots=True)
+class TargetState:
+    """What this entry knows of a target.
+
+    Attributes:
+        info: Its inventory entry.
+        in_flight: Attempts of this entry running there.
+        leaving: Whether it takes no new work.
+        incarnation: Highest incarnation seen.
+        running: Reported generations decoding.
+        waiting: Reported generations queued.
+        memory_used: Reported cache memory in use, in tokens.
+        memory_total: Cache memory, in tokens.
+        reported: When the last report came, or None.
+    """
+
+    info: TargetInfo
+    in_flight: int = 0
+    leaving: bool = False
+    incarnation: int = 0
+    running: int = 0
+    waiting: int = 0
+    memory_used: int = 0
+    memory_total: int = 0
+    reported: Millis | None = None
+
+
+@dataclass(slots=True)
+class State:
+    """Everything one entry knows.
+
+    Attributes:
+        node: Name of this entry instance.
+        failure_domain: Its failure domain.
+        rng: Seeded generator; the only source of randomness.
+        inventory: Accepted document in force, or None before the first.
+        configuration_offset: Offset of the accepted document; -1 for none.
+        targets: Known targets by name.
+        requests: Requests without a final answer, by id.
+        attempts: Open attempts by number.
+        queue: Ids of queued requests.
+        next_attempt: Number of the next attempt.
+        shutting_down: Whether new requests are turned away.
+    """
+
+    node: str
+    failure_domain: str = ""
+    rng: random.Random = field(default_factory=random.Random)
+    inventory: Inventory | None = None
+    configuration_offset: int = -1
+    targets: dict[str, TargetState] = field(default_factory=dict)
+    requests: dict[str, RequestState] = field(default_factory=dict)
+    attempts: dict[int, AttemptState] = field(default_factory=dict)
+    queue: list[str] = field(default_factory=list)
+    next_attempt: int = 1
+    shutting_down: bool = False
--- /dev/null
+++ b/figstep/errors.py
@@ -0,0 +1,29 @@
+"""Typed errors; each message names the remedy."""
+
+
+class FigstepError(Exception):
+    """Base of every error that figstep raises on purpose."""
+
+
+class SettingsError(FigstepError):
+    """The settings file cannot be used."""
+
+
+class InventoryError(FigstepError):
+    """The inventory document is not valid."""
+
+
+class LogUnavailableError(FigstepError):
+    """The log service gave no answer; what was sent may have taken effect."""
+
+
+class LogTruncatedError(FigstepError):
+    """Records before ``earliest`` are gone."""
+
+    def __init__(self, earliest: int) -> None:
+        super().__init__(f"records before {earliest} are gone; read from there")
+        self.earliest = earliest
+
+
+class PublishRefusedError(FigstepError):
+    """The log holds the edit, but the fold refused it."""
--- /dev/null
+++ b/figstep/inventory.py
@@ -0,0 +1,171 @@
+"""Border of the inventory document: pydantic in, frozen data classes out."""
+
+import hashlib
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+from figstep.core import inventory as core
+from figstep.core.clock import Millis
+from figstep.errors import InventoryError
+from figstep.settings import describe_errors
+
+NAME = r"^[a-z0-9][a-z0-9.-]*$"
+Name = Field(pattern=NAME)
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class FailureDomainModel(_Model):
+    """A failure domain and its region."""
+
+    name: str = Name
+    region: str
+
+
+class EngineModel(_Model):
+    """A model engine of the asset register."""
+
+    name: str = Name
+    address: str
+    failure_domain: str
+    models: tuple[str, ...]
+    speed: float = Field(default=1.0, gt=0)
+    memory_tokens: int = Field(default=16_384, gt=0)
+    max_running: int = Field(default=32, gt=0)
+    resume: bool = True
+    continuation: bool = False
+    checks_fencing: bool = True
+
+
+class ServiceModel(_Model):
+    """A replica of a plain service."""
+
+    name: str = Name
+    service: str = Name
+    address: str
+    failure_domain: str
+
+
+class ModelModel(_Model):
+    """A model, its wanted version and adapters."""
+
+    name: str
+    version: str = "1"
+    adapters: tuple[str, ...] = ()
+    replicas: int = Field(default=1, ge=0)
+
+
+class CustomerModel(_Model):
+    """A customer and the SHA-256 of its key, in hexadecimal."""
+
+    name: str
+    key_hash: str = Field(pattern=r"^[0-9a-f]{64}$")
+    share: float = Field(default=1.0, gt=0)
+    priority: int = Field(default=0, ge=-100, le=100)
+
+
+class NonIdempotentModel(_Model):
+    """Calls that run at most once."""
+
+    service: str
+    method: str | None = None
+    path: str = ""
+    customer: str | None = None
+    digest_window_ms: int | None = Field(default=None, gt=0)
+
+
+class RulesModel(_Model):
+    """Operators' rules."""
+
+    non_idempotent: tuple[NonIdempotentModel, ...] = ()
+    deadline_ms: int = Field(default=60_000, gt=0)
+    routing: str = "figstep"
+
+
+class InventoryModel(_Model):
+    """The whole document."""
+
+    failure_domains: tuple[FailureDomainModel, ...] = ()
+    engines: tuple[EngineModel, ...] = ()
+    services: tuple[ServiceModel, ...] = ()
+    models: tuple[ModelModel, ...] = ()
+    customers: tuple[CustomerModel, ...] = ()
+    rules: RulesModel = RulesModel()
+
+    @model_validator(mode="after")
+    def _check_references(self) -> "InventoryModel":
+        targets: list[EngineModel | ServiceModel] = [*self.engines, *self.services]
+        names = [target.name for target in targets]
+        repeated = {name for name in names if names.count(name) > 1}
+        if repeated:
+            raise ValueError(f"target names must differ; rename one of {repeated}")
+        domains = {domain.name for domain in self.failure_domains}
+        models = {model.name for model in self.models}
+        for target in targets:
+            if target.failure_domain not in domains:
+                raise ValueError(
+                    f"{target.name}: failure domain {target.failure_domain!r}"
+                    " is not listed; add it under failure_domains"
+                )
+        for engine in self.engines:
+            unknown = set(engine.models) - models
+            if unknown:
+                raise ValueError(
+                    f"{engine.name}: models {sorted(unknown)} are not listed;"
+                    " add them under models"
+                )
+        return self
+
+
+def hash_key(key: str) -> str:
+    """Return the SHA-256 of a customer's key, in hexadecimal."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def parse_inventory(document: Any) -> core.Inventory:
+    """Validate a document and turn it into data classes.
+
+    Raises:
+        InventoryError: Naming each wrong field and what to write.
+    """
+    try:
+        model = InventoryModel.model_validate(document)
+    except ValidationError as error:
+        raise InventoryError("; ".join(describe_errors(error))) from error
+    return _convert_inventory(model)
+
+
+def _convert_inventory(model: InventoryModel) -> core.Inventory:
+    return core.Inventory(
+        failure_domains=tuple(
+            core.FailureDomain(**m.model_dump()) for m in model.failure_domains
+        ),
+        engines=tuple(core.EngineInfo(**m.model_dump()) for m in model.engines),
+        services=tuple(core.ServiceInfo(**m.model_dump()) for m in model.services),
+        models=tuple(core.ModelInfo(**m.model_dump()) for m in model.models),
+        customers=tuple(core.CustomerInfo(**m.model_dump()) for m in model.customers),
+        rules=_convert_rules(model.rules),
+    )
+
+
+def _convert_rules(model: RulesModel) -> core.Rules:
+    non_idempotent = []
+    for rule in model.non_idempotent:
+        window = rule.digest_window_ms
+        non_idempotent.append(
+            core.NonIdempotentRule(
+                service=rule.service,
+                method=rule.method,
+                path=rule.path,
+                customer=rule.customer,
+                digest_window=None if window is None else Millis(window),
+            )
+        )
+    return core.Rules(
+        non_idempotent=tuple(non_idempotent),
+        deadline=Millis(model.deadline_ms),
+        routing=model.routing,
+    )
--- /dev/null
+++ b/figstep/net/frames.py
@@ -0,0 +1,65 @@
+"""Server-sent events as they pass through, without decoding their JSON.
+
+A target writes ``id: <generation>:<index>`` as the first line of each event,
+so a frame is handed on as it came. A general decoder costs more per token
+than the rest of the path together, see docs/DESIGN.md.
+"""
+
+from dataclasses import dataclass
+
+BOUNDARY = b"\n\n"
+DONE = b"data: [DONE]"
+ID = b"id: "
+
+
+@dataclass(slots=True)
+class FrameRun:
+    """Consecutive events of one generation.
+
+    Attributes:
+        generation: Generation that the events name.
+        first: Index of the first event.
+        frames: The events, each with its closing blank line.
+    """
+
+    generation: str
+    first: int
+    frames: list[bytes]
+
+
+class FrameSplitter:
+    """Cuts a byte stream into runs of events.
+
+    Attributes:
+        ended: Whether the end marker was seen.
+    """
+
+    def __init__(self) -> None:
+        self.ended = False
+        self._rest = b""
+
+    def feed(self, chunk: bytes) -> list[FrameRun]:
+        """Take bytes and return the runs of events that they complete."""
+        parts = (self._rest + chunk).split(BOUNDARY)
+        self._rest = parts.pop()
+        runs: list[FrameRun] = []
+        for part in parts:
+            if part.startswith(DONE):
+                self.ended = True
+                continue
+            if not part.startswith(ID):
+                continue
+            name, _, index = part[4 : part.index(b"\n")].rpartition(b":")
+            self._add(runs, name.decode(), int(index), part + BOUNDARY)
+        return runs
+
+    def _add(
+        self, runs: list[FrameRun], generation: str, index: int, frame: bytes
+    ) -> None:
+        if runs:
+            last = runs[-1]
+            follows = index == last.first + len(last.frames)
+            if last.generation == generation and follows:
+                last.frames.append(frame)
+                return
+        runs.append(FrameRun(generation, index, [frame]))
--- /dev/null
+++ b/figstep/net/log.py
@@ -0,0 +1,164 @@
+"""Client of the platform's log service, with an in-memory twin."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+import orjson
+
+from figstep.errors import LogTruncatedError, LogUnavailableError
+
+CONFIGURATION = "configuration"
+CLAIMS = "claims"
+LEASES = "leases"
+
+READ_LIMIT = 500
+
+
+@dataclass(frozen=True, slots=True)
+class LogRecord:
+    """A record of a stream.
+
+    Attributes:
+        offset: Position in the stream, from 0.
+        time: When the service took it, in milliseconds since the epoch.
+        data: The record itself, a JSON object.
+    """
+
+    offset: int
+    time: int
+    data: dict[str, Any]
+
+
+class LogClient(ABC):
+    """Append-only streams of records with offsets."""
+
+    @abstractmethod
+    async def append(self, stream: str, records: list[dict[str, Any]]) -> int:
+        """Append records and return the offset of the first.
+
+        Raises:
+            LogUnavailableError: No answer; the append may have taken effect.
+        """
+
+    @abstractmethod
+    async def read(self, stream: str, start: int, wait: int = 0) -> list[LogRecord]:
+        """Return records from offset ``start`` on, waiting up to ``wait`` ms.
+
+        Raises:
+            LogUnavailableError: No answer.
+            LogTruncatedError: Records at ``start`` are past retention.
+        """
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Free what the client holds."""
+
+
+class MemoryLog(LogClient):
+    """The twin for tests: lists in memory."""
+
+    def __init__(self) -> None:
+        self.streams: dict[str, list[LogRecord]] = {}
+        self.earliest: dict[str, int] = {}
+        self.available = True
+        self._changed = asyncio.Event()
+
+    async def append(self, stream: str, records: list[dict[str, Any]]) -> int:
+        """Append records and return the offset of the first."""
+        self._check_available()
+        held = self.streams.setdefault(stream, [])
+        first = len(held)
+        for number, data in enumerate(records):
+            held.append(LogRecord(first + number, 0, data))
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return first
+
+    async def read(self, stream: str, start: int, wait: int = 0) -> list[LogRecord]:
+        """Return records from offset ``start`` on."""
+        self._check_available()
+        earliest = self.earliest.get(stream, 0)
+        if start < earliest:
+            raise LogTruncatedError(earliest)
+        held = self.streams.get(stream, [])
+        if start >= len(held) and wait:
+            try:
+                await asyncio.wait_for(self._changed.wait(), wait / 1000)
+            except TimeoutError:
+                return []
+            held = self.streams.get(stream, [])
+        return held[start : start + READ_LIMIT]
+
+    async def close(self) -> None:
+        """Nothing is held."""
+
+    def _check_available(self) -> None:
+        if not self.available:
+            raise LogUnavailableError("the log is down; try again later")
+
+
+class HttpLog(LogClient):
+    """The platform's log service over HTTP."""
+
+    def __init__(self, base_url: str, timeout: float = 5.0) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._timeout = timeout
+        self._session: aiohttp.ClientSession | None = None
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        return self._session
+
+    async def append(self, stream: str, records: list[dict[str, Any]]) -> int:
+        """Append records and return the offset of the first."""
+        url = f"{self._base_url}/streams/{stream}/records"
+        body = orjson.dumps({"records": records})
+        timeout = aiohttp.ClientTimeout(total=self._timeout)
+        try:
+            async with self._open_session().post(
+                url, data=body, timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    raise LogUnavailableError(
+                        f"log service answered {response.status}; read back before"
+                        " appending again"
+                    )
+                answer = orjson.loads(await response.read())
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise LogUnavailableError(
+                f"no answer from the log service ({error!r}); read back before"
+                " appending again"
+            ) from error
+        return int(answer["offset"])
+
+    async def read(self, stream: str, start: int, wait: int = 0) -> list[LogRecord]:
+        """Return records from offset ``start`` on."""
+        url = f"{self._base_url}/streams/{stream}/records"
+        params = {"from": str(start), "wait_ms": str(wait), "limit": str(READ_LIMIT)}
+        timeout = aiohttp.ClientTimeout(total=self._timeout + wait / 1000)
+        try:
+            async with self._open_session().get(
+                url, params=params, timeout=timeout
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise LogUnavailableError(
+                f"no answer from the log service ({error!r}); try again later"
+            ) from error
+        if response.status == 410:
+            raise LogTruncatedError(int(orjson.loads(body)["earliest"]))
+        if response.status != 200:
+            raise LogUnavailableError(
+                f"log service answered {response.status}; try again later"
+            )
+        records = orjson.loads(body)["records"]
+        return [LogRecord(r["offset"], r["time"], r["data"]) for r in records]
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
--- /dev/null
+++ b/figstep/settings.py
@@ -0,0 +1,134 @@
+"""Settings of one entry instance: YAML, validated whole at start."""
+
+from pathlib import Path
+from typing import Any
+
+import yaml
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from figstep.errors import SettingsError
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Listen(_Model):
+    """An address to listen on; port 0 takes a free one."""
+
+    host: str = "127.0.0.1"
+    port: int = Field(default=0, ge=0, le=65535)
+
+
+class Platform(_Model):
+    """Addresses of the platform's services, as base URLs."""
+
+    log: str
+    instances: str
+    weights: str | None = None
+
+
+class Peers(_Model):
+    """How this entry talks to the others.
+
+    Attributes:
+        listen: UDP and TCP address for peers.
+        start: Addresses of other entries to try first, as "host:port".
+        key: Shared key that authenticates messages.
+        old_key: Second key, accepted while keys are changed.
+    """
+
+    listen: Listen = Listen()
+    start: tuple[str, ...] = ()
+    key: str = ""
+    old_key: str = ""
+
+
+class Limits(_Model):
+    """Bounds on what callers may send."""
+
+    body_bytes: int = Field(default=1_048_576, gt=0)
+    header_bytes: int = Field(default=16_384, gt=0)
+    body_seconds: float = Field(default=10.0, gt=0)
+
+
+class Statsd(_Model):
+    """Address of the statsd server."""
+
+    host: str
+    port: int = 8125
+
+
+class Tls(_Model):
+    """Certificate chain and key for callers, as PEM files."""
+
+    certificate: str
+    key: str
+
+
+class Settings(_Model):
+    """Everything a process learns at start.
+
+    Attributes:
+        node: Name of this instance.
+        failure_domain: Its failure domain.
+        region: Its region.
+        callers: Address for callers.
+        platform: The platform's services.
+        peers: Addresses and keys for other entries.
+        limits: Bounds on what callers may send.
+        statsd: Metrics server, or None.
+        tls: Certificate for callers, or None for plain HTTP.
+        notice_seconds: How long the listener stays open after readiness falls.
+        log_level: Lowest level written.
+    """
+
+    node: str = Field(pattern=r"^[a-z0-9.-]+$")
+    failure_domain: str
+    region: str = ""
+    callers: Listen = Listen()
+    platform: Platform
+    peers: Peers = Peers()
+    limits: Limits = Limits()
+    statsd: Statsd | None = None
+    tls: Tls | None = None
+    notice_seconds: float = Field(default=5.0, ge=0)
+    log_level: str = "INFO"
+
+
+def describe_errors(error: ValidationError) -> list[str]:
+    """Return a line for each wrong field: its path and what to write."""
+    lines = []
+    for item in error.errors():
+        path = ".".join(str(part) for part in item["loc"]) or "document"
+        lines.append(f"{path}: {item['msg']}")
+    return lines
+
+
+def load_yaml(path: Path) -> Any:
+    """Read a YAML file.
+
+    Raises:
+        SettingsError: If it cannot be read or is not YAML.
+    """
+    try:
+        return yaml.safe_load(path.read_text())
+    except OSError as error:
+        raise SettingsError(
+            f"{path}: cannot be read ({error.strerror}); check the path"
+        ) from error
+    except yaml.YAMLError as error:
+        raise SettingsError(f"{path}: not YAML; mend it: {error}") from error
+
+
+def load_settings(path: Path) -> Settings:
+    """Read and validate a settings file.
+
+    Raises:
+        SettingsError: Naming the file, each wrong field and what to write.
+    """
+    document = load_yaml(path)
+    try:
+        return Settings.model_validate(document)
+    except ValidationError as error:
+        raise SettingsError(f"{path}: " + "; ".join(describe_errors(error))) from error
--- /dev/null
+++ b/figstep/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, for tests, demos and trials."""
--- /dev/null
+++ b/figstep/standins/process.py
@@ -0,0 +1,47 @@
+"""Stand-ins as processes: one HTTP application until a signal."""
+
+import asyncio
+import signal
+
+from aiohttp import web
+
+from figstep.standins.engine import EngineServer
+from figstep.standins.http import start_app
+from figstep.standins.instances import InstanceList
+from figstep.standins.log import LogService
+from figstep.standins.service import PlainService
+
+KINDS = ("log", "instances", "engine", "service")
+
+
+def build_standin(kind: str, name: str, gap: float) -> web.Application:
+    """Return the application of one kind of stand-in.
+
+    Args:
+        kind: One of ``KINDS``.
+        name: Target name, for engines and services.
+        gap: Seconds between tokens, for engines.
+    """
+    match kind:
+        case "log":
+            return LogService().build_app()
+        case "instances":
+            return InstanceList().build_app()
+        case "engine":
+            return EngineServer(name, gap).build_app()
+        case "service":
+            return PlainService(name).build_app()
+        case _:
+            raise ValueError(f"unknown stand-in {kind!r}; use one of {KINDS}")
+
+
+async def run_standin(kind: str, name: str, port: int, gap: float) -> None:
+    """Serve a stand-in until SIGTERM or SIGINT; prints its URL first."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    runner, url = await start_app(build_standin(kind, name, gap), port=port)
+    print(f"{kind} {url}", flush=True)
+    await stop.wait()
+    await runner.cleanup()
--- /dev/null
+++ b/figstep/standins/service.py
@@ -0,0 +1,46 @@
+"""Stand-in of a plain service: records each call that it executes."""
+
+import asyncio
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from figstep.standins.http import answer_json
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutedCall:
+    """A call as the service executed it."""
+
+    method: str
+    path: str
+    body: str
+
+
+class PlainService:
+    """Executes every call once and answers with its running number."""
+
+    def __init__(self, name: str, delay: float = 0.0) -> None:
+        self.name = name
+        self.delay = delay
+        self.executed: list[ExecutedCall] = []
+
+    def build_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_get("/standin/executed", self._list_executed)
+        app.router.add_route("*", "/{path:.*}", self._execute)
+        return app
+
+    async def _list_executed(self, request: web.Request) -> web.Response:
+        calls = [[c.method, c.path, c.body] for c in self.executed]
+        return answer_json({"executed": calls})
+
+    async def _execute(self, request: web.Request) -> web.Response:
+        body = (await request.read()).decode(errors="replace")
+        path = "/" + request.match_info["path"]
+        self.executed.append(ExecutedCall(request.method, path, body))
+        number = len(self.executed)
+        if self.delay:
+            await asyncio.sleep(self.delay)
+        return answer_json({"service": self.name, "number": number, "path": path})
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; ``test_X.py`` mirrors ``X.py``."""
