Add the seams of admission, queue, lengths, quarantine, claims and streams

Cause: the life cycle of a request would have been edited by every part at once. Ruled out: one large module of requests; parts that call each other. Before: routing and queue inside requests.py. Conclusion: parts can be written side by side.

--- a/figstep/application.py
+++ b/figstep/application.py
@@ -11,6 +11,7 @@
 
 from figstep.core.clock import Clock
 from figstep.core.effects import (
+    AppendRecords,
     CancelGeneration,
     CloseAttempt,
     Complete,
@@ -26,15 +27,17 @@
 )
 from figstep.core.events import Event, ShutdownRequested, Timer, TimerFired
 from figstep.core.inventory import TargetInfo
+from figstep.core.records import CONFIGURATION, LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import State
 from figstep.metrics import MemoryMetrics, Metrics, StatsdMetrics
 from figstep.net.callers import CallerEdge
 from figstep.net.clock import SystemClock
-from figstep.net.configuration import ConfigurationEdge
+from figstep.net.configuration import parse_record
 from figstep.net.exchanges import Exchange
 from figstep.net.instances import InstanceEdge
 from figstep.net.log import HttpLog, LogClient
+from figstep.net.streams import StreamAppender, StreamFollower
 from figstep.net.targets import TargetEdge
 from figstep.settings import Settings
 
@@ -78,12 +81,22 @@
             self.read_status,
         )
         self.targets = TargetEdge(self.dispatch, self.find_target, self.list_targets)
-        self.configuration = ConfigurationEdge(self._log_client, self.dispatch)
+        self.configuration = StreamFollower(
+            self._log_client, CONFIGURATION, self._take_configuration
+        )
+        self.appender = StreamAppender(self._log_client, self.dispatch)
         self.instances = InstanceEdge(settings.platform.instances, self.dispatch)
 
     async def on_start(self) -> None:
         """Start the edges; the listener opens last."""
-        for edge in (self.targets, self.configuration, self.instances, self.callers):
+        edges = (
+            self.targets,
+            self.appender,
+            self.configuration,
+            self.instances,
+            self.callers,
+        )
+        for edge in edges:
             await self.add_runtime_dependency(edge)
 
     async def on_stop(self) -> None:
@@ -100,6 +113,10 @@
         while self.entry_state.requests or self.exchanges:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    def _take_configuration(self, records: list[LogRecord]) -> None:
+        for record in records:
+            self.dispatch(parse_record(record))
+
     def find_target(self, name: str) -> TargetInfo | None:
         """Return a target's inventory entry."""
         target = self.entry_state.targets.get(name)
@@ -163,6 +180,8 @@
                     exchange.frames.clear()
             case WakeAt(timer=timer, at=at):
                 self._set_timer(timer, at)
+            case AppendRecords():
+                self.appender.append(effect)
             case Note(message=message, fields=fields):
                 _log.info(message, extra=dict(fields))
 
--- a/figstep/core/effects.py
+++ b/figstep/core/effects.py
@@ -1,6 +1,7 @@
 """Effects: everything the reducer asks the edges to do."""
 
 from dataclasses import dataclass
+from typing import Any
 
 from figstep.core.clock import Millis
 from figstep.core.events import Timer
@@ -88,6 +89,21 @@
     problem: Problem
 
 
+@dataclass(frozen=True, slots=True)
+class AppendRecords:
+    """Append to a stream; answered by the same key.
+
+    Attributes:
+        stream: Name of the stream.
+        key: Unique in this process.
+        records: JSON objects.
+    """
+
+    stream: str
+    key: int
+    records: list[dict[str, Any]]
+
+
 @dataclass(frozen=True, slots=True)
 class WakeAt:
     """Fire ``timer`` at ``at`` (monotonic); an earlier one is replaced."""
@@ -126,6 +142,7 @@
     | DiscardDelivered
     | Complete
     | Refuse
+    | AppendRecords
     | WakeAt
     | Count
     | Note
--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -6,6 +6,7 @@
 from figstep.core.clock import Millis
 from figstep.core.inventory import Inventory
 from figstep.core.problems import Problem
+from figstep.core.records import LogRecord
 from figstep.core.specs import RequestSpec
 
 
@@ -188,6 +189,34 @@
     instances: tuple[InstanceInfo, ...] = field(default_factory=tuple)
 
 
+@dataclass(frozen=True, slots=True)
+class RecordsRead:
+    """New records of a stream other than the configuration's, in order."""
+
+    stream: str
+    records: tuple[LogRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AppendConfirmed:
+    """The log took an append.
+
+    Attributes:
+        key: Key of the ``AppendRecords`` effect.
+        offset: Offset of its first record.
+    """
+
+    key: int
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class AppendUncertain:
+    """No answer to an append: it may or may not have taken effect."""
+
+    key: int
+
+
 # Timers and life cycle
 
 
@@ -237,6 +266,9 @@
     | LoadReported
     | ConfigurationRead
     | InstancesListed
+    | RecordsRead
+    | AppendConfirmed
+    | AppendUncertain
     | TimerFired
     | ShutdownRequested
 )
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -4,6 +4,8 @@
 from figstep.core.clock import Millis
 from figstep.core.effects import Effect
 from figstep.core.events import (
+    AppendConfirmed,
+    AppendUncertain,
     AttemptEnded,
     AttemptLost,
     AttemptRejected,
@@ -15,6 +17,7 @@
     InstancesListed,
     LoadReported,
     QueueTimer,
+    RecordsRead,
     RequestArrived,
     RequestTimer,
     ServiceAnswered,
@@ -62,6 +65,8 @@
             return configuration.fold_record(state, event, now)
         case InstancesListed():
             return membership.record_instances(state, event, now)
+        case RecordsRead() | AppendConfirmed() | AppendUncertain():
+            return []
         case ShutdownRequested():
             state.shutting_down = True
             return []
--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -1,6 +1,6 @@
 """Life cycle of a request: arrival, attempts, delivery, end."""
 
-from figstep.core import generations, retries, routing
+from figstep.core import admission, claims, generations, quarantine, retries
 from figstep.core.clock import Millis
 from figstep.core.effects import (
     CancelGeneration,
@@ -32,7 +32,7 @@
 )
 from figstep.core.inventory import EngineInfo
 from figstep.core.problems import Problem, Ran
-from figstep.core.specs import ServiceWork
+from figstep.core.specs import GenerationWork, ServiceWork
 from figstep.core.state import (
     AttemptState,
     Phase,
@@ -53,6 +53,9 @@
         return [Refuse(spec.request, _leaving_problem())]
     if state.inventory is None:
         return [Refuse(spec.request, _unconfigured_problem())]
+    quarantined = quarantine.judge_digest(state.quarantine, spec, now)
+    if quarantined is not None:
+        return [Refuse(spec.request, quarantined), Count("requests.quarantined")]
     request = RequestState(spec, now)
     state.requests[spec.request] = request
     deadline = spec.deadline or Millis(now + state.inventory.rules.deadline)
@@ -65,9 +68,19 @@
 
 def start_request(state: State, request: RequestState, now: Millis) -> list[Effect]:
     """Open an attempt on the best target, or queue the request."""
-    target = routing.choose_target(state, request)
-    if target is None:
-        return _queue_request(state, request, now)
+    match admission.decide_admission(state, request, now):
+        case admission.Start(target=target):
+            return _open_attempt(state, request, target, now)
+        case admission.TurnAway(problem=problem):
+            del state.requests[request.spec.request]
+            return [Refuse(request.spec.request, problem)]
+        case admission.Wait():
+            return _queue_request(state, request, now)
+
+
+def _open_attempt(
+    state: State, request: RequestState, target: TargetState, now: Millis
+) -> list[Effect]:
     nonce = f"{state.node}.{state.next_attempt}.{state.rng.getrandbits(64):016x}"
     owner = generations.digest_owner(request.spec.customer)
     generation = str(generations.GenerationId(target.info.name, owner, nonce))
@@ -86,15 +99,15 @@
 def _queue_request(state: State, request: RequestState, now: Millis) -> list[Effect]:
     request.phase = Phase.QUEUED
     request.failed_targets.clear()
-    state.queue.append(request.spec.request)
+    state.queue.add(request.spec)
     return [WakeAt(QueueTimer(), Millis(now + QUEUE_PAUSE))]
 
 
 def start_queued(state: State, now: Millis) -> list[Effect]:
     """Try each queued request once."""
-    waiting, state.queue = state.queue, []
     effects: list[Effect] = []
-    for name in waiting:
+    for name in state.queue.list_in_order():
+        state.queue.remove(name)
         request = state.requests.get(name)
         if request is None or request.phase is not Phase.QUEUED:
             continue
@@ -167,7 +180,10 @@
     attempt = _end_attempt(state, event.attempt)
     if attempt is None:
         return []
-    del state.requests[attempt.request]
+    request = state.requests.pop(attempt.request)
+    work = request.spec.work
+    if isinstance(work, GenerationWork):
+        state.lengths.learn(request.spec.customer, work, request.delivered)
     return [
         Complete(attempt.request, event.attempt),
         Count("requests.completed"),
@@ -205,7 +221,7 @@
         event.loss,
         resumable=resumable,
         resuming=False,
-        non_idempotent=is_non_idempotent(state, request),
+        non_idempotent=claims.is_non_idempotent(state.inventory, request.spec),
     )
     recovery = retries.decide_recovery(request, lost)
     request.ran = retries.combine_ran(request.ran, retries.judge_ran(event.loss))
@@ -287,6 +303,7 @@
     request = state.requests.pop(event.request, None)
     if request is None:
         return []
+    state.queue.remove(event.request)
     effects: list[Effect] = [Count("callers.gone")]
     if request.attempt is None:
         return effects
@@ -305,6 +322,7 @@
     if request is None or request.phase is not Phase.QUEUED:
         return []
     del state.requests[timer.request]
+    state.queue.remove(timer.request)
     problem = Problem(
         503,
         "no_target_in_time",
@@ -320,25 +338,6 @@
     return []
 
 
-def is_non_idempotent(state: State, request: RequestState) -> bool:
-    """Tell whether the rules or the caller let the request run only once."""
-    spec = request.spec
-    if spec.non_idempotent:
-        return True
-    if state.inventory is None or not isinstance(spec.work, ServiceWork):
-        return False
-    for rule in state.inventory.rules.non_idempotent:
-        if rule.service != spec.work.service:
-            continue
-        if rule.method is not None and rule.method != spec.work.method:
-            continue
-        if rule.customer is not None and rule.customer != spec.customer:
-            continue
-        if spec.work.path.startswith(rule.path):
-            return True
-    return False
-
-
 def _leaving_problem() -> Problem:
     return Problem(
         503,
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -4,9 +4,13 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from figstep.core.claims import ClaimTable
 from figstep.core.clock import Millis
 from figstep.core.inventory import Inventory, TargetInfo
+from figstep.core.lengths import LengthTable
 from figstep.core.problems import Ran
+from figstep.core.quarantine import Quarantine
+from figstep.core.queues import RequestQueue
 from figstep.core.specs import RequestSpec
 
 
@@ -66,6 +70,7 @@
     Attributes:
         info: Its inventory entry.
         in_flight: Attempts of this entry running there.
+        peers_in_flight: What other entries say they run there.
         leaving: Whether it takes no new work.
         incarnation: Highest incarnation seen.
         running: Reported generations decoding.
@@ -77,6 +82,7 @@
 
     info: TargetInfo
     in_flight: int = 0
+    peers_in_flight: int = 0
     leaving: bool = False
     incarnation: int = 0
     running: int = 0
@@ -99,7 +105,10 @@
         targets: Known targets by name.
         requests: Requests without a final answer, by id.
         attempts: Open attempts by number.
-        queue: Ids of queued requests.
+        queue: Queued requests.
+        lengths: Estimates of the lengths of answers.
+        claims: Claims on non-idempotent requests.
+        quarantine: Requests that are kept away from targets.
         next_attempt: Number of the next attempt.
         shutting_down: Whether new requests are turned away.
     """
@@ -112,6 +121,9 @@
     targets: dict[str, TargetState] = field(default_factory=dict)
     requests: dict[str, RequestState] = field(default_factory=dict)
     attempts: dict[int, AttemptState] = field(default_factory=dict)
-    queue: list[str] = field(default_factory=list)
+    queue: RequestQueue = field(default_factory=RequestQueue)
+    lengths: LengthTable = field(default_factory=LengthTable)
+    claims: ClaimTable = field(default_factory=ClaimTable)
+    quarantine: Quarantine = field(default_factory=Quarantine)
     next_attempt: int = 1
     shutting_down: bool = False
--- a/figstep/net/log.py
+++ b/figstep/net/log.py
@@ -2,36 +2,17 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
 import orjson
 
+from figstep.core.records import LogRecord
 from figstep.errors import LogTruncatedError, LogUnavailableError
 
-CONFIGURATION = "configuration"
-CLAIMS = "claims"
-LEASES = "leases"
-
 READ_LIMIT = 500
 
 
-@dataclass(frozen=True, slots=True)
-class LogRecord:
-    """A record of a stream.
-
-    Attributes:
-        offset: Position in the stream, from 0.
-        time: When the service took it, in milliseconds since the epoch.
-        data: The record itself, a JSON object.
-    """
-
-    offset: int
-    time: int
-    data: dict[str, Any]
-
-
 class LogClient(ABC):
     """Append-only streams of records with offsets."""
 
--- /dev/null
+++ b/figstep/net/streams.py
@@ -0,0 +1,100 @@
+"""Edges of the log's streams: followers and the batching appender."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from mode import Service
+
+from figstep.core.effects import AppendRecords
+from figstep.core.events import AppendConfirmed, AppendUncertain, Event
+from figstep.core.records import LogRecord
+from figstep.errors import LogTruncatedError, LogUnavailableError
+from figstep.net.log import LogClient
+
+POLL_WAIT = 10_000
+RETRY_SECONDS = 0.5
+
+
+class StreamFollower(Service):
+    """Long-polls one stream and hands its records on, in order."""
+
+    def __init__(
+        self,
+        log: LogClient,
+        stream: str,
+        take_records: Callable[[list[LogRecord]], None],
+        start: int = 0,
+    ) -> None:
+        super().__init__()
+        self._log_client = log
+        self._stream = stream
+        self._take_records = take_records
+        self._next = start
+
+    @Service.task
+    async def _follow(self) -> None:
+        while not self.should_stop:
+            try:
+                records = await self._log_client.read(
+                    self._stream, self._next, POLL_WAIT
+                )
+            except LogTruncatedError as error:
+                self._next = error.earliest
+                continue
+            except LogUnavailableError:
+                await self.sleep(RETRY_SECONDS)
+                continue
+            if records:
+                self._next = records[-1].offset + 1
+                self._take_records(records)
+
+
+class StreamAppender(Service):
+    """Appends records; those that wait for the same stream go in one batch."""
+
+    def __init__(self, log: LogClient, dispatch: Callable[[Event], None]) -> None:
+        super().__init__()
+        self._log_client = log
+        self._dispatch = dispatch
+        self._waiting: dict[str, list[AppendRecords]] = {}
+        self._senders: dict[str, asyncio.Task[None]] = {}
+
+    async def on_stop(self) -> None:
+        """Drop what is not sent."""
+        for task in self._senders.values():
+            task.cancel()
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits to be appended."""
+        return not self._senders
+
+    def append(self, effect: AppendRecords) -> None:
+        """Queue an append."""
+        self._waiting.setdefault(effect.stream, []).append(effect)
+        if effect.stream in self._senders:
+            return
+        task = asyncio.get_running_loop().create_task(self._send(effect.stream))
+        self._senders[effect.stream] = task
+
+    async def _send(self, stream: str) -> None:
+        try:
+            while batch := self._waiting.pop(stream, None):
+                await self._send_batch(stream, batch)
+        finally:
+            del self._senders[stream]
+
+    async def _send_batch(self, stream: str, batch: list[AppendRecords]) -> None:
+        records: list[dict[str, Any]] = []
+        for effect in batch:
+            records += effect.records
+        try:
+            offset = await self._log_client.append(stream, records)
+        except LogUnavailableError:
+            for effect in batch:
+                self._dispatch(AppendUncertain(effect.key))
+            return
+        for effect in batch:
+            self._dispatch(AppendConfirmed(effect.key, offset))
+            offset += len(effect.records)
--- a/figstep/operations.py
+++ b/figstep/operations.py
@@ -6,10 +6,11 @@
 
 from figstep.core.configuration import judge_record
 from figstep.core.inventory import Inventory
+from figstep.core.records import CONFIGURATION, LogRecord
 from figstep.errors import PublishRefusedError
 from figstep.inventory import parse_inventory
 from figstep.net.configuration import parse_record
-from figstep.net.log import CONFIGURATION, HttpLog, LogClient, LogRecord
+from figstep.net.log import HttpLog, LogClient
 from figstep.settings import load_yaml
 
 RECORD_VERSION = 1
