Make the callers' border whole: typed refusals, slow and vanished callers

Cause: the thin border let aiohttp's plain-text errors through, had no limit on slow senders or slow readers, wrote each token through two task switches and cancelled at once whatever its caller asked for.

Now every refusal is a problem document, whoever raises it, the HTTP parser included. Headers are validated (deadline, idempotency key, return, grace). Events are written in the turn of the loop in which they arrive; a reader that is too slow is cut at a bound and its generation cancelled. A caller may ask for a grace to come back in.

Ruled out: a timer per stream for keep-alives (moved with every token), and waiting for the drain on every write (a task switch per token).

--- a/figstep/application.py
+++ b/figstep/application.py
@@ -25,8 +25,9 @@
     ResumeAttempt,
     WakeAt,
 )
-from figstep.core.events import Event, ShutdownRequested, Timer, TimerFired
+from figstep.core.events import CallerGone, Event, ShutdownRequested, Timer, TimerFired
 from figstep.core.inventory import TargetInfo
+from figstep.core.problems import Problem
 from figstep.core.records import CONFIGURATION, LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import State
@@ -75,6 +76,8 @@
         self._log_client = log or HttpLog(settings.platform.log)
         self.callers = CallerEdge(
             settings,
+            self.clock,
+            self.metrics,
             self.dispatch,
             self.exchanges,
             lambda: self.entry_state.inventory,
@@ -156,10 +159,7 @@
     def _perform(self, effect: Effect) -> None:
         match effect:
             case Deliver(request=request, frames=frames):
-                exchange = self.exchanges.get(request)
-                if exchange is not None:
-                    exchange.frames += frames
-                    exchange.notify()
+                self._deliver(request, frames)
             case Count(name=name, value=value):
                 self.metrics.count(name, value)
             case OpenAttempt():
@@ -177,7 +177,7 @@
             case DiscardDelivered(request=request):
                 exchange = self.exchanges.get(request)
                 if exchange is not None:
-                    exchange.frames.clear()
+                    exchange.discard()
             case WakeAt(timer=timer, at=at):
                 self._set_timer(timer, at)
             case AppendRecords():
@@ -185,13 +185,17 @@
             case Note(message=message, fields=fields):
                 _log.info(message, extra=dict(fields))
 
-    def _end_exchange(self, request: str, problem: Any) -> None:
+    def _deliver(self, request: str, frames: list[bytes]) -> None:
         exchange = self.exchanges.get(request)
-        if exchange is None:
+        if exchange is None or exchange.deliver(frames):
             return
-        exchange.problem = problem
-        exchange.completed = problem is None
-        exchange.notify()
+        self.metrics.count("callers.cut")
+        self.dispatch(CallerGone(request))
+
+    def _end_exchange(self, request: str, problem: Problem | None) -> None:
+        exchange = self.exchanges.get(request)
+        if exchange is not None:
+            exchange.end(problem)
 
     def _set_timer(self, timer: Timer, at: int) -> None:
         before = self._timers.pop(timer, None)
--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -49,9 +49,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerGone:
-    """The caller closed its connection before the answer ended."""
+    """The caller closed its connection before the answer ended.
+
+    Attributes:
+        request: The request.
+        cancel: Whether nobody wants its generation any more.
+    """
 
     request: str
+    cancel: bool = True
 
 
 # Targets
--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -311,7 +311,7 @@
     if attempt is None:
         return effects
     effects.append(CloseAttempt(attempt.attempt))
-    if not isinstance(request.spec.work, ServiceWork):
+    if event.cancel and not isinstance(request.spec.work, ServiceWork):
         effects.append(CancelGeneration(attempt.target, attempt.generation))
     return effects
 
--- a/figstep/demo.py
+++ b/figstep/demo.py
@@ -14,7 +14,7 @@
 from figstep.inventory import hash_key
 from figstep.net.log import HttpLog
 from figstep.operations import publish_document
-from figstep.settings import Limits, Listen, Platform, Settings
+from figstep.settings import Limits, Listen, Platform, Settings, Tls
 from figstep.standins.engine import EngineServer
 from figstep.standins.http import start_app
 from figstep.standins.instances import InstanceList
@@ -89,8 +89,16 @@
 
 
 @asynccontextmanager
-async def run_deployment(entries: int = 2) -> AsyncIterator[Deployment]:
-    """Start stand-ins and entries, publish the inventory, wait until in force."""
+async def run_deployment(
+    entries: int = 2, limits: Limits | None = None, tls: Tls | None = None
+) -> AsyncIterator[Deployment]:
+    """Start stand-ins and entries, publish the inventory, wait until in force.
+
+    Args:
+        entries: How many entry applications to run.
+        limits: Bounds on callers; None for the defaults.
+        tls: Certificate for callers; None for plain HTTP.
+    """
     async with AsyncExitStack() as stack:
         log, instances = LogService(), InstanceList()
         log_url = await _start(stack, log.build_app())
@@ -109,7 +117,8 @@
                 failure_domain="muc-a",
                 callers=Listen(),
                 platform=Platform(log=log_url, instances=instances_url),
-                limits=Limits(),
+                limits=limits or Limits(),
+                tls=tls,
                 notice_seconds=0,
             )
             application = Application(settings)
--- a/figstep/errors.py
+++ b/figstep/errors.py
@@ -1,5 +1,7 @@
 """Typed errors; each message names the remedy."""
 
+from figstep.core.problems import Problem
+
 
 class FigstepError(Exception):
     """Base of every error that figstep raises on purpose."""
@@ -27,3 +29,11 @@
 
 class PublishRefusedError(FigstepError):
     """The log holds the edit, but the fold refused it."""
+
+
+class RefusedError(FigstepError):
+    """A request ends at the border with ``problem`` as its answer."""
+
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(problem.detail)
+        self.problem = problem
--- /dev/null
+++ b/figstep/net/arrivals.py
@@ -0,0 +1,163 @@
+"""Border of callers' requests: HTTP in, specs and exchanges out."""
+
+import asyncio
+import hashlib
+import os
+from typing import Any
+
+import orjson
+from aiohttp import web
+from pydantic import ValidationError
+
+from figstep.core.clock import Clock, Millis
+from figstep.core.inventory import CustomerInfo, Inventory
+from figstep.core.problems import Problem
+from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork, Work
+from figstep.errors import RefusedError
+from figstep.net.bodies import ChatBody, CompletionBody, count_prompt_tokens
+from figstep.net.exchanges import Exchange
+from figstep.net.headers import CallerHeaders
+from figstep.settings import Limits, describe_errors
+
+CHAT_PATH = "/v1/chat/completions"
+COMPLETION_PATH = "/v1/completions"
+
+_FORWARDED_HEADERS = ("Content-Type", "Accept", "Idempotency-Key")
+
+
+class RequestReader:
+    """Turns validated HTTP requests into exchanges."""
+
+    def __init__(self, node: str, limits: Limits, clock: Clock) -> None:
+        # A new process under the same name must not repeat an id: the log and
+        # the targets may still know the old one.
+        self._prefix = f"{node}-{os.urandom(4).hex()}"
+        self._limits = limits
+        self._clock = clock
+        self._next_request = 1
+
+    async def read_body(self, request: web.Request) -> bytes:
+        """Return the body.
+
+        Raises:
+            RefusedError: If it takes too long; aiohttp bounds its size.
+        """
+        try:
+            async with asyncio.timeout(self._limits.body_seconds):
+                return await request.read()
+        except TimeoutError as error:
+            detail = (
+                f"the body took longer than {self._limits.body_seconds:g} s;"
+                " send it faster or send less"
+            )
+            raise RefusedError(Problem(408, "body_too_slow", detail)) from error
+
+    def read_generation(
+        self,
+        request: web.Request,
+        raw: bytes,
+        headers: CallerHeaders,
+        customer: CustomerInfo,
+        inventory: Inventory,
+    ) -> Exchange:
+        """Return the exchange of a generation.
+
+        Raises:
+            RefusedError: If the body is not valid or the model not served.
+        """
+        chat = request.path == CHAT_PATH
+        document, body = _parse_body(raw, chat)
+        if body.model not in {model.name for model in inventory.models}:
+            detail = f"model {body.model!r} is not served; see GET /v1/models"
+            raise RefusedError(Problem(404, "unknown_model", detail))
+        if headers.last_event is not None and not body.stream:
+            detail = "Last-Event-ID: only a stream can be resumed; set stream to true"
+            raise RefusedError(Problem(400, "invalid_header", detail))
+        work = GenerationWork(
+            model=body.model,
+            prompt_tokens=count_prompt_tokens(body),
+            max_tokens=body.read_limit(),
+            kind="chat" if chat else "completion",
+        )
+        stream = bool(body.stream)
+        spec = self._build_spec(request, raw, headers, customer, work, stream)
+        document["stream"] = True
+        sent = orjson.dumps(document)
+        return Exchange(spec, "POST", request.path, {}, sent, self._limits.answer_bytes)
+
+    def read_call(
+        self,
+        request: web.Request,
+        raw: bytes,
+        headers: CallerHeaders,
+        customer: CustomerInfo,
+        inventory: Inventory,
+    ) -> Exchange:
+        """Return the exchange of a call of a plain service.
+
+        Raises:
+            RefusedError: If the service is not in the inventory.
+        """
+        name = request.match_info["name"]
+        if name not in {service.service for service in inventory.services}:
+            detail = f"service {name!r} is not in the inventory; check its name"
+            raise RefusedError(Problem(404, "unknown_service", detail))
+        path = "/" + request.match_info["path"]
+        work = ServiceWork(name, request.method, path)
+        spec = self._build_spec(request, raw, headers, customer, work)
+        forwarded = {}
+        for header in _FORWARDED_HEADERS:
+            if header in request.headers:
+                forwarded[header] = request.headers[header]
+        # The raw path, as the target must see the caller's own quoting.
+        raw_path = request.rel_url.raw_path_qs.removeprefix(f"/services/{name}")
+        return Exchange(spec, request.method, raw_path, forwarded, raw)
+
+    def _build_spec(
+        self,
+        request: web.Request,
+        raw: bytes,
+        headers: CallerHeaders,
+        customer: CustomerInfo,
+        work: Work,
+        stream: bool = False,
+    ) -> RequestSpec:
+        number = self._next_request
+        self._next_request += 1
+        deadline = None
+        if headers.deadline is not None:
+            deadline = Millis(self._clock.now() + headers.deadline)
+        return RequestSpec(
+            request=f"{self._prefix}-{number}",
+            customer=customer.name,
+            work=work,
+            stream=stream,
+            priority=customer.priority,
+            deadline=deadline,
+            idempotency_key=headers.idempotency_key,
+            non_idempotent=headers.non_idempotent,
+            digest=digest_request(request.method, request.path_qs, raw),
+        )
+
+
+def _parse_body(
+    raw: bytes, chat: bool
+) -> tuple[dict[str, Any], ChatBody | CompletionBody]:
+    try:
+        document = orjson.loads(raw)
+    except orjson.JSONDecodeError as error:
+        detail = f"the body is not JSON ({error}); send one JSON object"
+        raise RefusedError(Problem(400, "invalid_json", detail)) from error
+    try:
+        body = (ChatBody if chat else CompletionBody).model_validate(document)
+    except ValidationError as error:
+        detail = "; ".join(describe_errors(error))
+        raise RefusedError(Problem(400, "invalid_body", detail)) from error
+    return document, body
+
+
+def digest_request(method: str, path: str, body: bytes) -> str:
+    """Return the SHA-256 of what a request asks for, in hexadecimal."""
+    digest = hashlib.sha256(f"{method} {path}\n".encode())
+    digest.update(body)
+    return digest.hexdigest()
--- a/figstep/net/bodies.py
+++ b/figstep/net/bodies.py
@@ -13,7 +13,7 @@
     model_config = ConfigDict(extra="allow", strict=True)
 
     model: str = Field(min_length=1, max_length=200)
-    stream: bool = False
+    stream: bool | None = None
     max_tokens: int | None = Field(default=None, gt=0)
     n: Literal[1] | None = None
 
--- a/figstep/net/callers.py
+++ b/figstep/net/callers.py
@@ -1,37 +1,47 @@
 """Edge towards callers: OpenAI-compatible HTTP and plain services."""
 
 import asyncio
-import hashlib
 from collections.abc import Callable
 from typing import Any
 
 import orjson
 from aiohttp import web
+from aiohttp.http import StreamWriter
 from mode import Service
-from pydantic import ValidationError
 
+from figstep.core.clock import Clock
 from figstep.core.events import CallerGone, CallerReturned, Event, RequestArrived
-from figstep.core.inventory import CustomerInfo, Inventory
-from figstep.core.problems import Problem
-from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork
-from figstep.inventory import hash_key
+from figstep.core.inventory import Inventory
+from figstep.metrics import Metrics
 from figstep.net.answers import assemble_answer
-from figstep.net.bodies import ChatBody, CompletionBody, count_prompt_tokens
-from figstep.net.exchanges import Exchange
-from figstep.problems import build_document, build_headers, encode_problem
-from figstep.settings import Settings, describe_errors
+from figstep.net.arrivals import CHAT_PATH, COMPLETION_PATH, RequestReader
+from figstep.net.deliveries import StreamSink, StreamTable
+from figstep.net.exchanges import Exchange, NullSink
+from figstep.net.headers import CallerHeaders, read_headers
+from figstep.net.keys import KeyRing
+from figstep.net.listener import build_runner, build_tls
+from figstep.net.refusals import answer_problem, answer_refusals
+from figstep.problems import build_document
+from figstep.settings import Settings
 
 DONE = b"data: [DONE]\n\n"
-
-_FORWARDED_HEADERS = ("Content-Type", "Accept", "Idempotency-Key")
+STREAM_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
 
 
 class CallerEdge(Service):
-    """HTTP server for callers and for health checks."""
+    """HTTP server for callers and for health checks.
+
+    Attributes:
+        ready: Whether new callers should come here.
+        address: Base URL, once listening.
+        streams: Open streams towards callers.
+    """
 
     def __init__(
         self,
         settings: Settings,
+        clock: Clock,
+        metrics: Metrics,
         dispatch: Callable[[Event], None],
         exchanges: dict[str, Exchange],
         read_inventory: Callable[[], Inventory | None],
@@ -39,41 +49,62 @@
     ) -> None:
         super().__init__()
         self._settings = settings
+        self._metrics = metrics
         self._dispatch = dispatch
         self._exchanges = exchanges
         self._read_inventory = read_inventory
         self._read_status = read_status
+        self._keys = KeyRing(read_inventory)
+        self._reader = RequestReader(settings.node, settings.limits, clock)
         self._runner: web.AppRunner | None = None
-        self._next_request = 1
-        self._keys: dict[str, CustomerInfo] = {}
-        self._keys_of: Inventory | None = None
+        self._away: dict[str, Exchange] = {}
+        self._away_tasks: set[asyncio.Task[None]] = set()
+        self.streams = StreamTable(settings.limits)
         self.ready = True
         self.address = ""
 
     async def on_start(self) -> None:
         """Listen for callers."""
-        app = web.Application(client_max_size=self._settings.limits.body_bytes)
-        app.router.add_post("/v1/chat/completions", self._serve_generation)
-        app.router.add_post("/v1/completions", self._serve_generation)
+        self._runner = build_runner(self._build_app(), self._settings)
+        await self._runner.setup()
+        listen = self._settings.callers
+        tls = build_tls(self._settings.tls)
+        site = web.TCPSite(self._runner, listen.host, listen.port, ssl_context=tls)
+        await site.start()
+        bound = self._runner.addresses[0]
+        scheme = "http" if tls is None else "https"
+        self.address = f"{scheme}://{bound[0]}:{bound[1]}"
+
+    def _build_app(self) -> web.Application:
+        app = web.Application(
+            client_max_size=self._settings.limits.body_bytes,
+            middlewares=[answer_refusals],
+        )
+        app.router.add_post(CHAT_PATH, self._serve_generation)
+        app.router.add_post(COMPLETION_PATH, self._serve_generation)
         app.router.add_get("/v1/models", self._list_models)
         app.router.add_route("*", "/services/{name}/{path:.*}", self._serve_service)
         app.router.add_get("/healthz", self._answer_health)
         app.router.add_get("/readyz", self._answer_readiness)
         app.router.add_get("/status", self._answer_status)
-        self._runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True, shutdown_timeout=1.0
-        )
-        await self._runner.setup()
-        listen = self._settings.callers
-        await web.TCPSite(self._runner, listen.host, listen.port).start()
-        bound = self._runner.addresses[0]
-        self.address = f"http://{bound[0]}:{bound[1]}"
+        app.on_response_prepare.append(self._prepare_response)
+        return app
 
     async def on_stop(self) -> None:
         """Close the listener."""
+        for task in self._away_tasks:
+            task.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def _prepare_response(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        # A kept connection would bring its next request here after the
+        # listener closed, and lose it; closing sends the caller elsewhere.
+        if not self.ready:
+            response.force_close()
+
     async def _answer_health(self, request: web.Request) -> web.Response:
         return web.Response(text="ok\n")
 
@@ -87,9 +118,7 @@
         return web.Response(body=body, content_type="application/json")
 
     async def _list_models(self, request: web.Request) -> web.Response:
-        customer = self._find_customer(request)
-        if customer is None:
-            return _answer_problem(_unknown_key())
+        self._keys.find_customer(request.headers)
         inventory = self._read_inventory() or Inventory()
         models = []
         for model in inventory.models:
@@ -99,87 +128,32 @@
         body = orjson.dumps({"object": "list", "data": models})
         return web.Response(body=body, content_type="application/json")
 
-    def _find_customer(self, request: web.Request) -> CustomerInfo | None:
-        inventory = self._read_inventory()
-        if inventory is not self._keys_of:
-            customers = inventory.customers if inventory else ()
-            self._keys = {customer.key_hash: customer for customer in customers}
-            self._keys_of = inventory
-        scheme, _, key = request.headers.get("Authorization", "").partition(" ")
-        if scheme.lower() != "bearer":
-            return None
-        return self._keys.get(hash_key(key.strip()))
-
-    def _new_request(self) -> str:
-        number = self._next_request
-        self._next_request += 1
-        return f"{self._settings.node}-{number}"
-
     async def _serve_generation(self, request: web.Request) -> web.StreamResponse:
-        customer = self._find_customer(request)
-        if customer is None:
-            return _answer_problem(_unknown_key())
-        raw = await request.read()
-        chat = request.path.endswith("/chat/completions")
-        try:
-            body = (ChatBody if chat else CompletionBody).model_validate_json(raw)
-        except ValidationError as error:
-            detail = "; ".join(describe_errors(error))
-            return _answer_problem(Problem(400, "invalid_body", detail))
+        customer = self._keys.find_customer(request.headers)
+        headers = read_headers(request.headers, self._settings.limits)
+        raw = await self._reader.read_body(request)
         inventory = self._read_inventory() or Inventory()
-        if body.model not in {model.name for model in inventory.models}:
-            detail = f"model {body.model!r} is not served; see GET /v1/models"
-            return _answer_problem(Problem(404, "unknown_model", detail))
-        document = orjson.loads(raw)
-        document["stream"] = True
-        spec = RequestSpec(
-            request=self._new_request(),
-            customer=customer.name,
-            work=GenerationWork(
-                model=body.model,
-                prompt_tokens=count_prompt_tokens(body),
-                max_tokens=body.read_limit(),
-                kind="chat" if chat else "completion",
-            ),
-            stream=body.stream,
-            priority=customer.priority,
-            idempotency_key=request.headers.get("Idempotency-Key"),
-            digest=_digest(request, raw),
+        exchange = self._reader.read_generation(
+            request, raw, headers, customer, inventory
         )
-        exchange = Exchange(spec, "POST", request.path, {}, orjson.dumps(document))
-        if body.stream:
-            return await self._stream_answer(request, exchange)
-        return await self._gather_answer(exchange, chat)
+        if exchange.spec.stream:
+            return await self._stream_answer(request, headers, exchange)
+        await self._run_exchange(exchange)
+        if exchange.problem is not None:
+            return answer_problem(exchange.problem)
+        chat = request.path == CHAT_PATH
+        body = orjson.dumps(assemble_answer(exchange.take_frames(), chat))
+        return web.Response(body=body, content_type="application/json")
 
     async def _serve_service(self, request: web.Request) -> web.StreamResponse:
-        customer = self._find_customer(request)
-        if customer is None:
-            return _answer_problem(_unknown_key())
+        customer = self._keys.find_customer(request.headers)
+        headers = read_headers(request.headers, self._settings.limits)
+        raw = await self._reader.read_body(request)
         inventory = self._read_inventory() or Inventory()
-        name = request.match_info["name"]
-        if name not in {service.service for service in inventory.services}:
-            detail = f"service {name!r} is not in the inventory; check its name"
-            return _answer_problem(Problem(404, "unknown_service", detail))
-        raw = await request.read()
-        path = "/" + request.match_info["path"]
-        spec = RequestSpec(
-            request=self._new_request(),
-            customer=customer.name,
-            work=ServiceWork(name, request.method, path),
-            stream=False,
-            priority=customer.priority,
-            idempotency_key=request.headers.get("Idempotency-Key"),
-            digest=_digest(request, raw),
-        )
-        query = f"?{request.query_string}" if request.query_string else ""
-        headers = {}
-        for header in _FORWARDED_HEADERS:
-            if header in request.headers:
-                headers[header] = request.headers[header]
-        exchange = Exchange(spec, request.method, path + query, headers, raw)
+        exchange = self._reader.read_call(request, raw, headers, customer, inventory)
         await self._run_exchange(exchange)
         if exchange.problem is not None:
-            return _answer_problem(exchange.problem)
+            return answer_problem(exchange.problem)
         answer = exchange.answer
         assert answer is not None
         return web.Response(
@@ -196,30 +170,61 @@
         finally:
             del self._exchanges[exchange.spec.request]
 
-    async def _gather_answer(self, exchange: Exchange, chat: bool) -> web.Response:
-        await self._run_exchange(exchange)
-        if exchange.problem is not None:
-            return _answer_problem(exchange.problem)
-        document = assemble_answer(exchange.take_frames(), chat)
-        return web.Response(
-            body=orjson.dumps(document), content_type="application/json"
-        )
-
     def _begin(self, exchange: Exchange, event: Event) -> None:
         self._exchanges[exchange.spec.request] = exchange
         self._dispatch(event)
 
     async def _stream_answer(
-        self, request: web.Request, exchange: Exchange
+        self, request: web.Request, headers: CallerHeaders, exchange: Exchange
     ) -> web.StreamResponse:
-        event = _read_return(request, exchange.spec)
-        self._begin(exchange, event)
+        self._begin(exchange, self._read_return(headers, exchange))
         try:
-            return await self._write_stream(request, exchange)
-        except (asyncio.CancelledError, ConnectionError):
-            self._dispatch(CallerGone(exchange.spec.request))
+            response = await self._write_stream(request, exchange)
+        except BaseException:
+            self._leave(exchange, headers.grace)
             raise
+        del self._exchanges[exchange.spec.request]
+        return response
+
+    def _read_return(self, headers: CallerHeaders, exchange: Exchange) -> Event:
+        last = headers.last_event
+        if last is None:
+            return RequestArrived(exchange.spec)
+        away = self._away.pop(last.generation, None)
+        if away is not None:
+            # The end of the grace must not cancel what is read again.
+            self._dispatch(CallerGone(away.spec.request, cancel=False))
+            away.end(None)
+        return CallerReturned(exchange.spec, last.generation, last.index)
+
+    def _leave(self, exchange: Exchange, grace: float) -> None:
+        """Cancel the generation of a vanished caller, now or after its grace."""
+        sink = exchange.sink
+        if not grace or not isinstance(sink, StreamSink) or exchange.ended:
+            self._dispatch(CallerGone(exchange.spec.request))
+            del self._exchanges[exchange.spec.request]
+            return
+        exchange.sink = NullSink()
+        self._away[sink.generation] = exchange
+        self._metrics.count("callers.away")
+        task = asyncio.get_running_loop().create_task(
+            self._wait_return(exchange, sink.generation, grace)
+        )
+        self._away_tasks.add(task)
+        task.add_done_callback(self._away_tasks.discard)
+
+    async def _wait_return(
+        self, exchange: Exchange, generation: str, grace: float
+    ) -> None:
+        try:
+            async with asyncio.timeout(grace):
+                await exchange.wait_end()
+        except TimeoutError:
+            if self._away.get(generation) is exchange:
+                self._dispatch(CallerGone(exchange.spec.request))
         finally:
+            if self._away.get(generation) is exchange:
+                del self._away[generation]
             del self._exchanges[exchange.spec.request]
 
     async def _write_stream(
@@ -227,49 +232,38 @@
     ) -> web.StreamResponse:
         await exchange.wait()
         if exchange.problem is not None and not exchange.frames:
-            return _answer_problem(exchange.problem)
-        response = web.StreamResponse(
-            headers={"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
-        )
-        await response.prepare(request)
-        while True:
-            frames = exchange.take_frames()
-            if frames:
-                await response.write(b"".join(frames))
-                continue
-            if exchange.ended:
-                break
-            await exchange.wait()
-        if exchange.problem is not None:
-            document = orjson.dumps(build_document(exchange.problem))
-            await response.write(b"event: error\ndata: " + document + b"\n\n")
+            return answer_problem(exchange.problem)
+        response = web.StreamResponse(headers=STREAM_HEADERS)
+        writer = await response.prepare(request)
+        transport = request.transport
+        if not isinstance(writer, StreamWriter) or transport is None:
+            raise ConnectionResetError("the caller closed its connection")
+        sink = StreamSink(writer, transport, self._settings.limits)
+        exchange.sink = sink
+        self.streams.add(sink)
+        try:
+            if exchange.frames:
+                exchange.deliver(exchange.take_frames())
+            await exchange.wait_end()
+        finally:
+            self.streams.finish(sink)
+        if exchange.problem is None:
+            await response.write_eof(DONE)
             return response
-        await response.write(DONE)
+        # The bound on the buffer has cut this reader: waiting for it to drain
+        # would keep the buffer for as long as it likes.
+        document = orjson.dumps(build_document(exchange.problem))
+        response.force_close()
+        await writer.write(b"event: error\ndata: " + document + b"\n\n", drain=False)
         return response
 
-
-def _read_return(request: web.Request, spec: RequestSpec) -> Event:
-    last = request.headers.get("Last-Event-ID", "")
-    generation, _, index = last.rpartition(":")
-    if generation and index.isdigit():
-        return CallerReturned(spec, generation, int(index))
-    return RequestArrived(spec)
-
-
-def _digest(request: web.Request, body: bytes) -> str:
-    digest = hashlib.sha256(f"{request.method} {request.path_qs}\n".encode())
-    digest.update(body)
-    return digest.hexdigest()
-
-
-def _answer_problem(problem: Problem) -> web.Response:
-    return web.Response(
-        body=encode_problem(problem),
-        status=problem.status,
-        headers=build_headers(problem),
-    )
-
-
-def _unknown_key() -> Problem:
-    detail = "no customer has this key; send it as 'Authorization: Bearer KEY'"
-    return Problem(401, "unknown_key", detail)
+    @Service.task
+    async def _sweep_streams(self) -> None:
+        limits = self._settings.limits
+        period = min(limits.keep_alive_seconds, limits.stalled_seconds)
+        while not self.should_stop:
+            await self.sleep(period)
+            swept = self.streams.sweep(asyncio.get_running_loop().time())
+            self._metrics.gauge("streams.open", len(self.streams))
+            if swept.aborted:
+                self._metrics.count("streams.stalled", swept.aborted)
--- /dev/null
+++ b/figstep/net/deliveries.py
@@ -0,0 +1,152 @@
+"""Streams of events towards callers: writing, keep-alives, slow readers."""
+
+import asyncio
+from dataclasses import dataclass
+
+from aiohttp import ClientConnectionResetError
+from aiohttp.http import StreamWriter
+
+from figstep.core.problems import Problem, Ran
+from figstep.net.exchanges import FrameSink
+from figstep.settings import Limits
+
+KEEP_ALIVE = b": keep-alive\n\n"
+
+
+class StreamSink(FrameSink):
+    """Writes events to one caller, in the same turn of the loop.
+
+    Attributes:
+        generation: Generation of the events, once one was written.
+        finished: Whether nothing more will be written.
+    """
+
+    def __init__(
+        self,
+        writer: StreamWriter,
+        transport: asyncio.WriteTransport,
+        limits: Limits,
+    ) -> None:
+        self.generation = ""
+        self.finished = False
+        self._writer = writer
+        self._transport = transport
+        self._max_bytes = limits.buffer_bytes
+        self._quiet = False
+        self._sent = 0
+        self._stalled_since: float | None = None
+
+    @property
+    def waiting(self) -> int:
+        """Bytes that the reader has not taken."""
+        return self._transport.get_write_buffer_size()
+
+    def write(self, frames: list[bytes]) -> Problem | None:
+        """Write events; a reader that is too slow gets a problem."""
+        self._quiet = False
+        if not self.generation:
+            self.generation = read_generation(frames[0])
+        self._write_now(frames[0] if len(frames) == 1 else b"".join(frames))
+        # A reader that stops reading would pile up its whole answer here;
+        # a few thousand of them end the process. Past the bound it is cut.
+        if self.waiting > self._max_bytes:
+            return _too_slow()
+        return None
+
+    def _write_now(self, data: bytes) -> None:
+        # Waiting for the drain would cost a task switch per token; the bound
+        # above does its work. Without a drain the coroutine never suspends.
+        writing = self._writer.write(data, drain=False)
+        try:
+            writing.send(None)
+        except StopIteration:
+            return
+        except ClientConnectionResetError:
+            return  # the handler is cancelled as the connection closes
+        writing.close()
+        raise RuntimeError("the stream writer suspended although told not to drain")
+
+    def keep_alive(self) -> bool:
+        """Write a comment if nothing was written since the last call."""
+        quiet, self._quiet = self._quiet, True
+        if not quiet or self.finished or self.waiting:
+            return False
+        self._write_now(KEEP_ALIVE)
+        return True
+
+    def abort_if_stalled(self, now: float, stalled_seconds: float) -> bool:
+        """Cut the connection of a reader that has taken nothing for long."""
+        waiting = self.waiting
+        sent = self._writer.output_size - waiting
+        if not waiting or sent > self._sent or self._stalled_since is None:
+            self._sent = sent
+            self._stalled_since = now
+            return False
+        if now - self._stalled_since < stalled_seconds:
+            return False
+        self._transport.abort()
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class Sweep:
+    """What one sweep over the open streams did."""
+
+    kept_alive: int
+    aborted: int
+
+
+class StreamTable:
+    """Sinks of all callers that read a stream."""
+
+    def __init__(self, limits: Limits) -> None:
+        self._limits = limits
+        self._sinks: set[StreamSink] = set()
+
+    def __len__(self) -> int:
+        return len(self._sinks)
+
+    def add(self, sink: StreamSink) -> None:
+        """Look after a sink."""
+        self._sinks.add(sink)
+
+    def finish(self, sink: StreamSink) -> None:
+        """Forget a sink once its caller has read everything."""
+        sink.finished = True
+        if not sink.waiting:
+            self._sinks.discard(sink)
+
+    def sweep(self, now: float) -> Sweep:
+        """Keep quiet streams alive and cut stalled readers.
+
+        One pass over all streams each period costs nothing per token; a timer
+        for each stream would have to be moved with every token.
+
+        Args:
+            now: Monotonic time, in seconds.
+        """
+        kept_alive = aborted = 0
+        for sink in list(self._sinks):
+            if sink.finished and not sink.waiting:
+                self._sinks.discard(sink)
+                continue
+            kept_alive += sink.keep_alive()
+            aborted += sink.abort_if_stalled(now, self._limits.stalled_seconds)
+        return Sweep(kept_alive, aborted)
+
+
+def read_generation(frame: bytes) -> str:
+    """Return the generation that an event names, or ""."""
+    if not frame.startswith(b"id: "):
+        return ""
+    return frame[4 : frame.index(b"\n")].rpartition(b":")[0].decode()
+
+
+def _too_slow() -> Problem:
+    return Problem(
+        408,
+        "reader_too_slow",
+        "the answer was read too slowly and its generation cancelled; read as it"
+        " arrives, or send the request again without stream",
+        ran=Ran.YES,
+    )
--- /dev/null
+++ b/figstep/net/listener.py
@@ -0,0 +1,85 @@
+"""Listener for callers: aiohttp's, with typed answers to broken HTTP."""
+
+import asyncio
+import ssl
+
+import logbook
+from aiohttp import web
+
+from figstep.core.problems import Problem
+from figstep.net.refusals import answer_problem, describe_status
+from figstep.settings import Settings, Tls
+
+_log = logbook.Logger("figstep.callers")
+
+SHUTDOWN_SECONDS = 1.0
+
+
+class _CallerProtocol(web.RequestHandler):
+    """Answers what the HTTP parser refuses with a problem document."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        # The library would log the offending line, which may hold a key.
+        _log.info("broken request", extra={"status": status})
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has begun; the connection is closed")
+        response = answer_problem(_describe_error(status, exc))
+        response.force_close()
+        return response
+
+
+class _CallerServer(web.Server):
+    def __call__(self) -> web.RequestHandler:
+        return _CallerProtocol(self, loop=self._loop, **self._kwargs)
+
+
+class CallerRunner(web.AppRunner):
+    """Runs an application behind ``_CallerProtocol``."""
+
+    async def _make_server(self) -> web.Server:
+        made = await super()._make_server()
+        return _CallerServer(
+            made.request_handler,
+            request_factory=made.request_factory,
+            handler_cancellation=made.handler_cancellation,
+            loop=asyncio.get_running_loop(),
+            **made._kwargs,
+        )
+
+
+def _describe_error(status: int, error: BaseException | None) -> Problem:
+    if type(error).__name__ == "LineTooLong":
+        return describe_status(431)
+    return describe_status(status)
+
+
+def build_runner(app: web.Application, settings: Settings) -> CallerRunner:
+    """Return the runner of ``app`` with the limits of ``settings``."""
+    limits = settings.limits
+    return CallerRunner(
+        app,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=SHUTDOWN_SECONDS,
+        keepalive_timeout=limits.idle_seconds,
+        max_line_size=limits.header_bytes,
+        max_field_size=limits.header_bytes,
+        max_headers=limits.headers,
+    )
+
+
+def build_tls(tls: Tls | None) -> ssl.SSLContext | None:
+    """Return the TLS context for callers, or None for plain HTTP."""
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate, tls.key)
+    return context
--- /dev/null
+++ b/figstep/net/refusals.py
@@ -0,0 +1,69 @@
+"""Every error answer of the listener as a problem document."""
+
+import asyncio
+import http
+from collections.abc import Awaitable, Callable
+
+import logbook
+from aiohttp import web
+
+from figstep.core.problems import Problem, Ran
+from figstep.errors import RefusedError
+from figstep.problems import build_headers, encode_problem
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+_log = logbook.Logger("figstep.callers")
+
+_DETAILS = {
+    400: "this is not a valid HTTP/1.1 request; check its request line and headers",
+    404: "nothing is served at this path; see POST /v1/chat/completions,"
+    " POST /v1/completions, GET /v1/models and /services/NAME/...",
+    405: "this path does not take this method; use one of those in Allow",
+    413: "the body is too large; send a shorter one",
+    431: "the headers are too large; send fewer and shorter ones",
+}
+
+
+def answer_problem(problem: Problem) -> web.Response:
+    """Return the response that tells a caller of a problem."""
+    return web.Response(
+        body=encode_problem(problem),
+        status=problem.status,
+        headers=build_headers(problem),
+    )
+
+
+def describe_status(status: int) -> Problem:
+    """Return the problem of a request that the HTTP library turned away."""
+    phrase = http.HTTPStatus(status).phrase
+    detail = _DETAILS.get(status, f"{phrase}; mend the request and send it again")
+    return Problem(status, phrase.lower().replace(" ", "_"), detail)
+
+
+@web.middleware
+async def answer_refusals(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Turn whatever a handler raises into a problem document."""
+    try:
+        return await handler(request)
+    except RefusedError as error:
+        response = answer_problem(error.problem)
+        if error.problem.status == http.HTTPStatus.REQUEST_TIMEOUT:
+            response.force_close()
+        return response
+    except web.HTTPException as error:
+        response = answer_problem(describe_status(error.status))
+        if "Allow" in error.headers:
+            response.headers["Allow"] = error.headers["Allow"]
+        if error.status == http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+            response.force_close()
+        return response
+    except (asyncio.CancelledError, ConnectionError):
+        raise
+    except Exception as error:
+        # A fault of ours must not show its traceback or a caller's text.
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has begun; it ends here") from error
+        _log.error("handler failed", extra={"error": type(error).__name__})
+        detail = "figstep failed here; report it with the time and send again"
+        return answer_problem(Problem(500, "internal_error", detail, ran=Ran.UNKNOWN))
--- a/figstep/settings.py
+++ b/figstep/settings.py
@@ -45,11 +45,35 @@
 
 
 class Limits(_Model):
-    """Bounds on what callers may send."""
+    """Bounds on what callers may send, hold and wait for.
+
+    Attributes:
+        body_bytes: Largest body.
+        header_bytes: Largest header, request line included.
+        headers: Most headers in a request.
+        body_seconds: How long a caller may take to send its body.
+        idle_seconds: How long a connection may stay without a request, and
+            how long a request's headers may take.
+        deadline_ms: Longest deadline that a caller may ask for.
+        resume_grace_seconds: Longest time that a generation may run on for a
+            caller that vanished and asked for it.
+        buffer_bytes: Most bytes of a stream that wait for a slow reader.
+        answer_bytes: Largest answer gathered for a caller without a stream.
+        keep_alive_seconds: Period of the comments on a quiet stream.
+        stalled_seconds: How long a reader may take nothing at all.
+    """
 
     body_bytes: int = Field(default=1_048_576, gt=0)
     header_bytes: int = Field(default=16_384, gt=0)
+    headers: int = Field(default=64, gt=0)
     body_seconds: float = Field(default=10.0, gt=0)
+    idle_seconds: float = Field(default=75.0, gt=0)
+    deadline_ms: int = Field(default=3_600_000, gt=0)
+    resume_grace_seconds: float = Field(default=60.0, ge=0)
+    buffer_bytes: int = Field(default=262_144, gt=0)
+    answer_bytes: int = Field(default=8_388_608, gt=0)
+    keep_alive_seconds: float = Field(default=15.0, gt=0)
+    stalled_seconds: float = Field(default=60.0, gt=0)
 
 
 class Statsd(_Model):
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,263 @@
+"""The border towards callers: what they get for bad input and broken links."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+import pytest
+
+from figstep.demo import KEY, MODEL, Deployment, run_deployment
+from figstep.settings import Limits
+
+GOOD = {"model": MODEL, "prompt": "menu", "max_tokens": 3}
+STREAM = {"model": MODEL, "prompt": "menu", "stream": True}
+PATH = "/v1/completions"
+LIMITS = Limits(
+    body_bytes=2_000,
+    header_bytes=1_000,
+    headers=30,
+    body_seconds=0.3,
+    idle_seconds=0.3,
+    keep_alive_seconds=0.1,
+    stalled_seconds=0.5,
+    buffer_bytes=2_000,
+    answer_bytes=4_000,
+)
+
+
+@dataclass(slots=True)
+class Border:
+    """One entry and a client of it."""
+
+    deployment: Deployment
+    session: aiohttp.ClientSession
+    url: str
+
+    async def post(
+        self, body: Any, path: str = PATH, **headers: str
+    ) -> tuple[int, dict[str, Any]]:
+        async with self.session.post(
+            self.url + path,
+            data=body if isinstance(body, bytes) else None,
+            json=None if isinstance(body, bytes) else body,
+            headers={"Authorization": f"Bearer {KEY}", **headers},
+        ) as response:
+            return response.status, await response.json(content_type=None)
+
+    async def open_raw(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = self.url.removeprefix("http://").partition(":")
+        return await asyncio.open_connection(host, int(port))
+
+    def list_cancelled(self) -> list[str]:
+        return [name for e in self.deployment.engines for name in e.cancelled]
+
+
+@asynccontextmanager
+async def open_border() -> AsyncIterator[Border]:
+    async with run_deployment(1, LIMITS) as deployment:
+        async with aiohttp.ClientSession() as session:
+            url = deployment.entries[0].callers.address
+            yield Border(deployment, session, url)
+
+
+async def wait_until(holds: Callable[[], bool]) -> None:
+    async with asyncio.timeout(20):
+        while not holds():
+            await asyncio.sleep(0.01)
+
+
+BAD_REQUESTS = [
+    (GOOD, {"Authorization": ""}, 401, "missing_key", "Bearer KEY"),
+    (GOOD, {"Authorization": "Bearer wrong"}, 401, "unknown_key", "check it"),
+    ({**GOOD, "model": "no"}, {}, 404, "unknown_model", "GET /v1/models"),
+    (b'{"model": ', {}, 400, "invalid_json", "send one JSON object"),
+    (b'{"model": NaN}', {}, 400, "invalid_json", "send one JSON object"),
+    (b"[" * 1_500, {}, 400, "invalid_json", "send one JSON object"),
+    (b"[1]", {}, 400, "invalid_body", "document"),
+    ({"prompt": "menu"}, {}, 400, "invalid_body", "model: "),
+    ({**GOOD, "max_tokens": "3"}, {}, 400, "invalid_body", "max_tokens: "),
+    ({**GOOD, "max_tokens": -1}, {}, 400, "invalid_body", "greater than 0"),
+    ({**GOOD, "n": 2}, {}, 400, "invalid_body", "n: "),
+    (b"x" * 3_000, {}, 413, "request_entity_too_large", "shorter"),
+    (GOOD, {"X-Deadline-Ms": "-5"}, 400, "invalid_header", "X-Deadline-Ms: "),
+    (GOOD, {"X-Deadline-Ms": "99999999"}, 400, "invalid_header", "at most"),
+    (GOOD, {"X-Non-Idempotent": "perhaps"}, 400, "invalid_header", "X-Non-Idem"),
+    (GOOD, {"Idempotency-Key": "k" * 201}, 400, "invalid_header", "Idempotency-Key"),
+    (STREAM, {"Last-Event-ID": "7"}, 400, "invalid_header", "Last-Event-ID: "),
+    (STREAM, {"Last-Event-ID": "a:7"}, 400, "invalid_header", "as it came"),
+    (GOOD, {"Last-Event-ID": "e~0123456789ab~n:7"}, 400, "invalid_header", "stream"),
+    (
+        STREAM,
+        {"Last-Event-ID": "engine-1~0123456789ab~n:7"},
+        410,
+        "generation_gone",
+        "",
+    ),
+    (GOOD, {"X-Long": "x" * 1_500}, 431, "request_header_fields_too_large", "fewer"),
+]
+
+
+async def test_bad_requests_get_typed_answers_that_name_the_remedy() -> None:
+    async with open_border() as border:
+        for body, headers, status, code, remedy in BAD_REQUESTS:
+            answer = await border.post(body, **headers)
+            assert (answer[0], answer[1]["error"]["code"]) == (status, code), answer
+            assert remedy in answer[1]["detail"]
+            assert answer[1]["ran"] == ("unknown" if status == 410 else "no")
+            assert answer[1]["error"]["message"] == answer[1]["detail"]
+        assert (await border.post(GOOD))[0] == 200
+        assert sum(len(engine.executed) for engine in border.deployment.engines) == 1
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [("GET", PATH, 405), ("PUT", "/v1/models", 405), ("POST", "/v2/x", 404)],
+)
+async def test_wrong_method_and_path(method: str, path: str, status: int) -> None:
+    async with open_border() as border:
+        async with border.session.request(method, border.url + path) as response:
+            assert response.status == status
+            assert response.content_type == "application/problem+json"
+            assert ("Allow" in response.headers) == (status == 405)
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"nonsense\r\n\r\n",
+        b"GET /v1/models HTTP/1.1\r\n" + b"X-A: 1\r\n" * 100 + b"\r\n",
+        b"GET /" + b"x" * 2_000 + b" HTTP/1.1\r\n\r\n",
+    ],
+)
+async def test_broken_http_gets_a_problem_and_a_closed_connection(sent: bytes) -> None:
+    async with open_border() as border:
+        reader, writer = await border.open_raw()
+        writer.write(sent)
+        answer = await asyncio.wait_for(reader.read(), 20)
+        assert b" 400 " in answer or b" 431 " in answer
+        assert b"application/problem+json" in answer
+        writer.close()
+
+
+async def test_slow_senders_are_told_or_cut() -> None:
+    """Callers open connections and send their requests byte by byte.
+
+    One never ends its headers, one never ends its body. The first is cut, the
+    second gets 408; neither reaches a target nor keeps its connection.
+    """
+    async with open_border() as border:
+        body, head = await border.open_raw(), await border.open_raw()
+        head[1].write(b"POST /v1/completions HTTP/1.1\r\nX-")
+        body[1].write(
+            f"POST {PATH} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
+            "Content-Length: 100\r\n\r\n{".encode()
+        )
+        assert b" 408 " in await asyncio.wait_for(body[0].read(), 20)
+        assert await asyncio.wait_for(head[0].read(), 20) == b""
+        for _, writer in (body, head):
+            writer.close()
+        assert (await border.post(GOOD))[0] == 200
+
+
+async def test_generation_of_a_vanished_caller_is_cancelled() -> None:
+    """A caller closes its connection in the middle of a stream.
+
+    Without a grace its generation is cancelled at the target, so that the
+    cache memory it holds goes to others.
+    """
+    async with open_border() as border:
+        for engine in border.deployment.engines:
+            engine.length = 100_000
+        reader, writer = await border.open_raw()
+        await ask(writer, STREAM)
+        await asyncio.wait_for(reader.readuntil(b":2\n"), 20)
+        writer.close()
+        await wait_until(lambda: len(border.list_cancelled()) == 1)
+        assert not border.deployment.entries[0].exchanges
+
+
+async def ask(writer: asyncio.StreamWriter, body: Any, **headers: str) -> None:
+    data = json.dumps(body).encode()
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    writer.write(
+        f"POST {PATH} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
+        f"Content-Length: {len(data)}\r\n{lines}\r\n".encode()
+        + data
+    )
+    await writer.drain()
+
+
+async def test_grace_lets_a_caller_return_and_then_cancels() -> None:
+    """A caller with a grace vanishes, returns to the same entry, vanishes again.
+
+    While it is away its generation runs on; on return it gets the next event
+    of the same generation. After the second loss nobody comes within the
+    grace, and the generation is cancelled.
+    """
+    async with open_border() as border:
+        for engine in border.deployment.engines:
+            engine.length = 100_000
+        grace = {"X-Resume-Grace-Seconds": "0.5"}
+        reader, writer = await border.open_raw()
+        await ask(writer, STREAM, **grace)
+        await asyncio.wait_for(reader.readuntil(b"id: "), 20)
+        first = (await reader.readuntil(b"\n")).decode().strip()
+        writer.close()
+        entry = border.deployment.entries[0]
+        await wait_until(lambda: entry.metrics.counters.get("callers.away") == 1)
+        reader, writer = await border.open_raw()
+        await ask(writer, STREAM, **grace, **{"Last-Event-ID": first})
+        await asyncio.wait_for(reader.readuntil(b"id: "), 20)
+        second = (await reader.readuntil(b"\n")).decode().strip()
+        assert second == first.removesuffix(":1") + ":2"
+        assert border.list_cancelled() == []
+        writer.close()
+        await wait_until(lambda: len(border.list_cancelled()) == 1)
+
+
+async def test_quiet_stream_is_kept_alive() -> None:
+    async with open_border() as border:
+        for engine in border.deployment.engines:
+            engine.gap = 0.5
+        headers = {"Authorization": f"Bearer {KEY}"}
+        body = {**STREAM, "max_tokens": 2}
+        async with border.session.post(
+            border.url + PATH, json=body, headers=headers
+        ) as response:
+            text = await response.text()
+        assert ": keep-alive\n\n" in text
+        assert text.count("id: ") == 2
+        assert text.endswith("data: [DONE]\n\n")
+
+
+async def test_reader_that_stops_reading_is_cut() -> None:
+    """A caller asks for a long stream and stops reading it.
+
+    Its events pile up in the entry's buffer until the bound; then the
+    generation is cancelled and the connection closed, so that slow readers
+    together cannot exhaust the entry's memory.
+    """
+    async with open_border() as border:
+        for engine in border.deployment.engines:
+            engine.length, engine.gap = 1_000_000, 0
+        _, writer = await border.open_raw()
+        await ask(writer, STREAM)
+        entry = border.deployment.entries[0]
+        await wait_until(lambda: entry.metrics.counters.get("callers.cut") == 1)
+        await wait_until(lambda: len(border.list_cancelled()) == 1)
+        await wait_until(lambda: len(entry.callers.streams) == 0)
+        writer.close()
+
+
+async def test_whole_answer_beyond_the_bound_is_refused() -> None:
+    async with open_border() as border:
+        for engine in border.deployment.engines:
+            engine.length, engine.gap = 1_000, 0
+        status, answer = await border.post({"model": MODEL, "prompt": "menu"})
+        assert (status, answer["error"]["code"]) == (502, "answer_too_long")
+        assert answer["ran"] == "yes"
+        await wait_until(lambda: len(border.list_cancelled()) == 1)
