Add leases with fencing, and placement of models by orders

Cause: orders to engines need one speaker at a time, without a coordination service of our own. Ruled out: one lease for the fleet (its holder would watch all 670 engines; one lease per failure domain leaves about 75 to each); counting the term from the read-back, as the mutation below shows. Before: no orders. After: the log's offsets are the fencing numbers; the state machine in tests/test_leases.py (150 examples) holds, and fails with two nodes acting when the term is counted from the read-back instead of from before the append. Conclusion: one holder acts at a time as long as the log's clock does not jump forward; where it does, engines that check numbers still refuse the old holder.

--- a/figstep/application.py
+++ b/figstep/application.py
@@ -23,11 +23,12 @@
     OpenAttempt,
     Refuse,
     ResumeAttempt,
+    SendOrder,
     WakeAt,
 )
-from figstep.core.events import Event, ShutdownRequested, Timer, TimerFired
+from figstep.core.events import Event, RecordsRead, ShutdownRequested, Timer, TimerFired
 from figstep.core.inventory import TargetInfo
-from figstep.core.records import CONFIGURATION, LogRecord
+from figstep.core.records import CONFIGURATION, LEASES, LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import State
 from figstep.metrics import MemoryMetrics, Metrics, StatsdMetrics
@@ -37,6 +38,7 @@
 from figstep.net.exchanges import Exchange
 from figstep.net.instances import InstanceEdge
 from figstep.net.log import HttpLog, LogClient
+from figstep.net.orders import OrderEdge
 from figstep.net.streams import StreamAppender, StreamFollower
 from figstep.net.targets import TargetEdge
 from figstep.settings import Settings
@@ -68,6 +70,7 @@
             settings.failure_domain,
             random.Random(int.from_bytes(os.urandom(16))),
         )
+        self.entry_state.leases.session = os.urandom(8).hex()
         self.exchanges: dict[str, Exchange] = {}
         self._events: deque[Event] = deque()
         self._reducing = False
@@ -85,6 +88,8 @@
             self._log_client, CONFIGURATION, self._take_configuration
         )
         self.appender = StreamAppender(self._log_client, self.dispatch)
+        self.leases = StreamFollower(self._log_client, LEASES, self._take_leases)
+        self.orders = OrderEdge(self.dispatch, self.find_target, self.clock)
         self.instances = InstanceEdge(settings.platform.instances, self.dispatch)
 
     async def on_start(self) -> None:
@@ -92,6 +97,8 @@
         edges = (
             self.targets,
             self.appender,
+            self.leases,
+            self.orders,
             self.configuration,
             self.instances,
             self.callers,
@@ -117,6 +124,9 @@
         for record in records:
             self.dispatch(parse_record(record))
 
+    def _take_leases(self, records: list[LogRecord]) -> None:
+        self.dispatch(RecordsRead(LEASES, tuple(records)))
+
     def find_target(self, name: str) -> TargetInfo | None:
         """Return a target's inventory entry."""
         target = self.entry_state.targets.get(name)
@@ -182,6 +192,8 @@
                 self._set_timer(timer, at)
             case AppendRecords():
                 self.appender.append(effect)
+            case SendOrder():
+                self.orders.send_order(effect)
             case Note(message=message, fields=fields):
                 _log.info(message, extra=dict(fields))
 
--- a/figstep/core/effects.py
+++ b/figstep/core/effects.py
@@ -5,6 +5,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.events import Timer
+from figstep.core.orders import Order
 from figstep.core.problems import Problem
 
 
@@ -104,6 +105,25 @@
     records: list[dict[str, Any]]
 
 
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Give an engine an order.
+
+    Attributes:
+        number: Number of the order, unique in this process.
+        target: Target name.
+        order: The wanted state.
+        fencing: Fencing number of the lease that covers it.
+        until: When the lease ends (monotonic); nothing is sent from then on.
+    """
+
+    number: int
+    target: str
+    order: Order
+    fencing: int
+    until: Millis
+
+
 @dataclass(frozen=True, slots=True)
 class WakeAt:
     """Fire ``timer`` at ``at`` (monotonic); an earlier one is replaced."""
@@ -143,6 +163,7 @@
     | Complete
     | Refuse
     | AppendRecords
+    | SendOrder
     | WakeAt
     | Count
     | Note
--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -5,6 +5,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.inventory import Inventory
+from figstep.core.orders import OrderOutcome
 from figstep.core.problems import Problem
 from figstep.core.records import LogRecord
 from figstep.core.specs import RequestSpec
@@ -217,6 +218,19 @@
     key: int
 
 
+@dataclass(frozen=True, slots=True)
+class OrderAnswered:
+    """An order to an engine was answered, or given up on.
+
+    Attributes:
+        order: Number of the ``SendOrder`` effect.
+        outcome: What came of it.
+    """
+
+    order: int
+    outcome: OrderOutcome
+
+
 # Timers and life cycle
 
 
@@ -239,7 +253,12 @@
     """Tries to start queued requests."""
 
 
-Timer = RequestTimer | AttemptTimer | QueueTimer
+@dataclass(frozen=True, slots=True)
+class PlacementTimer:
+    """Starts the next round of leases and orders."""
+
+
+Timer = RequestTimer | AttemptTimer | QueueTimer | PlacementTimer
 
 
 @dataclass(frozen=True, slots=True)
@@ -269,6 +288,7 @@
     | RecordsRead
     | AppendConfirmed
     | AppendUncertain
+    | OrderAnswered
     | TimerFired
     | ShutdownRequested
 )
--- a/figstep/core/inventory.py
+++ b/figstep/core/inventory.py
@@ -102,11 +102,14 @@
     Attributes:
         non_idempotent: Which calls run at most once.
         deadline: Time a request may wait for its first byte, in milliseconds.
+        load_interval: Least time between two reads of the weight store by the
+            whole fleet, in milliseconds.
         routing: Name of the routing policy.
     """
 
     non_idempotent: tuple[NonIdempotentRule, ...] = ()
     deadline: Millis = Millis(60_000)
+    load_interval: Millis = Millis(5_000)
     routing: str = "figstep"
 
 
--- /dev/null
+++ b/figstep/core/placement.py
@@ -0,0 +1,282 @@
+"""Models, versions and adapters brought to where the rules want them.
+
+One lease per failure domain; its holder compares what the engines there report
+with what is wanted and states the difference, again and again until it is
+reported. Nothing is kept of an order but the time it was last sent.
+"""
+
+import hashlib
+from dataclasses import dataclass
+
+from figstep.core import leases
+from figstep.core.clock import Millis
+from figstep.core.effects import AppendRecords, Count, Effect, Note, SendOrder, WakeAt
+from figstep.core.events import OrderAnswered, PlacementTimer, RecordsRead
+from figstep.core.inventory import EngineInfo, Inventory, ModelInfo
+from figstep.core.orders import (
+    ORDER_TIMEOUT,
+    LoadAdapter,
+    LoadModel,
+    OrderOutcome,
+    Placed,
+    PlacementState,
+    UnloadModel,
+)
+from figstep.core.records import LEASES
+from figstep.core.state import State, TargetState
+
+PERIOD = Millis(2_000)
+SENT_KEPT = Millis(600_000)
+LEASE_PREFIX = "orders."
+NO_REPLY = 0
+"""Key of appends whose answer nobody waits for; reading back settles them."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineView:
+    """What placement looks at of one engine.
+
+    Attributes:
+        info: Its inventory entry.
+        loaded: What it reports as loaded: "model@version" or "model+adapter".
+        usable: Whether it takes work and has reported.
+    """
+
+    info: EngineInfo
+    loaded: frozenset[str]
+    usable: bool
+
+
+def name_version(model: str, version: str) -> str:
+    """Return how engines report a version of a model."""
+    return f"{model}@{version}"
+
+
+def name_adapter(model: str, adapter: str) -> str:
+    """Return how engines report an adapter of a model."""
+    return f"{model}+{adapter}"
+
+
+def plan_orders(inventory: Inventory, engines: list[EngineView]) -> list[Placed]:
+    """Return the orders that bring one failure domain to what is wanted.
+
+    Args:
+        inventory: The document in force.
+        engines: The engines of the failure domain.
+
+    Returns:
+        Loads first; an engine goes on with an old version until the wanted one
+        serves at full strength.
+    """
+    domains = max(1, len({engine.failure_domain for engine in inventory.engines}))
+    orders: list[Placed] = []
+    for model in inventory.models:
+        orders += _plan_model(model, engines, domains)
+    return orders
+
+
+def _plan_model(
+    model: ModelInfo, engines: list[EngineView], domains: int
+) -> list[Placed]:
+    able = [engine for engine in engines if model.name in engine.info.models]
+    wanted = -(-model.replicas // domains)
+    chosen = sorted(able, key=lambda engine: _rank_engine(model, engine))[:wanted]
+    current = name_version(model.name, model.version)
+    orders: list[Placed] = []
+    for engine in chosen:
+        if current in engine.loaded:
+            orders += _plan_adapters(model, engine)
+            continue
+        if engine.usable:
+            order = LoadModel(model.name, model.version)
+            orders.append(Placed(engine.info.name, order))
+    serving = sum(1 for e in able if e.usable and current in e.loaded)
+    if serving < min(wanted, sum(1 for e in chosen if e.usable)):
+        return orders
+    for engine in able:
+        orders += _plan_unloads(model, engine, engine in chosen)
+    return orders
+
+
+def _rank_engine(model: ModelInfo, engine: EngineView) -> tuple[bool, bool, str]:
+    """Prefer engines that work and have the model; break ties by hash."""
+    current = name_version(model.name, model.version)
+    digest = hashlib.sha256(f"{model.name} {engine.info.name}".encode()).hexdigest()
+    return (not engine.usable, current not in engine.loaded, digest)
+
+
+def _plan_adapters(model: ModelInfo, engine: EngineView) -> list[Placed]:
+    orders = []
+    for adapter in model.adapters:
+        if name_adapter(model.name, adapter) in engine.loaded:
+            continue
+        orders.append(Placed(engine.info.name, LoadAdapter(model.name, adapter)))
+    return orders
+
+
+def _plan_unloads(model: ModelInfo, engine: EngineView, chosen: bool) -> list[Placed]:
+    """Unload other versions, and every version where the model is not wanted.
+
+    Called only once the wanted version serves at full strength: an unload that
+    came first would take capacity away for as long as the weights load.
+    """
+    orders = []
+    for loaded in sorted(engine.loaded):
+        name, separator, version = loaded.partition("@")
+        if name != model.name or not separator:
+            continue
+        if chosen and version == model.version:
+            continue
+        orders.append(Placed(engine.info.name, UnloadModel(name, version)))
+    return orders
+
+
+def run_round(state: State, now: Millis) -> list[Effect]:
+    """Keep or try for the leases, then state what is still missing."""
+    effects: list[Effect] = [WakeAt(PlacementTimer(), Millis(now + PERIOD))]
+    _forget_old(state.placement, now)
+    if state.inventory is None or state.shutting_down:
+        return effects + release_leases(state, now)
+    domains = sorted({engine.failure_domain for engine in state.inventory.engines})
+    for domain in domains:
+        lease = LEASE_PREFIX + domain
+        effects += _keep_lease(state, lease, domain, now)
+        holding = leases.find_holding(state.leases, lease, now)
+        if holding is None:
+            continue
+        effects += _give_orders(state, lease, domain, holding, now)
+    return effects
+
+
+def _forget_old(placement: PlacementState, now: Millis) -> None:
+    for placed, sent in list(placement.sent.items()):
+        if now >= sent + SENT_KEPT:
+            del placement.sent[placed]
+
+
+def _keep_lease(state: State, lease: str, domain: str, now: Millis) -> list[Effect]:
+    holding = leases.find_holding(state.leases, lease, now)
+    if holding is not None:
+        if now < holding.until - leases.TERM // 2:
+            return []
+        return [_append(state, leases.ask_lease(state.leases, lease, state.node, now))]
+    if not leases.is_free(state.leases, lease, now):
+        state.placement.try_at.pop(lease, None)
+        return []
+    # All nodes see a lease lapse at the same moment; without a random wait
+    # each change of holder would cost the log one append per node. Nodes of
+    # the lease's own failure domain go first.
+    wait = 0 if domain == state.failure_domain else leases.TERM
+    later = Millis(now + wait + state.rng.randrange(leases.TERM // 2))
+    try_at = state.placement.try_at.setdefault(lease, later)
+    if now < try_at:
+        return []
+    state.placement.try_at[lease] = Millis(now + leases.TERM)
+    return [_append(state, leases.ask_lease(state.leases, lease, state.node, now))]
+
+
+def _append(state: State, record: leases.LeaseRecord) -> Effect:
+    return AppendRecords(LEASES, NO_REPLY, [record.to_json()])
+
+
+def release_leases(state: State, now: Millis) -> list[Effect]:
+    """Give up every lease that this node holds."""
+    effects: list[Effect] = []
+    for lease in list(state.leases.holdings):
+        record = leases.ask_lease(state.leases, lease, state.node, now, release=True)
+        effects.append(_append(state, record))
+    return effects
+
+
+def view_engine(target: TargetState) -> EngineView | None:
+    """Return placement's view of a target; None if it is not an engine."""
+    if not isinstance(target.info, EngineInfo):
+        return None
+    usable = not target.leaving and target.reported is not None
+    return EngineView(target.info, frozenset(target.models), usable)
+
+
+def _give_orders(
+    state: State, lease: str, domain: str, holding: leases.Holding, now: Millis
+) -> list[Effect]:
+    assert state.inventory is not None
+    views = []
+    for target in state.targets.values():
+        view = view_engine(target)
+        if view is None or view.info.failure_domain != domain:
+            continue
+        views.append(view)
+    sent = state.placement.sent
+    planned = plan_orders(state.inventory, views)
+    # The weight store's rate lets one load through at a time; an engine that
+    # never loads would hold up the others if it always came first.
+    planned.sort(key=lambda placed: sent.get(placed, 0))
+    effects: list[Effect] = []
+    for placed in planned:
+        if not _may_send(state, placed, holding, now):
+            continue
+        effects.append(_send_order(state, lease, placed, holding, now))
+    return effects
+
+
+def _may_send(
+    state: State, placed: Placed, holding: leases.Holding, now: Millis
+) -> bool:
+    target = state.targets[placed.target]
+    assert isinstance(target.info, EngineInfo)
+    sent = state.placement.sent.get(placed)
+    if sent is not None and now < sent + ORDER_TIMEOUT:
+        return False
+    # An engine that ignores fencing numbers would still obey the last holder,
+    # paused in the middle of an order. After a whole term and the longest
+    # order, that holder has stopped itself and its last order has ended.
+    quiet = holding.taken + leases.TERM + ORDER_TIMEOUT
+    if not target.info.checks_fencing and now < quiet:
+        return False
+    return not isinstance(placed.order, LoadModel) or _may_load(state, now)
+
+
+def _may_load(state: State, now: Millis) -> bool:
+    """Keep the fleet within the weight store's rate, shared by its domains."""
+    assert state.inventory is not None
+    last = state.placement.last_load
+    if last is None:
+        return True
+    domains = {engine.failure_domain for engine in state.inventory.engines}
+    return now >= last + state.inventory.rules.load_interval * max(1, len(domains))
+
+
+def _send_order(
+    state: State, lease: str, placed: Placed, holding: leases.Holding, now: Millis
+) -> Effect:
+    placement = state.placement
+    number = placement.next_order
+    placement.next_order += 1
+    placement.sent[placed] = now
+    placement.open_orders[number] = lease
+    if isinstance(placed.order, LoadModel):
+        placement.last_load = now
+    return SendOrder(
+        number, placed.target, placed.order, holding.fencing, holding.until
+    )
+
+
+def take_answer(state: State, event: OrderAnswered, now: Millis) -> list[Effect]:
+    """Note what came of an order; a stale number ends this node's hold."""
+    lease = state.placement.open_orders.pop(event.order, None)
+    if lease is None or event.outcome is not OrderOutcome.STALE:
+        return [Count(f"orders.{event.outcome.value}")]
+    # Another holder has been at the engine: this node's lease lapsed without
+    # its noticing. To go on would set two holders' orders against each other.
+    state.leases.holdings.pop(lease, None)
+    return [
+        Count("orders.stale"),
+        Note("lease lost to a newer holder", {"lease": lease}),
+    ]
+
+
+def take_lease_records(state: State, event: RecordsRead, now: Millis) -> list[Effect]:
+    """Fold records of the lease stream."""
+    for record in event.records:
+        leases.take_record(state.leases, state.node, record, now)
+    return []
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -1,8 +1,15 @@
 """The reducer: one match over all events, each arm one call."""
 
-from figstep.core import configuration, membership, requests, targets
+from figstep.core import (
+    configuration,
+    membership,
+    placement,
+    records,
+    requests,
+    targets,
+)
 from figstep.core.clock import Millis
-from figstep.core.effects import Effect
+from figstep.core.effects import Effect, WakeAt
 from figstep.core.events import (
     AppendConfirmed,
     AppendUncertain,
@@ -16,6 +23,8 @@
     Event,
     InstancesListed,
     LoadReported,
+    OrderAnswered,
+    PlacementTimer,
     QueueTimer,
     RecordsRead,
     RequestArrived,
@@ -62,9 +71,13 @@
         case LoadReported():
             return targets.record_load(state, event, now)
         case ConfigurationRead():
-            return configuration.fold_record(state, event, now)
+            return _read_configuration(state, event, now)
         case InstancesListed():
             return membership.record_instances(state, event, now)
+        case RecordsRead(stream=records.LEASES):
+            return placement.take_lease_records(state, event, now)
+        case OrderAnswered():
+            return placement.take_answer(state, event, now)
         case RecordsRead() | AppendConfirmed() | AppendUncertain():
             return []
         case ShutdownRequested():
@@ -72,11 +85,23 @@
             return []
 
 
+def _read_configuration(
+    state: State, event: ConfigurationRead, now: Millis
+) -> list[Effect]:
+    before = state.inventory
+    effects = configuration.fold_record(state, event, now)
+    if before is None and state.inventory is not None:
+        effects.append(WakeAt(PlacementTimer(), now))
+    return effects
+
+
 def _fire_timer(state: State, timer: Timer, now: Millis) -> list[Effect]:
     match timer:
         case QueueTimer():
             return requests.start_queued(state, now)
         case RequestTimer():
             return requests.expire_request(state, timer, now)
+        case PlacementTimer():
+            return placement.run_round(state, now)
         case AttemptTimer():
             return requests.check_attempt(state, timer, now)
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -7,7 +7,9 @@
 from figstep.core.claims import ClaimTable
 from figstep.core.clock import Millis
 from figstep.core.inventory import Inventory, TargetInfo
+from figstep.core.leases import LeaseTable
 from figstep.core.lengths import LengthTable
+from figstep.core.orders import PlacementState
 from figstep.core.problems import Ran
 from figstep.core.quarantine import Quarantine
 from figstep.core.queues import RequestQueue
@@ -77,6 +79,7 @@
         waiting: Reported generations queued.
         memory_used: Reported cache memory in use, in tokens.
         memory_total: Cache memory, in tokens.
+        models: What it reports as loaded: "model@version", "model+adapter".
         reported: When the last report came, or None.
     """
 
@@ -89,6 +92,7 @@
     waiting: int = 0
     memory_used: int = 0
     memory_total: int = 0
+    models: tuple[str, ...] = ()
     reported: Millis | None = None
 
 
@@ -109,6 +113,8 @@
         lengths: Estimates of the lengths of answers.
         claims: Claims on non-idempotent requests.
         quarantine: Requests that are kept away from targets.
+        leases: Leases, and which of them this node holds.
+        placement: What a holder remembers of its orders.
         next_attempt: Number of the next attempt.
         shutting_down: Whether new requests are turned away.
     """
@@ -125,5 +131,7 @@
     lengths: LengthTable = field(default_factory=LengthTable)
     claims: ClaimTable = field(default_factory=ClaimTable)
     quarantine: Quarantine = field(default_factory=Quarantine)
+    leases: LeaseTable = field(default_factory=LeaseTable)
+    placement: PlacementState = field(default_factory=PlacementState)
     next_attempt: int = 1
     shutting_down: bool = False
--- a/figstep/core/targets.py
+++ b/figstep/core/targets.py
@@ -19,5 +19,6 @@
     target.waiting = event.waiting
     target.memory_used = event.memory_used
     target.memory_total = event.memory_total
+    target.models = event.models
     target.reported = Millis(now - event.age)
     return []
--- a/figstep/inventory.py
+++ b/figstep/inventory.py
@@ -82,6 +82,7 @@
 
     non_idempotent: tuple[NonIdempotentModel, ...] = ()
     deadline_ms: int = Field(default=60_000, gt=0)
+    load_interval_ms: int = Field(default=5_000, ge=0)
     routing: str = "figstep"
 
 
@@ -167,5 +168,6 @@
     return core.Rules(
         non_idempotent=tuple(non_idempotent),
         deadline=Millis(model.deadline_ms),
+        load_interval=Millis(model.load_interval_ms),
         routing=model.routing,
     )
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,117 @@
+"""Leases: one holder at a time, and fencing for one that was paused."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from figstep.core import leases
+from figstep.core.clock import Millis
+from figstep.core.leases import TERM, LeaseRecord, LeaseTable, fold_lease
+from figstep.core.records import LEASES, LogRecord
+
+LEASE = "orders.muc-a"
+
+
+def make_record(holder: str, release: bool = False) -> LeaseRecord:
+    return LeaseRecord(LEASE, holder, "s", f"{holder}.r", release=release)
+
+
+@pytest.mark.parametrize(
+    ("history", "holder", "fencing"),
+    [
+        ([("a", 0)], "a", 0),
+        ([("a", 0), ("b", TERM - 1)], "a", 0),
+        ([("a", 0), ("b", TERM)], "b", 1),
+        ([("a", 0), ("a", TERM - 1), ("b", TERM + 1)], "a", 0),
+        ([("a", 0), ("a", TERM)], "a", 1),
+        ([("a", 0), ("-a", 5), ("b", 6)], "b", 2),
+        ([("a", 0), ("-b", 5), ("b", 6)], "a", 0),
+        ([("a", 100), ("a", 50), ("b", TERM + 60)], "a", 0),
+    ],
+)
+def test_every_reader_names_the_same_holder(
+    history: list[tuple[str, int]], holder: str, fencing: int
+) -> None:
+    table: dict[str, leases.Lease] = {}
+    for offset, (name, time) in enumerate(history):
+        record = make_record(name.strip("-"), release=name.startswith("-"))
+        fold_lease(table, record, LogRecord(offset, time, {}), Millis(0))
+    assert (table[LEASE].holder, table[LEASE].fencing) == (holder, fencing)
+
+
+def test_a_record_that_is_no_lease_changes_nothing() -> None:
+    table = LeaseTable(session="s")
+    leases.take_record(table, "a", LogRecord(0, 0, {"lease": LEASE}), Millis(0))
+    assert table.leases == {}
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Three nodes, a list as the log, one clock, an engine that checks.
+
+    Nodes append (the answer may be lost: only reading back counts), read late
+    and act late, as after a pause. Orders arrive at the engine in any order.
+    """
+
+    NODES = ("a", "b", "c")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0
+        self.log: list[LogRecord] = []
+        self.tables = {node: LeaseTable(session=node) for node in self.NODES}
+        self.read = dict.fromkeys(self.NODES, 0)
+        self.orders: list[tuple[int, str]] = []
+        self.highest = -1
+        self.holders: dict[int, str] = {}
+
+    @rule(millis=st.integers(0, TERM))
+    def advance(self, millis: int) -> None:
+        self.now += millis
+
+    @rule(node=st.sampled_from(NODES), release=st.booleans(), lost=st.booleans())
+    def append(self, node: str, release: bool, lost: bool) -> None:
+        table = self.tables[node]
+        if release and LEASE not in table.holdings:
+            return
+        record = leases.ask_lease(table, LEASE, node, Millis(self.now), release)
+        if not lost:
+            position = LogRecord(len(self.log), self.now, record.to_json())
+            self.log.append(position)
+
+    @rule(node=st.sampled_from(NODES), count=st.integers(1, 5))
+    def read_records(self, node: str, count: int) -> None:
+        for record in self.log[self.read[node] :][:count]:
+            leases.take_record(self.tables[node], node, record, Millis(self.now))
+            self.read[node] += 1
+
+    @rule(node=st.sampled_from(NODES))
+    def decide_order(self, node: str) -> None:
+        table = self.tables[node]
+        holding = leases.find_holding(table, LEASE, Millis(self.now))
+        if holding is not None:
+            self.orders.append((holding.fencing, node))
+
+    @rule(pick=st.integers(0, 10))
+    def deliver_order(self, pick: int) -> None:
+        if not self.orders:
+            return
+        fencing, node = self.orders.pop(pick % len(self.orders))
+        if fencing < self.highest:
+            return
+        self.highest = fencing
+        assert self.holders.setdefault(fencing, node) == node
+
+    @invariant()
+    def at_most_one_node_acts(self) -> None:
+        acting = []
+        for node, table in self.tables.items():
+            if leases.find_holding(table, LEASE, Millis(self.now)):
+                acting.append(node)
+        assert len(acting) <= 1, f"{acting} act on {LEASES} at {self.now}"
+
+
+LeaseMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestLeaseMachine = LeaseMachine.TestCase
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,157 @@
+"""Placement: what a holder orders, and when it holds back."""
+
+import random
+
+from figstep.core import leases, placement
+from figstep.core.clock import Millis
+from figstep.core.effects import AppendRecords, SendOrder, WakeAt
+from figstep.core.events import OrderAnswered, RecordsRead
+from figstep.core.inventory import (
+    EngineInfo,
+    FailureDomain,
+    Inventory,
+    ModelInfo,
+    Rules,
+)
+from figstep.core.orders import (
+    ORDER_TIMEOUT,
+    LoadAdapter,
+    LoadModel,
+    OrderOutcome,
+    UnloadModel,
+)
+from figstep.core.placement import EngineView, Placed, plan_orders
+from figstep.core.records import LEASES, LogRecord
+from figstep.core.state import State, TargetState
+
+NAMES = ("e1", "e2", "e3")
+
+
+def make_engine(name: str, checks_fencing: bool = True) -> EngineInfo:
+    return EngineInfo(name, "http://x", "muc-a", ("m",), checks_fencing=checks_fencing)
+
+
+def make_inventory(model: ModelInfo, checks_fencing: bool = True) -> Inventory:
+    engines = tuple(make_engine(name, checks_fencing) for name in NAMES)
+    domains = (FailureDomain("muc-a", "bavaria"),)
+    rules = Rules(load_interval=Millis(1_000))
+    return Inventory(domains, engines, models=(model,), rules=rules)
+
+
+def plan(model: ModelInfo, *loaded: set[str]) -> list[Placed]:
+    views = []
+    for name, held in zip(NAMES, loaded, strict=False):
+        views.append(EngineView(make_engine(name), frozenset(held), True))
+    return plan_orders(make_inventory(model), views)
+
+
+def test_nothing_is_ordered_where_all_is_as_wanted() -> None:
+    assert plan(ModelInfo("m", "1", replicas=2), {"m@1"}, {"m@1"}, set()) == []
+
+
+def test_an_old_version_is_kept_until_the_new_one_serves_everywhere() -> None:
+    """A model gets a new version.
+
+    Unloading the old one first would leave callers without capacity while the
+    weights load, so unloads wait until all wanted engines have the new one.
+    """
+    model = ModelInfo("m", "2", replicas=3)
+    first = plan(model, {"m@1"}, {"m@1"}, {"m@1"})
+    assert {placed.order for placed in first} == {LoadModel("m", "2")}
+    partly = plan(model, {"m@1", "m@2"}, {"m@1", "m@2"}, {"m@1"})
+    assert [placed.order for placed in partly] == [LoadModel("m", "2")]
+    fully = plan(model, {"m@1", "m@2"}, {"m@2"}, {"m@2"})
+    assert fully == [Placed("e1", UnloadModel("m", "1"))]
+
+
+def test_adapters_are_loaded_where_the_version_serves() -> None:
+    model = ModelInfo("m", "1", adapters=("menus",), replicas=1)
+    assert plan(model, {"m@1"}, set(), set()) == [
+        Placed("e1", LoadAdapter("m", "menus"))
+    ]
+
+
+def make_state(checks_fencing: bool = True) -> State:
+    state = State("n1", "muc-a", random.Random(1))
+    state.inventory = make_inventory(ModelInfo("m", "1", replicas=3), checks_fencing)
+    for engine in state.inventory.engines:
+        state.targets[engine.name] = TargetState(engine, reported=Millis(0))
+    return state
+
+
+def take_lease(state: State, now: int) -> int:
+    """Run rounds until the lease is asked for and read back; return the time."""
+    for _ in range(20):
+        effects = placement.run_round(state, Millis(now))
+        for effect in effects:
+            if isinstance(effect, AppendRecords):
+                record = LogRecord(0, now, effect.records[0])
+                event = RecordsRead(LEASES, (record,))
+                placement.take_lease_records(state, event, Millis(now))
+                return now
+        now += placement.PERIOD
+    raise AssertionError("no lease was asked for")
+
+
+def list_orders(state: State, now: int) -> list[SendOrder]:
+    effects = placement.run_round(state, Millis(now))
+    return [effect for effect in effects if isinstance(effect, SendOrder)]
+
+
+def test_loads_are_staggered_by_the_weight_store_rate() -> None:
+    state = make_state()
+    now = take_lease(state, 0)
+    sent = [list_orders(state, now + step) for step in (0, 500, 1_000, 2_000)]
+    assert [len(orders) for orders in sent] == [1, 0, 1, 1]
+    targets = {orders[0].target for orders in sent if orders}
+    assert targets == set(NAMES)
+
+
+def test_a_node_without_the_lease_orders_nothing() -> None:
+    state = make_state()
+    assert not [e for e in placement.run_round(state, Millis(0)) if not _timer(e)]
+
+
+def test_a_new_holder_waits_for_engines_that_ignore_numbers() -> None:
+    """The last holder was paused in the middle of an order.
+
+    An engine that ignores fencing numbers obeys it when it wakes. The new
+    holder waits a whole term and the longest order, and only then orders, so
+    its own statement comes last.
+    """
+    state = make_state(checks_fencing=False)
+    now = take_lease(state, 0)
+    assert list_orders(state, now) == []
+    quiet = now + leases.TERM + ORDER_TIMEOUT
+    renewal = leases.ask_lease(state.leases, "orders.muc-a", "n1", Millis(quiet - 1))
+    record = LogRecord(1, now + 1, renewal.to_json())
+    leases.take_record(state.leases, "n1", record, Millis(quiet))
+    assert len(list_orders(state, quiet)) == 1
+
+
+def test_a_stale_number_ends_the_hold() -> None:
+    """A holder's lease lapsed while it was paused; another has ordered since.
+
+    The engine refuses its number. It must stop at once, not go on until its
+    own clock tells.
+    """
+    state = make_state()
+    now = take_lease(state, 0)
+    order = list_orders(state, now)[0]
+    placement.take_answer(
+        state, OrderAnswered(order.number, OrderOutcome.STALE), Millis(now)
+    )
+    assert list_orders(state, now + 1_000) == []
+
+
+def test_shutdown_releases_the_lease() -> None:
+    state = make_state()
+    now = take_lease(state, 0)
+    state.shutting_down = True
+    effects = placement.run_round(state, Millis(now + 1))
+    released = [e.records[0]["release"] for e in effects if not _timer(e)]
+    assert released == [True]
+
+
+def _timer(effect: object) -> bool:
+    return isinstance(effect, WakeAt)
