Add a fault-injecting proxy over TCP and UDP

Cause: failures of links could not be produced in a test. Before: only kills of processes. Conclusion: scenarios can set any of these between two real processes.

--- a/figstep/standins/process.py
+++ b/figstep/standins/process.py
@@ -9,6 +9,7 @@
 from figstep.standins.http import start_app
 from figstep.standins.instances import InstanceList
 from figstep.standins.log import LogService
+from figstep.standins.proxy import TcpProxy, build_control
 from figstep.standins.service import PlainService
 
 KINDS = ("log", "instances", "engine", "service")
@@ -35,13 +36,40 @@
             raise ValueError(f"unknown stand-in {kind!r}; use one of {KINDS}")
 
 
+async def run_proxy(target: str, port: int) -> None:
+    """Relay to ``target`` until a signal; prints its URL, then its control's.
+
+    Args:
+        target: ``host:port`` of the target.
+        port: Port to relay from; 0 takes a free one.
+    """
+    host, _, number = target.rpartition(":")
+    proxy = TcpProxy(host, int(number))
+    await proxy.start(port)
+    runner, control = await start_app(build_control(proxy))
+    print(f"proxy {proxy.url} {control}", flush=True)
+    await _wait_for_signal()
+    await proxy.stop()
+    await runner.cleanup()
+
+
 async def run_standin(kind: str, name: str, port: int, gap: float) -> None:
-    """Serve a stand-in until SIGTERM or SIGINT; prints its URL first."""
+    """Serve a stand-in until SIGTERM or SIGINT; prints its URL first.
+
+    The name of a proxy is the ``host:port`` that it relays to.
+    """
+    if kind == "proxy":
+        await run_proxy(name, port)
+        return
+    runner, url = await start_app(build_standin(kind, name, gap), port=port)
+    print(f"{kind} {url}", flush=True)
+    await _wait_for_signal()
+    await runner.cleanup()
+
+
+async def _wait_for_signal() -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    runner, url = await start_app(build_standin(kind, name, gap), port=port)
-    print(f"{kind} {url}", flush=True)
     await stop.wait()
-    await runner.cleanup()
--- /dev/null
+++ b/figstep/standins/proxy.py
@@ -0,0 +1,397 @@
+"""Fault-injecting proxy between two ends, over TCP and UDP.
+
+A fault in force holds for every connection, open or new, until it is lifted.
+``freeze``, ``cut`` and ``half_open`` strike the connections that are open at
+that moment; later ones work.
+"""
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+from figstep.standins.http import answer_json
+
+CHUNK_BYTES = 65_536
+
+
+class Direction(Enum):
+    """Which way bytes travel."""
+
+    TO_TARGET = "to_target"
+    TO_CLIENT = "to_client"
+
+
+@dataclass(frozen=True, slots=True)
+class Delay:
+    """Hold each chunk or datagram back for ``seconds``."""
+
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Stall:
+    """Carry nothing either way and close nothing."""
+
+
+@dataclass(frozen=True, slots=True)
+class Lose:
+    """Swallow what travels one way."""
+
+    direction: Direction
+
+
+@dataclass(frozen=True, slots=True)
+class Drip:
+    """Pass ``size`` bytes towards the client, then pause for ``seconds``."""
+
+    size: int
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoseAnswers:
+    """Let requests through but cut the connection in place of the answer.
+
+    Attributes:
+        count: How many answers are lost.
+        prefix: Only answers to requests that begin with these bytes.
+    """
+
+    count: int = 1
+    prefix: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class CutAfter:
+    """Cut a connection once ``size`` bytes went to the client.
+
+    Attributes:
+        size: Bytes that still pass.
+        count: How many connections are cut.
+    """
+
+    size: int
+    count: int = 1
+
+
+Fault = Delay | Stall | Lose | Drip | LoseAnswers | CutAfter
+
+
+def read_fault(document: dict[str, Any]) -> Fault:
+    """Return the fault that a JSON object tells of.
+
+    Raises:
+        ValueError: If its kind is not known.
+    """
+    match document:
+        case {"kind": "delay", "seconds": seconds}:
+            return Delay(seconds)
+        case {"kind": "stall"}:
+            return Stall()
+        case {"kind": "lose", "direction": direction}:
+            return Lose(Direction(direction))
+        case {"kind": "drip", "size": size, "seconds": seconds}:
+            return Drip(size, seconds)
+        case {"kind": "lose_answers"}:
+            prefix = document.get("prefix", "").encode()
+            return LoseAnswers(document.get("count", 1), prefix)
+        case {"kind": "cut_after", "size": size}:
+            return CutAfter(size, document.get("count", 1))
+    raise ValueError(f"unknown fault {document!r}; see figstep.standins.proxy")
+
+
+class _Link:
+    """One client's connection and the one that belongs to it."""
+
+    def __init__(
+        self, client: asyncio.StreamWriter, target: asyncio.StreamWriter
+    ) -> None:
+        self.client = client
+        self.target = target
+        self.frozen = False
+        self.passed = 0
+        self.request = b""
+
+    def cut(self) -> None:
+        """Reset both connections."""
+        self.client.transport.abort()
+        self.target.transport.abort()
+
+
+class TcpProxy:
+    """Relays TCP connections to one target.
+
+    Attributes:
+        fault: Fault in force, or None.
+        address: ``host:port`` to connect to.
+        accepted: Connections taken so far.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self._target = (host, port)
+        self._server: asyncio.Server | None = None
+        self._links: set[_Link] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._lifted = asyncio.Event()
+        self._port = 0
+        self.fault: Fault | None = None
+        self.address = ""
+        self.accepted = 0
+
+    @property
+    def url(self) -> str:
+        """Base URL, for targets that speak HTTP."""
+        return f"http://{self.address}"
+
+    @property
+    def open_connections(self) -> int:
+        """Connections that are relayed now."""
+        return len(self._links)
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
+        self._port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self._port}"
+
+    async def refuse(self) -> None:
+        """Stop listening: new connections are refused, open ones go on."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    async def accept_again(self) -> None:
+        """Listen again on the same port."""
+        await self.start(self._port)
+
+    async def stop(self) -> None:
+        """Close the listener and every connection."""
+        await self.refuse()
+        self.cut()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def set_fault(self, fault: Fault) -> None:
+        """Put a fault in force."""
+        self.fault = fault
+
+    def lift(self) -> None:
+        """End the fault; what a stall held back goes on, frozen links do not."""
+        self.fault = None
+        self._lifted.set()
+        self._lifted = asyncio.Event()
+
+    def freeze(self) -> int:
+        """Freeze the open connections for good; return how many."""
+        for link in self._links:
+            link.frozen = True
+        return len(self._links)
+
+    def cut(self) -> int:
+        """Reset the open connections; return how many."""
+        links = list(self._links)
+        for link in links:
+            link.cut()
+        return len(links)
+
+    def half_open(self) -> int:
+        """Reset the targets' ends; clients do not learn of it."""
+        for link in self._links:
+            link.frozen = True
+            link.target.transport.abort()
+        return len(self._links)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        self.accepted += 1
+        try:
+            target_reader, target_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        link = _Link(writer, target_writer)
+        self._links.add(link)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(link, reader, Direction.TO_TARGET))
+                group.create_task(self._pump(link, target_reader, Direction.TO_CLIENT))
+        finally:
+            self._links.discard(link)
+            link.cut()
+
+    async def _pump(
+        self, link: _Link, reader: asyncio.StreamReader, direction: Direction
+    ) -> None:
+        to_target = direction is Direction.TO_TARGET
+        writer = link.target if to_target else link.client
+        try:
+            while chunk := await reader.read(CHUNK_BYTES):
+                if to_target:
+                    link.request = chunk
+                await self._relay(link, writer, chunk, direction)
+            await self._hold_stalled(link)
+            if writer.can_write_eof():
+                writer.write_eof()
+        except OSError:
+            await self._hold_stalled(link)
+            link.cut()
+
+    async def _relay(
+        self,
+        link: _Link,
+        writer: asyncio.StreamWriter,
+        chunk: bytes,
+        direction: Direction,
+    ) -> None:
+        await self._hold_stalled(link)
+        to_client = direction is Direction.TO_CLIENT
+        match self.fault:
+            case Delay(seconds=seconds):
+                await asyncio.sleep(seconds)
+            case Lose(direction=lost) if lost is direction:
+                return
+            case Drip(size=size, seconds=seconds) if to_client:
+                for start in range(0, len(chunk), size):
+                    writer.write(chunk[start : start + size])
+                    await asyncio.sleep(seconds)
+                return
+            case LoseAnswers(count=count, prefix=prefix) if to_client:
+                if link.request.startswith(prefix):
+                    self.fault = LoseAnswers(count - 1, prefix) if count > 1 else None
+                    link.cut()
+                    return
+            case CutAfter(size=size, count=count) if to_client:
+                if link.passed + len(chunk) >= size:
+                    writer.write(chunk[: size - link.passed])
+                    await writer.drain()
+                    self.fault = CutAfter(size, count - 1) if count > 1 else None
+                    link.client.close()
+                    link.target.transport.abort()
+                    return
+        if to_client:
+            link.passed += len(chunk)
+        writer.write(chunk)
+        await writer.drain()
+
+    async def _hold_stalled(self, link: _Link) -> None:
+        while link.frozen or isinstance(self.fault, Stall):
+            await self._lifted.wait()
+
+
+class UdpProxy:
+    """Relays datagrams to one target; knows ``Delay``, ``Stall`` and ``Lose``.
+
+    Attributes:
+        fault: Fault in force, or None.
+        address: ``host:port`` to send to.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self._target = (host, port)
+        self._listener: asyncio.DatagramTransport | None = None
+        self._towards: dict[tuple[str, int], asyncio.DatagramTransport] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.fault: Fault | None = None
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen on loopback."""
+        loop = asyncio.get_running_loop()
+        self._listener, _ = await loop.create_datagram_endpoint(
+            lambda: _Receiver(self._take_request), local_addr=("127.0.0.1", 0)
+        )
+        host, port = self._listener.get_extra_info("sockname")
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Close every socket."""
+        for task in self._tasks:
+            task.cancel()
+        for transport in self._towards.values():
+            transport.close()
+        if self._listener is not None:
+            self._listener.close()
+
+    def _take_request(self, data: bytes, client: tuple[str, int]) -> None:
+        self._start(self._send_to_target(data, client))
+
+    def _start(self, work) -> None:  # type: ignore[no-untyped-def]
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send_to_target(self, data: bytes, client: tuple[str, int]) -> None:
+        if client not in self._towards:
+            loop = asyncio.get_running_loop()
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda: _Receiver(
+                    lambda answer, _: self._start(self._send_to_client(answer, client))
+                ),
+                remote_addr=self._target,
+            )
+            self._towards[client] = transport
+        if await self._passes(Direction.TO_TARGET):
+            self._towards[client].sendto(data)
+
+    async def _send_to_client(self, data: bytes, client: tuple[str, int]) -> None:
+        if await self._passes(Direction.TO_CLIENT) and self._listener is not None:
+            self._listener.sendto(data, client)
+
+    async def _passes(self, direction: Direction) -> bool:
+        match self.fault:
+            case Delay(seconds=seconds):
+                await asyncio.sleep(seconds)
+                return True
+            case Lose(direction=lost):
+                return lost is not direction
+            case Stall():
+                return False
+        return True
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    def __init__(self, take) -> None:  # type: ignore[no-untyped-def]
+        self._take = take
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._take(data, addr)
+
+
+def build_control(proxy: TcpProxy) -> web.Application:
+    """Return the HTTP application that steers a proxy run as a process.
+
+    ``PUT /standin/fault`` sets a fault, ``DELETE`` lifts it;
+    ``POST /standin/strike/KIND`` does ``freeze``, ``cut`` or ``half_open``.
+    """
+
+    async def set_fault(request: web.Request) -> web.Response:
+        proxy.set_fault(read_fault(orjson.loads(await request.read())))
+        return answer_json({})
+
+    async def lift(request: web.Request) -> web.Response:
+        proxy.lift()
+        return answer_json({})
+
+    async def strike(request: web.Request) -> web.Response:
+        strikes = {
+            "freeze": proxy.freeze,
+            "cut": proxy.cut,
+            "half_open": proxy.half_open,
+        }
+        return answer_json({"struck": strikes[request.match_info["kind"]]()})
+
+    app = web.Application()
+    app.router.add_put("/standin/fault", set_fault)
+    app.router.add_delete("/standin/fault", lift)
+    app.router.add_post("/standin/strike/{kind}", strike)
+    return app
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -18,10 +18,15 @@
 
 @dataclass(slots=True)
 class Running:
-    """A process of figstep and the URL that it printed first."""
+    """A process of figstep and its first line, ``KIND URL ...``."""
 
     process: asyncio.subprocess.Process
-    url: str
+    words: list[str]
+
+    @property
+    def url(self) -> str:
+        """Where it listens."""
+        return self.words[1]
 
     def kill(self) -> None:
         """End it at once, as a crash does."""
@@ -52,7 +57,7 @@
     assert process.stdout is not None
     try:
         line = await asyncio.wait_for(process.stdout.readline(), START_TIMEOUT)
-        yield Running(process, line.decode().split()[1])
+        yield Running(process, line.decode().split())
     finally:
         if process.returncode is None:
             process.kill()
