--- a/figstep/checker.py
+++ b/figstep/checker.py
@@ -248,7 +248,9 @@
     last = caller.outcomes[-1] if caller.outcomes else Outcome(0)
     if last.ran is not Ran.NO:
         return []
-    for item in [*history.generations, *history.calls]:
+    executed: list[ExecutedGeneration | ExecutedCall] = [*history.generations]
+    executed += history.calls
+    for item in executed:
         if item.tag == caller.tag:
             return [FalselyNotRun(caller.tag, item.target)]
     return []
