Add an honest model of one engine and serve it

Cause: the thin stand-in gave one word per gap whatever was running, so no decision under load could be measured against it. Ruled out: a network model or a simulated fleet; the model is one engine on a passed-in clock with its assumptions in its docstring. Before: no memory, batch, preemption, prefix cache or late report. After: all of them, used directly by tests and served over HTTP with grace for lost readers, continuation, orders and faults. A server built without a profile stays thin, as the tests of other parts expect.

--- a/figstep/standins/engine.py
+++ b/figstep/standins/engine.py
@@ -1,30 +1,54 @@
-"""Stand-in of a model engine, served over HTTP.
+"""Stand-in of a model engine: ``EngineModel`` served over HTTP.
 
 Speaks the OpenAI-compatible streaming API. Each event carries
 ``id: <generation>:<index>``; the caller of the engine chooses the generation
-id by the ``X-Generation-Id`` header. ``GET /v1/generations/ID?after=N``
-resumes a stream, ``DELETE`` cancels it, ``GET /load`` reports load and
-``POST /orders`` takes orders with a fencing number.
+id by the ``X-Generation-Id`` header and its priority by ``X-Priority``.
+``GET /v1/generations/ID?after=N`` resumes a stream, ``DELETE`` cancels it,
+``GET /load`` reports load, ``GET /cache-events?after=N`` tells of cached
+prefixes and ``POST /orders`` takes orders with a fencing number.
+
+A request whose ``X-Continue-After`` header says N carries the N tokens that
+were produced so far as ``continuation`` in its body; indexes go on at N + 1.
+The body's ``standin_length`` sets the length of the answer.
 """
 
 import asyncio
-from dataclasses import dataclass, field
+import hashlib
+import random
+import time
+from dataclasses import asdict, dataclass, field
 from typing import Any
 
 import orjson
 from aiohttp import web
 
+from figstep.standins.engine_model import (
+    EngineModel,
+    EngineProfile,
+    LengthLaw,
+    Sequence,
+    Token,
+)
 from figstep.standins.http import answer_json
 
 DONE = b"data: [DONE]\n\n"
 WORDS = "rice lentils spinach paneer chapati kheer apples cumin".split()
+PREFIX_CHARS = 256
+CHARS_PER_TOKEN = 4
+RUN_AHEAD_MS = 0.5
+THIN_MEMORY = 16_777_216
+THIN_RUNNING = 65_536
 
 
 @dataclass(slots=True)
 class _Generation:
+    model: str
+    chat: bool
+    first: int
     frames: list[bytes] = field(default_factory=list)
     ended: bool = False
     cancelled: bool = False
+    readers: int = 0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def notify(self) -> None:
@@ -32,51 +56,226 @@
         self.changed = asyncio.Event()
 
 
+def build_thin_profile(gap: float) -> EngineProfile:
+    """Return an engine that gives a token every ``gap`` seconds, at once for all."""
+    return EngineProfile(
+        memory_tokens=THIN_MEMORY,
+        max_running=THIN_RUNNING,
+        step=max(gap * 1_000, 0.01),
+        per_sequence=0.0,
+        per_thousand=0.0,
+        per_prefill=0.0,
+        prefill_chunk=THIN_MEMORY,
+        report_lag=0.0,
+    )
+
+
 class EngineServer:
-    """A thin engine: one word every ``gap`` seconds, at once for all.
+    """An engine over HTTP; thin unless it is given a profile.
 
     Attributes:
         name: Target name.
-        gap: Seconds between tokens.
-        length: Tokens in an answer unless the request bounds it.
+        length: Tokens in an answer unless the request or a law says.
+        law: Draws lengths in place of ``length``, if set.
+        grace: Seconds for which a generation without a reader goes on.
+        answer_delay: Seconds by which every answer is late.
+        crashed: While set, connections are cut and none is served.
+        checks_fencing: Whether orders with an old fencing number are refused.
+        load_seconds: How long an order takes.
         executed: Generation ids in the order in which they started.
+        cancelled: Generation ids that were cancelled.
+        fencing: Highest fencing number seen.
+        orders: Orders that were carried out.
     """
 
-    def __init__(self, name: str, gap: float = 0.01, length: int = 20) -> None:
+    def __init__(
+        self,
+        name: str,
+        gap: float = 0.01,
+        length: int = 20,
+        profile: EngineProfile | None = None,
+        law: LengthLaw | None = None,
+    ) -> None:
         self.name = name
-        self.gap = gap
         self.length = length
+        self.law = law
+        self.grace = 10.0
+        self.answer_delay = 0.0
+        self.crashed = False
+        self.checks_fencing = True
+        self.load_seconds = 0.0
         self.leaving = False
-        self.incarnation = 1
+        self.role = "serve"
+        self.fencing = 0
+        self.orders: list[dict[str, Any]] = []
         self.executed: list[str] = []
         self.cancelled: list[str] = []
+        self.model = EngineModel(
+            profile or build_thin_profile(gap), random.Random(hash_name(name))
+        )
+        self._models: dict[str, str] = {}
+        self._adapters: set[str] = set()
         self._generations: dict[str, _Generation] = {}
+        self._readers: list[web.Request] = []
         self._tasks: set[asyncio.Task[None]] = set()
+        self._runner: asyncio.Task[None] | None = None
+        self._work = asyncio.Event()
+
+    @property
+    def incarnation(self) -> int:
+        """Grows each time the engine starts anew."""
+        return self.model.incarnation
+
+    @incarnation.setter
+    def incarnation(self, value: int) -> None:
+        self.model.incarnation = value
+
+    @property
+    def slow(self) -> float:
+        """Factor on the time of every step."""
+        return self.model.slow
+
+    @slow.setter
+    def slow(self, value: float) -> None:
+        self.model.slow = value
 
     def build_app(self) -> web.Application:
         """Return the HTTP application."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._play_faults])
         app.router.add_post("/v1/chat/completions", self._start)
         app.router.add_post("/v1/completions", self._start)
         app.router.add_get("/v1/generations/{id}", self._resume)
         app.router.add_delete("/v1/generations/{id}", self._cancel)
         app.router.add_get("/load", self._report_load)
+        app.router.add_get("/cache-events", self._list_cache_events)
+        app.router.add_post("/orders", self._take_order)
         app.router.add_get("/standin/executed", self._list_executed)
+        app.on_cleanup.append(self._clean_up)
         return app
 
+    def crash(self) -> None:
+        """Cut all connections, lose all generations, refuse until ``restart``."""
+        self.crashed = True
+        self.model.crash(_read_clock())
+        for generation in self._generations.values():
+            generation.cancelled = generation.ended = True
+            generation.notify()
+        self._generations.clear()
+        for request in self._readers:
+            _cut(request)
+
+    def restart(self) -> None:
+        """Serve again, empty and under a new incarnation."""
+        self.crashed = False
+        self.leaving = False
+
+    def freeze(self) -> None:
+        """Stop without closing anything; nothing is answered."""
+        self.model.freeze(_read_clock())
+
+    def thaw(self) -> None:
+        """Go on after ``freeze``."""
+        self.model.thaw(_read_clock())
+        self._work.set()
+
+    @web.middleware
+    async def _play_faults(self, request: web.Request, handler: Any) -> Any:
+        while self.model.frozen and not self.crashed:
+            await asyncio.sleep(0.05)
+        if self.crashed:
+            _cut(request)
+            return web.Response(status=500)
+        if self.answer_delay:
+            await asyncio.sleep(self.answer_delay)
+        return await handler(request)
+
+    async def _clean_up(self, app: web.Application) -> None:
+        tasks = list(self._tasks)
+        if self._runner is not None:
+            tasks.append(self._runner)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def _start(self, request: web.Request) -> web.StreamResponse:
         if self.leaving:
             return answer_json({"error": "leaving"}, status=503)
         name = request.headers["X-Generation-Id"]
         body = orjson.loads(await request.read())
-        chat = request.path.endswith("/chat/completions")
+        if self._models and body.get("model") not in self._models:
+            return answer_json({"error": "model not loaded"}, status=503)
+        after = int(request.headers.get("X-Continue-After", "0"))
         if name not in self._generations:
-            self._generations[name] = _Generation()
+            chat = request.path.endswith("/chat/completions")
+            model = body.get("model", "")
+            self._generations[name] = _Generation(model, chat, after)
             self.executed.append(name)
-            task = asyncio.create_task(self._generate(name, body, chat))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-        return await self._stream(request, name, 0)
+            priority = int(request.headers.get("X-Priority", "0"))
+            sequence = self._build_sequence(name, body, after, priority)
+            self.model.start(sequence, _read_clock())
+            self._wake()
+        return await self._stream(request, name, after)
+
+    def _build_sequence(
+        self, name: str, body: dict[str, Any], after: int, priority: int
+    ) -> Sequence:
+        wanted = body.get("standin_length")
+        if wanted is None:
+            wanted = self.length if self.law is None else self.law.draw()
+        limit = body.get("max_tokens") or body.get("max_completion_tokens")
+        length = min(wanted, limit) if limit else wanted
+        prompt = str(body.get("prompt") or body.get("messages") or "")
+        shared = prompt[:PREFIX_CHARS]
+        return Sequence(
+            name,
+            length,
+            "length" if limit and limit <= wanted else "stop",
+            prompt_tokens=1 + len(prompt) // CHARS_PER_TOKEN,
+            priority=priority,
+            prefix=hashlib.sha256(shared.encode()).hexdigest()[:16],
+            prefix_tokens=len(shared) // CHARS_PER_TOKEN,
+            produced=after,
+        )
+
+    def _wake(self) -> None:
+        if self._runner is None or self._runner.done():
+            self._runner = asyncio.create_task(self._run())
+        self._work.set()
+
+    async def _run(self) -> None:
+        while True:
+            for token in self.model.advance(_read_clock() + RUN_AHEAD_MS):
+                self._take_token(token)
+            step = self.model.next_step()
+            if step is None:
+                self._work.clear()
+                await self._work.wait()
+                continue
+            await asyncio.sleep(max(0.0, step - _read_clock()) / 1_000)
+
+    def _take_token(self, token: Token) -> None:
+        generation = self._generations.get(token.name)
+        if generation is None or generation.cancelled:
+            return
+        word = WORDS[(token.index - 1) % len(WORDS)] + " "
+        frame = build_frame(
+            token.name,
+            token.index,
+            word,
+            token.finish,
+            generation.model,
+            generation.chat,
+        )
+        generation.frames.append(frame)
+        generation.ended = token.finish is not None
+        generation.notify()
+        if generation.ended:
+            self._forget_later(token.name)
+
+    def _forget_later(self, name: str) -> None:
+        loop = asyncio.get_running_loop()
+        retention = self.model.profile.retention / 1_000
+        loop.call_later(retention, self._generations.pop, name, None)
 
     async def _resume(self, request: web.Request) -> web.StreamResponse:
         name = request.match_info["id"]
@@ -85,48 +284,75 @@
         return await self._stream(request, name, int(request.query.get("after", "0")))
 
     async def _cancel(self, request: web.Request) -> web.Response:
-        name = request.match_info["id"]
-        generation = self._generations.get(name)
-        if generation is not None and not generation.ended:
-            generation.cancelled = True
-            self.cancelled.append(name)
+        self._end_generation(request.match_info["id"])
         return answer_json({})
 
+    def _end_generation(self, name: str) -> None:
+        generation = self._generations.get(name)
+        if generation is None or generation.ended:
+            return
+        self.model.cancel(name, _read_clock())
+        generation.cancelled = True
+        generation.ended = True
+        self.cancelled.append(name)
+        generation.notify()
+        self._forget_later(name)
+
     async def _report_load(self, request: web.Request) -> web.Response:
-        running = sum(not g.ended for g in self._generations.values())
+        now = _read_clock()
+        report = self.model.read_load(now)
         return answer_json(
             {
                 "incarnation": self.incarnation,
                 "leaving": self.leaving,
-                "running": running,
-                "waiting": 0,
-                "memory_used": 0,
-                "memory_total": 16_384,
-                "models": [],
+                "running": report.running,
+                "waiting": report.waiting,
+                "memory_used": report.memory_used,
+                "memory_total": report.memory_total,
+                "models": [f"{name}@{v}" for name, v in self._models.items()],
+                "adapters": sorted(self._adapters),
+                "role": self.role,
+                "age_ms": max(0, round(now - report.at)),
             }
         )
 
-    async def _list_executed(self, request: web.Request) -> web.Response:
-        return answer_json({"executed": self.executed, "cancelled": self.cancelled})
+    async def _list_cache_events(self, request: web.Request) -> web.Response:
+        after = int(request.query.get("after", "0"))
+        events = self.model.read_cache_events(_read_clock(), after)
+        return answer_json({"events": [asdict(event) for event in events]})
 
-    async def _generate(self, name: str, body: dict[str, Any], chat: bool) -> None:
-        generation = self._generations[name]
-        limit = body.get("max_tokens") or body.get("max_completion_tokens")
-        length = min(self.length, limit) if limit else self.length
-        for index in range(1, length + 1):
-            await asyncio.sleep(self.gap)
-            if generation.cancelled:
-                break
-            finish = None
-            if index == length:
-                finish = "length" if limit and limit <= self.length else "stop"
-            word = WORDS[(index - 1) % len(WORDS)] + " "
-            generation.frames.append(
-                build_frame(name, index, word, finish, body.get("model", ""), chat)
+    async def _take_order(self, request: web.Request) -> web.Response:
+        order = orjson.loads(await request.read())
+        number = int(order["fencing"])
+        if self.checks_fencing and number < self.fencing:
+            return answer_json(
+                {"error": "old fencing number", "fencing": self.fencing}, status=409
             )
-            generation.notify()
-        generation.ended = True
-        generation.notify()
+        self.fencing = max(self.fencing, number)
+        if self.load_seconds:
+            await asyncio.sleep(self.load_seconds)
+        if not self._carry_out(order):
+            return answer_json({"error": "unknown kind of order"}, status=400)
+        self.orders.append(order)
+        models = [f"{name}@{version}" for name, version in self._models.items()]
+        return answer_json({"models": models, "role": self.role})
+
+    def _carry_out(self, order: dict[str, Any]) -> bool:
+        match order.get("kind"):
+            case "load" | "version":
+                self._models[order["model"]] = str(order.get("version", "1"))
+            case "unload":
+                self._models.pop(order["model"], None)
+            case "adapter":
+                self._adapters.add(order["adapter"])
+            case "role":
+                self.role = order["role"]
+            case _:
+                return False
+        return True
+
+    async def _list_executed(self, request: web.Request) -> web.Response:
+        return answer_json({"executed": self.executed, "cancelled": self.cancelled})
 
     async def _stream(
         self, request: web.Request, name: str, after: int
@@ -135,20 +361,64 @@
         response = web.StreamResponse(
             headers={"Content-Type": "text/event-stream", "X-Generation-Id": name}
         )
-        await response.prepare(request)
-        sent = after
+        generation.readers += 1
+        self._readers.append(request)
+        try:
+            await response.prepare(request)
+            await self._send_frames(response, generation, after - generation.first)
+        finally:
+            self._readers.remove(request)
+            generation.readers -= 1
+            if not generation.ended and not generation.readers:
+                self._cancel_later(name)
+        return response
+
+    async def _send_frames(
+        self, response: web.StreamResponse, generation: _Generation, sent: int
+    ) -> None:
+        sent = max(0, sent)
         while True:
             changed = generation.changed
+            if self.model.frozen:
+                await asyncio.sleep(0.05)
+                continue
             if sent < len(generation.frames):
-                await response.write(b"".join(generation.frames[sent:]))
-                sent = len(generation.frames)
+                frames = generation.frames[sent:]
+                sent += len(frames)
+                await response.write(b"".join(frames))
                 continue
             if generation.ended:
                 break
             await changed.wait()
         if not generation.cancelled:
             await response.write(DONE)
-        return response
+
+    def _cancel_later(self, name: str) -> None:
+        # A reader that lost its connection may come back for the rest; one
+        # that is gone for good would leave the generation eating memory.
+        task = asyncio.create_task(self._cancel_unread(name))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _cancel_unread(self, name: str) -> None:
+        await asyncio.sleep(self.grace)
+        generation = self._generations.get(name)
+        if generation is not None and not generation.readers:
+            self._end_generation(name)
+
+
+def hash_name(name: str) -> int:
+    """Return a seed that depends on the name alone."""
+    return int.from_bytes(hashlib.sha256(name.encode()).digest()[:4])
+
+
+def _cut(request: web.Request) -> None:
+    if isinstance(request.transport, asyncio.Transport):
+        request.transport.abort()
+
+
+def _read_clock() -> float:
+    return time.monotonic() * 1_000
 
 
 def build_frame(
--- /dev/null
+++ b/tests/standins/test_engine.py
@@ -0,0 +1,89 @@
+"""The engine stand-in over HTTP."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+
+from figstep.standins.engine import EngineServer
+from figstep.standins.http import start_app
+
+HEADERS = {"X-Generation-Id": "e~0~1"}
+
+
+@asynccontextmanager
+async def serve(engine: EngineServer) -> AsyncIterator[aiohttp.ClientSession]:
+    runner, url = await start_app(engine.build_app())
+    async with aiohttp.ClientSession(url) as session:
+        yield session
+    await runner.cleanup()
+
+
+def list_indexes(text: str) -> list[int]:
+    lines = text.splitlines()
+    return [int(line.rpartition(":")[2]) for line in lines if line.startswith("id:")]
+
+
+async def test_continuation_goes_on_after_the_given_index() -> None:
+    async with serve(EngineServer("e", gap=0.0)) as session:
+        headers = {**HEADERS, "X-Continue-After": "3"}
+        body = {"prompt": "x", "continuation": "a b c", "standin_length": 6}
+        async with session.post("/v1/completions", json=body, headers=headers) as r:
+            text = await r.text()
+    assert list_indexes(text) == [4, 5, 6]
+    assert text.endswith("data: [DONE]\n\n")
+
+
+async def test_unread_generation_is_cancelled_after_the_grace() -> None:
+    """The reader's connection breaks in the middle and it never comes back.
+
+    Within the grace the generation can still be resumed; then it is ended, or
+    it would hold cache memory that nobody uses.
+    """
+    engine = EngineServer("e", gap=0.01, length=100_000)
+    engine.grace = 0.2
+    async with serve(engine) as session:
+        async with session.post("/v1/completions", json={}, headers=HEADERS) as r:
+            await r.content.readline()
+        async with session.get("/v1/generations/e~0~1?after=0") as r:
+            assert (await r.content.readline()).startswith(b"id: e~0~1:1")
+        while not engine.cancelled:
+            await asyncio.sleep(0.02)
+    assert engine.cancelled == ["e~0~1"]
+
+
+async def test_crash_cuts_streams_and_restart_forgets_them() -> None:
+    engine = EngineServer("e", gap=0.01, length=100_000)
+    async with serve(engine) as session:
+        async with session.post("/v1/completions", json={}, headers=HEADERS) as r:
+            await r.content.readline()
+            engine.crash()
+            with pytest.raises(aiohttp.ClientError):
+                await r.read()
+        engine.restart()
+        async with session.get("/v1/generations/e~0~1") as r:
+            assert r.status == 404
+        async with session.get("/load") as r:
+            assert (await r.json())["incarnation"] == 2
+
+
+@pytest.mark.parametrize(("checks", "status"), [(True, 409), (False, 200)])
+async def test_old_fencing_number(checks: bool, status: int) -> None:
+    """An order of a former lease holder arrives after the new holder's.
+
+    An engine that checks refuses it; one that doesn't carries it out.
+    """
+    engine = EngineServer("e")
+    engine.checks_fencing = checks
+    new = {"kind": "load", "model": "m", "version": "2", "fencing": 7}
+    old = {"kind": "version", "model": "m", "version": "1", "fencing": 6}
+    async with serve(engine) as session:
+        async with session.post("/orders", json=new) as r:
+            assert (await r.json())["models"] == ["m@2"]
+        async with session.post("/orders", json=old) as r:
+            assert r.status == status
+        async with session.get("/load") as r:
+            models = (await r.json())["models"]
+    assert models == (["m@2"] if checks else ["m@1"])
