--- a/tests/contracts/__init__.py
+++ b/tests/contracts/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the contracts."""
+"""Contracts of the interfaces."""
--- a/tests/standins/__init__.py
+++ b/tests/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the standins."""
+"""Tests of the stand-ins."""
