--- a/figstep/net/callers.py
+++ b/figstep/net/callers.py
@@ -57,7 +57,6 @@
         self._keys = KeyRing(read_inventory)
         self._reader = RequestReader(settings.node, settings.limits, clock)
         self._runner: web.AppRunner | None = None
-        self._away: dict[str, Exchange] = {}
         self._away_tasks: set[asyncio.Task[None]] = set()
         self.streams = StreamTable(settings.limits)
         self.ready = True
@@ -177,7 +176,7 @@
     async def _stream_answer(
         self, request: web.Request, headers: CallerHeaders, exchange: Exchange
     ) -> web.StreamResponse:
-        self._begin(exchange, self._read_return(headers, exchange))
+        self._begin(exchange, _read_event(headers, exchange))
         try:
             response = await self._write_stream(request, exchange)
         except BaseException:
@@ -186,45 +185,28 @@
         del self._exchanges[exchange.spec.request]
         return response
 
-    def _read_return(self, headers: CallerHeaders, exchange: Exchange) -> Event:
-        last = headers.last_event
-        if last is None:
-            return RequestArrived(exchange.spec)
-        away = self._away.pop(last.generation, None)
-        if away is not None:
-            # The end of the grace must not cancel what is read again.
-            self._dispatch(CallerGone(away.spec.request, cancel=False))
-            away.end(None)
-        return CallerReturned(exchange.spec, last.generation, last.index)
-
     def _leave(self, exchange: Exchange, grace: float) -> None:
         """Cancel the generation of a vanished caller, now or after its grace."""
-        sink = exchange.sink
-        if not grace or not isinstance(sink, StreamSink) or exchange.ended:
+        if not grace or exchange.sink is None or exchange.ended:
             self._dispatch(CallerGone(exchange.spec.request))
             del self._exchanges[exchange.spec.request]
             return
         exchange.sink = NullSink()
-        self._away[sink.generation] = exchange
         self._metrics.count("callers.away")
-        task = asyncio.get_running_loop().create_task(
-            self._wait_return(exchange, sink.generation, grace)
-        )
+        task = asyncio.get_running_loop().create_task(self._run_on(exchange, grace))
         self._away_tasks.add(task)
         task.add_done_callback(self._away_tasks.discard)
 
-    async def _wait_return(
-        self, exchange: Exchange, generation: str, grace: float
-    ) -> None:
+    async def _run_on(self, exchange: Exchange, grace: float) -> None:
         try:
             async with asyncio.timeout(grace):
                 await exchange.wait_end()
         except TimeoutError:
-            if self._away.get(generation) is exchange:
-                self._dispatch(CallerGone(exchange.spec.request))
+            # The caller may read the same generation through another entry by
+            # now, where a cancel would cut its answer. Without one the target
+            # ends the generation if nobody reads it.
+            self._dispatch(CallerGone(exchange.spec.request, cancel=False))
         finally:
-            if self._away.get(generation) is exchange:
-                del self._away[generation]
             del self._exchanges[exchange.spec.request]
 
     async def _write_stream(
@@ -267,3 +249,10 @@
             self._metrics.gauge("streams.open", len(self.streams))
             if swept.aborted:
                 self._metrics.count("streams.stalled", swept.aborted)
+
+
+def _read_event(headers: CallerHeaders, exchange: Exchange) -> Event:
+    last = headers.last_event
+    if last is None:
+        return RequestArrived(exchange.spec)
+    return CallerReturned(exchange.spec, last.generation, last.index)
--- a/figstep/net/listener.py
+++ b/figstep/net/listener.py
@@ -70,6 +70,7 @@
         handler_cancellation=True,
         shutdown_timeout=SHUTDOWN_SECONDS,
         keepalive_timeout=limits.idle_seconds,
+        lingering_time=limits.body_seconds,
         max_line_size=limits.header_bytes,
         max_field_size=limits.header_bytes,
         max_headers=limits.headers,
