--- a/figstep/net/callers.py
+++ b/figstep/net/callers.py
@@ -20,7 +20,7 @@
 from figstep.net.headers import CallerHeaders, read_headers
 from figstep.net.keys import KeyRing
 from figstep.net.listener import build_runner, build_tls
-from figstep.net.refusals import answer_problem, answer_refusals
+from figstep.net.refusals import answer_problem
 from figstep.problems import build_document
 from figstep.settings import Settings
 
@@ -75,10 +75,7 @@
         self.address = f"{scheme}://{bound[0]}:{bound[1]}"
 
     def _build_app(self) -> web.Application:
-        app = web.Application(
-            client_max_size=self._settings.limits.body_bytes,
-            middlewares=[answer_refusals],
-        )
+        app = web.Application(client_max_size=self._settings.limits.body_bytes)
         app.router.add_post(CHAT_PATH, self._serve_generation)
         app.router.add_post(COMPLETION_PATH, self._serve_generation)
         app.router.add_get("/v1/models", self._list_models)
--- a/figstep/net/listener.py
+++ b/figstep/net/listener.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import ssl
+from functools import partial
 
 import logbook
 from aiohttp import web
 
 from figstep.core.problems import Problem
-from figstep.net.refusals import answer_problem, describe_status
+from figstep.net.refusals import answer_problem, answer_refusals, describe_status
 from figstep.settings import Settings, Tls
 
 _log = logbook.Logger("figstep.callers")
@@ -45,9 +46,11 @@
     """Runs an application behind ``_CallerProtocol``."""
 
     async def _make_server(self) -> web.Server:
+        # Around the whole application: a middleware would not see what the
+        # library refuses before it calls one, such as an unknown Expect.
         made = await super()._make_server()
         return _CallerServer(
-            made.request_handler,
+            partial(answer_refusals, handler=made.request_handler),
             request_factory=made.request_factory,
             handler_cancellation=made.handler_cancellation,
             loop=asyncio.get_running_loop(),
--- a/figstep/net/refusals.py
+++ b/figstep/net/refusals.py
@@ -17,6 +17,7 @@
 
 _DETAILS = {
     400: "this is not a valid HTTP/1.1 request; check its request line and headers",
+    417: "this expectation is not known; send 'Expect: 100-continue' or none",
     404: "nothing is served at this path; see POST /v1/chat/completions,"
     " POST /v1/completions, GET /v1/models and /services/NAME/...",
     405: "this path does not take this method; use one of those in Allow",
@@ -41,9 +42,8 @@
     return Problem(status, phrase.lower().replace(" ", "_"), detail)
 
 
-@web.middleware
 async def answer_refusals(request: web.Request, handler: Handler) -> web.StreamResponse:
-    """Turn whatever a handler raises into a problem document."""
+    """Run a handler; whatever it raises becomes a problem document."""
     try:
         return await handler(request)
     except RefusedError as error:
