Add the load tool, the measures and their plot

Cause: live entries could not be put under a repeatable load. Ruled out: a load generator that waits for answers before it sends the next request (it hides stalls): arrivals are drawn ahead from a seed. Before: none.

--- a/figstep/cli.py
+++ b/figstep/cli.py
@@ -13,7 +13,9 @@
 from figstep import demo as demonstration
 from figstep import operations
 from figstep.errors import FigstepError
+from figstep.load import LoadRun, format_summary, load_scenario, write_results
 from figstep.logs import install_logs
+from figstep.plots import draw_measures, read_results
 from figstep.server import run_server
 from figstep.settings import Settings, load_settings
 from figstep.standins.process import run_standin
@@ -68,6 +70,25 @@
     asyncio.run(run_standin(kind, name, port, gap))
 
 
+@app.command()
+def load(
+    scenario: Path,
+    label: str = "figstep",
+    output: Annotated[Path | None, typer.Option()] = None,
+) -> None:
+    """Send a scenario's requests to live entries and print the measures."""
+    summary = uvloop.run(LoadRun(load_scenario(scenario)).run())
+    typer.echo(format_summary(summary))
+    if output is not None:
+        write_results(output, label, summary)
+
+
+@app.command()
+def plot(results: list[Path], output: Annotated[Path, typer.Option()]) -> None:
+    """Draw the three measures of one or more result files."""
+    draw_measures(read_results(results), output)
+
+
 @settings_app.command("check")
 def check_settings(settings: Path) -> None:
     """Validate a settings file."""
--- /dev/null
+++ b/figstep/load.py
@@ -0,0 +1,224 @@
+"""Load on live entries over HTTP, from a YAML scenario with a fixed seed."""
+
+import asyncio
+import random
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from figstep.errors import SettingsError
+from figstep.measures import StreamTimes, Summary, summarize_streams
+from figstep.net.frames import FrameSplitter
+from figstep.settings import describe_errors, load_yaml
+
+CHARACTERS_PER_TOKEN = 4
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class LoadCustomer(_Model):
+    """A customer that sends requests; ``weight`` is its part of all."""
+
+    name: str
+    key: str
+    weight: float = Field(default=1.0, gt=0)
+
+
+class Lengths(_Model):
+    """Lengths of answers, in tokens: short ones, and a heavy tail of long ones.
+
+    Stand-in engines take the drawn length from the body; a real engine
+    ignores it and decides for itself.
+    """
+
+    short_part: float = Field(default=0.7, ge=0, le=1)
+    short_mean: float = Field(default=25, gt=0)
+    long_median: float = Field(default=300, gt=0)
+    long_sigma: float = Field(default=0.8, gt=0)
+    most: int = Field(default=4_000, gt=0)
+
+
+class Scenario(_Model):
+    """What to send where.
+
+    Attributes:
+        entries: Base URLs; each request goes to the next one.
+        model: Model asked for.
+        customers: Who sends.
+        seconds: How long requests are sent for.
+        rate: Mean requests a second (Poisson arrivals).
+        seed: Seed of arrivals, customers and lengths.
+        prompt_tokens: Mean length of a prompt.
+        lengths: Lengths of answers.
+        returns: How often a caller whose stream broke comes back.
+        timeout_seconds: When a caller gives up.
+    """
+
+    entries: tuple[str, ...] = Field(min_length=1)
+    model: str
+    customers: tuple[LoadCustomer, ...] = Field(min_length=1)
+    seconds: float = Field(default=10, gt=0, le=3_600)
+    rate: float = Field(default=5, gt=0, le=10_000)
+    seed: int = 1
+    prompt_tokens: float = Field(default=100, gt=0)
+    lengths: Lengths = Lengths()
+    returns: int = Field(default=3, ge=0)
+    timeout_seconds: float = Field(default=300, gt=0)
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request of the scenario; ``at`` in seconds from the start."""
+
+    at: float
+    customer: LoadCustomer
+    prompt_tokens: int
+    length: int
+
+
+def load_scenario(path: Path) -> Scenario:
+    """Read and validate a scenario.
+
+    Raises:
+        SettingsError: Naming the file, each wrong field and what to write.
+    """
+    try:
+        return Scenario.model_validate(load_yaml(path))
+    except ValidationError as error:
+        raise SettingsError(f"{path}: " + "; ".join(describe_errors(error))) from error
+
+
+def draw_arrivals(scenario: Scenario) -> list[Arrival]:
+    """Return the scenario's requests, the same ones for the same seed."""
+    rng = random.Random(scenario.seed)
+    weights = [customer.weight for customer in scenario.customers]
+    arrivals = []
+    at = rng.expovariate(scenario.rate)
+    while at < scenario.seconds:
+        customer = rng.choices(scenario.customers, weights)[0]
+        prompt = 1 + int(rng.expovariate(1 / scenario.prompt_tokens))
+        length = _draw_length(scenario.lengths, rng)
+        arrivals.append(Arrival(at, customer, prompt, length))
+        at += rng.expovariate(scenario.rate)
+    return arrivals
+
+
+def _draw_length(lengths: Lengths, rng: random.Random) -> int:
+    if rng.random() < lengths.short_part:
+        drawn = rng.expovariate(1 / lengths.short_mean)
+    else:
+        drawn = lengths.long_median * rng.lognormvariate(0, lengths.long_sigma)
+    return max(1, min(lengths.most, int(drawn)))
+
+
+class LoadRun:
+    """Sends one scenario and keeps what its callers saw."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self._scenario = scenario
+        self._session: aiohttp.ClientSession | None = None
+        self.streams: list[StreamTimes] = []
+
+    async def run(self) -> Summary:
+        """Send every request at its time; return when the last has ended."""
+        timeout = aiohttp.ClientTimeout(total=self._scenario.timeout_seconds)
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(
+            timeout=timeout, connector=connector
+        ) as self._session:
+            started = time.monotonic()
+            callers = []
+            for number, arrival in enumerate(draw_arrivals(self._scenario)):
+                await asyncio.sleep(max(0.0, started + arrival.at - time.monotonic()))
+                callers.append(asyncio.create_task(self._call(number, arrival)))
+            await asyncio.gather(*callers)
+        return summarize_streams(self.streams)
+
+    async def _call(self, number: int, arrival: Arrival) -> None:
+        stream = StreamTimes(arrival.customer.name, _read_millis())
+        self.streams.append(stream)
+        last_event = ""
+        for attempt in range(1 + self._scenario.returns):
+            entries = self._scenario.entries
+            entry = entries[(number + attempt) % len(entries)]
+            last_event = await self._read_stream(entry, arrival, stream, last_event)
+            if stream.whole or stream.refused:
+                break
+        stream.ended = _read_millis()
+
+    async def _read_stream(
+        self, entry: str, arrival: Arrival, stream: StreamTimes, last_event: str
+    ) -> str:
+        """Read until the end or a break; return the id of the last event."""
+        assert self._session is not None
+        headers = {"Authorization": f"Bearer {arrival.customer.key}"}
+        if last_event:
+            headers["Last-Event-ID"] = last_event
+        body = {
+            "model": self._scenario.model,
+            "stream": True,
+            "prompt": "x" * (CHARACTERS_PER_TOKEN * arrival.prompt_tokens),
+            "standin_length": arrival.length,
+        }
+        try:
+            async with self._session.post(
+                entry + "/v1/completions", json=body, headers=headers
+            ) as response:
+                if response.status != 200:
+                    stream.refused = _read_code(await response.read())
+                    return last_event
+                return await self._read_events(response, stream, last_event)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return last_event
+
+    async def _read_events(
+        self, response: aiohttp.ClientResponse, stream: StreamTimes, last_event: str
+    ) -> str:
+        splitter = FrameSplitter()
+        try:
+            async for chunk in response.content.iter_any():
+                at = _read_millis()
+                for run in splitter.feed(chunk):
+                    stream.tokens += [at] * len(run.frames)
+                    index = run.first + len(run.frames) - 1
+                    last_event = f"{run.generation}:{index}"
+                if b"event: error" in chunk:
+                    stream.refused = "ended_with_problem"
+                    return last_event
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return last_event
+        stream.whole = splitter.ended
+        return last_event
+
+
+def _read_millis() -> float:
+    return time.monotonic() * 1_000
+
+
+def _read_code(body: bytes) -> str:
+    try:
+        return str(orjson.loads(body)["error"]["code"])
+    except (ValueError, KeyError, TypeError):
+        return "unreadable_problem"
+
+
+def format_summary(summary: Summary) -> str:
+    """Return the measures as a table, one a line."""
+    lines = []
+    for name, value in asdict(summary).items():
+        shown = f"{value:.1f}" if isinstance(value, float) else str(value)
+        lines.append(f"{name.replace('_', ' '):<16} {shown:>12}")
+    return "\n".join(lines)
+
+
+def write_results(path: Path, label: str, summary: Summary) -> None:
+    """Write the measures as JSON, under the label that a plot shows."""
+    document: dict[str, Any] = {"label": label, **asdict(summary)}
+    path.write_bytes(orjson.dumps(document, option=orjson.OPT_INDENT_2))
--- /dev/null
+++ b/figstep/plots.py
@@ -0,0 +1,60 @@
+"""Plots of the three measures by policy; needs the extra ``plots``."""
+
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from figstep.errors import FigstepError
+
+MEASURES = {
+    "stall_p99": "stall p99 per stream (ms)",
+    "preemptions_per_thousand": "preemptions per 1,000",
+    "gap_p99": "inter-token p99 (ms)",
+}
+
+
+class PlotUnavailableError(FigstepError):
+    """Matplotlib is not installed."""
+
+
+def read_results(paths: list[Path]) -> list[dict[str, Any]]:
+    """Read result files; each holds one run or a list of runs."""
+    runs: list[dict[str, Any]] = []
+    for path in paths:
+        document = orjson.loads(path.read_bytes())
+        runs += document if isinstance(document, list) else [document]
+    return runs
+
+
+def draw_measures(runs: list[dict[str, Any]], path: Path) -> None:
+    """Draw a bar for each run and measure that the runs have.
+
+    Args:
+        runs: Runs with a ``label`` and their measures.
+        path: Image to write; its ending sets the format.
+
+    Raises:
+        PlotUnavailableError: If matplotlib is missing.
+    """
+    try:
+        import matplotlib
+    except ImportError as error:
+        raise PlotUnavailableError(
+            "matplotlib is missing; install it with: pip install 'figstep[plots]'"
+        ) from error
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    shown = {key: text for key, text in MEASURES.items() if key in runs[0]}
+    figure, axes = pyplot.subplots(
+        1, len(shown), figsize=(4 * len(shown), 4), squeeze=False
+    )
+    labels = [run["label"] for run in runs]
+    for axis, (key, text) in zip(axes[0], shown.items(), strict=True):
+        axis.bar(labels, [run.get(key, 0.0) for run in runs])
+        axis.set_title(text)
+        axis.tick_params(axis="x", rotation=30)
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
