--- a/figstep/application.py
+++ b/figstep/application.py
@@ -9,7 +9,7 @@
 import logbook
 from mode import Service
 
-from figstep.core.clock import Clock
+from figstep.core.clock import Clock, Millis
 from figstep.core.effects import (
     AppendRecords,
     CancelGeneration,
@@ -21,6 +21,7 @@
     Effect,
     Note,
     OpenAttempt,
+    ReadConfigurationFrom,
     Refuse,
     ResumeAttempt,
     WakeAt,
@@ -67,6 +68,7 @@
             settings.node,
             settings.failure_domain,
             random.Random(int.from_bytes(os.urandom(16))),
+            retention=Millis(round(settings.platform.log_retention_seconds * 1000)),
         )
         self.exchanges: dict[str, Exchange] = {}
         self._events: deque[Event] = deque()
@@ -130,10 +132,16 @@
         """Return what ``GET /status`` tells."""
         targets = {}
         for name, target in self.entry_state.targets.items():
-            targets[name] = {"in_flight": target.in_flight, "leaving": target.leaving}
+            targets[name] = {
+                "in_flight": target.in_flight,
+                "leaving": target.leaving,
+                "draining": target.draining,
+            }
         return {
             "node": self.settings.node,
             "configuration_offset": self.entry_state.configuration_offset,
+            "configuration_position": self.entry_state.configuration.position,
+            "configuration_stalled": self.entry_state.configuration.stalled,
             "ready": self.callers.ready,
             "requests": len(self.entry_state.requests),
             "targets": targets,
@@ -180,6 +188,8 @@
                     exchange.frames.clear()
             case WakeAt(timer=timer, at=at):
                 self._set_timer(timer, at)
+            case ReadConfigurationFrom(offset=offset):
+                self.configuration.read_from(offset)
             case AppendRecords():
                 self.appender.append(effect)
             case Note(message=message, fields=fields):
--- /dev/null
+++ b/figstep/audit.py
@@ -0,0 +1,174 @@
+"""Audit trail of the configuration: who changed what, when, why, and the verdict."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from figstep.core.clock import Millis
+from figstep.core.configuration import Accepted, Refused, Unknown, judge_edit
+from figstep.core.effects import ReadConfigurationFrom
+from figstep.core.events import Checkpoint, ConfigurationRead
+from figstep.core.records import LogRecord
+from figstep.core.reducer import reduce
+from figstep.core.state import ConfigurationFold, State
+from figstep.net.configuration import parse_record
+
+
+@dataclass(frozen=True, slots=True)
+class FieldChange:
+    """One difference between two documents.
+
+    Attributes:
+        path: Place in the document, such as ``engines[muc-1].speed``.
+        before: Value before; None if it was absent.
+        after: Value after; None if it is absent.
+    """
+
+    path: str
+    before: Any
+    after: Any
+
+    def __str__(self) -> str:
+        if self.before is None:
+            return f"+ {self.path}: {self.after!r}"
+        if self.after is None:
+            return f"- {self.path}: {self.before!r}"
+        return f"~ {self.path}: {self.before!r} -> {self.after!r}"
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryEntry:
+    """An edit and what became of it.
+
+    Attributes:
+        offset: Offset of its record.
+        time: When the log took it, in milliseconds since the epoch.
+        edit: Its unique id.
+        author: Who published it.
+        reason: Why.
+        base: Accepted offset that it was made from.
+        verdict: "accepted", "refused" or "unknown".
+        rule: Rule that refused it, or "".
+        why: What was wrong, or "".
+        changes: What it changes against the document in force before it.
+    """
+
+    offset: int
+    time: int
+    edit: str
+    author: str
+    reason: str
+    base: int
+    verdict: str
+    rule: str
+    why: str
+    changes: tuple[FieldChange, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Trail:
+    """What the records that the log still keeps tell.
+
+    Attributes:
+        position: Last offset folded; -1 for none.
+        current: The accepted edit, or None.
+        stalled: Why the last records cannot be judged here, or "".
+        entries: Edits in order of offset.
+    """
+
+    position: int
+    current: Checkpoint | None
+    stalled: str
+    entries: tuple[HistoryEntry, ...]
+
+
+def read_trail(records: list[LogRecord]) -> Trail:
+    """Fold kept records by the code that every entry runs.
+
+    Args:
+        records: Every kept record of the configuration stream, in order.
+    """
+    state = State("reader")
+    events = [parse_record(record) for record in records]
+    entries: dict[int, HistoryEntry] = {}
+    index = 0
+    while index < len(records):
+        record, event = records[index], events[index]
+        index += 1
+        if isinstance(event, ConfigurationRead):
+            _judge(state.configuration, record, event, entries)
+        for effect in reduce(state, event, Millis(0)):
+            if isinstance(effect, ReadConfigurationFrom):
+                index = max(0, effect.offset - records[0].offset)
+    fold = state.configuration
+    ordered = tuple(entries[offset] for offset in sorted(entries))
+    return Trail(fold.position, fold.current, fold.stalled, ordered)
+
+
+def _judge(
+    fold: ConfigurationFold,
+    record: LogRecord,
+    event: ConfigurationRead,
+    entries: dict[int, HistoryEntry],
+) -> None:
+    if event.offset <= fold.position and event.offset in entries:
+        return
+    verdict, rule, why = "unknown", "", "older than the first snapshot that is kept"
+    if event.offset == fold.position + 1:
+        match judge_edit(fold.current, event):
+            case Accepted():
+                verdict, why = "accepted", ""
+            case Refused(rule=rule, why=why):
+                verdict = "refused"
+            case Unknown(why=why):
+                pass
+    before = fold.current.document if fold.current else {}
+    changes = diff_documents(before, event.document) if verdict != "unknown" else []
+    entries[event.offset] = HistoryEntry(
+        offset=event.offset,
+        time=record.time,
+        edit=event.edit,
+        author=event.author,
+        reason=event.reason,
+        base=event.base,
+        verdict=verdict,
+        rule=rule,
+        why=why,
+        changes=tuple(changes),
+    )
+
+
+def diff_documents(before: Any, after: Any, path: str = "") -> list[FieldChange]:
+    """Return the differences field by field; lists of named things by name."""
+    if before == after:
+        return []
+    if isinstance(before, dict) and isinstance(after, dict):
+        changes = []
+        for name in sorted(before.keys() | after.keys()):
+            place = f"{path}.{name}" if path else name
+            changes += diff_documents(before.get(name), after.get(name), place)
+        return changes
+    old, new = _index_by_name(before), _index_by_name(after)
+    if old is None or new is None or not (old or new):
+        return [FieldChange(path, before, after)]
+    changes = []
+    for name in sorted(old.keys() | new.keys()):
+        place = f"{path}[{name}]"
+        changes += diff_documents(old.get(name), new.get(name), place)
+    return changes
+
+
+def _index_by_name(value: Any) -> dict[str, Any] | None:
+    """Return list items by their name or target; None if they have none."""
+    if value is None:
+        return {}
+    if not isinstance(value, list):
+        return None
+    items: dict[str, Any] = {}
+    for item in value:
+        if not isinstance(item, dict):
+            return None
+        name = item.get("name", item.get("target"))
+        if not isinstance(name, str) or name in items:
+            return None
+        items[name] = item
+    return items
--- a/figstep/cli.py
+++ b/figstep/cli.py
@@ -4,14 +4,18 @@
 import getpass
 import json
 import sys
+from dataclasses import asdict
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Annotated
 
 import typer
 import uvloop
+import yaml
 
 from figstep import demo as demonstration
 from figstep import operations
+from figstep.audit import HistoryEntry
 from figstep.errors import FigstepError
 from figstep.logs import install_logs
 from figstep.server import run_server
@@ -23,6 +27,7 @@
 app.add_typer(settings_app, name="settings")
 
 LogUrl = Annotated[str, typer.Option("--log", envvar="FIGSTEP_LOG")]
+InstancesUrl = Annotated[str, typer.Option("--instances", envvar="FIGSTEP_INSTANCES")]
 
 
 @app.command()
@@ -55,11 +60,133 @@
     log: LogUrl,
     reason: Annotated[str, typer.Option()],
     author: str = "",
+    wait: Annotated[
+        str, typer.Option(help="Entries that must show it: N, N-of-N or all.")
+    ] = "",
+    instances: InstancesUrl = "",
+    timeout: Annotated[float, typer.Option(help="Seconds to wait.")] = 30.0,
 ) -> None:
-    """Publish an inventory file."""
+    """Publish an inventory file; accepted only once read back from the log."""
+    document = operations.load_document(inventory)
     author = author or getpass.getuser()
-    offset = operations.publish_file(inventory, log, author, reason)
+    offset = operations.run_with_log(
+        log,
+        lambda client: operations.publish_document(client, document, author, reason),
+    )
     typer.echo(f"accepted at offset {offset}")
+    _wait_in_force(offset, wait, instances, timeout)
+
+
+def _wait_in_force(offset: int, wait: str, instances: str, timeout: float) -> None:
+    if not wait:
+        return
+    if not instances:
+        raise typer.BadParameter("--wait needs --instances")
+    first = wait.partition("-of-")[0]
+    if wait != "all" and not first.isdigit():
+        raise typer.BadParameter("--wait takes N, N-of-N or all")
+    wanted = None if wait == "all" else int(first)
+    shown = asyncio.run(operations.wait_in_force(instances, offset, timeout, wanted))
+    typer.echo(f"in force on {shown} entries")
+
+
+@app.command()
+def drain(
+    target: str,
+    log: LogUrl,
+    reason: Annotated[str, typer.Option()],
+    author: str = "",
+    wait: str = "",
+    instances: InstancesUrl = "",
+    timeout: float = 30.0,
+) -> None:
+    """Publish that a target gets no new work; what runs there goes on."""
+    author = author or getpass.getuser()
+    offset = operations.run_with_log(
+        log, lambda client: operations.drain_target(client, target, author, reason)
+    )
+    typer.echo(f"accepted at offset {offset}")
+    _wait_in_force(offset, wait, instances, timeout)
+
+
+@app.command()
+def show(log: LogUrl) -> None:
+    """Print the document in force as YAML."""
+    trail = operations.run_with_log(log, operations.read_history)
+    if trail.stalled:
+        typer.echo(f"stalled: {trail.stalled}", err=True)
+    if trail.current is None:
+        typer.echo("no document is in force; publish one", err=True)
+        raise typer.Exit(1)
+    current = trail.current
+    typer.echo(f"# offset {current.accepted} by {current.author}: {current.reason}")
+    typer.echo(yaml.safe_dump(current.document, sort_keys=False), nl=False)
+
+
+@app.command()
+def diff(inventory: Path, log: LogUrl) -> None:
+    """Print what a file would change; exit code 1 if anything."""
+    document = operations.load_document(inventory)
+    changes = operations.run_with_log(
+        log, lambda client: operations.compare_document(client, document)
+    )
+    for change in changes:
+        typer.echo(str(change))
+    if changes:
+        raise typer.Exit(1)
+
+
+@app.command()
+def history(
+    log: LogUrl, as_json: Annotated[bool, typer.Option("--json")] = False
+) -> None:
+    """Print the audit trail: who changed what, when, why, and the verdict."""
+    trail = operations.run_with_log(log, operations.read_history)
+    for entry in trail.entries:
+        if as_json:
+            typer.echo(json.dumps(asdict(entry)))
+            continue
+        _print_entry(entry)
+
+
+def _print_entry(entry: HistoryEntry) -> None:
+    when = datetime.fromtimestamp(entry.time / 1000, UTC).isoformat(timespec="seconds")
+    verdict = entry.verdict if not entry.rule else f"{entry.verdict} by {entry.rule}"
+    typer.echo(
+        f"{entry.offset} {when} {entry.author}: {entry.reason} [{verdict}]"
+        f" edit {entry.edit}"
+    )
+    if entry.why:
+        typer.echo(f"    {entry.why}")
+    for change in entry.changes:
+        typer.echo(f"    {change}")
+
+
+@app.command()
+def status(instances: InstancesUrl) -> None:
+    """Print what every live entry tells of itself; exit code 1 if one is silent."""
+    if not instances:
+        raise typer.BadParameter("status needs --instances")
+    entries = asyncio.run(operations.read_status(instances))
+    for entry in entries:
+        if entry.status is None:
+            typer.echo(f"{entry.name} {entry.address} no answer")
+            continue
+        told = entry.status
+        leaving = [
+            name
+            for name, target in told["targets"].items()
+            if target["leaving"] or target.get("draining")
+        ]
+        line = (
+            f"{entry.name} {entry.address} offset {entry.offset}"
+            f" ready {told['ready']} requests {told['requests']}"
+            f" targets {len(told['targets'])} leaving {','.join(leaving) or 'none'}"
+        )
+        stalled = told.get("configuration_stalled")
+        typer.echo(f"{line} STALLED: {stalled}" if stalled else line)
+    if any(entry.status is None for entry in entries):
+        raise typer.Exit(1)
 
 
 @app.command()
--- a/figstep/core/effects.py
+++ b/figstep/core/effects.py
@@ -104,6 +104,13 @@
     records: list[dict[str, Any]]
 
 
+@dataclass(frozen=True, slots=True)
+class ReadConfigurationFrom:
+    """Read the configuration stream on from ``offset``."""
+
+    offset: int
+
+
 @dataclass(frozen=True, slots=True)
 class WakeAt:
     """Fire ``timer`` at ``at`` (monotonic); an earlier one is replaced."""
@@ -143,6 +150,7 @@
     | Complete
     | Refuse
     | AppendRecords
+    | ReadConfigurationFrom
     | WakeAt
     | Count
     | Note
--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 from figstep.core.clock import Millis
 from figstep.core.inventory import Inventory
@@ -151,14 +152,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationRead:
-    """A record of the configuration stream.
+    """An edit in the configuration stream.
 
     Attributes:
         offset: Offset of the record.
+        edit: Unique id of the edit.
         base: Accepted offset that the author started from; -1 for none.
         author: Who published.
         reason: Why.
-        inventory: The validated document, or None if it is not valid.
+        validation: Version of the validation rules it was made for.
+        document: The document as published.
+        inventory: The validated document, or None if it is not valid or its
+            validation version is not known here.
+        known: Whether this program knows the validation version.
         problems: Why it is not valid.
     """
 
@@ -168,6 +174,57 @@
     reason: str
     inventory: Inventory | None
     problems: tuple[str, ...] = ()
+    edit: str = ""
+    validation: int = 1
+    document: dict[str, Any] = field(default_factory=dict)
+    known: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Checkpoint:
+    """Result of the fold over every record up to a position.
+
+    Attributes:
+        accepted: Offset of the edit in force.
+        position: Last offset that was folded.
+        edit: Id of the edit in force.
+        author: Who published it.
+        reason: Why.
+        validation: Version of the validation rules it was made for.
+        document: The document as published.
+        inventory: The validated document, or None if this program cannot read it.
+    """
+
+    accepted: int
+    position: int
+    edit: str
+    author: str
+    reason: str
+    validation: int
+    document: dict[str, Any]
+    inventory: Inventory | None
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotRead:
+    """A checkpoint in the configuration stream.
+
+    Attributes:
+        offset: Offset of the record.
+        checkpoint: What it holds.
+        age: Time since the log took it, in milliseconds.
+    """
+
+    offset: int
+    checkpoint: Checkpoint
+    age: Millis = Millis(0)
+
+
+@dataclass(frozen=True, slots=True)
+class CheckpointOffered:
+    """A peer sent its checkpoint."""
+
+    checkpoint: Checkpoint
 
 
 @dataclass(frozen=True, slots=True)
@@ -239,7 +296,12 @@
     """Tries to start queued requests."""
 
 
-Timer = RequestTimer | AttemptTimer | QueueTimer
+@dataclass(frozen=True, slots=True)
+class SnapshotTimer:
+    """Checks whether the configuration needs a fresh snapshot."""
+
+
+Timer = RequestTimer | AttemptTimer | QueueTimer | SnapshotTimer
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,6 +327,8 @@
     | ServiceAnswered
     | LoadReported
     | ConfigurationRead
+    | SnapshotRead
+    | CheckpointOffered
     | InstancesListed
     | RecordsRead
     | AppendConfirmed
--- a/figstep/core/inventory.py
+++ b/figstep/core/inventory.py
@@ -22,6 +22,7 @@
         address: Base URL.
         failure_domain: Name of its failure domain.
         models: Names of the models it may serve.
+        kind: Make of the engine, as the operators name it.
         speed: Decode speed relative to the slowest class (1.0).
         memory_tokens: Cache memory, in tokens.
         max_running: Most generations it decodes at once.
@@ -34,6 +35,7 @@
     address: str
     failure_domain: str
     models: tuple[str, ...]
+    kind: str = "engine"
     speed: float = 1.0
     memory_tokens: int = 16_384
     max_running: int = 32
@@ -75,6 +77,55 @@
     priority: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class PlacementRule:
+    """How many replicas of a model are wanted where.
+
+    Attributes:
+        model: Model name.
+        replicas: Wanted replicas in each of the failure domains.
+        failure_domains: Names of the failure domains; empty for all.
+    """
+
+    model: str
+    replicas: int
+    failure_domains: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PriorityRule:
+    """Priority of requests; None matches everything, higher goes first."""
+
+    priority: int
+    customer: str | None = None
+    model: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceRecord:
+    """A machine of the asset register.
+
+    Attributes:
+        name: Name as in the platform's instance list.
+        kind: "entry" for the system's own, "target" for engines and services.
+        failure_domain: Name of its failure domain.
+        size: Size class, as the operators name it.
+    """
+
+    name: str
+    kind: str
+    failure_domain: str
+    size: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class DrainMark:
+    """A target that the operators want to get no new work."""
+
+    target: str
+    reason: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class NonIdempotentRule:
     """Requests that run at most once; None and "" match everything.
@@ -103,11 +154,15 @@
         non_idempotent: Which calls run at most once.
         deadline: Time a request may wait for its first byte, in milliseconds.
         routing: Name of the routing policy.
+        priorities: Priorities by customer and model; the first match counts.
+        placement: Which model wants how many replicas where.
     """
 
     non_idempotent: tuple[NonIdempotentRule, ...] = ()
     deadline: Millis = Millis(60_000)
     routing: str = "figstep"
+    priorities: tuple[PriorityRule, ...] = ()
+    placement: tuple[PlacementRule, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,11 +170,13 @@
     """One accepted document: what exists and the rules for it."""
 
     failure_domains: tuple[FailureDomain, ...] = ()
+    instances: tuple[InstanceRecord, ...] = ()
     engines: tuple[EngineInfo, ...] = ()
     services: tuple[ServiceInfo, ...] = ()
     models: tuple[ModelInfo, ...] = ()
     customers: tuple[CustomerInfo, ...] = ()
     rules: Rules = field(default_factory=Rules)
+    draining: tuple[DrainMark, ...] = ()
 
     def list_targets(self) -> list[TargetInfo]:
         """Return the engines, then the replicas of plain services."""
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -12,6 +12,7 @@
     AttemptTimer,
     CallerGone,
     CallerReturned,
+    CheckpointOffered,
     ConfigurationRead,
     Event,
     InstancesListed,
@@ -22,6 +23,8 @@
     RequestTimer,
     ServiceAnswered,
     ShutdownRequested,
+    SnapshotRead,
+    SnapshotTimer,
     Timer,
     TimerFired,
     TokensArrived,
@@ -63,6 +66,10 @@
             return targets.record_load(state, event, now)
         case ConfigurationRead():
             return configuration.fold_record(state, event, now)
+        case SnapshotRead():
+            return configuration.fold_snapshot(state, event, now)
+        case CheckpointOffered():
+            return configuration.take_checkpoint(state, event.checkpoint, now)
         case InstancesListed():
             return membership.record_instances(state, event, now)
         case RecordsRead() | AppendConfirmed() | AppendUncertain():
@@ -80,3 +87,5 @@
             return requests.expire_request(state, timer, now)
         case AttemptTimer():
             return requests.check_attempt(state, timer, now)
+        case SnapshotTimer():
+            return configuration.renew_snapshot(state, now)
--- a/figstep/core/routing.py
+++ b/figstep/core/routing.py
@@ -20,7 +20,7 @@
     """Return the targets that may take the request now."""
     candidates = []
     for target in state.targets.values():
-        if target.leaving:
+        if target.leaving or target.draining:
             continue
         if not serves(target, request.spec):
             continue
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -6,6 +6,7 @@
 
 from figstep.core.claims import ClaimTable
 from figstep.core.clock import Millis
+from figstep.core.events import Checkpoint
 from figstep.core.inventory import Inventory, TargetInfo
 from figstep.core.lengths import LengthTable
 from figstep.core.problems import Ran
@@ -71,7 +72,8 @@
         info: Its inventory entry.
         in_flight: Attempts of this entry running there.
         peers_in_flight: What other entries say they run there.
-        leaving: Whether it takes no new work.
+        leaving: Whether it said, or was said, to take no new work.
+        draining: Whether the document in force gives it no new work.
         incarnation: Highest incarnation seen.
         running: Reported generations decoding.
         waiting: Reported generations queued.
@@ -84,6 +86,7 @@
     in_flight: int = 0
     peers_in_flight: int = 0
     leaving: bool = False
+    draining: bool = False
     incarnation: int = 0
     running: int = 0
     waiting: int = 0
@@ -92,6 +95,25 @@
     reported: Millis | None = None
 
 
+@dataclass(slots=True)
+class ConfigurationFold:
+    """Where the fold of the configuration stream stands.
+
+    Attributes:
+        position: Last offset that was folded; -1 before the first.
+        current: The accepted edit, or None before the first.
+        stalled: Why later records cannot be judged, or "".
+        snapshot_position: Position of the newest snapshot seen; -1 for none.
+        snapshot_made: When the log took it (monotonic), or None.
+    """
+
+    position: int = -1
+    current: Checkpoint | None = None
+    stalled: str = ""
+    snapshot_position: int = -1
+    snapshot_made: Millis | None = None
+
+
 @dataclass(slots=True)
 class State:
     """Everything one entry knows.
@@ -102,6 +124,8 @@
         rng: Seeded generator; the only source of randomness.
         inventory: Accepted document in force, or None before the first.
         configuration_offset: Offset of the accepted document; -1 for none.
+        configuration: Where the fold of the configuration stream stands.
+        retention: How long the log keeps records, in milliseconds.
         targets: Known targets by name.
         requests: Requests without a final answer, by id.
         attempts: Open attempts by number.
@@ -118,6 +142,8 @@
     rng: random.Random = field(default_factory=random.Random)
     inventory: Inventory | None = None
     configuration_offset: int = -1
+    configuration: ConfigurationFold = field(default_factory=ConfigurationFold)
+    retention: Millis = Millis(86_400_000)
     targets: dict[str, TargetState] = field(default_factory=dict)
     requests: dict[str, RequestState] = field(default_factory=dict)
     attempts: dict[int, AttemptState] = field(default_factory=dict)
--- a/figstep/errors.py
+++ b/figstep/errors.py
@@ -27,3 +27,19 @@
 
 class PublishRefusedError(FigstepError):
     """The log holds the edit, but the fold refused it."""
+
+
+class PublishUncertainError(FigstepError):
+    """The append got no answer and the log could not be read back in time."""
+
+
+class NotInForceError(FigstepError):
+    """The edit is accepted, but not every live entry shows it yet."""
+
+
+class InstancesUnavailableError(FigstepError):
+    """The platform's instance list gave no answer."""
+
+
+class UnknownTargetError(FigstepError):
+    """The accepted document has no such target."""
--- a/figstep/inventory.py
+++ b/figstep/inventory.py
@@ -1,7 +1,7 @@
 """Border of the inventory document: pydantic in, frozen data classes out."""
 
 import hashlib
-from typing import Any
+from typing import Any, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
@@ -25,6 +25,15 @@
     region: str
 
 
+class InstanceModel(_Model):
+    """A machine of the asset register."""
+
+    name: str = Name
+    kind: Literal["entry", "target"] = "target"
+    failure_domain: str
+    size: str = ""
+
+
 class EngineModel(_Model):
     """A model engine of the asset register."""
 
@@ -32,6 +41,7 @@
     address: str
     failure_domain: str
     models: tuple[str, ...]
+    kind: str = "engine"
     speed: float = Field(default=1.0, gt=0)
     memory_tokens: int = Field(default=16_384, gt=0)
     max_running: int = Field(default=32, gt=0)
@@ -77,23 +87,73 @@
     digest_window_ms: int | None = Field(default=None, gt=0)
 
 
+class PriorityModel(_Model):
+    """Priority of requests by customer and model."""
+
+    priority: int = Field(ge=-100, le=100)
+    customer: str | None = None
+    model: str | None = None
+
+
+class PlacementModel(_Model):
+    """Wanted replicas of a model in each of the failure domains."""
+
+    model: str
+    replicas: int = Field(ge=0)
+    failure_domains: tuple[str, ...] = ()
+
+
+class DrainModel(_Model):
+    """A target that shall get no new work."""
+
+    target: str
+    reason: str = ""
+
+
 class RulesModel(_Model):
     """Operators' rules."""
 
     non_idempotent: tuple[NonIdempotentModel, ...] = ()
     deadline_ms: int = Field(default=60_000, gt=0)
     routing: str = "figstep"
+    priorities: tuple[PriorityModel, ...] = ()
+    placement: tuple[PlacementModel, ...] = ()
 
 
 class InventoryModel(_Model):
     """The whole document."""
 
     failure_domains: tuple[FailureDomainModel, ...] = ()
+    instances: tuple[InstanceModel, ...] = ()
     engines: tuple[EngineModel, ...] = ()
     services: tuple[ServiceModel, ...] = ()
     models: tuple[ModelModel, ...] = ()
     customers: tuple[CustomerModel, ...] = ()
     rules: RulesModel = RulesModel()
+    draining: tuple[DrainModel, ...] = ()
+
+    @model_validator(mode="after")
+    def _check_rules(self) -> "InventoryModel":
+        models = {model.name for model in self.models}
+        customers = {customer.name for customer in self.customers}
+        domains = {domain.name for domain in self.failure_domains}
+        services = {service.service for service in self.services}
+        targets = {e.name for e in self.engines} | {s.name for s in self.services}
+        for instance in self.instances:
+            _expect("instances", instance.failure_domain, domains, "failure_domains")
+        for priority in self.rules.priorities:
+            _expect("rules.priorities", priority.customer, customers, "customers")
+            _expect("rules.priorities", priority.model, models, "models")
+        for wanted in self.rules.placement:
+            _expect("rules.placement", wanted.model, models, "models")
+            for domain in wanted.failure_domains:
+                _expect("rules.placement", domain, domains, "failure_domains")
+        for rule in self.rules.non_idempotent:
+            _expect("rules.non_idempotent", rule.service, services, "services")
+            _expect("rules.non_idempotent", rule.customer, customers, "customers")
+        for mark in self.draining:
+            _expect("draining", mark.target, targets, "engines or services")
+        return self
 
     @model_validator(mode="after")
     def _check_references(self) -> "InventoryModel":
@@ -120,11 +180,32 @@
         return self
 
 
+def _expect(place: str, name: str | None, listed: set[str], under: str) -> None:
+    if name is None or name in listed:
+        return
+    raise ValueError(f"{place}: {name!r} is not listed; add it under {under}")
+
+
 def hash_key(key: str) -> str:
     """Return the SHA-256 of a customer's key, in hexadecimal."""
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+VALIDATION = 1
+"""Version of the rules below; any change of what is valid raises it."""
+
+
+def parse_version(document: Any, validation: int) -> core.Inventory | None:
+    """Validate by the rules of one version; None if it is not known here.
+
+    Raises:
+        InventoryError: Naming each wrong field and what to write.
+    """
+    if validation != VALIDATION:
+        return None
+    return parse_inventory(document)
+
+
 def parse_inventory(document: Any) -> core.Inventory:
     """Validate a document and turn it into data classes.
 
@@ -143,11 +224,13 @@
         failure_domains=tuple(
             core.FailureDomain(**m.model_dump()) for m in model.failure_domains
         ),
+        instances=tuple(core.InstanceRecord(**m.model_dump()) for m in model.instances),
         engines=tuple(core.EngineInfo(**m.model_dump()) for m in model.engines),
         services=tuple(core.ServiceInfo(**m.model_dump()) for m in model.services),
         models=tuple(core.ModelInfo(**m.model_dump()) for m in model.models),
         customers=tuple(core.CustomerInfo(**m.model_dump()) for m in model.customers),
         rules=_convert_rules(model.rules),
+        draining=tuple(core.DrainMark(**m.model_dump()) for m in model.draining),
     )
 
 
@@ -168,4 +251,6 @@
         non_idempotent=tuple(non_idempotent),
         deadline=Millis(model.deadline_ms),
         routing=model.routing,
+        priorities=tuple(core.PriorityRule(**m.model_dump()) for m in model.priorities),
+        placement=tuple(core.PlacementRule(**m.model_dump()) for m in model.placement),
     )
--- a/figstep/net/streams.py
+++ b/figstep/net/streams.py
@@ -32,20 +32,23 @@
         self._take_records = take_records
         self._next = start
 
+    def read_from(self, offset: int) -> None:
+        """Go on reading at ``offset``; what a running poll brings is dropped."""
+        self._next = offset
+
     @Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
+            start = self._next
             try:
-                records = await self._log_client.read(
-                    self._stream, self._next, POLL_WAIT
-                )
+                records = await self._log_client.read(self._stream, start, POLL_WAIT)
             except LogTruncatedError as error:
-                self._next = error.earliest
+                self._next = max(self._next, error.earliest)
                 continue
             except LogUnavailableError:
                 await self.sleep(RETRY_SECONDS)
                 continue
-            if records:
+            if records and self._next == start:
                 self._next = records[-1].offset + 1
                 self._take_records(records)
 
--- a/figstep/operations.py
+++ b/figstep/operations.py
@@ -1,19 +1,63 @@
 """What an operator can do, one function each; the command line wraps these."""
 
 import asyncio
+import time
+import uuid
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from copy import deepcopy
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
-from figstep.core.configuration import judge_record
+import aiohttp
+import orjson
+
+from figstep.audit import FieldChange, HistoryEntry, Trail, diff_documents, read_trail
+from figstep.core.configuration import EDIT
+from figstep.core.events import InstanceInfo
 from figstep.core.inventory import Inventory
 from figstep.core.records import CONFIGURATION, LogRecord
-from figstep.errors import PublishRefusedError
-from figstep.inventory import parse_inventory
-from figstep.net.configuration import parse_record
+from figstep.errors import (
+    InstancesUnavailableError,
+    LogTruncatedError,
+    LogUnavailableError,
+    NotInForceError,
+    PublishRefusedError,
+    PublishUncertainError,
+    UnknownTargetError,
+)
+from figstep.inventory import VALIDATION, parse_inventory
+from figstep.net.instances import parse_instances
 from figstep.net.log import HttpLog, LogClient
 from figstep.settings import load_yaml
 
-RECORD_VERSION = 1
+T = TypeVar("T")
+
+READ_BACK_SECONDS = 30.0
+RETRY_SECONDS = 0.5
+POLL_SECONDS = 0.1
+STATUS_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
+
+
+@dataclass(frozen=True, slots=True)
+class EntryStatus:
+    """What one entry of the instance list tells of itself.
+
+    Attributes:
+        name: Its name.
+        address: Base URL.
+        status: Its ``GET /status`` document, or None if it gave no answer.
+    """
+
+    name: str
+    address: str
+    status: dict[str, Any] | None
+
+    @property
+    def offset(self) -> int | None:
+        """Offset of the document in force there; None if unknown."""
+        return None if self.status is None else self.status["configuration_offset"]
 
 
 def check_inventory(path: Path) -> Inventory:
@@ -26,67 +70,253 @@
     return parse_inventory(load_yaml(path))
 
 
-async def read_history(log: LogClient) -> list[LogRecord]:
+async def read_records(log: LogClient) -> list[LogRecord]:
     """Return every record of the configuration stream that is still kept."""
     records: list[LogRecord] = []
     start = 0
     while True:
-        batch = await log.read(CONFIGURATION, start)
+        try:
+            batch = await log.read(CONFIGURATION, start)
+        except LogTruncatedError as error:
+            records, start = [], error.earliest
+            continue
         if not batch:
             return records
         records += batch
         start = batch[-1].offset + 1
 
 
-async def find_accepted(log: LogClient) -> LogRecord | None:
-    """Return the record in force, by the same fold as every entry's."""
-    accepted: LogRecord | None = None
-    for record in await read_history(log):
-        offset = -1 if accepted is None else accepted.offset
-        if judge_record(offset, parse_record(record)):
-            continue
-        accepted = record
-    return accepted
+async def read_history(log: LogClient) -> Trail:
+    """Return the audit trail and the document in force."""
+    return read_trail(await read_records(log))
 
 
 async def publish_document(
-    log: LogClient, document: dict[str, Any], author: str, reason: str
+    log: LogClient,
+    document: dict[str, Any],
+    author: str,
+    reason: str,
+    read_back_seconds: float = READ_BACK_SECONDS,
 ) -> int:
     """Append a document and return its offset once the fold accepts it.
 
     Raises:
-        LogUnavailableError: The log gave no answer; nothing is certain.
-        PublishRefusedError: Another edit won, or the document is not valid.
+        InventoryError: The document is not valid; nothing was appended.
+        LogUnavailableError: The log could not be read; nothing was appended.
+        PublishRefusedError: Another edit won.
+        PublishUncertainError: The append's answer was lost and the log could
+            not be read back; nothing was appended again.
     """
     parse_inventory(document)
-    accepted = await find_accepted(log)
+    trail = await read_history(log)
+    if trail.stalled:
+        raise PublishRefusedError(
+            f"the log cannot be judged by this program: {trail.stalled}"
+        )
+    return await _append_edit(log, trail, document, author, reason, read_back_seconds)
+
+
+async def _append_edit(
+    log: LogClient,
+    trail: Trail,
+    document: dict[str, Any],
+    author: str,
+    reason: str,
+    read_back_seconds: float,
+) -> int:
+    edit = uuid.uuid4().hex
     record = {
-        "version": RECORD_VERSION,
-        "base": -1 if accepted is None else accepted.offset,
+        "kind": EDIT,
+        "edit": edit,
+        "base": -1 if trail.current is None else trail.current.accepted,
         "author": author,
         "reason": reason,
+        "validation": VALIDATION,
         "document": document,
     }
-    offset = await log.append(CONFIGURATION, [record])
-    winner = await find_accepted(log)
-    if winner is None or winner.offset != offset:
-        raise PublishRefusedError(
-            f"record {offset} was refused: another edit won"
-            f" ({winner.offset if winner else 'none'}); show it, make your change"
-            " again and publish"
+    try:
+        await log.append(CONFIGURATION, [record])
+    except LogUnavailableError:
+        # The append may have taken effect although its answer was lost. A
+        # second append would be a second edit in the audit trail, and would
+        # be reported refused although the first one won; the log itself tells.
+        pass
+    entry = await _read_back(log, edit, read_back_seconds)
+    if entry.verdict != "accepted":
+        raise PublishRefusedError(f"record {entry.offset} was refused: {entry.why}")
+    return entry.offset
+
+
+async def _read_back(log: LogClient, edit: str, seconds: float) -> HistoryEntry:
+    deadline = time.monotonic() + seconds
+    while True:
+        try:
+            trail = await read_history(log)
+        except LogUnavailableError:
+            trail = None
+        for entry in () if trail is None else trail.entries:
+            if entry.edit == edit:
+                return entry
+        if time.monotonic() >= deadline:
+            raise PublishUncertainError(
+                f"edit {edit} got no answer and is not in the log so far; look for"
+                " it with figstep history before publishing again. Should it arrive"
+                " late, its base lets only one of both be accepted"
+            )
+        await asyncio.sleep(RETRY_SECONDS)
+
+
+async def drain_target(log: LogClient, target: str, author: str, reason: str) -> int:
+    """Publish the document in force with ``target`` listed as draining.
+
+    Raises:
+        UnknownTargetError: The document has no such target.
+        PublishRefusedError: Another edit won.
+    """
+    trail = await read_history(log)
+    document = {} if trail.current is None else deepcopy(trail.current.document)
+    targets = [*document.get("engines", []), *document.get("services", [])]
+    if target not in {item["name"] for item in targets}:
+        raise UnknownTargetError(
+            f"no target {target!r} in the accepted document; see figstep show"
         )
-    return offset
+    marks = [m for m in document.get("draining", []) if m["target"] != target]
+    document["draining"] = [*marks, {"target": target, "reason": reason}]
+    parse_inventory(document)
+    return await _append_edit(log, trail, document, author, reason, READ_BACK_SECONDS)
 
 
-def publish_file(path: Path, log_url: str, author: str, reason: str) -> int:
-    """Publish an inventory file through the log service."""
-    document = load_yaml(path)
+async def compare_document(
+    log: LogClient, document: dict[str, Any]
+) -> list[FieldChange]:
+    """Return what ``document`` would change against the one in force."""
+    parse_inventory(document)
+    trail = await read_history(log)
+    current = {} if trail.current is None else trail.current.document
+    return diff_documents(current, document)
+
+
+async def read_entries(
+    session: aiohttp.ClientSession, instances_url: str
+) -> list[InstanceInfo]:
+    """Return the live entries of the platform's instance list.
+
+    Raises:
+        InstancesUnavailableError: The list gave no answer.
+    """
+    url = instances_url.rstrip("/") + "/instances"
+    try:
+        async with session.get(url, timeout=STATUS_TIMEOUT) as response:
+            listed = parse_instances(orjson.loads(await response.read()))
+    except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as error:
+        raise InstancesUnavailableError(
+            f"no answer from the instance list ({error!r}); check --instances"
+        ) from error
+    entries = []
+    for instance in listed.instances:
+        if instance.kind == "entry" and not instance.leaving:
+            entries.append(instance)
+    return entries
+
+
+async def read_status(instances_url: str) -> list[EntryStatus]:
+    """Ask every live entry for its status."""
+    async with aiohttp.ClientSession() as session:
+        entries = await read_entries(session, instances_url)
+        return await _ask_entries(session, entries)
+
+
+async def _ask_entries(
+    session: aiohttp.ClientSession, entries: list[InstanceInfo]
+) -> list[EntryStatus]:
+    return list(await asyncio.gather(*(_ask_entry(session, e) for e in entries)))
+
+
+async def _ask_entry(
+    session: aiohttp.ClientSession, entry: InstanceInfo
+) -> EntryStatus:
+    try:
+        async with session.get(
+            entry.address + "/status", timeout=STATUS_TIMEOUT
+        ) as response:
+            status = orjson.loads(await response.read())
+    except (aiohttp.ClientError, TimeoutError, ValueError):
+        status = None
+    return EntryStatus(entry.name, entry.address, status)
+
+
+async def wait_in_force(
+    instances_url: str, offset: int, seconds: float, wanted: int | None = None
+) -> int:
+    """Return how many entries show ``offset`` or later, once all live ones do.
+
+    Args:
+        instances_url: Base URL of the instance list.
+        offset: Offset of the accepted edit.
+        seconds: Longest wait, in seconds.
+        wanted: Entries that must show it; all listed ones if None.
+
+    Raises:
+        NotInForceError: The time ran out; names the entries that lag.
+    """
+    deadline = time.monotonic() + seconds
+    async with aiohttp.ClientSession() as session:
+        while True:
+            entries = await read_entries(session, instances_url)
+            statuses = await _ask_entries(session, entries)
+            lagging = [s for s in statuses if s.offset is None or s.offset < offset]
+            shown = len(statuses) - len(lagging)
+            if statuses and shown >= (wanted or len(statuses)):
+                return shown
+            if time.monotonic() >= deadline:
+                raise NotInForceError(_describe_lag(offset, shown, lagging, seconds))
+            await asyncio.sleep(POLL_SECONDS)
 
-    async def run() -> int:
-        log = HttpLog(log_url)
-        try:
-            return await publish_document(log, document, author, reason)
-        finally:
-            await log.close()
+
+def _describe_lag(
+    offset: int, shown: int, lagging: list[EntryStatus], seconds: float
+) -> str:
+    parts = []
+    for entry in lagging:
+        if entry.status is None:
+            parts.append(f"{entry.name}: no answer")
+            continue
+        stalled = entry.status.get("configuration_stalled", "")
+        parts.append(f"{entry.name}: at {entry.offset} {stalled}".rstrip())
+    return (
+        f"accepted at offset {offset}, but in force on {shown} of"
+        f" {shown + len(lagging)} after {seconds:g} s ({'; '.join(parts)});"
+        " it stays accepted: watch figstep status"
+    )
+
+
+@asynccontextmanager
+async def open_log(url: str) -> AsyncIterator[LogClient]:
+    """Open the log service for one operation."""
+    log = HttpLog(url)
+    try:
+        yield log
+    finally:
+        await log.close()
+
+
+def run_with_log(url: str, operation: Callable[[LogClient], Awaitable[T]]) -> T:
+    """Run one operation on the log service to its end."""
+
+    async def run() -> T:
+        async with open_log(url) as log:
+            return await operation(log)
 
     return asyncio.run(run())
+
+
+def load_document(path: Path) -> dict[str, Any]:
+    """Read an inventory file and validate it.
+
+    Raises:
+        SettingsError: If the file cannot be read.
+        InventoryError: If the document is not valid.
+    """
+    document: dict[str, Any] = load_yaml(path)
+    parse_inventory(document)
+    return document
--- a/figstep/settings.py
+++ b/figstep/settings.py
@@ -21,11 +21,19 @@
 
 
 class Platform(_Model):
-    """Addresses of the platform's services, as base URLs."""
+    """Addresses of the platform's services, as base URLs.
+
+    Attributes:
+        log: The log service.
+        instances: The instance list.
+        weights: The weight store, or None.
+        log_retention_seconds: How long the log keeps a record at least.
+    """
 
     log: str
     instances: str
     weights: str | None = None
+    log_retention_seconds: float = Field(default=86_400.0, gt=0)
 
 
 class Peers(_Model):
--- a/figstep/standins/log.py
+++ b/figstep/standins/log.py
@@ -3,12 +3,14 @@
 ``POST /streams/NAME/records`` takes ``{"records": [...]}`` and answers
 ``{"offset": FIRST}``. ``GET /streams/NAME/records?from=&wait_ms=&limit=``
 answers ``{"records": [{"offset", "time", "data"}], "next", "earliest"}``, or
-410 with ``earliest`` where the start is past retention.
+410 with ``earliest`` where the start is past retention. Offsets of a stream
+have no gaps. ``PUT /standin/faults`` changes the members of ``Faults`` that its
+JSON body names; ``GET /standin/counts`` tells calls so far.
 """
 
 import asyncio
 import time
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field, fields, replace
 from typing import Any
 
 import orjson
@@ -17,56 +19,141 @@
 from figstep.standins.http import answer_json
 
 
+@dataclass(frozen=True, slots=True)
+class Faults:
+    """How the service misbehaves, and for how long it keeps records.
+
+    Attributes:
+        available: Whether calls are answered at all.
+        delay_ms: Added to each call, in milliseconds.
+        lose_answers: Next appends that take effect while their answer is lost.
+        drop_appends: Next appends that fail without taking effect.
+        keep_records: Most records kept in a stream, or None.
+        keep_ms: Longest that a record is kept, in milliseconds, or None.
+    """
+
+    available: bool = True
+    delay_ms: int = 0
+    lose_answers: int = 0
+    drop_appends: int = 0
+    keep_records: int | None = None
+    keep_ms: int | None = None
+
+
 @dataclass(slots=True)
 class _Stream:
     earliest: int = 0
     records: list[dict[str, Any]] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
+    @property
+    def end(self) -> int:
+        return self.earliest + len(self.records)
+
 
 class LogService:
-    """Streams in memory; ``available`` False makes every call fail."""
+    """Streams in memory, with faults that a test or an operator switches."""
 
     def __init__(self) -> None:
-        self.available = True
+        self.faults = Faults()
+        self.appends = 0
+        self.appended_records = 0
         self._streams: dict[str, _Stream] = {}
 
+    @property
+    def available(self) -> bool:
+        """Whether calls are answered."""
+        return self.faults.available
+
+    @available.setter
+    def available(self, value: bool) -> None:
+        self.faults = replace(self.faults, available=value)
+
     def build_app(self) -> web.Application:
         """Return the HTTP application."""
-        app = web.Application()
+        app = web.Application(client_max_size=64 * 1024 * 1024)
         app.router.add_post("/streams/{name}/records", self._append)
         app.router.add_get("/streams/{name}/records", self._read)
+        app.router.add_put("/standin/faults", self._set_faults)
+        app.router.add_get("/standin/counts", self._answer_counts)
         return app
 
-    def _find_stream(self, request: web.Request) -> _Stream:
-        if not self.available:
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        changes = orjson.loads(await request.read())
+        unknown = set(changes) - {item.name for item in fields(Faults)}
+        if unknown:
+            raise web.HTTPBadRequest(text=f"unknown faults {sorted(unknown)}")
+        self.faults = replace(self.faults, **changes)
+        return answer_json(asdict(self.faults))
+
+    async def _answer_counts(self, request: web.Request) -> web.Response:
+        return answer_json({"appends": self.appends, "records": self.appended_records})
+
+    async def _find_stream(self, request: web.Request) -> _Stream:
+        self._check_available()
+        if self.faults.delay_ms:
+            await asyncio.sleep(self.faults.delay_ms / 1000)
+            self._check_available()
+        stream = self._streams.setdefault(request.match_info["name"], _Stream())
+        self._trim(stream)
+        return stream
+
+    def _check_available(self) -> None:
+        if not self.faults.available:
             raise web.HTTPServiceUnavailable(text="the log is down")
-        return self._streams.setdefault(request.match_info["name"], _Stream())
+
+    def _trim(self, stream: _Stream) -> None:
+        excess = 0
+        if self.faults.keep_records is not None:
+            excess = max(0, len(stream.records) - self.faults.keep_records)
+        if self.faults.keep_ms is not None:
+            oldest = _read_time() - self.faults.keep_ms
+            while excess < len(stream.records):
+                if stream.records[excess]["time"] >= oldest:
+                    break
+                excess += 1
+        del stream.records[:excess]
+        stream.earliest += excess
 
     async def _append(self, request: web.Request) -> web.Response:
-        stream = self._find_stream(request)
         body = orjson.loads(await request.read())
-        first = stream.earliest + len(stream.records)
-        taken = time.time_ns() // 1_000_000
+        stream = await self._find_stream(request)
+        if self.faults.drop_appends > 0:
+            left = self.faults.drop_appends - 1
+            self.faults = replace(self.faults, drop_appends=left)
+            raise web.HTTPServiceUnavailable(text="not taken")
+        first = stream.end
+        taken = _read_time()
         for number, data in enumerate(body["records"]):
             record = {"offset": first + number, "time": taken, "data": data}
             stream.records.append(record)
+        self.appends += 1
+        self.appended_records += len(body["records"])
+        self._trim(stream)
         stream.changed.set()
         stream.changed = asyncio.Event()
+        if self.faults.lose_answers > 0:
+            left = self.faults.lose_answers - 1
+            self.faults = replace(self.faults, lose_answers=left)
+            if request.transport is not None:
+                request.transport.close()
         return answer_json({"offset": first})
 
     async def _read(self, request: web.Request) -> web.Response:
-        stream = self._find_stream(request)
+        stream = await self._find_stream(request)
         start = int(request.query.get("from", "0"))
         limit = int(request.query.get("limit", "500"))
         wait = int(request.query.get("wait_ms", "0")) / 1000
         if start < stream.earliest:
             return answer_json({"earliest": stream.earliest}, status=410)
-        if start >= stream.earliest + len(stream.records) and wait > 0:
+        if start >= stream.end and wait > 0:
             try:
                 await asyncio.wait_for(stream.changed.wait(), wait)
             except TimeoutError:
                 pass
+            self._check_available()
+        if start < stream.earliest:
+            return answer_json({"earliest": stream.earliest}, status=410)
         records = stream.records[start - stream.earliest :][:limit]
         return answer_json(
             {
@@ -75,3 +162,7 @@
                 "earliest": stream.earliest,
             }
         )
+
+
+def _read_time() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/tests/core/test_configuration.py
@@ -0,0 +1,245 @@
+"""The fold of the configuration stream."""
+
+from dataclasses import replace
+from typing import Any
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from figstep.core.clock import Millis
+from figstep.core.configuration import encode_snapshot
+from figstep.core.effects import AppendRecords, Effect, ReadConfigurationFrom
+from figstep.core.events import (
+    Checkpoint,
+    CheckpointOffered,
+    ConfigurationRead,
+    SnapshotRead,
+    SnapshotTimer,
+    TimerFired,
+)
+from figstep.core.inventory import DrainMark, Inventory, ServiceInfo
+from figstep.core.reducer import reduce
+from figstep.core.state import State
+
+NOW = Millis(0)
+
+
+def build_edit(offset: int, base: int, **changes: Any) -> ConfigurationRead:
+    read = ConfigurationRead(offset, base, "ann", "why", Inventory(), edit=f"e{offset}")
+    return replace(read, **changes)
+
+
+def build_checkpoint(accepted: int, position: int) -> Checkpoint:
+    return Checkpoint(accepted, position, f"e{accepted}", "ann", "", 1, {}, Inventory())
+
+
+def feed(state: State, *events: Any) -> list[Effect]:
+    effects: list[Effect] = []
+    for event in events:
+        effects += reduce(state, event, NOW)
+    return effects
+
+
+def test_racing_edits_accept_exactly_one() -> None:
+    """Two operators start from the same document and both publish.
+
+    Both records are in the log; the first by offset is in force and the
+    second is refused with the winner named, at every node alike.
+    """
+    state = State("a")
+    effects = feed(state, build_edit(0, -1), build_edit(1, 0), build_edit(2, 0))
+    assert state.configuration_offset == 1
+    assert "1 by ann is in force" in str(effects[-1])
+
+
+def test_invalid_document_keeps_the_old_one() -> None:
+    state = State("a")
+    bad = build_edit(1, 0, inventory=None, problems=("engines.0.speed: wrong",))
+    feed(state, build_edit(0, -1), bad, build_edit(2, 0))
+    assert state.configuration_offset == 2
+
+
+def test_unknown_validation_version_stalls_until_a_checkpoint() -> None:
+    """An older program reads an edit made for newer validation rules.
+
+    It cannot tell whether the others accepted it, so it keeps its document
+    and judges nothing after it; judging the next edit by its base could make
+    it differ from every newer node. A later checkpoint ends the wait.
+    """
+    state = State("a")
+    unknown = build_edit(1, 0, inventory=None, known=False, validation=2)
+    feed(state, build_edit(0, -1), unknown, build_edit(2, 0), build_edit(3, 1))
+    assert state.configuration_offset == 0
+    assert "validation version 2" in state.configuration.stalled
+    effects = feed(state, CheckpointOffered(build_checkpoint(3, 3)))
+    assert ReadConfigurationFrom(4) in effects
+    assert state.configuration_offset == 3
+    assert state.configuration.stalled == ""
+
+
+def test_start_after_truncation_needs_a_snapshot_that_joins_on() -> None:
+    """A fresh node finds the log's beginning gone.
+
+    A stale edit made from nothing must not be taken as the first document.
+    The snapshot stands for offset 4 at position 5, so the node reads again
+    from 6 and judges the edit that came between snapshot and its record.
+    """
+    state = State("a")
+    feed(state, build_edit(6, 4), build_edit(7, -1))
+    assert state.configuration_offset == -1
+    effects = feed(state, SnapshotRead(8, build_checkpoint(4, 5)))
+    assert ReadConfigurationFrom(6) in effects
+    assert state.configuration_offset == 4
+    feed(state, build_edit(6, 4), build_edit(7, -1))
+    feed(state, SnapshotRead(8, build_checkpoint(4, 5)), build_edit(9, 6))
+    assert state.configuration_offset == 9
+
+
+def test_equal_snapshots_change_nothing() -> None:
+    state = State("a")
+    snapshot = build_checkpoint(0, 0)
+    feed(state, build_edit(0, -1), SnapshotRead(1, snapshot), SnapshotRead(2, snapshot))
+    assert state.configuration_offset == 0
+    feed(state, build_edit(3, 0))
+    assert state.configuration_offset == 3
+
+
+def test_older_checkpoint_from_a_peer_is_ignored() -> None:
+    state = State("a")
+    feed(state, build_edit(0, -1), build_edit(1, 0))
+    feed(state, CheckpointOffered(build_checkpoint(0, 0)))
+    assert state.configuration_offset == 1
+    feed(state, CheckpointOffered(build_checkpoint(0, 9)))
+    assert (state.configuration_offset, state.configuration.position) == (1, 1)
+
+
+def test_snapshot_is_appended_only_when_due() -> None:
+    state = State("a", retention=Millis(300))
+    feed(state, build_edit(0, -1))
+    timer = TimerFired(SnapshotTimer())
+    appended = [e for e in feed(state, timer) if isinstance(e, AppendRecords)]
+    assert appended[0].records[0]["position"] == 0
+    feed(state, SnapshotRead(1, build_checkpoint(0, 0)))
+    assert not any(isinstance(e, AppendRecords) for e in feed(state, timer))
+    effects = reduce(state, timer, Millis(100))
+    assert any(isinstance(e, AppendRecords) for e in effects)
+
+
+def test_draining_is_set_and_cleared_by_the_document() -> None:
+    state = State("a")
+    service = ServiceInfo("booking-1", "booking", "http://h", "ie-a")
+    plain = Inventory(services=(service,))
+    drained = replace(plain, draining=(DrainMark("booking-1"),))
+    feed(state, build_edit(0, -1, inventory=drained))
+    assert state.targets["booking-1"].draining
+    feed(state, build_edit(1, 0, inventory=plain))
+    assert not state.targets["booking-1"].draining
+
+
+class FoldMachine(RuleBasedStateMachine):
+    """Nodes that read one list late, lossily and past truncation."""
+
+    NODES = 3
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.records: list[ConfigurationRead | SnapshotRead] = []
+        self.earliest = 0
+        self.reference = State("reference")
+        self.history: list[int] = [-1]
+        self.nodes = [State(f"n{number}") for number in range(self.NODES)]
+        self.next = [0] * self.NODES
+        self.seen: list[list[int]] = [[-1] for _ in range(self.NODES)]
+
+    def append(self, record: ConfigurationRead | SnapshotRead) -> None:
+        self.records.append(record)
+        reduce(self.reference, record, NOW)
+        if self.reference.configuration_offset != self.history[-1]:
+            self.history.append(self.reference.configuration_offset)
+
+    def deliver(self, number: int, event: Any) -> None:
+        node = self.nodes[number]
+        for effect in reduce(node, event, NOW):
+            if isinstance(effect, ReadConfigurationFrom):
+                self.next[number] = effect.offset
+        if node.configuration_offset != self.seen[number][-1]:
+            self.seen[number].append(node.configuration_offset)
+
+    @rule(back=strategies.integers(0, 2), valid=strategies.booleans())
+    def publish(self, back: int, valid: bool) -> None:
+        """An operator publishes from the document in force, or from a stale one."""
+        base = self.history[max(0, len(self.history) - 1 - back)]
+        offset = len(self.records)
+        edit = build_edit(offset, base, inventory=Inventory() if valid else None)
+        self.append(edit)
+
+    @rule(number=strategies.integers(0, NODES - 1))
+    def snapshot(self, number: int) -> None:
+        """A node that may lag appends a snapshot."""
+        fold = self.nodes[number].configuration
+        if fold.current is None:
+            return
+        record = encode_snapshot(fold.current, fold.position)
+        held = replace(fold.current, position=record["position"])
+        self.append(SnapshotRead(len(self.records), held))
+
+    @rule(number=strategies.integers(0, NODES - 1), count=strategies.integers(1, 4))
+    def read(self, number: int, count: int) -> None:
+        """A node reads on; what the log dropped is passed over."""
+        for _ in range(count):
+            offset = max(self.next[number], self.earliest)
+            if offset >= len(self.records):
+                return
+            self.next[number] = offset + 1
+            self.deliver(number, self.records[offset])
+
+    @rule(number=strategies.integers(0, NODES - 1))
+    def read_again(self, number: int) -> None:
+        """A lost answer makes a node read what it has read."""
+        self.next[number] = max(self.earliest, self.next[number] - 2)
+
+    @rule(keep=strategies.integers(0, 3))
+    def truncate(self, keep: int) -> None:
+        """The log drops its oldest records."""
+        self.earliest = max(self.earliest, len(self.records) - keep)
+
+    @rule(giver=strategies.integers(0, NODES - 1), taker=strategies.integers(0, 2))
+    def offer(self, giver: int, taker: int) -> None:
+        """A peer gives its checkpoint, perhaps an old one."""
+        fold = self.nodes[giver].configuration
+        if fold.current is None:
+            return
+        held = replace(fold.current, position=fold.position)
+        self.deliver(taker, CheckpointOffered(held))
+
+    @rule(number=strategies.integers(0, NODES - 1))
+    def restart(self, number: int) -> None:
+        """A node is replaced; the new one knows nothing."""
+        self.nodes[number] = State(f"n{number}")
+        self.next[number] = 0
+        self.seen[number] = [-1]
+
+    @precondition(lambda self: self.reference.configuration.current is not None)
+    @rule(number=strategies.integers(0, NODES - 1))
+    def settle(self, number: int) -> None:
+        """After a snapshot that joins on, every node reaches the same document."""
+        fold = self.reference.configuration
+        assert fold.current is not None
+        held = replace(fold.current, position=fold.position)
+        self.append(SnapshotRead(len(self.records), held))
+        while max(self.next[number], self.earliest) < len(self.records):
+            self.read(number, 1)
+        node = self.nodes[number]
+        assert node.configuration_offset == self.reference.configuration_offset
+
+    @invariant()
+    def accepted_sequence_is_the_same_and_never_goes_back(self) -> None:
+        for seen in self.seen:
+            assert seen == sorted(set(seen))
+            assert set(seen) <= set(self.history)
+
+
+TestFold = FoldMachine.TestCase
+TestFold.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
+)
