--- a/figstep/application.py
+++ b/figstep/application.py
@@ -9,7 +9,7 @@
 import logbook
 from mode import Service
 
-from figstep.core.clock import Clock
+from figstep.core.clock import Clock, Millis
 from figstep.core.effects import (
     AppendRecords,
     CancelGeneration,
@@ -21,12 +21,20 @@
     Effect,
     Note,
     OpenAttempt,
+    ReadConfigurationFrom,
     Refuse,
     ResumeAttempt,
     SendOrder,
     WakeAt,
 )
-from figstep.core.events import Event, RecordsRead, ShutdownRequested, Timer, TimerFired
+from figstep.core.events import (
+    Event,
+    RecordsRead,
+    ShutdownRequested,
+    Started,
+    Timer,
+    TimerFired,
+)
 from figstep.core.inventory import TargetInfo
 from figstep.core.records import CONFIGURATION, LEASES, LogRecord
 from figstep.core.reducer import reduce
@@ -69,6 +77,7 @@
             settings.node,
             settings.failure_domain,
             random.Random(int.from_bytes(os.urandom(16))),
+            retention=Millis(round(settings.platform.log_retention_seconds * 1000)),
         )
         self.entry_state.leases.session = os.urandom(8).hex()
         self.exchanges: dict[str, Exchange] = {}
@@ -105,6 +114,7 @@
         )
         for edge in edges:
             await self.add_runtime_dependency(edge)
+        self.dispatch(Started())
 
     async def on_stop(self) -> None:
         """Stop timers and close the log client."""
@@ -140,10 +150,16 @@
         """Return what ``GET /status`` tells."""
         targets = {}
         for name, target in self.entry_state.targets.items():
-            targets[name] = {"in_flight": target.in_flight, "leaving": target.leaving}
+            targets[name] = {
+                "in_flight": target.in_flight,
+                "leaving": target.leaving,
+                "draining": target.draining,
+            }
         return {
             "node": self.settings.node,
             "configuration_offset": self.entry_state.configuration_offset,
+            "configuration_position": self.entry_state.configuration.position,
+            "configuration_stalled": self.entry_state.configuration.stalled,
             "ready": self.callers.ready,
             "requests": len(self.entry_state.requests),
             "targets": targets,
@@ -190,6 +206,8 @@
                     exchange.frames.clear()
             case WakeAt(timer=timer, at=at):
                 self._set_timer(timer, at)
+            case ReadConfigurationFrom(offset=offset):
+                self.configuration.read_from(offset)
             case AppendRecords():
                 self.appender.append(effect)
             case SendOrder():
--- a/figstep/core/placement.py
+++ b/figstep/core/placement.py
@@ -57,29 +57,44 @@
     return f"{model}+{adapter}"
 
 
-def plan_orders(inventory: Inventory, engines: list[EngineView]) -> list[Placed]:
+def plan_orders(
+    inventory: Inventory, domain: str, engines: list[EngineView]
+) -> list[Placed]:
     """Return the orders that bring one failure domain to what is wanted.
 
     Args:
         inventory: The document in force.
+        domain: Name of the failure domain.
         engines: The engines of the failure domain.
 
     Returns:
         Loads first; an engine goes on with an old version until the wanted one
         serves at full strength.
     """
-    domains = max(1, len({engine.failure_domain for engine in inventory.engines}))
     orders: list[Placed] = []
     for model in inventory.models:
-        orders += _plan_model(model, engines, domains)
+        wanted = count_wanted(inventory, model.name, domain)
+        if wanted is not None:
+            orders += _plan_model(model, engines, wanted)
     return orders
 
 
+def count_wanted(inventory: Inventory, model: str, domain: str) -> int | None:
+    """Return the replicas wanted in a failure domain; None where no rule tells."""
+    wanted = None
+    for rule in inventory.rules.placement:
+        if rule.model != model:
+            continue
+        wanted = wanted or 0
+        if not rule.failure_domains or domain in rule.failure_domains:
+            wanted += rule.replicas
+    return wanted
+
+
 def _plan_model(
-    model: ModelInfo, engines: list[EngineView], domains: int
+    model: ModelInfo, engines: list[EngineView], wanted: int
 ) -> list[Placed]:
     able = [engine for engine in engines if model.name in engine.info.models]
-    wanted = -(-model.replicas // domains)
     chosen = sorted(able, key=lambda engine: _rank_engine(model, engine))[:wanted]
     current = name_version(model.name, model.version)
     orders: list[Placed] = []
@@ -192,7 +207,8 @@
     """Return placement's view of a target; None if it is not an engine."""
     if not isinstance(target.info, EngineInfo):
         return None
-    usable = not target.leaving and target.reported is not None
+    free = not (target.leaving or target.draining)
+    usable = free and target.reported is not None
     return EngineView(target.info, frozenset(target.models), usable)
 
 
@@ -207,7 +223,7 @@
             continue
         views.append(view)
     sent = state.placement.sent
-    planned = plan_orders(state.inventory, views)
+    planned = plan_orders(state.inventory, domain, views)
     # The weight store's rate lets one load through at a time; an engine that
     # never loads would hold up the others if it always came first.
     planned.sort(key=lambda placed: sent.get(placed, 0))
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -19,6 +19,7 @@
     AttemptTimer,
     CallerGone,
     CallerReturned,
+    CheckpointOffered,
     ConfigurationRead,
     Event,
     InstancesListed,
@@ -31,6 +32,9 @@
     RequestTimer,
     ServiceAnswered,
     ShutdownRequested,
+    SnapshotRead,
+    SnapshotTimer,
+    Started,
     Timer,
     TimerFired,
     TokensArrived,
@@ -71,7 +75,11 @@
         case LoadReported():
             return targets.record_load(state, event, now)
         case ConfigurationRead():
-            return _read_configuration(state, event, now)
+            return configuration.fold_record(state, event, now)
+        case SnapshotRead():
+            return configuration.fold_snapshot(state, event, now)
+        case CheckpointOffered():
+            return configuration.take_checkpoint(state, event.checkpoint, now)
         case InstancesListed():
             return membership.record_instances(state, event, now)
         case RecordsRead(stream=records.LEASES):
@@ -80,21 +88,13 @@
             return placement.take_answer(state, event, now)
         case RecordsRead() | AppendConfirmed() | AppendUncertain():
             return []
+        case Started():
+            return [WakeAt(PlacementTimer(), now)]
         case ShutdownRequested():
             state.shutting_down = True
             return []
 
 
-def _read_configuration(
-    state: State, event: ConfigurationRead, now: Millis
-) -> list[Effect]:
-    before = state.inventory
-    effects = configuration.fold_record(state, event, now)
-    if before is None and state.inventory is not None:
-        effects.append(WakeAt(PlacementTimer(), now))
-    return effects
-
-
 def _fire_timer(state: State, timer: Timer, now: Millis) -> list[Effect]:
     match timer:
         case QueueTimer():
@@ -105,3 +105,5 @@
             return placement.run_round(state, now)
         case AttemptTimer():
             return requests.check_attempt(state, timer, now)
+        case SnapshotTimer():
+            return configuration.renew_snapshot(state, now)
