Let the engine stand-in hold several versions and adapters

Cause: the placement's orders name a version to unload and report adapters as model+adapter; the stand-in kept one version a model. Before: unload dropped every version. After: exactly the named one. Conclusion: the orders edge and the stand-in agree.

--- a/figstep/standins/engine.py
+++ b/figstep/standins/engine.py
@@ -86,6 +86,8 @@
         cancelled: Generation ids that were cancelled.
         fencing: Highest fencing number seen.
         orders: Orders that were carried out.
+        models: What is loaded, "model@version" and "model+adapter"; while no
+            model was ever ordered, every model is served.
     """
 
     def __init__(
@@ -113,8 +115,7 @@
         self.model = EngineModel(
             profile or build_thin_profile(gap), random.Random(hash_name(name))
         )
-        self._models: dict[str, str] = {}
-        self._adapters: set[str] = set()
+        self.models: list[str] = []
         self._generations: dict[str, _Generation] = {}
         self._readers: list[web.Request] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -202,7 +203,7 @@
             return answer_json({"error": "leaving"}, status=503)
         name = request.headers["X-Generation-Id"]
         body = orjson.loads(await request.read())
-        if self._models and body.get("model") not in self._models:
+        if not self._serves(body.get("model", "")):
             return answer_json({"error": "model not loaded"}, status=503)
         after = int(request.headers.get("X-Continue-After", "0"))
         if name not in self._generations:
@@ -216,6 +217,10 @@
             self._wake()
         return await self._stream(request, name, after)
 
+    def _serves(self, model: str) -> bool:
+        versions = [name.partition("@")[0] for name in self.models if "@" in name]
+        return not versions or model in versions
+
     def _build_sequence(
         self, name: str, body: dict[str, Any], after: int, priority: int
     ) -> Sequence:
@@ -309,8 +314,7 @@
                 "waiting": report.waiting,
                 "memory_used": report.memory_used,
                 "memory_total": report.memory_total,
-                "models": [f"{name}@{v}" for name, v in self._models.items()],
-                "adapters": sorted(self._adapters),
+                "models": self.models,
                 "role": self.role,
                 "age_ms": max(0, round(now - report.at)),
             }
@@ -334,23 +338,31 @@
         if not self._carry_out(order):
             return answer_json({"error": "unknown kind of order"}, status=400)
         self.orders.append(order)
-        models = [f"{name}@{version}" for name, version in self._models.items()]
-        return answer_json({"models": models, "role": self.role})
+        return answer_json({"models": self.models, "role": self.role})
 
     def _carry_out(self, order: dict[str, Any]) -> bool:
+        model = order.get("model", "")
+        versioned = f"{model}@{order.get('version', '1')}"
         match order.get("kind"):
-            case "load" | "version":
-                self._models[order["model"]] = str(order.get("version", "1"))
+            case "load":
+                self._add_model(versioned)
+            case "version":
+                self.models = [m for m in self.models if not m.startswith(model + "@")]
+                self._add_model(versioned)
             case "unload":
-                self._models.pop(order["model"], None)
+                self.models = [m for m in self.models if m != versioned]
             case "adapter":
-                self._adapters.add(order["adapter"])
+                self._add_model(f"{model}+{order['adapter']}")
             case "role":
                 self.role = order["role"]
             case _:
                 return False
         return True
 
+    def _add_model(self, name: str) -> None:
+        if name not in self.models:
+            self.models.append(name)
+
     async def _list_executed(self, request: web.Request) -> web.Response:
         return answer_json({"executed": self.executed, "cancelled": self.cancelled})
 
