Decide admission and routing by predicted memory and pace

Cause: requests went to the target with the fewest attempts at once, whatever its memory, so engines filled mid-decode. Ruled out: rescanning the queue on each event; it stops at the first request of a pool that finds no room.

--- a/figstep/core/admission.py
+++ b/figstep/core/admission.py
@@ -4,9 +4,17 @@
 
 from figstep.core import routing
 from figstep.core.clock import Millis
+from figstep.core.lengths import BINS, find_bin
+from figstep.core.policies import Figstep
 from figstep.core.problems import Problem
+from figstep.core.queues import SERVICE_COST
+from figstep.core.specs import GenerationWork, RequestSpec
 from figstep.core.state import RequestState, State, TargetState
 
+SHORTEST_RETURN = Millis(1_000)
+RETURN_SPREAD = 0.5
+PRIORITY_STEP = 2 * BINS
+
 
 @dataclass(frozen=True, slots=True)
 class Start:
@@ -31,8 +39,97 @@
 
 
 def decide_admission(state: State, request: RequestState, now: Millis) -> Verdict:
-    """Decide what happens to a request that could start now."""
-    target = routing.choose_target(state, request)
+    """Decide what happens to a request that has just come in or come back."""
+    if state.queue.waits(request.spec):
+        return decide_wait(state, request, now)
+    target = routing.choose_target(state, request, now)
     if target is None:
-        return Wait()
+        return decide_wait(state, request, now)
     return Start(target)
+
+
+def decide_wait(state: State, request: RequestState, now: Millis) -> Verdict:
+    """Queue a request, or turn it away if it could not start in time."""
+    match state.policy:
+        case Figstep(refuse_early=True):
+            pass
+        case _:
+            return Wait()
+    spec = request.spec
+    cost, share = estimate_cost(state, spec), find_share(state, spec)
+    wait = state.queue.predict_wait(spec, cost, share, now)
+    left = find_deadline(state, request) - now
+    if wait <= left:
+        return Wait()
+    return TurnAway(_full_problem(state, request, Millis(wait - left)))
+
+
+def choose_for_queued(
+    state: State, request: RequestState, now: Millis
+) -> TargetState | None:
+    """Return the target for the request whose turn it is, or None for no room."""
+    return routing.choose_target(state, request, now)
+
+
+def queue_request(state: State, request: RequestState) -> None:
+    """Put a request in the queue, by its expected work."""
+    spec = request.spec
+    cost, share = estimate_cost(state, spec), find_share(state, spec)
+    state.queue.add(spec, cost, share, request.arrived)
+
+
+def charge_request(state: State, request: RequestState, now: Millis) -> None:
+    """Count a request that starts against its customer's share."""
+    spec = request.spec
+    cost, share = estimate_cost(state, spec), find_share(state, spec)
+    state.queue.charge(spec, cost, share, now)
+
+
+def choose_priority(state: State, request: RequestState) -> int:
+    """Return the priority for the engine: who gives way when memory fills.
+
+    Among equals the shorter expected goes on: it frees its memory soonest, and
+    a long one loses the smaller part of its time by being recomputed.
+    """
+    spec = request.spec
+    match state.policy:
+        case Figstep(engine_priority=True) if isinstance(spec.work, GenerationWork):
+            doublings = find_bin(round(estimate_cost(state, spec)))
+            return spec.priority * PRIORITY_STEP + BINS - doublings
+        case _:
+            return spec.priority
+
+
+def find_deadline(state: State, request: RequestState) -> Millis:
+    """Return the latest time for the first byte of a request."""
+    if request.spec.deadline is not None or state.inventory is None:
+        return request.spec.deadline or request.arrived
+    return Millis(request.arrived + state.inventory.rules.deadline)
+
+
+def estimate_cost(state: State, spec: RequestSpec) -> float:
+    """Return the expected work of a request, in tokens."""
+    if not isinstance(spec.work, GenerationWork):
+        return SERVICE_COST
+    return state.lengths.estimate(spec.customer, spec.work).mean
+
+
+def find_share(state: State, spec: RequestSpec) -> float:
+    """Return the share that the inventory gives a request's customer."""
+    return state.shares.get(spec.customer, 1.0)
+
+
+def spread_return(state: State, wait: Millis) -> Millis:
+    """Return when to come back, spread so that callers don't come all at once."""
+    base = max(wait, SHORTEST_RETURN)
+    return Millis(round(base * (1.0 + RETURN_SPREAD * state.rng.random())))
+
+
+def _full_problem(state: State, request: RequestState, wait: Millis) -> Problem:
+    return Problem(
+        503,
+        "no_target_in_time",
+        "no target can start this before its deadline; come back after Retry-After",
+        ran=request.ran,
+        retry_after=spread_return(state, wait),
+    )
--- a/figstep/core/configuration.py
+++ b/figstep/core/configuration.py
@@ -1,9 +1,12 @@
 """Fold of the configuration stream: which document is in force."""
 
+from dataclasses import replace
+
 from figstep.core.clock import Millis
 from figstep.core.effects import Count, Effect, Note
 from figstep.core.events import ConfigurationRead
 from figstep.core.inventory import Inventory
+from figstep.core.policies import Figstep, find_policy
 from figstep.core.state import State, TargetState
 
 
@@ -51,6 +54,7 @@
 def apply_inventory(state: State, inventory: Inventory) -> None:
     """Make the known targets those of ``inventory``; running work goes on."""
     state.inventory = inventory
+    apply_policy(state, inventory)
     known = state.targets
     state.targets = {}
     for info in inventory.list_targets():
@@ -64,3 +68,12 @@
             continue
         target.leaving = True
         state.targets[name] = target
+
+
+def apply_policy(state: State, inventory: Inventory) -> None:
+    """Take the load policy and the customers' shares from the rules."""
+    state.shares = {c.name: c.share for c in inventory.customers}
+    policy = find_policy(inventory.rules.routing)
+    if isinstance(policy, Figstep):
+        policy = replace(policy, gap_goal=float(inventory.rules.gap_goal))
+    state.policy = policy
--- a/figstep/core/inventory.py
+++ b/figstep/core/inventory.py
@@ -105,12 +105,17 @@
         load_interval: Least time between two reads of the weight store by the
             whole fleet, in milliseconds.
         routing: Name of the routing policy.
+        gap_goal: Gap between tokens above which a target is given less, in
+            milliseconds.
+        subset: Most targets of a pool that an entry talks to; 0 for all.
     """
 
     non_idempotent: tuple[NonIdempotentRule, ...] = ()
     deadline: Millis = Millis(60_000)
     load_interval: Millis = Millis(5_000)
     routing: str = "figstep"
+    gap_goal: Millis = Millis(60)
+    subset: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/core/queues.py
+++ b/figstep/core/queues.py
@@ -1,25 +1,270 @@
-"""Order in which queued requests are tried."""
+"""Order in which queued requests are tried: fair, then shortest first.
 
-from figstep.core.specs import RequestSpec
+One queue per pool (a model or a plain service), so that one without room holds
+up no other. In a pool: priority, then the customer that had the least work for
+its share (start-time fair queueing), then the shortest expected answer, where
+waiting makes up for length, so that nothing starves.
+"""
+
+import heapq
+from dataclasses import dataclass, field
+
+from figstep.core.clock import Millis
+from figstep.core.specs import GenerationWork, RequestSpec
+
+AGING = 20.0
+"""Milliseconds of waiting that make up for one more expected token."""
+
+RATE_MEMORY = 20_000.0
+"""Time over which the rate of starts is averaged, in milliseconds."""
+
+SERVICE_COST = 1.0
+
+
+def name_pool(spec: RequestSpec) -> str:
+    """Return the pool of targets that a request needs."""
+    match spec.work:
+        case GenerationWork(model=model):
+            return model
+        case work:
+            return "service:" + work.service
+
+
+@dataclass(frozen=True, slots=True)
+class QueuedRequest:
+    """A queued request.
+
+    Attributes:
+        spec: What was asked for.
+        cost: Expected work, in tokens.
+        share: Share of its customer.
+        since: When it came in.
+    """
+
+    spec: RequestSpec
+    cost: float
+    share: float
+    since: Millis
+
+
+@dataclass(slots=True)
+class CustomerQueue:
+    """What one customer waits for at one priority of a pool."""
+
+    served: float = 0.0
+    share: float = 1.0
+    cost: float = 0.0
+    count: int = 0
+    has_turn: bool = False
+    heap: list[tuple[float, int, str]] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Level:
+    """One priority of a pool: customers by the work they had for their share."""
+
+    clock: float = 0.0
+    shares: float = 0.0
+    customers: dict[str, CustomerQueue] = field(default_factory=dict)
+    turns: list[tuple[float, str]] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Rate:
+    """Decayed rate of work started, in tokens per millisecond."""
+
+    work: float = 0.0
+    weight: float = 0.0
+    at: Millis = Millis(0)
+
+    def add(self, work: float, now: Millis) -> None:
+        """Count work that started."""
+        self._decay(now)
+        self.work += work
+
+    def read(self, now: Millis) -> float | None:
+        """Return the rate; None before there is anything to tell."""
+        self._decay(now)
+        if self.weight < RATE_MEMORY / 8 or self.work <= 0:
+            return None
+        return self.work / self.weight
+
+    def _decay(self, now: Millis) -> None:
+        passed = max(0, now - self.at) if self.at else 0
+        self.at = now
+        keep = 1.0 - min(1.0, passed / RATE_MEMORY)
+        self.work *= keep
+        self.weight = self.weight * keep + passed
+
+
+@dataclass(slots=True)
+class Pool:
+    """Requests that wait for the same targets."""
+
+    levels: dict[int, Level] = field(default_factory=dict)
+    count: int = 0
+    cost: float = 0.0
+    rate: Rate = field(default_factory=Rate)
 
 
 class RequestQueue:
-    """Queued request ids, first come first served."""
+    """Queued requests; every operation is logarithmic in their number."""
 
-    def __init__(self) -> None:
-        self._specs: dict[str, RequestSpec] = {}
+    def __init__(self, fair: bool = True, shortest_first: bool = True) -> None:
+        self.fair = fair
+        self.shortest_first = shortest_first
+        self._queued: dict[str, QueuedRequest] = {}
+        self._pools: dict[str, Pool] = {}
+        self._number = 0
 
     def __len__(self) -> int:
-        return len(self._specs)
+        return len(self._queued)
+
+    def list_pools(self) -> list[str]:
+        """Return the pools in which something waits."""
+        return [name for name, pool in self._pools.items() if pool.count]
+
+    def waits(self, spec: RequestSpec) -> bool:
+        """Tell whether anything waits for the targets of ``spec``."""
+        pool = self._pools.get(name_pool(spec))
+        return pool is not None and pool.count > 0
 
-    def add(self, spec: RequestSpec) -> None:
-        """Queue a request."""
-        self._specs[spec.request] = spec
+    def add(
+        self,
+        spec: RequestSpec,
+        cost: float = SERVICE_COST,
+        share: float = 1.0,
+        since: Millis = Millis(0),
+    ) -> None:
+        """Queue a request of ``cost`` expected tokens."""
+        queued = QueuedRequest(spec, cost, share, since)
+        self._queued[spec.request] = queued
+        pool = self._find_pool(spec)
+        pool.count += 1
+        pool.cost += cost
+        level = pool.levels.setdefault(spec.priority, Level())
+        customer = self._find_customer(level, queued)
+        self._number += 1
+        key = since + AGING * cost if self.shortest_first else float(self._number)
+        heapq.heappush(customer.heap, (key, self._number, spec.request))
+        customer.count += 1
+        customer.cost += cost
+        if customer.count > 1:
+            return
+        # A customer that was idle comes back at the present, or it could take
+        # the whole pool for as long as it was away.
+        customer.served = max(customer.served, level.clock)
+        level.shares += share
+        if customer.has_turn:
+            return
+        customer.has_turn = True
+        heapq.heappush(level.turns, (customer.served, self._turn_of(spec)))
 
     def remove(self, request: str) -> None:
         """Forget a request, queued or not."""
-        self._specs.pop(request, None)
+        queued = self._queued.pop(request, None)
+        if queued is None:
+            return
+        pool = self._find_pool(queued.spec)
+        pool.count -= 1
+        pool.cost -= queued.cost
+        level = pool.levels[queued.spec.priority]
+        customer = level.customers[self._turn_of(queued.spec)]
+        customer.count -= 1
+        customer.cost -= queued.cost
+        if customer.count == 0:
+            customer.cost = 0.0
+            customer.heap.clear()
+            level.shares -= customer.share
+
+    def peek(self, pool_name: str) -> RequestSpec | None:
+        """Return the request that is next in a pool."""
+        pool = self._pools.get(pool_name)
+        if pool is None or pool.count == 0:
+            return None
+        for priority in sorted(pool.levels, reverse=True):
+            found = self._peek_level(pool.levels[priority])
+            if found is not None:
+                return found
+        return None
+
+    def charge(self, spec: RequestSpec, cost: float, share: float, now: Millis) -> None:
+        """Count work that starts, against its customer's share."""
+        pool = self._find_pool(spec)
+        pool.rate.add(cost, now)
+        level = pool.levels.setdefault(spec.priority, Level())
+        customer = self._find_customer(level, QueuedRequest(spec, cost, share, now))
+        level.clock = max(level.clock, customer.served)
+        customer.served = level.clock + cost / share
+
+    def predict_wait(
+        self, spec: RequestSpec, cost: float, share: float, now: Millis
+    ) -> Millis:
+        """Return how long a request would wait, in milliseconds; 0 if unknown.
+
+        Its own customer's work goes ahead of it at that customer's share of
+        the rate at which work has been starting; more work than all that waits
+        is never ahead of it.
+        """
+        pool = self._pools.get(name_pool(spec))
+        if pool is None or pool.count == 0:
+            return Millis(0)
+        rate = pool.rate.read(now)
+        if rate is None:
+            return Millis(0)
+        ahead = pool.cost
+        level = pool.levels.get(spec.priority)
+        if self.fair and level is not None:
+            customer = level.customers.get(spec.customer)
+            own = customer.cost if customer is not None else 0.0
+            shares = level.shares
+            if customer is None or customer.count == 0:
+                shares += share
+            ahead = min(ahead, own * shares / share)
+        return Millis(round(ahead / rate))
 
     def list_in_order(self) -> list[str]:
-        """Return all queued ids, the next to start first."""
-        return list(self._specs)
+        """Return all queued ids in the order in which they came."""
+        return list(self._queued)
+
+    def _find_pool(self, spec: RequestSpec) -> Pool:
+        name = name_pool(spec)
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = self._pools[name] = Pool()
+        return pool
+
+    def _turn_of(self, spec: RequestSpec) -> str:
+        return spec.customer if self.fair else ""
+
+    def _find_customer(self, level: Level, queued: QueuedRequest) -> CustomerQueue:
+        name = self._turn_of(queued.spec)
+        customer = level.customers.get(name)
+        if customer is None:
+            customer = level.customers[name] = CustomerQueue(share=queued.share)
+        if customer.count == 0:
+            customer.share = queued.share
+        return customer
+
+    def _peek_level(self, level: Level) -> RequestSpec | None:
+        while level.turns:
+            served, name = level.turns[0]
+            customer = level.customers[name]
+            if customer.count == 0:
+                customer.has_turn = False
+                heapq.heappop(level.turns)
+                continue
+            if served < customer.served:
+                heapq.heapreplace(level.turns, (customer.served, name))
+                continue
+            return self._peek_customer(customer)
+        return None
+
+    def _peek_customer(self, customer: CustomerQueue) -> RequestSpec | None:
+        while customer.heap:
+            queued = self._queued.get(customer.heap[0][2])
+            if queued is not None:
+                return queued.spec
+            # Removed while it waited; the heap still names it.
+            heapq.heappop(customer.heap)
+        return None
--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -1,6 +1,13 @@
 """Life cycle of a request: arrival, attempts, delivery, end."""
 
-from figstep.core import admission, claims, generations, quarantine, retries
+from figstep.core import (
+    admission,
+    claims,
+    generations,
+    quarantine,
+    retries,
+    targets,
+)
 from figstep.core.clock import Millis
 from figstep.core.effects import (
     CancelGeneration,
@@ -82,6 +89,7 @@
     state: State, request: RequestState, target: TargetState, now: Millis
 ) -> list[Effect]:
     nonce = f"{state.node}.{state.next_attempt}.{state.rng.getrandbits(64):016x}"
+    admission.charge_request(state, request, now)
     owner = generations.digest_owner(request.spec.customer)
     generation = str(generations.GenerationId(target.info.name, owner, nonce))
     attempt = _add_attempt(state, request, target, generation, now)
@@ -91,7 +99,7 @@
             attempt.attempt,
             target.info.name,
             generation,
-            request.spec.priority,
+            admission.choose_priority(state, request),
         )
     ]
 
@@ -99,19 +107,32 @@
 def _queue_request(state: State, request: RequestState, now: Millis) -> list[Effect]:
     request.phase = Phase.QUEUED
     request.failed_targets.clear()
-    state.queue.add(request.spec)
+    admission.queue_request(state, request)
     return [WakeAt(QueueTimer(), Millis(now + QUEUE_PAUSE))]
 
 
 def start_queued(state: State, now: Millis) -> list[Effect]:
-    """Try each queued request once."""
+    """Start queued requests, pool by pool, until the next one finds no room."""
+    effects: list[Effect] = []
+    for pool in state.queue.list_pools():
+        effects += _start_pool(state, pool, now)
+    if len(state.queue):
+        effects.append(WakeAt(QueueTimer(), Millis(now + QUEUE_PAUSE)))
+    return effects
+
+
+def _start_pool(state: State, pool: str, now: Millis) -> list[Effect]:
     effects: list[Effect] = []
-    for name in state.queue.list_in_order():
-        state.queue.remove(name)
-        request = state.requests.get(name)
+    while (spec := state.queue.peek(pool)) is not None:
+        request = state.requests.get(spec.request)
         if request is None or request.phase is not Phase.QUEUED:
+            state.queue.remove(spec.request)
             continue
-        effects += start_request(state, request, now)
+        target = admission.choose_for_queued(state, request, now)
+        if target is None:
+            break
+        state.queue.remove(spec.request)
+        effects += _open_attempt(state, request, target, now)
     return effects
 
 
@@ -128,7 +149,7 @@
         number, request.spec.request, target.info.name, generation, now, now
     )
     state.attempts[number] = attempt
-    target.in_flight += 1
+    targets.enter_target(state, target, attempt, request, now)
     request.phase = Phase.RUNNING
     request.attempt = number
     request.attempts += 1
@@ -143,7 +164,7 @@
         return None
     target = state.targets.get(attempt.target)
     if target is not None:
-        target.in_flight -= 1
+        targets.leave_target(state, target, attempt)
     return attempt
 
 
@@ -172,6 +193,8 @@
         return [Count("tokens.repeated", len(event.frames))]
     request.ran = Ran.YES
     request.delivered += len(frames)
+    if request.delivered >= attempt.review_at:
+        targets.review_attempt(state, attempt, request, now)
     return [Deliver(attempt.request, frames)]
 
 
@@ -217,6 +240,8 @@
         and isinstance(target.info, EngineInfo)
         and target.info.resume
     )
+    if target is not None:
+        targets.note_loss(target, now)
     lost = retries.LostAttempt(
         event.loss,
         resumable=resumable,
--- a/figstep/core/routing.py
+++ b/figstep/core/routing.py
@@ -1,8 +1,23 @@
 """Choice of the target for a request."""
 
+import hashlib
+
+from figstep.core.clock import Millis
 from figstep.core.inventory import EngineInfo, ServiceInfo
+from figstep.core.pacing import Footprint
+from figstep.core.policies import Figstep, LeastInFlight, RoundRobin, TwoChoices
+from figstep.core.queues import name_pool
 from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork
 from figstep.core.state import RequestState, State, TargetState
+from figstep.core.targets import estimate_footprint, start_pace
+
+PREFILL_PER_GAP = 1 / 250
+"""Time to prefill a token, as a share of the gap of an idle target."""
+
+SHARED_PREFIX = 0.5
+"""Share of a prompt that a cached prefix is taken to cover."""
+
+PREFIX_FRESH = Millis(60_000)
 
 
 def serves(target: TargetState, spec: RequestSpec) -> bool:
@@ -16,23 +31,171 @@
             return False
 
 
-def list_candidates(state: State, request: RequestState) -> list[TargetState]:
+def rank_target(node: str, target: str) -> bytes:
+    """Return the rendezvous rank of a target for an entry; higher is nearer."""
+    return hashlib.sha256(f"{node}/{target}".encode()).digest()[:8]
+
+
+def choose_subset(
+    node: str, targets: list[TargetState], size: int
+) -> list[TargetState]:
+    """Return the targets that an entry talks to, spread over failure domains.
+
+    Each entry takes its own highest ranked targets of each failure domain, so
+    a target that comes or goes moves only its own place, and the loss of a
+    failure domain leaves every entry the same share.
+    """
+    if size <= 0 or len(targets) <= size:
+        return targets
+    domains: dict[str, list[TargetState]] = {}
+    for target in targets:
+        domains.setdefault(target.info.failure_domain, []).append(target)
+    for members in domains.values():
+        members.sort(key=lambda t: rank_target(node, t.info.name), reverse=True)
+    chosen: list[TargetState] = []
+    place = 0
+    while len(chosen) < size:
+        for name in sorted(domains):
+            members = domains[name]
+            if place < len(members) and len(chosen) < size:
+                chosen.append(members[place])
+        place += 1
+    return chosen
+
+
+def list_pool(state: State, spec: RequestSpec) -> list[TargetState]:
+    """Return the targets of this entry that serve the request, cached."""
+    cache = state.pools
+    if cache.targets is not state.targets:
+        cache.targets = state.targets
+        cache.members = {}
+        cache.turn = 0
+    name = name_pool(spec)
+    members = cache.members.get(name)
+    if members is None:
+        members = [t for t in state.targets.values() if serves(t, spec)]
+        size = 0 if state.inventory is None else state.inventory.rules.subset
+        members = choose_subset(state.node, members, size)
+        cache.members[name] = members
+    return members
+
+
+def list_candidates(
+    state: State, request: RequestState, now: Millis = Millis(0)
+) -> list[TargetState]:
     """Return the targets that may take the request now."""
     candidates = []
-    for target in state.targets.values():
+    for target in _sample(state, list_pool(state, request.spec)):
         if target.leaving:
             continue
-        if not serves(target, request.spec):
-            continue
         if target.info.name in request.failed_targets:
             continue
         candidates.append(target)
     return candidates
 
 
-def choose_target(state: State, request: RequestState) -> TargetState | None:
-    """Return the candidate with the least work in flight from here, or None."""
-    candidates = list_candidates(state, request)
+def _sample(state: State, pool: list[TargetState]) -> list[TargetState]:
+    match state.policy:
+        case Figstep(choices=choices) if len(pool) > choices:
+            return state.rng.sample(pool, choices)
+        case _:
+            return pool
+
+
+def choose_target(
+    state: State, request: RequestState, now: Millis = Millis(0)
+) -> TargetState | None:
+    """Return the target that should run the request, or None for no room."""
+    candidates = list_candidates(state, request, now)
     if not candidates:
         return None
+    match state.policy:
+        case RoundRobin():
+            state.pools.turn += 1
+            return candidates[state.pools.turn % len(candidates)]
+        case LeastInFlight():
+            return _choose_least(state, candidates)
+        case TwoChoices():
+            pair = state.rng.sample(candidates, min(2, len(candidates)))
+            return min(pair, key=lambda t: t.running + t.waiting)
+        case Figstep() as policy:
+            if not isinstance(request.spec.work, GenerationWork):
+                return _choose_least(state, candidates)
+            return _choose_by_pace(state, policy, candidates, request, now)
+
+
+def _choose_least(state: State, candidates: list[TargetState]) -> TargetState:
     return min(candidates, key=lambda t: (t.in_flight, state.rng.random()))
+
+
+def _choose_by_pace(
+    state: State,
+    policy: Figstep,
+    candidates: list[TargetState],
+    request: RequestState,
+    now: Millis,
+) -> TargetState | None:
+    footprint = estimate_footprint(state, request.spec, request.delivered, now)
+    assert footprint is not None
+    best, best_score = None, 0.0
+    for target in candidates:
+        if now < target.pace.avoid_until:
+            continue
+        if not has_room(policy, target, footprint):
+            continue
+        score = _score_target(policy, target, request.spec, footprint, now)
+        score *= 1.0 + 0.01 * state.rng.random()
+        if best is None or score < best_score:
+            best, best_score = target, score
+    return best
+
+
+def has_room(policy: Figstep, target: TargetState, footprint: Footprint) -> bool:
+    """Tell whether a target can take a generation without pushing others off.
+
+    An empty target takes anything, or a request larger than every memory
+    would wait for ever.
+    """
+    pace, info = target.pace, target.info
+    if not isinstance(info, EngineInfo):
+        return True
+    running = pace.running + target.peers_in_flight
+    if running == 0:
+        return True
+    if running >= info.max_running:
+        return False
+    if policy.limit and running >= pace.limit:
+        return False
+    if not policy.memory:
+        return True
+    predicted = pace.predict_memory(footprint, policy.growth, policy.deviations)
+    if target.peers_in_flight and pace.running:
+        predicted *= running / pace.running
+    return predicted <= (target.memory_total or info.memory_tokens)
+
+
+def _score_target(
+    policy: Figstep,
+    target: TargetState,
+    spec: RequestSpec,
+    footprint: Footprint,
+    now: Millis,
+) -> float:
+    pace = target.pace
+    running = float(pace.running + target.peers_in_flight)
+    if not policy.pace:
+        return running + 1.0
+    if pace.gaps.weight == 0.0:
+        start_pace(target)
+    gap = pace.gaps.predict(running + 1)
+    prefill = footprint.held * pace.gaps.predict(1.0) * PREFILL_PER_GAP
+    if policy.affinity and _has_prefix(target, spec, now):
+        prefill *= 1.0 - SHARED_PREFIX
+    return footprint.mean * gap + prefill
+
+
+def _has_prefix(target: TargetState, spec: RequestSpec, now: Millis) -> bool:
+    if not isinstance(spec.work, GenerationWork):
+        return False
+    sent = target.pace.prefixes.get(spec.work.prefix)
+    return sent is not None and now - sent < PREFIX_FRESH
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -10,6 +10,8 @@
 from figstep.core.leases import LeaseTable
 from figstep.core.lengths import LengthTable
 from figstep.core.orders import PlacementState
+from figstep.core.pacing import Footprint, Pace
+from figstep.core.policies import Figstep, Policy
 from figstep.core.problems import Ran
 from figstep.core.quarantine import Quarantine
 from figstep.core.queues import RequestQueue
@@ -55,7 +57,18 @@
 
 @dataclass(slots=True)
 class AttemptState:
-    """One connection to a target on behalf of a request."""
+    """One connection to a target on behalf of a request.
+
+    Attributes:
+        attempt: Number of the attempt.
+        request: Request id.
+        target: Target name.
+        generation: Generation id.
+        opened: When it was opened.
+        last_progress: When something last came.
+        footprint: What it needs of its target; None for a plain service.
+        review_at: Index of the event at which the footprint is looked at again.
+    """
 
     attempt: int
     request: str
@@ -63,6 +76,8 @@
     generation: str
     opened: Millis
     last_progress: Millis
+    footprint: Footprint | None = None
+    review_at: int = 1 << 62
 
 
 @dataclass(slots=True)
@@ -81,6 +96,7 @@
         memory_total: Cache memory, in tokens.
         models: What it reports as loaded: "model@version", "model+adapter".
         reported: When the last report came, or None.
+        pace: This entry's ledger of it.
     """
 
     info: TargetInfo
@@ -94,6 +110,22 @@
     memory_total: int = 0
     models: tuple[str, ...] = ()
     reported: Millis | None = None
+    pace: Pace = field(default_factory=Pace)
+
+
+@dataclass(slots=True)
+class PoolCache:
+    """Targets by pool, rebuilt when the table of targets is replaced.
+
+    Attributes:
+        targets: The table that it was built from.
+        members: Targets that this entry talks to, by pool.
+        turn: Turn of a round robin.
+    """
+
+    targets: dict[str, TargetState] | None = None
+    members: dict[str, list[TargetState]] = field(default_factory=dict)
+    turn: int = 0
 
 
 @dataclass(slots=True)
@@ -110,6 +142,9 @@
         requests: Requests without a final answer, by id.
         attempts: Open attempts by number.
         queue: Queued requests.
+        policy: How requests are admitted and targets chosen.
+        shares: Shares of the customers, by name.
+        pools: Targets by pool.
         lengths: Estimates of the lengths of answers.
         claims: Claims on non-idempotent requests.
         quarantine: Requests that are kept away from targets.
@@ -128,6 +163,9 @@
     requests: dict[str, RequestState] = field(default_factory=dict)
     attempts: dict[int, AttemptState] = field(default_factory=dict)
     queue: RequestQueue = field(default_factory=RequestQueue)
+    policy: Policy = field(default_factory=Figstep)
+    shares: dict[str, float] = field(default_factory=dict)
+    pools: PoolCache = field(default_factory=PoolCache)
     lengths: LengthTable = field(default_factory=LengthTable)
     claims: ClaimTable = field(default_factory=ClaimTable)
     quarantine: Quarantine = field(default_factory=Quarantine)
--- a/figstep/core/targets.py
+++ b/figstep/core/targets.py
@@ -1,9 +1,21 @@
-"""What targets report of themselves."""
+"""What targets report of themselves, and the ledger of what they are given."""
 
 from figstep.core.clock import Millis
 from figstep.core.effects import Effect
 from figstep.core.events import LoadReported
-from figstep.core.state import State
+from figstep.core.inventory import EngineInfo
+from figstep.core.lengths import Remaining
+from figstep.core.pacing import Footprint
+from figstep.core.policies import Figstep
+from figstep.core.specs import GenerationWork, RequestSpec
+from figstep.core.state import AttemptState, RequestState, State, TargetState
+
+REVIEW_EVERY = 8
+ESTIMATE_STEP = 0.25
+AVOID_FIRST = Millis(500)
+AVOID_LONGEST = Millis(8_000)
+PREFIXES_KEPT = 64
+NEVER = 1 << 62
 
 
 def record_load(state: State, event: LoadReported, now: Millis) -> list[Effect]:
@@ -22,3 +34,117 @@
     target.models = event.models
     target.reported = Millis(now - event.age)
     return []
+
+
+def estimate_footprint(
+    state: State, spec: RequestSpec, produced: int, now: Millis
+) -> Footprint | None:
+    """Return what a generation holds and needs; None for a plain service."""
+    if not isinstance(spec.work, GenerationWork):
+        return None
+    remaining = state.lengths.estimate(spec.customer, spec.work, produced)
+    return Footprint(
+        held=spec.work.prompt_tokens + produced,
+        mean=remaining.mean,
+        variance=remaining.variance,
+        review_at=produced + 1,
+        reviewed=now,
+        produced=produced,
+        next_estimate=produced + REVIEW_EVERY,
+    )
+
+
+def enter_target(
+    state: State,
+    target: TargetState,
+    attempt: AttemptState,
+    request: RequestState,
+    now: Millis,
+) -> None:
+    """Count an attempt on a target that it is about to run on."""
+    target.in_flight += 1
+    spec = request.spec
+    footprint = estimate_footprint(state, spec, request.delivered, now)
+    if footprint is None:
+        return
+    attempt.footprint = footprint
+    attempt.review_at = footprint.review_at
+    target.pace.add(footprint)
+    if isinstance(spec.work, GenerationWork) and spec.work.prefix:
+        prefixes = target.pace.prefixes
+        prefixes.pop(spec.work.prefix, None)
+        prefixes[spec.work.prefix] = now
+        if len(prefixes) > PREFIXES_KEPT:
+            del prefixes[next(iter(prefixes))]
+
+
+def leave_target(state: State, target: TargetState, attempt: AttemptState) -> None:
+    """Forget an attempt that ended."""
+    target.in_flight -= 1
+    if attempt.footprint is not None:
+        target.pace.remove(attempt.footprint)
+
+
+def review_attempt(
+    state: State, attempt: AttemptState, request: RequestState, now: Millis
+) -> None:
+    """Bring an attempt's footprint and its target's pace up to date.
+
+    Runs once in several tokens, so that a token costs one comparison.
+    """
+    footprint, target = attempt.footprint, state.targets.get(attempt.target)
+    work = request.spec.work
+    if footprint is None or target is None or not isinstance(work, GenerationWork):
+        attempt.review_at = NEVER
+        return
+    produced = request.delivered
+    grown = produced - footprint.produced
+    if footprint.review_at > footprint.produced + 1 and grown > 0:
+        _learn_gap(state, target, (now - footprint.reviewed) / grown, now)
+    target.pace.losses = 0
+    pace = target.pace
+    pace.held -= footprint.held
+    pace.mean -= footprint.mean
+    pace.variance -= footprint.variance
+    footprint.held += grown
+    footprint.mean = max(1.0, footprint.mean - grown)
+    if produced >= footprint.next_estimate:
+        remaining: Remaining = state.lengths.estimate(
+            request.spec.customer, work, produced
+        )
+        footprint.mean, footprint.variance = remaining.mean, remaining.variance
+        footprint.next_estimate = produced + REVIEW_EVERY
+        footprint.next_estimate += int(produced * ESTIMATE_STEP)
+    footprint.produced = produced
+    footprint.reviewed = now
+    footprint.review_at = attempt.review_at = produced + REVIEW_EVERY
+    pace.held += footprint.held
+    pace.mean += footprint.mean
+    pace.variance += footprint.variance
+
+
+def _learn_gap(state: State, target: TargetState, gap: float, now: Millis) -> None:
+    pace = target.pace
+    pace.gap = gap if pace.gap == 0.0 else 0.9 * pace.gap + 0.1 * gap
+    if pace.gaps.weight == 0.0:
+        start_pace(target)
+    pace.gaps.learn(float(pace.running), gap)
+    match state.policy:
+        case Figstep(limit=True, gap_goal=goal):
+            pace.adapt_limit(gap, goal, now)
+        case _:
+            pass
+
+
+def start_pace(target: TargetState) -> None:
+    """Begin a target's expected gap from its inventory entry."""
+    if isinstance(target.info, EngineInfo):
+        target.pace.gaps.start(target.info.speed)
+
+
+def note_loss(target: TargetState, now: Millis) -> None:
+    """Give a target that lost an attempt a growing pause."""
+    pace = target.pace
+    pause = min(AVOID_LONGEST, AVOID_FIRST << min(10, pace.losses))
+    pace.losses += 1
+    pace.avoid_until = Millis(now + pause)
--- a/figstep/inventory.py
+++ b/figstep/inventory.py
@@ -1,7 +1,7 @@
 """Border of the inventory document: pydantic in, frozen data classes out."""
 
 import hashlib
-from typing import Any
+from typing import Any, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
@@ -83,7 +83,11 @@
     non_idempotent: tuple[NonIdempotentModel, ...] = ()
     deadline_ms: int = Field(default=60_000, gt=0)
     load_interval_ms: int = Field(default=5_000, ge=0)
-    routing: str = "figstep"
+    routing: Literal["figstep", "round_robin", "least_in_flight", "two_choices"] = (
+        "figstep"
+    )
+    gap_goal_ms: int = Field(default=60, gt=0)
+    subset: int = Field(default=0, ge=0)
 
 
 class InventoryModel(_Model):
@@ -170,4 +174,6 @@
         deadline=Millis(model.deadline_ms),
         load_interval=Millis(model.load_interval_ms),
         routing=model.routing,
+        gap_goal=Millis(model.gap_goal_ms),
+        subset=model.subset,
     )
