--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Integration tests with real processes."""
