--- /dev/null
+++ b/figstep/standins/balancer.py
@@ -0,0 +1,76 @@
+"""Stand-in of the platform's balancer: spreads connections over ready entries.
+
+It learns of readiness by polling ``/readyz``, so it lags as a real one does.
+"""
+
+import asyncio
+from contextlib import suppress
+
+import aiohttp
+
+from figstep.standins.proxy import TcpProxy
+
+POLL_SECONDS = 0.2
+PROBE_TIMEOUT = 2.0
+
+
+class Balancer(TcpProxy):
+    """Relays each new connection to the next entry that was ready last.
+
+    Attributes:
+        entries: Base URL by name; a caller adds and drops them.
+        ready: Names of those that were ready at the last poll.
+    """
+
+    def __init__(self, entries: dict[str, str]) -> None:
+        super().__init__("", 0)
+        self.entries = entries
+        self.ready: list[str] = []
+        self._next = 0
+        self._poller: asyncio.Task[None] | None = None
+
+    async def start(self, port: int = 0) -> None:
+        """Poll once, then listen and go on polling."""
+        await self._poll()
+        await super().start(port)
+        self._poller = asyncio.create_task(self._poll_forever())
+
+    async def stop(self) -> None:
+        """Stop polling and close everything."""
+        if self._poller is not None:
+            self._poller.cancel()
+            with suppress(asyncio.CancelledError):
+                await self._poller
+        await super().stop()
+
+    def choose_target(self) -> tuple[str, int] | None:
+        """Return the address of the next ready entry."""
+        ready = [name for name in self.ready if name in self.entries]
+        if not ready:
+            return None
+        self._next += 1
+        url = self.entries[ready[self._next % len(ready)]]
+        host, _, port = url.removeprefix("http://").rpartition(":")
+        return host, int(port)
+
+    async def _poll_forever(self) -> None:
+        while True:
+            await asyncio.sleep(POLL_SECONDS)
+            await self._poll()
+
+    async def _poll(self) -> None:
+        names = list(self.entries)
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            verdicts = await asyncio.gather(
+                *(_probe(session, self.entries[name]) for name in names)
+            )
+        self.ready = [name for name, ok in zip(names, verdicts, strict=True) if ok]
+
+
+async def _probe(session: aiohttp.ClientSession, url: str) -> bool:
+    try:
+        async with session.get(url + "/readyz") as response:
+            return response.status == 200
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return False
--- a/figstep/standins/process.py
+++ b/figstep/standins/process.py
@@ -11,8 +11,9 @@
 from figstep.standins.log import LogService
 from figstep.standins.proxy import TcpProxy, build_control
 from figstep.standins.service import PlainService
+from figstep.standins.weights import WeightStore
 
-KINDS = ("log", "instances", "engine", "service")
+KINDS = ("log", "instances", "engine", "service", "weights", "proxy")
 
 
 def build_standin(kind: str, name: str, gap: float) -> web.Application:
@@ -32,6 +33,8 @@
             return EngineServer(name, gap).build_app()
         case "service":
             return PlainService(name).build_app()
+        case "weights":
+            return WeightStore().build_app()
         case _:
             raise ValueError(f"unknown stand-in {kind!r}; use one of {KINDS}")
 
--- a/figstep/standins/proxy.py
+++ b/figstep/standins/proxy.py
@@ -142,6 +142,10 @@
         self.address = ""
         self.accepted = 0
 
+    def choose_target(self) -> tuple[str, int] | None:
+        """Return where a new connection goes, or None to reset it."""
+        return self._target
+
     @property
     def url(self) -> str:
         """Base URL, for targets that speak HTTP."""
@@ -214,8 +218,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         self.accepted += 1
+        target = self.choose_target()
         try:
-            target_reader, target_writer = await asyncio.open_connection(*self._target)
+            if target is None:
+                raise ConnectionRefusedError
+            target_reader, target_writer = await asyncio.open_connection(*target)
         except OSError:
             writer.transport.abort()
             return
--- /dev/null
+++ b/figstep/standins/weights.py
@@ -0,0 +1,54 @@
+"""Stand-in of the platform's weight store, which limits its rate.
+
+``GET /weights/MODEL/VERSION`` answers the bytes, or 429 with ``Retry-After``
+in whole seconds once the calls of the current window are used up.
+"""
+
+import math
+import time
+from collections.abc import Callable
+
+from aiohttp import web
+
+
+class WeightStore:
+    """Answers at most ``limit`` calls in each window.
+
+    Attributes:
+        limit: Calls answered in a window.
+        window: Length of a window, in seconds.
+        served: Model and version of each call answered, in order.
+        refused: Calls turned away.
+    """
+
+    def __init__(
+        self,
+        limit: int = 4,
+        window: float = 1.0,
+        read_seconds: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.limit = limit
+        self.window = window
+        self.served: list[tuple[str, str]] = []
+        self.refused = 0
+        self._read_seconds = read_seconds
+        self._taken: list[float] = []
+
+    def build_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_get("/weights/{model}/{version}", self._read)
+        return app
+
+    async def _read(self, request: web.Request) -> web.Response:
+        now = self._read_seconds()
+        self._taken = [at for at in self._taken if at > now - self.window]
+        if len(self._taken) >= self.limit:
+            self.refused += 1
+            wait = self._taken[0] + self.window - now
+            headers = {"Retry-After": str(max(1, math.ceil(wait)))}
+            return web.Response(status=429, headers=headers)
+        self._taken.append(now)
+        model, version = request.match_info["model"], request.match_info["version"]
+        self.served.append((model, version))
+        return web.Response(body=f"{model}@{version}".encode())
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,334 @@
+"""A fleet of real processes behind proxies, and callers that keep a record."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import orjson
+
+from figstep.checker import (
+    CallerHistory,
+    ExecutedCall,
+    ExecutedGeneration,
+    History,
+    Outcome,
+    SeenEvent,
+)
+from figstep.core.problems import Ran
+from figstep.demo import KEY, MODEL, build_document
+from figstep.net.log import HttpLog
+from figstep.operations import publish_document
+from figstep.standins.http import start_app
+from figstep.standins.instances import InstanceList
+from figstep.standins.log import LogService
+from figstep.standins.proxy import TcpProxy
+from figstep.standins.service import PlainService
+from tests.processes import Running, run_figstep, write_yaml
+
+BOUND = 60
+POLL = 0.02
+HEADERS = {"Authorization": f"Bearer {KEY}"}
+
+
+async def wait_for(condition: Callable[[], Any], what: str) -> None:
+    """Poll until ``condition`` is true; the bound is far above any need."""
+    try:
+        async with asyncio.timeout(BOUND):
+            while True:
+                found = condition()
+                if asyncio.iscoroutine(found):
+                    found = await found
+                if found:
+                    return
+                await asyncio.sleep(POLL)
+    except TimeoutError:
+        raise AssertionError(f"never came true: {what}") from None
+
+
+class Caller:
+    """Asks for one thing, perhaps over several connections."""
+
+    def __init__(self, tag: str, tokens: int = 20, stream: bool = True) -> None:
+        self.history = CallerHistory(tag, stream=stream)
+        self.body = {
+            "model": MODEL,
+            "stream": stream,
+            "prompt": f"menu {tag}",
+            "standin_length": tokens,
+        }
+        self.retry_after: str | None = None
+        self.document: dict[str, Any] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def last(self) -> Outcome:
+        """How the last connection ended."""
+        return self.history.outcomes[-1]
+
+    @property
+    def target(self) -> str:
+        """Target whose generation the caller sees."""
+        return self.history.events[-1].generation.partition("~")[0]
+
+    def ask(self, url: str) -> None:
+        """Start asking; where events were seen, only the rest is asked for."""
+        self._task = asyncio.create_task(self._generate(url))
+
+    def order(self, url: str, identity: str, path: str = "/orders") -> None:
+        """Start a call that must run at most once."""
+        self.history.identity = identity
+        self.history.stream = False
+        self._task = asyncio.create_task(self._call(url, identity, path))
+
+    async def finish(self) -> None:
+        """Wait until the connection ended, in whatever way."""
+        assert self._task is not None
+        await asyncio.wait_for(self._task, BOUND)
+
+    async def wait_seen(self, count: int) -> None:
+        """Wait until so many events were seen."""
+        events = self.history.events
+        await wait_for(
+            lambda: len(events) >= count or (self._task and self._task.done()),
+            f"{self.history.tag} sees {count} events",
+        )
+
+    def leave(self) -> None:
+        """Close the connection from the caller's side."""
+        assert self._task is not None
+        self.history.abandoned = True
+        self._task.cancel()
+
+    async def _generate(self, url: str) -> None:
+        headers = dict(HEADERS)
+        if self.history.events:
+            last = self.history.events[-1]
+            headers["Last-Event-ID"] = f"{last.generation}:{last.index}"
+        await self._send(url + "/v1/completions", orjson.dumps(self.body), headers)
+
+    async def _call(self, url: str, identity: str, path: str) -> None:
+        headers = {**HEADERS, "Idempotency-Key": identity}
+        body = f"{self.history.tag} {identity}".encode()
+        await self._send(url + "/services/planning" + path, body, headers)
+
+    async def _send(self, url: str, body: bytes, headers: dict[str, str]) -> None:
+        status = 0
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=BOUND)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.post(url, data=body, headers=headers) as response,
+            ):
+                status = response.status
+                outcome = await self._read(response)
+        except (aiohttp.ClientError, OSError):
+            outcome = Outcome(status)
+        self.history.outcomes.append(outcome)
+
+    async def _read(self, response: aiohttp.ClientResponse) -> Outcome:
+        self.retry_after = response.headers.get("Retry-After")
+        if response.content_type == "text/event-stream":
+            return await self._read_events(response)
+        body = await response.read()
+        if response.content_type == "application/problem+json":
+            return self._read_problem(response.status, body)
+        self.document = orjson.loads(body)
+        if "choices" in self.document:
+            self.history.text = self.document["choices"][0]["text"]
+        return Outcome(response.status, ended=True)
+
+    def _read_problem(self, status: int, body: bytes) -> Outcome:
+        self.document = orjson.loads(body)
+        code = self.document["error"]["code"]
+        return Outcome(status, problem=code, ran=Ran(self.document["ran"]))
+
+    async def _read_events(self, response: aiohttp.ClientResponse) -> Outcome:
+        name = ""
+        problem = False
+        async for line in response.content:
+            if line.startswith(b"id: "):
+                name = line[4:].decode().strip()
+            if line.startswith(b"event: error"):
+                problem = True
+            if not line.startswith(b"data: "):
+                continue
+            if line.startswith(b"data: [DONE]"):
+                return Outcome(200, ended=True)
+            if problem:
+                return self._read_problem(200, line[6:])
+            generation, _, index = name.rpartition(":")
+            choice = orjson.loads(line[6:])["choices"][0]
+            finish = choice["finish_reason"] or ""
+            event = SeenEvent(generation, int(index), choice["text"], finish)
+            self.history.events.append(event)
+        return Outcome(200)
+
+
+class Fleet:
+    """Entries and engines as processes; the platform on the test's own loop.
+
+    Attributes:
+        log: Log service; entries reach it through ``log_proxy``.
+        instances: Instance list.
+        engines: Engine processes by name; entries reach them through ``links``.
+        entries: Entry processes by name.
+        links: Proxy by target name.
+        services: Plain services by name.
+        callers: Everyone who asked for anything.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._stack = AsyncExitStack()
+        self.log = LogService()
+        self.instances = InstanceList()
+        self.engines: dict[str, Running] = {}
+        self.entries: dict[str, Running] = {}
+        self.links: dict[str, TcpProxy] = {}
+        self.services: dict[str, PlainService] = {}
+        self.callers: list[Caller] = []
+        self.notice_seconds = 0.5
+        self._executed: dict[str, dict[str, str]] = {}
+
+    async def start(self, entries: int, engines: int, gap: float) -> None:
+        """Start everything and wait until the inventory is in force."""
+        log_url = await self._serve(self.log.build_app())
+        self.log_proxy = await self._relay(log_url)
+        self.log_client = HttpLog(log_url)
+        self._stack.push_async_callback(self.log_client.close)
+        self._instances_url = await self._serve(self.instances.build_app())
+        for number in range(1, 3):
+            service = PlainService(f"planning-{number}")
+            self.services[service.name] = service
+            url = await self._serve(service.build_app())
+            self.links[service.name] = await self._relay(url)
+        names = [f"engine-{number}" for number in range(1, engines + 1)]
+        starts = [self._start_engine(name, gap) for name in names]
+        for number in range(1, entries + 1):
+            starts.append(self.start_entry(f"entry-{number}"))
+        await asyncio.gather(*starts)
+        self.document = self._build_document()
+        await publish_document(self.log_client, self.document, "ops", "first")
+        for name in self.entries:
+            await self.wait_ready(name)
+
+    async def close(self) -> None:
+        """End every process and close every server."""
+        for caller in self.callers:
+            if caller._task is not None:
+                caller._task.cancel()
+        await self._stack.aclose()
+
+    def _build_document(self) -> dict[str, Any]:
+        engines = {name: self.links[name].url for name in sorted(self.engines)}
+        document = build_document(engines, "")
+        replica = document["services"][0]
+        document["services"] = [
+            {**replica, "name": name, "address": self.links[name].url}
+            for name in self.services
+        ]
+        return document
+
+    async def _serve(self, app: Any) -> str:
+        runner, url = await start_app(app)
+        self._stack.push_async_callback(runner.cleanup)
+        return url
+
+    async def _relay(self, url: str) -> TcpProxy:
+        host, _, port = url.removeprefix("http://").rpartition(":")
+        proxy = TcpProxy(host, int(port))
+        await proxy.start()
+        self._stack.push_async_callback(proxy.stop)
+        return proxy
+
+    async def _start_engine(self, name: str, gap: float) -> None:
+        running = await self._stack.enter_async_context(
+            run_figstep("standin", "engine", "--name", name, "--gap", str(gap))
+        )
+        self.engines[name] = running
+        self.links[name] = await self._relay(running.url)
+
+    async def start_entry(self, name: str) -> None:
+        """Start an entry process."""
+        settings = {
+            "node": name,
+            "failure_domain": "muc-a",
+            "platform": {"log": self.log_proxy.url, "instances": self._instances_url},
+            "notice_seconds": self.notice_seconds,
+        }
+        path = write_yaml(self._folder / f"{name}.yaml", settings)
+        self.entries[name] = await self._stack.enter_async_context(
+            run_figstep("serve", "--settings", str(path))
+        )
+
+    async def read(self, url: str) -> dict[str, Any]:
+        """Return the JSON that ``url`` answers; empty where it does not."""
+        timeout = aiohttp.ClientTimeout(total=BOUND)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.get(url) as response,
+            ):
+                document: dict[str, Any] = orjson.loads(await response.read())
+                return document
+        except (aiohttp.ClientError, OSError, ValueError):
+            return {}
+
+    async def wait_ready(self, name: str) -> None:
+        """Wait until an entry is ready."""
+
+        async def is_ready() -> bool:
+            status = await self.read(self.entries[name].url + "/status")
+            return bool(status.get("configuration_offset", -1) >= 0)
+
+        await wait_for(is_ready, f"{name} is ready")
+
+    def call(self, tag: str, tokens: int = 20, stream: bool = True) -> Caller:
+        """Return a new caller, whose history will be judged."""
+        caller = Caller(tag, tokens, stream)
+        self.callers.append(caller)
+        return caller
+
+    async def kill_engine(self, name: str) -> None:
+        """Keep what an engine executed, then kill it."""
+        await self._keep_executed(name)
+        running = self.engines.pop(name)
+        running.kill()
+        await running.process.wait()
+
+    async def find_engine(self, tag: str) -> str:
+        """Return the engine that runs a request, once one does."""
+        found: list[str] = []
+
+        async def look() -> list[str]:
+            for name in self.engines:
+                await self._keep_executed(name)
+                if tag in self._executed[name].values():
+                    found.append(name)
+            return found
+
+        await wait_for(look, f"an engine runs {tag}")
+        return found[0]
+
+    async def _keep_executed(self, name: str) -> None:
+        document = await self.read(self.engines[name].url + "/standin/executed")
+        kept = self._executed.setdefault(name, {})
+        for generation, prompt in document.get("prompts", {}).items():
+            kept[generation] = prompt.split()[-1]
+
+    async def collect(self) -> History:
+        """Return all that callers saw and targets executed so far."""
+        history = History([caller.history for caller in self.callers])
+        for name in self.engines:
+            await self._keep_executed(name)
+        for name, executed in self._executed.items():
+            for generation, tag in executed.items():
+                history.generations.append(ExecutedGeneration(name, generation, tag))
+        for name, service in self.services.items():
+            for call in service.executed:
+                tag, _, identity = call.body.partition(" ")
+                history.calls.append(ExecutedCall(name, tag, identity))
+        return history
