--- a/tests/integration/__init__.py
+++ b/tests/integration/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the integration."""
+"""Integration tests with real processes."""
