Judge publishing under races, outages and lost answers of the log

Cause: racing edits and an uncertain publish were only tested as folds. Ruled out: racing two command lines, whose start-up skew makes the race rare; both edits run on one loop against a log that answers late, so both have read before either appends. Before: no run with real entries.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -88,6 +88,11 @@
         assert self._task is not None
         await asyncio.wait_for(self._task, BOUND)
 
+    async def stream_whole(self, url: str) -> None:
+        """Ask, and wait until the connection ended."""
+        self.ask(url)
+        await self.finish()
+
     async def wait_seen(self, count: int) -> None:
         """Wait until so many events were seen."""
         events = self.history.events
@@ -191,6 +196,7 @@
         self.services: dict[str, PlainService] = {}
         self.callers: list[Caller] = []
         self.notice_seconds = 0.5
+        self.retention_seconds = 3_600.0
         self._executed: dict[str, dict[str, str]] = {}
 
     async def start(self, entries: int, engines: int, gap: float) -> None:
@@ -256,7 +262,11 @@
         settings = {
             "node": name,
             "failure_domain": "muc-a",
-            "platform": {"log": self.log_proxy.url, "instances": self._instances_url},
+            "platform": {
+                "log": self.log_proxy.url,
+                "instances": self._instances_url,
+                "log_retention_seconds": self.retention_seconds,
+            },
             "notice_seconds": self.notice_seconds,
         }
         path = write_yaml(self._folder / f"{name}.yaml", settings)
