--- a/figstep/core/configuration.py
+++ b/figstep/core/configuration.py
@@ -7,7 +7,7 @@
 that it lacks.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from figstep.core.clock import Millis
@@ -26,6 +26,7 @@
     SnapshotTimer,
 )
 from figstep.core.inventory import Inventory
+from figstep.core.policies import Figstep, find_policy
 from figstep.core.records import CONFIGURATION
 from figstep.core.state import ConfigurationFold, State, TargetState
 
@@ -220,6 +221,7 @@
     """Make the known targets those of ``inventory``; running work goes on."""
     state.inventory = inventory
     draining = {mark.target for mark in inventory.draining}
+    apply_policy(state, inventory)
     known = state.targets
     state.targets = {}
     for info in inventory.list_targets():
@@ -289,3 +291,12 @@
         "validation": current.validation,
         "document": current.document,
     }
+
+
+def apply_policy(state: State, inventory: Inventory) -> None:
+    """Take the load policy and the customers' shares from the rules."""
+    state.shares = {c.name: c.share for c in inventory.customers}
+    policy = find_policy(inventory.rules.routing)
+    if isinstance(policy, Figstep):
+        policy = replace(policy, gap_goal=float(inventory.rules.gap_goal))
+    state.policy = policy
