--- a/figstep/core/effects.py
+++ b/figstep/core/effects.py
@@ -124,6 +124,13 @@
     until: Millis
 
 
+@dataclass(frozen=True, slots=True)
+class ReadConfigurationFrom:
+    """Read the configuration stream on from ``offset``."""
+
+    offset: int
+
+
 @dataclass(frozen=True, slots=True)
 class WakeAt:
     """Fire ``timer`` at ``at`` (monotonic); an earlier one is replaced."""
@@ -164,6 +171,7 @@
     | Refuse
     | AppendRecords
     | SendOrder
+    | ReadConfigurationFrom
     | WakeAt
     | Count
     | Note
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -6,10 +6,13 @@
 
 from figstep.core.claims import ClaimTable
 from figstep.core.clock import Millis
+from figstep.core.events import Checkpoint
 from figstep.core.inventory import Inventory, TargetInfo
 from figstep.core.leases import LeaseTable
 from figstep.core.lengths import LengthTable
 from figstep.core.orders import PlacementState
+from figstep.core.pacing import Footprint, Pace
+from figstep.core.policies import Figstep, Policy
 from figstep.core.problems import Ran
 from figstep.core.quarantine import Quarantine
 from figstep.core.queues import RequestQueue
@@ -55,7 +58,18 @@
 
 @dataclass(slots=True)
 class AttemptState:
-    """One connection to a target on behalf of a request."""
+    """One connection to a target on behalf of a request.
+
+    Attributes:
+        attempt: Number of the attempt.
+        request: Request id.
+        target: Target name.
+        generation: Generation id.
+        opened: When it was opened.
+        last_progress: When something last came.
+        footprint: What it needs of its target; None for a plain service.
+        review_at: Index of the event at which the footprint is looked at again.
+    """
 
     attempt: int
     request: str
@@ -63,6 +77,8 @@
     generation: str
     opened: Millis
     last_progress: Millis
+    footprint: Footprint | None = None
+    review_at: int = 1 << 62
 
 
 @dataclass(slots=True)
@@ -73,7 +89,8 @@
         info: Its inventory entry.
         in_flight: Attempts of this entry running there.
         peers_in_flight: What other entries say they run there.
-        leaving: Whether it takes no new work.
+        leaving: Whether it said, or was said, to take no new work.
+        draining: Whether the document in force gives it no new work.
         incarnation: Highest incarnation seen.
         running: Reported generations decoding.
         waiting: Reported generations queued.
@@ -81,12 +98,14 @@
         memory_total: Cache memory, in tokens.
         models: What it reports as loaded: "model@version", "model+adapter".
         reported: When the last report came, or None.
+        pace: This entry's ledger of it.
     """
 
     info: TargetInfo
     in_flight: int = 0
     peers_in_flight: int = 0
     leaving: bool = False
+    draining: bool = False
     incarnation: int = 0
     running: int = 0
     waiting: int = 0
@@ -94,6 +113,41 @@
     memory_total: int = 0
     models: tuple[str, ...] = ()
     reported: Millis | None = None
+    pace: Pace = field(default_factory=Pace)
+
+
+@dataclass(slots=True)
+class PoolCache:
+    """Targets by pool, rebuilt when the table of targets is replaced.
+
+    Attributes:
+        targets: The table that it was built from.
+        members: Targets that this entry talks to, by pool.
+        turn: Turn of a round robin.
+    """
+
+    targets: dict[str, TargetState] | None = None
+    members: dict[str, list[TargetState]] = field(default_factory=dict)
+    turn: int = 0
+
+
+@dataclass(slots=True)
+class ConfigurationFold:
+    """Where the fold of the configuration stream stands.
+
+    Attributes:
+        position: Last offset that was folded; -1 before the first.
+        current: The accepted edit, or None before the first.
+        stalled: Why later records cannot be judged, or "".
+        snapshot_position: Position of the newest snapshot seen; -1 for none.
+        snapshot_made: When the log took it (monotonic), or None.
+    """
+
+    position: int = -1
+    current: Checkpoint | None = None
+    stalled: str = ""
+    snapshot_position: int = -1
+    snapshot_made: Millis | None = None
 
 
 @dataclass(slots=True)
@@ -106,10 +160,15 @@
         rng: Seeded generator; the only source of randomness.
         inventory: Accepted document in force, or None before the first.
         configuration_offset: Offset of the accepted document; -1 for none.
+        configuration: Where the fold of the configuration stream stands.
+        retention: How long the log keeps records, in milliseconds.
         targets: Known targets by name.
         requests: Requests without a final answer, by id.
         attempts: Open attempts by number.
         queue: Queued requests.
+        policy: How requests are admitted and targets chosen.
+        shares: Shares of the customers, by name.
+        pools: Targets by pool.
         lengths: Estimates of the lengths of answers.
         claims: Claims on non-idempotent requests.
         quarantine: Requests that are kept away from targets.
@@ -124,10 +183,15 @@
     rng: random.Random = field(default_factory=random.Random)
     inventory: Inventory | None = None
     configuration_offset: int = -1
+    configuration: ConfigurationFold = field(default_factory=ConfigurationFold)
+    retention: Millis = Millis(86_400_000)
     targets: dict[str, TargetState] = field(default_factory=dict)
     requests: dict[str, RequestState] = field(default_factory=dict)
     attempts: dict[int, AttemptState] = field(default_factory=dict)
     queue: RequestQueue = field(default_factory=RequestQueue)
+    policy: Policy = field(default_factory=Figstep)
+    shares: dict[str, float] = field(default_factory=dict)
+    pools: PoolCache = field(default_factory=PoolCache)
     lengths: LengthTable = field(default_factory=LengthTable)
     claims: ClaimTable = field(default_factory=ClaimTable)
     quarantine: Quarantine = field(default_factory=Quarantine)
--- a/figstep/standins/engine.py
+++ b/figstep/standins/engine.py
@@ -9,7 +9,10 @@
 
 A request whose ``X-Continue-After`` header says N carries the N tokens that
 were produced so far as ``continuation`` in its body; indexes go on at N + 1.
-The body's ``standin_length`` sets the length of the answer.
+The body's ``standin_length`` sets the length of the answer, and the engine
+crashes before its token number ``standin_crash_at``. The first token repeats
+the prompt's last word, so that a reader can tell whose answer it is.
+``POST /standin/do/KIND`` does ``leave``, ``crash`` or ``restart``.
 """
 
 import asyncio
@@ -45,6 +48,8 @@
     model: str
     chat: bool
     first: int
+    prompt: str = ""
+    crash_at: int | None = None
     frames: list[bytes] = field(default_factory=list)
     ended: bool = False
     cancelled: bool = False
@@ -83,9 +88,12 @@
         checks_fencing: Whether orders with an old fencing number are refused.
         load_seconds: How long an order takes.
         executed: Generation ids in the order in which they started.
+        prompts: Prompt by generation id.
         cancelled: Generation ids that were cancelled.
         fencing: Highest fencing number seen.
         orders: Orders that were carried out.
+        models: What is loaded, "model@version" and "model+adapter"; while no
+            model was ever ordered, every model is served.
     """
 
     def __init__(
@@ -109,12 +117,12 @@
         self.fencing = 0
         self.orders: list[dict[str, Any]] = []
         self.executed: list[str] = []
+        self.prompts: dict[str, str] = {}
         self.cancelled: list[str] = []
         self.model = EngineModel(
             profile or build_thin_profile(gap), random.Random(hash_name(name))
         )
-        self._models: dict[str, str] = {}
-        self._adapters: set[str] = set()
+        self.models: list[str] = []
         self._generations: dict[str, _Generation] = {}
         self._readers: list[web.Request] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -139,6 +147,15 @@
     def slow(self, value: float) -> None:
         self.model.slow = value
 
+    @property
+    def gap(self) -> float:
+        """Seconds between tokens of a thin engine; setting it makes it thin."""
+        return self.model.profile.step / 1_000
+
+    @gap.setter
+    def gap(self, seconds: float) -> None:
+        self.model.profile = build_thin_profile(seconds)
+
     def build_app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application(middlewares=[self._play_faults])
@@ -150,6 +167,7 @@
         app.router.add_get("/cache-events", self._list_cache_events)
         app.router.add_post("/orders", self._take_order)
         app.router.add_get("/standin/executed", self._list_executed)
+        app.router.add_post("/standin/do/{kind}", self._do)
         app.on_cleanup.append(self._clean_up)
         return app
 
@@ -178,11 +196,20 @@
         self.model.thaw(_read_clock())
         self._work.set()
 
+    def leave(self) -> None:
+        """Turn new work away; what runs goes on."""
+        self.leaving = True
+
+    async def _do(self, request: web.Request) -> web.Response:
+        deeds = {"leave": self.leave, "crash": self.crash, "restart": self.restart}
+        deeds[request.match_info["kind"]]()
+        return answer_json({})
+
     @web.middleware
     async def _play_faults(self, request: web.Request, handler: Any) -> Any:
         while self.model.frozen and not self.crashed:
             await asyncio.sleep(0.05)
-        if self.crashed:
+        if self.crashed and not request.path.startswith("/standin/"):
             _cut(request)
             return web.Response(status=500)
         if self.answer_delay:
@@ -202,13 +229,16 @@
             return answer_json({"error": "leaving"}, status=503)
         name = request.headers["X-Generation-Id"]
         body = orjson.loads(await request.read())
-        if self._models and body.get("model") not in self._models:
+        if not self._serves(body.get("model", "")):
             return answer_json({"error": "model not loaded"}, status=503)
         after = int(request.headers.get("X-Continue-After", "0"))
         if name not in self._generations:
             chat = request.path.endswith("/chat/completions")
             model = body.get("model", "")
-            self._generations[name] = _Generation(model, chat, after)
+            prompt = _read_prompt(body)
+            self.prompts[name] = prompt
+            crash_at = body.get("standin_crash_at")
+            self._generations[name] = _Generation(model, chat, after, prompt, crash_at)
             self.executed.append(name)
             priority = int(request.headers.get("X-Priority", "0"))
             sequence = self._build_sequence(name, body, after, priority)
@@ -216,6 +246,10 @@
             self._wake()
         return await self._stream(request, name, after)
 
+    def _serves(self, model: str) -> bool:
+        versions = [name.partition("@")[0] for name in self.models if "@" in name]
+        return not versions or model in versions
+
     def _build_sequence(
         self, name: str, body: dict[str, Any], after: int, priority: int
     ) -> Sequence:
@@ -257,7 +291,12 @@
         generation = self._generations.get(token.name)
         if generation is None or generation.cancelled:
             return
+        if token.index == generation.crash_at:
+            self.crash()
+            return
         word = WORDS[(token.index - 1) % len(WORDS)] + " "
+        if token.index == 1 and generation.prompt:
+            word = generation.prompt.split()[-1] + " "
         frame = build_frame(
             token.name,
             token.index,
@@ -309,8 +348,7 @@
                 "waiting": report.waiting,
                 "memory_used": report.memory_used,
                 "memory_total": report.memory_total,
-                "models": [f"{name}@{v}" for name, v in self._models.items()],
-                "adapters": sorted(self._adapters),
+                "models": self.models,
                 "role": self.role,
                 "age_ms": max(0, round(now - report.at)),
             }
@@ -334,25 +372,39 @@
         if not self._carry_out(order):
             return answer_json({"error": "unknown kind of order"}, status=400)
         self.orders.append(order)
-        models = [f"{name}@{version}" for name, version in self._models.items()]
-        return answer_json({"models": models, "role": self.role})
+        return answer_json({"models": self.models, "role": self.role})
 
     def _carry_out(self, order: dict[str, Any]) -> bool:
+        model = order.get("model", "")
+        versioned = f"{model}@{order.get('version', '1')}"
         match order.get("kind"):
-            case "load" | "version":
-                self._models[order["model"]] = str(order.get("version", "1"))
+            case "load":
+                self._add_model(versioned)
+            case "version":
+                self.models = [m for m in self.models if not m.startswith(model + "@")]
+                self._add_model(versioned)
             case "unload":
-                self._models.pop(order["model"], None)
+                self.models = [m for m in self.models if m != versioned]
             case "adapter":
-                self._adapters.add(order["adapter"])
+                self._add_model(f"{model}+{order['adapter']}")
             case "role":
                 self.role = order["role"]
             case _:
                 return False
         return True
 
+    def _add_model(self, name: str) -> None:
+        if name not in self.models:
+            self.models.append(name)
+
     async def _list_executed(self, request: web.Request) -> web.Response:
-        return answer_json({"executed": self.executed, "cancelled": self.cancelled})
+        return answer_json(
+            {
+                "executed": self.executed,
+                "cancelled": self.cancelled,
+                "prompts": self.prompts,
+            }
+        )
 
     async def _stream(
         self, request: web.Request, name: str, after: int
@@ -407,6 +459,11 @@
             self._end_generation(name)
 
 
+def _read_prompt(body: dict[str, Any]) -> str:
+    messages = body.get("messages") or [{}]
+    return str(body.get("prompt") or messages[-1].get("content") or "").strip()
+
+
 def hash_name(name: str) -> int:
     """Return a seed that depends on the name alone."""
     return int.from_bytes(hashlib.sha256(name.encode()).digest()[:4])
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -260,7 +260,7 @@
 
 async def test_whole_answer_beyond_the_bound_is_refused() -> None:
     async with open_border(0) as border:
-        border.deployment.engines[0].length = 1_000
+        border.deployment.engines[0].length = 1_000_000
         status, answer = await border.post({"model": MODEL, "prompt": "menu"})
         assert (status, answer["error"]["code"]) == (502, "answer_too_long")
         assert answer["ran"] == "yes"
