Shut down gracefully, and by a second signal with typed errors

Cause: the drain waited for requests only. Answers still in a socket's buffer and claims on their way to the log were dropped at the end; a second signal closed streams without a word; edges used sessions that were closed before they had ended (seen as crashed services in the log).

A test found that responses of a draining entry closed their connection without saying so: the library writes the Connection header before the hook that asked for the close. A caller's next request met the close and was lost. The hook sets the header itself now.

After: SIGTERM in the middle of a long answer: served through the notice, refused after it with ran=no, whole answer, exit 0; second signal: error event entry_ended, exit 3.

--- a/figstep/application.py
+++ b/figstep/application.py
@@ -4,6 +4,7 @@
 import os
 import random
 from collections import deque
+from contextlib import suppress
 from typing import Any
 
 import logbook
@@ -37,7 +38,7 @@
     TimerFired,
 )
 from figstep.core.inventory import TargetInfo
-from figstep.core.problems import Problem
+from figstep.core.problems import Problem, Ran
 from figstep.core.records import CONFIGURATION, LEASES, LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import State
@@ -56,6 +57,7 @@
 _log = logbook.Logger("figstep")
 
 DRAIN_POLL_SECONDS = 0.05
+CUT_SECONDS = 2.0
 
 
 class Application(Service):
@@ -121,9 +123,12 @@
         self.dispatch(Started())
 
     async def on_stop(self) -> None:
-        """Stop timers and close the log client."""
+        """Stop the timers."""
         for handle in self._timers.values():
             handle.cancel()
+
+    async def on_shutdown(self) -> None:
+        """Close the log client, which the edges use until they have ended."""
         await self._log_client.close()
 
     async def drain(self) -> None:
@@ -133,6 +138,38 @@
         self.dispatch(ShutdownRequested())
         while self.entry_state.requests or self.exchanges:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        # A claim's outcome that is not in the log would leave its caller, and
+        # any duplicate of the request, with "unknown" for good.
+        while not self.appender.idle:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self._flush_answers()
+
+    async def _flush_answers(self) -> None:
+        # An answer that is written may still wait in its socket's buffer; the
+        # end of the process would drop it. A reader that takes nothing must
+        # not hold the process for ever.
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self.settings.limits.stalled_seconds):
+                while self.callers.unsent:
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def cut_short(self) -> None:
+        """End now: every caller gets a typed error, nothing is cancelled.
+
+        Generations run on at their targets for a while, so callers of streams
+        can return to another entry for the rest.
+        """
+        self.callers.ready = False
+        self.dispatch(ShutdownRequested())
+        for name, exchange in list(self.exchanges.items()):
+            request = self.entry_state.requests.get(name)
+            ran = Ran.UNKNOWN if request is None else request.ran
+            exchange.end(_ended_problem(ran))
+            self.dispatch(CallerGone(name, cancel=False))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(CUT_SECONDS):
+                while self.exchanges or self.callers.unsent:
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def _take_configuration(self, records: list[LogRecord]) -> None:
         for record in records:
@@ -241,6 +278,17 @@
         self.dispatch(TimerFired(timer))
 
 
+def _ended_problem(ran: Ran) -> Problem:
+    return Problem(
+        503,
+        "entry_ended",
+        "this entry was ended before the answer was whole; a stream goes on from"
+        " its last event through another entry, else send the request again",
+        ran=ran,
+        retry_after=Millis(1_000),
+    )
+
+
 def _build_metrics(settings: Settings) -> Metrics:
     if settings.statsd is None:
         return MemoryMetrics()
--- a/figstep/cli.py
+++ b/figstep/cli.py
@@ -35,7 +35,7 @@
 @app.command()
 def serve(settings: Annotated[Path, typer.Option()]) -> None:
     """Run an entry instance until SIGTERM or SIGINT."""
-    run_server(load_settings(settings))
+    raise typer.Exit(run_server(load_settings(settings)))
 
 
 @app.command()
--- a/figstep/net/callers.py
+++ b/figstep/net/callers.py
@@ -93,12 +93,27 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that wait in the buffers of their connections."""
+        server = None if self._runner is None else self._runner.server
+        if server is None:
+            return 0
+        unsent = 0
+        for connection in server.connections:
+            if connection.transport is not None:
+                unsent += connection.transport.get_write_buffer_size()
+        return unsent
+
     async def _prepare_response(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
         # A kept connection would bring its next request here after the
         # listener closed, and lose it; closing sends the caller elsewhere.
+        # The header tells the caller; without it, its next request on the
+        # connection would meet the close and be lost.
         if not self.ready:
+            response.headers["Connection"] = "close"
             response.force_close()
 
     async def _answer_health(self, request: web.Request) -> web.Response:
--- a/figstep/net/orders.py
+++ b/figstep/net/orders.py
@@ -69,9 +69,12 @@
         self._session = aiohttp.ClientSession(timeout=timeout)
 
     async def on_stop(self) -> None:
-        """Drop orders on their way and close the session."""
+        """Drop orders on their way."""
         for task in self._sending:
             task.cancel()
+
+    async def on_shutdown(self) -> None:
+        """Close the session, which the tasks use until they have ended."""
         if self._session is not None:
             await self._session.close()
 
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -59,9 +59,12 @@
         )
 
     async def on_stop(self) -> None:
-        """Drop all attempts and the session."""
+        """Drop all attempts."""
         for task in [*self._attempt_tasks.values(), *self._background]:
             task.cancel()
+
+    async def on_shutdown(self) -> None:
+        """Close the session, which the tasks use until they have ended."""
         if self._session is not None:
             await self._session.close()
 
--- a/figstep/server.py
+++ b/figstep/server.py
@@ -10,11 +10,19 @@
 from figstep.logs import install_logs
 from figstep.settings import Settings
 
+EXIT_DRAINED = 0
+EXIT_CUT_SHORT = 3
+
 _log = logbook.Logger("figstep.server")
 
 
-async def serve_until_signal(settings: Settings) -> None:
-    """Serve until SIGTERM or SIGINT, then drain; a second signal ends at once."""
+async def serve_until_signal(settings: Settings) -> int:
+    """Serve until SIGTERM or SIGINT, then drain; a second signal ends at once.
+
+    Returns:
+        ``EXIT_DRAINED`` if every request ended in its own time, or
+        ``EXIT_CUT_SHORT`` after a second signal.
+    """
     signals: asyncio.Queue[int] = asyncio.Queue()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -24,16 +32,28 @@
     _log.info("serving", extra={"address": application.callers.address})
     print(f"entry {application.callers.address}", flush=True)
     await signals.get()
-    _log.info("draining")
-    drain = asyncio.create_task(application.drain())
-    second = asyncio.create_task(signals.get())
-    await asyncio.wait({drain, second}, return_when=asyncio.FIRST_COMPLETED)
-    for task in (drain, second):
-        task.cancel()
+    _log.info("draining", extra={"requests": len(application.exchanges)})
+    code = await _drain(application, signals)
     await application.stop()
+    _log.info("ended", extra={"code": code})
+    return code
 
 
-def run_server(settings: Settings) -> None:
-    """Run an entry instance until it is told to end."""
+async def _drain(application: Application, signals: asyncio.Queue[int]) -> int:
+    drain = asyncio.create_task(application.drain())
+    second = asyncio.create_task(signals.get())
+    await asyncio.wait({drain, second}, return_when=asyncio.FIRST_COMPLETED)
+    second.cancel()
+    if drain.done():
+        drain.result()
+        return EXIT_DRAINED
+    drain.cancel()
+    _log.warning("cut short", extra={"requests": len(application.exchanges)})
+    await application.cut_short()
+    return EXIT_CUT_SHORT
+
+
+def run_server(settings: Settings) -> int:
+    """Run an entry instance until it is told to end; returns its exit code."""
     install_logs(settings.log_level)
-    uvloop.run(serve_until_signal(settings))
+    return uvloop.run(serve_until_signal(settings))
