--- a/figstep/application.py
+++ b/figstep/application.py
@@ -22,19 +22,27 @@
     Note,
     OpenAttempt,
     Refuse,
+    ReplacePool,
+    ReplayAnswer,
     ResumeAttempt,
     WakeAt,
 )
-from figstep.core.events import Event, ShutdownRequested, Timer, TimerFired
+from figstep.core.events import (
+    Event,
+    RecordsRead,
+    ShutdownRequested,
+    Timer,
+    TimerFired,
+)
 from figstep.core.inventory import TargetInfo
-from figstep.core.records import CONFIGURATION, LogRecord
+from figstep.core.records import CLAIMS, CONFIGURATION, LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import State
 from figstep.metrics import MemoryMetrics, Metrics, StatsdMetrics
 from figstep.net.callers import CallerEdge
 from figstep.net.clock import SystemClock
 from figstep.net.configuration import parse_record
-from figstep.net.exchanges import Exchange
+from figstep.net.exchanges import REPLAYED, Exchange, ServiceAnswer
 from figstep.net.instances import InstanceEdge
 from figstep.net.log import HttpLog, LogClient
 from figstep.net.streams import StreamAppender, StreamFollower
@@ -84,6 +92,9 @@
         self.configuration = StreamFollower(
             self._log_client, CONFIGURATION, self._take_configuration
         )
+        self.claims = StreamFollower(
+            self._log_client, CLAIMS, self._take_claims, dispatch=self.dispatch
+        )
         self.appender = StreamAppender(self._log_client, self.dispatch)
         self.instances = InstanceEdge(settings.platform.instances, self.dispatch)
 
@@ -93,6 +104,7 @@
             self.targets,
             self.appender,
             self.configuration,
+            self.claims,
             self.instances,
             self.callers,
         )
@@ -110,13 +122,16 @@
         self.callers.ready = False
         await asyncio.sleep(self.settings.notice_seconds)
         self.dispatch(ShutdownRequested())
-        while self.entry_state.requests or self.exchanges:
+        while self.entry_state.requests or self.exchanges or not self.appender.idle:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def _take_configuration(self, records: list[LogRecord]) -> None:
         for record in records:
             self.dispatch(parse_record(record))
 
+    def _take_claims(self, records: list[LogRecord]) -> None:
+        self.dispatch(RecordsRead(CLAIMS, tuple(records)))
+
     def find_target(self, name: str) -> TargetInfo | None:
         """Return a target's inventory entry."""
         target = self.entry_state.targets.get(name)
@@ -168,10 +183,14 @@
                 self.targets.resume_attempt(effect)
             case CloseAttempt(attempt=attempt):
                 self.targets.close_attempt(attempt)
+            case ReplacePool(target=target):
+                self.targets.replace_pool(target)
             case CancelGeneration():
                 self.targets.cancel_generation(effect)
             case Complete(request=request):
                 self._end_exchange(request, None)
+            case ReplayAnswer():
+                self._replay_answer(effect)
             case Refuse(request=request, problem=problem):
                 self._end_exchange(request, problem)
             case DiscardDelivered(request=request):
@@ -185,6 +204,15 @@
             case Note(message=message, fields=fields):
                 _log.info(message, extra=dict(fields))
 
+    def _replay_answer(self, effect: ReplayAnswer) -> None:
+        exchange = self.exchanges.get(effect.request)
+        if exchange is not None:
+            headers = {REPLAYED: "true"}
+            if effect.content_type:
+                headers["Content-Type"] = effect.content_type
+            exchange.answer = ServiceAnswer(effect.status, headers, effect.body)
+        self._end_exchange(effect.request, None)
+
     def _end_exchange(self, request: str, problem: Any) -> None:
         exchange = self.exchanges.get(request)
         if exchange is None:
--- /dev/null
+++ b/figstep/core/attempts.py
@@ -0,0 +1,122 @@
+"""Attempts: connections to targets on behalf of requests."""
+
+from figstep.core import generations, silence
+from figstep.core.clock import Millis
+from figstep.core.effects import (
+    CancelGeneration,
+    CloseAttempt,
+    Effect,
+    OpenAttempt,
+    ResumeAttempt,
+    WakeAt,
+)
+from figstep.core.events import AttemptTimer
+from figstep.core.specs import ServiceWork
+from figstep.core.state import (
+    AttemptState,
+    Phase,
+    RequestState,
+    State,
+    TargetState,
+)
+
+
+def open_attempt(
+    state: State, request: RequestState, target: TargetState, now: Millis
+) -> list[Effect]:
+    """Send the request to a target, under a new generation id."""
+    nonce = f"{state.node}.{state.next_attempt}.{state.rng.getrandbits(64):016x}"
+    owner = generations.digest_owner(request.spec.customer)
+    generation = str(generations.GenerationId(target.info.name, owner, nonce))
+    attempt = _add_attempt(state, request, target, generation, now)
+    effects: list[Effect] = [
+        OpenAttempt(
+            request.spec.request,
+            attempt.attempt,
+            target.info.name,
+            generation,
+            request.spec.priority,
+            once=request.non_idempotent,
+        )
+    ]
+    return effects + _watch(request, target, attempt, now)
+
+
+def resume_attempt(
+    state: State, request: RequestState, target: TargetState, now: Millis
+) -> list[Effect]:
+    """Reattach the request to its generation over a new connection."""
+    attempt = _add_attempt(state, request, target, request.generation, now)
+    attempt.resuming = True
+    effects: list[Effect] = [
+        ResumeAttempt(
+            request.spec.request,
+            attempt.attempt,
+            target.info.name,
+            request.generation,
+            request.delivered,
+        )
+    ]
+    return effects + _watch(request, target, attempt, now)
+
+
+def _add_attempt(
+    state: State,
+    request: RequestState,
+    target: TargetState,
+    generation: str,
+    now: Millis,
+) -> AttemptState:
+    number = state.next_attempt
+    state.next_attempt += 1
+    attempt = AttemptState(
+        number, request.spec.request, target.info.name, generation, now, now
+    )
+    state.attempts[number] = attempt
+    target.in_flight += 1
+    request.phase = Phase.RUNNING
+    request.attempt = number
+    request.attempts += 1
+    request.generation = generation
+    request.target = target.info.name
+    return attempt
+
+
+def _watch(
+    request: RequestState, target: TargetState, attempt: AttemptState, now: Millis
+) -> list[Effect]:
+    if isinstance(request.spec.work, ServiceWork):
+        return []
+    limit = silence.compute_limit(target, attempt)
+    return [WakeAt(AttemptTimer(attempt.attempt), Millis(now + limit))]
+
+
+def forget_attempt(state: State, number: int | None) -> AttemptState | None:
+    """Take an attempt out of the state; None if it is already gone."""
+    if number is None:
+        return None
+    attempt = state.attempts.pop(number, None)
+    if attempt is None:
+        return None
+    target = state.targets.get(attempt.target)
+    if target is not None:
+        target.in_flight -= 1
+    request = state.requests.get(attempt.request)
+    if request is not None and request.attempt == number:
+        request.attempt = None
+    return attempt
+
+
+def abandon_attempt(state: State, request: RequestState) -> list[Effect]:
+    """Stop what runs for a request that gets no more of its answer.
+
+    Between two attempts no connection is open but the target may still be
+    generating, so the cancel is sent wherever a generation was ever named.
+    """
+    effects: list[Effect] = []
+    attempt = forget_attempt(state, request.attempt)
+    if attempt is not None:
+        effects.append(CloseAttempt(attempt.attempt))
+    if request.generation and not isinstance(request.spec.work, ServiceWork):
+        effects.append(CancelGeneration(request.target, request.generation))
+    return effects
--- a/figstep/core/effects.py
+++ b/figstep/core/effects.py
@@ -18,6 +18,7 @@
         target: Target name.
         generation: Generation id for the target to use.
         priority: Priority for the target.
+        once: Whether the bytes may go out only once.
     """
 
     request: str
@@ -25,6 +26,7 @@
     target: str
     generation: str
     priority: int = 0
+    once: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +47,13 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReplacePool:
+    """Open new connections to a target from now on; idle ones are dropped."""
+
+    target: str
+
+
 @dataclass(frozen=True, slots=True)
 class CancelGeneration:
     """Tell a target to stop a generation that nobody wants."""
@@ -81,6 +90,23 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReplayAnswer:
+    """Give a duplicate the answer that the first request got.
+
+    Attributes:
+        request: The duplicate.
+        status: HTTP status of the recorded answer.
+        content_type: Its content type.
+        body: Its body.
+    """
+
+    request: str
+    status: int
+    content_type: str
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Give the caller its final answer: a problem."""
@@ -137,10 +163,12 @@
     OpenAttempt
     | ResumeAttempt
     | CloseAttempt
+    | ReplacePool
     | CancelGeneration
     | Deliver
     | DiscardDelivered
     | Complete
+    | ReplayAnswer
     | Refuse
     | AppendRecords
     | WakeAt
--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -20,6 +20,9 @@
     TRUNCATED = "truncated"  # closed cleanly without the end marker
     CROSSED = "crossed"  # the answer belongs to another generation
     FAILED = "failed"  # the target answered with a server error
+    SILENT = "silent"  # nothing came for longer than the idle limit
+    EMPTY = "empty"  # an end marker without any answer before it
+    SHUTDOWN = "shutdown"  # this process ended it
 
 
 # Callers
@@ -57,6 +60,13 @@
 # Targets
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptAnswered:
+    """The target accepted an attempt: its response headers came."""
+
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class TokensArrived:
     """Consecutive token events of one generation, read in one go.
@@ -113,10 +123,14 @@
     Attributes:
         attempt: The attempt.
         status: HTTP status of the answer.
+        content_type: Its content type.
+        body: Its body where it is small enough to be recorded, else None.
     """
 
     attempt: int
     status: int
+    content_type: str = ""
+    body: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,12 +231,40 @@
     key: int
 
 
+@dataclass(frozen=True, slots=True)
+class StreamCaughtUp:
+    """A follower has read its stream to the end as of now."""
+
+    stream: str
+
+
+@dataclass(frozen=True, slots=True)
+class StreamUnavailable:
+    """A follower cannot read its stream: the log is down or slow."""
+
+    stream: str
+
+
 # Timers and life cycle
 
 
 @dataclass(frozen=True, slots=True)
 class RequestTimer:
-    """Wakes a request: its deadline, or the time to try again."""
+    """Marks the deadline of a request's first byte."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class RetryTimer:
+    """Ends the pause before a request's next attempt."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimTimer:
+    """Ends the wait for a claim to be settled, or for another's outcome."""
 
     request: str
 
@@ -239,7 +281,7 @@
     """Tries to start queued requests."""
 
 
-Timer = RequestTimer | AttemptTimer | QueueTimer
+Timer = RequestTimer | RetryTimer | ClaimTimer | AttemptTimer | QueueTimer
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,10 +296,16 @@
     """The process was asked to end; running requests go on."""
 
 
+@dataclass(frozen=True, slots=True)
+class ShutdownForced:
+    """The process ends now: every caller gets its final answer."""
+
+
 Event = (
     RequestArrived
     | CallerReturned
     | CallerGone
+    | AttemptAnswered
     | TokensArrived
     | AttemptEnded
     | AttemptLost
@@ -269,6 +317,9 @@
     | RecordsRead
     | AppendConfirmed
     | AppendUncertain
+    | StreamCaughtUp
+    | StreamUnavailable
     | TimerFired
     | ShutdownRequested
+    | ShutdownForced
 )
--- /dev/null
+++ b/figstep/core/ownership.py
@@ -0,0 +1,279 @@
+"""What a non-idempotent request does with its claim."""
+
+from figstep.core import claims, retries
+from figstep.core.claims import Claim, Outcome, OwnClaim, OwnState
+from figstep.core.clock import SECOND, Millis
+from figstep.core.effects import (
+    AppendRecords,
+    Count,
+    Effect,
+    Refuse,
+    ReplayAnswer,
+    WakeAt,
+)
+from figstep.core.events import ClaimTimer, ServiceAnswered
+from figstep.core.problems import Problem, Ran
+from figstep.core.records import CLAIMS
+from figstep.core.specs import RequestSpec, ServiceWork
+from figstep.core.state import Phase, RequestState, State
+
+SETTLE_LIMIT = Millis(3 * SECOND)
+OUTCOME_WAIT = Millis(10 * SECOND)
+LONGEST_FRESH = Millis(60 * SECOND)
+
+
+def needs_claim(state: State, spec: RequestSpec) -> bool:
+    """Tell whether a request has to be claimed before it is dispatched."""
+    return claims.is_non_idempotent(state.inventory, spec)
+
+
+def begin_claim(state: State, request: RequestState, now: Millis) -> list[Effect]:
+    """Claim a request's identity, or follow the claim that owns it."""
+    table, name = state.claims, request.spec.request
+    request.non_idempotent = True
+    request.phase = Phase.CLAIMING
+    if not table.caught_up:
+        # What the unread rest of the stream says is unknown: an owner there
+        # may have run this very request.
+        del state.requests[name]
+        return [Refuse(name, _build_log_problem(state)), Count("claims.unavailable")]
+    identity = claims.identify_request(state.inventory, request.spec)
+    own = claims.find_own(table, identity.name)
+    if own is not None:
+        return _join_own(state, request, own)
+    owner = claims.find_owner(table, identity.name, now)
+    if owner is not None:
+        return follow_owner(state, request, identity.name, owner, now)
+    record = f"{state.node}.{state.rng.getrandbits(96):024x}"
+    key = table.next_key
+    table.next_key += 1
+    table.own[record] = claims.OwnClaim(record, identity, name, key, now)
+    request.claim = record
+    data = claims.build_claim(record, identity, request.spec.digest)
+    return [
+        Count("claims.appended"),
+        WakeAt(ClaimTimer(name), Millis(now + SETTLE_LIMIT)),
+        AppendRecords(CLAIMS, key, [data]),
+    ]
+
+
+def _join_own(state: State, request: RequestState, own: OwnClaim) -> list[Effect]:
+    name = request.spec.request
+    first = state.requests.get(own.request)
+    if first is not None and first.spec.digest != request.spec.digest:
+        del state.requests[name]
+        return [Refuse(name, build_mismatch_problem())]
+    request.ran = Ran.UNKNOWN
+    request.phase = Phase.JOINED
+    own.joined.append(name)
+    return [Count("claims.joined")]
+
+
+def follow_owner(
+    state: State, request: RequestState, identity: str, owner: Claim, now: Millis
+) -> list[Effect]:
+    """Answer a duplicate from the owner's outcome, or wait for it."""
+    name = request.spec.request
+    request.claim = None
+    if owner.digest != request.spec.digest:
+        del state.requests[name]
+        return [Refuse(name, build_mismatch_problem())]
+    if owner.outcome is not None:
+        del state.requests[name]
+        return [answer_duplicate(name, owner.outcome), Count("claims.replayed")]
+    request.ran = Ran.UNKNOWN
+    request.phase = Phase.CLAIMING
+    state.claims.waiters.setdefault(identity, []).append(name)
+    return [WakeAt(ClaimTimer(name), Millis(now + OUTCOME_WAIT))]
+
+
+def answer_duplicate(request: str, outcome: Outcome) -> Effect:
+    """Give a duplicate what the first request got, as far as it is held."""
+    if outcome.body is not None:
+        return ReplayAnswer(request, outcome.status, outcome.content_type, outcome.body)
+    if outcome.ran is not Ran.YES:
+        return Refuse(request, build_unknown_problem(outcome.ran))
+    detail = "the first request with this identity ran to its end"
+    if outcome.generation:
+        detail += f"; read its answer with Last-Event-ID {outcome.generation}:0"
+    else:
+        detail += f" with status {outcome.status}; its answer is no longer held"
+    return Refuse(request, Problem(409, "already_ran", detail, ran=Ran.YES))
+
+
+def may_dispatch(state: State, request: RequestState, now: Millis) -> bool:
+    """Tell whether a request may go out now.
+
+    A paused owner may wake after its identity has expired and another claim
+    owns it; dispatching then would run it twice. Its claim's age is measured
+    from before the append, so it is never younger than the log thinks.
+    """
+    if not request.non_idempotent:
+        return True
+    own = state.claims.own.get(request.claim or "")
+    if own is None or own.state is not OwnState.OWNED:
+        return False
+    fresh = min(own.identity.window // 2, LONGEST_FRESH)
+    return now - own.appended <= fresh
+
+
+def outlives_caller(state: State, request: RequestState) -> bool:
+    """Tell whether a request goes on for its outcome when its caller leaves."""
+    if not request.non_idempotent or request.attempt is None:
+        return False
+    return isinstance(request.spec.work, ServiceWork)
+
+
+def drop_claim(state: State, request: RequestState) -> list[Effect]:
+    """Give up a claim whose caller has left."""
+    ran = Ran.NO if request.attempts == 0 else request.ran
+    problem = Problem(
+        409,
+        "first_request_gone",
+        "the request that this one had joined was dropped by its caller; send it again",
+        ran=ran,
+    )
+    return close_claim(state, request, problem)
+
+
+def close_claim(state: State, request: RequestState, problem: Problem) -> list[Effect]:
+    """Settle the claim of a request that gets ``problem`` for an answer."""
+    own = _take_own(state, request)
+    if own is None:
+        return []
+    effects: list[Effect] = []
+    if problem.ran is Ran.NO:
+        effects += release_claim(state, own)
+    else:
+        effects += _append_outcome(state, own, Outcome(problem.ran))
+    for name in own.joined:
+        if state.requests.pop(name, None) is not None:
+            effects.append(Refuse(name, problem))
+    own.joined.clear()
+    return effects
+
+
+def release_claim(state: State, own: OwnClaim) -> list[Effect]:
+    """Record that a claim was not and never will be dispatched.
+
+    One that is not read back yet is only marked: its append may still take
+    effect, late, and its read-back then releases it.
+    """
+    pending = own.state is not OwnState.OWNED
+    own.state = OwnState.ABANDONED
+    if pending:
+        state.claims.own[own.record] = own
+        return [Count("claims.abandoned")]
+    state.claims.own.pop(own.record, None)
+    data = claims.build_release(own.record, own.identity.name)
+    return [Count("claims.released"), _append(state, data)]
+
+
+def record_answer(
+    state: State, request: RequestState, event: ServiceAnswered
+) -> list[Effect]:
+    """Record a service's answer and give it to the joined duplicates."""
+    outcome = Outcome(Ran.YES, event.status, event.content_type, event.body)
+    return _finish_claim(state, request, outcome)
+
+
+def record_generation(state: State, request: RequestState) -> list[Effect]:
+    """Record that a non-idempotent generation ended whole."""
+    return _finish_claim(
+        state, request, Outcome(Ran.YES, 200, generation=request.generation)
+    )
+
+
+def _finish_claim(
+    state: State, request: RequestState, outcome: Outcome
+) -> list[Effect]:
+    own = _take_own(state, request)
+    if own is None:
+        return []
+    effects = _append_outcome(state, own, outcome)
+    for name in own.joined:
+        if state.requests.pop(name, None) is not None:
+            effects.append(answer_duplicate(name, outcome))
+    return effects
+
+
+def _append_outcome(state: State, own: OwnClaim, outcome: Outcome) -> list[Effect]:
+    # The table is brought up at once: a duplicate may come in before the
+    # record is read back, and the log may be down by then.
+    owner = state.claims.owners.get(own.identity.name)
+    if owner is not None and owner.record == own.record:
+        owner.outcome = outcome
+    data = claims.build_outcome(own.record, own.identity.name, outcome)
+    return [Count("claims.finished"), _append(state, data)]
+
+
+def _append(state: State, data: dict[str, object]) -> Effect:
+    key = state.claims.next_key
+    state.claims.next_key += 1
+    return AppendRecords(CLAIMS, key, [data])
+
+
+def _take_own(state: State, request: RequestState) -> OwnClaim | None:
+    if request.claim is None:
+        return None
+    own = state.claims.own.pop(request.claim, None)
+    request.claim = None
+    return own
+
+
+def build_mismatch_problem() -> Problem:
+    """Return the answer to another body under a known key."""
+    return Problem(
+        422,
+        "key_reused",
+        "this Idempotency-Key belongs to a request with another path or body;"
+        " send a new key with a new request",
+    )
+
+
+def build_unknown_problem(ran: Ran) -> Problem:
+    """Return the answer where nobody can tell whether the request ran."""
+    return Problem(
+        409,
+        "outcome_unknown",
+        "it cannot be told whether this request ran and it is not run again;"
+        " look at the service before sending it under a new key",
+        ran=ran,
+    )
+
+
+def build_stale_problem() -> Problem:
+    """Return the answer where a claim got too old before it was dispatched."""
+    return Problem(
+        503,
+        "claim_too_old",
+        "the request waited too long after it was claimed and was not run;"
+        " send it again",
+        retry_after=Millis(1_000),
+    )
+
+
+def build_expired_problem() -> Problem:
+    """Return the answer to a key from before the window."""
+    return Problem(
+        409,
+        "key_expired",
+        "this Idempotency-Key is older than what is remembered, so it cannot be"
+        " told whether it ran; look at the service before using a new key",
+        ran=Ran.UNKNOWN,
+    )
+
+
+def _build_log_problem(state: State) -> Problem:
+    return Problem(
+        503,
+        "claims_unavailable",
+        "the log cannot be read, so this request cannot be shown to be the only"
+        " one; it was not run, send it again after Retry-After",
+        retry_after=retries.spread_pause(2_000, state.rng),
+    )
+
+
+def build_unsettled_problem(state: State) -> Problem:
+    """Return the answer where a claim was not read back in time."""
+    return _build_log_problem(state)
--- /dev/null
+++ b/figstep/core/recovery.py
@@ -0,0 +1,337 @@
+"""Tokens on their way to the caller, and what follows when they stop."""
+
+from figstep.core import attempts, ownership, requests, retries, silence, suspects
+from figstep.core.clock import Millis
+from figstep.core.effects import (
+    CancelGeneration,
+    CloseAttempt,
+    Count,
+    Deliver,
+    DiscardDelivered,
+    Effect,
+    Note,
+    ReplacePool,
+    WakeAt,
+)
+from figstep.core.events import (
+    AttemptAnswered,
+    AttemptEnded,
+    AttemptLost,
+    AttemptTimer,
+    Loss,
+    RequestTimer,
+    RetryTimer,
+    TokensArrived,
+)
+from figstep.core.inventory import EngineInfo
+from figstep.core.problems import Problem, Ran
+from figstep.core.specs import ServiceWork
+from figstep.core.state import (
+    AttemptState,
+    Phase,
+    RequestState,
+    State,
+    TargetState,
+)
+
+
+def forward_tokens(state: State, event: TokensArrived, now: Millis) -> list[Effect]:
+    """Hand the caller the events that come next for it, and no others."""
+    attempt = state.attempts.get(event.attempt)
+    if attempt is None:
+        return [Count("tokens.late", len(event.frames))]
+    request = state.requests[attempt.request]
+    if event.generation != attempt.generation:
+        # Two answers crossed on their way: another caller's text would be
+        # shown here. Dropping the connection and reattaching by generation
+        # brings the right events.
+        lost = AttemptLost(event.attempt, Loss.CROSSED, detail=event.generation)
+        return [
+            Count("tokens.crossed", len(event.frames)),
+            *recover_attempt(state, lost, now),
+        ]
+    seen = request.delivered + 1 - event.first
+    if seen < 0:
+        lost = AttemptLost(event.attempt, Loss.BROKEN, detail="gap in the stream")
+        return [Count("tokens.gap"), *recover_attempt(state, lost, now)]
+    effects = _record_progress(state, attempt, now)
+    frames = event.frames[seen:] if seen else event.frames
+    if seen:
+        effects.append(Count("tokens.repeated", min(seen, len(event.frames))))
+    if not frames:
+        return effects
+    request.ran = Ran.YES
+    request.accepted = True
+    request.resumes = 0
+    request.delivered += len(frames)
+    effects.append(Deliver(attempt.request, frames))
+    return effects
+
+
+def _record_progress(state: State, attempt: AttemptState, now: Millis) -> list[Effect]:
+    target = state.targets.get(attempt.target)
+    effects: list[Effect] = []
+    if target is not None:
+        target.dead = False
+        if attempt.tokens:
+            silence.learn_gap(target, now - attempt.last_progress)
+        if attempt.probing:
+            effects = _replace_pool(state, attempt, target, now)
+    attempt.tokens += 1
+    attempt.last_progress = now
+    return effects
+
+
+def _replace_pool(
+    state: State, probe: AttemptState, target: TargetState, now: Millis
+) -> list[Effect]:
+    # Something between the two ends has lost track of the old connections:
+    # they stay open and bring nothing, while a new one works. All that were
+    # silent since before the probe are as dead as the one that it replaced;
+    # what has delivered since then is sound and stays.
+    probe.probing = False
+    effects: list[Effect] = [
+        ReplacePool(probe.target),
+        Count("pools.replaced"),
+        Note("pool replaced", {"target": probe.target, "attempt": probe.attempt}),
+    ]
+    for attempt in list(state.attempts.values()):
+        if attempt.target != probe.target or attempt.attempt == probe.attempt:
+            continue
+        if attempt.opened >= probe.opened or attempt.last_progress >= probe.opened:
+            continue
+        request = state.requests[attempt.request]
+        if isinstance(request.spec.work, ServiceWork):
+            continue
+        lost = AttemptLost(attempt.attempt, Loss.SILENT, detail="pool replaced")
+        effects += recover_attempt(state, lost, now)
+    return effects
+
+
+def note_answered(state: State, event: AttemptAnswered, now: Millis) -> list[Effect]:
+    """The target accepted the attempt: it lives, though it may be slow."""
+    attempt = state.attempts.get(event.attempt)
+    if attempt is None:
+        return [Count("attempts.late")]
+    attempt.answered = True
+    attempt.last_progress = now
+    target = state.targets.get(attempt.target)
+    if target is not None:
+        target.dead = False
+    request = state.requests[attempt.request]
+    request.accepted = True
+    request.ran = retries.combine_ran(request.ran, Ran.UNKNOWN)
+    return []
+
+
+def check_attempt(state: State, timer: AttemptTimer, now: Millis) -> list[Effect]:
+    """Probe an attempt that went silent; the timer is re-armed only here.
+
+    A timer for each token would cost more than the token.
+    """
+    attempt = state.attempts.get(timer.attempt)
+    if attempt is None:
+        return []
+    target = state.targets.get(attempt.target)
+    limit = silence.compute_limit(target, attempt)
+    due = Millis(attempt.last_progress + limit)
+    if now < due:
+        return [WakeAt(timer, due)]
+    if attempt.resuming and attempt.answered and attempt.tokens == 0:
+        # The target answered on a new connection and still has nothing: it is
+        # slow, not silent. Probing again would only add load to it.
+        attempt.probing = False
+        attempt.last_progress = now
+        return [Count("attempts.slow"), WakeAt(timer, Millis(now + limit))]
+    lost = AttemptLost(timer.attempt, Loss.SILENT, detail=f"nothing for {limit} ms")
+    return [Count("attempts.silent"), *recover_attempt(state, lost, now)]
+
+
+def finish_attempt(state: State, event: AttemptEnded, now: Millis) -> list[Effect]:
+    """The end marker came; without any event before it, that is a loss."""
+    attempt = state.attempts.get(event.attempt)
+    if attempt is None:
+        return [Count("attempts.late")]
+    if state.requests[attempt.request].delivered:
+        return requests.end_attempt(state, event, now)
+    return recover_attempt(state, AttemptLost(event.attempt, Loss.EMPTY), now)
+
+
+def recover_attempt(state: State, event: AttemptLost, now: Millis) -> list[Effect]:
+    """Resume, restart or give up after a lost attempt."""
+    attempt = attempts.forget_attempt(state, event.attempt)
+    if attempt is None:
+        return [Count("attempts.late")]
+    request = state.requests[attempt.request]
+    target = state.targets.get(attempt.target)
+    request.ran = retries.combine_ran(request.ran, retries.judge_ran(event.loss))
+    recovery = retries.decide_recovery(_describe_loss(request, attempt, target, event))
+    effects: list[Effect] = [
+        Count("attempts.lost"),
+        CloseAttempt(event.attempt),
+        _note_loss(attempt, event, recovery),
+    ]
+    if _proves_death(request, attempt, event, recovery):
+        effects += suspects.record_death(state, attempt, now)
+    match recovery:
+        case retries.Recovery.RESUME if target is not None:
+            effects += _schedule_resume(state, request, attempt, event, now)
+        case retries.Recovery.RESTART:
+            effects += _restart_request(state, request, attempt, event, now)
+        case _:
+            effects += _give_up(state, request, now)
+    return effects
+
+
+def _describe_loss(
+    request: RequestState,
+    attempt: AttemptState,
+    target: TargetState | None,
+    event: AttemptLost,
+) -> retries.LostAttempt:
+    resumable = (
+        target is not None
+        and isinstance(target.info, EngineInfo)
+        and target.info.resume
+    )
+    return retries.LostAttempt(
+        event.loss,
+        ran=request.ran,
+        attempts=request.attempts,
+        resumes=request.resumes,
+        resuming=attempt.resuming,
+        resumable=resumable,
+        reached=request.reached,
+        non_idempotent=request.non_idempotent,
+    )
+
+
+def _note_loss(
+    attempt: AttemptState, event: AttemptLost, recovery: retries.Recovery
+) -> Note:
+    return Note(
+        "attempt lost",
+        {
+            "request": attempt.request,
+            "attempt": event.attempt,
+            "target": attempt.target,
+            "generation": attempt.generation,
+            "loss": event.loss.value,
+            "recovery": recovery.value,
+            "detail": event.detail,
+        },
+    )
+
+
+def _proves_death(
+    request: RequestState,
+    attempt: AttemptState,
+    event: AttemptLost,
+    recovery: retries.Recovery,
+) -> bool:
+    # A returned caller's generation may have left the target's memory, and one
+    # that no target took may never have reached it: neither is a death.
+    if recovery is retries.Recovery.RESUME or not request.accepted:
+        return False
+    if attempt.resuming:
+        return event.loss is not Loss.SHUTDOWN
+    return event.loss is Loss.BROKEN
+
+
+def _schedule_resume(
+    state: State,
+    request: RequestState,
+    attempt: AttemptState,
+    event: AttemptLost,
+    now: Millis,
+) -> list[Effect]:
+    target = state.targets[attempt.target]
+    pause = retries.compute_pause(request.resumes, state.rng)
+    if event.loss is Loss.REFUSED and event.retry_after is not None:
+        pause = max(pause, event.retry_after)
+    request.resumes += 1
+    if pause:
+        request.phase = Phase.WAITING
+        return [WakeAt(RetryTimer(request.spec.request), Millis(now + pause))]
+    effects = attempts.resume_attempt(state, request, target, now)
+    if event.loss is Loss.SILENT and request.attempt is not None:
+        state.attempts[request.attempt].probing = True
+    return effects
+
+
+def retry_request(state: State, timer: RetryTimer, now: Millis) -> list[Effect]:
+    """Resume a request whose pause is over."""
+    request = state.requests.get(timer.request)
+    if request is None or request.phase is not Phase.WAITING:
+        return []
+    target = state.targets.get(request.target)
+    if target is None:
+        return _give_up(state, request, now)
+    return attempts.resume_attempt(state, request, target, now)
+
+
+def _restart_request(
+    state: State,
+    request: RequestState,
+    attempt: AttemptState,
+    event: AttemptLost,
+    now: Millis,
+) -> list[Effect]:
+    avoidance = retries.compute_avoidance(event.loss, event.retry_after)
+    request.failed_targets[attempt.target] = Millis(now + avoidance)
+    effects: list[Effect] = []
+    if retries.judge_ran(event.loss) is not Ran.NO:
+        effects += _cancel_generation(request, attempt)
+    effects.append(DiscardDelivered(attempt.request))
+    if request.delivered:
+        # Its deadline was for a first byte that did come; the new start gets
+        # as long as the first one had.
+        request.deadline = Millis(now + request.deadline - request.arrived)
+        effects.append(WakeAt(RequestTimer(attempt.request), request.deadline))
+    request.delivered = 0
+    request.resumes = 0
+    request.accepted = False
+    if request.caller_gone or suspects.exhausted(state, request):
+        return effects + _give_up(state, request, now)
+    return effects + requests.start_request(state, request, now)
+
+
+def _cancel_generation(request: RequestState, attempt: AttemptState) -> list[Effect]:
+    if isinstance(request.spec.work, ServiceWork):
+        return []
+    return [CancelGeneration(attempt.target, attempt.generation)]
+
+
+def _give_up(state: State, request: RequestState, now: Millis) -> list[Effect]:
+    problem = _build_lost_problem(state, request)
+    return [*requests.end_request(state, request, problem), Count("requests.lost")]
+
+
+def _build_lost_problem(state: State, request: RequestState) -> Problem:
+    if request.returned == request.delivered:
+        return requests.build_gone_problem()
+    if request.non_idempotent and request.ran is not Ran.NO:
+        return ownership.build_unknown_problem(request.ran)
+    if request.ran is Ran.NO:
+        return Problem(
+            503,
+            "no_target",
+            "every target that was tried refused or could not be reached;"
+            " come back after Retry-After",
+            retry_after=retries.spread_pause(2_000, state.rng),
+        )
+    if not request.reached:
+        return Problem(
+            502,
+            "generation_lost",
+            "the targets that ran it were lost; send the request again",
+            ran=request.ran,
+            retry_after=retries.spread_pause(1_000, state.rng),
+        )
+    return Problem(
+        502,
+        "generation_lost",
+        "the target was lost and this answer cannot go on; send the request"
+        " again for a whole new answer, without stream to have it gathered here",
+        ran=request.ran,
+    )
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -1,17 +1,27 @@
 """The reducer: one match over all events, each arm one call."""
 
-from figstep.core import configuration, membership, requests, targets
+from figstep.core import (
+    configuration,
+    membership,
+    recovery,
+    requests,
+    settlement,
+    suspects,
+    targets,
+)
 from figstep.core.clock import Millis
 from figstep.core.effects import Effect
 from figstep.core.events import (
     AppendConfirmed,
     AppendUncertain,
+    AttemptAnswered,
     AttemptEnded,
     AttemptLost,
     AttemptRejected,
     AttemptTimer,
     CallerGone,
     CallerReturned,
+    ClaimTimer,
     ConfigurationRead,
     Event,
     InstancesListed,
@@ -20,8 +30,12 @@
     RecordsRead,
     RequestArrived,
     RequestTimer,
+    RetryTimer,
     ServiceAnswered,
+    ShutdownForced,
     ShutdownRequested,
+    StreamCaughtUp,
+    StreamUnavailable,
     Timer,
     TimerFired,
     TokensArrived,
@@ -42,15 +56,17 @@
     """
     match event:
         case TokensArrived():
-            return requests.forward_tokens(state, event, now)
+            return recovery.forward_tokens(state, event, now)
+        case AttemptAnswered():
+            return recovery.note_answered(state, event, now)
         case RequestArrived():
             return requests.admit_request(state, event, now)
         case AttemptEnded():
-            return requests.end_attempt(state, event, now)
+            return recovery.finish_attempt(state, event, now)
         case ServiceAnswered():
             return requests.answer_service(state, event, now)
         case AttemptLost():
-            return requests.recover_attempt(state, event, now)
+            return recovery.recover_attempt(state, event, now)
         case AttemptRejected():
             return requests.reject_attempt(state, event, now)
         case CallerGone():
@@ -60,16 +76,27 @@
         case TimerFired(timer=timer):
             return _fire_timer(state, timer, now)
         case LoadReported():
-            return targets.record_load(state, event, now)
+            deaths = suspects.note_report(state, event, now)
+            return deaths + targets.record_load(state, event, now)
         case ConfigurationRead():
             return configuration.fold_record(state, event, now)
         case InstancesListed():
             return membership.record_instances(state, event, now)
-        case RecordsRead() | AppendConfirmed() | AppendUncertain():
+        case RecordsRead():
+            return settlement.take_records(state, event, now)
+        case AppendConfirmed():
             return []
+        case AppendUncertain():
+            return settlement.note_uncertain(state, event, now)
+        case StreamCaughtUp():
+            return settlement.note_caught_up(state, event)
+        case StreamUnavailable():
+            return settlement.note_unavailable(state, event)
         case ShutdownRequested():
             state.shutting_down = True
             return []
+        case ShutdownForced():
+            return requests.abort_requests(state)
 
 
 def _fire_timer(state: State, timer: Timer, now: Millis) -> list[Effect]:
@@ -78,5 +105,9 @@
             return requests.start_queued(state, now)
         case RequestTimer():
             return requests.expire_request(state, timer, now)
+        case RetryTimer():
+            return recovery.retry_request(state, timer, now)
+        case ClaimTimer():
+            return settlement.expire_claim(state, timer)
         case AttemptTimer():
-            return requests.check_attempt(state, timer, now)
+            return recovery.check_attempt(state, timer, now)
--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -1,53 +1,42 @@
-"""Life cycle of a request: arrival, attempts, delivery, end."""
+"""Life cycle of a request: arrival, start, end."""
 
-from figstep.core import admission, claims, generations, quarantine, retries
+from dataclasses import replace
+
+from figstep.core import (
+    admission,
+    attempts,
+    generations,
+    ownership,
+    quarantine,
+    retries,
+)
 from figstep.core.clock import Millis
 from figstep.core.effects import (
-    CancelGeneration,
-    CloseAttempt,
     Complete,
     Count,
-    Deliver,
-    DiscardDelivered,
     Effect,
-    Note,
-    OpenAttempt,
     Refuse,
-    ResumeAttempt,
     WakeAt,
 )
 from figstep.core.events import (
     AttemptEnded,
-    AttemptLost,
     AttemptRejected,
-    AttemptTimer,
     CallerGone,
     CallerReturned,
-    Loss,
     QueueTimer,
     RequestArrived,
     RequestTimer,
     ServiceAnswered,
-    TokensArrived,
 )
-from figstep.core.inventory import EngineInfo
 from figstep.core.problems import Problem, Ran
-from figstep.core.specs import GenerationWork, ServiceWork
-from figstep.core.state import (
-    AttemptState,
-    Phase,
-    RequestState,
-    State,
-    TargetState,
-)
+from figstep.core.specs import GenerationWork
+from figstep.core.state import Phase, RequestState, State
 
-RETRY_PAUSE = Millis(200)
 QUEUE_PAUSE = Millis(100)
-DEFAULT_DEADLINE = Millis(60_000)
 
 
 def admit_request(state: State, event: RequestArrived, now: Millis) -> list[Effect]:
-    """Take a request in and start or queue it."""
+    """Take a request in and start, claim or queue it."""
     spec = event.spec
     if state.shutting_down:
         return [Refuse(spec.request, _leaving_problem())]
@@ -56,49 +45,43 @@
     quarantined = quarantine.judge_digest(state.quarantine, spec, now)
     if quarantined is not None:
         return [Refuse(spec.request, quarantined), Count("requests.quarantined")]
-    request = RequestState(spec, now)
-    state.requests[spec.request] = request
     deadline = spec.deadline or Millis(now + state.inventory.rules.deadline)
+    request = RequestState(spec, now, deadline)
+    state.requests[spec.request] = request
     effects: list[Effect] = [
         Count("requests.arrived"),
         WakeAt(RequestTimer(spec.request), deadline),
     ]
+    if ownership.needs_claim(state, spec):
+        return effects + ownership.begin_claim(state, request, now)
     return effects + start_request(state, request, now)
 
 
 def start_request(state: State, request: RequestState, now: Millis) -> list[Effect]:
     """Open an attempt on the best target, or queue the request."""
+    _forgive_targets(request, now)
+    quarantined = quarantine.judge_digest(state.quarantine, request.spec, now)
+    if quarantined is not None:
+        return end_request(state, request, quarantined)
     match admission.decide_admission(state, request, now):
         case admission.Start(target=target):
-            return _open_attempt(state, request, target, now)
+            if not ownership.may_dispatch(state, request, now):
+                return end_request(state, request, ownership.build_stale_problem())
+            return attempts.open_attempt(state, request, target, now)
         case admission.TurnAway(problem=problem):
-            del state.requests[request.spec.request]
-            return [Refuse(request.spec.request, problem)]
+            return end_request(state, request, problem)
         case admission.Wait():
             return _queue_request(state, request, now)
 
 
-def _open_attempt(
-    state: State, request: RequestState, target: TargetState, now: Millis
-) -> list[Effect]:
-    nonce = f"{state.node}.{state.next_attempt}.{state.rng.getrandbits(64):016x}"
-    owner = generations.digest_owner(request.spec.customer)
-    generation = str(generations.GenerationId(target.info.name, owner, nonce))
-    attempt = _add_attempt(state, request, target, generation, now)
-    return [
-        OpenAttempt(
-            request.spec.request,
-            attempt.attempt,
-            target.info.name,
-            generation,
-            request.spec.priority,
-        )
-    ]
+def _forgive_targets(request: RequestState, now: Millis) -> None:
+    for name, until in list(request.failed_targets.items()):
+        if until <= now:
+            del request.failed_targets[name]
 
 
 def _queue_request(state: State, request: RequestState, now: Millis) -> list[Effect]:
     request.phase = Phase.QUEUED
-    request.failed_targets.clear()
     state.queue.add(request.spec)
     return [WakeAt(QueueTimer(), Millis(now + QUEUE_PAUSE))]
 
@@ -115,227 +98,160 @@
     return effects
 
 
-def _add_attempt(
-    state: State,
-    request: RequestState,
-    target: TargetState,
-    generation: str,
-    now: Millis,
-) -> AttemptState:
-    number = state.next_attempt
-    state.next_attempt += 1
-    attempt = AttemptState(
-        number, request.spec.request, target.info.name, generation, now, now
-    )
-    state.attempts[number] = attempt
-    target.in_flight += 1
-    request.phase = Phase.RUNNING
-    request.attempt = number
-    request.attempts += 1
-    request.generation = generation
-    request.target = target.info.name
-    return attempt
-
-
-def _end_attempt(state: State, number: int) -> AttemptState | None:
-    attempt = state.attempts.pop(number, None)
-    if attempt is None:
-        return None
-    target = state.targets.get(attempt.target)
-    if target is not None:
-        target.in_flight -= 1
-    return attempt
+def tell_ran(state: State, request: RequestState) -> Ran:
+    """Return what may be said of whether the request ran.
 
+    While an attempt is open its bytes may be on their way, so "no" would be a
+    guess until the attempt ends with a loss that proves it.
+    """
+    if request.ran is Ran.NO and request.attempt in state.attempts:
+        return Ran.UNKNOWN
+    return request.ran
 
-def forward_tokens(state: State, event: TokensArrived, now: Millis) -> list[Effect]:
-    """Hand the caller the events that come next for it, and no others."""
-    attempt = state.attempts.get(event.attempt)
-    if attempt is None:
-        return [Count("tokens.late", len(event.frames))]
-    request = state.requests[attempt.request]
-    attempt.last_progress = now
-    if event.generation != attempt.generation:
-        # Two answers crossed on their way: another caller's text would be
-        # shown here. Dropping the connection and reattaching by generation
-        # brings the right events.
-        lost = AttemptLost(event.attempt, Loss.CROSSED, detail=event.generation)
-        return [
-            Count("tokens.crossed", len(event.frames)),
-            *recover_attempt(state, lost, now),
-        ]
-    seen = request.delivered + 1 - event.first
-    if seen < 0:
-        lost = AttemptLost(event.attempt, Loss.BROKEN, detail="gap in the stream")
-        return [Count("tokens.gap"), *recover_attempt(state, lost, now)]
-    frames = event.frames[seen:] if seen else event.frames
-    if not frames:
-        return [Count("tokens.repeated", len(event.frames))]
-    request.ran = Ran.YES
-    request.delivered += len(frames)
-    return [Deliver(attempt.request, frames)]
+
+def end_request(state: State, request: RequestState, problem: Problem) -> list[Effect]:
+    """Give a request its final answer and stop whatever runs for it."""
+    name = request.spec.request
+    ran = retries.combine_ran(problem.ran, tell_ran(state, request))
+    problem = replace(problem, ran=ran)
+    effects: list[Effect] = [Refuse(name, problem)]
+    effects += attempts.abandon_attempt(state, request)
+    effects += ownership.close_claim(state, request, problem)
+    state.requests.pop(name, None)
+    state.queue.remove(name)
+    return effects
 
 
 def end_attempt(state: State, event: AttemptEnded, now: Millis) -> list[Effect]:
     """The end marker came: the caller has its whole answer."""
-    attempt = _end_attempt(state, event.attempt)
+    attempt = attempts.forget_attempt(state, event.attempt)
     if attempt is None:
-        return []
+        return [Count("attempts.late")]
     request = state.requests.pop(attempt.request)
+    request.ran = Ran.YES
+    quarantine.clear_suspect(state.quarantine, request.spec.digest)
     work = request.spec.work
     if isinstance(work, GenerationWork):
         state.lengths.learn(request.spec.customer, work, request.delivered)
     return [
         Complete(attempt.request, event.attempt),
         Count("requests.completed"),
+        *ownership.record_generation(state, request),
         WakeAt(QueueTimer(), now),
     ]
 
 
 def answer_service(state: State, event: ServiceAnswered, now: Millis) -> list[Effect]:
-    """A plain service answered: hand the answer over."""
-    return end_attempt(state, AttemptEnded(event.attempt), now)
+    """A plain service answered: hand the answer over and record it."""
+    attempt = attempts.forget_attempt(state, event.attempt)
+    if attempt is None:
+        return [Count("attempts.late")]
+    request = state.requests.pop(attempt.request)
+    request.ran = Ran.YES
+    quarantine.clear_suspect(state.quarantine, request.spec.digest)
+    return [
+        Complete(attempt.request, event.attempt),
+        Count("requests.completed"),
+        *ownership.record_answer(state, request, event),
+        WakeAt(QueueTimer(), now),
+    ]
 
 
 def reject_attempt(state: State, event: AttemptRejected, now: Millis) -> list[Effect]:
     """The target found the request itself wrong: the caller must mend it."""
-    attempt = _end_attempt(state, event.attempt)
+    attempt = attempts.forget_attempt(state, event.attempt)
     if attempt is None:
-        return []
-    del state.requests[attempt.request]
-    return [Refuse(attempt.request, event.problem), Count("requests.rejected")]
-
-
-def recover_attempt(state: State, event: AttemptLost, now: Millis) -> list[Effect]:
-    """Resume, restart or give up after a lost attempt."""
-    attempt = _end_attempt(state, event.attempt)
-    if attempt is None:
-        return []
+        return [Count("attempts.late")]
     request = state.requests[attempt.request]
-    target = state.targets.get(attempt.target)
-    resumable = (
-        target is not None
-        and isinstance(target.info, EngineInfo)
-        and target.info.resume
-    )
-    lost = retries.LostAttempt(
-        event.loss,
-        resumable=resumable,
-        resuming=False,
-        non_idempotent=claims.is_non_idempotent(state.inventory, request.spec),
-    )
-    recovery = retries.decide_recovery(request, lost)
-    request.ran = retries.combine_ran(request.ran, retries.judge_ran(event.loss))
-    request.attempt = None
-    effects: list[Effect] = [
-        Count("attempts.lost"),
-        CloseAttempt(event.attempt),
-        Note(
-            "attempt lost",
-            {
-                "request": attempt.request,
-                "attempt": event.attempt,
-                "target": attempt.target,
-                "generation": attempt.generation,
-                "loss": event.loss.value,
-                "recovery": recovery.value,
-                "detail": event.detail,
-            },
-        ),
-    ]
-    match recovery:
-        case retries.Recovery.RESUME if target is not None:
-            resumed = _add_attempt(state, request, target, attempt.generation, now)
-            effects.append(
-                ResumeAttempt(
-                    attempt.request,
-                    resumed.attempt,
-                    attempt.target,
-                    attempt.generation,
-                    request.delivered,
-                )
-            )
-        case retries.Recovery.RESTART:
-            request.failed_targets.add(attempt.target)
-            request.delivered = 0
-            effects.append(DiscardDelivered(attempt.request))
-            effects += start_request(state, request, now)
-        case _:
-            effects += _give_up(state, request)
-    return effects
-
-
-def _give_up(state: State, request: RequestState) -> list[Effect]:
-    del state.requests[request.spec.request]
-    problem = Problem(
-        502,
-        "generation_lost",
-        "the target was lost and the answer cannot go on;"
-        " send the request again for a new answer",
-        ran=request.ran,
-    )
-    return [Refuse(request.spec.request, problem), Count("requests.lost")]
+    effects = end_request(state, request, event.problem)
+    return [*effects, Count("requests.rejected")]
 
 
 def return_caller(state: State, event: CallerReturned, now: Millis) -> list[Effect]:
     """Reattach a caller to its generation, whichever entry started it."""
+    spec = event.spec
+    if state.shutting_down:
+        return [Refuse(spec.request, _leaving_problem())]
+    if state.inventory is None:
+        return [Refuse(spec.request, _unconfigured_problem())]
     generation = generations.parse_generation(event.generation)
-    owner = generations.digest_owner(event.spec.customer)
+    owner = generations.digest_owner(spec.customer)
     target = state.targets.get(generation.target) if generation else None
     known = generation is not None and generation.owner == owner
     if not known or target is None:
-        return [Refuse(event.spec.request, _gone_problem())]
-    request = RequestState(event.spec, now, ran=Ran.YES, delivered=event.index)
-    state.requests[event.spec.request] = request
-    attempt = _add_attempt(state, request, target, event.generation, now)
+        return [Refuse(spec.request, build_gone_problem())]
+    deadline = spec.deadline or Millis(now + state.inventory.rules.deadline)
+    request = RequestState(
+        spec,
+        now,
+        deadline,
+        ran=Ran.YES,
+        generation=event.generation,
+        delivered=event.index,
+        returned=event.index,
+    )
+    state.requests[spec.request] = request
     return [
-        ResumeAttempt(
-            event.spec.request,
-            attempt.attempt,
-            target.info.name,
-            event.generation,
-            event.index,
-        )
+        Count("callers.returned"),
+        WakeAt(RequestTimer(spec.request), deadline),
+        *attempts.resume_attempt(state, request, target, now),
     ]
 
 
 def drop_caller(state: State, event: CallerGone, now: Millis) -> list[Effect]:
-    """The caller is gone: free what its generation holds."""
-    request = state.requests.pop(event.request, None)
+    """The caller is gone: free what its request holds.
+
+    A non-idempotent call that is out goes on without it. Closing it would not
+    stop a service that has begun, and the caller that sends the same key
+    again, as after a time-out of its own, could then be told no outcome.
+    """
+    request = state.requests.get(event.request)
     if request is None:
         return []
+    if ownership.outlives_caller(state, request):
+        request.caller_gone = True
+        return [Count("callers.gone")]
+    del state.requests[event.request]
     state.queue.remove(event.request)
     effects: list[Effect] = [Count("callers.gone")]
-    if request.attempt is None:
-        return effects
-    attempt = _end_attempt(state, request.attempt)
-    if attempt is None:
-        return effects
-    effects.append(CloseAttempt(attempt.attempt))
-    if not isinstance(request.spec.work, ServiceWork):
-        effects.append(CancelGeneration(attempt.target, attempt.generation))
+    effects += attempts.abandon_attempt(state, request)
+    effects += ownership.drop_claim(state, request)
     return effects
 
 
 def expire_request(state: State, timer: RequestTimer, now: Millis) -> list[Effect]:
-    """Refuse at once what could not start before its deadline."""
+    """Refuse at once what brought no first byte before its deadline."""
     request = state.requests.get(timer.request)
-    if request is None or request.phase is not Phase.QUEUED:
+    if request is None or request.delivered > (request.returned or 0):
         return []
-    del state.requests[timer.request]
-    state.queue.remove(timer.request)
+    if now < request.deadline:
+        return [WakeAt(timer, request.deadline)]
+    ran = tell_ran(state, request)
     problem = Problem(
-        503,
-        "no_target_in_time",
-        "no target was free before the deadline; come back after Retry-After",
-        ran=request.ran,
-        retry_after=Millis(2_000),
+        503 if ran is Ran.NO else 504,
+        "no_target_in_time" if ran is Ran.NO else "no_answer_in_time",
+        "no answer began before the deadline; come back after Retry-After",
+        ran=ran,
+        retry_after=retries.spread_pause(2_000, state.rng),
     )
-    return [Refuse(timer.request, problem), Count("requests.expired")]
+    return [*end_request(state, request, problem), Count("requests.expired")]
 
 
-def check_attempt(state: State, timer: AttemptTimer, now: Millis) -> list[Effect]:
-    """Treat an attempt that went silent as lost."""
-    return []
+def abort_requests(state: State) -> list[Effect]:
+    """Give every caller its final answer: the process ends now."""
+    state.shutting_down = True
+    effects: list[Effect] = []
+    for request in list(state.requests.values()):
+        problem = Problem(
+            503,
+            "entry_stopped",
+            "this entry had to stop before the answer was whole;"
+            " send the request again",
+            ran=tell_ran(state, request),
+            retry_after=Millis(1_000),
+        )
+        effects += end_request(state, request, problem)
+    return effects
 
 
 def _leaving_problem() -> Problem:
@@ -356,10 +272,12 @@
     )
 
 
-def _gone_problem() -> Problem:
+def build_gone_problem() -> Problem:
+    """Return the answer to a caller whose generation cannot be resumed."""
     return Problem(
         410,
         "generation_gone",
-        "this generation cannot be resumed here; send the request again",
+        "this generation cannot be resumed; send the request again without"
+        " Last-Event-ID for a whole new answer",
         ran=Ran.UNKNOWN,
     )
--- a/figstep/core/retries.py
+++ b/figstep/core/retries.py
@@ -1,20 +1,25 @@
-"""What to do after a lost attempt."""
+"""What to do after a lost attempt, and whether the request ran."""
 
+import random
 from dataclasses import dataclass
 from enum import Enum
 
+from figstep.core.clock import Millis
 from figstep.core.events import Loss
 from figstep.core.problems import Ran
-from figstep.core.state import RequestState
 
-MAX_ATTEMPTS = 6
+MAX_ATTEMPTS = 8
+MAX_RESUMES = 4
+FIRST_PAUSE = Millis(50)
+LONGEST_PAUSE = Millis(2_000)
 
 
 class Recovery(Enum):
     """How a request goes on."""
 
     RESUME = "resume"  # reattach to the same generation
-    RESTART = "restart"  # start afresh: the caller has seen nothing
+    CONTINUE = "continue"  # hand the tokens so far to another target
+    RESTART = "restart"  # start afresh: nothing has reached the caller
     GIVE_UP = "give_up"
 
 
@@ -26,10 +31,21 @@
     Loss.TRUNCATED: Ran.YES,
     Loss.CROSSED: Ran.UNKNOWN,
     Loss.FAILED: Ran.UNKNOWN,
+    Loss.SILENT: Ran.UNKNOWN,
+    Loss.EMPTY: Ran.YES,
+    Loss.SHUTDOWN: Ran.UNKNOWN,
 }
 
 _ORDER = [Ran.NO, Ran.UNKNOWN, Ran.YES]
 
+_BREAKS = frozenset({Loss.BROKEN, Loss.TRUNCATED, Loss.CROSSED, Loss.SILENT})
+_RESUME_BREAKS = _BREAKS | {Loss.CONNECT_FAILED, Loss.REFUSED, Loss.FAILED}
+
+# How long a request keeps away from a target that lost it. A refusal passes
+# with the queue there; a dead target takes longer to come back.
+_AVOID = {Loss.REFUSED: Millis(500), Loss.CONNECT_FAILED: Millis(2_000)}
+_AVOID_OTHERWISE = Millis(5_000)
+
 
 def judge_ran(loss: Loss) -> Ran:
     """Tell from one loss whether the request ran.
@@ -51,27 +67,66 @@
 
     Attributes:
         loss: How it was lost.
-        resumable: Whether the target can resume the generation.
+        ran: Whether the request ran, this attempt included.
+        attempts: Attempts opened so far.
+        resumes: Resumes in a row that brought nothing.
         resuming: Whether the lost attempt was itself a resume.
+        resumable: Whether the target can resume the generation.
+        continuable: Whether another target can carry the generation on.
+        reached: Whether any of the answer reached the caller.
         non_idempotent: Whether the request may run only once.
     """
 
     loss: Loss
-    resumable: bool
-    resuming: bool
-    non_idempotent: bool
+    ran: Ran
+    attempts: int = 1
+    resumes: int = 0
+    resuming: bool = False
+    resumable: bool = False
+    continuable: bool = False
+    reached: bool = False
+    non_idempotent: bool = False
 
 
-def decide_recovery(request: RequestState, lost: LostAttempt) -> Recovery:
+def decide_recovery(lost: LostAttempt) -> Recovery:
     """Decide how a request goes on after a lost attempt."""
-    if request.attempts >= MAX_ATTEMPTS:
-        return Recovery.GIVE_UP
-    not_run = judge_ran(lost.loss) is Ran.NO
-    if lost.non_idempotent and not (not_run and request.ran is Ran.NO):
-        return Recovery.GIVE_UP
-    if lost.resumable and lost.loss in (Loss.BROKEN, Loss.TRUNCATED):
+    if _can_resume(lost):
         return Recovery.RESUME
-    seen_by_caller = request.spec.stream and request.delivered > 0
-    if seen_by_caller:
+    if lost.non_idempotent and lost.ran is not Ran.NO:
+        return Recovery.GIVE_UP
+    if lost.attempts >= MAX_ATTEMPTS:
         return Recovery.GIVE_UP
+    if lost.reached:
+        return Recovery.CONTINUE if lost.continuable else Recovery.GIVE_UP
     return Recovery.RESTART
+
+
+def _can_resume(lost: LostAttempt) -> bool:
+    if not lost.resumable or lost.resumes >= MAX_RESUMES:
+        return False
+    return lost.loss in (_RESUME_BREAKS if lost.resuming else _BREAKS)
+
+
+def compute_pause(resumes: int, rng: random.Random) -> Millis:
+    """Return the pause before the next resume, in milliseconds.
+
+    The first goes at once; later ones double, with half of each at random so
+    that the streams of one broken link don't all come back together.
+    """
+    if resumes == 0:
+        return Millis(0)
+    pause = min(FIRST_PAUSE << (resumes - 1), LONGEST_PAUSE)
+    return Millis(pause // 2 + rng.randrange(pause // 2 + 1))
+
+
+def compute_avoidance(loss: Loss, retry_after: Millis | None) -> Millis:
+    """Return how long to keep a request away from a target, in milliseconds."""
+    return retry_after or _AVOID.get(loss, _AVOID_OTHERWISE)
+
+
+def spread_pause(base: int, rng: random.Random) -> Millis:
+    """Return ``base`` to twice ``base`` milliseconds, at random.
+
+    Callers refused in one moment would otherwise come back in one moment.
+    """
+    return Millis(base + rng.randrange(base + 1))
--- a/figstep/core/routing.py
+++ b/figstep/core/routing.py
@@ -1,5 +1,6 @@
 """Choice of the target for a request."""
 
+from figstep.core import suspects
 from figstep.core.inventory import EngineInfo, ServiceInfo
 from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork
 from figstep.core.state import RequestState, State, TargetState
@@ -26,6 +27,8 @@
             continue
         if target.info.name in request.failed_targets:
             continue
+        if suspects.blocks_target(state, request, target.info.name):
+            continue
         candidates.append(target)
     return candidates
 
--- /dev/null
+++ b/figstep/core/settlement.py
@@ -0,0 +1,169 @@
+"""What the claims stream and its follower mean for waiting requests."""
+
+from figstep.core import claims, ownership, requests
+from figstep.core.claims import Finished, Freed, Lost, OwnClaim, OwnState, Won
+from figstep.core.clock import SECOND, Millis
+from figstep.core.effects import Count, Effect, Refuse, WakeAt
+from figstep.core.events import (
+    AppendUncertain,
+    ClaimTimer,
+    RecordsRead,
+    StreamCaughtUp,
+    StreamUnavailable,
+)
+from figstep.core.problems import Problem, Ran
+from figstep.core.records import CLAIMS
+from figstep.core.state import Phase, RequestState, State
+
+READ_BACK_LIMIT = Millis(1 * SECOND)
+
+
+def take_records(state: State, event: RecordsRead, now: Millis) -> list[Effect]:
+    """Fold records and let the requests that they settle go on."""
+    effects: list[Effect] = []
+    if event.stream != CLAIMS:
+        return effects
+    for record in event.records:
+        match claims.fold_record(state.claims, record, now):
+            case Won(record=identifier, time=time):
+                effects += _settle_won(state, identifier, time, now)
+            case Lost(record=identifier, name=name):
+                effects += _settle_lost(state, identifier, name, now)
+            case Freed(name=name):
+                effects += _settle_freed(state, name)
+            case Finished(name=name, outcome=outcome):
+                effects += _settle_finished(state, name, outcome)
+            case claims.Unchanged():
+                continue
+    return effects
+
+
+def _settle_won(state: State, record: str, time: int, now: Millis) -> list[Effect]:
+    own = state.claims.own.get(record)
+    if own is None:
+        return []
+    abandoned = own.state is not OwnState.PENDING
+    own.state = OwnState.OWNED
+    request = state.requests.get(own.request)
+    if abandoned or request is None:
+        # The append took effect after its caller had been told "not run".
+        return ownership.release_claim(state, own)
+    key_time = own.identity.time
+    if key_time is not None and time - key_time > own.identity.window:
+        return _refuse_expired(state, request, own)
+    return requests.start_request(state, request, now)
+
+
+def _refuse_expired(state: State, request: RequestState, own: OwnClaim) -> list[Effect]:
+    request.claim = None
+    effects = ownership.release_claim(state, own)
+    problem = ownership.build_expired_problem()
+    for name in own.joined:
+        if state.requests.pop(name, None) is not None:
+            effects.append(Refuse(name, problem))
+    return [*effects, *requests.end_request(state, request, problem)]
+
+
+def _settle_lost(state: State, record: str, name: str, now: Millis) -> list[Effect]:
+    own = state.claims.own.pop(record, None)
+    if own is None:
+        return []
+    owner = state.claims.owners[name]
+    effects: list[Effect] = [Count("claims.lost")]
+    for request_id in [own.request, *own.joined]:
+        request = state.requests.get(request_id)
+        if request is None:
+            continue
+        effects += ownership.follow_owner(state, request, name, owner, now)
+    return effects
+
+
+def _settle_freed(state: State, name: str) -> list[Effect]:
+    problem = Problem(
+        503,
+        "first_not_run",
+        "the first request with this identity was not run; send it again",
+        retry_after=Millis(1_000),
+    )
+    effects: list[Effect] = []
+    for request_id in _take_waiters(state, name):
+        effects.append(Refuse(request_id, problem))
+    return effects
+
+
+def _settle_finished(state: State, name: str, outcome: claims.Outcome) -> list[Effect]:
+    effects: list[Effect] = []
+    for request_id in _take_waiters(state, name):
+        effects.append(ownership.answer_duplicate(request_id, outcome))
+        effects.append(Count("claims.replayed"))
+    return effects
+
+
+def _take_waiters(state: State, name: str) -> list[str]:
+    taken = []
+    for request_id in state.claims.waiters.pop(name, []):
+        if state.requests.pop(request_id, None) is not None:
+            taken.append(request_id)
+    return taken
+
+
+def note_caught_up(state: State, event: StreamCaughtUp) -> list[Effect]:
+    """The claims stream is read to its end: claims can be settled."""
+    if event.stream == CLAIMS:
+        state.claims.caught_up = True
+    return []
+
+
+def note_unavailable(state: State, event: StreamUnavailable) -> list[Effect]:
+    """Refuse at once what waits for a read-back that cannot come."""
+    if event.stream != CLAIMS:
+        return []
+    state.claims.caught_up = False
+    effects: list[Effect] = []
+    for own in list(state.claims.own.values()):
+        if own.state is OwnState.PENDING:
+            effects += _refuse_unsettled(state, own)
+    return effects
+
+
+def note_uncertain(state: State, event: AppendUncertain, now: Millis) -> list[Effect]:
+    """Settle an append without an answer by reading, for a short while.
+
+    Appending again under a new id could leave two claims, the first of which
+    comes to light after the caller was refused.
+    """
+    for own in list(state.claims.own.values()):
+        if own.key != event.key or own.state is not OwnState.PENDING:
+            continue
+        if not state.claims.caught_up:
+            return _refuse_unsettled(state, own)
+        due = Millis(now + READ_BACK_LIMIT)
+        return [Count("claims.uncertain"), WakeAt(ClaimTimer(own.request), due)]
+    return []
+
+
+def _refuse_unsettled(state: State, own: OwnClaim) -> list[Effect]:
+    request = state.requests.get(own.request)
+    if request is None:
+        return ownership.release_claim(state, own)
+    problem = ownership.build_unsettled_problem(state)
+    return requests.end_request(state, request, problem)
+
+
+def expire_claim(state: State, timer: ClaimTimer) -> list[Effect]:
+    """End a wait for a read-back, or for another entry's outcome."""
+    request = state.requests.get(timer.request)
+    if request is None or request.phase is not Phase.CLAIMING:
+        return []
+    own = state.claims.own.get(request.claim or "")
+    if own is not None:
+        return _refuse_unsettled(state, own)
+    problem = Problem(
+        409,
+        "first_still_running",
+        "another request with this identity runs and has no outcome yet; send"
+        " this one again with the same key to learn it",
+        ran=Ran.UNKNOWN,
+        retry_after=Millis(5_000),
+    )
+    return requests.end_request(state, request, problem)
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -17,9 +17,11 @@
 class Phase(Enum):
     """Where a request is in its life."""
 
+    CLAIMING = "claiming"  # its claim is not settled
     QUEUED = "queued"
     RUNNING = "running"
     WAITING = "waiting"  # between two attempts
+    JOINED = "joined"  # gets the answer of another request
 
 
 @dataclass(slots=True)
@@ -29,6 +31,7 @@
     Attributes:
         spec: What was asked for.
         arrived: When it came in.
+        deadline: Latest time for the first byte.
         phase: Where it is.
         ran: What is known of whether it ran.
         generation: Generation that the caller is bound to, or "".
@@ -36,11 +39,18 @@
         attempt: Current attempt, or None.
         delivered: Index of the last event handed to the caller.
         attempts: Attempts opened so far.
-        failed_targets: Targets that lost it.
+        resumes: Resumes in a row that brought nothing.
+        returned: Index after which the caller came back, or None.
+        accepted: Whether a target took its current generation.
+        non_idempotent: Whether it may run only once.
+        claim: Record id of its own claim, or None.
+        caller_gone: Whether it goes on for its outcome alone.
+        failed_targets: Targets that lost it, and until when it avoids them.
     """
 
     spec: RequestSpec
     arrived: Millis
+    deadline: Millis
     phase: Phase = Phase.QUEUED
     ran: Ran = Ran.NO
     generation: str = ""
@@ -48,12 +58,38 @@
     attempt: int | None = None
     delivered: int = 0
     attempts: int = 0
-    failed_targets: set[str] = field(default_factory=set)
+    resumes: int = 0
+    returned: int | None = None
+    accepted: bool = False
+    non_idempotent: bool = False
+    claim: str | None = None
+    caller_gone: bool = False
+    failed_targets: dict[str, Millis] = field(default_factory=dict)
+
+    @property
+    def reached(self) -> bool:
+        """Whether any of the answer has reached the caller."""
+        if self.returned is not None:
+            return True
+        return self.spec.stream and self.delivered > 0
 
 
 @dataclass(slots=True)
 class AttemptState:
-    """One connection to a target on behalf of a request."""
+    """One connection to a target on behalf of a request.
+
+    Attributes:
+        attempt: Its number.
+        request: Request that it runs for.
+        target: Target name.
+        generation: Generation that it carries.
+        opened: When it was opened.
+        last_progress: When something last came.
+        resuming: Whether it reattaches to a running generation.
+        probing: Whether it replaces a connection that had gone silent.
+        answered: Whether the response headers came.
+        tokens: Events that came on this connection.
+    """
 
     attempt: int
     request: str
@@ -61,6 +97,10 @@
     generation: str
     opened: Millis
     last_progress: Millis
+    resuming: bool = False
+    probing: bool = False
+    answered: bool = False
+    tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -78,6 +118,11 @@
         memory_used: Reported cache memory in use, in tokens.
         memory_total: Cache memory, in tokens.
         reported: When the last report came, or None.
+        gap: Smoothed gap between two reads of a stream, in milliseconds.
+        gap_deviation: Smoothed deviation of that gap, in milliseconds.
+        dead: Whether it was found dead and has not answered since.
+        deaths: How often it was found dead.
+        death_incarnation: Incarnation at its last death; -1 for none.
     """
 
     info: TargetInfo
@@ -90,6 +135,11 @@
     memory_used: int = 0
     memory_total: int = 0
     reported: Millis | None = None
+    gap: float = 0.0
+    gap_deviation: float = 0.0
+    dead: bool = False
+    deaths: int = 0
+    death_incarnation: int = -1
 
 
 @dataclass(slots=True)
--- a/figstep/errors.py
+++ b/figstep/errors.py
@@ -27,3 +27,7 @@
 
 class PublishRefusedError(FigstepError):
     """The log holds the edit, but the fold refused it."""
+
+
+class FrameError(FigstepError):
+    """A target's stream of events cannot be read."""
--- a/figstep/net/exchanges.py
+++ b/figstep/net/exchanges.py
@@ -6,6 +6,8 @@
 from figstep.core.problems import Problem
 from figstep.core.specs import RequestSpec
 
+REPLAYED = "Idempotent-Replayed"
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceAnswer:
--- a/figstep/net/frames.py
+++ b/figstep/net/frames.py
@@ -7,9 +7,12 @@
 
 from dataclasses import dataclass
 
+from figstep.errors import FrameError
+
 BOUNDARY = b"\n\n"
 DONE = b"data: [DONE]"
 ID = b"id: "
+MAX_FRAME = 1_048_576
 
 
 @dataclass(slots=True)
@@ -39,9 +42,15 @@
         self._rest = b""
 
     def feed(self, chunk: bytes) -> list[FrameRun]:
-        """Take bytes and return the runs of events that they complete."""
+        """Take bytes and return the runs of events that they complete.
+
+        Raises:
+            FrameError: If an event has no index or never ends.
+        """
         parts = (self._rest + chunk).split(BOUNDARY)
         self._rest = parts.pop()
+        if len(self._rest) > MAX_FRAME:
+            raise FrameError("an event is too long; look at the target's stream")
         runs: list[FrameRun] = []
         for part in parts:
             if part.startswith(DONE):
@@ -49,8 +58,8 @@
                 continue
             if not part.startswith(ID):
                 continue
-            name, _, index = part[4 : part.index(b"\n")].rpartition(b":")
-            self._add(runs, name.decode(), int(index), part + BOUNDARY)
+            name, index = _read_id(part)
+            self._add(runs, name, index, part + BOUNDARY)
         return runs
 
     def _add(
@@ -63,3 +72,13 @@
                 last.frames.append(frame)
                 return
         runs.append(FrameRun(generation, index, [frame]))
+
+
+def _read_id(part: bytes) -> tuple[str, int]:
+    name, _, index = part[len(ID) :].partition(b"\n")[0].rpartition(b":")
+    try:
+        return name.decode(), int(index)
+    except ValueError as error:
+        raise FrameError(
+            f"event id {part[:80]!r} is not GENERATION:INDEX; look at the target"
+        ) from error
--- a/figstep/net/streams.py
+++ b/figstep/net/streams.py
@@ -7,10 +7,16 @@
 from mode import Service
 
 from figstep.core.effects import AppendRecords
-from figstep.core.events import AppendConfirmed, AppendUncertain, Event
+from figstep.core.events import (
+    AppendConfirmed,
+    AppendUncertain,
+    Event,
+    StreamCaughtUp,
+    StreamUnavailable,
+)
 from figstep.core.records import LogRecord
 from figstep.errors import LogTruncatedError, LogUnavailableError
-from figstep.net.log import LogClient
+from figstep.net.log import READ_LIMIT, LogClient
 
 POLL_WAIT = 10_000
 RETRY_SECONDS = 0.5
@@ -25,8 +31,11 @@
         stream: str,
         take_records: Callable[[list[LogRecord]], None],
         start: int = 0,
+        dispatch: Callable[[Event], None] | None = None,
     ) -> None:
         super().__init__()
+        self._dispatch = dispatch or _drop_event
+        self._caught_up = False
         self._log_client = log
         self._stream = stream
         self._take_records = take_records
@@ -35,19 +44,27 @@
     @Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
+            wait = POLL_WAIT if self._caught_up else 0
             try:
-                records = await self._log_client.read(
-                    self._stream, self._next, POLL_WAIT
-                )
+                records = await self._log_client.read(self._stream, self._next, wait)
             except LogTruncatedError as error:
                 self._next = error.earliest
                 continue
             except LogUnavailableError:
+                self._caught_up = False
+                self._dispatch(StreamUnavailable(self._stream))
                 await self.sleep(RETRY_SECONDS)
                 continue
             if records:
                 self._next = records[-1].offset + 1
                 self._take_records(records)
+            if not self._caught_up and len(records) < READ_LIMIT:
+                self._caught_up = True
+                self._dispatch(StreamCaughtUp(self._stream))
+
+
+def _drop_event(event: Event) -> None:
+    """Stand for the dispatch of a follower that tells nobody."""
 
 
 class StreamAppender(Service):
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -1,7 +1,8 @@
 """Edge towards targets: attempts, cancellation, load reports."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import aiohttp
 import orjson
@@ -10,6 +11,7 @@
 from figstep.core.clock import Millis
 from figstep.core.effects import CancelGeneration, OpenAttempt, ResumeAttempt
 from figstep.core.events import (
+    AttemptAnswered,
     AttemptEnded,
     AttemptLost,
     AttemptRejected,
@@ -22,12 +24,14 @@
 from figstep.core.inventory import EngineInfo, ServiceInfo, TargetInfo
 from figstep.core.problems import Problem
 from figstep.core.specs import GenerationWork
+from figstep.errors import FrameError
 from figstep.net.exchanges import Exchange, ServiceAnswer
 from figstep.net.frames import FrameSplitter
+from figstep.net.pools import PoolTable, SendOnce
 
-CONNECT_TIMEOUT = 2.0
 REPORT_TIMEOUT = 2.0
 REPORT_PERIOD = 0.5
+MAX_RECORDED_BODY = 1_024
 
 _REFUSED = (429, 503)
 _DROPPED_HEADERS = {"transfer-encoding", "connection", "content-length", "date"}
@@ -46,24 +50,17 @@
         self._dispatch = dispatch
         self._find_target = find_target
         self._list_targets = list_targets
-        self._session: aiohttp.ClientSession | None = None
+        self._pools = PoolTable()
         self._attempt_tasks: dict[int, asyncio.Task[None]] = {}
         self._background: set[asyncio.Task[None]] = set()
 
-    async def on_start(self) -> None:
-        """Open the client session."""
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT)
-        connector = aiohttp.TCPConnector(limit=0)
-        self._session = aiohttp.ClientSession(
-            timeout=timeout, connector=connector, auto_decompress=False
-        )
-
     async def on_stop(self) -> None:
-        """Drop all attempts and the session."""
-        for task in [*self._attempt_tasks.values(), *self._background]:
+        """Drop all attempts and connections."""
+        tasks = [*self._attempt_tasks.values(), *self._background]
+        for task in tasks:
             task.cancel()
-        if self._session is not None:
-            await self._session.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._pools.close()
 
     def open_attempt(self, effect: OpenAttempt, exchange: Exchange) -> None:
         """Send a request to a target."""
@@ -89,14 +86,35 @@
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
-    def _start(self, attempt: int, work) -> None:  # type: ignore[no-untyped-def]
-        task = asyncio.get_running_loop().create_task(work)
+    def replace_pool(self, target: str) -> None:
+        """Open new connections to a target from now on."""
+        self._pools.replace(target)
+
+    def _start(self, attempt: int, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(self._guard(attempt, work))
         self._attempt_tasks[attempt] = task
         task.add_done_callback(lambda _: self._attempt_tasks.pop(attempt, None))
 
+    async def _guard(self, attempt: int, work: Coroutine[Any, Any, None]) -> None:
+        """Turn every way in which an attempt fails into its loss.
+
+        Only a connection that was never made proves that no byte went out;
+        whatever else goes wrong, the target may have begun.
+        """
+        try:
+            await work
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            self._lose(attempt, Loss.CONNECT_FAILED, error)
+        except aiohttp.ClientPayloadError as error:
+            self._lose(attempt, Loss.TRUNCATED, error)
+        except (aiohttp.ClientError, TimeoutError, OSError, FrameError) as error:
+            self._lose(attempt, Loss.BROKEN, error)
+
+    def _lose(self, attempt: int, loss: Loss, error: Exception) -> None:
+        self._dispatch(AttemptLost(attempt, loss, detail=repr(error)))
+
     async def _run_generation(self, effect: OpenAttempt, exchange: Exchange) -> None:
         target = self._find_target(effect.target)
-        assert self._session is not None
         if target is None:
             self._dispatch(AttemptLost(effect.attempt, Loss.CONNECT_FAILED))
             return
@@ -105,33 +123,27 @@
             "X-Generation-Id": effect.generation,
             "X-Priority": str(effect.priority),
         }
-        try:
-            async with self._session.post(
-                target.address + exchange.path, data=exchange.body, headers=headers
+        async with self._pools.use(effect.target) as pool:
+            async with pool.reused.post(
+                target.address + exchange.path,
+                data=exchange.body,
+                headers=headers,
+                allow_redirects=False,
             ) as response:
                 await self._read_answer(effect.attempt, response)
-        except aiohttp.ClientConnectorError as error:
-            loss = AttemptLost(effect.attempt, Loss.CONNECT_FAILED, detail=repr(error))
-            self._dispatch(loss)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            loss = AttemptLost(effect.attempt, Loss.BROKEN, detail=repr(error))
-            self._dispatch(loss)
 
     async def _resume_generation(self, effect: ResumeAttempt) -> None:
         target = self._find_target(effect.target)
-        assert self._session is not None
         if target is None:
             self._dispatch(AttemptLost(effect.attempt, Loss.NOT_FOUND))
             return
         url = f"{target.address}/v1/generations/{effect.generation}"
-        try:
-            async with self._session.get(
-                url, params={"after": str(effect.after)}
+        params = {"after": str(effect.after)}
+        async with self._pools.use(effect.target) as pool:
+            async with pool.fresh.get(
+                url, params=params, allow_redirects=False
             ) as response:
                 await self._read_answer(effect.attempt, response)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            loss = AttemptLost(effect.attempt, Loss.BROKEN, detail=repr(error))
-            self._dispatch(loss)
 
     async def _read_answer(
         self, attempt: int, response: aiohttp.ClientResponse
@@ -139,6 +151,7 @@
         if response.status != 200:
             await self._report_status(attempt, response)
             return
+        self._dispatch(AttemptAnswered(attempt))
         splitter = FrameSplitter()
         async for chunk in response.content.iter_any():
             for run in splitter.feed(chunk):
@@ -154,8 +167,7 @@
     ) -> None:
         detail = (await response.content.read(500)).decode(errors="replace")
         if response.status in _REFUSED:
-            after = response.headers.get("Retry-After", "")
-            retry_after = Millis(int(after) * 1000) if after.isdigit() else None
+            retry_after = _read_retry_after(response)
             event = AttemptLost(attempt, Loss.REFUSED, retry_after, detail)
             self._dispatch(event)
             return
@@ -174,50 +186,46 @@
 
     async def _call_service(self, effect: OpenAttempt, exchange: Exchange) -> None:
         target = self._find_target(effect.target)
-        assert self._session is not None
         if not isinstance(target, ServiceInfo):
             self._dispatch(AttemptLost(effect.attempt, Loss.CONNECT_FAILED))
             return
-        try:
-            async with self._session.request(
+        async with self._pools.use(effect.target) as pool:
+            # A kept connection may have died unseen, which would leave it open
+            # whether the call ran; what runs once gets a new one.
+            session = pool.fresh if effect.once else pool.reused
+            async with session.request(
                 exchange.method,
                 target.address + exchange.path,
                 data=exchange.body,
                 headers=exchange.headers,
+                allow_redirects=False,
+                middlewares=(SendOnce(),) if effect.once else (),
             ) as response:
                 body = await response.read()
-        except aiohttp.ClientConnectorError as error:
-            loss = AttemptLost(effect.attempt, Loss.CONNECT_FAILED, detail=repr(error))
-            self._dispatch(loss)
-            return
-        except aiohttp.ClientPayloadError as error:
-            loss = AttemptLost(effect.attempt, Loss.TRUNCATED, detail=repr(error))
-            self._dispatch(loss)
-            return
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            loss = AttemptLost(effect.attempt, Loss.BROKEN, detail=repr(error))
-            self._dispatch(loss)
-            return
         if response.status == 503:
-            self._dispatch(AttemptLost(effect.attempt, Loss.REFUSED))
+            retry_after = _read_retry_after(response)
+            self._dispatch(AttemptLost(effect.attempt, Loss.REFUSED, retry_after))
             return
-        headers = {}
-        for name, value in response.headers.items():
-            if name.lower() in _DROPPED_HEADERS:
-                continue
-            headers[name] = value
-        exchange.answer = ServiceAnswer(response.status, headers, body)
-        self._dispatch(ServiceAnswered(effect.attempt, response.status))
+        exchange.answer = ServiceAnswer(response.status, _pick_headers(response), body)
+        self._dispatch(
+            ServiceAnswered(
+                effect.attempt,
+                response.status,
+                response.headers.get("Content-Type", ""),
+                body if len(body) <= MAX_RECORDED_BODY else None,
+            )
+        )
 
     async def _send_cancel(self, effect: CancelGeneration) -> None:
         target = self._find_target(effect.target)
-        if target is None or self._session is None:
+        if target is None:
             return
         url = f"{target.address}/v1/generations/{effect.generation}"
         timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT)
         try:
-            async with self._session.delete(url, timeout=timeout):
-                pass
+            async with self._pools.use(effect.target) as pool:
+                async with pool.fresh.delete(url, timeout=timeout):
+                    pass
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self.log.info("cancel not delivered: %r", error)
 
@@ -229,13 +237,13 @@
             await self.sleep(REPORT_PERIOD)
 
     async def _read_load(self, engine: EngineInfo) -> None:
-        assert self._session is not None
         timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT)
         try:
-            async with self._session.get(
-                engine.address + "/load", timeout=timeout
-            ) as response:
-                report = orjson.loads(await response.read())
+            async with self._pools.use(engine.name) as pool:
+                async with pool.reused.get(
+                    engine.address + "/load", timeout=timeout
+                ) as response:
+                    report = orjson.loads(await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return
         self._dispatch(
@@ -251,3 +259,17 @@
                 age=Millis(report.get("age_ms", 0)),
             )
         )
+
+
+def _read_retry_after(response: aiohttp.ClientResponse) -> Millis | None:
+    after = response.headers.get("Retry-After", "")
+    return Millis(int(after) * 1000) if after.isdigit() else None
+
+
+def _pick_headers(response: aiohttp.ClientResponse) -> dict[str, str]:
+    headers = {}
+    for name, value in response.headers.items():
+        if name.lower() in _DROPPED_HEADERS:
+            continue
+        headers[name] = value
+    return headers
