--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -5,6 +5,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.inventory import Inventory
+from figstep.core.orders import OrderOutcome
 from figstep.core.problems import Problem
 from figstep.core.records import LogRecord
 from figstep.core.specs import RequestSpec
@@ -245,6 +246,19 @@
     stream: str
 
 
+@dataclass(frozen=True, slots=True)
+class OrderAnswered:
+    """An order to an engine was answered, or given up on.
+
+    Attributes:
+        order: Number of the ``SendOrder`` effect.
+        outcome: What came of it.
+    """
+
+    order: int
+    outcome: OrderOutcome
+
+
 # Timers and life cycle
 
 
@@ -281,7 +295,14 @@
     """Tries to start queued requests."""
 
 
-Timer = RequestTimer | RetryTimer | ClaimTimer | AttemptTimer | QueueTimer
+@dataclass(frozen=True, slots=True)
+class PlacementTimer:
+    """Starts the next round of leases and orders."""
+
+
+Timer = (
+    RequestTimer | RetryTimer | ClaimTimer | AttemptTimer | QueueTimer | PlacementTimer
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -319,6 +340,7 @@
     | AppendUncertain
     | StreamCaughtUp
     | StreamUnavailable
+    | OrderAnswered
     | TimerFired
     | ShutdownRequested
     | ShutdownForced
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -3,6 +3,8 @@
 from figstep.core import (
     configuration,
     membership,
+    placement,
+    records,
     recovery,
     requests,
     settlement,
@@ -10,7 +12,7 @@
     targets,
 )
 from figstep.core.clock import Millis
-from figstep.core.effects import Effect
+from figstep.core.effects import Effect, WakeAt
 from figstep.core.events import (
     AppendConfirmed,
     AppendUncertain,
@@ -26,6 +28,8 @@
     Event,
     InstancesListed,
     LoadReported,
+    OrderAnswered,
+    PlacementTimer,
     QueueTimer,
     RecordsRead,
     RequestArrived,
@@ -79,9 +83,13 @@
             deaths = suspects.note_report(state, event, now)
             return deaths + targets.record_load(state, event, now)
         case ConfigurationRead():
-            return configuration.fold_record(state, event, now)
+            return _read_configuration(state, event, now)
         case InstancesListed():
             return membership.record_instances(state, event, now)
+        case RecordsRead(stream=records.LEASES):
+            return placement.take_lease_records(state, event, now)
+        case OrderAnswered():
+            return placement.take_answer(state, event, now)
         case RecordsRead():
             return settlement.take_records(state, event, now)
         case AppendConfirmed():
@@ -99,6 +107,16 @@
             return requests.abort_requests(state)
 
 
+def _read_configuration(
+    state: State, event: ConfigurationRead, now: Millis
+) -> list[Effect]:
+    before = state.inventory
+    effects = configuration.fold_record(state, event, now)
+    if before is None and state.inventory is not None:
+        effects.append(WakeAt(PlacementTimer(), now))
+    return effects
+
+
 def _fire_timer(state: State, timer: Timer, now: Millis) -> list[Effect]:
     match timer:
         case QueueTimer():
@@ -109,5 +127,7 @@
             return recovery.retry_request(state, timer, now)
         case ClaimTimer():
             return settlement.expire_claim(state, timer)
+        case PlacementTimer():
+            return placement.run_round(state, now)
         case AttemptTimer():
             return recovery.check_attempt(state, timer, now)
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -7,7 +7,9 @@
 from figstep.core.claims import ClaimTable
 from figstep.core.clock import Millis
 from figstep.core.inventory import Inventory, TargetInfo
+from figstep.core.leases import LeaseTable
 from figstep.core.lengths import LengthTable
+from figstep.core.orders import PlacementState
 from figstep.core.problems import Ran
 from figstep.core.quarantine import Quarantine
 from figstep.core.queues import RequestQueue
@@ -117,6 +119,7 @@
         waiting: Reported generations queued.
         memory_used: Reported cache memory in use, in tokens.
         memory_total: Cache memory, in tokens.
+        models: What it reports as loaded: "model@version", "model+adapter".
         reported: When the last report came, or None.
         gap: Smoothed gap between two reads of a stream, in milliseconds.
         gap_deviation: Smoothed deviation of that gap, in milliseconds.
@@ -134,6 +137,7 @@
     waiting: int = 0
     memory_used: int = 0
     memory_total: int = 0
+    models: tuple[str, ...] = ()
     reported: Millis | None = None
     gap: float = 0.0
     gap_deviation: float = 0.0
@@ -159,6 +163,8 @@
         lengths: Estimates of the lengths of answers.
         claims: Claims on non-idempotent requests.
         quarantine: Requests that are kept away from targets.
+        leases: Leases, and which of them this node holds.
+        placement: What a holder remembers of its orders.
         next_attempt: Number of the next attempt.
         shutting_down: Whether new requests are turned away.
     """
@@ -175,5 +181,7 @@
     lengths: LengthTable = field(default_factory=LengthTable)
     claims: ClaimTable = field(default_factory=ClaimTable)
     quarantine: Quarantine = field(default_factory=Quarantine)
+    leases: LeaseTable = field(default_factory=LeaseTable)
+    placement: PlacementState = field(default_factory=PlacementState)
     next_attempt: int = 1
     shutting_down: bool = False
