Test recovery, claims and quarantine by tables of events

Writing them showed four faults: resumes used up the bound on starts, so a request that was resumed often could not be restarted; a loss after bytes went out was told to a duplicate as a run to its end; a running order held its identity for itself past its window; and a waiting duplicate was not told an outcome that this entry had recorded itself.

Ruled out: counting resumes and starts together with a higher bound (a flapping link would still use up the starts).

Conclusion: starts and resumes are counted apart, an outcome without a status is unknown, and waiters are answered where the outcome is recorded.

--- a/figstep/core/attempts.py
+++ b/figstep/core/attempts.py
@@ -29,6 +29,7 @@
     owner = generations.digest_owner(request.spec.customer)
     generation = str(generations.GenerationId(target.info.name, owner, nonce))
     attempt = _add_attempt(state, request, target, generation, now)
+    request.attempts += 1
     effects: list[Effect] = [
         OpenAttempt(
             request.spec.request,
@@ -76,7 +77,6 @@
     target.in_flight += 1
     request.phase = Phase.RUNNING
     request.attempt = number
-    request.attempts += 1
     request.generation = generation
     request.target = target.info.name
     return attempt
--- a/figstep/core/claims.py
+++ b/figstep/core/claims.py
@@ -344,6 +344,9 @@
     for identifier, released in list(table.released.items()):
         if released + CLAIM_WINDOW <= time:
             del table.released[identifier]
+    for name in list(table.waiters):
+        if name not in table.owners:
+            del table.waiters[name]
 
 
 def find_owner(table: ClaimTable, name: str, now: Millis) -> Claim | None:
@@ -358,9 +361,11 @@
     return claim
 
 
-def find_own(table: ClaimTable, name: str) -> OwnClaim | None:
+def find_own(table: ClaimTable, name: str, now: Millis) -> OwnClaim | None:
     """Return this process's live claim on an identity."""
     for own in table.own.values():
-        if own.identity.name == name and own.state is not OwnState.ABANDONED:
+        if own.identity.name != name or own.state is OwnState.ABANDONED:
+            continue
+        if now - own.appended <= own.identity.window:
             return own
     return None
--- a/figstep/core/ownership.py
+++ b/figstep/core/ownership.py
@@ -38,7 +38,7 @@
         del state.requests[name]
         return [Refuse(name, _build_log_problem(state)), Count("claims.unavailable")]
     identity = claims.identify_request(state.inventory, request.spec)
-    own = claims.find_own(table, identity.name)
+    own = claims.find_own(table, identity.name, now)
     if own is not None:
         return _join_own(state, request, own)
     owner = claims.find_owner(table, identity.name, now)
@@ -91,7 +91,7 @@
     """Give a duplicate what the first request got, as far as it is held."""
     if outcome.body is not None:
         return ReplayAnswer(request, outcome.status, outcome.content_type, outcome.body)
-    if outcome.ran is not Ran.YES:
+    if outcome.ran is not Ran.YES or outcome.status == 0:
         return Refuse(request, build_unknown_problem(outcome.ran))
     detail = "the first request with this identity ran to its end"
     if outcome.generation:
@@ -203,8 +203,20 @@
     owner = state.claims.owners.get(own.identity.name)
     if owner is not None and owner.record == own.record:
         owner.outcome = outcome
+    effects: list[Effect] = [Count("claims.finished")]
+    for name in take_waiters(state, own.identity.name):
+        effects.append(answer_duplicate(name, outcome))
     data = claims.build_outcome(own.record, own.identity.name, outcome)
-    return [Count("claims.finished"), _append(state, data)]
+    return [*effects, _append(state, data)]
+
+
+def take_waiters(state: State, identity: str) -> list[str]:
+    """Take out and return the requests here that wait for an outcome."""
+    taken = []
+    for name in state.claims.waiters.pop(identity, []):
+        if state.requests.pop(name, None) is not None:
+            taken.append(name)
+    return taken
 
 
 def _append(state: State, data: dict[str, object]) -> Effect:
--- a/figstep/core/retries.py
+++ b/figstep/core/retries.py
@@ -68,7 +68,7 @@
     Attributes:
         loss: How it was lost.
         ran: Whether the request ran, this attempt included.
-        attempts: Attempts opened so far.
+        attempts: Starts so far, without resumes.
         resumes: Resumes in a row that brought nothing.
         resuming: Whether the lost attempt was itself a resume.
         resumable: Whether the target can resume the generation.
--- a/figstep/core/settlement.py
+++ b/figstep/core/settlement.py
@@ -86,27 +86,19 @@
         retry_after=Millis(1_000),
     )
     effects: list[Effect] = []
-    for request_id in _take_waiters(state, name):
+    for request_id in ownership.take_waiters(state, name):
         effects.append(Refuse(request_id, problem))
     return effects
 
 
 def _settle_finished(state: State, name: str, outcome: claims.Outcome) -> list[Effect]:
     effects: list[Effect] = []
-    for request_id in _take_waiters(state, name):
+    for request_id in ownership.take_waiters(state, name):
         effects.append(ownership.answer_duplicate(request_id, outcome))
         effects.append(Count("claims.replayed"))
     return effects
 
 
-def _take_waiters(state: State, name: str) -> list[str]:
-    taken = []
-    for request_id in state.claims.waiters.pop(name, []):
-        if state.requests.pop(request_id, None) is not None:
-            taken.append(request_id)
-    return taken
-
-
 def note_caught_up(state: State, event: StreamCaughtUp) -> list[Effect]:
     """The claims stream is read to its end: claims can be settled."""
     if event.stream == CLAIMS:
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -40,7 +40,7 @@
         target: Target of the last attempt, or "".
         attempt: Current attempt, or None.
         delivered: Index of the last event handed to the caller.
-        attempts: Attempts opened so far.
+        attempts: Starts so far, without resumes.
         resumes: Resumes in a row that brought nothing.
         returned: Index after which the caller came back, or None.
         accepted: Whether a target took its current generation.
--- /dev/null
+++ b/tests/entries.py
@@ -0,0 +1,101 @@
+"""One entry's state without edges: events in, effects out."""
+
+import random
+from typing import TypeVar
+
+from figstep.core.claims import ClaimTable
+from figstep.core.clock import Millis
+from figstep.core.configuration import apply_inventory
+from figstep.core.effects import Effect, OpenAttempt
+from figstep.core.events import Event, RequestArrived, StreamCaughtUp, TokensArrived
+from figstep.core.inventory import (
+    EngineInfo,
+    Inventory,
+    NonIdempotentRule,
+    Rules,
+    ServiceInfo,
+)
+from figstep.core.records import CLAIMS
+from figstep.core.reducer import reduce
+from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork
+from figstep.core.state import State
+
+Kind = TypeVar("Kind", bound=Effect)
+
+
+def make_inventory(engines: int = 2, window: Millis | None = None) -> Inventory:
+    """Return engines e1, e2 ... and services s1 and s2 with an order rule."""
+    names = [f"e{number}" for number in range(1, engines + 1)]
+    rule = NonIdempotentRule("shop", path="/orders", digest_window=window)
+    return Inventory(
+        engines=tuple(EngineInfo(n, "http://x", "muc-a", ("m",)) for n in names),
+        services=tuple(
+            ServiceInfo(n, "shop", "http://x", "muc-a") for n in ("s1", "s2")
+        ),
+        rules=Rules(non_idempotent=(rule,)),
+    )
+
+
+class Entry:
+    """State of one entry, its time and the effects of the last event."""
+
+    def __init__(
+        self, node: str = "n1", seed: int = 1, inventory: Inventory | None = None
+    ) -> None:
+        self.state = State(node, "muc-a", random.Random(seed))
+        self.now = Millis(1_000_000)
+        self.effects: list[Effect] = []
+        apply_inventory(self.state, inventory or make_inventory())
+
+    @property
+    def claims(self) -> ClaimTable:
+        """The folded claims."""
+        return self.state.claims
+
+    def feed(self, event: Event, after: int = 0) -> list[Effect]:
+        """Reduce an event ``after`` milliseconds later."""
+        self.now = Millis(self.now + after)
+        self.effects = reduce(self.state, event, self.now)
+        return self.effects
+
+    def catch_up(self) -> None:
+        """Let the claims stream be read to its end."""
+        self.feed(StreamCaughtUp(CLAIMS))
+
+    def start(self, request: str = "r1", digest: str = "d", stream: bool = True) -> int:
+        """Start a generation and return its attempt."""
+        spec = RequestSpec(
+            request, "demo", GenerationWork("m"), stream=stream, digest=digest
+        )
+        self.feed(RequestArrived(spec))
+        return self.take(OpenAttempt).attempt
+
+    def order(self, request: str, key: str | None = "k", digest: str = "d") -> None:
+        """Send a non-idempotent order."""
+        work = ServiceWork("shop", "POST", "/orders")
+        spec = RequestSpec(
+            request, "demo", work, stream=False, idempotency_key=key, digest=digest
+        )
+        self.feed(RequestArrived(spec))
+
+    def deliver(self, attempt: int, first: int, count: int = 1) -> list[Effect]:
+        """Let tokens of the attempt's own generation come."""
+        generation = self.state.attempts[attempt].generation
+        frames = [b"%d" % index for index in range(first, first + count)]
+        return self.feed(TokensArrived(attempt, generation, first, frames))
+
+    def list_kind(self, kind: type[Kind]) -> list[Kind]:
+        """Return the last effects of one kind."""
+        return [effect for effect in self.effects if isinstance(effect, kind)]
+
+    def take(self, kind: type[Kind]) -> Kind:
+        """Return the only one of the last effects of one kind."""
+        found = self.list_kind(kind)
+        assert len(found) == 1, self.effects
+        return found[0]
+
+    def find_attempt(self, request: str) -> int:
+        """Return the open attempt of a request."""
+        attempt = self.state.requests[request].attempt
+        assert attempt is not None
+        return attempt
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,150 @@
+"""Requests that kill targets, and their innocent neighbours."""
+
+from figstep.core import quarantine
+from figstep.core.clock import Millis
+from figstep.core.effects import OpenAttempt, Refuse
+from figstep.core.events import (
+    AttemptAnswered,
+    AttemptEnded,
+    AttemptLost,
+    LoadReported,
+    Loss,
+    QueueTimer,
+    RequestArrived,
+    TimerFired,
+)
+from figstep.core.quarantine import Quarantine, SharedDigest
+from figstep.core.specs import GenerationWork, RequestSpec
+from figstep.core.suspects import blocks_target
+from tests.entries import Entry, make_inventory
+from tests.test_recovery import lose_for_good
+
+
+def accept(entry: Entry, request: str) -> None:
+    entry.feed(AttemptAnswered(entry.find_attempt(request)))
+
+
+def test_a_request_is_refused_after_it_killed_two_targets() -> None:
+    """A request crashes the engine that runs it, and its caller sends it again.
+
+    The second death, where it was the only suspect, proves it; the third
+    sending is refused before it reaches a target.
+    """
+    entry = Entry(inventory=make_inventory(engines=3))
+    entry.start("r1", digest="killer", stream=False)
+    accept(entry, "r1")
+    lose_for_good(entry, "r1")
+    accept(entry, "r1")
+    lose_for_good(entry, "r1")
+    assert entry.take(Refuse).problem.code == "request_quarantined"
+    assert entry.list_kind(OpenAttempt) == []
+    spec = RequestSpec("r2", "demo", GenerationWork("m"), digest="killer")
+    entry.feed(RequestArrived(spec))
+    problem = entry.take(Refuse).problem
+    assert problem.retry_after == entry.state.quarantine.until["killer"] - entry.now
+
+
+def test_neighbours_of_a_killer_go_on_and_are_cleared() -> None:
+    """A killer and an innocent request share the engine that dies.
+
+    Both become suspects and are retried on different targets. The killer's
+    death there proves it; the innocent one ends whole and is forgotten.
+    """
+    entry = Entry(inventory=make_inventory(engines=3))
+    entry.start("bad", digest="killer", stream=False)
+    target = entry.state.requests["bad"].target
+    name, number = "good", 0
+    entry.start(name, digest=name, stream=False)
+    while entry.state.requests[name].target != target:
+        number += 1
+        name = f"good{number}"
+        entry.start(name, digest=name, stream=False)
+    accept(entry, "bad")
+    accept(entry, name)
+    lose_for_good(entry, "bad")
+    lose_for_good(entry, name)
+    assert set(entry.state.quarantine.suspects) == {"killer", name}
+    assert entry.state.requests["bad"].target != entry.state.requests[name].target
+    accept(entry, "bad")
+    lose_for_good(entry, "bad")
+    assert list(entry.state.quarantine.until) == ["killer"]
+    entry.deliver(entry.find_attempt(name), 1)
+    entry.feed(AttemptEnded(entry.find_attempt(name)))
+    assert name not in entry.state.quarantine.suspects
+
+
+def test_suspects_keep_away_from_each_other() -> None:
+    entry = Entry(inventory=make_inventory(engines=1))
+    held = entry.state.quarantine
+    for digest in ("a", "b"):
+        quarantine.count_death(held, digest, f"g{digest}", "e9#1", entry.now)
+    entry.start("r1", digest="a")
+    spec = RequestSpec("r2", "demo", GenerationWork("m"), digest="b")
+    entry.feed(RequestArrived(spec))
+    assert blocks_target(entry.state, entry.state.requests["r2"], "e1")
+    assert entry.list_kind(OpenAttempt) == []
+    entry.deliver(entry.find_attempt("r1"), 1)
+    entry.feed(AttemptEnded(entry.find_attempt("r1")))
+    entry.feed(TimerFired(QueueTimer()))
+    assert entry.take(OpenAttempt).request == "r2"
+
+
+def test_two_suspects_that_die_together_are_not_proved() -> None:
+    entry = Entry(inventory=make_inventory(engines=1))
+    entry.start("r1", digest="a", stream=False)
+    entry.start("r2", digest="b", stream=False)
+    held = entry.state.quarantine
+    for digest in ("a", "b"):
+        quarantine.count_death(held, digest, f"g{digest}", "e9#1", entry.now)
+    accept(entry, "r1")
+    accept(entry, "r2")
+    lose_for_good(entry, "r1")
+    assert held.until == {}
+
+
+def test_one_death_is_counted_once() -> None:
+    """A death shows by broken streams first and by a new incarnation later.
+
+    What was started on the new incarnation meanwhile had no part in it.
+    """
+    entry = Entry(inventory=make_inventory(engines=1))
+    entry.feed(LoadReported("e1", incarnation=1))
+    entry.start("r1", digest="a")
+    accept(entry, "r1")
+    lose_for_good(entry, "r1")
+    entry.start("r2", digest="b")
+    accept(entry, "r2")
+    entry.feed(LoadReported("e1", incarnation=2))
+    assert set(entry.state.quarantine.suspects) == {"a"}
+
+
+def test_a_new_incarnation_alone_makes_suspects() -> None:
+    entry = Entry(inventory=make_inventory(engines=1))
+    entry.feed(LoadReported("e1", incarnation=1))
+    entry.start("r1", digest="a")
+    accept(entry, "r1")
+    entry.feed(LoadReported("e1", incarnation=2))
+    assert set(entry.state.quarantine.suspects) == {"a"}
+
+
+def test_a_refusing_target_makes_no_suspects() -> None:
+    entry = Entry()
+    attempt = entry.start("r1", digest="a")
+    entry.feed(AttemptLost(attempt, Loss.REFUSED))
+    entry.feed(AttemptLost(entry.find_attempt("r1"), Loss.CONNECT_FAILED))
+    assert entry.state.quarantine.suspects == {}
+
+
+def test_shared_digests_end_everywhere() -> None:
+    """Entries repeat to each other what they refuse.
+
+    Only remaining times travel, so no digest is kept alive by the repeating.
+    """
+    first, second = Quarantine({"d": Millis(1_000)}), Quarantine()
+    told = quarantine.list_quarantined(first, Millis(400))
+    assert told == [SharedDigest("d", Millis(600))]
+    assert quarantine.merge_quarantined(second, told, Millis(50_000)) == 1
+    back = quarantine.list_quarantined(second, Millis(50_100))
+    assert quarantine.merge_quarantined(first, back, Millis(500)) == 0
+    assert first.until == {"d": Millis(1_000)}
+    assert quarantine.list_quarantined(first, Millis(1_000)) == []
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,209 @@
+"""Tokens, losses, silence: what reaches the caller and what is retried."""
+
+from figstep.core.effects import (
+    CancelGeneration,
+    CloseAttempt,
+    Complete,
+    Deliver,
+    DiscardDelivered,
+    OpenAttempt,
+    Refuse,
+    ReplacePool,
+    ResumeAttempt,
+    WakeAt,
+)
+from figstep.core.events import (
+    AttemptAnswered,
+    AttemptEnded,
+    AttemptLost,
+    AttemptTimer,
+    CallerReturned,
+    Loss,
+    QueueTimer,
+    RequestTimer,
+    RetryTimer,
+    TimerFired,
+    TokensArrived,
+)
+from figstep.core.problems import Ran
+from figstep.core.retries import MAX_RESUMES
+from figstep.core.silence import FIRST_LIMIT
+from figstep.core.specs import GenerationWork, RequestSpec
+from tests.entries import Entry
+
+
+def lose_for_good(entry: Entry, request: str) -> None:
+    """Lose an attempt and all resumes of it, as when its target has died."""
+    entry.feed(AttemptLost(entry.find_attempt(request), Loss.BROKEN))
+    for _ in range(MAX_RESUMES - 1):
+        entry.feed(AttemptLost(entry.find_attempt(request), Loss.CONNECT_FAILED))
+        entry.feed(TimerFired(RetryTimer(request)), after=5_000)
+    entry.feed(AttemptLost(entry.find_attempt(request), Loss.CONNECT_FAILED))
+
+
+def test_a_broken_stream_goes_on_after_the_last_event_that_was_delivered() -> None:
+    entry = Entry()
+    attempt = entry.start()
+    entry.deliver(attempt, 1, 3)
+    entry.feed(AttemptLost(attempt, Loss.BROKEN))
+    resumed = entry.take(ResumeAttempt)
+    assert resumed.after == 3
+    entry.deliver(resumed.attempt, 2, 4)
+    assert entry.take(Deliver).frames == [b"4", b"5"]
+
+
+def test_events_of_a_closed_attempt_are_dropped() -> None:
+    """The old connection still has events in its buffer after a resume.
+
+    The new one brings them too; the caller would see them twice.
+    """
+    entry = Entry()
+    attempt = entry.start()
+    entry.deliver(attempt, 1)
+    generation = entry.state.requests["r1"].generation
+    entry.feed(AttemptLost(attempt, Loss.TRUNCATED))
+    entry.feed(TokensArrived(attempt, generation, 2, [b"2"]))
+    assert entry.list_kind(Deliver) == []
+    entry.feed(AttemptEnded(attempt))
+    assert entry.list_kind(Complete) == []
+
+
+def test_crossed_events_never_reach_the_caller() -> None:
+    entry = Entry()
+    first, second = entry.start("r1"), entry.start("r2")
+    other = entry.state.attempts[second].generation
+    entry.feed(TokensArrived(first, other, 1, [b"1"]))
+    assert entry.list_kind(Deliver) == []
+    assert entry.take(ResumeAttempt).request == "r1"
+
+
+def test_a_gap_is_filled_by_a_resume() -> None:
+    entry = Entry()
+    attempt = entry.start()
+    entry.deliver(attempt, 1)
+    entry.deliver(attempt, 3)
+    assert entry.list_kind(Deliver) == []
+    assert entry.take(ResumeAttempt).after == 1
+
+
+def test_a_whole_answer_is_restarted_unseen_when_its_target_dies() -> None:
+    """An engine dies late in an answer that is gathered for the caller.
+
+    Nothing has reached the caller, so what was gathered is dropped and the
+    request starts anew elsewhere; the caller only waits longer.
+    """
+    entry = Entry()
+    entry.deliver(entry.start(stream=False), 1, 50)
+    lost = entry.state.requests["r1"].target
+    lose_for_good(entry, "r1")
+    assert entry.take(OpenAttempt).target != lost
+    assert entry.list_kind(DiscardDelivered)
+    entry.deliver(entry.find_attempt("r1"), 1, 2)
+    assert entry.take(Deliver).frames == [b"1", b"2"]
+
+
+def test_a_stream_that_cannot_go_on_ends_with_a_typed_answer() -> None:
+    entry = Entry()
+    entry.deliver(entry.start(), 1)
+    lose_for_good(entry, "r1")
+    problem = entry.take(Refuse).problem
+    assert (problem.code, problem.ran) == ("generation_lost", Ran.YES)
+    assert entry.state.requests == {}
+
+
+def test_not_run_is_told_when_every_target_refuses() -> None:
+    entry = Entry()
+    entry.start()
+    while "r1" in entry.state.requests:
+        request = entry.state.requests["r1"]
+        if request.attempt is None:
+            entry.feed(TimerFired(RetryTimer("r1")), after=100)
+            entry.now += 600
+            entry.feed(TimerFired(QueueTimer()))
+            continue
+        entry.feed(AttemptLost(request.attempt, Loss.REFUSED))
+    problem = entry.take(Refuse).problem
+    assert (problem.code, problem.ran) == ("no_target", Ran.NO)
+    assert problem.retry_after
+
+
+def test_the_deadline_stops_a_running_attempt_and_does_not_claim_not_run() -> None:
+    """A target took the request and brings no first token in time.
+
+    The caller is refused at its deadline. The target may be at work, so its
+    generation is cancelled and the answer does not say "not run".
+    """
+    entry = Entry()
+    attempt = entry.start()
+    timers = entry.list_kind(WakeAt)
+    deadline = next(wake for wake in timers if wake.timer == RequestTimer("r1"))
+    entry.now = deadline.at
+    entry.feed(TimerFired(deadline.timer))
+    problem = entry.take(Refuse).problem
+    assert (problem.ran, problem.status) == (Ran.UNKNOWN, 504)
+    assert entry.take(CloseAttempt).attempt == attempt
+    assert entry.list_kind(CancelGeneration)
+
+
+def test_an_end_marker_without_an_answer_is_a_loss() -> None:
+    entry = Entry()
+    attempt = entry.start()
+    entry.feed(AttemptEnded(attempt))
+    assert entry.list_kind(Complete) == []
+    assert entry.list_kind(OpenAttempt)
+
+
+def test_a_silent_pool_is_replaced_once_a_probe_delivers() -> None:
+    """Something in between has lost track of all connections to one target.
+
+    They stay open and bring nothing. The first to be probed gets events over a
+    new connection, which shows that the target is well, so the pool is
+    replaced and the other silent streams reattach at once.
+    """
+    entry = Entry()
+    first = entry.start("r1")
+    target = entry.state.attempts[first].target
+    other = entry.start("r2")
+    while entry.state.attempts[other].target != target:
+        other = entry.start(f"r{other + 10}")
+    entry.feed(TimerFired(AttemptTimer(first)), after=FIRST_LIMIT)
+    probe = entry.take(ResumeAttempt).attempt
+    entry.feed(AttemptAnswered(probe))
+    assert entry.list_kind(ReplacePool) == []
+    entry.now += 1
+    entry.deliver(probe, 1)
+    assert entry.take(ReplacePool).target == target
+    reattached = [effect.request for effect in entry.list_kind(ResumeAttempt)]
+    assert len(reattached) >= 1
+    assert other not in entry.state.attempts
+
+
+def test_a_slow_target_is_not_taken_for_a_silent_one() -> None:
+    """An engine preempts a generation and brings nothing for long.
+
+    The probe is answered and brings nothing either: the target is slow, so
+    the pool stays and no more probes are sent.
+    """
+    entry = Entry()
+    attempt = entry.start()
+    entry.feed(TimerFired(AttemptTimer(attempt)), after=FIRST_LIMIT)
+    probe = entry.take(ResumeAttempt).attempt
+    entry.feed(AttemptAnswered(probe))
+    for _ in range(5):
+        entry.feed(TimerFired(AttemptTimer(probe)), after=FIRST_LIMIT)
+        assert entry.list_kind(ResumeAttempt) == []
+    entry.deliver(probe, 1)
+    assert entry.list_kind(ReplacePool) == []
+
+
+def test_a_returned_caller_whose_generation_is_gone_is_told_so() -> None:
+    entry = Entry()
+    attempt = entry.start()
+    generation = entry.state.attempts[attempt].generation
+    spec = RequestSpec("r2", "demo", GenerationWork("m"))
+    entry.feed(CallerReturned(spec, generation, 4))
+    resumed = entry.take(ResumeAttempt)
+    assert resumed.after == 4
+    entry.feed(AttemptLost(resumed.attempt, Loss.NOT_FOUND))
+    problem = entry.take(Refuse).problem
+    assert (problem.code, problem.ran) == ("generation_gone", Ran.YES)
--- /dev/null
+++ b/tests/test_settlement.py
@@ -0,0 +1,322 @@
+"""Claims: who dispatches, who waits, who is told what."""
+
+import uuid
+
+import pytest
+
+from figstep.core.claims import CLAIM_WINDOW, read_key_time
+from figstep.core.clock import Millis
+from figstep.core.effects import (
+    AppendRecords,
+    OpenAttempt,
+    Refuse,
+    ReplayAnswer,
+)
+from figstep.core.events import (
+    AppendUncertain,
+    AttemptLost,
+    CallerGone,
+    ClaimTimer,
+    Loss,
+    RecordsRead,
+    RequestArrived,
+    ServiceAnswered,
+    StreamUnavailable,
+    TimerFired,
+)
+from figstep.core.ownership import LONGEST_FRESH
+from figstep.core.problems import Ran
+from figstep.core.records import CLAIMS, LogRecord
+from figstep.core.specs import RequestSpec, ServiceWork
+from tests.entries import Entry, make_inventory
+
+
+class Log:
+    """The claims stream as a list; entries read it when told."""
+
+    def __init__(self) -> None:
+        self.records: list[LogRecord] = []
+        self.time = 1_000_000
+
+    def take(self, entry: Entry) -> None:
+        """Append what the entry's last effects ask for."""
+        for effect in entry.list_kind(AppendRecords):
+            for data in effect.records:
+                self.add(data)
+
+    def add(self, data: dict[str, object]) -> None:
+        """Append one record."""
+        self.records.append(LogRecord(len(self.records), self.time, data))
+
+    def show(self, entry: Entry, start: int = 0) -> None:
+        """Let the entry read from ``start`` on."""
+        entry.feed(RecordsRead(CLAIMS, tuple(self.records[start:])))
+
+
+def make_ready(node: str = "n1", seed: int = 1) -> Entry:
+    entry = Entry(node, seed)
+    entry.catch_up()
+    return entry
+
+
+def test_an_order_goes_out_only_after_its_claim_was_read_back() -> None:
+    entry, log = make_ready(), Log()
+    entry.order("r1")
+    assert entry.list_kind(OpenAttempt) == []
+    log.take(entry)
+    log.show(entry)
+    assert entry.take(OpenAttempt).once
+
+
+def test_the_same_order_through_two_entries_runs_once() -> None:
+    """A caller sends an order twice and the balancer spreads it.
+
+    Both entries append a claim; the log's order says that the first owns the
+    identity. The other waits and gives its caller the recorded answer.
+    """
+    first, second, log = make_ready("n1", 1), make_ready("n2", 2), Log()
+    first.order("a")
+    log.take(first)
+    second.order("b")
+    log.take(second)
+    log.show(second)
+    assert second.list_kind(OpenAttempt) == []
+    log.show(first)
+    attempt = first.take(OpenAttempt).attempt
+    first.feed(ServiceAnswered(attempt, 201, "text/plain", b"booked"))
+    log.take(first)
+    log.show(second, 2)
+    assert second.take(ReplayAnswer).body == b"booked"
+    assert second.state.requests == {}
+
+
+def test_a_duplicate_at_the_same_entry_joins_the_running_one() -> None:
+    entry, log = make_ready(), Log()
+    entry.order("r1")
+    log.take(entry)
+    log.show(entry)
+    attempt = entry.take(OpenAttempt).attempt
+    entry.order("r2")
+    assert entry.effects[-1:] != [] and entry.list_kind(AppendRecords) == []
+    entry.feed(ServiceAnswered(attempt, 200, "text/plain", b"done"))
+    assert entry.take(ReplayAnswer).request == "r2"
+    entry.order("r3")
+    assert entry.take(ReplayAnswer).request == "r3"
+
+
+def test_another_body_under_the_same_key_is_refused() -> None:
+    entry, log = make_ready(), Log()
+    entry.order("r1")
+    log.take(entry)
+    entry.order("r2", digest="other")
+    assert entry.take(Refuse).problem.status == 422
+
+
+@pytest.mark.parametrize("loss", [Loss.CONNECT_FAILED, Loss.REFUSED])
+def test_an_order_that_did_not_go_out_may_go_elsewhere(loss: Loss) -> None:
+    entry, log = make_ready(), Log()
+    entry.order("r1")
+    log.take(entry)
+    log.show(entry)
+    opened = entry.take(OpenAttempt)
+    entry.feed(AttemptLost(opened.attempt, loss))
+    assert entry.take(OpenAttempt).target != opened.target
+
+
+@pytest.mark.parametrize("loss", [Loss.BROKEN, Loss.TRUNCATED, Loss.FAILED])
+def test_an_order_that_may_have_run_is_never_sent_again(loss: Loss) -> None:
+    """The connection breaks after the order's bytes went out.
+
+    Whether a pallet is on its way cannot be told; the caller is told so, and a
+    duplicate through any entry is told the same.
+    """
+    entry, log = make_ready(), Log()
+    entry.order("r1")
+    log.take(entry)
+    log.show(entry)
+    entry.feed(AttemptLost(entry.take(OpenAttempt).attempt, loss))
+    problem = entry.take(Refuse).problem
+    assert problem.code == "outcome_unknown" and problem.ran is not Ran.NO
+    log.take(entry)
+    other = make_ready("n2", 2)
+    log.show(other)
+    other.order("r2")
+    assert other.take(Refuse).problem.code == "outcome_unknown"
+
+
+def test_a_lost_append_is_settled_by_reading() -> None:
+    """The log took the claim but its answer was lost.
+
+    The entry waits a little for its own record to be read back, and then goes
+    on as if nothing had happened; no second record is appended.
+    """
+    entry, log = make_ready(), Log()
+    entry.order("r1")
+    log.take(entry)
+    entry.feed(AppendUncertain(entry.take(AppendRecords).key))
+    assert entry.list_kind(Refuse) == []
+    assert entry.list_kind(AppendRecords) == []
+    log.show(entry)
+    assert entry.list_kind(OpenAttempt)
+
+
+def test_a_claim_that_comes_to_light_late_is_released_and_not_dispatched() -> None:
+    """An append is uncertain and is not read back in time.
+
+    The caller is refused with "not run". When the record shows up after all,
+    dispatching would make that a lie, so the claim is given back.
+    """
+    entry, log = make_ready(), Log()
+    entry.order("r1")
+    log.take(entry)
+    entry.feed(AppendUncertain(entry.take(AppendRecords).key))
+    entry.feed(TimerFired(ClaimTimer("r1")), after=1_000)
+    assert entry.take(Refuse).problem.ran is Ran.NO
+    log.show(entry)
+    assert entry.list_kind(OpenAttempt) == []
+    assert entry.take(AppendRecords).records[0]["kind"] == "release"
+    log.take(entry)
+    other = make_ready("n2", 2)
+    log.show(other)
+    other.order("r2")
+    log.take(other)
+    log.show(other, 2)
+    assert other.list_kind(OpenAttempt)
+
+
+def test_orders_are_refused_at_once_while_the_log_is_down() -> None:
+    entry, log = make_ready(), Log()
+    entry.order("r1")
+    entry.feed(StreamUnavailable(CLAIMS))
+    problem = entry.take(Refuse).problem
+    assert problem.ran is Ran.NO and problem.retry_after
+    entry.order("r2", key="other")
+    assert entry.take(Refuse).problem.ran is Ran.NO
+    assert log.records == []
+    assert entry.start("r3")
+
+
+def test_an_entry_that_starts_reads_the_claims_before_it_dispatches() -> None:
+    entry = Entry()
+    entry.order("r1")
+    assert entry.take(Refuse).problem.code == "claims_unavailable"
+
+
+def test_a_paused_owner_does_not_dispatch_an_old_claim() -> None:
+    """An owner is frozen between claim and dispatch, and wakes much later.
+
+    Its identity may have expired and belong to another by then.
+    """
+    entry, log = make_ready(), Log()
+    entry.order("r1")
+    log.take(entry)
+    entry.now = Millis(entry.now + LONGEST_FRESH + 1)
+    log.show(entry)
+    assert entry.list_kind(OpenAttempt) == []
+    assert entry.take(Refuse).problem.ran is Ran.NO
+    assert entry.take(AppendRecords).records[0]["kind"] == "release"
+
+
+def test_a_dead_owners_claim_stays_unknown() -> None:
+    """The owner died after its claim; whether it dispatched nobody knows."""
+    dead, other, log = make_ready("n1", 1), make_ready("n2", 2), Log()
+    dead.order("r1")
+    log.take(dead)
+    log.show(other)
+    other.order("r2")
+    assert other.list_kind(AppendRecords) == []
+    other.feed(TimerFired(ClaimTimer("r2")), after=10_000)
+    problem = other.take(Refuse).problem
+    assert (problem.code, problem.ran) == ("first_still_running", Ran.UNKNOWN)
+
+
+def test_an_order_goes_on_when_its_caller_has_left() -> None:
+    """The caller's own time-out ends its connection while the order runs.
+
+    It then sends the same key again and gets the first one's answer.
+    """
+    entry, log = make_ready(), Log()
+    entry.order("r1")
+    log.take(entry)
+    log.show(entry)
+    attempt = entry.take(OpenAttempt).attempt
+    entry.feed(CallerGone("r1"))
+    entry.order("r2")
+    entry.feed(ServiceAnswered(attempt, 200, "", b"x"))
+    assert entry.take(ReplayAnswer).request == "r2"
+
+
+def test_a_key_from_before_the_window_is_refused() -> None:
+    """A caller sends an order again after what is remembered has passed.
+
+    Whether it ran is no longer known. A key that carries its time shows this;
+    the request is refused and not run.
+    """
+    entry, log = make_ready(), Log()
+    time = log.time - CLAIM_WINDOW - 1
+    key = str(uuid.UUID(int=(time << 80) | (7 << 76) | (2 << 62)))
+    assert read_key_time(key) == time
+    entry.order("r1", key=key)
+    log.take(entry)
+    log.show(entry)
+    assert entry.list_kind(OpenAttempt) == []
+    problem = entry.take(Refuse).problem
+    assert (problem.code, problem.ran) == ("key_expired", Ran.UNKNOWN)
+
+
+def test_the_same_body_is_one_order_within_its_window_only() -> None:
+    inventory = make_inventory(window=Millis(5_000))
+    entry, log = Entry(inventory=inventory), Log()
+    entry.catch_up()
+    for request, pause, opened in (("r1", 0, 1), ("r2", 1_000, 0), ("r3", 6_000, 1)):
+        entry.now = Millis(entry.now + pause)
+        log.time += pause
+        entry.order(request, key=None)
+        read = len(log.records)
+        log.take(entry)
+        log.show(entry, read)
+        assert len(entry.list_kind(OpenAttempt)) == opened, request
+
+
+def test_an_order_without_key_or_window_is_claimed_for_itself() -> None:
+    entry = make_ready()
+    entry.order("r1", key=None)
+    first = entry.take(AppendRecords).records[0]["name"]
+    entry.order("r2", key=None)
+    assert entry.take(AppendRecords).records[0]["name"] != first
+
+
+def test_a_large_answer_is_told_as_run_but_no_longer_held() -> None:
+    entry, log = make_ready(), Log()
+    entry.order("r1")
+    log.take(entry)
+    log.show(entry)
+    entry.feed(ServiceAnswered(entry.take(OpenAttempt).attempt, 200, "", None))
+    entry.order("r2")
+    problem = entry.take(Refuse).problem
+    assert (problem.code, problem.ran) == ("already_ran", Ran.YES)
+
+
+def test_unknown_records_are_passed_over() -> None:
+    entry, log = make_ready(), Log()
+    for data in ({}, {"kind": "claim", "id": 1}, {"kind": "x", "id": "a", "name": "b"}):
+        log.add(data)
+    log.add({"kind": "claim", "id": "a", "name": "b"})
+    log.show(entry)
+    assert entry.claims.owners == {}
+
+
+def test_a_repeated_record_changes_nothing() -> None:
+    entry, log = make_ready(), Log()
+    entry.order("r1")
+    log.take(entry)
+    log.take(entry)
+    log.show(entry)
+    assert len(entry.list_kind(OpenAttempt)) == 1
+
+
+def test_a_call_that_no_rule_names_needs_no_claim() -> None:
+    entry = make_ready()
+    work = ServiceWork("shop", "GET", "/stock")
+    entry.feed(RequestArrived(RequestSpec("r1", "demo", work, stream=False)))
+    assert entry.list_kind(OpenAttempt)
