--- a/figstep/core/effects.py
+++ b/figstep/core/effects.py
@@ -150,6 +150,13 @@
     until: Millis
 
 
+@dataclass(frozen=True, slots=True)
+class ReadConfigurationFrom:
+    """Read the configuration stream on from ``offset``."""
+
+    offset: int
+
+
 @dataclass(frozen=True, slots=True)
 class WakeAt:
     """Fire ``timer`` at ``at`` (monotonic); an earlier one is replaced."""
@@ -192,6 +199,7 @@
     | Refuse
     | AppendRecords
     | SendOrder
+    | ReadConfigurationFrom
     | WakeAt
     | Count
     | Note
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -23,6 +23,7 @@
     AttemptTimer,
     CallerGone,
     CallerReturned,
+    CheckpointOffered,
     ClaimTimer,
     ConfigurationRead,
     Event,
@@ -38,6 +39,9 @@
     ServiceAnswered,
     ShutdownForced,
     ShutdownRequested,
+    SnapshotRead,
+    SnapshotTimer,
+    Started,
     StreamCaughtUp,
     StreamUnavailable,
     Timer,
@@ -83,7 +87,11 @@
             deaths = suspects.note_report(state, event, now)
             return deaths + targets.record_load(state, event, now)
         case ConfigurationRead():
-            return _read_configuration(state, event, now)
+            return configuration.fold_record(state, event, now)
+        case SnapshotRead():
+            return configuration.fold_snapshot(state, event, now)
+        case CheckpointOffered():
+            return configuration.take_checkpoint(state, event.checkpoint, now)
         case InstancesListed():
             return membership.record_instances(state, event, now)
         case RecordsRead(stream=records.LEASES):
@@ -100,6 +108,8 @@
             return settlement.note_caught_up(state, event)
         case StreamUnavailable():
             return settlement.note_unavailable(state, event)
+        case Started():
+            return [WakeAt(PlacementTimer(), now)]
         case ShutdownRequested():
             state.shutting_down = True
             return []
@@ -107,16 +117,6 @@
             return requests.abort_requests(state)
 
 
-def _read_configuration(
-    state: State, event: ConfigurationRead, now: Millis
-) -> list[Effect]:
-    before = state.inventory
-    effects = configuration.fold_record(state, event, now)
-    if before is None and state.inventory is not None:
-        effects.append(WakeAt(PlacementTimer(), now))
-    return effects
-
-
 def _fire_timer(state: State, timer: Timer, now: Millis) -> list[Effect]:
     match timer:
         case QueueTimer():
@@ -131,3 +131,5 @@
             return placement.run_round(state, now)
         case AttemptTimer():
             return recovery.check_attempt(state, timer, now)
+        case SnapshotTimer():
+            return configuration.renew_snapshot(state, now)
--- a/figstep/net/streams.py
+++ b/figstep/net/streams.py
@@ -41,23 +41,30 @@
         self._take_records = take_records
         self._next = start
 
+    def read_from(self, offset: int) -> None:
+        """Go on reading at ``offset``; what a running poll brings is dropped."""
+        self._next = offset
+
     @Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
             wait = POLL_WAIT if self._caught_up else 0
+            start = self._next
             try:
-                records = await self._log_client.read(self._stream, self._next, wait)
+                records = await self._log_client.read(self._stream, start, wait)
             except LogTruncatedError as error:
-                self._next = error.earliest
+                self._next = max(self._next, error.earliest)
                 continue
             except LogUnavailableError:
                 self._caught_up = False
                 self._dispatch(StreamUnavailable(self._stream))
                 await self.sleep(RETRY_SECONDS)
                 continue
-            if records:
+            if records and self._next == start:
                 self._next = records[-1].offset + 1
                 self._take_records(records)
+            if self._next != start + len(records):
+                continue
             if not self._caught_up and len(records) < READ_LIMIT:
                 self._caught_up = True
                 self._dispatch(StreamCaughtUp(self._stream))
--- a/tests/test_placement.py
+++ b/tests/core/test_placement.py
@@ -11,6 +11,7 @@
     FailureDomain,
     Inventory,
     ModelInfo,
+    PlacementRule,
     Rules,
 )
 from figstep.core.orders import (
@@ -31,22 +32,25 @@
     return EngineInfo(name, "http://x", "muc-a", ("m",), checks_fencing=checks_fencing)
 
 
-def make_inventory(model: ModelInfo, checks_fencing: bool = True) -> Inventory:
+def make_inventory(
+    model: ModelInfo, replicas: int, checks_fencing: bool = True
+) -> Inventory:
     engines = tuple(make_engine(name, checks_fencing) for name in NAMES)
     domains = (FailureDomain("muc-a", "bavaria"),)
-    rules = Rules(load_interval=Millis(1_000))
-    return Inventory(domains, engines, models=(model,), rules=rules)
+    placement = (PlacementRule("m", replicas, ("muc-a",)),)
+    rules = Rules(load_interval=Millis(1_000), placement=placement)
+    return Inventory(domains, engines=engines, models=(model,), rules=rules)
 
 
-def plan(model: ModelInfo, *loaded: set[str]) -> list[Placed]:
+def plan(model: ModelInfo, replicas: int, *loaded: set[str]) -> list[Placed]:
     views = []
     for name, held in zip(NAMES, loaded, strict=False):
         views.append(EngineView(make_engine(name), frozenset(held), True))
-    return plan_orders(make_inventory(model), views)
+    return plan_orders(make_inventory(model, replicas), "muc-a", views)
 
 
 def test_nothing_is_ordered_where_all_is_as_wanted() -> None:
-    assert plan(ModelInfo("m", "1", replicas=2), {"m@1"}, {"m@1"}, set()) == []
+    assert plan(ModelInfo("m", "1"), 2, {"m@1"}, {"m@1"}, set()) == []
 
 
 def test_an_old_version_is_kept_until_the_new_one_serves_everywhere() -> None:
@@ -55,25 +59,25 @@
     Unloading the old one first would leave callers without capacity while the
     weights load, so unloads wait until all wanted engines have the new one.
     """
-    model = ModelInfo("m", "2", replicas=3)
-    first = plan(model, {"m@1"}, {"m@1"}, {"m@1"})
+    model = ModelInfo("m", "2")
+    first = plan(model, 3, {"m@1"}, {"m@1"}, {"m@1"})
     assert {placed.order for placed in first} == {LoadModel("m", "2")}
-    partly = plan(model, {"m@1", "m@2"}, {"m@1", "m@2"}, {"m@1"})
+    partly = plan(model, 3, {"m@1", "m@2"}, {"m@1", "m@2"}, {"m@1"})
     assert [placed.order for placed in partly] == [LoadModel("m", "2")]
-    fully = plan(model, {"m@1", "m@2"}, {"m@2"}, {"m@2"})
+    fully = plan(model, 3, {"m@1", "m@2"}, {"m@2"}, {"m@2"})
     assert fully == [Placed("e1", UnloadModel("m", "1"))]
 
 
 def test_adapters_are_loaded_where_the_version_serves() -> None:
-    model = ModelInfo("m", "1", adapters=("menus",), replicas=1)
-    assert plan(model, {"m@1"}, set(), set()) == [
+    model = ModelInfo("m", "1", adapters=("menus",))
+    assert plan(model, 1, {"m@1"}, set(), set()) == [
         Placed("e1", LoadAdapter("m", "menus"))
     ]
 
 
 def make_state(checks_fencing: bool = True) -> State:
     state = State("n1", "muc-a", random.Random(1))
-    state.inventory = make_inventory(ModelInfo("m", "1", replicas=3), checks_fencing)
+    state.inventory = make_inventory(ModelInfo("m", "1"), 3, checks_fencing)
     for engine in state.inventory.engines:
         state.targets[engine.name] = TargetState(engine, reported=Millis(0))
     return state
