Merge recovery, claims, probes of silent connections and quarantine

Seams: attempts enter and leave targets through the load policy's ledger; a request that avoids targets of its own is passed over, or all behind it would wait for those as well; a vanished caller with a grace keeps its generation. A test of the quarantine started a second request right after a loss; the load policy now gives a target that lost an attempt a pause, so the test waits that pause out; what it asserts is unchanged.

--- a/figstep/application.py
+++ b/figstep/application.py
@@ -23,6 +23,8 @@
     OpenAttempt,
     ReadConfigurationFrom,
     Refuse,
+    ReplacePool,
+    ReplayAnswer,
     ResumeAttempt,
     SendOrder,
     WakeAt,
@@ -38,14 +40,14 @@
 )
 from figstep.core.inventory import TargetInfo
 from figstep.core.problems import Problem
-from figstep.core.records import CONFIGURATION, LEASES, LogRecord
+from figstep.core.records import CLAIMS, CONFIGURATION, LEASES, LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import State
 from figstep.metrics import MemoryMetrics, Metrics, StatsdMetrics
 from figstep.net.callers import CallerEdge
 from figstep.net.clock import SystemClock
 from figstep.net.configuration import parse_record
-from figstep.net.exchanges import Exchange
+from figstep.net.exchanges import REPLAYED, Exchange, ServiceAnswer
 from figstep.net.instances import InstanceEdge
 from figstep.net.log import HttpLog, LogClient
 from figstep.net.orders import OrderEdge
@@ -100,6 +102,9 @@
         self.configuration = StreamFollower(
             self._log_client, CONFIGURATION, self._take_configuration
         )
+        self.claims = StreamFollower(
+            self._log_client, CLAIMS, self._take_claims, dispatch=self.dispatch
+        )
         self.appender = StreamAppender(self._log_client, self.dispatch)
         self.leases = StreamFollower(self._log_client, LEASES, self._take_leases)
         self.orders = OrderEdge(self.dispatch, self.find_target, self.clock)
@@ -113,6 +118,7 @@
             self.leases,
             self.orders,
             self.configuration,
+            self.claims,
             self.instances,
             self.callers,
         )
@@ -131,13 +137,16 @@
         self.callers.ready = False
         await asyncio.sleep(self.settings.notice_seconds)
         self.dispatch(ShutdownRequested())
-        while self.entry_state.requests or self.exchanges:
+        while self.entry_state.requests or self.exchanges or not self.appender.idle:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def _take_configuration(self, records: list[LogRecord]) -> None:
         for record in records:
             self.dispatch(parse_record(record))
 
+    def _take_claims(self, records: list[LogRecord]) -> None:
+        self.dispatch(RecordsRead(CLAIMS, tuple(records)))
+
     def _take_leases(self, records: list[LogRecord]) -> None:
         self.dispatch(RecordsRead(LEASES, tuple(records)))
 
@@ -195,10 +204,14 @@
                 self.targets.resume_attempt(effect)
             case CloseAttempt(attempt=attempt):
                 self.targets.close_attempt(attempt)
+            case ReplacePool(target=target):
+                self.targets.replace_pool(target)
             case CancelGeneration():
                 self.targets.cancel_generation(effect)
             case Complete(request=request):
                 self._end_exchange(request, None)
+            case ReplayAnswer():
+                self._replay_answer(effect)
             case Refuse(request=request, problem=problem):
                 self._end_exchange(request, problem)
             case DiscardDelivered(request=request):
@@ -216,6 +229,15 @@
             case Note(message=message, fields=fields):
                 _log.info(message, extra=dict(fields))
 
+    def _replay_answer(self, effect: ReplayAnswer) -> None:
+        exchange = self.exchanges.get(effect.request)
+        if exchange is not None:
+            headers = {REPLAYED: "true"}
+            if effect.content_type:
+                headers["Content-Type"] = effect.content_type
+            exchange.answer = ServiceAnswer(effect.status, headers, effect.body)
+        self._end_exchange(effect.request, None)
+
     def _deliver(self, request: str, frames: list[bytes]) -> None:
         exchange = self.exchanges.get(request)
         if exchange is None or exchange.deliver(frames):
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -22,9 +22,11 @@
 class Phase(Enum):
     """Where a request is in its life."""
 
+    CLAIMING = "claiming"  # its claim is not settled
     QUEUED = "queued"
     RUNNING = "running"
     WAITING = "waiting"  # between two attempts
+    JOINED = "joined"  # gets the answer of another request
 
 
 @dataclass(slots=True)
@@ -34,18 +36,26 @@
     Attributes:
         spec: What was asked for.
         arrived: When it came in.
+        deadline: Latest time for the first byte.
         phase: Where it is.
         ran: What is known of whether it ran.
         generation: Generation that the caller is bound to, or "".
         target: Target of the last attempt, or "".
         attempt: Current attempt, or None.
         delivered: Index of the last event handed to the caller.
-        attempts: Attempts opened so far.
-        failed_targets: Targets that lost it.
+        attempts: Starts so far, without resumes.
+        resumes: Resumes in a row that brought nothing.
+        returned: Index after which the caller came back, or None.
+        accepted: Whether a target took its current generation.
+        non_idempotent: Whether it may run only once.
+        claim: Record id of its own claim, or None.
+        caller_gone: Whether it goes on for its outcome alone.
+        failed_targets: Targets that lost it, and until when it avoids them.
     """
 
     spec: RequestSpec
     arrived: Millis
+    deadline: Millis
     phase: Phase = Phase.QUEUED
     ran: Ran = Ran.NO
     generation: str = ""
@@ -53,7 +63,20 @@
     attempt: int | None = None
     delivered: int = 0
     attempts: int = 0
-    failed_targets: set[str] = field(default_factory=set)
+    resumes: int = 0
+    returned: int | None = None
+    accepted: bool = False
+    non_idempotent: bool = False
+    claim: str | None = None
+    caller_gone: bool = False
+    failed_targets: dict[str, Millis] = field(default_factory=dict)
+
+    @property
+    def reached(self) -> bool:
+        """Whether any of the answer has reached the caller."""
+        if self.returned is not None:
+            return True
+        return self.spec.stream and self.delivered > 0
 
 
 @dataclass(slots=True)
@@ -61,12 +84,16 @@
     """One connection to a target on behalf of a request.
 
     Attributes:
-        attempt: Number of the attempt.
-        request: Request id.
+        attempt: Its number.
+        request: Request that it runs for.
         target: Target name.
-        generation: Generation id.
+        generation: Generation that it carries.
         opened: When it was opened.
         last_progress: When something last came.
+        resuming: Whether it reattaches to a running generation.
+        probing: Whether it replaces a connection that had gone silent.
+        answered: Whether the response headers came.
+        tokens: Events that came on this connection.
         footprint: What it needs of its target; None for a plain service.
         review_at: Index of the event at which the footprint is looked at again.
     """
@@ -79,6 +106,10 @@
     last_progress: Millis
     footprint: Footprint | None = None
     review_at: int = 1 << 62
+    resuming: bool = False
+    probing: bool = False
+    answered: bool = False
+    tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -99,6 +130,11 @@
         models: What it reports as loaded: "model@version", "model+adapter".
         reported: When the last report came, or None.
         pace: This entry's ledger of it.
+        gap: Smoothed gap between two reads of a stream, in milliseconds.
+        gap_deviation: Smoothed deviation of that gap, in milliseconds.
+        dead: Whether it was found dead and has not answered since.
+        deaths: How often it was found dead.
+        death_incarnation: Incarnation at its last death; -1 for none.
     """
 
     info: TargetInfo
@@ -114,6 +150,11 @@
     models: tuple[str, ...] = ()
     reported: Millis | None = None
     pace: Pace = field(default_factory=Pace)
+    gap: float = 0.0
+    gap_deviation: float = 0.0
+    dead: bool = False
+    deaths: int = 0
+    death_incarnation: int = -1
 
 
 @dataclass(slots=True)
--- a/figstep/errors.py
+++ b/figstep/errors.py
@@ -31,6 +31,10 @@
     """The log holds the edit, but the fold refused it."""
 
 
+class FrameError(FigstepError):
+    """A target's stream of events cannot be read."""
+
+
 class PublishUncertainError(FigstepError):
     """The append got no answer and the log could not be read back in time."""
 
