Add the experiment harness: one reducer before engine models

Cause: decisions were not measured. Before: no figure. After: paired arrivals, callers that come back after Retry-After, faults, and measures as callers see them. Ruled out: drawing arrivals by rate only; heavy tails made the load of a run a matter of luck, so answers now sum up to the load exactly.

--- a/figstep/core/policies.py
+++ b/figstep/core/policies.py
@@ -39,7 +39,7 @@
     """
 
     memory: bool = True
-    growth: float = 0.5
+    growth: float = 0.3
     deviations: float = 1.0
     limit: bool = True
     gap_goal: float = 60.0
--- /dev/null
+++ b/figstep/experiment/harness.py
@@ -0,0 +1,332 @@
+"""One run: the reducer, engine models and callers on a fake clock."""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from figstep.core.clock import Millis
+from figstep.core.configuration import apply_inventory
+from figstep.core.effects import (
+    CancelGeneration,
+    CloseAttempt,
+    Complete,
+    Deliver,
+    Effect,
+    OpenAttempt,
+    Refuse,
+    ResumeAttempt,
+    WakeAt,
+)
+from figstep.core.events import (
+    AttemptEnded,
+    AttemptLost,
+    Event,
+    LoadReported,
+    Loss,
+    RequestArrived,
+    Timer,
+    TimerFired,
+    TokensArrived,
+)
+from figstep.core.policies import Policy
+from figstep.core.problems import Ran
+from figstep.core.reducer import reduce
+from figstep.core.specs import GenerationWork, RequestSpec
+from figstep.core.state import State
+from figstep.experiment.measures import Ledger, Stream
+from figstep.experiment.scenarios import (
+    MODEL,
+    SECOND,
+    Arrival,
+    Deployment,
+    build_inventory,
+    build_sequence,
+    draw_arrivals,
+    draw_flood,
+)
+from figstep.standins.engine_model import EngineModel, Token
+
+LINK_DELAY = 1.0
+REPORT_PERIOD = 1_000.0
+DRAIN = 180 * SECOND
+DEADLINE = 60_000
+MOST_ASKS = 4
+FRAME = [b""]
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Something that goes wrong from ``start`` to ``end``, in milliseconds.
+
+    Attributes:
+        kind: "" for none, "death", "slow", "silence" or "flood".
+        engine: Number of the engine that it hits.
+        start: When it begins.
+        end: When it is over.
+    """
+
+    kind: str = ""
+    engine: int = 3
+    start: float = 90 * SECOND
+    end: float = 150 * SECOND
+
+
+@dataclass(slots=True)
+class _Attempt:
+    number: int
+    request: str
+    engine: str
+    generation: str
+
+
+@dataclass(slots=True)
+class Run:
+    """One run; ``play`` returns its measures.
+
+    Attributes:
+        deployment: Engines and workload.
+        policy: What the reducer decides by.
+        seed: Of the arrivals.
+        load: Tokens per millisecond that are asked for.
+        duration: How long requests come, in milliseconds.
+        fault: What goes wrong.
+    """
+
+    deployment: Deployment
+    policy: Policy
+    seed: int
+    load: float
+    duration: float
+    fault: Fault = field(default_factory=Fault)
+    ledger: Ledger = field(default_factory=Ledger)
+    now: float = 0.0
+    _state: State = field(default_factory=lambda: State("entry-1"))
+    _engines: dict[str, EngineModel] = field(default_factory=dict)
+    _dead: set[str] = field(default_factory=set)
+    _arrivals: dict[str, Arrival] = field(default_factory=dict)
+    _attempts: dict[int, _Attempt] = field(default_factory=dict)
+    _by_generation: dict[str, _Attempt] = field(default_factory=dict)
+    _agenda: list[tuple[float, int, Callable[..., None], Any]] = field(
+        default_factory=list
+    )
+    _number: int = 0
+    _timers: dict[Timer, float] = field(default_factory=dict)
+    _wakes: dict[str, float] = field(default_factory=dict)
+
+    def play(self) -> dict[str, float]:
+        """Play the run to its end and return its measures."""
+        self._set_up()
+        end = self.duration + DRAIN
+        while self._agenda:
+            at, _, action, argument = heapq.heappop(self._agenda)
+            if at > end:
+                break
+            self.now = at
+            action(argument)
+        preemptions = sum(engine.preemptions for engine in self._engines.values())
+        result = self.ledger.summarize(end, self.duration, preemptions)
+        result["produced"] = sum(e.produced for e in self._engines.values())
+        result["prefix_hits"] = sum(e.prefix_hits for e in self._engines.values())
+        return result
+
+    def _set_up(self) -> None:
+        self._state.rng = random.Random(self.seed)
+        inventory = build_inventory(self.deployment, "figstep", DEADLINE)
+        apply_inventory(self._state, inventory)
+        self._state.configuration_offset = 0
+        self._state.policy = self.policy
+        for info, profile in zip(
+            inventory.engines, self.deployment.profiles, strict=True
+        ):
+            self._engines[info.name] = EngineModel(profile)
+            self._schedule(0.0, self._report, info.name)
+        arrivals = draw_arrivals(self.deployment, self.seed, self.load, self.duration)
+        if self.fault.kind == "flood":
+            arrivals += draw_flood(
+                self.deployment, self.seed, self.load, self.fault.start, self.fault.end
+            )
+        for arrival in arrivals:
+            self._schedule(arrival.at, self._ask, arrival)
+        if self.fault.kind in ("death", "slow"):
+            self._schedule(self.fault.start, self._begin_fault, None)
+            self._schedule(self.fault.end, self._end_fault, None)
+
+    def _schedule(self, at: float, action: Callable[..., None], argument: Any) -> None:
+        self._number += 1
+        heapq.heappush(self._agenda, (at, self._number, action, argument))
+
+    def _ask(self, arrival: Arrival) -> None:
+        if arrival.request not in self._arrivals:
+            self._arrivals[arrival.request] = arrival
+            self.ledger.streams[arrival.request] = Stream(
+                arrival.customer, self.now, arrival.length, self.now
+            )
+        work = GenerationWork(
+            MODEL,
+            arrival.prompt_tokens,
+            prefix=arrival.prefix,
+            kind=arrival.kind,
+        )
+        spec = RequestSpec(
+            arrival.request, arrival.customer, work, digest=arrival.request
+        )
+        self._dispatch(RequestArrived(spec))
+
+    def _dispatch(self, event: Event) -> None:
+        for effect in reduce(self._state, event, Millis(round(self.now))):
+            self._perform(effect)
+
+    def _perform(self, effect: Effect) -> None:
+        match effect:
+            case Deliver(request=request, frames=frames):
+                stream = self.ledger.streams[request]
+                self.ledger.deliver(stream, self.now, len(frames))
+            case OpenAttempt():
+                self._open(effect)
+            case ResumeAttempt():
+                self._resume(effect)
+            case WakeAt(timer=timer, at=at):
+                due = max(float(at), self.now)
+                self._timers[timer] = due
+                self._schedule(due, self._fire, timer)
+            case Complete(request=request):
+                self.ledger.streams[request].ended = self.now
+            case Refuse():
+                self._take_refusal(effect)
+            case CloseAttempt(attempt=number):
+                attempt = self._attempts.pop(number, None)
+                if attempt is not None:
+                    self._by_generation.pop(attempt.generation, None)
+            case CancelGeneration(target=target, generation=generation):
+                self._engines[target].cancel(generation, self.now)
+                self._watch(target)
+            case _:
+                pass
+
+    def _fire(self, timer: Timer) -> None:
+        if self._timers.get(timer) != self.now:
+            return
+        del self._timers[timer]
+        self._dispatch(TimerFired(timer))
+
+    def _take_refusal(self, effect: Refuse) -> None:
+        stream = self.ledger.streams[effect.request]
+        problem = effect.problem
+        if problem.ran is not Ran.NO:
+            stream.lost = True
+            return
+        self.ledger.refusals += 1
+        if problem.retry_after is None or stream.asks >= MOST_ASKS:
+            stream.refused = True
+            return
+        stream.asks += 1
+        arrival = self._arrivals[effect.request]
+        self._schedule(self.now + problem.retry_after, self._ask, arrival)
+
+    def _open(self, effect: OpenAttempt) -> None:
+        attempt = _Attempt(
+            effect.attempt, effect.request, effect.target, effect.generation
+        )
+        self._attempts[effect.attempt] = attempt
+        self._by_generation[effect.generation] = attempt
+        self._schedule(
+            self.now + LINK_DELAY, self._start_sequence, (attempt, effect.priority)
+        )
+
+    def _start_sequence(self, argument: tuple[_Attempt, int]) -> None:
+        attempt, priority = argument
+        if attempt.number not in self._attempts:
+            return
+        if attempt.engine in self._dead:
+            self._lose(attempt, Loss.CONNECT_FAILED)
+            return
+        arrival = self._arrivals[attempt.request]
+        sequence = build_sequence(arrival, attempt.generation, priority)
+        self._engines[attempt.engine].start(sequence, self.now)
+        self._watch(attempt.engine)
+
+    def _resume(self, effect: ResumeAttempt) -> None:
+        attempt = _Attempt(
+            effect.attempt, effect.request, effect.target, effect.generation
+        )
+        self._attempts[effect.attempt] = attempt
+        self._by_generation[effect.generation] = attempt
+        dead = effect.target in self._dead
+        known = self._engines[effect.target].sequences
+        if dead or effect.generation not in known:
+            loss = Loss.CONNECT_FAILED if dead else Loss.NOT_FOUND
+            self._schedule(
+                self.now + LINK_DELAY, lambda a: self._lose(a, loss), attempt
+            )
+
+    def _lose(self, attempt: _Attempt, loss: Loss) -> None:
+        self._attempts.pop(attempt.number, None)
+        if self._by_generation.get(attempt.generation) is attempt:
+            del self._by_generation[attempt.generation]
+        self._dispatch(AttemptLost(attempt.number, loss))
+
+    def _watch(self, name: str) -> None:
+        step = self._engines[name].next_step()
+        if step is None or self._wakes.get(name) == step:
+            return
+        self._wakes[name] = step
+        self._schedule(step, self._step, name)
+
+    def _step(self, name: str) -> None:
+        if self._wakes.get(name) != self.now:
+            return
+        for token in self._engines[name].advance(self.now):
+            self._take_token(token)
+        self._watch(name)
+
+    def _take_token(self, token: Token) -> None:
+        attempt = self._by_generation.get(token.name)
+        if attempt is None:
+            return
+        self._dispatch(TokensArrived(attempt.number, token.name, token.index, FRAME))
+        if token.finish is None:
+            return
+        self._attempts.pop(attempt.number, None)
+        self._by_generation.pop(token.name, None)
+        self._dispatch(AttemptEnded(attempt.number))
+
+    def _report(self, name: str) -> None:
+        self._schedule(self.now + REPORT_PERIOD, self._report, name)
+        quiet = (
+            self.fault.kind == "silence"
+            and self.fault.start <= self.now < self.fault.end
+        )
+        if name in self._dead or quiet:
+            return
+        engine = self._engines[name]
+        report = engine.read_load(self.now)
+        self._dispatch(
+            LoadReported(
+                name,
+                incarnation=engine.incarnation,
+                running=report.running,
+                waiting=report.waiting,
+                memory_used=report.memory_used,
+                memory_total=report.memory_total,
+                age=Millis(round(self.now - report.at)),
+            )
+        )
+
+    def _begin_fault(self, _: None) -> None:
+        name = f"engine-{self.fault.engine}"
+        if self.fault.kind == "slow":
+            self._engines[name].slow = 10.0
+            return
+        self._dead.add(name)
+        self._engines[name].crash(self.now)
+        self._wakes.pop(name, None)
+        for attempt in list(self._attempts.values()):
+            if attempt.engine == name:
+                self._lose(attempt, Loss.BROKEN)
+
+    def _end_fault(self, _: None) -> None:
+        name = f"engine-{self.fault.engine}"
+        self._engines[name].slow = 1.0
+        self._dead.discard(name)
--- /dev/null
+++ b/figstep/experiment/measures.py
@@ -0,0 +1,166 @@
+"""What an experiment measures, from deliveries as callers see them."""
+
+import math
+from dataclasses import dataclass, field
+
+STALL_FROM = 250.0
+"""A wait counts as a stall, whole, from this many milliseconds."""
+
+BINS_PER_E = 50
+
+
+@dataclass(slots=True)
+class GapHistogram:
+    """Counts of gaps in logarithmic bins, 2% wide."""
+
+    bins: dict[int, int] = field(default_factory=dict)
+    count: int = 0
+    longest: float = 0.0
+
+    def add(self, gap: float) -> None:
+        """Count one gap, in milliseconds."""
+        number = int(BINS_PER_E * math.log(gap)) if gap > 1.0 else 0
+        self.bins[number] = self.bins.get(number, 0) + 1
+        self.count += 1
+        if gap > self.longest:
+            self.longest = gap
+
+    def find_quantile(self, share: float) -> float:
+        """Return the gap below which ``share`` of all lie, in milliseconds."""
+        seen = 0
+        for number in sorted(self.bins):
+            seen += self.bins[number]
+            if seen >= share * self.count:
+                return math.exp((number + 0.5) / BINS_PER_E)
+        return 0.0
+
+
+@dataclass(slots=True)
+class Stream:
+    """One request as its caller sees it."""
+
+    customer: str
+    asked: float
+    length: int
+    last: float
+    tokens: int = 0
+    first: float | None = None
+    stalled: float = 0.0
+    slowest_gap: float = 0.0
+    ended: float | None = None
+    asks: int = 1
+    refused: bool = False
+    lost: bool = False
+
+
+def find_quantile(values: list[float], share: float) -> float:
+    """Return the value below which ``share`` of all lie."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, math.ceil(share * len(ordered)) - 1)]
+
+
+def compute_fairness(values: list[float]) -> float:
+    """Return Jain's index: 1 where all are equal."""
+    squares = sum(value * value for value in values)
+    if not squares:
+        return 1.0
+    return sum(values) ** 2 / (len(values) * squares)
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Everything that is counted in one run.
+
+    Attributes:
+        streams: Streams by request.
+        gaps: Gaps between tokens of all streams.
+        asks: How often something was asked for, returns included.
+        refusals: How often the answer was to come back later.
+    """
+
+    streams: dict[str, Stream] = field(default_factory=dict)
+    gaps: GapHistogram = field(default_factory=GapHistogram)
+    refusals: int = 0
+
+    def deliver(self, stream: Stream, now: float, tokens: int) -> None:
+        """Count tokens that reached a caller."""
+        gap = now - stream.last
+        if stream.first is None:
+            stream.first = now
+        else:
+            self.gaps.add(gap)
+            stream.slowest_gap = max(stream.slowest_gap, gap)
+        stream.last = now
+        stream.tokens += tokens
+        if gap >= STALL_FROM:
+            stream.stalled += gap
+
+    def summarize(
+        self, end: float, arrivals_end: float, preemptions: int
+    ) -> dict[str, float]:
+        """Return the measures of a run.
+
+        A stream that never ended counts with its wait up to ``end``; one that
+        was refused for good or lost counts under these names, and with the
+        stall that it had until then.
+        """
+        streams = list(self.streams.values())
+        for stream in streams:
+            if stream.ended is None and not stream.refused and not stream.lost:
+                waited = end - stream.last
+                stream.stalled += waited if waited >= STALL_FROM else 0.0
+        whole = [s for s in streams if s.ended is not None]
+        in_time = [s for s in whole if s.ended is not None and s.ended <= arrivals_end]
+        stalls = [s.stalled for s in streams]
+        slowest = [s.slowest_gap for s in streams]
+        firsts = [s.first - s.asked for s in streams if s.first is not None]
+        return {
+            "requests": len(streams),
+            "stall_sum_s": sum(stalls) / 1_000,
+            "stall_p99_s": find_quantile(stalls, 0.99) / 1_000,
+            "stall_p95_s": find_quantile(stalls, 0.95) / 1_000,
+            "mid_stall_p99_s": find_quantile(
+                [s.stalled - _first_stall(s) for s in streams], 0.99
+            )
+            / 1_000,
+            "preemptions_per_1000": 1_000 * preemptions / max(1, len(streams)),
+            "gap_p50_ms": self.gaps.find_quantile(0.5),
+            "gap_p95_ms": self.gaps.find_quantile(0.95),
+            "gap_p99_ms": self.gaps.find_quantile(0.99),
+            "gap_p999_ms": self.gaps.find_quantile(0.999),
+            "gap_max_ms": self.gaps.longest,
+            "slowest_gap_p95_ms": find_quantile(slowest, 0.95),
+            "slowest_gap_p99_ms": find_quantile(slowest, 0.99),
+            "ttft_p50_ms": find_quantile(firsts, 0.5),
+            "ttft_p95_ms": find_quantile(firsts, 0.95),
+            "refusals": self.refusals,
+            "given_up": sum(s.refused for s in streams),
+            "lost": sum(s.lost for s in streams),
+            "unfinished": sum(
+                s.ended is None and not s.refused and not s.lost for s in streams
+            ),
+            "whole": len(whole),
+            "tokens_whole": sum(s.tokens for s in whole),
+            "tokens_in_time": sum(s.tokens for s in in_time),
+            "fairness": compute_fairness(list(self._serve_shares().values())),
+            "least_share": min(self._serve_shares().values(), default=1.0),
+        }
+
+    def _serve_shares(self) -> dict[str, float]:
+        asked: dict[str, int] = {}
+        served: dict[str, int] = {}
+        for stream in self.streams.values():
+            name = stream.customer
+            asked[name] = asked.get(name, 0) + stream.length
+            if stream.ended is not None:
+                served[name] = served.get(name, 0) + stream.tokens
+        return {name: served.get(name, 0) / asked[name] for name in asked}
+
+
+def _first_stall(stream: Stream) -> float:
+    if stream.first is None:
+        return stream.stalled
+    wait = stream.first - stream.asked
+    return wait if wait >= STALL_FROM else 0.0
