--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -5,7 +5,10 @@
     membership,
     placement,
     records,
+    recovery,
     requests,
+    settlement,
+    suspects,
     targets,
 )
 from figstep.core.clock import Millis
@@ -13,6 +16,7 @@
 from figstep.core.events import (
     AppendConfirmed,
     AppendUncertain,
+    AttemptAnswered,
     AttemptEnded,
     AttemptLost,
     AttemptRejected,
@@ -20,6 +24,7 @@
     CallerGone,
     CallerReturned,
     CheckpointOffered,
+    ClaimTimer,
     ConfigurationRead,
     Event,
     InstancesListed,
@@ -30,11 +35,15 @@
     RecordsRead,
     RequestArrived,
     RequestTimer,
+    RetryTimer,
     ServiceAnswered,
+    ShutdownForced,
     ShutdownRequested,
     SnapshotRead,
     SnapshotTimer,
     Started,
+    StreamCaughtUp,
+    StreamUnavailable,
     Timer,
     TimerFired,
     TokensArrived,
@@ -55,15 +64,17 @@
     """
     match event:
         case TokensArrived():
-            return requests.forward_tokens(state, event, now)
+            return recovery.forward_tokens(state, event, now)
+        case AttemptAnswered():
+            return recovery.note_answered(state, event, now)
         case RequestArrived():
             return requests.admit_request(state, event, now)
         case AttemptEnded():
-            return requests.end_attempt(state, event, now)
+            return recovery.finish_attempt(state, event, now)
         case ServiceAnswered():
             return requests.answer_service(state, event, now)
         case AttemptLost():
-            return requests.recover_attempt(state, event, now)
+            return recovery.recover_attempt(state, event, now)
         case AttemptRejected():
             return requests.reject_attempt(state, event, now)
         case CallerGone():
@@ -73,7 +84,8 @@
         case TimerFired(timer=timer):
             return _fire_timer(state, timer, now)
         case LoadReported():
-            return targets.record_load(state, event, now)
+            deaths = suspects.note_report(state, event, now)
+            return deaths + targets.record_load(state, event, now)
         case ConfigurationRead():
             return configuration.fold_record(state, event, now)
         case SnapshotRead():
@@ -86,13 +98,23 @@
             return placement.take_lease_records(state, event, now)
         case OrderAnswered():
             return placement.take_answer(state, event, now)
-        case RecordsRead() | AppendConfirmed() | AppendUncertain():
+        case RecordsRead():
+            return settlement.take_records(state, event, now)
+        case AppendConfirmed():
             return []
+        case AppendUncertain():
+            return settlement.note_uncertain(state, event, now)
+        case StreamCaughtUp():
+            return settlement.note_caught_up(state, event)
+        case StreamUnavailable():
+            return settlement.note_unavailable(state, event)
         case Started():
             return [WakeAt(PlacementTimer(), now)]
         case ShutdownRequested():
             state.shutting_down = True
             return []
+        case ShutdownForced():
+            return requests.abort_requests(state)
 
 
 def _fire_timer(state: State, timer: Timer, now: Millis) -> list[Effect]:
@@ -101,9 +123,13 @@
             return requests.start_queued(state, now)
         case RequestTimer():
             return requests.expire_request(state, timer, now)
+        case RetryTimer():
+            return recovery.retry_request(state, timer, now)
+        case ClaimTimer():
+            return settlement.expire_claim(state, timer)
         case PlacementTimer():
             return placement.run_round(state, now)
         case AttemptTimer():
-            return requests.check_attempt(state, timer, now)
+            return recovery.check_attempt(state, timer, now)
         case SnapshotTimer():
             return configuration.renew_snapshot(state, now)
--- a/figstep/net/exchanges.py
+++ b/figstep/net/exchanges.py
@@ -7,6 +7,8 @@
 from figstep.core.problems import Problem, Ran
 from figstep.core.specs import RequestSpec
 
+REPLAYED = "Idempotent-Replayed"
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceAnswer:
