--- a/figstep/core/effects.py
+++ b/figstep/core/effects.py
@@ -5,6 +5,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.events import Timer
+from figstep.core.orders import Order
 from figstep.core.problems import Problem
 
 
@@ -111,6 +112,25 @@
     offset: int
 
 
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Give an engine an order.
+
+    Attributes:
+        number: Number of the order, unique in this process.
+        target: Target name.
+        order: The wanted state.
+        fencing: Fencing number of the lease that covers it.
+        until: When the lease ends (monotonic); nothing is sent from then on.
+    """
+
+    number: int
+    target: str
+    order: Order
+    fencing: int
+    until: Millis
+
+
 @dataclass(frozen=True, slots=True)
 class WakeAt:
     """Fire ``timer`` at ``at`` (monotonic); an earlier one is replaced."""
@@ -151,6 +171,7 @@
     | Refuse
     | AppendRecords
     | ReadConfigurationFrom
+    | SendOrder
     | WakeAt
     | Count
     | Note
--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -6,6 +6,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.inventory import Inventory
+from figstep.core.orders import OrderOutcome
 from figstep.core.problems import Problem
 from figstep.core.records import LogRecord
 from figstep.core.specs import RequestSpec
@@ -274,6 +275,19 @@
     key: int
 
 
+@dataclass(frozen=True, slots=True)
+class OrderAnswered:
+    """An order to an engine was answered, or given up on.
+
+    Attributes:
+        order: Number of the ``SendOrder`` effect.
+        outcome: What came of it.
+    """
+
+    order: int
+    outcome: OrderOutcome
+
+
 # Timers and life cycle
 
 
@@ -301,7 +315,12 @@
     """Checks whether the configuration needs a fresh snapshot."""
 
 
-Timer = RequestTimer | AttemptTimer | QueueTimer | SnapshotTimer
+@dataclass(frozen=True, slots=True)
+class PlacementTimer:
+    """Starts the next round of leases and orders."""
+
+
+Timer = RequestTimer | AttemptTimer | QueueTimer | SnapshotTimer | PlacementTimer
 
 
 @dataclass(frozen=True, slots=True)
@@ -333,6 +352,7 @@
     | RecordsRead
     | AppendConfirmed
     | AppendUncertain
+    | OrderAnswered
     | TimerFired
     | ShutdownRequested
 )
--- a/figstep/core/inventory.py
+++ b/figstep/core/inventory.py
@@ -35,13 +35,13 @@
     address: str
     failure_domain: str
     models: tuple[str, ...]
-    kind: str = "engine"
     speed: float = 1.0
     memory_tokens: int = 16_384
     max_running: int = 32
     resume: bool = True
     continuation: bool = False
     checks_fencing: bool = True
+    kind: str = "engine"
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +153,8 @@
     Attributes:
         non_idempotent: Which calls run at most once.
         deadline: Time a request may wait for its first byte, in milliseconds.
+        load_interval: Least time between two reads of the weight store by the
+            whole fleet, in milliseconds.
         routing: Name of the routing policy.
         priorities: Priorities by customer and model; the first match counts.
         placement: Which model wants how many replicas where.
@@ -160,6 +162,7 @@
 
     non_idempotent: tuple[NonIdempotentRule, ...] = ()
     deadline: Millis = Millis(60_000)
+    load_interval: Millis = Millis(5_000)
     routing: str = "figstep"
     priorities: tuple[PriorityRule, ...] = ()
     placement: tuple[PlacementRule, ...] = ()
@@ -170,13 +173,13 @@
     """One accepted document: what exists and the rules for it."""
 
     failure_domains: tuple[FailureDomain, ...] = ()
-    instances: tuple[InstanceRecord, ...] = ()
     engines: tuple[EngineInfo, ...] = ()
     services: tuple[ServiceInfo, ...] = ()
     models: tuple[ModelInfo, ...] = ()
     customers: tuple[CustomerInfo, ...] = ()
     rules: Rules = field(default_factory=Rules)
     draining: tuple[DrainMark, ...] = ()
+    instances: tuple[InstanceRecord, ...] = ()
 
     def list_targets(self) -> list[TargetInfo]:
         """Return the engines, then the replicas of plain services."""
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -1,8 +1,15 @@
 """The reducer: one match over all events, each arm one call."""
 
-from figstep.core import configuration, membership, requests, targets
+from figstep.core import (
+    configuration,
+    membership,
+    placement,
+    records,
+    requests,
+    targets,
+)
 from figstep.core.clock import Millis
-from figstep.core.effects import Effect
+from figstep.core.effects import Effect, WakeAt
 from figstep.core.events import (
     AppendConfirmed,
     AppendUncertain,
@@ -17,6 +24,8 @@
     Event,
     InstancesListed,
     LoadReported,
+    OrderAnswered,
+    PlacementTimer,
     QueueTimer,
     RecordsRead,
     RequestArrived,
@@ -64,14 +73,14 @@
             return _fire_timer(state, timer, now)
         case LoadReported():
             return targets.record_load(state, event, now)
-        case ConfigurationRead():
-            return configuration.fold_record(state, event, now)
-        case SnapshotRead():
-            return configuration.fold_snapshot(state, event, now)
-        case CheckpointOffered():
-            return configuration.take_checkpoint(state, event.checkpoint, now)
+        case ConfigurationRead() | SnapshotRead() | CheckpointOffered():
+            return _read_configuration(state, event, now)
         case InstancesListed():
             return membership.record_instances(state, event, now)
+        case RecordsRead(stream=records.LEASES):
+            return placement.take_lease_records(state, event, now)
+        case OrderAnswered():
+            return placement.take_answer(state, event, now)
         case RecordsRead() | AppendConfirmed() | AppendUncertain():
             return []
         case ShutdownRequested():
@@ -79,12 +88,32 @@
             return []
 
 
+def _read_configuration(
+    state: State,
+    event: ConfigurationRead | SnapshotRead | CheckpointOffered,
+    now: Millis,
+) -> list[Effect]:
+    before = state.inventory
+    match event:
+        case ConfigurationRead():
+            effects = configuration.fold_record(state, event, now)
+        case SnapshotRead():
+            effects = configuration.fold_snapshot(state, event, now)
+        case CheckpointOffered():
+            effects = configuration.take_checkpoint(state, event.checkpoint, now)
+    if before is None and state.inventory is not None:
+        effects.append(WakeAt(PlacementTimer(), now))
+    return effects
+
+
 def _fire_timer(state: State, timer: Timer, now: Millis) -> list[Effect]:
     match timer:
         case QueueTimer():
             return requests.start_queued(state, now)
         case RequestTimer():
             return requests.expire_request(state, timer, now)
+        case PlacementTimer():
+            return placement.run_round(state, now)
         case AttemptTimer():
             return requests.check_attempt(state, timer, now)
         case SnapshotTimer():
--- /dev/null
+++ b/tests/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Contracts of the interfaces."""
