Add membership: bounded gossip by UDP and documents from peers by TCP

Cause: entries learnt of leaving targets and of new documents only from lagging or failing platform services, each on its own. Ruled out: everyone to everyone (grows with the square of the fleet); relaying every entry's heartbeat (7 KB a table at 370 entries); a length-prefixed stream protocol for documents (one message each way and the end of the stream do). Before: nothing was shared. After: two messages a second with acknowledgement, each at most 600 bytes; news is sent on at once within an allowance.

--- a/figstep/application.py
+++ b/figstep/application.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+import time
 from collections import deque
 from typing import Any
 
@@ -10,6 +11,7 @@
 from mode import Service
 
 from figstep.core.clock import Clock, Millis
+from figstep.core.configuration import encode_snapshot
 from figstep.core.effects import (
     AppendRecords,
     CancelGeneration,
@@ -19,11 +21,13 @@
     Deliver,
     DiscardDelivered,
     Effect,
+    FetchCheckpoint,
     Note,
     OpenAttempt,
     ReadConfigurationFrom,
     Refuse,
     ResumeAttempt,
+    SendGossip,
     SendOrder,
     WakeAt,
 )
@@ -40,6 +44,7 @@
 from figstep.net.instances import InstanceEdge
 from figstep.net.log import HttpLog, LogClient
 from figstep.net.orders import OrderEdge
+from figstep.net.peers import PeerEdge
 from figstep.net.streams import StreamAppender, StreamFollower
 from figstep.net.targets import TargetEdge
 from figstep.settings import Settings
@@ -92,6 +97,12 @@
         self.appender = StreamAppender(self._log_client, self.dispatch)
         self.leases = StreamFollower(self._log_client, LEASES, self._take_leases)
         self.orders = OrderEdge(self.dispatch, self.find_target, self.clock)
+        self.peers = PeerEdge(
+            settings.peers,
+            time.time_ns() // 1_000_000,
+            self.dispatch,
+            self._read_snapshot,
+        )
         self.instances = InstanceEdge(settings.platform.instances, self.dispatch)
 
     async def on_start(self) -> None:
@@ -101,6 +112,7 @@
             self.appender,
             self.leases,
             self.orders,
+            self.peers,
             self.configuration,
             self.instances,
             self.callers,
@@ -126,6 +138,12 @@
         for record in records:
             self.dispatch(parse_record(record))
 
+    def _read_snapshot(self) -> dict[str, Any] | None:
+        fold = self.entry_state.configuration
+        if fold.current is None:
+            return None
+        return encode_snapshot(fold.current, fold.position)
+
     def _take_leases(self, records: list[LogRecord]) -> None:
         self.dispatch(RecordsRead(LEASES, tuple(records)))
 
@@ -144,6 +162,7 @@
         for name, target in self.entry_state.targets.items():
             targets[name] = {
                 "in_flight": target.in_flight,
+                "peers_in_flight": target.peers_in_flight,
                 "leaving": target.leaving,
                 "draining": target.draining,
             }
@@ -155,6 +174,17 @@
             "ready": self.callers.ready,
             "requests": len(self.entry_state.requests),
             "targets": targets,
+            "peers": {
+                name: member.status.name.lower()
+                for name, member in self.entry_state.membership.members.items()
+            },
+            "control": {
+                "address": self.peers.address,
+                "bytes_sent": self.peers.bytes_sent,
+                "bytes_received": self.peers.bytes_received,
+                "rejected": self.peers.rejected,
+                "processor_seconds": time.process_time(),
+            },
         }
 
     def dispatch(self, event: Event) -> None:
@@ -198,6 +228,10 @@
                     exchange.frames.clear()
             case WakeAt(timer=timer, at=at):
                 self._set_timer(timer, at)
+            case SendGossip(address=address, gossip=gossip):
+                self.peers.send(address, gossip)
+            case FetchCheckpoint(address=address):
+                self.peers.fetch(address)
             case ReadConfigurationFrom(offset=offset):
                 self.configuration.read_from(offset)
             case AppendRecords():
--- /dev/null
+++ b/figstep/core/datagrams.py
@@ -0,0 +1,171 @@
+"""Choice of what goes into one bounded datagram."""
+
+from figstep.core.clock import Millis
+from figstep.core.gossip import (
+    Gossip,
+    LeavingMark,
+    Member,
+    MemberNews,
+    MemberStatus,
+    QuarantineMark,
+    TargetCount,
+    hash_target,
+)
+from figstep.core.state import State
+
+MAX_BYTES = 600
+"""Longest datagram; the estimates below are upper bounds."""
+HEADER_BYTES = 168
+MEMBER_BYTES = 56
+MARK_BYTES = 40
+COUNT_BYTES = 10
+DIGEST_BYTES = 32
+MOST_COUNTS = 16
+MOST_DIGESTS = 2
+
+
+class _Room:
+    """Bytes that are left in a datagram."""
+
+    def __init__(self, left: int) -> None:
+        self._left = left
+
+    def take(self, size: int) -> bool:
+        """Take ``size`` bytes; return whether they were there."""
+        if size > self._left:
+            return False
+        self._left -= size
+        return True
+
+
+def build_gossip(
+    state: State, receiver: Member | None, now: Millis, wants_answer: bool
+) -> Gossip:
+    """Return the next message for a peer, the most urgent news first."""
+    membership = state.membership
+    membership.sequence += 1
+    room = _Room(MAX_BYTES - HEADER_BYTES - len(state.node) - len(membership.address))
+    marks = _pick_fresh_marks(state, room)
+    members = _pick_fresh_members(state, receiver, room)
+    quarantined = _pick_quarantined(state, room, now)
+    counts, whole = _pick_counts(state, room)
+    members += _pick_any_members(state, room, {news.name for news in members})
+    marks += _pick_old_marks(state, room, {mark.target for mark in marks})
+    return Gossip(
+        sender=state.node,
+        address=membership.address,
+        incarnation=membership.incarnation,
+        sequence=membership.sequence,
+        wants_answer=wants_answer,
+        leaving=state.shutting_down,
+        accepted=state.configuration_offset,
+        position=state.configuration.position,
+        members=tuple(members),
+        marks=tuple(marks),
+        counts=tuple(counts),
+        counts_whole=whole,
+        quarantined=tuple(quarantined),
+    )
+
+
+def _pick_fresh_marks(state: State, room: _Room) -> list[LeavingMark]:
+    picked: list[LeavingMark] = []
+    for name, mark in list(state.membership.marks.items()):
+        if not _is_current(state, name, mark.incarnation):
+            del state.membership.marks[name]
+            continue
+        if mark.sends_left <= 0:
+            continue
+        if not room.take(MARK_BYTES + len(name)):
+            break
+        mark.sends_left -= 1
+        picked.append(LeavingMark(name, mark.incarnation))
+    return picked
+
+
+def _is_current(state: State, name: str, incarnation: int) -> bool:
+    target = state.targets.get(name)
+    return target is not None and target.leaving and target.incarnation == incarnation
+
+
+def _pick_old_marks(state: State, room: _Room, taken: set[str]) -> list[LeavingMark]:
+    """Fill with a window of marks that are no news, for who missed them."""
+    membership = state.membership
+    names = list(membership.marks)
+    picked: list[LeavingMark] = []
+    for step in range(len(names)):
+        name = names[(membership.marks_cursor + step) % len(names)]
+        if name in taken:
+            continue
+        if not room.take(MARK_BYTES + len(name)):
+            membership.marks_cursor += step
+            break
+        picked.append(LeavingMark(name, membership.marks[name].incarnation))
+    return picked
+
+
+def _tell(member: Member) -> MemberNews:
+    return MemberNews(member.name, member.address, member.incarnation, member.status)
+
+
+def _size_member(member: Member) -> int:
+    return MEMBER_BYTES + len(member.name) + len(member.address)
+
+
+def _pick_fresh_members(
+    state: State, receiver: Member | None, room: _Room
+) -> list[MemberNews]:
+    picked: list[MemberNews] = []
+    if receiver is not None and receiver.status is not MemberStatus.ALIVE:
+        # The receiver learns that it is thought dead, and refutes it.
+        room.take(_size_member(receiver))
+        picked.append(_tell(receiver))
+    for member in state.membership.members.values():
+        if member.sends_left <= 0 or member is receiver:
+            continue
+        if not room.take(_size_member(member)):
+            break
+        member.sends_left -= 1
+        picked.append(_tell(member))
+    return picked
+
+
+def _pick_any_members(state: State, room: _Room, taken: set[str]) -> list[MemberNews]:
+    """Add one random entry, so that every table becomes whole in time."""
+    members = state.membership.members
+    if not members:
+        return []
+    member = members[state.rng.choice(list(members))]
+    if member.name in taken or not member.reachable:
+        return []
+    if not room.take(_size_member(member)):
+        return []
+    return [_tell(member)]
+
+
+def _pick_counts(state: State, room: _Room) -> tuple[list[TargetCount], bool]:
+    used = [(n, t.in_flight) for n, t in state.targets.items() if t.in_flight > 0]
+    whole = len(used) <= MOST_COUNTS
+    picked: list[TargetCount] = []
+    cursor = 0 if whole else state.membership.counts_cursor
+    for step in range(min(len(used), MOST_COUNTS)):
+        name, count = used[(cursor + step) % len(used)]
+        if not room.take(COUNT_BYTES):
+            whole = False
+            break
+        picked.append(TargetCount(hash_target(name), min(count, 65_535)))
+    state.membership.counts_cursor = cursor + len(picked)
+    return picked, whole
+
+
+def _pick_quarantined(state: State, room: _Room, now: Millis) -> list[QuarantineMark]:
+    current = [(d, u) for d, u in state.quarantine.until.items() if u > now]
+    picked: list[QuarantineMark] = []
+    cursor = state.membership.quarantine_cursor
+    for step in range(min(MOST_DIGESTS, len(current))):
+        digest, until = current[(cursor + step) % len(current)]
+        if not room.take(DIGEST_BYTES + len(digest)):
+            break
+        picked.append(QuarantineMark(digest, Millis(until - now)))
+    state.membership.quarantine_cursor = cursor + len(picked)
+    return picked
--- a/figstep/core/effects.py
+++ b/figstep/core/effects.py
@@ -5,6 +5,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.events import Timer
+from figstep.core.gossip import Gossip
 from figstep.core.orders import Order
 from figstep.core.problems import Problem
 
@@ -105,6 +106,21 @@
     records: list[dict[str, Any]]
 
 
+@dataclass(frozen=True, slots=True)
+class SendGossip:
+    """Send one datagram to a peer at "host:port"."""
+
+    address: str
+    gossip: Gossip
+
+
+@dataclass(frozen=True, slots=True)
+class FetchCheckpoint:
+    """Ask the peer at "host:port" for its checkpoint."""
+
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class ReadConfigurationFrom:
     """Read the configuration stream on from ``offset``."""
@@ -171,6 +187,8 @@
     | Refuse
     | AppendRecords
     | ReadConfigurationFrom
+    | SendGossip
+    | FetchCheckpoint
     | SendOrder
     | WakeAt
     | Count
--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from figstep.core.clock import Millis
+from figstep.core.gossip import Gossip
 from figstep.core.inventory import Inventory
 from figstep.core.orders import OrderOutcome
 from figstep.core.problems import Problem
@@ -230,7 +231,17 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceInfo:
-    """An entry of the platform's instance list."""
+    """An entry of the platform's instance list.
+
+    Attributes:
+        name: Its name.
+        kind: "entry" for the system's own, "target" for the rest.
+        address: Base URL.
+        failure_domain: Its failure domain.
+        leaving: Whether the platform takes it away.
+        incarnation: Grows each time it starts anew.
+        peers: Where an entry listens for peers, as "host:port", or "".
+    """
 
     name: str
     kind: str
@@ -238,6 +249,7 @@
     failure_domain: str
     leaving: bool = False
     incarnation: int = 0
+    peers: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,6 +259,28 @@
     instances: tuple[InstanceInfo, ...] = field(default_factory=tuple)
 
 
+@dataclass(frozen=True, slots=True)
+class PeersOpened:
+    """This entry listens for peers.
+
+    Attributes:
+        address: Where, as "host:port".
+        incarnation: Greater than that of any earlier process of this name.
+        start: Addresses of other entries to try first.
+    """
+
+    address: str
+    incarnation: int
+    start: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class GossipReceived:
+    """An authenticated message of a peer came."""
+
+    gossip: Gossip
+
+
 @dataclass(frozen=True, slots=True)
 class RecordsRead:
     """New records of a stream other than the configuration's, in order."""
@@ -310,6 +344,16 @@
     """Tries to start queued requests."""
 
 
+@dataclass(frozen=True, slots=True)
+class GossipTimer:
+    """Starts the next period of gossip."""
+
+
+@dataclass(frozen=True, slots=True)
+class FetchTimer:
+    """Fetches a peer's document unless the log was quicker."""
+
+
 @dataclass(frozen=True, slots=True)
 class SnapshotTimer:
     """Checks whether the configuration needs a fresh snapshot."""
@@ -320,7 +364,15 @@
     """Starts the next round of leases and orders."""
 
 
-Timer = RequestTimer | AttemptTimer | QueueTimer | SnapshotTimer | PlacementTimer
+Timer = (
+    RequestTimer
+    | AttemptTimer
+    | QueueTimer
+    | SnapshotTimer
+    | PlacementTimer
+    | GossipTimer
+    | FetchTimer
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -349,6 +401,8 @@
     | SnapshotRead
     | CheckpointOffered
     | InstancesListed
+    | PeersOpened
+    | GossipReceived
     | RecordsRead
     | AppendConfirmed
     | AppendUncertain
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -22,9 +22,13 @@
     CheckpointOffered,
     ConfigurationRead,
     Event,
+    FetchTimer,
+    GossipReceived,
+    GossipTimer,
     InstancesListed,
     LoadReported,
     OrderAnswered,
+    PeersOpened,
     PlacementTimer,
     QueueTimer,
     RecordsRead,
@@ -72,11 +76,16 @@
         case TimerFired(timer=timer):
             return _fire_timer(state, timer, now)
         case LoadReported():
-            return targets.record_load(state, event, now)
+            effects = targets.record_load(state, event, now)
+            return effects + membership.spread_leaving(state, event.target, now)
         case ConfigurationRead() | SnapshotRead() | CheckpointOffered():
             return _read_configuration(state, event, now)
         case InstancesListed():
             return membership.record_instances(state, event, now)
+        case GossipReceived():
+            return membership.take_gossip(state, event, now)
+        case PeersOpened():
+            return membership.open_peers(state, event, now)
         case RecordsRead(stream=records.LEASES):
             return placement.take_lease_records(state, event, now)
         case OrderAnswered():
@@ -85,7 +94,7 @@
             return []
         case ShutdownRequested():
             state.shutting_down = True
-            return []
+            return membership.spread_urgently(state, now)
 
 
 def _read_configuration(
@@ -94,6 +103,7 @@
     now: Millis,
 ) -> list[Effect]:
     before = state.inventory
+    offset = state.configuration_offset
     match event:
         case ConfigurationRead():
             effects = configuration.fold_record(state, event, now)
@@ -101,6 +111,8 @@
             effects = configuration.fold_snapshot(state, event, now)
         case CheckpointOffered():
             effects = configuration.take_checkpoint(state, event.checkpoint, now)
+    if state.configuration_offset > offset:
+        effects += membership.spread_urgently(state, now)
     if before is None and state.inventory is not None:
         effects.append(WakeAt(PlacementTimer(), now))
     return effects
@@ -118,3 +130,7 @@
             return requests.check_attempt(state, timer, now)
         case SnapshotTimer():
             return configuration.renew_snapshot(state, now)
+        case GossipTimer():
+            return membership.run_period(state, now)
+        case FetchTimer():
+            return membership.fetch_document(state, now)
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -7,6 +7,7 @@
 from figstep.core.claims import ClaimTable
 from figstep.core.clock import Millis
 from figstep.core.events import Checkpoint
+from figstep.core.gossip import Membership
 from figstep.core.inventory import Inventory, TargetInfo
 from figstep.core.leases import LeaseTable
 from figstep.core.lengths import LengthTable
@@ -129,6 +130,7 @@
         inventory: Accepted document in force, or None before the first.
         configuration_offset: Offset of the accepted document; -1 for none.
         configuration: Where the fold of the configuration stream stands.
+        membership: What is known of the other entries.
         retention: How long the log keeps records, in milliseconds.
         targets: Known targets by name.
         requests: Requests without a final answer, by id.
@@ -149,6 +151,7 @@
     inventory: Inventory | None = None
     configuration_offset: int = -1
     configuration: ConfigurationFold = field(default_factory=ConfigurationFold)
+    membership: Membership = field(default_factory=Membership)
     retention: Millis = Millis(86_400_000)
     targets: dict[str, TargetState] = field(default_factory=dict)
     requests: dict[str, RequestState] = field(default_factory=dict)
--- a/figstep/errors.py
+++ b/figstep/errors.py
@@ -43,3 +43,7 @@
 
 class UnknownTargetError(FigstepError):
     """The accepted document has no such target."""
+
+
+class PeerMessageError(FigstepError):
+    """A message between entries is damaged or not authentic."""
--- a/figstep/net/instances.py
+++ b/figstep/net/instances.py
@@ -46,6 +46,7 @@
                 failure_domain=item.get("failure_domain", ""),
                 leaving=item.get("state") == "leaving",
                 incarnation=int(item.get("incarnation", 0)),
+                peers=item.get("peers", ""),
             )
         )
     return InstancesListed(tuple(instances))
--- /dev/null
+++ b/figstep/net/peers.py
@@ -0,0 +1,212 @@
+"""Edge towards other entries: gossip by UDP, checkpoints by TCP."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+from mode import Service
+from pydantic import ValidationError
+
+from figstep.core.events import (
+    CheckpointOffered,
+    Event,
+    GossipReceived,
+    PeersOpened,
+)
+from figstep.core.gossip import Gossip
+from figstep.errors import PeerMessageError
+from figstep.net.configuration import parse_checkpoint
+from figstep.net.messages import (
+    MOST_RECORD_BYTES,
+    Keyring,
+    MessageKind,
+    decode_answer,
+    decode_gossip,
+    decode_request,
+    encode_answer,
+    encode_gossip,
+    encode_request,
+)
+from figstep.settings import Peers
+
+_log = logbook.Logger("figstep.peers")
+
+FETCH_SECONDS = 5.0
+MOST_REQUEST_BYTES = 1_024
+MOST_FETCHES_SERVED = 4
+BIND_TRIES = 20
+
+
+class PeerEdge(Service):
+    """Listens for peers and sends to them; needs a key to do either."""
+
+    def __init__(
+        self,
+        settings: Peers,
+        incarnation: int,
+        dispatch: Callable[[Event], None],
+        read_record: Callable[[], dict[str, Any] | None],
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._incarnation = incarnation
+        self._dispatch = dispatch
+        self._read_record = read_record
+        self._keys = Keyring(settings.key, settings.old_key)
+        self._transport: asyncio.DatagramTransport | None = None
+        self._server: asyncio.Server | None = None
+        self._fetch: asyncio.Task[None] | None = None
+        self._serving = 0
+        self.address = ""
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.rejected = 0
+
+    async def on_start(self) -> None:
+        """Listen, unless no key is set."""
+        if not self._settings.key:
+            _log.warning("no peers.key: this entry shares nothing with the others")
+            return
+        host = self._settings.listen.host
+        port = await self._bind(host, self._settings.listen.port)
+        self.address = f"{host}:{port}"
+        self._dispatch(
+            PeersOpened(self.address, self._incarnation, self._settings.start)
+        )
+
+    async def _bind(self, host: str, port: int) -> int:
+        """Bind UDP and TCP to the same port; a free one may be taken for TCP."""
+        loop = asyncio.get_running_loop()
+        for attempt in range(BIND_TRIES):
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda: _GossipProtocol(self._take_datagram), local_addr=(host, port)
+            )
+            bound: int = transport.get_extra_info("sockname")[1]
+            try:
+                self._server = await asyncio.start_server(self._serve, host, bound)
+            except OSError:
+                transport.close()
+                if port or attempt == BIND_TRIES - 1:
+                    raise
+                continue
+            self._transport = transport
+            return bound
+        raise AssertionError("unreachable")
+
+    async def on_stop(self) -> None:
+        """Close the sockets."""
+        if self._fetch is not None:
+            self._fetch.cancel()
+        if self._transport is not None:
+            self._transport.close()
+        if self._server is not None:
+            self._server.close()
+
+    def send(self, address: str, gossip: Gossip) -> None:
+        """Send one datagram; a lost one is made up by later ones."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        host, _, port = address.rpartition(":")
+        data = self._keys.sign(MessageKind.GOSSIP, encode_gossip(gossip))
+        self.bytes_sent += len(data)
+        self._transport.sendto(data, (host, int(port)))
+
+    def _take_datagram(self, data: bytes) -> None:
+        self.bytes_received += len(data)
+        try:
+            gossip = decode_gossip(self._keys.open(MessageKind.GOSSIP, data))
+        except PeerMessageError as error:
+            self.rejected += 1
+            _log.info("datagram dropped", extra={"why": str(error)})
+            return
+        self._dispatch(GossipReceived(gossip))
+
+    def fetch(self, address: str) -> None:
+        """Ask a peer for its checkpoint, one at a time."""
+        if self._fetch is not None and not self._fetch.done():
+            return
+        loop = asyncio.get_running_loop()
+        self._fetch = loop.create_task(self._fetch_checkpoint(address))
+
+    async def _fetch_checkpoint(self, address: str) -> None:
+        nonce = secrets.randbits(64)
+        request = self._keys.sign(MessageKind.REQUEST, encode_request(nonce))
+        try:
+            async with asyncio.timeout(FETCH_SECONDS):
+                data = await _exchange(address, request)
+            self.bytes_received += len(data)
+            body = self._keys.open(MessageKind.ANSWER, data)
+            checkpoint = parse_checkpoint(decode_answer(body, nonce))
+        except (OSError, TimeoutError, PeerMessageError, ValidationError) as error:
+            # The next message of a peer that is ahead plans another fetch.
+            _log.info("checkpoint not fetched", extra={"why": str(error)})
+            return
+        self._dispatch(CheckpointOffered(checkpoint))
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            if self._serving >= MOST_FETCHES_SERVED:
+                return
+            self._serving += 1
+            try:
+                async with asyncio.timeout(FETCH_SECONDS):
+                    await self._answer(reader, writer)
+            finally:
+                self._serving -= 1
+        except (OSError, TimeoutError, PeerMessageError) as error:
+            _log.info("checkpoint not served", extra={"why": str(error)})
+        finally:
+            writer.close()
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        data = await _read_to_end(reader, MOST_REQUEST_BYTES)
+        nonce = decode_request(self._keys.open(MessageKind.REQUEST, data))
+        record = self._read_record()
+        if record is None:
+            return
+        answer = self._keys.sign(MessageKind.ANSWER, encode_answer(nonce, record))
+        self.bytes_sent += len(answer)
+        writer.write(answer)
+        await writer.drain()
+
+
+async def _exchange(address: str, request: bytes) -> bytes:
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(request)
+        writer.write_eof()
+        return await _read_to_end(reader, MOST_RECORD_BYTES)
+    finally:
+        writer.close()
+
+
+async def _read_to_end(reader: asyncio.StreamReader, limit: int) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    while part := await reader.read(65_536):
+        size += len(part)
+        if size > limit:
+            raise PeerMessageError("message too long; check who sends here")
+        parts.append(part)
+    return b"".join(parts)
+
+
+class _GossipProtocol(asyncio.DatagramProtocol):
+    """Hands datagrams on."""
+
+    def __init__(self, take: Callable[[bytes], None]) -> None:
+        self._take = take
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Hand one datagram on."""
+        self._take(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore that a peer's port is closed; its silence tells."""
--- a/tests/core/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of ``figstep.core``."""
