--- a/figstep/application.py
+++ b/figstep/application.py
@@ -31,7 +31,14 @@
     SendOrder,
     WakeAt,
 )
-from figstep.core.events import Event, RecordsRead, ShutdownRequested, Timer, TimerFired
+from figstep.core.events import (
+    Event,
+    RecordsRead,
+    ShutdownRequested,
+    Started,
+    Timer,
+    TimerFired,
+)
 from figstep.core.inventory import TargetInfo
 from figstep.core.records import CONFIGURATION, LEASES, LogRecord
 from figstep.core.reducer import reduce
@@ -119,6 +126,7 @@
         )
         for edge in edges:
             await self.add_runtime_dependency(edge)
+        self.dispatch(Started())
 
     async def on_stop(self) -> None:
         """Stop timers and close the log client."""
--- a/figstep/core/datagrams.py
+++ b/figstep/core/datagrams.py
@@ -15,12 +15,13 @@
 
 MAX_BYTES = 600
 """Longest datagram; the estimates below are upper bounds."""
-HEADER_BYTES = 168
-MEMBER_BYTES = 56
-MARK_BYTES = 40
-COUNT_BYTES = 10
-DIGEST_BYTES = 32
+HEADER_BYTES = 136
+MEMBER_BYTES = 40
+MARK_BYTES = 24
+COUNT_BYTES = 9
+DIGEST_BYTES = 20
 MOST_COUNTS = 16
+MOST_FRESH_MARKS = 8
 MOST_DIGESTS = 2
 
 
@@ -76,7 +77,7 @@
             continue
         if mark.sends_left <= 0:
             continue
-        if not room.take(MARK_BYTES + len(name)):
+        if len(picked) == MOST_FRESH_MARKS or not room.take(MARK_BYTES + len(name)):
             break
         mark.sends_left -= 1
         picked.append(LeavingMark(name, mark.incarnation))
--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -382,6 +382,11 @@
     timer: Timer
 
 
+@dataclass(frozen=True, slots=True)
+class Started:
+    """The process started: the periodic timers begin."""
+
+
 @dataclass(frozen=True, slots=True)
 class ShutdownRequested:
     """The process was asked to end; running requests go on."""
@@ -408,5 +413,6 @@
     | AppendUncertain
     | OrderAnswered
     | TimerFired
+    | Started
     | ShutdownRequested
 )
--- a/figstep/core/inventory.py
+++ b/figstep/core/inventory.py
@@ -64,7 +64,6 @@
     name: str
     version: str = "1"
     adapters: tuple[str, ...] = ()
-    replicas: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +157,9 @@
         routing: Name of the routing policy.
         priorities: Priorities by customer and model; the first match counts.
         placement: Which model wants how many replicas where.
+        gap_goal: Gap between tokens above which a target is given less, in
+            milliseconds.
+        subset: Most targets of a pool that an entry talks to; 0 for all.
     """
 
     non_idempotent: tuple[NonIdempotentRule, ...] = ()
@@ -166,6 +168,8 @@
     routing: str = "figstep"
     priorities: tuple[PriorityRule, ...] = ()
     placement: tuple[PlacementRule, ...] = ()
+    gap_goal: Millis = Millis(60)
+    subset: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -38,6 +38,7 @@
     ShutdownRequested,
     SnapshotRead,
     SnapshotTimer,
+    Started,
     Timer,
     TimerFired,
     TokensArrived,
@@ -92,6 +93,8 @@
             return placement.take_answer(state, event, now)
         case RecordsRead() | AppendConfirmed() | AppendUncertain():
             return []
+        case Started():
+            return [WakeAt(PlacementTimer(), now)]
         case ShutdownRequested():
             state.shutting_down = True
             return membership.spread_urgently(state, now)
@@ -102,7 +105,6 @@
     event: ConfigurationRead | SnapshotRead | CheckpointOffered,
     now: Millis,
 ) -> list[Effect]:
-    before = state.inventory
     offset = state.configuration_offset
     match event:
         case ConfigurationRead():
@@ -113,8 +115,6 @@
             effects = configuration.take_checkpoint(state, event.checkpoint, now)
     if state.configuration_offset > offset:
         effects += membership.spread_urgently(state, now)
-    if before is None and state.inventory is not None:
-        effects.append(WakeAt(PlacementTimer(), now))
     return effects
 
 
--- a/figstep/inventory.py
+++ b/figstep/inventory.py
@@ -65,7 +65,6 @@
     name: str
     version: str = "1"
     adapters: tuple[str, ...] = ()
-    replicas: int = Field(default=1, ge=0)
 
 
 class CustomerModel(_Model):
@@ -116,9 +115,13 @@
     non_idempotent: tuple[NonIdempotentModel, ...] = ()
     deadline_ms: int = Field(default=60_000, gt=0)
     load_interval_ms: int = Field(default=5_000, ge=0)
-    routing: str = "figstep"
     priorities: tuple[PriorityModel, ...] = ()
     placement: tuple[PlacementModel, ...] = ()
+    routing: Literal["figstep", "round_robin", "least_in_flight", "two_choices"] = (
+        "figstep"
+    )
+    gap_goal_ms: int = Field(default=60, gt=0)
+    subset: int = Field(default=0, ge=0)
 
 
 class InventoryModel(_Model):
@@ -255,4 +258,6 @@
         routing=model.routing,
         priorities=tuple(core.PriorityRule(**m.model_dump()) for m in model.priorities),
         placement=tuple(core.PlacementRule(**m.model_dump()) for m in model.placement),
+        gap_goal=Millis(model.gap_goal_ms),
+        subset=model.subset,
     )
--- a/tests/test_membership.py
+++ b/tests/core/test_membership.py
@@ -39,6 +39,9 @@
     encode_gossip,
 )
 
+LARGE = 0x7EDC_BA98_7654_3210
+"""A number without zero bytes, which the packing could leave out."""
+
 
 def make_state(members: int = 0, targets: int = 2) -> State:
     state = State("a", rng=random.Random(1))
@@ -162,8 +165,11 @@
         for target in state.targets.values():
             target.in_flight = 9
             target.leaving = True
-            membership.mark_leaving(state, LeavingMark(target.info.name, 0))
-        state.quarantine.until = {f"{n:064x}": Millis(60_000) for n in range(50)}
+            membership.mark_leaving(state, LeavingMark(target.info.name, LARGE))
+        state.membership.incarnation = LARGE
+        state.configuration_offset = state.configuration.position = LARGE
+        for digest in range(50):
+            state.quarantine.until[f"{digest:064x}"] = Millis(60_000)
         keys = Keyring("k" * 32)
         sent = list_sent(feed(state, TimerFired(GossipTimer()), 1_000))
         assert len(sent) == membership.FANOUT
