Share documents, leaving marks and counts among running entries

Cause: an entry that started while the log was down had no document, and one that could not ask a target went on giving it work. Before: such an entry answered 503 until the log came back.

--- a/figstep/demo.py
+++ b/figstep/demo.py
@@ -14,7 +14,7 @@
 from figstep.inventory import hash_key
 from figstep.net.log import HttpLog
 from figstep.operations import publish_document
-from figstep.settings import Limits, Listen, Platform, Settings
+from figstep.settings import Limits, Listen, Peers, Platform, Settings
 from figstep.standins.engine import EngineServer
 from figstep.standins.http import start_app
 from figstep.standins.instances import InstanceList
@@ -102,13 +102,15 @@
             urls[engine.name] = await _start(stack, engine.build_app())
         service = PlainService("planning-1")
         service_url = await _start(stack, service.build_app())
-        applications = []
+        applications: list[Application] = []
+        peers: list[str] = []
         for number in range(1, entries + 1):
             settings = Settings(
                 node=f"entry-{number}",
                 failure_domain="muc-a",
                 callers=Listen(),
                 platform=Platform(log=log_url, instances=instances_url),
+                peers=Peers(key=KEY, start=tuple(peers)),
                 limits=Limits(),
                 notice_seconds=0,
             )
@@ -116,6 +118,10 @@
             await application.start()
             stack.push_async_callback(application.stop)
             applications.append(application)
+            peers.append(application.peers.address)
+            instances.list_entry(
+                settings.node, application.callers.address, application.peers.address
+            )
         document = build_document(urls, service_url)
         client = HttpLog(log_url)
         stack.push_async_callback(client.close)
--- a/figstep/net/messages.py
+++ b/figstep/net/messages.py
@@ -157,7 +157,7 @@
     message = _schema.CheckpointAnswer.new_message(
         nonce=nonce, record=zlib.compress(orjson.dumps(record))
     )
-    return bytes(message.to_bytes())
+    return bytes(message.to_bytes_packed())
 
 
 def decode_answer(body: bytes, nonce: int) -> dict[str, Any]:
@@ -167,9 +167,7 @@
         PeerMessageError: If it is damaged, too large or answers another request.
     """
     try:
-        message = _schema.CheckpointAnswer.from_bytes(
-            body, traversal_limit_in_words=MOST_RECORD_BYTES
-        )
+        message = _schema.CheckpointAnswer.from_bytes_packed(body)
         answered, packed = message.nonce, bytes(message.record)
         if answered != nonce:
             raise PeerMessageError("answer to another request; ask again")
