--- a/figstep/application.py
+++ b/figstep/application.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections import deque
+from contextlib import suppress
 from typing import Any
 
 import logbook
@@ -37,6 +38,7 @@
     CallerGone,
     Event,
     RecordsRead,
+    ShutdownForced,
     ShutdownRequested,
     Started,
     Timer,
@@ -63,6 +65,7 @@
 _log = logbook.Logger("figstep")
 
 DRAIN_POLL_SECONDS = 0.05
+CUT_SECONDS = 2.0
 
 
 class Application(Service):
@@ -139,9 +142,12 @@
         self.dispatch(Started())
 
     async def on_stop(self) -> None:
-        """Stop timers and close the log client."""
+        """Stop the timers."""
         for handle in self._timers.values():
             handle.cancel()
+
+    async def on_shutdown(self) -> None:
+        """Close the log client, which the edges use until they have ended."""
         await self._log_client.close()
 
     async def drain(self) -> None:
@@ -149,8 +155,35 @@
         self.callers.ready = False
         await asyncio.sleep(self.settings.notice_seconds)
         self.dispatch(ShutdownRequested())
-        while self.entry_state.requests or self.exchanges or not self.appender.idle:
+        while self.entry_state.requests or self.exchanges:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        # A claim's outcome that is not in the log would leave its caller, and
+        # any duplicate of the request, with "unknown" for good.
+        while not self.appender.idle:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self._flush_answers()
+
+    async def _flush_answers(self) -> None:
+        # An answer that is written may still wait in its socket's buffer; the
+        # end of the process would drop it. A reader that takes nothing must
+        # not hold the process for ever.
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self.settings.limits.stalled_seconds):
+                while self.callers.unsent:
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def cut_short(self) -> None:
+        """End now: every caller gets a typed error, no stream is cancelled.
+
+        Generations run on at their targets for a while, so callers of streams
+        can return to another entry for the rest.
+        """
+        self.callers.ready = False
+        self.dispatch(ShutdownForced())
+        with suppress(TimeoutError):
+            async with asyncio.timeout(CUT_SECONDS):
+                while self.exchanges or self.callers.unsent:
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def _take_configuration(self, records: list[LogRecord]) -> None:
         for record in records:
--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -147,13 +147,22 @@
     return request.ran
 
 
-def end_request(state: State, request: RequestState, problem: Problem) -> list[Effect]:
-    """Give a request its final answer and stop whatever runs for it."""
+def end_request(
+    state: State, request: RequestState, problem: Problem, cancel: bool = True
+) -> list[Effect]:
+    """Give a request its final answer and stop whatever runs for it.
+
+    Args:
+        state: The entry's state.
+        request: The request.
+        problem: Its final answer.
+        cancel: Whether its generation is cancelled at the target.
+    """
     name = request.spec.request
     ran = retries.combine_ran(problem.ran, tell_ran(state, request))
     problem = replace(problem, ran=ran)
     effects: list[Effect] = [Refuse(name, problem)]
-    effects += attempts.abandon_attempt(state, request)
+    effects += attempts.abandon_attempt(state, request, cancel)
     effects += ownership.close_claim(state, request, problem)
     state.requests.pop(name, None)
     state.queue.remove(name)
@@ -276,19 +285,25 @@
 
 
 def abort_requests(state: State) -> list[Effect]:
-    """Give every caller its final answer: the process ends now."""
+    """Give every caller its final answer: the process ends now.
+
+    Streams are not cancelled at their targets, so that a caller can return
+    through another entry for the rest.
+    """
     state.shutting_down = True
     effects: list[Effect] = []
     for request in list(state.requests.values()):
         problem = Problem(
             503,
-            "entry_stopped",
-            "this entry had to stop before the answer was whole;"
-            " send the request again",
+            "entry_ended",
+            "this entry was ended before the answer was whole; a stream goes on"
+            " from its last event through another entry, else send the request"
+            " again",
             ran=tell_ran(state, request),
             retry_after=Millis(1_000),
         )
-        effects += end_request(state, request, problem)
+        cancel = not request.spec.stream
+        effects += end_request(state, request, problem, cancel)
     return effects
 
 
--- a/figstep/net/callers.py
+++ b/figstep/net/callers.py
@@ -20,7 +20,7 @@
 from figstep.net.headers import CallerHeaders, read_headers
 from figstep.net.keys import KeyRing
 from figstep.net.listener import build_runner, build_tls
-from figstep.net.refusals import answer_problem, answer_refusals
+from figstep.net.refusals import answer_problem
 from figstep.problems import build_document
 from figstep.settings import Settings
 
@@ -57,7 +57,6 @@
         self._keys = KeyRing(read_inventory)
         self._reader = RequestReader(settings.node, settings.limits, clock)
         self._runner: web.AppRunner | None = None
-        self._away: dict[str, Exchange] = {}
         self._away_tasks: set[asyncio.Task[None]] = set()
         self.streams = StreamTable(settings.limits)
         self.ready = True
@@ -76,10 +75,7 @@
         self.address = f"{scheme}://{bound[0]}:{bound[1]}"
 
     def _build_app(self) -> web.Application:
-        app = web.Application(
-            client_max_size=self._settings.limits.body_bytes,
-            middlewares=[answer_refusals],
-        )
+        app = web.Application(client_max_size=self._settings.limits.body_bytes)
         app.router.add_post(CHAT_PATH, self._serve_generation)
         app.router.add_post(COMPLETION_PATH, self._serve_generation)
         app.router.add_get("/v1/models", self._list_models)
@@ -97,12 +93,27 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that wait in the buffers of their connections."""
+        server = None if self._runner is None else self._runner.server
+        if server is None:
+            return 0
+        unsent = 0
+        for connection in server.connections:
+            if connection.transport is not None:
+                unsent += connection.transport.get_write_buffer_size()
+        return unsent
+
     async def _prepare_response(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
         # A kept connection would bring its next request here after the
         # listener closed, and lose it; closing sends the caller elsewhere.
+        # The header tells the caller; without it, its next request on the
+        # connection would meet the close and be lost.
         if not self.ready:
+            response.headers["Connection"] = "close"
             response.force_close()
 
     async def _answer_health(self, request: web.Request) -> web.Response:
@@ -177,7 +188,7 @@
     async def _stream_answer(
         self, request: web.Request, headers: CallerHeaders, exchange: Exchange
     ) -> web.StreamResponse:
-        self._begin(exchange, self._read_return(headers, exchange))
+        self._begin(exchange, _read_event(headers, exchange))
         try:
             response = await self._write_stream(request, exchange)
         except BaseException:
@@ -186,45 +197,28 @@
         del self._exchanges[exchange.spec.request]
         return response
 
-    def _read_return(self, headers: CallerHeaders, exchange: Exchange) -> Event:
-        last = headers.last_event
-        if last is None:
-            return RequestArrived(exchange.spec)
-        away = self._away.pop(last.generation, None)
-        if away is not None:
-            # The end of the grace must not cancel what is read again.
-            self._dispatch(CallerGone(away.spec.request, cancel=False))
-            away.end(None)
-        return CallerReturned(exchange.spec, last.generation, last.index)
-
     def _leave(self, exchange: Exchange, grace: float) -> None:
         """Cancel the generation of a vanished caller, now or after its grace."""
-        sink = exchange.sink
-        if not grace or not isinstance(sink, StreamSink) or exchange.ended:
+        if not grace or exchange.sink is None or exchange.ended:
             self._dispatch(CallerGone(exchange.spec.request))
             del self._exchanges[exchange.spec.request]
             return
         exchange.sink = NullSink()
-        self._away[sink.generation] = exchange
         self._metrics.count("callers.away")
-        task = asyncio.get_running_loop().create_task(
-            self._wait_return(exchange, sink.generation, grace)
-        )
+        task = asyncio.get_running_loop().create_task(self._run_on(exchange, grace))
         self._away_tasks.add(task)
         task.add_done_callback(self._away_tasks.discard)
 
-    async def _wait_return(
-        self, exchange: Exchange, generation: str, grace: float
-    ) -> None:
+    async def _run_on(self, exchange: Exchange, grace: float) -> None:
         try:
             async with asyncio.timeout(grace):
                 await exchange.wait_end()
         except TimeoutError:
-            if self._away.get(generation) is exchange:
-                self._dispatch(CallerGone(exchange.spec.request))
+            # The caller may read the same generation through another entry by
+            # now, where a cancel would cut its answer. Without one the target
+            # ends the generation if nobody reads it.
+            self._dispatch(CallerGone(exchange.spec.request, cancel=False))
         finally:
-            if self._away.get(generation) is exchange:
-                del self._away[generation]
             del self._exchanges[exchange.spec.request]
 
     async def _write_stream(
@@ -267,3 +261,10 @@
             self._metrics.gauge("streams.open", len(self.streams))
             if swept.aborted:
                 self._metrics.count("streams.stalled", swept.aborted)
+
+
+def _read_event(headers: CallerHeaders, exchange: Exchange) -> Event:
+    last = headers.last_event
+    if last is None:
+        return RequestArrived(exchange.spec)
+    return CallerReturned(exchange.spec, last.generation, last.index)
--- a/figstep/net/deliveries.py
+++ b/figstep/net/deliveries.py
@@ -17,7 +17,6 @@
     """Writes events to one caller, in the same turn of the loop.
 
     Attributes:
-        generation: Generation of the events, once one was written.
         finished: Whether nothing more will be written.
     """
 
@@ -27,7 +26,6 @@
         transport: asyncio.WriteTransport,
         limits: Limits,
     ) -> None:
-        self.generation = ""
         self.finished = False
         self._writer = writer
         self._transport = transport
@@ -44,8 +42,6 @@
     def write(self, frames: list[bytes]) -> Problem | None:
         """Write events; a reader that is too slow gets a problem."""
         self._quiet = False
-        if not self.generation:
-            self.generation = read_generation(frames[0])
         self._write_now(frames[0] if len(frames) == 1 else b"".join(frames))
         # A reader that stops reading would pile up its whole answer here;
         # a few thousand of them end the process. Past the bound it is cut.
@@ -135,13 +131,6 @@
         return Sweep(kept_alive, aborted)
 
 
-def read_generation(frame: bytes) -> str:
-    """Return the generation that an event names, or ""."""
-    if not frame.startswith(b"id: "):
-        return ""
-    return frame[4 : frame.index(b"\n")].rpartition(b":")[0].decode()
-
-
 def _too_slow() -> Problem:
     return Problem(
         408,
