Hold stand-ins and edges to contracts, with fault cases in tables

Cause: a stand-in kinder than the platform would let faults through. Ruled out: testing each stand-in apart from the edge that uses it.

--- /dev/null
+++ b/tests/contracts/test_log.py
@@ -0,0 +1,135 @@
+"""The log's contract, held by the twin in memory and by the service over HTTP."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import pytest
+
+from figstep.errors import LogTruncatedError, LogUnavailableError
+from figstep.net.log import HttpLog, LogClient, MemoryLog
+from figstep.standins.http import start_app
+from figstep.standins.log import LogService
+from figstep.standins.proxy import Delay, Direction, Drip, Lose, LoseAnswers, TcpProxy
+
+LONG = 30_000
+KINDS = ["memory", "http"]
+
+
+@asynccontextmanager
+async def open_log(
+    kind: str, seconds: float = 10.0
+) -> AsyncIterator[tuple[LogClient, MemoryLog | LogService, TcpProxy | None]]:
+    """Yield the client, what holds the records, and the link between them."""
+    if kind == "memory":
+        memory = MemoryLog()
+        yield memory, memory, None
+        return
+    service = LogService()
+    runner, url = await start_app(service.build_app())
+    host, _, port = url.removeprefix("http://").rpartition(":")
+    proxy = TcpProxy(host, int(port))
+    await proxy.start()
+    client = HttpLog(proxy.url, seconds)
+    try:
+        yield client, service, proxy
+    finally:
+        await client.close()
+        await proxy.stop()
+        await runner.cleanup()
+
+
+def forget(held: MemoryLog | LogService, count: int) -> None:
+    """Let the records before offset ``count`` pass out of retention."""
+    if isinstance(held, MemoryLog):
+        held.earliest["s"] = count
+        return
+    held.faults = replace(held.faults, keep_records=4 - count)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+async def test_offsets_grow_by_one_and_streams_are_apart(kind: str) -> None:
+    async with open_log(kind) as (log, _, _):
+        assert await log.append("s", [{"n": 0}, {"n": 1}]) == 0
+        assert await log.append("other", [{"n": 9}]) == 0
+        assert await log.append("s", [{"n": 2}]) == 2
+        records = await log.read("s", 1)
+        assert [(r.offset, r.data) for r in records] == [(1, {"n": 1}), (2, {"n": 2})]
+        assert await log.read("s", 3) == []
+
+
+@pytest.mark.parametrize("kind", KINDS)
+async def test_a_waiting_read_gets_what_is_appended(kind: str) -> None:
+    async with open_log(kind) as (log, _, _):
+        waiting = asyncio.create_task(log.read("s", 0, LONG))
+        await asyncio.sleep(0.05)
+        await log.append("s", [{"n": 0}])
+        assert [record.offset for record in await waiting] == [0]
+
+
+@pytest.mark.parametrize("kind", KINDS)
+async def test_records_past_retention_are_told_from_an_empty_stream(kind: str) -> None:
+    async with open_log(kind) as (log, held, _):
+        await log.append("s", [{"n": n} for n in range(4)])
+        forget(held, 3)
+        with pytest.raises(LogTruncatedError) as caught:
+            await log.read("s", 0)
+        assert caught.value.earliest == 3
+        assert [record.offset for record in await log.read("s", 3)] == [3]
+        assert await log.append("s", [{"n": 4}]) == 4
+
+
+@pytest.mark.parametrize("kind", KINDS)
+async def test_an_outage_fails_every_call_and_loses_nothing(kind: str) -> None:
+    async with open_log(kind) as (log, held, _):
+        await log.append("s", [{"n": 0}])
+        held.available = False
+        with pytest.raises(LogUnavailableError):
+            await log.append("s", [{"n": 1}])
+        with pytest.raises(LogUnavailableError):
+            await log.read("s", 0)
+        held.available = True
+        assert [record.data for record in await log.read("s", 0)] == [{"n": 0}]
+
+
+@pytest.mark.parametrize(
+    ("fault", "took_effect"),
+    [
+        ("service loses the answer", True),
+        ("service drops the append", False),
+        (LoseAnswers(1, b"POST"), True),
+        (Lose(Direction.TO_CLIENT), True),
+        (Lose(Direction.TO_TARGET), False),
+    ],
+)
+async def test_an_append_without_an_answer_is_settled_by_reading(
+    fault: str | LoseAnswers | Lose, took_effect: bool
+) -> None:
+    """The sender gets no answer, whether or not the append took effect.
+
+    Both look alike to it, so it must be told that the outcome is uncertain;
+    the records that the log holds afterwards tell which it was.
+    """
+    async with open_log("http", seconds=0.5) as (log, service, proxy):
+        assert isinstance(service, LogService) and proxy is not None
+        match fault:
+            case "service loses the answer":
+                service.faults = replace(service.faults, lose_answers=1)
+            case "service drops the append":
+                service.faults = replace(service.faults, drop_appends=1)
+            case LoseAnswers() | Lose():
+                proxy.set_fault(fault)
+        with pytest.raises(LogUnavailableError, match="read back"):
+            await log.append("s", [{"n": 0}])
+        proxy.lift()
+        assert bool(await log.read("s", 0)) is took_effect
+
+
+@pytest.mark.parametrize("fault", [Delay(0.05), Drip(7, 0.01)])
+async def test_a_slow_link_changes_nothing(fault: Delay | Drip) -> None:
+    async with open_log("http") as (log, _, proxy):
+        assert proxy is not None
+        proxy.set_fault(fault)
+        await log.append("s", [{"n": 0}])
+        assert [record.data for record in await log.read("s", 0)] == [{"n": 0}]
--- /dev/null
+++ b/tests/contracts/test_targets.py
@@ -0,0 +1,194 @@
+"""Engines and plain services as targets: what a caller sees of each fault.
+
+The first attempt meets the fault and the target behaves afterwards, so a whole
+answer shows that the fault was hidden, and a problem that it could not be.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import pytest
+from aiohttp import web
+
+from figstep.application import Application
+from figstep.checker import ExecutedCall, ExecutedGeneration, History, check_history
+from figstep.core.problems import Ran
+from figstep.demo import build_document
+from figstep.net.log import MemoryLog
+from figstep.operations import publish_document
+from figstep.settings import Platform, Settings
+from figstep.standins.engine import DONE, EngineServer
+from figstep.standins.http import start_app
+from figstep.standins.instances import InstanceList
+from figstep.standins.service import PlainService
+from tests.fleet import Caller, wait_for
+
+TOKENS = 6
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A status in place of a stream."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Frames:
+    """Events by index in the order sent; then the end marker, if ``done``.
+
+    Attributes:
+        order: Indexes, from 1.
+        rename: Generation that the ids name instead, or "".
+        done: Whether the end marker follows.
+    """
+
+    order: tuple[int, ...]
+    rename: str = ""
+    done: bool = True
+
+
+class FaultyEngine(EngineServer):
+    """Plays one fault towards the first request that starts or resumes."""
+
+    def __init__(self, fault: Answer | Frames) -> None:
+        super().__init__("engine-1", gap=0.0)
+        self.fault: Answer | Frames | None = fault
+
+    async def _start(self, request: web.Request) -> web.StreamResponse:
+        if not isinstance(self.fault, Answer):
+            return await super()._start(request)
+        fault, self.fault = self.fault, None
+        return web.Response(status=fault.status, headers=dict(fault.headers))
+
+    async def _stream(
+        self, request: web.Request, name: str, after: int
+    ) -> web.StreamResponse:
+        if not isinstance(self.fault, Frames):
+            return await super()._stream(request, name, after)
+        fault, self.fault = self.fault, None
+        generation = self._generations[name]
+        await wait_for(lambda: generation.ended, "the generation ended")
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        for index in fault.order:
+            frame = generation.frames[index - 1]
+            if fault.rename:
+                frame = frame.replace(name.encode(), fault.rename.encode())
+            await response.write(frame)
+        if fault.done:
+            await response.write(DONE)
+        return response
+
+
+@asynccontextmanager
+async def run_entry(engine: EngineServer, service: Any) -> AsyncIterator[str]:
+    """Run one entry before one engine and one service; yield its URL."""
+    runners, urls = [], []
+    for app in (engine.build_app(), service.build_app(), InstanceList().build_app()):
+        runner, url = await start_app(app)
+        runners.append(runner)
+        urls.append(url)
+    log = MemoryLog()
+    document = build_document({"engine-1": urls[0]}, urls[1])
+    await publish_document(log, document, "ops", "first")
+    settings = Settings(
+        node="entry-1",
+        failure_domain="muc-a",
+        platform=Platform(log="http://unused", instances=urls[2]),
+    )
+    application = Application(settings, log=log)
+    await application.start()
+    await wait_for(
+        lambda: application.entry_state.inventory is not None, "the inventory is read"
+    )
+    try:
+        yield application.callers.address
+    finally:
+        await application.stop()
+        for runner in runners:
+            await runner.cleanup()
+
+
+WHOLE = "whole"
+HIDDEN = {
+    "refused": Answer(503),
+    "refused, come back": Answer(429, (("Retry-After", "1"),)),
+    "server error": Answer(500),
+    "no events and no end": Frames((), done=False),
+    "truncated": Frames((1, 2, 3), done=False),
+    "truncated before the end marker": Frames((1, 2, 3, 4, 5, 6), done=False),
+    "repeated": Frames((1, 2, 2, 1, 3, 4, 5, 6)),
+    "reordered": Frames((1, 3, 2, 4, 5, 6)),
+    "gap": Frames((1, 2, 4, 5, 6)),
+    "late start": Frames((2, 3, 4, 5, 6)),
+    "crossed": Frames((1, 2, 3, 4, 5, 6), rename="engine-1~000000000000~x"),
+}
+
+
+@pytest.mark.parametrize("stream", [True, False], ids=["stream", "one piece"])
+@pytest.mark.parametrize("fault", HIDDEN.values(), ids=HIDDEN.keys())
+async def test_a_fault_of_an_engine_is_hidden_or_told(
+    fault: Answer | Frames, stream: bool
+) -> None:
+    engine = FaultyEngine(fault)
+    async with run_entry(engine, PlainService("planning-1")) as url:
+        caller = Caller("tag", TOKENS, stream)
+        await caller.stream_whole(url)
+    generations = []
+    for name, prompt in engine.prompts.items():
+        generations.append(ExecutedGeneration("engine-1", name, prompt.split()[-1]))
+    assert check_history(History([caller.history], generations)) == []
+    assert caller.last.ended or caller.last.problem
+
+
+async def test_a_request_that_an_engine_finds_wrong_is_not_repeated() -> None:
+    engine = FaultyEngine(Answer(422))
+    async with run_entry(engine, PlainService("planning-1")) as url:
+        caller = Caller("tag", TOKENS)
+        await caller.stream_whole(url)
+    assert (caller.last.status, caller.last.ran) == (400, Ran.NO)
+    assert engine.executed == []
+
+
+class FaultyService(PlainService):
+    """Plays one fault towards the first call."""
+
+    def __init__(self, fault: str) -> None:
+        super().__init__("planning-1")
+        self.fault = fault
+
+    async def _execute(self, request: web.Request) -> web.Response:
+        fault, self.fault = self.fault, ""
+        if fault.isdigit():
+            return web.Response(status=int(fault))
+        answer = await super()._execute(request)
+        if fault == "answer lost" and request.transport is not None:
+            request.transport.abort()
+        if fault == "answer truncated" and request.transport is not None:
+            request.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nx")
+            request.transport.close()
+        return answer
+
+
+@pytest.mark.parametrize("fault", ["503", "500", "answer lost", "answer truncated"])
+async def test_a_call_is_not_repeated_where_it_may_have_run(fault: str) -> None:
+    """The service loses or garbles its answer, or refuses the call.
+
+    The rules say that the call runs at most once. Where it may have taken
+    effect the caller is told so, and no second call reaches the service.
+    """
+    service = FaultyService(fault)
+    async with run_entry(EngineServer("engine-1"), service) as url:
+        caller = Caller("tag")
+        caller.order(url, "flour")
+        await caller.finish()
+    calls = []
+    for call in service.executed:
+        tag, _, identity = call.body.partition(" ")
+        calls.append(ExecutedCall("planning-1", tag, identity))
+    assert check_history(History([caller.history], calls=calls)) == []
+    assert len(calls) <= 1
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -140,10 +140,14 @@
         body = await response.read()
         if response.content_type == "application/problem+json":
             return self._read_problem(response.status, body)
+        if response.status != 200:
+            return Outcome(response.status, ended=True)
         self.document = orjson.loads(body)
-        if "choices" in self.document:
-            self.history.text = self.document["choices"][0]["text"]
-        return Outcome(response.status, ended=True)
+        if "choices" not in self.document:
+            return Outcome(200, ended=True)
+        choice = self.document["choices"][0]
+        self.history.text = choice["text"]
+        return Outcome(200, ended=choice["finish_reason"] is not None)
 
     def _read_problem(self, status: int, body: bytes) -> Outcome:
         self.document = orjson.loads(body)
@@ -187,7 +191,7 @@
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
-        self._stack = AsyncExitStack()
+        self.stack = AsyncExitStack()
         self.log = LogService()
         self.instances = InstanceList()
         self.engines: dict[str, Running] = {}
@@ -204,7 +208,7 @@
         log_url = await self._serve(self.log.build_app())
         self.log_proxy = await self._relay(log_url)
         self.log_client = HttpLog(log_url)
-        self._stack.push_async_callback(self.log_client.close)
+        self.stack.push_async_callback(self.log_client.close)
         self._instances_url = await self._serve(self.instances.build_app())
         for number in range(1, 3):
             service = PlainService(f"planning-{number}")
@@ -226,7 +230,7 @@
         for caller in self.callers:
             if caller._task is not None:
                 caller._task.cancel()
-        await self._stack.aclose()
+        await self.stack.aclose()
 
     def _build_document(self) -> dict[str, Any]:
         engines = {name: self.links[name].url for name in sorted(self.engines)}
@@ -240,18 +244,18 @@
 
     async def _serve(self, app: Any) -> str:
         runner, url = await start_app(app)
-        self._stack.push_async_callback(runner.cleanup)
+        self.stack.push_async_callback(runner.cleanup)
         return url
 
     async def _relay(self, url: str) -> TcpProxy:
         host, _, port = url.removeprefix("http://").rpartition(":")
         proxy = TcpProxy(host, int(port))
         await proxy.start()
-        self._stack.push_async_callback(proxy.stop)
+        self.stack.push_async_callback(proxy.stop)
         return proxy
 
     async def _start_engine(self, name: str, gap: float) -> None:
-        running = await self._stack.enter_async_context(
+        running = await self.stack.enter_async_context(
             run_figstep("standin", "engine", "--name", name, "--gap", str(gap))
         )
         self.engines[name] = running
@@ -270,7 +274,7 @@
             "notice_seconds": self.notice_seconds,
         }
         path = write_yaml(self._folder / f"{name}.yaml", settings)
-        self.entries[name] = await self._stack.enter_async_context(
+        self.entries[name] = await self.stack.enter_async_context(
             run_figstep("serve", "--settings", str(path))
         )
 
--- /dev/null
+++ b/tests/integration/test_replacement.py
@@ -0,0 +1,95 @@
+"""Entries that are replaced under load."""
+
+import asyncio
+import signal
+
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from figstep.standins.balancer import Balancer
+from tests.fleet import BOUND, Caller
+from tests.integration.conftest import World
+
+scenarios("replacement.feature")
+
+TOKENS = 30
+
+
+@given("a balancer before the entries", target_fixture="balancer")
+def start_balancer(world: World) -> Balancer:
+    urls = {name: entry.url for name, entry in world.fleet.entries.items()}
+    balancer = Balancer(urls)
+    world.run(balancer.start())
+    world.fleet.stack.push_async_callback(balancer.stop)
+    return balancer
+
+
+async def keep_asking(world: World, url: str, stop: asyncio.Event) -> None:
+    while not stop.is_set():
+        caller = world.call(tokens=TOKENS)
+        await caller.stream_whole(url)
+        while caller.last.status == 0 and not caller.history.events:
+            await caller.stream_whole(url)  # the balancer had no entry for it
+
+
+async def end_entry(world: World, name: str) -> int:
+    process = world.fleet.entries.pop(name).process
+    process.send_signal(signal.SIGTERM)
+    return await asyncio.wait_for(process.wait(), BOUND)
+
+
+@when(
+    parsers.parse("each entry is replaced in turn while {count:d} callers keep asking"),
+    target_fixture="exits",
+)
+def replace_all(world: World, balancer: Balancer, count: int) -> list[int]:
+    async def run() -> list[int]:
+        stop = asyncio.Event()
+        load = [keep_asking(world, balancer.url, stop) for _ in range(count)]
+        tasks = [asyncio.create_task(work) for work in load]
+        exits = []
+        for old in list(world.fleet.entries):
+            new = f"{old}-new"
+            await world.fleet.start_entry(new)
+            await world.fleet.wait_ready(new)
+            balancer.entries[new] = world.fleet.entries[new].url
+            exits.append(await end_entry(world, old))
+            del balancer.entries[old]
+        stop.set()
+        await asyncio.gather(*tasks)
+        return exits
+
+    return world.run(run())
+
+
+@then("every entry that was replaced exited with 0")
+def exited(exits: list[int]) -> None:
+    assert exits == [0, 0, 0]
+
+
+@then("each caller's answers all came whole over the first connection")
+def unbroken(world: World) -> None:
+    for caller in world.fleet.callers:
+        answered = [one for one in caller.history.outcomes if one.status]
+        assert [one.ended for one in answered] == [True], caller.history
+
+
+@when(parsers.parse("{entry} is told to end twice"))
+def end_twice(world: World, entry: str) -> None:
+    async def run() -> None:
+        process = world.fleet.entries[entry].process
+        process.send_signal(signal.SIGTERM)
+        while (await world.fleet.read(world.fleet.entries[entry].url + "/status"))[
+            "ready"
+        ]:
+            await asyncio.sleep(0.02)
+        process.send_signal(signal.SIGTERM)
+        await asyncio.wait_for(process.wait(), BOUND)
+
+    world.run(run())
+
+
+@then("its stream ends with a problem")
+def ends_with_problem(world: World) -> None:
+    caller: Caller = world.caller
+    world.run(caller.finish())
+    assert caller.last.problem, caller.last
