--- a/figstep/standins/engine.py
+++ b/figstep/standins/engine.py
@@ -147,6 +147,15 @@
     def slow(self, value: float) -> None:
         self.model.slow = value
 
+    @property
+    def gap(self) -> float:
+        """Seconds between tokens of a thin engine; setting it makes it thin."""
+        return self.model.profile.step / 1_000
+
+    @gap.setter
+    def gap(self, seconds: float) -> None:
+        self.model.profile = build_thin_profile(seconds)
+
     def build_app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application(middlewares=[self._play_faults])
