--- a/figstep/application.py
+++ b/figstep/application.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+import time
 from collections import deque
 from contextlib import suppress
 from typing import Any
@@ -11,6 +12,7 @@
 from mode import Service
 
 from figstep.core.clock import Clock, Millis
+from figstep.core.configuration import encode_snapshot
 from figstep.core.effects import (
     AppendRecords,
     CancelGeneration,
@@ -20,6 +22,7 @@
     Deliver,
     DiscardDelivered,
     Effect,
+    FetchCheckpoint,
     Note,
     OpenAttempt,
     ReadConfigurationFrom,
@@ -27,6 +30,7 @@
     ReplacePool,
     ReplayAnswer,
     ResumeAttempt,
+    SendGossip,
     SendOrder,
     WakeAt,
 )
@@ -34,13 +38,14 @@
     CallerGone,
     Event,
     RecordsRead,
+    ShutdownForced,
     ShutdownRequested,
     Started,
     Timer,
     TimerFired,
 )
 from figstep.core.inventory import TargetInfo
-from figstep.core.problems import Problem, Ran
+from figstep.core.problems import Problem
 from figstep.core.records import CLAIMS, CONFIGURATION, LEASES, LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import State
@@ -52,6 +57,7 @@
 from figstep.net.instances import InstanceEdge
 from figstep.net.log import HttpLog, LogClient
 from figstep.net.orders import OrderEdge
+from figstep.net.peers import PeerEdge
 from figstep.net.streams import StreamAppender, StreamFollower
 from figstep.net.targets import TargetEdge
 from figstep.settings import Settings
@@ -110,6 +116,12 @@
         self.appender = StreamAppender(self._log_client, self.dispatch)
         self.leases = StreamFollower(self._log_client, LEASES, self._take_leases)
         self.orders = OrderEdge(self.dispatch, self.find_target, self.clock)
+        self.peers = PeerEdge(
+            settings.peers,
+            time.time_ns() // 1_000_000,
+            self.dispatch,
+            self._read_snapshot,
+        )
         self.instances = InstanceEdge(settings.platform.instances, self.dispatch)
 
     async def on_start(self) -> None:
@@ -119,6 +131,7 @@
             self.appender,
             self.leases,
             self.orders,
+            self.peers,
             self.configuration,
             self.claims,
             self.instances,
@@ -158,18 +171,13 @@
                     await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def cut_short(self) -> None:
-        """End now: every caller gets a typed error, nothing is cancelled.
+        """End now: every caller gets a typed error, no stream is cancelled.
 
         Generations run on at their targets for a while, so callers of streams
         can return to another entry for the rest.
         """
         self.callers.ready = False
-        self.dispatch(ShutdownRequested())
-        for name, exchange in list(self.exchanges.items()):
-            request = self.entry_state.requests.get(name)
-            ran = Ran.UNKNOWN if request is None else request.ran
-            exchange.end(_ended_problem(ran))
-            self.dispatch(CallerGone(name, cancel=False))
+        self.dispatch(ShutdownForced())
         with suppress(TimeoutError):
             async with asyncio.timeout(CUT_SECONDS):
                 while self.exchanges or self.callers.unsent:
@@ -182,6 +190,12 @@
     def _take_claims(self, records: list[LogRecord]) -> None:
         self.dispatch(RecordsRead(CLAIMS, tuple(records)))
 
+    def _read_snapshot(self) -> dict[str, Any] | None:
+        fold = self.entry_state.configuration
+        if fold.current is None:
+            return None
+        return encode_snapshot(fold.current, fold.position)
+
     def _take_leases(self, records: list[LogRecord]) -> None:
         self.dispatch(RecordsRead(LEASES, tuple(records)))
 
@@ -200,6 +214,7 @@
         for name, target in self.entry_state.targets.items():
             targets[name] = {
                 "in_flight": target.in_flight,
+                "peers_in_flight": target.peers_in_flight,
                 "leaving": target.leaving,
                 "draining": target.draining,
             }
@@ -211,6 +226,17 @@
             "ready": self.callers.ready,
             "requests": len(self.entry_state.requests),
             "targets": targets,
+            "peers": {
+                name: member.status.name.lower()
+                for name, member in self.entry_state.membership.members.items()
+            },
+            "control": {
+                "address": self.peers.address,
+                "bytes_sent": self.peers.bytes_sent,
+                "bytes_received": self.peers.bytes_received,
+                "rejected": self.peers.rejected,
+                "processor_seconds": time.process_time(),
+            },
         }
 
     def dispatch(self, event: Event) -> None:
@@ -255,6 +281,10 @@
                     exchange.discard()
             case WakeAt(timer=timer, at=at):
                 self._set_timer(timer, at)
+            case SendGossip(address=address, gossip=gossip):
+                self.peers.send(address, gossip)
+            case FetchCheckpoint(address=address):
+                self.peers.fetch(address)
             case ReadConfigurationFrom(offset=offset):
                 self.configuration.read_from(offset)
             case AppendRecords():
@@ -298,17 +328,6 @@
         self.dispatch(TimerFired(timer))
 
 
-def _ended_problem(ran: Ran) -> Problem:
-    return Problem(
-        503,
-        "entry_ended",
-        "this entry was ended before the answer was whole; a stream goes on from"
-        " its last event through another entry, else send the request again",
-        ran=ran,
-        retry_after=Millis(1_000),
-    )
-
-
 def _build_metrics(settings: Settings) -> Metrics:
     if settings.statsd is None:
         return MemoryMetrics()
--- a/figstep/core/effects.py
+++ b/figstep/core/effects.py
@@ -5,6 +5,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.events import Timer
+from figstep.core.gossip import Gossip
 from figstep.core.orders import Order
 from figstep.core.problems import Problem
 
@@ -131,6 +132,28 @@
     records: list[dict[str, Any]]
 
 
+@dataclass(frozen=True, slots=True)
+class SendGossip:
+    """Send one datagram to a peer at "host:port"."""
+
+    address: str
+    gossip: Gossip
+
+
+@dataclass(frozen=True, slots=True)
+class FetchCheckpoint:
+    """Ask the peer at "host:port" for its checkpoint."""
+
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReadConfigurationFrom:
+    """Read the configuration stream on from ``offset``."""
+
+    offset: int
+
+
 @dataclass(frozen=True, slots=True)
 class SendOrder:
     """Give an engine an order.
@@ -150,13 +173,6 @@
     until: Millis
 
 
-@dataclass(frozen=True, slots=True)
-class ReadConfigurationFrom:
-    """Read the configuration stream on from ``offset``."""
-
-    offset: int
-
-
 @dataclass(frozen=True, slots=True)
 class WakeAt:
     """Fire ``timer`` at ``at`` (monotonic); an earlier one is replaced."""
@@ -198,8 +214,10 @@
     | ReplayAnswer
     | Refuse
     | AppendRecords
-    | SendOrder
     | ReadConfigurationFrom
+    | SendGossip
+    | FetchCheckpoint
+    | SendOrder
     | WakeAt
     | Count
     | Note
--- a/figstep/errors.py
+++ b/figstep/errors.py
@@ -57,3 +57,7 @@
     def __init__(self, problem: Problem) -> None:
         super().__init__(problem.detail)
         self.problem = problem
+
+
+class PeerMessageError(FigstepError):
+    """A message between entries is damaged or not authentic."""
