--- a/figstep/application.py
+++ b/figstep/application.py
@@ -60,6 +60,7 @@
 from figstep.net.peers import PeerEdge
 from figstep.net.streams import StreamAppender, StreamFollower
 from figstep.net.targets import TargetEdge
+from figstep.reporting import Load, LoadReporter
 from figstep.settings import Settings
 
 _log = logbook.Logger("figstep")
@@ -123,6 +124,7 @@
             self._read_snapshot,
         )
         self.instances = InstanceEdge(settings.platform.instances, self.dispatch)
+        self.reporter = LoadReporter(self.metrics, self.read_load)
 
     async def on_start(self) -> None:
         """Start the edges; the listener opens last."""
@@ -135,6 +137,7 @@
             self.configuration,
             self.claims,
             self.instances,
+            self.reporter,
             self.callers,
         )
         for edge in edges:
@@ -208,6 +211,18 @@
         """Return the inventory entries of all known targets."""
         return [target.info for target in self.entry_state.targets.values()]
 
+    def read_load(self) -> Load:
+        """Return what the gauges tell."""
+        targets = self.entry_state.targets.values()
+        return Load(
+            requests=len(self.entry_state.requests),
+            queued=len(self.entry_state.queue),
+            streams=len(self.callers.streams),
+            targets=len(targets),
+            leaving=sum(target.leaving for target in targets),
+            configuration_offset=self.entry_state.configuration_offset,
+        )
+
     def read_status(self) -> dict[str, Any]:
         """Return what ``GET /status`` tells."""
         targets = {}
@@ -331,4 +346,4 @@
 def _build_metrics(settings: Settings) -> Metrics:
     if settings.statsd is None:
         return MemoryMetrics()
-    return StatsdMetrics(settings.statsd.host, settings.statsd.port)
+    return StatsdMetrics(settings.statsd.host, settings.statsd.port, settings.node)
--- a/figstep/core/attempts.py
+++ b/figstep/core/attempts.py
@@ -6,6 +6,7 @@
     CancelGeneration,
     CloseAttempt,
     Effect,
+    Note,
     OpenAttempt,
     ResumeAttempt,
     WakeAt,
@@ -40,6 +41,7 @@
             once=request.non_idempotent,
         )
     ]
+    effects.append(_note_attempt("attempt opened", request, attempt))
     return effects + _watch(request, target, attempt, now)
 
 
@@ -56,11 +58,25 @@
             target.info.name,
             request.generation,
             request.delivered,
-        )
+        ),
+        _note_attempt("attempt resumed", request, attempt),
     ]
     return effects + _watch(request, target, attempt, now)
 
 
+def _note_attempt(message: str, request: RequestState, attempt: AttemptState) -> Note:
+    return Note(
+        message,
+        {
+            "request": attempt.request,
+            "attempt": attempt.attempt,
+            "target": attempt.target,
+            "generation": attempt.generation,
+            "customer": request.spec.customer,
+        },
+    )
+
+
 def _add_attempt(
     state: State,
     request: RequestState,
--- a/figstep/logs.py
+++ b/figstep/logs.py
@@ -4,6 +4,7 @@
 from typing import Any, TextIO
 
 import logbook
+import logbook.compat
 import orjson
 
 
@@ -19,10 +20,16 @@
             "message": record.message,
         }
         line.update(record.extra)
-        return orjson.dumps(line, default=str).decode()
+        if record.exc_info:
+            line["exception"] = record.formatted_exception
+        return orjson.dumps(line, default=str, option=orjson.OPT_NON_STR_KEYS).decode()
 
 
 def install_logs(level: str = "INFO", stream: TextIO | None = None) -> None:
-    """Send every log record to ``stream`` (standard error if None)."""
+    """Send every log record to ``stream`` (standard error if None).
+
+    Libraries that use the standard library's logging are included.
+    """
     handler = JsonLinesHandler(stream or sys.stderr, level=level.upper())
     handler.push_application()
+    logbook.compat.redirect_logging()
--- a/figstep/metrics.py
+++ b/figstep/metrics.py
@@ -24,8 +24,10 @@
 class StatsdMetrics(Metrics):
     """Sends to a statsd server over UDP."""
 
-    def __init__(self, host: str, port: int) -> None:
-        self._client = statsd.StatsClient(host, port, prefix="figstep")
+    def __init__(self, host: str, port: int, node: str) -> None:
+        # Gauges of two entries under one name would overwrite each other.
+        prefix = f"figstep.{node.replace('.', '-')}"
+        self._client = statsd.StatsClient(host, port, prefix=prefix)
 
     def count(self, name: str, value: int = 1) -> None:
         """Add to a counter."""
--- a/figstep/net/bodies.py
+++ b/figstep/net/bodies.py
@@ -10,7 +10,7 @@
 class _Body(BaseModel):
     """Fields that both kinds share; unknown ones are handed on as they are."""
 
-    model_config = ConfigDict(extra="allow", strict=True)
+    model_config = ConfigDict(extra="allow", strict=True, hide_input_in_errors=True)
 
     model: str = Field(min_length=1, max_length=200)
     stream: bool | None = None
@@ -25,7 +25,7 @@
 class Message(BaseModel):
     """One message of a chat."""
 
-    model_config = ConfigDict(extra="allow", strict=True)
+    model_config = ConfigDict(extra="allow", strict=True, hide_input_in_errors=True)
 
     role: str
     content: str | list[Any] | None = None
--- a/figstep/net/callers.py
+++ b/figstep/net/callers.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import logbook
 import orjson
 from aiohttp import web
 from aiohttp.http import StreamWriter
@@ -24,6 +25,8 @@
 from figstep.problems import build_document
 from figstep.settings import Settings
 
+_log = logbook.Logger("figstep.callers")
+
 DONE = b"data: [DONE]\n\n"
 STREAM_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
 
@@ -49,6 +52,7 @@
     ) -> None:
         super().__init__()
         self._settings = settings
+        self._clock = clock
         self._metrics = metrics
         self._dispatch = dispatch
         self._exchanges = exchanges
@@ -179,12 +183,30 @@
             self._dispatch(CallerGone(exchange.spec.request))
             raise
         finally:
-            del self._exchanges[exchange.spec.request]
+            self._finish(exchange)
 
     def _begin(self, exchange: Exchange, event: Event) -> None:
+        exchange.begun = self._clock.now()
         self._exchanges[exchange.spec.request] = exchange
         self._dispatch(event)
 
+    def _finish(self, exchange: Exchange) -> None:
+        spec = exchange.spec
+        del self._exchanges[spec.request]
+        duration = self._clock.now() - exchange.begun
+        self._metrics.time("requests.duration", duration)
+        problem = exchange.problem
+        code = "gone" if problem is None else problem.code
+        _log.info(
+            "request ended",
+            extra={
+                "request": spec.request,
+                "customer": spec.customer,
+                "outcome": "whole" if exchange.completed else code,
+                "millis": duration,
+            },
+        )
+
     async def _stream_answer(
         self, request: web.Request, headers: CallerHeaders, exchange: Exchange
     ) -> web.StreamResponse:
@@ -194,14 +216,14 @@
         except BaseException:
             self._leave(exchange, headers.grace)
             raise
-        del self._exchanges[exchange.spec.request]
+        self._finish(exchange)
         return response
 
     def _leave(self, exchange: Exchange, grace: float) -> None:
         """Cancel the generation of a vanished caller, now or after its grace."""
         if not grace or exchange.sink is None or exchange.ended:
             self._dispatch(CallerGone(exchange.spec.request))
-            del self._exchanges[exchange.spec.request]
+            self._finish(exchange)
             return
         exchange.sink = NullSink()
         self._metrics.count("callers.away")
@@ -219,7 +241,7 @@
             # ends the generation if nobody reads it.
             self._dispatch(CallerGone(exchange.spec.request, cancel=False))
         finally:
-            del self._exchanges[exchange.spec.request]
+            self._finish(exchange)
 
     async def _write_stream(
         self, request: web.Request, exchange: Exchange
@@ -232,7 +254,8 @@
         transport = request.transport
         if not isinstance(writer, StreamWriter) or transport is None:
             raise ConnectionResetError("the caller closed its connection")
-        sink = StreamSink(writer, transport, self._settings.limits)
+        loop = asyncio.get_running_loop()
+        sink = StreamSink(writer, transport, self._settings.limits, loop.time)
         exchange.sink = sink
         self.streams.add(sink)
         try:
@@ -241,6 +264,8 @@
             await exchange.wait_end()
         finally:
             self.streams.finish(sink)
+            self._metrics.time("streams.longest_gap", sink.gaps.longest * 1000)
+            self._metrics.time("streams.stall", sink.gaps.stalled * 1000)
         if exchange.problem is None:
             await response.write_eof(DONE)
             return response
@@ -258,9 +283,8 @@
         while not self.should_stop:
             await self.sleep(period)
             swept = self.streams.sweep(asyncio.get_running_loop().time())
-            self._metrics.gauge("streams.open", len(self.streams))
             if swept.aborted:
-                self._metrics.count("streams.stalled", swept.aborted)
+                self._metrics.count("callers.stalled", swept.aborted)
 
 
 def _read_event(headers: CallerHeaders, exchange: Exchange) -> Event:
--- a/figstep/net/deliveries.py
+++ b/figstep/net/deliveries.py
@@ -1,6 +1,7 @@
 """Streams of events towards callers: writing, keep-alives, slow readers."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from aiohttp import ClientConnectionResetError
@@ -13,11 +14,40 @@
 KEEP_ALIVE = b": keep-alive\n\n"
 
 
+STALL_SECONDS = 0.25
+"""A wait counts as a stall, whole, from this many seconds."""
+
+
+@dataclass(slots=True)
+class Gaps:
+    """Waits between deliveries to one caller, in seconds.
+
+    Attributes:
+        last: When something was delivered last.
+        longest: Longest wait.
+        stalled: Sum of the waits that count as stalls.
+    """
+
+    last: float
+    longest: float = 0.0
+    stalled: float = 0.0
+
+    def add(self, now: float) -> None:
+        """Note a delivery."""
+        gap = now - self.last
+        self.last = now
+        if gap > self.longest:
+            self.longest = gap
+        if gap >= STALL_SECONDS:
+            self.stalled += gap
+
+
 class StreamSink(FrameSink):
     """Writes events to one caller, in the same turn of the loop.
 
     Attributes:
         finished: Whether nothing more will be written.
+        gaps: Waits of its caller.
     """
 
     def __init__(
@@ -25,8 +55,11 @@
         writer: StreamWriter,
         transport: asyncio.WriteTransport,
         limits: Limits,
+        read_clock: Callable[[], float],
     ) -> None:
         self.finished = False
+        self.gaps = Gaps(read_clock())
+        self._read_clock = read_clock
         self._writer = writer
         self._transport = transport
         self._max_bytes = limits.buffer_bytes
@@ -42,6 +75,7 @@
     def write(self, frames: list[bytes]) -> Problem | None:
         """Write events; a reader that is too slow gets a problem."""
         self._quiet = False
+        self.gaps.add(self._read_clock())
         self._write_now(frames[0] if len(frames) == 1 else b"".join(frames))
         # A reader that stops reading would pile up its whole answer here;
         # a few thousand of them end the process. Past the bound it is cut.
--- a/figstep/net/exchanges.py
+++ b/figstep/net/exchanges.py
@@ -4,6 +4,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
+from figstep.core.clock import Millis
 from figstep.core.problems import Problem, Ran
 from figstep.core.specs import RequestSpec
 
@@ -52,6 +53,7 @@
         completed: Whether the answer is whole.
         problem: Final problem, if the answer ended with one.
         answer: Answer of a plain service.
+        begun: When it came in (monotonic).
     """
 
     spec: RequestSpec
@@ -66,6 +68,7 @@
     completed: bool = False
     problem: Problem | None = None
     answer: ServiceAnswer | None = None
+    begun: Millis = Millis(0)
     _waiter: asyncio.Future[None] | None = None
 
     @property
--- a/figstep/net/headers.py
+++ b/figstep/net/headers.py
@@ -21,7 +21,7 @@
 
 
 class _Headers(BaseModel):
-    model_config = ConfigDict(allow_inf_nan=False)
+    model_config = ConfigDict(allow_inf_nan=False, hide_input_in_errors=True)
 
     deadline: Annotated[int | None, Field(alias=DEADLINE, gt=0)] = None
     grace: Annotated[float, Field(alias=GRACE, ge=0)] = 0.0
--- a/figstep/settings.py
+++ b/figstep/settings.py
@@ -1,7 +1,7 @@
 """Settings of one entry instance: YAML, validated whole at start."""
 
 from pathlib import Path
-from typing import Any
+from typing import Any, Literal
 
 import yaml
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -125,7 +125,7 @@
     statsd: Statsd | None = None
     tls: Tls | None = None
     notice_seconds: float = Field(default=5.0, ge=0)
-    log_level: str = "INFO"
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
 def describe_errors(error: ValidationError) -> list[str]:
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,81 @@
+"""Logs: one JSON object a line, with the request's names and no secret."""
+
+import io
+import json
+import logging
+from typing import Any
+
+import aiohttp
+import logbook
+
+from figstep.demo import KEY, MODEL, run_deployment
+from figstep.logs import JsonLinesHandler
+from tests.test_callers import open_raw
+
+SECRET = "unleavened-secret-words"
+
+
+def read_lines(stream: io.StringIO) -> list[dict[str, Any]]:
+    return [json.loads(line) for line in stream.getvalue().splitlines()]
+
+
+async def test_lines_name_the_request_but_hold_no_prompt_and_no_key() -> None:
+    stream = io.StringIO()
+    handler = JsonLinesHandler(stream, level="DEBUG")
+    with handler.applicationbound():
+        async with run_deployment(1, gaps=(0.01,)) as deployment:
+            url = deployment.entries[0].callers.address
+            await send_all(url)
+            deployment.engines[0].crash()
+            await send_all(url)
+    lines = read_lines(stream)
+    assert SECRET not in stream.getvalue()
+    assert KEY not in stream.getvalue()
+    opened = next(line for line in lines if line["message"] == "attempt opened")
+    assert opened["target"] == "engine-1"
+    assert opened["customer"] == "demo"
+    assert opened["generation"].startswith("engine-1~")
+    assert opened["attempt"] >= 1
+    ended = [line for line in lines if line["message"] == "request ended"]
+    assert opened["request"] in {line["request"] for line in ended}
+    assert {line["outcome"] for line in ended} > {"whole"}
+
+
+async def send_all(url: str) -> None:
+    """Send good and bad requests that hold the secret and the key."""
+    headers = {"Authorization": f"Bearer {KEY}", "X-Deadline-Ms": "300"}
+    bodies: list[Any] = [
+        {"model": MODEL, "prompt": SECRET, "stream": True},
+        {"model": MODEL, "prompt": SECRET},
+        {"model": MODEL, "prompt": [SECRET]},
+        {"model": SECRET, "prompt": "menu"},
+    ]
+    async with aiohttp.ClientSession() as session:
+        for body in bodies:
+            async with session.post(
+                url + "/v1/completions", json=body, headers=headers
+            ) as response:
+                await response.read()
+        async with session.post(
+            url + "/services/planning/orders", data=SECRET, headers=headers
+        ) as response:
+            await response.read()
+    reader, writer = await open_raw(url)
+    writer.write(f"GET / HTTP/1.1\r\nAuthorization {KEY} {SECRET}\r\n\r\n".encode())
+    await reader.read()
+    writer.close()
+
+
+def test_records_of_other_libraries_are_lines_too() -> None:
+    stream = io.StringIO()
+    with JsonLinesHandler(stream).applicationbound():
+        handler = logbook.compat.RedirectLoggingHandler()
+        logger = logging.getLogger("tests.other")
+        logger.addHandler(handler)
+        try:
+            logger.error("broken %s", "pipe", exc_info=ValueError("why"))
+        finally:
+            logger.removeHandler(handler)
+    (line,) = read_lines(stream)
+    assert (line["level"], line["message"]) == ("error", "broken pipe")
+    assert "ValueError: why" in line["exception"]
