--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo check format lint types test clean lock
+.PHONY: setup demo check format lint types test bench clean lock
 
 setup: $(VENV)/.installed
 
@@ -19,12 +19,12 @@
 check: setup lint types test
 
 format: setup
-	$(BIN)/ruff format figstep tests
-	$(BIN)/ruff check --fix figstep tests
+	$(BIN)/ruff format figstep tests benchmarks
+	$(BIN)/ruff check --fix figstep tests benchmarks
 
 lint: setup
-	$(BIN)/ruff format --check figstep tests
-	$(BIN)/ruff check figstep tests
+	$(BIN)/ruff format --check figstep tests benchmarks
+	$(BIN)/ruff check figstep tests benchmarks
 
 types: setup
 	$(BIN)/mypy figstep
@@ -32,6 +32,9 @@
 test: setup
 	$(BIN)/python -m pytest -q
 
+bench: setup
+	$(BIN)/python -m benchmarks.hot_path
+
 # Run only when a dependency is added or raised on purpose.
 lock: setup
 	$(BIN)/pip freeze --exclude-editable > requirements.lock
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks that start processes; not a part of the product."""
--- /dev/null
+++ b/benchmarks/hot_path.py
@@ -0,0 +1,243 @@
+"""Benchmark of the hot path: ``python -m benchmarks.hot_path``.
+
+Token source, platform stand-ins, the measured process and the callers each run
+as a process of their own. For every measured process the same load runs twice
+at once: through it, and on fewer streams from the token source directly, so
+that both see the same machine at the same time. The added delay is the
+difference of the quantiles.
+"""
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from pathlib import Path
+
+import psutil
+import uvloop
+import yaml
+
+from figstep.bench import LoadGenerator, Report, Workload, find_quantile
+from figstep.inventory import hash_key
+
+KEY = "bench-key"
+MODEL = "m"
+DIRECT_STREAMS = 20
+MEGABYTE = 1_000_000
+
+
+@dataclass(slots=True)
+class Child:
+    """A started process and the URL that it printed."""
+
+    process: asyncio.subprocess.Process
+    url: str
+
+    @property
+    def usage(self) -> psutil.Process:
+        """Its counters."""
+        return psutil.Process(self.process.pid)
+
+    def read_cpu(self) -> float:
+        """Return the processor time that it has used, in seconds."""
+        times = self.usage.cpu_times()
+        return float(times.user + times.system)
+
+    def read_memory(self) -> float:
+        """Return its resident memory, in megabytes."""
+        return float(self.usage.memory_info().rss / MEGABYTE)
+
+
+async def start(stack: AsyncExitStack, *arguments: str) -> Child:
+    """Start ``python -m ARGUMENTS`` and wait for its ``KIND URL`` line."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    assert process.stdout is not None
+
+    async def end() -> None:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+    stack.push_async_callback(end)
+    line = await asyncio.wait_for(process.stdout.readline(), 60)
+    return Child(process, line.decode().split()[1])
+
+
+async def start_entry(stack: AsyncExitStack, source: Child, folder: Path) -> Child:
+    """Start an entry with the token source as its only engine."""
+    log = await start(stack, "figstep", "standin", "log")
+    instances = await start(stack, "figstep", "standin", "instances")
+    settings = {
+        "node": "bench-1",
+        "failure_domain": "a",
+        "platform": {"log": log.url, "instances": instances.url},
+        "limits": {"keep_alive_seconds": 5},
+        "notice_seconds": 0,
+    }
+    path = folder / "settings.yaml"
+    path.write_text(yaml.safe_dump(settings))
+    entry = await start(stack, "figstep", "serve", "--settings", str(path))
+    inventory = {
+        "failure_domains": [{"name": "a", "region": "r"}],
+        "engines": [
+            {
+                "name": "source-1",
+                "address": source.url,
+                "failure_domain": "a",
+                "models": [MODEL],
+                "memory_tokens": 100_000_000,
+                "max_running": 10_000,
+            }
+        ],
+        "models": [{"name": MODEL}],
+        "customers": [{"name": "c", "key_hash": hash_key(KEY)}],
+    }
+    document = folder / "inventory.yaml"
+    document.write_text(yaml.safe_dump(inventory))
+    publish = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *("-m", "figstep", "publish", str(document), "--log", log.url),
+        *("--reason", "bench"),
+        stdout=asyncio.subprocess.DEVNULL,
+    )
+    if await publish.wait():
+        raise SystemExit("publish failed")
+    await asyncio.sleep(1)
+    return entry
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What one measured process did under one load."""
+
+    through: Report
+    direct: Report
+    cpu: float
+    memory: float
+
+    def list_lines(self) -> list[str]:
+        """Return the figures as lines of text."""
+        seconds, tally = self.through.seconds, self.through.tally
+        direct = self.direct.tally
+        added = [
+            find_quantile(tally.delays, share) - find_quantile(direct.delays, share)
+            for share in (0.5, 0.99)
+        ]
+        return [
+            *self.through.list_lines(),
+            f"direct delay ms p50 {find_quantile(direct.delays, 0.5):.2f}"
+            f" p99 {find_quantile(direct.delays, 0.99):.2f}",
+            f"added delay ms p50 {added[0]:.2f} p99 {added[1]:.2f}",
+            f"core {self.cpu / seconds:.3f}"
+            f" us/token {self.cpu / max(1, tally.tokens) * 1e6:.1f}",
+            f"resident MB {self.memory:.1f}",
+        ]
+
+
+async def measure_load(
+    child: Child, source: Child, load: Workload, ramp: float, seconds: float
+) -> Figures:
+    """Run a load through ``child`` and beside it directly on the source."""
+    beside = Workload(source.url, "", MODEL, DIRECT_STREAMS, load.tokens, 50.0)
+    through, direct = LoadGenerator(load), LoadGenerator(beside)
+    await asyncio.gather(through.start(ramp), direct.start(ramp))
+    through.tally.clear()
+    direct.tally.clear()
+    cpu = child.read_cpu()
+    await asyncio.sleep(seconds)
+    cpu = child.read_cpu() - cpu
+    memory = child.read_memory()
+    figures = Figures(
+        Report(seconds, through.tally), Report(seconds, direct.tally), cpu, memory
+    )
+    await asyncio.gather(through.stop(), direct.stop())
+    return figures
+
+
+def show(title: str, lines: list[str]) -> None:
+    """Print the figures of one measurement."""
+    print(f"\n{title}")
+    for line in lines:
+        print(f"  {line}", flush=True)
+
+
+async def measure_requests(child: Child, source: Child, seconds: float) -> None:
+    """Short answers: processor time per request."""
+    load = Workload(child.url, KEY, MODEL, 20, 1, 50.0)
+    figures = await measure_load(child, source, load, 1.0, seconds)
+    tally = figures.through.tally
+    cost = figures.cpu / max(1, tally.requests)
+    rate = tally.requests / seconds
+    show("short answers", [f"requests/s {rate:.0f}", f"us/request {cost * 1e6:.0f}"])
+
+
+async def measure_memory(child: Child, counts: list[int]) -> None:
+    """Resident memory by number of open streams, one token a second each."""
+    lines = [f"streams 0 resident MB {child.read_memory():.1f}"]
+    for count in counts:
+        generator = LoadGenerator(Workload(child.url, KEY, MODEL, count, 60, 1000.0))
+        await generator.start(count / 150)
+        await asyncio.sleep(4)
+        memory, cpu = child.read_memory(), child.read_cpu()
+        await asyncio.sleep(4)
+        core = (child.read_cpu() - cpu) / 4
+        lines.append(
+            f"streams {count} resident MB {memory:.1f} core {core:.3f}"
+            f" failures {generator.tally.failures}"
+        )
+        await generator.stop()
+        await asyncio.sleep(1)
+    show("memory by open streams", lines)
+
+
+async def run(options: argparse.Namespace) -> None:
+    """Run the chosen measurements in turn."""
+    async with AsyncExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        source = await start(stack, "figstep", "standin", "source")
+        seconds, ramp = options.seconds, options.ramp
+        for name in options.measured:
+            if name == "entry":
+                child = await start_entry(stack, source, folder)
+            else:
+                loop = name.partition("-")[2]
+                child = await start(stack, "benchmarks.passthrough", source.url, loop)
+            load = Workload(child.url, KEY, MODEL, 190, 253, 50.0)
+            figures = await measure_load(child, source, load, ramp, seconds)
+            show(f"{name}: 190 streams of 253 tokens", figures.list_lines())
+            if options.short:
+                continue
+            if name == "entry":
+                await measure_requests(child, source, seconds / 2)
+            load = Workload(child.url, KEY, MODEL, 190, 4000, 5.0)
+            figures = await measure_load(child, source, load, 2.0, seconds / 2)
+            show(f"{name}: saturated", figures.list_lines())
+            if name == "entry":
+                await asyncio.sleep(1)
+                await measure_memory(child, [100, 500, 1000])
+
+
+def main() -> None:
+    """Parse the options and run."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--ramp", type=float, default=12.65)
+    parser.add_argument("--short", action="store_true")
+    parser.add_argument(
+        "measured",
+        nargs="*",
+        default=["entry", "passthrough-uvloop", "passthrough-asyncio"],
+    )
+    uvloop.run(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/passthrough.py
@@ -0,0 +1,42 @@
+"""Baseline: a bare aiohttp pass-through that decides nothing.
+
+``python -m benchmarks.passthrough URL LOOP`` prints ``passthrough URL``.
+"""
+
+import asyncio
+import sys
+
+import aiohttp
+import uvloop
+from aiohttp import web
+
+
+async def serve(target: str) -> None:
+    """Pass requests on to ``target`` for ever, one write for each event."""
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+
+    async def relay(request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        async with session.post(target + request.path, data=body) as answer:
+            await response.prepare(request)
+            rest = b""
+            async for chunk in answer.content.iter_any():
+                *frames, rest = (rest + chunk).split(b"\n\n")
+                for frame in frames:
+                    await response.write(frame + b"\n\n")
+        return response
+
+    app = web.Application()
+    app.router.add_post("/{path:.*}", relay)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    print(f"passthrough http://{host}:{port}", flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    run = uvloop.run if sys.argv[2] == "uvloop" else asyncio.run
+    run(serve(sys.argv[1]))
--- /dev/null
+++ b/figstep/bench.py
@@ -0,0 +1,192 @@
+"""Load on an entry, and what its callers see of it.
+
+The events may carry ``sent_ns``, the monotonic time at which a target on the
+same machine wrote them; the token source stand-in does. Delay is told then.
+"""
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+import aiohttp
+import orjson
+
+from figstep.errors import FigstepError
+
+PATH = "/v1/completions"
+_SENT = b'"sent_ns":'
+
+
+class BenchmarkError(FigstepError):
+    """The entry did not answer as a benchmark needs."""
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """Streams that are kept open.
+
+    Attributes:
+        url: Base URL of an entry or of a target.
+        key: Customer's key.
+        model: Model name.
+        streams: Streams open at once.
+        tokens: Tokens of each answer.
+        gap: Time between tokens that the token source is asked for, in ms.
+    """
+
+    url: str
+    key: str
+    model: str
+    streams: int
+    tokens: int
+    gap: float
+
+
+@dataclass(slots=True)
+class Tally:
+    """What the callers of a workload saw.
+
+    Attributes:
+        tokens: Events received.
+        requests: Answers that ended whole.
+        failures: Answers that did not.
+        first: Waits for the first event, in milliseconds.
+        delays: Times from the target's write to the caller's read, in ms.
+    """
+
+    tokens: int = 0
+    requests: int = 0
+    failures: int = 0
+    first: list[float] = field(default_factory=list)
+    delays: list[float] = field(default_factory=list)
+
+    def clear(self) -> None:
+        """Forget what was seen, as at the end of a warm-up."""
+        self.tokens = self.requests = self.failures = 0
+        self.first.clear()
+        self.delays.clear()
+
+
+def find_quantile(values: list[float], share: float) -> float:
+    """Return the value below which ``share`` of the values lie; 0 for none."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+class LoadGenerator:
+    """Keeps the streams of a workload open; each starts anew as it ends."""
+
+    def __init__(self, workload: Workload) -> None:
+        self.workload = workload
+        self.tally = Tally()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self, ramp: float) -> None:
+        """Open the streams evenly over ``ramp`` seconds."""
+        connector = aiohttp.TCPConnector(limit=0)
+        timeout = aiohttp.ClientTimeout(total=None)
+        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        for _ in range(self.workload.streams):
+            self._tasks.append(asyncio.create_task(self._repeat(self._session)))
+            await asyncio.sleep(ramp / self.workload.streams)
+
+    async def stop(self) -> None:
+        """Close the streams."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._session is not None:
+            await self._session.close()
+
+    async def _repeat(self, session: aiohttp.ClientSession) -> None:
+        while True:
+            try:
+                whole = await self._read_answer(session)
+            except (aiohttp.ClientError, TimeoutError):
+                whole = False
+            if whole:
+                self.tally.requests += 1
+                continue
+            self.tally.failures += 1
+            await asyncio.sleep(0.5)
+
+    async def _read_answer(self, session: aiohttp.ClientSession) -> bool:
+        load = self.workload
+        body = {
+            "model": load.model,
+            "prompt": "menu",
+            "stream": True,
+            "max_tokens": load.tokens,
+            "gap_ms": load.gap,
+        }
+        headers = {"Authorization": f"Bearer {load.key}"}
+        begun = time.monotonic()
+        async with session.post(
+            load.url + PATH, data=orjson.dumps(body), headers=headers
+        ) as response:
+            if response.status != 200:
+                return False
+            rest, first = b"", True
+            async for chunk in response.content.iter_any():
+                if first:
+                    self.tally.first.append((time.monotonic() - begun) * 1000)
+                    first = False
+                rest = self._take_chunk(rest + chunk)
+            return rest.startswith(b"data: [DONE]")
+
+    def _take_chunk(self, data: bytes) -> bytes:
+        now = time.monotonic_ns()
+        *frames, rest = data.split(b"\n\n")
+        for frame in frames:
+            position = frame.rfind(_SENT)
+            if position >= 0:
+                sent = int(frame[position + len(_SENT) : -1])
+                self.tally.delays.append((now - sent) / 1e6)
+            if frame.startswith(b"id: "):
+                self.tally.tokens += 1
+            if frame.startswith(b"data: [DONE]"):
+                return frame
+        return rest
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Figures of one workload over one period."""
+
+    seconds: float
+    tally: Tally
+
+    def list_lines(self) -> list[str]:
+        """Return the figures as lines of text."""
+        tally = self.tally
+        return [
+            f"tokens/s {tally.tokens / self.seconds:.0f}",
+            f"requests/s {tally.requests / self.seconds:.1f}",
+            f"failures {tally.failures}",
+            f"first event ms p50 {find_quantile(tally.first, 0.5):.2f}"
+            f" p99 {find_quantile(tally.first, 0.99):.2f}",
+            f"delay ms p50 {find_quantile(tally.delays, 0.5):.2f}"
+            f" p99 {find_quantile(tally.delays, 0.99):.2f}",
+        ]
+
+
+async def measure(workload: Workload, warm_up: float, seconds: float) -> Report:
+    """Run a workload and report what its callers saw.
+
+    Raises:
+        BenchmarkError: If no token came at all.
+    """
+    generator = LoadGenerator(workload)
+    await generator.start(warm_up)
+    generator.tally.clear()
+    await asyncio.sleep(seconds)
+    tally = generator.tally
+    await generator.stop()
+    if not tally.tokens:
+        raise BenchmarkError(
+            f"no token came from {workload.url}; check address, key and model"
+        )
+    return Report(seconds, tally)
--- a/figstep/cli.py
+++ b/figstep/cli.py
@@ -13,8 +13,8 @@
 import uvloop
 import yaml
 
+from figstep import bench, operations
 from figstep import demo as demonstration
-from figstep import operations
 from figstep.audit import HistoryEntry
 from figstep.errors import FigstepError
 from figstep.load import LoadRun, format_summary, load_scenario, write_results
@@ -191,6 +191,22 @@
         raise typer.Exit(1)
 
 
+@app.command("bench")
+def run_bench(
+    entry: str,
+    key: Annotated[str, typer.Option()],
+    model: Annotated[str, typer.Option()],
+    streams: int = 10,
+    tokens: int = 250,
+    seconds: float = 20.0,
+) -> None:
+    """Keep streams open through an entry and tell what their callers see."""
+    workload = bench.Workload(entry, key, model, streams, tokens, 50.0)
+    report = uvloop.run(bench.measure(workload, seconds / 4, seconds))
+    for line in report.list_lines():
+        typer.echo(line)
+
+
 @app.command()
 def standin(kind: str, name: str = "", port: int = 0, gap: float = 0.01) -> None:
     """Run a stand-in of an outside system until SIGTERM or SIGINT."""
--- a/figstep/standins/process.py
+++ b/figstep/standins/process.py
@@ -11,9 +11,10 @@
 from figstep.standins.log import LogService
 from figstep.standins.proxy import TcpProxy, build_control
 from figstep.standins.service import PlainService
+from figstep.standins.source import TokenSource
 from figstep.standins.weights import WeightStore
 
-KINDS = ("log", "instances", "engine", "service", "weights", "proxy")
+KINDS = ("log", "instances", "engine", "service", "weights", "proxy", "source")
 
 
 def build_standin(kind: str, name: str, gap: float) -> web.Application:
@@ -33,6 +34,8 @@
             return EngineServer(name, gap).build_app()
         case "service":
             return PlainService(name).build_app()
+        case "source":
+            return TokenSource().build_app()
         case "weights":
             return WeightStore().build_app()
         case _:
