--- a/figstep/bench.py
+++ b/figstep/bench.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -49,20 +50,21 @@
     Attributes:
         tokens: Events received.
         requests: Answers that ended whole.
-        failures: Answers that did not.
+        failures: Answers that did not, by reason.
         first: Waits for the first event, in milliseconds.
         delays: Times from the target's write to the caller's read, in ms.
     """
 
     tokens: int = 0
     requests: int = 0
-    failures: int = 0
+    failures: Counter[str] = field(default_factory=Counter)
     first: list[float] = field(default_factory=list)
     delays: list[float] = field(default_factory=list)
 
     def clear(self) -> None:
         """Forget what was seen, as at the end of a warm-up."""
-        self.tokens = self.requests = self.failures = 0
+        self.tokens = self.requests = 0
+        self.failures.clear()
         self.first.clear()
         self.delays.clear()
 
@@ -104,16 +106,17 @@
     async def _repeat(self, session: aiohttp.ClientSession) -> None:
         while True:
             try:
-                whole = await self._read_answer(session)
-            except (aiohttp.ClientError, TimeoutError):
-                whole = False
-            if whole:
+                failure = await self._read_answer(session)
+            except (aiohttp.ClientError, TimeoutError) as error:
+                failure = type(error).__name__
+            if not failure:
                 self.tally.requests += 1
                 continue
-            self.tally.failures += 1
+            self.tally.failures[failure] += 1
             await asyncio.sleep(0.5)
 
-    async def _read_answer(self, session: aiohttp.ClientSession) -> bool:
+    async def _read_answer(self, session: aiohttp.ClientSession) -> str:
+        """Return why the answer was not whole, or ""."""
         load = self.workload
         body = {
             "model": load.model,
@@ -128,14 +131,14 @@
             load.url + PATH, data=orjson.dumps(body), headers=headers
         ) as response:
             if response.status != 200:
-                return False
+                return f"{response.status} {(await response.text())[:200]}"
             rest, first = b"", True
             async for chunk in response.content.iter_any():
                 if first:
                     self.tally.first.append((time.monotonic() - begun) * 1000)
                     first = False
                 rest = self._take_chunk(rest + chunk)
-            return rest.startswith(b"data: [DONE]")
+            return "" if rest.startswith(b"data: [DONE]") else "truncated"
 
     def _take_chunk(self, data: bytes) -> bytes:
         now = time.monotonic_ns()
@@ -165,7 +168,7 @@
         return [
             f"tokens/s {tally.tokens / self.seconds:.0f}",
             f"requests/s {tally.requests / self.seconds:.1f}",
-            f"failures {tally.failures}",
+            f"failures {dict(tally.failures)}",
             f"first event ms p50 {find_quantile(tally.first, 0.5):.2f}"
             f" p99 {find_quantile(tally.first, 0.99):.2f}",
             f"delay ms p50 {find_quantile(tally.delays, 0.5):.2f}"
