Take an end marker without a finish reason as a loss

Cause: an engine that fails may end its stream with the marker after some of the tokens; the caller took the first part for the whole answer. Found by a contract test of targets (marker after 3 of 6 events). Ruled out: reading the finish reason of each token, which costs a decode per token; only the last event of an answer is looked at. Before: the answer ended as whole. Conclusion: truncated, empty and whole answers are told apart.

--- a/figstep/core/recovery.py
+++ b/figstep/core/recovery.py
@@ -2,6 +2,7 @@
 
 from figstep.core import (
     attempts,
+    finishes,
     ownership,
     requests,
     retries,
@@ -72,6 +73,7 @@
     request.accepted = True
     request.resumes = 0
     request.delivered += len(frames)
+    request.last_frame = frames[-1]
     if request.delivered >= attempt.review_at:
         targets.review_attempt(state, attempt, request, now)
     effects.append(Deliver(attempt.request, frames))
@@ -158,13 +160,21 @@
 
 
 def finish_attempt(state: State, event: AttemptEnded, now: Millis) -> list[Effect]:
-    """The end marker came; without any event before it, that is a loss."""
+    """The end marker came; the answer is whole only if its last event says so.
+
+    An engine that fails may close its stream with the marker all the same; its
+    caller would take the first part of a plan for all of it.
+    """
     attempt = state.attempts.get(event.attempt)
     if attempt is None:
         return [Count("attempts.late")]
-    if state.requests[attempt.request].delivered:
-        return requests.end_attempt(state, event, now)
-    return recover_attempt(state, AttemptLost(event.attempt, Loss.EMPTY), now)
+    request = state.requests[attempt.request]
+    if not request.delivered:
+        return recover_attempt(state, AttemptLost(event.attempt, Loss.EMPTY), now)
+    if finishes.is_unfinished(request.last_frame):
+        lost = AttemptLost(event.attempt, Loss.TRUNCATED, detail="no finish reason")
+        return recover_attempt(state, lost, now)
+    return requests.end_attempt(state, event, now)
 
 
 def recover_attempt(state: State, event: AttemptLost, now: Millis) -> list[Effect]:
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -44,6 +44,7 @@
         target: Target of the last attempt, or "".
         attempt: Current attempt, or None.
         delivered: Index of the last event handed to the caller.
+        last_frame: That event.
         attempts: Starts so far, without resumes.
         resumes: Resumes in a row that brought nothing.
         returned: Index after which the caller came back, or None.
@@ -63,6 +64,7 @@
     target: str = ""
     attempt: int | None = None
     delivered: int = 0
+    last_frame: bytes = b""
     attempts: int = 0
     resumes: int = 0
     returned: int | None = None
