--- /dev/null
+++ b/tests/test_claims_properties.py
@@ -0,0 +1,260 @@
+"""At most one dispatch of an order, and a true "not run", under any faults."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from figstep.core.clock import Millis
+from figstep.core.effects import AppendRecords, Effect, OpenAttempt, Refuse, WakeAt
+from figstep.core.events import (
+    AppendConfirmed,
+    AppendUncertain,
+    AttemptLost,
+    CallerGone,
+    Event,
+    Loss,
+    RecordsRead,
+    RequestArrived,
+    ServiceAnswered,
+    StreamCaughtUp,
+    StreamUnavailable,
+    Timer,
+    TimerFired,
+)
+from figstep.core.problems import Ran
+from figstep.core.records import CLAIMS, LogRecord
+from figstep.core.specs import RequestSpec, ServiceWork
+from tests.entries import Entry, make_inventory
+
+ENTRIES = 2
+WINDOW = Millis(4_000)
+PROVED = (Loss.CONNECT_FAILED, Loss.REFUSED)
+LOSSES = (*PROVED, Loss.BROKEN, Loss.TRUNCATED, Loss.FAILED)
+
+entries = st.integers(0, ENTRIES - 1)
+picks = st.integers(0, 7)
+
+
+@dataclass(slots=True)
+class Node:
+    """One entry with its place in the log and its unanswered appends."""
+
+    entry: Entry
+    read: int = 0
+    appends: list[AppendRecords] = field(default_factory=list)
+    timers: dict[Timer, Millis] = field(default_factory=dict)
+    open: dict[int, OpenAttempt] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Dispatch:
+    """An order that went out and is not proved not to have run."""
+
+    at: int
+    request: str
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Orders through two entries that crash, pause and lose the log."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1_000_000
+        self.log: list[LogRecord] = []
+        self.floating: list[dict[str, Any]] = []
+        self.next_seed = 1
+        self.next_request = 1
+        self.bodies: dict[str, str] = {}
+        self.dispatched: dict[str, list[Dispatch]] = {}
+        self.told_not_run: set[str] = set()
+        self.nodes = [self._make_node(number) for number in range(ENTRIES)]
+        for node in self.nodes:
+            node.entry.catch_up()
+
+    def _make_node(self, number: int) -> Node:
+        self.next_seed += 1
+        inventory = make_inventory(window=WINDOW)
+        return Node(Entry(f"n{number}", self.next_seed, inventory))
+
+    def _feed(self, node: Node, event: Event) -> None:
+        node.entry.now = Millis(self.now)
+        for effect in node.entry.feed(event):
+            self._perform(node, effect)
+
+    def _perform(self, node: Node, effect: Effect) -> None:
+        match effect:
+            case AppendRecords():
+                node.appends.append(effect)
+            case WakeAt(timer=timer, at=at):
+                node.timers[timer] = at
+            case OpenAttempt():
+                self._dispatch(node, effect)
+            case Refuse(request=request, problem=problem) if problem.ran is Ran.NO:
+                body = self.bodies[request]
+                out = [d for d in self.dispatched.get(body, []) if d.request == request]
+                assert out == [], "told not run, but it went out"
+                self.told_not_run.add(request)
+
+    def _dispatch(self, node: Node, effect: OpenAttempt) -> None:
+        assert effect.request not in self.told_not_run, "told not run, then sent"
+        node.open[effect.attempt] = effect
+        earlier = self.dispatched.setdefault(self.bodies[effect.request], [])
+        for dispatch in earlier:
+            assert self.now - dispatch.at >= WINDOW // 2, "the order ran twice"
+        earlier.append(Dispatch(self.now, effect.request))
+
+    def _pick_attempt(self, node: Node, pick: int) -> OpenAttempt:
+        attempts = list(node.open.values())
+        return attempts[pick % len(attempts)]
+
+    def _land(self, records: list[dict[str, Any]]) -> int:
+        first = len(self.log)
+        for number, data in enumerate(records):
+            self.log.append(LogRecord(first + number, self.now, data))
+        return first
+
+    @rule(number=entries, body=st.sampled_from("xxxy"))
+    def send_order(self, number: int, body: str) -> None:
+        request = f"r{self.next_request}"
+        self.next_request += 1
+        self.bodies[request] = body
+        work = ServiceWork("shop", "POST", "/orders")
+        spec = RequestSpec(request, "demo", work, stream=False, digest=body)
+        self._feed(self.nodes[number], RequestArrived(spec))
+
+    @rule(number=entries)
+    def append_taken(self, number: int) -> None:
+        node = self.nodes[number]
+        if node.appends:
+            effect = node.appends.pop(0)
+            offset = self._land(effect.records)
+            self._feed(node, AppendConfirmed(effect.key, offset))
+
+    @rule(number=entries, fate=st.sampled_from(["taken", "dropped", "late"]))
+    def append_answer_lost(self, number: int, fate: str) -> None:
+        node = self.nodes[number]
+        if not node.appends:
+            return
+        effect = node.appends.pop(0)
+        if fate == "taken":
+            self._land(effect.records)
+        if fate == "late":
+            self.floating += effect.records
+        self._feed(node, AppendUncertain(effect.key))
+
+    @precondition(lambda self: self.floating)
+    @rule(pick=picks)
+    def late_append_lands(self, pick: int) -> None:
+        self._land([self.floating.pop(pick % len(self.floating))])
+
+    @precondition(lambda self: self.log)
+    @rule(pick=picks)
+    def record_is_repeated(self, pick: int) -> None:
+        self._land([self.log[-1 - pick % len(self.log)].data])
+
+    @rule(number=entries, count=st.integers(1, 4))
+    def read_some(self, number: int, count: int) -> None:
+        node = self.nodes[number]
+        records = self.log[node.read : node.read + count]
+        node.read += len(records)
+        if records:
+            self._feed(node, RecordsRead(CLAIMS, tuple(records)))
+
+    @rule(number=entries)
+    def read_all(self, number: int) -> None:
+        self.read_some(number, len(self.log) + 1)
+        self._feed(self.nodes[number], StreamCaughtUp(CLAIMS))
+
+    @rule(number=entries)
+    def log_works(self, number: int) -> None:
+        while self.nodes[number].appends:
+            self.append_taken(number)
+        self.read_all(number)
+
+    @rule(number=entries, body=st.sampled_from("xxxy"))
+    def order_goes_out(self, number: int, body: str) -> None:
+        self.read_all(number)
+        self.send_order(number, body)
+        self.log_works(number)
+
+    @rule(number=entries, pause=st.sampled_from([1_900, 2_100, 4_100]))
+    def owner_is_paused(self, number: int, pause: int) -> None:
+        self.read_all(number)
+        self.send_order(number, "x")
+        while self.nodes[number].appends:
+            self.append_taken(number)
+        self.now += pause
+        self.order_goes_out((number + 1) % ENTRIES, "x")
+        self.read_all(number)
+
+    @rule(number=entries)
+    def deadline_passes(self, number: int) -> None:
+        self.order_goes_out(number, "y")
+        self.now += 60_000
+        self.timers_fire(number)
+
+    @rule(number=entries)
+    def log_is_down(self, number: int) -> None:
+        self._feed(self.nodes[number], StreamUnavailable(CLAIMS))
+
+    @rule(number=entries, late=st.booleans())
+    def crash(self, number: int, late: bool) -> None:
+        for effect in self.nodes[number].appends:
+            if late:
+                self.floating += effect.records
+        self.nodes[number] = self._make_node(number)
+
+    @rule(millis=st.sampled_from([1, 200, 1_900, 2_100, 4_100, 70_000]))
+    def time_passes(self, millis: int) -> None:
+        self.now += millis
+
+    @rule(number=entries)
+    def timers_fire(self, number: int) -> None:
+        node = self.nodes[number]
+        due = [timer for timer, at in node.timers.items() if at <= self.now]
+        for timer in due:
+            del node.timers[timer]
+        for timer in due:
+            self._feed(node, TimerFired(timer))
+
+    @rule(number=entries, pick=picks, loss=st.sampled_from(LOSSES))
+    def attempt_lost(self, number: int, pick: int, loss: Loss) -> None:
+        node = self.nodes[number]
+        if not node.open:
+            return
+        effect = self._pick_attempt(node, pick)
+        del node.open[effect.attempt]
+        if loss in PROVED:
+            sent = self.dispatched[self.bodies[effect.request]]
+            proved = next(d for d in sent if d.request == effect.request)
+            sent.remove(proved)
+        self._feed(node, AttemptLost(effect.attempt, loss))
+
+    @rule(number=entries, pick=picks)
+    def service_answers(self, number: int, pick: int) -> None:
+        node = self.nodes[number]
+        if node.open:
+            effect = self._pick_attempt(node, pick)
+            del node.open[effect.attempt]
+            self._feed(node, ServiceAnswered(effect.attempt, 200, "", b"ok"))
+
+    @rule(number=entries, pick=picks)
+    def caller_leaves(self, number: int, pick: int) -> None:
+        node = self.nodes[number]
+        waiting = list(node.entry.state.requests)
+        if waiting:
+            self._feed(node, CallerGone(waiting[pick % len(waiting)]))
+
+
+TestClaims = ClaimsMachine.TestCase
+TestClaims.settings = settings(
+    max_examples=250,
+    stateful_step_count=60,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
