--- a/figstep/application.py
+++ b/figstep/application.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+import time
 from collections import deque
 from typing import Any
 
@@ -10,6 +11,7 @@
 from mode import Service
 
 from figstep.core.clock import Clock, Millis
+from figstep.core.configuration import encode_snapshot
 from figstep.core.effects import (
     AppendRecords,
     CancelGeneration,
@@ -19,6 +21,7 @@
     Deliver,
     DiscardDelivered,
     Effect,
+    FetchCheckpoint,
     Note,
     OpenAttempt,
     ReadConfigurationFrom,
@@ -26,10 +29,12 @@
     ReplacePool,
     ReplayAnswer,
     ResumeAttempt,
+    SendGossip,
     SendOrder,
     WakeAt,
 )
 from figstep.core.events import (
+    CallerGone,
     Event,
     RecordsRead,
     ShutdownRequested,
@@ -38,6 +43,7 @@
     TimerFired,
 )
 from figstep.core.inventory import TargetInfo
+from figstep.core.problems import Problem
 from figstep.core.records import CLAIMS, CONFIGURATION, LEASES, LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import State
@@ -49,6 +55,7 @@
 from figstep.net.instances import InstanceEdge
 from figstep.net.log import HttpLog, LogClient
 from figstep.net.orders import OrderEdge
+from figstep.net.peers import PeerEdge
 from figstep.net.streams import StreamAppender, StreamFollower
 from figstep.net.targets import TargetEdge
 from figstep.settings import Settings
@@ -89,6 +96,8 @@
         self._log_client = log or HttpLog(settings.platform.log)
         self.callers = CallerEdge(
             settings,
+            self.clock,
+            self.metrics,
             self.dispatch,
             self.exchanges,
             lambda: self.entry_state.inventory,
@@ -104,6 +113,12 @@
         self.appender = StreamAppender(self._log_client, self.dispatch)
         self.leases = StreamFollower(self._log_client, LEASES, self._take_leases)
         self.orders = OrderEdge(self.dispatch, self.find_target, self.clock)
+        self.peers = PeerEdge(
+            settings.peers,
+            time.time_ns() // 1_000_000,
+            self.dispatch,
+            self._read_snapshot,
+        )
         self.instances = InstanceEdge(settings.platform.instances, self.dispatch)
 
     async def on_start(self) -> None:
@@ -113,6 +128,7 @@
             self.appender,
             self.leases,
             self.orders,
+            self.peers,
             self.configuration,
             self.claims,
             self.instances,
@@ -143,6 +159,12 @@
     def _take_claims(self, records: list[LogRecord]) -> None:
         self.dispatch(RecordsRead(CLAIMS, tuple(records)))
 
+    def _read_snapshot(self) -> dict[str, Any] | None:
+        fold = self.entry_state.configuration
+        if fold.current is None:
+            return None
+        return encode_snapshot(fold.current, fold.position)
+
     def _take_leases(self, records: list[LogRecord]) -> None:
         self.dispatch(RecordsRead(LEASES, tuple(records)))
 
@@ -161,6 +183,7 @@
         for name, target in self.entry_state.targets.items():
             targets[name] = {
                 "in_flight": target.in_flight,
+                "peers_in_flight": target.peers_in_flight,
                 "leaving": target.leaving,
                 "draining": target.draining,
             }
@@ -172,6 +195,17 @@
             "ready": self.callers.ready,
             "requests": len(self.entry_state.requests),
             "targets": targets,
+            "peers": {
+                name: member.status.name.lower()
+                for name, member in self.entry_state.membership.members.items()
+            },
+            "control": {
+                "address": self.peers.address,
+                "bytes_sent": self.peers.bytes_sent,
+                "bytes_received": self.peers.bytes_received,
+                "rejected": self.peers.rejected,
+                "processor_seconds": time.process_time(),
+            },
         }
 
     def dispatch(self, event: Event) -> None:
@@ -191,10 +225,7 @@
     def _perform(self, effect: Effect) -> None:
         match effect:
             case Deliver(request=request, frames=frames):
-                exchange = self.exchanges.get(request)
-                if exchange is not None:
-                    exchange.frames += frames
-                    exchange.notify()
+                self._deliver(request, frames)
             case Count(name=name, value=value):
                 self.metrics.count(name, value)
             case OpenAttempt():
@@ -216,9 +247,13 @@
             case DiscardDelivered(request=request):
                 exchange = self.exchanges.get(request)
                 if exchange is not None:
-                    exchange.frames.clear()
+                    exchange.discard()
             case WakeAt(timer=timer, at=at):
                 self._set_timer(timer, at)
+            case SendGossip(address=address, gossip=gossip):
+                self.peers.send(address, gossip)
+            case FetchCheckpoint(address=address):
+                self.peers.fetch(address)
             case ReadConfigurationFrom(offset=offset):
                 self.configuration.read_from(offset)
             case AppendRecords():
@@ -237,13 +272,17 @@
             exchange.answer = ServiceAnswer(effect.status, headers, effect.body)
         self._end_exchange(effect.request, None)
 
-    def _end_exchange(self, request: str, problem: Any) -> None:
+    def _deliver(self, request: str, frames: list[bytes]) -> None:
         exchange = self.exchanges.get(request)
-        if exchange is None:
+        if exchange is None or exchange.deliver(frames):
             return
-        exchange.problem = problem
-        exchange.completed = problem is None
-        exchange.notify()
+        self.metrics.count("callers.cut")
+        self.dispatch(CallerGone(request))
+
+    def _end_exchange(self, request: str, problem: Problem | None) -> None:
+        exchange = self.exchanges.get(request)
+        if exchange is not None:
+            exchange.end(problem)
 
     def _set_timer(self, timer: Timer, at: int) -> None:
         before = self._timers.pop(timer, None)
--- a/figstep/core/attempts.py
+++ b/figstep/core/attempts.py
@@ -1,6 +1,6 @@
 """Attempts: connections to targets on behalf of requests."""
 
-from figstep.core import generations, silence
+from figstep.core import admission, generations, silence, targets
 from figstep.core.clock import Millis
 from figstep.core.effects import (
     CancelGeneration,
@@ -36,7 +36,7 @@
             attempt.attempt,
             target.info.name,
             generation,
-            request.spec.priority,
+            admission.choose_priority(state, request),
             once=request.non_idempotent,
         )
     ]
@@ -74,7 +74,7 @@
         number, request.spec.request, target.info.name, generation, now, now
     )
     state.attempts[number] = attempt
-    target.in_flight += 1
+    targets.enter_target(state, target, attempt, request, now)
     request.phase = Phase.RUNNING
     request.attempt = number
     request.generation = generation
@@ -100,14 +100,16 @@
         return None
     target = state.targets.get(attempt.target)
     if target is not None:
-        target.in_flight -= 1
+        targets.leave_target(state, target, attempt)
     request = state.requests.get(attempt.request)
     if request is not None and request.attempt == number:
         request.attempt = None
     return attempt
 
 
-def abandon_attempt(state: State, request: RequestState) -> list[Effect]:
+def abandon_attempt(
+    state: State, request: RequestState, cancel: bool = True
+) -> list[Effect]:
     """Stop what runs for a request that gets no more of its answer.
 
     Between two attempts no connection is open but the target may still be
@@ -117,6 +119,6 @@
     attempt = forget_attempt(state, request.attempt)
     if attempt is not None:
         effects.append(CloseAttempt(attempt.attempt))
-    if request.generation and not isinstance(request.spec.work, ServiceWork):
+    if cancel and request.generation and not isinstance(request.spec.work, ServiceWork):
         effects.append(CancelGeneration(request.target, request.generation))
     return effects
--- a/figstep/core/inventory.py
+++ b/figstep/core/inventory.py
@@ -35,13 +35,13 @@
     address: str
     failure_domain: str
     models: tuple[str, ...]
-    kind: str = "engine"
     speed: float = 1.0
     memory_tokens: int = 16_384
     max_running: int = 32
     resume: bool = True
     continuation: bool = False
     checks_fencing: bool = True
+    kind: str = "engine"
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,6 +157,9 @@
         routing: Name of the routing policy.
         priorities: Priorities by customer and model; the first match counts.
         placement: Which model wants how many replicas where.
+        gap_goal: Gap between tokens above which a target is given less, in
+            milliseconds.
+        subset: Most targets of a pool that an entry talks to; 0 for all.
     """
 
     non_idempotent: tuple[NonIdempotentRule, ...] = ()
@@ -165,6 +168,8 @@
     routing: str = "figstep"
     priorities: tuple[PriorityRule, ...] = ()
     placement: tuple[PlacementRule, ...] = ()
+    gap_goal: Millis = Millis(60)
+    subset: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,13 +177,13 @@
     """One accepted document: what exists and the rules for it."""
 
     failure_domains: tuple[FailureDomain, ...] = ()
-    instances: tuple[InstanceRecord, ...] = ()
     engines: tuple[EngineInfo, ...] = ()
     services: tuple[ServiceInfo, ...] = ()
     models: tuple[ModelInfo, ...] = ()
     customers: tuple[CustomerInfo, ...] = ()
     rules: Rules = field(default_factory=Rules)
     draining: tuple[DrainMark, ...] = ()
+    instances: tuple[InstanceRecord, ...] = ()
 
     def list_targets(self) -> list[TargetInfo]:
         """Return the engines, then the replicas of plain services."""
--- a/figstep/core/recovery.py
+++ b/figstep/core/recovery.py
@@ -1,6 +1,14 @@
 """Tokens on their way to the caller, and what follows when they stop."""
 
-from figstep.core import attempts, ownership, requests, retries, silence, suspects
+from figstep.core import (
+    attempts,
+    ownership,
+    requests,
+    retries,
+    silence,
+    suspects,
+    targets,
+)
 from figstep.core.clock import Millis
 from figstep.core.effects import (
     CancelGeneration,
@@ -64,6 +72,8 @@
     request.accepted = True
     request.resumes = 0
     request.delivered += len(frames)
+    if request.delivered >= attempt.review_at:
+        targets.review_attempt(state, attempt, request, now)
     effects.append(Deliver(attempt.request, frames))
     return effects
 
@@ -171,6 +181,8 @@
         CloseAttempt(event.attempt),
         _note_loss(attempt, event, recovery),
     ]
+    if target is not None:
+        targets.note_loss(target, now)
     if _proves_death(request, attempt, event, recovery):
         effects += suspects.record_death(state, attempt, now)
     match recovery:
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -27,9 +27,13 @@
     ClaimTimer,
     ConfigurationRead,
     Event,
+    FetchTimer,
+    GossipReceived,
+    GossipTimer,
     InstancesListed,
     LoadReported,
     OrderAnswered,
+    PeersOpened,
     PlacementTimer,
     QueueTimer,
     RecordsRead,
@@ -84,16 +88,17 @@
         case TimerFired(timer=timer):
             return _fire_timer(state, timer, now)
         case LoadReported():
-            deaths = suspects.note_report(state, event, now)
-            return deaths + targets.record_load(state, event, now)
-        case ConfigurationRead():
-            return configuration.fold_record(state, event, now)
-        case SnapshotRead():
-            return configuration.fold_snapshot(state, event, now)
-        case CheckpointOffered():
-            return configuration.take_checkpoint(state, event.checkpoint, now)
+            effects = suspects.note_report(state, event, now)
+            effects += targets.record_load(state, event, now)
+            return effects + membership.spread_leaving(state, event.target, now)
+        case ConfigurationRead() | SnapshotRead() | CheckpointOffered():
+            return _read_configuration(state, event, now)
         case InstancesListed():
             return membership.record_instances(state, event, now)
+        case GossipReceived():
+            return membership.take_gossip(state, event, now)
+        case PeersOpened():
+            return membership.open_peers(state, event, now)
         case RecordsRead(stream=records.LEASES):
             return placement.take_lease_records(state, event, now)
         case OrderAnswered():
@@ -112,11 +117,29 @@
             return [WakeAt(PlacementTimer(), now)]
         case ShutdownRequested():
             state.shutting_down = True
-            return []
+            return membership.spread_urgently(state, now)
         case ShutdownForced():
             return requests.abort_requests(state)
 
 
+def _read_configuration(
+    state: State,
+    event: ConfigurationRead | SnapshotRead | CheckpointOffered,
+    now: Millis,
+) -> list[Effect]:
+    offset = state.configuration_offset
+    match event:
+        case ConfigurationRead():
+            effects = configuration.fold_record(state, event, now)
+        case SnapshotRead():
+            effects = configuration.fold_snapshot(state, event, now)
+        case CheckpointOffered():
+            effects = configuration.take_checkpoint(state, event.checkpoint, now)
+    if state.configuration_offset > offset:
+        effects += membership.spread_urgently(state, now)
+    return effects
+
+
 def _fire_timer(state: State, timer: Timer, now: Millis) -> list[Effect]:
     match timer:
         case QueueTimer():
@@ -133,3 +156,7 @@
             return recovery.check_attempt(state, timer, now)
         case SnapshotTimer():
             return configuration.renew_snapshot(state, now)
+        case GossipTimer():
+            return membership.run_period(state, now)
+        case FetchTimer():
+            return membership.fetch_document(state, now)
--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -30,7 +30,7 @@
 )
 from figstep.core.problems import Problem, Ran
 from figstep.core.specs import GenerationWork
-from figstep.core.state import Phase, RequestState, State
+from figstep.core.state import Phase, RequestState, State, TargetState
 
 QUEUE_PAUSE = Millis(100)
 
@@ -65,15 +65,22 @@
         return end_request(state, request, quarantined)
     match admission.decide_admission(state, request, now):
         case admission.Start(target=target):
-            if not ownership.may_dispatch(state, request, now):
-                return end_request(state, request, ownership.build_stale_problem())
-            return attempts.open_attempt(state, request, target, now)
+            return _dispatch_request(state, request, target, now)
         case admission.TurnAway(problem=problem):
             return end_request(state, request, problem)
         case admission.Wait():
             return _queue_request(state, request, now)
 
 
+def _dispatch_request(
+    state: State, request: RequestState, target: TargetState, now: Millis
+) -> list[Effect]:
+    if not ownership.may_dispatch(state, request, now):
+        return end_request(state, request, ownership.build_stale_problem())
+    admission.charge_request(state, request, now)
+    return attempts.open_attempt(state, request, target, now)
+
+
 def _forgive_targets(request: RequestState, now: Millis) -> None:
     for name, until in list(request.failed_targets.items()):
         if until <= now:
@@ -82,22 +89,53 @@
 
 def _queue_request(state: State, request: RequestState, now: Millis) -> list[Effect]:
     request.phase = Phase.QUEUED
-    state.queue.add(request.spec)
+    admission.queue_request(state, request)
     return [WakeAt(QueueTimer(), Millis(now + QUEUE_PAUSE))]
 
 
 def start_queued(state: State, now: Millis) -> list[Effect]:
-    """Try each queued request once."""
+    """Start queued requests, pool by pool, until the next one finds no room."""
+    effects: list[Effect] = []
+    for pool in state.queue.list_pools():
+        effects += _start_pool(state, pool, now)
+    if len(state.queue):
+        effects.append(WakeAt(QueueTimer(), Millis(now + QUEUE_PAUSE)))
+    return effects
+
+
+def _start_pool(state: State, pool: str, now: Millis) -> list[Effect]:
     effects: list[Effect] = []
-    for name in state.queue.list_in_order():
-        state.queue.remove(name)
-        request = state.requests.get(name)
+    passed_over: list[RequestState] = []
+    while (spec := state.queue.peek(pool)) is not None:
+        request = state.requests.get(spec.request)
         if request is None or request.phase is not Phase.QUEUED:
+            state.queue.remove(spec.request)
             continue
-        effects += start_request(state, request, now)
+        _forgive_targets(request, now)
+        quarantined = quarantine.judge_digest(state.quarantine, spec, now)
+        if quarantined is not None:
+            effects += end_request(state, request, quarantined)
+            continue
+        target = admission.choose_for_queued(state, request, now)
+        if target is None and not _is_restricted(state, request):
+            break
+        state.queue.remove(spec.request)
+        if target is None:
+            # It has targets of its own to avoid; were it to stay at the head,
+            # all behind it would wait for those as well.
+            passed_over.append(request)
+            continue
+        effects += _dispatch_request(state, request, target, now)
+    for request in passed_over:
+        admission.queue_request(state, request)
     return effects
 
 
+def _is_restricted(state: State, request: RequestState) -> bool:
+    suspect = quarantine.is_suspect(state.quarantine, request.spec.digest)
+    return suspect or bool(request.failed_targets)
+
+
 def tell_ran(state: State, request: RequestState) -> Ran:
     """Return what may be said of whether the request ran.
 
@@ -214,7 +252,7 @@
     del state.requests[event.request]
     state.queue.remove(event.request)
     effects: list[Effect] = [Count("callers.gone")]
-    effects += attempts.abandon_attempt(state, request)
+    effects += attempts.abandon_attempt(state, request, event.cancel)
     effects += ownership.drop_claim(state, request)
     return effects
 
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -7,10 +7,13 @@
 from figstep.core.claims import ClaimTable
 from figstep.core.clock import Millis
 from figstep.core.events import Checkpoint
+from figstep.core.gossip import Membership
 from figstep.core.inventory import Inventory, TargetInfo
 from figstep.core.leases import LeaseTable
 from figstep.core.lengths import LengthTable
 from figstep.core.orders import PlacementState
+from figstep.core.pacing import Footprint, Pace
+from figstep.core.policies import Figstep, Policy
 from figstep.core.problems import Ran
 from figstep.core.quarantine import Quarantine
 from figstep.core.queues import RequestQueue
@@ -92,6 +95,8 @@
         probing: Whether it replaces a connection that had gone silent.
         answered: Whether the response headers came.
         tokens: Events that came on this connection.
+        footprint: What it needs of its target; None for a plain service.
+        review_at: Index of the event at which the footprint is looked at again.
     """
 
     attempt: int
@@ -100,6 +105,8 @@
     generation: str
     opened: Millis
     last_progress: Millis
+    footprint: Footprint | None = None
+    review_at: int = 1 << 62
     resuming: bool = False
     probing: bool = False
     answered: bool = False
@@ -123,6 +130,7 @@
         memory_total: Cache memory, in tokens.
         models: What it reports as loaded: "model@version", "model+adapter".
         reported: When the last report came, or None.
+        pace: This entry's ledger of it.
         gap: Smoothed gap between two reads of a stream, in milliseconds.
         gap_deviation: Smoothed deviation of that gap, in milliseconds.
         dead: Whether it was found dead and has not answered since.
@@ -142,6 +150,7 @@
     memory_total: int = 0
     models: tuple[str, ...] = ()
     reported: Millis | None = None
+    pace: Pace = field(default_factory=Pace)
     gap: float = 0.0
     gap_deviation: float = 0.0
     dead: bool = False
@@ -149,6 +158,21 @@
     death_incarnation: int = -1
 
 
+@dataclass(slots=True)
+class PoolCache:
+    """Targets by pool, rebuilt when the table of targets is replaced.
+
+    Attributes:
+        targets: The table that it was built from.
+        members: Targets that this entry talks to, by pool.
+        turn: Turn of a round robin.
+    """
+
+    targets: dict[str, TargetState] | None = None
+    members: dict[str, list[TargetState]] = field(default_factory=dict)
+    turn: int = 0
+
+
 @dataclass(slots=True)
 class ConfigurationFold:
     """Where the fold of the configuration stream stands.
@@ -179,11 +203,15 @@
         inventory: Accepted document in force, or None before the first.
         configuration_offset: Offset of the accepted document; -1 for none.
         configuration: Where the fold of the configuration stream stands.
+        membership: What is known of the other entries.
         retention: How long the log keeps records, in milliseconds.
         targets: Known targets by name.
         requests: Requests without a final answer, by id.
         attempts: Open attempts by number.
         queue: Queued requests.
+        policy: How requests are admitted and targets chosen.
+        shares: Shares of the customers, by name.
+        pools: Targets by pool.
         lengths: Estimates of the lengths of answers.
         claims: Claims on non-idempotent requests.
         quarantine: Requests that are kept away from targets.
@@ -199,11 +227,15 @@
     inventory: Inventory | None = None
     configuration_offset: int = -1
     configuration: ConfigurationFold = field(default_factory=ConfigurationFold)
+    membership: Membership = field(default_factory=Membership)
     retention: Millis = Millis(86_400_000)
     targets: dict[str, TargetState] = field(default_factory=dict)
     requests: dict[str, RequestState] = field(default_factory=dict)
     attempts: dict[int, AttemptState] = field(default_factory=dict)
     queue: RequestQueue = field(default_factory=RequestQueue)
+    policy: Policy = field(default_factory=Figstep)
+    shares: dict[str, float] = field(default_factory=dict)
+    pools: PoolCache = field(default_factory=PoolCache)
     lengths: LengthTable = field(default_factory=LengthTable)
     claims: ClaimTable = field(default_factory=ClaimTable)
     quarantine: Quarantine = field(default_factory=Quarantine)
--- a/figstep/errors.py
+++ b/figstep/errors.py
@@ -1,5 +1,7 @@
 """Typed errors; each message names the remedy."""
 
+from figstep.core.problems import Problem
+
 
 class FigstepError(Exception):
     """Base of every error that figstep raises on purpose."""
@@ -47,3 +49,15 @@
 
 class UnknownTargetError(FigstepError):
     """The accepted document has no such target."""
+
+
+class RefusedError(FigstepError):
+    """A request ends at the border with ``problem`` as its answer."""
+
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(problem.detail)
+        self.problem = problem
+
+
+class PeerMessageError(FigstepError):
+    """A message between entries is damaged or not authentic."""
