--- a/tests/test_claims_properties.py
+++ b/tests/core/test_claims_properties.py
@@ -27,7 +27,7 @@
 from figstep.core.problems import Ran
 from figstep.core.records import CLAIMS, LogRecord
 from figstep.core.specs import RequestSpec, ServiceWork
-from tests.entries import Entry, make_inventory
+from tests.core.entries import Entry, make_inventory
 
 ENTRIES = 2
 WINDOW = Millis(4_000)
--- a/tests/test_generations_properties.py
+++ b/tests/core/test_generations_properties.py
@@ -28,7 +28,7 @@
 )
 from figstep.core.problems import Ran
 from figstep.core.specs import GenerationWork, RequestSpec
-from tests.entries import Entry, make_inventory
+from tests.core.entries import Entry, make_inventory
 
 LENGTH = 6
 picks = st.integers(0, 9)
--- a/tests/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -18,8 +18,8 @@
 from figstep.core.specs import GenerationWork, RequestSpec
 from figstep.core.suspects import blocks_target
 from figstep.core.targets import AVOID_LONGEST
-from tests.entries import Entry, make_inventory
-from tests.test_recovery import lose_for_good
+from tests.core.entries import Entry, make_inventory
+from tests.core.test_recovery import lose_for_good
 
 
 def accept(entry: Entry, request: str) -> None:
--- a/tests/test_recovery.py
+++ b/tests/core/test_recovery.py
@@ -29,7 +29,7 @@
 from figstep.core.retries import MAX_RESUMES
 from figstep.core.silence import FIRST_LIMIT
 from figstep.core.specs import GenerationWork, RequestSpec
-from tests.entries import Entry
+from tests.core.entries import Entry
 
 
 def lose_for_good(entry: Entry, request: str) -> None:
--- a/tests/test_settlement.py
+++ b/tests/core/test_settlement.py
@@ -28,7 +28,7 @@
 from figstep.core.problems import Ran
 from figstep.core.records import CLAIMS, LogRecord
 from figstep.core.specs import RequestSpec, ServiceWork
-from tests.entries import Entry, make_inventory
+from tests.core.entries import Entry, make_inventory
 
 
 class Log:
