--- a/figstep/core/configuration.py
+++ b/figstep/core/configuration.py
@@ -6,7 +6,7 @@
 from figstep.core.effects import Count, Effect, Note
 from figstep.core.events import ConfigurationRead
 from figstep.core.inventory import Inventory
-from figstep.core.policies import Figstep, find_policy
+from figstep.core.policies import Figstep, Policy, find_policy
 from figstep.core.state import State, TargetState
 
 
@@ -76,4 +76,14 @@
     policy = find_policy(inventory.rules.routing)
     if isinstance(policy, Figstep):
         policy = replace(policy, gap_goal=float(inventory.rules.gap_goal))
+    set_policy(state, policy)
+
+
+def set_policy(state: State, policy: Policy) -> None:
+    """Decide by ``policy`` from now on."""
     state.policy = policy
+    match policy:
+        case Figstep(fair=fair, shortest_first=shortest_first):
+            state.queue.order_by(fair, shortest_first)
+        case _:
+            state.queue.order_by(fair=False, shortest_first=False)
--- a/figstep/core/pacing.py
+++ b/figstep/core/pacing.py
@@ -134,7 +134,7 @@
         """Return the tokens that it will hold at its fullest with ``added``."""
         mean = self.mean + added.mean
         spread = math.sqrt(max(0.0, self.variance + added.variance))
-        return self.held + added.held + growth * (mean + deviations * spread)
+        return self.held + added.held + growth * mean + deviations * spread
 
     def adapt_limit(self, gap: float, goal: float, now: Millis) -> None:
         """Move the limit by one observed gap: up by little, down by a share."""
--- a/figstep/core/policies.py
+++ b/figstep/core/policies.py
@@ -27,6 +27,7 @@
         growth: Share of the expected remaining tokens that is counted; running
             generations don't all reach their end at the same time.
         deviations: Reserve, in standard deviations of the remaining tokens.
+        reported_queue: Whether a target that reports a queue is given nothing.
         limit: Whether observed gaps bound what a target is given.
         gap_goal: Gap between tokens above which a target is given less, in ms.
         pace: Whether targets are compared by predicted time, not by count.
@@ -39,15 +40,16 @@
     """
 
     memory: bool = True
-    growth: float = 0.3
-    deviations: float = 1.0
+    growth: float = 0.2
+    deviations: float = 0.1
+    reported_queue: bool = True
     limit: bool = True
     gap_goal: float = 60.0
     pace: bool = True
     affinity: bool = True
     fair: bool = True
     shortest_first: bool = True
-    engine_priority: bool = True
+    engine_priority: bool = False
     refuse_early: bool = True
     choices: int = 12
 
--- a/figstep/core/queues.py
+++ b/figstep/core/queues.py
@@ -120,6 +120,17 @@
     def __len__(self) -> int:
         return len(self._queued)
 
+    def order_by(self, fair: bool, shortest_first: bool) -> None:
+        """Change the order; what already waits is put in again."""
+        if (fair, shortest_first) == (self.fair, self.shortest_first):
+            return
+        waiting = list(self._queued.values())
+        for queued in waiting:
+            self.remove(queued.spec.request)
+        self.fair, self.shortest_first = fair, shortest_first
+        for queued in waiting:
+            self.add(queued.spec, queued.cost, queued.share, queued.since)
+
     def list_pools(self) -> list[str]:
         """Return the pools in which something waits."""
         return [name for name, pool in self._pools.items() if pool.count]
--- a/figstep/core/routing.py
+++ b/figstep/core/routing.py
@@ -164,6 +164,8 @@
         return True
     if running >= info.max_running:
         return False
+    if policy.reported_queue and target.waiting > 0:
+        return False
     if policy.limit and running >= pace.limit:
         return False
     if not policy.memory:
