Count what other entries run, from peers or corrected reports

Cause: an entry's exact ledger shows an eighth of the work where eight entries share the engines. Ruled out: refusing a target that reports a queue; no better with eight.

--- a/figstep/core/pacing.py
+++ b/figstep/core/pacing.py
@@ -1,6 +1,7 @@
 """What this entry knows of a target's pace, memory and room."""
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 
 from figstep.core.clock import Millis
@@ -13,6 +14,8 @@
 PRIOR_STEP = 25.0
 PRIOR_PER_RUNNING = 1.0
 PRIOR_WEIGHT = 4.0
+PAST_STEP = Millis(100)
+PAST_KEPT = 64
 
 
 @dataclass(slots=True)
@@ -96,6 +99,8 @@
         avoid_until: No new work before this; set by lost attempts.
         losses: Lost attempts in a row.
         prefixes: Prefixes that were sent there, and when.
+        past: How many ran at some times of the last seconds.
+        own_then: How many ran at the time that the last report shows.
     """
 
     running: int = 0
@@ -109,6 +114,25 @@
     avoid_until: Millis = Millis(0)
     losses: int = 0
     prefixes: dict[str, Millis] = field(default_factory=dict)
+    past: deque[tuple[Millis, int]] = field(default_factory=deque)
+    own_then: int = 0
+
+    def note_running(self, now: Millis) -> None:
+        """Remember how many ran, to compare with reports, which come late."""
+        if self.past and now < self.past[-1][0] + PAST_STEP:
+            return
+        self.past.append((now, self.running))
+        if len(self.past) > PAST_KEPT:
+            self.past.popleft()
+
+    def count_then(self, then: Millis) -> int:
+        """Return how many ran at an earlier time."""
+        running = self.running
+        for at, count in reversed(self.past):
+            if at <= then:
+                return count
+            running = count
+        return running
 
     def add(self, footprint: Footprint) -> None:
         """Count a generation that starts."""
--- a/figstep/core/policies.py
+++ b/figstep/core/policies.py
@@ -27,6 +27,7 @@
         growth: Share of the expected remaining tokens that is counted; running
             generations don't all reach their end at the same time.
         deviations: Reserve, in standard deviations of the remaining tokens.
+        others: Whether the work of other entries is counted.
         reported_queue: Whether a target that reports a queue is given nothing.
         limit: Whether observed gaps bound what a target is given.
         gap_goal: Gap between tokens above which a target is given less, in ms.
@@ -42,7 +43,8 @@
     memory: bool = True
     growth: float = 0.2
     deviations: float = 0.1
-    reported_queue: bool = True
+    others: bool = True
+    reported_queue: bool = False
     limit: bool = True
     gap_goal: float = 60.0
     pace: bool = True
--- a/figstep/core/routing.py
+++ b/figstep/core/routing.py
@@ -9,7 +9,12 @@
 from figstep.core.queues import name_pool
 from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork
 from figstep.core.state import RequestState, State, TargetState
-from figstep.core.targets import estimate_footprint, start_pace
+from figstep.core.targets import (
+    count_others,
+    estimate_footprint,
+    size_others,
+    start_pace,
+)
 
 PREFILL_PER_GAP = 1 / 250
 """Time to prefill a token, as a share of the gap of an idle target."""
@@ -141,16 +146,19 @@
     for target in candidates:
         if now < target.pace.avoid_until:
             continue
-        if not has_room(policy, target, footprint):
+        others = count_others(target, now) if policy.others else 0.0
+        if not has_room(policy, target, footprint, others):
             continue
-        score = _score_target(policy, target, request.spec, footprint, now)
+        score = _score_target(policy, target, request.spec, footprint, others, now)
         score *= 1.0 + 0.01 * state.rng.random()
         if best is None or score < best_score:
             best, best_score = target, score
     return best
 
 
-def has_room(policy: Figstep, target: TargetState, footprint: Footprint) -> bool:
+def has_room(
+    policy: Figstep, target: TargetState, footprint: Footprint, others: float = 0.0
+) -> bool:
     """Tell whether a target can take a generation without pushing others off.
 
     An empty target takes anything, or a request larger than every memory
@@ -159,10 +167,10 @@
     pace, info = target.pace, target.info
     if not isinstance(info, EngineInfo):
         return True
-    running = pace.running + target.peers_in_flight
+    running = pace.running + others
     if running == 0:
         return True
-    if running >= info.max_running:
+    if running + 1 > info.max_running:
         return False
     if policy.reported_queue and target.waiting > 0:
         return False
@@ -171,8 +179,8 @@
     if not policy.memory:
         return True
     predicted = pace.predict_memory(footprint, policy.growth, policy.deviations)
-    if target.peers_in_flight and pace.running:
-        predicted *= running / pace.running
+    if others:
+        predicted += others * size_others(target)
     return predicted <= (target.memory_total or info.memory_tokens)
 
 
@@ -181,10 +189,11 @@
     target: TargetState,
     spec: RequestSpec,
     footprint: Footprint,
+    others: float,
     now: Millis,
 ) -> float:
     pace = target.pace
-    running = float(pace.running + target.peers_in_flight)
+    running = pace.running + others
     if not policy.pace:
         return running + 1.0
     if pace.gaps.weight == 0.0:
--- a/figstep/core/targets.py
+++ b/figstep/core/targets.py
@@ -14,6 +14,10 @@
 ESTIMATE_STEP = 0.25
 AVOID_FIRST = Millis(500)
 AVOID_LONGEST = Millis(8_000)
+REPORT_FRESH = Millis(10_000)
+MOST_ENTRIES = 8.0
+OTHERS_GROWTH = 1.15
+DEFAULT_HELD = 700.0
 PREFIXES_KEPT = 64
 NEVER = 1 << 62
 
@@ -33,9 +37,41 @@
     target.memory_total = event.memory_total
     target.models = event.models
     target.reported = Millis(now - event.age)
+    target.pace.note_running(now)
+    target.pace.own_then = target.pace.count_then(target.reported)
     return []
 
 
+def count_others(target: TargetState, now: Millis) -> float:
+    """Return how many generations other entries run on a target.
+
+    Peers tell it; where they don't, the last report less what this entry ran
+    at that time does. A report is old and every entry sees the same room in
+    it: what this entry added since, the others are taken to have added each.
+    """
+    if target.peers_in_flight:
+        return float(target.peers_in_flight)
+    if target.reported is None or now - target.reported > REPORT_FRESH:
+        return 0.0
+    pace = target.pace
+    total = target.running + target.waiting
+    others = max(0, total - pace.own_then)
+    if others == 0:
+        return 0.0
+    added = max(0, pace.running - pace.own_then)
+    entries = min(MOST_ENTRIES, others / max(1, pace.own_then))
+    return others + entries * added
+
+
+def size_others(target: TargetState) -> float:
+    """Return the tokens that another entry's generation is taken to hold."""
+    if target.running:
+        return OTHERS_GROWTH * target.memory_used / target.running
+    if target.pace.running:
+        return OTHERS_GROWTH * target.pace.held / target.pace.running
+    return DEFAULT_HELD
+
+
 def estimate_footprint(
     state: State, spec: RequestSpec, produced: int, now: Millis
 ) -> Footprint | None:
@@ -63,6 +99,7 @@
 ) -> None:
     """Count an attempt on a target that it is about to run on."""
     target.in_flight += 1
+    target.pace.note_running(now)
     spec = request.spec
     footprint = estimate_footprint(state, spec, request.delivered, now)
     if footprint is None:
@@ -128,7 +165,7 @@
     pace.gap = gap if pace.gap == 0.0 else 0.9 * pace.gap + 0.1 * gap
     if pace.gaps.weight == 0.0:
         start_pace(target)
-    pace.gaps.learn(float(pace.running), gap)
+    pace.gaps.learn(pace.running + count_others(target, now), gap)
     match state.policy:
         case Figstep(limit=True, gap_goal=goal):
             pace.adapt_limit(gap, goal, now)
--- a/figstep/experiment/harness.py
+++ b/figstep/experiment/harness.py
@@ -92,6 +92,9 @@
         load: Tokens per millisecond that are asked for.
         duration: How long requests come, in milliseconds.
         fault: What goes wrong.
+        entries: Entries that share the engines and don't see each other's work.
+        gossip: Time between two counts from its peers, in milliseconds; 0 for
+            none.
     """
 
     deployment: Deployment
@@ -100,9 +103,13 @@
     load: float
     duration: float
     fault: Fault = field(default_factory=Fault)
+    entries: int = 1
+    gossip: float = 0.0
     ledger: Ledger = field(default_factory=Ledger)
     now: float = 0.0
-    _state: State = field(default_factory=lambda: State("entry-1"))
+    _states: list[State] = field(default_factory=list)
+    _homes: dict[str, State] = field(default_factory=dict)
+    _rng: random.Random = field(default_factory=random.Random)
     _engines: dict[str, EngineModel] = field(default_factory=dict)
     _dead: set[str] = field(default_factory=set)
     _arrivals: dict[str, Arrival] = field(default_factory=dict)
@@ -112,7 +119,7 @@
         default_factory=list
     )
     _number: int = 0
-    _timers: dict[Timer, float] = field(default_factory=dict)
+    _timers: dict[tuple[str, Timer], float] = field(default_factory=dict)
     _wakes: dict[str, float] = field(default_factory=dict)
 
     def play(self) -> dict[str, float]:
@@ -132,11 +139,18 @@
         return result
 
     def _set_up(self) -> None:
-        self._state.rng = random.Random(self.seed)
         inventory = build_inventory(self.deployment, "figstep", DEADLINE)
-        apply_inventory(self._state, inventory)
-        self._state.configuration_offset = 0
-        set_policy(self._state, self.policy)
+        self._rng = random.Random(f"homes/{self.seed}")
+        for number in range(self.entries):
+            state = State(f"entry-{number}", rng=random.Random(self.seed + number))
+            apply_inventory(state, inventory)
+            state.configuration_offset = 0
+            # Numbers of attempts are unique in a process, not among entries.
+            state.next_attempt = 1 + number * 10_000_000
+            set_policy(state, self.policy)
+            self._states.append(state)
+        if self.gossip:
+            self._schedule(self.gossip, self._tell_peers, None)
         for info, profile in zip(
             inventory.engines, self.deployment.profiles, strict=True
         ):
@@ -163,6 +177,7 @@
             self.ledger.streams[arrival.request] = Stream(
                 arrival.customer, self.now, arrival.length, self.now
             )
+        self.ledger.streams[arrival.request].last_asked = self.now
         work = GenerationWork(
             MODEL,
             arrival.prompt_tokens,
@@ -172,13 +187,23 @@
         spec = RequestSpec(
             arrival.request, arrival.customer, work, digest=arrival.request
         )
-        self._dispatch(RequestArrived(spec))
+        # The balancer knows nothing: a caller that comes back may meet another.
+        state = self._rng.choice(self._states)
+        self._homes[arrival.request] = state
+        self._dispatch(state, RequestArrived(spec))
 
-    def _dispatch(self, event: Event) -> None:
-        for effect in reduce(self._state, event, Millis(round(self.now))):
-            self._perform(effect)
+    def _tell_peers(self, _: None) -> None:
+        self._schedule(self.now + self.gossip, self._tell_peers, None)
+        for name in self._engines:
+            counts = [state.targets[name].in_flight for state in self._states]
+            for state, own in zip(self._states, counts, strict=True):
+                state.targets[name].peers_in_flight = sum(counts) - own
 
-    def _perform(self, effect: Effect) -> None:
+    def _dispatch(self, state: State, event: Event) -> None:
+        for effect in reduce(state, event, Millis(round(self.now))):
+            self._perform(state, effect)
+
+    def _perform(self, state: State, effect: Effect) -> None:
         match effect:
             case Deliver(request=request, frames=frames):
                 stream = self.ledger.streams[request]
@@ -189,8 +214,8 @@
                 self._resume(effect)
             case WakeAt(timer=timer, at=at):
                 due = max(float(at), self.now)
-                self._timers[timer] = due
-                self._schedule(due, self._fire, timer)
+                self._timers[state.node, timer] = due
+                self._schedule(due, self._fire, (state, timer))
             case Complete(request=request):
                 self.ledger.streams[request].ended = self.now
             case Refuse():
@@ -205,11 +230,12 @@
             case _:
                 pass
 
-    def _fire(self, timer: Timer) -> None:
-        if self._timers.get(timer) != self.now:
+    def _fire(self, argument: tuple[State, Timer]) -> None:
+        state, timer = argument
+        if self._timers.get((state.node, timer)) != self.now:
             return
-        del self._timers[timer]
-        self._dispatch(TimerFired(timer))
+        del self._timers[state.node, timer]
+        self._dispatch(state, TimerFired(timer))
 
     def _take_refusal(self, effect: Refuse) -> None:
         stream = self.ledger.streams[effect.request]
@@ -218,8 +244,11 @@
             stream.lost = True
             return
         self.ledger.refusals += 1
+        if self.now - stream.last_asked > LINK_DELAY:
+            self.ledger.late_refusals += 1
         if problem.retry_after is None or stream.asks >= MOST_ASKS:
             stream.refused = True
+            stream.stalled += self.now - stream.asked
             return
         stream.asks += 1
         arrival = self._arrivals[effect.request]
@@ -265,7 +294,8 @@
         self._attempts.pop(attempt.number, None)
         if self._by_generation.get(attempt.generation) is attempt:
             del self._by_generation[attempt.generation]
-        self._dispatch(AttemptLost(attempt.number, loss))
+        state = self._homes[attempt.request]
+        self._dispatch(state, AttemptLost(attempt.number, loss))
 
     def _watch(self, name: str) -> None:
         step = self._engines[name].next_step()
@@ -285,12 +315,14 @@
         attempt = self._by_generation.get(token.name)
         if attempt is None:
             return
-        self._dispatch(TokensArrived(attempt.number, token.name, token.index, FRAME))
+        state = self._homes[attempt.request]
+        event = TokensArrived(attempt.number, token.name, token.index, FRAME)
+        self._dispatch(state, event)
         if token.finish is None:
             return
         self._attempts.pop(attempt.number, None)
         self._by_generation.pop(token.name, None)
-        self._dispatch(AttemptEnded(attempt.number))
+        self._dispatch(state, AttemptEnded(attempt.number))
 
     def _report(self, name: str) -> None:
         self._schedule(self.now + REPORT_PERIOD, self._report, name)
@@ -302,17 +334,17 @@
             return
         engine = self._engines[name]
         report = engine.read_load(self.now)
-        self._dispatch(
-            LoadReported(
-                name,
-                incarnation=engine.incarnation,
-                running=report.running,
-                waiting=report.waiting,
-                memory_used=report.memory_used,
-                memory_total=report.memory_total,
-                age=Millis(round(self.now - report.at)),
-            )
+        event = LoadReported(
+            name,
+            incarnation=engine.incarnation,
+            running=report.running,
+            waiting=report.waiting,
+            memory_used=report.memory_used,
+            memory_total=report.memory_total,
+            age=Millis(round(self.now - report.at)),
         )
+        for state in self._states:
+            self._dispatch(state, event)
 
     def _begin_fault(self, _: None) -> None:
         name = f"engine-{self.fault.engine}"
--- a/figstep/experiment/measures.py
+++ b/figstep/experiment/measures.py
@@ -8,6 +8,9 @@
 
 BINS_PER_E = 50
 
+FLOODER = "customer-9"
+"""The customer that floods in that fault; ``spared`` are all others."""
+
 
 @dataclass(slots=True)
 class GapHistogram:
@@ -43,6 +46,7 @@
     asked: float
     length: int
     last: float
+    last_asked: float = 0.0
     tokens: int = 0
     first: float | None = None
     stalled: float = 0.0
@@ -76,13 +80,14 @@
     Attributes:
         streams: Streams by request.
         gaps: Gaps between tokens of all streams.
-        asks: How often something was asked for, returns included.
         refusals: How often the answer was to come back later.
+        late_refusals: How many of these came after waiting.
     """
 
     streams: dict[str, Stream] = field(default_factory=dict)
     gaps: GapHistogram = field(default_factory=GapHistogram)
     refusals: int = 0
+    late_refusals: int = 0
 
     def deliver(self, stream: Stream, now: float, tokens: int) -> None:
         """Count tokens that reached a caller."""
@@ -114,12 +119,14 @@
         whole = [s for s in streams if s.ended is not None]
         in_time = [s for s in whole if s.ended is not None and s.ended <= arrivals_end]
         stalls = [s.stalled for s in streams]
+        spared = [s.stalled for s in streams if s.customer != FLOODER]
         slowest = [s.slowest_gap for s in streams]
         firsts = [s.first - s.asked for s in streams if s.first is not None]
         return {
             "requests": len(streams),
             "stall_sum_s": sum(stalls) / 1_000,
             "stall_p99_s": find_quantile(stalls, 0.99) / 1_000,
+            "spared_stall_p99_s": find_quantile(spared, 0.99) / 1_000,
             "stall_p95_s": find_quantile(stalls, 0.95) / 1_000,
             "mid_stall_p99_s": find_quantile(
                 [s.stalled - _first_stall(s) for s in streams], 0.99
@@ -136,6 +143,7 @@
             "ttft_p50_ms": find_quantile(firsts, 0.5),
             "ttft_p95_ms": find_quantile(firsts, 0.95),
             "refusals": self.refusals,
+            "late_refusals": self.late_refusals,
             "given_up": sum(s.refused for s in streams),
             "lost": sum(s.lost for s in streams),
             "unfinished": sum(
