Compare the concurrency limit with all that runs on a target

Cause: the limit was cut from this entry's own generations and compared with all entries'; with eight entries it fell to 3-6 a target and stayed. Ruled out: the queue timer, which was also put off by each arrival and is now set by the first only.

--- a/figstep/core/admission.py
+++ b/figstep/core/admission.py
@@ -12,6 +12,7 @@
 from figstep.core.state import RequestState, State, TargetState
 
 SHORTEST_RETURN = Millis(1_000)
+LONGEST_RETURN = Millis(120_000)
 RETURN_SPREAD = 0.5
 PRIORITY_STEP = 2 * BINS
 
@@ -121,7 +122,7 @@
 
 def spread_return(state: State, wait: Millis) -> Millis:
     """Return when to come back, spread so that callers don't come all at once."""
-    base = max(wait, SHORTEST_RETURN)
+    base = min(LONGEST_RETURN, max(wait, SHORTEST_RETURN))
     return Millis(round(base * (1.0 + RETURN_SPREAD * state.rng.random())))
 
 
--- a/figstep/core/pacing.py
+++ b/figstep/core/pacing.py
@@ -160,14 +160,21 @@
         spread = math.sqrt(max(0.0, self.variance + added.variance))
         return self.held + added.held + growth * mean + deviations * spread
 
-    def adapt_limit(self, gap: float, goal: float, now: Millis) -> None:
-        """Move the limit by one observed gap: up by little, down by a share."""
+    def adapt_limit(self, gap: float, goal: float, running: float, now: Millis) -> None:
+        """Move the limit by one observed gap: up by little, down by a share.
+
+        Args:
+            gap: Observed gap, in milliseconds.
+            goal: Gap above which the limit falls, in milliseconds.
+            running: All generations on the target, other entries' included.
+            now: Monotonic time.
+        """
         if gap <= goal:
-            if self.running >= self.limit - 1:
+            if running >= self.limit - 1:
                 self.limit = min(LIMIT_CEILING, self.limit + 1.0 / max(1.0, self.limit))
             return
         if now < self.lowered + DECREASE_PAUSE:
             return
         self.lowered = now
-        bound = min(self.limit, float(max(1, self.running)))
+        bound = min(self.limit, max(1.0, running))
         self.limit = max(LIMIT_FLOOR, bound * DECREASE)
--- a/figstep/core/queues.py
+++ b/figstep/core/queues.py
@@ -232,7 +232,21 @@
             if customer is None or customer.count == 0:
                 shares += share
             ahead = min(ahead, own * shares / share)
-        return Millis(round(ahead / rate))
+        wait = ahead / rate
+        if self.shortest_first and level is not None:
+            wait = max(wait, self._predict_turn(level, spec, cost, now))
+        return Millis(round(wait))
+
+    def _predict_turn(
+        self, level: Level, spec: RequestSpec, cost: float, now: Millis
+    ) -> float:
+        # Shorter ones that are yet to come go ahead of a long one. In a steady
+        # queue the key at its head moves on with the clock, so the distance
+        # to the head is the wait.
+        customer = level.customers.get(self._turn_of(spec))
+        if customer is None or self._peek_customer(customer) is None:
+            return 0.0
+        return now + AGING * cost - customer.heap[0][0]
 
     def list_in_order(self) -> list[str]:
         """Return all queued ids in the order in which they came."""
--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -108,6 +108,10 @@
     request.phase = Phase.QUEUED
     request.failed_targets.clear()
     admission.queue_request(state, request)
+    if len(state.queue) > 1:
+        # The timer runs already; setting it again with each arrival would put
+        # it off for as long as requests come faster than the pause.
+        return []
     return [WakeAt(QueueTimer(), Millis(now + QUEUE_PAUSE))]
 
 
--- a/figstep/core/routing.py
+++ b/figstep/core/routing.py
@@ -22,6 +22,12 @@
 SHARED_PREFIX = 0.5
 """Share of a prompt that a cached prefix is taken to cover."""
 
+PATIENCE = 10_000.0
+"""Wait after which a request's bar is highest, in milliseconds."""
+
+PATIENT_PART = 0.25
+"""Part of the way from the lowest to the highest bar that is the memory itself."""
+
 PREFIX_FRESH = Millis(60_000)
 
 
@@ -142,12 +148,13 @@
 ) -> TargetState | None:
     footprint = estimate_footprint(state, request.spec, request.delivered, now)
     assert footprint is not None
+    waited = min(1.0, (now - request.arrived) / PATIENCE)
     best, best_score = None, 0.0
     for target in candidates:
         if now < target.pace.avoid_until:
             continue
         others = count_others(target, now) if policy.others else 0.0
-        if not has_room(policy, target, footprint, others):
+        if not has_room(policy, target, footprint, others, waited):
             continue
         score = _score_target(policy, target, request.spec, footprint, others, now)
         score *= 1.0 + 0.01 * state.rng.random()
@@ -157,7 +164,11 @@
 
 
 def has_room(
-    policy: Figstep, target: TargetState, footprint: Footprint, others: float = 0.0
+    policy: Figstep,
+    target: TargetState,
+    footprint: Footprint,
+    others: float = 0.0,
+    waited: float = 0.0,
 ) -> bool:
     """Tell whether a target can take a generation without pushing others off.
 
@@ -181,7 +192,11 @@
     predicted = pace.predict_memory(footprint, policy.growth, policy.deviations)
     if others:
         predicted += others * size_others(target)
-    return predicted <= (target.memory_total or info.memory_tokens)
+    bar = target.memory_total or info.memory_tokens
+    # A large request at the head of one entry's queue sees every bit of room
+    # taken by small ones that arrive at other entries, until its deadline. As
+    # it waits its bar rises above theirs, so it gets on in bounded time.
+    return predicted <= bar * (1.0 + policy.impatience * (waited - PATIENT_PART))
 
 
 def _score_target(
--- a/figstep/core/targets.py
+++ b/figstep/core/targets.py
@@ -165,10 +165,11 @@
     pace.gap = gap if pace.gap == 0.0 else 0.9 * pace.gap + 0.1 * gap
     if pace.gaps.weight == 0.0:
         start_pace(target)
-    pace.gaps.learn(pace.running + count_others(target, now), gap)
+    running = pace.running + count_others(target, now)
+    pace.gaps.learn(running, gap)
     match state.policy:
         case Figstep(limit=True, gap_goal=goal):
-            pace.adapt_limit(gap, goal, now)
+            pace.adapt_limit(gap, goal, running, now)
         case _:
             pass
 
