--- a/figstep/core/routing.py
+++ b/figstep/core/routing.py
@@ -25,9 +25,6 @@
 PATIENCE = 10_000.0
 """Wait after which a request's bar is highest, in milliseconds."""
 
-PATIENT_PART = 0.25
-"""Part of the way from the lowest to the highest bar that is the memory itself."""
-
 PREFIX_FRESH = Millis(60_000)
 
 
@@ -196,7 +193,7 @@
     # A large request at the head of one entry's queue sees every bit of room
     # taken by small ones that arrive at other entries, until its deadline. As
     # it waits its bar rises above theirs, so it gets on in bounded time.
-    return predicted <= bar * (1.0 + policy.impatience * (waited - PATIENT_PART))
+    return predicted <= bar * (1.0 + policy.impatience * (waited - 1.0))
 
 
 def _score_target(
