--- a/figstep/core/policies.py
+++ b/figstep/core/policies.py
@@ -27,7 +27,6 @@
         growth: Share of the expected remaining tokens that is counted; running
             generations don't all reach their end at the same time.
         deviations: Reserve, in standard deviations of the remaining tokens.
-        impatience: Share of the memory by which a long wait moves the bar.
         others: Whether the work of other entries is counted.
         reported_queue: Whether a target that reports a queue is given nothing.
         limit: Whether observed gaps bound what a target is given.
@@ -44,7 +43,6 @@
     memory: bool = True
     growth: float = 0.2
     deviations: float = 0.1
-    impatience: float = 0.15
     others: bool = True
     reported_queue: bool = False
     limit: bool = True
--- a/figstep/core/routing.py
+++ b/figstep/core/routing.py
@@ -22,9 +22,6 @@
 SHARED_PREFIX = 0.5
 """Share of a prompt that a cached prefix is taken to cover."""
 
-PATIENCE = 10_000.0
-"""Wait after which a request's bar is highest, in milliseconds."""
-
 PREFIX_FRESH = Millis(60_000)
 
 
@@ -145,13 +142,12 @@
 ) -> TargetState | None:
     footprint = estimate_footprint(state, request.spec, request.delivered, now)
     assert footprint is not None
-    waited = min(1.0, (now - request.arrived) / PATIENCE)
     best, best_score = None, 0.0
     for target in candidates:
         if now < target.pace.avoid_until:
             continue
         others = count_others(target, now) if policy.others else 0.0
-        if not has_room(policy, target, footprint, others, waited):
+        if not has_room(policy, target, footprint, others):
             continue
         score = _score_target(policy, target, request.spec, footprint, others, now)
         score *= 1.0 + 0.01 * state.rng.random()
@@ -165,7 +161,6 @@
     target: TargetState,
     footprint: Footprint,
     others: float = 0.0,
-    waited: float = 0.0,
 ) -> bool:
     """Tell whether a target can take a generation without pushing others off.
 
@@ -189,11 +184,7 @@
     predicted = pace.predict_memory(footprint, policy.growth, policy.deviations)
     if others:
         predicted += others * size_others(target)
-    bar = target.memory_total or info.memory_tokens
-    # A large request at the head of one entry's queue sees every bit of room
-    # taken by small ones that arrive at other entries, until its deadline. As
-    # it waits its bar rises above theirs, so it gets on in bounded time.
-    return predicted <= bar * (1.0 + policy.impatience * (waited - 1.0))
+    return predicted <= (target.memory_total or info.memory_tokens)
 
 
 def _score_target(
