Run orders, deaths and silence through real entries on loopback

Cause: the decisions were tested alone; nothing showed that the edges keep them, as with an HTTP client that sends a PUT or DELETE again by itself.

Ruled out: a count of fixed words for a whole answer (the stand-in's first word repeats the prompt's); the words are counted instead.

Before: no integration test of claims, quarantine, silence and restarts. After: 9 cases pass, among them the lost answer of a POST, PUT and DELETE. An identity is remembered no longer than the log keeps records, and digests that a peer tells are held for a bounded time. Conclusion: the path from caller to service keeps at most once.

--- a/figstep/core/claims.py
+++ b/figstep/core/claims.py
@@ -197,15 +197,23 @@
     return spec.non_idempotent or find_rule(inventory, spec) is not None
 
 
-def identify_request(inventory: Inventory | None, spec: RequestSpec) -> Identity:
-    """Return the identity of a non-idempotent request."""
+def identify_request(
+    inventory: Inventory | None, spec: RequestSpec, retention: Millis = CLAIM_WINDOW
+) -> Identity:
+    """Return the identity of a non-idempotent request.
+
+    Its window is never longer than the log's retention: an entry that starts
+    later could not read the claim any more.
+    """
+    longest = min(CLAIM_WINDOW, retention)
     if spec.idempotency_key is not None:
         name = _digest("key", spec.customer, spec.idempotency_key)
-        return Identity(name, CLAIM_WINDOW, read_key_time(spec.idempotency_key))
+        return Identity(name, longest, read_key_time(spec.idempotency_key))
     rule = find_rule(inventory, spec)
     if rule is not None and rule.digest_window is not None:
-        return Identity(_digest("body", spec.customer, spec.digest), rule.digest_window)
-    return Identity(_digest("request", spec.customer, spec.request), CLAIM_WINDOW)
+        name = _digest("body", spec.customer, spec.digest)
+        return Identity(name, min(rule.digest_window, retention))
+    return Identity(_digest("request", spec.customer, spec.request), longest)
 
 
 def _digest(*parts: str) -> str:
--- a/figstep/core/membership.py
+++ b/figstep/core/membership.py
@@ -4,6 +4,7 @@
 the acknowledgement as a sign of life. News rides on these messages.
 """
 
+from figstep.core import quarantine
 from figstep.core.clock import Millis
 from figstep.core.datagrams import build_gossip
 from figstep.core.effects import (
@@ -28,7 +29,6 @@
     Member,
     MemberNews,
     MemberStatus,
-    QuarantineMark,
     hash_target,
 )
 from figstep.core.state import State
@@ -181,7 +181,9 @@
     member.counts = _merge_counts(member, gossip)
     member.counted = now
     for quarantined in gossip.quarantined:
-        _take_quarantine(state, quarantined, now)
+        quarantine.hold_digest(
+            state.quarantine, quarantined.digest, quarantined.remaining, now
+        )
     effects += _plan_fetch(state, now)
     if gossip.wants_answer:
         effects.append(_send(state, member.address, member, now, False))
@@ -332,12 +334,6 @@
         target_state.peers_in_flight = round(total * scale)
 
 
-def _take_quarantine(state: State, mark: QuarantineMark, now: Millis) -> None:
-    until = state.quarantine.until
-    ends = Millis(now + mark.remaining)
-    until[mark.digest] = max(until.get(mark.digest, ends), ends)
-
-
 def _plan_fetch(state: State, now: Millis) -> list[Effect]:
     """Plan to take a newer document from a peer.
 
--- a/figstep/core/ownership.py
+++ b/figstep/core/ownership.py
@@ -37,7 +37,7 @@
         # may have run this very request.
         del state.requests[name]
         return [Refuse(name, _build_log_problem(state)), Count("claims.unavailable")]
-    identity = claims.identify_request(state.inventory, request.spec)
+    identity = claims.identify_request(state.inventory, request.spec, state.retention)
     own = claims.find_own(table, identity.name, now)
     if own is not None:
         return _join_own(state, request, own)
--- a/figstep/core/quarantine.py
+++ b/figstep/core/quarantine.py
@@ -27,19 +27,6 @@
     last: Millis = Millis(0)
 
 
-@dataclass(frozen=True, slots=True)
-class SharedDigest:
-    """A quarantined digest as entries tell it to each other.
-
-    Attributes:
-        digest: SHA-256 of method, path and body.
-        remaining: How long it stays refused, in milliseconds.
-    """
-
-    digest: str
-    remaining: Millis
-
-
 @dataclass(slots=True)
 class Quarantine:
     """Digests that are refused, and those that may come to be.
@@ -103,31 +90,13 @@
             del quarantine.suspects[digest]
 
 
-def list_quarantined(quarantine: Quarantine, now: Millis) -> list[SharedDigest]:
-    """Return what to tell the other entries."""
-    shared = []
-    for digest, until in list(quarantine.until.items()):
-        if until <= now:
-            del quarantine.until[digest]
-            continue
-        shared.append(SharedDigest(digest, Millis(until - now)))
-    return shared
-
-
-def merge_quarantined(
-    quarantine: Quarantine, shared: list[SharedDigest], now: Millis
-) -> int:
-    """Take in what another entry told; return how many digests are new.
+def hold_digest(
+    quarantine: Quarantine, digest: str, remaining: Millis, now: Millis
+) -> None:
+    """Refuse a digest for ``remaining`` more milliseconds, or for longer if it is.
 
-    Only remaining times travel, and they only shrink on the way, so entries
-    that repeat a digest to each other cannot keep it refused for ever.
+    Only remaining times travel between entries, bounded here, so entries that
+    repeat a digest to each other cannot keep it refused for ever.
     """
-    added = 0
-    for entry in shared:
-        until = Millis(now + min(entry.remaining, QUARANTINE_FOR))
-        before = quarantine.until.get(entry.digest)
-        if before is None:
-            added += 1
-        if before is None or before < until:
-            quarantine.until[entry.digest] = until
-    return added
+    until = Millis(now + min(remaining, QUARANTINE_FOR))
+    quarantine.until[digest] = max(quarantine.until.get(digest, until), until)
--- a/figstep/core/suspects.py
+++ b/figstep/core/suspects.py
@@ -72,7 +72,7 @@
             continue
         if digest in held.until:
             continue
-        held.until[digest] = Millis(now + quarantine.QUARANTINE_FOR)
+        quarantine.hold_digest(held, digest, quarantine.QUARANTINE_FOR, now)
         fields: dict[str, str | int] = {"digest": digest, "deaths": deaths}
         effects += [Count("quarantine.added"), Note("request quarantined", fields)]
     return effects
--- a/figstep/standins/service.py
+++ b/figstep/standins/service.py
@@ -18,11 +18,20 @@
 
 
 class PlainService:
-    """Executes every call once and answers with its running number."""
+    """Executes every call once and answers with its running number.
+
+    Attributes:
+        name: Target name.
+        delay: Seconds between execution and answer.
+        cut_answers: Answers still to be lost: the call is executed and its
+            connection cut.
+        executed: Calls in the order of their execution.
+    """
 
     def __init__(self, name: str, delay: float = 0.0) -> None:
         self.name = name
         self.delay = delay
+        self.cut_answers = 0
         self.executed: list[ExecutedCall] = []
 
     def build_app(self) -> web.Application:
@@ -41,6 +50,9 @@
         path = "/" + request.match_info["path"]
         self.executed.append(ExecutedCall(request.method, path, body))
         number = len(self.executed)
+        if self.cut_answers and request.transport is not None:
+            self.cut_answers -= 1
+            request.transport.abort()
         if self.delay:
             await asyncio.sleep(self.delay)
         return answer_json({"service": self.name, "number": number, "path": path})
--- /dev/null
+++ b/tests/integration/test_requests.py
@@ -0,0 +1,234 @@
+"""Orders, deaths and silence through real entries and stand-ins on loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+from urllib.parse import urlsplit
+
+import aiohttp
+import orjson
+import pytest
+
+from figstep.demo import KEY, MODEL, Deployment, run_deployment
+from figstep.metrics import MemoryMetrics
+from figstep.net.exchanges import REPLAYED
+from figstep.net.log import HttpLog
+from figstep.operations import publish_document
+from figstep.standins.engine import EngineServer
+from figstep.standins.proxy import TcpProxy
+from tests.fleet import wait_for
+
+HEADERS = {"Authorization": f"Bearer {KEY}"}
+
+
+@asynccontextmanager
+async def run_callers(deployment: Deployment) -> AsyncIterator["Callers"]:
+    """Give callers of a deployment whose entries can settle claims."""
+    for entry in deployment.entries:
+        await wait_for(
+            lambda entry=entry: entry.entry_state.claims.caught_up, "claims are read"
+        )
+    async with aiohttp.ClientSession(headers=HEADERS) as session:
+        yield Callers(deployment, session)
+
+
+class Callers:
+    """Sends orders and asks for answers."""
+
+    def __init__(self, deployment: Deployment, session: aiohttp.ClientSession) -> None:
+        self._session = session
+        self._urls = [entry.callers.address for entry in deployment.entries]
+
+    async def order(
+        self, entry: int, key: str, body: str = "flour", method: str = "POST"
+    ) -> tuple[int, dict[str, Any], bool]:
+        """Return status, document and whether the answer was replayed."""
+        async with self._session.request(
+            method,
+            self._urls[entry] + "/services/planning/orders",
+            data=body,
+            headers={"Idempotency-Key": key},
+        ) as response:
+            document = await response.json(content_type=None)
+            return response.status, document, REPLAYED in response.headers
+
+    async def ask(self, entry: int, **fields: Any) -> tuple[int, str]:
+        """Return status and text of a completion."""
+        body = {"model": MODEL, "prompt": "menu", **fields}
+        url = self._urls[entry] + "/v1/completions"
+        async with self._session.post(url, json=body) as response:
+            return response.status, await response.text()
+
+
+def count(deployment: Deployment, entry: int, name: str) -> int:
+    """Return a counter of an entry."""
+    metrics = deployment.entries[entry].metrics
+    assert isinstance(metrics, MemoryMetrics)
+    return metrics.counters.get(name, 0)
+
+
+def find_running(deployment: Deployment) -> EngineServer | None:
+    """Return the engine that has started a generation."""
+    for engine in deployment.engines:
+        if engine.executed:
+            return engine
+    return None
+
+
+async def test_the_same_order_through_two_entries_is_executed_once() -> None:
+    """A caller sends an order to both entries at once, and once more later.
+
+    Both claim it, the log's order decides, and the other waits for the
+    recorded outcome. All three callers see the same answer.
+    """
+    async with run_deployment() as deployment, run_callers(deployment) as callers:
+        deployment.service.delay = 0.2
+        answers = await asyncio.gather(callers.order(0, "k"), callers.order(1, "k"))
+        answers.append(await callers.order(1, "k"))
+        assert {status for status, _, _ in answers} == {200}
+        assert {document["number"] for _, document, _ in answers} == {1}
+        assert sorted(replayed for _, _, replayed in answers) == [False, True, True]
+        assert len(deployment.service.executed) == 1
+        status, document, _ = await callers.order(0, "k", body="rice")
+        assert (status, document["ran"]) == (422, "no")
+
+
+@pytest.mark.parametrize("method", ["POST", "PUT", "DELETE"])
+async def test_an_order_whose_answer_is_lost_is_not_sent_again(method: str) -> None:
+    """The service executes an order and its connection breaks.
+
+    Neither the entry, nor the HTTP client below it, nor another entry may send
+    it again; the caller and a duplicate learn that it is unknown.
+    """
+    async with run_deployment() as deployment, run_callers(deployment) as callers:
+        deployment.document["rules"]["non_idempotent"][0]["method"] = None
+        await publish_again(deployment)
+        deployment.service.cut_answers = 1
+        status, document, _ = await callers.order(0, "k", method=method)
+        assert (status, document["ran"]) == (409, "unknown")
+        status, document, _ = await callers.order(1, "k", method=method)
+        assert (status, document["ran"]) == (409, "unknown")
+        assert len(deployment.service.executed) == 1
+
+
+async def publish_again(deployment: Deployment) -> None:
+    """Publish the deployment's document as edited, and wait until in force."""
+    log = HttpLog(deployment.entries[0].settings.platform.log)
+    offset = await publish_document(log, deployment.document, "demo", "edit")
+    await log.close()
+    for entry in deployment.entries:
+        await wait_for(
+            lambda entry=entry: entry.entry_state.configuration_offset >= offset,
+            "the edit is in force",
+        )
+
+
+async def test_orders_wait_for_the_log_and_generations_do_not() -> None:
+    """The log is down: an order cannot be shown to be the only one.
+
+    It is refused with "not run" and is not run; generations go on. When the
+    log is back the same key is served.
+    """
+    async with run_deployment() as deployment, run_callers(deployment) as callers:
+        deployment.log.available = False
+        status, document, _ = await callers.order(0, "k")
+        assert (status, document["ran"]) == (503, "no")
+        assert (await callers.ask(0))[0] == 200
+        assert deployment.service.executed == []
+        deployment.log.available = True
+        for entry in deployment.entries:
+            await wait_for(
+                lambda entry=entry: entry.entry_state.claims.caught_up,
+                "claims are read again",
+            )
+        status, document, _ = await callers.order(1, "k")
+        assert (status, document["number"]) == (200, 1)
+
+
+async def test_an_answer_in_one_piece_survives_the_death_of_its_engine() -> None:
+    """An engine dies late in an answer of which the caller has seen nothing.
+
+    The answer starts anew elsewhere and the caller gets it whole.
+    """
+    async with run_deployment() as deployment, run_callers(deployment) as callers:
+        asked = asyncio.create_task(callers.ask(0, standin_length=50))
+        await wait_for(lambda: find_running(deployment), "an engine runs it")
+        engine = find_running(deployment)
+        assert engine is not None
+        state = deployment.entries[0].entry_state
+        await wait_for(
+            lambda: any(r.delivered > 20 for r in state.requests.values()),
+            "most of the answer has come",
+        )
+        engine.crash()
+        status, text = await asked
+        assert status == 200
+        choice = orjson.loads(text)["choices"][0]
+        assert len(choice["text"].split()) == 50
+        assert choice["finish_reason"] == "stop"
+        assert sum(len(engine.executed) for engine in deployment.engines) == 2
+
+
+async def test_a_request_that_kills_engines_is_refused_at_last() -> None:
+    """A request crashes each engine that runs it; its neighbours are innocent.
+
+    After two deaths it is refused before the third engine, which goes on.
+    """
+    async with run_deployment() as deployment, run_callers(deployment) as callers:
+        status, text = await callers.ask(0, standin_crash_at=2)
+        assert status == 422 and "request_quarantined" in text
+        assert sum(engine.crashed for engine in deployment.engines) == 2
+        status, text = await callers.ask(0, standin_crash_at=2)
+        assert status == 422
+        assert (await callers.ask(0))[0] == 200
+
+
+async def test_a_frozen_connection_is_replaced_under_a_stream() -> None:
+    """The connections to an engine go silent for good while new ones work.
+
+    Nothing is closed, so only the silence tells. A probe over a new connection
+    brings the rest, the pool is replaced, and the caller sees a pause only.
+    """
+    async with run_deployment() as deployment, run_callers(deployment) as callers:
+        proxies = {}
+        for item in deployment.document["engines"]:
+            parts = urlsplit(item["address"])
+            proxy = TcpProxy(str(parts.hostname), int(parts.port or 0))
+            await proxy.start()
+            proxies[item["name"]] = proxy
+            item["address"] = proxy.url
+        await publish_again(deployment)
+        asked = asyncio.create_task(callers.ask(0, stream=True, standin_length=60))
+        await wait_for(lambda: find_running(deployment), "an engine runs it")
+        state = deployment.entries[0].entry_state
+        await wait_for(
+            lambda: any(r.delivered > 10 for r in state.requests.values()),
+            "some of the answer has come",
+        )
+        engine = find_running(deployment)
+        assert engine is not None
+        assert proxies[engine.name].freeze() > 0
+        status, text = await asked
+        assert status == 200
+        assert text.count("id: ") == 60
+        assert text.endswith("data: [DONE]\n\n")
+        assert count(deployment, 0, "pools.replaced") == 1
+        assert len(engine.executed) == 1
+        for proxy in proxies.values():
+            await proxy.stop()
+
+
+async def test_a_caller_that_leaves_does_not_undo_its_order() -> None:
+    """The caller's time-out is shorter than the service; it asks again.
+
+    The first order goes on without its caller, and the second joins it.
+    """
+    async with run_deployment() as deployment, run_callers(deployment) as callers:
+        deployment.service.delay = 0.5
+        first = asyncio.create_task(callers.order(0, "k"))
+        await wait_for(lambda: deployment.service.executed, "the order runs")
+        first.cancel()
+        status, document, replayed = await callers.order(0, "k")
+        assert (status, document["number"], replayed) == (200, 1, True)
+        assert len(deployment.service.executed) == 1
