--- a/figstep/net/callers.py
+++ b/figstep/net/callers.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import logbook
 import orjson
 from aiohttp import web
 from aiohttp.http import StreamWriter
@@ -20,10 +21,12 @@
 from figstep.net.headers import CallerHeaders, read_headers
 from figstep.net.keys import KeyRing
 from figstep.net.listener import build_runner, build_tls
-from figstep.net.refusals import answer_problem, answer_refusals
+from figstep.net.refusals import answer_problem
 from figstep.problems import build_document
 from figstep.settings import Settings
 
+_log = logbook.Logger("figstep.callers")
+
 DONE = b"data: [DONE]\n\n"
 STREAM_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
 
@@ -49,6 +52,7 @@
     ) -> None:
         super().__init__()
         self._settings = settings
+        self._clock = clock
         self._metrics = metrics
         self._dispatch = dispatch
         self._exchanges = exchanges
@@ -57,7 +61,6 @@
         self._keys = KeyRing(read_inventory)
         self._reader = RequestReader(settings.node, settings.limits, clock)
         self._runner: web.AppRunner | None = None
-        self._away: dict[str, Exchange] = {}
         self._away_tasks: set[asyncio.Task[None]] = set()
         self.streams = StreamTable(settings.limits)
         self.ready = True
@@ -76,10 +79,7 @@
         self.address = f"{scheme}://{bound[0]}:{bound[1]}"
 
     def _build_app(self) -> web.Application:
-        app = web.Application(
-            client_max_size=self._settings.limits.body_bytes,
-            middlewares=[answer_refusals],
-        )
+        app = web.Application(client_max_size=self._settings.limits.body_bytes)
         app.router.add_post(CHAT_PATH, self._serve_generation)
         app.router.add_post(COMPLETION_PATH, self._serve_generation)
         app.router.add_get("/v1/models", self._list_models)
@@ -97,12 +97,27 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that wait in the buffers of their connections."""
+        server = None if self._runner is None else self._runner.server
+        if server is None:
+            return 0
+        unsent = 0
+        for connection in server.connections:
+            if connection.transport is not None:
+                unsent += connection.transport.get_write_buffer_size()
+        return unsent
+
     async def _prepare_response(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
         # A kept connection would bring its next request here after the
         # listener closed, and lose it; closing sends the caller elsewhere.
+        # The header tells the caller; without it, its next request on the
+        # connection would meet the close and be lost.
         if not self.ready:
+            response.headers["Connection"] = "close"
             response.force_close()
 
     async def _answer_health(self, request: web.Request) -> web.Response:
@@ -168,64 +183,65 @@
             self._dispatch(CallerGone(exchange.spec.request))
             raise
         finally:
-            del self._exchanges[exchange.spec.request]
+            self._finish(exchange)
 
     def _begin(self, exchange: Exchange, event: Event) -> None:
+        exchange.begun = self._clock.now()
         self._exchanges[exchange.spec.request] = exchange
         self._dispatch(event)
 
+    def _finish(self, exchange: Exchange) -> None:
+        spec = exchange.spec
+        del self._exchanges[spec.request]
+        duration = self._clock.now() - exchange.begun
+        self._metrics.time("requests.duration", duration)
+        problem = exchange.problem
+        code = "gone" if problem is None else problem.code
+        _log.info(
+            "request ended",
+            extra={
+                "request": spec.request,
+                "customer": spec.customer,
+                "outcome": "whole" if exchange.completed else code,
+                "millis": duration,
+            },
+        )
+
     async def _stream_answer(
         self, request: web.Request, headers: CallerHeaders, exchange: Exchange
     ) -> web.StreamResponse:
-        self._begin(exchange, self._read_return(headers, exchange))
+        self._begin(exchange, _read_event(headers, exchange))
         try:
             response = await self._write_stream(request, exchange)
         except BaseException:
             self._leave(exchange, headers.grace)
             raise
-        del self._exchanges[exchange.spec.request]
+        self._finish(exchange)
         return response
 
-    def _read_return(self, headers: CallerHeaders, exchange: Exchange) -> Event:
-        last = headers.last_event
-        if last is None:
-            return RequestArrived(exchange.spec)
-        away = self._away.pop(last.generation, None)
-        if away is not None:
-            # The end of the grace must not cancel what is read again.
-            self._dispatch(CallerGone(away.spec.request, cancel=False))
-            away.end(None)
-        return CallerReturned(exchange.spec, last.generation, last.index)
-
     def _leave(self, exchange: Exchange, grace: float) -> None:
         """Cancel the generation of a vanished caller, now or after its grace."""
-        sink = exchange.sink
-        if not grace or not isinstance(sink, StreamSink) or exchange.ended:
+        if not grace or exchange.sink is None or exchange.ended:
             self._dispatch(CallerGone(exchange.spec.request))
-            del self._exchanges[exchange.spec.request]
+            self._finish(exchange)
             return
         exchange.sink = NullSink()
-        self._away[sink.generation] = exchange
         self._metrics.count("callers.away")
-        task = asyncio.get_running_loop().create_task(
-            self._wait_return(exchange, sink.generation, grace)
-        )
+        task = asyncio.get_running_loop().create_task(self._run_on(exchange, grace))
         self._away_tasks.add(task)
         task.add_done_callback(self._away_tasks.discard)
 
-    async def _wait_return(
-        self, exchange: Exchange, generation: str, grace: float
-    ) -> None:
+    async def _run_on(self, exchange: Exchange, grace: float) -> None:
         try:
             async with asyncio.timeout(grace):
                 await exchange.wait_end()
         except TimeoutError:
-            if self._away.get(generation) is exchange:
-                self._dispatch(CallerGone(exchange.spec.request))
+            # The caller may read the same generation through another entry by
+            # now, where a cancel would cut its answer. Without one the target
+            # ends the generation if nobody reads it.
+            self._dispatch(CallerGone(exchange.spec.request, cancel=False))
         finally:
-            if self._away.get(generation) is exchange:
-                del self._away[generation]
-            del self._exchanges[exchange.spec.request]
+            self._finish(exchange)
 
     async def _write_stream(
         self, request: web.Request, exchange: Exchange
@@ -238,7 +254,8 @@
         transport = request.transport
         if not isinstance(writer, StreamWriter) or transport is None:
             raise ConnectionResetError("the caller closed its connection")
-        sink = StreamSink(writer, transport, self._settings.limits)
+        loop = asyncio.get_running_loop()
+        sink = StreamSink(writer, transport, self._settings.limits, loop.time)
         exchange.sink = sink
         self.streams.add(sink)
         try:
@@ -247,6 +264,8 @@
             await exchange.wait_end()
         finally:
             self.streams.finish(sink)
+            self._metrics.time("streams.longest_gap", sink.gaps.longest * 1000)
+            self._metrics.time("streams.stall", sink.gaps.stalled * 1000)
         if exchange.problem is None:
             await response.write_eof(DONE)
             return response
@@ -264,6 +283,12 @@
         while not self.should_stop:
             await self.sleep(period)
             swept = self.streams.sweep(asyncio.get_running_loop().time())
-            self._metrics.gauge("streams.open", len(self.streams))
             if swept.aborted:
-                self._metrics.count("streams.stalled", swept.aborted)
+                self._metrics.count("callers.stalled", swept.aborted)
+
+
+def _read_event(headers: CallerHeaders, exchange: Exchange) -> Event:
+    last = headers.last_event
+    if last is None:
+        return RequestArrived(exchange.spec)
+    return CallerReturned(exchange.spec, last.generation, last.index)
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -55,11 +55,14 @@
         self._background: set[asyncio.Task[None]] = set()
 
     async def on_stop(self) -> None:
-        """Drop all attempts and connections."""
+        """Drop all attempts."""
         tasks = [*self._attempt_tasks.values(), *self._background]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def on_shutdown(self) -> None:
+        """Close the connections, which the load reports use until they end."""
         await self._pools.close()
 
     def open_attempt(self, effect: OpenAttempt, exchange: Exchange) -> None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -48,22 +48,30 @@
         ) as response:
             return response.status, await response.json(content_type=None)
 
-    async def open_raw(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        host, _, port = self.url.removeprefix("http://").partition(":")
-        return await asyncio.open_connection(host, int(port))
-
     def list_cancelled(self) -> list[str]:
         return [name for e in self.deployment.engines for name in e.cancelled]
 
 
 @asynccontextmanager
-async def open_border() -> AsyncIterator[Border]:
-    async with run_deployment(1, LIMITS) as deployment:
+async def open_border(gap: float = 0.01) -> AsyncIterator[Border]:
+    async with run_deployment(1, LIMITS, gaps=(gap,)) as deployment:
         async with aiohttp.ClientSession() as session:
             url = deployment.entries[0].callers.address
             yield Border(deployment, session, url)
 
 
+async def open_raw(
+    url: str,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = url.removeprefix("http://").partition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def read_id(reader: asyncio.StreamReader) -> str:
+    await asyncio.wait_for(reader.readuntil(b"id: "), 20)
+    return (await reader.readuntil(b"\n")).decode().strip()
+
+
 async def wait_until(holds: Callable[[], bool]) -> None:
     async with asyncio.timeout(20):
         while not holds():
@@ -135,7 +143,7 @@
 )
 async def test_broken_http_gets_a_problem_and_a_closed_connection(sent: bytes) -> None:
     async with open_border() as border:
-        reader, writer = await border.open_raw()
+        reader, writer = await open_raw(border.url)
         writer.write(sent)
         answer = await asyncio.wait_for(reader.read(), 20)
         assert b" 400 " in answer or b" 431 " in answer
@@ -150,7 +158,7 @@
     second gets 408; neither reaches a target nor keeps its connection.
     """
     async with open_border() as border:
-        body, head = await border.open_raw(), await border.open_raw()
+        body, head = await open_raw(border.url), await open_raw(border.url)
         head[1].write(b"POST /v1/completions HTTP/1.1\r\nX-")
         body[1].write(
             f"POST {PATH} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
@@ -170,9 +178,8 @@
     cache memory it holds goes to others.
     """
     async with open_border() as border:
-        for engine in border.deployment.engines:
-            engine.length = 100_000
-        reader, writer = await border.open_raw()
+        border.deployment.engines[0].length = 100_000
+        reader, writer = await open_raw(border.url)
         await ask(writer, STREAM)
         await asyncio.wait_for(reader.readuntil(b":2\n"), 20)
         writer.close()
@@ -191,38 +198,37 @@
     await writer.drain()
 
 
-async def test_grace_lets_a_caller_return_and_then_cancels() -> None:
-    """A caller with a grace vanishes, returns to the same entry, vanishes again.
+async def test_grace_lets_a_caller_return_through_another_entry() -> None:
+    """A caller with a grace vanishes and returns through another entry.
 
-    While it is away its generation runs on; on return it gets the next event
-    of the same generation. After the second loss nobody comes within the
-    grace, and the generation is cancelled.
+    It gets the next events of the same generation there, also after its grace
+    at the first entry has passed. When it vanishes again and nobody reads the
+    generation any more, the target ends it.
     """
-    async with open_border() as border:
-        for engine in border.deployment.engines:
-            engine.length = 100_000
-        grace = {"X-Resume-Grace-Seconds": "0.5"}
-        reader, writer = await border.open_raw()
+    async with run_deployment(2, LIMITS, gaps=(0.01,)) as deployment:
+        engine = deployment.engines[0]
+        engine.length, engine.grace = 100_000, 0.2
+        first, second = deployment.entries
+        grace = {"X-Resume-Grace-Seconds": "0.3"}
+        reader, writer = await open_raw(first.callers.address)
         await ask(writer, STREAM, **grace)
-        await asyncio.wait_for(reader.readuntil(b"id: "), 20)
-        first = (await reader.readuntil(b"\n")).decode().strip()
+        seen = await read_id(reader)
         writer.close()
-        entry = border.deployment.entries[0]
-        await wait_until(lambda: entry.metrics.counters.get("callers.away") == 1)
-        reader, writer = await border.open_raw()
-        await ask(writer, STREAM, **grace, **{"Last-Event-ID": first})
-        await asyncio.wait_for(reader.readuntil(b"id: "), 20)
-        second = (await reader.readuntil(b"\n")).decode().strip()
-        assert second == first.removesuffix(":1") + ":2"
-        assert border.list_cancelled() == []
+        await wait_until(lambda: first.metrics.counters.get("callers.away") == 1)
+        reader, writer = await open_raw(second.callers.address)
+        await ask(writer, STREAM, **grace, **{"Last-Event-ID": seen})
+        generation, _, index = seen.rpartition(":")
+        assert await read_id(reader) == f"{generation}:{int(index) + 1}"
+        await wait_until(lambda: not first.exchanges)
+        following = int((await read_id(reader)).rpartition(":")[2])
+        assert following == int(index) + 2
+        assert engine.cancelled == []
         writer.close()
-        await wait_until(lambda: len(border.list_cancelled()) == 1)
+        await wait_until(lambda: engine.cancelled == [generation])
 
 
 async def test_quiet_stream_is_kept_alive() -> None:
-    async with open_border() as border:
-        for engine in border.deployment.engines:
-            engine.gap = 0.5
+    async with open_border(0.5) as border:
         headers = {"Authorization": f"Bearer {KEY}"}
         body = {**STREAM, "max_tokens": 2}
         async with border.session.post(
@@ -241,10 +247,9 @@
     generation is cancelled and the connection closed, so that slow readers
     together cannot exhaust the entry's memory.
     """
-    async with open_border() as border:
-        for engine in border.deployment.engines:
-            engine.length, engine.gap = 1_000_000, 0
-        _, writer = await border.open_raw()
+    async with open_border(0) as border:
+        border.deployment.engines[0].length = 1_000_000
+        _, writer = await open_raw(border.url)
         await ask(writer, STREAM)
         entry = border.deployment.entries[0]
         await wait_until(lambda: entry.metrics.counters.get("callers.cut") == 1)
@@ -254,9 +259,8 @@
 
 
 async def test_whole_answer_beyond_the_bound_is_refused() -> None:
-    async with open_border() as border:
-        for engine in border.deployment.engines:
-            engine.length, engine.gap = 1_000, 0
+    async with open_border(0) as border:
+        border.deployment.engines[0].length = 1_000_000
         status, answer = await border.post({"model": MODEL, "prompt": "menu"})
         assert (status, answer["error"]["code"]) == (502, "answer_too_long")
         assert answer["ran"] == "yes"
