Let the fleet of tests hook the log and keep orders by their tag

Cause: an owner has to be stopped between its append and the answer to it. Ruled out: delays, which make the moment depend on the machine's speed. Before: no way to act at that moment. After: the log of the fleet runs a hook after an append took effect and before it answers; shared steps moved together. Conclusion: scenarios of claims can be exact.

--- a/tests/contracts/test_targets.py
+++ b/tests/contracts/test_targets.py
@@ -184,11 +184,10 @@
     service = FaultyService(fault)
     async with run_entry(EngineServer("engine-1"), service) as url:
         caller = Caller("tag")
-        caller.order(url, "flour")
+        caller.order(url)
         await caller.finish()
     calls = []
     for call in service.executed:
-        tag, _, identity = call.body.partition(" ")
-        calls.append(ExecutedCall("planning-1", tag, identity))
+        calls.append(ExecutedCall("planning-1", call.body, call.body))
     assert check_history(History([caller.history], calls=calls)) == []
     assert len(calls) <= 1
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import orjson
+from aiohttp import web
 
 from figstep.checker import (
     CallerHistory,
@@ -77,11 +78,11 @@
         """Start asking; where events were seen, only the rest is asked for."""
         self._task = asyncio.create_task(self._generate(url))
 
-    def order(self, url: str, identity: str, path: str = "/orders") -> None:
-        """Start a call that must run at most once."""
-        self.history.identity = identity
+    def order(self, url: str) -> None:
+        """Start a call that must run at most once; its tag is its key."""
+        self.history.identity = self.history.tag
         self.history.stream = False
-        self._task = asyncio.create_task(self._call(url, identity, path))
+        self._task = asyncio.create_task(self._call(url))
 
     async def finish(self) -> None:
         """Wait until the connection ended, in whatever way."""
@@ -114,10 +115,10 @@
             headers["Last-Event-ID"] = f"{last.generation}:{last.index}"
         await self._send(url + "/v1/completions", orjson.dumps(self.body), headers)
 
-    async def _call(self, url: str, identity: str, path: str) -> None:
-        headers = {**HEADERS, "Idempotency-Key": identity}
-        body = f"{self.history.tag} {identity}".encode()
-        await self._send(url + "/services/planning" + path, body, headers)
+    async def _call(self, url: str) -> None:
+        tag = self.history.tag
+        headers = {**HEADERS, "Idempotency-Key": tag}
+        await self._send(url + "/services/planning/orders", tag.encode(), headers)
 
     async def _send(self, url: str, body: bytes, headers: dict[str, str]) -> None:
         status = 0
@@ -176,6 +177,25 @@
         return Outcome(200)
 
 
+class HookedLog(LogService):
+    """Log service that tells of an append before it answers.
+
+    Attributes:
+        on_append: What to do at the next append, by stream; done once.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.on_append: dict[str, Callable[[], None]] = {}
+
+    async def _append(self, request: web.Request) -> web.Response:
+        answer = await super()._append(request)
+        hook = self.on_append.pop(request.match_info["name"], None)
+        if hook is not None:
+            hook()
+        return answer
+
+
 class Fleet:
     """Entries and engines as processes; the platform on the test's own loop.
 
@@ -192,7 +212,7 @@
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self.stack = AsyncExitStack()
-        self.log = LogService()
+        self.log = HookedLog()
         self.instances = InstanceList()
         self.engines: dict[str, Running] = {}
         self.entries: dict[str, Running] = {}
@@ -343,6 +363,5 @@
                 history.generations.append(ExecutedGeneration(name, generation, tag))
         for name, service in self.services.items():
             for call in service.executed:
-                tag, _, identity = call.body.partition(" ")
-                history.calls.append(ExecutedCall(name, tag, identity))
+                history.calls.append(ExecutedCall(name, call.body, call.body))
         return history
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine, Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -159,6 +160,31 @@
     world.run(start(world.caller, world.fleet.entries[entry].url))
 
 
+@when("the log loses the answer of the next append")
+def lose_answer(world: World) -> None:
+    log = world.fleet.log
+    log.faults = replace(log.faults, lose_answers=1)
+
+
+@then("a caller is served by every entry")
+def caller_served(world: World) -> None:
+    for name in world.fleet.entries:
+        caller = world.call(tokens=3)
+        caller_url = world.fleet.entries[name].url
+        world.run(caller.stream_whole(caller_url))
+        assert caller.last.ended
+
+
+@when("the log is down")
+def log_down(world: World) -> None:
+    world.fleet.log.available = False
+
+
+@when("the log returns")
+def log_returns(world: World) -> None:
+    world.fleet.log.available = True
+
+
 @then(parsers.parse("its answer is whole with {tokens:d} tokens"))
 def is_whole(world: World, tokens: int) -> None:
     world.run(world.caller.finish())
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -90,12 +90,6 @@
             assert known is isinstance(result, int)
 
 
-@when("the log loses the answer of the next append")
-def lose_answer(world: World) -> None:
-    log = world.fleet.log
-    log.faults = replace(log.faults, lose_answers=1)
-
-
 @when(parsers.parse('"{name}" is added'), target_fixture="result")
 def add(world: World, name: str) -> Any:
     return world.run(add_customer(world, name))
@@ -143,25 +137,6 @@
     world.run(wait_served(world, name))
 
 
-@then("a caller is served by every entry")
-def caller_served(world: World) -> None:
-    for name in world.fleet.entries:
-        caller = world.call(tokens=3)
-        caller_url = world.fleet.entries[name].url
-        world.run(caller.stream_whole(caller_url))
-        assert caller.last.ended
-
-
-@when("the log is down")
-def log_down(world: World) -> None:
-    world.fleet.log.available = False
-
-
-@when("the log returns")
-def log_returns(world: World) -> None:
-    world.fleet.log.available = True
-
-
 @when("the log has forgotten the first edit")
 def forget(world: World) -> None:
     log = world.fleet.log
