--- a/figstep/application.py
+++ b/figstep/application.py
@@ -3,13 +3,16 @@
 import asyncio
 import os
 import random
+import time
 from collections import deque
+from contextlib import suppress
 from typing import Any
 
 import logbook
 from mode import Service
 
 from figstep.core.clock import Clock, Millis
+from figstep.core.configuration import encode_snapshot
 from figstep.core.effects import (
     AppendRecords,
     CancelGeneration,
@@ -19,11 +22,15 @@
     Deliver,
     DiscardDelivered,
     Effect,
+    FetchCheckpoint,
     Note,
     OpenAttempt,
     ReadConfigurationFrom,
     Refuse,
+    ReplacePool,
+    ReplayAnswer,
     ResumeAttempt,
+    SendGossip,
     SendOrder,
     WakeAt,
 )
@@ -31,6 +38,7 @@
     CallerGone,
     Event,
     RecordsRead,
+    ShutdownForced,
     ShutdownRequested,
     Started,
     Timer,
@@ -38,17 +46,18 @@
 )
 from figstep.core.inventory import TargetInfo
 from figstep.core.problems import Problem
-from figstep.core.records import CONFIGURATION, LEASES, LogRecord
+from figstep.core.records import CLAIMS, CONFIGURATION, LEASES, LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import State
 from figstep.metrics import MemoryMetrics, Metrics, StatsdMetrics
 from figstep.net.callers import CallerEdge
 from figstep.net.clock import SystemClock
 from figstep.net.configuration import parse_record
-from figstep.net.exchanges import Exchange
+from figstep.net.exchanges import REPLAYED, Exchange, ServiceAnswer
 from figstep.net.instances import InstanceEdge
 from figstep.net.log import HttpLog, LogClient
 from figstep.net.orders import OrderEdge
+from figstep.net.peers import PeerEdge
 from figstep.net.streams import StreamAppender, StreamFollower
 from figstep.net.targets import TargetEdge
 from figstep.settings import Settings
@@ -56,6 +65,7 @@
 _log = logbook.Logger("figstep")
 
 DRAIN_POLL_SECONDS = 0.05
+CUT_SECONDS = 2.0
 
 
 class Application(Service):
@@ -100,9 +110,18 @@
         self.configuration = StreamFollower(
             self._log_client, CONFIGURATION, self._take_configuration
         )
+        self.claims = StreamFollower(
+            self._log_client, CLAIMS, self._take_claims, dispatch=self.dispatch
+        )
         self.appender = StreamAppender(self._log_client, self.dispatch)
         self.leases = StreamFollower(self._log_client, LEASES, self._take_leases)
         self.orders = OrderEdge(self.dispatch, self.find_target, self.clock)
+        self.peers = PeerEdge(
+            settings.peers,
+            time.time_ns() // 1_000_000,
+            self.dispatch,
+            self._read_snapshot,
+        )
         self.instances = InstanceEdge(settings.platform.instances, self.dispatch)
 
     async def on_start(self) -> None:
@@ -112,7 +131,9 @@
             self.appender,
             self.leases,
             self.orders,
+            self.peers,
             self.configuration,
+            self.claims,
             self.instances,
             self.callers,
         )
@@ -121,9 +142,12 @@
         self.dispatch(Started())
 
     async def on_stop(self) -> None:
-        """Stop timers and close the log client."""
+        """Stop the timers."""
         for handle in self._timers.values():
             handle.cancel()
+
+    async def on_shutdown(self) -> None:
+        """Close the log client, which the edges use until they have ended."""
         await self._log_client.close()
 
     async def drain(self) -> None:
@@ -133,11 +157,47 @@
         self.dispatch(ShutdownRequested())
         while self.entry_state.requests or self.exchanges:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        # A claim's outcome that is not in the log would leave its caller, and
+        # any duplicate of the request, with "unknown" for good.
+        while not self.appender.idle:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self._flush_answers()
+
+    async def _flush_answers(self) -> None:
+        # An answer that is written may still wait in its socket's buffer; the
+        # end of the process would drop it. A reader that takes nothing must
+        # not hold the process for ever.
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self.settings.limits.stalled_seconds):
+                while self.callers.unsent:
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def cut_short(self) -> None:
+        """End now: every caller gets a typed error, no stream is cancelled.
+
+        Generations run on at their targets for a while, so callers of streams
+        can return to another entry for the rest.
+        """
+        self.callers.ready = False
+        self.dispatch(ShutdownForced())
+        with suppress(TimeoutError):
+            async with asyncio.timeout(CUT_SECONDS):
+                while self.exchanges or self.callers.unsent:
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def _take_configuration(self, records: list[LogRecord]) -> None:
         for record in records:
             self.dispatch(parse_record(record))
 
+    def _take_claims(self, records: list[LogRecord]) -> None:
+        self.dispatch(RecordsRead(CLAIMS, tuple(records)))
+
+    def _read_snapshot(self) -> dict[str, Any] | None:
+        fold = self.entry_state.configuration
+        if fold.current is None:
+            return None
+        return encode_snapshot(fold.current, fold.position)
+
     def _take_leases(self, records: list[LogRecord]) -> None:
         self.dispatch(RecordsRead(LEASES, tuple(records)))
 
@@ -156,6 +216,7 @@
         for name, target in self.entry_state.targets.items():
             targets[name] = {
                 "in_flight": target.in_flight,
+                "peers_in_flight": target.peers_in_flight,
                 "leaving": target.leaving,
                 "draining": target.draining,
             }
@@ -167,6 +228,17 @@
             "ready": self.callers.ready,
             "requests": len(self.entry_state.requests),
             "targets": targets,
+            "peers": {
+                name: member.status.name.lower()
+                for name, member in self.entry_state.membership.members.items()
+            },
+            "control": {
+                "address": self.peers.address,
+                "bytes_sent": self.peers.bytes_sent,
+                "bytes_received": self.peers.bytes_received,
+                "rejected": self.peers.rejected,
+                "processor_seconds": time.process_time(),
+            },
         }
 
     def dispatch(self, event: Event) -> None:
@@ -195,10 +267,14 @@
                 self.targets.resume_attempt(effect)
             case CloseAttempt(attempt=attempt):
                 self.targets.close_attempt(attempt)
+            case ReplacePool(target=target):
+                self.targets.replace_pool(target)
             case CancelGeneration():
                 self.targets.cancel_generation(effect)
             case Complete(request=request):
                 self._end_exchange(request, None)
+            case ReplayAnswer():
+                self._replay_answer(effect)
             case Refuse(request=request, problem=problem):
                 self._end_exchange(request, problem)
             case DiscardDelivered(request=request):
@@ -207,6 +283,10 @@
                     exchange.discard()
             case WakeAt(timer=timer, at=at):
                 self._set_timer(timer, at)
+            case SendGossip(address=address, gossip=gossip):
+                self.peers.send(address, gossip)
+            case FetchCheckpoint(address=address):
+                self.peers.fetch(address)
             case ReadConfigurationFrom(offset=offset):
                 self.configuration.read_from(offset)
             case AppendRecords():
@@ -216,6 +296,15 @@
             case Note(message=message, fields=fields):
                 _log.info(message, extra=dict(fields))
 
+    def _replay_answer(self, effect: ReplayAnswer) -> None:
+        exchange = self.exchanges.get(effect.request)
+        if exchange is not None:
+            headers = {REPLAYED: "true"}
+            if effect.content_type:
+                headers["Content-Type"] = effect.content_type
+            exchange.answer = ServiceAnswer(effect.status, headers, effect.body)
+        self._end_exchange(effect.request, None)
+
     def _deliver(self, request: str, frames: list[bytes]) -> None:
         exchange = self.exchanges.get(request)
         if exchange is None or exchange.deliver(frames):
--- a/figstep/core/inventory.py
+++ b/figstep/core/inventory.py
@@ -35,13 +35,13 @@
     address: str
     failure_domain: str
     models: tuple[str, ...]
-    kind: str = "engine"
     speed: float = 1.0
     memory_tokens: int = 16_384
     max_running: int = 32
     resume: bool = True
     continuation: bool = False
     checks_fencing: bool = True
+    kind: str = "engine"
 
 
 @dataclass(frozen=True, slots=True)
@@ -177,13 +177,13 @@
     """One accepted document: what exists and the rules for it."""
 
     failure_domains: tuple[FailureDomain, ...] = ()
-    instances: tuple[InstanceRecord, ...] = ()
     engines: tuple[EngineInfo, ...] = ()
     services: tuple[ServiceInfo, ...] = ()
     models: tuple[ModelInfo, ...] = ()
     customers: tuple[CustomerInfo, ...] = ()
     rules: Rules = field(default_factory=Rules)
     draining: tuple[DrainMark, ...] = ()
+    instances: tuple[InstanceRecord, ...] = ()
 
     def list_targets(self) -> list[TargetInfo]:
         """Return the engines, then the replicas of plain services."""
--- a/figstep/demo.py
+++ b/figstep/demo.py
@@ -14,7 +14,7 @@
 from figstep.inventory import hash_key
 from figstep.net.log import HttpLog
 from figstep.operations import publish_document
-from figstep.settings import Limits, Listen, Platform, Settings, Tls
+from figstep.settings import Limits, Listen, Peers, Platform, Settings, Tls
 from figstep.standins.engine import EngineServer
 from figstep.standins.http import start_app
 from figstep.standins.instances import InstanceList
@@ -90,7 +90,10 @@
 
 @asynccontextmanager
 async def run_deployment(
-    entries: int = 2, limits: Limits | None = None, tls: Tls | None = None
+    entries: int = 2,
+    limits: Limits | None = None,
+    tls: Tls | None = None,
+    gaps: tuple[float, ...] = ENGINE_GAPS,
 ) -> AsyncIterator[Deployment]:
     """Start stand-ins and entries, publish the inventory, wait until in force.
 
@@ -98,25 +101,28 @@
         entries: How many entry applications to run.
         limits: Bounds on callers; None for the defaults.
         tls: Certificate for callers; None for plain HTTP.
+        gaps: Seconds between tokens of each engine.
     """
     async with AsyncExitStack() as stack:
         log, instances = LogService(), InstanceList()
         log_url = await _start(stack, log.build_app())
         instances_url = await _start(stack, instances.build_app())
         engines, urls = [], {}
-        for number, gap in enumerate(ENGINE_GAPS, 1):
+        for number, gap in enumerate(gaps, 1):
             engine = EngineServer(f"engine-{number}", gap)
             engines.append(engine)
             urls[engine.name] = await _start(stack, engine.build_app())
         service = PlainService("planning-1")
         service_url = await _start(stack, service.build_app())
-        applications = []
+        applications: list[Application] = []
+        peers: list[str] = []
         for number in range(1, entries + 1):
             settings = Settings(
                 node=f"entry-{number}",
                 failure_domain="muc-a",
                 callers=Listen(),
                 platform=Platform(log=log_url, instances=instances_url),
+                peers=Peers(key=KEY, start=tuple(peers)),
                 limits=limits or Limits(),
                 tls=tls,
                 notice_seconds=0,
@@ -125,6 +131,10 @@
             await application.start()
             stack.push_async_callback(application.stop)
             applications.append(application)
+            peers.append(application.peers.address)
+            instances.list_entry(
+                settings.node, application.callers.address, application.peers.address
+            )
         document = build_document(urls, service_url)
         client = HttpLog(log_url)
         stack.push_async_callback(client.close)
--- a/figstep/errors.py
+++ b/figstep/errors.py
@@ -31,6 +31,10 @@
     """The log holds the edit, but the fold refused it."""
 
 
+class FrameError(FigstepError):
+    """A target's stream of events cannot be read."""
+
+
 class PublishUncertainError(FigstepError):
     """The append got no answer and the log could not be read back in time."""
 
@@ -53,3 +57,7 @@
     def __init__(self, problem: Problem) -> None:
         super().__init__(problem.detail)
         self.problem = problem
+
+
+class PeerMessageError(FigstepError):
+    """A message between entries is damaged or not authentic."""
