--- a/tests/integration/generations.feature
+++ b/tests/integration/generations.feature
@@ -66,3 +66,22 @@
     Then its answer is whole with 40 tokens
     And all others were served by other engines
     And every promise held
+
+  Scenario: The engine dies before a caller without a stream has its answer
+    The answer is gathered in the entry, so the caller has seen nothing when
+    the engine is killed. A new generation elsewhere is invisible to it.
+    When a caller asks for 40 tokens in one piece through entry-1
+    And its engine runs it
+    And its engine is killed
+    Then its answer comes in one piece
+    And every promise held
+
+  Scenario: A link falls silent for good while new connections work
+    Something between entry and engine lost track of the open connections: they
+    carry nothing and never close. The stream waits, the entry finds the silence
+    longer than the engine's gaps, and reattaches over a new connection.
+    When a caller streams 40 tokens through entry-1
+    And it has seen 10 tokens
+    And the open connections to its engine freeze
+    Then its answer is whole with 40 tokens
+    And every promise held
--- a/tests/integration/replacement.feature
+++ b/tests/integration/replacement.feature
@@ -12,3 +12,13 @@
     Then every entry that was replaced exited with 0
     And each caller's answers all came whole over the first connection
     And every promise held
+
+  Scenario: A second signal ends an entry that still serves
+    Someone cannot wait for a long stream and signals again. The caller is not
+    left hanging: its stream ends with a typed problem, and the process ends.
+    Given a fleet of 1 entries and 1 engines
+    When a caller streams 5000 tokens through entry-1
+    And it has seen 5 tokens
+    And entry-1 is told to end twice
+    Then its stream ends with a problem
+    And every promise held
--- a/tests/integration/test_replacement.py
+++ b/tests/integration/test_replacement.py
@@ -33,6 +33,7 @@
 
 async def end_entry(world: World, name: str) -> int:
     process = world.fleet.entries.pop(name).process
+    world.fleet.instances.instances[name]["state"] = "leaving"
     process.send_signal(signal.SIGTERM)
     return await asyncio.wait_for(process.wait(), BOUND)
 
