--- a/figstep/core/quarantine.py
+++ b/figstep/core/quarantine.py
@@ -7,6 +7,7 @@
 from figstep.core.specs import RequestSpec
 
 QUARANTINE_FOR = Millis(15 * MINUTE)
+ECHO = Millis(10_000)
 SUSPECT_FOR = Millis(15 * MINUTE)
 DEATHS_TO_QUARANTINE = 2
 MAX_DEATHS = 3
@@ -95,8 +96,13 @@
 ) -> None:
     """Refuse a digest for ``remaining`` more milliseconds, or for longer if it is.
 
-    Only remaining times travel between entries, bounded here, so entries that
-    repeat a digest to each other cannot keep it refused for ever.
+    Only remaining times travel between entries. What a message spent on its
+    way is added at each hop, so entries that repeat a digest to each other
+    would prolong it with every message; a little more than what is known is
+    therefore taken for such an echo.
     """
     until = Millis(now + min(remaining, QUARANTINE_FOR))
-    quarantine.until[digest] = max(quarantine.until.get(digest, until), until)
+    known = quarantine.until.get(digest)
+    if known is not None and until <= known + ECHO:
+        return
+    quarantine.until[digest] = until
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -144,3 +144,20 @@
     assert held.until == {"d": Millis(900)}
     quarantine.hold_digest(held, "e", Millis(10**9), Millis(400))
     assert held.until["e"] == 400 + quarantine.QUARANTINE_FOR
+
+
+def test_shared_digests_end_everywhere() -> None:
+    """Two entries repeat to each other what they refuse, half a second late.
+
+    The time on the way is added at each hop; were every longer time taken, the
+    digest would be refused for half as long again.
+    """
+    first, second = Quarantine(), Quarantine()
+    quarantine.hold_digest(first, "d", Millis(60_000), Millis(0))
+    for now in range(0, 60_000, 1_000):
+        for giver, taker in ((first, second), (second, first)):
+            remaining = Millis(giver.until["d"] - now if "d" in giver.until else 0)
+            if remaining > 0:
+                quarantine.hold_digest(taker, "d", remaining, Millis(now + 500))
+    assert first.until["d"] == 60_000
+    assert second.until["d"] == 60_500
--- a/tests/integration/test_orders.py
+++ b/tests/integration/test_orders.py
@@ -1,64 +1,165 @@
-"""Orders to engines while the holder of the lease is frozen and wakes."""
-
-from copy import deepcopy
-from pathlib import Path
-from typing import Any
-
-from figstep.core.clock import Millis
-from figstep.core.leases import LeaseTable, take_record
-from figstep.core.records import LEASES
-from figstep.demo import MODEL, build_document
-from figstep.operations import publish_document
-from figstep.standins.engine import EngineServer
-from figstep.standins.http import start_app
-from tests.fleet import Fleet, wait_for
-
-
-async def publish_version(fleet: Fleet, document: dict[str, Any], version: str) -> None:
-    document = deepcopy(document)
-    document["models"][0]["version"] = version
-    document["rules"]["placement"] = [{"model": MODEL, "replicas": 1}]
-    await publish_document(fleet.log_client, document, "ops", f"version {version}")
-
-
-async def find_holder(fleet: Fleet) -> str:
-    table = LeaseTable()
-    for record in await fleet.log_client.read(LEASES, 0):
-        take_record(table, "", record, Millis(0))
-    return table.leases["orders.muc-a"].holder
-
-
-async def test_a_frozen_holder_is_replaced_and_does_no_harm_when_it_wakes(
-    tmp_path: Path,
-) -> None:
-    """An engine is to serve a new version while the node that orders is frozen.
-
-    The frozen node's lease lapses and the other one takes it, with a higher
-    number, and loads the version. When the first node wakes it must not load
-    the old version again, nor act on its old number.
-    """
-    fleet = Fleet(tmp_path)
-    engine = EngineServer("engine-1")
-    try:
-        await fleet.start(entries=2, engines=0, gap=0.01)
-        runner, url = await start_app(engine.build_app())
-        fleet.stack.push_async_callback(runner.cleanup)
-        document = build_document({"engine-1": url}, "http://127.0.0.1:9")
-        await publish_version(fleet, document, "1")
-        await wait_for(lambda: engine.models == [f"{MODEL}@1"], "version 1 is loaded")
-        first = await find_holder(fleet)
-        fleet.entries[first].freeze()
-        await publish_version(fleet, document, "2")
-        await wait_for(lambda: engine.models == [f"{MODEL}@2"], "version 2 is loaded")
-        second = await find_holder(fleet)
-        assert second != first
-        fleet.entries[first].thaw()
-        await publish_version(fleet, document, "3")
-        await wait_for(lambda: engine.models == [f"{MODEL}@3"], "version 3 is loaded")
-    finally:
-        await fleet.close()
-    numbers = [order["fencing"] for order in engine.orders]
-    assert numbers == sorted(numbers)
-    assert len(set(numbers)) == 2
-    loaded = [o["version"] for o in engine.orders if o["kind"] == "load"]
-    assert loaded == sorted(loaded)
+"""Non-idempotent orders under failures of entries, links and the log."""
+
+import asyncio
+
+from pytest_bdd import parsers, scenarios, then, when
+
+from figstep.core.problems import Ran
+from figstep.core.records import CLAIMS
+from figstep.standins.proxy import LoseAnswers, Stall
+from tests.fleet import Caller, wait_for
+from tests.integration.conftest import World
+
+scenarios("orders.feature")
+
+SLOW_SECONDS = 2.0
+
+
+async def order(world: World, name: str, entry: str) -> Caller:
+    """Send an order without waiting; the same caller sends it again."""
+    caller = world.caller
+    if caller.history.tag != name:
+        caller = world.caller = world.fleet.call(name)
+    caller.order(world.fleet.entries[entry].url)
+    return caller
+
+
+@when(parsers.parse('"{name}" is ordered through {one} and {other} at once'))
+def order_twice(world: World, name: str, one: str, other: str) -> None:
+    async def run() -> None:
+        for entry in (one, other):
+            caller = world.fleet.call(name)
+            caller.order(world.fleet.entries[entry].url)
+            world.others.append(caller)
+        await asyncio.gather(*(caller.finish() for caller in world.others))
+
+    world.run(run())
+
+
+@when(parsers.parse('"{name}" is ordered through {entry} without waiting'))
+def order_only(world: World, name: str, entry: str) -> None:
+    world.run(order(world, name, entry))
+
+
+@when(parsers.parse('"{name}" is ordered through {entry:S}'))
+@when(parsers.parse('"{name}" is ordered again through {entry:S}'))
+def order_and_wait(world: World, name: str, entry: str) -> None:
+    order_only(world, name, entry)
+    world.run(world.caller.finish())
+
+
+@when(parsers.parse('"{name}" is also ordered through {entry}'))
+def order_also(world: World, name: str, entry: str) -> None:
+    world.others.append(world.caller)
+    world.caller = world.fleet.call(name)
+    order_only(world, name, entry)
+
+
+@when(parsers.parse('"{name}" is ordered again until it is taken'))
+def order_until_taken(world: World, name: str) -> None:
+    async def is_taken() -> bool:
+        caller = await order(world, name, "entry-2")
+        await caller.finish()
+        return caller.last.ran is not Ran.NO
+
+    world.run(wait_for(is_taken, f"{name} is taken"))
+
+
+@when("the link to the log stalls")
+def stall_log(world: World) -> None:
+    world.fleet.log_proxy.set_fault(Stall())
+
+
+@when(
+    parsers.parse('"{name}" is ordered through {entry} for as long as the link stalls')
+)
+def order_while_stalled(world: World, name: str, entry: str) -> None:
+    order_and_wait(world, name, entry)
+    world.fleet.log_proxy.lift()
+
+
+@when(parsers.parse("{entry} freezes as soon as its claim is in the log"))
+def freeze_owner(world: World, entry: str) -> None:
+    # The log runs in this process, so the entry is stopped before the answer
+    # to its append can leave.
+    world.fleet.log.on_append[CLAIMS] = world.fleet.entries[entry].freeze
+
+
+@when(parsers.parse("{entry} wakes"))
+def wake(world: World, entry: str) -> None:
+    async def run() -> None:
+        waits = world.fleet.log.on_append
+        await wait_for(lambda: CLAIMS not in waits, "the claim is in the log")
+        await asyncio.sleep(1.0)  # the other entry meets the claim meanwhile
+        world.fleet.entries[entry].thaw()
+
+    world.run(run())
+
+
+@when("the service is slow")
+def slow_service(world: World) -> None:
+    for service in world.fleet.services.values():
+        service.delay = SLOW_SECONDS
+
+
+@when("the links to the services lose the next answer")
+def lose_service_answers(world: World) -> None:
+    for name in world.fleet.services:
+        world.fleet.links[name].set_fault(LoseAnswers())
+
+
+def count_runs(world: World, name: str) -> int:
+    services = world.fleet.services.values()
+    calls = [call.body for service in services for call in service.executed]
+    return calls.count(name)
+
+
+@when(parsers.parse('"{name}" has reached the service'))
+def has_reached(world: World, name: str) -> None:
+    world.run(wait_for(lambda: count_runs(world, name), f"{name} runs"))
+
+
+@then("both callers get the same answer")
+def same_answer(world: World) -> None:
+    first, second = world.others
+    assert first.last.ended and second.last.ended, (first.last, second.last)
+    assert first.document == second.document
+
+
+@then("both callers got a final answer")
+def final_answers(world: World) -> None:
+    for caller in (*world.others, world.caller):
+        world.run(caller.finish())
+        assert caller.last.ended or caller.last.problem
+
+
+@then("its caller gets an answer")
+def gets_answer(world: World) -> None:
+    assert world.caller.last.ended, world.caller.document
+
+
+@then("its caller is told that it did not run and when to come back")
+def told_not_run(world: World) -> None:
+    assert world.caller.last.ran is Ran.NO, world.caller.last
+    assert int(world.caller.retry_after or 0) > 0
+
+
+@then("its caller is told that it may have run")
+def told_unknown(world: World) -> None:
+    last = world.caller.last
+    assert last.problem and last.ran in (Ran.UNKNOWN, Ran.YES), last
+
+
+@then(parsers.parse('"{name}" ran once'))
+def ran_once(world: World, name: str) -> None:
+    assert count_runs(world, name) == 1
+
+
+@then(parsers.parse('"{name}" ran at most once'))
+def ran_at_most_once(world: World, name: str) -> None:
+    assert count_runs(world, name) <= 1
+
+
+@then(parsers.parse('"{name}" ran {count:d} times'))
+def ran(world: World, name: str, count: int) -> None:
+    assert count_runs(world, name) == count
