Bound the reading of load reports; send no work where a model is not loaded

Cause: each entry read the reports of all engines twice a second; with 670 engines that is 1,340 requests a second from each of 370 entries. And an engine that orders had moved a model off still got its requests. Ruled out: no reports at all (leaving marks and incarnations come with them). Before: all engines, every 0.5 s. Conclusion: the cost of reports no longer grows with the fleet.

--- a/figstep/application.py
+++ b/figstep/application.py
@@ -44,11 +44,12 @@
     Timer,
     TimerFired,
 )
-from figstep.core.inventory import TargetInfo
+from figstep.core.inventory import EngineInfo, TargetInfo
 from figstep.core.problems import Problem
 from figstep.core.records import CLAIMS, CONFIGURATION, LEASES, LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import State
+from figstep.core.watch import list_watched
 from figstep.metrics import MemoryMetrics, Metrics, StatsdMetrics
 from figstep.net.callers import CallerEdge
 from figstep.net.clock import SystemClock
@@ -58,6 +59,7 @@
 from figstep.net.log import HttpLog, LogClient
 from figstep.net.orders import OrderEdge
 from figstep.net.peers import PeerEdge
+from figstep.net.reports import ReportEdge
 from figstep.net.streams import StreamAppender, StreamFollower
 from figstep.net.targets import TargetEdge
 from figstep.reporting import Load, LoadReporter
@@ -107,7 +109,8 @@
             lambda: self.entry_state.inventory,
             self.read_status,
         )
-        self.targets = TargetEdge(self.dispatch, self.find_target, self.list_targets)
+        self.targets = TargetEdge(self.dispatch, self.find_target)
+        self.reports = ReportEdge(self.dispatch, self.list_watched)
         self.configuration = StreamFollower(
             self._log_client, CONFIGURATION, self._take_configuration
         )
@@ -130,6 +133,7 @@
         """Start the edges; the listener opens last."""
         edges = (
             self.targets,
+            self.reports,
             self.appender,
             self.leases,
             self.orders,
@@ -207,9 +211,9 @@
         target = self.entry_state.targets.get(name)
         return None if target is None else target.info
 
-    def list_targets(self) -> list[TargetInfo]:
-        """Return the inventory entries of all known targets."""
-        return [target.info for target in self.entry_state.targets.values()]
+    def list_watched(self) -> list[EngineInfo]:
+        """Return the engines whose load reports this entry reads."""
+        return list_watched(self.entry_state, self.clock.now())
 
     def read_load(self) -> Load:
         """Return what the gauges tell."""
--- a/figstep/core/inventory.py
+++ b/figstep/core/inventory.py
@@ -169,7 +169,7 @@
     priorities: tuple[PriorityRule, ...] = ()
     placement: tuple[PlacementRule, ...] = ()
     gap_goal: Millis = Millis(60)
-    subset: int = 0
+    subset: int = 24
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/core/routing.py
+++ b/figstep/core/routing.py
@@ -37,6 +37,18 @@
             return False
 
 
+def has_loaded(target: TargetState, spec: RequestSpec) -> bool:
+    """Tell whether the target reports some version of the model, or none at all.
+
+    An engine that was never given orders reports no models and serves what its
+    inventory entry says.
+    """
+    if not target.models or not isinstance(spec.work, GenerationWork):
+        return True
+    wanted = spec.work.model + "@"
+    return any(loaded.startswith(wanted) for loaded in target.models)
+
+
 def rank_target(node: str, target: str) -> bytes:
     """Return the rendezvous rank of a target for an entry; higher is nearer."""
     return hashlib.sha256(f"{node}/{target}".encode()).digest()[:8]
@@ -97,6 +109,8 @@
     for target in _sample(state, list_pool(state, request.spec)):
         if target.leaving or target.draining:
             continue
+        if not has_loaded(target, request.spec):
+            continue
         if target.info.name in request.failed_targets:
             continue
         if suspects.blocks_target(state, request, target.info.name):
--- /dev/null
+++ b/figstep/core/watch.py
@@ -0,0 +1,38 @@
+"""Engines whose load reports an entry reads."""
+
+from figstep.core import leases
+from figstep.core.clock import Millis
+from figstep.core.inventory import EngineInfo
+from figstep.core.placement import LEASE_PREFIX
+from figstep.core.routing import list_pool
+from figstep.core.specs import GenerationWork, RequestSpec
+from figstep.core.state import State
+
+
+def list_watched(state: State, now: Millis) -> list[EngineInfo]:
+    """Return the engines that this entry sends work or orders to.
+
+    Reading the reports of all engines would cost an entry of a large fleet
+    many times its budget for control.
+    """
+    if state.inventory is None:
+        return []
+    watched: dict[str, EngineInfo] = {}
+    for model in state.inventory.models:
+        probe = RequestSpec("", "", GenerationWork(model.name))
+        for target in list_pool(state, probe):
+            if isinstance(target.info, EngineInfo):
+                watched[target.info.name] = target.info
+    held = _list_held_domains(state, now)
+    for engine in state.inventory.engines:
+        if engine.failure_domain in held:
+            watched[engine.name] = engine
+    return list(watched.values())
+
+
+def _list_held_domains(state: State, now: Millis) -> set[str]:
+    held = set()
+    for lease in state.leases.holdings:
+        if leases.find_holding(state.leases, lease, now) is not None:
+            held.add(lease.removeprefix(LEASE_PREFIX))
+    return held
--- a/figstep/inventory.py
+++ b/figstep/inventory.py
@@ -121,7 +121,7 @@
         "figstep"
     )
     gap_goal_ms: int = Field(default=60, gt=0)
-    subset: int = Field(default=0, ge=0)
+    subset: int = Field(default=24, ge=0)
 
 
 class InventoryModel(_Model):
--- /dev/null
+++ b/figstep/net/reports.py
@@ -0,0 +1,96 @@
+"""Edge that reads the load reports of engines."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+import orjson
+from mode import Service
+
+from figstep.core.clock import Millis
+from figstep.core.events import Event, LoadReported
+from figstep.core.inventory import EngineInfo
+
+TIMEOUT_SECONDS = 2.0
+SPACING_SECONDS = 0.1
+"""Between two reports: ten a second at most, whatever the fleet's size."""
+
+PERIOD_SECONDS = 0.5
+"""Least time between two reports of the same engine."""
+
+
+class ReportEdge(Service):
+    """Reads one report after the other, in rounds."""
+
+    def __init__(
+        self,
+        dispatch: Callable[[Event], None],
+        list_watched: Callable[[], list[EngineInfo]],
+    ) -> None:
+        super().__init__()
+        self._dispatch = dispatch
+        self._list_watched = list_watched
+        self._session: aiohttp.ClientSession | None = None
+        self._reading: set[asyncio.Task[None]] = set()
+
+    async def on_start(self) -> None:
+        """Open the client session."""
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
+        self._session = aiohttp.ClientSession(timeout=timeout)
+
+    async def on_shutdown(self) -> None:
+        """Drop open reads and close the session."""
+        for task in self._reading:
+            task.cancel()
+        if self._session is not None:
+            await self._session.close()
+
+    @Service.task
+    async def _run_rounds(self) -> None:
+        loop = asyncio.get_running_loop()
+        while not self.should_stop:
+            started = loop.time()
+            for engine in self._list_watched():
+                self._start_reading(engine)
+                await self.sleep(SPACING_SECONDS)
+            await self.sleep(max(0.0, started + PERIOD_SECONDS - loop.time()))
+
+    def _start_reading(self, engine: EngineInfo) -> None:
+        # A dead engine answers nothing until the time-out; to wait for it here
+        # would hold up the reports of all the others.
+        task = asyncio.get_running_loop().create_task(self._read_report(engine))
+        self._reading.add(task)
+        task.add_done_callback(self._reading.discard)
+
+    async def _read_report(self, engine: EngineInfo) -> None:
+        assert self._session is not None
+        try:
+            async with self._session.get(engine.address + "/load") as response:
+                document = orjson.loads(await response.read())
+            event = parse_report(engine.name, document)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, TypeError):
+            return
+        self._dispatch(event)
+
+
+def parse_report(target: str, document: dict[str, Any]) -> LoadReported:
+    """Turn the JSON of ``GET /load`` into an event.
+
+    Raises:
+        ValueError: If a field has no sensible value.
+        TypeError: If the document or a field is of another type.
+    """
+    if not isinstance(document, dict):
+        raise TypeError("a load report is one JSON object")
+    return LoadReported(
+        target=target,
+        incarnation=int(document.get("incarnation", 0)),
+        leaving=bool(document.get("leaving", False)),
+        running=int(document.get("running", 0)),
+        waiting=int(document.get("waiting", 0)),
+        memory_used=int(document.get("memory_used", 0)),
+        memory_total=int(document.get("memory_total", 0)),
+        models=tuple(str(model) for model in document.get("models", ())),
+        age=Millis(int(document.get("age_ms", 0))),
+    )
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -1,11 +1,10 @@
-"""Edge towards targets: attempts, cancellation, load reports."""
+"""Edge towards targets: attempts and their cancellation."""
 
 import asyncio
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 import aiohttp
-import orjson
 from mode import Service
 
 from figstep.core.clock import Millis
@@ -16,12 +15,11 @@
     AttemptLost,
     AttemptRejected,
     Event,
-    LoadReported,
     Loss,
     ServiceAnswered,
     TokensArrived,
 )
-from figstep.core.inventory import EngineInfo, ServiceInfo, TargetInfo
+from figstep.core.inventory import ServiceInfo, TargetInfo
 from figstep.core.problems import Problem
 from figstep.core.specs import GenerationWork
 from figstep.errors import FrameError
@@ -29,8 +27,7 @@
 from figstep.net.frames import FrameSplitter
 from figstep.net.pools import PoolTable, SendOnce
 
-REPORT_TIMEOUT = 2.0
-REPORT_PERIOD = 0.5
+CANCEL_TIMEOUT = 2.0
 MAX_RECORDED_BODY = 1_024
 
 _REFUSED = (429, 503)
@@ -44,12 +41,10 @@
         self,
         dispatch: Callable[[Event], None],
         find_target: Callable[[str], TargetInfo | None],
-        list_targets: Callable[[], list[TargetInfo]],
     ) -> None:
         super().__init__()
         self._dispatch = dispatch
         self._find_target = find_target
-        self._list_targets = list_targets
         self._pools = PoolTable()
         self._attempt_tasks: dict[int, asyncio.Task[None]] = {}
         self._background: set[asyncio.Task[None]] = set()
@@ -62,7 +57,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def on_shutdown(self) -> None:
-        """Close the connections, which the load reports use until they end."""
+        """Close the connections, which the tasks use until they end."""
         await self._pools.close()
 
     def open_attempt(self, effect: OpenAttempt, exchange: Exchange) -> None:
@@ -224,7 +219,7 @@
         if target is None:
             return
         url = f"{target.address}/v1/generations/{effect.generation}"
-        timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT)
+        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT)
         try:
             async with self._pools.use(effect.target) as pool:
                 async with pool.fresh.delete(url, timeout=timeout):
@@ -232,37 +227,6 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self.log.info("cancel not delivered: %r", error)
 
-    @Service.task
-    async def _poll_load(self) -> None:
-        while not self.should_stop:
-            engines = [t for t in self._list_targets() if isinstance(t, EngineInfo)]
-            await asyncio.gather(*(self._read_load(engine) for engine in engines))
-            await self.sleep(REPORT_PERIOD)
-
-    async def _read_load(self, engine: EngineInfo) -> None:
-        timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT)
-        try:
-            async with self._pools.use(engine.name) as pool:
-                async with pool.reused.get(
-                    engine.address + "/load", timeout=timeout
-                ) as response:
-                    report = orjson.loads(await response.read())
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
-            return
-        self._dispatch(
-            LoadReported(
-                target=engine.name,
-                incarnation=report.get("incarnation", 0),
-                leaving=report.get("leaving", False),
-                running=report.get("running", 0),
-                waiting=report.get("waiting", 0),
-                memory_used=report.get("memory_used", 0),
-                memory_total=report.get("memory_total", 0),
-                models=tuple(report.get("models", ())),
-                age=Millis(report.get("age_ms", 0)),
-            )
-        )
-
 
 def _read_retry_after(response: aiohttp.ClientResponse) -> Millis | None:
     after = response.headers.get("Retry-After", "")
