--- a/figstep/core/effects.py
+++ b/figstep/core/effects.py
@@ -5,6 +5,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.events import Timer
+from figstep.core.gossip import Gossip
 from figstep.core.orders import Order
 from figstep.core.problems import Problem
 
@@ -19,6 +20,7 @@
         target: Target name.
         generation: Generation id for the target to use.
         priority: Priority for the target.
+        once: Whether the bytes may go out only once.
     """
 
     request: str
@@ -26,6 +28,7 @@
     target: str
     generation: str
     priority: int = 0
+    once: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +49,13 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReplacePool:
+    """Open new connections to a target from now on; idle ones are dropped."""
+
+    target: str
+
+
 @dataclass(frozen=True, slots=True)
 class CancelGeneration:
     """Tell a target to stop a generation that nobody wants."""
@@ -82,6 +92,23 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReplayAnswer:
+    """Give a duplicate the answer that the first request got.
+
+    Attributes:
+        request: The duplicate.
+        status: HTTP status of the recorded answer.
+        content_type: Its content type.
+        body: Its body.
+    """
+
+    request: str
+    status: int
+    content_type: str
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """Give the caller its final answer: a problem."""
@@ -105,6 +132,28 @@
     records: list[dict[str, Any]]
 
 
+@dataclass(frozen=True, slots=True)
+class SendGossip:
+    """Send one datagram to a peer at "host:port"."""
+
+    address: str
+    gossip: Gossip
+
+
+@dataclass(frozen=True, slots=True)
+class FetchCheckpoint:
+    """Ask the peer at "host:port" for its checkpoint."""
+
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReadConfigurationFrom:
+    """Read the configuration stream on from ``offset``."""
+
+    offset: int
+
+
 @dataclass(frozen=True, slots=True)
 class SendOrder:
     """Give an engine an order.
@@ -157,12 +206,17 @@
     OpenAttempt
     | ResumeAttempt
     | CloseAttempt
+    | ReplacePool
     | CancelGeneration
     | Deliver
     | DiscardDelivered
     | Complete
+    | ReplayAnswer
     | Refuse
     | AppendRecords
+    | ReadConfigurationFrom
+    | SendGossip
+    | FetchCheckpoint
     | SendOrder
     | WakeAt
     | Count
--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -2,8 +2,10 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 from figstep.core.clock import Millis
+from figstep.core.gossip import Gossip
 from figstep.core.inventory import Inventory
 from figstep.core.orders import OrderOutcome
 from figstep.core.problems import Problem
@@ -21,6 +23,9 @@
     TRUNCATED = "truncated"  # closed cleanly without the end marker
     CROSSED = "crossed"  # the answer belongs to another generation
     FAILED = "failed"  # the target answered with a server error
+    SILENT = "silent"  # nothing came for longer than the idle limit
+    EMPTY = "empty"  # an end marker without any answer before it
+    SHUTDOWN = "shutdown"  # this process ended it
 
 
 # Callers
@@ -50,14 +55,27 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerGone:
-    """The caller closed its connection before the answer ended."""
+    """The caller closed its connection before the answer ended.
+
+    Attributes:
+        request: The request.
+        cancel: Whether nobody wants its generation any more.
+    """
 
     request: str
+    cancel: bool = True
 
 
 # Targets
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptAnswered:
+    """The target accepted an attempt: its response headers came."""
+
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class TokensArrived:
     """Consecutive token events of one generation, read in one go.
@@ -114,10 +132,14 @@
     Attributes:
         attempt: The attempt.
         status: HTTP status of the answer.
+        content_type: Its content type.
+        body: Its body where it is small enough to be recorded, else None.
     """
 
     attempt: int
     status: int
+    content_type: str = ""
+    body: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,14 +174,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationRead:
-    """A record of the configuration stream.
+    """An edit in the configuration stream.
 
     Attributes:
         offset: Offset of the record.
+        edit: Unique id of the edit.
         base: Accepted offset that the author started from; -1 for none.
         author: Who published.
         reason: Why.
-        inventory: The validated document, or None if it is not valid.
+        validation: Version of the validation rules it was made for.
+        document: The document as published.
+        inventory: The validated document, or None if it is not valid or its
+            validation version is not known here.
+        known: Whether this program knows the validation version.
         problems: Why it is not valid.
     """
 
@@ -169,11 +196,72 @@
     reason: str
     inventory: Inventory | None
     problems: tuple[str, ...] = ()
+    edit: str = ""
+    validation: int = 1
+    document: dict[str, Any] = field(default_factory=dict)
+    known: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Checkpoint:
+    """Result of the fold over every record up to a position.
+
+    Attributes:
+        accepted: Offset of the edit in force.
+        position: Last offset that was folded.
+        edit: Id of the edit in force.
+        author: Who published it.
+        reason: Why.
+        validation: Version of the validation rules it was made for.
+        document: The document as published.
+        inventory: The validated document, or None if this program cannot read it.
+    """
+
+    accepted: int
+    position: int
+    edit: str
+    author: str
+    reason: str
+    validation: int
+    document: dict[str, Any]
+    inventory: Inventory | None
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotRead:
+    """A checkpoint in the configuration stream.
+
+    Attributes:
+        offset: Offset of the record.
+        checkpoint: What it holds.
+        age: Time since the log took it, in milliseconds.
+    """
+
+    offset: int
+    checkpoint: Checkpoint
+    age: Millis = Millis(0)
+
+
+@dataclass(frozen=True, slots=True)
+class CheckpointOffered:
+    """A peer sent its checkpoint."""
+
+    checkpoint: Checkpoint
 
 
 @dataclass(frozen=True, slots=True)
 class InstanceInfo:
-    """An entry of the platform's instance list."""
+    """An entry of the platform's instance list.
+
+    Attributes:
+        name: Its name.
+        kind: "entry" for the system's own, "target" for the rest.
+        address: Base URL.
+        failure_domain: Its failure domain.
+        leaving: Whether the platform takes it away.
+        incarnation: Grows each time it starts anew.
+        peers: Where an entry listens for peers, as "host:port", or "".
+    """
 
     name: str
     kind: str
@@ -181,6 +269,7 @@
     failure_domain: str
     leaving: bool = False
     incarnation: int = 0
+    peers: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,6 +279,28 @@
     instances: tuple[InstanceInfo, ...] = field(default_factory=tuple)
 
 
+@dataclass(frozen=True, slots=True)
+class PeersOpened:
+    """This entry listens for peers.
+
+    Attributes:
+        address: Where, as "host:port".
+        incarnation: Greater than that of any earlier process of this name.
+        start: Addresses of other entries to try first.
+    """
+
+    address: str
+    incarnation: int
+    start: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class GossipReceived:
+    """An authenticated message of a peer came."""
+
+    gossip: Gossip
+
+
 @dataclass(frozen=True, slots=True)
 class RecordsRead:
     """New records of a stream other than the configuration's, in order."""
@@ -218,6 +329,20 @@
     key: int
 
 
+@dataclass(frozen=True, slots=True)
+class StreamCaughtUp:
+    """A follower has read its stream to the end as of now."""
+
+    stream: str
+
+
+@dataclass(frozen=True, slots=True)
+class StreamUnavailable:
+    """A follower cannot read its stream: the log is down or slow."""
+
+    stream: str
+
+
 @dataclass(frozen=True, slots=True)
 class OrderAnswered:
     """An order to an engine was answered, or given up on.
@@ -236,7 +361,21 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestTimer:
-    """Wakes a request: its deadline, or the time to try again."""
+    """Marks the deadline of a request's first byte."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class RetryTimer:
+    """Ends the pause before a request's next attempt."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimTimer:
+    """Ends the wait for a claim to be settled, or for another's outcome."""
 
     request: str
 
@@ -253,12 +392,37 @@
     """Tries to start queued requests."""
 
 
+@dataclass(frozen=True, slots=True)
+class GossipTimer:
+    """Starts the next period of gossip."""
+
+
+@dataclass(frozen=True, slots=True)
+class FetchTimer:
+    """Fetches a peer's document unless the log was quicker."""
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotTimer:
+    """Checks whether the configuration needs a fresh snapshot."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementTimer:
     """Starts the next round of leases and orders."""
 
 
-Timer = RequestTimer | AttemptTimer | QueueTimer | PlacementTimer
+Timer = (
+    RequestTimer
+    | RetryTimer
+    | ClaimTimer
+    | AttemptTimer
+    | QueueTimer
+    | SnapshotTimer
+    | PlacementTimer
+    | GossipTimer
+    | FetchTimer
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -268,15 +432,26 @@
     timer: Timer
 
 
+@dataclass(frozen=True, slots=True)
+class Started:
+    """The process started: the periodic timers begin."""
+
+
 @dataclass(frozen=True, slots=True)
 class ShutdownRequested:
     """The process was asked to end; running requests go on."""
 
 
+@dataclass(frozen=True, slots=True)
+class ShutdownForced:
+    """The process ends now: every caller gets its final answer."""
+
+
 Event = (
     RequestArrived
     | CallerReturned
     | CallerGone
+    | AttemptAnswered
     | TokensArrived
     | AttemptEnded
     | AttemptLost
@@ -284,11 +459,19 @@
     | ServiceAnswered
     | LoadReported
     | ConfigurationRead
+    | SnapshotRead
+    | CheckpointOffered
     | InstancesListed
+    | PeersOpened
+    | GossipReceived
     | RecordsRead
     | AppendConfirmed
     | AppendUncertain
+    | StreamCaughtUp
+    | StreamUnavailable
     | OrderAnswered
     | TimerFired
+    | Started
     | ShutdownRequested
+    | ShutdownForced
 )
--- a/figstep/core/inventory.py
+++ b/figstep/core/inventory.py
@@ -22,6 +22,7 @@
         address: Base URL.
         failure_domain: Name of its failure domain.
         models: Names of the models it may serve.
+        kind: Make of the engine, as the operators name it.
         speed: Decode speed relative to the slowest class (1.0).
         memory_tokens: Cache memory, in tokens.
         max_running: Most generations it decodes at once.
@@ -40,6 +41,7 @@
     resume: bool = True
     continuation: bool = False
     checks_fencing: bool = True
+    kind: str = "engine"
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +64,6 @@
     name: str
     version: str = "1"
     adapters: tuple[str, ...] = ()
-    replicas: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +76,55 @@
     priority: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class PlacementRule:
+    """How many replicas of a model are wanted where.
+
+    Attributes:
+        model: Model name.
+        replicas: Wanted replicas in each of the failure domains.
+        failure_domains: Names of the failure domains; empty for all.
+    """
+
+    model: str
+    replicas: int
+    failure_domains: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PriorityRule:
+    """Priority of requests; None matches everything, higher goes first."""
+
+    priority: int
+    customer: str | None = None
+    model: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceRecord:
+    """A machine of the asset register.
+
+    Attributes:
+        name: Name as in the platform's instance list.
+        kind: "entry" for the system's own, "target" for engines and services.
+        failure_domain: Name of its failure domain.
+        size: Size class, as the operators name it.
+    """
+
+    name: str
+    kind: str
+    failure_domain: str
+    size: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class DrainMark:
+    """A target that the operators want to get no new work."""
+
+    target: str
+    reason: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class NonIdempotentRule:
     """Requests that run at most once; None and "" match everything.
@@ -105,6 +155,8 @@
         load_interval: Least time between two reads of the weight store by the
             whole fleet, in milliseconds.
         routing: Name of the routing policy.
+        priorities: Priorities by customer and model; the first match counts.
+        placement: Which model wants how many replicas where.
         gap_goal: Gap between tokens above which a target is given less, in
             milliseconds.
         subset: Most targets of a pool that an entry talks to; 0 for all.
@@ -114,6 +166,8 @@
     deadline: Millis = Millis(60_000)
     load_interval: Millis = Millis(5_000)
     routing: str = "figstep"
+    priorities: tuple[PriorityRule, ...] = ()
+    placement: tuple[PlacementRule, ...] = ()
     gap_goal: Millis = Millis(60)
     subset: int = 0
 
@@ -128,6 +182,8 @@
     models: tuple[ModelInfo, ...] = ()
     customers: tuple[CustomerInfo, ...] = ()
     rules: Rules = field(default_factory=Rules)
+    draining: tuple[DrainMark, ...] = ()
+    instances: tuple[InstanceRecord, ...] = ()
 
     def list_targets(self) -> list[TargetInfo]:
         """Return the engines, then the replicas of plain services."""
--- a/figstep/core/routing.py
+++ b/figstep/core/routing.py
@@ -2,6 +2,7 @@
 
 import hashlib
 
+from figstep.core import suspects
 from figstep.core.clock import Millis
 from figstep.core.inventory import EngineInfo, ServiceInfo
 from figstep.core.pacing import Footprint
@@ -58,9 +59,12 @@
     for members in domains.values():
         members.sort(key=lambda t: rank_target(node, t.info.name), reverse=True)
     chosen: list[TargetState] = []
+    # Where the size is no multiple of the domains, some give one target more;
+    # in an order that is the same for all entries it would always be the same.
+    order = sorted(domains, key=lambda name: rank_target(node, name))
     place = 0
     while len(chosen) < size:
-        for name in sorted(domains):
+        for name in order:
             members = domains[name]
             if place < len(members) and len(chosen) < size:
                 chosen.append(members[place])
@@ -91,10 +95,12 @@
     """Return the targets that may take the request now."""
     candidates = []
     for target in _sample(state, list_pool(state, request.spec)):
-        if target.leaving:
+        if target.leaving or target.draining:
             continue
         if target.info.name in request.failed_targets:
             continue
+        if suspects.blocks_target(state, request, target.info.name):
+            continue
         candidates.append(target)
     return candidates
 
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -6,6 +6,8 @@
 
 from figstep.core.claims import ClaimTable
 from figstep.core.clock import Millis
+from figstep.core.events import Checkpoint
+from figstep.core.gossip import Membership
 from figstep.core.inventory import Inventory, TargetInfo
 from figstep.core.leases import LeaseTable
 from figstep.core.lengths import LengthTable
@@ -21,9 +23,11 @@
 class Phase(Enum):
     """Where a request is in its life."""
 
+    CLAIMING = "claiming"  # its claim is not settled
     QUEUED = "queued"
     RUNNING = "running"
     WAITING = "waiting"  # between two attempts
+    JOINED = "joined"  # gets the answer of another request
 
 
 @dataclass(slots=True)
@@ -33,26 +37,49 @@
     Attributes:
         spec: What was asked for.
         arrived: When it came in.
+        deadline: Latest time for the first byte.
         phase: Where it is.
         ran: What is known of whether it ran.
         generation: Generation that the caller is bound to, or "".
         target: Target of the last attempt, or "".
         attempt: Current attempt, or None.
         delivered: Index of the last event handed to the caller.
-        attempts: Attempts opened so far.
-        failed_targets: Targets that lost it.
+        last_frame: That event.
+        attempts: Starts so far, without resumes.
+        resumes: Resumes in a row that brought nothing.
+        returned: Index after which the caller came back, or None.
+        accepted: Whether a target took its current generation.
+        non_idempotent: Whether it may run only once.
+        claim: Record id of its own claim, or None.
+        caller_gone: Whether it goes on for its outcome alone.
+        failed_targets: Targets that lost it, and until when it avoids them.
     """
 
     spec: RequestSpec
     arrived: Millis
+    deadline: Millis
     phase: Phase = Phase.QUEUED
     ran: Ran = Ran.NO
     generation: str = ""
     target: str = ""
     attempt: int | None = None
     delivered: int = 0
+    last_frame: bytes = b""
     attempts: int = 0
-    failed_targets: set[str] = field(default_factory=set)
+    resumes: int = 0
+    returned: int | None = None
+    accepted: bool = False
+    non_idempotent: bool = False
+    claim: str | None = None
+    caller_gone: bool = False
+    failed_targets: dict[str, Millis] = field(default_factory=dict)
+
+    @property
+    def reached(self) -> bool:
+        """Whether any of the answer has reached the caller."""
+        if self.returned is not None:
+            return True
+        return self.spec.stream and self.delivered > 0
 
 
 @dataclass(slots=True)
@@ -60,12 +87,16 @@
     """One connection to a target on behalf of a request.
 
     Attributes:
-        attempt: Number of the attempt.
-        request: Request id.
+        attempt: Its number.
+        request: Request that it runs for.
         target: Target name.
-        generation: Generation id.
+        generation: Generation that it carries.
         opened: When it was opened.
         last_progress: When something last came.
+        resuming: Whether it reattaches to a running generation.
+        probing: Whether it replaces a connection that had gone silent.
+        answered: Whether the response headers came.
+        tokens: Events that came on this connection.
         footprint: What it needs of its target; None for a plain service.
         review_at: Index of the event at which the footprint is looked at again.
     """
@@ -78,6 +109,10 @@
     last_progress: Millis
     footprint: Footprint | None = None
     review_at: int = 1 << 62
+    resuming: bool = False
+    probing: bool = False
+    answered: bool = False
+    tokens: int = 0
 
 
 @dataclass(slots=True)
@@ -88,7 +123,8 @@
         info: Its inventory entry.
         in_flight: Attempts of this entry running there.
         peers_in_flight: What other entries say they run there.
-        leaving: Whether it takes no new work.
+        leaving: Whether it said, or was said, to take no new work.
+        draining: Whether the document in force gives it no new work.
         incarnation: Highest incarnation seen.
         running: Reported generations decoding.
         waiting: Reported generations queued.
@@ -97,12 +133,18 @@
         models: What it reports as loaded: "model@version", "model+adapter".
         reported: When the last report came, or None.
         pace: This entry's ledger of it.
+        gap: Smoothed gap between two reads of a stream, in milliseconds.
+        gap_deviation: Smoothed deviation of that gap, in milliseconds.
+        dead: Whether it was found dead and has not answered since.
+        deaths: How often it was found dead.
+        death_incarnation: Incarnation at its last death; -1 for none.
     """
 
     info: TargetInfo
     in_flight: int = 0
     peers_in_flight: int = 0
     leaving: bool = False
+    draining: bool = False
     incarnation: int = 0
     running: int = 0
     waiting: int = 0
@@ -111,6 +153,11 @@
     models: tuple[str, ...] = ()
     reported: Millis | None = None
     pace: Pace = field(default_factory=Pace)
+    gap: float = 0.0
+    gap_deviation: float = 0.0
+    dead: bool = False
+    deaths: int = 0
+    death_incarnation: int = -1
 
 
 @dataclass(slots=True)
@@ -128,6 +175,25 @@
     turn: int = 0
 
 
+@dataclass(slots=True)
+class ConfigurationFold:
+    """Where the fold of the configuration stream stands.
+
+    Attributes:
+        position: Last offset that was folded; -1 before the first.
+        current: The accepted edit, or None before the first.
+        stalled: Why later records cannot be judged, or "".
+        snapshot_position: Position of the newest snapshot seen; -1 for none.
+        snapshot_made: When the log took it (monotonic), or None.
+    """
+
+    position: int = -1
+    current: Checkpoint | None = None
+    stalled: str = ""
+    snapshot_position: int = -1
+    snapshot_made: Millis | None = None
+
+
 @dataclass(slots=True)
 class State:
     """Everything one entry knows.
@@ -138,6 +204,9 @@
         rng: Seeded generator; the only source of randomness.
         inventory: Accepted document in force, or None before the first.
         configuration_offset: Offset of the accepted document; -1 for none.
+        configuration: Where the fold of the configuration stream stands.
+        membership: What is known of the other entries.
+        retention: How long the log keeps records, in milliseconds.
         targets: Known targets by name.
         requests: Requests without a final answer, by id.
         attempts: Open attempts by number.
@@ -159,6 +228,9 @@
     rng: random.Random = field(default_factory=random.Random)
     inventory: Inventory | None = None
     configuration_offset: int = -1
+    configuration: ConfigurationFold = field(default_factory=ConfigurationFold)
+    membership: Membership = field(default_factory=Membership)
+    retention: Millis = Millis(86_400_000)
     targets: dict[str, TargetState] = field(default_factory=dict)
     requests: dict[str, RequestState] = field(default_factory=dict)
     attempts: dict[int, AttemptState] = field(default_factory=dict)
--- a/figstep/errors.py
+++ b/figstep/errors.py
@@ -1,5 +1,7 @@
 """Typed errors; each message names the remedy."""
 
+from figstep.core.problems import Problem
+
 
 class FigstepError(Exception):
     """Base of every error that figstep raises on purpose."""
@@ -27,3 +29,35 @@
 
 class PublishRefusedError(FigstepError):
     """The log holds the edit, but the fold refused it."""
+
+
+class FrameError(FigstepError):
+    """A target's stream of events cannot be read."""
+
+
+class PublishUncertainError(FigstepError):
+    """The append got no answer and the log could not be read back in time."""
+
+
+class NotInForceError(FigstepError):
+    """The edit is accepted, but not every live entry shows it yet."""
+
+
+class InstancesUnavailableError(FigstepError):
+    """The platform's instance list gave no answer."""
+
+
+class UnknownTargetError(FigstepError):
+    """The accepted document has no such target."""
+
+
+class RefusedError(FigstepError):
+    """A request ends at the border with ``problem`` as its answer."""
+
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(problem.detail)
+        self.problem = problem
+
+
+class PeerMessageError(FigstepError):
+    """A message between entries is damaged or not authentic."""
