--- a/figstep/experiment/harness.py
+++ b/figstep/experiment/harness.py
@@ -20,6 +20,7 @@
     WakeAt,
 )
 from figstep.core.events import (
+    AttemptAnswered,
     AttemptEnded,
     AttemptLost,
     Event,
@@ -223,7 +224,7 @@
             case CloseAttempt(attempt=number):
                 attempt = self._attempts.pop(number, None)
                 if attempt is not None:
-                    self._by_generation.pop(attempt.generation, None)
+                    self._detach(attempt)
             case CancelGeneration(target=target, generation=generation):
                 self._engines[target].cancel(generation, self.now)
                 self._watch(target)
@@ -275,25 +276,55 @@
         sequence = build_sequence(arrival, attempt.generation, priority)
         self._engines[attempt.engine].start(sequence, self.now)
         self._watch(attempt.engine)
+        self._answer(attempt)
 
     def _resume(self, effect: ResumeAttempt) -> None:
         attempt = _Attempt(
             effect.attempt, effect.request, effect.target, effect.generation
         )
         self._attempts[effect.attempt] = attempt
-        self._by_generation[effect.generation] = attempt
-        dead = effect.target in self._dead
-        known = self._engines[effect.target].sequences
-        if dead or effect.generation not in known:
-            loss = Loss.CONNECT_FAILED if dead else Loss.NOT_FOUND
-            self._schedule(
-                self.now + LINK_DELAY, lambda a: self._lose(a, loss), attempt
+        self._schedule(self.now + LINK_DELAY, self._attach, (attempt, effect.after))
+
+    def _attach(self, argument: tuple[_Attempt, int]) -> None:
+        attempt, after = argument
+        if attempt.number not in self._attempts:
+            return
+        if attempt.engine in self._dead:
+            self._lose(attempt, Loss.CONNECT_FAILED)
+            return
+        sequence = self._engines[attempt.engine].sequences.get(attempt.generation)
+        if sequence is None:
+            self._lose(attempt, Loss.NOT_FOUND)
+            return
+        self._by_generation[attempt.generation] = attempt
+        self._answer(attempt)
+        missed = sequence.produced - after
+        if missed > 0:
+            state = self._homes[attempt.request]
+            frames = FRAME * missed
+            self._dispatch(
+                state,
+                TokensArrived(attempt.number, attempt.generation, after + 1, frames),
             )
+        if sequence.ended is not None:
+            self._end(attempt)
 
-    def _lose(self, attempt: _Attempt, loss: Loss) -> None:
+    def _end(self, attempt: _Attempt) -> None:
         self._attempts.pop(attempt.number, None)
+        self._by_generation.pop(attempt.generation, None)
+        self._dispatch(self._homes[attempt.request], AttemptEnded(attempt.number))
+
+    def _answer(self, attempt: _Attempt) -> None:
+        state = self._homes[attempt.request]
+        self._dispatch(state, AttemptAnswered(attempt.number))
+
+    def _detach(self, attempt: _Attempt) -> None:
         if self._by_generation.get(attempt.generation) is attempt:
             del self._by_generation[attempt.generation]
+
+    def _lose(self, attempt: _Attempt, loss: Loss) -> None:
+        self._attempts.pop(attempt.number, None)
+        self._detach(attempt)
         state = self._homes[attempt.request]
         self._dispatch(state, AttemptLost(attempt.number, loss))
 
@@ -320,9 +351,7 @@
         self._dispatch(state, event)
         if token.finish is None:
             return
-        self._attempts.pop(attempt.number, None)
-        self._by_generation.pop(token.name, None)
-        self._dispatch(state, AttemptEnded(attempt.number))
+        self._end(attempt)
 
     def _report(self, name: str) -> None:
         self._schedule(self.now + REPORT_PERIOD, self._report, name)
