--- a/figstep/core/queues.py
+++ b/figstep/core/queues.py
@@ -120,6 +120,17 @@
     def __len__(self) -> int:
         return len(self._queued)
 
+    def order_by(self, fair: bool, shortest_first: bool) -> None:
+        """Change the order; what already waits is put in again."""
+        if (fair, shortest_first) == (self.fair, self.shortest_first):
+            return
+        waiting = list(self._queued.values())
+        for queued in waiting:
+            self.remove(queued.spec.request)
+        self.fair, self.shortest_first = fair, shortest_first
+        for queued in waiting:
+            self.add(queued.spec, queued.cost, queued.share, queued.since)
+
     def list_pools(self) -> list[str]:
         """Return the pools in which something waits."""
         return [name for name, pool in self._pools.items() if pool.count]
@@ -221,7 +232,21 @@
             if customer is None or customer.count == 0:
                 shares += share
             ahead = min(ahead, own * shares / share)
-        return Millis(round(ahead / rate))
+        wait = ahead / rate
+        if self.shortest_first and level is not None:
+            wait = max(wait, self._predict_turn(level, spec, cost, now))
+        return Millis(round(wait))
+
+    def _predict_turn(
+        self, level: Level, spec: RequestSpec, cost: float, now: Millis
+    ) -> float:
+        # Shorter ones that are yet to come go ahead of a long one. In a steady
+        # queue the key at its head moves on with the clock, so the distance
+        # to the head is the wait.
+        customer = level.customers.get(self._turn_of(spec))
+        if customer is None or self._peek_customer(customer) is None:
+            return 0.0
+        return now + AGING * cost - customer.heap[0][0]
 
     def list_in_order(self) -> list[str]:
         """Return all queued ids in the order in which they came."""
