Judge a request that crashes engines, and its neighbours

Cause: quarantine was only tested as a decision, without an engine that dies. Ruled out: a count of runs over all entries at once; an entry that has not yet heard of the quarantine may run the request once more, so it is sent again through the entry that saw both deaths first. Before: without quarantine it ran again each time that it was sent. Conclusion: the first neighbour that comes back waits about 7 s although both engines are back; that is noted as a fault apart from the promise.

--- a/tests/integration/generations.feature
+++ b/tests/integration/generations.feature
@@ -85,3 +85,18 @@
     And the open connections to its engine freeze
     Then its answer is whole with 40 tokens
     And every promise held
+
+  Scenario: A request crashes each engine that runs it
+    A body that no engine survives is sent, and sent again when it fails. After
+    two deaths it is refused, and soon by every entry; what ran beside it on the
+    engines that died is innocent, and is served when it is sent again.
+    When 4 callers start to stream 40 tokens through entry-1
+    And a caller sends a request that crashes engines through entry-1
+    Then it is refused at once
+    When the engines that crashed start anew
+    And it is sent again through entry-1 until it is refused as quarantined
+    Then at most 2 engines ran it
+    When it is sent again through entry-2 until it is refused as quarantined
+    And the engines that crashed start anew
+    Then the others get whole answers when they send their requests again
+    And every promise held
