--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -90,6 +90,10 @@
 def _queue_request(state: State, request: RequestState, now: Millis) -> list[Effect]:
     request.phase = Phase.QUEUED
     admission.queue_request(state, request)
+    if len(state.queue) > 1:
+        # The timer runs already; setting it again with each arrival would put
+        # it off for as long as requests come faster than the pause.
+        return []
     return [WakeAt(QueueTimer(), Millis(now + QUEUE_PAUSE))]
 
 
