Hold entries to a contract between them, and replace them while the log is down

Cause: messages between entries were tested over sound links only. Ruled out: an empty datagram in the table; asyncio does not send one. Before: no garbled, foreign or half message in a test. After: nine datagrams, three lossy links and six faults of a fetch in tables, and two scenarios with the log down: an entry replaced, and an edit held by one entry only. The proxy closes instead of resetting where both ends are done; the reset could drop bytes that still waited.

--- a/figstep/standins/proxy.py
+++ b/figstep/standins/proxy.py
@@ -233,10 +233,12 @@
                 group.create_task(self._pump(link, reader, Direction.TO_TARGET))
                 group.create_task(self._pump(link, target_reader, Direction.TO_CLIENT))
         except asyncio.CancelledError:
-            return  # only ``stop`` cancels; asyncio's server would log it
+            link.cut()  # only ``stop`` cancels; asyncio's server would log it
         finally:
             self._links.discard(link)
-            link.cut()
+            # A reset would drop what still waits in the sockets' buffers.
+            writer.close()
+            target_writer.close()
 
     async def _pump(
         self, link: _Link, reader: asyncio.StreamReader, direction: Direction
--- /dev/null
+++ b/tests/contracts/test_peers.py
@@ -0,0 +1,167 @@
+"""The contract between entries: datagrams of news, checkpoints on request."""
+
+import asyncio
+import os
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import pytest
+
+from figstep.core.configuration import encode_snapshot
+from figstep.core.events import (
+    Checkpoint,
+    CheckpointOffered,
+    Event,
+    GossipReceived,
+    PeersOpened,
+)
+from figstep.core.gossip import Gossip
+from figstep.demo import build_document
+from figstep.net.messages import Keyring, MessageKind, encode_gossip
+from figstep.net.peers import PeerEdge
+from figstep.settings import Peers
+from figstep.standins.proxy import (
+    CutAfter,
+    Delay,
+    Direction,
+    Drip,
+    Fault,
+    Lose,
+    LoseAnswers,
+    TcpProxy,
+    UdpProxy,
+)
+from tests.fleet import wait_for
+
+KEY = "shared"
+GOSSIP = Gossip("entry-1", "127.0.0.1:9", 1, 7, accepted=3)
+DOCUMENT = build_document({"engine-1": "http://127.0.0.1:9"}, "http://127.0.0.1:9")
+CHECKPOINT = Checkpoint(3, 5, "e", "ops", "why", 1, DOCUMENT, None)
+
+
+@dataclass(slots=True)
+class Peer:
+    """An edge and what it made known."""
+
+    edge: PeerEdge
+    events: list[Event]
+
+    def list_news(self) -> list[Event]:
+        """Return its events but the one that tells of its own address."""
+        return [event for event in self.events if not isinstance(event, PeersOpened)]
+
+
+@asynccontextmanager
+async def run_peer(key: str = KEY, old_key: str = "") -> AsyncIterator[Peer]:
+    events: list[Event] = []
+    record: dict[str, Any] = encode_snapshot(CHECKPOINT, 5)
+    settings = Peers(key=key, old_key=old_key)
+    edge = PeerEdge(settings, 1, events.append, lambda: record)
+    await edge.start()
+    yield Peer(edge, events)
+    await edge.stop()
+
+
+def sign(key: str = KEY, kind: MessageKind = MessageKind.GOSSIP) -> bytes:
+    return Keyring(key).sign(kind, encode_gossip(GOSSIP))
+
+
+DATAGRAMS = {
+    "signed": (sign(), True),
+    "signed with the old key": (sign("old"), True),
+    "one byte": (b"\x00", False),
+    "noise": (os.urandom(200), False),
+    "another key": (sign("stranger"), False),
+    "of another kind": (sign(kind=MessageKind.REQUEST), False),
+    "cut short": (sign()[:-3], False),
+    "changed on the way": (sign()[:-1] + b"\x00\x01", False),
+    "signed noise": (Keyring(KEY).sign(MessageKind.GOSSIP, b"\xff" * 64), False),
+}
+
+
+@pytest.mark.parametrize(("data", "taken"), DATAGRAMS.values(), ids=DATAGRAMS.keys())
+async def test_only_whole_datagrams_with_a_known_key_are_taken(
+    data: bytes, taken: bool
+) -> None:
+    async with run_peer(old_key="old") as peer:
+        host, _, port = peer.edge.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        sender, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, remote_addr=(host, int(port))
+        )
+        sender.sendto(data)
+        await wait_for(
+            lambda: peer.list_news() or peer.edge.rejected, "the datagram came"
+        )
+        sender.close()
+        assert peer.list_news() == ([GossipReceived(GOSSIP)] if taken else [])
+
+
+@pytest.mark.parametrize(
+    ("fault", "arrives"),
+    [(None, True), (Delay(0.05), True), (Lose(Direction.TO_TARGET), False)],
+)
+async def test_a_lost_datagram_is_made_up_by_the_next(
+    fault: Fault | None, arrives: bool
+) -> None:
+    async with run_peer() as sender, run_peer() as receiver:
+        host, _, port = receiver.edge.address.rpartition(":")
+        proxy = UdpProxy(host, int(port))
+        await proxy.start()
+        proxy.fault = fault
+        sender.edge.send(proxy.address, GOSSIP)
+        if not arrives:
+            await asyncio.sleep(0.1)
+            assert receiver.list_news() == []
+            proxy.fault = None
+            sender.edge.send(proxy.address, GOSSIP)
+        await wait_for(receiver.list_news, "the news came")
+        await proxy.stop()
+        assert receiver.list_news() == [GossipReceived(GOSSIP)]
+
+
+@pytest.mark.parametrize(
+    ("fault", "arrives"),
+    [
+        (None, True),
+        (Delay(0.05), True),
+        (Drip(100, 0.005), True),
+        (CutAfter(100), False),
+        (LoseAnswers(1), False),
+        (Lose(Direction.TO_CLIENT), False),
+    ],
+)
+async def test_a_checkpoint_is_taken_whole_or_not_at_all(
+    fault: Fault | None, arrives: bool
+) -> None:
+    """The link to the peer that holds the newer document fails in the middle.
+
+    Half a document must not be put in force, and the failure must not keep a
+    later fetch from succeeding once the link is sound.
+    """
+    async with run_peer() as asking, run_peer() as holder:
+        host, _, port = holder.edge.address.rpartition(":")
+        proxy = TcpProxy(host, int(port))
+        await proxy.start()
+        if fault is not None:
+            proxy.set_fault(fault)
+        asking.edge.fetch(proxy.address)
+        if not arrives:
+            await wait_for(lambda: holder.edge.bytes_sent, "the answer was sent")
+            await asyncio.sleep(0.1)
+            assert asking.list_news() == []
+            proxy.lift()
+            proxy.cut()
+
+        def has_news() -> bool:
+            asking.edge.fetch(proxy.address)
+            return bool(asking.list_news())
+
+        await wait_for(has_news, "the checkpoint came")
+        await proxy.stop()
+        offered = asking.list_news()[0]
+    assert isinstance(offered, CheckpointOffered)
+    assert offered.checkpoint.document == DOCUMENT
+    assert offered.checkpoint.inventory is not None
--- a/tests/integration/configuration.feature
+++ b/tests/integration/configuration.feature
@@ -50,3 +50,19 @@
     When the log has forgotten the first edit
     And entry-3 starts
     Then a caller is served by every entry
+
+  Scenario: An entry is replaced while the log is down
+    A fresh entry holds nothing and cannot read the log. It takes the document
+    and its offset from another entry and serves within seconds.
+    When the log is down
+    And entry-3 starts
+    Then a caller is served by every entry
+
+  Scenario: Two at once: the log stops right after an edit and an entry dies
+    The edit is accepted, one entry has it, and the log is gone. The entry that
+    starts in place of the dead one must not serve by the older document.
+    When "alpha" is added
+    And the log goes down once entry-1 has the edit
+    And entry-2 is killed
+    And entry-3 starts
+    Then "alpha" is served by every living entry
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -159,3 +159,19 @@
 def start_small_fleet(world: World, entries: int, engines: int) -> None:
     world.fleet.retention_seconds = KEEP_MS / 1000
     world.run(world.fleet.start(entries, engines, 0.005))
+
+
+@when(parsers.parse("the log goes down once {entry} has the edit"))
+def log_down_after_edit(world: World, entry: str, result: Any) -> None:
+    async def has_edit() -> bool:
+        status = await world.fleet.read(world.fleet.entries[entry].url + "/status")
+        return bool(status["configuration_offset"] == result)
+
+    world.run(wait_for(has_edit, f"{entry} has the edit"))
+    world.fleet.log.available = False
+
+
+@then(parsers.parse('"{name}" is served by every living entry'))
+def served_by_living(world: World, name: str) -> None:
+    del world.fleet.entries["entry-2"]
+    world.run(wait_served(world, name))
