--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks that start processes; not a part of the product."""
+"""Measurements by real processes; each module is one command."""
