Use connections to engines again after a streamed answer

Cause: the edge left an answer at its end marker. The last chunk of the body often comes a moment later, so the library closed the connection, and each answer cost a new one.

The test fails without the change (three connections for three answers).

--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from typing import Any
 
 import aiohttp
@@ -28,6 +29,7 @@
 from figstep.net.pools import PoolTable, SendOnce
 
 CANCEL_TIMEOUT = 2.0
+REST_SECONDS = 1.0
 MAX_RECORDED_BODY = 1_024
 
 _REFUSED = (429, 503)
@@ -157,6 +159,7 @@
                 self._dispatch(event)
             if splitter.ended:
                 self._dispatch(AttemptEnded(attempt))
+                await _read_rest(response)
                 return
         self._dispatch(AttemptLost(attempt, Loss.TRUNCATED))
 
@@ -240,3 +243,12 @@
             continue
         headers[name] = value
     return headers
+
+
+async def _read_rest(response: aiohttp.ClientResponse) -> None:
+    # The end of the body often comes a moment after the end marker. Without
+    # it the connection cannot be used again, and each answer costs a new one.
+    with suppress(aiohttp.ClientError, TimeoutError):
+        async with asyncio.timeout(REST_SECONDS):
+            while await response.content.readany():
+                continue
--- a/tests/test_border_fuzz.py
+++ b/tests/net/test_border_fuzz.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from figstep.demo import KEY, MODEL, run_deployment
-from tests.test_callers import GOOD, LIMITS, PATH, open_raw
+from tests.net.test_callers import GOOD, LIMITS, PATH, open_raw
 
 # The loop rests between two examples; an idle connection would be cut then.
 FUZZ_LIMITS = LIMITS.model_copy(update={"idle_seconds": 3_600})
--- /dev/null
+++ b/tests/net/test_targets.py
@@ -0,0 +1,49 @@
+"""The edge towards targets."""
+
+import asyncio
+
+from aiohttp import web
+
+from figstep.core.effects import OpenAttempt
+from figstep.core.events import AttemptEnded, Event
+from figstep.core.inventory import EngineInfo
+from figstep.core.specs import GenerationWork, RequestSpec
+from figstep.net.exchanges import Exchange
+from figstep.net.targets import TargetEdge
+from figstep.standins.http import start_app
+
+
+async def test_connection_is_used_again_when_the_end_of_the_body_comes_late() -> None:
+    """A target writes the end marker, and the end of the body a moment later.
+
+    The answer ends with the marker. The connection must still be read to the
+    end of the body, or each answer would cost a new one.
+    """
+    ports = set()
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        ports.add(request.transport.get_extra_info("peername")[1])
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write(b"id: e1~0~1:1\ndata: {}\n\ndata: [DONE]\n\n")
+        await asyncio.sleep(0.05)
+        return response
+
+    app = web.Application()
+    app.router.add_post("/v1/completions", answer)
+    runner, url = await start_app(app)
+    events: asyncio.Queue[Event] = asyncio.Queue()
+    engine = EngineInfo("e1", url, "muc-a", ("m",))
+    edge = TargetEdge(events.put_nowait, lambda _: engine)
+    spec = RequestSpec("r1", "c", GenerationWork("m"))
+    exchange = Exchange(spec, "POST", "/v1/completions", {}, b"{}")
+    for attempt in (1, 2, 3):
+        edge.open_attempt(OpenAttempt("r1", attempt, "e1", "e1~0~1"), exchange)
+        async with asyncio.timeout(20):
+            while await events.get() != AttemptEnded(attempt):
+                continue
+            while edge._attempt_tasks:
+                await asyncio.sleep(0.01)
+    await edge.stop()
+    await runner.cleanup()
+    assert len(ports) == 1
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -10,7 +10,7 @@
 
 from figstep.demo import KEY, MODEL, run_deployment
 from figstep.logs import JsonLinesHandler
-from tests.test_callers import open_raw
+from tests.net.test_callers import open_raw
 
 SECRET = "unleavened-secret-words"
 
--- a/tests/test_openai_client.py
+++ b/tests/test_openai_client.py
@@ -13,7 +13,7 @@
 
 from figstep.demo import KEY, MODEL, Deployment, run_deployment
 from figstep.settings import Tls
-from tests.test_callers import wait_until
+from tests.net.test_callers import wait_until
 
 MESSAGES = [{"role": "user", "content": "a menu"}]
 
