Pack figstep into one file by shiv, without an index

Ruled out: a plain zipapp (trial: import error of the compiled modules), PyInstaller (keeps a parent process), shiv's own compiling (starts processes), compiling before packing (shiv leaves compiled files out; tried and taken back).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo check format lint types test bench clean lock
+.PHONY: setup demo check format lint types test bench binary clean lock
 
 setup: $(VENV)/.installed
 
@@ -19,12 +19,12 @@
 check: setup lint types test
 
 format: setup
-	$(BIN)/ruff format figstep tests benchmarks
-	$(BIN)/ruff check --fix figstep tests benchmarks
+	$(BIN)/ruff format figstep tests benchmarks tools
+	$(BIN)/ruff check --fix figstep tests benchmarks tools
 
 lint: setup
-	$(BIN)/ruff format --check figstep tests benchmarks
-	$(BIN)/ruff check figstep tests benchmarks
+	$(BIN)/ruff format --check figstep tests benchmarks tools
+	$(BIN)/ruff check figstep tests benchmarks tools
 
 types: setup
 	$(BIN)/mypy figstep
@@ -32,6 +32,12 @@
 test: setup
 	$(BIN)/python -m pytest -q
 
+# One file; start it with python3.11 and SHIV_ROOT on a memory file system.
+binary: setup
+	mkdir -p dist
+	$(BIN)/python -m tools.build_binary dist/figstep
+	$(BIN)/python -m benchmarks.binary dist/figstep
+
 bench: setup
 	$(BIN)/python -m benchmarks.hot_path
 
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for building; not a part of the product."""
