End a target's pause after losses with its new incarnation

Cause: engines that crashed and came back stayed idle for up to 8 s, because the pause after their losses was kept (a caller waited 8.2 s for 40 tokens). Ruled out: ending it with any report: a report may be as old as the loss.

--- a/figstep/core/targets.py
+++ b/figstep/core/targets.py
@@ -29,6 +29,10 @@
         return []
     if event.incarnation > target.incarnation:
         target.incarnation = event.incarnation
+        # The pause was for the one that died; were it kept, callers would wait
+        # in the queue of an idle engine that has just come back.
+        target.pace.avoid_until = Millis(0)
+        target.pace.losses = 0
         target.leaving = False
     target.leaving = target.leaving or event.leaving
     target.running = event.running
