Measure how long orders take, with the holder well and frozen

Cause: the takeover was proved but not timed. Ruled out: timing it in the test, which may depend on no machine's speed. Before: no figure.

--- /dev/null
+++ b/benchmarks/orders.py
@@ -0,0 +1,85 @@
+"""Time from publishing a version to its being loaded: ``python -m benchmarks.orders``.
+
+Two entry processes, one engine stand-in that loads at once. Each round
+publishes a new version; with ``--freeze`` the entry that holds the lease is
+frozen first, so the round contains the lease's end and the takeover.
+"""
+
+import argparse
+import asyncio
+import tempfile
+import time
+from copy import deepcopy
+from pathlib import Path
+from typing import Any
+
+from figstep.core.clock import Millis
+from figstep.core.leases import LeaseTable, take_record
+from figstep.core.records import LEASES
+from figstep.demo import MODEL, build_document
+from figstep.operations import publish_document
+from figstep.standins.engine import EngineServer
+from figstep.standins.http import start_app
+from tests.fleet import Fleet, wait_for
+
+
+async def publish_version(fleet: Fleet, document: dict[str, Any], version: int) -> None:
+    """Publish the document with a model version."""
+    document = deepcopy(document)
+    document["models"][0]["version"] = str(version)
+    document["rules"]["placement"] = [{"model": MODEL, "replicas": 1}]
+    document["rules"]["load_interval_ms"] = 0
+    await publish_document(fleet.log_client, document, "bench", "round")
+
+
+async def find_holder(fleet: Fleet) -> str:
+    """Return the entry that holds the lease of the only failure domain."""
+    table = LeaseTable()
+    for record in await fleet.log_client.read(LEASES, 0):
+        take_record(table, "", record, Millis(0))
+    return table.leases["orders.muc-a"].holder
+
+
+async def run_rounds(rounds: int, freeze: bool, folder: Path) -> list[float]:
+    """Return the seconds that each round took."""
+    fleet = Fleet(folder)
+    engine = EngineServer("engine-1")
+    taken = []
+    try:
+        await fleet.start(entries=2, engines=0, gap=0.01)
+        runner, url = await start_app(engine.build_app())
+        fleet.stack.push_async_callback(runner.cleanup)
+        document = build_document({"engine-1": url}, "http://127.0.0.1:9")
+        await publish_version(fleet, document, 0)
+        await wait_for(lambda: engine.models == [f"{MODEL}@0"], "version 0")
+        for version in range(1, rounds + 1):
+            holder = await find_holder(fleet)
+            if freeze:
+                fleet.entries[holder].freeze()
+            started = time.monotonic()
+            await publish_version(fleet, document, version)
+            wanted = f"{MODEL}@{version}"
+            await wait_for(lambda wanted=wanted: wanted in engine.models, wanted)
+            taken.append(time.monotonic() - started)
+            fleet.entries[holder].thaw()
+            await wait_for(lambda wanted=wanted: engine.models == [wanted], wanted)
+    finally:
+        await fleet.close()
+    return taken
+
+
+def main() -> None:
+    """Run the rounds and print their times."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=5)
+    parser.add_argument("--freeze", action="store_true")
+    arguments = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        rounds = run_rounds(arguments.rounds, arguments.freeze, Path(folder))
+        taken = sorted(asyncio.run(rounds))
+    shown = " ".join(f"{seconds:.1f}" for seconds in taken)
+    print(f"seconds to loaded, sorted: {shown}")
+
+
+if __name__ == "__main__":
+    main()
