--- a/figstep/experiment/harness.py
+++ b/figstep/experiment/harness.py
@@ -36,7 +36,7 @@
 from figstep.core.reducer import reduce
 from figstep.core.specs import GenerationWork, RequestSpec
 from figstep.core.state import State
-from figstep.experiment.measures import Ledger, Stream
+from figstep.experiment.measures import STALL_FROM, Ledger, Stream
 from figstep.experiment.scenarios import (
     MODEL,
     SECOND,
@@ -243,6 +243,8 @@
         problem = effect.problem
         if problem.ran is not Ran.NO:
             stream.lost = True
+            waited = self.now - stream.last
+            stream.stalled += waited if waited >= STALL_FROM else 0.0
             return
         self.ledger.refusals += 1
         if self.now - stream.last_asked > LINK_DELAY:
