--- a/figstep/core/targets.py
+++ b/figstep/core/targets.py
@@ -16,7 +16,7 @@
 AVOID_LONGEST = Millis(8_000)
 REPORT_FRESH = Millis(10_000)
 MOST_ENTRIES = 8.0
-OTHERS_GROWTH = 1.15
+OTHERS_GROWTH = 1.25
 DEFAULT_HELD = 700.0
 PREFIXES_KEPT = 64
 NEVER = 1 << 62
@@ -103,7 +103,6 @@
 ) -> None:
     """Count an attempt on a target that it is about to run on."""
     target.in_flight += 1
-    target.pace.note_running(now)
     spec = request.spec
     footprint = estimate_footprint(state, spec, request.delivered, now)
     if footprint is None:
@@ -111,6 +110,7 @@
     attempt.footprint = footprint
     attempt.review_at = footprint.review_at
     target.pace.add(footprint)
+    target.pace.note_running(now)
     if isinstance(spec.work, GenerationWork) and spec.work.prefix:
         prefixes = target.pace.prefixes
         prefixes.pop(spec.work.prefix, None)
