--- a/figstep/application.py
+++ b/figstep/application.py
@@ -26,12 +26,15 @@
     OpenAttempt,
     ReadConfigurationFrom,
     Refuse,
+    ReplacePool,
+    ReplayAnswer,
     ResumeAttempt,
     SendGossip,
     SendOrder,
     WakeAt,
 )
 from figstep.core.events import (
+    CallerGone,
     Event,
     RecordsRead,
     ShutdownRequested,
@@ -40,14 +43,15 @@
     TimerFired,
 )
 from figstep.core.inventory import TargetInfo
-from figstep.core.records import CONFIGURATION, LEASES, LogRecord
+from figstep.core.problems import Problem
+from figstep.core.records import CLAIMS, CONFIGURATION, LEASES, LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import State
 from figstep.metrics import MemoryMetrics, Metrics, StatsdMetrics
 from figstep.net.callers import CallerEdge
 from figstep.net.clock import SystemClock
 from figstep.net.configuration import parse_record
-from figstep.net.exchanges import Exchange
+from figstep.net.exchanges import REPLAYED, Exchange, ServiceAnswer
 from figstep.net.instances import InstanceEdge
 from figstep.net.log import HttpLog, LogClient
 from figstep.net.orders import OrderEdge
@@ -92,6 +96,8 @@
         self._log_client = log or HttpLog(settings.platform.log)
         self.callers = CallerEdge(
             settings,
+            self.clock,
+            self.metrics,
             self.dispatch,
             self.exchanges,
             lambda: self.entry_state.inventory,
@@ -101,6 +107,9 @@
         self.configuration = StreamFollower(
             self._log_client, CONFIGURATION, self._take_configuration
         )
+        self.claims = StreamFollower(
+            self._log_client, CLAIMS, self._take_claims, dispatch=self.dispatch
+        )
         self.appender = StreamAppender(self._log_client, self.dispatch)
         self.leases = StreamFollower(self._log_client, LEASES, self._take_leases)
         self.orders = OrderEdge(self.dispatch, self.find_target, self.clock)
@@ -121,6 +130,7 @@
             self.orders,
             self.peers,
             self.configuration,
+            self.claims,
             self.instances,
             self.callers,
         )
@@ -139,7 +149,7 @@
         self.callers.ready = False
         await asyncio.sleep(self.settings.notice_seconds)
         self.dispatch(ShutdownRequested())
-        while self.entry_state.requests or self.exchanges:
+        while self.entry_state.requests or self.exchanges or not self.appender.idle:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def _take_configuration(self, records: list[LogRecord]) -> None:
@@ -152,6 +162,9 @@
             return None
         return encode_snapshot(fold.current, fold.position)
 
+    def _take_claims(self, records: list[LogRecord]) -> None:
+        self.dispatch(RecordsRead(CLAIMS, tuple(records)))
+
     def _take_leases(self, records: list[LogRecord]) -> None:
         self.dispatch(RecordsRead(LEASES, tuple(records)))
 
@@ -212,10 +225,7 @@
     def _perform(self, effect: Effect) -> None:
         match effect:
             case Deliver(request=request, frames=frames):
-                exchange = self.exchanges.get(request)
-                if exchange is not None:
-                    exchange.frames += frames
-                    exchange.notify()
+                self._deliver(request, frames)
             case Count(name=name, value=value):
                 self.metrics.count(name, value)
             case OpenAttempt():
@@ -224,16 +234,20 @@
                 self.targets.resume_attempt(effect)
             case CloseAttempt(attempt=attempt):
                 self.targets.close_attempt(attempt)
+            case ReplacePool(target=target):
+                self.targets.replace_pool(target)
             case CancelGeneration():
                 self.targets.cancel_generation(effect)
             case Complete(request=request):
                 self._end_exchange(request, None)
+            case ReplayAnswer():
+                self._replay_answer(effect)
             case Refuse(request=request, problem=problem):
                 self._end_exchange(request, problem)
             case DiscardDelivered(request=request):
                 exchange = self.exchanges.get(request)
                 if exchange is not None:
-                    exchange.frames.clear()
+                    exchange.discard()
             case WakeAt(timer=timer, at=at):
                 self._set_timer(timer, at)
             case SendGossip(address=address, gossip=gossip):
@@ -249,13 +263,26 @@
             case Note(message=message, fields=fields):
                 _log.info(message, extra=dict(fields))
 
-    def _end_exchange(self, request: str, problem: Any) -> None:
+    def _replay_answer(self, effect: ReplayAnswer) -> None:
+        exchange = self.exchanges.get(effect.request)
+        if exchange is not None:
+            headers = {REPLAYED: "true"}
+            if effect.content_type:
+                headers["Content-Type"] = effect.content_type
+            exchange.answer = ServiceAnswer(effect.status, headers, effect.body)
+        self._end_exchange(effect.request, None)
+
+    def _deliver(self, request: str, frames: list[bytes]) -> None:
         exchange = self.exchanges.get(request)
-        if exchange is None:
+        if exchange is None or exchange.deliver(frames):
             return
-        exchange.problem = problem
-        exchange.completed = problem is None
-        exchange.notify()
+        self.metrics.count("callers.cut")
+        self.dispatch(CallerGone(request))
+
+    def _end_exchange(self, request: str, problem: Problem | None) -> None:
+        exchange = self.exchanges.get(request)
+        if exchange is not None:
+            exchange.end(problem)
 
     def _set_timer(self, timer: Timer, at: int) -> None:
         before = self._timers.pop(timer, None)
--- a/figstep/core/datagrams.py
+++ b/figstep/core/datagrams.py
@@ -7,10 +7,10 @@
     Member,
     MemberNews,
     MemberStatus,
-    QuarantineMark,
     TargetCount,
     hash_target,
 )
+from figstep.core.quarantine import SharedDigest, list_quarantined
 from figstep.core.state import State
 
 MAX_BYTES = 600
@@ -159,14 +159,14 @@
     return picked, whole
 
 
-def _pick_quarantined(state: State, room: _Room, now: Millis) -> list[QuarantineMark]:
-    current = [(d, u) for d, u in state.quarantine.until.items() if u > now]
-    picked: list[QuarantineMark] = []
+def _pick_quarantined(state: State, room: _Room, now: Millis) -> list[SharedDigest]:
+    current = list_quarantined(state.quarantine, now)
+    picked: list[SharedDigest] = []
     cursor = state.membership.quarantine_cursor
     for step in range(min(MOST_DIGESTS, len(current))):
-        digest, until = current[(cursor + step) % len(current)]
-        if not room.take(DIGEST_BYTES + len(digest)):
+        shared = current[(cursor + step) % len(current)]
+        if not room.take(DIGEST_BYTES + len(shared.digest)):
             break
-        picked.append(QuarantineMark(digest, Millis(until - now)))
+        picked.append(shared)
     state.membership.quarantine_cursor = cursor + len(picked)
     return picked
--- a/figstep/core/gossip.py
+++ b/figstep/core/gossip.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from figstep.core.clock import Millis
+from figstep.core.quarantine import SharedDigest
 
 
 class MemberStatus(Enum):
@@ -42,14 +43,6 @@
     count: int
 
 
-@dataclass(frozen=True, slots=True)
-class QuarantineMark:
-    """A digest that is refused for ``remaining`` more milliseconds."""
-
-    digest: str
-    remaining: Millis
-
-
 @dataclass(frozen=True, slots=True)
 class Gossip:
     """One datagram between entries.
@@ -82,7 +75,7 @@
     marks: tuple[LeavingMark, ...] = ()
     counts: tuple[TargetCount, ...] = ()
     counts_whole: bool = True
-    quarantined: tuple[QuarantineMark, ...] = ()
+    quarantined: tuple[SharedDigest, ...] = ()
 
 
 @dataclass(slots=True)
--- a/figstep/core/membership.py
+++ b/figstep/core/membership.py
@@ -28,9 +28,9 @@
     Member,
     MemberNews,
     MemberStatus,
-    QuarantineMark,
     hash_target,
 )
+from figstep.core.quarantine import merge_quarantined
 from figstep.core.state import State
 
 PERIOD = Millis(1_000)
@@ -180,8 +180,7 @@
         news |= mark_leaving(state, mark)
     member.counts = _merge_counts(member, gossip)
     member.counted = now
-    for quarantined in gossip.quarantined:
-        _take_quarantine(state, quarantined, now)
+    merge_quarantined(state.quarantine, list(gossip.quarantined), now)
     effects += _plan_fetch(state, now)
     if gossip.wants_answer:
         effects.append(_send(state, member.address, member, now, False))
@@ -332,12 +331,6 @@
         target_state.peers_in_flight = round(total * scale)
 
 
-def _take_quarantine(state: State, mark: QuarantineMark, now: Millis) -> None:
-    until = state.quarantine.until
-    ends = Millis(now + mark.remaining)
-    until[mark.digest] = max(until.get(mark.digest, ends), ends)
-
-
 def _plan_fetch(state: State, now: Millis) -> list[Effect]:
     """Plan to take a newer document from a peer.
 
--- a/figstep/core/routing.py
+++ b/figstep/core/routing.py
@@ -2,6 +2,7 @@
 
 import hashlib
 
+from figstep.core import suspects
 from figstep.core.clock import Millis
 from figstep.core.inventory import EngineInfo, ServiceInfo
 from figstep.core.pacing import Footprint
@@ -93,6 +94,8 @@
             continue
         if target.info.name in request.failed_targets:
             continue
+        if suspects.blocks_target(state, request, target.info.name):
+            continue
         candidates.append(target)
     return candidates
 
--- a/figstep/errors.py
+++ b/figstep/errors.py
@@ -1,5 +1,7 @@
 """Typed errors; each message names the remedy."""
 
+from figstep.core.problems import Problem
+
 
 class FigstepError(Exception):
     """Base of every error that figstep raises on purpose."""
@@ -29,6 +31,10 @@
     """The log holds the edit, but the fold refused it."""
 
 
+class FrameError(FigstepError):
+    """A target's stream of events cannot be read."""
+
+
 class PublishUncertainError(FigstepError):
     """The append got no answer and the log could not be read back in time."""
 
@@ -47,3 +53,11 @@
 
 class PeerMessageError(FigstepError):
     """A message between entries is damaged or not authentic."""
+
+
+class RefusedError(FigstepError):
+    """A request ends at the border with ``problem`` as its answer."""
+
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(problem.detail)
+        self.problem = problem
