--- a/figstep/application.py
+++ b/figstep/application.py
@@ -156,15 +156,15 @@
         for record in records:
             self.dispatch(parse_record(record))
 
+    def _take_claims(self, records: list[LogRecord]) -> None:
+        self.dispatch(RecordsRead(CLAIMS, tuple(records)))
+
     def _read_snapshot(self) -> dict[str, Any] | None:
         fold = self.entry_state.configuration
         if fold.current is None:
             return None
         return encode_snapshot(fold.current, fold.position)
 
-    def _take_claims(self, records: list[LogRecord]) -> None:
-        self.dispatch(RecordsRead(CLAIMS, tuple(records)))
-
     def _take_leases(self, records: list[LogRecord]) -> None:
         self.dispatch(RecordsRead(LEASES, tuple(records)))
 
--- a/figstep/errors.py
+++ b/figstep/errors.py
@@ -51,13 +51,13 @@
     """The accepted document has no such target."""
 
 
-class PeerMessageError(FigstepError):
-    """A message between entries is damaged or not authentic."""
-
-
 class RefusedError(FigstepError):
     """A request ends at the border with ``problem`` as its answer."""
 
     def __init__(self, problem: Problem) -> None:
         super().__init__(problem.detail)
         self.problem = problem
+
+
+class PeerMessageError(FigstepError):
+    """A message between entries is damaged or not authentic."""
