Read the trail back in steps; measure control at real processes

Before: each look read and validated every kept record; after: the first does, later ones only what came since. A drain can be ended (--end). Messages a second besides the periodic ones go from 0.5 to 1: with 0.5 a node that passes on one mark every two seconds ran out of them and waited for its next period.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements by real processes; each module is one command."""
--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,428 @@
+"""Control traffic: configuration, membership and leaving at real processes.
+
+``python -m benchmarks.control configuration|membership|leaving|state`` prints
+one JSON object a line. The platform's stand-ins run in this process; each
+entry is a ``figstep serve`` process of its own.
+"""
+
+import asyncio
+import json
+import random
+import statistics
+import tempfile
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from copy import deepcopy
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import orjson
+import psutil
+import typer
+from aiohttp import web
+
+from figstep.core.clock import Millis
+from figstep.core.effects import SendGossip
+from figstep.core.events import GossipReceived, GossipTimer, PeersOpened, TimerFired
+from figstep.core.gossip import (
+    Gossip,
+    LeavingMark,
+    MemberNews,
+    MemberStatus,
+    TargetCount,
+    hash_target,
+)
+from figstep.core.inventory import ServiceInfo
+from figstep.core.reducer import reduce
+from figstep.core.state import State, TargetState
+from figstep.inventory import hash_key
+from figstep.net.log import HttpLog
+from figstep.net.messages import Keyring, MessageKind, decode_gossip, encode_gossip
+from figstep.operations import publish_document
+from figstep.standins.http import start_app
+from figstep.standins.instances import InstanceList
+from figstep.standins.log import LogService
+from tests.processes import run_figstep, write_yaml
+
+KEY = "benchmark"
+POLL_SECONDS = 0.02
+BOUND_SECONDS = 60
+SETTLE_SECONDS = 8
+
+app = typer.Typer(no_args_is_help=True, add_completion=False)
+
+
+class StoppingLog(LogService):
+    """Log service that can stop once one follower has got the next append."""
+
+    armed = False
+    readers_left: int | None = None
+
+    async def _append(self, request: web.Request) -> web.Response:
+        response = await super()._append(request)
+        if self.armed:
+            self.armed = False
+            self.readers_left = 1
+        return response
+
+    async def _read(self, request: web.Request) -> web.Response:
+        response = await super()._read(request)
+        if self.readers_left is None:
+            return response
+        follows = request.query.get("wait_ms", "0") != "0"
+        if not follows or self.readers_left == 0:
+            raise web.HTTPServiceUnavailable(text="the log is down")
+        if orjson.loads(response.body)["records"]:
+            self.readers_left = 0
+        return response
+
+    def mend(self) -> None:
+        """Answer everyone again."""
+        self.armed = False
+        self.readers_left = None
+
+
+class OnceList(InstanceList):
+    """Instance list that can stop once one reader has got the next change."""
+
+    readers_left: int | None = None
+
+    async def _list(self, request: web.Request) -> web.Response:
+        response = await super()._list(request)
+        if self.readers_left is not None:
+            self.readers_left -= 1
+            self.available = self.readers_left > 0
+        return response
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Entries as processes, and the platform in this one."""
+
+    log: StoppingLog
+    instances: OnceList
+    client: HttpLog
+    urls: list[str]
+    processes: list[psutil.Process]
+    session: aiohttp.ClientSession
+
+    async def read_statuses(self) -> list[dict[str, Any]]:
+        """Return the status of every entry."""
+
+        async def read(url: str) -> dict[str, Any]:
+            async with self.session.get(url + "/status") as response:
+                document: dict[str, Any] = await response.json()
+                return document
+
+        return list(await asyncio.gather(*(read(url) for url in self.urls)))
+
+    async def time_all(
+        self, shows: Callable[[dict[str, Any]], bool], start: float
+    ) -> list[float]:
+        """Return when each entry first showed it, in seconds after ``start``."""
+        seen: dict[int, float] = {}
+        async with asyncio.timeout(BOUND_SECONDS):
+            while len(seen) < len(self.urls):
+                for number, status in enumerate(await self.read_statuses()):
+                    if number not in seen and shows(status):
+                        seen[number] = time.monotonic() - start
+                await asyncio.sleep(POLL_SECONDS)
+        return list(seen.values())
+
+
+def build_document(targets: int) -> dict[str, Any]:
+    """Return a document of so many plain services, which are not polled."""
+    services = []
+    for number in range(targets):
+        services.append(
+            {
+                "name": f"serving-{number}",
+                "service": "serving",
+                "address": f"http://10.0.{number // 250}.{number % 250}:8000",
+                "failure_domain": "muc-a",
+            }
+        )
+    return {
+        "failure_domains": [{"name": "muc-a", "region": "bavaria"}],
+        "services": services,
+        "customers": [{"name": "demo", "key_hash": hash_key("demo")}],
+    }
+
+
+@asynccontextmanager
+async def run_fleet(entries: int, targets: int) -> AsyncIterator[Fleet]:
+    """Start everything and publish a first document."""
+    async with AsyncExitStack() as stack:
+        log, instances = StoppingLog(), OnceList()
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        platform = {}
+        for name, server in (("log", log), ("instances", instances)):
+            runner, url = await start_app(server.build_app())
+            stack.push_async_callback(runner.cleanup)
+            platform[name] = url
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        client = HttpLog(platform["log"])
+        stack.push_async_callback(client.close)
+        urls, processes = [], []
+        for number in range(entries):
+            settings = {
+                "node": f"entry-{number}",
+                "failure_domain": "muc-a",
+                "platform": platform,
+                "peers": {"key": KEY},
+                "notice_seconds": 0,
+            }
+            path = write_yaml(folder / f"entry-{number}.yaml", settings)
+            running = await stack.enter_async_context(
+                run_figstep("serve", "--settings", str(path))
+            )
+            urls.append(running.url)
+            processes.append(psutil.Process(running.process.pid))
+        fleet = Fleet(log, instances, client, urls, processes, session)
+        for number, status in enumerate(await fleet.read_statuses()):
+            peers = status["control"]["address"]
+            instances.list_entry(f"entry-{number}", urls[number], peers)
+        await publish_document(client, build_document(targets), "bench", "first")
+        await fleet.time_all(lambda s: len(s["peers"]) == entries - 1, 0)
+        await fleet.time_all(lambda s: s["configuration_offset"] >= 0, 0)
+        yield fleet
+
+
+def summarize(label: str, values: list[float], **fields: Any) -> None:
+    """Print p50 and maximum, in seconds."""
+    line = {
+        "measure": label,
+        "samples": len(values),
+        "p50_s": round(statistics.median(values), 3),
+        "max_s": round(max(values), 3),
+        **fields,
+    }
+    print(json.dumps(line), flush=True)
+
+
+async def time_publish(
+    fleet: Fleet, document: dict[str, Any], number: int, wait: bool = True
+) -> list[float]:
+    """Publish once; return when each entry showed it after the call began."""
+    changed = deepcopy(document)
+    changed["customers"].append({"name": f"c{number}", "key_hash": hash_key("c")})
+    before = max(s["configuration_offset"] for s in await fleet.read_statuses())
+    start = time.monotonic()
+    task = asyncio.create_task(
+        publish_document(fleet.client, changed, "bench", f"change {number}")
+    )
+    times = await fleet.time_all(lambda s: s["configuration_offset"] > before, start)
+    if wait:
+        await task
+    else:
+        fleet.log.mend()
+        await task
+    return times
+
+
+@app.command()
+def configuration(entries: int = 8, targets: int = 12, repeats: int = 20) -> None:
+    """Time from publish to in force: log well, slow, and down right after."""
+
+    async def run() -> None:
+        async with run_fleet(entries, targets) as fleet:
+            document = build_document(targets)
+            for label, delay in (("well", 0), ("slow by 500 ms", 500)):
+                fleet.log.faults = replace(fleet.log.faults, delay_ms=delay)
+                times: list[float] = []
+                for number in range(repeats):
+                    times += await time_publish(fleet, document, number)
+                summarize(f"in force, log {label}", times, entries=entries)
+            fleet.log.faults = replace(fleet.log.faults, delay_ms=0)
+            times = []
+            for number in range(repeats):
+                await asyncio.sleep(1.0)
+                fleet.log.armed = True
+                times += await time_publish(fleet, document, number, wait=False)
+            summarize("in force, log down after one reader", times, entries=entries)
+
+    asyncio.run(run())
+
+
+@app.command()
+def membership(
+    entries: int = 8, targets: int = 12, seconds: int = 30, changes: float = 0.0
+) -> None:
+    """Bytes and processor time that an entry spends on control.
+
+    Args:
+        entries: Number of processes.
+        targets: Targets in the document.
+        seconds: Length of the measurement.
+        changes: Edits a second meanwhile.
+    """
+
+    async def run() -> None:
+        async with run_fleet(entries, targets) as fleet:
+            await asyncio.sleep(SETTLE_SECONDS)
+            before = await fleet.read_statuses()
+            started = time.monotonic()
+            number = 0
+            while time.monotonic() < started + seconds:
+                if not changes:
+                    await asyncio.sleep(seconds)
+                    break
+                document = build_document(targets)
+                document["rules"] = {"deadline_ms": 10_000 + number}
+                await publish_document(fleet.client, document, "bench", "change")
+                number += 1
+                await asyncio.sleep(1 / changes)
+            after = await fleet.read_statuses()
+            elapsed = time.monotonic() - started
+            _print_control(before, after, elapsed, targets, number)
+            resident = [p.memory_info().rss / 2**20 for p in fleet.processes]
+            print(json.dumps({"resident_mib_max": round(max(resident), 1)}))
+
+    asyncio.run(run())
+
+
+def _print_control(
+    before: list[dict[str, Any]],
+    after: list[dict[str, Any]],
+    elapsed: float,
+    targets: int,
+    changes: int,
+) -> None:
+    rates: dict[str, list[float]] = {}
+    for name in ("bytes_sent", "bytes_received", "processor_seconds"):
+        for old, new in zip(before, after, strict=True):
+            rate = (new["control"][name] - old["control"][name]) / elapsed
+            rates.setdefault(name, []).append(rate)
+    line = {
+        "entries": len(after),
+        "targets": targets,
+        "changes": changes,
+        "seconds": round(elapsed, 1),
+        "sent_bytes_per_s": round(statistics.mean(rates["bytes_sent"]), 1),
+        "received_bytes_per_s": round(statistics.mean(rates["bytes_received"]), 1),
+        "core_percent": round(100 * statistics.mean(rates["processor_seconds"]), 3),
+    }
+    print(json.dumps(line), flush=True)
+
+
+@app.command()
+def leaving(entries: int = 8, repeats: int = 20, pause: float = 4.0) -> None:
+    """Time until every entry gives a leaving target no new work.
+
+    ``one`` is the case where the instance list tells a single entry and then
+    goes down; ``all`` is the list as it is, polled by every entry.
+    """
+
+    async def run() -> None:
+        async with run_fleet(entries, repeats * 2) as fleet:
+            for label, first in (("all", 0), ("one", repeats)):
+                times: list[float] = []
+                for number in range(first, first + repeats):
+                    await asyncio.sleep(pause)
+                    times += await _time_leaving(fleet, number, label == "one")
+                summarize(f"leaving, list tells {label}", times, entries=entries)
+
+    asyncio.run(run())
+
+
+async def _time_leaving(fleet: Fleet, number: int, once: bool) -> list[float]:
+    name = f"serving-{number}"
+    fleet.instances.instances[name] = {
+        "name": name,
+        "kind": "target",
+        "state": "leaving",
+        "incarnation": 1,
+    }
+    if once:
+        fleet.instances.readers_left = 1
+    start = time.monotonic()
+    times = await fleet.time_all(lambda s: s["targets"][name]["leaving"], start)
+    if once:
+        # From the moment that the first entry knows it.
+        times = [value - min(times) for value in times]
+    fleet.instances.readers_left = None
+    fleet.instances.available = True
+    return times
+
+
+def _build_state(members: int, targets: int) -> State:
+    state = State("entry-0", rng=random.Random(1))
+    for number in range(targets):
+        info = ServiceInfo(f"serving-{number}", "serving", "http://h", "muc-a")
+        state.targets[info.name] = TargetState(info, in_flight=number % 3)
+    reduce(state, PeersOpened("10.0.0.1:7946", 1_700_000_000_000), Millis(0))
+    for number in range(1, members):
+        reduce(state, GossipReceived(_build_message(number, 1, targets)), Millis(0))
+    return state
+
+
+def _build_message(sender: int, sequence: int, targets: int) -> Gossip:
+    names = [f"serving-{(sender * 7 + n) % targets}" for n in range(min(16, targets))]
+    return Gossip(
+        sender=f"entry-{sender}",
+        address=f"10.0.{sender // 250}.{sender % 250}:7946",
+        incarnation=1_700_000_000_000 + sender,
+        sequence=sequence,
+        accepted=5,
+        position=9,
+        members=tuple(
+            MemberNews(
+                f"entry-{n + 1}",
+                f"10.0.{n // 250}.{n % 250}:7946",
+                1_700_000_000_000 + n,
+                MemberStatus.ALIVE,
+            )
+            for n in range(2)
+        ),
+        marks=(LeavingMark("serving-0", 1_700_000_000_000),),
+        counts=tuple(TargetCount(hash_target(name), 3) for name in names),
+    )
+
+
+@app.command()
+def state(periods: int = 200) -> None:
+    """Processor time and bytes of one entry's gossip, by fleet size.
+
+    One state with so many member records; per simulated second it sends its
+    messages and takes as many. No network is modelled.
+    """
+    keys = Keyring(KEY)
+    for members, targets in ((8, 12), (8, 670), (100, 670), (370, 12), (370, 670)):
+        entry = _build_state(members, targets)
+        sent = received = 0
+        started = time.process_time()
+        sequence = 2
+        for period in range(periods):
+            now = Millis(1_000 * (period + 1))
+            effects = reduce(entry, TimerFired(GossipTimer()), now)
+            for number in range(4):
+                sender = 1 + (period * 4 + number) % (members - 1)
+                message = _build_message(sender, sequence, targets)
+                wants_answer = number % 2 == 0
+                body = encode_gossip(replace(message, wants_answer=wants_answer))
+                data = keys.sign(MessageKind.GOSSIP, body)
+                received += len(data)
+                gossip = decode_gossip(keys.open(MessageKind.GOSSIP, data))
+                effects += reduce(entry, GossipReceived(gossip), now)
+                sequence += 1
+            for effect in effects:
+                if not isinstance(effect, SendGossip):
+                    continue
+                body = encode_gossip(effect.gossip)
+                sent += len(keys.sign(MessageKind.GOSSIP, body))
+        spent = time.process_time() - started
+        line = {
+            "members": members,
+            "targets": targets,
+            "sent_bytes_per_s": round(sent / periods, 1),
+            "received_bytes_per_s": round(received / periods, 1),
+            "core_percent": round(100 * spent / periods, 3),
+        }
+        print(json.dumps(line), flush=True)
+
+
+if __name__ == "__main__":
+    app()
--- a/figstep/audit.py
+++ b/figstep/audit.py
@@ -6,7 +6,7 @@
 from figstep.core.clock import Millis
 from figstep.core.configuration import Accepted, Refused, Unknown, judge_edit
 from figstep.core.effects import ReadConfigurationFrom
-from figstep.core.events import Checkpoint, ConfigurationRead
+from figstep.core.events import Checkpoint, ConfigurationRead, SnapshotRead
 from figstep.core.records import LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import ConfigurationFold, State
@@ -81,27 +81,47 @@
     entries: tuple[HistoryEntry, ...]
 
 
-def read_trail(records: list[LogRecord]) -> Trail:
-    """Fold kept records by the code that every entry runs.
+class TrailReader:
+    """Folds kept records by the code that every entry runs, as they come."""
+
+    def __init__(self) -> None:
+        self._state = State("reader")
+        self._records: list[LogRecord] = []
+        self._events: list[ConfigurationRead | SnapshotRead] = []
+        self._entries: dict[int, HistoryEntry] = {}
+
+    @property
+    def next(self) -> int:
+        """Offset of the next record to read."""
+        return self._records[-1].offset + 1 if self._records else 0
+
+    def add(self, records: list[LogRecord]) -> None:
+        """Fold the next records of the configuration stream, in order."""
+        index = len(self._records)
+        self._records += records
+        self._events += [parse_record(record) for record in records]
+        while index < len(self._records):
+            record, event = self._records[index], self._events[index]
+            index += 1
+            if isinstance(event, ConfigurationRead):
+                _judge(self._state.configuration, record, event, self._entries)
+            for effect in reduce(self._state, event, Millis(0)):
+                if isinstance(effect, ReadConfigurationFrom):
+                    index = max(0, effect.offset - self._records[0].offset)
+
+    @property
+    def trail(self) -> Trail:
+        """What the records so far tell."""
+        fold = self._state.configuration
+        ordered = tuple(self._entries[offset] for offset in sorted(self._entries))
+        return Trail(fold.position, fold.current, fold.stalled, ordered)
 
-    Args:
-        records: Every kept record of the configuration stream, in order.
-    """
-    state = State("reader")
-    events = [parse_record(record) for record in records]
-    entries: dict[int, HistoryEntry] = {}
-    index = 0
-    while index < len(records):
-        record, event = records[index], events[index]
-        index += 1
-        if isinstance(event, ConfigurationRead):
-            _judge(state.configuration, record, event, entries)
-        for effect in reduce(state, event, Millis(0)):
-            if isinstance(effect, ReadConfigurationFrom):
-                index = max(0, effect.offset - records[0].offset)
-    fold = state.configuration
-    ordered = tuple(entries[offset] for offset in sorted(entries))
-    return Trail(fold.position, fold.current, fold.stalled, ordered)
+
+def read_trail(records: list[LogRecord]) -> Trail:
+    """Fold every kept record of the configuration stream."""
+    reader = TrailReader()
+    reader.add(records)
+    return reader.trail
 
 
 def _judge(
--- a/figstep/cli.py
+++ b/figstep/cli.py
@@ -101,11 +101,15 @@
     wait: str = "",
     instances: InstancesUrl = "",
     timeout: float = 30.0,
+    end: Annotated[bool, typer.Option("--end", help="End the drain.")] = False,
 ) -> None:
     """Publish that a target gets no new work; what runs there goes on."""
     author = author or getpass.getuser()
     offset = operations.run_with_log(
-        log, lambda client: operations.drain_target(client, target, author, reason)
+        log,
+        lambda client: operations.drain_target(
+            client, target, author, reason, drain=not end
+        ),
     )
     typer.echo(f"accepted at offset {offset}")
     _wait_in_force(offset, wait, instances, timeout)
--- a/figstep/core/membership.py
+++ b/figstep/core/membership.py
@@ -36,7 +36,7 @@
 PERIOD = Millis(1_000)
 FANOUT = 2
 URGENT_FANOUT = 3
-URGENT_RATE = 0.5
+URGENT_RATE = 1.0
 """Messages a second that may go out besides the periodic ones, on average."""
 URGENT_BURST = 12.0
 ACK_TIMEOUT = Millis(2_000)
--- a/figstep/net/peers.py
+++ b/figstep/net/peers.py
@@ -16,7 +16,7 @@
     PeersOpened,
 )
 from figstep.core.gossip import Gossip
-from figstep.errors import PeerMessageError
+from figstep.errors import PeerMessageError, SettingsError
 from figstep.net.configuration import parse_checkpoint
 from figstep.net.messages import (
     MOST_RECORD_BYTES,
@@ -37,6 +37,7 @@
 MOST_REQUEST_BYTES = 1_024
 MOST_FETCHES_SERVED = 4
 BIND_TRIES = 20
+ANY_HOSTS = ("", "0.0.0.0", "::")
 
 
 class PeerEdge(Service):
@@ -70,6 +71,11 @@
             _log.warning("no peers.key: this entry shares nothing with the others")
             return
         host = self._settings.listen.host
+        if host in ANY_HOSTS:
+            raise SettingsError(
+                f"peers.listen.host: {host} is not an address that others can send"
+                " to; write this instance's own"
+            )
         port = await self._bind(host, self._settings.listen.port)
         self.address = f"{host}:{port}"
         self._dispatch(
--- a/figstep/operations.py
+++ b/figstep/operations.py
@@ -13,7 +13,13 @@
 import aiohttp
 import orjson
 
-from figstep.audit import FieldChange, HistoryEntry, Trail, diff_documents, read_trail
+from figstep.audit import (
+    FieldChange,
+    HistoryEntry,
+    Trail,
+    TrailReader,
+    diff_documents,
+)
 from figstep.core.configuration import EDIT
 from figstep.core.events import InstanceInfo
 from figstep.core.inventory import Inventory
@@ -86,9 +92,24 @@
         start = batch[-1].offset + 1
 
 
+async def follow_trail(log: LogClient, reader: TrailReader) -> TrailReader:
+    """Read on to the end of the stream; start anew where the log dropped some."""
+    start = reader.next
+    while True:
+        try:
+            batch = await log.read(CONFIGURATION, start)
+        except LogTruncatedError as error:
+            reader, start = TrailReader(), error.earliest
+            continue
+        if not batch:
+            return reader
+        reader.add(batch)
+        start = reader.next
+
+
 async def read_history(log: LogClient) -> Trail:
     """Return the audit trail and the document in force."""
-    return read_trail(await read_records(log))
+    return (await follow_trail(log, TrailReader())).trail
 
 
 async def publish_document(
@@ -108,31 +129,38 @@
             not be read back; nothing was appended again.
     """
     parse_inventory(document)
-    trail = await read_history(log)
+    reader = await follow_trail(log, TrailReader())
+    edit = Edit(document, author, reason)
+    return await append_edit(log, reader, edit, read_back_seconds)
+
+
+@dataclass(frozen=True, slots=True)
+class Edit:
+    """A document that someone wants in force, and why."""
+
+    document: dict[str, Any]
+    author: str
+    reason: str
+
+
+async def append_edit(
+    log: LogClient, reader: TrailReader, edit: Edit, read_back_seconds: float
+) -> int:
+    """Append an edit made from what ``reader`` shows; see ``publish_document``."""
+    trail = reader.trail
     if trail.stalled:
         raise PublishRefusedError(
             f"the log cannot be judged by this program: {trail.stalled}"
         )
-    return await _append_edit(log, trail, document, author, reason, read_back_seconds)
-
-
-async def _append_edit(
-    log: LogClient,
-    trail: Trail,
-    document: dict[str, Any],
-    author: str,
-    reason: str,
-    read_back_seconds: float,
-) -> int:
-    edit = uuid.uuid4().hex
+    name = uuid.uuid4().hex
     record = {
         "kind": EDIT,
-        "edit": edit,
+        "edit": name,
         "base": -1 if trail.current is None else trail.current.accepted,
-        "author": author,
-        "reason": reason,
+        "author": edit.author,
+        "reason": edit.reason,
         "validation": VALIDATION,
-        "document": document,
+        "document": edit.document,
     }
     try:
         await log.append(CONFIGURATION, [record])
@@ -141,49 +169,64 @@
         # second append would be a second edit in the audit trail, and would
         # be reported refused although the first one won; the log itself tells.
         pass
-    entry = await _read_back(log, edit, read_back_seconds)
+    entry = await _read_back(log, reader, name, read_back_seconds)
     if entry.verdict != "accepted":
         raise PublishRefusedError(f"record {entry.offset} was refused: {entry.why}")
     return entry.offset
 
 
-async def _read_back(log: LogClient, edit: str, seconds: float) -> HistoryEntry:
+async def _read_back(
+    log: LogClient, reader: TrailReader, name: str, seconds: float
+) -> HistoryEntry:
     deadline = time.monotonic() + seconds
     while True:
         try:
-            trail = await read_history(log)
+            reader = await follow_trail(log, reader)
         except LogUnavailableError:
-            trail = None
-        for entry in () if trail is None else trail.entries:
-            if entry.edit == edit:
+            pass  # The outage may end before the deadline.
+        for entry in reader.trail.entries:
+            if entry.edit == name:
                 return entry
         if time.monotonic() >= deadline:
             raise PublishUncertainError(
-                f"edit {edit} got no answer and is not in the log so far; look for"
+                f"edit {name} got no answer and is not in the log so far; look for"
                 " it with figstep history before publishing again. Should it arrive"
                 " late, its base lets only one of both be accepted"
             )
         await asyncio.sleep(RETRY_SECONDS)
 
 
-async def drain_target(log: LogClient, target: str, author: str, reason: str) -> int:
-    """Publish the document in force with ``target`` listed as draining.
+async def drain_target(
+    log: LogClient, target: str, author: str, reason: str, drain: bool = True
+) -> int:
+    """Publish the document in force with ``target`` listed as draining, or not.
+
+    Args:
+        log: The log service.
+        target: Target name.
+        author: Who drains it.
+        reason: Why.
+        drain: False ends a drain.
 
     Raises:
         UnknownTargetError: The document has no such target.
         PublishRefusedError: Another edit won.
     """
-    trail = await read_history(log)
-    document = {} if trail.current is None else deepcopy(trail.current.document)
+    reader = await follow_trail(log, TrailReader())
+    current = reader.trail.current
+    document = {} if current is None else deepcopy(current.document)
     targets = [*document.get("engines", []), *document.get("services", [])]
     if target not in {item["name"] for item in targets}:
         raise UnknownTargetError(
             f"no target {target!r} in the accepted document; see figstep show"
         )
     marks = [m for m in document.get("draining", []) if m["target"] != target]
-    document["draining"] = [*marks, {"target": target, "reason": reason}]
+    if drain:
+        marks.append({"target": target, "reason": reason})
+    document["draining"] = marks
     parse_inventory(document)
-    return await _append_edit(log, trail, document, author, reason, READ_BACK_SECONDS)
+    edit = Edit(document, author, reason)
+    return await append_edit(log, reader, edit, READ_BACK_SECONDS)
 
 
 async def compare_document(
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -11,6 +11,7 @@
 from typer.testing import CliRunner
 
 from figstep import operations
+from figstep.audit import TrailReader
 from figstep.cli import app
 from figstep.demo import run_deployment
 from figstep.errors import (
@@ -70,10 +71,11 @@
 async def test_racing_publishers_one_wins_and_the_other_learns_who() -> None:
     log = MemoryLog()
     await operations.publish_document(log, load_example(), "ann", "first")
-    trail = await operations.read_history(log)
+    reader = await operations.follow_trail(log, TrailReader())
     winner = await operations.publish_document(log, load_example(), "ben", "second")
     with pytest.raises(PublishRefusedError, match=f"{winner} by ben"):
-        await operations._append_edit(log, trail, load_example(), "cat", "third", 5)
+        edit = operations.Edit(load_example(), "cat", "third")
+        await operations.append_edit(log, reader, edit, 5)
     trail = await operations.read_history(log)
     assert [(e.author, e.verdict, e.rule) for e in trail.entries] == [
         ("ann", "accepted", ""),
@@ -101,6 +103,10 @@
     assert [change.path for change in trail.entries[1].changes] == [
         "draining[booking-2]"
     ]
+    await operations.drain_target(log, "booking-2", "ann", "done", drain=False)
+    trail = await operations.read_history(log)
+    assert trail.current is not None
+    assert trail.current.document["draining"] == []
     with pytest.raises(UnknownTargetError):
         await operations.drain_target(log, "nobody", "ann", "why")
 
