--- a/figstep/application.py
+++ b/figstep/application.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections import deque
+from contextlib import suppress
 from typing import Any
 
 import logbook
@@ -37,16 +38,18 @@
     CallerGone,
     Event,
     RecordsRead,
+    ShutdownForced,
     ShutdownRequested,
     Started,
     Timer,
     TimerFired,
 )
-from figstep.core.inventory import TargetInfo
+from figstep.core.inventory import EngineInfo, TargetInfo
 from figstep.core.problems import Problem
 from figstep.core.records import CLAIMS, CONFIGURATION, LEASES, LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import State
+from figstep.core.watch import list_watched
 from figstep.metrics import MemoryMetrics, Metrics, StatsdMetrics
 from figstep.net.callers import CallerEdge
 from figstep.net.clock import SystemClock
@@ -56,13 +59,16 @@
 from figstep.net.log import HttpLog, LogClient
 from figstep.net.orders import OrderEdge
 from figstep.net.peers import PeerEdge
+from figstep.net.reports import ReportEdge
 from figstep.net.streams import StreamAppender, StreamFollower
 from figstep.net.targets import TargetEdge
+from figstep.reporting import Load, LoadReporter
 from figstep.settings import Settings
 
 _log = logbook.Logger("figstep")
 
 DRAIN_POLL_SECONDS = 0.05
+CUT_SECONDS = 2.0
 
 
 class Application(Service):
@@ -103,7 +109,8 @@
             lambda: self.entry_state.inventory,
             self.read_status,
         )
-        self.targets = TargetEdge(self.dispatch, self.find_target, self.list_targets)
+        self.targets = TargetEdge(self.dispatch, self.find_target)
+        self.reports = ReportEdge(self.dispatch, self.list_watched)
         self.configuration = StreamFollower(
             self._log_client, CONFIGURATION, self._take_configuration
         )
@@ -120,11 +127,13 @@
             self._read_snapshot,
         )
         self.instances = InstanceEdge(settings.platform.instances, self.dispatch)
+        self.reporter = LoadReporter(self.metrics, self.read_load)
 
     async def on_start(self) -> None:
         """Start the edges; the listener opens last."""
         edges = (
             self.targets,
+            self.reports,
             self.appender,
             self.leases,
             self.orders,
@@ -132,6 +141,7 @@
             self.configuration,
             self.claims,
             self.instances,
+            self.reporter,
             self.callers,
         )
         for edge in edges:
@@ -139,9 +149,12 @@
         self.dispatch(Started())
 
     async def on_stop(self) -> None:
-        """Stop timers and close the log client."""
+        """Stop the timers."""
         for handle in self._timers.values():
             handle.cancel()
+
+    async def on_shutdown(self) -> None:
+        """Close the log client, which the edges use until they have ended."""
         await self._log_client.close()
 
     async def drain(self) -> None:
@@ -149,8 +162,33 @@
         self.callers.ready = False
         await asyncio.sleep(self.settings.notice_seconds)
         self.dispatch(ShutdownRequested())
+        # A claim's outcome that is not in the log would leave its caller, and
+        # any duplicate of the request, with "unknown" for good.
         while self.entry_state.requests or self.exchanges or not self.appender.idle:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self._flush_answers()
+
+    async def _flush_answers(self) -> None:
+        # An answer that is written may still wait in its socket's buffer; the
+        # end of the process would drop it. A reader that takes nothing must
+        # not hold the process for ever.
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self.settings.limits.stalled_seconds):
+                while self.callers.unsent:
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def cut_short(self) -> None:
+        """End now: every caller gets a typed error, no stream is cancelled.
+
+        Generations run on at their targets for a while, so callers of streams
+        can return to another entry for the rest.
+        """
+        self.callers.ready = False
+        self.dispatch(ShutdownForced())
+        with suppress(TimeoutError):
+            async with asyncio.timeout(CUT_SECONDS):
+                while self.exchanges or self.callers.unsent:
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def _take_configuration(self, records: list[LogRecord]) -> None:
         for record in records:
@@ -173,9 +211,21 @@
         target = self.entry_state.targets.get(name)
         return None if target is None else target.info
 
-    def list_targets(self) -> list[TargetInfo]:
-        """Return the inventory entries of all known targets."""
-        return [target.info for target in self.entry_state.targets.values()]
+    def list_watched(self) -> list[EngineInfo]:
+        """Return the engines whose load reports this entry reads."""
+        return list_watched(self.entry_state, self.clock.now())
+
+    def read_load(self) -> Load:
+        """Return what the gauges tell."""
+        targets = self.entry_state.targets.values()
+        return Load(
+            requests=len(self.entry_state.requests),
+            queued=len(self.entry_state.queue),
+            streams=len(self.callers.streams),
+            targets=len(targets),
+            leaving=sum(target.leaving for target in targets),
+            configuration_offset=self.entry_state.configuration_offset,
+        )
 
     def read_status(self) -> dict[str, Any]:
         """Return what ``GET /status`` tells."""
@@ -300,4 +350,4 @@
 def _build_metrics(settings: Settings) -> Metrics:
     if settings.statsd is None:
         return MemoryMetrics()
-    return StatsdMetrics(settings.statsd.host, settings.statsd.port)
+    return StatsdMetrics(settings.statsd.host, settings.statsd.port, settings.node)
--- a/figstep/core/datagrams.py
+++ b/figstep/core/datagrams.py
@@ -7,10 +7,10 @@
     Member,
     MemberNews,
     MemberStatus,
+    QuarantineMark,
     TargetCount,
     hash_target,
 )
-from figstep.core.quarantine import SharedDigest, list_quarantined
 from figstep.core.state import State
 
 MAX_BYTES = 600
@@ -159,14 +159,14 @@
     return picked, whole
 
 
-def _pick_quarantined(state: State, room: _Room, now: Millis) -> list[SharedDigest]:
-    current = list_quarantined(state.quarantine, now)
-    picked: list[SharedDigest] = []
+def _pick_quarantined(state: State, room: _Room, now: Millis) -> list[QuarantineMark]:
+    current = [(d, u) for d, u in state.quarantine.until.items() if u > now]
+    picked: list[QuarantineMark] = []
     cursor = state.membership.quarantine_cursor
     for step in range(min(MOST_DIGESTS, len(current))):
-        shared = current[(cursor + step) % len(current)]
-        if not room.take(DIGEST_BYTES + len(shared.digest)):
+        digest, until = current[(cursor + step) % len(current)]
+        if not room.take(DIGEST_BYTES + len(digest)):
             break
-        picked.append(shared)
+        picked.append(QuarantineMark(digest, Millis(until - now)))
     state.membership.quarantine_cursor = cursor + len(picked)
     return picked
--- a/figstep/core/gossip.py
+++ b/figstep/core/gossip.py
@@ -5,7 +5,6 @@
 from enum import Enum
 
 from figstep.core.clock import Millis
-from figstep.core.quarantine import SharedDigest
 
 
 class MemberStatus(Enum):
@@ -43,6 +42,14 @@
     count: int
 
 
+@dataclass(frozen=True, slots=True)
+class QuarantineMark:
+    """A digest that is refused for ``remaining`` more milliseconds."""
+
+    digest: str
+    remaining: Millis
+
+
 @dataclass(frozen=True, slots=True)
 class Gossip:
     """One datagram between entries.
@@ -75,7 +82,7 @@
     marks: tuple[LeavingMark, ...] = ()
     counts: tuple[TargetCount, ...] = ()
     counts_whole: bool = True
-    quarantined: tuple[SharedDigest, ...] = ()
+    quarantined: tuple[QuarantineMark, ...] = ()
 
 
 @dataclass(slots=True)
--- a/figstep/core/membership.py
+++ b/figstep/core/membership.py
@@ -4,6 +4,7 @@
 the acknowledgement as a sign of life. News rides on these messages.
 """
 
+from figstep.core import quarantine
 from figstep.core.clock import Millis
 from figstep.core.datagrams import build_gossip
 from figstep.core.effects import (
@@ -30,7 +31,6 @@
     MemberStatus,
     hash_target,
 )
-from figstep.core.quarantine import merge_quarantined
 from figstep.core.state import State
 
 PERIOD = Millis(1_000)
@@ -180,7 +180,10 @@
         news |= mark_leaving(state, mark)
     member.counts = _merge_counts(member, gossip)
     member.counted = now
-    merge_quarantined(state.quarantine, list(gossip.quarantined), now)
+    for quarantined in gossip.quarantined:
+        quarantine.hold_digest(
+            state.quarantine, quarantined.digest, quarantined.remaining, now
+        )
     effects += _plan_fetch(state, now)
     if gossip.wants_answer:
         effects.append(_send(state, member.address, member, now, False))
--- a/figstep/core/quarantine.py
+++ b/figstep/core/quarantine.py
@@ -7,6 +7,7 @@
 from figstep.core.specs import RequestSpec
 
 QUARANTINE_FOR = Millis(15 * MINUTE)
+ECHO = Millis(10_000)
 SUSPECT_FOR = Millis(15 * MINUTE)
 DEATHS_TO_QUARANTINE = 2
 MAX_DEATHS = 3
@@ -27,19 +28,6 @@
     last: Millis = Millis(0)
 
 
-@dataclass(frozen=True, slots=True)
-class SharedDigest:
-    """A quarantined digest as entries tell it to each other.
-
-    Attributes:
-        digest: SHA-256 of method, path and body.
-        remaining: How long it stays refused, in milliseconds.
-    """
-
-    digest: str
-    remaining: Millis
-
-
 @dataclass(slots=True)
 class Quarantine:
     """Digests that are refused, and those that may come to be.
@@ -103,31 +91,18 @@
             del quarantine.suspects[digest]
 
 
-def list_quarantined(quarantine: Quarantine, now: Millis) -> list[SharedDigest]:
-    """Return what to tell the other entries."""
-    shared = []
-    for digest, until in list(quarantine.until.items()):
-        if until <= now:
-            del quarantine.until[digest]
-            continue
-        shared.append(SharedDigest(digest, Millis(until - now)))
-    return shared
-
-
-def merge_quarantined(
-    quarantine: Quarantine, shared: list[SharedDigest], now: Millis
-) -> int:
-    """Take in what another entry told; return how many digests are new.
+def hold_digest(
+    quarantine: Quarantine, digest: str, remaining: Millis, now: Millis
+) -> None:
+    """Refuse a digest for ``remaining`` more milliseconds, or for longer if it is.
 
-    Only remaining times travel, and they only shrink on the way, so entries
-    that repeat a digest to each other cannot keep it refused for ever.
+    Only remaining times travel between entries. What a message spent on its
+    way is added at each hop, so entries that repeat a digest to each other
+    would prolong it with every message; a little more than what is known is
+    therefore taken for such an echo.
     """
-    added = 0
-    for entry in shared:
-        until = Millis(now + min(entry.remaining, QUARANTINE_FOR))
-        before = quarantine.until.get(entry.digest)
-        if before is None:
-            added += 1
-        if before is None or before < until:
-            quarantine.until[entry.digest] = until
-    return added
+    until = Millis(now + min(remaining, QUARANTINE_FOR))
+    known = quarantine.until.get(digest)
+    if known is not None and until <= known + ECHO:
+        return
+    quarantine.until[digest] = until
--- a/figstep/demo.py
+++ b/figstep/demo.py
@@ -90,7 +90,10 @@
 
 @asynccontextmanager
 async def run_deployment(
-    entries: int = 2, limits: Limits | None = None, tls: Tls | None = None
+    entries: int = 2,
+    limits: Limits | None = None,
+    tls: Tls | None = None,
+    gaps: tuple[float, ...] = ENGINE_GAPS,
 ) -> AsyncIterator[Deployment]:
     """Start stand-ins and entries, publish the inventory, wait until in force.
 
@@ -98,13 +101,14 @@
         entries: How many entry applications to run.
         limits: Bounds on callers; None for the defaults.
         tls: Certificate for callers; None for plain HTTP.
+        gaps: Seconds between tokens of each engine.
     """
     async with AsyncExitStack() as stack:
         log, instances = LogService(), InstanceList()
         log_url = await _start(stack, log.build_app())
         instances_url = await _start(stack, instances.build_app())
         engines, urls = [], {}
-        for number, gap in enumerate(ENGINE_GAPS, 1):
+        for number, gap in enumerate(gaps, 1):
             engine = EngineServer(f"engine-{number}", gap)
             engines.append(engine)
             urls[engine.name] = await _start(stack, engine.build_app())
--- a/figstep/net/messages.py
+++ b/figstep/net/messages.py
@@ -16,9 +16,9 @@
     LeavingMark,
     MemberNews,
     MemberStatus,
+    QuarantineMark,
     TargetCount,
 )
-from figstep.core.quarantine import SharedDigest
 from figstep.errors import PeerMessageError
 
 VERSION = 1
@@ -123,7 +123,7 @@
         members.append(MemberNews(item.name, item.address, item.incarnation, status))
     quarantined = []
     for item in message.quarantined:
-        quarantined.append(SharedDigest(item.digest, Millis(item.remainingMs)))
+        quarantined.append(QuarantineMark(item.digest, Millis(item.remainingMs)))
     return Gossip(
         sender=message.sender,
         address=message.address,
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -24,11 +24,11 @@
     LeavingMark,
     MemberNews,
     MemberStatus,
+    QuarantineMark,
     TargetCount,
     hash_target,
 )
 from figstep.core.inventory import EngineInfo
-from figstep.core.quarantine import SharedDigest
 from figstep.core.reducer import reduce
 from figstep.core.state import State, TargetState
 from figstep.errors import PeerMessageError
@@ -145,11 +145,11 @@
 
 def test_quarantine_is_taken_and_given_on() -> None:
     state = make_state(members=1)
-    mark = SharedDigest("ab" * 32, Millis(5_000))
+    mark = QuarantineMark("ab" * 32, Millis(5_000))
     feed(state, hear("n0", sequence=2, quarantined=(mark,)), 1_000)
     assert state.quarantine.until[mark.digest] == 6_000
     gossip = datagrams.build_gossip(state, None, Millis(2_000), True)
-    assert gossip.quarantined == (SharedDigest(mark.digest, Millis(4_000)),)
+    assert gossip.quarantined == (QuarantineMark(mark.digest, Millis(4_000)),)
 
 
 def test_newer_document_is_fetched_from_the_peer_that_holds_it() -> None:
--- a/tests/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -14,12 +14,12 @@
     RequestArrived,
     TimerFired,
 )
-from figstep.core.quarantine import Quarantine, SharedDigest
+from figstep.core.quarantine import Quarantine
 from figstep.core.specs import GenerationWork, RequestSpec
 from figstep.core.suspects import blocks_target
 from figstep.core.targets import AVOID_LONGEST
-from tests.entries import Entry, make_inventory
-from tests.test_recovery import lose_for_good
+from tests.core.entries import Entry, make_inventory
+from tests.core.test_recovery import lose_for_good
 
 
 def accept(entry: Entry, request: str) -> None:
@@ -138,16 +138,26 @@
     assert entry.state.quarantine.suspects == {}
 
 
+def test_a_digest_that_a_peer_tells_is_refused_for_a_bounded_time() -> None:
+    held = Quarantine({"d": Millis(900)})
+    quarantine.hold_digest(held, "d", Millis(100), Millis(400))
+    assert held.until == {"d": Millis(900)}
+    quarantine.hold_digest(held, "e", Millis(10**9), Millis(400))
+    assert held.until["e"] == 400 + quarantine.QUARANTINE_FOR
+
+
 def test_shared_digests_end_everywhere() -> None:
-    """Entries repeat to each other what they refuse.
+    """Two entries repeat to each other what they refuse, half a second late.
 
-    Only remaining times travel, so no digest is kept alive by the repeating.
+    The time on the way is added at each hop; were every longer time taken, the
+    digest would be refused for half as long again.
     """
-    first, second = Quarantine({"d": Millis(1_000)}), Quarantine()
-    told = quarantine.list_quarantined(first, Millis(400))
-    assert told == [SharedDigest("d", Millis(600))]
-    assert quarantine.merge_quarantined(second, told, Millis(50_000)) == 1
-    back = quarantine.list_quarantined(second, Millis(50_100))
-    assert quarantine.merge_quarantined(first, back, Millis(500)) == 0
-    assert first.until == {"d": Millis(1_000)}
-    assert quarantine.list_quarantined(first, Millis(1_000)) == []
+    first, second = Quarantine(), Quarantine()
+    quarantine.hold_digest(first, "d", Millis(60_000), Millis(0))
+    for now in range(0, 60_000, 1_000):
+        for giver, taker in ((first, second), (second, first)):
+            remaining = Millis(giver.until["d"] - now if "d" in giver.until else 0)
+            if remaining > 0:
+                quarantine.hold_digest(taker, "d", remaining, Millis(now + 500))
+    assert first.until["d"] == 60_000
+    assert second.until["d"] == 60_500
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import orjson
+from aiohttp import web
 
 from figstep.checker import (
     CallerHistory,
@@ -77,11 +78,11 @@
         """Start asking; where events were seen, only the rest is asked for."""
         self._task = asyncio.create_task(self._generate(url))
 
-    def order(self, url: str, identity: str, path: str = "/orders") -> None:
-        """Start a call that must run at most once."""
-        self.history.identity = identity
+    def order(self, url: str) -> None:
+        """Start a call that must run at most once; its tag is its key."""
+        self.history.identity = self.history.tag
         self.history.stream = False
-        self._task = asyncio.create_task(self._call(url, identity, path))
+        self._task = asyncio.create_task(self._call(url))
 
     async def finish(self) -> None:
         """Wait until the connection ended, in whatever way."""
@@ -114,10 +115,10 @@
             headers["Last-Event-ID"] = f"{last.generation}:{last.index}"
         await self._send(url + "/v1/completions", orjson.dumps(self.body), headers)
 
-    async def _call(self, url: str, identity: str, path: str) -> None:
-        headers = {**HEADERS, "Idempotency-Key": identity}
-        body = f"{self.history.tag} {identity}".encode()
-        await self._send(url + "/services/planning" + path, body, headers)
+    async def _call(self, url: str) -> None:
+        tag = self.history.tag
+        headers = {**HEADERS, "Idempotency-Key": tag}
+        await self._send(url + "/services/planning/orders", tag.encode(), headers)
 
     async def _send(self, url: str, body: bytes, headers: dict[str, str]) -> None:
         status = 0
@@ -140,10 +141,14 @@
         body = await response.read()
         if response.content_type == "application/problem+json":
             return self._read_problem(response.status, body)
+        if response.status != 200:
+            return Outcome(response.status, ended=True)
         self.document = orjson.loads(body)
-        if "choices" in self.document:
-            self.history.text = self.document["choices"][0]["text"]
-        return Outcome(response.status, ended=True)
+        if "choices" not in self.document:
+            return Outcome(200, ended=True)
+        choice = self.document["choices"][0]
+        self.history.text = choice["text"]
+        return Outcome(200, ended=choice["finish_reason"] is not None)
 
     def _read_problem(self, status: int, body: bytes) -> Outcome:
         self.document = orjson.loads(body)
@@ -172,6 +177,25 @@
         return Outcome(200)
 
 
+class HookedLog(LogService):
+    """Log service that tells of an append before it answers.
+
+    Attributes:
+        on_append: What to do at the next append, by stream; done once.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.on_append: dict[str, Callable[[], None]] = {}
+
+    async def _append(self, request: web.Request) -> web.Response:
+        answer = await super()._append(request)
+        hook = self.on_append.pop(request.match_info["name"], None)
+        if hook is not None:
+            hook()
+        return answer
+
+
 class Fleet:
     """Entries and engines as processes; the platform on the test's own loop.
 
@@ -187,8 +211,8 @@
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
-        self._stack = AsyncExitStack()
-        self.log = LogService()
+        self.stack = AsyncExitStack()
+        self.log = HookedLog()
         self.instances = InstanceList()
         self.engines: dict[str, Running] = {}
         self.entries: dict[str, Running] = {}
@@ -204,7 +228,7 @@
         log_url = await self._serve(self.log.build_app())
         self.log_proxy = await self._relay(log_url)
         self.log_client = HttpLog(log_url)
-        self._stack.push_async_callback(self.log_client.close)
+        self.stack.push_async_callback(self.log_client.close)
         self._instances_url = await self._serve(self.instances.build_app())
         for number in range(1, 3):
             service = PlainService(f"planning-{number}")
@@ -226,7 +250,7 @@
         for caller in self.callers:
             if caller._task is not None:
                 caller._task.cancel()
-        await self._stack.aclose()
+        await self.stack.aclose()
 
     def _build_document(self) -> dict[str, Any]:
         engines = {name: self.links[name].url for name in sorted(self.engines)}
@@ -240,18 +264,18 @@
 
     async def _serve(self, app: Any) -> str:
         runner, url = await start_app(app)
-        self._stack.push_async_callback(runner.cleanup)
+        self.stack.push_async_callback(runner.cleanup)
         return url
 
     async def _relay(self, url: str) -> TcpProxy:
         host, _, port = url.removeprefix("http://").rpartition(":")
         proxy = TcpProxy(host, int(port))
         await proxy.start()
-        self._stack.push_async_callback(proxy.stop)
+        self.stack.push_async_callback(proxy.stop)
         return proxy
 
     async def _start_engine(self, name: str, gap: float) -> None:
-        running = await self._stack.enter_async_context(
+        running = await self.stack.enter_async_context(
             run_figstep("standin", "engine", "--name", name, "--gap", str(gap))
         )
         self.engines[name] = running
@@ -268,11 +292,15 @@
                 "log_retention_seconds": self.retention_seconds,
             },
             "notice_seconds": self.notice_seconds,
+            "peers": {"key": KEY},
         }
         path = write_yaml(self._folder / f"{name}.yaml", settings)
-        self.entries[name] = await self._stack.enter_async_context(
+        running = await self.stack.enter_async_context(
             run_figstep("serve", "--settings", str(path))
         )
+        self.entries[name] = running
+        status = await self.read(running.url + "/status")
+        self.instances.list_entry(name, running.url, status["control"]["address"])
 
     async def read(self, url: str) -> dict[str, Any]:
         """Return the JSON that ``url`` answers; empty where it does not."""
@@ -339,6 +367,5 @@
                 history.generations.append(ExecutedGeneration(name, generation, tag))
         for name, service in self.services.items():
             for call in service.executed:
-                tag, _, identity = call.body.partition(" ")
-                history.calls.append(ExecutedCall(name, tag, identity))
+                history.calls.append(ExecutedCall(name, call.body, call.body))
         return history
