Publish the change instead of the whole document

Ruled out: compressing (245 kB, since key hashes do not compress); JSON merge patch (lists are replaced whole, and the long parts are lists). Before: each edit held the whole document, and a fresh entry took up to 500 of them in one read. After: an edit holds the fields that differ, by name; entries read at most four configuration records at a time and skip what is folded.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -11,6 +11,7 @@
 import statistics
 import tempfile
 import time
+import zlib
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from copy import deepcopy
@@ -36,9 +37,11 @@
     hash_target,
 )
 from figstep.core.inventory import ServiceInfo
+from figstep.core.records import LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import State, TargetState
 from figstep.inventory import hash_key
+from figstep.net.configuration import parse_record
 from figstep.net.log import HttpLog
 from figstep.net.messages import Keyring, MessageKind, decode_gossip, encode_gossip
 from figstep.operations import publish_document
@@ -424,5 +427,50 @@
         print(json.dumps(line), flush=True)
 
 
+@app.command()
+def document(engines: int = 670, customers: int = 5600, repeats: int = 20) -> None:
+    """Size of a document and processor time that one edit costs an entry."""
+    listed = []
+    for number in range(engines):
+        listed.append(
+            {
+                "name": f"serving-{number}",
+                "address": f"http://10.0.{number // 250}.{number % 250}:8000",
+                "failure_domain": f"domain-{number % 9}",
+                "models": ["langar-8b"],
+                "kind": "decoder-2024",
+                "speed": 4.0,
+                "memory_tokens": 65_536,
+                "max_running": 64,
+            }
+        )
+    content = {
+        "failure_domains": [
+            {"name": f"domain-{n}", "region": f"region-{n % 3}"} for n in range(9)
+        ],
+        "engines": listed,
+        "models": [{"name": "langar-8b"}],
+        "customers": [
+            {"name": f"customer-{n}", "key_hash": hash_key(str(n))}
+            for n in range(customers)
+        ],
+    }
+    entry = State("entry-0", rng=random.Random(1))
+    started = time.process_time()
+    for number in range(repeats):
+        data = {"edit": "e", "base": number - 1, "validation": 1, "document": content}
+        reduce(entry, parse_record(LogRecord(number, 0, data), None), Millis(0))
+    spent = (time.process_time() - started) / repeats
+    encoded = orjson.dumps(content)
+    line = {
+        "engines": engines,
+        "customers": customers,
+        "bytes": len(encoded),
+        "compressed_bytes": len(zlib.compress(encoded)),
+        "processor_ms_per_edit": round(1_000 * spent, 1),
+    }
+    print(json.dumps(line), flush=True)
+
+
 if __name__ == "__main__":
     app()
--- a/figstep/application.py
+++ b/figstep/application.py
@@ -67,6 +67,9 @@
 
 _log = logbook.Logger("figstep")
 
+# A document of a large fleet takes long to parse and is large: a fresh entry
+# that took all kept ones in one go would hold up its loop and its memory.
+DOCUMENTS_READ = 4
 DRAIN_POLL_SECONDS = 0.05
 CUT_SECONDS = 2.0
 
@@ -112,7 +115,10 @@
         self.targets = TargetEdge(self.dispatch, self.find_target)
         self.reports = ReportEdge(self.dispatch, self.list_watched)
         self.configuration = StreamFollower(
-            self._log_client, CONFIGURATION, self._take_configuration
+            self._log_client,
+            CONFIGURATION,
+            self._take_configuration,
+            limit=DOCUMENTS_READ,
         )
         self.claims = StreamFollower(
             self._log_client, CLAIMS, self._take_claims, dispatch=self.dispatch
@@ -192,7 +198,9 @@
 
     def _take_configuration(self, records: list[LogRecord]) -> None:
         for record in records:
-            self.dispatch(parse_record(record))
+            fold = self.entry_state.configuration
+            if record.offset > fold.position:
+                self.dispatch(parse_record(record, fold.current))
 
     def _take_claims(self, records: list[LogRecord]) -> None:
         self.dispatch(RecordsRead(CLAIMS, tuple(records)))
--- a/figstep/errors.py
+++ b/figstep/errors.py
@@ -61,3 +61,7 @@
 
 class PeerMessageError(FigstepError):
     """A message between entries is damaged or not authentic."""
+
+
+class ChangeError(FigstepError):
+    """A change of the configuration does not fit the document it was made from."""
--- a/figstep/net/configuration.py
+++ b/figstep/net/configuration.py
@@ -3,14 +3,15 @@
 import time
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
+from figstep.core.changes import apply_changes, decode_changes
 from figstep.core.clock import Millis
 from figstep.core.configuration import SNAPSHOT
 from figstep.core.events import Checkpoint, ConfigurationRead, SnapshotRead
 from figstep.core.inventory import Inventory
 from figstep.core.records import LogRecord
-from figstep.errors import InventoryError
+from figstep.errors import ChangeError, InventoryError
 from figstep.inventory import VALIDATION, parse_version
 from figstep.settings import describe_errors
 
@@ -24,24 +25,39 @@
     author: str = ""
     reason: str = ""
     validation: int = Field(ge=1)
-    document: dict[str, Any]
 
 
 class _EditRecord(_Record):
     base: int = Field(ge=-1)
+    document: dict[str, Any] | None = None
+    changes: list[dict[str, Any]] | None = None
+
+    @model_validator(mode="after")
+    def _check_content(self) -> "_EditRecord":
+        if (self.document is None) == (self.changes is None):
+            raise ValueError("an edit holds either a document or changes")
+        return self
 
 
 class _SnapshotRecord(_Record):
+    document: dict[str, Any]
     accepted: int = Field(ge=0)
     position: int = Field(ge=0)
 
 
-def parse_record(record: LogRecord) -> ConfigurationRead | SnapshotRead:
-    """Turn a log record into an event; a bad one becomes problems."""
+def parse_record(
+    record: LogRecord, current: Checkpoint | None
+) -> ConfigurationRead | SnapshotRead:
+    """Turn a log record into an event; a bad one becomes problems.
+
+    Args:
+        record: The record.
+        current: The document in force before it, which its changes apply to.
+    """
     try:
         if record.data.get("kind") == SNAPSHOT:
             return _parse_snapshot(record)
-        return _parse_edit(record)
+        return _parse_edit(record, current)
     except ValidationError as error:
         return ConfigurationRead(
             offset=record.offset,
@@ -59,13 +75,15 @@
     return base if isinstance(base, int) else -1
 
 
-def _parse_edit(record: LogRecord) -> ConfigurationRead:
+def _parse_edit(record: LogRecord, current: Checkpoint | None) -> ConfigurationRead:
     model = _EditRecord.model_validate(record.data)
+    document: dict[str, Any] = {}
     inventory: Inventory | None = None
     problems: tuple[str, ...] = ()
     try:
-        inventory = parse_version(model.document, model.validation)
-    except InventoryError as error:
+        document = _build_document(model, current)
+        inventory = parse_version(document, model.validation)
+    except (InventoryError, ChangeError) as error:
         problems = (str(error),)
     return ConfigurationRead(
         offset=record.offset,
@@ -76,11 +94,20 @@
         problems=problems,
         edit=model.edit,
         validation=model.validation,
-        document=model.document,
+        document=document,
         known=model.validation == VALIDATION,
     )
 
 
+def _build_document(model: _EditRecord, current: Checkpoint | None) -> dict[str, Any]:
+    """Return the edit's whole document; the fold refuses it for a wrong base."""
+    if model.document is not None:
+        return model.document
+    if current is None or current.accepted != model.base:
+        raise ChangeError(f"the changes are to the document of offset {model.base}")
+    return apply_changes(current.document, decode_changes(model.changes))
+
+
 def _parse_snapshot(record: LogRecord) -> SnapshotRead:
     checkpoint = parse_checkpoint(record.data)
     age = max(0, time.time_ns() // 1_000_000 - record.time)
--- a/figstep/net/log.py
+++ b/figstep/net/log.py
@@ -25,9 +25,17 @@
         """
 
     @abstractmethod
-    async def read(self, stream: str, start: int, wait: int = 0) -> list[LogRecord]:
+    async def read(
+        self, stream: str, start: int, wait: int = 0, limit: int = READ_LIMIT
+    ) -> list[LogRecord]:
         """Return records from offset ``start`` on, waiting up to ``wait`` ms.
 
+        Args:
+            stream: Name of the stream.
+            start: Offset of the first record.
+            wait: How long to wait for a record, in milliseconds.
+            limit: Most records returned.
+
         Raises:
             LogUnavailableError: No answer.
             LogTruncatedError: Records at ``start`` are past retention.
@@ -58,7 +66,9 @@
         self._changed = asyncio.Event()
         return first
 
-    async def read(self, stream: str, start: int, wait: int = 0) -> list[LogRecord]:
+    async def read(
+        self, stream: str, start: int, wait: int = 0, limit: int = READ_LIMIT
+    ) -> list[LogRecord]:
         """Return records from offset ``start`` on."""
         self._check_available()
         earliest = self.earliest.get(stream, 0)
@@ -71,7 +81,7 @@
             except TimeoutError:
                 return []
             held = self.streams.get(stream, [])
-        return held[start : start + READ_LIMIT]
+        return held[start : start + limit]
 
     async def close(self) -> None:
         """Nothing is held."""
@@ -116,10 +126,12 @@
             ) from error
         return int(answer["offset"])
 
-    async def read(self, stream: str, start: int, wait: int = 0) -> list[LogRecord]:
+    async def read(
+        self, stream: str, start: int, wait: int = 0, limit: int = READ_LIMIT
+    ) -> list[LogRecord]:
         """Return records from offset ``start`` on."""
         url = f"{self._base_url}/streams/{stream}/records"
-        params = {"from": str(start), "wait_ms": str(wait), "limit": str(READ_LIMIT)}
+        params = {"from": str(start), "wait_ms": str(wait), "limit": str(limit)}
         timeout = aiohttp.ClientTimeout(total=self._timeout + wait / 1000)
         try:
             async with self._open_session().get(
--- a/figstep/net/streams.py
+++ b/figstep/net/streams.py
@@ -32,8 +32,10 @@
         take_records: Callable[[list[LogRecord]], None],
         start: int = 0,
         dispatch: Callable[[Event], None] | None = None,
+        limit: int = READ_LIMIT,
     ) -> None:
         super().__init__()
+        self._limit = limit
         self._dispatch = dispatch or _drop_event
         self._caught_up = False
         self._log_client = log
@@ -51,7 +53,9 @@
             wait = POLL_WAIT if self._caught_up else 0
             start = self._next
             try:
-                records = await self._log_client.read(self._stream, start, wait)
+                records = await self._log_client.read(
+                    self._stream, start, wait, self._limit
+                )
             except LogTruncatedError as error:
                 self._next = max(self._next, error.earliest)
                 continue
@@ -65,7 +69,7 @@
                 self._take_records(records)
             if self._next != start + len(records):
                 continue
-            if not self._caught_up and len(records) < READ_LIMIT:
+            if not self._caught_up and len(records) < self._limit:
                 self._caught_up = True
                 self._dispatch(StreamCaughtUp(self._stream))
 
--- a/figstep/operations.py
+++ b/figstep/operations.py
@@ -14,11 +14,15 @@
 import orjson
 
 from figstep.audit import (
-    FieldChange,
     HistoryEntry,
     Trail,
     TrailReader,
+)
+from figstep.core.changes import (
+    FieldChange,
+    apply_changes,
     diff_documents,
+    encode_changes,
 )
 from figstep.core.configuration import EDIT
 from figstep.core.events import InstanceInfo
@@ -160,7 +164,7 @@
         "author": edit.author,
         "reason": edit.reason,
         "validation": VALIDATION,
-        "document": edit.document,
+        **_encode_content(trail, edit.document),
     }
     try:
         await log.append(CONFIGURATION, [record])
@@ -175,6 +179,20 @@
     return entry.offset
 
 
+def _encode_content(trail: Trail, document: dict[str, Any]) -> dict[str, Any]:
+    """Return the changes against the document in force, or the whole document.
+
+    A record is read by every entry: at some thousand customers the whole
+    document at each edit would use up what an entry may read for control.
+    """
+    if trail.current is None:
+        return {"document": document}
+    changes = diff_documents(trail.current.document, document)
+    if diff_documents(apply_changes(trail.current.document, changes), document):
+        return {"document": document}
+    return {"changes": encode_changes(changes)}
+
+
 async def _read_back(
     log: LogClient, reader: TrailReader, name: str, seconds: float
 ) -> HistoryEntry:
