--- a/figstep/audit.py
+++ b/figstep/audit.py
@@ -1,8 +1,8 @@
 """Audit trail of the configuration: who changed what, when, why, and the verdict."""
 
 from dataclasses import dataclass
-from typing import Any
 
+from figstep.core.changes import FieldChange, diff_documents
 from figstep.core.clock import Millis
 from figstep.core.configuration import Accepted, Refused, Unknown, judge_edit
 from figstep.core.effects import ReadConfigurationFrom
@@ -13,28 +13,6 @@
 from figstep.net.configuration import parse_record
 
 
-@dataclass(frozen=True, slots=True)
-class FieldChange:
-    """One difference between two documents.
-
-    Attributes:
-        path: Place in the document, such as ``engines[muc-1].speed``.
-        before: Value before; None if it was absent.
-        after: Value after; None if it is absent.
-    """
-
-    path: str
-    before: Any
-    after: Any
-
-    def __str__(self) -> str:
-        if self.before is None:
-            return f"+ {self.path}: {self.after!r}"
-        if self.after is None:
-            return f"- {self.path}: {self.before!r}"
-        return f"~ {self.path}: {self.before!r} -> {self.after!r}"
-
-
 @dataclass(frozen=True, slots=True)
 class HistoryEntry:
     """An edit and what became of it.
@@ -81,27 +59,46 @@
     entries: tuple[HistoryEntry, ...]
 
 
-def read_trail(records: list[LogRecord]) -> Trail:
-    """Fold kept records by the code that every entry runs.
+class TrailReader:
+    """Folds kept records by the code that every entry runs, as they come."""
+
+    def __init__(self) -> None:
+        self._state = State("reader")
+        self._records: list[LogRecord] = []
+        self._entries: dict[int, HistoryEntry] = {}
+
+    @property
+    def next(self) -> int:
+        """Offset of the next record to read."""
+        return self._records[-1].offset + 1 if self._records else 0
+
+    def add(self, records: list[LogRecord]) -> None:
+        """Fold the next records of the configuration stream, in order."""
+        index = len(self._records)
+        self._records += records
+        while index < len(self._records):
+            record = self._records[index]
+            event = parse_record(record, self._state.configuration.current)
+            index += 1
+            if isinstance(event, ConfigurationRead):
+                _judge(self._state.configuration, record, event, self._entries)
+            for effect in reduce(self._state, event, Millis(0)):
+                if isinstance(effect, ReadConfigurationFrom):
+                    index = max(0, effect.offset - self._records[0].offset)
+
+    @property
+    def trail(self) -> Trail:
+        """What the records so far tell."""
+        fold = self._state.configuration
+        ordered = tuple(self._entries[offset] for offset in sorted(self._entries))
+        return Trail(fold.position, fold.current, fold.stalled, ordered)
 
-    Args:
-        records: Every kept record of the configuration stream, in order.
-    """
-    state = State("reader")
-    events = [parse_record(record) for record in records]
-    entries: dict[int, HistoryEntry] = {}
-    index = 0
-    while index < len(records):
-        record, event = records[index], events[index]
-        index += 1
-        if isinstance(event, ConfigurationRead):
-            _judge(state.configuration, record, event, entries)
-        for effect in reduce(state, event, Millis(0)):
-            if isinstance(effect, ReadConfigurationFrom):
-                index = max(0, effect.offset - records[0].offset)
-    fold = state.configuration
-    ordered = tuple(entries[offset] for offset in sorted(entries))
-    return Trail(fold.position, fold.current, fold.stalled, ordered)
+
+def read_trail(records: list[LogRecord]) -> Trail:
+    """Fold every kept record of the configuration stream."""
+    reader = TrailReader()
+    reader.add(records)
+    return reader.trail
 
 
 def _judge(
@@ -135,40 +132,3 @@
         why=why,
         changes=tuple(changes),
     )
-
-
-def diff_documents(before: Any, after: Any, path: str = "") -> list[FieldChange]:
-    """Return the differences field by field; lists of named things by name."""
-    if before == after:
-        return []
-    if isinstance(before, dict) and isinstance(after, dict):
-        changes = []
-        for name in sorted(before.keys() | after.keys()):
-            place = f"{path}.{name}" if path else name
-            changes += diff_documents(before.get(name), after.get(name), place)
-        return changes
-    old, new = _index_by_name(before), _index_by_name(after)
-    if old is None or new is None or not (old or new):
-        return [FieldChange(path, before, after)]
-    changes = []
-    for name in sorted(old.keys() | new.keys()):
-        place = f"{path}[{name}]"
-        changes += diff_documents(old.get(name), new.get(name), place)
-    return changes
-
-
-def _index_by_name(value: Any) -> dict[str, Any] | None:
-    """Return list items by their name or target; None if they have none."""
-    if value is None:
-        return {}
-    if not isinstance(value, list):
-        return None
-    items: dict[str, Any] = {}
-    for item in value:
-        if not isinstance(item, dict):
-            return None
-        name = item.get("name", item.get("target"))
-        if not isinstance(name, str) or name in items:
-            return None
-        items[name] = item
-    return items
