Keep a started generation's identity; append outcomes until the log has them

Cause: a non-idempotent generation whose caller left before its first token released its identity though its bytes were out, so a duplicate could run it again. And an outcome whose append had no answer was never recorded, so duplicates at other entries were told "unknown" of an order with an answer.

Ruled out: holding the caller's answer until the outcome is in the log (it would add the log's time and outages to every order).

Conclusion: the same record twice is harmless, as the fold takes the first.

--- a/figstep/application.py
+++ b/figstep/application.py
@@ -160,7 +160,7 @@
         self.dispatch(ShutdownRequested())
         # A claim's outcome that is not in the log would leave its caller, and
         # any duplicate of the request, with "unknown" for good.
-        while self.entry_state.requests or self.exchanges or not self.appender.idle:
+        while self._is_busy():
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         await self._flush_answers()
 
@@ -186,6 +186,12 @@
                 while self.exchanges or self.callers.unsent:
                     await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    def _is_busy(self) -> bool:
+        state = self.entry_state
+        if state.requests or state.claims.unconfirmed:
+            return True
+        return bool(self.exchanges) or not self.appender.idle
+
     def _take_configuration(self, records: list[LogRecord]) -> None:
         for record in records:
             self.dispatch(parse_record(record))
--- a/figstep/core/claims.py
+++ b/figstep/core/claims.py
@@ -108,6 +108,21 @@
     joined: list[str] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Unconfirmed:
+    """An outcome or release that the log has not confirmed.
+
+    Attributes:
+        data: The record; appending it again is harmless.
+        since: When an append of it first had no answer (monotonic), or None.
+        uncertain: Whether its last append had no answer.
+    """
+
+    data: dict[str, Any]
+    since: Millis | None = None
+    uncertain: bool = False
+
+
 @dataclass(slots=True)
 class ClaimTable:
     """Claims as folded from the log, and those of this process.
@@ -118,6 +133,7 @@
         own: Claims of this process by record id.
         waiters: Requests here that wait for another entry's outcome, by
             identity name.
+        unconfirmed: Outcomes and releases on their way, by key of the append.
         caught_up: Whether the stream was read to its end and can be read.
         next_key: Key of the next append.
         folded: Records folded so far.
@@ -127,6 +143,7 @@
     released: dict[str, int] = field(default_factory=dict)
     own: dict[str, OwnClaim] = field(default_factory=dict)
     waiters: dict[str, list[str]] = field(default_factory=dict)
+    unconfirmed: dict[int, Unconfirmed] = field(default_factory=dict)
     caught_up: bool = False
     next_key: int = 1
     folded: int = 0
--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -380,6 +380,11 @@
     request: str
 
 
+@dataclass(frozen=True, slots=True)
+class OutcomeTimer:
+    """Appends outcomes again that the log may not have taken."""
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptTimer:
     """Checks that an attempt still makes progress."""
@@ -416,6 +421,7 @@
     RequestTimer
     | RetryTimer
     | ClaimTimer
+    | OutcomeTimer
     | AttemptTimer
     | QueueTimer
     | SnapshotTimer
--- a/figstep/core/ownership.py
+++ b/figstep/core/ownership.py
@@ -1,5 +1,7 @@
 """What a non-idempotent request does with its claim."""
 
+from typing import Any
+
 from figstep.core import claims, retries
 from figstep.core.claims import Claim, Outcome, OwnClaim, OwnState
 from figstep.core.clock import SECOND, Millis
@@ -124,9 +126,8 @@
     return isinstance(request.spec.work, ServiceWork)
 
 
-def drop_claim(state: State, request: RequestState) -> list[Effect]:
-    """Give up a claim whose caller has left."""
-    ran = Ran.NO if request.attempts == 0 else request.ran
+def drop_claim(state: State, request: RequestState, ran: Ran) -> list[Effect]:
+    """Give up a claim whose caller has left; ``ran`` is what may be said."""
     problem = Problem(
         409,
         "first_request_gone",
@@ -219,10 +220,17 @@
     return taken
 
 
-def _append(state: State, data: dict[str, object]) -> Effect:
+def _append(state: State, data: dict[str, Any]) -> Effect:
+    return append_again(state, claims.Unconfirmed(data))
+
+
+def append_again(state: State, held: claims.Unconfirmed) -> Effect:
+    """Append an outcome or release, to be kept until the log confirms it."""
     key = state.claims.next_key
     state.claims.next_key += 1
-    return AppendRecords(CLAIMS, key, [data])
+    held.uncertain = False
+    state.claims.unconfirmed[key] = held
+    return AppendRecords(CLAIMS, key, [held.data])
 
 
 def _take_own(state: State, request: RequestState) -> OwnClaim | None:
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -33,6 +33,7 @@
     InstancesListed,
     LoadReported,
     OrderAnswered,
+    OutcomeTimer,
     PeersOpened,
     PlacementTimer,
     QueueTimer,
@@ -106,7 +107,7 @@
         case RecordsRead():
             return settlement.take_records(state, event, now)
         case AppendConfirmed():
-            return []
+            return settlement.note_confirmed(state, event)
         case AppendUncertain():
             return settlement.note_uncertain(state, event, now)
         case StreamCaughtUp():
@@ -150,6 +151,8 @@
             return recovery.retry_request(state, timer, now)
         case ClaimTimer():
             return settlement.expire_claim(state, timer)
+        case OutcomeTimer():
+            return settlement.append_outcomes(state, now)
         case PlacementTimer():
             return placement.run_round(state, now)
         case AttemptTimer():
--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -262,11 +262,12 @@
     if ownership.outlives_caller(state, request):
         request.caller_gone = True
         return [Count("callers.gone")]
+    ran = tell_ran(state, request)
     del state.requests[event.request]
     state.queue.remove(event.request)
     effects: list[Effect] = [Count("callers.gone")]
     effects += attempts.abandon_attempt(state, request, event.cancel)
-    effects += ownership.drop_claim(state, request)
+    effects += ownership.drop_claim(state, request, ran)
     return effects
 
 
--- a/figstep/core/settlement.py
+++ b/figstep/core/settlement.py
@@ -5,8 +5,10 @@
 from figstep.core.clock import SECOND, Millis
 from figstep.core.effects import Count, Effect, Refuse, WakeAt
 from figstep.core.events import (
+    AppendConfirmed,
     AppendUncertain,
     ClaimTimer,
+    OutcomeTimer,
     RecordsRead,
     StreamCaughtUp,
     StreamUnavailable,
@@ -16,6 +18,8 @@
 from figstep.core.state import Phase, RequestState, State
 
 READ_BACK_LIMIT = Millis(1 * SECOND)
+OUTCOME_PAUSE = Millis(1 * SECOND)
+OUTCOME_LIMIT = Millis(60 * SECOND)
 
 
 def take_records(state: State, event: RecordsRead, now: Millis) -> list[Effect]:
@@ -124,6 +128,11 @@
     Appending again under a new id could leave two claims, the first of which
     comes to light after the caller was refused.
     """
+    held = state.claims.unconfirmed.get(event.key)
+    if held is not None:
+        held.uncertain = True
+        held.since = now if held.since is None else held.since
+        return [WakeAt(OutcomeTimer(), Millis(now + OUTCOME_PAUSE))]
     for own in list(state.claims.own.values()):
         if own.key != event.key or own.state is not OwnState.PENDING:
             continue
@@ -134,6 +143,30 @@
     return []
 
 
+def note_confirmed(state: State, event: AppendConfirmed) -> list[Effect]:
+    """Forget an outcome or release that the log has."""
+    state.claims.unconfirmed.pop(event.key, None)
+    return []
+
+
+def append_outcomes(state: State, now: Millis) -> list[Effect]:
+    """Append again what may not be in the log, for a bounded time.
+
+    A lost outcome leaves other entries' duplicates with "unknown". The fold
+    takes the first record of an id, so a second one does no harm.
+    """
+    effects: list[Effect] = []
+    for key, held in list(state.claims.unconfirmed.items()):
+        if not held.uncertain or held.since is None:
+            continue
+        del state.claims.unconfirmed[key]
+        if now - held.since >= OUTCOME_LIMIT:
+            effects.append(Count("claims.outcome_dropped"))
+            continue
+        effects.append(ownership.append_again(state, held))
+    return effects
+
+
 def _refuse_unsettled(state: State, own: OwnClaim) -> list[Effect]:
     request = state.requests.get(own.request)
     if request is None:
--- a/tests/core/test_settlement.py
+++ b/tests/core/test_settlement.py
@@ -13,11 +13,13 @@
     ReplayAnswer,
 )
 from figstep.core.events import (
+    AppendConfirmed,
     AppendUncertain,
     AttemptLost,
     CallerGone,
     ClaimTimer,
     Loss,
+    OutcomeTimer,
     RecordsRead,
     RequestArrived,
     ServiceAnswered,
@@ -27,7 +29,7 @@
 from figstep.core.ownership import LONGEST_FRESH
 from figstep.core.problems import Ran
 from figstep.core.records import CLAIMS, LogRecord
-from figstep.core.specs import RequestSpec, ServiceWork
+from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork
 from tests.core.entries import Entry, make_inventory
 
 
@@ -320,3 +322,59 @@
     work = ServiceWork("shop", "GET", "/stock")
     entry.feed(RequestArrived(RequestSpec("r1", "demo", work, stream=False)))
     assert entry.list_kind(OpenAttempt)
+
+
+def test_a_started_generation_is_not_released_when_its_caller_leaves() -> None:
+    """The caller of a non-idempotent generation leaves before its first token.
+
+    The request's bytes may have reached the engine, so its identity is not
+    free: a duplicate that found it free would run it a second time.
+    """
+    entry, log = make_ready(), Log()
+    spec = RequestSpec(
+        "r1", "demo", GenerationWork("m"), idempotency_key="k", non_idempotent=True
+    )
+    entry.feed(RequestArrived(spec))
+    log.take(entry)
+    log.show(entry)
+    assert entry.list_kind(OpenAttempt)
+    entry.feed(CallerGone("r1"))
+    record = entry.take(AppendRecords).records[0]
+    assert (record["kind"], record["ran"]) == ("outcome", "unknown")
+
+
+def test_an_outcome_is_appended_again_until_the_log_has_it() -> None:
+    """The log is down when an order ends.
+
+    Duplicates at other entries would be told "unknown" of an order that has an
+    answer. The same record is appended again; the fold takes the first.
+    """
+    entry, log = make_ready(), Log()
+    entry.order("r1")
+    log.take(entry)
+    log.show(entry)
+    attempt = entry.take(OpenAttempt).attempt
+    entry.feed(ServiceAnswered(attempt, 200, "", b"x"))
+    first = entry.take(AppendRecords)
+    entry.feed(AppendUncertain(first.key))
+    assert entry.list_kind(AppendRecords) == []
+    entry.feed(TimerFired(OutcomeTimer()), after=1_000)
+    again = entry.take(AppendRecords)
+    assert again.records == first.records
+    entry.feed(AppendConfirmed(again.key, 1))
+    assert entry.claims.unconfirmed == {}
+    entry.feed(TimerFired(OutcomeTimer()), after=1_000)
+    assert entry.list_kind(AppendRecords) == []
+
+
+def test_an_outcome_that_the_log_never_takes_is_dropped_at_last() -> None:
+    entry, log = make_ready(), Log()
+    entry.order("r1")
+    log.take(entry)
+    log.show(entry)
+    attempt = entry.take(OpenAttempt).attempt
+    entry.feed(ServiceAnswered(attempt, 200, "", b"x"))
+    entry.feed(AppendUncertain(entry.take(AppendRecords).key))
+    entry.feed(TimerFired(OutcomeTimer()), after=60_000)
+    assert entry.list_kind(AppendRecords) == []
+    assert entry.claims.unconfirmed == {}
