--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements that a page quotes; each names its command."""
+"""Measurements by real processes; each module is one command."""
