--- a/figstep/application.py
+++ b/figstep/application.py
@@ -67,6 +67,9 @@
 
 _log = logbook.Logger("figstep")
 
+# A document of a large fleet takes long to parse and is large: a fresh entry
+# that took all kept ones in one go would hold up its loop and its memory.
+DOCUMENTS_READ = 4
 DRAIN_POLL_SECONDS = 0.05
 CUT_SECONDS = 2.0
 
@@ -112,7 +115,10 @@
         self.targets = TargetEdge(self.dispatch, self.find_target)
         self.reports = ReportEdge(self.dispatch, self.list_watched)
         self.configuration = StreamFollower(
-            self._log_client, CONFIGURATION, self._take_configuration
+            self._log_client,
+            CONFIGURATION,
+            self._take_configuration,
+            limit=DOCUMENTS_READ,
         )
         self.claims = StreamFollower(
             self._log_client, CLAIMS, self._take_claims, dispatch=self.dispatch
@@ -164,7 +170,7 @@
         self.dispatch(ShutdownRequested())
         # A claim's outcome that is not in the log would leave its caller, and
         # any duplicate of the request, with "unknown" for good.
-        while self.entry_state.requests or self.exchanges or not self.appender.idle:
+        while self._is_busy():
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         await self._flush_answers()
 
@@ -190,9 +196,17 @@
                 while self.exchanges or self.callers.unsent:
                     await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    def _is_busy(self) -> bool:
+        state = self.entry_state
+        if state.requests or state.claims.unconfirmed:
+            return True
+        return bool(self.exchanges) or not self.appender.idle
+
     def _take_configuration(self, records: list[LogRecord]) -> None:
         for record in records:
-            self.dispatch(parse_record(record))
+            fold = self.entry_state.configuration
+            if record.offset > fold.position:
+                self.dispatch(parse_record(record, fold.current))
 
     def _take_claims(self, records: list[LogRecord]) -> None:
         self.dispatch(RecordsRead(CLAIMS, tuple(records)))
