Tell all wrong settings at once, and why an entry cannot start

Cause: some messages told a fault but no remedy, platform addresses took any text, and a taken port or an unreadable certificate ended in a traceback.

--- a/figstep/errors.py
+++ b/figstep/errors.py
@@ -11,6 +11,10 @@
     """The settings file cannot be used."""
 
 
+class ListenError(FigstepError):
+    """The listener for callers cannot be opened."""
+
+
 class InventoryError(FigstepError):
     """The inventory document is not valid."""
 
--- a/figstep/net/callers.py
+++ b/figstep/net/callers.py
@@ -13,6 +13,7 @@
 from figstep.core.clock import Clock
 from figstep.core.events import CallerGone, CallerReturned, Event, RequestArrived
 from figstep.core.inventory import Inventory
+from figstep.errors import ListenError
 from figstep.metrics import Metrics
 from figstep.net.answers import assemble_answer
 from figstep.net.arrivals import CHAT_PATH, COMPLETION_PATH, RequestReader
@@ -73,7 +74,14 @@
         listen = self._settings.callers
         tls = build_tls(self._settings.tls)
         site = web.TCPSite(self._runner, listen.host, listen.port, ssl_context=tls)
-        await site.start()
+        try:
+            await site.start()
+        except OSError as error:
+            raise ListenError(
+                f"callers: cannot listen on {listen.host}:{listen.port}"
+                f" ({error.strerror}); write an address of this instance and a"
+                " free port"
+            ) from error
         bound = self._runner.addresses[0]
         scheme = "http" if tls is None else "https"
         self.address = f"{scheme}://{bound[0]}:{bound[1]}"
--- a/figstep/net/listener.py
+++ b/figstep/net/listener.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from figstep.core.problems import Problem
+from figstep.errors import ListenError
 from figstep.net.refusals import answer_problem, answer_refusals, describe_status
 from figstep.settings import Settings, Tls
 
@@ -81,9 +82,19 @@
 
 
 def build_tls(tls: Tls | None) -> ssl.SSLContext | None:
-    """Return the TLS context for callers, or None for plain HTTP."""
+    """Return the TLS context for callers, or None for plain HTTP.
+
+    Raises:
+        ListenError: If the files cannot be used.
+    """
     if tls is None:
         return None
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(tls.certificate, tls.key)
+    try:
+        context.load_cert_chain(tls.certificate, tls.key)
+    except OSError as error:
+        raise ListenError(
+            f"tls: {tls.certificate} and {tls.key} are no usable pair ({error});"
+            " write paths of a PEM chain and its PEM key"
+        ) from error
     return context
--- a/figstep/settings.py
+++ b/figstep/settings.py
@@ -1,13 +1,22 @@
 """Settings of one entry instance: YAML, validated whole at start."""
 
 from pathlib import Path
-from typing import Any, Literal
+from typing import Annotated, Any, Literal
 
 import yaml
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from figstep.errors import SettingsError
 
+BaseUrl = Annotated[str, Field(pattern=r"^https?://[^/\s]+$")]
+PeerAddress = Annotated[str, Field(pattern=r"^\S+:\d+$")]
+
+_ADVICE = {
+    "missing": "missing; add it",
+    "extra_forbidden": "not a known field; check its spelling or remove it",
+    "model_type": "write a mapping of fields here",
+}
+
 
 class _Model(BaseModel):
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -30,9 +39,9 @@
         log_retention_seconds: How long the log keeps a record at least.
     """
 
-    log: str
-    instances: str
-    weights: str | None = None
+    log: BaseUrl
+    instances: BaseUrl
+    weights: BaseUrl | None = None
     log_retention_seconds: float = Field(default=86_400.0, gt=0)
 
 
@@ -47,7 +56,7 @@
     """
 
     listen: Listen = Listen()
-    start: tuple[str, ...] = ()
+    start: tuple[PeerAddress, ...] = ()
     key: str = ""
     old_key: str = ""
 
@@ -88,7 +97,7 @@
     """Address of the statsd server."""
 
     host: str
-    port: int = 8125
+    port: int = Field(default=8125, gt=0, le=65535)
 
 
 class Tls(_Model):
@@ -133,7 +142,8 @@
     lines = []
     for item in error.errors():
         path = ".".join(str(part) for part in item["loc"]) or "document"
-        lines.append(f"{path}: {item['msg']}")
+        advice = _ADVICE.get(item["type"], item["msg"])
+        lines.append(f"{path}: {advice}")
     return lines
 
 
@@ -163,4 +173,5 @@
     try:
         return Settings.model_validate(document)
     except ValidationError as error:
-        raise SettingsError(f"{path}: " + "; ".join(describe_errors(error))) from error
+        lines = [f"{path}: {line}" for line in describe_errors(error)]
+        raise SettingsError("\n".join(lines)) from error
