--- a/figstep/cli.py
+++ b/figstep/cli.py
@@ -7,7 +7,7 @@
 from dataclasses import asdict
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import typer
 import uvloop
@@ -150,11 +150,21 @@
     trail = operations.run_with_log(log, operations.read_history)
     for entry in trail.entries:
         if as_json:
-            typer.echo(json.dumps(asdict(entry)))
+            typer.echo(json.dumps(_encode_entry(entry)))
             continue
         _print_entry(entry)
 
 
+def _encode_entry(entry: HistoryEntry) -> dict[str, Any]:
+    document = asdict(entry)
+    changes = []
+    for change in entry.changes:
+        values = {"before": change.before, "after": change.after}
+        changes.append({"path": change.path, **values})
+    document["changes"] = changes
+    return document
+
+
 def _print_entry(entry: HistoryEntry) -> None:
     when = datetime.fromtimestamp(entry.time / 1000, UTC).isoformat(timespec="seconds")
     verdict = entry.verdict if not entry.rule else f"{entry.verdict} by {entry.rule}"
