Leave peers' counts out where few entries were heard

Cause: at 370 entries about 24 are heard within six seconds; scaled, one entry's count stood for fifteen, and the load policy took the sum over the reports. Before: a target used by one heard entry looked full. After: below half of the entries heard the sum is left out and reports decide. Ruled out: a longer memory of counts (they are old before enough are heard).

--- a/figstep/core/membership.py
+++ b/figstep/core/membership.py
@@ -314,8 +314,10 @@
 def estimate_peer_counts(state: State, now: Millis) -> None:
     """Set what other entries run on each target.
 
-    With few entries all were heard lately and the sum is exact. With many, the
-    ones heard lately are a random sample, scaled to the number of entries.
+    The sum over those heard lately is scaled to the number of entries. Where
+    fewer than half were heard, one entry's count would stand for many: a target
+    that one of them uses would look full. The load policy then goes by the
+    targets' own reports.
     """
     alive, heard = 0, 0
     sums: dict[int, int] = {}
@@ -328,7 +330,7 @@
         heard += 1
         for target, count in member.counts.items():
             sums[target] = sums.get(target, 0) + count
-    scale = alive / heard if heard else 0.0
+    scale = alive / heard if 2 * heard >= alive > 0 else 0.0
     for name, target_state in state.targets.items():
         total = sums.get(hash_target(name), 0)
         target_state.peers_in_flight = round(total * scale)
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -139,6 +139,9 @@
     feed(state, hear("n1", sequence=2, counts=counts), 10_000)
     membership.estimate_peer_counts(state, Millis(10_000))
     assert state.targets["engine-0"].peers_in_flight == 12
+    feed(state, hear("n2", sequence=2, counts=counts), 16_000)
+    membership.estimate_peer_counts(state, Millis(16_000))
+    assert state.targets["engine-0"].peers_in_flight == 0
     membership.estimate_peer_counts(state, Millis(30_000))
     assert state.targets["engine-0"].peers_in_flight == 0
 
