Convert documents without copying each model twice

Before: 52 ms of processor time an edit at 670 engines and 5,600 customers, of which a third went into model_dump and a quadratic search for repeated names.

--- a/figstep/inventory.py
+++ b/figstep/inventory.py
@@ -1,6 +1,7 @@
 """Border of the inventory document: pydantic in, frozen data classes out."""
 
 import hashlib
+from collections import Counter
 from typing import Any, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
@@ -163,7 +164,7 @@
     def _check_references(self) -> "InventoryModel":
         targets: list[EngineModel | ServiceModel] = [*self.engines, *self.services]
         names = [target.name for target in targets]
-        repeated = {name for name in names if names.count(name) > 1}
+        repeated = {name for name, count in Counter(names).items() if count > 1}
         if repeated:
             raise ValueError(f"target names must differ; rename one of {repeated}")
         domains = {domain.name for domain in self.failure_domains}
@@ -226,15 +227,15 @@
 def _convert_inventory(model: InventoryModel) -> core.Inventory:
     return core.Inventory(
         failure_domains=tuple(
-            core.FailureDomain(**m.model_dump()) for m in model.failure_domains
+            core.FailureDomain(**vars(m)) for m in model.failure_domains
         ),
-        instances=tuple(core.InstanceRecord(**m.model_dump()) for m in model.instances),
-        engines=tuple(core.EngineInfo(**m.model_dump()) for m in model.engines),
-        services=tuple(core.ServiceInfo(**m.model_dump()) for m in model.services),
-        models=tuple(core.ModelInfo(**m.model_dump()) for m in model.models),
-        customers=tuple(core.CustomerInfo(**m.model_dump()) for m in model.customers),
+        instances=tuple(core.InstanceRecord(**vars(m)) for m in model.instances),
+        engines=tuple(core.EngineInfo(**vars(m)) for m in model.engines),
+        services=tuple(core.ServiceInfo(**vars(m)) for m in model.services),
+        models=tuple(core.ModelInfo(**vars(m)) for m in model.models),
+        customers=tuple(core.CustomerInfo(**vars(m)) for m in model.customers),
         rules=_convert_rules(model.rules),
-        draining=tuple(core.DrainMark(**m.model_dump()) for m in model.draining),
+        draining=tuple(core.DrainMark(**vars(m)) for m in model.draining),
     )
 
 
@@ -256,8 +257,8 @@
         deadline=Millis(model.deadline_ms),
         load_interval=Millis(model.load_interval_ms),
         routing=model.routing,
-        priorities=tuple(core.PriorityRule(**m.model_dump()) for m in model.priorities),
-        placement=tuple(core.PlacementRule(**m.model_dump()) for m in model.placement),
+        priorities=tuple(core.PriorityRule(**vars(m)) for m in model.priorities),
+        placement=tuple(core.PlacementRule(**vars(m)) for m in model.placement),
         gap_goal=Millis(model.gap_goal_ms),
         subset=model.subset,
     )
