Leave a running order alone when the log repeats its claim

Ruled out: remembering all claim ids in the fold (entries that start later would remember fewer, and disagree).

--- a/figstep/core/settlement.py
+++ b/figstep/core/settlement.py
@@ -44,9 +44,11 @@
 
 def _settle_won(state: State, record: str, time: int, now: Millis) -> list[Effect]:
     own = state.claims.own.get(record)
-    if own is None:
+    if own is None or own.state is OwnState.OWNED:
+        # A record that the log holds twice wins again once its window has
+        # passed; what it stands for was started by the first.
         return []
-    abandoned = own.state is not OwnState.PENDING
+    abandoned = own.state is OwnState.ABANDONED
     own.state = OwnState.OWNED
     request = state.requests.get(own.request)
     if abandoned or request is None:
@@ -69,9 +71,10 @@
 
 
 def _settle_lost(state: State, record: str, name: str, now: Millis) -> list[Effect]:
-    own = state.claims.own.pop(record, None)
-    if own is None:
+    own = state.claims.own.get(record)
+    if own is None or own.state is OwnState.OWNED:
         return []
+    del state.claims.own[record]
     owner = state.claims.owners[name]
     effects: list[Effect] = [Count("claims.lost")]
     for request_id in [own.request, *own.joined]:
--- a/tests/core/test_claims_properties.py
+++ b/tests/core/test_claims_properties.py
@@ -7,11 +7,21 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
+from figstep.core.claims import CLAIM_WINDOW
 from figstep.core.clock import Millis
-from figstep.core.effects import AppendRecords, Effect, OpenAttempt, Refuse, WakeAt
+from figstep.core.effects import (
+    AppendRecords,
+    CloseAttempt,
+    Effect,
+    OpenAttempt,
+    Refuse,
+    ResumeAttempt,
+    WakeAt,
+)
 from figstep.core.events import (
     AppendConfirmed,
     AppendUncertain,
+    AttemptEnded,
     AttemptLost,
     CallerGone,
     Event,
@@ -23,10 +33,11 @@
     StreamUnavailable,
     Timer,
     TimerFired,
+    TokensArrived,
 )
 from figstep.core.problems import Ran
 from figstep.core.records import CLAIMS, LogRecord
-from figstep.core.specs import RequestSpec, ServiceWork
+from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork
 from tests.core.entries import Entry, make_inventory
 
 ENTRIES = 2
@@ -34,6 +45,8 @@
 PROVED = (Loss.CONNECT_FAILED, Loss.REFUSED)
 LOSSES = (*PROVED, Loss.BROKEN, Loss.TRUNCATED, Loss.FAILED)
 
+BODIES = ["x", "x", "generation", "y"]
+
 entries = st.integers(0, ENTRIES - 1)
 picks = st.integers(0, 7)
 
@@ -46,7 +59,7 @@
     read: int = 0
     appends: list[AppendRecords] = field(default_factory=list)
     timers: dict[Timer, Millis] = field(default_factory=dict)
-    open: dict[int, OpenAttempt] = field(default_factory=dict)
+    open: dict[int, OpenAttempt | ResumeAttempt] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -57,6 +70,17 @@
     request: str
 
 
+def make_spec(request: str, body: str) -> RequestSpec:
+    """Return an order of a service, or a generation that runs once."""
+    if body == "generation":
+        work = GenerationWork("m")
+        return RequestSpec(
+            request, "demo", work, idempotency_key=body, non_idempotent=True
+        )
+    call = ServiceWork("shop", "POST", "/orders")
+    return RequestSpec(request, "demo", call, stream=False, digest=body)
+
+
 class ClaimsMachine(RuleBasedStateMachine):
     """Orders through two entries that crash, pause and lose the log."""
 
@@ -92,6 +116,10 @@
                 node.timers[timer] = at
             case OpenAttempt():
                 self._dispatch(node, effect)
+            case ResumeAttempt():
+                node.open[effect.attempt] = effect
+            case CloseAttempt(attempt=attempt):
+                node.open.pop(attempt, None)
             case Refuse(request=request, problem=problem) if problem.ran is Ran.NO:
                 body = self.bodies[request]
                 out = [d for d in self.dispatched.get(body, []) if d.request == request]
@@ -101,12 +129,14 @@
     def _dispatch(self, node: Node, effect: OpenAttempt) -> None:
         assert effect.request not in self.told_not_run, "told not run, then sent"
         node.open[effect.attempt] = effect
-        earlier = self.dispatched.setdefault(self.bodies[effect.request], [])
+        body = self.bodies[effect.request]
+        earlier = self.dispatched.setdefault(body, [])
+        window = CLAIM_WINDOW if body == "generation" else WINDOW
         for dispatch in earlier:
-            assert self.now - dispatch.at >= WINDOW // 2, "the order ran twice"
+            assert self.now - dispatch.at >= window // 2, "the order ran twice"
         earlier.append(Dispatch(self.now, effect.request))
 
-    def _pick_attempt(self, node: Node, pick: int) -> OpenAttempt:
+    def _pick_attempt(self, node: Node, pick: int) -> OpenAttempt | ResumeAttempt:
         attempts = list(node.open.values())
         return attempts[pick % len(attempts)]
 
@@ -116,14 +146,12 @@
             self.log.append(LogRecord(first + number, self.now, data))
         return first
 
-    @rule(number=entries, body=st.sampled_from("xxxy"))
+    @rule(number=entries, body=st.sampled_from(BODIES))
     def send_order(self, number: int, body: str) -> None:
         request = f"r{self.next_request}"
         self.next_request += 1
         self.bodies[request] = body
-        work = ServiceWork("shop", "POST", "/orders")
-        spec = RequestSpec(request, "demo", work, stream=False, digest=body)
-        self._feed(self.nodes[number], RequestArrived(spec))
+        self._feed(self.nodes[number], RequestArrived(make_spec(request, body)))
 
     @rule(number=entries)
     def append_taken(self, number: int) -> None:
@@ -174,7 +202,7 @@
             self.append_taken(number)
         self.read_all(number)
 
-    @rule(number=entries, body=st.sampled_from("xxxy"))
+    @rule(number=entries, body=st.sampled_from(BODIES))
     def order_goes_out(self, number: int, body: str) -> None:
         self.read_all(number)
         self.send_order(number, body)
@@ -227,19 +255,24 @@
             return
         effect = self._pick_attempt(node, pick)
         del node.open[effect.attempt]
-        if loss in PROVED:
+        if loss in PROVED and isinstance(effect, OpenAttempt):
             sent = self.dispatched[self.bodies[effect.request]]
             proved = next(d for d in sent if d.request == effect.request)
             sent.remove(proved)
         self._feed(node, AttemptLost(effect.attempt, loss))
 
     @rule(number=entries, pick=picks)
-    def service_answers(self, number: int, pick: int) -> None:
+    def target_answers(self, number: int, pick: int) -> None:
         node = self.nodes[number]
         if node.open:
             effect = self._pick_attempt(node, pick)
             del node.open[effect.attempt]
-            self._feed(node, ServiceAnswered(effect.attempt, 200, "", b"ok"))
+            if self.bodies[effect.request] != "generation":
+                self._feed(node, ServiceAnswered(effect.attempt, 200, "", b"ok"))
+                return
+            generation = effect.generation
+            self._feed(node, TokensArrived(effect.attempt, generation, 1, [b"1"]))
+            self._feed(node, AttemptEnded(effect.attempt))
 
     @rule(number=entries, pick=picks)
     def caller_leaves(self, number: int, pick: int) -> None:
--- a/tests/core/test_settlement.py
+++ b/tests/core/test_settlement.py
@@ -8,6 +8,7 @@
 from figstep.core.clock import Millis
 from figstep.core.effects import (
     AppendRecords,
+    Complete,
     OpenAttempt,
     Refuse,
     ReplayAnswer,
@@ -378,3 +379,26 @@
     entry.feed(TimerFired(OutcomeTimer()), after=60_000)
     assert entry.list_kind(AppendRecords) == []
     assert entry.claims.unconfirmed == {}
+
+
+def test_a_record_that_the_log_repeats_late_does_not_disturb_its_request() -> None:
+    """An order runs longer than its window and another takes the identity.
+
+    Then the log shows the first claim again. It has lost now, but its order is
+    out: it must not be told the outcome of the other one, or "not run".
+    """
+    inventory = make_inventory(window=Millis(5_000))
+    entry, log = Entry(inventory=inventory), Log()
+    entry.catch_up()
+    entry.order("r1", key=None)
+    claim = entry.take(AppendRecords).records[0]
+    log.take(entry)
+    log.show(entry)
+    attempt = entry.take(OpenAttempt).attempt
+    log.time += 6_000
+    log.add({**claim, "id": "another"})
+    log.add(claim)
+    log.show(entry, 1)
+    assert entry.effects == []
+    entry.feed(ServiceAnswered(attempt, 200, "", b"x"))
+    assert entry.list_kind(Complete)
