Test the cutting of events and the pools of connections

Cause: the guard against the HTTP client's own second send, the drop of cookies and the typed error of a malformed event had no tests beside them. Before: none.

--- /dev/null
+++ b/tests/net/test_frames.py
@@ -0,0 +1,41 @@
+"""Cutting a target's bytes into runs of events."""
+
+import pytest
+
+from figstep.errors import FrameError
+from figstep.net.frames import MAX_FRAME, FrameSplitter
+
+
+def test_events_cut_anywhere_come_out_whole_and_in_order() -> None:
+    stream = b"".join(b"id: g:%d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
+    stream += b": comment\n\ndata: [DONE]\n\n"
+    for cut in range(1, len(stream)):
+        splitter = FrameSplitter()
+        runs = [*splitter.feed(stream[:cut]), *splitter.feed(stream[cut:])]
+        frames = [frame for run in runs for frame in run.frames]
+        assert b"".join(frames) == stream[: stream.index(b": comment")]
+        assert splitter.ended
+
+
+def test_a_run_holds_consecutive_events_of_one_generation() -> None:
+    ids = ["g:1", "g:2", "g:4", "h:5", "h:6"]
+    stream = b"".join(f"id: {name}\ndata: x\n\n".encode() for name in ids)
+    runs = FrameSplitter().feed(stream)
+    found = [(run.generation, run.first, len(run.frames)) for run in runs]
+    assert found == [("g", 1, 2), ("g", 4, 1), ("h", 5, 2)]
+
+
+@pytest.mark.parametrize("name", [b"g:x", b"g", b"", b"\xff\xfe:1"])
+def test_an_id_without_an_index_is_a_typed_error(name: bytes) -> None:
+    """A target writes ids in a form of its own.
+
+    Passing such events on would break the order that callers rely on; the
+    error ends the attempt as lost instead of leaving its request to hang.
+    """
+    with pytest.raises(FrameError, match="look at the target"):
+        FrameSplitter().feed(b"id: " + name + b"\ndata: x\n\n")
+
+
+def test_an_event_that_never_ends_is_a_typed_error() -> None:
+    with pytest.raises(FrameError):
+        FrameSplitter().feed(b"x" * (MAX_FRAME + 1))
--- /dev/null
+++ b/tests/net/test_pools.py
@@ -0,0 +1,103 @@
+"""Connections to targets: kept, new, replaced, and sent on once."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from figstep.net.pools import Pool, PoolTable, SendOnce
+from figstep.standins.http import start_app
+
+
+class Target:
+    """Counts requests and the connections that brought them."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.connections: set[object] = set()
+        self.cut = False
+        self.url = ""
+
+    async def answer(self, request: web.Request) -> web.Response:
+        self.requests += 1
+        self.connections.add(request.transport)
+        if self.cut and request.transport is not None:
+            request.transport.abort()
+        response = web.Response(text="ok")
+        response.set_cookie("session", "of another customer")
+        return response
+
+
+@pytest.fixture
+async def target() -> AsyncIterator[Target]:
+    target = Target()
+    app = web.Application()
+    app.router.add_route("*", "/", target.answer)
+    runner, target.url = await start_app(app)
+    yield target
+    await runner.cleanup()
+
+
+@pytest.fixture
+async def pools() -> AsyncIterator[PoolTable]:
+    pools = PoolTable()
+    yield pools
+    await pools.close()
+
+
+async def send(session: aiohttp.ClientSession, target: Target) -> None:
+    async with session.get(target.url) as response:
+        await response.read()
+
+
+async def test_resumes_take_new_connections(pools: PoolTable, target: Target) -> None:
+    async with pools.use("t") as pool:
+        for _ in range(3):
+            await send(pool.reused, target)
+        assert len(target.connections) == 1
+        for _ in range(3):
+            await send(pool.fresh, target)
+        assert len(target.connections) == 4
+
+
+async def test_a_replaced_pool_serves_its_users_and_then_closes(
+    pools: PoolTable, target: Target
+) -> None:
+    async with pools.use("t") as old:
+        await send(old.reused, target)
+        pools.replace("t")
+        async with pools.use("t") as new:
+            assert new is not old
+            await send(new.reused, target)
+        assert len(target.connections) == 2
+        await send(old.reused, target)
+    assert is_closed(old)
+
+
+def is_closed(pool: Pool) -> bool:
+    return pool.reused.closed and pool.fresh.closed
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+async def test_a_call_that_runs_once_is_never_sent_twice(
+    pools: PoolTable, target: Target, method: str
+) -> None:
+    """The target executes a call and its connection breaks.
+
+    The HTTP client sends some methods again by itself; a seat booked with PUT
+    would be booked twice, below everything that counts attempts.
+    """
+    target.cut = True
+    async with pools.use("t") as pool:
+        with pytest.raises(aiohttp.ClientError):
+            await pool.fresh.request(method, target.url, middlewares=(SendOnce(),))
+    assert target.requests == 1
+
+
+async def test_cookies_of_one_caller_do_not_reach_the_next(
+    pools: PoolTable, target: Target
+) -> None:
+    async with pools.use("t") as pool:
+        await send(pool.reused, target)
+        assert len(pool.reused.cookie_jar) == 0
