--- a/figstep/application.py
+++ b/figstep/application.py
@@ -44,11 +44,12 @@
     Timer,
     TimerFired,
 )
-from figstep.core.inventory import TargetInfo
+from figstep.core.inventory import EngineInfo, TargetInfo
 from figstep.core.problems import Problem
 from figstep.core.records import CLAIMS, CONFIGURATION, LEASES, LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.state import State
+from figstep.core.watch import list_watched
 from figstep.metrics import MemoryMetrics, Metrics, StatsdMetrics
 from figstep.net.callers import CallerEdge
 from figstep.net.clock import SystemClock
@@ -58,6 +59,7 @@
 from figstep.net.log import HttpLog, LogClient
 from figstep.net.orders import OrderEdge
 from figstep.net.peers import PeerEdge
+from figstep.net.reports import ReportEdge
 from figstep.net.streams import StreamAppender, StreamFollower
 from figstep.net.targets import TargetEdge
 from figstep.reporting import Load, LoadReporter
@@ -65,6 +67,9 @@
 
 _log = logbook.Logger("figstep")
 
+# A document of a large fleet takes long to parse and is large: a fresh entry
+# that took all kept ones in one go would hold up its loop and its memory.
+DOCUMENTS_READ = 4
 DRAIN_POLL_SECONDS = 0.05
 CUT_SECONDS = 2.0
 
@@ -107,9 +112,13 @@
             lambda: self.entry_state.inventory,
             self.read_status,
         )
-        self.targets = TargetEdge(self.dispatch, self.find_target, self.list_targets)
+        self.targets = TargetEdge(self.dispatch, self.find_target)
+        self.reports = ReportEdge(self.dispatch, self.list_watched)
         self.configuration = StreamFollower(
-            self._log_client, CONFIGURATION, self._take_configuration
+            self._log_client,
+            CONFIGURATION,
+            self._take_configuration,
+            limit=DOCUMENTS_READ,
         )
         self.claims = StreamFollower(
             self._log_client, CLAIMS, self._take_claims, dispatch=self.dispatch
@@ -130,6 +139,7 @@
         """Start the edges; the listener opens last."""
         edges = (
             self.targets,
+            self.reports,
             self.appender,
             self.leases,
             self.orders,
@@ -160,7 +170,7 @@
         self.dispatch(ShutdownRequested())
         # A claim's outcome that is not in the log would leave its caller, and
         # any duplicate of the request, with "unknown" for good.
-        while self.entry_state.requests or self.exchanges or not self.appender.idle:
+        while self._is_busy():
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         await self._flush_answers()
 
@@ -186,9 +196,17 @@
                 while self.exchanges or self.callers.unsent:
                     await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    def _is_busy(self) -> bool:
+        state = self.entry_state
+        if state.requests or state.claims.unconfirmed:
+            return True
+        return bool(self.exchanges) or not self.appender.idle
+
     def _take_configuration(self, records: list[LogRecord]) -> None:
         for record in records:
-            self.dispatch(parse_record(record))
+            fold = self.entry_state.configuration
+            if record.offset > fold.position:
+                self.dispatch(parse_record(record, fold.current))
 
     def _take_claims(self, records: list[LogRecord]) -> None:
         self.dispatch(RecordsRead(CLAIMS, tuple(records)))
@@ -207,9 +225,9 @@
         target = self.entry_state.targets.get(name)
         return None if target is None else target.info
 
-    def list_targets(self) -> list[TargetInfo]:
-        """Return the inventory entries of all known targets."""
-        return [target.info for target in self.entry_state.targets.values()]
+    def list_watched(self) -> list[EngineInfo]:
+        """Return the engines whose load reports this entry reads."""
+        return list_watched(self.entry_state, self.clock.now())
 
     def read_load(self) -> Load:
         """Return what the gauges tell."""
