--- a/tests/integration/replacement.feature
+++ b/tests/integration/replacement.feature
@@ -8,7 +8,7 @@
     time, and exits 0. Callers see whole answers over unbroken connections.
     Given 3 entries that give notice, and 2 engines
     And a balancer before the entries
-    When each entry is replaced in turn while 6 callers keep asking
+    When each entry is replaced in turn under the load of 6 callers
     Then every entry that was replaced exited with 0
     And each caller's answers all came whole over the first connection
     And every promise held
--- a/tests/integration/test_replacement.py
+++ b/tests/integration/test_replacement.py
@@ -11,7 +11,7 @@
 
 scenarios("replacement.feature")
 
-TOKENS = 100
+LONG, SHORT = 100, 2
 NOTICE_SECONDS = 2.0  # ten polls of the balancer
 
 
@@ -30,9 +30,9 @@
     return balancer
 
 
-async def keep_asking(world: World, url: str, stop: asyncio.Event) -> None:
+async def keep_asking(world: World, url: str, tokens: int, stop: asyncio.Event) -> None:
     while not stop.is_set():
-        caller = world.call(tokens=TOKENS)
+        caller = world.call(tokens=tokens)
         await caller.stream_whole(url)
 
 
@@ -44,14 +44,17 @@
 
 
 @when(
-    parsers.parse("each entry is replaced in turn while {count:d} callers keep asking"),
+    parsers.parse("each entry is replaced in turn under the load of {count:d} callers"),
     target_fixture="exits",
 )
 def replace_all(world: World, balancer: Balancer, count: int) -> list[int]:
     async def run() -> list[int]:
         stop = asyncio.Event()
-        load = [keep_asking(world, balancer.url, stop) for _ in range(count)]
-        tasks = [asyncio.create_task(work) for work in load]
+        tasks = []
+        for number in range(count):
+            tokens = LONG if number % 2 else SHORT
+            work = keep_asking(world, balancer.url, tokens, stop)
+            tasks.append(asyncio.create_task(work))
         exits = []
         for old in list(world.fleet.entries):
             new = f"{old}-new"
