Let the long streams of the replacement outlast notice and shutdown

Cause: streams of 2 s ended within the notice of 2 s, so a drain that waited for nothing passed. Before: passed without the wait.

--- a/tests/integration/test_replacement.py
+++ b/tests/integration/test_replacement.py
@@ -11,7 +11,7 @@
 
 scenarios("replacement.feature")
 
-LONG, SHORT = 100, 2
+LONG, SHORT = 200, 2
 NOTICE_SECONDS = 2.0  # ten polls of the balancer
 
 
