--- a/figstep/application.py
+++ b/figstep/application.py
@@ -237,7 +237,7 @@
             queued=len(self.entry_state.queue),
             streams=len(self.callers.streams),
             targets=len(targets),
-            leaving=sum(target.leaving for target in targets),
+            leaving=sum(not target.takes_work for target in targets),
             configuration_offset=self.entry_state.configuration_offset,
         )
 
@@ -248,7 +248,7 @@
             targets[name] = {
                 "in_flight": target.in_flight,
                 "peers_in_flight": target.peers_in_flight,
-                "leaving": target.leaving,
+                "leaving": target.leaving or target.listed_leaving,
                 "draining": target.draining,
             }
         return {
--- a/figstep/core/membership.py
+++ b/figstep/core/membership.py
@@ -386,6 +386,8 @@
     """Join the platform's list with what is known.
 
     The list lags, so a live line never clears a mark that another source set.
+    A line without an incarnation cannot be told from one of an earlier start;
+    it counts for as long as the list says so, and is not spread.
     """
     effects: list[Effect] = []
     for instance in event.instances:
@@ -396,6 +398,7 @@
         target = state.targets.get(instance.name)
         if target is None:
             continue
+        target.listed_leaving = instance.incarnation == 0 and instance.leaving
         if instance.incarnation > target.incarnation:
             target.incarnation = instance.incarnation
             target.leaving = False
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -125,6 +125,8 @@
         in_flight: Attempts of this entry running there.
         peers_in_flight: What other entries say they run there.
         leaving: Whether it said, or was said, to take no new work.
+        listed_leaving: Whether the platform's list says so now, without telling
+            of which incarnation.
         draining: Whether the document in force gives it no new work.
         incarnation: Highest incarnation seen.
         running: Reported generations decoding.
@@ -145,6 +147,7 @@
     in_flight: int = 0
     peers_in_flight: int = 0
     leaving: bool = False
+    listed_leaving: bool = False
     draining: bool = False
     incarnation: int = 0
     running: int = 0
@@ -160,6 +163,11 @@
     deaths: int = 0
     death_incarnation: int = -1
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether nobody says that it should get no new work."""
+        return not (self.leaving or self.listed_leaving or self.draining)
+
 
 @dataclass(slots=True)
 class PoolCache:
--- a/tests/contracts/test_operators.py
+++ b/tests/contracts/test_operators.py
@@ -25,7 +25,7 @@
 RULES = {"rules": {"deadline_ms": 5_000}}
 COMMANDS = {
     "valid": ("check FILE", {}, 0, "valid, 4 targets"),
-    "unknown field": ("check FILE", {"engine": []}, 1, "engine: Extra inputs"),
+    "unknown field": ("check FILE", {"engine": []}, 1, "engine: not a known field"),
     "unknown failure domain": (
         "check FILE",
         {"failure_domains": []},
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -194,3 +194,19 @@
     for damaged in (b"", b"\xff" * 40, signed[:-3]):
         with pytest.raises(PeerMessageError):
             Keyring("old").open(MessageKind.GOSSIP, damaged)
+
+
+def test_a_list_without_incarnations_counts_while_it_says_so() -> None:
+    """The platform's list names no incarnations and calls a target leaving.
+
+    The target has told its own incarnation, so the line looks older than it;
+    were it passed over, the target would get new work until it is gone.
+    """
+    state = make_state(members=1)
+    target = state.targets["engine-0"]
+    feed(state, LoadReported("engine-0", incarnation=3))
+    line = InstanceInfo("engine-0", "target", "", "muc-a", leaving=True)
+    feed(state, InstancesListed((line,)))
+    assert not target.takes_work
+    feed(state, InstancesListed((replace(line, leaving=False),)))
+    assert target.takes_work
