Tell errors of timing and pushed-off streams from load

Cause: with one entry the difference between a late report and its own count was taken for other entries' work, and one pushed-off stream's gap cut the limit of its target. Ruled out: dropping the count of others; it is what keeps eight entries from overfilling every target.

--- a/figstep/core/targets.py
+++ b/figstep/core/targets.py
@@ -14,7 +14,12 @@
 ESTIMATE_STEP = 0.25
 AVOID_FIRST = Millis(500)
 AVOID_LONGEST = Millis(8_000)
+GAP_GAIN = 0.1
+OUTLIER = 4.0
 REPORT_FRESH = Millis(10_000)
+MOSTLY_OWN = 0.8
+"""Above this share of a report the rest is taken for an error of timing."""
+
 MOST_ENTRIES = 8.0
 OTHERS_GROWTH = 1.25
 DEFAULT_HELD = 700.0
@@ -59,9 +64,9 @@
         return 0.0
     pace = target.pace
     total = target.running + target.waiting
-    others = max(0, total - pace.own_then)
-    if others == 0:
+    if pace.own_then >= MOSTLY_OWN * total:
         return 0.0
+    others = total - pace.own_then
     added = max(0, pace.running - pace.own_then)
     entries = min(MOST_ENTRIES, others / max(1, pace.own_then))
     return others + entries * added
@@ -166,14 +171,17 @@
 
 def _learn_gap(state: State, target: TargetState, gap: float, now: Millis) -> None:
     pace = target.pace
-    pace.gap = gap if pace.gap == 0.0 else 0.9 * pace.gap + 0.1 * gap
+    # A stream that was pushed off shows one huge gap, which tells nothing of
+    # the pace of the others.
+    bounded = min(gap, OUTLIER * pace.gap) if pace.gap else gap
+    pace.gap += GAP_GAIN * (bounded - pace.gap) if pace.gap else bounded
     if pace.gaps.weight == 0.0:
         start_pace(target)
     running = pace.running + count_others(target, now)
     pace.gaps.learn(running, gap)
     match state.policy:
         case Figstep(limit=True, gap_goal=goal):
-            pace.adapt_limit(gap, goal, running, now)
+            pace.adapt_limit(pace.gap, goal, running, now)
         case _:
             pass
 
