--- a/figstep/cli.py
+++ b/figstep/cli.py
@@ -25,6 +25,7 @@
 from figstep.plots import draw_measures, read_results
 from figstep.server import run_server
 from figstep.settings import Settings, load_settings
+from figstep.standins.engine_model import EngineProfile
 from figstep.standins.process import run_standin
 
 app = typer.Typer(no_args_is_help=True, add_completion=False)
@@ -225,9 +226,23 @@
 
 
 @app.command()
-def standin(kind: str, name: str = "", port: int = 0, gap: float = 0.01) -> None:
-    """Run a stand-in of an outside system until SIGTERM or SIGINT."""
-    asyncio.run(run_standin(kind, name, port, gap))
+def standin(
+    kind: str,
+    name: str = "",
+    port: int = 0,
+    gap: float = 0.01,
+    speed: float = 0.0,
+    memory: int = 16_384,
+    batch: int = 32,
+) -> None:
+    """Run a stand-in of an outside system until SIGTERM or SIGINT.
+
+    With --speed an engine batches, fills its memory and preempts.
+    """
+    profile = None
+    if speed > 0:
+        profile = EngineProfile(speed=speed, memory_tokens=memory, max_running=batch)
+    asyncio.run(run_standin(kind, name, port, gap, profile))
 
 
 @app.command()
--- a/figstep/core/admission.py
+++ b/figstep/core/admission.py
@@ -59,7 +59,7 @@
     spec = request.spec
     cost, share = estimate_cost(state, spec), find_share(state, spec)
     wait = state.queue.predict_wait(spec, cost, share, now)
-    left = find_deadline(state, request) - now
+    left = request.deadline - now
     if wait <= left:
         return Wait()
     return TurnAway(_full_problem(state, request, Millis(wait - left)))
@@ -101,13 +101,6 @@
             return spec.priority
 
 
-def find_deadline(state: State, request: RequestState) -> Millis:
-    """Return the latest time for the first byte of a request."""
-    if request.spec.deadline is not None or state.inventory is None:
-        return request.spec.deadline or request.arrived
-    return Millis(request.arrived + state.inventory.rules.deadline)
-
-
 def estimate_cost(state: State, spec: RequestSpec) -> float:
     """Return the expected work of a request, in tokens."""
     if not isinstance(spec.work, GenerationWork):
--- a/figstep/core/queues.py
+++ b/figstep/core/queues.py
@@ -251,10 +251,6 @@
             return 0.0
         return now + AGING * cost - customer.heap[0][0]
 
-    def list_in_order(self) -> list[str]:
-        """Return all queued ids in the order in which they came."""
-        return list(self._queued)
-
     def _find_pool(self, spec: RequestSpec) -> Pool:
         name = name_pool(spec)
         pool = self._pools.get(name)
--- a/figstep/standins/process.py
+++ b/figstep/standins/process.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from figstep.standins.engine import EngineServer
+from figstep.standins.engine_model import EngineProfile
 from figstep.standins.http import start_app
 from figstep.standins.instances import InstanceList
 from figstep.standins.log import LogService
@@ -17,13 +18,16 @@
 KINDS = ("log", "instances", "engine", "service", "weights", "proxy", "source")
 
 
-def build_standin(kind: str, name: str, gap: float) -> web.Application:
+def build_standin(
+    kind: str, name: str, gap: float, profile: EngineProfile | None = None
+) -> web.Application:
     """Return the application of one kind of stand-in.
 
     Args:
         kind: One of ``KINDS``.
         name: Target name, for engines and services.
-        gap: Seconds between tokens, for engines.
+        gap: Seconds between tokens, for thin engines.
+        profile: Sizes and costs of an engine that is not thin.
     """
     match kind:
         case "log":
@@ -31,7 +35,7 @@
         case "instances":
             return InstanceList().build_app()
         case "engine":
-            return EngineServer(name, gap).build_app()
+            return EngineServer(name, gap, profile=profile).build_app()
         case "service":
             return PlainService(name).build_app()
         case "source":
@@ -59,15 +63,22 @@
     await runner.cleanup()
 
 
-async def run_standin(kind: str, name: str, port: int, gap: float) -> None:
+async def run_standin(
+    kind: str,
+    name: str,
+    port: int,
+    gap: float,
+    profile: EngineProfile | None = None,
+) -> None:
     """Serve a stand-in until SIGTERM or SIGINT; prints its URL first.
 
-    The name of a proxy is the ``host:port`` that it relays to.
+    The name of a proxy is the ``host:port`` that it relays to. An engine
+    without a profile is thin: a token every ``gap`` seconds, whatever runs.
     """
     if kind == "proxy":
         await run_proxy(name, port)
         return
-    runner, url = await start_app(build_standin(kind, name, gap), port=port)
+    runner, url = await start_app(build_standin(kind, name, gap, profile), port=port)
     print(f"{kind} {url}", flush=True)
     await _wait_for_signal()
     await runner.cleanup()
