--- a/figstep/experiment/cost.py
+++ b/figstep/experiment/cost.py
@@ -16,7 +16,7 @@
     TimerFired,
     TokensArrived,
 )
-from figstep.core.inventory import EngineInfo, Inventory
+from figstep.core.inventory import EngineInfo, Inventory, Rules
 from figstep.core.reducer import reduce
 from figstep.core.specs import GenerationWork, RequestSpec
 from figstep.core.state import State
@@ -92,7 +92,8 @@
             domain = f"domain-{number % 9}"
             engines.append(EngineInfo(name, "", domain, (MODEL,)))
         self.state = State("entry-1", rng=random.Random(1))
-        apply_inventory(self.state, Inventory(engines=tuple(engines)))
+        rules = Rules(subset=0)
+        apply_inventory(self.state, Inventory(engines=tuple(engines), rules=rules))
         self.rng = random.Random(2)
         self.events = 0
         self.made = 0
--- a/figstep/experiment/trials.py
+++ b/figstep/experiment/trials.py
@@ -29,6 +29,7 @@
 COLUMNS = {
     "stall_sum_s": "stall s",
     "stall_p99_s": "stall p99 s",
+    "spared_stall_p99_s": "spared p99 s",
     "preemptions_per_1000": "preempt/1k",
     "gap_p95_ms": "gap p95",
     "gap_p99_ms": "gap p99",
