Try an order again that a service refuses with 429

Cause: a service's 429 to an order was passed on and recorded as its outcome, so every later sending of the same key was answered 429 for 15 minutes though the order had never run.

Ruled out: doing the same for calls without a claim; they pass 429 on, as the caller's own back-off may rest on it.

Before: the new test gives 429. After: 503 and 429 mean refused for claimed calls, and the order runs once. Conclusion: a recorded outcome is always the outcome of a run.

--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -203,7 +203,9 @@
                 middlewares=(SendOnce(),) if effect.once else (),
             ) as response:
                 body = await response.read()
-        if response.status == 503:
+        # Passed on and recorded, a 429 would be replayed to every later sending
+        # of the same key; it says that the call did not run, as a 503 does.
+        if response.status in (_REFUSED if effect.once else (503,)):
             retry_after = _read_retry_after(response)
             self._dispatch(AttemptLost(effect.attempt, Loss.REFUSED, retry_after))
             return
--- a/figstep/standins/service.py
+++ b/figstep/standins/service.py
@@ -25,6 +25,7 @@
         delay: Seconds between execution and answer.
         cut_answers: Answers still to be lost: the call is executed and its
             connection cut.
+        refusals: Statuses of the next answers, which refuse without executing.
         executed: Calls in the order of their execution.
     """
 
@@ -32,6 +33,7 @@
         self.name = name
         self.delay = delay
         self.cut_answers = 0
+        self.refusals: list[int] = []
         self.executed: list[ExecutedCall] = []
 
     def build_app(self) -> web.Application:
@@ -48,6 +50,8 @@
     async def _execute(self, request: web.Request) -> web.Response:
         body = (await request.read()).decode(errors="replace")
         path = "/" + request.match_info["path"]
+        if self.refusals:
+            return answer_json({"refused": path}, status=self.refusals.pop(0))
         self.executed.append(ExecutedCall(request.method, path, body))
         number = len(self.executed)
         if self.cut_answers and request.transport is not None:
--- a/tests/integration/test_requests.py
+++ b/tests/integration/test_requests.py
@@ -112,6 +112,19 @@
         assert len(deployment.service.executed) == 1
 
 
+async def test_an_order_that_the_service_refuses_is_tried_again() -> None:
+    """A busy service refuses an order twice before it takes it.
+
+    Refused means not run, so the order may go out again; the refusals are not
+    recorded as its outcome and the caller gets the one real answer.
+    """
+    async with run_deployment() as deployment, run_callers(deployment) as callers:
+        deployment.service.refusals = [503, 429]
+        status, document, _ = await callers.order(0, "k")
+        assert (status, document["number"]) == (200, 1)
+        assert len(deployment.service.executed) == 1
+
+
 async def publish_again(deployment: Deployment) -> None:
     """Publish the deployment's document as edited, and wait until in force."""
     log = HttpLog(deployment.entries[0].settings.platform.log)
