--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -231,6 +231,13 @@
     assert last.ended or (last.problem and last.ran is Ran.YES), last
 
 
+@then("its stream ends with a problem")
+def ends_with_problem(world: World) -> None:
+    caller: Caller = world.caller
+    world.run(caller.finish())
+    assert caller.last.problem, caller.last
+
+
 @then("its answer comes in one piece")
 def comes_whole(world: World) -> None:
     world.run(world.caller.finish())
--- a/tests/integration/generations.feature
+++ b/tests/integration/generations.feature
@@ -46,6 +46,21 @@
     Then its answer is whole with 60 tokens
     And every promise held
 
+  Scenario: Two at once: the entry and the engine die
+    A rack goes, and with it the entry and the engine that held the generation.
+    The caller returns to the other entry, which must say at once that this
+    answer is gone, and not stitch another on; asked anew, it answers whole.
+    When a caller streams 60 tokens through entry-1
+    And it has seen 10 tokens
+    And its engine runs it
+    And entry-1 is killed
+    And its engine is killed
+    And its connection ends
+    And it returns through entry-2
+    Then its stream ends with a problem
+    And a caller is served by every entry
+    And every promise held
+
   Scenario Outline: An engine is reclaimed at short notice
     <source> says that the engine leaves. The stream on it goes on to its end;
     what is asked a few seconds later goes elsewhere, whoever it was that said
--- a/tests/integration/test_replacement.py
+++ b/tests/integration/test_replacement.py
@@ -6,7 +6,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from figstep.standins.balancer import Balancer
-from tests.fleet import BOUND, Caller
+from tests.fleet import BOUND
 from tests.integration.conftest import GAP, World
 
 scenarios("replacement.feature")
@@ -94,10 +94,3 @@
         await asyncio.wait_for(process.wait(), BOUND)
 
     world.run(run())
-
-
-@then("its stream ends with a problem")
-def ends_with_problem(world: World) -> None:
-    caller: Caller = world.caller
-    world.run(caller.finish())
-    assert caller.last.problem, caller.last
