Find a silent stream within a second, not after the first token's patience

Cause: the attempt's timer was set with the 5 s that a first token may take and looked at the shorter limit only when it fired, so a stream that went silent soon after its start stalled for seconds.

Ruled out: a lower limit until the first token (it would probe engines that queue).

Conclusion: the timer is set anew once, with the first token.

--- /dev/null
+++ b/benchmarks/recovery.py
@@ -0,0 +1,103 @@
+"""How long a stream stalls when its connection is cut or goes silent.
+
+Run as ``python -m benchmarks.recovery --runs 10``. One entry, three engines
+with gaps of 10, 20 and 40 ms behind proxies, all in this process.
+"""
+
+import argparse
+import asyncio
+import time
+from statistics import median
+from urllib.parse import urlsplit
+
+import aiohttp
+
+from figstep.demo import KEY, MODEL, Deployment, run_deployment
+from figstep.net.log import HttpLog
+from figstep.operations import publish_document
+from figstep.standins.proxy import TcpProxy
+
+TOKENS = 200
+STRIKE_AFTER = 100
+HEADERS = {"Authorization": f"Bearer {KEY}"}
+
+
+async def relay_engines(deployment: Deployment) -> list[TcpProxy]:
+    """Put a proxy before each engine and publish its address."""
+    proxies = []
+    for item in deployment.document["engines"]:
+        parts = urlsplit(item["address"])
+        proxy = TcpProxy(str(parts.hostname), int(parts.port or 0))
+        await proxy.start()
+        proxies.append(proxy)
+        item["address"] = proxy.url
+    log = HttpLog(deployment.entries[0].settings.platform.log)
+    offset = await publish_document(log, deployment.document, "bench", "proxies")
+    await log.close()
+    while deployment.entries[0].entry_state.configuration_offset < offset:
+        await asyncio.sleep(0.01)
+    return proxies
+
+
+async def stream_once(url: str, proxies: list[TcpProxy], fault: str) -> float:
+    """Stream an answer, strike in its middle, return the longest gap in ms."""
+    body = {
+        "model": MODEL,
+        "prompt": "menu",
+        "stream": True,
+        "standin_length": TOKENS,
+    }
+    longest, seen = 0.0, 0
+    async with aiohttp.ClientSession(headers=HEADERS) as session:
+        async with session.post(url + "/v1/completions", json=body) as response:
+            before = time.perf_counter()
+            async for line in response.content:
+                if not line.startswith(b"id: "):
+                    continue
+                now = time.perf_counter()
+                longest = max(longest, (now - before) * 1000)
+                before = now
+                seen += 1
+                if seen == STRIKE_AFTER:
+                    strike(proxies, fault)
+    if seen != TOKENS:
+        raise RuntimeError(f"{seen} of {TOKENS} tokens came; look at the entry's log")
+    return longest
+
+
+def strike(proxies: list[TcpProxy], fault: str) -> None:
+    """Strike the connections that are open now."""
+    for proxy in proxies:
+        match fault:
+            case "cut":
+                proxy.cut()
+            case "frozen":
+                proxy.freeze()
+            case _:
+                continue
+
+
+async def measure(runs: int) -> None:
+    """Print the longest gap of each kind of run."""
+    async with run_deployment(entries=1) as deployment:
+        proxies = await relay_engines(deployment)
+        url = deployment.entries[0].callers.address
+        for fault in ("none", "cut", "frozen"):
+            gaps = [await stream_once(url, proxies, fault) for _ in range(runs)]
+            print(
+                f"{fault}: longest gap of a stream: median {median(gaps):.0f} ms,"
+                f" most {max(gaps):.0f} ms, {runs} runs"
+            )
+        for proxy in proxies:
+            await proxy.stop()
+
+
+def main() -> None:
+    """Read the arguments and measure."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--runs", type=int, default=10)
+    asyncio.run(measure(parser.parse_args().runs))
+
+
+if __name__ == "__main__":
+    main()
--- a/figstep/core/recovery.py
+++ b/figstep/core/recovery.py
@@ -91,6 +91,11 @@
             effects = _replace_pool(state, attempt, target, now)
     attempt.tokens += 1
     attempt.last_progress = now
+    if attempt.tokens == 1:
+        # The timer was set with the patience for a first token; left so, a
+        # stream that went silent early would be found only seconds later.
+        limit = silence.compute_limit(target, attempt)
+        effects.append(WakeAt(AttemptTimer(attempt.attempt), Millis(now + limit)))
     return effects
 
 
--- a/figstep/core/silence.py
+++ b/figstep/core/silence.py
@@ -24,7 +24,7 @@
 
 def compute_limit(target: TargetState | None, attempt: AttemptState) -> Millis:
     """Return how long the attempt may bring nothing, in milliseconds."""
-    if target is None or target.gap == 0.0 or attempt.tokens == 0:
+    if target is None or attempt.tokens == 0:
         return FIRST_LIMIT
     limit = int(target.gap + DEVIATIONS * target.gap_deviation)
     return Millis(min(max(limit, SHORTEST_LIMIT), LONGEST_LIMIT))
--- a/tests/core/test_recovery.py
+++ b/tests/core/test_recovery.py
@@ -178,6 +178,30 @@
     assert other not in entry.state.attempts
 
 
+def test_a_stream_that_goes_silent_early_is_probed_within_its_own_limit() -> None:
+    """A connection dies after its second token.
+
+    The limit is a second by then; the patience for a first token, five times
+    as long, must not hold for the rest.
+    """
+    entry = Entry()
+    attempt = entry.start()
+    entry.now += 100
+    entry.deliver(attempt, 1)
+    first = entry.take(WakeAt)
+    assert first.timer == AttemptTimer(attempt)
+    entry.now += 10
+    entry.deliver(attempt, 2)
+    assert entry.list_kind(WakeAt) == []
+    entry.now = first.at
+    entry.feed(TimerFired(first.timer))
+    due = entry.take(WakeAt).at
+    assert due <= first.at + 10
+    entry.now = due
+    entry.feed(TimerFired(first.timer))
+    assert entry.take(ResumeAttempt).after == 2
+
+
 def test_a_slow_target_is_not_taken_for_a_silent_one() -> None:
     """An engine preempts a generation and brings nothing for long.
 
