--- a/figstep/application.py
+++ b/figstep/application.py
@@ -72,6 +72,7 @@
 DOCUMENTS_READ = 4
 DRAIN_POLL_SECONDS = 0.05
 CUT_SECONDS = 2.0
+LEASES_REST_SECONDS = 2.0
 
 
 class Application(Service):
@@ -124,7 +125,9 @@
             self._log_client, CLAIMS, self._take_claims, dispatch=self.dispatch
         )
         self.appender = StreamAppender(self._log_client, self.dispatch)
-        self.leases = StreamFollower(self._log_client, LEASES, self._take_leases)
+        self.leases = StreamFollower(
+            self._log_client, LEASES, self._take_leases, rest=LEASES_REST_SECONDS
+        )
         self.orders = OrderEdge(self.dispatch, self.find_target, self.clock)
         self.peers = PeerEdge(
             settings.peers,
--- a/figstep/net/streams.py
+++ b/figstep/net/streams.py
@@ -23,7 +23,11 @@
 
 
 class StreamFollower(Service):
-    """Long-polls one stream and hands its records on, in order."""
+    """Long-polls one stream and hands its records on, in order.
+
+    With ``rest`` seconds, records that come soon after others are read
+    together: each read costs as much as several records.
+    """
 
     def __init__(
         self,
@@ -33,8 +37,10 @@
         start: int = 0,
         dispatch: Callable[[Event], None] | None = None,
         limit: int = READ_LIMIT,
+        rest: float = 0.0,
     ) -> None:
         super().__init__()
+        self._rest = rest
         self._limit = limit
         self._dispatch = dispatch or _drop_event
         self._caught_up = False
@@ -72,6 +78,8 @@
             if not self._caught_up and len(records) < self._limit:
                 self._caught_up = True
                 self._dispatch(StreamCaughtUp(self._stream))
+            if records and self._rest:
+                await self.sleep(self._rest)
 
 
 def _drop_event(event: Event) -> None:
