Let the inventory say that a service's refusals prove nothing

Cause: a 429 or 503 of a plain service counts as 'not run' and an order is sent again. A proxy before the service may give one after the order went in; the order would come twice. Ruled out: taking no refusal for 'not run'; a service that is merely busy would leave each order unknown for 15 minutes. Before: the new test gets the second sending's answer (1 failed, 2 passed). After: 409, ran unknown, nothing sent again (3 passed). Conclusion: the default stays; operators who know better say so.

--- a/figstep/core/inventory.py
+++ b/figstep/core/inventory.py
@@ -46,12 +46,21 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceInfo:
-    """One replica of a plain service, a target beside the engines."""
+    """One replica of a plain service, a target beside the engines.
+
+    Attributes:
+        name: Unique target name.
+        service: Name that callers use.
+        address: Base URL.
+        failure_domain: Name of its failure domain.
+        refusals_not_run: Whether its 429 and 503 prove that a call did not run.
+    """
 
     name: str
     service: str
     address: str
     failure_domain: str
+    refusals_not_run: bool = True
 
 
 TargetInfo = EngineInfo | ServiceInfo
--- a/figstep/inventory.py
+++ b/figstep/inventory.py
@@ -58,6 +58,7 @@
     service: str = Name
     address: str
     failure_domain: str
+    refusals_not_run: bool = True
 
 
 class ModelModel(_Model):
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -206,8 +206,11 @@
         # Passed on and recorded, a 429 would be replayed to every later sending
         # of the same key; it says that the call did not run, as a 503 does.
         if response.status in (_REFUSED if effect.once else (503,)):
+            # Something before the service may give these too, after the call
+            # went through; sent again, the flour order would come twice.
+            loss = Loss.REFUSED if target.refusals_not_run else Loss.FAILED
             retry_after = _read_retry_after(response)
-            self._dispatch(AttemptLost(effect.attempt, Loss.REFUSED, retry_after))
+            self._dispatch(AttemptLost(effect.attempt, loss, retry_after))
             return
         exchange.answer = ServiceAnswer(response.status, _pick_headers(response), body)
         self._dispatch(
--- a/tests/integration/test_requests.py
+++ b/tests/integration/test_requests.py
@@ -125,6 +125,21 @@
         assert len(deployment.service.executed) == 1
 
 
+async def test_a_refusal_that_proves_nothing_is_not_tried_again() -> None:
+    """Something before the service answers 503, perhaps after the order went in.
+
+    The inventory says that its refusals prove nothing. The order does not go
+    out again, and its caller is told that it may have run.
+    """
+    async with run_deployment() as deployment, run_callers(deployment) as callers:
+        deployment.document["services"][0]["refusals_not_run"] = False
+        await publish_again(deployment)
+        deployment.service.refusals = [503]
+        status, document, _ = await callers.order(0, "k")
+        assert (status, document["ran"]) == (409, "unknown")
+        assert deployment.service.executed == []
+
+
 async def publish_again(deployment: Deployment) -> None:
     """Publish the deployment's document as edited, and wait until in force."""
     log = HttpLog(deployment.entries[0].settings.platform.log)
