--- a/tests/integration/orders.feature
+++ b/tests/integration/orders.feature
@@ -38,6 +38,15 @@
     And every promise held
 
   Scenario: The log is slow
+    Each call of the log takes seconds. The order waits for its claim to be read
+    back; neither a second claim nor a dispatch without one speeds it up.
+    When the log takes 1500 ms for each call
+    And "flour" is ordered through entry-1 and entry-2 at once
+    Then both callers get the same answer
+    And "flour" ran once
+    And every promise held
+
+  Scenario: The log is slow, and callers send again
     Each call of the log takes long. The order waits for its claim to be read
     back, or is refused as not run and sent again; neither a dispatch without
     the claim nor a second claim speeds it up.
