--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	$(BIN)/ruff check figstep tests benchmarks tools
 
 types: setup
-	$(BIN)/mypy figstep
+	$(BIN)/mypy figstep benchmarks tools
 
 test: setup
 	$(BIN)/python -m pytest -q
