--- a/benchmarks/orders.py
+++ b/benchmarks/orders.py
@@ -40,6 +40,18 @@
     return table.leases["orders.muc-a"].holder
 
 
+async def wait_loaded(engine: EngineServer, version: int) -> None:
+    """Wait until the engine has the version, perhaps beside an old one."""
+    wanted = f"{MODEL}@{version}"
+    await wait_for(lambda: wanted in engine.models, wanted)
+
+
+async def wait_alone(engine: EngineServer, version: int) -> None:
+    """Wait until the engine has that version alone."""
+    wanted = f"{MODEL}@{version}"
+    await wait_for(lambda: engine.models == [wanted], wanted)
+
+
 async def run_rounds(rounds: int, freeze: bool, folder: Path) -> list[float]:
     """Return the seconds that each round took."""
     fleet = Fleet(folder)
@@ -58,11 +70,10 @@
                 fleet.entries[holder].freeze()
             started = time.monotonic()
             await publish_version(fleet, document, version)
-            wanted = f"{MODEL}@{version}"
-            await wait_for(lambda wanted=wanted: wanted in engine.models, wanted)
+            await wait_loaded(engine, version)
             taken.append(time.monotonic() - started)
             fleet.entries[holder].thaw()
-            await wait_for(lambda wanted=wanted: engine.models == [wanted], wanted)
+            await wait_alone(engine, version)
     finally:
         await fleet.close()
     return taken
