Test that regions forget and find each other after an hour's split

Cause: the split of regions was worked out alone. Ruled out: a model of the network; three states hand each other their messages. Before: no test. Conclusion: membership is shown; traffic during a split is not.

--- /dev/null
+++ b/tests/core/test_region_split.py
@@ -0,0 +1,81 @@
+"""Two regions that lose each other for an hour, on membership alone."""
+
+import random
+from collections import deque
+
+from figstep.core.clock import Millis
+from figstep.core.effects import Effect, SendGossip
+from figstep.core.events import GossipReceived, GossipTimer, PeersOpened, TimerFired
+from figstep.core.gossip import MemberStatus
+from figstep.core.reducer import reduce
+from figstep.core.state import State
+
+REGIONS = {"127.0.0.1:1": "a", "127.0.0.1:2": "a", "127.0.0.1:3": "b"}
+HOUR = 3_600_000
+PERIOD = 1_000
+
+
+class Members:
+    """Three states and the messages that they owe each other."""
+
+    def __init__(self) -> None:
+        self.now = Millis(0)
+        self.parted = False
+        self.states: dict[str, State] = {}
+        self._waiting: deque[tuple[str, SendGossip]] = deque()
+        for number, address in enumerate(REGIONS):
+            state = State(f"n{number}", rng=random.Random(number))
+            self.states[address] = state
+        for address, state in self.states.items():
+            opened = PeersOpened(address, 1, tuple(REGIONS))
+            self._send(address, reduce(state, opened, self.now))
+
+    def _send(self, address: str, effects: list[Effect]) -> None:
+        for effect in effects:
+            if not isinstance(effect, SendGossip):
+                continue
+            if self.parted and REGIONS[address] != REGIONS[effect.address]:
+                continue
+            self._waiting.append((address, effect))
+
+    def run(self, millis: int) -> None:
+        """Let periods pass and every message that is not cut off arrive."""
+        for _ in range(millis // PERIOD):
+            self.now = Millis(self.now + PERIOD)
+            for address, state in self.states.items():
+                timer = TimerFired(GossipTimer())
+                self._send(address, reduce(state, timer, self.now))
+            while self._waiting:
+                _, sent = self._waiting.popleft()
+                state = self.states[sent.address]
+                event = GossipReceived(sent.gossip)
+                self._send(sent.address, reduce(state, event, self.now))
+
+    def list_alive(self, address: str) -> set[str]:
+        """Return the names of those that one holds to be alive."""
+        alive = set()
+        for name, member in self.states[address].membership.members.items():
+            if member.status is MemberStatus.ALIVE:
+                alive.add(name)
+        return alive
+
+
+def test_regions_forget_and_find_each_other() -> None:
+    """Two regions lose each other for an hour, then the link is back.
+
+    Each side soon takes the other for gone, so nothing waits for it; the
+    listed addresses are tried on, so the sides find each other again without
+    an operator.
+    """
+    members = Members()
+    members.run(30_000)
+    assert members.list_alive("127.0.0.1:1") == {"n1", "n2"}
+    assert members.list_alive("127.0.0.1:3") == {"n0", "n1"}
+    members.parted = True
+    members.run(HOUR)
+    assert members.list_alive("127.0.0.1:1") == {"n1"}
+    assert members.list_alive("127.0.0.1:3") == set()
+    members.parted = False
+    members.run(60_000)
+    assert members.list_alive("127.0.0.1:1") == {"n1", "n2"}
+    assert members.list_alive("127.0.0.1:3") == {"n0", "n1"}
