--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -78,6 +78,7 @@
         follows = request.query.get("wait_ms", "0") != "0"
         if not follows or self.readers_left == 0:
             raise web.HTTPServiceUnavailable(text="the log is down")
+        assert isinstance(response.body, bytes)
         if orjson.loads(response.body)["records"]:
             self.readers_left = 0
         return response
--- a/benchmarks/orders.py
+++ b/benchmarks/orders.py
@@ -10,6 +10,7 @@
 import tempfile
 import time
 from copy import deepcopy
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -59,10 +60,10 @@
             started = time.monotonic()
             await publish_version(fleet, document, version)
             wanted = f"{MODEL}@{version}"
-            await wait_for(lambda wanted=wanted: wanted in engine.models, wanted)
+            await wait_for(partial(_has_model, engine, wanted), wanted)
             taken.append(time.monotonic() - started)
             fleet.entries[holder].thaw()
-            await wait_for(lambda wanted=wanted: engine.models == [wanted], wanted)
+            await wait_for(partial(_has_only, engine, wanted), wanted)
     finally:
         await fleet.close()
     return taken
@@ -81,5 +82,13 @@
     print(f"seconds to loaded, sorted: {shown}")
 
 
+def _has_model(engine: EngineServer, wanted: str) -> bool:
+    return wanted in engine.models
+
+
+def _has_only(engine: EngineServer, wanted: str) -> bool:
+    return engine.models == [wanted]
+
+
 if __name__ == "__main__":
     main()
