--- a/benchmarks/orders.py
+++ b/benchmarks/orders.py
@@ -10,7 +10,6 @@
 import tempfile
 import time
 from copy import deepcopy
-from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -41,6 +40,18 @@
     return table.leases["orders.muc-a"].holder
 
 
+async def wait_loaded(engine: EngineServer, version: int) -> None:
+    """Wait until the engine has the version, perhaps beside an old one."""
+    wanted = f"{MODEL}@{version}"
+    await wait_for(lambda: wanted in engine.models, wanted)
+
+
+async def wait_alone(engine: EngineServer, version: int) -> None:
+    """Wait until the engine has that version alone."""
+    wanted = f"{MODEL}@{version}"
+    await wait_for(lambda: engine.models == [wanted], wanted)
+
+
 async def run_rounds(rounds: int, freeze: bool, folder: Path) -> list[float]:
     """Return the seconds that each round took."""
     fleet = Fleet(folder)
@@ -59,11 +70,10 @@
                 fleet.entries[holder].freeze()
             started = time.monotonic()
             await publish_version(fleet, document, version)
-            wanted = f"{MODEL}@{version}"
-            await wait_for(partial(_has_model, engine, wanted), wanted)
+            await wait_loaded(engine, version)
             taken.append(time.monotonic() - started)
             fleet.entries[holder].thaw()
-            await wait_for(partial(_has_only, engine, wanted), wanted)
+            await wait_alone(engine, version)
     finally:
         await fleet.close()
     return taken
@@ -82,13 +92,5 @@
     print(f"seconds to loaded, sorted: {shown}")
 
 
-def _has_model(engine: EngineServer, wanted: str) -> bool:
-    return wanted in engine.models
-
-
-def _has_only(engine: EngineServer, wanted: str) -> bool:
-    return engine.models == [wanted]
-
-
 if __name__ == "__main__":
     main()
