--- a/tests/integration/orders.feature
+++ b/tests/integration/orders.feature
@@ -46,6 +46,15 @@
     And "flour" ran once
     And every promise held
 
+  Scenario: The log is slow, and callers send again
+    Each call of the log takes long. The order waits for its claim to be read
+    back, or is refused as not run and sent again; neither a dispatch without
+    the claim nor a second claim speeds it up.
+    When the log takes 700 ms for each call
+    And "flour" is ordered again until it is taken
+    Then "flour" ran once
+    And every promise held
+
   Scenario: The log answers nothing, and the order is sent again
     The link to the log stalls without closing. The claim may or may not have
     been made; the order is sent again through the other entry after it clears.
