--- a/figstep/core/inventory.py
+++ b/figstep/core/inventory.py
@@ -27,7 +27,8 @@
         memory_tokens: Cache memory, in tokens.
         max_running: Most generations it decodes at once.
         resume: Whether a stream can be resumed by generation and index.
-        continuation: Whether it carries a generation on from given tokens exactly.
+        continuation: Whether it carries a generation on from given tokens exactly;
+            kept for the record, nothing acts on it (docs/design/requests.md).
         checks_fencing: Whether it refuses orders with an old fencing number.
     """
 
--- a/figstep/core/retries.py
+++ b/figstep/core/retries.py
@@ -18,7 +18,6 @@
     """How a request goes on."""
 
     RESUME = "resume"  # reattach to the same generation
-    CONTINUE = "continue"  # hand the tokens so far to another target
     RESTART = "restart"  # start afresh: nothing has reached the caller
     GIVE_UP = "give_up"
 
@@ -72,7 +71,6 @@
         resumes: Resumes in a row that brought nothing.
         resuming: Whether the lost attempt was itself a resume.
         resumable: Whether the target can resume the generation.
-        continuable: Whether another target can carry the generation on.
         reached: Whether any of the answer reached the caller.
         non_idempotent: Whether the request may run only once.
     """
@@ -83,7 +81,6 @@
     resumes: int = 0
     resuming: bool = False
     resumable: bool = False
-    continuable: bool = False
     reached: bool = False
     non_idempotent: bool = False
 
@@ -97,7 +94,7 @@
     if lost.attempts >= MAX_ATTEMPTS:
         return Recovery.GIVE_UP
     if lost.reached:
-        return Recovery.CONTINUE if lost.continuable else Recovery.GIVE_UP
+        return Recovery.GIVE_UP
     return Recovery.RESTART
 
 
