--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo check format lint types test bench binary clean lock
+.PHONY: setup demo check format lint types test bench soak binary clean lock
 
 setup: $(VENV)/.installed
 
@@ -41,6 +41,10 @@
 bench: setup
 	$(BIN)/python -m benchmarks.hot_path
 
+# Prints its seed first; --seed repeats a run.
+soak: setup
+	$(BIN)/python -m tests.soak
+
 # Run only when a dependency is added or raised on purpose.
 lock: setup
 	$(BIN)/pip freeze --exclude-editable > requirements.lock
--- a/figstep/standins/engine.py
+++ b/figstep/standins/engine.py
@@ -403,6 +403,7 @@
                 "executed": self.executed,
                 "cancelled": self.cancelled,
                 "prompts": self.prompts,
+                "preemptions": self.model.preemptions,
             }
         )
 
