--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -62,15 +62,21 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return UDP ports of loopback that were free a moment ago."""
+    """Return ports of loopback that were free a moment ago, by TCP and UDP."""
+    ports: list[int] = []
     with ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            stack.enter_context(opened)
-            opened.bind(("127.0.0.1", 0))
-            ports.append(opened.getsockname()[1])
-        return ports
+        while len(ports) < count:
+            listener = stack.enter_context(socket.socket())
+            listener.bind(("127.0.0.1", 0))
+            port = listener.getsockname()[1]
+            datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            stack.enter_context(datagrams)
+            try:
+                datagrams.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            ports.append(port)
+    return ports
 
 
 async def start_engines(stack: AsyncExitStack) -> dict[str, str]:
