--- /dev/null
+++ b/figstep/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Routed requests before targets that come and go: pure decisions and state."""
--- /dev/null
+++ b/figstep/gateway/application.py
@@ -0,0 +1,115 @@
+"""The gateway: owns the state, reduces events and runs effects."""
+
+import asyncio
+from collections import deque
+
+import logbook
+from mode import Service
+
+from figstep.core.clock import Clock
+from figstep.gateway.edges import CallerPort, TargetPort
+from figstep.gateway.effects import (
+    Answer,
+    BeginStream,
+    BreakStream,
+    CloseAttempt,
+    CopyRun,
+    Count,
+    Deliver,
+    DropCopy,
+    Effect,
+    FinishStream,
+    Note,
+    Observe,
+    OpenAttempt,
+    Refuse,
+)
+from figstep.gateway.events import Event, Ticked
+from figstep.gateway.measures import GatewayMeasures
+from figstep.gateway.reducer import reduce
+from figstep.gateway.state import State
+
+_log = logbook.Logger("figstep.gateway")
+
+BUSY_TICK_SECONDS = 0.05
+"""Period of looking at waits while requests are open: a twentieth of the
+shortest objective, and 20 wake-ups a second at most."""
+
+IDLE_TICK_SECONDS = 0.5
+"""The same while nothing is open."""
+
+
+class Gateway(Service):
+    """One gateway; its edges are set before it starts.
+
+    Attributes:
+        known: What it knows; changed by its reducer only.
+        measures: Counters and histograms.
+        targets: Edge towards targets.
+        callers: Edge towards callers.
+    """
+
+    targets: TargetPort
+    callers: CallerPort
+
+    def __init__(self, state: State, clock: Clock, measures: GatewayMeasures) -> None:
+        super().__init__()
+        self.known = state
+        self.measures = measures
+        self._clock = clock
+        self._events: deque[Event] = deque()
+        self._reducing = False
+
+    def dispatch(self, event: Event) -> None:
+        """Reduce an event and run its effects.
+
+        Events that effects cause wait their turn, so that none is reduced
+        inside another.
+        """
+        self._events.append(event)
+        if self._reducing:
+            return
+        self._reducing = True
+        try:
+            while self._events:
+                now = self._clock.now()
+                for effect in reduce(self.known, self._events.popleft(), now):
+                    self._perform(effect)
+        finally:
+            self._reducing = False
+
+    def _perform(self, effect: Effect) -> None:
+        match effect:
+            case Deliver(number=number, data=data):
+                self.callers.deliver(number, data)
+            case OpenAttempt():
+                self.targets.open_attempt(effect)
+            case CloseAttempt(attempt=attempt):
+                self.targets.close_attempt(attempt)
+            case BeginStream(number=number, attempt=attempt):
+                self.callers.begin_stream(number, self.targets.find_head(attempt))
+            case FinishStream(number=number):
+                self.callers.finish_stream(number)
+            case BreakStream(number=number):
+                self.callers.break_stream(number)
+            case Answer(number=number, attempt=attempt):
+                self.callers.answer(number, self.targets.find_answer(attempt))
+            case Refuse(number=number, problem=problem):
+                self.callers.refuse(number, problem)
+            case CopyRun():
+                self.targets.copy_run(effect)
+            case DropCopy(copy=copy):
+                self.targets.drop_copy(copy)
+            case Count(name=name, labels=labels):
+                self.measures.count(name, labels)
+            case Observe(name=name, millis=millis, label=label):
+                self.measures.observe(name, millis, label)
+            case Note(message=message, fields=fields):
+                _log.info(message, extra=dict(fields))
+
+    @Service.task
+    async def _tick(self) -> None:
+        while not self.should_stop:
+            busy = bool(self.known.requests)
+            await asyncio.sleep(BUSY_TICK_SECONDS if busy else IDLE_TICK_SECONDS)
+            self.dispatch(Ticked())
--- /dev/null
+++ b/figstep/gateway/attempts.py
@@ -0,0 +1,180 @@
+"""Attempts: opening, closing and what they take at their targets."""
+
+from figstep.core.clock import Millis
+from figstep.gateway import placement
+from figstep.gateway.effects import (
+    CloseAttempt,
+    DropCopy,
+    Effect,
+    Note,
+    OpenAttempt,
+    RunCopy,
+)
+from figstep.gateway.routes import EnginePool, RouteKind
+from figstep.gateway.state import Attempt, Request, State
+from figstep.gateway.targets import Target
+
+FIRST_PRIORITY = 4
+"""Urgency at an engine of the most urgent route, of 0 to 9. Runs that go on
+elsewhere get a better one, less urgent routes a worse one."""
+
+RESUMED_PRIORITY = 1
+"""Urgency of a run that goes on: its caller is waiting in mid-answer."""
+
+LEAST_PRIORITY = 9
+
+
+def start_attempt(
+    state: State, request: Request, target: Target, now: Millis
+) -> list[Effect]:
+    """Send a request to a target as a run from its start."""
+    attempt = _add_attempt(state, request, target, None, now)
+    request.current = attempt
+    after = request.delivered or request.spec.after
+    return [_open(state, request, attempt, after), _note(request, attempt, now)]
+
+
+def start_standby(
+    state: State, request: Request, copy: RunCopy, now: Millis
+) -> list[Effect]:
+    """Go on with a run from its copy, beside the attempt that has it now."""
+    target = state.targets.find(copy.holder)
+    if target is None:
+        return []
+    attempt = _add_attempt(state, request, target, copy, now)
+    request.standby = attempt
+    request.copy = None
+    return [
+        _open(state, request, attempt, request.delivered),
+        _note(request, attempt, now),
+    ]
+
+
+def end_attempt(state: State, attempt: Attempt) -> None:
+    """Forget an attempt and what it took at its targets."""
+    if state.attempts.pop(attempt.number, None) is None:
+        return
+    request = state.requests.get(attempt.request)
+    attempt.target.calls -= 1
+    attempt.target.memory -= attempt.memory
+    if attempt.holder is not None:
+        attempt.holder.memory -= attempt.memory
+    if request is None:
+        return
+    if request.current is attempt:
+        request.current = None
+    if request.standby is attempt:
+        request.standby = None
+
+
+def close_attempt(state: State, attempt: Attempt | None) -> list[Effect]:
+    """End an attempt whose answer is no longer wanted."""
+    if attempt is None or attempt.number not in state.attempts:
+        return []
+    end_attempt(state, attempt)
+    return [CloseAttempt(attempt.number)]
+
+
+def close_request(state: State, request: Request) -> list[Effect]:
+    """Forget a request; what still runs for it is ended."""
+    effects = close_attempt(state, request.current)
+    effects += close_attempt(state, request.standby)
+    state.requests.pop(request.spec.number, None)
+    if request.queued:
+        state.queue.remove(request.spec.number)
+        request.queued = False
+    copy = request.copy
+    if copy is not None and copy.owner != copy.holder:
+        # A copy made on order would hold its memory for seconds; a running
+        # backup ends with its run.
+        effects.append(DropCopy(copy))
+    return effects
+
+
+def find_engine_pool(state: State, service: str) -> EnginePool | None:
+    """Return what the engines of a service have in common, or None."""
+    found = None if state.table is None else state.table.services.get(service)
+    return None if found is None else found.engine
+
+
+def _choose_backup(
+    state: State, request: Request, source: str, now: Millis
+) -> Target | None:
+    pool = find_engine_pool(state, request.service)
+    if pool is None or not pool.backups or request.route.idempotent:
+        # A stream that may start anew elsewhere needs no copy.
+        return None
+    if request.route.kind is not RouteKind.STREAM:
+        return None
+    return placement.choose_copy_holder(state, request, source, now)
+
+
+def _add_attempt(
+    state: State,
+    request: Request,
+    target: Target,
+    source: RunCopy | None,
+    now: Millis,
+) -> Attempt:
+    number = state.next_attempt
+    state.next_attempt += 1
+    memory = placement.estimate_memory(request)
+    holder = _choose_backup(state, request, target.name, now)
+    attempt = Attempt(
+        number,
+        request.spec.number,
+        target,
+        now,
+        memory=memory,
+        holder=holder,
+        source=source,
+    )
+    state.attempts[number] = attempt
+    target.calls += 1
+    target.memory += memory
+    if holder is not None:
+        holder.memory += memory
+    request.sent += 1
+    request.tried.add(target.name)
+    return attempt
+
+
+def _open(
+    state: State, request: Request, attempt: Attempt, after: int | None
+) -> OpenAttempt:
+    priority = None
+    if request.spec.prompt is not None:
+        priority = min(LEAST_PRIORITY, FIRST_PRIORITY + request.priority)
+        if attempt.source is not None:
+            priority = RESUMED_PRIORITY
+    return OpenAttempt(
+        request.spec.number,
+        attempt.number,
+        attempt.target.name,
+        request.customer,
+        request.deadline,
+        priority=priority,
+        backup=_name(attempt.holder),
+        source=attempt.source,
+        after=after,
+        stream=request.route.kind is RouteKind.STREAM,
+    )
+
+
+def _name(target: Target | None) -> str:
+    return "" if target is None else target.name
+
+
+def _note(request: Request, attempt: Attempt, now: Millis) -> Note:
+    return Note(
+        "attempt opened",
+        {
+            "request": request.spec.id,
+            "attempt": attempt.number,
+            "target": attempt.target.name,
+            "backup": _name(attempt.holder),
+            "goes_on_from": attempt.source.owner if attempt.source else "",
+            "after": request.delivered,
+            "waited_ms": now - request.arrived,
+        },
+    )
--- /dev/null
+++ b/figstep/gateway/events.py
@@ -0,0 +1,290 @@
+"""Events: everything the gateway's reducer reacts to."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from figstep.core.clock import Millis
+from figstep.gateway.prompts import Prompt
+from figstep.gateway.routes import RoutingTable
+from figstep.gateway.targets import Registration
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedRequest:
+    """One attempt of a caller, as far as decisions need it.
+
+    Attributes:
+        number: Unique in this process.
+        id: The caller's own id of this attempt.
+        method: HTTP method.
+        host: Host that it names.
+        path: Path, without its query.
+        key: Key of its customer, or None.
+        patience: How long the caller waits, or None if it didn't say.
+        prompt: What its generation needs; None for other calls.
+        after: Id of the last event that a returning caller saw, or None.
+        digest: Hash of path, body and caller; the same when it is sent again.
+        body_bytes: Size of its body.
+    """
+
+    number: int
+    id: str
+    method: str
+    host: str
+    path: str
+    key: str | None = None
+    patience: Millis | None = None
+    prompt: Prompt | None = None
+    after: int | None = None
+    digest: str = ""
+    body_bytes: int = 0
+
+
+class Loss(Enum):
+    """How an attempt was lost, as far as its edge can tell."""
+
+    UNREACHED = "unreached"  # no connection: no byte was sent
+    REFUSED = "refused"  # the target says that it did not run
+    MISDIRECTED = "misdirected"  # another target has the address: did not run
+    BROKEN = "broken"  # the connection broke after bytes went out
+    GARBLED = "garbled"  # what came is no answer to this request
+    FAILED = "failed"  # the target answered with a failure of its own
+    SILENT = "silent"  # given up on: nothing came for too long
+    CUT = "cut"  # this entry closed it
+
+
+# Callers
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A request was read to its end."""
+
+    request: RoutedRequest
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller closed its connection before its answer ended."""
+
+    number: int
+
+
+# Targets
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOpened:
+    """A target accepted an attempt of a stream: its headers came."""
+
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class StreamPiece:
+    """One event of a stream, as it came.
+
+    Attributes:
+        index: Its id; they grow by one.
+        data: Its bytes, with the closing blank line.
+    """
+
+    index: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class PiecesArrived:
+    """Events of a stream, read in one go."""
+
+    attempt: int
+    pieces: list[StreamPiece]
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEnded:
+    """The target ended its stream as whole.
+
+    Attributes:
+        attempt: The attempt.
+        tail: Bytes after the last event.
+    """
+
+    attempt: int
+    tail: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerArrived:
+    """A target gave a whole answer; the edge holds it until it is delivered.
+
+    Attributes:
+        attempt: The attempt.
+        status: Its HTTP status.
+    """
+
+    attempt: int
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptLost:
+    """An attempt ended without an answer.
+
+    Attributes:
+        attempt: The attempt.
+        loss: How it was lost.
+        retry_after: When the target wants to be asked again, or None.
+        detail: For the log.
+        answered: Whether the edge holds a whole answer that tells the failure.
+    """
+
+    attempt: int
+    loss: Loss
+    retry_after: Millis | None = None
+    detail: str = ""
+    answered: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RunCopied:
+    """A copy of a run is complete at another engine.
+
+    Attributes:
+        number: Request whose run it is.
+        source: Target that made it.
+        holder: Target that holds it.
+        handle: Its name at the source.
+    """
+
+    number: int
+    source: str
+    holder: str
+    handle: str
+
+
+@dataclass(frozen=True, slots=True)
+class RunNotCopied:
+    """An order to copy a run failed.
+
+    Attributes:
+        number: Request whose run it is.
+        source: Target that runs it.
+        holder: Target that should have got the copy.
+        detail: For the log.
+    """
+
+    number: int
+    source: str
+    holder: str
+    detail: str
+
+
+# Store and peers
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationRead:
+    """A version of the configuration was read."""
+
+    table: RoutingTable
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRegistered:
+    """A target's registration was read."""
+
+    info: Registration
+
+
+@dataclass(frozen=True, slots=True)
+class TargetDeparted:
+    """A target's registration is gone."""
+
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsListed:
+    """All registrations were read at once; what is not among them is gone."""
+
+    registrations: tuple[Registration, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLost:
+    """The store stopped answering: registrations may lapse unseen."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRegained:
+    """The store answers again; lapsed registrations come back by themselves."""
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """What another entry has open at one target.
+
+    Attributes:
+        target: The target.
+        calls: Open attempts.
+        memory: Tokens that they are expected to take.
+    """
+
+    target: str
+    calls: int
+    memory: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeerHeard:
+    """A message of another entry came.
+
+    Attributes:
+        node: Its name.
+        loads: What it has open, by target; all that it has.
+        crashes: Crashes of targets by digest of the request, newest first.
+        closing: Whether the peer is shutting down.
+    """
+
+    node: str
+    loads: tuple[PeerLoad, ...] = ()
+    crashes: tuple[tuple[str, str], ...] = ()
+    closing: bool = False
+
+
+# Life cycle
+
+
+@dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time has passed: bounds on waits are looked at."""
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownRequested:
+    """The process was asked to end by ``until``; open requests go on."""
+
+    until: Millis
+
+
+Event = (
+    RequestArrived
+    | CallerGone
+    | StreamOpened
+    | PiecesArrived
+    | StreamEnded
+    | AnswerArrived
+    | AttemptLost
+    | RunCopied
+    | RunNotCopied
+    | ConfigurationRead
+    | TargetRegistered
+    | TargetDeparted
+    | TargetsListed
+    | StoreLost
+    | StoreRegained
+    | PeerHeard
+    | Ticked
+    | ShutdownRequested
+)
--- /dev/null
+++ b/figstep/gateway/measures.py
@@ -0,0 +1,54 @@
+"""Counters and histograms of a gateway, served as text."""
+
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+
+BUCKETS = (0.01, 0.03, 0.06, 0.12, 0.18, 0.25, 0.5, 1.0, 1.8, 3.0, 6.0, 15.0, 40.0)
+"""Seconds; the objectives of first tokens, pauses and calls lie among them."""
+
+_LABELS = {
+    "answered": ("route", "status"),
+    "refused": ("route", "reason"),
+    "broken": ("route", "reason"),
+    "lost": ("route", "loss"),
+}
+
+
+class GatewayMeasures:
+    """Metrics by name; made when first used."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._counters: dict[str, Counter] = {}
+        self._histograms: dict[str, Histogram] = {}
+
+    def count(self, name: str, labels: tuple[str, ...] = ()) -> None:
+        """Add one to a counter."""
+        counter = self._counters.get(name)
+        if counter is None:
+            names = _LABELS.get(name, ("route",) if labels else ())
+            counter = Counter(
+                f"figstep_{name}",
+                name.replace("_", " "),
+                names,
+                registry=self._registry,
+            )
+            self._counters[name] = counter
+        (counter.labels(*labels) if labels else counter).inc()
+
+    def observe(self, name: str, millis: int, label: str) -> None:
+        """Add a duration to a histogram."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = Histogram(
+                f"figstep_{name}_seconds",
+                name.replace("_", " "),
+                ("route",),
+                registry=self._registry,
+                buckets=BUCKETS,
+            )
+            self._histograms[name] = histogram
+        histogram.labels(label).observe(millis / 1000)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/figstep/gateway/placement.py
@@ -0,0 +1,123 @@
+"""Choice of targets: for calls, for generations and for copies of their runs."""
+
+from figstep.core.clock import Millis
+from figstep.gateway.state import Request, State
+from figstep.gateway.targets import Target
+
+ROOM = 0.95
+"""Part of an engine's memory that expected work may fill. Lengths are known at
+the median only; what is left takes the answers that outgrow their hint."""
+
+FAILURE_WEIGHT = 8.0
+"""Open calls that a target failing everything is worth in a comparison."""
+
+ORDINARY_FAILURES = 0.25
+"""Failed part that is no reason to avoid a target: services answer some calls
+with errors of their own while they are well."""
+
+NEAR_BONUS = 0.5
+"""Open calls that the caller's own failure domain is worth in a comparison.
+Bytes between failure domains cost; half a call never outweighs real load."""
+
+NEAR_MEMORY_BONUS = 0.02
+"""The same for engines, as a part of their memory."""
+
+
+def choose_target(state: State, request: Request, now: Millis) -> Target | None:
+    """Return the target that a request is sent to, or None for no room."""
+    if request.spec.prompt is None:
+        return choose_call_target(state, request, now)
+    return choose_engine(state, request, now)
+
+
+def choose_call_target(state: State, request: Request, now: Millis) -> Target | None:
+    """Return the least loaded target of a plain service.
+
+    Among equals the draw is random, so that entries which read the same loads
+    don't all pick the same target.
+    """
+    best = None
+    best_cost = 0.0
+    for target in _list_candidates(state, request, now):
+        cost = target.load / max(1, target.info.slots)
+        cost += FAILURE_WEIGHT * max(0.0, target.failures - ORDINARY_FAILURES)
+        if target.info.failure_domain != state.failure_domain:
+            cost += NEAR_BONUS / max(1, target.info.slots)
+        cost += 0.01 * state.rng.random()
+        if best is None or cost < best_cost:
+            best, best_cost = target, cost
+    return best
+
+
+def choose_engine(state: State, request: Request, now: Millis) -> Target | None:
+    """Return the engine with the most free memory that has room for a request."""
+    memory = read_memory(state, request.service)
+    need = estimate_memory(request)
+    best = None
+    best_cost = 0.0
+    for target in _list_candidates(state, request, now):
+        if target.load >= target.info.slots:
+            continue
+        cost = (target.memory_load + need) / memory
+        if cost > ROOM and target.load > 0:
+            continue
+        cost += max(0.0, target.failures - ORDINARY_FAILURES)
+        if target.info.failure_domain != state.failure_domain:
+            cost += NEAR_MEMORY_BONUS
+        cost += 0.01 * state.rng.random()
+        if best is None or cost < best_cost:
+            best, best_cost = target, cost
+    return best
+
+
+def choose_copy_holder(
+    state: State, request: Request, source: str, now: Millis
+) -> Target | None:
+    """Return the engine that a run's copy goes to, or None for no room."""
+    memory = read_memory(state, request.service)
+    need = estimate_memory(request)
+    best = None
+    best_cost = 0.0
+    for target in state.targets.list_ready(request.service):
+        if target.name == source or target.name in request.no_copy_at:
+            continue
+        if target.avoid_until > now:
+            continue
+        cost = (target.memory_load + need) / memory
+        if cost > ROOM:
+            continue
+        if target.info.failure_domain != _find_domain(state, source):
+            # A copy between failure domains takes twice as long.
+            cost += NEAR_MEMORY_BONUS
+        cost += 0.01 * state.rng.random()
+        if best is None or cost < best_cost:
+            best, best_cost = target, cost
+    return best
+
+
+def estimate_memory(request: Request) -> int:
+    """Return the tokens that a request is expected to take at an engine."""
+    prompt = request.spec.prompt
+    return 0 if prompt is None else prompt.expected_memory
+
+
+def read_memory(state: State, service: str) -> int:
+    """Return the memory of one engine of a service, in tokens."""
+    found = None if state.table is None else state.table.services.get(service)
+    if found is None or found.engine is None:
+        return 1 << 30
+    return max(1, found.engine.memory)
+
+
+def _list_candidates(state: State, request: Request, now: Millis) -> list[Target]:
+    ready = state.targets.list_ready(request.service)
+    untried = [target for target in ready if target.name not in request.tried]
+    trusted = [target for target in untried if target.avoid_until <= now]
+    # Where all are avoided, asking one is better than turning callers away for
+    # losses that may be over.
+    return trusted or untried
+
+
+def _find_domain(state: State, name: str) -> str:
+    target = state.targets.find(name)
+    return "" if target is None else target.info.failure_domain
--- /dev/null
+++ b/figstep/gateway/recovery.py
@@ -0,0 +1,186 @@
+"""What follows a lost attempt."""
+
+from figstep.core.clock import Millis
+from figstep.gateway import attempts, placement, requests
+from figstep.gateway.effects import CloseAttempt, Count, Effect, Note
+from figstep.gateway.events import AttemptLost, Loss
+from figstep.gateway.routes import RouteKind
+from figstep.gateway.state import Attempt, Request, State
+from figstep.gateway.targets import Standing
+
+MOST_SENDS = 4
+"""Targets that one request is sent to, refusals included. Under overload each
+further one would refuse as well, at the price of its caller's time."""
+
+NOT_RUN = frozenset({Loss.UNREACHED, Loss.REFUSED, Loss.MISDIRECTED})
+"""Losses that prove that the target ran nothing."""
+
+
+def recover_attempt(state: State, event: AttemptLost, now: Millis) -> list[Effect]:
+    """Decide how a request goes on whose attempt was lost."""
+    attempt = state.attempts.get(event.attempt)
+    if attempt is None:
+        return []
+    request = state.requests[attempt.request]
+    was_current = request.current is attempt
+    attempts.end_attempt(state, attempt)
+    _judge_target(state, request, attempt, event, now)
+    if event.loss not in NOT_RUN:
+        request.may_have_run = True
+        request.runs += 1
+    effects: list[Effect] = [
+        Count("lost", (request.route.name, event.loss.value)),
+        _note_loss(request, attempt, event),
+    ]
+    if not was_current and request.current is not None:
+        # The run goes on where it was.
+        return effects
+    if request.standby is not None:
+        request.current = request.standby
+        request.standby = None
+        return effects
+    return effects + _go_on(state, request, attempt, event, now)
+
+
+def _judge_target(
+    state: State, request: Request, attempt: Attempt, event: AttemptLost, now: Millis
+) -> None:
+    target = attempt.target
+    match event.loss:
+        case Loss.REFUSED | Loss.CUT:
+            return
+        case Loss.FAILED:
+            target.note_failure()
+        case Loss.MISDIRECTED:
+            # Another target has its address: this one is gone for good.
+            state.targets.note_departure(target.name, now)
+        case _:
+            target.note_loss(now, event.loss is not Loss.UNREACHED)
+    if event.loss is Loss.BROKEN and not request.begun:
+        _suspect_request(state, request, attempt, now)
+
+
+def _suspect_request(
+    state: State, request: Request, attempt: Attempt, now: Millis
+) -> None:
+    # A request that crashes its target does so as it begins to run; one whose
+    # answer had begun was only there, and a target that leaves ends all.
+    if attempt.target.standing is not Standing.READY:
+        return
+    crash = f"{attempt.target.name}@{attempt.target.info.born}"
+    state.crashes.note_crash(request.spec.digest, crash, now)
+
+
+def _go_on(
+    state: State, request: Request, attempt: Attempt, event: AttemptLost, now: Millis
+) -> list[Effect]:
+    if request.copy is not None:
+        effects = _resume_from_copy(state, request, now)
+        if effects:
+            return effects
+    if event.loss in NOT_RUN and not request.begun:
+        return _try_elsewhere(state, request, event, now)
+    if request.route.idempotent and _may_run_again(request):
+        effects = _repeat(state, request, event, now)
+        if effects:
+            return effects
+    if event.answered and not request.begun:
+        status = 500
+        return requests.deliver_answer(state, request, attempt.number, status, now)
+    return requests.refuse_request(state, request, f"lost_{event.loss.value}", now)
+
+
+def _resume_from_copy(state: State, request: Request, now: Millis) -> list[Effect]:
+    copy = request.copy
+    if copy is None:
+        return []
+    holder = state.targets.find(copy.holder)
+    if holder is None or holder.standing is not Standing.READY:
+        request.copy = None
+        return []
+    if not state.budget.can_repeat(request.service, state.entries, now):
+        return []
+    state.budget.note_repeat(request.service, now)
+    effects = attempts.start_standby(state, request, copy, now)
+    request.current, request.standby = request.standby, None
+    return effects
+
+
+def _try_elsewhere(
+    state: State, request: Request, event: AttemptLost, now: Millis
+) -> list[Effect]:
+    """Send a request that did not run to another target."""
+    if request.sent >= MOST_SENDS or now >= request.deadline:
+        return requests.refuse_request(state, request, f"lost_{event.loss.value}", now)
+    if event.loss is not Loss.UNREACHED:
+        if not state.budget.can_repeat(request.service, state.entries, now):
+            return requests.refuse_request(state, request, "retry_budget", now)
+        state.budget.note_repeat(request.service, now)
+    return requests.place_request(state, request, now)
+
+
+def _may_run_again(request: Request) -> bool:
+    # Runs count against the route's attempts, refusals don't.
+    return request.runs < request.route.attempts
+
+
+def _repeat(
+    state: State, request: Request, event: AttemptLost, now: Millis
+) -> list[Effect]:
+    """Run an idempotent request again, if budget, time and room allow."""
+    if now >= request.deadline:
+        return []
+    if not state.budget.can_repeat(request.service, state.entries, now):
+        return []
+    target = placement.choose_target(state, request, now)
+    if target is None:
+        return []
+    state.budget.note_repeat(request.service, now)
+    return attempts.start_attempt(state, request, target, now)
+
+
+def watch_attempts(state: State, now: Millis) -> list[Effect]:
+    """Give up on attempts of idempotent requests whose target keeps silent."""
+    effects: list[Effect] = []
+    for attempt in list(state.attempts.values()):
+        request = state.requests[attempt.request]
+        if not request.route.idempotent or attempt is not request.current:
+            continue
+        if request.begun or not _may_run_again(request):
+            continue
+        if now - attempt.opened < choose_patience(request):
+            continue
+        if not state.budget.can_repeat(request.service, state.entries, now):
+            continue
+        event = AttemptLost(attempt.number, Loss.SILENT, detail="nothing came")
+        effects.append(CloseAttempt(attempt.number))
+        effects += recover_attempt(state, event, now)
+    return effects
+
+
+def choose_patience(request: Request) -> Millis:
+    """Return how long an attempt may stay silent before another is made.
+
+    Half of the deadline leaves the second attempt as long as the first, and a
+    target's usual answer takes a small part of it.
+    """
+    total = request.deadline - request.arrived
+    if request.route.kind is RouteKind.STREAM:
+        return Millis(min(total // 2, request.route.objective))
+    return Millis(min(total // 2, 3 * request.route.objective))
+
+
+def _note_loss(request: Request, attempt: Attempt, event: AttemptLost) -> Note:
+    return Note(
+        "attempt lost",
+        {
+            "request": request.spec.id,
+            "attempt": attempt.number,
+            "target": attempt.target.name,
+            "standing": attempt.target.standing.value,
+            "loss": event.loss.value,
+            "detail": event.detail,
+            "events": request.pieces,
+            "copy_at": request.copy.holder if request.copy else "",
+        },
+    )
--- /dev/null
+++ b/figstep/gateway/reducer.py
@@ -0,0 +1,159 @@
+"""The gateway's reducer: one match over all events."""
+
+from figstep.core.clock import Millis
+from figstep.gateway import peers, recovery, requests, streams
+from figstep.gateway.effects import Effect, Note
+from figstep.gateway.events import (
+    AnswerArrived,
+    AttemptLost,
+    CallerGone,
+    ConfigurationRead,
+    Event,
+    PeerHeard,
+    PiecesArrived,
+    RequestArrived,
+    RunCopied,
+    RunNotCopied,
+    ShutdownRequested,
+    StoreLost,
+    StoreRegained,
+    StreamEnded,
+    StreamOpened,
+    TargetDeparted,
+    TargetRegistered,
+    TargetsListed,
+    Ticked,
+)
+from figstep.gateway.state import State
+
+DEPARTED_KEPT = Millis(30_000)
+"""How long a departed target is remembered: a lapsed registration comes back
+within seconds, and a log line may still name it."""
+
+LAPSE = Millis(2_300)
+"""How long a registration that is missing after the store was away is not
+taken for gone: live targets are back within two seconds of its return, and
+dropping them would leave callers without any target meanwhile."""
+
+
+def reduce(state: State, event: Event, now: Millis) -> list[Effect]:
+    """Apply one event.
+
+    Args:
+        state: State of this gateway; changed in place, here only.
+        event: What happened.
+        now: Monotonic time, in milliseconds.
+
+    Returns:
+        What the edges have to do, in order.
+    """
+    match event:
+        case PiecesArrived():
+            return streams.deliver_pieces(state, event, now)
+        case StreamOpened():
+            return streams.note_opened(state, event)
+        case RequestArrived():
+            return requests.admit_request(state, event, now)
+        case StreamEnded():
+            effects = streams.finish_stream(state, event, now)
+            return effects + requests.start_queued(state, now)
+        case AnswerArrived():
+            effects = requests.finish_answer(state, event, now)
+            return effects + requests.start_queued(state, now)
+        case AttemptLost():
+            effects = recovery.recover_attempt(state, event, now)
+            return effects + requests.start_queued(state, now)
+        case CallerGone():
+            effects = requests.drop_caller(state, event, now)
+            return effects + requests.start_queued(state, now)
+        case RunCopied():
+            return streams.take_copy(state, event, now)
+        case RunNotCopied():
+            return streams.note_not_copied(state, event, now)
+        case ConfigurationRead():
+            return _take_configuration(state, event)
+        case TargetRegistered():
+            state.targets.note_registration(event.info, now)
+            return _settle_targets(state, now)
+        case TargetDeparted():
+            return _take_departure(state, event, now)
+        case TargetsListed():
+            return _take_list(state, event, now)
+        case StoreLost():
+            state.store_away = True
+            return []
+        case StoreRegained():
+            state.store_away = False
+            state.store_back_at = now
+            return []
+        case PeerHeard():
+            peers.take_message(state, event, now)
+            return requests.start_queued(state, now)
+        case Ticked():
+            return _tick(state, now)
+        case ShutdownRequested(until=until):
+            state.closes_at = until
+            return []
+
+
+def _take_configuration(state: State, event: ConfigurationRead) -> list[Effect]:
+    table = event.table
+    if state.table is not None and table.version <= state.table.version:
+        # A read may bring what a peer had brought before; going back would let
+        # a route or key that was dropped work again.
+        return []
+    state.table = table
+    routes = sum(len(found) for found in table.routes.values())
+    return [
+        Note("configuration in force", {"version": table.version, "routes": routes})
+    ]
+
+
+def _take_departure(state: State, event: TargetDeparted, now: Millis) -> list[Effect]:
+    if state.store_away or now < state.store_back_at + LAPSE:
+        state.targets.doubt(event.target, Millis(state.store_back_at + LAPSE))
+        return []
+    return _note_departure(state, event.target, now)
+
+
+def _note_departure(state: State, name: str, now: Millis) -> list[Effect]:
+    target = state.targets.note_departure(name, now)
+    if target is None:
+        return []
+    note = Note(
+        "target departed",
+        {"target": name, "service": target.info.service, "calls": target.calls},
+    )
+    return [note, *_settle_targets(state, now)]
+
+
+def _take_list(state: State, event: TargetsListed, now: Millis) -> list[Effect]:
+    listed = set()
+    for info in event.registrations:
+        listed.add(info.target)
+        state.targets.note_registration(info, now)
+    effects: list[Effect] = []
+    for name in list(state.targets.targets):
+        if name not in listed:
+            effects += _take_departure(state, TargetDeparted(name), now)
+    return effects + _settle_targets(state, now)
+
+
+def _settle_targets(state: State, now: Millis) -> list[Effect]:
+    effects = streams.evacuate_streams(state, now)
+    return effects + requests.start_queued(state, now)
+
+
+def _tick(state: State, now: Millis) -> list[Effect]:
+    effects: list[Effect] = []
+    for name in state.targets.list_lapsed(now):
+        effects += _note_departure(state, name, now)
+    effects += requests.expire_requests(state, now)
+    effects += streams.evacuate_streams(state, now)
+    effects += streams.watch_streams(state, now)
+    effects += recovery.watch_attempts(state, now)
+    effects += requests.start_queued(state, now)
+    peers.forget_silent(state, now)
+    state.targets.forget_departed(now, DEPARTED_KEPT)
+    state.crashes.forget_old(now)
+    return effects
--- /dev/null
+++ b/figstep/gateway/requests.py
@@ -0,0 +1,299 @@
+"""Life of a request: arrival, wait for room, answer, refusal, end."""
+
+from figstep.core.clock import Millis
+from figstep.core.problems import Problem, Ran
+from figstep.gateway import attempts, placement
+from figstep.gateway.effects import (
+    Answer,
+    BreakStream,
+    Count,
+    Effect,
+    Note,
+    Observe,
+    Refuse,
+)
+from figstep.gateway.events import AnswerArrived, CallerGone, RequestArrived
+from figstep.gateway.routes import Customer, Route, RouteKind
+from figstep.gateway.state import Request, State
+
+WAIT_SHARE = 0.4
+"""Part of a stream's objective that it may wait for room. Reading its prompt
+takes most of the rest; one that starts later is late in any case, and its
+caller is better off coming back."""
+
+SHORTEST_RETURN = Millis(300)
+"""A refused caller's pause: engines free memory a few times a second."""
+
+LONGEST_RETURN = Millis(8_000)
+"""Callers come back once, if at all, within a third of the time they have."""
+
+CLOSING_RETURN = Millis(50)
+"""A leaving entry's refusals: another entry can take the request at once."""
+
+UNCONFIGURED_RETURN = Millis(500)
+"""Reading the configuration after a start takes a few hundred milliseconds."""
+
+CRASHING_RETURN = Millis(60_000)
+"""A request that crashes targets is refused for minutes."""
+
+
+def admit_request(state: State, event: RequestArrived, now: Millis) -> list[Effect]:
+    """Find the route and customer of a request and start, queue or refuse it."""
+    spec = event.request
+    table = state.table
+    if table is None:
+        return _turn_away(
+            spec.number, spec.id, 503, "no_configuration", UNCONFIGURED_RETURN
+        )
+    route = table.find_route(spec.host, spec.path)
+    if route is None:
+        return _turn_away(spec.number, spec.id, 404, "no_route", version=table.version)
+    customer = None
+    if table.customers is not None and not route.public:
+        customer = table.customers.get(spec.key or "")
+        if customer is None:
+            return _turn_away(
+                spec.number, spec.id, 401, "unknown_key", version=table.version
+            )
+    if spec.body_bytes > table.limits.body_bytes:
+        return _turn_away(spec.number, spec.id, 413, "body_too_large")
+    if state.crashes.is_refused(spec.digest, now):
+        return _turn_away(spec.number, spec.id, 503, "crashes_targets", CRASHING_RETURN)
+    if state.closes_at is not None and _is_long(route):
+        return _turn_away(spec.number, spec.id, 503, "entry_leaving", CLOSING_RETURN)
+    request = _build_request(state, event, route, customer, now)
+    state.requests[spec.number] = request
+    state.budget.note_request(request.service, now)
+    return [Count("arrived", (route.name,)), *place_request(state, request, now)]
+
+
+def _build_request(
+    state: State,
+    event: RequestArrived,
+    route: Route,
+    customer: Customer | None,
+    now: Millis,
+) -> Request:
+    spec = event.request
+    patience = route.timeout
+    if spec.patience is not None:
+        patience = Millis(min(patience, spec.patience))
+    priority = route.priority
+    if customer is not None and customer.priority is not None:
+        priority = customer.priority
+    return Request(
+        spec,
+        route,
+        route.choose_service(state.rng),
+        "" if customer is None else customer.name,
+        priority,
+        now,
+        Millis(now + patience),
+        delivered=spec.after or 0,
+    )
+
+
+def _is_long(route: Route) -> bool:
+    # A stream that can't go on elsewhere would be cut when the process ends.
+    return route.kind is RouteKind.STREAM and not route.resumable
+
+
+def place_request(state: State, request: Request, now: Millis) -> list[Effect]:
+    """Start a request where there is room, else queue or refuse it."""
+    target = placement.choose_target(state, request, now)
+    if target is not None:
+        return attempts.start_attempt(state, request, target, now)
+    has_targets = bool(state.targets.list_ready(request.service))
+    if has_targets and now < read_start_limit(request):
+        return _queue_request(state, request)
+    return refuse_request(state, request, "no_room", now)
+
+
+def read_start_limit(request: Request) -> Millis:
+    """Return until when a request may wait for room."""
+    wait = round(request.route.objective * WAIT_SHARE)
+    return Millis(min(request.arrived + wait, request.deadline))
+
+
+def _queue_request(state: State, request: Request) -> list[Effect]:
+    request.queued = True
+    state.queue.append(request.spec.number)
+    return [Count("queued", (request.route.name,))]
+
+
+def start_queued(state: State, now: Millis) -> list[Effect]:
+    """Start what has room by now, the most urgent and oldest first.
+
+    A request that finds no room holds up those behind it: were smaller ones to
+    go ahead, a large one would never find room under load.
+    """
+    if not state.queue:
+        return []
+    effects: list[Effect] = []
+    waiting = [state.requests[number] for number in state.queue]
+    waiting.sort(key=lambda request: (request.priority, request.arrived))
+    blocked: set[str] = set()
+    for request in waiting:
+        if request.service in blocked:
+            continue
+        target = placement.choose_target(state, request, now)
+        if target is None:
+            blocked.add(request.service)
+            continue
+        _leave_queue(state, request)
+        effects += attempts.start_attempt(state, request, target, now)
+    for request in waiting:
+        if request.queued and now >= read_start_limit(request):
+            effects += refuse_request(state, request, "no_room_in_time", now)
+    return effects
+
+
+def _leave_queue(state: State, request: Request) -> None:
+    request.queued = False
+    state.queue.remove(request.spec.number)
+
+
+def finish_answer(state: State, event: AnswerArrived, now: Millis) -> list[Effect]:
+    """A target gave a whole answer: it goes to the caller as it came."""
+    attempt = state.attempts.get(event.attempt)
+    if attempt is None:
+        return []
+    request = state.requests[attempt.request]
+    attempt.target.note_success()
+    attempts.end_attempt(state, attempt)
+    return deliver_answer(state, request, event.attempt, event.status, now)
+
+
+def deliver_answer(
+    state: State, request: Request, attempt: int, status: int, now: Millis
+) -> list[Effect]:
+    """Hand on the whole answer that an attempt got."""
+    if request.begun:
+        # A stream that has begun can't become another answer.
+        return break_stream(state, request, "answered_in_mid_stream", now)
+    effects = attempts.close_request(state, request)
+    duration = now - request.arrived
+    return [
+        *effects,
+        Answer(request.spec.number, attempt),
+        Count("answered", (request.route.name, str(status))),
+        Observe("answer_time", duration, request.route.name),
+        _note_end(request, "answered", str(status), now),
+    ]
+
+
+def refuse_request(
+    state: State, request: Request, reason: str, now: Millis
+) -> list[Effect]:
+    """Give a request its final answer of our own.
+
+    "Not run" is said only where no target can have begun to run it; what may
+    be repeated is refused in the same way where it has begun nowhere.
+    """
+    effects = attempts.close_request(state, request)
+    if request.begun:
+        return [*effects, *break_stream(state, request, reason, now)]
+    if request.may_have_run:
+        status, retry_after, ran = 502, None, Ran.UNKNOWN
+        if now >= request.deadline:
+            status = 504
+    else:
+        status, ran = 503, Ran.NO
+        retry_after = choose_return(state, request)
+    problem = Problem(status, reason, _DETAIL, ran, retry_after)
+    return [
+        *effects,
+        Refuse(request.spec.number, problem),
+        Count("refused", (request.route.name, reason)),
+        _note_end(request, "refused", reason, now),
+    ]
+
+
+def break_stream(
+    state: State, request: Request, reason: str, now: Millis
+) -> list[Effect]:
+    """Cut the caller's stream: it can't go on and must not look whole."""
+    effects = attempts.close_request(state, request)
+    return [
+        *effects,
+        BreakStream(request.spec.number),
+        Count("broken", (request.route.name, reason)),
+        _note_end(request, "broken", reason, now),
+    ]
+
+
+def choose_return(state: State, request: Request) -> Millis:
+    """Return when a refused caller should come back.
+
+    Room comes as running work ends; callers that were refused together are
+    spread over twice the pause, so that they don't come back together.
+    """
+    waiting = 1 + len(state.queue)
+    base = min(LONGEST_RETURN, SHORTEST_RETURN * waiting)
+    return Millis(round(base * (1.0 + state.rng.random())))
+
+
+def drop_caller(state: State, event: CallerGone, now: Millis) -> list[Effect]:
+    """The caller is gone: end what runs for it."""
+    request = state.requests.get(event.number)
+    if request is None:
+        return []
+    return [
+        *attempts.close_request(state, request),
+        Count("callers_gone", (request.route.name,)),
+        _note_end(request, "caller gone", "", now),
+    ]
+
+
+def expire_requests(state: State, now: Millis) -> list[Effect]:
+    """End at once what has outlived its deadline."""
+    effects: list[Effect] = []
+    for request in list(state.requests.values()):
+        if now < request.deadline:
+            continue
+        request.may_have_run = request.may_have_run or request.sent > 0
+        effects += refuse_request(state, request, "deadline", now)
+    return effects
+
+
+_DETAIL = "see the code; come back after Retry-After where one is given"
+
+
+def _turn_away(
+    number: int,
+    name: str,
+    status: int,
+    reason: str,
+    retry_after: Millis | None = None,
+    version: int = -1,
+) -> list[Effect]:
+    problem = Problem(status, reason, _DETAIL, Ran.NO, retry_after)
+    return [
+        Refuse(number, problem),
+        Count("refused", ("", reason)),
+        Note(
+            "request turned away",
+            {
+                "request": name,
+                "status": status,
+                "reason": reason,
+                "configuration": version,
+            },
+        ),
+    ]
+
+
+def _note_end(request: Request, outcome: str, reason: str, now: Millis) -> Note:
+    return Note(
+        "request ended",
+        {
+            "request": request.spec.id,
+            "route": request.route.name,
+            "customer": request.customer,
+            "outcome": outcome,
+            "reason": reason,
+            "sent": request.sent,
+            "events": request.pieces,
+            "took_ms": now - request.arrived,
+        },
+    )
--- /dev/null
+++ b/figstep/gateway/routes.py
@@ -0,0 +1,163 @@
+"""Routes, services, customers and limits of one configuration version."""
+
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+
+from figstep.core.clock import Millis
+
+
+class RouteKind(Enum):
+    """What may be repeated of a request."""
+
+    SAFE = "safe"  # may run more than once
+    UNSAFE = "unsafe"  # runs at most once for each attempt of a caller
+    STREAM = "stream"  # a series of events; runs at most once unless resumable
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests of one host and path prefix go, and under which bounds.
+
+    Attributes:
+        name: Its name.
+        host: Host that it belongs to, in lower case.
+        prefix: Start of the paths that it takes; begins and ends with a slash.
+        kind: What may be repeated.
+        shares: Services and their weights.
+        attempts: Most targets that may run one request.
+        timeout: Longest that a caller may be kept waiting.
+        objective: Time to the answer, or to a stream's first event.
+        longest_pause: Longest pause between events of a stream on time.
+        priority: Rank; 0 is the most urgent.
+        public: Whether it is open to callers without a key.
+        resumable: Whether a stream may go on as a new run elsewhere.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: tuple[tuple[str, float], ...]
+    attempts: int = 1
+    timeout: Millis = Millis(30_000)
+    objective: Millis = Millis(1_000)
+    longest_pause: Millis = Millis(180)
+    priority: int = 0
+    public: bool = False
+    resumable: bool = False
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        if self.kind is RouteKind.STREAM:
+            return self.resumable
+        return self.kind is RouteKind.SAFE
+
+    def choose_service(self, rng: random.Random) -> str:
+        """Return one of its services, drawn by weight."""
+        if len(self.shares) == 1:
+            return self.shares[0][0]
+        names = [name for name, _ in self.shares]
+        weights = [weight for _, weight in self.shares]
+        return rng.choices(names, weights)[0]
+
+
+@dataclass(frozen=True, slots=True)
+class EnginePool:
+    """What all engines of a service have in common.
+
+    Attributes:
+        slots: Requests that one engine batches.
+        memory: Its cache memory, in tokens.
+        backups: Whether it keeps running copies of other engines' runs.
+        moves: Whether it copies a run to another engine on order.
+    """
+
+    slots: int
+    memory: int
+    backups: bool = False
+    moves: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """Targets that answer the same requests.
+
+    Attributes:
+        name: Its name.
+        connections: Connections that one target accepts from all callers.
+        engine: What its engines have in common; None for a plain service.
+    """
+
+    name: str
+    connections: int = 100
+    engine: EnginePool | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what a caller may send.
+
+    Attributes:
+        header_bytes: Size of all headers.
+        body_bytes: Size of a body.
+        header_time: How long its headers may take.
+        idle_time: How long its connection may stay without a request.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_time: Millis = Millis(3_000)
+    idle_time: Millis = Millis(15_000)
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """Who a key belongs to.
+
+    Attributes:
+        name: Its name, which targets are told.
+        priority: Its rank, before the route's; None if the route's holds.
+    """
+
+    name: str
+    priority: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingTable:
+    """One version of the operator's configuration.
+
+    Attributes:
+        version: Its number; a higher one replaces a lower one.
+        routes: Routes by host, the longest prefix first.
+        services: Services by name.
+        customers: Customers by key; None if callers need no key.
+        limits: Bounds on what callers may send.
+    """
+
+    version: int
+    routes: dict[str, tuple[Route, ...]] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    customers: dict[str, Customer] | None = None
+    limits: CallerLimits = CallerLimits()
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of ``path``, or None."""
+        for route in self.routes.get(host.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def group_routes(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
+    """Return routes by host, the longest prefix first."""
+    hosts: dict[str, list[Route]] = {}
+    for route in routes:
+        hosts.setdefault(route.host, []).append(route)
+    grouped = {}
+    for host, found in hosts.items():
+        found.sort(key=lambda route: len(route.prefix), reverse=True)
+        grouped[host] = tuple(found)
+    return grouped
--- /dev/null
+++ b/figstep/gateway/state.py
@@ -0,0 +1,147 @@
+"""State of one gateway; only its reducer changes it."""
+
+import random
+from dataclasses import dataclass, field
+
+from figstep.core.clock import Millis
+from figstep.gateway.budgets import RetryBudget
+from figstep.gateway.crashes import CrashTable
+from figstep.gateway.effects import RunCopy
+from figstep.gateway.events import PeerLoad, RoutedRequest
+from figstep.gateway.routes import Route, RoutingTable
+from figstep.gateway.targets import Target, TargetTable
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One connection to a target for a request.
+
+    Attributes:
+        number: Its number.
+        request: Number of its request.
+        target: Target that it was sent to.
+        opened: When it was sent.
+        memory: Tokens that it is expected to take there.
+        holder: Target that its run is copied to as it grows, or None.
+        source: Copy that it goes on from, or None for a run from the start.
+        answered: Whether its headers came.
+    """
+
+    number: int
+    request: int
+    target: Target
+    opened: Millis
+    memory: int = 0
+    holder: Target | None = None
+    source: RunCopy | None = None
+    answered: bool = False
+
+
+@dataclass(slots=True)
+class Request:
+    """A request without its final answer.
+
+    Attributes:
+        spec: What was asked for.
+        route: Its route, as it was when it came.
+        service: Service that it goes to.
+        customer: Name of its customer, or "".
+        priority: Its rank; 0 is the most urgent.
+        arrived: When it came.
+        deadline: When its caller, or the operator, wants no more of it.
+        current: Attempt whose events go to the caller, or None.
+        standby: Attempt that is to take over from it, or None.
+        copy: Copy of its run elsewhere, or None.
+        copying: Target that a copy is being made at, or "".
+        begun: Whether the caller's stream has begun.
+        delivered: Id of the last event handed to the caller.
+        delivered_at: When that was.
+        pieces: Events handed to the caller.
+        sent: Attempts so far that may have reached a target.
+        runs: Lost attempts that may have run.
+        may_have_run: Whether a target may have begun to run it.
+        tried: Targets that lost or refused it.
+        no_copy_at: Targets that could not take a copy of its run.
+        queued: Whether it waits for room.
+    """
+
+    spec: RoutedRequest
+    route: Route
+    service: str
+    customer: str
+    priority: int
+    arrived: Millis
+    deadline: Millis
+    current: Attempt | None = None
+    standby: Attempt | None = None
+    copy: RunCopy | None = None
+    copying: str = ""
+    begun: bool = False
+    delivered: int = 0
+    delivered_at: Millis = Millis(0)
+    pieces: int = 0
+    sent: int = 0
+    runs: int = 0
+    may_have_run: bool = False
+    tried: set[str] = field(default_factory=set)
+    no_copy_at: set[str] = field(default_factory=set)
+    queued: bool = False
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another entry, as its messages tell.
+
+    Attributes:
+        heard: When its last message came.
+        loads: What it has open, by target.
+        closing: Whether it is shutting down.
+    """
+
+    heard: Millis
+    loads: tuple[PeerLoad, ...] = ()
+    closing: bool = False
+
+
+@dataclass(slots=True)
+class State:
+    """Everything one gateway knows.
+
+    Attributes:
+        node: Name of this entry instance.
+        failure_domain: Its failure domain.
+        rng: The only source of randomness.
+        table: Configuration in force, or None before the first.
+        targets: Targets that registered themselves.
+        requests: Requests without a final answer, by number.
+        attempts: Open attempts by number.
+        queue: Numbers of requests that wait for room, in order of arrival.
+        peers: Other entries by name.
+        budget: Repeats that this entry may still make.
+        crashes: Requests that crashed targets.
+        next_attempt: Number of the next attempt.
+        store_away: Whether the store has stopped answering.
+        store_back_at: When it answered again after that.
+        closes_at: When the process ends, or None.
+    """
+
+    node: str
+    failure_domain: str
+    rng: random.Random
+    budget: RetryBudget
+    table: RoutingTable | None = None
+    targets: TargetTable = field(default_factory=TargetTable)
+    requests: dict[int, Request] = field(default_factory=dict)
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+    queue: list[int] = field(default_factory=list)
+    peers: dict[str, Peer] = field(default_factory=dict)
+    crashes: CrashTable = field(default_factory=CrashTable)
+    next_attempt: int = 1
+    store_away: bool = False
+    store_back_at: Millis = Millis(-1_000_000)
+    closes_at: Millis | None = None
+
+    @property
+    def entries(self) -> int:
+        """Entries that share the fleet's bounds, this one included."""
+        return 1 + len(self.peers)
--- /dev/null
+++ b/figstep/gateway/targets.py
@@ -0,0 +1,208 @@
+"""Targets as they register themselves, and what this entry knows of each."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from figstep.core.clock import Millis
+
+
+@dataclass(frozen=True, slots=True)
+class Registration:
+    """What a target says of itself.
+
+    Attributes:
+        target: Its id, which names one incarnation for most targets.
+        service: Service that it belongs to.
+        address: Where it listens, as "ip:port".
+        failure_domain: Its failure domain.
+        slots: Requests that it runs at once.
+        draining: Whether it takes no new work.
+        warmup: How much longer it is slow, when it said so.
+        born: Unix millisecond of its start; tells incarnations of one id apart.
+    """
+
+    target: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    draining: bool = False
+    warmup: Millis = Millis(0)
+    born: int = 0
+
+
+FAILURE_STEP = 0.2
+"""Weight of the newest attempt in a target's failed part: about ten attempts
+tell a target that fails two in five from one that fails now and then."""
+
+FIRST_AVOIDANCE = Millis(500)
+"""How long a target is avoided after two losses in a row; doubled with each
+more, as a target that is down needs seconds and one that hiccups does not."""
+
+LONGEST_AVOIDANCE = Millis(4_000)
+"""Most that a target is avoided before it is tried again."""
+
+
+class Standing(Enum):
+    """Whether a target gets work."""
+
+    READY = "ready"
+    LEAVING = "leaving"  # no new work; what runs there goes on for a little
+    GONE = "gone"  # nothing reaches it any more
+
+
+@dataclass(slots=True)
+class Target:
+    """A target and what this entry has seen of it.
+
+    Attributes:
+        info: Its newest registration.
+        standing: Whether it gets work.
+        left_at: When it was found to be leaving, or None.
+        calls: Attempts of this entry that are open there, streams included.
+        memory: Tokens that this entry's runs and copies are expected to take.
+        peer_calls: The same of all other entries.
+        peer_memory: The same of all other entries.
+        failures: Smoothed part of its attempts that failed, 0 to 1.
+        strikes: Losses in a row without an answer.
+        avoid_until: When it is tried again after losses.
+        warm_at: When it has warmed up after its start.
+    """
+
+    info: Registration
+    standing: Standing = Standing.READY
+    left_at: Millis | None = None
+    calls: int = 0
+    memory: int = 0
+    peer_calls: int = 0
+    peer_memory: int = 0
+    failures: float = 0.0
+    strikes: int = 0
+    avoid_until: Millis = Millis(0)
+    warm_at: Millis = Millis(0)
+
+    @property
+    def name(self) -> str:
+        """Its id."""
+        return self.info.target
+
+    @property
+    def load(self) -> int:
+        """Open attempts of all entries."""
+        return self.calls + self.peer_calls
+
+    def note_success(self) -> None:
+        """Count an answer."""
+        self.failures *= 1.0 - FAILURE_STEP
+        self.strikes = 0
+        self.avoid_until = Millis(0)
+
+    def note_failure(self) -> None:
+        """Count a failure that the target itself answered."""
+        self.failures += FAILURE_STEP * (1.0 - self.failures)
+        self.strikes = 0
+
+    def note_loss(self, now: Millis, reached: bool) -> None:
+        """Count an attempt without an answer.
+
+        Args:
+            now: Monotonic time.
+            reached: Whether there was a connection; without one the target is
+                avoided from the first loss on.
+        """
+        self.failures += FAILURE_STEP * (1.0 - self.failures)
+        self.strikes += 1 if reached else 2
+        if self.strikes >= 2:
+            pause = FIRST_AVOIDANCE << min(self.strikes - 2, 8)
+            self.avoid_until = Millis(now + min(pause, LONGEST_AVOIDANCE))
+
+    @property
+    def memory_load(self) -> int:
+        """Expected memory of all entries' runs and copies, in tokens."""
+        return self.memory + self.peer_memory
+
+
+@dataclass(slots=True)
+class TargetTable:
+    """All targets by id.
+
+    Attributes:
+        targets: The targets that may still be in use.
+        doubted: Targets whose registration lapsed while the store was away,
+            and until when it may come back.
+    """
+
+    targets: dict[str, Target] = field(default_factory=dict)
+    doubted: dict[str, Millis] = field(default_factory=dict)
+
+    def find(self, name: str) -> Target | None:
+        """Return a target, or None."""
+        return self.targets.get(name)
+
+    def list_ready(self, service: str) -> list[Target]:
+        """Return the targets of a service that take new work."""
+        found = []
+        for target in self.targets.values():
+            if target.info.service != service:
+                continue
+            if target.standing is Standing.READY:
+                found.append(target)
+        return found
+
+    def note_registration(self, info: Registration, now: Millis) -> Target:
+        """Take in what a target says of itself; returns the target.
+
+        A target that starts again under its old id holds nothing of before, so
+        everything known of the earlier incarnation is dropped with it.
+        """
+        self.doubted.pop(info.target, None)
+        target = self.targets.get(info.target)
+        if target is None or _is_new_incarnation(target.info, info):
+            target = Target(info, warm_at=Millis(now + info.warmup))
+            self.targets[info.target] = target
+        target.info = info
+        if info.draining:
+            self._leave(target, now)
+        elif target.standing is Standing.LEAVING:
+            # Its entry had lapsed, as it may while the store is away.
+            target.standing = Standing.READY
+            target.left_at = None
+        return target
+
+    def doubt(self, name: str, until: Millis) -> None:
+        """Keep a target whose registration may only have lapsed."""
+        if name in self.targets:
+            self.doubted.setdefault(name, until)
+
+    def list_lapsed(self, now: Millis) -> list[str]:
+        """Return and forget the doubted targets that did not come back."""
+        lapsed = [name for name, until in self.doubted.items() if until <= now]
+        for name in lapsed:
+            del self.doubted[name]
+        return lapsed
+
+    def note_departure(self, name: str, now: Millis) -> Target | None:
+        """Take in that a registration has gone; returns the target if known."""
+        target = self.targets.get(name)
+        if target is not None:
+            self._leave(target, now)
+        return target
+
+    def forget_departed(self, now: Millis, after: Millis) -> None:
+        """Drop targets that left ``after`` milliseconds ago and serve nothing."""
+        for name, target in list(self.targets.items()):
+            if target.left_at is None or target.calls:
+                continue
+            if target.left_at + after <= now:
+                del self.targets[name]
+
+    def _leave(self, target: Target, now: Millis) -> None:
+        if target.standing is Standing.READY:
+            target.standing = Standing.LEAVING
+            target.left_at = now
+
+
+def _is_new_incarnation(known: Registration, info: Registration) -> bool:
+    if info.born and known.born:
+        return info.born != known.born
+    return info.address != known.address or info.service != known.service
--- a/figstep/net/callers.py
+++ b/figstep/net/callers.py
@@ -69,7 +69,7 @@
 
     async def on_start(self) -> None:
         """Listen for callers."""
-        self._runner = build_runner(self._build_app(), self._settings)
+        self._runner = build_runner(self._build_app(), self._settings.limits)
         await self._runner.setup()
         listen = self._settings.callers
         tls = build_tls(self._settings.tls)
--- a/figstep/net/frames.py
+++ b/figstep/net/frames.py
@@ -82,3 +82,51 @@
         raise FrameError(
             f"event id {part[:80]!r} is not GENERATION:INDEX; look at the target"
         ) from error
+
+
+@dataclass(frozen=True, slots=True)
+class NumberedEvent:
+    """An event whose id is a plain number.
+
+    Attributes:
+        index: The number.
+        data: The event's bytes, with the closing blank line.
+    """
+
+    index: int
+    data: bytes
+
+
+class EventSplitter:
+    """Cuts a stream of numbered events, byte for byte."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes after the last whole event."""
+        return self._rest
+
+    def feed(self, chunk: bytes) -> list[NumberedEvent]:
+        """Take bytes and return the events that they complete.
+
+        Raises:
+            FrameError: If an event has no number or never ends.
+        """
+        parts = (self._rest + chunk).split(BOUNDARY)
+        self._rest = parts.pop()
+        if len(self._rest) > MAX_FRAME:
+            raise FrameError("an event is too long; look at the target's stream")
+        return [NumberedEvent(_read_number(part), part + BOUNDARY) for part in parts]
+
+
+def _read_number(part: bytes) -> int:
+    for line in part.split(b"\n"):
+        if not line.startswith(b"id:"):
+            continue
+        try:
+            return int(line[3:])
+        except ValueError:
+            break
+    raise FrameError(f"event {part[:80]!r} has no number as its id")
--- a/figstep/net/listener.py
+++ b/figstep/net/listener.py
@@ -10,7 +10,7 @@
 from figstep.core.problems import Problem
 from figstep.errors import ListenError
 from figstep.net.refusals import answer_problem, answer_refusals, describe_status
-from figstep.settings import Settings, Tls
+from figstep.settings import Limits, Tls
 
 _log = logbook.Logger("figstep.callers")
 
@@ -65,9 +65,8 @@
     return describe_status(status)
 
 
-def build_runner(app: web.Application, settings: Settings) -> CallerRunner:
-    """Return the runner of ``app`` with the limits of ``settings``."""
-    limits = settings.limits
+def build_runner(app: web.Application, limits: Limits) -> CallerRunner:
+    """Return the runner of ``app`` with its bounds on what callers may send."""
     return CallerRunner(
         app,
         access_log=None,
--- /dev/null
+++ b/figstep/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: translation between its protocol and the gateway's types."""
--- /dev/null
+++ b/figstep/platform/callers.py
@@ -0,0 +1,376 @@
+"""The platform's callers: requests in, answers out, readiness."""
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+
+import logbook
+from aiohttp import web
+from mode import Service
+from multidict import CIMultiDictProxy
+
+from figstep.core.clock import Millis
+from figstep.core.problems import Problem, Ran
+from figstep.gateway.edges import AnswerHead, CallerPort, WholeAnswer
+from figstep.gateway.events import CallerGone, Event, RequestArrived, RoutedRequest
+from figstep.gateway.prompts import Prompt
+from figstep.net.listener import build_runner
+from figstep.platform import names
+from figstep.platform.settings import Address
+from figstep.problems import encode_problem
+from figstep.settings import Limits
+
+_log = logbook.Logger("figstep.callers")
+
+READY_PATH = "/figstep/readyz"
+METRICS_PATH = "/metrics"
+
+BODY_SECONDS = 10.0
+"""How long a caller may take to send its body."""
+
+MOST_BODY_BYTES = 8_388_608
+"""Largest body that is read at all; the configuration's own bound is lower."""
+
+MOST_UNREAD_BYTES = 262_144
+"""Bytes of a stream that wait for a slow reader before it is cut: a few
+thousand such readers would else fill the memory."""
+
+LISTEN_LIMITS = Limits(
+    body_bytes=MOST_BODY_BYTES,
+    header_bytes=32_768,
+    headers=128,
+    body_seconds=BODY_SECONDS,
+    idle_seconds=75.0,
+)
+
+
+class CallerExchange:
+    """One caller's request, and its answer as it comes.
+
+    Attributes:
+        method: HTTP method.
+        path: Path with its query, as it came.
+        headers: Headers that are handed on.
+        body: The whole body.
+    """
+
+    def __init__(
+        self,
+        method: str,
+        path: str,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.head: AnswerHead | None = None
+        self.answer: WholeAnswer | None = None
+        self.problem: Problem | None = None
+        self.finished = False
+        self.broken = False
+        self._pieces: list[bytes] = []
+        self._changed = asyncio.Event()
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more will come."""
+        whole = self.answer is not None or self.problem is not None
+        return whole or self.finished or self.broken
+
+    def add(self, data: bytes) -> None:
+        """Take bytes of a stream."""
+        self._pieces.append(data)
+        self._changed.set()
+
+    def note_change(self) -> None:
+        """Wake the handler."""
+        self._changed.set()
+
+    def take_pieces(self) -> bytes:
+        """Return the bytes that came since the last call."""
+        pieces, self._pieces = self._pieces, []
+        return b"".join(pieces)
+
+    async def wait(self) -> None:
+        """Return when there is something to do."""
+        await self._changed.wait()
+        self._changed.clear()
+
+
+class CallerEdge(Service, CallerPort):
+    """HTTP server for the platform's callers and its readiness checks.
+
+    Attributes:
+        ready: Whether new callers should come here.
+        closing: Whether connections are closed after their answer.
+        exchanges: Requests without a final answer, by number.
+    """
+
+    def __init__(
+        self,
+        callers: Address,
+        readiness: Address,
+        dispatch: Callable[[Event], None],
+        is_ready: Callable[[], bool],
+        render_metrics: Callable[[], bytes],
+    ) -> None:
+        super().__init__()
+        self._callers = callers
+        self._readiness = readiness
+        self._dispatch = dispatch
+        self._is_ready = is_ready
+        self._render_metrics = render_metrics
+        self._runners: list[web.BaseRunner] = []
+        self._next_number = 1
+        self.ready = True
+        self.closing = False
+        self.exchanges: dict[int, CallerExchange] = {}
+
+    async def on_start(self) -> None:
+        """Listen for callers and for readiness checks."""
+        app = web.Application(client_max_size=MOST_BODY_BYTES)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        app.on_response_prepare.append(self._prepare_response)
+        await self._listen(build_runner(app, LISTEN_LIMITS), self._callers)
+        checks = web.Application()
+        checks.router.add_get(READY_PATH, self._answer_readiness)
+        checks.router.add_get(METRICS_PATH, self._answer_metrics)
+        runner = web.AppRunner(checks, access_log=None)
+        await self._listen(runner, self._readiness)
+
+    async def _listen(self, runner: web.BaseRunner, address: Address) -> None:
+        await runner.setup()
+        self._runners.append(runner)
+        site = web.TCPSite(runner, address.host, address.port, backlog=512)
+        await site.start()
+
+    async def on_stop(self) -> None:
+        """Close the listeners."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _answer_readiness(self, request: web.Request) -> web.Response:
+        ready = self.ready and self._is_ready()
+        return web.Response(status=200 if ready else 503)
+
+    async def _answer_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(body=self._render_metrics(), content_type="text/plain")
+
+    async def _prepare_response(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        # A kept connection would bring its next request here after the
+        # process has ended, and lose it.
+        if self.closing:
+            response.headers["Connection"] = "close"
+            response.force_close()
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        try:
+            async with asyncio.timeout(BODY_SECONDS):
+                body = await request.read()
+        except TimeoutError:
+            problem = Problem(408, "body_too_slow", "send the body faster")
+            return answer_problem(problem)
+        number = self._next_number
+        self._next_number += 1
+        exchange = CallerExchange(
+            request.method,
+            request.raw_path,
+            select_headers(request),
+            body,
+        )
+        self.exchanges[number] = exchange
+        try:
+            self._dispatch(RequestArrived(read_request(number, request, body)))
+            return await self._answer(request, exchange)
+        finally:
+            del self.exchanges[number]
+            if not exchange.ended:
+                self._dispatch(CallerGone(number))
+
+    async def _answer(
+        self, request: web.Request, exchange: CallerExchange
+    ) -> web.StreamResponse:
+        while exchange.head is None and not exchange.ended:
+            await exchange.wait()
+        if exchange.answer is not None:
+            answer = exchange.answer
+            response = web.Response(status=answer.head.status, body=answer.body)
+            _set_headers(response, answer.head)
+            return response
+        if exchange.problem is not None:
+            return answer_problem(exchange.problem)
+        return await self._write_stream(request, exchange)
+
+    async def _write_stream(
+        self, request: web.Request, exchange: CallerExchange
+    ) -> web.StreamResponse:
+        head = exchange.head
+        if head is None:
+            raise ConnectionError("the stream broke before it began")
+        response = web.StreamResponse(status=head.status)
+        _set_headers(response, head)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        while True:
+            data = exchange.take_pieces()
+            if data:
+                await response.write(data)
+                continue
+            if exchange.ended:
+                break
+            await exchange.wait()
+        if exchange.finished:
+            await response.write_eof()
+            return response
+        # Without the last chunk the answer can't be taken for a whole one.
+        response.force_close()
+        if request.transport is not None:
+            request.transport.close()
+        raise ConnectionError("the stream was broken off")
+
+    def begin_stream(self, number: int, head: AnswerHead) -> None:
+        """Start a stream."""
+        exchange = self.exchanges.get(number)
+        if exchange is not None:
+            exchange.head = head
+            exchange.note_change()
+
+    def deliver(self, number: int, data: bytes) -> None:
+        """Hand on bytes of a stream."""
+        exchange = self.exchanges.get(number)
+        if exchange is not None:
+            exchange.add(data)
+
+    def finish_stream(self, number: int) -> None:
+        """End a stream as whole."""
+        exchange = self.exchanges.get(number)
+        if exchange is not None:
+            exchange.finished = True
+            exchange.note_change()
+
+    def break_stream(self, number: int) -> None:
+        """Cut a stream so that it can't look whole."""
+        exchange = self.exchanges.get(number)
+        if exchange is not None:
+            exchange.broken = True
+            exchange.note_change()
+
+    def answer(self, number: int, answer: WholeAnswer) -> None:
+        """Give a caller a target's whole answer."""
+        exchange = self.exchanges.get(number)
+        if exchange is not None:
+            exchange.answer = answer
+            exchange.note_change()
+
+    def refuse(self, number: int, problem: Problem) -> None:
+        """Give a caller an answer of our own."""
+        exchange = self.exchanges.get(number)
+        if exchange is not None:
+            exchange.problem = problem
+            exchange.note_change()
+
+
+def select_headers(request: web.Request) -> tuple[tuple[str, str], ...]:
+    """Return the caller's headers that targets get."""
+    named = {
+        name.strip().lower()
+        for value in request.headers.getall("Connection", [])
+        for name in value.split(",")
+    }
+    selected = []
+    for name, value in request.headers.items():
+        lower = name.lower()
+        if lower in names.CONNECTION_HEADERS or lower in names.SYSTEM_HEADERS:
+            continue
+        if lower in named and lower != "host":
+            continue
+        selected.append((name, value))
+    return tuple(selected)
+
+
+def read_request(number: int, request: web.Request, body: bytes) -> RoutedRequest:
+    """Return a request as the gateway's decisions see it."""
+    headers = request.headers
+    key = headers.get(names.KEY)
+    digest = hashlib.sha256(f"{key} {request.method} {request.raw_path}\n".encode())
+    digest.update(body)
+    return RoutedRequest(
+        number=number,
+        id=headers.get(names.REQUEST_ID, ""),
+        method=request.method,
+        host=headers.get("Host", ""),
+        path=request.raw_path.partition("?")[0],
+        key=key,
+        patience=_read_millis(headers.get(names.DEADLINE)),
+        prompt=read_prompt(headers),
+        after=_read_number(headers.get(names.LAST_EVENT)),
+        digest=digest.hexdigest()[:24],
+        body_bytes=len(body),
+    )
+
+
+def read_prompt(headers: CIMultiDictProxy[str]) -> Prompt | None:
+    """Return what a generation needs, or None for other requests."""
+    size = headers.get(names.SIZE)
+    if size is None:
+        return None
+    prompt, _, output = size.partition(",")
+    tokens = _read_number(prompt)
+    if tokens is None:
+        return None
+    return Prompt(
+        model=headers.get(names.MODEL, ""),
+        tokens=tokens,
+        most_output=_read_number(output) or 0,
+        hint=_read_number(headers.get(names.LENGTH_HINT)),
+        parts=_read_parts(headers.get(names.PARTS, "")),
+    )
+
+
+def _read_parts(text: str) -> tuple[tuple[str, int], ...]:
+    parts = []
+    for entry in text.split(","):
+        part, _, tokens = entry.strip().partition(":")
+        count = _read_number(tokens)
+        if count is None:
+            continue
+        parts.append((part, count))
+    return tuple(parts)
+
+
+def _read_number(text: str | None) -> int | None:
+    if text is None or not text.strip().isdigit():
+        return None
+    return int(text)
+
+
+def _read_millis(text: str | None) -> Millis | None:
+    number = _read_number(text)
+    return None if number is None else Millis(number)
+
+
+def answer_problem(problem: Problem) -> web.Response:
+    """Return the response that tells a caller of a problem."""
+    headers = {"Content-Type": "application/problem+json"}
+    if problem.retry_after is not None:
+        # Fractions are understood here: most callers can be back in less than
+        # a second.
+        headers[names.RETRY_AFTER] = f"{problem.retry_after / 1000:.3f}"
+    if problem.ran is Ran.NO and problem.status in (408, 429, 503):
+        headers[names.NOT_RUN] = "1"
+    response = web.Response(
+        body=encode_problem(problem), status=problem.status, headers=headers
+    )
+    if problem.status == 408:
+        response.force_close()
+    return response
+
+
+def _set_headers(response: web.StreamResponse, head: AnswerHead) -> None:
+    response.headers.popall("Content-Type", None)
+    for name, value in head.headers:
+        response.headers.add(name, value)
--- /dev/null
+++ b/figstep/platform/documents.py
@@ -0,0 +1,182 @@
+"""Records of the platform's store as the gateway's types."""
+
+from typing import Any
+
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from figstep.core.clock import Millis
+from figstep.gateway.routes import (
+    CallerLimits,
+    Customer,
+    EnginePool,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Service,
+    group_routes,
+)
+from figstep.gateway.targets import Registration
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class _Share(_Model):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(_Model):
+    name: str
+    host: str
+    prefix: str
+    type: RouteKind  # what may be repeated
+    service: str = ""
+    split: tuple[_Share, ...] = ()
+    attempts: int = 1
+    timeout_ms: float
+    slo_ms: float = 1_000.0
+    gap_slo_ms: float = 180.0
+    priority: int = 0
+    public: bool = False
+    resumable: bool = False
+
+
+class _Engine(_Model):
+    slots: int = Field(default=64, gt=0)
+    kv_capacity: int = Field(default=1 << 30, gt=0)
+    backups: bool = False
+    moves: bool = False
+
+
+class _Service(_Model):
+    name: str
+    max_conns: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(_Model):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Tenant(_Model):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Configuration(_Model):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] | None = None
+
+
+class _Beat(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True, strict=True)
+
+    service: str
+    addr: str = Field(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")
+    zone: str
+    slots: int = Field(ge=1)
+    state: str = Field(pattern=r"^(ready|draining)$")
+    warmup_left_ms: float = Field(default=0.0, ge=0)
+    born: int = 0  # Unix millisecond of the target's start
+
+
+def parse_configuration(value: bytes) -> RoutingTable:
+    """Return the configuration that a record holds.
+
+    Raises:
+        ValueError: If it can't be read; the platform takes valid ones only.
+    """
+    read = _Configuration.model_validate(orjson.loads(value))
+    services = {}
+    for service in read.services:
+        services[service.name] = _build_service(service)
+    return RoutingTable(
+        version=read.version,
+        routes=group_routes([_build_route(route) for route in read.routes]),
+        services=services,
+        customers=_build_customers(read.tenants),
+        limits=CallerLimits(
+            read.limits.max_header_bytes,
+            read.limits.max_body_bytes,
+            Millis(round(read.limits.header_timeout_ms)),
+            Millis(round(read.limits.idle_timeout_ms)),
+        ),
+    )
+
+
+def _build_route(route: _Route) -> Route:
+    shares = [(share.service, share.weight) for share in route.split]
+    if not shares:
+        shares = [(route.service, 1.0)]
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=route.type,
+        shares=tuple(shares),
+        attempts=route.attempts,
+        timeout=Millis(round(route.timeout_ms)),
+        objective=Millis(round(route.slo_ms)),
+        longest_pause=Millis(round(route.gap_slo_ms)),
+        priority=route.priority,
+        public=route.public,
+        resumable=route.resumable,
+    )
+
+
+def _build_service(service: _Service) -> Service:
+    engine = None
+    if service.engine is not None:
+        engine = EnginePool(
+            service.engine.slots,
+            service.engine.kv_capacity,
+            service.engine.backups,
+            service.engine.moves,
+        )
+    return Service(service.name, service.max_conns, engine)
+
+
+def _build_customers(
+    tenants: tuple[_Tenant, ...] | None,
+) -> dict[str, Customer] | None:
+    if tenants is None:
+        return None
+    customers = {}
+    for tenant in tenants:
+        customer = Customer(tenant.name, tenant.priority)
+        for key in tenant.api_keys:
+            customers[key] = customer
+    return customers
+
+
+def parse_registration(key: str, value: bytes) -> Registration | None:
+    """Return what a target says of itself, or None where it names no target.
+
+    Entries may come from other writers: unknown states, missing fields or
+    unreadable bytes name nothing to use.
+    """
+    try:
+        document: Any = orjson.loads(value)
+        read = _Beat.model_validate(document)
+    except (orjson.JSONDecodeError, ValidationError):
+        return None
+    return Registration(
+        target=key,
+        service=read.service,
+        address=read.addr,
+        failure_domain=read.zone,
+        slots=read.slots,
+        draining=read.state == "draining",
+        warmup=Millis(round(read.warmup_left_ms)),
+        born=read.born,
+    )
--- /dev/null
+++ b/figstep/platform/entry.py
@@ -0,0 +1,216 @@
+"""An entry on the platform: parts, life cycle, signals."""
+
+import asyncio
+import os
+import random
+import signal
+
+import logbook
+import uvloop
+from mode import Service
+
+from figstep.core.clock import Clock, Millis
+from figstep.gateway.application import Gateway
+from figstep.gateway.budgets import RetryBudget
+from figstep.gateway.events import (
+    ConfigurationRead,
+    ShutdownRequested,
+    StoreLost,
+    StoreRegained,
+    TargetDeparted,
+    TargetRegistered,
+    TargetsListed,
+)
+from figstep.gateway.measures import GatewayMeasures
+from figstep.gateway.state import State
+from figstep.logs import install_logs
+from figstep.net.clock import SystemClock
+from figstep.platform.callers import CallerEdge, CallerExchange
+from figstep.platform.documents import parse_configuration, parse_registration
+from figstep.platform.engines import TargetEdge
+from figstep.platform.settings import EntrySettings, load_settings, read_path
+from figstep.platform.store import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    REGISTRATION_TOPIC,
+    HttpStore,
+    KeyedRecord,
+    Store,
+    TopicFollower,
+    TopicSink,
+)
+
+_log = logbook.Logger("figstep.entry")
+
+STOP_SHARE = 0.88
+"""Part of the grace time after which open answers are cut: the rest is for the
+cut to reach callers before the process is killed."""
+
+POLL_SECONDS = 0.05
+
+
+class Entry(Service):
+    """One entry instance on the platform."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock | None = None,
+        store: Store | None = None,
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self._clock = clock or SystemClock()
+        self._store = store or HttpStore(settings.store)
+        self.measures = GatewayMeasures()
+        self.gateway = Gateway(
+            build_state(settings, self._clock.now()), self._clock, self.measures
+        )
+        self.callers = CallerEdge(
+            settings.callers,
+            settings.readiness,
+            self.gateway.dispatch,
+            self.is_ready,
+            self.measures.render,
+        )
+        self.targets = TargetEdge(
+            self._clock,
+            self.gateway.dispatch,
+            self.find_exchange,
+            self.gateway.known.targets.find,
+        )
+        self.gateway.callers = self.callers
+        self.gateway.targets = self.targets
+        self._listed = False
+        self.configuration = TopicFollower(
+            self._store,
+            CONFIGURATION_TOPIC,
+            TopicSink(
+                self._take_configuration,
+                self._take_configuration,
+                lambda reason: None,
+                lambda: None,
+            ),
+        )
+        self.registrations = TopicFollower(
+            self._store,
+            REGISTRATION_TOPIC,
+            TopicSink(
+                self._take_registrations,
+                self._take_changes,
+                lambda reason: self.gateway.dispatch(StoreLost()),
+                lambda: self.gateway.dispatch(StoreRegained()),
+            ),
+        )
+
+    async def on_start(self) -> None:
+        """Start the parts; the listener opens last."""
+        for part in (
+            self.targets,
+            self.configuration,
+            self.registrations,
+            self.gateway,
+            self.callers,
+        ):
+            await self.add_runtime_dependency(part)
+
+    async def on_shutdown(self) -> None:
+        """Close the store's client, which the followers use until they end."""
+        await self._store.close()
+
+    def is_ready(self) -> bool:
+        """Tell whether callers can be served."""
+        return self.gateway.known.table is not None and self._listed
+
+    def find_exchange(self, number: int) -> CallerExchange | None:
+        """Return what the edge holds of a request."""
+        return self.callers.exchanges.get(number)
+
+    def _take_configuration(
+        self, records: tuple[KeyedRecord, ...] | list[KeyedRecord]
+    ) -> None:
+        for record in records:
+            if record.key != CONFIGURATION_KEY or record.value is None:
+                continue
+            try:
+                table = parse_configuration(record.value)
+            except ValueError as error:
+                _log.error(
+                    "configuration unreadable", extra={"error": str(error)[:300]}
+                )
+                continue
+            self.gateway.dispatch(ConfigurationRead(table))
+
+    def _take_registrations(self, records: tuple[KeyedRecord, ...]) -> None:
+        listed = []
+        for record in records:
+            info = parse_registration(record.key, record.value or b"")
+            if info is not None:
+                listed.append(info)
+        self._listed = True
+        self.gateway.dispatch(TargetsListed(tuple(listed)))
+
+    def _take_changes(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            if record.value is None:
+                self.gateway.dispatch(TargetDeparted(record.key))
+                continue
+            info = parse_registration(record.key, record.value)
+            if info is None:
+                _log.info("foreign registration", extra={"key": record.key[:80]})
+                continue
+            self.gateway.dispatch(TargetRegistered(info))
+
+    async def drain(self) -> None:
+        """End gracefully: readiness falls, open answers go on to their end."""
+        self.callers.ready = False
+        self.callers.closing = True
+        grace = Millis(round(self.settings.grace * STOP_SHARE))
+        until = Millis(self._clock.now() + grace)
+        self.gateway.dispatch(ShutdownRequested(until))
+        # The platform sends callers here until it has asked twice in vain.
+        quiet_from = Millis(self._clock.now() + NOTICE)
+        while self._clock.now() < until:
+            await asyncio.sleep(POLL_SECONDS)
+            if self._clock.now() >= quiet_from and not self.callers.exchanges:
+                return
+
+
+NOTICE = Millis(3_000)
+"""Time that new callers may still come after readiness fell."""
+
+
+def build_state(settings: EntrySettings, now: Millis) -> State:
+    """Return the state that an entry starts with."""
+    budget = RetryBudget(
+        settings.retry_ratio,
+        settings.retry_allowance,
+        settings.retry_window,
+        started=now,
+        fresh=settings.first_start,
+    )
+    seed = int.from_bytes(os.urandom(16))
+    return State(settings.node, settings.failure_domain, random.Random(seed), budget)
+
+
+async def serve_until_signal(settings: EntrySettings) -> None:
+    """Serve until SIGTERM or SIGINT, then drain."""
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    entry = Entry(settings)
+    loop.add_signal_handler(signal.SIGHUP, _log.info, "reload asked for")
+    await entry.start()
+    _log.info("started", extra={"node": settings.node})
+    await stopping.wait()
+    _log.info("draining", extra={"requests": len(entry.callers.exchanges)})
+    await entry.drain()
+    _log.info("stopped", extra={"requests": len(entry.callers.exchanges)})
+    await entry.stop()
+
+
+def run_entry() -> None:
+    """Run an entry by the platform's settings file until it is told to end."""
+    install_logs("INFO")
+    uvloop.run(serve_until_signal(load_settings(read_path())))
--- /dev/null
+++ b/figstep/platform/names.py
@@ -0,0 +1,56 @@
+"""Header names of the platform, and who may set them."""
+
+REQUEST_ID = "Request-Id"
+DEADLINE = "Deadline-Ms"
+KEY = "Credential"
+CUSTOMER = "Tenant"
+SIGNATURE = "Server-Stamp"
+EXPECTED_TARGET = "Expect-Instance"
+NOT_RUN = "Not-Executed"
+RETRY_AFTER = "Retry-After"
+LAST_EVENT = "Last-Event-Id"
+MODEL = "Model"
+SIZE = "Token-Count"  # tokens of the prompt and most tokens of the output
+PARTS = "Prefix-Hash"  # id and tokens of each part of the prompt
+LENGTH_HINT = "Length-Hint"
+PRIORITY = "Request-Priority"
+BACKUP = "Kv-Backup"  # engine that gets a running copy
+COPY = "Kv-From"  # copy that a run goes on from
+WEIGHTS = "Expect-Version"
+
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "content-length",
+    }
+)
+"""Headers that concern one connection only; the length is set anew."""
+
+SYSTEM_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        KEY,
+        CUSTOMER,
+        EXPECTED_TARGET,
+        DEADLINE,
+        PRIORITY,
+        BACKUP,
+        COPY,
+        WEIGHTS,
+        LAST_EVENT,
+        "Pin-Ms",
+        "Hold",
+        "Kv-Fetch",
+    )
+)
+"""Headers that only this system sets: a caller's are taken off, or it could
+take on another customer's name or reach another run's memory."""
--- /dev/null
+++ b/figstep/platform/settings.py
@@ -0,0 +1,170 @@
+"""The platform's settings file, as this entry's own settings."""
+
+import os
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from figstep.core.clock import Millis
+from figstep.errors import SettingsError
+from figstep.settings import describe_errors
+
+PATH_VARIABLE = "FIGSTEP_CONFIG"
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class _Listen(_Model):
+    front: str
+    ready: str
+    control: str = ""
+
+
+class _Bounds(_Model):
+    grace_s: float = 8.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_extra: float = 50.0
+
+
+class _Limits(_Model):
+    memory_mb: int = 150
+    max_fds: int = 1024
+
+
+class _Provider(_Model):
+    addr: str
+
+
+class _Document(_Model):
+    node: str
+    ip: str
+    zone: str
+    region: str = ""
+    bootstrap: bool = False
+    port_range: tuple[int, int]
+    seeds: tuple[str, ...] = ()
+    listen: _Listen
+    bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
+    provider: _Provider
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """What an entry learns at its start.
+
+    Attributes:
+        node: Name of this instance.
+        failure_domain: Its failure domain.
+        callers: Where callers connect.
+        readiness: Where the platform asks whether callers may come.
+        peers: Where other entries reach this one, by UDP and TCP.
+        seeds: Where other entries may be reached.
+        store: Address of the platform's store.
+        first_start: Whether the whole system starts for the first time.
+        grace: Time from the request to end until the process is killed.
+        retry_ratio: Repeats for each request in the fleet.
+        retry_allowance: Repeats of the fleet beyond the ratio in a window.
+        retry_window: Length of that window.
+        memory_bytes: Memory over which the process is killed.
+        descriptors: Most open files and sockets.
+    """
+
+    node: str
+    failure_domain: str
+    callers: Address
+    readiness: Address
+    peers: Address
+    seeds: tuple[Address, ...]
+    store: str
+    first_start: bool
+    grace: Millis
+    retry_ratio: float
+    retry_allowance: float
+    retry_window: Millis
+    memory_bytes: int
+    descriptors: int
+
+
+def read_path() -> Path:
+    """Return the path of the settings file.
+
+    Raises:
+        SettingsError: If the platform names none.
+    """
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise SettingsError(f"{PATH_VARIABLE}: not set; write the settings file's path")
+    return Path(path)
+
+
+def load_settings(path: Path) -> EntrySettings:
+    """Read and validate the platform's settings file.
+
+    Raises:
+        SettingsError: Naming the file, each wrong field and what to write.
+    """
+    try:
+        document = tomllib.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise SettingsError(f"{path}: cannot be read ({error}); mend it") from error
+    return parse_settings(document, str(path))
+
+
+def parse_settings(document: dict[str, Any], origin: str) -> EntrySettings:
+    """Return the settings that a document holds.
+
+    Raises:
+        SettingsError: Naming each wrong field and what to write.
+    """
+    try:
+        read = _Document.model_validate(document)
+    except ValidationError as error:
+        lines = [f"{origin}: {line}" for line in describe_errors(error)]
+        raise SettingsError("\n".join(lines)) from error
+    peer_port = read.port_range[0]
+    # Seeds name where other entries are controlled; peers listen at the same
+    # port of the free range on every machine.
+    seeds = tuple(Address(split_address(seed).host, peer_port) for seed in read.seeds)
+    return EntrySettings(
+        node=read.node,
+        failure_domain=read.zone,
+        callers=split_address(read.listen.front),
+        readiness=split_address(read.listen.ready),
+        peers=Address(read.ip, peer_port),
+        seeds=seeds,
+        store=read.provider.addr,
+        first_start=read.bootstrap,
+        grace=Millis(round(read.bounds.grace_s * 1000)),
+        retry_ratio=read.bounds.retry_ratio,
+        retry_allowance=read.bounds.retry_extra,
+        retry_window=Millis(round(read.bounds.retry_window_s * 1000)),
+        memory_bytes=read.limits.memory_mb << 20,
+        descriptors=read.limits.max_fds,
+    )
+
+
+def split_address(text: str) -> Address:
+    """Return the parts of "ip:port".
+
+    Raises:
+        SettingsError: If it is neither.
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise SettingsError(f"{text!r} is no address; write IP:PORT")
+    return Address(host, int(port))
--- /dev/null
+++ b/figstep/platform/store.py
@@ -0,0 +1,247 @@
+"""Client of the platform's store: keyed topics, read whole and followed."""
+
+import asyncio
+import base64
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import aiohttp
+import logbook
+import orjson
+from mode import Service
+
+from figstep.errors import LogTruncatedError, LogUnavailableError
+from figstep.net.sockets import open_watched_socket
+
+_log = logbook.Logger("figstep.store")
+
+CONFIGURATION_TOPIC = "keyed.op"
+REGISTRATION_TOPIC = "keyed.servers"
+CONFIGURATION_KEY = "config"
+
+WAIT_SECONDS = 25.0
+"""How long a read waits for a record. The store allows 30 s; dead connections
+are found by probes below HTTP, so that longer waits only save calls."""
+
+CALL_SECONDS = 2.0
+"""Time for an answer beyond what the call itself waits."""
+
+FIRST_PAUSE = 0.1
+LONGEST_PAUSE = 1.0
+"""Seconds between reads that fail: a configuration has to be in force two
+seconds after the store is well again."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """A record of a keyed topic.
+
+    Attributes:
+        key: Its key.
+        value: Its value; None if the key is dropped.
+    """
+
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The newest record of each key.
+
+    Attributes:
+        records: The records.
+        end: Offset from which on records are newer for certain.
+    """
+
+    records: tuple[KeyedRecord, ...]
+    end: int
+
+
+class Store(ABC):
+    """What the entry reads of the store."""
+
+    @abstractmethod
+    async def read_newest(self, topic: str) -> Snapshot:
+        """Return the newest record of each key.
+
+        Raises:
+            LogUnavailableError: If the store gave no answer.
+        """
+
+    @abstractmethod
+    async def read_records(self, topic: str, start: int) -> list[KeyedRecord]:
+        """Return the records from ``start`` on, waiting for one if there is none.
+
+        Raises:
+            LogTruncatedError: If records from ``start`` on were deleted.
+            LogUnavailableError: If the store gave no answer.
+        """
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close the connections."""
+
+
+class HttpStore(Store):
+    """The store, by its HTTP interface."""
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}"
+        self._session: aiohttp.ClientSession | None = None
+
+    async def read_newest(self, topic: str) -> Snapshot:
+        """Return the newest record of each key, page by page."""
+        records: dict[str, KeyedRecord] = {}
+        end: int | None = None
+        after = None
+        while True:
+            query = {"topic": topic, "part": "0"}
+            if after is not None:
+                query["after"] = after
+            page = orjson.loads(await self._call("/figstep/log-newest", query, 0.0))
+            for item in page["items"]:
+                value = base64.b64decode(item["value"])
+                records[item["key"]] = KeyedRecord(item["key"], value or None)
+            if end is None:
+                # Pages are read one after another: what changes meanwhile is
+                # read again from the end that the first page told.
+                end = page["end"]
+            if not page["has_more"] or not page["items"]:
+                return Snapshot(tuple(records.values()), end)
+            after = page["items"][-1]["key"]
+
+    async def read_records(self, topic: str, start: int) -> list[KeyedRecord]:
+        """Return the records from ``start`` on."""
+        query = {
+            "topic": topic,
+            "part": "0",
+            "from": str(start),
+            "wait_ms": str(round(WAIT_SECONDS * 1000)),
+        }
+        raw = await self._call("/figstep/log-read", query, WAIT_SECONDS)
+        return decode_records(raw)
+
+    async def _call(self, path: str, query: dict[str, str], wait: float) -> bytes:
+        if self._session is None:
+            self._session = _open_session()
+        try:
+            async with (
+                asyncio.timeout(wait + CALL_SECONDS),
+                self._session.get(self._base + path, params=query) as response,
+            ):
+                body = await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise LogUnavailableError(f"{path}: {type(error).__name__}") from error
+        if response.status == 410:
+            raise LogTruncatedError(int(orjson.loads(body).get("first", 0)))
+        if response.status != 200:
+            raise LogUnavailableError(f"{path}: answered {response.status}")
+        return body
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+
+def _open_session() -> aiohttp.ClientSession:
+    # A connection on which an answer was lost brings nothing more; the client
+    # closes it when a call on it times out.
+    connector = aiohttp.TCPConnector(limit=8, socket_factory=open_watched_socket)
+    return aiohttp.ClientSession(
+        connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+    )
+
+
+def decode_records(raw: bytes) -> list[KeyedRecord]:
+    """Return the records of a read's answer, past its two leading offsets."""
+    records = []
+    at = 16
+    while at + 4 <= len(raw):
+        length = int.from_bytes(raw[at : at + 4])
+        records.append(_decode_record(raw[at + 4 : at + 4 + length]))
+        at += 4 + length
+    return records
+
+
+def _decode_record(content: bytes) -> KeyedRecord:
+    key_end = 1 + content[0] if content else 0
+    key = content[1:key_end].decode(errors="replace")
+    return KeyedRecord(key, content[key_end:] or None)
+
+
+@dataclass(frozen=True, slots=True)
+class TopicSink:
+    """Where a followed topic goes.
+
+    Attributes:
+        take_snapshot: Gets all newest records at once.
+        take_records: Gets records in order.
+        note_lost: Called when the store stops answering, with the reason.
+        note_regained: Called when it answers again.
+    """
+
+    take_snapshot: Callable[[tuple[KeyedRecord, ...]], None]
+    take_records: Callable[[list[KeyedRecord]], None]
+    note_lost: Callable[[str], None]
+    note_regained: Callable[[], None]
+
+
+class TopicFollower(Service):
+    """Reads a keyed topic whole, then each record as it comes."""
+
+    def __init__(self, store: Store, topic: str, sink: TopicSink) -> None:
+        super().__init__()
+        self._store = store
+        self._topic = topic
+        self._sink = sink
+        self._next: int | None = None
+        self._pause = FIRST_PAUSE
+        self._lost = False
+
+    @Service.task
+    async def _follow(self) -> None:
+        while not self.should_stop:
+            try:
+                await self._read_on()
+            except LogTruncatedError as error:
+                # What was deleted can't be told record by record any more.
+                _log.info(
+                    "records deleted",
+                    extra={"topic": self._topic, "earliest": error.earliest},
+                )
+                self._next = None
+            except (LogUnavailableError, ValueError, KeyError) as error:
+                self._note_lost(str(error))
+                await self.sleep(self._pause)
+                self._pause = min(LONGEST_PAUSE, self._pause * 2)
+
+    async def _read_on(self) -> None:
+        if self._next is None:
+            snapshot = await self._store.read_newest(self._topic)
+            self._note_regained()
+            self._next = snapshot.end
+            self._sink.take_snapshot(snapshot.records)
+            return
+        records = await self._store.read_records(self._topic, self._next)
+        self._note_regained()
+        if records:
+            self._next += len(records)
+            self._sink.take_records(records)
+
+    def _note_lost(self, reason: str) -> None:
+        if self._lost:
+            return
+        self._lost = True
+        _log.warning("store lost", extra={"topic": self._topic, "reason": reason})
+        self._sink.note_lost(reason)
+
+    def _note_regained(self) -> None:
+        self._pause = FIRST_PAUSE
+        if not self._lost:
+            return
+        self._lost = False
+        _log.info("store regained", extra={"topic": self._topic})
+        self._sink.note_regained()
