Share loads, repeats and records among entries

Cause: each entry used an equal part of the retry allowance, 3 repeats in ten seconds, where the streams of one engine that leaves need 4 or more at once. Ruled out: the fleet's bound itself, 25 of 64 were used.

Entries also hand each other the configuration and the registrations, for those that the store turns away.

--- a/figstep/gateway/application.py
+++ b/figstep/gateway/application.py
@@ -7,7 +7,7 @@
 from mode import Service
 
 from figstep.core.clock import Clock
-from figstep.gateway.edges import CallerPort, TargetPort
+from figstep.gateway.edges import CallerPort, PeerPort, TargetPort
 from figstep.gateway.effects import (
     Answer,
     BeginStream,
@@ -18,6 +18,7 @@
     Deliver,
     DropCopy,
     Effect,
+    FetchRecords,
     FinishStream,
     Note,
     Observe,
@@ -47,10 +48,12 @@
         measures: Counters and histograms.
         targets: Edge towards targets.
         callers: Edge towards callers.
+        peers: Edge towards other entries.
     """
 
     targets: TargetPort
     callers: CallerPort
+    peers: PeerPort
 
     def __init__(self, state: State, clock: Clock, measures: GatewayMeasures) -> None:
         super().__init__()
@@ -100,6 +103,8 @@
                 self.targets.copy_run(effect)
             case DropCopy(copy=copy):
                 self.targets.drop_copy(copy)
+            case FetchRecords(address=address):
+                self.peers.fetch_records(address)
             case Count(name=name, labels=labels):
                 self.measures.count(name, labels)
             case Observe(name=name, millis=millis, label=label):
--- a/figstep/gateway/budgets.py
+++ b/figstep/gateway/budgets.py
@@ -1,8 +1,9 @@
-"""Retry budget of the fleet: each entry's part, without asking the others.
+"""Retry budget of the fleet, held by all entries together.
 
-The bound holds for the sum over all entries in any window: repeats at most a
-ratio of the requests plus an allowance. Each entry takes the ratio of its own
-requests, whose sum is the fleet's, and an equal part of the allowance.
+In any window a service may get repeats up to a ratio of its requests plus an
+allowance, summed over all entries. Entries tell each other what they used, so
+that one that has many streams on an engine that leaves may use what the others
+don't need. An entry that misses some of the others keeps to an equal part.
 """
 
 from collections import deque
@@ -10,13 +11,21 @@
 
 from figstep.core.clock import Millis
 
-SAFETY = 0.7
-"""Part of the bound that is used: entries count their windows from different
-moments, and a target's own clock sees a repeat some milliseconds later."""
+SHARED_PART = 0.6
+"""Part of the fleet's bound that is used while all entries hear each other. A
+message takes up to 0.1 s; what all of them start meanwhile fits the rest."""
+
+ALONE_PART = 0.7
+"""Part of an entry's own share that is used while others are not heard: windows
+slide, and a target counts a repeat some milliseconds after it was sent."""
 
 UNSEEN_ENTRIES = 4
 """Entries that may exist without having been heard of: added or restarting."""
 
+URGENT_RESERVE = 0.3
+"""Part of the bound that is kept for streams whose engine leaves. One of these
+is worth tens of short requests that could be tried again instead."""
+
 
 @dataclass(slots=True)
 class ServiceUse:
@@ -26,6 +35,38 @@
     repeats: deque[Millis] = field(default_factory=deque)
 
 
+@dataclass(frozen=True, slots=True)
+class UseReport:
+    """What one entry sent to a service within a window.
+
+    Attributes:
+        service: The service.
+        requests: Requests of its callers.
+        repeats: Arrivals beyond the first of each request.
+    """
+
+    service: str
+    requests: int
+    repeats: int
+
+
+@dataclass(frozen=True, slots=True)
+class FleetUse:
+    """What the other entries sent to a service, as far as this one knows.
+
+    Attributes:
+        requests: Requests of their callers.
+        repeats: Their arrivals beyond the first of each request.
+        entries: Entries known of late, this one included.
+        complete: Whether all of them are heard now.
+    """
+
+    requests: int
+    repeats: int
+    entries: int
+    complete: bool
+
+
 @dataclass(slots=True)
 class RetryBudget:
     """What this entry may send beyond the first arrival of each request.
@@ -49,31 +90,43 @@
 
     def note_request(self, service: str, now: Millis) -> None:
         """Count a caller's request for a service."""
-        use = self._trim(service, now)
-        use.requests.append(now)
+        self._trim(service, now).requests.append(now)
 
     def can_repeat(
-        self, service: str, entries: int, now: Millis, reserve: float = 0.0
+        self, service: str, fleet: FleetUse, now: Millis, urgent: bool = False
     ) -> bool:
-        """Tell whether one more repeat is within this entry's part.
+        """Tell whether one more repeat keeps the fleet within its bound.
 
         Args:
             service: Service that it goes to.
-            entries: Entries that share the allowance.
+            fleet: What the other entries sent there.
             now: Monotonic time.
-            reserve: Repeats to leave for uses of more worth.
+            urgent: Whether it may use what is kept for streams in danger.
         """
         use = self._trim(service, now)
-        part = self.allowance * SAFETY / (entries + UNSEEN_ENTRIES)
+        keep = 1.0 if urgent else 1.0 - URGENT_RESERVE
+        if fleet.complete and fleet.entries > 1:
+            requests = len(use.requests) + fleet.requests
+            bound = SHARED_PART * (self.ratio * requests + self.allowance)
+            return len(use.repeats) + fleet.repeats + 1 <= keep * bound
+        part = self.allowance / (fleet.entries + UNSEEN_ENTRIES)
         if not self.fresh and now < self.started + self.window:
             part = 0.0
-        bound = self.ratio * SAFETY * len(use.requests) + part
-        return len(use.repeats) + 1 + reserve <= bound
+        bound = ALONE_PART * (self.ratio * len(use.requests) + part)
+        return len(use.repeats) + 1 <= keep * bound
 
     def note_repeat(self, service: str, now: Millis) -> None:
         """Count an arrival beyond the first of a request."""
-        use = self._trim(service, now)
-        use.repeats.append(now)
+        self._trim(service, now).repeats.append(now)
+
+    def report(self, now: Millis) -> tuple[UseReport, ...]:
+        """Return what was sent to each service within the window."""
+        reports = []
+        for service in list(self.uses):
+            use = self._trim(service, now)
+            if use.requests or use.repeats:
+                reports.append(UseReport(service, len(use.requests), len(use.repeats)))
+        return tuple(reports)
 
     def _trim(self, service: str, now: Millis) -> ServiceUse:
         use = self.uses.setdefault(service, ServiceUse())
--- a/figstep/gateway/edges.py
+++ b/figstep/gateway/edges.py
@@ -77,3 +77,11 @@
     @abstractmethod
     def refuse(self, number: int, problem: Problem) -> None:
         """Give a caller an answer of our own."""
+
+
+class PeerPort(ABC):
+    """Edge towards the other entries."""
+
+    @abstractmethod
+    def fetch_records(self, address: str) -> None:
+        """Ask a peer for what it has read of the store."""
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -74,6 +74,13 @@
     copy: RunCopy
 
 
+@dataclass(frozen=True, slots=True)
+class FetchRecords:
+    """Ask a peer at "ip:port" for the configuration and the registrations."""
+
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class BeginStream:
     """Start the caller's answer with the headers that an attempt got."""
@@ -155,6 +162,7 @@
     | CloseAttempt
     | CopyRun
     | DropCopy
+    | FetchRecords
     | BeginStream
     | Deliver
     | FinishStream
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from figstep.core.clock import Millis
+from figstep.gateway.budgets import UseReport
 from figstep.gateway.prompts import Prompt
 from figstep.gateway.routes import RoutingTable
 from figstep.gateway.targets import Registration
@@ -206,9 +207,22 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetsListed:
-    """All registrations were read at once; what is not among them is gone."""
+    """All registrations were read at once; what is not among them is gone.
+
+    Attributes:
+        registrations: The registrations.
+        position: Offset in the store up to which they were read.
+    """
 
     registrations: tuple[Registration, ...]
+    position: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class PositionRead:
+    """Registrations were read on, up to an offset in the store."""
+
+    position: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -243,14 +257,22 @@
     Attributes:
         node: Its name.
         loads: What it has open, by target; all that it has.
+        uses: What it sent to each service of late.
         crashes: Crashes of targets by digest of the request, newest first.
         closing: Whether the peer is shutting down.
+        address: Where it listens for peers, as "ip:port".
+        configuration: Version that it has in force; -1 for none.
+        position: How far it has read the registrations; -1 for nothing.
     """
 
     node: str
     loads: tuple[PeerLoad, ...] = ()
+    uses: tuple[UseReport, ...] = ()
     crashes: tuple[tuple[str, str], ...] = ()
     closing: bool = False
+    address: str = ""
+    configuration: int = -1
+    position: int = -1
 
 
 # Life cycle
@@ -282,6 +304,7 @@
     | TargetRegistered
     | TargetDeparted
     | TargetsListed
+    | PositionRead
     | StoreLost
     | StoreRegained
     | PeerHeard
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -1,7 +1,7 @@
 """What follows a lost attempt."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import attempts, placement, requests
+from figstep.gateway import attempts, peers, placement, requests
 from figstep.gateway.effects import CloseAttempt, Count, Effect, Note
 from figstep.gateway.events import AttemptLost, Loss
 from figstep.gateway.routes import RouteKind
@@ -33,7 +33,8 @@
         _note_loss(request, attempt, event),
     ]
     if not was_current and request.current is not None:
-        # The run goes on where it was.
+        # The run goes on where it was; its copy was used up or never there.
+        request.current.holder_spoiled = True
         return effects
     if request.standby is not None:
         request.current = request.standby
@@ -98,9 +99,8 @@
     if holder is None or holder.standing is not Standing.READY:
         request.copy = None
         return []
-    if not state.budget.can_repeat(request.service, state.entries, now):
+    if not peers.spend_repeat(state, request.service, now, urgent=True):
         return []
-    state.budget.note_repeat(request.service, now)
     effects = attempts.start_standby(state, request, copy, now)
     request.current, request.standby = request.standby, None
     return effects
@@ -112,10 +112,9 @@
     """Send a request that did not run to another target."""
     if request.sent >= MOST_SENDS or now >= request.deadline:
         return requests.refuse_request(state, request, f"lost_{event.loss.value}", now)
-    if event.loss is not Loss.UNREACHED:
-        if not state.budget.can_repeat(request.service, state.entries, now):
-            return requests.refuse_request(state, request, "retry_budget", now)
-        state.budget.note_repeat(request.service, now)
+    arrived = event.loss is not Loss.UNREACHED
+    if arrived and not peers.spend_repeat(state, request.service, now):
+        return requests.refuse_request(state, request, "retry_budget", now)
     return requests.place_request(state, request, now)
 
 
@@ -130,12 +129,11 @@
     """Run an idempotent request again, if budget, time and room allow."""
     if now >= request.deadline:
         return []
-    if not state.budget.can_repeat(request.service, state.entries, now):
-        return []
     target = placement.choose_target(state, request, now)
     if target is None:
         return []
-    state.budget.note_repeat(request.service, now)
+    if not peers.spend_repeat(state, request.service, now):
+        return []
     return attempts.start_attempt(state, request, target, now)
 
 
@@ -146,11 +144,12 @@
         request = state.requests[attempt.request]
         if not request.route.idempotent or attempt is not request.current:
             continue
-        if request.begun or not _may_run_again(request):
+        if request.begun or request.runs + 1 >= request.route.attempts:
             continue
         if now - attempt.opened < choose_patience(request):
             continue
-        if not state.budget.can_repeat(request.service, state.entries, now):
+        fleet = peers.sum_uses(state, request.service)
+        if not state.budget.can_repeat(request.service, fleet, now):
             continue
         event = AttemptLost(attempt.number, Loss.SILENT, detail="nothing came")
         effects.append(CloseAttempt(attempt.number))
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -11,6 +11,7 @@
     Event,
     PeerHeard,
     PiecesArrived,
+    PositionRead,
     RequestArrived,
     RunCopied,
     RunNotCopied,
@@ -79,6 +80,9 @@
             return _take_departure(state, event, now)
         case TargetsListed():
             return _take_list(state, event, now)
+        case PositionRead(position=position):
+            state.position = max(state.position, position)
+            return []
         case StoreLost():
             state.store_away = True
             return []
@@ -128,6 +132,10 @@
 
 
 def _take_list(state: State, event: TargetsListed, now: Millis) -> list[Effect]:
+    if state.position >= 0 and event.position < state.position:
+        # A peer's copy that the store has overtaken meanwhile.
+        return []
+    state.position = event.position
     listed = set()
     for info in event.registrations:
         listed.add(info.target)
@@ -154,6 +162,7 @@
     effects += recovery.watch_attempts(state, now)
     effects += requests.start_queued(state, now)
     peers.forget_silent(state, now)
+    effects += peers.catch_up(state, now)
     state.targets.forget_departed(now, DEPARTED_KEPT)
     state.crashes.forget_old(now)
     return effects
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from figstep.core.clock import Millis
-from figstep.gateway.budgets import RetryBudget
+from figstep.gateway.budgets import RetryBudget, UseReport
 from figstep.gateway.crashes import CrashTable
 from figstep.gateway.effects import RunCopy
 from figstep.gateway.events import PeerLoad, RoutedRequest
@@ -23,6 +23,7 @@
         opened: When it was sent.
         memory: Tokens that it is expected to take there.
         holder: Target that its run is copied to as it grows, or None.
+        holder_spoiled: Whether that copy was used up or refused.
         source: Copy that it goes on from, or None for a run from the start.
         answered: Whether its headers came.
     """
@@ -33,6 +34,7 @@
     opened: Millis
     memory: int = 0
     holder: Target | None = None
+    holder_spoiled: bool = False
     source: RunCopy | None = None
     answered: bool = False
 
@@ -95,12 +97,18 @@
     Attributes:
         heard: When its last message came.
         loads: What it has open, by target.
-        closing: Whether it is shutting down.
+        uses: What it sent to each service of late.
+        address: Where it listens for peers.
+        configuration: Version that it has in force; -1 for none.
+        position: How far it has read the registrations; -1 for nothing.
     """
 
     heard: Millis
     loads: tuple[PeerLoad, ...] = ()
-    closing: bool = False
+    uses: tuple[UseReport, ...] = ()
+    address: str = ""
+    configuration: int = -1
+    position: int = -1
 
 
 @dataclass(slots=True)
@@ -117,9 +125,12 @@
         attempts: Open attempts by number.
         queue: Numbers of requests that wait for room, in order of arrival.
         peers: Other entries by name.
+        missed: Peers that fell silent without saying that they end, and when.
         budget: Repeats that this entry may still make.
         crashes: Requests that crashed targets.
         next_attempt: Number of the next attempt.
+        position: How far the registrations were read; -1 for nothing.
+        behind_since: Since when a peer has known newer records, or None.
         store_away: Whether the store has stopped answering.
         store_back_at: When it answered again after that.
         closes_at: When the process ends, or None.
@@ -135,13 +146,11 @@
     attempts: dict[int, Attempt] = field(default_factory=dict)
     queue: list[int] = field(default_factory=list)
     peers: dict[str, Peer] = field(default_factory=dict)
+    missed: dict[str, Millis] = field(default_factory=dict)
     crashes: CrashTable = field(default_factory=CrashTable)
     next_attempt: int = 1
+    position: int = -1
+    behind_since: Millis | None = None
     store_away: bool = False
     store_back_at: Millis = Millis(-1_000_000)
     closes_at: Millis | None = None
-
-    @property
-    def entries(self) -> int:
-        """Entries that share the fleet's bounds, this one included."""
-        return 1 + len(self.peers)
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -1,7 +1,7 @@
 """Streams: delivery in order, and going on at the engine that holds a copy."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import attempts, placement, requests
+from figstep.gateway import attempts, peers, placement, requests
 from figstep.gateway.effects import (
     BeginStream,
     CopyRun,
@@ -86,6 +86,8 @@
 
 def _note_backup(request: Request, attempt: Attempt) -> None:
     holder = attempt.holder
+    if attempt.holder_spoiled:
+        return
     if holder is None or holder.standing is not Standing.READY:
         return
     if request.copy is None:
@@ -252,9 +254,8 @@
     copy = request.copy
     if copy is None:
         return []
-    if not state.budget.can_repeat(request.service, state.entries, now):
+    if not peers.spend_repeat(state, request.service, now, urgent=True):
         return [Count("repeats_denied", (request.route.name,))]
-    state.budget.note_repeat(request.service, now)
     return attempts.start_standby(state, request, copy, now)
 
 
@@ -305,4 +306,5 @@
     if standby.answered:
         # It was accepted and will deliver: the run must not go on at both.
         return attempts.close_attempt(state, request.current)
+    request.current.holder_spoiled = True
     return attempts.close_attempt(state, standby)
--- /dev/null
+++ b/figstep/net/links.capnp
@@ -0,0 +1,45 @@
+@0xd3a1f0c27be94415;
+# Messages between gateways. Members are only ever added; a reader ignores those
+# that it does not know.
+
+struct Hello {
+  node @0 :Text;
+  session @1 :UInt64;        # drawn anew by each process
+  sequence @2 :UInt64;
+  closing @3 :Bool;
+  configuration @4 :Int64;   # version in force, -1 for none
+  position @5 :Int64;        # registrations read, -1 for none
+  loads @6 :List(Load);
+  crashes @7 :List(Crash);
+  members @8 :List(Text);    # addresses heard of late, "ip:port"
+  uses @9 :List(Use);
+}
+
+struct Load {
+  target @0 :Text;
+  calls @1 :UInt32;
+  memory @2 :UInt32;
+}
+
+struct Use {
+  service @0 :Text;
+  requests @1 :UInt32;
+  repeats @2 :UInt32;
+}
+
+struct Crash {
+  digest @0 :Text;
+  crash @1 :Text;
+}
+
+struct Copy {
+  # What one gateway hands to another that can't read the store itself.
+  configuration @0 :Data;    # the record as the operator wrote it
+  position @1 :Int64;
+  registrations @2 :List(Entry);
+}
+
+struct Entry {
+  key @0 :Text;
+  value @1 :Data;
+}
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -10,10 +10,13 @@
 from mode import Service
 
 from figstep.core.clock import Clock, Millis
+from figstep.errors import PeerMessageError
 from figstep.gateway.application import Gateway
 from figstep.gateway.budgets import RetryBudget
+from figstep.gateway.edges import PeerPort
 from figstep.gateway.events import (
     ConfigurationRead,
+    PositionRead,
     ShutdownRequested,
     StoreLost,
     StoreRegained,
@@ -22,9 +25,12 @@
     TargetsListed,
 )
 from figstep.gateway.measures import GatewayMeasures
+from figstep.gateway.peers import describe_own
 from figstep.gateway.state import State
+from figstep.gateway.targets import Registration
 from figstep.logs import install_logs
 from figstep.net.clock import SystemClock
+from figstep.net.links import PeerLink, RecordCopy
 from figstep.platform.callers import CallerEdge, CallerExchange
 from figstep.platform.documents import parse_configuration, parse_registration
 from figstep.platform.engines import TargetEdge
@@ -49,7 +55,7 @@
 POLL_SECONDS = 0.05
 
 
-class Entry(Service):
+class Entry(Service, PeerPort):
     """One entry instance on the platform."""
 
     def __init__(
@@ -81,7 +87,19 @@
         )
         self.gateway.callers = self.callers
         self.gateway.targets = self.targets
+        self.link = PeerLink(
+            settings.peers.host,
+            settings.peers.port,
+            tuple(f"{seed.host}:{seed.port}" for seed in settings.seeds),
+            lambda: describe_own(self.gateway.known, self._clock.now()),
+            self.read_copy,
+            self.gateway.dispatch,
+        )
+        self.gateway.peers = self
         self._listed = False
+        self._configuration = b""
+        self._registrations: dict[str, bytes] = {}
+        self._fetch: asyncio.Task[None] | None = None
         self.configuration = TopicFollower(
             self._store,
             CONFIGURATION_TOPIC,
@@ -109,6 +127,7 @@
             self.targets,
             self.configuration,
             self.registrations,
+            self.link,
             self.gateway,
             self.callers,
         ):
@@ -116,6 +135,8 @@
 
     async def on_shutdown(self) -> None:
         """Close the store's client, which the followers use until they end."""
+        if self._fetch is not None:
+            self._fetch.cancel()
         await self._store.close()
 
     def is_ready(self) -> bool:
@@ -127,39 +148,81 @@
         return self.callers.exchanges.get(number)
 
     def _take_configuration(
-        self, records: tuple[KeyedRecord, ...] | list[KeyedRecord]
+        self, records: tuple[KeyedRecord, ...] | list[KeyedRecord], position: int
     ) -> None:
         for record in records:
-            if record.key != CONFIGURATION_KEY or record.value is None:
-                continue
-            try:
-                table = parse_configuration(record.value)
-            except ValueError as error:
-                _log.error(
-                    "configuration unreadable", extra={"error": str(error)[:300]}
-                )
-                continue
-            self.gateway.dispatch(ConfigurationRead(table))
-
-    def _take_registrations(self, records: tuple[KeyedRecord, ...]) -> None:
+            if record.key == CONFIGURATION_KEY and record.value is not None:
+                self._read_configuration(record.value)
+
+    def _read_configuration(self, value: bytes) -> None:
+        try:
+            table = parse_configuration(value)
+        except ValueError as error:
+            _log.error("configuration unreadable", extra={"error": str(error)[:300]})
+            return
+        self.gateway.dispatch(ConfigurationRead(table))
+        known = self.gateway.known.table
+        if known is not None and known.version == table.version:
+            self._configuration = value
+
+    def _take_registrations(
+        self, records: tuple[KeyedRecord, ...] | list[KeyedRecord], position: int
+    ) -> None:
+        self._registrations.clear()
         listed = []
         for record in records:
-            info = parse_registration(record.key, record.value or b"")
+            info = self._read_registration(record)
             if info is not None:
                 listed.append(info)
         self._listed = True
-        self.gateway.dispatch(TargetsListed(tuple(listed)))
+        self.gateway.dispatch(TargetsListed(tuple(listed), position))
 
-    def _take_changes(self, records: list[KeyedRecord]) -> None:
+    def _take_changes(self, records: list[KeyedRecord], position: int) -> None:
         for record in records:
-            if record.value is None:
+            info = self._read_registration(record)
+            if info is not None:
+                self.gateway.dispatch(TargetRegistered(info))
+            elif record.value is None:
                 self.gateway.dispatch(TargetDeparted(record.key))
-                continue
-            info = parse_registration(record.key, record.value)
-            if info is None:
-                _log.info("foreign registration", extra={"key": record.key[:80]})
-                continue
-            self.gateway.dispatch(TargetRegistered(info))
+        self.gateway.dispatch(PositionRead(position))
+
+    def _read_registration(self, record: KeyedRecord) -> Registration | None:
+        if record.value is None:
+            self._registrations.pop(record.key, None)
+            return None
+        info = parse_registration(record.key, record.value)
+        if info is None:
+            _log.info("foreign registration", extra={"key": record.key[:80]})
+            return None
+        self._registrations[record.key] = record.value
+        return info
+
+    def read_copy(self) -> RecordCopy:
+        """Return what was read of the store, for a peer that can't read it."""
+        return RecordCopy(
+            self._configuration,
+            self.gateway.known.position,
+            tuple(self._registrations.items()),
+        )
+
+    def fetch_records(self, address: str) -> None:
+        """Ask a peer for what it has read of the store."""
+        if self._fetch is None or self._fetch.done():
+            work = self._fetch_records(address)
+            self._fetch = asyncio.get_running_loop().create_task(work)
+
+    async def _fetch_records(self, address: str) -> None:
+        try:
+            copy = await self.link.fetch_copy(address)
+        except PeerMessageError as error:
+            _log.info("no records from peer", extra={"error": str(error)})
+            return
+        if copy.configuration:
+            self._read_configuration(copy.configuration)
+        if copy.position > self.gateway.known.position:
+            records = [KeyedRecord(key, value) for key, value in copy.registrations]
+            self.registrations.skip_to(copy.position)
+            self._take_registrations(records, copy.position)
 
     async def drain(self) -> None:
         """End gracefully: readiness falls, open answers go on to their end."""
--- a/figstep/platform/store.py
+++ b/figstep/platform/store.py
@@ -177,14 +177,14 @@
     """Where a followed topic goes.
 
     Attributes:
-        take_snapshot: Gets all newest records at once.
-        take_records: Gets records in order.
+        take_snapshot: Gets all newest records at once, and their end.
+        take_records: Gets records in order, and the offset behind them.
         note_lost: Called when the store stops answering, with the reason.
         note_regained: Called when it answers again.
     """
 
-    take_snapshot: Callable[[tuple[KeyedRecord, ...]], None]
-    take_records: Callable[[list[KeyedRecord]], None]
+    take_snapshot: Callable[[tuple[KeyedRecord, ...], int], None]
+    take_records: Callable[[list[KeyedRecord], int], None]
     note_lost: Callable[[str], None]
     note_regained: Callable[[], None]
 
@@ -223,13 +223,22 @@
             snapshot = await self._store.read_newest(self._topic)
             self._note_regained()
             self._next = snapshot.end
-            self._sink.take_snapshot(snapshot.records)
+            self._sink.take_snapshot(snapshot.records, snapshot.end)
             return
-        records = await self._store.read_records(self._topic, self._next)
+        start = self._next
+        records = await self._store.read_records(self._topic, start)
         self._note_regained()
+        if self._next != start:
+            # A peer told of later records while this read was waiting.
+            return
         if records:
             self._next += len(records)
-            self._sink.take_records(records)
+            self._sink.take_records(records, self._next)
+
+    def skip_to(self, position: int) -> None:
+        """Read on from an offset up to which a peer gave all records."""
+        if self._next is None or position > self._next:
+            self._next = position
 
     def _note_lost(self, reason: str) -> None:
         if self._lost:
