Take a reset in an answer without length for a loss

Cause: an answer without length ends with its connection, and the HTTP client takes a reset for that end. Ruled out: our own framing; the body was short as it came. The test fails with the library's own connector and passes with this one.

--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -178,7 +178,7 @@
         Answer(request.spec.number, attempt),
         Count("answered", (request.route.name, str(status))),
         Observe("answer_time", duration, request.route.name),
-        _note_end(request, "answered", str(status), now),
+        note_end(request, "answered", str(status), now),
     ]
 
 
@@ -205,7 +205,7 @@
         *effects,
         Refuse(request.spec.number, problem),
         Count("refused", (request.route.name, reason)),
-        _note_end(request, "refused", reason, now),
+        note_end(request, "refused", reason, now),
     ]
 
 
@@ -218,7 +218,7 @@
         *effects,
         BreakStream(request.spec.number),
         Count("broken", (request.route.name, reason)),
-        _note_end(request, "broken", reason, now),
+        note_end(request, "broken", reason, now),
     ]
 
 
@@ -241,7 +241,7 @@
     return [
         *attempts.close_request(state, request),
         Count("callers_gone", (request.route.name,)),
-        _note_end(request, "caller gone", "", now),
+        note_end(request, "caller gone", "", now),
     ]
 
 
@@ -283,7 +283,8 @@
     ]
 
 
-def _note_end(request: Request, outcome: str, reason: str, now: Millis) -> Note:
+def note_end(request: Request, outcome: str, reason: str, now: Millis) -> Note:
+    """Return the log line of a request's final answer."""
     return Note(
         "request ended",
         {
@@ -294,6 +295,8 @@
             "reason": reason,
             "sent": request.sent,
             "events": request.pieces,
+            "first_ms": request.first_after,
+            "longest_pause_ms": request.longest_pause,
             "took_ms": now - request.arrived,
         },
     )
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -59,6 +59,8 @@
         delivered: Id of the last event handed to the caller.
         delivered_at: When that was.
         pieces: Events handed to the caller.
+        first_after: Time from its arrival to its first event.
+        longest_pause: Longest time between two deliveries.
         sent: Attempts so far that may have reached a target.
         runs: Lost attempts that may have run.
         may_have_run: Whether a target may have begun to run it.
@@ -82,6 +84,8 @@
     delivered: int = 0
     delivered_at: Millis = Millis(0)
     pieces: int = 0
+    first_after: Millis = Millis(0)
+    longest_pause: Millis = Millis(0)
     sent: int = 0
     runs: int = 0
     may_have_run: bool = False
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -63,7 +63,10 @@
         last = piece.index
     if not data:
         return effects
-    if not request.begun:
+    if request.begun:
+        pause = Millis(now - request.delivered_at)
+        request.longest_pause = max(request.longest_pause, pause)
+    else:
         effects += _begin(request, attempt, now)
     request.delivered = last
     request.delivered_at = now
@@ -76,6 +79,7 @@
 
 def _begin(request: Request, attempt: Attempt, now: Millis) -> list[Effect]:
     request.begun = True
+    request.first_after = Millis(now - request.arrived)
     attempt.target.note_success()
     number = request.spec.number
     return [
@@ -158,18 +162,7 @@
         FinishStream(request.spec.number),
         Count("answered", (request.route.name, "200")),
         Observe("answer_time", now - request.arrived, request.route.name),
-        Note(
-            "request ended",
-            {
-                "request": request.spec.id,
-                "route": request.route.name,
-                "customer": request.customer,
-                "outcome": "whole stream",
-                "sent": request.sent,
-                "events": request.pieces,
-                "took_ms": now - request.arrived,
-            },
-        ),
+        requests.note_end(request, "whole stream", "", now),
     ]
 
 
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -27,8 +27,8 @@
     StreamPiece,
 )
 from figstep.gateway.targets import Target
+from figstep.net.connectors import ResetAwareConnector
 from figstep.net.frames import EventSplitter
-from figstep.net.sockets import open_watched_socket
 from figstep.platform import names
 from figstep.platform.callers import CallerExchange
 
@@ -89,9 +89,7 @@
 
     async def on_start(self) -> None:
         """Open the client."""
-        connector = aiohttp.TCPConnector(
-            limit=0, force_close=True, socket_factory=open_watched_socket
-        )
+        connector = ResetAwareConnector(limit=0, force_close=True)
         self._session = aiohttp.ClientSession(
             connector=connector,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/figstep/platform/store.py
+++ b/figstep/platform/store.py
@@ -12,7 +12,7 @@
 from mode import Service
 
 from figstep.errors import LogTruncatedError, LogUnavailableError
-from figstep.net.sockets import open_watched_socket
+from figstep.net.connectors import ResetAwareConnector
 
 _log = logbook.Logger("figstep.store")
 
@@ -149,7 +149,7 @@
 def _open_session() -> aiohttp.ClientSession:
     # A connection on which an answer was lost brings nothing more; the client
     # closes it when a call on it times out.
-    connector = aiohttp.TCPConnector(limit=8, socket_factory=open_watched_socket)
+    connector = ResetAwareConnector(limit=8)
     return aiohttp.ClientSession(
         connector=connector, cookie_jar=aiohttp.DummyCookieJar()
     )
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of figstep.gateway."""
--- /dev/null
+++ b/tests/net/test_connectors.py
@@ -0,0 +1,59 @@
+"""Tests of the connector that tells a reset from an end."""
+
+import asyncio
+import socket
+import struct
+
+import aiohttp
+import pytest
+
+from figstep.net.connectors import ResetAwareConnector
+
+HALF_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf an ans"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+async def serve(reset: bool) -> tuple[asyncio.Server, str]:
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HALF_ANSWER)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if reset:
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    return server, f"http://{host}:{port}/"
+
+
+async def read(url: str) -> bytes:
+    connector = ResetAwareConnector(force_close=True)
+    async with (
+        aiohttp.ClientSession(connector=connector) as session,
+        session.get(url) as response,
+    ):
+        return await response.read()
+
+
+async def test_reset_in_answer_without_length_is_a_loss() -> None:
+    """The caller would see half an answer as a whole one.
+
+    A target sends the start of an answer that has no length and then crashes;
+    its connection is reset. Without a length the end of the connection ends
+    the answer, and the HTTP library takes the reset for such an end.
+    """
+    server, url = await serve(reset=True)
+    async with server:
+        with pytest.raises(aiohttp.ClientError):
+            await read(url)
+
+
+async def test_close_ends_answer_without_length() -> None:
+    server, url = await serve(reset=False)
+    async with server:
+        assert await read(url) == b"half an ans"
