Keep room for prompts; copy runs one after another when their engine leaves

Cause: running backups of everything took as much memory as the runs. Backups now fill an engine to 0.7 only; runs without one are copied in turns within the notice. What starts late yields to what can be in time.

--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -117,7 +117,9 @@
         return None
     if request.route.kind is not RouteKind.STREAM:
         return None
-    return placement.choose_copy_holder(state, request, source, now)
+    return placement.choose_copy_holder(
+        state, request, source, now, placement.BACKUP_ROOM
+    )
 
 
 def _add_attempt(
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -246,6 +246,7 @@
         reading: Prompt tokens that are still to be read for them.
         read_rate: Prompt tokens that the target reads in a millisecond, as the
             entry saw it; None if it didn't.
+        unprotected: Long streams there that have no copy elsewhere.
     """
 
     target: str
@@ -253,6 +254,7 @@
     memory: int
     reading: int = 0
     read_rate: float | None = None
+    unprotected: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -2,12 +2,19 @@
 
 from figstep.core.clock import Millis
 from figstep.gateway.state import Request, State
-from figstep.gateway.targets import Target
+from figstep.gateway.targets import USUAL_READ_RATE, Target
 
 ROOM = 0.95
 """Part of an engine's memory that expected work may fill. Lengths are known at
 the median only; what is left takes the answers that outgrow their hint."""
 
+BACKUP_ROOM = 0.7
+"""The same for running backups made ahead. Under load a prompt that finds no
+room costs more than a run that has to be copied in the seconds of notice."""
+
+MOVE_ROOM = 1.0
+"""The same for a run whose engine leaves: it is lost otherwise."""
+
 FAILURE_WEIGHT = 8.0
 """Open calls that a target failing everything is worth in a comparison."""
 
@@ -29,6 +36,10 @@
 """Milliseconds of reading that a full engine is worth in a comparison: it will
 preempt runs, which pause for about as long as a prompt takes to read."""
 
+LENGTH_WEIGHT = 0.2
+"""Milliseconds a token of expected output that an engine of the usual speed is
+worth in a comparison; a slow one holds a long run's memory for longer."""
+
 FAILURE_DELAY = 2_000.0
 """The same for an engine that fails everything."""
 
@@ -73,7 +84,9 @@
     """
     memory = read_memory(state, request.service)
     need = estimate_memory(request)
-    tokens = 0 if request.spec.prompt is None else request.spec.prompt.tokens
+    prompt = request.spec.prompt
+    tokens = 0 if prompt is None else prompt.tokens
+    output = 0 if prompt is None else prompt.expected_output
     latest = request.arrived + READING_SHARE * request.route.objective
     best = None
     best_cost = 0.0
@@ -87,6 +100,7 @@
         if now + reading > latest and target.reading_load > 0:
             continue
         cost = reading + MEMORY_WEIGHT * filled
+        cost += LENGTH_WEIGHT * output * USUAL_READ_RATE / target.read_rate
         cost += FAILURE_DELAY * max(0.0, target.failures - ORDINARY_FAILURES)
         if target.info.failure_domain != state.failure_domain:
             cost += FAR_DELAY
@@ -97,9 +111,17 @@
 
 
 def choose_copy_holder(
-    state: State, request: Request, source: str, now: Millis
+    state: State, request: Request, source: str, now: Millis, room: float
 ) -> Target | None:
-    """Return the engine that a run's copy goes to, or None for no room."""
+    """Return the engine that a run's copy goes to, or None for no room.
+
+    Args:
+        state: The gateway's state.
+        request: Request whose run it is.
+        source: Target that runs it.
+        now: Monotonic time.
+        room: Part of an engine's memory that may be filled with it.
+    """
     memory = read_memory(state, request.service)
     need = estimate_memory(request)
     best = None
@@ -110,7 +132,7 @@
         if target.avoid_until > now:
             continue
         cost = (target.memory_load + need) / memory
-        if cost > ROOM:
+        if cost > room:
             continue
         if target.info.failure_domain != _find_domain(state, source):
             # A copy between failure domains takes twice as long.
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -16,10 +16,13 @@
 from figstep.gateway.routes import Customer, Route, RouteKind
 from figstep.gateway.state import Request, State
 
-WAIT_SHARE = 0.4
-"""Part of a stream's objective that it may wait for room. Reading its prompt
-takes most of the rest; one that starts later is late in any case, and its
-caller is better off coming back."""
+WAIT_SHARE = 1.5
+"""Part of a request's objective that it may wait for room. One that starts late
+is still worth something to its caller, who would come back no sooner."""
+
+LATE_SHARE = 0.5
+"""Part of its objective after which a waiting request will be late: reading its
+prompt takes most of the rest. It then yields to those that can be in time."""
 
 SHORTEST_RETURN = Millis(300)
 """A refused caller's pause: engines free memory a few times a second."""
@@ -131,7 +134,7 @@
         return []
     effects: list[Effect] = []
     waiting = [state.requests[number] for number in state.queue]
-    waiting.sort(key=lambda request: (request.priority, request.arrived))
+    waiting.sort(key=lambda request: _rank(request, now))
     blocked: set[str] = set()
     for request in waiting:
         if request.service in blocked:
@@ -148,6 +151,11 @@
     return effects
 
 
+def _rank(request: Request, now: Millis) -> tuple[int, bool, int]:
+    late = now - request.arrived > LATE_SHARE * request.route.objective
+    return request.priority, late, request.arrived
+
+
 def _leave_queue(state: State, request: Request) -> None:
     request.queued = False
     state.queue.remove(request.spec.number)
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -22,13 +22,17 @@
 )
 from figstep.gateway.routes import RouteKind
 from figstep.gateway.state import Attempt, Request, State
-from figstep.gateway.targets import Standing
+from figstep.gateway.targets import Standing, Target
 
 STALL = Millis(400)
 """Silence after which a stream goes on from its copy although its engine has
 not been found dead. Engines of a full batch pause up to 200 ms between events;
 a caller gives up after two seconds."""
 
+COPY_TURN = Millis(300)
+"""Time for one copy of a run: 4,000 tokens take 0.22 s within a failure domain
+and twice that between two."""
+
 OVERLAP = Millis(300)
 """Longest that a run may be open at two engines while it changes over. Both
 generate meanwhile; after it the one that has not delivered is closed."""
@@ -258,7 +262,11 @@
     current = request.current
     if pool is None or not pool.moves or current is None:
         return []
-    holder = placement.choose_copy_holder(state, request, current.target.name, now)
+    if not _is_turn(state, current.target, now):
+        return []
+    holder = placement.choose_copy_holder(
+        state, request, current.target.name, now, placement.MOVE_ROOM
+    )
     if holder is None:
         return []
     request.copying = holder.name
@@ -276,6 +284,16 @@
     ]
 
 
+def _is_turn(state: State, source: Target, now: Millis) -> bool:
+    for request in state.requests.values():
+        current = request.current
+        if request.copying and current is not None and current.target is source:
+            return False
+    left_at = now if source.left_at is None else source.left_at
+    ahead = peers.count_ahead(state, source.name)
+    return now >= left_at + ahead * COPY_TURN
+
+
 def watch_streams(state: State, now: Millis) -> list[Effect]:
     """Look after streams that stall or are in the middle of a change."""
     effects: list[Effect] = []
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -36,8 +36,12 @@
 tell a target that fails two in five from one that fails now and then."""
 
 USUAL_READ_RATE = 7.0
-"""Prompt tokens a millisecond of an engine that nothing is known of: the median
-first event of a prompt of 3,000 tokens came after 430 ms on a calm day."""
+"""Prompt tokens that an engine reads in a millisecond: the median first event of
+a prompt of 3,000 tokens came after 430 ms on a calm day."""
+
+UNKNOWN_READ_RATE = 4.5
+"""The same of an engine that nothing is known of. One in three is slow, and
+prompts sent to a slow one on the hope that it isn't are late."""
 
 FASTEST_READ_RATE = 14.0
 """Engines read no faster; a cached prompt would else pass for a fast engine."""
@@ -124,7 +128,7 @@
         rates = list(self.peer_rates)
         if self.read_rate_own is not None:
             rates.append(self.read_rate_own)
-        return sum(rates) / len(rates) if rates else USUAL_READ_RATE
+        return sum(rates) / len(rates) if rates else UNKNOWN_READ_RATE
 
     def predict_reading(self, tokens: int, now: Millis) -> float:
         """Return how long it takes until a prompt is read, in milliseconds."""
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -21,6 +21,7 @@
   memory @2 :UInt32;
   reading @3 :UInt32;
   readRate @4 :Float32;      # 0 for unknown
+  unprotected @5 :UInt16;
 }
 
 struct Use {
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -263,6 +263,7 @@
     for slot, load in zip(loads, own.loads, strict=True):
         slot.target, slot.calls, slot.memory = load.target, load.calls, load.memory
         slot.reading, slot.readRate = load.reading, load.read_rate or 0.0
+        slot.unprotected = load.unprotected
     uses = message.init("uses", len(own.uses))
     for slot, use in zip(uses, own.uses, strict=True):
         slot.service, slot.requests, slot.repeats = (
@@ -291,6 +292,7 @@
                 load.memory,
                 load.reading,
                 load.readRate or None,
+                load.unprotected,
             )
             for load in message.loads
         )
