--- a/figstep/gateway/application.py
+++ b/figstep/gateway/application.py
@@ -87,6 +87,9 @@
                 self.callers.deliver(number, data)
             case OpenAttempt():
                 self.targets.open_attempt(effect)
+                if effect.priority is not None:
+                    # Until the others know, they choose the same engine.
+                    self.peers.announce()
             case CloseAttempt(attempt=attempt):
                 self.targets.close_attempt(attempt)
             case BeginStream(number=number, attempt=attempt):
--- a/figstep/gateway/edges.py
+++ b/figstep/gateway/edges.py
@@ -85,3 +85,7 @@
     @abstractmethod
     def fetch_records(self, address: str) -> None:
         """Ask a peer for what it has read of the store."""
+
+    @abstractmethod
+    def announce(self) -> None:
+        """Tell the others of this entry's loads at once."""
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -26,8 +26,9 @@
 """Open calls that the caller's own failure domain is worth in a comparison.
 Bytes between failure domains cost; half a call never outweighs real load."""
 
-NEAR_MEMORY_BONUS = 0.02
-"""The same for holders of copies, as a part of their memory."""
+FAR_COPY = 0.15
+"""Part of its memory that a holder in the run's own failure domain is worth in
+a comparison: copies between failure domains take twice as long."""
 
 READING_SHARE = 0.9
 """Part of a stream's objective by which its prompt has to be read."""
@@ -136,7 +137,7 @@
             continue
         if target.info.failure_domain != _find_domain(state, source):
             # A copy between failure domains takes twice as long.
-            cost += NEAR_MEMORY_BONUS
+            cost += FAR_COPY
         cost += 0.01 * state.rng.random()
         if best is None or cost < best_cost:
             best, best_cost = target, cost
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -56,17 +56,13 @@
         case RequestArrived():
             return requests.admit_request(state, event, now)
         case StreamEnded():
-            effects = streams.finish_stream(state, event, now)
-            return effects + requests.start_queued(state, now)
+            return streams.finish_stream(state, event, now)
         case AnswerArrived():
-            effects = requests.finish_answer(state, event, now)
-            return effects + requests.start_queued(state, now)
+            return requests.finish_answer(state, event, now)
         case AttemptLost():
-            effects = recovery.recover_attempt(state, event, now)
-            return effects + requests.start_queued(state, now)
+            return recovery.recover_attempt(state, event, now)
         case CallerGone():
-            effects = requests.drop_caller(state, event, now)
-            return effects + requests.start_queued(state, now)
+            return requests.drop_caller(state, event, now)
         case RunCopied():
             return streams.take_copy(state, event, now)
         case RunNotCopied():
@@ -75,7 +71,7 @@
             return _take_configuration(state, event)
         case TargetRegistered():
             state.targets.note_registration(event.info, now)
-            return _settle_targets(state, now)
+            return streams.evacuate_streams(state, now)
         case TargetDeparted():
             return _take_departure(state, event, now)
         case TargetsListed():
@@ -92,7 +88,7 @@
             return []
         case PeerHeard():
             peers.take_message(state, event, now)
-            return requests.start_queued(state, now)
+            return []
         case Ticked():
             return _tick(state, now)
         case ShutdownRequested(until=until):
@@ -128,7 +124,7 @@
         "target departed",
         {"target": name, "service": target.info.service, "calls": target.calls},
     )
-    return [note, *_settle_targets(state, now)]
+    return [note, *streams.evacuate_streams(state, now)]
 
 
 def _take_list(state: State, event: TargetsListed, now: Millis) -> list[Effect]:
@@ -144,12 +140,7 @@
     for name in list(state.targets.targets):
         if name not in listed:
             effects += _take_departure(state, TargetDeparted(name), now)
-    return effects + _settle_targets(state, now)
-
-
-def _settle_targets(state: State, now: Millis) -> list[Effect]:
-    effects = streams.evacuate_streams(state, now)
-    return effects + requests.start_queued(state, now)
+    return effects + streams.evacuate_streams(state, now)
 
 
 def _tick(state: State, now: Millis) -> list[Effect]:
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -127,21 +127,24 @@
 def start_queued(state: State, now: Millis) -> list[Effect]:
     """Start what has room by now, the most urgent and oldest first.
 
-    A request that finds no room holds up those behind it: were smaller ones to
-    go ahead, a large one would never find room under load.
+    At most one request of a service starts in a call, so that the others learn
+    of it before theirs do: when an engine comes, all entries have requests
+    that waited for it, and together they would fill it at once.
     """
     if not state.queue:
         return []
     effects: list[Effect] = []
     waiting = [state.requests[number] for number in state.queue]
     waiting.sort(key=lambda request: _rank(request, now))
-    blocked: set[str] = set()
+    asked: set[str] = set()
     for request in waiting:
-        if request.service in blocked:
+        if request.service in asked:
             continue
+        asked.add(request.service)
         target = placement.choose_target(state, request, now)
         if target is None:
-            blocked.add(request.service)
+            # It holds up those behind it: were smaller ones to go ahead, a
+            # large one would never find room under load.
             continue
         _leave_queue(state, request)
         effects += attempts.start_attempt(state, request, target, now)
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -101,6 +101,7 @@
         self._sequence = 0
         self._neighbors: dict[str, _Neighbor] = {}
         self._told = _Told()
+        self._announcing = False
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
 
@@ -133,6 +134,17 @@
                 self._tell(own, now)
             await self.sleep(POLL_SECONDS)
 
+    def announce(self) -> None:
+        """Tell the others at the end of this turn of the loop."""
+        if self._announcing:
+            return
+        self._announcing = True
+        asyncio.get_running_loop().call_soon(self._announce_now)
+
+    def _announce_now(self) -> None:
+        self._announcing = False
+        self._tell(self._read_own(), loop_time())
+
     def _forget_old(self, now: float) -> None:
         for seed in self._seeds:
             self._neighbors.setdefault(seed, _Neighbor(now))
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -211,6 +211,10 @@
             work = self._fetch_records(address)
             self._fetch = asyncio.get_running_loop().create_task(work)
 
+    def announce(self) -> None:
+        """Tell the other entries of this one's loads at once."""
+        self.link.announce()
+
     async def _fetch_records(self, address: str) -> None:
         try:
             copy = await self.link.fetch_copy(address)
