--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -10,7 +10,7 @@
     OpenAttempt,
     RunCopy,
 )
-from figstep.gateway.routes import EnginePool, RouteKind
+from figstep.gateway.routes import RouteKind
 from figstep.gateway.state import Attempt, Request, State
 from figstep.gateway.targets import Target
 
@@ -78,6 +78,16 @@
     attempt.reading = 0
 
 
+def note_growth(state: State, request: Request, attempt: Attempt) -> None:
+    """Count what a run has come to need, at its engine and in its copy."""
+    memory = placement.estimate_memory(state, request)
+    grown = memory - attempt.memory
+    attempt.memory = memory
+    attempt.target.memory += grown
+    if attempt.holder is not None:
+        attempt.holder.memory += grown
+
+
 def close_attempt(state: State, attempt: Attempt | None) -> list[Effect]:
     """End an attempt whose answer is no longer wanted."""
     if attempt is None or attempt.number not in state.attempts:
@@ -102,16 +112,10 @@
     return effects
 
 
-def find_engine_pool(state: State, service: str) -> EnginePool | None:
-    """Return what the engines of a service have in common, or None."""
-    found = None if state.table is None else state.table.services.get(service)
-    return None if found is None else found.engine
-
-
 def _choose_backup(
     state: State, request: Request, source: str, now: Millis
 ) -> Target | None:
-    pool = find_engine_pool(state, request.service)
+    pool = placement.find_engine_pool(state, request.service)
     if pool is None or not pool.backups or request.route.idempotent:
         # A stream that may start anew elsewhere needs no copy.
         return None
@@ -131,7 +135,7 @@
 ) -> Attempt:
     number = state.next_attempt
     state.next_attempt += 1
-    memory = placement.estimate_memory(request)
+    memory = placement.estimate_memory(state, request)
     reading = 0
     if source is None and request.spec.prompt is not None:
         reading = request.spec.prompt.tokens
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -1,6 +1,7 @@
 """Choice of targets: for calls, for generations and for copies of their runs."""
 
 from figstep.core.clock import Millis
+from figstep.gateway.routes import EnginePool
 from figstep.gateway.state import Request, State
 from figstep.gateway.targets import USUAL_READ_RATE, Target
 
@@ -84,7 +85,7 @@
     sent all the same would only delay those that are being read already.
     """
     memory = read_memory(state, request.service)
-    need = estimate_memory(request)
+    need = estimate_memory(state, request)
     prompt = request.spec.prompt
     tokens = 0 if prompt is None else prompt.tokens
     output = 0 if prompt is None else prompt.expected_output
@@ -124,7 +125,7 @@
         room: Part of an engine's memory that may be filled with it.
     """
     memory = read_memory(state, request.service)
-    need = estimate_memory(request)
+    need = estimate_memory(state, request)
     best = None
     best_cost = 0.0
     for target in state.targets.list_ready(request.service):
@@ -144,18 +145,26 @@
     return best
 
 
-def estimate_memory(request: Request) -> int:
-    """Return the tokens that a request is expected to take at an engine."""
+def estimate_memory(state: State, request: Request) -> int:
+    """Return the tokens that a request needs at an engine within seconds."""
     prompt = request.spec.prompt
-    return 0 if prompt is None else prompt.expected_memory
+    if prompt is None:
+        return 0
+    pool = find_engine_pool(state, request.service)
+    event_tokens = 1 if pool is None else pool.event_tokens
+    return prompt.expect_memory(event_tokens * request.pieces)
+
+
+def find_engine_pool(state: State, service: str) -> EnginePool | None:
+    """Return what the engines of a service have in common, or None."""
+    found = None if state.table is None else state.table.services.get(service)
+    return None if found is None else found.engine
 
 
 def read_memory(state: State, service: str) -> int:
     """Return the memory of one engine of a service, in tokens."""
-    found = None if state.table is None else state.table.services.get(service)
-    if found is None or found.engine is None:
-        return 1 << 30
-    return max(1, found.engine.memory)
+    pool = find_engine_pool(state, service)
+    return 1 << 30 if pool is None else pool.memory
 
 
 def _list_candidates(state: State, request: Request, now: Millis) -> list[Target]:
--- a/figstep/gateway/prompts.py
+++ b/figstep/gateway/prompts.py
@@ -5,9 +5,13 @@
 UNKNOWN_LENGTH = 256
 """Tokens expected of an answer whose caller gives neither hint nor maximum."""
 
-MEAN_STAGE = 0.6
-"""Part of its output that a run holds on average; half, and a little more for
-answers that outgrow their hint."""
+LEAST_AHEAD = 128
+"""Tokens that a run is expected to grow by at least: half of all runs outgrow
+their hint, and a run that has done so tells nothing of its end."""
+
+MOST_AHEAD = 512
+"""Tokens of growth that are reserved for a run: about three seconds of it. What
+comes later finds room that other runs have left by then."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,11 +39,12 @@
             return min(self.most_output or UNKNOWN_LENGTH, UNKNOWN_LENGTH)
         return max(1, min(self.hint, self.most_output or self.hint))
 
-    @property
-    def expected_memory(self) -> int:
-        """Memory that it is expected to take over its run, in tokens.
+    def expect_memory(self, generated: int) -> int:
+        """Return the memory that its run needs within the next seconds.
 
-        Runs are at different stages, so that an engine holds their mean rather
-        than the sum of their ends.
+        Args:
+            generated: Tokens that it has generated so far.
         """
-        return self.tokens + round(self.expected_output * MEAN_STAGE)
+        ahead = self.expected_output - generated
+        ahead = max(LEAST_AHEAD, min(MOST_AHEAD, ahead))
+        return self.tokens + generated + ahead
--- a/figstep/gateway/routes.py
+++ b/figstep/gateway/routes.py
@@ -72,12 +72,14 @@
         memory: Its cache memory, in tokens.
         backups: Whether it keeps running copies of other engines' runs.
         moves: Whether it copies a run to another engine on order.
+        event_tokens: Tokens that one event of a stream holds.
     """
 
     slots: int
     memory: int
     backups: bool = False
     moves: bool = False
+    event_tokens: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -29,6 +29,10 @@
 not been found dead. Engines of a full batch pause up to 200 ms between events;
 a caller gives up after two seconds."""
 
+GROWTH_EVENTS = 8
+"""Events after which a run's memory is counted anew; the others are told of it
+as of any change of loads, so that each event would cost a message."""
+
 COPY_TURN = Millis(300)
 """Time for one copy of a run: 4,000 tokens take 0.22 s within a failure domain
 and twice that between two."""
@@ -77,6 +81,8 @@
     request.delivered_at = now
     request.pieces += len(data)
     request.may_have_run = True
+    if request.pieces // GROWTH_EVENTS > (request.pieces - len(data)) // GROWTH_EVENTS:
+        attempts.note_growth(state, request, attempt)
     _note_backup(request, attempt)
     effects.append(Deliver(request.spec.number, b"".join(data)))
     return effects
@@ -258,7 +264,7 @@
 
 
 def _order_copy(state: State, request: Request, now: Millis) -> list[Effect]:
-    pool = attempts.find_engine_pool(state, request.service)
+    pool = placement.find_engine_pool(state, request.service)
     current = request.current
     if pool is None or not pool.moves or current is None:
         return []
--- a/figstep/platform/documents.py
+++ b/figstep/platform/documents.py
@@ -49,6 +49,7 @@
     kv_capacity: int = Field(default=1 << 30, gt=0)
     backups: bool = False
     moves: bool = False
+    stride: int = Field(default=1, gt=0)  # tokens in one event of a stream
 
 
 class _Service(_Model):
@@ -142,6 +143,7 @@
             service.engine.kv_capacity,
             service.engine.backups,
             service.engine.moves,
+            service.engine.stride,
         )
     return Service(service.name, service.max_conns, engine)
 
