Order all copies at once and count what they take

Cause: taking turns left the engine's link idle between copies, and copies on order were not counted at their holder, so that all went to one engine, which answered 503 from the third on. An engine queues copies by itself.

--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -41,6 +41,7 @@
     target = state.targets.find(copy.holder)
     if target is None:
         return []
+    release_copy(request)
     attempt = _add_attempt(state, request, target, copy, now)
     request.standby = attempt
     request.copy = None
@@ -68,6 +69,24 @@
         request.standby = None
 
 
+def reserve_copy(state: State, request: Request, holder: Target) -> None:
+    """Count what a copy on order will take at its holder."""
+    release_copy(request)
+    request.copying = True
+    request.copy_place = holder
+    request.copy_memory = placement.estimate_memory(state, request)
+    holder.memory += request.copy_memory
+
+
+def release_copy(request: Request) -> None:
+    """Stop counting a copy on order: it failed, was used, or is dropped."""
+    if request.copy_place is not None:
+        request.copy_place.memory -= request.copy_memory
+    request.copying = False
+    request.copy_place = None
+    request.copy_memory = 0
+
+
 def note_read(attempt: Attempt, now: Millis) -> None:
     """Note that an attempt's first event came: its prompt has been read."""
     if not attempt.reading:
@@ -101,6 +120,7 @@
     effects = close_attempt(state, request.current)
     effects += close_attempt(state, request.standby)
     state.requests.pop(request.spec.number, None)
+    release_copy(request)
     if request.queued:
         state.queue.remove(request.spec.number)
         request.queued = False
@@ -113,7 +133,7 @@
 
 
 def _choose_backup(
-    state: State, request: Request, source: str, now: Millis
+    state: State, request: Request, source: Target, now: Millis
 ) -> Target | None:
     pool = placement.find_engine_pool(state, request.service)
     if pool is None or not pool.backups or request.route.idempotent:
@@ -121,9 +141,7 @@
         return None
     if request.route.kind is not RouteKind.STREAM:
         return None
-    return placement.choose_copy_holder(
-        state, request, source, now, placement.BACKUP_ROOM
-    )
+    return placement.choose_backup_holder(state, request, source, now)
 
 
 def _add_attempt(
@@ -139,7 +157,7 @@
     reading = 0
     if source is None and request.spec.prompt is not None:
         reading = request.spec.prompt.tokens
-    holder = _choose_backup(state, request, target.name, now)
+    holder = _choose_backup(state, request, target, now)
     attempt = Attempt(
         number,
         request.spec.number,
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -1,6 +1,7 @@
 """What entries tell each other: open work by target, crashes, leaving."""
 
 from figstep.core.clock import Millis
+from figstep.gateway import placement
 from figstep.gateway.budgets import FleetUse
 from figstep.gateway.effects import Effect, FetchRecords, Note
 from figstep.gateway.events import PeerHeard, PeerLoad
@@ -64,6 +65,7 @@
         target.peer_memory = 0
         target.peer_reading = 0
         target.peer_rates = ()
+        target.peer_unprotected = 0
     for peer in state.peers.values():
         for load in peer.loads:
             found = state.targets.find(load.target)
@@ -72,13 +74,14 @@
             found.peer_calls += load.calls
             found.peer_memory += load.memory
             found.peer_reading += load.reading
+            found.peer_unprotected += load.unprotected
             if load.read_rate is not None:
                 found.peer_rates += (load.read_rate,)
 
 
 def list_loads(state: State) -> tuple[PeerLoad, ...]:
     """Return what this entry has open, by target."""
-    unprotected = count_unprotected(state)
+    unprotected = placement.count_unprotected(state)
     loads = []
     for target in state.targets.targets.values():
         if not (target.calls or target.memory or target.read_rate_own):
@@ -96,35 +99,6 @@
     return tuple(loads)
 
 
-def count_unprotected(state: State) -> dict[str, int]:
-    """Return this entry's streams without a copy elsewhere, by target."""
-    counts: dict[str, int] = {}
-    for request in state.requests.values():
-        current = request.current
-        if current is None or request.copy is not None or request.standby is not None:
-            continue
-        if not request.begun or request.route.resumable:
-            continue
-        counts[current.target.name] = counts.get(current.target.name, 0) + 1
-    return counts
-
-
-def count_ahead(state: State, target: str) -> int:
-    """Return the copies that other entries order of a target before this one.
-
-    Entries take turns by their names, so that copies don't share the link of
-    an engine that leaves: sent all at once, none would be whole in time.
-    """
-    ahead = 0
-    for name, peer in state.peers.items():
-        if name >= state.node:
-            continue
-        for load in peer.loads:
-            if load.target == target:
-                ahead += load.unprotected
-    return ahead
-
-
 def sum_uses(state: State, service: str) -> FleetUse:
     """Return what the other entries sent to a service."""
     requests = repeats = 0
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -13,6 +13,14 @@
 """The same for running backups made ahead. Under load a prompt that finds no
 room costs more than a run that has to be copied in the seconds of notice."""
 
+CROWDED_BACKUP_ROOM = 0.9
+"""The same where more runs than that are without a backup at one engine."""
+
+COPIED_IN_NOTICE = 2
+"""Runs that are copied for certain within the notice: a copy of 4,000 tokens
+takes up to 0.6 s between failure domains, one after another, and engines are
+gone 1.5 s after the notice at the earliest."""
+
 MOVE_ROOM = 1.0
 """The same for a run whose engine leaves: it is lost otherwise."""
 
@@ -112,6 +120,16 @@
     return best
 
 
+def choose_backup_holder(
+    state: State, request: Request, source: Target, now: Millis
+) -> Target | None:
+    """Return the engine that keeps a running backup, or None for none."""
+    unprotected = source.peer_unprotected
+    unprotected += count_unprotected(state).get(source.name, 0)
+    room = CROWDED_BACKUP_ROOM if unprotected >= COPIED_IN_NOTICE else BACKUP_ROOM
+    return choose_copy_holder(state, request, source.name, now, room)
+
+
 def choose_copy_holder(
     state: State, request: Request, source: str, now: Millis, room: float
 ) -> Target | None:
@@ -145,6 +163,19 @@
     return best
 
 
+def count_unprotected(state: State) -> dict[str, int]:
+    """Return this entry's streams without a copy elsewhere, by target."""
+    counts: dict[str, int] = {}
+    for request in state.requests.values():
+        current = request.current
+        if current is None or request.copy is not None or request.standby is not None:
+            continue
+        if not request.begun or request.route.resumable:
+            continue
+        counts[current.target.name] = counts.get(current.target.name, 0) + 1
+    return counts
+
+
 def estimate_memory(state: State, request: Request) -> int:
     """Return the tokens that a request needs at an engine within seconds."""
     prompt = request.spec.prompt
--- a/figstep/gateway/prompts.py
+++ b/figstep/gateway/prompts.py
@@ -9,8 +9,8 @@
 """Tokens that a run is expected to grow by at least: half of all runs outgrow
 their hint, and a run that has done so tells nothing of its end."""
 
-MOST_AHEAD = 512
-"""Tokens of growth that are reserved for a run: about three seconds of it. What
+MOST_AHEAD = 320
+"""Tokens of growth that are reserved for a run: about two seconds of it. What
 comes later finds room that other runs have left by then."""
 
 
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -58,7 +58,9 @@
         current: Attempt whose events go to the caller, or None.
         standby: Attempt that is to take over from it, or None.
         copy: Copy of its run elsewhere, or None.
-        copying: Target that a copy is being made at, or "".
+        copying: Whether a copy is being made on order.
+        copy_place: Target that a copy on order was made at, or is, or None.
+        copy_memory: Tokens that it takes there.
         begun: Whether the caller's stream has begun.
         delivered: Id of the last event handed to the caller.
         delivered_at: When that was.
@@ -83,7 +85,9 @@
     current: Attempt | None = None
     standby: Attempt | None = None
     copy: RunCopy | None = None
-    copying: str = ""
+    copying: bool = False
+    copy_place: Target | None = None
+    copy_memory: int = 0
     begun: bool = False
     delivered: int = 0
     delivered_at: Millis = Millis(0)
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -7,6 +7,7 @@
     CopyRun,
     Count,
     Deliver,
+    DropCopy,
     Effect,
     FinishStream,
     Note,
@@ -22,7 +23,7 @@
 )
 from figstep.gateway.routes import RouteKind
 from figstep.gateway.state import Attempt, Request, State
-from figstep.gateway.targets import Standing, Target
+from figstep.gateway.targets import Standing
 
 STALL = Millis(400)
 """Silence after which a stream goes on from its copy although its engine has
@@ -33,10 +34,6 @@
 """Events after which a run's memory is counted anew; the others are told of it
 as of any change of loads, so that each event would cost a message."""
 
-COPY_TURN = Millis(300)
-"""Time for one copy of a run: 4,000 tokens take 0.22 s within a failure domain
-and twice that between two."""
-
 OVERLAP = Millis(300)
 """Longest that a run may be open at two engines while it changes over. Both
 generate meanwhile; after it the one that has not delivered is closed."""
@@ -179,11 +176,14 @@
 
 def take_copy(state: State, event: RunCopied, now: Millis) -> list[Effect]:
     """A copy is complete: go on there if the run's engine leaves."""
+    copy = RunCopy(event.holder, event.source, event.handle)
     request = state.requests.get(event.number)
-    if request is None:
-        return []
-    request.copying = ""
-    request.copy = RunCopy(event.holder, event.source, event.handle)
+    current = None if request is None else request.current
+    if request is None or current is None or current.target.name != event.source:
+        # Its run ended or went on elsewhere meanwhile.
+        return [DropCopy(copy)]
+    request.copying = False
+    request.copy = copy
     return evacuate_request(state, request, now)
 
 
@@ -192,7 +192,7 @@
     request = state.requests.get(event.number)
     if request is None:
         return []
-    request.copying = ""
+    attempts.release_copy(request)
     request.no_copy_at.add(event.holder)
     note = Note(
         "copy failed",
@@ -268,14 +268,12 @@
     current = request.current
     if pool is None or not pool.moves or current is None:
         return []
-    if not _is_turn(state, current.target, now):
-        return []
     holder = placement.choose_copy_holder(
         state, request, current.target.name, now, placement.MOVE_ROOM
     )
     if holder is None:
         return []
-    request.copying = holder.name
+    attempts.reserve_copy(state, request, holder)
     return [
         CopyRun(request.spec.number, current.target.name, holder.name),
         Note(
@@ -290,16 +288,6 @@
     ]
 
 
-def _is_turn(state: State, source: Target, now: Millis) -> bool:
-    for request in state.requests.values():
-        current = request.current
-        if request.copying and current is not None and current.target is source:
-            return False
-    left_at = now if source.left_at is None else source.left_at
-    ahead = peers.count_ahead(state, source.name)
-    return now >= left_at + ahead * COPY_TURN
-
-
 def watch_streams(state: State, now: Millis) -> list[Effect]:
     """Look after streams that stall or are in the middle of a change."""
     effects: list[Effect] = []
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -85,6 +85,7 @@
         read_rate_own: Prompt tokens that it reads in a millisecond, smoothed, as
             seen by this entry; None before any was seen.
         peer_rates: The same as seen by other entries.
+        peer_unprotected: Their long streams there without a copy elsewhere.
         failures: Smoothed part of its attempts that failed, 0 to 1.
         strikes: Losses in a row without an answer.
         avoid_until: When it is tried again after losses.
@@ -102,6 +103,7 @@
     peer_reading: int = 0
     read_rate_own: float | None = None
     peer_rates: tuple[float, ...] = ()
+    peer_unprotected: int = 0
     failures: float = 0.0
     strikes: int = 0
     avoid_until: Millis = Millis(0)
