Test the gateway's decisions; refuse at once what all targets refused

Cause: a request that every target had refused was queued although none was left to try, and its caller held until the wait ended.

--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -198,6 +198,17 @@
     return 1 << 30 if pool is None else pool.memory
 
 
+def has_untried_target(state: State, request: Request) -> bool:
+    """Tell whether a target is left that has not lost or refused a request.
+
+    Without one, waiting would only hold its caller.
+    """
+    for target in state.targets.list_ready(request.service):
+        if target.name not in request.tried:
+            return True
+    return False
+
+
 def _list_candidates(state: State, request: Request, now: Millis) -> list[Target]:
     ready = state.targets.list_ready(request.service)
     untried = [target for target in ready if target.name not in request.tried]
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -106,8 +106,7 @@
     target = placement.choose_target(state, request, now)
     if target is not None:
         return attempts.start_attempt(state, request, target, now)
-    has_targets = bool(state.targets.list_ready(request.service))
-    if has_targets and now < read_start_limit(request):
+    if placement.has_untried_target(state, request) and now < read_start_limit(request):
         return _queue_request(state, request)
     return refuse_request(state, request, "no_room", now)
 
--- /dev/null
+++ b/tests/gateway/test_budgets.py
@@ -0,0 +1,68 @@
+"""Tests of the retry budget."""
+
+from figstep.core.clock import Millis
+from figstep.gateway.budgets import FleetUse, RetryBudget
+
+NOW = Millis(100_000)
+WINDOW = Millis(10_000)
+
+
+def spend(budget: RetryBudget, fleet: FleetUse, urgent: bool = True) -> int:
+    spent = 0
+    while budget.can_repeat("engines", fleet, NOW, urgent):
+        budget.note_repeat("engines", NOW)
+        spent += 1
+    return spent
+
+
+def test_eight_entries_that_hear_each_other_stay_within_the_bound() -> None:
+    budgets = [RetryBudget(0.2, 56.0, WINDOW) for _ in range(8)]
+    repeats = [0] * 8
+    for number, budget in enumerate(budgets):
+        others = sum(repeats) - repeats[number]
+        repeats[number] = spend(budget, FleetUse(0, others, 8, complete=True))
+    assert 25 < sum(repeats) <= 56
+
+
+def test_one_entry_may_use_what_the_others_leave() -> None:
+    budget = RetryBudget(0.2, 56.0, WINDOW)
+    assert spend(budget, FleetUse(0, 0, 8, complete=True)) > 56 / 8
+
+
+def test_entries_cut_apart_stay_within_the_bound_together() -> None:
+    """The fleet would send more repeats than a service can bear.
+
+    A cut leaves eight entries on their own. None hears what the others use,
+    and each could take the whole allowance for its own.
+    """
+    budgets = [RetryBudget(0.2, 56.0, WINDOW) for _ in range(8)]
+    alone = FleetUse(0, 0, 8, complete=False)
+    assert 0 < sum(spend(budget, alone) for budget in budgets) <= 56
+
+
+def test_a_restarted_entry_that_hears_nobody_repeats_nothing_at_first() -> None:
+    """A restart would give the whole allowance anew.
+
+    An entry uses its part, is killed and comes back within the window. It
+    remembers nothing; the service counts what both processes sent.
+    """
+    budget = RetryBudget(0.2, 56.0, WINDOW, started=NOW, fresh=False)
+    alone = FleetUse(0, 0, 1, complete=True)
+    assert spend(budget, alone) == 0
+    later = Millis(NOW + WINDOW)
+    assert budget.can_repeat("engines", alone, later)
+
+
+def test_short_requests_leave_the_reserve_to_streams_in_danger() -> None:
+    budget = RetryBudget(0.2, 56.0, WINDOW)
+    fleet = FleetUse(0, 0, 8, complete=True)
+    spend(budget, fleet, urgent=False)
+    assert spend(budget, fleet, urgent=True) > 0
+
+
+def test_repeats_leave_the_window() -> None:
+    budget = RetryBudget(0.2, 10.0, WINDOW)
+    fleet = FleetUse(0, 0, 2, complete=True)
+    spend(budget, fleet)
+    assert not budget.can_repeat("engines", fleet, NOW, urgent=True)
+    assert budget.can_repeat("engines", fleet, Millis(NOW + WINDOW), urgent=True)
--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,80 @@
+"""Tests of what entries tell each other."""
+
+from figstep.core.clock import Millis
+from figstep.gateway import peers
+from figstep.gateway.budgets import UseReport
+from figstep.gateway.effects import FetchRecords
+from figstep.gateway.events import PeerHeard, PeerLoad, Ticked
+from tests.gateway.worlds import World
+
+
+def test_loads_of_all_peers_are_summed() -> None:
+    world = World()
+    world.register("e-1")
+    world.handle(PeerHeard("entry-2", (PeerLoad("e-1", 2, 8_000, 3_000),)))
+    world.handle(PeerHeard("entry-3", (PeerLoad("e-1", 1, 4_000),)))
+    world.handle(PeerHeard("entry-3", (PeerLoad("e-1", 3, 9_000),)))
+    engine = world.state.targets.find("e-1")
+    assert engine is not None
+    assert (engine.peer_calls, engine.peer_memory) == (5, 17_000)
+    assert engine.peer_reading == 3_000
+
+
+def test_a_silent_peer_counts_for_nothing_but_is_missed() -> None:
+    """Two halves of a split fleet would each spend the whole retry budget.
+
+    A peer falls silent behind a cut. Its loads must not keep engines from
+    work; its repeats go on, so that this entry keeps to its own part.
+    """
+    world = World()
+    world.register("e-1")
+    world.handle(PeerHeard("entry-2", (PeerLoad("e-1", 2, 8_000),)))
+    assert peers.sum_uses(world.state, "engines").complete
+    world.clock.advance(peers.SILENT_AFTER)
+    world.handle(Ticked())
+    engine = world.state.targets.find("e-1")
+    assert engine is not None
+    assert engine.peer_calls == 0
+    assert not peers.sum_uses(world.state, "engines").complete
+
+
+def test_a_peer_that_says_that_it_ends_is_not_missed() -> None:
+    world = World()
+    world.handle(PeerHeard("entry-2"))
+    world.handle(PeerHeard("entry-2", closing=True))
+    assert peers.sum_uses(world.state, "engines").complete
+    assert world.state.peers == {}
+
+
+def test_uses_of_all_peers_are_summed() -> None:
+    world = World()
+    uses = (UseReport("engines", 10, 2), UseReport("bookings", 50, 9))
+    world.handle(PeerHeard("entry-2", uses=uses))
+    world.handle(PeerHeard("entry-3", uses=uses))
+    fleet = peers.sum_uses(world.state, "engines")
+    assert (fleet.requests, fleet.repeats, fleet.entries) == (20, 4, 3)
+
+
+def test_records_that_the_store_does_not_tell_are_asked_of_a_peer() -> None:
+    """A key that was taken away would work on at this entry.
+
+    The store turns this entry away and serves the others; the operator takes a
+    key away. A peer's message tells of a newer version.
+    """
+    world = World()
+    world.handle(PeerHeard("entry-2", address="10.0.0.2:7200", configuration=2))
+    world.handle(Ticked())
+    assert world.find_all(FetchRecords) == []
+    world.clock.advance(peers.CATCH_UP_AFTER)
+    world.handle(Ticked())
+    assert world.find(FetchRecords).address == "10.0.0.2:7200"
+
+
+def test_an_entry_that_is_ahead_asks_nobody() -> None:
+    world = World()
+    world.handle(PeerHeard("entry-2", address="10.0.0.2:7200", configuration=1))
+    for _ in range(3):
+        world.clock.advance(Millis(500))
+        world.handle(PeerHeard("entry-2", configuration=1))
+        world.handle(Ticked())
+        assert world.find_all(FetchRecords) == []
--- /dev/null
+++ b/tests/gateway/test_placement.py
@@ -0,0 +1,88 @@
+"""Tests of placement: replays of the loads that each rule answers."""
+
+from collections import Counter
+
+from figstep.gateway.effects import OpenAttempt
+from figstep.gateway.events import PeerHeard, PeerLoad
+from tests.gateway.worlds import BOOKINGS, World
+
+
+def test_an_empty_engine_does_not_draw_all_prompts() -> None:
+    """Prompts queue for seconds at an engine that has just come.
+
+    It is empty, so by memory alone it is the best for every prompt until they
+    are read; the fifth one there waits for four others.
+    """
+    world = World()
+    world.register("e-1", "e-2", "e-3")
+    for name in ("e-1", "e-2"):
+        engine = world.state.targets.find(name)
+        assert engine is not None
+        engine.read_rate_own = 7.0
+        engine.peer_memory = 12_000
+    targets = Counter()
+    for _ in range(6):
+        world.arrive_plan()
+        targets[world.find(OpenAttempt).target] += 1
+    assert max(targets.values()) <= 3
+
+
+def test_prompts_keep_away_from_an_engine_that_reads_slowly() -> None:
+    world = World()
+    world.register("e-1", "e-2")
+    slow, fast = (world.state.targets.find(name) for name in ("e-1", "e-2"))
+    assert slow is not None
+    assert fast is not None
+    slow.read_rate_own, fast.read_rate_own = 2.0, 7.0
+    world.arrive_plan()
+    assert world.find(OpenAttempt).target == "e-2"
+
+
+def test_a_prompt_that_would_be_late_behind_others_waits() -> None:
+    world = World()
+    world.register("e-1")
+    world.handle(PeerHeard("entry-2", (PeerLoad("e-1", 4, 12_000, 12_000),)))
+    world.arrive_plan()
+    assert world.find_all(OpenAttempt) == []
+
+
+def test_backups_leave_room_for_prompts() -> None:
+    """Prompts find no room while half of the memory holds copies.
+
+    Four engines carry 23 runs and a backup of each: the next prompt is turned
+    away although the runs alone leave plenty of room.
+    """
+    world = World()
+    world.register("e-1", "e-2")
+    for name in ("e-1", "e-2"):
+        engine = world.state.targets.find(name)
+        assert engine is not None
+        engine.peer_memory = 25_000
+    world.arrive_plan()
+    assert world.find(OpenAttempt).backup == ""
+
+
+def test_calls_go_to_the_least_loaded_target_that_answers() -> None:
+    world = World()
+    world.register("b-1", "b-2", service=BOOKINGS, slots=6)
+    failing = world.state.targets.find("b-1")
+    assert failing is not None
+    failing.failures = 0.8
+    world.arrive("/order/a")
+    assert world.find(OpenAttempt).target == "b-2"
+    failing.failures = 0.0
+    busy = world.state.targets.find("b-2")
+    assert busy is not None
+    busy.peer_calls = 6
+    world.arrive("/order/a")
+    assert world.find(OpenAttempt).target == "b-1"
+
+
+def test_an_avoided_target_is_used_where_there_is_no_other() -> None:
+    world = World()
+    world.register("b-1", service=BOOKINGS)
+    target = world.state.targets.find("b-1")
+    assert target is not None
+    target.note_loss(world.clock.now(), reached=False)
+    world.arrive("/order/a")
+    assert world.find(OpenAttempt).target == "b-1"
--- /dev/null
+++ b/tests/gateway/test_recovery.py
@@ -0,0 +1,150 @@
+"""Tests of what follows a lost attempt."""
+
+import pytest
+
+from figstep.core.problems import Ran
+from figstep.gateway.effects import Answer, OpenAttempt, Refuse
+from figstep.gateway.events import AttemptLost, Loss, Ticked
+from figstep.gateway.prompts import Prompt
+from tests.gateway.worlds import BOOKINGS, World
+
+
+def build_world() -> World:
+    world = World()
+    world.register("b-1", "b-2", "b-3", service=BOOKINGS)
+    world.register("e-1", "e-2")
+    return world
+
+
+@pytest.mark.parametrize("loss", [Loss.UNREACHED, Loss.REFUSED, Loss.MISDIRECTED])
+def test_what_did_not_run_is_sent_to_another_target(loss: Loss) -> None:
+    world = build_world()
+    world.arrive("/order/a")
+    first = world.find(OpenAttempt)
+    world.handle(AttemptLost(first.attempt, loss))
+    assert world.find(OpenAttempt).target != first.target
+
+
+@pytest.mark.parametrize("loss", [Loss.BROKEN, Loss.GARBLED])
+def test_an_order_that_may_have_run_is_not_sent_again(loss: Loss) -> None:
+    """A doubled flour order lands two pallets.
+
+    The connection breaks after the order was sent. Whether it ran is unknown,
+    so it goes to no other target, and its caller is not told "not run".
+    """
+    world = build_world()
+    world.arrive("/order/a")
+    first = world.find(OpenAttempt)
+    world.handle(AttemptLost(first.attempt, loss))
+    problem = world.find(Refuse).problem
+    assert (problem.status, problem.ran) == (502, Ran.UNKNOWN)
+    assert world.find_all(OpenAttempt) == []
+
+
+def test_an_order_that_all_refuse_is_told_not_run() -> None:
+    world = build_world()
+    world.arrive("/order/a")
+    while world.find_all(OpenAttempt):
+        opened = world.find(OpenAttempt)
+        world.handle(AttemptLost(opened.attempt, Loss.REFUSED))
+    problem = world.find(Refuse).problem
+    assert (problem.status, problem.ran) == (503, Ran.NO)
+
+
+def test_an_order_that_may_have_run_at_one_is_never_told_not_run() -> None:
+    world = build_world()
+    world.arrive("/order/a")
+    first = world.find(OpenAttempt)
+    world.state.requests[first.number].may_have_run = True
+    world.handle(AttemptLost(first.attempt, Loss.REFUSED))
+    while world.find_all(OpenAttempt):
+        opened = world.find(OpenAttempt)
+        world.handle(AttemptLost(opened.attempt, Loss.REFUSED))
+    assert world.find(Refuse).problem.ran is Ran.UNKNOWN
+
+
+def test_a_lookup_runs_again_within_its_attempts() -> None:
+    world = build_world()
+    number = world.arrive("/lookup/a")
+    first = world.find(OpenAttempt)
+    world.handle(AttemptLost(first.attempt, Loss.FAILED, answered=True))
+    second = world.find(OpenAttempt)
+    assert second.target != first.target
+    world.handle(AttemptLost(second.attempt, Loss.FAILED, answered=True))
+    assert world.find(Answer) == Answer(number, second.attempt)
+
+
+def test_a_failure_that_an_order_got_is_handed_on() -> None:
+    world = build_world()
+    number = world.arrive("/order/a")
+    first = world.find(OpenAttempt)
+    world.handle(AttemptLost(first.attempt, Loss.FAILED, answered=True))
+    assert world.find(Answer) == Answer(number, first.attempt)
+
+
+def test_a_failure_that_would_say_not_run_is_not_handed_on() -> None:
+    world = build_world()
+    world.arrive("/order/a")
+    first = world.find(OpenAttempt)
+    world.handle(AttemptLost(first.attempt, Loss.FAILED, answered=False))
+    assert world.find(Refuse).problem.status == 502
+
+
+def test_a_silent_lookup_is_asked_of_another_target() -> None:
+    world = build_world()
+    world.arrive("/lookup/a")
+    first = world.find(OpenAttempt)
+    world.clock.advance(400)
+    world.handle(Ticked())
+    assert world.find(OpenAttempt).target != first.target
+
+
+def test_a_silent_order_is_left_alone() -> None:
+    world = build_world()
+    world.arrive("/order/a")
+    world.clock.advance(700)
+    world.handle(Ticked())
+    assert world.find_all(OpenAttempt) == []
+
+
+def test_a_route_with_one_attempt_is_not_cut_for_silence() -> None:
+    """A slow answer would be thrown away though none other can be had.
+
+    A request of a route with one attempt gets no second one, so giving up on
+    the first before the deadline only turns a late answer into a failure.
+    """
+    world = build_world()
+    world.arrive("/lookup/a")
+    first = world.find(OpenAttempt)
+    world.state.requests[first.number].runs = 1
+    world.clock.advance(400)
+    world.handle(Ticked())
+    assert world.effects == []
+
+
+def test_a_request_that_crashed_two_targets_is_kept_from_the_third() -> None:
+    """Each engine that runs it dies, and its caller sends it again and again.
+
+    The connection breaks before the first event, twice, at engines that were
+    not leaving. The third time it is refused at once.
+    """
+    world = build_world()
+    prompt = Prompt("m", 100, 50, 10)
+    world.arrive("/question/a", prompt, digest="poison")
+    first = world.find(OpenAttempt)
+    world.handle(AttemptLost(first.attempt, Loss.BROKEN))
+    second = world.find(OpenAttempt)
+    world.handle(AttemptLost(second.attempt, Loss.BROKEN))
+    world.arrive("/question/a", prompt, digest="poison")
+    assert world.find(Refuse).problem.code == "crashes_targets"
+
+
+def test_a_resumable_stream_goes_on_anew_where_it_broke() -> None:
+    world = build_world()
+    world.arrive("/question/a", Prompt("m", 100, 50, 10))
+    first = world.find(OpenAttempt)
+    world.send_pieces(first.attempt, 1, 2)
+    world.handle(AttemptLost(first.attempt, Loss.BROKEN))
+    again = world.find(OpenAttempt)
+    assert again.after == 2
+    assert again.source is None
--- /dev/null
+++ b/tests/gateway/worlds.py
@@ -0,0 +1,171 @@
+"""Small worlds for the gateway's tests: a state, its targets and its requests."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+from figstep.core.clock import ManualClock, Millis
+from figstep.gateway.budgets import RetryBudget
+from figstep.gateway.effects import Effect, OpenAttempt
+from figstep.gateway.events import (
+    ConfigurationRead,
+    Event,
+    PiecesArrived,
+    RequestArrived,
+    RoutedRequest,
+    StreamOpened,
+    StreamPiece,
+    TargetDeparted,
+    TargetRegistered,
+)
+from figstep.gateway.prompts import Prompt
+from figstep.gateway.reducer import reduce
+from figstep.gateway.routes import (
+    Customer,
+    EnginePool,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Service,
+    group_routes,
+)
+from figstep.gateway.state import State
+from figstep.gateway.targets import Registration
+
+Found = TypeVar("Found")
+
+ENGINES = "engines"
+BOOKINGS = "bookings"
+KEY = "key-1"
+
+PLAN = Route(
+    "plan",
+    "host",
+    "/plan/",
+    RouteKind.STREAM,
+    ((ENGINES, 1.0),),
+    timeout=Millis(39_000),
+    objective=Millis(1_800),
+    priority=1,
+)
+QUESTION = Route(
+    "question",
+    "host",
+    "/question/",
+    RouteKind.STREAM,
+    ((ENGINES, 1.0),),
+    attempts=2,
+    timeout=Millis(6_000),
+    objective=Millis(1_500),
+    resumable=True,
+)
+ORDER = Route(
+    "order",
+    "host",
+    "/order/",
+    RouteKind.UNSAFE,
+    ((BOOKINGS, 1.0),),
+    timeout=Millis(800),
+    objective=Millis(200),
+)
+LOOKUP = Route(
+    "lookup",
+    "host",
+    "/lookup/",
+    RouteKind.SAFE,
+    ((BOOKINGS, 1.0),),
+    attempts=2,
+    timeout=Millis(800),
+    objective=Millis(200),
+)
+
+
+def build_table(version: int = 1, routes: Sequence[Route] = ()) -> RoutingTable:
+    """Return a configuration with all four kinds of route."""
+    pool = EnginePool(64, 34_000, backups=True, moves=True, event_tokens=4)
+    return RoutingTable(
+        version,
+        group_routes(list(routes) or [PLAN, QUESTION, ORDER, LOOKUP]),
+        {ENGINES: Service(ENGINES, engine=pool), BOOKINGS: Service(BOOKINGS)},
+        {KEY: Customer("gurdwara")},
+    )
+
+
+@dataclass
+class World:
+    """A gateway's state, driven by events on a clock that tests move.
+
+    Attributes:
+        effects: Effects of the last event.
+    """
+
+    clock: ManualClock = field(default_factory=lambda: ManualClock(100_000))
+    effects: list[Effect] = field(default_factory=list)
+    next_number: int = 1
+
+    def __post_init__(self) -> None:
+        budget = RetryBudget(0.2, 56.0, Millis(10_000))
+        self.state = State("entry-1", "muc-a", random.Random(1), budget)
+        self.handle(ConfigurationRead(build_table()))
+
+    def handle(self, event: Event) -> list[Effect]:
+        """Reduce an event."""
+        self.effects = reduce(self.state, event, self.clock.now())
+        return self.effects
+
+    def register(self, *names: str, service: str = ENGINES, slots: int = 64) -> None:
+        """Register targets that are ready, in the entry's failure domain."""
+        for name in names:
+            info = Registration(name, service, f"{name}:80", "muc-a", slots, born=1)
+            self.handle(TargetRegistered(info))
+
+    def depart(self, name: str) -> list[Effect]:
+        """Let a registration go."""
+        return self.handle(TargetDeparted(name))
+
+    def arrive(self, path: str, prompt: Prompt | None = None, **fields: object) -> int:
+        """Let a request come; returns its number."""
+        number = self.next_number
+        self.next_number += 1
+        given: dict[str, object] = {"key": KEY, "digest": f"digest-{number}"}
+        given.update(fields)
+        request = RoutedRequest(
+            number,
+            f"id-{number}",
+            "POST",
+            "host",
+            path,
+            prompt=prompt,
+            **given,  # type: ignore[arg-type]
+        )
+        self.handle(RequestArrived(request))
+        return number
+
+    def arrive_plan(self, tokens: int = 3_000, output: int = 900) -> int:
+        """Let a request for a long plan come."""
+        return self.arrive("/plan/a", Prompt("m", tokens, 2_000, output))
+
+    def find(self, kind: type[Found]) -> Found:
+        """Return the only effect of a kind."""
+        found = self.find_all(kind)
+        assert len(found) == 1, self.effects
+        return found[0]
+
+    def find_all(self, kind: type[Found]) -> "list[Found]":
+        """Return the effects of a kind."""
+        return [effect for effect in self.effects if isinstance(effect, kind)]
+
+    def open_plan(self) -> OpenAttempt:
+        """Let a plan come and start; returns its attempt."""
+        self.arrive_plan()
+        return self.find(OpenAttempt)
+
+    def send_pieces(self, attempt: int, first: int, last: int) -> list[Effect]:
+        """Let events of a stream come."""
+        self.handle(StreamOpened(attempt))
+        pieces = [
+            StreamPiece(index, f"id: {index}\n\n".encode())
+            for index in range(first, last + 1)
+        ]
+        return self.handle(PiecesArrived(attempt, pieces))
