Test the platform's adapter on stand-ins; bound the logs

The stand-ins speak the store's and the targets' protocol; the whole path runs on them with departures, kills, refusals, doubts, revoked keys and an entry that the store turns away.

--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -28,7 +28,7 @@
 from figstep.gateway.peers import describe_own
 from figstep.gateway.state import State
 from figstep.gateway.targets import Registration
-from figstep.logs import install_logs
+from figstep.logs import install_bounded_logs
 from figstep.net.clock import SystemClock
 from figstep.net.links import PeerLink, RecordCopy
 from figstep.platform.callers import CallerEdge, CallerExchange
@@ -279,5 +279,5 @@
 
 def run_entry() -> None:
     """Run an entry by the platform's settings file until it is told to end."""
-    install_logs("INFO")
+    install_bounded_logs("INFO")
     uvloop.run(serve_until_signal(load_settings(read_path())))
--- /dev/null
+++ b/tests/platform/standins.py
@@ -0,0 +1,301 @@
+"""Small stand-ins of the users' platform: its store, engines and services."""
+
+import asyncio
+import base64
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import orjson
+from aiohttp import web
+
+from figstep.core.clock import Millis
+from figstep.platform.settings import Address, EntrySettings
+
+HOST = "127.0.0.1"
+ROUTE_HOST = "users.example"
+KEY = "key-1"
+
+
+def find_free_port() -> int:
+    """Return a port that nobody listens at."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+async def start_app(app: web.Application, port: int = 0) -> tuple[web.AppRunner, str]:
+    """Serve an application; returns its runner and its "ip:port"."""
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, HOST, port)
+    await site.start()
+    bound = runner.addresses[0]
+    return runner, f"{bound[0]}:{bound[1]}"
+
+
+class FakeStore:
+    """The platform's store: keyed topics with their newest records.
+
+    Attributes:
+        address: Where it listens.
+        away: Whether it answers 503 to all calls.
+        page: Most records in a page of the newest ones.
+        calls: Paths asked for.
+    """
+
+    def __init__(self) -> None:
+        self.address = ""
+        self.away = False
+        self.page = 500
+        self.calls: list[str] = []
+        self._records: dict[str, list[tuple[str, bytes]]] = {}
+        self._first: dict[str, int] = {}
+        self._changed = asyncio.Condition()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        app = web.Application()
+        app.router.add_get("/figstep/log-newest", self._read_newest)
+        app.router.add_get("/figstep/log-read", self._read)
+        self._runner, self.address = await start_app(app)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """Append a record; an empty value drops the key."""
+        async with self._changed:
+            self._records.setdefault(topic, []).append((key, value))
+            self._changed.notify_all()
+
+    def delete_before(self, topic: str, offset: int) -> None:
+        """Delete old records; the newest of each key stay known."""
+        self._first[topic] = offset
+
+    async def _read_newest(self, request: web.Request) -> web.Response:
+        self.calls.append("newest")
+        if self.away:
+            return web.Response(status=503)
+        topic = request.query["topic"]
+        after = request.query.get("after", "")
+        newest: dict[str, tuple[int, bytes]] = {}
+        for offset, (key, value) in enumerate(self._records.get(topic, [])):
+            newest[key] = (offset, value)
+        keys = sorted(key for key in newest if key > after and newest[key][1])
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(newest[key][1]).decode(),
+                "offset": newest[key][0],
+            }
+            for key in keys[: self.page]
+        ]
+        body = {
+            "items": items,
+            "has_more": len(keys) > self.page,
+            "end": len(self._records.get(topic, [])),
+        }
+        return web.Response(body=orjson.dumps(body))
+
+    async def _read(self, request: web.Request) -> web.Response:
+        self.calls.append("read")
+        if self.away:
+            return web.Response(status=503)
+        topic = request.query["topic"]
+        start = int(request.query["from"])
+        wait = int(request.query.get("wait_ms", "0")) / 1000
+        if start < self._first.get(topic, 0):
+            body = orjson.dumps({"first": self._first[topic]})
+            return web.Response(status=410, body=body)
+        try:
+            async with asyncio.timeout(wait), self._changed:
+                await self._changed.wait_for(
+                    lambda: len(self._records.get(topic, [])) > start
+                )
+        except TimeoutError:
+            pass
+        records = self._records.get(topic, [])
+        raw = len(records).to_bytes(8) + self._first.get(topic, 0).to_bytes(8)
+        for key, value in records[start:]:
+            content = bytes([len(key)]) + key.encode() + value
+            raw += len(content).to_bytes(4) + content
+        return web.Response(body=raw)
+
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@dataclass
+class FakeTarget:
+    """A target that registers itself, echoes ids and signs its answers.
+
+    Attributes:
+        name: Its id.
+        service: Its service.
+        events: Events of each stream.
+        pause: Seconds between two events.
+        handler: Answers instead of the usual ones, if set.
+        seen: Headers of the requests that came, oldest first.
+        bodies: Their bodies.
+        gone: Requests whose connection closed before their end.
+        copies: Runs that another engine has copied here.
+    """
+
+    name: str
+    service: str
+    events: int = 20
+    pause: float = 0.01
+    handler: Handler | None = None
+    address: str = ""
+    seen: list[dict[str, str]] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+    gone: list[str] = field(default_factory=list)
+    copies: set[str] = field(default_factory=set)
+    peers: dict[str, "FakeTarget"] = field(default_factory=dict)
+    runner: web.AppRunner | None = None
+
+    async def start(self, store: FakeStore) -> None:
+        """Listen and register."""
+        app = web.Application()
+        app.router.add_post("/figstep/kv-move", self._move)
+        app.router.add_route("*", "/{path:.*}", self._answer)
+        self.runner, self.address = await start_app(app)
+        await self.register(store)
+
+    async def register(self, store: FakeStore, state: str = "ready") -> None:
+        """Write the registration."""
+        beat = {
+            "service": self.service,
+            "addr": self.address,
+            "zone": "muc-a",
+            "version": "v1",
+            "slots": 64,
+            "state": state,
+            "warmup_left_ms": 0,
+            "born": 1,
+            "seq": 1,
+            "later": "unknown",
+        }
+        await store.put("keyed.servers", self.name, orjson.dumps(beat))
+
+    async def kill(self) -> None:
+        """End with all connections."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    def _sign(self, request: web.Request) -> dict[str, str]:
+        return {
+            "Request-Id": request.headers.get("Request-Id", ""),
+            "Server-Stamp": f"stamp-{self.name}",
+        }
+
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
+        if request.headers.get("Expect-Instance") != self.name:
+            return web.Response(status=421, headers={"Instance-Id": self.name})
+        self.seen.append(dict(request.headers))
+        self.bodies.append(await request.read())
+        if self.handler is not None:
+            return await self.handler(request)
+        if "Token-Count" not in request.headers:
+            return web.Response(body=b"answer", headers=self._sign(request))
+        return await self._stream(request)
+
+    async def _stream(self, request: web.Request) -> web.StreamResponse:
+        number = request.headers["Request-Id"]
+        source = request.headers.get("Kv-From")
+        if source is not None and number not in self.copies:
+            return web.Response(status=503, headers={"Not-Executed": "1"})
+        backup = self.peers.get(request.headers.get("Kv-Backup", ""))
+        if backup is not None:
+            backup.copies.add(number)
+        response = web.StreamResponse(headers=self._sign(request))
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        try:
+            for index in range(first, self.events + 1):
+                await response.write(f"id: {index}\ndata: t{index}\n\n".encode())
+                await asyncio.sleep(self.pause)
+        except (asyncio.CancelledError, ConnectionError):
+            self.gone.append(number)
+            raise
+        await response.write_eof()
+        return response
+
+    async def _move(self, request: web.Request) -> web.Response:
+        order = orjson.loads(await request.read())
+        holder = self.peers.get(order["target"])
+        if holder is None:
+            return web.Response(status=503)
+        holder.copies.add(order["id"])
+        return web.Response(body=orjson.dumps({"handle": "h-1", "created": 3}))
+
+
+def build_configuration(version: int = 1, **fields: object) -> bytes:
+    """Return a configuration as the operator writes it."""
+    routes = [
+        {"prefix": "/plan/", "type": "stream", "service": "engines"},
+        {"prefix": "/order/", "type": "unsafe", "service": "bookings"},
+        {"prefix": "/lookup/", "type": "safe", "service": "bookings", "attempts": 2},
+    ]
+    for route in routes:
+        route.update(
+            {
+                "name": str(route["prefix"]),
+                "host": ROUTE_HOST,
+                "timeout_ms": 5_000,
+                "slo_ms": 1_000,
+                "priority": 1,
+                "unknown": "field",
+            }
+        )
+    document: dict[str, object] = {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {
+                "name": "engines",
+                "engine": {
+                    "slots": 64,
+                    "kv_capacity": 34_000,
+                    "moves": True,
+                    "backups": True,
+                    "stride": 4,
+                },
+            },
+            {"name": "bookings"},
+        ],
+        "limits": {"max_body_bytes": 100_000},
+        "tenants": [{"name": "gurdwara", "api_keys": [KEY, "key-2"]}],
+    }
+    document.update(fields)
+    return orjson.dumps(document)
+
+
+def build_settings(
+    store: str, node: str = "entry-1", **fields: object
+) -> EntrySettings:
+    """Return settings of an entry on free ports."""
+    given: dict[str, object] = {
+        "node": node,
+        "failure_domain": "muc-a",
+        "callers": Address(HOST, find_free_port()),
+        "readiness": Address(HOST, find_free_port()),
+        "peers": Address(HOST, find_free_port()),
+        "seeds": (),
+        "store": store,
+        "first_start": True,
+        "grace": Millis(3_000),
+        "retry_ratio": 0.2,
+        "retry_allowance": 56.0,
+        "retry_window": Millis(10_000),
+        "memory_bytes": 150 << 20,
+        "descriptors": 4_200,
+    }
+    given.update(fields)
+    return EntrySettings(**given)  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,76 @@
+"""Tests of the store's records as the gateway's types."""
+
+import orjson
+import pytest
+
+from figstep.gateway.routes import RouteKind
+from figstep.platform.documents import parse_configuration, parse_registration
+from tests.platform.standins import ROUTE_HOST, build_configuration
+
+BEAT = {
+    "service": "engines",
+    "addr": "10.0.0.1:80",
+    "zone": "muc-a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "warmup_left_ms": 1_500,
+    "seq": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+def test_configuration_keeps_what_decisions_need() -> None:
+    table = parse_configuration(build_configuration(7))
+    assert table.version == 7
+    route = table.find_route(ROUTE_HOST, "/order/a")
+    assert route is not None
+    assert route.kind is RouteKind.UNSAFE
+    assert route.shares == (("bookings", 1.0),)
+    engine = table.services["engines"].engine
+    assert engine is not None
+    assert (engine.memory, engine.event_tokens) == (34_000, 4)
+    assert table.customers is not None
+    assert table.customers["key-2"].name == "gurdwara"
+
+
+def test_without_customers_no_key_is_needed() -> None:
+    document = orjson.loads(build_configuration())
+    del document["tenants"]
+    assert parse_configuration(orjson.dumps(document)).customers is None
+
+
+def test_shares_of_a_split_route() -> None:
+    document = orjson.loads(build_configuration())
+    document["routes"][0]["split"] = [
+        {"service": "a", "weight": 90},
+        {"service": "b", "weight": 10},
+    ]
+    route = parse_configuration(orjson.dumps(document)).find_route(
+        ROUTE_HOST, "/plan/a"
+    )
+    assert route is not None
+    assert route.shares == (("a", 90.0), ("b", 10.0))
+
+
+def test_registration_names_its_incarnation() -> None:
+    info = parse_registration("i-1", orjson.dumps(BEAT))
+    assert info is not None
+    assert (info.target, info.born, info.warmup) == ("i-1", 1_700_000_000_000, 1_500)
+    assert not info.draining
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        orjson.dumps({**BEAT, "state": "resting"}),
+        orjson.dumps({**BEAT, "slots": "many"}),
+        orjson.dumps({**BEAT, "addr": "somewhere"}),
+        orjson.dumps({name: BEAT[name] for name in BEAT if name != "service"}),
+    ],
+)
+def test_entries_of_other_writers_name_no_target(value: bytes) -> None:
+    assert parse_registration("i-1", value) is None
--- /dev/null
+++ b/tests/platform/test_entry.py
@@ -0,0 +1,307 @@
+"""The whole path on the platform's stand-ins, with faults."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from figstep.platform.entry import Entry
+from tests.platform.standins import (
+    KEY,
+    ROUTE_HOST,
+    FakeStore,
+    FakeTarget,
+    build_configuration,
+    build_settings,
+)
+
+
+class Place:
+    """A store, targets, and an entry before them."""
+
+    def __init__(self) -> None:
+        self.store = FakeStore()
+        self.targets: dict[str, FakeTarget] = {}
+        self.entries: list[Entry] = []
+        self.session = aiohttp.ClientSession()
+
+    async def add_target(self, name: str, service: str, **fields: object) -> FakeTarget:
+        target = FakeTarget(name, service, **fields)  # type: ignore[arg-type]
+        await target.start(self.store)
+        self.targets[name] = target
+        for one in self.targets.values():
+            one.peers = {other.address: other for other in self.targets.values()}
+        return target
+
+    async def add_entry(self, **fields: object) -> Entry:
+        entry = Entry(build_settings(self.store.address, **fields))
+        await entry.start()
+        self.entries.append(entry)
+        return entry
+
+    async def wait_ready(self, entry: Entry, targets: int) -> None:
+        async with asyncio.timeout(5):
+            while True:
+                known = entry.gateway.known
+                if known.table is not None and len(known.targets.targets) >= targets:
+                    return
+                await asyncio.sleep(0.01)
+
+    def url(self, path: str, entry: Entry | None = None) -> str:
+        address = (entry or self.entries[0]).settings.callers
+        return f"http://{address.host}:{address.port}{path}"
+
+    def headers(self, number: str, **more: str) -> dict[str, str]:
+        headers = {
+            "Host": ROUTE_HOST,
+            "Request-Id": number,
+            "Credential": KEY,
+            "Deadline-Ms": "4000",
+        }
+        headers.update({name.replace("_", "-"): value for name, value in more.items()})
+        return headers
+
+
+@asynccontextmanager
+async def open_place() -> AsyncIterator[Place]:
+    place = Place()
+    await place.store.start()
+    await place.store.put("keyed.op", "config", build_configuration())
+    try:
+        yield place
+    finally:
+        await place.session.close()
+        for entry in place.entries:
+            await entry.stop()
+        for target in place.targets.values():
+            await target.kill()
+        await place.store.stop()
+
+
+@pytest.fixture
+async def place() -> AsyncIterator[Place]:
+    async with open_place() as opened:
+        await opened.add_target("i-b1", "bookings")
+        for name in ("i-e1", "i-e2", "i-e3"):
+            await opened.add_target(name, "engines")
+        entry = await opened.add_entry()
+        await opened.wait_ready(entry, 4)
+        yield opened
+
+
+def list_events(count: int) -> bytes:
+    return b"".join(
+        f"id: {index}\ndata: t{index}\n\n".encode() for index in range(1, count + 1)
+    )
+
+
+PLAN = {"Model": "m", "Token_Count": "3000,2000", "Length_Hint": "80"}
+
+
+async def test_a_call_goes_through_byte_for_byte(place: Place) -> None:
+    headers = place.headers("r-1", X_Kitchen="langar", Tenant="forged", Hold="h")
+    url = place.url("/order/a%20b?x=%2F")
+    async with place.session.post(
+        aiohttp.client.URL(url, encoded=True), data=b"flour", headers=headers
+    ) as response:
+        assert response.status == 200
+        assert await response.read() == b"answer"
+        assert response.headers["Server-Stamp"] == "stamp-i-b1"
+    target = place.targets["i-b1"]
+    seen = target.seen[0]
+    assert target.bodies == [b"flour"]
+    assert seen["Tenant"] == "gurdwara"
+    assert seen["X-Kitchen"] == "langar"
+    assert int(seen["Deadline-Ms"]) <= 4_000
+    assert "Credential" not in seen
+    assert "Hold" not in seen
+
+
+async def test_a_stream_goes_through_byte_for_byte(place: Place) -> None:
+    headers = place.headers("r-1", **PLAN)
+    async with place.session.post(place.url("/plan/a"), headers=headers) as response:
+        assert response.status == 200
+        assert await response.read() == list_events(20)
+
+
+async def test_a_stream_outlives_its_engine(place: Place) -> None:
+    """The caller would lose its plan in mid-answer.
+
+    The engine's registration is dropped and the engine dies a little later.
+    The run goes on at the engine that holds its backup, inside the same
+    answer, with the first engine's signature.
+    """
+    for target in place.targets.values():
+        target.events, target.pause = 60, 0.02
+    headers = place.headers("r-1", **PLAN)
+    async with place.session.post(place.url("/plan/a"), headers=headers) as response:
+        start = await response.content.readuntil(b"id: 9\n")
+        first = response.headers["Server-Stamp"].removeprefix("stamp-")
+        await place.store.put("keyed.servers", first, b"")
+        rest = asyncio.create_task(response.read())
+        await asyncio.sleep(0.3)
+        await place.targets[first].kill()
+        assert start + await rest == list_events(60)
+    assert place.targets[first].gone == ["r-1"]
+
+
+async def test_a_broken_stream_never_looks_whole(place: Place) -> None:
+    for name in ("i-e2", "i-e3"):
+        await place.store.put("keyed.servers", name, b"")
+    await asyncio.sleep(0.1)
+    place.targets["i-e1"].pause = 0.05
+    headers = place.headers("r-1", **PLAN)
+    async with place.session.post(place.url("/plan/a"), headers=headers) as response:
+        await response.content.readuntil(b"id: 5\n")
+        killing = asyncio.create_task(place.targets["i-e1"].kill())
+        with pytest.raises(aiohttp.ClientError):
+            await response.read()
+        await killing
+
+
+async def test_a_caller_that_leaves_frees_its_engine(place: Place) -> None:
+    for target in place.targets.values():
+        target.events, target.pause = 500, 0.02
+    headers = place.headers("r-1", **PLAN)
+    response = await place.session.post(place.url("/plan/a"), headers=headers)
+    await response.content.readuntil(b"id: 3\n")
+    response.close()
+    async with asyncio.timeout(0.5):
+        while not any(target.gone for target in place.targets.values()):
+            await asyncio.sleep(0.01)
+
+
+async def test_an_order_is_sent_once_and_its_doubt_is_told(place: Place) -> None:
+    """A doubled flour order lands two pallets.
+
+    The service runs the order and its connection breaks before the answer.
+    """
+    target = place.targets["i-b1"]
+
+    async def break_off(request: web.Request) -> web.StreamResponse:
+        assert request.transport is not None
+        request.transport.abort()
+        return web.Response()
+
+    target.handler = break_off
+    async with place.session.post(
+        place.url("/order/a"), headers=place.headers("r-1")
+    ) as response:
+        assert response.status == 502
+        assert "Not-Executed" not in response.headers
+    assert len(target.seen) == 1
+
+
+async def test_another_requests_answer_is_not_handed_on(place: Place) -> None:
+    async def answer_other(request: web.Request) -> web.StreamResponse:
+        return web.Response(body=b"other", headers={"Request-Id": "r-0"})
+
+    place.targets["i-b1"].handler = answer_other
+    async with place.session.post(
+        place.url("/order/a"), headers=place.headers("r-1")
+    ) as response:
+        assert response.status == 502
+        assert b"other" not in await response.read()
+
+
+async def test_refusals_tell_when_to_come_back(place: Place) -> None:
+    async def refuse(request: web.Request) -> web.StreamResponse:
+        return web.Response(status=503, headers={"Not-Executed": "1"})
+
+    place.targets["i-b1"].handler = refuse
+    async with place.session.post(
+        place.url("/order/a"), headers=place.headers("r-1")
+    ) as response:
+        assert response.status == 503
+        assert float(response.headers["Retry-After"]) > 0
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [("/nowhere/a", KEY, 404), ("/order/a", "unknown", 401)],
+)
+async def test_what_is_not_allowed_reaches_no_target(
+    place: Place, path: str, key: str, status: int
+) -> None:
+    headers = place.headers("r-1", Credential=key)
+    async with place.session.post(place.url(path), headers=headers) as response:
+        assert response.status == status
+    assert place.targets["i-b1"].seen == []
+
+
+async def test_a_key_that_is_taken_away_stops_working(place: Place) -> None:
+    tenants = [{"name": "gurdwara", "api_keys": ["key-2"]}]
+    await place.store.put("keyed.op", "config", build_configuration(2, tenants=tenants))
+    await asyncio.sleep(0.2)
+    async with place.session.post(
+        place.url("/order/a"), headers=place.headers("r-1")
+    ) as response:
+        assert response.status == 401
+
+
+async def test_an_entry_that_the_store_turns_away_learns_from_a_peer() -> None:
+    """A key that was taken away would work on at this entry for good.
+
+    The store answers one entry 503 for all calls, and serves the other. The
+    operator's configuration reaches the first through the second.
+    """
+    async with open_place() as place:
+        await place.add_target("i-b1", "bookings")
+        well = await place.add_entry(node="entry-1")
+        await place.wait_ready(well, 1)
+        dark = FakeStore()
+        await dark.start()
+        dark.away = True
+        entry = Entry(
+            build_settings(dark.address, "entry-2", seeds=(well.settings.peers,))
+        )
+        await entry.start()
+        place.entries.append(entry)
+        await place.wait_ready(entry, 1)
+        assert entry.is_ready()
+        async with place.session.post(
+            place.url("/order/a", entry), headers=place.headers("r-1")
+        ) as response:
+            assert response.status == 200
+        await dark.stop()
+
+
+async def test_without_a_configuration_an_entry_is_not_ready() -> None:
+    async with open_place() as place:
+        place.store.away = True
+        entry = await place.add_entry()
+        readiness = entry.settings.readiness
+        url = f"http://{readiness.host}:{readiness.port}/figstep/readyz"
+        async with place.session.get(url) as response:
+            assert response.status == 503
+        async with place.session.post(
+            place.url("/order/a"), headers=place.headers("r-1")
+        ) as response:
+            assert response.status == 503
+        place.store.away = False
+        async with asyncio.timeout(3):
+            while not entry.is_ready():
+                await asyncio.sleep(0.02)
+        async with place.session.get(url) as response:
+            assert response.status == 200
+
+
+async def test_a_graceful_end_cuts_off_no_call(place: Place) -> None:
+    async def answer_slowly(request: web.Request) -> web.StreamResponse:
+        await asyncio.sleep(0.4)
+        headers = {"Request-Id": request.headers["Request-Id"], "Server-Stamp": "s"}
+        return web.Response(body=b"late", headers=headers)
+
+    place.targets["i-b1"].handler = answer_slowly
+    call = asyncio.create_task(
+        place.session.post(place.url("/order/a"), headers=place.headers("r-1"))
+    )
+    await asyncio.sleep(0.1)
+    draining = asyncio.create_task(place.entries[0].drain())
+    response = await call
+    assert await response.read() == b"late"
+    assert response.headers["Connection"] == "close"
+    await draining
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,106 @@
+"""Tests of the store's client, against the stand-in."""
+
+import asyncio
+
+import pytest
+
+from figstep.errors import LogTruncatedError, LogUnavailableError
+from figstep.platform.store import (
+    HttpStore,
+    KeyedRecord,
+    TopicFollower,
+    TopicSink,
+    decode_records,
+)
+from tests.platform.standins import FakeStore
+
+TOPIC = "keyed.servers"
+
+
+async def open_store() -> tuple[FakeStore, HttpStore]:
+    fake = FakeStore()
+    await fake.start()
+    return fake, HttpStore(fake.address)
+
+
+async def test_newest_records_are_read_page_by_page() -> None:
+    fake, store = await open_store()
+    fake.page = 2
+    for number in range(5):
+        await fake.put(TOPIC, f"k{number}", b"old")
+        await fake.put(TOPIC, f"k{number}", b"new")
+    await fake.put(TOPIC, "k1", b"")
+    snapshot = await store.read_newest(TOPIC)
+    assert {record.key for record in snapshot.records} == {"k0", "k2", "k3", "k4"}
+    assert {record.value for record in snapshot.records} == {b"new"}
+    assert snapshot.end == 11
+    await store.close()
+    await fake.stop()
+
+
+async def test_a_read_waits_for_a_record() -> None:
+    fake, store = await open_store()
+    reading = asyncio.create_task(store.read_records(TOPIC, 0))
+    await asyncio.sleep(0.05)
+    assert not reading.done()
+    await fake.put(TOPIC, "k", b"value")
+    assert await reading == [KeyedRecord("k", b"value")]
+    await store.close()
+    await fake.stop()
+
+
+async def test_deleted_records_and_outages_are_told_apart() -> None:
+    fake, store = await open_store()
+    await fake.put(TOPIC, "k", b"value")
+    fake.delete_before(TOPIC, 1)
+    with pytest.raises(LogTruncatedError):
+        await store.read_records(TOPIC, 0)
+    fake.away = True
+    with pytest.raises(LogUnavailableError):
+        await store.read_records(TOPIC, 1)
+    await fake.stop()
+    with pytest.raises(LogUnavailableError):
+        await store.read_newest(TOPIC)
+    await store.close()
+
+
+def test_a_record_without_a_value_drops_its_key() -> None:
+    content = b"\x01k"
+    raw = bytes(16) + len(content).to_bytes(4) + content
+    assert decode_records(raw) == [KeyedRecord("k", None)]
+
+
+async def test_a_follower_reads_anew_what_was_deleted_under_it() -> None:
+    """A target that left in the gap would get work for good.
+
+    The store deletes its history while the follower can't read. The record
+    that told of the departure is gone with it.
+    """
+    fake, store = await open_store()
+    await fake.put(TOPIC, "k1", b"value")
+    await fake.put(TOPIC, "k2", b"value")
+    snapshots: list[set[str]] = []
+    told: list[str] = []
+    sink = TopicSink(
+        lambda records, end: snapshots.append({record.key for record in records}),
+        lambda records, end: None,
+        told.append,
+        lambda: told.append("regained"),
+    )
+    follower = TopicFollower(store, TOPIC, sink)
+    await follower.start()
+    await asyncio.sleep(0.1)
+    fake.away = True
+    await fake.put(TOPIC, "k3", b"value")
+    await asyncio.sleep(0.1)
+    await fake.put(TOPIC, "k1", b"")
+    fake.delete_before(TOPIC, 4)
+    fake.away = False
+    async with asyncio.timeout(3):
+        while len(snapshots) < 2:
+            await asyncio.sleep(0.02)
+    assert snapshots == [{"k1", "k2"}, {"k2", "k3"}]
+    assert told[-1] == "regained"
+    await follower.stop()
+    await store.close()
+    await fake.stop()
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,13 +3,15 @@
 import io
 import json
 import logging
+import os
 from typing import Any
 
 import aiohttp
 import logbook
+import orjson
 
 from figstep.demo import KEY, MODEL, run_deployment
-from figstep.logs import JsonLinesHandler
+from figstep.logs import MOST_LINES, BoundedLinesHandler, JsonLinesHandler
 from tests.net.test_callers import open_raw
 
 SECRET = "unleavened-secret-words"
@@ -79,3 +81,58 @@
     (line,) = read_lines(stream)
     assert (line["level"], line["message"]) == ("error", "broken pipe")
     assert "ValueError: why" in line["exception"]
+
+
+def read_pipe(descriptor: int) -> list[dict[str, object]]:
+    os.set_blocking(descriptor, False)
+    data = b""
+    while True:
+        try:
+            chunk = os.read(descriptor, 65_536)
+        except BlockingIOError:
+            break
+        if not chunk:
+            break
+        data += chunk
+    return [orjson.loads(line) for line in data.splitlines()]
+
+
+def test_lines_over_the_bound_are_counted() -> None:
+    reader, writer = os.pipe()
+    now = [10.0]
+    handler = BoundedLinesHandler(writer, "INFO", lambda: now[0])
+    log = logbook.Logger("bounded")
+    with handler.applicationbound():
+        for _ in range(MOST_LINES + 7):
+            log.info("refused")
+        now[0] = 11.0
+        log.info("later")
+    lines = read_pipe(reader)
+    assert len(lines) == MOST_LINES + 1
+    assert lines[-1]["lines_left_out"] == 7
+
+
+def test_a_reader_that_stops_reading_holds_up_nobody() -> None:
+    """Every caller would wait for whoever reads the logs.
+
+    The reader stops, the pipe fills up, and the next line would wait for it.
+    Lines are left out instead, no line is torn, and the count comes later.
+    """
+    reader, writer = os.pipe()
+    now = [10.0]
+    handler = BoundedLinesHandler(writer, "INFO", lambda: now[0])
+    log = logbook.Logger("bounded")
+    with handler.applicationbound():
+        for _ in range(300):
+            log.info("x" * 1_000)
+        assert handler.left_out > 0
+        assert read_lines_until_torn(reader) > 0
+        now[0] = 11.0
+        log.info("later")
+    os.close(reader)
+
+
+def read_lines_until_torn(descriptor: int) -> int:
+    os.set_blocking(descriptor, False)
+    data = os.read(descriptor, 1 << 20)
+    return data.count(b"\n")
