--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -9,6 +9,14 @@
 """Part of an engine's memory that expected work may fill. Lengths are known at
 the median only; what is left takes the answers that outgrow their hint."""
 
+LATE_ROOM = 0.7
+"""The same for requests that will be late in any case. They yield to those that
+can be in time, also where these wait at other entries."""
+
+LATE_SHARE = 0.5
+"""Part of its objective after which a waiting request will be late: reading its
+prompt takes most of the rest."""
+
 BACKUP_ROOM = 0.7
 """The same for running backups made ahead. Under load a prompt that finds no
 room costs more than a run that has to be copied in the seconds of notice."""
@@ -98,13 +106,14 @@
     tokens = 0 if prompt is None else prompt.tokens
     output = 0 if prompt is None else prompt.expected_output
     latest = request.arrived + READING_SHARE * request.route.objective
+    room = LATE_ROOM if is_late(request, now) else ROOM
     best = None
     best_cost = 0.0
     for target in _list_candidates(state, request, now):
         if target.load >= target.info.slots:
             continue
         filled = (target.memory_load + need) / memory
-        if filled > ROOM and target.load > 0:
+        if filled > room and target.load > 0:
             continue
         reading = target.predict_reading(tokens, now)
         if now + reading > latest and target.reading_load > 0:
@@ -120,6 +129,11 @@
     return best
 
 
+def is_late(request: Request, now: Millis) -> bool:
+    """Tell whether a request that has not started will miss its objective."""
+    return now - request.arrived > LATE_SHARE * request.route.objective
+
+
 def choose_backup_holder(
     state: State, request: Request, source: Target, now: Millis
 ) -> Target | None:
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -20,10 +20,6 @@
 """Part of a request's objective that it may wait for room. One that starts late
 is still worth something to its caller, who would come back no sooner."""
 
-LATE_SHARE = 0.5
-"""Part of its objective after which a waiting request will be late: reading its
-prompt takes most of the rest. It then yields to those that can be in time."""
-
 SHORTEST_RETURN = Millis(300)
 """A refused caller's pause: engines free memory a few times a second."""
 
@@ -154,8 +150,7 @@
 
 
 def _rank(request: Request, now: Millis) -> tuple[int, bool, int]:
-    late = now - request.arrived > LATE_SHARE * request.route.objective
-    return request.priority, late, request.arrived
+    return request.priority, placement.is_late(request, now), request.arrived
 
 
 def _leave_queue(state: State, request: Request) -> None:
