--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -47,6 +47,10 @@
 """Part of its memory that a holder in the run's own failure domain is worth in
 a comparison: copies between failure domains take twice as long."""
 
+SLOW_COPY = 0.2
+"""The same for a holder that reads half as fast as the usual: the caller sees a
+pause of some of its events when the run goes on there."""
+
 READING_SHARE = 0.9
 """Part of a stream's objective by which its prompt has to be read."""
 
@@ -171,6 +175,7 @@
         if target.info.failure_domain != _find_domain(state, source):
             # A copy between failure domains takes twice as long.
             cost += FAR_COPY
+        cost += SLOW_COPY * (USUAL_READ_RATE / target.read_rate - 1.0)
         cost += 0.01 * state.rng.random()
         if best is None or cost < best_cost:
             best, best_cost = target, cost
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -34,6 +34,12 @@
 """Events after which a run's memory is counted anew; the others are told of it
 as of any change of loads, so that each event would cost a message."""
 
+QUIET_WAIT = Millis(800)
+"""How long after the notice a run waits for its holder to have read all prompts.
+A slow engine takes 150 ms for an event while it reads one, and the change-over
+costs two of its events; without reading it takes 50 ms. The notice leaves 0.7 s
+for what fails then."""
+
 OVERLAP = Millis(300)
 """Longest that a run may be open at two engines while it changes over. Both
 generate meanwhile; after it the one that has not delivered is closed."""
@@ -241,10 +247,22 @@
         return []
     _forget_unusable_copy(state, request)
     if request.copy is not None:
+        if _is_holder_reading(state, request, now):
+            return []
         return switch_to_copy(state, request, now)
     return _order_copy(state, request, now)
 
 
+def _is_holder_reading(state: State, request: Request, now: Millis) -> bool:
+    current = request.current
+    holder = None if request.copy is None else state.targets.find(request.copy.holder)
+    if current is None or holder is None or current.target.left_at is None:
+        return False
+    if now - current.target.left_at >= QUIET_WAIT:
+        return False
+    return holder.reading_load > 0
+
+
 def _forget_unusable_copy(state: State, request: Request) -> None:
     if request.copy is None:
         return
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -170,3 +170,36 @@
     opened = world.open_plan()
     world.send_pieces(opened.attempt, 0, 2)
     assert world.find(Deliver).data == b"id: 0\n\nid: 1\n\nid: 2\n\n"
+
+
+def test_a_run_goes_on_once_its_holder_has_read_its_prompts() -> None:
+    """The caller would see a pause of a third of a second.
+
+    A slow engine takes three times as long for each event while it reads a
+    prompt. The run's own engine still generates for a second and a half, so
+    the change-over waits until the holder has read all, but not for long.
+    """
+    world, opened = start_with_backup()
+    holder = world.state.targets.find(opened.backup)
+    assert holder is not None
+    holder.peer_reading = 3_000
+    world.depart(opened.target)
+    assert world.find_all(OpenAttempt) == []
+    world.clock.advance(100)
+    holder.peer_reading = 0
+    world.handle(Ticked())
+    assert world.find(OpenAttempt).target == opened.backup
+
+
+def test_a_run_does_not_wait_for_its_holder_until_its_engine_is_gone() -> None:
+    world, opened = start_with_backup()
+    holder = world.state.targets.find(opened.backup)
+    assert holder is not None
+    holder.peer_reading = 3_000
+    world.depart(opened.target)
+    for _ in range(8):
+        world.send_pieces(opened.attempt, 11, 11)
+        world.clock.advance(100)
+        world.state.requests[1].delivered_at = world.clock.now()
+    world.handle(Ticked())
+    assert world.find(OpenAttempt).target == opened.backup
