Tell only those of the own failure domain all, above sixteen entries

Entries of a failure domain now tell each other, sums go to the others, and three of each domain read the store for it.

--- a/figstep/gateway/budgets.py
+++ b/figstep/gateway/budgets.py
@@ -52,19 +52,21 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetUse:
-    """What the other entries sent to a service, as far as this one knows.
+    """What the entries that share with this one sent to a service.
 
     Attributes:
         requests: Requests of their callers.
         repeats: Their arrivals beyond the first of each request.
-        entries: Entries known of late, this one included.
+        entries: Entries that share, this one included.
         complete: Whether all of them are heard now.
+        part: Their part of all entries of the fleet.
     """
 
     requests: int
     repeats: int
     entries: int
     complete: bool
+    part: float = 1.0
 
 
 @dataclass(slots=True)
@@ -107,9 +109,11 @@
         keep = 1.0 if urgent else 1.0 - URGENT_RESERVE
         if fleet.complete and fleet.entries > 1:
             requests = len(use.requests) + fleet.requests
-            bound = SHARED_PART * (self.ratio * requests + self.allowance)
+            allowance = self.allowance * fleet.part
+            bound = SHARED_PART * (self.ratio * requests + allowance)
             return len(use.repeats) + fleet.repeats + 1 <= keep * bound
-        part = self.allowance / (fleet.entries + UNSEEN_ENTRIES)
+        entries = fleet.entries / fleet.part
+        part = self.allowance / (entries + UNSEEN_ENTRIES)
         if not self.fresh and now < self.started + self.window:
             part = 0.0
         bound = ALONE_PART * (self.ratio * len(use.requests) + part)
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -270,6 +270,11 @@
         address: Where it listens for peers, as "ip:port".
         configuration: Version that it has in force; -1 for none.
         position: How far it has read the registrations; -1 for nothing.
+        failure_domain: Its failure domain.
+        entries: Entries that it knows of, itself included.
+        far: Whether the loads are those of all entries of its failure domain
+            at the targets there, told to another one.
+        store_well: Whether the store answers it.
     """
 
     node: str
@@ -280,6 +285,17 @@
     address: str = ""
     configuration: int = -1
     position: int = -1
+    failure_domain: str = ""
+    entries: int = 1
+    far: bool = False
+    store_well: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class EntriesCounted:
+    """The entries of the fleet were counted, this one included."""
+
+    entries: int
 
 
 # Life cycle
@@ -315,6 +331,7 @@
     | StoreLost
     | StoreRegained
     | PeerHeard
+    | EntriesCounted
     | Ticked
     | ShutdownRequested
 )
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -1,11 +1,13 @@
 """What entries tell each other: open work by target, crashes, leaving."""
 
+from dataclasses import replace
+
 from figstep.core.clock import Millis
 from figstep.gateway import placement
 from figstep.gateway.budgets import FleetUse
 from figstep.gateway.effects import Effect, FetchRecords, Note
 from figstep.gateway.events import PeerHeard, PeerLoad
-from figstep.gateway.state import Peer, State
+from figstep.gateway.state import FarLoad, Peer, State
 
 SILENT_AFTER = Millis(3_000)
 """Silence after which a peer's work no longer counts. Messages come at least
@@ -15,6 +17,21 @@
 """How long a peer that fell silent may still be at work behind a cut, spending
 from the budget of the fleet; two windows of that budget."""
 
+FAR_KEPT = Millis(4_000)
+"""How long a sum of another failure domain counts; one comes every second or
+two, as each entry tells two far ones in a second."""
+
+READERS = 3
+"""Entries of a failure domain that read the store in a large fleet: it is rare
+that all three die in the same second and a half."""
+
+READER_SILENT = Millis(1_500)
+"""Silence after which another entry reads in a reader's place. A configuration
+has to be in force three seconds after it was written."""
+
+TOLD_AFTER = Millis(150)
+"""How long an entry that doesn't read the store waits to be told a record."""
+
 CATCH_UP_AFTER = Millis(400)
 """How long a peer may know newer records before they are asked of it. Entries
 that read the store themselves learn of a record within some milliseconds of
@@ -26,40 +43,58 @@
 
 def take_message(state: State, event: PeerHeard, now: Millis) -> None:
     """Take in a peer's message."""
-    state.missed.pop(event.node, None)
-    if event.closing:
-        state.peers.pop(event.node, None)
-    else:
-        state.peers[event.node] = Peer(
-            now,
-            event.loads,
-            event.uses,
-            event.address,
-            event.configuration,
-            event.position,
-        )
     for digest, crash in event.crashes:
         state.crashes.note_crash(digest, crash, now)
-    count_loads(state)
+    peer = Peer(
+        now,
+        event.loads,
+        event.uses,
+        event.address,
+        event.configuration,
+        event.position,
+        event.store_well,
+    )
+    if event.far and event.failure_domain == state.failure_domain:
+        # It asked for this entry's failure domain before it knew that it shares
+        # it; its own loads come with its next message.
+        return
+    if event.far:
+        state.far_peers[event.node] = peer
+        for load in event.loads:
+            state.far_loads[load.target] = FarLoad(now, load)
+    elif event.closing:
+        state.peers.pop(event.node, None)
+        state.missed.pop(event.node, None)
+    else:
+        state.peers[event.node] = peer
+        state.missed.pop(event.node, None)
+    count_loads(state, now)
 
 
 def forget_silent(state: State, now: Millis) -> None:
     """Drop peers that have not been heard for long."""
-    silent = [
-        name for name, peer in state.peers.items() if now - peer.heard >= SILENT_AFTER
-    ]
-    for name in silent:
+    for name in _list_silent(state.peers, now):
         del state.peers[name]
         state.missed[name] = now
+    for name in _list_silent(state.far_peers, now):
+        del state.far_peers[name]
     for name, since in list(state.missed.items()):
         if now - since >= MISSED_FOR:
             del state.missed[name]
-    if silent:
-        count_loads(state)
+    count_loads(state, now)
+
+
+def _list_silent(peers: dict[str, Peer], now: Millis) -> list[str]:
+    return [name for name, peer in peers.items() if now - peer.heard >= SILENT_AFTER]
+
 
+def is_large(state: State) -> bool:
+    """Tell whether the fleet is too large for all to hear all."""
+    return state.entries > placement.FULL_MESH
 
-def count_loads(state: State) -> None:
-    """Sum up what the peers have open at each target."""
+
+def count_loads(state: State, now: Millis) -> None:
+    """Sum up what the others have open at each target."""
     for target in state.targets.targets.values():
         target.peer_calls = 0
         target.peer_memory = 0
@@ -68,15 +103,24 @@
         target.peer_unprotected = 0
     for peer in state.peers.values():
         for load in peer.loads:
-            found = state.targets.find(load.target)
-            if found is None:
-                continue
-            found.peer_calls += load.calls
-            found.peer_memory += load.memory
-            found.peer_reading += load.reading
-            found.peer_unprotected += load.unprotected
-            if load.read_rate is not None:
-                found.peer_rates += (load.read_rate,)
+            _add_load(state, load)
+    for name, far in list(state.far_loads.items()):
+        if now - far.heard >= FAR_KEPT:
+            del state.far_loads[name]
+            continue
+        _add_load(state, far.load)
+
+
+def _add_load(state: State, load: PeerLoad) -> None:
+    target = state.targets.find(load.target)
+    if target is None:
+        return
+    target.peer_calls += load.calls
+    target.peer_memory += load.memory
+    target.peer_reading += load.reading
+    target.peer_unprotected += load.unprotected
+    if load.read_rate is not None:
+        target.peer_rates += (load.read_rate,)
 
 
 def list_loads(state: State) -> tuple[PeerLoad, ...]:
@@ -107,12 +151,9 @@
             if use.service == service:
                 requests += use.requests
                 repeats += use.repeats
-    return FleetUse(
-        requests,
-        repeats,
-        1 + len(state.peers) + len(state.missed),
-        not state.missed,
-    )
+    sharing = 1 + len(state.peers) + len(state.missed)
+    part = min(1.0, sharing / max(1, state.entries))
+    return FleetUse(requests, repeats, sharing, not state.missed, part)
 
 
 def spend_repeat(state: State, service: str, now: Millis, urgent: bool = False) -> bool:
@@ -128,7 +169,7 @@
     version = -1 if state.table is None else state.table.version
     ahead = [
         peer
-        for peer in state.peers.values()
+        for peer in [*state.peers.values(), *state.far_peers.values()]
         if peer.configuration > version or peer.position > state.position
     ]
     if not ahead:
@@ -136,7 +177,8 @@
         return []
     if state.behind_since is None:
         state.behind_since = now
-    if now - state.behind_since < CATCH_UP_AFTER:
+    patience = CATCH_UP_AFTER if reads_store(state, now) else TOLD_AFTER
+    if now - state.behind_since < patience:
         return []
     state.behind_since = now
     peer = state.rng.choice(ahead)
@@ -163,4 +205,46 @@
         state.closes_at is not None,
         configuration=-1 if state.table is None else state.table.version,
         position=state.position,
+        failure_domain=state.failure_domain,
+        entries=state.entries,
+        store_well=not state.store_away,
     )
+
+
+def describe_domain(state: State, now: Millis) -> PeerHeard:
+    """Return what this entry tells other failure domains of its own."""
+    own = {load.target: load for load in list_loads(state)}
+    loads = []
+    for target in state.targets.targets.values():
+        if target.info.failure_domain != state.failure_domain or not target.load:
+            continue
+        unprotected = target.peer_unprotected
+        if target.name in own:
+            unprotected += own[target.name].unprotected
+        loads.append(
+            PeerLoad(
+                target.name,
+                target.load,
+                target.memory_load,
+                target.reading_load,
+                target.read_rate,
+                unprotected,
+            )
+        )
+    return replace(describe_own(state, now), loads=tuple(loads), uses=(), far=True)
+
+
+def reads_store(state: State, now: Millis) -> bool:
+    """Tell whether this entry reads the store's records as they come.
+
+    Calls to the store are dear in a large fleet: there a few entries of each
+    failure domain read them and tell the others.
+    """
+    if not is_large(state) or state.store_away:
+        return True
+    before = 0
+    for name, peer in state.peers.items():
+        heard = now - peer.heard < READER_SILENT
+        if name < state.node and heard and peer.store_well:
+            before += 1
+    return before < READERS
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -68,6 +68,15 @@
 FAR_DELAY = 20.0
 """The same for an engine in another failure domain."""
 
+FAR_DELAY_UNSEEN = 250.0
+"""The same in a large fleet, where loads of other failure domains are known from
+sums that are a second or two old."""
+
+FULL_MESH = 16
+"""Entries up to which all tell all. At 73 it took 10% of a core of each entry
+and 16 MB a second between failure domains; above it, entries tell those of
+their own failure domain, and sums go to the others."""
+
 TIE_SPREAD = 20.0
 """Random milliseconds that keep entries from choosing alike between messages."""
 
@@ -126,7 +135,7 @@
         cost += LENGTH_WEIGHT * output * USUAL_READ_RATE / target.read_rate
         cost += FAILURE_DELAY * max(0.0, target.failures - ORDINARY_FAILURES)
         if target.info.failure_domain != state.failure_domain:
-            cost += FAR_DELAY
+            cost += FAR_DELAY if state.entries <= FULL_MESH else FAR_DELAY_UNSEEN
         cost += TIE_SPREAD * state.rng.random()
         if best is None or cost < best_cost:
             best, best_cost = target, cost
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -8,6 +8,7 @@
     AttemptLost,
     CallerGone,
     ConfigurationRead,
+    EntriesCounted,
     Event,
     PeerHeard,
     PiecesArrived,
@@ -89,6 +90,9 @@
         case PeerHeard():
             peers.take_message(state, event, now)
             return []
+        case EntriesCounted(entries=entries):
+            state.entries = entries
+            return []
         case Ticked():
             return _tick(state, now)
         case ShutdownRequested(until=until):
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -113,6 +113,7 @@
         address: Where it listens for peers.
         configuration: Version that it has in force; -1 for none.
         position: How far it has read the registrations; -1 for nothing.
+        store_well: Whether the store answers it.
     """
 
     heard: Millis
@@ -121,6 +122,20 @@
     address: str = ""
     configuration: int = -1
     position: int = -1
+    store_well: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class FarLoad:
+    """What the entries of another failure domain have open at a target there.
+
+    Attributes:
+        heard: When it was told.
+        load: The load.
+    """
+
+    heard: Millis
+    load: PeerLoad
 
 
 @dataclass(slots=True)
@@ -137,6 +152,9 @@
         attempts: Open attempts by number.
         queue: Numbers of requests that wait for room, in order of arrival.
         peers: Other entries by name.
+        far_peers: Entries of other failure domains that were heard of late.
+        far_loads: Loads told by other failure domains, by target.
+        entries: Entries of the fleet, this one included.
         missed: Peers that fell silent without saying that they end, and when.
         budget: Repeats that this entry may still make.
         crashes: Requests that crashed targets.
@@ -158,6 +176,9 @@
     attempts: dict[int, Attempt] = field(default_factory=dict)
     queue: list[int] = field(default_factory=list)
     peers: dict[str, Peer] = field(default_factory=dict)
+    far_peers: dict[str, Peer] = field(default_factory=dict)
+    far_loads: dict[str, FarLoad] = field(default_factory=dict)
+    entries: int = 1
     missed: dict[str, Millis] = field(default_factory=dict)
     crashes: CrashTable = field(default_factory=CrashTable)
     next_attempt: int = 1
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -13,6 +13,12 @@
   crashes @7 :List(Crash);
   members @8 :List(Text);    # addresses heard of late, "ip:port"
   uses @9 :List(Use);
+  failureDomain @10 :Text;
+  entries @11 :UInt32;
+  far @12 :Bool;             # loads are sums of the sender's failure domain
+  storeWell @13 :Bool;
+  records @14 :List(Entry);  # registrations that were read last
+  asksDomain @15 :Bool;      # the receiver's failure domain is not known yet
 }
 
 struct Load {
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -1,9 +1,11 @@
 """Links between gateways: loads by UDP, copies of the store's records by TCP."""
 
 import asyncio
+import random
 import secrets
+from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +16,7 @@
 from figstep.errors import PeerMessageError
 from figstep.gateway.budgets import UseReport
 from figstep.gateway.events import PeerHeard, PeerLoad
+from figstep.gateway.placement import FULL_MESH
 
 _log = logbook.Logger("figstep.links")
 
@@ -27,6 +30,15 @@
 """How soon a change of this entry's loads is told: requests come a few a
 second to each entry, and an engine's own reports are half a second old."""
 
+LARGE_POLL_SECONDS = 0.25
+"""The same in a large fleet, whose prompts are announced as they are sent."""
+
+FAR_FANOUT = 2
+"""Entries of other failure domains that are told of this one in a second."""
+
+MOST_STRANGERS = 8
+"""Entries of unknown failure domain that are asked for it in a second."""
+
 FORGET_SECONDS = 30.0
 """How long an address that doesn't answer is still tried."""
 
@@ -66,6 +78,7 @@
     heard: float = -1e9
     session: int = 0
     sequence: int = 0
+    failure_domain: str = ""
 
 
 @dataclass(slots=True)
@@ -74,7 +87,36 @@
 
     at: float = -1e9
     content: PeerHeard | None = None
-    members: set[str] = field(default_factory=set)
+
+
+class LinkHost(ABC):
+    """What a link asks of the entry that it belongs to."""
+
+    @abstractmethod
+    def describe_own(self) -> PeerHeard:
+        """Return what the entries that hear all of each other are told."""
+
+    @abstractmethod
+    def describe_domain(self) -> PeerHeard:
+        """Return what other failure domains are told."""
+
+    @abstractmethod
+    def read_copy(self) -> RecordCopy:
+        """Return what was read of the store, for one that can't read it."""
+
+    @abstractmethod
+    def list_recent(self) -> tuple[tuple[str, bytes], ...]:
+        """Return the registrations read last, up to the position told."""
+
+    @abstractmethod
+    def take_message(
+        self, message: PeerHeard, records: tuple[tuple[str, bytes], ...]
+    ) -> None:
+        """Take in a message, and the registrations that its sender read last."""
+
+    @abstractmethod
+    def count_entries(self, entries: int) -> None:
+        """Take in how many entries are known."""
 
 
 class PeerLink(Service):
@@ -85,22 +127,21 @@
         host: str,
         port: int,
         seeds: tuple[str, ...],
-        read_own: Callable[[], PeerHeard],
-        read_copy: Callable[[], RecordCopy],
-        take_message: Callable[[PeerHeard], None],
+        failure_domain: str,
+        host_entry: LinkHost,
     ) -> None:
         super().__init__()
         self._host = host
         self._port = port
         self._own = f"{host}:{port}"
         self._seeds = [seed for seed in seeds if seed != self._own]
-        self._read_own = read_own
-        self._read_copy = read_copy
-        self._take_message = take_message
+        self._failure_domain = failure_domain
+        self._entry = host_entry
         self._session = secrets.randbits(63)
         self._sequence = 0
         self._neighbors: dict[str, _Neighbor] = {}
         self._told = _Told()
+        self._told_far = -1e9
         self._announcing = False
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
@@ -118,24 +159,32 @@
 
     async def on_stop(self) -> None:
         """Tell the others that this entry ends, and close the sockets."""
-        self._tell(self._read_own(), loop_time())
+        self._tell_near(loop_time())
         if self._transport is not None:
             self._transport.close()
         if self._server is not None:
             self._server.close()
 
+    @property
+    def is_large(self) -> bool:
+        """Whether the fleet is too large for all to hear all."""
+        return len(self._neighbors) >= FULL_MESH
+
     @Service.task
     async def _run(self) -> None:
         while not self.should_stop:
             now = loop_time()
-            own = self._read_own()
             self._forget_old(now)
+            self._entry.count_entries(1 + len(self._neighbors))
+            own = self._entry.describe_own()
             if own != self._told.content or now - self._told.at >= HELLO_SECONDS:
-                self._tell(own, now)
-            await self.sleep(POLL_SECONDS)
+                self._tell_near(now)
+            if self.is_large and now - self._told_far >= HELLO_SECONDS:
+                self._tell_far(now)
+            await self.sleep(LARGE_POLL_SECONDS if self.is_large else POLL_SECONDS)
 
     def announce(self) -> None:
-        """Tell the others at the end of this turn of the loop."""
+        """Tell the near ones at the end of this turn of the loop."""
         if self._announcing:
             return
         self._announcing = True
@@ -143,7 +192,7 @@
 
     def _announce_now(self) -> None:
         self._announcing = False
-        self._tell(self._read_own(), loop_time())
+        self._tell_near(loop_time())
 
     def _forget_old(self, now: float) -> None:
         for seed in self._seeds:
@@ -153,16 +202,56 @@
             if now - newest >= FORGET_SECONDS:
                 del self._neighbors[address]
 
-    def _tell(self, own: PeerHeard, now: float) -> None:
+    def _tell_near(self, now: float) -> None:
+        own = self._entry.describe_own()
+        strangers = now - self._told.at >= HELLO_SECONDS
+        self._told = _Told(now, own)
+        near = []
+        unknown = []
+        for address, neighbor in self._neighbors.items():
+            if not self.is_large or neighbor.failure_domain == self._failure_domain:
+                near.append(address)
+            elif not neighbor.failure_domain:
+                unknown.append(address)
+        self._send(own, near, now, records=self._entry.list_recent())
+        if strangers and unknown:
+            asked = random.sample(unknown, min(len(unknown), MOST_STRANGERS))
+            self._send(self._entry.describe_domain(), asked, now, asks_domain=True)
+
+    def _tell_far(self, now: float) -> None:
+        self._told_far = now
+        far = []
+        for address, neighbor in self._neighbors.items():
+            if neighbor.failure_domain not in ("", self._failure_domain):
+                far.append(address)
+        chosen = random.sample(far, min(len(far), FAR_FANOUT))
+        if chosen:
+            self._send(self._entry.describe_domain(), chosen, now)
+
+    def _send(
+        self,
+        message: PeerHeard,
+        addresses: list[str],
+        now: float,
+        records: tuple[tuple[str, bytes], ...] = (),
+        asks_domain: bool = False,
+    ) -> None:
         if self._transport is None or self._transport.is_closing():
             return
         self._sequence += 1
-        self._told = _Told(now, own)
-        data = encode_hello(own, self._session, self._sequence, self._pick_members(now))
+        hello = Hello(
+            message,
+            self._session,
+            self._sequence,
+            tuple(self._pick_members(now)),
+            records,
+            asks_domain,
+        )
+        data = encode_hello(hello)
         if len(data) > TEXT_LIMIT:
             _log.error("message too long", extra={"bytes": len(data)})
             return
-        for address in self._neighbors:
+        for address in addresses:
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
 
@@ -190,10 +279,13 @@
             return
         neighbor.session, neighbor.sequence = hello.session, hello.sequence
         neighbor.heard = now
+        if hello.asks_domain:
+            self._send(self._entry.describe_domain(), [address], now)
+        neighbor.failure_domain = hello.content.failure_domain
         for member in hello.members:
             if member != self._own:
-                self._neighbors.setdefault(member, _Neighbor(now))
-        self._take_message(hello.content)
+                self._neighbors.setdefault(member, _Neighbor(now)).known_since = now
+        self._entry.take_message(hello.content, hello.records)
 
     async def fetch_copy(self, address: str) -> RecordCopy:
         """Return what the entry at "ip:port" has read of the store.
@@ -220,7 +312,7 @@
     ) -> None:
         try:
             async with asyncio.timeout(COPY_SECONDS):
-                writer.write(encode_copy(self._read_copy()))
+                writer.write(encode_copy(self._entry.read_copy()))
                 await writer.drain()
         except (OSError, TimeoutError) as error:
             _log.info("copy not sent", extra={"error": type(error).__name__})
@@ -250,27 +342,39 @@
         session: Drawn anew by each process of the sender.
         sequence: Grows with each message of a session.
         members: Addresses of other entries.
+        records: Registrations that the sender read last, up to its position.
+        asks_domain: Whether the sender doesn't know the receiver's failure
+            domain yet.
     """
 
     content: PeerHeard
     session: int
     sequence: int
-    members: tuple[str, ...]
+    members: tuple[str, ...] = ()
+    records: tuple[tuple[str, bytes], ...] = ()
+    asks_domain: bool = False
 
 
-def encode_hello(
-    own: PeerHeard, session: int, sequence: int, members: list[str]
-) -> bytes:
+def encode_hello(hello: Hello) -> bytes:
     """Return a message as it goes over the wire."""
+    own = hello.content
     message = _schema.Hello.new_message(
         node=own.node,
-        session=session,
-        sequence=sequence,
+        session=hello.session,
+        sequence=hello.sequence,
         closing=own.closing,
         configuration=own.configuration,
         position=own.position,
-        members=members,
+        members=list(hello.members),
+        failureDomain=own.failure_domain,
+        entries=own.entries,
+        far=own.far,
+        storeWell=own.store_well,
+        asksDomain=hello.asks_domain,
     )
+    records = message.init("records", len(hello.records))
+    for slot, (key, value) in zip(records, hello.records, strict=True):
+        slot.key, slot.value = key, value
     loads = message.init("loads", len(own.loads))
     for slot, load in zip(loads, own.loads, strict=True):
         slot.target, slot.calls, slot.memory = load.target, load.calls, load.memory
@@ -321,11 +425,25 @@
             address=address,
             configuration=message.configuration,
             position=message.position,
+            failure_domain=message.failureDomain,
+            entries=message.entries,
+            far=message.far,
+            store_well=message.storeWell,
+        )
+        records = tuple(
+            (str(entry.key), bytes(entry.value)) for entry in message.records
         )
         members = tuple(str(member) for member in message.members)
     except (capnp.KjException, ValueError) as error:
         raise PeerMessageError("damaged message; check who sends here") from error
-    return Hello(content, message.session, message.sequence, members)
+    return Hello(
+        content,
+        message.session,
+        message.sequence,
+        members,
+        records,
+        message.asksDomain,
+    )
 
 
 def encode_copy(copy: RecordCopy) -> bytes:
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -4,6 +4,7 @@
 import os
 import random
 import signal
+from collections import deque
 
 import logbook
 import uvloop
@@ -16,6 +17,8 @@
 from figstep.gateway.edges import PeerPort
 from figstep.gateway.events import (
     ConfigurationRead,
+    EntriesCounted,
+    PeerHeard,
     PositionRead,
     ShutdownRequested,
     StoreLost,
@@ -25,12 +28,17 @@
     TargetsListed,
 )
 from figstep.gateway.measures import GatewayMeasures
-from figstep.gateway.peers import describe_own
+from figstep.gateway.peers import (
+    describe_domain,
+    describe_own,
+    is_large,
+    reads_store,
+)
 from figstep.gateway.state import State
 from figstep.gateway.targets import Registration
 from figstep.logs import install_bounded_logs
 from figstep.net.clock import SystemClock
-from figstep.net.links import PeerLink, RecordCopy
+from figstep.net.links import LinkHost, PeerLink, RecordCopy
 from figstep.platform.callers import CallerEdge, CallerExchange
 from figstep.platform.documents import parse_configuration, parse_registration
 from figstep.platform.engines import TargetEdge
@@ -54,8 +62,15 @@
 
 POLL_SECONDS = 0.05
 
+MOST_RECENT = 6
+"""Registrations that a message holds: those of an engine or two that change
+together. Who misses one asks for all."""
+
+RECENT_FOR = Millis(1_500)
+"""How long they are told: twice at least, as a datagram may be lost."""
+
 
-class Entry(Service, PeerPort):
+class Entry(Service, PeerPort, LinkHost):
     """One entry instance on the platform."""
 
     def __init__(
@@ -91,14 +106,15 @@
             settings.peers.host,
             settings.peers.port,
             tuple(f"{seed.host}:{seed.port}" for seed in settings.seeds),
-            lambda: describe_own(self.gateway.known, self._clock.now()),
-            self.read_copy,
-            self.gateway.dispatch,
+            settings.failure_domain,
+            self,
         )
         self.gateway.peers = self
         self._listed = False
         self._configuration = b""
         self._registrations: dict[str, bytes] = {}
+        self._recent: deque[tuple[str, bytes]] = deque(maxlen=MOST_RECENT)
+        self._recent_at = Millis(-1_000_000)
         self._fetch: asyncio.Task[None] | None = None
         self.configuration = TopicFollower(
             self._store,
@@ -109,6 +125,7 @@
                 lambda reason: None,
                 lambda: None,
             ),
+            self.reads_store,
         )
         self.registrations = TopicFollower(
             self._store,
@@ -119,6 +136,7 @@
                 lambda reason: self.gateway.dispatch(StoreLost()),
                 lambda: self.gateway.dispatch(StoreRegained()),
             ),
+            self.reads_store,
         )
 
     async def on_start(self) -> None:
@@ -185,6 +203,11 @@
             elif record.value is None:
                 self.gateway.dispatch(TargetDeparted(record.key))
         self.gateway.dispatch(PositionRead(position))
+        for record in records:
+            self._recent.append((record.key, record.value or b""))
+        self._recent_at = self._clock.now()
+        if is_large(self.gateway.known):
+            self.link.announce()
 
     def _read_registration(self, record: KeyedRecord) -> Registration | None:
         if record.value is None:
@@ -197,6 +220,45 @@
         self._registrations[record.key] = record.value
         return info
 
+    def reads_store(self) -> bool:
+        """Tell whether this entry reads the store's records as they come."""
+        return reads_store(self.gateway.known, self._clock.now())
+
+    def describe_own(self) -> PeerHeard:
+        """Return what the entries that hear all of each other are told."""
+        return describe_own(self.gateway.known, self._clock.now())
+
+    def describe_domain(self) -> PeerHeard:
+        """Return what other failure domains are told."""
+        return describe_domain(self.gateway.known, self._clock.now())
+
+    def count_entries(self, entries: int) -> None:
+        """Take in how many entries are known."""
+        if entries != self.gateway.known.entries:
+            self.gateway.dispatch(EntriesCounted(entries))
+
+    def list_recent(self) -> tuple[tuple[str, bytes], ...]:
+        """Return the registrations read last, up to the position told."""
+        known = self.gateway.known
+        if not is_large(known) or not self.reads_store():
+            return ()
+        if self._clock.now() - self._recent_at >= RECENT_FOR:
+            return ()
+        return tuple(self._recent)
+
+    def take_message(
+        self, message: PeerHeard, records: tuple[tuple[str, bytes], ...]
+    ) -> None:
+        """Take in a message, and the registrations that its sender read last."""
+        missing = message.position - self.gateway.known.position
+        if 0 < missing <= len(records) and not self.reads_store():
+            told = [
+                KeyedRecord(key, value or None) for key, value in records[-missing:]
+            ]
+            self.registrations.skip_to(message.position)
+            self._take_changes(told, message.position)
+        self.gateway.dispatch(message)
+
     def read_copy(self) -> RecordCopy:
         """Return what was read of the store, for a peer that can't read it."""
         return RecordCopy(
--- a/figstep/platform/store.py
+++ b/figstep/platform/store.py
@@ -27,6 +27,9 @@
 CALL_SECONDS = 2.0
 """Time for an answer beyond what the call itself waits."""
 
+UNWANTED_SECONDS = 0.25
+"""How soon an entry whose reading is not wanted looks whether it is."""
+
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 1.0
 """Seconds between reads that fail: a configuration has to be in force two
@@ -192,8 +195,15 @@
 class TopicFollower(Service):
     """Reads a keyed topic whole, then each record as it comes."""
 
-    def __init__(self, store: Store, topic: str, sink: TopicSink) -> None:
+    def __init__(
+        self,
+        store: Store,
+        topic: str,
+        sink: TopicSink,
+        is_wanted: Callable[[], bool] = lambda: True,
+    ) -> None:
         super().__init__()
+        self._is_wanted = is_wanted
         self._store = store
         self._topic = topic
         self._sink = sink
@@ -204,6 +214,10 @@
     @Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
+            if self._next is not None and not self._is_wanted():
+                # Others read and tell this entry.
+                await self.sleep(UNWANTED_SECONDS)
+                continue
             try:
                 await self._read_on()
             except LogTruncatedError as error:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -4,7 +4,7 @@
 from figstep.gateway import peers
 from figstep.gateway.budgets import UseReport
 from figstep.gateway.effects import FetchRecords
-from figstep.gateway.events import PeerHeard, PeerLoad, Ticked
+from figstep.gateway.events import EntriesCounted, PeerHeard, PeerLoad, Ticked
 from tests.gateway.worlds import World
 
 
@@ -78,3 +78,61 @@
         world.handle(PeerHeard("entry-2", configuration=1))
         world.handle(Ticked())
         assert world.find_all(FetchRecords) == []
+
+
+def test_sums_of_another_failure_domain_count_for_a_while() -> None:
+    world = World()
+    world.register("e-1")
+    load = PeerLoad("e-1", 4, 16_000)
+    world.handle(PeerHeard("entry-9", (load,), far=True))
+    engine = world.state.targets.find("e-1")
+    assert engine is not None
+    assert engine.peer_memory == 16_000
+    assert world.state.peers == {}
+    world.clock.advance(peers.FAR_KEPT)
+    world.handle(Ticked())
+    assert engine.peer_memory == 0
+
+
+def build_large_world() -> World:
+    world = World()
+    world.handle(EntriesCounted(73))
+    for number in range(18):
+        world.handle(PeerHeard(f"entry-0-{number:02}", failure_domain="muc-a"))
+    return world
+
+
+def test_few_entries_of_a_large_fleet_read_the_store() -> None:
+    world = build_large_world()
+    now = world.clock.now()
+    assert not peers.reads_store(world.state, now)
+    world.state.node = "entry-0"
+    assert peers.reads_store(world.state, now)
+
+
+def test_another_entry_reads_when_the_readers_fall_silent() -> None:
+    """A key that was taken away would work on in a whole failure domain.
+
+    The three entries that read the store die in the same moment. The others
+    hear nothing of them for a second and a half.
+    """
+    world = build_large_world()
+    world.state.node = "entry-0-03-next"
+    assert not peers.reads_store(world.state, world.clock.now())
+    world.clock.advance(peers.READER_SILENT)
+    for number in range(4, 18):
+        world.handle(PeerHeard(f"entry-0-{number:02}", failure_domain="muc-a"))
+    assert peers.reads_store(world.state, world.clock.now())
+
+
+def test_an_entry_whose_store_is_away_keeps_asking() -> None:
+    world = build_large_world()
+    world.state.store_away = True
+    assert peers.reads_store(world.state, world.clock.now())
+
+
+def test_a_failure_domain_shares_its_part_of_the_retry_budget() -> None:
+    world = build_large_world()
+    fleet = peers.sum_uses(world.state, "engines")
+    assert fleet.entries == 19
+    assert fleet.part == 19 / 73
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -1,6 +1,7 @@
 """Tests of the links between gateways."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -8,6 +9,8 @@
 from figstep.gateway.budgets import UseReport
 from figstep.gateway.events import PeerHeard, PeerLoad
 from figstep.net.links import (
+    Hello,
+    LinkHost,
     PeerLink,
     RecordCopy,
     decode_copy,
@@ -28,7 +31,9 @@
 
 
 def test_a_message_comes_back_as_it_was() -> None:
-    data = encode_hello(OWN, 5, 6, ["10.0.0.2:7200"])
+    records = (("i-1", b"\x00beat"), ("i-2", b""))
+    sent = Hello(OWN, 5, 6, ("10.0.0.2:7200",), records)
+    data = encode_hello(sent)
     hello = decode_hello(data, "10.0.0.1:7200")
     assert (hello.session, hello.sequence) == (5, 6)
     assert hello.members == ("10.0.0.2:7200",)
@@ -38,6 +43,7 @@
     assert hello.content.closing
     assert (hello.content.configuration, hello.content.position) == (7, 31)
     assert hello.content.address == "10.0.0.1:7200"
+    assert hello.records == records
 
 
 @pytest.mark.parametrize("data", [b"", b"\xff" * 40, b"GET / HTTP/1.1\r\n\r\n"])
@@ -51,34 +57,58 @@
     assert decode_copy(encode_copy(copy)) == copy
 
 
-def open_link(port: int, seeds: tuple[str, ...], heard: list[PeerHeard]) -> PeerLink:
-    return PeerLink(
-        "127.0.0.1",
-        port,
-        seeds,
-        lambda: PeerHeard(f"entry-{port}"),
-        lambda: RecordCopy(b"configuration", 3),
-        heard.append,
-    )
+class FakeHost(LinkHost):
+    """An entry that notes what its link brings."""
+
+    def __init__(self, node: str, failure_domain: str) -> None:
+        self.own = PeerHeard(node, failure_domain=failure_domain)
+        self.heard: list[PeerHeard] = []
+        self.entries = 0
+
+    def describe_own(self) -> PeerHeard:
+        return self.own
+
+    def describe_domain(self) -> PeerHeard:
+        return replace(self.own, far=True)
+
+    def read_copy(self) -> RecordCopy:
+        return RecordCopy(b"configuration", 3)
+
+    def list_recent(self) -> tuple[tuple[str, bytes], ...]:
+        return ()
+
+    def take_message(
+        self, message: PeerHeard, records: tuple[tuple[str, bytes], ...]
+    ) -> None:
+        self.heard.append(message)
+
+    def count_entries(self, entries: int) -> None:
+        self.entries = entries
+
+
+def open_link(port: int, seeds: tuple[str, ...], host: FakeHost) -> PeerLink:
+    domain = host.own.failure_domain
+    return PeerLink("127.0.0.1", port, seeds, domain, host)
 
 
 async def test_entries_find_each_other_through_one_seed(
     unused_tcp_port_factory: object,
 ) -> None:
     ports = [unused_tcp_port_factory() for _ in range(3)]  # type: ignore[operator]
-    heard: list[list[PeerHeard]] = [[], [], []]
+    hosts = [FakeHost(f"entry-{port}", "muc-a") for port in ports]
     seed = f"127.0.0.1:{ports[0]}"
-    links = [open_link(port, (seed,), heard[n]) for n, port in enumerate(ports)]
+    links = [open_link(port, (seed,), hosts[n]) for n, port in enumerate(ports)]
     for link in links:
         await link.start()
     async with asyncio.timeout(5):
-        while {message.node for message in heard[2]} != {
+        while {message.node for message in hosts[2].heard} != {
             f"entry-{ports[0]}",
             f"entry-{ports[1]}",
         }:
             await asyncio.sleep(0.02)
     copy = await links[2].fetch_copy(f"127.0.0.1:{ports[1]}")
     assert copy.configuration == b"configuration"
+    assert hosts[2].entries == 3
     for link in links:
         await link.stop()
 
@@ -86,6 +116,35 @@
 async def test_a_peer_that_gives_no_copy_is_told_apart(
     unused_tcp_port: int,
 ) -> None:
-    link = open_link(unused_tcp_port, (), [])
+    link = open_link(unused_tcp_port, (), FakeHost("entry-1", "muc-a"))
     with pytest.raises(PeerMessageError):
         await link.fetch_copy(f"127.0.0.1:{unused_tcp_port}")
+
+
+async def test_in_a_large_fleet_failure_domains_tell_each_other_sums(
+    unused_tcp_port_factory: object,
+) -> None:
+    """Control would grow with the square of the fleet.
+
+    Twenty entries stand in two failure domains. Those of one tell each other
+    all that they do; the other one hears sums.
+    """
+    ports = [unused_tcp_port_factory() for _ in range(20)]  # type: ignore[operator]
+    hosts = [FakeHost(f"entry-{n}", "muc-a" if n < 10 else "muc-b") for n in range(20)]
+    seed = f"127.0.0.1:{ports[0]}"
+    links = [open_link(port, (seed,), hosts[n]) for n, port in enumerate(ports)]
+    for link in links:
+        await link.start()
+    async with asyncio.timeout(20):
+        while min(host.entries for host in hosts) < 20:
+            await asyncio.sleep(0.05)
+    await asyncio.sleep(3.0)
+    for host in hosts:
+        host.heard.clear()
+    await asyncio.sleep(3.0)
+    for link in links:
+        await link.stop()
+    first = hosts[0].heard
+    near = {m.node for m in first if not m.far}
+    assert near == {f"entry-{n}" for n in range(1, 10)}
+    assert {m.failure_domain for m in first if m.far} == {"muc-b"}
