--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -126,16 +126,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FarLoad:
-    """What the entries of another failure domain have open at a target there.
+class DomainLoads:
+    """What the entries of another failure domain have open at all targets.
 
     Attributes:
-        heard: When it was told.
-        load: The load.
+        heard: When one of them told it.
+        loads: Their sums, by target.
     """
 
     heard: Millis
-    load: PeerLoad
+    loads: tuple[PeerLoad, ...]
 
 
 @dataclass(slots=True)
@@ -153,7 +153,7 @@
         queue: Numbers of requests that wait for room, in order of arrival.
         peers: Other entries by name.
         far_peers: Entries of other failure domains that were heard of late.
-        far_loads: Loads told by other failure domains, by target.
+        far_loads: Loads of other failure domains' entries, by domain.
         entries: Entries of the fleet, this one included.
         missed: Peers that fell silent without saying that they end, and when.
         budget: Repeats that this entry may still make.
@@ -177,7 +177,7 @@
     queue: list[int] = field(default_factory=list)
     peers: dict[str, Peer] = field(default_factory=dict)
     far_peers: dict[str, Peer] = field(default_factory=dict)
-    far_loads: dict[str, FarLoad] = field(default_factory=dict)
+    far_loads: dict[str, DomainLoads] = field(default_factory=dict)
     entries: int = 1
     missed: dict[str, Millis] = field(default_factory=dict)
     crashes: CrashTable = field(default_factory=CrashTable)
