--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -272,8 +272,8 @@
         position: How far it has read the registrations; -1 for nothing.
         failure_domain: Its failure domain.
         entries: Entries that it knows of, itself included.
-        far: Whether the loads are those of all entries of its failure domain
-            at the targets there, told to another one.
+        far: Whether the loads are those of all entries of its failure domain,
+            told to another one.
         store_well: Whether the store answers it.
     """
 
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -7,7 +7,7 @@
 from figstep.gateway.budgets import FleetUse
 from figstep.gateway.effects import Effect, FetchRecords, Note
 from figstep.gateway.events import PeerHeard, PeerLoad
-from figstep.gateway.state import FarLoad, Peer, State
+from figstep.gateway.state import DomainLoads, Peer, State
 
 SILENT_AFTER = Millis(3_000)
 """Silence after which a peer's work no longer counts. Messages come at least
@@ -18,8 +18,8 @@
 from the budget of the fleet; two windows of that budget."""
 
 FAR_KEPT = Millis(4_000)
-"""How long a sum of another failure domain counts; one comes every second or
-two, as each entry tells two far ones in a second."""
+"""How long the sums of another failure domain count; they come every second, as
+each entry tells three far ones in a second."""
 
 READERS = 3
 """Entries of a failure domain that read the store in a large fleet: it is rare
@@ -60,8 +60,7 @@
         return
     if event.far:
         state.far_peers[event.node] = peer
-        for load in event.loads:
-            state.far_loads[load.target] = FarLoad(now, load)
+        state.far_loads[event.failure_domain] = DomainLoads(now, event.loads)
     elif event.closing:
         state.peers.pop(event.node, None)
         state.missed.pop(event.node, None)
@@ -104,11 +103,12 @@
     for peer in state.peers.values():
         for load in peer.loads:
             _add_load(state, load)
-    for name, far in list(state.far_loads.items()):
+    for domain, far in list(state.far_loads.items()):
         if now - far.heard >= FAR_KEPT:
-            del state.far_loads[name]
+            del state.far_loads[domain]
             continue
-        _add_load(state, far.load)
+        for load in far.loads:
+            _add_load(state, load)
 
 
 def _add_load(state: State, load: PeerLoad) -> None:
@@ -212,26 +212,29 @@
 
 
 def describe_domain(state: State, now: Millis) -> PeerHeard:
-    """Return what this entry tells other failure domains of its own."""
-    own = {load.target: load for load in list_loads(state)}
-    loads = []
-    for target in state.targets.targets.values():
-        if target.info.failure_domain != state.failure_domain or not target.load:
-            continue
-        unprotected = target.peer_unprotected
-        if target.name in own:
-            unprotected += own[target.name].unprotected
-        loads.append(
-            PeerLoad(
-                target.name,
-                target.load,
-                target.memory_load,
-                target.reading_load,
-                target.read_rate,
-                unprotected,
-            )
-        )
-    return replace(describe_own(state, now), loads=tuple(loads), uses=(), far=True)
+    """Return what the entries of this failure domain have open, in sums."""
+    loads: dict[str, PeerLoad] = {}
+    told = [*list_loads(state)]
+    for peer in state.peers.values():
+        told += peer.loads
+    for load in told:
+        known = loads.get(load.target)
+        loads[load.target] = load if known is None else _join_loads(known, load)
+    return replace(
+        describe_own(state, now), loads=tuple(loads.values()), uses=(), far=True
+    )
+
+
+def _join_loads(one: PeerLoad, other: PeerLoad) -> PeerLoad:
+    rates = [load.read_rate for load in (one, other) if load.read_rate is not None]
+    return PeerLoad(
+        one.target,
+        one.calls + other.calls,
+        one.memory + other.memory,
+        one.reading + other.reading,
+        sum(rates) / len(rates) if rates else None,
+        one.unprotected + other.unprotected,
+    )
 
 
 def reads_store(state: State, now: Millis) -> bool:
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -47,6 +47,9 @@
 """Part of its memory that a holder in the run's own failure domain is worth in
 a comparison: copies between failure domains take twice as long."""
 
+FAR_COPY_UNSEEN = 0.3
+"""The same in a large fleet, where far loads are a second old."""
+
 SLOW_COPY = 0.2
 """The same for a holder that reads half as fast as the usual: the caller sees a
 pause of some of its events when the run goes on there."""
@@ -183,7 +186,7 @@
             continue
         if target.info.failure_domain != _find_domain(state, source):
             # A copy between failure domains takes twice as long.
-            cost += FAR_COPY
+            cost += FAR_COPY if state.entries <= FULL_MESH else FAR_COPY_UNSEEN
         cost += SLOW_COPY * (USUAL_READ_RATE / target.read_rate - 1.0)
         cost += 0.01 * state.rng.random()
         if best is None or cost < best_cost:
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -33,7 +33,7 @@
 LARGE_POLL_SECONDS = 0.25
 """The same in a large fleet, whose prompts are announced as they are sent."""
 
-FAR_FANOUT = 2
+FAR_FANOUT = 3
 """Entries of other failure domains that are told of this one in a second."""
 
 MOST_STRANGERS = 8
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -62,6 +62,10 @@
 
 POLL_SECONDS = 0.05
 
+LARGE_REST_SECONDS = 0.2
+"""Pause between two reads of the store in a large fleet, where calls are dear:
+an engine's notice is 1.5 s long, and another reader may tell of it earlier."""
+
 MOST_RECENT = 6
 """Registrations that a message holds: those of an engine or two that change
 together. Who misses one asks for all."""
@@ -126,6 +130,7 @@
                 lambda: None,
             ),
             self.reads_store,
+            self._choose_rest,
         )
         self.registrations = TopicFollower(
             self._store,
@@ -137,6 +142,7 @@
                 lambda: self.gateway.dispatch(StoreRegained()),
             ),
             self.reads_store,
+            self._choose_rest,
         )
 
     async def on_start(self) -> None:
@@ -220,6 +226,9 @@
         self._registrations[record.key] = record.value
         return info
 
+    def _choose_rest(self) -> float:
+        return LARGE_REST_SECONDS if is_large(self.gateway.known) else 0.0
+
     def reads_store(self) -> bool:
         """Tell whether this entry reads the store's records as they come."""
         return reads_store(self.gateway.known, self._clock.now())
--- a/figstep/platform/store.py
+++ b/figstep/platform/store.py
@@ -201,8 +201,10 @@
         topic: str,
         sink: TopicSink,
         is_wanted: Callable[[], bool] = lambda: True,
+        choose_rest: Callable[[], float] = lambda: 0.0,
     ) -> None:
         super().__init__()
+        self._choose_rest = choose_rest
         self._is_wanted = is_wanted
         self._store = store
         self._topic = topic
@@ -248,6 +250,8 @@
         if records:
             self._next += len(records)
             self._sink.take_records(records, self._next)
+            # Records come in bunches; a rest saves a call for each of them.
+            await self.sleep(self._choose_rest())
 
     def skip_to(self, position: int) -> None:
         """Read on from an offset up to which a peer gave all records."""
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -84,7 +84,8 @@
     world = World()
     world.register("e-1")
     load = PeerLoad("e-1", 4, 16_000)
-    world.handle(PeerHeard("entry-9", (load,), far=True))
+    for entry in ("entry-8", "entry-9"):
+        world.handle(PeerHeard(entry, (load,), far=True, failure_domain="muc-b"))
     engine = world.state.targets.find("e-1")
     assert engine is not None
     assert engine.peer_memory == 16_000
@@ -94,6 +95,19 @@
     assert engine.peer_memory == 0
 
 
+def test_sums_hold_what_all_entries_of_the_failure_domain_have_open() -> None:
+    world = World()
+    world.register("e-1", "e-2")
+    world.open_plan()
+    own = peers.list_loads(world.state)
+    world.handle(PeerHeard("entry-2", (PeerLoad("e-1", 2, 8_000),)))
+    far = PeerHeard("x", (PeerLoad("e-1", 9, 9),), far=True, failure_domain="muc-b")
+    world.handle(far)
+    told = peers.describe_domain(world.state, world.clock.now())
+    assert told.far
+    assert sum(load.calls for load in told.loads) == 2 + sum(o.calls for o in own)
+
+
 def build_large_world() -> World:
     world = World()
     world.handle(EntriesCounted(73))
