Read the settings again on a signal and when the file has changed

Bounds of the retry budget and seeds hold at once; a file that can't be read leaves the settings in force as they are. Tests: a half-written file, a new bound.

--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -306,6 +306,21 @@
     """Time has passed: bounds on waits are looked at."""
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsRead:
+    """The settings were read again: bounds of the retry budget may differ.
+
+    Attributes:
+        retry_ratio: Repeats for each request.
+        retry_allowance: Repeats of the fleet beyond the ratio, in a window.
+        retry_window: Length of that window.
+    """
+
+    retry_ratio: float
+    retry_allowance: float
+    retry_window: Millis
+
+
 @dataclass(frozen=True, slots=True)
 class ShutdownRequested:
     """The process was asked to end by ``until``; open requests go on."""
@@ -333,5 +348,6 @@
     | PeerHeard
     | EntriesCounted
     | Ticked
+    | SettingsRead
     | ShutdownRequested
 )
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -16,6 +16,7 @@
     RequestArrived,
     RunCopied,
     RunNotCopied,
+    SettingsRead,
     ShutdownRequested,
     StoreLost,
     StoreRegained,
@@ -95,6 +96,11 @@
             return []
         case Ticked():
             return _tick(state, now)
+        case SettingsRead():
+            state.budget.ratio = event.retry_ratio
+            state.budget.allowance = event.retry_allowance
+            state.budget.window = event.retry_window
+            return []
         case ShutdownRequested(until=until):
             state.closes_at = until
             return []
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -134,7 +134,7 @@
         self._host = host
         self._port = port
         self._own = f"{host}:{port}"
-        self._seeds = [seed for seed in seeds if seed != self._own]
+        self.set_seeds(seeds)
         self._failure_domain = failure_domain
         self._entry = host_entry
         self._session = secrets.randbits(63)
@@ -165,6 +165,10 @@
         if self._server is not None:
             self._server.close()
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Look for the other entries at these addresses, as "ip:port"."""
+        self._seeds = [seed for seed in seeds if seed != self._own]
+
     @property
     def is_large(self) -> bool:
         """Whether the fleet is too large for all to hear all."""
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -5,13 +5,15 @@
 import random
 import signal
 from collections import deque
+from collections.abc import Callable
+from pathlib import Path
 
 import logbook
 import uvloop
 from mode import Service
 
 from figstep.core.clock import Clock, Millis
-from figstep.errors import PeerMessageError
+from figstep.errors import PeerMessageError, SettingsError
 from figstep.gateway.application import Gateway
 from figstep.gateway.budgets import RetryBudget
 from figstep.gateway.edges import PeerPort
@@ -20,6 +22,7 @@
     EntriesCounted,
     PeerHeard,
     PositionRead,
+    SettingsRead,
     ShutdownRequested,
     StoreLost,
     StoreRegained,
@@ -66,6 +69,9 @@
 """Pause between two reads of the store in a large fleet, where calls are dear:
 an engine's notice is 1.5 s long, and another reader may tell of it earlier."""
 
+WATCH_SECONDS = 2.0
+"""How often the settings file is looked at; its bounds change rarely."""
+
 MOST_RECENT = 6
 """Registrations that a message holds: those of an engine or two that change
 together. Who misses one asks for all."""
@@ -109,7 +115,7 @@
         self.link = PeerLink(
             settings.peers.host,
             settings.peers.port,
-            tuple(f"{seed.host}:{seed.port}" for seed in settings.seeds),
+            settings.seed_addresses,
             settings.failure_domain,
             self,
         )
@@ -299,6 +305,23 @@
             self.registrations.skip_to(copy.position)
             self._take_registrations(records, copy.position)
 
+    def apply_settings(self, settings: EntrySettings) -> None:
+        """Take settings that were read again.
+
+        Addresses and names hold until the process ends; bounds and seeds are
+        taken at once.
+        """
+        self.settings = settings
+        self.link.set_seeds(settings.seed_addresses)
+        self.gateway.dispatch(
+            SettingsRead(
+                settings.retry_ratio,
+                settings.retry_allowance,
+                settings.retry_window,
+            )
+        )
+        _log.info("settings read again", extra={"node": settings.node})
+
     async def drain(self) -> None:
         """End gracefully: readiness falls, open answers go on to their end."""
         self.callers.ready = False
@@ -331,19 +354,57 @@
     return State(settings.node, settings.failure_domain, random.Random(seed), budget)
 
 
-async def serve_until_signal(settings: EntrySettings) -> None:
+class SettingsWatch:
+    """Reads the settings file again on a signal, and when it has changed."""
+
+    def __init__(self, path: Path, apply: Callable[[EntrySettings], None]) -> None:
+        self._path = path
+        self._apply = apply
+        self._seen = self._read_stamp()
+
+    def _read_stamp(self) -> tuple[int, int]:
+        try:
+            found = self._path.stat()
+        except OSError as error:
+            _log.warning("settings file not found", extra={"error": str(error)})
+            return (0, 0)
+        return (found.st_mtime_ns, found.st_size)
+
+    def reload(self) -> None:
+        """Read the file; wrong settings leave those in force as they are."""
+        self._seen = self._read_stamp()
+        try:
+            settings = load_settings(self._path)
+        except SettingsError as error:
+            _log.error("settings refused", extra={"error": str(error)})
+            return
+        self._apply(settings)
+
+    async def run(self) -> None:
+        """Look at the file now and then; the platform may change it silently."""
+        while True:
+            await asyncio.sleep(WATCH_SECONDS)
+            if self._read_stamp() != self._seen:
+                self.reload()
+
+
+async def serve_until_signal(path: Path) -> None:
     """Serve until SIGTERM or SIGINT, then drain."""
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    settings = load_settings(path)
     entry = Entry(settings)
-    loop.add_signal_handler(signal.SIGHUP, _log.info, "reload asked for")
+    watch = SettingsWatch(path, entry.apply_settings)
+    loop.add_signal_handler(signal.SIGHUP, watch.reload)
     await entry.start()
+    watching = asyncio.create_task(watch.run())
     _log.info("started", extra={"node": settings.node})
     await stopping.wait()
     _log.info("draining", extra={"requests": len(entry.callers.exchanges)})
     await entry.drain()
+    watching.cancel()
     _log.info("stopped", extra={"requests": len(entry.callers.exchanges)})
     await entry.stop()
 
@@ -351,4 +412,4 @@
 def run_entry() -> None:
     """Run an entry by the platform's settings file until it is told to end."""
     install_bounded_logs("INFO")
-    uvloop.run(serve_until_signal(load_settings(read_path())))
+    uvloop.run(serve_until_signal(read_path()))
--- a/figstep/platform/settings.py
+++ b/figstep/platform/settings.py
@@ -99,6 +99,11 @@
     memory_bytes: int
     descriptors: int
 
+    @property
+    def seed_addresses(self) -> tuple[str, ...]:
+        """Its seeds, as "ip:port"."""
+        return tuple(f"{seed.host}:{seed.port}" for seed in self.seeds)
+
 
 def read_path() -> Path:
     """Return the path of the settings file.
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -3,12 +3,15 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
+from pathlib import Path
 
 import aiohttp
 import pytest
 from aiohttp import web
 
-from figstep.platform.entry import Entry
+from figstep.platform.entry import Entry, SettingsWatch
+from figstep.platform.settings import EntrySettings
 from tests.platform.standins import (
     KEY,
     ROUTE_HOST,
@@ -305,3 +308,37 @@
     assert await response.read() == b"late"
     assert response.headers["Connection"] == "close"
     await draining
+
+
+async def test_settings_are_read_again_and_wrong_ones_refused(tmp_path: Path) -> None:
+    """A file that is half written would end the process or drop its bounds."""
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS)
+    applied: list[EntrySettings] = []
+    watch = SettingsWatch(path, applied.append)
+    path.write_text(SETTINGS + "retry_extra = 99\n")
+    watch.reload()
+    assert applied[-1].retry_allowance == 99.0
+    path.write_text("[bounds")
+    watch.reload()
+    assert len(applied) == 1
+
+
+async def test_new_settings_hold_at_once(place: Place) -> None:
+    entry = place.entries[0]
+    entry.apply_settings(replace(entry.settings, retry_allowance=7.0))
+    assert entry.gateway.known.budget.allowance == 7.0
+
+
+SETTINGS = """
+node = "entry-1"
+ip = "127.0.0.1"
+zone = "muc-a"
+port_range = [7200, 7215]
+[listen]
+front = "127.0.0.1:8740"
+ready = "127.0.0.1:8749"
+[provider]
+addr = "127.0.0.1:8742"
+[bounds]
+"""
