--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -31,6 +31,10 @@
 MOST_BODY_BYTES = 8_388_608
 """Largest body that is read at all; the configuration's own bound is lower."""
 
+CHECKS_STOP_SECONDS = 0.1
+"""How long the listener of the readiness checks waits for an open one as it
+stops; the checks themselves take a millisecond."""
+
 MOST_UNREAD_BYTES = 262_144
 """Bytes of a stream that wait for a slow reader before it is cut: a few
 thousand such readers would else fill the memory."""
@@ -137,7 +141,9 @@
         checks = web.Application()
         checks.router.add_get(READY_PATH, self._answer_readiness)
         checks.router.add_get(METRICS_PATH, self._answer_metrics)
-        runner = web.AppRunner(checks, access_log=None)
+        runner = web.AppRunner(
+            checks, access_log=None, shutdown_timeout=CHECKS_STOP_SECONDS
+        )
         await self._listen(runner, self._readiness)
 
     async def _listen(self, runner: web.BaseRunner, address: Address) -> None:
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -69,6 +69,9 @@
 """Pause between two reads of the store in a large fleet, where calls are dear:
 an engine's notice is 1.5 s long, and another reader may tell of it earlier."""
 
+STOP_SECONDS = 0.4
+"""Time for the parts to stop; with the cut it fits what the grace time leaves."""
+
 WATCH_SECONDS = 2.0
 """How often the settings file is looked at; its bounds change rarely."""
 
@@ -406,7 +409,13 @@
     await entry.drain()
     watching.cancel()
     _log.info("stopped", extra={"requests": len(entry.callers.exchanges)})
-    await entry.stop()
+    try:
+        async with asyncio.timeout(STOP_SECONDS):
+            await entry.stop()
+    except TimeoutError:
+        # Waiting for what is still open would run into the platform's kill,
+        # which counts the process as one that doesn't end when asked.
+        _log.warning("parts did not stop in time")
 
 
 def run_entry() -> None:
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -1,7 +1,9 @@
 """The whole path on the platform's stand-ins, with faults."""
 
 import asyncio
-from collections.abc import AsyncIterator
+import os
+import signal
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
@@ -10,7 +12,7 @@
 import pytest
 from aiohttp import web
 
-from figstep.platform.entry import Entry, SettingsWatch
+from figstep.platform.entry import Entry, SettingsWatch, serve_until_signal
 from figstep.platform.settings import EntrySettings
 from tests.platform.standins import (
     KEY,
@@ -342,3 +344,43 @@
 addr = "127.0.0.1:8742"
 [bounds]
 """
+
+
+async def test_an_entry_stops_in_time_with_answers_open(
+    tmp_path: Path, unused_tcp_port_factory: Callable[[], int]
+) -> None:
+    """The platform kills a process that is still there after its grace time.
+
+    A caller's answer is still open as the entry gives up on it. Its listener
+    would wait for that answer for a second, and the kill comes before.
+    """
+    ports = [unused_tcp_port_factory() for _ in range(3)]
+    async with open_place() as place:
+        target = await place.add_target("i-b1", "bookings")
+
+        async def never_answer(request: web.Request) -> web.StreamResponse:
+            await asyncio.sleep(60)
+            return web.Response()
+
+        target.handler = never_answer
+        path = tmp_path / "boot.toml"
+        path.write_text(
+            SETTINGS.replace("8740", str(ports[0]))
+            .replace("8749", str(ports[1]))
+            .replace("7200", str(ports[2]))
+            .replace("127.0.0.1:8742", place.store.address)
+            + "grace_s = 2\n"
+        )
+        serving = asyncio.create_task(serve_until_signal(path))
+        url = f"http://127.0.0.1:{ports[0]}/order/a"
+        await asyncio.sleep(0.5)
+        call = asyncio.create_task(
+            place.session.post(url, headers=place.headers("r-1"))
+        )
+        await asyncio.sleep(0.2)
+        began = asyncio.get_running_loop().time()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await serving
+        assert asyncio.get_running_loop().time() - began < 2.3
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
