--- a/figstep/gateway/application.py
+++ b/figstep/gateway/application.py
@@ -23,6 +23,7 @@
     Note,
     Observe,
     OpenAttempt,
+    ReadReport,
     Refuse,
 )
 from figstep.gateway.events import Event, Ticked
@@ -106,6 +107,8 @@
                 self.targets.copy_run(effect)
             case DropCopy(copy=copy):
                 self.targets.drop_copy(copy)
+            case ReadReport(target=target):
+                self.targets.read_report(target)
             case FetchRecords(address=address):
                 self.peers.fetch_records(address)
             case Count(name=name, labels=labels):
--- a/figstep/gateway/edges.py
+++ b/figstep/gateway/edges.py
@@ -42,6 +42,10 @@
     def drop_copy(self, copy: RunCopy) -> None:
         """Free a copy."""
 
+    @abstractmethod
+    def read_report(self, target: str) -> None:
+        """Ask an engine for its state."""
+
     @abstractmethod
     def find_head(self, attempt: int) -> AnswerHead:
         """Return the status and headers of an open attempt's answer."""
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -74,6 +74,13 @@
     copy: RunCopy
 
 
+@dataclass(frozen=True, slots=True)
+class ReadReport:
+    """Ask an engine for its state."""
+
+    target: str
+
+
 @dataclass(frozen=True, slots=True)
 class FetchRecords:
     """Ask a peer at "ip:port" for the configuration and the registrations."""
@@ -162,6 +169,7 @@
     | CloseAttempt
     | CopyRun
     | DropCopy
+    | ReadReport
     | FetchRecords
     | BeginStream
     | Deliver
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -181,6 +181,19 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class EngineReported:
+    """An engine was asked for its state.
+
+    Attributes:
+        target: The engine.
+        leaving: Whether it says that it takes no new work.
+    """
+
+    target: str
+    leaving: bool
+
+
 # Store and peers
 
 
@@ -338,6 +351,7 @@
     | AttemptLost
     | RunCopied
     | RunNotCopied
+    | EngineReported
     | ConfigurationRead
     | TargetRegistered
     | TargetDeparted
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -8,6 +8,7 @@
     AttemptLost,
     CallerGone,
     ConfigurationRead,
+    EngineReported,
     EntriesCounted,
     Event,
     PeerHeard,
@@ -69,6 +70,8 @@
             return streams.take_copy(state, event, now)
         case RunNotCopied():
             return streams.note_not_copied(state, event, now)
+        case EngineReported():
+            return streams.take_report(state, event, now)
         case ConfigurationRead():
             return _take_configuration(state, event)
         case TargetRegistered():
@@ -160,6 +163,7 @@
     effects += requests.expire_requests(state, now)
     effects += streams.evacuate_streams(state, now)
     effects += streams.watch_streams(state, now)
+    effects += streams.ask_engines(state, now)
     effects += recovery.watch_attempts(state, now)
     effects += requests.start_queued(state, now)
     peers.forget_silent(state, now)
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -12,9 +12,11 @@
     FinishStream,
     Note,
     Observe,
+    ReadReport,
     RunCopy,
 )
 from figstep.gateway.events import (
+    EngineReported,
     PiecesArrived,
     RunCopied,
     RunNotCopied,
@@ -40,6 +42,10 @@
 costs two of its events; without reading it takes 50 ms. The notice leaves 0.7 s
 for what fails then."""
 
+ASK_PERIOD = Millis(400)
+"""How often an engine is asked while the store is away. Its state is half a
+second old, and it is gone 1.5 s after its notice."""
+
 OVERLAP = Millis(300)
 """Longest that a run may be open at two engines while it changes over. Both
 generate meanwhile; after it the one that has not delivered is closed."""
@@ -306,6 +312,41 @@
     ]
 
 
+def ask_engines(state: State, now: Millis) -> list[Effect]:
+    """Ask the engines of running streams for their state, while nobody else tells.
+
+    Without the store an engine's notice reaches nobody, and its streams are
+    lost with it; the engine itself knows.
+    """
+    if not state.store_away:
+        return []
+    effects: list[Effect] = []
+    for request in state.requests.values():
+        current = request.current
+        if current is None or request.spec.prompt is None:
+            continue
+        target = current.target
+        if target.standing is not Standing.READY:
+            continue
+        if now - target.asked_at < ASK_PERIOD:
+            continue
+        target.asked_at = now
+        effects.append(ReadReport(target.name))
+    return effects
+
+
+def take_report(state: State, event: EngineReported, now: Millis) -> list[Effect]:
+    """Take in an engine's own word that it leaves."""
+    target = state.targets.find(event.target)
+    if target is None or not event.leaving:
+        return []
+    if target.standing is not Standing.READY:
+        return []
+    state.targets.note_departure(event.target, now)
+    note = Note("engine says that it leaves", {"target": event.target})
+    return [note, *evacuate_streams(state, now)]
+
+
 def watch_streams(state: State, now: Millis) -> list[Effect]:
     """Look after streams that stall or are in the middle of a change."""
     effects: list[Effect] = []
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -87,6 +87,7 @@
         peer_rates: The same as seen by other entries.
         peer_unprotected: Their long streams there without a copy elsewhere.
         failures: Smoothed part of its attempts that failed, 0 to 1.
+        asked_at: When it was last asked for its state.
         strikes: Losses in a row without an answer.
         avoid_until: When it is tried again after losses.
         warm_at: When it has warmed up after its start.
@@ -105,6 +106,7 @@
     peer_rates: tuple[float, ...] = ()
     peer_unprotected: int = 0
     failures: float = 0.0
+    asked_at: Millis = Millis(0)
     strikes: int = 0
     avoid_until: Millis = Millis(0)
     warm_at: Millis = Millis(0)
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -8,6 +8,7 @@
 import logbook
 import orjson
 from mode import Service
+from pydantic import BaseModel, ConfigDict
 from yarl import URL
 
 from figstep.core.clock import Clock, Millis
@@ -17,6 +18,7 @@
 from figstep.gateway.events import (
     AnswerArrived,
     AttemptLost,
+    EngineReported,
     Event,
     Loss,
     PiecesArrived,
@@ -41,6 +43,9 @@
 COPY_SECONDS = 2.0
 """Time for a copy of a run; an engine that leaves is gone by then."""
 
+REPORT_SECONDS = 0.4
+"""Time for an engine's report; it needs no slot."""
+
 MOST_ANSWER_BYTES = 8_388_608
 """Largest answer that is gathered for a caller."""
 
@@ -246,6 +251,28 @@
         """Free a copy."""
         self._start(self._free_copy(copy))
 
+    def read_report(self, target: str) -> None:
+        """Ask an engine for its state."""
+        self._start(self._read_report(target))
+
+    async def _read_report(self, name: str) -> None:
+        assert self._session is not None
+        target = self._find_target(name)
+        if target is None:
+            return
+        url = f"http://{target.info.address}/figstep/report"
+        try:
+            async with (
+                asyncio.timeout(REPORT_SECONDS),
+                self._session.get(url) as response,
+            ):
+                body = await response.read()
+            leaving = parse_report(body) if response.status == 200 else False
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            _log.info("no report", extra={"target": name, "error": _describe(error)})
+            return
+        self._dispatch(EngineReported(name, leaving))
+
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._background.add(task)
@@ -303,6 +330,23 @@
             _log.info("copy not freed", extra={"error": _describe(error)})
 
 
+class _Report(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+    state: str = "ready"
+    leaves_ms: float | None = None  # told only once the engine knows its end
+
+
+def parse_report(body: bytes) -> bool:
+    """Return whether an engine says that it takes no new work.
+
+    Raises:
+        ValueError: If the report can't be read.
+    """
+    report = _Report.model_validate(orjson.loads(body))
+    return report.state != "ready" or report.leaves_ms is not None
+
+
 def _check_answer(response: aiohttp.ClientResponse, exchange: CallerExchange) -> None:
     """Raise where an answer proves that nothing ran, or is not this request's."""
     if response.status == 421:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -9,13 +9,16 @@
     DropCopy,
     FinishStream,
     OpenAttempt,
+    ReadReport,
     RunCopy,
 )
 from figstep.gateway.events import (
     AttemptLost,
+    EngineReported,
     Loss,
     RunCopied,
     RunNotCopied,
+    StoreLost,
     StreamEnded,
     Ticked,
 )
@@ -203,3 +206,23 @@
         world.state.requests[1].delivered_at = world.clock.now()
     world.handle(Ticked())
     assert world.find(OpenAttempt).target == opened.backup
+
+
+def test_while_the_store_is_away_engines_are_asked_whether_they_leave() -> None:
+    """Streams would be lost with engines whose notice nobody could read.
+
+    The store is away; an engine is reclaimed. Its registration can't tell, but
+    it says so itself, and its stream goes on from the backup.
+    """
+    world, opened = start_with_backup()
+    world.handle(Ticked())
+    assert world.find_all(ReadReport) == []
+    world.handle(StoreLost())
+    world.handle(Ticked())
+    assert world.find(ReadReport).target == opened.target
+    world.handle(EngineReported(opened.target, leaving=False))
+    assert world.effects == []
+    world.handle(Ticked())
+    assert world.find_all(ReadReport) == []
+    world.handle(EngineReported(opened.target, leaving=True))
+    assert world.find(OpenAttempt).target == opened.backup
