Believe departures where a peer read the store all the while

It now takes them at once where a peer has said without a break that the store answers. The other way round, more than half of a service's targets departing within a second are doubted for 1.7 s: a waiting read does not notice a short outage. Tests: four, each fails without its part.

--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -53,6 +53,7 @@
         event.configuration,
         event.position,
         event.store_well,
+        _find_well_since(state, event, now),
     )
     if event.far and event.failure_domain == state.failure_domain:
         # It asked for this entry's failure domain before it knew that it shares
@@ -70,6 +71,23 @@
     count_loads(state, now)
 
 
+def _find_well_since(state: State, event: PeerHeard, now: Millis) -> Millis | None:
+    if not event.store_well:
+        return None
+    known = (state.far_peers if event.far else state.peers).get(event.node)
+    if known is None or known.well_since is None:
+        return now
+    return known.well_since
+
+
+def has_store_been_well(state: State) -> bool:
+    """Tell whether a peer read the store all the while that this entry could not."""
+    for peer in [*state.peers.values(), *state.far_peers.values()]:
+        if peer.well_since is not None and peer.well_since < state.store_lost_at:
+            return True
+    return False
+
+
 def forget_silent(state: State, now: Millis) -> None:
     """Drop peers that have not been heard for long."""
     for name in _list_silent(state.peers, now):
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -39,6 +39,11 @@
 taken for gone: live targets are back within two seconds of its return, and
 dropping them would leave callers without any target meanwhile."""
 
+MASS_LAPSE = Millis(1_700)
+"""The same where most targets depart at once without an outage that was noticed.
+Should they be gone all the same, work must stop going there two seconds after
+the store took note, less what the record needed to get here."""
+
 
 def reduce(state: State, event: Event, now: Millis) -> list[Effect]:
     """Apply one event.
@@ -86,6 +91,7 @@
             return []
         case StoreLost():
             state.store_away = True
+            state.store_lost_at = now
             return []
         case StoreRegained():
             state.store_away = False
@@ -123,9 +129,13 @@
 
 
 def _take_departure(state: State, event: TargetDeparted, now: Millis) -> list[Effect]:
-    if state.store_away or now < state.store_back_at + LAPSE:
+    returning = state.store_away or now < state.store_back_at + LAPSE
+    if returning and not peers.has_store_been_well(state):
         state.targets.doubt(event.target, Millis(state.store_back_at + LAPSE))
         return []
+    if state.targets.looks_lapsed(event.target, now):
+        state.targets.doubt(event.target, Millis(now + MASS_LAPSE))
+        return []
     return _note_departure(state, event.target, now)
 
 
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -113,6 +113,8 @@
         address: Where it listens for peers.
         configuration: Version that it has in force; -1 for none.
         position: How far it has read the registrations; -1 for nothing.
+        well_since: Since when it has said without a break that the store
+            answers it; None if it last said otherwise.
         store_well: Whether the store answers it.
     """
 
@@ -123,6 +125,7 @@
     configuration: int = -1
     position: int = -1
     store_well: bool = True
+    well_since: Millis | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +165,7 @@
         position: How far the registrations were read; -1 for nothing.
         behind_since: Since when a peer has known newer records, or None.
         store_away: Whether the store has stopped answering.
+        store_lost_at: When it stopped.
         store_back_at: When it answered again after that.
         closes_at: When the process ends, or None.
     """
@@ -185,5 +189,6 @@
     position: int = -1
     behind_since: Millis | None = None
     store_away: bool = False
+    store_lost_at: Millis = Millis(-1_000_000)
     store_back_at: Millis = Millis(-1_000_000)
     closes_at: Millis | None = None
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -52,6 +52,13 @@
 READ_RATE_STEP = 0.3
 """Weight of the newest reading: a handful tells a slow engine from a fast one."""
 
+MASS_WITHIN = Millis(1_000)
+"""Departures within this time are taken together."""
+
+MASS_LEAST = 3
+"""Departures at once, of more than half of a service's targets, that are taken
+for lapses. Reclaims and releases take one or two at a time."""
+
 FIRST_AVOIDANCE = Millis(500)
 """How long a target is avoided after two losses in a row; doubled with each
 more, as a target that is down needs seconds and one that hiccups does not."""
@@ -186,11 +193,13 @@
 
     Attributes:
         targets: The targets that may still be in use.
+        departures: When targets of each service departed of late.
         doubted: Targets whose registration lapsed while the store was away,
             and until when it may come back.
     """
 
     targets: dict[str, Target] = field(default_factory=dict)
+    departures: dict[str, list[Millis]] = field(default_factory=dict)
     doubted: dict[str, Millis] = field(default_factory=dict)
 
     def find(self, name: str) -> Target | None:
@@ -227,6 +236,22 @@
             target.left_at = None
         return target
 
+    def looks_lapsed(self, name: str, now: Millis) -> bool:
+        """Tell whether a departure is one of too many at once to be believed.
+
+        An outage that this entry did not notice lets all registrations lapse;
+        dropping their targets would leave callers without any for seconds.
+        """
+        target = self.targets.get(name)
+        if target is None:
+            return False
+        service = target.info.service
+        recent = self.departures.setdefault(service, [])
+        recent[:] = [at for at in recent if now - at < MASS_WITHIN]
+        recent.append(now)
+        before = len(self.list_ready(service)) + len(recent) - 1
+        return len(recent) >= MASS_LEAST and len(recent) * 2 > before
+
     def doubt(self, name: str, until: Millis) -> None:
         """Keep a target whose registration may only have lapsed."""
         if name in self.targets:
--- a/tests/gateway/test_reducer.py
+++ b/tests/gateway/test_reducer.py
@@ -3,13 +3,14 @@
 from figstep.core.clock import Millis
 from figstep.gateway.events import (
     ConfigurationRead,
+    PeerHeard,
     StoreLost,
     StoreRegained,
     TargetRegistered,
     TargetsListed,
     Ticked,
 )
-from figstep.gateway.reducer import LAPSE
+from figstep.gateway.reducer import LAPSE, MASS_LAPSE
 from figstep.gateway.targets import Registration
 from tests.gateway.worlds import ENGINES, World, build_table
 
@@ -75,3 +76,61 @@
     world.clock.advance(Millis(LAPSE + 1))
     world.depart("e-1")
     assert ready(world) == []
+
+
+def test_an_entry_that_alone_was_cut_off_believes_departures_at_once() -> None:
+    """A stream would be lost with an engine whose notice was there to read.
+
+    The store turns this entry away and serves a peer all the while. On its
+    return this entry reads that an engine left; nothing can have lapsed.
+    """
+    world = World()
+    world.register("e-1", "e-2")
+    world.handle(PeerHeard("entry-2"))
+    world.clock.advance(500)
+    world.handle(StoreLost())
+    world.clock.advance(2_000)
+    world.handle(PeerHeard("entry-2"))
+    world.handle(StoreRegained())
+    world.depart("e-1")
+    assert ready(world) == ["e-2"]
+
+
+def test_a_peer_that_lost_the_store_too_proves_nothing() -> None:
+    world = World()
+    world.register("e-1", "e-2")
+    world.handle(PeerHeard("entry-2"))
+    world.clock.advance(500)
+    world.handle(StoreLost())
+    world.handle(PeerHeard("entry-2", store_well=False))
+    world.clock.advance(2_000)
+    world.handle(PeerHeard("entry-2"))
+    world.handle(StoreRegained())
+    world.depart("e-1")
+    assert ready(world) == ["e-1", "e-2"]
+
+
+def test_most_targets_departing_at_once_have_lapsed() -> None:
+    """Every caller would be refused although all engines live.
+
+    A read waits at the store through a short outage, so that this entry does
+    not notice it. All registrations lapse, and their loss is read at once.
+    """
+    world = World()
+    names = [f"e-{number}" for number in range(6)]
+    world.register(*names)
+    for name in names:
+        world.depart(name)
+    assert len(ready(world)) >= 3
+    world.clock.advance(MASS_LAPSE)
+    world.handle(Ticked())
+    assert ready(world) == []
+
+
+def test_one_target_after_another_is_believed() -> None:
+    world = World()
+    world.register("e-1", "e-2", "e-3", "e-4")
+    for name in ("e-1", "e-2", "e-3"):
+        world.depart(name)
+        world.clock.advance(1_000)
+    assert ready(world) == ["e-4"]
