Forget open renewals of a lease when it is released

Cause: a renewal appended before the release and read back after it made the node hold the lease again while the log had let another take it: two entries would act on it. Ruled out: the fold, which named the same holder everywhere. The found sequence is a test now; it fails before and passes after.

--- a/figstep/core/leases.py
+++ b/figstep/core/leases.py
@@ -100,6 +100,19 @@
     until: Millis
 
 
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A record of this node's that was not read back yet.
+
+    Attributes:
+        lease: Lease that it takes or renews.
+        at: When it was appended (monotonic).
+    """
+
+    lease: str
+    at: Millis
+
+
 @dataclass(slots=True)
 class LeaseTable:
     """All leases, and what this node holds of them.
@@ -108,15 +121,14 @@
         session: This run of this node.
         leases: Leases by name, as folded.
         holdings: This node's holds, by lease.
-        asked: When each of this node's open records was appended (monotonic),
-            by record id.
+        asked: This node's open records that take or renew a lease, by id.
         next_record: Number of this node's next record.
     """
 
     session: str = ""
     leases: dict[str, Lease] = field(default_factory=dict)
     holdings: dict[str, Holding] = field(default_factory=dict)
-    asked: dict[str, Millis] = field(default_factory=dict)
+    asked: dict[str, Asked] = field(default_factory=dict)
     next_record: int = 1
 
 
@@ -165,11 +177,20 @@
     table.next_record += 1
     if release:
         table.holdings.pop(lease, None)
+        _forget_asked(table, lease)
     else:
-        table.asked[name] = now
+        table.asked[name] = Asked(lease, now)
     return LeaseRecord(lease, node, table.session, name, release=release)
 
 
+def _forget_asked(table: LeaseTable, lease: str) -> None:
+    # A renewal that went out before the release and is read back after it would
+    # make this node hold the lease anew, while the log has let another take it.
+    for name, asked in list(table.asked.items()):
+        if asked.lease == lease:
+            del table.asked[name]
+
+
 def take_record(table: LeaseTable, node: str, position: LogRecord, now: Millis) -> None:
     """Fold a record that was read, and update this node's own hold."""
     record = parse_lease_record(position.data)
@@ -189,8 +210,8 @@
     fresh = held is None or held.fencing != fencing
     table.holdings[record.lease] = Holding(
         fencing=fencing,
-        taken=asked if fresh or held is None else held.taken,
-        until=Millis(asked + record.term - MARGIN),
+        taken=asked.at if fresh or held is None else held.taken,
+        until=Millis(asked.at + record.term - MARGIN),
     )
 
 
--- a/tests/core/test_leases.py
+++ b/tests/core/test_leases.py
@@ -46,6 +46,31 @@
     assert table.leases == {}
 
 
+def test_a_renewal_read_back_after_the_release_holds_nothing() -> None:
+    """Two entries would give orders to the engines of a failure domain.
+
+    An entry renews its lease, then releases it; the log holds both. It reads
+    the renewal back first and would hold the lease again, while another entry
+    has read the release and taken it.
+    """
+    machine = LeaseMachine()
+    machine.append(lost=False, node="b", release=False)
+    machine.append(lost=False, node="a", release=False)
+    machine.read_records(count=1, node="a")
+    machine.read_records(count=1, node="a")
+    machine.append(lost=False, node="a", release=False)
+    machine.append(lost=False, node="b", release=False)
+    for _ in range(4):
+        machine.read_records(count=1, node="a")
+    machine.read_records(count=3, node="b")
+    machine.append(lost=False, node="b", release=True)
+    machine.read_records(count=1, node="a")
+    machine.read_records(count=1, node="b")
+    machine.append(lost=False, node="a", release=False)
+    machine.read_records(count=1, node="a")
+    machine.at_most_one_node_acts()
+
+
 class LeaseMachine(RuleBasedStateMachine):
     """Three nodes, a list as the log, one clock, an engine that checks.
 
