Copy long runs without a backup once there is room; log why a prompt found none

Also: an event delivered while a run changed over noted the used copy again, which hid the new engine's backup; a backup tried 10 to 230 ms after the first event was refused and spoiled; an engine that once had no room for a copy was never asked again; what is left of a run was counted in events against tokens.

Changed: copies on order for runs without a backup, one of each engine at a time, brought up to date before they are dropped; young backups are awaited; notes as above. Decisions on copies stand in a module of their own. A refusal's log line says for each engine what was in the way; registrations are logged.

Ruled out: slow departures; the registration says draining within 30 ms.

--- /dev/null
+++ b/figstep/gateway/copies.py
@@ -0,0 +1,305 @@
+"""Copies of running generations, and going on from them when an engine leaves."""
+
+from figstep.core.clock import Millis
+from figstep.gateway import attempts, peers, placement
+from figstep.gateway.effects import (
+    CopyRun,
+    Count,
+    DropCopy,
+    Effect,
+    Note,
+    ReadReport,
+    RunCopy,
+)
+from figstep.gateway.events import EngineReported, RunCopied, RunNotCopied
+from figstep.gateway.routes import RouteKind
+from figstep.gateway.state import Attempt, Request, State
+from figstep.gateway.targets import Standing, Target
+
+QUIET_WAIT = Millis(800)
+"""How long after the notice a run waits for its holder to have read all prompts.
+A slow engine takes 150 ms for an event while it reads one, and the change-over
+costs two of its events; without reading it takes 50 ms. The notice leaves 0.7 s
+for what fails then."""
+
+COPY_ARRIVES = Millis(400)
+"""How long after a run's first event its running backup may not be there yet:
+holders refused runs up to 230 ms old, and took others from 170 ms on. A backup
+tried too early is spoiled, and a whole copy has to be made in its place."""
+
+REFRESH_SHARE = 0.6
+"""Part of the time that a copy on order is kept after which it is brought up to
+date: a second try still comes before it is dropped."""
+
+LEAST_LEFT = 250
+"""Expected tokens still to come below which a run gets no copy on order: it ends
+in a second and a half, and engines leave every few seconds."""
+
+ASK_PERIOD = Millis(400)
+"""How often an engine is asked while the store is away. Its state is half a
+second old, and it is gone 1.5 s after its notice."""
+
+
+def take_copy(state: State, event: RunCopied, now: Millis) -> list[Effect]:
+    """A copy is complete: go on there if the run's engine leaves."""
+    copy = RunCopy(event.holder, event.source, event.handle)
+    request = state.requests.get(event.number)
+    current = None if request is None else request.current
+    if request is None or current is None or current.target.name != event.source:
+        # Its run ended or went on elsewhere meanwhile.
+        return [DropCopy(copy)]
+    request.copying = False
+    request.copy = copy
+    request.copied_at = now
+    return evacuate_request(state, request, now)
+
+
+def note_not_copied(state: State, event: RunNotCopied, now: Millis) -> list[Effect]:
+    """A copy could not be made: try another engine."""
+    request = state.requests.get(event.number)
+    if request is None:
+        return []
+    attempts.release_copy(request)
+    request.no_copy_at[event.holder] = now
+    note = Note(
+        "copy failed",
+        {
+            "request": request.spec.id,
+            "from": event.source,
+            "to": event.holder,
+            "detail": event.detail,
+        },
+    )
+    return [note, *evacuate_request(state, request, now)]
+
+
+def evacuate_streams(state: State, now: Millis) -> list[Effect]:
+    """Move streams away from engines that leave, the most valuable first."""
+    hit = []
+    for request in state.requests.values():
+        current = request.current
+        if current is None or not request.begun:
+            continue
+        if current.target.standing is Standing.READY:
+            continue
+        hit.append(request)
+    # What has most left to come loses most if it is cut.
+    hit.sort(key=lambda request: count_left(state, request), reverse=True)
+    effects: list[Effect] = []
+    for request in hit:
+        effects += evacuate_request(state, request, now)
+    return effects
+
+
+def count_left(state: State, request: Request) -> int:
+    """Return how many tokens a run is expected to generate yet."""
+    prompt = request.spec.prompt
+    if prompt is None:
+        return 0
+    pool = placement.find_engine_pool(state, request.service)
+    event_tokens = 1 if pool is None else pool.event_tokens
+    return prompt.expected_output - event_tokens * request.pieces
+
+
+def evacuate_request(state: State, request: Request, now: Millis) -> list[Effect]:
+    """Go on elsewhere with a run whose engine leaves."""
+    current = request.current
+    if current is None or request.standby is not None or request.copying:
+        return []
+    if current.target.standing is Standing.READY or not request.begun:
+        return []
+    if request.route.resumable:
+        # Short ones end before their engine does; the rest go on anew.
+        return []
+    forget_unusable_copy(state, request)
+    if request.copy is not None:
+        if _is_worth_waiting(state, request, now):
+            return []
+        return switch_to_copy(state, request, now)
+    return _order_copy(state, request, now)
+
+
+def _is_worth_waiting(state: State, request: Request, now: Millis) -> bool:
+    """Tell whether a change-over goes better a little later in the notice."""
+    current = request.current
+    copy = request.copy
+    if current is None or copy is None or current.target.left_at is None:
+        return False
+    if now - current.target.left_at >= QUIET_WAIT:
+        return False
+    if copy.owner == copy.holder and _is_young(current, now):
+        return True
+    holder = state.targets.find(copy.holder)
+    return holder is not None and holder.reading_load > 0
+
+
+def _is_young(attempt: Attempt, now: Millis) -> bool:
+    since = attempt.delivers_since
+    return since is None or now - since < COPY_ARRIVES
+
+
+def forget_unusable_copy(state: State, request: Request) -> None:
+    """Drop what is known of a copy whose holder has left."""
+    if request.copy is None:
+        return
+    holder = state.targets.find(request.copy.holder)
+    if holder is None or holder.standing is not Standing.READY:
+        request.copy = None
+
+
+def switch_to_copy(state: State, request: Request, now: Millis) -> list[Effect]:
+    """Open the run's copy beside its present engine, within the retry budget."""
+    copy = request.copy
+    if copy is None:
+        return []
+    if not peers.spend_repeat(state, request.service, now, urgent=True):
+        return [Count("repeats_denied", (request.route.name,))]
+    return attempts.start_standby(state, request, copy, now)
+
+
+def _order_copy(state: State, request: Request, now: Millis) -> list[Effect]:
+    pool = placement.find_engine_pool(state, request.service)
+    current = request.current
+    if pool is None or not pool.moves or current is None:
+        return []
+    holder = placement.choose_copy_holder(
+        state, request, current.target.name, now, placement.MOVE_ROOM
+    )
+    if holder is None:
+        return []
+    return _order_copy_to(state, request, current, holder)
+
+
+def _order_copy_to(
+    state: State, request: Request, current: Attempt, holder: Target
+) -> list[Effect]:
+    attempts.reserve_copy(state, request, holder)
+    return [
+        CopyRun(request.spec.number, current.target.name, holder.name),
+        Note(
+            "copy ordered",
+            {
+                "request": request.spec.id,
+                "from": current.target.name,
+                "to": holder.name,
+                "events": request.pieces,
+                "engine": current.target.standing.value,
+            },
+        ),
+    ]
+
+
+def protect_streams(state: State, now: Millis) -> list[Effect]:
+    """Have copies made of long runs whose engine stays, while there is room.
+
+    A running backup is decided as a run starts. Runs that found no room then,
+    or have used theirs up, would be copied in the notice only, all at once: of
+    seven runs of one engine three were lost, as copies queue on its link. One
+    run of each engine is copied at a time, so that none of a notice waits long.
+    """
+    effects: list[Effect] = []
+    busy = _list_copying(state)
+    for request in sorted(
+        state.requests.values(),
+        key=lambda request: count_left(state, request),
+        reverse=True,
+    ):
+        current = request.current
+        if current is None or current.target.name in busy:
+            continue
+        if not _needs_copy(state, request, now):
+            continue
+        order = _order_protection(state, request, current, now)
+        if not order:
+            continue
+        busy.add(current.target.name)
+        effects += order
+    return effects
+
+
+def _list_copying(state: State) -> set[str]:
+    return {
+        request.current.target.name
+        for request in state.requests.values()
+        if request.copying and request.current is not None
+    }
+
+
+def _needs_copy(state: State, request: Request, now: Millis) -> bool:
+    current = request.current
+    if current is None or not request.begun or request.standby is not None:
+        return False
+    if request.copying or request.route.resumable:
+        return False
+    if request.route.kind is not RouteKind.STREAM:
+        return False
+    if current.target.standing is not Standing.READY:
+        return False
+    pool = placement.find_engine_pool(state, request.service)
+    if pool is None or not pool.moves:
+        return False
+    if _has_backup(current):
+        return False
+    forget_unusable_copy(state, request)
+    if now - request.copied_at >= pool.copy_kept:
+        request.copy = None
+    if request.copy is not None:
+        if placement.was_refused_copy(request, request.copy.holder, now):
+            return False
+        return now - request.copied_at >= REFRESH_SHARE * pool.copy_kept
+    return count_left(state, request) >= LEAST_LEFT
+
+
+def _has_backup(attempt: Attempt) -> bool:
+    holder = attempt.holder
+    if holder is None or attempt.holder_spoiled:
+        return False
+    return holder.standing is Standing.READY
+
+
+def _order_protection(
+    state: State, request: Request, current: Attempt, now: Millis
+) -> list[Effect]:
+    if request.copy is not None:
+        # Only what is new is copied to where the rest is already.
+        holder = state.targets.find(request.copy.holder)
+    else:
+        holder = placement.choose_backup_holder(state, request, current.target, now)
+    if holder is None:
+        return []
+    return _order_copy_to(state, request, current, holder)
+
+
+def ask_engines(state: State, now: Millis) -> list[Effect]:
+    """Ask the engines of running streams for their state, while nobody else tells.
+
+    Without the store an engine's notice reaches nobody, and its streams are
+    lost with it; the engine itself knows.
+    """
+    if not state.store_away:
+        return []
+    effects: list[Effect] = []
+    for request in state.requests.values():
+        current = request.current
+        if current is None or request.spec.prompt is None:
+            continue
+        target = current.target
+        if target.standing is not Standing.READY:
+            continue
+        if now - target.asked_at < ASK_PERIOD:
+            continue
+        target.asked_at = now
+        effects.append(ReadReport(target.name))
+    return effects
+
+
+def take_report(state: State, event: EngineReported, now: Millis) -> list[Effect]:
+    """Take in an engine's own word that it leaves."""
+    target = state.targets.find(event.target)
+    if target is None or not event.leaving:
+        return []
+    if target.standing is not Standing.READY:
+        return []
+    state.targets.note_departure(event.target, now)
+    note = Note("engine says that it leaves", {"target": event.target})
+    return [note, *evacuate_streams(state, now)]
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -1,5 +1,8 @@
 """Choice of targets: for calls, for generations and for copies of their runs."""
 
+from dataclasses import dataclass
+from enum import Enum
+
 from figstep.core.clock import Millis
 from figstep.gateway.routes import EnginePool
 from figstep.gateway.state import Request, State
@@ -29,6 +32,10 @@
 takes up to 0.6 s between failure domains, one after another, and engines are
 gone 1.5 s after the notice at the earliest."""
 
+NO_ROOM_FOR = Millis(1_000)
+"""How long an engine that had no room for a copy is not asked for the same run:
+runs end there several times a second, and a notice is 1.5 s long."""
+
 MOVE_ROOM = 1.0
 """The same for a run whose engine leaves: it is lost otherwise."""
 
@@ -80,6 +87,9 @@
 and 16 MB a second between failure domains; above it, entries tell those of
 their own failure domain, and sums go to the others."""
 
+MOST_DESCRIBED = 8
+"""Engines named in the log line of a refusal; a large fleet has dozens."""
+
 TIE_SPREAD = 20.0
 """Random milliseconds that keep entries from choosing alike between messages."""
 
@@ -116,25 +126,15 @@
     Returns None where no engine has room, or none would begin in time: prompts
     sent all the same would only delay those that are being read already.
     """
-    memory = read_memory(state, request.service)
-    need = estimate_memory(state, request)
     prompt = request.spec.prompt
-    tokens = 0 if prompt is None else prompt.tokens
     output = 0 if prompt is None else prompt.expected_output
-    latest = request.arrived + READING_SHARE * request.route.objective
-    room = LATE_ROOM if is_late(request, now) else ROOM
     best = None
     best_cost = 0.0
     for target in _list_candidates(state, request, now):
-        if target.load >= target.info.slots:
-            continue
-        filled = (target.memory_load + need) / memory
-        if filled > room and target.load > 0:
+        fit = _fit_engine(state, request, target, now)
+        if fit.obstacle is not None:
             continue
-        reading = target.predict_reading(tokens, now)
-        if now + reading > latest and target.reading_load > 0:
-            continue
-        cost = reading + MEMORY_WEIGHT * filled
+        cost = fit.reading + MEMORY_WEIGHT * fit.filled
         cost += LENGTH_WEIGHT * output * USUAL_READ_RATE / target.read_rate
         cost += FAILURE_DELAY * max(0.0, target.failures - ORDINARY_FAILURES)
         if target.info.failure_domain != state.failure_domain:
@@ -145,6 +145,62 @@
     return best
 
 
+class Obstacle(Enum):
+    """Why an engine can't take a prompt now."""
+
+    SLOTS = "slots"  # it runs as many requests as it batches
+    MEMORY = "memory"  # expected work fills its memory
+    READING = "reading"  # prompts that wait there would make this one late
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """How a prompt would fare at an engine.
+
+    Attributes:
+        filled: Part of the engine's memory that would be in use.
+        reading: Time until the prompt is read, in milliseconds.
+        obstacle: Why it can't go there; None if it can.
+    """
+
+    filled: float
+    reading: float
+    obstacle: Obstacle | None
+
+
+def _fit_engine(state: State, request: Request, target: Target, now: Millis) -> Fit:
+    prompt = request.spec.prompt
+    tokens = 0 if prompt is None else prompt.tokens
+    need = estimate_memory(state, request)
+    filled = (target.memory_load + need) / read_memory(state, request.service)
+    reading = target.predict_reading(tokens, now)
+    latest = request.arrived + READING_SHARE * request.route.objective
+    room = LATE_ROOM if is_late(request, now) else ROOM
+    obstacle = None
+    if target.load >= target.info.slots:
+        obstacle = Obstacle.SLOTS
+    elif filled > room and target.load > 0:
+        obstacle = Obstacle.MEMORY
+    elif now + reading > latest and target.reading_load > 0:
+        obstacle = Obstacle.READING
+    return Fit(filled, reading, obstacle)
+
+
+def describe_obstacles(state: State, request: Request, now: Millis) -> str:
+    """Return, for the log, why each engine can't take a prompt now."""
+    found = []
+    for target in state.targets.list_ready(request.service):
+        fit = _fit_engine(state, request, target, now)
+        reason = "none" if fit.obstacle is None else fit.obstacle.value
+        if target.name in request.tried:
+            reason = "tried"
+        elif target.avoid_until > now:
+            reason = "avoided"
+        told = f"{reason} {fit.filled:.2f} {fit.reading:.0f} ms"
+        found.append(f"{target.name}: {told}")
+    return "; ".join(found[:MOST_DESCRIBED])
+
+
 def is_late(request: Request, now: Millis) -> bool:
     """Tell whether a request that has not started will miss its objective."""
     return now - request.arrived > LATE_SHARE * request.route.objective
@@ -177,7 +233,7 @@
     best = None
     best_cost = 0.0
     for target in state.targets.list_ready(request.service):
-        if target.name == source or target.name in request.no_copy_at:
+        if target.name == source or was_refused_copy(request, target.name, now):
             continue
         if target.avoid_until > now:
             continue
@@ -194,6 +250,12 @@
     return best
 
 
+def was_refused_copy(request: Request, name: str, now: Millis) -> bool:
+    """Tell whether an engine has just had no room for a copy of a run."""
+    refused = request.no_copy_at.get(name)
+    return refused is not None and now - refused < NO_ROOM_FOR
+
+
 def count_unprotected(state: State) -> dict[str, int]:
     """Return this entry's streams without a copy elsewhere, by target."""
     counts: dict[str, int] = {}
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -1,7 +1,7 @@
 """The gateway's reducer: one match over all events."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import peers, recovery, requests, streams
+from figstep.gateway import copies, peers, recovery, requests, streams
 from figstep.gateway.effects import Effect, Note
 from figstep.gateway.events import (
     AnswerArrived,
@@ -29,6 +29,7 @@
     Ticked,
 )
 from figstep.gateway.state import State
+from figstep.gateway.targets import Registration
 
 DEPARTED_KEPT = Millis(30_000)
 """How long a departed target is remembered: a lapsed registration comes back
@@ -72,16 +73,18 @@
         case CallerGone():
             return requests.drop_caller(state, event, now)
         case RunCopied():
-            return streams.take_copy(state, event, now)
+            return copies.take_copy(state, event, now)
         case RunNotCopied():
-            return streams.note_not_copied(state, event, now)
+            return copies.note_not_copied(state, event, now)
         case EngineReported():
-            return streams.take_report(state, event, now)
+            return copies.take_report(state, event, now)
         case ConfigurationRead():
             return _take_configuration(state, event)
-        case TargetRegistered():
-            state.targets.note_registration(event.info, now)
-            return streams.evacuate_streams(state, now)
+        case TargetRegistered(info=info):
+            return [
+                *_note_registration(state, info, now),
+                *copies.evacuate_streams(state, now),
+            ]
         case TargetDeparted():
             return _take_departure(state, event, now)
         case TargetsListed():
@@ -128,6 +131,25 @@
     ]
 
 
+def _note_registration(state: State, info: Registration, now: Millis) -> list[Effect]:
+    before = state.targets.find(info.target)
+    standing = None if before is None else before.standing
+    target = state.targets.note_registration(info, now)
+    if target is before and target.standing is standing:
+        return []
+    note = Note(
+        "target registered",
+        {
+            "target": info.target,
+            "service": info.service,
+            "address": info.address,
+            "born": info.born,
+            "standing": target.standing.value,
+        },
+    )
+    return [note]
+
+
 def _take_departure(state: State, event: TargetDeparted, now: Millis) -> list[Effect]:
     returning = state.store_away or now < state.store_back_at + LAPSE
     if returning and not peers.has_store_been_well(state):
@@ -147,7 +169,7 @@
         "target departed",
         {"target": name, "service": target.info.service, "calls": target.calls},
     )
-    return [note, *streams.evacuate_streams(state, now)]
+    return [note, *copies.evacuate_streams(state, now)]
 
 
 def _take_list(state: State, event: TargetsListed, now: Millis) -> list[Effect]:
@@ -155,15 +177,19 @@
         # A peer's copy that the store has overtaken meanwhile.
         return []
     state.position = event.position
-    listed = set()
+    listed = {info.target for info in event.registrations}
+    effects: list[Effect] = [
+        Note(
+            "registrations read whole",
+            {"position": event.position, "targets": len(listed)},
+        )
+    ]
     for info in event.registrations:
-        listed.add(info.target)
-        state.targets.note_registration(info, now)
-    effects: list[Effect] = []
+        effects += _note_registration(state, info, now)
     for name in list(state.targets.targets):
         if name not in listed:
             effects += _take_departure(state, TargetDeparted(name), now)
-    return effects + streams.evacuate_streams(state, now)
+    return effects + copies.evacuate_streams(state, now)
 
 
 def _tick(state: State, now: Millis) -> list[Effect]:
@@ -171,9 +197,10 @@
     for name in state.targets.list_lapsed(now):
         effects += _note_departure(state, name, now)
     effects += requests.expire_requests(state, now)
-    effects += streams.evacuate_streams(state, now)
+    effects += copies.evacuate_streams(state, now)
     effects += streams.watch_streams(state, now)
-    effects += streams.ask_engines(state, now)
+    effects += copies.ask_engines(state, now)
+    effects += copies.protect_streams(state, now)
     effects += recovery.watch_attempts(state, now)
     effects += requests.start_queued(state, now)
     peers.forget_silent(state, now)
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -215,6 +215,8 @@
     effects = attempts.close_request(state, request)
     if request.begun:
         return [*effects, *break_stream(state, request, reason, now)]
+    if request.spec.prompt is not None:
+        effects.append(_note_refusal(state, request, reason, now))
     if request.may_have_run:
         status, retry_after, ran = 502, None, Ran.UNKNOWN
         if now >= request.deadline:
@@ -233,6 +235,19 @@
     ]
 
 
+def _note_refusal(state: State, request: Request, reason: str, now: Millis) -> Note:
+    return Note(
+        "generation refused",
+        {
+            "request": request.spec.id,
+            "reason": reason,
+            "waited_ms": now - request.arrived,
+            "waiting": len(state.queue),
+            "engines": placement.describe_obstacles(state, request, now),
+        },
+    )
+
+
 def break_stream(
     state: State, request: Request, reason: str, now: Millis
 ) -> list[Effect]:
--- a/figstep/gateway/routes.py
+++ b/figstep/gateway/routes.py
@@ -73,6 +73,7 @@
         backups: Whether it keeps running copies of other engines' runs.
         moves: Whether it copies a run to another engine on order.
         event_tokens: Tokens that one event of a stream holds.
+        copy_kept: How long a copy made on order is kept for certain.
     """
 
     slots: int
@@ -80,6 +81,7 @@
     backups: bool = False
     moves: bool = False
     event_tokens: int = 1
+    copy_kept: Millis = Millis(5_000)
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -28,6 +28,7 @@
         holder_spoiled: Whether that copy was used up or refused.
         source: Copy that it goes on from, or None for a run from the start.
         answered: Whether its headers came.
+        delivers_since: When its first event went to the caller, or None.
     """
 
     number: int
@@ -41,6 +42,7 @@
     holder_spoiled: bool = False
     source: RunCopy | None = None
     answered: bool = False
+    delivers_since: Millis | None = None
 
 
 @dataclass(slots=True)
@@ -58,6 +60,7 @@
         current: Attempt whose events go to the caller, or None.
         standby: Attempt that is to take over from it, or None.
         copy: Copy of its run elsewhere, or None.
+        copied_at: When that copy was made or last brought up to date on order.
         copying: Whether a copy is being made on order.
         copy_place: Target that a copy on order was made at, or is, or None.
         copy_memory: Tokens that it takes there.
@@ -71,7 +74,7 @@
         runs: Lost attempts that may have run.
         may_have_run: Whether a target may have begun to run it.
         tried: Targets that lost or refused it.
-        no_copy_at: Targets that could not take a copy of its run.
+        no_copy_at: Targets that could not take a copy of its run, and when.
         queued: Whether it waits for room.
     """
 
@@ -85,6 +88,7 @@
     current: Attempt | None = None
     standby: Attempt | None = None
     copy: RunCopy | None = None
+    copied_at: Millis = Millis(0)
     copying: bool = False
     copy_place: Target | None = None
     copy_memory: int = 0
@@ -98,7 +102,7 @@
     runs: int = 0
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
-    no_copy_at: set[str] = field(default_factory=set)
+    no_copy_at: dict[str, Millis] = field(default_factory=dict)
     queued: bool = False
 
 
--- a/figstep/platform/documents.py
+++ b/figstep/platform/documents.py
@@ -50,6 +50,7 @@
     backups: bool = False
     moves: bool = False
     stride: int = Field(default=1, gt=0)  # tokens in one event of a stream
+    handle_s: float = Field(default=5.0, gt=0)  # how long a copy is kept unused
 
 
 class _Service(_Model):
@@ -144,6 +145,7 @@
             service.engine.backups,
             service.engine.moves,
             service.engine.stride,
+            Millis(round(service.engine.handle_s * 1000)),
         )
     return Service(service.name, service.max_conns, engine)
 
--- /dev/null
+++ b/tests/gateway/test_copies.py
@@ -0,0 +1,271 @@
+"""Tests of copies of running generations, and of going on from them."""
+
+from figstep.core.clock import Millis
+from figstep.gateway.copies import COPY_ARRIVES
+from figstep.gateway.effects import (
+    BreakStream,
+    CloseAttempt,
+    CopyRun,
+    Deliver,
+    DropCopy,
+    OpenAttempt,
+    ReadReport,
+    RunCopy,
+)
+from figstep.gateway.events import (
+    AttemptLost,
+    EngineReported,
+    Loss,
+    RunCopied,
+    RunNotCopied,
+    StoreLost,
+    StreamEnded,
+    Ticked,
+)
+from tests.gateway.worlds import World, start_with_backup
+
+
+def start_without_backup(output: int = 900) -> tuple[World, OpenAttempt]:
+    """Return a world with a plan that found no room for a backup at its start."""
+    world = World()
+    world.register("e-1")
+    world.arrive_plan(output=output)
+    opened = world.find(OpenAttempt)
+    assert opened.backup == ""
+    world.send_pieces(opened.attempt, 1, 10)
+    world.handle(Ticked())
+    assert world.find_all(CopyRun) == []
+    world.register("e-2", "e-3")
+    return world, opened
+
+
+def test_a_stream_goes_on_from_its_backup_when_its_engine_leaves() -> None:
+    """The caller would lose its plan in mid-answer.
+
+    The engine's registration vanishes; it is gone in 1.5 seconds. The backup's
+    holder is opened beside it, and it is closed only once the holder delivers.
+    What both send is delivered once.
+    """
+    world, opened = start_with_backup()
+    world.depart(opened.target)
+    standby = world.find(OpenAttempt)
+    assert standby.target == opened.backup
+    assert standby.source == RunCopy(opened.backup, opened.backup, "id-1")
+    assert standby.after == 10
+    world.send_pieces(opened.attempt, 11, 12)
+    assert world.find(Deliver).data.endswith(b"id: 12\n\n")
+    world.send_pieces(standby.attempt, 11, 14)
+    assert world.find(CloseAttempt).attempt == opened.attempt
+    assert world.find(Deliver).data == b"id: 13\n\nid: 14\n\n"
+
+
+def test_a_backup_that_is_refused_leaves_the_run_where_it_is() -> None:
+    world, opened = start_with_backup()
+    world.depart(opened.target)
+    standby = world.find(OpenAttempt)
+    world.handle(AttemptLost(standby.attempt, Loss.REFUSED))
+    assert world.find_all(BreakStream) == []
+    world.send_pieces(opened.attempt, 11, 11)
+    assert world.find(Deliver).data == b"id: 11\n\n"
+    world.handle(Ticked())
+    assert world.find(CopyRun).source == opened.target
+
+
+def test_a_run_without_a_backup_is_copied_in_the_notice() -> None:
+    world, opened = start_with_backup()
+    assert opened.backup
+    world.depart(opened.backup)
+    world.depart(opened.target)
+    order = world.find(CopyRun)
+    assert order.holder not in (opened.target, opened.backup)
+    world.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    standby = world.find(OpenAttempt)
+    assert standby.source == RunCopy(order.holder, opened.target, "h-1")
+
+
+def test_a_copy_that_fails_is_tried_at_another_engine() -> None:
+    world = World()
+    world.register("e-1", "e-2", "e-3", "e-4")
+    opened = world.open_plan()
+    world.send_pieces(opened.attempt, 1, 10)
+    world.depart(opened.backup)
+    world.depart(opened.target)
+    first = world.find(CopyRun)
+    world.handle(RunNotCopied(1, first.source, first.holder, "answered 503"))
+    second = world.find(CopyRun)
+    assert second.holder != first.holder
+
+
+def test_a_copy_of_a_run_that_ended_meanwhile_is_freed() -> None:
+    world, opened = start_with_backup()
+    world.depart(opened.backup)
+    world.depart(opened.target)
+    order = world.find(CopyRun)
+    world.handle(StreamEnded(opened.attempt))
+    world.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    assert world.find(DropCopy).copy.handle == "h-1"
+    assert all(t.memory == 0 for t in world.state.targets.targets.values())
+
+
+def test_a_run_goes_on_once_its_holder_has_read_its_prompts() -> None:
+    """The caller would see a pause of a third of a second.
+
+    A slow engine takes three times as long for each event while it reads a
+    prompt. The run's own engine still generates for a second and a half, so
+    the change-over waits until the holder has read all, but not for long.
+    """
+    world, opened = start_with_backup()
+    holder = world.state.targets.find(opened.backup)
+    assert holder is not None
+    holder.peer_reading = 3_000
+    world.depart(opened.target)
+    assert world.find_all(OpenAttempt) == []
+    world.clock.advance(100)
+    holder.peer_reading = 0
+    world.handle(Ticked())
+    assert world.find(OpenAttempt).target == opened.backup
+
+
+def test_a_run_does_not_wait_for_its_holder_until_its_engine_is_gone() -> None:
+    world, opened = start_with_backup()
+    holder = world.state.targets.find(opened.backup)
+    assert holder is not None
+    holder.peer_reading = 3_000
+    world.depart(opened.target)
+    for _ in range(8):
+        world.send_pieces(opened.attempt, 11, 11)
+        world.clock.advance(100)
+        world.state.requests[1].delivered_at = world.clock.now()
+    world.handle(Ticked())
+    assert world.find(OpenAttempt).target == opened.backup
+
+
+def test_while_the_store_is_away_engines_are_asked_whether_they_leave() -> None:
+    """Streams would be lost with engines whose notice nobody could read.
+
+    The store is away; an engine is reclaimed. Its registration can't tell, but
+    it says so itself, and its stream goes on from the backup.
+    """
+    world, opened = start_with_backup()
+    world.handle(Ticked())
+    assert world.find_all(ReadReport) == []
+    world.handle(StoreLost())
+    world.handle(Ticked())
+    assert world.find(ReadReport).target == opened.target
+    world.handle(EngineReported(opened.target, leaving=False))
+    assert world.effects == []
+    world.handle(Ticked())
+    assert world.find_all(ReadReport) == []
+    world.handle(EngineReported(opened.target, leaving=True))
+    assert world.find(OpenAttempt).target == opened.backup
+
+
+def test_a_young_run_waits_for_its_backup_to_arrive() -> None:
+    """The caller would lose its plan just after its start.
+
+    The engine leaves as its run has sent one event. A backup grows there
+    several times a second; asked for at once it would be refused and spoiled.
+    """
+    world = World()
+    world.register("e-1", "e-2", "e-3")
+    opened = world.open_plan()
+    world.send_pieces(opened.attempt, 1, 1)
+    world.depart(opened.target)
+    assert world.find_all(OpenAttempt) == []
+    assert world.find_all(CopyRun) == []
+    world.clock.advance(COPY_ARRIVES)
+    world.send_pieces(opened.attempt, 2, 9)
+    world.handle(Ticked())
+    assert world.find(OpenAttempt).target == opened.backup
+
+
+def test_a_long_run_without_a_backup_is_copied_once_there_is_room() -> None:
+    """The caller would lose its plan with an engine that holds seven of them.
+
+    All engines were full as its run began. Copied in the notice only, the runs
+    of one engine queue on its link, and the last of them don't make it.
+    """
+    world, opened = start_without_backup()
+    world.handle(Ticked())
+    order = world.find(CopyRun)
+    assert order.source == opened.target
+    world.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    assert world.effects == []
+    world.depart(opened.target)
+    standby = world.find(OpenAttempt)
+    assert standby.source == RunCopy(order.holder, opened.target, "h-1")
+
+
+def test_one_run_of_an_engine_is_copied_at_a_time() -> None:
+    world = World()
+    world.register("e-1")
+    for _ in range(2):
+        opened = world.open_plan()
+        world.send_pieces(opened.attempt, 1, 10)
+    world.register("e-2", "e-3")
+    world.handle(Ticked())
+    first = world.find(CopyRun)
+    world.handle(Ticked())
+    assert world.find_all(CopyRun) == []
+    world.handle(RunCopied(first.number, first.source, first.holder, "h-1"))
+    world.handle(Ticked())
+    assert world.find(CopyRun).number != first.number
+
+
+def test_a_kept_copy_is_brought_up_to_date_before_it_is_dropped() -> None:
+    world, opened = start_without_backup()
+    world.handle(Ticked())
+    order = world.find(CopyRun)
+    world.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    for _ in range(29):
+        world.clock.advance(100)
+        world.state.requests[1].delivered_at = world.clock.now()
+        world.handle(Ticked())
+        assert world.find_all(CopyRun) == []
+    world.clock.advance(100)
+    world.state.requests[1].delivered_at = world.clock.now()
+    world.handle(Ticked())
+    again = world.find(CopyRun)
+    assert (again.source, again.holder) == (opened.target, order.holder)
+
+
+def test_a_run_that_ends_soon_is_not_copied() -> None:
+    world, _ = start_without_backup(output=200)
+    world.handle(Ticked())
+    assert world.find_all(CopyRun) == []
+
+
+def test_a_copy_takes_its_memory_once() -> None:
+    world, opened = start_without_backup()
+    world.handle(Ticked())
+    order = world.find(CopyRun)
+    holder = world.state.targets.find(order.holder)
+    assert holder is not None
+    taken = holder.memory
+    world.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    world.clock.advance(Millis(3_000))
+    world.state.requests[1].delivered_at = world.clock.now()
+    world.handle(Ticked())
+    assert holder.memory == taken
+    world.handle(StreamEnded(opened.attempt))
+    assert holder.memory == 0
+    assert world.find(DropCopy).copy.handle == "h-1"
+
+
+def test_an_engine_without_room_is_asked_again_a_second_later() -> None:
+    """The caller would lose its plan although its copy would have found room.
+
+    The only other engine is full as the run is copied ahead. Runs end there,
+    and a second later it has room.
+    """
+    world, _ = start_without_backup()
+    world.handle(Ticked())
+    order = world.find(CopyRun)
+    world.depart("e-2" if order.holder == "e-3" else "e-3")
+    world.handle(RunNotCopied(1, order.source, order.holder, "answered 503"))
+    world.handle(Ticked())
+    assert world.find_all(CopyRun) == []
+    world.clock.advance(1_000)
+    world.state.requests[1].delivered_at = world.clock.now()
+    world.handle(Ticked())
+    assert world.find(CopyRun).holder == order.holder
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -169,3 +169,14 @@
             for index in range(first, last + 1)
         ]
         return self.handle(PiecesArrived(attempt, pieces))
+
+
+def start_with_backup() -> tuple[World, OpenAttempt]:
+    """Return a world with a plan that runs for half a second and has a backup."""
+    world = World()
+    world.register("e-1", "e-2", "e-3")
+    opened = world.open_plan()
+    world.send_pieces(opened.attempt, 1, 9)
+    world.clock.advance(500)
+    world.send_pieces(opened.attempt, 10, 10)
+    return world, opened
