--- a/figstep/gateway/application.py
+++ b/figstep/gateway/application.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from figstep.core.clock import Clock
+from figstep.core.problems import Problem, Ran
 from figstep.gateway.edges import CallerPort, PeerPort, TargetPort
 from figstep.gateway.effects import (
     Answer,
@@ -26,7 +27,7 @@
     ReadReport,
     Refuse,
 )
-from figstep.gateway.events import Event, Ticked
+from figstep.gateway.events import Event, RequestArrived, Ticked
 from figstep.gateway.measures import GatewayMeasures
 from figstep.gateway.reducer import reduce
 from figstep.gateway.state import State
@@ -40,6 +41,13 @@
 IDLE_TICK_SECONDS = 0.5
 """The same while nothing is open."""
 
+_INTERNAL = Problem(
+    500,
+    "internal_error",
+    "this entry failed; where it may have run, ask before sending again",
+    Ran.UNKNOWN,
+)
+
 
 class Gateway(Service):
     """One gateway; its edges are set before it starts.
@@ -76,12 +84,23 @@
         self._reducing = True
         try:
             while self._events:
-                now = self._clock.now()
-                for effect in reduce(self.known, self._events.popleft(), now):
-                    self._perform(effect)
+                self._handle(self._events.popleft())
         finally:
             self._reducing = False
 
+    def _handle(self, event: Event) -> None:
+        try:
+            for effect in reduce(self.known, event, self._clock.now()):
+                self._perform(effect)
+        except Exception:
+            # One event that nobody thought of must not end the timer or a
+            # reader of the store: all other callers depend on them.
+            kind = type(event).__name__
+            _log.exception("event failed", extra={"event": kind})
+            self.measures.count("failed_events", (kind,))
+            if isinstance(event, RequestArrived):
+                self.callers.refuse(event.request.number, _INTERNAL)
+
     def _perform(self, effect: Effect) -> None:
         match effect:
             case Deliver(number=number, data=data):
--- a/figstep/gateway/measures.py
+++ b/figstep/gateway/measures.py
@@ -10,6 +10,7 @@
     "refused": ("route", "reason"),
     "broken": ("route", "reason"),
     "lost": ("route", "loss"),
+    "failed_events": ("event",),
 }
 
 
--- a/figstep/platform/store.py
+++ b/figstep/platform/store.py
@@ -217,7 +217,9 @@
     async def _follow(self) -> None:
         while not self.should_stop:
             if self._next is not None and not self._is_wanted():
-                # Others read and tell this entry.
+                # Others read and tell this entry. Should the store turn it away,
+                # asking again each second would cost calls and tell nothing.
+                self._note_regained()
                 await self.sleep(UNWANTED_SECONDS)
                 continue
             try:
@@ -231,8 +233,17 @@
                 self._next = None
             except (LogUnavailableError, ValueError, KeyError) as error:
                 self._note_lost(str(error))
-                await self.sleep(self._pause)
-                self._pause = min(LONGEST_PAUSE, self._pause * 2)
+                await self._rest_longer()
+            except Exception:
+                # Were it to end here, this entry would answer by an old
+                # configuration for good and send work to targets long gone.
+                _log.exception("records not taken in", extra={"topic": self._topic})
+                self._next = None
+                await self._rest_longer()
+
+    async def _rest_longer(self) -> None:
+        await self.sleep(self._pause)
+        self._pause = min(LONGEST_PAUSE, self._pause * 2)
 
     async def _read_on(self) -> None:
         if self._next is None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -104,3 +104,65 @@
     await follower.stop()
     await store.close()
     await fake.stop()
+
+
+async def test_a_follower_that_is_not_wanted_says_that_it_misses_nothing() -> None:
+    """An entry would go on asking engines for their state, which is dear.
+
+    The store turns the entry away, and others read and tell it. It stops
+    reading, and must not take the store for lost until it reads again.
+    """
+    fake, store = await open_store()
+    told: list[str] = []
+    wanted = True
+    follower = TopicFollower(
+        store,
+        TOPIC,
+        TopicSink(
+            lambda records, end: None,
+            lambda records, end: None,
+            lambda reason: told.append("lost"),
+            lambda: told.append("regained"),
+        ),
+        lambda: wanted,
+    )
+    await follower.start()
+    await asyncio.sleep(0.1)
+    fake.away = True
+    await fake.put(TOPIC, "k", b"value")
+    async with asyncio.timeout(3):
+        while told != ["lost"]:
+            await asyncio.sleep(0.01)
+        wanted = False
+        while told != ["lost", "regained"]:
+            await asyncio.sleep(0.01)
+    await follower.stop()
+    await store.close()
+    await fake.stop()
+
+
+async def test_a_follower_outlives_an_error_of_its_sink() -> None:
+    """Callers would be served by an old configuration for good.
+
+    What takes the records in fails at one of them. The follower reads the
+    topic anew, and later records are taken in.
+    """
+    fake, store = await open_store()
+    taken: list[int] = []
+
+    def take(records: object, end: int) -> None:
+        if not taken:
+            taken.append(-1)
+            raise RuntimeError("a record that nobody thought of")
+        taken.append(end)
+
+    sink = TopicSink(take, take, lambda reason: None, lambda: None)
+    follower = TopicFollower(store, TOPIC, sink)
+    await follower.start()
+    await fake.put(TOPIC, "k", b"value")
+    async with asyncio.timeout(3):
+        while taken[-1:] != [1]:
+            await asyncio.sleep(0.01)
+    await follower.stop()
+    await store.close()
+    await fake.stop()
