Renew copies made ahead while prompts wait

Cause: read in the code: copies were neither begun nor renewed while a prompt waited, so that those of a crowded time ran out, which is when they are needed. New ones still yield to prompts.

--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -196,9 +196,6 @@
     seven runs of one engine three were lost, as copies queue on its link. One
     run of each engine is copied at a time, so that none of a notice waits long.
     """
-    if state.queue:
-        # A prompt that waits is worth more than a copy that may not be needed.
-        return []
     effects: list[Effect] = []
     busy = _list_copying(state)
     for request in sorted(
@@ -308,10 +305,12 @@
 def _order_protection(
     state: State, request: Request, current: Attempt, now: Millis
 ) -> list[Effect]:
+    holder = None
     if request.copy is not None:
         # Only what is new is copied to where the rest is already.
         holder = state.targets.find(request.copy.holder)
-    else:
+    elif not state.queue:
+        # A prompt that waits is worth more than a copy that may not be needed.
         holder = placement.choose_copy_holder(
             state, request, current.target.name, now, placement.AHEAD_ROOM
         )
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -317,8 +317,22 @@
     assert world.find_all(CopyRun) != []
 
 
-def test_no_copy_is_made_ahead_while_a_prompt_waits() -> None:
+def test_while_a_prompt_waits_copies_are_kept_but_none_is_begun() -> None:
+    """A caller would be refused for a copy, or lose its plan for want of one.
+
+    The copy of the first run is not renewed under load, and dropped as its time
+    is up; its engine leaves then.
+    """
     world, _ = start_without_backup()
+    request = world.state.requests[1]
     world.state.queue.append(1)
-    world.state.requests[1].queued = True
     assert copies.protect_streams(world.state, world.clock.now()) == []
+    world.state.queue.clear()
+    world.handle(Ticked())
+    order = world.find(CopyRun)
+    world.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    world.state.queue.append(1)
+    world.clock.advance(3_000)
+    request.delivered_at = world.clock.now()
+    kept = copies.protect_streams(world.state, world.clock.now())
+    assert [one.holder for one in kept if isinstance(one, CopyRun)] == [order.holder]
