Let three entries a failure domain read the store again; cut links that lost bytes

Cause of the second: soak showed a stream with 37 events missing. The entry had delivered all 80 (its log says whole stream, 80 events, no change-over); the proxy in front of it swallowed bytes for 0.8 s and passed later ones of the same connection on, which no network does. Such a proxy now resets what it has robbed.

--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -21,11 +21,10 @@
 """How long the sums of another failure domain count; they come every second, as
 each entry tells three far ones in a second."""
 
-READERS = 2
-"""Entries of a failure domain that read the store in a large fleet. Should both
-die at once, the others of the domain hear from the next domains within half a
-second that there are newer records. With three of them 73 entries made 2,706
-calls in 64 s, most of them by the readers."""
+READERS = 3
+"""Entries of a failure domain that read the store in a large fleet: it is rare
+that all three die in the same second and a half. With two of them, 74 entries
+broke the bound of a configuration once in four hunted days."""
 
 READER_SILENT = Millis(1_500)
 """Silence after which another entry reads in a reader's place. A configuration
@@ -302,7 +301,7 @@
     Calls to the store are dear in a large fleet: there a few entries of each
     failure domain read them and tell the others.
     """
-    if not is_large(state):
+    if not is_large(state) or state.store_away:
         return True
     before = 0
     for name, peer in state.peers.items():
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -487,4 +487,7 @@
         case "lose_from":
             proxy.set_fault(Lose(Direction.TO_CLIENT))
     await asyncio.sleep(seconds)
+    if isinstance(proxy.fault, Lose):
+        # No network passes later bytes of a connection on after it lost some.
+        proxy.cut()
     proxy.lift()
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -6,8 +6,12 @@
 
 from tests.faults.__main__ import play_seed
 
-SEEDS = [11]
-"""Played in each run of the tests; one that ever failed is added with its cause."""
+SEEDS = [11, 2398170]
+"""Played in each run of the tests; one that ever failed is added with its cause.
+
+2398170: the caller's proxy swallowed 37 events of a stream and passed the next ones
+on over the same connection, which no network does; the entry had delivered all 80.
+"""
 
 
 @pytest.mark.parametrize("seed", SEEDS)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -136,27 +136,22 @@
 def test_another_entry_reads_when_the_readers_fall_silent() -> None:
     """A key that was taken away would work on in a whole failure domain.
 
-    The two entries that read the store die in the same moment. The others
+    The three entries that read the store die in the same moment. The others
     hear nothing of them for a second and a half.
     """
     world = build_large_world()
-    world.state.node = "entry-0-02-next"
+    world.state.node = "entry-0-03-next"
     assert not peers.reads_store(world.state, world.clock.now())
     world.clock.advance(peers.READER_SILENT)
-    for number in range(3, 18):
+    for number in range(4, 18):
         world.handle(PeerHeard(f"entry-0-{number:02}", failure_domain="muc-a"))
     assert peers.reads_store(world.state, world.clock.now())
 
 
-def test_an_entry_that_the_store_turns_away_leaves_reading_to_the_others() -> None:
-    """Calls to the store are dear, and those that it refuses cost as much.
-
-    The store turns a third of the entries away for nine seconds. The readers of
-    their failure domain are well and tell them all that is new.
-    """
+def test_an_entry_whose_store_is_away_keeps_asking() -> None:
     world = build_large_world()
     world.state.store_away = True
-    assert not peers.reads_store(world.state, world.clock.now())
+    assert peers.reads_store(world.state, world.clock.now())
 
 
 def test_an_entry_keeps_asking_while_the_readers_are_turned_away_too() -> None:
