Write a registration of the stand-ins in one place

Cause: the last read found the registration's body twice, in the fault soak's targets and in the adapter's stand-ins, the readiness address parsed out of the settings text, and a parameter that was always the same. Ruled out: joining the two stand-in targets, of which one checks what the other takes on trust.

--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -79,6 +79,7 @@
     Attributes:
         number: Its number, from 0.
         ip: Its own loopback address.
+        ready: Where it tells whether callers may come, as "ip:port".
         door: Where callers reach it.
         settings: Its settings file.
         store: Proxy between it and the store.
@@ -91,6 +92,7 @@
 
     number: int
     ip: str
+    ready: str
     door: Door
     settings: Path
     store: TcpProxy
@@ -198,6 +200,7 @@
         host_entry = EntryHost(
             number,
             ip,
+            f"{ip}:{ports[1]}",
             Door(number, front.address),
             path,
             store,
@@ -205,11 +208,11 @@
             self._folder / f"entry-{number}.log",
         )
         seeds = [f"127.{network}.{ports[0] % 250}.{seed + 1}" for seed in range(2)]
-        self._write_settings(host_entry, ports, seeds, RETRY_EXTRA)
+        self._write_settings(host_entry, ports, seeds)
         return host_entry
 
     def _write_settings(
-        self, host: EntryHost, ports: list[int], seeds: list[str], extra: int
+        self, host: EntryHost, ports: list[int], seeds: list[str]
     ) -> None:
         text = SETTINGS.format(
             number=host.number,
@@ -222,7 +225,7 @@
             store=host.store.address,
             grace=GRACE,
             ratio=RETRY_RATIO,
-            extra=extra,
+            extra=RETRY_EXTRA,
             window=RETRY_WINDOW,
         )
         host.settings.write_text(text)
@@ -237,8 +240,7 @@
         )
 
     async def _ask_ready(self, host: EntryHost) -> bool:
-        port = host.settings.read_text().split('ready = "')[1].split('"')[0]
-        url = f"http://{port}/figstep/readyz"
+        url = f"http://{host.ready}/figstep/readyz"
         timeout = aiohttp.ClientTimeout(total=0.5)
         try:
             async with (
--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -10,7 +10,7 @@
 
 from figstep.standins.proxy import TcpProxy
 from tests.faults.records import EVENTS, Kind, Record, Run, read_clock
-from tests.platform.standins import FakeStore, start_app
+from tests.platform.standins import FakeStore, build_registration, start_app
 
 FORGED = "forged"
 """Value of the headers that callers may not set."""
@@ -75,18 +75,8 @@
 
     async def register(self, store: FakeStore, state: str = "ready") -> None:
         """Write the registration."""
-        entry = {
-            "service": self.service,
-            "addr": self.address,
-            "zone": "muc-a",
-            "version": "v1",
-            "slots": 64,
-            "state": state,
-            "warmup_left_ms": 0,
-            "born": 1,
-            "seq": 1,
-        }
-        await store.put("keyed.servers", self.name, orjson.dumps(entry))
+        entry = build_registration(self.service, self.address, state)
+        await store.put("keyed.servers", self.name, entry)
 
     async def kill(self) -> None:
         """End with all connections."""
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -131,6 +131,23 @@
         return web.Response(body=raw)
 
 
+def build_registration(service: str, address: str, state: str) -> bytes:
+    """Return a target's registration as it writes it."""
+    entry = {
+        "service": service,
+        "addr": address,
+        "zone": "muc-a",
+        "version": "v1",
+        "slots": 64,
+        "state": state,
+        "warmup_left_ms": 0,
+        "born": 1,
+        "seq": 1,
+        "later": "unknown",
+    }
+    return orjson.dumps(entry)
+
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -173,19 +190,8 @@
 
     async def register(self, store: FakeStore, state: str = "ready") -> None:
         """Write the registration."""
-        beat = {
-            "service": self.service,
-            "addr": self.address,
-            "zone": "muc-a",
-            "version": "v1",
-            "slots": 64,
-            "state": state,
-            "warmup_left_ms": 0,
-            "born": 1,
-            "seq": 1,
-            "later": "unknown",
-        }
-        await store.put("keyed.servers", self.name, orjson.dumps(beat))
+        entry = build_registration(self.service, self.address, state)
+        await store.put("keyed.servers", self.name, entry)
 
     async def kill(self) -> None:
         """End with all connections."""
