Listen for callers before the libraries are loaded

Cause: a process that starts again in place of a killed one takes a third of a second to load its libraries; its callers were refused a connection until then, and told that no configuration is in force right after.

Change: the callers' socket is opened by a module of the standard library alone, first of all; the entry reads the store's records, for 0.3 s at most, before it takes callers in.

--- a/figstep/platform/__main__.py
+++ b/figstep/platform/__main__.py
@@ -1,5 +1,10 @@
 """Entry point of ``python -m figstep.platform``."""
 
-from figstep.platform.entry import run_entry
+from figstep.platform.listeners import open_caller_listener
 
-run_entry()
+# Before the import of all the rest, which takes a third of a second.
+listener = open_caller_listener()
+
+from figstep.platform.entry import run_entry  # noqa: E402
+
+run_entry(listener)
--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import socket
 from collections.abc import Callable
 
 import logbook
@@ -16,6 +17,7 @@
 from figstep.gateway.prompts import Prompt
 from figstep.net.listener import build_runner
 from figstep.platform import names
+from figstep.platform.listeners import BACKLOG, listen
 from figstep.platform.settings import Address
 from figstep.problems import encode_problem
 from figstep.settings import Limits
@@ -119,9 +121,11 @@
         dispatch: Callable[[Event], None],
         is_ready: Callable[[], bool],
         render_metrics: Callable[[], bytes],
+        listener: socket.socket | None = None,
     ) -> None:
         super().__init__()
         self._callers = callers
+        self._listener = listener
         self._readiness = readiness
         self._dispatch = dispatch
         self._is_ready = is_ready
@@ -137,20 +141,22 @@
         app = web.Application(client_max_size=MOST_BODY_BYTES)
         app.router.add_route("*", "/{path:.*}", self._serve)
         app.on_response_prepare.append(self._prepare_response)
-        await self._listen(build_runner(app, LISTEN_LIMITS), self._callers)
+        listener = self._listener
+        if listener is None:
+            listener = listen(self._callers.host, self._callers.port)
+        await self._listen(build_runner(app, LISTEN_LIMITS), listener)
         checks = web.Application()
         checks.router.add_get(READY_PATH, self._answer_readiness)
         checks.router.add_get(METRICS_PATH, self._answer_metrics)
         runner = web.AppRunner(
             checks, access_log=None, shutdown_timeout=CHECKS_STOP_SECONDS
         )
-        await self._listen(runner, self._readiness)
+        await self._listen(runner, listen(self._readiness.host, self._readiness.port))
 
-    async def _listen(self, runner: web.BaseRunner, address: Address) -> None:
+    async def _listen(self, runner: web.BaseRunner, listener: socket.socket) -> None:
         await runner.setup()
         self._runners.append(runner)
-        site = web.TCPSite(runner, address.host, address.port, backlog=512)
-        await site.start()
+        await web.SockSite(runner, listener, backlog=BACKLOG).start()
 
     async def on_stop(self) -> None:
         """Close the listeners."""
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -4,6 +4,7 @@
 import os
 import random
 import signal
+import socket
 from collections import deque
 from collections.abc import Callable
 from pathlib import Path
@@ -69,6 +70,12 @@
 """Pause between two reads of the store in a large fleet, where calls are dear:
 an engine's notice is 1.5 s long, and another reader may tell of it earlier."""
 
+FIRST_READ = Millis(300)
+"""How long a starting entry waits for the store's records before it takes callers
+in: reading them takes 20 ms, and the most impatient callers wait half a second."""
+
+FIRST_READ_POLL_SECONDS = 0.005
+
 STOP_SECONDS = 0.4
 """Time for the parts to stop; with the cut it fits what the grace time leaves."""
 
@@ -91,6 +98,7 @@
         settings: EntrySettings,
         clock: Clock | None = None,
         store: Store | None = None,
+        listener: socket.socket | None = None,
     ) -> None:
         super().__init__()
         self.settings = settings
@@ -106,6 +114,7 @@
             self.gateway.dispatch,
             self.is_ready,
             self.measures.render,
+            listener,
         )
         self.targets = TargetEdge(
             self._clock,
@@ -155,16 +164,24 @@
         )
 
     async def on_start(self) -> None:
-        """Start the parts; the listener opens last."""
+        """Start the parts; callers are taken in last."""
         for part in (
             self.targets,
             self.configuration,
             self.registrations,
             self.link,
             self.gateway,
-            self.callers,
         ):
             await self.add_runtime_dependency(part)
+        await self._wait_for_records()
+        await self.add_runtime_dependency(self.callers)
+
+    async def _wait_for_records(self) -> None:
+        # Callers that wait in the listener's queue are served a moment later;
+        # taken in before the configuration is read they would be refused.
+        until = self._clock.now() + FIRST_READ
+        while not self.is_ready() and self._clock.now() < until:
+            await asyncio.sleep(FIRST_READ_POLL_SECONDS)
 
     async def on_shutdown(self) -> None:
         """Close the store's client, which the followers use until they end."""
@@ -391,14 +408,14 @@
                 self.reload()
 
 
-async def serve_until_signal(path: Path) -> None:
+async def serve_until_signal(path: Path, listener: socket.socket | None = None) -> None:
     """Serve until SIGTERM or SIGINT, then drain."""
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     settings = load_settings(path)
-    entry = Entry(settings)
+    entry = Entry(settings, listener=listener)
     watch = SettingsWatch(path, entry.apply_settings)
     loop.add_signal_handler(signal.SIGHUP, watch.reload)
     await entry.start()
@@ -418,7 +435,11 @@
         _log.warning("parts did not stop in time")
 
 
-def run_entry() -> None:
-    """Run an entry by the platform's settings file until it is told to end."""
+def run_entry(listener: socket.socket | None = None) -> None:
+    """Run an entry by the platform's settings file until it is told to end.
+
+    Args:
+        listener: Socket that listens for callers already, or None to open one.
+    """
     install_bounded_logs("INFO")
-    uvloop.run(serve_until_signal(read_path()))
+    uvloop.run(serve_until_signal(read_path(), listener))
--- a/figstep/platform/settings.py
+++ b/figstep/platform/settings.py
@@ -10,10 +10,9 @@
 
 from figstep.core.clock import Millis
 from figstep.errors import SettingsError
+from figstep.platform.listeners import PATH_VARIABLE
 from figstep.settings import describe_errors
 
-PATH_VARIABLE = "FIGSTEP_CONFIG"
-
 
 class _Model(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import orjson
 from aiohttp import web
@@ -16,6 +17,27 @@
 ROUTE_HOST = "users.example"
 KEY = "key-1"
 
+SETTINGS = """
+node = "entry-1"
+ip = "127.0.0.1"
+zone = "muc-a"
+port_range = [7200, 7215]
+[listen]
+front = "127.0.0.1:8740"
+ready = "127.0.0.1:8749"
+[provider]
+addr = "127.0.0.1:8742"
+[bounds]
+"""
+"""A settings file as the platform writes it."""
+
+
+def write_settings(path: Path, ports: list[int], store: str, bounds: str = "") -> None:
+    """Write a settings file: ports for callers, readiness checks and peers."""
+    text = SETTINGS.replace("8740", str(ports[0])).replace("8749", str(ports[1]))
+    text = text.replace("7200, 7215", f"{ports[2]}, {ports[2]}")
+    path.write_text(text.replace("127.0.0.1:8742", store) + bounds)
+
 
 def find_free_port() -> int:
     """Return a port that nobody listens at."""
@@ -46,6 +68,7 @@
     """
 
     def __init__(self) -> None:
+        self.delay = 0.0
         self.address = ""
         self.away = False
         self.page = 500
@@ -82,6 +105,7 @@
         self.delete_before(topic, len(self._records.get(topic, [])))
 
     async def _read_newest(self, request: web.Request) -> web.Response:
+        await asyncio.sleep(self.delay)
         self.calls.append("newest")
         if self.away:
             return web.Response(status=503)
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -17,10 +17,12 @@
 from tests.platform.standins import (
     KEY,
     ROUTE_HOST,
+    SETTINGS,
     FakeStore,
     FakeTarget,
     build_configuration,
     build_settings,
+    write_settings,
 )
 
 
@@ -332,20 +334,6 @@
     assert entry.gateway.known.budget.allowance == 7.0
 
 
-SETTINGS = """
-node = "entry-1"
-ip = "127.0.0.1"
-zone = "muc-a"
-port_range = [7200, 7215]
-[listen]
-front = "127.0.0.1:8740"
-ready = "127.0.0.1:8749"
-[provider]
-addr = "127.0.0.1:8742"
-[bounds]
-"""
-
-
 async def test_an_entry_stops_in_time_with_answers_open(
     tmp_path: Path, unused_tcp_port_factory: Callable[[], int]
 ) -> None:
@@ -364,13 +352,7 @@
 
         target.handler = never_answer
         path = tmp_path / "boot.toml"
-        path.write_text(
-            SETTINGS.replace("8740", str(ports[0]))
-            .replace("8749", str(ports[1]))
-            .replace("7200", str(ports[2]))
-            .replace("127.0.0.1:8742", place.store.address)
-            + "grace_s = 2\n"
-        )
+        write_settings(path, ports, place.store.address, "grace_s = 2\n")
         serving = asyncio.create_task(serve_until_signal(path))
         url = f"http://127.0.0.1:{ports[0]}/order/a"
         await asyncio.sleep(0.5)
