Keep copies off links that others copy over

Cause: engines' links carry copies one after another. As a new engine came, all entries copied runs to it at once; those of an engine whose notice came then waited 1.4 to 1.8 s behind them (ordered 27.9 s, engine gone 29.9 s, copy not made), and the streams were lost with their engine.

Change: entries count and tell each other the tokens that are being copied to and from each engine. Nothing is copied ahead over a link in use, and a copy in the notice goes where fewer wait. The log tells when a copy was made and what was queued before it.

Ruled out: too little time for one copy (0.26 to 0.3 s on a free link).

--- a/figstep/gateway/application.py
+++ b/figstep/gateway/application.py
@@ -124,6 +124,8 @@
                 self.callers.refuse(number, problem)
             case CopyRun():
                 self.targets.copy_run(effect)
+                # Until the others know, they copy over the same links.
+                self.peers.announce()
             case DropCopy(copy=copy):
                 self.targets.drop_copy(copy)
             case ReadReport(target=target):
--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -31,7 +31,13 @@
     attempt = _add_attempt(state, request, target, None, now)
     request.current = attempt
     after = request.delivered or request.spec.after
-    return [_open(state, request, attempt, after), _note(request, attempt, now)]
+    effects: list[Effect] = [
+        _open(state, request, attempt, after),
+        _note(request, attempt, now),
+    ]
+    if request.spec.prompt is not None:
+        effects.append(_note_choice(state, request, attempt, now))
+    return effects
 
 
 def start_standby(
@@ -69,22 +75,41 @@
         request.standby = None
 
 
-def reserve_copy(state: State, request: Request, holder: Target) -> None:
-    """Count what a copy on order will take at its holder."""
+def reserve_copy(
+    state: State, request: Request, source: Target, holder: Target
+) -> None:
+    """Count what a copy on order takes of its holder's memory and of both links."""
+    copied = request.copied_tokens if request.copy_place is holder else 0
     release_copy(request)
+    memory = placement.estimate_memory(state, request)
     request.copying = True
     request.copy_place = holder
-    request.copy_memory = placement.estimate_memory(state, request)
-    holder.memory += request.copy_memory
+    request.copy_memory = memory
+    holder.memory += memory
+    request.copy_source = source
+    request.copy_tokens = max(0, memory - copied)
+    source.outgoing += request.copy_tokens
+    holder.incoming += request.copy_tokens
+
+
+def end_copying(request: Request) -> None:
+    """Stop counting a copy on its links: it is made, or never will be."""
+    if request.copy_source is not None and request.copy_place is not None:
+        request.copy_source.outgoing -= request.copy_tokens
+        request.copy_place.incoming -= request.copy_tokens
+    request.copying = False
+    request.copy_source = None
+    request.copy_tokens = 0
 
 
 def release_copy(request: Request) -> None:
     """Stop counting a copy on order: it failed, was used, or is dropped."""
+    end_copying(request)
     if request.copy_place is not None:
         request.copy_place.memory -= request.copy_memory
-    request.copying = False
     request.copy_place = None
     request.copy_memory = 0
+    request.copied_tokens = 0
 
 
 def note_read(attempt: Attempt, now: Millis) -> None:
@@ -206,6 +231,19 @@
     return "" if target is None else target.name
 
 
+def _note_choice(state: State, request: Request, attempt: Attempt, now: Millis) -> Note:
+    prompt = request.spec.prompt
+    return Note(
+        "engine chosen",
+        {
+            "request": request.spec.id,
+            "target": attempt.target.name,
+            "expected_output": 0 if prompt is None else prompt.expected_output,
+            "engines": placement.describe_obstacles(state, request, now),
+        },
+    )
+
+
 def _note(request: Request, attempt: Attempt, now: Millis) -> Note:
     return Note(
         "attempt opened",
--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -47,10 +47,20 @@
     if request is None or current is None or current.target.name != event.source:
         # Its run ended or went on elsewhere meanwhile.
         return [DropCopy(copy)]
-    request.copying = False
+    request.copied_tokens = request.copy_memory
+    attempts.end_copying(request)
     request.copy = copy
     request.copied_at = now
-    return evacuate_request(state, request, now)
+    note = Note(
+        "copy made",
+        {
+            "request": request.spec.id,
+            "from": event.source,
+            "to": event.holder,
+            "took_ms": now - request.copy_ordered_at,
+        },
+    )
+    return [note, *evacuate_request(state, request, now)]
 
 
 def note_not_copied(state: State, event: RunNotCopied, now: Millis) -> list[Effect]:
@@ -166,13 +176,15 @@
     )
     if holder is None:
         return []
-    return _order_copy_to(state, request, current, holder)
+    return _order_copy_to(state, request, current, holder, now)
 
 
 def _order_copy_to(
-    state: State, request: Request, current: Attempt, holder: Target
+    state: State, request: Request, current: Attempt, holder: Target, now: Millis
 ) -> list[Effect]:
-    attempts.reserve_copy(state, request, holder)
+    queued = max(current.target.outgoing_load, holder.incoming_load)
+    attempts.reserve_copy(state, request, current.target, holder)
+    request.copy_ordered_at = now
     return [
         CopyRun(request.spec.number, current.target.name, holder.name),
         Note(
@@ -183,6 +195,7 @@
                 "to": holder.name,
                 "events": request.pieces,
                 "engine": current.target.standing.value,
+                "queued_tokens": queued,
             },
         ),
     ]
@@ -314,9 +327,19 @@
         holder = placement.choose_copy_holder(
             state, request, current.target.name, now, placement.AHEAD_ROOM
         )
-    if holder is None:
+    if holder is None or is_copying(current.target, holder):
         return []
-    return _order_copy_to(state, request, current, holder)
+    return _order_copy_to(state, request, current, holder, now)
+
+
+def is_copying(source: Target, holder: Target) -> bool:
+    """Tell whether a link that a copy made ahead would take is in use.
+
+    Links carry copies one after another. As a new engine comes, all entries have
+    runs to copy to it; those of an engine whose notice comes then would wait
+    behind them for longer than the notice lasts, and be lost.
+    """
+    return bool(source.outgoing_load or holder.incoming_load)
 
 
 def ask_engines(state: State, now: Millis) -> list[Effect]:
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -261,6 +261,8 @@
         read_rate: Prompt tokens that the target reads in a millisecond, as the
             entry saw it; None if it didn't.
         unprotected: Long streams there that have no copy elsewhere.
+        incoming: Tokens of runs that are being copied to it.
+        outgoing: Tokens of runs that are being copied from it.
     """
 
     target: str
@@ -269,6 +271,8 @@
     reading: int = 0
     read_rate: float | None = None
     unprotected: int = 0
+    incoming: int = 0
+    outgoing: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -138,6 +138,8 @@
         target.peer_reading = 0
         target.peer_rate_sum = 0.0
         target.peer_rate_count = 0
+        target.peer_incoming = 0
+        target.peer_outgoing = 0
         target.peer_unprotected = 0
     told = [peer.loads for peer in state.peers.values()]
     told += [far.loads for far in state.far_loads.values()]
@@ -154,6 +156,8 @@
     target.peer_memory += sign * load.memory
     target.peer_reading += sign * load.reading
     target.peer_unprotected += sign * load.unprotected
+    target.peer_incoming += sign * load.incoming
+    target.peer_outgoing += sign * load.outgoing
     if load.read_rate is not None:
         target.peer_rate_sum += sign * load.read_rate
         target.peer_rate_count += sign
@@ -174,6 +178,8 @@
                 target.reading,
                 target.read_rate_own,
                 unprotected.get(target.name, 0),
+                target.incoming,
+                target.outgoing,
             )
         )
     return tuple(loads)
@@ -292,6 +298,8 @@
         one.reading + other.reading,
         sum(rates) / len(rates) if rates else None,
         one.unprotected + other.unprotected,
+        one.incoming + other.incoming,
+        one.outgoing + other.outgoing,
     )
 
 
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -63,6 +63,10 @@
 FAR_COPY_UNSEEN = 0.6
 """The same in a large fleet, where far loads are a second old."""
 
+COPY_WAIT = 3.0
+"""The same for each part of its memory that is being copied there already: links
+carry copies one after another, and a notice has time for a few."""
+
 SLOW_COPY = 0.2
 """The same for a holder that reads half as fast as the usual: the caller sees a
 pause of some of its events when the run goes on there."""
@@ -248,9 +252,12 @@
         cost = (target.memory_load + need) / memory
         if cost > room:
             continue
+        waiting = COPY_WAIT * target.incoming_load / memory
         if target.info.failure_domain != _find_domain(state, source):
             # A copy between failure domains takes twice as long.
             cost += FAR_COPY if state.entries <= FULL_MESH else FAR_COPY_UNSEEN
+            waiting *= 2.0
+        cost += waiting
         cost += SLOW_COPY * (USUAL_READ_RATE / target.read_rate - 1.0)
         cost += 0.01 * state.rng.random()
         if best is None or cost < best_cost:
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -60,10 +60,14 @@
         current: Attempt whose events go to the caller, or None.
         standby: Attempt that is to take over from it, or None.
         copy: Copy of its run elsewhere, or None.
+        copy_ordered_at: When a copy was last ordered.
         copied_at: When that copy was made or last brought up to date on order.
         copying: Whether a copy is being made on order.
         copy_place: Target that a copy on order was made at, or is, or None.
         copy_memory: Tokens that it takes there.
+        copy_source: Target that it is being copied from, or None.
+        copy_tokens: Tokens that are being copied.
+        copied_tokens: Tokens that its copy on order had when it was made.
         begun: Whether the caller's stream has begun.
         delivered: Id of the last event handed to the caller.
         delivered_at: When that was.
@@ -90,10 +94,14 @@
     current: Attempt | None = None
     standby: Attempt | None = None
     copy: RunCopy | None = None
+    copy_ordered_at: Millis = Millis(0)
     copied_at: Millis = Millis(0)
     copying: bool = False
     copy_place: Target | None = None
     copy_memory: int = 0
+    copy_source: Target | None = None
+    copy_tokens: int = 0
+    copied_tokens: int = 0
     begun: bool = False
     delivered: int = 0
     delivered_at: Millis = Millis(0)
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -86,9 +86,13 @@
         calls: Attempts of this entry that are open there, streams included.
         memory: Tokens that this entry's runs and copies are expected to take.
         reading: Prompt tokens of this entry that it has still to read.
+        incoming: Tokens of runs that are being copied to it on this entry's order.
+        outgoing: Those that are being copied from it.
         peer_calls: Open attempts of all other entries.
         peer_memory: What their runs and copies are expected to take.
         peer_reading: Prompt tokens of theirs that it has still to read.
+        peer_incoming: Tokens of runs that are being copied to it on their order.
+        peer_outgoing: Those that are being copied from it.
         read_rate_own: Prompt tokens that it reads in a millisecond, smoothed, as
             seen by this entry; None before any was seen.
         peer_rate_sum: Sum of the same as seen by other entries.
@@ -107,6 +111,10 @@
     calls: int = 0
     memory: int = 0
     reading: int = 0
+    incoming: int = 0
+    outgoing: int = 0
+    peer_incoming: int = 0
+    peer_outgoing: int = 0
     peer_calls: int = 0
     peer_memory: int = 0
     peer_reading: int = 0
@@ -135,6 +143,16 @@
         """Prompt tokens of all entries that it has still to read."""
         return self.reading + self.peer_reading
 
+    @property
+    def incoming_load(self) -> int:
+        """Tokens that are being copied to it on the order of all entries."""
+        return self.incoming + self.peer_incoming
+
+    @property
+    def outgoing_load(self) -> int:
+        """Tokens that are being copied from it on the order of all entries."""
+        return self.outgoing + self.peer_outgoing
+
     @property
     def read_rate(self) -> float:
         """Prompt tokens that it reads in a millisecond, as all entries saw it."""
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -28,6 +28,8 @@
   reading @3 :UInt32;
   readRate @4 :Float32;      # 0 for unknown
   unprotected @5 :UInt16;
+  incoming @6 :UInt32;       # tokens that are being copied to it
+  outgoing @7 :UInt32;
 }
 
 struct Use {
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -385,6 +385,7 @@
         slot.target, slot.calls, slot.memory = load.target, load.calls, load.memory
         slot.reading, slot.readRate = load.reading, load.read_rate or 0.0
         slot.unprotected = load.unprotected
+        slot.incoming, slot.outgoing = load.incoming, load.outgoing
     uses = message.init("uses", len(own.uses))
     for slot, use in zip(uses, own.uses, strict=True):
         slot.service, slot.requests, slot.repeats = (
@@ -414,6 +415,8 @@
                 load.reading,
                 load.readRate or None,
                 load.unprotected,
+                load.incoming,
+                load.outgoing,
             )
             for load in message.loads
         )
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -7,7 +7,7 @@
 
 from figstep.core.clock import ManualClock, Millis
 from figstep.gateway.budgets import RetryBudget
-from figstep.gateway.effects import Effect, OpenAttempt
+from figstep.gateway.effects import Effect, Note, OpenAttempt
 from figstep.gateway.events import (
     ConfigurationRead,
     Event,
@@ -152,6 +152,11 @@
         assert len(found) == 1, self.effects
         return found[0]
 
+    @property
+    def actions(self) -> list[Effect]:
+        """Effects of the last event, its log lines left out."""
+        return [effect for effect in self.effects if not isinstance(effect, Note)]
+
     def find_all(self, kind: type[Found]) -> "list[Found]":
         """Return the effects of a kind."""
         return [effect for effect in self.effects if isinstance(effect, kind)]
