Wait for a busy holder once no other copy can be made

Cause: a copy is used up as its holder is asked to go on.

Change: late in the notice the run is ended at the engine that leaves, and the holder is waited for. Earlier another copy is made, as before.

--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -34,6 +34,10 @@
 """Expected tokens still to come below which a run gets no copy on order: it ends
 in a second and a half, and engines leave every few seconds."""
 
+LAST_ORDER = Millis(900)
+"""How long after the notice a copy that is ordered still arrives in time: it takes
+up to half a second, and engines are gone 1.5 s after their notice at the earliest."""
+
 ASK_PERIOD = Millis(400)
 """How often an engine is asked while the store is away. Its state is half a
 second old, and it is gone 1.5 s after its notice."""
@@ -147,6 +151,18 @@
     return since is None or now - since < COPY_ARRIVES
 
 
+def is_last_chance(source: Target, now: Millis) -> bool:
+    """Tell whether an engine is gone before one more copy of a run could be made.
+
+    A copy is used up as a holder is asked to go on from it. One that is busy may
+    take longer than a run may be open at both; to give up on it then would lose
+    the stream with its engine.
+    """
+    if source.left_at is None:
+        return False
+    return now - source.left_at >= LAST_ORDER
+
+
 def forget_unusable_copy(state: State, request: Request) -> None:
     """Drop what is known of a copy whose holder has left."""
     if request.copy is None:
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -220,8 +220,9 @@
 ) -> list[Effect]:
     if now - standby.opened < OVERLAP or request.current is None:
         return []
-    if standby.answered:
-        # It was accepted and will deliver: the run must not go on at both.
+    if standby.answered or copies.is_last_chance(request.current.target, now):
+        # It was accepted and will deliver, or there is no time for another copy:
+        # the run must not go on at both.
         return attempts.close_attempt(state, request.current)
     request.current.holder_spoiled = True
     return attempts.close_attempt(state, standby)
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -2,7 +2,7 @@
 
 from figstep.core.clock import Millis
 from figstep.gateway import copies
-from figstep.gateway.copies import COPY_ARRIVES
+from figstep.gateway.copies import COPY_ARRIVES, LAST_ORDER
 from figstep.gateway.effects import (
     BreakStream,
     CloseAttempt,
@@ -22,6 +22,7 @@
     StreamEnded,
     Ticked,
 )
+from figstep.gateway.streams import OVERLAP
 from tests.gateway.worlds import World, start_with_backup
 
 
@@ -257,6 +258,25 @@
     assert source.outgoing_load == holder.incoming_load == 0
 
 
+def test_a_busy_holder_is_waited_for_once_no_other_copy_can_be_made() -> None:
+    """The caller would lose its plan with a whole copy of it elsewhere.
+
+    The holder reads prompts and takes longer to go on than the run may be open
+    at both. Early in the notice another copy is made; late in it the run is
+    ended at the engine that leaves, and the holder goes on with it.
+    """
+    for waited, kept in ((Millis(0), False), (LAST_ORDER, True)):
+        world, opened = start_with_backup()
+        world.depart(opened.target)
+        standby = world.find(OpenAttempt)
+        target = world.state.targets.targets[opened.target]
+        target.left_at = Millis(world.clock.now() - waited)
+        world.clock.advance(OVERLAP)
+        world.handle(Ticked())
+        closed = opened.attempt if kept else standby.attempt
+        assert world.find(CloseAttempt).attempt == closed
+
+
 def test_a_run_that_ends_soon_is_not_copied() -> None:
     world, _ = start_without_backup(output=200)
     world.handle(Ticked())
