Ask engines for their memory after a restart

Cause: all entries are killed while they copy runs to a new engine, which keeps these copies for five seconds.

Change: for as long as copies are kept, a restarted entry asks each engine every 0.4 s and counts what no known run or copy takes. Reports are a module of their own. An engine that runs nothing but is full of such copies no longer takes a prompt.

--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -7,10 +7,9 @@
     DropCopy,
     Effect,
     Note,
-    ReadReport,
     RunCopy,
 )
-from figstep.gateway.events import EngineReported, RunCopied, RunNotCopied
+from figstep.gateway.events import RunCopied, RunNotCopied
 from figstep.gateway.routes import RouteKind
 from figstep.gateway.state import Attempt, Request, State
 from figstep.gateway.targets import Standing, Target
@@ -38,10 +37,6 @@
 """How long after the notice a copy that is ordered still arrives in time: it takes
 up to half a second, and engines are gone 1.5 s after their notice at the earliest."""
 
-ASK_PERIOD = Millis(400)
-"""How often an engine is asked while the store is away. Its state is half a
-second old, and it is gone 1.5 s after its notice."""
-
 
 def take_copy(state: State, event: RunCopied, now: Millis) -> list[Effect]:
     """A copy is complete: go on there if the run's engine leaves."""
@@ -356,38 +351,3 @@
     behind them for longer than the notice lasts, and be lost.
     """
     return bool(source.outgoing_load or holder.incoming_load)
-
-
-def ask_engines(state: State, now: Millis) -> list[Effect]:
-    """Ask the engines of running streams for their state, while nobody else tells.
-
-    Without the store an engine's notice reaches nobody, and its streams are
-    lost with it; the engine itself knows.
-    """
-    if not state.store_away:
-        return []
-    effects: list[Effect] = []
-    for request in state.requests.values():
-        current = request.current
-        if current is None or request.spec.prompt is None:
-            continue
-        target = current.target
-        if target.standing is not Standing.READY:
-            continue
-        if now - target.asked_at < ASK_PERIOD:
-            continue
-        target.asked_at = now
-        effects.append(ReadReport(target.name))
-    return effects
-
-
-def take_report(state: State, event: EngineReported, now: Millis) -> list[Effect]:
-    """Take in an engine's own word that it leaves."""
-    target = state.targets.find(event.target)
-    if target is None or not event.leaving:
-        return []
-    if target.standing is not Standing.READY:
-        return []
-    state.targets.note_departure(event.target, now)
-    note = Note("engine says that it leaves", {"target": event.target})
-    return [note, *evacuate_streams(state, now)]
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -189,10 +189,13 @@
     Attributes:
         target: The engine.
         leaving: Whether it says that it takes no new work.
+        memory: Tokens of its memory in use half a second ago that can't yield;
+            None if it doesn't say.
     """
 
     target: str
     leaving: bool
+    memory: int | None = None
 
 
 # Store and peers
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -191,7 +191,7 @@
     obstacle = None
     if target.load >= target.info.slots:
         obstacle = Obstacle.SLOTS
-    elif filled > room and target.load > 0:
+    elif filled > room and (target.load > 0 or target.unclaimed > 0):
         obstacle = Obstacle.MEMORY
     elif now + reading > latest and target.reading_load > 0:
         obstacle = Obstacle.READING
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -1,7 +1,7 @@
 """The gateway's reducer: one match over all events."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import copies, peers, recovery, requests, streams
+from figstep.gateway import copies, peers, recovery, reports, requests, streams
 from figstep.gateway.effects import Effect, Note
 from figstep.gateway.events import (
     AnswerArrived,
@@ -77,7 +77,7 @@
         case RunNotCopied():
             return copies.note_not_copied(state, event, now)
         case EngineReported():
-            return copies.take_report(state, event, now)
+            return reports.take_report(state, event, now)
         case ConfigurationRead():
             return _take_configuration(state, event)
         case TargetRegistered(info=info):
@@ -201,7 +201,7 @@
     effects += requests.expire_requests(state, now)
     effects += copies.evacuate_streams(state, now)
     effects += streams.watch_streams(state, now)
-    effects += copies.ask_engines(state, now)
+    effects += reports.ask_engines(state, now)
     effects += copies.yield_copies(state, now)
     effects += copies.protect_streams(state, now)
     effects += recovery.watch_attempts(state, now)
--- /dev/null
+++ b/figstep/gateway/reports.py
@@ -0,0 +1,78 @@
+"""What engines say of themselves when they are asked."""
+
+from figstep.core.clock import Millis
+from figstep.gateway import copies, placement
+from figstep.gateway.effects import Effect, Note, ReadReport
+from figstep.gateway.events import EngineReported
+from figstep.gateway.state import State
+from figstep.gateway.targets import Standing, Target
+
+ASK_PERIOD = Millis(400)
+"""How often an engine is asked: its state is half a second old, and it is gone
+1.5 s after its notice."""
+
+SETTLED_AFTER = Millis(1_000)
+"""How much longer than copies are kept a process asks after its start: one that
+was ordered just before the kill is kept from when it arrives."""
+
+
+def ask_engines(state: State, now: Millis) -> list[Effect]:
+    """Ask engines for their state where nobody else tells it.
+
+    Without the store an engine's notice reaches nobody, and its streams are lost
+    with it; the engine itself knows. After a restart nobody knows what copies the
+    killed processes left: prompts sent on the belief that an engine is empty
+    waited there for four seconds.
+    """
+    effects: list[Effect] = []
+    in_use = _list_in_use(state)
+    for target in state.targets.targets.values():
+        if target.unclaimed and now - target.reported_at >= 3 * ASK_PERIOD:
+            target.unclaimed = 0
+        if target.standing is not Standing.READY:
+            continue
+        if now - target.asked_at < ASK_PERIOD:
+            continue
+        asked = state.store_away and target.name in in_use
+        if not asked and not _may_hold_unclaimed(state, target, now):
+            continue
+        target.asked_at = now
+        effects.append(ReadReport(target.name))
+    return effects
+
+
+def _list_in_use(state: State) -> set[str]:
+    return {
+        request.current.target.name
+        for request in state.requests.values()
+        if request.current is not None and request.spec.prompt is not None
+    }
+
+
+def _may_hold_unclaimed(state: State, target: Target, now: Millis) -> bool:
+    pool = placement.find_engine_pool(state, target.info.service)
+    if pool is None or state.budget.fresh:
+        return False
+    return now - state.budget.started < pool.copy_kept + SETTLED_AFTER
+
+
+def take_report(state: State, event: EngineReported, now: Millis) -> list[Effect]:
+    """Take in how full an engine is, and its own word that it leaves."""
+    target = state.targets.find(event.target)
+    if target is None:
+        return []
+    if event.memory is not None:
+        _count_unclaimed(target, event.memory, now)
+    if not event.leaving or target.standing is not Standing.READY:
+        return []
+    state.targets.note_departure(event.target, now)
+    note = Note("engine says that it leaves", {"target": event.target})
+    return [note, *copies.evacuate_streams(state, now)]
+
+
+def _count_unclaimed(target: Target, used: int, now: Millis) -> None:
+    # The report is as old as the time between two of them, so it is compared
+    # with what was counted at the one before.
+    target.unclaimed = max(0, used - target.counted_memory)
+    target.counted_memory = target.claimed_memory
+    target.reported_at = now
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -100,6 +100,9 @@
         peer_unprotected: Their long streams there without a copy elsewhere.
         failures: Smoothed part of its attempts that failed, 0 to 1.
         asked_at: When it was last asked for its state.
+        reported_at: When it last told it.
+        counted_memory: What was known to take its memory then.
+        unclaimed: Tokens of its memory that no known run or copy takes.
         strikes: Losses in a row without an answer.
         avoid_until: When it is tried again after losses.
         warm_at: When it has warmed up after its start.
@@ -124,6 +127,9 @@
     peer_unprotected: int = 0
     failures: float = 0.0
     asked_at: Millis = Millis(0)
+    reported_at: Millis = Millis(0)
+    counted_memory: int = 0
+    unclaimed: int = 0
     strikes: int = 0
     avoid_until: Millis = Millis(0)
     warm_at: Millis = Millis(0)
@@ -203,10 +209,15 @@
             self.avoid_until = Millis(now + min(pause, LONGEST_AVOIDANCE))
 
     @property
-    def memory_load(self) -> int:
+    def claimed_memory(self) -> int:
         """Expected memory of all entries' runs and copies, in tokens."""
         return self.memory + self.peer_memory
 
+    @property
+    def memory_load(self) -> int:
+        """Expected memory in use, in tokens."""
+        return self.claimed_memory + self.unclaimed
+
 
 @dataclass(slots=True)
 class TargetTable:
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -267,11 +267,13 @@
                 self._session.get(url) as response,
             ):
                 body = await response.read()
-            leaving = parse_report(body) if response.status == 200 else False
+            if response.status != 200:
+                raise ValueError(f"answered {response.status}")
+            event = parse_report(name, body)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             _log.info("no report", extra={"target": name, "error": _describe(error)})
             return
-        self._dispatch(EngineReported(name, leaving))
+        self._dispatch(event)
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -335,16 +337,18 @@
 
     state: str = "ready"
     leaves_ms: float | None = None  # told only once the engine knows its end
+    kv_used: int | None = None  # tokens of its memory that can't yield
 
 
-def parse_report(body: bytes) -> bool:
-    """Return whether an engine says that it takes no new work.
+def parse_report(target: str, body: bytes) -> EngineReported:
+    """Return what an engine says of itself.
 
     Raises:
         ValueError: If the report can't be read.
     """
     report = _Report.model_validate(orjson.loads(body))
-    return report.state != "ready" or report.leaves_ms is not None
+    leaving = report.state != "ready" or report.leaves_ms is not None
+    return EngineReported(target, leaving, report.kv_used)
 
 
 def _check_answer(response: aiohttp.ClientResponse, exchange: CallerExchange) -> None:
--- a/tests/gateway/test_reports.py
+++ b/tests/gateway/test_reports.py
@@ -1,8 +1,10 @@
 """Tests of what engines say of themselves when they are asked."""
 
+from figstep.core.clock import Millis
 from figstep.gateway.effects import OpenAttempt, ReadReport
 from figstep.gateway.events import EngineReported, StoreLost, Ticked
-from tests.gateway.worlds import start_with_backup
+from figstep.gateway.reports import ASK_PERIOD, SETTLED_AFTER
+from tests.gateway.worlds import World, start_with_backup
 
 
 def test_while_the_store_is_away_engines_are_asked_whether_they_leave() -> None:
@@ -23,3 +25,65 @@
     assert world.find_all(ReadReport) == []
     world.handle(EngineReported(opened.target, leaving=True))
     assert world.find(OpenAttempt).target == opened.backup
+
+
+def restart() -> World:
+    """Return a world whose entry has just started in place of one that was killed."""
+    world = World()
+    world.state.budget.started = world.clock.now()
+    world.state.budget.fresh = False
+    return world
+
+
+def test_prompts_keep_off_memory_that_killed_processes_left_behind() -> None:
+    """The caller would wait four seconds for the first word of its plan.
+
+    All entries are killed while they copy runs to a new engine, and it keeps
+    these copies for seconds. The entries that start again know of none of them:
+    the engine looks empty, and prompts sent there wait until it drops them.
+    """
+    world = restart()
+    world.register("e-1", "e-2")
+    world.handle(Ticked())
+    assert {effect.target for effect in world.find_all(ReadReport)} == {"e-1", "e-2"}
+    world.handle(EngineReported("e-1", leaving=False, memory=32_000))
+    world.handle(EngineReported("e-2", leaving=False, memory=0))
+    for _ in range(2):
+        world.arrive_plan()
+        assert world.find(OpenAttempt).target == "e-2"
+    world.arrive_plan()
+    assert world.find_all(OpenAttempt) == []
+
+
+def test_what_an_engine_reports_is_compared_with_what_was_counted_before() -> None:
+    """Runs of this process would count twice, and prompts be refused for them."""
+    world = restart()
+    world.register("e-1")
+    engine = world.state.targets.targets["e-1"]
+    world.handle(EngineReported("e-1", leaving=False, memory=8_000))
+    assert engine.unclaimed == 8_000
+    opened = world.open_plan()
+    assert opened.target == "e-1"
+    world.handle(EngineReported("e-1", leaving=False, memory=8_000))
+    world.handle(EngineReported("e-1", leaving=False, memory=11_000))
+    assert engine.unclaimed == 11_000 - engine.claimed_memory
+    world.handle(EngineReported("e-1", leaving=False, memory=3_000))
+    assert engine.unclaimed == 0
+
+
+def test_engines_are_asked_for_memory_only_until_copies_are_dropped() -> None:
+    world = restart()
+    world.register("e-1")
+    world.handle(EngineReported("e-1", leaving=False, memory=8_000))
+    world.clock.advance(Millis(5_000 + SETTLED_AFTER))
+    world.handle(Ticked())
+    assert world.find_all(ReadReport) == []
+    assert world.state.targets.targets["e-1"].unclaimed == 0
+
+
+def test_a_system_that_starts_for_the_first_time_asks_nobody() -> None:
+    world = World()
+    world.register("e-1")
+    world.clock.advance(ASK_PERIOD)
+    world.handle(Ticked())
+    assert world.find_all(ReadReport) == []
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -2,23 +2,28 @@
 
 import pytest
 
+from figstep.gateway.events import EngineReported
 from figstep.platform.engines import parse_report
 
 
 @pytest.mark.parametrize(
-    ("body", "leaving"),
+    ("body", "leaving", "memory"),
     [
-        (b'{"phase":"both","queued":1}', False),
-        (b'{"state":"ready","leaves_ms":null}', False),
-        (b'{"state":"ready","leaves_ms":1400}', True),
-        (b'{"state":"draining"}', True),
+        (b'{"phase":"both","queued":1}', False, None),
+        (b'{"state":"ready","leaves_ms":null,"kv_used":0}', False, 0),
+        (b'{"state":"ready","leaves_ms":1400,"kv_used":4100}', True, 4100),
+        (b'{"state":"draining"}', True, None),
     ],
 )
-def test_a_report_tells_whether_the_engine_leaves(body: bytes, leaving: bool) -> None:
-    assert parse_report(body) is leaving
+def test_a_report_tells_whether_the_engine_leaves_and_how_full_it_is(
+    body: bytes, leaving: bool, memory: int | None
+) -> None:
+    assert parse_report("e-1", body) == EngineReported("e-1", leaving, memory)
 
 
-@pytest.mark.parametrize("body", [b"", b"[]", b'{"leaves_ms":"soon"}'])
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b'{"leaves_ms":"soon"}', b'{"kv_used":[]}']
+)
 def test_a_report_that_is_none_is_refused(body: bytes) -> None:
     with pytest.raises(ValueError, match=r".+"):
-        parse_report(body)
+        parse_report("e-1", body)
