--- /dev/null
+++ b/figstep/account.py
@@ -0,0 +1,205 @@
+"""An account of a run's requests from the entries' logs: lost, late, refused, why.
+
+Each line of a log is one JSON object; whatever stands before it, such as a time or
+the name of an instance, is left out.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+import orjson
+
+NO_LOSS = "no target was lost"
+
+
+class Outcome(Enum):
+    """What became of a request."""
+
+    IN_TIME = "in time"
+    LATE = "late"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    CALLER_GONE = "caller gone"
+    OPEN = "open at the end"
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """From when on an answer counts as late.
+
+    Attributes:
+        first: Longest time to a stream's first event, in milliseconds.
+        pause: Longest pause between its events, in milliseconds.
+    """
+
+    first: int = 1_800
+    pause: int = 180
+
+
+@dataclass(slots=True)
+class Course:
+    """A request's lines, in the order in which they were written.
+
+    Attributes:
+        lines: Its lines.
+    """
+
+    lines: list[dict[str, Any]] = field(default_factory=list)
+
+    def find_last(self, message: str) -> dict[str, Any] | None:
+        """Return the last line with a message, or None."""
+        found = [line for line in self.lines if line["message"] == message]
+        return found[-1] if found else None
+
+    def find_first(self, message: str) -> dict[str, Any] | None:
+        """Return the first line with a message, or None."""
+        found = [line for line in self.lines if line["message"] == message]
+        return found[0] if found else None
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """Requests with the same outcome for the same cause.
+
+    Attributes:
+        route: Their route; "" where no line names it.
+        outcome: What became of them.
+        cause: Why, as far as the lines tell.
+        requests: How many there are.
+        events: Events that they had delivered.
+    """
+
+    route: str
+    outcome: Outcome
+    cause: str
+    requests: int
+    events: int
+
+
+def read_courses(lines: Iterable[str]) -> dict[str, Course]:
+    """Return the lines of each request by its id; other lines are passed over."""
+    courses: dict[str, Course] = defaultdict(Course)
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            document = orjson.loads(line[start:])
+        except orjson.JSONDecodeError:
+            # Lines of other programs may stand between those of an entry.
+            continue
+        if not isinstance(document, dict) or "message" not in document:
+            continue
+        request = document.get("request")
+        if isinstance(request, str):
+            courses[request].lines.append(document)
+    return dict(courses)
+
+
+def account_courses(courses: dict[str, Course], limits: Limits) -> list[Row]:
+    """Return how many requests of each route ended how and why, most first."""
+    counts: Counter[tuple[str, Outcome, str]] = Counter()
+    events: Counter[tuple[str, Outcome, str]] = Counter()
+    for course in courses.values():
+        end = course.find_last("request ended")
+        outcome, cause = judge_course(course, limits)
+        route = "" if end is None else str(end.get("route", ""))
+        key = (route, outcome, cause)
+        counts[key] += 1
+        events[key] += 0 if end is None else int(end.get("events", 0))
+    rows = [Row(*key, count, events[key]) for key, count in counts.items()]
+    rows.sort(key=lambda row: (row.route, row.outcome.value, -row.requests))
+    return rows
+
+
+def judge_course(course: Course, limits: Limits) -> tuple[Outcome, str]:
+    """Return what became of a request and why."""
+    end = course.find_last("request ended")
+    if end is None:
+        turned_away = course.find_last("request turned away")
+        if turned_away is not None:
+            return Outcome.REFUSED, str(turned_away.get("reason", ""))
+        return Outcome.OPEN, "its entry ended, or the log does"
+    match end.get("outcome"):
+        case "whole stream" | "answered":
+            return _judge_answer(course, end, limits)
+        case "refused":
+            return Outcome.REFUSED, str(end.get("reason", ""))
+        case "caller gone":
+            return Outcome.CALLER_GONE, ""
+        case _:
+            return Outcome.BROKEN, _explain_loss(course, end)
+
+
+def _judge_answer(
+    course: Course, end: dict[str, Any], limits: Limits
+) -> tuple[Outcome, str]:
+    if end.get("first_ms", 0) > limits.first:
+        return Outcome.LATE, _explain_late_start(course, limits)
+    if end.get("longest_pause_ms", 0) > limits.pause:
+        return Outcome.LATE, _explain_pause(course, limits)
+    return Outcome.IN_TIME, ""
+
+
+def _explain_late_start(course: Course, limits: Limits) -> str:
+    opened = course.find_first("attempt opened")
+    if opened is not None and opened.get("waited_ms", 0) > limits.first / 2:
+        return "waited for room"
+    return "its prompt was read late"
+
+
+def _explain_pause(course: Course, limits: Limits) -> str:
+    for line in course.lines:
+        if line["message"] != "stream goes on elsewhere":
+            continue
+        if line.get("pause_ms", 0) > limits.pause:
+            return "went on elsewhere late"
+    return "its engine paused"
+
+
+def _explain_loss(course: Course, end: dict[str, Any]) -> str:
+    lost = course.find_last("attempt lost")
+    if lost is None:
+        return str(end.get("reason", NO_LOSS))
+    if lost.get("standing") == "ready":
+        return f"its target was lost without notice: {lost.get('loss')}"
+    if course.find_last("repeat denied by the fleet's budget") is not None:
+        return "the retry budget denied to go on"
+    return _explain_lost_in_notice(course, lost)
+
+
+def _explain_lost_in_notice(course: Course, lost: dict[str, Any]) -> str:
+    last = None
+    for line in course.lines:
+        if line["message"] in ("copy ordered", "copy made", "copy failed"):
+            last = line
+        if line["message"] == "attempt opened" and line.get("goes_on_from"):
+            last = line
+    if last is None:
+        return "no copy was ordered before its engine left"
+    match last["message"]:
+        case "copy ordered":
+            return "its copy was not made before its engine left"
+        case "copy failed":
+            return "no engine took its copy"
+        case "copy made":
+            return "its copy was not used before its engine left"
+        case _ if last.get("target") == lost.get("target"):
+            return "no copy was ordered before its engine left"
+        case _:
+            return "its copy's holder did not go on in time"
+
+
+def format_rows(rows: list[Row]) -> str:
+    """Return the account as a table."""
+    width = max([len(row.cause) for row in rows], default=0)
+    lines = [f"{'route':12} {'outcome':16} {'cause':{width}} requests events"]
+    for row in rows:
+        lines.append(
+            f"{row.route[:12]:12} {row.outcome.value:16} {row.cause:{width}} "
+            f"{row.requests:8} {row.events:6}"
+        )
+    return "\n".join(lines)
--- a/figstep/cli.py
+++ b/figstep/cli.py
@@ -14,6 +14,7 @@
 import uvloop
 import yaml
 
+from figstep import account as accounts
 from figstep import bench, operations
 from figstep import demo as demonstration
 from figstep.audit import HistoryEntry
@@ -319,6 +320,21 @@
     draw_measures(read_results(results), output)
 
 
+@app.command()
+def account(
+    logs: list[Path],
+    first: Annotated[int, typer.Option(help="Latest first event, ms.")] = 1_800,
+    pause: Annotated[int, typer.Option(help="Longest pause, ms.")] = 180,
+) -> None:
+    """Tell from entries' logs which requests were lost, late or refused, and why."""
+    courses: dict[str, accounts.Course] = {}
+    for log in logs:
+        with log.open(errors="replace") as lines:
+            courses.update(accounts.read_courses(lines))
+    rows = accounts.account_courses(courses, accounts.Limits(first, pause))
+    typer.echo(accounts.format_rows(rows))
+
+
 @settings_app.command("check")
 def check_settings(settings: Path) -> None:
     """Validate a settings file."""
