Log what stood in the way at each engine as a prompt was sent

One line a prompt in place of two, with the loads as they were when the choice was made and not after it, so that a slow or full engine's choice can be explained afterwards.

--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -28,16 +28,17 @@
     state: State, request: Request, target: Target, now: Millis
 ) -> list[Effect]:
     """Send a request to a target as a run from its start."""
+    engines = ""
+    if request.spec.prompt is not None:
+        # As they were when the choice was made.
+        engines = placement.describe_obstacles(state, request, now)
     attempt = _add_attempt(state, request, target, None, now)
     request.current = attempt
     after = request.delivered or request.spec.after
-    effects: list[Effect] = [
+    return [
         _open(state, request, attempt, after),
-        _note(request, attempt, now),
+        _note(request, attempt, now, engines),
     ]
-    if request.spec.prompt is not None:
-        effects.append(_note_choice(state, request, attempt, now))
-    return effects
 
 
 def start_standby(
@@ -231,20 +232,7 @@
     return "" if target is None else target.name
 
 
-def _note_choice(state: State, request: Request, attempt: Attempt, now: Millis) -> Note:
-    prompt = request.spec.prompt
-    return Note(
-        "engine chosen",
-        {
-            "request": request.spec.id,
-            "target": attempt.target.name,
-            "expected_output": 0 if prompt is None else prompt.expected_output,
-            "engines": placement.describe_obstacles(state, request, now),
-        },
-    )
-
-
-def _note(request: Request, attempt: Attempt, now: Millis) -> Note:
+def _note(request: Request, attempt: Attempt, now: Millis, engines: str = "") -> Note:
     return Note(
         "attempt opened",
         {
@@ -255,5 +243,6 @@
             "goes_on_from": attempt.source.owner if attempt.source else "",
             "after": request.delivered,
             "waited_ms": now - request.arrived,
+            "engines": engines,
         },
     )
