--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -165,9 +165,16 @@
     if pool is None or not pool.backups or request.route.idempotent:
         # A stream that may start anew elsewhere needs no copy.
         return None
+    if pool.moves:
+        # Copies on order protect a run as well, and only while there is room: a
+        # running backup takes memory from the first token on, prompts wait for
+        # it, and other runs are preempted.
+        return None
     if request.route.kind is not RouteKind.STREAM:
         return None
-    return placement.choose_backup_holder(state, request, source, now)
+    return placement.choose_copy_holder(
+        state, request, source.name, now, placement.BACKUP_ROOM
+    )
 
 
 def _add_attempt(
--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -15,14 +15,12 @@
 from figstep.gateway.targets import Standing, Target
 
 QUIET_WAIT = Millis(800)
-"""How long after the notice a run waits for its holder to have read all prompts.
-A slow engine takes 150 ms for an event while it reads one, and the change-over
-costs two of its events; without reading it takes 50 ms. The notice leaves 0.7 s
-for what fails then."""
+"""How long after the notice a run waits for its holder to have read all prompts:
+its events take three times as long while it reads one, and the change-over costs
+two of them. The notice leaves 0.7 s for what fails then."""
 
 COPY_ARRIVES = Millis(400)
-"""How long after a run's first event its running backup may not be there yet:
-holders refused runs up to 230 ms old, and took others from 170 ms on. A backup
+"""How long after a run's first event its running backup may not be there yet. One
 tried too early is spoiled, and a whole copy has to be made in its place."""
 
 REFRESH_SHARE = 0.6
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -263,7 +263,6 @@
         reading: Prompt tokens that are still to be read for them.
         read_rate: Prompt tokens that the target reads in a millisecond, as the
             entry saw it; None if it didn't.
-        unprotected: Long streams there that have no copy elsewhere.
         incoming: Tokens of runs that are being copied to it.
         outgoing: Tokens of runs that are being copied from it.
     """
@@ -273,7 +272,6 @@
     memory: int
     reading: int = 0
     read_rate: float | None = None
-    unprotected: int = 0
     incoming: int = 0
     outgoing: int = 0
 
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -140,7 +140,6 @@
         target.peer_rate_count = 0
         target.peer_incoming = 0
         target.peer_outgoing = 0
-        target.peer_unprotected = 0
     told = [peer.loads for peer in state.peers.values()]
     told += [far.loads for far in state.far_loads.values()]
     for loads in told:
@@ -155,7 +154,6 @@
     target.peer_calls += sign * load.calls
     target.peer_memory += sign * load.memory
     target.peer_reading += sign * load.reading
-    target.peer_unprotected += sign * load.unprotected
     target.peer_incoming += sign * load.incoming
     target.peer_outgoing += sign * load.outgoing
     if load.read_rate is not None:
@@ -165,7 +163,6 @@
 
 def list_loads(state: State) -> tuple[PeerLoad, ...]:
     """Return what this entry has open, by target."""
-    unprotected = placement.count_unprotected(state)
     loads = []
     for target in state.targets.targets.values():
         if not (target.calls or target.memory or target.read_rate_own):
@@ -177,7 +174,6 @@
                 target.memory,
                 target.reading,
                 target.read_rate_own,
-                unprotected.get(target.name, 0),
                 target.incoming,
                 target.outgoing,
             )
@@ -297,7 +293,6 @@
         one.memory + other.memory,
         one.reading + other.reading,
         sum(rates) / len(rates) if rates else None,
-        one.unprotected + other.unprotected,
         one.incoming + other.incoming,
         one.outgoing + other.outgoing,
     )
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -21,21 +21,12 @@
 prompt takes most of the rest."""
 
 BACKUP_ROOM = 0.7
-"""The same for running backups made ahead. Under load a prompt that finds no
-room costs more than a run that has to be copied in the seconds of notice."""
-
-CROWDED_BACKUP_ROOM = 0.9
-"""The same where more runs than that are without a backup at one engine."""
+"""The same for running backups. Under load a prompt that finds no room costs more
+than a run that is lost only if its engine leaves."""
 
 AHEAD_ROOM = 0.6
-"""The same for copies made ahead on order. Filled up to 0.9 with them, engines had
-no room for prompts when one of five left: of 54 long streams three were refused
-and eight to fourteen late, against none and eight without such copies."""
-
-COPIED_IN_NOTICE = 2
-"""Runs that are copied for certain within the notice: a copy of 4,000 tokens
-takes up to 0.6 s between failure domains, one after another, and engines are
-gone 1.5 s after the notice at the earliest."""
+"""The same for copies made ahead on order, which most runs can still be given in
+the notice: prompts need room for all that one engine held when it leaves."""
 
 NO_ROOM_FOR = Millis(1_000)
 """How long an engine that had no room for a copy is not asked for the same run:
@@ -90,14 +81,13 @@
 
 FAR_DELAY_UNSEEN = 800.0
 """The same in a large fleet, where loads of other failure domains are known from
-sums that are a second or two old. At 250 two of three prompts of an engine came
-from other domains, which chose it unseen: of 956 answers 60 began late, none of
-them for lack of room."""
+sums that are a second or two old: meanwhile two more prompts may have gone there
+unseen, and each delays the next by about half of this."""
 
 FULL_MESH = 16
-"""Entries up to which all tell all. At 73 it took 10% of a core of each entry
-and 16 MB a second between failure domains; above it, entries tell those of
-their own failure domain, and sums go to the others."""
+"""Entries up to which all tell all: messages grow with the square of the fleet.
+Above it, entries tell those of their own failure domain, and sums go to the
+others."""
 
 MOST_DESCRIBED = 8
 """Engines named in the log line of a refusal; a large fleet has dozens."""
@@ -218,16 +208,6 @@
     return now - request.arrived > LATE_SHARE * request.route.objective
 
 
-def choose_backup_holder(
-    state: State, request: Request, source: Target, now: Millis
-) -> Target | None:
-    """Return the engine that keeps a running backup, or None for none."""
-    unprotected = source.peer_unprotected
-    unprotected += count_unprotected(state).get(source.name, 0)
-    room = CROWDED_BACKUP_ROOM if unprotected >= COPIED_IN_NOTICE else BACKUP_ROOM
-    return choose_copy_holder(state, request, source.name, now, room)
-
-
 def choose_copy_holder(
     state: State, request: Request, source: str, now: Millis, room: float
 ) -> Target | None:
@@ -271,19 +251,6 @@
     return refused is not None and now - refused < NO_ROOM_FOR
 
 
-def count_unprotected(state: State) -> dict[str, int]:
-    """Return this entry's streams without a copy elsewhere, by target."""
-    counts: dict[str, int] = {}
-    for request in state.requests.values():
-        current = request.current
-        if current is None or request.copy is not None or request.standby is not None:
-            continue
-        if not request.begun or request.route.resumable:
-            continue
-        counts[current.target.name] = counts.get(current.target.name, 0) + 1
-    return counts
-
-
 def estimate_memory(state: State, request: Request) -> int:
     """Return the tokens that a request needs at an engine within seconds."""
     prompt = request.spec.prompt
--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -53,6 +53,10 @@
     pool = placement.find_engine_pool(state, target.info.service)
     if pool is None or state.budget.fresh:
         return False
+    if state.entries > placement.FULL_MESH:
+        # Questions of all entries to all engines would grow with the square of
+        # the fleet, and there a few engines of dozens hold such copies.
+        return False
     return now - state.budget.started < pool.copy_kept + SETTLED_AFTER
 
 
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -97,7 +97,6 @@
             seen by this entry; None before any was seen.
         peer_rate_sum: Sum of the same as seen by other entries.
         peer_rate_count: Entries and failure domains that have seen it.
-        peer_unprotected: Their long streams there without a copy elsewhere.
         failures: Smoothed part of its attempts that failed, 0 to 1.
         asked_at: When it was last asked for its state.
         reported_at: When it last told it.
@@ -124,7 +123,6 @@
     read_rate_own: float | None = None
     peer_rate_sum: float = 0.0
     peer_rate_count: int = 0
-    peer_unprotected: int = 0
     failures: float = 0.0
     asked_at: Millis = Millis(0)
     reported_at: Millis = Millis(0)
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -27,7 +27,7 @@
   memory @2 :UInt32;
   reading @3 :UInt32;
   readRate @4 :Float32;      # 0 for unknown
-  unprotected @5 :UInt16;
+  retired5 @5 :UInt16;       # no longer told
   incoming @6 :UInt32;       # tokens that are being copied to it
   outgoing @7 :UInt32;
 }
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -384,7 +384,6 @@
     for slot, load in zip(loads, own.loads, strict=True):
         slot.target, slot.calls, slot.memory = load.target, load.calls, load.memory
         slot.reading, slot.readRate = load.reading, load.read_rate or 0.0
-        slot.unprotected = load.unprotected
         slot.incoming, slot.outgoing = load.incoming, load.outgoing
     uses = message.init("uses", len(own.uses))
     for slot, use in zip(uses, own.uses, strict=True):
@@ -414,7 +413,6 @@
                 load.memory,
                 load.reading,
                 load.readRate or None,
-                load.unprotected,
                 load.incoming,
                 load.outgoing,
             )
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -58,7 +58,7 @@
     Four engines carry 23 runs and a backup of each: the next prompt is turned
     away although the runs alone leave plenty of room.
     """
-    world = World()
+    world = World(moves=False)
     world.register("e-1", "e-2")
     for name in ("e-1", "e-2"):
         engine = world.state.targets.find(name)
--- a/tests/gateway/test_reports.py
+++ b/tests/gateway/test_reports.py
@@ -2,7 +2,7 @@
 
 from figstep.core.clock import Millis
 from figstep.gateway.effects import OpenAttempt, ReadReport
-from figstep.gateway.events import EngineReported, StoreLost, Ticked
+from figstep.gateway.events import EngineReported, EntriesCounted, StoreLost, Ticked
 from figstep.gateway.reports import ASK_PERIOD, SETTLED_AFTER
 from tests.gateway.worlds import World, start_with_backup
 
@@ -81,6 +81,14 @@
     assert world.state.targets.targets["e-1"].unclaimed == 0
 
 
+def test_a_large_fleet_does_not_ask_all_engines() -> None:
+    world = restart()
+    world.register("e-1")
+    world.handle(EntriesCounted(61))
+    world.handle(Ticked())
+    assert world.find_all(ReadReport) == []
+
+
 def test_a_system_that_starts_for_the_first_time_asks_nobody() -> None:
     world = World()
     world.register("e-1")
