Count a target's departure once

Targets that left before are missing from each list and were taken for departures anew. The log repeated 'target departed' for the same targets.

Change: only a target that still gets work can depart. The test fails without it (three engines that left before hide the departure of a fourth).

--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -29,7 +29,7 @@
     Ticked,
 )
 from figstep.gateway.state import State
-from figstep.gateway.targets import Registration
+from figstep.gateway.targets import Registration, Standing
 
 DEPARTED_KEPT = Millis(30_000)
 """How long a departed target is remembered: a lapsed registration comes back
@@ -153,6 +153,12 @@
 
 
 def _take_departure(state: State, event: TargetDeparted, now: Millis) -> list[Effect]:
+    target = state.targets.find(event.target)
+    if target is None or target.standing is not Standing.READY:
+        # Each list of a peer's lacks it anew; counted again, it would make the
+        # next departure look like a lapse of all registrations, and prompts go
+        # to an engine that leaves.
+        return []
     returning = state.store_away or now < state.store_back_at + LAPSE
     if returning and not peers.has_store_been_well(state):
         state.targets.doubt(event.target, Millis(state.store_back_at + LAPSE))
--- a/tests/gateway/test_reducer.py
+++ b/tests/gateway/test_reducer.py
@@ -1,6 +1,7 @@
 """Tests of the reducer: configuration, registrations and lapses."""
 
 from figstep.core.clock import Millis
+from figstep.gateway.effects import Note
 from figstep.gateway.events import (
     ConfigurationRead,
     PeerHeard,
@@ -134,3 +135,30 @@
         world.depart(name)
         world.clock.advance(1_000)
     assert ready(world) == ["e-4"]
+
+
+def test_targets_that_left_long_ago_don_t_make_a_departure_look_like_a_lapse() -> None:
+    """The caller would lose its plan, and prompts go to an engine that leaves.
+
+    An entry that the store turns away has its peers' list read again and again.
+    Engines that left before are missing from each; counted as departures anew,
+    they make the next one look like a lapse of all registrations, which is not
+    believed for two seconds. The engine is gone by then.
+    """
+    world = World()
+    world.register("e-1", "e-2", "e-3", "e-4", "e-5", "e-6")
+    for name in ("e-1", "e-2", "e-3"):
+        world.depart(name)
+        world.clock.advance(3_000)
+    left = [
+        Registration(name, ENGINES, f"{name}:80", "muc-a", 64, born=1)
+        for name in ("e-5", "e-6")
+    ]
+    world.handle(TargetsListed(tuple(left), position=9))
+    assert ready(world) == ["e-5", "e-6"]
+    # What is known already is not told again.
+    world.handle(TargetsListed(tuple(left), position=10))
+    departed = [
+        note for note in world.find_all(Note) if note.message == "target departed"
+    ]
+    assert departed == []
