Compare an engine's first report with what is counted for it

Cause, found by reading the change as a newcomer: engines are asked for their state also while the store is away. The first answer had no earlier one to be compared with, so all that an engine held counted twice until the second, 0.4 s later: prompts would find no room and copies made ahead would be dropped as an outage begins.

Change: what an answer is compared with is noted as the question is asked: what was counted at the question before, or now if that was long ago. The test fails without it.

--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -11,6 +11,9 @@
 """How often an engine is asked: its state is half a second old, and it is gone
 1.5 s after its notice."""
 
+UNCLAIMED_FOR = Millis(1_200)
+"""How long an answer counts: three questions, of which two may stay unanswered."""
+
 SETTLED_AFTER = Millis(1_000)
 """How much longer than copies are kept a process asks after its start: one that
 was ordered just before the kill is kept from when it arrives."""
@@ -27,7 +30,7 @@
     effects: list[Effect] = []
     in_use = _list_in_use(state)
     for target in state.targets.targets.values():
-        if target.unclaimed and now - target.reported_at >= 3 * ASK_PERIOD:
+        if target.unclaimed and now - target.reported_at >= UNCLAIMED_FOR:
             target.unclaimed = 0
         if target.standing is not Standing.READY:
             continue
@@ -36,11 +39,21 @@
         asked = state.store_away and target.name in in_use
         if not asked and not _may_hold_unclaimed(state, target, now):
             continue
-        target.asked_at = now
+        _note_question(target, now)
         effects.append(ReadReport(target.name))
     return effects
 
 
+def _note_question(target: Target, now: Millis) -> None:
+    # An answer is as old as the time between two questions: it is compared with
+    # what was counted at the one before, or now if that was long ago.
+    recent = now - target.asked_at < UNCLAIMED_FOR
+    claimed = target.claimed_memory
+    target.counted_memory = target.claimed_when_asked if recent else claimed
+    target.claimed_when_asked = claimed
+    target.asked_at = now
+
+
 def _list_in_use(state: State) -> set[str]:
     return {
         request.current.target.name
@@ -75,8 +88,5 @@
 
 
 def _count_unclaimed(target: Target, used: int, now: Millis) -> None:
-    # The report is as old as the time between two of them, so it is compared
-    # with what was counted at the one before.
     target.unclaimed = max(0, used - target.counted_memory)
-    target.counted_memory = target.claimed_memory
     target.reported_at = now
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -100,7 +100,8 @@
         failures: Smoothed part of its attempts that failed, 0 to 1.
         asked_at: When it was last asked for its state.
         reported_at: When it last told it.
-        counted_memory: What was known to take its memory then.
+        claimed_when_asked: What was known to take its memory at the last question.
+        counted_memory: What its next answer is compared with.
         unclaimed: Tokens of its memory that no known run or copy takes.
         strikes: Losses in a row without an answer.
         avoid_until: When it is tried again after losses.
@@ -124,8 +125,9 @@
     peer_rate_sum: float = 0.0
     peer_rate_count: int = 0
     failures: float = 0.0
-    asked_at: Millis = Millis(0)
+    asked_at: Millis = Millis(-1_000_000)
     reported_at: Millis = Millis(0)
+    claimed_when_asked: int = 0
     counted_memory: int = 0
     unclaimed: int = 0
     strikes: int = 0
--- a/tests/gateway/test_reports.py
+++ b/tests/gateway/test_reports.py
@@ -55,26 +55,55 @@
     assert world.find_all(OpenAttempt) == []
 
 
+def ask(world: World) -> None:
+    """Let the time between two questions pass, and the next one be asked."""
+    world.clock.advance(ASK_PERIOD)
+    world.handle(Ticked())
+    assert world.find(ReadReport).target == "e-1"
+
+
 def test_what_an_engine_reports_is_compared_with_what_was_counted_before() -> None:
     """Runs of this process would count twice, and prompts be refused for them."""
     world = restart()
     world.register("e-1")
     engine = world.state.targets.targets["e-1"]
+    ask(world)
     world.handle(EngineReported("e-1", leaving=False, memory=8_000))
     assert engine.unclaimed == 8_000
-    opened = world.open_plan()
-    assert opened.target == "e-1"
+    assert world.open_plan().target == "e-1"
+    ask(world)
+    # As old as the question before: the plan is not in it yet.
     world.handle(EngineReported("e-1", leaving=False, memory=8_000))
+    assert engine.unclaimed == 8_000
+    ask(world)
     world.handle(EngineReported("e-1", leaving=False, memory=11_000))
     assert engine.unclaimed == 11_000 - engine.claimed_memory
+    ask(world)
     world.handle(EngineReported("e-1", leaving=False, memory=3_000))
     assert engine.unclaimed == 0
 
 
+def test_the_first_answer_in_an_outage_counts_no_run_twice() -> None:
+    """Prompts would be refused, and copies dropped, as the store goes away.
+
+    Engines that run much are asked for the first time then. What they report is
+    what is counted for them already.
+    """
+    world, opened = start_with_backup()
+    engine = world.state.targets.targets[opened.target]
+    world.handle(StoreLost())
+    world.handle(Ticked())
+    report = EngineReported(opened.target, leaving=False, memory=3_040)
+    world.handle(report)
+    assert engine.unclaimed == 0
+
+
 def test_engines_are_asked_for_memory_only_until_copies_are_dropped() -> None:
     world = restart()
     world.register("e-1")
+    ask(world)
     world.handle(EngineReported("e-1", leaving=False, memory=8_000))
+    assert world.state.targets.targets["e-1"].unclaimed == 8_000
     world.clock.advance(Millis(5_000 + SETTLED_AFTER))
     world.handle(Ticked())
     assert world.find_all(ReadReport) == []
