--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -213,10 +213,10 @@
 def protect_streams(state: State, now: Millis) -> list[Effect]:
     """Have copies made of long runs whose engine stays, while there is room.
 
-    A running backup is decided as a run starts. Runs that found no room then,
-    or have used theirs up, would be copied in the notice only, all at once: of
-    seven runs of one engine three were lost, as copies queue on its link. One
-    run of each engine is copied at a time, so that none of a notice waits long.
+    In the notice all runs of an engine are copied at once: copies queue on its
+    link, and the last of six or seven are not made before it is gone. Without a
+    copy made ahead a run is also lost with an engine that leaves without notice.
+    One run of each engine is copied at a time, so that none of a notice waits.
     """
     effects: list[Effect] = []
     busy = _list_copying(state)
@@ -336,12 +336,12 @@
         holder = placement.choose_copy_holder(
             state, request, current.target.name, now, placement.AHEAD_ROOM
         )
-    if holder is None or is_copying(current.target, holder):
+    if holder is None or _is_copying(current.target, holder):
         return []
     return _order_copy_to(state, request, current, holder, now)
 
 
-def is_copying(source: Target, holder: Target) -> bool:
+def _is_copying(source: Target, holder: Target) -> bool:
     """Tell whether a link that a copy made ahead would take is in use.
 
     Links carry copies one after another. As a new engine comes, all entries have
