Let copies of records spread from entry to entry, compressed

Peers of the own failure domain are asked first.

Ruled out: all entries reading it from the store (a call each, which is dear), and changes in place of whole documents (the operator writes whole ones).

Messages moved to net/hellos.py, as links.py had grown.

--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -1,5 +1,6 @@
 """What entries tell each other: open work by target, crashes, leaving."""
 
+import zlib
 from dataclasses import replace
 
 from figstep.core.clock import Millis
@@ -38,6 +39,9 @@
 that read the store themselves learn of a record within some milliseconds of
 each other; a store that turns this entry away may never tell it."""
 
+COPIES_AT_ONCE = 2
+"""Entries that ask one peer for its records at the same time."""
+
 MOST_CRASHES_TOLD = 16
 """Crashes told in a message; each is told again and again while it is new."""
 
@@ -55,6 +59,7 @@
         event.position,
         event.store_well,
         _find_well_since(state, event, now),
+        event.far,
     )
     if event.far and event.failure_domain == state.failure_domain:
         # It asked for this entry's failure domain before it knew that it shares
@@ -226,27 +231,25 @@
 
 def catch_up(state: State, now: Millis) -> list[Effect]:
     """Ask a peer for records that the store has not told this entry."""
-    version = -1 if state.table is None else state.table.version
-    ahead = [
-        peer
-        for peer in [*state.peers.values(), *state.far_peers.values()]
-        if peer.configuration > version or peer.position > state.position
-    ]
+    known = [*state.peers.values(), *state.far_peers.values()]
+    ahead = [peer for peer in known if _is_ahead(state, peer)]
     if not ahead:
         state.behind_since = None
         return []
     if state.behind_since is None:
         state.behind_since = now
+    waited = Millis(now - state.behind_since)
     patience = CATCH_UP_AFTER if reads_store(state, now) else TOLD_AFTER
-    if now - state.behind_since < patience:
+    if waited < patience or not _is_turn(state, ahead, waited):
         return []
     state.behind_since = now
-    peer = state.rng.choice(ahead)
+    near = [peer for peer in ahead if not peer.far]
+    peer = state.rng.choice(near or ahead)
     note = Note(
         "records asked of a peer",
         {
             "peer": peer.address,
-            "configuration": version,
+            "configuration": _read_version(state),
             "peer_configuration": peer.configuration,
             "position": state.position,
             "peer_position": peer.position,
@@ -255,6 +258,34 @@
     return [FetchRecords(peer.address), note]
 
 
+def _is_ahead(state: State, peer: Peer) -> bool:
+    if peer.configuration > _read_version(state):
+        return True
+    return peer.position > state.position
+
+
+def _read_version(state: State) -> int:
+    return -1 if state.table is None else state.table.version
+
+
+def _is_turn(state: State, ahead: list[Peer], waited: Millis) -> bool:
+    """Tell whether this entry may ask now for records that only some peers have.
+
+    Were a whole failure domain to ask the few that know them at once, all would
+    get them late over a slow link. Each entry that has them serves the next ones.
+    """
+    newest = max((peer.configuration, peer.position) for peer in ahead)
+    behind = [name for name, peer in state.peers.items() if not _is_ahead(state, peer)]
+    own = _draw_turn(newest, state.node)
+    before = sum(1 for name in behind if _draw_turn(newest, name) < own)
+    doublings = waited // CATCH_UP_AFTER
+    return before < COPIES_AT_ONCE * len(ahead) << doublings
+
+
+def _draw_turn(newest: tuple[int, int], name: str) -> int:
+    return zlib.crc32(f"{newest} {name}".encode())
+
+
 def describe_own(state: State, now: Millis) -> PeerHeard:
     """Return what this entry tells the others."""
     return PeerHeard(
@@ -263,7 +294,7 @@
         state.budget.report(now),
         tuple(state.crashes.list_recent(MOST_CRASHES_TOLD)),
         state.closes_at is not None,
-        configuration=-1 if state.table is None else state.table.version,
+        configuration=_read_version(state),
         position=state.position,
         failure_domain=state.failure_domain,
         entries=state.entries,
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -132,6 +132,7 @@
         well_since: Since when it has said without a break that the store
             answers it; None if it last said otherwise.
         store_well: Whether the store answers it.
+        far: Whether it belongs to another failure domain.
     """
 
     heard: Millis
@@ -142,6 +143,7 @@
     position: int = -1
     store_well: bool = True
     well_since: Millis | None = None
+    far: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/figstep/net/hellos.py
@@ -0,0 +1,184 @@
+"""Messages between gateways, as they go over the wire."""
+
+import zlib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import capnp
+
+from figstep.errors import PeerMessageError
+from figstep.gateway.budgets import UseReport
+from figstep.gateway.events import PeerHeard, PeerLoad
+
+_schema: Any = capnp.load(str(Path(__file__).with_name("links.capnp")))
+
+MOST_COPY_BYTES = 32 * 1024 * 1024
+"""Largest copy that is taken: thousands of routes and targets take a few MB."""
+
+COPY_COMPRESSION = 1
+"""Level of compression; the records are text that repeats its field names."""
+
+
+@dataclass(frozen=True, slots=True)
+class RecordCopy:
+    """What an entry has read of the store, as it was written there.
+
+    Attributes:
+        configuration: The newest configuration; empty for none.
+        position: Registrations read so far, as an offset; -1 for none.
+        registrations: The newest registration of each target.
+    """
+
+    configuration: bytes = b""
+    position: int = -1
+    registrations: tuple[tuple[str, bytes], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """A message as it came.
+
+    Attributes:
+        content: What the gateway learns from it.
+        session: Drawn anew by each process of the sender.
+        sequence: Grows with each message of a session.
+        members: Addresses of other entries.
+        records: Registrations that the sender read last, up to its position.
+        asks_domain: Whether the sender doesn't know the receiver's failure
+            domain yet.
+    """
+
+    content: PeerHeard
+    session: int
+    sequence: int
+    members: tuple[str, ...] = ()
+    records: tuple[tuple[str, bytes], ...] = ()
+    asks_domain: bool = False
+
+
+def encode_hello(hello: Hello) -> bytes:
+    """Return a message as it goes over the wire."""
+    own = hello.content
+    message = _schema.Hello.new_message(
+        node=own.node,
+        session=hello.session,
+        sequence=hello.sequence,
+        closing=own.closing,
+        configuration=own.configuration,
+        position=own.position,
+        members=list(hello.members),
+        failureDomain=own.failure_domain,
+        entries=own.entries,
+        far=own.far,
+        storeWell=own.store_well,
+        asksDomain=hello.asks_domain,
+    )
+    records = message.init("records", len(hello.records))
+    for slot, (key, value) in zip(records, hello.records, strict=True):
+        slot.key, slot.value = key, value
+    loads = message.init("loads", len(own.loads))
+    for slot, load in zip(loads, own.loads, strict=True):
+        slot.target, slot.calls, slot.memory = load.target, load.calls, load.memory
+        slot.reading, slot.readRate = load.reading, load.read_rate or 0.0
+        slot.incoming, slot.outgoing = load.incoming, load.outgoing
+    uses = message.init("uses", len(own.uses))
+    for slot, use in zip(uses, own.uses, strict=True):
+        slot.service, slot.requests, slot.repeats = (
+            use.service,
+            use.requests,
+            use.repeats,
+        )
+    crashes = message.init("crashes", len(own.crashes))
+    for slot, (digest, crash) in zip(crashes, own.crashes, strict=True):
+        slot.digest, slot.crash = digest, crash
+    return bytes(message.to_bytes_packed())
+
+
+def decode_hello(data: bytes, address: str) -> Hello:
+    """Return a message.
+
+    Raises:
+        PeerMessageError: If it can't be read.
+    """
+    try:
+        message = _schema.Hello.from_bytes_packed(data)
+        loads = tuple(
+            PeerLoad(
+                load.target,
+                load.calls,
+                load.memory,
+                load.reading,
+                load.readRate or None,
+                load.incoming,
+                load.outgoing,
+            )
+            for load in message.loads
+        )
+        uses = tuple(
+            UseReport(use.service, use.requests, use.repeats) for use in message.uses
+        )
+        crashes = tuple((item.digest, item.crash) for item in message.crashes)
+        content = PeerHeard(
+            message.node,
+            loads,
+            uses,
+            crashes,
+            message.closing,
+            address=address,
+            configuration=message.configuration,
+            position=message.position,
+            failure_domain=message.failureDomain,
+            entries=message.entries,
+            far=message.far,
+            store_well=message.storeWell,
+        )
+        records = tuple(
+            (str(entry.key), bytes(entry.value)) for entry in message.records
+        )
+        members = tuple(str(member) for member in message.members)
+    except (capnp.KjException, ValueError) as error:
+        raise PeerMessageError("damaged message; check who sends here") from error
+    return Hello(
+        content,
+        message.session,
+        message.sequence,
+        members,
+        records,
+        message.asksDomain,
+    )
+
+
+def encode_copy(copy: RecordCopy) -> bytes:
+    """Return a copy of records as it goes over the wire."""
+    message = _schema.Copy.new_message(
+        configuration=copy.configuration, position=copy.position
+    )
+    entries = message.init("registrations", len(copy.registrations))
+    for slot, (key, value) in zip(entries, copy.registrations, strict=True):
+        slot.key, slot.value = key, value
+    return zlib.compress(message.to_bytes_packed(), COPY_COMPRESSION)
+
+
+def decode_copy(data: bytes) -> RecordCopy:
+    """Return a copy of records.
+
+    Raises:
+        PeerMessageError: If it can't be read.
+    """
+    try:
+        message = _schema.Copy.from_bytes_packed(_expand(data))
+        entries = tuple(
+            (str(entry.key), bytes(entry.value)) for entry in message.registrations
+        )
+        return RecordCopy(bytes(message.configuration), message.position, entries)
+    except (capnp.KjException, ValueError, zlib.error) as error:
+        raise PeerMessageError("damaged copy; another peer may give one") from error
+
+
+def _expand(data: bytes) -> bytes:
+    decoder = zlib.decompressobj()
+    expanded = decoder.decompress(data, MOST_COPY_BYTES)
+    if not decoder.eof:
+        raise PeerMessageError(f"copy cut short, or of over {MOST_COPY_BYTES} bytes")
+    return expanded
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -42,7 +42,8 @@
 from figstep.gateway.targets import Registration
 from figstep.logs import install_bounded_logs
 from figstep.net.clock import SystemClock
-from figstep.net.links import LinkHost, PeerLink, RecordCopy
+from figstep.net.hellos import RecordCopy
+from figstep.net.links import LinkHost, PeerLink
 from figstep.platform.callers import CallerEdge, CallerExchange
 from figstep.platform.documents import parse_configuration, parse_registration
 from figstep.platform.engines import TargetEdge
--- /dev/null
+++ b/tests/net/test_hellos.py
@@ -0,0 +1,76 @@
+"""Tests of the messages between gateways."""
+
+import pytest
+
+from figstep.errors import PeerMessageError
+from figstep.gateway.budgets import UseReport
+from figstep.gateway.events import PeerHeard, PeerLoad
+from figstep.net.hellos import (
+    MOST_COPY_BYTES,
+    Hello,
+    RecordCopy,
+    decode_copy,
+    decode_hello,
+    encode_copy,
+    encode_hello,
+)
+
+OWN = PeerHeard(
+    "entry-1",
+    (
+        PeerLoad("e-1", 2, 8_000, 3_000, 7.5, 4_000, 3_500),
+        PeerLoad("e-2", 0, 0),
+    ),
+    (UseReport("engines", 10, 2),),
+    (("digest", "e-1@1"),),
+    closing=True,
+    configuration=7,
+    position=31,
+)
+
+
+def test_a_message_comes_back_as_it_was() -> None:
+    records = (("i-1", b"\x00beat"), ("i-2", b""))
+    sent = Hello(OWN, 5, 6, ("10.0.0.2:7200",), records)
+    data = encode_hello(sent)
+    hello = decode_hello(data, "10.0.0.1:7200")
+    assert (hello.session, hello.sequence) == (5, 6)
+    assert hello.members == ("10.0.0.2:7200",)
+    assert hello.content.loads == OWN.loads
+    assert hello.content.uses == OWN.uses
+    assert hello.content.crashes == OWN.crashes
+    assert hello.content.closing
+    assert (hello.content.configuration, hello.content.position) == (7, 31)
+    assert hello.content.address == "10.0.0.1:7200"
+    assert hello.records == records
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff" * 40, b"GET / HTTP/1.1\r\n\r\n"])
+def test_damaged_messages_are_refused(data: bytes) -> None:
+    with pytest.raises(PeerMessageError):
+        decode_hello(data, "10.0.0.1:7200")
+
+
+def test_records_come_back_as_they_were() -> None:
+    copy = RecordCopy(b"{}", 9, (("i-1", b"\x00\xff"),))
+    assert decode_copy(encode_copy(copy)) == copy
+
+
+def test_a_copy_of_a_large_configuration_is_small() -> None:
+    """Guards against copies that hold a slow link for half a second each."""
+    routes = b",".join(
+        b'{"name":"r%d","host":"h%d.example","prefix":"/p%d/","type":"safe"}'
+        % (number, number, number)
+        for number in range(1_100)
+    )
+    copy = RecordCopy(routes, 9)
+    assert len(encode_copy(copy)) < len(routes) / 4
+    assert decode_copy(encode_copy(copy)) == copy
+
+
+def test_a_copy_that_grows_too_large_is_refused() -> None:
+    """Guards against a peer whose few bytes fill the memory of an entry."""
+    data = encode_copy(RecordCopy(b"x" * MOST_COPY_BYTES, 1))
+    assert len(data) < MOST_COPY_BYTES / 4
+    with pytest.raises(PeerMessageError):
+        decode_copy(data)
