--- a/figstep/gateway/application.py
+++ b/figstep/gateway/application.py
@@ -10,6 +10,7 @@
 from figstep.core.problems import Problem, Ran
 from figstep.gateway.edges import CallerPort, PeerPort, TargetPort
 from figstep.gateway.effects import (
+    Announce,
     Answer,
     BeginStream,
     BreakStream,
@@ -132,6 +133,8 @@
                 self.targets.read_report(target)
             case FetchRecords(address=address):
                 self.peers.fetch_records(address)
+            case Announce():
+                self.peers.announce()
             case Count(name=name, labels=labels):
                 self.measures.count(name, labels)
             case Observe(name=name, millis=millis, label=label):
--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -28,16 +28,16 @@
     state: State, request: Request, target: Target, now: Millis
 ) -> list[Effect]:
     """Send a request to a target as a run from its start."""
-    engines = ""
+    forecast: dict[str, str | int | float | None] = {}
     if request.spec.prompt is not None:
-        # As they were when the choice was made.
-        engines = placement.describe_obstacles(state, request, now)
+        # As it was when the choice was made.
+        forecast = placement.describe_choice(state, request, target, now)
     attempt = _add_attempt(state, request, target, None, now)
     request.current = attempt
     after = request.delivered or request.spec.after
     return [
         _open(state, request, attempt, after),
-        _note(request, attempt, now, engines),
+        _note(request, attempt, now, forecast),
     ]
 
 
@@ -239,7 +239,12 @@
     return "" if target is None else target.name
 
 
-def _note(request: Request, attempt: Attempt, now: Millis, engines: str = "") -> Note:
+def _note(
+    request: Request,
+    attempt: Attempt,
+    now: Millis,
+    forecast: dict[str, str | int | float | None] | None = None,
+) -> Note:
     return Note(
         "attempt opened",
         {
@@ -250,6 +255,6 @@
             "goes_on_from": attempt.source.owner if attempt.source else "",
             "after": request.delivered,
             "waited_ms": now - request.arrived,
-            "engines": engines,
+            **(forecast or {}),
         },
     )
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -88,6 +88,11 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class Announce:
+    """Tell the other entries at once what this one knows and has open."""
+
+
 @dataclass(frozen=True, slots=True)
 class BeginStream:
     """Start the caller's answer with the headers that an attempt got."""
@@ -171,6 +176,7 @@
     | DropCopy
     | ReadReport
     | FetchRecords
+    | Announce
     | BeginStream
     | Deliver
     | FinishStream
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -293,7 +293,12 @@
         entries: Entries that it knows of, itself included.
         far: Whether the loads are those of all entries of its failure domain,
             told to another one.
+        partial: Whether the loads are only those that changed since it last told
+            all.
         store_well: Whether the store answers it.
+        reading: Whether it reads the store's records as they come.
+        leaving: Targets that said of late that they leave, or that others told
+            it of.
     """
 
     node: str
@@ -308,6 +313,9 @@
     entries: int = 1
     far: bool = False
     store_well: bool = True
+    reading: bool = False
+    leaving: tuple[str, ...] = ()
+    partial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -1,12 +1,12 @@
 """What entries tell each other: open work by target, crashes, leaving."""
 
-import zlib
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
 from figstep.core.clock import Millis
-from figstep.gateway import placement
+from figstep.gateway import sources
 from figstep.gateway.budgets import FleetUse
-from figstep.gateway.effects import Count, Effect, FetchRecords, Note
+from figstep.gateway.effects import Count, Effect, Note
 from figstep.gateway.events import PeerHeard, PeerLoad
 from figstep.gateway.state import DomainLoads, Peer, Request, State
 
@@ -22,25 +22,8 @@
 """How long the sums of another failure domain count; they come every second, as
 each entry tells three far ones in a second."""
 
-READERS = 3
-"""Entries of a failure domain that read the store in a large fleet: it is rare
-that all three die in the same second and a half. With two of them, 74 entries
-broke the bound of a configuration once in four hunted days."""
-
-READER_SILENT = Millis(1_500)
-"""Silence after which another entry reads in a reader's place. A configuration
-has to be in force three seconds after it was written."""
-
-TOLD_AFTER = Millis(150)
-"""How long an entry that doesn't read the store waits to be told a record."""
-
-CATCH_UP_AFTER = Millis(400)
-"""How long a peer may know newer records before they are asked of it. Entries
-that read the store themselves learn of a record within some milliseconds of
-each other; a store that turns this entry away may never tell it."""
-
-COPIES_AT_ONCE = 2
-"""Entries that ask one peer for its records at the same time."""
+MEMORY_TOLD = 500
+"""Tokens by which the runs at an engine grow before others are told of it."""
 
 MOST_CRASHES_TOLD = 16
 """Crashes told in a message; each is told again and again while it is new."""
@@ -58,8 +41,10 @@
         event.configuration,
         event.position,
         event.store_well,
-        _find_well_since(state, event, now),
+        sources.find_well_since(state, event, now),
         event.far,
+        event.reading,
+        event.leaving,
     )
     if event.far and event.failure_domain == state.failure_domain:
         # It asked for this entry's failure domain before it knew that it shares
@@ -67,60 +52,54 @@
         return
     if event.far:
         state.far_peers[event.node] = peer
-        before = state.far_loads.get(event.failure_domain)
-        state.far_loads[event.failure_domain] = DomainLoads(now, event.loads)
-        _replace_loads(state, before, event.loads)
+        _take_domain(state, event, now)
     elif event.closing:
-        _replace_loads(state, state.peers.pop(event.node, None), ())
+        known = state.peers.pop(event.node, None)
+        _replace_loads(state, () if known is None else known.loads, ())
         state.missed.pop(event.node, None)
     else:
-        _replace_loads(state, state.peers.get(event.node), event.loads)
+        known = state.peers.get(event.node)
+        _replace_loads(state, () if known is None else known.loads, event.loads)
         state.peers[event.node] = peer
         state.missed.pop(event.node, None)
 
 
+def _take_domain(state: State, event: PeerHeard, now: Millis) -> None:
+    domain = state.far_loads.setdefault(event.failure_domain, DomainLoads(now))
+    domain.heard = now
+    if not event.partial:
+        _replace_loads(state, domain.loads.values(), event.loads)
+        domain.loads = {load.target: load for load in event.loads}
+        return
+    for load in event.loads:
+        known = domain.loads.get(load.target)
+        _replace_loads(state, () if known is None else (known,), (load,))
+        domain.loads[load.target] = load
+
+
 def _replace_loads(
-    state: State, before: Peer | DomainLoads | None, loads: tuple[PeerLoad, ...]
+    state: State, before: Iterable[PeerLoad], loads: Iterable[PeerLoad]
 ) -> None:
     """Count loads in place of those that the same peer told before.
 
-    Summing up all peers anew for each message took 0.19 ms at 17 peers and 29
-    engines, and 60 messages come in a second; this takes 0.03 ms.
+    Summing up all peers anew for each message would cost several times as much.
     """
-    if before is not None:
-        for load in before.loads:
-            _add_load(state, load, -1)
+    for load in before:
+        _add_load(state, load, -1)
     for load in loads:
         _add_load(state, load, 1)
 
 
-def _find_well_since(state: State, event: PeerHeard, now: Millis) -> Millis | None:
-    if not event.store_well:
-        return None
-    known = (state.far_peers if event.far else state.peers).get(event.node)
-    if known is None or known.well_since is None:
-        return now
-    return known.well_since
-
-
-def has_store_been_well(state: State) -> bool:
-    """Tell whether a peer read the store all the while that this entry could not."""
-    for peer in [*state.peers.values(), *state.far_peers.values()]:
-        if peer.well_since is not None and peer.well_since < state.store_lost_at:
-            return True
-    return False
-
-
 def forget_silent(state: State, now: Millis) -> None:
     """Drop peers that have not been heard for long."""
     for name in _list_silent(state.peers, now):
-        _replace_loads(state, state.peers.pop(name), ())
+        _replace_loads(state, state.peers.pop(name).loads, ())
         state.missed[name] = now
     for name in _list_silent(state.far_peers, now):
         del state.far_peers[name]
     for domain, far in list(state.far_loads.items()):
         if now - far.heard >= FAR_KEPT:
-            _replace_loads(state, state.far_loads.pop(domain), ())
+            _replace_loads(state, state.far_loads.pop(domain).loads.values(), ())
     for name, since in list(state.missed.items()):
         if now - since >= MISSED_FOR:
             del state.missed[name]
@@ -130,11 +109,6 @@
     return [name for name, peer in peers.items() if now - peer.heard >= SILENT_AFTER]
 
 
-def is_large(state: State) -> bool:
-    """Tell whether the fleet is too large for all to hear all."""
-    return state.entries > placement.FULL_MESH
-
-
 def recount_loads(state: State) -> None:
     """Sum up anew what the others have open: a target is new here."""
     for target in state.targets.targets.values():
@@ -145,8 +119,8 @@
         target.peer_rate_count = 0
         target.peer_incoming = 0
         target.peer_outgoing = 0
-    told = [peer.loads for peer in state.peers.values()]
-    told += [far.loads for far in state.far_loads.values()]
+    told: list[Iterable[PeerLoad]] = [peer.loads for peer in state.peers.values()]
+    told += [far.loads.values() for far in state.far_loads.values()]
     for loads in told:
         for load in loads:
             _add_load(state, load, 1)
@@ -229,63 +203,6 @@
     return [*counted, note]
 
 
-def catch_up(state: State, now: Millis) -> list[Effect]:
-    """Ask a peer for records that the store has not told this entry."""
-    known = [*state.peers.values(), *state.far_peers.values()]
-    ahead = [peer for peer in known if _is_ahead(state, peer)]
-    if not ahead:
-        state.behind_since = None
-        return []
-    if state.behind_since is None:
-        state.behind_since = now
-    waited = Millis(now - state.behind_since)
-    patience = CATCH_UP_AFTER if reads_store(state, now) else TOLD_AFTER
-    if waited < patience or not _is_turn(state, ahead, waited):
-        return []
-    state.behind_since = now
-    near = [peer for peer in ahead if not peer.far]
-    peer = state.rng.choice(near or ahead)
-    note = Note(
-        "records asked of a peer",
-        {
-            "peer": peer.address,
-            "configuration": _read_version(state),
-            "peer_configuration": peer.configuration,
-            "position": state.position,
-            "peer_position": peer.position,
-        },
-    )
-    return [FetchRecords(peer.address), note]
-
-
-def _is_ahead(state: State, peer: Peer) -> bool:
-    if peer.configuration > _read_version(state):
-        return True
-    return peer.position > state.position
-
-
-def _read_version(state: State) -> int:
-    return -1 if state.table is None else state.table.version
-
-
-def _is_turn(state: State, ahead: list[Peer], waited: Millis) -> bool:
-    """Tell whether this entry may ask now for records that only some peers have.
-
-    Were a whole failure domain to ask the few that know them at once, all would
-    get them late over a slow link. Each entry that has them serves the next ones.
-    """
-    newest = max((peer.configuration, peer.position) for peer in ahead)
-    behind = [name for name, peer in state.peers.items() if not _is_ahead(state, peer)]
-    own = _draw_turn(newest, state.node)
-    before = sum(1 for name in behind if _draw_turn(newest, name) < own)
-    doublings = waited // CATCH_UP_AFTER
-    return before < COPIES_AT_ONCE * len(ahead) << doublings
-
-
-def _draw_turn(newest: tuple[int, int], name: str) -> int:
-    return zlib.crc32(f"{newest} {name}".encode())
-
-
 def describe_own(state: State, now: Millis) -> PeerHeard:
     """Return what this entry tells the others."""
     return PeerHeard(
@@ -294,28 +211,73 @@
         state.budget.report(now),
         tuple(state.crashes.list_recent(MOST_CRASHES_TOLD)),
         state.closes_at is not None,
-        configuration=_read_version(state),
+        configuration=sources.read_version(state),
         position=state.position,
         failure_domain=state.failure_domain,
         entries=state.entries,
         store_well=not state.store_away,
+        reading=sources.reads_store(state, now),
+        leaving=tuple(state.list_leaving(now)),
     )
 
 
 def describe_domain(state: State, now: Millis) -> PeerHeard:
     """Return what the entries of this failure domain have open, in sums."""
     loads: dict[str, PeerLoad] = {}
-    told = [*list_loads(state)]
+    own = describe_own(state, now)
+    told = [*own.loads]
+    leaving = {*own.leaving}
     for peer in state.peers.values():
         told += peer.loads
+        leaving.update(peer.leaving)
     for load in told:
         known = loads.get(load.target)
         loads[load.target] = load if known is None else _join_loads(known, load)
     return replace(
-        describe_own(state, now), loads=tuple(loads.values()), uses=(), far=True
+        own,
+        loads=tuple(loads.values()),
+        uses=(),
+        far=True,
+        leaving=tuple(sorted(leaving)),
     )
 
 
+def select_changed(
+    told: Mapping[str, PeerLoad], loads: Iterable[PeerLoad]
+) -> tuple[PeerLoad, ...]:
+    """Return the loads that others have to hear of before they are told all again.
+
+    Runs grow with every event; what decides where prompts go are prompts that
+    came, were read or ended, and growth that adds up.
+
+    Args:
+        told: What was told last, by target.
+        loads: What is so now.
+    """
+    changed = []
+    left = dict(told)
+    for load in loads:
+        before = left.pop(load.target, None)
+        if before is None or _differs(before, load):
+            changed.append(load)
+    for name, before in left.items():
+        if before.calls or before.memory:
+            changed.append(PeerLoad(name, 0, 0))
+    return tuple(changed)
+
+
+def _differs(one: PeerLoad, other: PeerLoad) -> bool:
+    if abs(one.memory - other.memory) >= MEMORY_TOLD:
+        return True
+    counted = (one.calls, one.reading, one.incoming, one.outgoing)
+    return counted != (other.calls, other.reading, other.incoming, other.outgoing)
+
+
+def speaks_for_domain(state: State, now: Millis) -> bool:
+    """Tell whether this entry tells other failure domains of its own."""
+    return not any(name < state.node for name in sources.list_heard(state, now))
+
+
 def _join_loads(one: PeerLoad, other: PeerLoad) -> PeerLoad:
     rates = [load.read_rate for load in (one, other) if load.read_rate is not None]
     return PeerLoad(
@@ -327,19 +289,3 @@
         one.incoming + other.incoming,
         one.outgoing + other.outgoing,
     )
-
-
-def reads_store(state: State, now: Millis) -> bool:
-    """Tell whether this entry reads the store's records as they come.
-
-    Calls to the store are dear in a large fleet: there a few entries of each
-    failure domain read them and tell the others.
-    """
-    if not is_large(state) or state.store_away:
-        return True
-    before = 0
-    for name, peer in state.peers.items():
-        heard = now - peer.heard < READER_SILENT
-        if name < state.node and heard and peer.store_well:
-            before += 1
-    return before < READERS
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -203,6 +203,20 @@
     return "; ".join(found[:MOST_DESCRIBED])
 
 
+def describe_choice(
+    state: State, request: Request, target: Target, now: Millis
+) -> dict[str, str | int | float | None]:
+    """Return, for the log, what an engine is chosen on."""
+    fit = _fit_engine(state, request, target, now)
+    return {
+        "expected_ms": round(fit.reading),
+        "filled": round(fit.filled, 2),
+        "reading_ahead": target.reading_load,
+        "others_reading": target.peer_reading,
+        "near": target.info.failure_domain == state.failure_domain,
+    }
+
+
 def is_late(request: Request, now: Millis) -> bool:
     """Tell whether a request that has not started will miss its objective."""
     return now - request.arrived > LATE_SHARE * request.route.objective
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -1,7 +1,7 @@
 """The gateway's reducer: one match over all events."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import copies, peers, recovery, reports, requests, streams
+from figstep.gateway import copies, peers, recovery, reports, requests, sources, streams
 from figstep.gateway.effects import Effect, Note
 from figstep.gateway.events import (
     AnswerArrived,
@@ -29,7 +29,7 @@
     Ticked,
 )
 from figstep.gateway.state import State
-from figstep.gateway.targets import Registration, Standing
+from figstep.gateway.targets import Registration, Standing, Target, is_new_incarnation
 
 DEPARTED_KEPT = Millis(30_000)
 """How long a departed target is remembered: a lapsed registration comes back
@@ -93,16 +93,16 @@
             state.position = max(state.position, position)
             return []
         case StoreLost():
-            state.store_away = True
-            state.store_lost_at = now
+            state.read_failed = True
+            sources.watch_store(state, now)
             return []
         case StoreRegained():
-            state.store_away = False
-            state.store_back_at = now
+            state.read_failed = False
+            sources.watch_store(state, now)
             return []
         case PeerHeard():
             peers.take_message(state, event, now)
-            return []
+            return reports.take_leaving(state, event.leaving, now)
         case EntriesCounted(entries=entries):
             state.entries = entries
             return []
@@ -134,6 +134,8 @@
 def _note_registration(state: State, info: Registration, now: Millis) -> list[Effect]:
     before = state.targets.find(info.target)
     standing = None if before is None else before.standing
+    if before is not None and _is_overtaken(state, before, info, now):
+        return []
     target = state.targets.note_registration(info, now)
     if target is not before:
         peers.recount_loads(state)
@@ -152,6 +154,13 @@
     return [note]
 
 
+def _is_overtaken(state: State, known: Target, info: Registration, now: Millis) -> bool:
+    """Tell whether a target has said that it leaves since it was registered."""
+    if known.standing is not Standing.LEAVING or is_new_incarnation(known.info, info):
+        return False
+    return state.knows_leaving(info.target, now)
+
+
 def _take_departure(state: State, event: TargetDeparted, now: Millis) -> list[Effect]:
     target = state.targets.find(event.target)
     if target is None or target.standing is not Standing.READY:
@@ -160,7 +169,7 @@
         # to an engine that leaves.
         return []
     returning = state.store_away or now < state.store_back_at + LAPSE
-    if returning and not peers.has_store_been_well(state):
+    if returning and not sources.has_store_been_well(state):
         state.targets.doubt(event.target, Millis(state.store_back_at + LAPSE))
         return []
     if state.targets.looks_lapsed(event.target, now):
@@ -213,7 +222,8 @@
     effects += recovery.watch_attempts(state, now)
     effects += requests.start_queued(state, now)
     peers.forget_silent(state, now)
-    effects += peers.catch_up(state, now)
+    sources.watch_store(state, now)
+    effects += sources.catch_up(state, now)
     state.targets.forget_departed(now, DEPARTED_KEPT)
     state.crashes.forget_old(now)
     return effects
--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -1,8 +1,10 @@
 """What engines say of themselves when they are asked."""
 
+import zlib
+
 from figstep.core.clock import Millis
-from figstep.gateway import copies, placement
-from figstep.gateway.effects import Effect, Note, ReadReport
+from figstep.gateway import copies, placement, sources
+from figstep.gateway.effects import Announce, Effect, Note, ReadReport
 from figstep.gateway.events import EngineReported
 from figstep.gateway.state import State
 from figstep.gateway.targets import Standing, Target
@@ -28,7 +30,7 @@
     waited there for four seconds.
     """
     effects: list[Effect] = []
-    in_use = _list_in_use(state)
+    in_use = _list_in_use(state, now) if state.store_away else set()
     for target in state.targets.targets.values():
         if target.unclaimed and now - target.reported_at >= UNCLAIMED_FOR:
             target.unclaimed = 0
@@ -54,7 +56,10 @@
     target.asked_at = now
 
 
-def _list_in_use(state: State) -> set[str]:
+def _list_in_use(state: State, now: Millis) -> set[str]:
+    """Return the engines with runs whose state this entry asks for."""
+    if sources.is_large(state):
+        return _list_own_part(state, now)
     return {
         request.current.target.name
         for request in state.requests.values()
@@ -62,11 +67,32 @@
     }
 
 
+def _list_own_part(state: State, now: Millis) -> set[str]:
+    """Return the engines that this entry asks for its whole failure domain.
+
+    Were each entry to ask, questions would grow with the square of the fleet.
+    """
+    names = [state.node, *sources.list_heard(state, now)]
+    part = set()
+    for target in state.targets.targets.values():
+        if placement.find_engine_pool(state, target.info.service) is None:
+            continue
+        if not target.load:
+            continue
+        if min(names, key=lambda name: _draw(name, target.name)) == state.node:
+            part.add(target.name)
+    return part
+
+
+def _draw(node: str, target: str) -> int:
+    return zlib.crc32(f"{node} {target}".encode())
+
+
 def _may_hold_unclaimed(state: State, target: Target, now: Millis) -> bool:
     pool = placement.find_engine_pool(state, target.info.service)
     if pool is None or state.budget.fresh:
         return False
-    if state.entries > placement.FULL_MESH:
+    if sources.is_large(state):
         # Questions of all entries to all engines would grow with the square of
         # the fleet, and there a few engines of dozens hold such copies.
         return False
@@ -82,8 +108,23 @@
         _count_unclaimed(target, event.memory, now)
     if not event.leaving or target.standing is not Standing.READY:
         return []
-    state.targets.note_departure(event.target, now)
-    note = Note("engine says that it leaves", {"target": event.target})
+    state.leaving[event.target] = now
+    return [Announce(), *_note_leaving(state, event.target, "itself", now)]
+
+
+def take_leaving(state: State, names: tuple[str, ...], now: Millis) -> list[Effect]:
+    """Take in which targets told other entries that they leave."""
+    effects: list[Effect] = []
+    for name in names:
+        target = state.targets.find(name)
+        if target is not None and target.standing is Standing.READY:
+            effects += _note_leaving(state, name, "a peer", now)
+    return effects
+
+
+def _note_leaving(state: State, name: str, source: str, now: Millis) -> list[Effect]:
+    state.targets.note_departure(name, now)
+    note = Note("engine says that it leaves", {"target": name, "told_by": source})
     return [note, *copies.evacuate_streams(state, now)]
 
 
--- /dev/null
+++ b/figstep/gateway/sources.py
@@ -0,0 +1,173 @@
+"""Who reads the platform's store, and what is known while nobody can."""
+
+import zlib
+
+from figstep.core.clock import Millis
+from figstep.gateway import placement
+from figstep.gateway.effects import Effect, FetchRecords, Note
+from figstep.gateway.events import PeerHeard
+from figstep.gateway.state import Peer, State
+
+LEAST_READERS = 3
+"""Entries of a large fleet that read the store, in as many failure domains as
+there are: any two of them may die in the same moment."""
+
+MOST_FAILING = 6
+"""Entries of a failure domain that read in vain before the others leave it. Where
+the store turns a third of the entries away, one of these gets through."""
+
+READER_SILENT = Millis(1_500)
+"""Silence after which another entry reads in a reader's place."""
+
+TOLD_AFTER = Millis(150)
+"""How long an entry that doesn't read the store waits to be told a record."""
+
+CATCH_UP_AFTER = Millis(400)
+"""How long a peer may know newer records before they are asked of it. Entries
+that read the store themselves learn of a record within some milliseconds of
+each other; a store that turns this entry away may never tell it."""
+
+COPIES_AT_ONCE = 2
+"""Entries that ask one peer for its records at the same time."""
+
+COPIES_AT_ONCE = 2
+"""Entries that ask one peer for its records at the same time."""
+
+
+def is_large(state: State) -> bool:
+    """Tell whether the fleet is too large for all to hear all."""
+    return state.entries > placement.FULL_MESH
+
+
+def list_heard(state: State, now: Millis) -> dict[str, Peer]:
+    """Return the entries of this failure domain that were heard of late."""
+    heard = {}
+    for name, peer in state.peers.items():
+        if now - peer.heard < READER_SILENT:
+            heard[name] = peer
+    return heard
+
+
+def reads_store(state: State, now: Millis) -> bool:
+    """Tell whether this entry reads the store's records as they come.
+
+    Calls to the store are dear in a large fleet: there a few entries read them
+    and tell the others. One that began and fails goes on, so that it learns when
+    the store is back.
+    """
+    if not is_large(state) or state.read_failed:
+        return True
+    well = failing = 0
+    for name, peer in list_heard(state, now).items():
+        if name > state.node:
+            continue
+        if peer.store_well:
+            well += 1
+        elif peer.reading:
+            failing += 1
+    return well < _count_readers(state) and failing < MOST_FAILING
+
+
+def _count_readers(state: State) -> int:
+    """Return how many entries of each failure domain read the store."""
+    domains = 1 + len(state.far_loads)
+    return -(-LEAST_READERS // domains)
+
+
+def watch_store(state: State, now: Millis) -> None:
+    """Note whether records of the store reach this entry in any way.
+
+    One that doesn't read them itself would else take registrations that lapsed
+    in an outage for departures, and never ask engines whether they leave.
+    """
+    away = state.read_failed
+    if is_large(state) and (away or not reads_store(state, now)):
+        away = not _hears_reader(state, now)
+    if away and not state.store_away:
+        state.store_lost_at = now
+    if state.store_away and not away:
+        state.store_back_at = now
+    state.store_away = away
+
+
+def _hears_reader(state: State, now: Millis) -> bool:
+    for peer in [*state.peers.values(), *state.far_peers.values()]:
+        if peer.reading and peer.store_well and now - peer.heard < READER_SILENT:
+            return True
+    return False
+
+
+def find_well_since(state: State, event: PeerHeard, now: Millis) -> Millis | None:
+    """Return since when a peer has said that the store answers it, or None."""
+    if not event.store_well:
+        return None
+    known = (state.far_peers if event.far else state.peers).get(event.node)
+    if known is None or known.well_since is None:
+        return now
+    return known.well_since
+
+
+def has_store_been_well(state: State) -> bool:
+    """Tell whether a peer read the store all the while that this entry could not."""
+    for peer in [*state.peers.values(), *state.far_peers.values()]:
+        if peer.well_since is not None and peer.well_since < state.store_lost_at:
+            return True
+    return False
+
+
+def catch_up(state: State, now: Millis) -> list[Effect]:
+    """Ask a peer for records that the store has not told this entry."""
+    known = [*state.peers.values(), *state.far_peers.values()]
+    ahead = [peer for peer in known if _is_ahead(state, peer)]
+    if not ahead:
+        state.behind_since = None
+        return []
+    if state.behind_since is None:
+        state.behind_since = now
+    waited = Millis(now - state.behind_since)
+    patience = CATCH_UP_AFTER if reads_store(state, now) else TOLD_AFTER
+    if waited < patience or not _is_turn(state, ahead, waited):
+        return []
+    state.behind_since = now
+    near = [peer for peer in ahead if not peer.far]
+    peer = state.rng.choice(near or ahead)
+    note = Note(
+        "records asked of a peer",
+        {
+            "peer": peer.address,
+            "configuration": read_version(state),
+            "peer_configuration": peer.configuration,
+            "position": state.position,
+            "peer_position": peer.position,
+        },
+    )
+    return [FetchRecords(peer.address), note]
+
+
+def _is_ahead(state: State, peer: Peer) -> bool:
+    if peer.configuration > read_version(state):
+        return True
+    return peer.position > state.position
+
+
+def read_version(state: State) -> int:
+    """Return the version of the configuration in force; -1 for none."""
+    return -1 if state.table is None else state.table.version
+
+
+def _is_turn(state: State, ahead: list[Peer], waited: Millis) -> bool:
+    """Tell whether this entry may ask now for records that only some peers have.
+
+    Were a whole failure domain to ask the few that know them at once, all would
+    get them late over a slow link. Each entry that has them serves the next ones.
+    """
+    newest = max((peer.configuration, peer.position) for peer in ahead)
+    behind = [name for name, peer in state.peers.items() if not _is_ahead(state, peer)]
+    own = _draw_turn(newest, state.node)
+    before = sum(1 for name in behind if _draw_turn(newest, name) < own)
+    doublings = waited // CATCH_UP_AFTER
+    return before < COPIES_AT_ONCE * len(ahead) << doublings
+
+
+def _draw_turn(newest: tuple[int, int], name: str) -> int:
+    return zlib.crc32(f"{newest} {name}".encode())
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -11,6 +11,10 @@
 from figstep.gateway.routes import Route, RoutingTable
 from figstep.gateway.targets import Target, TargetTable
 
+LEAVING_TOLD = Millis(10_000)
+"""How long others are told what a target said of itself: its old registration may
+reach them later than that, while the store is away."""
+
 
 @dataclass(slots=True)
 class Attempt:
@@ -133,6 +137,8 @@
             answers it; None if it last said otherwise.
         store_well: Whether the store answers it.
         far: Whether it belongs to another failure domain.
+        reading: Whether it reads the store's records as they come.
+        leaving: Targets that told it, or its failure domain, that they leave.
     """
 
     heard: Millis
@@ -144,9 +150,11 @@
     store_well: bool = True
     well_since: Millis | None = None
     far: bool = False
+    reading: bool = False
+    leaving: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class DomainLoads:
     """What the entries of another failure domain have open at all targets.
 
@@ -156,7 +164,7 @@
     """
 
     heard: Millis
-    loads: tuple[PeerLoad, ...]
+    loads: dict[str, PeerLoad] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -182,9 +190,12 @@
         next_attempt: Number of the next attempt.
         position: How far the registrations were read; -1 for nothing.
         behind_since: Since when a peer has known newer records, or None.
-        store_away: Whether the store has stopped answering.
-        store_lost_at: When it stopped.
-        store_back_at: When it answered again after that.
+        read_failed: Whether the store does not answer this entry.
+        store_away: Whether no record of the store reaches this entry, from the
+            store or from others that read it.
+        store_lost_at: When that began.
+        store_back_at: When it ended.
+        leaving: Targets that told this entry that they leave, and when.
         closes_at: When the process ends, or None.
         watched_at: When its streams were last looked at.
     """
@@ -207,8 +218,23 @@
     next_attempt: int = 1
     position: int = -1
     behind_since: Millis | None = None
+    read_failed: bool = False
     store_away: bool = False
     store_lost_at: Millis = Millis(-1_000_000)
     store_back_at: Millis = Millis(-1_000_000)
     closes_at: Millis | None = None
     watched_at: Millis = Millis(0)
+    leaving: dict[str, Millis] = field(default_factory=dict)
+
+    def list_leaving(self, now: Millis) -> list[str]:
+        """Return the targets that told this entry of late that they leave."""
+        return [name for name, at in self.leaving.items() if now - at < LEAVING_TOLD]
+
+    def knows_leaving(self, name: str, now: Millis) -> bool:
+        """Tell whether a target told any entry of late that it leaves."""
+        if name in self.list_leaving(now):
+            return True
+        for peer in [*self.peers.values(), *self.far_peers.values()]:
+            if name in peer.leaving:
+                return True
+        return False
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -256,7 +256,7 @@
         """
         self.doubted.pop(info.target, None)
         target = self.targets.get(info.target)
-        if target is None or _is_new_incarnation(target.info, info):
+        if target is None or is_new_incarnation(target.info, info):
             target = Target(info, warm_at=Millis(now + info.warmup))
             self.targets[info.target] = target
         target.info = info
@@ -317,7 +317,8 @@
             target.left_at = now
 
 
-def _is_new_incarnation(known: Registration, info: Registration) -> bool:
+def is_new_incarnation(known: Registration, info: Registration) -> bool:
+    """Tell whether a target has started again since an earlier registration."""
     if info.born and known.born:
         return info.born != known.born
     return info.address != known.address or info.service != known.service
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -10,6 +10,7 @@
 from figstep.errors import PeerMessageError
 from figstep.gateway.budgets import UseReport
 from figstep.gateway.events import PeerHeard, PeerLoad
+from figstep.net.neighbors import Member
 
 _schema: Any = capnp.load(str(Path(__file__).with_name("links.capnp")))
 
@@ -40,19 +41,20 @@
     """A message as it came.
 
     Attributes:
-        content: What the gateway learns from it.
+        content: What the gateway learns from it. Its address is that of the entry
+            that wrote it, which others may have passed on.
         session: Drawn anew by each process of the sender.
         sequence: Grows with each message of a session.
-        members: Addresses of other entries.
+        members: Other entries that the sender has heard of late.
         records: Registrations that the sender read last, up to its position.
         asks_domain: Whether the sender doesn't know the receiver's failure
             domain yet.
     """
 
     content: PeerHeard
-    session: int
-    sequence: int
-    members: tuple[str, ...] = ()
+    session: int = 0
+    sequence: int = 0
+    members: tuple[Member, ...] = ()
     records: tuple[tuple[str, bytes], ...] = ()
     asks_domain: bool = False
 
@@ -67,13 +69,19 @@
         closing=own.closing,
         configuration=own.configuration,
         position=own.position,
-        members=list(hello.members),
         failureDomain=own.failure_domain,
         entries=own.entries,
         far=own.far,
         storeWell=own.store_well,
         asksDomain=hello.asks_domain,
+        address=own.address,
+        reading=own.reading,
+        leaving=list(own.leaving),
+        partial=own.partial,
     )
+    members = message.init("members", len(hello.members))
+    for slot, member in zip(members, hello.members, strict=True):
+        slot.address, slot.failureDomain = member.address, member.failure_domain
     records = message.init("records", len(hello.records))
     for slot, (key, value) in zip(records, hello.records, strict=True):
         slot.key, slot.value = key, value
@@ -95,9 +103,13 @@
     return bytes(message.to_bytes_packed())
 
 
-def decode_hello(data: bytes, address: str) -> Hello:
+def decode_hello(data: bytes, sender: str) -> Hello:
     """Return a message.
 
+    Args:
+        data: A datagram.
+        sender: Where it came from, as "ip:port".
+
     Raises:
         PeerMessageError: If it can't be read.
     """
@@ -125,18 +137,24 @@
             uses,
             crashes,
             message.closing,
-            address=address,
+            address=str(message.address) or sender,
             configuration=message.configuration,
             position=message.position,
             failure_domain=message.failureDomain,
             entries=message.entries,
             far=message.far,
             store_well=message.storeWell,
+            reading=message.reading,
+            leaving=tuple(str(name) for name in message.leaving),
+            partial=message.partial,
         )
         records = tuple(
             (str(entry.key), bytes(entry.value)) for entry in message.records
         )
-        members = tuple(str(member) for member in message.members)
+        members = tuple(
+            Member(str(member.address), str(member.failureDomain))
+            for member in message.members
+        )
     except (capnp.KjException, ValueError) as error:
         raise PeerMessageError("damaged message; check who sends here") from error
     return Hello(
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -11,7 +11,7 @@
   position @5 :Int64;        # registrations read, -1 for none
   loads @6 :List(Load);
   crashes @7 :List(Crash);
-  members @8 :List(Text);    # addresses heard of late, "ip:port"
+  retired8 @8 :List(Text);   # no longer told
   uses @9 :List(Use);
   failureDomain @10 :Text;
   entries @11 :UInt32;
@@ -19,6 +19,16 @@
   storeWell @13 :Bool;
   records @14 :List(Entry);  # registrations that were read last
   asksDomain @15 :Bool;      # the receiver's failure domain is not known yet
+  address @16 :Text;         # of the entry that wrote it, "ip:port"
+  members @17 :List(Member); # heard of late
+  reading @18 :Bool;         # reads the store's records as they come
+  leaving @19 :List(Text);   # targets that said that they leave
+  partial @20 :Bool;         # loads are only those that changed
+}
+
+struct Member {
+  address @0 :Text;
+  failureDomain @1 :Text;
 }
 
 struct Load {
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -5,13 +5,14 @@
 import secrets
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import logbook
 from mode import Service
 
 from figstep.errors import PeerMessageError
-from figstep.gateway.events import PeerHeard
+from figstep.gateway.events import PeerHeard, PeerLoad
+from figstep.gateway.peers import select_changed
 from figstep.gateway.placement import FULL_MESH
 from figstep.net.hellos import (
     MOST_COPY_BYTES,
@@ -22,6 +23,7 @@
     encode_copy,
     encode_hello,
 )
+from figstep.net.neighbors import Member, NeighborTable
 
 _log = logbook.Logger("figstep.links")
 
@@ -34,39 +36,22 @@
 second to each entry, and an engine's own reports are half a second old."""
 
 LARGE_POLL_SECONDS = 0.4
-"""The same in a large fleet, whose prompts are announced as they are sent. What
-changes besides is the growth of runs; each message costs 0.3 ms at 17 peers."""
+"""The same in a large fleet, whose prompts are announced as they are sent: what
+changes besides is the growth of runs."""
 
-FAR_FANOUT = 3
-"""Entries of other failure domains that are told of this one in a second."""
+FAR_SECONDS = 0.2
+"""How old the loads of another failure domain are at most where they are told."""
 
 MOST_STRANGERS = 8
 """Entries of unknown failure domain that are asked for it in a second."""
 
-FORGET_SECONDS = 30.0
-"""How long an address that doesn't answer is still tried."""
-
 COPY_SECONDS = 2.0
 """Time for a copy of the records; the next try may go to another peer."""
 
-MOST_MEMBERS_TOLD = 16
-"""Addresses in a message, drawn anew for each: all are told within seconds."""
-
 TEXT_LIMIT = 60_000
 """Largest datagram; loads of some hundred targets stay far below it."""
 
 
-@dataclass(slots=True)
-class _Neighbor:
-    """An address that other entries may listen at."""
-
-    known_since: float
-    heard: float = -1e9
-    session: int = 0
-    sequence: int = 0
-    failure_domain: str = ""
-
-
 @dataclass(slots=True)
 class _Told:
     """What was told last, and when."""
@@ -86,6 +71,10 @@
     def describe_domain(self) -> PeerHeard:
         """Return what other failure domains are told."""
 
+    @abstractmethod
+    def speaks_for_domain(self) -> bool:
+        """Tell whether this entry tells other failure domains of its own."""
+
     @abstractmethod
     def read_copy(self) -> RecordCopy:
         """Return what was read of the store, for one that can't read it."""
@@ -125,9 +114,12 @@
         self._entry = host_entry
         self._session = secrets.randbits(63)
         self._sequence = 0
-        self._neighbors: dict[str, _Neighbor] = {}
+        self._neighbors = NeighborTable(self._own, failure_domain)
         self._told = _Told()
         self._told_far = -1e9
+        self._told_bare: PeerHeard | None = None
+        self._told_loads: dict[str, PeerLoad] = {}
+        self._told_members = -1e9
         self._announcing = False
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
@@ -164,15 +156,22 @@
     async def _run(self) -> None:
         while not self.should_stop:
             now = loop_time()
-            self._forget_old(now)
+            for seed in self._seeds:
+                self._neighbors.add(seed, now)
+            self._neighbors.forget_old(now)
             self._entry.count_entries(1 + len(self._neighbors))
             own = self._entry.describe_own()
             if own != self._told.content or now - self._told.at >= HELLO_SECONDS:
                 self._tell_near(now)
-            if self.is_large and now - self._told_far >= HELLO_SECONDS:
-                self._tell_far(now)
             await self.sleep(LARGE_POLL_SECONDS if self.is_large else POLL_SECONDS)
 
+    @Service.task
+    async def _run_far(self) -> None:
+        while not self.should_stop:
+            await self.sleep(FAR_SECONDS)
+            if self.is_large and self._entry.speaks_for_domain():
+                self._tell_far(loop_time())
+
     def announce(self) -> None:
         """Tell the near ones at the end of this turn of the loop."""
         if self._announcing:
@@ -184,98 +183,109 @@
         self._announcing = False
         self._tell_near(loop_time())
 
-    def _forget_old(self, now: float) -> None:
-        for seed in self._seeds:
-            self._neighbors.setdefault(seed, _Neighbor(now))
-        for address, neighbor in list(self._neighbors.items()):
-            newest = max(neighbor.heard, neighbor.known_since)
-            if now - newest >= FORGET_SECONDS:
-                del self._neighbors[address]
+    def announce_records(self) -> None:
+        """Tell all failure domains of records that were just read."""
+        now = loop_time()
+        self._tell_near(now)
+        self._tell_far(now)
 
     def _tell_near(self, now: float) -> None:
         own = self._entry.describe_own()
         strangers = now - self._told.at >= HELLO_SECONDS
         self._told = _Told(now, own)
-        near = []
-        unknown = []
-        for address, neighbor in self._neighbors.items():
-            if not self.is_large or neighbor.failure_domain == self._failure_domain:
-                near.append(address)
-            elif not neighbor.failure_domain:
-                unknown.append(address)
-        self._send(own, near, now, records=self._entry.list_recent())
-        if strangers and unknown:
+        near = self._neighbors.list_all()
+        if self.is_large:
+            near = self._neighbors.list_near()
+        members = self._pick_members(now)
+        self._send(Hello(own, members=members, records=self._list_records()), near)
+        unknown = self._neighbors.list_unknown()
+        if strangers and unknown and self.is_large:
             asked = random.sample(unknown, min(len(unknown), MOST_STRANGERS))
-            self._send(self._entry.describe_domain(), asked, now, asks_domain=True)
+            self._send(Hello(self._entry.describe_domain(), asks_domain=True), asked)
 
     def _tell_far(self, now: float) -> None:
-        self._told_far = now
-        far = []
-        for address, neighbor in self._neighbors.items():
-            if neighbor.failure_domain not in ("", self._failure_domain):
-                far.append(address)
-        chosen = random.sample(far, min(len(far), FAR_FANOUT))
-        if chosen:
-            self._send(self._entry.describe_domain(), chosen, now)
-
-    def _send(
-        self,
-        message: PeerHeard,
-        addresses: list[str],
-        now: float,
-        records: tuple[tuple[str, bytes], ...] = (),
-        asks_domain: bool = False,
-    ) -> None:
-        if self._transport is None or self._transport.is_closing():
+        domain = self._entry.describe_domain()
+        if now - self._told_far >= HELLO_SECONDS:
+            self._told_far = now
+            self._told_loads.clear()
+        else:
+            changed = select_changed(self._told_loads, domain.loads)
+            domain = replace(domain, loads=changed, partial=True)
+            bare = replace(domain, loads=())
+            if not changed and bare == self._told_bare:
+                return
+            self._told_bare = bare
+        self._told_loads.update((load.target, load) for load in domain.loads)
+        hello = Hello(domain, records=self._list_records())
+        self._send(hello, self._neighbors.pick_far(now))
+
+    def _list_records(self) -> tuple[tuple[str, bytes], ...]:
+        return self._entry.list_recent()
+
+    def _pick_members(self, now: float) -> tuple[Member, ...]:
+        # Messages are many and members change rarely.
+        if now - self._told_members < HELLO_SECONDS:
+            return ()
+        self._told_members = now
+        return self._neighbors.pick_members(now)
+
+    def _send(self, hello: Hello, addresses: list[str]) -> None:
+        if not addresses:
             return
         self._sequence += 1
-        hello = Hello(
-            message,
-            self._session,
-            self._sequence,
-            tuple(self._pick_members(now)),
-            records,
-            asks_domain,
+        numbered = replace(
+            hello,
+            content=replace(hello.content, address=self._own),
+            session=self._session,
+            sequence=self._sequence,
         )
-        data = encode_hello(hello)
+        data = encode_hello(numbered)
         if len(data) > TEXT_LIMIT:
             _log.error("message too long", extra={"bytes": len(data)})
             return
+        self._send_bytes(data, addresses)
+
+    def _send_bytes(self, data: bytes, addresses: list[str]) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
         for address in addresses:
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
 
-    def _pick_members(self, now: float) -> list[str]:
-        recent = [
-            address
-            for address, neighbor in self._neighbors.items()
-            if now - neighbor.heard < 3 * HELLO_SECONDS
-        ]
-        if len(recent) <= MOST_MEMBERS_TOLD:
-            return recent
-        start = self._sequence * MOST_MEMBERS_TOLD % len(recent)
-        return (recent + recent)[start : start + MOST_MEMBERS_TOLD]
-
-    def _take_datagram(self, data: bytes, address: str) -> None:
+    def _take_datagram(self, data: bytes, sender: str) -> None:
         try:
-            hello = decode_hello(data, address)
+            hello = decode_hello(data, sender)
         except PeerMessageError as error:
-            _log.info("message refused", extra={"from": address, "error": str(error)})
+            _log.info("message refused", extra={"from": sender, "error": str(error)})
             return
         now = loop_time()
-        neighbor = self._neighbors.setdefault(address, _Neighbor(now))
+        content = hello.content
+        neighbor = self._neighbors.add(content.address, now)
         if hello.session == neighbor.session and hello.sequence <= neighbor.sequence:
             # Overtaken on its way: what it tells is older than what is known.
             return
+        is_new = hello.session != neighbor.session
         neighbor.session, neighbor.sequence = hello.session, hello.sequence
         neighbor.heard = now
+        neighbor.failure_domain = content.failure_domain
+        self._neighbors.note_members(hello.members, now)
         if hello.asks_domain:
-            self._send(self._entry.describe_domain(), [address], now)
-        neighbor.failure_domain = hello.content.failure_domain
-        for member in hello.members:
-            if member != self._own:
-                self._neighbors.setdefault(member, _Neighbor(now)).known_since = now
-        self._entry.take_message(hello.content, hello.records)
+            self._send(Hello(self._entry.describe_domain()), [content.address])
+        elif is_new and not content.far:
+            self._greet(content.address, now)
+        if content.far and content.address == sender:
+            self._pass_on(data, content.failure_domain)
+        self._entry.take_message(content, hello.records)
+
+    def _greet(self, address: str, now: float) -> None:
+        """Answer an entry that has just started: it knows nobody's loads yet."""
+        members = self._neighbors.pick_members(now)
+        self._send(Hello(self._entry.describe_own(), members=members), [address])
+
+    def _pass_on(self, data: bytes, failure_domain: str) -> None:
+        """Hand what another failure domain told to all entries of this one."""
+        if failure_domain != self._failure_domain:
+            self._send_bytes(data, self._neighbors.list_near())
 
     async def fetch_copy(self, address: str) -> RecordCopy:
         """Return what the entry at "ip:port" has read of the store.
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -32,12 +32,8 @@
     TargetsListed,
 )
 from figstep.gateway.measures import GatewayMeasures
-from figstep.gateway.peers import (
-    describe_domain,
-    describe_own,
-    is_large,
-    reads_store,
-)
+from figstep.gateway.peers import describe_domain, describe_own, speaks_for_domain
+from figstep.gateway.sources import is_large, reads_store
 from figstep.gateway.state import State
 from figstep.gateway.targets import Registration
 from figstep.logs import install_bounded_logs
@@ -71,6 +67,13 @@
 """Pause between two reads of the store in a large fleet, where calls are dear:
 an engine's notice is 1.5 s long, and another reader may tell of it earlier."""
 
+FIRST_START_REST_SECONDS = 2.0
+"""Pause after an entry's first read where the whole system starts for the first
+time: all start at once, no caller comes yet, and they have to find each other."""
+
+RESTART_REST_SECONDS = 0.3
+"""The same of an entry that starts again: the seeds answer it within this."""
+
 FIRST_READ = Millis(300)
 """How long a starting entry waits for the store's records before it takes callers
 in: reading them takes 20 ms, and the most impatient callers wait half a second."""
@@ -150,6 +153,7 @@
             ),
             self.reads_store,
             self._choose_rest,
+            choose_first_rest(settings),
         )
         self.registrations = TopicFollower(
             self._store,
@@ -162,6 +166,7 @@
             ),
             self.reads_store,
             self._choose_rest,
+            choose_first_rest(settings),
         )
 
     async def on_start(self) -> None:
@@ -239,8 +244,8 @@
         for record in records:
             self._recent.append((record.key, record.value or b""))
         self._recent_at = self._clock.now()
-        if is_large(self.gateway.known):
-            self.link.announce()
+        if is_large(self.gateway.known) and self.reads_store():
+            self.link.announce_records()
 
     def _read_registration(self, record: KeyedRecord) -> Registration | None:
         if record.value is None:
@@ -268,6 +273,10 @@
         """Return what other failure domains are told."""
         return describe_domain(self.gateway.known, self._clock.now())
 
+    def speaks_for_domain(self) -> bool:
+        """Tell whether this entry tells other failure domains of its own."""
+        return speaks_for_domain(self.gateway.known, self._clock.now())
+
     def count_entries(self, entries: int) -> None:
         """Take in how many entries are known."""
         if entries != self.gateway.known.entries:
@@ -375,6 +384,17 @@
     return State(settings.node, settings.failure_domain, random.Random(seed), budget)
 
 
+def choose_first_rest(settings: EntrySettings) -> float:
+    """Return how long an entry waits after its first read of the store.
+
+    Reading on at once, each entry of a large fleet would read record by record
+    how all targets register themselves.
+    """
+    if not settings.seeds:
+        return 0.0
+    return FIRST_START_REST_SECONDS if settings.first_start else RESTART_REST_SECONDS
+
+
 class SettingsWatch:
     """Reads the settings file again on a signal, and when it has changed."""
 
--- a/figstep/platform/store.py
+++ b/figstep/platform/store.py
@@ -202,8 +202,21 @@
         sink: TopicSink,
         is_wanted: Callable[[], bool] = lambda: True,
         choose_rest: Callable[[], float] = lambda: 0.0,
+        first_rest: float = 0.0,
     ) -> None:
+        """Follow a topic.
+
+        Args:
+            store: Where it is read.
+            topic: Its name.
+            sink: Where its records go.
+            is_wanted: Whether this entry is to read on.
+            choose_rest: Seconds between two reads that bring records.
+            first_rest: Seconds after the first read, in which an entry learns
+                whether others read for it.
+        """
         super().__init__()
+        self._first_rest = first_rest
         self._choose_rest = choose_rest
         self._is_wanted = is_wanted
         self._store = store
@@ -230,7 +243,8 @@
                     "records deleted",
                     extra={"topic": self._topic, "earliest": error.earliest},
                 )
-                self._next = None
+                if self._is_wanted():
+                    self._next = None
             except (LogUnavailableError, ValueError, KeyError) as error:
                 self._note_lost(str(error))
                 await self._rest_longer()
@@ -251,6 +265,8 @@
             self._note_regained()
             self._next = snapshot.end
             self._sink.take_snapshot(snapshot.records, snapshot.end)
+            await self.sleep(self._first_rest)
+            self._first_rest = 0.0
             return
         start = self._next
         records = await self._store.read_records(self._topic, start)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -2,19 +2,16 @@
 
 import random
 
-from figstep.core.clock import Millis
-from figstep.gateway import peers
+from figstep.gateway import peers, sources
 from figstep.gateway.budgets import UseReport
-from figstep.gateway.effects import FetchRecords
 from figstep.gateway.events import (
-    EntriesCounted,
     PeerHeard,
     PeerLoad,
     TargetRegistered,
     Ticked,
 )
 from figstep.gateway.targets import Registration
-from tests.gateway.worlds import ENGINES, World
+from tests.gateway.worlds import ENGINES, World, build_large_world
 
 
 def test_loads_of_all_peers_are_summed() -> None:
@@ -64,31 +61,6 @@
     assert (fleet.requests, fleet.repeats, fleet.entries) == (20, 4, 3)
 
 
-def test_records_that_the_store_does_not_tell_are_asked_of_a_peer() -> None:
-    """A key that was taken away would work on at this entry.
-
-    The store turns this entry away and serves the others; the operator takes a
-    key away. A peer's message tells of a newer version.
-    """
-    world = World()
-    world.handle(PeerHeard("entry-2", address="10.0.0.2:7200", configuration=2))
-    world.handle(Ticked())
-    assert world.find_all(FetchRecords) == []
-    world.clock.advance(peers.CATCH_UP_AFTER)
-    world.handle(Ticked())
-    assert world.find(FetchRecords).address == "10.0.0.2:7200"
-
-
-def test_an_entry_that_is_ahead_asks_nobody() -> None:
-    world = World()
-    world.handle(PeerHeard("entry-2", address="10.0.0.2:7200", configuration=1))
-    for _ in range(3):
-        world.clock.advance(Millis(500))
-        world.handle(PeerHeard("entry-2", configuration=1))
-        world.handle(Ticked())
-        assert world.find_all(FetchRecords) == []
-
-
 def test_sums_of_another_failure_domain_count_for_a_while() -> None:
     world = World()
     world.register("e-1")
@@ -117,52 +89,6 @@
     assert sum(load.calls for load in told.loads) == 2 + sum(o.calls for o in own)
 
 
-def build_large_world() -> World:
-    world = World()
-    world.handle(EntriesCounted(73))
-    for number in range(18):
-        world.handle(PeerHeard(f"entry-0-{number:02}", failure_domain="muc-a"))
-    return world
-
-
-def test_few_entries_of_a_large_fleet_read_the_store() -> None:
-    world = build_large_world()
-    now = world.clock.now()
-    assert not peers.reads_store(world.state, now)
-    world.state.node = "entry-0"
-    assert peers.reads_store(world.state, now)
-
-
-def test_another_entry_reads_when_the_readers_fall_silent() -> None:
-    """A key that was taken away would work on in a whole failure domain.
-
-    The three entries that read the store die in the same moment. The others
-    hear nothing of them for a second and a half.
-    """
-    world = build_large_world()
-    world.state.node = "entry-0-03-next"
-    assert not peers.reads_store(world.state, world.clock.now())
-    world.clock.advance(peers.READER_SILENT)
-    for number in range(4, 18):
-        world.handle(PeerHeard(f"entry-0-{number:02}", failure_domain="muc-a"))
-    assert peers.reads_store(world.state, world.clock.now())
-
-
-def test_an_entry_whose_store_is_away_keeps_asking() -> None:
-    world = build_large_world()
-    world.state.store_away = True
-    assert peers.reads_store(world.state, world.clock.now())
-
-
-def test_an_entry_keeps_asking_while_the_readers_are_turned_away_too() -> None:
-    world = build_large_world()
-    world.state.store_away = True
-    for number in range(18):
-        name = f"entry-0-{number:02}"
-        world.handle(PeerHeard(name, failure_domain="muc-a", store_well=False))
-    assert peers.reads_store(world.state, world.clock.now())
-
-
 def test_a_failure_domain_shares_its_part_of_the_retry_budget() -> None:
     world = build_large_world()
     fleet = peers.sum_uses(world.state, "engines")
@@ -171,12 +97,7 @@
 
 
 def test_sums_of_loads_stay_right_over_messages_silence_and_new_targets() -> None:
-    """Prompts would keep away from an idle engine, or all go to a full one.
-
-    Sums are kept by taking off what a peer told before. Peers tell anew, end and
-    fall silent, sums of another failure domain grow old, and a target starts
-    again under its id.
-    """
+    """Guards against prompts that keep off an idle engine, or all go to a full one."""
     world = World()
     world.register("e-1")
     rng = random.Random(5)
@@ -188,10 +109,19 @@
         )
         node = f"entry-{rng.randrange(4)}"
         far = rng.random() < 0.3
+        partial = far and rng.random() < 0.5
+        loads = loads[: rng.randrange(3)] if partial else loads
         domain = "muc-b" if far else "muc-a"
         closing = rng.random() < 0.1 and not far
         world.handle(
-            PeerHeard(node, loads, closing=closing, far=far, failure_domain=domain)
+            PeerHeard(
+                node,
+                loads,
+                closing=closing,
+                far=far,
+                failure_domain=domain,
+                partial=partial,
+            )
         )
         if rng.random() < 0.2:
             world.register("e-2")
@@ -210,29 +140,22 @@
             assert abs(rate - target.read_rate) < 1e-6
 
 
-def test_a_new_configuration_is_not_asked_of_one_peer_by_a_whole_failure_domain() -> (
-    None
-):
-    """A key that was taken away works on for over three seconds.
+def test_one_entry_of_a_failure_domain_speaks_for_it() -> None:
+    world = build_large_world()
+    assert not peers.speaks_for_domain(world.state, world.clock.now())
+    world.clock.advance(sources.READER_SILENT)
+    assert peers.speaks_for_domain(world.state, world.clock.now())
 
-    One entry of a failure domain has read a configuration of 1,100 routes, some
-    300 KB, and tells its number. Within 150 ms the 17 others ask it for a copy; a
-    link of 5 Mbit/s takes half a second for each.
-    """
-    asked = 0
-    for number in range(17):
-        world = build_large_world()
-        world.state.rng.seed(number)
-        world.state.node = f"entry-1-{number:02}"
-        ahead = PeerHeard(
-            "entry-0-05",
-            address="10.0.0.5:7200",
-            configuration=2,
-            failure_domain="muc-a",
-        )
-        world.handle(ahead)
-        world.handle(Ticked())
-        world.clock.advance(peers.TOLD_AFTER)
-        world.handle(Ticked())
-        asked += len(world.find_all(FetchRecords))
-    assert asked <= 4
+
+def test_only_loads_that_changed_are_told_between_whole_messages() -> None:
+    """Guards against bytes between failure domains that grow with all targets."""
+    told = {name: PeerLoad(name, 2, 8_000, 0) for name in ("e-1", "e-2", "e-3")}
+    loads = (PeerLoad("e-1", 2, 8_100, 0), PeerLoad("e-2", 3, 11_000, 3_000))
+    changed = peers.select_changed(told, loads)
+    assert changed == (loads[1], PeerLoad("e-3", 0, 0))
+
+
+def test_growth_that_adds_up_is_told() -> None:
+    told = {"e-1": PeerLoad("e-1", 2, 8_000)}
+    loads = (PeerLoad("e-1", 2, 8_000 + peers.MEMORY_TOLD),)
+    assert peers.select_changed(told, loads) == loads
--- /dev/null
+++ b/tests/gateway/test_sources.py
@@ -0,0 +1,192 @@
+"""Tests of who reads the store, and of what is known while nobody can."""
+
+from dataclasses import replace
+
+from figstep.core.clock import Millis
+from figstep.gateway import peers, sources
+from figstep.gateway.effects import Announce, FetchRecords, ReadReport
+from figstep.gateway.events import EngineReported, PeerHeard, StoreLost, Ticked
+from figstep.gateway.targets import Standing
+from tests.gateway.worlds import World, build_large_world
+
+
+def test_records_that_the_store_does_not_tell_are_asked_of_a_peer() -> None:
+    """A key that was taken away would work on at this entry.
+
+    The store turns this entry away and serves the others; the operator takes a
+    key away. A peer's message tells of a newer version.
+    """
+    world = World()
+    world.handle(PeerHeard("entry-2", address="10.0.0.2:7200", configuration=2))
+    world.handle(Ticked())
+    assert world.find_all(FetchRecords) == []
+    world.clock.advance(sources.CATCH_UP_AFTER)
+    world.handle(Ticked())
+    assert world.find(FetchRecords).address == "10.0.0.2:7200"
+
+
+def test_an_entry_that_is_ahead_asks_nobody() -> None:
+    world = World()
+    world.handle(PeerHeard("entry-2", address="10.0.0.2:7200", configuration=1))
+    for _ in range(3):
+        world.clock.advance(Millis(500))
+        world.handle(PeerHeard("entry-2", configuration=1))
+        world.handle(Ticked())
+        assert world.find_all(FetchRecords) == []
+
+
+def test_few_entries_of_a_large_fleet_read_the_store() -> None:
+    world = build_large_world()
+    now = world.clock.now()
+    assert not sources.reads_store(world.state, now)
+    world.state.node = "entry-0"
+    assert sources.reads_store(world.state, now)
+
+
+def test_another_entry_reads_when_the_readers_fall_silent() -> None:
+    """A key that was taken away would work on in a whole failure domain.
+
+    The three entries that read the store die in the same moment. The others
+    hear nothing of them for a second and a half.
+    """
+    world = build_large_world()
+    world.state.node = "entry-0-03-next"
+    assert not sources.reads_store(world.state, world.clock.now())
+    world.clock.advance(sources.READER_SILENT)
+    for number in range(4, 18):
+        world.handle(PeerHeard(f"entry-0-{number:02}", failure_domain="muc-a"))
+    assert sources.reads_store(world.state, world.clock.now())
+
+
+def test_an_entry_whose_store_is_away_keeps_asking() -> None:
+    world = build_large_world()
+    world.handle(StoreLost())
+    assert sources.reads_store(world.state, world.clock.now())
+
+
+def test_an_entry_keeps_asking_while_the_readers_are_turned_away_too() -> None:
+    world = build_large_world()
+    world.handle(StoreLost())
+    hear_readers(world, 18, store_well=False)
+    assert sources.reads_store(world.state, world.clock.now())
+
+
+def hear_readers(world: World, count: int, store_well: bool) -> None:
+    """Let the first entries of the failure domain say that they read the store."""
+    for number in range(count):
+        name = f"entry-0-{number:02}"
+        world.handle(
+            PeerHeard(name, failure_domain="muc-a", store_well=store_well, reading=True)
+        )
+
+
+def test_few_entries_read_in_vain_while_the_store_is_away() -> None:
+    """Guards against a fleet that asks a store that is down all at once."""
+    world = build_large_world()
+    hear_readers(world, sources.MOST_FAILING - 1, store_well=False)
+    world.state.node = "entry-0-05-next"
+    assert sources.reads_store(world.state, world.clock.now())
+    hear_readers(world, sources.MOST_FAILING, store_well=False)
+    assert not sources.reads_store(world.state, world.clock.now())
+
+
+def hear_domain(world: World, name: str, **fields: bool) -> None:
+    """Let another failure domain tell its loads."""
+    node = f"entry-{name}"
+    world.handle(
+        PeerHeard(node, failure_domain=name, far=True, **fields)  # type: ignore[arg-type]
+    )
+
+
+def test_one_entry_of_each_of_many_failure_domains_reads_the_store() -> None:
+    """Guards against calls to the store that grow with the failure domains."""
+    world = build_large_world()
+    world.state.node = "entry-0-00-next"
+    assert sources.reads_store(world.state, world.clock.now())
+    hear_domain(world, "muc-b")
+    hear_domain(world, "nue-a")
+    assert not sources.reads_store(world.state, world.clock.now())
+
+
+def test_an_entry_that_hears_of_no_reader_takes_the_store_for_away() -> None:
+    """Guards against registrations that lapse in an outage taken for departures."""
+    world = build_large_world()
+    hear_readers(world, 6, store_well=True)
+    world.handle(Ticked())
+    assert not world.state.store_away
+    hear_readers(world, 6, store_well=False)
+    world.handle(Ticked())
+    assert world.state.store_away
+    hear_domain(world, "muc-b", reading=True)
+    world.handle(Ticked())
+    assert not world.state.store_away
+
+
+def test_one_entry_of_a_failure_domain_asks_an_engine_while_the_store_is_away() -> None:
+    """Guards against questions of all entries to all engines."""
+    asked = 0
+    for number in range(18):
+        world = build_large_world()
+        world.state.node = f"entry-0-{number:02}"
+        world.state.peers.pop(world.state.node)
+        world.register("e-1")
+        world.open_plan()
+        world.handle(StoreLost())
+        world.handle(Ticked())
+        asked += len(world.find_all(ReadReport))
+    assert asked == 1
+
+
+def test_what_an_engine_says_of_its_leaving_reaches_the_others() -> None:
+    """Guards against streams that end with an engine whose notice one entry knew."""
+    asker = build_large_world()
+    asker.register("e-1", "e-2")
+    asker.handle(EngineReported("e-1", leaving=True))
+    assert asker.find_all(Announce)
+    told = peers.describe_own(asker.state, asker.clock.now())
+    other = build_large_world()
+    other.register("e-1", "e-2")
+    opened = other.open_plan()
+    other.handle(replace(told, node="entry-9", leaving=(opened.target,)))
+    found = other.state.targets.find(opened.target)
+    assert found is not None
+    assert found.standing is Standing.LEAVING
+
+
+def test_an_old_registration_does_not_bring_a_leaving_engine_back() -> None:
+    """Guards against prompts sent to an engine that a peer's old copy lists."""
+    world = World()
+    world.register("e-1", "e-2")
+    world.handle(EngineReported("e-1", leaving=True))
+    world.register("e-1")
+    found = world.state.targets.find("e-1")
+    assert found is not None
+    assert found.standing is Standing.LEAVING
+
+
+def test_a_new_configuration_is_not_asked_of_one_peer_by_a_whole_failure_domain() -> (
+    None
+):
+    """A key that was taken away works on for over three seconds.
+
+    One entry of a failure domain has read a configuration of 1,100 routes, some
+    300 KB, and tells its number. Within 150 ms the 17 others ask it for a copy; a
+    link of 5 Mbit/s takes half a second for each.
+    """
+    asked = 0
+    for number in range(17):
+        world = build_large_world()
+        world.state.rng.seed(number)
+        world.state.node = f"entry-1-{number:02}"
+        ahead = PeerHeard(
+            "entry-0-05",
+            address="10.0.0.5:7200",
+            configuration=2,
+            failure_domain="muc-a",
+        )
+        world.handle(ahead)
+        world.handle(Ticked())
+        world.clock.advance(sources.TOLD_AFTER)
+        world.handle(Ticked())
+        asked += len(world.find_all(FetchRecords))
+    assert asked <= 4
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -10,7 +10,9 @@
 from figstep.gateway.effects import Effect, Note, OpenAttempt
 from figstep.gateway.events import (
     ConfigurationRead,
+    EntriesCounted,
     Event,
+    PeerHeard,
     PiecesArrived,
     RequestArrived,
     RoutedRequest,
@@ -198,3 +200,12 @@
     world.clock.advance(500)
     world.send_pieces(opened.attempt, 10, 10)
     return world, opened
+
+
+def build_large_world() -> World:
+    """Return an entry of a large fleet that has heard its own failure domain."""
+    world = World()
+    world.handle(EntriesCounted(73))
+    for number in range(18):
+        world.handle(PeerHeard(f"entry-0-{number:02}", failure_domain="muc-a"))
+    return world
--- a/tests/net/test_hellos.py
+++ b/tests/net/test_hellos.py
@@ -1,5 +1,7 @@
 """Tests of the messages between gateways."""
 
+from dataclasses import replace
+
 import pytest
 
 from figstep.errors import PeerMessageError
@@ -14,6 +16,7 @@
     encode_copy,
     encode_hello,
 )
+from figstep.net.neighbors import Member
 
 OWN = PeerHeard(
     "entry-1",
@@ -26,16 +29,20 @@
     closing=True,
     configuration=7,
     position=31,
+    reading=True,
+    leaving=("e-2",),
+    partial=True,
 )
 
 
 def test_a_message_comes_back_as_it_was() -> None:
     records = (("i-1", b"\x00beat"), ("i-2", b""))
-    sent = Hello(OWN, 5, 6, ("10.0.0.2:7200",), records)
+    members = (Member("10.0.0.2:7200", "muc-b"),)
+    sent = Hello(OWN, 5, 6, members, records)
     data = encode_hello(sent)
     hello = decode_hello(data, "10.0.0.1:7200")
     assert (hello.session, hello.sequence) == (5, 6)
-    assert hello.members == ("10.0.0.2:7200",)
+    assert hello.members == members
     assert hello.content.loads == OWN.loads
     assert hello.content.uses == OWN.uses
     assert hello.content.crashes == OWN.crashes
@@ -43,6 +50,15 @@
     assert (hello.content.configuration, hello.content.position) == (7, 31)
     assert hello.content.address == "10.0.0.1:7200"
     assert hello.records == records
+    assert hello.content.reading
+    assert hello.content.partial
+    assert hello.content.leaving == ("e-2",)
+
+
+def test_a_message_that_was_passed_on_names_its_writer() -> None:
+    """Guards against records asked of an entry that does not have them."""
+    data = encode_hello(Hello(replace(OWN, address="10.0.0.9:7200")))
+    assert decode_hello(data, "10.0.0.1:7200").content.address == "10.0.0.9:7200"
 
 
 @pytest.mark.parametrize("data", [b"", b"\xff" * 40, b"GET / HTTP/1.1\r\n\r\n"])
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -14,8 +14,9 @@
 class FakeHost(LinkHost):
     """An entry that notes what its link brings."""
 
-    def __init__(self, node: str, failure_domain: str) -> None:
+    def __init__(self, node: str, failure_domain: str, speaks: bool = True) -> None:
         self.own = PeerHeard(node, failure_domain=failure_domain)
+        self.speaks = speaks
         self.heard: list[PeerHeard] = []
         self.entries = 0
 
@@ -25,6 +26,9 @@
     def describe_domain(self) -> PeerHeard:
         return replace(self.own, far=True)
 
+    def speaks_for_domain(self) -> bool:
+        return self.speaks
+
     def read_copy(self) -> RecordCopy:
         return RecordCopy(b"configuration", 3)
 
@@ -78,13 +82,12 @@
 async def test_in_a_large_fleet_failure_domains_tell_each_other_sums(
     unused_tcp_port_factory: object,
 ) -> None:
-    """Control would grow with the square of the fleet.
-
-    Twenty entries stand in two failure domains. Those of one tell each other
-    all that they do; the other one hears sums.
-    """
+    """Guards against control that grows with the square of the fleet."""
     ports = [unused_tcp_port_factory() for _ in range(20)]  # type: ignore[operator]
-    hosts = [FakeHost(f"entry-{n}", "muc-a" if n < 10 else "muc-b") for n in range(20)]
+    hosts = [
+        FakeHost(f"entry-{n}", "muc-a" if n < 10 else "muc-b", speaks=n in (0, 10))
+        for n in range(20)
+    ]
     seed = f"127.0.0.1:{ports[0]}"
     links = [open_link(port, (seed,), hosts[n]) for n, port in enumerate(ports)]
     for link in links:
@@ -98,7 +101,27 @@
     await asyncio.sleep(3.0)
     for link in links:
         await link.stop()
-    first = hosts[0].heard
-    near = {m.node for m in first if not m.far}
-    assert near == {f"entry-{n}" for n in range(1, 10)}
-    assert {m.failure_domain for m in first if m.far} == {"muc-b"}
+    for number, host in enumerate(hosts):
+        own = range(10) if number < 10 else range(10, 20)
+        near = {m.node for m in host.heard if not m.far}
+        assert near == {f"entry-{n}" for n in own if n != number}
+        speaker = "entry-10" if number < 10 else "entry-0"
+        assert {m.node for m in host.heard if m.far} == {speaker}
+
+
+async def test_an_entry_that_starts_is_answered_at_once(
+    unused_tcp_port_factory: object,
+) -> None:
+    """Guards against prompts placed before the loads of the others are known."""
+    ports = [unused_tcp_port_factory() for _ in range(2)]  # type: ignore[operator]
+    hosts = [FakeHost(f"entry-{n}", "muc-a") for n in range(2)]
+    first = open_link(ports[0], (), hosts[0])
+    second = open_link(ports[1], (f"127.0.0.1:{ports[0]}",), hosts[1])
+    await first.start()
+    await asyncio.sleep(0.15)
+    await second.start()
+    async with asyncio.timeout(0.09):
+        while not hosts[1].heard:
+            await asyncio.sleep(0.005)
+    await second.stop()
+    await first.stop()
