Bring an old copy up to date before a run goes on from it

Copies made ahead are up to three seconds old by then: what they lack is read by the holder, and what both engines generate meanwhile is generated twice.

Change: a copy older than 0.3 s is brought up to date when the notice comes, which takes some tens of milliseconds, for 0.4 s at most; a newer copy that takes longer or fails leaves the older one in use. A copy being renewed as the notice comes holds its run up no longer than that either.

--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -31,6 +31,13 @@
 """Expected tokens still to come below which a run gets no copy on order: it ends
 in a second and a half, and engines leave every few seconds."""
 
+STALE_AFTER = Millis(300)
+"""Age of a copy from which it is brought up to date before a change-over."""
+
+REFRESH_PATIENCE = Millis(400)
+"""How long that may take: links carry the copies of all runs one after another,
+and a run of which there is a copy must not be lost for a newer one."""
+
 LAST_ORDER = Millis(900)
 """How long after the notice a copy that is ordered still arrives in time: it takes
 up to half a second, and engines are gone 1.5 s after their notice at the earliest."""
@@ -110,7 +117,9 @@
 def evacuate_request(state: State, request: Request, now: Millis) -> list[Effect]:
     """Go on elsewhere with a run whose engine leaves."""
     current = request.current
-    if current is None or request.standby is not None or request.copying:
+    if current is None or request.standby is not None:
+        return []
+    if request.copying and not _is_refresh_late(request, now):
         return []
     if current.target.standing is Standing.READY or not request.begun:
         return []
@@ -121,10 +130,37 @@
     if request.copy is not None:
         if _is_worth_waiting(state, request, now):
             return []
+        holder = state.targets.find(request.copy.holder)
+        if holder is not None and _is_worth_refreshing(request, current, now):
+            return _order_copy_to(state, request, current, holder, now)
         return switch_to_copy(state, request, now)
     return _order_copy(state, request, now)
 
 
+def _is_worth_refreshing(request: Request, current: Attempt, now: Millis) -> bool:
+    """Tell whether a copy is brought up to date before the run goes on from it.
+
+    What it lacks has to be read at its holder while the other engine goes on, and
+    then generated again: the caller sees a pause of both. It is tried once.
+    """
+    copy = request.copy
+    left_at = current.target.left_at
+    if copy is None or copy.owner == copy.holder or left_at is None:
+        return False
+    if request.copying or request.copy_ordered_at >= left_at:
+        return False
+    if now - left_at >= LAST_ORDER:
+        return False
+    return now - request.copied_at >= STALE_AFTER
+
+
+def _is_refresh_late(request: Request, now: Millis) -> bool:
+    """Tell whether a run goes on from an older copy: the newer one takes too long."""
+    if request.copy is None:
+        return False
+    return now - request.copy_ordered_at >= REFRESH_PATIENCE
+
+
 def _is_worth_waiting(state: State, request: Request, now: Millis) -> bool:
     """Tell whether a change-over goes better a little later in the notice."""
     current = request.current
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -2,7 +2,12 @@
 
 from figstep.core.clock import Millis
 from figstep.gateway import copies
-from figstep.gateway.copies import COPY_ARRIVES, LAST_ORDER
+from figstep.gateway.copies import (
+    COPY_ARRIVES,
+    LAST_ORDER,
+    REFRESH_PATIENCE,
+    STALE_AFTER,
+)
 from figstep.gateway.effects import (
     BreakStream,
     CloseAttempt,
@@ -407,3 +412,47 @@
     request.delivered_at = world.clock.now()
     kept = copies.protect_streams(world.state, world.clock.now())
     assert [one.holder for one in kept if isinstance(one, CopyRun)] == [order.holder]
+
+
+def start_with_old_copy() -> tuple[World, CopyRun]:
+    """Return a world whose run has a copy that has grown old, as its engine leaves."""
+    world, _ = start_without_backup()
+    world.handle(Ticked())
+    order = world.find(CopyRun)
+    world.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    world.clock.advance(STALE_AFTER)
+    world.depart(order.source)
+    return world, order
+
+
+def test_an_old_copy_is_brought_up_to_date_before_a_change_over() -> None:
+    """Guards against pauses of a quarter second, of what the copy lacks."""
+    world, order = start_with_old_copy()
+    assert world.find(CopyRun) == order
+    assert world.find_all(OpenAttempt) == []
+    world.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    assert world.find(OpenAttempt).target == order.holder
+
+
+def test_a_run_goes_on_from_its_old_copy_where_no_newer_one_can_be_made() -> None:
+    """Guards against runs that are lost with a copy at hand."""
+    world, order = start_with_old_copy()
+    world.handle(RunNotCopied(1, order.source, order.holder, "answered 503"))
+    assert world.find(OpenAttempt).source == RunCopy(order.holder, order.source, "h-1")
+
+
+def test_a_run_goes_on_from_its_old_copy_where_the_newer_one_takes_too_long() -> None:
+    """Guards against runs whose engine is gone before their newer copy is made."""
+    world, order = start_with_old_copy()
+    world.clock.advance(REFRESH_PATIENCE)
+    world.handle(Ticked())
+    assert world.find(OpenAttempt).source == RunCopy(order.holder, order.source, "h-1")
+
+
+def test_a_fresh_copy_is_used_as_it_is() -> None:
+    world, _ = start_without_backup()
+    world.handle(Ticked())
+    order = world.find(CopyRun)
+    world.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    world.depart(order.source)
+    assert world.find(OpenAttempt).target == order.holder
