Greet a newcomer of another failure domain with sums

Cause, found in reading the change: an entry that starts and asks a seed of another failure domain was answered as a near one. It took the seed for a peer of its own, missed it three seconds later, and kept to an equal part of the retry budget for twenty more. Only large fleets are concerned.

The test fails without the change.

--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -19,8 +19,8 @@
 from the budget of the fleet; two windows of that budget."""
 
 FAR_KEPT = Millis(4_000)
-"""How long the sums of another failure domain count; they come every second, as
-each entry tells three far ones in a second."""
+"""How long the sums of another failure domain count; they are told whole each
+second, and some messages are lost."""
 
 MEMORY_TOLD = 500
 """Tokens by which the runs at an engine grow before others are told of it."""
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -272,15 +272,18 @@
         if hello.asks_domain:
             self._send(Hello(self._entry.describe_domain()), [content.address])
         elif is_new and not content.far:
-            self._greet(content.address, now)
+            self._greet(content.address, content.failure_domain, now)
         if content.far and content.address == sender:
             self._pass_on(data, content.failure_domain)
         self._entry.take_message(content, hello.records)
 
-    def _greet(self, address: str, now: float) -> None:
+    def _greet(self, address: str, failure_domain: str, now: float) -> None:
         """Answer an entry that has just started: it knows nobody's loads yet."""
+        content = self._entry.describe_own()
+        if self.is_large and failure_domain != self._failure_domain:
+            content = self._entry.describe_domain()
         members = self._neighbors.pick_members(now)
-        self._send(Hello(self._entry.describe_own(), members=members), [address])
+        self._send(Hello(content, members=members), [address])
 
     def _pass_on(self, data: bytes, failure_domain: str) -> None:
         """Hand what another failure domain told to all entries of this one."""
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -1,14 +1,16 @@
 """Tests of the links between gateways."""
 
 import asyncio
+import socket
 from dataclasses import replace
 
 import pytest
 
 from figstep.errors import PeerMessageError
 from figstep.gateway.events import PeerHeard
-from figstep.net.hellos import RecordCopy
+from figstep.net.hellos import Hello, RecordCopy, encode_hello
 from figstep.net.links import LinkHost, PeerLink
+from figstep.net.neighbors import Member
 
 
 class FakeHost(LinkHost):
@@ -125,3 +127,29 @@
             await asyncio.sleep(0.005)
     await second.stop()
     await first.stop()
+
+
+async def test_an_entry_of_a_large_fleet_greets_far_ones_with_sums(
+    unused_tcp_port_factory: object,
+) -> None:
+    """Guards against peers that are taken for lost seconds after a start."""
+    ports = [unused_tcp_port_factory() for _ in range(2)]  # type: ignore[operator]
+    hosts = [FakeHost("entry-0", "muc-a"), FakeHost("entry-1", "muc-b")]
+    first = open_link(ports[0], (), hosts[0])
+    second = open_link(ports[1], (f"127.0.0.1:{ports[0]}",), hosts[1])
+    await first.start()
+    members = tuple(Member(f"127.0.0.2:{7_000 + n}", "muc-a") for n in range(20))
+    own = PeerHeard("entry-2", failure_domain="muc-a", address="127.0.0.2:6999")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        data = encode_hello(Hello(own, 1, 1, members))
+        sender.sendto(data, ("127.0.0.1", ports[0]))
+    async with asyncio.timeout(2):
+        while not first.is_large:
+            await asyncio.sleep(0.005)
+    await second.start()
+    async with asyncio.timeout(2):
+        while not hosts[1].heard:
+            await asyncio.sleep(0.005)
+    assert all(message.far for message in hosts[1].heard)
+    await second.stop()
+    await first.stop()
