Say each second that a failure domain is there; name a constant once

Cause, found in reading: a failure domain in which nothing changed told the others nothing for two seconds, while an entry takes its readers for silent after 1.5 s. The constant of copies at once stood twice in its module.

--- a/figstep/gateway/sources.py
+++ b/figstep/gateway/sources.py
@@ -30,9 +30,6 @@
 COPIES_AT_ONCE = 2
 """Entries that ask one peer for its records at the same time."""
 
-COPIES_AT_ONCE = 2
-"""Entries that ask one peer for its records at the same time."""
-
 
 def is_large(state: State) -> bool:
     """Tell whether the fleet is too large for all to hear all."""
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -120,6 +120,7 @@
         self._neighbors = NeighborTable(self._own, failure_domain)
         self._told = _Told()
         self._told_far = -1e9
+        self._spoke_at = -1e9
         self._told_bare: PeerHeard | None = None
         self._told_loads: dict[str, PeerLoad] = {}
         self._told_members = -1e9
@@ -215,9 +216,11 @@
             changed = select_changed(self._told_loads, domain.loads)
             domain = replace(domain, loads=changed, partial=True)
             bare = replace(domain, loads=())
-            if not changed and bare == self._told_bare:
+            is_known = not changed and bare == self._told_bare
+            if is_known and now - self._spoke_at < HELLO_SECONDS:
                 return
             self._told_bare = bare
+        self._spoke_at = now
         self._told_loads.update((load.target, load) for load in domain.loads)
         hello = Hello(domain, records=self._list_records())
         self._send(hello, self._neighbors.pick_far(now))
