--- a/tests/gateway/test_sources.py
+++ b/tests/gateway/test_sources.py
@@ -11,11 +11,7 @@
 
 
 def test_records_that_the_store_does_not_tell_are_asked_of_a_peer() -> None:
-    """A key that was taken away would work on at this entry.
-
-    The store turns this entry away and serves the others; the operator takes a
-    key away. A peer's message tells of a newer version.
-    """
+    """Guards against a key that was taken away and works on at one entry."""
     world = World()
     world.handle(PeerHeard("entry-2", address="10.0.0.2:7200", configuration=2))
     world.handle(Ticked())
@@ -44,11 +40,7 @@
 
 
 def test_another_entry_reads_when_the_readers_fall_silent() -> None:
-    """A key that was taken away would work on in a whole failure domain.
-
-    The three entries that read the store die in the same moment. The others
-    hear nothing of them for a second and a half.
-    """
+    """Guards against a failure domain whose readers all died at once."""
     world = build_large_world()
     world.state.node = "entry-0-03-next"
     assert not sources.reads_store(world.state, world.clock.now())
@@ -167,12 +159,7 @@
 def test_a_new_configuration_is_not_asked_of_one_peer_by_a_whole_failure_domain() -> (
     None
 ):
-    """A key that was taken away works on for over three seconds.
-
-    One entry of a failure domain has read a configuration of 1,100 routes, some
-    300 KB, and tells its number. Within 150 ms the 17 others ask it for a copy; a
-    link of 5 Mbit/s takes half a second for each.
-    """
+    """Guards against a key that was taken away and works on for seconds."""
     asked = 0
     for number in range(17):
         world = build_large_world()
