--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -52,7 +52,7 @@
 a comparison: copies between failure domains take twice as long."""
 
 FAR_COPY_UNSEEN = 0.6
-"""The same in a large fleet, where far loads are a second old."""
+"""The same in a large fleet, where far loads are known a little later."""
 
 COPY_WAIT = 3.0
 """The same for each part of its memory that is being copied there already: links
