--- /dev/null
+++ b/tests/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tools."""
--- /dev/null
+++ b/tests/tools/test_compare_days.py
@@ -0,0 +1,26 @@
+"""Tests of the comparison of two checkouts."""
+
+from pathlib import Path
+
+import pytest
+
+from tools.compare_days import Pair, Play, find_difference
+
+PLAY = Play(Path("site.toml"), "scale-1", None)
+
+
+def test_the_error_is_that_of_paired_days() -> None:
+    """Guards against errors of days that differ more than the two ways do."""
+    pairs = [
+        Pair(PLAY, 0.2, 0.3, ()),
+        Pair(PLAY, 0.8, 0.9, ()),
+        Pair(PLAY, 0.5, 0.6, ()),
+    ]
+    found = find_difference(pairs)
+    assert (found.pairs, found.mean) == (3, pytest.approx(0.1))
+    assert found.error == pytest.approx(0.0, abs=1e-9)
+
+
+def test_one_pair_has_no_error() -> None:
+    """Guards against a single pair that looks certain."""
+    assert find_difference([Pair(PLAY, 0.2, 0.3, ())]).error is None
