Evacuate a failure domain by our own command line

An operator who empties a place had to drain its targets one by one, and targets that came later got work. Documents of the first validation version hold on: the field is known from version 2 on, and an older program stalls on it as on any newer version.

--- a/figstep/cli.py
+++ b/figstep/cli.py
@@ -120,6 +120,29 @@
     _wait_in_force(offset, wait, instances, timeout)
 
 
+@app.command()
+def evacuate(
+    failure_domain: str,
+    log: LogUrl,
+    reason: Annotated[str, typer.Option()],
+    author: str = "",
+    wait: str = "",
+    instances: InstancesUrl = "",
+    timeout: float = 30.0,
+    undo: Annotated[bool, typer.Option("--undo", help="End the evacuation.")] = False,
+) -> None:
+    """Publish that a failure domain's targets get no new work; runs there go on."""
+    author = author or getpass.getuser()
+    offset = operations.run_with_log(
+        log,
+        lambda client: operations.evacuate_domain(
+            client, failure_domain, author, reason, evacuate=not undo
+        ),
+    )
+    typer.echo(f"accepted at offset {offset}")
+    _wait_in_force(offset, wait, instances, timeout)
+
+
 @app.command()
 def show(log: LogUrl) -> None:
     """Print the document in force as YAML."""
--- a/figstep/core/configuration.py
+++ b/figstep/core/configuration.py
@@ -221,6 +221,7 @@
     """Make the known targets those of ``inventory``; running work goes on."""
     state.inventory = inventory
     draining = {mark.target for mark in inventory.draining}
+    evacuated = {mark.failure_domain for mark in inventory.evacuated}
     apply_policy(state, inventory)
     known = state.targets
     state.targets = {}
@@ -229,7 +230,8 @@
         if target is None:
             target = TargetState(info)
         target.info = info
-        target.draining = info.name in draining
+        is_evacuated = info.failure_domain in evacuated
+        target.draining = is_evacuated or info.name in draining
         state.targets[info.name] = target
     for name, target in known.items():
         if target.in_flight == 0:
--- a/figstep/core/inventory.py
+++ b/figstep/core/inventory.py
@@ -135,6 +135,14 @@
     reason: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationMark:
+    """A failure domain whose targets the operators want to get no new work."""
+
+    failure_domain: str
+    reason: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class NonIdempotentRule:
     """Requests that run at most once; None and "" match everything.
@@ -193,6 +201,7 @@
     customers: tuple[CustomerInfo, ...] = ()
     rules: Rules = field(default_factory=Rules)
     draining: tuple[DrainMark, ...] = ()
+    evacuated: tuple[EvacuationMark, ...] = ()
     instances: tuple[InstanceRecord, ...] = ()
 
     def list_targets(self) -> list[TargetInfo]:
--- a/figstep/inventory.py
+++ b/figstep/inventory.py
@@ -111,6 +111,13 @@
     reason: str = ""
 
 
+class EvacuationModel(_Model):
+    """A failure domain whose targets shall get no new work."""
+
+    failure_domain: str
+    reason: str = ""
+
+
 class RulesModel(_Model):
     """Operators' rules."""
 
@@ -137,6 +144,7 @@
     customers: tuple[CustomerModel, ...] = ()
     rules: RulesModel = RulesModel()
     draining: tuple[DrainModel, ...] = ()
+    evacuated: tuple[EvacuationModel, ...] = ()
 
     @model_validator(mode="after")
     def _check_rules(self) -> "InventoryModel":
@@ -159,6 +167,8 @@
             _expect("rules.non_idempotent", rule.customer, customers, "customers")
         for mark in self.draining:
             _expect("draining", mark.target, targets, "engines or services")
+        for evacuation in self.evacuated:
+            _expect("evacuated", evacuation.failure_domain, domains, "failure_domains")
         return self
 
     @model_validator(mode="after")
@@ -197,9 +207,12 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-VALIDATION = 1
+VALIDATION = 2
 """Version of the rules below; any change of what is valid raises it."""
 
+FIRST_WITH_EVACUATIONS = 2
+"""Version from which on a document may name evacuated failure domains."""
+
 
 def parse_version(document: Any, validation: int) -> core.Inventory | None:
     """Validate by the rules of one version; None if it is not known here.
@@ -207,8 +220,13 @@
     Raises:
         InventoryError: Naming each wrong field and what to write.
     """
-    if validation != VALIDATION:
+    if not 1 <= validation <= VALIDATION:
         return None
+    if validation < FIRST_WITH_EVACUATIONS and "evacuated" in document:
+        raise InventoryError(
+            f"evacuated: unknown to validation version {validation};"
+            f" publish with version {FIRST_WITH_EVACUATIONS} or later"
+        )
     return parse_inventory(document)
 
 
@@ -237,6 +255,7 @@
         customers=tuple(core.CustomerInfo(**vars(m)) for m in model.customers),
         rules=_convert_rules(model.rules),
         draining=tuple(core.DrainMark(**vars(m)) for m in model.draining),
+        evacuated=tuple(core.EvacuationMark(**vars(m)) for m in model.evacuated),
     )
 
 
--- a/figstep/net/configuration.py
+++ b/figstep/net/configuration.py
@@ -95,7 +95,7 @@
         edit=model.edit,
         validation=model.validation,
         document=document,
-        known=model.validation == VALIDATION,
+        known=model.validation <= VALIDATION,
     )
 
 
--- a/figstep/operations.py
+++ b/figstep/operations.py
@@ -230,18 +230,69 @@
         UnknownTargetError: The document has no such target.
         PublishRefusedError: Another edit won.
     """
-    reader = await follow_trail(log, TrailReader())
-    current = reader.trail.current
-    document = {} if current is None else deepcopy(current.document)
+    reader, document = await _read_document(log)
     targets = [*document.get("engines", []), *document.get("services", [])]
     if target not in {item["name"] for item in targets}:
         raise UnknownTargetError(
             f"no target {target!r} in the accepted document; see figstep show"
         )
-    marks = [m for m in document.get("draining", []) if m["target"] != target]
-    if drain:
-        marks.append({"target": target, "reason": reason})
-    document["draining"] = marks
+    mark = {"target": target, "reason": reason} if drain else None
+    _replace_mark(document, "draining", "target", target, mark)
+    return await _append_document(log, reader, document, author, reason)
+
+
+async def evacuate_domain(
+    log: LogClient, domain: str, author: str, reason: str, evacuate: bool = True
+) -> int:
+    """Publish the document in force with ``domain`` listed as evacuated, or not.
+
+    Args:
+        log: The log service.
+        domain: Name of the failure domain.
+        author: Who evacuates it.
+        reason: Why.
+        evacuate: False ends an evacuation.
+
+    Raises:
+        UnknownTargetError: The document has no such failure domain.
+        PublishRefusedError: Another edit won.
+    """
+    reader, document = await _read_document(log)
+    if domain not in {item["name"] for item in document.get("failure_domains", [])}:
+        raise UnknownTargetError(
+            f"no failure domain {domain!r} in the accepted document; see figstep show"
+        )
+    mark = {"failure_domain": domain, "reason": reason} if evacuate else None
+    _replace_mark(document, "evacuated", "failure_domain", domain, mark)
+    return await _append_document(log, reader, document, author, reason)
+
+
+async def _read_document(log: LogClient) -> tuple[TrailReader, dict[str, Any]]:
+    reader = await follow_trail(log, TrailReader())
+    current = reader.trail.current
+    return reader, {} if current is None else deepcopy(current.document)
+
+
+def _replace_mark(
+    document: dict[str, Any],
+    marks: str,
+    field: str,
+    name: str,
+    mark: dict[str, str] | None,
+) -> None:
+    kept = [other for other in document.get(marks, []) if other[field] != name]
+    if mark is not None:
+        kept.append(mark)
+    document[marks] = kept
+
+
+async def _append_document(
+    log: LogClient,
+    reader: TrailReader,
+    document: dict[str, Any],
+    author: str,
+    reason: str,
+) -> int:
     parse_inventory(document)
     edit = Edit(document, author, reason)
     return await append_edit(log, reader, edit, READ_BACK_SECONDS)
--- a/tests/contracts/test_operators.py
+++ b/tests/contracts/test_operators.py
@@ -63,6 +63,12 @@
         0,
         "accepted at offset 2",
     ),
+    "evacuation of an unknown failure domain": (
+        "evacuate nowhere --log LOG --reason r",
+        {},
+        1,
+        "no failure domain 'nowhere'",
+    ),
 }
 
 
--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -17,7 +17,7 @@
     SnapshotTimer,
     TimerFired,
 )
-from figstep.core.inventory import DrainMark, Inventory, ServiceInfo
+from figstep.core.inventory import DrainMark, EvacuationMark, Inventory, ServiceInfo
 from figstep.core.reducer import reduce
 from figstep.core.state import State
 
@@ -136,6 +136,20 @@
     assert not state.targets["booking-1"].draining
 
 
+def test_an_evacuation_drains_all_targets_of_its_failure_domain() -> None:
+    """Guards against targets that an evacuated failure domain gains later."""
+    state = State("a")
+    first = ServiceInfo("booking-1", "booking", "http://h", "ie-a")
+    other = ServiceInfo("booking-2", "booking", "http://h", "ie-b")
+    later = ServiceInfo("booking-3", "booking", "http://h", "ie-a")
+    marks = (EvacuationMark("ie-a"),)
+    feed(state, build_edit(0, -1, inventory=Inventory(services=(first, other))))
+    evacuated = Inventory(services=(first, other, later), evacuated=marks)
+    feed(state, build_edit(1, 0, inventory=evacuated))
+    drained = {name for name, target in state.targets.items() if target.draining}
+    assert drained == {"booking-1", "booking-3"}
+
+
 class FoldMachine(RuleBasedStateMachine):
     """Nodes that read one list late, lossily and past truncation."""
 
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -34,6 +34,11 @@
     ("place", "value", "remedy"),
     [
         (("draining",), [{"target": "nobody"}], "draining: 'nobody' is not listed"),
+        (
+            ("evacuated",),
+            [{"failure_domain": "nowhere"}],
+            "evacuated: 'nowhere' is not listed",
+        ),
         (("rules", "placement"), [{"model": "x", "replicas": 1}], "add it under"),
         (("rules", "priorities"), [{"priority": 1, "customer": "x"}], "customers"),
         (("rules", "non_idempotent"), [{"service": "x"}], "services"),
@@ -54,5 +59,13 @@
         parse_inventory(document)
 
 
+def test_documents_of_the_first_validation_version_hold_on() -> None:
+    """Guards against a log that an upgraded program can't read any more."""
+    document = load_yaml(EXAMPLES / "bavaria.yaml")
+    assert parse_version(document, 1) == parse_inventory(document)
+    with pytest.raises(InventoryError, match="version 2 or later"):
+        parse_version({**document, "evacuated": []}, 1)
+
+
 def test_unknown_validation_version_is_not_judged() -> None:
     assert parse_version({"members": "of a later version"}, 99) is None
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -112,6 +112,26 @@
         await operations.drain_target(log, "nobody", "ann", "why")
 
 
+async def test_an_evacuation_is_an_edit_of_the_document_in_force() -> None:
+    """Guards against an evacuation that no history tells of, or that stays."""
+    log = MemoryLog()
+    document = load_example()
+    domain = document["failure_domains"][0]["name"]
+    await operations.publish_document(log, document, "ann", "first")
+    await operations.evacuate_domain(log, domain, "ann", "power cut")
+    trail = await operations.read_history(log)
+    assert trail.current is not None
+    assert trail.current.document["evacuated"] == [
+        {"failure_domain": domain, "reason": "power cut"}
+    ]
+    await operations.evacuate_domain(log, domain, "ann", "done", evacuate=False)
+    trail = await operations.read_history(log)
+    assert trail.current is not None
+    assert trail.current.document["evacuated"] == []
+    with pytest.raises(UnknownTargetError):
+        await operations.evacuate_domain(log, "nowhere", "ann", "why")
+
+
 async def test_wait_names_the_entry_that_lags() -> None:
     """An entry of the instance list died and the list still calls it live."""
     async with run_deployment() as deployment:
