Keep evacuations, cold targets and homes

Now every choice of a target, for a first try, a retry, a copy or a stream that goes on, draws from one list of eligible targets.

Evacuation: the records of the operator's topic are folded where they are read, and each message between entries carries the result with its offset, so that an entry without the store has it with the next message. What runs there ends there. Homes: a newer configuration binds requests that wait or run.

--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -1,7 +1,7 @@
 """Copies of running generations, and going on from them when an engine leaves."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import attempts, peers, placement
+from figstep.gateway import attempts, eligibility, peers, placement
 from figstep.gateway.effects import (
     CopyRun,
     DropCopy,
@@ -193,11 +193,11 @@
 
 
 def forget_unusable_copy(state: State, request: Request) -> None:
-    """Drop what is known of a copy whose holder has left."""
+    """Drop what is known of a copy whose holder takes no more work of its run."""
     if request.copy is None:
         return
     holder = state.targets.find(request.copy.holder)
-    if holder is None or holder.standing is not Standing.READY:
+    if holder is None or not eligibility.is_eligible(state, request, holder):
         request.copy = None
 
 
@@ -336,7 +336,7 @@
         return False
     if request.route.kind is not RouteKind.STREAM:
         return False
-    if current.target.standing is not Standing.READY:
+    if not current.target.takes_work:
         return False
     pool = placement.find_engine_pool(state, request.service)
     if pool is None or not pool.moves:
@@ -357,7 +357,7 @@
     holder = attempt.holder
     if holder is None or attempt.holder_spoiled:
         return False
-    return holder.standing is Standing.READY
+    return holder.takes_work
 
 
 def _order_protection(
--- /dev/null
+++ b/figstep/gateway/eligibility.py
@@ -0,0 +1,67 @@
+"""Which targets a request may be sent to, whatever their load."""
+
+from figstep.gateway.events import RoutedRequest
+from figstep.gateway.routes import Customer, Route, RoutingTable
+from figstep.gateway.state import Request, State
+from figstep.gateway.targets import Target
+
+
+def find_homes(route: Route, customer: Customer | None) -> frozenset[str] | None:
+    """Return the regions that a request is bound to; None for any.
+
+    Where both its route and its customer are bound to regions, both hold.
+    """
+    if customer is None or customer.homes is None:
+        return route.homes
+    if route.homes is None:
+        return customer.homes
+    return route.homes & customer.homes
+
+
+def renew_homes(table: RoutingTable, request: Request) -> None:
+    """Bind a request that waits or runs to the regions of a newer configuration.
+
+    One whose route or key was dropped meanwhile keeps what it was bound to.
+    """
+    spec: RoutedRequest = request.spec
+    route = table.find_route(spec.host, spec.path)
+    if route is None:
+        return
+    customer = None
+    if table.customers is not None and not route.public:
+        customer = table.customers.get(spec.key or "")
+        if customer is None:
+            return
+    request.homes = find_homes(route, customer)
+
+
+def is_eligible(state: State, request: Request, target: Target) -> bool:
+    """Tell whether anything of a request may be sent to a target now."""
+    return target.takes_work and _is_at_home(state, request, target)
+
+
+def list_eligible(state: State, request: Request) -> list[Target]:
+    """Return the targets of a request's service that may get it now."""
+    ready = state.targets.list_ready(request.service)
+    if request.homes is None:
+        return ready
+    return [target for target in ready if _is_at_home(state, request, target)]
+
+
+def explain_none(state: State, request: Request) -> str:
+    """Return the reason of a refusal where no target is eligible."""
+    if list_eligible(state, request):
+        return "no_room"
+    if state.targets.list_ready(request.service):
+        return "no_home"
+    if state.targets.has_evacuated(request.service):
+        return "evacuated"
+    return "no_room"
+
+
+def _is_at_home(state: State, request: Request, target: Target) -> bool:
+    if request.homes is None:
+        return True
+    # A failure domain of unknown region is nobody's home.
+    region = state.regions.get(target.info.failure_domain)
+    return region is not None and region in request.homes
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -1,10 +1,11 @@
 """Events: everything the gateway's reducer reacts to."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from figstep.core.clock import Millis
 from figstep.gateway.budgets import UseReport
+from figstep.gateway.places import NO_EVACUATIONS, Evacuations
 from figstep.gateway.prompts import Prompt
 from figstep.gateway.refusals import Refusal
 from figstep.gateway.routes import RoutingTable
@@ -243,6 +244,13 @@
     position: int
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationsRead:
+    """The operator's evacuations were read in the store."""
+
+    evacuations: Evacuations
+
+
 @dataclass(frozen=True, slots=True)
 class StoreLost:
     """The store stopped answering: registrations may lapse unseen."""
@@ -301,6 +309,7 @@
         reading: Whether it reads the store's records as they come.
         leaving: Targets that said of late that they leave, or that others told
             it of.
+        evacuations: Failure domains that it takes to be evacuated.
     """
 
     node: str
@@ -319,6 +328,7 @@
     leaving: tuple[str, ...] = ()
     partial: bool = False
     refused: tuple[Refusal, ...] = ()
+    evacuations: Evacuations = NO_EVACUATIONS
 
 
 @dataclass(frozen=True, slots=True)
@@ -338,17 +348,19 @@
 
 @dataclass(frozen=True, slots=True)
 class SettingsRead:
-    """The settings were read again: bounds of the retry budget may differ.
+    """The settings were read again: what they say may differ.
 
     Attributes:
         retry_ratio: Repeats for each request.
         retry_allowance: Repeats of the fleet beyond the ratio, in a window.
         retry_window: Length of that window.
+        regions: Region of each failure domain.
     """
 
     retry_ratio: float
     retry_allowance: float
     retry_window: Millis
+    regions: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -374,6 +386,7 @@
     | TargetDeparted
     | TargetsListed
     | PositionRead
+    | EvacuationsRead
     | StoreLost
     | StoreRegained
     | PeerHeard
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -221,6 +221,7 @@
         reading=sources.reads_store(state, now),
         leaving=tuple(state.list_leaving(now)),
         refused=state.refused.list_told(now),
+        evacuations=state.evacuations,
     )
 
 
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from figstep.core.clock import Millis
+from figstep.gateway import eligibility, warmups
 from figstep.gateway.routes import EnginePool
 from figstep.gateway.state import Request, State
 from figstep.gateway.targets import USUAL_READ_RATE, Target
@@ -193,13 +194,15 @@
 def describe_obstacles(state: State, request: Request, now: Millis) -> str:
     """Return, for the log, why each engine can't take a prompt now."""
     found = []
-    for target in state.targets.list_ready(request.service):
+    for target in eligibility.list_eligible(state, request):
         fit = _fit_engine(state, request, target, now)
         reason = "none" if fit.obstacle is None else fit.obstacle.value
         if target.name in request.tried:
             reason = "tried"
         elif target.avoid_until > now:
             reason = "avoided"
+        elif not warmups.may_send(state, target, now):
+            reason = "cold"
         told = f"{reason} {fit.filled:.2f} {fit.reading:.0f} ms"
         found.append(f"{target.name}: {told}")
     return "; ".join(found[:MOST_DESCRIBED])
@@ -240,7 +243,7 @@
     need = estimate_memory(state, request)
     best = None
     best_cost = 0.0
-    for target in state.targets.list_ready(request.service):
+    for target in eligibility.list_eligible(state, request):
         if target.name == source or was_refused_copy(request, target.name, now):
             continue
         if target.avoid_until > now:
@@ -294,19 +297,23 @@
 
     Without one, waiting would only hold its caller.
     """
-    for target in state.targets.list_ready(request.service):
+    for target in eligibility.list_eligible(state, request):
         if target.name not in request.tried:
             return True
     return False
 
 
 def _list_candidates(state: State, request: Request, now: Millis) -> list[Target]:
-    ready = state.targets.list_ready(request.service)
-    untried = [target for target in ready if target.name not in request.tried]
-    trusted = [target for target in untried if target.avoid_until <= now]
+    open_now = []
+    for target in eligibility.list_eligible(state, request):
+        if target.name in request.tried:
+            continue
+        if warmups.may_send(state, target, now):
+            open_now.append(target)
+    trusted = [target for target in open_now if target.avoid_until <= now]
     # Where all are avoided, asking one is better than turning callers away for
     # losses that may be over.
-    return trusted or untried
+    return trusted or open_now
 
 
 def _find_domain(state: State, name: str) -> str:
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -1,7 +1,14 @@
 """What follows a lost attempt."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import attempts, peers, placement, requests
+from figstep.gateway import (
+    attempts,
+    eligibility,
+    peers,
+    placement,
+    requests,
+    warmups,
+)
 from figstep.gateway.effects import CloseAttempt, Count, Effect, Note
 from figstep.gateway.events import AttemptLost, Loss
 from figstep.gateway.routes import RouteKind
@@ -55,8 +62,12 @@
         case Loss.MISDIRECTED:
             # Another target has its address: this one is gone for good.
             state.targets.note_departure(target.name, now)
+        case Loss.UNREACHED:
+            target.note_loss(now, False)
+            # It may start again under its old registration, and be cold then.
+            warmups.assume_cold(state, target, target.avoid_until)
         case _:
-            target.note_loss(now, event.loss is not Loss.UNREACHED)
+            target.note_loss(now, True)
     if event.loss is Loss.BROKEN and not request.begun:
         _suspect_request(state, request, attempt, now)
 
@@ -104,7 +115,7 @@
     if copy is None:
         return []
     holder = state.targets.find(copy.holder)
-    if holder is None or holder.standing is not Standing.READY:
+    if holder is None or not eligibility.is_eligible(state, request, holder):
         request.copy = None
         return []
     if not peers.spend_repeat(state, request.service, now, urgent=True):
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -1,7 +1,17 @@
 """The gateway's reducer: one match over all events."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import copies, peers, recovery, reports, requests, sources, streams
+from figstep.gateway import (
+    copies,
+    eligibility,
+    evacuations,
+    peers,
+    recovery,
+    reports,
+    requests,
+    sources,
+    streams,
+)
 from figstep.gateway.effects import Effect, Note
 from figstep.gateway.events import (
     AnswerArrived,
@@ -10,6 +20,7 @@
     ConfigurationRead,
     EngineReported,
     EntriesCounted,
+    EvacuationsRead,
     Event,
     PeerHeard,
     PiecesArrived,
@@ -92,6 +103,8 @@
         case PositionRead(position=position):
             state.position = max(state.position, position)
             return []
+        case EvacuationsRead(evacuations=told):
+            return evacuations.take_evacuations(state, told, "store", now)
         case StoreLost():
             state.read_failed = True
             sources.watch_store(state, now)
@@ -102,7 +115,12 @@
             return []
         case PeerHeard():
             peers.take_message(state, event, now)
-            return reports.take_leaving(state, event.leaving, now)
+            return [
+                *evacuations.take_evacuations(
+                    state, event.evacuations, event.node, now
+                ),
+                *reports.take_leaving(state, event.leaving, now),
+            ]
         case EntriesCounted(entries=entries):
             state.entries = entries
             return []
@@ -112,6 +130,7 @@
             state.budget.ratio = event.retry_ratio
             state.budget.allowance = event.retry_allowance
             state.budget.window = event.retry_window
+            state.regions = event.regions
             return []
         case ShutdownRequested(until=until):
             state.closes_at = until
@@ -125,6 +144,8 @@
         # a route or key that was dropped work again.
         return []
     state.table = table
+    for request in state.requests.values():
+        eligibility.renew_homes(table, request)
     routes = sum(len(found) for found in table.routes.values())
     return [
         Note("configuration in force", {"version": table.version, "routes": routes})
@@ -137,6 +158,7 @@
     if before is not None and _is_overtaken(state, before, info, now):
         return []
     target = state.targets.note_registration(info, now)
+    target.evacuated = info.failure_domain in state.evacuations.domains
     if target is not before:
         peers.recount_loads(state)
     if target is before and target.standing is standing:
--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -34,7 +34,7 @@
     for target in state.targets.targets.values():
         if target.unclaimed and now - target.reported_at >= UNCLAIMED_FOR:
             target.unclaimed = 0
-        if target.standing is not Standing.READY:
+        if not target.takes_work:
             continue
         if now - target.asked_at < ASK_PERIOD:
             continue
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -2,7 +2,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.problems import Problem, Ran
-from figstep.gateway import admission, attempts, placement
+from figstep.gateway import admission, attempts, eligibility, placement
 from figstep.gateway.effects import (
     Answer,
     BreakStream,
@@ -34,6 +34,8 @@
     "crashes_targets": "targets that ran this request crashed; change it",
     "entry_leaving": "this entry ends; send the request again, to another one",
     "no_room": "no target can take it now; come back after Retry-After",
+    "evacuated": "its targets are being emptied; come back after Retry-After",
+    "no_home": "no target in the regions of its route and customer can take it now",
     "no_room_in_time": "no target had room in time; come back after Retry-After",
     "retry_budget": "targets refused it; come back after Retry-After",
     "deadline": "no answer came in time; it may have run if it was sent",
@@ -97,6 +99,7 @@
         _find_first_arrival(state, spec.digest, now),
         Millis(now + patience),
         delivered=spec.after or 0,
+        homes=eligibility.find_homes(route, customer),
     )
 
 
@@ -118,7 +121,8 @@
         admission.note_start(state, request, now)
         return attempts.start_attempt(state, request, target, now)
     if not placement.has_untried_target(state, request):
-        return refuse_request(state, request, "no_room", now)
+        reason = eligibility.explain_none(state, request)
+        return refuse_request(state, request, reason, now)
     if not admission.can_wait(state, request, now):
         return refuse_request(state, request, "no_room_in_time", now)
     return _queue_request(state, request)
@@ -156,6 +160,11 @@
         admission.note_start(state, request, now)
         effects += attempts.start_attempt(state, request, target, now)
     for request in waiting:
+        if request.queued and not eligibility.list_eligible(state, request):
+            reason = eligibility.explain_none(state, request)
+            if reason != "no_room":
+                effects += refuse_request(state, request, reason, now)
+                continue
         if request.queued and now >= admission.find_wait_limit(state, request, now):
             effects += refuse_request(state, request, "no_room_in_time", now)
     return effects
--- a/figstep/gateway/routes.py
+++ b/figstep/gateway/routes.py
@@ -32,6 +32,7 @@
         priority: Rank; 0 is the most urgent.
         public: Whether it is open to callers without a key.
         resumable: Whether a stream may go on as a new run elsewhere.
+        homes: Regions that its requests may be sent to; None for any.
     """
 
     name: str
@@ -46,6 +47,7 @@
     priority: int = 0
     public: bool = False
     resumable: bool = False
+    homes: frozenset[str] | None = None
 
     @property
     def idempotent(self) -> bool:
@@ -92,11 +94,15 @@
         name: Its name.
         connections: Connections that one target accepts from all callers.
         engine: What its engines have in common; None for a plain service.
+        warmup: How long a target is cold after its start.
+        warmup_rate: Requests a second that a cold target bears; 0 for any.
     """
 
     name: str
     connections: int = 100
     engine: EnginePool | None = None
+    warmup: Millis = Millis(0)
+    warmup_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,10 +129,12 @@
     Attributes:
         name: Its name, which targets are told.
         priority: Its rank, before the route's; None if the route's holds.
+        homes: Regions that its requests may be sent to; None for any.
     """
 
     name: str
     priority: int | None = None
+    homes: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -8,6 +8,7 @@
 from figstep.gateway.crashes import CrashTable
 from figstep.gateway.effects import RunCopy
 from figstep.gateway.events import PeerLoad, RoutedRequest
+from figstep.gateway.places import NO_EVACUATIONS, Evacuations
 from figstep.gateway.refusals import RefusalTable
 from figstep.gateway.routes import Route, RoutingTable
 from figstep.gateway.targets import Target, TargetTable
@@ -88,6 +89,7 @@
         no_copy_at: Targets that could not take a copy of its run, and when.
         queued: Whether it waits for room.
         denied: Whether the retry budget has denied it a repeat.
+        homes: Regions whose targets it may be sent to; None for any.
     """
 
     spec: RoutedRequest
@@ -123,6 +125,7 @@
     no_copy_at: dict[str, Millis] = field(default_factory=dict)
     queued: bool = False
     denied: bool = False
+    homes: frozenset[str] | None = None
 
 
 @dataclass(slots=True)
@@ -180,6 +183,8 @@
         rng: The only source of randomness.
         table: Configuration in force, or None before the first.
         targets: Targets that registered themselves.
+        evacuations: Failure domains that are to get no more work.
+        regions: Region of each failure domain.
         requests: Requests without a final answer, by number.
         attempts: Open attempts by number.
         queue: Numbers of requests that wait for room, in order of arrival.
@@ -213,6 +218,8 @@
     budget: RetryBudget
     table: RoutingTable | None = None
     targets: TargetTable = field(default_factory=TargetTable)
+    evacuations: Evacuations = NO_EVACUATIONS
+    regions: dict[str, str] = field(default_factory=dict)
     requests: dict[int, Request] = field(default_factory=dict)
     attempts: dict[int, Attempt] = field(default_factory=dict)
     queue: list[int] = field(default_factory=list)
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -15,7 +15,6 @@
 from figstep.gateway.events import PiecesArrived, StreamEnded, StreamOpened
 from figstep.gateway.routes import RouteKind
 from figstep.gateway.state import Attempt, Request, State
-from figstep.gateway.targets import Standing
 
 STALL = Millis(400)
 """Silence after which a stream that is late in any case goes on from its copy
@@ -112,7 +111,7 @@
     holder = attempt.holder
     if attempt.holder_spoiled:
         return
-    if holder is None or holder.standing is not Standing.READY:
+    if holder is None or not holder.takes_work:
         return
     if request.copy is None:
         request.copy = RunCopy(holder.name, holder.name, request.spec.id)
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -1,5 +1,6 @@
 """Targets as they register themselves, and what this entry knows of each."""
 
+from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -105,7 +106,9 @@
         unclaimed: Tokens of its memory that no known run or copy takes.
         strikes: Losses in a row without an answer.
         avoid_until: When it is tried again after losses.
-        warm_at: When it has warmed up after its start.
+        warm_at: When it will have warmed up.
+        cold_sends: When this entry last sent it requests while it was cold.
+        evacuated: Whether its failure domain is to get no more work.
     """
 
     info: Registration
@@ -134,12 +137,19 @@
     strikes: int = 0
     avoid_until: Millis = Millis(0)
     warm_at: Millis = Millis(0)
+    cold_sends: deque[Millis] = field(default_factory=deque)
+    evacuated: bool = False
 
     @property
     def name(self) -> str:
         """Its id."""
         return self.info.target
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether new work may be sent to it."""
+        return self.standing is Standing.READY and not self.evacuated
+
     @property
     def load(self) -> int:
         """Open attempts of all entries."""
@@ -243,12 +253,19 @@
         """Return the targets of a service that take new work."""
         found = []
         for target in self.targets.values():
-            if target.info.service != service:
-                continue
-            if target.standing is Standing.READY:
+            if target.info.service == service and target.takes_work:
                 found.append(target)
         return found
 
+    def has_evacuated(self, service: str) -> bool:
+        """Tell whether a service has targets that would work if they were sent any."""
+        for target in self.targets.values():
+            if target.info.service != service or not target.evacuated:
+                continue
+            if target.standing is Standing.READY:
+                return True
+        return False
+
     def note_registration(self, info: Registration, now: Millis) -> Target:
         """Take in what a target says of itself; returns the target.
 
@@ -258,9 +275,12 @@
         self.doubted.pop(info.target, None)
         target = self.targets.get(info.target)
         if target is None or is_new_incarnation(target.info, info):
-            target = Target(info, warm_at=Millis(now + info.warmup))
+            target = Target(info)
             self.targets[info.target] = target
         target.info = info
+        if info.warmup:
+            # One that runs on may become cold again at any moment.
+            target.warm_at = Millis(now + info.warmup)
         if info.draining:
             self._leave(target, now)
         elif target.standing is Standing.LEAVING:
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -11,6 +11,7 @@
 from figstep.errors import PeerMessageError
 from figstep.gateway.budgets import UseReport
 from figstep.gateway.events import PeerHeard, PeerLoad
+from figstep.gateway.places import Evacuations
 from figstep.gateway.refusals import Refusal
 from figstep.net.neighbors import Member
 
@@ -80,6 +81,8 @@
         reading=own.reading,
         leaving=list(own.leaving),
         partial=own.partial,
+        evacuated=sorted(own.evacuations.domains),
+        evacuatedAt=own.evacuations.position,
     )
     refused = message.init("refused", len(own.refused))
     for slot, refusal in zip(refused, own.refused, strict=True):
@@ -155,6 +158,10 @@
             refused=tuple(
                 Refusal(str(item.digest), Millis(item.age)) for item in message.refused
             ),
+            evacuations=Evacuations(
+                frozenset(str(name) for name in message.evacuated),
+                message.evacuatedAt,
+            ),
         )
         records = tuple(
             (str(entry.key), bytes(entry.value)) for entry in message.records
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -25,6 +25,8 @@
   leaving @19 :List(Text);   # targets that said that they leave
   partial @20 :Bool;         # loads are only those that changed
   refused @21 :List(Refusal); # refused of late for want of room
+  evacuated @22 :List(Text); # failure domains that are to get no more work
+  evacuatedAt @23 :Int64 = -1; # how far the operator's records were read for them
 }
 
 struct Refusal {
--- a/figstep/platform/documents.py
+++ b/figstep/platform/documents.py
@@ -18,6 +18,9 @@
 )
 from figstep.gateway.targets import Registration
 
+EVACUATION_PREFIX = "evacuate/"
+"""Start of the keys that evacuate a failure domain; their values say nothing."""
+
 
 class _Model(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
@@ -42,6 +45,7 @@
     priority: int = 0
     public: bool = False
     resumable: bool = False
+    regions_allowed: tuple[str, ...] = ()  # none for any region
 
 
 class _Engine(_Model):
@@ -57,6 +61,8 @@
     name: str
     max_conns: int = 100
     engine: _Engine | None = None
+    warmup_s: float = Field(default=0.0, ge=0)
+    warmup_per_s: float = Field(default=0.0, ge=0)  # requests that a cold target bears
 
 
 class _Limits(_Model):
@@ -70,6 +76,7 @@
     name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
+    regions_allowed: tuple[str, ...] = ()
 
 
 class _Configuration(_Model):
@@ -133,9 +140,14 @@
         priority=route.priority,
         public=route.public,
         resumable=route.resumable,
+        homes=_build_homes(route.regions_allowed),
     )
 
 
+def _build_homes(regions: tuple[str, ...]) -> frozenset[str] | None:
+    return frozenset(regions) or None
+
+
 def _build_service(service: _Service) -> Service:
     engine = None
     if service.engine is not None:
@@ -147,7 +159,13 @@
             service.engine.stride,
             Millis(round(service.engine.handle_s * 1000)),
         )
-    return Service(service.name, service.max_conns, engine)
+    return Service(
+        service.name,
+        service.max_conns,
+        engine,
+        Millis(round(service.warmup_s * 1000)),
+        service.warmup_per_s,
+    )
 
 
 def _build_customers(
@@ -157,12 +175,20 @@
         return None
     customers = {}
     for tenant in tenants:
-        customer = Customer(tenant.name, tenant.priority)
+        homes = _build_homes(tenant.regions_allowed)
+        customer = Customer(tenant.name, tenant.priority, homes)
         for key in tenant.api_keys:
             customers[key] = customer
     return customers
 
 
+def parse_evacuation(key: str) -> str | None:
+    """Return the failure domain that a key evacuates; None for any other key."""
+    if not key.startswith(EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(EVACUATION_PREFIX) or None
+
+
 def parse_registration(key: str, value: bytes) -> Registration | None:
     """Return what a target says of itself, or None where it names no target.
 
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -21,6 +21,7 @@
 from figstep.gateway.events import (
     ConfigurationRead,
     EntriesCounted,
+    EvacuationsRead,
     PeerHeard,
     PositionRead,
     SettingsRead,
@@ -33,6 +34,7 @@
 )
 from figstep.gateway.measures import GatewayMeasures
 from figstep.gateway.peers import describe_domain, describe_own, speaks_for_domain
+from figstep.gateway.places import Evacuations
 from figstep.gateway.sources import is_large, reads_store
 from figstep.gateway.state import State
 from figstep.gateway.targets import Registration
@@ -41,7 +43,11 @@
 from figstep.net.hellos import RecordCopy
 from figstep.net.links import LinkHost, PeerLink
 from figstep.platform.callers import CallerEdge, CallerExchange
-from figstep.platform.documents import parse_configuration, parse_registration
+from figstep.platform.documents import (
+    parse_configuration,
+    parse_evacuation,
+    parse_registration,
+)
 from figstep.platform.engines import TargetEdge
 from figstep.platform.settings import EntrySettings, load_settings, read_path
 from figstep.platform.store import (
@@ -138,6 +144,7 @@
         self.gateway.peers = self
         self._listed = False
         self._configuration = b""
+        self._evacuated: set[str] = set()
         self._registrations: dict[str, bytes] = {}
         self._recent: deque[tuple[str, bytes]] = deque(maxlen=MOST_RECENT)
         self._recent_at = Millis(-1_000_000)
@@ -146,8 +153,8 @@
             self._store,
             CONFIGURATION_TOPIC,
             TopicSink(
-                self._take_configuration,
-                self._take_configuration,
+                self._take_operator_snapshot,
+                self._take_operator_records,
                 lambda reason: None,
                 lambda: None,
             ),
@@ -203,12 +210,32 @@
         """Return what the edge holds of a request."""
         return self.callers.exchanges.get(number)
 
-    def _take_configuration(
-        self, records: tuple[KeyedRecord, ...] | list[KeyedRecord], position: int
+    def _take_operator_snapshot(
+        self, records: tuple[KeyedRecord, ...], position: int
     ) -> None:
+        self._evacuated.clear()
+        self._take_operator_records(list(records), position)
+
+    def _take_operator_records(self, records: list[KeyedRecord], position: int) -> None:
         for record in records:
             if record.key == CONFIGURATION_KEY and record.value is not None:
                 self._read_configuration(record.value)
+            domain = parse_evacuation(record.key)
+            if domain is None:
+                continue
+            if record.value is None:
+                self._evacuated.discard(domain)
+            else:
+                self._evacuated.add(domain)
+        self._tell_evacuations(Evacuations(frozenset(self._evacuated), position))
+
+    def _tell_evacuations(self, evacuations: Evacuations) -> None:
+        known = self.gateway.known
+        before = known.evacuations.domains
+        self.gateway.dispatch(EvacuationsRead(evacuations))
+        if known.evacuations.domains != before and is_large(known):
+            # Others wait to be told: few entries read the store for all.
+            self.link.announce_records()
 
     def _read_configuration(self, value: bytes) -> None:
         try:
@@ -352,6 +379,7 @@
                 settings.retry_ratio,
                 settings.retry_allowance,
                 settings.retry_window,
+                settings.regions,
             )
         )
         _log.info("settings read again", extra={"node": settings.node})
@@ -385,7 +413,13 @@
         fresh=settings.first_start,
     )
     seed = int.from_bytes(os.urandom(16))
-    return State(settings.node, settings.failure_domain, random.Random(seed), budget)
+    return State(
+        settings.node,
+        settings.failure_domain,
+        random.Random(seed),
+        budget,
+        regions=settings.regions,
+    )
 
 
 def choose_first_rest(settings: EntrySettings) -> float:
--- a/figstep/platform/settings.py
+++ b/figstep/platform/settings.py
@@ -2,7 +2,7 @@
 
 import os
 import tomllib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -45,6 +45,7 @@
     ip: str
     zone: str
     region: str = ""
+    zones: dict[str, str] = {}  # region of each failure domain
     bootstrap: bool = False
     port_range: tuple[int, int]
     seeds: tuple[str, ...] = ()
@@ -81,6 +82,7 @@
         retry_window: Length of that window.
         memory_bytes: Memory over which the process is killed.
         descriptors: Most open files and sockets.
+        regions: Region of each failure domain.
     """
 
     node: str
@@ -97,6 +99,7 @@
     retry_window: Millis
     memory_bytes: int
     descriptors: int
+    regions: dict[str, str] = field(default_factory=dict)
 
     @property
     def seed_addresses(self) -> tuple[str, ...]:
@@ -147,6 +150,7 @@
     return EntrySettings(
         node=read.node,
         failure_domain=read.zone,
+        regions={read.zone: read.region, **read.zones},
         callers=split_address(read.listen.front),
         readiness=split_address(read.listen.ready),
         peers=Address(read.ip, peer_port),
--- /dev/null
+++ b/tests/gateway/test_evacuations.py
@@ -0,0 +1,271 @@
+"""Tests of evacuated failure domains."""
+
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from figstep.core.clock import ManualClock, Millis
+from figstep.gateway import peers
+from figstep.gateway.effects import CopyRun, OpenAttempt, ReadReport, Refuse
+from figstep.gateway.events import (
+    AttemptLost,
+    ConfigurationRead,
+    EntriesCounted,
+    EvacuationsRead,
+    Loss,
+    PeerHeard,
+    RunCopied,
+    StoreLost,
+    TargetRegistered,
+    Ticked,
+)
+from figstep.gateway.places import Evacuations
+from figstep.gateway.targets import Registration
+from figstep.net.hellos import Hello, decode_hello, encode_hello
+from tests.gateway.worlds import BOOKINGS, ENGINES, World, build_table
+
+DOMAINS = ("muc-a", "muc-b", "nue-a", "aug-a")
+
+
+def evacuate(world: World, *domains: str, position: int = 5) -> None:
+    """Let an entry read in the store which failure domains are evacuated."""
+    world.handle(EvacuationsRead(Evacuations(frozenset(domains), position)))
+
+
+def register(world: World, name: str, domain: str, service: str = ENGINES) -> None:
+    """Register a target of a failure domain."""
+    info = Registration(name, service, f"{name}:80", domain, 24, born=1)
+    world.handle(TargetRegistered(info))
+
+
+def build_world() -> World:
+    """Return an entry with two engines and two plain targets, in two domains."""
+    world = World()
+    for domain in DOMAINS[:2]:
+        register(world, f"e-{domain}", domain)
+        register(world, f"b-{domain}", domain, BOOKINGS)
+    return world
+
+
+@pytest.mark.parametrize("path", ["/order/a", "/lookup/a"])
+def test_calls_avoid_an_evacuated_domain(path: str) -> None:
+    """Guards against calls that go on to the targets of an evacuated domain."""
+    world = build_world()
+    evacuate(world, "muc-a")
+    for _ in range(8):
+        world.arrive(path)
+        assert world.find(OpenAttempt).target == "b-muc-b"
+
+
+def test_prompts_avoid_an_evacuated_domain() -> None:
+    """Guards against prompts that are sent to engines that shall get nothing."""
+    world = build_world()
+    evacuate(world, "muc-a")
+    for _ in range(2):
+        assert world.open_plan().target == "e-muc-b"
+
+
+def test_a_target_that_comes_back_into_an_evacuated_domain_gets_nothing() -> None:
+    """Guards against new registrations that hide the evacuation of their domain."""
+    world = build_world()
+    evacuate(world, "muc-a")
+    register(world, "b-new", "muc-a", BOOKINGS)
+    for _ in range(8):
+        world.arrive("/order/a")
+        assert world.find(OpenAttempt).target == "b-muc-b"
+
+
+def test_retries_avoid_an_evacuated_domain() -> None:
+    """Guards against second tries that go where nothing may be sent any more."""
+    world = build_world()
+    register(world, "b-3", "nue-a", BOOKINGS)
+    evacuate(world, "muc-a")
+    world.arrive("/lookup/a")
+    first = world.find(OpenAttempt)
+    world.handle(AttemptLost(first.attempt, Loss.FAILED, status=500))
+    assert {first.target, world.find(OpenAttempt).target} == {"b-muc-b", "b-3"}
+
+
+def test_a_call_is_refused_at_once_where_all_is_evacuated() -> None:
+    """Guards against callers held until their deadline for targets that get nothing."""
+    world = build_world()
+    evacuate(world, "muc-a", "muc-b")
+    world.arrive("/order/a")
+    problem = world.find(Refuse).problem
+    assert (problem.status, problem.code) == (503, "evacuated")
+    assert problem.retry_after is not None
+
+
+def test_a_waiting_prompt_is_refused_once_all_is_evacuated() -> None:
+    """Guards against waiting callers who are held though nothing can take them."""
+    world = World()
+    register(world, "e-1", "muc-a")
+    for _ in range(9):
+        world.arrive_plan()
+    assert world.state.queue
+    evacuate(world, "muc-a")
+    world.handle(Ticked())
+    assert {refuse.problem.code for refuse in world.find_all(Refuse)} == {"evacuated"}
+    assert not world.state.queue
+
+
+def test_runs_end_where_they_are_and_get_no_copy_there() -> None:
+    """Guards against orders and copies sent to engines that shall get nothing."""
+    world = World()
+    register(world, "e-1", "muc-a")
+    opened = world.open_plan()
+    world.send_pieces(opened.attempt, 1, 9)
+    register(world, "e-2", "muc-b")
+    evacuate(world, "muc-a")
+    for _ in range(20):
+        world.clock.advance(100)
+        world.handle(Ticked())
+        assert not world.find_all(CopyRun)
+    world.send_pieces(opened.attempt, 10, 12)
+    assert world.state.requests[opened.number].delivered == 12
+
+
+def test_a_copy_in_an_evacuated_domain_counts_as_none() -> None:
+    """Guards against a stream that goes on from a copy at an evacuated engine."""
+    world = World()
+    register(world, "e-1", "muc-a")
+    opened = world.open_plan()
+    world.send_pieces(opened.attempt, 1, 9)
+    register(world, "e-2", "muc-b")
+    world.handle(RunCopied(opened.number, "e-1", "e-2", "handle"))
+    evacuate(world, "muc-b")
+    world.handle(AttemptLost(opened.attempt, Loss.BROKEN))
+    assert not world.find_all(OpenAttempt)
+
+
+def test_evacuated_engines_are_asked_nothing() -> None:
+    """Guards against questions to engines of an evacuated domain in an outage."""
+    world = World()
+    register(world, "e-1", "muc-a")
+    opened = world.open_plan()
+    world.send_pieces(opened.attempt, 1, 9)
+    world.handle(StoreLost())
+    evacuate(world, "muc-a")
+    world.clock.advance(1_000)
+    world.handle(Ticked())
+    assert not world.find_all(ReadReport)
+
+
+def test_a_domain_that_is_taken_back_gets_work_at_once() -> None:
+    """Guards against a failure domain that stays shut after its evacuation ended."""
+    world = build_world()
+    evacuate(world, "muc-a", position=5)
+    evacuate(world, position=6)
+    targets = set()
+    for _ in range(20):
+        world.arrive("/order/a")
+        targets.add(world.find(OpenAttempt).target)
+    assert targets == {"b-muc-a", "b-muc-b"}
+
+
+def test_an_older_word_does_not_bring_an_evacuation_back() -> None:
+    """Guards against a late message that undoes what the store said since."""
+    world = build_world()
+    evacuate(world, "muc-a", position=5)
+    evacuate(world, position=9)
+    told = Evacuations(frozenset({"muc-a"}), 5)
+    world.handle(PeerHeard("entry-2", evacuations=told))
+    assert not world.state.evacuations.domains
+    assert not world.state.targets.targets["e-muc-a"].evacuated
+
+
+def test_a_configuration_leaves_an_evacuation_in_force() -> None:
+    """Guards against versions of the configuration that end an evacuation."""
+    world = build_world()
+    evacuate(world, "muc-a")
+    world.handle(ConfigurationRead(build_table(version=2)))
+    assert world.open_plan().target == "e-muc-b"
+
+
+def test_a_message_carries_evacuations() -> None:
+    """Guards against peers that learn the position but not what is evacuated."""
+    told = Evacuations(frozenset({"muc-a", "nue-a"}), 17)
+    data = encode_hello(Hello(PeerHeard("entry-1", evacuations=told)))
+    assert decode_hello(data, "10.0.0.1:7000").content.evacuations == told
+
+
+@dataclass
+class Fleet:
+    """Entries that tell each other what they know, through messages that get lost.
+
+    Attributes:
+        entries: The entries, of all failure domains in turn.
+        rng: Draws which messages are lost.
+    """
+
+    entries: list[World]
+    clock: ManualClock
+    rng: random.Random
+    pending: list[tuple[Millis, World, PeerHeard]] = field(default_factory=list)
+
+    def step(self, millis: int) -> None:
+        """Let time pass, in which each entry tells all others of its domain."""
+        self.clock.advance(millis)
+        now = self.clock.now()
+        due = [item for item in self.pending if item[0] <= now]
+        self.pending = [item for item in self.pending if item[0] > now]
+        for _, world, message in due:
+            world.handle(message)
+        for world in self.entries:
+            self._tell(world, now)
+
+    def _tell(self, world: World, now: Millis) -> None:
+        own = peers.describe_own(world.state, now)
+        domain = peers.describe_domain(world.state, now)
+        speaks = peers.speaks_for_domain(world.state, now)
+        for other in self.entries:
+            if other is world or self.rng.random() < 0.1:
+                continue
+            near = other.state.failure_domain == world.state.failure_domain
+            if not near and not speaks:
+                continue
+            delay = Millis(self.rng.randrange(1, 200))
+            self.pending.append((Millis(now + delay), other, own if near else domain))
+
+
+def build_fleet(size: int, seed: int) -> Fleet:
+    """Return a fleet of which each entry knows one target a failure domain."""
+    clock = ManualClock(100_000)
+    entries = []
+    for number in range(size):
+        world = World(clock=clock)
+        world.state.node = f"entry-{number:03}"
+        world.state.failure_domain = DOMAINS[number % len(DOMAINS)]
+        world.handle(EntriesCounted(size))
+        for domain in DOMAINS:
+            register(world, f"b-{domain}", domain, BOOKINGS)
+        entries.append(world)
+    return Fleet(entries, clock, random.Random(seed))
+
+
+@pytest.mark.parametrize("size", [8, 79, 200])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_entries_that_the_store_turns_away_learn_of_an_evacuation(
+    size: int, seed: int
+) -> None:
+    """Guards against entries cut from the store that go on sending to the domain."""
+    fleet = build_fleet(size, seed)
+    fleet.step(200)
+    readers = fleet.entries[: max(1, size // 10)]
+    for world in readers:
+        evacuate(world, "muc-b", position=7)
+    for _ in range(10):
+        fleet.step(200)
+    for world in fleet.entries:
+        world.arrive("/order/a")
+        assert world.find(OpenAttempt).target != "b-muc-b"
+    restarted = build_fleet(size, seed).entries[0]
+    fleet.entries[-1] = restarted
+    restarted.clock = fleet.clock
+    for world in readers:
+        evacuate(world, position=9)
+    for _ in range(10):
+        fleet.step(200)
+    for world in fleet.entries:
+        assert world.state.evacuations == Evacuations(frozenset(), 9)
--- /dev/null
+++ b/tests/gateway/test_warmups.py
@@ -0,0 +1,198 @@
+"""Tests of what cold targets are sent, by all entries together."""
+
+from dataclasses import replace
+
+import pytest
+
+from figstep.core.clock import ManualClock, Millis
+from figstep.gateway import peers, warmups
+from figstep.gateway.effects import OpenAttempt
+from figstep.gateway.events import (
+    AttemptLost,
+    ConfigurationRead,
+    EntriesCounted,
+    EvacuationsRead,
+    Loss,
+    TargetRegistered,
+    Ticked,
+)
+from figstep.gateway.places import Evacuations
+from figstep.gateway.routes import RoutingTable, Service
+from figstep.gateway.targets import Registration
+from tests.gateway.worlds import BOOKINGS, ENGINES, World, build_table
+
+DOMAINS = ("muc-a", "muc-b", "nue-a", "aug-a")
+RATE = 25.0
+WARMUP = Millis(1_000)
+MOST_IN_A_SECOND = RATE * 1.5 + 5
+"""What a cold target bears, with the slack that it has."""
+
+
+def build_cold_table(rate: float = RATE) -> RoutingTable:
+    """Return a configuration whose plain service has a warm-up rate."""
+    table = build_table(version=2)
+    services = dict(table.services)
+    services[BOOKINGS] = Service(BOOKINGS, warmup=WARMUP, warmup_rate=rate)
+    services[ENGINES] = replace(services[ENGINES], warmup=WARMUP, warmup_rate=rate)
+    return replace(table, services=services)
+
+
+def register(
+    world: World, name: str, warmup: int, domain: str = "muc-a", born: int = 1
+) -> None:
+    """Register a plain target that says how long it stays cold."""
+    info = Registration(
+        name, BOOKINGS, f"{name}:80", domain, 6, warmup=Millis(warmup), born=born
+    )
+    world.handle(TargetRegistered(info))
+
+
+def build_world(rate: float = RATE) -> World:
+    """Return an entry that knows a service with a warm-up rate."""
+    world = World()
+    world.handle(ConfigurationRead(build_cold_table(rate)))
+    return world
+
+
+def count_sends(world: World, tries: int = 60) -> int:
+    """Return how many of some calls are sent at once."""
+    sent = 0
+    for _ in range(tries):
+        world.arrive("/order/a")
+        sent += len(world.find_all(OpenAttempt))
+    return sent
+
+
+def build_fleet(size: int, hears: bool = True) -> list[World]:
+    """Return entries that have heard their own failure domain, or nobody."""
+    clock = ManualClock(100_000)
+    fleet = []
+    for number in range(size):
+        world = World(clock=clock)
+        world.state.node = f"entry-{number:03}"
+        world.state.failure_domain = DOMAINS[number % len(DOMAINS)]
+        world.handle(ConfigurationRead(build_cold_table()))
+        world.handle(EntriesCounted(size))
+        fleet.append(world)
+    if not hears:
+        return fleet
+    for world in fleet:
+        message = peers.describe_own(world.state, clock.now())
+        for other in fleet:
+            domain = other.state.failure_domain
+            if other is not world and domain == world.state.failure_domain:
+                other.handle(message)
+    return fleet
+
+
+@pytest.mark.parametrize("size", [16, 79, 195])
+def test_a_herd_of_waiting_calls_does_not_crash_a_cold_target(size: int) -> None:
+    """Guards against a target that crashes as all entries send to it at once."""
+    fleet = build_fleet(size)
+    for world in fleet:
+        register(world, "b-1", 1_000)
+    sent = sum(count_sends(world, 20) for world in fleet)
+    assert RATE / 2 <= sent <= MOST_IN_A_SECOND
+
+
+@pytest.mark.parametrize("size", [79, 195])
+def test_entries_that_hear_nobody_spare_a_cold_target(size: int) -> None:
+    """Guards against cut entries that each take the whole rate for themselves."""
+    fleet = build_fleet(size, hears=False)
+    for world in fleet:
+        register(world, "b-1", 1_000)
+    assert sum(count_sends(world, 20) for world in fleet) <= MOST_IN_A_SECOND
+
+
+def test_restarted_entries_spare_a_cold_target() -> None:
+    """Guards against processes that restart together and know of no other yet."""
+    world = build_world()
+    world.state.budget.fresh = False
+    world.state.budget.started = world.clock.now()
+    register(world, "b-1", 1_000)
+    assert count_sends(world) == 0
+
+
+def test_what_a_cold_target_gets_slides_with_time() -> None:
+    """Guards against bursts at the edge of two seconds."""
+    world = build_world()
+    register(world, "b-1", 5_000)
+    sent: list[Millis] = []
+    for _ in range(400):
+        world.arrive("/order/a")
+        sent += [world.clock.now()] * len(world.find_all(OpenAttempt))
+        world.clock.advance(10)
+    for start in sent:
+        within = [at for at in sent if start <= at < start + 1_000]
+        assert len(within) <= RATE
+    assert len(sent) >= 3 * RATE
+
+
+def test_load_goes_to_warm_targets_first() -> None:
+    """Guards against calls that wait for a cold target beside warm ones."""
+    world = build_world(rate=0.5)
+    register(world, "b-cold", 1_000)
+    register(world, "b-warm", 0)
+    assert count_sends(world, 5) == 5
+    assert {a.target.name for a in world.state.attempts.values()} == {"b-warm"}
+
+
+def test_a_call_waits_for_a_cold_target_and_starts_when_it_is_warm() -> None:
+    """Guards against callers refused while their only target warms up."""
+    world = build_world(rate=0.5)
+    register(world, "b-1", 100)
+    world.arrive("/order/a")
+    assert not world.find_all(OpenAttempt)
+    world.clock.advance(120)
+    world.handle(Ticked())
+    assert world.find(OpenAttempt).target == "b-1"
+
+
+def test_a_known_target_may_become_cold_again() -> None:
+    """Guards against targets taken for warm as they were so at their start."""
+    world = build_world(rate=0.5)
+    register(world, "b-1", 0)
+    world.clock.advance(10_000)
+    register(world, "b-1", 1_000)
+    assert count_sends(world, 3) == 0
+
+
+def test_a_domain_that_is_taken_back_is_cold() -> None:
+    """Guards against a herd that meets the cold targets of a returned domain."""
+    world = build_world(rate=0.5)
+    register(world, "b-1", 0)
+    world.handle(EvacuationsRead(Evacuations(frozenset({"muc-a"}), 1)))
+    world.clock.advance(5_000)
+    world.handle(EvacuationsRead(Evacuations(frozenset(), 2)))
+    assert count_sends(world, 3) == 0
+    world.clock.advance(WARMUP)
+    world.handle(Ticked())
+    assert count_sends(world, 3) > 0
+
+
+def test_a_target_that_was_down_is_cold_when_it_is_back() -> None:
+    """Guards against a crowd of calls as a target answers again in a store outage."""
+    world = build_world(rate=0.5)
+    register(world, "b-1", 0)
+    world.arrive("/order/a")
+    lost = world.find(OpenAttempt)
+    world.handle(AttemptLost(lost.attempt, Loss.UNREACHED))
+    target = world.state.targets.targets["b-1"]
+    world.clock.advance(target.avoid_until - world.clock.now())
+    assert count_sends(world, 3) == 0
+
+
+def test_a_service_without_a_rate_takes_all() -> None:
+    """Guards against a limit where a service names none."""
+    world = build_world(rate=0.0)
+    register(world, "b-1", 1_000)
+    assert count_sends(world, 5) == 5
+
+
+def test_a_share_is_whole_and_shares_add_up() -> None:
+    """Guards against shares under one request, of which no entry may send any."""
+    fleet = build_fleet(79)
+    now = fleet[0].clock.now()
+    for target in ("b-1", "b-2", "b-3"):
+        shares = [warmups.share_rate(world.state, target, RATE, now) for world in fleet]
+        assert RATE - len(DOMAINS) <= sum(shares) <= RATE
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -2,9 +2,15 @@
 
 import orjson
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from figstep.gateway.routes import RouteKind
-from figstep.platform.documents import parse_configuration, parse_registration
+from figstep.platform.documents import (
+    parse_configuration,
+    parse_evacuation,
+    parse_registration,
+)
 from tests.platform.standins import ROUTE_HOST, build_configuration
 
 BEAT = {
@@ -74,3 +80,54 @@
 )
 def test_entries_of_other_writers_name_no_target(value: bytes) -> None:
     assert parse_registration("i-1", value) is None
+
+
+def test_homes_and_warmups_are_read() -> None:
+    """Guards against regions and warm-up rates that are read and not kept."""
+    document = orjson.loads(build_configuration())
+    document["routes"][0]["regions_allowed"] = ["bayern", "eire"]
+    document["tenants"][0]["regions_allowed"] = ["eire"]
+    document["services"][0]["warmup_s"] = 1.5
+    document["services"][0]["warmup_per_s"] = 25.0
+    table = parse_configuration(orjson.dumps(document))
+    route = table.find_route(ROUTE_HOST, "/plan/a")
+    assert route is not None
+    assert route.homes == frozenset({"bayern", "eire"})
+    assert table.customers is not None
+    key = document["tenants"][0]["api_keys"][0]
+    assert table.customers[key].homes == frozenset({"eire"})
+    service = table.services[document["services"][0]["name"]]
+    assert (service.warmup, service.warmup_rate) == (1_500, 25.0)
+
+
+def test_no_homes_mean_any_region() -> None:
+    """Guards against an empty list of regions that shuts a route for all."""
+    document = orjson.loads(build_configuration())
+    document["routes"][0]["regions_allowed"] = []
+    table = parse_configuration(orjson.dumps(document))
+    route = table.find_route(ROUTE_HOST, "/plan/a")
+    assert route is not None
+    assert route.homes is None
+
+
+@pytest.mark.parametrize(
+    ("key", "domain"),
+    [
+        ("evacuate/muc-a", "muc-a"),
+        ("evacuate/", None),
+        ("evacuate", None),
+        ("config", None),
+        ("", None),
+        ("evacuate/a/b", "a/b"),
+    ],
+)
+def test_only_its_key_names_an_evacuation(key: str, domain: str | None) -> None:
+    """Guards against other keys that shut a failure domain."""
+    assert parse_evacuation(key) == domain
+
+
+@given(st.text(max_size=80))
+def test_any_key_can_be_read(key: str) -> None:
+    """Guards against a key that ends the reading of the operator's records."""
+    domain = parse_evacuation(key)
+    assert domain is None or key == f"evacuate/{domain}"
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -276,6 +276,72 @@
         await dark.stop()
 
 
+async def wait_evacuated(entry: Entry, *domains: str) -> None:
+    async with asyncio.timeout(3):
+        while entry.gateway.known.evacuations.domains != frozenset(domains):
+            await asyncio.sleep(0.01)
+
+
+async def ask_order(place: Place, entry: Entry, number: str) -> int:
+    headers = place.headers(number)
+    async with place.session.post(place.url("/order/a", entry), headers=headers) as got:
+        return got.status
+
+
+@pytest.mark.parametrize("value", [b"{}", b"\xff\x00 no document"])
+async def test_an_evacuated_domain_gets_no_call(place: Place, value: bytes) -> None:
+    """Guards against an operator's record that nobody acts on."""
+    entry = place.entries[0]
+    domain = next(iter(entry.gateway.known.targets.targets.values()))
+    key = f"evacuate/{domain.info.failure_domain}"
+    await place.store.put("keyed.op", key, value)
+    await wait_evacuated(entry, domain.info.failure_domain)
+    assert await ask_order(place, entry, "r-1") == 503
+    assert place.targets["i-b1"].seen == []
+    await place.store.put("keyed.op", key, b"")
+    await wait_evacuated(entry)
+    assert await ask_order(place, entry, "r-2") == 200
+
+
+async def test_a_store_that_forgot_its_history_still_tells_of_evacuations() -> None:
+    """Guards against evacuations begun and ended in records that are gone."""
+    async with open_place() as place:
+        await place.add_target("i-b1", "bookings")
+        await place.store.put("keyed.op", "evacuate/muc-b", b"{}")
+        entry = await place.add_entry()
+        await place.wait_ready(entry, 1)
+        await wait_evacuated(entry, "muc-b")
+        place.store.away = True
+        await place.store.put("keyed.op", "config", build_configuration(2))
+        await asyncio.sleep(0.1)
+        await place.store.put("keyed.op", "evacuate/muc-b", b"")
+        await place.store.put("keyed.op", "evacuate/muc-a", b"{}")
+        place.store.forget("keyed.op")
+        place.store.away = False
+        await wait_evacuated(entry, "muc-a")
+
+
+async def test_an_entry_without_the_store_learns_of_an_evacuation_from_a_peer() -> None:
+    """Guards against one entry of several that sends on to an evacuated domain."""
+    async with open_place() as place:
+        await place.add_target("i-b1", "bookings")
+        well = await place.add_entry(node="entry-1")
+        await place.wait_ready(well, 1)
+        dark = FakeStore()
+        await dark.start()
+        dark.away = True
+        entry = Entry(
+            build_settings(dark.address, "entry-2", seeds=(well.settings.peers,))
+        )
+        await entry.start()
+        place.entries.append(entry)
+        await place.wait_ready(entry, 1)
+        await place.store.put("keyed.op", "evacuate/muc-a", b"{}")
+        await wait_evacuated(entry, "muc-a")
+        assert await ask_order(place, entry, "r-1") == 503
+        await dark.stop()
+
+
 async def test_without_a_configuration_an_entry_is_not_ready() -> None:
     async with open_place() as place:
         place.store.away = True
