Tell near entries what changed, and all only every two seconds

Differences are cumulative, so that a lost message is made good by the next one. Requests that were sent no longer make a message by themselves, as they only raise the retry budget.

What one target has open is summed for that target alone when other failure domains are told of a prompt; before, all sums were built and one was kept.

--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -37,16 +37,15 @@
         state.refused.note_told(refusal, now)
     peer = Peer(
         now,
-        event.loads,
-        event.uses,
-        event.address,
-        event.configuration,
-        event.position,
-        event.store_well,
-        sources.find_well_since(state, event, now),
-        event.far,
-        event.reading,
-        event.leaving,
+        uses=event.uses,
+        address=event.address,
+        configuration=event.configuration,
+        position=event.position,
+        store_well=event.store_well,
+        well_since=sources.find_well_since(state, event, now),
+        far=event.far,
+        reading=event.reading,
+        leaving=event.leaving,
     )
     if event.far and event.failure_domain == state.failure_domain:
         # It asked for this entry's failure domain before it knew that it shares
@@ -57,15 +56,40 @@
         _take_domain(state, event, now)
     elif event.closing:
         known = state.peers.pop(event.node, None)
-        _replace_loads(state, () if known is None else known.loads, ())
+        _replace_loads(state, () if known is None else known.loads.values(), ())
         state.missed.pop(event.node, None)
     else:
-        known = state.peers.get(event.node)
-        _replace_loads(state, () if known is None else known.loads, event.loads)
+        _take_loads(state, peer, event)
         state.peers[event.node] = peer
         state.missed.pop(event.node, None)
 
 
+def _take_loads(state: State, peer: Peer, event: PeerHeard) -> None:
+    """Take in loads of an entry of this failure domain.
+
+    Those that are not told whole differ from what was last told whole; a load that
+    is as it was then is not told any more.
+    """
+    known = state.peers.get(event.node)
+    before = {} if known is None else known.loads
+    told = {load.target: load for load in event.loads}
+    if not event.partial:
+        peer.loads = peer.whole = told
+        _replace_loads(state, before.values(), told.values())
+        return
+    renewed = frozenset(told)
+    if known is not None:
+        peer.whole = known.whole
+        renewed |= known.changed
+    peer.changed = frozenset(told)
+    peer.loads = {**peer.whole, **told}
+    _replace_loads(
+        state,
+        [before[target] for target in renewed if target in before],
+        [peer.loads[target] for target in renewed if target in peer.loads],
+    )
+
+
 def _take_domain(state: State, event: PeerHeard, now: Millis) -> None:
     domain = state.far_loads.setdefault(event.failure_domain, DomainLoads(now))
     domain.heard = now
@@ -95,7 +119,7 @@
 def forget_silent(state: State, now: Millis) -> None:
     """Drop peers that have not been heard for long."""
     for name in _list_silent(state.peers, now):
-        _replace_loads(state, state.peers.pop(name).loads, ())
+        _replace_loads(state, state.peers.pop(name).loads.values(), ())
         state.missed[name] = now
     for name in _list_silent(state.far_peers, now):
         del state.far_peers[name]
@@ -121,7 +145,8 @@
         target.peer_rate_count = 0
         target.peer_incoming = 0
         target.peer_outgoing = 0
-    told: list[Iterable[PeerLoad]] = [peer.loads for peer in state.peers.values()]
+    told: list[Iterable[PeerLoad]] = []
+    told += [peer.loads.values() for peer in state.peers.values()]
     told += [far.loads.values() for far in state.far_loads.values()]
     for loads in told:
         for load in loads:
@@ -227,15 +252,33 @@
 
 def describe_domain(state: State, now: Millis) -> PeerHeard:
     """Return what the entries of this failure domain have open, in sums."""
+    told = [*list_loads(state)]
+    for peer in state.peers.values():
+        told += peer.loads.values()
+    return _describe_domain(state, _sum_loads(told), now)
+
+
+def describe_domain_at(state: State, target: str, now: Millis) -> PeerHeard:
+    """Return what the entries of this failure domain have open at one target."""
+    told = [load for load in list_loads(state) if load.target == target]
+    for peer in state.peers.values():
+        load = peer.loads.get(target)
+        if load is not None:
+            told.append(load)
+    message = _describe_domain(state, _sum_loads(told), now)
+    return replace(message, partial=True)
+
+
+def _describe_domain(
+    state: State, loads: tuple[PeerLoad, ...], now: Millis
+) -> PeerHeard:
     own = describe_own(state, now)
-    told = [*own.loads]
     leaving = {*own.leaving}
     for peer in state.peers.values():
-        told += peer.loads
         leaving.update(peer.leaving)
     return replace(
         own,
-        loads=_sum_loads(told),
+        loads=loads,
         uses=(),
         refused=(),
         far=True,
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -135,6 +135,8 @@
     Attributes:
         heard: When its last message came.
         loads: What it has open, by target.
+        whole: The same as it was last told whole.
+        changed: Targets of which other loads were told since.
         uses: What it sent to each service of late.
         address: Where it listens for peers.
         configuration: Version that it has in force; -1 for none.
@@ -148,7 +150,9 @@
     """
 
     heard: Millis
-    loads: tuple[PeerLoad, ...] = ()
+    loads: dict[str, PeerLoad] = field(default_factory=dict)
+    whole: dict[str, PeerLoad] = field(default_factory=dict)
+    changed: frozenset[str] = frozenset()
     uses: tuple[UseReport, ...] = ()
     address: str = ""
     configuration: int = -1
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -10,8 +10,10 @@
 import logbook
 from mode import Service
 
+from figstep.core.clock import Millis
 from figstep.errors import PeerMessageError
 from figstep.gateway.events import PeerHeard, PeerLoad
+from figstep.gateway.news import LoadNews
 from figstep.gateway.peers import select_changed
 from figstep.gateway.placement import FULL_MESH
 from figstep.net.hellos import (
@@ -74,6 +76,10 @@
     def describe_domain(self) -> PeerHeard:
         """Return what other failure domains are told."""
 
+    @abstractmethod
+    def describe_domain_at(self, target: str) -> PeerHeard:
+        """Return what other failure domains are told of one target."""
+
     @abstractmethod
     def speaks_for_domain(self) -> bool:
         """Tell whether this entry tells other failure domains of its own."""
@@ -119,6 +125,7 @@
         self._sequence = 0
         self._neighbors = NeighborTable(self._own, failure_domain)
         self._told = _Told()
+        self._news = LoadNews()
         self._told_far = -1e9
         self._spoke_at = -1e9
         self._told_bare: PeerHeard | None = None
@@ -165,10 +172,17 @@
             self._neighbors.forget_old(now)
             self._entry.count_entries(1 + len(self._neighbors))
             own = self._entry.describe_own()
-            if own != self._told.content or now - self._told.at >= HELLO_SECONDS:
+            if self._is_due(own, now):
                 self._tell_near(now)
             await self.sleep(LARGE_POLL_SECONDS if self.is_large else POLL_SECONDS)
 
+    def _is_due(self, own: PeerHeard, now: float) -> bool:
+        if now - self._told.at >= HELLO_SECONDS:
+            return True
+        if self.is_large:
+            return self._news.has_news(own)
+        return own != self._told.content
+
     @Service.task
     async def _run_far(self) -> None:
         while not self.should_stop:
@@ -195,22 +209,20 @@
 
     def announce_target(self, target: str) -> None:
         """Tell other failure domains what this one has open at a target."""
-        domain = self._entry.describe_domain()
-        loads = tuple(load for load in domain.loads if load.target == target)
-        self._send(
-            Hello(replace(domain, loads=loads, partial=True)),
-            self._neighbors.pick_far(loop_time()),
-        )
+        hello = Hello(self._entry.describe_domain_at(target))
+        self._send(hello, self._neighbors.pick_far(loop_time()))
 
     def _tell_near(self, now: float) -> None:
         own = self._entry.describe_own()
         strangers = now - self._told.at >= HELLO_SECONDS
         self._told = _Told(now, own)
         near = self._neighbors.list_all()
+        message = own
         if self.is_large:
             near = self._neighbors.list_near()
+            message = self._news.select(own, Millis(round(now * 1000)))
         members = self._pick_members(now)
-        self._send(Hello(own, members=members, records=self._list_records()), near)
+        self._send(Hello(message, members=members, records=self._list_records()), near)
         unknown = self._neighbors.list_unknown()
         if strangers and unknown and self.is_large:
             asked = random.sample(unknown, min(len(unknown), MOST_STRANGERS))
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -33,7 +33,12 @@
     TargetsListed,
 )
 from figstep.gateway.measures import GatewayMeasures
-from figstep.gateway.peers import describe_domain, describe_own, speaks_for_domain
+from figstep.gateway.peers import (
+    describe_domain,
+    describe_domain_at,
+    describe_own,
+    speaks_for_domain,
+)
 from figstep.gateway.places import Evacuations
 from figstep.gateway.sources import is_large, reads_store
 from figstep.gateway.state import State
@@ -300,6 +305,10 @@
         """Return what other failure domains are told."""
         return describe_domain(self.gateway.known, self._clock.now())
 
+    def describe_domain_at(self, target: str) -> PeerHeard:
+        """Return what other failure domains are told of one target."""
+        return describe_domain_at(self.gateway.known, target, self._clock.now())
+
     def speaks_for_domain(self) -> bool:
         """Tell whether this entry tells other failure domains of its own."""
         return speaks_for_domain(self.gateway.known, self._clock.now())
--- /dev/null
+++ b/tests/gateway/test_news.py
@@ -0,0 +1,136 @@
+"""Tests of what entries of a large fleet tell each other of their loads."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from figstep.core.clock import Millis
+from figstep.gateway.budgets import UseReport
+from figstep.gateway.events import PeerHeard, PeerLoad
+from figstep.gateway.news import WHOLE_PERIOD, LoadNews
+from figstep.gateway.places import Evacuations
+from figstep.gateway.refusals import Refusal
+from figstep.net.hellos import Hello, encode_hello
+from tests.gateway.worlds import World
+
+TARGETS = [f"e-{number}" for number in range(30)]
+
+
+def build_message(calls: dict[str, int]) -> PeerHeard:
+    """Return an entry's message with its calls at some targets."""
+    loads = tuple(PeerLoad(t, n, 3_000 * n, 0, 7.0) for t, n in calls.items())
+    return PeerHeard("entry-2", loads, failure_domain="muc-a")
+
+
+def read_peer_calls(world: World) -> dict[str, int]:
+    """Return what an entry takes the others to have open."""
+    found = {}
+    for name, target in world.state.targets.targets.items():
+        if target.peer_calls:
+            found[name] = target.peer_calls
+    return found
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_loads_told_by_their_differences_are_those_told_whole(seed: int) -> None:
+    """Guards against loads that drift apart as only what changed is told."""
+    rng = random.Random(seed)
+    news = LoadNews()
+    world = World()
+    world.register(*TARGETS)
+    calls = dict.fromkeys(TARGETS, 0)
+    now = Millis(0)
+    for _ in range(300):
+        now = Millis(now + rng.randrange(10, 300))
+        target = rng.choice(TARGETS)
+        calls[target] = max(0, calls[target] + rng.choice((-1, 1)))
+        world.handle(news.select(build_message(calls), now))
+        assert read_peer_calls(world) == {t: n for t, n in calls.items() if n}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_lost_message_is_made_good_by_the_next_one(seed: int) -> None:
+    """Guards against prompts that stay unknown since one datagram was lost."""
+    rng = random.Random(seed)
+    news = LoadNews()
+    world = World()
+    world.register(*TARGETS)
+    calls = dict.fromkeys(TARGETS, 0)
+    world.handle(news.select(build_message(calls), Millis(0)))
+    for step in range(1, 15):
+        calls[rng.choice(TARGETS)] += 1
+        lost = news.select(build_message(calls), Millis(step * 100))
+        assert lost.partial
+    calls["e-0"] += 1
+    world.handle(news.select(build_message(calls), Millis(1_600)))
+    assert read_peer_calls(world) == {t: n for t, n in calls.items() if n}
+
+
+def test_a_peer_that_falls_silent_leaves_no_load_behind() -> None:
+    """Guards against engines that look busy with calls of an entry that is gone."""
+    news = LoadNews()
+    world = World()
+    world.register("e-0", "e-1")
+    world.handle(news.select(build_message({"e-0": 2}), Millis(0)))
+    world.handle(news.select(build_message({"e-0": 3, "e-1": 1}), Millis(100)))
+    assert read_peer_calls(world) == {"e-0": 3, "e-1": 1}
+    world.handle(replace(build_message({}), closing=True))
+    assert read_peer_calls(world) == {}
+
+
+def test_what_changed_is_told_in_a_small_message() -> None:
+    """Guards against messages that grow with all targets of the fleet."""
+    news = LoadNews()
+    calls = dict.fromkeys(TARGETS, 2)
+    whole = news.select(build_message(calls), Millis(0))
+    calls["e-7"] = 3
+    part = news.select(build_message(calls), Millis(100))
+    assert [load.target for load in part.loads] == ["e-7"]
+    assert len(encode_hello(Hello(part))) < len(encode_hello(Hello(whole))) / 4
+
+
+def test_all_is_told_now_and_then() -> None:
+    """Guards against growth of runs that nobody is ever told of."""
+    news = LoadNews()
+    calls = dict.fromkeys(TARGETS, 2)
+    news.select(build_message(calls), Millis(0))
+    assert news.select(build_message(calls), Millis(WHOLE_PERIOD - 1)).partial
+    assert not news.select(build_message(calls), WHOLE_PERIOD).partial
+
+
+def test_nothing_new_is_not_told() -> None:
+    """Guards against entries that speak though nothing changed."""
+    news = LoadNews()
+    own = replace(
+        build_message({"e-0": 1}),
+        uses=(UseReport("bookings", 10, 1),),
+        refused=(Refusal("digest", Millis(10)),),
+    )
+    news.select(own, Millis(0))
+    later = replace(
+        own,
+        uses=(UseReport("bookings", 25, 1),),
+        refused=(Refusal("digest", Millis(90)),),
+    )
+    assert not news.has_news(later)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"uses": (UseReport("bookings", 10, 2),)},
+        {"leaving": ("e-1",)},
+        {"evacuations": Evacuations(frozenset({"muc-b"}), 4)},
+        {"configuration": 9},
+        {"position": 12},
+        {"loads": (PeerLoad("e-0", 2, 6_000),)},
+        {"crashes": (("digest", "e-1@1"),)},
+    ],
+)
+def test_what_others_decide_on_is_told_at_once(change: dict[str, object]) -> None:
+    """Guards against news that wait for the next whole message."""
+    news = LoadNews()
+    own = replace(build_message({"e-0": 1}), uses=(UseReport("bookings", 10, 1),))
+    news.select(own, Millis(0))
+    assert news.has_news(replace(own, **change))  # type: ignore[arg-type]
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -28,6 +28,9 @@
     def describe_domain(self) -> PeerHeard:
         return replace(self.own, far=True)
 
+    def describe_domain_at(self, target: str) -> PeerHeard:
+        return replace(self.own, far=True, partial=True)
+
     def speaks_for_domain(self) -> bool:
         return self.speaks
 
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -249,6 +249,18 @@
         assert response.status == 401
 
 
+async def add_dark_entry(place: Place, well: Entry) -> tuple[FakeStore, Entry]:
+    """Add an entry that the store turns away; a peer is all that it hears."""
+    dark = FakeStore()
+    await dark.start()
+    dark.away = True
+    entry = Entry(build_settings(dark.address, "entry-2", seeds=(well.settings.peers,)))
+    await entry.start()
+    place.entries.append(entry)
+    await place.wait_ready(entry, 1)
+    return dark, entry
+
+
 async def test_an_entry_that_the_store_turns_away_learns_from_a_peer() -> None:
     """A key that was taken away would work on at this entry for good.
 
@@ -259,15 +271,7 @@
         await place.add_target("i-b1", "bookings")
         well = await place.add_entry(node="entry-1")
         await place.wait_ready(well, 1)
-        dark = FakeStore()
-        await dark.start()
-        dark.away = True
-        entry = Entry(
-            build_settings(dark.address, "entry-2", seeds=(well.settings.peers,))
-        )
-        await entry.start()
-        place.entries.append(entry)
-        await place.wait_ready(entry, 1)
+        dark, entry = await add_dark_entry(place, well)
         assert entry.is_ready()
         async with place.session.post(
             place.url("/order/a", entry), headers=place.headers("r-1")
@@ -327,15 +331,7 @@
         await place.add_target("i-b1", "bookings")
         well = await place.add_entry(node="entry-1")
         await place.wait_ready(well, 1)
-        dark = FakeStore()
-        await dark.start()
-        dark.away = True
-        entry = Entry(
-            build_settings(dark.address, "entry-2", seeds=(well.settings.peers,))
-        )
-        await entry.start()
-        place.entries.append(entry)
-        await place.wait_ready(entry, 1)
+        dark, entry = await add_dark_entry(place, well)
         await place.store.put("keyed.op", "evacuate/muc-a", b"{}")
         await wait_evacuated(entry, "muc-a")
         assert await ask_order(place, entry, "r-1") == 503
