Spare a failure domain whose targets can't be reached

Cause: a try that found no connection counted as one of four, and the nearest engines come first. Ruled out: want of room (the refusals name engines with none of their obstacles).

Two targets of a failure domain that can't be reached, with none of it that has answered since, spare the others for a second; a try that found no connection no longer counts.

--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -311,6 +311,10 @@
         if warmups.may_send(state, target, now):
             open_now.append(target)
     trusted = [target for target in open_now if target.avoid_until <= now]
+    silent = state.targets.find_silent_domains(request.service, now)
+    heard = [t for t in trusted if t.info.failure_domain not in silent]
+    if heard:
+        return heard
     # Where all are avoided, asking one is better than turning callers away for
     # losses that may be over.
     return trusted or open_now
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -16,7 +16,7 @@
 from figstep.gateway.targets import Standing
 
 MOST_SENDS = 4
-"""Targets that one request is sent to, refusals included. Under overload each
+"""Targets that one request reaches, refusals included. Under overload each
 further one would refuse as well, at the price of its caller's time."""
 
 NOT_RUN = frozenset({Loss.UNREACHED, Loss.REFUSED, Loss.MISDIRECTED})
@@ -35,6 +35,8 @@
     if event.loss not in NOT_RUN:
         request.may_have_run = True
         request.runs += 1
+    if event.loss is Loss.UNREACHED:
+        request.unreached += 1
     effects: list[Effect] = [
         Count("lost", (request.route.name, event.loss.value)),
         _note_loss(request, attempt, event),
@@ -129,7 +131,8 @@
     state: State, request: Request, event: AttemptLost, now: Millis
 ) -> list[Effect]:
     """Send a request that did not run to another target."""
-    if request.sent >= MOST_SENDS or now >= request.deadline:
+    # One that was not reached took no time of anybody's but the caller's.
+    if request.sent - request.unreached >= MOST_SENDS or now >= request.deadline:
         return requests.refuse_request(state, request, f"lost_{event.loss.value}", now)
     arrived = event.loss is not Loss.UNREACHED
     if arrived and not peers.spend_repeat(state, request.service, now):
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -185,7 +185,7 @@
     if attempt is None:
         return []
     request = state.requests[attempt.request]
-    attempt.target.note_success()
+    attempt.target.note_success(now)
     attempts.end_attempt(state, attempt)
     return deliver_answer(state, request, event.attempt, event.status, now)
 
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -82,7 +82,8 @@
         first_after: Time from its arrival to its first event.
         longest_pause: Longest time between two deliveries.
         usual_pause: Smoothed time between two deliveries.
-        sent: Attempts so far that may have reached a target.
+        sent: Attempts so far.
+        unreached: Those that found no connection.
         runs: Lost attempts that may have run.
         may_have_run: Whether a target may have begun to run it.
         tried: Targets that lost or refused it.
@@ -119,6 +120,7 @@
     longest_pause: Millis = Millis(0)
     usual_pause: float = 0.0
     sent: int = 0
+    unreached: int = 0
     runs: int = 0
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -99,7 +99,7 @@
 def _begin(request: Request, attempt: Attempt, now: Millis) -> list[Effect]:
     request.begun = True
     request.first_after = Millis(now - request.arrived)
-    attempt.target.note_success()
+    attempt.target.note_success(now)
     number = request.spec.number
     return [
         BeginStream(number, attempt.number),
@@ -127,7 +127,7 @@
     # Whatever was kept was of the run that has ended: left in place it would
     # hide the backup of the one that goes on.
     request.copy = None
-    standby.target.note_success()
+    standby.target.note_success(now)
     pause = now - request.delivered_at
     effects += [
         Count("switched", (request.route.name,)),
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -67,6 +67,13 @@
 """Most that a target is avoided before it is tried again."""
 
 
+SILENT_DOMAIN_LEAST = 2
+"""Unreached targets of a failure domain from which on its others are spared."""
+
+SILENT_DOMAIN_FOR = Millis(1_000)
+"""How long that lasts: the next requests find out whether it is back."""
+
+
 class Standing(Enum):
     """Whether a target gets work."""
 
@@ -109,6 +116,8 @@
         warm_at: When it will have warmed up.
         cold_sends: When this entry last sent it requests while it was cold.
         evacuated: Whether its failure domain is to get no more work.
+        unreached_at: When it last could not be connected to.
+        answered_at: When it last answered.
     """
 
     info: Registration
@@ -139,6 +148,8 @@
     warm_at: Millis = Millis(0)
     cold_sends: deque[Millis] = field(default_factory=deque)
     evacuated: bool = False
+    unreached_at: Millis = Millis(-1_000_000)
+    answered_at: Millis = Millis(-1_000_000)
 
     @property
     def name(self) -> str:
@@ -194,8 +205,9 @@
         known = seen if self.read_rate_own is None else self.read_rate_own
         self.read_rate_own = known + READ_RATE_STEP * (seen - known)
 
-    def note_success(self) -> None:
+    def note_success(self, now: Millis) -> None:
         """Count an answer."""
+        self.answered_at = now
         self.failures *= 1.0 - FAILURE_STEP
         self.strikes = 0
         self.avoid_until = Millis(0)
@@ -215,6 +227,8 @@
         """
         self.failures += FAILURE_STEP * (1.0 - self.failures)
         self.strikes += 1 if reached else 2
+        if not reached:
+            self.unreached_at = now
         if self.strikes >= 2:
             pause = FIRST_AVOIDANCE << min(self.strikes - 2, 8)
             self.avoid_until = Millis(now + min(pause, LONGEST_AVOIDANCE))
@@ -266,6 +280,34 @@
                 return True
         return False
 
+    def find_silent_domains(self, service: str, now: Millis) -> set[str]:
+        """Return the failure domains of a service that look unreachable as a whole.
+
+        Where all targets of one go down together, trying them one after another
+        would use up a caller's time, or all tries that it has.
+        """
+        unreached: dict[str, list[Millis]] = {}
+        for target in self.targets.values():
+            if target.info.service != service:
+                continue
+            if now - target.unreached_at < SILENT_DOMAIN_FOR:
+                times = unreached.setdefault(target.info.failure_domain, [])
+                times.append(target.unreached_at)
+        return {
+            domain
+            for domain, times in unreached.items()
+            if len(times) >= SILENT_DOMAIN_LEAST
+            and not self._has_answered(service, domain, min(times))
+        }
+
+    def _has_answered(self, service: str, domain: str, since: Millis) -> bool:
+        for target in self.targets.values():
+            if target.info.service != service:
+                continue
+            if target.info.failure_domain == domain and target.answered_at > since:
+                return True
+        return False
+
     def note_registration(self, info: Registration, now: Millis) -> Target:
         """Take in what a target says of itself; returns the target.
 
--- a/tests/gateway/test_recovery.py
+++ b/tests/gateway/test_recovery.py
@@ -4,9 +4,17 @@
 
 from figstep.core.problems import Ran
 from figstep.gateway.effects import Answer, BreakStream, Note, OpenAttempt, Refuse
-from figstep.gateway.events import AttemptLost, Loss, Ticked
+from figstep.gateway.events import (
+    AttemptLost,
+    EntriesCounted,
+    Loss,
+    TargetRegistered,
+    Ticked,
+)
 from figstep.gateway.prompts import Prompt
-from tests.gateway.worlds import BOOKINGS, World, start_with_backup
+from figstep.gateway.recovery import MOST_SENDS
+from figstep.gateway.targets import SILENT_DOMAIN_FOR, Registration
+from tests.gateway.worlds import BOOKINGS, ENGINES, World, start_with_backup
 
 
 def build_world() -> World:
@@ -162,3 +170,80 @@
     assert world.state.requests == {}
     notes = [note.message for note in world.find_all(Note)]
     assert "repeat denied by the fleet's budget" in notes
+
+
+def build_domains(*sizes: tuple[str, int]) -> World:
+    """Return an entry in muc-a with some engines in each failure domain."""
+    world = World()
+    world.handle(EntriesCounted(79))
+    for domain, engines in sizes:
+        for number in range(engines):
+            name = f"e-{domain}-{number}"
+            info = Registration(name, ENGINES, f"{name}:80", domain, 24, born=1)
+            world.handle(TargetRegistered(info))
+    return world
+
+
+def find_tries(world: World, path: str = "/plan/a") -> list[str]:
+    """Let a prompt come and lose all tries in muc-a; returns where it was sent."""
+    world.arrive(path, Prompt("m", 300, 200, 40))
+    tries = []
+    while world.find_all(OpenAttempt):
+        opened = world.find(OpenAttempt)
+        tries.append(opened.target)
+        if not opened.target.startswith("e-muc-a"):
+            world.send_pieces(opened.attempt, 1, 1)
+            break
+        world.clock.advance(7)
+        world.handle(AttemptLost(opened.attempt, Loss.UNREACHED))
+    return tries
+
+
+@pytest.mark.parametrize("path", ["/plan/a", "/question/a"])
+def test_a_failure_domain_that_goes_down_costs_no_prompt(path: str) -> None:
+    """Guards against callers refused after four dead engines beside idle ones."""
+    world = build_domains(("muc-a", 9), ("muc-b", 9))
+    for _ in range(10):
+        tries = find_tries(world, path)
+        assert tries[-1].startswith("e-muc-b"), tries
+
+
+def test_a_failure_domain_that_goes_down_is_found_in_two_tries() -> None:
+    """Guards against entries that try all engines of a lost failure domain."""
+    world = build_domains(("muc-a", 9), ("muc-b", 9))
+    assert len(find_tries(world)) == 3
+    for _ in range(5):
+        world.clock.advance(20)
+        assert len(find_tries(world)) == 1
+
+
+def test_a_failure_domain_that_is_back_is_tried_again() -> None:
+    """Guards against a failure domain that is spared for good."""
+    world = build_domains(("muc-a", 9), ("muc-b", 9))
+    find_tries(world)
+    world.clock.advance(SILENT_DOMAIN_FOR)
+    world.arrive_plan()
+    assert world.find(OpenAttempt).target.startswith("e-muc-a")
+
+
+def test_engines_that_answer_keep_their_failure_domain() -> None:
+    """Guards against a whole failure domain spared for two engines of it."""
+    world = build_domains(("muc-a", 9), ("muc-b", 9))
+    find_tries(world)
+    alive = world.state.targets.targets["e-muc-a-8"]
+    alive.note_success(world.clock.now())
+    world.arrive_plan()
+    assert world.find(OpenAttempt).target.startswith("e-muc-a")
+
+
+def test_refusals_still_bound_the_tries_of_a_request() -> None:
+    """Guards against a prompt that goes round all engines of a full pool."""
+    world = build_domains(("muc-a", 9))
+    world.state.budget.allowance = 10_000.0
+    world.arrive_plan()
+    tries = 0
+    while world.find_all(OpenAttempt):
+        tries += 1
+        opened = world.find(OpenAttempt)
+        world.handle(AttemptLost(opened.attempt, Loss.REFUSED))
+    assert tries == MOST_SENDS
--- a/tests/gateway/test_targets.py
+++ b/tests/gateway/test_targets.py
@@ -79,7 +79,7 @@
     first = target.avoid_until
     target.note_loss(NOW, reached=True)
     assert NOW < first < target.avoid_until
-    target.note_success()
+    target.note_success(NOW)
     assert target.avoid_until <= NOW
 
 
