Tell near entries which targets can't be reached

What an entry found at the connection was known to it alone.

Each message names the targets that its sender could not connect to within the last second. Two entries have to tell so; a target that answers this one is kept, and what was only told is not told on.

--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -310,6 +310,7 @@
         leaving: Targets that said of late that they leave, or that others told
             it of.
         evacuations: Failure domains that it takes to be evacuated.
+        unreached: Targets that it could not connect to of late.
     """
 
     node: str
@@ -329,6 +330,7 @@
     partial: bool = False
     refused: tuple[Refusal, ...] = ()
     evacuations: Evacuations = NO_EVACUATIONS
+    unreached: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/news.py
+++ b/figstep/gateway/news.py
@@ -68,6 +68,7 @@
         own.leaving,
         own.evacuations,
         own.crashes,
+        own.unreached,
         tuple((use.service, use.repeats) for use in own.uses),
         tuple(refusal.digest for refusal in own.refused),
     )
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -60,6 +60,10 @@
         state.missed.pop(event.node, None)
     else:
         _take_loads(state, peer, event)
+        for name in event.unreached:
+            target = state.targets.find(name)
+            if target is not None:
+                target.note_told_unreached(event.node, now)
         state.peers[event.node] = peer
         state.missed.pop(event.node, None)
 
@@ -247,6 +251,7 @@
         leaving=tuple(state.list_leaving(now)),
         refused=state.refused.list_told(now),
         evacuations=state.evacuations,
+        unreached=tuple(state.list_unreached(now)),
     )
 
 
@@ -281,6 +286,7 @@
         loads=loads,
         uses=(),
         refused=(),
+        unreached=(),
         far=True,
         leaving=tuple(sorted(leaving)),
     )
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -9,7 +9,7 @@
     requests,
     warmups,
 )
-from figstep.gateway.effects import CloseAttempt, Count, Effect, Note
+from figstep.gateway.effects import Announce, CloseAttempt, Count, Effect, Note
 from figstep.gateway.events import AttemptLost, Loss
 from figstep.gateway.routes import RouteKind
 from figstep.gateway.state import Attempt, Request, State
@@ -30,6 +30,7 @@
         return []
     request = state.requests[attempt.request]
     was_current = request.current is attempt
+    was_known = attempt.target.is_unreached(now)
     attempts.end_attempt(state, attempt)
     _judge_target(state, request, attempt, event, now)
     if event.loss not in NOT_RUN:
@@ -41,6 +42,9 @@
         Count("lost", (request.route.name, event.loss.value)),
         _note_loss(request, attempt, event),
     ]
+    if event.loss is Loss.UNREACHED and not was_known:
+        # Until the others know, they try it as well, or copy runs to it.
+        effects.append(Announce())
     if not was_current and request.current is not None:
         # The run goes on where it was; its copy was used up or never there.
         request.current.holder_spoiled = True
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -254,6 +254,14 @@
         """Return the targets that told this entry of late that they leave."""
         return [name for name, at in self.leaving.items() if now - at < LEAVING_TOLD]
 
+    def list_unreached(self, now: Millis) -> list[str]:
+        """Return the targets that this entry could not connect to of late."""
+        return [
+            target.name
+            for target in self.targets.targets.values()
+            if target.is_unreached(now)
+        ]
+
     def knows_leaving(self, name: str, now: Millis) -> bool:
         """Tell whether a target told any entry of late that it leaves."""
         if name in self.list_leaving(now):
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -70,8 +70,12 @@
 SILENT_DOMAIN_LEAST = 2
 """Unreached targets of a failure domain from which on its others are spared."""
 
-SILENT_DOMAIN_FOR = Millis(1_000)
-"""How long that lasts: the next requests find out whether it is back."""
+UNREACHED_FOR = Millis(1_000)
+"""How long a target that could not be connected to counts as that: the next
+requests find out whether it is back."""
+
+UNREACHED_TOLD_BY = 2
+"""Other entries that have to tell so before their word is taken."""
 
 
 class Standing(Enum):
@@ -116,8 +120,11 @@
         warm_at: When it will have warmed up.
         cold_sends: When this entry last sent it requests while it was cold.
         evacuated: Whether its failure domain is to get no more work.
-        unreached_at: When it last could not be connected to.
+        unreached_at: When this entry last could not connect to it.
+        doubted_at: When it was last found, or told, to be unreachable.
         answered_at: When it last answered.
+        told_unreached: When other entries last told that they could not connect
+            to it, by entry.
     """
 
     info: Registration
@@ -149,7 +156,9 @@
     cold_sends: deque[Millis] = field(default_factory=deque)
     evacuated: bool = False
     unreached_at: Millis = Millis(-1_000_000)
+    doubted_at: Millis = Millis(-1_000_000)
     answered_at: Millis = Millis(-1_000_000)
+    told_unreached: dict[str, Millis] = field(default_factory=dict)
 
     @property
     def name(self) -> str:
@@ -229,10 +238,32 @@
         self.strikes += 1 if reached else 2
         if not reached:
             self.unreached_at = now
+            self.doubted_at = now
         if self.strikes >= 2:
             pause = FIRST_AVOIDANCE << min(self.strikes - 2, 8)
             self.avoid_until = Millis(now + min(pause, LONGEST_AVOIDANCE))
 
+    def is_unreached(self, now: Millis) -> bool:
+        """Tell whether this entry could not connect to it of late."""
+        if now - self.unreached_at >= UNREACHED_FOR:
+            return False
+        return self.answered_at < self.unreached_at
+
+    def note_told_unreached(self, entry: str, now: Millis) -> None:
+        """Take in that another entry could not connect to it.
+
+        One entry alone may be cut off itself, and one that answers this entry is
+        not down.
+        """
+        if now - self.answered_at < UNREACHED_FOR:
+            return
+        self.told_unreached[entry] = now
+        told = self.told_unreached.values()
+        if sum(1 for at in told if now - at < UNREACHED_FOR) >= UNREACHED_TOLD_BY:
+            # What was only told is not told on, or it would never end.
+            self.doubted_at = now
+            self.avoid_until = Millis(max(self.avoid_until, now + FIRST_AVOIDANCE))
+
     @property
     def claimed_memory(self) -> int:
         """Expected memory of all entries' runs and copies, in tokens."""
@@ -290,9 +321,9 @@
         for target in self.targets.values():
             if target.info.service != service:
                 continue
-            if now - target.unreached_at < SILENT_DOMAIN_FOR:
+            if now - target.doubted_at < UNREACHED_FOR:
                 times = unreached.setdefault(target.info.failure_domain, [])
-                times.append(target.unreached_at)
+                times.append(target.doubted_at)
         return {
             domain
             for domain, times in unreached.items()
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -83,6 +83,7 @@
         partial=own.partial,
         evacuated=sorted(own.evacuations.domains),
         evacuatedAt=own.evacuations.position,
+        unreached=list(own.unreached),
     )
     refused = message.init("refused", len(own.refused))
     for slot, refusal in zip(refused, own.refused, strict=True):
@@ -162,6 +163,7 @@
                 frozenset(str(name) for name in message.evacuated),
                 message.evacuatedAt,
             ),
+            unreached=tuple(str(name) for name in message.unreached),
         )
         records = tuple(
             (str(entry.key), bytes(entry.value)) for entry in message.records
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -27,6 +27,7 @@
   refused @21 :List(Refusal); # refused of late for want of room
   evacuated @22 :List(Text); # failure domains that are to get no more work
   evacuatedAt @23 :Int64 = -1; # how far the operator's records were read for them
+  unreached @24 :List(Text); # targets that could not be connected to of late
 }
 
 struct Refusal {
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -2,16 +2,21 @@
 
 import random
 
+from figstep.core.clock import Millis
 from figstep.gateway import peers, sources
 from figstep.gateway.budgets import UseReport
+from figstep.gateway.effects import Announce, CopyRun, OpenAttempt
 from figstep.gateway.events import (
+    AttemptLost,
+    Loss,
     PeerHeard,
     PeerLoad,
     TargetRegistered,
     Ticked,
 )
-from figstep.gateway.targets import Registration
-from tests.gateway.worlds import ENGINES, World, build_large_world
+from figstep.gateway.targets import UNREACHED_FOR, Registration
+from figstep.net.hellos import Hello, decode_hello, encode_hello
+from tests.gateway.worlds import BOOKINGS, ENGINES, World, build_large_world
 
 
 def test_loads_of_all_peers_are_summed() -> None:
@@ -159,3 +164,80 @@
     told = {"e-1": PeerLoad("e-1", 2, 8_000)}
     loads = (PeerLoad("e-1", 2, 8_000 + peers.MEMORY_TOLD),)
     assert peers.select_changed(told, loads) == loads
+
+
+def hear_unreached(world: World, entry: str, *targets: str) -> None:
+    """Let a peer tell which targets it could not connect to."""
+    world.handle(PeerHeard(entry, failure_domain="muc-a", unreached=targets))
+
+
+def test_a_target_that_others_can_not_reach_is_not_tried() -> None:
+    """Guards against each entry finding a dead engine by a try of its own."""
+    world = World()
+    world.register("e-1", "e-2")
+    hear_unreached(world, "entry-2", "e-1")
+    hear_unreached(world, "entry-3", "e-1")
+    for _ in range(2):
+        assert world.open_plan().target == "e-2"
+
+
+def test_no_copy_is_made_at_an_engine_that_others_can_not_reach() -> None:
+    """Guards against runs without a copy since each order went to a dead engine."""
+    world = World()
+    world.register("e-1")
+    opened = world.open_plan()
+    world.register("e-2", "e-3")
+    hear_unreached(world, "entry-2", "e-2")
+    hear_unreached(world, "entry-3", "e-2")
+    world.send_pieces(opened.attempt, 1, 9)
+    world.handle(Ticked())
+    assert world.find(CopyRun).holder == "e-3"
+
+
+def test_an_entry_that_is_cut_off_is_not_believed_alone() -> None:
+    """Guards against one entry behind a cut that shuts engines for all others."""
+    world = World()
+    world.register("e-1")
+    for _ in range(5):
+        hear_unreached(world, "entry-2", "e-1")
+        world.clock.advance(100)
+    assert world.open_plan().target == "e-1"
+    assert world.state.targets.targets["e-1"].avoid_until <= world.clock.now()
+
+
+def test_a_target_that_answers_this_entry_is_kept() -> None:
+    """Guards against engines shut on the word of entries that can't reach them."""
+    world = World()
+    world.register("e-1", "e-2")
+    opened = world.open_plan()
+    world.send_pieces(opened.attempt, 1, 1)
+    hear_unreached(world, "entry-2", opened.target)
+    hear_unreached(world, "entry-3", opened.target)
+    target = world.state.targets.targets[opened.target]
+    assert target.avoid_until <= world.clock.now()
+
+
+def test_what_can_not_be_reached_is_told_at_once_and_not_for_long() -> None:
+    """Guards against others that go on to a dead engine, or never come back to it."""
+    world = World()
+    world.register("b-1", "b-2", service=BOOKINGS)
+    world.arrive("/order/a")
+    lost = world.find(OpenAttempt)
+    world.handle(AttemptLost(lost.attempt, Loss.UNREACHED))
+    assert world.find_all(Announce)
+    now = world.clock.now()
+    told = peers.describe_own(world.state, now)
+    assert told.unreached == (lost.target,)
+    data = encode_hello(Hello(told))
+    assert decode_hello(data, "10.0.0.1:7000").content.unreached == told.unreached
+    later = Millis(now + UNREACHED_FOR)
+    assert peers.describe_own(world.state, later).unreached == ()
+
+
+def test_what_was_only_told_is_not_told_on() -> None:
+    """Guards against entries that keep each other from a target that is back."""
+    world = World()
+    world.register("e-1", "e-2")
+    hear_unreached(world, "entry-2", "e-1")
+    hear_unreached(world, "entry-3", "e-1")
+    assert peers.describe_own(world.state, world.clock.now()).unreached == ()
--- a/tests/gateway/test_recovery.py
+++ b/tests/gateway/test_recovery.py
@@ -13,7 +13,7 @@
 )
 from figstep.gateway.prompts import Prompt
 from figstep.gateway.recovery import MOST_SENDS
-from figstep.gateway.targets import SILENT_DOMAIN_FOR, Registration
+from figstep.gateway.targets import UNREACHED_FOR, Registration
 from tests.gateway.worlds import BOOKINGS, ENGINES, World, start_with_backup
 
 
@@ -221,7 +221,7 @@
     """Guards against a failure domain that is spared for good."""
     world = build_domains(("muc-a", 9), ("muc-b", 9))
     find_tries(world)
-    world.clock.advance(SILENT_DOMAIN_FOR)
+    world.clock.advance(UNREACHED_FOR)
     world.arrive_plan()
     assert world.find(OpenAttempt).target.startswith("e-muc-a")
 
