--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -347,7 +347,7 @@
     if now - request.copied_at >= pool.copy_kept:
         request.copy = None
     if request.copy is not None:
-        if placement.was_refused_copy(request, request.copy.holder, now):
+        if placement.was_refused_copy(request, request.copy.holder, now, ahead=True):
             return False
         return now - request.copied_at >= REFRESH_SHARE * pool.copy_kept
     return count_left(state, request) >= LEAST_LEFT
@@ -370,7 +370,7 @@
     elif not state.queue:
         # A prompt that waits is worth more than a copy that may not be needed.
         holder = placement.choose_copy_holder(
-            state, request, current.target.name, now, placement.AHEAD_ROOM
+            state, request, current.target.name, now, placement.AHEAD_ROOM, ahead=True
         )
     if holder is None or _is_copying(current.target, holder):
         return []
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -30,8 +30,11 @@
 the notice: prompts need room for all that one engine held when it leaves."""
 
 NO_ROOM_FOR = Millis(1_000)
-"""How long an engine that had no room for a copy is not asked for the same run:
-runs end there several times a second, and a notice is 1.5 s long."""
+"""How long an engine that had no room for a copy is not asked for the same run."""
+
+NO_ROOM_IN_NOTICE = Millis(250)
+"""The same once the run's engine leaves: runs end at the others several times a
+second, and a notice is 1.5 s long."""
 
 MOVE_ROOM = 1.1
 """The same for a run whose engine leaves: it is lost otherwise. Expected memory
@@ -228,7 +231,12 @@
 
 
 def choose_copy_holder(
-    state: State, request: Request, source: str, now: Millis, room: float
+    state: State,
+    request: Request,
+    source: str,
+    now: Millis,
+    room: float,
+    ahead: bool = False,
 ) -> Target | None:
     """Return the engine that a run's copy goes to, or None for no room.
 
@@ -238,13 +246,16 @@
         source: Target that runs it.
         now: Monotonic time.
         room: Part of an engine's memory that may be filled with it.
+        ahead: Whether the run's engine stays, as far as is known.
     """
     memory = read_memory(state, request.service)
     need = estimate_memory(state, request)
     best = None
     best_cost = 0.0
     for target in eligibility.list_eligible(state, request):
-        if target.name == source or was_refused_copy(request, target.name, now):
+        if target.name == source:
+            continue
+        if was_refused_copy(request, target.name, now, ahead):
             continue
         if target.avoid_until > now:
             continue
@@ -264,10 +275,18 @@
     return best
 
 
-def was_refused_copy(request: Request, name: str, now: Millis) -> bool:
-    """Tell whether an engine has just had no room for a copy of a run."""
+def was_refused_copy(request: Request, name: str, now: Millis, ahead: bool) -> bool:
+    """Tell whether an engine has just had no room for a copy of a run.
+
+    Args:
+        request: Request whose run it is.
+        name: The engine.
+        now: Monotonic time.
+        ahead: Whether the run's engine stays, as far as is known.
+    """
     refused = request.no_copy_at.get(name)
-    return refused is not None and now - refused < NO_ROOM_FOR
+    pause = NO_ROOM_FOR if ahead else NO_ROOM_IN_NOTICE
+    return refused is not None and now - refused < pause
 
 
 def estimate_memory(state: State, request: Request) -> int:
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -350,6 +350,20 @@
     assert world.find(CopyRun).holder == order.holder
 
 
+def test_a_full_engine_is_asked_again_within_the_notice() -> None:
+    """Guards against a run lost in its notice though room came in time."""
+    world, opened = start_without_backup()
+    world.depart("e-3")
+    world.depart(opened.target)
+    order = world.find(CopyRun)
+    world.handle(RunNotCopied(1, order.source, order.holder, "answered 503"))
+    assert world.find_all(CopyRun) == []
+    world.clock.advance(300)
+    world.send_pieces(opened.attempt, 11, 14)
+    world.handle(Ticked())
+    assert world.find(CopyRun).holder == order.holder
+
+
 def test_copies_made_ahead_yield_where_an_engine_runs_out_of_memory() -> None:
     """A caller would see a pause of half a second: its run is preempted.
 
