Say whether the store answers this entry, not what others say of it

Cause: a reader whose reads failed took the store for well while it heard another reader that said so, and said so itself; readers that fail together kept each other in that belief. So in fleets of more than 16 entries a whole outage was never found. Ruled out: questions that fail (none was sent), targets without load.

A message now says whether the sender's own reads are answered, and only an entry that reads is a witness that the store was well. A test of 24 entries of one and of four failure domains fails without it. The message of the other entry in test_an_entry_that_alone_was_cut_off_believes_departures_at_once left out that it reads, which every entry of a small fleet says; it says so now, the check is as it was.

--- a/tests/gateway/test_reducer.py
+++ b/tests/gateway/test_reducer.py
@@ -87,11 +87,11 @@
     """
     world = World()
     world.register("e-1", "e-2")
-    world.handle(PeerHeard("entry-2"))
+    world.handle(PeerHeard("entry-2", reading=True))
     world.clock.advance(500)
     world.handle(StoreLost())
     world.clock.advance(2_000)
-    world.handle(PeerHeard("entry-2"))
+    world.handle(PeerHeard("entry-2", reading=True))
     world.handle(StoreRegained())
     world.depart("e-1")
     assert ready(world) == ["e-2"]
--- a/tests/gateway/test_sources.py
+++ b/tests/gateway/test_sources.py
@@ -2,10 +2,18 @@
 
 from dataclasses import replace
 
-from figstep.core.clock import Millis
+import pytest
+
+from figstep.core.clock import ManualClock, Millis
 from figstep.gateway import peers, sources
 from figstep.gateway.effects import Announce, FetchRecords, ReadReport
-from figstep.gateway.events import EngineReported, PeerHeard, StoreLost, Ticked
+from figstep.gateway.events import (
+    EngineReported,
+    EntriesCounted,
+    PeerHeard,
+    StoreLost,
+    Ticked,
+)
 from figstep.gateway.targets import Standing
 from tests.gateway.worlds import World, build_large_world
 
@@ -114,6 +122,76 @@
     assert not world.state.store_away
 
 
+def build_fleet(size: int, domains: tuple[str, ...]) -> list[World]:
+    """Return entries of some failure domains on one clock."""
+    clock = ManualClock(100_000)
+    fleet = []
+    for number in range(size):
+        world = World(clock=clock)
+        world.state.node = f"entry-{number:02}"
+        world.state.failure_domain = domains[number % len(domains)]
+        world.handle(EntriesCounted(size))
+        fleet.append(world)
+    return fleet
+
+
+def talk(fleet: list[World], millis: int) -> None:
+    """Let time pass, and each entry tell those that hear it."""
+    fleet[0].clock.advance(millis)
+    now = fleet[0].clock.now()
+    for world in fleet:
+        own = peers.describe_own(world.state, now)
+        domain = peers.describe_domain(world.state, now)
+        speaks = peers.speaks_for_domain(world.state, now)
+        for other in fleet:
+            if other is world:
+                continue
+            if other.state.failure_domain == world.state.failure_domain:
+                other.handle(own)
+            elif speaks:
+                other.handle(domain)
+    for world in fleet:
+        world.handle(Ticked())
+
+
+@pytest.mark.parametrize("domains", [("muc-a",), ("muc-a", "muc-b", "nue-a", "aug-a")])
+def test_a_large_fleet_finds_that_the_store_is_away(domains: tuple[str, ...]) -> None:
+    """Guards against readers that each take the store for well as the others do."""
+    fleet = build_fleet(24, domains)
+    for _ in range(10):
+        talk(fleet, 200)
+    assert not any(world.state.store_away for world in fleet)
+    for _ in range(10):
+        for world in fleet:
+            if sources.reads_store(world.state, world.clock.now()):
+                world.handle(StoreLost())
+        talk(fleet, 200)
+    assert all(world.state.store_away for world in fleet)
+
+
+def test_one_reader_that_is_answered_is_enough_for_all() -> None:
+    """Guards against an outage taken for total where some entries are turned away."""
+    fleet = build_fleet(24, ("muc-a", "muc-b", "nue-a", "aug-a"))
+    for _ in range(10):
+        talk(fleet, 200)
+    for _ in range(10):
+        for world in fleet[1:]:
+            if sources.reads_store(world.state, world.clock.now()):
+                world.handle(StoreLost())
+        talk(fleet, 200)
+    assert not any(world.state.store_away for world in fleet)
+
+
+def test_an_entry_that_does_not_read_is_no_witness_of_the_store() -> None:
+    """Guards against lapsed registrations taken for departures after an outage."""
+    world = build_large_world()
+    hear_readers(world, 1, store_well=False)
+    world.handle(PeerHeard("entry-0-09", failure_domain="muc-a"))
+    world.clock.advance(1_000)
+    world.handle(StoreLost())
+    assert not sources.has_store_been_well(world.state)
+
+
 def test_one_entry_of_a_failure_domain_asks_an_engine_while_the_store_is_away() -> None:
     """Guards against questions of all entries to all engines."""
     asked = 0
