--- a/tools/compare_days.py
+++ b/tools/compare_days.py
@@ -107,7 +107,7 @@
     worths = [float(str(report["G"])) for report in reports]
     broken = []
     for report in reports:
-        rules = report.get("rules")
+        rules = report.get("breaks")
         broken += sorted(rules) if isinstance(rules, dict) else []
     return Pair(play, worths[0], worths[1], tuple(broken))
 
