Make copies ahead in another failure domain than the run

Ways: near (before) against another failure domain for copies made ahead; in the notice, where time presses, near stays.

--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -58,6 +58,10 @@
 FAR_COPY_UNSEEN = 0.6
 """The same in a large fleet, where far loads are known a little later."""
 
+NEAR_COPY_AHEAD = 0.6
+"""The same for a holder elsewhere of a copy made ahead: a failure domain that is
+lost as a whole takes its runs and the copies that lie there."""
+
 COPY_WAIT = 3.0
 """The same for each part of its memory that is being copied there already: links
 carry copies one after another, and a notice has time for a few."""
@@ -263,10 +267,14 @@
         if cost > room:
             continue
         waiting = COPY_WAIT * target.incoming_load / memory
-        if target.info.failure_domain != _find_domain(state, source):
+        far = target.info.failure_domain != _find_domain(state, source)
+        if far:
             # A copy between failure domains takes twice as long.
-            cost += FAR_COPY if state.entries <= FULL_MESH else FAR_COPY_UNSEEN
             waiting *= 2.0
+        if ahead and not far:
+            cost += NEAR_COPY_AHEAD
+        if far and not ahead:
+            cost += FAR_COPY if state.entries <= FULL_MESH else FAR_COPY_UNSEEN
         cost += waiting
         cost += SLOW_COPY * (USUAL_READ_RATE / target.read_rate - 1.0)
         cost += 0.01 * state.rng.random()
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -25,10 +25,12 @@
     RunCopied,
     RunNotCopied,
     StreamEnded,
+    TargetRegistered,
     Ticked,
 )
 from figstep.gateway.streams import OVERLAP
-from tests.gateway.worlds import World, start_with_backup
+from figstep.gateway.targets import Registration
+from tests.gateway.worlds import ENGINES, World, start_with_backup
 
 
 def start_without_backup(output: int = 900) -> tuple[World, OpenAttempt]:
@@ -470,3 +472,33 @@
     world.handle(RunCopied(1, order.source, order.holder, "h-1"))
     world.depart(order.source)
     assert world.find(OpenAttempt).target == order.holder
+
+
+def start_in_two_domains() -> tuple[World, OpenAttempt]:
+    """Return a plan at e-1, with idle engines in its failure domain and another."""
+    world = World()
+    world.register("e-1")
+    opened = world.open_plan()
+    world.send_pieces(opened.attempt, 1, 10)
+    world.register("e-near")
+    info = Registration("e-far", ENGINES, "e-far:80", "muc-b", 64, born=1)
+    world.handle(TargetRegistered(info))
+    return world, opened
+
+
+def test_a_run_outlives_the_failure_domain_that_its_engine_is_in() -> None:
+    """Guards against a run lost together with its copy in one failure domain."""
+    world, opened = start_in_two_domains()
+    world.handle(Ticked())
+    order = world.find(CopyRun)
+    assert order.holder == "e-far"
+    world.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    world.handle(AttemptLost(opened.attempt, Loss.BROKEN))
+    assert world.find(OpenAttempt).target == "e-far"
+
+
+def test_in_the_notice_a_copy_goes_where_it_arrives_first() -> None:
+    """Guards against copies that arrive after their engine has gone."""
+    world, opened = start_in_two_domains()
+    world.depart(opened.target)
+    assert world.find(CopyRun).holder == "e-near"
