--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -4,10 +4,12 @@
 from dataclasses import dataclass, field
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from figstep.core.clock import ManualClock, Millis
 from figstep.gateway import peers
-from figstep.gateway.effects import CopyRun, OpenAttempt, ReadReport, Refuse
+from figstep.gateway.effects import CopyRun, Note, OpenAttempt, ReadReport, Refuse
 from figstep.gateway.events import (
     AttemptLost,
     ConfigurationRead,
@@ -190,6 +192,57 @@
     assert decode_hello(data, "10.0.0.1:7000").content.evacuations == told
 
 
+def test_several_domains_are_evacuated_one_by_one() -> None:
+    """Guards against a second evacuation that ends the first."""
+    world = build_world()
+    evacuate(world, "nue-a", position=5)
+    evacuate(world, "nue-a", "muc-a", position=6)
+    assert world.open_plan().target == "e-muc-b"
+    evacuate(world, "muc-a", position=7)
+    assert world.state.evacuations.domains == {"muc-a"}
+
+
+def test_a_domain_that_nobody_has_shuts_nothing() -> None:
+    """Guards against a record with a wrong name that stops all work."""
+    world = build_world()
+    evacuate(world, "moon")
+    assert {world.open_plan().target, world.open_plan().target} == {
+        "e-muc-a",
+        "e-muc-b",
+    }
+
+
+def test_a_repeated_evacuation_is_told_once() -> None:
+    """Guards against log lines for each message that says the same."""
+    world = build_world()
+    evacuate(world, "muc-a", position=5)
+    assert world.find(Note).message == "failure domain evacuated"
+    evacuate(world, "muc-a", position=6)
+    assert not world.find_all(Note)
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 20), st.frozensets(st.sampled_from(DOMAINS))),
+        max_size=12,
+    )
+)
+def test_the_newest_word_holds_in_any_order(
+    told: list[tuple[int, frozenset[str]]],
+) -> None:
+    """Guards against words that come late, twice or crossed."""
+    world = build_world()
+    newest = Evacuations()
+    for position, domains in told:
+        word = Evacuations(domains, position)
+        if position > newest.position:
+            newest = word
+        world.handle(PeerHeard("entry-2", evacuations=word))
+        assert world.state.evacuations == newest
+        for target in world.state.targets.targets.values():
+            assert target.evacuated == (target.info.failure_domain in newest.domains)
+
+
 @dataclass
 class Fleet:
     """Entries that tell each other what they know, through messages that get lost.
