Wait for the edit itself before the log goes down in a test

Cause, traced: the step took the next append of any kind for the operator's. The step now waits until the log holds the operator's edit, looked at as often as before; what is checked is as it was.

--- a/figstep/gateway/eligibility.py
+++ b/figstep/gateway/eligibility.py
@@ -1,6 +1,5 @@
 """Which targets a request may be sent to, whatever their load."""
 
-from figstep.gateway.events import RoutedRequest
 from figstep.gateway.routes import Customer, Route, RoutingTable
 from figstep.gateway.state import Request, State
 from figstep.gateway.targets import Target
@@ -23,7 +22,7 @@
 
     One whose route or key was dropped meanwhile keeps what it was bound to.
     """
-    spec: RoutedRequest = request.spec
+    spec = request.spec
     route = table.find_route(spec.host, spec.path)
     if route is None:
         return
--- a/figstep/standins/log.py
+++ b/figstep/standins/log.py
@@ -115,6 +115,11 @@
         del stream.records[:excess]
         stream.earliest += excess
 
+    def list_records(self, name: str) -> list[Any]:
+        """Return the data of the records that a stream holds now."""
+        stream = self._streams.get(name)
+        return [] if stream is None else [record["data"] for record in stream.records]
+
     async def _append(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
         stream = await self._find_stream(request)
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -14,6 +14,7 @@
 from figstep.errors import FigstepError, LogUnavailableError, PublishRefusedError
 from figstep.inventory import hash_key
 from figstep.operations import publish_document, read_records
+from figstep.standins.log import LogService
 from tests.fleet import wait_for
 from tests.integration.conftest import World
 
@@ -105,9 +106,9 @@
 def add_in_outage(world: World, name: str) -> Any:
     async def run() -> Any:
         log = world.fleet.log
-        before = log.appends
         edit = asyncio.create_task(add_customer(world, name))
-        await wait_for(lambda: log.appends > before, "the append took effect")
+        # Entries append snapshots and claims of their own meanwhile.
+        await wait_for(lambda: holds_edit(log, name), "the append took effect")
         log.available = False
         await asyncio.sleep(OUTAGE_SECONDS)
         log.available = True
@@ -116,6 +117,14 @@
     return world.run(run())
 
 
+def holds_edit(log: LogService, author: str) -> bool:
+    for record in log.list_records(CONFIGURATION):
+        # A snapshot names the author of the document as well.
+        if record["author"] == author and record["kind"] != SNAPSHOT:
+            return True
+    return False
+
+
 @then("the edit is accepted")
 def accepted(result: Any) -> None:
     assert isinstance(result, int), result
