Leave runs at engines that only take no new work; share readers in an outage

An engine that says that it takes no new work, and not when it ends, gets none and keeps its runs. In an outage six entries of each failure domain read in vain; now six of the fleet.

--- a/figstep/gateway/news.py
+++ b/figstep/gateway/news.py
@@ -69,6 +69,7 @@
         own.evacuations,
         own.crashes,
         own.unreached,
+        own.closed,
         tuple((use.service, use.repeats) for use in own.uses),
         tuple(refusal.digest for refusal in own.refused),
     )
--- a/figstep/gateway/sources.py
+++ b/figstep/gateway/sources.py
@@ -13,8 +13,8 @@
 there are: any two of them may die in the same moment."""
 
 MOST_FAILING = 6
-"""Entries of a failure domain that read in vain before the others leave it. Where
-the store turns a third of the entries away, one of these gets through."""
+"""Entries of the fleet that read in vain before the others leave it. Where the store
+turns a third of the entries away, one of these gets through."""
 
 READER_SILENT = Millis(1_500)
 """Silence after which another entry reads in a reader's place."""
@@ -62,13 +62,14 @@
             well += 1
         elif peer.reading:
             failing += 1
-    return well < _count_readers(state) and failing < MOST_FAILING
+    most_failing = _share_readers(state, MOST_FAILING)
+    return well < _share_readers(state, LEAST_READERS) and failing < most_failing
 
 
-def _count_readers(state: State) -> int:
-    """Return how many entries of each failure domain read the store."""
+def _share_readers(state: State, readers: int) -> int:
+    """Return how many of the fleet's readers each failure domain has."""
     domains = 1 + len(state.far_loads)
-    return -(-LEAST_READERS // domains)
+    return -(-readers // domains)
 
 
 def watch_store(state: State, now: Millis) -> None:
