--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -191,7 +191,6 @@
     Attributes:
         target: The engine.
         leaving: Whether it says that it takes no new work.
-        ending: Whether it says as well when it ends.
         memory: Tokens of its memory in use half a second ago that can't yield;
             None if it doesn't say.
     """
@@ -199,7 +198,6 @@
     target: str
     leaving: bool
     memory: int | None = None
-    ending: bool = True
 
 
 # Store and peers
@@ -313,8 +311,6 @@
             it of.
         evacuations: Failure domains that it takes to be evacuated.
         unreached: Targets that it could not connect to of late.
-        closed: Targets that said of late that they take no new work, and not when
-            they end.
     """
 
     node: str
@@ -335,7 +331,6 @@
     refused: tuple[Refusal, ...] = ()
     evacuations: Evacuations = NO_EVACUATIONS
     unreached: tuple[str, ...] = ()
-    closed: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/news.py
+++ b/figstep/gateway/news.py
@@ -69,7 +69,6 @@
         own.evacuations,
         own.crashes,
         own.unreached,
-        own.closed,
         tuple((use.service, use.repeats) for use in own.uses),
         tuple(refusal.digest for refusal in own.refused),
     )
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -254,7 +254,6 @@
         refused=state.refused.list_told(now),
         evacuations=state.evacuations,
         unreached=tuple(state.list_unreached(now)),
-        closed=tuple(state.list_closed(now)),
     )
 
 
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -115,7 +115,6 @@
             return []
         case PeerHeard():
             peers.take_message(state, event, now)
-            reports.take_closed(state, event.closed)
             return [
                 *evacuations.take_evacuations(
                     state, event.evacuations, event.node, now
--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -34,7 +34,7 @@
     for target in state.targets.targets.values():
         if target.unclaimed and now - target.reported_at >= UNCLAIMED_FOR:
             target.unclaimed = 0
-        if target.standing is not Standing.READY or target.evacuated:
+        if not target.takes_work:
             continue
         if now - target.asked_at < ASK_PERIOD:
             continue
@@ -108,27 +108,10 @@
         _count_unclaimed(target, event.memory, now)
     if not event.leaving or target.standing is not Standing.READY:
         return []
-    if not event.ending:
-        # While the store is away nobody can take its place, and it serves on until
-        # the store has taken its word: its runs end there.
-        state.closed[event.target] = now
-        if target.closed:
-            return []
-        target.closed = True
-        note = Note("engine takes no new work", {"target": event.target})
-        return [Announce(), note]
     state.leaving[event.target] = now
     return [Announce(), *_note_leaving(state, event.target, "itself", now)]
 
 
-def take_closed(state: State, names: tuple[str, ...]) -> None:
-    """Take in which targets told other entries that they take no new work."""
-    for name in names:
-        target = state.targets.find(name)
-        if target is not None:
-            target.closed = True
-
-
 def take_leaving(state: State, names: tuple[str, ...], now: Millis) -> list[Effect]:
     """Take in which targets told other entries that they leave."""
     effects: list[Effect] = []
--- a/figstep/gateway/sources.py
+++ b/figstep/gateway/sources.py
@@ -13,8 +13,8 @@
 there are: any two of them may die in the same moment."""
 
 MOST_FAILING = 6
-"""Entries of the fleet that read in vain before the others leave it. Where the store
-turns a third of the entries away, one of these gets through."""
+"""Entries of a failure domain that read in vain before the others leave it. Where
+the store turns a third of the entries away, one of these gets through."""
 
 READER_SILENT = Millis(1_500)
 """Silence after which another entry reads in a reader's place."""
@@ -62,14 +62,13 @@
             well += 1
         elif peer.reading:
             failing += 1
-    most_failing = _share_readers(state, MOST_FAILING)
-    return well < _share_readers(state, LEAST_READERS) and failing < most_failing
+    return well < _count_readers(state) and failing < MOST_FAILING
 
 
-def _share_readers(state: State, readers: int) -> int:
-    """Return how many of the fleet's readers each failure domain has."""
+def _count_readers(state: State) -> int:
+    """Return how many entries of each failure domain read the store."""
     domains = 1 + len(state.far_loads)
-    return -(-readers // domains)
+    return -(-LEAST_READERS // domains)
 
 
 def watch_store(state: State, now: Millis) -> None:
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -214,7 +214,6 @@
         store_lost_at: When that began.
         store_back_at: When it ended.
         leaving: Targets that told this entry that they leave, and when.
-        closed: Targets that told it that they take no new work, and when.
         closes_at: When the process ends, or None.
         watched_at: When its streams were last looked at.
     """
@@ -250,16 +249,11 @@
     closes_at: Millis | None = None
     watched_at: Millis = Millis(0)
     leaving: dict[str, Millis] = field(default_factory=dict)
-    closed: dict[str, Millis] = field(default_factory=dict)
 
     def list_leaving(self, now: Millis) -> list[str]:
         """Return the targets that told this entry of late that they leave."""
         return [name for name, at in self.leaving.items() if now - at < LEAVING_TOLD]
 
-    def list_closed(self, now: Millis) -> list[str]:
-        """Return those that told it of late that they take no new work."""
-        return [name for name, at in self.closed.items() if now - at < LEAVING_TOLD]
-
     def list_unreached(self, now: Millis) -> list[str]:
         """Return the targets that this entry could not connect to of late."""
         return [
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -120,7 +120,6 @@
         warm_at: When it will have warmed up.
         cold_sends: When this entry last sent it requests while it was cold.
         evacuated: Whether its failure domain is to get no more work.
-        closed: Whether it said itself that it takes no new work; its runs go on.
         unreached_at: When this entry last could not connect to it.
         doubted_at: When it was last found, or told, to be unreachable.
         answered_at: When it last answered.
@@ -156,7 +155,6 @@
     warm_at: Millis = Millis(0)
     cold_sends: deque[Millis] = field(default_factory=deque)
     evacuated: bool = False
-    closed: bool = False
     unreached_at: Millis = Millis(-1_000_000)
     doubted_at: Millis = Millis(-1_000_000)
     answered_at: Millis = Millis(-1_000_000)
@@ -170,9 +168,7 @@
     @property
     def takes_work(self) -> bool:
         """Whether new work may be sent to it."""
-        if self.evacuated or self.closed:
-            return False
-        return self.standing is Standing.READY
+        return self.standing is Standing.READY and not self.evacuated
 
     @property
     def load(self) -> int:
@@ -358,7 +354,6 @@
         if info.warmup:
             # One that runs on may become cold again at any moment.
             target.warm_at = Millis(now + info.warmup)
-        target.closed = False
         if info.draining:
             self._leave(target, now)
         elif target.standing is Standing.LEAVING:
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -84,7 +84,6 @@
         evacuated=sorted(own.evacuations.domains),
         evacuatedAt=own.evacuations.position,
         unreached=list(own.unreached),
-        closed=list(own.closed),
     )
     refused = message.init("refused", len(own.refused))
     for slot, refusal in zip(refused, own.refused, strict=True):
@@ -165,7 +164,6 @@
                 message.evacuatedAt,
             ),
             unreached=tuple(str(name) for name in message.unreached),
-            closed=tuple(str(name) for name in message.closed),
         )
         records = tuple(
             (str(entry.key), bytes(entry.value)) for entry in message.records
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -28,7 +28,6 @@
   evacuated @22 :List(Text); # failure domains that are to get no more work
   evacuatedAt @23 :Int64 = -1; # how far the operator's records were read for them
   unreached @24 :List(Text); # targets that could not be connected to of late
-  closed @25 :List(Text);    # targets that said that they take no new work
 }
 
 struct Refusal {
