--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -246,9 +246,7 @@
         position=state.position,
         failure_domain=state.failure_domain,
         entries=state.entries,
-        # What the others say is left out: readers that fail together would each
-        # take the store for well, as the others do.
-        store_well=not state.read_failed,
+        store_well=not state.store_away,
         reading=sources.reads_store(state, now),
         leaving=tuple(state.list_leaving(now)),
         refused=state.refused.list_told(now),
