--- a/figstep/gateway/budgets.py
+++ b/figstep/gateway/budgets.py
@@ -16,10 +16,8 @@
 message takes up to 0.1 s; what all of them start meanwhile fits the rest."""
 
 URGENT_PART = 0.8
-"""The same for streams whose engine leaves. At 0.6 a failure domain of 18 entries
-was denied in the two seconds after four engines left, and streams with a running
-backup were lost. What is open to error is one message's time, a quarter second,
-of all entries: 5 repeats at 20 a second, of a bound of 250."""
+"""The same for streams whose engine leaves: denied, they would be lost. The rest
+holds what all entries start within one message's time."""
 
 ALONE_PART = 0.7
 """Part of an entry's own share that is used while others are not heard: windows
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -23,8 +23,7 @@
 
 STALL_SHARE = 0.6
 """Part of a route's longest pause after which a stream goes on from its copy so
-that it stays in time. Of 62 streams that were silent for 120 ms 44 were silent
-for over 180, most of them preempted; going on takes 20 to 50 ms."""
+that it stays in time: the rest is for going on."""
 
 STALL_PAUSES = 2.5
 """The same in usual pauses of the stream: a slow engine is no stalled one."""
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -6,7 +6,6 @@
 import signal
 import socket
 from collections import deque
-from collections.abc import Callable
 from pathlib import Path
 
 import logbook
@@ -14,7 +13,7 @@
 from mode import Service
 
 from figstep.core.clock import Clock, Millis
-from figstep.errors import PeerMessageError, SettingsError
+from figstep.errors import PeerMessageError
 from figstep.gateway.application import Gateway
 from figstep.gateway.budgets import RetryBudget
 from figstep.gateway.edges import PeerPort
@@ -65,6 +64,7 @@
     TopicFollower,
     TopicSink,
 )
+from figstep.platform.watch import SettingsWatch
 
 _log = logbook.Logger("figstep.entry")
 
@@ -94,9 +94,6 @@
 STOP_SECONDS = 0.4
 """Time for the parts to stop; with the cut it fits what the grace time leaves."""
 
-WATCH_SECONDS = 2.0
-"""How often the settings file is looked at; its bounds change rarely."""
-
 MOST_RECENT = 6
 """Registrations that a message holds: those of an engine or two that change
 together. Who misses one asks for all."""
@@ -442,40 +439,6 @@
     return FIRST_START_REST_SECONDS if settings.first_start else RESTART_REST_SECONDS
 
 
-class SettingsWatch:
-    """Reads the settings file again on a signal, and when it has changed."""
-
-    def __init__(self, path: Path, apply: Callable[[EntrySettings], None]) -> None:
-        self._path = path
-        self._apply = apply
-        self._seen = self._read_stamp()
-
-    def _read_stamp(self) -> tuple[int, int]:
-        try:
-            found = self._path.stat()
-        except OSError as error:
-            _log.warning("settings file not found", extra={"error": str(error)})
-            return (0, 0)
-        return (found.st_mtime_ns, found.st_size)
-
-    def reload(self) -> None:
-        """Read the file; wrong settings leave those in force as they are."""
-        self._seen = self._read_stamp()
-        try:
-            settings = load_settings(self._path)
-        except SettingsError as error:
-            _log.error("settings refused", extra={"error": str(error)})
-            return
-        self._apply(settings)
-
-    async def run(self) -> None:
-        """Look at the file now and then; the platform may change it silently."""
-        while True:
-            await asyncio.sleep(WATCH_SECONDS)
-            if self._read_stamp() != self._seen:
-                self.reload()
-
-
 async def serve_until_signal(path: Path, listener: socket.socket | None = None) -> None:
     """Serve until SIGTERM or SIGINT, then drain."""
     loop = asyncio.get_running_loop()
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -13,7 +13,6 @@
 from figstep.gateway.events import (
     AttemptLost,
     ConfigurationRead,
-    EntriesCounted,
     EvacuationsRead,
     Loss,
     PeerHeard,
@@ -25,7 +24,7 @@
 from figstep.gateway.places import Evacuations
 from figstep.gateway.targets import Registration
 from figstep.net.hellos import Hello, decode_hello, encode_hello
-from tests.gateway.worlds import BOOKINGS, ENGINES, World, build_table
+from tests.gateway.worlds import BOOKINGS, ENGINES, World, build_fleet, build_table
 
 DOMAINS = ("muc-a", "muc-b", "nue-a", "aug-a")
 
@@ -245,7 +244,7 @@
 
 @dataclass
 class Fleet:
-    """Entries that tell each other what they know, through messages that get lost.
+    """Entries that tell each other what they know; some messages get lost.
 
     Attributes:
         entries: The entries, of all failure domains in turn.
@@ -282,19 +281,13 @@
             self.pending.append((Millis(now + delay), other, own if near else domain))
 
 
-def build_fleet(size: int, seed: int) -> Fleet:
+def build_talking_fleet(size: int, seed: int) -> Fleet:
     """Return a fleet of which each entry knows one target a failure domain."""
-    clock = ManualClock(100_000)
-    entries = []
-    for number in range(size):
-        world = World(clock=clock)
-        world.state.node = f"entry-{number:03}"
-        world.state.failure_domain = DOMAINS[number % len(DOMAINS)]
-        world.handle(EntriesCounted(size))
+    entries = build_fleet(size, DOMAINS)
+    for world in entries:
         for domain in DOMAINS:
             register(world, f"b-{domain}", domain, BOOKINGS)
-        entries.append(world)
-    return Fleet(entries, clock, random.Random(seed))
+    return Fleet(entries, entries[0].clock, random.Random(seed))
 
 
 @pytest.mark.parametrize("size", [8, 79, 200])
@@ -303,7 +296,7 @@
     size: int, seed: int
 ) -> None:
     """Guards against entries cut from the store that go on sending to the domain."""
-    fleet = build_fleet(size, seed)
+    fleet = build_talking_fleet(size, seed)
     fleet.step(200)
     readers = fleet.entries[: max(1, size // 10)]
     for world in readers:
@@ -313,7 +306,7 @@
     for world in fleet.entries:
         world.arrive("/order/a")
         assert world.find(OpenAttempt).target != "b-muc-b"
-    restarted = build_fleet(size, seed).entries[0]
+    restarted = build_talking_fleet(size, seed).entries[0]
     fleet.entries[-1] = restarted
     restarted.clock = fleet.clock
     for world in readers:
--- a/tests/gateway/test_sources.py
+++ b/tests/gateway/test_sources.py
@@ -4,18 +4,17 @@
 
 import pytest
 
-from figstep.core.clock import ManualClock, Millis
+from figstep.core.clock import Millis
 from figstep.gateway import peers, sources
 from figstep.gateway.effects import Announce, FetchRecords, ReadReport
 from figstep.gateway.events import (
     EngineReported,
-    EntriesCounted,
     PeerHeard,
     StoreLost,
     Ticked,
 )
 from figstep.gateway.targets import Standing
-from tests.gateway.worlds import World, build_large_world
+from tests.gateway.worlds import World, build_fleet, build_large_world
 
 
 def test_records_that_the_store_does_not_tell_are_asked_of_a_peer() -> None:
@@ -122,19 +121,6 @@
     assert not world.state.store_away
 
 
-def build_fleet(size: int, domains: tuple[str, ...]) -> list[World]:
-    """Return entries of some failure domains on one clock."""
-    clock = ManualClock(100_000)
-    fleet = []
-    for number in range(size):
-        world = World(clock=clock)
-        world.state.node = f"entry-{number:02}"
-        world.state.failure_domain = domains[number % len(domains)]
-        world.handle(EntriesCounted(size))
-        fleet.append(world)
-    return fleet
-
-
 def talk(fleet: list[World], millis: int) -> None:
     """Let time pass, and each entry tell those that hear it."""
     fleet[0].clock.advance(millis)
--- a/tests/gateway/test_warmups.py
+++ b/tests/gateway/test_warmups.py
@@ -4,13 +4,12 @@
 
 import pytest
 
-from figstep.core.clock import ManualClock, Millis
+from figstep.core.clock import Millis
 from figstep.gateway import peers, warmups
 from figstep.gateway.effects import OpenAttempt
 from figstep.gateway.events import (
     AttemptLost,
     ConfigurationRead,
-    EntriesCounted,
     EvacuationsRead,
     Loss,
     TargetRegistered,
@@ -19,7 +18,7 @@
 from figstep.gateway.places import Evacuations
 from figstep.gateway.routes import RoutingTable, Service
 from figstep.gateway.targets import Registration
-from tests.gateway.worlds import BOOKINGS, ENGINES, World, build_table
+from tests.gateway.worlds import BOOKINGS, ENGINES, World, build_fleet, build_table
 
 DOMAINS = ("muc-a", "muc-b", "nue-a", "aug-a")
 RATE = 25.0
@@ -63,17 +62,12 @@
     return sent
 
 
-def build_fleet(size: int, hears: bool = True) -> list[World]:
+def build_cold_fleet(size: int, hears: bool = True) -> list[World]:
     """Return entries that have heard their own failure domain, or nobody."""
-    clock = ManualClock(100_000)
-    fleet = []
-    for number in range(size):
-        world = World(clock=clock)
-        world.state.node = f"entry-{number:03}"
-        world.state.failure_domain = DOMAINS[number % len(DOMAINS)]
+    fleet = build_fleet(size, DOMAINS)
+    clock = fleet[0].clock
+    for world in fleet:
         world.handle(ConfigurationRead(build_cold_table()))
-        world.handle(EntriesCounted(size))
-        fleet.append(world)
     if not hears:
         return fleet
     for world in fleet:
@@ -88,7 +82,7 @@
 @pytest.mark.parametrize("size", [16, 79, 195])
 def test_a_herd_of_waiting_calls_does_not_crash_a_cold_target(size: int) -> None:
     """Guards against a target that crashes as all entries send to it at once."""
-    fleet = build_fleet(size)
+    fleet = build_cold_fleet(size)
     for world in fleet:
         register(world, "b-1", 1_000)
     sent = sum(count_sends(world, 20) for world in fleet)
@@ -98,7 +92,7 @@
 @pytest.mark.parametrize("size", [79, 195])
 def test_entries_that_hear_nobody_spare_a_cold_target(size: int) -> None:
     """Guards against cut entries that each take the whole rate for themselves."""
-    fleet = build_fleet(size, hears=False)
+    fleet = build_cold_fleet(size, hears=False)
     for world in fleet:
         register(world, "b-1", 1_000)
     assert sum(count_sends(world, 20) for world in fleet) <= MOST_IN_A_SECOND
@@ -191,7 +185,7 @@
 
 def test_a_share_is_whole_and_shares_add_up() -> None:
     """Guards against shares under one request, of which no entry may send any."""
-    fleet = build_fleet(79)
+    fleet = build_cold_fleet(79)
     now = fleet[0].clock.now()
     for target in ("b-1", "b-2", "b-3"):
         shares = [warmups.share_rate(world.state, target, RATE, now) for world in fleet]
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -209,3 +209,16 @@
     for number in range(18):
         world.handle(PeerHeard(f"entry-0-{number:02}", failure_domain="muc-a"))
     return world
+
+
+def build_fleet(size: int, domains: Sequence[str]) -> list[World]:
+    """Return entries of some failure domains in turn, on one clock."""
+    clock = ManualClock(100_000)
+    fleet = []
+    for number in range(size):
+        world = World(clock=clock)
+        world.state.node = f"entry-{number:03}"
+        world.state.failure_domain = domains[number % len(domains)]
+        world.handle(EntriesCounted(size))
+        fleet.append(world)
+    return fleet
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -12,12 +12,10 @@
 import pytest
 from aiohttp import web
 
-from figstep.platform.entry import Entry, SettingsWatch, serve_until_signal
-from figstep.platform.settings import EntrySettings
+from figstep.platform.entry import Entry, serve_until_signal
 from tests.platform.standins import (
     KEY,
     ROUTE_HOST,
-    SETTINGS,
     FakeStore,
     FakeTarget,
     build_configuration,
@@ -376,20 +374,6 @@
     await draining
 
 
-async def test_settings_are_read_again_and_wrong_ones_refused(tmp_path: Path) -> None:
-    """A file that is half written would end the process or drop its bounds."""
-    path = tmp_path / "boot.toml"
-    path.write_text(SETTINGS)
-    applied: list[EntrySettings] = []
-    watch = SettingsWatch(path, applied.append)
-    path.write_text(SETTINGS + "retry_extra = 99\n")
-    watch.reload()
-    assert applied[-1].retry_allowance == 99.0
-    path.write_text("[bounds")
-    watch.reload()
-    assert len(applied) == 1
-
-
 async def test_new_settings_hold_at_once(place: Place) -> None:
     entry = place.entries[0]
     entry.apply_settings(replace(entry.settings, retry_allowance=7.0))
