Log the rate that a target names in its answers

Nothing of an entry's lines told whether a target's answer had named a rate (Server-Limit), so that an entry that ignores the rate could not be told from one that never got it. The edge now hands on what each answer of a target names, and the gateway writes one line for each change. No choice depends on it yet.

--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -200,6 +200,20 @@
     memory: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RateNamed:
+    """A target's answer named the rate that it takes, or no longer names one.
+
+    Attributes:
+        target: The target.
+        rate: Requests a second that it takes from all entries together; None if
+            it takes any.
+    """
+
+    target: str
+    rate: float | None
+
+
 # Store and peers
 
 
@@ -383,6 +397,7 @@
     | RunCopied
     | RunNotCopied
     | EngineReported
+    | RateNamed
     | ConfigurationRead
     | TargetRegistered
     | TargetDeparted
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -5,6 +5,7 @@
     copies,
     eligibility,
     evacuations,
+    limits,
     peers,
     recovery,
     reports,
@@ -25,6 +26,7 @@
     PeerHeard,
     PiecesArrived,
     PositionRead,
+    RateNamed,
     RequestArrived,
     RunCopied,
     RunNotCopied,
@@ -89,6 +91,8 @@
             return copies.note_not_copied(state, event, now)
         case EngineReported():
             return reports.take_report(state, event, now)
+        case RateNamed():
+            return limits.take_rate(state, event)
         case ConfigurationRead():
             return _take_configuration(state, event)
         case TargetRegistered(info=info):
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -86,6 +86,18 @@
     GONE = "gone"  # nothing reaches it any more
 
 
+@dataclass(slots=True)
+class RateLimit:
+    """A rate that a target has named in its answers.
+
+    Attributes:
+        rate: Requests a second that it takes from all entries together; None if
+            its last answer named none any more.
+    """
+
+    rate: float | None = None
+
+
 @dataclass(slots=True)
 class Target:
     """A target and what this entry has seen of it.
@@ -125,6 +137,7 @@
         answered_at: When it last answered.
         told_unreached: When other entries last told that they could not connect
             to it, by entry.
+        limit: Rate that it has named in its answers; None if it never did.
     """
 
     info: Registration
@@ -159,6 +172,7 @@
     doubted_at: Millis = Millis(-1_000_000)
     answered_at: Millis = Millis(-1_000_000)
     told_unreached: dict[str, Millis] = field(default_factory=dict)
+    limit: RateLimit | None = None
 
     @property
     def name(self) -> str:
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -1,6 +1,7 @@
 """The platform's targets: requests out, answers and copies of runs back."""
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -22,6 +23,7 @@
     Event,
     Loss,
     PiecesArrived,
+    RateNamed,
     RunCopied,
     RunNotCopied,
     StreamEnded,
@@ -177,11 +179,27 @@
             headers=self._build_headers(effect, exchange, target),
             allow_redirects=False,
         ) as response:
+            self._take_rate(response, target)
             _check_answer(response, exchange)
             if effect.stream and response.status == 200:
                 return await self._read_stream(effect, response)
             return await self._read_answer(effect, response)
 
+    def _take_rate(self, response: aiohttp.ClientResponse, target: Target) -> None:
+        """Hand on the rate that an answer names, or that it names none any more."""
+        if response.status == 421:
+            # Another target has the address and speaks of itself.
+            return
+        text = response.headers.get(names.RATE)
+        if text is None and target.limit is None:
+            return
+        try:
+            rate = None if text is None else parse_rate(text)
+        except ValueError as error:
+            _log.info("no rate", extra={"target": target.name, "error": str(error)})
+            return
+        self._dispatch(RateNamed(target.name, rate))
+
     def _build_headers(
         self, effect: OpenAttempt, exchange: CallerExchange, target: Target
     ) -> list[tuple[str, str]]:
@@ -266,6 +284,7 @@
                 asyncio.timeout(REPORT_SECONDS),
                 self._session.get(url) as response,
             ):
+                self._take_rate(response, target)
                 body = await response.read()
             if response.status != 200:
                 raise ValueError(f"answered {response.status}")
@@ -303,6 +322,7 @@
                     headers={"Content-Type": "application/json"},
                 ) as response,
             ):
+                self._take_rate(response, source)
                 body = await response.read()
             detail = f"answered {response.status}"
             if response.status == 200:
@@ -351,6 +371,18 @@
     return EngineReported(target, leaving, report.kv_used)
 
 
+def parse_rate(text: str) -> float:
+    """Return the requests a second that a target takes.
+
+    Raises:
+        ValueError: If it is no number of zero or more.
+    """
+    rate = float(text)
+    if not math.isfinite(rate) or rate < 0:
+        raise ValueError(f"{text[:40]!r} is no rate; write a number of zero or more")
+    return rate
+
+
 def _check_answer(response: aiohttp.ClientResponse, exchange: CallerExchange) -> None:
     """Raise where an answer proves that nothing ran, or is not this request's."""
     if response.status == 421:
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -3,7 +3,7 @@
 import pytest
 
 from figstep.gateway.events import EngineReported
-from figstep.platform.engines import parse_report
+from figstep.platform.engines import parse_rate, parse_report
 
 
 @pytest.mark.parametrize(
@@ -27,3 +27,17 @@
 def test_a_report_that_is_none_is_refused(body: bytes) -> None:
     with pytest.raises(ValueError, match=r".+"):
         parse_report("e-1", body)
+
+
+@pytest.mark.parametrize(
+    ("text", "rate"), [("1.9", 1.9), ("0", 0.0), ("25", 25.0), (" 0.5 ", 0.5)]
+)
+def test_a_rate_is_a_decimal_number(text: str, rate: float) -> None:
+    assert parse_rate(text) == rate
+
+
+@pytest.mark.parametrize("text", ["", "soon", "-1", "nan", "inf"])
+def test_a_rate_that_is_none_is_refused(text: str) -> None:
+    """Guards against a header that stops all requests or lifts every limit."""
+    with pytest.raises(ValueError, match=r".+"):
+        parse_rate(text)
