Keep the place of whole-path tests in a module of its own

Tests of other matters than those of test_entry.py need a store, targets and entries as well. Place, open_place and ask_order move as they are; the stand-in of a target can say headers of its own and notes when requests came.

--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -189,6 +189,8 @@
         bodies: Their bodies.
         gone: Requests whose connection closed before their end.
         copies: Runs that another engine has copied here.
+        says: Headers that all its answers carry besides.
+        arrivals: When the requests came, by the loop's clock.
     """
 
     name: str
@@ -201,6 +203,8 @@
     bodies: list[bytes] = field(default_factory=list)
     gone: list[str] = field(default_factory=list)
     copies: set[str] = field(default_factory=set)
+    says: dict[str, str] = field(default_factory=dict)
+    arrivals: list[float] = field(default_factory=list)
     peers: dict[str, "FakeTarget"] = field(default_factory=dict)
     runner: web.AppRunner | None = None
 
@@ -226,12 +230,14 @@
         return {
             "Request-Id": request.headers.get("Request-Id", ""),
             "Server-Stamp": f"stamp-{self.name}",
+            **self.says,
         }
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         if request.headers.get("Expect-Instance") != self.name:
             return web.Response(status=421, headers={"Instance-Id": self.name})
         self.seen.append(dict(request.headers))
+        self.arrivals.append(asyncio.get_running_loop().time())
         self.bodies.append(await request.read())
         if self.handler is not None:
             return await self.handler(request)
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -4,7 +4,6 @@
 import os
 import signal
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
 
@@ -13,79 +12,16 @@
 from aiohttp import web
 
 from figstep.platform.entry import Entry, serve_until_signal
+from tests.platform.places import Place, ask_order, open_place
 from tests.platform.standins import (
     KEY,
-    ROUTE_HOST,
     FakeStore,
-    FakeTarget,
     build_configuration,
     build_settings,
     write_settings,
 )
 
 
-class Place:
-    """A store, targets, and an entry before them."""
-
-    def __init__(self) -> None:
-        self.store = FakeStore()
-        self.targets: dict[str, FakeTarget] = {}
-        self.entries: list[Entry] = []
-        self.session = aiohttp.ClientSession()
-
-    async def add_target(self, name: str, service: str, **fields: object) -> FakeTarget:
-        target = FakeTarget(name, service, **fields)  # type: ignore[arg-type]
-        await target.start(self.store)
-        self.targets[name] = target
-        for one in self.targets.values():
-            one.peers = {other.address: other for other in self.targets.values()}
-        return target
-
-    async def add_entry(self, **fields: object) -> Entry:
-        entry = Entry(build_settings(self.store.address, **fields))
-        await entry.start()
-        self.entries.append(entry)
-        return entry
-
-    async def wait_ready(self, entry: Entry, targets: int) -> None:
-        async with asyncio.timeout(5):
-            while True:
-                known = entry.gateway.known
-                if known.table is not None and len(known.targets.targets) >= targets:
-                    return
-                await asyncio.sleep(0.01)
-
-    def url(self, path: str, entry: Entry | None = None) -> str:
-        address = (entry or self.entries[0]).settings.callers
-        return f"http://{address.host}:{address.port}{path}"
-
-    def headers(self, number: str, **more: str) -> dict[str, str]:
-        headers = {
-            "Host": ROUTE_HOST,
-            "Request-Id": number,
-            "Credential": KEY,
-            "Deadline-Ms": "4000",
-        }
-        headers.update({name.replace("_", "-"): value for name, value in more.items()})
-        return headers
-
-
-@asynccontextmanager
-async def open_place() -> AsyncIterator[Place]:
-    place = Place()
-    await place.store.start()
-    await place.store.put("keyed.op", "config", build_configuration())
-    try:
-        yield place
-    finally:
-        await place.session.close()
-        for entry in place.entries:
-            await entry.stop()
-        for target in place.targets.values():
-            await target.kill()
-        await place.store.stop()
-
-
 @pytest.fixture
 async def place() -> AsyncIterator[Place]:
     async with open_place() as opened:
@@ -284,12 +220,6 @@
             await asyncio.sleep(0.01)
 
 
-async def ask_order(place: Place, entry: Entry, number: str) -> int:
-    headers = place.headers(number)
-    async with place.session.post(place.url("/order/a", entry), headers=headers) as got:
-        return got.status
-
-
 @pytest.mark.parametrize("value", [b"{}", b"\xff\x00 no document"])
 async def test_an_evacuated_domain_gets_no_call(place: Place, value: bytes) -> None:
     """Guards against an operator's record that nobody acts on."""
