Keep the split of a target's rate in a module of its own

What a cold target bears is split over all entries; the rate that a target names will be split in the same way. share_rate and its draw move from warm-ups to shares, and the question to engines in an outage draws by the same function. Nothing is decided otherwise.

--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -1,9 +1,7 @@
 """What engines say of themselves when they are asked."""
 
-import zlib
-
 from figstep.core.clock import Millis
-from figstep.gateway import copies, placement, sources
+from figstep.gateway import copies, placement, shares, sources
 from figstep.gateway.effects import Announce, Effect, Note, ReadReport
 from figstep.gateway.events import EngineReported
 from figstep.gateway.state import State
@@ -71,7 +69,7 @@
     if target.asked_for_at + ASK_PERIOD > now:
         return False
     target.asked_for_at = now
-    return min(heard, key=lambda name: _draw(name, target.name)) == state.node
+    return min(heard, key=lambda name: shares.draw(name, target.name)) == state.node
 
 
 def _runs_at(state: State, target: Target) -> bool:
@@ -84,10 +82,6 @@
     return False
 
 
-def _draw(node: str, target: str) -> int:
-    return zlib.crc32(f"{node} {target}".encode())
-
-
 def _may_hold_unclaimed(state: State, target: Target, now: Millis) -> bool:
     pool = placement.find_engine_pool(state, target.info.service)
     if pool is None or state.budget.fresh:
--- a/figstep/gateway/warmups.py
+++ b/figstep/gateway/warmups.py
@@ -6,9 +6,8 @@
 which it works out from the entries that it hears; no message has to arrive first.
 """
 
-import zlib
-
 from figstep.core.clock import Millis
+from figstep.gateway import shares
 from figstep.gateway.routes import Service
 from figstep.gateway.state import State
 from figstep.gateway.targets import Target
@@ -17,10 +16,6 @@
 """Time in which a target gets one second's requests: what was sent a second apart
 may arrive a little closer."""
 
-SETTLED_AFTER = Millis(1_500)
-"""How long a process that starts again sends nothing to cold targets: it has to
-hear the others first, and what its earlier process sent still counts."""
-
 
 def may_send(state: State, target: Target, now: Millis) -> bool:
     """Tell whether one more request keeps a target within what it bears."""
@@ -30,7 +25,8 @@
     if rate <= 0:
         return True
     _forget_old(target, now)
-    return len(target.cold_sends) < share_rate(state, target.name, rate, now)
+    share = shares.share_requests(state, target.name, rate, now)
+    return len(target.cold_sends) < share
 
 
 def note_send(target: Target, now: Millis) -> None:
@@ -48,29 +44,6 @@
         target.warm_at = Millis(max(target.warm_at, since + service.warmup))
 
 
-def share_rate(state: State, target: str, rate: float, now: Millis) -> int:
-    """Return how many requests a second this entry may send a cold target.
-
-    The rate is split over all entries of the fleet into whole requests. Where it
-    gives less than one to each, entries are drawn by the target's name: all of
-    them draw alike, so that no two take the same request.
-    """
-    budget = state.budget
-    if not budget.fresh and now < budget.started + SETTLED_AFTER:
-        return 0
-    others = {*state.peers, *state.missed}
-    sharing = 1 + len(others)
-    part = min(1.0, sharing / max(1, state.entries))
-    requests = int(rate * part)
-    own = _draw(state.node, target)
-    before = sum(1 for name in others if _draw(name, target) < own)
-    return requests // sharing + (1 if before < requests % sharing else 0)
-
-
-def _draw(node: str, target: str) -> tuple[int, str]:
-    return zlib.crc32(f"{node} {target}".encode()), node
-
-
 def _find_rate(state: State, target: Target) -> float:
     service = _find_service(state, target)
     return 0.0 if service is None else service.warmup_rate
--- /dev/null
+++ b/tests/gateway/test_shares.py
@@ -0,0 +1,15 @@
+"""Tests of how entries split what a target takes."""
+
+from figstep.gateway import shares
+from tests.gateway.test_warmups import DOMAINS, RATE, build_cold_fleet
+
+
+def test_a_share_is_whole_and_shares_add_up() -> None:
+    """Guards against shares under one request, of which no entry may send any."""
+    fleet = build_cold_fleet(79)
+    now = fleet[0].clock.now()
+    for target in ("b-1", "b-2", "b-3"):
+        split = [
+            shares.share_requests(world.state, target, RATE, now) for world in fleet
+        ]
+        assert RATE - len(DOMAINS) <= sum(split) <= RATE
--- a/tests/gateway/test_warmups.py
+++ b/tests/gateway/test_warmups.py
@@ -5,7 +5,7 @@
 import pytest
 
 from figstep.core.clock import Millis
-from figstep.gateway import peers, warmups
+from figstep.gateway import peers
 from figstep.gateway.effects import OpenAttempt
 from figstep.gateway.events import (
     AttemptLost,
@@ -181,12 +181,3 @@
     world = build_world(rate=0.0)
     register(world, "b-1", 1_000)
     assert count_sends(world, 5) == 5
-
-
-def test_a_share_is_whole_and_shares_add_up() -> None:
-    """Guards against shares under one request, of which no entry may send any."""
-    fleet = build_cold_fleet(79)
-    now = fleet[0].clock.now()
-    for target in ("b-1", "b-2", "b-3"):
-        shares = [warmups.share_rate(world.state, target, RATE, now) for world in fleet]
-        assert RATE - len(DOMAINS) <= sum(shares) <= RATE
