Let the state say whether its fleet is large

Placement held the bound of a full mesh only for sources to read it, so that nothing that placement asks could look at peers or sources. It moves to the state as it is; nothing is decided otherwise.

--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -51,7 +51,7 @@
     Those that have few engines of their own use those of others. Told a moment
     later, all of them would pick the same engine meanwhile.
     """
-    if state.entries <= placement.FULL_MESH:
+    if not state.is_large:
         return False
     return target.info.failure_domain != state.failure_domain
 
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -91,11 +91,6 @@
 """The same in a large fleet, where prompts that others send to their own engines
 are known a little later: meanwhile one more may have gone there unseen."""
 
-FULL_MESH = 16
-"""Entries up to which all tell all: messages grow with the square of the fleet.
-Above it, entries tell those of their own failure domain, and sums go to the
-others."""
-
 MOST_DESCRIBED = 8
 """Engines named in the log line of a refusal; a large fleet has dozens."""
 
@@ -147,7 +142,7 @@
         cost += LENGTH_WEIGHT * output * USUAL_READ_RATE / target.read_rate
         cost += FAILURE_DELAY * max(0.0, target.failures - ORDINARY_FAILURES)
         if target.info.failure_domain != state.failure_domain:
-            cost += FAR_DELAY if state.entries <= FULL_MESH else FAR_DELAY_UNSEEN
+            cost += FAR_DELAY_UNSEEN if state.is_large else FAR_DELAY
         cost += TIE_SPREAD * state.rng.random()
         if best is None or cost < best_cost:
             best, best_cost = target, cost
@@ -274,7 +269,7 @@
         if ahead and not far:
             cost += NEAR_COPY_AHEAD
         if far and not ahead:
-            cost += FAR_COPY if state.entries <= FULL_MESH else FAR_COPY_UNSEEN
+            cost += FAR_COPY_UNSEEN if state.is_large else FAR_COPY
         cost += waiting
         cost += SLOW_COPY * (USUAL_READ_RATE / target.read_rate - 1.0)
         cost += 0.01 * state.rng.random()
--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -64,7 +64,7 @@
         return False
     if placement.find_engine_pool(state, target.info.service) is None:
         return False
-    if not sources.is_large(state):
+    if not state.is_large:
         return _runs_at(state, target)
     if target.asked_for_at + ASK_PERIOD > now:
         return False
@@ -86,7 +86,7 @@
     pool = placement.find_engine_pool(state, target.info.service)
     if pool is None or state.budget.fresh:
         return False
-    if sources.is_large(state):
+    if state.is_large:
         # Questions of all entries to all engines would grow with the square of
         # the fleet, and there a few engines of dozens hold such copies.
         return False
--- a/figstep/gateway/sources.py
+++ b/figstep/gateway/sources.py
@@ -3,7 +3,6 @@
 import zlib
 
 from figstep.core.clock import Millis
-from figstep.gateway import placement
 from figstep.gateway.effects import Effect, FetchRecords, Note
 from figstep.gateway.events import PeerHeard
 from figstep.gateway.state import Peer, State
@@ -31,11 +30,6 @@
 """Entries that ask one peer for its records at the same time."""
 
 
-def is_large(state: State) -> bool:
-    """Tell whether the fleet is too large for all to hear all."""
-    return state.entries > placement.FULL_MESH
-
-
 def list_heard(state: State, now: Millis) -> dict[str, Peer]:
     """Return the entries of this failure domain that were heard of late."""
     heard = {}
@@ -52,7 +46,7 @@
     and tell the others. One that began and fails goes on, so that it learns when
     the store is back.
     """
-    if not is_large(state) or state.read_failed:
+    if not state.is_large or state.read_failed:
         return True
     well = failing = 0
     for name, peer in list_heard(state, now).items():
@@ -78,7 +72,7 @@
     in an outage for departures, and never ask engines whether they leave.
     """
     away = state.read_failed
-    if is_large(state) and (away or not reads_store(state, now)):
+    if state.is_large and (away or not reads_store(state, now)):
         away = not _hears_reader(state, now)
     if away and not state.store_away:
         state.store_lost_at = now
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -18,6 +18,12 @@
 reach them later than that, while the store is away."""
 
 
+FULL_MESH = 16
+"""Entries up to which all tell all: messages grow with the square of the fleet.
+Above it, entries tell those of their own failure domain, and sums go to the
+others."""
+
+
 @dataclass(slots=True)
 class Attempt:
     """One connection to a target for a request.
@@ -250,6 +256,11 @@
     watched_at: Millis = Millis(0)
     leaving: dict[str, Millis] = field(default_factory=dict)
 
+    @property
+    def is_large(self) -> bool:
+        """Whether the fleet is too large for all to hear all."""
+        return self.entries > FULL_MESH
+
     def list_leaving(self, now: Millis) -> list[str]:
         """Return the targets that told this entry of late that they leave."""
         return [name for name, at in self.leaving.items() if now - at < LEAVING_TOLD]
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -15,7 +15,7 @@
 from figstep.gateway.events import PeerHeard, PeerLoad
 from figstep.gateway.news import LoadNews
 from figstep.gateway.peers import select_changed
-from figstep.gateway.placement import FULL_MESH
+from figstep.gateway.state import FULL_MESH
 from figstep.net.hellos import (
     MOST_COPY_BYTES,
     Hello,
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -39,7 +39,7 @@
     speaks_for_domain,
 )
 from figstep.gateway.places import Evacuations
-from figstep.gateway.sources import is_large, reads_store
+from figstep.gateway.sources import reads_store
 from figstep.gateway.state import State
 from figstep.gateway.targets import Registration
 from figstep.logs import install_bounded_logs
@@ -235,7 +235,7 @@
         known = self.gateway.known
         before = known.evacuations.domains
         self.gateway.dispatch(EvacuationsRead(evacuations))
-        if known.evacuations.domains != before and is_large(known):
+        if known.evacuations.domains != before and known.is_large:
             # Others wait to be told: few entries read the store for all.
             self.link.announce_records()
 
@@ -273,7 +273,7 @@
         for record in records:
             self._recent.append((record.key, record.value or b""))
         self._recent_at = self._clock.now()
-        if is_large(self.gateway.known) and self.reads_store():
+        if self.gateway.known.is_large and self.reads_store():
             self.link.announce_records()
 
     def _read_registration(self, record: KeyedRecord) -> Registration | None:
@@ -288,7 +288,7 @@
         return info
 
     def _choose_rest(self) -> float:
-        return LARGE_REST_SECONDS if is_large(self.gateway.known) else 0.0
+        return LARGE_REST_SECONDS if self.gateway.known.is_large else 0.0
 
     def reads_store(self) -> bool:
         """Tell whether this entry reads the store's records as they come."""
@@ -318,7 +318,7 @@
     def list_recent(self) -> tuple[tuple[str, bytes], ...]:
         """Return the registrations read last, up to the position told."""
         known = self.gateway.known
-        if not is_large(known) or not self.reads_store():
+        if not known.is_large or not self.reads_store():
             return ()
         if self._clock.now() - self._recent_at >= RECENT_FOR:
             return ()
