Keep a target to the rate that it names, all entries together

What was seen: a target in need named a rate of 1 to 2 requests a second in its answers (Server-Limit) and went on to get eight a second from a fleet of eight entries; 35 in four seconds where 14 are allowed.

The class of fault: a word of a target's answer that the gateway's decisions are not given; and behind it, that each entry can only see its own requests, so that reading it entry by entry would not have been enough.

The fix: what an answer names is told to the other entries at once. A rate is split over them into whole requests of a window of four seconds, by the draw that cold targets use; a rate that no entry has heard of for ten seconds passes to others. What the target got before it named the rate uses up the first window, unless it got no more than the rate. Copies of runs don't go to holders that take nothing, and a run goes on at one only within its rate. Where no target opens in time, a call is refused at once in place of waiting.

In a large fleet the shares of failure domains were rounded down each, so that a rate of a few requests gave none to anybody; what is left over is now drawn by domain, for cold targets too.

Ruled out: an expiry of the rate at all entries at once, which would send a herd each time; turns by the clock, which the entries don't share; counts of what each has sent, which arrive later than the requests.

--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -1,7 +1,7 @@
 """Attempts: opening, closing and what they take at their targets."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import placement, warmups
+from figstep.gateway import limits, placement, warmups
 from figstep.gateway.effects import (
     AnnounceTarget,
     CloseAttempt,
@@ -219,6 +219,7 @@
     )
     state.attempts[number] = attempt
     warmups.note_send(target, now)
+    limits.note_send(target, now)
     target.calls += 1
     target.memory += memory
     target.reading += reading
--- a/figstep/gateway/budgets.py
+++ b/figstep/gateway/budgets.py
@@ -98,6 +98,10 @@
         """Count a caller's request for a service."""
         self._trim(service, now).requests.append(now)
 
+    def count_requests(self, service: str, now: Millis) -> int:
+        """Return this entry's requests for a service within the window."""
+        return len(self._trim(service, now).requests)
+
     def can_repeat(
         self, service: str, fleet: FleetUse, now: Millis, urgent: bool = False
     ) -> bool:
--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -1,7 +1,7 @@
 """Copies of running generations, and going on from them when an engine leaves."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import attempts, eligibility, peers, placement
+from figstep.gateway import attempts, eligibility, limits, peers, placement
 from figstep.gateway.effects import (
     CopyRun,
     DropCopy,
@@ -206,6 +206,9 @@
     copy = request.copy
     if copy is None:
         return []
+    holder = state.targets.find(copy.holder)
+    if holder is not None and not limits.may_send(state, holder, now):
+        return []
     if not peers.spend_repeat(state, request.service, now, urgent=True):
         return peers.note_denied(state, request, now)
     return attempts.start_standby(state, request, copy, now)
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -208,10 +208,12 @@
         target: The target.
         rate: Requests a second that it takes from all entries together; None if
             it takes any.
+        asked: When the answered request was sent.
     """
 
     target: str
     rate: float | None
+    asked: Millis
 
 
 # Store and peers
@@ -299,6 +301,26 @@
     outgoing: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class RateReport:
+    """What a target's newest answer to an entry named.
+
+    Attributes:
+        target: The target.
+        born: Unix millisecond of its start; tells incarnations of one id apart.
+        rate: Requests a second that it takes from all entries together; None if
+            it takes any.
+        age: Time since that answer.
+        turn: How often its rate had passed to other entries.
+    """
+
+    target: str
+    born: int
+    rate: float | None
+    age: Millis
+    turn: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class PeerHeard:
     """A message of another entry came.
@@ -325,6 +347,7 @@
             it of.
         evacuations: Failure domains that it takes to be evacuated.
         unreached: Targets that it could not connect to of late.
+        rates: What targets have named in answers to it of late.
     """
 
     node: str
@@ -345,6 +368,7 @@
     refused: tuple[Refusal, ...] = ()
     evacuations: Evacuations = NO_EVACUATIONS
     unreached: tuple[str, ...] = ()
+    rates: tuple[RateReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/limits.py
+++ b/figstep/gateway/limits.py
@@ -1,22 +1,151 @@
-"""Rates that targets name in their answers."""
+"""What a target takes that names a rate in its answers, from all entries together.
 
-from figstep.gateway.effects import Effect, Note
-from figstep.gateway.events import RateNamed
+The load that this answers is a target in need before a fleet of entries. It names its
+rate to those that it answers only, and each of them sees no more than its own requests:
+entries that keep to the rate one by one send it many times over. So entries tell each
+other what a target has named, and split it. A rate may be lower than one request a
+second for each entry, so that whole requests are split over some seconds.
+"""
+
+from figstep.core.clock import Millis
+from figstep.gateway import peers, shares
+from figstep.gateway.effects import Announce, Effect, Note
+from figstep.gateway.events import RateNamed, RateReport
 from figstep.gateway.state import State
-from figstep.gateway.targets import RateLimit
+from figstep.gateway.targets import RateLimit, Target
+
+WINDOW = Millis(4_100)
+"""Time over which a rate is split into whole requests. What was sent four seconds
+apart may arrive a little closer."""
+
+LONGEST_WINDOW = Millis(10_000)
+"""The same for the lowest rates, also for none at all: only an answer tells that a
+target takes more again."""
 
+TURN = Millis(10_000)
+"""Time without any answer of a target after which its rate passes to other entries:
+those that had it may have no callers, and nobody would learn that the need is over."""
 
-def take_rate(state: State, event: RateNamed) -> list[Effect]:
+
+def take_rate(state: State, event: RateNamed, now: Millis) -> list[Effect]:
     """Take in the rate that a target's answer named, or that it named none."""
     target = state.targets.find(event.target)
     if target is None:
         return []
-    known = target.limit or RateLimit()
-    if known.rate == event.rate:
+    limit = target.limit
+    if event.rate is None and (limit is None or event.asked < limit.said_at):
+        # An answer that was under way as the target began to name a rate.
+        return []
+    if limit is None:
+        limit = target.limit = RateLimit()
+    limit.heard_at = now
+    effects = _note_rate(state, target, event.rate, now, now, "itself")
+    return [Announce(), *effects] if effects else []
+
+
+def take_reports(
+    state: State, reports: tuple[RateReport, ...], source: str, now: Millis
+) -> list[Effect]:
+    """Take in what targets have named to another entry."""
+    effects: list[Effect] = []
+    for report in reports:
+        target = state.targets.find(report.target)
+        if target is None or target.info.born != report.born:
+            continue
+        said_at = Millis(now - report.age)
+        if target.limit is None:
+            target.limit = RateLimit()
+        if said_at <= target.limit.said_at:
+            continue
+        effects += _note_rate(state, target, report.rate, said_at, now, source)
+        target.limit.turn = max(target.limit.turn, report.turn)
+    return effects
+
+
+def _note_rate(
+    state: State,
+    target: Target,
+    rate: float | None,
+    said_at: Millis,
+    now: Millis,
+    source: str,
+) -> list[Effect]:
+    limit = target.limit
+    if limit is None:
+        return []
+    before = limit.rate
+    if before is not None:
+        limit.turn += _count_turns(limit, said_at)
+    limit.said_at = said_at
+    limit.rate = rate
+    if rate == before:
         return []
-    note = Note(
-        "target names a rate" if event.rate is not None else "target takes any rate",
-        {"target": target.name, "rate": event.rate, "before": known.rate},
-    )
-    target.limit = RateLimit(event.rate)
-    return [note]
+    if rate is not None and before is None:
+        limit.sends.clear()
+        limit.opens_at = now
+        if _estimate_flow(state, target, now) > rate:
+            # What it got before it named the rate has used up the first window. At
+            # its end the entries must not all begin at once, and go on so.
+            rest = WINDOW * (0.5 + state.rng.random())
+            limit.opens_at = Millis(round(now + rest))
+    message = "target takes any rate" if rate is None else "target names a rate"
+    fields = {"target": target.name, "rate": rate, "before": before, "told_by": source}
+    return [Note(message, fields)]
+
+
+def _estimate_flow(state: State, target: Target, now: Millis) -> float:
+    """Return the requests a second that a target has got, if all got alike."""
+    service = target.info.service
+    fleet = peers.sum_uses(state, service)
+    requests = state.budget.count_requests(service, now) + fleet.requests
+    ready = max(1, len(state.targets.list_ready(service)))
+    return requests / fleet.part / ready * 1_000 / state.budget.window
+
+
+def may_send(state: State, target: Target, now: Millis) -> bool:
+    """Tell whether one more request keeps a target within the rate that it named."""
+    return find_opening(state, target, now) <= now
+
+
+def find_opening(state: State, target: Target, now: Millis) -> Millis:
+    """Return when this entry may send a target a request at the earliest."""
+    limit = target.limit
+    if limit is None or limit.rate is None:
+        return now
+    window, requests = split_rate(limit.rate)
+    turns = _count_turns(limit, now)
+    key = f"{target.name} {limit.turn + turns}"
+    share = shares.share_requests(state, key, requests, now)
+    if share == 0:
+        return Millis(max(limit.opens_at, limit.said_at + (turns + 1) * TURN))
+    _forget_old(limit, window, now)
+    if len(limit.sends) < share:
+        return Millis(max(limit.opens_at, now))
+    return Millis(max(limit.opens_at, limit.sends[-share] + window))
+
+
+def note_send(target: Target, now: Millis) -> None:
+    """Count a request that is sent to a target."""
+    limit = target.limit
+    if limit is None or limit.rate is None:
+        return
+    _forget_old(limit, LONGEST_WINDOW, now)
+    limit.sends.append(now)
+
+
+def _count_turns(limit: RateLimit, now: Millis) -> int:
+    return max(0, now - limit.said_at) // TURN
+
+
+def split_rate(rate: float) -> tuple[Millis, int]:
+    """Return a time, and the whole requests that a rate allows within it."""
+    if rate * WINDOW >= 1_000:
+        return WINDOW, int(rate * WINDOW / 1_000)
+    if rate * LONGEST_WINDOW <= 1_000:
+        return LONGEST_WINDOW, 1
+    return Millis(round(1_000 / rate)), 1
+
+
+def _forget_old(limit: RateLimit, window: Millis, now: Millis) -> None:
+    while limit.sends and now - limit.sends[0] >= window:
+        limit.sends.popleft()
--- a/figstep/gateway/news.py
+++ b/figstep/gateway/news.py
@@ -53,6 +53,14 @@
         return replace(own, loads=changed, partial=True)
 
 
+def forget_ages(own: PeerHeard) -> PeerHeard:
+    """Return a message without the ages of rates, which alone are no news."""
+    if not own.rates:
+        return own
+    rates = tuple(replace(report, age=Millis(0)) for report in own.rates)
+    return replace(own, rates=rates)
+
+
 def _read_rest(own: PeerHeard) -> Hashable:
     """Return what can't wait of a message, apart from its loads.
 
@@ -71,4 +79,5 @@
         own.unreached,
         tuple((use.service, use.repeats) for use in own.uses),
         tuple(refusal.digest for refusal in own.refused),
+        tuple((report.target, report.rate) for report in own.rates),
     )
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -7,7 +7,7 @@
 from figstep.gateway import sources
 from figstep.gateway.budgets import FleetUse
 from figstep.gateway.effects import Count, Effect, Note
-from figstep.gateway.events import PeerHeard, PeerLoad
+from figstep.gateway.events import PeerHeard, PeerLoad, RateReport
 from figstep.gateway.state import DomainLoads, Peer, Request, State
 
 SILENT_AFTER = Millis(3_000)
@@ -46,6 +46,7 @@
         far=event.far,
         reading=event.reading,
         leaving=event.leaving,
+        rates=event.rates,
     )
     if event.far and event.failure_domain == state.failure_domain:
         # It asked for this entry's failure domain before it knew that it shares
@@ -252,6 +253,7 @@
         refused=state.refused.list_told(now),
         evacuations=state.evacuations,
         unreached=tuple(state.list_unreached(now)),
+        rates=tuple(state.list_rates(now)),
     )
 
 
@@ -289,9 +291,22 @@
         unreached=(),
         far=True,
         leaving=tuple(sorted(leaving)),
+        rates=_list_domain_rates(state, now),
     )
 
 
+def _list_domain_rates(state: State, now: Millis) -> tuple[RateReport, ...]:
+    """Return the newest that targets have named to any entry of this domain."""
+    newest = {report.target: report for report in state.list_rates(now)}
+    for peer in state.peers.values():
+        for told in peer.rates:
+            report = replace(told, age=Millis(told.age + now - peer.heard))
+            known = newest.get(report.target)
+            if known is None or report.age < known.age:
+                newest[report.target] = report
+    return tuple(newest.values())
+
+
 def select_changed(
     told: Mapping[str, PeerLoad], loads: Iterable[PeerLoad]
 ) -> tuple[PeerLoad, ...]:
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from figstep.core.clock import Millis
-from figstep.gateway import eligibility, warmups
+from figstep.gateway import eligibility, limits, warmups
 from figstep.gateway.routes import EnginePool
 from figstep.gateway.state import Request, State
 from figstep.gateway.targets import USUAL_READ_RATE, Target
@@ -205,6 +205,8 @@
             reason = "avoided"
         elif not warmups.may_send(state, target, now):
             reason = "cold"
+        elif not limits.may_send(state, target, now):
+            reason = "limited"
         told = f"{reason} {fit.filled:.2f} {fit.reading:.0f} ms"
         found.append(f"{target.name}: {told}")
     return "; ".join(found[:MOST_DESCRIBED])
@@ -256,7 +258,7 @@
             continue
         if was_refused_copy(request, target.name, now, ahead):
             continue
-        if target.avoid_until > now:
+        if target.avoid_until > now or not limits.may_send(state, target, now):
             continue
         cost = (target.memory_load + need) / memory
         if cost > room:
@@ -325,12 +327,27 @@
     return False
 
 
+def has_opening(state: State, request: Request, now: Millis, until: Millis) -> bool:
+    """Tell whether an untried target will take one more request by some time.
+
+    Those that name a rate may be known to take none before.
+    """
+    for target in eligibility.list_eligible(state, request):
+        if target.name in request.tried:
+            continue
+        if limits.find_opening(state, target, now) <= until:
+            return True
+    return False
+
+
 def _list_candidates(state: State, request: Request, now: Millis) -> list[Target]:
     open_now = []
     for target in eligibility.list_eligible(state, request):
         if target.name in request.tried:
             continue
-        if warmups.may_send(state, target, now):
+        if not warmups.may_send(state, target, now):
+            continue
+        if limits.may_send(state, target, now):
             open_now.append(target)
     trusted = [target for target in open_now if target.avoid_until <= now]
     silent = state.targets.find_silent_domains(request.service, now)
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -4,6 +4,7 @@
 from figstep.gateway import (
     attempts,
     eligibility,
+    limits,
     peers,
     placement,
     requests,
@@ -124,6 +125,9 @@
     if holder is None or not eligibility.is_eligible(state, request, holder):
         request.copy = None
         return []
+    if not limits.may_send(state, holder, now):
+        request.copy = None
+        return []
     if not peers.spend_repeat(state, request.service, now, urgent=True):
         return peers.note_denied(state, request, now)
     effects = attempts.start_standby(state, request, copy, now)
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -92,7 +92,7 @@
         case EngineReported():
             return reports.take_report(state, event, now)
         case RateNamed():
-            return limits.take_rate(state, event)
+            return limits.take_rate(state, event, now)
         case ConfigurationRead():
             return _take_configuration(state, event)
         case TargetRegistered(info=info):
@@ -124,6 +124,7 @@
                     state, event.evacuations, event.node, now
                 ),
                 *reports.take_leaving(state, event.leaving, now),
+                *limits.take_reports(state, event.rates, event.node, now),
             ]
         case EntriesCounted(entries=entries):
             state.entries = entries
--- a/figstep/gateway/shares.py
+++ b/figstep/gateway/shares.py
@@ -34,12 +34,23 @@
     others = {*state.peers, *state.missed}
     sharing = 1 + len(others)
     part = min(1.0, sharing / max(1, state.entries))
-    near = int(requests * part)
+    near = _share_domain(state, key, requests * part)
     own = draw(state.node, key)
     before = sum(1 for name in others if draw(name, key) < own)
     return near // sharing + (1 if before < near % sharing else 0)
 
 
+def _share_domain(state: State, key: str, part: float) -> int:
+    """Return the whole requests of this failure domain.
+
+    In a large fleet the entries of other ones aren't heard. What the domains'
+    equal parts leave over is rounded up in some of them, which all draw alike.
+    """
+    own = draw(state.failure_domain, key)
+    before = sum(1 for name in state.far_loads if draw(name, key) < own)
+    return int((before + 1) * part) - int(before * part)
+
+
 def draw(name: str, key: str) -> tuple[int, str]:
     """Return what orders names by chance, in the same way at all entries."""
     return zlib.crc32(f"{name} {key}".encode()), name
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -7,7 +7,7 @@
 from figstep.gateway.budgets import RetryBudget, UseReport
 from figstep.gateway.crashes import CrashTable
 from figstep.gateway.effects import RunCopy
-from figstep.gateway.events import PeerLoad, RoutedRequest
+from figstep.gateway.events import PeerLoad, RateReport, RoutedRequest
 from figstep.gateway.places import NO_EVACUATIONS, Evacuations
 from figstep.gateway.refusals import RefusalTable
 from figstep.gateway.routes import Route, RoutingTable
@@ -24,6 +24,11 @@
 others."""
 
 
+RATES_TOLD = Millis(3_000)
+"""How long others are told what an answer named: several times, as a datagram may
+be lost. Each further answer of the target begins it anew."""
+
+
 @dataclass(slots=True)
 class Attempt:
     """One connection to a target for a request.
@@ -170,6 +175,7 @@
     far: bool = False
     reading: bool = False
     leaving: tuple[str, ...] = ()
+    rates: tuple[RateReport, ...] = ()
 
 
 @dataclass(slots=True)
@@ -265,6 +271,18 @@
         """Return the targets that told this entry of late that they leave."""
         return [name for name, at in self.leaving.items() if now - at < LEAVING_TOLD]
 
+    def list_rates(self, now: Millis) -> list[RateReport]:
+        """Return what targets have named in answers to this entry of late."""
+        reports = []
+        for target in self.targets.targets.values():
+            limit = target.limit
+            if limit is None or now - limit.heard_at >= RATES_TOLD:
+                continue
+            age = Millis(now - limit.heard_at)
+            born = target.info.born
+            reports.append(RateReport(target.name, born, limit.rate, age, limit.turn))
+        return reports
+
     def list_unreached(self, now: Millis) -> list[str]:
         """Return the targets that this entry could not connect to of late."""
         return [
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -93,9 +93,20 @@
     Attributes:
         rate: Requests a second that it takes from all entries together; None if
             its last answer named none any more.
+        opens_at: From when on it may be sent requests within the rate.
+        said_at: When an answer last told so, to any entry.
+        heard_at: When an answer to this entry last did.
+        turn: How often it was silent for so long that its rate passed to other
+            entries.
+        sends: When this entry sent it requests since, oldest first.
     """
 
     rate: float | None = None
+    opens_at: Millis = Millis(0)
+    said_at: Millis = Millis(-1_000_000)
+    heard_at: Millis = Millis(-1_000_000)
+    turn: int = 0
+    sends: deque[Millis] = field(default_factory=deque)
 
 
 @dataclass(slots=True)
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -10,7 +10,7 @@
 from figstep.core.clock import Millis
 from figstep.errors import PeerMessageError
 from figstep.gateway.budgets import UseReport
-from figstep.gateway.events import PeerHeard, PeerLoad
+from figstep.gateway.events import PeerHeard, PeerLoad, RateReport
 from figstep.gateway.places import Evacuations
 from figstep.gateway.refusals import Refusal
 from figstep.net.neighbors import Member
@@ -106,6 +106,11 @@
             use.requests,
             use.repeats,
         )
+    rates = message.init("rates", len(own.rates))
+    for slot, report in zip(rates, own.rates, strict=True):
+        slot.target, slot.born, slot.age = report.target, report.born, report.age
+        slot.named, slot.rate = report.rate is not None, report.rate or 0.0
+        slot.turn = report.turn
     crashes = message.init("crashes", len(own.crashes))
     for slot, (digest, crash) in zip(crashes, own.crashes, strict=True):
         slot.digest, slot.crash = digest, crash
@@ -164,6 +169,16 @@
                 message.evacuatedAt,
             ),
             unreached=tuple(str(name) for name in message.unreached),
+            rates=tuple(
+                RateReport(
+                    str(item.target),
+                    item.born,
+                    item.rate if item.named else None,
+                    Millis(item.age),
+                    item.turn,
+                )
+                for item in message.rates
+            ),
         )
         records = tuple(
             (str(entry.key), bytes(entry.value)) for entry in message.records
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -28,6 +28,7 @@
   evacuated @22 :List(Text); # failure domains that are to get no more work
   evacuatedAt @23 :Int64 = -1; # how far the operator's records were read for them
   unreached @24 :List(Text); # targets that could not be connected to of late
+  rates @25 :List(Rate);     # named of late in answers of targets
 }
 
 struct Refusal {
@@ -57,6 +58,15 @@
   repeats @2 :UInt32;
 }
 
+struct Rate {
+  target @0 :Text;
+  born @1 :Int64;            # Unix millisecond of the target's start
+  named @2 :Bool;            # false: the target takes any rate
+  rate @3 :Float64;          # requests a second from all gateways together
+  age @4 :UInt32;            # milliseconds since the answer
+  turn @5 :UInt32;           # how often the rate had passed to other gateways
+}
+
 struct Crash {
   digest @0 :Text;
   crash @1 :Text;
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -13,7 +13,7 @@
 from figstep.core.clock import Millis
 from figstep.errors import PeerMessageError
 from figstep.gateway.events import PeerHeard, PeerLoad
-from figstep.gateway.news import LoadNews
+from figstep.gateway.news import LoadNews, forget_ages
 from figstep.gateway.peers import select_changed
 from figstep.gateway.state import FULL_MESH
 from figstep.net.hellos import (
@@ -181,7 +181,8 @@
             return True
         if self.is_large:
             return self._news.has_news(own)
-        return own != self._told.content
+        told = self._told.content
+        return told is None or forget_ages(own) != forget_ages(told)
 
     @Service.task
     async def _run_far(self) -> None:
@@ -236,7 +237,7 @@
         else:
             changed = select_changed(self._told_loads, domain.loads)
             domain = replace(domain, loads=changed, partial=True)
-            bare = replace(domain, loads=())
+            bare = forget_ages(replace(domain, loads=()))
             is_known = not changed and bare == self._told_bare
             if is_known and now - self._spoke_at < HELLO_SECONDS:
                 return
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -172,6 +172,7 @@
     ) -> Event:
         assert self._session is not None
         url = URL(f"http://{target.info.address}{exchange.path}", encoded=True)
+        asked = self._clock.now()
         async with self._session.request(
             exchange.method,
             url,
@@ -179,26 +180,28 @@
             headers=self._build_headers(effect, exchange, target),
             allow_redirects=False,
         ) as response:
-            self._take_rate(response, target)
+            self._take_rate(response, target, asked)
             _check_answer(response, exchange)
             if effect.stream and response.status == 200:
                 return await self._read_stream(effect, response)
             return await self._read_answer(effect, response)
 
-    def _take_rate(self, response: aiohttp.ClientResponse, target: Target) -> None:
+    def _take_rate(
+        self, response: aiohttp.ClientResponse, target: Target, asked: Millis
+    ) -> None:
         """Hand on the rate that an answer names, or that it names none any more."""
         if response.status == 421:
             # Another target has the address and speaks of itself.
             return
         text = response.headers.get(names.RATE)
-        if text is None and target.limit is None:
+        if text is None and (target.limit is None or target.limit.rate is None):
             return
         try:
             rate = None if text is None else parse_rate(text)
         except ValueError as error:
             _log.info("no rate", extra={"target": target.name, "error": str(error)})
             return
-        self._dispatch(RateNamed(target.name, rate))
+        self._dispatch(RateNamed(target.name, rate, asked))
 
     def _build_headers(
         self, effect: OpenAttempt, exchange: CallerExchange, target: Target
@@ -279,12 +282,13 @@
         if target is None:
             return
         url = f"http://{target.info.address}/figstep/report"
+        asked = self._clock.now()
         try:
             async with (
                 asyncio.timeout(REPORT_SECONDS),
                 self._session.get(url) as response,
             ):
-                self._take_rate(response, target)
+                self._take_rate(response, target, asked)
                 body = await response.read()
             if response.status != 200:
                 raise ValueError(f"answered {response.status}")
@@ -311,6 +315,7 @@
             "target": holder.info.address,
         }
         url = f"http://{source.info.address}/figstep/kv-move"
+        asked = self._clock.now()
         detail = ""
         handle = ""
         try:
@@ -322,7 +327,7 @@
                     headers={"Content-Type": "application/json"},
                 ) as response,
             ):
-                self._take_rate(response, source)
+                self._take_rate(response, source, asked)
                 body = await response.read()
             detail = f"answered {response.status}"
             if response.status == 200:
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -1,17 +1,329 @@
 """Tests of the rates that targets name in their answers."""
 
-from figstep.gateway.effects import Note
-from figstep.gateway.events import RateNamed
-from tests.gateway.worlds import BOOKINGS, World
+from collections.abc import Sequence
+
+import pytest
+
+from figstep.core.clock import Millis
+from figstep.gateway import limits, peers
+from figstep.gateway.effects import Announce, CopyRun, Note, OpenAttempt, Refuse
+from figstep.gateway.events import (
+    AnswerArrived,
+    RateNamed,
+    RunCopied,
+    TargetDeparted,
+    TargetRegistered,
+    Ticked,
+)
+from figstep.gateway.news import LoadNews
+from figstep.gateway.targets import Registration
+from tests.gateway.worlds import BOOKINGS, World, build_fleet, start_with_backup
+
+DOMAINS = ("muc-a", "muc-b", "nue-a", "aug-a", "rgb-a", "wue-a")
+RATE = 1.9
+WINDOW = Millis(4_000)
+MOST_IN_A_WINDOW = 1.5 * RATE * WINDOW / 1_000 + 5
+"""What a target bears that names a rate, with the slack that it has."""
+
+LEAST_IN_A_WINDOW = RATE * WINDOW / 1_000 / 2
+"""What it should get at least while callers wait for it."""
+
+SETTLED = 3_000
+"""Milliseconds after which a rate binds that a target has begun to name."""
+
+
+def name_rate(world: World, rate: float | None, target: str = "b-1") -> None:
+    """Let an answer that was just asked for name a rate."""
+    world.handle(RateNamed(target, rate, world.clock.now()))
+
+
+def build_world(*names: str) -> World:
+    """Return an entry with plain targets."""
+    world = World()
+    world.register(*names, service=BOOKINGS, slots=6)
+    return world
+
+
+def build_limited_fleet(size: int, domains: Sequence[str]) -> list[World]:
+    """Return entries that hear each other, with one target and its callers."""
+    fleet = build_fleet(size, domains)
+    for world in fleet:
+        world.register("b-1", service=BOOKINGS, slots=6)
+    tell_all(fleet)
+    return fleet
+
+
+def tell_all(fleet: list[World]) -> None:
+    """Let each entry tell the others what it knows."""
+    now = fleet[0].clock.now()
+    speakers: dict[str, World] = {}
+    for world in fleet:
+        speakers.setdefault(world.state.failure_domain, world)
+        message = peers.describe_own(world.state, now)
+        for other in fleet:
+            near = other.state.failure_domain == world.state.failure_domain
+            if other is not world and (near or not world.state.is_large):
+                other.handle(message)
+    if not fleet[0].state.is_large:
+        return
+    for domain, speaker in speakers.items():
+        message = peers.describe_domain(speaker.state, now)
+        for other in fleet:
+            if other.state.failure_domain != domain:
+                other.handle(message)
+
+
+def play_fleet(
+    fleet: list[World], seconds: int, each: int, rate: float | None
+) -> list[Millis]:
+    """Let calls come to all entries; returns when they were sent on.
+
+    Args:
+        fleet: The entries.
+        seconds: For how long.
+        each: Calls a second to each entry.
+        rate: Rate that each answer names.
+    """
+    sent: list[Millis] = []
+    clock = fleet[0].clock
+    for _ in range(seconds * each):
+        for world in fleet:
+            world.arrive("/order/a")
+            sent += answer_opened(world, rate)
+            world.handle(Ticked())
+            sent += answer_opened(world, rate)
+        clock.advance(1_000 // each)
+        tell_all(fleet)
+    return sent
+
+
+def answer_opened(world: World, rate: float | None) -> list[Millis]:
+    """Answer what was just sent; returns when that was."""
+    now = world.clock.now()
+    opened = world.find_all(OpenAttempt)
+    for attempt in opened:
+        name_rate(world, rate)
+        world.handle(AnswerArrived(attempt.attempt, 200))
+    return [now] * len(opened)
+
+
+def count_busiest(sent: list[Millis], since: int) -> int:
+    """Return the most requests of a window that ends after a time."""
+    counts = [0]
+    for end in sent:
+        if end >= since:
+            counts.append(sum(end - WINDOW < at <= end for at in sent))
+    return max(counts)
+
+
+@pytest.mark.parametrize(
+    ("size", "domains"),
+    [(8, DOMAINS[:1]), (8, DOMAINS[:4]), (24, DOMAINS), (73, DOMAINS[:4])],
+)
+def test_a_fleet_keeps_to_the_rate_that_a_target_names(
+    size: int, domains: Sequence[str]
+) -> None:
+    """Guards against entries that each send a target in need its whole rate."""
+    fleet = build_limited_fleet(size, domains)
+    sent = play_fleet(fleet, 1, 1, None)
+    named_at = fleet[0].clock.now()
+    for world in fleet:
+        name_rate(world, RATE)
+    sent += play_fleet(fleet, 17, 2, RATE)
+    busiest = count_busiest(sent, named_at + SETTLED)
+    assert LEAST_IN_A_WINDOW <= busiest <= MOST_IN_A_WINDOW
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_rate_counts_what_came_before_it_was_named(seed: int) -> None:
+    """Guards against a rate that is sent on top of what made the target need it."""
+    fleet = build_limited_fleet(8, DOMAINS[:4])
+    for number, world in enumerate(fleet):
+        world.state.rng.seed(seed * 100 + number)
+    sent = play_fleet(fleet, 12, 1, None)
+    named_at = fleet[0].clock.now()
+    sent += play_fleet(fleet, 17, 1, RATE)
+    assert count_busiest(sent, named_at + SETTLED) <= MOST_IN_A_WINDOW
+
+
+@pytest.mark.parametrize("size", [8, 73])
+def test_what_a_target_named_to_one_entry_reaches_the_others(size: int) -> None:
+    """Guards against entries that send on until the target has told each of them."""
+    fleet = build_limited_fleet(size, DOMAINS[:4])
+    name_rate(fleet[0], RATE)
+    tell_all(fleet)
+    tell_all(fleet)
+    known = [world.state.targets.targets["b-1"].limit for world in fleet]
+    assert [limit.rate for limit in known if limit is not None] == [RATE] * size
+
+
+def test_load_goes_to_targets_that_name_no_rate() -> None:
+    """Guards against calls that wait for a target in need beside others."""
+    world = build_world("b-1", "b-2")
+    name_rate(world, 0.5)
+    chosen = []
+    for _ in range(10):
+        world.arrive("/order/a")
+        chosen.append(world.find(OpenAttempt).target)
+    assert chosen.count("b-1") <= 2
+
+
+def test_a_call_is_refused_at_once_where_no_target_opens_in_time() -> None:
+    """Guards against callers who wait in vain for targets that all name rates."""
+    world = build_world("b-1")
+    for _ in range(40):
+        world.arrive("/order/a")
+    name_rate(world, RATE)
+    world.clock.advance(10)
+    world.arrive("/order/a")
+    problem = world.find(Refuse).problem
+    assert problem.status == 503
+    assert problem.retry_after is not None
+
+
+def test_a_target_that_got_no_more_than_it_names_goes_on() -> None:
+    """Guards against a service that stands still as all its targets name rates."""
+    world = build_world("b-1")
+    name_rate(world, 25.0)
+    world.arrive("/order/a")
+    assert world.find(OpenAttempt).target == "b-1"
+
+
+def test_the_need_ends_with_an_answer_that_names_no_rate() -> None:
+    """Guards against a target that gets little for good after a short need."""
+    world = build_world("b-1")
+    name_rate(world, 0.5)
+    world.clock.advance(1)
+    name_rate(world, None)
+    assert world.find(Announce)
+    for _ in range(10):
+        world.arrive("/order/a")
+        assert world.find(OpenAttempt)
+
+
+def test_an_answer_asked_for_before_the_need_does_not_end_it() -> None:
+    """Guards against answers that overtake each other on their way."""
+    world = build_world("b-1")
+    asked = world.clock.now()
+    world.clock.advance(30)
+    name_rate(world, 0.5)
+    world.clock.advance(1)
+    world.handle(RateNamed("b-1", None, asked))
+    limit = world.state.targets.targets["b-1"].limit
+    assert limit is not None
+    assert limit.rate == 0.5
+
+
+def test_an_older_word_of_a_peer_does_not_bring_the_need_back() -> None:
+    """Guards against an entry that has not heard yet that a need is over."""
+    first, second = build_limited_fleet(2, DOMAINS[:1])
+    name_rate(first, 0.5)
+    first.clock.advance(50)
+    tell_all([first, second])
+    name_rate(second, None)
+    first.clock.advance(50)
+    tell_all([first, second])
+    known = [world.state.targets.targets["b-1"].limit for world in (first, second)]
+    assert [limit.rate for limit in known if limit is not None] == [None, None]
+
+
+@pytest.mark.parametrize("rate", [0.0, 0.05, 0.2, 1.9])
+def test_a_silent_target_passes_to_entries_with_callers(rate: float) -> None:
+    """Guards against a need that never ends as those who may ask have no callers."""
+    fleet = build_limited_fleet(8, DOMAINS[:1])
+    for world in fleet:
+        name_rate(world, rate)
+    busy = fleet[3]
+    for _ in range(400):
+        busy.clock.advance(500)
+        tell_all(fleet)
+        busy.arrive("/order/a")
+        if busy.find_all(OpenAttempt):
+            return
+    pytest.fail("the busy entry never got a turn")
+
+
+def test_a_target_that_starts_again_has_named_nothing() -> None:
+    """Guards against a new process that is spared for the need of the one before."""
+    world = build_world("b-1")
+    for _ in range(60):
+        world.arrive("/order/a")
+    name_rate(world, 0.5)
+    told = peers.describe_own(world.state, world.clock.now())
+    info = Registration("b-1", BOOKINGS, "b-1:80", "muc-a", 6, born=2)
+    world.handle(TargetRegistered(info))
+    other = build_world("b-1")
+    other.handle(TargetRegistered(info))
+    other.handle(told)
+    for one in (world, other):
+        one.arrive("/order/a")
+        assert one.find(OpenAttempt).target == "b-1"
+
+
+def test_a_run_is_not_copied_to_an_engine_that_takes_none() -> None:
+    """Guards against a copy that its holder must not be asked to go on from."""
+    world = World()
+    world.register("e-1", "e-2", "e-3")
+    opened = world.open_plan()
+    world.send_pieces(opened.attempt, 1, 9)
+    others = sorted({"e-1", "e-2", "e-3"} - {opened.target})
+    name_rate(world, 0.0, others[0])
+    limit = world.state.targets.targets[others[0]].limit
+    assert limit is not None
+    limit.opens_at = Millis(world.clock.now() + 60_000)
+    world.handle(TargetDeparted(opened.target))
+    assert world.find(CopyRun).holder == others[1]
+
+
+def test_a_run_goes_on_at_its_holder_once_that_takes_it() -> None:
+    """Guards against a holder in need that gets all runs of an engine that leaves."""
+    world = World()
+    world.register("e-1", "e-2")
+    opened = world.open_plan()
+    world.send_pieces(opened.attempt, 1, 9)
+    world.handle(TargetDeparted(opened.target))
+    order = world.find(CopyRun)
+    name_rate(world, 5.0, order.holder)
+    limit = world.state.targets.targets[order.holder].limit
+    assert limit is not None
+    limit.opens_at = Millis(world.clock.now() + 300)
+    world.handle(RunCopied(order.number, opened.target, order.holder, "h-1"))
+    assert not world.find_all(OpenAttempt)
+    world.clock.advance(320)
+    world.handle(Ticked())
+    assert world.find(OpenAttempt).target == order.holder
+
+
+def test_a_copy_at_a_holder_that_takes_nothing_is_not_used() -> None:
+    """Guards against a broken run that is pressed on a target in need."""
+    world, opened = start_with_backup()
+    name_rate(world, 0.0, opened.backup)
+    limit = world.state.targets.targets[opened.backup].limit
+    assert limit is not None
+    limit.opens_at = Millis(world.clock.now() + 60_000)
+    world.handle(TargetDeparted(opened.target))
+    assert not world.find_all(OpenAttempt)
+
+
+def test_ages_alone_are_no_news() -> None:
+    """Guards against a message each moment while any target names a rate."""
+    world = build_world("b-1")
+    name_rate(world, 1.5)
+    news = LoadNews()
+    first = peers.describe_own(world.state, world.clock.now())
+    news.select(first, world.clock.now())
+    world.clock.advance(200)
+    second = peers.describe_own(world.state, world.clock.now())
+    assert first != second
+    assert not news.has_news(second)
 
 
 def test_a_named_rate_is_logged_once_for_each_change() -> None:
     """Guards against a rate that no log line shows, and against one line an answer."""
-    world = World()
-    world.register("b-1", service=BOOKINGS)
+    world = build_world("b-1")
     told = []
     for rate in (1.5, 1.5, 2.0, None, None):
-        world.handle(RateNamed("b-1", rate))
+        name_rate(world, rate)
         told += [note.fields["rate"] for note in world.find_all(Note)]
     assert told == [1.5, 2.0, None]
 
@@ -19,4 +331,12 @@
 def test_a_rate_of_an_unknown_target_is_passed_over() -> None:
     """Guards against an answer that comes after its target was forgotten."""
     world = World()
-    assert world.handle(RateNamed("b-9", 1.5)) == []
+    assert world.handle(RateNamed("b-9", 1.5, world.clock.now())) == []
+
+
+@pytest.mark.parametrize("rate", [0.0, 0.1, 0.24, 0.25, 1.0, 1.1, 2.5, 40.0])
+def test_a_rate_is_never_exceeded_by_its_split(rate: float) -> None:
+    """Guards against whole requests that add up to more than a fraction allows."""
+    window, requests = limits.split_rate(rate)
+    assert requests >= 1
+    assert requests <= max(1.0, rate * window / 1_000)
--- a/tests/net/test_hellos.py
+++ b/tests/net/test_hellos.py
@@ -7,7 +7,7 @@
 from figstep.core.clock import Millis
 from figstep.errors import PeerMessageError
 from figstep.gateway.budgets import UseReport
-from figstep.gateway.events import PeerHeard, PeerLoad
+from figstep.gateway.events import PeerHeard, PeerLoad, RateReport
 from figstep.gateway.refusals import Refusal
 from figstep.net.hellos import (
     MOST_COPY_BYTES,
@@ -35,6 +35,11 @@
     leaving=("e-2",),
     partial=True,
     refused=(Refusal("digest", Millis(900)),),
+    rates=(
+        RateReport("e-1", 1_783_672_261_103, 1.9, Millis(40), 2),
+        RateReport("e-2", 0, 0.0, Millis(0)),
+        RateReport("e-3", 1, None, Millis(2_900)),
+    ),
 )
 
 
@@ -57,6 +62,7 @@
     assert hello.content.partial
     assert hello.content.refused == OWN.refused
     assert hello.content.leaving == ("e-2",)
+    assert hello.content.rates == OWN.rates
 
 
 def test_a_message_that_was_passed_on_names_its_writer() -> None:
