Only a signed answer ends the rate that a target names

Its answers to an engine's reports and to orders of copies are no answers to requests and named no rate; each lifted the limit at all entries until the next request was answered. An answer without a signature may still name a rate and no longer ends one.

tests/platform/test_limits.py::test_a_report_without_a_rate_does_not_end_the_need failed before.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -194,8 +194,12 @@
             # Another target has the address and speaks of itself.
             return
         text = response.headers.get(names.RATE)
-        if text is None and (target.limit is None or target.limit.rate is None):
-            return
+        if text is None:
+            if target.limit is None or target.limit.rate is None:
+                return
+            if names.SIGNATURE not in response.headers:
+                # Only the answer to a request shows that the need is over.
+                return
         try:
             rate = None if text is None else parse_rate(text)
         except ValueError as error:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -191,6 +191,7 @@
         copies: Runs that another engine has copied here.
         says: Headers that all its answers carry besides.
         arrivals: When the requests came, by the loop's clock.
+        reports: How often it was asked for its state.
     """
 
     name: str
@@ -205,6 +206,7 @@
     copies: set[str] = field(default_factory=set)
     says: dict[str, str] = field(default_factory=dict)
     arrivals: list[float] = field(default_factory=list)
+    reports: int = 0
     peers: dict[str, "FakeTarget"] = field(default_factory=dict)
     runner: web.AppRunner | None = None
 
@@ -212,6 +214,7 @@
         """Listen and register."""
         app = web.Application()
         app.router.add_post("/figstep/kv-move", self._move)
+        app.router.add_get("/figstep/report", self._report)
         app.router.add_route("*", "/{path:.*}", self._answer)
         self.runner, self.address = await start_app(app)
         await self.register(store)
@@ -267,6 +270,10 @@
         await response.write_eof()
         return response
 
+    async def _report(self, request: web.Request) -> web.Response:
+        self.reports += 1
+        return web.Response(body=b'{"state":"ready"}')
+
     async def _move(self, request: web.Request) -> web.Response:
         order = orjson.loads(await request.read())
         holder = self.peers.get(order["target"])
--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -68,3 +68,24 @@
         busiest = count_busiest(target.arrivals, named_at + CONTACT_SECONDS)
     assert busiest <= MOST_IN_A_WINDOW
     assert set(statuses) == {200}
+
+
+async def test_a_report_without_a_rate_does_not_end_the_need() -> None:
+    """Guards against answers to the entry's own questions that name no rate."""
+    async with open_place() as place:
+        target = await place.add_target("i-e1", "engines")
+        entry = await place.add_entry()
+        await place.wait_ready(entry, 1)
+        target.says = {"Server-Limit": "1.5"}
+        headers = place.headers("r-1", Model="m", Token_Count="30,20")
+        async with place.session.post(place.url("/plan/a"), headers=headers) as got:
+            await got.read()
+        known = entry.gateway.known.targets.targets["i-e1"]
+        assert known.limit is not None
+        assert known.limit.rate == 1.5
+        entry.targets.read_report("i-e1")
+        async with asyncio.timeout(3):
+            while not target.reports:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        assert known.limit.rate == 1.5
