Let targets of the soak name rates, and check what they get

Targets now name one for some seconds, and each window of their arrivals is checked, without the entries that were struck meanwhile.

--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -20,11 +20,11 @@
 
 
 async def play_seed(
-    seed: int, folder: Path, entries: int = 3, engines: int = 5
+    seed: int, folder: Path, entries: int = 3, engines: int = 5, words: bool = True
 ) -> tuple[Record, list[Breach]]:
     """Play one seed; return what was seen and the promises that were broken."""
     site = Site(seed, folder, entries, engines)
-    await site.play(draw_plan(seed, entries, SECONDS), SECONDS)
+    await site.play(draw_plan(seed, entries, SECONDS, words), SECONDS)
     return site.record, check_promises(site.record)
 
 
@@ -95,6 +95,9 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--engines", type=int, default=5)
     parser.add_argument("--seed", type=int, default=None, help="play only this one")
+    parser.add_argument(
+        "--silent", action="store_true", help="targets say nothing in their answers"
+    )
     parser.add_argument("--folder", type=Path, default=None)
     arguments = parser.parse_args()
     # Callers that leave and engines that die end the stand-ins' handlers.
@@ -102,7 +105,11 @@
     if arguments.seed is not None:
         folder = arguments.folder or Path(tempfile.mkdtemp(prefix="faults-"))
         playing = play_seed(
-            arguments.seed, folder, arguments.entries, arguments.engines
+            arguments.seed,
+            folder,
+            arguments.entries,
+            arguments.engines,
+            not arguments.silent,
         )
         record, breaches = asyncio.run(playing)
         for breach in breaches:
--- a/tests/faults/plans.py
+++ b/tests/faults/plans.py
@@ -10,6 +10,13 @@
 """Seconds that a fault lasts, shortest and longest."""
 
 
+WORD_LASTING = (5.0, 9.0)
+"""Seconds for which a target says something in its answers."""
+
+RATES = (0.5, 1.0, 2.0, 4.0)
+"""Requests a second that targets name."""
+
+
 @dataclass(frozen=True, slots=True)
 class StrikeEntry:
     """Do something to one entry's process.
@@ -76,6 +83,21 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class NameRate:
+    """Let a target name the requests a second that it takes in all its answers.
+
+    Attributes:
+        number: Number of the target, taken modulo what there is.
+        rate: Requests a second.
+        seconds: How long it names it.
+    """
+
+    number: int
+    rate: float
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class Configure:
     """Write a new version of the configuration.
@@ -87,7 +109,15 @@
     how: str
 
 
-Fault = StrikeEntry | KillAll | StrikeLink | StrikeStore | StrikeTarget | Configure
+Fault = (
+    StrikeEntry
+    | KillAll
+    | StrikeLink
+    | StrikeStore
+    | StrikeTarget
+    | NameRate
+    | Configure
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,10 +128,19 @@
     fault: Fault
 
 
-def draw_plan(seed: int, entries: int, seconds: float) -> list[Step]:
+def draw_plan(
+    seed: int, entries: int, seconds: float, words: bool = True
+) -> list[Step]:
     """Return the steps of one run; the same seed gives the same plan.
 
     Faults of one kind may come in series, and all may overlap.
+
+    Args:
+        seed: Draws the plan.
+        entries: Entries that there are.
+        seconds: Length of the part in which faults come.
+        words: Whether targets say things of themselves in their answers. These
+            steps are drawn apart: without them a plan stays as it was before.
     """
     rng = random.Random(seed)
     steps = []
@@ -112,10 +151,21 @@
         if rng.random() < 0.25:
             again = min(seconds, at + rng.uniform(0.1, 2.0))
             steps.append(Step(again, fault))
+    if words:
+        steps += _draw_words(random.Random(f"{seed} words"), seconds)
     steps.sort(key=lambda step: step.at)
     return steps
 
 
+def _draw_words(rng: random.Random, seconds: float) -> list[Step]:
+    steps = []
+    for _ in range(rng.randint(1, 3)):
+        lasting = round(rng.uniform(*WORD_LASTING), 2)
+        fault = NameRate(rng.randrange(100), rng.choice(RATES), lasting)
+        steps.append(Step(rng.uniform(QUIET_BEFORE, seconds / 2), fault))
+    return steps
+
+
 def _draw_fault(rng: random.Random, entries: int) -> Fault:
     lasting = round(rng.uniform(*LASTING), 2)
     draw = rng.random()
--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tests.faults.records import EVENTS, STREAMS, Attempt, Kind, Record, Run
+from tests.faults.records import EVENTS, STREAMS, Attempt, Kind, NamedRate, Record, Run
 
 CONTACT = 3.0
 """Seconds without disturbance after which bounds on time hold again."""
@@ -28,6 +28,14 @@
 RETRY_EXTRA = 20
 """The fleet's retry budget, as the entries' settings say it."""
 
+RATE_WINDOW = 4.0
+RATE_RATIO = 1.5
+RATE_EXTRA = 5
+"""What a target gets that names a rate: in a window, so much of it, and more."""
+
+TOLD = 0.5
+"""Seconds after an answer that named a rate from which its entry counts."""
+
 SLACK = 0.4
 """Seconds that a busy machine of eight cores may add to any of these: entries,
 callers and targets share it, and timers there fire late."""
@@ -252,6 +260,47 @@
     return worst
 
 
+def _check_rates(record: Record) -> list[Breach]:
+    entries = {attempt.id: attempt.entry for attempt in record.attempts}
+    breaches = []
+    for span in record.rates:
+        told = _list_told(record, span, entries)
+        reached = [
+            (at, entries[request])
+            for at, target, request in record.reached
+            if target == span.target and request in entries
+        ]
+        for end, _ in reached:
+            if end < span.start + CONTACT or end > (span.end or end):
+                continue
+            if not record.is_target_calm(span.target, end - CONTACT, end):
+                continue
+            count = 0
+            for at, entry in reached:
+                counts = end - RATE_WINDOW < at <= end and entry in told
+                if counts and told[entry] <= end - TOLD:
+                    count += record.is_entry_calm(entry, span.start, end)
+            if count > RATE_RATIO * RATE_WINDOW * span.rate + RATE_EXTRA:
+                what = f"{span.target} got {count} at {span.rate} a second"
+                breaches.append(Breach("rate", what))
+                break
+    return breaches
+
+
+def _list_told(
+    record: Record, span: NamedRate, entries: dict[str, int]
+) -> dict[int, float]:
+    """Return when each entry first got an answer that named a rate."""
+    told: dict[int, float] = {}
+    for run in record.runs:
+        if run.target != span.target or run.ended is None or run.request not in entries:
+            continue
+        if run.began >= span.start and run.whole:
+            entry = entries[run.request]
+            told[entry] = min(told.get(entry, run.ended), run.ended)
+    return told
+
+
 def _check_recovery(record: Record) -> list[Breach]:
     late = [one for one in record.attempts if one.sent >= record.calm_from]
     late = [one for one in late if not one.left and "key-1" == one.key]
@@ -276,5 +325,6 @@
 _RECORD_CHECKS: tuple[Callable[[Record], list[Breach]], ...] = (
     _check_stops,
     _check_budget,
+    _check_rates,
     _check_recovery,
 )
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -138,6 +138,23 @@
     end: float | None = None
 
 
+@dataclass(slots=True)
+class NamedRate:
+    """A span in which a target named a rate in its answers.
+
+    Attributes:
+        target: Name of the target.
+        rate: Requests a second.
+        start: When it began.
+        end: When it ended; None while it lasts.
+    """
+
+    target: str
+    rate: float
+    start: float
+    end: float | None = None
+
+
 @dataclass(slots=True)
 class Record:
     """Everything that was seen in one run of the soak.
@@ -151,6 +168,8 @@
         disturbances: What was done.
         arrivals: Requests as they came to targets, refused ones included: time,
             service and id.
+        reached: The same with the name of the target: time, target and id.
+        rates: Spans in which targets named rates.
         calm_from: When all faults had been lifted for good.
     """
 
@@ -161,6 +180,8 @@
     stops: list[Stop] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
     arrivals: list[tuple[float, str, str]] = field(default_factory=list)
+    reached: list[tuple[float, str, str]] = field(default_factory=list)
+    rates: list[NamedRate] = field(default_factory=list)
     calm_from: float = 0.0
 
     def begin(
@@ -180,6 +201,15 @@
                 return False
         return True
 
+    def is_entry_calm(self, entry: int, start: float, end: float) -> bool:
+        """Tell whether nothing was done to an entry itself in a span."""
+        for one in self.disturbances:
+            if one.target or one.entry != entry:
+                continue
+            if one.start <= end and (one.end is None or one.end >= start):
+                return False
+        return True
+
     def is_target_calm(self, target: str, start: float, end: float) -> bool:
         """Tell whether nothing was done to a target in a span."""
         for one in self.disturbances:
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -17,6 +17,7 @@
     Configure,
     Fault,
     KillAll,
+    NameRate,
     Step,
     StrikeEntry,
     StrikeLink,
@@ -24,7 +25,7 @@
     StrikeTarget,
 )
 from tests.faults.promises import RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW
-from tests.faults.records import Record, Stop, Version, read_clock
+from tests.faults.records import NamedRate, Record, Stop, Version, read_clock
 from tests.faults.targets import SoakTarget
 from tests.platform.standins import FakeStore, build_configuration, find_free_port
 from tests.processes import ROOT
@@ -315,6 +316,8 @@
                 await self._strike_store(how, seconds)
             case StrikeTarget():
                 await self._strike_target(fault)
+            case NameRate():
+                await self._name_rate(fault)
             case Configure(how=how):
                 self._change_configuration(how)
                 await self._configure()
@@ -424,6 +427,15 @@
         target.grey, target.mute, target.full = 0.0, False, False
         span.end = read_clock()
 
+    async def _name_rate(self, fault: NameRate) -> None:
+        target = self._targets[fault.number % len(self._targets)]
+        span = NamedRate(target.name, fault.rate, read_clock())
+        self.record.rates.append(span)
+        target.rates.append(fault.rate)
+        await asyncio.sleep(fault.seconds)
+        target.rates.remove(fault.rate)
+        span.end = read_clock()
+
     async def _replace(self, target: SoakTarget, how: str) -> None:
         self.record.departures[target.name] = float("inf")
         await self._add_target(target.service)
--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -36,6 +36,7 @@
         grey: Part of its calls that fail.
         mute: Whether it runs calls and never answers.
         full: Whether it turns calls away as not run.
+        rates: Rates that it names now; its answers tell the lowest.
         copies: Generations that it holds copies of, by request.
         running: Runs that are open, by request.
     """
@@ -48,6 +49,7 @@
     grey: float = 0.0
     mute: bool = False
     full: bool = False
+    rates: list[float] = field(default_factory=list)
     copies: dict[str, str] = field(default_factory=dict)
     running: dict[str, Run] = field(default_factory=dict)
     proxy: TcpProxy | None = None
@@ -93,6 +95,7 @@
             return web.Response(status=421)
         body = await request.read()
         self.record.arrivals.append((read_clock(), self.service, number))
+        self.record.reached.append((read_clock(), self.name, number))
         copy = None
         if "Kv-From" in request.headers:
             copy = self.copies.pop(number, None)
@@ -114,6 +117,7 @@
 
     def _refuse(self, number: str) -> web.Response:
         headers = {"Request-Id": number, "Not-Executed": "1", "Retry-After": "0.1"}
+        headers.update(self._speak())
         return web.Response(status=503, headers=headers)
 
     def _begin(self, request: web.Request, copy: str | None) -> Run:
@@ -133,7 +137,11 @@
         return run
 
     def _sign(self, number: str) -> dict[str, str]:
-        return {"Request-Id": number, "Server-Stamp": f"stamp-{self.name}"}
+        stamp = f"stamp-{self.name}"
+        return {"Request-Id": number, "Server-Stamp": stamp, **self._speak()}
+
+    def _speak(self) -> dict[str, str]:
+        return {"Server-Limit": str(min(self.rates))} if self.rates else {}
 
     async def _call(self, request: web.Request, run: Run, body: bytes) -> web.Response:
         await asyncio.sleep(CALL_SECONDS * (1 + self.rng.random()))
--- a/tests/faults/test_plans.py
+++ b/tests/faults/test_plans.py
@@ -8,6 +8,15 @@
     assert draw_plan(7, 3, 10.0) != draw_plan(8, 3, 10.0)
 
 
+def test_a_plan_without_words_is_part_of_the_one_with_them() -> None:
+    """Guards against seeds that showed a fault and play otherwise later."""
+    for seed in range(50):
+        silent = draw_plan(seed, 3, 10.0, words=False)
+        spoken = draw_plan(seed, 3, 10.0)
+        assert [step for step in spoken if step in silent] == silent
+        assert len(spoken) > len(silent)
+
+
 def test_steps_come_in_order_and_in_time() -> None:
     for seed in range(50):
         times = [step.at for step in draw_plan(seed, 3, 10.0)]
--- a/tests/faults/test_promises.py
+++ b/tests/faults/test_promises.py
@@ -8,6 +8,7 @@
     Attempt,
     Disturbance,
     Kind,
+    NamedRate,
     Record,
     Run,
     Stop,
@@ -161,6 +162,25 @@
     assert list_promises(record) == {"budget"}
 
 
+def build_limited_record(requests: int) -> Record:
+    """Return a record of a target that names a rate of 1 and gets requests."""
+    record, _, _ = build_record()
+    record.rates.append(NamedRate("i-1", 1.0, START - 1, START + 20))
+    record.reached += [(START + 4 + i / 10, "i-1", "r1") for i in range(requests)]
+    return record
+
+
+def test_a_target_that_gets_more_than_its_rate_is_found() -> None:
+    assert list_promises(build_limited_record(12)) == {"rate"}
+    assert list_promises(build_limited_record(11)) == set()
+
+
+def test_an_entry_that_was_frozen_may_exceed_a_rate() -> None:
+    record = build_limited_record(12)
+    record.disturbances.append(Disturbance("freeze", 0, "", START + 1, START + 2))
+    assert list_promises(record) == set()
+
+
 def test_callers_that_are_not_served_in_the_end_are_found() -> None:
     record, attempt, _ = build_record()
     record.runs.clear()
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -13,6 +13,13 @@
 on over the same connection, which no network does; the entry had delivered all 80.
 """
 
+SPEAKING_SEEDS = [8381831, 8381837]
+"""The same, with targets that say things of themselves in their answers.
+
+8381831, 8381837: an answer to an engine's report, or to the order of a copy, named no
+rate and ended the one that the engine's answers to requests had named.
+"""
+
 
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_promises_hold_under_faults(seed: int, tmp_path: Path) -> None:
@@ -22,6 +29,16 @@
     and crash, and the store goes away, as the seed draws it. Every promise is
     checked on what callers and targets saw.
     """
+    record, breaches = await play_seed(seed, tmp_path, words=False)
+    assert breaches == []
+    assert sum(attempt.status == 200 for attempt in record.attempts) > 50
+
+
+@pytest.mark.parametrize("seed", SPEAKING_SEEDS)
+async def test_promises_hold_as_targets_speak_of_themselves(
+    seed: int, tmp_path: Path
+) -> None:
+    """Guards against entries that don't act on what answers of targets say."""
     record, breaches = await play_seed(seed, tmp_path)
     assert breaches == []
     assert sum(attempt.status == 200 for attempt in record.attempts) > 50
