Log that a target's answer says that it leaves

Nothing of an entry's lines told whether an answer had said that its target leaves (Server-Leaving), so that an entry that ignores it could not be told from one that never got it. The edge now hands on what an answer says, and the gateway writes one line for each target. No choice depends on it yet.

--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -200,6 +200,13 @@
     memory: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLeaving:
+    """A target's answer said that the target leaves."""
+
+    target: str
+
+
 @dataclass(frozen=True, slots=True)
 class RateNamed:
     """A target's answer named the rate that it takes, or no longer names one.
@@ -421,6 +428,7 @@
     | RunCopied
     | RunNotCopied
     | EngineReported
+    | TargetLeaving
     | RateNamed
     | ConfigurationRead
     | TargetRegistered
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -3,6 +3,7 @@
 from figstep.core.clock import Millis
 from figstep.gateway import (
     copies,
+    departures,
     eligibility,
     evacuations,
     limits,
@@ -37,6 +38,7 @@
     StreamEnded,
     StreamOpened,
     TargetDeparted,
+    TargetLeaving,
     TargetRegistered,
     TargetsListed,
     Ticked,
@@ -91,6 +93,8 @@
             return copies.note_not_copied(state, event, now)
         case EngineReported():
             return reports.take_report(state, event, now)
+        case TargetLeaving():
+            return departures.take_word(state, event)
         case RateNamed():
             return limits.take_rate(state, event, now)
         case ConfigurationRead():
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -149,6 +149,7 @@
         told_unreached: When other entries last told that they could not connect
             to it, by entry.
         limit: Rate that it has named in its answers; None if it never did.
+        said_leaving: Whether an answer of it said that it leaves.
     """
 
     info: Registration
@@ -184,6 +185,7 @@
     answered_at: Millis = Millis(-1_000_000)
     told_unreached: dict[str, Millis] = field(default_factory=dict)
     limit: RateLimit | None = None
+    said_leaving: bool = False
 
     @property
     def name(self) -> str:
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -29,6 +29,7 @@
     StreamEnded,
     StreamOpened,
     StreamPiece,
+    TargetLeaving,
 )
 from figstep.gateway.targets import Target
 from figstep.net.connectors import ResetAwareConnector
@@ -180,19 +181,26 @@
             headers=self._build_headers(effect, exchange, target),
             allow_redirects=False,
         ) as response:
-            self._take_rate(response, target, asked)
+            self._take_words(response, target, asked)
             _check_answer(response, exchange)
             if effect.stream and response.status == 200:
                 return await self._read_stream(effect, response)
             return await self._read_answer(effect, response)
 
-    def _take_rate(
+    def _take_words(
         self, response: aiohttp.ClientResponse, target: Target, asked: Millis
     ) -> None:
-        """Hand on the rate that an answer names, or that it names none any more."""
+        """Hand on what an answer says of the target itself."""
         if response.status == 421:
             # Another target has the address and speaks of itself.
             return
+        if names.LEAVING in response.headers and not target.said_leaving:
+            self._dispatch(TargetLeaving(target.name))
+        self._take_rate(response, target, asked)
+
+    def _take_rate(
+        self, response: aiohttp.ClientResponse, target: Target, asked: Millis
+    ) -> None:
         text = response.headers.get(names.RATE)
         if text is None:
             if target.limit is None or target.limit.rate is None:
@@ -292,7 +300,7 @@
                 asyncio.timeout(REPORT_SECONDS),
                 self._session.get(url) as response,
             ):
-                self._take_rate(response, target, asked)
+                self._take_words(response, target, asked)
                 body = await response.read()
             if response.status != 200:
                 raise ValueError(f"answered {response.status}")
@@ -331,7 +339,7 @@
                     headers={"Content-Type": "application/json"},
                 ) as response,
             ):
-                self._take_rate(response, source, asked)
+                self._take_words(response, source, asked)
                 body = await response.read()
             detail = f"answered {response.status}"
             if response.status == 200:
--- a/figstep/platform/names.py
+++ b/figstep/platform/names.py
@@ -8,6 +8,7 @@
 EXPECTED_TARGET = "Expect-Instance"
 NOT_RUN = "Not-Executed"
 RETRY_AFTER = "Retry-After"
+LEAVING = "Server-Leaving"  # the target takes no new work
 RATE = "Server-Limit"  # requests a second that the target takes from all callers
 LAST_EVENT = "Last-Event-Id"
 MODEL = "Model"
