--- a/tests/platform/places.py
+++ b/tests/platform/places.py
@@ -83,3 +83,35 @@
     headers = place.headers(number)
     async with place.session.post(place.url("/order/a", entry), headers=headers) as got:
         return got.status
+
+
+async def add_fleet(place: Place, entries: int, targets: int) -> None:
+    """Add plain targets, and entries that know each other."""
+    for number in range(1, targets + 1):
+        await place.add_target(f"i-b{number}", "bookings")
+    seeds: list[object] = []
+    for number in range(entries):
+        entry = await place.add_entry(node=f"entry-{number}", seeds=tuple(seeds))
+        seeds.append(entry.settings.peers)
+        await place.wait_ready(entry, targets)
+    async with asyncio.timeout(5):
+        while any(entry.gateway.known.entries < entries for entry in place.entries):
+            await asyncio.sleep(0.01)
+
+
+async def call_for(place: Place, entry: Entry, name: str, seconds: float) -> list[int]:
+    """Send ten calls a second to an entry; returns their statuses."""
+    calls = []
+    for number in range(round(seconds * 10)):
+        calls.append(asyncio.create_task(ask_order(place, entry, f"{name}-{number}")))
+        await asyncio.sleep(0.1)
+    return await asyncio.gather(*calls)
+
+
+async def call_all_for(place: Place, name: str, seconds: float) -> list[int]:
+    """Send ten calls a second to each entry; returns their statuses."""
+    work = [
+        call_for(place, entry, f"{name}-{number}", seconds)
+        for number, entry in enumerate(place.entries)
+    ]
+    return [status for statuses in await asyncio.gather(*work) for status in statuses]
--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from figstep.platform.entry import Entry
-from tests.platform.places import Place, ask_order, open_place
+from tests.platform.places import add_fleet, call_all_for, open_place
 
 ENTRIES = 4
+TARGETS = 3
 LIMITED = "i-b1"
 RATE = 1.0
 
@@ -15,38 +15,6 @@
 """What a target that names a rate bears, from CONTACT_SECONDS after it did so."""
 
 
-async def add_fleet(place: Place) -> None:
-    """Add targets and entries that know each other."""
-    for number in range(1, 4):
-        await place.add_target(f"i-b{number}", "bookings")
-    seeds: list[object] = []
-    for number in range(ENTRIES):
-        entry = await place.add_entry(node=f"entry-{number}", seeds=tuple(seeds))
-        seeds.append(entry.settings.peers)
-        await place.wait_ready(entry, 3)
-    async with asyncio.timeout(5):
-        while any(entry.gateway.known.entries < ENTRIES for entry in place.entries):
-            await asyncio.sleep(0.01)
-
-
-async def call_for(place: Place, entry: Entry, name: str, seconds: float) -> list[int]:
-    """Send ten calls a second to an entry; returns their statuses."""
-    calls = []
-    for number in range(round(seconds * 10)):
-        calls.append(asyncio.create_task(ask_order(place, entry, f"{name}-{number}")))
-        await asyncio.sleep(0.1)
-    return await asyncio.gather(*calls)
-
-
-async def call_all_for(place: Place, name: str, seconds: float) -> list[int]:
-    """Send ten calls a second to each entry; returns their statuses."""
-    work = [
-        call_for(place, entry, f"{name}-{number}", seconds)
-        for number, entry in enumerate(place.entries)
-    ]
-    return [status for statuses in await asyncio.gather(*work) for status in statuses]
-
-
 def count_busiest(arrivals: list[float], since: float) -> int:
     """Return the most arrivals of a window that ends after a time."""
     counts = [0]
@@ -59,7 +27,7 @@
 async def test_a_target_in_need_gets_no_more_than_the_rate_that_it_names() -> None:
     """Guards against entries that go on as if a target had named no rate."""
     async with open_place() as place:
-        await add_fleet(place)
+        await add_fleet(place, ENTRIES, TARGETS)
         await call_all_for(place, "before", 1.0)
         target = place.targets[LIMITED]
         target.says = {"Server-Limit": str(RATE)}
