Keep to a target's own word that it leaves

What was seen: a target said in all its answers that it leaves (Server-Leaving), and requests of callers reached it up to fourteen seconds later from entries that had passed such answers on; two seconds are allowed.

Cause: two ways led to a departure, the store's record and an engine's own report. The store was away and plain services give no reports; the header passed through to the caller unread. The class of fault is that of the rate: a word of a target's answer that decisions are not given. Looked for elsewhere, the same held for the word of a report in a weaker form: it was kept for ten seconds, by name alone, so that a registration from before brought the engine back after that, and a process that started again under the same id was shunned for the word of the one before.

The fix: an answer and a report lead to the same word. It names the life of the target, id and start, is told to the other entries at once, and is remembered for ten minutes, longer than an outage lasts; registrations of that life are passed over and those of a later one are not. Messages carry lives in place of names, in a field of their own.

Ruled out: that entries knew and an old registration made the target ready again, or that they took the word for a lapse; both would have left a line.

tests/gateway/test_sources.py names a life where it named a target; what it checks is as before.

--- a/figstep/gateway/departures.py
+++ b/figstep/gateway/departures.py
@@ -1,18 +1,65 @@
-"""Targets that say in their answers that they leave."""
+"""Targets that have said that they leave.
 
-from figstep.gateway.effects import Effect, Note
-from figstep.gateway.events import TargetLeaving
-from figstep.gateway.state import State
+The load that this answers is a fleet that can't read the store while targets leave:
+their registrations stay as they were, and only the targets themselves know. What one
+has told any entry holds for all of them, and for good: registrations from before are
+read again and again, from the store as it comes back and from copies of other entries.
+"""
 
+from collections.abc import Iterable
 
-def take_word(state: State, event: TargetLeaving) -> list[Effect]:
-    """Take in that a target's answer said that the target leaves."""
-    target = state.targets.find(event.target)
+from figstep.core.clock import Millis
+from figstep.gateway import copies
+from figstep.gateway.effects import Announce, Effect, Note
+from figstep.gateway.state import LEAVING_KEPT, Departure, State
+from figstep.gateway.targets import Incarnation, Registration, Standing, Target
+
+
+def take_word(state: State, name: str, now: Millis) -> list[Effect]:
+    """Take in that a target has told this entry that it leaves."""
+    target = state.targets.find(name)
     if target is None or target.said_leaving:
         return []
     target.said_leaving = True
-    note = Note(
-        "target says that it leaves",
-        {"target": target.name, "standing": target.standing.value},
-    )
-    return [note]
+    state.departures[target.info.incarnation] = Departure(now, own=True)
+    effects = _note_leaving(state, target, "itself", now)
+    return [Announce(), *effects] if effects else []
+
+
+def take_words(
+    state: State, leaving: Iterable[Incarnation], source: str, now: Millis
+) -> list[Effect]:
+    """Take in which targets have told another entry that they leave."""
+    effects: list[Effect] = []
+    for incarnation in leaving:
+        state.departures.setdefault(incarnation, Departure(now, own=False))
+        target = state.targets.find(incarnation.target)
+        if target is not None and target.info.incarnation == incarnation:
+            effects += _note_leaving(state, target, source, now)
+    return effects
+
+
+def _note_leaving(
+    state: State, target: Target, source: str, now: Millis
+) -> list[Effect]:
+    if target.standing is not Standing.READY:
+        return []
+    state.targets.note_departure(target.name, now)
+    fields: dict[str, str | int | float | None] = {
+        "target": target.name,
+        "told_by": source,
+    }
+    note = Note("target says that it leaves", fields)
+    return [note, *copies.evacuate_streams(state, now)]
+
+
+def has_left(state: State, info: Registration) -> bool:
+    """Tell whether a registration is of a target that has said that it leaves."""
+    return info.incarnation in state.departures
+
+
+def forget_old(state: State, now: Millis) -> None:
+    """Drop words of which no record can be read any more."""
+    for incarnation, departure in list(state.departures.items()):
+        if now - departure.at >= LEAVING_KEPT:
+            del state.departures[incarnation]
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -9,7 +9,7 @@
 from figstep.gateway.prompts import Prompt
 from figstep.gateway.refusals import Refusal
 from figstep.gateway.routes import RoutingTable
-from figstep.gateway.targets import Registration
+from figstep.gateway.targets import Incarnation, Registration
 
 
 @dataclass(frozen=True, slots=True)
@@ -370,7 +370,7 @@
     far: bool = False
     store_well: bool = True
     reading: bool = False
-    leaving: tuple[str, ...] = ()
+    leaving: tuple[Incarnation, ...] = ()
     partial: bool = False
     refused: tuple[Refusal, ...] = ()
     evacuations: Evacuations = NO_EVACUATIONS
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -44,7 +44,7 @@
     Ticked,
 )
 from figstep.gateway.state import State
-from figstep.gateway.targets import Registration, Standing, Target, is_new_incarnation
+from figstep.gateway.targets import Registration, Standing
 
 DEPARTED_KEPT = Millis(30_000)
 """How long a departed target is remembered: a lapsed registration comes back
@@ -93,8 +93,8 @@
             return copies.note_not_copied(state, event, now)
         case EngineReported():
             return reports.take_report(state, event, now)
-        case TargetLeaving():
-            return departures.take_word(state, event)
+        case TargetLeaving(target=target):
+            return departures.take_word(state, target, now)
         case RateNamed():
             return limits.take_rate(state, event, now)
         case ConfigurationRead():
@@ -127,7 +127,7 @@
                 *evacuations.take_evacuations(
                     state, event.evacuations, event.node, now
                 ),
-                *reports.take_leaving(state, event.leaving, now),
+                *departures.take_words(state, event.leaving, event.node, now),
                 *limits.take_reports(state, event.rates, event.node, now),
             ]
         case EntriesCounted(entries=entries):
@@ -164,7 +164,7 @@
 def _note_registration(state: State, info: Registration, now: Millis) -> list[Effect]:
     before = state.targets.find(info.target)
     standing = None if before is None else before.standing
-    if before is not None and _is_overtaken(state, before, info, now):
+    if departures.has_left(state, info):
         return []
     target = state.targets.note_registration(info, now)
     target.evacuated = info.failure_domain in state.evacuations.domains
@@ -185,13 +185,6 @@
     return [note]
 
 
-def _is_overtaken(state: State, known: Target, info: Registration, now: Millis) -> bool:
-    """Tell whether a target has said that it leaves since it was registered."""
-    if known.standing is not Standing.LEAVING or is_new_incarnation(known.info, info):
-        return False
-    return state.knows_leaving(info.target, now)
-
-
 def _take_departure(state: State, event: TargetDeparted, now: Millis) -> list[Effect]:
     target = state.targets.find(event.target)
     if target is None or target.standing is not Standing.READY:
@@ -256,6 +249,7 @@
     sources.watch_store(state, now)
     effects += sources.catch_up(state, now)
     state.targets.forget_departed(now, DEPARTED_KEPT)
+    departures.forget_old(state, now)
     state.crashes.forget_old(now)
     state.refused.forget_old(now)
     return effects
--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -1,11 +1,11 @@
 """What engines say of themselves when they are asked."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import copies, placement, shares, sources
-from figstep.gateway.effects import Announce, Effect, Note, ReadReport
+from figstep.gateway import departures, placement, shares, sources
+from figstep.gateway.effects import Effect, ReadReport
 from figstep.gateway.events import EngineReported
 from figstep.gateway.state import State
-from figstep.gateway.targets import Standing, Target
+from figstep.gateway.targets import Target
 
 ASK_PERIOD = Millis(400)
 """How often an engine is asked: its state is half a second old, and it is gone
@@ -100,26 +100,9 @@
         return []
     if event.memory is not None:
         _count_unclaimed(target, event.memory, now)
-    if not event.leaving or target.standing is not Standing.READY:
+    if not event.leaving:
         return []
-    state.leaving[event.target] = now
-    return [Announce(), *_note_leaving(state, event.target, "itself", now)]
-
-
-def take_leaving(state: State, names: tuple[str, ...], now: Millis) -> list[Effect]:
-    """Take in which targets told other entries that they leave."""
-    effects: list[Effect] = []
-    for name in names:
-        target = state.targets.find(name)
-        if target is not None and target.standing is Standing.READY:
-            effects += _note_leaving(state, name, "a peer", now)
-    return effects
-
-
-def _note_leaving(state: State, name: str, source: str, now: Millis) -> list[Effect]:
-    state.targets.note_departure(name, now)
-    note = Note("engine says that it leaves", {"target": name, "told_by": source})
-    return [note, *copies.evacuate_streams(state, now)]
+    return departures.take_word(state, event.target, now)
 
 
 def _count_unclaimed(target: Target, used: int, now: Millis) -> None:
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -11,11 +11,14 @@
 from figstep.gateway.places import NO_EVACUATIONS, Evacuations
 from figstep.gateway.refusals import RefusalTable
 from figstep.gateway.routes import Route, RoutingTable
-from figstep.gateway.targets import Target, TargetTable
+from figstep.gateway.targets import Incarnation, Target, TargetTable
 
 LEAVING_TOLD = Millis(10_000)
-"""How long others are told what a target said of itself: its old registration may
-reach them later than that, while the store is away."""
+"""How long others are told that a target has said that it leaves."""
+
+LEAVING_KEPT = Millis(600_000)
+"""How long that is remembered: the target's registration from before may be read
+until long after an outage of the store."""
 
 
 FULL_MESH = 16
@@ -29,6 +32,19 @@
 be lost. Each further answer of the target begins it anew."""
 
 
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """A target's word that it leaves.
+
+    Attributes:
+        at: When this entry learned of it.
+        own: Whether the target told this entry itself.
+    """
+
+    at: Millis
+    own: bool
+
+
 @dataclass(slots=True)
 class Attempt:
     """One connection to a target for a request.
@@ -174,7 +190,7 @@
     well_since: Millis | None = None
     far: bool = False
     reading: bool = False
-    leaving: tuple[str, ...] = ()
+    leaving: tuple[Incarnation, ...] = ()
     rates: tuple[RateReport, ...] = ()
 
 
@@ -225,7 +241,7 @@
             store or from others that read it.
         store_lost_at: When that began.
         store_back_at: When it ended.
-        leaving: Targets that told this entry that they leave, and when.
+        departures: Targets that have said that they leave.
         closes_at: When the process ends, or None.
         watched_at: When its streams were last looked at.
     """
@@ -260,16 +276,20 @@
     store_back_at: Millis = Millis(-1_000_000)
     closes_at: Millis | None = None
     watched_at: Millis = Millis(0)
-    leaving: dict[str, Millis] = field(default_factory=dict)
+    departures: dict[Incarnation, Departure] = field(default_factory=dict)
 
     @property
     def is_large(self) -> bool:
         """Whether the fleet is too large for all to hear all."""
         return self.entries > FULL_MESH
 
-    def list_leaving(self, now: Millis) -> list[str]:
+    def list_leaving(self, now: Millis) -> list[Incarnation]:
         """Return the targets that told this entry of late that they leave."""
-        return [name for name, at in self.leaving.items() if now - at < LEAVING_TOLD]
+        return [
+            incarnation
+            for incarnation, departure in self.departures.items()
+            if departure.own and now - departure.at < LEAVING_TOLD
+        ]
 
     def list_rates(self, now: Millis) -> list[RateReport]:
         """Return what targets have named in answers to this entry of late."""
@@ -290,12 +310,3 @@
             for target in self.targets.targets.values()
             if target.is_unreached(now)
         ]
-
-    def knows_leaving(self, name: str, now: Millis) -> bool:
-        """Tell whether a target told any entry of late that it leaves."""
-        if name in self.list_leaving(now):
-            return True
-        for peer in [*self.peers.values(), *self.far_peers.values()]:
-            if name in peer.leaving:
-                return True
-        return False
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -7,6 +7,19 @@
 from figstep.core.clock import Millis
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Incarnation:
+    """One life of a target: one that starts again may keep its id.
+
+    Attributes:
+        target: Its id.
+        born: Unix millisecond of its start.
+    """
+
+    target: str
+    born: int
+
+
 @dataclass(frozen=True, slots=True)
 class Registration:
     """What a target says of itself.
@@ -31,6 +44,11 @@
     warmup: Millis = Millis(0)
     born: int = 0
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The life of the target that it is of."""
+        return Incarnation(self.target, self.born)
+
 
 FAILURE_STEP = 0.2
 """Weight of the newest attempt in a target's failed part: about ten attempts
@@ -149,7 +167,7 @@
         told_unreached: When other entries last told that they could not connect
             to it, by entry.
         limit: Rate that it has named in its answers; None if it never did.
-        said_leaving: Whether an answer of it said that it leaves.
+        said_leaving: Whether it has told this entry that it leaves.
     """
 
     info: Registration
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -13,6 +13,7 @@
 from figstep.gateway.events import PeerHeard, PeerLoad, RateReport
 from figstep.gateway.places import Evacuations
 from figstep.gateway.refusals import Refusal
+from figstep.gateway.targets import Incarnation
 from figstep.net.neighbors import Member
 
 _schema: Any = capnp.load(str(Path(__file__).with_name("links.capnp")))
@@ -79,7 +80,6 @@
         asksDomain=hello.asks_domain,
         address=own.address,
         reading=own.reading,
-        leaving=list(own.leaving),
         partial=own.partial,
         evacuated=sorted(own.evacuations.domains),
         evacuatedAt=own.evacuations.position,
@@ -106,6 +106,9 @@
             use.requests,
             use.repeats,
         )
+    leaving = message.init("leaving", len(own.leaving))
+    for slot, incarnation in zip(leaving, own.leaving, strict=True):
+        slot.target, slot.born = incarnation.target, incarnation.born
     rates = message.init("rates", len(own.rates))
     for slot, report in zip(rates, own.rates, strict=True):
         slot.target, slot.born, slot.age = report.target, report.born, report.age
@@ -159,7 +162,9 @@
             far=message.far,
             store_well=message.storeWell,
             reading=message.reading,
-            leaving=tuple(str(name) for name in message.leaving),
+            leaving=tuple(
+                Incarnation(str(item.target), item.born) for item in message.leaving
+            ),
             partial=message.partial,
             refused=tuple(
                 Refusal(str(item.digest), Millis(item.age)) for item in message.refused
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -22,13 +22,14 @@
   address @16 :Text;         # of the entry that wrote it, "ip:port"
   members @17 :List(Member); # heard of late
   reading @18 :Bool;         # reads the store's records as they come
-  leaving @19 :List(Text);   # targets that said that they leave
+  retired19 @19 :List(Text); # no longer told
   partial @20 :Bool;         # loads are only those that changed
   refused @21 :List(Refusal); # refused of late for want of room
   evacuated @22 :List(Text); # failure domains that are to get no more work
   evacuatedAt @23 :Int64 = -1; # how far the operator's records were read for them
   unreached @24 :List(Text); # targets that could not be connected to of late
   rates @25 :List(Rate);     # named of late in answers of targets
+  leaving @26 :List(Incarnation); # targets that said that they leave
 }
 
 struct Refusal {
@@ -58,6 +59,11 @@
   repeats @2 :UInt32;
 }
 
+struct Incarnation {
+  target @0 :Text;
+  born @1 :Int64;            # Unix millisecond of the target's start
+}
+
 struct Rate {
   target @0 :Text;
   born @1 :Int64;            # Unix millisecond of the target's start
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -1,14 +1,168 @@
-"""Tests of targets that say in their answers that they leave."""
+"""Tests of targets that have said that they leave."""
 
-from figstep.gateway.effects import Note
-from figstep.gateway.events import TargetLeaving
-from tests.gateway.worlds import BOOKINGS, World
+from dataclasses import replace
+
+import pytest
+
+from figstep.core.clock import Millis
+from figstep.gateway import peers
+from figstep.gateway.effects import Announce, CopyRun, Note, OpenAttempt, Refuse
+from figstep.gateway.events import (
+    EngineReported,
+    EntriesCounted,
+    StoreLost,
+    StoreRegained,
+    TargetDeparted,
+    TargetLeaving,
+    TargetRegistered,
+    TargetsListed,
+    Ticked,
+)
+from figstep.gateway.state import LEAVING_KEPT, LEAVING_TOLD
+from figstep.gateway.targets import Registration, Standing
+from tests.gateway.worlds import BOOKINGS, ENGINES, World, build_fleet
+
+FORGOTTEN = Millis(31_000)
+"""Time after which a target that left and serves nothing is not known any more."""
+
+
+def build_world(*names: str) -> World:
+    """Return an entry with plain targets."""
+    world = World()
+    world.register(*names, service=BOOKINGS, slots=6)
+    return world
+
+
+def list_called(world: World, calls: int = 6) -> set[str]:
+    """Return the targets that some calls are sent to."""
+    called = set()
+    for _ in range(calls):
+        world.arrive("/order/a")
+        called |= {opened.target for opened in world.find_all(OpenAttempt)}
+    return called
+
+
+def test_calls_avoid_a_target_that_says_that_it_leaves() -> None:
+    """Guards against departures that are known from the store alone."""
+    world = build_world("b-1", "b-2")
+    world.handle(StoreLost())
+    world.handle(TargetLeaving("b-1"))
+    assert list_called(world) == {"b-2"}
+
+
+def test_streams_move_from_an_engine_that_says_that_it_leaves() -> None:
+    """Guards against streams that end with an engine whose answer told its end."""
+    world = World()
+    world.register("e-1", "e-2")
+    opened = world.open_plan()
+    world.send_pieces(opened.attempt, 1, 9)
+    world.handle(TargetLeaving(opened.target))
+    assert world.find(CopyRun).source == opened.target
+
+
+def test_a_call_is_refused_at_once_where_all_targets_leave() -> None:
+    """Guards against callers who wait for targets that take nothing more."""
+    world = build_world("b-1")
+    world.handle(TargetLeaving("b-1"))
+    world.arrive("/order/a")
+    assert world.find(Refuse).problem.status == 503
+
+
+@pytest.mark.parametrize("pause", [0, 5_000, LEAVING_TOLD + 1, 60_000])
+def test_a_registration_from_before_does_not_bring_a_target_back(pause: int) -> None:
+    """Guards against work for a target whose old record is read after an outage."""
+    world = build_world("b-1", "b-2")
+    old = Registration("b-1", BOOKINGS, "b-1:80", "muc-a", 6, born=1)
+    world.handle(StoreLost())
+    world.handle(TargetLeaving("b-1"))
+    world.clock.advance(pause)
+    world.handle(Ticked())
+    world.handle(StoreRegained())
+    world.handle(TargetRegistered(old))
+    world.handle(TargetsListed((old, replace(old, target="b-2")), 9))
+    assert list_called(world) == {"b-2"}
+
+
+def test_a_target_that_had_left_by_the_store_keeps_to_its_word() -> None:
+    """Guards against a registration that lapsed and comes back as the target leaves."""
+    world = build_world("b-1", "b-2")
+    world.handle(TargetDeparted("b-1"))
+    world.handle(TargetLeaving("b-1"))
+    world.register("b-1", service=BOOKINGS, slots=6)
+    assert list_called(world) == {"b-2"}
+
+
+def test_a_target_that_starts_again_gets_work() -> None:
+    """Guards against a new process that is shunned for the word of the one before."""
+    world = build_world("b-1", "b-2")
+    world.handle(TargetLeaving("b-1"))
+    told = peers.describe_own(world.state, world.clock.now())
+    info = Registration("b-1", BOOKINGS, "b-1:80", "muc-a", 6, born=2)
+    other = build_world("b-2")
+    for one in (world, other):
+        one.handle(TargetRegistered(info))
+        one.handle(replace(told, node="entry-9"))
+        found = one.state.targets.find("b-1")
+        assert found is not None
+        assert found.standing is Standing.READY
+
+
+@pytest.mark.parametrize("size", [8, 73])
+def test_what_a_target_said_to_one_entry_reaches_the_others(size: int) -> None:
+    """Guards against entries that send on until the target has told each of them."""
+    fleet = build_fleet(size, ("muc-a", "muc-b", "nue-a", "aug-a"))
+    for world in fleet:
+        world.register("b-1", "b-2", service=BOOKINGS, slots=6)
+    fleet[0].handle(TargetLeaving("b-1"))
+    assert fleet[0].find_all(Announce)
+    now = fleet[0].clock.now()
+    near = peers.describe_own(fleet[0].state, now)
+    far = peers.describe_domain(fleet[0].state, now)
+    for world in fleet[1:]:
+        same = world.state.failure_domain == fleet[0].state.failure_domain
+        world.handle(near if same or size == 8 else far)
+    assert {name for world in fleet for name in list_called(world)} == {"b-2"}
+
+
+def test_a_word_that_comes_before_the_registration_holds() -> None:
+    """Guards against an entry that starts and reads the target's record from before."""
+    teller = build_world("b-1")
+    teller.handle(TargetLeaving("b-1"))
+    world = build_world("b-2")
+    world.handle(peers.describe_own(teller.state, teller.clock.now()))
+    world.register("b-1", service=BOOKINGS, slots=6)
+    assert list_called(world) == {"b-2"}
+
+
+def test_a_word_is_told_for_a_while_and_remembered_for_longer() -> None:
+    """Guards against messages and a state that grow with every departure."""
+    world = build_world("b-1", "b-2")
+    world.handle(TargetLeaving("b-1"))
+    assert peers.describe_own(world.state, world.clock.now()).leaving
+    world.clock.advance(LEAVING_TOLD)
+    assert not peers.describe_own(world.state, world.clock.now()).leaving
+    assert world.state.departures
+    world.clock.advance(LEAVING_KEPT)
+    world.handle(Ticked())
+    assert not world.state.departures
+
+
+def test_a_report_says_no_less_than_an_answer() -> None:
+    """Guards against an engine that comes back after its own notice was told."""
+    world = World()
+    world.handle(EntriesCounted(8))
+    world.register("e-1", "e-2")
+    world.handle(EngineReported("e-1", leaving=True))
+    world.clock.advance(FORGOTTEN)
+    world.handle(Ticked())
+    info = Registration("e-1", ENGINES, "e-1:80", "muc-a", 64, born=1)
+    world.handle(TargetRegistered(info))
+    assert world.open_plan().target == "e-2"
 
 
 def test_a_target_that_says_that_it_leaves_is_logged_once() -> None:
     """Guards against a departure that no log line shows."""
-    world = World()
-    world.register("b-1", service=BOOKINGS)
+    world = build_world("b-1")
     told = []
     for _ in range(3):
         world.handle(TargetLeaving("b-1"))
--- a/tests/gateway/test_sources.py
+++ b/tests/gateway/test_sources.py
@@ -13,7 +13,7 @@
     StoreLost,
     Ticked,
 )
-from figstep.gateway.targets import Standing
+from figstep.gateway.targets import Incarnation, Standing
 from tests.gateway.worlds import World, build_fleet, build_large_world
 
 
@@ -203,7 +203,8 @@
     other = build_large_world()
     other.register("e-1", "e-2")
     opened = other.open_plan()
-    other.handle(replace(told, node="entry-9", leaving=(opened.target,)))
+    leaving = (Incarnation(opened.target, 1),)
+    other.handle(replace(told, node="entry-9", leaving=leaving))
     found = other.state.targets.find(opened.target)
     assert found is not None
     assert found.standing is Standing.LEAVING
--- a/tests/net/test_hellos.py
+++ b/tests/net/test_hellos.py
@@ -9,6 +9,7 @@
 from figstep.gateway.budgets import UseReport
 from figstep.gateway.events import PeerHeard, PeerLoad, RateReport
 from figstep.gateway.refusals import Refusal
+from figstep.gateway.targets import Incarnation
 from figstep.net.hellos import (
     MOST_COPY_BYTES,
     Hello,
@@ -32,7 +33,7 @@
     configuration=7,
     position=31,
     reading=True,
-    leaving=("e-2",),
+    leaving=(Incarnation("e-2", 1_783_672_261_103),),
     partial=True,
     refused=(Refusal("digest", Millis(900)),),
     rates=(
@@ -61,7 +62,7 @@
     assert hello.content.reading
     assert hello.content.partial
     assert hello.content.refused == OWN.refused
-    assert hello.content.leaving == ("e-2",)
+    assert hello.content.leaving == OWN.leaving
     assert hello.content.rates == OWN.rates
 
 
