Keep the pause that a target asks for as it turns a request away

What a target would see: one that answers 503 with Retry-After went on to get requests from the entry that it had told, each call asking it anew; 9 within the two seconds that it had asked for, where 2 are allowed.

Cause: the edge read Retry-After and handed it on with the lost attempt, and the gateway used it for nothing. Read by float() alone, "inf" or "nan" would besides have raised in the edge and lost the answer; both are now refused with a line in the log.

The fix: the end of the pause is kept with the target and is part of when it may be sent a request, beside the rate that it names, so that choices of targets and of holders, waits and refusals at once all keep to it. A 503 that doesn't say that it ran nothing counts as well. A process that starts again has asked for nothing.

--- a/figstep/gateway/limits.py
+++ b/figstep/gateway/limits.py
@@ -1,4 +1,6 @@
-"""What a target takes that names a rate in its answers, from all entries together.
+"""What targets ask for in their answers: a rate, or a pause.
+
+A pause is for the entry that was turned away; a rate is for all entries together.
 
 The load that this answers is a target in need before a fleet of entries. It names its
 rate to those that it answers only, and each of them sees no more than its own requests:
@@ -102,13 +104,23 @@
     return requests / fleet.part / ready * 1_000 / state.budget.window
 
 
+def note_pause(target: Target, pause: Millis, now: Millis) -> None:
+    """Take in that a target turned this entry away and wants a pause."""
+    target.paused_until = Millis(max(target.paused_until, now + pause))
+
+
 def may_send(state: State, target: Target, now: Millis) -> bool:
-    """Tell whether one more request keeps a target within the rate that it named."""
+    """Tell whether a target may be sent one more request now."""
     return find_opening(state, target, now) <= now
 
 
 def find_opening(state: State, target: Target, now: Millis) -> Millis:
     """Return when this entry may send a target a request at the earliest."""
+    opening = _find_rate_opening(state, target, now)
+    return Millis(max(opening, target.paused_until))
+
+
+def _find_rate_opening(state: State, target: Target, now: Millis) -> Millis:
     limit = target.limit
     if limit is None or limit.rate is None:
         return now
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -61,6 +61,8 @@
     state: State, request: Request, attempt: Attempt, event: AttemptLost, now: Millis
 ) -> None:
     target = attempt.target
+    if event.retry_after is not None:
+        limits.note_pause(target, event.retry_after, now)
     match event.loss:
         case Loss.REFUSED | Loss.CUT:
             return
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -167,6 +167,7 @@
         told_unreached: When other entries last told that they could not connect
             to it, by entry.
         limit: Rate that it has named in its answers; None if it never did.
+        paused_until: Until when it wants nothing from this entry.
         said_leaving: Whether it has told this entry that it leaves.
     """
 
@@ -203,6 +204,7 @@
     answered_at: Millis = Millis(-1_000_000)
     told_unreached: dict[str, Millis] = field(default_factory=dict)
     limit: RateLimit | None = None
+    paused_until: Millis = Millis(0)
     said_leaving: bool = False
 
     @property
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -272,6 +272,7 @@
         return AttemptLost(
             effect.attempt,
             Loss.FAILED,
+            retry_after=_read_pause(response),
             detail=f"answered {response.status}",
             status=handed_on,
         )
@@ -394,10 +395,14 @@
     Raises:
         ValueError: If it is no number of zero or more.
     """
-    rate = float(text)
-    if not math.isfinite(rate) or rate < 0:
-        raise ValueError(f"{text[:40]!r} is no rate; write a number of zero or more")
-    return rate
+    return _parse_number(text)
+
+
+def _parse_number(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number) or number < 0:
+        raise ValueError(f"{text[:40]!r} is not a number of zero or more")
+    return number
 
 
 def _check_answer(response: aiohttp.ClientResponse, exchange: CallerExchange) -> None:
@@ -413,11 +418,24 @@
 
 
 def _read_pause(response: aiohttp.ClientResponse) -> Millis | None:
+    """Return for how long a target wants nothing; None if it doesn't say."""
+    text = response.headers.get(names.RETRY_AFTER)
+    if text is None:
+        return None
     try:
-        seconds = float(response.headers.get(names.RETRY_AFTER, ""))
-    except ValueError:
+        return parse_pause(text)
+    except ValueError as error:
+        _log.info("no pause", extra={"error": str(error)})
         return None
-    return Millis(round(seconds * 1000))
+
+
+def parse_pause(text: str) -> Millis:
+    """Return the pause that a target asks for.
+
+    Raises:
+        ValueError: If it is no number of seconds of zero or more.
+    """
+    return Millis(round(_parse_number(text) * 1_000))
 
 
 def _read_head(response: aiohttp.ClientResponse) -> AnswerHead:
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -9,6 +9,8 @@
 from figstep.gateway.effects import Announce, CopyRun, Note, OpenAttempt, Refuse
 from figstep.gateway.events import (
     AnswerArrived,
+    AttemptLost,
+    Loss,
     RateNamed,
     RunCopied,
     TargetDeparted,
@@ -340,3 +342,68 @@
     window, requests = limits.split_rate(rate)
     assert requests >= 1
     assert requests <= max(1.0, rate * window / 1_000)
+
+
+def refuse(world: World, retry_after: Millis | None, loss: Loss = Loss.REFUSED) -> None:
+    """Let a call be turned away by the target that it was sent to."""
+    world.arrive("/order/a")
+    attempt = world.find(OpenAttempt).attempt
+    world.handle(AttemptLost(attempt, loss, retry_after))
+
+
+@pytest.mark.parametrize("loss", [Loss.REFUSED, Loss.FAILED])
+def test_a_target_that_wants_a_pause_gets_nothing_meanwhile(loss: Loss) -> None:
+    """Guards against a full target that each call of an entry asks again."""
+    world = build_world("b-1")
+    refuse(world, Millis(2_000), loss)
+    world.register("b-2", service=BOOKINGS, slots=6)
+    for _ in range(8):
+        world.arrive("/order/a")
+        assert world.find(OpenAttempt).target == "b-2"
+    world.clock.advance(2_000)
+    world.depart("b-2")
+    world.arrive("/order/a")
+    assert world.find(OpenAttempt).target == "b-1"
+
+
+def test_a_refusal_without_a_pause_asks_for_none() -> None:
+    """Guards against targets that are spared though they have room again."""
+    world = build_world("b-1")
+    refuse(world, None)
+    world.arrive("/order/a")
+    assert world.find(OpenAttempt).target == "b-1"
+
+
+def test_a_shorter_pause_does_not_end_a_longer_one() -> None:
+    """Guards against refusals that overtake each other on their way."""
+    world = build_world("b-1")
+    attempts = []
+    for _ in range(2):
+        world.arrive("/order/a")
+        attempts.append(world.find(OpenAttempt).attempt)
+    world.handle(AttemptLost(attempts[0], Loss.REFUSED, Millis(2_000)))
+    world.handle(AttemptLost(attempts[1], Loss.REFUSED, Millis(100)))
+    world.clock.advance(500)
+    world.arrive("/order/a")
+    assert not world.find_all(OpenAttempt)
+
+
+def test_a_call_waits_out_a_short_pause() -> None:
+    """Guards against callers refused for a pause that ends before their wait."""
+    world = build_world("b-1")
+    refuse(world, Millis(100))
+    world.arrive("/order/a")
+    assert not world.find_all(Refuse)
+    world.clock.advance(110)
+    world.handle(Ticked())
+    assert world.find(OpenAttempt).target == "b-1"
+
+
+def test_a_target_that_starts_again_wants_no_pause() -> None:
+    """Guards against a new process that is spared for the pause of the one before."""
+    world = build_world("b-1")
+    refuse(world, Millis(60_000))
+    info = Registration("b-1", BOOKINGS, "b-1:80", "muc-a", 6, born=2)
+    world.handle(TargetRegistered(info))
+    world.arrive("/order/a")
+    assert world.find(OpenAttempt).target == "b-1"
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -3,7 +3,7 @@
 import pytest
 
 from figstep.gateway.events import EngineReported
-from figstep.platform.engines import parse_rate, parse_report
+from figstep.platform.engines import parse_pause, parse_rate, parse_report
 
 
 @pytest.mark.parametrize(
@@ -41,3 +41,17 @@
     """Guards against a header that stops all requests or lifts every limit."""
     with pytest.raises(ValueError, match=r".+"):
         parse_rate(text)
+
+
+@pytest.mark.parametrize(
+    ("text", "pause"), [("2", 2_000), ("0.25", 250), ("0", 0), ("120", 120_000)]
+)
+def test_a_pause_is_told_in_seconds(text: str, pause: int) -> None:
+    assert parse_pause(text) == pause
+
+
+@pytest.mark.parametrize("text", ["", "nan", "inf", "-3", "Thu, 03 Dec 2026"])
+def test_a_pause_that_is_none_is_refused(text: str) -> None:
+    """Guards against an answer that is lost for the header of its refusal."""
+    with pytest.raises(ValueError, match=r".+"):
+        parse_pause(text)
