Take only entries that read the store for witnesses that it was well

An entry of a large fleet that reads no records says that the store is well as long as it hears of a reader. It counted as a witness, so that after an outage lapsed registrations could pass for departures, on the word of one that had not asked. A witness now has to say that it reads.

In a fleet in which all entries read, nothing changes.

--- a/figstep/gateway/sources.py
+++ b/figstep/gateway/sources.py
@@ -89,8 +89,8 @@
 
 
 def find_well_since(state: State, event: PeerHeard, now: Millis) -> Millis | None:
-    """Return since when a peer has said that the store answers it, or None."""
-    if not event.store_well:
+    """Return since when the store has answered a peer that reads it, or None."""
+    if not event.reading or not event.store_well:
         return None
     known = (state.far_peers if event.far else state.peers).get(event.node)
     if known is None or known.well_since is None:
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -170,8 +170,8 @@
         address: Where it listens for peers.
         configuration: Version that it has in force; -1 for none.
         position: How far it has read the registrations; -1 for nothing.
-        well_since: Since when it has said without a break that the store
-            answers it; None if it last said otherwise.
+        well_since: Since when it has said without a break that it reads the
+            store and is answered; None if it last said otherwise.
         store_well: Whether the store answers it.
         far: Whether it belongs to another failure domain.
         reading: Whether it reads the store's records as they come.
