Let targets of the soak say that they leave, and ask for pauses

The soak's targets told their departures to the store alone, and never asked for more than a tenth of a second. One that leaves may now say so in its answers for some seconds before the store is told, and one may turn calls away with a pause; what reaches them from entries that had been told is checked, also while the store is away. Seeds from before play as they did.

--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from pathlib import Path
 
-from tests.faults.plans import draw_plan
+from tests.faults.plans import ALL_WORDS, Word, draw_plan
 from tests.faults.promises import Breach, check_promises
 from tests.faults.records import Record
 from tests.faults.sites import Site
@@ -20,7 +20,11 @@
 
 
 async def play_seed(
-    seed: int, folder: Path, entries: int = 3, engines: int = 5, words: bool = True
+    seed: int,
+    folder: Path,
+    entries: int = 3,
+    engines: int = 5,
+    words: tuple[Word, ...] = ALL_WORDS,
 ) -> tuple[Record, list[Breach]]:
     """Play one seed; return what was seen and the promises that were broken."""
     site = Site(seed, folder, entries, engines)
@@ -109,7 +113,7 @@
             folder,
             arguments.entries,
             arguments.engines,
-            not arguments.silent,
+            () if arguments.silent else ALL_WORDS,
         )
         record, breaches = asyncio.run(playing)
         for breach in breaches:
--- a/tests/faults/plans.py
+++ b/tests/faults/plans.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import dataclass
+from enum import Enum
 
 QUIET_BEFORE = 1.0
 """Seconds of traffic before the first fault."""
@@ -16,6 +17,20 @@
 RATES = (0.5, 1.0, 2.0, 4.0)
 """Requests a second that targets name."""
 
+PAUSES = (0.8, 1.5, 3.0)
+"""Seconds that targets ask for."""
+
+
+class Word(Enum):
+    """What a target may say of itself in its answers."""
+
+    RATE = "words"  # the value draws the plan, and kept seeds were drawn by this one
+    LEAVING = "leaving"
+    PAUSE = "pause"
+
+
+ALL_WORDS = tuple(Word)
+
 
 @dataclass(frozen=True, slots=True)
 class StrikeEntry:
@@ -98,6 +113,34 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class SayLeaving:
+    """Let a target say in all its answers that it leaves; the store learns later.
+
+    Attributes:
+        number: Number of the target, taken modulo what there is.
+        seconds: How long the store is not told.
+    """
+
+    number: int
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class AskPause:
+    """Let a target turn requests away and ask for a pause.
+
+    Attributes:
+        number: Number of the target, taken modulo what there is.
+        pause: Seconds that it asks for.
+        seconds: How long it turns requests away.
+    """
+
+    number: int
+    pause: float
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class Configure:
     """Write a new version of the configuration.
@@ -116,6 +159,8 @@
     | StrikeStore
     | StrikeTarget
     | NameRate
+    | SayLeaving
+    | AskPause
     | Configure
 )
 
@@ -129,7 +174,7 @@
 
 
 def draw_plan(
-    seed: int, entries: int, seconds: float, words: bool = True
+    seed: int, entries: int, seconds: float, words: tuple[Word, ...] = ALL_WORDS
 ) -> list[Step]:
     """Return the steps of one run; the same seed gives the same plan.
 
@@ -139,8 +184,8 @@
         seed: Draws the plan.
         entries: Entries that there are.
         seconds: Length of the part in which faults come.
-        words: Whether targets say things of themselves in their answers. These
-            steps are drawn apart: without them a plan stays as it was before.
+        words: What targets say of themselves in their answers. Each is drawn
+            apart: without one a plan stays as it was before.
     """
     rng = random.Random(seed)
     steps = []
@@ -151,17 +196,24 @@
         if rng.random() < 0.25:
             again = min(seconds, at + rng.uniform(0.1, 2.0))
             steps.append(Step(again, fault))
-    if words:
-        steps += _draw_words(random.Random(f"{seed} words"), seconds)
+    for word in words:
+        steps += _draw_word(word, random.Random(f"{seed} {word.value}"), seconds)
     steps.sort(key=lambda step: step.at)
     return steps
 
 
-def _draw_words(rng: random.Random, seconds: float) -> list[Step]:
+def _draw_word(word: Word, rng: random.Random, seconds: float) -> list[Step]:
     steps = []
     for _ in range(rng.randint(1, 3)):
         lasting = round(rng.uniform(*WORD_LASTING), 2)
-        fault = NameRate(rng.randrange(100), rng.choice(RATES), lasting)
+        number = rng.randrange(100)
+        match word:
+            case Word.RATE:
+                fault: Fault = NameRate(number, rng.choice(RATES), lasting)
+            case Word.LEAVING:
+                fault = SayLeaving(number, lasting)
+            case Word.PAUSE:
+                fault = AskPause(number, rng.choice(PAUSES), lasting)
         steps.append(Step(rng.uniform(QUIET_BEFORE, seconds / 2), fault))
     return steps
 
--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tests.faults.records import EVENTS, STREAMS, Attempt, Kind, NamedRate, Record, Run
+from tests.faults.records import EVENTS, STREAMS, Attempt, Kind, Record, Run
 
 CONTACT = 3.0
 """Seconds without disturbance after which bounds on time hold again."""
@@ -17,6 +17,10 @@
 DRAIN = 2.0
 """Seconds after which a leaving target gets nothing new."""
 
+PAUSE_BEGINS = 0.5
+MOST_IN_A_PAUSE = 2
+"""Requests of one entry to a target within a pause, from so many seconds on."""
+
 GONE = 0.5
 """Seconds after which nothing runs for a caller that left."""
 
@@ -264,7 +268,7 @@
     entries = {attempt.id: attempt.entry for attempt in record.attempts}
     breaches = []
     for span in record.rates:
-        told = _list_told(record, span, entries)
+        told = _list_told(record, span.target, span.start, entries)
         reached = [
             (at, entries[request])
             for at, target, request in record.reached
@@ -287,15 +291,53 @@
     return breaches
 
 
+def _check_leavers(record: Record) -> list[Breach]:
+    attempts = {attempt.id: attempt for attempt in record.attempts}
+    entries = {attempt.id: attempt.entry for attempt in record.attempts}
+    breaches = []
+    for target, since in record.leavers.items():
+        told = _list_told(record, target, since, entries)
+        for at, name, request in record.reached:
+            attempt = attempts.get(request)
+            if name != target or attempt is None or attempt.entry not in told:
+                continue
+            heard = told[attempt.entry]
+            if attempt.sent <= heard + DRAIN + SLACK:
+                continue
+            if record.is_entry_calm(attempt.entry, heard, at):
+                breaches.append(Breach("leaver", f"{request} went to {target}"))
+    return breaches
+
+
+def _check_pauses(record: Record) -> list[Breach]:
+    entries = {attempt.id: attempt.entry for attempt in record.attempts}
+    breaches = []
+    for asked, target, request, pause in record.pauses:
+        entry = entries.get(request)
+        begins, ends = asked + PAUSE_BEGINS, asked + pause
+        if entry is None or not record.is_entry_calm(entry, asked - SLACK, ends):
+            continue
+        if not record.is_target_calm(target, asked - SLACK, ends):
+            continue
+        count = 0
+        for at, name, other in record.reached:
+            if name == target and begins < at < ends - SLACK:
+                count += entries.get(other) == entry
+        if count > MOST_IN_A_PAUSE:
+            what = f"{target} got {count} of entry {entry} in {pause} s"
+            breaches.append(Breach("pause", what))
+    return breaches
+
+
 def _list_told(
-    record: Record, span: NamedRate, entries: dict[str, int]
+    record: Record, target: str, since: float, entries: dict[str, int]
 ) -> dict[int, float]:
-    """Return when each entry first got an answer that named a rate."""
+    """Return when each entry first got an answer of a target begun after a time."""
     told: dict[int, float] = {}
     for run in record.runs:
-        if run.target != span.target or run.ended is None or run.request not in entries:
+        if run.target != target or run.ended is None or run.request not in entries:
             continue
-        if run.began >= span.start and run.whole:
+        if run.began >= since and run.whole:
             entry = entries[run.request]
             told[entry] = min(told.get(entry, run.ended), run.ended)
     return told
@@ -326,5 +368,7 @@
     _check_stops,
     _check_budget,
     _check_rates,
+    _check_leavers,
+    _check_pauses,
     _check_recovery,
 )
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -170,6 +170,8 @@
             service and id.
         reached: The same with the name of the target: time, target and id.
         rates: Spans in which targets named rates.
+        leavers: When targets began to say in their answers that they leave.
+        pauses: Pauses that targets asked for: time, target, request, seconds.
         calm_from: When all faults had been lifted for good.
     """
 
@@ -182,6 +184,8 @@
     arrivals: list[tuple[float, str, str]] = field(default_factory=list)
     reached: list[tuple[float, str, str]] = field(default_factory=list)
     rates: list[NamedRate] = field(default_factory=list)
+    leavers: dict[str, float] = field(default_factory=dict)
+    pauses: list[tuple[float, str, str, float]] = field(default_factory=list)
     calm_from: float = 0.0
 
     def begin(
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -14,10 +14,12 @@
 from figstep.standins.proxy import Delay, Direction, Lose, LoseAnswers, Stall, TcpProxy
 from tests.faults.callers import Door, Traffic
 from tests.faults.plans import (
+    AskPause,
     Configure,
     Fault,
     KillAll,
     NameRate,
+    SayLeaving,
     Step,
     StrikeEntry,
     StrikeLink,
@@ -318,6 +320,13 @@
                 await self._strike_target(fault)
             case NameRate():
                 await self._name_rate(fault)
+            case SayLeaving():
+                await self._say_leaving(fault)
+            case AskPause():
+                target = self._targets[fault.number % len(self._targets)]
+                target.pauses.append(fault.pause)
+                await asyncio.sleep(fault.seconds)
+                target.pauses.remove(fault.pause)
             case Configure(how=how):
                 self._change_configuration(how)
                 await self._configure()
@@ -410,8 +419,7 @@
         span.end = read_clock()
 
     async def _strike_target(self, fault: StrikeTarget) -> None:
-        same = [one for one in self._targets if one.name not in self.record.departures]
-        target = same[fault.number % len(same)]
+        target = self._choose_staying(fault.number)
         span = self.record.begin(fault.how, None, target.name)
         match fault.how:
             case "crash" | "leave" | "drain":
@@ -436,9 +444,23 @@
         target.rates.remove(fault.rate)
         span.end = read_clock()
 
+    def _choose_staying(self, number: int) -> SoakTarget:
+        left = self.record.departures | self.record.leavers
+        staying = [one for one in self._targets if one.name not in left]
+        return staying[number % len(staying)]
+
+    async def _say_leaving(self, fault: SayLeaving) -> None:
+        target = self._choose_staying(fault.number)
+        self.record.leavers[target.name] = read_clock()
+        await self._add_target(target.service)
+        await asyncio.sleep(fault.seconds)
+        self.record.begin("drain", None, target.name)
+        await self._replace(target, "drain")
+
     async def _replace(self, target: SoakTarget, how: str) -> None:
         self.record.departures[target.name] = float("inf")
-        await self._add_target(target.service)
+        if target.name not in self.record.leavers:
+            await self._add_target(target.service)
         if how == "crash":
             await target.kill()
             await asyncio.sleep(1.0)
--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -37,6 +37,7 @@
         mute: Whether it runs calls and never answers.
         full: Whether it turns calls away as not run.
         rates: Rates that it names now; its answers tell the lowest.
+        pauses: Pauses that it asks for now as it turns calls away.
         copies: Generations that it holds copies of, by request.
         running: Runs that are open, by request.
     """
@@ -50,6 +51,7 @@
     mute: bool = False
     full: bool = False
     rates: list[float] = field(default_factory=list)
+    pauses: list[float] = field(default_factory=list)
     copies: dict[str, str] = field(default_factory=dict)
     running: dict[str, Run] = field(default_factory=dict)
     proxy: TcpProxy | None = None
@@ -101,6 +103,10 @@
             copy = self.copies.pop(number, None)
             if copy is None:
                 return self._refuse(number)
+        if self.pauses and copy is None:
+            pause = max(self.pauses)
+            self.record.pauses.append((read_clock(), self.name, number, pause))
+            return self._refuse(number, pause)
         if self.full and copy is None:
             return self._refuse(number)
         run = self._begin(request, copy)
@@ -115,8 +121,9 @@
             if self.running.get(number) is run:
                 del self.running[number]
 
-    def _refuse(self, number: str) -> web.Response:
-        headers = {"Request-Id": number, "Not-Executed": "1", "Retry-After": "0.1"}
+    def _refuse(self, number: str, pause: float = 0.1) -> web.Response:
+        headers = {"Request-Id": number, "Not-Executed": "1"}
+        headers["Retry-After"] = str(pause)
         headers.update(self._speak())
         return web.Response(status=503, headers=headers)
 
@@ -141,7 +148,10 @@
         return {"Request-Id": number, "Server-Stamp": stamp, **self._speak()}
 
     def _speak(self) -> dict[str, str]:
-        return {"Server-Limit": str(min(self.rates))} if self.rates else {}
+        words = {"Server-Limit": str(min(self.rates))} if self.rates else {}
+        if self.name in self.record.leavers:
+            words["Server-Leaving"] = "1"
+        return words
 
     async def _call(self, request: web.Request, run: Run, body: bytes) -> web.Response:
         await asyncio.sleep(CALL_SECONDS * (1 + self.rng.random()))
@@ -188,6 +198,6 @@
         return web.Response()
 
     async def _report(self, request: web.Request) -> web.Response:
-        leaving = self.name in self.record.departures
+        leaving = self.name in self.record.departures | self.record.leavers
         state = "draining" if leaving else "ready"
         return web.Response(body=orjson.dumps({"state": state}))
--- a/tests/faults/test_promises.py
+++ b/tests/faults/test_promises.py
@@ -181,6 +181,42 @@
     assert list_promises(record) == set()
 
 
+def build_leaving_record(sent: float) -> Record:
+    """Return a record of a target that says that it leaves, and a later request."""
+    record, _, _ = build_record()
+    record.leavers["i-1"] = START - 1
+    late = Attempt("r2", Kind.LOOKUP, 0, 0, "/lookup/", "key-1", START + sent)
+    record.attempts.append(late)
+    record.reached.append((START + sent, "i-1", "r2"))
+    return record
+
+
+def test_work_for_a_target_that_said_that_it_leaves_is_found() -> None:
+    assert list_promises(build_leaving_record(1.9)) == set()
+    assert list_promises(build_leaving_record(3.0)) == {"leaver"}
+
+
+def test_a_store_that_is_away_excuses_no_work_for_a_leaver() -> None:
+    record = build_leaving_record(3.0)
+    record.disturbances.append(Disturbance("store away", None, "", START, START + 9))
+    assert list_promises(record) == {"leaver"}
+
+
+def test_an_entry_that_was_killed_has_forgotten_a_leaver() -> None:
+    record = build_leaving_record(3.0)
+    record.disturbances.append(Disturbance("kill", 0, "", START + 1, START + 2))
+    assert list_promises(record) == set()
+
+
+def test_requests_in_a_pause_are_found() -> None:
+    record, _, _ = build_record()
+    record.pauses.append((START, "i-1", "r1", 3.0))
+    record.reached += [(START + 1 + i / 10, "i-1", "r1") for i in range(2)]
+    assert list_promises(record) == set()
+    record.reached.append((START + 2, "i-1", "r1"))
+    assert list_promises(record) == {"pause"}
+
+
 def test_callers_that_are_not_served_in_the_end_are_found() -> None:
     record, attempt, _ = build_record()
     record.runs.clear()
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.faults.__main__ import play_seed
+from tests.faults.plans import Word
 
 SEEDS = [11, 2398170]
 """Played in each run of the tests; one that ever failed is added with its cause.
@@ -13,7 +14,11 @@
 on over the same connection, which no network does; the entry had delivered all 80.
 """
 
-SPEAKING_SEEDS = [8381831, 8381837]
+SPEAKING_SEEDS = [
+    (8381831, (Word.RATE,)),
+    (8381837, (Word.RATE,)),
+    (12, (Word.LEAVING, Word.PAUSE)),
+]
 """The same, with targets that say things of themselves in their answers.
 
 8381831, 8381837: an answer to an engine's report, or to the order of a copy, named no
@@ -29,16 +34,16 @@
     and crash, and the store goes away, as the seed draws it. Every promise is
     checked on what callers and targets saw.
     """
-    record, breaches = await play_seed(seed, tmp_path, words=False)
+    record, breaches = await play_seed(seed, tmp_path, words=())
     assert breaches == []
     assert sum(attempt.status == 200 for attempt in record.attempts) > 50
 
 
-@pytest.mark.parametrize("seed", SPEAKING_SEEDS)
+@pytest.mark.parametrize(("seed", "words"), SPEAKING_SEEDS)
 async def test_promises_hold_as_targets_speak_of_themselves(
-    seed: int, tmp_path: Path
+    seed: int, words: tuple[Word, ...], tmp_path: Path
 ) -> None:
     """Guards against entries that don't act on what answers of targets say."""
-    record, breaches = await play_seed(seed, tmp_path)
+    record, breaches = await play_seed(seed, tmp_path, words=words)
     assert breaches == []
     assert sum(attempt.status == 200 for attempt in record.attempts) > 50
