Read what answers say in a module of its own

What an answer says beside what goes to the caller is now read in platform/answers.py into one data class, and its tests go with it. An answer is handled as before.

--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -79,6 +79,11 @@
         self._pieces: list[bytes] = []
         self._changed = asyncio.Event()
 
+    @property
+    def request_id(self) -> str | None:
+        """The caller's own id of this attempt; None if it gave none."""
+        return dict(self.headers).get(names.REQUEST_ID)
+
     @property
     def ended(self) -> bool:
         """Whether nothing more will come."""
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -1,7 +1,6 @@
 """The platform's targets: requests out, answers and copies of runs back."""
 
 import asyncio
-import math
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -9,7 +8,6 @@
 import logbook
 import orjson
 from mode import Service
-from pydantic import BaseModel, ConfigDict
 from yarl import URL
 
 from figstep.core.clock import Clock, Millis
@@ -19,7 +17,6 @@
 from figstep.gateway.events import (
     AnswerArrived,
     AttemptLost,
-    EngineReported,
     Event,
     Loss,
     PiecesArrived,
@@ -34,7 +31,7 @@
 from figstep.gateway.targets import Target
 from figstep.net.connectors import ResetAwareConnector
 from figstep.net.frames import EventSplitter
-from figstep.platform import names
+from figstep.platform import answers, names
 from figstep.platform.callers import CallerExchange
 
 _log = logbook.Logger("figstep.targets")
@@ -60,15 +57,6 @@
 _UNREACHED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
-class _RefusedError(Exception):
-    """The target says that it did not run the request."""
-
-    def __init__(self, loss: Loss, retry_after: Millis | None) -> None:
-        super().__init__(loss.value)
-        self.loss = loss
-        self.retry_after = retry_after
-
-
 class TargetEdge(Service, TargetPort):
     """HTTP client towards targets; each request has a connection of its own.
 
@@ -150,7 +138,7 @@
         number = effect.attempt
         try:
             event = await self._try_attempt(effect, exchange, target)
-        except _RefusedError as refusal:
+        except answers.RefusedError as refusal:
             event = AttemptLost(number, refusal.loss, refusal.retry_after)
         except _UNREACHED as error:
             event = AttemptLost(number, Loss.UNREACHED, detail=_describe(error))
@@ -182,7 +170,7 @@
             allow_redirects=False,
         ) as response:
             self._take_words(response, target, asked)
-            _check_answer(response, exchange)
+            answers.check_answer(response, exchange.request_id)
             if effect.stream and response.status == 200:
                 return await self._read_stream(effect, response)
             return await self._read_answer(effect, response)
@@ -190,30 +178,13 @@
     def _take_words(
         self, response: aiohttp.ClientResponse, target: Target, asked: Millis
     ) -> None:
-        """Hand on what an answer says of the target itself."""
-        if response.status == 421:
-            # Another target has the address and speaks of itself.
-            return
-        if names.LEAVING in response.headers and not target.said_leaving:
+        """Hand on what an answer says of the target itself and isn't known yet."""
+        words = answers.read_words(response)
+        if words.leaving and not target.said_leaving:
             self._dispatch(TargetLeaving(target.name))
-        self._take_rate(response, target, asked)
-
-    def _take_rate(
-        self, response: aiohttp.ClientResponse, target: Target, asked: Millis
-    ) -> None:
-        text = response.headers.get(names.RATE)
-        if text is None:
-            if target.limit is None or target.limit.rate is None:
-                return
-            if names.SIGNATURE not in response.headers:
-                # Only the answer to a request shows that the need is over.
-                return
-        try:
-            rate = None if text is None else parse_rate(text)
-        except ValueError as error:
-            _log.info("no rate", extra={"target": target.name, "error": str(error)})
-            return
-        self._dispatch(RateNamed(target.name, rate, asked))
+        is_limited = target.limit is not None and target.limit.rate is not None
+        if words.rate is not None or (words.ends_rate and is_limited):
+            self._dispatch(RateNamed(target.name, words.rate, asked))
 
     def _build_headers(
         self, effect: OpenAttempt, exchange: CallerExchange, target: Target
@@ -246,7 +217,7 @@
         self, effect: OpenAttempt, response: aiohttp.ClientResponse
     ) -> Event:
         attempt = effect.attempt
-        self._heads[attempt] = _read_head(response)
+        self._heads[attempt] = answers.read_head(response)
         self._dispatch(StreamOpened(attempt))
         splitter = EventSplitter()
         async for chunk in response.content.iter_any():
@@ -263,7 +234,7 @@
         body = await response.read()
         if len(body) > MOST_ANSWER_BYTES:
             return AttemptLost(effect.attempt, Loss.GARBLED, detail="too long")
-        self._answers[effect.attempt] = WholeAnswer(_read_head(response), body)
+        self._answers[effect.attempt] = WholeAnswer(answers.read_head(response), body)
         if response.status < 500 and response.status not in (408, 429):
             return AnswerArrived(effect.attempt, response.status)
         # 408, 429 and 503 would tell the caller that it did not run, which the
@@ -272,7 +243,7 @@
         return AttemptLost(
             effect.attempt,
             Loss.FAILED,
-            retry_after=_read_pause(response),
+            retry_after=answers.read_pause(response),
             detail=f"answered {response.status}",
             status=handed_on,
         )
@@ -305,7 +276,7 @@
                 body = await response.read()
             if response.status != 200:
                 raise ValueError(f"answered {response.status}")
-            event = parse_report(name, body)
+            event = answers.parse_report(name, body)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             _log.info("no report", extra={"target": name, "error": _describe(error)})
             return
@@ -324,7 +295,7 @@
         if exchange is None or source is None or holder is None:
             return
         order = {
-            "id": dict(exchange.headers).get(names.REQUEST_ID, ""),
+            "id": exchange.request_id or "",
             "target": holder.info.address,
         }
         url = f"http://{source.info.address}/figstep/kv-move"
@@ -370,81 +341,5 @@
             _log.info("copy not freed", extra={"error": _describe(error)})
 
 
-class _Report(BaseModel):
-    model_config = ConfigDict(extra="ignore")
-
-    state: str = "ready"
-    leaves_ms: float | None = None  # told only once the engine knows its end
-    kv_used: int | None = None  # tokens of its memory that can't yield
-
-
-def parse_report(target: str, body: bytes) -> EngineReported:
-    """Return what an engine says of itself.
-
-    Raises:
-        ValueError: If the report can't be read.
-    """
-    report = _Report.model_validate(orjson.loads(body))
-    leaving = report.state != "ready" or report.leaves_ms is not None
-    return EngineReported(target, leaving, report.kv_used)
-
-
-def parse_rate(text: str) -> float:
-    """Return the requests a second that a target takes.
-
-    Raises:
-        ValueError: If it is no number of zero or more.
-    """
-    return _parse_number(text)
-
-
-def _parse_number(text: str) -> float:
-    number = float(text)
-    if not math.isfinite(number) or number < 0:
-        raise ValueError(f"{text[:40]!r} is not a number of zero or more")
-    return number
-
-
-def _check_answer(response: aiohttp.ClientResponse, exchange: CallerExchange) -> None:
-    """Raise where an answer proves that nothing ran, or is not this request's."""
-    if response.status == 421:
-        raise _RefusedError(Loss.MISDIRECTED, None)
-    if names.NOT_RUN in response.headers:
-        raise _RefusedError(Loss.REFUSED, _read_pause(response))
-    sent = dict(exchange.headers).get(names.REQUEST_ID)
-    echoed = response.headers.get(names.REQUEST_ID)
-    if sent is not None and echoed != sent:
-        raise FrameError(f"answer to {echoed!r} came for {sent!r}")
-
-
-def _read_pause(response: aiohttp.ClientResponse) -> Millis | None:
-    """Return for how long a target wants nothing; None if it doesn't say."""
-    text = response.headers.get(names.RETRY_AFTER)
-    if text is None:
-        return None
-    try:
-        return parse_pause(text)
-    except ValueError as error:
-        _log.info("no pause", extra={"error": str(error)})
-        return None
-
-
-def parse_pause(text: str) -> Millis:
-    """Return the pause that a target asks for.
-
-    Raises:
-        ValueError: If it is no number of seconds of zero or more.
-    """
-    return Millis(round(_parse_number(text) * 1_000))
-
-
-def _read_head(response: aiohttp.ClientResponse) -> AnswerHead:
-    headers = []
-    for name, value in response.headers.items():
-        if name.lower() not in names.CONNECTION_HEADERS:
-            headers.append((name, value))
-    return AnswerHead(response.status, tuple(headers))
-
-
 def _describe(error: BaseException) -> str:
     return f"{type(error).__name__}: {error}"[:200]
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_answers.py
@@ -1,9 +1,18 @@
-"""Tests of what targets say of themselves."""
+"""Tests of what targets say of themselves in answers and reports."""
+
+from types import SimpleNamespace
 
 import pytest
+from multidict import CIMultiDict
 
 from figstep.gateway.events import EngineReported
-from figstep.platform.engines import parse_pause, parse_rate, parse_report
+from figstep.platform.answers import (
+    TargetWords,
+    parse_pause,
+    parse_rate,
+    parse_report,
+    read_words,
+)
 
 
 @pytest.mark.parametrize(
@@ -55,3 +64,23 @@
     """Guards against an answer that is lost for the header of its refusal."""
     with pytest.raises(ValueError, match=r".+"):
         parse_pause(text)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "words"),
+    [
+        (200, {"server-limit": "1.9"}, TargetWords(rate=1.9)),
+        (503, {"Server-Limit": "0", "Server-Leaving": "1"}, TargetWords(True, 0.0)),
+        (500, {"Server-Stamp": "s"}, TargetWords(ends_rate=True)),
+        (200, {"Server-Leaving": "1"}, TargetWords(leaving=True)),
+        (200, {}, TargetWords()),
+        (200, {"Server-Limit": "few", "Server-Stamp": "s"}, TargetWords()),
+        (421, {"Server-Limit": "1", "Server-Leaving": "1"}, TargetWords()),
+    ],
+)
+def test_an_answer_speaks_of_the_target_that_gave_it(
+    status: int, headers: dict[str, str], words: TargetWords
+) -> None:
+    """Guards against words that are missed, misread, or those of another target."""
+    response = SimpleNamespace(status=status, headers=CIMultiDict(headers))
+    assert read_words(response) == words  # type: ignore[arg-type]
