Take an answer's word that its target leaves for the life that was asked

The word (Server-Leaving) came with the target's id alone. The edge now names the life that the request was sent to. Found by reading; the test would not type-check on the code before.

--- a/figstep/gateway/departures.py
+++ b/figstep/gateway/departures.py
@@ -15,13 +15,15 @@
 from figstep.gateway.targets import Incarnation, Registration, Standing, Target
 
 
-def take_word(state: State, name: str, now: Millis) -> list[Effect]:
+def take_word(state: State, incarnation: Incarnation, now: Millis) -> list[Effect]:
     """Take in that a target has told this entry that it leaves."""
-    target = state.targets.find(name)
-    if target is None or target.said_leaving:
+    state.departures[incarnation] = Departure(now, own=True)
+    target = state.targets.find(incarnation.target)
+    if target is None or target.info.incarnation != incarnation:
+        return []
+    if target.said_leaving:
         return []
     target.said_leaving = True
-    state.departures[target.info.incarnation] = Departure(now, own=True)
     effects = _note_leaving(state, target, "itself", now)
     return [Announce(), *effects] if effects else []
 
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -202,9 +202,13 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetLeaving:
-    """A target's answer said that the target leaves."""
+    """A target's answer said that the target leaves.
 
-    target: str
+    Attributes:
+        incarnation: The life of the target that the request was sent to.
+    """
+
+    incarnation: Incarnation
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -93,8 +93,8 @@
             return copies.note_not_copied(state, event, now)
         case EngineReported():
             return reports.take_report(state, event, now)
-        case TargetLeaving(target=target):
-            return departures.take_word(state, target, now)
+        case TargetLeaving(incarnation=incarnation):
+            return departures.take_word(state, incarnation, now)
         case RateNamed():
             return limits.take_rate(state, event, now)
         case ConfigurationRead():
--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -102,7 +102,7 @@
         _count_unclaimed(target, event.memory, now)
     if not event.leaving:
         return []
-    return departures.take_word(state, event.target, now)
+    return departures.take_word(state, target.info.incarnation, now)
 
 
 def _count_unclaimed(target: Target, used: int, now: Millis) -> None:
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -181,7 +181,7 @@
         """Hand on what an answer says of the target itself and isn't known yet."""
         words = answers.read_words(response)
         if words.leaving and not target.said_leaving:
-            self._dispatch(TargetLeaving(target.name))
+            self._dispatch(TargetLeaving(target.info.incarnation))
         is_limited = target.limit is not None and target.limit.rate is not None
         if words.rate is not None or (words.ends_rate and is_limited):
             self._dispatch(RateNamed(target.name, words.rate, asked))
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -19,7 +19,7 @@
     Ticked,
 )
 from figstep.gateway.state import LEAVING_KEPT, LEAVING_TOLD
-from figstep.gateway.targets import Registration, Standing
+from figstep.gateway.targets import Incarnation, Registration, Standing
 from tests.gateway.worlds import BOOKINGS, ENGINES, World, build_fleet
 
 FORGOTTEN = Millis(31_000)
@@ -33,6 +33,11 @@
     return world
 
 
+def say(target: str, born: int = 1) -> TargetLeaving:
+    """Return a target's word that it leaves."""
+    return TargetLeaving(Incarnation(target, born))
+
+
 def list_called(world: World, calls: int = 6) -> set[str]:
     """Return the targets that some calls are sent to."""
     called = set()
@@ -46,7 +51,7 @@
     """Guards against departures that are known from the store alone."""
     world = build_world("b-1", "b-2")
     world.handle(StoreLost())
-    world.handle(TargetLeaving("b-1"))
+    world.handle(say("b-1"))
     assert list_called(world) == {"b-2"}
 
 
@@ -56,14 +61,14 @@
     world.register("e-1", "e-2")
     opened = world.open_plan()
     world.send_pieces(opened.attempt, 1, 9)
-    world.handle(TargetLeaving(opened.target))
+    world.handle(say(opened.target))
     assert world.find(CopyRun).source == opened.target
 
 
 def test_a_call_is_refused_at_once_where_all_targets_leave() -> None:
     """Guards against callers who wait for targets that take nothing more."""
     world = build_world("b-1")
-    world.handle(TargetLeaving("b-1"))
+    world.handle(say("b-1"))
     world.arrive("/order/a")
     assert world.find(Refuse).problem.status == 503
 
@@ -74,7 +79,7 @@
     world = build_world("b-1", "b-2")
     old = Registration("b-1", BOOKINGS, "b-1:80", "muc-a", 6, born=1)
     world.handle(StoreLost())
-    world.handle(TargetLeaving("b-1"))
+    world.handle(say("b-1"))
     world.clock.advance(pause)
     world.handle(Ticked())
     world.handle(StoreRegained())
@@ -87,7 +92,7 @@
     """Guards against a registration that lapsed and comes back as the target leaves."""
     world = build_world("b-1", "b-2")
     world.handle(TargetDeparted("b-1"))
-    world.handle(TargetLeaving("b-1"))
+    world.handle(say("b-1"))
     world.register("b-1", service=BOOKINGS, slots=6)
     assert list_called(world) == {"b-2"}
 
@@ -95,7 +100,7 @@
 def test_a_target_that_starts_again_gets_work() -> None:
     """Guards against a new process that is shunned for the word of the one before."""
     world = build_world("b-1", "b-2")
-    world.handle(TargetLeaving("b-1"))
+    world.handle(say("b-1"))
     told = peers.describe_own(world.state, world.clock.now())
     info = Registration("b-1", BOOKINGS, "b-1:80", "muc-a", 6, born=2)
     other = build_world("b-2")
@@ -107,13 +112,24 @@
         assert found.standing is Standing.READY
 
 
+def test_a_late_answer_of_an_earlier_life_says_nothing_of_the_next() -> None:
+    """Guards against a new process that is shunned for an answer still under way."""
+    world = build_world("b-1", "b-2")
+    info = Registration("b-1", BOOKINGS, "b-1:80", "muc-a", 6, born=2)
+    world.handle(TargetRegistered(info))
+    world.handle(say("b-1", born=1))
+    found = world.state.targets.find("b-1")
+    assert found is not None
+    assert found.standing is Standing.READY
+
+
 @pytest.mark.parametrize("size", [8, 73])
 def test_what_a_target_said_to_one_entry_reaches_the_others(size: int) -> None:
     """Guards against entries that send on until the target has told each of them."""
     fleet = build_fleet(size, ("muc-a", "muc-b", "nue-a", "aug-a"))
     for world in fleet:
         world.register("b-1", "b-2", service=BOOKINGS, slots=6)
-    fleet[0].handle(TargetLeaving("b-1"))
+    fleet[0].handle(say("b-1"))
     assert fleet[0].find_all(Announce)
     now = fleet[0].clock.now()
     near = peers.describe_own(fleet[0].state, now)
@@ -127,7 +143,7 @@
 def test_a_word_that_comes_before_the_registration_holds() -> None:
     """Guards against an entry that starts and reads the target's record from before."""
     teller = build_world("b-1")
-    teller.handle(TargetLeaving("b-1"))
+    teller.handle(say("b-1"))
     world = build_world("b-2")
     world.handle(peers.describe_own(teller.state, teller.clock.now()))
     world.register("b-1", service=BOOKINGS, slots=6)
@@ -137,7 +153,7 @@
 def test_a_word_is_told_for_a_while_and_remembered_for_longer() -> None:
     """Guards against messages and a state that grow with every departure."""
     world = build_world("b-1", "b-2")
-    world.handle(TargetLeaving("b-1"))
+    world.handle(say("b-1"))
     assert peers.describe_own(world.state, world.clock.now()).leaving
     world.clock.advance(LEAVING_TOLD)
     assert not peers.describe_own(world.state, world.clock.now()).leaving
@@ -165,11 +181,11 @@
     world = build_world("b-1")
     told = []
     for _ in range(3):
-        world.handle(TargetLeaving("b-1"))
+        world.handle(say("b-1"))
         told += [note.message for note in world.find_all(Note)]
     assert told == ["target says that it leaves"]
 
 
 def test_the_word_of_an_unknown_target_is_passed_over() -> None:
     """Guards against an answer that comes after its target was forgotten."""
-    assert World().handle(TargetLeaving("b-9")) == []
+    assert World().handle(say("b-9")) == []
