Order no copies ahead of runs at an engine that names a rate

An order of a copy is work that an engine in need is asked for, and it may count it as a request (Server-Limit); one was ordered each few hundred milliseconds from each engine whose runs are long. Runs there are copied in a notice only.

tests/gateway/test_limits.py::test_an_engine_in_need_copies_no_runs_ahead failed before.

--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -339,7 +339,8 @@
         return False
     if request.route.kind is not RouteKind.STREAM:
         return False
-    if not current.target.takes_work:
+    if not current.target.takes_work or limits.is_limited(current.target):
+        # One in need is spared the copies that its runs may never use.
         return False
     pool = placement.find_engine_pool(state, request.service)
     if pool is None or not pool.moves:
--- a/figstep/gateway/limits.py
+++ b/figstep/gateway/limits.py
@@ -109,6 +109,11 @@
     target.paused_until = Millis(max(target.paused_until, now + pause))
 
 
+def is_limited(target: Target) -> bool:
+    """Tell whether a target names a rate now."""
+    return target.limit is not None and target.limit.rate is not None
+
+
 def may_send(state: State, target: Target, now: Millis) -> bool:
     """Tell whether a target may be sent one more request now."""
     return find_opening(state, target, now) <= now
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -277,6 +277,20 @@
     assert world.find(CopyRun).holder == others[1]
 
 
+def test_an_engine_in_need_copies_no_runs_ahead() -> None:
+    """Guards against orders of copies that reach an engine beyond its rate."""
+    world = World()
+    world.register("e-1", "e-2")
+    opened = world.open_plan()
+    name_rate(world, 1.0, opened.target)
+    world.send_pieces(opened.attempt, 1, 9)
+    for _ in range(5):
+        world.clock.advance(100)
+        assert not [e for e in world.handle(Ticked()) if isinstance(e, CopyRun)]
+    world.handle(TargetDeparted(opened.target))
+    assert world.find(CopyRun).source == opened.target
+
+
 def test_a_run_goes_on_at_its_holder_once_that_takes_it() -> None:
     """Guards against a holder in need that gets all runs of an engine that leaves."""
     world = World()
