Name a target's life in rate reports as in departures

Reports of rates held an id and a start side by side where departures hold an Incarnation, and the edge asked a second time whether a target is limited.

--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -317,16 +317,14 @@
     """What a target's newest answer to an entry named.
 
     Attributes:
-        target: The target.
-        born: Unix millisecond of its start; tells incarnations of one id apart.
+        incarnation: The life of the target that gave it.
         rate: Requests a second that it takes from all entries together; None if
             it takes any.
         age: Time since that answer.
         turn: How often its rate had passed to other entries.
     """
 
-    target: str
-    born: int
+    incarnation: Incarnation
     rate: float | None
     age: Millis
     turn: int = 0
--- a/figstep/gateway/limits.py
+++ b/figstep/gateway/limits.py
@@ -51,8 +51,8 @@
     """Take in what targets have named to another entry."""
     effects: list[Effect] = []
     for report in reports:
-        target = state.targets.find(report.target)
-        if target is None or target.info.born != report.born:
+        target = state.targets.find(report.incarnation.target)
+        if target is None or target.info.incarnation != report.incarnation:
             continue
         said_at = Millis(now - report.age)
         if target.limit is None:
--- a/figstep/gateway/news.py
+++ b/figstep/gateway/news.py
@@ -79,5 +79,5 @@
         own.unreached,
         tuple((use.service, use.repeats) for use in own.uses),
         tuple(refusal.digest for refusal in own.refused),
-        tuple((report.target, report.rate) for report in own.rates),
+        tuple((report.incarnation, report.rate) for report in own.rates),
     )
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -297,13 +297,13 @@
 
 def _list_domain_rates(state: State, now: Millis) -> tuple[RateReport, ...]:
     """Return the newest that targets have named to any entry of this domain."""
-    newest = {report.target: report for report in state.list_rates(now)}
+    newest = {report.incarnation: report for report in state.list_rates(now)}
     for peer in state.peers.values():
         for told in peer.rates:
             report = replace(told, age=Millis(told.age + now - peer.heard))
-            known = newest.get(report.target)
+            known = newest.get(report.incarnation)
             if known is None or report.age < known.age:
-                newest[report.target] = report
+                newest[report.incarnation] = report
     return tuple(newest.values())
 
 
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -299,8 +299,8 @@
             if limit is None or now - limit.heard_at >= RATES_TOLD:
                 continue
             age = Millis(now - limit.heard_at)
-            born = target.info.born
-            reports.append(RateReport(target.name, born, limit.rate, age, limit.turn))
+            incarnation = target.info.incarnation
+            reports.append(RateReport(incarnation, limit.rate, age, limit.turn))
         return reports
 
     def list_unreached(self, now: Millis) -> list[str]:
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -111,7 +111,8 @@
         slot.target, slot.born = incarnation.target, incarnation.born
     rates = message.init("rates", len(own.rates))
     for slot, report in zip(rates, own.rates, strict=True):
-        slot.target, slot.born, slot.age = report.target, report.born, report.age
+        slot.target = report.incarnation.target
+        slot.born, slot.age = report.incarnation.born, report.age
         slot.named, slot.rate = report.rate is not None, report.rate or 0.0
         slot.turn = report.turn
     crashes = message.init("crashes", len(own.crashes))
@@ -176,8 +177,7 @@
             unreached=tuple(str(name) for name in message.unreached),
             rates=tuple(
                 RateReport(
-                    str(item.target),
-                    item.born,
+                    Incarnation(str(item.target), item.born),
                     item.rate if item.named else None,
                     Millis(item.age),
                     item.turn,
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -12,6 +12,7 @@
 
 from figstep.core.clock import Clock, Millis
 from figstep.errors import FrameError
+from figstep.gateway import limits
 from figstep.gateway.edges import AnswerHead, TargetPort, WholeAnswer
 from figstep.gateway.effects import CopyRun, OpenAttempt, RunCopy
 from figstep.gateway.events import (
@@ -182,8 +183,8 @@
         words = answers.read_words(response)
         if words.leaving and not target.said_leaving:
             self._dispatch(TargetLeaving(target.info.incarnation))
-        is_limited = target.limit is not None and target.limit.rate is not None
-        if words.rate is not None or (words.ends_rate and is_limited):
+        ends_rate = words.ends_rate and limits.is_limited(target)
+        if words.rate is not None or ends_rate:
             self._dispatch(RateNamed(target.name, words.rate, asked))
 
     def _build_headers(
--- a/tests/net/test_hellos.py
+++ b/tests/net/test_hellos.py
@@ -37,9 +37,9 @@
     partial=True,
     refused=(Refusal("digest", Millis(900)),),
     rates=(
-        RateReport("e-1", 1_783_672_261_103, 1.9, Millis(40), 2),
-        RateReport("e-2", 0, 0.0, Millis(0)),
-        RateReport("e-3", 1, None, Millis(2_900)),
+        RateReport(Incarnation("e-1", 1_783_672_261_103), 1.9, Millis(40), 2),
+        RateReport(Incarnation("e-2", 0), 0.0, Millis(0)),
+        RateReport(Incarnation("e-3", 1), None, Millis(2_900)),
     ),
 )
 
