Leave at least 0.6 s of the grace time to stop

Soak failed once of 50: 'stop: entry 2 did not end in its grace time'. Its lines: asked to end at 46.43, 'stopped' with one answer open at 50.00, the listener of callers closed at 50.40, the last part stopping at 50.399; the process was killed at four seconds after the signal, 50.4. Answers went on for 0.88 of the grace time, which leaves 0.48 s of four seconds; closing an open answer takes 0.4 s of that, the poll of what is open 0.05 s, and 0.03 s is left for the process to end.

The reserve is now at least 0.6 s, within the last sixth of a grace time of four seconds. At eight seconds, as on the deployments, 0.96 s were left and are left.

--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -92,7 +92,10 @@
 FIRST_READ_POLL_SECONDS = 0.005
 
 STOP_SECONDS = 0.4
-"""Time for the parts to stop; with the cut it fits what the grace time leaves."""
+"""Time for the parts to stop."""
+
+STOP_RESERVE = Millis(600)
+"""Least that the grace time leaves for the parts to stop and the process to end."""
 
 MOST_RECENT = 6
 """Registrations that a message holds: those of an engine or two that change
@@ -394,8 +397,7 @@
         """End gracefully: readiness falls, open answers go on to their end."""
         self.callers.ready = False
         self.callers.closing = True
-        grace = Millis(round(self.settings.grace * STOP_SHARE))
-        until = Millis(self._clock.now() + grace)
+        until = Millis(self._clock.now() + choose_drain_time(self.settings.grace))
         self.gateway.dispatch(ShutdownRequested(until))
         # The platform sends callers here until it has asked twice in vain.
         quiet_from = Millis(self._clock.now() + NOTICE)
@@ -409,6 +411,11 @@
 """Time that new callers may still come after readiness fell."""
 
 
+def choose_drain_time(grace: Millis) -> Millis:
+    """Return how long open answers go on after a process was asked to end."""
+    return Millis(max(0, min(round(grace * STOP_SHARE), grace - STOP_RESERVE)))
+
+
 def build_state(settings: EntrySettings, now: Millis) -> State:
     """Return the state that an entry starts with."""
     budget = RetryBudget(
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -19,6 +19,7 @@
     (8381837, (Word.RATE,)),
     (12, (Word.LEAVING, Word.PAUSE)),
     (3103866, ALL_WORDS),
+    (3103878, ALL_WORDS),
 ]
 """The same, with targets that say things of themselves in their answers.
 
@@ -27,6 +28,9 @@
 
 3103866: the check of the end took 404s of paths without a route for callers that were
 not served.
+
+3103878: of a grace time of four seconds too little was left to close an answer that
+was still open and to end the process.
 """
 
 
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -11,7 +11,8 @@
 import pytest
 from aiohttp import web
 
-from figstep.platform.entry import Entry, serve_until_signal
+from figstep.core.clock import Millis
+from figstep.platform.entry import Entry, choose_drain_time, serve_until_signal
 from tests.platform.places import Place, ask_order, open_place
 from tests.platform.standins import (
     KEY,
@@ -310,6 +311,14 @@
     assert entry.gateway.known.budget.allowance == 7.0
 
 
+@pytest.mark.parametrize(
+    ("grace", "drain"), [(8_000, 7_040), (4_000, 3_400), (1_000, 400), (500, 0)]
+)
+def test_a_short_grace_time_leaves_enough_to_stop(grace: int, drain: int) -> None:
+    """Guards against a process that is killed as it closes what was open."""
+    assert choose_drain_time(Millis(grace)) == drain
+
+
 async def test_an_entry_stops_in_time_with_answers_open(
     tmp_path: Path, unused_tcp_port_factory: Callable[[], int]
 ) -> None:
