Log what lost attempts and crashes have in common with earlier ones

Callers saw one read crash all targets again and again, and no line told that it was the same read, how long each attempt had been open, or that a crash had been counted or heard of from another entry.

"attempt lost" now has the request's digest and took_ms, so that an attempt that ran can be told from one that found no connection. "request suspected" is written for each crash that is new, with who told it; "request turned away" names the digest of a request that crashes targets. No decision changes. Whether the HTTP client hides a connection is told by a target's side, so no count of connections was added: tracing them costs time with each request.

--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from figstep.core.clock import MINUTE, Millis
+from figstep.gateway.effects import Effect, Note
 
 MOST_CRASHES = 2
 """Crashed targets after which a request is refused. One crash may be chance;
@@ -24,9 +25,31 @@
 
     crashes: dict[str, dict[str, Millis]] = field(default_factory=dict)
 
-    def note_crash(self, digest: str, crash: str, now: Millis) -> None:
-        """Count a crash once, however often it is told."""
-        self.crashes.setdefault(digest, {}).setdefault(crash, now)
+    def note_crash(
+        self, digest: str, crash: str, source: str, now: Millis
+    ) -> list[Effect]:
+        """Count a crash once, however often it is told.
+
+        Args:
+            digest: Digest of a request that was there.
+            crash: Name that all entries give the crash.
+            source: Who saw it: this entry itself, or the name of another.
+            now: Monotonic time.
+
+        Returns:
+            The log line of a crash that is new, else nothing.
+        """
+        found = self.crashes.setdefault(digest, {})
+        if crash in found:
+            return []
+        found[crash] = now
+        fields: dict[str, str | int | float | None] = {
+            "digest": digest,
+            "crash": crash,
+            "told_by": source,
+            "crashes": len(found),
+        }
+        return [Note("request suspected", fields)]
 
     def is_refused(self, digest: str, now: Millis) -> bool:
         """Tell whether a request is kept away from targets."""
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -29,10 +29,16 @@
 """Crashes told in a message; each is told again and again while it is new."""
 
 
-def take_message(state: State, event: PeerHeard, now: Millis) -> None:
-    """Take in a peer's message."""
+def take_message(state: State, event: PeerHeard, now: Millis) -> list[Effect]:
+    """Take in a peer's message; returns what is to be logged of it."""
+    notes: list[Effect] = []
     for digest, crash in event.crashes:
-        state.crashes.note_crash(digest, crash, now)
+        notes += state.crashes.note_crash(digest, crash, event.node, now)
+    _take_peer(state, event, now)
+    return notes
+
+
+def _take_peer(state: State, event: PeerHeard, now: Millis) -> None:
     for refusal in event.refused:
         state.refused.note_told(refusal, now)
     peer = Peer(
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -33,7 +33,7 @@
     was_current = request.current is attempt
     was_known = attempt.target.is_unreached(now)
     attempts.end_attempt(state, attempt)
-    _judge_target(state, request, attempt, event, now)
+    suspected = _judge_target(state, request, attempt, event, now)
     if event.loss not in NOT_RUN:
         request.may_have_run = True
         request.runs += 1
@@ -41,7 +41,8 @@
         request.unreached += 1
     effects: list[Effect] = [
         Count("lost", (request.route.name, event.loss.value)),
-        _note_loss(request, attempt, event),
+        _note_loss(request, attempt, event, now),
+        *suspected,
     ]
     if event.loss is Loss.UNREACHED and not was_known:
         # Until the others know, they try it as well, or copy runs to it.
@@ -59,13 +60,13 @@
 
 def _judge_target(
     state: State, request: Request, attempt: Attempt, event: AttemptLost, now: Millis
-) -> None:
+) -> list[Effect]:
     target = attempt.target
     if event.retry_after is not None:
         limits.note_pause(target, event.retry_after, now)
     match event.loss:
         case Loss.REFUSED | Loss.CUT:
-            return
+            return []
         case Loss.FAILED:
             target.note_failure()
         case Loss.MISDIRECTED:
@@ -78,18 +79,19 @@
         case _:
             target.note_loss(now, True)
     if event.loss is Loss.BROKEN and not request.begun:
-        _suspect_request(state, request, attempt, now)
+        return _suspect_request(state, request, attempt, now)
+    return []
 
 
 def _suspect_request(
     state: State, request: Request, attempt: Attempt, now: Millis
-) -> None:
+) -> list[Effect]:
     # A request that crashes its target does so as it begins to run; one whose
     # answer had begun was only there, and a target that leaves ends all.
     if attempt.target.standing is not Standing.READY:
-        return
+        return []
     crash = f"{attempt.target.name}@{attempt.target.info.born}"
-    state.crashes.note_crash(request.spec.digest, crash, now)
+    return state.crashes.note_crash(request.spec.digest, crash, "itself", now)
 
 
 def _go_on(
@@ -203,16 +205,20 @@
     return Millis(min(total // 2, 3 * request.route.objective))
 
 
-def _note_loss(request: Request, attempt: Attempt, event: AttemptLost) -> Note:
+def _note_loss(
+    request: Request, attempt: Attempt, event: AttemptLost, now: Millis
+) -> Note:
     return Note(
         "attempt lost",
         {
             "request": request.spec.id,
+            "digest": request.spec.digest,
             "attempt": attempt.number,
             "target": attempt.target.name,
             "standing": attempt.target.standing.value,
             "loss": event.loss.value,
             "detail": event.detail,
+            "took_ms": now - attempt.opened,
             "events": request.pieces,
             "copy_at": request.copy.holder if request.copy else "",
         },
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -122,8 +122,8 @@
             sources.watch_store(state, now)
             return []
         case PeerHeard():
-            peers.take_message(state, event, now)
             return [
+                *peers.take_message(state, event, now),
                 *evacuations.take_evacuations(
                     state, event.evacuations, event.node, now
                 ),
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -66,7 +66,14 @@
     if spec.body_bytes > table.limits.body_bytes:
         return _turn_away(spec.number, spec.id, 413, "body_too_large")
     if state.crashes.is_refused(spec.digest, now):
-        return _turn_away(spec.number, spec.id, 503, "crashes_targets", CRASHING_RETURN)
+        return _turn_away(
+            spec.number,
+            spec.id,
+            503,
+            "crashes_targets",
+            CRASHING_RETURN,
+            digest=spec.digest,
+        )
     if state.closes_at is not None and _is_long(route):
         return _turn_away(spec.number, spec.id, 503, "entry_leaving", CLOSING_RETURN)
     request = _build_request(state, event, route, customer, now)
@@ -296,6 +303,7 @@
     reason: str,
     retry_after: Millis | None = None,
     version: int = -1,
+    digest: str = "",
 ) -> list[Effect]:
     problem = Problem(status, reason, _DETAILS[reason], Ran.NO, retry_after)
     return [
@@ -308,6 +316,7 @@
                 "status": status,
                 "reason": reason,
                 "configuration": version,
+                "digest": digest,
             },
         ),
     ]
