Add failing tests of reads that crash their targets and of hidden repeats

What callers saw: a read that crashes its targets came back again and again, each time at another entry, and was sent to all four targets each time.

While writing it the stand-in saw two requests for one attempt. So the edge does not take one error for the other: the HTTP client itself sends a GET, PUT or DELETE a second time when its connection breaks, and reports what became of the second. Nobody decided on that sending. It breaks more than the budget: a call that is not idempotent runs twice if its method is one of these, which the second test shows, and its caller is told that it has not run.

The edge of the product's own interface guards non-idempotent calls against this (SendOnce in net/pools.py); the edge for the platform never did.

--- a/tests/platform/places.py
+++ b/tests/platform/places.py
@@ -89,6 +89,11 @@
     """Add plain targets, and entries that know each other."""
     for number in range(1, targets + 1):
         await place.add_target(f"i-b{number}", "bookings")
+    await start_fleet(place, entries, targets)
+
+
+async def start_fleet(place: Place, entries: int, targets: int) -> None:
+    """Start entries that know each other and the targets."""
     seeds: list[object] = []
     for number in range(entries):
         entry = await place.add_entry(node=f"entry-{number}", seeds=tuple(seeds))
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -155,12 +155,14 @@
         return web.Response(body=raw)
 
 
-def build_registration(service: str, address: str, state: str) -> bytes:
+def build_registration(
+    service: str, address: str, state: str, failure_domain: str = "muc-a"
+) -> bytes:
     """Return a target's registration as it writes it."""
     entry = {
         "service": service,
         "addr": address,
-        "zone": "muc-a",
+        "zone": failure_domain,
         "version": "v1",
         "slots": 64,
         "state": state,
@@ -192,6 +194,7 @@
         says: Headers that all its answers carry besides.
         arrivals: When the requests came, by the loop's clock.
         reports: How often it was asked for its state.
+        failure_domain: Its failure domain.
     """
 
     name: str
@@ -209,19 +212,22 @@
     reports: int = 0
     peers: dict[str, "FakeTarget"] = field(default_factory=dict)
     runner: web.AppRunner | None = None
+    failure_domain: str = "muc-a"
 
-    async def start(self, store: FakeStore) -> None:
+    async def start(self, store: FakeStore, port: int = 0) -> None:
         """Listen and register."""
         app = web.Application()
         app.router.add_post("/figstep/kv-move", self._move)
         app.router.add_get("/figstep/report", self._report)
         app.router.add_route("*", "/{path:.*}", self._answer)
-        self.runner, self.address = await start_app(app)
+        self.runner, self.address = await start_app(app, port)
         await self.register(store)
 
     async def register(self, store: FakeStore, state: str = "ready") -> None:
         """Write the registration."""
-        entry = build_registration(self.service, self.address, state)
+        entry = build_registration(
+            self.service, self.address, state, self.failure_domain
+        )
         await store.put("keyed.servers", self.name, entry)
 
     async def kill(self) -> None:
@@ -229,7 +235,19 @@
         if self.runner is not None:
             await self.runner.cleanup()
 
-    def _sign(self, request: web.Request) -> dict[str, str]:
+    async def crash(self) -> None:
+        """Stop listening and reset all connections; the registration stays."""
+        assert self.runner is not None
+        for site in list(self.runner.sites):
+            await site.stop()
+        assert self.runner.server is not None
+        for connection in list(self.runner.server.connections):
+            transport = connection.transport
+            if transport is not None:
+                transport.abort()
+
+    def sign(self, request: web.Request) -> dict[str, str]:
+        """Return the headers of an answer."""
         return {
             "Request-Id": request.headers.get("Request-Id", ""),
             "Server-Stamp": f"stamp-{self.name}",
@@ -245,7 +263,7 @@
         if self.handler is not None:
             return await self.handler(request)
         if "Token-Count" not in request.headers:
-            return web.Response(body=b"answer", headers=self._sign(request))
+            return web.Response(body=b"answer", headers=self.sign(request))
         return await self._stream(request)
 
     async def _stream(self, request: web.Request) -> web.StreamResponse:
@@ -256,7 +274,7 @@
         backup = self.peers.get(request.headers.get("Kv-Backup", ""))
         if backup is not None:
             backup.copies.add(number)
-        response = web.StreamResponse(headers=self._sign(request))
+        response = web.StreamResponse(headers=self.sign(request))
         response.content_type = "text/event-stream"
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
--- /dev/null
+++ b/tests/platform/test_crashes.py
@@ -0,0 +1,133 @@
+"""Requests that crash the targets that run them, before entries that share work."""
+
+import asyncio
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from itertools import count
+
+from aiohttp import web
+
+from figstep.platform.entry import Entry
+from tests.platform.places import Place, open_place, start_fleet
+from tests.platform.standins import FakeTarget
+
+ENTRIES = 4
+DOMAINS = ("muc-a", "muc-b", "nue-a", "aug-a")
+CRASHING = "/lookup/crashes"
+
+CRASH_SECONDS = 0.05
+"""From when a target begins to run such a request until it crashes."""
+
+DOWN_SECONDS = 0.5
+"""Until it starts again, at its address and under a new id."""
+
+RETURN_SECONDS = 1.0
+"""Time between two sendings by the caller."""
+
+CONTACT_SECONDS = 0.6
+"""From when on the third crash is known to all; a part of RETURN_SECONDS as it is on
+the users' deployments, where callers return every 3.6 s."""
+
+MOST_RETRIES = 3
+"""Sendings later than that which are borne."""
+
+
+@dataclass
+class Crashes:
+    """What became of the targets of a place.
+
+    Attributes:
+        sent: When the request that crashes them reached one.
+        at: When each target crashed.
+        restarts: Targets that are starting again.
+    """
+
+    place: Place
+    sent: list[float] = field(default_factory=list)
+    at: list[float] = field(default_factory=list)
+    restarts: list[asyncio.Task[None]] = field(default_factory=list)
+    numbers: Iterator[int] = field(default_factory=lambda: count(1))
+
+    async def add_target(self, failure_domain: str) -> FakeTarget:
+        """Add a target that a request for CRASHING crashes."""
+        target = FakeTarget(
+            f"i-b{next(self.numbers)}", "bookings", failure_domain=failure_domain
+        )
+        await self.start(target)
+        return target
+
+    async def start(self, target: FakeTarget, port: int = 0) -> None:
+        """Start a target."""
+
+        async def answer(request: web.Request) -> web.StreamResponse:
+            if request.path != CRASHING:
+                await asyncio.sleep(CRASH_SECONDS / 2)
+                return web.Response(body=b"answer", headers=target.sign(request))
+            self.sent.append(read_clock())
+            await asyncio.sleep(CRASH_SECONDS)
+            self.at.append(read_clock())
+            self.restarts.append(asyncio.create_task(self._restart(target)))
+            await target.crash()
+            return web.Response()
+
+        target.handler = answer
+        self.place.targets[target.name] = target
+        await target.start(self.place.store, port)
+
+    async def _restart(self, target: FakeTarget) -> None:
+        await asyncio.sleep(DOWN_SECONDS)
+        await target.kill()
+        port = int(target.address.rpartition(":")[2])
+        again = FakeTarget(
+            f"i-b{next(self.numbers)}",
+            "bookings",
+            failure_domain=target.failure_domain,
+        )
+        await self.start(again, port)
+        await self.place.store.put("keyed.servers", target.name, b"")
+
+    def count_late(self) -> int:
+        """Return the sendings since the third crash was known to all."""
+        if len(self.at) < 3:
+            return 0
+        known = sorted(self.at)[2] + CONTACT_SECONDS
+        return sum(at > known for at in self.sent)
+
+
+@asynccontextmanager
+async def open_crashing_place() -> AsyncIterator[Crashes]:
+    """Open a place whose targets lie in failure domains of their own."""
+    async with open_place() as place:
+        crashes = Crashes(place)
+        for failure_domain in DOMAINS:
+            await crashes.add_target(failure_domain)
+        await start_fleet(place, ENTRIES, len(DOMAINS))
+        try:
+            yield crashes
+        finally:
+            await asyncio.gather(*crashes.restarts)
+
+
+def read_clock() -> float:
+    """Return the loop's time, in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+async def read(place: Place, entry: Entry, path: str, number: str) -> int:
+    """Send a read to an entry; returns its status."""
+    headers = place.headers(number)
+    async with place.session.get(place.url(path, entry), headers=headers) as got:
+        await got.read()
+        return got.status
+
+
+async def test_a_read_that_crashes_its_targets_is_kept_away() -> None:
+    """Guards against crashes that look like targets that could not be reached."""
+    async with open_crashing_place() as crashes:
+        place = crashes.place
+        for number in range(6):
+            entry = place.entries[number % ENTRIES]
+            await read(place, entry, CRASHING, f"crash-{number}")
+            await asyncio.sleep(RETURN_SECONDS)
+    assert crashes.count_late() <= MOST_RETRIES
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -137,6 +137,23 @@
     assert len(target.seen) == 1
 
 
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE"])
+async def test_an_order_by_any_method_is_sent_once(place: Place, method: str) -> None:
+    """Guards against an HTTP client that sends some methods again by itself."""
+    target = place.targets["i-b1"]
+
+    async def break_off(request: web.Request) -> web.StreamResponse:
+        assert request.transport is not None
+        request.transport.abort()
+        return web.Response()
+
+    target.handler = break_off
+    url, headers = place.url("/order/a"), place.headers("r-1")
+    async with place.session.request(method, url, headers=headers) as response:
+        assert response.status == 502
+    assert len(target.seen) == 1
+
+
 async def test_another_requests_answer_is_not_handed_on(place: Place) -> None:
     async def answer_other(request: web.Request) -> web.StreamResponse:
         return web.Response(body=b"other", headers={"Request-Id": "r-0"})
