Send a request to a target once, whatever its method

Callers saw a read that crashes its targets sent to all four targets in one attempt, every 3.6 s, at whichever entry; the application was down for most of the time. An order sent by GET, PUT or DELETE could run twice, and its caller be told that it had not run.

Cause: the HTTP client sends a GET, HEAD, PUT or DELETE again by itself, once, when its connection breaks before the answer. The target that crashed under the first sending refuses the second, so the edge told the decisions of a target that could not be reached: nothing ran, nothing counts against the route's attempts, no crash, nothing to tell the other entries. That is why four targets in one attempt of a caller on a route of two attempts, and why no later entry knew.

Sessions towards targets are opened in one place now, with a middleware that turns a break into an error that the client doesn't repeat after. The own interface had a guard for calls that run once only (SendOnce); its other calls had the same fault, and a break could be told as "not run" there too. Its test now holds for every call, so that it is stricter than before.

Reads of the store and of the log may still be sent again by the client: they run nothing.

--- a/figstep/net/pools.py
+++ b/figstep/net/pools.py
@@ -5,28 +5,9 @@
 
 import aiohttp
 
-CONNECT_TIMEOUT = 2.0
-
-
-class SendOnce:
-    """Middleware that lets the bytes of a request out once.
-
-    The client sends a GET, PUT or DELETE again by itself when its connection
-    breaks, which runs a non-idempotent call twice without anyone knowing.
-    Failing the second send hands the loss to the reducer, which decides.
-    """
-
-    def __init__(self) -> None:
-        self._sent = False
+from figstep.net.sessions import open_target_session
 
-    async def __call__(
-        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-    ) -> aiohttp.ClientResponse:
-        """Send, or fail where it was sent before."""
-        if self._sent:
-            raise aiohttp.ServerDisconnectedError("lost after it was sent")
-        self._sent = True
-        return await handler(request)
+CONNECT_TIMEOUT = 2.0
 
 
 class Pool:
@@ -86,12 +67,5 @@
 
 
 def _open_session(force_close: bool) -> aiohttp.ClientSession:
-    # Cookies are dropped: a jar would hand one customer's to the next.
     connector = aiohttp.TCPConnector(limit=0, force_close=force_close)
-    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT)
-    return aiohttp.ClientSession(
-        timeout=timeout,
-        connector=connector,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        auto_decompress=False,
-    )
+    return open_target_session(connector, CONNECT_TIMEOUT)
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -26,7 +26,7 @@
 from figstep.errors import FrameError
 from figstep.net.exchanges import Exchange, ServiceAnswer
 from figstep.net.frames import FrameSplitter
-from figstep.net.pools import PoolTable, SendOnce
+from figstep.net.pools import PoolTable
 
 CANCEL_TIMEOUT = 2.0
 REST_SECONDS = 1.0
@@ -200,7 +200,6 @@
                 data=exchange.body,
                 headers=exchange.headers,
                 allow_redirects=False,
-                middlewares=(SendOnce(),) if effect.once else (),
             ) as response:
                 body = await response.read()
         # Passed on and recorded, a 429 would be replayed to every later sending
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -32,6 +32,7 @@
 from figstep.gateway.targets import Target
 from figstep.net.connectors import ResetAwareConnector
 from figstep.net.frames import EventSplitter
+from figstep.net.sessions import open_target_session
 from figstep.platform import answers, names
 from figstep.platform.callers import CallerExchange
 
@@ -87,12 +88,8 @@
     async def on_start(self) -> None:
         """Open the client."""
         connector = ResetAwareConnector(limit=0, force_close=True)
-        self._session = aiohttp.ClientSession(
-            connector=connector,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
-            auto_decompress=False,
-            skip_auto_headers=_ADDED_BY_CLIENT,
+        self._session = open_target_session(
+            connector, CONNECT_SECONDS, _ADDED_BY_CLIENT
         )
 
     async def on_stop(self) -> None:
--- a/tests/net/test_pools.py
+++ b/tests/net/test_pools.py
@@ -1,4 +1,4 @@
-"""Connections to targets: kept, new, replaced, and sent on once."""
+"""Connections to targets: kept, new and replaced."""
 
 from collections.abc import AsyncIterator
 
@@ -6,7 +6,7 @@
 import pytest
 from aiohttp import web
 
-from figstep.net.pools import Pool, PoolTable, SendOnce
+from figstep.net.pools import Pool, PoolTable
 from figstep.standins.http import start_app
 
 
@@ -80,19 +80,17 @@
 
 
 @pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
-async def test_a_call_that_runs_once_is_never_sent_twice(
+async def test_a_call_is_never_sent_twice(
     pools: PoolTable, target: Target, method: str
 ) -> None:
-    """The target executes a call and its connection breaks.
-
-    The HTTP client sends some methods again by itself; a seat booked with PUT
-    would be booked twice, below everything that counts attempts.
-    """
+    """Guards against a client that sends a call again by itself: it would run twice."""
     target.cut = True
     async with pools.use("t") as pool:
-        with pytest.raises(aiohttp.ClientError):
-            await pool.fresh.request(method, target.url, middlewares=(SendOnce(),))
-    assert target.requests == 1
+        for session in (pool.fresh, pool.reused):
+            target.requests = 0
+            with pytest.raises(aiohttp.ClientError):
+                await session.request(method, target.url)
+            assert target.requests == 1
 
 
 async def test_cookies_of_one_caller_do_not_reach_the_next(
