Send a read on in another failure domain than where its target was lost

A read whose target is lost while it has it goes on at the least loaded target, which for an entry is likely one of the same failure domain. If the domain is being lost, the next target goes as well: the read is lost twice, uses up its attempts, and looks like a request that crashes its targets, which it only met.

Repeats now prefer targets of other failure domains, where any is open; a target that answers with a failure of its own lives and does not count. The new test fails without it (the repeat went to a target of the same domain). Streams that go on from copies are not touched.

--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -352,8 +352,11 @@
     trusted = [target for target in open_now if target.avoid_until <= now]
     silent = state.targets.find_silent_domains(request.service, now)
     heard = [t for t in trusted if t.info.failure_domain not in silent]
-    if heard:
-        return heard
+    # A failure domain that is being lost may take the next target as well.
+    lost = request.lost_domains
+    elsewhere = [t for t in heard if t.info.failure_domain not in lost]
+    if elsewhere or heard:
+        return elsewhere or heard
     # Where all are avoided, asking one is better than turning callers away for
     # losses that may be over.
     return trusted or open_now
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -37,6 +37,8 @@
     if event.loss not in NOT_RUN:
         request.may_have_run = True
         request.runs += 1
+        if event.loss is not Loss.FAILED:
+            request.lost_domains.add(attempt.target.info.failure_domain)
     if event.loss is Loss.UNREACHED:
         request.unreached += 1
     effects: list[Effect] = [
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -114,6 +114,7 @@
         runs: Lost attempts that may have run.
         may_have_run: Whether a target may have begun to run it.
         tried: Targets that lost or refused it.
+        lost_domains: Failure domains of targets that were lost while they had it.
         no_copy_at: Targets that could not take a copy of its run, and when.
         queued: Whether it waits for room.
         denied: Whether the retry budget has denied it a repeat.
@@ -151,6 +152,7 @@
     runs: int = 0
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
+    lost_domains: set[str] = field(default_factory=set)
     no_copy_at: dict[str, Millis] = field(default_factory=dict)
     queued: bool = False
     denied: bool = False
--- a/tests/gateway/test_recovery.py
+++ b/tests/gateway/test_recovery.py
@@ -247,3 +247,16 @@
         opened = world.find(OpenAttempt)
         world.handle(AttemptLost(opened.attempt, Loss.REFUSED))
     assert tries == MOST_SENDS
+
+
+def test_a_read_goes_on_in_another_failure_domain() -> None:
+    """Guards against a read that follows a failure domain as it is lost."""
+    world = World()
+    world.register("b-1", "b-2", "b-3", service=BOOKINGS)
+    far = Registration("b-4", BOOKINGS, "b-4:80", "muc-b", 64, born=1)
+    world.handle(TargetRegistered(far))
+    world.arrive("/lookup/a")
+    first = world.find(OpenAttempt)
+    assert first.target != far.target
+    world.handle(AttemptLost(first.attempt, Loss.BROKEN))
+    assert world.find(OpenAttempt).target == far.target
