Ask at each way into a target whether a request is refused

Whether a request crashes its targets was asked once, as it arrived. One that waited for room, was sent on after a refusal, or was repeated went on although its crashes had been told meanwhile.

Placing, starting from the queue and repeating ask as well; what ran before gets 502, what did not gets 503 with the pause of such requests. The three new tests fail without this: a killer in the queue is started, one at two entries at once goes on at both, and a route of four attempts crashes four targets. The repeat right after a crash still goes out before that crash is proved.

--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -176,6 +176,8 @@
     """Run an idempotent request again, if budget, time and room allow."""
     if now >= request.deadline:
         return []
+    if state.crashes.is_refused(request.spec.digest, now):
+        return requests.refuse_request(state, request, "crashes_targets", now)
     target = placement.choose_target(state, request, now)
     if target is None:
         return []
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -119,6 +119,8 @@
 
 def place_request(state: State, request: Request, now: Millis) -> list[Effect]:
     """Start a request where there is room, else queue or refuse it."""
+    if state.crashes.is_refused(request.spec.digest, now):
+        return refuse_request(state, request, "crashes_targets", now)
     target = placement.choose_target(state, request, now)
     if target is not None:
         admission.note_start(state, request, now)
@@ -151,6 +153,9 @@
     waiting.sort(key=lambda request: _rank(request, now))
     asked: set[str] = set()
     for request in waiting:
+        if state.crashes.is_refused(request.spec.digest, now):
+            effects += refuse_request(state, request, "crashes_targets", now)
+            continue
         if request.service in asked:
             continue
         asked.add(request.service)
@@ -235,7 +240,7 @@
             status = 504
     else:
         status, ran = 503, Ran.NO
-        retry_after = admission.choose_return(state, request, now)
+        retry_after = _choose_return(state, request, reason, now)
     problem = Problem(
         status, reason, _DETAILS.get(reason, _LOST_DETAIL), ran, retry_after
     )
@@ -247,6 +252,12 @@
     ]
 
 
+def _choose_return(state: State, request: Request, reason: str, now: Millis) -> Millis:
+    if reason == "crashes_targets":
+        return crashes.choose_return(state, request.spec.digest, now)
+    return admission.choose_return(state, request, now)
+
+
 def _note_refusal(state: State, request: Request, reason: str, now: Millis) -> Note:
     return Note(
         "generation refused",
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -1,11 +1,12 @@
 """Requests that crash their targets, before fleets that share what they see."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 import pytest
 
 from figstep.core.clock import Millis
+from figstep.core.crashes import Suspicion
 from figstep.gateway import peers
 from figstep.gateway.crashes import (
     LOST_KEPT,
@@ -18,6 +19,7 @@
     AnswerArrived,
     AttemptLost,
     CallerGone,
+    ConfigurationRead,
     EntriesCounted,
     Loss,
     TargetDeparted,
@@ -32,8 +34,10 @@
 from tests.gateway.worlds import (
     BOOKINGS,
     ENGINES,
+    LOOKUP,
     World,
     build_fleet,
+    build_table,
     start_with_backup,
     tell_all,
 )
@@ -350,6 +354,59 @@
     assert world.state.crashes.count("good") == 2
 
 
+def test_a_request_that_waits_is_refused_as_its_crashes_are_told() -> None:
+    """Guards against a killer in a queue that is started all the same."""
+    world = World()
+    world.register("e-1", slots=1)
+    world.arrive("/question/a", Prompt("m", 100, 50, 50))
+    running = world.find(OpenAttempt)
+    world.arrive("/question/a", Prompt("m", 100, 50, 50), digest=KILLER)
+    assert world.find_all(OpenAttempt) == []
+    for number in range(2):
+        suspicion = Suspicion(KILLER, f"e-{number + 7}@1", f"domain-{number}")
+        world.state.crashes.note(suspicion, world.clock.now())
+    world.handle(AnswerArrived(running.attempt, 200))
+    world.handle(Ticked())
+    assert world.find_all(OpenAttempt) == []
+    assert has_turned_away(world)
+    assert world.find(Refuse).problem.status == 503
+
+
+def test_a_request_is_not_sent_on_once_others_tell_of_its_crashes() -> None:
+    """Guards against a killer at two entries at once that goes on at both."""
+    replay = Replay()
+    first, second = replay.fleet[:2]
+    first.arrive("/lookup/a", digest=KILLER)
+    here = first.find(OpenAttempt)
+    second.arrive("/lookup/a", digest=KILLER)
+    there = second.find(OpenAttempt)
+    if there.target == here.target:
+        attempt = second.state.attempts[there.attempt]
+        other = next(name for name in replay.lives if name != here.target)
+        attempt.target = second.state.targets.targets[other]
+    replay.lose(first, here.attempt)
+    tell_all(replay.fleet)
+    replay.lose(second, there.attempt)
+    tell_all(replay.fleet)
+    assert first.state.crashes.is_refused(KILLER, replay.clock.now())
+    sent = first.state.requests[here.number].current
+    assert sent is not None
+    first.handle(AttemptLost(sent.number, Loss.REFUSED))
+    assert first.find_all(OpenAttempt) == []
+    assert has_turned_away(first)
+
+
+def test_a_run_is_not_repeated_once_its_crashes_refuse_it() -> None:
+    """Guards against a route of many attempts that crashes as many targets."""
+    replay = Replay()
+    route = replace(LOOKUP, attempts=4)
+    for world in replay.fleet:
+        world.handle(ConfigurationRead(build_table(2, [route])))
+    replay.send(replay.fleet[0])
+    # The repeat after the second crash goes out before that crash is known.
+    assert len(replay.runs) <= 3
+
+
 def test_an_entry_that_starts_again_learns_what_is_refused() -> None:
     """Guards against a restarted entry that sends a killer on."""
     replay = Replay(73)
