Refuse killers that crash together, or targets of one failure domain

Crashes at which another request was that has been at several are laid on that one and are no sign that targets crash by themselves. Of one failure domain, two crashes at about the same time count as one, not any number: a request that met a domain as it is lost may have met its next target there, not more.

--- a/figstep/core/crashes.py
+++ b/figstep/core/crashes.py
@@ -193,12 +193,17 @@
         return False
 
     def _count_unrelated(self, digest: str, own: list[_Crash]) -> int:
-        """Count the crashes without a request between the first and last of its own."""
+        """Count the crashes between the first and last of a request's that had others.
+
+        Those that another request causes are no sign that targets crash by themselves.
+        """
         first = min(crash.at for crash in own) - SAME_CAUSE
         last = max(crash.at for crash in own) + SAME_CAUSE
         count = 0
         for crash in self._crashes.values():
-            if first <= crash.at <= last and digest not in crash.suspects:
+            if not first <= crash.at <= last or digest in crash.suspects:
+                continue
+            if all(len(self._lives[other]) == 1 for other in crash.suspects):
                 count += 1
         return count
 
@@ -256,12 +261,18 @@
 
 
 def _count_causes(crashes: list[_Crash]) -> int:
-    """Count crashes, those of one failure domain at about the same time as one."""
-    last: dict[str, Millis] = {}
-    causes = 0
+    """Count crashes, two of a failure domain at about the same time as one.
+
+    A request may meet a failure domain as it is lost, and its next target with it;
+    it doesn't meet more of it.
+    """
+    groups: dict[str, list[list[_Crash]]] = {}
     for crash in sorted(crashes, key=lambda crash: crash.at):
-        before = last.get(crash.failure_domain)
-        if before is None or crash.at - before >= SAME_CAUSE:
-            causes += 1
-            last[crash.failure_domain] = crash.at
+        found = groups.setdefault(crash.failure_domain, [])
+        if not found or crash.at - found[-1][0].at >= SAME_CAUSE:
+            found.append([])
+        found[-1].append(crash)
+    causes = 0
+    for found in groups.values():
+        causes += sum((len(group) + 1) // 2 for group in found)
     return causes
