Crash targets in the soak, and send its calls by all methods

Callers now send calls by GET, PUT and DELETE too, and some send a read or a stream that crashes each target that begins to run it, again and again. Checked is what reaches targets once three have crashed, and that nobody is refused for what crashed beside it.

--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from pathlib import Path
 
-from tests.faults.plans import ALL_WORDS, Word, draw_plan
+from tests.faults.plans import ALL_EXTRAS, Extra, draw_plan
 from tests.faults.promises import Breach, check_promises
 from tests.faults.records import Record
 from tests.faults.sites import Site
@@ -24,11 +24,11 @@
     folder: Path,
     entries: int = 3,
     engines: int = 5,
-    words: tuple[Word, ...] = ALL_WORDS,
+    extras: tuple[Extra, ...] = ALL_EXTRAS,
 ) -> tuple[Record, list[Breach]]:
     """Play one seed; return what was seen and the promises that were broken."""
     site = Site(seed, folder, entries, engines)
-    await site.play(draw_plan(seed, entries, SECONDS, words), SECONDS)
+    await site.play(draw_plan(seed, entries, SECONDS, extras), SECONDS)
     return site.record, check_promises(site.record)
 
 
@@ -99,9 +99,7 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--engines", type=int, default=5)
     parser.add_argument("--seed", type=int, default=None, help="play only this one")
-    parser.add_argument(
-        "--silent", action="store_true", help="targets say nothing in their answers"
-    )
+    parser.add_argument("--plain", action="store_true", help="draw none of the extras")
     parser.add_argument("--folder", type=Path, default=None)
     arguments = parser.parse_args()
     # Callers that leave and engines that die end the stand-ins' handlers.
@@ -113,7 +111,7 @@
             folder,
             arguments.entries,
             arguments.engines,
-            () if arguments.silent else ALL_WORDS,
+            () if arguments.plain else ALL_EXTRAS,
         )
         record, breaches = asyncio.run(playing)
         for breach in breaches:
--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -7,7 +7,16 @@
 
 import aiohttp
 
-from tests.faults.records import EVENTS, STREAMS, Attempt, Kind, Record, read_clock
+from figstep.net.sessions import send_once
+from tests.faults.records import (
+    CRASHING,
+    EVENTS,
+    STREAMS,
+    Attempt,
+    Kind,
+    Record,
+    read_clock,
+)
 from tests.faults.targets import FORGED, ONLY_SYSTEM
 from tests.platform.standins import ROUTE_HOST
 
@@ -23,6 +32,9 @@
 CONNECTIONS = 4
 """Connections that are kept to each entry; they are used until they close."""
 
+METHODS = ("POST", "POST", "GET", "PUT", "DELETE")
+"""Methods of calls: what may be repeated follows from their route."""
+
 _SHARES = {Kind.PLAN: 0.25, Kind.CHECK: 0.2, Kind.ORDER: 0.3, Kind.LOOKUP: 0.25}
 
 
@@ -53,6 +65,7 @@
         doors: The entries.
         list_paths: Returns paths that have, had or never had a route.
         list_keys: Returns keys that are, or were, in force.
+        methods: Draws the methods of calls.
     """
 
     record: Record
@@ -60,6 +73,7 @@
     doors: list[Door]
     list_paths: Callable[[], list[str]]
     list_keys: Callable[[], list[str]]
+    methods: random.Random
     _sessions: dict[int, aiohttp.ClientSession] = field(default_factory=dict)
     _calls: set[asyncio.Task[None]] = field(default_factory=set)
     _count: int = 0
@@ -71,6 +85,7 @@
                 connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
                 timeout=aiohttp.ClientTimeout(total=PATIENCE),
                 auto_decompress=False,
+                middlewares=(send_once,),
             )
         try:
             while not ended.is_set():
@@ -97,6 +112,27 @@
             kind = Kind.LOOKUP
             path = self.rng.choice(self.list_paths())
             key = self.rng.choice(self.list_keys())
+        attempt = self._add_attempt(door, kind, f"{path}x", key)
+        leaves = None
+        if self.rng.random() < LEAVERS:
+            leaves = self.rng.uniform(0.05, 1.0)
+        call = asyncio.create_task(self._call(door, attempt))
+        done, _ = await asyncio.wait({call}, timeout=leaves)
+        if not done:
+            call.cancel()
+            await asyncio.wait({call})
+            attempt.left = not attempt.whole
+        attempt.ended = read_clock()
+
+    async def send_crashing(self, kind: Kind, name: str) -> None:
+        """Send a request that crashes the targets that run it."""
+        door = self._choose_door()
+        path = f"/{kind.value}/{CRASHING}{name}"
+        attempt = self._add_attempt(door, kind, path, "key-1")
+        await self._call(door, attempt)
+        attempt.ended = read_clock()
+
+    def _add_attempt(self, door: Door, kind: Kind, path: str, key: str) -> Attempt:
         self._count += 1
         attempt = Attempt(
             f"r{self._count}",
@@ -108,16 +144,7 @@
             read_clock(),
         )
         self.record.attempts.append(attempt)
-        leaves = None
-        if self.rng.random() < LEAVERS:
-            leaves = self.rng.uniform(0.05, 1.0)
-        call = asyncio.create_task(self._call(door, attempt))
-        done, _ = await asyncio.wait({call}, timeout=leaves)
-        if not done:
-            call.cancel()
-            await asyncio.wait({call})
-            attempt.left = not attempt.whole
-        attempt.ended = read_clock()
+        return attempt
 
     async def _call(self, door: Door, attempt: Attempt) -> None:
         headers = {
@@ -133,11 +160,16 @@
             headers["Length-Hint"] = str(output)
         if self.rng.random() < 0.1:
             headers[self.rng.choice(ONLY_SYSTEM)] = FORGED
-        body = b"flour" * self.rng.choice([0, 1, 2000])
-        url = f"http://{door.address}{attempt.path}x"
+        method, body = "POST", b"flour" * self.rng.choice([0, 1, 2000])
+        if attempt.kind not in STREAMS:
+            method = self.methods.choice(METHODS)
+        if attempt.is_crashing:
+            # It is the same request only with the same method and body.
+            method, body = "POST" if attempt.kind in STREAMS else "GET", b""
+        url = f"http://{door.address}{attempt.path}"
         try:
-            async with self._sessions[door.entry].post(
-                url, data=body or None, headers=headers
+            async with self._sessions[door.entry].request(
+                method, url, data=body or None, headers=headers
             ) as response:
                 attempt.status = response.status
                 attempt.stamp = response.headers.get("Server-Stamp", "")
--- a/tests/faults/plans.py
+++ b/tests/faults/plans.py
@@ -20,16 +20,23 @@
 PAUSES = (0.8, 1.5, 3.0)
 """Seconds that targets ask for."""
 
+RETURNS = (0.02, 0.4, 1.2, 2.5)
+"""Seconds after which the caller of a request that crashes targets comes again."""
 
-class Word(Enum):
-    """What a target may say of itself in its answers."""
+
+class Extra(Enum):
+    """What is drawn apart: a plan without it is as it was before there was any."""
 
     RATE = "words"  # the value draws the plan, and kept seeds were drawn by this one
     LEAVING = "leaving"
     PAUSE = "pause"
+    CRASHES = "crashes"
+
 
+WORDS = (Extra.RATE, Extra.LEAVING, Extra.PAUSE)
+"""What a target may say of itself in its answers."""
 
-ALL_WORDS = tuple(Word)
+ALL_EXTRAS = tuple(Extra)
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +148,21 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class SendCrashing:
+    """Let a caller send a request that crashes targets, again and again.
+
+    Attributes:
+        stream: Whether it is a stream; else it is a read.
+        pause: Seconds until it comes again.
+        seconds: For how long it does.
+    """
+
+    stream: bool
+    pause: float
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class Configure:
     """Write a new version of the configuration.
@@ -161,6 +183,7 @@
     | NameRate
     | SayLeaving
     | AskPause
+    | SendCrashing
     | Configure
 )
 
@@ -174,7 +197,7 @@
 
 
 def draw_plan(
-    seed: int, entries: int, seconds: float, words: tuple[Word, ...] = ALL_WORDS
+    seed: int, entries: int, seconds: float, extras: tuple[Extra, ...] = ALL_EXTRAS
 ) -> list[Step]:
     """Return the steps of one run; the same seed gives the same plan.
 
@@ -184,8 +207,7 @@
         seed: Draws the plan.
         entries: Entries that there are.
         seconds: Length of the part in which faults come.
-        words: What targets say of themselves in their answers. Each is drawn
-            apart: without one a plan stays as it was before.
+        extras: What is drawn besides, each apart.
     """
     rng = random.Random(seed)
     steps = []
@@ -196,24 +218,27 @@
         if rng.random() < 0.25:
             again = min(seconds, at + rng.uniform(0.1, 2.0))
             steps.append(Step(again, fault))
-    for word in words:
-        steps += _draw_word(word, random.Random(f"{seed} {word.value}"), seconds)
+    for extra in extras:
+        steps += _draw_extra(extra, random.Random(f"{seed} {extra.value}"), seconds)
     steps.sort(key=lambda step: step.at)
     return steps
 
 
-def _draw_word(word: Word, rng: random.Random, seconds: float) -> list[Step]:
+def _draw_extra(extra: Extra, rng: random.Random, seconds: float) -> list[Step]:
     steps = []
     for _ in range(rng.randint(1, 3)):
         lasting = round(rng.uniform(*WORD_LASTING), 2)
         number = rng.randrange(100)
-        match word:
-            case Word.RATE:
+        match extra:
+            case Extra.RATE:
                 fault: Fault = NameRate(number, rng.choice(RATES), lasting)
-            case Word.LEAVING:
+            case Extra.LEAVING:
                 fault = SayLeaving(number, lasting)
-            case Word.PAUSE:
+            case Extra.PAUSE:
                 fault = AskPause(number, rng.choice(PAUSES), lasting)
+            case Extra.CRASHES:
+                stream = rng.random() < 0.4
+                fault = SendCrashing(stream, rng.choice(RETURNS), lasting)
         steps.append(Step(rng.uniform(QUIET_BEFORE, seconds / 2), fault))
     return steps
 
--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tests.faults.records import EVENTS, STREAMS, Attempt, Kind, Record, Run
+from tests.faults.records import EVENTS, STREAMS, Attempt, Kind, Record, Run, Version
 
 CONTACT = 3.0
 """Seconds without disturbance after which bounds on time hold again."""
@@ -17,6 +17,11 @@
 DRAIN = 2.0
 """Seconds after which a leaving target gets nothing new."""
 
+MOST_CRASHES = 3
+MOST_RETRIES = 3
+"""Crashes under one request after which no more than so many retries of it, sent
+later than CONTACT, reach targets."""
+
 PAUSE_BEGINS = 0.5
 MOST_IN_A_PAUSE = 2
 """Requests of one entry to a target within a pause, from so many seconds on."""
@@ -139,7 +144,7 @@
             continue
         if version.acknowledged > attempt.ended + SLACK:
             continue
-        allowed.add(attempt.path in version.paths and attempt.key in version.keys)
+        allowed.add(_is_allowed(attempt, version))
     if not allowed:
         return []
     if attempt.status in (401, 404) and allowed == {True}:
@@ -149,6 +154,11 @@
     return []
 
 
+def _is_allowed(attempt: Attempt, version: Version) -> bool:
+    path = attempt.path.rpartition("/")[0] + "/"
+    return path in version.paths and attempt.key in version.keys
+
+
 def _check_drain(record: Record, attempt: Attempt, runs: list[Run]) -> list[Breach]:
     breaches = []
     for run in runs:
@@ -329,6 +339,35 @@
     return breaches
 
 
+def _check_crashes(record: Record) -> list[Breach]:
+    sent: dict[str, list[Run]] = defaultdict(list)
+    attempts = {attempt.id: attempt for attempt in record.attempts}
+    for run in sorted(record.runs, key=lambda run: run.began):
+        attempt = attempts.get(run.request)
+        if attempt is not None and attempt.is_crashing:
+            sent[attempt.path].append(run)
+    breaches = []
+    for path, runs in sent.items():
+        crashes = [run.ended for run in runs if run.crashed and run.ended is not None]
+        if len(crashes) < MOST_CRASHES:
+            continue
+        known = sorted(crashes)[MOST_CRASHES - 1] + CONTACT
+        late = 0
+        for run in runs:
+            attempt = attempts[run.request]
+            if run.began > known + SLACK:
+                late += record.is_entry_calm(attempt.entry, known - CONTACT, run.began)
+        if late > MOST_RETRIES:
+            breaches.append(Breach("crashes", f"{path} reached targets {late} times"))
+    return breaches
+
+
+def _check_blamed(record: Record, attempt: Attempt, runs: list[Run]) -> list[Breach]:
+    if attempt.is_crashing or b"crashes_targets" not in attempt.body:
+        return []
+    return [Breach("blamed", f"{attempt.id} is refused for what crashed beside it")]
+
+
 def _list_told(
     record: Record, target: str, since: float, entries: dict[str, int]
 ) -> dict[int, float]:
@@ -347,8 +386,9 @@
     newest = record.versions[-1]
     late = []
     for one in record.attempts:
-        allowed = one.path in newest.paths and one.key in newest.keys
-        if one.sent >= record.calm_from and allowed and not one.left:
+        if one.is_crashing or one.left:
+            continue
+        if one.sent >= record.calm_from and _is_allowed(one, newest):
             late.append(one)
     served = [one for one in late if one.status == 200 and one.whole]
     if late and len(served) * 4 < len(late) * 3:
@@ -366,6 +406,7 @@
     _check_drain,
     _check_gone,
     _check_handover,
+    _check_blamed,
 )
 
 _RECORD_CHECKS: tuple[Callable[[Record], list[Breach]], ...] = (
@@ -374,5 +415,6 @@
     _check_rates,
     _check_leavers,
     _check_pauses,
+    _check_crashes,
     _check_recovery,
 )
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -14,6 +14,9 @@
     LOOKUP = "lookup"  # may be repeated
 
 
+CRASHING = "crash-"
+"""Part of the path of a request that crashes the targets that run it."""
+
 STREAMS = (Kind.PLAN, Kind.CHECK)
 EVENTS = {Kind.PLAN: 80, Kind.CHECK: 4}
 
@@ -34,6 +37,7 @@
         customer: Customer that the target was told.
         forged: Headers that only the system sets, as the caller sent them.
         body: Body that was answered.
+        crashed: Whether it crashed the target.
     """
 
     request: str
@@ -46,6 +50,7 @@
     customer: str = ""
     forged: tuple[str, ...] = ()
     body: bytes = b""
+    crashed: bool = False
 
 
 @dataclass(slots=True)
@@ -84,6 +89,11 @@
     left: bool = False
     error: str = ""
 
+    @property
+    def is_crashing(self) -> bool:
+        """Whether it crashes the targets that run it."""
+        return CRASHING in self.path
+
 
 @dataclass(frozen=True, slots=True)
 class Version:
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -20,6 +20,7 @@
     KillAll,
     NameRate,
     SayLeaving,
+    SendCrashing,
     Step,
     StrikeEntry,
     StrikeLink,
@@ -27,7 +28,7 @@
     StrikeTarget,
 )
 from tests.faults.promises import RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW
-from tests.faults.records import NamedRate, Record, Stop, Version, read_clock
+from tests.faults.records import Kind, NamedRate, Record, Stop, Version, read_clock
 from tests.faults.targets import SoakTarget
 from tests.platform.standins import FakeStore, build_configuration, find_free_port
 from tests.processes import ROOT
@@ -133,6 +134,8 @@
     def __init__(self, seed: int, folder: Path, entries: int, engines: int) -> None:
         self.record = Record()
         self._rng = random.Random(seed)
+        self._methods = random.Random(f"{seed} methods")
+        self._traffic: Traffic | None = None
         self._folder = folder
         self._engines = engines
         self._store = FakeStore()
@@ -152,8 +155,8 @@
         """Play a plan, then a calm end; the record tells what was seen."""
         try:
             await self._start()
-            traffic = self._build_traffic()
-            calling = asyncio.create_task(traffic.run(self._ended))
+            self._traffic = self._build_traffic()
+            calling = asyncio.create_task(self._traffic.run(self._ended))
             watching = asyncio.create_task(self._watch_doors())
             await self._play_steps(steps, seconds)
             await asyncio.gather(*self._tasks)
@@ -240,6 +243,7 @@
             [host.door for host in self._hosts],
             lambda: [*self._paths, *self._dropped_paths, "/never/"],
             lambda: [*self._keys, *self._dropped_keys],
+            self._methods,
         )
 
     async def _ask_ready(self, host: EntryHost) -> bool:
@@ -268,6 +272,7 @@
             self.record,
             random.Random(self._rng.random()),
             self._fleet,
+            self._crash,
         )
         await target.start(self._store)
         self._targets.append(target)
@@ -327,6 +332,8 @@
                 target.pauses.append(fault.pause)
                 await asyncio.sleep(fault.seconds)
                 target.pauses.remove(fault.pause)
+            case SendCrashing():
+                await self._send_crashing(fault)
             case Configure(how=how):
                 self._change_configuration(how)
                 await self._configure()
@@ -444,6 +451,22 @@
         target.rates.remove(fault.rate)
         span.end = read_clock()
 
+    async def _send_crashing(self, fault: SendCrashing) -> None:
+        assert self._traffic is not None
+        self._names += 1
+        name = str(self._names)
+        kind = Kind.CHECK if fault.stream else Kind.LOOKUP
+        until = read_clock() + fault.seconds
+        while read_clock() < until:
+            await self._traffic.send_crashing(kind, name)
+            await asyncio.sleep(fault.pause)
+
+    def _crash(self, target: SoakTarget) -> None:
+        if target.name in self.record.departures:
+            return
+        self.record.begin("crash", None, target.name)
+        self._begin(self._replace(target, "crash"))
+
     def _choose_staying(self, number: int) -> SoakTarget:
         left = self.record.departures | self.record.leavers
         staying = [one for one in self._targets if one.name not in left]
--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
 
@@ -9,7 +10,7 @@
 from aiohttp import web
 
 from figstep.standins.proxy import TcpProxy
-from tests.faults.records import EVENTS, Kind, Record, Run, read_clock
+from tests.faults.records import CRASHING, EVENTS, Kind, Record, Run, read_clock
 from tests.platform.standins import FakeStore, build_registration, start_app
 
 FORGED = "forged"
@@ -17,6 +18,9 @@
 
 ONLY_SYSTEM = ("Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Tenant")
 
+CRASH_SECONDS = 0.05
+"""From when a target begins to run a request that crashes it until it has."""
+
 EVENT_SECONDS = 0.02
 CALL_SECONDS = 0.03
 
@@ -40,6 +44,7 @@
         pauses: Pauses that it asks for now as it turns calls away.
         copies: Generations that it holds copies of, by request.
         running: Runs that are open, by request.
+        crash: Ends it at once, with all that it runs.
     """
 
     name: str
@@ -47,6 +52,7 @@
     record: Record
     rng: random.Random
     fleet: dict[str, "SoakTarget"]
+    crash: Callable[["SoakTarget"], None]
     grey: float = 0.0
     mute: bool = False
     full: bool = False
@@ -111,7 +117,11 @@
             return self._refuse(number)
         run = self._begin(request, copy)
         try:
-            if self.mute:
+            if CRASHING in request.path:
+                await asyncio.sleep(CRASH_SECONDS)
+                run.crashed = True
+                self.crash(self)
+            if self.mute or run.crashed:
                 await asyncio.sleep(60)
             if "Token-Count" in request.headers:
                 return await self._stream(request, run)
--- a/tests/faults/test_plans.py
+++ b/tests/faults/test_plans.py
@@ -1,6 +1,6 @@
 """Plans are the same for the same seed and stay within their time."""
 
-from tests.faults.plans import ALL_WORDS, draw_plan
+from tests.faults.plans import ALL_EXTRAS, draw_plan
 
 
 def test_a_seed_gives_the_same_plan() -> None:
@@ -11,9 +11,9 @@
 def test_a_plan_without_words_is_part_of_the_one_with_them() -> None:
     """Guards against seeds that showed a fault and play otherwise later."""
     for seed in range(50):
-        silent = draw_plan(seed, 3, 10.0, words=())
-        for word in ALL_WORDS:
-            spoken = draw_plan(seed, 3, 10.0, words=(word,))
+        silent = draw_plan(seed, 3, 10.0, extras=())
+        for extra in ALL_EXTRAS:
+            spoken = draw_plan(seed, 3, 10.0, extras=(extra,))
             assert [step for step in spoken if step in silent] == silent
             assert len(spoken) > len(silent)
 
--- a/tests/faults/test_promises.py
+++ b/tests/faults/test_promises.py
@@ -229,3 +229,37 @@
     record.runs.clear()
     attempt.status, record.calm_from = 503, START - 1
     assert check_promises(record) == [Breach("recovery", "0 of 1 served at the end")]
+
+
+def build_crashes(retries: int, entry: int = 0) -> Record:
+    """Return a record of a read that crashed three targets and is sent again."""
+    record, _, _run = build_record()
+    times = [START, START + 0.1, START + 1.0]
+    times += [START + 6.0 + number for number in range(retries)]
+    for number, at in enumerate(times):
+        name = f"k{number}"
+        run = Run(name, f"i-{number}", name, at, at + 0.05, customer="gurdwara")
+        run.crashed = True
+        record.runs.append(run)
+        path = "/lookup/crash-1"
+        attempt = Attempt(name, Kind.LOOKUP, entry, 0, path, "key-1", at)
+        attempt.ended, attempt.status = at + 0.1, 502
+        record.attempts.append(attempt)
+    return record
+
+
+def test_a_request_that_goes_on_crashing_targets_is_found() -> None:
+    assert "crashes" not in list_promises(build_crashes(3))
+    assert "crashes" in list_promises(build_crashes(4))
+
+
+def test_retries_of_an_entry_that_was_stopped_are_not_counted() -> None:
+    record = build_crashes(4)
+    record.disturbances.append(Disturbance("freeze", 0, "", START, START + 2.0))
+    assert "crashes" not in list_promises(record)
+
+
+def test_a_request_refused_for_what_crashed_beside_it_is_found() -> None:
+    record, attempt, _run = build_record(Kind.LOOKUP)
+    attempt.status, attempt.body = 503, b'{"code": "crashes_targets"}'
+    assert "blamed" in list_promises(record)
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.faults.__main__ import play_seed
-from tests.faults.plans import ALL_WORDS, Word
+from tests.faults.plans import WORDS, Extra
 
 SEEDS = [11, 2398170]
 """Played in each run of the tests; one that ever failed is added with its cause.
@@ -15,11 +15,11 @@
 """
 
 SPEAKING_SEEDS = [
-    (8381831, (Word.RATE,)),
-    (8381837, (Word.RATE,)),
-    (12, (Word.LEAVING, Word.PAUSE)),
-    (3103866, ALL_WORDS),
-    (3103878, ALL_WORDS),
+    (8381831, (Extra.RATE,)),
+    (8381837, (Extra.RATE,)),
+    (12, (Extra.LEAVING, Extra.PAUSE)),
+    (3103866, WORDS),
+    (3103878, WORDS),
 ]
 """The same, with targets that say things of themselves in their answers.
 
@@ -34,6 +34,14 @@
 """
 
 
+CRASHING_SEEDS = [4, 45]
+"""The same, with requests that crash the targets that run them.
+
+45: the HTTP client sent calls again by itself; orders ran twice, and a read reached
+target after target as one that none had run.
+"""
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_promises_hold_under_faults(seed: int, tmp_path: Path) -> None:
     """Callers would get halves, doubles or lies while parts die around them.
@@ -42,16 +50,26 @@
     and crash, and the store goes away, as the seed draws it. Every promise is
     checked on what callers and targets saw.
     """
-    record, breaches = await play_seed(seed, tmp_path, words=())
+    record, breaches = await play_seed(seed, tmp_path, extras=())
     assert breaches == []
     assert sum(attempt.status == 200 for attempt in record.attempts) > 50
 
 
-@pytest.mark.parametrize(("seed", "words"), SPEAKING_SEEDS)
+@pytest.mark.parametrize(("seed", "extras"), SPEAKING_SEEDS)
 async def test_promises_hold_as_targets_speak_of_themselves(
-    seed: int, words: tuple[Word, ...], tmp_path: Path
+    seed: int, extras: tuple[Extra, ...], tmp_path: Path
 ) -> None:
     """Guards against entries that don't act on what answers of targets say."""
-    record, breaches = await play_seed(seed, tmp_path, words=words)
+    record, breaches = await play_seed(seed, tmp_path, extras=extras)
     assert breaches == []
     assert sum(attempt.status == 200 for attempt in record.attempts) > 50
+
+
+@pytest.mark.parametrize("seed", CRASHING_SEEDS)
+async def test_promises_hold_as_requests_crash_targets(
+    seed: int, tmp_path: Path
+) -> None:
+    """Guards against targets that crash one after another under one request."""
+    record, breaches = await play_seed(seed, tmp_path, extras=(Extra.CRASHES,))
+    assert breaches == []
+    assert any(run.crashed for run in record.runs)
