Count each crash of a request, also two in one failure domain

Crashes of one failure domain at about the same time counted as one, so that a request that met a lost domain at two targets was not refused. That let a caller whose entries have one domain near them crash three targets in place of two, and the scenario of the product's own interface, at most two engines for such a request, fails with it.

It is not needed any more: a request whose target was lost goes on in another failure domain, other requests that were lost at the same targets explain the crash as well, and crashes elsewhere at that time ask for more.

A request that is alone at two targets that are lost in turn, while no other target that had requests is, is refused: nothing tells it from a cause. Failure domains leave the messages with this.

--- a/figstep/core/crashes.py
+++ b/figstep/core/crashes.py
@@ -16,8 +16,8 @@
 """Where targets crash without a request as well, it is refused after one more crash
 for each of theirs, up to this."""
 
-SAME_CAUSE = Millis(1_000)
-"""Targets of one failure domain that crash within this time may have one cause."""
+NEAR = Millis(1_000)
+"""Crashes within this time may have one cause, such as a lost failure domain."""
 
 SETTLED_AFTER = Millis(1_000)
 """How long after a crash other entries may still tell who else was there."""
@@ -45,13 +45,11 @@
     Attributes:
         digest: Digest of the request; the same when it comes again.
         life: Name that all entries give the life of the target that ended.
-        failure_domain: Failure domain of the target.
         age: Time since the crash.
     """
 
     digest: str
     life: str
-    failure_domain: str
     age: Millis = Millis(0)
 
 
@@ -73,12 +71,10 @@
     """The end of a target's life.
 
     Attributes:
-        failure_domain: Failure domain of the target.
         at: When it was.
         suspects: Digests of what was there, and when each became known.
     """
 
-    failure_domain: str
     at: Millis
     suspects: dict[str, Millis] = field(default_factory=dict)
 
@@ -113,14 +109,14 @@
         cleared = self._cleared.get(digest)
         if cleared is not None and at <= cleared.at:
             return False
-        self.note_crash(life, suspicion.failure_domain, at)
+        self.note_crash(life, at)
         self._crashes[life].suspects[digest] = now
         self._lives.setdefault(digest, set()).add(life)
         return True
 
-    def note_crash(self, life: str, failure_domain: str, at: Millis) -> None:
+    def note_crash(self, life: str, at: Millis) -> None:
         """Take in that a target's life ended, whatever was there."""
-        self._crashes.setdefault(life, _Crash(failure_domain, at))
+        self._crashes.setdefault(life, _Crash(at))
 
     def is_suspected(self, digest: str) -> bool:
         """Tell whether a request was at a target that crashed."""
@@ -173,11 +169,10 @@
         crashes = [self._crashes[life] for life in lives]
         crashes = [crash for crash in crashes if now - crash.at < REMEMBERED_FOR]
         own = [crash for crash in crashes if not self._is_explained(digest, crash)]
-        causes = _count_causes(own)
-        if causes < MOST_CRASHES:
+        if len(own) < MOST_CRASHES:
             return False
         unrelated = self._count_unrelated(digest, own)
-        return causes >= MOST_CRASHES + min(MOST_UNRELATED, unrelated)
+        return len(own) >= MOST_CRASHES + min(MOST_UNRELATED, unrelated)
 
     def is_settled(self, digest: str, now: Millis) -> bool:
         """Tell whether all entries have told of a request's crashes by now."""
@@ -197,8 +192,8 @@
 
         Those that another request causes are no sign that targets crash by themselves.
         """
-        first = min(crash.at for crash in own) - SAME_CAUSE
-        last = max(crash.at for crash in own) + SAME_CAUSE
+        first = min(crash.at for crash in own) - NEAR
+        last = max(crash.at for crash in own) + NEAR
         count = 0
         for crash in self._crashes.values():
             if not first <= crash.at <= last or digest in crash.suspects:
@@ -220,12 +215,7 @@
                     found.append((repeated, known_at, digest, life))
         found.sort(reverse=True)
         return tuple(
-            Suspicion(
-                digest,
-                life,
-                self._crashes[life].failure_domain,
-                Millis(now - self._at(life)),
-            )
+            Suspicion(digest, life, Millis(now - self._at(life)))
             for _, _, digest, life in found[:MOST_TOLD]
         )
 
@@ -258,21 +248,3 @@
         lives.discard(life)
         if not lives:
             del self._lives[digest]
-
-
-def _count_causes(crashes: list[_Crash]) -> int:
-    """Count crashes, two of a failure domain at about the same time as one.
-
-    A request may meet a failure domain as it is lost, and its next target with it;
-    it doesn't meet more of it.
-    """
-    groups: dict[str, list[list[_Crash]]] = {}
-    for crash in sorted(crashes, key=lambda crash: crash.at):
-        found = groups.setdefault(crash.failure_domain, [])
-        if not found or crash.at - found[-1][0].at >= SAME_CAUSE:
-            found.append([])
-        found[-1].append(crash)
-    causes = 0
-    for found in groups.values():
-        causes += sum((len(group) + 1) // 2 for group in found)
-    return causes
--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -83,8 +83,7 @@
     if target.standing is not Standing.READY or target.ended_at is not None:
         return []
     target.ended_at = now
-    domain = target.info.failure_domain
-    state.crashes.note_crash(_name_life(target), domain, now)
+    state.crashes.note_crash(_name_life(target), now)
     return _suspect_lost(state, target, now)
 
 
@@ -159,10 +158,9 @@
 def _suspect(
     state: State, target: Target, digests: Iterable[str], ended_at: Millis, now: Millis
 ) -> list[Effect]:
-    life, domain = _name_life(target), target.info.failure_domain
     effects: list[Effect] = []
     for digest in digests:
-        suspicion = Suspicion(digest, life, domain, Millis(now - ended_at))
+        suspicion = Suspicion(digest, _name_life(target), Millis(now - ended_at))
         if state.crashes.note(suspicion, now):
             effects.append(_note_suspicion(state, suspicion, "itself"))
     return [Announce(), *effects] if effects else []
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -352,8 +352,7 @@
     trusted = [target for target in open_now if target.avoid_until <= now]
     silent = state.targets.find_silent_domains(request.service, now)
     heard = [t for t in trusted if t.info.failure_domain not in silent]
-    # A failure domain that is being lost may take the next target as well; and
-    # crashes in several tell a request that causes them from one that met them.
+    # A failure domain that is being lost may take the next target as well.
     lost = request.lost_domains
     elsewhere = [t for t in heard if t.info.failure_domain not in lost]
     if elsewhere or heard:
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -119,7 +119,7 @@
     suspicions = message.init("crashes", len(own.suspicions))
     for slot, suspicion in zip(suspicions, own.suspicions, strict=True):
         slot.digest, slot.crash = suspicion.digest, suspicion.life
-        slot.failureDomain, slot.age = suspicion.failure_domain, suspicion.age
+        slot.age = suspicion.age
     clearances = message.init("cleared", len(own.clearances))
     for slot, clearance in zip(clearances, own.clearances, strict=True):
         slot.digest, slot.age = clearance.digest, clearance.age
@@ -158,12 +158,7 @@
             loads,
             uses,
             suspicions=tuple(
-                Suspicion(
-                    str(item.digest),
-                    str(item.crash),
-                    str(item.failureDomain),
-                    Millis(item.age),
-                )
+                Suspicion(str(item.digest), str(item.crash), Millis(item.age))
                 for item in message.crashes
             ),
             clearances=tuple(
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -77,8 +77,7 @@
 struct Crash {
   digest @0 :Text;           # of a request that was there
   crash @1 :Text;            # the life of the target that ended
-  failureDomain @2 :Text;    # of the target
-  age @3 :UInt32;            # milliseconds since then
+  age @2 :UInt32;            # milliseconds since then
 }
 
 struct Clearance {
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -4,7 +4,6 @@
 from figstep.core.crashes import (
     MOST_TOLD,
     REMEMBERED_FOR,
-    SAME_CAUSE,
     SETTLED_AFTER,
     TOLD_FOR,
     CrashTable,
@@ -14,12 +13,10 @@
 NOW = Millis(2_000_000)
 
 
-def note(
-    table: CrashTable, life: str, *digests: str, domain: str = "", at: int = NOW
-) -> None:
-    """Let requests be at a target that crashes, in a domain of its own or another."""
+def note(table: CrashTable, life: str, *digests: str, at: int = NOW) -> None:
+    """Let requests be at a target that crashes."""
     for digest in digests:
-        table.note(Suspicion(digest, life, domain or f"domain of {life}"), Millis(at))
+        table.note(Suspicion(digest, life), Millis(at))
 
 
 def list_refused(table: CrashTable, *digests: str, at: int = NOW) -> list[str]:
@@ -28,8 +25,8 @@
 
 def test_refused_after_two_crashes_told_by_whomever() -> None:
     table = CrashTable()
-    assert table.note(Suspicion("killer", "b-1@1", "muc-a"), NOW)
-    assert not table.note(Suspicion("killer", "b-1@1", "muc-a", Millis(5)), NOW)
+    assert table.note(Suspicion("killer", "b-1@1"), NOW)
+    assert not table.note(Suspicion("killer", "b-1@1", Millis(5)), NOW)
     assert not table.is_refused("killer", NOW)
     note(table, "b-2@1", "killer")
     assert list_refused(table, "killer", "other") == ["killer"]
@@ -69,16 +66,6 @@
     assert list_refused(table, "killer", "good") == ["killer"]
 
 
-def test_targets_of_a_domain_that_is_lost_count_as_one() -> None:
-    """Guards against a request refused that met a lost domain at two targets."""
-    table = CrashTable()
-    note(table, "b-1@1", "good", domain="muc-a")
-    note(table, "b-2@1", "good", domain="muc-a", at=NOW + SAME_CAUSE - 1)
-    assert list_refused(table, "good") == []
-    note(table, "b-3@1", "good", domain="muc-a", at=NOW + 4 * SAME_CAUSE)
-    assert list_refused(table, "good", at=NOW + 4 * SAME_CAUSE) == ["good"]
-
-
 def test_two_killers_at_once_are_both_refused() -> None:
     """Guards against requests that shield each other."""
     table = CrashTable()
@@ -90,15 +77,6 @@
     ]
 
 
-def test_a_killer_in_one_failure_domain_is_refused_within_a_second() -> None:
-    """Guards against a caller that comes again at once while crashes count as one."""
-    table = CrashTable()
-    for number in range(3):
-        assert list_refused(table, "killer", at=NOW + 200) == []
-        note(table, f"b-{number}@1", "killer", domain="muc-a", at=NOW + 60 * number)
-    assert list_refused(table, "killer", at=NOW + 200) == ["killer"]
-
-
 def test_more_crashes_are_asked_for_where_targets_crash_anyway() -> None:
     """Guards against a request refused that met two of many targets that flap."""
     table = CrashTable()
@@ -115,12 +93,11 @@
 def test_crashes_count_whose_suspects_have_all_run() -> None:
     """Guards against the last of those at a lost domain that is left suspected."""
     table = CrashTable()
-    for number in range(2):
-        note(table, f"b-{number}@1", f"beside {number}", "good", domain="muc-a")
-    note(table, "b-9@1", "beside 9", domain="muc-a")
-    note(table, "b-4@1", "good", domain="muc-b")
-    for number in (0, 1, 9):
+    for number in range(3):
+        note(table, f"b-{number}@1", f"beside {number}")
         table.clear(f"beside {number}", NOW, NOW)
+    note(table, "b-0@1", "good")
+    note(table, "b-1@1", "good")
     assert list_refused(table, "good") == []
 
 
@@ -130,7 +107,7 @@
     assert table.clear("good", Millis(NOW + 10), Millis(NOW + 10))
     assert not table.clear("good", Millis(NOW + 20), Millis(NOW + 20))
     # Told late by an entry that had not heard of the answer.
-    late = Suspicion("good", "b-2@1", "muc-a", Millis(30))
+    late = Suspicion("good", "b-2@1", Millis(30))
     assert not table.note(late, Millis(NOW + 40))
     note(table, "b-3@1", "good", at=NOW + 50)
     assert list_refused(table, "good", at=NOW + 50) == []
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -300,10 +300,20 @@
     assert replay.count_late() <= MOST_RETRIES
 
 
-@pytest.mark.parametrize("size", [8, 73, 300])
-def test_nobody_is_refused_after_a_failure_domain_is_lost(size: int) -> None:
+@pytest.mark.parametrize(
+    ("size", "domains"),
+    [
+        (8, ("muc-a", "nue-a")),
+        (8, ("muc-a",)),
+        (73, ("muc-a", "nue-a")),
+        (300, ("muc-a", "nue-a")),
+    ],
+)
+def test_nobody_is_refused_after_a_failure_domain_is_lost(
+    size: int, domains: tuple[str, ...]
+) -> None:
     """Guards against requests refused that were at targets of a lost domain."""
-    replay = Replay(size, domains=("muc-a", "nue-a"))
+    replay = Replay(size, domains=domains)
     lost = [
         name for name, info in replay.lives.items() if info.failure_domain == "muc-a"
     ]
@@ -332,28 +342,6 @@
         assert not refuses(world, f"good-{number}")
 
 
-def test_one_request_at_both_targets_of_a_lost_domain_is_not_refused() -> None:
-    """Guards against two crashes with one cause counted as two."""
-    replay = Replay(domains=("muc-a", "nue-a"))
-    world = replay.fleet[0]
-    world.arrive("/lookup/a", digest="good")
-    first = world.find(OpenAttempt)
-    domain = replay.lives[first.target].failure_domain
-    [other] = [
-        name
-        for name, info in replay.lives.items()
-        if info.failure_domain == domain and name != first.target
-    ]
-    replay.lose(world, first.attempt)
-    again = world.find(OpenAttempt)
-    world.state.attempts[again.attempt].target = world.state.targets.targets[other]
-    replay.clock.advance(40)
-    replay.lose(world, again.attempt)
-    replay.wait(RETURN)
-    assert not refuses(world, "good")
-    assert world.state.crashes.count("good") == 2
-
-
 def test_a_request_that_waits_is_refused_as_its_crashes_are_told() -> None:
     """Guards against a killer in a queue that is started all the same."""
     world = World()
@@ -363,7 +351,7 @@
     world.arrive("/question/a", Prompt("m", 100, 50, 50), digest=KILLER)
     assert world.find_all(OpenAttempt) == []
     for number in range(2):
-        suspicion = Suspicion(KILLER, f"e-{number + 7}@1", f"domain-{number}")
+        suspicion = Suspicion(KILLER, f"e-{number + 7}@1")
         world.state.crashes.note(suspicion, world.clock.now())
     world.handle(AnswerArrived(running.attempt, 200))
     world.handle(Ticked())
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -126,7 +126,7 @@
         {"configuration": 9},
         {"position": 12},
         {"loads": (PeerLoad("e-0", 2, 6_000),)},
-        {"suspicions": (Suspicion("digest", "e-1@1", "muc-a"),)},
+        {"suspicions": (Suspicion("digest", "e-1@1"),)},
         {"clearances": (Clearance("digest"),)},
     ],
 )
--- a/tests/gateway/test_recovery.py
+++ b/tests/gateway/test_recovery.py
@@ -139,8 +139,6 @@
     at once.
     """
     world = build_world()
-    info = Registration("e-3", ENGINES, "e-3:80", "muc-b", 64, born=1)
-    world.handle(TargetRegistered(info))
     prompt = Prompt("m", 100, 50, 10)
     world.arrive("/question/a", prompt, digest="poison")
     first = world.find(OpenAttempt)
--- a/tests/net/test_hellos.py
+++ b/tests/net/test_hellos.py
@@ -29,7 +29,7 @@
         PeerLoad("e-2", 0, 0),
     ),
     (UseReport("engines", 10, 2),),
-    suspicions=(Suspicion("digest", "e-1@1", "muc-a", Millis(250)),),
+    suspicions=(Suspicion("digest", "e-1@1", Millis(250)),),
     clearances=(Clearance("other", Millis(40)),),
     closing=True,
     configuration=7,
