Judge requests that kill targets by one table on both interfaces

The product's own interface counted deaths in a table of its own and proved a request by being the only suspect before a death; the entries on the users' platform counted in another. The same question had two answers, and a fix of one did not reach the other.

Quarantine now keeps its deaths in core/crashes.py, and what is refused is judged there for both. What differs stays where it was: how a death is found, and what entries tell each other. A late loss of a death that was counted is told by the generation, which the request remembers.

No bound of a test changed; tests that looked into the old table ask the new one.

--- a/figstep/core/quarantine.py
+++ b/figstep/core/quarantine.py
@@ -1,31 +1,14 @@
-"""Requests that kill their targets: suspects, quarantine, sharing."""
+"""Requests that are kept away from targets, and for how long."""
 
 from dataclasses import dataclass, field
 
-from figstep.core.clock import MINUTE, Millis
+from figstep.core.clock import Millis
+from figstep.core.crashes import REMEMBERED_FOR, CrashTable
 from figstep.core.problems import Problem
 from figstep.core.specs import RequestSpec
 
-QUARANTINE_FOR = Millis(15 * MINUTE)
+QUARANTINE_FOR = REMEMBERED_FOR
 ECHO = Millis(10_000)
-SUSPECT_FOR = Millis(15 * MINUTE)
-DEATHS_TO_QUARANTINE = 2
-MAX_DEATHS = 3
-
-
-@dataclass(slots=True)
-class Suspect:
-    """A digest that was in flight where a target died.
-
-    Attributes:
-        deaths: Deaths that it was in, each named once.
-        generations: Its generations that were counted.
-        last: When the last death was seen (monotonic).
-    """
-
-    deaths: set[str] = field(default_factory=set)
-    generations: set[str] = field(default_factory=set)
-    last: Millis = Millis(0)
 
 
 @dataclass(slots=True)
@@ -34,11 +17,11 @@
 
     Attributes:
         until: When each refused digest is let in again (monotonic).
-        suspects: Digests that were in flight where a target died.
+        crashes: Deaths of targets, and the requests that were there.
     """
 
     until: dict[str, Millis] = field(default_factory=dict)
-    suspects: dict[str, Suspect] = field(default_factory=dict)
+    crashes: CrashTable = field(default_factory=CrashTable)
 
 
 def judge_digest(
@@ -60,37 +43,6 @@
     )
 
 
-def is_suspect(quarantine: Quarantine, digest: str) -> bool:
-    """Tell whether a digest was in flight where a target died."""
-    return digest in quarantine.suspects
-
-
-def count_death(
-    quarantine: Quarantine, digest: str, generation: str, death: str, now: Millis
-) -> int:
-    """Count a death against a digest, once, and return its deaths so far."""
-    suspect = quarantine.suspects.get(digest)
-    if suspect is None or suspect.last + SUSPECT_FOR < now:
-        suspect = quarantine.suspects[digest] = Suspect()
-    if generation not in suspect.generations:
-        suspect.generations.add(generation)
-        suspect.deaths.add(death)
-        suspect.last = now
-    return len(suspect.deaths)
-
-
-def clear_suspect(quarantine: Quarantine, digest: str) -> None:
-    """Forget a suspicion: the request ran to its end."""
-    quarantine.suspects.pop(digest, None)
-
-
-def sweep_suspects(quarantine: Quarantine, now: Millis) -> None:
-    """Forget old suspicions of requests that never came back."""
-    for digest, suspect in list(quarantine.suspects.items()):
-        if suspect.last + SUSPECT_FOR < now:
-            del quarantine.suspects[digest]
-
-
 def hold_digest(
     quarantine: Quarantine, digest: str, remaining: Millis, now: Millis
 ) -> None:
--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -9,6 +9,7 @@
     ownership,
     quarantine,
     retries,
+    suspects,
 )
 from figstep.core.clock import Millis
 from figstep.core.effects import (
@@ -136,7 +137,7 @@
 
 
 def _is_restricted(state: State, request: RequestState) -> bool:
-    suspect = quarantine.is_suspect(state.quarantine, request.spec.digest)
+    suspect = suspects.is_suspect(state, request.spec.digest)
     return suspect or bool(request.failed_targets)
 
 
@@ -181,7 +182,7 @@
     request = state.requests.pop(attempt.request)
     request.ran = Ran.YES
     state.retry_budget.earn()
-    quarantine.clear_suspect(state.quarantine, request.spec.digest)
+    suspects.clear_suspect(state, request.spec.digest, now)
     work = request.spec.work
     if isinstance(work, GenerationWork):
         state.lengths.learn(request.spec.customer, work, request.delivered)
@@ -201,7 +202,7 @@
     request = state.requests.pop(attempt.request)
     request.ran = Ran.YES
     state.retry_budget.earn()
-    quarantine.clear_suspect(state.quarantine, request.spec.digest)
+    suspects.clear_suspect(state, request.spec.digest, now)
     return [
         Complete(attempt.request, event.attempt),
         Count("requests.completed"),
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -54,6 +54,7 @@
         claim: Record id of its own claim, or None.
         caller_gone: Whether it goes on for its outcome alone.
         failed_targets: Targets that lost it, and until when it avoids them.
+        died_with: Its generation that was in flight as a target died, or "".
     """
 
     spec: RequestSpec
@@ -74,6 +75,7 @@
     claim: str | None = None
     caller_gone: bool = False
     failed_targets: dict[str, Millis] = field(default_factory=dict)
+    died_with: str = ""
 
     @property
     def reached(self) -> bool:
--- a/figstep/core/suspects.py
+++ b/figstep/core/suspects.py
@@ -2,10 +2,14 @@
 
 from figstep.core import quarantine
 from figstep.core.clock import Millis
+from figstep.core.crashes import Suspicion
 from figstep.core.effects import Count, Effect, Note
 from figstep.core.events import LoadReported
 from figstep.core.state import AttemptState, RequestState, State, TargetState
 
+MAX_DEATHS = 3
+"""Deaths after which a request is given up on, though another may have caused them."""
+
 
 def record_death(state: State, attempt: AttemptState, now: Millis) -> list[Effect]:
     """Make every request in flight on the dead target a suspect.
@@ -52,32 +56,37 @@
     state: State, target: TargetState, victims: list[RequestState], now: Millis
 ) -> list[Effect]:
     held = state.quarantine
-    quarantine.sweep_suspects(held, now)
-    before = set()
-    for victim in victims:
-        if quarantine.is_suspect(held, victim.spec.digest):
-            before.add(victim.spec.digest)
+    held.crashes.forget_old(now)
     if not target.dead:
         target.dead = True
         target.deaths += 1
         target.death_incarnation = target.incarnation
-    death = f"{target.info.name}#{target.deaths}"
+    life = f"{target.info.name}#{target.deaths}"
     effects: list[Effect] = [Count("targets.deaths")]
     for victim in victims:
-        digest = victim.spec.digest
-        deaths = quarantine.count_death(held, digest, victim.generation, death, now)
-        # Two suspects that die together would each be taken for the other's
-        # killer; only one that was the sole suspect is proved.
-        if deaths < quarantine.DEATHS_TO_QUARANTINE or before != {digest}:
-            continue
-        if digest in held.until:
+        if victim.died_with == victim.generation:
+            # A late loss of a death that was counted, at a target that lives again.
             continue
-        quarantine.hold_digest(held, digest, quarantine.QUARANTINE_FOR, now)
-        fields: dict[str, str | int] = {"digest": digest, "deaths": deaths}
-        effects += [Count("quarantine.added"), Note("request quarantined", fields)]
+        victim.died_with = victim.generation
+        digest = victim.spec.digest
+        held.crashes.note(Suspicion(digest, life), now)
+    for victim in victims:
+        effects += _judge_victim(state, victim, now)
     return effects
 
 
+def _judge_victim(state: State, victim: RequestState, now: Millis) -> list[Effect]:
+    held, digest = state.quarantine, victim.spec.digest
+    if digest in held.until or not held.crashes.is_refused(digest, now):
+        return []
+    quarantine.hold_digest(held, digest, quarantine.QUARANTINE_FOR, now)
+    fields: dict[str, str | int] = {
+        "digest": digest,
+        "deaths": held.crashes.count(digest),
+    }
+    return [Count("quarantine.added"), Note("request quarantined", fields)]
+
+
 def blocks_target(state: State, request: RequestState, target: str) -> bool:
     """Tell whether a suspect has to keep away from where another one runs.
 
@@ -85,17 +94,26 @@
     the two killed it, and innocent ones would be quarantined with it.
     """
     digest = request.spec.digest
-    if not quarantine.is_suspect(state.quarantine, digest):
+    if not is_suspect(state, digest):
         return False
     for other in state.requests.values():
         if other.target != target or other is request or other.attempt is None:
             continue
-        if quarantine.is_suspect(state.quarantine, other.spec.digest):
+        if is_suspect(state, other.spec.digest):
             return True
     return False
 
 
+def is_suspect(state: State, digest: str) -> bool:
+    """Tell whether a request was in flight where a target died."""
+    return state.quarantine.crashes.is_suspected(digest)
+
+
+def clear_suspect(state: State, digest: str, now: Millis) -> None:
+    """Forget the deaths of a request that ran to its end."""
+    state.quarantine.crashes.clear(digest, now, now)
+
+
 def exhausted(state: State, request: RequestState) -> bool:
     """Tell whether a suspect was in so many deaths that it is not retried."""
-    suspect = state.quarantine.suspects.get(request.spec.digest)
-    return suspect is not None and len(suspect.deaths) >= quarantine.MAX_DEATHS
+    return state.quarantine.crashes.count(request.spec.digest) >= MAX_DEATHS
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -2,6 +2,7 @@
 
 from figstep.core import quarantine
 from figstep.core.clock import Millis
+from figstep.core.crashes import Suspicion
 from figstep.core.effects import OpenAttempt, Refuse
 from figstep.core.events import (
     AttemptAnswered,
@@ -22,6 +23,16 @@
 from tests.core.test_recovery import lose_for_good
 
 
+def list_suspected(entry: Entry) -> set[str]:
+    """Return the requests that were in flight where a target died."""
+    return set(entry.state.quarantine.crashes.list_suspected())
+
+
+def note_death(entry: Entry, digest: str, death: str) -> None:
+    """Let a request be in flight at a target that died elsewhere."""
+    entry.state.quarantine.crashes.note(Suspicion(digest, death), entry.now)
+
+
 def accept(entry: Entry, request: str) -> None:
     entry.feed(AttemptAnswered(entry.find_attempt(request)))
 
@@ -65,21 +76,20 @@
     accept(entry, name)
     lose_for_good(entry, "bad")
     lose_for_good(entry, name)
-    assert set(entry.state.quarantine.suspects) == {"killer", name}
+    assert list_suspected(entry) == {"killer", name}
     assert entry.state.requests["bad"].target != entry.state.requests[name].target
     accept(entry, "bad")
     lose_for_good(entry, "bad")
     assert list(entry.state.quarantine.until) == ["killer"]
     entry.deliver(entry.find_attempt(name), 1)
     entry.feed(AttemptEnded(entry.find_attempt(name)))
-    assert name not in entry.state.quarantine.suspects
+    assert name not in list_suspected(entry)
 
 
 def test_suspects_keep_away_from_each_other() -> None:
     entry = Entry(inventory=make_inventory(engines=1))
-    held = entry.state.quarantine
     for digest in ("a", "b"):
-        quarantine.count_death(held, digest, f"g{digest}", "e9#1", entry.now)
+        note_death(entry, digest, "e9#1")
     entry.start("r1", digest="a")
     spec = RequestSpec("r2", "demo", GenerationWork("m"), digest="b")
     entry.feed(RequestArrived(spec))
@@ -95,13 +105,12 @@
     entry = Entry(inventory=make_inventory(engines=1))
     entry.start("r1", digest="a", stream=False)
     entry.start("r2", digest="b", stream=False)
-    held = entry.state.quarantine
     for digest in ("a", "b"):
-        quarantine.count_death(held, digest, f"g{digest}", "e9#1", entry.now)
+        note_death(entry, digest, "e9#1")
     accept(entry, "r1")
     accept(entry, "r2")
     lose_for_good(entry, "r1")
-    assert held.until == {}
+    assert entry.state.quarantine.until == {}
 
 
 def test_one_death_is_counted_once() -> None:
@@ -118,7 +127,7 @@
     entry.start("r2", digest="b")
     accept(entry, "r2")
     entry.feed(LoadReported("e1", incarnation=2))
-    assert set(entry.state.quarantine.suspects) == {"a"}
+    assert list_suspected(entry) == {"a"}
 
 
 def test_a_new_incarnation_alone_makes_suspects() -> None:
@@ -127,7 +136,7 @@
     entry.start("r1", digest="a")
     accept(entry, "r1")
     entry.feed(LoadReported("e1", incarnation=2))
-    assert set(entry.state.quarantine.suspects) == {"a"}
+    assert list_suspected(entry) == {"a"}
 
 
 def test_a_refusing_target_makes_no_suspects() -> None:
@@ -135,7 +144,7 @@
     attempt = entry.start("r1", digest="a")
     entry.feed(AttemptLost(attempt, Loss.REFUSED))
     entry.feed(AttemptLost(entry.find_attempt("r1"), Loss.CONNECT_FAILED))
-    assert entry.state.quarantine.suspects == {}
+    assert list_suspected(entry) == set()
 
 
 def test_a_digest_that_a_peer_tells_is_refused_for_a_bounded_time() -> None:
