--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -462,9 +462,10 @@
             await asyncio.sleep(fault.pause)
 
     def _crash(self, target: SoakTarget) -> None:
+        self.record.begin("crash", None, target.name)
         if target.name in self.record.departures:
+            self._begin(target.kill())
             return
-        self.record.begin("crash", None, target.name)
         self._begin(self._replace(target, "crash"))
 
     def _choose_staying(self, number: int) -> SoakTarget:
@@ -477,6 +478,9 @@
         self.record.leavers[target.name] = read_clock()
         await self._add_target(target.service)
         await asyncio.sleep(fault.seconds)
+        if target.name in self.record.departures:
+            # It has crashed meanwhile.
+            return
         self.record.begin("drain", None, target.name)
         await self._replace(target, "drain")
 
