Complete generations and calls in one place

What follows a whole answer stood twice, for a generation and for a plain service: forgetting the attempt and its request, earning a retry, clearing a suspicion. A change of one had to be made in the other as well. No decision changes; tests/core pass.

--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -176,18 +176,14 @@
 
 def end_attempt(state: State, event: AttemptEnded, now: Millis) -> list[Effect]:
     """The end marker came: the caller has its whole answer."""
-    attempt = attempts.forget_attempt(state, event.attempt)
-    if attempt is None:
+    request = _complete_request(state, event.attempt, now)
+    if request is None:
         return [Count("attempts.late")]
-    request = state.requests.pop(attempt.request)
-    request.ran = Ran.YES
-    state.retry_budget.earn()
-    suspects.clear_suspect(state, request.spec.digest, now)
     work = request.spec.work
     if isinstance(work, GenerationWork):
         state.lengths.learn(request.spec.customer, work, request.delivered)
     return [
-        Complete(attempt.request, event.attempt),
+        Complete(request.spec.request, event.attempt),
         Count("requests.completed"),
         *ownership.record_generation(state, request),
         WakeAt(QueueTimer(), now),
@@ -196,21 +192,29 @@
 
 def answer_service(state: State, event: ServiceAnswered, now: Millis) -> list[Effect]:
     """A plain service answered: hand the answer over and record it."""
-    attempt = attempts.forget_attempt(state, event.attempt)
-    if attempt is None:
+    request = _complete_request(state, event.attempt, now)
+    if request is None:
         return [Count("attempts.late")]
-    request = state.requests.pop(attempt.request)
-    request.ran = Ran.YES
-    state.retry_budget.earn()
-    suspects.clear_suspect(state, request.spec.digest, now)
     return [
-        Complete(attempt.request, event.attempt),
+        Complete(request.spec.request, event.attempt),
         Count("requests.completed"),
         *ownership.record_answer(state, request, event),
         WakeAt(QueueTimer(), now),
     ]
 
 
+def _complete_request(state: State, number: int, now: Millis) -> RequestState | None:
+    """Forget an attempt that ended whole, and its request; returns the request."""
+    attempt = attempts.forget_attempt(state, number)
+    if attempt is None:
+        return None
+    request = state.requests.pop(attempt.request)
+    request.ran = Ran.YES
+    state.retry_budget.earn()
+    suspects.clear_suspect(state, request.spec.digest, now)
+    return request
+
+
 def reject_attempt(state: State, event: AttemptRejected, now: Millis) -> list[Effect]:
     """The target found the request itself wrong: the caller must mend it."""
     attempt = attempts.forget_attempt(state, event.attempt)
