--- a/tests/faults/test_promises.py
+++ b/tests/faults/test_promises.py
@@ -146,6 +146,24 @@
     assert list_promises(record) == {"handover"}
 
 
+@pytest.mark.parametrize(("ago", "found"), [(1.0, set()), (5.0, {"handover"})])
+def test_targets_that_stood_still_may_run_what_was_given_up(
+    ago: float, found: set[str]
+) -> None:
+    """Guards against a soak that blames entries for its own standstill."""
+    record, _, run = build_record(Kind.PLAN)
+    run.ended = START + 3
+    record.runs.append(Run("r1", "i-2", "g1", START, START + 0.1, customer="gurdwara"))
+    record.note_still(START - ago - 0.5, START - ago)
+    assert list_promises(record) == found
+
+
+def test_a_standstill_excuses_no_work_for_a_leaver() -> None:
+    record = build_leaving_record(3.0)
+    record.note_still(START + 1, START + 2)
+    assert list_promises(record) == {"leaver"}
+
+
 @pytest.mark.parametrize("took", [None, 1.0])
 def test_a_stop_that_cuts_or_takes_too_long_is_found(took: float | None) -> None:
     record, attempt, _ = build_record()
