--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -116,18 +116,19 @@
             await asyncio.sleep(0.01)
 
 
+async def break_off(request: web.Request) -> web.StreamResponse:
+    """Run a request, and break its connection before the answer."""
+    assert request.transport is not None
+    request.transport.abort()
+    return web.Response()
+
+
 async def test_an_order_is_sent_once_and_its_doubt_is_told(place: Place) -> None:
     """A doubled flour order lands two pallets.
 
     The service runs the order and its connection breaks before the answer.
     """
     target = place.targets["i-b1"]
-
-    async def break_off(request: web.Request) -> web.StreamResponse:
-        assert request.transport is not None
-        request.transport.abort()
-        return web.Response()
-
     target.handler = break_off
     async with place.session.post(
         place.url("/order/a"), headers=place.headers("r-1")
@@ -141,12 +142,6 @@
 async def test_an_order_by_any_method_is_sent_once(place: Place, method: str) -> None:
     """Guards against an HTTP client that sends some methods again by itself."""
     target = place.targets["i-b1"]
-
-    async def break_off(request: web.Request) -> web.StreamResponse:
-        assert request.transport is not None
-        request.transport.abort()
-        return web.Response()
-
     target.handler = break_off
     url, headers = place.url("/order/a"), place.headers("r-1")
     async with place.session.request(method, url, headers=headers) as response:
