Believe the departure of a target that could not be reached

After an outage of the store, registrations that are missing are doubted for two seconds: they may only have lapsed. A target that this entry found to have ended, or could not connect to when it last tried, was doubted as well, so that prompts went to engines that had left while nobody could tell (the third thing that docs/design/shifted.md names to come with the finding of whole outages).

Such a departure is believed at once. The new test fails without it: the target that turned a connection away stayed ready. A target whose last attempt failed and that is reachable again is waited for as before, once it has answered.

--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -199,6 +199,8 @@
         # next departure look like a lapse of all registrations, and prompts go
         # to an engine that leaves.
         return []
+    if target.seems_gone:
+        return _note_departure(state, event.target, now)
     returning = state.store_away or now < state.store_back_at + LAPSE
     if returning and not sources.has_store_been_well(state):
         state.targets.doubt(event.target, Millis(state.store_back_at + LAPSE))
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -224,6 +224,14 @@
         """Whether new work may be sent to it."""
         return self.standing is Standing.READY and not self.evacuated
 
+    @property
+    def seems_gone(self) -> bool:
+        """Whether this entry could not reach it when it last tried.
+
+        Its registration has then not only lapsed with the store.
+        """
+        return self.ended_at is not None or self.unreached_at > self.answered_at
+
     @property
     def load(self) -> int:
         """Open attempts of all entries."""
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -8,8 +8,10 @@
 from figstep.gateway import peers
 from figstep.gateway.effects import Announce, CopyRun, Note, OpenAttempt, Refuse
 from figstep.gateway.events import (
+    AttemptLost,
     EngineReported,
     EntriesCounted,
+    Loss,
     StoreLost,
     StoreRegained,
     TargetDeparted,
@@ -189,3 +191,20 @@
 def test_the_word_of_an_unknown_target_is_passed_over() -> None:
     """Guards against an answer that comes after its target was forgotten."""
     assert World().handle(say("b-9")) == []
+
+
+def test_a_target_that_is_down_is_not_waited_for_after_an_outage() -> None:
+    """Guards against requests sent to engines that went while the store was away."""
+    world = build_world("b-1", "b-2", "b-3")
+    world.handle(StoreLost())
+    world.arrive("/lookup/a")
+    opened = world.find(OpenAttempt)
+    world.handle(AttemptLost(opened.attempt, Loss.UNREACHED))
+    world.handle(StoreRegained())
+    for name in ("b-1", "b-2", "b-3"):
+        world.depart(name)
+    standings = {
+        name: target.standing for name, target in world.state.targets.targets.items()
+    }
+    assert standings.pop(opened.target) is Standing.LEAVING
+    assert set(standings.values()) == {Standing.READY}
