Leave runs at drained engines while nobody reads the store

While the store is away engines are asked themselves whether they leave. One that says that it takes no new work, and not when it ends, is being drained: it serves on until the store has taken its word, which it can't now, and the engines that would take its place are known in the store alone.

A report tells now whether the engine says when it ends. Without that, and while no entry that is heard is answered by the store, the engine is used as before; with it, or where some entry reads the store, it is left at once. The first of the three new tests fails without it; the other two keep it from going too far.

An answer's own word (Server-Leaving) is kept to as before: it has a rule of its own.

--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -201,6 +201,7 @@
     Attributes:
         target: The engine.
         leaving: Whether it says that it takes no new work.
+        ending: Whether it says as well when it ends.
         memory: Tokens of its memory in use half a second ago that can't yield;
             None if it doesn't say.
     """
@@ -208,6 +209,7 @@
     target: str
     leaving: bool
     memory: int | None = None
+    ending: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -103,6 +103,10 @@
         _count_unclaimed(target, event.memory, now)
     if not event.leaving:
         return []
+    if not event.ending and sources.is_unread(state, now):
+        # One that is drained serves on until the store has taken its word, and no
+        # other can be known to take its place.
+        return []
     return departures.take_word(state, target.info.incarnation, now)
 
 
--- a/figstep/gateway/sources.py
+++ b/figstep/gateway/sources.py
@@ -88,6 +88,11 @@
     return False
 
 
+def is_unread(state: State, now: Millis) -> bool:
+    """Tell whether no entry that is heard is answered by the store."""
+    return state.store_away and not _hears_reader(state, now)
+
+
 def find_well_since(state: State, event: PeerHeard, now: Millis) -> Millis | None:
     """Return since when the store has answered a peer that reads it, or None."""
     if not event.reading or not event.store_well:
--- a/figstep/platform/answers.py
+++ b/figstep/platform/answers.py
@@ -141,5 +141,6 @@
         ValueError: If the report can't be read.
     """
     report = _Report.model_validate(orjson.loads(body))
-    leaving = report.state != "ready" or report.leaves_ms is not None
-    return EngineReported(target, leaving, report.kv_used)
+    ending = report.leaves_ms is not None
+    leaving = ending or report.state != "ready"
+    return EngineReported(target, leaving, report.kv_used, ending)
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -12,6 +12,7 @@
     EngineReported,
     EntriesCounted,
     Loss,
+    PeerHeard,
     StoreLost,
     StoreRegained,
     TargetDeparted,
@@ -193,6 +194,42 @@
     assert World().handle(say("b-9")) == []
 
 
+def start_plan_unread() -> tuple[World, OpenAttempt]:
+    """Return an entry that can't read the store, alone, with a plan that runs."""
+    world = World()
+    world.register("e-1", "e-2")
+    opened = world.open_plan()
+    world.send_pieces(opened.attempt, 1, 9)
+    world.handle(StoreLost())
+    return world, opened
+
+
+def test_an_engine_that_is_drained_serves_on_while_nobody_reads_the_store() -> None:
+    """Guards against runs moved, and room lost, though the engine serves on."""
+    world, opened = start_plan_unread()
+    world.handle(EngineReported(opened.target, leaving=True, ending=False))
+    assert not world.find_all(CopyRun)
+    found = world.state.targets.find(opened.target)
+    assert found is not None
+    assert found.takes_work
+
+
+def test_an_engine_that_says_when_it_ends_is_left_at_once() -> None:
+    """Guards against runs lost with an engine that was only drained at first."""
+    world, opened = start_plan_unread()
+    world.handle(EngineReported(opened.target, leaving=True, ending=False))
+    world.handle(EngineReported(opened.target, leaving=True, ending=True))
+    assert world.find(CopyRun).source == opened.target
+
+
+def test_an_engine_is_left_at_once_where_another_entry_reads_the_store() -> None:
+    """Guards against runs kept at an engine whose word the store has taken."""
+    world, opened = start_plan_unread()
+    world.handle(PeerHeard("entry-2", reading=True))
+    world.handle(EngineReported(opened.target, leaving=True, ending=False))
+    assert world.find(CopyRun).source == opened.target
+
+
 def test_a_target_that_is_down_is_not_waited_for_after_an_outage() -> None:
     """Guards against requests sent to engines that went while the store was away."""
     world = build_world("b-1", "b-2", "b-3")
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -16,18 +16,19 @@
 
 
 @pytest.mark.parametrize(
-    ("body", "leaving", "memory"),
+    ("body", "leaving", "memory", "ending"),
     [
-        (b'{"phase":"both","queued":1}', False, None),
-        (b'{"state":"ready","leaves_ms":null,"kv_used":0}', False, 0),
-        (b'{"state":"ready","leaves_ms":1400,"kv_used":4100}', True, 4100),
-        (b'{"state":"draining"}', True, None),
+        (b'{"phase":"both","queued":1}', False, None, False),
+        (b'{"state":"ready","leaves_ms":null,"kv_used":0}', False, 0, False),
+        (b'{"state":"ready","leaves_ms":1400,"kv_used":4100}', True, 4100, True),
+        (b'{"state":"draining"}', True, None, False),
     ],
 )
 def test_a_report_tells_whether_the_engine_leaves_and_how_full_it_is(
-    body: bytes, leaving: bool, memory: int | None
+    body: bytes, leaving: bool, memory: int | None, ending: bool
 ) -> None:
-    assert parse_report("e-1", body) == EngineReported("e-1", leaving, memory)
+    report = parse_report("e-1", body)
+    assert report == EngineReported("e-1", leaving, memory, ending)
 
 
 @pytest.mark.parametrize(
