Find an outage of the whole store in large fleets

Cause: a reader whose reads fail took the store for well while it heard another reader that said so, and said so itself; readers that fail together kept each other in that belief. Class of fault: hearsay passed on as one's own word.

A message says now whether the sender's own reads are answered, and only such a reader is a witness that records reach anybody.

In an outage six entries of the fleet go on asking, where it were six of each failure domain, and those that are about to ask count among them: were their word awaited, all entries would begin in the moment that the store is lost, and each that has begun goes on until it is answered. The two tests of that fail without it.

--- a/figstep/gateway/news.py
+++ b/figstep/gateway/news.py
@@ -78,6 +78,7 @@
         own.configuration,
         own.position,
         own.store_well,
+        own.answered,
         own.reading,
         own.leaving,
         own.evacuations,
--- a/figstep/gateway/sources.py
+++ b/figstep/gateway/sources.py
@@ -11,9 +11,9 @@
 """Entries of a large fleet that read the store, in as many failure domains as
 there are: any two of them may die in the same moment."""
 
-MOST_FAILING = 6
-"""Entries of a failure domain that read in vain before the others leave it. Where
-the store turns a third of the entries away, one of these gets through."""
+MOST_UNWELL = 6
+"""Entries of the fleet that go without the store's answers before the others don't ask
+it. Where the store turns a third of the entries away, one of these gets through."""
 
 READER_SILENT = Millis(1_500)
 """Silence after which another entry reads in a reader's place."""
@@ -48,21 +48,24 @@
     """
     if not state.is_large or state.read_failed:
         return True
-    well = failing = 0
+    well = unwell = 0
     for name, peer in list_heard(state, now).items():
         if name > state.node:
             continue
         if peer.store_well:
             well += 1
-        elif peer.reading:
-            failing += 1
-    return well < _count_readers(state) and failing < MOST_FAILING
+        else:
+            # It reads too, or is about to. Were its word of that awaited, all would
+            # begin to read in vain as the store is lost.
+            unwell += 1
+    most_unwell = _share_readers(state, MOST_UNWELL)
+    return well < _share_readers(state, LEAST_READERS) and unwell < most_unwell
 
 
-def _count_readers(state: State) -> int:
-    """Return how many entries of each failure domain read the store."""
+def _share_readers(state: State, readers: int) -> int:
+    """Return how many of the fleet's readers each failure domain has."""
     domains = 1 + len(state.far_loads)
-    return -(-LEAST_READERS // domains)
+    return -(-readers // domains)
 
 
 def watch_store(state: State, now: Millis) -> None:
@@ -82,8 +85,12 @@
 
 
 def _hears_reader(state: State, now: Millis) -> bool:
+    # Readers that fail together must not take each other's word that records reach
+    # them: only one that is answered itself has any.
     for peer in [*state.peers.values(), *state.far_peers.values()]:
-        if peer.reading and peer.store_well and now - peer.heard < READER_SILENT:
+        if now - peer.heard >= READER_SILENT:
+            continue
+        if peer.reading and peer.answered and peer.store_well:
             return True
     return False
 
@@ -95,7 +102,7 @@
 
 def find_well_since(state: State, event: PeerHeard, now: Millis) -> Millis | None:
     """Return since when the store has answered a peer that reads it, or None."""
-    if not event.reading or not event.store_well:
+    if not (event.reading and event.answered and event.store_well):
         return None
     known = (state.far_peers if event.far else state.peers).get(event.node)
     if known is None or known.well_since is None:
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -174,7 +174,8 @@
         position: How far it has read the registrations; -1 for nothing.
         well_since: Since when it has said without a break that it reads the
             store and is answered; None if it last said otherwise.
-        store_well: Whether the store answers it.
+        store_well: Whether records of the store reach it, from whomever.
+        answered: Whether the store answers it, as far as it reads the store.
         far: Whether it belongs to another failure domain.
         reading: Whether it reads the store's records as they come.
         leaving: Targets that told it, or its failure domain, that they leave.
@@ -189,6 +190,7 @@
     configuration: int = -1
     position: int = -1
     store_well: bool = True
+    answered: bool = True
     well_since: Millis | None = None
     far: bool = False
     reading: bool = False
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -78,6 +78,7 @@
         entries=own.entries,
         far=own.far,
         storeWell=own.store_well,
+        unanswered=not own.answered,
         asksDomain=hello.asks_domain,
         address=own.address,
         reading=own.reading,
@@ -173,6 +174,7 @@
             entries=message.entries,
             far=message.far,
             store_well=message.storeWell,
+            answered=not message.unanswered,
             reading=message.reading,
             leaving=tuple(
                 Incarnation(str(item.target), item.born) for item in message.leaving
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -31,6 +31,7 @@
   rates @25 :List(Rate);     # named of late in answers of targets
   leaving @26 :List(Incarnation); # targets that said that they leave
   cleared @27 :List(Clearance); # suspected requests that have run of late
+  unanswered @28 :Bool;      # the store does not answer the sender's own reads
 }
 
 struct Refusal {
--- a/tests/gateway/test_sources.py
+++ b/tests/gateway/test_sources.py
@@ -82,10 +82,34 @@
 def test_few_entries_read_in_vain_while_the_store_is_away() -> None:
     """Guards against a fleet that asks a store that is down all at once."""
     world = build_large_world()
-    hear_readers(world, sources.MOST_FAILING - 1, store_well=False)
+    hear_readers(world, sources.MOST_UNWELL - 1, store_well=False)
     world.state.node = "entry-0-05-next"
     assert sources.reads_store(world.state, world.clock.now())
-    hear_readers(world, sources.MOST_FAILING, store_well=False)
+    hear_readers(world, sources.MOST_UNWELL, store_well=False)
+    assert not sources.reads_store(world.state, world.clock.now())
+
+
+def test_entries_that_read_in_vain_are_shared_among_failure_domains() -> None:
+    """Guards against calls in an outage that grow with the failure domains."""
+    world = build_large_world()
+    for domain in ("muc-b", "nue-a", "aug-a"):
+        hear_domain(world, domain)
+    hear_readers(world, 1, store_well=False)
+    world.state.node = "entry-0-00-next"
+    assert sources.reads_store(world.state, world.clock.now())
+    hear_readers(world, 2, store_well=False)
+    world.state.node = "entry-0-01-next"
+    assert not sources.reads_store(world.state, world.clock.now())
+
+
+def test_entries_that_are_about_to_read_in_vain_count_as_well() -> None:
+    """Guards against a fleet that asks all at once as the store is lost."""
+    world = build_large_world()
+    for domain in ("muc-b", "nue-a", "aug-a"):
+        hear_domain(world, domain)
+    hear_readers(world, 1, store_well=False)
+    world.handle(PeerHeard("entry-0-01", failure_domain="muc-a", store_well=False))
+    world.state.node = "entry-0-01-next"
     assert not sources.reads_store(world.state, world.clock.now())
 
 
--- a/tests/net/test_hellos.py
+++ b/tests/net/test_hellos.py
@@ -35,6 +35,7 @@
     configuration=7,
     position=31,
     reading=True,
+    answered=False,
     leaving=(Incarnation("e-2", 1_783_672_261_103),),
     partial=True,
     refused=(Refusal("digest", Millis(900)),),
@@ -63,6 +64,7 @@
     assert hello.content.address == "10.0.0.1:7200"
     assert hello.records == records
     assert hello.content.reading
+    assert not hello.content.answered
     assert hello.content.partial
     assert hello.content.refused == OWN.refused
     assert hello.content.leaving == OWN.leaving
