Suspect calls whose plain service ends, on our own interface too

What callers saw: a read that crashes the targets of a plain service was sent to up to eight of them in one attempt, and again as it came again; nothing was ever counted.

Cause: deaths were looked for where a generation can't be resumed, or a newer incarnation reports; a plain service has neither. So a call whose connection broke was told as lost, and nothing more.

What broke at a target is kept as on the users' platform: until the target answers what was asked later, or a probe finds that nobody listens. Then the calls of the last six seconds are suspects, judged by the one table. Ruled out by tests: calls refused at services that live and reset connections, neighbours of the one that crashes them, breaks of long ago, one crash counted twice, a probe for each call.

The probe itself is one function for both edges (net/probes.py); what the users' platform does is as before. A death judges the digests that it adds, not those that it had judged.

--- a/figstep/application.py
+++ b/figstep/application.py
@@ -25,6 +25,7 @@
     FetchCheckpoint,
     Note,
     OpenAttempt,
+    ProbeTarget,
     ReadConfigurationFrom,
     Refuse,
     ReplacePool,
@@ -307,6 +308,8 @@
                 self.targets.close_attempt(attempt)
             case ReplacePool(target=target):
                 self.targets.replace_pool(target)
+            case ProbeTarget(target=target):
+                self.targets.probe_target(target)
             case CancelGeneration():
                 self.targets.cancel_generation(effect)
             case Complete(request=request):
--- a/figstep/core/effects.py
+++ b/figstep/core/effects.py
@@ -56,6 +56,13 @@
     target: str
 
 
+@dataclass(frozen=True, slots=True)
+class ProbeTarget:
+    """Look whether a target still listens at its address."""
+
+    target: str
+
+
 @dataclass(frozen=True, slots=True)
 class CancelGeneration:
     """Tell a target to stop a generation that nobody wants."""
@@ -207,6 +214,7 @@
     | ResumeAttempt
     | CloseAttempt
     | ReplacePool
+    | ProbeTarget
     | CancelGeneration
     | Deliver
     | DiscardDelivered
--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -117,6 +117,13 @@
     detail: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class TargetDown:
+    """A probe found that nobody listens at a target's address."""
+
+    target: str
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptRejected:
     """The target answered that the request itself is wrong (4xx)."""
@@ -461,6 +468,7 @@
     | TokensArrived
     | AttemptEnded
     | AttemptLost
+    | TargetDown
     | AttemptRejected
     | ServiceAnswered
     | LoadReported
--- a/figstep/core/recovery.py
+++ b/figstep/core/recovery.py
@@ -200,6 +200,8 @@
         targets.note_loss(target, now)
     if _proves_death(request, attempt, event, recovery):
         effects += suspects.record_death(state, attempt, now)
+    if event.loss is Loss.BROKEN and isinstance(request.spec.work, ServiceWork):
+        effects += suspects.note_broken_call(state, request, attempt, now)
     match recovery:
         case retries.Recovery.RESUME if target is not None:
             effects += _schedule_resume(state, request, attempt, event, now)
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -49,6 +49,7 @@
     Started,
     StreamCaughtUp,
     StreamUnavailable,
+    TargetDown,
     Timer,
     TimerFired,
     TokensArrived,
@@ -80,6 +81,8 @@
             return requests.answer_service(state, event, now)
         case AttemptLost():
             return recovery.recover_attempt(state, event, now)
+        case TargetDown(target=target):
+            return suspects.note_down(state, target, now)
         case AttemptRejected():
             return requests.reject_attempt(state, event, now)
         case CallerGone():
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -143,6 +143,8 @@
         dead: Whether it was found dead and has not answered since.
         deaths: How often it was found dead.
         death_incarnation: Incarnation at its last death; -1 for none.
+        lost: Digests of calls whose connection broke there, and when.
+        probed_at: When it was last probed.
     """
 
     info: TargetInfo
@@ -164,6 +166,8 @@
     dead: bool = False
     deaths: int = 0
     death_incarnation: int = -1
+    lost: dict[str, Millis] = field(default_factory=dict)
+    probed_at: Millis = Millis(-1_000_000)
 
     @property
     def takes_work(self) -> bool:
--- a/figstep/core/suspects.py
+++ b/figstep/core/suspects.py
@@ -3,13 +3,19 @@
 from figstep.core import quarantine
 from figstep.core.clock import Millis
 from figstep.core.crashes import Suspicion
-from figstep.core.effects import Count, Effect, Note
+from figstep.core.effects import Count, Effect, Note, ProbeTarget
 from figstep.core.events import LoadReported
 from figstep.core.state import AttemptState, RequestState, State, TargetState
 
 MAX_DEATHS = 3
 """Deaths after which a request is given up on, though another may have caused them."""
 
+LOST_KEPT = Millis(6_000)
+"""How long a call whose connection broke may have been the end of its target."""
+
+PROBE_PERIOD = Millis(200)
+"""Time between two probes of a target."""
+
 
 def record_death(state: State, attempt: AttemptState, now: Millis) -> list[Effect]:
     """Make every request in flight on the dead target a suspect.
@@ -42,6 +48,48 @@
     return _count_victims(state, target, victims, now) if victims else []
 
 
+def note_broken_call(
+    state: State, request: RequestState, attempt: AttemptState, now: Millis
+) -> list[Effect]:
+    """Keep a call whose connection broke, until its target answers or has ended.
+
+    A plain service names no incarnation and resumes nothing: only a probe tells one
+    that has ended from one that resets connections.
+    """
+    target = state.targets.get(attempt.target)
+    if target is None:
+        return []
+    target.lost[request.spec.digest] = now
+    if now - target.probed_at < PROBE_PERIOD:
+        return []
+    target.probed_at = now
+    return [ProbeTarget(attempt.target)]
+
+
+def note_down(state: State, name: str, now: Millis) -> list[Effect]:
+    """Take in that nobody listens at a target: calls that broke there are suspects."""
+    target = state.targets.get(name)
+    if target is None:
+        return []
+    recent = []
+    for digest, lost_at in target.lost.items():
+        if now - lost_at < LOST_KEPT:
+            recent.append(digest)
+    target.lost.clear()
+    return _count_death(state, target, recent, now) if recent else []
+
+
+def note_answer(state: State, attempt: AttemptState) -> None:
+    """Take in that a target answered: it lived when it was asked."""
+    target = state.targets.get(attempt.target)
+    if target is None:
+        return
+    target.dead = False
+    for digest, lost_at in list(target.lost.items()):
+        if lost_at <= attempt.opened:
+            del target.lost[digest]
+
+
 def _list_victims(state: State, attempt: AttemptState) -> list[RequestState]:
     victims = [state.requests[attempt.request]]
     for request in state.requests.values():
@@ -55,28 +103,37 @@
 def _count_victims(
     state: State, target: TargetState, victims: list[RequestState], now: Millis
 ) -> list[Effect]:
-    held = state.quarantine
-    held.crashes.forget_old(now)
+    digests = []
+    for victim in victims:
+        if victim.died_with == victim.generation:
+            # A late loss of a death that was counted, at a target that lives again.
+            continue
+        victim.died_with = victim.generation
+        digests.append(victim.spec.digest)
+    return _count_death(state, target, digests, now)
+
+
+def _count_death(
+    state: State, target: TargetState, digests: list[str], now: Millis
+) -> list[Effect]:
+    """Count a target's death for the requests that were there, and judge them."""
+    crashes = state.quarantine.crashes
+    crashes.forget_old(now)
     if not target.dead:
         target.dead = True
         target.deaths += 1
         target.death_incarnation = target.incarnation
     life = f"{target.info.name}#{target.deaths}"
+    for digest in digests:
+        crashes.note(Suspicion(digest, life), now)
     effects: list[Effect] = [Count("targets.deaths")]
-    for victim in victims:
-        if victim.died_with == victim.generation:
-            # A late loss of a death that was counted, at a target that lives again.
-            continue
-        victim.died_with = victim.generation
-        digest = victim.spec.digest
-        held.crashes.note(Suspicion(digest, life), now)
-    for victim in victims:
-        effects += _judge_victim(state, victim, now)
+    for digest in digests:
+        effects += _judge_digest(state, digest, now)
     return effects
 
 
-def _judge_victim(state: State, victim: RequestState, now: Millis) -> list[Effect]:
-    held, digest = state.quarantine, victim.spec.digest
+def _judge_digest(state: State, digest: str, now: Millis) -> list[Effect]:
+    held = state.quarantine
     if digest in held.until or not held.crashes.is_refused(digest, now):
         return []
     quarantine.hold_digest(held, digest, quarantine.QUARANTINE_FOR, now)
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -6,7 +6,9 @@
 from typing import Any
 
 import aiohttp
+import logbook
 from mode import Service
+from yarl import URL
 
 from figstep.core.clock import Millis
 from figstep.core.effects import CancelGeneration, OpenAttempt, ResumeAttempt
@@ -18,6 +20,7 @@
     Event,
     Loss,
     ServiceAnswered,
+    TargetDown,
     TokensArrived,
 )
 from figstep.core.inventory import ServiceInfo, TargetInfo
@@ -27,11 +30,15 @@
 from figstep.net.exchanges import Exchange, ServiceAnswer
 from figstep.net.frames import FrameSplitter
 from figstep.net.pools import PoolTable
+from figstep.net.probes import is_listening
 
 CANCEL_TIMEOUT = 2.0
+PROBE_TIMEOUT = 2.0
 REST_SECONDS = 1.0
 MAX_RECORDED_BODY = 1_024
 
+_log = logbook.Logger("figstep.targets")
+
 _REFUSED = (429, 503)
 _DROPPED_HEADERS = {"transfer-encoding", "connection", "content-length", "date"}
 
@@ -82,14 +89,35 @@
 
     def cancel_generation(self, effect: CancelGeneration) -> None:
         """Tell the target to stop a generation."""
-        task = asyncio.get_running_loop().create_task(self._send_cancel(effect))
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
+        self._run_aside(self._send_cancel(effect))
 
     def replace_pool(self, target: str) -> None:
         """Open new connections to a target from now on."""
         self._pools.replace(target)
 
+    def probe_target(self, target: str) -> None:
+        """Look whether a target still listens at its address."""
+        self._run_aside(self._probe(target))
+
+    async def _probe(self, name: str) -> None:
+        target = self._find_target(name)
+        if target is None:
+            return
+        url = URL(target.address)
+        try:
+            listens = await is_listening(url.host or "", url.port or 0, PROBE_TIMEOUT)
+        except OSError as error:
+            # A link that fails proves nothing of the target.
+            _log.info("no probe", extra={"target": name, "error": repr(error)})
+            return
+        if not listens:
+            self._dispatch(TargetDown(name))
+
+    def _run_aside(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
     def _start(self, attempt: int, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(self._guard(attempt, work))
         self._attempt_tasks[attempt] = task
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -34,6 +34,7 @@
 from figstep.gateway.targets import Target
 from figstep.net.connectors import ResetAwareConnector
 from figstep.net.frames import EventSplitter
+from figstep.net.probes import is_listening
 from figstep.net.sessions import open_target_session
 from figstep.platform import answers, names
 from figstep.platform.callers import CallerExchange
@@ -271,15 +272,13 @@
             return
         host, _, port = target.info.address.rpartition(":")
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            self._dispatch(TargetDown(target.info.incarnation))
-        except (OSError, TimeoutError) as error:
+            listens = await is_listening(host, int(port), CONNECT_SECONDS)
+        except OSError as error:
             # A link that fails proves nothing of the target.
             _log.info("no probe", extra={"target": name, "error": _describe(error)})
-        else:
-            writer.close()
+            return
+        if not listens:
+            self._dispatch(TargetDown(target.info.incarnation))
 
     def read_report(self, target: str) -> None:
         """Ask an engine for its state."""
--- a/tests/contracts/test_targets.py
+++ b/tests/contracts/test_targets.py
@@ -8,13 +8,15 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
+import aiohttp
 import pytest
 from aiohttp import web
 
 from figstep.application import Application
 from figstep.checker import ExecutedCall, ExecutedGeneration, History, check_history
 from figstep.core.problems import Ran
-from figstep.demo import build_document
+from figstep.core.suspects import MAX_DEATHS
+from figstep.demo import KEY, build_document
 from figstep.net.log import MemoryLog
 from figstep.operations import publish_document
 from figstep.settings import Platform, Settings
@@ -85,6 +87,25 @@
         return response
 
 
+class CrashingService(PlainService):
+    """A target of a plain service that a read of ``/crash`` ends.
+
+    Attributes:
+        runner: Runs it; set once it is started.
+    """
+
+    runner: web.AppRunner
+
+    async def _execute(self, request: web.Request) -> web.Response:
+        answer = await super()._execute(request)
+        if request.path == "/crash":
+            assert request.transport is not None
+            for site in list(self.runner.sites):
+                await site.stop()
+            request.transport.abort()
+        return answer
+
+
 def build_engines(fault: Answer | Frames) -> list[FaultyEngine]:
     """Return two engines, of which the first to be asked plays the fault."""
     faults = [fault]
@@ -93,17 +114,24 @@
 
 @asynccontextmanager
 async def run_entry(
-    engines: list[FaultyEngine], service: PlainService
+    engines: list[FaultyEngine], *services: PlainService
 ) -> AsyncIterator[str]:
-    """Run one entry before some engines and one service; yield its URL."""
+    """Run one entry before some engines and targets of a service; yield its URL."""
     runners, urls = [], []
-    for standin in (*engines, service, InstanceList()):
+    for standin in (*engines, *services, InstanceList()):
         runner, url = await start_app(standin.build_app())
         runners.append(runner)
         urls.append(url)
+        if isinstance(standin, CrashingService):
+            standin.runner = runner
     log = MemoryLog()
     named = {engine.name: urls[at] for at, engine in enumerate(engines)}
     document = build_document(named, urls[-2])
+    shape = document["services"].pop()
+    for at, service in enumerate(services, len(engines)):
+        document["services"].append(
+            {**shape, "name": service.name, "address": urls[at]}
+        )
     await publish_document(log, document, "ops", "first")
     settings = Settings(
         node="entry-1",
@@ -205,3 +233,18 @@
         calls.append(ExecutedCall("planning-1", call.body, call.body))
     assert check_history(History([caller.history], calls=calls)) == []
     assert len(calls) <= 1
+
+
+async def test_a_call_that_crashes_services_is_kept_away_from_the_rest() -> None:
+    """Guards against a read that ends all targets of a service, again and again."""
+    services = [CrashingService(f"planning-{number}") for number in range(6)]
+    statuses = []
+    headers = {"Authorization": f"Bearer {KEY}"}
+    async with run_entry([], *services) as url, aiohttp.ClientSession() as session:
+        for path in ("crash", "crash", "crash", "stock"):
+            target = f"{url}/services/planning/{path}"
+            async with session.get(target, headers=headers) as response:
+                statuses.append(response.status)
+    executed = [call.path for service in services for call in service.executed]
+    assert executed.count("/crash") <= MAX_DEATHS
+    assert statuses[-2:] == [422, 200]
--- /dev/null
+++ b/tests/core/test_suspects.py
@@ -0,0 +1,139 @@
+"""Calls that crash plain services, told from those at services that live."""
+
+import pytest
+
+from figstep.core.clock import Millis
+from figstep.core.effects import OpenAttempt, ProbeTarget, Refuse
+from figstep.core.events import (
+    AttemptLost,
+    Loss,
+    RequestArrived,
+    ServiceAnswered,
+    TargetDown,
+)
+from figstep.core.inventory import Inventory, ServiceInfo
+from figstep.core.specs import RequestSpec, ServiceWork
+from figstep.core.suspects import LOST_KEPT
+from tests.core.entries import Entry
+
+SERVICES = 6
+
+
+@pytest.fixture
+def entry() -> Entry:
+    """An entry before six targets of one plain service."""
+    services = tuple(
+        ServiceInfo(f"s{number}", "shop", "http://x", "muc-a")
+        for number in range(SERVICES)
+    )
+    return Entry(inventory=Inventory(services=services))
+
+
+def call(entry: Entry, request: str, digest: str) -> None:
+    """Send a read to the service."""
+    work = ServiceWork("shop", "GET", "/stock")
+    spec = RequestSpec(request, "demo", work, stream=False, digest=digest)
+    entry.feed(RequestArrived(spec))
+
+
+def find_target(entry: Entry, request: str) -> str:
+    """Return the target that runs a request."""
+    return entry.state.requests[request].target
+
+
+def crash(entry: Entry, request: str) -> str:
+    """Let a request's target crash under it; returns the target."""
+    target = find_target(entry, request)
+    entry.feed(AttemptLost(entry.find_attempt(request), Loss.BROKEN))
+    entry.feed(TargetDown(target), after=2)
+    return target
+
+
+def crash_all(entry: Entry, request: str) -> list[str]:
+    """Let each target that a request is sent to crash; returns them."""
+    crashed = []
+    while request in entry.state.requests:
+        crashed.append(crash(entry, request))
+    return crashed
+
+
+def test_a_target_that_breaks_many_calls_is_probed_once(entry: Entry) -> None:
+    """Guards against a probe for each of the calls that a crash cuts."""
+    for number in range(2 * SERVICES):
+        call(entry, f"r{number}", f"d{number}")
+    target = find_target(entry, "r0")
+    lost = [name for name in entry.state.requests if find_target(entry, name) == target]
+    probed = []
+    for name in lost:
+        entry.feed(AttemptLost(entry.find_attempt(name), Loss.BROKEN))
+        probed += entry.list_kind(ProbeTarget)
+    assert len(lost) > 1
+    assert probed == [ProbeTarget(target)]
+
+
+def test_a_call_that_crashes_services_is_kept_away_from_the_rest(entry: Entry) -> None:
+    """Guards against a read that ends all targets of a service in one attempt."""
+    call(entry, "r1", "killer")
+    assert len(crash_all(entry, "r1")) <= 3
+    call(entry, "r2", "killer")
+    assert entry.take(Refuse).problem.code == "request_quarantined"
+
+
+def test_a_call_at_services_that_live_is_not_refused(entry: Entry) -> None:
+    """Guards against calls refused where connections break and services live."""
+    call(entry, "r1", "good")
+    for _ in range(4):
+        entry.feed(AttemptLost(entry.find_attempt("r1"), Loss.BROKEN))
+    assert not entry.state.quarantine.until
+    entry.feed(ServiceAnswered(entry.find_attempt("r1"), 200))
+    call(entry, "r2", "good")
+    assert entry.take(OpenAttempt).request == "r2"
+
+
+def test_a_neighbour_of_a_call_that_crashes_services_is_served(entry: Entry) -> None:
+    """Guards against calls refused for what crashed beside them."""
+    call(entry, "bad", "killer")
+    name, number = "good0", 0
+    call(entry, name, name)
+    while find_target(entry, name) != find_target(entry, "bad"):
+        number += 1
+        name = f"good{number}"
+        call(entry, name, name)
+    entry.feed(AttemptLost(entry.find_attempt(name), Loss.BROKEN))
+    crash_all(entry, "bad")
+    assert list(entry.state.quarantine.until) == ["killer"]
+    entry.feed(ServiceAnswered(entry.find_attempt(name), 200))
+    assert not entry.state.quarantine.crashes.is_suspected(name)
+
+
+def test_a_service_that_answers_clears_what_broke_there_before(entry: Entry) -> None:
+    """Guards against a break that is taken for the cause of a later end."""
+    call(entry, "r1", "good")
+    target = find_target(entry, "r1")
+    entry.feed(AttemptLost(entry.find_attempt("r1"), Loss.BROKEN))
+    name, number = "other0", 0
+    call(entry, name, name)
+    while find_target(entry, name) != target:
+        number += 1
+        name = f"other{number}"
+        call(entry, name, name)
+    entry.feed(ServiceAnswered(entry.find_attempt(name), 200))
+    entry.feed(TargetDown(target))
+    assert not entry.state.quarantine.crashes.is_suspected("good")
+
+
+def test_a_break_of_long_ago_is_no_part_of_a_crash(entry: Entry) -> None:
+    """Guards against calls suspected for a service that ends much later."""
+    call(entry, "r1", "good")
+    target = find_target(entry, "r1")
+    entry.feed(AttemptLost(entry.find_attempt("r1"), Loss.BROKEN))
+    entry.feed(TargetDown(target), after=Millis(LOST_KEPT + 1))
+    assert not entry.state.quarantine.crashes.is_suspected("good")
+
+
+def test_breaks_of_one_crash_count_once(entry: Entry) -> None:
+    """Guards against a call refused after one crash that two probes found."""
+    call(entry, "r1", "good")
+    target = crash(entry, "r1")
+    entry.feed(TargetDown(target))
+    assert entry.state.quarantine.crashes.count("good") == 1
--- a/tests/net/test_targets.py
+++ b/tests/net/test_targets.py
@@ -5,8 +5,8 @@
 from aiohttp import web
 
 from figstep.core.effects import OpenAttempt
-from figstep.core.events import AttemptEnded, Event
-from figstep.core.inventory import EngineInfo
+from figstep.core.events import AttemptEnded, Event, TargetDown
+from figstep.core.inventory import EngineInfo, ServiceInfo
 from figstep.core.specs import GenerationWork, RequestSpec
 from figstep.net.exchanges import Exchange
 from figstep.net.targets import TargetEdge
@@ -47,3 +47,23 @@
     await edge.stop()
     await runner.cleanup()
     assert len(ports) == 1
+
+
+async def probe(address: str) -> list[Event]:
+    """Return what a probe of a target at an address tells."""
+    events: list[Event] = []
+    edge = TargetEdge(events.append, lambda _: ServiceInfo("s1", "x", address, "a"))
+    edge.probe_target("s1")
+    async with asyncio.timeout(20):
+        while edge._background:
+            await asyncio.sleep(0.01)
+    await edge.stop()
+    return events
+
+
+async def test_a_probe_tells_that_a_target_is_down() -> None:
+    """Guards against calls that crash plain services and are never suspected."""
+    runner, url = await start_app(web.Application())
+    assert await probe(url) == []
+    await runner.cleanup()
+    assert await probe(url) == [TargetDown("s1")]
