--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -475,6 +475,8 @@
         if target.name in self.record.departures:
             self._begin(target.kill())
             return
+        # Before the task runs another request may crash it as well.
+        self.record.departures[target.name] = float("inf")
         self._begin(self._replace(target, "crash"))
 
     def _choose_staying(self, number: int) -> SoakTarget:
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -37,6 +37,7 @@
 CRASHING_SEEDS = [
     (45, (Extra.CRASHES,)),
     (9130283, ALL_EXTRAS),
+    (15367845, ALL_EXTRAS),
 ]
 """The same, with requests that crash the targets that run them.
 
@@ -44,6 +45,8 @@
 target after target as one that none had run.
 
 9130283: the soak replaced a target twice that crashed after it had said that it leaves.
+
+15367845: the same for one that two requests crashed in the same moment.
 """
 
 
