Drop the connection of an attempt that ends as its events come

Cause: an attempt that is closed while its own events are handed on was left alone, as its task was the one that ran. On an engine elsewhere it means work for a caller that is gone wherever that order is lost. Ruled out: that the cut itself came late (the counter was there).

The task is cancelled like any other, and stops at its next read.

--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -84,7 +84,7 @@
     def close_attempt(self, attempt: int) -> None:
         """Drop an attempt's connection."""
         task = self._attempt_tasks.pop(attempt, None)
-        if task is not None and task is not asyncio.current_task():
+        if task is not None:
             task.cancel()
 
     def cancel_generation(self, effect: CancelGeneration) -> None:
--- a/tests/net/test_targets.py
+++ b/tests/net/test_targets.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from figstep.core.effects import OpenAttempt
-from figstep.core.events import AttemptEnded, Event, TargetDown
+from figstep.core.events import AttemptEnded, Event, TargetDown, TokensArrived
 from figstep.core.inventory import EngineInfo, ServiceInfo
 from figstep.core.specs import GenerationWork, RequestSpec
 from figstep.net.exchanges import Exchange
@@ -67,3 +67,37 @@
     assert await probe(url) == []
     await runner.cleanup()
     assert await probe(url) == [TargetDown("s1")]
+
+
+async def test_an_attempt_that_ends_as_its_events_come_drops_its_connection() -> None:
+    """Guards against targets that go on working for a caller that was cut."""
+    gone = asyncio.Event()
+
+    async def stream(request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        try:
+            for index in range(1, 1_000):
+                await response.write(b"id: e1~0~1:%d\ndata: {}\n\n" % index)
+                await asyncio.sleep(0.01)
+        except ConnectionError:
+            gone.set()
+        return response
+
+    app = web.Application()
+    app.router.add_post("/v1/completions", stream)
+    runner, url = await start_app(app)
+
+    def take(event: Event) -> None:
+        if isinstance(event, TokensArrived):
+            edge.close_attempt(event.attempt)
+
+    engine = EngineInfo("e1", url, "muc-a", ("m",))
+    edge = TargetEdge(take, lambda _: engine)
+    spec = RequestSpec("r1", "c", GenerationWork("m"))
+    exchange = Exchange(spec, "POST", "/v1/completions", {}, b"{}")
+    edge.open_attempt(OpenAttempt("r1", 1, "e1", "e1~0~1"), exchange)
+    async with asyncio.timeout(5):
+        await gone.wait()
+    await edge.stop()
+    await runner.cleanup()
