Send an order to cancel again where it is lost

An engine that is not told goes on for a caller that has left until its whole answer is made. It is idempotent, and is sent up to three times now. tests/net/test_targets.py fails without it: one order, that broke.

--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -33,6 +33,7 @@
 from figstep.net.probes import is_listening
 
 CANCEL_TIMEOUT = 2.0
+CANCEL_TRIES = 3
 PROBE_TIMEOUT = 2.0
 REST_SECONDS = 1.0
 MAX_RECORDED_BODY = 1_024
@@ -255,12 +256,15 @@
             return
         url = f"{target.address}/v1/generations/{effect.generation}"
         timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT)
-        try:
-            async with self._pools.use(effect.target) as pool:
-                async with pool.fresh.delete(url, timeout=timeout):
-                    pass
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            self.log.info("cancel not delivered: %r", error)
+        # A target would go on for nobody until the whole answer is made.
+        for _ in range(CANCEL_TRIES):
+            try:
+                async with self._pools.use(effect.target) as pool:
+                    async with pool.fresh.delete(url, timeout=timeout):
+                        return
+            except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                fields = {"target": effect.target, "error": repr(error)}
+                _log.info("cancel not delivered", extra=fields)
 
 
 def _read_retry_after(response: aiohttp.ClientResponse) -> Millis | None:
--- a/tests/net/test_targets.py
+++ b/tests/net/test_targets.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from figstep.core.effects import OpenAttempt
+from figstep.core.effects import CancelGeneration, OpenAttempt
 from figstep.core.events import AttemptEnded, Event, TargetDown, TokensArrived
 from figstep.core.inventory import EngineInfo, ServiceInfo
 from figstep.core.specs import GenerationWork, RequestSpec
@@ -101,3 +101,30 @@
         await gone.wait()
     await edge.stop()
     await runner.cleanup()
+
+
+async def test_an_order_to_cancel_that_is_lost_is_sent_again() -> None:
+    """Guards against targets that generate to the end for nobody."""
+    orders = []
+    cancelled = asyncio.Event()
+
+    async def cancel(request: web.Request) -> web.Response:
+        orders.append(request.path)
+        if len(orders) == 1:
+            assert request.transport is not None
+            request.transport.abort()
+        else:
+            cancelled.set()
+        return web.Response()
+
+    app = web.Application()
+    app.router.add_delete("/v1/generations/{name}", cancel)
+    runner, url = await start_app(app)
+    engine = EngineInfo("e1", url, "muc-a", ("m",))
+    edge = TargetEdge(lambda _: None, lambda _: engine)
+    edge.cancel_generation(CancelGeneration("e1", "e1~0~1"))
+    async with asyncio.timeout(20):
+        await cancelled.wait()
+    await edge.stop()
+    await runner.cleanup()
+    assert orders == ["/v1/generations/e1~0~1"] * 2
