Drive three entries by drawn events, and judge what callers and targets see

Three reducers exchange messages that are lost or come late; the model of callers and targets judges what they ask for. An order or a plan runs once, what is refused has not run, no run is at two engines for longer than a change-over may take, each caller gets one end and each event once, a read reaches no more targets than its route says, a request is refused for its crashes only where it met two, no attempt outlives its request, loads are those of the open attempts, and nothing is left at the end.

Not drawn: evacuations, rates, configurations, own budgets.

--- /dev/null
+++ b/tests/gateway/test_fleet_properties.py
@@ -0,0 +1,533 @@
+"""Entries, targets and a network that loses messages, in any order of events."""
+
+import re
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from figstep.core.clock import Millis
+from figstep.gateway import peers
+from figstep.gateway.effects import (
+    Announce,
+    Answer,
+    BreakStream,
+    CloseAttempt,
+    CopyRun,
+    Deliver,
+    Effect,
+    FinishStream,
+    OpenAttempt,
+    ProbeTarget,
+    ReadReport,
+    Refuse,
+)
+from figstep.gateway.events import (
+    AnswerArrived,
+    AttemptLost,
+    CallerGone,
+    EngineReported,
+    EntriesCounted,
+    Event,
+    Loss,
+    PeerHeard,
+    PiecesArrived,
+    RunCopied,
+    RunNotCopied,
+    StoreLost,
+    StoreRegained,
+    StreamEnded,
+    StreamOpened,
+    StreamPiece,
+    TargetDown,
+    TargetLeaving,
+    TargetRegistered,
+    Ticked,
+)
+from figstep.gateway.prompts import Prompt
+from figstep.gateway.routes import Route, RouteKind
+from figstep.gateway.streams import OVERLAP
+from figstep.gateway.targets import Incarnation, Registration
+from tests.gateway.worlds import (
+    BOOKINGS,
+    ENGINES,
+    LOOKUP,
+    ORDER,
+    PLAN,
+    QUESTION,
+    World,
+    build_fleet,
+)
+
+ENTRIES = 3
+DOMAINS = ("muc-a", "muc-b")
+EVENTS = 12
+"""Events of a whole stream."""
+
+STEP = Millis(50)
+DOWN = Millis(1_500)
+"""How long a target that crashed is down."""
+
+NOT_RUN = (408, 421, 429, 503)
+KILLERS = ("killer-1", "killer-2")
+ROUTES = {route.prefix: route for route in (PLAN, QUESTION, ORDER, LOOKUP)}
+
+
+@dataclass
+class Run:
+    """An attempt as its target sees it.
+
+    Attributes:
+        entry: Number of the entry.
+        attempt: Number of the attempt there.
+        life: The target's life that got it.
+        opened: When it came.
+        goes_on: Whether it goes on from a copy.
+        index: Last event that it sent.
+        open: Whether it has not ended.
+        ran: Whether it may have run.
+    """
+
+    entry: int
+    attempt: int
+    life: Incarnation
+    opened: Millis
+    goes_on: bool
+    index: int = 0
+    open: bool = True
+    ran: bool = True
+
+
+@dataclass
+class Call:
+    """A request as its caller sees it.
+
+    Attributes:
+        route: Its route.
+        digest: Digest of the request.
+        runs: Its attempts, oldest first.
+        events: Last event that the caller got.
+        ended: Whether it has its final answer, or left.
+    """
+
+    route: Route
+    digest: str
+    runs: list[Run] = field(default_factory=list)
+    events: int = 0
+    ended: bool = False
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Three entries that tell each other what they know, over a bad network."""
+
+    @initialize()
+    def start(self) -> None:
+        """Start entries and targets."""
+        self.fleet = build_fleet(ENTRIES, DOMAINS)
+        self.clock = self.fleet[0].clock
+        self.calls: list[dict[int, Call]] = [{} for _ in self.fleet]
+        self.runs: dict[tuple[int, int], Run] = {}
+        self.copies: list[tuple[int, CopyRun]] = []
+        self.network: list[tuple[int, PeerHeard]] = []
+        self.todo: deque[Callable[[], None]] = deque()
+        self.up: dict[str, Registration] = {}
+        self.known: dict[str, Registration] = {}
+        self.down: dict[str, Millis] = {}
+        self.ended: set[Incarnation] = set()
+        self.met: dict[str, set[Incarnation]] = {}
+        for service, letter in ((BOOKINGS, "b"), (ENGINES, "e")):
+            for number in range(3):
+                name = f"{letter}-{number}"
+                domain = DOMAINS[number % len(DOMAINS)]
+                self.register(
+                    Registration(name, service, f"{name}:80", domain, 64, born=1)
+                )
+        self.tell()
+
+    # What the entries ask for
+
+    def handle(self, entry: int, event: Event) -> None:
+        """Let an entry take an event, and do what it asks for."""
+        for effect in self.fleet[entry].handle(event):
+            self.perform(entry, effect)
+
+    def settle(self) -> None:
+        """Do what was put off until an entry had ended its event."""
+        while self.todo:
+            self.todo.popleft()()
+
+    def perform(self, entry: int, effect: Effect) -> None:
+        """Do what an entry asks for."""
+        match effect:
+            case OpenAttempt():
+                self.open(entry, effect)
+            case CloseAttempt(attempt=attempt):
+                run = self.runs.pop((entry, attempt), None)
+                if run is not None:
+                    run.open = False
+            case CopyRun():
+                self.copies.append((entry, effect))
+            case ProbeTarget(target=name):
+                info = self.fleet[entry].state.targets.targets[name].info
+                self.todo.append(lambda: self.probe(entry, info.incarnation))
+            case ReadReport(target=name) if name in self.up:
+                self.todo.append(
+                    lambda: self.handle(entry, EngineReported(name, leaving=False))
+                )
+            case Announce():
+                self.todo.append(self.tell)
+            case Deliver(number=number, data=data):
+                self.take_events(self.calls[entry][number], data)
+            case Answer(number=number) | BreakStream(number=number):
+                self.end(entry, number)
+            case FinishStream(number=number):
+                assert self.calls[entry][number].events == EVENTS
+                self.end(entry, number)
+            case Refuse(number=number, problem=problem):
+                self.refuse(entry, number, problem.status, problem.code)
+
+    def open(self, entry: int, opened: OpenAttempt) -> None:
+        """Let a target get an attempt."""
+        call = self.calls[entry][opened.number]
+        assert not call.ended
+        info = self.up.get(opened.target)
+        known = self.fleet[entry].state.targets.targets[opened.target].info
+        if info is None or info.incarnation != known.incarnation:
+            loss = Loss.UNREACHED if info is None else Loss.MISDIRECTED
+            lost = AttemptLost(opened.attempt, loss, down=info is None)
+            self.todo.append(lambda: self.handle(entry, lost))
+            return
+        if call.route.kind is RouteKind.UNSAFE or call.route is PLAN:
+            if opened.source is None:
+                assert not any(run.ran for run in call.runs), "runs twice"
+        now = self.clock.now()
+        goes_on = opened.source is not None
+        run = Run(entry, opened.attempt, info.incarnation, now, goes_on)
+        run.index = opened.after or 0
+        call.runs.append(run)
+        self.runs[entry, opened.attempt] = run
+        self.met.setdefault(call.digest, set()).add(info.incarnation)
+        lasting = [run for run in call.runs if run.ran and run.life not in self.ended]
+        if call.route.kind is RouteKind.SAFE:
+            assert len(lasting) <= call.route.attempts, "too many targets"
+        if call.digest in KILLERS:
+            self.todo.append(lambda: self.crash(info.target, info.incarnation))
+
+    def probe(self, entry: int, life: Incarnation) -> None:
+        """Answer whether anybody listens at a target's address."""
+        if life.target not in self.up:
+            self.handle(entry, TargetDown(life))
+
+    def take_events(self, call: Call, data: bytes) -> None:
+        """Let a caller get events: each once, and in order."""
+        for index in re.findall(rb"id: (\d+)", data):
+            call.events += 1
+            assert int(index) == call.events
+
+    def end(self, entry: int, number: int) -> None:
+        """Let a caller get its final answer, which comes once."""
+        call = self.calls[entry][number]
+        assert not call.ended
+        call.ended = True
+
+    def refuse(self, entry: int, number: int, status: int, code: str) -> None:
+        """Let a caller get an answer of the entry's own."""
+        self.end(entry, number)
+        call = self.calls[entry][number]
+        once = call.route.kind is RouteKind.UNSAFE or call.route is PLAN
+        if once and status in NOT_RUN:
+            assert not any(run.ran for run in call.runs), "said not to have run"
+        if code == "crashes_targets":
+            met = self.met.get(call.digest, set())
+            assert len(met & self.ended) >= 2, "refused for less than two crashes"
+
+    # Callers
+
+    @rule(
+        entry=st.integers(0, ENTRIES - 1),
+        prefix=st.sampled_from(sorted(ROUTES)),
+        digest=st.sampled_from([*KILLERS, *["menu"] * 5, *[""] * 5]),
+    )
+    def arrive(self, entry: int, prefix: str, digest: str) -> None:
+        """Let a request come; one without a digest comes once."""
+        world = self.fleet[entry]
+        prompt = Prompt("m", 3_000, 2_000, 900) if "lookup" not in prefix else None
+        if prefix == "/order/":
+            prompt = None
+        name = digest or f"digest-{entry}-{world.next_number}"
+        self.calls[entry][world.next_number] = Call(ROUTES[prefix], name)
+        world.arrive(f"{prefix}a", prompt, digest=name)
+        for effect in world.effects:
+            self.perform(entry, effect)
+        self.settle()
+
+    @rule(entry=st.integers(0, ENTRIES - 1), events=st.integers(1, EVENTS - 1))
+    def stream(self, entry: int, events: int) -> None:
+        """Let a stream come and begin."""
+        number = self.fleet[entry].next_number
+        self.arrive(entry, "/plan/", "")
+        for run in list(self.runs.values()):
+            if run in self.calls[entry][number].runs:
+                self.go_on(run, events)
+        self.settle()
+
+    @rule(data=st.data())
+    def leave(self, data: st.DataObject) -> None:
+        """Let a caller leave."""
+        waiting = []
+        for entry, calls in enumerate(self.calls):
+            waiting += [(entry, n) for n, call in calls.items() if not call.ended]
+        if not waiting:
+            return
+        entry, number = data.draw(st.sampled_from(waiting))
+        self.end(entry, number)
+        self.handle(entry, CallerGone(number))
+        self.settle()
+
+    # Targets
+
+    @precondition(lambda self: self.runs)
+    @rule(data=st.data(), events=st.integers(1, EVENTS))
+    def answer(self, data: st.DataObject, events: int) -> None:
+        """Let a target answer, or send some events."""
+        self.go_on(data.draw(st.sampled_from(list(self.runs.values()))), events)
+        self.settle()
+
+    def go_on(self, run: Run, events: int) -> None:
+        """Let a run send events, and end with its last."""
+        entry, attempt = run.entry, run.attempt
+        number = self.fleet[entry].state.attempts[attempt].request
+        if self.calls[entry][number].route.kind is not RouteKind.STREAM:
+            self.close(run)
+            self.handle(entry, AnswerArrived(attempt, 200))
+            return
+        last = min(EVENTS, run.index + events)
+        indexes = range(run.index + 1, last + 1)
+        pieces = [StreamPiece(index, b"id: %d\n\n" % index) for index in indexes]
+        run.index = last
+        self.handle(entry, StreamOpened(attempt))
+        self.handle(entry, PiecesArrived(attempt, pieces))
+        if last == EVENTS and run.open:
+            self.close(run)
+            self.handle(entry, StreamEnded(attempt))
+
+    @precondition(lambda self: self.runs)
+    @rule(
+        data=st.data(),
+        loss=st.sampled_from(
+            [Loss.BROKEN, Loss.GARBLED, Loss.REFUSED, Loss.FAILED, Loss.SILENT]
+        ),
+    )
+    def lose(self, data: st.DataObject, loss: Loss) -> None:
+        """Let an attempt end without an answer, at a target that lives."""
+        run = data.draw(st.sampled_from(list(self.runs.values())))
+        if run.index and loss in (Loss.REFUSED, Loss.FAILED):
+            return
+        run.ran = loss is not Loss.REFUSED
+        self.close(run)
+        status = 500 if loss is Loss.FAILED else None
+        self.handle(run.entry, AttemptLost(run.attempt, loss, status=status))
+        self.settle()
+
+    def close(self, run: Run) -> None:
+        """End a run."""
+        run.open = False
+        self.runs.pop((run.entry, run.attempt), None)
+
+    @precondition(lambda self: self.up)
+    @rule(data=st.data())
+    def crash_any(self, data: st.DataObject) -> None:
+        """Let a target crash by itself."""
+        info = data.draw(st.sampled_from(list(self.up.values())))
+        self.crash(info.target, info.incarnation)
+        self.settle()
+
+    def crash(self, name: str, life: Incarnation) -> None:
+        """Let a life of a target end, with all that it runs."""
+        info = self.up.get(name)
+        if info is None or info.incarnation != life:
+            return
+        del self.up[name]
+        self.ended.add(life)
+        self.down[name] = self.clock.now()
+        for run in [run for run in self.runs.values() if run.life == life]:
+            if run.open:
+                self.close(run)
+                self.handle(run.entry, AttemptLost(run.attempt, Loss.BROKEN))
+
+    @precondition(lambda self: self.up)
+    @rule(data=st.data(), entry=st.integers(0, ENTRIES - 1))
+    def say_leaving(self, data: st.DataObject, entry: int) -> None:
+        """Let a target tell an entry that it leaves; it ends some time later."""
+        info = data.draw(st.sampled_from(list(self.up.values())))
+        self.handle(entry, TargetLeaving(info.incarnation))
+        self.settle()
+
+    def return_targets(self) -> None:
+        """Let targets that were down for long start again, as another life."""
+        now = self.clock.now()
+        for name, at in list(self.down.items()):
+            if now - at >= DOWN:
+                del self.down[name]
+                self.register(replace(self.known[name], born=now))
+
+    def register(self, info: Registration) -> None:
+        """Let all entries read a registration."""
+        self.up[info.target] = self.known[info.target] = info
+        for entry in range(ENTRIES):
+            self.handle(entry, TargetRegistered(info))
+
+    @precondition(lambda self: self.copies)
+    @rule()
+    def fail_copy(self) -> None:
+        """Let an ordered copy not be made."""
+        entry, order = self.copies.pop(0)
+        told = RunNotCopied(order.number, order.source, order.holder, "no room")
+        self.handle(entry, told)
+        self.settle()
+
+    def make_copies(self) -> None:
+        """Let ordered copies be made where both engines are up."""
+        for entry, order in self.copies:
+            source, holder = order.source, order.holder
+            if source in self.up and holder in self.up:
+                made = RunCopied(order.number, source, holder, "handle")
+                self.todo.append(lambda e=entry, m=made: self.handle(e, m))  # type: ignore[misc]
+            else:
+                lost = RunNotCopied(order.number, source, holder, "gone")
+                self.todo.append(lambda e=entry, m=lost: self.handle(e, m))  # type: ignore[misc]
+        self.copies.clear()
+
+    # Entries and what is between them
+
+    @rule(entry=st.integers(0, ENTRIES - 1))
+    def restart(self, entry: int) -> None:
+        """Let an entry start again, with nothing of before."""
+        for run in [run for run in self.runs.values() if run.entry == entry]:
+            self.close(run)
+        before = self.fleet[entry]
+        world = World(clock=self.clock, next_number=before.next_number)
+        world.state.node = before.state.node
+        world.state.failure_domain = before.state.failure_domain
+        world.state.next_attempt = before.state.next_attempt
+        self.fleet[entry] = world
+        self.calls[entry] = {}
+        self.copies = [copy for copy in self.copies if copy[0] != entry]
+        self.handle(entry, EntriesCounted(ENTRIES))
+        for info in self.up.values():
+            self.handle(entry, TargetRegistered(info))
+        self.settle()
+
+    @rule(entry=st.integers(0, ENTRIES - 1), away=st.booleans())
+    def change_store(self, entry: int, away: bool) -> None:
+        """Let the store turn an entry away, or answer it again."""
+        self.handle(entry, StoreLost() if away else StoreRegained())
+        self.settle()
+
+    def tell(self) -> None:
+        """Let each entry send the others what it knows."""
+        now = self.clock.now()
+        for sender, world in enumerate(self.fleet):
+            message = peers.describe_own(world.state, now)
+            for receiver in range(ENTRIES):
+                if receiver != sender:
+                    self.network.append((receiver, message))
+
+    @precondition(lambda self: self.network)
+    @rule(data=st.data(), arrives=st.booleans())
+    def pass_message(self, data: st.DataObject, arrives: bool) -> None:
+        """Let a message arrive, in any order, or be lost."""
+        place = data.draw(st.integers(0, len(self.network) - 1))
+        receiver, message = self.network.pop(place)
+        if arrives:
+            self.handle(receiver, message)
+            self.settle()
+
+    @rule(steps=st.integers(1, 30))
+    def pass_time(self, steps: int) -> None:
+        """Let time pass."""
+        for _ in range(steps):
+            self.clock.advance(STEP)
+            for entry in range(ENTRIES):
+                self.handle(entry, Ticked())
+            self.return_targets()
+            self.make_copies()
+            self.settle()
+            self.check_overlaps()
+        self.tell()
+
+    def check_overlaps(self) -> None:
+        """Look that no run goes on at two engines for longer than it may."""
+        now = self.clock.now()
+        for calls in self.calls:
+            for call in calls.values():
+                running = [run for run in call.runs if run.open]
+                for run in running[1:]:
+                    assert now - run.opened <= OVERLAP + STEP, "runs at two engines"
+
+    # What holds at any time
+
+    @invariant()
+    def attempts_are_of_requests(self) -> None:
+        """No attempt outlives its request, and each is open at its target."""
+        if not hasattr(self, "fleet"):
+            return
+        for entry, world in enumerate(self.fleet):
+            for number, attempt in world.state.attempts.items():
+                assert attempt.request in world.state.requests
+                assert (entry, number) in self.runs
+
+    @invariant()
+    def loads_are_of_attempts(self) -> None:
+        """What an entry counts at a target is what it has open there."""
+        if not hasattr(self, "fleet"):
+            return
+        for world in self.fleet:
+            open_there = Counter(
+                id(attempt.target) for attempt in world.state.attempts.values()
+            )
+            for target in world.state.targets.targets.values():
+                assert target.calls == open_there[id(target)]
+
+    def teardown(self) -> None:
+        """Let all end: nothing is left of any request."""
+        if not hasattr(self, "fleet"):
+            return
+        for entry in range(ENTRIES):
+            self.handle(entry, StoreRegained())
+        self.settle()
+        for _ in range(12):
+            for run in list(self.runs.values()):
+                if run.open:
+                    self.go_on(run, EVENTS)
+                    self.settle()
+            self.copies.clear()
+            self.pass_time(20)
+        for world in self.fleet:
+            assert not world.state.requests
+            assert not world.state.attempts
+            assert not len(world.state.queue)
+            for target in world.state.targets.targets.values():
+                assert target.calls == 0
+                assert target.memory == 0
+                assert target.reading == 0
+
+
+TestFleet = FleetMachine.TestCase
+TestFleet.settings = settings(
+    max_examples=100,
+    stateful_step_count=50,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
