Count each life of a plain service, and calls that broke with it

A target that is found down again counted as the same death unless it had answered in between, so that a read that crashes the only target of a service was never refused. And a call whose break was told after its target was found down was not suspected, so that the one lost first was blamed for what another had caused.

An attempt that broke and was opened before the target was last found dead was part of that death; one opened later proves that another life had begun. Both new tests fail without it.

--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -141,6 +141,7 @@
         gap: Smoothed gap between two reads of a stream, in milliseconds.
         gap_deviation: Smoothed deviation of that gap, in milliseconds.
         dead: Whether it was found dead and has not answered since.
+        died_at: When it was last found dead.
         deaths: How often it was found dead.
         death_incarnation: Incarnation at its last death; -1 for none.
         lost: Digests of calls whose connection broke there, and when.
@@ -164,6 +165,7 @@
     gap: float = 0.0
     gap_deviation: float = 0.0
     dead: bool = False
+    died_at: Millis = Millis(-1_000_000)
     deaths: int = 0
     death_incarnation: int = -1
     lost: dict[str, Millis] = field(default_factory=dict)
--- a/figstep/core/suspects.py
+++ b/figstep/core/suspects.py
@@ -59,7 +59,12 @@
     target = state.targets.get(attempt.target)
     if target is None:
         return []
-    target.lost[request.spec.digest] = now
+    digest = request.spec.digest
+    if target.dead and attempt.opened <= target.died_at:
+        return _count_death(state, target, [digest], now)
+    # It took a connection since it was last found dead: another life has begun.
+    target.dead = False
+    target.lost[digest] = now
     if now - target.probed_at < PROBE_PERIOD:
         return []
     target.probed_at = now
@@ -121,6 +126,7 @@
     crashes.forget_old(now)
     if not target.dead:
         target.dead = True
+        target.died_at = now
         target.deaths += 1
         target.death_incarnation = target.incarnation
     life = f"{target.info.name}#{target.deaths}"
--- a/tests/core/test_suspects.py
+++ b/tests/core/test_suspects.py
@@ -6,6 +6,7 @@
 from figstep.core.effects import OpenAttempt, ProbeTarget, Refuse
 from figstep.core.events import (
     AttemptLost,
+    CallerGone,
     Loss,
     RequestArrived,
     ServiceAnswered,
@@ -14,6 +15,7 @@
 from figstep.core.inventory import Inventory, ServiceInfo
 from figstep.core.specs import RequestSpec, ServiceWork
 from figstep.core.suspects import LOST_KEPT
+from figstep.core.targets import AVOID_LONGEST
 from tests.core.entries import Entry
 
 SERVICES = 6
@@ -131,6 +133,34 @@
     assert not entry.state.quarantine.crashes.is_suspected("good")
 
 
+def test_a_call_whose_break_is_told_after_its_target_is_down_is_suspected(
+    entry: Entry,
+) -> None:
+    """Guards against the call that is lost first being blamed for the others."""
+    call(entry, "first", "first")
+    name, number = "late0", 0
+    call(entry, name, name)
+    while find_target(entry, name) != find_target(entry, "first"):
+        number += 1
+        name = f"late{number}"
+        call(entry, name, name)
+    crash(entry, "first")
+    entry.feed(AttemptLost(entry.find_attempt(name), Loss.BROKEN), after=10)
+    assert entry.state.quarantine.crashes.count(name) == 1
+
+
+def test_a_call_that_crashes_the_only_target_again_is_refused() -> None:
+    """Guards against crashes of one target that all count as its first."""
+    services = (ServiceInfo("s1", "shop", "http://x", "muc-a"),)
+    entry = Entry(inventory=Inventory(services=services))
+    for number in range(2):
+        call(entry, f"r{number}", "killer")
+        crash(entry, f"r{number}")
+        entry.feed(CallerGone(f"r{number}"), after=AVOID_LONGEST)
+    call(entry, "r3", "killer")
+    assert entry.take(Refuse).problem.code == "request_quarantined"
+
+
 def test_breaks_of_one_crash_count_once(entry: Entry) -> None:
     """Guards against a call refused after one crash that two probes found."""
     call(entry, "r1", "good")
