--- a/tests/gateway/test_fleet_properties.py
+++ b/tests/gateway/test_fleet_properties.py
@@ -4,6 +4,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -178,11 +179,10 @@
                 self.copies.append((entry, effect))
             case ProbeTarget(target=name):
                 info = self.fleet[entry].state.targets.targets[name].info
-                self.todo.append(lambda: self.probe(entry, info.incarnation))
+                self.todo.append(partial(self.probe, entry, info.incarnation))
             case ReadReport(target=name) if name in self.up:
-                self.todo.append(
-                    lambda: self.handle(entry, EngineReported(name, leaving=False))
-                )
+                report = EngineReported(name, leaving=False)
+                self.todo.append(partial(self.handle, entry, report))
             case Announce():
                 self.todo.append(self.tell)
             case Deliver(number=number, data=data):
@@ -204,7 +204,7 @@
         if info is None or info.incarnation != known.incarnation:
             loss = Loss.UNREACHED if info is None else Loss.MISDIRECTED
             lost = AttemptLost(opened.attempt, loss, down=info is None)
-            self.todo.append(lambda: self.handle(entry, lost))
+            self.todo.append(partial(self.handle, entry, lost))
             return
         if call.route.kind is RouteKind.UNSAFE or call.route is PLAN:
             if opened.source is None:
@@ -220,7 +220,7 @@
         if call.route.kind is RouteKind.SAFE:
             assert len(lasting) <= call.route.attempts, "too many targets"
         if call.digest in KILLERS:
-            self.todo.append(lambda: self.crash(info.target, info.incarnation))
+            self.todo.append(partial(self.crash, info.target, info.incarnation))
 
     def probe(self, entry: int, life: Incarnation) -> None:
         """Answer whether anybody listens at a target's address."""
@@ -398,13 +398,11 @@
     def make_copies(self) -> None:
         """Let ordered copies be made where both engines are up."""
         for entry, order in self.copies:
-            source, holder = order.source, order.holder
+            number, source, holder = order.number, order.source, order.holder
+            told: Event = RunNotCopied(number, source, holder, "gone")
             if source in self.up and holder in self.up:
-                made = RunCopied(order.number, source, holder, "handle")
-                self.todo.append(lambda e=entry, m=made: self.handle(e, m))  # type: ignore[misc]
-            else:
-                lost = RunNotCopied(order.number, source, holder, "gone")
-                self.todo.append(lambda e=entry, m=lost: self.handle(e, m))  # type: ignore[misc]
+                told = RunCopied(number, source, holder, "handle")
+            self.todo.append(partial(self.handle, entry, told))
         self.copies.clear()
 
     # Entries and what is between them
@@ -479,8 +477,6 @@
     @invariant()
     def attempts_are_of_requests(self) -> None:
         """No attempt outlives its request, and each is open at its target."""
-        if not hasattr(self, "fleet"):
-            return
         for entry, world in enumerate(self.fleet):
             for number, attempt in world.state.attempts.items():
                 assert attempt.request in world.state.requests
@@ -489,8 +485,6 @@
     @invariant()
     def loads_are_of_attempts(self) -> None:
         """What an entry counts at a target is what it has open there."""
-        if not hasattr(self, "fleet"):
-            return
         for world in self.fleet:
             open_there = Counter(
                 id(attempt.target) for attempt in world.state.attempts.values()
