--- a/tests/core/test_suspects.py
+++ b/tests/core/test_suspects.py
@@ -43,6 +43,17 @@
     return entry.state.requests[request].target
 
 
+def call_beside(entry: Entry, target: str) -> str:
+    """Send reads until one runs at a target; returns that request, and its digest."""
+    number = 0
+    while True:
+        name = f"beside-{number}"
+        call(entry, name, name)
+        if find_target(entry, name) == target:
+            return name
+        number += 1
+
+
 def crash(entry: Entry, request: str) -> str:
     """Let a request's target crash under it; returns the target."""
     target = find_target(entry, request)
@@ -95,12 +106,7 @@
 def test_a_neighbour_of_a_call_that_crashes_services_is_served(entry: Entry) -> None:
     """Guards against calls refused for what crashed beside them."""
     call(entry, "bad", "killer")
-    name, number = "good0", 0
-    call(entry, name, name)
-    while find_target(entry, name) != find_target(entry, "bad"):
-        number += 1
-        name = f"good{number}"
-        call(entry, name, name)
+    name = call_beside(entry, find_target(entry, "bad"))
     entry.feed(AttemptLost(entry.find_attempt(name), Loss.BROKEN))
     crash_all(entry, "bad")
     assert list(entry.state.quarantine.until) == ["killer"]
@@ -113,12 +119,7 @@
     call(entry, "r1", "good")
     target = find_target(entry, "r1")
     entry.feed(AttemptLost(entry.find_attempt("r1"), Loss.BROKEN))
-    name, number = "other0", 0
-    call(entry, name, name)
-    while find_target(entry, name) != target:
-        number += 1
-        name = f"other{number}"
-        call(entry, name, name)
+    name = call_beside(entry, target)
     entry.feed(ServiceAnswered(entry.find_attempt(name), 200))
     entry.feed(TargetDown(target))
     assert not entry.state.quarantine.crashes.is_suspected("good")
@@ -138,12 +139,7 @@
 ) -> None:
     """Guards against the call that is lost first being blamed for the others."""
     call(entry, "first", "first")
-    name, number = "late0", 0
-    call(entry, name, name)
-    while find_target(entry, name) != find_target(entry, "first"):
-        number += 1
-        name = f"late{number}"
-        call(entry, name, name)
+    name = call_beside(entry, find_target(entry, "first"))
     crash(entry, "first")
     entry.feed(AttemptLost(entry.find_attempt(name), Loss.BROKEN), after=10)
     assert entry.state.quarantine.crashes.count(name) == 1
