Tell standstills of the soak, and let them excuse nothing

Read again: made a standstill of the soak a fault of the store and of all targets, so that every check with a bound on time was excused for three seconds around it. No trace supports that beyond the handover, and on a busy machine many runs have such standstills: it loosened checks for more than it had been shown for.

The handover itself was the run that is given up as it begins. Standstills are noted and printed as before; a test holds that they excuse nothing.

--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -50,11 +50,9 @@
         else:
             ends[str(attempt.status or attempt.error)] += 1
     told = ", ".join(f"{count} {end}" for end, count in sorted(ends.items()))
-    still = record.list_still()
-    faults = len(record.disturbances) - len(still)
-    for one in still:
-        told += f"; stood still at {one.start:.2f} until {one.end:.2f}"
-    return f"{faults} faults; {told}"
+    for start, end in record.still:
+        told += f"; stood still at {start:.2f} until {end:.2f}"
+    return f"{len(record.disturbances)} faults; {told}"
 
 
 async def _play_all(arguments: argparse.Namespace, seeds: list[int]) -> int:
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -139,7 +139,6 @@
         target: Name of the target; "" for none.
         start: When it began.
         end: When it ended; None while it lasts.
-        everywhere: Whether it met the store and all targets alike.
     """
 
     name: str
@@ -147,7 +146,6 @@
     target: str
     start: float
     end: float | None = None
-    everywhere: bool = False
 
     def meets(self, start: float, end: float) -> bool:
         """Tell whether it lasted in any part of a span."""
@@ -188,6 +186,8 @@
         rates: Spans in which targets named rates.
         leavers: When targets began to say in their answers that they leave.
         pauses: Pauses that targets asked for: time, target, request, seconds.
+        still: Spans in which this process, with all stand-ins, stood still. They
+            are told, and excuse nothing.
         calm_from: When all faults had been lifted for good.
     """
 
@@ -202,6 +202,7 @@
     rates: list[NamedRate] = field(default_factory=list)
     leavers: dict[str, float] = field(default_factory=dict)
     pauses: list[tuple[float, str, str, float]] = field(default_factory=list)
+    still: list[tuple[float, float]] = field(default_factory=list)
     calm_from: float = 0.0
 
     def begin(
@@ -212,15 +213,6 @@
         self.disturbances.append(found)
         return found
 
-    def note_still(self, start: float, end: float) -> None:
-        """Note that this process, with all stand-ins in it, stood still."""
-        found = Disturbance("stood still", None, "", start, end, everywhere=True)
-        self.disturbances.append(found)
-
-    def list_still(self) -> list[Disturbance]:
-        """Return the spans in which this process stood still."""
-        return [one for one in self.disturbances if one.everywhere]
-
     def is_calm(self, entry: int, start: float, end: float) -> bool:
         """Tell whether nothing was done to an entry or the store in a span."""
         for one in self.disturbances:
@@ -242,7 +234,7 @@
     def is_target_calm(self, target: str, start: float, end: float) -> bool:
         """Tell whether nothing was done to a target in a span."""
         for one in self.disturbances:
-            if one.target != target and not one.everywhere:
+            if one.target != target:
                 continue
             if one.meets(start, end):
                 return False
--- a/tests/faults/test_promises.py
+++ b/tests/faults/test_promises.py
@@ -161,22 +161,13 @@
     assert list_promises(record) == found
 
 
-@pytest.mark.parametrize(("ago", "found"), [(1.0, set()), (5.0, {"handover"})])
-def test_targets_that_stood_still_may_both_run_for_a_while(
-    ago: float, found: set[str]
-) -> None:
-    """Guards against a soak that blames entries for its own standstill."""
+def test_a_standstill_of_the_soak_excuses_nothing() -> None:
+    """Guards against faults of entries that hide behind a busy machine."""
     record, _, run = build_record(Kind.PLAN)
     run.ended = START + 3
     record.runs.append(Run("r1", "i-2", "g1", START, START + 3, customer="gurdwara"))
-    record.note_still(START - ago - 0.5, START - ago)
-    assert list_promises(record) == found
-
-
-def test_a_standstill_excuses_no_work_for_a_leaver() -> None:
-    record = build_leaving_record(3.0)
-    record.note_still(START + 1, START + 2)
-    assert list_promises(record) == {"leaver"}
+    record.still.append((START - 1, START - 0.5))
+    assert list_promises(record) == {"handover"}
 
 
 @pytest.mark.parametrize("took", [None, 1.0])
