Test which answers of targets reach a caller as complete

A target may answer with a length, with chunks, or with neither, and may break off in each. Eight cases fail on the code as it was and are listed: without a length and chunks a stream that ends inside an event, or before its first one, and a call's answer of which nothing came are passed on as complete; a stream with a byte too many is passed on with that byte in each framing. The cases with a length or chunks that is cut short pass.

--- /dev/null
+++ b/tests/framing.py
@@ -0,0 +1,80 @@
+"""HTTP answers that a test writes byte by byte, in each framing that HTTP has."""
+
+import socket
+import struct
+from collections.abc import Mapping
+from enum import Enum
+from http import HTTPStatus
+
+from aiohttp import web
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a close resets the connection."""
+
+
+class Framing(Enum):
+    """How an answer tells where its body ends."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
+class RawAnswer:
+    """Answer to a request, written to the transport without the HTTP server."""
+
+    def __init__(
+        self,
+        request: web.Request,
+        framing: Framing,
+        headers: Mapping[str, str],
+        length: int,
+        status: int = 200,
+    ) -> None:
+        """Write the head.
+
+        Args:
+            request: Request that is answered.
+            framing: Framing of the body.
+            headers: Headers besides those of the framing.
+            length: Length of the complete body in bytes, for a framing by length.
+            status: HTTP status.
+        """
+        assert request.transport is not None
+        self._transport = request.transport
+        self._framing = framing
+        lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        match framing:
+            case Framing.LENGTH:
+                lines.append(f"Content-Length: {length}")
+            case Framing.CHUNKS:
+                lines.append("Transfer-Encoding: chunked")
+            case Framing.CONNECTION:
+                lines.append("Connection: close")
+        self._transport.write("\r\n".join([*lines, "", ""]).encode())
+
+    def write(self, data: bytes) -> None:
+        """Write a part of the body."""
+        if not data:
+            return
+        if self._framing is Framing.CHUNKS:
+            data = f"{len(data):x}\r\n".encode() + data + b"\r\n"
+        self._transport.write(data)
+
+    def end(self) -> web.StreamResponse:
+        """End a body that is complete, and close the connection."""
+        if self._framing is Framing.CHUNKS:
+            self._transport.write(b"0\r\n\r\n")
+        return self.close()
+
+    def close(self) -> web.StreamResponse:
+        """Close the connection in order, wherever the body is."""
+        self._transport.close()
+        return web.Response()
+
+    def reset(self) -> web.StreamResponse:
+        """Reset the connection."""
+        connection = self._transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        return self.close()
--- /dev/null
+++ b/tests/platform/test_engines.py
@@ -0,0 +1,131 @@
+"""Tests of the client for targets: which answers reach a caller as complete."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from tests.framing import Framing, RawAnswer
+from tests.platform.places import Place, open_place
+from tests.platform.standins import Handler
+
+PLAN = {"Model": "m", "Token_Count": "3000,2000", "Length_Hint": "80"}
+EVENTS = b"id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n"
+ANSWER = b"two pallets of flour"
+
+EACH_FRAMING = pytest.mark.parametrize("framing", list(Framing))
+
+PARTS_OF_A_STREAM = {
+    "before its first event": b"",
+    "inside its first event": EVENTS[:9],
+    "inside a later event": EVENTS[:25],
+    "inside the end of its last event": EVENTS[:-1],
+}
+
+
+@pytest.fixture
+async def place() -> AsyncIterator[Place]:
+    async with open_place() as opened:
+        await opened.add_target("i-b1", "bookings")
+        await opened.add_target("i-e1", "engines")
+        entry = await opened.add_entry()
+        await opened.wait_ready(entry, 2)
+        yield opened
+
+
+def write_answer(
+    place: Place, name: str, framing: Framing, part: bytes, body: bytes
+) -> Handler:
+    """Return a handler that writes a part of a body, and ends or closes after it."""
+    target = place.targets[name]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        headers = target.sign(request)
+        raw = RawAnswer(request, framing, headers, len(body))
+        raw.write(part)
+        return raw.end() if part == body else raw.close()
+
+    return answer
+
+
+async def read_complete(place: Place, path: str, **headers: str) -> bytes | None:
+    """Return the body of a successful answer; None if it is not a complete one."""
+    async with place.session.post(
+        place.url(path), headers=place.headers("r-1", **headers)
+    ) as response:
+        try:
+            body = await response.read()
+        except aiohttp.ClientError:
+            return None
+        return body if response.status == 200 else None
+
+
+@EACH_FRAMING
+async def test_a_complete_stream_arrives_in_each_framing(
+    place: Place, framing: Framing
+) -> None:
+    place.targets["i-e1"].handler = write_answer(place, "i-e1", framing, EVENTS, EVENTS)
+    assert await read_complete(place, "/plan/a", **PLAN) == EVENTS
+
+
+@EACH_FRAMING
+@pytest.mark.parametrize("part", PARTS_OF_A_STREAM.values(), ids=PARTS_OF_A_STREAM)
+async def test_a_broken_off_stream_does_not_look_complete(
+    place: Place, framing: Framing, part: bytes
+) -> None:
+    """Guards against a part of a stream that its caller gets as a complete one."""
+    place.targets["i-e1"].handler = write_answer(place, "i-e1", framing, part, EVENTS)
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+
+
+@EACH_FRAMING
+async def test_a_stream_with_a_byte_too_many_does_not_look_complete(
+    place: Place, framing: Framing
+) -> None:
+    """Guards against the start of another event that is passed on as the end."""
+    body = EVENTS + b"i"
+    place.targets["i-e1"].handler = write_answer(place, "i-e1", framing, body, body)
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+
+
+@EACH_FRAMING
+async def test_a_complete_answer_arrives_in_each_framing(
+    place: Place, framing: Framing
+) -> None:
+    place.targets["i-b1"].handler = write_answer(place, "i-b1", framing, ANSWER, ANSWER)
+    assert await read_complete(place, "/order/a") == ANSWER
+
+
+@pytest.mark.parametrize(
+    ("framing", "part"),
+    [
+        (Framing.LENGTH, b""),
+        (Framing.LENGTH, ANSWER[:5]),
+        (Framing.CHUNKS, b""),
+        (Framing.CHUNKS, ANSWER[:5]),
+        (Framing.CONNECTION, b""),
+    ],
+)
+async def test_a_broken_off_answer_does_not_look_complete(
+    place: Place, framing: Framing, part: bytes
+) -> None:
+    """Guards against the head of an answer that its caller gets as all of it."""
+    place.targets["i-b1"].handler = write_answer(place, "i-b1", framing, part, ANSWER)
+    assert await read_complete(place, "/order/a") is None
+
+
+@pytest.mark.parametrize("status", [204, 304])
+async def test_an_answer_without_a_body_is_complete(place: Place, status: int) -> None:
+    target = place.targets["i-b1"]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        headers = target.sign(request)
+        return RawAnswer(request, Framing.CONNECTION, headers, 0, status).close()
+
+    target.handler = answer
+    async with place.session.post(
+        place.url("/order/a"), headers=place.headers("r-1")
+    ) as response:
+        assert response.status == status
+        assert await response.read() == b""
