Take an answer as complete only if its framing or content shows it

Callers saw a stream that its target had broken off as a complete one: 200, the target's signature, a chunked body ended in order, with a part of an event as its end.

Cause: an answer with neither a length nor chunks ends with its connection, and a target that crashes closes it like one that is done. The edge read to the end of the connection, handed the part of an event that was left over to the decisions as the tail of a complete stream, and the caller's own chunked answer was ended. The crash was then taken for a success: it cleared the request of suspicion instead of counting.

The record fits: one target, 4 ms from the crash to the end, 'framed as complete'. Ruled out: a reset read as a close (the connector tells them apart, its test passes), and a second attempt that ends the answer (one target in the record).

Now core/answers.py decides for both interfaces, from how the body ended: a stream that ends inside an event is broken off in any framing, one that ends with its connection before its first event too, and so is a successful answer of which nothing came. The loss is an ordinary broken connection: it is resumed, repeated or cut as that is, the target is probed and the loss is suspected.

--- /dev/null
+++ b/figstep/core/answers.py
@@ -0,0 +1,66 @@
+"""Decides whether the body of an answer is complete.
+
+An answer by length or in chunks that is cut short fails as it is read. One that ends
+with its connection does not: a target that crashes closes it like one that is done, so
+that the content has to decide.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class NumberedStream:
+    """End of a stream of numbered events that has no end marker.
+
+    Attributes:
+        delimited: Whether a length or chunks tell where the body ends.
+        events: Number of complete events.
+        remainder: Number of bytes after the last complete event.
+    """
+
+    delimited: bool
+    events: int
+    remainder: int
+
+
+@dataclass(frozen=True, slots=True)
+class MarkedStream:
+    """End of a stream whose last event is an end marker.
+
+    Attributes:
+        marked: Whether the end marker was received.
+    """
+
+    marked: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Body:
+    """End of a successful answer that is no stream.
+
+    Attributes:
+        delimited: Whether a length or chunks tell where the body ends, or the answer
+            has no body by its status or method.
+        length: Number of bytes received.
+    """
+
+    delimited: bool
+    length: int
+
+
+def explain_incomplete(end: NumberedStream | MarkedStream | Body) -> str:
+    """Return why an answer that was read without an error is incomplete.
+
+    Returns:
+        The reason; empty if the answer is complete.
+    """
+    match end:
+        case NumberedStream(remainder=remainder) if remainder:
+            return f"it ended inside an event, {remainder} bytes after the last one"
+        case NumberedStream(delimited=False, events=0):
+            return "its connection ended before the first event"
+        case MarkedStream(marked=False):
+            return "it ended before the end marker"
+        case Body(delimited=False, length=0):
+            return "its connection ended before the body"
+    return ""
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -106,14 +106,9 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamEnded:
-    """A target ended its stream, and the answer was complete.
-
-    Attributes:
-        tail: Bytes after the last event.
-    """
+    """A target ended its stream, and the answer was complete."""
 
     attempt: int
-    tail: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -199,8 +199,6 @@
         effects += _promote_standby(state, request, attempt, now)
     if not request.stream_begun:
         effects += _begin_stream(state, request, attempt, now)
-    if event.tail:
-        effects.append(Deliver(request.spec.number, event.tail))
     attempts.end_attempt(state, attempt)
     effects += attempts.close_request(state, request, now)
     return [
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -10,6 +10,7 @@
 from mode import Service
 from yarl import URL
 
+from figstep.core.answers import Body, MarkedStream, explain_incomplete
 from figstep.core.clock import Millis
 from figstep.core.effects import CancelGeneration, OpenAttempt, ResumeAttempt
 from figstep.core.events import (
@@ -29,6 +30,7 @@
 from figstep.errors import FrameError
 from figstep.net.exchanges import Exchange, ServiceAnswer
 from figstep.net.frames import FrameSplitter
+from figstep.net.framing import is_delimited
 from figstep.net.pools import PoolTable
 from figstep.net.probes import is_listening
 
@@ -208,7 +210,8 @@
                 self._dispatch(AttemptEnded(attempt))
                 await _read_body_end(response)
                 return
-        self._dispatch(AttemptLost(attempt, Loss.TRUNCATED))
+        reason = explain_incomplete(MarkedStream(splitter.ended))
+        self._dispatch(AttemptLost(attempt, Loss.TRUNCATED, detail=reason))
 
     async def _report_status(
         self, attempt: int, response: aiohttp.ClientResponse
@@ -250,6 +253,13 @@
                 allow_redirects=False,
             ) as response:
                 body = await response.read()
+        if response.ok:
+            reason = explain_incomplete(Body(is_delimited(response), len(body)))
+            if reason:
+                self._dispatch(
+                    AttemptLost(effect.attempt, Loss.TRUNCATED, detail=reason)
+                )
+                return
         # If a 429 or 503 were passed on as the answer to a call that may run only
         # once, it would be recorded and replayed to every later request with the
         # same key.
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -11,6 +11,7 @@
 from mode import Service
 from yarl import URL
 
+from figstep.core.answers import Body, NumberedStream, explain_incomplete
 from figstep.core.clock import Clock, Millis
 from figstep.errors import FrameError
 from figstep.gateway import limits
@@ -34,6 +35,7 @@
 from figstep.gateway.targets import Target
 from figstep.net.connectors import ResetAwareConnector
 from figstep.net.frames import EventSplitter
+from figstep.net.framing import is_delimited
 from figstep.net.probes import is_listening
 from figstep.net.sessions import open_target_session
 from figstep.platform import answers, names
@@ -236,13 +238,19 @@
         self._heads[attempt] = answers.read_head(response)
         self._dispatch(StreamOpened(attempt))
         splitter = EventSplitter()
+        events = 0
         async for chunk in response.content.iter_any():
             pieces = [
                 StreamPiece(event.index, event.data) for event in splitter.feed(chunk)
             ]
+            events += len(pieces)
             if pieces:
                 self._dispatch(PiecesArrived(attempt, pieces))
-        return StreamEnded(attempt, splitter.incomplete)
+        end = NumberedStream(is_delimited(response), events, len(splitter.incomplete))
+        reason = explain_incomplete(end)
+        if reason:
+            return AttemptLost(attempt, Loss.BROKEN, detail=reason)
+        return StreamEnded(attempt)
 
     async def _read_answer(
         self, effect: OpenAttempt, response: aiohttp.ClientResponse
@@ -250,6 +258,10 @@
         body = await response.read()
         if len(body) > MAX_ANSWER_BYTES:
             return AttemptLost(effect.attempt, Loss.GARBLED, detail="too long")
+        if response.ok:
+            reason = explain_incomplete(Body(is_delimited(response), len(body)))
+            if reason:
+                return AttemptLost(effect.attempt, Loss.BROKEN, detail=reason)
         self._answers[effect.attempt] = WholeAnswer(answers.read_head(response), body)
         if response.status < 500 and response.status not in (408, 429):
             return AnswerArrived(effect.attempt, response.status)
