Tell a reset from an end in answers of the own interface's targets

A plain service that crashes within an answer without a length and chunks resets the connection, and the HTTP client ends such a body as if it were complete: the caller got half an answer with status 200, and a call that runs once recorded it for replay. The platform's edge used the connector that tells them apart, the pools of the own interface did not.

--- a/figstep/net/pools.py
+++ b/figstep/net/pools.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from figstep.net.connectors import ResetAwareConnector
 from figstep.net.sessions import open_target_session
 
 CONNECT_TIMEOUT = 2.0
@@ -73,5 +74,5 @@
 
 
 def _open_session(force_close: bool) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(limit=0, force_close=force_close)
+    connector = ResetAwareConnector(limit=0, force_close=force_close)
     return open_target_session(connector, CONNECT_TIMEOUT)
--- a/tests/net/test_pools.py
+++ b/tests/net/test_pools.py
@@ -1,5 +1,6 @@
 """Tests of connections to targets: reused, new and replaced."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -8,6 +9,7 @@
 
 from figstep.net.pools import Pool, PoolTable
 from figstep.standins.http import start_app
+from tests.framing import Framing, RawAnswer
 
 
 class Target:
@@ -19,7 +21,7 @@
         self.aborts_connections = False
         self.url = ""
 
-    async def answer(self, request: web.Request) -> web.Response:
+    async def answer(self, request: web.Request) -> web.StreamResponse:
         self.requests += 1
         self.connections.add(request.transport)
         if self.aborts_connections and request.transport is not None:
@@ -99,3 +101,24 @@
     async with pools.use("t") as pool:
         await send(pool.reused, target)
         assert len(pool.reused.cookie_jar) == 0
+
+
+async def reset_in_answer(request: web.Request) -> web.StreamResponse:
+    """Reset the connection within an answer that has neither a length nor chunks."""
+    answer = RawAnswer(request, Framing.CONNECTION, {}, 0)
+    answer.write(b"half an ans")
+    await asyncio.sleep(0.05)
+    return answer.reset()
+
+
+async def test_a_reset_within_an_answer_is_a_loss(pools: PoolTable) -> None:
+    """Guards against half an answer of a service that is passed on and recorded."""
+    app = web.Application()
+    app.router.add_route("*", "/", reset_in_answer)
+    runner, url = await start_app(app)
+    async with pools.use("t") as pool:
+        for session in (pool.reused, pool.fresh):
+            with pytest.raises(aiohttp.ClientError):
+                async with session.get(url) as response:
+                    await response.read()
+    await runner.cleanup()
