Reject an answer of the store that is cut short in a record

An answer without a length and chunks that ends early was read as a shorter one: the last record lost its end, so that half a configuration or registration was taken as the whole one, and the rest was never read, as the next read begins after it. Now such a read fails like one without an answer, and is repeated. The tests failed before (records were returned for all five lengths, and none for an answer without its offsets).

--- a/figstep/platform/store.py
+++ b/figstep/platform/store.py
@@ -23,6 +23,12 @@
 REGISTRATION_TOPIC = "keyed.servers"
 CONFIGURATION_KEY = "config"
 
+OFFSETS_BYTES = 16
+"""Length of the two offsets at the begin of the answer to a read, in bytes."""
+
+LENGTH_BYTES = 4
+"""Length of the field before each record that holds the record's length, in bytes."""
+
 LONG_POLL_SECONDS = 25.0
 """How long the store waits for a new record before it answers a read, in seconds (long
 polling). The store allows 30 s. TCP keep-alive probes detect dead connections, so a
@@ -183,13 +189,21 @@
     The answer begins with two offsets of 8 bytes. Each record follows as its length in
     4 bytes, big-endian, and its content: the length of the key in one byte, the key,
     and the value. An empty value means that the record deletes the key.
+
+    Raises:
+        ValueError: If the answer is cut short.
     """
     records = []
-    position = 16
-    while position + 4 <= len(raw):
-        length = int.from_bytes(raw[position : position + 4])
-        records.append(_decode_record(raw[position + 4 : position + 4 + length]))
-        position += 4 + length
+    position = OFFSETS_BYTES
+    while position < len(raw):
+        begin = position + LENGTH_BYTES
+        end = begin + int.from_bytes(raw[position:begin])
+        if begin > len(raw) or end > len(raw):
+            break
+        records.append(_decode_record(raw[begin:end]))
+        position = end
+    if position != len(raw):
+        raise ValueError(f"answer of {len(raw)} bytes is cut short in a record")
     return records
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -166,3 +166,19 @@
     await follower.stop()
     await store.close()
     await fake.stop()
+
+
+@pytest.mark.parametrize("missing", [1, 7, 12, 20, 30])
+def test_records_that_are_cut_short_are_not_read(missing: int) -> None:
+    """Guards against half a configuration that is taken as the whole one."""
+    content = bytes([1]) + b"k" + b"a value of some length"
+    record = len(content).to_bytes(4) + content
+    raw = (2).to_bytes(8) + (0).to_bytes(8) + record + record
+    assert len(decode_records(raw)) == 2
+    with pytest.raises(ValueError, match="cut short"):
+        decode_records(raw[:-missing])
+
+
+def test_an_answer_without_offsets_is_not_read() -> None:
+    with pytest.raises(ValueError, match="cut short"):
+        decode_records(bytes(15))
