Treat an answer of the log service that is cut short as no answer

Half an answer raised a JSON error that neither the follower nor the appender expects: it ended the task, and with it the entry's configuration or claims stood still. It is now the same as no answer: reads are repeated, appends are uncertain and are settled by reading. The test failed before with a JSONDecodeError.

--- a/figstep/net/log.py
+++ b/figstep/net/log.py
@@ -13,6 +13,9 @@
 READ_LIMIT = 500
 """Default maximum number of records that one read returns."""
 
+_MALFORMED = (ValueError, KeyError, TypeError)
+"""Errors of decoding an answer that is cut short or not an answer of the service."""
+
 
 class LogClient(ABC):
     """Client of append-only streams of records with offsets."""
@@ -127,12 +130,12 @@
                         " appending again"
                     )
                 answer = orjson.loads(await response.read())
-        except (aiohttp.ClientError, TimeoutError) as error:
+            return int(answer["offset"])
+        except (aiohttp.ClientError, TimeoutError, *_MALFORMED) as error:
             raise LogUnavailableError(
                 f"no answer from the log service ({error!r}); read back before"
                 " appending again"
             ) from error
-        return int(answer["offset"])
 
     async def read(
         self, stream: str, start: int, wait: int = 0, limit: int = READ_LIMIT
@@ -150,16 +153,23 @@
             raise LogUnavailableError(
                 f"no answer from the log service ({error!r}); try again later"
             ) from error
-        if response.status == 410:
-            raise LogTruncatedError(int(orjson.loads(body)["earliest"]))
-        if response.status != 200:
+        try:
+            return _decode_read(response.status, body)
+        except _MALFORMED as error:
             raise LogUnavailableError(
-                f"log service answered {response.status}; try again later"
-            )
-        records = orjson.loads(body)["records"]
-        return [LogRecord(r["offset"], r["time"], r["data"]) for r in records]
+                f"malformed answer from the log service ({error!r}); try again later"
+            ) from error
 
     async def close(self) -> None:
         """Close the connections to the service."""
         if self._session is not None:
             await self._session.close()
+
+
+def _decode_read(status: int, body: bytes) -> list[LogRecord]:
+    if status == 410:
+        raise LogTruncatedError(int(orjson.loads(body)["earliest"]))
+    if status != 200:
+        raise LogUnavailableError(f"log service answered {status}; try again later")
+    records = orjson.loads(body)["records"]
+    return [LogRecord(r["offset"], r["time"], r["data"]) for r in records]
--- a/tests/contracts/test_log.py
+++ b/tests/contracts/test_log.py
@@ -6,12 +6,14 @@
 from dataclasses import replace
 
 import pytest
+from aiohttp import web
 
 from figstep.errors import LogTruncatedError, LogUnavailableError
 from figstep.net.log import HttpLog, LogClient, MemoryLog
 from figstep.standins.http import start_app
 from figstep.standins.log import LogService
 from figstep.standins.proxy import Delay, Direction, Drip, Lose, LoseAnswers, TcpProxy
+from tests.framing import Framing, RawAnswer
 
 LONG_POLL_MS = 30_000
 KINDS = ["memory", "http"]
@@ -135,3 +137,23 @@
         proxy.set_fault(fault)
         await log.append("s", [{"n": 0}])
         assert [record.data for record in await log.read("s", 0)] == [{"n": 0}]
+
+
+async def test_an_answer_that_is_cut_short_is_no_answer() -> None:
+    """Guards against a follower or appender that ends over half an answer."""
+
+    async def cut_short(request: web.Request) -> web.StreamResponse:
+        raw = RawAnswer(request, Framing.CONNECTION, {}, 0)
+        raw.write(b'{"records": [{"off')
+        return raw.close()
+
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", cut_short)
+    runner, url = await start_app(app)
+    client = HttpLog(url)
+    with pytest.raises(LogUnavailableError):
+        await client.append("s", [{"n": 0}])
+    with pytest.raises(LogUnavailableError):
+        await client.read("s", 0)
+    await client.close()
+    await runner.cleanup()
