Stream to callers of HTTP/1.0, and reset their connection if the stream breaks

A caller of HTTP/1.0 gets no chunks, so that a stream ends with its connection. The entry asked for chunks all the same, the HTTP server refused, and each such caller got a 500. Now its stream comes as bytes until the close, and a stream that has to be cut is reset: the caller's read fails where it would end. Both tests failed before (500).

--- a/figstep/net/sockets.py
+++ b/figstep/net/sockets.py
@@ -1,6 +1,8 @@
-"""Sockets of outgoing connections that detect an unreachable peer."""
+"""Options of sockets: detection of an unreachable peer, and reset on close."""
 
+import asyncio
 import socket
+import struct
 
 KEEPALIVE_IDLE_SECONDS = 1
 """Idle time of a connection before the first keep-alive probe, in seconds.
@@ -45,3 +47,16 @@
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLIS)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return opened
+
+
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Make the close of a connection a reset, which its peer sees as an error.
+
+    Bytes that are not sent yet are dropped. Does nothing for a transport without a
+    socket.
+    """
+    connection = transport.get_extra_info("socket")
+    if connection is None:
+        return
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 import logbook
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from mode import Service
 from multidict import CIMultiDictProxy
 
@@ -16,6 +16,7 @@
 from figstep.gateway.events import CallerGone, Event, RequestArrived, RoutedRequest
 from figstep.gateway.prompts import Prompt
 from figstep.net.listener import build_runner
+from figstep.net.sockets import reset_on_close
 from figstep.platform import names
 from figstep.platform.listeners import BACKLOG, listen
 from figstep.platform.settings import Address
@@ -241,7 +242,8 @@
             raise ConnectionError("the stream broke before its first byte")
         response = web.StreamResponse(status=head.status)
         _set_headers(response, head)
-        response.enable_chunked_encoding()
+        if request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
         await response.prepare(request)
         while True:
             data = exchange.pop_data()
@@ -258,6 +260,8 @@
         # cannot mistake the answer for a complete one.
         response.force_close()
         if request.transport is not None:
+            if not response.chunked:
+                reset_on_close(request.transport)
             request.transport.close()
         raise ConnectionError("the stream was cut off")
 
--- a/tests/framing.py
+++ b/tests/framing.py
@@ -1,15 +1,12 @@
 """HTTP answers that a test writes byte by byte, in each framing that HTTP has."""
 
-import socket
-import struct
 from collections.abc import Mapping
 from enum import Enum
 from http import HTTPStatus
 
 from aiohttp import web
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER with which a close resets the connection."""
+from figstep.net.sockets import reset_on_close
 
 
 class Framing(Enum):
@@ -75,6 +72,5 @@
 
     def reset(self) -> web.StreamResponse:
         """Reset the connection."""
-        connection = self._transport.get_extra_info("socket")
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        reset_on_close(self._transport)
         return self.close()
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -13,6 +13,7 @@
 
 from figstep.core.clock import Millis
 from figstep.platform.entry import Entry, choose_drain_time, serve_until_signal
+from tests.framing import Framing, RawAnswer
 from tests.platform.places import Place, call_order_route, open_place
 from tests.platform.standins import (
     KEY,
@@ -104,6 +105,47 @@
         await killing
 
 
+async def read_stream_by_http_1_0(place: Place) -> bytes:
+    """Read a stream as a caller that understands no chunks.
+
+    Raises:
+        ConnectionResetError: If the connection is reset within the stream.
+    """
+    callers = place.entries[0].settings.callers
+    reader, writer = await asyncio.open_connection(callers.host, callers.port)
+    headers = place.headers("r-1", **PLAN)
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    request = "\r\n".join(["POST /plan/a HTTP/1.0", *lines, "", ""])
+    writer.write(request.encode())
+    answer = await reader.read()
+    writer.close()
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert b" 200 " in head.splitlines()[0]
+    return body
+
+
+async def test_a_caller_without_chunks_gets_its_stream(place: Place) -> None:
+    assert await read_stream_by_http_1_0(place) == list_events(20)
+
+
+async def test_a_caller_without_chunks_sees_that_its_stream_broke(place: Place) -> None:
+    """Guards against the end of a connection that looks like the end of a stream."""
+    for name in ("i-e2", "i-e3"):
+        await place.store.put("keyed.servers", name, b"")
+    await asyncio.sleep(0.1)
+    target = place.targets["i-e1"]
+
+    async def break_off(request: web.Request) -> web.StreamResponse:
+        raw = RawAnswer(request, Framing.CHUNKS, target.sign(request), 0)
+        raw.write(list_events(5))
+        await asyncio.sleep(0.1)
+        return raw.close()
+
+    target.handler = break_off
+    with pytest.raises(ConnectionResetError):
+        await read_stream_by_http_1_0(place)
+
+
 async def test_a_disconnected_caller_frees_its_engine(place: Place) -> None:
     for target in place.targets.values():
         target.events, target.event_interval = 500, 0.02
