Ask whether a target still listens after an answer without a length and chunks

A target that crashes between two events, or within a call's answer, closes its connection like one that is done. The content shows nothing then, and the caller got a part of the answer as all of it. After such an answer the entry now opens a connection to the target's address: a crashed process listens no more, and the answer is broken off. It costs one connection for each answer without a length and chunks, and none for others. Both tests failed before (the part was returned as complete).

--- a/figstep/core/answers.py
+++ b/figstep/core/answers.py
@@ -2,7 +2,7 @@
 
 An answer by length or in chunks that is cut short fails as it is read. One that ends
 with its connection does not: a target that crashes closes it like one that is done, so
-that the content has to decide.
+that the content decides, and whether the target still listens.
 """
 
 from dataclasses import dataclass
@@ -16,11 +16,14 @@
         delimited: Whether a length or chunks tell where the body ends.
         events: Number of complete events.
         remainder: Number of bytes after the last complete event.
+        outlived: Whether the target was found to listen after the end of the body. It
+            matters only if the body is not delimited.
     """
 
     delimited: bool
     events: int
     remainder: int
+    outlived: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,10 +45,13 @@
         delimited: Whether a length or chunks tell where the body ends, or the answer
             has no body by its status or method.
         length: Number of bytes received.
+        outlived: Whether the target was found to listen after the end of the body. It
+            matters only if the body is not delimited.
     """
 
     delimited: bool
     length: int
+    outlived: bool = True
 
 
 def explain_incomplete(end: NumberedStream | MarkedStream | Body) -> str:
@@ -59,8 +65,12 @@
             return f"it ended inside an event, {remainder} bytes after the last one"
         case NumberedStream(delimited=False, events=0):
             return "its connection ended before the first event"
+        case NumberedStream(delimited=False, outlived=False):
+            return "its target ended with the connection"
         case MarkedStream(marked=False):
             return "it ended before the end marker"
         case Body(delimited=False, length=0):
             return "its connection ended before the body"
+        case Body(delimited=False, outlived=False):
+            return "its target ended with the connection"
     return ""
--- a/figstep/net/probes.py
+++ b/figstep/net/probes.py
@@ -2,6 +2,10 @@
 
 import asyncio
 
+import logbook
+
+_log = logbook.Logger("figstep.probes")
+
 
 async def is_listening(host: str, port: int, seconds: float) -> bool:
     """Return whether a process accepts connections at an address.
@@ -22,3 +26,17 @@
         return False
     writer.close()
     return True
+
+
+async def outlives_answer(host: str, port: int, seconds: float) -> bool:
+    """Return whether a target still accepts connections after it closed one.
+
+    It shows whether an answer that ended with its connection can be taken as complete:
+    a process that crashed closed all its sockets. The host is an IP address. A target
+    that cannot be reached within ``seconds`` counts as ended.
+    """
+    try:
+        return await is_listening(host, port, seconds)
+    except OSError as error:
+        _log.info("target not reached after its answer", extra={"error": repr(error)})
+        return False
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -32,7 +32,7 @@
 from figstep.net.frames import FrameSplitter
 from figstep.net.framing import is_delimited
 from figstep.net.pools import PoolTable
-from figstep.net.probes import is_listening
+from figstep.net.probes import is_listening, outlives_answer
 
 CANCEL_TIMEOUT = 2.0
 """Timeout of one attempt to deliver a cancellation, in seconds."""
@@ -254,7 +254,12 @@
             ) as response:
                 body = await response.read()
         if response.ok:
-            reason = explain_incomplete(Body(is_delimited(response), len(body)))
+            outlived = is_delimited(response) or await outlives_answer(
+                response.url.host or "", response.url.port or 0, PROBE_TIMEOUT
+            )
+            reason = explain_incomplete(
+                Body(is_delimited(response), len(body), outlived)
+            )
             if reason:
                 self._dispatch(
                     AttemptLost(effect.attempt, Loss.TRUNCATED, detail=reason)
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -36,7 +36,7 @@
 from figstep.net.connectors import ResetAwareConnector
 from figstep.net.frames import EventSplitter
 from figstep.net.framing import is_delimited
-from figstep.net.probes import is_listening
+from figstep.net.probes import is_listening, outlives_answer
 from figstep.net.sessions import open_target_session
 from figstep.platform import answers, names
 from figstep.platform.callers import CallerExchange
@@ -246,8 +246,14 @@
             events += len(pieces)
             if pieces:
                 self._dispatch(PiecesArrived(attempt, pieces))
-        end = NumberedStream(is_delimited(response), events, len(splitter.incomplete))
-        reason = explain_incomplete(end)
+        reason = explain_incomplete(
+            NumberedStream(
+                is_delimited(response),
+                events,
+                len(splitter.incomplete),
+                await _has_outlived(response),
+            )
+        )
         if reason:
             return AttemptLost(attempt, Loss.BROKEN, detail=reason)
         return StreamEnded(attempt)
@@ -259,7 +265,10 @@
         if len(body) > MAX_ANSWER_BYTES:
             return AttemptLost(effect.attempt, Loss.GARBLED, detail="too long")
         if response.ok:
-            reason = explain_incomplete(Body(is_delimited(response), len(body)))
+            outlived = await _has_outlived(response)
+            reason = explain_incomplete(
+                Body(is_delimited(response), len(body), outlived)
+            )
             if reason:
                 return AttemptLost(effect.attempt, Loss.BROKEN, detail=reason)
         self._answers[effect.attempt] = WholeAnswer(answers.read_head(response), body)
@@ -410,6 +419,17 @@
             _log.info("copy not freed", extra={"error": _describe_error(error)})
 
 
+async def _has_outlived(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a target listens after an answer; True if its body is delimited.
+
+    It is not asked then, as the framing shows whether the answer is complete.
+    """
+    if is_delimited(response):
+        return True
+    url = response.url
+    return await outlives_answer(url.host or "", url.port or 0, CONNECT_TIMEOUT_SECONDS)
+
+
 def _is_connection_refused(error: BaseException) -> bool:
     """Return whether a connection failed because no process listens at the address."""
     if not isinstance(error, aiohttp.ClientConnectorError):
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -129,3 +129,36 @@
     ) as response:
         assert response.status == status
         assert await response.read() == b""
+
+
+def crash_within(place: Place, name: str, part: bytes) -> Handler:
+    """Return a handler that writes a part of an answer and stops listening."""
+    target = place.targets[name]
+
+    async def crash(request: web.Request) -> web.StreamResponse:
+        headers = target.sign(request)
+        raw = RawAnswer(request, Framing.CONNECTION, headers, 0)
+        raw.write(part)
+        assert target.runner is not None
+        for site in list(target.runner.sites):
+            await site.stop()
+        return raw.close()
+
+    return crash
+
+
+async def test_a_stream_whose_target_crashed_after_an_event_does_not_look_complete(
+    place: Place,
+) -> None:
+    """Guards against a crash between two events that looks like the end."""
+    place.targets["i-e1"].handler = crash_within(place, "i-e1", EVENTS[:32])
+    assert EVENTS[:32].endswith(b"\n\n")
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+
+
+async def test_an_answer_whose_target_crashed_does_not_look_complete(
+    place: Place,
+) -> None:
+    """Guards against half an order's answer that its caller gets as all of it."""
+    place.targets["i-b1"].handler = crash_within(place, "i-b1", ANSWER[:5])
+    assert await read_complete(place, "/order/a") is None
