--- /dev/null
+++ b/tests/platform/test_relays.py
@@ -0,0 +1,115 @@
+"""Tests of entries that reach no target: other entries serve their callers."""
+
+import asyncio
+import copy
+from collections.abc import AsyncIterator
+from dataclasses import replace
+
+import aiohttp
+import pytest
+
+from figstep.gateway.targets import Target
+from figstep.platform.entry import Entry
+from tests.platform.places import Place, open_place, start_fleet
+from tests.platform.standins import HOST, find_free_port
+from tests.unreachable import Blackhole
+
+PLAN = {"Model": "m", "Token_Count": "3000,2000", "Length_Hint": "80"}
+
+DETECTION_SECONDS = 3.0
+"""Time from the begin of a cut after which callers have to be served again."""
+
+EACH_CUT = pytest.mark.parametrize("cut", ["silent", "refused"])
+
+
+@pytest.fixture
+async def place() -> AsyncIterator[Place]:
+    """Yield two services with two targets each, and three entries."""
+    async with open_place() as opened:
+        for name in ("i-b1", "i-b2"):
+            await opened.add_target(name, "bookings")
+        for name in ("i-e1", "i-e2"):
+            await opened.add_target(name, "engines")
+        await start_fleet(opened, 3, 4)
+        yield opened
+
+
+class Cut:
+    """Cut between an entry and all targets, which others still reach."""
+
+    def __init__(self, entry: Entry, address: str) -> None:
+        self._edge = entry.targets
+        self._address = address
+        self._find = self._edge._find_target
+        self._edge._find_target = self._find_unreachable
+
+    def _find_unreachable(self, name: str) -> Target | None:
+        target = self._find(name)
+        if target is None:
+            return None
+        unreachable = copy.copy(target)
+        unreachable.info = replace(target.info, address=self._address)
+        return unreachable
+
+    def heal(self) -> None:
+        self._edge._find_target = self._find
+
+
+@pytest.fixture
+async def silent_address() -> AsyncIterator[str]:
+    hole = Blackhole()
+    await hole.fill()
+    yield hole.address
+    hole.close()
+
+
+def choose_address(cut: str, silent_address: str) -> str:
+    return silent_address if cut == "silent" else f"{HOST}:{find_free_port()}"
+
+
+async def call(place: Place, path: str, number: str, **headers: str) -> int:
+    """Send a call to the first entry and return its status; 0 without an answer."""
+    url = place.url(path, place.entries[0])
+    method = "GET" if path.startswith("/lookup/") else "POST"
+    try:
+        async with place.session.request(
+            method, url, headers=place.headers(number, **headers)
+        ) as response:
+            await response.read()
+            return response.status
+    except aiohttp.ClientError:
+        return 0
+
+
+async def call_steadily(place: Place, name: str, seconds: float) -> list[int]:
+    """Send ten calls a second to the first entry and return their statuses."""
+    calls = []
+    for number in range(round(seconds * 10)):
+        path = "/order/a" if number % 2 else "/lookup/a"
+        calls.append(asyncio.create_task(call(place, path, f"{name}-{number}")))
+        await asyncio.sleep(0.1)
+    return await asyncio.gather(*calls)
+
+
+async def cut_first_entry(place: Place, address: str) -> Cut:
+    """Cut the first entry off and send it calls until it has to have noticed."""
+    cut = Cut(place.entries[0], address)
+    await call_steadily(place, "early", DETECTION_SECONDS)
+    return cut
+
+
+@EACH_CUT
+async def test_callers_of_an_entry_that_reaches_no_target_are_served(
+    place: Place, cut: str, silent_address: str
+) -> None:
+    """Guards against an entry that tries one unreachable target after the other."""
+    await cut_first_entry(place, choose_address(cut, silent_address))
+    assert await call_steadily(place, "later", 2.0) == [200] * 20
+
+
+@EACH_CUT
+async def test_streams_of_an_entry_that_reaches_no_target_arrive(
+    place: Place, cut: str, silent_address: str
+) -> None:
+    await cut_first_entry(place, choose_address(cut, silent_address))
+    assert await call(place, "/plan/a", "r-plan", **PLAN) == 200
