Spare targets that fall over when they reject too many requests

Targets of a service may say in their answers how many rejections a second each of them bears (Server-Brittle), and fall over beyond that. Nothing read it: in a burst all entries found all slots taken, sent on, and a rejected request went to each target in turn, so that all of them fell one after the other.

What an answer names of its service is told to the other entries, beside the rates that answers name, and limits.find_send_time asks one more question: requests are held back where all slots are known to be taken, for a while after any entry's request was rejected there, and in a large fleet each entry spaces its requests out, since loads of other entries become known too late. A rejected request waits instead of going to the next target at once. It ends as an answer names no number.

--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -263,7 +263,7 @@
     )
     state.attempts[number] = attempt
     warmups.record_send(target, now)
-    limits.record_send(target, now)
+    limits.record_send(state, target, now)
     target.calls += 1
     target.memory += memory
     target.reading += reading
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -352,6 +352,47 @@
     turn: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class BrittlenessNamed:
+    """An answer named how many rejections a second its target bears, or named none.
+
+    Attributes:
+        rejections: Rejected requests a second after which the target falls over if
+            there are more; None if it is sound.
+        asked: When the answered request was sent, as a monotonic time in milliseconds.
+    """
+
+    target: str
+    rejections: float | None
+    asked: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class BrittlenessReport:
+    """How many rejections a second the targets of a service bear.
+
+    Attributes:
+        rejections: As the newest answer to an entry named them; None if it named none.
+        age: Time since that answer, in milliseconds.
+    """
+
+    service: str
+    rejections: float | None
+    age: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class RejectionReport:
+    """A brittle target that had no room for a request of an entry.
+
+    Attributes:
+        age: Time since the rejection, in milliseconds.
+    """
+
+    target: str
+    age: Millis
+
+
 @dataclass(frozen=True, slots=True)
 class PeerHeard:
     """A message of another entry arrived.
@@ -386,6 +427,8 @@
         relays: Where it accepts requests of other entries, as "ip:port", or where some
             entries of its failure domain do if `far` is set.
         cut_off: Whether it reaches no target.
+        brittle: Services whose targets recently named the rejections that they bear.
+        rejected: Brittle targets that recently rejected a request.
     """
 
     node: str
@@ -411,6 +454,8 @@
     rates: tuple[RateReport, ...] = ()
     relays: tuple[str, ...] = ()
     cut_off: bool = False
+    brittle: tuple[BrittlenessReport, ...] = ()
+    rejected: tuple[RejectionReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -473,6 +518,7 @@
     | EngineReported
     | TargetLeaving
     | RateNamed
+    | BrittlenessNamed
     | ConfigurationRead
     | TargetRegistered
     | TargetDeparted
--- a/figstep/gateway/limits.py
+++ b/figstep/gateway/limits.py
@@ -12,7 +12,7 @@
 """
 
 from figstep.core.clock import Millis
-from figstep.gateway import peers, shares
+from figstep.gateway import brittleness, peers, shares
 from figstep.gateway.effects import Announce, Effect, Note
 from figstep.gateway.events import RateNamed, RateReport
 from figstep.gateway.state import State
@@ -127,11 +127,17 @@
 def find_send_time(state: State, target: Target, now: Millis) -> Millis:
     """Return the earliest time at which this entry may send a target a request.
 
+    A brittle target has to be expected to have room.
     An entry without a share of the target's rate gets the time at which the rate next
     passes to other entries.
     """
-    send_time = _find_rate_send_time(state, target, now)
-    return Millis(max(send_time, target.paused_until))
+    return Millis(
+        max(
+            _find_rate_send_time(state, target, now),
+            brittleness.find_send_time(state, target, now),
+            target.paused_until,
+        )
+    )
 
 
 def _find_rate_send_time(state: State, target: Target, now: Millis) -> Millis:
@@ -152,8 +158,9 @@
     return Millis(max(limit.opens_at, limit.sends[-share] + window))
 
 
-def record_send(target: Target, now: Millis) -> None:
-    """Record a request that is sent to a target with a rate."""
+def record_send(state: State, target: Target, now: Millis) -> None:
+    """Record a request that is sent to a target with a rate, or to a brittle one."""
+    brittleness.record_send(state, target, now)
     limit = target.limit
     if limit is None or limit.rate is None:
         return
--- a/figstep/gateway/news.py
+++ b/figstep/gateway/news.py
@@ -74,11 +74,13 @@
 
 
 def strip_ages(own: PeerHeard) -> PeerHeard:
-    """Return a message with the ages of rates, suspicions and clearances set to zero.
+    """Return a message with the ages of its reports set to zero.
 
     A new age alone is no change that has to be sent.
     """
-    if not (own.rates or own.suspicions or own.clearances):
+    if not (
+        own.rates or own.suspicions or own.clearances or own.brittle or own.rejected
+    ):
         return own
     ageless = Millis(0)
     return replace(
@@ -86,6 +88,8 @@
         rates=tuple(replace(reported, age=ageless) for reported in own.rates),
         suspicions=tuple(replace(reported, age=ageless) for reported in own.suspicions),
         clearances=tuple(replace(reported, age=ageless) for reported in own.clearances),
+        brittle=tuple(replace(reported, age=ageless) for reported in own.brittle),
+        rejected=tuple(replace(reported, age=ageless) for reported in own.rejected),
     )
 
 
@@ -110,6 +114,8 @@
         own.unreached,
         own.relays,
         own.cut_off,
+        tuple((report.service, report.rejections) for report in own.brittle),
+        tuple(report.target for report in own.rejected),
         tuple((use.service, use.repeats) for use in own.uses),
         tuple(refusal.digest for refusal in own.refused),
         tuple((report.incarnation, report.rate) for report in own.rates),
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -7,8 +7,20 @@
 from figstep.gateway import crashes, shares, sources
 from figstep.gateway.budgets import FleetUse
 from figstep.gateway.effects import Count, Effect, Note
-from figstep.gateway.events import PeerHeard, PeerLoad, RateReport
-from figstep.gateway.state import DomainLoads, Peer, Request, State
+from figstep.gateway.events import (
+    BrittlenessReport,
+    PeerHeard,
+    PeerLoad,
+    RateReport,
+    RejectionReport,
+)
+from figstep.gateway.state import (
+    REJECTION_ANNOUNCE_DURATION,
+    DomainLoads,
+    Peer,
+    Request,
+    State,
+)
 
 PEER_TIMEOUT = Millis(3_000)
 """Time, in milliseconds, without a message after which a peer's loads no longer count.
@@ -63,6 +75,8 @@
         failure_domain=event.failure_domain,
         relays=event.relays,
         cut_off=event.cut_off,
+        brittle=event.brittle,
+        rejected=event.rejected,
     )
     if event.far and event.failure_domain == state.failure_domain:
         # The peer sent these sums before it knew that this entry is in its failure
@@ -290,6 +304,8 @@
         rates=tuple(state.list_rates(now)),
         relays=_list_own_relays(state),
         cut_off=state.reach.cut_off,
+        brittle=tuple(state.list_brittle(now)),
+        rejected=tuple(state.list_rejected(now)),
     )
 
 
@@ -333,9 +349,41 @@
         rates=_list_domain_rates(state, now),
         relays=_list_domain_relays(state, own, now),
         cut_off=False,
+        brittle=_list_domain_brittle(state, own, now),
+        rejected=_list_domain_rejected(state, own, now),
     )
 
 
+def _list_domain_brittle(
+    state: State, own: PeerHeard, now: Millis
+) -> tuple[BrittlenessReport, ...]:
+    """Return the newest report of each brittle service in this failure domain."""
+    newest = {report.service: report for report in own.brittle}
+    for peer in state.peers.values():
+        for reported in peer.brittle:
+            age = Millis(reported.age + now - peer.last_received_at)
+            known = newest.get(reported.service)
+            if known is None or age < known.age:
+                newest[reported.service] = replace(reported, age=age)
+    return tuple(newest.values())
+
+
+def _list_domain_rejected(
+    state: State, own: PeerHeard, now: Millis
+) -> tuple[RejectionReport, ...]:
+    """Return the newest rejection of each brittle target in this failure domain."""
+    newest = {report.target: report for report in own.rejected}
+    for peer in state.peers.values():
+        for reported in peer.rejected:
+            age = Millis(reported.age + now - peer.last_received_at)
+            if age >= REJECTION_ANNOUNCE_DURATION:
+                continue
+            known = newest.get(reported.target)
+            if known is None or age < known.age:
+                newest[reported.target] = replace(reported, age=age)
+    return tuple(newest.values())
+
+
 def _list_own_relays(state: State) -> tuple[str, ...]:
     """Return where this entry accepts requests of other entries; empty if it does not.
 
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -3,6 +3,7 @@
 from figstep.core.clock import Millis
 from figstep.gateway import (
     attempts,
+    brittleness,
     crashes,
     eligibility,
     limits,
@@ -117,6 +118,7 @@
     match event.loss:
         case Loss.REFUSED:
             crashes.record_answer(state, target, attempt.opened)
+            return brittleness.record_rejection(state, target, now)
         case Loss.CUT:
             return []
         case Loss.FAILED:
@@ -173,7 +175,7 @@
     state: State, request: Request, attempt: Attempt, event: AttemptLost, now: Millis
 ) -> list[Effect]:
     if event.loss in NOT_RUN and not request.stream_begun:
-        return _try_elsewhere(state, request, event, now)
+        return _try_elsewhere(state, request, attempt.target, event, now)
     if request.route.idempotent and _may_run_again(request):
         effects = _run_again(state, request, event, now)
         if effects:
@@ -204,9 +206,9 @@
 
 
 def _try_elsewhere(
-    state: State, request: Request, event: AttemptLost, now: Millis
+    state: State, request: Request, target: Target, event: AttemptLost, now: Millis
 ) -> list[Effect]:
-    """Place a request anew that its target did not run, or refuse it.
+    """Place a request anew that a target did not run, or refuse it.
 
     A repeat is taken from the retry budget only if the lost attempt had a connection.
     """
@@ -218,6 +220,9 @@
     arrived = event.loss is not Loss.UNREACHED
     if arrived and not peers.spend_repeat(state, request.service, now):
         return requests.refuse_request(state, request, "retry_budget", now)
+    if event.loss is Loss.REFUSED and brittleness.is_brittle(state, target, now):
+        # If it went on at once, each further target would reject it as well.
+        return requests.hold_request(state, request, now)
     return requests.place_request(state, request, now)
 
 
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -2,6 +2,7 @@
 
 from figstep.core.clock import Millis
 from figstep.gateway import (
+    brittleness,
     copies,
     crashes,
     departures,
@@ -21,6 +22,7 @@
     AnswerArrived,
     AttemptConnected,
     AttemptLost,
+    BrittlenessNamed,
     CallerGone,
     ConfigurationRead,
     EngineReported,
@@ -105,6 +107,8 @@
             return departures.handle_leaving(state, incarnation, now)
         case RateNamed():
             return limits.handle_rate(state, event, now)
+        case BrittlenessNamed():
+            return brittleness.handle_brittleness(state, event, now)
         case ConfigurationRead():
             return _apply_configuration(state, event)
         case TargetRegistered(info=info):
@@ -140,6 +144,7 @@
                     state, event.leaving, event.node, now
                 ),
                 *limits.apply_rate_reports(state, event.rates, event.node, now),
+                *brittleness.apply_reports(state, event, now),
             ]
         case EntriesCounted(entries=entries):
             state.entries = entries
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -170,6 +170,13 @@
     if not placement.has_untried_target(state, request):
         reason = eligibility.explain_no_target(state, request)
         return refuse_request(state, request, reason, now)
+    return hold_request(state, request, now)
+
+
+def hold_request(state: State, request: Request, now: Millis) -> list[Effect]:
+    """Queue a request until a target has room; refuse it if it can't wait so long."""
+    if not placement.has_untried_target(state, request):
+        return refuse_request(state, request, "no_room", now)
     if not admission.can_wait(state, request, now):
         return refuse_request(state, request, "no_room_in_time", now)
     return _queue_request(state, request)
@@ -256,6 +263,8 @@
         return []
     request = state.requests[attempt.request]
     attempt.target.record_success(now)
+    if request.spec.prompt is None:
+        attempt.target.update_answer_time(now - attempt.opened)
     crashes.record_answer(state, attempt.target, attempt.opened)
     attempts.end_attempt(state, attempt)
     return [
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -8,7 +8,13 @@
 from figstep.core.reach import Reach
 from figstep.gateway.budgets import RetryBudget, UseReport
 from figstep.gateway.effects import RelayTo, RunCopy
-from figstep.gateway.events import PeerLoad, RateReport, RoutedRequest
+from figstep.gateway.events import (
+    BrittlenessReport,
+    PeerLoad,
+    RateReport,
+    RejectionReport,
+    RoutedRequest,
+)
 from figstep.gateway.places import NO_EVACUATIONS, Evacuations
 from figstep.gateway.refusals import RefusalTable
 from figstep.gateway.routes import Route, RoutingTable
@@ -41,6 +47,27 @@
 """
 
 
+REJECTION_ANNOUNCE_DURATION = Millis(1_000)
+"""Milliseconds for which the rejection of a brittle target is sent to peers."""
+
+
+@dataclass(slots=True)
+class Brittleness:
+    """How many rejections a second the targets of a service bear.
+
+    All times are monotonic, in milliseconds.
+
+    Attributes:
+        rejections: As last named; None if the last answer named none.
+        stated_at: When an answer to any entry last stated it.
+        received_at: When this entry itself last received such an answer.
+    """
+
+    rejections: float | None = None
+    stated_at: Millis = Millis(-1_000_000)
+    received_at: Millis = Millis(-1_000_000)
+
+
 @dataclass(frozen=True, slots=True)
 class Departure:
     """A target's announcement that it leaves.
@@ -214,6 +241,8 @@
         leaving: Targets that announced to it, or to its failure domain, that they
             leave.
         rates: Rates that targets have named in answers to it.
+        brittle: Services whose targets recently named the rejections that they bear.
+        rejected: Brittle targets that recently rejected a request.
         failure_domain: Its failure domain.
         relays: Where it, or some entries of its failure domain if `far` is set, accept
             requests of other entries, as "ip:port".
@@ -238,6 +267,8 @@
     failure_domain: str = ""
     relays: tuple[str, ...] = ()
     cut_off: bool = False
+    brittle: tuple[BrittlenessReport, ...] = ()
+    rejected: tuple[RejectionReport, ...] = ()
 
 
 @dataclass(slots=True)
@@ -291,6 +322,7 @@
         closes_at: When the process ends; None unless it shuts down.
         streams_checked_at: When streams were last checked for stalls.
         departures: Announcements of targets that they leave, by incarnation.
+        brittle: How many rejections a second targets bear, by service.
         reach: What this entry knows of its links to the targets.
         relay_address: Where this entry accepts requests of other entries, as "ip:port";
             "" if nowhere.
@@ -329,6 +361,7 @@
     closes_at: Millis | None = None
     streams_checked_at: Millis = Millis(0)
     departures: dict[Incarnation, Departure] = field(default_factory=dict)
+    brittle: dict[str, Brittleness] = field(default_factory=dict)
     reach: Reach = field(default_factory=Reach)
     relay_address: str = ""
     avoided_relays: dict[str, Millis] = field(default_factory=dict)
@@ -358,6 +391,24 @@
             reports.append(RateReport(incarnation, limit.rate, age, limit.turn))
         return reports
 
+    def list_brittle(self, now: Millis) -> list[BrittlenessReport]:
+        """Return what answers to this entry recently named of brittle services."""
+        return [
+            BrittlenessReport(
+                service, known.rejections, Millis(now - known.received_at)
+            )
+            for service, known in self.brittle.items()
+            if now - known.received_at < RATE_ANNOUNCE_DURATION
+        ]
+
+    def list_rejected(self, now: Millis) -> list[RejectionReport]:
+        """Return the brittle targets that recently rejected a request of this entry."""
+        return [
+            RejectionReport(target.name, Millis(now - target.rejected_at))
+            for target in self.targets.targets.values()
+            if now - target.rejected_at < REJECTION_ANNOUNCE_DURATION
+        ]
+
     def list_unreached(self, now: Millis) -> list[str]:
         """Return the names of targets that this entry recently could not connect to.
 
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -72,6 +72,10 @@
 """Weight of the newest sample in the smoothed read rate, from 0 to 1. With this weight,
 a handful of samples distinguishes a slow engine from a fast one."""
 
+ANSWER_TIME_SMOOTHING = 0.2
+"""Weight of the newest sample in the smoothed time of a target's answers, from 0 to 1.
+"""
+
 MASS_DEPARTURE_WINDOW = Millis(1_000)
 """Time, in milliseconds, within which departures of a service's targets are counted
 together."""
@@ -195,6 +199,12 @@
             when. An answer to a request sent after that time removes the entry.
         ended_at: When its incarnation was found to have ended; None if it was not.
         probed_at: When this entry last probed whether it listens at its address.
+        named_brittle: Whether its last answer named the rejections that it bears.
+        rejected_at: When it last rejected a request of this entry while brittle.
+        full_until: Until when it is held to have no room while brittle.
+        next_send_at: Until when this entry sends it no further request while brittle.
+        answer_time: Smoothed time of its answers to calls, in milliseconds; None if
+            none was measured.
     """
 
     info: Registration
@@ -235,6 +245,11 @@
     lost: dict[str, Millis] = field(default_factory=dict)
     ended_at: Millis | None = None
     probed_at: Millis = Millis(-1_000_000)
+    named_brittle: bool = False
+    rejected_at: Millis = Millis(-1_000_000)
+    full_until: Millis = Millis(0)
+    next_send_at: Millis = Millis(0)
+    answer_time: float | None = None
 
     @property
     def name(self) -> str:
@@ -311,6 +326,11 @@
         known = observed if self.own_read_rate is None else self.own_read_rate
         self.own_read_rate = known + READ_RATE_SMOOTHING * (observed - known)
 
+    def update_answer_time(self, elapsed: int) -> None:
+        """Update the smoothed time of the target's answers, in milliseconds."""
+        known = elapsed if self.answer_time is None else self.answer_time
+        self.answer_time = known + ANSWER_TIME_SMOOTHING * (elapsed - known)
+
     def record_success(self, now: Millis) -> None:
         """Record an answer that reports no failure, and end the target's backoff."""
         self.answered_at = now
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -11,7 +11,13 @@
 from figstep.core.crashes import Clearance, Suspicion
 from figstep.errors import PeerMessageError
 from figstep.gateway.budgets import UseReport
-from figstep.gateway.events import PeerHeard, PeerLoad, RateReport
+from figstep.gateway.events import (
+    BrittlenessReport,
+    PeerHeard,
+    PeerLoad,
+    RateReport,
+    RejectionReport,
+)
 from figstep.gateway.places import Evacuations
 from figstep.gateway.refusals import Refusal
 from figstep.gateway.targets import Incarnation
@@ -127,6 +133,14 @@
         slot.born, slot.age = report.incarnation.born, report.age
         slot.named, slot.rate = report.rate is not None, report.rate or 0.0
         slot.turn = report.turn
+    brittle = message.init("brittle", len(own.brittle))
+    for slot, brittleness in zip(brittle, own.brittle, strict=True):
+        slot.service, slot.age = brittleness.service, brittleness.age
+        slot.named = brittleness.rejections is not None
+        slot.rejections = brittleness.rejections or 0.0
+    rejected = message.init("rejected", len(own.rejected))
+    for slot, rejection in zip(rejected, own.rejected, strict=True):
+        slot.target, slot.age = rejection.target, rejection.age
     suspicions = message.init("crashes", len(own.suspicions))
     for slot, suspicion in zip(suspicions, own.suspicions, strict=True):
         slot.digest, slot.crash = suspicion.digest, suspicion.life
@@ -208,6 +222,18 @@
             ),
             relays=tuple(str(address) for address in message.relays),
             cut_off=message.cutOff,
+            brittle=tuple(
+                BrittlenessReport(
+                    str(item.service),
+                    item.rejections if item.named else None,
+                    Millis(item.age),
+                )
+                for item in message.brittle
+            ),
+            rejected=tuple(
+                RejectionReport(str(item.target), Millis(item.age))
+                for item in message.rejected
+            ),
         )
         records = tuple(
             (str(entry.key), bytes(entry.value)) for entry in message.records
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -34,6 +34,20 @@
   unanswered @28 :Bool;      # the store does not answer the sender's reads
   relays @29 :List(Text);    # "ip:port" at which requests of other entries are accepted
   cutOff @30 :Bool;          # the sender reaches no target
+  brittle @31 :List(Brittle); # services whose targets bear few rejections
+  rejected @32 :List(Rejection); # brittle targets that recently rejected a request
+}
+
+struct Brittle {
+  service @0 :Text;
+  named @1 :Bool;            # false: its targets are sound again
+  rejections @2 :Float64;    # rejected requests a second that each target bears
+  age @3 :UInt32;            # milliseconds since the answer
+}
+
+struct Rejection {
+  target @0 :Text;
+  age @1 :UInt32;            # milliseconds since the rejection
 }
 
 struct Refusal {
--- a/figstep/platform/answers.py
+++ b/figstep/platform/answers.py
@@ -41,33 +41,48 @@
         leaving: Whether the target accepts no new requests.
         rate: Requests a second that the target accepts from all entries together; None
             if the answer names no valid rate.
+        rejections: Rejections a second that the target bears; None if the answer names
+            no valid number.
         ends_rate: Whether the answer ends any rate that the target named before.
+        ends_brittleness: Whether the answer ends any number of rejections that the
+            target named before.
     """
 
     leaving: bool = False
     rate: float | None = None
+    rejections: float | None = None
     ends_rate: bool = False
+    ends_brittleness: bool = False
 
 
 def read_target_signals(response: aiohttp.ClientResponse) -> TargetSignals:
     """Return what the headers of an answer report about its target.
 
-    A rate that is not a valid number is logged and ignored.
+    A number that is not valid is logged and ignored.
     """
     if response.status == 421:
         # Another target has the address, and its headers describe that target.
         return TargetSignals()
-    leaving = names.LEAVING in response.headers
-    text = response.headers.get(names.RATE)
+    # Only a signed answer, as targets give to requests, ends what it does not name.
+    signed = names.SIGNATURE in response.headers
+    return TargetSignals(
+        leaving=names.LEAVING in response.headers,
+        rate=_read_number(response, names.RATE),
+        rejections=_read_number(response, names.BRITTLE),
+        ends_rate=signed and names.RATE not in response.headers,
+        ends_brittleness=signed and names.BRITTLE not in response.headers,
+    )
+
+
+def _read_number(response: aiohttp.ClientResponse, name: str) -> float | None:
+    text = response.headers.get(name)
     if text is None:
-        # Only a signed answer, as targets give to requests, ends a limit by naming no
-        # rate.
-        return TargetSignals(leaving, None, names.SIGNATURE in response.headers)
+        return None
     try:
-        return TargetSignals(leaving, parse_rate(text))
+        return parse_rate(text)
     except ValueError as error:
-        _log.info("no rate", extra={"error": str(error)})
-        return TargetSignals(leaving)
+        _log.info("header ignored", extra={"header": name, "error": str(error)})
+        return None
 
 
 def check_answer(response: aiohttp.ClientResponse, request_id: str | None) -> None:
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -21,6 +21,7 @@
     AnswerArrived,
     AttemptConnected,
     AttemptLost,
+    BrittlenessNamed,
     Event,
     Loss,
     PiecesArrived,
@@ -240,6 +241,10 @@
         ends_rate = signals.ends_rate and limits.is_limited(target)
         if signals.rate is not None or ends_rate:
             self._dispatch(RateNamed(target.name, signals.rate, requested_at))
+        ends_brittleness = signals.ends_brittleness and target.named_brittle
+        if signals.rejections is not None or ends_brittleness:
+            event = BrittlenessNamed(target.name, signals.rejections, requested_at)
+            self._dispatch(event)
 
     def _build_headers(
         self, effect: OpenAttempt, exchange: CallerExchange, target: Target
--- a/figstep/platform/names.py
+++ b/figstep/platform/names.py
@@ -9,6 +9,7 @@
 NOT_RUN = "Not-Executed"  # present if the request did not run
 RETRY_AFTER = "Retry-After"  # seconds, possibly with a fraction
 LEAVING = "Server-Leaving"  # the target accepts no new requests
+BRITTLE = "Server-Brittle"  # rejections a second that the target bears
 RATE = "Server-Limit"  # requests a second that the target accepts from all entries
 LAST_EVENT = "Last-Event-Id"
 MODEL = "Model"
--- a/tests/net/test_hellos.py
+++ b/tests/net/test_hellos.py
@@ -8,7 +8,13 @@
 from figstep.core.crashes import Clearance, Suspicion
 from figstep.errors import PeerMessageError
 from figstep.gateway.budgets import UseReport
-from figstep.gateway.events import PeerHeard, PeerLoad, RateReport
+from figstep.gateway.events import (
+    BrittlenessReport,
+    PeerHeard,
+    PeerLoad,
+    RateReport,
+    RejectionReport,
+)
 from figstep.gateway.refusals import Refusal
 from figstep.gateway.targets import Incarnation
 from figstep.net.hellos import (
@@ -44,6 +50,13 @@
         RateReport(Incarnation("e-2", 0), 0.0, Millis(0)),
         RateReport(Incarnation("e-3", 1), None, Millis(2_900)),
     ),
+    relays=("10.1.0.19:7201",),
+    cut_off=True,
+    brittle=(
+        BrittlenessReport("bookings", 4.0, Millis(30)),
+        BrittlenessReport("engines", None, Millis(0)),
+    ),
+    rejected=(RejectionReport("b-1", Millis(900)),),
 )
 
 
@@ -69,6 +82,10 @@
     assert hello.content.refused == OWN.refused
     assert hello.content.leaving == OWN.leaving
     assert hello.content.rates == OWN.rates
+    assert hello.content.relays == OWN.relays
+    assert hello.content.cut_off
+    assert hello.content.brittle == OWN.brittle
+    assert hello.content.rejected == OWN.rejected
 
 
 def test_a_forwarded_message_keeps_the_address_of_its_author() -> None:
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -72,10 +72,25 @@
     [
         (200, {"server-limit": "1.9"}, TargetSignals(rate=1.9)),
         (503, {"Server-Limit": "0", "Server-Leaving": "1"}, TargetSignals(True, 0.0)),
-        (500, {"Server-Stamp": "s"}, TargetSignals(ends_rate=True)),
+        (
+            500,
+            {"Server-Stamp": "s"},
+            TargetSignals(ends_rate=True, ends_brittleness=True),
+        ),
+        (200, {"Server-Brittle": "4"}, TargetSignals(rejections=4.0)),
+        (503, {"Server-Brittle": "0"}, TargetSignals(rejections=0.0)),
         (200, {"Server-Leaving": "1"}, TargetSignals(leaving=True)),
         (200, {}, TargetSignals()),
-        (200, {"Server-Limit": "few", "Server-Stamp": "s"}, TargetSignals()),
+        (
+            200,
+            {"Server-Limit": "few", "Server-Stamp": "s"},
+            TargetSignals(ends_brittleness=True),
+        ),
+        (
+            200,
+            {"Server-Brittle": "few", "Server-Stamp": "s"},
+            TargetSignals(ends_rate=True),
+        ),
         (421, {"Server-Limit": "1", "Server-Leaving": "1"}, TargetSignals()),
     ],
 )
