Let keep-alive probes finish before a connection is given up

Where TCP_USER_TIMEOUT is set, the system uses it in place of the number of probes: with 2 s, an idle time of 1 s and probes 1 s apart a connection was given up as its second probe was due, before it was sent. The timeout now covers the idle time and both probes; a peer that is gone is still found within three seconds.

--- a/figstep/net/sockets.py
+++ b/figstep/net/sockets.py
@@ -19,10 +19,13 @@
 KEEPALIVE_PROBES = 2
 """Number of unanswered keep-alive probes after which a connection is closed."""
 
-USER_TIMEOUT_MILLIS = 2_000
+USER_TIMEOUT_MILLIS = 3_000
 """Time for which sent bytes may stay unacknowledged, in milliseconds.
 
-While bytes are unacknowledged the system sends no keep-alive probes.
+While bytes are unacknowledged the system sends no keep-alive probes. Where this option
+is set, it also decides when unanswered probes end a connection, in place of their
+number: a shorter time would end connections to a peer that is silent for a second,
+before the last probe is answered.
 """
 
 
--- a/tests/gateway/test_recovery.py
+++ b/tests/gateway/test_recovery.py
@@ -5,6 +5,7 @@
 from figstep.core.problems import Ran
 from figstep.gateway.effects import Answer, BreakStream, Note, OpenAttempt, Refuse
 from figstep.gateway.events import (
+    AnswerArrived,
     AttemptConnected,
     AttemptLost,
     EntriesCounted,
@@ -276,3 +277,31 @@
     assert first.target != far.target
     harness.handle(AttemptLost(first.attempt, Loss.BROKEN))
     assert harness.find_effect(OpenAttempt).target == far.target
+
+
+def test_a_target_that_is_silent_for_a_moment_is_not_taken_for_dead() -> None:
+    """Guards against crash news and a target set aside for a short silence."""
+    harness = build_harness()
+    opened = []
+    for number in range(6):
+        path = "/order/a" if number % 2 else "/lookup/a"
+        harness.receive_request(path, digest=f"d-{number}")
+        attempt = harness.find_effect(OpenAttempt)
+        harness.handle(AttemptConnected(attempt.attempt))
+        opened.append(attempt)
+    silent = opened[0].target
+    for _ in range(12):
+        harness.clock.advance(50)
+        harness.handle(Ticked())
+    answered = []
+    for attempt in opened:
+        if attempt.target == silent:
+            harness.handle(AnswerArrived(attempt.attempt, 200))
+            answered += harness.find_effects(Answer)
+    orders = [one for one in opened if one.target == silent and one.number % 2 == 0]
+    assert len(answered) == len(orders) > 0
+    for number in range(6):
+        assert harness.state.crashes.count(f"d-{number}") == 0
+    target = harness.state.targets.targets[silent]
+    assert target.backoff_until <= harness.clock.now()
+    assert target.ended_at is None
