Refuse at once on the own interface while an entry reaches no target

The own interface tried one unreachable target after the other as well, and its callers learned at their deadline that they have to go elsewhere. It now uses core/reach.py, as the platform's interface does: connections to three targets that failed with none in between refuse what comes in, 'not run', with a time to come back; a load report or an answer ends it, and after a second requests are tried again. Fewer than three targets never count as a cut here: they may all be down, and requests wait for the first one that is back. Passing requests on to another entry exists on the platform's interface only.

--- a/figstep/core/recovery.py
+++ b/figstep/core/recovery.py
@@ -3,6 +3,7 @@
 from figstep.core import (
     attempts,
     finishes,
+    links,
     ownership,
     requests,
     retries,
@@ -142,13 +143,14 @@
         return [Count("attempts.late")]
     attempt.answered = True
     attempt.last_progress = now
+    effects = links.record_connection(state, now)
     target = state.targets.get(attempt.target)
     if target is not None:
         target.dead = False
     request = state.requests[attempt.request]
     request.accepted = True
     request.ran = retries.combine_ran(request.ran, Ran.UNKNOWN)
-    return []
+    return effects
 
 
 def check_attempt(state: State, timer: AttemptTimer, now: Millis) -> list[Effect]:
@@ -217,6 +219,8 @@
     ]
     if target is not None:
         targets.record_loss(target, now)
+    if event.loss is Loss.CONNECT_FAILED:
+        effects += links.record_failure(state, attempt, now)
     if _proves_death(request, attempt, event, recovery):
         effects += suspects.record_death(state, attempt, now)
     if event.loss is Loss.BROKEN and isinstance(request.spec.work, ServiceWork):
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -2,6 +2,7 @@
 
 from figstep.core import (
     configuration,
+    links,
     membership,
     placement,
     records,
@@ -86,7 +87,8 @@
         case TimerFired(timer=timer):
             return _handle_timer(state, timer, now)
         case LoadReported():
-            effects = suspects.detect_restart(state, event, now)
+            effects = links.record_connection(state, now)
+            effects += suspects.detect_restart(state, event, now)
             effects += targets.record_load(state, event, now)
             return effects + membership.broadcast_leaving(state, event.target, now)
         case ConfigurationRead() | SnapshotRead() | CheckpointOffered():
--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -6,6 +6,7 @@
     admission,
     attempts,
     generations,
+    links,
     ownership,
     quarantine,
     retries,
@@ -74,12 +75,16 @@
 def start_request(state: State, request: RequestState, now: Millis) -> list[Effect]:
     """Start, queue or refuse a request, as the admission control decides.
 
-    A request whose digest is quarantined, or whose claim is too old, is refused.
+    A request whose digest is quarantined, or whose claim is too old, is refused, and
+    any request while this entry reaches no target.
     """
     _expire_failed_targets(request, now)
     quarantined = quarantine.check_digest(state.quarantine, request.spec, now)
     if quarantined is not None:
         return end_request(state, request, quarantined)
+    unreachable = links.check_links(state, now)
+    if unreachable is not None:
+        return end_request(state, request, unreachable)
     match admission.decide_admission(state, request, now):
         case admission.Start(target=target):
             return _dispatch_request(state, request, target, now)
@@ -219,6 +224,7 @@
     return [
         Complete(request.spec.request, event.attempt),
         Count("requests.completed"),
+        *links.record_connection(state, now),
         *ownership.record_answer(state, request, event),
         WakeAt(QueueTimer(), now),
     ]
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -18,6 +18,7 @@
 from figstep.core.problems import Ran
 from figstep.core.quarantine import Quarantine
 from figstep.core.queues import RequestQueue
+from figstep.core.reach import Reach
 from figstep.core.specs import RequestSpec
 
 
@@ -235,6 +236,7 @@
     Attributes:
         node: Name of this entry instance.
         rng: Seeded random generator; the only source of randomness.
+        reach: What this entry knows of its links to the targets.
         inventory: Document in force, or None before the first.
         configuration_offset: Offset of the document in force; -1 for none.
         retention: Time for which the log keeps records, in milliseconds; a day by
@@ -252,6 +254,7 @@
     node: str
     failure_domain: str = ""
     rng: random.Random = field(default_factory=random.Random)
+    reach: Reach = field(default_factory=Reach)
     inventory: Inventory | None = None
     configuration_offset: int = -1
     configuration: ConfigurationFold = field(default_factory=ConfigurationFold)
