Soak: answers in three framings that break off, entries cut off from all targets

The soak's targets answer with a length, with chunks or with neither, by the request, and break answers off in each: a stream inside an event, a call by a reset. Entries lose the links to all targets for seconds, by resets, by silence or by refused connections while open ones live on; each entry then reads the targets' addresses in a view of the store of its own, with a proxy before each. A check compares what such an entry serves with the others, with the users' bounds. Both are extras with random generators of their own: recorded seeds keep their plans, under the name of the extras that there were.

A cut by the proxy was a close in order where the system sent no reset by itself; it is a reset now, which its page had noted as a fault.

--- a/figstep/net/sockets.py
+++ b/figstep/net/sockets.py
@@ -56,10 +56,10 @@
     """Make the close of a connection a reset, which its peer sees as an error.
 
     Bytes that are not sent yet are dropped. Does nothing for a transport without a
-    socket.
+    socket, or whose socket is closed already.
     """
     connection = transport.get_extra_info("socket")
-    if connection is None:
+    if connection is None or connection.fileno() < 0:
         return
     linger = struct.pack("ii", 1, 0)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/figstep/standins/proxy.py
+++ b/figstep/standins/proxy.py
@@ -5,8 +5,8 @@
 used up. ``freeze``, ``cut`` and ``half_open`` affect only the connections that
 are open at that moment; connections opened later work.
 
-A connection is reset by aborting its transport. Data in the write buffer is
-discarded, and the peer may see a normal close instead of a reset.
+A connection that is cut is reset: data in the write buffer is discarded, and the peer
+sees an error.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 import orjson
 from aiohttp import web
 
+from figstep.net.sockets import reset_on_close
 from figstep.standins.http import answer_json
 
 CHUNK_BYTES = 65_536
@@ -142,8 +143,9 @@
 
     def cut(self) -> None:
         """Reset the connections to the client and to the target."""
-        self.client.transport.abort()
-        self.target.transport.abort()
+        for writer in (self.client, self.target):
+            reset_on_close(writer.transport)
+            writer.transport.abort()
 
 
 class TcpProxy:
--- /dev/null
+++ b/tests/faults/links.py
@@ -0,0 +1,94 @@
+"""Links between one entry and all targets, which can be cut from outside."""
+
+from enum import Enum
+
+import orjson
+
+from figstep.standins.proxy import TcpProxy
+from tests.faults.targets import SoakTarget
+from tests.unreachable import Blackhole
+
+
+class CutKind(Enum):
+    """What becomes of an entry's connections to targets during a cut."""
+
+    RESET = "reset"  # open ones are reset, new ones are refused
+    SILENT = "silent"  # open ones fall silent, new ones are not answered
+    NEW_ONLY = "new_only"  # open ones live on, new ones are refused
+
+
+class EntryLinks:
+    """Proxies between one entry and the targets, one for each target.
+
+    The entry reads their addresses from its own view of the store.
+    """
+
+    def __init__(self, targets_by_address: dict[str, SoakTarget]) -> None:
+        self._targets_by_address = targets_by_address
+        self._proxies: dict[str, TcpProxy] = {}
+        self._holes: list[Blackhole] = []
+        self._cut: CutKind | None = None
+
+    async def translate(self, value: bytes) -> bytes:
+        """Return a registration with the address of the proxy before its target.
+
+        Other records are returned unchanged.
+        """
+        if not value:
+            return value
+        document = orjson.loads(value)
+        target = self._targets_by_address.get(document.get("addr", ""))
+        if target is None:
+            return value
+        document["addr"] = (await self._open_proxy(target)).address
+        return orjson.dumps(document)
+
+    async def _open_proxy(self, target: SoakTarget) -> TcpProxy:
+        known = self._proxies.get(target.address)
+        if known is not None:
+            return known
+        host, _, port = target.address.rpartition(":")
+        proxy = self._proxies[target.address] = TcpProxy(host, int(port))
+        await proxy.start()
+        self._targets_by_address[proxy.address] = target
+        if self._cut is not None:
+            await self._cut_proxy(proxy, self._cut)
+        return proxy
+
+    async def cut(self, kind: CutKind) -> None:
+        """Cut the entry off from all targets."""
+        self._cut = kind
+        for proxy in list(self._proxies.values()):
+            await self._cut_proxy(proxy, kind)
+
+    async def _cut_proxy(self, proxy: TcpProxy, kind: CutKind) -> None:
+        await proxy.refuse()
+        match kind:
+            case CutKind.RESET:
+                proxy.cut()
+            case CutKind.SILENT:
+                proxy.freeze()
+                host, _, port = proxy.address.rpartition(":")
+                hole = Blackhole(host, int(port))
+                self._holes.append(hole)
+                await hole.fill()
+            case CutKind.NEW_ONLY:
+                return
+
+    async def heal(self) -> None:
+        """End the cut; connections that fell silent are reset."""
+        for hole in self._holes:
+            hole.close()
+        self._holes.clear()
+        kind, self._cut = self._cut, None
+        for proxy in list(self._proxies.values()):
+            if kind is CutKind.SILENT:
+                proxy.cut()
+            await proxy.accept_again()
+
+    async def stop(self) -> None:
+        """Close all proxies."""
+        for hole in self._holes:
+            hole.close()
+        for proxy in self._proxies.values():
+            await proxy.stop()
--- a/tests/faults/plans.py
+++ b/tests/faults/plans.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from tests.faults.links import CutKind
+
 FIRST_FAULT_DELAY = 1.0
 """Time of undisturbed traffic before the first fault, in seconds."""
 
@@ -35,11 +37,16 @@
     LEAVING = "leaving"
     PAUSE = "pause"
     CRASHES = "crashes"
+    BROKEN = "broken"
+    CUTS = "cuts"
 
 
 SIGNALS = (Extra.RATE, Extra.LEAVING, Extra.PAUSE)
 """Extras in which a target sends a signal about itself in its answers."""
 
+SIGNALS_AND_CRASHES = (*SIGNALS, Extra.CRASHES)
+"""Extras of the seeds that were recorded before there were others."""
+
 ALL_EXTRAS = tuple(Extra)
 
 
@@ -175,6 +182,34 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenAnswers:
+    """Fault of a target that breaks off half of its answers and lives on.
+
+    Attributes:
+        number: Number of the target, taken modulo the number of targets.
+        seconds: Time for which the target breaks answers off.
+    """
+
+    number: int
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class EntryCut:
+    """Fault that cuts an entry off from all targets; others still reach them.
+
+    Attributes:
+        entry: Number of the entry, taken modulo the number of entries.
+        kind: What becomes of its connections.
+        seconds: Duration of the cut.
+    """
+
+    entry: int
+    kind: CutKind
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationChange:
     """Change that publishes a new version of the configuration.
@@ -196,6 +231,8 @@
     | LeavingSignal
     | PauseSignal
     | CrashingRequests
+    | BrokenAnswers
+    | EntryCut
     | ConfigurationChange
 )
 
@@ -261,6 +298,10 @@
                 fault = CrashingRequests(
                     stream, rng.choice(CRASHING_RETRY_INTERVALS), duration
                 )
+            case Extra.BROKEN:
+                fault = BrokenAnswers(number, duration)
+            case Extra.CUTS:
+                fault = EntryCut(number, rng.choice(list(CutKind)), duration)
         steps.append(Step(rng.uniform(FIRST_FAULT_DELAY, seconds / 2), fault))
     return steps
 
--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -31,6 +31,16 @@
 that reached this number.
 """
 
+MIN_CUT_SHARE = 2 / 3
+"""Smallest share of attempts that an entry without links to targets serves, as a
+fraction of the share that the others serve."""
+
+CUT_EXTRA = 10
+"""Failed attempts that are tolerated at such an entry."""
+
+CUT_RATIO = 1 / 50
+"""Failed attempts that are tolerated there in addition, as a fraction of all."""
+
 PAUSE_START_DELAY = 0.5
 """Time after a rejection with Retry-After from which requests of the same entry to
 the target are counted, in seconds."""
@@ -458,6 +468,50 @@
     return first_answers
 
 
+def _check_cuts(record: Record) -> list[Breach]:
+    breaches = []
+    for cut in record.cuts:
+        since = cut.start + STABILIZATION_SECONDS
+        until = cut.end or float("inf")
+        at_entry, elsewhere = [], []
+        for attempt in record.attempts:
+            if not since <= attempt.sent or attempt.ended > until:
+                continue
+            if _is_comparable(record, attempt, cut.entry):
+                (at_entry if attempt.entry == cut.entry else elsewhere).append(attempt)
+        share = _compute_served_share(elsewhere)
+        failed = sum(not _is_served(one) for one in at_entry)
+        tolerated = CUT_EXTRA + CUT_RATIO * (len(at_entry) + len(elsewhere))
+        too_few = _compute_served_share(at_entry) < MIN_CUT_SHARE * share
+        if at_entry and elsewhere and too_few and failed > tolerated:
+            served = len(at_entry) - failed
+            description = f"entry {cut.entry} served {served} of {len(at_entry)}"
+            breaches.append(Breach("cut", f"{description}, the others {share:.2f}"))
+    return breaches
+
+
+def _is_comparable(record: Record, attempt: Attempt, cut_entry: int | None) -> bool:
+    """Return whether an attempt shows how well its entry serves during a cut.
+
+    Other entries that are cut off themselves show nothing.
+    """
+    if attempt.disconnected or attempt.is_crashing:
+        return False
+    if not _is_allowed(attempt, record.versions[0]):
+        return False
+    since = attempt.sent - STABILIZATION_SECONDS
+    at_cut_entry = attempt.entry == cut_entry
+    return record.is_undisturbed(attempt.entry, since, attempt.ended, at_cut_entry)
+
+
+def _is_served(attempt: Attempt) -> bool:
+    return attempt.status == 200 and attempt.whole
+
+
+def _compute_served_share(attempts: list[Attempt]) -> float:
+    return sum(map(_is_served, attempts)) / max(1, len(attempts))
+
+
 def _check_recovery(record: Record) -> list[Breach]:
     newest = record.versions[-1]
     late = []
@@ -492,5 +546,6 @@
     _check_leavers,
     _check_pauses,
     _check_crashes,
+    _check_cuts,
     _check_recovery,
 )
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -44,6 +44,7 @@
         forged: System-only headers that reached the target with the caller's value.
         body: Body of the answer; empty for a stream.
         crashed: Whether the run crashed the target.
+        broken_off: Whether the target broke its answer off.
     """
 
     request: str
@@ -57,6 +58,7 @@
     forged: tuple[str, ...] = ()
     body: bytes = b""
     crashed: bool = False
+    broken_off: bool = False
 
 
 @dataclass(slots=True)
@@ -198,6 +200,7 @@
             leaves, by name of the target.
         pauses: Rejections with Retry-After: time, target, id of the request and
             seconds that the target asked for.
+        cuts: Spans in which an entry reached no target. They are disturbances, too.
         loop_stalls: Spans in which the event loop of this process, and with it all
             stand-ins, was blocked. They are reported, but excuse no breach.
         final_phase_start: Time from which all must work again, after the last
@@ -215,6 +218,7 @@
     rates: list[NamedRate] = field(default_factory=list)
     leaving_since: dict[str, float] = field(default_factory=dict)
     pauses: list[tuple[float, str, str, float]] = field(default_factory=list)
+    cuts: list[Disturbance] = field(default_factory=list)
     loop_stalls: list[tuple[float, float]] = field(default_factory=list)
     final_phase_start: float = 0.0
 
@@ -226,11 +230,18 @@
         self.disturbances.append(found)
         return found
 
-    def is_undisturbed(self, entry: int, start: float, end: float) -> bool:
-        """Return whether no fault of an entry, its links or the store is in a span."""
+    def is_undisturbed(
+        self, entry: int, start: float, end: float, besides_cuts: bool = False
+    ) -> bool:
+        """Return whether no fault of an entry, its links or the store is in a span.
+
+        With ``besides_cuts``, cuts between the entry and all targets don't count.
+        """
         for one in self.disturbances:
             if one.target or one.entry not in (None, entry):
                 continue
+            if besides_cuts and one in self.cuts:
+                continue
             if one.overlaps(start, end):
                 return False
         return True
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -13,10 +13,13 @@
 
 from figstep.standins.proxy import Delay, Direction, Lose, LoseAnswers, Stall, TcpProxy
 from tests.faults.callers import EntryEndpoint, Traffic
+from tests.faults.links import EntryLinks
 from tests.faults.plans import (
     AllEntriesKilled,
+    BrokenAnswers,
     ConfigurationChange,
     CrashingRequests,
+    EntryCut,
     EntryFault,
     Fault,
     LeavingSignal,
@@ -71,7 +74,7 @@
 zone = "muc-a"
 region = "bayern"
 bootstrap = {first}
-port_range = [{peers}, {peers}]
+port_range = [{peers}, {relays}]
 seeds = [{seeds}]
 [listen]
 front = "{ip}:{front}"
@@ -99,6 +102,7 @@
         settings: Path of the settings file.
         store: Proxy between the entry and the store.
         front: Proxy between callers and the entry.
+        links: Links between the entry and the targets.
         log: Path of the log file.
         process: Current or last process; None before the first start.
         stopping: Whether the entry was stopped or killed and is not ready again.
@@ -112,6 +116,7 @@
     settings: Path
     store: TcpProxy
     front: TcpProxy
+    links: EntryLinks
     log: Path
     process: asyncio.subprocess.Process | None = None
     stopping: bool = False
@@ -164,6 +169,7 @@
         self._dropped_paths: list[str] = []
         self._keys = ["key-1", "key-2"]
         self._dropped_keys: list[str] = []
+        self._has_cuts = False
 
     async def run_plan(self, steps: list[Step], seconds: float) -> None:
         """Run a plan, then a final phase without faults; fill the record.
@@ -172,6 +178,8 @@
             steps: Faults with their times, sorted by time.
             seconds: Length of the part of the run with faults.
         """
+        # Without cuts, entries reach the targets with one proxy less in between.
+        self._has_cuts = any(isinstance(step.fault, EntryCut) for step in steps)
         try:
             await self._start()
             self._traffic = self._build_traffic()
@@ -209,6 +217,8 @@
         for _ in range(2):
             await self._add_target("bookings")
         ports = [find_free_port() for _ in range(3)]
+        while ports[2] + 1 in ports:
+            ports[2] = find_free_port()
         for number in range(self._entry_count):
             self._hosts.append(await self._build_host(number, ports))
         for host in self._hosts:
@@ -221,7 +231,11 @@
         # addresses.
         network = os.getpid() % 250 + 1
         ip = f"127.{network}.{ports[0] % 250}.{number + 1}"
-        host, _, port = self._store.address.rpartition(":")
+        links = EntryLinks(self._targets_by_address)
+        address = self._store.address
+        if self._has_cuts:
+            address = await self._store.open_view(links.translate)
+        host, _, port = address.rpartition(":")
         store = TcpProxy(host, int(port))
         await store.start()
         front = TcpProxy(ip, ports[0])
@@ -235,6 +249,7 @@
             path,
             store,
             front,
+            links,
             self._folder / f"entry-{number}.log",
         )
         seeds = [f"127.{network}.{ports[0] % 250}.{seed + 1}" for seed in range(2)]
@@ -249,6 +264,7 @@
             ip=host.ip,
             first="true",
             peers=ports[2],
+            relays=ports[2] + 1,
             seeds=", ".join(f'"{seed}:{ports[1]}"' for seed in seeds),
             front=ports[0],
             ready=ports[1],
@@ -361,10 +377,35 @@
                 target.pauses.remove(fault.pause)
             case CrashingRequests():
                 await self._send_crashing(fault)
+            case BrokenAnswers():
+                await self._break_answers(fault)
+            case EntryCut():
+                await self._cut_entry(fault)
             case ConfigurationChange(action=action):
                 self._change_configuration(action)
                 await self._configure()
 
+    async def _break_answers(self, fault: BrokenAnswers) -> None:
+        target = self._targets[fault.number % len(self._targets)]
+        span = self.record.begin_disturbance("break off", None, target.name)
+        target.breaks_off = True
+        await asyncio.sleep(fault.seconds)
+        target.breaks_off = False
+        span.end = read_clock()
+
+    async def _cut_entry(self, fault: EntryCut) -> None:
+        host = self._hosts[fault.entry % len(self._hosts)]
+        if any(
+            cut.entry == host.number and cut.end is None for cut in self.record.cuts
+        ):
+            return
+        span = self.record.begin_disturbance("cut off", host.number)
+        self.record.cuts.append(span)
+        await host.links.cut(fault.kind)
+        await asyncio.sleep(fault.seconds)
+        await host.links.heal()
+        span.end = read_clock()
+
     async def _apply_entry_fault(
         self, action: str, host: EntryHost, seconds: float
     ) -> None:
@@ -565,6 +606,7 @@
                 await host.process.wait()
             await host.store.stop()
             await host.front.stop()
+            await host.links.stop()
         for target in list(self._targets_by_address.values()):
             await target.kill()
         await self._store.stop()
--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
@@ -11,6 +12,7 @@
 
 from figstep.standins.proxy import TcpProxy
 from tests.faults.records import CRASHING, EVENTS, Kind, Record, Run, read_clock
+from tests.framing import RawAnswer, choose_framing
 from tests.platform.standins import FakeStore, build_registration, start_app
 
 FORGED = "forged"
@@ -44,6 +46,7 @@
         crash: Called with this target when a request crashes it; ends the target
             with all its runs.
         failure_rate: Share of the calls that are answered with status 500.
+        breaks_off: Whether it breaks off half of its answers.
         unresponsive: Whether the target runs requests without answering.
         rejects_calls: Whether the target rejects requests as not run. Requests that
             resume from a copy are accepted.
@@ -64,6 +67,7 @@
     targets_by_address: dict[str, "SoakTarget"]
     crash: Callable[["SoakTarget"], None]
     failure_rate: float = 0.0
+    breaks_off: bool = False
     unresponsive: bool = False
     rejects_calls: bool = False
     rates: list[float] = field(default_factory=list)
@@ -179,36 +183,58 @@
             signal_headers["Server-Leaving"] = "1"
         return signal_headers
 
-    async def _call(self, request: web.Request, run: Run, body: bytes) -> web.Response:
+    async def _call(
+        self, request: web.Request, run: Run, body: bytes
+    ) -> web.StreamResponse:
         await asyncio.sleep(MIN_CALL_SECONDS * (1 + self.rng.random()))
-        run.whole = True
         if self.rng.random() < self.failure_rate:
             run.status = 500
         run.body = f"{run.request} at {self.name} of {len(body)}".encode()
-        return web.Response(
-            status=run.status,
-            body=run.body,
-            headers=self._build_answer_headers(run.request),
-        )
+        answer = self._open_answer(request, run, len(run.body), run.status)
+        if self._breaks_off(run):
+            answer.write(run.body[: len(run.body) // 2])
+            await asyncio.sleep(EVENT_INTERVAL)
+            # Without a length and chunks, the close by a target that lives on would
+            # be the end of the answer.
+            return answer.reset()
+        run.whole = True
+        answer.write(run.body)
+        return answer.end()
+
+    def _open_answer(
+        self, request: web.Request, run: Run, length: int, status: int = 200
+    ) -> RawAnswer:
+        headers = self._build_answer_headers(run.request)
+        framing = choose_framing(f"{run.request} {self.name}")
+        return RawAnswer(request, framing, headers, length, status)
+
+    def _breaks_off(self, run: Run) -> bool:
+        # The choice needs no random number, which would change those of other runs.
+        run.broken_off = self.breaks_off and zlib.crc32(run.request.encode()) % 2 == 0
+        return run.broken_off
 
     async def _stream(self, request: web.Request, run: Run) -> web.StreamResponse:
-        response = web.StreamResponse(headers=self._build_answer_headers(run.request))
-        response.content_type = "text/event-stream"
-        await response.prepare(request)
         holder = self.targets_by_address.get(request.headers.get("Kv-Backup", ""))
         kind = Kind(request.path.split("/")[1])
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        for index in range(first, EVENTS[kind] + 1):
+        events = [
+            f"id: {index}\ndata: {run.generation} {run.request}\n\n".encode()
+            for index in range(first, EVENTS[kind] + 1)
+        ]
+        answer = self._open_answer(request, run, sum(map(len, events)))
+        broken_at = len(events) // 2 if self._breaks_off(run) else None
+        for number, event in enumerate(events):
             await asyncio.sleep(EVENT_INTERVAL)
             if holder is not None:
                 holder.copies[run.request] = run.generation
-            data = f"id: {index}\ndata: {run.generation} {run.request}\n\n"
-            await response.write(data.encode())
+            if number == broken_at:
+                answer.write(event[:5])
+                return answer.close()
+            answer.write(event)
         run.whole = True
         if holder is not None:
             holder.copies.pop(run.request, None)
-        await response.write_eof()
-        return response
+        return answer.end()
 
     async def _copy_run(self, request: web.Request) -> web.Response:
         order = orjson.loads(await request.read())
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -5,7 +5,11 @@
 import pytest
 
 from tests.faults.__main__ import describe_record, run_seed
-from tests.faults.plans import ALL_EXTRAS, SIGNALS, Extra
+from tests.faults.plans import (
+    SIGNALS,
+    SIGNALS_AND_CRASHES,
+    Extra,
+)
 
 SEEDS = [11, 2398170]
 """Seeds without extras; each seed that failed is added here with its cause.
@@ -37,11 +41,11 @@
 
 CRASHING_SEEDS = [
     (45, (Extra.CRASHES,)),
-    (9130283, ALL_EXTRAS),
-    (15367845, ALL_EXTRAS),
-    (15367847, ALL_EXTRAS),
-    (15367872, ALL_EXTRAS),
-    (1679473, ALL_EXTRAS),
+    (9130283, SIGNALS_AND_CRASHES),
+    (15367845, SIGNALS_AND_CRASHES),
+    (15367847, SIGNALS_AND_CRASHES),
+    (15367872, SIGNALS_AND_CRASHES),
+    (1679473, SIGNALS_AND_CRASHES),
 ]
 """Seeds with requests that crash the targets that run them, with the extras drawn.
 
@@ -92,3 +96,27 @@
     record, breaches = await run_seed(seed, tmp_path, extras=extras)
     assert breaches == [], describe_record(record)
     assert any(run.crashed for run in record.runs)
+
+
+CUT_SEEDS = [
+    (21, (Extra.CUTS,)),
+    (22, (Extra.CUTS, Extra.BROKEN)),
+]
+"""Seeds with entries that lose the links to all targets, with the extras drawn."""
+
+
+@pytest.mark.parametrize(("seed", "extras"), CUT_SEEDS)
+async def test_promises_hold_as_entries_are_cut_off_from_all_targets(
+    seed: int, extras: tuple[Extra, ...], tmp_path: Path
+) -> None:
+    """Guards against callers who are served worse where the entry lost its links."""
+    record, breaches = await run_seed(seed, tmp_path, extras=extras)
+    assert breaches == [], describe_record(record)
+    assert record.cuts
+
+
+async def test_promises_hold_as_targets_break_off_answers(tmp_path: Path) -> None:
+    """Guards against answers that were broken off and look complete."""
+    record, breaches = await run_seed(57, tmp_path, extras=(Extra.BROKEN,))
+    assert breaches == [], describe_record(record)
+    assert any(run.broken_off for run in record.runs)
--- a/tests/framing.py
+++ b/tests/framing.py
@@ -1,5 +1,6 @@
 """HTTP answers that a test writes byte by byte, in each framing that HTTP has."""
 
+import zlib
 from collections.abc import Mapping
 from enum import Enum
 from http import HTTPStatus
@@ -17,6 +18,11 @@
     CONNECTION = "connection"
 
 
+def choose_framing(text: str) -> Framing:
+    """Return a framing that depends on nothing but a text."""
+    return list(Framing)[zlib.crc32(text.encode()) % len(Framing)]
+
+
 class RawAnswer:
     """Answer to a request, written to the transport without the HTTP server."""
 
@@ -52,7 +58,13 @@
         self._transport.write("\r\n".join([*lines, "", ""]).encode())
 
     def write(self, data: bytes) -> None:
-        """Write a part of the body."""
+        """Write a part of the body.
+
+        Raises:
+            ConnectionResetError: If the peer has closed the connection.
+        """
+        if self._transport.is_closing():
+            raise ConnectionResetError("the peer closed the connection")
         if not data:
             return
         if self._framing is Framing.CHUNKS:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -64,6 +64,16 @@
     return runner, f"{bound[0]}:{bound[1]}"
 
 
+Translation = Callable[[bytes], Awaitable[bytes]]
+"""Function that changes the value of a record as it is read."""
+
+_TRANSLATE: web.AppKey[Translation] = web.AppKey("translate")
+
+
+async def _keep_value(value: bytes) -> bytes:
+    return value
+
+
 class FakeStore:
     """Fake of the platform's store, which holds keyed topics in memory.
 
@@ -84,19 +94,29 @@
         self._records: dict[str, list[tuple[str, bytes]]] = {}
         self._first: dict[str, int] = {}
         self._changed = asyncio.Condition()
-        self._runner: web.AppRunner | None = None
+        self._runners: list[web.AppRunner] = []
 
     async def start(self) -> None:
         """Start listening at a free port."""
+        self.address = await self.open_view(_keep_value)
+
+    async def open_view(self, translate: Translation) -> str:
+        """Listen at a further port, and return its "ip:port".
+
+        The values of records that are read there are those that ``translate`` returns.
+        """
         app = web.Application()
+        app[_TRANSLATE] = translate
         app.router.add_get("/figstep/log-newest", self._read_newest)
         app.router.add_get("/figstep/log-read", self._read)
-        self._runner, self.address = await start_app(app)
+        runner, address = await start_app(app)
+        self._runners.append(runner)
+        return address
 
     async def stop(self) -> None:
         """Stop listening."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        for runner in self._runners:
+            await runner.cleanup()
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record; an empty value deletes the key."""
@@ -132,7 +152,9 @@
         items = [
             {
                 "key": key,
-                "value": base64.b64encode(newest[key][1]).decode(),
+                "value": base64.b64encode(
+                    await request.app[_TRANSLATE](newest[key][1])
+                ).decode(),
                 "offset": newest[key][0],
             }
             for key in keys[: self.page]
@@ -164,7 +186,8 @@
         records = self._records.get(topic, [])
         raw = len(records).to_bytes(8) + self._first.get(topic, 0).to_bytes(8)
         for key, value in records[start:]:
-            content = bytes([len(key)]) + key.encode() + value
+            translated = await request.app[_TRANSLATE](value)
+            content = bytes([len(key)]) + key.encode() + translated
             raw += len(content).to_bytes(4) + content
         return web.Response(body=raw)
 
