Give others a turn while the engine emulator makes up for lost time

The emulator handles the tokens that became due in one go. Where a token takes longer than the profile allows, more become due meanwhile: each go is longer than the one before, and nobody else on the event loop runs until the last token. With a million of them an order to cancel is not answered for tens of seconds.

Tokens are now handled 200 at a time.

--- a/figstep/standins/engine.py
+++ b/figstep/standins/engine.py
@@ -53,6 +53,9 @@
 A step that ends within this time is finished at once, without another sleep.
 """
 
+TOKENS_PER_TURN = 200
+"""Number of tokens that are handled before others on the event loop get a turn."""
+
 FIXED_GAP_MEMORY_TOKENS = 16_777_216
 """Cache memory and prefill limit per step of an engine with a fixed gap, in tokens.
 
@@ -320,8 +323,13 @@
 
     async def _run(self) -> None:
         while True:
-            for token in self.model.advance(_read_clock() + RUN_AHEAD_MS):
-                self._handle_token(token)
+            tokens = self.model.advance(_read_clock() + RUN_AHEAD_MS)
+            for start in range(0, len(tokens), TOKENS_PER_TURN):
+                for token in tokens[start : start + TOKENS_PER_TURN]:
+                    self._handle_token(token)
+                # On a slow machine more tokens are due than can be handled; without
+                # a pause nobody else would run until the last one.
+                await asyncio.sleep(0)
             step = self.model.next_step()
             if step is None:
                 self._work.clear()
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -1,6 +1,7 @@
 """Tests of the engine stand-in over HTTP."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -8,6 +9,7 @@
 import pytest
 
 from figstep.standins.engine import EngineServer
+from figstep.standins.engine_model import Token
 from figstep.standins.http import start_app
 
 HEADERS = {"X-Generation-Id": "e~0~1"}
@@ -88,3 +90,29 @@
         async with session.get("/load") as r:
             models = (await r.json())["models"]
     assert models == (["m@2"] if checks else ["m@1"])
+
+
+class SlowMachineEngine(EngineServer):
+    """Engine whose machine needs longer for a token than its profile allows."""
+
+    def _handle_token(self, token: Token) -> None:
+        time.sleep(0.0001)
+        super()._handle_token(token)
+
+
+async def test_an_engine_that_cannot_keep_pace_still_answers() -> None:
+    """Guards against an emulator that blocks all others while it lags behind.
+
+    The tokens that became due while the last ones were handled are handled in one go,
+    which takes even longer, and more tokens become due meanwhile.
+    """
+    engine = SlowMachineEngine("e", gap=0.0, length=1_000_000)
+    async with serve(engine) as session:
+        async with session.post("/v1/completions", json={}, headers=HEADERS) as r:
+            await r.content.readline()
+            await asyncio.sleep(0.3)
+            asked = time.monotonic()
+            async with session.delete("/v1/generations/e~0~1") as cancelled:
+                assert cancelled.status == 200
+            assert time.monotonic() - asked < 2.0
+    assert engine.cancelled == ["e~0~1"]
