--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -104,8 +104,9 @@
         return effects + requests.deliver_answer(
             state, request, attempt.number, event.status, now
         )
-    request.may_have_run = True
-    request.lost_runs += 1
+    if event.loss not in NOT_RUN:
+        request.may_have_run = True
+        request.lost_runs += 1
     return effects + _retry_or_refuse(state, request, attempt, event, now)
 
 
