Draw cuts between entries and targets, and hops, in the property tests of the fleet

Three entries lose and regain the links to all targets, by resets too, and pass requests on; hops break, entries restart at either end, callers leave. One breach on the way was the model's: it counted an attempt as run that was closed before its connection was there.

--- a/tests/gateway/test_fleet_properties.py
+++ b/tests/gateway/test_fleet_properties.py
@@ -22,6 +22,7 @@
     Announce,
     Answer,
     BreakStream,
+    CheckTarget,
     CloseAttempt,
     CopyRun,
     Deliver,
@@ -34,6 +35,7 @@
 )
 from figstep.gateway.events import (
     AnswerArrived,
+    AttemptConnected,
     AttemptLost,
     CallerGone,
     EngineReported,
@@ -49,6 +51,7 @@
     StreamEnded,
     StreamOpened,
     StreamPiece,
+    TargetChecked,
     TargetDown,
     TargetLeaving,
     TargetRegistered,
@@ -98,6 +101,7 @@
         opened: Time at which it was opened.
         resumed: Whether it resumes from a copy.
         index: Index of the last event that it sent.
+        connected: Whether its connection is established.
         open: Whether it has not ended.
         ran: Whether it may have run.
     """
@@ -108,6 +112,7 @@
     opened: Millis
     resumed: bool
     index: int = 0
+    connected: bool = False
     open: bool = True
     ran: bool = True
 
@@ -119,16 +124,20 @@
     Attributes:
         route: Route of the request.
         digest: Digest of the request.
-        runs: Its attempts, oldest first.
+        prompt: Its prompt, or None.
+        runs: Its attempts at targets, of all entries, oldest first.
         events: Index of the last event that the caller received.
         ended: Whether the caller has its final answer or has left.
+        hop: Entry and attempt that passed the request on; None if a caller sent it.
     """
 
     route: Route
     digest: str
+    prompt: Prompt | None = None
     runs: list[Run] = field(default_factory=list)
     events: int = 0
     ended: bool = False
+    hop: tuple[int, int] | None = None
 
 
 class FleetMachine(RuleBasedStateMachine):
@@ -148,6 +157,10 @@
         self.known: dict[str, Registration] = {}
         self.down: dict[str, Millis] = {}
         self.ended: set[Incarnation] = set()
+        self.cut: set[int] = set()
+        self.hops: dict[tuple[int, int], tuple[int, int] | None] = {}
+        for entry, harness in enumerate(self.fleet):
+            harness.state.relay_address = f"{entry}:1"
         self.received_by: dict[str, set[Incarnation]] = {}
         for service, letter in ((BOOKINGS, "b"), (ENGINES, "e")):
             for number in range(3):
@@ -179,30 +192,55 @@
                 run = self.runs.pop((entry, attempt), None)
                 if run is not None:
                     run.open = False
+                    run.ran = run.ran and run.connected
+                if (entry, attempt) in self.hops:
+                    self.pending.append(partial(self.close_hop, entry, attempt))
             case CopyRun():
                 self.copies.append((entry, effect))
             case ProbeTarget(target=name):
                 info = self.fleet[entry].state.targets.targets[name].info
                 self.pending.append(partial(self.probe, entry, info.incarnation))
-            case ReadReport(target=name) if name in self.up:
+            case CheckTarget(target=name):
+                reached = name in self.up and entry not in self.cut
+                checked = TargetChecked(name, self.clock.now(), reached)
+                self.pending.append(partial(self.handle, entry, checked))
+            case ReadReport(target=name) if name in self.up and entry not in self.cut:
                 report = EngineReported(name, leaving=False)
                 self.pending.append(partial(self.handle, entry, report))
             case Announce():
                 self.pending.append(self.send_messages)
             case Deliver(number=number, data=data):
                 self.receive_events(self.calls[entry][number], data)
-            case Answer(number=number) | BreakStream(number=number):
+            case Answer(number=number):
+                self.end(entry, number)
+                self.answer_hop(entry, number, AnswerArrived(0, 200))
+            case BreakStream(number=number):
                 self.end(entry, number)
+                self.answer_hop(entry, number, AttemptLost(0, Loss.BROKEN))
             case FinishStream(number=number):
                 assert self.calls[entry][number].events == STREAM_EVENTS
                 self.end(entry, number)
+                self.answer_hop(entry, number, StreamEnded(0))
             case Refuse(number=number, problem=problem):
                 self.refuse(entry, number, problem.status, problem.code)
+                lost = AttemptLost(0, Loss.FAILED, status=problem.status)
+                if problem.status in NOT_RUN_STATUSES:
+                    lost = AttemptLost(0, Loss.REFUSED, problem.retry_after)
+                self.answer_hop(entry, number, lost)
 
     def open(self, entry: int, opened: OpenAttempt) -> None:
         """Open an attempt at its target, and check that the target may get it."""
         call = self.calls[entry][opened.number]
         assert not call.ended
+        if opened.relay is not None:
+            assert call.hop is None, "passed on twice"
+            self.hops[entry, opened.attempt] = None
+            self.pending.append(partial(self.open_hop, entry, opened, call))
+            return
+        if entry in self.cut:
+            lost = AttemptLost(opened.attempt, Loss.UNREACHED, down=True)
+            self.pending.append(partial(self.handle, entry, lost))
+            return
         info = self.up.get(opened.target)
         known = self.fleet[entry].state.targets.targets[opened.target].info
         if info is None or info.incarnation != known.incarnation:
@@ -219,6 +257,7 @@
         run.index = opened.after or 0
         call.runs.append(run)
         self.runs[entry, opened.attempt] = run
+        self.pending.append(partial(self.connect, run))
         self.received_by.setdefault(call.digest, set()).add(info.incarnation)
         live_runs = [
             run for run in call.runs if run.ran and run.incarnation not in self.ended
@@ -228,16 +267,74 @@
         if call.digest in KILLERS:
             self.pending.append(partial(self.crash, info.target, info.incarnation))
 
+    def connect(self, run: Run) -> None:
+        """Establish the connection of an attempt; its request is sent after that."""
+        if run.open:
+            run.connected = True
+            self.handle(run.entry, AttemptConnected(run.attempt))
+
+    def open_hop(self, entry: int, opened: OpenAttempt, call: Call) -> None:
+        """Let another entry receive a request that an entry passes on."""
+        assert opened.relay is not None
+        if (entry, opened.attempt) not in self.hops:
+            return
+        receiver = int(opened.relay.address.partition(":")[0])
+        assert receiver != entry
+        harness = self.fleet[receiver]
+        number = harness.next_number
+        self.hops[entry, opened.attempt] = (receiver, number)
+        self.calls[receiver][number] = Call(
+            call.route,
+            call.digest,
+            call.prompt,
+            call.runs,
+            opened.after or 0,
+            hop=(entry, opened.attempt),
+        )
+        self.handle(entry, AttemptConnected(opened.attempt))
+        harness.receive_request(
+            f"{call.route.prefix}a",
+            call.prompt,
+            digest=call.digest,
+            relayed=True,
+            lost_runs=opened.relay.lost_runs,
+            after=opened.after,
+        )
+        for effect in harness.effects:
+            self.perform(receiver, effect)
+
+    def answer_hop(self, entry: int, number: int, event: Event) -> None:
+        """Pass the end of an answer on to the entry that passed the request on."""
+        hop = self.calls[entry][number].hop
+        if hop is None or self.hops.pop(hop, None) is None:
+            return
+        ended = replace(event, attempt=hop[1])  # type: ignore[type-var]
+        self.pending.append(partial(self.handle, hop[0], ended))
+
+    def close_hop(self, entry: int, attempt: int) -> None:
+        """Let the receiver of a hop see that its caller has left."""
+        receiver = self.hops.pop((entry, attempt), None)
+        if receiver is None or self.calls[receiver[0]][receiver[1]].ended:
+            return
+        self.end(*receiver)
+        self.handle(receiver[0], CallerGone(receiver[1]))
+
     def probe(self, entry: int, incarnation: Incarnation) -> None:
-        """Report a target as down if nothing listens at its address."""
-        if incarnation.target not in self.up:
+        """Report a target as down if its address refuses the connection."""
+        if incarnation.target not in self.up or entry in self.cut:
             self.handle(entry, TargetDown(incarnation))
 
     def receive_events(self, call: Call, data: bytes) -> None:
         """Check that a caller receives each event once and in order."""
+        pieces = []
         for index in re.findall(rb"id: (\d+)", data):
             call.events += 1
             assert int(index) == call.events
+            pieces.append(StreamPiece(int(index), b"id: %d\n\n" % int(index)))
+        if call.hop is not None and call.hop in self.hops:
+            entry, attempt = call.hop
+            arrived = PiecesArrived(attempt, pieces)
+            self.pending.append(partial(self.handle, entry, arrived))
 
     def end(self, entry: int, number: int) -> None:
         """Check that a caller gets only one final answer."""
@@ -272,7 +369,7 @@
         if prefix == "/order/":
             prompt = None
         name = digest or f"digest-{entry}-{harness.next_number}"
-        self.calls[entry][harness.next_number] = Call(ROUTES[prefix], name)
+        self.calls[entry][harness.next_number] = Call(ROUTES[prefix], name, prompt)
         harness.receive_request(f"{prefix}a", prompt, digest=name)
         for effect in harness.effects:
             self.perform(entry, effect)
@@ -293,7 +390,9 @@
         """Let a caller leave."""
         waiting = []
         for entry, calls in enumerate(self.calls):
-            waiting += [(entry, n) for n, call in calls.items() if not call.ended]
+            for number, call in calls.items():
+                if not call.ended and call.hop is None:
+                    waiting.append((entry, number))
         if not waiting:
             return
         entry, number = data.draw(st.sampled_from(waiting))
@@ -422,11 +521,19 @@
         """Restart an entry with an empty state."""
         for run in [run for run in self.runs.values() if run.entry == entry]:
             self.close(run)
+        for hop in [hop for hop in self.hops if hop[0] == entry]:
+            self.close_hop(*hop)
+        for hop, receiver in list(self.hops.items()):
+            if receiver is not None and receiver[0] == entry:
+                del self.hops[hop]
+                lost = AttemptLost(hop[1], Loss.BROKEN)
+                self.pending.append(partial(self.handle, hop[0], lost))
         before = self.fleet[entry]
         harness = EntryHarness(clock=self.clock, next_number=before.next_number)
         harness.state.node = before.state.node
         harness.state.failure_domain = before.state.failure_domain
         harness.state.next_attempt = before.state.next_attempt
+        harness.state.relay_address = before.state.relay_address
         self.fleet[entry] = harness
         self.calls[entry] = {}
         self.copies = [copy for copy in self.copies if copy[0] != entry]
@@ -435,6 +542,32 @@
             self.handle(entry, TargetRegistered(info))
         self.run_pending()
 
+    @rule(entry=st.integers(0, ENTRIES - 1), reset=st.booleans())
+    def cut_links(self, entry: int, reset: bool) -> None:
+        """Cut an entry off from all targets; open connections may live on."""
+        self.cut.add(entry)
+        if reset:
+            for run in [run for run in self.runs.values() if run.entry == entry]:
+                if run.open:
+                    self.close(run)
+                    self.handle(entry, AttemptLost(run.attempt, Loss.BROKEN))
+        self.run_pending()
+
+    @rule(entry=st.integers(0, ENTRIES - 1))
+    def mend_links(self, entry: int) -> None:
+        """Let an entry reach the targets again."""
+        self.cut.discard(entry)
+
+    @precondition(lambda self: any(self.hops.values()))
+    @rule(data=st.data())
+    def break_hop(self, data: st.DataObject) -> None:
+        """Break a connection between two entries."""
+        hops = [hop for hop, receiver in self.hops.items() if receiver is not None]
+        entry, attempt = data.draw(st.sampled_from(hops))
+        self.close_hop(entry, attempt)
+        self.handle(entry, AttemptLost(attempt, Loss.BROKEN))
+        self.run_pending()
+
     @rule(entry=st.integers(0, ENTRIES - 1), away=st.booleans())
     def change_store(self, entry: int, away: bool) -> None:
         """Let an entry lose the store, or regain it."""
@@ -490,7 +623,7 @@
         for entry, harness in enumerate(self.fleet):
             for number, attempt in harness.state.attempts.items():
                 assert attempt.request in harness.state.requests
-                assert (entry, number) in self.runs
+                assert (entry, number) in self.runs or (entry, number) in self.hops
 
     @invariant()
     def loads_match_attempts(self) -> None:
@@ -506,6 +639,7 @@
         """End all runs and check that no state of any request remains."""
         if not hasattr(self, "fleet"):
             return
+        self.cut.clear()
         for entry in range(ENTRIES):
             self.handle(entry, StoreRegained())
         self.run_pending()
