Take a refused connection as an end of its target only while others accept

An entry whose connections are all reset and refused held each target for crashed, one after the other, before it had counted enough of them to know that it was cut off. The requests that had been there were suspected, and one that was at two of them was refused as one that crashes its targets. Found by the property test of the fleet once it drew cuts: 'refused for less than two crashes'.

The end of a target is now recorded when another target accepts a connection, which is checked at once and usually shows within milliseconds; if the entry turns out to be cut off it is dropped. Ends that are known by a registration are recorded as before. The withdrawal of ends as a cut begins is not needed any more.

The harness of the gateway's tests establishes connections at once, as targets do, unless a test says otherwise; what the tests ask for is unchanged.

Also: a hop that broke is not followed by another run. The other entry may have used all runs of the route, so that a read was at more targets than its route permits ('too many targets', found by the same test).

--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -105,18 +105,6 @@
     return _suspect_lost(state, target, now)
 
 
-def withdraw_end(state: State, target: Target, since: Millis) -> None:
-    """Discard the end of a target that was recorded after ``since``.
-
-    It was concluded from a refused connection, by an entry that turned out to be cut
-    off from all targets.
-    """
-    if target.ended_at is None or target.ended_at < since:
-        return
-    target.ended_at = None
-    state.crashes.discard_crash(_format_incarnation(target))
-
-
 def record_departure(state: State, target: Target, now: Millis) -> list[Effect]:
     """Suspect the requests lost at a target whose registration is gone.
 
--- a/figstep/gateway/reach.py
+++ b/figstep/gateway/reach.py
@@ -3,7 +3,8 @@
 An entry that is cut off passes its requests on to other entries (`relays`). Targets
 that look down only because this entry is cut off are not held to be down: otherwise
 innocent requests would be suspected of crashing them, and they would be avoided after
-the links are back.
+the links are back. A refused connection therefore proves the end of its target only
+once another target has accepted one.
 """
 
 from figstep.core.clock import Millis
@@ -35,12 +36,16 @@
     attempt.connected = True
     if attempt.relay is not None:
         return []
+    attempt.target.refused_at = None
     return _record_connection(state, now)
 
 
 def handle_checked(state: State, event: TargetChecked, now: Millis) -> list[Effect]:
     """Record the result of a check of a target."""
     if event.reached:
+        target = state.targets.find(event.target)
+        if target is not None:
+            target.refused_at = None
         return _record_connection(state, now)
     return record_unreached(state, event.target, event.opened, now)
 
@@ -73,6 +78,8 @@
 
     Other targets are checked at once, until enough have failed or one is reached.
     """
+    if opened <= state.reach.connected_at:
+        return _record_ends(state)
     known = len(_list_ready(state))
     if state.reach.record_failure(target, opened, known, now):
         return _begin_cut(state, now)
@@ -101,7 +108,7 @@
 def _record_connection(state: State, now: Millis) -> list[Effect]:
     since = state.reach.cut_off_since
     if not state.reach.record_connection(now) or since is None:
-        return []
+        return _record_ends(state)
     _forgive_targets(state)
     return [
         Announce(),
@@ -109,6 +116,17 @@
     ]
 
 
+def _record_ends(state: State) -> list[Effect]:
+    """Record the ends of targets that refused connections of this entry."""
+    effects: list[Effect] = []
+    for target in state.targets.targets.values():
+        if target.refused_at is None:
+            continue
+        effects += crashes.record_end(state, target, target.refused_at)
+        target.refused_at = None
+    return effects
+
+
 def _begin_cut(state: State, now: Millis) -> list[Effect]:
     failed = state.reach.failed
     _forgive_targets(state)
@@ -133,7 +151,6 @@
     """Drop what this entry concluded from connections that failed for its own cut."""
     for target in state.targets.targets.values():
         target.forgive_losses()
-        crashes.withdraw_end(state, target, state.reach.connected_at)
 
 
 def _move_request(state: State, request: Request, now: Millis) -> list[Effect]:
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -85,8 +85,8 @@
 ) -> list[Effect]:
     """Decide how a request continues that another entry did not answer.
 
-    That entry has recovered it as far as it could: what it reports is passed on, unless
-    it states that the request did not run.
+    It is placed anew if that entry did not run it. Otherwise that entry has recovered
+    it as far as it could: the failure that it reports is passed on.
     """
     address = attempt.target.info.address
     attempts.end_attempt(state, attempt)
@@ -94,20 +94,20 @@
         Count("lost", (request.route.name, event.loss.value)),
         _describe_loss(request, attempt, event, now),
     ]
-    if event.loss in NOT_RUN and not request.stream_begun:
+    if event.loss in NOT_RUN:
         request.relay_pause = event.retry_after
         if event.loss is Loss.UNREACHED:
             relays.record_unreached(state, address, now)
         return effects + requests.place_request(state, request, now)
+    request.may_have_run = True
     if event.status is not None and not request.stream_begun:
-        request.may_have_run = True
         return effects + requests.deliver_answer(
             state, request, attempt.number, event.status, now
         )
-    if event.loss not in NOT_RUN:
-        request.may_have_run = True
-        request.lost_runs += 1
-    return effects + _retry_or_refuse(state, request, attempt, event, now)
+    # How often it has run there is unknown: one more run might be one too many for its
+    # route.
+    reason = f"lost_{event.loss.value}"
+    return effects + requests.refuse_request(state, request, reason, now)
 
 
 def _update_target(
@@ -146,7 +146,9 @@
     target.record_loss(now, False)
     # The target may restart before a new registration of it is read, and be cold.
     warmups.assume_cold(state, target, target.backoff_until)
-    return crashes.record_end(state, target, now) if down else []
+    if down:
+        target.refused_at = now
+    return []
 
 
 def handle_target_down(state: State, event: TargetDown, now: Millis) -> list[Effect]:
@@ -158,7 +160,11 @@
     if target is None or target.info.incarnation != event.incarnation:
         return []
     # Until peers know, they also try this target.
-    return [Announce(), *_record_unreached(state, target, True, now)]
+    return [
+        Announce(),
+        *_record_unreached(state, target, True, now),
+        *reach.record_unreached(state, target.name, now, now),
+    ]
 
 
 def _continue_request(
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -197,6 +197,8 @@
         announced_leaving: Whether it has announced to this entry that it leaves.
         lost: Digests of requests whose attempts there ended without an answer, and
             when. An answer to a request sent after that time removes the entry.
+        refused_at: When it refused a connection of this entry, until another target
+            accepts one; None if it did not. Before that the entry may be cut off.
         ended_at: When its incarnation was found to have ended; None if it was not.
         probed_at: When this entry last probed whether it listens at its address.
         named_brittle: Whether its last answer named the rejections that it bears.
@@ -243,6 +245,7 @@
     paused_until: Millis = Millis(0)
     announced_leaving: bool = False
     lost: dict[str, Millis] = field(default_factory=dict)
+    refused_at: Millis | None = None
     ended_at: Millis | None = None
     probed_at: Millis = Millis(-1_000_000)
     named_brittle: bool = False
@@ -359,7 +362,8 @@
             self.backoff_until = Millis(now + min(pause, MAX_TARGET_BACKOFF))
 
     def forgive_losses(self) -> None:
-        """Drop the losses and reports by which the target is avoided."""
+        """Drop the losses and reports by which the target is avoided or held down."""
+        self.refused_at = None
         self.consecutive_losses = 0
         self.backoff_until = Millis(0)
         self.unreached_at = Millis(-1_000_000)
--- a/tests/gateway/test_recovery.py
+++ b/tests/gateway/test_recovery.py
@@ -114,6 +114,7 @@
 def test_a_lookup_without_a_connection_is_not_counted_as_run() -> None:
     """Guards against lookups that use up their runs on targets nobody reaches."""
     harness = build_harness()
+    harness.reachable = False
     harness.receive_request("/lookup/a")
     harness.clock.advance(400)
     harness.handle(Ticked())
