Deliver no end over a connection of the proxy that lost data

The proxy dropped the events and relayed the end of the connection after them, which no network does: a receiver waits for what was lost. Since targets also answer without a length and chunks, that end looks like the end of the stream, and the target listens.

A connection that lost data now delivers nothing more in that direction, and is reset when the fault is cleared. The new test failed before (the read ended in order).

--- a/figstep/standins/proxy.py
+++ b/figstep/standins/proxy.py
@@ -54,7 +54,9 @@
 class Lose:
     """Fault that drops all data sent in one direction.
 
-    Over TCP, the end of the stream is still relayed.
+    A TCP connection that lost data delivers nothing more in this direction, not even
+    its end, as the receiver waits for the lost data. It is reset when the fault is
+    cleared and its sender has ended.
     """
 
     direction: Direction
@@ -138,6 +140,7 @@
         self.client = client
         self.target = target
         self.frozen = False
+        self.lost: set[Direction] = set()
         self.bytes_to_client = 0
         self.request = b""
 
@@ -294,7 +297,11 @@
                     link.request = chunk
                 await self._relay(link, writer, chunk, direction)
             await self._hold_stalled(link)
-            if writer.can_write_eof():
+            if direction in link.lost:
+                if self.fault is not None:
+                    await self._fault_cleared.wait()
+                link.cut()
+            elif writer.can_write_eof():
                 writer.write_eof()
         except OSError:
             await self._hold_stalled(link)
@@ -308,11 +315,14 @@
         direction: Direction,
     ) -> None:
         await self._hold_stalled(link)
+        if direction in link.lost:
+            return
         to_client = direction is Direction.TO_CLIENT
         match self.fault:
             case Delay(seconds=seconds):
                 await asyncio.sleep(seconds)
             case Lose(direction=lost) if lost is direction:
+                link.lost.add(direction)
                 return
             case Drip(size=size, seconds=seconds) if to_client:
                 for start in range(0, len(chunk), size):
--- a/tests/standins/test_proxy.py
+++ b/tests/standins/test_proxy.py
@@ -246,3 +246,32 @@
         await control.post("/standin/strike/cut")
         assert await client.send_line(b"three\n") == b""
     server.close()
+
+
+async def test_a_connection_that_lost_data_does_not_end_normally() -> None:
+    """Guards against a link that drops data and yet delivers the end after it.
+
+    No network does that: the receiver of a stream waits for what was lost.
+    """
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(b"all of it")
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    proxy = TcpProxy(*server.sockets[0].getsockname()[:2])
+    await proxy.start()
+    proxy.set_fault(Lose(Direction.TO_CLIENT))
+    host, _, port = proxy.address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    reading = asyncio.create_task(reader.read())
+    await asyncio.sleep(0.2)
+    assert not reading.done()
+    proxy.clear_fault()
+    with pytest.raises(ConnectionResetError):
+        await reading
+    writer.close()
+    await proxy.stop()
+    server.close()
