Pass requests on from the address by which other entries know this one

The others rejected each request that it passed on with 403: the system had chosen another source address (on the loopback interface always 127.0.0.1) than the one that entries announce, and requests are taken from known entries only. The same happens on an instance with several addresses. Hops are now opened from the entry's own address.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -84,8 +84,20 @@
         dispatch: Callable[[Event], None],
         find_exchange: Callable[[int], CallerExchange | None],
         find_target: Callable[[str], Target | None],
+        own_host: str,
     ) -> None:
+        """Prepare the client; no connection is opened before it starts.
+
+        Args:
+            clock: Clock of the deadlines.
+            dispatch: Called with the event of each result.
+            find_exchange: Returns the exchange of an open request, by number.
+            find_target: Returns a target, by name.
+            own_host: IP address by which other entries know this one.
+        """
         super().__init__()
+        self._own_host = own_host
+        self._relay_session: aiohttp.ClientSession | None = None
         self._clock = clock
         self._dispatch = dispatch
         self._find_exchange = find_exchange
@@ -97,7 +109,7 @@
         self._answers: dict[int, WholeAnswer] = {}
 
     async def on_start(self) -> None:
-        """Open the HTTP session."""
+        """Open the HTTP sessions."""
         connector = ResetAwareConnector(limit=0, force_close=True)
         self._session = open_target_session(
             connector,
@@ -105,15 +117,26 @@
             _SUPPRESSED_CLIENT_HEADERS,
             trace_connections(self._handle_connection),
         )
+        # Entries accept requests only from the addresses of known entries.
+        relay_connector = ResetAwareConnector(
+            limit=0, force_close=True, local_addr=(self._own_host, 0)
+        )
+        self._relay_session = open_target_session(
+            relay_connector,
+            CONNECT_TIMEOUT_SECONDS,
+            _SUPPRESSED_CLIENT_HEADERS,
+            trace_connections(self._handle_connection),
+        )
 
     async def on_stop(self) -> None:
-        """Cancel all attempts and background tasks, and close the session."""
+        """Cancel all attempts and background tasks, and close the sessions."""
         tasks = [*self._attempt_tasks.values(), *self._background]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._session, self._relay_session):
+            if session is not None:
+                await session.close()
 
     def _handle_connection(self, attempt: int | None) -> None:
         # Queries and orders carry no number of an attempt.
@@ -211,14 +234,14 @@
 
     async def _pass_on(self, effect: OpenAttempt, exchange: CallerExchange) -> Event:
         """Send a request to another entry, and return what it answers."""
-        assert self._session is not None
+        assert self._relay_session is not None
         assert effect.relay is not None
         url = URL(f"http://{effect.relay.address}{exchange.path}", encoded=True)
         remaining = Millis(max(MIN_DEADLINE, effect.deadline - self._clock.now()))
         relay_headers = relays.build_headers(
             effect.relay, exchange.credential, remaining, effect.after
         )
-        async with self._session.request(
+        async with self._relay_session.request(
             exchange.method,
             url,
             data=exchange.body or None,
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -151,6 +151,7 @@
             self.gateway.dispatch,
             self.find_exchange,
             self.gateway.known.targets.find,
+            settings.peers.host,
         )
         self.gateway.callers = self.callers
         self.gateway.targets = self.targets
--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -1,5 +1,6 @@
 """Links between one entry and all targets, which can be cut from outside."""
 
+import socket
 from enum import Enum
 
 import orjson
@@ -27,6 +28,7 @@
         self._targets_by_address = targets_by_address
         self._proxies: dict[str, TcpProxy] = {}
         self._holes: list[Blackhole] = []
+        self._reserved: list[socket.socket] = []
         self._cut: CutKind | None = None
 
     async def translate(self, value: bytes) -> bytes:
@@ -63,23 +65,25 @@
 
     async def _cut_proxy(self, proxy: TcpProxy, kind: CutKind) -> None:
         await proxy.refuse()
-        match kind:
-            case CutKind.RESET:
-                proxy.cut()
-            case CutKind.SILENT:
-                proxy.freeze()
-                host, _, port = proxy.address.rpartition(":")
-                hole = Blackhole(host, int(port))
-                self._holes.append(hole)
-                await hole.fill()
-            case CutKind.NEW_ONLY:
-                return
+        host, _, port = proxy.address.rpartition(":")
+        if kind is CutKind.SILENT:
+            proxy.freeze()
+            hole = Blackhole(host, int(port))
+            self._holes.append(hole)
+            await hole.fill()
+            return
+        self._reserved.append(_reserve_port(host, int(port)))
+        if kind is CutKind.RESET:
+            proxy.cut()
 
     async def heal(self) -> None:
         """End the cut; connections that fell silent are reset."""
         for hole in self._holes:
             hole.close()
         self._holes.clear()
+        for reserved in self._reserved:
+            reserved.close()
+        self._reserved.clear()
         kind, self._cut = self._cut, None
         for proxy in list(self._proxies.values()):
             if kind is CutKind.SILENT:
@@ -88,7 +92,15 @@
 
     async def stop(self) -> None:
         """Close all proxies."""
-        for hole in self._holes:
-            hole.close()
+        for closable in (*self._holes, *self._reserved):
+            closable.close()
         for proxy in self._proxies.values():
             await proxy.stop()
+
+
+def _reserve_port(host: str, port: int) -> socket.socket:
+    """Return a socket that keeps a port, which refuses connections, from others."""
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind((host, port))
+    return reserved
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -101,8 +101,17 @@
 CUT_SEEDS = [
     (21, (Extra.CUTS,)),
     (22, (Extra.CUTS, Extra.BROKEN)),
+    (1497154, (*SIGNALS_AND_CRASHES, Extra.BROKEN, Extra.CUTS)),
+    (1497160, (*SIGNALS_AND_CRASHES, Extra.BROKEN, Extra.CUTS)),
 ]
-"""Seeds with entries that lose the links to all targets, with the extras drawn."""
+"""Seeds with entries that lose the links to all targets, with the extras drawn.
+
+21, 1497160: entries rejected the requests that others passed on to them, as these did
+not come from the address by which an entry is known.
+
+1497154: the soak could not listen again at the port of a cut link, which another
+socket had taken meanwhile.
+"""
 
 
 @pytest.mark.parametrize(("seed", "extras"), CUT_SEEDS)
