Move what a failure domain tells the others into a module of its own

gateway/peers.py had grown to 503 lines and two jobs: what entries tell each other, and the sums that one failure domain sends to the others.

--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -1,21 +1,16 @@
 """Messages between entries: open work by target, crashes and leaving targets."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
 
 from figstep.core.clock import Millis
-from figstep.gateway import crashes, shares, sources
+from figstep.gateway import crashes, sources
 from figstep.gateway.budgets import FleetUse
 from figstep.gateway.effects import Count, Effect, Note
 from figstep.gateway.events import (
-    BrittlenessReport,
     PeerHeard,
     PeerLoad,
-    RateReport,
-    RejectionReport,
 )
 from figstep.gateway.state import (
-    REJECTION_ANNOUNCE_DURATION,
     DomainLoads,
     Peer,
     Request,
@@ -36,13 +31,6 @@
 """How long, in milliseconds, the load sums of another failure domain count without a
 new message. All of them are sent every two seconds, and some messages are lost."""
 
-MAX_DOMAIN_RELAYS = 8
-"""Maximum number of entries of a failure domain that other failure domains learn of as
-accepting their requests. A message grows with it."""
-
-RELAY_ROTATION = Millis(5_000)
-"""Time in milliseconds after which other entries of a failure domain are named."""
-
 MEMORY_REPORT_STEP = 1_000
 """Growth of the runs at an engine, in tokens, that is reported to other entries before
 the next full message."""
@@ -309,81 +297,6 @@
     )
 
 
-def describe_domain(state: State, now: Millis) -> PeerHeard:
-    """Return a message for other failure domains with this domain's summed loads."""
-    reported = [*list_loads(state)]
-    for peer in state.peers.values():
-        reported += peer.loads.values()
-    return _describe_domain(state, _sum_loads(reported), now)
-
-
-def describe_domain_at(state: State, target: str, now: Millis) -> PeerHeard:
-    """Return a message with this failure domain's summed load at one target.
-
-    Only the loads are partial; all other fields are complete.
-    """
-    reported = [load for load in list_loads(state) if load.target == target]
-    for peer in state.peers.values():
-        load = peer.loads.get(target)
-        if load is not None:
-            reported.append(load)
-    message = _describe_domain(state, _sum_loads(reported), now)
-    return replace(message, partial=True)
-
-
-def _describe_domain(
-    state: State, loads: tuple[PeerLoad, ...], now: Millis
-) -> PeerHeard:
-    own = describe_entry(state, now)
-    leaving = {*own.leaving}
-    for peer in state.peers.values():
-        leaving.update(peer.leaving)
-    return replace(
-        own,
-        loads=loads,
-        uses=(),
-        refused=(),
-        unreached=(),
-        far=True,
-        leaving=tuple(sorted(leaving)),
-        rates=_list_domain_rates(state, now),
-        relays=_list_domain_relays(state, own, now),
-        cut_off=False,
-        brittle=_list_domain_brittle(state, own, now),
-        rejected=_list_domain_rejected(state, own, now),
-    )
-
-
-def _list_domain_brittle(
-    state: State, own: PeerHeard, now: Millis
-) -> tuple[BrittlenessReport, ...]:
-    """Return the newest report of each brittle service in this failure domain."""
-    newest = {report.service: report for report in own.brittle}
-    for peer in state.peers.values():
-        for reported in peer.brittle:
-            age = Millis(reported.age + now - peer.last_received_at)
-            known = newest.get(reported.service)
-            if known is None or age < known.age:
-                newest[reported.service] = replace(reported, age=age)
-    return tuple(newest.values())
-
-
-def _list_domain_rejected(
-    state: State, own: PeerHeard, now: Millis
-) -> tuple[RejectionReport, ...]:
-    """Return the newest rejection of each brittle target in this failure domain."""
-    newest = {report.target: report for report in own.rejected}
-    for peer in state.peers.values():
-        for reported in peer.rejected:
-            age = Millis(reported.age + now - peer.last_received_at)
-            if age >= REJECTION_ANNOUNCE_DURATION:
-                continue
-            known = newest.get(reported.target)
-            if known is None or age < known.age:
-                newest[reported.target] = replace(reported, age=age)
-    return tuple(newest.values())
-
-
 def _list_own_relays(state: State) -> tuple[str, ...]:
     """Return where this entry accepts requests of other entries; empty if it does not.
 
@@ -394,33 +307,6 @@
     return (state.relay_address,)
 
 
-def _list_domain_relays(state: State, own: PeerHeard, now: Millis) -> tuple[str, ...]:
-    """Return where some entries of this failure domain accept others' requests.
-
-    They change every `RELAY_ROTATION`, so that not only a few get these requests.
-    """
-    addresses = {*own.relays}
-    for peer in state.peers.values():
-        addresses.update(peer.relays)
-    key = str(now // RELAY_ROTATION)
-    ranked = sorted(addresses, key=lambda address: shares.hash_rank(address, key))
-    return tuple(ranked[:MAX_DOMAIN_RELAYS])
-
-
-def _list_domain_rates(state: State, now: Millis) -> tuple[RateReport, ...]:
-    """Return each target's newest rate named to any entry of this failure domain."""
-    newest = {report.incarnation: report for report in state.list_rates(now)}
-    for peer in state.peers.values():
-        for reported in peer.rates:
-            report = replace(
-                reported, age=Millis(reported.age + now - peer.last_received_at)
-            )
-            known = newest.get(report.incarnation)
-            if known is None or report.age < known.age:
-                newest[report.incarnation] = report
-    return tuple(newest.values())
-
-
 def select_changed(
     reported: Mapping[str, PeerLoad], loads: Iterable[PeerLoad]
 ) -> tuple[PeerLoad, ...]:
@@ -448,56 +334,3 @@
         return True
     counted = (one.calls, one.reading, one.incoming, one.outgoing)
     return counted != (other.calls, other.reading, other.incoming, other.outgoing)
-
-
-def is_domain_representative(state: State, now: Millis) -> bool:
-    """Return whether this entry reports its domain's loads to other domains.
-
-    That is the entry with the lowest name among this one and the live peers.
-    """
-    return not any(name < state.node for name in sources.list_live_peers(state, now))
-
-
-def _sum_loads(loads: Iterable[PeerLoad]) -> tuple[PeerLoad, ...]:
-    sums: dict[str, _Sum] = {}
-    for load in loads:
-        known = sums.get(load.target)
-        if known is None:
-            known = sums[load.target] = _Sum()
-        known.add(load)
-    return tuple(known.read(target) for target, known in sums.items())
-
-
-@dataclass(slots=True)
-class _Sum:
-    """Sum of what several entries have open at a target."""
-
-    calls: int = 0
-    memory: int = 0
-    reading: int = 0
-    incoming: int = 0
-    outgoing: int = 0
-    rates: float = 0.0
-    rated: int = 0
-
-    def add(self, load: PeerLoad) -> None:
-        self.calls += load.calls
-        self.memory += load.memory
-        self.reading += load.reading
-        self.incoming += load.incoming
-        self.outgoing += load.outgoing
-        if load.read_rate is not None:
-            self.rates += load.read_rate
-            self.rated += 1
-
-    def read(self, target: str) -> PeerLoad:
-        rate = self.rates / self.rated if self.rated else None
-        return PeerLoad(
-            target,
-            self.calls,
-            self.memory,
-            self.reading,
-            rate,
-            self.incoming,
-            self.outgoing,
-        )
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -17,6 +17,11 @@
 from figstep.errors import PeerMessageError
 from figstep.gateway.application import Gateway
 from figstep.gateway.budgets import RetryBudget
+from figstep.gateway.domains import (
+    describe_domain,
+    describe_domain_at,
+    is_domain_representative,
+)
 from figstep.gateway.edges import PeerPort
 from figstep.gateway.events import (
     ConfigurationRead,
@@ -33,12 +38,7 @@
     TargetsListed,
 )
 from figstep.gateway.measures import GatewayMeasures
-from figstep.gateway.peers import (
-    describe_domain,
-    describe_domain_at,
-    describe_entry,
-    is_domain_representative,
-)
+from figstep.gateway.peers import describe_entry
 from figstep.gateway.places import Evacuations
 from figstep.gateway.sources import reads_store
 from figstep.gateway.state import State
--- a/tests/gateway/test_brittleness.py
+++ b/tests/gateway/test_brittleness.py
@@ -7,7 +7,7 @@
 import pytest
 
 from figstep.core.clock import ManualClock, Millis
-from figstep.gateway import peers
+from figstep.gateway import domains, peers
 from figstep.gateway.effects import (
     Announce,
     AnnounceTarget,
@@ -165,7 +165,7 @@
                 other.handle(message)
 
     def _announce_target(self, entry: EntryHarness, target: str) -> None:
-        message = peers.describe_domain_at(entry.state, target, self.clock.now())
+        message = domains.describe_domain_at(entry.state, target, self.clock.now())
         for other in self.entries:
             if other.state.failure_domain != entry.state.failure_domain:
                 other.handle(message)
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -5,7 +5,7 @@
 import pytest
 
 from figstep.core.clock import Millis
-from figstep.gateway import peers
+from figstep.gateway import domains, peers
 from figstep.gateway.effects import Announce, CopyRun, Note, OpenAttempt, Refuse
 from figstep.gateway.events import (
     AttemptLost,
@@ -136,7 +136,7 @@
     assert fleet[0].find_effects(Announce)
     now = fleet[0].clock.now()
     local_message = peers.describe_entry(fleet[0].state, now)
-    remote_message = peers.describe_domain(fleet[0].state, now)
+    remote_message = domains.describe_domain(fleet[0].state, now)
     for harness in fleet[1:]:
         same = harness.state.failure_domain == fleet[0].state.failure_domain
         harness.handle(local_message if same or size == 8 else remote_message)
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from figstep.core.clock import ManualClock, Millis
-from figstep.gateway import peers
+from figstep.gateway import domains, peers
 from figstep.gateway.effects import CopyRun, Note, OpenAttempt, ReadReport, Refuse
 from figstep.gateway.events import (
     AttemptLost,
@@ -242,8 +242,8 @@
     """Guards against late, repeated and reordered evacuation records."""
     harness = build_harness()
     newest = Evacuations()
-    for position, domains in records:
-        record = Evacuations(domains, position)
+    for position, evacuated in records:
+        record = Evacuations(evacuated, position)
         if position > newest.position:
             newest = record
         harness.handle(PeerHeard("entry-2", evacuations=record))
@@ -281,8 +281,8 @@
 
     def _send_messages(self, harness: EntryHarness, now: Millis) -> None:
         own = peers.describe_entry(harness.state, now)
-        domain = peers.describe_domain(harness.state, now)
-        represents_domain = peers.is_domain_representative(harness.state, now)
+        domain = domains.describe_domain(harness.state, now)
+        represents_domain = domains.is_domain_representative(harness.state, now)
         for other in self.entries:
             if other is harness or self.rng.random() < 0.1:
                 continue
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field, replace
 
 from figstep.core.clock import ManualClock, Millis
-from figstep.gateway import peers
+from figstep.gateway import domains, peers
 from figstep.gateway.effects import AnnounceTarget, Note, OpenAttempt
 from figstep.gateway.events import (
     EntriesCounted,
@@ -158,7 +158,7 @@
                 self._send_locally(harness)
         if at % round(REMOTE_UPDATE_SECONDS * 1_000) == 0:
             for harness in self.entries:
-                if peers.is_domain_representative(harness.state, self.clock.now()):
+                if domains.is_domain_representative(harness.state, self.clock.now()):
                     self._send_remotely(
                         harness, at % round(REMOTE_FULL_REPORT_SECONDS * 1_000) == 0
                     )
@@ -171,7 +171,7 @@
                 other.handle(message)
 
     def _announce_load(self, harness: EntryHarness, target: str) -> None:
-        message = peers.describe_domain(harness.state, self.clock.now())
+        message = domains.describe_domain(harness.state, self.clock.now())
         loads = tuple(load for load in message.loads if load.target == target)
         self._deliver_remotely(harness, replace(message, loads=loads, partial=True))
 
@@ -181,7 +181,7 @@
                 other.handle(message)
 
     def _send_remotely(self, harness: EntryHarness, whole: bool) -> None:
-        message = peers.describe_domain(harness.state, self.clock.now())
+        message = domains.describe_domain(harness.state, self.clock.now())
         sent_loads = self.sent_loads.setdefault(harness.state.node, {})
         if not whole:
             changed = peers.select_changed(sent_loads, message.loads)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -3,7 +3,7 @@
 import random
 
 from figstep.core.clock import Millis
-from figstep.gateway import peers, sources
+from figstep.gateway import domains, peers, sources
 from figstep.gateway.budgets import UseReport
 from figstep.gateway.effects import Announce, CopyRun, OpenAttempt
 from figstep.gateway.events import (
@@ -94,7 +94,7 @@
     harness.handle(PeerHeard("entry-2", (PeerLoad("e-1", 2, 8_000),)))
     far = PeerHeard("x", (PeerLoad("e-1", 9, 9),), far=True, failure_domain="muc-b")
     harness.handle(far)
-    message = peers.describe_domain(harness.state, harness.clock.now())
+    message = domains.describe_domain(harness.state, harness.clock.now())
     assert message.far
     assert sum(load.calls for load in message.loads) == 2 + sum(o.calls for o in own)
 
@@ -156,9 +156,9 @@
 
 def test_one_entry_represents_its_failure_domain() -> None:
     harness = build_large_fleet_entry()
-    assert not peers.is_domain_representative(harness.state, harness.clock.now())
+    assert not domains.is_domain_representative(harness.state, harness.clock.now())
     harness.clock.advance(sources.READER_TIMEOUT)
-    assert peers.is_domain_representative(harness.state, harness.clock.now())
+    assert domains.is_domain_representative(harness.state, harness.clock.now())
 
 
 def test_only_changed_loads_are_sent_between_whole_messages() -> None:
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -7,6 +7,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.problems import Ran
+from figstep.gateway.domains import describe_domain
 from figstep.gateway.effects import (
     Announce,
     BreakStream,
@@ -30,7 +31,7 @@
     TargetDown,
     Ticked,
 )
-from figstep.gateway.peers import describe_domain, describe_entry, sum_uses
+from figstep.gateway.peers import describe_entry, sum_uses
 from figstep.gateway.prompts import Prompt
 from figstep.gateway.reach import FRESH_CONNECTION
 from figstep.gateway.relays import MAX_RELAYS
--- a/tests/gateway/test_sources.py
+++ b/tests/gateway/test_sources.py
@@ -5,7 +5,7 @@
 import pytest
 
 from figstep.core.clock import Millis
-from figstep.gateway import peers, sources
+from figstep.gateway import domains, peers, sources
 from figstep.gateway.effects import Announce, FetchRecords, ReadReport
 from figstep.gateway.events import (
     EngineReported,
@@ -164,8 +164,8 @@
     now = fleet[0].clock.now()
     for harness in fleet:
         own = peers.describe_entry(harness.state, now)
-        domain = peers.describe_domain(harness.state, now)
-        represents_domain = peers.is_domain_representative(harness.state, now)
+        domain = domains.describe_domain(harness.state, now)
+        represents_domain = domains.is_domain_representative(harness.state, now)
         for other in fleet:
             if other is harness:
                 continue
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -6,7 +6,7 @@
 from typing import TypeVar
 
 from figstep.core.clock import ManualClock, Millis
-from figstep.gateway import peers
+from figstep.gateway import domains, peers
 from figstep.gateway.budgets import RetryBudget
 from figstep.gateway.effects import CheckTarget, Effect, Note, OpenAttempt
 from figstep.gateway.events import (
@@ -266,7 +266,7 @@
     if not fleet[0].state.is_large:
         return
     for domain, representative in representatives.items():
-        message = peers.describe_domain(representative.state, now)
+        message = domains.describe_domain(representative.state, now)
         for other in fleet:
             if other.state.failure_domain != domain:
                 other.handle(message)
