--- a/tests/net/test_sockets.py
+++ b/tests/net/test_sockets.py
@@ -6,11 +6,7 @@
 
 
 def test_a_short_silence_closes_no_connection() -> None:
-    """Guards against a connection that is given up before its last probe is answered.
-
-    Where both are set, the system gives a connection up by the timeout of
-    unacknowledged bytes, whatever the number of probes.
-    """
+    """Guards against a connection that is given up before its last probe is answered."""
     address = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", ("", 0))
     with open_keepalive_socket(address) as opened:
 
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -101,11 +101,7 @@
 
 
 async def test_an_engine_that_cannot_keep_pace_still_answers() -> None:
-    """Guards against an emulator that blocks all others while it lags behind.
-
-    The tokens that became due while the last ones were handled are handled in one go,
-    which takes even longer, and more tokens become due meanwhile.
-    """
+    """Guards against an emulator that blocks all others while it lags behind."""
     engine = SlowMachineEngine("e", gap=0.0, length=1_000_000)
     async with serve(engine) as session:
         async with session.post("/v1/completions", json={}, headers=HEADERS) as r:
--- a/tests/standins/test_proxy.py
+++ b/tests/standins/test_proxy.py
@@ -249,10 +249,7 @@
 
 
 async def test_a_connection_that_lost_data_does_not_end_normally() -> None:
-    """Guards against a link that drops data and yet delivers the end after it.
-
-    No network does that: the receiver of a stream waits for what was lost.
-    """
+    """Guards against a link that drops data and yet delivers the end after it."""
 
     async def answer(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
