--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -189,7 +189,7 @@
 
 
 def test_a_lookup_whose_hop_broke_is_not_run_again() -> None:
-    """Guards against a run more than the route permits, after those at another entry."""
+    """Guards against one run too many, after those at the other entry."""
     harness = build_entry("peer:1", "peer:2")
     cut_off(harness)
     harness.receive_request("/lookup/a")
--- a/tests/net/test_sockets.py
+++ b/tests/net/test_sockets.py
@@ -6,7 +6,7 @@
 
 
 def test_a_short_silence_closes_no_connection() -> None:
-    """Guards against a connection that is given up before its last probe is answered."""
+    """Guards against a connection given up before its last probe is answered."""
     address = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", ("", 0))
     with open_keepalive_socket(address) as opened:
 
