Give the orders to copy runs a module of their own, and probes one way to connect

A probe after a break and a check of the links opened a connection by the same lines twice; they share one function, and nothing is decided otherwise.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -7,7 +7,6 @@
 
 import aiohttp
 import logbook
-import orjson
 from mode import Service
 from yarl import URL
 
@@ -41,7 +40,7 @@
 from figstep.net.framing import is_delimited
 from figstep.net.probes import is_listening, outlives_answer
 from figstep.net.sessions import open_target_session, trace_connections
-from figstep.platform import answers, names, relays
+from figstep.platform import answers, copies, names, relays
 from figstep.platform.callers import CallerExchange
 
 _log = logbook.Logger("figstep.targets")
@@ -50,10 +49,6 @@
 """Timeout of opening a connection, in seconds. Targets accept within a few
 milliseconds, and a request whose connection was not opened has certainly not run."""
 
-COPY_TIMEOUT_SECONDS = 2.0
-"""Timeout of an order to copy a run, in seconds; a leaving engine has ended by
-then."""
-
 REPORT_TIMEOUT_SECONDS = 0.4
 """Timeout of a query of an engine's state, in seconds; the query needs no slot of the
 engine."""
@@ -378,16 +373,8 @@
         target = self._find_target(name)
         if target is None:
             return
-        host, _, port = target.info.address.rpartition(":")
-        try:
-            listens = await is_listening(host, int(port), CONNECT_TIMEOUT_SECONDS)
-        except OSError as error:
-            # A network failure does not prove that the target is down.
-            _log.info(
-                "probe failed", extra={"target": name, "error": _describe_error(error)}
-            )
-            return
-        if not listens:
+        # A network failure does not prove that the target is down.
+        if await _listens(target) is False:
             self._dispatch(TargetDown(target.info.incarnation))
 
     def check_target(self, target: str) -> None:
@@ -402,15 +389,7 @@
         if target is None:
             return
         opened = self._clock.now()
-        host, _, port = target.info.address.rpartition(":")
-        try:
-            reached = await is_listening(host, int(port), CONNECT_TIMEOUT_SECONDS)
-        except OSError as error:
-            _log.info(
-                "target not reached",
-                extra={"target": name, "error": _describe_error(error)},
-            )
-            reached = False
+        reached = await _listens(target) is True
         self._dispatch(TargetChecked(name, opened, reached))
 
     def read_report(self, target: str) -> None:
@@ -457,37 +436,21 @@
         holder = self._find_target(effect.holder)
         if exchange is None or source is None or holder is None:
             return
-        order = {
-            "id": exchange.request_id or "",
-            "target": holder.info.address,
-        }
-        url = f"http://{source.info.address}/figstep/kv-move"
         requested_at = self._clock.now()
-        detail = ""
-        handle = ""
-        try:
-            async with (
-                asyncio.timeout(COPY_TIMEOUT_SECONDS),
-                self._session.post(
-                    url,
-                    data=orjson.dumps(order),
-                    headers={"Content-Type": "application/json"},
-                ) as response,
-            ):
-                self._dispatch_target_signals(response, source, requested_at)
-                body = await response.read()
-            detail = f"answered {response.status}"
-            if response.status == 200:
-                handle = str(orjson.loads(body)["handle"])
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
-            detail = _describe_error(error)
-        if handle:
+        made = await copies.order_copy(
+            self._session,
+            source.info.address,
+            holder.info.address,
+            exchange.request_id or "",
+            lambda answer: self._dispatch_target_signals(answer, source, requested_at),
+        )
+        if made.handle:
             self._dispatch(
-                RunCopied(effect.number, effect.source, effect.holder, handle)
+                RunCopied(effect.number, effect.source, effect.holder, made.handle)
             )
             return
         self._dispatch(
-            RunNotCopied(effect.number, effect.source, effect.holder, detail)
+            RunNotCopied(effect.number, effect.source, effect.holder, made.detail)
         )
 
     async def _free_copy(self, copy: RunCopy) -> None:
@@ -495,16 +458,20 @@
         owner = self._find_target(copy.owner)
         if owner is None:
             return
-        url = f"http://{owner.info.address}/figstep/kv-handle/{copy.handle}"
-        try:
-            async with (
-                asyncio.timeout(CONNECT_TIMEOUT_SECONDS),
-                self._session.delete(url),
-            ):
-                return
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            # The engine frees an unused copy by itself after some seconds.
-            _log.info("copy not freed", extra={"error": _describe_error(error)})
+        await copies.free_copy(self._session, owner.info.address, copy.handle)
+
+
+async def _listens(target: Target) -> bool | None:
+    """Return whether a target accepts a connection; None if it was not reached."""
+    host, _, port = target.info.address.rpartition(":")
+    try:
+        return await is_listening(host, int(port), CONNECT_TIMEOUT_SECONDS)
+    except OSError as error:
+        _log.info(
+            "target not reached",
+            extra={"target": target.name, "error": _describe_error(error)},
+        )
+        return None
 
 
 async def _has_outlived(response: aiohttp.ClientResponse) -> bool:
