Soak: record whose requests run over the links of an entry that is cut off

Entry 0 had asked entry 1 for its records 1.2 s before ('records asked of a peer', position 9), and so had the addresses of entry 1's links: the cut silenced its stream too, and the order to end the run could not arrive. The users' page does not count a run whose sender does not reach it.

Each entry reads the addresses of its own links, and one entry's records name them to another.

Ruled out: the changed way to record ends, and hops (no request was passed on before the breach).

--- a/figstep/standins/proxy.py
+++ b/figstep/standins/proxy.py
@@ -143,6 +143,7 @@
         self.lost: set[Direction] = set()
         self.bytes_to_client = 0
         self.request = b""
+        self.first_request = b""
 
     def cut(self) -> None:
         """Reset the connections to the client and to the target."""
@@ -185,6 +186,10 @@
         """Number of open connections of clients, including frozen ones."""
         return len(self._links)
 
+    def list_first_requests(self) -> list[bytes]:
+        """Return the first bytes that each open connection's client has sent."""
+        return [link.first_request for link in self._links]
+
     async def start(self, port: int = 0) -> None:
         """Listen on the loopback interface; port 0 selects a free port."""
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
@@ -295,6 +300,7 @@
             while chunk := await reader.read(CHUNK_BYTES):
                 if to_target:
                     link.request = chunk
+                    link.first_request = link.first_request or chunk
                 await self._relay(link, writer, chunk, direction)
             await self._hold_stalled(link)
             if direction in link.lost:
--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -1,5 +1,6 @@
 """Links between one entry and all targets, which can be cut from outside."""
 
+import re
 import socket
 from enum import Enum
 
@@ -9,6 +10,8 @@
 from tests.faults.targets import SoakTarget
 from tests.unreachable import Blackhole
 
+_REQUEST_ID = re.compile(rb"Request-Id: (\S+)\r\n", re.IGNORECASE)
+
 
 class CutKind(Enum):
     """What becomes of an entry's connections to targets during a cut."""
@@ -57,6 +60,16 @@
             await self._cut_proxy(proxy, self._cut)
         return proxy
 
+    def list_requests(self) -> set[str]:
+        """Return the ids of the requests on open connections."""
+        found = set()
+        for proxy in self._proxies.values():
+            for data in proxy.list_first_requests():
+                match = _REQUEST_ID.search(data)
+                if match is not None:
+                    found.add(match[1].decode())
+        return found
+
     async def cut(self, kind: CutKind) -> None:
         """Cut the entry off from all targets."""
         self._cut = kind
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -31,7 +31,15 @@
     TargetFault,
 )
 from tests.faults.promises import RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW
-from tests.faults.records import Kind, NamedRate, Record, Stop, Version, read_clock
+from tests.faults.records import (
+    Disturbance,
+    Kind,
+    NamedRate,
+    Record,
+    Stop,
+    Version,
+    read_clock,
+)
 from tests.faults.targets import SoakTarget
 from tests.platform.standins import FakeStore, build_configuration, find_free_port
 from tests.processes import ROOT
@@ -401,10 +409,22 @@
             return
         span = self.record.begin_disturbance("cut off", host.number)
         self.record.cuts.append(span)
+        spans = [span, *self._record_foreign_requests(host)]
         await host.links.cut(fault.kind)
         await asyncio.sleep(fault.seconds)
         await host.links.heal()
-        span.end = read_clock()
+        for one in spans:
+            one.end = read_clock()
+
+    def _record_foreign_requests(self, host: EntryHost) -> list[Disturbance]:
+        """Record a disturbance of each other entry whose requests use these links.
+
+        An entry that has fetched registrations from another one uses its addresses.
+        """
+        requests = host.links.list_requests()
+        entries = {one.entry for one in self.record.attempts if one.id in requests}
+        entries.discard(host.number)
+        return [self.record.begin_disturbance("cut off", entry) for entry in entries]
 
     async def _apply_entry_fault(
         self, action: str, host: EntryHost, seconds: float
