Log which answer changed a rate, and how many entries share it

The lines on rates could not tell an answer that ends a rate from a failure that names none, nor a share that rests on few entries. They name the status of the answer now, the entries that share the rate and those known. Nothing is decided otherwise.

--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -240,11 +240,13 @@
         rate: Requests per second that it accepts from all entries together; None if it
             accepts any rate.
         asked: When the answered request was sent, as a monotonic time in milliseconds.
+        status: HTTP status of the answer.
     """
 
     target: str
     rate: float | None
     asked: Millis
+    status: int = 200
 
 
 # Store and peers
--- a/figstep/gateway/limits.py
+++ b/figstep/gateway/limits.py
@@ -45,7 +45,9 @@
     if limit is None:
         limit = target.limit = RateLimit()
     limit.received_at = now
-    effects = _record_rate(state, target, event.rate, now, now, "itself")
+    effects = _record_rate(
+        state, target, event.rate, now, now, f"itself, by {event.status}"
+    )
     return [Announce(), *effects] if effects else []
 
 
@@ -96,7 +98,14 @@
             delay = RATE_SPLIT_WINDOW * (0.5 + state.rng.random())
             limit.opens_at = Millis(round(now + delay))
     message = "target takes any rate" if rate is None else "target names a rate"
-    fields = {"target": target.name, "rate": rate, "before": before, "told_by": source}
+    fields: dict[str, str | int | float | None] = {
+        "target": target.name,
+        "rate": rate,
+        "before": before,
+        "told_by": source,
+        "sharing": shares.count_participants(state),
+        "entries": state.entries,
+    }
     return [Note(message, fields)]
 
 
--- a/figstep/gateway/shares.py
+++ b/figstep/gateway/shares.py
@@ -31,7 +31,7 @@
     if not budget.first_start and now < budget.started + RESTART_SHARE_DELAY:
         return 0
     others = {*state.peers, *state.silent_peers}
-    participants = 1 + len(others)
+    participants = count_participants(state)
     part = min(1.0, participants / max(1, state.entries))
     domain_requests = _share_domain(state, key, requests * part)
     own = hash_rank(state.node, key)
@@ -41,6 +41,14 @@
     )
 
 
+def count_participants(state: State) -> int:
+    """Return how many entries this one shares limits with, itself included.
+
+    Entries that recently fell silent count, as they may still send requests.
+    """
+    return 1 + len({*state.peers, *state.silent_peers})
+
+
 def _share_domain(state: State, key: str, part: float) -> int:
     """Return the whole requests of this failure domain.
 
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -258,7 +258,9 @@
             self._dispatch(TargetLeaving(target.info.incarnation))
         ends_rate = signals.ends_rate and limits.is_limited(target)
         if signals.rate is not None or ends_rate:
-            self._dispatch(RateNamed(target.name, signals.rate, requested_at))
+            self._dispatch(
+                RateNamed(target.name, signals.rate, requested_at, response.status)
+            )
         ends_brittleness = signals.ends_brittleness and target.named_brittle
         if signals.rejections is not None or ends_brittleness:
             event = BrittlenessNamed(target.name, signals.rejections, requested_at)
