Let no failure of a target end the rate that it named

Any signed answer without the header ended the rate, at all entries and at once. A target may fail a call before it looks at it, and names nothing there: with 40 % of calls failing so (targets that turn grey), one failure at one of 74 entries lifted the limit everywhere, and what waited at all entries went out together.

An answer with a status of 400 or more says nothing of the end of a rate now; the reducer decides this, from the status that the edge passes on.

--- a/figstep/gateway/limits.py
+++ b/figstep/gateway/limits.py
@@ -11,6 +11,8 @@
 seconds are split into whole requests of each entry.
 """
 
+from http import HTTPStatus
+
 from figstep.core.clock import Millis
 from figstep.gateway import brittleness, peers, shares
 from figstep.gateway.effects import Announce, Effect, Note
@@ -38,9 +40,7 @@
     if target is None:
         return []
     limit = target.limit
-    if event.rate is None and (limit is None or event.asked < limit.stated_at):
-        # No rate is known, or the request was sent before the newest answer that
-        # stated one.
+    if event.rate is None and not _ends_limit(limit, event):
         return []
     if limit is None:
         limit = target.limit = RateLimit()
@@ -51,6 +51,17 @@
     return [Announce(), *effects] if effects else []
 
 
+def _ends_limit(limit: RateLimit | None, event: RateNamed) -> bool:
+    """Return whether an answer that names no rate shows that its target takes any.
+
+    A failure does not: the target may give it before it looks at the request.
+    """
+    if limit is None or event.status >= HTTPStatus.BAD_REQUEST:
+        return False
+    # An answer to an earlier request may arrive after one that named the rate.
+    return event.asked >= limit.stated_at
+
+
 def apply_rate_reports(
     state: State, reports: tuple[RateReport, ...], source: str, now: Millis
 ) -> list[Effect]:
--- a/tests/gateway/limited_fleets.py
+++ b/tests/gateway/limited_fleets.py
@@ -119,7 +119,7 @@
 
 
 class LimitedFleet:
-    """Entries in failure domains of uneven size, targets, and callers of all entries."""
+    """Entries in failure domains of uneven size, targets, and callers."""
 
     def __init__(
         self,
