--- a/figstep/gateway/brittleness.py
+++ b/figstep/gateway/brittleness.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Iterable
+from http import HTTPStatus
 
 from figstep.core.clock import Millis
 from figstep.gateway.effects import Announce, AnnounceTarget, Effect, Note
@@ -50,9 +51,12 @@
     target = state.targets.find(event.target)
     if target is None:
         return []
-    target.named_brittle = event.rejections is not None
     service = target.info.service
     known = state.brittle.get(service)
+    if event.rejections is None and event.status >= HTTPStatus.BAD_REQUEST:
+        # The target may fail a request before it looks at it.
+        return []
+    target.named_brittle = event.rejections is not None
     if event.rejections is None and (known is None or event.asked < known.stated_at):
         return []
     effects = _record(state, service, event.rejections, now, "itself")
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -362,11 +362,13 @@
         rejections: Rejected requests a second after which the target falls over if
             there are more; None if it is sound.
         asked: When the answered request was sent, as a monotonic time in milliseconds.
+        status: HTTP status of the answer.
     """
 
     target: str
     rejections: float | None
     asked: Millis
+    status: int = 200
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -263,8 +263,11 @@
             )
         ends_brittleness = signals.ends_brittleness and target.named_brittle
         if signals.rejections is not None or ends_brittleness:
-            event = BrittlenessNamed(target.name, signals.rejections, requested_at)
-            self._dispatch(event)
+            self._dispatch(
+                BrittlenessNamed(
+                    target.name, signals.rejections, requested_at, response.status
+                )
+            )
 
     def _build_headers(
         self, effect: OpenAttempt, exchange: CallerExchange, target: Target
--- a/tests/gateway/test_brittleness.py
+++ b/tests/gateway/test_brittleness.py
@@ -264,3 +264,15 @@
     name_rejections(harness, 2.0)
     harness.handle(BrittlenessNamed("b-1", None, asked))
     assert harness.state.brittle[BOOKINGS].rejections == 2.0
+
+
+def test_a_failure_that_names_no_rejections_does_not_end_a_brittle_time() -> None:
+    """Guards against targets that fall over once one of their calls has failed."""
+    harness = EntryHarness()
+    harness.register("b-1", service=BOOKINGS, slots=6)
+    now = harness.clock.now()
+    harness.handle(BrittlenessNamed("b-1", 4.0, now))
+    harness.handle(BrittlenessNamed("b-1", None, now, status=500))
+    assert harness.state.brittle[BOOKINGS].rejections == 4.0
+    harness.handle(BrittlenessNamed("b-1", None, now))
+    assert harness.state.brittle[BOOKINGS].rejections is None
