Count what was sent before a target named its rate

An entry began a new window each time that a target named a rate again, and recorded nothing while there was none: a limit that ended for a moment and began anew allowed the whole share once more each time.

--- a/figstep/gateway/limits.py
+++ b/figstep/gateway/limits.py
@@ -100,7 +100,6 @@
     if rate == before:
         return []
     if rate is not None and before is None:
-        limit.sends.clear()
         limit.opens_at = now
         if _estimate_request_rate(state, target, now) > rate:
             # Requests sent before the target named the rate have used up the first
@@ -172,20 +171,21 @@
         return Millis(
             max(limit.opens_at, limit.stated_at + (turns + 1) * TURN_DURATION)
         )
-    _drop_old_sends(limit, window, now)
-    if len(limit.sends) < share:
+    sends = target.recent_sends
+    if len(sends) < share:
         return Millis(max(limit.opens_at, now))
-    return Millis(max(limit.opens_at, limit.sends[-share] + window))
+    return Millis(max(limit.opens_at, sends[-share] + window))
 
 
 def record_send(state: State, target: Target, now: Millis) -> None:
-    """Record a request that is sent to a target with a rate, or to a brittle one."""
+    """Record a request that is sent to a target.
+
+    It counts against a rate that the target names only later.
+    """
     brittleness.record_send(state, target, now)
-    limit = target.limit
-    if limit is None or limit.rate is None:
-        return
-    _drop_old_sends(limit, MAX_RATE_SPLIT_WINDOW, now)
-    limit.sends.append(now)
+    while target.recent_sends and target.recent_sends[0] <= now - MAX_RATE_SPLIT_WINDOW:
+        target.recent_sends.popleft()
+    target.recent_sends.append(now)
 
 
 def _count_turns(limit: RateLimit, now: Millis) -> int:
@@ -199,8 +199,3 @@
     if rate * MAX_RATE_SPLIT_WINDOW <= 1_000:
         return MAX_RATE_SPLIT_WINDOW, 1
     return Millis(round(1_000 / rate)), 1
-
-
-def _drop_old_sends(limit: RateLimit, window: Millis, now: Millis) -> None:
-    while limit.sends and now - limit.sends[0] >= window:
-        limit.sends.popleft()
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -130,8 +130,6 @@
         turn: How often the right to use the rate passed to other entries because no
             entry had an answer of the target for ``TURN_DURATION``. It is part of the
             key that selects the entries that may use the rate.
-        sends: Times at which this entry recently sent it requests while a rate was in
-            force, oldest first.
     """
 
     rate: float | None = None
@@ -139,7 +137,6 @@
     stated_at: Millis = Millis(-1_000_000)
     received_at: Millis = Millis(-1_000_000)
     turn: int = 0
-    sends: deque[Millis] = field(default_factory=deque)
 
 
 @dataclass(slots=True)
@@ -193,6 +190,7 @@
         unreached_reports: When other entries last reported that they could not connect
             to it, by entry.
         limit: Rate that it has named to this or another entry; None if none is known.
+        recent_sends: Times at which this entry recently sent it requests, oldest first.
         paused_until: End of the pause that it asked this entry for.
         announced_leaving: Whether it has announced to this entry that it leaves.
         lost: Digests of requests whose attempts there ended without an answer, and
@@ -242,6 +240,7 @@
     answered_at: Millis = Millis(-1_000_000)
     unreached_reports: dict[str, Millis] = field(default_factory=dict)
     limit: RateLimit | None = None
+    recent_sends: deque[Millis] = field(default_factory=deque)
     paused_until: Millis = Millis(0)
     announced_leaving: bool = False
     lost: dict[str, Millis] = field(default_factory=dict)
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -417,3 +417,17 @@
     harness.handle(TargetRegistered(info))
     harness.receive_request("/order/a")
     assert harness.find_effect(OpenAttempt).target == "b-1"
+
+
+def test_a_rate_that_begins_anew_counts_what_was_sent_meanwhile() -> None:
+    """Guards against a new window each time that a target names its rate again."""
+    harness = build_harness("b-1")
+    report_rate(harness, 1.0)
+    sent = []
+    for rate in (1.0, None, 1.0, None, 1.0):
+        harness.clock.advance(100)
+        report_rate(harness, rate)
+        for _ in range(4):
+            harness.receive_request("/order/a")
+            sent += [rate] * len(harness.find_effects(OpenAttempt))
+    assert sent.count(1.0) <= limits.split_rate(1.0)[1]
