Keep the rate of a target whose registration lapsed

A departed target was dropped with its rate after thirty seconds. Where its registration had only lapsed and came back later, for the same incarnation, every entry took it for an idle target without a limit and sent it all calls. A target with a rate in force is kept for ten minutes now. The new test failed before: no limit was known after the return.

--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -382,7 +382,7 @@
         return False
     if request.route.kind is not RouteKind.STREAM:
         return False
-    if not current.target.accepts_work or limits.is_limited(current.target):
+    if not current.target.accepts_work or current.target.is_limited:
         # A rate-limited target is not loaded with copies that may never be used.
         return False
     pool = placement.find_engine_pool(state, request.service)
--- a/figstep/gateway/limits.py
+++ b/figstep/gateway/limits.py
@@ -133,11 +133,6 @@
     target.paused_until = Millis(max(target.paused_until, now + pause))
 
 
-def is_limited(target: Target) -> bool:
-    """Return whether a rate of a target is in force."""
-    return target.limit is not None and target.limit.rate is not None
-
-
 def may_send(state: State, target: Target, now: Millis) -> bool:
     """Return whether a target's rate and pause permit a request of this entry now."""
     return find_send_time(state, target, now) <= now
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -106,6 +106,11 @@
 """Number of other entries that have to report a target unreached, all within
 ``UNREACHED_DURATION``, before this entry presumes that it is down."""
 
+LIMITED_RETENTION = Millis(600_000)
+"""How long, in milliseconds, a departed target is kept that has named a rate. Its
+registration may only have lapsed, and without the rate it would get all calls at its
+return."""
+
 
 class Standing(Enum):
     """Whether a target gets work."""
@@ -258,6 +263,11 @@
         """Id of the target."""
         return self.info.target
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether a rate that it has named is in force."""
+        return self.limit is not None and self.limit.rate is not None
+
     @property
     def accepts_work(self) -> bool:
         """Whether new work may be sent to the target."""
@@ -550,11 +560,15 @@
         return target
 
     def remove_departed(self, now: Millis, after: Millis) -> None:
-        """Remove targets without open attempts that left `after` ms ago or earlier."""
+        """Remove targets without open attempts that left `after` ms ago or earlier.
+
+        A target with a rate in force is kept for ``LIMITED_RETENTION``.
+        """
         for name, target in list(self.targets.items()):
             if target.left_at is None or target.calls:
                 continue
-            if target.left_at + after <= now:
+            retention = LIMITED_RETENTION if target.is_limited else after
+            if target.left_at + retention <= now:
                 del self.targets[name]
 
     def _mark_leaving(self, target: Target, now: Millis) -> None:
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -13,7 +13,6 @@
 from figstep.core.answers import Body, NumberedStream, explain_incomplete
 from figstep.core.clock import Clock, Millis
 from figstep.errors import FrameError
-from figstep.gateway import limits
 from figstep.gateway.edges import AnswerHead, TargetPort, WholeAnswer
 from figstep.gateway.effects import CopyRun, OpenAttempt, RunCopy
 from figstep.gateway.events import (
@@ -256,7 +255,7 @@
         signals = answers.read_target_signals(response)
         if signals.leaving and not target.announced_leaving:
             self._dispatch(TargetLeaving(target.info.incarnation))
-        ends_rate = signals.ends_rate and limits.is_limited(target)
+        ends_rate = signals.ends_rate and target.is_limited
         if signals.rate is not None or ends_rate:
             self._dispatch(
                 RateNamed(target.name, signals.rate, requested_at, response.status)
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -431,3 +431,17 @@
             harness.receive_request("/order/a")
             sent += [rate] * len(harness.find_effects(OpenAttempt))
     assert sent.count(1.0) <= limits.split_rate(1.0)[1]
+
+
+def test_a_rate_outlives_a_lapse_of_its_target() -> None:
+    """Guards against a target that gets all calls once its registration is back."""
+    harness = build_harness("b-1")
+    report_rate(harness, 0.5)
+    harness.depart("b-1")
+    for _ in range(80):
+        harness.clock.advance(500)
+        harness.handle(Ticked())
+    harness.register("b-1", service=BOOKINGS, slots=6)
+    limit = harness.state.targets.targets["b-1"].limit
+    assert limit is not None
+    assert limit.rate == 0.5
