Tell a process that starts which rates are in force

An entry told others the rates that targets had named to itself, for three seconds after the answer. A process that started later knew none of them until a target answered it, and sent limited targets all of its calls meanwhile. Who answers the first message of a process now names every rate in force that it knows of, with its age.

Where all were replaced at once nobody is left to tell them; the users' rule excuses entries that were restarted.

--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -110,6 +110,14 @@
         Its loads are the sums of the loads in this entry's failure domain.
         """
 
+    @abstractmethod
+    def describe_to_new_process(self, remote: bool) -> PeerHeard:
+        """Return the content of the answer to an entry whose process has just started.
+
+        It also holds what that process can no longer learn from other messages. If
+        ``remote`` is set, the entry gets the message to other failure domains.
+        """
+
     @abstractmethod
     def describe_domain_at(self, target: str) -> PeerHeard:
         """Return the content of a message to other failure domains about one target.
@@ -392,9 +400,8 @@
 
         A new session is usually that of an entry that has just started.
         """
-        content = self._entry.describe_entry()
-        if self.is_large and failure_domain != self._failure_domain:
-            content = self._entry.describe_domain()
+        is_remote = self.is_large and failure_domain != self._failure_domain
+        content = self._entry.describe_to_new_process(is_remote)
         members = self._neighbors.pick_members(now)
         self._send(Hello(content, members=members), [address])
 
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -38,6 +38,7 @@
     TargetsListed,
 )
 from figstep.gateway.measures import GatewayMeasures
+from figstep.gateway.newcomers import complete_message
 from figstep.gateway.peers import describe_entry
 from figstep.gateway.places import Evacuations
 from figstep.gateway.sources import reads_store
@@ -340,6 +341,11 @@
         """Return the message with this failure domain's loads to the other domains."""
         return describe_domain(self.gateway.known, self._clock.now())
 
+    def describe_to_new_process(self, remote: bool) -> PeerHeard:
+        """Return the answer to an entry whose process has just started."""
+        message = self.describe_domain() if remote else self.describe_entry()
+        return complete_message(self.gateway.known, message, self._clock.now())
+
     def describe_domain_at(self, target: str) -> PeerHeard:
         """Return the message to other failure domains on the load at one target."""
         return describe_domain_at(self.gateway.known, target, self._clock.now())
--- a/tests/gateway/limited_fleets.py
+++ b/tests/gateway/limited_fleets.py
@@ -23,6 +23,7 @@
     TargetRegistered,
     Ticked,
 )
+from figstep.gateway.newcomers import complete_message
 from figstep.gateway.news import LoadUpdates
 from figstep.gateway.peers import describe_entry
 from figstep.gateway.targets import Registration
@@ -402,5 +403,6 @@
             message.failure_domain != receiver.harness.state.failure_domain
         ):
             content = describe_domain(receiver.harness.state, now)
+        content = complete_message(receiver.harness.state, content, now)
         picked = receiver.neighbors.pick_members(now / 1_000)
         self._send(receiver, sender.address, content, picked, MAX_LATENCY)
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -30,6 +30,9 @@
     def describe_domain(self) -> PeerHeard:
         return replace(self.own, far=True)
 
+    def describe_to_new_process(self, remote: bool) -> PeerHeard:
+        return self.describe_domain() if remote else self.own
+
     def describe_domain_at(self, target: str) -> PeerHeard:
         return replace(self.own, far=True, partial=True)
 
