Log the software version of targets and of the attempts sent to them

A registration's version is read now and stands in 'target registered' and 'attempt opened'. Nothing is decided otherwise.

--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -313,6 +313,7 @@
             "request": request.spec.id,
             "attempt": attempt.number,
             "target": attempt.target.name,
+            "version": attempt.target.info.version,
             "backup": _name_or_empty(attempt.holder),
             "goes_on_from": attempt.source.owner if attempt.source else "",
             "after": request.delivered,
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -198,6 +198,7 @@
             "service": info.service,
             "address": info.address,
             "born": info.born,
+            "version": info.version,
             "standing": target.standing.value,
         },
     )
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -31,6 +31,8 @@
         warmup: How much longer it is slow, in milliseconds; 0 if it does not warm up.
         born: Start of the incarnation, as a Unix time in milliseconds; distinguishes
             incarnations of one id. It is 0 if the registration does not state it.
+        version: Version of its software. Versions have no order; a stream that one
+            has begun can't go on at another.
     """
 
     target: str
@@ -41,6 +43,7 @@
     draining: bool = False
     warmup: Millis = Millis(0)
     born: int = 0
+    version: str = ""
 
     @property
     def incarnation(self) -> Incarnation:
