--- /dev/null
+++ b/tests/gateway/test_versions.py
@@ -0,0 +1,143 @@
+"""Tests of streams at targets of several software versions."""
+
+import pytest
+
+from figstep.gateway.effects import (
+    BreakStream,
+    CopyRun,
+    OpenAttempt,
+)
+from figstep.gateway.events import (
+    AttemptLost,
+    Loss,
+    RunCopied,
+    TargetDeparted,
+    TargetRegistered,
+    Ticked,
+)
+from figstep.gateway.prompts import Prompt
+from figstep.gateway.targets import Registration
+from tests.gateway.worlds import ENGINES, EntryHarness
+
+FIRST = "e-1"
+"""Engine at which the streams of most tests begin."""
+
+
+def register(
+    harness: EntryHarness, version: str, *names: str, born: int = 1, slots: int = 64
+) -> None:
+    """Register engines of a software version."""
+    for name in names:
+        info = Registration(
+            name, ENGINES, f"{name}:80", "muc-a", slots, born=born, version=version
+        )
+        harness.handle(TargetRegistered(info))
+
+
+def begin_stream(path: str = "/plan/a", moves: bool = True) -> EntryHarness:
+    """Return an entry whose first stream has begun at `FIRST`, of version v1."""
+    harness = EntryHarness(moves=moves)
+    register(harness, "v1", FIRST)
+    harness.receive_request(path, Prompt("m", 3_000, 2_000, 900))
+    harness.send_pieces(harness.find_effect(OpenAttempt).attempt, 1, 9)
+    return harness
+
+
+def lose_current(harness: EntryHarness) -> None:
+    """Break the only open attempt."""
+    (attempt,) = harness.state.attempts
+    harness.handle(AttemptLost(attempt, Loss.BROKEN))
+
+
+def test_a_run_is_copied_to_its_own_version_only() -> None:
+    """Guards against a stream that goes on at another version after a notice."""
+    harness = begin_stream()
+    register(harness, "v2", "e-2", "e-3", "e-4")
+    register(harness, "v1", "e-5")
+    harness.handle(TargetDeparted(FIRST))
+    assert harness.find_effect(CopyRun).holder == "e-5"
+
+
+def test_a_run_without_another_target_of_its_version_is_not_copied() -> None:
+    """Guards against a copy at another version, from which nothing may go on."""
+    harness = begin_stream()
+    register(harness, "v2", "e-2", "e-3")
+    harness.handle(TargetDeparted(FIRST))
+    assert not harness.find_effects(CopyRun)
+    for _ in range(20):
+        harness.clock.advance(50)
+        assert not [e for e in harness.handle(Ticked()) if isinstance(e, CopyRun)]
+
+
+def test_a_copy_is_not_used_once_its_holder_has_another_version() -> None:
+    """Guards against a holder that started again under its id with another version."""
+    harness = begin_stream()
+    register(harness, "v1", "e-2")
+    harness.handle(TargetDeparted(FIRST))
+    order = harness.find_effect(CopyRun)
+    register(harness, "v2", "e-2", born=2)
+    harness.handle(RunCopied(order.number, FIRST, "e-2", "h-1"))
+    assert not harness.find_effects(OpenAttempt)
+
+
+def test_a_running_backup_is_held_by_the_same_version() -> None:
+    """Guards against a backup, named before the first event, at another version."""
+    harness = EntryHarness(moves=False)
+    register(harness, "v1", FIRST)
+    register(harness, "v2", "e-2")
+    for _ in range(12):
+        opened = harness.open_plan()
+        assert opened.backup == ""
+
+
+@pytest.mark.parametrize("loss", [Loss.BROKEN, Loss.SILENT, Loss.GARBLED])
+def test_a_resumable_stream_runs_anew_at_its_own_version_only(loss: Loss) -> None:
+    """Guards against a stream that is resumed at another version after a loss."""
+    harness = begin_stream("/question/a")
+    register(harness, "v2", "e-2", "e-3", "e-4")
+    register(harness, "v1", "e-5")
+    (attempt,) = harness.state.attempts
+    harness.handle(AttemptLost(attempt, loss))
+    assert harness.find_effect(OpenAttempt).target == "e-5"
+
+
+def test_a_resumable_stream_breaks_without_a_target_of_its_version() -> None:
+    """Guards against a caller that waits for a version that no target serves."""
+    harness = begin_stream("/question/a")
+    register(harness, "v2", "e-2", "e-3")
+    lose_current(harness)
+    assert not harness.find_effects(OpenAttempt)
+    assert harness.find_effect(BreakStream)
+
+
+def test_a_stream_that_has_not_begun_may_run_at_any_version() -> None:
+    """Guards against a caller refused although nothing was delivered yet."""
+    harness = EntryHarness()
+    register(harness, "v1", FIRST)
+    harness.receive_request("/question/a", Prompt("m", 3_000, 2_000, 900))
+    register(harness, "v2", "e-2")
+    lose_current(harness)
+    assert harness.find_effect(OpenAttempt).target == "e-2"
+
+
+def test_a_stream_goes_nowhere_after_its_target_restarted_as_another_version() -> None:
+    """Guards against a stream begun by a new process that is taken for the old one.
+
+    A target may start again under its id before its new registration is read, so that
+    it is not known which version began the stream.
+    """
+    harness = begin_stream("/question/a")
+    register(harness, "v1", "e-2")
+    register(harness, "v2", FIRST, "e-3", born=2)
+    lose_current(harness)
+    assert not harness.find_effects(OpenAttempt)
+
+
+def test_a_stream_goes_on_after_its_target_restarted_as_the_same_version() -> None:
+    """Guards against streams that are lost at each restart of a target."""
+    harness = begin_stream("/question/a")
+    register(harness, "v1", "e-2")
+    register(harness, "v2", "e-3")
+    register(harness, "v1", FIRST, born=2)
+    lose_current(harness)
+    assert harness.find_effect(OpenAttempt).target in (FIRST, "e-2")
