Let a stream go on only at the software version that began it

No choice of a target read the version: after a notice, a stall or a loss a stream went on at any target of its service, in both directions between versions.

The version is pinned when the first event is delivered. eligibility answers for every path which targets a stream may go on at: second and resumed runs, copies and their holders, backups that are named before the first event (held by the version of the run's engine), and requests passed on to another entry, which get the version with them. A version that no ready target has is refused at once, or the stream breaks. If a target starts again under its id as another version, it is not known which of the two began the streams open there, and these go on nowhere. A registration without a version names no target.

--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -30,11 +30,13 @@
         address: Where it accepts requests of other entries, as "ip:port".
         waited: Milliseconds since the caller first sent the request, to any entry.
         lost_runs: Number of lost attempts that may have run.
+        version: Software version at which its stream began; None if it has not begun.
     """
 
     address: str
     waited: Millis
     lost_runs: int
+    version: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/eligibility.py
+++ b/figstep/gateway/eligibility.py
@@ -39,33 +39,64 @@
 
 def is_eligible(state: State, request: Request, target: Target) -> bool:
     """Return whether a request, or a copy of its run, may be sent to a target now."""
-    return target.accepts_work and _is_in_allowed_region(state, request, target)
+    if not target.accepts_work or not _continues(request, target):
+        return False
+    return _is_in_allowed_region(state, request, target)
 
 
 def list_eligible(state: State, request: Request) -> list[Target]:
     """Return the targets of a request's service that it may be sent to now."""
     ready = state.targets.list_ready(request.service)
-    if request.allowed_regions is None:
+    if request.allowed_regions is None and request.origin is None:
         return ready
-    return [target for target in ready if _is_in_allowed_region(state, request, target)]
+    return [target for target in ready if is_eligible(state, request, target)]
+
+
+def list_holders(state: State, request: Request, source: str) -> list[Target]:
+    """Return the targets that may hold a copy of the run at the target ``source``.
+
+    A copy may be started before the first event, which decides where the stream may go
+    on: its holder has the software version of the source.
+    """
+    running = state.targets.find(source)
+    holders = []
+    for target in list_eligible(state, request):
+        if target.name == source:
+            continue
+        if running is None or target.info.version == running.info.version:
+            holders.append(target)
+    return holders
 
 
 def explain_no_target(state: State, request: Request) -> str:
     """Return the reason code for a request that cannot be placed on any target.
 
     Returns:
-        "no_home" if all ready targets are in regions that are not allowed, "evacuated"
-        if the only targets are in evacuated failure domains, or else "no_room".
+        "version_gone" if no ready target has the software version that began the
+        stream, "no_home" if all ready targets are in regions that are not allowed,
+        "evacuated" if the only targets are in evacuated failure domains, or else
+        "no_room".
     """
     if list_eligible(state, request):
         return "no_room"
-    if state.targets.list_ready(request.service):
+    ready = state.targets.list_ready(request.service)
+    if ready and not any(_continues(request, target) for target in ready):
+        return "version_gone"
+    if ready:
         return "no_home"
     if state.targets.has_evacuated(request.service):
         return "evacuated"
     return "no_room"
 
 
+def _continues(request: Request, target: Target) -> bool:
+    """Return whether a target has the software version that began the stream, if any.
+
+    No target has it if that version is not known.
+    """
+    return request.origin is None or target.info.version == request.origin.version
+
+
 def _is_in_allowed_region(state: State, request: Request, target: Target) -> bool:
     if request.allowed_regions is None:
         return True
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -31,6 +31,8 @@
         relayed: Whether another entry passed the request on.
         waited: Milliseconds from its first arrival at any entry until it was passed on.
         lost_runs: Number of its lost attempts at that entry that may have run.
+        version: Software version at which its stream began, according to that entry;
+            None if it has not begun.
     """
 
     number: int
@@ -47,6 +49,7 @@
     relayed: bool = False
     waited: Millis = Millis(0)
     lost_runs: int = 0
+    version: str | None = None
 
 
 class Loss(Enum):
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -325,9 +325,7 @@
     need = estimate_memory(state, request)
     best = None
     best_cost = 0.0
-    for target in eligibility.list_eligible(state, request):
-        if target.name == source:
-            continue
+    for target in eligibility.list_holders(state, request, source):
         if was_refused_copy(request, target.name, now, proactive):
             continue
         if target.backoff_until > now or not limits.may_send(state, target, now):
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -9,6 +9,7 @@
     eligibility,
     evacuations,
     limits,
+    origins,
     peers,
     reach,
     recovery,
@@ -185,6 +186,8 @@
     crash_effects: list[Effect] = []
     if before is None or is_new_incarnation(before.info, info):
         crash_effects = crashes.record_successor(state, info, now)
+    if before is not None and is_new_incarnation(before.info, info):
+        origins.handle_restart(state, before, info)
     target = state.targets.record_registration(info, now)
     target.evacuated = info.failure_domain in state.evacuations.domains
     if target is not before:
--- a/figstep/gateway/relays.py
+++ b/figstep/gateway/relays.py
@@ -27,11 +27,19 @@
     """
     if request.spec.relayed or request.relays >= MAX_RELAYS or now >= request.deadline:
         return []
+    origin = request.origin
+    if origin is not None and origin.version is None:
+        return []
     address = _choose_address(state, request, now)
     if not address:
         return []
     request.relays += 1
-    relay = RelayTo(address, Millis(now - request.first_arrived), request.lost_runs)
+    relay = RelayTo(
+        address,
+        Millis(now - request.first_arrived),
+        request.lost_runs,
+        None if origin is None else origin.version,
+    )
     return [
         Count("relayed", (request.route.name,)),
         *attempts.start_relay(state, request, relay, now),
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -26,7 +26,7 @@
     RoutedRequest,
 )
 from figstep.gateway.routes import Customer, Route, RouteKind
-from figstep.gateway.state import Attempt, Request, State
+from figstep.gateway.state import Attempt, Origin, Request, State
 
 SHUTDOWN_RETRY_AFTER = Millis(50)
 """Retry-After in milliseconds of a refusal by an entry that shuts down.
@@ -57,6 +57,7 @@
     "no_room": "no target can take it now; come back after Retry-After",
     "evacuated": "its targets are being emptied; come back after Retry-After",
     "no_home": "no target in the regions of its route and customer can take it now",
+    "version_gone": "no target has the software version that began the stream",
     "no_room_in_time": "no target had room in time; come back after Retry-After",
     "retry_budget": "targets refused it; come back after Retry-After",
     "cut_off": "this entry reaches no target; send the request again, to another one",
@@ -137,6 +138,7 @@
         lost_runs=spec.lost_runs,
         may_have_run=spec.lost_runs > 0,
         allowed_regions=eligibility.find_allowed_regions(route, customer),
+        origin=None if spec.version is None else Origin(spec.version),
     )
 
 
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -82,6 +82,18 @@
     own: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """Software version of the target that sent the first event of a stream.
+
+    Attributes:
+        version: The version; None if it is not known, so that the stream may go on at
+            no target.
+    """
+
+    version: str | None
+
+
 @dataclass(slots=True)
 class Attempt:
     """One connection to a target for a request.
@@ -168,6 +180,8 @@
         queued: Whether it waits for free capacity.
         retry_denied: Whether the retry budget has denied it a repeat.
         allowed_regions: Regions whose targets it may be sent to; None for any.
+        origin: Software version that began its stream, in this or an earlier attempt
+            of the caller; None before the first event.
         relays: Number of entries that it was passed on to.
         tried_relays: Addresses of these entries.
         relay_pause: Retry-After in milliseconds with which the last of them refused it;
@@ -210,6 +224,7 @@
     queued: bool = False
     retry_denied: bool = False
     allowed_regions: frozenset[str] | None = None
+    origin: Origin | None = None
     relays: int = 0
     tried_relays: set[str] = field(default_factory=set)
     relay_pause: Millis | None = None
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -1,7 +1,7 @@
 """Delivers streams in order, each event once, and detects stalls."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import attempts, copies, crashes, requests
+from figstep.gateway import attempts, copies, crashes, origins, requests
 from figstep.gateway.effects import (
     BeginStream,
     Count,
@@ -122,6 +122,8 @@
     state: State, request: Request, attempt: Attempt, now: Millis
 ) -> list[Effect]:
     request.stream_begun = True
+    if request.origin is None:
+        request.origin = origins.find_origin(state, attempt)
     request.time_to_first_event = Millis(now - request.arrived)
     attempt.target.record_success(now)
     crashes.record_answer(state, attempt.target, attempt.opened)
--- a/figstep/platform/documents.py
+++ b/figstep/platform/documents.py
@@ -97,7 +97,7 @@
     slots: int = Field(ge=1)
     state: str = Field(pattern=r"^(ready|draining)$")
     warmup_left_ms: float = Field(default=0.0, ge=0)
-    version: str = ""  # of the target's software, not of its weights
+    version: str = Field(min_length=1)  # of the target's software, not of its weights
     born: int = 0  # start of the target, in ms since the Unix epoch
 
 
--- a/figstep/platform/names.py
+++ b/figstep/platform/names.py
@@ -24,6 +24,7 @@
 # Headers between entries, which the platform does not know.
 RELAY_WAITED = "Figstep-Waited-Ms"  # time since the caller first sent the request
 RELAY_LOST_RUNS = "Figstep-Lost-Runs"  # attempts at targets that may have run
+RELAY_VERSION = "Figstep-Stream-Version"  # software version that began the stream
 
 CONNECTION_HEADERS = frozenset(
     {
@@ -60,6 +61,7 @@
         "Kv-Fetch",
         RELAY_WAITED,
         RELAY_LOST_RUNS,
+        RELAY_VERSION,
     )
 )
 """Names, in lower case, of headers that are not forwarded from callers' requests. The
--- a/figstep/platform/relays.py
+++ b/figstep/platform/relays.py
@@ -29,6 +29,8 @@
         headers.append((names.CREDENTIAL, credential))
     if after is not None:
         headers.append((names.LAST_EVENT, str(after)))
+    if relay.version is not None:
+        headers.append((names.RELAY_VERSION, relay.version))
     return headers
 
 
@@ -42,6 +44,7 @@
         relayed=True,
         waited=Millis(_read_number(headers, names.RELAY_WAITED)),
         lost_runs=_read_number(headers, names.RELAY_LOST_RUNS),
+        version=headers.get(names.RELAY_VERSION),
     )
 
 
