--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -44,6 +44,12 @@
 Whether a call may be repeated depends on its route, not on its method.
 """
 
+RETURN_INTERVAL = 0.2
+"""Time in seconds between two streams whose callers leave and take them up again."""
+
+MAX_TRIES = 4
+"""Maximum number of attempts of such a caller."""
+
 _KIND_SHARES = {Kind.PLAN: 0.25, Kind.CHECK: 0.2, Kind.ORDER: 0.3, Kind.LOOKUP: 0.25}
 
 
@@ -97,15 +103,15 @@
                 auto_decompress=False,
                 middlewares=(send_once,),
             )
+        interval = MEAN_REQUEST_INTERVAL
+        if len(self.endpoints) >= LARGE_SITE_ENTRIES:
+            interval = LARGE_SITE_REQUEST_INTERVAL
         try:
             while not stop_event.is_set():
                 task = asyncio.create_task(self._send())
                 self._calls.add(task)
                 task.add_done_callback(self._calls.discard)
                 await asyncio.sleep(self.rng.expovariate(1 / interval))
-        interval = MEAN_REQUEST_INTERVAL
-        if len(self.endpoints) >= LARGE_SITE_ENTRIES:
-            interval = LARGE_SITE_REQUEST_INTERVAL
             await asyncio.gather(*self._calls)
         finally:
             for session in self._sessions.values():
@@ -151,6 +157,35 @@
         await self._call(endpoint, attempt)
         attempt.ended = read_clock()
 
+    async def run_returning(self, stop_event: asyncio.Event) -> None:
+        """Begin streams that are taken up at other entries, until an event is set."""
+        rng = random.Random(self.rng.random())
+        while not stop_event.is_set():
+            task = asyncio.create_task(self._return_to_stream(rng))
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
+            await asyncio.sleep(RETURN_INTERVAL)
+
+    async def _return_to_stream(self, rng: random.Random) -> None:
+        first, received = "", 0
+        for _ in range(MAX_TRIES):
+            ready = [one for one in self.endpoints if one.ready] or self.endpoints
+            endpoint = rng.choice(ready)
+            attempt = self._add_attempt(endpoint, Kind.RESUME, "/resume/x", "key-1")
+            attempt.resumes, attempt.after = first, received
+            call = asyncio.create_task(self._call(endpoint, attempt))
+            done, _ = await asyncio.wait({call}, timeout=rng.uniform(0.1, 0.8))
+            if not done:
+                call.cancel()
+                await asyncio.wait({call})
+                attempt.disconnected = not attempt.whole
+            attempt.ended = read_clock()
+            received += attempt.body.count(b"\n\n")
+            if received:
+                first = first or attempt.id
+            if attempt.whole and attempt.status == 200:
+                return
+
     def _add_attempt(
         self, endpoint: EntryEndpoint, kind: Kind, path: str, key: str
     ) -> Attempt:
@@ -179,9 +214,14 @@
             headers["Model"] = "m"
             headers["Token-Count"] = f"600,{output}"
             headers["Length-Hint"] = str(output)
+        if attempt.resumes:
+            headers["Resumes"] = attempt.resumes
+            headers["Last-Event-Id"] = str(attempt.after)
         if self.rng.random() < 0.1:
             headers[self.rng.choice(SYSTEM_ONLY_HEADERS)] = FORGED
         method, body = "POST", b"flour" * self.rng.choice([0, 1, 2000])
+        if attempt.kind is Kind.RESUME:
+            body = b"dal"
         if attempt.kind not in STREAMS:
             method = self.methods.choice(METHODS)
         if attempt.is_crashing:
--- a/tests/faults/plans.py
+++ b/tests/faults/plans.py
@@ -39,6 +39,7 @@
     CRASHES = "crashes"
     BROKEN = "broken"
     CUTS = "cuts"
+    VERSIONS = "versions"
 
 
 SIGNALS = (Extra.RATE, Extra.LEAVING, Extra.PAUSE)
@@ -210,6 +211,20 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Change of an engine's software version.
+
+    Attributes:
+        number: Number of the engine, taken modulo the count of those that stay.
+        same_id: Whether the engine starts again under its id; otherwise another one
+            starts and this one drains.
+    """
+
+    number: int
+    same_id: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationChange:
     """Change that publishes a new version of the configuration.
@@ -233,6 +248,7 @@
     | CrashingRequests
     | BrokenAnswers
     | EntryCut
+    | Release
     | ConfigurationChange
 )
 
@@ -302,6 +318,8 @@
                 fault = BrokenAnswers(number, duration)
             case Extra.CUTS:
                 fault = EntryCut(number, rng.choice(list(CutKind)), duration)
+            case Extra.VERSIONS:
+                fault = Release(number, rng.random() < 0.3)
         steps.append(Step(rng.uniform(FIRST_FAULT_DELAY, seconds / 2), fault))
     return steps
 
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -27,6 +27,7 @@
     LinkFault,
     PauseSignal,
     RateSignal,
+    Release,
     Step,
     StoreFault,
     TargetFault,
@@ -77,13 +78,13 @@
 FINAL_TRAFFIC_SECONDS = 2.0
 """Time of traffic after RECOVERY_SECONDS for the recovery check, in seconds."""
 
-SETTINGS_TEMPLATE = """
 DOMAINS = ("muc-a", "muc-b", "nue-a", "aug-a")
 """Failure domains of the entries of a large site."""
 
 VERSIONS = ("v1", "v2")
 """Software versions of the engines, which run side by side."""
 
+SETTINGS_TEMPLATE = """
 node = "entry-{number}"
 ip = "{ip}"
 zone = "{zone}"
@@ -178,6 +179,7 @@
         self._hosts: list[EntryHost] = []
         self._entry_count = entries
         self._stop_traffic = asyncio.Event()
+        self._stop_returning = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._name_count = 0
         self._paths: dict[str, str] = {}
@@ -185,6 +187,7 @@
         self._keys = ["key-1", "key-2"]
         self._dropped_keys: list[str] = []
         self._has_cuts = False
+        self._has_versions = False
 
     async def run_plan(self, steps: list[Step], seconds: float) -> None:
         """Run a plan, then a final phase without faults; fill the record.
@@ -195,15 +198,19 @@
         """
         # Without cuts, entries reach the targets with one proxy less in between.
         self._has_cuts = any(isinstance(step.fault, EntryCut) for step in steps)
+        self._has_versions = any(isinstance(step.fault, Release) for step in steps)
         try:
             await self._start()
             self._traffic = self._build_traffic()
             traffic_task = asyncio.create_task(self._traffic.run(self._stop_traffic))
+            if self._has_versions:
+                self._start_task(self._traffic.run_returning(self._stop_returning))
             watch_tasks = [
                 asyncio.create_task(self._watch_readiness()),
                 asyncio.create_task(record_loop_stalls(self.record)),
             ]
             await self._run_steps(steps, seconds)
+            self._stop_returning.set()
             await asyncio.gather(*self._tasks)
             self.record.final_phase_start = read_clock() + RECOVERY_SECONDS
             await asyncio.sleep(RECOVERY_SECONDS + FINAL_TRAFFIC_SECONDS)
@@ -276,6 +283,7 @@
     ) -> None:
         text = SETTINGS_TEMPLATE.format(
             number=host.number,
+            zone=choose_domain(host.number, self._entry_count),
             ip=host.ip,
             first="true",
             peers=ports[2],
@@ -283,7 +291,6 @@
             seeds=", ".join(f'"{seed}:{ports[1]}"' for seed in seeds),
             front=ports[0],
             ready=ports[1],
-            zone=choose_domain(host.number, self._entry_count),
             store=host.store.address,
             grace=GRACE_SECONDS,
             ratio=RETRY_RATIO,
@@ -330,6 +337,8 @@
             self._targets_by_address,
             self._crash,
         )
+        if self._has_versions and service == "engines":
+            target.version = VERSIONS[self._name_count % 2]
         await target.start(self._store)
         self._targets.append(target)
 
@@ -341,6 +350,8 @@
             "/order/": "unsafe",
             "/lookup/": "safe",
         }
+        if self._has_versions:
+            fixed["/resume/"] = "stream"
         routes = []
         for path, kind in {**fixed, **self._paths}.items():
             stream = kind == "stream"
@@ -352,6 +363,7 @@
                     "type": kind,
                     "service": "engines" if stream else "bookings",
                     "attempts": 1 if stream or kind == "unsafe" else 2,
+                    "resumable": path == "/resume/",
                     "timeout_ms": 6_000,
                     "slo_ms": 1_000,
                     "priority": 1,
@@ -397,6 +409,8 @@
                 await self._break_answers(fault)
             case EntryCut():
                 await self._cut_entry(fault)
+            case Release():
+                await self._release(fault)
             case ConfigurationChange(action=action):
                 self._change_configuration(action)
                 await self._configure()
@@ -577,6 +591,22 @@
         self.record.departures[target.name] = float("inf")
         self._start_task(self._replace(target, "crash"))
 
+    async def _release(self, fault: Release) -> None:
+        departing = self.record.departures | self.record.leaving_since
+        engines = [
+            one
+            for one in self._targets
+            if one.service == "engines" and one.name not in departing
+        ]
+        target = engines[fault.number % len(engines)]
+        span = self.record.begin_disturbance("release", None, target.name)
+        if fault.same_id:
+            other = VERSIONS[target.version == VERSIONS[0]]
+            await target.restart(self._store, other)
+        else:
+            await self._replace(target, "drain")
+        span.end = read_clock()
+
     def _choose_remaining(self, number: int) -> SoakTarget:
         departing = self.record.departures | self.record.leaving_since
         remaining = [one for one in self._targets if one.name not in departing]
@@ -640,6 +670,13 @@
         await self._store.stop()
 
 
+def choose_domain(number: int, entries: int) -> str:
+    """Return the failure domain of an entry; large sites have uneven ones."""
+    if entries <= FULL_MESH_MAX_ENTRIES:
+        return DOMAINS[0]
+    return DOMAINS[0] if number % 15 == 1 else DOMAINS[number % len(DOMAINS)]
+
+
 async def record_loop_stalls(record: Record) -> None:
     """Record each span in which the event loop was blocked, until cancelled."""
     while True:
@@ -670,13 +707,6 @@
         case "lose_from":
             proxy.set_fault(Lose(Direction.TO_CLIENT))
     await asyncio.sleep(seconds)
-def choose_domain(number: int, entries: int) -> str:
-    """Return the failure domain of an entry; large sites have uneven ones."""
-    if entries <= FULL_MESH_MAX_ENTRIES:
-        return DOMAINS[0]
-    return DOMAINS[0] if number % 15 == 1 else DOMAINS[number % len(DOMAINS)]
-
-
     if isinstance(proxy.fault, Lose):
         # A network does not deliver later bytes of a connection after losing some.
         proxy.cut()
