--- a/figstep/gateway/origins.py
+++ b/figstep/gateway/origins.py
@@ -84,11 +84,11 @@
     return [Announce()] if request.service in state.announced_since else []
 
 
-def apply_starts(state: State, event: PeerHeard, now: Millis) -> list[Effect]:
+def apply_starts(state: State, event: PeerHeard, now: Millis) -> None:
     """Apply what another entry tells of starts and of versions that targets had."""
     for start in event.starts:
         state.starts.record_announced(start, now)
     if event.knows_versions:
         versions.apply_past_versions(state, event.past_versions, now)
         state.was_told_versions = True
-    return []
+        versions.update_announced_services(state, now)
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -136,6 +136,7 @@
             sources.update_store_state(state, now)
             return []
         case PeerHeard():
+            origins.apply_starts(state, event, now)
             return [
                 *reach.handle_peer(state, event, now),
                 *peers.handle_message(state, event, now),
@@ -147,7 +148,6 @@
                 ),
                 *limits.apply_rate_reports(state, event.rates, event.node, now),
                 *brittleness.apply_reports(state, event, now),
-                *origins.apply_starts(state, event, now),
             ]
         case EntriesCounted(entries=entries):
             state.entries = entries
--- a/figstep/gateway/starts.py
+++ b/figstep/gateway/starts.py
@@ -77,14 +77,18 @@
         ``announced_since`` holds, by service, since when starts are announced. Earlier
         ones are announced as if they began then, those of other services never.
         """
-        announced = []
-        for stream, known in self._known.items():
+        announced: list[StreamStart] = []
+        oldest = Millis(now - START_ANNOUNCE_DURATION)
+        includes_earlier = any(since > oldest for since in announced_since.values())
+        for stream, known in reversed(self._known.items()):
+            if len(announced) == MAX_ANNOUNCED_STARTS:
+                break
+            if known.at <= oldest and not includes_earlier:
+                break
             since = announced_since.get(known.service)
-            if since is None:
-                continue
-            if now - max(known.at, since) < START_ANNOUNCE_DURATION:
+            if since is not None and max(known.at, since) > oldest:
                 announced.append(StreamStart(stream, known.version))
-        return tuple(announced[-MAX_ANNOUNCED_STARTS:])
+        return tuple(announced)
 
     def list_own(self) -> tuple[StreamStart, ...]:
         """Return this entry's newest own starts, oldest first."""
