Say that a request has not run if no connection to a target was made in time

An attempt whose connection was never established has sent nothing; losses that may have run are recorded as they come.

The new test failed before (504, unknown). The property test of the fleet, which knows what each target ran, holds.

--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -390,12 +390,17 @@
 
 
 def expire_requests(state: State, now: Millis) -> list[Effect]:
-    """End the requests whose deadline has passed; any that was sent may have run."""
+    """End the requests whose deadline has passed.
+
+    One that is open at a target may have run there once its connection was established.
+    """
     effects: list[Effect] = []
     for request in list(state.requests.values()):
         if now < request.deadline:
             continue
-        request.may_have_run = request.may_have_run or request.attempts_sent > 0
+        for attempt in (request.current, request.standby):
+            if attempt is not None and attempt.connected:
+                request.may_have_run = True
         effects += refuse_request(state, request, "deadline", now)
     return effects
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -20,7 +20,14 @@
     Ticked,
 )
 from figstep.gateway.prompts import Prompt
-from tests.gateway.worlds import BOOKINGS, KEY, LOOKUP, EntryHarness, build_table
+from tests.gateway.worlds import (
+    BOOKINGS,
+    KEY,
+    LOOKUP,
+    ORDER,
+    EntryHarness,
+    build_table,
+)
 
 
 @pytest.mark.parametrize(
@@ -174,3 +181,15 @@
         harness.receive_request("/order/a")
         pauses.add(harness.find_effect(Refuse).problem.retry_after)
     assert len(pauses) > 10
+
+
+def test_a_request_that_reached_no_target_by_its_deadline_has_not_run() -> None:
+    """Guards against an order that its caller may not send again, though none ran."""
+    harness = EntryHarness(reachable=False)
+    harness.register("b-1", service=BOOKINGS)
+    harness.receive_request("/order/a")
+    assert harness.find_effects(OpenAttempt)
+    harness.clock.advance(ORDER.timeout)
+    harness.handle(Ticked())
+    problem = harness.find_effect(Refuse).problem
+    assert (problem.status, problem.ran) == (503, Ran.NO)
