--- a/figstep/gateway/eligibility.py
+++ b/figstep/gateway/eligibility.py
@@ -39,7 +39,7 @@
 
 def is_eligible(state: State, request: Request, target: Target) -> bool:
     """Return whether a request, or a copy of its run, may be sent to a target now."""
-    if not target.accepts_work or not _continues(request, target):
+    if not target.accepts_work or not _has_origin_version(request, target):
         return False
     return _is_in_allowed_region(state, request, target)
 
@@ -80,7 +80,7 @@
     if list_eligible(state, request):
         return "no_room"
     ready = state.targets.list_ready(request.service)
-    if ready and not any(_continues(request, target) for target in ready):
+    if ready and not any(_has_origin_version(request, target) for target in ready):
         return "version_gone"
     if ready:
         return "no_home"
@@ -89,7 +89,7 @@
     return "no_room"
 
 
-def _continues(request: Request, target: Target) -> bool:
+def _has_origin_version(request: Request, target: Target) -> bool:
     """Return whether a target has the software version that began the stream, if any.
 
     No target has it if that version is not known.
--- a/figstep/gateway/origins.py
+++ b/figstep/gateway/origins.py
@@ -44,7 +44,7 @@
             request.origin = Origin(None)
 
 
-def find_origin_of_try(
+def find_resumed_origin(
     state: State, spec: RoutedRequest, route: Route, now: Millis
 ) -> Origin | None:
     """Return the origin of a stream that a caller or another entry takes up again.
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -110,7 +110,7 @@
         return _reject_request(
             spec.number, spec.id, 503, "entry_leaving", SHUTDOWN_RETRY_AFTER
         )
-    origin = origins.find_origin_of_try(state, spec, route, now)
+    origin = origins.find_resumed_origin(state, spec, route, now)
     if origin is not None and origin.version is None:
         return _reject_request(
             spec.number, spec.id, 503, "version_unknown", UNKNOWN_VERSION_RETRY_AFTER
