--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -393,7 +393,8 @@
         if attempt.kind not in STREAMS or attempt.status != 200:
             continue
         for _, generation, _ in _EVENT.findall(attempt.body):
-            seen[attempt.resumes or attempt.id].add(versions[generation.decode()])
+            version = versions.get(generation.decode(), "no version")
+            seen[attempt.resumes or attempt.id].add(version)
     return [
         Breach("version", f"{stream} has events of {sorted(found)}")
         for stream, found in seen.items()
--- a/tests/faults/test_promises.py
+++ b/tests/faults/test_promises.py
@@ -5,6 +5,7 @@
 from tests.faults.promises import RETRY_EXTRA, Breach, check_promises
 from tests.faults.records import (
     EVENTS,
+    STREAMS,
     Attempt,
     Disturbance,
     Kind,
@@ -15,7 +16,7 @@
     Version,
 )
 
-PATHS = frozenset({"/plan/", "/check/", "/order/", "/lookup/"})
+PATHS = frozenset({"/plan/", "/check/", "/order/", "/lookup/", "/resume/"})
 START = 100.0
 
 
@@ -26,7 +27,7 @@
     attempt = Attempt("r1", kind, 0, 0, f"/{kind.value}/", "key-1", START)
     attempt.ended, attempt.status, attempt.whole = START + 0.2, 200, True
     attempt.stamp, attempt.body = "stamp-i-1", b"answer"
-    if kind in (Kind.PLAN, Kind.CHECK):
+    if kind in STREAMS:
         attempt.body = list_events(EVENTS[kind])
     record = Record(runs=[run], attempts=[attempt], final_phase_start=1e9)
     record.versions.append(Version(1, 0.0, PATHS, frozenset({"key-1"})))
@@ -305,3 +306,37 @@
     record, attempt, _run = build_record(Kind.LOOKUP)
     attempt.status, attempt.body = 503, b'{"code": "crashes_targets"}'
     assert "blamed" in list_promises(record)
+
+
+def take_up(record: Record, number: int, version: str, status: int = 200) -> None:
+    """Add a try that takes the first stream of a record up again."""
+    name = f"r1-{number}"
+    attempt = Attempt(name, Kind.RESUME, 0, 0, "/resume/x", "key-1", START + 1)
+    attempt.ended, attempt.status = START + 2, status
+    attempt.resumes, attempt.after = "r1", EVENTS[Kind.RESUME]
+    if status == 200:
+        run = Run(
+            name, "i-2", f"h{number}", START + 1, START + 2, True, version=version
+        )
+        run.customer = "gurdwara"
+        record.runs.append(run)
+        index = attempt.after + 1
+        attempt.body = f"id: {index}\ndata: h{number} {name}\n\n".encode()
+    record.attempts.append(attempt)
+
+
+def test_a_stream_with_events_of_two_versions_is_found() -> None:
+    record, _, _ = build_record(Kind.RESUME)
+    take_up(record, 1, "v1")
+    assert "version" not in list_promises(record)
+    take_up(record, 2, "v2")
+    assert "version" in list_promises(record)
+
+
+def test_streams_that_do_not_go_on_are_found() -> None:
+    record, _, _ = build_record(Kind.RESUME)
+    for number in range(12):
+        take_up(record, number, "v1", status=200 if number < 6 else 503)
+    assert "lost" not in list_promises(record)
+    take_up(record, 12, "v1", status=503)
+    assert "lost" in list_promises(record)
