--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import re
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -41,9 +42,16 @@
         store: Address of the store, as "ip:port".
         bounds: Lines to append to the table of bounds.
     """
-    text = SETTINGS.replace("8740", str(ports[0])).replace("8749", str(ports[1]))
-    text = text.replace("7200, 7215", f"{ports[2]}, {ports[2]}")
-    path.write_text(text.replace("127.0.0.1:8742", store) + bounds)
+    replacements = {
+        "127.0.0.1:8740": f"127.0.0.1:{ports[0]}",
+        "127.0.0.1:8749": f"127.0.0.1:{ports[1]}",
+        "7200, 7215": f"{ports[2]}, {ports[2]}",
+        "127.0.0.1:8742": store,
+    }
+    # In one pass, as a port may contain the digits of another pattern.
+    pattern = "|".join(map(re.escape, replacements))
+    text = re.sub(pattern, lambda found: replacements[found[0]], SETTINGS)
+    path.write_text(text + bounds)
 
 
 def find_free_port() -> int:
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -13,6 +13,7 @@
 
 from figstep.core.clock import Millis
 from figstep.platform.entry import Entry, choose_drain_time, serve_until_signal
+from figstep.platform.settings import load_settings
 from tests.framing import Framing, RawAnswer
 from tests.platform.places import Place, call_order_route, open_place
 from tests.platform.standins import (
@@ -417,3 +418,13 @@
         assert asyncio.get_running_loop().time() - began < 2.3
         call.cancel()
         await asyncio.gather(call, return_exceptions=True)
+
+
+def test_written_settings_hold_each_port_whatever_its_digits(tmp_path: Path) -> None:
+    """Guards against a port whose digits are taken for the place of another one."""
+    path = tmp_path / "boot.toml"
+    write_settings(path, [48749, 38742, 58740], "127.0.0.1:7200")
+    settings = load_settings(path)
+    assert settings.callers.port == 48749
+    assert settings.readiness.port == 38742
+    assert settings.peers.port == 58740
