--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -124,11 +124,7 @@
 
 
 def test_a_stream_goes_nowhere_after_its_target_restarted_as_another_version() -> None:
-    """Guards against a stream begun by a new process that is taken for the old one.
-
-    A target may start again under its id before its new registration is read, so that
-    it is not known which version began the stream.
-    """
+    """Guards against a stream that a restarted target began as another version."""
     harness = begin_stream("/question/a")
     register(harness, "v1", "e-2")
     register(harness, "v2", FIRST, "e-3", born=2)
