List two more seeds of the soak with what their logs show

Its log has 52 requests passed on to entry 2 until that was killed, while entry 1 drained; until they had started again 2 s later nobody could serve, and callers were refused at once (reason cut_off). The check compares the share of the whole cut with that of the others in moments in which they are undisturbed; it is left as it is, and the seed is listed.

--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -104,12 +104,16 @@
     (22, (Extra.CUTS, Extra.BROKEN)),
     (1497154, (*SIGNALS_AND_CRASHES, Extra.BROKEN, Extra.CUTS)),
     (1497160, (*SIGNALS_AND_CRASHES, Extra.BROKEN, Extra.CUTS)),
+    (10987068, ALL_EXTRAS),
 ]
 """Seeds with entries that lose the links to all targets, with the extras drawn.
 
 21, 1497160: entries rejected the requests that others passed on to them, as these did
 not come from the address by which an entry is known.
 
+10987068: while the entry was cut off, one of the two others was stopped and the other
+one killed, so that nobody could serve its callers.
+
 1497154: the soak could not listen again at the port of a cut link, which another
 socket had taken meanwhile.
 """
@@ -138,13 +142,14 @@
     (64, (Extra.VERSIONS,)),
     (65, (Extra.VERSIONS,)),
     (10987054, ALL_EXTRAS),
+    (10987060, ALL_EXTRAS),
 ]
 """Seeds with engines that change their software version, with the extras drawn.
 
 61, 62: streams went on at another version, within an answer and as callers came back.
 
-10987054: streams were taken up at an engine that had started again under its id as
-another version, before its registration was read.
+10987054, 10987060: streams were taken up at an engine that had started again under its
+id as another version, before its registration was read.
 """
 
 
