--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -47,6 +47,8 @@
     (15367847, SIGNALS_AND_CRASHES),
     (15367872, SIGNALS_AND_CRASHES),
     (1679473, SIGNALS_AND_CRASHES),
+    (10987071, ALL_EXTRAS),
+    (10987080, ALL_EXTRAS),
 ]
 """Seeds with requests that crash the targets that run them, with the extras drawn.
 
@@ -61,6 +63,9 @@
 15367847, 15367872: on a busy machine too little of the grace time was left for the
 process to end.
 
+10987071, 10987080: lookups with the same path and body as ones that were at several
+crashes were refused.
+
 1679473: the handover check counted a run that its entry had abandoned before the
 target began it.
 """
@@ -143,13 +148,14 @@
     (65, (Extra.VERSIONS,)),
     (10987054, ALL_EXTRAS),
     (10987060, ALL_EXTRAS),
+    (10987075, ALL_EXTRAS),
 ]
 """Seeds with engines that change their software version, with the extras drawn.
 
 61, 62: streams went on at another version, within an answer and as callers came back.
 
-10987054, 10987060: streams were taken up at an engine that had started again under its
-id as another version, before its registration was read.
+10987054, 10987060, 10987075: streams were taken up at an engine that had started again
+under its id as another version, before its registration was read.
 """
 
 
