--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -63,8 +63,8 @@
 15367847, 15367872: on a busy machine too little of the grace time was left for the
 process to end.
 
-10987071, 10987080: lookups with the same path and body as ones that were at several
-crashes were refused.
+10987071: lookups with the same path and body as ones that were at crashes were refused.
+10987080: a request was refused that crashes no target.
 
 1679473: the handover check counted a run that its entry had abandoned before the
 target began it.
@@ -154,8 +154,9 @@
 
 61, 62: streams went on at another version, within an answer and as callers came back.
 
-10987054, 10987060, 10987075: streams were taken up at an engine that had started again
-under its id as another version, before its registration was read.
+10987054: streams were taken up at an engine that had started again under its id as
+another version, before its registration was read. 10987060, 10987075: streams of two
+versions; the plans have such restarts.
 """
 
 
