Check a target without a request after a connection to it timed out

What callers saw: at an entry that had lost its links to most targets, but not to all, requests waited 500 ms for a connection at one target after the other. The one target that was still reached made the count of failures start anew, so that the entry never counted as cut off and passed nothing on.

Cause: that a target is out of reach was remembered for half a second or so. In a fleet of 73 an entry gets about one request a second, and each paid for it anew.

A target whose connection timed out now gets no request until a check reaches it. Where that is so of all targets of a request, it passes to another entry or is refused.

--- a/figstep/gateway/eligibility.py
+++ b/figstep/gateway/eligibility.py
@@ -52,6 +52,14 @@
     return [target for target in ready if is_eligible(state, request, target)]
 
 
+def reaches_none(state: State, request: Request) -> bool:
+    """Return whether this entry reaches none of the targets of a request."""
+    if state.reach.cut_off:
+        return True
+    eligible = list_eligible(state, request)
+    return bool(eligible) and all(target.needs_check for target in eligible)
+
+
 def list_holders(state: State, request: Request, source: str) -> list[Target]:
     """Return the targets that may hold a copy of the run at the target ``source``.
 
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -328,7 +328,9 @@
     for target in eligibility.list_holders(state, request, source):
         if was_refused_copy(request, target.name, now, proactive):
             continue
-        if target.backoff_until > now or not limits.may_send(state, target, now):
+        if target.needs_check or target.backoff_until > now:
+            continue
+        if not limits.may_send(state, target, now):
             continue
         cost = (target.memory_load + need) / memory
         if cost > max_fraction:
@@ -422,6 +424,8 @@
             continue
         if limits.may_send(state, target, now):
             accepting.append(target)
+    # A request would wait there for a connection until a timeout.
+    accepting = [one for one in accepting if not one.needs_check]
     trusted = [target for target in accepting if target.backoff_until <= now]
     silent = state.targets.find_unreachable_domains(request.service, now)
     reachable = [t for t in trusted if t.info.failure_domain not in silent]
--- a/figstep/gateway/reach.py
+++ b/figstep/gateway/reach.py
@@ -5,6 +5,10 @@
 innocent requests would be suspected of crashing them, and they would be avoided after
 the links are back. A refused connection therefore proves the end of its target only
 once another target has accepted one.
+
+An entry may also lose the links to some targets only. Each request that it sent there
+would wait for a connection until a timeout, so these targets are checked without
+requests until one of the checks reaches them.
 """
 
 from figstep.core.clock import Millis
@@ -36,8 +40,8 @@
     attempt.connected = True
     if attempt.relay is not None:
         return []
-    attempt.target.refused_at = None
-    return _record_connection(state, now)
+    attempt.target.record_connection()
+    return _record_connection(state, attempt.target, now)
 
 
 def handle_checked(state: State, event: TargetChecked, now: Millis) -> list[Effect]:
@@ -45,8 +49,8 @@
     if event.reached:
         target = state.targets.find(event.target)
         if target is not None:
-            target.refused_at = None
-        return _record_connection(state, now)
+            target.record_connection()
+        return _record_connection(state, target, now)
     return record_unreached(state, event.target, event.opened, now)
 
 
@@ -61,8 +65,13 @@
 
 
 def check_links(state: State, now: Millis) -> list[Effect]:
-    """Check whether a target is reached again, if this entry is cut off."""
-    if not state.reach.cut_off or not state.reach.may_check(now):
+    """Check whether targets are reached again to which connections timed out.
+
+    An entry that is cut off checks one of all targets at a time.
+    """
+    if not state.reach.cut_off:
+        return _check_unverified(state, now)
+    if not state.reach.may_check(now):
         return []
     ready = _list_ready(state)
     if not ready:
@@ -71,6 +80,16 @@
     return [CheckTarget(state.rng.choice(ready).name)]
 
 
+def _check_unverified(state: State, now: Millis) -> list[Effect]:
+    effects: list[Effect] = []
+    for target in _list_ready(state):
+        if not target.needs_check or now < target.check_at:
+            continue
+        target.schedule_check(now)
+        effects.append(CheckTarget(target.name))
+    return effects
+
+
 def record_unreached(
     state: State, target: str, opened: Millis, now: Millis
 ) -> list[Effect]:
@@ -105,14 +124,20 @@
     return [target for target in targets if target.accepts_work]
 
 
-def _record_connection(state: State, now: Millis) -> list[Effect]:
+def _record_connection(
+    state: State, reached: Target | None, now: Millis
+) -> list[Effect]:
     since = state.reach.cut_off_since
     if not state.reach.record_connection(now) or since is None:
         return _record_ends(state)
     _forgive_targets(state)
+    for target in _list_ready(state):
+        if target is not reached:
+            target.require_check(now)
     return [
         Announce(),
         Note("targets reached again", {"cut_off_ms": now - since}),
+        *_check_unverified(state, now),
     ]
 
 
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -148,6 +148,8 @@
     warmups.assume_cold(state, target, target.backoff_until)
     if down:
         target.refused_at = now
+    elif not target.needs_check:
+        target.require_check(now)
     return []
 
 
@@ -249,7 +251,7 @@
         return []
     if state.crashes.is_refused(request.spec.digest, now):
         return requests.refuse_request(state, request, "crashes_targets", now)
-    if state.reach.cut_off:
+    if eligibility.reaches_none(state, request):
         if not peers.spend_repeat(state, request.service, now):
             return []
         return relays.relay_request(state, request, now)
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -169,12 +169,12 @@
 def place_request(state: State, request: Request, now: Millis) -> list[Effect]:
     """Start a request if a target has free capacity, else queue or refuse it.
 
-    If this entry reaches no target, the request is passed on to another entry or
-    refused.
+    If this entry reaches none of its targets, the request is passed on to another entry
+    or refused.
     """
     if state.crashes.is_refused(request.spec.digest, now):
         return refuse_request(state, request, "crashes_targets", now)
-    if state.reach.cut_off:
+    if eligibility.reaches_none(state, request):
         relayed = relays.relay_request(state, request, now)
         return relayed or refuse_request(state, request, "cut_off", now)
     target = placement.choose_target(state, request, now)
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -97,6 +97,13 @@
 """Longest time, in milliseconds, that a target is avoided before it is tried again."""
 
 
+MIN_CHECK_PAUSE = Millis(250)
+"""Shortest time, in milliseconds, between two checks of a target to which connections
+time out. It doubles with each check, up to ``MAX_CHECK_PAUSE``."""
+
+MAX_CHECK_PAUSE = Millis(2_000)
+"""Longest time, in milliseconds, between two checks of such a target."""
+
 MIN_UNREACHABLE_TARGETS = 2
 """Number of unreachable targets of a service in one failure domain at which the whole
 failure domain is considered unreachable for that service."""
@@ -205,6 +212,10 @@
             when. An answer to a request sent after that time removes the entry.
         refused_at: When it refused a connection of this entry, until another target
             accepts one; None if it did not. Before that the entry may be cut off.
+        needs_check: Whether a connection to it timed out and none was established
+            since. It gets requests again once a check has reached it.
+        check_at: When it is checked next, if it needs that.
+        check_pause: Time in milliseconds from that check to the one after it.
         ended_at: When its incarnation was found to have ended; None if it was not.
         probed_at: When this entry last probed whether it listens at its address.
         named_brittle: Whether its last answer named the rejections that it bears.
@@ -253,6 +264,9 @@
     announced_leaving: bool = False
     lost: dict[str, Millis] = field(default_factory=dict)
     refused_at: Millis | None = None
+    needs_check: bool = False
+    check_at: Millis = Millis(0)
+    check_pause: Millis = MIN_CHECK_PAUSE
     ended_at: Millis | None = None
     probed_at: Millis = Millis(-1_000_000)
     named_brittle: bool = False
@@ -373,6 +387,22 @@
             pause = INITIAL_TARGET_BACKOFF << min(self.consecutive_losses - 2, 8)
             self.backoff_until = Millis(now + min(pause, MAX_TARGET_BACKOFF))
 
+    def require_check(self, now: Millis) -> None:
+        """Avoid the target until a check has reached it, which is due at ``now``."""
+        self.needs_check = True
+        self.check_at = now
+        self.check_pause = MIN_CHECK_PAUSE
+
+    def schedule_check(self, now: Millis) -> None:
+        """Record that a check begins now, and set the time of the next one."""
+        self.check_at = Millis(now + self.check_pause)
+        self.check_pause = Millis(min(MAX_CHECK_PAUSE, 2 * self.check_pause))
+
+    def record_connection(self) -> None:
+        """Record that a connection to the target was established."""
+        self.refused_at = None
+        self.needs_check = False
+
     def forgive_losses(self) -> None:
         """Drop the losses and reports by which the target is avoided or held down."""
         self.refused_at = None
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -429,3 +429,46 @@
     ]
     assert all(len(relays) == 8 for relays in named)
     assert len(set().union(*named)) > 8
+
+
+def test_requests_to_a_service_that_is_out_of_reach_are_passed_on() -> None:
+    """Guards against a cut from one service that links to another one hide."""
+    harness = build_entry("peer:1")
+    harness.register("e-1")
+    for name in TARGETS:
+        target = harness.state.targets.targets[name]
+        target.require_check(harness.clock.now())
+    harness.handle(TargetChecked("e-1", harness.clock.now(), reached=True))
+    harness.receive_request("/order/a")
+    assert find_relays(harness) == ["peer:1"]
+    harness.receive_plan()
+    assert harness.find_effect(OpenAttempt).target == "e-1"
+
+
+def test_a_target_out_of_reach_gets_requests_once_a_check_reaches_it() -> None:
+    """Guards against requests that try a target before it is known to be reached."""
+    harness = build_entry("peer:1")
+    harness.receive_request("/order/a")
+    lost = harness.find_effect(OpenAttempt)
+    harness.clock.advance(500)
+    harness.handle(AttemptLost(lost.attempt, Loss.UNREACHED))
+    target = harness.state.targets.targets[lost.target]
+    harness.clock.advance(8_000)
+    assert all(
+        one.target != target.name for one in open_requests(harness, 3 * len(TARGETS))
+    )
+    harness.handle(Ticked())
+    assert target.name in {one.target for one in harness.find_effects(CheckTarget)}
+    harness.handle(TargetChecked(target.name, harness.clock.now(), reached=True))
+    assert any(
+        one.target == target.name for one in open_requests(harness, 3 * len(TARGETS))
+    )
+
+
+def open_requests(harness: EntryHarness, count: int) -> list[OpenAttempt]:
+    """Let requests arrive, and return where they are sent."""
+    opened = []
+    for _ in range(count):
+        harness.receive_request("/order/a")
+        opened += harness.find_effects(OpenAttempt)
+    return opened
