Tell an entry whose hop is rejected that the request has not run

What callers saw: 502 from an entry that reaches no target, for a request that nobody had run. The entry at the other end of the hop did not know the sender yet, as after a restart, and rejected it with 403. The sender took that for an answer to another request, so that it could not send the request on.

The class is that of a rejection that does not say what it knows. It is 503 with the header for "not run" now, and the request goes on at the next entry.

--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -46,6 +46,10 @@
 stream is cut. Otherwise, a few thousand such readers would fill the memory. No code of
 this module enforces it."""
 
+_UNKNOWN_ENTRY = Problem(
+    503, "unknown_entry", "this entry does not know the one that passes the request on"
+)
+
 LISTEN_LIMITS = Limits(
     body_bytes=MAX_BODY_BYTES,
     header_bytes=32_768,
@@ -239,10 +243,12 @@
     async def _serve_entry(self, request: web.Request) -> web.StreamResponse:
         """Serve a request that another entry passes on."""
         assert self._relays is not None
-        if not self._relays.is_entry(request.remote or ""):
+        response: web.StreamResponse
+        if self._relays.is_entry(request.remote or ""):
+            response = await self._serve(request, relayed=True)
+        else:
             _log.warning("relayed request rejected", extra={"from": request.remote})
-            return web.Response(status=403)
-        response = await self._serve(request, relayed=True)
+            response = build_problem_response(_UNKNOWN_ENTRY)
         request_id = request.headers.get(names.REQUEST_ID)
         if not response.prepared and request_id is not None:
             # An entry takes no answer without the id of its request.
