Refuse requests for a part of their prompt that crashes engines

What callers saw: requests with one part in their prompts crashed engine after engine, two each, until no engine was left, and everybody else's streams broke with them.

Cause: entries knew a request by the digest of all that it holds.

The table of crashes now knows subjects: digests of requests, and parts of prompts that are neither first nor last. A crash counts for a part unless one that the request lacks was at as many. A run that was written for 400 ms clears its parts, at all entries; a shorter answer once its engine is found to live on. From two crashes on requests with the part run one at a time and a second after the last crash, from three on they are refused; after three minutes one is tried.

The line of a crash names its subject where it named a digest.

--- a/figstep/core/crashes.py
+++ b/figstep/core/crashes.py
@@ -1,10 +1,14 @@
-"""Detection of requests that crash the targets that run them.
+"""Detection of requests, and of parts of prompts, that crash the targets that run them.
 
-A crash ends all requests on the target, so each of them becomes a suspect. A suspect is
-refused once neither another request nor chance explains the crashes of targets that it
-was on.
+A crash ends all requests on the target, so each of them becomes a suspect, and each
+part of their prompts that others may share. Requests and parts are called subjects
+here. A request is refused for one of its subjects once neither another subject nor
+chance explains the crashes of targets that it was on. A subject of the request itself
+explains nothing: a request that lacks the guilty part is not refused for its company.
 """
 
+import hashlib
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from figstep.core.clock import MINUTE, Millis
@@ -13,9 +17,20 @@
 """Number of crashes after which a request is refused. One crash may be chance; at two,
 the same request was on the target both times."""
 
+PART_CRASHES_BEFORE_REFUSAL = 3
+"""Number of crashes after which requests with a part are refused. It is higher than
+that of requests, as many requests share a part."""
+
+PART_CRASHES_BEFORE_CAUTION = 2
+"""Number of crashes after which requests with a part are sent one at a time."""
+
 MAX_UNRELATED_CRASHES = 2
-"""Largest increase of ``CRASHES_BEFORE_REFUSAL``. Each crash of a target without the
-request, in the time span of the request's crashes, adds one, up to this maximum."""
+"""Largest increase of the number of crashes before a refusal. Each crash of a target
+without the subject, in the time span of its crashes, adds one, up to this maximum."""
+
+SIMULTANEOUS_CRASHES = Millis(100)
+"""Time within which crashes count as one for a part, in milliseconds. Targets that are
+lost together do not crash one after another."""
 
 COMMON_CAUSE_WINDOW = Millis(1_000)
 """Time within which crashes may have one cause, such as the loss of a failure domain,
@@ -38,36 +53,61 @@
 MAX_ANNOUNCED_SUSPICIONS = 32
 """Maximum number of suspicions, and of clearances, in a message."""
 
-MAX_ANNOUNCED_PER_REQUEST = CRASHES_BEFORE_REFUSAL + MAX_UNRELATED_CRASHES
-"""Maximum number of suspicions of one request in a message; no more are needed to
-refuse the request."""
+MAX_ANNOUNCED_PER_SUBJECT = PART_CRASHES_BEFORE_REFUSAL + MAX_UNRELATED_CRASHES
+"""Maximum number of suspicions of one subject in a message; no more are needed to
+refuse a request for it."""
+
+MAX_SUBJECTS = 1_024
+"""Maximum number of subjects that are suspected. Callers choose the parts of their
+prompts, so the oldest one with a single suspicion gives way to a new one."""
+
+MAX_PARTS = 16
+"""Maximum number of parts of a prompt that are suspected."""
+
+MAX_PART_LENGTH = 32
+"""Maximum length of a part's id in a subject. A longer id is replaced by a digest."""
+
+_PART_PREFIX = "part "
+
+
+def name_part(part: str) -> str:
+    """Return the subject for a part of a prompt, given the id of the part."""
+    if len(part) > MAX_PART_LENGTH:
+        part = hashlib.sha256(part.encode()).hexdigest()[:MAX_PART_LENGTH]
+    return f"{_PART_PREFIX}{part}"
+
+
+def is_part(subject: str) -> bool:
+    """Return whether a subject is a part of prompts, and not a request."""
+    return subject.startswith(_PART_PREFIX)
 
 
 @dataclass(frozen=True, slots=True)
 class Suspicion:
-    """Report that a request was on a target when the target crashed.
+    """Report that a subject was on a target when the target crashed.
 
     Attributes:
-        digest: Digest of the request, which is the same when it is sent again.
+        subject: Digest of a request, which is the same when it is sent again, or a part
+            of its prompt, as `name_part` returns it.
         life: Name of the target's life that the crash ended; entries that exchange
             suspicions use the same name.
         age: Time since the crash, in milliseconds.
     """
 
-    digest: str
+    subject: str
     life: str
     age: Millis = Millis(0)
 
 
 @dataclass(frozen=True, slots=True)
 class Clearance:
-    """Report that a suspected request was answered and its target did not crash.
+    """Report that a suspected subject ran and its target did not crash.
 
     Attributes:
         age: Time since the answer, in milliseconds.
     """
 
-    digest: str
+    subject: str
     age: Millis = Millis(0)
 
 
@@ -77,8 +117,8 @@
 
     Attributes:
         at: Time of the crash (monotonic), in milliseconds.
-        suspects: Digests of the requests on the target, with the time (monotonic, in
-            milliseconds) at which each became known here.
+        suspects: Subjects on the target, with the time (monotonic, in milliseconds) at
+            which each became known here.
     """
 
     at: Millis
@@ -87,13 +127,13 @@
 
 @dataclass(slots=True)
 class _Cleared:
-    """A suspected request that has been answered since.
+    """A suspected subject that has run since without a crash.
 
     Attributes:
-        at: Time of the request's last answer (monotonic), in milliseconds; earlier
-            crashes do not count for the request.
-        dropped_at: Time at which suspicions of the request were last dropped
-            (monotonic), in milliseconds.
+        at: Time of its last answer (monotonic), in milliseconds; earlier crashes do not
+            count for it.
+        dropped_at: Time at which suspicions of it were last dropped (monotonic), in
+            milliseconds.
     """
 
     at: Millis
@@ -102,65 +142,77 @@
 
 @dataclass(slots=True)
 class CrashTable:
-    """Crashes of targets, and the requests that were on those targets."""
+    """Crashes of targets, and the subjects that were on those targets."""
 
     _crashes: dict[str, _Crash] = field(default_factory=dict)
     _lives: dict[str, set[str]] = field(default_factory=dict)
     _cleared: dict[str, _Cleared] = field(default_factory=dict)
+    _trials: dict[str, Millis] = field(default_factory=dict)
 
     def record_suspicion(self, suspicion: Suspicion, now: Millis) -> bool:
         """Record a suspicion, and return whether it was added.
 
         A suspicion is ignored if it is known, or if its crash is not later than the
-        last recorded answer to the request.
+        last recorded answer to its subject.
         """
-        digest, life = suspicion.digest, suspicion.life
+        subject, life = suspicion.subject, suspicion.life
         at = Millis(now - suspicion.age)
-        if life in self._lives.get(digest, ()):
+        if life in self._lives.get(subject, ()):
             return False
-        cleared = self._cleared.get(digest)
+        cleared = self._cleared.get(subject)
         if cleared is not None and at <= cleared.at:
             return False
         self.record_crash(life, at)
-        self._crashes[life].suspects[digest] = now
-        self._lives.setdefault(digest, set()).add(life)
+        self._crashes[life].suspects[subject] = now
+        self._lives.setdefault(subject, set()).add(life)
+        if len(self._lives) > MAX_SUBJECTS:
+            self._drop_oldest_subject()
         return True
 
     def record_crash(self, life: str, at: Millis) -> None:
         """Record a crash of a target, with or without requests on it."""
         self._crashes.setdefault(life, _Crash(at))
 
-    def is_suspected(self, digest: str) -> bool:
-        """Return whether any suspicion of a request is kept."""
-        return digest in self._lives
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any suspicion is kept."""
+        return bool(self._lives)
+
+    def is_suspected(self, subject: str) -> bool:
+        """Return whether any suspicion of a subject is kept."""
+        return subject in self._lives
 
     def list_suspected(self) -> list[str]:
-        """Return the digests of the requests that are suspected."""
+        """Return the subjects that are suspected."""
         return list(self._lives)
 
-    def count(self, digest: str) -> int:
-        """Return the number of suspicions of a request that are kept."""
-        return len(self._lives.get(digest, ()))
+    def count(self, subject: str) -> int:
+        """Return the number of suspicions of a subject that are kept."""
+        return len(self._lives.get(subject, ()))
+
+    def find_last_crash(self, subject: str) -> Millis:
+        """Return the monotonic time in milliseconds of a suspect's last crash."""
+        return max(self._get_crash_time(life) for life in self._lives[subject])
 
-    def clear(self, digest: str, at: Millis, now: Millis) -> bool:
-        """Drop the suspicions of a request from crashes up to an answer to it.
+    def clear(self, subject: str, at: Millis, now: Millis) -> bool:
+        """Drop the suspicions of a subject from crashes up to an answer to it.
 
         ``at`` is the monotonic time of the answer. Return whether any suspicion was
         dropped.
         """
-        cleared = self._cleared.get(digest)
+        cleared = self._cleared.get(subject)
         if cleared is not None:
             cleared.at = max(at, cleared.at)
         found = [
             life
-            for life in self._lives.get(digest, ())
+            for life in self._lives.get(subject, ())
             if self._get_crash_time(life) <= at
         ]
         if not found:
             return False
-        self._cleared[digest] = _Cleared(at, now)
+        self._cleared[subject] = _Cleared(at, now)
         for life in found:
-            self._drop_suspicion(digest, life)
+            self._drop_suspicion(subject, life)
         return True
 
     def discard_crash(self, life: str) -> None:
@@ -168,61 +220,123 @@
         crash = self._crashes.get(life)
         if crash is None:
             return
-        for digest in list(crash.suspects):
-            self._drop_suspicion(digest, life)
+        for subject in list(crash.suspects):
+            self._drop_suspicion(subject, life)
         del self._crashes[life]
 
     def is_refused(self, digest: str, now: Millis) -> bool:
-        """Return whether a request is refused because of its crashes.
+        """Return whether a request without parts is refused because of its crashes."""
+        return self.find_culprit((digest,), now) is not None
+
+    def find_culprit(self, subjects: Collection[str], now: Millis) -> str | None:
+        """Return the subject for which a request is refused; None if it is not refused.
+
+        The crashes of the last ``CRASH_RETENTION`` that no subject of another request
+        explains count. The request is refused if one of its subjects has as many of
+        them as its kind takes, and one more for each crash without the subject in the
+        same time span, up to ``MAX_UNRELATED_CRASHES`` more.
 
-        The crashes of the last ``CRASH_RETENTION`` that no other request explains
-        count. The request is refused if there are ``CRASHES_BEFORE_REFUSAL`` of them,
-        and one more for each crash without the request in the same time span, up to
-        ``MAX_UNRELATED_CRASHES`` more.
+        Args:
+            subjects: Digest of the request and the parts of its prompt.
+            now: Monotonic time, in milliseconds.
         """
-        lives = self._lives.get(digest, ())
-        if len(lives) < CRASHES_BEFORE_REFUSAL:
-            return False
-        crashes = [self._crashes[life] for life in lives]
-        crashes = [crash for crash in crashes if now - crash.at < CRASH_RETENTION]
-        own = [crash for crash in crashes if not self._is_explained(digest, crash)]
-        if len(own) < CRASHES_BEFORE_REFUSAL:
-            return False
-        unrelated = self._count_unrelated(digest, own)
-        return len(own) >= CRASHES_BEFORE_REFUSAL + min(
-            MAX_UNRELATED_CRASHES, unrelated
+        for subject in subjects:
+            required = CRASHES_BEFORE_REFUSAL
+            if is_part(subject):
+                required = PART_CRASHES_BEFORE_REFUSAL
+            if len(self._lives.get(subject, ())) < required:
+                continue
+            own = self._list_unexplained(subject, subjects, now)
+            if len(own) < required:
+                continue
+            unrelated = self._count_unrelated(subject, own)
+            if len(own) >= required + min(MAX_UNRELATED_CRASHES, unrelated):
+                return subject
+        return None
+
+    def find_doubtful_part(self, subjects: Collection[str], now: Millis) -> str | None:
+        """Return a part that may crash targets although too few crashes show it.
+
+        Returns None if a request with these subjects may run like any other.
+        """
+        for subject in subjects:
+            if len(self._lives.get(subject, ())) < PART_CRASHES_BEFORE_CAUTION:
+                continue
+            if not is_part(subject):
+                continue
+            own = self._list_unexplained(subject, subjects, now)
+            if len(own) >= PART_CRASHES_BEFORE_CAUTION:
+                return subject
+        return None
+
+    def may_try(self, subject: str, delay: Millis, now: Millis) -> bool:
+        """Return whether one request may show that a refused part is sound again.
+
+        That is so once ``delay`` milliseconds have passed since the last crash and
+        since the last such request of this entry, which is recorded.
+        """
+        last = max(
+            self.find_last_crash(subject), self._trials.get(subject, now - delay)
         )
+        if now - last < delay:
+            return False
+        self._trials[subject] = now
+        return True
+
+    def _list_unexplained(
+        self, subject: str, subjects: Collection[str], now: Millis
+    ) -> list[_Crash]:
+        """Return the recent crashes of a subject that no other one explains, by time.
 
-    def is_settled(self, digest: str, now: Millis) -> bool:
-        """Return whether all entries have had time to report a request's crashes."""
-        lives = self._lives.get(digest, ())
+        Crashes of a part at about the same time count once.
+        """
+        found: list[_Crash] = []
+        lives = self._lives.get(subject, ())
+        for life in sorted(lives, key=self._get_crash_time):
+            crash = self._crashes[life]
+            if now - crash.at >= CRASH_RETENTION:
+                continue
+            if self._is_explained(subject, subjects, crash):
+                continue
+            together = found and crash.at - found[-1].at < SIMULTANEOUS_CRASHES
+            if is_part(subject) and together:
+                continue
+            found.append(crash)
+        return found
+
+    def is_settled(self, subject: str, now: Millis) -> bool:
+        """Return whether all entries have had time to report a subject's crashes."""
+        lives = self._lives.get(subject, ())
         return all(
             now - self._get_crash_time(life) >= SUSPICION_DELAY for life in lives
         )
 
-    def _is_explained(self, digest: str, crash: _Crash) -> bool:
-        """Return whether another request is as likely to have caused a crash.
+    def _is_explained(
+        self, subject: str, subjects: Collection[str], crash: _Crash
+    ) -> bool:
+        """Return whether another subject is as likely to have caused a crash.
 
-        Such a request was on the same target, and has as many suspicions or more.
+        Such a subject was on the same target, has as many suspicions or more, and is
+        not one of the request's own ``subjects``.
         """
-        count = len(self._lives[digest])
+        count = len(self._lives[subject])
         for other in crash.suspects:
-            if other != digest and len(self._lives[other]) >= count:
+            if other not in subjects and len(self._lives[other]) >= count:
                 return True
         return False
 
-    def _count_unrelated(self, digest: str, own: list[_Crash]) -> int:
-        """Count the crashes without a request in the time span of its own crashes.
+    def _count_unrelated(self, subject: str, own: list[_Crash]) -> int:
+        """Count the crashes without a subject in the time span of its own crashes.
 
-        A crash is left out if a request with several suspicions was on the target:
-        that request may have caused the crash, which is thus no evidence that targets
+        A crash is left out if a subject with several suspicions was on the target:
+        that one may have caused the crash, which is thus no evidence that targets
         crash by chance.
         """
         first = min(crash.at for crash in own) - COMMON_CAUSE_WINDOW
         last = max(crash.at for crash in own) + COMMON_CAUSE_WINDOW
         count = 0
         for crash in self._crashes.values():
-            if not first <= crash.at <= last or digest in crash.suspects:
+            if not first <= crash.at <= last or subject in crash.suspects:
                 continue
             if all(len(self._lives[other]) == 1 for other in crash.suspects):
                 count += 1
@@ -231,22 +345,21 @@
     def list_suspicions(self, now: Millis) -> tuple[Suspicion, ...]:
         """Return the suspicions to announce, at most ``MAX_ANNOUNCED_SUSPICIONS``.
 
-        Suspicions of requests that have several come first, and among equals those
-        that became known last.
+        Suspicions of subjects that have more come first, and among equals those that
+        became known last.
         """
         found = []
-        for digest, lives in self._lives.items():
+        for subject, lives in self._lives.items():
             newest = sorted(lives, key=self._get_crash_time, reverse=True)
-            for life in newest[:MAX_ANNOUNCED_PER_REQUEST]:
-                crash = self._crashes[life]
-                known_at = crash.suspects[digest]
-                repeated = len(lives) > 1
-                if repeated or now - known_at < SUSPICION_ANNOUNCE_DURATION:
-                    found.append((repeated, known_at, digest, life))
+            newest = newest[:MAX_ANNOUNCED_PER_SUBJECT]
+            for life in newest:
+                known_at = self._crashes[life].suspects[subject]
+                if len(lives) > 1 or now - known_at < SUSPICION_ANNOUNCE_DURATION:
+                    found.append((len(newest), known_at, subject, life))
         found.sort(reverse=True)
         return tuple(
-            Suspicion(digest, life, Millis(now - self._get_crash_time(life)))
-            for _, _, digest, life in found[:MAX_ANNOUNCED_SUSPICIONS]
+            Suspicion(subject, life, Millis(now - self._get_crash_time(life)))
+            for _, _, subject, life in found[:MAX_ANNOUNCED_SUSPICIONS]
         )
 
     def list_clearances(self, now: Millis) -> tuple[Clearance, ...]:
@@ -255,13 +368,13 @@
         There are at most ``MAX_ANNOUNCED_SUSPICIONS``.
         """
         recent = []
-        for digest, cleared in self._cleared.items():
+        for subject, cleared in self._cleared.items():
             if now - cleared.dropped_at < SUSPICION_ANNOUNCE_DURATION:
-                recent.append((cleared.dropped_at, digest, cleared.at))
+                recent.append((cleared.dropped_at, subject, cleared.at))
         recent.sort(reverse=True)
         return tuple(
-            Clearance(digest, Millis(now - at))
-            for _, digest, at in recent[:MAX_ANNOUNCED_SUSPICIONS]
+            Clearance(subject, Millis(now - at))
+            for _, subject, at in recent[:MAX_ANNOUNCED_SUSPICIONS]
         )
 
     def remove_expired(self, now: Millis) -> None:
@@ -269,16 +382,25 @@
         for life, crash in list(self._crashes.items()):
             if now - crash.at >= CRASH_RETENTION:
                 self.discard_crash(life)
-        for digest, cleared in list(self._cleared.items()):
+        for subject, cleared in list(self._cleared.items()):
             if now - cleared.at >= CRASH_RETENTION:
-                del self._cleared[digest]
+                del self._cleared[subject]
+        for subject in list(self._trials):
+            if subject not in self._lives:
+                del self._trials[subject]
+
+    def _drop_oldest_subject(self) -> None:
+        for subject, lives in self._lives.items():
+            if len(lives) == 1:
+                self._drop_suspicion(subject, next(iter(lives)))
+                return
 
     def _get_crash_time(self, life: str) -> Millis:
         return self._crashes[life].at
 
-    def _drop_suspicion(self, digest: str, life: str) -> None:
-        del self._crashes[life].suspects[digest]
-        lives = self._lives[digest]
+    def _drop_suspicion(self, subject: str, life: str) -> None:
+        del self._crashes[life].suspects[subject]
+        lives = self._lives[subject]
         lives.discard(life)
         if not lives:
-            del self._lives[digest]
+            del self._lives[subject]
--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -196,7 +196,7 @@
     effects: list[Effect] = [CloseAttempt(attempt.number)]
     request = state.requests.get(attempt.request)
     if request is not None:
-        effects += crashes.record_lost(state, request, attempt, now)
+        effects += crashes.record_lost(state, request, attempt, None, now)
     return effects
 
 
--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -5,15 +5,27 @@
 crash: targets also fail, reset connections and send garbled answers while they keep
 running. Requests lost at a target are therefore recorded, and become suspects only if
 the target is found to have ended before it answers a later request.
+
+The same holds for a part of a prompt that crashes every engine that begins to write an
+answer on it, in requests that have nothing else in common. Parts are cleared by runs
+that have been written for a while. The last part belongs to one request, and the first
+one to all requests of a kind, so that neither is ever suspected.
 """
 
 from collections.abc import Iterable
 
 from figstep.core.clock import Millis
-from figstep.core.crashes import Clearance, Suspicion
-from figstep.gateway.effects import Announce, Effect, Note, ProbeTarget
-from figstep.gateway.events import Loss
-from figstep.gateway.state import Attempt, Request, State
+from figstep.core.crashes import MAX_PARTS, Clearance, Suspicion, is_part, name_part
+from figstep.gateway import shares
+from figstep.gateway.effects import (
+    Announce,
+    CheckTarget,
+    Effect,
+    Note,
+    ProbeTarget,
+)
+from figstep.gateway.events import Loss, RoutedRequest
+from figstep.gateway.state import Attempt, Request, ShortAnswer, State
 from figstep.gateway.targets import Registration, Standing, Target
 
 LOST_RETENTION = Millis(6_000)
@@ -38,30 +50,73 @@
 """Retry delay, in milliseconds, of a request known to crash targets. Such a request is
 refused for minutes."""
 
+WRITING_DURATION = Millis(400)
+"""Time, in milliseconds, for which an engine has to write an answer until the request
+and its parts count as harmless. A crash follows the first event within less."""
+
+CAUTION_DURATION = Millis(1_000)
+"""Time, in milliseconds, after a crash for which no request starts that has the part
+in doubt. Other entries report meanwhile whether their runs with the part go on."""
+
+TRIAL_DELAY = Millis(180_000)
+"""Time, in milliseconds, after the last crash by a part until one request with it may
+run again. The engines may have been changed since."""
+
+TRIAL_SPACING = Millis(250)
+"""Mean time, in milliseconds, between the moments at which entries may make such a
+trial. The first one's result reaches the other entries meanwhile."""
+
 _CRASH_LOSSES = frozenset({Loss.BROKEN, Loss.GARBLED})
 """Losses that may be the immediate result of the end of a target."""
 
 
 def record_lost(
-    state: State, request: Request, attempt: Attempt, now: Millis
+    state: State,
+    request: Request,
+    attempt: Attempt,
+    loss: Loss | None,
+    now: Millis,
 ) -> list[Effect]:
     """Record that an attempt which may have run ended without an answer.
 
-    A request crashes its target as it begins to run, so one whose stream has begun is
-    not recorded. Losses at a target that leaves are not recorded either, as it ends all
-    attempts that are still open there. If the target is known to have ended, the
-    request becomes a suspect at once.
+    A request crashes its target as it begins to run, so one that has been written for
+    ``WRITING_DURATION`` is not recorded. Losses at a target that leaves are not
+    recorded either, as it ends all attempts that are still open there. If the target is
+    known to have ended, the request becomes a suspect at once.
+
+    Parts are recorded only for losses that a crash causes at once: ``loss`` is None if
+    this entry closed the attempt.
     """
     target = attempt.target
-    if request.stream_begun or target.standing is not Standing.READY:
+    request.on_trial = False
+    written = _was_written(attempt, request.delivered_at)
+    if written or target.standing is not Standing.READY:
         return []
-    digest = request.spec.digest
+    subjects = [request.spec.digest]
+    if loss in _CRASH_LOSSES:
+        subjects = list_subjects(request.spec)
     if target.ended_at is not None and attempt.opened <= target.ended_at:
-        return _suspect(state, target, [digest], target.ended_at, now)
-    target.lost[digest] = now
+        return _suspect(state, target, subjects, target.ended_at, now)
+    for subject in subjects:
+        target.lost[subject] = now
     return []
 
 
+def _was_written(attempt: Attempt, until: Millis) -> bool:
+    """Return whether events came for ``WRITING_DURATION`` or longer."""
+    first = attempt.first_delivery_at
+    return first is not None and until - first >= WRITING_DURATION
+
+
+def list_subjects(spec: RoutedRequest) -> list[str]:
+    """Return what a request may be suspected for: its digest and some of its parts."""
+    subjects = [spec.digest]
+    if spec.prompt is not None:
+        shared = spec.prompt.parts[1:-1][:MAX_PARTS]
+        subjects += [name_part(part) for part, _ in shared]
+    return subjects
+
+
 def probe_target(target: Target, loss: Loss, now: Millis) -> list[Effect]:
     """Return a probe of whether a target ended, after a loss that suggests it.
 
@@ -82,9 +137,9 @@
     An end recorded less than ``MIN_RESTART_TIME`` before that is discarded as wrong.
     """
     if target.lost:
-        for digest, lost_at in list(target.lost.items()):
+        for subject, lost_at in list(target.lost.items()):
             if lost_at <= asked:
-                del target.lost[digest]
+                del target.lost[subject]
     ended_at = target.ended_at
     if ended_at is None or asked < ended_at:
         return
@@ -138,39 +193,189 @@
             continue
         if state.crashes.record_suspicion(suspicion, now):
             effects.append(_describe_suspicion(state, suspicion, source))
+            effects += _record_told_end(state, suspicion, now)
     return effects
 
 
+def _record_told_end(state: State, suspicion: Suspicion, now: Millis) -> list[Effect]:
+    """Record the end of a target that another entry has found; suspect what was lost.
+
+    The target gets no requests until a check reaches it: the other entry may be wrong.
+    """
+    target = state.targets.find(suspicion.life.rpartition("@")[0])
+    if target is None or _format_incarnation(target) != suspicion.life:
+        return []
+    if target.standing is not Standing.READY or target.ended_at is not None:
+        return []
+    target.ended_at = Millis(now - suspicion.age)
+    target.require_check(now)
+    return _suspect_lost(state, target, now)
+
+
 def apply_clearances(
     state: State, clearances: Iterable[Clearance], now: Millis
 ) -> None:
     """Apply the clearances of suspected requests that ran at other entries."""
     for clearance in clearances:
-        state.crashes.clear(clearance.digest, Millis(now - clearance.age), now)
+        state.crashes.clear(clearance.subject, Millis(now - clearance.age), now)
+
+
+def record_whole(
+    state: State, request: Request, attempt: Attempt, now: Millis
+) -> list[Effect]:
+    """Drop the suspicions of a request that was answered, as far as that shows.
+
+    A short answer may be whole before its parts crash the engine. They are cleared once
+    the engine is found to run ``WRITING_DURATION`` later.
+    """
+    request_id = request.spec.id
+    if _was_written(attempt, now):
+        return _clear(state, request_id, list_subjects(request.spec), now, now)
+    digest, *parts = list_subjects(request.spec)
+    doubtful = tuple(part for part in parts if state.crashes.is_suspected(part))
+    if doubtful:
+        answer = ShortAnswer(request_id, attempt.target.name, doubtful, now)
+        state.short_answers.append(answer)
+    return _clear(state, request_id, [digest], now, now)
 
 
-def clear_request(state: State, request: Request, now: Millis) -> list[Effect]:
-    """Drop the suspicions of a request that was answered or whose stream has begun."""
-    if not state.crashes.clear(request.spec.digest, now, now):
+def record_rejected(state: State, request: Request, now: Millis) -> list[Effect]:
+    """Drop the suspicions of a request that its target answered with an error.
+
+    Nothing was written, so the parts of its prompt are not cleared.
+    """
+    return _clear(state, request.spec.id, [request.spec.digest], now, now)
+
+
+def clear_written(state: State, now: Millis) -> list[Effect]:
+    """Drop the suspicions of requests that engines have been writing for a while.
+
+    The engines of short answers are checked once these are old enough.
+    """
+    if not state.crashes.has_suspects:
+        state.short_answers.clear()
         return []
-    fields: dict[str, str | int | float | None] = {
-        "request": request.spec.id,
-        "digest": request.spec.digest,
-    }
-    return [Announce(), Note("request cleared", fields)]
+    effects: list[Effect] = []
+    for request in state.requests.values():
+        attempt = request.current
+        if attempt is None or not _was_written(attempt, request.delivered_at):
+            continue
+        subjects = list_subjects(request.spec)
+        effects += _clear(state, request.spec.id, subjects, request.delivered_at, now)
+    return effects + _check_short_answers(state, now)
+
+
+def _check_short_answers(state: State, now: Millis) -> list[Effect]:
+    checked: dict[str, Effect] = {}
+    for answer in state.short_answers:
+        if not answer.checked and now - answer.ended_at >= WRITING_DURATION:
+            answer.checked = True
+            checked[answer.target] = CheckTarget(answer.target)
+    return list(checked.values())
+
+
+def record_check(
+    state: State, target: Target, opened: Millis, reached: bool, now: Millis
+) -> list[Effect]:
+    """Clear the parts of short answers if the engine that wrote them still runs.
+
+    Otherwise they become suspects like those of runs that the engine did not finish.
+    """
+    effects: list[Effect] = []
+    for answer in list(state.short_answers):
+        if answer.target != target.name or not answer.checked:
+            continue
+        state.short_answers.remove(answer)
+        if reached:
+            effects += _clear(state, answer.request, answer.parts, answer.ended_at, now)
+            continue
+        for part in answer.parts:
+            target.lost[part] = opened
+    return effects
+
+
+def _clear(
+    state: State,
+    request_id: str,
+    subjects: Iterable[str],
+    at: Millis,
+    now: Millis,
+) -> list[Effect]:
+    effects: list[Effect] = []
+    for subject in subjects:
+        if not state.crashes.clear(subject, at, now):
+            continue
+        fields: dict[str, str | int | float | None] = {
+            "request": request_id,
+            "subject": subject,
+        }
+        effects.append(Note("request cleared", fields))
+    return [Announce(), *effects] if effects else []
+
+
+def find_culprit(state: State, spec: RoutedRequest, now: Millis) -> str | None:
+    """Return what a request is refused for; None if it may run."""
+    if not state.crashes.has_suspects:
+        return None
+    return state.crashes.find_culprit(list_subjects(spec), now)
+
+
+def is_refused(state: State, request: Request, now: Millis) -> bool:
+    """Return whether a request is refused for its crashes, or for those of a part."""
+    if request.on_trial:
+        return False
+    return find_culprit(state, request.spec, now) is not None
+
+
+def begin_trial(state: State, culprit: str, now: Millis) -> bool:
+    """Return whether a request may show that a refused part has become harmless.
+
+    Entries try it at different times, so that they learn of each other's trials.
+    """
+    if not is_part(culprit):
+        return False
+    rank, _ = shares.hash_rank(state.node, culprit)
+    spread = TRIAL_SPACING * state.entries
+    delay = TRIAL_DELAY + spread * rank // shares.HASH_RANGE
+    return state.crashes.may_try(culprit, Millis(delay), now)
+
+
+def must_wait(state: State, request: Request, now: Millis) -> bool:
+    """Return whether a request has to wait as one of its parts may crash its target.
+
+    It waits for a while after the last crash, and then for another request with the
+    part that this entry has sent.
+    """
+    if request.on_trial or not state.crashes.has_suspects:
+        return False
+    part = state.crashes.find_doubtful_part(list_subjects(request.spec), now)
+    if part is None:
+        return False
+    if now - state.crashes.find_last_crash(part) < CAUTION_DURATION:
+        return True
+    return _is_running(state, part, request)
+
+
+def _is_running(state: State, part: str, request: Request) -> bool:
+    for other in state.requests.values():
+        if other is request or other.current is None:
+            continue
+        if part in list_subjects(other.spec):
+            return True
+    return False
 
 
-def choose_retry_after(state: State, digest: str, now: Millis) -> Millis:
+def choose_retry_after(state: State, culprit: str | None, now: Millis) -> Millis:
     """Return the retry delay, in milliseconds, of a request refused for its crashes."""
-    if state.crashes.is_settled(digest, now):
+    if culprit is not None and state.crashes.is_settled(culprit, now):
         return REFUSED_RETRY_AFTER
     return SETTLING_RETRY_AFTER
 
 
 def _suspect_lost(state: State, target: Target, now: Millis) -> list[Effect]:
     recent = [
-        digest
-        for digest, lost_at in target.lost.items()
+        subject
+        for subject, lost_at in target.lost.items()
         if now - lost_at < LOST_RETENTION
     ]
     target.lost.clear()
@@ -178,12 +383,16 @@
 
 
 def _suspect(
-    state: State, target: Target, digests: Iterable[str], ended_at: Millis, now: Millis
+    state: State,
+    target: Target,
+    subjects: Iterable[str],
+    ended_at: Millis,
+    now: Millis,
 ) -> list[Effect]:
     effects: list[Effect] = []
-    for digest in digests:
+    for subject in subjects:
         suspicion = Suspicion(
-            digest, _format_incarnation(target), Millis(now - ended_at)
+            subject, _format_incarnation(target), Millis(now - ended_at)
         )
         if state.crashes.record_suspicion(suspicion, now):
             effects.append(_describe_suspicion(state, suspicion, "itself"))
@@ -212,9 +421,9 @@
     return Note(
         "request suspected",
         {
-            "digest": suspicion.digest,
+            "subject": suspicion.subject,
             "crash": suspicion.life,
             "told_by": source,
-            "crashes": state.crashes.count(suspicion.digest),
+            "crashes": state.crashes.count(suspicion.subject),
         },
     )
--- a/figstep/gateway/reach.py
+++ b/figstep/gateway/reach.py
@@ -46,12 +46,15 @@
 
 def handle_checked(state: State, event: TargetChecked, now: Millis) -> list[Effect]:
     """Record the result of a check of a target."""
-    if event.reached:
-        target = state.targets.find(event.target)
-        if target is not None:
-            target.record_connection()
-        return _record_connection(state, target, now)
-    return record_unreached(state, event.target, event.opened, now)
+    target = state.targets.find(event.target)
+    effects: list[Effect] = []
+    if target is not None:
+        effects = crashes.record_check(state, target, event.opened, event.reached, now)
+    if not event.reached:
+        return effects + record_unreached(state, event.target, event.opened, now)
+    if target is not None:
+        target.record_connection()
+    return effects + _record_connection(state, target, now)
 
 
 def handle_peer(state: State, event: PeerHeard, now: Millis) -> list[Effect]:
@@ -95,8 +98,12 @@
 ) -> list[Effect]:
     """Record that a connection to a target was not established.
 
-    Other targets are checked at once, until enough have failed or one is reached.
+    Other targets are checked at once, until enough have failed or one is reached. A
+    target that is known to have ended says nothing of this entry's links.
     """
+    known_target = state.targets.find(target)
+    if known_target is not None and known_target.ended_at is not None:
+        return []
     if opened <= state.reach.connected_at:
         return _record_ends(state)
     known = len(_list_ready(state))
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -52,7 +52,7 @@
         request.lost_runs += 1
         if event.loss is not Loss.FAILED:
             request.lost_domains.add(attempt.target.info.failure_domain)
-        target_effects += crashes.record_lost(state, request, attempt, now)
+        target_effects += crashes.record_lost(state, request, attempt, event.loss, now)
         target_effects += crashes.probe_target(attempt.target, event.loss, now)
     if event.loss is Loss.UNREACHED:
         request.unreached += 1
@@ -200,6 +200,9 @@
     copy = request.copy
     if copy is None:
         return []
+    if crashes.is_refused(state, request, now):
+        request.copy = None
+        return []
     holder = state.targets.find(copy.holder)
     if holder is None or not eligibility.is_eligible(state, request, holder):
         request.copy = None
@@ -249,8 +252,12 @@
     """
     if now >= request.deadline:
         return []
-    if state.crashes.is_refused(request.spec.digest, now):
+    if crashes.is_refused(state, request, now):
         return requests.refuse_request(state, request, "crashes_targets", now)
+    if crashes.must_wait(state, request, now):
+        if not peers.spend_repeat(state, request.service, now):
+            return []
+        return requests.hold_request(state, request, now)
     if eligibility.reaches_none(state, request):
         if not peers.spend_repeat(state, request.service, now):
             return []
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -274,6 +274,7 @@
     effects += reach.check_links(state, now)
     effects += copies.migrate_streams(state, now)
     effects += streams.check_streams(state, now)
+    effects += crashes.clear_written(state, now)
     effects += reports.query_engines(state, now)
     effects += copies.drop_copies_for_memory(state, now)
     effects += copies.order_proactive_copies(state, now)
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -1,5 +1,7 @@
 """Handles a request from its arrival to its end: queue, answer, refusal, deadline."""
 
+from http import HTTPStatus
+
 from figstep.core.clock import Millis
 from figstep.core.problems import Problem, Ran
 from figstep.gateway import (
@@ -97,14 +99,16 @@
             )
     if spec.body_bytes > table.limits.body_bytes:
         return _reject_request(spec.number, spec.id, 413, "body_too_large")
-    if state.crashes.is_refused(spec.digest, now):
+    culprit = crashes.find_culprit(state, spec, now)
+    on_trial = culprit is not None and crashes.begin_trial(state, culprit, now)
+    if culprit is not None and not on_trial:
         return _reject_request(
             spec.number,
             spec.id,
             503,
             "crashes_targets",
-            crashes.choose_retry_after(state, spec.digest, now),
-            digest=spec.digest,
+            crashes.choose_retry_after(state, culprit, now),
+            culprit=culprit,
         )
     if state.closes_at is not None and _must_finish_here(route):
         return _reject_request(
@@ -117,6 +121,7 @@
         )
     request = _build_request(state, event, route, customer, now)
     request.origin = origin
+    request.on_trial = on_trial
     state.requests[spec.number] = request
     if not spec.relayed:
         # The entry that passed the request on has counted it.
@@ -172,8 +177,10 @@
     If this entry reaches none of its targets, the request is passed on to another entry
     or refused.
     """
-    if state.crashes.is_refused(request.spec.digest, now):
+    if crashes.is_refused(state, request, now):
         return refuse_request(state, request, "crashes_targets", now)
+    if crashes.must_wait(state, request, now):
+        return hold_request(state, request, now)
     if eligibility.reaches_none(state, request):
         relayed = relays.relay_request(state, request, now)
         return relayed or refuse_request(state, request, "cut_off", now)
@@ -222,9 +229,11 @@
     waiting.sort(key=lambda request: _rank(request, now))
     considered: set[tuple[str, Origin | None]] = set()
     for request in waiting:
-        if state.crashes.is_refused(request.spec.digest, now):
+        if crashes.is_refused(state, request, now):
             effects += refuse_request(state, request, "crashes_targets", now)
             continue
+        if crashes.must_wait(state, request, now):
+            continue
         if (request.service, request.origin) in considered:
             continue
         considered.add((request.service, request.origin))
@@ -284,8 +293,12 @@
         attempt.target.update_answer_time(now - attempt.opened)
     crashes.record_answer(state, attempt.target, attempt.opened)
     attempts.end_attempt(state, attempt)
+    if event.status < HTTPStatus.BAD_REQUEST:
+        effects = crashes.record_whole(state, request, attempt, now)
+    else:
+        effects = crashes.record_rejected(state, request, now)
     return [
-        *crashes.clear_request(state, request, now),
+        *effects,
         *deliver_answer(state, request, event.attempt, event.status, now),
     ]
 
@@ -345,7 +358,8 @@
 
 def _choose_return(state: State, request: Request, reason: str, now: Millis) -> Millis:
     if reason == "crashes_targets":
-        return crashes.choose_retry_after(state, request.spec.digest, now)
+        culprit = crashes.find_culprit(state, request.spec, now)
+        return crashes.choose_retry_after(state, culprit, now)
     if reason == "cut_off":
         return request.relay_pause or CUT_OFF_RETRY_AFTER
     return admission.choose_retry_after(state, request, now)
@@ -412,7 +426,7 @@
     reason: str,
     retry_after: Millis | None = None,
     version: int = -1,
-    digest: str = "",
+    culprit: str = "",
 ) -> list[Effect]:
     problem = Problem(status, reason, _DETAILS[reason], Ran.NO, retry_after)
     return [
@@ -425,7 +439,7 @@
                 "status": status,
                 "reason": reason,
                 "configuration": version,
-                "digest": digest,
+                "culprit": culprit,
             },
         ),
     ]
--- a/figstep/gateway/shares.py
+++ b/figstep/gateway/shares.py
@@ -10,6 +10,9 @@
 from figstep.core.clock import Millis
 from figstep.gateway.state import State
 
+HASH_RANGE = 1 << 32
+"""Upper bound of the number in a rank; all ranks are below it."""
+
 RESTART_SHARE_DELAY = Millis(1_500)
 """How long, in milliseconds, a restarted process has no share. It first has to receive
 messages of the other entries, and requests that its earlier process sent still count
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -83,6 +83,25 @@
     own: bool
 
 
+@dataclass(slots=True)
+class ShortAnswer:
+    """Whole answer that was written in less time than shows its parts harmless.
+
+    Attributes:
+        request: Id of the request.
+        target: Name of the engine that wrote it.
+        parts: Suspected parts of the prompt, as subjects.
+        ended_at: Monotonic time in milliseconds at which the answer was whole.
+        checked: Whether a check of the engine was requested.
+    """
+
+    request: str
+    target: str
+    parts: tuple[str, ...]
+    ended_at: Millis
+    checked: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Origin:
     """Software version of the target that sent the first event of a stream.
@@ -185,6 +204,8 @@
             of the caller; None before the first event.
         relays: Number of entries that it was passed on to.
         tried_relays: Addresses of these entries.
+        on_trial: Whether it may run although a part of its prompt is refused, to show
+            whether the part still crashes targets.
         relay_pause: Retry-After in milliseconds with which the last of them refused it;
             None if it named none.
     """
@@ -229,6 +250,7 @@
     relays: int = 0
     tried_relays: set[str] = field(default_factory=set)
     relay_pause: Millis | None = None
+    on_trial: bool = False
 
 
 @dataclass(slots=True)
@@ -329,6 +351,9 @@
         entries: Number of entries in the fleet, this one included.
         silent_peers: Peers whose messages stopped although they announced no shutdown,
             and when this entry removed each.
+        crashes: Crashes of targets, and what was on these targets.
+        short_answers: Answers whose engines are checked before the parts of their
+            prompts count as harmless.
         position: Offset up to which the registrations were read; -1 for none.
         behind_since: Since when a peer has known newer records than this entry, or when
             this entry last fetched them from a peer; None if no peer knows newer ones.
@@ -376,6 +401,7 @@
     entries: int = 1
     silent_peers: dict[str, Millis] = field(default_factory=dict)
     crashes: CrashTable = field(default_factory=CrashTable)
+    short_answers: list[ShortAnswer] = field(default_factory=list)
     next_attempt: int = 1
     position: int = -1
     behind_since: Millis | None = None
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -129,7 +129,6 @@
     crashes.record_answer(state, attempt.target, attempt.opened)
     number = request.spec.number
     return [
-        *crashes.clear_request(state, request, now),
         *origins.record_start(state, request, attempt, now),
         BeginStream(number, attempt.number),
         Observe("first_event_time", now - request.arrived, request.route.name),
@@ -203,6 +202,7 @@
     if not request.stream_begun:
         effects += _begin_stream(state, request, attempt, now)
     attempts.end_attempt(state, attempt)
+    effects += crashes.record_whole(state, request, attempt, now)
     effects += attempts.close_request(state, request, now)
     return [
         *effects,
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -208,8 +208,9 @@
         recent_sends: Times at which this entry recently sent it requests, oldest first.
         paused_until: End of the pause that it asked this entry for.
         announced_leaving: Whether it has announced to this entry that it leaves.
-        lost: Digests of requests whose attempts there ended without an answer, and
-            when. An answer to a request sent after that time removes the entry.
+        lost: What requests whose attempts there ended without an answer may be
+            suspected for, and when they ended. An answer to a request sent after that
+            time removes the entry.
         refused_at: When it refused a connection of this entry, until another target
             accepts one; None if it did not. Before that the entry may be cut off.
         needs_check: Whether a connection to it timed out and none was established
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -146,11 +146,11 @@
         slot.target, slot.age = rejection.target, rejection.age
     suspicions = message.init("crashes", len(own.suspicions))
     for slot, suspicion in zip(suspicions, own.suspicions, strict=True):
-        slot.digest, slot.crash = suspicion.digest, suspicion.life
+        slot.digest, slot.crash = suspicion.subject, suspicion.life
         slot.age = suspicion.age
     clearances = message.init("cleared", len(own.clearances))
     for slot, clearance in zip(clearances, own.clearances, strict=True):
-        slot.digest, slot.age = clearance.digest, clearance.age
+        slot.digest, slot.age = clearance.subject, clearance.age
     groups = _group_starts(own.starts)
     starts = message.init("starts", len(groups))
     for slot, (version, streams) in zip(starts, groups.items(), strict=True):
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -106,13 +106,13 @@
 }
 
 struct Crash {
-  digest @0 :Text;           # of a request that was at the target
+  digest @0 :Text;           # of a request that was at the target, or "part ID"
   crash @1 :Text;            # the incarnation of the target that ended
   age @2 :UInt32;            # milliseconds since the crash
 }
 
 struct Clearance {
-  digest @0 :Text;
+  digest @0 :Text;           # of a request, or "part ID"
   age @1 :UInt32;            # milliseconds since the answer
 }
 
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -4,10 +4,12 @@
 from figstep.core.crashes import (
     CRASH_RETENTION,
     MAX_ANNOUNCED_SUSPICIONS,
+    MAX_SUBJECTS,
     SUSPICION_ANNOUNCE_DURATION,
     SUSPICION_DELAY,
     CrashTable,
     Suspicion,
+    name_part,
 )
 
 NOW = Millis(2_000_000)
@@ -147,7 +149,7 @@
     sent = table.list_suspicions(Millis(NOW + 200))
     assert len(sent) == MAX_ANNOUNCED_SUSPICIONS
     incarnations = {
-        suspicion.life for suspicion in sent if suspicion.digest == "killer"
+        suspicion.life for suspicion in sent if suspicion.subject == "killer"
     }
     assert incarnations == {"b-1@1", "b-2@1"}
 
@@ -157,7 +159,7 @@
     record_crash(table, "b-1@1", "killer", "good")
     record_crash(table, "b-2@1", "killer")
     sent = table.list_suspicions(Millis(NOW + SUSPICION_ANNOUNCE_DURATION))
-    assert {suspicion.digest for suspicion in sent} == {"killer"}
+    assert {suspicion.subject for suspicion in sent} == {"killer"}
     assert sent[0].age == SUSPICION_ANNOUNCE_DURATION
 
 
@@ -167,7 +169,7 @@
     assert table.list_clearances(NOW) == ()
     table.clear("good", NOW, NOW)
     [sent] = table.list_clearances(Millis(NOW + 30))
-    assert (sent.digest, sent.age) == ("good", 30)
+    assert (sent.subject, sent.age) == ("good", 30)
     assert table.list_clearances(Millis(NOW + SUSPICION_ANNOUNCE_DURATION)) == ()
 
 
@@ -177,3 +179,77 @@
     record_crash(table, "b-2@1", "killer", at=NOW + 100)
     assert not table.is_settled("killer", Millis(NOW + SUSPICION_DELAY))
     assert table.is_settled("killer", Millis(NOW + 100 + SUSPICION_DELAY))
+
+
+GUILTY = name_part("guilty")
+SHARED = name_part("shared")
+
+
+def record_guilty_crashes(table: CrashTable, count: int, *others: str) -> Millis:
+    """Record crashes, a second apart, of targets that ran the guilty part."""
+    for number in range(count):
+        at = NOW + 1_000 * number
+        record_crash(table, f"e-{number}@1", f"digest {number}", GUILTY, *others, at=at)
+    return Millis(NOW + 1_000 * count)
+
+
+def test_a_part_is_refused_after_three_crashes_under_different_requests() -> None:
+    table = CrashTable()
+    now = record_guilty_crashes(table, 2)
+    assert table.find_culprit(("new", GUILTY), now) is None
+    assert table.find_doubtful_part(("new", GUILTY), now) == GUILTY
+    now = record_guilty_crashes(table, 3)
+    assert table.find_culprit(("new", GUILTY), now) == GUILTY
+    assert table.find_culprit(("new",), now) is None
+
+
+def test_requests_that_lack_the_guilty_part_are_not_refused() -> None:
+    """Guards against refusing requests for a part that was beside the guilty one."""
+    table = CrashTable()
+    now = record_guilty_crashes(table, 5, SHARED)
+    assert table.find_culprit(("new", SHARED), now) is None
+    assert table.find_doubtful_part(("new", SHARED), now) is None
+    assert table.find_culprit(("new", SHARED, GUILTY), now) is not None
+
+
+def test_a_part_that_was_written_on_is_cleared() -> None:
+    """Guards against refusing a popular part for the company that it had."""
+    table = CrashTable()
+    now = record_guilty_crashes(table, 3, SHARED)
+    assert table.clear(SHARED, now, now)
+    assert table.find_culprit(("new", SHARED, GUILTY), now) == GUILTY
+    assert not table.is_suspected(SHARED)
+
+
+def test_targets_that_are_lost_together_count_once_for_a_part() -> None:
+    """Guards against refusing a part that ran in a failure domain that was lost."""
+    table = CrashTable()
+    for number in range(5):
+        record_crash(table, f"e-{number}@1", SHARED, at=NOW + 20 * number)
+    assert table.find_culprit(("new", SHARED), Millis(NOW + 1_000)) is None
+
+
+def test_a_refused_part_is_tried_once_after_a_while() -> None:
+    """Guards against a burst of requests as a part is tried again."""
+    table = CrashTable()
+    now = record_guilty_crashes(table, 3)
+    delay = Millis(10_000)
+    last = table.find_last_crash(GUILTY)
+    assert not table.may_try(GUILTY, delay, now)
+    assert table.may_try(GUILTY, delay, Millis(last + delay))
+    assert not table.may_try(GUILTY, delay, Millis(last + delay + 1))
+
+
+def test_many_parts_do_not_push_out_the_guilty_one() -> None:
+    """Guards against a caller who hides a part behind a thousand others."""
+    table = CrashTable()
+    now = record_guilty_crashes(table, 5)
+    for number in range(2 * MAX_SUBJECTS):
+        record_crash(table, "e-9@1", name_part(f"{number}"), at=now)
+    assert len(table.list_suspected()) <= MAX_SUBJECTS
+    assert table.find_culprit(("new", GUILTY), now) == GUILTY
+
+
+def test_long_ids_of_parts_are_shortened() -> None:
+    assert len(name_part("x" * 10_000)) < 64
+    assert name_part("x" * 10_000) != name_part("x" * 9_999)
