Pass requests on to entries that have a share of a rate left

The share of that entry is soon used up, and those of the others lie idle.

The class is that of limits that are divided evenly while callers are not; cut entries are another case of it. A request for which no share is left now passes one hop to an entry that starts it at once or refuses it with the time at which it has a share again. It counts against that entry's share, so the sum of all shares is as before.

--- a/figstep/gateway/domains.py
+++ b/figstep/gateway/domains.py
@@ -22,7 +22,7 @@
 
 Report = TypeVar("Report", RateReport, BrittlenessReport, RejectionReport)
 
-MAX_DOMAIN_RELAYS = 8
+MAX_DOMAIN_RELAYS = 16
 """Maximum number of entries of a failure domain that other failure domains learn of as
 accepting their requests. A message grows with it."""
 
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -31,12 +31,15 @@
         waited: Milliseconds since the caller first sent the request, to any entry.
         lost_runs: Number of lost attempts that may have run.
         version: Software version at which its stream began; None if it has not begun.
+        may_wait: Whether the request may wait there for a target. Otherwise that entry
+            has to start it at once or refuse it.
     """
 
     address: str
     waited: Millis
     lost_runs: int
     version: str | None = None
+    may_wait: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -34,6 +34,8 @@
         lost_runs: Number of its lost attempts at that entry that may have run.
         version: Software version at which its stream began, according to that entry;
             None if it has not begun.
+        may_wait: Whether it may wait here for a target; False if the entry that passed
+            it on can wait itself.
         resumes: Id of the caller's attempt that brought the first event of the stream
             which the caller takes up again; "" if it names none.
     """
@@ -54,6 +56,7 @@
     lost_runs: int = 0
     version: str | None = None
     resumes: str = ""
+    may_wait: bool = True
 
 
 class Loss(Enum):
--- a/figstep/gateway/limits.py
+++ b/figstep/gateway/limits.py
@@ -14,7 +14,7 @@
 from http import HTTPStatus
 
 from figstep.core.clock import Millis
-from figstep.gateway import brittleness, peers, shares
+from figstep.gateway import brittleness, peers, shares, warmups
 from figstep.gateway.effects import Announce, Effect, Note
 from figstep.gateway.events import RateNamed, RateReport
 from figstep.gateway.state import State
@@ -172,6 +172,21 @@
     return Millis(max(limit.opens_at, sends[-share] + window))
 
 
+def has_spent_share(state: State, target: Target, now: Millis) -> bool:
+    """Return whether other entries may send a target a request that this one may not.
+
+    It has no request left of its share of the rate, or of what a cold target bears.
+    """
+    if target.paused_until > now:
+        return False
+    if not warmups.may_send(state, target, now):
+        return True
+    limit = target.limit
+    if limit is None or limit.rate is None or limit.opens_at > now:
+        return False
+    return _find_rate_send_time(state, target, now) > now
+
+
 def record_send(state: State, target: Target, now: Millis) -> None:
     """Record a request that is sent to a target.
 
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -402,6 +402,18 @@
     return False
 
 
+def has_spent_shares(state: State, request: Request, now: Millis) -> bool:
+    """Return whether a target is left that other entries may have a share of."""
+    for target in eligibility.list_eligible(state, request):
+        if target.name in request.tried_targets or target.needs_check:
+            continue
+        if target.backoff_until > now:
+            continue
+        if limits.has_spent_share(state, target, now):
+            return True
+    return False
+
+
 def can_send_before(state: State, request: Request, now: Millis, until: Millis) -> bool:
     """Return whether an untried target can be sent one more request by ``until``.
 
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -88,7 +88,8 @@
     It is placed anew if that entry did not run it. Otherwise that entry has recovered
     it as far as it could: the failure that it reports is passed on.
     """
-    address = attempt.target.info.address
+    assert attempt.relay is not None
+    address = attempt.relay.address
     attempts.end_attempt(state, attempt)
     effects: list[Effect] = [
         Count("lost", (request.route.name, event.loss.value)),
@@ -98,6 +99,8 @@
         request.relay_pause = event.retry_after
         if event.loss is Loss.UNREACHED:
             relays.record_unreached(state, address, now)
+        else:
+            relays.record_spent(state, attempt.relay, event.retry_after, now)
         return effects + requests.place_request(state, request, now)
     request.may_have_run = True
     if event.status is not None and not request.stream_begun:
--- a/figstep/gateway/relays.py
+++ b/figstep/gateway/relays.py
@@ -1,4 +1,7 @@
-"""Passes requests on to other entries while this one reaches no target.
+"""Passes requests on to other entries that can send them to targets.
+
+An entry does so while it reaches no target, and where it has used up its share of what
+the targets accept of all entries: callers may be spread unevenly over the entries.
 
 A request passes from one entry to one other, which treats it as its own or says at once
 that it did not run. At the entry that passes it on it is an attempt like those at
@@ -7,30 +10,50 @@
 """
 
 from figstep.core.clock import Millis
-from figstep.gateway import attempts
+from figstep.gateway import attempts, eligibility, limits
 from figstep.gateway.effects import Count, Effect, RelayTo
 from figstep.gateway.state import Peer, Request, State
 
 MAX_RELAYS = 2
 """Maximum number of entries that a request is passed on to, one after the other."""
 
+MAX_SHARE_RELAYS = 5
+"""Maximum number of entries that a request is passed on to if each of them says at once
+whether it has a share left for it."""
+
 RELAY_BACKOFF = Millis(1_000)
 """Time, in milliseconds, for which an entry is avoided that could not be reached."""
 
+MIN_SPENT_DURATION = Millis(300)
+"""Shortest time, in milliseconds, for which an entry is not asked again that had no
+share left. It says itself for how long."""
+
+MAX_SPENT_DURATION = Millis(4_000)
+"""Longest such time, in milliseconds. Shares change as targets and entries do."""
 
-def relay_request(state: State, request: Request, now: Millis) -> list[Effect]:
+
+def relay_request(
+    state: State, request: Request, now: Millis, may_wait: bool = True
+) -> list[Effect]:
     """Pass a request on to another entry.
 
     Returns no effects if no other entry can take it. A request that was itself passed
     on is not passed on again: two entries that are both cut off would exchange it
     until its deadline.
+
+    Args:
+        state: State of this entry.
+        request: The request.
+        now: Monotonic time, in milliseconds.
+        may_wait: Whether the other entry may let it wait for a target.
     """
-    if request.spec.relayed or request.relays >= MAX_RELAYS or now >= request.deadline:
+    most = MAX_RELAYS if may_wait else MAX_SHARE_RELAYS
+    if request.spec.relayed or request.relays >= most or now >= request.deadline:
         return []
     origin = request.origin
     if origin is not None and origin.version is None:
         return []
-    address = _choose_address(state, request, now)
+    address = _choose_address(state, request, may_wait, now)
     if not address:
         return []
     request.relays += 1
@@ -39,6 +62,7 @@
         Millis(now - request.first_arrived),
         request.lost_runs,
         None if origin is None else origin.version,
+        may_wait,
     )
     return [
         Count("relayed", (request.route.name,)),
@@ -51,7 +75,26 @@
     state.avoided_relays[address] = Millis(now + RELAY_BACKOFF)
 
 
-def _choose_address(state: State, request: Request, now: Millis) -> str:
+def record_spent(
+    state: State, relay: RelayTo, retry_after: Millis | None, now: Millis
+) -> None:
+    """Record that an entry had no share left for a request, if it had to say so."""
+    if not relay.may_wait:
+        pause = max(MIN_SPENT_DURATION, retry_after or MIN_SPENT_DURATION)
+        state.spent_relays[relay.address] = Millis(now + pause)
+
+
+def choose_pause(state: State, request: Request, now: Millis) -> Millis:
+    """Return for how many milliseconds this entry has no share left for a request."""
+    due = [
+        limits.find_send_time(state, target, now)
+        for target in eligibility.list_eligible(state, request)
+    ]
+    pause = min(due, default=now) - now
+    return Millis(max(MIN_SPENT_DURATION, min(MAX_SPENT_DURATION, pause)))
+
+
+def _choose_address(state: State, request: Request, may_wait: bool, now: Millis) -> str:
     """Return the address of the entry with the fewest of this entry's requests."""
     open_relays: dict[str, int] = {}
     for attempt in state.attempts.values():
@@ -68,6 +111,8 @@
                 continue
             if state.avoided_relays.get(address, now) > now:
                 continue
+            if not may_wait and state.spent_relays.get(address, now) > now:
+                continue
             cost = open_relays.get(address, 0) + state.rng.random()
             if not best or cost < best_cost:
                 best, best_cost = address, cost
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -61,6 +61,7 @@
     "body_too_large": "send a shorter body",
     "crashes_targets": "targets that ran this request crashed; change it",
     "entry_leaving": "this entry ends; send the request again, to another one",
+    "no_share": "this entry may send no more requests to the targets now",
     "no_room": "no target can take it now; come back after Retry-After",
     "evacuated": "its targets are being emptied; come back after Retry-After",
     "no_home": "no target in the regions of its route and customer can take it now",
@@ -191,11 +192,17 @@
     if not placement.has_untried_target(state, request):
         reason = eligibility.explain_no_target(state, request)
         return refuse_request(state, request, reason, now)
+    if placement.has_spent_shares(state, request, now):
+        relayed = relays.relay_request(state, request, now, may_wait=False)
+        if relayed:
+            return relayed
     return hold_request(state, request, now)
 
 
 def hold_request(state: State, request: Request, now: Millis) -> list[Effect]:
     """Queue a request until a target has room; refuse it if it can't wait so long."""
+    if not request.spec.may_wait:
+        return refuse_request(state, request, "no_share", now)
     if not placement.has_untried_target(state, request):
         return refuse_request(state, request, "no_room", now)
     if not admission.can_wait(state, request, now):
@@ -360,6 +367,8 @@
     if reason == "crashes_targets":
         culprit = crashes.find_culprit(state, request.spec, now)
         return crashes.choose_retry_after(state, culprit, now)
+    if reason == "no_share":
+        return relays.choose_pause(state, request, now)
     if reason == "cut_off":
         return request.relay_pause or CUT_OFF_RETRY_AFTER
     return admission.choose_retry_after(state, request, now)
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -416,6 +416,7 @@
     reach: Reach = field(default_factory=Reach)
     relay_address: str = ""
     avoided_relays: dict[str, Millis] = field(default_factory=dict)
+    spent_relays: dict[str, Millis] = field(default_factory=dict)
     starts: StartTable = field(default_factory=StartTable)
     past_versions: dict[tuple[str, str], Millis] = field(default_factory=dict)
     announced_since: dict[str, Millis] = field(default_factory=dict)
--- a/figstep/platform/names.py
+++ b/figstep/platform/names.py
@@ -26,6 +26,7 @@
 RELAY_WAITED = "Figstep-Waited-Ms"  # time since the caller first sent the request
 RELAY_LOST_RUNS = "Figstep-Lost-Runs"  # attempts at targets that may have run
 RELAY_VERSION = "Figstep-Stream-Version"  # software version that began the stream
+RELAY_AT_ONCE = "Figstep-At-Once"  # the other entry must not let it wait
 
 CONNECTION_HEADERS = frozenset(
     {
@@ -63,6 +64,7 @@
         RELAY_WAITED,
         RELAY_LOST_RUNS,
         RELAY_VERSION,
+        RELAY_AT_ONCE,
     )
 )
 """Names, in lower case, of headers that are not forwarded from callers' requests. The
--- a/figstep/platform/relays.py
+++ b/figstep/platform/relays.py
@@ -31,6 +31,8 @@
         headers.append((names.LAST_EVENT, str(after)))
     if relay.version is not None:
         headers.append((names.RELAY_VERSION, relay.version))
+    if not relay.may_wait:
+        headers.append((names.RELAY_AT_ONCE, "1"))
     return headers
 
 
@@ -45,6 +47,7 @@
         waited=Millis(_read_number(headers, names.RELAY_WAITED)),
         lost_runs=_read_number(headers, names.RELAY_LOST_RUNS),
         version=headers.get(names.RELAY_VERSION),
+        may_wait=names.RELAY_AT_ONCE not in headers,
     )
 
 
--- a/tests/gateway/cut_fleets.py
+++ b/tests/gateway/cut_fleets.py
@@ -1,4 +1,7 @@
-"""Simulated fleet in which some entries lose their links to targets."""
+"""Simulated fleet whose entries pass requests on to each other.
+
+Some entries may lose their links to targets, or one may get most of the callers.
+"""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -37,6 +40,9 @@
 NOTICE_DURATION = Millis(4_000)
 """Milliseconds after the start of a cut from which callers' first tries count."""
 
+CROWD_SHARE = 0.9
+"""Share of the callers that come to a crowded entry."""
+
 MIN_SHARE = 2 / 3
 """Smallest share of first tries that cut entries serve, as a fraction of that of the
 other entries."""
@@ -89,12 +95,19 @@
     Attributes:
         at_cut: First tries at entries that are cut off.
         elsewhere: First tries at the other entries meanwhile.
+        crowded: Entry that most callers come to; None if they are spread evenly.
+        even: First tries while callers are spread evenly, if those are counted.
+        uneven: First tries while most come to one entry.
     """
 
     def __init__(self, seed: int, **options: object) -> None:
         """Start all entries; see `LimitedFleet`."""
         self.at_cut = Served()
         self.elsewhere = Served()
+        self.crowded: SimulatedEntry | None = None
+        self.even = Served()
+        self.uneven = Served()
+        self._counted = False
         self._cuts: dict[str, tuple[CutKind, frozenset[str], Millis]] = {}
         self._tries: dict[tuple[str, int, int], OpenTry] = {}
         self._open: dict[tuple[str, int], OpenAttempt] = {}
@@ -126,6 +139,14 @@
                 if kind is CutKind.RESET:
                     self.handle(entry, AttemptLost(attempt, Loss.BROKEN))
 
+    def count_tries(self) -> None:
+        """Count first tries from now on, apart from those during cuts."""
+        self._counted = True
+
+    def crowd(self, entry: SimulatedEntry) -> None:
+        """Let most callers come to one entry from now on."""
+        self.crowded = entry
+
     def heal(self) -> None:
         """End all cuts."""
         self._cuts.clear()
@@ -144,6 +165,10 @@
     def _call(self, entry: SimulatedEntry) -> None:
         path = "/order/a" if self.rng.random() < 0.7 else "/lookup/a"
         counts = None
+        if self._counted:
+            counts = self.even if self.crowded is None else self.uneven
+        if self.crowded is not None and self.rng.random() < CROWD_SHARE:
+            entry = self.crowded
         now = self.clock.now()
         if self._cuts:
             since = min(since for _, _, since in self._cuts.values())
@@ -270,5 +295,6 @@
             relayed=True,
             waited=opened.relay.waited,
             lost_runs=opened.relay.lost_runs,
+            may_wait=opened.relay.may_wait,
         )
         self.handle(receiver, RequestArrived(spec))
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -7,7 +7,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.problems import Ran
-from figstep.gateway.domains import describe_domain
+from figstep.gateway.domains import MAX_DOMAIN_RELAYS, describe_domain
 from figstep.gateway.effects import (
     Announce,
     BreakStream,
@@ -427,8 +427,8 @@
         describe_domain(state, Millis(100_000 + 5_000 * number)).relays
         for number in range(6)
     ]
-    assert all(len(relays) == 8 for relays in named)
-    assert len(set().union(*named)) > 8
+    assert all(len(relays) == MAX_DOMAIN_RELAYS for relays in named)
+    assert len(set().union(*named)) > MAX_DOMAIN_RELAYS
 
 
 def test_requests_to_a_service_that_is_out_of_reach_are_passed_on() -> None:
