Soak: a part of prompts that crashes engines, and crowds at one entry

Prompts name their parts now, without a random draw, so that the plans of recorded seeds are as before; seeds recorded with all extras keep those that there were.

--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -253,3 +253,16 @@
 def test_long_ids_of_parts_are_shortened() -> None:
     assert len(name_part("x" * 10_000)) < 64
     assert name_part("x" * 10_000) != name_part("x" * 9_999)
+
+
+def test_a_part_beside_several_guilty_ones_is_not_refused() -> None:
+    """Guards against refusing a popular part for crashes that others share out."""
+    table = CrashTable()
+    for number in range(6):
+        guilty = name_part(f"guilty {number % 3}")
+        at = NOW + 500 * number
+        record_crash(table, f"e-{number}@1", guilty, SHARED, at=at)
+    for number in range(3):
+        guilty = name_part(f"guilty {number}")
+        record_crash(table, f"e-{number}@2", guilty, at=NOW + 3_000 + 500 * number)
+    assert table.find_culprit(("new", SHARED), Millis(NOW + 6_000)) is None
--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -35,6 +35,12 @@
 DISCONNECT_SHARE = 0.06
 """Share of the requests that the caller abandons if open after a random delay."""
 
+CROWD_PERIOD = 10
+"""Number of requests of which one does not come to the entry that is crowded."""
+
+DOCUMENTS = 5
+"""Number of documents that prompts share."""
+
 CONNECTIONS = 4
 """Connections to each entry; not used, as the sessions do not limit them."""
 
@@ -82,6 +88,7 @@
         list_keys: Returns keys that are, or were, in force.
         methods: Source of the methods of calls; separate, so that drawing them does
             not change the other random choices of a seed.
+        crowded: Endpoint that most callers come to; None if they are spread evenly.
     """
 
     record: Record
@@ -92,6 +99,7 @@
     methods: random.Random
     _sessions: dict[int, aiohttp.ClientSession] = field(default_factory=dict)
     _calls: set[asyncio.Task[None]] = field(default_factory=set)
+    crowded: EntryEndpoint | None = None
     _count: int = 0
 
     async def run(self, stop_event: asyncio.Event) -> None:
@@ -119,7 +127,10 @@
 
     def _choose_endpoint(self) -> EntryEndpoint:
         ready = [endpoint for endpoint in self.endpoints if endpoint.ready]
-        return self.rng.choice(ready or self.endpoints)
+        chosen = self.rng.choice(ready or self.endpoints)
+        if self.crowded in ready and self._count % CROWD_PERIOD:
+            return self.crowded
+        return chosen
 
     async def _send(self) -> None:
         endpoint = self._choose_endpoint()
@@ -157,6 +168,15 @@
         await self._call(endpoint, attempt)
         attempt.ended = read_clock()
 
+    async def send_crashing_part(self, part: str) -> None:
+        """Send a prompt with a part that crashes each engine, and await its end."""
+        endpoint = self._choose_endpoint()
+        kind = Kind.CHECK if self._count % 2 else Kind.PLAN
+        attempt = self._add_attempt(endpoint, kind, f"/{kind.value}/x", "key-1")
+        attempt.part = part
+        await self._call(endpoint, attempt)
+        attempt.ended = read_clock()
+
     async def run_returning(self, stop_event: asyncio.Event) -> None:
         """Begin streams that are taken up at other entries, until an event is set."""
         rng = random.Random(self.rng.random())
@@ -199,6 +219,7 @@
             key,
             read_clock(),
         )
+        attempt.crowded = endpoint is self.crowded
         self.record.attempts.append(attempt)
         return attempt
 
@@ -214,6 +235,7 @@
             headers["Model"] = "m"
             headers["Token-Count"] = f"600,{output}"
             headers["Length-Hint"] = str(output)
+            headers["Prefix-Hash"] = _describe_parts(attempt)
         if attempt.resumes:
             headers["Resumes"] = attempt.resumes
             headers["Last-Event-Id"] = str(attempt.after)
@@ -239,3 +261,10 @@
                 attempt.whole = True
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             attempt.error = type(error).__name__
+
+
+def _describe_parts(attempt: Attempt) -> str:
+    """Return the parts of a prompt: shared ones, and last one of its own."""
+    number = int(attempt.id.removeprefix("r"))
+    parts = ["first", f"document-{number % DOCUMENTS}", attempt.part, attempt.id]
+    return ",".join(f"{part}:150" for part in parts if part)
--- a/tests/faults/plans.py
+++ b/tests/faults/plans.py
@@ -26,6 +26,10 @@
 """Intervals at which a request that crashes targets is repeated, in seconds."""
 
 
+PART_INTERVALS = (0.25, 0.6, 1.3)
+"""Intervals between requests with a part that crashes engines, in seconds."""
+
+
 class Extra(Enum):
     """Kind of extra fault.
 
@@ -40,6 +44,8 @@
     BROKEN = "broken"
     CUTS = "cuts"
     VERSIONS = "versions"
+    PARTS = "parts"
+    CROWDS = "crowds"
 
 
 SIGNALS = (Extra.RATE, Extra.LEAVING, Extra.PAUSE)
@@ -48,6 +54,14 @@
 SIGNALS_AND_CRASHES = (*SIGNALS, Extra.CRASHES)
 """Extras of the seeds that were recorded before there were others."""
 
+SIGNALS_TO_VERSIONS = (
+    *SIGNALS_AND_CRASHES,
+    Extra.BROKEN,
+    Extra.CUTS,
+    Extra.VERSIONS,
+)
+"""Extras of the seeds that were recorded before there were parts and crowds."""
+
 ALL_EXTRAS = tuple(Extra)
 
 
@@ -183,6 +197,32 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class CrashingPart:
+    """Callers whose prompts share one part, which crashes each engine that runs them.
+
+    Attributes:
+        pause: Seconds between the starts of two requests.
+        seconds: Time for which the requests come.
+    """
+
+    pause: float
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Crowd:
+    """Time in which most callers come to one entry.
+
+    Attributes:
+        entry: Number of the entry, taken modulo the number of entries.
+        seconds: Duration.
+    """
+
+    entry: int
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class BrokenAnswers:
     """Fault of a target that breaks off half of its answers and lives on.
@@ -246,6 +286,8 @@
     | LeavingSignal
     | PauseSignal
     | CrashingRequests
+    | CrashingPart
+    | Crowd
     | BrokenAnswers
     | EntryCut
     | Release
@@ -320,6 +362,10 @@
                 fault = EntryCut(number, rng.choice(list(CutKind)), duration)
             case Extra.VERSIONS:
                 fault = Release(number, rng.random() < 0.3)
+            case Extra.PARTS:
+                fault = CrashingPart(rng.choice(PART_INTERVALS), duration)
+            case Extra.CROWDS:
+                fault = Crowd(number, duration)
         steps.append(Step(rng.uniform(FIRST_FAULT_DELAY, seconds / 2), fault))
     return steps
 
--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -24,8 +24,12 @@
 CRASHES_BEFORE_REFUSAL = 3
 """Crashes of targets by one request after which entries refuse the request."""
 
+PART_CRASHES_BEFORE_REFUSAL = 5
+"""Crashes of targets by one part of prompts after which entries refuse requests with
+it."""
+
 MAX_LATE_RUNS = 3
-"""Tolerated runs of a request that crashed CRASHES_BEFORE_REFUSAL targets.
+"""Tolerated runs of requests with a cause that crashed so many targets.
 
 Runs count that begin more than STABILIZATION_SECONDS and TIMING_SLACK after the crash
 that reached this number.
@@ -41,6 +45,16 @@
 CUT_RATIO = 1 / 50
 """Failed attempts that are tolerated there in addition, as a fraction of all."""
 
+MIN_CROWD_SHARE = 3 / 4
+"""Smallest share of attempts that are served while most callers come to one entry, as a
+fraction of the share in the seconds before."""
+
+CROWD_COMPARISON_SECONDS = 5.0
+"""Time before a crowd with which it is compared, in seconds."""
+
+MIN_CROWD_ATTEMPTS = 20
+"""Attempts before and during a crowd that are needed to compare them."""
+
 PAUSE_START_DELAY = 0.5
 """Time after a rejection with Retry-After from which requests of the same entry to
 the target are counted, in seconds."""
@@ -467,13 +481,15 @@
     for run in sorted(record.runs, key=lambda run: run.began):
         attempt = attempts.get(run.request)
         if attempt is not None and attempt.is_crashing:
-            sent[attempt.path].append(run)
+            sent[attempt.crash_cause].append(run)
     breaches = []
-    for path, runs in sent.items():
+    for cause, runs in sent.items():
+        is_part = bool(attempts[runs[0].request].part)
+        most = PART_CRASHES_BEFORE_REFUSAL if is_part else CRASHES_BEFORE_REFUSAL
         crashes = [run.ended for run in runs if run.crashed and run.ended is not None]
-        if len(crashes) < CRASHES_BEFORE_REFUSAL:
+        if len(crashes) < most:
             continue
-        known = sorted(crashes)[CRASHES_BEFORE_REFUSAL - 1] + STABILIZATION_SECONDS
+        known = sorted(crashes)[most - 1] + STABILIZATION_SECONDS
         late = 0
         for run in runs:
             attempt = attempts[run.request]
@@ -482,7 +498,7 @@
                     attempt.entry, known - STABILIZATION_SECONDS, run.began
                 )
         if late > MAX_LATE_RUNS:
-            breaches.append(Breach("crashes", f"{path} reached targets {late} times"))
+            breaches.append(Breach("crashes", f"{cause} reached targets {late} times"))
     return breaches
 
 
@@ -539,6 +555,27 @@
     return breaches
 
 
+def _check_crowds(record: Record) -> list[Breach]:
+    breaches = []
+    for crowd in record.crowds:
+        until = crowd.end or float("inf")
+        before, during = [], []
+        for attempt in record.attempts:
+            if not _is_comparable(record, attempt, None):
+                continue
+            if crowd.start - CROWD_COMPARISON_SECONDS <= attempt.sent < crowd.start:
+                before.append(attempt)
+            if crowd.start + STABILIZATION_SECONDS <= attempt.sent < until:
+                during.append(attempt)
+        if min(len(before), len(during)) < MIN_CROWD_ATTEMPTS:
+            continue
+        share, earlier = map(_compute_served_share, (during, before))
+        if share < MIN_CROWD_SHARE * earlier:
+            description = f"entry {crowd.entry} and others served {share:.2f}"
+            breaches.append(Breach("crowd", f"{description}, {earlier:.2f} before"))
+    return breaches
+
+
 def _is_comparable(record: Record, attempt: Attempt, cut_entry: int | None) -> bool:
     """Return whether an attempt shows how well its entry serves during a cut.
 
@@ -598,5 +635,6 @@
     _check_pauses,
     _check_crashes,
     _check_cuts,
+    _check_crowds,
     _check_recovery,
 )
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -85,6 +85,8 @@
         error: Name of the client's exception if the connection failed, else "".
         resumes: Id of the first attempt of a stream that is taken up again, else "".
         after: Id of the last event that the caller had received before.
+        part: Part of its prompt that crashes engines, or "".
+        crowded: Whether most callers came to that entry.
     """
 
     id: str
@@ -103,11 +105,18 @@
     error: str = ""
     resumes: str = ""
     after: int = 0
+    part: str = ""
+    crowded: bool = False
+
+    @property
+    def crash_cause(self) -> str:
+        """The path or part that crashes each target that runs the request, or ""."""
+        return self.path if CRASHING in self.path else self.part
 
     @property
     def is_crashing(self) -> bool:
         """Whether the request crashes each target that runs it."""
-        return CRASHING in self.path
+        return bool(self.crash_cause)
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,6 +217,7 @@
         pauses: Rejections with Retry-After: time, target, id of the request and
             seconds that the target asked for.
         cuts: Spans in which an entry reached no target. They are disturbances, too.
+        crowds: Spans in which most callers came to one entry; no disturbances.
         loop_stalls: Spans in which the event loop of this process, and with it all
             stand-ins, was blocked. They are reported, but excuse no breach.
         final_phase_start: Time from which all must work again, after the last
@@ -226,6 +236,7 @@
     leaving_since: dict[str, float] = field(default_factory=dict)
     pauses: list[tuple[float, str, str, float]] = field(default_factory=list)
     cuts: list[Disturbance] = field(default_factory=list)
+    crowds: list[Disturbance] = field(default_factory=list)
     loop_stalls: list[tuple[float, float]] = field(default_factory=list)
     final_phase_start: float = 0.0
 
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -19,7 +19,9 @@
     AllEntriesKilled,
     BrokenAnswers,
     ConfigurationChange,
+    CrashingPart,
     CrashingRequests,
+    Crowd,
     EntryCut,
     EntryFault,
     Fault,
@@ -34,6 +36,7 @@
 )
 from tests.faults.promises import RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW
 from tests.faults.records import (
+    CRASHING,
     Disturbance,
     Kind,
     NamedRate,
@@ -405,6 +408,10 @@
                 target.pauses.remove(fault.pause)
             case CrashingRequests():
                 await self._send_crashing(fault)
+            case CrashingPart():
+                await self._send_crashing_part(fault)
+            case Crowd():
+                await self._crowd_entry(fault)
             case BrokenAnswers():
                 await self._break_answers(fault)
             case EntryCut():
@@ -582,6 +589,28 @@
             await self._traffic.send_crashing(kind, name)
             await asyncio.sleep(fault.pause)
 
+    async def _send_crashing_part(self, fault: CrashingPart) -> None:
+        assert self._traffic is not None
+        # All such callers share one part, also where they overlap.
+        part = f"{CRASHING}part"
+        until = read_clock() + fault.seconds
+        while read_clock() < until:
+            self._start_task(self._traffic.send_crashing_part(part))
+            await asyncio.sleep(fault.pause)
+
+    async def _crowd_entry(self, fault: Crowd) -> None:
+        assert self._traffic is not None
+        endpoints = self._traffic.endpoints
+        endpoint = endpoints[fault.entry % len(endpoints)]
+        if self._traffic.crowded is not None:
+            return
+        self._traffic.crowded = endpoint
+        span = Disturbance("crowd", endpoint.entry, "", read_clock())
+        self.record.crowds.append(span)
+        await asyncio.sleep(fault.seconds)
+        self._traffic.crowded = None
+        span.end = read_clock()
+
     def _crash(self, target: SoakTarget) -> None:
         self.record.begin_disturbance("crash", None, target.name)
         if target.name in self.record.departures:
--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -145,7 +145,8 @@
             return self._refuse(request_id)
         run = self._begin_run(request, copy)
         try:
-            if CRASHING in request.path:
+            crashes = CRASHING in request.headers.get("Prefix-Hash", "")
+            if crashes or CRASHING in request.path:
                 await asyncio.sleep(CRASH_DELAY)
                 run.crashed = True
                 self.crash(self)
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -6,9 +6,9 @@
 
 from tests.faults.__main__ import describe_record, run_seed
 from tests.faults.plans import (
-    ALL_EXTRAS,
     SIGNALS,
     SIGNALS_AND_CRASHES,
+    SIGNALS_TO_VERSIONS,
     Extra,
 )
 
@@ -47,8 +47,8 @@
     (15367847, SIGNALS_AND_CRASHES),
     (15367872, SIGNALS_AND_CRASHES),
     (1679473, SIGNALS_AND_CRASHES),
-    (10987071, ALL_EXTRAS),
-    (10987080, ALL_EXTRAS),
+    (10987071, SIGNALS_TO_VERSIONS),
+    (10987080, SIGNALS_TO_VERSIONS),
 ]
 """Seeds with requests that crash the targets that run them, with the extras drawn.
 
@@ -109,7 +109,7 @@
     (22, (Extra.CUTS, Extra.BROKEN)),
     (1497154, (*SIGNALS_AND_CRASHES, Extra.BROKEN, Extra.CUTS)),
     (1497160, (*SIGNALS_AND_CRASHES, Extra.BROKEN, Extra.CUTS)),
-    (10987068, ALL_EXTRAS),
+    (10987068, SIGNALS_TO_VERSIONS),
 ]
 """Seeds with entries that lose the links to all targets, with the extras drawn.
 
@@ -146,9 +146,9 @@
     (62, (Extra.VERSIONS,)),
     (64, (Extra.VERSIONS,)),
     (65, (Extra.VERSIONS,)),
-    (10987054, ALL_EXTRAS),
-    (10987060, ALL_EXTRAS),
-    (10987075, ALL_EXTRAS),
+    (10987054, SIGNALS_TO_VERSIONS),
+    (10987060, SIGNALS_TO_VERSIONS),
+    (10987075, SIGNALS_TO_VERSIONS),
 ]
 """Seeds with engines that change their software version, with the extras drawn.
 
@@ -169,3 +169,20 @@
     assert breaches == [], describe_record(record)
     taken_up = [attempt for attempt in record.attempts if attempt.resumes]
     assert sum(attempt.status == 200 for attempt in taken_up) > 10
+
+
+async def test_promises_hold_as_one_part_of_prompts_crashes_engines(
+    tmp_path: Path,
+) -> None:
+    """Guards against requests with one part in common that crash all engines."""
+    record, breaches = await run_seed(71, tmp_path, extras=(Extra.PARTS,))
+    assert breaches == [], describe_record(record)
+    assert any(run.crashed for run in record.runs)
+
+
+async def test_promises_hold_as_most_callers_come_to_one_entry(tmp_path: Path) -> None:
+    """Guards against an entry that serves its callers worse as more of them come."""
+    extras = (Extra.CROWDS, Extra.RATE)
+    record, breaches = await run_seed(72, tmp_path, extras=extras)
+    assert breaches == [], describe_record(record)
+    assert record.crowds
