Soak: compare a cut entry only while another one may take its requests

Nobody was there to pass requests on to.

An attempt at a cut entry now counts if another entry was undisturbed for as long as any other check asks for; what is compared and its bounds are as before.

Checks of late runs with a part, of crowds and of cuts have tests of their own.

--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -542,8 +542,12 @@
         for attempt in record.attempts:
             if not since <= attempt.sent or attempt.ended > until:
                 continue
-            if _is_comparable(record, attempt, cut.entry):
-                (at_entry if attempt.entry == cut.entry else elsewhere).append(attempt)
+            if not _is_comparable(record, attempt, cut.entry):
+                continue
+            if attempt.entry != cut.entry:
+                elsewhere.append(attempt)
+            elif _can_be_helped(record, attempt):
+                at_entry.append(attempt)
         share = _compute_served_share(elsewhere)
         failed = sum(not _is_served(one) for one in at_entry)
         tolerated = CUT_EXTRA + CUT_RATIO * (len(at_entry) + len(elsewhere))
@@ -555,6 +559,16 @@
     return breaches
 
 
+def _can_be_helped(record: Record, attempt: Attempt) -> bool:
+    """Return whether another entry was undisturbed while an attempt was open.
+
+    Otherwise no entry may have been there that could take the request.
+    """
+    since = attempt.sent - STABILIZATION_SECONDS
+    entries = {one.entry for one in record.attempts} - {attempt.entry}
+    return any(record.is_undisturbed(one, since, attempt.ended) for one in entries)
+
+
 def _check_crowds(record: Record) -> list[Breach]:
     breaches = []
     for crowd in record.crowds:
--- a/tests/faults/test_promises.py
+++ b/tests/faults/test_promises.py
@@ -340,3 +340,57 @@
     assert "lost" not in list_promises(record)
     take_up(record, 12, "v1", status=503)
     assert "lost" in list_promises(record)
+
+
+@pytest.mark.parametrize(("crashes", "found"), [(4, False), (5, True)])
+def test_late_runs_of_a_part_that_crashes_engines_are_found(
+    crashes: int, found: bool
+) -> None:
+    record, attempt, run = build_record(Kind.PLAN)
+    attempt.part = "crash-part"
+    run.crashed = True
+    for number in range(2, crashes + 6):
+        late = number > crashes
+        at = START + (20.0 if late else 0.1 * number)
+        record.attempts.append(
+            Attempt(f"r{number}", Kind.PLAN, 0, 0, "/plan/x", "key-1", at)
+        )
+        record.attempts[-1].part = "crash-part"
+        one = Run(f"r{number}", f"i-{number}", f"g{number}", at, at + 0.1)
+        one.crashed = True
+        record.runs.append(one)
+    assert ("crashes" in list_promises(record)) is found
+
+
+@pytest.mark.parametrize(("served", "found"), [(20, False), (10, True)])
+def test_a_crowded_entry_that_serves_worse_is_found(served: int, found: bool) -> None:
+    record, _, _run = build_record()
+    crowd = Disturbance("crowd", 0, "", START + 10, START + 20)
+    record.crowds.append(crowd)
+    for number in range(20):
+        for at, whole in ((START + 6, True), (START + 15, number < served)):
+            one = Attempt(f"x{at}{number}", Kind.LOOKUP, 0, 0, "/lookup/", "key-1", at)
+            one.ended, one.status, one.whole = at + 0.1, 200, whole
+            record.attempts.append(one)
+    assert ("crowd" in list_promises(record)) is found
+
+
+@pytest.mark.parametrize(("helper_is_down", "found"), [(False, True), (True, False)])
+def test_a_cut_entry_that_serves_nobody_is_found(
+    helper_is_down: bool, found: bool
+) -> None:
+    record, _, _run = build_record()
+    cut = Disturbance("cut off", 0, "", START + 10, START + 40)
+    record.cuts.append(cut)
+    record.disturbances.append(cut)
+    if helper_is_down:
+        down = Disturbance("kill", 1, "", START + 19, START + 26)
+        record.disturbances.append(down)
+    for number in range(20):
+        for entry, at in ((0, START + 20), (1, START + 30)):
+            one = Attempt(
+                f"x{entry}-{number}", Kind.LOOKUP, entry, 0, "/lookup/", "key-1", at
+            )
+            one.ended, one.status, one.whole = at + 0.1, 200 if entry else 503, True
+            record.attempts.append(one)
+    assert ("cut" in list_promises(record)) is found
