Forget short answers whose engine is gone

Found in reading: a short answer is kept until its engine was checked. The check of an engine that is known no longer brings no result, and that of an answer that came through another entry none either, so that the list grew while anything was suspected. Answers are now given up after three seconds, and those of other entries are not kept: these check their engines themselves. The test failed before.

--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -54,6 +54,10 @@
 """Time, in milliseconds, for which an engine has to write an answer until the request
 and its parts count as harmless. A crash follows the first event within less."""
 
+SHORT_ANSWER_RETENTION = Millis(3_000)
+"""Time, in milliseconds, after which the check of an engine that wrote a short answer
+is given up. The engine may be known no longer."""
+
 CAUTION_DURATION = Millis(1_000)
 """Time, in milliseconds, after a crash for which no request starts that has the part
 in doubt. Other entries report meanwhile whether their runs with the part go on."""
@@ -233,7 +237,7 @@
         return _clear(state, request_id, list_subjects(request.spec), now, now)
     digest, *parts = list_subjects(request.spec)
     doubtful = tuple(part for part in parts if state.crashes.is_suspected(part))
-    if doubtful:
+    if doubtful and attempt.relay is None:
         answer = ShortAnswer(request_id, attempt.target.name, doubtful, now)
         state.short_answers.append(answer)
     return _clear(state, request_id, [digest], now, now)
@@ -267,8 +271,11 @@
 
 def _check_short_answers(state: State, now: Millis) -> list[Effect]:
     checked: dict[str, Effect] = {}
-    for answer in state.short_answers:
-        if not answer.checked and now - answer.ended_at >= WRITING_DURATION:
+    for answer in list(state.short_answers):
+        age = now - answer.ended_at
+        if age >= SHORT_ANSWER_RETENTION:
+            state.short_answers.remove(answer)
+        elif age >= WRITING_DURATION and not answer.checked:
             answer.checked = True
             checked[answer.target] = CheckTarget(answer.target)
     return list(checked.values())
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -6,15 +6,23 @@
 import pytest
 
 from figstep.core.clock import Millis
-from figstep.core.crashes import Suspicion
+from figstep.core.crashes import Suspicion, name_part
 from figstep.gateway import peers
 from figstep.gateway.crashes import (
     LOST_RETENTION,
     MIN_RESTART_TIME,
     REFUSED_RETRY_AFTER,
     SETTLING_RETRY_AFTER,
+    SHORT_ANSWER_RETENTION,
+    WRITING_DURATION,
+)
+from figstep.gateway.effects import (
+    CheckTarget,
+    Note,
+    OpenAttempt,
+    ProbeTarget,
+    Refuse,
 )
-from figstep.gateway.effects import Note, OpenAttempt, ProbeTarget, Refuse
 from figstep.gateway.events import (
     AnswerArrived,
     AttemptLost,
@@ -22,6 +30,9 @@
     ConfigurationRead,
     EntriesCounted,
     Loss,
+    PeerHeard,
+    StreamEnded,
+    TargetChecked,
     TargetDeparted,
     TargetDown,
     TargetLeaving,
@@ -570,3 +581,74 @@
     own = peers.describe_entry(replay.fleet[0].state, now)
     assert news.select(own, now).suspicions == own.suspicions != ()
     assert news.select(own, Millis(now + 1)).suspicions == ()
+
+
+GUILTY_PARTS = (("first", 100), ("guilty", 100), ("own", 100))
+
+
+def start_prompt(harness: EntryHarness) -> OpenAttempt:
+    """Start a prompt with a part that is suspected."""
+    prompt = Prompt("m", 300, 50, 50, GUILTY_PARTS)
+    harness.receive_request("/question/a", prompt)
+    return harness.find_effect(OpenAttempt)
+
+
+def answer_shortly() -> tuple[EntryHarness, OpenAttempt]:
+    """Return an entry with a whole short answer to a prompt with a suspected part."""
+    harness = EntryHarness()
+    harness.register("e-1")
+    now = harness.clock.now()
+    suspicion = Suspicion(name_part("guilty"), "e-9@1", Millis(10))
+    harness.state.crashes.record_suspicion(suspicion, now)
+    opened = start_prompt(harness)
+    harness.clock.advance(100)
+    harness.send_pieces(opened.attempt, 1, 2)
+    harness.handle(StreamEnded(opened.attempt))
+    return harness, opened
+
+
+def test_a_short_answer_clears_its_parts_once_its_engine_lives_on() -> None:
+    """Guards against a part that is cleared just before it crashes its engine."""
+    harness, opened = answer_shortly()
+    assert harness.state.crashes.is_suspected(name_part("guilty"))
+    harness.clock.advance(WRITING_DURATION)
+    harness.handle(Ticked())
+    checked = {one.target for one in harness.find_effects(CheckTarget)}
+    assert opened.target in checked
+    assert not harness.state.crashes.is_suspected(name_part("guilty"))
+    assert harness.state.short_answers == []
+
+
+def test_a_short_answer_whose_engine_has_ended_makes_its_parts_suspects() -> None:
+    harness, opened = answer_shortly()
+    harness.reachable = False
+    harness.clock.advance(WRITING_DURATION)
+    harness.handle(Ticked())
+    asked = harness.clock.now()
+    harness.handle(TargetChecked(opened.target, asked, reached=False))
+    assert name_part("guilty") in harness.state.targets.targets[opened.target].lost
+
+
+def test_short_answers_are_forgotten_if_their_engine_is_gone() -> None:
+    """Guards against a list of answers that grows with each engine that goes."""
+    harness, _opened = answer_shortly()
+    harness.reachable = False
+    harness.clock.advance(WRITING_DURATION)
+    harness.handle(Ticked())
+    harness.clock.advance(SHORT_ANSWER_RETENTION)
+    harness.handle(Ticked())
+    assert harness.state.short_answers == []
+
+
+def test_an_end_that_another_entry_found_is_no_cut() -> None:
+    """Guards against an entry that passes all on as engines end one after another."""
+    harness = EntryHarness(reachable=False)
+    harness.register("e-1", "e-2", "e-3", "e-4")
+    for name in ("e-1", "e-2", "e-3"):
+        told = (Suspicion("killer", f"{name}@1"),)
+        harness.handle(PeerHeard("entry-2", suspicions=told))
+        opened = harness.clock.now()
+        harness.clock.advance(2)
+        harness.handle(TargetChecked(name, opened, reached=False))
+    assert not harness.state.reach.cut_off
+    assert start_prompt(harness).target == "e-4"
