A module of its own for what is refused for crashes

gateway/crashes.py collects the evidence, gateway/culprits.py decides from it which requests are refused, wait or try.

--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -15,8 +15,7 @@
 from collections.abc import Iterable
 
 from figstep.core.clock import Millis
-from figstep.core.crashes import MAX_PARTS, Clearance, Suspicion, is_part, name_part
-from figstep.gateway import shares
+from figstep.core.crashes import MAX_PARTS, Clearance, Suspicion, name_part
 from figstep.gateway.effects import (
     Announce,
     CheckTarget,
@@ -42,14 +41,6 @@
 PROBE_INTERVAL = Millis(200)
 """Shortest time, in milliseconds, between two probes of a target."""
 
-SETTLING_RETRY_AFTER = Millis(400)
-"""Retry delay, in milliseconds, of a request that is refused while other entries may
-still report which other requests were at the crashed targets."""
-
-REFUSED_RETRY_AFTER = Millis(60_000)
-"""Retry delay, in milliseconds, of a request known to crash targets. Such a request is
-refused for minutes."""
-
 WRITING_DURATION = Millis(400)
 """Time, in milliseconds, for which an engine has to write an answer until the request
 and its parts count as harmless. A crash follows the first event within less."""
@@ -58,18 +49,6 @@
 """Time, in milliseconds, after which the check of an engine that wrote a short answer
 is given up. The engine may be known no longer."""
 
-CAUTION_DURATION = Millis(1_000)
-"""Time, in milliseconds, after a crash for which no request starts that has the part
-in doubt. Other entries report meanwhile whether their runs with the part go on."""
-
-TRIAL_DELAY = Millis(180_000)
-"""Time, in milliseconds, after the last crash by a part until one request with it may
-run again. The engines may have been changed since."""
-
-TRIAL_SPACING = Millis(250)
-"""Mean time, in milliseconds, between the moments at which entries may make such a
-trial. The first one's result reaches the other entries meanwhile."""
-
 _CRASH_LOSSES = frozenset({Loss.BROKEN, Loss.GARBLED})
 """Losses that may be the immediate result of the end of a target."""
 
@@ -320,65 +299,6 @@
     return [Announce(), *effects] if effects else []
 
 
-def find_culprit(state: State, spec: RoutedRequest, now: Millis) -> str | None:
-    """Return what a request is refused for; None if it may run."""
-    if not state.crashes.has_suspects:
-        return None
-    return state.crashes.find_culprit(list_subjects(spec), now)
-
-
-def is_refused(state: State, request: Request, now: Millis) -> bool:
-    """Return whether a request is refused for its crashes, or for those of a part."""
-    if request.on_trial:
-        return False
-    return find_culprit(state, request.spec, now) is not None
-
-
-def begin_trial(state: State, culprit: str, now: Millis) -> bool:
-    """Return whether a request may show that a refused part has become harmless.
-
-    Entries try it at different times, so that they learn of each other's trials.
-    """
-    if not is_part(culprit):
-        return False
-    rank, _ = shares.hash_rank(state.node, culprit)
-    spread = TRIAL_SPACING * state.entries
-    delay = TRIAL_DELAY + spread * rank // shares.HASH_RANGE
-    return state.crashes.may_try(culprit, Millis(delay), now)
-
-
-def must_wait(state: State, request: Request, now: Millis) -> bool:
-    """Return whether a request has to wait as one of its parts may crash its target.
-
-    It waits for a while after the last crash, and then for another request with the
-    part that this entry has sent.
-    """
-    if request.on_trial or not state.crashes.has_suspects:
-        return False
-    part = state.crashes.find_doubtful_part(list_subjects(request.spec), now)
-    if part is None:
-        return False
-    if now - state.crashes.find_last_crash(part) < CAUTION_DURATION:
-        return True
-    return _is_running(state, part, request)
-
-
-def _is_running(state: State, part: str, request: Request) -> bool:
-    for other in state.requests.values():
-        if other is request or other.current is None:
-            continue
-        if part in list_subjects(other.spec):
-            return True
-    return False
-
-
-def choose_retry_after(state: State, culprit: str | None, now: Millis) -> Millis:
-    """Return the retry delay, in milliseconds, of a request refused for its crashes."""
-    if culprit is not None and state.crashes.is_settled(culprit, now):
-        return REFUSED_RETRY_AFTER
-    return SETTLING_RETRY_AFTER
-
-
 def _suspect_lost(state: State, target: Target, now: Millis) -> list[Effect]:
     recent = [
         subject
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -5,6 +5,7 @@
     attempts,
     brittleness,
     crashes,
+    culprits,
     eligibility,
     limits,
     peers,
@@ -203,7 +204,7 @@
     copy = request.copy
     if copy is None:
         return []
-    if crashes.is_refused(state, request, now):
+    if culprits.is_refused(state, request, now):
         request.copy = None
         return []
     holder = state.targets.find(copy.holder)
@@ -255,9 +256,9 @@
     """
     if now >= request.deadline:
         return []
-    if crashes.is_refused(state, request, now):
+    if culprits.is_refused(state, request, now):
         return requests.refuse_request(state, request, "crashes_targets", now)
-    if crashes.must_wait(state, request, now):
+    if culprits.must_wait(state, request, now):
         if not peers.spend_repeat(state, request.service, now):
             return []
         return requests.hold_request(state, request, now)
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -8,6 +8,7 @@
     admission,
     attempts,
     crashes,
+    culprits,
     eligibility,
     origins,
     placement,
@@ -100,15 +101,15 @@
             )
     if spec.body_bytes > table.limits.body_bytes:
         return _reject_request(spec.number, spec.id, 413, "body_too_large")
-    culprit = crashes.find_culprit(state, spec, now)
-    on_trial = culprit is not None and crashes.begin_trial(state, culprit, now)
+    culprit = culprits.find_culprit(state, spec, now)
+    on_trial = culprit is not None and culprits.begin_trial(state, culprit, now)
     if culprit is not None and not on_trial:
         return _reject_request(
             spec.number,
             spec.id,
             503,
             "crashes_targets",
-            crashes.choose_retry_after(state, culprit, now),
+            culprits.choose_retry_after(state, culprit, now),
             culprit=culprit,
         )
     if state.closes_at is not None and _must_finish_here(route):
@@ -178,9 +179,9 @@
     If this entry reaches none of its targets, the request is passed on to another entry
     or refused.
     """
-    if crashes.is_refused(state, request, now):
+    if culprits.is_refused(state, request, now):
         return refuse_request(state, request, "crashes_targets", now)
-    if crashes.must_wait(state, request, now):
+    if culprits.must_wait(state, request, now):
         return hold_request(state, request, now)
     if eligibility.reaches_none(state, request):
         relayed = relays.relay_request(state, request, now)
@@ -236,10 +237,10 @@
     waiting.sort(key=lambda request: _rank(request, now))
     considered: set[tuple[str, Origin | None]] = set()
     for request in waiting:
-        if crashes.is_refused(state, request, now):
+        if culprits.is_refused(state, request, now):
             effects += refuse_request(state, request, "crashes_targets", now)
             continue
-        if crashes.must_wait(state, request, now):
+        if culprits.must_wait(state, request, now):
             continue
         if (request.service, request.origin) in considered:
             continue
@@ -365,8 +366,8 @@
 
 def _choose_return(state: State, request: Request, reason: str, now: Millis) -> Millis:
     if reason == "crashes_targets":
-        culprit = crashes.find_culprit(state, request.spec, now)
-        return crashes.choose_retry_after(state, culprit, now)
+        culprit = culprits.find_culprit(state, request.spec, now)
+        return culprits.choose_retry_after(state, culprit, now)
     if reason == "no_share":
         return relays.choose_pause(state, request, now)
     if reason == "cut_off":
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -11,11 +11,10 @@
 from figstep.gateway.crashes import (
     LOST_RETENTION,
     MIN_RESTART_TIME,
-    REFUSED_RETRY_AFTER,
-    SETTLING_RETRY_AFTER,
     SHORT_ANSWER_RETENTION,
     WRITING_DURATION,
 )
+from figstep.gateway.culprits import REFUSED_RETRY_AFTER, SETTLING_RETRY_AFTER
 from figstep.gateway.effects import (
     CheckTarget,
     Note,
