--- a/tests/gateway/test_crash_fleets.py
+++ b/tests/gateway/test_crash_fleets.py
@@ -32,7 +32,7 @@
 def test_a_part_that_crashes_engines_is_kept_away(
     sizes: tuple[int, ...], path: str, seed: int, after_event: bool
 ) -> None:
-    """Guards against requests with nothing but one part in common that crash engines."""
+    """Guards against requests with only one part in common that crash engines."""
     fleet = CrashFleet(
         seed,
         engines=6 if sum(sizes) == 8 else 8,
