--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -188,13 +188,22 @@
     assert record.crowds
 
 
-MIXED_SEEDS = [14514606, 14514607, 14514612, 14514615, 14514616]
+MIXED_SEEDS = [
+    14514606,
+    14514607,
+    14514612,
+    14514615,
+    14514616,
+    14866571,
+    14866610,
+]
 """Seeds with all extras, which failed.
 
 14514606, 14514616: sound streams were refused for what crashed beside them, as requests
 and a part crash engines at the same time. 14514612: besides, a part came to engines
 four times too late. 14514615: besides, an entry with most callers served worse.
-14514607: a stream went on at another software version.
+14514607: a stream went on at another software version. 14866571, 14866610: a part, and
+in the first a request, came to engines too late.
 """
 
 
