Count the crashes of one request once for a part of its prompt

The trace: two requests crash engines, one of them two engines in one attempt, with the document in its own prompt, and the document was beside the other one: three crashes, which a part was refused for.

The crashes of a request that goes from target to target count once for a part, and a request that was at a crash without the part explains those that it shares with it. An entry that starts again is told twice as many suspicions of a subject, as it needs them.

--- a/figstep/core/crashes.py
+++ b/figstep/core/crashes.py
@@ -53,9 +53,9 @@
 MAX_ANNOUNCED_SUSPICIONS = 32
 """Maximum number of suspicions, and of clearances, in a message."""
 
-MAX_ANNOUNCED_PER_SUBJECT = PART_CRASHES_BEFORE_REFUSAL + MAX_UNRELATED_CRASHES
-"""Maximum number of suspicions of one subject in a message; no more are needed to
-refuse a request for it."""
+MAX_ANNOUNCED_PER_SUBJECT = 2 * (PART_CRASHES_BEFORE_REFUSAL + MAX_UNRELATED_CRASHES)
+"""Maximum number of suspicions of one subject in a message. No more are needed to
+refuse a request for it, even if each request was at two crashes."""
 
 MAX_SUBJECTS = 1_024
 """Maximum number of subjects that are suspected. Callers choose the parts of their
@@ -125,6 +125,14 @@
     suspects: dict[str, Millis] = field(default_factory=dict)
 
 
+def _is_one_event(crash: _Crash, other: _Crash) -> bool:
+    """Return whether two crashes show no more of a part than one of them."""
+    if abs(crash.at - other.at) < SIMULTANEOUS_CRASHES:
+        return True
+    shared = crash.suspects.keys() & other.suspects.keys()
+    return not all(is_part(subject) for subject in shared)
+
+
 @dataclass(slots=True)
 class _Cleared:
     """A suspected subject that has run since without a crash.
@@ -288,7 +296,8 @@
     ) -> list[_Crash]:
         """Return the recent crashes of a subject that no other one explains, by time.
 
-        Crashes of a part at about the same time count once.
+        Crashes of a part at about the same time count once, and so do those of one
+        request that went from target to target.
         """
         found: list[_Crash] = []
         lives = self._lives.get(subject, ())
@@ -298,8 +307,7 @@
                 continue
             if self._is_explained(subject, subjects, crash, now):
                 continue
-            together = found and crash.at - found[-1].at < SIMULTANEOUS_CRASHES
-            if is_part(subject) and together:
+            if is_part(subject) and any(_is_one_event(crash, one) for one in found):
                 continue
             found.append(crash)
         return found
@@ -318,11 +326,16 @@
 
         Such a subject was on the same target, has as many suspicions or more, and is
         not one of the request's own ``subjects``. A part explains the crashes of a
-        request only if requests are refused for it: many requests share a part.
+        request only if requests are refused for it: many requests share a part. A
+        request explains the crash of a part if it was at one without the part as well.
         """
         count = len(self._lives[subject])
         for other in crash.suspects:
-            if other in subjects or len(self._lives[other]) < count:
+            if other in subjects:
+                continue
+            if is_part(subject) and self._crashes_without(other, subject):
+                return True
+            if len(self._lives[other]) < count:
                 continue
             if is_part(subject) or not is_part(other):
                 return True
@@ -330,6 +343,13 @@
                 return True
         return False
 
+    def _crashes_without(self, digest: str, part: str) -> bool:
+        """Return whether a request was at several crashes, some without a part."""
+        lives = self._lives[digest]
+        if is_part(digest) or len(lives) < CRASHES_BEFORE_REFUSAL:
+            return False
+        return not lives <= self._lives[part]
+
     def _count_unrelated(self, subject: str, own: list[_Crash]) -> int:
         """Count the crashes without a subject in the time span of its own crashes.
 
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -378,6 +378,8 @@
             targets had before it started.
         avoided_relays: Until when entries are avoided that could not be reached, by
             the address at which they accept requests of other entries.
+        spent_relays: Until when entries are not asked that had no share left for a
+            request of this one, by the same address.
     """
 
     node: str
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -266,3 +266,15 @@
         guilty = name_part(f"guilty {number}")
         record_crash(table, f"e-{number}@2", guilty, at=NOW + 3_000 + 500 * number)
     assert table.find_culprit(("new", SHARED), Millis(NOW + 6_000)) is None
+
+
+def test_a_part_beside_two_crashing_requests_is_not_refused() -> None:
+    """Guards against refusing a popular part for crashes of requests without it."""
+    table = CrashTable()
+    for number in range(6):
+        shared = [SHARED] if number % 3 else []
+        at = NOW + 500 * number
+        record_crash(table, f"e-{number}@1", f"killer {number % 2}", *shared, at=at)
+    now = Millis(NOW + 6_000)
+    assert table.find_culprit(("new", SHARED), now) is None
+    assert table.find_culprit(("killer 0",), now) == "killer 0"
