--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -74,7 +74,9 @@
         """Cut the entry off from all targets."""
         self._cut = kind
         for proxy in list(self._proxies.values()):
-            await self._cut_proxy(proxy, kind)
+            # One that does not listen yet is cut once it does.
+            if proxy.address:
+                await self._cut_proxy(proxy, kind)
 
     async def _cut_proxy(self, proxy: TcpProxy, kind: CutKind) -> None:
         await proxy.refuse()
