Log departures that are put off

The line names how long the target is kept, and how long ago the store was regained. No decision changes.

--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -53,7 +53,12 @@
     Ticked,
 )
 from figstep.gateway.state import State
-from figstep.gateway.targets import Registration, Standing, is_new_incarnation
+from figstep.gateway.targets import (
+    Registration,
+    Standing,
+    Target,
+    is_new_incarnation,
+)
 
 DEPARTED_RETENTION = Millis(30_000)
 """How long, in milliseconds, a departed target without open attempts is kept. A lapsed
@@ -223,16 +228,28 @@
         return _apply_departure(state, event.target, now)
     returning = state.store_unreachable or now < state.store_regained_at + LAPSE_GRACE
     if returning and not sources.was_store_available(state):
-        state.targets.defer_departure(
-            event.target, Millis(state.store_regained_at + LAPSE_GRACE)
-        )
-        return []
+        until = Millis(state.store_regained_at + LAPSE_GRACE)
+        return _defer_departure(state, target, until, now)
     if state.targets.is_mass_departure(event.target, now):
-        state.targets.defer_departure(event.target, Millis(now + MASS_LAPSE_GRACE))
-        return []
+        return _defer_departure(state, target, Millis(now + MASS_LAPSE_GRACE), now)
     return _apply_departure(state, event.target, now)
 
 
+def _defer_departure(
+    state: State, target: Target, until: Millis, now: Millis
+) -> list[Effect]:
+    if not state.targets.defer_departure(target.name, until):
+        return []
+    fields: dict[str, str | int | float | None] = {
+        "target": target.name,
+        "service": target.info.service,
+        "wait_ms": until - now,
+        "store_unreachable": state.store_unreachable,
+        "since_store_regained_ms": now - state.store_regained_at,
+    }
+    return [Note("departure deferred: the registration may have lapsed", fields)]
+
+
 def _apply_departure(state: State, name: str, now: Millis) -> list[Effect]:
     target = state.targets.find(name)
     if target is None:
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -568,14 +568,19 @@
         before = len(self.list_ready(service)) + len(recent) - 1
         return len(recent) >= MIN_MASS_DEPARTURES and len(recent) * 2 > before
 
-    def defer_departure(self, name: str, until: Millis) -> None:
+    def defer_departure(self, name: str, until: Millis) -> bool:
         """Keep a target whose registration may only have lapsed.
 
         The target counts as departed from ``until`` on. A departure that is already
         pending keeps its deadline.
+
+        Returns:
+            Whether the departure was not pending before.
         """
-        if name in self.targets:
-            self.pending_departures.setdefault(name, until)
+        if name not in self.targets or name in self.pending_departures:
+            return False
+        self.pending_departures[name] = until
+        return True
 
     def pop_due_departures(self, now: Millis) -> list[str]:
         """Remove and return the pending departures whose deadline has passed."""
