Tests of the first departure after an outage, which fail

Both fail on: no entry reports the store as regained until a record comes, and a target whose registration goes 3.3 s after the store's return gets requests later than 2.0 s. The fake store can now fail reads that wait, as the store of the incident did.

--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -126,6 +126,12 @@
         for runner in self._runners:
             await runner.cleanup()
 
+    async def fail(self) -> None:
+        """Answer 503 to all calls, also to reads that wait for a record."""
+        async with self._changed:
+            self.unavailable = True
+            self._changed.notify_all()
+
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record; an empty value deletes the key."""
         async with self._changed:
@@ -187,10 +193,13 @@
         try:
             async with asyncio.timeout(wait), self._changed:
                 await self._changed.wait_for(
-                    lambda: len(self._records.get(topic, [])) > start
+                    lambda: self.unavailable
+                    or len(self._records.get(topic, [])) > start
                 )
         except TimeoutError:
             pass
+        if self.unavailable:
+            return web.Response(status=503)
         records = self._records.get(topic, [])
         raw = len(records).to_bytes(8) + self._first.get(topic, 0).to_bytes(8)
         for key, value in records[start:]:
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -4,6 +4,8 @@
 
 from aiohttp import web
 
+from figstep.gateway.reducer import LAPSE_GRACE
+from figstep.platform.store import MAX_BACKOFF_SECONDS
 from tests.platform.places import add_fleet, open_place, send_calls_to_all
 
 ENTRIES = 3
@@ -38,6 +40,25 @@
     assert set(statuses) == {200}
 
 
+async def test_a_target_that_leaves_long_after_an_outage_gets_nothing_more() -> None:
+    """Guards against the first departure after an outage that is taken for a lapse."""
+    async with open_place() as place:
+        await add_fleet(place, ENTRIES, 2)
+        target = place.targets[LEAVING_TARGET]
+        await place.store.fail()
+        async with asyncio.timeout(5):
+            while not all(entry.gateway.known.read_failed for entry in place.entries):
+                await asyncio.sleep(0.01)
+        place.store.unavailable = False
+        await asyncio.sleep(MAX_BACKOFF_SECONDS + LAPSE_GRACE / 1_000)
+        await place.store.put("keyed.servers", LEAVING_TARGET, b"")
+        left_at = asyncio.get_running_loop().time()
+        statuses = await send_calls_to_all(place, "call", DRAIN_SECONDS + 1.0)
+        late = [at for at in target.arrivals if at > left_at + DRAIN_SECONDS]
+    assert late == []
+    assert set(statuses) == {200}
+
+
 async def test_a_target_that_wants_a_pause_gets_one() -> None:
     """Guards against requests to a target before the end of its Retry-After."""
     async with open_place() as place:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -141,6 +141,31 @@
     await fake.stop()
 
 
+async def test_a_follower_reports_the_store_regained_before_the_next_record() -> None:
+    """Guards against an outage that seems to last until a quiet topic changes."""
+    fake, store = await open_store()
+    reports: list[str] = []
+    sink = TopicSink(
+        lambda records, end: None,
+        lambda records, end: None,
+        lambda reason: reports.append("lost"),
+        lambda: reports.append("regained"),
+    )
+    follower = TopicFollower(store, TOPIC, sink)
+    await follower.start()
+    await asyncio.sleep(0.1)
+    await fake.fail()
+    async with asyncio.timeout(3):
+        while reports != ["lost"]:
+            await asyncio.sleep(0.01)
+        fake.unavailable = False
+        while reports != ["lost", "regained"]:
+            await asyncio.sleep(0.01)
+    await follower.stop()
+    await store.close()
+    await fake.stop()
+
+
 async def test_a_follower_survives_an_error_of_its_sink() -> None:
     """Guards against an entry that would keep its old configuration forever.
 
