Ask the store without waiting until it answers again

What callers saw: calls reached a target 2.1 s after the store had acknowledged that it left (bound 2.0 s).

Cause: while the store was away for 2.5 s, the follower of the registrations went on with reads that wait for a record. The topic was quiet, so that the first answer, and with it the word that the store is back, came with the next record, 3.2 s after the store's return. That record was the removal of a registration. As registrations may lapse in an outage, a removal within 2.3 s of the return is put off, and so this one was put off however long the store had been back.

Class of fault: a return that is only learned from the next change.

Ruled out: offsets that went back (the topic had lost nothing, the record was read at once), a peer's older copy (no entry asked for one).

While the store counts as away a read asks without waiting, which costs one call more in an outage.

--- a/figstep/platform/store.py
+++ b/figstep/platform/store.py
@@ -87,11 +87,13 @@
         """
 
     @abstractmethod
-    async def read_records(self, topic: str, start: int) -> list[KeyedRecord]:
+    async def read_records(
+        self, topic: str, start: int, wait: float = LONG_POLL_SECONDS
+    ) -> list[KeyedRecord]:
         """Return a topic's records from offset ``start`` on.
 
-        If there is none, wait for one. The list is empty if none is written within the
-        store's waiting time.
+        If there is none, the store waits up to ``wait`` seconds for one. The list is
+        empty if none is written within this time.
 
         Raises:
             LogTruncatedError: If records from ``start`` on were deleted.
@@ -135,7 +137,9 @@
                 return Snapshot(tuple(records.values()), end)
             after = page["items"][-1]["key"]
 
-    async def read_records(self, topic: str, start: int) -> list[KeyedRecord]:
+    async def read_records(
+        self, topic: str, start: int, wait: float = LONG_POLL_SECONDS
+    ) -> list[KeyedRecord]:
         """Return a topic's records from offset ``start`` on.
 
         Raises:
@@ -146,9 +150,9 @@
             "topic": topic,
             "part": "0",
             "from": str(start),
-            "wait_ms": str(round(LONG_POLL_SECONDS * 1000)),
+            "wait_ms": str(round(wait * 1000)),
         }
-        raw = await self._call("/figstep/log-read", query, LONG_POLL_SECONDS)
+        raw = await self._call("/figstep/log-read", query, wait)
         return decode_records(raw)
 
     async def _call(self, path: str, query: dict[str, str], wait: float) -> bytes:
@@ -312,7 +316,10 @@
             self._first_read_delay = 0.0
             return
         start = self._next_offset
-        records = await self._store.read_records(self._topic, start)
+        # Whether the store is back must not be learned from the next record only, which
+        # may be long in coming.
+        wait = 0.0 if self._store_lost else LONG_POLL_SECONDS
+        records = await self._store.read_records(self._topic, start, wait)
         self._report_store_regained()
         if self._next_offset != start:
             # A peer relayed records from `start` on while this read was waiting.
