Give the shares of cut entries to those that reach targets

Cause: a rate is split over all entries that are known. A cut entry kept its share and could not use it, and passed its requests on to two entries chosen without regard to what they had left, which had been given too little for them. What was named was used by about half.

Class of fault: what divides evenly meets callers that do not; the same as a crowded entry, seen from the other side.

Now an entry that is cut off has no share, nor for a window after the cut, as the others have had it; they split among those that say they reach targets. Where all targets name rates, a cut entry asks up to five entries for a share first, as a crowded one does, and lets the sixth keep the request waiting.

Found in the simulation only; that the users' line had this cause is not seen.

--- a/figstep/core/reach.py
+++ b/figstep/core/reach.py
@@ -35,12 +35,14 @@
         failed: Targets to which a connection failed since, and when it failed.
         cut_off_since: Since when this entry counts as cut off from all targets; None
             if it does not.
+        cut_ended_at: When this entry last reached targets again after a cut.
         checked_at: When a connection was last opened only to check a target.
     """
 
     connected_at: Millis = Millis(-1_000_000)
     failed: dict[str, Millis] = field(default_factory=dict)
     cut_off_since: Millis | None = None
+    cut_ended_at: Millis = Millis(-1_000_000)
     checked_at: Millis = Millis(-1_000_000)
 
     @property
@@ -54,6 +56,8 @@
         self.connected_at = now
         self.failed.clear()
         self.cut_off_since = None
+        if was_cut_off:
+            self.cut_ended_at = now
         return was_cut_off
 
     def record_failure(
--- a/figstep/gateway/limits.py
+++ b/figstep/gateway/limits.py
@@ -11,6 +11,7 @@
 seconds are split into whole requests of each entry.
 """
 
+from collections.abc import Sequence
 from http import HTTPStatus
 
 from figstep.core.clock import Millis
@@ -172,6 +173,11 @@
     return Millis(max(limit.opens_at, sends[-share] + window))
 
 
+def are_all_limited(targets: Sequence[Target]) -> bool:
+    """Return whether there are targets, and each has named a rate that is in force."""
+    return bool(targets) and all(target.is_limited for target in targets)
+
+
 def has_spent_share(state: State, target: Target, now: Millis) -> bool:
     """Return whether other entries may send a target a request that this one may not.
 
--- a/figstep/gateway/relays.py
+++ b/figstep/gateway/relays.py
@@ -32,22 +32,39 @@
 """Longest such time, in milliseconds. Shares change as targets and entries do."""
 
 
-def relay_request(
-    state: State, request: Request, now: Millis, may_wait: bool = True
-) -> list[Effect]:
-    """Pass a request on to another entry.
+def relay_request(state: State, request: Request, now: Millis) -> list[Effect]:
+    """Pass a request on to another entry, because this one reaches no target of it.
+
+    Where all targets name rates, entries that have a share left are looked for first;
+    then one may let it wait, as this entry's own callers wait for a share elsewhere.
+
+    Returns no effects if no other entry can take it.
+    """
+    if not limits.are_all_limited(eligibility.list_eligible(state, request)):
+        return _start_relay(state, request, now, MAX_RELAYS, may_wait=True)
+    relayed = relay_for_share(state, request, now)
+    if relayed:
+        return relayed
+    return _start_relay(state, request, now, MAX_SHARE_RELAYS + 1, may_wait=True)
+
 
-    Returns no effects if no other entry can take it. A request that was itself passed
-    on is not passed on again: two entries that are both cut off would exchange it
-    until its deadline.
+def relay_for_share(state: State, request: Request, now: Millis) -> list[Effect]:
+    """Pass a request on to an entry that may have a share of a limit left for it.
+
+    Returns no effects if no other entry can take it.
+    """
+    return _start_relay(state, request, now, MAX_SHARE_RELAYS, may_wait=False)
+
+
+def _start_relay(
+    state: State, request: Request, now: Millis, most: int, may_wait: bool
+) -> list[Effect]:
+    """Pass a request on to another entry, unless it was passed on ``most`` times.
 
-    Args:
-        state: State of this entry.
-        request: The request.
-        now: Monotonic time, in milliseconds.
-        may_wait: Whether the other entry may let it wait for a target.
+    A request that another entry passed on is not passed on again: two entries that are
+    both cut off would exchange it until its deadline. ``may_wait`` tells the other
+    entry whether it may let the request wait for a target.
     """
-    most = MAX_RELAYS if may_wait else MAX_SHARE_RELAYS
     if request.spec.relayed or request.relays >= most or now >= request.deadline:
         return []
     origin = request.origin
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -194,7 +194,7 @@
         reason = eligibility.explain_no_target(state, request)
         return refuse_request(state, request, reason, now)
     if placement.has_spent_shares(state, request, now):
-        relayed = relays.relay_request(state, request, now, may_wait=False)
+        relayed = relays.relay_for_share(state, request, now)
         if relayed:
             return relayed
     return hold_request(state, request, now)
--- a/figstep/gateway/shares.py
+++ b/figstep/gateway/shares.py
@@ -19,13 +19,22 @@
 against the limit."""
 
 
+REACHED_SHARE_DELAY = Millis(4_100)
+"""How long, in milliseconds, an entry that was cut off from all targets has no share.
+
+Meanwhile its share belonged to the others, and what they sent counts against limits for
+about as long."""
+
+
 def share_requests(state: State, key: str, requests: float, now: Millis) -> int:
     """Return how many of the fleet's requests this entry may send.
 
     The requests are split into whole requests of each entry. Those that do not divide
     evenly go to entries selected by a hash. Entries that know the same entries compute
     the same selection, so no two of them take the same request. A restarted process
-    gets 0 until ``RESTART_SHARE_DELAY`` has passed.
+    gets 0 until ``RESTART_SHARE_DELAY`` has passed. An entry that is cut off from all
+    targets gets 0, also for ``REACHED_SHARE_DELAY`` afterwards; the others have its
+    share.
 
     ``key`` is the key of the hash; another key selects other entries. ``requests`` is
     what the whole fleet may send within the caller's window.
@@ -33,9 +42,12 @@
     budget = state.budget
     if not budget.first_start and now < budget.started + RESTART_SHARE_DELAY:
         return 0
-    others = {*state.peers, *state.silent_peers}
-    participants = count_participants(state)
-    part = min(1.0, participants / max(1, state.entries))
+    if state.reach.cut_off or now < state.reach.cut_ended_at + REACHED_SHARE_DELAY:
+        return 0
+    others = _list_other_participants(state)
+    participants = 1 + len(others)
+    known = 1 + len(state.peers.keys() | state.silent_peers.keys())
+    part = min(1.0, known / max(1, state.entries))
     domain_requests = _share_domain(state, key, requests * part)
     own = hash_rank(state.node, key)
     before = sum(1 for name in others if hash_rank(name, key) < own)
@@ -49,7 +61,12 @@
 
     Entries that recently fell silent count, as they may still send requests.
     """
-    return 1 + len({*state.peers, *state.silent_peers})
+    return 1 + len(_list_other_participants(state))
+
+
+def _list_other_participants(state: State) -> set[str]:
+    reaching = {name for name, peer in state.peers.items() if not peer.cut_off}
+    return reaching | state.silent_peers.keys()
 
 
 def _share_domain(state: State, key: str, part: float) -> int:
--- a/tests/gateway/test_cut_fleets.py
+++ b/tests/gateway/test_cut_fleets.py
@@ -82,3 +82,21 @@
     fleet.heal()
     fleet.run(4)
     assert fleet.find_excess() <= 0
+
+
+@EACH_KIND
+@pytest.mark.parametrize("rate", [4.0, 10.0])
+def test_cut_entries_serve_their_callers_where_rates_are_named(
+    rate: float, kind: CutKind
+) -> None:
+    """Guards against cut entries whose shares of the rates nobody can use."""
+    fleet = build_fleet(0)
+    for name in fleet.targets:
+        fleet.limit(name, rate)
+    fleet.run(5)
+    fleet.cut(pick_share(fleet, 0.4), kind)
+    fleet.run(10)
+    assert not fleet.breaks_promise(), (fleet.at_cut, fleet.elsewhere)
+    fleet.heal()
+    fleet.run(6)
+    assert fleet.find_excess() <= 0
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -193,8 +193,9 @@
         try:
             async with asyncio.timeout(wait), self._changed:
                 await self._changed.wait_for(
-                    lambda: self.unavailable
-                    or len(self._records.get(topic, [])) > start
+                    lambda: (
+                        self.unavailable or len(self._records.get(topic, [])) > start
+                    )
                 )
         except TimeoutError:
             pass
