Order positions in the store by era, and read a new era anew

News of the platform: in a drill the store may come back from a copy that is some seconds old. Offsets go back and are given out again; the header Store-Era, in all its answers, rises by one.

What callers would have seen: requests to targets that left after such a return, for as long as they were watched; targets and evacuations that stay unknown.

Cause: offsets were compared as if they were time, by the follower of a topic, by the list of targets, by evacuations and by what entries relay to each other. They are so within one era only. A type of its own for a position, era first, is compared as a whole in all these places; messages and copies name the era, and a process that names none is taken to be in the reader's.

A new era is read anew from all topics, by the entries that read the store, and reaches the others through them. It forgets nothing that is known better: a target that said that it leaves stays gone for that life, one whose registration went for 5 s unless a record of it comes alone, an evacuation that the copy lacks for 5 s, a target that the copy lacks for 2.3 s. A new process is told departures and kept evacuations by the entry that answers it first, and accepts callers after that, or after 0.3 s.

A read that waits is given up when another read or entry names a newer era; answers of an older era, and pages of two eras, are void. The HTTP client no longer repeats such a read by itself as its connection breaks: it then waited in the new era unnoticed. Records that an entry relays are forgotten when it reads a list, as they no longer end at its position.

Ports that tests listen at are taken from below the system's own range: a connection of a second run took one of them.

--- a/figstep/gateway/departures.py
+++ b/figstep/gateway/departures.py
@@ -45,6 +45,16 @@
     return effects
 
 
+def record_draining(state: State, info: Registration, now: Millis) -> None:
+    """Record that a registration states that its target leaves.
+
+    An older copy of the store may hold an earlier registration of the incarnation. One
+    that does not state its start can't be told from a later one.
+    """
+    if info.born:
+        state.departures.setdefault(info.incarnation, Departure(now, own=False))
+
+
 def _apply_leaving(
     state: State, target: Target, source: str, now: Millis
 ) -> list[Effect]:
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -5,6 +5,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.crashes import Clearance, Suspicion
+from figstep.core.positions import NO_POSITION, Position
 from figstep.gateway.budgets import UseReport
 from figstep.gateway.places import NO_EVACUATIONS, Evacuations
 from figstep.gateway.prompts import Prompt
@@ -288,18 +289,18 @@
     """All registrations were read at once; a target that is not listed is gone.
 
     Attributes:
-        position: Offset in the store up to which they were read; -1 for none.
+        position: Position in the store up to which they were read.
     """
 
     registrations: tuple[Registration, ...]
-    position: int = -1
+    position: Position = NO_POSITION
 
 
 @dataclass(frozen=True, slots=True)
 class PositionRead:
-    """Registrations were read up to a further offset in the store."""
+    """Registrations were read up to a further position in the store."""
 
-    position: int
+    position: Position
 
 
 @dataclass(frozen=True, slots=True)
@@ -434,7 +435,7 @@
         address: Where it listens for peers, as "ip:port"; "" in a message that this
             entry has yet to send.
         configuration: Version of the configuration in force at the peer; -1 for none.
-        position: Offset up to which it has read the registrations; -1 for none.
+        position: Position up to which it has read the registrations.
         entries: Number of entries that it knows, itself included.
         far: Whether the loads are the sums of all entries of its failure domain, sent
             to another failure domain.
@@ -448,6 +449,9 @@
             Within a failure domain, changes are relative to the last full message.
         refused: Requests that it recently refused for lack of free capacity.
         evacuations: Failure domains that it knows as evacuated.
+        held_evacuations: Failure domains that it keeps evacuated although an older copy
+            of the store lacks them; only in the answer to an entry that has just
+            started.
         unreached: Ids of targets that it recently could not connect to.
         rates: Rates that targets recently named in answers to it, or to any entry of
             its failure domain if `far` is set.
@@ -471,7 +475,7 @@
     closing: bool = False
     address: str = ""
     configuration: int = -1
-    position: int = -1
+    position: Position = NO_POSITION
     failure_domain: str = ""
     entries: int = 1
     far: bool = False
@@ -482,6 +486,7 @@
     partial: bool = False
     refused: tuple[Refusal, ...] = ()
     evacuations: Evacuations = NO_EVACUATIONS
+    held_evacuations: tuple[str, ...] = ()
     unreached: tuple[str, ...] = ()
     rates: tuple[RateReport, ...] = ()
     relays: tuple[str, ...] = ()
--- a/figstep/gateway/newcomers.py
+++ b/figstep/gateway/newcomers.py
@@ -10,13 +10,19 @@
 from figstep.gateway import versions
 from figstep.gateway.events import PeerHeard, RateReport
 from figstep.gateway.state import State
+from figstep.gateway.targets import Incarnation
+
+DEPARTURE_REPORT_DURATION = Millis(60_000)
+"""How long, in milliseconds, new processes are told that a target leaves. A copy of the
+store is some seconds old at most, and targets end soon after they said so."""
 
 
 def complete_message(state: State, message: PeerHeard, now: Millis) -> PeerHeard:
     """Return a message with what a new process can't learn from later messages.
 
     These are all rates in force, whoever was told them, the starts of this entry's
-    streams, and the software versions that targets had until recently.
+    streams, the software versions that targets had until recently, and the departures
+    and evacuations that an older copy of the store may lack.
     """
     known = {report.incarnation: report for report in message.rates}
     for report in _list_rates_in_force(state, now):
@@ -27,9 +33,19 @@
         starts=state.starts.list_own(),
         past_versions=versions.list_past_versions(state, now),
         knows_versions=versions.is_history_known(state, now),
+        leaving=tuple(sorted({*message.leaving, *_list_departures(state, now)})),
+        held_evacuations=tuple(sorted(state.held_evacuations)),
     )
 
 
+def _list_departures(state: State, now: Millis) -> list[Incarnation]:
+    return [
+        incarnation
+        for incarnation, departure in state.departures.items()
+        if now - departure.at < DEPARTURE_REPORT_DURATION
+    ]
+
+
 def _list_rates_in_force(state: State, now: Millis) -> list[RateReport]:
     reports = []
     for target in state.targets.targets.values():
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -1,6 +1,7 @@
 """Messages between entries: open work by target, crashes and leaving targets."""
 
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 
 from figstep.core.clock import Millis
 from figstep.gateway import crashes, sources
@@ -36,6 +37,19 @@
 the next full message."""
 
 
+def complete_eras(state: State, event: PeerHeard) -> PeerHeard:
+    """Return a message whose positions name an era, also if its writer knows none."""
+    evacuations = event.evacuations
+    known = state.evacuations.position
+    return replace(
+        event,
+        position=event.position.complete_era(state.position.era),
+        evacuations=replace(
+            evacuations, position=evacuations.position.complete_era(known.era)
+        ),
+    )
+
+
 def handle_message(state: State, event: PeerHeard, now: Millis) -> list[Effect]:
     """Apply a peer's message; return the log lines on suspected requests."""
     _record_peer(state, event, now)
--- a/figstep/gateway/places.py
+++ b/figstep/gateway/places.py
@@ -2,19 +2,21 @@
 
 from dataclasses import dataclass
 
+from figstep.core.positions import NO_POSITION, Position
+
 
 @dataclass(frozen=True, slots=True)
 class Evacuations:
-    """Failure domains whose targets get no new work, as of one store position.
+    """Failure domains whose targets get no new work, as of one position in the store.
 
     Attributes:
         domains: Names of the evacuated failure domains.
-        position: Offset in the store up to which the operator's records were read;
-            -1 for none. Of two versions, the one with the higher offset applies.
+        position: Position in the store up to which the operator's records were read.
+            Of two versions, the one with the later position applies.
     """
 
     domains: frozenset[str] = frozenset()
-    position: int = -1
+    position: Position = NO_POSITION
 
 
 NO_EVACUATIONS = Evacuations()
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -7,6 +7,7 @@
     crashes,
     departures,
     eligibility,
+    eras,
     evacuations,
     limits,
     origins,
@@ -119,11 +120,13 @@
         case ConfigurationRead():
             return _apply_configuration(state, event)
         case TargetRegistered(info=info):
+            eras.drop_held(state, info.target)
             return [
                 *_apply_registration(state, info, now),
                 *copies.migrate_streams(state, now),
             ]
         case TargetDeparted():
+            eras.drop_held(state, event.target)
             return _handle_departure(state, event, now)
         case TargetsListed():
             return _apply_target_list(state, event, now)
@@ -148,6 +151,9 @@
                 *evacuations.apply_evacuations(
                     state, event.evacuations, event.node, now
                 ),
+                *evacuations.apply_held_evacuations(
+                    state, event.held_evacuations, event.node, now
+                ),
                 *departures.apply_leaving_reports(
                     state, event.leaving, event.node, now
                 ),
@@ -197,7 +203,9 @@
         origins.handle_restart(state, before, info)
         versions.record_past_version(state, before.info, now)
     target = state.targets.record_registration(info, now)
-    target.evacuated = info.failure_domain in state.evacuations.domains
+    target.evacuated = info.failure_domain in state.evacuated_domains
+    if info.draining:
+        departures.record_draining(state, info, now)
     if target is not before:
         peers.recount_loads(state)
         versions.update_announced_services(state, now)
@@ -264,29 +272,52 @@
 
 
 def _apply_target_list(state: State, event: TargetsListed, now: Millis) -> list[Effect]:
-    if state.position >= 0 and event.position < state.position:
+    if event.position < state.position:
         # The list is a peer's copy, older than what this entry has read since.
         return []
-    state.position = event.position
+    effects = eras.record_list_position(state, event.position, now)
     listed = {info.target for info in event.registrations}
-    effects: list[Effect] = [
+    effects.append(
         Note(
             "registrations read whole",
-            {"position": event.position, "targets": len(listed)},
+            {
+                "era": event.position.era,
+                "position": event.position.offset,
+                "targets": len(listed),
+            },
         )
-    ]
-    for info in event.registrations:
+    )
+    believed, held_effects = eras.hold_stale(state, event.registrations, now)
+    effects += held_effects
+    for info in believed:
         effects += _apply_registration(state, info, now)
     for name in list(state.targets.targets):
         if name not in listed:
-            effects += _handle_departure(state, TargetDeparted(name), now)
+            effects += _handle_missing(state, name, now)
     return effects + copies.migrate_streams(state, now)
 
 
+def _handle_missing(state: State, name: str, now: Millis) -> list[Effect]:
+    """Handle a target that a list of all registrations lacks.
+
+    In a copy that is some seconds old its registration may not be there yet.
+    """
+    target = state.targets.find(name)
+    until = Millis(state.era_began_at + LAPSE_GRACE)
+    if target is None or now >= until or target.appears_unreachable:
+        return _handle_departure(state, TargetDeparted(name), now)
+    if target.standing is not Standing.READY:
+        return []
+    return _defer_departure(state, target, until, now)
+
+
 def _tick(state: State, now: Millis) -> list[Effect]:
     effects: list[Effect] = []
     for name in state.targets.pop_due_departures(now):
         effects += _apply_departure(state, name, now)
+    for info in eras.pop_due(state, now):
+        effects += _apply_registration(state, info, now)
+    effects += evacuations.drop_expired(state, now)
     effects += requests.expire_requests(state, now)
     effects += reach.check_links(state, now)
     effects += copies.migrate_streams(state, now)
--- a/figstep/gateway/sources.py
+++ b/figstep/gateway/sources.py
@@ -3,6 +3,7 @@
 import zlib
 
 from figstep.core.clock import Millis
+from figstep.core.positions import Position
 from figstep.gateway.effects import Effect, FetchRecords, Note
 from figstep.gateway.events import PeerHeard
 from figstep.gateway.state import Peer, State
@@ -155,8 +156,10 @@
             "peer": peer.address,
             "configuration": get_configuration_version(state),
             "peer_configuration": peer.configuration,
-            "position": state.position,
-            "peer_position": peer.position,
+            "era": state.position.era,
+            "position": state.position.offset,
+            "peer_era": peer.position.era,
+            "peer_position": peer.position.offset,
         },
     )
     return [FetchRecords(peer.address), note]
@@ -190,5 +193,5 @@
     return before < MAX_CONCURRENT_FETCHES * len(ahead) << doublings
 
 
-def _draw_fetch_order(newest: tuple[int, int], name: str) -> int:
+def _draw_fetch_order(newest: tuple[int, Position], name: str) -> int:
     return zlib.crc32(f"{newest} {name}".encode())
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -5,6 +5,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.crashes import CrashTable
+from figstep.core.positions import NO_POSITION, Position
 from figstep.core.reach import Reach
 from figstep.gateway.budgets import RetryBudget, UseReport
 from figstep.gateway.effects import RelayTo, RunCopy
@@ -19,7 +20,12 @@
 from figstep.gateway.refusals import RefusalTable
 from figstep.gateway.routes import Route, RoutingTable
 from figstep.gateway.starts import StartTable, StreamStart
-from figstep.gateway.targets import Incarnation, Target, TargetTable
+from figstep.gateway.targets import (
+    Incarnation,
+    Registration,
+    Target,
+    TargetTable,
+)
 
 LEAVING_ANNOUNCE_DURATION = Millis(10_000)
 """Milliseconds for which a target's announcement that it leaves is sent to peers."""
@@ -268,7 +274,7 @@
         uses: Requests and repeats that it recently sent to each service.
         address: Address at which it listens for peers, as "ip:port".
         configuration: Version of its configuration in force; -1 for none.
-        position: Offset up to which it has read the registrations; -1 for none.
+        position: Position up to which it has read the registrations.
         healthy_since: Since when it has reported, without a break, that it reads the
             store and is answered; None if its last message differs.
         receives_records: Whether records of the store reach it, directly or through
@@ -295,7 +301,7 @@
     uses: tuple[UseReport, ...] = ()
     address: str = ""
     configuration: int = -1
-    position: int = -1
+    position: Position = NO_POSITION
     receives_records: bool = True
     answered: bool = True
     healthy_since: Millis | None = None
@@ -325,6 +331,18 @@
     loads: dict[str, PeerLoad] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class HeldRegistration:
+    """Registration of a departed target in a list that may be from an older copy.
+
+    Attributes:
+        until: Monotonic time in milliseconds from which it is believed.
+    """
+
+    info: Registration
+    until: Millis
+
+
 @dataclass(slots=True)
 class State:
     """State of one gateway.
@@ -354,7 +372,13 @@
         crashes: Crashes of targets, and what was on these targets.
         short_answers: Answers whose engines are checked before the parts of their
             prompts count as harmless.
-        position: Offset up to which the registrations were read; -1 for none.
+        position: Position up to which the registrations were read.
+        era_began_at: When this entry first read registrations of the store's era, if it
+            had read those of an earlier one.
+        held_registrations: Registrations of departed targets that an older copy of the
+            store still holds, by target.
+        held_evacuations: Until when a failure domain is kept evacuated that an older
+            copy of the store lacks.
         behind_since: Since when a peer has known newer records than this entry, or when
             this entry last fetched them from a peer; None if no peer knows newer ones.
         read_failed: Whether the store does not answer this entry.
@@ -405,7 +429,10 @@
     crashes: CrashTable = field(default_factory=CrashTable)
     short_answers: list[ShortAnswer] = field(default_factory=list)
     next_attempt: int = 1
-    position: int = -1
+    position: Position = NO_POSITION
+    era_began_at: Millis = Millis(-1_000_000)
+    held_registrations: dict[str, HeldRegistration] = field(default_factory=dict)
+    held_evacuations: dict[str, Millis] = field(default_factory=dict)
     behind_since: Millis | None = None
     read_failed: bool = False
     store_unreachable: bool = False
@@ -429,6 +456,11 @@
         """Whether the fleet is too large for every entry to report to every other."""
         return self.entries > FULL_MESH_MAX_ENTRIES
 
+    @property
+    def evacuated_domains(self) -> frozenset[str]:
+        """Failure domains that get no new work."""
+        return self.evacuations.domains | self.held_evacuations.keys()
+
     def list_leaving(self, now: Millis) -> list[Incarnation]:
         """Return the targets that recently announced to this entry that they leave."""
         return [
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -9,6 +9,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.crashes import Clearance, Suspicion
+from figstep.core.positions import NO_POSITION, Position
 from figstep.errors import PeerMessageError
 from figstep.gateway.budgets import UseReport
 from figstep.gateway.events import (
@@ -47,12 +48,12 @@
 
     Attributes:
         configuration: The newest configuration; empty for none.
-        position: Offset up to which registrations were read; -1 for none.
+        position: Position up to which registrations were read.
         registrations: Key and value of the newest registration of each target.
     """
 
     configuration: bytes = b""
-    position: int = -1
+    position: Position = NO_POSITION
     registrations: tuple[tuple[str, bytes], ...] = ()
 
 
@@ -89,7 +90,8 @@
         sequence=hello.sequence,
         closing=own.closing,
         configuration=own.configuration,
-        position=own.position,
+        position=own.position.offset,
+        era=own.position.era,
         failureDomain=own.failure_domain,
         entries=own.entries,
         far=own.far,
@@ -100,7 +102,9 @@
         reading=own.reading,
         partial=own.partial,
         evacuated=sorted(own.evacuations.domains),
-        evacuatedAt=own.evacuations.position,
+        evacuatedAt=own.evacuations.position.offset,
+        evacuatedEra=own.evacuations.position.era,
+        heldEvacuations=list(own.held_evacuations),
         unreached=list(own.unreached),
         relays=list(own.relays),
         cutOff=own.cut_off,
@@ -210,7 +214,7 @@
             closing=message.closing,
             address=str(message.address) or sender,
             configuration=message.configuration,
-            position=message.position,
+            position=Position(message.era, message.position),
             failure_domain=message.failureDomain,
             entries=message.entries,
             far=message.far,
@@ -226,8 +230,9 @@
             ),
             evacuations=Evacuations(
                 frozenset(str(name) for name in message.evacuated),
-                message.evacuatedAt,
+                Position(message.evacuatedEra, message.evacuatedAt),
             ),
+            held_evacuations=tuple(str(name) for name in message.heldEvacuations),
             unreached=tuple(str(name) for name in message.unreached),
             rates=tuple(
                 RateReport(
@@ -287,7 +292,9 @@
 def encode_copy(copy: RecordCopy) -> bytes:
     """Return a copy of records in its encoded and compressed form."""
     message = _schema.Copy.new_message(
-        configuration=copy.configuration, position=copy.position
+        configuration=copy.configuration,
+        position=copy.position.offset,
+        era=copy.position.era,
     )
     entries = message.init("registrations", len(copy.registrations))
     for slot, (key, value) in zip(entries, copy.registrations, strict=True):
@@ -307,7 +314,8 @@
         entries = tuple(
             (str(entry.key), bytes(entry.value)) for entry in message.registrations
         )
-        return RecordCopy(bytes(message.configuration), message.position, entries)
+        position = Position(message.era, message.position)
+        return RecordCopy(bytes(message.configuration), position, entries)
     except (capnp.KjException, ValueError, zlib.error) as error:
         raise PeerMessageError("malformed copy of records; try another peer") from error
 
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -39,6 +39,9 @@
   starts @33 :List(Starts);  # streams that entries recently began to deliver
   pastVersions @34 :List(PastVersion); # software versions that targets had until recently
   knowsVersions @35 :Bool;   # the past versions are complete
+  era @36 :UInt64;           # era of the store that the position belongs to, 0 for none
+  evacuatedEra @37 :UInt64;  # era that evacuatedAt belongs to
+  heldEvacuations @38 :List(Text); # kept although an older copy of the store lacks them
 }
 
 struct Starts {
@@ -121,6 +124,7 @@
   configuration @0 :Data;    # the record as the operator wrote it
   position @1 :Int64;
   registrations @2 :List(Entry);
+  era @3 :UInt64;            # era of the store that the position belongs to, 0 for none
 }
 
 struct Entry {
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -14,6 +14,7 @@
 from mode import Service
 
 from figstep.core.clock import Clock, Millis
+from figstep.core.positions import Position
 from figstep.errors import PeerMessageError
 from figstep.gateway.application import Gateway
 from figstep.gateway.budgets import RetryBudget
@@ -39,7 +40,7 @@
 )
 from figstep.gateway.measures import GatewayMeasures
 from figstep.gateway.newcomers import complete_message
-from figstep.gateway.peers import describe_entry
+from figstep.gateway.peers import complete_eras, describe_entry
 from figstep.gateway.places import Evacuations
 from figstep.gateway.sources import reads_store
 from figstep.gateway.state import State
@@ -55,6 +56,7 @@
     parse_registration,
 )
 from figstep.platform.engines import TargetEdge
+from figstep.platform.followers import TopicFollower, TopicSink
 from figstep.platform.settings import (
     Address,
     EntrySettings,
@@ -68,8 +70,6 @@
     HttpStore,
     KeyedRecord,
     Store,
-    TopicFollower,
-    TopicSink,
 )
 from figstep.platform.watch import SettingsWatch
 
@@ -181,6 +181,7 @@
                 self._apply_operator_records,
                 lambda reason: None,
                 lambda: None,
+                self._notice_era,
             ),
             self.reads_store,
             self._choose_read_delay,
@@ -194,6 +195,7 @@
                 self._apply_registration_changes,
                 lambda reason: self.gateway.dispatch(StoreLost()),
                 lambda: self.gateway.dispatch(StoreRegained()),
+                self._notice_era,
             ),
             self.reads_store,
             self._choose_read_delay,
@@ -220,9 +222,19 @@
         # Callers wait in the listener's queue meanwhile. If they were accepted before
         # the configuration is read, their requests would be refused.
         deadline = self._clock.now() + FIRST_READ_TIMEOUT
-        while not self.is_ready() and self._clock.now() < deadline:
+        while self._clock.now() < deadline:
+            if self.is_ready() and self._has_heard_peers():
+                return
             await asyncio.sleep(FIRST_READ_POLL_SECONDS)
 
+    def _has_heard_peers(self) -> bool:
+        """Return whether a peer has told this entry what the store may lack.
+
+        That is True for an entry that has no seeds.
+        """
+        known = self.gateway.known
+        return not self.settings.seeds or bool(known.peers or known.remote_peers)
+
     async def on_shutdown(self) -> None:
         """Cancel an open fetch of records and close the store's client.
 
@@ -240,14 +252,19 @@
         """Return the exchange of an open request; None if the request has ended."""
         return self.callers.exchanges.get(number)
 
+    def _notice_era(self, era: int) -> None:
+        """Let both topics be read anew if the store came back from an older copy."""
+        self.configuration.notice_era(era)
+        self.registrations.notice_era(era)
+
     def _apply_operator_snapshot(
-        self, records: tuple[KeyedRecord, ...], position: int
+        self, records: tuple[KeyedRecord, ...], position: Position
     ) -> None:
         self._evacuated.clear()
         self._apply_operator_records(list(records), position)
 
     def _apply_operator_records(
-        self, records: list[KeyedRecord], position: int
+        self, records: list[KeyedRecord], position: Position
     ) -> None:
         for record in records:
             if record.key == CONFIGURATION_KEY and record.value is not None:
@@ -283,9 +300,11 @@
             self._configuration = value
 
     def _apply_registration_list(
-        self, records: tuple[KeyedRecord, ...] | list[KeyedRecord], position: int
+        self, records: tuple[KeyedRecord, ...] | list[KeyedRecord], position: Position
     ) -> None:
         self._registrations.clear()
+        # Records that are relayed end at the position that is told with them.
+        self._recent_registrations.clear()
         registrations = []
         for record in records:
             registration = self._read_registration(record)
@@ -295,7 +314,7 @@
         self.gateway.dispatch(TargetsListed(tuple(registrations), position))
 
     def _apply_registration_changes(
-        self, records: list[KeyedRecord], position: int
+        self, records: list[KeyedRecord], position: Position
     ) -> None:
         for record in records:
             registration = self._read_registration(record)
@@ -382,7 +401,10 @@
         The registrations are applied only if they close the gap between this entry's
         position and the peer's, and this entry does not read the store itself.
         """
-        missing = message.position - self.gateway.known.position
+        known = self.gateway.known
+        message = complete_eras(known, message)
+        self._notice_era(max(message.position.era, message.evacuations.position.era))
+        missing = known.position.count_records_to(message.position)
         if 0 < missing <= len(records) and not self.reads_store():
             relayed = [
                 KeyedRecord(key, value or None) for key, value in records[-missing:]
@@ -424,10 +446,13 @@
             return
         if copy.configuration:
             self._read_configuration(copy.configuration)
-        if copy.position > self.gateway.known.position:
+        known = self.gateway.known.position
+        position = copy.position.complete_era(known.era)
+        if position > known:
             records = [KeyedRecord(key, value) for key, value in copy.registrations]
-            self.registrations.skip_to(copy.position)
-            self._apply_registration_list(records, copy.position)
+            self._notice_era(position.era)
+            self.registrations.skip_to(position)
+            self._apply_registration_list(records, position)
 
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply settings that were read again.
--- a/figstep/platform/store.py
+++ b/figstep/platform/store.py
@@ -1,23 +1,20 @@
-"""Client of the platform's store, which keeps records in keyed topics.
-
-A follower reads the newest record of each key first, then each new record.
-"""
+"""Client of the platform's store, which keeps records in keyed topics."""
 
 import asyncio
 import base64
 from abc import ABC, abstractmethod
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import aiohttp
-import logbook
 import orjson
-from mode import Service
 
+from figstep.core.positions import Position
 from figstep.errors import LogTruncatedError, LogUnavailableError
 from figstep.net.connectors import ResetAwareConnector
+from figstep.net.sessions import send_once
 
-_log = logbook.Logger("figstep.store")
+ERA_HEADER = "Store-Era"
+"""Header of all answers that holds the number of the store's era."""
 
 CONFIGURATION_TOPIC = "keyed.op"
 REGISTRATION_TOPIC = "keyed.servers"
@@ -37,17 +34,6 @@
 CALL_TIMEOUT_SECONDS = 2.0
 """Timeout of a call in seconds, beyond the time that the store waits for a record."""
 
-IDLE_POLL_SECONDS = 0.25
-"""Interval in seconds at which an entry that relies on other readers of the store
-checks whether it has to read the store itself."""
-
-INITIAL_BACKOFF_SECONDS = 0.1
-"""Backoff after the first failed read, in seconds; each further failure doubles it."""
-
-MAX_BACKOFF_SECONDS = 1.0
-"""Longest backoff after failed reads, in seconds. A configuration has to be in force
-within two seconds after the store has recovered."""
-
 
 @dataclass(frozen=True, slots=True)
 class KeyedRecord:
@@ -67,12 +53,33 @@
 
     Attributes:
         records: Newest record of each key that is not deleted.
-        end: Offset from which to read on; records that are not in the snapshot have
-            this offset or a later one.
+        end: Position from which to read on; records that are not in the snapshot have
+            this position or a later one.
     """
 
     records: tuple[KeyedRecord, ...]
-    end: int
+    end: Position
+
+
+@dataclass(frozen=True, slots=True)
+class RecordBatch:
+    """Records of a topic that follow each other.
+
+    Attributes:
+        records: The records, oldest first.
+        era: Era of the store in which they have their offsets.
+    """
+
+    records: list[KeyedRecord]
+    era: int
+
+
+@dataclass(frozen=True, slots=True)
+class _StoreAnswer:
+    """Body of an answer, and the era that it names."""
+
+    body: bytes
+    era: int
 
 
 class Store(ABC):
@@ -89,14 +96,15 @@
     @abstractmethod
     async def read_records(
         self, topic: str, start: int, wait: float = LONG_POLL_SECONDS
-    ) -> list[KeyedRecord]:
+    ) -> RecordBatch:
         """Return a topic's records from offset ``start`` on.
 
         If there is none, the store waits up to ``wait`` seconds for one. The list is
         empty if none is written within this time.
 
         Raises:
-            LogTruncatedError: If records from ``start`` on were deleted.
+            LogTruncatedError: If records from ``start`` on were deleted, or if the
+                store has no such offset.
             LogUnavailableError: If the store gave no answer.
         """
 
@@ -116,34 +124,41 @@
         """Return the newest record of each key of a topic, read page by page.
 
         Raises:
-            LogUnavailableError: If the store gave no answer.
+            LogUnavailableError: If the store gave no answer, or if it came back from an
+                older copy between two pages.
         """
         records: dict[str, KeyedRecord] = {}
-        end: int | None = None
+        end: Position | None = None
         after = None
         while True:
             query = {"topic": topic, "part": "0"}
             if after is not None:
                 query["after"] = after
-            page = orjson.loads(await self._call("/figstep/log-newest", query, 0.0))
+            answer = await self._call("/figstep/log-newest", query, 0.0)
+            page = orjson.loads(answer.body)
             for item in page["items"]:
                 value = base64.b64decode(item["value"])
                 records[item["key"]] = KeyedRecord(item["key"], value or None)
             if end is None:
                 # Records may change between two pages. The follower reads on from
                 # the end in the first page, so it gets these changes again.
-                end = page["end"]
+                end = Position(answer.era, page["end"])
+            if answer.era != end.era:
+                raise LogUnavailableError(
+                    f"pages of eras {end.era} and {answer.era} are no snapshot"
+                )
             if not page["has_more"] or not page["items"]:
                 return Snapshot(tuple(records.values()), end)
             after = page["items"][-1]["key"]
 
     async def read_records(
         self, topic: str, start: int, wait: float = LONG_POLL_SECONDS
-    ) -> list[KeyedRecord]:
+    ) -> RecordBatch:
         """Return a topic's records from offset ``start`` on.
 
         Raises:
-            LogTruncatedError: If records from ``start`` on were deleted.
+            LogTruncatedError: If records from ``start`` on were deleted, or if the
+                store has no such offset.
             LogUnavailableError: If the store gave no answer.
         """
         query = {
@@ -152,10 +167,12 @@
             "from": str(start),
             "wait_ms": str(round(wait * 1000)),
         }
-        raw = await self._call("/figstep/log-read", query, wait)
-        return decode_records(raw)
+        answer = await self._call("/figstep/log-read", query, wait)
+        return RecordBatch(decode_records(answer.body), answer.era)
 
-    async def _call(self, path: str, query: dict[str, str], wait: float) -> bytes:
+    async def _call(
+        self, path: str, query: dict[str, str], wait: float
+    ) -> _StoreAnswer:
         if self._session is None:
             self._session = _open_session()
         try:
@@ -170,7 +187,7 @@
             raise LogTruncatedError(int(orjson.loads(body).get("first", 0)))
         if response.status != 200:
             raise LogUnavailableError(f"{path}: answered {response.status}")
-        return body
+        return _StoreAnswer(body, parse_era(response.headers.get(ERA_HEADER)))
 
     async def close(self) -> None:
         """Close the connections."""
@@ -181,12 +198,29 @@
 def _open_session() -> aiohttp.ClientSession:
     # A connection on which an answer was lost delivers nothing more; aiohttp closes it
     # when a call on it times out.
+    # If aiohttp repeated a read that waits, as its connection broke, an outage would go
+    # unnoticed until the next record.
     connector = ResetAwareConnector(limit=8)
     return aiohttp.ClientSession(
-        connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        middlewares=(send_once,),
     )
 
 
+def parse_era(value: str | None) -> int:
+    """Return the era that an answer's header names; 0 if it has none.
+
+    Raises:
+        LogUnavailableError: If the header is no number.
+    """
+    if value is None:
+        return 0
+    if not (value.isascii() and value.isdigit()):
+        raise LogUnavailableError(f"{ERA_HEADER} is {value[:40]!r}, not a number")
+    return int(value)
+
+
 def decode_records(raw: bytes) -> list[KeyedRecord]:
     """Return the records in the answer to a read.
 
@@ -215,142 +249,3 @@
     key_end = 1 + content[0] if content else 0
     key = content[1:key_end].decode(errors="replace")
     return KeyedRecord(key, content[key_end:] or None)
-
-
-@dataclass(frozen=True, slots=True)
-class TopicSink:
-    """Callbacks that receive the records of a followed topic.
-
-    Attributes:
-        apply_snapshot: Called with the newest record of each key, and the offset of
-            the next record.
-        apply_records: Called with new records in order, and the offset after the last.
-        handle_store_lost: Called with the reason when the store stops answering.
-        handle_store_regained: Called when the store answers again, or when other
-            entries read the topic for this one.
-    """
-
-    apply_snapshot: Callable[[tuple[KeyedRecord, ...], int], None]
-    apply_records: Callable[[list[KeyedRecord], int], None]
-    handle_store_lost: Callable[[str], None]
-    handle_store_regained: Callable[[], None]
-
-
-class TopicFollower(Service):
-    """Reads the newest record of each key of a topic, then each new record."""
-
-    def __init__(
-        self,
-        store: Store,
-        topic: str,
-        sink: TopicSink,
-        should_read: Callable[[], bool] = lambda: True,
-        choose_read_delay: Callable[[], float] = lambda: 0.0,
-        first_read_delay: float = 0.0,
-    ) -> None:
-        """Follow a topic.
-
-        Args:
-            store: Store that holds the topic.
-            topic: Name of the topic.
-            sink: Callbacks that receive the records.
-            should_read: Returns whether this entry has to read new records itself. The
-                first snapshot is read in any case.
-            choose_read_delay: Returns the delay in seconds after a read that
-                returned records.
-            first_read_delay: Delay in seconds after the first read, in which an
-                entry finds out whether other entries read for it.
-        """
-        super().__init__()
-        self._first_read_delay = first_read_delay
-        self._choose_read_delay = choose_read_delay
-        self._should_read = should_read
-        self._store = store
-        self._topic = topic
-        self._sink = sink
-        self._next_offset: int | None = None
-        self._backoff = INITIAL_BACKOFF_SECONDS
-        self._store_lost = False
-
-    @Service.task
-    async def _follow(self) -> None:
-        while not self.should_stop:
-            if self._next_offset is not None and not self._should_read():
-                # Other entries read the records and relay them to this one. If the
-                # store rejects this entry, repeated reads would only cost calls.
-                self._report_store_regained()
-                await self.sleep(IDLE_POLL_SECONDS)
-                continue
-            try:
-                await self._read_next()
-            except LogTruncatedError as error:
-                # The deleted records cannot be read any more; a new snapshot replaces
-                # them.
-                _log.info(
-                    "records deleted from the store",
-                    extra={"topic": self._topic, "earliest": error.earliest},
-                )
-                if self._should_read():
-                    self._next_offset = None
-            except (LogUnavailableError, ValueError, KeyError) as error:
-                self._report_store_lost(str(error))
-                await self._back_off()
-            except Exception:
-                # If the follower ended here, this entry would keep its old
-                # configuration and send requests to departed targets forever.
-                _log.exception("records not taken in", extra={"topic": self._topic})
-                self._next_offset = None
-                await self._back_off()
-
-    async def _back_off(self) -> None:
-        await self.sleep(self._backoff)
-        self._backoff = min(MAX_BACKOFF_SECONDS, self._backoff * 2)
-
-    async def _read_next(self) -> None:
-        if self._next_offset is None:
-            snapshot = await self._store.read_newest(self._topic)
-            self._report_store_regained()
-            self._next_offset = snapshot.end
-            self._sink.apply_snapshot(snapshot.records, snapshot.end)
-            await self.sleep(self._first_read_delay)
-            self._first_read_delay = 0.0
-            return
-        start = self._next_offset
-        # Whether the store is back must not be learned from the next record only, which
-        # may be long in coming.
-        wait = 0.0 if self._store_lost else LONG_POLL_SECONDS
-        records = await self._store.read_records(self._topic, start, wait)
-        self._report_store_regained()
-        if self._next_offset != start:
-            # A peer relayed records from `start` on while this read was waiting.
-            return
-        if records:
-            self._next_offset += len(records)
-            self._sink.apply_records(records, self._next_offset)
-            # Records come in bursts: after a delay, one call reads several.
-            await self.sleep(self._choose_read_delay())
-
-    def skip_to(self, position: int) -> None:
-        """Skip records that a peer has relayed.
-
-        Args:
-            position: Offset of the next record to read; ignored if it is not later than
-                the present one.
-        """
-        if self._next_offset is None or position > self._next_offset:
-            self._next_offset = position
-
-    def _report_store_lost(self, reason: str) -> None:
-        if self._store_lost:
-            return
-        self._store_lost = True
-        _log.warning("store lost", extra={"topic": self._topic, "reason": reason})
-        self._sink.handle_store_lost(reason)
-
-    def _report_store_regained(self) -> None:
-        self._backoff = INITIAL_BACKOFF_SECONDS
-        if not self._store_lost:
-            return
-        self._store_lost = False
-        _log.info("store regained", extra={"topic": self._topic})
-        self._sink.handle_store_regained()
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -5,6 +5,7 @@
 import pytest
 
 from figstep.core.clock import Millis
+from figstep.core.positions import Position
 from figstep.gateway import domains, peers
 from figstep.gateway.effects import Announce, CopyRun, Note, OpenAttempt, Refuse
 from figstep.gateway.events import (
@@ -87,7 +88,8 @@
     harness.handle(Ticked())
     harness.handle(StoreRegained())
     harness.handle(TargetRegistered(old))
-    harness.handle(TargetsListed((old, replace(old, target="b-2")), 9))
+    listed = (old, replace(old, target="b-2"))
+    harness.handle(TargetsListed(listed, Position(1, 9)))
     assert list_called_targets(harness) == {"b-2"}
 
 
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from figstep.core.clock import ManualClock, Millis
+from figstep.core.positions import Position
 from figstep.gateway import domains, peers
 from figstep.gateway.effects import CopyRun, Note, OpenAttempt, ReadReport, Refuse
 from figstep.gateway.events import (
@@ -37,7 +38,9 @@
 
 def evacuate(harness: EntryHarness, *domains: str, position: int = 5) -> None:
     """Let an entry read from the store which failure domains are evacuated."""
-    harness.handle(EvacuationsRead(Evacuations(frozenset(domains), position)))
+    harness.handle(
+        EvacuationsRead(Evacuations(frozenset(domains), Position(1, position)))
+    )
 
 
 def register(
@@ -180,7 +183,7 @@
     harness = build_harness()
     evacuate(harness, "muc-a", position=5)
     evacuate(harness, position=9)
-    records = Evacuations(frozenset({"muc-a"}), 5)
+    records = Evacuations(frozenset({"muc-a"}), Position(1, 5))
     harness.handle(PeerHeard("entry-2", evacuations=records))
     assert not harness.state.evacuations.domains
     assert not harness.state.targets.targets["e-muc-a"].evacuated
@@ -196,7 +199,7 @@
 
 def test_a_message_carries_evacuations() -> None:
     """Guards against peers that learn the position but not the evacuated domains."""
-    records = Evacuations(frozenset({"muc-a", "nue-a"}), 17)
+    records = Evacuations(frozenset({"muc-a", "nue-a"}), Position(1, 17))
     data = encode_hello(Hello(PeerHeard("entry-1", evacuations=records)))
     assert decode_hello(data, "10.0.0.1:7000").content.evacuations == records
 
@@ -243,8 +246,8 @@
     harness = build_harness()
     newest = Evacuations()
     for position, evacuated in records:
-        record = Evacuations(evacuated, position)
-        if position > newest.position:
+        record = Evacuations(evacuated, Position(1, position))
+        if record.position > newest.position:
             newest = record
         harness.handle(PeerHeard("entry-2", evacuations=record))
         assert harness.state.evacuations == newest
@@ -328,4 +331,4 @@
     for _ in range(10):
         fleet.step(200)
     for harness in fleet.entries:
-        assert harness.state.evacuations == Evacuations(frozenset(), 9)
+        assert harness.state.evacuations == Evacuations(frozenset(), Position(1, 9))
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -7,6 +7,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.crashes import Clearance, Suspicion
+from figstep.core.positions import Position
 from figstep.gateway.budgets import UseReport
 from figstep.gateway.events import PeerHeard, PeerLoad
 from figstep.gateway.news import FULL_REPORT_INTERVAL, LoadUpdates
@@ -122,9 +123,9 @@
     [
         {"uses": (UseReport("bookings", 10, 2),)},
         {"leaving": ("e-1",)},
-        {"evacuations": Evacuations(frozenset({"muc-b"}), 4)},
+        {"evacuations": Evacuations(frozenset({"muc-b"}), Position(1, 4))},
         {"configuration": 9},
-        {"position": 12},
+        {"position": Position(1, 12)},
         {"loads": (PeerLoad("e-0", 2, 6_000),)},
         {"suspicions": (Suspicion("digest", "e-1@1"),)},
         {"clearances": (Clearance("digest"),)},
--- a/tests/gateway/test_reducer.py
+++ b/tests/gateway/test_reducer.py
@@ -1,6 +1,7 @@
 """Tests of the reducer: configuration, registrations and lapses."""
 
 from figstep.core.clock import Millis
+from figstep.core.positions import Position
 from figstep.gateway.effects import Note
 from figstep.gateway.events import (
     ConfigurationRead,
@@ -37,15 +38,15 @@
     harness = EntryHarness()
     harness.register("e-1", "e-2")
     info = Registration("e-2", ENGINES, "e-2:80", "muc-a", 64, born=1)
-    harness.handle(TargetsListed((info,), position=5))
+    harness.handle(TargetsListed((info,), position=Position(1, 5)))
     assert ready(harness) == ["e-2"]
 
 
 def test_an_older_list_changes_nothing() -> None:
     harness = EntryHarness()
     info = Registration("e-1", ENGINES, "e-1:80", "muc-a", 64, born=1)
-    harness.handle(TargetsListed((info,), position=5))
-    harness.handle(TargetsListed((), position=4))
+    harness.handle(TargetsListed((info,), position=Position(1, 5)))
+    harness.handle(TargetsListed((), position=Position(1, 4)))
     assert ready(harness) == ["e-1"]
 
 
@@ -155,10 +156,10 @@
         Registration(name, ENGINES, f"{name}:80", "muc-a", 64, born=1)
         for name in ("e-5", "e-6")
     ]
-    harness.handle(TargetsListed(tuple(left), position=9))
+    harness.handle(TargetsListed(tuple(left), position=Position(1, 9)))
     assert ready(harness) == ["e-5", "e-6"]
     # Departures that are already known are not reported again.
-    harness.handle(TargetsListed(tuple(left), position=10))
+    harness.handle(TargetsListed(tuple(left), position=Position(1, 10)))
     departed = [
         note for note in harness.find_effects(Note) if note.message == "target departed"
     ]
--- a/tests/gateway/test_warmups.py
+++ b/tests/gateway/test_warmups.py
@@ -5,6 +5,7 @@
 import pytest
 
 from figstep.core.clock import Millis
+from figstep.core.positions import Position
 from figstep.gateway import peers
 from figstep.gateway.effects import OpenAttempt
 from figstep.gateway.events import (
@@ -165,9 +166,9 @@
     """Guards against a burst of calls to cold targets as an evacuation ends."""
     harness = build_harness(rate=0.5)
     register(harness, "b-1", 0)
-    harness.handle(EvacuationsRead(Evacuations(frozenset({"muc-a"}), 1)))
+    harness.handle(EvacuationsRead(Evacuations(frozenset({"muc-a"}), Position(1, 1))))
     harness.clock.advance(5_000)
-    harness.handle(EvacuationsRead(Evacuations(frozenset(), 2)))
+    harness.handle(EvacuationsRead(Evacuations(frozenset(), Position(1, 2))))
     assert count_sends(harness, 3) == 0
     harness.clock.advance(WARMUP)
     harness.handle(Ticked())
--- a/tests/net/test_hellos.py
+++ b/tests/net/test_hellos.py
@@ -6,6 +6,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.crashes import Clearance, Suspicion
+from figstep.core.positions import Position
 from figstep.errors import PeerMessageError
 from figstep.gateway.budgets import UseReport
 from figstep.gateway.events import (
@@ -41,7 +42,7 @@
     clearances=(Clearance("other", Millis(40)),),
     closing=True,
     configuration=7,
-    position=31,
+    position=Position(4, 31),
     reading=True,
     answered=False,
     leaving=(Incarnation("e-2", 1_783_672_261_103),),
@@ -82,7 +83,7 @@
     assert hello.content.suspicions == OWN.suspicions
     assert hello.content.clearances == OWN.clearances
     assert hello.content.closing
-    assert (hello.content.configuration, hello.content.position) == (7, 31)
+    assert (hello.content.configuration, hello.content.position) == (7, Position(4, 31))
     assert hello.content.address == "10.0.0.1:7200"
     assert hello.records == records
     assert hello.content.reading
@@ -110,7 +111,7 @@
 
 
 def test_record_copies_round_trip() -> None:
-    copy = RecordCopy(b"{}", 9, (("i-1", b"\x00\xff"),))
+    copy = RecordCopy(b"{}", Position(2, 9), (("i-1", b"\x00\xff"),))
     assert decode_copy(encode_copy(copy)) == copy
 
 
@@ -121,14 +122,14 @@
         % (number, number, number)
         for number in range(1_100)
     )
-    copy = RecordCopy(routes, 9)
+    copy = RecordCopy(routes, Position(2, 9))
     assert len(encode_copy(copy)) < len(routes) / 4
     assert decode_copy(encode_copy(copy)) == copy
 
 
 def test_a_copy_that_decompresses_to_too_much_is_rejected() -> None:
     """Guards against a small message that fills the memory of an entry."""
-    data = encode_copy(RecordCopy(b"x" * MAX_COPY_BYTES, 1))
+    data = encode_copy(RecordCopy(b"x" * MAX_COPY_BYTES, Position(2, 1)))
     assert len(data) < MAX_COPY_BYTES / 4
     with pytest.raises(PeerMessageError):
         decode_copy(data)
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from figstep.core.positions import Position
 from figstep.errors import PeerMessageError
 from figstep.gateway.events import PeerHeard
 from figstep.net.hellos import Hello, RecordCopy, encode_hello
@@ -40,7 +41,7 @@
         return self.represents_domain
 
     def read_copy(self) -> RecordCopy:
-        return RecordCopy(b"configuration", 3)
+        return RecordCopy(b"configuration", Position(1, 3))
 
     def list_recent_registrations(self) -> tuple[tuple[str, bytes], ...]:
         return ()
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import random
 import re
 import socket
 from collections.abc import Awaitable, Callable
@@ -55,11 +56,19 @@
 
 
 def find_free_port() -> int:
-    """Return a port at which no process listens."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Return a port at which no process listens.
+
+    The ports are below those that the system gives out by itself, so that no connection
+    takes one before a process listens there.
+    """
+    while True:
+        port = random.SystemRandom().randrange(10_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
 
 
 async def start_app(app: web.Application, port: int = 0) -> tuple[web.AppRunner, str]:
@@ -91,6 +100,7 @@
         unavailable: Whether it answers 503 to all calls.
         page: Largest number of records in a page of the newest ones.
         calls: Received calls, "newest" or "read".
+        era: Number of its era, which all answers name; 0 to name none.
     """
 
     def __init__(self) -> None:
@@ -99,6 +109,8 @@
         self.unavailable = False
         self.page = 500
         self.calls: list[str] = []
+        self.era = 1
+        self._reset_era = 0
         self._records: dict[str, list[tuple[str, bytes]]] = {}
         self._first: dict[str, int] = {}
         self._changed = asyncio.Condition()
@@ -117,6 +129,7 @@
         app[_TRANSLATE] = translate
         app.router.add_get("/figstep/log-newest", self._read_newest)
         app.router.add_get("/figstep/log-read", self._read)
+        app.on_response_prepare.append(self._name_era)
         runner, address = await start_app(app)
         self._runners.append(runner)
         return address
@@ -132,6 +145,27 @@
             self.unavailable = True
             self._changed.notify_all()
 
+    async def restore(
+        self, lost: int, topic: str = "keyed.servers", resets: bool = True
+    ) -> None:
+        """Come back from a copy that lacks a topic's newest records.
+
+        The connections of reads that wait are closed, unless ``resets`` is False.
+        """
+        async with self._changed:
+            records = self._records.get(topic, [])
+            del records[max(0, len(records) - lost) :]
+            self.era += 1
+            if resets:
+                self._reset_era = self.era
+            self._changed.notify_all()
+
+    async def _name_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.era:
+            response.headers["Store-Era"] = str(self.era)
+
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record; an empty value deletes the key."""
         async with self._changed:
@@ -187,18 +221,23 @@
         topic = request.query["topic"]
         start = int(request.query["from"])
         wait = int(request.query.get("wait_ms", "0")) / 1000
-        if start < self._first.get(topic, 0):
-            body = orjson.dumps({"first": self._first[topic]})
+        if not self._first.get(topic, 0) <= start <= len(self._records.get(topic, [])):
+            body = orjson.dumps({"first": self._first.get(topic, 0)})
             return web.Response(status=410, body=body)
+        era = self.era
         try:
             async with asyncio.timeout(wait), self._changed:
                 await self._changed.wait_for(
                     lambda: (
-                        self.unavailable or len(self._records.get(topic, [])) > start
+                        self.unavailable
+                        or self._reset_era > era
+                        or len(self._records.get(topic, [])) > start
                     )
                 )
         except TimeoutError:
             pass
+        if self._reset_era > era and request.transport is not None:
+            request.transport.abort()
         if self.unavailable:
             return web.Response(status=503)
         records = self._records.get(topic, [])
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from figstep.gateway.reducer import LAPSE_GRACE
-from figstep.platform.store import MAX_BACKOFF_SECONDS
+from figstep.platform.followers import MAX_BACKOFF_SECONDS
 from tests.platform.places import add_fleet, open_place, send_calls_to_all
 
 ENTRIES = 3
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,14 +4,9 @@
 
 import pytest
 
+from figstep.core.positions import Position
 from figstep.errors import LogTruncatedError, LogUnavailableError
-from figstep.platform.store import (
-    HttpStore,
-    KeyedRecord,
-    TopicFollower,
-    TopicSink,
-    decode_records,
-)
+from figstep.platform.store import HttpStore, KeyedRecord, RecordBatch, decode_records
 from tests.platform.standins import FakeStore
 
 TOPIC = "keyed.servers"
@@ -33,7 +28,7 @@
     snapshot = await store.read_newest(TOPIC)
     assert {record.key for record in snapshot.records} == {"k0", "k2", "k3", "k4"}
     assert {record.value for record in snapshot.records} == {b"new"}
-    assert snapshot.end == 11
+    assert snapshot.end == Position(1, 11)
     await store.close()
     await fake.stop()
 
@@ -44,7 +39,7 @@
     await asyncio.sleep(0.05)
     assert not reading.done()
     await fake.put(TOPIC, "k", b"value")
-    assert await reading == [KeyedRecord("k", b"value")]
+    assert await reading == RecordBatch([KeyedRecord("k", b"value")], era=1)
     await store.close()
     await fake.stop()
 
@@ -70,129 +65,6 @@
     assert decode_records(raw) == [KeyedRecord("k", None)]
 
 
-async def test_a_follower_rereads_a_topic_whose_records_were_deleted() -> None:
-    """Guards against a departed target that would get requests forever.
-
-    The store deletes its records while the follower cannot read, and with them the
-    record of the departure.
-    """
-    fake, store = await open_store()
-    await fake.put(TOPIC, "k1", b"value")
-    await fake.put(TOPIC, "k2", b"value")
-    snapshots: list[set[str]] = []
-    reports: list[str] = []
-    sink = TopicSink(
-        lambda records, end: snapshots.append({record.key for record in records}),
-        lambda records, end: None,
-        reports.append,
-        lambda: reports.append("regained"),
-    )
-    follower = TopicFollower(store, TOPIC, sink)
-    await follower.start()
-    await asyncio.sleep(0.1)
-    fake.unavailable = True
-    await fake.put(TOPIC, "k3", b"value")
-    await asyncio.sleep(0.1)
-    await fake.put(TOPIC, "k1", b"")
-    fake.delete_before(TOPIC, 4)
-    fake.unavailable = False
-    async with asyncio.timeout(3):
-        while len(snapshots) < 2:
-            await asyncio.sleep(0.02)
-    assert snapshots == [{"k1", "k2"}, {"k2", "k3"}]
-    assert reports[-1] == "regained"
-    await follower.stop()
-    await store.close()
-    await fake.stop()
-
-
-async def test_a_follower_that_stops_reading_reports_the_store_regained() -> None:
-    """Guards against an entry that keeps querying engines, which is costly.
-
-    The store rejects the entry, and other entries read and relay the records. The
-    entry stops reading, and must not consider the store lost until it reads again.
-    """
-    fake, store = await open_store()
-    reports: list[str] = []
-    wanted = True
-    follower = TopicFollower(
-        store,
-        TOPIC,
-        TopicSink(
-            lambda records, end: None,
-            lambda records, end: None,
-            lambda reason: reports.append("lost"),
-            lambda: reports.append("regained"),
-        ),
-        lambda: wanted,
-    )
-    await follower.start()
-    await asyncio.sleep(0.1)
-    fake.unavailable = True
-    await fake.put(TOPIC, "k", b"value")
-    async with asyncio.timeout(3):
-        while reports != ["lost"]:
-            await asyncio.sleep(0.01)
-        wanted = False
-        while reports != ["lost", "regained"]:
-            await asyncio.sleep(0.01)
-    await follower.stop()
-    await store.close()
-    await fake.stop()
-
-
-async def test_a_follower_reports_the_store_regained_before_the_next_record() -> None:
-    """Guards against an outage that seems to last until a quiet topic changes."""
-    fake, store = await open_store()
-    reports: list[str] = []
-    sink = TopicSink(
-        lambda records, end: None,
-        lambda records, end: None,
-        lambda reason: reports.append("lost"),
-        lambda: reports.append("regained"),
-    )
-    follower = TopicFollower(store, TOPIC, sink)
-    await follower.start()
-    await asyncio.sleep(0.1)
-    await fake.fail()
-    async with asyncio.timeout(3):
-        while reports != ["lost"]:
-            await asyncio.sleep(0.01)
-        fake.unavailable = False
-        while reports != ["lost", "regained"]:
-            await asyncio.sleep(0.01)
-    await follower.stop()
-    await store.close()
-    await fake.stop()
-
-
-async def test_a_follower_survives_an_error_of_its_sink() -> None:
-    """Guards against an entry that would keep its old configuration forever.
-
-    The sink fails at one record. The follower reads the whole topic again, and later
-    records are applied.
-    """
-    fake, store = await open_store()
-    applied_ends: list[int] = []
-
-    def apply(records: object, end: int) -> None:
-        if not applied_ends:
-            applied_ends.append(-1)
-            raise RuntimeError("unexpected record")
-        applied_ends.append(end)
-
-    sink = TopicSink(apply, apply, lambda reason: None, lambda: None)
-    follower = TopicFollower(store, TOPIC, sink)
-    await follower.start()
-    await fake.put(TOPIC, "k", b"value")
-    async with asyncio.timeout(3):
-        while applied_ends[-1:] != [1]:
-            await asyncio.sleep(0.01)
-    await follower.stop()
-    await store.close()
-    await fake.stop()
-
-
 @pytest.mark.parametrize("missing", [1, 7, 12, 20, 30])
 def test_records_that_are_cut_short_are_not_read(missing: int) -> None:
     """Guards against half a configuration that is taken as the whole one."""
