Give up answers of which no body comes, however many bytes do

What a caller saw: a stream whose engine sent zeros without end as the size of a chunk was held until its deadline; 23 MB had come by then.

Cause: the parser of the HTTP client bounds lines of a head, and not the size of a chunk. Where neither head nor body grows, nothing but a timeout ends the answer.

Now a connection on which 256 KB came in a row without any byte of a body is closed, whatever they were. Before: the test with CHUNK_SIZE fails, both here and for a stream. After: all three forms of the test pass.

--- a/figstep/net/connectors.py
+++ b/figstep/net/connectors.py
@@ -1,4 +1,4 @@
-"""Connector of the HTTP client that distinguishes a reset from a normal close."""
+"""Connector of the HTTP client that recognizes answers that broke or never end."""
 
 import functools
 from typing import Any
@@ -8,14 +8,47 @@
 
 from figstep.net.sockets import open_keepalive_socket
 
+MAX_BYTES_WITHOUT_BODY = 262_144
+"""Largest number of bytes that may arrive in a row without any byte of a body.
+
+These are heads, and the sizes, extensions and trailers of chunks. A head of usual size
+is a few hundred bytes.
+"""
+
 
 class _ResetAwareHandler(ResponseHandler):
-    """Reports an error for a body whose connection is reset.
+    """Reports an error for a body whose connection is reset, or that makes no progress.
 
     An answer without a length ends with its connection. aiohttp treats a reset as
     such an end too, so that a part of an answer would be forwarded as a complete one.
+
+    The size of a chunk may go on without end, and then nothing else shows that the
+    answer does not.
     """
 
+    _body_bytes = 0
+    _bytes_without_body = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes, and close the connection if too many were no part of a body."""
+        super().data_received(data)
+        body_bytes = 0 if self._payload is None else self._payload.total_bytes
+        if body_bytes != self._body_bytes:
+            self._body_bytes = body_bytes
+            self._bytes_without_body = 0
+            return
+        self._bytes_without_body += len(data)
+        if self._bytes_without_body <= MAX_BYTES_WITHOUT_BODY:
+            return
+        error = aiohttp.ClientPayloadError(
+            f"{self._bytes_without_body} bytes came without any of a body"
+        )
+        if self._payload is not None:
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Set an error on the body being read if the connection was reset."""
         payload = self._payload
@@ -25,7 +58,7 @@
 
 
 class ResetAwareConnector(aiohttp.TCPConnector):
-    """Opens sockets with TCP keep-alive and distinguishes resets from closes."""
+    """Opens sockets with TCP keep-alive, and recognizes resets and endless answers."""
 
     def __init__(self, **options: Any) -> None:
         super().__init__(socket_factory=open_keepalive_socket, **options)
--- a/tests/net/test_connectors.py
+++ b/tests/net/test_connectors.py
@@ -7,7 +7,8 @@
 import aiohttp
 import pytest
 
-from figstep.net.connectors import ResetAwareConnector
+from figstep.net.connectors import MAX_BYTES_WITHOUT_BODY, ResetAwareConnector
+from tests.platform.endless import EndlessTarget, Form
 
 HALF_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf an ans"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -57,3 +58,17 @@
     server, url = await serve(reset=False)
     async with server:
         assert await read(url) == b"half an ans"
+
+
+@pytest.mark.parametrize("form", [Form.CHUNK_SIZE, Form.CHUNK_EXTENSION, Form.TRAILERS])
+async def test_an_answer_that_makes_no_progress_is_given_up(form: Form) -> None:
+    """Guards against the size of a chunk that goes on without end."""
+    target = EndlessTarget(form)
+    await target.start()
+    with pytest.raises(aiohttp.ClientError):
+        await read(f"http://{target.address}/")
+    async with asyncio.timeout(3):
+        while target.open:
+            await asyncio.sleep(0.02)
+    assert target.most_sent <= 4 * MAX_BYTES_WITHOUT_BODY
+    await target.stop()
