Avoid targets whose refusals never end, and bound all bodies that are read

Cause: a refusal shows that a target is full, not that it is faulty, so that the next requests tried it again, each at the cost of a repeat, until the retry budget was used up. A refusal whose body does not end within 0.1 s now counts as a loss of the target as well, which is avoided from the second one on. That the request has not run stands.

Bodies are given up as soon as they exceed what their reader takes. Before, a signed answer was read until a timeout and measured after that.

--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -158,6 +158,7 @@
             forwarded to the caller; None if there is no such answer.
         down: Whether the target's address refused the connection, as nothing listens
             there.
+        endless: Whether the target's answer did not end.
     """
 
     attempt: int
@@ -166,6 +167,7 @@
     detail: str = ""
     status: int | None = None
     down: bool = False
+    endless: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -123,6 +123,9 @@
     match event.loss:
         case Loss.REFUSED:
             crashes.record_answer(state, target, attempt.opened)
+            if event.endless:
+                # It is not full but faulty, and would refuse the next requests too.
+                target.record_loss(now, True)
             return brittleness.record_rejection(state, target, now)
         case Loss.CUT:
             return []
--- a/figstep/platform/answers.py
+++ b/figstep/platform/answers.py
@@ -25,12 +25,14 @@
             target answered.
         retry_after: Time in milliseconds for which the target wants no requests; None
             if it named none.
+        whole: Whether the answer ended.
     """
 
     def __init__(self, loss: Loss, retry_after: Millis | None) -> None:
         super().__init__(loss.value)
         self.loss = loss
         self.retry_after = retry_after
+        self.whole = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -38,6 +38,7 @@
 from figstep.net.frames import EventSplitter
 from figstep.net.framing import is_delimited
 from figstep.net.probes import is_listening, outlives_answer
+from figstep.net.reading import BodyTooLongError, read_body
 from figstep.net.sessions import open_target_session, trace_connections
 from figstep.platform import answers, copies, names, relays
 from figstep.platform.callers import CallerExchange
@@ -56,6 +57,13 @@
 """Largest complete answer that may be sent to a caller, in bytes. A larger one counts
 as a lost attempt."""
 
+MAX_REPORT_BYTES = 1_048_576
+"""Largest report of an engine's state, in bytes; one names each run in some bytes."""
+
+REFUSAL_TIMEOUT_SECONDS = 0.1
+"""Timeout of reading the body of an answer that refuses a request, in seconds. The
+request goes on to another target after that."""
+
 MIN_DEADLINE = 1
 """Smallest deadline that is sent to a target, in milliseconds: targets reject 0."""
 
@@ -184,7 +192,13 @@
         try:
             event = await sending
         except answers.RefusedError as refusal:
-            event = AttemptLost(number, refusal.loss, refusal.retry_after)
+            event = AttemptLost(
+                number,
+                refusal.loss,
+                refusal.retry_after,
+                detail="" if refusal.whole else "its answer does not end",
+                endless=not refusal.whole,
+            )
         except _CONNECT_ERRORS as error:
             event = AttemptLost(
                 number,
@@ -221,7 +235,11 @@
             trace_request_ctx=effect.attempt,
         ) as response:
             self._dispatch_target_signals(response, target, requested_at)
-            answers.check_answer(response, exchange.request_id)
+            try:
+                answers.check_answer(response, exchange.request_id)
+            except answers.RefusedError as refusal:
+                refusal.whole = await _is_whole(response)
+                raise
             if effect.stream and response.status == 200:
                 return await self._read_stream(effect, response)
             return await self._read_answer(effect, response)
@@ -325,9 +343,10 @@
     async def _read_answer(
         self, effect: OpenAttempt, response: aiohttp.ClientResponse
     ) -> Event:
-        body = await response.read()
-        if len(body) > MAX_ANSWER_BYTES:
-            return AttemptLost(effect.attempt, Loss.GARBLED, detail="too long")
+        try:
+            body = await read_body(response, MAX_ANSWER_BYTES)
+        except BodyTooLongError as error:
+            return AttemptLost(effect.attempt, Loss.GARBLED, detail=str(error))
         if response.ok:
             outlived = await _has_outlived(response)
             reason = explain_incomplete(
@@ -416,7 +435,7 @@
                 self._session.get(url) as response,
             ):
                 self._dispatch_target_signals(response, target, requested_at)
-                body = await response.read()
+                body = await read_body(response, MAX_REPORT_BYTES)
             if response.status != 200:
                 raise ValueError(f"answered {response.status}")
             event = answers.parse_report(name, body)
@@ -478,6 +497,17 @@
         return None
 
 
+async def _is_whole(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the body of a refusal ends, and soon."""
+    try:
+        async with asyncio.timeout(REFUSAL_TIMEOUT_SECONDS):
+            await read_body(response, MAX_ANSWER_BYTES)
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        _log.info("refusal not whole", extra={"error": _describe_error(error)})
+        return False
+    return True
+
+
 async def _has_outlived(response: aiohttp.ClientResponse) -> bool:
     """Return whether a target listens after an answer; True if its body is delimited.
 
