Bound what is read of the store, the log, lists, reports and peers

The answers of other outside parties were read to their end too, however long: bytes without end would fill the memory of an entry until the timeout of the call, some seconds. Each has a bound of its own now, and one function that reads up to it. A copy of records from a peer is no longer read past its bound.

--- a/figstep/net/instances.py
+++ b/figstep/net/instances.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from figstep.core.events import Event, InstanceInfo, InstancesListed
+from figstep.net.reading import read_body
 
 MIN_POLL_SECONDS = 1.0
 """Minimum interval between two reads of the list by one entry, in seconds."""
@@ -19,6 +20,9 @@
 is leaving announces this to the others at once, so fewer reads delay such news little.
 """
 
+MAX_LIST_BYTES = 16_777_216
+"""Largest instance list, in bytes; one of a thousand instances has some 100 KB."""
+
 TIMEOUT_SECONDS = 5.0
 """Timeout of one read of the list, in seconds."""
 
@@ -44,7 +48,8 @@
             while not self.should_stop:
                 try:
                     async with session.get(self._url) as response:
-                        document = orjson.loads(await response.read())
+                        body = await read_body(response, MAX_LIST_BYTES)
+                    document = orjson.loads(body)
                     self._dispatch(parse_instances(document))
                 except (aiohttp.ClientError, TimeoutError, OSError):
                     self.log.info("instance list not read; will retry")
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -76,6 +76,9 @@
 A later fetch may use another peer.
 """
 
+READ_BYTES = 262_144
+"""Largest number of bytes that are read from a connection at once."""
+
 MAX_DATAGRAM_BYTES = 60_000
 """Largest datagram that is sent, in bytes.
 
@@ -428,7 +431,7 @@
             async with asyncio.timeout(COPY_TIMEOUT_SECONDS):
                 reader, writer = await asyncio.open_connection(host, int(port))
                 try:
-                    data = await reader.read(-1)
+                    data = await _read_to_end(reader, MAX_COPY_BYTES)
                 finally:
                     writer.close()
         except (OSError, TimeoutError) as error:
@@ -452,6 +455,17 @@
             writer.close()
 
 
+async def _read_to_end(reader: asyncio.StreamReader, max_bytes: int) -> bytes:
+    """Read until the connection ends; stop once there are more than ``max_bytes``."""
+    data = bytearray()
+    while len(data) <= max_bytes:
+        chunk = await reader.read(READ_BYTES)
+        if not chunk:
+            break
+        data += chunk
+    return bytes(data)
+
+
 def loop_time() -> float:
     """Return the running loop's monotonic time, in seconds."""
     return asyncio.get_running_loop().time()
--- a/figstep/net/log.py
+++ b/figstep/net/log.py
@@ -9,10 +9,14 @@
 
 from figstep.core.records import LogRecord
 from figstep.errors import LogTruncatedError, LogUnavailableError
+from figstep.net.reading import read_body
 
 READ_LIMIT = 500
 """Default maximum number of records that one read returns."""
 
+MAX_ANSWER_BYTES = 67_108_864
+"""Largest answer of the log service, in bytes."""
+
 _MALFORMED = (ValueError, KeyError, TypeError)
 """Errors of decoding an answer that is cut short or not an answer of the service."""
 
@@ -129,7 +133,7 @@
                         f"log service answered {response.status}; read back before"
                         " appending again"
                     )
-                answer = orjson.loads(await response.read())
+                answer = orjson.loads(await read_body(response, MAX_ANSWER_BYTES))
             return int(answer["offset"])
         except (aiohttp.ClientError, TimeoutError, *_MALFORMED) as error:
             raise LogUnavailableError(
@@ -148,7 +152,7 @@
             async with self._open_session().get(
                 url, params=params, timeout=timeout
             ) as response:
-                body = await response.read()
+                body = await read_body(response, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, TimeoutError) as error:
             raise LogUnavailableError(
                 f"no answer from the log service ({error!r}); try again later"
--- a/figstep/net/reports.py
+++ b/figstep/net/reports.py
@@ -11,10 +11,14 @@
 from figstep.core.clock import Millis
 from figstep.core.events import Event, LoadReported
 from figstep.core.inventory import EngineInfo
+from figstep.net.reading import read_body
 
 TIMEOUT_SECONDS = 2.0
 """Timeout of a request for a load report, in seconds."""
 
+MAX_REPORT_BYTES = 1_048_576
+"""Largest load report, in bytes."""
+
 REQUEST_SPACING_SECONDS = 0.25
 """Pause after each request for a load report, in seconds.
 
@@ -76,7 +80,7 @@
         assert self._session is not None
         try:
             async with self._session.get(engine.address + "/load") as response:
-                document = orjson.loads(await response.read())
+                document = orjson.loads(await read_body(response, MAX_REPORT_BYTES))
             event = parse_report(engine.name, document)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError, TypeError):
             return
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -33,6 +33,7 @@
 from figstep.net.framing import is_delimited
 from figstep.net.pools import PoolTable
 from figstep.net.probes import is_listening, outlives_answer
+from figstep.net.reading import read_body
 
 CANCEL_TIMEOUT = 2.0
 """Timeout of one attempt to deliver a cancellation, in seconds."""
@@ -46,6 +47,9 @@
 BODY_END_TIMEOUT = 1.0
 """Time to wait for the end of the body after the end marker, in seconds."""
 
+MAX_ANSWER_BYTES = 8_388_608
+"""Largest answer of a plain service, in bytes."""
+
 MAX_RECORDED_BODY = 1_024
 """Maximum size of a service's answer that is recorded for replay, in bytes."""
 
@@ -252,7 +256,7 @@
                 headers=exchange.headers,
                 allow_redirects=False,
             ) as response:
-                body = await response.read()
+                body = await read_body(response, MAX_ANSWER_BYTES)
         if response.ok:
             outlived = is_delimited(response) or await outlives_answer(
                 response.url.host or "", response.url.port or 0, PROBE_TIMEOUT
--- a/figstep/platform/copies.py
+++ b/figstep/platform/copies.py
@@ -8,12 +8,17 @@
 import logbook
 import orjson
 
+from figstep.net.reading import read_body
+
 _log = logbook.Logger("figstep.targets")
 
 COPY_TIMEOUT_SECONDS = 2.0
 """Timeout of an order to copy a run, in seconds; a leaving engine has ended by
 then."""
 
+MAX_ORDER_ANSWER_BYTES = 65_536
+"""Largest answer to an order to copy a run, in bytes; it names the copy."""
+
 FREE_TIMEOUT_SECONDS = 0.5
 """Timeout of an order to free a copy, in seconds. An engine that does not answer frees
 an unused copy by itself."""
@@ -59,7 +64,7 @@
             ) as response,
         ):
             handle_answer(response)
-            body = await response.read()
+            body = await read_body(response, MAX_ORDER_ANSWER_BYTES)
         handle = str(orjson.loads(body)["handle"]) if response.status == 200 else ""
     except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError) as error:
         return MadeCopy("", f"{type(error).__name__}: {error}"[:200])
--- a/figstep/platform/store.py
+++ b/figstep/platform/store.py
@@ -11,6 +11,7 @@
 from figstep.core.positions import Position
 from figstep.errors import LogTruncatedError, LogUnavailableError
 from figstep.net.connectors import ResetAwareConnector
+from figstep.net.reading import read_body
 from figstep.net.sessions import send_once
 
 ERA_HEADER = "Store-Era"
@@ -31,6 +32,9 @@
 polling). The store allows 30 s. TCP keep-alive probes detect dead connections, so a
 longer wait costs nothing and saves calls."""
 
+MAX_ANSWER_BYTES = 33_554_432
+"""Largest answer of the store, in bytes; it limits pages and reads to some MB."""
+
 CALL_TIMEOUT_SECONDS = 2.0
 """Timeout of a call in seconds, beyond the time that the store waits for a record."""
 
@@ -180,7 +184,7 @@
                 asyncio.timeout(wait + CALL_TIMEOUT_SECONDS),
                 self._session.get(self._base_url + path, params=query) as response,
             ):
-                body = await response.read()
+                body = await read_body(response, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise LogUnavailableError(f"{path}: {type(error).__name__}") from error
         if response.status == 410:
