Soak: a store that comes back from copies, and answers without end

Two kinds of extra faults. The fake store loses up to six of the newest records of each topic, is away for up to a second, and what was lost is written again up to two seconds later unless a newer record of the key has come. A target refuses half of its requests with bodies without end. Recorded seeds with all extras keep the extras they had.

--- a/tests/faults/plans.py
+++ b/tests/faults/plans.py
@@ -46,6 +46,8 @@
     VERSIONS = "versions"
     PARTS = "parts"
     CROWDS = "crowds"
+    ERAS = "eras"
+    ENDLESS = "endless"
 
 
 SIGNALS = (Extra.RATE, Extra.LEAVING, Extra.PAUSE)
@@ -62,6 +64,9 @@
 )
 """Extras of the seeds that were recorded before there were parts and crowds."""
 
+SIGNALS_TO_CROWDS = (*SIGNALS_TO_VERSIONS, Extra.PARTS, Extra.CROWDS)
+"""Extras of the seeds that were recorded before the store came back from copies."""
+
 ALL_EXTRAS = tuple(Extra)
 
 
@@ -119,6 +124,21 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class StoreReturn:
+    """Outage of the store, which comes back from an older copy.
+
+    Attributes:
+        lost: Number of the newest records of each topic that the copy lacks.
+        away: Duration of the outage, in seconds.
+        pause: Seconds from the return until what was lost is written again.
+    """
+
+    lost: int
+    away: float
+    pause: float
+
+
 @dataclass(frozen=True, slots=True)
 class TargetFault:
     """Fault or departure of a target.
@@ -236,6 +256,19 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class EndlessAnswers:
+    """Fault of a target half of whose answers never end.
+
+    Attributes:
+        number: Number of the target, taken modulo the number of targets.
+        seconds: Duration.
+    """
+
+    number: int
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class EntryCut:
     """Fault that cuts an entry off from all targets; others still reach them.
@@ -281,6 +314,7 @@
     | AllEntriesKilled
     | LinkFault
     | StoreFault
+    | StoreReturn
     | TargetFault
     | RateSignal
     | LeavingSignal
@@ -289,6 +323,7 @@
     | CrashingPart
     | Crowd
     | BrokenAnswers
+    | EndlessAnswers
     | EntryCut
     | Release
     | ConfigurationChange
@@ -366,6 +401,11 @@
                 fault = CrashingPart(rng.choice(PART_INTERVALS), duration)
             case Extra.CROWDS:
                 fault = Crowd(number, duration)
+            case Extra.ERAS:
+                away, pause = rng.uniform(0.2, 1.0), rng.uniform(0.0, 2.0)
+                fault = StoreReturn(1 + number % 6, away, pause)
+            case Extra.ENDLESS:
+                fault = EndlessAnswers(number, duration)
         steps.append(Step(rng.uniform(FIRST_FAULT_DELAY, seconds / 2), fault))
     return steps
 
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -22,6 +22,7 @@
     CrashingPart,
     CrashingRequests,
     Crowd,
+    EndlessAnswers,
     EntryCut,
     EntryFault,
     Fault,
@@ -32,6 +33,7 @@
     Release,
     Step,
     StoreFault,
+    StoreReturn,
     TargetFault,
 )
 from tests.faults.promises import RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW
@@ -84,6 +86,9 @@
 DOMAINS = ("muc-a", "muc-b", "nue-a", "aug-a")
 """Failure domains of the entries of a large site."""
 
+TOPICS = ("keyed.op", "keyed.servers")
+"""Topics of the store that the operator and the targets write."""
+
 VERSIONS = ("v1", "v2")
 """Software versions of the engines, which run side by side."""
 
@@ -393,6 +398,10 @@
                 )
             case LinkFault():
                 await self._apply_link_fault(fault)
+            case StoreReturn():
+                await self._restore_store(fault)
+            case EndlessAnswers():
+                await self._send_endless(fault)
             case StoreFault(action=action, seconds=seconds):
                 await self._apply_store_fault(action, seconds)
             case TargetFault():
@@ -545,10 +554,29 @@
             await asyncio.sleep(seconds)
             self._store.unavailable = False
         else:
-            for topic in ("keyed.op", "keyed.servers"):
+            for topic in TOPICS:
                 self._store.delete_all(topic)
         span.end = read_clock()
 
+    async def _restore_store(self, fault: StoreReturn) -> None:
+        span = self.record.begin_disturbance("store return")
+        await self._store.fail()
+        await asyncio.sleep(fault.away)
+        lost = {topic: await self._store.restore(fault.lost, topic) for topic in TOPICS}
+        self._store.unavailable = False
+        await asyncio.sleep(fault.pause)
+        for topic, records in lost.items():
+            await self._store.write_again(topic, records)
+        span.end = read_clock()
+
+    async def _send_endless(self, fault: EndlessAnswers) -> None:
+        target = self._targets[fault.number % len(self._targets)]
+        span = self.record.begin_disturbance("endless", None, target.name)
+        target.endless = True
+        await asyncio.sleep(fault.seconds)
+        target.endless = False
+        span.end = read_clock()
+
     async def _apply_target_fault(self, fault: TargetFault) -> None:
         target = self._choose_remaining(fault.number)
         span = self.record.begin_disturbance(fault.action, None, target.name)
--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -58,6 +58,7 @@
         running: Open run, by request.
         proxy: Proxy before the target; None before the start.
         runner: HTTP server of the target; None before the start.
+        endless: Whether half of its answers go on without end.
         version: Version of its software.
         born: Number of its incarnation, which it registers as its start.
     """
@@ -70,6 +71,7 @@
     crash: Callable[["SoakTarget"], None]
     failure_rate: float = 0.0
     breaks_off: bool = False
+    endless: bool = False
     unresponsive: bool = False
     rejects_calls: bool = False
     rates: list[float] = field(default_factory=list)
@@ -143,6 +145,8 @@
             return self._refuse(request_id, pause)
         if self.rejects_calls and copy is None:
             return self._refuse(request_id)
+        if self.endless and zlib.crc32(request_id.encode()) % 2:
+            return await self._send_endless(request)
         run = self._begin_run(request, copy)
         try:
             crashes = CRASHING in request.headers.get("Prefix-Hash", "")
@@ -166,6 +170,16 @@
         headers.update(self._build_signal_headers())
         return web.Response(status=503, headers=headers)
 
+    async def _send_endless(self, request: web.Request) -> web.StreamResponse:
+        """Answer "not run", with a body that ends with its connection only."""
+        refusal = self._refuse(request.headers.get("Request-Id", ""))
+        answer = web.StreamResponse(status=503, headers=refusal.headers)
+        del answer.headers["Content-Type"]
+        await answer.prepare(request)
+        while True:
+            await answer.write(bytes(4_096))
+            await asyncio.sleep(EVENT_INTERVAL)
+
     def _begin_run(self, request: web.Request, copy: str | None) -> Run:
         headers = request.headers
         request_id = headers.get("Request-Id", "")
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -8,6 +8,7 @@
 from tests.faults.plans import (
     SIGNALS,
     SIGNALS_AND_CRASHES,
+    SIGNALS_TO_CROWDS,
     SIGNALS_TO_VERSIONS,
     Extra,
 )
@@ -188,6 +189,23 @@
     assert record.crowds
 
 
+async def test_promises_hold_as_the_store_comes_back_from_copies(
+    tmp_path: Path,
+) -> None:
+    """Guards against entries that take offsets of an earlier era for later ones."""
+    extras = (Extra.ERAS, Extra.LEAVING)
+    record, breaches = await run_seed(81, tmp_path, extras=extras)
+    assert breaches == [], describe_record(record)
+    assert any(one.name == "store return" for one in record.disturbances)
+
+
+async def test_promises_hold_as_answers_never_end(tmp_path: Path) -> None:
+    """Guards against callers and memory lost to answers without end."""
+    record, breaches = await run_seed(82, tmp_path, extras=(Extra.ENDLESS,))
+    assert breaches == [], describe_record(record)
+    assert any(one.name == "endless" for one in record.disturbances)
+
+
 MIXED_SEEDS = [
     14514606,
     14514607,
@@ -197,7 +215,7 @@
     14866571,
     14866610,
 ]
-"""Seeds with all extras, which failed.
+"""Seeds with the extras up to crowds, which failed.
 
 14514606, 14514616: sound streams were refused for what crashed beside them, as requests
 and a part crash engines at the same time. 14514612: besides, a part came to engines
@@ -212,5 +230,5 @@
     seed: int, tmp_path: Path
 ) -> None:
     """Guards against mechanisms that hold alone and fail beside each other."""
-    record, breaches = await run_seed(seed, tmp_path)
+    record, breaches = await run_seed(seed, tmp_path, extras=SIGNALS_TO_CROWDS)
     assert breaches == [], describe_record(record)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -111,6 +111,7 @@
         self.calls: list[str] = []
         self.era = 1
         self._reset_era = 0
+        self._copied: dict[str, int] = {}
         self._records: dict[str, list[tuple[str, bytes]]] = {}
         self._first: dict[str, int] = {}
         self._changed = asyncio.Condition()
@@ -147,18 +148,29 @@
 
     async def restore(
         self, lost: int, topic: str = "keyed.servers", resets: bool = True
-    ) -> None:
-        """Come back from a copy that lacks a topic's newest records.
+    ) -> list[tuple[str, bytes]]:
+        """Come back from a copy that lacks a topic's newest records, and return them.
 
         The connections of reads that wait are closed, unless ``resets`` is False.
         """
         async with self._changed:
             records = self._records.get(topic, [])
-            del records[max(0, len(records) - lost) :]
+            end = max(0, len(records) - lost)
+            missing = records[end:]
+            del records[end:]
+            self._copied[topic] = end
             self.era += 1
             if resets:
                 self._reset_era = self.era
             self._changed.notify_all()
+        return missing
+
+    async def write_again(self, topic: str, lost: list[tuple[str, bytes]]) -> None:
+        """Write lost records again, but for keys that were written since the return."""
+        written = {key for key, _ in self._records[topic][self._copied[topic] :]}
+        for key, value in dict(lost).items():
+            if key not in written:
+                await self.put(topic, key, value)
 
     async def _name_era(
         self, request: web.Request, response: web.StreamResponse
