Tell prompts apart by their last part where crashes are counted

Their crashes added up under a digest that sound prompts have too, and a refusal kept these from running and clearing it.

Class of fault: evidence is kept under a key that does not tell apart what it judges. A prompt is described by its parts, of which the last one belongs to it alone; a request is now known by its digest and that part. Requests without a prompt are known by the digest alone, as before.

--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -15,7 +15,13 @@
 from collections.abc import Iterable
 
 from figstep.core.clock import Millis
-from figstep.core.crashes import MAX_PARTS, Clearance, Suspicion, name_part
+from figstep.core.crashes import (
+    MAX_PART_LENGTH,
+    MAX_PARTS,
+    Clearance,
+    Suspicion,
+    name_part,
+)
 from figstep.gateway.effects import (
     Announce,
     CheckTarget,
@@ -75,7 +81,7 @@
     request.on_trial = False
     if target.standing is not Standing.READY:
         return []
-    subjects = [] if request.stream_begun else [request.spec.digest]
+    subjects = [] if request.stream_begun else [name_request(request.spec)]
     if loss in _CRASH_LOSSES and not _was_written(attempt, request.delivered_at):
         subjects += list_parts(request.spec)
     if target.ended_at is not None and attempt.opened <= target.ended_at:
@@ -91,6 +97,18 @@
     return first is not None and until - first >= WRITING_DURATION
 
 
+def name_request(spec: RoutedRequest) -> str:
+    """Return the subject for a request, which is the same when it is sent again.
+
+    Prompts with one path and body may differ. Without the part that belongs to one
+    prompt only, they would be refused for each other's crashes.
+    """
+    if spec.prompt is None or not spec.prompt.parts:
+        return spec.digest
+    own_part, _ = spec.prompt.parts[-1]
+    return f"{spec.digest} {own_part[:MAX_PART_LENGTH]}"
+
+
 def list_parts(spec: RoutedRequest) -> list[str]:
     """Return the parts of a request's prompt that it may be suspected for."""
     if spec.prompt is None:
@@ -203,7 +221,7 @@
 
 def clear_request(state: State, request: Request, now: Millis) -> list[Effect]:
     """Drop the suspicions of a request that was answered or whose stream has begun."""
-    return _clear(state, request.spec.id, [request.spec.digest], now, now)
+    return _clear(state, request.spec.id, [name_request(request.spec)], now, now)
 
 
 def record_whole(
--- a/figstep/gateway/culprits.py
+++ b/figstep/gateway/culprits.py
@@ -3,7 +3,7 @@
 from figstep.core.clock import Millis
 from figstep.core.crashes import is_part
 from figstep.gateway import shares
-from figstep.gateway.crashes import list_parts
+from figstep.gateway.crashes import list_parts, name_request
 from figstep.gateway.events import RoutedRequest
 from figstep.gateway.state import Request, State
 
@@ -29,8 +29,8 @@
 
 
 def list_subjects(spec: RoutedRequest) -> list[str]:
-    """Return what a request may be refused for: its digest and parts of its prompt."""
-    return [spec.digest, *list_parts(spec)]
+    """Return what a request may be refused for: itself and parts of its prompt."""
+    return [name_request(spec), *list_parts(spec)]
 
 
 def find_culprit(state: State, spec: RoutedRequest, now: Millis) -> str | None:
--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -264,7 +265,13 @@
 
 
 def _describe_parts(attempt: Attempt) -> str:
-    """Return the parts of a prompt: shared ones, and last one of its own."""
+    """Return the parts of a prompt: shared ones, and last one of its own.
+
+    A request that is sent again has the same parts as before.
+    """
     number = int(attempt.id.removeprefix("r"))
-    parts = ["first", f"document-{number % DOCUMENTS}", attempt.part, attempt.id]
+    own = attempt.id
+    if CRASHING in attempt.path:
+        number, own = zlib.crc32(attempt.path.encode()), attempt.path
+    parts = ["first", f"document-{number % DOCUMENTS}", attempt.part, own]
     return ",".join(f"{part}:150" for part in parts if part)
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -570,6 +570,20 @@
     assert runs == 2
 
 
+def test_prompts_with_one_path_and_body_are_not_refused_for_each_other() -> None:
+    """Guards against prompts that are taken for the request that crashes engines."""
+    harness = EntryHarness()
+    for number in range(3):
+        harness.state.crashes.record_suspicion(
+            Suspicion(f"{KILLER} guilty", f"e-{number}@1"), harness.clock.now()
+        )
+    harness.clock.advance(Millis(5_000))
+    for name in ("guilty", "sound"):
+        prompt = Prompt("m", 400, 2_000, 200, (("first", 200), (name, 200)))
+        harness.receive_request("/plan/a", prompt, digest=KILLER)
+        assert was_rejected(harness) == (name == "guilty")
+
+
 def test_old_suspicions_are_left_out_of_partial_messages() -> None:
     """Guards against old crashes repeated in each message of a large fleet."""
     replay = Replay(73)
