--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -8,6 +8,7 @@
 
 from figstep.standins.proxy import TcpProxy
 from tests.faults.targets import SoakTarget
+from tests.platform.standins import find_free_port
 from tests.unreachable import Blackhole
 
 _REQUEST_ID = re.compile(rb"Request-Id: (\S+)\r\n", re.IGNORECASE)
@@ -54,7 +55,8 @@
             return known
         host, _, port = target.address.rpartition(":")
         proxy = self._proxies[target.address] = TcpProxy(host, int(port))
-        await proxy.start()
+        # It listens again at this port after a cut.
+        await proxy.start(find_free_port())
         self._targets_by_address[proxy.address] = target
         if self._cut is not None:
             await self._cut_proxy(proxy, self._cut)
