Soak: a link that heals before it was cut listens once

A link that opens while its entry is cut off may not listen yet as the cut is applied, and is cut once it does.

--- a/figstep/standins/proxy.py
+++ b/figstep/standins/proxy.py
@@ -203,8 +203,9 @@
             self._server = None
 
     async def accept_again(self) -> None:
-        """Listen again on the same port."""
-        await self.start(self._port)
+        """Listen again on the same port; nothing changes if it still listens."""
+        if self._server is None:
+            await self.start(self._port)
 
     async def stop(self) -> None:
         """Close the listener and every connection."""
--- a/tests/standins/test_proxy.py
+++ b/tests/standins/test_proxy.py
@@ -132,6 +132,14 @@
         assert echo.closed.is_set() is (fault == "half_open")
 
 
+async def test_a_proxy_that_still_listens_may_be_told_to_accept_again() -> None:
+    """Guards against a soak that ends as a link heals that was not cut yet."""
+    async with run_echo() as (proxy, _):
+        await proxy.accept_again()
+        client = await Client.connect(proxy)
+        assert await client.send_line(b"one\n") == b"one\n"
+
+
 async def test_cut_resets_and_refuse_rejects_new_connections() -> None:
     async with run_echo() as (proxy, _):
         client = await Client.connect(proxy)
