--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -41,6 +41,10 @@
     """Return a message whose positions name an era, also if its writer knows none."""
     evacuations = event.evacuations
     known = state.evacuations.position
+    if event.position.era and evacuations.position.era:
+        return event
+    if not (state.position.era or known.era):
+        return event
     return replace(
         event,
         position=event.position.complete_era(state.position.era),
