Tests: give each listener a port of its own

With 22,000 ports and 20 entries of four, two of one entry are the same in about one of 200 starts of such a fleet. Ruled out: a listener of another process or a connection, as the ports are below those that the system gives out.

--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -8,7 +8,7 @@
 
 from figstep.standins.proxy import TcpProxy
 from tests.faults.targets import SoakTarget
-from tests.platform.standins import find_free_port
+from tests.ports import find_free_port
 from tests.unreachable import Blackhole
 
 _REQUEST_ID = re.compile(rb"Request-Id: (\S+)\r\n", re.IGNORECASE)
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -48,7 +48,8 @@
     read_clock,
 )
 from tests.faults.targets import SoakTarget
-from tests.platform.standins import FakeStore, build_configuration, find_free_port
+from tests.platform.standins import FakeStore, build_configuration
+from tests.ports import find_free_port
 from tests.processes import ROOT
 
 GRACE_SECONDS = 4.0
--- a/tests/net/test_probes.py
+++ b/tests/net/test_probes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from figstep.net.probes import is_listening
-from tests.platform.standins import find_free_port
+from tests.ports import find_free_port
 
 HOST = "127.0.0.1"
 
--- a/tests/platform/endless.py
+++ b/tests/platform/endless.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from tests.platform.standins import HOST, FakeStore, build_registration
+from tests.platform.standins import FakeStore, build_registration
+from tests.ports import HOST
 
 CHUNK = 65_536
 """Bytes that are sent at once."""
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import base64
-import random
 import re
-import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -14,8 +12,8 @@
 
 from figstep.core.clock import Millis
 from figstep.platform.settings import Address, EntrySettings
+from tests.ports import HOST, find_free_port
 
-HOST = "127.0.0.1"
 ROUTE_HOST = "users.example"
 KEY = "key-1"
 
@@ -55,22 +53,6 @@
     path.write_text(text + bounds)
 
 
-def find_free_port() -> int:
-    """Return a port at which no process listens.
-
-    The ports are below those that the system gives out by itself, so that no connection
-    takes one before a process listens there.
-    """
-    while True:
-        port = random.SystemRandom().randrange(10_000, 32_000)
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-            return port
-
-
 async def start_app(app: web.Application, port: int = 0) -> tuple[web.AppRunner, str]:
     """Serve an application and return its runner and its "ip:port"."""
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
--- a/tests/platform/test_relays.py
+++ b/tests/platform/test_relays.py
@@ -13,7 +13,8 @@
 from figstep.platform.entry import Entry
 from tests.framing import Framing, RawAnswer
 from tests.platform.places import Place, open_place, start_fleet
-from tests.platform.standins import HOST, FakeTarget, Handler, find_free_port
+from tests.platform.standins import FakeTarget, Handler
+from tests.ports import HOST, find_free_port
 from tests.unreachable import Blackhole
 
 PLAN = {"Model": "m", "Token_Count": "3000,2000", "Length_Hint": "80"}
