Read the log anew when it comes back from an older copy

After a return, records at offsets that an entry had read before were skipped on the own interface, until the log was longer than it had been: claims, leases and edits among them were seen by nobody. An offset orders records within one era only.

The log service names its era in the header Log-Era of all its answers. A follower that reads a new one begins at the first record again and dispatches StreamRestarted. Answers of an older era are void. A position beyond the end (410) was asked for without a pause; it counts as a failed read now.

What claims, leases and edits make of a restart is not part of this commit.

--- a/figstep/application.py
+++ b/figstep/application.py
@@ -125,6 +125,7 @@
             self._log_client,
             CONFIGURATION,
             self._handle_configuration_records,
+            dispatch=self.dispatch,
             limit=MAX_DOCUMENTS_PER_READ,
         )
         self.claims = StreamFollower(
@@ -135,6 +136,7 @@
             self._log_client,
             LEASES,
             self._handle_lease_records,
+            dispatch=self.dispatch,
             read_delay=LEASES_READ_DELAY_SECONDS,
         )
         self.orders = OrderEdge(self.dispatch, self.find_target, self.clock)
--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -331,6 +331,18 @@
     stream: str
 
 
+@dataclass(frozen=True, slots=True)
+class StreamRestarted:
+    """The log came back from an older copy; its stream is read from the begin.
+
+    Attributes:
+        era: How often the log has come back from an older copy.
+    """
+
+    stream: str
+    era: int
+
+
 @dataclass(frozen=True, slots=True)
 class StreamUnavailable:
     """A follower cannot read its stream: the log is down or slow."""
@@ -469,6 +481,7 @@
     | AppendConfirmed
     | AppendUncertain
     | StreamCaughtUp
+    | StreamRestarted
     | StreamUnavailable
     | OrderAnswered
     | TimerFired
--- a/figstep/core/records.py
+++ b/figstep/core/records.py
@@ -16,12 +16,15 @@
     """Record of a stream.
 
     Attributes:
-        offset: Position in the stream, from 0.
+        offset: Position in the stream, from 0. It names a record within one era only.
         time: Time at which the log service accepted the record, in milliseconds since
             the epoch.
         data: Content of the record, a JSON object.
+        era: How often the log had come back from an older copy when the record was
+            read.
     """
 
     offset: int
     time: int
     data: dict[str, Any]
+    era: int = 0
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -49,6 +49,7 @@
     SnapshotTimer,
     Started,
     StreamCaughtUp,
+    StreamRestarted,
     StreamUnavailable,
     TargetDown,
     Timer,
@@ -111,6 +112,8 @@
             return settlement.handle_uncertain(state, event, now)
         case StreamCaughtUp():
             return settlement.handle_caught_up(state, event)
+        case StreamRestarted():
+            return []
         case StreamUnavailable():
             return settlement.handle_unavailable(state, event)
         case Started():
--- a/figstep/net/log.py
+++ b/figstep/net/log.py
@@ -2,15 +2,20 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from dataclasses import replace
 from typing import Any
 
 import aiohttp
 import orjson
+from multidict import CIMultiDictProxy
 
 from figstep.core.records import LogRecord
 from figstep.errors import LogTruncatedError, LogUnavailableError
 from figstep.net.reading import read_body
 
+ERA_HEADER = "Log-Era"
+"""Header of all answers: how often the log came back from an older copy."""
+
 READ_LIMIT = 500
 """Default maximum number of records that one read returns."""
 
@@ -22,7 +27,16 @@
 
 
 class LogClient(ABC):
-    """Client of append-only streams of records with offsets."""
+    """Client of append-only streams of records with offsets.
+
+    A log that comes back from an older copy has lost its newest records and gives
+    their offsets to other records.
+
+    Attributes:
+        era: How often the log came back from an older copy, by the newest answer.
+    """
+
+    era: int
 
     @abstractmethod
     async def append(self, stream: str, records: list[dict[str, Any]]) -> int:
@@ -43,8 +57,10 @@
         result is empty if none is appended during the wait.
 
         Raises:
-            LogUnavailableError: If there is no answer or an answer other than success.
-            LogTruncatedError: If the record at ``start`` has expired.
+            LogUnavailableError: If there is no answer, an answer other than success,
+                or one of an older era.
+            LogTruncatedError: If the record at ``start`` has expired, or if ``start``
+                is beyond the end of the stream.
         """
 
     @abstractmethod
@@ -64,6 +80,22 @@
         self.streams: dict[str, list[LogRecord]] = {}
         self.earliest: dict[str, int] = {}
         self.available = True
+        self.era = 0
+        self._changed = asyncio.Event()
+
+    def revert(self, lost: int) -> None:
+        """Come back from a copy that lacks the newest records of each stream.
+
+        Args:
+            lost: Number of records that each stream loses.
+        """
+        self.era += 1
+        for records in self.streams.values():
+            del records[max(0, len(records) - lost) :]
+        self._wake_readers()
+
+    def _wake_readers(self) -> None:
+        self._changed.set()
         self._changed = asyncio.Event()
 
     async def append(self, stream: str, records: list[dict[str, Any]]) -> int:
@@ -73,8 +105,7 @@
         first = len(stored)
         for number, data in enumerate(records):
             stored.append(LogRecord(first + number, 0, data))
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._wake_readers()
         return first
 
     async def read(
@@ -86,13 +117,14 @@
         if start < earliest:
             raise LogTruncatedError(earliest)
         stored = self.streams.get(stream, [])
-        if start >= len(stored) and wait:
+        if start > len(stored):
+            raise LogTruncatedError(earliest)
+        if start == len(stored) and wait:
             try:
                 await asyncio.wait_for(self._changed.wait(), wait / 1000)
             except TimeoutError:
                 return []
-            stored = self.streams.get(stream, [])
-        return stored[start : start + limit]
+        return [replace(r, era=self.era) for r in stored[start : start + limit]]
 
     async def close(self) -> None:
         """Do nothing; there are no resources to release."""
@@ -113,6 +145,7 @@
         self._base_url = base_url.rstrip("/")
         self._timeout = timeout
         self._session: aiohttp.ClientSession | None = None
+        self.era = 0
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -128,6 +161,7 @@
             async with self._open_session().post(
                 url, data=body, timeout=timeout
             ) as response:
+                self._record_era(response.headers)
                 if response.status != 200:
                     raise LogUnavailableError(
                         f"log service answered {response.status}; read back before"
@@ -152,28 +186,47 @@
             async with self._open_session().get(
                 url, params=params, timeout=timeout
             ) as response:
+                era = self._record_era(response.headers)
                 body = await read_body(response, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, TimeoutError) as error:
             raise LogUnavailableError(
                 f"no answer from the log service ({error!r}); try again later"
             ) from error
+        if era < self.era:
+            raise LogUnavailableError(
+                f"answer of era {era}, but the log is in era {self.era}; read again"
+            )
         try:
-            return _decode_read(response.status, body)
+            return _decode_read(response.status, body, era)
         except _MALFORMED as error:
             raise LogUnavailableError(
                 f"malformed answer from the log service ({error!r}); try again later"
             ) from error
 
+    def _record_era(self, headers: CIMultiDictProxy[str]) -> int:
+        """Record and return the era of an answer; it is the known one if none is named.
+
+        Raises:
+            LogUnavailableError: If the header is no number.
+        """
+        named = headers.get(ERA_HEADER)
+        if named is None:
+            return self.era
+        if not (named.isascii() and named.isdigit()):
+            raise LogUnavailableError(f"{ERA_HEADER} is {named[:40]!r}, not a number")
+        self.era = max(self.era, int(named))
+        return int(named)
+
     async def close(self) -> None:
         """Close the connections to the service."""
         if self._session is not None:
             await self._session.close()
 
 
-def _decode_read(status: int, body: bytes) -> list[LogRecord]:
+def _decode_read(status: int, body: bytes, era: int) -> list[LogRecord]:
     if status == 410:
         raise LogTruncatedError(int(orjson.loads(body)["earliest"]))
     if status != 200:
         raise LogUnavailableError(f"log service answered {status}; try again later")
     records = orjson.loads(body)["records"]
-    return [LogRecord(r["offset"], r["time"], r["data"]) for r in records]
+    return [LogRecord(r["offset"], r["time"], r["data"], era) for r in records]
--- a/figstep/net/streams.py
+++ b/figstep/net/streams.py
@@ -12,6 +12,7 @@
     AppendUncertain,
     Event,
     StreamCaughtUp,
+    StreamRestarted,
     StreamUnavailable,
 )
 from figstep.core.records import LogRecord
@@ -30,9 +31,14 @@
 
     Records that the log has deleted are skipped. ``StreamUnavailable`` is dispatched
     after each failed read, and ``StreamCaughtUp`` when the end of the stream is reached
-    for the first time and again after failed reads. After a read that returned records
-    the follower pauses for ``read_delay`` seconds, so that records appended meanwhile
-    are returned by one read instead of several.
+    for the first time and again after failed reads.
+
+    If the log comes back from an older copy, ``StreamRestarted`` is dispatched and the
+    stream is read from its begin, as other records may have the offsets that were read
+    before.
+
+    After a read that returned records the follower pauses for ``read_delay`` seconds,
+    so that records appended meanwhile are returned by one read instead of several.
     """
 
     def __init__(
@@ -54,6 +60,7 @@
         self._stream = stream
         self._handle_records = handle_records
         self._next = start
+        self._era: int | None = None
 
     def read_from(self, offset: int) -> None:
         """Continue at ``offset``; the records of a running read are discarded."""
@@ -69,12 +76,17 @@
                     self._stream, start, wait, self._limit
                 )
             except LogTruncatedError as error:
+                if self._restart_in_new_era():
+                    continue
+                if error.earliest <= start:
+                    await self._report_unavailable()
+                    continue
                 self._next = max(self._next, error.earliest)
                 continue
             except LogUnavailableError:
-                self._caught_up = False
-                self._dispatch(StreamUnavailable(self._stream))
-                await self.sleep(RETRY_SECONDS)
+                await self._report_unavailable()
+                continue
+            if self._restart_in_new_era():
                 continue
             if records and self._next == start:
                 self._next = records[-1].offset + 1
@@ -87,6 +99,21 @@
             if records and self._read_delay:
                 await self.sleep(self._read_delay)
 
+    async def _report_unavailable(self) -> None:
+        self._caught_up = False
+        self._dispatch(StreamUnavailable(self._stream))
+        await self.sleep(RETRY_SECONDS)
+
+    def _restart_in_new_era(self) -> bool:
+        """Begin at the first record if the log began a new era; return whether so."""
+        known, self._era = self._era, self._log_client.era
+        if known is None or known == self._era:
+            return False
+        self._next = 0
+        self._caught_up = False
+        self._dispatch(StreamRestarted(self._stream, self._era))
+        return True
+
 
 def _ignore_event(event: Event) -> None:
     """Ignore an event; the default dispatch of a follower."""
--- a/figstep/standins/log.py
+++ b/figstep/standins/log.py
@@ -6,7 +6,12 @@
 410 with ``earliest`` if retention removed the record at ``from``. ``time`` is in
 milliseconds since the Unix epoch. If there is no record yet, the answer waits for
 one for at most ``wait_ms``. Offsets of a stream have no gaps.
+The header ``Log-Era`` of all answers says how often the log came back from an older
+copy. Such a copy lacks the newest records, and their offsets are given out again; a
+read beyond the end of a stream is answered with 410.
 ``PUT /standin/faults`` changes the members of ``Faults`` that its JSON body names.
+``PUT /standin/revert`` with ``{"lost": N}`` brings back a copy that lacks the newest
+N records of each stream.
 ``GET /standin/counts`` answers the number of appends and of appended records.
 """
 
@@ -18,6 +23,7 @@
 import orjson
 from aiohttp import web
 
+from figstep.net.log import ERA_HEADER
 from figstep.standins.http import answer_json
 
 
@@ -57,6 +63,11 @@
     def end(self) -> int:
         return self.earliest + len(self.records)
 
+    def wake_readers(self) -> None:
+        """Let the reads that wait for a record look again."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
 
 class LogService:
     """Log service in memory, with faults that a test or an operator sets.
@@ -64,12 +75,14 @@
     Attributes:
         appends: Number of appends that took effect.
         appended_records: Number of records in these appends.
+        era: How often the log came back from an older copy.
     """
 
     def __init__(self) -> None:
         self.faults = Faults()
         self.appends = 0
         self.appended_records = 0
+        self.era = 0
         self._streams: dict[str, _Stream] = {}
 
     @property
@@ -87,9 +100,31 @@
         app.router.add_post("/streams/{name}/records", self._append)
         app.router.add_get("/streams/{name}/records", self._read)
         app.router.add_put("/standin/faults", self._set_faults)
+        app.router.add_put("/standin/revert", self._handle_revert)
         app.router.add_get("/standin/counts", self._answer_counts)
+        app.on_response_prepare.append(self._name_era)
         return app
 
+    async def _name_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers[ERA_HEADER] = str(self.era)
+
+    async def _handle_revert(self, request: web.Request) -> web.Response:
+        self.revert(int(orjson.loads(await request.read())["lost"]))
+        return answer_json({"era": self.era})
+
+    def revert(self, lost: int) -> None:
+        """Come back from a copy that lacks the newest records of each stream.
+
+        Args:
+            lost: Number of records that each stream loses.
+        """
+        self.era += 1
+        for stream in self._streams.values():
+            del stream.records[max(0, len(stream.records) - lost) :]
+            stream.wake_readers()
+
     async def _set_faults(self, request: web.Request) -> web.Response:
         changes = orjson.loads(await request.read())
         unknown = set(changes) - {item.name for item in fields(Faults)}
@@ -147,8 +182,7 @@
         self.appends += 1
         self.appended_records += len(body["records"])
         self._trim(stream)
-        stream.changed.set()
-        stream.changed = asyncio.Event()
+        stream.wake_readers()
         if self.faults.lose_answers > 0:
             remaining = self.faults.lose_answers - 1
             self.faults = replace(self.faults, lose_answers=remaining)
@@ -161,15 +195,15 @@
         start = int(request.query.get("from", "0"))
         limit = int(request.query.get("limit", "500"))
         wait = int(request.query.get("wait_ms", "0")) / 1000
-        if start < stream.earliest:
+        if not stream.earliest <= start <= stream.end:
             return answer_json({"earliest": stream.earliest}, status=410)
-        if start >= stream.end and wait > 0:
+        if start == stream.end and wait > 0:
             try:
                 await asyncio.wait_for(stream.changed.wait(), wait)
             except TimeoutError:
                 pass
             self._check_available()
-        if start < stream.earliest:
+        if not stream.earliest <= start <= stream.end:
             return answer_json({"earliest": stream.earliest}, status=410)
         records = stream.records[start - stream.earliest :][:limit]
         return answer_json(
--- a/tests/standins/test_log.py
+++ b/tests/standins/test_log.py
@@ -36,3 +36,52 @@
     finally:
         await log.close()
         await runner.cleanup()
+
+
+async def test_a_log_that_comes_back_from_a_copy_names_its_era() -> None:
+    service = LogService()
+    runner, url = await start_app(service.build_app())
+    log = HttpLog(url)
+    try:
+        await log.append("s", [{"n": 0}, {"n": 1}, {"n": 2}])
+        assert log.era == 0
+        async with aiohttp.ClientSession() as session:
+            await session.put(url + "/standin/revert", json={"lost": 2})
+        with pytest.raises(LogTruncatedError):
+            await log.read("s", 3)
+        assert log.era == 1
+        assert await log.append("s", [{"n": 3}]) == 1
+        assert [(r.offset, r.era) for r in await log.read("s", 0)] == [(0, 1), (1, 1)]
+    finally:
+        await log.close()
+        await runner.cleanup()
+
+
+async def test_refusals_name_the_era() -> None:
+    service = LogService()
+    runner, url = await start_app(service.build_app())
+    log = HttpLog(url)
+    try:
+        service.revert(0)
+        service.available = False
+        with pytest.raises(LogUnavailableError):
+            await log.read("s", 0)
+        assert log.era == 1
+    finally:
+        await log.close()
+        await runner.cleanup()
+
+
+async def test_an_answer_of_an_older_era_is_void() -> None:
+    """Guards against records that were lost and arrive after the return."""
+    service = LogService()
+    runner, url = await start_app(service.build_app())
+    log = HttpLog(url)
+    try:
+        await log.append("s", [{"n": 0}])
+        log.era = 1
+        with pytest.raises(LogUnavailableError, match="era 0"):
+            await log.read("s", 0)
+    finally:
+        await log.close()
+        await runner.cleanup()
