Give up leases when the log comes back from an older copy

The copy may lack the record by which a node acquired its lease, so that another node acquires it while the first still acts; and as offsets go back, the fencing number of the new holder is lower than those that the engines have seen: they refuse its orders until the stream is as long as it was.

A node that reads of the return forgets all leases, its own too, and acquires them anew. Fencing numbers hold the era above the offset. A node that has not read of the return yet is held off by its lower number at engines that check it; others wait for a term as after any change of holder.

Failing before: test_fencing_numbers_grow_when_offsets_go_back with plain offsets (0 of four numbers in order).

--- a/figstep/core/leases.py
+++ b/figstep/core/leases.py
@@ -1,8 +1,9 @@
 """Leases recorded in the log: which node may send orders, and its fencing number.
 
 The fold uses only the records and the times that the log service assigned to
-them, so all readers agree on the holder. The offset of the record that acquired a
-lease is the lease's fencing number.
+them, so all readers agree on the holder. The era and the offset of the record that
+acquired a lease make up the lease's fencing number, which so grows also when the log
+comes back from an older copy and gives out offsets again.
 """
 
 from dataclasses import dataclass, field
@@ -15,6 +16,9 @@
 """Time for which an acquisition or renewal makes a lease last, in milliseconds."""
 MARGIN = Millis(1_000)
 """Time before the end of the term at which a holder stops acting, in milliseconds."""
+ERA_BITS = 40
+"""Number of lower bits of a fencing number that hold the offset; the others hold the
+era."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +74,7 @@
     Attributes:
         holder: Name of the node that acquired the lease last. It no longer holds the
             lease if the lease is released or its term is over.
-        fencing: Fencing number: offset of the record that acquired the lease.
+        fencing: Fencing number, from the record that acquired the lease.
         time: Latest time of the records by which the holder acquired, renewed or
             released the lease, in milliseconds since the epoch by the log's clock.
         term: Time for which the lease lasts from ``time`` on, in milliseconds.
@@ -168,7 +172,7 @@
     leases[record.lease] = Lease(
         holder=record.holder,
         session=record.session,
-        fencing=position.offset,
+        fencing=position.era << ERA_BITS | position.offset,
         time=position.time,
         term=record.term,
         released=False,
@@ -181,6 +185,17 @@
     return not lease.released and time < lease.time + lease.term
 
 
+def forget_leases(table: LeaseTable) -> None:
+    """Forget all leases and holdings, as the log came back from an older copy.
+
+    Another node may acquire a lease whose record the copy lacks, so this node acquires
+    it anew before it acts on it.
+    """
+    table.leases.clear()
+    table.holdings.clear()
+    table.pending.clear()
+
+
 def request_lease(
     table: LeaseTable, lease: str, node: str, now: Millis, release: bool = False
 ) -> LeaseRecord:
--- a/figstep/core/placement.py
+++ b/figstep/core/placement.py
@@ -322,3 +322,13 @@
     for record in event.records:
         leases.apply_record(state.leases, state.node, record, now)
     return []
+
+
+def handle_restart(state: State) -> list[Effect]:
+    """Give up all leases, as the log may have lost the records that acquired them."""
+    held = len(state.leases.holdings)
+    leases.forget_leases(state.leases)
+    return [
+        Count("leases.forgotten", held),
+        Note("log came back from an older copy: leases given up", {"held": held}),
+    ]
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -112,6 +112,8 @@
             return settlement.handle_uncertain(state, event, now)
         case StreamCaughtUp():
             return settlement.handle_caught_up(state, event)
+        case StreamRestarted(stream=records.LEASES):
+            return placement.handle_restart(state)
         case StreamRestarted():
             return []
         case StreamUnavailable():
--- a/tests/core/test_leases.py
+++ b/tests/core/test_leases.py
@@ -1,5 +1,7 @@
 """Tests of leases: one holder at a time, and fencing of paused holders."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -40,6 +42,31 @@
     assert (table[LEASE].holder, table[LEASE].fencing) == (holder, fencing)
 
 
+def test_fencing_numbers_grow_when_offsets_go_back() -> None:
+    """Guards against orders that engines refuse after the log came back from a copy."""
+    table = LeaseTable(session="s")
+    numbers = []
+    for era, offset in ((0, 7), (1, 2), (1, 3), (2, 0)):
+        leases.forget_leases(table)
+        record = make_record("a")
+        position = LogRecord(offset, 0, record.to_json(), era)
+        fold_lease(table.leases, record, position, Millis(0))
+        numbers.append(table.leases[LEASE].fencing)
+    assert numbers == sorted(set(numbers))
+
+
+def test_a_lease_that_the_log_may_have_lost_is_given_up() -> None:
+    """Guards against a holder that acts while another node acquires its lease."""
+    table = LeaseTable(session="s")
+    record = leases.request_lease(table, LEASE, "a", Millis(0))
+    position = LogRecord(0, 0, record.to_json())
+    leases.apply_record(table, "a", position, Millis(0))
+    assert leases.find_holding(table, LEASE, Millis(1))
+    leases.forget_leases(table)
+    leases.apply_record(table, "a", replace(position, era=1), Millis(1))
+    assert leases.find_holding(table, LEASE, Millis(1)) is None
+
+
 def test_a_record_that_is_no_lease_changes_nothing() -> None:
     table = LeaseTable(session="s")
     leases.apply_record(table, "a", LogRecord(0, 0, {"lease": LEASE}), Millis(0))
@@ -84,6 +111,7 @@
         super().__init__()
         self.now = 0
         self.log: list[LogRecord] = []
+        self.era = 0
         self.tables = {node: LeaseTable(session=node) for node in self.NODES}
         self.read = dict.fromkeys(self.NODES, 0)
         self.orders: list[tuple[int, str]] = []
@@ -101,8 +129,8 @@
             return
         record = leases.request_lease(table, LEASE, node, Millis(self.now), release)
         if not lost:
-            position = LogRecord(len(self.log), self.now, record.to_json())
-            self.log.append(position)
+            data = record.to_json()
+            self.log.append(LogRecord(len(self.log), self.now, data, self.era))
 
     @rule(node=st.sampled_from(NODES), count=st.integers(1, 5))
     def read_records(self, node: str, count: int) -> None:
@@ -140,3 +168,40 @@
     max_examples=300, stateful_step_count=50, deadline=None, derandomize=True
 )
 TestLeaseMachine = LeaseMachine.TestCase
+
+
+class RevertedLeaseMachine(LeaseMachine):
+    """A log that also comes back from older copies, which nodes notice as they read."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.known_eras = dict.fromkeys(self.NODES, 0)
+
+    @rule(lost=st.integers(1, 3))
+    def revert(self, lost: int) -> None:
+        self.era += 1
+        kept = self.log[: max(0, len(self.log) - lost)]
+        self.log = [replace(record, era=self.era) for record in kept]
+
+    @rule(node=st.sampled_from(LeaseMachine.NODES), count=st.integers(1, 5))
+    def read_records(self, node: str, count: int) -> None:
+        if self.known_eras[node] != self.era:
+            self.known_eras[node] = self.era
+            self.read[node] = 0
+            leases.forget_leases(self.tables[node])
+        super().read_records(node, count)
+
+    @invariant()
+    def at_most_one_node_acts(self) -> None:
+        """Check the nodes that know the era; fencing is for the others."""
+        acting = []
+        for node, table in self.tables.items():
+            if self.known_eras[node] != self.era:
+                continue
+            if leases.find_holding(table, LEASE, Millis(self.now)):
+                acting.append(node)
+        assert len(acting) <= 1, f"{acting} act on {LEASES} at {self.now}"
+
+
+RevertedLeaseMachine.TestCase.settings = LeaseMachine.TestCase.settings
+TestRevertedLeaseMachine = RevertedLeaseMachine.TestCase
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -5,7 +5,7 @@
 from figstep.core import leases, placement
 from figstep.core.clock import Millis
 from figstep.core.effects import AppendRecords, SendOrder, WakeAt
-from figstep.core.events import OrderAnswered, RecordsRead
+from figstep.core.events import OrderAnswered, RecordsRead, StreamRestarted
 from figstep.core.inventory import (
     EngineInfo,
     FailureDomain,
@@ -23,6 +23,7 @@
 )
 from figstep.core.placement import EngineView, PlacedOrder, plan_orders
 from figstep.core.records import LEASES, LogRecord
+from figstep.core.reducer import reduce
 from figstep.core.state import State, TargetState
 
 NAMES = ("e1", "e2", "e3")
@@ -163,3 +164,11 @@
 
 def _timer(effect: object) -> bool:
     return isinstance(effect, WakeAt)
+
+
+def test_a_holder_orders_nothing_after_the_log_came_back_from_a_copy() -> None:
+    """Guards against orders under a lease that the copy may lack."""
+    state = make_state()
+    now = acquire_lease(state, 0)
+    reduce(state, StreamRestarted(LEASES, 1), Millis(now))
+    assert list_orders(state, now) == []
