Restore claims that the log lost when it came back from an older copy

On the own interface a claim that the log had acknowledged and lost could be made a second time, by an entry that started after the return: an order that had run was run again.

Each entry appends its own claims of the last minute again as soon as it reads of the return, with the time at which they were made; what nobody has restored when it has read the new era to its end (claims, outcomes, releases) it appends after a random delay. Claims that are made in a new era are held for five seconds, also by an entry that starts in it, and a restored claim owns its identity before one that was made later. Requests that waited for the later one follow the restored one, or are refused if their body is another.

--- a/figstep/core/claims.py
+++ b/figstep/core/claims.py
@@ -76,6 +76,8 @@
             milliseconds.
         window: Time for which the identity is remembered, in milliseconds.
         outcome: Outcome of the request, or None if none is recorded.
+        era: Newest era of the log in which this entry read the claim.
+        outcome_era: Newest era in which this entry read the outcome; -1 if it has not.
     """
 
     record: str
@@ -84,6 +86,28 @@
     folded: Millis
     window: int
     outcome: Outcome | None = None
+    era: int = 0
+    outcome_era: int = -1
+
+    @property
+    def made(self) -> int:
+        """When the log stored the claim first, in milliseconds since the epoch."""
+        return self.expires - self.window
+
+
+@dataclass(slots=True)
+class Release:
+    """Claim that was released before its request was dispatched.
+
+    Attributes:
+        name: Name of the identity.
+        time: Time of the release, in milliseconds since the epoch by the log's clock.
+        era: Newest era of the log in which this entry read the release.
+    """
+
+    name: str
+    time: int
+    era: int
 
 
 class OwnClaimState(Enum):
@@ -103,6 +127,8 @@
         request: Id of the request that the claim is made for.
         key: Key of the append.
         appended: Time at which the append began, in monotonic milliseconds.
+        won: Time of the record by the log's clock, in milliseconds since the epoch, if
+            it was read back as the owner and is held until the log's era is settled.
         joined: Ids of duplicate requests at this entry that get the same answer.
     """
 
@@ -112,6 +138,7 @@
     key: int
     appended: Millis
     state: OwnClaimState = OwnClaimState.PENDING
+    won: int | None = None
     joined: list[str] = field(default_factory=list)
 
 
@@ -138,8 +165,7 @@
 
     Attributes:
         owners: Owning claims by name of the identity.
-        released: Release times of released claims by record id, in milliseconds
-            since the epoch by the log's clock.
+        released: Released claims by record id.
         own: Claims of this process by record id.
         waiters: Ids of requests at this entry that wait for the outcome of another
             entry's claim, by name of the identity.
@@ -147,16 +173,21 @@
             append.
         caught_up: Whether the stream was read to its end and no read failed since.
         folded: Number of records folded so far.
+        era: Era of the log that is read.
+        settled_at: Monotonic time, in milliseconds, until which claims that this
+            process makes are held, as claims that the log lost may be restored.
     """
 
     owners: dict[str, Claim] = field(default_factory=dict)
-    released: dict[str, int] = field(default_factory=dict)
+    released: dict[str, Release] = field(default_factory=dict)
     own: dict[str, OwnClaim] = field(default_factory=dict)
     waiters: dict[str, list[str]] = field(default_factory=dict)
     unconfirmed: dict[int, UnconfirmedRecord] = field(default_factory=dict)
     caught_up: bool = False
     next_key: int = 1
     folded: int = 0
+    era: int = 0
+    settled_at: Millis = Millis(0)
 
 
 # Results of folding one record.
@@ -185,6 +216,18 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimReplaced:
+    """The folded record restores an earlier claim than that which owned its identity.
+
+    Attributes:
+        record: Id of the claim that owned the identity.
+    """
+
+    record: str
+    name: str
+
+
 @dataclass(frozen=True, slots=True)
 class IdentityReleased:
     """The folded record releases the identity that its claim owned."""
@@ -205,7 +248,14 @@
     """The folded record is repeated, late or malformed and changes no owner."""
 
 
-Change = ClaimWon | ClaimLost | IdentityReleased | OutcomeRecorded | Unchanged
+Change = (
+    ClaimWon
+    | ClaimLost
+    | ClaimReplaced
+    | IdentityReleased
+    | OutcomeRecorded
+    | Unchanged
+)
 
 
 def find_rule(
@@ -280,6 +330,18 @@
     }
 
 
+def restore_claim(name: str, claim: Claim) -> dict[str, Any]:
+    """Return a record of a claim that the log has lost."""
+    return {
+        "kind": "claim",
+        "id": claim.record,
+        "name": name,
+        "digest": claim.digest,
+        "window": claim.window,
+        "made": claim.made,
+    }
+
+
 def build_release(record: str, name: str) -> dict[str, Any]:
     """Return the record that releases an identity whose request was not dispatched."""
     return {"kind": "release", "id": record, "name": name}
@@ -339,20 +401,36 @@
         return Unchanged()
     if identifier in table.released:
         return Unchanged()
+    made = _read_time_made(record)
+    if made + window <= record.time:
+        return Unchanged()
     owner = table.owners.get(name)
     if owner is not None and owner.record == identifier:
+        owner.era = record.era
         return Unchanged()
-    if owner is not None and record.time < owner.expires:
-        return ClaimLost(identifier, name)
+    overlaps = owner is not None and made < owner.expires
+    if owner is not None and overlaps:
+        is_restored = "made" in record.data
+        if not is_restored or made > owner.made:
+            return ClaimLost(identifier, name)
     table.owners.pop(name, None)
-    table.owners[name] = Claim(identifier, digest, record.time + window, now, window)
-    return ClaimWon(identifier, record.time)
+    claim = Claim(identifier, digest, made + window, now, window, era=record.era)
+    table.owners[name] = claim
+    if owner is not None and overlaps:
+        return ClaimReplaced(owner.record, name)
+    return ClaimWon(identifier, made)
+
+
+def _read_time_made(record: LogRecord) -> int:
+    """Return when the log stored a claim first, before it lost the record."""
+    made = record.data.get("made")
+    return min(made, record.time) if isinstance(made, int) else record.time
 
 
 def _fold_release(
     table: ClaimTable, record: LogRecord, name: str, identifier: str
 ) -> Change:
-    table.released[identifier] = record.time
+    table.released[identifier] = Release(name, record.time, record.era)
     owner = table.owners.get(name)
     if owner is None or owner.record != identifier or owner.outcome is not None:
         return Unchanged()
@@ -364,12 +442,16 @@
     table: ClaimTable, record: LogRecord, name: str, identifier: str
 ) -> Change:
     owner = table.owners.get(name)
-    if owner is None or owner.record != identifier or owner.outcome is not None:
+    if owner is None or owner.record != identifier:
+        return Unchanged()
+    if owner.outcome is not None:
+        owner.outcome_era = record.era
         return Unchanged()
     outcome = _parse_outcome(record.data)
     if outcome is None:
         return Unchanged()
     owner.outcome = outcome
+    owner.outcome_era = record.era
     return OutcomeRecorded(name, outcome)
 
 
@@ -392,7 +474,7 @@
         if claim.expires <= time:
             del table.owners[name]
     for identifier, released in list(table.released.items()):
-        if released + CLAIM_WINDOW <= time:
+        if released.time + CLAIM_WINDOW <= time:
             del table.released[identifier]
     for name in list(table.waiters):
         if name not in table.owners:
--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -326,9 +326,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamCaughtUp:
-    """A follower has read its stream up to the current end."""
+    """A follower has read its stream up to the current end.
+
+    Attributes:
+        era: How often the log has come back from an older copy.
+    """
 
     stream: str
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -391,6 +396,16 @@
     """Timer to append outcomes again that the log has not confirmed."""
 
 
+@dataclass(frozen=True, slots=True)
+class EraTimer:
+    """Timer to begin the requests whose claims were held in a new era of the log."""
+
+
+@dataclass(frozen=True, slots=True)
+class RestoreTimer:
+    """Timer to append claims that the log has lost and nobody has restored."""
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptTimer:
     """Timer to check an attempt, which is lost if it was silent beyond its limit."""
@@ -428,6 +443,8 @@
     | RetryTimer
     | ClaimTimer
     | OutcomeTimer
+    | EraTimer
+    | RestoreTimer
     | AttemptTimer
     | QueueTimer
     | SnapshotTimer
--- a/figstep/core/ownership.py
+++ b/figstep/core/ownership.py
@@ -187,7 +187,7 @@
     A claim that is not read back yet is only marked as abandoned: its append may
     still take effect later, and the claim is then released when it is read back.
     """
-    pending = own.state is not OwnClaimState.OWNED
+    pending = own.state is not OwnClaimState.OWNED and own.won is None
     own.state = OwnClaimState.ABANDONED
     if pending:
         state.claims.own[own.record] = own
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -8,6 +8,7 @@
     records,
     recovery,
     requests,
+    restoration,
     settlement,
     suspects,
     targets,
@@ -27,6 +28,7 @@
     CheckpointOffered,
     ClaimTimer,
     ConfigurationRead,
+    EraTimer,
     Event,
     FetchTimer,
     GossipReceived,
@@ -41,6 +43,7 @@
     RecordsRead,
     RequestArrived,
     RequestTimer,
+    RestoreTimer,
     RetryTimer,
     ServiceAnswered,
     ShutdownForced,
@@ -111,9 +114,11 @@
         case AppendUncertain():
             return settlement.handle_uncertain(state, event, now)
         case StreamCaughtUp():
-            return settlement.handle_caught_up(state, event)
+            return restoration.handle_caught_up(state, event, now)
         case StreamRestarted(stream=records.LEASES):
             return placement.handle_restart(state)
+        case StreamRestarted(stream=records.CLAIMS):
+            return restoration.handle_restart(state, event, now)
         case StreamRestarted():
             return []
         case StreamUnavailable():
@@ -157,6 +162,10 @@
             return settlement.expire_claim(state, timer)
         case OutcomeTimer():
             return settlement.append_outcomes(state, now)
+        case EraTimer():
+            return restoration.begin_held(state, now)
+        case RestoreTimer():
+            return restoration.restore_lost(state, now)
         case PlacementTimer():
             return placement.run_round(state, now)
         case AttemptTimer():
--- a/figstep/core/settlement.py
+++ b/figstep/core/settlement.py
@@ -3,6 +3,7 @@
 from figstep.core import claims, ownership, requests
 from figstep.core.claims import (
     ClaimLost,
+    ClaimReplaced,
     ClaimWon,
     IdentityReleased,
     OutcomeRecorded,
@@ -17,7 +18,6 @@
     ClaimTimer,
     OutcomeTimer,
     RecordsRead,
-    StreamCaughtUp,
     StreamUnavailable,
 )
 from figstep.core.problems import Problem, Ran
@@ -46,6 +46,9 @@
                 effects += _settle_won(state, identifier, time, now)
             case ClaimLost(record=identifier, name=name):
                 effects += _settle_lost(state, identifier, name, now)
+            case ClaimReplaced(record=identifier, name=name):
+                effects += _settle_lost(state, identifier, name, now)
+                effects += _follow_restored(state, name, now)
             case IdentityReleased(name=name):
                 effects += _settle_released(state, name)
             case OutcomeRecorded(name=name, outcome=outcome):
@@ -61,6 +64,22 @@
         # A record that the log holds twice owns the identity again once its
         # window is over; its request was started by the first copy.
         return []
+    if now < state.claims.settled_at and own.state is OwnClaimState.PENDING:
+        own.won = time
+        return []
+    return begin_owned(state, own, time, now)
+
+
+def begin_owned(state: State, own: OwnClaim, time: int, now: Millis) -> list[Effect]:
+    """Start the request of a claim that owns its identity.
+
+    Args:
+        state: State of this entry, changed in place.
+        own: The claim.
+        time: Time of the claim's record by the log's clock, in milliseconds since the
+            epoch.
+        now: Monotonic time, in milliseconds.
+    """
     abandoned = own.state is OwnClaimState.ABANDONED
     own.state = OwnClaimState.OWNED
     request = state.requests.get(own.request)
@@ -98,6 +117,18 @@
     return effects
 
 
+def _follow_restored(state: State, name: str, now: Millis) -> list[Effect]:
+    """Let the requests that wait for an identity's owner wait for the restored one."""
+    effects: list[Effect] = []
+    for request_id in state.claims.waiters.pop(name, []):
+        request = state.requests.get(request_id)
+        if request is None:
+            continue
+        owner = state.claims.owners[name]
+        effects += ownership.follow_owner(state, request, name, owner, now)
+    return effects
+
+
 def _settle_released(state: State, name: str) -> list[Effect]:
     problem = Problem(
         503,
@@ -119,13 +150,6 @@
     return effects
 
 
-def handle_caught_up(state: State, event: StreamCaughtUp) -> list[Effect]:
-    """Record that the claims stream is read to its end, so claims may be appended."""
-    if event.stream == CLAIMS:
-        state.claims.caught_up = True
-    return []
-
-
 def handle_unavailable(state: State, event: StreamUnavailable) -> list[Effect]:
     """Record that the claims stream cannot be read, and refuse requests that need it.
 
--- a/figstep/net/streams.py
+++ b/figstep/net/streams.py
@@ -95,7 +95,7 @@
                 continue
             if not self._caught_up and len(records) < self._limit:
                 self._caught_up = True
-                self._dispatch(StreamCaughtUp(self._stream))
+                self._dispatch(StreamCaughtUp(self._stream, self._log_client.era))
             if records and self._read_delay:
                 await self.sleep(self._read_delay)
 
--- a/tests/core/entries.py
+++ b/tests/core/entries.py
@@ -1,13 +1,21 @@
 """Test harness of the core: one entry's state; events go in, effects come out."""
 
 import random
+from dataclasses import replace
 from typing import TypeVar
 
 from figstep.core.claims import ClaimTable
 from figstep.core.clock import Millis
 from figstep.core.configuration import apply_inventory
-from figstep.core.effects import Effect, OpenAttempt
-from figstep.core.events import Event, RequestArrived, StreamCaughtUp, TokensArrived
+from figstep.core.effects import AppendRecords, Effect, OpenAttempt
+from figstep.core.events import (
+    Event,
+    RecordsRead,
+    RequestArrived,
+    StreamCaughtUp,
+    StreamRestarted,
+    TokensArrived,
+)
 from figstep.core.inventory import (
     EngineInfo,
     Inventory,
@@ -15,7 +23,7 @@
     Rules,
     ServiceInfo,
 )
-from figstep.core.records import CLAIMS
+from figstep.core.records import CLAIMS, LogRecord
 from figstep.core.reducer import reduce
 from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork
 from figstep.core.state import State
@@ -105,3 +113,50 @@
         attempt = self.state.requests[request].attempt
         assert attempt is not None
         return attempt
+
+
+class Log:
+    """The claims stream as a list, which entries read on request."""
+
+    def __init__(self) -> None:
+        self.records: list[LogRecord] = []
+        self.time = 1_000_000
+        self.era = 0
+
+    def append_from(self, entry: Entry) -> None:
+        """Append the records of an entry's last effects."""
+        for effect in entry.find_effects(AppendRecords):
+            for data in effect.records:
+                self.add(data)
+
+    def add(self, data: dict[str, object]) -> None:
+        """Append one record."""
+        self.records.append(LogRecord(len(self.records), self.time, data, self.era))
+
+    def revert(self, lost: int, *entries: Entry) -> None:
+        """Lose the newest records, and let entries read of it.
+
+        What the entries restore at once is appended.
+        """
+        self.era += 1
+        kept = self.records[: len(self.records) - lost]
+        self.records = [replace(record, era=self.era) for record in kept]
+        for entry in entries:
+            entry.feed(StreamRestarted(CLAIMS, self.era))
+            self.append_from(entry)
+
+    def deliver_to(self, entry: Entry, start: int = 0) -> None:
+        """Let an entry read the log from index ``start`` on."""
+        entry.feed(RecordsRead(CLAIMS, tuple(self.records[start:])))
+
+    def read_to_end(self, entry: Entry) -> None:
+        """Let an entry read the whole log and reach its end."""
+        self.deliver_to(entry)
+        entry.feed(StreamCaughtUp(CLAIMS, self.era))
+
+
+def build_ready_entry(node: str = "n1", seed: int = 1) -> Entry:
+    """Return an entry that has read the claims stream to its end."""
+    entry = Entry(node, seed)
+    entry.catch_up()
+    return entry
--- a/tests/core/test_claims_properties.py
+++ b/tests/core/test_claims_properties.py
@@ -1,6 +1,6 @@
 """Property tests: under any faults an order runs at most once and "not run" is true."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from hypothesis import HealthCheck, settings
@@ -30,6 +30,7 @@
     RequestArrived,
     ServiceAnswered,
     StreamCaughtUp,
+    StreamRestarted,
     StreamUnavailable,
     Timer,
     TimerFired,
@@ -37,6 +38,7 @@
 )
 from figstep.core.problems import Ran
 from figstep.core.records import CLAIMS, LogRecord
+from figstep.core.restoration import MAX_RESTORE_DELAY, SETTLING_TIME
 from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork
 from tests.core.entries import Entry, make_inventory
 
@@ -93,6 +95,7 @@
         super().__init__()
         self.now = 1_000_000
         self.log: list[LogRecord] = []
+        self.era = 0
         self.delayed_records: list[dict[str, Any]] = []
         self.next_seed = 1
         self.next_request = 1
@@ -148,7 +151,7 @@
     def _append_to_log(self, records: list[dict[str, Any]]) -> int:
         first = len(self.log)
         for number, data in enumerate(records):
-            self.log.append(LogRecord(first + number, self.now, data))
+            self.log.append(LogRecord(first + number, self.now, data, self.era))
         return first
 
     @rule(number=entries, body=st.sampled_from(BODIES))
@@ -205,7 +208,7 @@
     @rule(number=entries)
     def read_all(self, number: int) -> None:
         self.read_some(number, len(self.log) + 1)
-        self._feed(self.nodes[number], StreamCaughtUp(CLAIMS))
+        self._feed(self.nodes[number], StreamCaughtUp(CLAIMS, self.era))
 
     @rule(number=entries)
     def log_works(self, number: int) -> None:
@@ -298,6 +301,80 @@
             self._feed(node, CallerGone(waiting[pick % len(waiting)]))
 
 
+class RevertedClaimsMachine(ClaimsMachine):
+    """A log that also comes back from copies that lack the records of ten seconds.
+
+    A copy holds the records that only an entry has read that has crashed.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.copied = 0
+
+    @rule(number=entries, late=st.booleans())
+    def crash(self, number: int, late: bool) -> None:
+        others = [node.read for node in self.nodes if node is not self.nodes[number]]
+        if self.nodes[number].read > max(others):
+            self.copied = max(self.copied, self.nodes[number].read)
+        super().crash(number, late)
+
+    def _revert(self, lost: int) -> None:
+        """Lose the newest records; entries that run restore their own at once."""
+        self.era += 1
+        first = max(self.copied, len(self.log) - lost)
+        while first < len(self.log) and self.log[first].time < self.now - 10_000:
+            first += 1
+        self.log = [replace(record, era=self.era) for record in self.log[:first]]
+        for number, node in enumerate(self.nodes):
+            waiting, node.appends, node.read = node.appends, [], 0
+            self._feed(node, StreamRestarted(CLAIMS, self.era))
+            while node.appends:
+                self.append_confirmed(number)
+            node.appends = waiting
+
+    def _restore(self) -> None:
+        """Let the entries restore what nobody has restored."""
+        for number in range(ENTRIES):
+            self.read_all(number)
+        self.now += MAX_RESTORE_DELAY
+        for number in range(ENTRIES):
+            self.timers_fire(number)
+            self.log_works(number)
+
+    def _settle(self) -> None:
+        """Let the time pass for which claims are held."""
+        self.now += SETTLING_TIME
+        for number in range(ENTRIES):
+            self.read_all(number)
+            self.timers_fire(number)
+
+    @rule(lost=st.integers(1, 4))
+    def revert(self, lost: int) -> None:
+        self._revert(lost)
+        self._restore()
+
+    @rule(lost=st.integers(1, 4))
+    def revert_twice(self, lost: int) -> None:
+        self._revert(lost)
+        self.revert(lost)
+
+    @rule(number=entries, crashed=entries, early=st.booleans(), lost=st.integers(1, 4))
+    def order_is_sent_again_after_a_return(
+        self, number: int, crashed: int, early: bool, lost: int
+    ) -> None:
+        """Send an order again through an entry that starts as the log comes back."""
+        self.order_dispatched(number, "generation")
+        self.read_all((number + 1) % ENTRIES)
+        if early:
+            self.crash(crashed, late=False)
+        self._revert(lost)
+        if not early:
+            self.crash(crashed, late=False)
+        self.order_dispatched(crashed, "generation")
+        self._restore()
+        self._settle()
+
+
 TestClaims = ClaimsMachine.TestCase
 TestClaims.settings = settings(
     max_examples=250,
@@ -307,3 +384,5 @@
     database=None,
     suppress_health_check=list(HealthCheck),
 )
+TestRevertedClaims = RevertedClaimsMachine.TestCase
+TestRevertedClaims.settings = TestClaims.settings
--- a/tests/core/test_settlement.py
+++ b/tests/core/test_settlement.py
@@ -21,7 +21,6 @@
     ClaimTimer,
     Loss,
     OutcomeTimer,
-    RecordsRead,
     RequestArrived,
     ServiceAnswered,
     StreamUnavailable,
@@ -29,38 +28,9 @@
 )
 from figstep.core.ownership import MAX_DISPATCH_AGE
 from figstep.core.problems import Ran
-from figstep.core.records import CLAIMS, LogRecord
+from figstep.core.records import CLAIMS
 from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork
-from tests.core.entries import Entry, make_inventory
-
-
-class Log:
-    """The claims stream as a list, which entries read on request."""
-
-    def __init__(self) -> None:
-        self.records: list[LogRecord] = []
-        self.time = 1_000_000
-
-    def append_from(self, entry: Entry) -> None:
-        """Append the records of an entry's last effects."""
-        for effect in entry.find_effects(AppendRecords):
-            for data in effect.records:
-                self.add(data)
-
-    def add(self, data: dict[str, object]) -> None:
-        """Append one record."""
-        self.records.append(LogRecord(len(self.records), self.time, data))
-
-    def deliver_to(self, entry: Entry, start: int = 0) -> None:
-        """Let an entry read the log from index ``start`` on."""
-        entry.feed(RecordsRead(CLAIMS, tuple(self.records[start:])))
-
-
-def build_ready_entry(node: str = "n1", seed: int = 1) -> Entry:
-    """Return an entry that has read the claims stream to its end."""
-    entry = Entry(node, seed)
-    entry.catch_up()
-    return entry
+from tests.core.entries import Entry, Log, build_ready_entry, make_inventory
 
 
 def test_an_order_is_dispatched_only_after_its_claim_was_read_back() -> None:
