Keep and restore edits that the log lost when it came back from a copy

On the own interface an edit that was accepted and in force could be gone from the log after a return. Entries that had it folded nothing more until the stream was longer than their position; entries that started then served by the older document, with keys that had been dropped; an edit made from an offset that was given out again passed for one made from another document; and offsets in the messages of peers were compared across eras.

The fold of a new era begins at the first record. The document in force stays in force up to its own record or one that the log stored later; if the log holds neither, one entry publishes it again after a random delay. Edits name the id of the edit that they were made from besides its offset. Peers name the era of their offsets, and those of an older era are ignored. The audit trail is read anew.

A follower now says StreamRestarted also at a start in an era other than 0, so that no handler has to guess whether it begins in one.

Claims: ties in the time of a claim no longer let a restored one win against another restored one, which would have swapped the owner at each record.

--- a/figstep/application.py
+++ b/figstep/application.py
@@ -237,7 +237,7 @@
 
     def _read_snapshot(self) -> dict[str, Any] | None:
         fold = self.entry_state.configuration
-        if fold.current is None:
+        if fold.current is None or fold.kept is not None:
             return None
         return encode_snapshot(fold.current, fold.position)
 
--- a/figstep/audit.py
+++ b/figstep/audit.py
@@ -59,9 +59,14 @@
 
 
 class TrailReader:
-    """Builds the audit trail incrementally, with the same reducer as the entries."""
+    """Builds the audit trail incrementally, with the same reducer as the entries.
 
-    def __init__(self) -> None:
+    Attributes:
+        era: Era of the log whose records are read.
+    """
+
+    def __init__(self, era: int = 0) -> None:
+        self.era = era
         self._state = State("reader")
         self._records: list[LogRecord] = []
         self._entries: dict[int, HistoryEntry] = {}
--- a/figstep/core/claims.py
+++ b/figstep/core/claims.py
@@ -411,7 +411,7 @@
     overlaps = owner is not None and made < owner.expires
     if owner is not None and overlaps:
         is_restored = "made" in record.data
-        if not is_restored or made > owner.made:
+        if not is_restored or made >= owner.made:
             return ClaimLost(identifier, name)
     table.owners.pop(name, None)
     claim = Claim(identifier, digest, made + window, now, window, era=record.era)
--- a/figstep/core/configuration.py
+++ b/figstep/core/configuration.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from figstep.core import lost_edits
 from figstep.core.clock import Millis
 from figstep.core.effects import (
     AppendRecords,
@@ -30,8 +31,6 @@
 from figstep.core.records import CONFIGURATION
 from figstep.core.state import ConfigurationFold, State, TargetState
 
-EDIT = "edit"
-"""Kind of a record that holds an edit of the document."""
 SNAPSHOT = "snapshot"
 """Kind of a record that holds a checkpoint of the fold."""
 
@@ -92,7 +91,7 @@
             " upgrade this program"
         )
     accepted = -1 if current is None else current.accepted
-    if event.base != accepted:
+    if event.base != accepted or not _names_base(event, current):
         winner = "nothing" if current is None else f"{accepted} by {current.author}"
         return Refused(
             "base",
@@ -104,6 +103,16 @@
     return Accepted()
 
 
+def _names_base(event: ConfigurationRead, current: Checkpoint | None) -> bool:
+    """Return whether an edit was made from the current one, if it names its base.
+
+    When the log comes back from an older copy, another edit may have the same offset.
+    """
+    if not event.base_edit or current is None:
+        return True
+    return event.base_edit == current.edit
+
+
 def fold_record(state: State, event: ConfigurationRead, now: Millis) -> list[Effect]:
     """Fold an edit and put its document in force if it is accepted.
 
@@ -124,10 +133,11 @@
             return [Count("configuration.refused"), _describe_refusal(event, rule, why)]
         case Accepted():
             fold.position = event.offset
-            return _put_in_force(state, build_checkpoint(event), now)
+            checkpoint = build_checkpoint(event, fold.era)
+            return _accept_checkpoint(state, checkpoint, now)
 
 
-def build_checkpoint(event: ConfigurationRead) -> Checkpoint:
+def build_checkpoint(event: ConfigurationRead, era: int = 0) -> Checkpoint:
     """Return the checkpoint that results from folding an accepted edit."""
     return Checkpoint(
         accepted=event.offset,
@@ -138,6 +148,8 @@
         validation=event.validation,
         document=event.document,
         inventory=event.inventory,
+        time=event.time,
+        era=era,
     )
 
 
@@ -188,10 +200,16 @@
     """Continue from a checkpoint that covers more records than were folded.
 
     The higher position wins, whether the checkpoint comes from the log or from a
-    peer. The records after the checkpoint are read again, because a stalled node
-    skipped them. A checkpoint that this program cannot validate stalls the fold.
+    peer, and a position of a later era of the log before any earlier one. The records
+    after the checkpoint are read again, because a stalled node skipped them. A
+    checkpoint that this program cannot validate stalls the fold.
     """
     fold = state.configuration
+    if offer.era < fold.era:
+        return []
+    if offer.era > fold.era:
+        begun = lost_edits.begin_era(state, offer.era)
+        return begun + apply_checkpoint(state, offer, now)
     if offer.position <= fold.position:
         return []
     if offer.inventory is None:
@@ -211,10 +229,20 @@
     fold.stalled = ""
     effects: list[Effect] = [ReadConfigurationFrom(offer.position + 1)]
     if offer.accepted > state.configuration_offset:
-        effects += _put_in_force(state, offer, now)
+        effects += _accept_checkpoint(state, offer, now)
     return effects
 
 
+def _accept_checkpoint(state: State, accepted: Checkpoint, now: Millis) -> list[Effect]:
+    """Put a document in force unless the kept one of an era before is newer."""
+    fold = state.configuration
+    if fold.kept is not None and not lost_edits.supersedes(accepted, fold.kept):
+        fold.current = accepted
+        return []
+    fold.kept = None
+    return _put_in_force(state, accepted, now)
+
+
 def _put_in_force(state: State, accepted: Checkpoint, now: Millis) -> list[Effect]:
     assert accepted.inventory is not None
     fold = state.configuration
@@ -304,7 +332,9 @@
     """
     fold = state.configuration
     wake = _schedule_renewal(state, now)
-    if fold.current is None or fold.stalled or not needs_snapshot(state, now):
+    if fold.current is None or fold.kept is not None or fold.stalled:
+        return [wake]
+    if not needs_snapshot(state, now):
         return [wake]
     record = encode_snapshot(fold.current, fold.position)
     return [
@@ -328,6 +358,8 @@
         "reason": current.reason,
         "validation": current.validation,
         "document": current.document,
+        "time": current.time,
+        "era": current.era,
     }
 
 
--- a/figstep/core/datagrams.py
+++ b/figstep/core/datagrams.py
@@ -79,6 +79,7 @@
         leaving=state.shutting_down,
         accepted=state.configuration_offset,
         position=state.configuration.position,
+        era=state.configuration.era,
         members=tuple(members),
         marks=tuple(marks),
         counts=tuple(counts),
--- a/figstep/core/events.py
+++ b/figstep/core/events.py
@@ -181,6 +181,7 @@
 
     Attributes:
         base: Offset of the edit in force that this edit was made from; -1 for none.
+        base_edit: Id of that edit; "" if the record does not name it.
         inventory: The validated document, or None if it is not valid or its
             validation version is not known here.
         problems: Reasons why the document is not valid.
@@ -188,6 +189,7 @@
         validation: Version of the validation rules that the edit was made for.
         document: The document as published.
         known: Whether this program knows the validation version.
+        time: When the log stored the record, in milliseconds since the Unix epoch.
     """
 
     offset: int
@@ -200,6 +202,8 @@
     validation: int = 1
     document: dict[str, Any] = field(default_factory=dict)
     known: bool = True
+    base_edit: str = ""
+    time: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,6 +217,9 @@
         validation: Version of the validation rules that the edit was made for.
         document: The document as published.
         inventory: The validated document, or None if this program cannot read it.
+        time: When the log stored the edit in force, in milliseconds since the Unix
+            epoch; 0 if the checkpoint does not say.
+        era: Era of the log in which ``accepted`` and ``position`` are offsets.
     """
 
     accepted: int
@@ -223,6 +230,8 @@
     validation: int
     document: dict[str, Any]
     inventory: Inventory | None
+    time: int = 0
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -326,19 +335,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamCaughtUp:
-    """A follower has read its stream up to the current end.
-
-    Attributes:
-        era: How often the log has come back from an older copy.
-    """
+    """A follower has read its stream up to the current end."""
 
     stream: str
-    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class StreamRestarted:
-    """The log came back from an older copy; its stream is read from the begin.
+    """A follower reads its stream from the begin, in another era of the log.
+
+    An era begins when the log comes back from an older copy. The follower of a process
+    that starts in an era other than 0 begins with this event.
 
     Attributes:
         era: How often the log has come back from an older copy.
@@ -401,6 +408,11 @@
     """Timer to begin the requests whose claims were held in a new era of the log."""
 
 
+@dataclass(frozen=True, slots=True)
+class RestoreEditTimer:
+    """Timer to append the edit in force if the log has lost it."""
+
+
 @dataclass(frozen=True, slots=True)
 class RestoreTimer:
     """Timer to append claims that the log has lost and nobody has restored."""
@@ -445,6 +457,7 @@
     | OutcomeTimer
     | EraTimer
     | RestoreTimer
+    | RestoreEditTimer
     | AttemptTimer
     | QueueTimer
     | SnapshotTimer
--- a/figstep/core/gossip.py
+++ b/figstep/core/gossip.py
@@ -75,6 +75,7 @@
         accepted: Offset of the sender's document in force; -1 for none.
         position: Last offset of the configuration stream that the sender folded; -1
             for none.
+        era: Era of the log in which these are offsets; 0 if the sender names none.
         counts: Attempts in progress at the sender, by target.
         counts_whole: Whether ``counts`` covers every target on which the sender runs
             attempts. If not, the receiver updates the counts that it has.
@@ -88,6 +89,7 @@
     leaving: bool = False
     accepted: int = -1
     position: int = -1
+    era: int = 0
     members: tuple[MemberNews, ...] = ()
     marks: tuple[LeavingMark, ...] = ()
     counts: tuple[TargetCount, ...] = ()
@@ -111,6 +113,7 @@
         accepted: Offset of the entry's document in force; -1 for none.
         position: Last offset of the configuration stream that the entry folded; -1
             for none.
+        era: Era of the log in which these are offsets.
         counts: Attempts in progress at the entry, by hash of the target.
         counts_received_at: Time of the last message, each of which carries counts;
             None before the first.
@@ -127,6 +130,7 @@
     unacknowledged_since: Millis | None = None
     accepted: int = -1
     position: int = -1
+    era: int = 0
     counts: dict[int, int] = field(default_factory=dict)
     counts_received_at: Millis | None = None
     sends_left: int = 0
--- a/figstep/core/membership.py
+++ b/figstep/core/membership.py
@@ -250,6 +250,7 @@
     member.unacknowledged_since = None
     member.accepted = gossip.accepted
     member.position = gossip.position
+    member.era = gossip.era
     return member
 
 
@@ -417,17 +418,19 @@
     they have folded further. None is returned if no peer qualifies.
     """
     best: list[Member] = []
-    stalled = bool(state.configuration.stalled)
-    own_progress = (state.configuration_offset, state.configuration.position)
+    fold = state.configuration
+    own_document = (fold.era, state.configuration_offset)
+    own_progress = (fold.era, fold.position)
     for member in state.membership.members.values():
-        if not member.reachable:
+        if not member.reachable or member.accepted < 0:
             continue
-        newer = member.accepted > own_progress[0]
-        if not newer and not (stalled and member.position > own_progress[1]):
+        document = (member.era, member.accepted)
+        is_further = (member.era, member.position) > own_progress
+        if document <= own_document and not (fold.stalled and is_further):
             continue
-        if best and member.accepted < best[0].accepted:
+        if best and document < (best[0].era, best[0].accepted):
             continue
-        if best and member.accepted > best[0].accepted:
+        if best and document > (best[0].era, best[0].accepted):
             best = []
         best.append(member)
     return state.rng.choice(best) if best else None
--- a/figstep/core/placement.py
+++ b/figstep/core/placement.py
@@ -330,5 +330,5 @@
     leases.forget_leases(state.leases)
     return [
         Count("leases.forgotten", held),
-        Note("log came back from an older copy: leases given up", {"held": held}),
+        Note("leases read in another era of the log: all given up", {"held": held}),
     ]
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -3,6 +3,7 @@
 from figstep.core import (
     configuration,
     links,
+    lost_edits,
     membership,
     placement,
     records,
@@ -43,6 +44,7 @@
     RecordsRead,
     RequestArrived,
     RequestTimer,
+    RestoreEditTimer,
     RestoreTimer,
     RetryTimer,
     ServiceAnswered,
@@ -113,14 +115,16 @@
             return settlement.handle_confirmed(state, event)
         case AppendUncertain():
             return settlement.handle_uncertain(state, event, now)
+        case StreamCaughtUp(stream=records.CONFIGURATION):
+            return lost_edits.handle_caught_up(state, now)
         case StreamCaughtUp():
             return restoration.handle_caught_up(state, event, now)
         case StreamRestarted(stream=records.LEASES):
             return placement.handle_restart(state)
         case StreamRestarted(stream=records.CLAIMS):
             return restoration.handle_restart(state, event, now)
-        case StreamRestarted():
-            return []
+        case StreamRestarted(era=era):
+            return lost_edits.begin_era(state, era)
         case StreamUnavailable():
             return settlement.handle_unavailable(state, event)
         case Started():
@@ -166,6 +170,8 @@
             return restoration.begin_held(state, now)
         case RestoreTimer():
             return restoration.restore_lost(state, now)
+        case RestoreEditTimer():
+            return lost_edits.restore_edit(state, now)
         case PlacementTimer():
             return placement.run_round(state, now)
         case AttemptTimer():
--- a/figstep/core/restoration.py
+++ b/figstep/core/restoration.py
@@ -41,22 +41,20 @@
     """Restore this process's recent claims and hold new ones until others did so."""
     table = state.claims
     table.caught_up = False
-    effects = _begin_era(table, event.era, now)
+    table.era = event.era
+    table.settled_at = Millis(now + SETTLING_TIME)
     for claim in table.owners.values():
         if claim.outcome is not None and claim.outcome_era < 0:
             # The log may have lost an outcome before this process read it back.
             claim.outcome_era = 0
     records = _list_own_claims(state, now)
-    effects += _append_restored(records)
-    message = "log came back from an older copy: claims restored"
-    effects.append(Note(message, {"era": event.era, "restored": len(records)}))
-    return effects
-
-
-def _begin_era(table: ClaimTable, era: int, now: Millis) -> list[Effect]:
-    table.era = era
-    table.settled_at = Millis(now + SETTLING_TIME)
-    return [Count("claims.eras"), WakeAt(EraTimer(), table.settled_at)]
+    message = "claims read in another era of the log"
+    return [
+        Count("claims.eras"),
+        Note(message, {"era": event.era, "restored": len(records)}),
+        WakeAt(EraTimer(), table.settled_at),
+        *_append_restored(records),
+    ]
 
 
 def _list_own_claims(state: State, now: Millis) -> list[dict[str, Any]]:
@@ -83,8 +81,6 @@
         return []
     table = state.claims
     table.caught_up = True
-    if event.era > table.era:
-        return _begin_era(table, event.era, now)
     if not table.era:
         return []
     delay = state.rng.randrange(MIN_RESTORE_DELAY, MAX_RESTORE_DELAY)
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -220,6 +220,9 @@
             none.
         snapshot_made: Time at which the log stored that snapshot (monotonic), in
             milliseconds, or None.
+        era: Era of the log that is folded.
+        kept: Checkpoint that is in force, of an era before, while the log has not been
+            seen to hold its edit or a later one; None otherwise.
     """
 
     position: int = -1
@@ -227,6 +230,8 @@
     stalled: str = ""
     snapshot_position: int = -1
     snapshot_made: Millis | None = None
+    era: int = 0
+    kept: Checkpoint | None = None
 
 
 @dataclass(slots=True)
--- a/figstep/net/configuration.py
+++ b/figstep/net/configuration.py
@@ -1,6 +1,7 @@
 """Conversion of records of the configuration stream into events."""
 
 import time
+from dataclasses import replace
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
@@ -29,6 +30,7 @@
 
 class _EditRecord(_Record):
     base: int = Field(ge=-1)
+    base_edit: str = ""
     document: dict[str, Any] | None = None
     changes: list[dict[str, Any]] | None = None
 
@@ -43,6 +45,8 @@
     document: dict[str, Any]
     accepted: int = Field(ge=0)
     position: int = Field(ge=0)
+    time: int = 0
+    era: int = 0
 
 
 def parse_record(
@@ -93,6 +97,8 @@
         inventory=inventory,
         problems=problems,
         edit=model.edit,
+        base_edit=model.base_edit,
+        time=record.time,
         validation=model.validation,
         document=document,
         known=model.validation <= VALIDATION,
@@ -117,7 +123,8 @@
 
 
 def _parse_snapshot(record: LogRecord) -> SnapshotRead:
-    checkpoint = parse_checkpoint(record.data)
+    # The record may be older than the era in which it is read.
+    checkpoint = replace(parse_checkpoint(record.data), era=record.era)
     age = max(0, time.time_ns() // 1_000_000 - record.time)
     return SnapshotRead(record.offset, checkpoint, Millis(age))
 
@@ -145,4 +152,6 @@
         validation=model.validation,
         document=model.document,
         inventory=inventory,
+        time=model.time,
+        era=model.era,
     )
--- a/figstep/net/log.py
+++ b/figstep/net/log.py
@@ -124,6 +124,7 @@
                 await asyncio.wait_for(self._changed.wait(), wait / 1000)
             except TimeoutError:
                 return []
+            stored = self.streams.get(stream, [])
         return [replace(r, era=self.era) for r in stored[start : start + limit]]
 
     async def close(self) -> None:
--- a/figstep/net/messages.py
+++ b/figstep/net/messages.py
@@ -96,6 +96,7 @@
         countsWhole=gossip.counts_whole,
         accepted=gossip.accepted,
         position=gossip.position,
+        era=gossip.era,
     )
     if gossip.members:
         members = message.init("members", len(gossip.members))
@@ -148,6 +149,7 @@
         leaving=message.leaving,
         accepted=message.accepted,
         position=message.position,
+        era=message.era,
         members=tuple(members),
         marks=tuple(LeavingMark(m.target, m.incarnation) for m in message.marks),
         counts=tuple(TargetCount(c.target, c.count) for c in message.counts),
--- a/figstep/net/peers.capnp
+++ b/figstep/net/peers.capnp
@@ -22,6 +22,7 @@
   marks @10 :List(Mark);
   counts @11 :List(Count);
   quarantined @12 :List(Quarantined);
+  era @13 :UInt64;  # Era of the log in which accepted and position are offsets.
 }
 
 struct Member {
--- a/figstep/net/streams.py
+++ b/figstep/net/streams.py
@@ -60,7 +60,7 @@
         self._stream = stream
         self._handle_records = handle_records
         self._next = start
-        self._era: int | None = None
+        self._era = 0
 
     def read_from(self, offset: int) -> None:
         """Continue at ``offset``; the records of a running read are discarded."""
@@ -95,7 +95,7 @@
                 continue
             if not self._caught_up and len(records) < self._limit:
                 self._caught_up = True
-                self._dispatch(StreamCaughtUp(self._stream, self._log_client.era))
+                self._dispatch(StreamCaughtUp(self._stream))
             if records and self._read_delay:
                 await self.sleep(self._read_delay)
 
@@ -105,10 +105,10 @@
         await self.sleep(RETRY_SECONDS)
 
     def _restart_in_new_era(self) -> bool:
-        """Begin at the first record if the log began a new era; return whether so."""
-        known, self._era = self._era, self._log_client.era
-        if known is None or known == self._era:
+        """Begin at the first record if the log is in another era; return whether so."""
+        if self._log_client.era == self._era:
             return False
+        self._era = self._log_client.era
         self._next = 0
         self._caught_up = False
         self._dispatch(StreamRestarted(self._stream, self._era))
--- a/figstep/operations.py
+++ b/figstep/operations.py
@@ -24,9 +24,9 @@
     diff_documents,
     encode_changes,
 )
-from figstep.core.configuration import EDIT
 from figstep.core.events import InstanceInfo
 from figstep.core.inventory import Inventory
+from figstep.core.lost_edits import EDIT
 from figstep.core.records import CONFIGURATION, LogRecord
 from figstep.errors import (
     InstancesUnavailableError,
@@ -94,12 +94,15 @@
         LogUnavailableError: The log could not be read.
     """
     records: list[LogRecord] = []
-    start = 0
+    start, era = 0, log.era
     while True:
         try:
             batch = await log.read(CONFIGURATION, start)
         except LogTruncatedError as error:
-            records, start = [], error.earliest
+            records, start, era = [], error.earliest, log.era
+            continue
+        if era != log.era:
+            records, start, era = [], 0, log.era
             continue
         if not batch:
             return records
@@ -121,7 +124,11 @@
         try:
             batch = await log.read(CONFIGURATION, start)
         except LogTruncatedError as error:
-            reader, start = TrailReader(), error.earliest
+            # Records were deleted, or the log came back from a copy that lacks them.
+            reader, start = TrailReader(log.era), error.earliest
+            continue
+        if reader.era != log.era:
+            reader, start = TrailReader(log.era), 0
             continue
         if not batch:
             return reader
@@ -135,7 +142,7 @@
     Raises:
         LogUnavailableError: The log could not be read.
     """
-    return (await follow_trail(log, TrailReader())).trail
+    return (await follow_trail(log, TrailReader(log.era))).trail
 
 
 async def publish_document(
@@ -159,7 +166,7 @@
             the append is not repeated.
     """
     parse_inventory(document)
-    reader = await follow_trail(log, TrailReader())
+    reader = await follow_trail(log, TrailReader(log.era))
     edit = Edit(document, author, reason)
     return await append_edit(log, reader, edit, read_back_timeout)
 
@@ -197,6 +204,7 @@
         "kind": EDIT,
         "edit": name,
         "base": -1 if trail.current is None else trail.current.accepted,
+        "base_edit": "" if trail.current is None else trail.current.edit,
         "author": edit.author,
         "reason": edit.reason,
         "validation": VALIDATION,
@@ -309,7 +317,7 @@
 
 
 async def _read_document(log: LogClient) -> tuple[TrailReader, dict[str, Any]]:
-    reader = await follow_trail(log, TrailReader())
+    reader = await follow_trail(log, TrailReader(log.era))
     current = reader.trail.current
     return reader, {} if current is None else deepcopy(current.document)
 
--- a/tests/integration/configuration.feature
+++ b/tests/integration/configuration.feature
@@ -68,3 +68,17 @@
     And entry-2 is killed
     And entry-3 starts
     Then "alpha" is served by every entry
+
+  Scenario: The log comes back from a copy without the edit
+    The newest records are gone, with an edit that was accepted. The entries go
+    on by its document, one of them publishes it again, and a later edit is in
+    force everywhere.
+    When "alpha" is added
+    Then "alpha" is served by every entry
+    When the log comes back from a copy that lacks 3 records
+    Then the log holds the edit of "alpha" again
+    And "alpha" is served by every entry
+    When entry-3 starts
+    Then "alpha" is served by every entry
+    When "beta" is added
+    Then "beta" is served by every entry
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -224,6 +224,17 @@
     world.fleet.log.available = True
 
 
+@when(parsers.parse("the log comes back from a copy that lacks {lost:d} records"))
+def log_comes_back(world: World, lost: int) -> None:
+    world.fleet.log.revert(lost)
+
+
+@when(parsers.parse("{entry} starts"))
+def start_entry(world: World, entry: str) -> None:
+    world.run(world.fleet.start_entry(entry))
+    world.run(world.fleet.wait_ready(entry))
+
+
 @then(parsers.parse("its answer is whole with {tokens:d} tokens"))
 def assert_whole_answer(world: World, tokens: int) -> None:
     world.run(world.caller.finish())
--- a/tests/integration/orders.feature
+++ b/tests/integration/orders.feature
@@ -112,3 +112,24 @@
     Then its caller is told that it may have run
     And "flour" ran once
     And every promise held
+
+  Scenario: The log comes back from a copy without the claim
+    The claim and the outcome are gone from the log. The order is sent again
+    through an entry that has read neither.
+    When "flour" is ordered through entry-1
+    And the log comes back from a copy that lacks 3 records
+    And entry-3 starts
+    And "flour" is ordered again through entry-3
+    Then "flour" ran once
+    And every promise held
+
+  Scenario: Two at once: the log comes back from a copy and the owner dies
+    The claim and the outcome are gone, and so is the entry that made them. The
+    other one has read them.
+    When "flour" is ordered through entry-1
+    And the log comes back from a copy that lacks 3 records
+    And entry-1 is killed
+    And entry-3 starts
+    And "flour" is ordered again through entry-3
+    Then "flour" ran once
+    And every promise held
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -135,6 +135,12 @@
     assert isinstance(result, LogUnavailableError)
 
 
+@then(parsers.parse('the log holds the edit of "{name}" again'))
+def held_again(world: World, name: str) -> None:
+    log = world.fleet.log
+    world.run(wait_for(lambda: holds_edit(log, name), "the log holds the edit"))
+
+
 @then("the log holds it once")
 def held_once(world: World) -> None:
     records = world.run(read_records(world.fleet.log_client))
@@ -164,12 +170,6 @@
     log.faults = replace(log.faults, keep_ms=None)
 
 
-@when(parsers.parse("{entry} starts"))
-def start_entry(world: World, entry: str) -> None:
-    world.run(world.fleet.start_entry(entry))
-    world.run(world.fleet.wait_ready(entry))
-
-
 @given(parsers.parse("a fleet of {entries:d} entries and {engines:d} engine"))
 def start_small_fleet(world: World, entries: int, engines: int) -> None:
     world.fleet.retention_seconds = KEEP_MS / 1000
