Soak: refuse connections to a target that ended, at each link

An engine that ends refuses connections; each link now does so too, also when a cut ends.

The long run of the property tests includes the claims of a log that comes back from older copies.

--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -34,6 +34,7 @@
         self._holes: list[Blackhole] = []
         self._reserved: list[socket.socket] = []
         self._cut: CutKind | None = None
+        self._ended: set[str] = set()
 
     async def translate(self, value: bytes) -> bytes:
         """Return a registration with the address of the proxy before its target.
@@ -58,7 +59,9 @@
         # It listens again at this port after a cut.
         await proxy.start(find_free_port())
         self._targets_by_address[proxy.address] = target
-        if self._cut is not None:
+        if target.address in self._ended:
+            await proxy.refuse()
+        elif self._cut is not None:
             await self._cut_proxy(proxy, self._cut)
         return proxy
 
@@ -80,6 +83,14 @@
             if proxy.address:
                 await self._cut_proxy(proxy, kind)
 
+    async def end(self, target: SoakTarget) -> None:
+        """Refuse connections to a target that ends, also after a cut."""
+        self._ended.add(target.address)
+        proxy = self._proxies.get(target.address)
+        if proxy is not None:
+            await proxy.refuse()
+            proxy.cut()
+
     async def _cut_proxy(self, proxy: TcpProxy, kind: CutKind) -> None:
         await proxy.refuse()
         host, _, port = proxy.address.rpartition(":")
@@ -102,10 +113,11 @@
             reserved.close()
         self._reserved.clear()
         kind, self._cut = self._cut, None
-        for proxy in list(self._proxies.values()):
+        for address, proxy in list(self._proxies.items()):
             if kind is CutKind.SILENT:
                 proxy.cut()
-            await proxy.accept_again()
+            if address not in self._ended:
+                await proxy.accept_again()
 
     async def stop(self) -> None:
         """Close all proxies."""
--- a/tests/faults/test_links.py
+++ b/tests/faults/test_links.py
@@ -4,6 +4,7 @@
 import random
 
 import orjson
+import pytest
 
 from tests.faults.links import CutKind, EntryLinks
 from tests.faults.records import Record
@@ -48,3 +49,18 @@
         writer.close()
     await links.stop()
     await target.kill()
+
+
+async def test_a_target_that_ended_is_refused_also_after_a_cut() -> None:
+    """Guards against targets that are taken for running as their link still accepts."""
+    links, target, host, port = await open_links()
+    await links.end(target)
+    await target.kill()
+    for kind in CutKind:
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(host, port)
+        await links.cut(kind)
+        await links.heal()
+    with pytest.raises(ConnectionRefusedError):
+        await asyncio.open_connection(host, port)
+    await links.stop()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,10 +6,14 @@
 from hypothesis import HealthCheck, seed, settings
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
-from tests.core.test_claims_properties import ClaimsMachine
+from tests.core.test_claims_properties import ClaimsMachine, RevertedClaimsMachine
 from tests.core.test_generations_properties import GenerationsMachine
 
-MACHINES: list[type[RuleBasedStateMachine]] = [ClaimsMachine, GenerationsMachine]
+MACHINES: list[type[RuleBasedStateMachine]] = [
+    ClaimsMachine,
+    RevertedClaimsMachine,
+    GenerationsMachine,
+]
 """State machines that are run, in order."""
 
 
