Soak: one form for faults that last for a while, and links that keep their ports

Five data classes for unusual answers of a target are one, TargetBehavior, and five flags of the target are one list; a fault's record begins and ends with a block. Faults of one kind that overlap at a target now end one by one; before, the first end ended both.

An engine that ends in a cut is refused after it (test_a_target_that_ends_in_a_cut_is_refused_after_it).

--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -34,7 +34,7 @@
         self._holes: list[Blackhole] = []
         self._reserved: list[socket.socket] = []
         self._cut: CutKind | None = None
-        self._ended: set[str] = set()
+        self._ended: dict[str, socket.socket] = {}
 
     async def translate(self, value: bytes) -> bytes:
         """Return a registration with the address of the proxy before its target.
@@ -59,10 +59,10 @@
         # It listens again at this port after a cut.
         await proxy.start(find_free_port())
         self._targets_by_address[proxy.address] = target
-        if target.address in self._ended:
-            await proxy.refuse()
-        elif self._cut is not None:
+        if self._cut is not None:
             await self._cut_proxy(proxy, self._cut)
+        elif target.ended:
+            await self.end(target)
         return proxy
 
     def list_requests(self) -> set[str]:
@@ -78,18 +78,22 @@
     async def cut(self, kind: CutKind) -> None:
         """Cut the entry off from all targets."""
         self._cut = kind
-        for proxy in list(self._proxies.values()):
+        for address, proxy in list(self._proxies.items()):
             # One that does not listen yet is cut once it does.
-            if proxy.address:
+            if proxy.address and address not in self._ended:
                 await self._cut_proxy(proxy, kind)
 
     async def end(self, target: SoakTarget) -> None:
-        """Refuse connections to a target that ends, also after a cut."""
-        self._ended.add(target.address)
+        """Refuse connections to a target that has ended; in a cut, after it."""
         proxy = self._proxies.get(target.address)
-        if proxy is not None:
-            await proxy.refuse()
-            proxy.cut()
+        if proxy is None or not proxy.address or self._cut is not None:
+            return
+        if target.address in self._ended:
+            return
+        await proxy.refuse()
+        proxy.cut()
+        host, _, port = proxy.address.rpartition(":")
+        self._ended[target.address] = _reserve_port(host, int(port))
 
     async def _cut_proxy(self, proxy: TcpProxy, kind: CutKind) -> None:
         await proxy.refuse()
@@ -116,12 +120,15 @@
         for address, proxy in list(self._proxies.items()):
             if kind is CutKind.SILENT:
                 proxy.cut()
-            if address not in self._ended:
-                await proxy.accept_again()
+            target = self._targets_by_address[address]
+            if target.ended:
+                await self.end(target)
+                continue
+            await proxy.accept_again()
 
     async def stop(self) -> None:
         """Close all proxies."""
-        for closable in (*self._holes, *self._reserved):
+        for closable in (*self._holes, *self._reserved, *self._ended.values()):
             closable.close()
         for proxy in self._proxies.values():
             await proxy.stop()
--- a/tests/faults/plans.py
+++ b/tests/faults/plans.py
@@ -12,7 +12,6 @@
 FAULT_DURATION_RANGE = (0.3, 2.5)
 """Shortest and longest duration of a fault, in seconds."""
 
-
 SIGNAL_DURATION_RANGE = (5.0, 9.0)
 """Shortest and longest duration of an extra fault, in seconds."""
 
@@ -25,6 +24,10 @@
 CRASHING_RETRY_INTERVALS = (0.02, 0.4, 1.2, 2.5)
 """Intervals at which a request that crashes targets is repeated, in seconds."""
 
+ENTRY_ACTIONS = "kill stop freeze reload".split()
+LINK_ACTIONS = "delay stall lose_to lose_from cut freeze half_open lose_answers".split()
+TARGET_ACTIONS = "crash leave leave drain grey mute full".split()
+CONFIGURATION_ACTIONS = "add_route drop_route add_key drop_key".split()
 
 PART_INTERVALS = (0.25, 0.6, 1.3)
 """Intervals between requests with a part that crashes engines, in seconds."""
@@ -67,6 +70,9 @@
 SIGNALS_TO_CROWDS = (*SIGNALS_TO_VERSIONS, Extra.PARTS, Extra.CROWDS)
 """Extras of the seeds that were recorded before the store came back from copies."""
 
+SIGNALS_TO_ENDLESS = (*SIGNALS_TO_CROWDS, Extra.ERAS, Extra.ENDLESS)
+"""Extras of the seeds that were recorded last."""
+
 ALL_EXTRAS = tuple(Extra)
 
 
@@ -76,20 +82,15 @@
 
     Attributes:
         action: ``kill``, ``stop``, ``freeze`` or ``reload``.
-        entry: Number of the entry.
+        entry: Number of the entry; None for all at once.
         seconds: Duration of a freeze.
     """
 
     action: str
-    entry: int
+    entry: int | None
     seconds: float
 
 
-@dataclass(frozen=True, slots=True)
-class AllEntriesKilled:
-    """Fault that kills all entries at once; they are restarted."""
-
-
 @dataclass(frozen=True, slots=True)
 class LinkFault:
     """Fault of a network link.
@@ -158,17 +159,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RateSignal:
-    """Signal of a target that names its rate limit in all its answers.
+class TargetBehavior:
+    """Unusual answers of a target that lives on.
 
     Attributes:
+        kind: ``RATE`` (all answers name a rate limit), ``PAUSE`` (requests are rejected
+            with Retry-After), ``BROKEN`` (half of the answers break off) or
+            ``ENDLESS`` (half of the answers never end).
         number: Number of the target, taken modulo the number of targets.
-        rate: Rate limit in requests per second.
-        seconds: Time for which the target names it.
+        value: Rate limit in requests per second, or Retry-After in seconds; else 0.
+        seconds: Duration.
     """
 
+    kind: Extra
     number: int
-    rate: float
+    value: float
     seconds: float
 
 
@@ -187,21 +192,6 @@
     seconds: float
 
 
-@dataclass(frozen=True, slots=True)
-class PauseSignal:
-    """Signal of a target that rejects requests with Retry-After.
-
-    Attributes:
-        number: Number of the target, taken modulo the number of targets.
-        pause: Value of Retry-After in seconds.
-        seconds: Time for which the target rejects requests.
-    """
-
-    number: int
-    pause: float
-    seconds: float
-
-
 @dataclass(frozen=True, slots=True)
 class CrashingRequests:
     """Caller that repeats a request that crashes each target that runs it.
@@ -243,32 +233,6 @@
     seconds: float
 
 
-@dataclass(frozen=True, slots=True)
-class BrokenAnswers:
-    """Fault of a target that breaks off half of its answers and lives on.
-
-    Attributes:
-        number: Number of the target, taken modulo the number of targets.
-        seconds: Time for which the target breaks answers off.
-    """
-
-    number: int
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class EndlessAnswers:
-    """Fault of a target half of whose answers never end.
-
-    Attributes:
-        number: Number of the target, taken modulo the number of targets.
-        seconds: Duration.
-    """
-
-    number: int
-    seconds: float
-
-
 @dataclass(frozen=True, slots=True)
 class EntryCut:
     """Fault that cuts an entry off from all targets; others still reach them.
@@ -311,19 +275,15 @@
 
 Fault = (
     EntryFault
-    | AllEntriesKilled
     | LinkFault
     | StoreFault
     | StoreReturn
     | TargetFault
-    | RateSignal
+    | TargetBehavior
     | LeavingSignal
-    | PauseSignal
     | CrashingRequests
     | CrashingPart
     | Crowd
-    | BrokenAnswers
-    | EndlessAnswers
     | EntryCut
     | Release
     | ConfigurationChange
@@ -381,18 +341,20 @@
         number = rng.randrange(100)
         match extra:
             case Extra.RATE:
-                fault: Fault = RateSignal(number, rng.choice(RATES), duration)
+                rate = rng.choice(RATES)
+                fault: Fault = TargetBehavior(extra, number, rate, duration)
             case Extra.LEAVING:
                 fault = LeavingSignal(number, duration)
             case Extra.PAUSE:
-                fault = PauseSignal(number, rng.choice(RETRY_AFTERS), duration)
+                pause = rng.choice(RETRY_AFTERS)
+                fault = TargetBehavior(extra, number, pause, duration)
             case Extra.CRASHES:
                 stream = rng.random() < 0.4
                 fault = CrashingRequests(
                     stream, rng.choice(CRASHING_RETRY_INTERVALS), duration
                 )
-            case Extra.BROKEN:
-                fault = BrokenAnswers(number, duration)
+            case Extra.BROKEN | Extra.ENDLESS:
+                fault = TargetBehavior(extra, number, 0.0, duration)
             case Extra.CUTS:
                 fault = EntryCut(number, rng.choice(list(CutKind)), duration)
             case Extra.VERSIONS:
@@ -404,8 +366,6 @@
             case Extra.ERAS:
                 away, pause = rng.uniform(0.2, 1.0), rng.uniform(0.0, 2.0)
                 fault = StoreReturn(1 + number % 6, away, pause)
-            case Extra.ENDLESS:
-                fault = EndlessAnswers(number, duration)
         steps.append(Step(rng.uniform(FIRST_FAULT_DELAY, seconds / 2), fault))
     return steps
 
@@ -414,32 +374,17 @@
     duration = round(rng.uniform(*FAULT_DURATION_RANGE), 2)
     draw = rng.random()
     if draw < 0.22:
-        action = rng.choice(["kill", "stop", "freeze", "reload"])
+        action = rng.choice(ENTRY_ACTIONS)
         return EntryFault(action, rng.randrange(entries), duration)
     if draw < 0.25:
-        return AllEntriesKilled()
+        return EntryFault("kill", None, duration)
     if draw < 0.50:
-        action = rng.choice(
-            [
-                "delay",
-                "stall",
-                "lose_to",
-                "lose_from",
-                "cut",
-                "freeze",
-                "half_open",
-                "lose_answers",
-            ]
-        )
+        action = rng.choice(LINK_ACTIONS)
         link = rng.choice(["store", "caller", "target", "target"])
         return LinkFault(action, link, rng.randrange(100), duration)
     if draw < 0.58:
         return StoreFault(rng.choice(["away", "forget"]), duration)
     if draw < 0.85:
-        action = rng.choice(
-            ["crash", "leave", "leave", "drain", "grey", "mute", "full"]
-        )
+        action = rng.choice(TARGET_ACTIONS)
         return TargetFault(action, rng.randrange(100), duration)
-    return ConfigurationChange(
-        rng.choice(["add_route", "drop_route", "add_key", "drop_key"])
-    )
+    return ConfigurationChange(rng.choice(CONFIGURATION_ACTIONS))
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -4,6 +4,8 @@
 """
 
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -248,6 +250,17 @@
         self.disturbances.append(found)
         return found
 
+    @contextmanager
+    def disturb(
+        self, name: str, entry: int | None = None, target: str = ""
+    ) -> Iterator[Disturbance]:
+        """Record a fault that lasts as long as the block."""
+        found = self.begin_disturbance(name, entry, target)
+        try:
+            yield found
+        finally:
+            found.end = read_clock()
+
     def is_undisturbed(
         self, entry: int, start: float, end: float, besides_cuts: bool = False
     ) -> bool:
@@ -255,35 +268,27 @@
 
         With ``besides_cuts``, cuts between the entry and all targets don't count.
         """
-        for one in self.disturbances:
-            if one.target or one.entry not in (None, entry):
-                continue
-            if besides_cuts and one in self.cuts:
-                continue
-            if one.overlaps(start, end):
-                return False
-        return True
+        return not any(
+            one.entry in (None, entry) and not (besides_cuts and one in self.cuts)
+            for one in self._list_overlapping(start, end)
+            if not one.target
+        )
 
     def is_entry_undisturbed(self, entry: int, start: float, end: float) -> bool:
         """Return whether no fault of an entry or its links overlaps a span.
 
         Faults that affect all entries, such as those of the store, do not count.
         """
-        for one in self.disturbances:
-            if one.target or one.entry != entry:
-                continue
-            if one.overlaps(start, end):
-                return False
-        return True
+        found = self._list_overlapping(start, end)
+        return not any(one.entry == entry and not one.target for one in found)
 
     def is_target_undisturbed(self, target: str, start: float, end: float) -> bool:
         """Return whether no fault of a target overlaps a span."""
-        for one in self.disturbances:
-            if one.target != target:
-                continue
-            if one.overlaps(start, end):
-                return False
-        return True
+        found = self._list_overlapping(start, end)
+        return not any(one.target == target for one in found)
+
+    def _list_overlapping(self, start: float, end: float) -> list[Disturbance]:
+        return [one for one in self.disturbances if one.overlaps(start, end)]
 
 
 def read_clock() -> float:
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -16,24 +16,21 @@
 from tests.faults.callers import EntryEndpoint, Traffic
 from tests.faults.links import EntryLinks
 from tests.faults.plans import (
-    AllEntriesKilled,
-    BrokenAnswers,
     ConfigurationChange,
     CrashingPart,
     CrashingRequests,
     Crowd,
-    EndlessAnswers,
     EntryCut,
     EntryFault,
+    Extra,
     Fault,
     LeavingSignal,
     LinkFault,
-    PauseSignal,
-    RateSignal,
     Release,
     Step,
     StoreFault,
     StoreReturn,
+    TargetBehavior,
     TargetFault,
 )
 from tests.faults.promises import RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW
@@ -389,41 +386,28 @@
     async def _apply_fault(self, fault: Fault) -> None:
         match fault:
             case EntryFault(action=action, entry=number, seconds=seconds):
-                await self._apply_entry_fault(action, self._hosts[number], seconds)
-            case AllEntriesKilled():
+                hosts = self._hosts if number is None else [self._hosts[number]]
                 await asyncio.gather(
-                    *(
-                        self._apply_entry_fault("kill", host, 0.0)
-                        for host in self._hosts
-                    )
+                    *(self._apply_entry_fault(action, one, seconds) for one in hosts)
                 )
             case LinkFault():
                 await self._apply_link_fault(fault)
             case StoreReturn():
                 await self._restore_store(fault)
-            case EndlessAnswers():
-                await self._send_endless(fault)
             case StoreFault(action=action, seconds=seconds):
                 await self._apply_store_fault(action, seconds)
             case TargetFault():
                 await self._apply_target_fault(fault)
-            case RateSignal():
-                await self._announce_rate(fault)
+            case TargetBehavior():
+                await self._change_behavior(fault)
             case LeavingSignal():
                 await self._announce_leaving(fault)
-            case PauseSignal():
-                target = self._targets[fault.number % len(self._targets)]
-                target.pauses.append(fault.pause)
-                await asyncio.sleep(fault.seconds)
-                target.pauses.remove(fault.pause)
             case CrashingRequests():
                 await self._send_crashing(fault)
             case CrashingPart():
                 await self._send_crashing_part(fault)
             case Crowd():
                 await self._crowd_entry(fault)
-            case BrokenAnswers():
-                await self._break_answers(fault)
             case EntryCut():
                 await self._cut_entry(fault)
             case Release():
@@ -432,13 +416,28 @@
                 self._change_configuration(action)
                 await self._configure()
 
-    async def _break_answers(self, fault: BrokenAnswers) -> None:
+    async def _change_behavior(self, fault: TargetBehavior) -> None:
         target = self._targets[fault.number % len(self._targets)]
-        span = self.record.begin_disturbance("break off", None, target.name)
-        target.breaks_off = True
-        await asyncio.sleep(fault.seconds)
-        target.breaks_off = False
-        span.end = read_clock()
+        match fault.kind:
+            case Extra.RATE:
+                span = NamedRate(target.name, fault.value, read_clock())
+                self.record.rates.append(span)
+                target.rates.append(fault.value)
+                await asyncio.sleep(fault.seconds)
+                target.rates.remove(fault.value)
+                span.end = read_clock()
+            case Extra.PAUSE:
+                target.pauses.append(fault.value)
+                await asyncio.sleep(fault.seconds)
+                target.pauses.remove(fault.value)
+            case kind:
+                await self._misbehave(target, kind.value, fault.seconds)
+
+    async def _misbehave(self, target: SoakTarget, fault: str, seconds: float) -> None:
+        with self.record.disturb(fault, None, target.name):
+            target.faults.append(fault)
+            await asyncio.sleep(seconds)
+            target.faults.remove(fault)
 
     async def _cut_entry(self, fault: EntryCut) -> None:
         host = self._hosts[fault.entry % len(self._hosts)]
@@ -468,7 +467,10 @@
     async def _apply_entry_fault(
         self, action: str, host: EntryHost, seconds: float
     ) -> None:
-        span = self.record.begin_disturbance(action, host.number)
+        with self.record.disturb(action, host.number):
+            await self._signal_entry(action, host, seconds)
+
+    async def _signal_entry(self, action: str, host: EntryHost, seconds: float) -> None:
         match action:
             case "kill" if host.stopping:
                 # The task that stops or restarts the entry handles the end.
@@ -491,7 +493,6 @@
                 if not host.starting:
                     # SIGHUP ends a process that has not installed its handlers yet.
                     host.send_signal(signal.SIGHUP)
-        span.end = read_clock()
 
     async def _stop_entry(self, host: EntryHost) -> None:
         assert host.process is not None
@@ -534,79 +535,44 @@
     async def _apply_link_fault(self, fault: LinkFault) -> None:
         if fault.link == "target":
             target = self._targets[fault.number % len(self._targets)]
-            proxy, span = (
-                target.proxy,
-                self.record.begin_disturbance(fault.action, None, target.name),
-            )
-        else:
-            host = self._hosts[fault.number % len(self._hosts)]
-            proxy = host.store if fault.link == "store" else host.front
-            span = self.record.begin_disturbance(
-                f"{fault.link} {fault.action}", host.number
-            )
-        if proxy is not None:
+            assert target.proxy is not None
+            with self.record.disturb(fault.action, None, target.name):
+                await _disturb_proxy(target.proxy, fault.action, fault.seconds)
+            return
+        host = self._hosts[fault.number % len(self._hosts)]
+        proxy = host.store if fault.link == "store" else host.front
+        with self.record.disturb(f"{fault.link} {fault.action}", host.number):
             await _disturb_proxy(proxy, fault.action, fault.seconds)
-        span.end = read_clock()
 
     async def _apply_store_fault(self, action: str, seconds: float) -> None:
-        span = self.record.begin_disturbance(f"store {action}")
-        if action == "away":
-            self._store.unavailable = True
-            await asyncio.sleep(seconds)
-            self._store.unavailable = False
-        else:
+        with self.record.disturb(f"store {action}"):
+            if action == "away":
+                self._store.unavailable = True
+                await asyncio.sleep(seconds)
+                self._store.unavailable = False
+                return
             for topic in TOPICS:
                 self._store.delete_all(topic)
-        span.end = read_clock()
 
     async def _restore_store(self, fault: StoreReturn) -> None:
-        span = self.record.begin_disturbance("store return")
-        await self._store.fail()
-        await asyncio.sleep(fault.away)
-        lost = {topic: await self._store.restore(fault.lost, topic) for topic in TOPICS}
-        self._store.unavailable = False
-        await asyncio.sleep(fault.pause)
-        for topic, records in lost.items():
-            await self._store.write_again(topic, records)
-        span.end = read_clock()
-
-    async def _send_endless(self, fault: EndlessAnswers) -> None:
-        target = self._targets[fault.number % len(self._targets)]
-        span = self.record.begin_disturbance("endless", None, target.name)
-        target.endless = True
-        await asyncio.sleep(fault.seconds)
-        target.endless = False
-        span.end = read_clock()
+        with self.record.disturb("store return"):
+            await self._store.fail()
+            await asyncio.sleep(fault.away)
+            lost = {}
+            for topic in TOPICS:
+                lost[topic] = await self._store.restore(fault.lost, topic)
+            self._store.unavailable = False
+            await asyncio.sleep(fault.pause)
+            for topic, records in lost.items():
+                await self._store.write_again(topic, records)
 
     async def _apply_target_fault(self, fault: TargetFault) -> None:
         target = self._choose_remaining(fault.number)
-        span = self.record.begin_disturbance(fault.action, None, target.name)
-        match fault.action:
-            case "crash" | "leave" | "drain":
-                await self._replace(target, fault.action)
-                return
-            case "grey":
-                target.failure_rate = 0.5
-            case "mute":
-                target.unresponsive = True
-            case "full":
-                target.rejects_calls = True
-        await asyncio.sleep(fault.seconds)
-        target.failure_rate, target.unresponsive, target.rejects_calls = (
-            0.0,
-            False,
-            False,
-        )
-        span.end = read_clock()
-
-    async def _announce_rate(self, fault: RateSignal) -> None:
-        target = self._targets[fault.number % len(self._targets)]
-        span = NamedRate(target.name, fault.rate, read_clock())
-        self.record.rates.append(span)
-        target.rates.append(fault.rate)
-        await asyncio.sleep(fault.seconds)
-        target.rates.remove(fault.rate)
-        span.end = read_clock()
+        if fault.action not in ("crash", "leave", "drain"):
+            await self._misbehave(target, fault.action, fault.seconds)
+            return
+        self.record.begin_disturbance(fault.action, None, target.name)
+        await self._replace(target, fault.action)
 
     async def _send_crashing(self, fault: CrashingRequests) -> None:
         assert self._traffic is not None
@@ -643,7 +609,7 @@
     def _crash(self, target: SoakTarget) -> None:
         self.record.begin_disturbance("crash", None, target.name)
         if target.name in self.record.departures:
-            self._start_task(target.kill())
+            self._start_task(self._kill(target))
             return
         # A second request may crash the target before the task below runs.
         self.record.departures[target.name] = float("inf")
@@ -657,13 +623,12 @@
             if one.service == "engines" and one.name not in departing
         ]
         target = engines[fault.number % len(engines)]
-        span = self.record.begin_disturbance("release", None, target.name)
-        if fault.same_id:
-            other = VERSIONS[target.version == VERSIONS[0]]
-            await target.restart(self._store, other)
-        else:
-            await self._replace(target, "drain")
-        span.end = read_clock()
+        with self.record.disturb("release", None, target.name):
+            if fault.same_id:
+                other = VERSIONS[target.version == VERSIONS[0]]
+                await target.restart(self._store, other)
+            else:
+                await self._replace(target, "drain")
 
     def _choose_remaining(self, number: int) -> SoakTarget:
         departing = self.record.departures | self.record.leaving_since
@@ -686,7 +651,7 @@
         if target.name not in self.record.leaving_since:
             await self._add_target(target.service)
         if action == "crash":
-            await target.kill()
+            await self._kill(target)
             await asyncio.sleep(1.0)
             await self._store.put("keyed.servers", target.name, b"")
         elif action == "drain":
@@ -696,9 +661,14 @@
         self.record.departures[target.name] = read_clock()
         if action != "crash":
             await asyncio.sleep(SERVE_AFTER_NOTICE_SECONDS)
-            await target.kill()
+            await self._kill(target)
         self._targets.remove(target)
 
+    async def _kill(self, target: SoakTarget) -> None:
+        await target.kill()
+        for host in self._hosts:
+            await host.links.end(target)
+
     def _change_configuration(self, action: str) -> None:
         match action:
             case "add_route":
--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -45,11 +45,10 @@
         targets_by_address: All targets, by their registered addresses.
         crash: Called with this target when a request crashes it; ends the target
             with all its runs.
-        failure_rate: Share of the calls that are answered with status 500.
-        breaks_off: Whether it breaks off half of its answers.
-        unresponsive: Whether the target runs requests without answering.
-        rejects_calls: Whether the target rejects requests as not run. Requests that
-            resume from a copy are accepted.
+        faults: What is wrong with it: ``grey`` (half of its calls are answered with
+            status 500), ``mute`` (it runs requests without answering), ``full`` (it
+            rejects requests as not run unless they resume from a copy), ``broken``
+            (half of its answers break off) or ``endless`` (half of them never end).
         rates: Rate limits of the active signals; answers name the lowest.
         pauses: Values of Retry-After of the active signals, in seconds. While there
             are any, requests are rejected with the longest; requests that resume
@@ -58,8 +57,8 @@
         running: Open run, by request.
         proxy: Proxy before the target; None before the start.
         runner: HTTP server of the target; None before the start.
-        endless: Whether half of its answers go on without end.
         version: Version of its software.
+        ended: Whether it was killed.
         born: Number of its incarnation, which it registers as its start.
     """
 
@@ -69,11 +68,7 @@
     rng: random.Random
     targets_by_address: dict[str, "SoakTarget"]
     crash: Callable[["SoakTarget"], None]
-    failure_rate: float = 0.0
-    breaks_off: bool = False
-    endless: bool = False
-    unresponsive: bool = False
-    rejects_calls: bool = False
+    faults: list[str] = field(default_factory=list)
     rates: list[float] = field(default_factory=list)
     pauses: list[float] = field(default_factory=list)
     copies: dict[str, str] = field(default_factory=dict)
@@ -81,6 +76,7 @@
     proxy: TcpProxy | None = None
     runner: web.AppRunner | None = None
     version: str = "v1"
+    ended: bool = False
     born: int = 1
 
     @property
@@ -120,6 +116,7 @@
 
     async def kill(self) -> None:
         """Close all connections and end all runs."""
+        self.ended = True
         if self.proxy is not None:
             await self.proxy.stop()
         if self.runner is not None:
@@ -143,9 +140,9 @@
             pause = max(self.pauses)
             self.record.pauses.append((read_clock(), self.name, request_id, pause))
             return self._refuse(request_id, pause)
-        if self.rejects_calls and copy is None:
+        if "full" in self.faults and copy is None:
             return self._refuse(request_id)
-        if self.endless and zlib.crc32(request_id.encode()) % 2:
+        if "endless" in self.faults and zlib.crc32(request_id.encode()) % 2:
             return await self._send_endless(request)
         run = self._begin_run(request, copy)
         try:
@@ -154,7 +151,7 @@
                 await asyncio.sleep(CRASH_DELAY)
                 run.crashed = True
                 self.crash(self)
-            if self.unresponsive or run.crashed:
+            if "mute" in self.faults or run.crashed:
                 await asyncio.sleep(60)
             if "Token-Count" in request.headers:
                 return await self._stream(request, run)
@@ -217,7 +214,7 @@
         self, request: web.Request, run: Run, body: bytes
     ) -> web.StreamResponse:
         await asyncio.sleep(MIN_CALL_SECONDS * (1 + self.rng.random()))
-        if self.rng.random() < self.failure_rate:
+        if self.rng.random() < 0.5 and "grey" in self.faults:
             run.status = 500
         run.body = f"{run.request} at {self.name} of {len(body)}".encode()
         answer = self._open_answer(request, run, len(run.body), run.status)
@@ -240,7 +237,8 @@
 
     def _breaks_off(self, run: Run) -> bool:
         # The choice needs no random number, which would change those of other runs.
-        run.broken_off = self.breaks_off and zlib.crc32(run.request.encode()) % 2 == 0
+        is_chosen = zlib.crc32(run.request.encode()) % 2 == 0
+        run.broken_off = is_chosen and "broken" in self.faults
         return run.broken_off
 
     async def _stream(self, request: web.Request, run: Run) -> web.StreamResponse:
--- a/tests/faults/test_links.py
+++ b/tests/faults/test_links.py
@@ -54,8 +54,8 @@
 async def test_a_target_that_ended_is_refused_also_after_a_cut() -> None:
     """Guards against targets that are taken for running as their link still accepts."""
     links, target, host, port = await open_links()
-    await links.end(target)
     await target.kill()
+    await links.end(target)
     for kind in CutKind:
         with pytest.raises(ConnectionRefusedError):
             await asyncio.open_connection(host, port)
@@ -64,3 +64,16 @@
     with pytest.raises(ConnectionRefusedError):
         await asyncio.open_connection(host, port)
     await links.stop()
+
+
+async def test_a_target_that_ends_in_a_cut_is_refused_after_it() -> None:
+    """Guards against a link that accepts for a target which ended while it was cut."""
+    for kind in CutKind:
+        links, target, host, port = await open_links()
+        await links.cut(kind)
+        await target.kill()
+        await links.end(target)
+        await links.heal()
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(host, port)
+        await links.stop()
