Move fair queueing of customers to a module of its own

The queue of the own interface held the finish tags and the virtual time of customers itself, so the gateway could not use the same decision. `core/fairness.py` now holds them, and `core/queues.py` keeps only the order of a customer's own requests.

--- a/figstep/core/queues.py
+++ b/figstep/core/queues.py
@@ -2,7 +2,7 @@
 
 There is one queue per pool (a model or a plain service), so that a pool without free
 capacity does not block the others. Within a pool, requests are ordered by priority,
-then by customer (start-time fair queueing: the customer with the least work for its
+then by customer (`figstep.core.fairness`: the customer with the least work for its
 share goes first), then by expected length. Waiting time offsets length, so that
 shorter requests do not overtake a long one of the same customer forever.
 """
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from figstep.core.clock import Millis
+from figstep.core.fairness import FairShares
 from figstep.core.specs import GenerationWork, RequestSpec
 
 AGING_MS_PER_TOKEN = 20.0
@@ -55,19 +56,13 @@
     """Queued requests of one customer at one priority of a pool.
 
     Attributes:
-        finish_tag: Virtual time at which the last started work of the customer ends,
-            in tokens divided by the share.
         cost: Expected work of the queued requests, in tokens.
-        in_heap: Whether the customer is in the heap of its priority level.
         heap: Requests as (sort key, sequence number, request id); it may still hold
             requests that were removed.
     """
 
-    finish_tag: float = 0.0
-    share: float = 1.0
     cost: float = 0.0
     count: int = 0
-    in_heap: bool = False
     heap: list[tuple[float, int, str]] = field(default_factory=list)
 
 
@@ -76,18 +71,13 @@
     """Customers that have or had requests of one priority of a pool.
 
     Attributes:
-        clock: Virtual time of the level: the highest start tag of started work.
-        shares: Sum of the shares of the customers with queued requests.
+        turns: Turns of the customers; work is in tokens.
         customers: Queues by customer; a single one under "" if customers do not take
             turns.
-        customer_heap: Customers as (finish tag, key in ``customers``), the smallest
-            tag first; a tag may be lower than the customer's current one.
     """
 
-    clock: float = 0.0
-    shares: float = 0.0
+    turns: FairShares = field(default_factory=FairShares)
     customers: dict[str, CustomerQueue] = field(default_factory=dict)
-    customer_heap: list[tuple[float, str]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -201,7 +191,9 @@
         pool.count += 1
         pool.cost += cost
         level = pool.levels.setdefault(spec.priority, PriorityLevel())
-        customer = self._find_customer(level, queued)
+        name = self._get_customer_key(spec)
+        level.turns.join(name, share)
+        customer = level.customers.setdefault(name, CustomerQueue())
         self._number += 1
         key = (
             since + AGING_MS_PER_TOKEN * cost
@@ -211,18 +203,6 @@
         heapq.heappush(customer.heap, (key, self._number, spec.request))
         customer.count += 1
         customer.cost += cost
-        if customer.count > 1:
-            return
-        # A customer that was idle continues at the current virtual time. With its
-        # old tag it could use the whole pool for as long as it was idle.
-        customer.finish_tag = max(customer.finish_tag, level.clock)
-        level.shares += share
-        if customer.in_heap:
-            return
-        customer.in_heap = True
-        heapq.heappush(
-            level.customer_heap, (customer.finish_tag, self._get_customer_key(spec))
-        )
 
     def remove(self, request: str) -> None:
         """Remove a request from the queue, if it is there."""
@@ -233,13 +213,14 @@
         pool.count -= 1
         pool.cost -= queued.cost
         level = pool.levels[queued.spec.priority]
-        customer = level.customers[self._get_customer_key(queued.spec)]
+        name = self._get_customer_key(queued.spec)
+        level.turns.leave(name)
+        customer = level.customers[name]
         customer.count -= 1
         customer.cost -= queued.cost
         if customer.count == 0:
             customer.cost = 0.0
             customer.heap.clear()
-            level.shares -= customer.share
 
     def peek(self, pool_name: str) -> RequestSpec | None:
         """Return the next request of a pool, or None if it has none."""
@@ -260,9 +241,7 @@
         pool = self._find_pool(spec)
         pool.rate.add(cost, now)
         level = pool.levels.setdefault(spec.priority, PriorityLevel())
-        customer = self._find_customer(level, QueuedRequest(spec, cost, share, now))
-        level.clock = max(level.clock, customer.finish_tag)
-        customer.finish_tag = level.clock + cost / share
+        level.turns.charge(self._get_customer_key(spec), cost, share)
 
     def predict_wait(
         self, spec: RequestSpec, cost: float, share: float, now: Millis
@@ -289,7 +268,7 @@
         if self.fair and level is not None:
             customer = level.customers.get(spec.customer)
             own = customer.cost if customer is not None else 0.0
-            shares = level.shares
+            shares = level.turns.shares
             if customer is None or customer.count == 0:
                 shares += share
             ahead = min(ahead, own * shares / share)
@@ -320,30 +299,9 @@
     def _get_customer_key(self, spec: RequestSpec) -> str:
         return spec.customer if self.fair else ""
 
-    def _find_customer(
-        self, level: PriorityLevel, queued: QueuedRequest
-    ) -> CustomerQueue:
-        name = self._get_customer_key(queued.spec)
-        customer = level.customers.get(name)
-        if customer is None:
-            customer = level.customers[name] = CustomerQueue(share=queued.share)
-        if customer.count == 0:
-            customer.share = queued.share
-        return customer
-
     def _peek_level(self, level: PriorityLevel) -> RequestSpec | None:
-        while level.customer_heap:
-            finish_tag, name = level.customer_heap[0]
-            customer = level.customers[name]
-            if customer.count == 0:
-                customer.in_heap = False
-                heapq.heappop(level.customer_heap)
-                continue
-            if finish_tag < customer.finish_tag:
-                heapq.heapreplace(level.customer_heap, (customer.finish_tag, name))
-                continue
-            return self._peek_customer(customer)
-        return None
+        name = level.turns.peek()
+        return None if name is None else self._peek_customer(level.customers[name])
 
     def _peek_customer(self, customer: CustomerQueue) -> RequestSpec | None:
         while customer.heap:
