Give customers weighted turns in the gateway's queue

Requests that waited for capacity started by arrival, so a customer that sent half of the requests also got half of the starts, and its waiting requests used up the limit on the queue for all others. With `State.fleet_admission`, `gateway/waiting.py` orders requests of equal urgency by their customer's virtual time, counts ahead of a request only what starts before it in that order, and lets a request of a customer with a shorter queue displace the last one of the longest. A request that arrives no longer takes room ahead of one that waits before it.

--- a/figstep/core/fairness.py
+++ b/figstep/core/fairness.py
@@ -101,13 +101,21 @@
         account = self.accounts.get(customer)
         return 0 if account is None else account.waiting
 
-    def count_ahead(self, customer: str, share: float = 1.0) -> float:
-        """Return how many waiting requests go before a customer's next one.
+    def count_ahead(
+        self, customer: str, share: float = 1.0, excluded: int = 0
+    ) -> float:
+        """Return how many waiting requests go before a customer's last one.
 
         These are the customer's own, and of each other customer as many as its share
         lets it start in the same time.
+
+        Args:
+            customer: Name of the customer.
+            share: Its share.
+            excluded: Number of its waiting requests that don't count; 1 if the last
+                one waits already.
         """
-        own = self.count_waiting(customer)
+        own = self.count_waiting(customer) - excluded
         turns = (own + 1) / share
         ahead = float(own)
         for name, account in self.accounts.items():
--- a/figstep/gateway/admission.py
+++ b/figstep/gateway/admission.py
@@ -6,7 +6,7 @@
 """
 
 from figstep.core.clock import Millis
-from figstep.gateway import placement
+from figstep.gateway import placement, waiting
 from figstep.gateway.state import Request, State
 
 WAIT_OBJECTIVE_FRACTION = 1.5
@@ -95,16 +95,7 @@
     if now >= limit or not placement.can_send_before(state, request, now, limit):
         return False
     started = _count_starts(state, request.service, now, Millis(limit - now))
-    return _count_ahead(state, request) < max(MIN_QUEUE_LIMIT, started)
-
-
-def _count_ahead(state: State, request: Request) -> int:
-    ahead = 0
-    for number in state.queue:
-        other = state.requests[number]
-        if other.service == request.service and other.priority <= request.priority:
-            ahead += 1
-    return ahead
+    return waiting.count_ahead(state, request) < max(MIN_QUEUE_LIMIT, started)
 
 
 def record_start(state: State, request: Request, now: Millis) -> None:
@@ -131,7 +122,7 @@
     state.refused_at[request.service] = now
     returns = state.scheduled_returns.setdefault(request.service, [])
     returns[:] = [at for at in returns if at > now]
-    behind = 1 + len(returns) + _count_ahead(state, request)
+    behind = 1 + len(returns) + waiting.count_ahead(state, request)
     pause = max(MIN_RETRY_AFTER, min(MAX_RETRY_AFTER, behind * interval))
     latest = (request.deadline - now) // RETRY_AFTER_DIVISOR
     pause = max(MIN_RETRY_AFTER, min(pause, latest))
--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -1,7 +1,7 @@
 """Opens and closes attempts, and accounts for their load at targets."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import crashes, limits, placement, warmups
+from figstep.gateway import crashes, limits, placement, waiting, warmups
 from figstep.gateway.effects import (
     AnnounceTarget,
     CloseAttempt,
@@ -206,9 +206,7 @@
     effects += close_attempt(state, request.standby, now)
     state.requests.pop(request.spec.number, None)
     release_copy(request)
-    if request.queued:
-        state.queue.remove(request.spec.number)
-        request.queued = False
+    waiting.leave(state, request)
     copy = request.copy
     if copy is not None and copy.owner != copy.holder:
         # A copy made on order would hold memory for seconds; a running backup ends with
--- a/figstep/gateway/measures.py
+++ b/figstep/gateway/measures.py
@@ -12,6 +12,9 @@
     "broken": ("route", "reason"),
     "lost": ("route", "loss"),
     "failed_events": ("event",),
+    "customer_queued": ("customer",),
+    "customer_displaced": ("customer",),
+    "customer_refused": ("customer",),
 }
 
 
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -13,6 +13,7 @@
     origins,
     placement,
     relays,
+    waiting,
 )
 from figstep.gateway.effects import (
     Answer,
@@ -31,6 +32,7 @@
 )
 from figstep.gateway.routes import Customer, Route, RouteKind
 from figstep.gateway.state import Attempt, Origin, Request, State
+from figstep.gateway.targets import Target
 
 SHUTDOWN_RETRY_AFTER = Millis(50)
 """Retry-After in milliseconds of a refusal by an entry that shuts down.
@@ -158,6 +160,7 @@
         lost_runs=spec.lost_runs,
         may_have_run=spec.lost_runs > 0,
         allowed_regions=eligibility.find_allowed_regions(route, customer),
+        weight=1.0 if customer is None else customer.weight,
     )
 
 
@@ -186,10 +189,40 @@
     if eligibility.reaches_none(state, request):
         relayed = relays.relay_request(state, request, now)
         return relayed or refuse_request(state, request, "cut_off", now)
+    effects = _start_preceding(state, request, now)
     target = placement.choose_target(state, request, now)
     if target is not None:
-        admission.record_start(state, request, now)
-        return attempts.start_attempt(state, request, target, now)
+        return [*effects, *_start_request(state, request, target, now)]
+    return [*effects, *_place_without_room(state, request, now)]
+
+
+def _start_preceding(state: State, request: Request, now: Millis) -> list[Effect]:
+    """Start the request that waits ahead of an arriving one, if a target has room.
+
+    Otherwise the arriving one would take the room, whoever's turn it is.
+    """
+    for other in waiting.list_preceding(state, request, now):
+        if culprits.is_refused(state, other, now) or culprits.must_wait(
+            state, other, now
+        ):
+            continue
+        target = placement.choose_target(state, other, now)
+        if target is None:
+            return []
+        return _start_request(state, other, target, now)
+    return []
+
+
+def _start_request(
+    state: State, request: Request, target: Target, now: Millis
+) -> list[Effect]:
+    waiting.leave(state, request)
+    waiting.charge(state, request)
+    admission.record_start(state, request, now)
+    return attempts.start_attempt(state, request, target, now)
+
+
+def _place_without_room(state: State, request: Request, now: Millis) -> list[Effect]:
     if not placement.has_untried_target(state, request):
         reason = eligibility.explain_no_target(state, request)
         return refuse_request(state, request, reason, now)
@@ -208,21 +241,39 @@
         return refuse_request(state, request, "no_room", now)
     if not admission.can_wait(state, request, now):
         return refuse_request(state, request, "no_room_in_time", now)
-    return _queue_request(state, request)
+    waiting.join(state, request)
+    effects: list[Effect] = [Count("queued", (request.route.name,))]
+    if state.fleet_admission:
+        effects.append(Count("customer_queued", (request.customer,)))
+    return [*effects, *_displace_last(state, request, now)]
 
 
-def _queue_request(state: State, request: Request) -> list[Effect]:
-    request.queued = True
-    state.queue.append(request.spec.number)
-    return [Count("queued", (request.route.name,))]
+def _displace_last(state: State, request: Request, now: Millis) -> list[Effect]:
+    """Refuse the request that can't start in time as another customer's goes first."""
+    last = waiting.find_last(state, request)
+    if last is None or admission.can_wait(state, last, now):
+        return []
+    note = Note(
+        "waiting request displaced by another customer's",
+        {
+            "request": last.spec.id,
+            "customer": last.customer,
+            "by": request.customer,
+            "customer_waiting": waiting.count_customer(state, last),
+            "customers": waiting.describe_customers(state, last.service),
+        },
+    )
+    return [
+        note,
+        Count("customer_displaced", (last.customer,)),
+        *refuse_request(state, last, "no_room_in_time", now),
+    ]
 
 
 def start_queued(state: State, now: Millis) -> list[Effect]:
     """Start queued requests that now fit.
 
-    The most urgent are considered first, among these the ones that take up a stream and
-    can go on at few targets, then the ones that can still meet their objective, and
-    then the oldest.
+    `waiting.list_in_order` gives the order.
 
     At most one request of a service and origin starts in a call, so that other entries
     learn of it before they start theirs: when an engine joins, all entries have
@@ -233,10 +284,9 @@
     if not state.queue:
         return []
     effects: list[Effect] = []
-    waiting = [state.requests[number] for number in state.queue]
-    waiting.sort(key=lambda request: _rank(request, now))
+    queued = waiting.list_in_order(state, now)
     considered: set[tuple[str, Origin | None]] = set()
-    for request in waiting:
+    for request in queued:
         if culprits.is_refused(state, request, now):
             effects += refuse_request(state, request, "crashes_targets", now)
             continue
@@ -250,10 +300,8 @@
             # It blocks the requests behind it: if smaller ones overtook it, a large
             # request would never find free memory under load.
             continue
-        _leave_queue(state, request)
-        admission.record_start(state, request, now)
-        effects += attempts.start_attempt(state, request, target, now)
-    for request in waiting:
+        effects += _start_request(state, request, target, now)
+    for request in queued:
         if request.queued and not eligibility.list_eligible(state, request):
             reason = eligibility.explain_no_target(state, request)
             if reason != "no_room":
@@ -266,7 +314,7 @@
 
 def restart_queued(state: State, request: Request, now: Millis) -> list[Effect]:
     """Take a request out of the queue and place it anew."""
-    _leave_queue(state, request)
+    waiting.leave(state, request)
     return place_request(state, request, now)
 
 
@@ -276,17 +324,6 @@
     request.unreached += 1
 
 
-def _rank(request: Request, now: Millis) -> tuple[int, bool, bool, int]:
-    is_new = request.origin is None
-    late = placement.is_late(request, now)
-    return request.priority, is_new, late, request.arrived
-
-
-def _leave_queue(state: State, request: Request) -> None:
-    request.queued = False
-    state.queue.remove(request.spec.number)
-
-
 def finish_answer(state: State, event: AnswerArrived, now: Millis) -> list[Effect]:
     """Pass a target's complete answer to the caller unchanged.
 
@@ -355,6 +392,8 @@
     problem = Problem(
         status, reason, _DETAILS.get(reason, _LOST_DETAIL), ran, retry_after
     )
+    if state.fleet_admission:
+        effects.append(Count("customer_refused", (request.customer,)))
     return [
         *effects,
         Refuse(request.spec.number, problem),
@@ -375,16 +414,18 @@
 
 
 def _describe_refusal(state: State, request: Request, reason: str, now: Millis) -> Note:
-    return Note(
-        "generation refused",
-        {
-            "request": request.spec.id,
-            "reason": reason,
-            "waited_ms": now - request.arrived,
-            "waiting": len(state.queue),
-            "engines": placement.describe_obstacles(state, request, now),
-        },
-    )
+    fields: dict[str, str | int | float | None] = {
+        "request": request.spec.id,
+        "reason": reason,
+        "waited_ms": now - request.arrived,
+        "waiting": len(state.queue),
+        "engines": placement.describe_obstacles(state, request, now),
+    }
+    if state.fleet_admission:
+        fields["customer"] = request.customer
+        fields["customer_waiting"] = waiting.count_customer(state, request)
+        fields["customers"] = waiting.describe_customers(state, request.service)
+    return Note("generation refused", fields)
 
 
 def break_stream(
--- a/figstep/gateway/routes.py
+++ b/figstep/gateway/routes.py
@@ -137,11 +137,13 @@
         priority: Urgency that replaces the route's; None if the route's applies.
         allowed_regions: Regions that the customer's requests may be sent to; None for
             any.
+        weight: Share in capacity that other customers wait for as well; above 0.
     """
 
     name: str
     priority: int | None = None
     allowed_regions: frozenset[str] | None = None
+    weight: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -5,6 +5,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.crashes import CrashTable
+from figstep.core.fairness import FairShares
 from figstep.core.positions import NO_POSITION, Position
 from figstep.core.reach import Reach
 from figstep.gateway.budgets import RetryBudget, UseReport
@@ -214,6 +215,7 @@
             whether the part still crashes targets.
         relay_pause: Retry-After in milliseconds with which the last of them refused it;
             None if it named none.
+        weight: Share of its customer in capacity that others wait for as well.
     """
 
     spec: RoutedRequest
@@ -257,6 +259,7 @@
     tried_relays: set[str] = field(default_factory=set)
     relay_pause: Millis | None = None
     on_trial: bool = False
+    weight: float = 1.0
 
 
 @dataclass(slots=True)
@@ -404,6 +407,10 @@
             the address at which they accept requests of other entries.
         spent_relays: Until when entries are not asked that had no share left for a
             request of this one, by the same address.
+        fleet_admission: Whether demand of the whole fleet and shares of customers
+            decide which requests wait and start; otherwise arrival at this entry does.
+        customer_shares: Work and waiting requests of customers, by service and
+            priority.
     """
 
     node: str
@@ -450,6 +457,8 @@
     past_versions: dict[tuple[str, str], Millis] = field(default_factory=dict)
     announced_since: dict[str, Millis] = field(default_factory=dict)
     was_told_versions: bool = False
+    fleet_admission: bool = False
+    customer_shares: dict[tuple[str, int], FairShares] = field(default_factory=dict)
 
     @property
     def is_large(self) -> bool:
