--- a/figstep/gateway/waiting.py
+++ b/figstep/gateway/waiting.py
@@ -75,7 +75,7 @@
         for other in list_in_order(state, now)
         if other.service == request.service
         and other.origin == request.origin
-        and _rank(state, other, now) < rank
+        and _rank(state, other, now) <= rank
     ]
 
 
