Displace only requests of a customer with a longer queue

A request that joined the queue could displace the only waiting request of another customer, which had arrived earlier, when its remaining wait had become short. Only a customer with more waiting requests for its weight than the newcomer's now makes room.

--- a/figstep/core/fairness.py
+++ b/figstep/core/fairness.py
@@ -123,10 +123,15 @@
                 ahead += min(account.waiting, turns * account.share)
         return ahead
 
-    def find_longest(self) -> str | None:
-        """Return the customer with most waiting requests for its share, or None."""
-        waiting = [name for name, account in self.accounts.items() if account.waiting]
-        return max(waiting, key=self._measure_backlog, default=None)
+    def find_longest(self, customer: str) -> str | None:
+        """Return the customer with most waiting requests for its share.
+
+        It is None if ``customer``, which waits, has no fewer for its own share.
+        """
+        longest = max(self.accounts, key=self._measure_backlog)
+        if self._measure_backlog(longest) <= self._measure_backlog(customer):
+            return None
+        return longest
 
     def remove_idle(self) -> None:
         """Remove the accounts that would continue at the current virtual time.
--- a/figstep/gateway/waiting.py
+++ b/figstep/gateway/waiting.py
@@ -102,12 +102,12 @@
     """Return the request that may have to make room for one that joined the queue.
 
     It is the last one of the customer with most waiting requests for its weight, if
-    that is another customer. A stream that is taken up makes no room.
+    it has more than the request's own. A stream that is taken up makes no room.
     """
     if not state.fleet_admission:
         return None
-    customer = _find_shares(state, request).find_longest()
-    if customer is None or customer == request.customer:
+    customer = _find_shares(state, request).find_longest(request.customer)
+    if customer is None:
         return None
     for number in reversed(state.queue):
         other = state.requests[number]
