Place generations by the time until they end, where settings ask for it

Engines of one pool differ in speed by a factor of 2.4, but only the rate at which they read prompts was known, bounded below that of the fastest. Entries now measure the pace at which engines generate, send it with their loads, and choose the engine at which a run and those beside it lose least time.

--- a/figstep/gateway/domains.py
+++ b/figstep/gateway/domains.py
@@ -175,6 +175,8 @@
     outgoing: int = 0
     rates: float = 0.0
     rated: int = 0
+    paces: float = 0.0
+    paced: int = 0
 
     def add(self, load: PeerLoad) -> None:
         self.calls += load.calls
@@ -185,9 +187,13 @@
         if load.read_rate is not None:
             self.rates += load.read_rate
             self.rated += 1
+        if load.pace is not None:
+            self.paces += load.pace
+            self.paced += 1
 
     def read(self, target: str) -> PeerLoad:
         rate = self.rates / self.rated if self.rated else None
+        pace = self.paces / self.paced if self.paced else None
         return PeerLoad(
             target,
             self.calls,
@@ -196,4 +202,5 @@
             rate,
             self.incoming,
             self.outgoing,
+            pace,
         )
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -338,6 +338,8 @@
             a measurement.
         incoming: Tokens of runs that are being copied to the target.
         outgoing: Tokens of runs that are being copied from the target.
+        pace: Milliseconds in which the target generates a token of one run, measured
+            or averaged as the read rate; None without a measurement.
     """
 
     target: str
@@ -347,6 +349,7 @@
     read_rate: float | None = None
     incoming: int = 0
     outgoing: int = 0
+    pace: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -194,6 +194,8 @@
         target.peer_reading = 0
         target.peer_rate_sum = 0.0
         target.peer_rate_count = 0
+        target.peer_pace_sum = 0.0
+        target.peer_pace_count = 0
         target.peer_incoming = 0
         target.peer_outgoing = 0
     reported: list[Iterable[PeerLoad]] = []
@@ -216,13 +218,18 @@
     if load.read_rate is not None:
         target.peer_rate_sum += sign * load.read_rate
         target.peer_rate_count += sign
+    if load.pace is not None:
+        target.peer_pace_sum += sign * load.pace
+        target.peer_pace_count += sign
 
 
 def list_loads(state: State) -> tuple[PeerLoad, ...]:
     """Return this entry's loads, one for each target with any load or read rate."""
     loads = []
     for target in state.targets.targets.values():
-        if not (target.calls or target.memory or target.own_read_rate):
+        if not (
+            target.calls or target.memory or target.own_read_rate or target.own_pace
+        ):
             continue
         loads.append(
             PeerLoad(
@@ -233,6 +240,7 @@
                 target.own_read_rate,
                 target.incoming,
                 target.outgoing,
+                target.own_pace,
             )
         )
     return tuple(loads)
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from figstep.core.clock import Millis
-from figstep.gateway import eligibility, limits, warmups
+from figstep.gateway import eligibility, limits, pace, warmups
 from figstep.gateway.routes import EnginePool
 from figstep.gateway.state import Request, State
 from figstep.gateway.targets import TYPICAL_READ_RATE, Target
@@ -198,6 +198,8 @@
     """
     prompt = request.spec.prompt
     output = 0 if prompt is None else prompt.expected_output
+    tokens = 0 if prompt is None else prompt.tokens
+    typical_pace = pace.find_typical_pace(state, request.service)
     best = None
     best_cost = 0.0
     for target in _list_candidates(state, request, now):
@@ -205,7 +207,10 @@
         if fit.obstacle is not None:
             continue
         cost = fit.reading + FULL_MEMORY_COST_MS * fit.filled
-        cost += OUTPUT_TOKEN_COST_MS * output * TYPICAL_READ_RATE / target.read_rate
+        if state.places_by_pace:
+            cost += pace.predict_delay(target, tokens, output, typical_pace)
+        else:
+            cost += OUTPUT_TOKEN_COST_MS * output * TYPICAL_READ_RATE / target.read_rate
         cost += FAILURE_COST_MS * max(0.0, target.failures - TOLERATED_FAILURE_FRACTION)
         if target.info.failure_domain != state.failure_domain:
             cost += LARGE_FLEET_REMOTE_COST_MS if state.is_large else REMOTE_COST_MS
@@ -287,7 +292,9 @@
 ) -> dict[str, str | int | float | None]:
     """Return log fields with the figures on which the choice of an engine rests."""
     fit = _fit_engine(state, request, target, now)
+    measured = {} if target.pace is None else {"pace_ms": round(target.pace, 1)}
     return {
+        **measured,
         "expected_ms": round(fit.reading),
         "filled": round(fit.filled, 2),
         "reading_ahead": target.reading_load,
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -144,6 +144,8 @@
         first_delivery_at: When its first event went to the caller, or None.
         relay: Entry that got the request in place of a target, or None. The target
             then stands for that entry, and is in no table.
+        sample_began_at: When the measurement of its engine's pace began, or None.
+        sample_events: Events that have arrived since then.
     """
 
     number: int
@@ -160,6 +162,8 @@
     answered: bool = False
     first_delivery_at: Millis | None = None
     relay: RelayTo | None = None
+    sample_began_at: Millis | None = None
+    sample_events: int = 0
 
 
 @dataclass(slots=True)
@@ -404,6 +408,7 @@
             the address at which they accept requests of other entries.
         spent_relays: Until when entries are not asked that had no share left for a
             request of this one, by the same address.
+        places_by_pace: Whether generations are placed by the time until they end.
     """
 
     node: str
@@ -450,6 +455,7 @@
     past_versions: dict[tuple[str, str], Millis] = field(default_factory=dict)
     announced_since: dict[str, Millis] = field(default_factory=dict)
     was_told_versions: bool = False
+    places_by_pace: bool = False
 
     @property
     def is_large(self) -> bool:
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -1,7 +1,7 @@
 """Delivers streams in order, each event once, and detects stalls."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import attempts, copies, crashes, origins, requests
+from figstep.gateway import attempts, copies, crashes, origins, pace, requests
 from figstep.gateway.effects import (
     BeginStream,
     Count,
@@ -103,6 +103,7 @@
         request.smoothed_pause += PAUSE_SMOOTHING * (pause - request.smoothed_pause)
     else:
         effects += _begin_stream(state, request, attempt, now)
+    pace.record_events(state, request, attempt, len(data), now)
     request.delivered = last
     request.delivered_at = now
     request.pieces += len(data)
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -75,6 +75,10 @@
 """Weight of the newest sample in the smoothed read rate, from 0 to 1. With this weight,
 a handful of samples distinguishes a slow engine from a fast one."""
 
+PACE_SMOOTHING = 0.3
+"""Weight of the newest sample in the smoothed pace, from 0 to 1. The pace changes with
+the number of runs at the engine within seconds."""
+
 ANSWER_TIME_SMOOTHING = 0.2
 """Weight of the newest sample in the smoothed time of a target's answers, from 0 to 1.
 """
@@ -182,6 +186,10 @@
         peer_rate_sum: Sum of the read rates that peers report. Another failure domain
             of a large fleet reports the mean of its entries.
         peer_rate_count: Number of reports in ``peer_rate_sum``.
+        own_pace: Milliseconds in which it generates a token of one run, smoothed, as
+            measured by this entry; None without a measurement.
+        peer_pace_sum: Sum of the paces that peers report, as for ``peer_rate_sum``.
+        peer_pace_count: Number of reports in ``peer_pace_sum``.
         failures: Smoothed share of its attempts that failed, from 0 to 1.
         queried_at: When this entry last queried its state.
         querier_drawn_at: When this entry last computed which entry queries it for the
@@ -243,6 +251,9 @@
     own_read_rate: float | None = None
     peer_rate_sum: float = 0.0
     peer_rate_count: int = 0
+    own_pace: float | None = None
+    peer_pace_sum: float = 0.0
+    peer_pace_count: int = 0
     failures: float = 0.0
     queried_at: Millis = Millis(-1_000_000)
     querier_drawn_at: Millis = Millis(-1_000_000)
@@ -356,6 +367,20 @@
         known = observed if self.own_read_rate is None else self.own_read_rate
         self.own_read_rate = known + READ_RATE_SMOOTHING * (observed - known)
 
+    @property
+    def pace(self) -> float | None:
+        """Mean of the known paces, in milliseconds per token; None if there is none."""
+        total, count = self.peer_pace_sum, self.peer_pace_count
+        if self.own_pace is not None:
+            total += self.own_pace
+            count += 1
+        return total / count if count else None
+
+    def update_pace(self, observed: float) -> None:
+        """Update the measured pace, in milliseconds per token."""
+        known = observed if self.own_pace is None else self.own_pace
+        self.own_pace = known + PACE_SMOOTHING * (observed - known)
+
     def update_answer_time(self, elapsed: int) -> None:
         """Update the smoothed time of the target's answers, in milliseconds."""
         known = elapsed if self.answer_time is None else self.answer_time
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -124,6 +124,7 @@
         slot.target, slot.calls, slot.memory = load.target, load.calls, load.memory
         slot.reading, slot.readRate = load.reading, load.read_rate or 0.0
         slot.incoming, slot.outgoing = load.incoming, load.outgoing
+        slot.pace = load.pace or 0.0
     uses = message.init("uses", len(own.uses))
     for slot, use in zip(uses, own.uses, strict=True):
         slot.service, slot.requests, slot.repeats = (
@@ -193,6 +194,7 @@
                 load.readRate or None,
                 load.incoming,
                 load.outgoing,
+                load.pace or None,
             )
             for load in message.loads
         )
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -86,6 +86,7 @@
   retired5 @5 :UInt16;       # no longer sent
   incoming @6 :UInt32;       # tokens that are being copied to the target
   outgoing @7 :UInt32;       # tokens that are being copied from the target
+  pace @8 :Float32;          # milliseconds per generated token, 0 for unknown
 }
 
 struct Use {
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -523,6 +523,7 @@
         budget,
         regions=settings.regions,
         relay_address="" if settings.relays is None else str(settings.relays),
+        places_by_pace=settings.places_by_pace,
     )
 
 
--- a/figstep/platform/settings.py
+++ b/figstep/platform/settings.py
@@ -13,6 +13,9 @@
 from figstep.platform.listeners import PATH_VARIABLE
 from figstep.settings import describe_errors
 
+LOAD_CONTRACT = "pressure"
+"""Contract of a deployment whose callers, entries and engines are under hard load."""
+
 
 class _Model(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
@@ -52,6 +55,7 @@
     listen: _Listen
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
+    contracts: tuple[str, ...] = ()  # parts of the platform's rules in force
     provider: _Provider
 
 
@@ -88,6 +92,7 @@
         regions: Region of each failure domain.
         relays: Address at which other entries pass requests on to this one; None if
             there is no port for it.
+        places_by_pace: Whether generations are placed by the time until they end.
     """
 
     node: str
@@ -106,6 +111,7 @@
     descriptors: int
     regions: dict[str, str] = field(default_factory=dict)
     relays: Address | None = None
+    places_by_pace: bool = False
 
     @property
     def seed_addresses(self) -> tuple[str, ...]:
@@ -175,6 +181,7 @@
         memory_bytes=parsed.limits.memory_mb << 20,
         descriptors=parsed.limits.max_fds,
         relays=relays,
+        places_by_pace=LOAD_CONTRACT in parsed.contracts,
     )
 
 
