--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -145,6 +145,8 @@
         first_delivery_at: When its first event went to the caller, or None.
         relay: Entry that got the request in place of a target, or None. The target
             then stands for that entry, and is in no table.
+        sample_began_at: When the measurement of its engine's pace began, or None.
+        sample_events: Events that have arrived since then.
     """
 
     number: int
@@ -161,6 +163,8 @@
     answered: bool = False
     first_delivery_at: Millis | None = None
     relay: RelayTo | None = None
+    sample_began_at: Millis | None = None
+    sample_events: int = 0
 
 
 @dataclass(slots=True)
@@ -411,6 +415,7 @@
             decide which requests wait and start; otherwise arrival at this entry does.
         customer_shares: Work and waiting requests of customers, by service and
             priority.
+        places_by_pace: Whether generations are placed by the time until they end.
     """
 
     node: str
@@ -459,6 +464,7 @@
     was_told_versions: bool = False
     fleet_admission: bool = False
     customer_shares: dict[tuple[str, int], FairShares] = field(default_factory=dict)
+    places_by_pace: bool = False
 
     @property
     def is_large(self) -> bool:
