Sum demand over entries and decide admission from it

At 88 entries an entry counts two or three starts in its window, so each of them lets MIN_QUEUE_LIMIT requests wait although the fleet starts far fewer.

Entries send their waiting, starting, ending and rejected requests by class in Hello.demand; a failure domain sends sums. With the platform's contract "pressure", can_wait, Retry-After and a reserve for urgent requests are decided from the sum.

--- a/figstep/gateway/admission.py
+++ b/figstep/gateway/admission.py
@@ -7,12 +7,14 @@
 
 from figstep.core.clock import Millis
 from figstep.gateway import placement
-from figstep.gateway.state import Request, State
+from figstep.gateway.demand import DEMAND_WINDOW
+from figstep.gateway.effects import Count, Effect, Note
+from figstep.gateway.state import LATE_OBJECTIVE_FRACTION, Request, State
 
 WAIT_OBJECTIVE_FRACTION = 1.5
 """Longest wait for capacity, as a fraction of the request's objective.
 
-It counts from the first arrival at any entry; `placement.LATE_OBJECTIVE_FRACTION`
+It counts from the first arrival at any entry; `LATE_OBJECTIVE_FRACTION`
 replaces it while the service is overloaded. A late answer is still of use to its
 caller, who would not be served earlier by retrying.
 """
@@ -62,15 +64,24 @@
 `MIN_RETRY_AFTER` holds even so, and a random part is added to the result.
 """
 
+OVERLOAD_FRACTION = 0.05
+"""Rejected fraction of a fleet's requests above which their service is overloaded.
+
+A few rejections, as of one entry with a wrong view, don't shorten all waits.
+"""
+
+DESCRIPTION_INTERVAL = Millis(5_000)
+"""Milliseconds between two log lines with the fleet's demand."""
+
 
 def find_wait_limit(state: State, request: Request, now: Millis) -> Millis:
     """Return the monotonic time in milliseconds until which a request may wait."""
     objective = request.route.objective
     share = WAIT_OBJECTIVE_FRACTION
-    if _is_overloaded(state, request.service, now):
+    if _is_overloaded(state, request, now):
         # Capacity goes to requests that can still meet their objective; late ones
         # would get none.
-        share = placement.LATE_OBJECTIVE_FRACTION
+        share = LATE_OBJECTIVE_FRACTION
     wait = max(
         request.first_arrived + round(objective * share),
         request.arrived + round(objective * RETURNED_WAIT_OBJECTIVE_FRACTION),
@@ -79,8 +90,11 @@
     return Millis(min(wait, request.arrived + deadline_wait))
 
 
-def _is_overloaded(state: State, service: str, now: Millis) -> bool:
-    refused = state.refused_at.get(service)
+def _is_overloaded(state: State, request: Request, now: Millis) -> bool:
+    demand = state.estimate_demand(now)
+    if demand is not None:
+        return demand.is_overloaded(request.demand_class, OVERLOAD_FRACTION)
+    refused = state.refused_at.get(request.service)
     return refused is not None and now - refused < START_RATE_WINDOW
 
 
@@ -89,11 +103,17 @@
 
     Fewer requests must wait ahead of it than started within a time as long as its
     remaining wait, or than `MIN_QUEUE_LIMIT`. A target must also allow one more request
-    before the end of that wait.
+    before the end of that wait. If the fleet's demand is known, all these numbers are
+    those of the whole fleet.
     """
     limit = find_wait_limit(state, request, now)
     if now >= limit or not placement.can_send_before(state, request, now, limit):
         return False
+    demand = state.estimate_demand(now)
+    if demand is not None:
+        ahead = demand.count_ahead(request.demand_class, request.is_late(now))
+        expected = demand.expect_starts(request.demand_class, Millis(limit - now))
+        return ahead < max(MIN_QUEUE_LIMIT, expected)
     started = _count_starts(state, request.service, now, Millis(limit - now))
     return _count_ahead(state, request) < max(MIN_QUEUE_LIMIT, started)
 
@@ -109,6 +129,8 @@
 
 def record_start(state: State, request: Request, now: Millis) -> None:
     """Record the start of a request, as a measure of the service's capacity."""
+    if state.demand is not None:
+        state.demand.record_start(request.demand_class, now)
     starts = state.start_times.setdefault(request.service, [])
     starts[:] = [at for at in starts if now - at < START_RATE_WINDOW]
     starts.append(now)
@@ -126,15 +148,93 @@
     refused again. A random part of up to a quarter keeps callers of different entries
     apart. The return is recorded, and the service marked as overloaded.
     """
-    started = _count_starts(state, request.service, now, START_RATE_WINDOW)
-    interval = START_RATE_WINDOW // max(1, started)
-    state.refused_at[request.service] = now
+    demand = state.estimate_demand(now)
     returns = state.scheduled_returns.setdefault(request.service, [])
     returns[:] = [at for at in returns if at > now]
-    behind = 1 + len(returns) + _count_ahead(state, request)
+    if demand is not None:
+        own = request.demand_class
+        interval = round(
+            DEMAND_WINDOW / max(1, demand.expect_starts(own, DEMAND_WINDOW))
+        )
+        behind = 1 + demand.count_returning(own) + demand.count_ahead(own, True)
+    else:
+        started = _count_starts(state, request.service, now, START_RATE_WINDOW)
+        interval = START_RATE_WINDOW // max(1, started)
+        behind = 1 + len(returns) + _count_ahead(state, request)
+    state.refused_at[request.service] = now
     pause = max(MIN_RETRY_AFTER, min(MAX_RETRY_AFTER, behind * interval))
     latest = (request.deadline - now) // RETRY_AFTER_DIVISOR
     pause = max(MIN_RETRY_AFTER, min(pause, latest))
     pause = round(pause * (1.0 + 0.25 * state.rng.random()))
     returns.append(Millis(now + pause))
+    if state.demand is not None:
+        state.demand.record_rejection(request.demand_class, Millis(now + pause), now)
     return Millis(pause)
+
+
+def describe_position(
+    state: State, request: Request, now: Millis
+) -> dict[str, str | int | float | None]:
+    """Return log fields with the figures on which an admission rests.
+
+    There are none if it doesn't depend on the fleet's demand.
+    """
+    demand = state.estimate_demand(now)
+    if demand is None:
+        return {}
+    own = request.demand_class
+    wait = Millis(max(0, find_wait_limit(state, request, now) - now))
+    return {
+        "priority": own.priority,
+        "long": own.long,
+        "remaining_wait_ms": wait,
+        "fleet_ahead": demand.count_ahead(own, request.is_late(now)),
+        "fleet_expected": round(demand.expect_starts(own, wait), 1),
+        "fleet_returning": demand.count_returning(own),
+        "reporting": demand.reporting,
+        "entries": demand.entries,
+        "age_ms": demand.age,
+    }
+
+
+def count_outcome(state: State, request: Request, outcome: str) -> list[Effect]:
+    """Return a count by class of a request that waits or why it was rejected."""
+    if state.demand is None:
+        return []
+    own = request.demand_class
+    size = "long" if own.long else "short"
+    labels = (own.service, str(own.priority), size, outcome)
+    return [Count("fleet_admission", labels)]
+
+
+def describe_fleet(state: State, now: Millis) -> list[Effect]:
+    """Return a log line for each class of which requests wait or were rejected.
+
+    There are none within `DESCRIPTION_INTERVAL` of the last ones.
+    """
+    table = state.demand
+    if table is None or now - table.described_at < DESCRIPTION_INTERVAL:
+        return []
+    table.described_at = now
+    demand = table.sum_fleet(state.list_demand(now), now)
+    return [
+        Note(
+            "fleet demand",
+            {
+                "service": known.service,
+                "priority": known.priority,
+                "long": known.long,
+                "waiting": counts.waiting,
+                "late": counts.late,
+                "returning": counts.returning,
+                "started": counts.started,
+                "ended": counts.ended,
+                "rejected": counts.rejected,
+                "reporting": demand.reporting,
+                "entries": demand.entries,
+                "age_ms": demand.age,
+            },
+        )
+        for known, counts in sorted(demand.classes.items())
+        if counts.waiting or counts.rejected
+    ]
--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -204,7 +204,10 @@
     """Remove a request, close its attempts and drop its copy."""
     effects = close_attempt(state, request.current, now)
     effects += close_attempt(state, request.standby, now)
-    state.requests.pop(request.spec.number, None)
+    open_request = state.requests.pop(request.spec.number, None)
+    was_sent = request.attempts_sent > request.unreached
+    if state.demand is not None and open_request is not None and was_sent:
+        state.demand.record_end(request.demand_class, now)
     release_copy(request)
     if request.queued:
         state.queue.remove(request.spec.number)
--- a/figstep/gateway/domains.py
+++ b/figstep/gateway/domains.py
@@ -9,6 +9,7 @@
 
 from figstep.core.clock import Millis
 from figstep.gateway import shares, sources
+from figstep.gateway.demand import DemandReport
 from figstep.gateway.events import (
     BrittlenessReport,
     PeerHeard,
@@ -73,9 +74,17 @@
         brittle=_list_brittle(state, own, now),
         rejected=_list_rejected(state, own, now),
         starts=_list_starts(state, own),
+        demand=_sum_demand(state, own, now),
     )
 
 
+def _sum_demand(state: State, own: PeerHeard, now: Millis) -> tuple[DemandReport, ...]:
+    """Return the demand of the entries of this failure domain that report it."""
+    if state.demand is None:
+        return ()
+    return state.demand.sum_domain(own.demand, now)
+
+
 def _list_starts(state: State, own: PeerHeard) -> tuple[StreamStart, ...]:
     """Return the streams that entries of this failure domain recently began."""
     starts = {start.stream: start for start in own.starts}
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -7,6 +7,7 @@
 from figstep.core.crashes import Clearance, Suspicion
 from figstep.core.positions import NO_POSITION, Position
 from figstep.gateway.budgets import UseReport
+from figstep.gateway.demand import DemandReport
 from figstep.gateway.places import NO_EVACUATIONS, Evacuations
 from figstep.gateway.prompts import Prompt
 from figstep.gateway.refusals import Refusal
@@ -467,6 +468,8 @@
         past_versions: Software versions that targets had until recently; only in the
             answer to an entry that has just started.
         knows_versions: Whether `past_versions` is complete.
+        demand: Demand of the peer by class, or of the entries of its failure domain if
+            `far` is set; empty if it does not report any.
     """
 
     node: str
@@ -498,6 +501,7 @@
     starts: tuple[StreamStart, ...] = ()
     past_versions: tuple[PastVersion, ...] = ()
     knows_versions: bool = False
+    demand: tuple[DemandReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/measures.py
+++ b/figstep/gateway/measures.py
@@ -12,6 +12,7 @@
     "broken": ("route", "reason"),
     "lost": ("route", "loss"),
     "failed_events": ("event",),
+    "fleet_admission": ("service", "priority", "size", "outcome"),
 }
 
 
--- a/figstep/gateway/news.py
+++ b/figstep/gateway/news.py
@@ -7,10 +7,11 @@
 for a lost full one.
 """
 
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterable
 from dataclasses import dataclass, field, replace
 
 from figstep.core.clock import Millis
+from figstep.gateway.demand import DemandReport
 from figstep.gateway.events import PeerHeard, PeerLoad
 from figstep.gateway.peers import select_changed
 
@@ -79,7 +80,12 @@
     A new age alone is no change that has to be sent.
     """
     if not (
-        own.rates or own.suspicions or own.clearances or own.brittle or own.rejected
+        own.rates
+        or own.suspicions
+        or own.clearances
+        or own.brittle
+        or own.rejected
+        or own.demand
     ):
         return own
     ageless = Millis(0)
@@ -90,6 +96,20 @@
         clearances=tuple(replace(reported, age=ageless) for reported in own.clearances),
         brittle=tuple(replace(reported, age=ageless) for reported in own.brittle),
         rejected=tuple(replace(reported, age=ageless) for reported in own.rejected),
+        demand=_strip_past(own.demand),
+    )
+
+
+def _strip_past(demand: Iterable[DemandReport]) -> tuple[DemandReport, ...]:
+    """Return reports of demand that differ only if other requests wait.
+
+    Counts of past events change with every request and by the mere passage of time;
+    they are sent with the next message, at most a second later.
+    """
+    return tuple(
+        DemandReport(report.demand_class, report.waiting)
+        for report in demand
+        if report.waiting
     )
 
 
@@ -120,4 +140,5 @@
         tuple(refusal.digest for refusal in own.refused),
         tuple((report.incarnation, report.rate) for report in own.rates),
         own.starts,
+        _strip_past(own.demand),
     )
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -89,6 +89,7 @@
         # The peer sent these sums before it knew that this entry is in its failure
         # domain; its own loads come with its next message.
         return
+    _record_demand(state, event, now)
     if event.far:
         state.remote_peers[event.node] = peer
         _apply_domain_loads(state, event, now)
@@ -106,6 +107,17 @@
         state.silent_peers.pop(event.node, None)
 
 
+def _record_demand(state: State, event: PeerHeard, now: Millis) -> None:
+    if state.demand is None:
+        return
+    if event.closing and not event.far:
+        state.demand.drop_reports(event.node)
+        return
+    sender = event.failure_domain if event.far else event.node
+    state.demand.record_entries(state.entries, now)
+    state.demand.record_reports(sender, event.demand, event.far, now)
+
+
 def _apply_loads(state: State, peer: Peer, event: PeerHeard) -> None:
     """Apply the loads of an entry of this failure domain.
 
@@ -314,6 +326,7 @@
         brittle=tuple(state.list_brittle(now)),
         rejected=tuple(state.list_rejected(now)),
         starts=state.starts.list_announced(state.announced_since, now),
+        demand=state.list_demand(now),
     )
 
 
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -23,12 +23,6 @@
 those that wait at other entries.
 """
 
-LATE_OBJECTIVE_FRACTION = 0.5
-"""Fraction of its objective after which a waiting request counts as late.
-
-Reading the prompt takes most of the remaining time.
-"""
-
 BACKUP_MAX_MEMORY_FRACTION = 0.7
 """Largest fraction of an engine's memory expected in use, with a new running backup.
 
@@ -149,6 +143,19 @@
 so one more may already have gone there.
 """
 
+MAX_RESERVED_FRACTION = 0.3
+"""Largest fraction of engines' memory and slots reserved for more urgent requests.
+
+Less urgent requests must not stand still while urgent ones find no capacity for another
+reason than these.
+"""
+
+RESERVE_INTERVAL = Millis(200)
+"""Milliseconds for which a computed reserve is used.
+
+Reports of other entries arrive a few times a second.
+"""
+
 MAX_DESCRIBED_ENGINES = 8
 """Maximum number of engines named in the log line of a refusal.
 
@@ -251,8 +258,10 @@
     max_fraction = (
         LATE_MAX_MEMORY_FRACTION if is_late(request, now) else MAX_MEMORY_FRACTION
     )
+    reserved = find_reserved_fraction(state, request, now)
+    max_fraction -= reserved
     obstacle = None
-    if target.load >= target.info.slots:
+    if target.load >= round(target.info.slots * (1.0 - reserved)):
         obstacle = Obstacle.SLOTS
     elif filled > max_fraction and (target.load > 0 or target.unclaimed > 0):
         obstacle = Obstacle.MEMORY
@@ -263,6 +272,28 @@
     return Fit(filled, reading, obstacle)
 
 
+def find_reserved_fraction(state: State, request: Request, now: Millis) -> float:
+    """Return the fraction of engines that a request leaves to more urgent ones.
+
+    It is the memory of as many requests as recently found no capacity anywhere in the
+    fleet. They are taken to need as much memory as this request: those that are more
+    urgent usually need less, so the estimate errs in their favour.
+    """
+    if state.demand is None:
+        return 0.0
+    known = state.demand.reserves.get(request.demand_class)
+    if known is not None and now - known[0] < RESERVE_INTERVAL:
+        return known[1]
+    demand = state.estimate_demand(now)
+    need = 0 if demand is None else demand.count_need(request.demand_class)
+    engines = len(eligibility.list_eligible(state, request))
+    memory = engines * find_engine_memory(state, request.service)
+    fraction = need * estimate_memory(state, request) / max(1, memory)
+    reserved = min(MAX_RESERVED_FRACTION, fraction)
+    state.demand.reserves[request.demand_class] = now, reserved
+    return reserved
+
+
 def describe_obstacles(state: State, request: Request, now: Millis) -> str:
     """Describe, for the log, why each engine can't accept a prompt now."""
     found = []
@@ -301,9 +332,7 @@
 
     The time counts from the first arrival of the request at any entry.
     """
-    return (
-        now - request.first_arrived > LATE_OBJECTIVE_FRACTION * request.route.objective
-    )
+    return request.is_late(now)
 
 
 def choose_copy_holder(
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -2,6 +2,7 @@
 
 from figstep.core.clock import Millis
 from figstep.gateway import (
+    admission,
     brittleness,
     copies,
     crashes,
@@ -328,6 +329,7 @@
     effects += copies.order_proactive_copies(state, now)
     effects += recovery.abandon_silent_attempts(state, now)
     effects += requests.start_queued(state, now)
+    effects += admission.describe_fleet(state, now)
     peers.expire_peers(state, now)
     sources.update_store_state(state, now)
     effects += sources.catch_up(state, now)
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -208,13 +208,18 @@
         return refuse_request(state, request, "no_room", now)
     if not admission.can_wait(state, request, now):
         return refuse_request(state, request, "no_room_in_time", now)
-    return _queue_request(state, request)
+    return _queue_request(state, request, now)
 
 
-def _queue_request(state: State, request: Request) -> list[Effect]:
+def _queue_request(state: State, request: Request, now: Millis) -> list[Effect]:
+    effects: list[Effect] = [Count("queued", (request.route.name,))]
+    effects += admission.count_outcome(state, request, "waits")
+    position = admission.describe_position(state, request, now)
+    if position:
+        effects.append(Note("request waits", {"request": request.spec.id, **position}))
     request.queued = True
     state.queue.append(request.spec.number)
-    return [Count("queued", (request.route.name,))]
+    return effects
 
 
 def start_queued(state: State, now: Millis) -> list[Effect]:
@@ -352,6 +357,7 @@
     else:
         status, ran = 503, Ran.NO
         retry_after = _choose_return(state, request, reason, now)
+        effects += admission.count_outcome(state, request, reason)
     problem = Problem(
         status, reason, _DETAILS.get(reason, _LOST_DETAIL), ran, retry_after
     )
@@ -383,6 +389,7 @@
             "waited_ms": now - request.arrived,
             "waiting": len(state.queue),
             "engines": placement.describe_obstacles(state, request, now),
+            **admission.describe_position(state, request, now),
         },
     )
 
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -8,6 +8,13 @@
 from figstep.core.positions import NO_POSITION, Position
 from figstep.core.reach import Reach
 from figstep.gateway.budgets import RetryBudget, UseReport
+from figstep.gateway.demand import (
+    DemandClass,
+    DemandReport,
+    DemandTable,
+    FleetDemand,
+    classify,
+)
 from figstep.gateway.effects import RelayTo, RunCopy
 from figstep.gateway.events import (
     BrittlenessReport,
@@ -58,6 +65,13 @@
 """Milliseconds for which the rejection of a brittle target is sent to peers."""
 
 
+LATE_OBJECTIVE_FRACTION = 0.5
+"""Fraction of its objective after which a waiting request counts as late.
+
+Reading the prompt takes most of the remaining time.
+"""
+
+
 @dataclass(slots=True)
 class Brittleness:
     """How many rejections a second the targets of a service bear.
@@ -258,6 +272,19 @@
     relay_pause: Millis | None = None
     on_trial: bool = False
 
+    @property
+    def demand_class(self) -> DemandClass:
+        """Class in which the request counts toward the fleet's demand."""
+        return classify(self.service, self.priority, self.spec.prompt)
+
+    def is_late(self, now: Millis) -> bool:
+        """Return whether it is expected to miss its objective if it starts now.
+
+        The time counts from its first arrival at any entry.
+        """
+        waited = now - self.first_arrived
+        return waited > LATE_OBJECTIVE_FRACTION * self.route.objective
+
 
 @dataclass(slots=True)
 class Peer:
@@ -404,6 +431,8 @@
             the address at which they accept requests of other entries.
         spent_relays: Until when entries are not asked that had no share left for a
             request of this one, by the same address.
+        demand: Demand of this entry and the fleet; None if admission depends on this
+            entry's own counts only.
     """
 
     node: str
@@ -450,6 +479,7 @@
     past_versions: dict[tuple[str, str], Millis] = field(default_factory=dict)
     announced_since: dict[str, Millis] = field(default_factory=dict)
     was_told_versions: bool = False
+    demand: DemandTable | None = None
 
     @property
     def is_large(self) -> bool:
@@ -499,6 +529,24 @@
             if now - target.rejected_at < REJECTION_ANNOUNCE_DURATION
         ]
 
+    def list_demand(self, now: Millis) -> tuple[DemandReport, ...]:
+        """Return this entry's demand; empty if admission doesn't depend on it."""
+        if self.demand is None:
+            return ()
+        waiting: dict[DemandClass, tuple[int, int]] = {}
+        for number in self.queue:
+            request = self.requests[number]
+            count, late = waiting.get(request.demand_class, (0, 0))
+            waiting[request.demand_class] = count + 1, late + request.is_late(now)
+        return self.demand.list_own(waiting, now)
+
+    def estimate_demand(self, now: Millis) -> FleetDemand | None:
+        """Return the fleet's demand; None if admission doesn't depend on it."""
+        if self.demand is None:
+            return None
+        self.demand.record_entries(self.entries, now)
+        return self.demand.sum_fleet(self.list_demand(now), now)
+
     def list_unreached(self, now: Millis) -> list[str]:
         """Return the names of targets that this entry recently could not connect to.
 
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -12,6 +12,7 @@
 from figstep.core.positions import NO_POSITION, Position
 from figstep.errors import PeerMessageError
 from figstep.gateway.budgets import UseReport
+from figstep.gateway.demand import DemandClass, DemandReport
 from figstep.gateway.events import (
     BrittlenessReport,
     PastVersion,
@@ -104,12 +105,14 @@
         evacuated=sorted(own.evacuations.domains),
         evacuatedAt=own.evacuations.position.offset,
         evacuatedEra=own.evacuations.position.era,
-        heldEvacuations=list(own.held_evacuations),
         unreached=list(own.unreached),
         relays=list(own.relays),
         cutOff=own.cut_off,
         knowsVersions=own.knows_versions,
     )
+    if own.held_evacuations:
+        # Only the answer to an entry that has just started holds any.
+        message.heldEvacuations = list(own.held_evacuations)
     refused = message.init("refused", len(own.refused))
     for slot, refusal in zip(refused, own.refused, strict=True):
         slot.digest, slot.age = refusal.digest, refusal.age
@@ -162,9 +165,25 @@
     past_versions = message.init("pastVersions", len(own.past_versions))
     for slot, past in zip(past_versions, own.past_versions, strict=True):
         slot.service, slot.version, slot.age = past.service, past.version, past.age
+    if own.demand:
+        _write_demand(message.init("demand", len(own.demand)), own.demand)
     return bytes(message.to_bytes_packed())
 
 
+def _write_demand(slots: Any, demand: tuple[DemandReport, ...]) -> None:
+    for slot, report in zip(slots, demand, strict=True):
+        known = report.demand_class
+        slot.service, slot.priority, slot.long = (
+            known.service,
+            known.priority,
+            known.long,
+        )
+        slot.waiting, slot.late = report.waiting, report.late
+        slot.returning, slot.started = report.returning, report.started
+        slot.ended, slot.rejected = report.ended, report.rejected
+        slot.entries, slot.age = report.entries, report.age
+
+
 def _group_starts(starts: tuple[StreamStart, ...]) -> dict[str, list[int]]:
     """Return the streams of some starts by version, which is sent once for all."""
     groups: dict[str, list[int]] = {}
@@ -267,6 +286,20 @@
                 for item in message.pastVersions
             ),
             knows_versions=message.knowsVersions,
+            demand=tuple(
+                DemandReport(
+                    DemandClass(str(item.service), item.priority, item.long),
+                    item.waiting,
+                    item.late,
+                    item.returning,
+                    item.started,
+                    item.ended,
+                    item.rejected,
+                    item.entries,
+                    Millis(item.age),
+                )
+                for item in message.demand
+            ),
         )
         records = tuple(
             (str(entry.key), bytes(entry.value)) for entry in message.records
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -42,6 +42,22 @@
   era @36 :UInt64;           # era of the store that the position belongs to, 0 for none
   evacuatedEra @37 :UInt64;  # era that evacuatedAt belongs to
   heldEvacuations @38 :List(Text); # kept although an older copy of the store lacks them
+  demand @39 :List(Demand);  # by class; of the failure domain if far is set
+}
+
+struct Demand {
+  # Requests of one service and priority with long or short expected answers.
+  service @0 :Text;          # "" in the only item of an entry without requests
+  priority @1 :Int32;
+  long @2 :Bool;
+  waiting @3 :UInt32;        # requests that wait for capacity
+  late @4 :UInt32;           # those of them that will miss their objective
+  returning @5 :UInt32;      # rejected clients whose Retry-After has not ended
+  started @6 :UInt32;        # in the last four seconds, as are the next two
+  ended @7 :UInt32;
+  rejected @8 :UInt32;
+  entries @9 :UInt32;        # number of entries that the counts are sums of
+  age @10 :UInt32;           # mean age of the counts in milliseconds
 }
 
 struct Starts {
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -18,6 +18,7 @@
 from figstep.errors import PeerMessageError
 from figstep.gateway.application import Gateway
 from figstep.gateway.budgets import RetryBudget
+from figstep.gateway.demand import DemandTable
 from figstep.gateway.domains import (
     describe_domain,
     describe_domain_at,
@@ -458,8 +459,9 @@
         """Apply settings that were read again.
 
         Seeds, retry bounds, regions and the grace time change at once. The addresses of
-        listeners and of the store, and the names of the instance and its failure
-        domain, stay as they were at the start of the process.
+        listeners and of the store, the names of the instance and its failure domain,
+        and the way in which admission is decided stay as they were at the start of the
+        process.
         """
         self.settings = settings
         self.link.set_seeds(settings.seed_addresses)
@@ -523,6 +525,7 @@
         budget,
         regions=settings.regions,
         relay_address="" if settings.relays is None else str(settings.relays),
+        demand=DemandTable() if settings.fleet_admission else None,
     )
 
 
--- a/figstep/platform/settings.py
+++ b/figstep/platform/settings.py
@@ -13,6 +13,9 @@
 from figstep.platform.listeners import PATH_VARIABLE
 from figstep.settings import describe_errors
 
+PRESSURE_CONTRACT = "pressure"
+"""Contract of a deployment whose clients at times compete for too little capacity."""
+
 
 class _Model(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
@@ -53,6 +56,7 @@
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
     provider: _Provider
+    contracts: tuple[str, ...] = ()  # conditions that the deployment has to stand
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +92,7 @@
         regions: Region of each failure domain.
         relays: Address at which other entries pass requests on to this one; None if
             there is no port for it.
+        fleet_admission: Whether admission is decided from the demand of all entries.
     """
 
     node: str
@@ -106,6 +111,7 @@
     descriptors: int
     regions: dict[str, str] = field(default_factory=dict)
     relays: Address | None = None
+    fleet_admission: bool = False
 
     @property
     def seed_addresses(self) -> tuple[str, ...]:
@@ -175,6 +181,7 @@
         memory_bytes=parsed.limits.memory_mb << 20,
         descriptors=parsed.limits.max_fds,
         relays=relays,
+        fleet_admission=PRESSURE_CONTRACT in parsed.contracts,
     )
 
 
