Shorten waits by the age of the counts; replay bursts and overload

With the fleet's demand the limit is 0.5 objectives always, and shortened by the mean age of the counts, within which other entries let requests wait unseen.

--- a/figstep/gateway/admission.py
+++ b/figstep/gateway/admission.py
@@ -7,7 +7,7 @@
 
 from figstep.core.clock import Millis
 from figstep.gateway import placement
-from figstep.gateway.demand import DEMAND_WINDOW
+from figstep.gateway.demand import DEMAND_WINDOW, FleetDemand
 from figstep.gateway.effects import Count, Effect, Note
 from figstep.gateway.state import LATE_OBJECTIVE_FRACTION, Request, State
 
@@ -64,12 +64,6 @@
 `MIN_RETRY_AFTER` holds even so, and a random part is added to the result.
 """
 
-OVERLOAD_FRACTION = 0.05
-"""Rejected fraction of a fleet's requests above which their service is overloaded.
-
-A few rejections, as of one entry with a wrong view, don't shorten all waits.
-"""
-
 DESCRIPTION_INTERVAL = Millis(5_000)
 """Milliseconds between two log lines with the fleet's demand."""
 
@@ -78,9 +72,10 @@
     """Return the monotonic time in milliseconds until which a request may wait."""
     objective = request.route.objective
     share = WAIT_OBJECTIVE_FRACTION
-    if _is_overloaded(state, request, now):
+    if state.demand is not None or _is_overloaded(state, request.service, now):
         # Capacity goes to requests that can still meet their objective; late ones
-        # would get none.
+        # would get none. With the fleet's demand known, a request must not be let in
+        # for a long wait that an overload cuts short: its client would wait in vain.
         share = LATE_OBJECTIVE_FRACTION
     wait = max(
         request.first_arrived + round(objective * share),
@@ -90,11 +85,8 @@
     return Millis(min(wait, request.arrived + deadline_wait))
 
 
-def _is_overloaded(state: State, request: Request, now: Millis) -> bool:
-    demand = state.estimate_demand(now)
-    if demand is not None:
-        return demand.is_overloaded(request.demand_class, OVERLOAD_FRACTION)
-    refused = state.refused_at.get(request.service)
+def _is_overloaded(state: State, service: str, now: Millis) -> bool:
+    refused = state.refused_at.get(service)
     return refused is not None and now - refused < START_RATE_WINDOW
 
 
@@ -112,12 +104,24 @@
     demand = state.estimate_demand(now)
     if demand is not None:
         ahead = demand.count_ahead(request.demand_class, request.is_late(now))
-        expected = demand.expect_starts(request.demand_class, Millis(limit - now))
+        expected = _expect_starts(demand, request, limit, now)
         return ahead < max(MIN_QUEUE_LIMIT, expected)
     started = _count_starts(state, request.service, now, Millis(limit - now))
     return _count_ahead(state, request) < max(MIN_QUEUE_LIMIT, started)
 
 
+def _expect_starts(
+    demand: FleetDemand, request: Request, limit: Millis, now: Millis
+) -> float:
+    """Return how many requests up to a request's class start within its wait.
+
+    The wait is shortened by the age of the counts: other entries have let as many
+    requests wait since then as would start in that time.
+    """
+    within = Millis(max(0, limit - now - demand.age))
+    return demand.expect_starts(request.demand_class, within)
+
+
 def _count_ahead(state: State, request: Request) -> int:
     ahead = 0
     for number in state.queue:
@@ -183,13 +187,13 @@
     if demand is None:
         return {}
     own = request.demand_class
-    wait = Millis(max(0, find_wait_limit(state, request, now) - now))
+    limit = find_wait_limit(state, request, now)
     return {
         "priority": own.priority,
         "long": own.long,
-        "remaining_wait_ms": wait,
+        "remaining_wait_ms": limit - now,
         "fleet_ahead": demand.count_ahead(own, request.is_late(now)),
-        "fleet_expected": round(demand.expect_starts(own, wait), 1),
+        "fleet_expected": round(_expect_starts(demand, request, limit, now), 1),
         "fleet_returning": demand.count_returning(own),
         "reporting": demand.reporting,
         "entries": demand.entries,
--- a/figstep/gateway/demand.py
+++ b/figstep/gateway/demand.py
@@ -216,15 +216,6 @@
             if known.service == own.service and known.priority < own.priority
         )
 
-    def is_overloaded(self, own: DemandClass, fraction: float) -> bool:
-        """Return whether a fraction of the requests up to a class was rejected."""
-        rejected = started = 0
-        for known, counts in self.classes.items():
-            if known.service == own.service and known <= own:
-                rejected += counts.rejected
-                started += counts.started
-        return rejected > fraction * (started + rejected)
-
 
 @dataclass(slots=True)
 class DemandTable:
--- /dev/null
+++ b/tests/gateway/test_demand_loads.py
@@ -0,0 +1,72 @@
+"""Tests of fleets under load above capacity that decide admission from a sum.
+
+They replay loads of `docs/HARD-LOAD.md`: bursts (2.5 times the long kind for 7 s, then
+1.8 times the short kind) and an overload of 1.3 that lasts.
+"""
+
+import random
+from functools import cache
+
+import pytest
+
+from tests.gateway.demand_fleets import DemandFleet, Outcome
+
+EACH_SIZE = pytest.mark.parametrize("size", [8, 32, 88, 195])
+
+SEEDS = {8: 8, 32: 3, 88: 2, 195: 1}
+"""Number of runs by number of entries; a small fleet has few requests in each."""
+
+MAX_HELD_SHARE = 0.25
+"""Largest number of rejections after a wait, as a fraction of first tries.
+
+Entries that count only their own requests exceed it at all these sizes.
+"""
+
+
+@cache
+def replay(size: int, shared: bool = True) -> tuple[dict[str, Outcome], ...]:
+    """Return the outcomes of the second burst and of the overload after it."""
+    bursts, overloads = [], []
+    for seed in range(1, 1 + SEEDS[size]):
+        fleet = DemandFleet(size=size, shared=shared, rng=random.Random(seed))
+        fleet.run(4)
+        fleet.run(7, long=2.5)
+        fleet.forget_outcomes()
+        fleet.run(4, short=1.8)
+        fleet.run(2)  # those that wait at the end of the burst have their outcome
+        bursts.append(fleet.outcomes)
+        fleet.forget_outcomes()
+        fleet.run(8, long=1.3, short=1.3)
+        overloads.append(fleet.outcomes)
+    return add_outcomes(bursts), add_outcomes(overloads)
+
+
+def add_outcomes(runs: list[dict[str, Outcome]]) -> dict[str, Outcome]:
+    """Return the sums of the outcomes of several runs."""
+    sums = {kind: Outcome() for kind in runs[0]}
+    for outcomes in runs:
+        for kind, outcome in outcomes.items():
+            sums[kind] = sums[kind].add(outcome)
+    return sums
+
+
+@EACH_SIZE
+def test_bursts_hold_few_clients_in_vain(size: int) -> None:
+    """Guards against queues filled in one burst and rejected in the next one."""
+    both = add_outcomes([{"": outcome} for outcome in replay(size)[0].values()])[""]
+    assert both.held <= MAX_HELD_SHARE * both.tries, both
+
+
+@EACH_SIZE
+def test_lasting_overload_holds_few_urgent_clients_in_vain(size: int) -> None:
+    """Guards against queues that are longer than what the fleet starts (1.3)."""
+    short = replay(size)[1]["short"]
+    assert short.held <= MAX_HELD_SHARE * short.tries, short
+
+
+@EACH_SIZE
+def test_lasting_overload_rejects_the_urgent_least(size: int) -> None:
+    """Guards against an urgent kind served worse than a less urgent one (1.3)."""
+    outcomes = replay(size)[1]
+    long, short = outcomes["long"], outcomes["short"]
+    assert short.rejected * long.tries <= long.rejected * short.tries, outcomes
--- a/tests/net/test_hellos.py
+++ b/tests/net/test_hellos.py
@@ -9,6 +9,7 @@
 from figstep.core.positions import Position
 from figstep.errors import PeerMessageError
 from figstep.gateway.budgets import UseReport
+from figstep.gateway.demand import DemandClass, DemandReport
 from figstep.gateway.events import (
     BrittlenessReport,
     PastVersion,
@@ -67,6 +68,12 @@
     ),
     past_versions=(PastVersion("engines", "v0", Millis(31_000)),),
     knows_versions=True,
+    demand=(
+        DemandReport(
+            DemandClass("engines", 2, True), 3, 1, 2, 40, 38, 5, 22, Millis(320)
+        ),
+        DemandReport(DemandClass("engines", -1, False), 2**32 - 1),
+    ),
 )
 
 
@@ -96,6 +103,7 @@
     assert hello.content.cut_off
     assert hello.content.brittle == OWN.brittle
     assert hello.content.rejected == OWN.rejected
+    assert hello.content.demand == OWN.demand
 
 
 def test_a_forwarded_message_keeps_the_address_of_its_author() -> None:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -31,6 +31,14 @@
     assert settings.retry_allowance == 56.0
 
 
+def test_the_contract_of_pressure_enables_admission_by_the_fleet() -> None:
+    """Guards against other deployments whose admission changes."""
+    assert not parse_settings(DOCUMENT, "boot.toml").fleet_admission
+    for contracts, expected in ((["pressure", "other"], True), (["other"], False)):
+        document = {**DOCUMENT, "contracts": contracts}
+        assert parse_settings(document, "boot.toml").fleet_admission is expected
+
+
 def test_wrong_fields_are_named() -> None:
     document = {**DOCUMENT, "listen": {"front": "10.1.0.19:8740"}}
     with pytest.raises(SettingsError, match=r"boot\.toml: listen\.ready: missing"):
