--- a/figstep/gateway/admission.py
+++ b/figstep/gateway/admission.py
@@ -64,6 +64,12 @@
 `MIN_RETRY_AFTER` holds even so, and a random part is added to the result.
 """
 
+CAPACITY_REASONS = frozenset({"no_room", "no_room_in_time"})
+"""Reasons of rejections that are demand which found no capacity.
+
+Requests rejected for another reason, as for their regions, would not use more capacity.
+"""
+
 DESCRIPTION_INTERVAL = Millis(5_000)
 """Milliseconds between two log lines with the fleet's demand."""
 
@@ -171,8 +177,6 @@
     pause = max(MIN_RETRY_AFTER, min(pause, latest))
     pause = round(pause * (1.0 + 0.25 * state.rng.random()))
     returns.append(Millis(now + pause))
-    if state.demand is not None:
-        state.demand.record_rejection(request.demand_class, Millis(now + pause), now)
     return Millis(pause)
 
 
@@ -201,6 +205,15 @@
     }
 
 
+def record_rejection(
+    state: State, request: Request, reason: str, pause: Millis, now: Millis
+) -> list[Effect]:
+    """Record a rejection, as demand if it is for lack of capacity; return its count."""
+    if state.demand is not None and reason in CAPACITY_REASONS:
+        state.demand.record_rejection(request.demand_class, Millis(now + pause), now)
+    return count_outcome(state, request, reason)
+
+
 def count_outcome(state: State, request: Request, outcome: str) -> list[Effect]:
     """Return a count by class of a request that waits or why it was rejected."""
     if state.demand is None:
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -357,7 +357,7 @@
     else:
         status, ran = 503, Ran.NO
         retry_after = _choose_return(state, request, reason, now)
-        effects += admission.count_outcome(state, request, reason)
+        effects += admission.record_rejection(state, request, reason, retry_after, now)
     problem = Problem(
         status, reason, _DETAILS.get(reason, _LOST_DETAIL), ran, retry_after
     )
