--- a/tests/gateway/demand_fleets.py
+++ b/tests/gateway/demand_fleets.py
@@ -2,7 +2,8 @@
 
 import heapq
 import itertools
-from dataclasses import astuple, dataclass, field
+from collections import Counter
+from dataclasses import dataclass, field
 
 from figstep.core.clock import Millis
 from figstep.gateway import domains, peers
@@ -79,32 +80,6 @@
 """Wait in milliseconds above which a rejection did not come at once."""
 
 
-@dataclass
-class Outcome:
-    """What became of the first tries of a kind.
-
-    Attributes:
-        tries: Clients that came for the first time.
-        in_time: First tries whose first event came within the objective.
-        held: Requests rejected only after a wait, retries included.
-        rejected: All rejected requests.
-        returned: Clients that came back.
-        admitted: Those of them that were not rejected at once again.
-    """
-
-    tries: int = 0
-    in_time: int = 0
-    held: int = 0
-    rejected: int = 0
-    returned: int = 0
-    admitted: int = 0
-
-    def add(self, other: "Outcome") -> "Outcome":
-        """Return the sums of both."""
-        pairs = zip(astuple(self), astuple(other), strict=True)
-        return Outcome(*(one + another for one, another in pairs))
-
-
 @dataclass
 class DemandFleet(Fleet):
     """Entries in four failure domains whose engines run out of memory.
@@ -113,18 +88,21 @@
         size: Number of entries.
         shared: Whether entries decide from the demand of the fleet.
         factors: Load of each kind, relative to the base load.
+        outcomes: Counts of first tries by kind: "tries"; "in_time", whose first event
+            came within the objective. With retries: "rejected"; "held", those rejected
+            only after a wait.
     """
 
     size: int = 8
     shared: bool = True
     factors: dict[str, float] = field(default_factory=dict)
-    outcomes: dict[str, Outcome] = field(default_factory=dict)
+    outcomes: dict[str, Counter[str]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.engines_count = max(1, self.size // ENTRIES_PER_ENGINE)
         for number in range(self.size):
             self.entries.append(self.start_entry(number))
-        self.outcomes = {kind: Outcome() for kind in RATES}
+        self.outcomes = {kind: Counter() for kind in RATES}
         self._schedule: list[tuple[int, int, str, tuple]] = []  # type: ignore[type-arg]
         self._order = itertools.count()
         self._known: dict[tuple[int, int], tuple[str, str, Millis, bool]] = {}
@@ -177,7 +155,7 @@
 
     def forget_outcomes(self) -> None:
         """Count outcomes anew."""
-        self.outcomes = {kind: Outcome() for kind in RATES}
+        self.outcomes = {kind: Counter() for kind in RATES}
 
     def _later(self, delay: float, kind: str, *content: object) -> None:
         due = self.clock.now() + round(delay)
@@ -188,7 +166,7 @@
             share = rate * self.size * self.factors[kind] * STEP / 1_000
             while share > 0 and self.rng.random() < share:
                 share -= 1.0
-                self.outcomes[kind].tries += 1
+                self.outcomes[kind]["tries"] += 1
                 self._apply("client", (kind, f"d-{next(self._order)}", True))
 
     def _apply(self, kind: str, content: tuple) -> None:  # type: ignore[type-arg]
@@ -200,10 +178,6 @@
             self._known[key] = (route, digest, self.clock.now(), first)
             prompt = PROMPTS[route]
             harness.receive_request(f"/{route}/a", prompt, digest=digest)
-            if not first:
-                self.outcomes[route].returned += 1
-                rejected = harness.find_effects(Refuse)
-                self.outcomes[route].admitted += not rejected
             self._follow(number)
             return
         number, attempt, process = content
@@ -215,7 +189,7 @@
             route, _, arrived, first = self._known[number, request]
             objective = (LONG if route == "long" else SHORT).objective
             late = self.clock.now() - arrived > objective
-            self.outcomes[route].in_time += first and not late
+            self.outcomes[route]["in_time"] += first and not late
             harness.handle(PiecesArrived(attempt, [StreamPiece(1, b"id: 1\n\n")]))
             self._later(DURATIONS[route], "end", number, attempt, harness)
         else:
@@ -235,8 +209,8 @@
         for refused in harness.find_effects(Refuse):
             route, digest, arrived, first = self._known[number, refused.number]
             outcome = self.outcomes[route]
-            outcome.rejected += 1
-            outcome.held += now - arrived > HELD_MILLIS
+            outcome["rejected"] += 1
+            outcome["held"] += now - arrived > HELD_MILLIS
             pause = refused.problem.retry_after
             if first and pause is not None:
                 self._later(pause, "client", route, digest, False)
--- a/tests/gateway/test_demand.py
+++ b/tests/gateway/test_demand.py
@@ -15,7 +15,7 @@
     DemandReport,
     DemandTable,
 )
-from figstep.gateway.effects import OpenAttempt
+from figstep.gateway.effects import Count, Note, OpenAttempt
 from figstep.gateway.events import PeerHeard
 from tests.gateway.demand_fleets import PROMPTS, DemandFleet
 from tests.gateway.worlds import ENGINES, build_fleet, exchange_messages
@@ -58,6 +58,10 @@
     for _ in range(3):
         harness.receive_request("/long/a", PROMPTS["long"])
     assert 0 < len(harness.state.queue) < 3
+    labels = (ENGINES, "2", "long", "no_room_in_time")
+    assert Count("fleet_admission", labels) in harness.effects
+    notes = [note.fields for note in harness.find_effects(Note)]
+    assert any("fleet_ahead" in fields for fields in notes)
 
 
 def test_halves_of_a_partition_decide_as_the_whole() -> None:
@@ -121,8 +125,8 @@
     fleet.forget_outcomes()
     fleet.run(6, long=1.3, short=1.3)
     short = fleet.outcomes["short"]
-    assert short.in_time >= 0.6 * short.tries, fleet.outcomes
-    assert fleet.outcomes["long"].in_time > 10, fleet.outcomes
+    assert short["in_time"] >= 0.6 * short["tries"], fleet.outcomes
+    assert fleet.outcomes["long"]["in_time"] > 10, fleet.outcomes
 
 
 def test_a_class_waits_behind_more_urgent_ones_only() -> None:
--- a/tests/gateway/test_demand_loads.py
+++ b/tests/gateway/test_demand_loads.py
@@ -5,11 +5,12 @@
 """
 
 import random
+from collections import Counter
 from functools import cache
 
 import pytest
 
-from tests.gateway.demand_fleets import DemandFleet, Outcome
+from tests.gateway.demand_fleets import DemandFleet
 
 EACH_SIZE = pytest.mark.parametrize("size", [8, 32, 88, 195])
 
@@ -24,9 +25,9 @@
 
 
 @cache
-def replay(size: int, shared: bool = True) -> tuple[dict[str, Outcome], ...]:
+def replay(size: int, shared: bool = True) -> tuple[dict[str, Counter[str]], ...]:
     """Return the outcomes of the second burst and of the overload after it."""
-    bursts, overloads = [], []
+    sums = tuple({"long": Counter[str](), "short": Counter[str]()} for _ in range(2))
     for seed in range(1, 1 + SEEDS[size]):
         fleet = DemandFleet(size=size, shared=shared, rng=random.Random(seed))
         fleet.run(4)
@@ -35,34 +36,28 @@
         fleet.run(4, short=1.8)
         # Those that wait at the end of the burst have an outcome by then.
         fleet.run(2, long=1.3, short=1.3)
-        bursts.append(fleet.outcomes)
+        burst = fleet.outcomes
         fleet.forget_outcomes()
         fleet.run(8, long=1.3, short=1.3)
-        overloads.append(fleet.outcomes)
-    return add_outcomes(bursts), add_outcomes(overloads)
-
-
-def add_outcomes(runs: list[dict[str, Outcome]]) -> dict[str, Outcome]:
-    """Return the sums of the outcomes of several runs."""
-    sums = {kind: Outcome() for kind in runs[0]}
-    for outcomes in runs:
-        for kind, outcome in outcomes.items():
-            sums[kind] = sums[kind].add(outcome)
+        for summed, outcomes in zip(sums, (burst, fleet.outcomes), strict=True):
+            for kind, counts in outcomes.items():
+                summed[kind].update(counts)
     return sums
 
 
 @EACH_SIZE
 def test_bursts_hold_few_clients_in_vain(size: int) -> None:
     """Guards against queues filled in one burst and rejected in the next one."""
-    both = add_outcomes([{"": outcome} for outcome in replay(size)[0].values()])[""]
-    assert both.held <= MAX_HELD_SHARE * both.tries, both
+    burst = replay(size)[0]
+    both = burst["long"] + burst["short"]
+    assert both["held"] <= MAX_HELD_SHARE * both["tries"], burst
 
 
 @EACH_SIZE
 def test_lasting_overload_holds_few_urgent_clients_in_vain(size: int) -> None:
     """Guards against queues that are longer than what the fleet starts (1.3)."""
     short = replay(size)[1]["short"]
-    assert short.held <= MAX_HELD_SHARE * short.tries, short
+    assert short["held"] <= MAX_HELD_SHARE * short["tries"], short
 
 
 @EACH_SIZE
@@ -70,4 +65,5 @@
     """Guards against an urgent kind served worse than a less urgent one (1.3)."""
     outcomes = replay(size)[1]
     long, short = outcomes["long"], outcomes["short"]
-    assert short.rejected * long.tries <= long.rejected * short.tries, outcomes
+    share = short["rejected"] / short["tries"]
+    assert share <= long["rejected"] / long["tries"], outcomes
