Merge the fleet's demand and admission by it

One contract of the settings switches on admission by the fleet's demand, the turns of customers and placement by pace. Requests that wait at this entry for a later turn of their customer do not count ahead of a request.

--- a/figstep/gateway/measures.py
+++ b/figstep/gateway/measures.py
@@ -15,6 +15,7 @@
     "customer_queued": ("customer",),
     "customer_displaced": ("customer",),
     "customer_refused": ("customer",),
+    "fleet_admission": ("service", "priority", "size", "outcome"),
 }
 
 
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -243,6 +243,10 @@
         return refuse_request(state, request, "no_room_in_time", now)
     waiting.join(state, request)
     effects: list[Effect] = [Count("queued", (request.route.name,))]
+    effects += admission.count_outcome(state, request, "waits")
+    position = admission.describe_position(state, request, now)
+    if position:
+        effects.append(Note("request waits", {"request": request.spec.id, **position}))
     if state.fleet_admission:
         effects.append(Count("customer_queued", (request.customer,)))
     return [*effects, *_displace_last(state, request, now)]
@@ -389,6 +393,7 @@
     else:
         status, ran = 503, Ran.NO
         retry_after = _choose_return(state, request, reason, now)
+        effects += admission.record_rejection(state, request, reason, retry_after, now)
     problem = Problem(
         status, reason, _DETAILS.get(reason, _LOST_DETAIL), ran, retry_after
     )
@@ -420,6 +425,7 @@
         "waited_ms": now - request.arrived,
         "waiting": len(state.queue),
         "engines": placement.describe_obstacles(state, request, now),
+        **admission.describe_position(state, request, now),
     }
     if state.fleet_admission:
         fields["customer"] = request.customer
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -9,6 +9,13 @@
 from figstep.core.positions import NO_POSITION, Position
 from figstep.core.reach import Reach
 from figstep.gateway.budgets import RetryBudget, UseReport
+from figstep.gateway.demand import (
+    DemandClass,
+    DemandReport,
+    DemandTable,
+    FleetDemand,
+    classify,
+)
 from figstep.gateway.effects import RelayTo, RunCopy
 from figstep.gateway.events import (
     BrittlenessReport,
@@ -59,6 +66,13 @@
 """Milliseconds for which the rejection of a brittle target is sent to peers."""
 
 
+LATE_OBJECTIVE_FRACTION = 0.5
+"""Fraction of its objective after which a waiting request counts as late.
+
+Reading the prompt takes most of the remaining time.
+"""
+
+
 @dataclass(slots=True)
 class Brittleness:
     """How many rejections a second the targets of a service bear.
@@ -265,6 +279,19 @@
     on_trial: bool = False
     weight: float = 1.0
 
+    @property
+    def demand_class(self) -> DemandClass:
+        """Class in which the request counts toward the fleet's demand."""
+        return classify(self.service, self.priority, self.spec.prompt)
+
+    def is_late(self, now: Millis) -> bool:
+        """Return whether it is expected to miss its objective if it starts now.
+
+        The time counts from its first arrival at any entry.
+        """
+        waited = now - self.first_arrived
+        return waited > LATE_OBJECTIVE_FRACTION * self.route.objective
+
 
 @dataclass(slots=True)
 class Peer:
@@ -411,11 +438,13 @@
             the address at which they accept requests of other entries.
         spent_relays: Until when entries are not asked that had no share left for a
             request of this one, by the same address.
-        fleet_admission: Whether demand of the whole fleet and shares of customers
-            decide which requests wait and start; otherwise arrival at this entry does.
+        fleet_admission: Whether customers take turns by weight while requests wait;
+            otherwise arrival at this entry decides.
         customer_shares: Work and waiting requests of customers, by service and
             priority.
         places_by_pace: Whether generations are placed by the time until they end.
+        demand: Demand of this entry and the fleet; None if admission depends on this
+            entry's own counts only.
     """
 
     node: str
@@ -465,6 +494,7 @@
     fleet_admission: bool = False
     customer_shares: dict[tuple[str, int], FairShares] = field(default_factory=dict)
     places_by_pace: bool = False
+    demand: DemandTable | None = None
 
     @property
     def is_large(self) -> bool:
@@ -514,6 +544,24 @@
             if now - target.rejected_at < REJECTION_ANNOUNCE_DURATION
         ]
 
+    def list_demand(self, now: Millis) -> tuple[DemandReport, ...]:
+        """Return this entry's demand; empty if admission doesn't depend on it."""
+        if self.demand is None:
+            return ()
+        waiting: dict[DemandClass, tuple[int, int]] = {}
+        for number in self.queue:
+            request = self.requests[number]
+            count, late = waiting.get(request.demand_class, (0, 0))
+            waiting[request.demand_class] = count + 1, late + request.is_late(now)
+        return self.demand.list_own(waiting, now)
+
+    def estimate_demand(self, now: Millis) -> FleetDemand | None:
+        """Return the fleet's demand; None if admission doesn't depend on it."""
+        if self.demand is None:
+            return None
+        self.demand.record_entries(self.entries, now)
+        return self.demand.sum_fleet(self.list_demand(now), now)
+
     def list_unreached(self, now: Millis) -> list[str]:
         """Return the names of targets that this entry recently could not connect to.
 
--- a/figstep/gateway/waiting.py
+++ b/figstep/gateway/waiting.py
@@ -98,6 +98,19 @@
     return math.ceil(ahead)
 
 
+def count_behind(state: State, request: Request) -> int:
+    """Return how many requests of equal urgency wait here for a later turn.
+
+    The request itself counts if it waits. It is 0 without `State.fleet_admission`.
+    """
+    if not state.fleet_admission:
+        return 0
+    shares = _find_shares(state, request)
+    ahead = shares.count_ahead(request.customer, request.weight, int(request.queued))
+    waiting = sum(account.waiting for account in shares.accounts.values())
+    return max(0, waiting - math.ceil(ahead))
+
+
 def find_last(state: State, request: Request) -> Request | None:
     """Return the request that may have to make room for one that joined the queue.
 
--- a/figstep/platform/settings.py
+++ b/figstep/platform/settings.py
@@ -13,8 +13,8 @@
 from figstep.platform.listeners import PATH_VARIABLE
 from figstep.settings import describe_errors
 
-LOAD_CONTRACT = "pressure"
-"""Contract of a deployment whose callers, entries and engines are under hard load."""
+PRESSURE_CONTRACT = "pressure"
+"""Contract of a deployment whose clients at times compete for too little capacity."""
 
 
 class _Model(BaseModel):
@@ -55,8 +55,8 @@
     listen: _Listen
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
-    contracts: tuple[str, ...] = ()  # parts of the platform's rules in force
     provider: _Provider
+    contracts: tuple[str, ...] = ()  # conditions that the deployment has to stand
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +93,7 @@
         relays: Address at which other entries pass requests on to this one; None if
             there is no port for it.
         places_by_pace: Whether generations are placed by the time until they end.
+        fleet_admission: Whether admission is decided from the demand of all entries.
     """
 
     node: str
@@ -112,6 +113,7 @@
     regions: dict[str, str] = field(default_factory=dict)
     relays: Address | None = None
     places_by_pace: bool = False
+    fleet_admission: bool = False
 
     @property
     def seed_addresses(self) -> tuple[str, ...]:
@@ -181,7 +183,8 @@
         memory_bytes=parsed.limits.memory_mb << 20,
         descriptors=parsed.limits.max_fds,
         relays=relays,
-        places_by_pace=LOAD_CONTRACT in parsed.contracts,
+        places_by_pace=PRESSURE_CONTRACT in parsed.contracts,
+        fleet_admission=PRESSURE_CONTRACT in parsed.contracts,
     )
 
 
