Confirm the start of an engine before a resumed stream is read

Callers saw events of two software versions in one answer: an engine that had restarted under its id as another version got streams that were resumed before its new registration was read, as the answer to a request does not name the version.

The report of an engine is never older than the engine's answer, and states the start of the incarnation. An attempt that resumes a stream (from a copy, after a loss, or for a caller that returns) is now read only once the engine has stated its registered start in a report that was queried after it had accepted the attempt. A later incarnation cannot write that stream then. Otherwise the attempt counts as lost ("unconfirmed"). A report of a later start, to whatever query, ends the registered incarnation here and at the other entries until its new registration is read. Streams that have not begun cost no query. Engines whose report does not state a start are used as before.

--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -294,9 +294,24 @@
         after=after,
         stream=request.route.kind is RouteKind.STREAM,
         relay=attempt.relay,
+        confirm=_needs_confirmation(state, request, attempt),
     )
 
 
+def _needs_confirmation(state: State, request: Request, attempt: Attempt) -> bool:
+    """Return whether a target has to confirm that it is the registered incarnation.
+
+    A stream that has begun goes on only at the version that began it, and the target
+    may have restarted as another version before its registration is read. Only engines
+    report their start. Streams that have not begun may begin at any version.
+    """
+    if request.origin is None or attempt.relay is not None:
+        return False
+    if placement.find_engine_pool(state, request.service) is None:
+        return False
+    return attempt.target.info.born != 0
+
+
 def _name_or_empty(target: Target | None) -> str:
     return "" if target is None else target.name
 
--- a/figstep/gateway/departures.py
+++ b/figstep/gateway/departures.py
@@ -10,8 +10,9 @@
 from collections.abc import Iterable
 
 from figstep.core.clock import Millis
-from figstep.gateway import copies
+from figstep.gateway import copies, crashes, origins
 from figstep.gateway.effects import Announce, Effect, Note
+from figstep.gateway.events import TargetRestarted
 from figstep.gateway.state import LEAVING_RETENTION, Departure, State
 from figstep.gateway.targets import Incarnation, Registration, Standing, Target
 
@@ -32,6 +33,32 @@
     return [Announce(), *effects] if effects else []
 
 
+def handle_restarted(state: State, event: TargetRestarted, now: Millis) -> list[Effect]:
+    """Handle a target's report of a later start than the one it registered.
+
+    The registered incarnation has ended, and gets nothing more here or from other
+    entries. The target serves again once its new registration, which names its version,
+    is read. An earlier start is ignored: clocks that were set back do not show which
+    of the two incarnations is the newer one.
+    """
+    incarnation = event.incarnation
+    target = state.targets.find(incarnation.target)
+    if event.born <= incarnation.born or target is None:
+        return []
+    if target.info.incarnation != incarnation or target.restarted:
+        return []
+    target.restarted = True
+    effects = crashes.record_end(state, target, now)
+    origins.forget_open(state, target)
+    fields: dict[str, str | int | float | None] = {
+        "target": target.name,
+        "registered": incarnation.born,
+        "reported": event.born,
+    }
+    note = Note("target restarted before its registration was read", fields)
+    return [note, *effects, *handle_leaving(state, incarnation, now)]
+
+
 def apply_leaving_reports(
     state: State, leaving: Iterable[Incarnation], source: str, now: Millis
 ) -> list[Effect]:
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -57,6 +57,8 @@
         after: Id of the last event that the caller has received; None if it has none.
         stream: Whether the answer is a stream of events.
         relay: Entry that gets the request in place of a target, or None.
+        confirm: Whether the stream is read only once the target has stated, after it
+            accepted the attempt, that it has not restarted since it registered.
     """
 
     number: int
@@ -70,6 +72,7 @@
     after: int | None = None
     stream: bool = False
     relay: RelayTo | None = None
+    confirm: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -71,6 +71,7 @@
     FAILED = "failed"  # the target answered with a failure of its own
     SILENT = "silent"  # timed out: nothing arrived for too long
     CUT = "cut"  # this entry closed it
+    UNCONFIRMED = "unconfirmed"  # accepted by an unknown incarnation of the target
 
 
 # Callers
@@ -230,12 +231,28 @@
         memory: Tokens of its memory that were in use half a second ago and cannot be
             freed on demand; None if it does not report them.
         ending: Whether it also reports when it will end.
+        born: Start of the incarnation that answered, as a Unix time in milliseconds; 0
+            if it does not report it.
     """
 
     target: str
     leaving: bool
     memory: int | None = None
     ending: bool = True
+    born: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRestarted:
+    """A target reported a start other than the one it registered.
+
+    Attributes:
+        incarnation: Incarnation that was registered when the report was queried.
+        born: Start that was reported, as a Unix time in milliseconds.
+    """
+
+    incarnation: Incarnation
+    born: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -558,6 +575,7 @@
     | RunCopied
     | RunNotCopied
     | EngineReported
+    | TargetRestarted
     | TargetLeaving
     | RateNamed
     | BrittlenessNamed
--- a/figstep/gateway/origins.py
+++ b/figstep/gateway/origins.py
@@ -19,11 +19,11 @@
     """Return the origin of a stream whose first event an attempt delivers now.
 
     It is not known if another entry got the request, or if the target has restarted as
-    another version since the attempt was opened.
+    another version since the attempt was opened, or as one that is not known yet.
     """
     version = attempt.target.info.version
     current = state.targets.find(attempt.target.name)
-    if attempt.relay is not None or current is None:
+    if attempt.relay is not None or current is None or current.restarted:
         return Origin(None)
     if current is not attempt.target and current.info.version != version:
         return Origin(None)
@@ -36,11 +36,15 @@
     A target may restart under its id before its new registration is read. It is then
     not known which of the two versions began the streams that are open there.
     """
-    if before.info.version == info.version:
-        return
+    if before.info.version != info.version:
+        forget_open(state, before)
+
+
+def forget_open(state: State, target: Target) -> None:
+    """Forget the origin of the streams that are open at a target."""
     for request in state.requests.values():
         current = request.current
-        if current is not None and current.target is before and request.origin:
+        if current is not None and current.target is target and request.origin:
             request.origin = Origin(None)
 
 
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -50,6 +50,7 @@
     TargetDown,
     TargetLeaving,
     TargetRegistered,
+    TargetRestarted,
     TargetsListed,
     Ticked,
 )
@@ -111,6 +112,8 @@
             return copies.handle_copy_failed(state, event, now)
         case EngineReported():
             return reports.handle_report(state, event, now)
+        case TargetRestarted():
+            return departures.handle_restarted(state, event, now)
         case TargetLeaving(incarnation=incarnation):
             return departures.handle_leaving(state, incarnation, now)
         case RateNamed():
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -208,6 +208,7 @@
         recent_sends: Times at which this entry recently sent it requests, oldest first.
         paused_until: End of the pause that it asked this entry for.
         announced_leaving: Whether it has announced to this entry that it leaves.
+        restarted: Whether it has reported a later start than the one it registered.
         lost: What requests whose attempts there ended without an answer may be
             suspected for, and when they ended. An answer to a request sent after that
             time removes the entry.
@@ -263,6 +264,7 @@
     recent_sends: deque[Millis] = field(default_factory=deque)
     paused_until: Millis = Millis(0)
     announced_leaving: bool = False
+    restarted: bool = False
     lost: dict[str, Millis] = field(default_factory=dict)
     refused_at: Millis | None = None
     needs_check: bool = False
@@ -621,6 +623,14 @@
             target.left_at = now
 
 
+def contradicts_registration(info: Registration, born: int) -> bool:
+    """Return whether a start that a target reported is not the registered one.
+
+    It is unknown, and contradicts nothing, if one of the two does not state the start.
+    """
+    return bool(info.born and born) and info.born != born
+
+
 def is_new_incarnation(known: Registration, info: Registration) -> bool:
     """Return whether a target has restarted since an earlier registration.
 
--- a/figstep/platform/answers.py
+++ b/figstep/platform/answers.py
@@ -158,6 +158,7 @@
     # Set once the engine knows when it ends; only the presence of a value is used.
     leaves_ms: float | None = None
     kv_used: int | None = None  # tokens in memory that cannot be evicted
+    born: int = 0  # start of the engine, in ms since the Unix epoch
 
 
 def parse_report(target: str, body: bytes) -> EngineReported:
@@ -169,4 +170,4 @@
     report = _Report.model_validate(orjson.loads(body))
     ending = report.leaves_ms is not None
     leaving = ending or report.state != "ready"
-    return EngineReported(target, leaving, report.kv_used, ending)
+    return EngineReported(target, leaving, report.kv_used, ending, report.born)
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -20,6 +20,7 @@
     AttemptConnected,
     AttemptLost,
     BrittlenessNamed,
+    EngineReported,
     Event,
     Loss,
     PiecesArrived,
@@ -32,8 +33,9 @@
     TargetChecked,
     TargetDown,
     TargetLeaving,
+    TargetRestarted,
 )
-from figstep.gateway.targets import Target
+from figstep.gateway.targets import Target, contradicts_registration
 from figstep.net.connectors import ResetAwareConnector
 from figstep.net.frames import EventSplitter
 from figstep.net.framing import is_delimited
@@ -53,6 +55,11 @@
 """Timeout of a query of an engine's state, in seconds; the query needs no slot of the
 engine."""
 
+CONFIRM_TRIES = 2
+"""Maximum number of queries for the start of an engine that has accepted a resumed
+stream. With the timeout of both, the caller's pause is shorter than the two seconds
+after which callers abandon a stream."""
+
 MAX_ANSWER_BYTES = 8_388_608
 """Largest complete answer that may be sent to a caller, in bytes. A larger one counts
 as a lost attempt."""
@@ -241,9 +248,29 @@
                 refusal.whole = await _is_whole(response)
                 raise
             if effect.stream and response.status == 200:
+                reason = await self._refute(target) if effect.confirm else ""
+                if reason:
+                    return AttemptLost(effect.attempt, Loss.UNCONFIRMED, detail=reason)
                 return await self._read_stream(effect, response)
             return await self._read_answer(effect, response)
 
+    async def _refute(self, target: Target) -> str:
+        """Return why a target may have restarted since it registered, or "".
+
+        The report is queried after the target has accepted a stream: if it states the
+        registered start, no later incarnation writes that stream.
+        """
+        info = target.info
+        for _ in range(CONFIRM_TRIES):
+            report = await self._query_report(target)
+            if report is None:
+                continue
+            if not contradicts_registration(info, report.born):
+                return ""
+            self._dispatch(TargetRestarted(info.incarnation, report.born))
+            return f"registered {info.born}, reports {report.born}"
+        return "its start is not confirmed"
+
     async def _pass_on(self, effect: OpenAttempt, exchange: CallerExchange) -> Event:
         """Send a request to another entry, and return what it answers."""
         assert self._relay_session is not None
@@ -423,10 +450,21 @@
         self._run_in_background(self._read_report(target))
 
     async def _read_report(self, name: str) -> None:
-        assert self._session is not None
         target = self._find_target(name)
         if target is None:
             return
+        info = target.info
+        report = await self._query_report(target)
+        if report is None:
+            return
+        if contradicts_registration(info, report.born):
+            self._dispatch(TargetRestarted(info.incarnation, report.born))
+            return
+        self._dispatch(report)
+
+    async def _query_report(self, target: Target) -> EngineReported | None:
+        """Return an engine's report; None if there is none, which is logged."""
+        assert self._session is not None
         url = f"http://{target.info.address}/figstep/report"
         requested_at = self._clock.now()
         try:
@@ -438,14 +476,13 @@
                 body = await read_body(response, MAX_REPORT_BYTES)
             if response.status != 200:
                 raise ValueError(f"answered {response.status}")
-            event = answers.parse_report(name, body)
+            return answers.parse_report(target.name, body)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             _log.info(
                 "cannot read engine report",
-                extra={"target": name, "error": _describe_error(error)},
+                extra={"target": target.name, "error": _describe_error(error)},
             )
-            return
-        self._dispatch(event)
+            return None
 
     def _run_in_background(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -282,4 +282,4 @@
     async def _report(self, request: web.Request) -> web.Response:
         leaving = self.name in self.record.departures | self.record.leaving_since
         state = "draining" if leaving else "ready"
-        return web.Response(body=orjson.dumps({"state": state}))
+        return web.Response(body=orjson.dumps({"state": state, "born": self.born}))
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -16,10 +16,11 @@
     TargetChecked,
     TargetDeparted,
     TargetRegistered,
+    TargetRestarted,
     Ticked,
 )
 from figstep.gateway.prompts import Prompt
-from figstep.gateway.targets import Registration
+from figstep.gateway.targets import Incarnation, Registration
 from tests.gateway.worlds import ENGINES, EntryHarness
 
 FIRST = "e-1"
@@ -176,3 +177,69 @@
     register(harness, "v1", "e-1")
     harness.receive_request("/question/a", prompt, **relayed)
     assert harness.find_effect(OpenAttempt).target == "e-1"
+
+
+def test_a_resumed_stream_is_read_once_its_target_confirms_its_start() -> None:
+    """Guards against a resumed stream at a target that restarted as another version."""
+    harness = begin_stream("/question/a")
+    register(harness, "v1", "e-5")
+    lose_current(harness)
+    assert harness.find_effect(OpenAttempt).confirm
+
+
+def test_a_copy_is_resumed_once_its_holder_confirms_its_start() -> None:
+    """Guards against a switch to a holder that restarted as another version."""
+    harness = begin_stream()
+    register(harness, "v1", "e-2")
+    harness.handle(TargetDeparted(FIRST))
+    order = harness.find_effect(CopyRun)
+    harness.handle(RunCopied(order.number, FIRST, "e-2", "h-1"))
+    assert harness.find_effect(OpenAttempt).confirm
+
+
+def test_a_stream_that_has_not_begun_needs_no_confirmation() -> None:
+    """Guards against a query for each ordinary start, and for each repeat of one."""
+    harness = EntryHarness()
+    register(harness, "v1", FIRST, "e-2")
+    harness.receive_request("/question/a", Prompt("m", 3_000, 2_000, 900))
+    assert not harness.find_effect(OpenAttempt).confirm
+    lose_current(harness)
+    assert not harness.find_effect(OpenAttempt).confirm
+
+
+def test_a_target_that_has_restarted_gets_nothing_until_it_registers() -> None:
+    """Guards against a stream that is resumed again and again at such a target."""
+    harness = begin_stream("/question/a")
+    register(harness, "v1", "e-5", "e-6")
+    harness.handle(TargetRestarted(Incarnation("e-5", 1), 2))
+    assert harness.state.list_leaving(harness.clock.now()) == [Incarnation("e-5", 1)]
+    register(harness, "v1", "e-5")
+    lose_current(harness)
+    assert harness.find_effect(OpenAttempt).target == "e-6"
+    register(harness, "v2", "e-5", born=2)
+    ready = harness.state.targets.list_ready(ENGINES)
+    assert "e-5" in [target.name for target in ready]
+
+
+def test_a_stream_that_begins_at_a_restarted_target_has_no_known_version() -> None:
+    """Guards against a version that is taken from the registration of a past start."""
+    harness = EntryHarness()
+    register(harness, "v1", FIRST, "e-2")
+    harness.receive_request("/question/a", Prompt("m", 3_000, 2_000, 900))
+    opened = harness.find_effect(OpenAttempt)
+    harness.handle(TargetRestarted(Incarnation(opened.target, 1), 2))
+    harness.send_pieces(opened.attempt, 1, 3)
+    lose_current(harness)
+    assert not harness.find_effects(OpenAttempt)
+
+
+@pytest.mark.parametrize(("registered", "reported"), [(2, 1), (2, 3)])
+def test_a_report_that_shows_no_later_start_takes_no_target_away(
+    registered: int, reported: int
+) -> None:
+    """Guards against targets lost to a clock set back, or to a late report."""
+    harness = EntryHarness()
+    register(harness, "v1", FIRST, born=registered)
+    asked = Incarnation(FIRST, 2 if reported < registered else 1)
+    harness.handle(TargetRestarted(asked, reported))
+    assert harness.state.targets.list_ready(ENGINES)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -292,6 +292,7 @@
         runner: Server of the target; None before its start.
         failure_domain: Failure domain of the target.
         version: Version of its software.
+        born: Start that it registers and reports.
     """
 
     name: str
@@ -311,6 +312,7 @@
     runner: web.AppRunner | None = None
     failure_domain: str = "muc-a"
     version: str = "v1"
+    born: int = 1
 
     async def start(self, store: FakeStore, port: int = 0) -> None:
         """Start listening and register in the store."""
@@ -324,7 +326,12 @@
     async def register(self, store: FakeStore, state: str = "ready") -> None:
         """Write the target's registration to the store."""
         registration = build_registration(
-            self.service, self.address, state, self.failure_domain, self.version
+            self.service,
+            self.address,
+            state,
+            self.failure_domain,
+            self.version,
+            self.born,
         )
         await store.put("keyed.servers", self.name, registration)
 
@@ -388,7 +395,8 @@
 
     async def _report(self, request: web.Request) -> web.Response:
         self.reports += 1
-        return web.Response(body=b'{"state":"ready"}')
+        report = {"state": "ready", "born": self.born}
+        return web.Response(body=orjson.dumps(report))
 
     async def _move(self, request: web.Request) -> web.Response:
         order = orjson.loads(await request.read())
