Forget the version of streams that a restarted engine may have begun

Callers saw events of two software versions over their tries: a stream began at an engine that had restarted as another version during an outage of the store, was recorded as begun at the earlier version, and went on at an engine of that.

The entry that began a stream now queries the engine for its start as the caller leaves, as the attempt is lost and as the stream switches to a copy: the points from which it may go on elsewhere. If the engine reports a later start, or registers one as another version, the versions of its streams opened since 250 ms before that start are forgotten, other entries are told, and a stream that already goes on elsewhere is cut off. Streams opened earlier were begun by the incarnation before and go on. 250 ms is the assumed bound of the difference between clocks.

The engines of the fault soak name their start as a Unix time, as the platform does, in place of a number.

Evidence: the new tests of tests/gateway/test_versions.py fail without the change.

--- a/figstep/gateway/application.py
+++ b/figstep/gateway/application.py
@@ -132,8 +132,8 @@
                 self.peers.announce()
             case DropCopy(copy=copy):
                 self.targets.drop_copy(copy)
-            case ReadReport(target=target):
-                self.targets.read_report(target)
+            case ReadReport(target=target, start_only=start_only):
+                self.targets.read_report(target, start_only)
             case ProbeTarget(target=target):
                 self.targets.probe_target(target)
             case CheckTarget(target=target):
--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -1,7 +1,14 @@
 """Copies running generations and resumes them on another engine when theirs leaves."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import attempts, eligibility, limits, peers, placement
+from figstep.gateway import (
+    attempts,
+    eligibility,
+    limits,
+    origins,
+    peers,
+    placement,
+)
 from figstep.gateway.effects import (
     CopyRun,
     DropCopy,
@@ -246,7 +253,10 @@
         return []
     if not peers.spend_repeat(state, request.service, now, urgent=True):
         return peers.record_denied(state, request, now)
-    return attempts.start_standby(state, request, copy, now)
+    return [
+        *origins.check_start(state, request),
+        *attempts.start_standby(state, request, copy, now),
+    ]
 
 
 def _order_copy(state: State, request: Request, now: Millis) -> list[Effect]:
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -100,9 +100,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadReport:
-    """Query an engine for its state."""
+    """Query an engine for its state.
+
+    Attributes:
+        start_only: Whether only its start matters: nothing is dispatched if it has not
+            restarted.
+    """
 
     target: str
+    start_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/origins.py
+++ b/figstep/gateway/origins.py
@@ -6,14 +6,19 @@
 """
 
 from figstep.core.clock import Millis
-from figstep.gateway import versions
-from figstep.gateway.effects import Announce, Effect
+from figstep.gateway import placement, versions
+from figstep.gateway.effects import Announce, Effect, Note, ReadReport
 from figstep.gateway.events import PeerHeard, RoutedRequest
 from figstep.gateway.routes import Route, RouteKind
-from figstep.gateway.starts import StreamStart, hash_stream
+from figstep.gateway.starts import UNKNOWN_VERSION, StreamStart, hash_stream
 from figstep.gateway.state import Attempt, Origin, Request, State
 from figstep.gateway.targets import Registration, Target
 
+CLOCK_TOLERANCE = Millis(250)
+"""Assumed bound, in milliseconds, of the difference between the clocks of an engine and
+of this entry. A stream that was opened this long before an engine's start, as the
+engine states it, was certainly begun by the incarnation before."""
+
 
 def find_origin(state: State, attempt: Attempt) -> Origin:
     """Return the origin of a stream whose first event an attempt delivers now.
@@ -27,7 +32,64 @@
         return Origin(None)
     if current is not attempt.target and current.info.version != version:
         return Origin(None)
-    return Origin(version)
+    return Origin(version, attempt.target.info.incarnation, attempt.opened)
+
+
+def check_start(state: State, request: Request) -> list[Effect]:
+    """Return a query for whether the engine that began a stream has restarted.
+
+    It is sent where a stream may go on elsewhere, as its caller or its attempt is gone.
+    An engine that still has its registered start has begun the stream; one that gives
+    no report has ended, as far as this entry can tell, and not restarted.
+    """
+    origin = request.origin
+    if origin is None or origin.version is None or origin.incarnation is None:
+        return []
+    target = state.targets.find(origin.incarnation.target)
+    if target is None or target.info.incarnation != origin.incarnation:
+        return []
+    if not target.info.born or target.restarted:
+        return []
+    if placement.find_engine_pool(state, request.service) is None:
+        return []
+    return [ReadReport(target.name, start_only=True)]
+
+
+def forget_uncertain(
+    state: State, target: Target, born: int, now: Millis
+) -> tuple[list[Request], list[Effect]]:
+    """Forget the versions of streams that a later incarnation may have begun.
+
+    Args:
+        state: State of the gateway.
+        target: The target as it was registered.
+        born: Start of the later incarnation, as a Unix time in milliseconds.
+        now: Monotonic time in milliseconds.
+
+    Returns:
+        The requests whose version was forgotten, and effects that tell other entries.
+    """
+    incarnation = target.info.incarnation
+    since = Millis(born - state.unix_offset - CLOCK_TOLERANCE)
+    affected = []
+    for request in state.requests.values():
+        origin = request.origin
+        if origin is None or origin.incarnation != incarnation:
+            continue
+        if origin.opened >= since:
+            request.origin = Origin(None)
+            affected.append(request)
+    starts = state.starts.forget_versions(incarnation, since, now)
+    if not affected and not starts:
+        return [], []
+    fields: dict[str, str | int | float | None] = {
+        "target": target.name,
+        "registered": incarnation.born,
+        "restarted": born,
+        "open": len(affected),
+        "starts": starts,
+    }
+    return affected, [Announce(), Note("versions of streams forgotten", fields)]
 
 
 def handle_restart(state: State, before: Target, info: Registration) -> None:
@@ -65,6 +127,8 @@
         return None
     stream = hash_stream(spec.resumes or spec.id, spec.digest)
     version = state.starts.find_version(stream)
+    if version == UNKNOWN_VERSION:
+        return Origin(None)
     if version is None:
         services = [service for service, _ in route.shares]
         version = versions.find_sole_version(state, services, now)
@@ -84,7 +148,9 @@
     if origin is None or origin.version is None or attempt.relay is not None:
         return []
     start = StreamStart(hash_stream(spec.id, spec.digest), origin.version)
-    state.starts.record_own(start, request.service, now)
+    state.starts.record_own(
+        start, request.service, now, origin.incarnation, origin.opened
+    )
     return [Announce()] if request.service in state.announced_since else []
 
 
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -8,6 +8,7 @@
     culprits,
     eligibility,
     limits,
+    origins,
     peers,
     placement,
     reach,
@@ -74,6 +75,7 @@
         # was used up or never arrived.
         request.current.backup_unusable = True
         return effects
+    effects += origins.check_start(state, request)
     if request.standby is not None:
         request.current = request.standby
         request.standby = None
--- a/figstep/gateway/starts.py
+++ b/figstep/gateway/starts.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from figstep.core.clock import Millis
+from figstep.gateway.targets import Incarnation
 
 START_RETENTION = Millis(120_000)
 """Milliseconds for which a start is remembered; no caller waits longer for a stream."""
@@ -27,13 +28,20 @@
 """Maximum number of starts in one message to peers; the newest are sent."""
 
 
+UNKNOWN_VERSION = ""
+"""Version of a stream whose target may have restarted as another version before the
+stream began. No target registers it, so that entries of earlier builds, which know no
+such value, refuse the stream as well."""
+
+
 @dataclass(frozen=True, slots=True)
 class StreamStart:
     """The start of a stream, as described to peers.
 
     Attributes:
         stream: Hash that identifies the stream, of 64 bits.
-        version: Software version of the target that sent its first event.
+        version: Software version of the target that sent its first event, or
+            `UNKNOWN_VERSION`.
     """
 
     stream: int
@@ -45,6 +53,8 @@
     version: str
     at: Millis
     service: str
+    incarnation: Incarnation | None = None
+    opened: Millis = Millis(0)
 
 
 @dataclass(slots=True)
@@ -53,17 +63,57 @@
 
     _known: dict[int, _KnownStart] = field(default_factory=dict)
 
-    def record_own(self, start: StreamStart, service: str, now: Millis) -> None:
-        """Record a stream that this entry begins to deliver."""
-        self._known[start.stream] = _KnownStart(start.version, now, service)
+    def record_own(
+        self,
+        start: StreamStart,
+        service: str,
+        now: Millis,
+        incarnation: Incarnation | None = None,
+        opened: Millis = Millis(0),
+    ) -> None:
+        """Record a stream that this entry begins to deliver.
+
+        ``incarnation`` is the target that sends it, as registered, and ``opened`` when
+        its attempt was opened.
+        """
+        self._known[start.stream] = _KnownStart(
+            start.version, now, service, incarnation, opened
+        )
         self._drop_oldest()
 
     def record_announced(self, start: StreamStart, now: Millis) -> None:
-        """Record a stream that a peer delivers, unless it is known already."""
+        """Record a stream that a peer delivers, unless it is known already.
+
+        A known version is replaced only by `UNKNOWN_VERSION`.
+        """
         known = _KnownStart(start.version, now, "")
-        self._known.setdefault(start.stream, known)
+        current = self._known.setdefault(start.stream, known)
+        if start.version == UNKNOWN_VERSION:
+            current.version = UNKNOWN_VERSION
         self._drop_oldest()
 
+    def forget_versions(
+        self, incarnation: Incarnation, since: Millis, now: Millis
+    ) -> int:
+        """Forget the versions of own streams of a target opened at ``since`` or later.
+
+        Returns:
+            The number of streams whose versions were forgotten.
+        """
+        forgotten = [
+            (stream, known)
+            for stream, known in self._known.items()
+            if known.incarnation == incarnation
+            and known.opened >= since
+            and known.version != UNKNOWN_VERSION
+        ]
+        for stream, known in forgotten:
+            # The table is ordered by time; the newest are announced.
+            del self._known[stream]
+            known.version, known.at = UNKNOWN_VERSION, now
+            self._known[stream] = known
+        return len(forgotten)
+
     def find_version(self, stream: int) -> str | None:
         """Return the software version that began a stream; None if it is unknown."""
         known = self._known.get(stream)
@@ -75,7 +125,8 @@
         """Return this entry's own starts for the next message to peers.
 
         ``announced_since`` holds, by service, since when starts are announced. Earlier
-        ones are announced as if they began then, those of other services never.
+        ones are announced as if they began then, those of other services only once
+        their version was forgotten: peers may hold it, or know only one.
         """
         announced: list[StreamStart] = []
         oldest = Millis(now - START_ANNOUNCE_DURATION)
@@ -86,6 +137,8 @@
             if known.at <= oldest and not includes_earlier:
                 break
             since = announced_since.get(known.service)
+            if since is None and known.service and known.version == UNKNOWN_VERSION:
+                since = known.at
             if since is not None and max(known.at, since) > oldest:
                 announced.append(StreamStart(stream, known.version))
         return tuple(announced)
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -115,9 +115,14 @@
     Attributes:
         version: The version; None if it is not known, so that the stream may go on at
             no target.
+        incarnation: Target that sent the first event, as it was registered then; None
+            if that was in an earlier attempt of the caller or at another entry.
+        opened: When the attempt was opened that brought the first event.
     """
 
     version: str | None
+    incarnation: Incarnation | None = None
+    opened: Millis = Millis(0)
 
 
 @dataclass(slots=True)
@@ -398,6 +403,7 @@
             service and version.
         announced_since: Since when the starts of a service's streams are announced to
             other entries, by service.
+        unix_offset: Unix time minus monotonic time, in milliseconds.
         was_told_versions: Whether an entry that knows them told this one which versions
             targets had before it started.
         avoided_relays: Until when entries are avoided that could not be reached, by
@@ -450,6 +456,7 @@
     past_versions: dict[tuple[str, str], Millis] = field(default_factory=dict)
     announced_since: dict[str, Millis] = field(default_factory=dict)
     was_told_versions: bool = False
+    unix_offset: int = 0
 
     @property
     def is_large(self) -> bool:
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -442,14 +442,15 @@
         reached = await _listens(target) is True
         self._dispatch(TargetChecked(name, opened, reached))
 
-    def read_report(self, target: str) -> None:
+    def read_report(self, target: str, start_only: bool = False) -> None:
         """Query an engine for its state.
 
-        The report is dispatched as EngineReported; a failure is only logged.
+        The report is dispatched as EngineReported unless ``start_only`` is set, or as
+        TargetRestarted if the engine has restarted; a failure is only logged.
         """
-        self._run_in_background(self._read_report(target))
+        self._run_in_background(self._read_report(target, start_only))
 
-    async def _read_report(self, name: str) -> None:
+    async def _read_report(self, name: str, start_only: bool) -> None:
         target = self._find_target(name)
         if target is None:
             return
@@ -459,8 +460,8 @@
             return
         if contradicts_registration(info, report.born):
             self._dispatch(TargetRestarted(info.incarnation, report.born))
-            return
-        self._dispatch(report)
+        elif not start_only:
+            self._dispatch(report)
 
     async def _query_report(self, target: Target) -> EngineReported | None:
         """Return an engine's report; None if there is none, which is logged."""
--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -59,7 +60,8 @@
         runner: HTTP server of the target; None before the start.
         version: Version of its software.
         ended: Whether it was killed.
-        born: Number of its incarnation, which it registers as its start.
+        born: Start of its incarnation, which it registers and reports, as a Unix time
+            in milliseconds.
     """
 
     name: str
@@ -77,7 +79,7 @@
     runner: web.AppRunner | None = None
     version: str = "v1"
     ended: bool = False
-    born: int = 1
+    born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
 
     @property
     def address(self) -> str:
@@ -109,7 +111,8 @@
     async def restart(self, store: FakeStore, version: str) -> None:
         """Start again under the same id as another version, without its copies."""
         assert self.proxy is not None
-        self.version, self.born = version, self.born + 1
+        self.version = version
+        self.born = max(self.born + 1, time.time_ns() // 1_000_000)
         self.copies.clear()
         self.proxy.cut()
         await self.register(store)
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -2,14 +2,17 @@
 
 import pytest
 
+from figstep.core.clock import Millis
 from figstep.gateway.effects import (
     BreakStream,
     CopyRun,
     OpenAttempt,
+    ReadReport,
     Refuse,
 )
 from figstep.gateway.events import (
     AttemptLost,
+    CallerGone,
     Loss,
     PeerHeard,
     RunCopied,
@@ -19,7 +22,10 @@
     TargetRestarted,
     Ticked,
 )
+from figstep.gateway.origins import CLOCK_TOLERANCE
 from figstep.gateway.prompts import Prompt
+from figstep.gateway.starts import StreamStart
+from figstep.gateway.state import Origin
 from figstep.gateway.targets import Incarnation, Registration
 from tests.gateway.worlds import ENGINES, EntryHarness
 
@@ -243,3 +249,83 @@
     asked = Incarnation(FIRST, 2 if reported < registered else 1)
     harness.handle(TargetRestarted(asked, reported))
     assert harness.state.targets.list_ready(ENGINES)
+
+
+def begin_uncertain_stream() -> EntryHarness:
+    """Return an entry with a stream at e-1, which restarts without a registration."""
+    harness = begin_stream("/question/a")
+    register(harness, "v1", "e-5")
+    return harness
+
+
+def restart_first(harness: EntryHarness, born: int = 2) -> None:
+    """Let `FIRST` report a later start than the one it registered."""
+    harness.handle(TargetRestarted(Incarnation(FIRST, 1), born))
+
+
+def test_an_engine_is_asked_for_its_start_as_the_caller_of_a_stream_leaves() -> None:
+    """Guards against a caller that returns to a version which did not begin it."""
+    harness = begin_uncertain_stream()
+    harness.handle(CallerGone(1))
+    assert harness.find_effect(ReadReport) == ReadReport(FIRST, start_only=True)
+
+
+def test_an_engine_is_asked_for_its_start_as_a_stream_is_lost() -> None:
+    """Guards against a stream that goes on at a version which did not begin it."""
+    harness = begin_uncertain_stream()
+    lose_current(harness)
+    assert harness.find_effect(ReadReport) == ReadReport(FIRST, start_only=True)
+
+
+def test_no_engine_is_asked_for_its_start_before_a_stream_has_begun() -> None:
+    """Guards against queries for callers that can't return to a stream."""
+    harness = EntryHarness()
+    register(harness, "v1", FIRST)
+    number = harness.receive_request("/question/a", Prompt("m", 3_000, 2_000, 900))
+    harness.handle(CallerGone(number))
+    assert not harness.find_effects(ReadReport)
+
+
+def test_a_stream_is_cut_off_that_a_restarted_target_may_have_begun() -> None:
+    """Guards against a stream that has gone on before the restart was known."""
+    harness = begin_uncertain_stream()
+    lose_current(harness)
+    assert harness.find_effect(OpenAttempt).target == "e-5"
+    restart_first(harness)
+    assert harness.find_effect(BreakStream)
+
+
+def test_a_stream_goes_on_that_began_long_before_its_target_restarted() -> None:
+    """Guards against all streams that are lost where a target restarts."""
+    harness = begin_uncertain_stream()
+    born = harness.clock.now() + CLOCK_TOLERANCE + 1
+    harness.clock.advance(CLOCK_TOLERANCE + 10)
+    lose_current(harness)
+    restart_first(harness, born)
+    assert not harness.find_effects(BreakStream)
+    assert harness.state.requests[1].origin == Origin(
+        "v1", Incarnation(FIRST, 1), Millis(100_000)
+    )
+
+
+@pytest.mark.parametrize("is_reported", [True, False])
+def test_a_returning_caller_finds_no_version_that_is_uncertain(
+    is_reported: bool,
+) -> None:
+    """Guards against a stream that is taken up, here or at another entry."""
+    harness = begin_uncertain_stream()
+    harness.handle(CallerGone(1))
+    if is_reported:
+        restart_first(harness)
+    else:
+        register(harness, "v2", FIRST, born=2)
+    other = EntryHarness()
+    register(other, "v1", "e-5")
+    started = harness.state.starts.list_announced({}, harness.clock.now())
+    other.handle(PeerHeard("entry-2", starts=(StreamStart(started[0].stream, "v1"),)))
+    other.handle(PeerHeard("entry-2", starts=started))
+    for entry in (harness, other):
+        prompt = Prompt("m", 3_000, 2_000, 900)
+        taken_up = {"digest": "digest-1", "resumes": "id-1", "after": 9}
+        entry.receive_request("/question/a", prompt, **taken_up)
+        assert entry.find_effect(Refuse).problem.code == "version_unknown"
