Load the YAML library only where YAML is read

Entries on the platform read TOML and JSON; they imported the library with figstep.settings, from which they use two names. An idle entry, median of four: VmHWM 64,860 and 64,960 kB before, 63,972 and 63,948 kB after; RssAnon 40,828 and 40,844 kB before, 40,044 and 40,056 kB after (with bytecode caches, 28 registered engines).

--- a/figstep/settings.py
+++ b/figstep/settings.py
@@ -3,7 +3,6 @@
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
-import yaml
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from figstep.errors import SettingsError
@@ -150,6 +149,10 @@
     Raises:
         SettingsError: If the file cannot be read or is not YAML.
     """
+    # Entries on the platform import this module for other names. The YAML library costs
+    # them 0.9 MB.
+    import yaml
+
     try:
         return yaml.safe_load(path.read_text())
     except OSError as error:
