--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -100,3 +100,9 @@
     """Guards against headers that are missed, misread, or applied to another target."""
     response = SimpleNamespace(status=status, headers=CIMultiDict(headers))
     assert read_target_signals(response) == signals  # type: ignore[arg-type]
+
+
+def test_a_report_contains_the_start_of_the_engine() -> None:
+    """Guards against a restart that no report shows."""
+    report = parse_report("e-1", b'{"state":"ready","born":1764860400123}')
+    assert report.born == 1_764_860_400_123
