--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -30,6 +31,9 @@
 MIN_CALL_SECONDS = 0.03
 """Shortest duration of a call; the longest is twice as long."""
 
+MAX_MUTE_SECONDS = 60.0
+"""Longest time for which a mute target keeps a request open, in seconds."""
+
 _generations = count(1)
 
 
@@ -59,7 +63,8 @@
         runner: HTTP server of the target; None before the start.
         version: Version of its software.
         ended: Whether it was killed.
-        born: Number of its incarnation, which it registers as its start.
+        born: Start of its incarnation, which it registers and reports, as a Unix time
+            in milliseconds.
     """
 
     name: str
@@ -77,7 +82,7 @@
     runner: web.AppRunner | None = None
     version: str = "v1"
     ended: bool = False
-    born: int = 1
+    born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
 
     @property
     def address(self) -> str:
@@ -109,7 +114,8 @@
     async def restart(self, store: FakeStore, version: str) -> None:
         """Start again under the same id as another version, without its copies."""
         assert self.proxy is not None
-        self.version, self.born = version, self.born + 1
+        self.version = version
+        self.born = max(self.born + 1, time.time_ns() // 1_000_000)
         self.copies.clear()
         self.proxy.cut()
         await self.register(store)
@@ -152,7 +158,7 @@
                 run.crashed = True
                 self.crash(self)
             if "mute" in self.faults or run.crashed:
-                await asyncio.sleep(60)
+                await _wait_for_close(request)
             if "Token-Count" in request.headers:
                 return await self._stream(request, run)
             return await self._call(request, run, body)
@@ -282,4 +288,18 @@
     async def _report(self, request: web.Request) -> web.Response:
         leaving = self.name in self.record.departures | self.record.leaving_since
         state = "draining" if leaving else "ready"
-        return web.Response(body=orjson.dumps({"state": state}))
+        return web.Response(body=orjson.dumps({"state": state, "born": self.born}))
+
+
+async def _wait_for_close(request: web.Request) -> None:
+    """Wait until the peer closes the connection of a request.
+
+    The HTTP server does not cancel a handler as that happens.
+
+    Raises:
+        ConnectionResetError: If the peer has closed the connection.
+    """
+    async with asyncio.timeout(MAX_MUTE_SECONDS):
+        while request.transport is not None and not request.transport.is_closing():
+            await asyncio.sleep(EVENT_INTERVAL)
+    raise ConnectionResetError("the peer closed the connection")
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -6,20 +6,25 @@
     BreakStream,
     CopyRun,
     OpenAttempt,
+    ReadReport,
     Refuse,
 )
 from figstep.gateway.events import (
     AttemptLost,
+    CallerGone,
     Loss,
     PeerHeard,
     RunCopied,
     TargetChecked,
     TargetDeparted,
     TargetRegistered,
+    TargetRestarted,
     Ticked,
 )
+from figstep.gateway.origins import CLOCK_TOLERANCE
 from figstep.gateway.prompts import Prompt
-from figstep.gateway.targets import Registration
+from figstep.gateway.starts import StreamStart
+from figstep.gateway.targets import Incarnation, Registration
 from tests.gateway.worlds import ENGINES, EntryHarness
 
 FIRST = "e-1"
@@ -176,3 +181,79 @@
     register(harness, "v1", "e-1")
     harness.receive_request("/question/a", prompt, **relayed)
     assert harness.find_effect(OpenAttempt).target == "e-1"
+
+
+def restart_first(harness: EntryHarness, born: int = 2) -> None:
+    """Let `FIRST` report another start than the one it registered."""
+    harness.handle(TargetRestarted(Incarnation(FIRST, 1), born))
+
+
+def test_only_a_stream_that_has_begun_is_confirmed_where_it_goes_on() -> None:
+    """Guards against a restarted target, and against a query for each new stream."""
+    harness = EntryHarness()
+    register(harness, "v1", FIRST, "e-2", "e-3")
+    harness.receive_request("/question/a", Prompt("m", 3_000, 2_000, 900))
+    opened = harness.find_effect(OpenAttempt)
+    harness.send_pieces(opened.attempt, 1, 3)
+    lose_current(harness)
+    assert (opened.confirm, harness.find_effect(OpenAttempt).confirm) == (False, True)
+
+
+def test_a_target_that_has_restarted_gets_nothing_until_it_registers() -> None:
+    """Guards against a stream that is resumed again and again at such a target."""
+    harness = EntryHarness()
+    register(harness, "v1", FIRST)
+    restart_first(harness, born=0)
+    assert harness.state.targets.list_ready(ENGINES)
+    restart_first(harness)
+    register(harness, "v1", FIRST)
+    assert not harness.state.targets.list_ready(ENGINES)
+    assert harness.state.list_leaving(harness.clock.now()) == [Incarnation(FIRST, 1)]
+    register(harness, "v2", FIRST, born=2)
+    assert harness.state.targets.list_ready(ENGINES)
+
+
+@pytest.mark.parametrize("event", [CallerGone(1), AttemptLost(1, Loss.BROKEN)])
+def test_an_engine_is_asked_for_its_start_where_its_stream_may_go_on(
+    event: CallerGone | AttemptLost,
+) -> None:
+    """Guards against a stream that goes on at a version which did not begin it."""
+    harness = begin_stream("/question/a")
+    harness.handle(event)
+    assert harness.find_effect(ReadReport) == ReadReport(FIRST, start_only=True)
+
+
+@pytest.mark.parametrize(("later", "is_cut"), [(0, True), (CLOCK_TOLERANCE + 1, False)])
+def test_a_stream_is_cut_off_that_a_restarted_target_may_have_begun(
+    later: int, is_cut: bool
+) -> None:
+    """Guards against joined versions, and against the loss of all streams there."""
+    harness = begin_stream("/question/a")
+    register(harness, "v1", "e-5")
+    born = harness.clock.now() + later
+    harness.clock.advance(CLOCK_TOLERANCE + 10)
+    lose_current(harness)
+    restart_first(harness, born)
+    assert bool(harness.find_effects(BreakStream)) is is_cut
+
+
+@pytest.mark.parametrize("is_reported", [True, False])
+def test_a_returning_caller_finds_no_version_that_is_uncertain(
+    is_reported: bool,
+) -> None:
+    """Guards against a stream that is taken up, here or at another entry."""
+    harness, other = begin_stream("/question/a"), EntryHarness()
+    harness.handle(CallerGone(1))
+    if is_reported:
+        restart_first(harness)
+    else:
+        register(harness, "v2", FIRST, born=2)
+    (start,) = harness.state.starts.list_announced({}, harness.clock.now())
+    other.handle(PeerHeard("entry-2", starts=(StreamStart(start.stream, "v1"),)))
+    other.handle(PeerHeard("entry-2", starts=(start,)))
+    for entry in (harness, other):
+        register(entry, "v1", "e-5")
+        prompt = Prompt("m", 3_000, 2_000, 900)
+        taken_up = {"digest": "digest-1", "resumes": "id-1", "after": 9}
+        entry.receive_request("/question/a", prompt, **taken_up)
+        assert entry.find_effect(Refuse).problem.code == "version_unknown"
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -89,3 +89,23 @@
     await asyncio.sleep(0.3)
     known = place.entries[0].gateway.known.targets.targets
     assert sorted(known) == ["i-e0", "i-e1", "i-e2", "i-e3"]
+
+
+@pytest.mark.parametrize("restarted", [1, 2])
+async def test_a_stream_is_not_taken_up_at_an_engine_that_restarted(
+    place: Place, restarted: int
+) -> None:
+    """Guards against events of two versions, and against a stream lost needlessly."""
+    first, second = place.entries
+    begun = place.targets[await read_some(place, first, "r-1")]
+    await asyncio.sleep(0.2)
+    same = [one for one in place.targets.values() if one.version == begun.version]
+    same.sort(key=lambda target: target is begun)
+    for target in same[:restarted]:
+        target.version, target.born = "v3", 2
+    resuming = {"Last_Event_Id": "1", "Resumes": "r-1"}
+    headers = place.headers("r-1-again", **QUESTION, **resuming)
+    url = place.url("/question/a", second)
+    async with place.session.post(url, data=b"dal", headers=headers) as response:
+        assert (response.status == 200) is (restarted == 1)
+        assert (b"data:" in await response.read()) is (restarted == 1)
