--- a/figstep/application.py
+++ b/figstep/application.py
@@ -119,7 +119,11 @@
             lambda: self.entry_state.inventory,
             self.read_status,
         )
-        self.targets = TargetEdge(self.dispatch, self.find_target)
+        self.targets = TargetEdge(
+            self.dispatch,
+            self.find_target,
+            bounded=settings.limits.memory_bytes is not None,
+        )
         self.reports = ReportEdge(self.dispatch, self.list_watched)
         self.configuration = StreamFollower(
             self._log_client,
--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -68,7 +68,7 @@
 ) -> list[Effect]:
     """Record that an attempt which may have run ended without an answer.
 
-    A request crashes its target as it begins to run, so one whose stream has begun is
+    A request crashes its target as it begins to run, so one whose answer has begun is
     not recorded. Losses at a target that leaves are not recorded either, as it ends all
     attempts that are still open there. If the target is known to have ended, the
     request becomes a suspect at once.
@@ -81,7 +81,7 @@
     request.on_trial = False
     if target.standing is not Standing.READY:
         return []
-    subjects = [] if request.stream_begun else [name_request(request.spec)]
+    subjects = [] if request.begun else [name_request(request.spec)]
     if loss in _CRASH_LOSSES and not _was_written(attempt, request.delivered_at):
         subjects += list_parts(request.spec)
     if target.ended_at is not None and attempt.opened <= target.ended_at:
--- a/figstep/gateway/edges.py
+++ b/figstep/gateway/edges.py
@@ -9,10 +9,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """Status and headers of a target's answer, as they are sent to the caller."""
+    """Status and headers of a target's answer, as they are sent to the caller.
+
+    Attributes:
+        length: Length of a body that is sent as it arrives, in bytes; None if the
+            target did not state it.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    length: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -135,6 +135,24 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerBegan:
+    """The start of an answer that is too large to be read ahead of its caller.
+
+    The rest is read as fast as the caller reads. AnswerArrived follows at the end.
+    """
+
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadingPaused:
+    """The reading of a stream was paused or resumed, as its caller reads slowly."""
+
+    attempt: int
+    paused: bool
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerArrived:
     """A target gave a complete answer that reports no failure of its own.
@@ -551,6 +569,8 @@
     | StreamOpened
     | PiecesArrived
     | StreamEnded
+    | AnswerBegan
+    | ReadingPaused
     | AnswerArrived
     | AttemptLost
     | TargetDown
--- a/figstep/gateway/measures.py
+++ b/figstep/gateway/measures.py
@@ -1,6 +1,14 @@
 """Counters and histograms of a gateway, in the text format of Prometheus."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from collections.abc import Callable
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
 
 BUCKETS = (0.01, 0.03, 0.06, 0.12, 0.18, 0.25, 0.5, 1.0, 1.8, 3.0, 6.0, 15.0, 40.0)
 """Upper bounds of the histograms' buckets, in seconds. The objectives for first tokens,
@@ -60,6 +68,13 @@
             self._histograms[name] = histogram
         histogram.labels(label).observe(millis / 1000)
 
+    def watch(self, name: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read when the metrics are; its name lacks "figstep_"."""
+        gauge = Gauge(
+            f"figstep_{name}", name.replace("_", " "), registry=self._registry
+        )
+        gauge.set_function(read)
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self._registry)
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -104,7 +104,7 @@
             relays.record_spent(state, attempt.relay, event.retry_after, now)
         return effects + requests.place_request(state, request, now)
     request.may_have_run = True
-    if event.status is not None and not request.stream_begun:
+    if event.status is not None and not request.begun:
         return effects + requests.deliver_answer(
             state, request, attempt.number, event.status, now
         )
@@ -190,13 +190,16 @@
 def _retry_or_refuse(
     state: State, request: Request, attempt: Attempt, event: AttemptLost, now: Millis
 ) -> list[Effect]:
+    if request.answer_begun:
+        # Its caller has the start of this answer, and another run may differ.
+        return requests.refuse_request(state, request, f"lost_{event.loss.value}", now)
     if event.loss in NOT_RUN and not request.stream_begun:
         return _try_elsewhere(state, request, attempt.target, event, now)
     if request.route.idempotent and _may_run_again(request):
         effects = _run_again(state, request, event, now)
         if effects:
             return effects
-    if event.status is not None and not request.stream_begun:
+    if event.status is not None and not request.begun:
         return requests.deliver_answer(
             state, request, attempt.number, event.status, now
         )
@@ -293,7 +296,7 @@
             continue
         if not attempt.connected or attempt.relay is not None:
             continue
-        if request.stream_begun or request.lost_runs + 1 >= request.route.attempts:
+        if request.begun or request.lost_runs + 1 >= request.route.attempts:
             continue
         if now - attempt.opened < choose_silence_timeout(request):
             continue
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -23,6 +23,7 @@
 from figstep.gateway.effects import Effect, Note
 from figstep.gateway.events import (
     AnswerArrived,
+    AnswerBegan,
     AttemptConnected,
     AttemptLost,
     BrittlenessNamed,
@@ -36,6 +37,7 @@
     PiecesArrived,
     PositionRead,
     RateNamed,
+    ReadingPaused,
     RequestArrived,
     RunCopied,
     RunNotCopied,
@@ -97,6 +99,10 @@
             return requests.admit_request(state, event, now)
         case StreamEnded():
             return streams.finish_stream(state, event, now)
+        case AnswerBegan():
+            return requests.begin_answer(state, event, now)
+        case ReadingPaused():
+            return streams.handle_reading_paused(state, event, now)
         case AnswerArrived():
             return requests.finish_answer(state, event, now)
         case AttemptLost():
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -16,15 +16,18 @@
 )
 from figstep.gateway.effects import (
     Answer,
+    BeginStream,
     BreakStream,
     Count,
     Effect,
+    FinishStream,
     Note,
     Observe,
     Refuse,
 )
 from figstep.gateway.events import (
     AnswerArrived,
+    AnswerBegan,
     CallerGone,
     RequestArrived,
     RoutedRequest,
@@ -287,6 +290,25 @@
     state.queue.remove(request.spec.number)
 
 
+def begin_answer(state: State, event: AnswerBegan, now: Millis) -> list[Effect]:
+    """Begin to send an answer that is read from its target as fast as it is sent.
+
+    The attempt stays open and counts at its target until the answer ends.
+    """
+    attempt = state.attempts.get(event.attempt)
+    if attempt is None:
+        return []
+    request = state.requests[attempt.request]
+    request.answer_begun = True
+    request.may_have_run = True
+    number = request.spec.number
+    return [
+        BeginStream(number, attempt.number),
+        Count("answers_paced", (request.route.name,)),
+        Note("answer paced by its caller", {"request": request.spec.id}),
+    ]
+
+
 def finish_answer(state: State, event: AnswerArrived, now: Millis) -> list[Effect]:
     """Pass a target's complete answer to the caller unchanged.
 
@@ -315,7 +337,8 @@
 ) -> list[Effect]:
     """Deliver the complete answer that an attempt received, and end the request.
 
-    A stream that has begun can't be replaced by another answer: it is cut.
+    A stream that has begun can't be replaced by another answer: it is cut. An answer
+    that has begun is ended as complete.
     """
     if request.stream_begun:
         return break_stream(state, request, "answered_in_mid_stream", now)
@@ -323,7 +346,9 @@
     duration = now - request.arrived
     return [
         *effects,
-        Answer(request.spec.number, attempt),
+        FinishStream(request.spec.number)
+        if request.answer_begun
+        else Answer(request.spec.number, attempt),
         Count("answered", (request.route.name, str(status))),
         Observe("answer_time", duration, request.route.name),
         describe_end(request, "answered", str(status), now),
@@ -340,7 +365,7 @@
     has begun is cut instead.
     """
     effects = attempts.close_request(state, request, now)
-    if request.stream_begun:
+    if request.begun:
         return [*effects, *break_stream(state, request, reason, now)]
     if request.spec.prompt is not None:
         effects.append(_describe_refusal(state, request, reason, now))
@@ -416,10 +441,11 @@
     """End the requests whose deadline has passed.
 
     One that is open at a target may have run there once its connection was established.
+    An answer that has begun is delivered even if it is late.
     """
     effects: list[Effect] = []
     for request in list(state.requests.values()):
-        if now < request.deadline:
+        if now < request.deadline or request.answer_begun:
             continue
         for attempt in (request.current, request.standby):
             if attempt is not None and attempt.connected:
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -188,6 +188,10 @@
         copying_tokens: Tokens that are being copied; less than the whole run if its
             holder already has a copy.
         copied_tokens: Tokens that its copy on order had when it was made.
+        stream_begun: Whether an event of a stream was delivered to its caller.
+        answer_begun: Whether the start of an answer was sent that is read from its
+            target as fast as the caller reads.
+        reading_paused: Whether its stream is not read, as the caller reads slowly.
         delivered: Id of the last event delivered to the caller, now or in an earlier
             attempt of the caller; 0 for none.
         delivered_at: When the last event was delivered by this entry.
@@ -236,6 +240,8 @@
     copying_tokens: int = 0
     copied_tokens: int = 0
     stream_begun: bool = False
+    answer_begun: bool = False
+    reading_paused: bool = False
     delivered: int = 0
     delivered_at: Millis = Millis(0)
     pieces: int = 0
@@ -258,6 +264,11 @@
     relay_pause: Millis | None = None
     on_trial: bool = False
 
+    @property
+    def begun(self) -> bool:
+        """Whether its caller has a part of an answer, so that no other can be sent."""
+        return self.stream_begun or self.answer_begun
+
 
 @dataclass(slots=True)
 class Peer:
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -12,7 +12,12 @@
     Observe,
     RunCopy,
 )
-from figstep.gateway.events import PiecesArrived, StreamEnded, StreamOpened
+from figstep.gateway.events import (
+    PiecesArrived,
+    ReadingPaused,
+    StreamEnded,
+    StreamOpened,
+)
 from figstep.gateway.routes import RouteKind
 from figstep.gateway.state import Attempt, Request, State
 
@@ -69,6 +74,21 @@
     return []
 
 
+def handle_reading_paused(
+    state: State, event: ReadingPaused, now: Millis
+) -> list[Effect]:
+    """Record whether a stream is read: a slow caller must not count as a stall."""
+    attempt = state.attempts.get(event.attempt)
+    if attempt is None:
+        return []
+    request = state.requests[attempt.request]
+    request.reading_paused = event.paused
+    request.delivered_at = now
+    if not event.paused:
+        return []
+    return [Count("streams_paused", (request.route.name,))]
+
+
 def deliver_pieces(state: State, event: PiecesArrived, now: Millis) -> list[Effect]:
     """Deliver events to the caller, each once and in order.
 
@@ -236,7 +256,7 @@
 
 
 def _is_stalled(request: Request, now: Millis) -> bool:
-    if not request.stream_begun:
+    if not request.stream_begun or request.reading_paused:
         return False
     limit = float(STALL_TIMEOUT)
     if request.longest_pause <= request.route.longest_pause:
--- a/figstep/net/arrivals.py
+++ b/figstep/net/arrivals.py
@@ -15,6 +15,7 @@
 from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork, Work
 from figstep.errors import RefusedError
 from figstep.net.bodies import ChatBody, CompletionBody, count_prompt_tokens
+from figstep.net.buffers import BufferTable, ExchangeBuffer, read_request_body
 from figstep.net.exchanges import Exchange
 from figstep.net.headers import CallerHeaders
 from figstep.settings import Limits, describe_errors
@@ -36,17 +37,22 @@
         self._clock = clock
         self._next_request = 1
 
-    async def read_body(self, request: web.Request) -> bytes:
-        """Return the body of a request.
+    async def read_body(
+        self, request: web.Request, buffer: ExchangeBuffer, table: BufferTable
+    ) -> bytes:
+        """Return the body of a request, whose bytes are counted in ``buffer``.
 
         aiohttp rejects a body that is longer than ``body_bytes``.
 
         Raises:
-            RefusedError: If the body takes longer than ``body_seconds``.
+            RefusedError: If the body takes longer than ``body_seconds``, or outgrows
+                the budget of buffered bytes.
         """
         try:
             async with asyncio.timeout(self._limits.body_seconds):
-                return await request.read()
+                return await read_request_body(
+                    request, buffer, table, self._limits.body_bytes
+                )
         except TimeoutError as error:
             detail = (
                 f"the body took longer than {self._limits.body_seconds:g} s;"
--- a/figstep/net/callers.py
+++ b/figstep/net/callers.py
@@ -1,7 +1,8 @@
 """HTTP server for callers: OpenAI-compatible endpoints and plain services."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import logbook
@@ -10,13 +11,20 @@
 from aiohttp.http import StreamWriter
 from mode import Service
 
+from figstep.core.buffers import UNPACED_FRACTION
 from figstep.core.clock import Clock
 from figstep.core.events import CallerGone, CallerReturned, Event, RequestArrived
-from figstep.core.inventory import Inventory
+from figstep.core.inventory import CustomerInfo, Inventory
 from figstep.errors import ListenError
 from figstep.metrics import Metrics
 from figstep.net.answers import assemble_answer
 from figstep.net.arrivals import CHAT_PATH, COMPLETION_PATH, RequestReader
+from figstep.net.buffers import (
+    PIECE_BYTES,
+    BufferTable,
+    ExchangeBuffer,
+    write_answer,
+)
 from figstep.net.deliveries import StreamSink, StreamTable
 from figstep.net.exchanges import Exchange, NullSink
 from figstep.net.headers import CallerHeaders, read_headers
@@ -38,6 +46,7 @@
     """HTTP server for callers and for health checks.
 
     Attributes:
+        buffers: Buffers of all open requests.
         ready: Whether load balancers should send new callers to this entry.
         address: Base URL; empty until the server listens.
     """
@@ -65,6 +74,9 @@
         self._runner: web.AppRunner | None = None
         self._grace_tasks: set[asyncio.Task[None]] = set()
         self.streams = StreamTable(settings.limits)
+        self.buffers = BufferTable(
+            settings.limits.memory_bytes, clock, metrics.count, UNPACED_FRACTION
+        )
         self.ready = True
         self.address = ""
 
@@ -75,7 +87,9 @@
             ListenError: If the address cannot be bound or the TLS files cannot be
                 used.
         """
-        self._runner = build_runner(self._build_app(), self._settings.limits)
+        self._runner = build_runner(
+            self._build_app(), self._settings.limits, self.buffers.bounded
+        )
         await self._runner.setup()
         listen = self._settings.callers
         tls = build_tls(self._settings.tls)
@@ -157,14 +171,41 @@
         body = orjson.dumps({"object": "list", "data": models})
         return web.Response(body=body, content_type="application/json")
 
+    @contextmanager
+    def _open_buffer(self, request: web.Request) -> Iterator[ExchangeBuffer]:
+        """Count what is buffered for a request until its answer is sent."""
+        announced = min(request.content_length or 0, self._settings.limits.body_bytes)
+
+        def abort() -> None:
+            if request.transport is not None:
+                request.transport.abort()
+
+        buffer = self.buffers.open(announced, abort)
+        try:
+            yield buffer
+        finally:
+            if not buffer.kept:
+                buffer.close()
+
     async def _serve_generation(self, request: web.Request) -> web.StreamResponse:
         customer = self._keys.find_customer(request.headers)
         headers = read_headers(request.headers, self._settings.limits)
-        raw = await self._reader.read_body(request)
+        with self._open_buffer(request) as buffer:
+            return await self._generate(request, customer, headers, buffer)
+
+    async def _generate(
+        self,
+        request: web.Request,
+        customer: CustomerInfo,
+        headers: CallerHeaders,
+        buffer: ExchangeBuffer,
+    ) -> web.StreamResponse:
+        raw = await self._reader.read_body(request, buffer, self.buffers)
         inventory = self._read_inventory() or Inventory()
         exchange = self._reader.read_generation(
             request, raw, headers, customer, inventory
         )
+        exchange.buffer = buffer
         if exchange.spec.stream:
             return await self._stream_answer(request, headers, exchange)
         await self._run_exchange(exchange)
@@ -177,14 +218,28 @@
     async def _serve_service(self, request: web.Request) -> web.StreamResponse:
         customer = self._keys.find_customer(request.headers)
         headers = read_headers(request.headers, self._settings.limits)
-        raw = await self._reader.read_body(request)
+        with self._open_buffer(request) as buffer:
+            return await self._call(request, customer, headers, buffer)
+
+    async def _call(
+        self,
+        request: web.Request,
+        customer: CustomerInfo,
+        headers: CallerHeaders,
+        buffer: ExchangeBuffer,
+    ) -> web.StreamResponse:
+        raw = await self._reader.read_body(request, buffer, self.buffers)
         inventory = self._read_inventory() or Inventory()
         exchange = self._reader.read_call(request, raw, headers, customer, inventory)
+        exchange.buffer = buffer
         await self._run_exchange(exchange)
         if exchange.problem is not None:
             return answer_problem(exchange.problem)
         answer = exchange.answer
         assert answer is not None
+        if self.buffers.bounded and len(answer.body) > PIECE_BYTES:
+            begun = web.StreamResponse(status=answer.status, headers=answer.headers)
+            return await write_answer(request, begun, answer.body, buffer)
         return web.Response(
             body=answer.body, status=answer.status, headers=answer.headers
         )
@@ -276,7 +331,8 @@
         if not isinstance(writer, StreamWriter) or transport is None:
             raise ConnectionResetError("the caller closed its connection")
         loop = asyncio.get_running_loop()
-        sink = StreamSink(writer, transport, self._settings.limits, loop.time)
+        buffer = exchange.buffer if self.buffers.bounded else None
+        sink = StreamSink(writer, transport, self._settings.limits, loop.time, buffer)
         exchange.sink = sink
         self.streams.add(sink)
         try:
@@ -303,6 +359,8 @@
         period = min(limits.keep_alive_seconds, limits.stalled_seconds)
         while not self.should_stop:
             await self.sleep(period)
+            if self.buffers.bounded:
+                self._metrics.gauge("buffers.bytes", self.buffers.budget.used)
             swept = self.streams.sweep(asyncio.get_running_loop().time())
             if swept.aborted:
                 self._metrics.count("callers.stalled", swept.aborted)
--- a/figstep/net/connectors.py
+++ b/figstep/net/connectors.py
@@ -6,7 +6,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-from figstep.net.sockets import open_keepalive_socket
+from figstep.net.sockets import open_bounded_socket, open_keepalive_socket
 
 MAX_BYTES_WITHOUT_BODY = 262_144
 """Largest number of bytes that may arrive in a row without any byte of a body.
@@ -58,8 +58,12 @@
 
 
 class ResetAwareConnector(aiohttp.TCPConnector):
-    """Opens sockets with TCP keep-alive, and recognizes resets and endless answers."""
+    """Opens sockets with TCP keep-alive, and recognizes resets and endless answers.
 
-    def __init__(self, **options: Any) -> None:
-        super().__init__(socket_factory=open_keepalive_socket, **options)
+    The system's buffers of the sockets are bounded if ``bounded`` is set.
+    """
+
+    def __init__(self, bounded: bool = False, **options: Any) -> None:
+        factory = open_bounded_socket if bounded else open_keepalive_socket
+        super().__init__(socket_factory=factory, **options)
         self._factory: Any = functools.partial(_ResetAwareHandler, loop=self._loop)
--- a/figstep/net/deliveries.py
+++ b/figstep/net/deliveries.py
@@ -8,6 +8,7 @@
 from aiohttp.http import StreamWriter
 
 from figstep.core.problems import Problem, Ran
+from figstep.net.buffers import ExchangeBuffer
 from figstep.net.exchanges import FrameSink
 from figstep.settings import Limits
 
@@ -60,7 +61,12 @@
         transport: asyncio.WriteTransport,
         limits: Limits,
         read_clock: Callable[[], float],
+        buffer: ExchangeBuffer | None = None,
     ) -> None:
+        self.buffer = buffer
+        if buffer is not None:
+            buffer.refresh = self.report_unread
+        self._reported = 0
         self.finished = False
         self.gaps = DeliveryGaps(read_clock())
         self._read_clock = read_clock
@@ -86,8 +92,23 @@
         # reader that exceeds the bound is therefore disconnected.
         if self.waiting > self._max_bytes:
             return _build_too_slow_problem()
+        if self.buffer is not None:
+            self.report_unread()
+            if not self.buffer.make_room():
+                return _build_too_slow_problem()
         return None
 
+    def report_unread(self) -> None:
+        """Count the bytes that the reader has not taken, and note if it took some."""
+        if self.buffer is None:
+            return
+        waiting = self.waiting
+        taken = self._writer.output_size - waiting
+        if taken > self._reported:
+            self._reported = taken
+            self.buffer.take(0)
+        self.buffer.set_unread(waiting)
+
     def _write_now(self, data: bytes) -> None:
         # Waiting for the drain would cost a task switch per token; the bound in
         # ``write`` limits the buffer instead. Without a drain the coroutine never
@@ -169,7 +190,15 @@
         """
         sink.finished = True
         if not sink.waiting:
-            self._sinks.discard(sink)
+            self._remove(sink)
+        elif sink.buffer is not None:
+            sink.report_unread()
+            sink.buffer.kept = True
+
+    def _remove(self, sink: StreamSink) -> None:
+        self._sinks.discard(sink)
+        if sink.buffer is not None:
+            sink.buffer.close()
 
     def sweep(self, now: float) -> Sweep:
         """Send keep-alives on idle streams and abort stalled readers.
@@ -183,7 +212,7 @@
         kept_alive = aborted = 0
         for sink in list(self._sinks):
             if sink.finished and not sink.waiting:
-                self._sinks.discard(sink)
+                self._remove(sink)
                 continue
             kept_alive += sink.keep_alive()
             aborted += sink.abort_if_stalled(now, self._limits.stalled_seconds)
--- a/figstep/net/exchanges.py
+++ b/figstep/net/exchanges.py
@@ -7,6 +7,7 @@
 from figstep.core.clock import Millis
 from figstep.core.problems import Problem, Ran
 from figstep.core.specs import RequestSpec
+from figstep.net.buffers import ExchangeBuffer
 
 REPLAYED_HEADER = "Idempotent-Replayed"
 """Header of an answer that was recorded for an earlier request with the same key."""
@@ -50,6 +51,7 @@
         max_bytes: Maximum size of ``frames``, in bytes; an answer that exceeds it ends
             with a problem.
         frames: Events collected and not yet read.
+        buffer: What is buffered for the request; None if there is no budget.
         sink: Receives events as they arrive, instead of ``frames``; None until the
             stream to the caller has begun, and for answers that are not streamed.
         problem: Final problem, or None if the answer has not ended with one.
@@ -63,6 +65,7 @@
     max_bytes: int = 1 << 23
     frames: list[bytes] = field(default_factory=list)
     frames_bytes: int = 0
+    buffer: ExchangeBuffer | None = None
     sink: FrameSink | None = None
     completed: bool = False
     problem: Problem | None = None
@@ -93,7 +96,12 @@
 
     def _collect(self, frames: list[bytes]) -> Problem | None:
         self.frames += frames
-        self.frames_bytes += sum(map(len, frames))
+        size = sum(map(len, frames))
+        self.frames_bytes += size
+        if self.buffer is not None:
+            self.buffer.add(size)
+            if not self.buffer.make_room():
+                return _build_no_room_problem()
         if self.frames_bytes > self.max_bytes:
             return _build_too_long_problem()
         if self.spec.stream:
@@ -104,6 +112,8 @@
         """Discard the collected events."""
         self.frames.clear()
         self.frames_bytes = 0
+        if self.buffer is not None:
+            self.buffer.drop()
 
     def end(self, problem: Problem | None) -> None:
         """Mark the answer as complete, or as ended by ``problem``."""
@@ -140,6 +150,15 @@
         return frames
 
 
+def _build_no_room_problem() -> Problem:
+    return Problem(
+        502,
+        "answer_not_buffered",
+        "this entry had no room for the answer; set stream to true",
+        ran=Ran.YES,
+    )
+
+
 def _build_too_long_problem() -> Problem:
     return Problem(
         502,
--- a/figstep/net/listener.py
+++ b/figstep/net/listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import ssl
 from functools import partial
+from typing import cast
 
 import logbook
 from aiohttp import web
@@ -10,6 +11,11 @@
 from figstep.core.problems import Problem
 from figstep.errors import ListenError
 from figstep.net.refusals import answer_errors, answer_problem, build_status_problem
+from figstep.net.sockets import (
+    CALLER_BUFFER_BYTES,
+    CALLER_WRITE_BYTES,
+    bound_buffers,
+)
 from figstep.settings import Limits, Tls
 
 _log = logbook.Logger("figstep.callers")
@@ -39,26 +45,52 @@
         return response
 
 
+class _BoundedProtocol(_CallerProtocol):
+    """Bounds what a connection buffers for a caller that does not read."""
+
+    __slots__ = ()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        connection = transport.get_extra_info("socket")
+        if connection is not None:
+            bound_buffers(connection, CALLER_BUFFER_BYTES)
+        # The transports of uvloop are not subclasses of asyncio.WriteTransport.
+        writing = cast(asyncio.WriteTransport, transport)
+        writing.set_write_buffer_limits(high=CALLER_WRITE_BYTES)
+
+
 class _CallerServer(web.Server):
+    bounded = False
+
     def __call__(self) -> web.RequestHandler:
-        return _CallerProtocol(self, loop=self._loop, **self._kwargs)
+        kind = _BoundedProtocol if self.bounded else _CallerProtocol
+        return kind(self, loop=self._loop, **self._kwargs)
 
 
 class CallerRunner(web.AppRunner):
-    """Runs an application whose connections use ``_CallerProtocol``."""
+    """Runs an application whose connections use ``_CallerProtocol``.
+
+    Attributes:
+        bounded: Whether the buffers of connections are bounded.
+    """
+
+    bounded = False
 
     async def _make_server(self) -> web.Server:
         # ``answer_errors`` wraps the whole application: a middleware would not see
         # requests that aiohttp rejects before it calls one, such as those with an
         # unknown Expect header.
         made = await super()._make_server()
-        return _CallerServer(
+        server = _CallerServer(
             partial(answer_errors, handler=made.request_handler),
             request_factory=made.request_factory,
             handler_cancellation=made.handler_cancellation,
             loop=asyncio.get_running_loop(),
             **made._kwargs,
         )
+        server.bounded = self.bounded
+        return server
 
 
 def _build_error_problem(status: int, error: BaseException | None) -> Problem:
@@ -67,9 +99,14 @@
     return build_status_problem(status)
 
 
-def build_runner(app: web.Application, limits: Limits) -> CallerRunner:
-    """Return the runner of ``app``, with limits on callers' requests."""
-    return CallerRunner(
+def build_runner(
+    app: web.Application, limits: Limits, bounded: bool = False
+) -> CallerRunner:
+    """Return the runner of ``app``, with limits on callers' requests.
+
+    The buffers of connections are bounded as well if ``bounded`` is set.
+    """
+    runner = CallerRunner(
         app,
         access_log=None,
         handler_cancellation=True,
@@ -80,6 +117,8 @@
         max_field_size=limits.header_bytes,
         max_headers=limits.headers,
     )
+    runner.bounded = bounded
+    return runner
 
 
 def build_tls(tls: Tls | None) -> ssl.SSLContext | None:
--- a/figstep/net/pools.py
+++ b/figstep/net/pools.py
@@ -25,9 +25,9 @@
         retired: Whether the pool was replaced.
     """
 
-    def __init__(self) -> None:
-        self.reused = _open_session(force_close=False)
-        self.fresh = _open_session(force_close=True)
+    def __init__(self, bounded: bool) -> None:
+        self.reused = _open_session(bounded, force_close=False)
+        self.fresh = _open_session(bounded, force_close=True)
         self.users = 0
         self.retired = False
 
@@ -38,9 +38,13 @@
 
 
 class PoolTable:
-    """Connection pools by target, each created at its first use."""
+    """Connection pools by target, each created at its first use.
 
-    def __init__(self) -> None:
+    The system's buffers of the connections are bounded if ``bounded`` is set.
+    """
+
+    def __init__(self, bounded: bool = False) -> None:
+        self._bounded = bounded
         self._pools: dict[str, Pool] = {}
         self._retired: set[Pool] = set()
 
@@ -49,7 +53,7 @@
         """Keep a target's pool open for the duration of a request."""
         pool = self._pools.get(target)
         if pool is None:
-            pool = self._pools[target] = Pool()
+            pool = self._pools[target] = Pool(self._bounded)
         pool.users += 1
         try:
             yield pool
@@ -73,6 +77,6 @@
             await pool.close()
 
 
-def _open_session(force_close: bool) -> aiohttp.ClientSession:
-    connector = ResetAwareConnector(limit=0, force_close=force_close)
+def _open_session(bounded: bool, force_close: bool) -> aiohttp.ClientSession:
+    connector = ResetAwareConnector(bounded, limit=0, force_close=force_close)
     return open_target_session(connector, CONNECT_TIMEOUT)
--- a/figstep/net/reading.py
+++ b/figstep/net/reading.py
@@ -2,18 +2,24 @@
 
 import aiohttp
 
+from figstep.net.buffers import ExchangeBuffer
+
 
 class BodyTooLongError(aiohttp.ClientPayloadError):
     """A body exceeds the size that its reader accepts."""
 
 
-async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
-    """Return the whole body of an answer.
+async def read_body(
+    response: aiohttp.ClientResponse,
+    max_bytes: int,
+    buffer: ExchangeBuffer | None = None,
+) -> bytes:
+    """Return the whole body of an answer, which is counted in ``buffer``.
 
     A body that is too long is given up as soon as that shows, not read to its end.
 
     Raises:
-        BodyTooLongError: If the body exceeds ``max_bytes``.
+        BodyTooLongError: If the body exceeds ``max_bytes`` or the room in the buffer.
     """
     chunks = []
     size = 0
@@ -24,5 +30,11 @@
             raise BodyTooLongError(
                 f"body of {response.url.path} exceeds {max_bytes} bytes"
             )
+        if buffer is not None:
+            buffer.add(len(chunk))
+            if not buffer.make_room():
+                buffer.drop()
+                response.close()
+                raise BodyTooLongError(f"no buffer for {response.url.path}")
         chunks.append(chunk)
     return b"".join(chunks)
--- a/figstep/net/sessions.py
+++ b/figstep/net/sessions.py
@@ -37,11 +37,13 @@
     connect_seconds: float,
     skip_auto_headers: Sequence[str] = (),
     trace: aiohttp.TraceConfig | None = None,
+    read_bytes: int = 65_536,
 ) -> aiohttp.ClientSession:
     """Return a session that passes on the answers of targets byte for byte.
 
     Opening a connection times out after ``connect_seconds``. aiohttp does not add
-    ``skip_auto_headers`` by itself. ``trace`` observes the requests.
+    ``skip_auto_headers`` by itself. ``trace`` observes the requests. Reading pauses
+    while twice ``read_bytes`` of an answer are not consumed.
     """
     # Cookies are dropped: a cookie jar would send one customer's cookies with the
     # requests of another.
@@ -50,6 +52,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_seconds),
         auto_decompress=False,
+        read_bufsize=read_bytes,
         skip_auto_headers=skip_auto_headers,
         middlewares=(send_once,),
         trace_configs=None if trace is None else [trace],
--- a/figstep/net/sockets.py
+++ b/figstep/net/sockets.py
@@ -29,6 +29,20 @@
 """
 
 
+CALLER_BUFFER_BYTES = 131_072
+"""Size of the system's buffers of a connection with a caller, in bytes. Without a bound
+they grow to 4 MB for one that does not read. A round trip of 20 ms still allows 6 MB
+per second."""
+
+TARGET_BUFFER_BYTES = 32_768
+"""Size of the system's buffers of a connection with a target, in bytes. One read takes
+all that is received, so it also bounds what the process holds of a paused answer."""
+
+CALLER_WRITE_BYTES = 12_288
+"""Unsent bytes in the write buffer of a connection above which writing pauses. The
+default of 64 KiB for each of 1,024 connections would be half of a small entry."""
+
+
 def open_keepalive_socket(
     address: tuple[
         socket.AddressFamily | int,
@@ -52,6 +66,27 @@
     return opened
 
 
+def open_bounded_socket(
+    address: tuple[
+        socket.AddressFamily | int,
+        socket.SocketKind | int,
+        int,
+        str,
+        tuple[object, ...],
+    ],
+) -> socket.socket:
+    """Return a socket with TCP keep-alive and bounded buffers for an address."""
+    opened = open_keepalive_socket(address)
+    bound_buffers(opened, TARGET_BUFFER_BYTES)
+    return opened
+
+
+def bound_buffers(connection: socket.socket, size: int) -> None:
+    """Bound what the system buffers for a connection, in either direction."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
 def reset_on_close(transport: asyncio.BaseTransport) -> None:
     """Make the close of a connection a reset, which its peer sees as an error.
 
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -28,6 +28,7 @@
 from figstep.core.problems import Problem
 from figstep.core.specs import GenerationWork
 from figstep.errors import FrameError
+from figstep.net.buffers import build_data
 from figstep.net.exchanges import Exchange, ServiceAnswer
 from figstep.net.frames import FrameSplitter
 from figstep.net.framing import is_delimited
@@ -72,11 +73,19 @@
         self,
         dispatch: Callable[[Event], None],
         find_target: Callable[[str], TargetInfo | None],
+        bounded: bool = False,
     ) -> None:
+        """Prepare the client.
+
+        Args:
+            dispatch: Called with the event of each result.
+            find_target: Returns a target, by name.
+            bounded: Whether the buffers of connections are bounded.
+        """
         super().__init__()
         self._dispatch = dispatch
         self._find_target = find_target
-        self._pools = PoolTable()
+        self._pools = PoolTable(bounded)
         self._attempt_tasks: dict[int, asyncio.Task[None]] = {}
         self._background: set[asyncio.Task[None]] = set()
 
@@ -175,11 +184,12 @@
             "Content-Type": "application/json",
             "X-Generation-Id": effect.generation,
             "X-Priority": str(effect.priority),
+            "Content-Length": str(len(exchange.body)),
         }
         async with self._pools.use(effect.target) as pool:
             async with pool.reused.post(
                 target.address + exchange.path,
-                data=exchange.body,
+                data=build_data(exchange.body),
                 headers=headers,
                 allow_redirects=False,
             ) as response:
@@ -244,6 +254,9 @@
         if not isinstance(target, ServiceInfo):
             self._dispatch(AttemptLost(effect.attempt, Loss.CONNECT_FAILED))
             return
+        headers = exchange.headers
+        if exchange.body:
+            headers = {**headers, "Content-Length": str(len(exchange.body))}
         async with self._pools.use(effect.target) as pool:
             # If a kept-alive connection has broken unnoticed, it is unknown whether
             # a call sent over it ran. A call that may run only once gets a new
@@ -252,11 +265,11 @@
             async with session.request(
                 exchange.method,
                 target.address + exchange.path,
-                data=exchange.body,
-                headers=exchange.headers,
+                data=build_data(exchange.body),
+                headers=headers,
                 allow_redirects=False,
             ) as response:
-                body = await read_body(response, MAX_ANSWER_BYTES)
+                body = await read_body(response, MAX_ANSWER_BYTES, exchange.buffer)
         if response.ok:
             outlived = is_delimited(response) or await outlives_answer(
                 response.url.host or "", response.url.port or 0, PROBE_TIMEOUT
--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import socket
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -13,9 +14,17 @@
 
 from figstep.core.clock import Millis
 from figstep.core.problems import Problem, Ran
+from figstep.errors import RefusedError
 from figstep.gateway.edges import AnswerHead, CallerPort, WholeAnswer
 from figstep.gateway.events import CallerGone, Event, RequestArrived, RoutedRequest
 from figstep.gateway.prompts import Prompt
+from figstep.net.buffers import (
+    PIECE_BYTES,
+    BufferTable,
+    ExchangeBuffer,
+    read_request_body,
+    write_answer,
+)
 from figstep.net.listener import build_runner
 from figstep.net.sockets import reset_on_close
 from figstep.platform import names
@@ -41,11 +50,6 @@
 """How long the readiness listener waits for open checks when it stops, in seconds; a
 check takes a millisecond."""
 
-MAX_UNREAD_BYTES = 262_144
-"""Intended maximum number of bytes of a stream that wait for a slow reader before the
-stream is cut. Otherwise, a few thousand such readers would fill the memory. No code of
-this module enforces it."""
-
 _UNKNOWN_ENTRY = Problem(
     503, "unknown_entry", "this entry does not know the one that passes the request on"
 )
@@ -63,6 +67,7 @@
     """A caller's request, and the parts of its answer as they arrive.
 
     Attributes:
+        buffer: What is buffered of the answer.
         path: Path with its query, as received.
         headers: Headers that are forwarded to targets.
         credential: API key that the caller sent, or None.
@@ -79,8 +84,10 @@
         path: str,
         headers: tuple[tuple[str, str], ...],
         body: bytes,
+        buffer: ExchangeBuffer,
         credential: str | None = None,
     ) -> None:
+        self.buffer = buffer
         self.method = method
         self.path = path
         self.headers = headers
@@ -91,7 +98,7 @@
         self.problem: Problem | None = None
         self.finished = False
         self.broken = False
-        self._pieces: list[bytes] = []
+        self._pieces: deque[bytes] = deque()
         self._changed = asyncio.Event()
 
     @property
@@ -115,8 +122,15 @@
         self._changed.set()
 
     def pop_data(self) -> bytes:
-        """Return the bytes of the stream added since the last call, and remove them."""
-        pieces, self._pieces = self._pieces, []
+        """Return the next bytes of the stream, about ``PIECE_BYTES``, and remove them.
+
+        All at once would be in memory twice while they wait for a slow reader.
+        """
+        pieces = []
+        size = 0
+        while self._pieces and size < PIECE_BYTES:
+            pieces.append(self._pieces.popleft())
+            size += len(pieces[-1])
         return b"".join(pieces)
 
     async def wait(self) -> None:
@@ -156,6 +170,8 @@
         render_metrics: Callable[[], bytes],
         listener: socket.socket | None = None,
         relays: RelayListener | None = None,
+        *,
+        buffers: BufferTable,
     ) -> None:
         """Prepare the server; nothing listens before it starts.
 
@@ -167,8 +183,10 @@
             render_metrics: Returns the metrics as text.
             listener: Socket that already listens for callers, or None to open one.
             relays: Where other entries pass requests on to this one, or None.
+            buffers: Buffers of all open requests.
         """
         super().__init__()
+        self._buffers = buffers
         self._relays = relays
         self._callers = callers
         self._listener = listener
@@ -194,7 +212,7 @@
         listener = self._listener
         if listener is None:
             listener = listen(self._callers.host, self._callers.port)
-        await self._listen(build_runner(app, LISTEN_LIMITS), listener)
+        await self._listen(build_runner(app, LISTEN_LIMITS, bounded=True), listener)
         if self._relays is not None:
             await self._listen_for_entries(self._relays.address)
         readiness_app = web.Application()
@@ -211,7 +229,7 @@
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_route("*", "/{path:.*}", self._serve_entry)
         app.on_response_prepare.append(self._prepare_response)
-        runner = build_runner(app, LISTEN_LIMITS)
+        runner = build_runner(app, LISTEN_LIMITS, bounded=True)
         await self._listen(runner, listen(address.host, address.port))
 
     async def _listen(self, runner: web.BaseRunner, listener: socket.socket) -> None:
@@ -257,20 +275,46 @@
 
     async def _serve(
         self, request: web.Request, relayed: bool = False
+    ) -> web.StreamResponse:
+        number = self._next_number
+        self._next_number += 1
+        announced = min(request.content_length or 0, MAX_BODY_BYTES)
+        try:
+            buffer = self._buffers.open(
+                announced, lambda: self._abort(number, request.transport)
+            )
+        except RefusedError as error:
+            return build_problem_response(error.problem)
+        try:
+            return await self._serve_buffered(number, request, relayed, buffer)
+        finally:
+            buffer.close()
+
+    def _abort(self, number: int, transport: asyncio.Transport | None) -> None:
+        """Close a caller's connection at once, and end all work for it."""
+        if transport is not None:
+            transport.abort()
+        self._dispatch(CallerGone(number))
+
+    async def _serve_buffered(
+        self, number: int, request: web.Request, relayed: bool, buffer: ExchangeBuffer
     ) -> web.StreamResponse:
         try:
             async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
-                body = await request.read()
+                body = await read_request_body(
+                    request, buffer, self._buffers, MAX_BODY_BYTES
+                )
         except TimeoutError:
             problem = Problem(408, "body_too_slow", "send the body faster")
             return build_problem_response(problem)
-        number = self._next_number
-        self._next_number += 1
+        except RefusedError as error:
+            return build_problem_response(error.problem)
         exchange = CallerExchange(
             request.method,
             request.raw_path,
             select_headers(request),
             body,
+            buffer,
             request.headers.get(names.CREDENTIAL),
         )
         self.exchanges[number] = exchange
@@ -292,6 +336,10 @@
             await exchange.wait()
         if exchange.answer is not None:
             answer = exchange.answer
+            if len(answer.body) > PIECE_BYTES:
+                begun = web.StreamResponse(status=answer.head.status)
+                _set_headers(begun, answer.head)
+                return await write_answer(request, begun, answer.body, exchange.buffer)
             response = web.Response(status=answer.head.status, body=answer.body)
             _set_headers(response, answer.head)
             return response
@@ -307,13 +355,14 @@
             raise ConnectionError("the stream broke before its first byte")
         response = web.StreamResponse(status=head.status)
         _set_headers(response, head)
-        if request.version >= HttpVersion11:
+        response.content_length = head.length
+        if head.length is None and request.version >= HttpVersion11:
             response.enable_chunked_encoding()
         await response.prepare(request)
         while True:
             data = exchange.pop_data()
             if data:
-                await response.write(data)
+                await _write_pieces(request, response, data, exchange.buffer)
                 continue
             if exchange.ended:
                 break
@@ -341,6 +390,7 @@
         """Add bytes to a caller's stream; ignored if the request is not open."""
         exchange = self.exchanges.get(number)
         if exchange is not None:
+            exchange.buffer.add(len(data))
             exchange.add(data)
 
     def finish_stream(self, number: int) -> None:
@@ -372,6 +422,20 @@
             exchange.wake_handler()
 
 
+async def _write_pieces(
+    request: web.Request,
+    response: web.StreamResponse,
+    data: bytes,
+    buffer: ExchangeBuffer,
+) -> None:
+    """Write bytes of a stream, no faster than the caller's connection takes them."""
+    for start in range(0, len(data), PIECE_BYTES):
+        piece = data[start : start + PIECE_BYTES]
+        await response.write(piece)
+        await request.writer.drain()
+        buffer.take(len(piece))
+
+
 def select_headers(request: web.Request) -> tuple[tuple[str, str], ...]:
     """Return the headers of a request that are forwarded to targets.
 
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import aiohttp
@@ -17,6 +18,7 @@
 from figstep.gateway.effects import CopyRun, OpenAttempt, RunCopy
 from figstep.gateway.events import (
     AnswerArrived,
+    AnswerBegan,
     AttemptConnected,
     AttemptLost,
     BrittlenessNamed,
@@ -24,6 +26,7 @@
     Loss,
     PiecesArrived,
     RateNamed,
+    ReadingPaused,
     RunCopied,
     RunNotCopied,
     StreamEnded,
@@ -34,6 +37,7 @@
     TargetLeaving,
 )
 from figstep.gateway.targets import Target
+from figstep.net.buffers import ExchangeBuffer, UnreadAnswerError, build_data
 from figstep.net.connectors import ResetAwareConnector
 from figstep.net.frames import EventSplitter
 from figstep.net.framing import is_delimited
@@ -57,6 +61,14 @@
 """Largest complete answer that may be sent to a caller, in bytes. A larger one counts
 as a lost attempt."""
 
+READ_BYTES = 16_384
+"""Number of bytes of an answer that are read at once. The HTTP client holds twice as
+many before it stops to read from a connection."""
+
+ANSWER_SILENCE_SECONDS = 10.0
+"""Time in seconds without a byte of an answer that has begun after which it counts as
+broken. Its deadline no longer ends it, as late answers are delivered."""
+
 MAX_REPORT_BYTES = 1_048_576
 """Largest report of an engine's state, in bytes; one names each run in some bytes."""
 
@@ -112,22 +124,24 @@
 
     async def on_start(self) -> None:
         """Open the HTTP sessions."""
-        connector = ResetAwareConnector(limit=0, force_close=True)
+        connector = ResetAwareConnector(bounded=True, limit=0, force_close=True)
         self._session = open_target_session(
             connector,
             CONNECT_TIMEOUT_SECONDS,
             _SUPPRESSED_CLIENT_HEADERS,
             trace_connections(self._handle_connection),
+            READ_BYTES,
         )
         # Entries accept requests only from the addresses of known entries.
         relay_connector = ResetAwareConnector(
-            limit=0, force_close=True, local_addr=(self._own_host, 0)
+            bounded=True, limit=0, force_close=True, local_addr=(self._own_host, 0)
         )
         self._relay_session = open_target_session(
             relay_connector,
             CONNECT_TIMEOUT_SECONDS,
             _SUPPRESSED_CLIENT_HEADERS,
             trace_connections(self._handle_connection),
+            READ_BYTES,
         )
 
     async def on_stop(self) -> None:
@@ -229,7 +243,7 @@
         async with self._session.request(
             exchange.method,
             url,
-            data=exchange.body or None,
+            data=build_data(exchange.body),
             headers=self._build_headers(effect, exchange, target),
             allow_redirects=False,
             trace_request_ctx=effect.attempt,
@@ -241,8 +255,8 @@
                 refusal.whole = await _is_whole(response)
                 raise
             if effect.stream and response.status == 200:
-                return await self._read_stream(effect, response)
-            return await self._read_answer(effect, response)
+                return await self._read_stream(effect, exchange, response)
+            return await self._read_answer(effect, exchange, response)
 
     async def _pass_on(self, effect: OpenAttempt, exchange: CallerExchange) -> Event:
         """Send a request to another entry, and return what it answers."""
@@ -256,15 +270,15 @@
         async with self._relay_session.request(
             exchange.method,
             url,
-            data=exchange.body or None,
-            headers=[*exchange.headers, *relay_headers],
+            data=build_data(exchange.body),
+            headers=[*exchange.headers, *relay_headers, *_state_length(exchange)],
             allow_redirects=False,
             trace_request_ctx=effect.attempt,
         ) as response:
             answers.check_answer(response, exchange.request_id)
             if effect.stream and response.status == 200:
-                return await self._read_stream(effect, response)
-            return await self._read_answer(effect, response)
+                return await self._read_stream(effect, exchange, response)
+            return await self._read_answer(effect, exchange, response)
 
     def _dispatch_target_signals(
         self, response: aiohttp.ClientResponse, target: Target, requested_at: Millis
@@ -304,6 +318,7 @@
             headers.append((names.LAST_EVENT, str(effect.after)))
         if effect.source is not None:
             headers.append((names.COPY_SOURCE, self._format_copy_source(effect.source)))
+        headers += _state_length(exchange)
         if not exchange.body and exchange.method not in ("GET", "HEAD"):
             headers.append(("Content-Length", "0"))
         return headers
@@ -314,7 +329,10 @@
         return f"{address}/{copy.handle}"
 
     async def _read_stream(
-        self, effect: OpenAttempt, response: aiohttp.ClientResponse
+        self,
+        effect: OpenAttempt,
+        exchange: CallerExchange,
+        response: aiohttp.ClientResponse,
     ) -> Event:
         attempt = effect.attempt
         self._heads[attempt] = answers.read_head(response)
@@ -328,6 +346,10 @@
             events += len(pieces)
             if pieces:
                 self._dispatch(PiecesArrived(attempt, pieces))
+                if not exchange.buffer.may_read():
+                    self._dispatch(ReadingPaused(attempt, True))
+                    await exchange.buffer.wait_for_room()
+                    self._dispatch(ReadingPaused(attempt, False))
         reason = explain_incomplete(
             NumberedStream(
                 is_delimited(response),
@@ -341,21 +363,79 @@
         return StreamEnded(attempt)
 
     async def _read_answer(
-        self, effect: OpenAttempt, response: aiohttp.ClientResponse
+        self,
+        effect: OpenAttempt,
+        exchange: CallerExchange,
+        response: aiohttp.ClientResponse,
     ) -> Event:
+        """Read an answer in full if the budget has room, else as its caller reads."""
+        buffer = exchange.buffer
+        if response.method != "HEAD":
+            # An answer that is too long is found so as it is read.
+            buffer.reserve(min(response.content_length or 0, MAX_ANSWER_BYTES))
         try:
-            body = await read_body(response, MAX_ANSWER_BYTES)
+            chunks = await _read_ahead(response, buffer)
+            if chunks.ended:
+                return await self._finish_answer(effect, response, chunks)
+            if not _is_final(response.status):
+                detail = f"no buffer for the answer {response.status}"
+                return AttemptLost(effect.attempt, Loss.FAILED, detail=detail)
+            return await self._pace_answer(effect, exchange, response, chunks)
         except BodyTooLongError as error:
             return AttemptLost(effect.attempt, Loss.GARBLED, detail=str(error))
-        if response.ok:
-            outlived = await _has_outlived(response)
-            reason = explain_incomplete(
-                Body(is_delimited(response), len(body), outlived)
-            )
-            if reason:
-                return AttemptLost(effect.attempt, Loss.BROKEN, detail=reason)
+        finally:
+            if effect.attempt not in self._answers and exchange.head is None:
+                buffer.drop()
+
+    async def _pace_answer(
+        self,
+        effect: OpenAttempt,
+        exchange: CallerExchange,
+        response: aiohttp.ClientResponse,
+        start: "_Chunks",
+    ) -> Event:
+        """Read the rest of an answer as fast as its caller reads."""
+        attempt = effect.attempt
+        head = answers.read_head(response)
+        self._heads[attempt] = replace(head, length=response.content_length)
+        self._dispatch(AnswerBegan(attempt))
+        exchange.add(b"".join(start.parts))
+        start.parts.clear()
+        size = start.size
+        try:
+            while True:
+                await exchange.buffer.wait_for_room()
+                async with asyncio.timeout(ANSWER_SILENCE_SECONDS):
+                    chunk = await response.content.read(READ_BYTES)
+                if not chunk:
+                    break
+                size += len(chunk)
+                if size > MAX_ANSWER_BYTES:
+                    raise BodyTooLongError(f"answer exceeds {MAX_ANSWER_BYTES} bytes")
+                exchange.buffer.add(len(chunk))
+                exchange.add(chunk)
+        except UnreadAnswerError as error:
+            return AttemptLost(attempt, Loss.CUT, detail=str(error))
+        except (aiohttp.ClientError, OSError) as error:
+            if not exchange.buffer.paused or isinstance(error, BodyTooLongError):
+                raise
+            # The target gave up an answer that was not read: it has not failed.
+            return AttemptLost(attempt, Loss.CUT, detail=_describe_error(error))
+        reason = await _explain_incomplete_body(response, size)
+        if reason:
+            return AttemptLost(attempt, Loss.BROKEN, detail=reason)
+        return AnswerArrived(attempt, response.status)
+
+    async def _finish_answer(
+        self, effect: OpenAttempt, response: aiohttp.ClientResponse, chunks: "_Chunks"
+    ) -> Event:
+        body = b"".join(chunks.parts)
+        chunks.parts.clear()
+        reason = await _explain_incomplete_body(response, len(body))
+        if reason:
+            return AttemptLost(effect.attempt, Loss.BROKEN, detail=reason)
         self._answers[effect.attempt] = WholeAnswer(answers.read_head(response), body)
-        if response.status < 500 and response.status not in (408, 429):
+        if _is_final(response.status):
             return AnswerArrived(effect.attempt, response.status)
         # Callers assume that a request with status 408, 429 or 503 did not run. The
         # target did not state "not run", so these statuses are not forwarded.
@@ -484,6 +564,63 @@
         await copies.free_copy(self._session, owner.info.address, copy.handle)
 
 
+def _state_length(exchange: CallerExchange) -> list[tuple[str, str]]:
+    """Return the header that states the length of a body, if there is one."""
+    if not exchange.body:
+        return []
+    return [("Content-Length", str(len(exchange.body)))]
+
+
+@dataclass(slots=True)
+class _Chunks:
+    """Start of an answer, or all of it.
+
+    Attributes:
+        size: Number of bytes read.
+        ended: Whether the answer has ended.
+    """
+
+    parts: list[bytes] = field(default_factory=list)
+    size: int = 0
+    ended: bool = False
+
+
+async def _read_ahead(
+    response: aiohttp.ClientResponse, buffer: ExchangeBuffer
+) -> _Chunks:
+    """Read an answer until its end, or until the budget has no room to go on.
+
+    Raises:
+        BodyTooLongError: If the answer exceeds ``MAX_ANSWER_BYTES``.
+    """
+    chunks = _Chunks()
+    while buffer.may_read():
+        chunk = await response.content.read(READ_BYTES)
+        if not chunk:
+            chunks.ended = True
+            break
+        chunks.size += len(chunk)
+        if chunks.size > MAX_ANSWER_BYTES:
+            response.close()
+            raise BodyTooLongError(f"answer exceeds {MAX_ANSWER_BYTES} bytes")
+        buffer.add(len(chunk))
+        chunks.parts.append(chunk)
+    return chunks
+
+
+def _is_final(status: int) -> bool:
+    """Return whether an answer with this status is sent to the caller as it is."""
+    return status < 500 and status not in (408, 429)
+
+
+async def _explain_incomplete_body(response: aiohttp.ClientResponse, size: int) -> str:
+    """Return why a body that has ended is not complete; empty if it is."""
+    if not response.ok:
+        return ""
+    outlived = await _has_outlived(response)
+    return explain_incomplete(Body(is_delimited(response), size, outlived))
+
+
 async def _listens(target: Target) -> bool | None:
     """Return whether a target accepts a connection; None if it was not reached."""
     host, _, port = target.info.address.rpartition(":")
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -46,6 +46,7 @@
 from figstep.gateway.state import State
 from figstep.gateway.targets import Registration
 from figstep.logs import install_bounded_logs
+from figstep.net.buffers import BufferTable
 from figstep.net.clock import SystemClock
 from figstep.net.hellos import RecordCopy
 from figstep.net.links import LinkHost, PeerLink
@@ -138,6 +139,11 @@
         self.gateway = Gateway(
             build_state(settings, self._clock.now()), self._clock, self.measures
         )
+        self.buffers = BufferTable(
+            settings.memory_bytes, self._clock, self.measures.count
+        )
+        self.measures.watch("buffered_bytes", lambda: self.buffers.budget.used)
+        self.measures.watch("buffer_limit_bytes", lambda: self.buffers.budget.limit)
         self.callers = CallerEdge(
             settings.callers,
             settings.readiness,
@@ -146,6 +152,7 @@
             self.measures.render,
             listener,
             None if settings.relays is None else self._build_relays(settings.relays),
+            buffers=self.buffers,
         )
         self.targets = TargetEdge(
             self._clock,
@@ -457,12 +464,13 @@
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply settings that were read again.
 
-        Seeds, retry bounds, regions and the grace time change at once. The addresses of
-        listeners and of the store, and the names of the instance and its failure
-        domain, stay as they were at the start of the process.
+        Seeds, retry bounds, regions, the memory limit and the grace time change at
+        once. The addresses of listeners and of the store, and the names of the instance
+        and its failure domain, stay as they were at the start of the process.
         """
         self.settings = settings
         self.link.set_seeds(settings.seed_addresses)
+        self.buffers.set_memory(settings.memory_bytes)
         self.gateway.dispatch(
             SettingsRead(
                 settings.retry_ratio,
--- a/figstep/settings.py
+++ b/figstep/settings.py
@@ -78,6 +78,8 @@
         keep_alive_seconds: Interval of comments on an idle stream, in seconds.
         stalled_seconds: Maximum time that a caller may leave the bytes of a stream
             unread, in seconds; its connection is aborted then.
+        memory_bytes: Memory above which the process is killed, in bytes, from which
+            the budget of buffered bytes is derived; None for no budget.
     """
 
     body_bytes: int = Field(default=1_048_576, gt=0)
@@ -91,6 +93,7 @@
     answer_bytes: int = Field(default=8_388_608, gt=0)
     keep_alive_seconds: float = Field(default=15.0, gt=0)
     stalled_seconds: float = Field(default=60.0, gt=0)
+    memory_bytes: int | None = Field(default=None, gt=0)
 
 
 class Statsd(_Model):
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -406,7 +406,7 @@
         version: Version of the configuration.
         fields: Top-level fields to add or replace.
     """
-    routes = [
+    routes: list[dict[str, object]] = [
         {"prefix": "/plan/", "type": "stream", "service": "engines"},
         {"prefix": "/order/", "type": "unsafe", "service": "bookings"},
         {"prefix": "/lookup/", "type": "safe", "service": "bookings", "attempts": 2},
