--- a/tests/gateway/test_recovery.py
+++ b/tests/gateway/test_recovery.py
@@ -3,9 +3,17 @@
 import pytest
 
 from figstep.core.problems import Ran
-from figstep.gateway.effects import Answer, BreakStream, Note, OpenAttempt, Refuse
+from figstep.gateway.effects import (
+    Answer,
+    BeginStream,
+    BreakStream,
+    Note,
+    OpenAttempt,
+    Refuse,
+)
 from figstep.gateway.events import (
     AnswerArrived,
+    AnswerBegan,
     AttemptConnected,
     AttemptLost,
     EntriesCounted,
@@ -306,3 +314,22 @@
     target = harness.state.targets.targets[silent]
     assert target.backoff_until <= harness.clock.now()
     assert target.ended_at is None
+
+
+def test_an_answer_that_has_begun_is_never_replaced_or_ended_by_its_deadline() -> None:
+    """Guards against two answers in one, and a slow reader that gets a part of one.
+
+    The request may run again, but its caller has the start of the first answer.
+    """
+    harness = build_harness()
+    harness.receive_request("/lookup/a")
+    first = harness.find_effect(OpenAttempt)
+    harness.handle(AttemptConnected(first.attempt))
+    harness.handle(AnswerBegan(first.attempt))
+    assert harness.find_effects(BeginStream)
+    harness.clock.advance(60_000)
+    harness.handle(Ticked())
+    assert harness.find_effects(BreakStream) == []
+    harness.handle(AttemptLost(first.attempt, Loss.CUT))
+    assert harness.find_effects(BreakStream)
+    assert harness.find_effects(OpenAttempt) == []
--- a/tests/net/test_buffers.py
+++ b/tests/net/test_buffers.py
@@ -12,7 +12,12 @@
 from figstep.settings import Limits
 from tests.net.test_callers import GOOD, PATH, STREAM, EntryClient, open_raw, wait_until
 
-LIMITS = Limits(memory_bytes=1 << 20, keep_alive_seconds=0.1, buffer_bytes=1 << 24)
+LIMITS = Limits(
+    memory_bytes=1 << 20,
+    keep_alive_seconds=0.1,
+    stalled_seconds=0.5,
+    buffer_bytes=1 << 24,
+)
 LONG = {**STREAM, "standin_length": 8_000}
 
 
