--- a/tests/gateway/test_demand_loads.py
+++ b/tests/gateway/test_demand_loads.py
@@ -17,12 +17,15 @@
 SEEDS = {8: 8, 32: 3, 88: 2, 195: 1}
 """Number of runs by number of entries; a small fleet has few requests in each."""
 
-MAX_HELD_SHARE = 0.35
+MAX_HELD_SHARE = 0.2
 """Largest number of rejections after a wait, as a fraction of first tries.
 
 Entries that count only their own requests exceed it at all these sizes.
 """
 
+MAX_HELD_SHARE_AT_ONE_ENGINE = 0.35
+"""The same in bursts at 8 entries, whose only engine seldom ends one of seven runs."""
+
 
 @cache
 def replay(size: int, shared: bool = True) -> tuple[dict[str, Counter[str]], ...]:
@@ -50,7 +53,8 @@
     """Guards against queues filled in one burst and rejected in the next one."""
     burst = replay(size)[0]
     both = burst["long"] + burst["short"]
-    assert both["held"] <= MAX_HELD_SHARE * both["tries"], burst
+    share = MAX_HELD_SHARE_AT_ONE_ENGINE if size == 8 else MAX_HELD_SHARE
+    assert both["held"] <= share * both["tries"], burst
 
 
 @EACH_SIZE
