--- a/figstep/gateway/news.py
+++ b/figstep/gateway/news.py
@@ -22,7 +22,8 @@
 DEMAND_REPORT_INTERVAL = Millis(700)
 """Time, in milliseconds, between two reports of demand in which the same number of
 requests wait. Decoding one takes as long as the rest of a short message. Messages are
-sent every 0.4 s under load and every second otherwise: counts are at most that old."""
+sent every 0.4 s under load and every second otherwise, so that counts are at most a
+second old."""
 
 
 @dataclass(slots=True)
