--- a/figstep/net/callers.py
+++ b/figstep/net/callers.py
@@ -75,7 +75,7 @@
         self._grace_tasks: set[asyncio.Task[None]] = set()
         self.streams = StreamTable(settings.limits)
         self.buffers = BufferTable(
-            settings.limits.memory_bytes, clock, metrics.count, UNPACED_FRACTION
+            settings.limits.memory_bytes, clock, self._count_buffers, UNPACED_FRACTION
         )
         self.ready = True
         self.address = ""
@@ -171,6 +171,12 @@
         body = orjson.dumps({"object": "list", "data": models})
         return web.Response(body=body, content_type="application/json")
 
+    def _count_buffers(self, name: str) -> None:
+        if name == "buffers_rejected":
+            self._metrics.count("buffers.rejected")
+        else:
+            self._metrics.count("buffers.terminated")
+
     @contextmanager
     def _open_buffer(self, request: web.Request) -> Iterator[ExchangeBuffer]:
         """Count what is buffered for a request until its answer is sent."""
