--- a/tests/gateway/test_targets.py
+++ b/tests/gateway/test_targets.py
@@ -1,7 +1,14 @@
 """Tests of the table of targets."""
 
+import pytest
+
 from figstep.core.clock import Millis
-from figstep.gateway.targets import Registration, Standing, TargetTable
+from figstep.gateway.targets import (
+    Registration,
+    Standing,
+    TargetTable,
+    contradicts_registration,
+)
 
 NOW = Millis(100_000)
 
@@ -91,3 +98,15 @@
         slow.update_read_rate(3_000, 1_500)
         fast.update_read_rate(3_000, 300)
     assert slow.predict_read_time(3_000, NOW) > 2 * fast.predict_read_time(3_000, NOW)
+
+
+@pytest.mark.parametrize(
+    ("registered", "reported", "contradicts"),
+    [(1, 1, False), (1, 2, True), (2, 1, True), (0, 2, False), (1, 0, False)],
+)
+def test_a_report_contradicts_another_start_only(
+    registered: int, reported: int, contradicts: bool
+) -> None:
+    """Guards against streams lost at engines that do not state their start."""
+    info = register(born=registered)
+    assert contradicts_registration(info, reported) is contradicts
