Attribute crashes to the subjects that are needed to explain them

With several requests and parts that crash engines at the same time, callers of harmless streams got 503 crashes_targets for a document that they share with the guilty ones. Pairs of subjects were compared by their totals: a document that ran beside two guilty ones has more crashes than each of them, so that neither explained any crash of it.

Subjects are now compared by the crashes that no other one was at, and dropped one by one until each that is left has enough of these; a subject is refused for what it is needed for. It still counts against a subject only where no other one has as many crashes, so that nothing is refused that was not before for want of evidence. Verdicts are kept until a suspicion changes, as they now weigh all subjects at once.

test_a_part_beside_several_guilty_ones_is_not_refused passes; the other tests of tests/core and tests/gateway/test_crash_fleets.py still do.

--- a/figstep/core/crashes.py
+++ b/figstep/core/crashes.py
@@ -11,6 +11,13 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
+from figstep.core.attribution import (
+    PART_PREFIX,
+    Crash,
+    attribute_crashes,
+    is_part,
+    list_doubtful,
+)
 from figstep.core.clock import MINUTE, Millis
 
 CRASHES_BEFORE_REFUSAL = 2
@@ -28,10 +35,6 @@
 """Largest increase of the number of crashes before a refusal. Each crash of a target
 without the subject, in the time span of its crashes, adds one, up to this maximum."""
 
-SIMULTANEOUS_CRASHES = Millis(100)
-"""Time within which crashes count as one for a part, in milliseconds. Targets that are
-lost together do not crash one after another."""
-
 COMMON_CAUSE_WINDOW = Millis(1_000)
 """Time within which crashes may have one cause, such as the loss of a failure domain,
 in milliseconds."""
@@ -67,19 +70,17 @@
 MAX_PART_LENGTH = 32
 """Maximum length of a part's id in a subject. A longer id is replaced by a digest."""
 
-_PART_PREFIX = "part "
-
 
 def name_part(part: str) -> str:
     """Return the subject for a part of a prompt, given the id of the part."""
     if len(part) > MAX_PART_LENGTH:
         part = hashlib.sha256(part.encode()).hexdigest()[:MAX_PART_LENGTH]
-    return f"{_PART_PREFIX}{part}"
+    return f"{PART_PREFIX}{part}"
 
 
-def is_part(subject: str) -> bool:
-    """Return whether a subject is a part of prompts, and not a request."""
-    return subject.startswith(_PART_PREFIX)
+def _get_required(subject: str) -> int:
+    """Return the number of crashes after which requests with a subject are refused."""
+    return PART_CRASHES_BEFORE_REFUSAL if is_part(subject) else CRASHES_BEFORE_REFUSAL
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,28 +112,6 @@
     age: Millis = Millis(0)
 
 
-@dataclass(slots=True)
-class _Crash:
-    """A crash of a target.
-
-    Attributes:
-        at: Time of the crash (monotonic), in milliseconds.
-        suspects: Subjects on the target, with the time (monotonic, in milliseconds) at
-            which each became known here.
-    """
-
-    at: Millis
-    suspects: dict[str, Millis] = field(default_factory=dict)
-
-
-def _is_one_event(crash: _Crash, other: _Crash) -> bool:
-    """Return whether two crashes show no more of a part than one of them."""
-    if abs(crash.at - other.at) < SIMULTANEOUS_CRASHES:
-        return True
-    shared = crash.suspects.keys() & other.suspects.keys()
-    return not all(is_part(subject) for subject in shared)
-
-
 @dataclass(slots=True)
 class _Cleared:
     """A suspected subject that has run since without a crash.
@@ -152,10 +131,15 @@
 class CrashTable:
     """Crashes of targets, and the subjects that were on those targets."""
 
-    _crashes: dict[str, _Crash] = field(default_factory=dict)
+    _crashes: dict[str, Crash] = field(default_factory=dict)
     _lives: dict[str, set[str]] = field(default_factory=dict)
     _cleared: dict[str, _Cleared] = field(default_factory=dict)
     _trials: dict[str, Millis] = field(default_factory=dict)
+    _attributed: dict[tuple[bool, frozenset[str]], dict[str, list[Crash]]] = field(
+        default_factory=dict
+    )
+    _doubtful: dict[frozenset[str], set[str]] = field(default_factory=dict)
+    _attributed_until: Millis = Millis(0)
 
     def record_suspicion(self, suspicion: Suspicion, now: Millis) -> bool:
         """Record a suspicion, and return whether it was added.
@@ -171,6 +155,7 @@
         if cleared is not None and at <= cleared.at:
             return False
         self.record_crash(life, at)
+        self._forget_attributed()
         self._crashes[life].suspects[subject] = now
         self._lives.setdefault(subject, set()).add(life)
         if len(self._lives) > MAX_SUBJECTS:
@@ -179,7 +164,7 @@
 
     def record_crash(self, life: str, at: Millis) -> None:
         """Record a crash of a target, with or without requests on it."""
-        self._crashes.setdefault(life, _Crash(at))
+        self._crashes.setdefault(life, Crash(at))
 
     @property
     def has_suspects(self) -> bool:
@@ -239,23 +224,21 @@
     def find_culprit(self, subjects: Collection[str], now: Millis) -> str | None:
         """Return the subject for which a request is refused; None if it is not refused.
 
-        The crashes of the last ``CRASH_RETENTION`` that no subject of another request
-        explains count. The request is refused if one of its subjects has as many of
-        them as its kind takes, and one more for each crash without the subject in the
-        same time span, up to ``MAX_UNRELATED_CRASHES`` more.
+        The crashes of the last ``CRASH_RETENTION`` that are attributed to one of its
+        subjects count. The request is refused if there are as many as the subject's
+        kind takes, and one more for each crash without the subject in the same time
+        span, up to ``MAX_UNRELATED_CRASHES`` more.
 
         Args:
             subjects: Digest of the request and the parts of its prompt.
             now: Monotonic time, in milliseconds.
         """
         for subject in subjects:
-            required = CRASHES_BEFORE_REFUSAL
-            if is_part(subject):
-                required = PART_CRASHES_BEFORE_REFUSAL
+            required = _get_required(subject)
             if len(self._lives.get(subject, ())) < required:
                 continue
-            own = self._list_unexplained(subject, subjects, now)
-            if len(own) < required:
+            own = self._list_attributed(subject, subjects, now)
+            if not own:
                 continue
             unrelated = self._count_unrelated(subject, own)
             if len(own) >= required + min(MAX_UNRELATED_CRASHES, unrelated):
@@ -268,12 +251,17 @@
         Returns None if a request with these subjects may run like any other.
         """
         for subject in subjects:
-            if len(self._lives.get(subject, ())) < PART_CRASHES_BEFORE_CAUTION:
-                continue
             if not is_part(subject):
                 continue
-            own = self._list_unexplained(subject, subjects, now)
-            if len(own) >= PART_CRASHES_BEFORE_CAUTION:
+            if len(self._lives.get(subject, ())) < PART_CRASHES_BEFORE_CAUTION:
+                continue
+            self._expire_attributed(now)
+            excluded = self._list_excluded(subject, subjects)
+            if excluded not in self._doubtful:
+                required = PART_CRASHES_BEFORE_CAUTION
+                suspects = self._list_suspects(True, excluded, required, now)
+                self._doubtful[excluded] = list_doubtful(suspects, required)
+            if subject in self._doubtful[excluded]:
                 return subject
         return None
 
@@ -291,26 +279,65 @@
         self._trials[subject] = now
         return True
 
-    def _list_unexplained(
+    def _list_attributed(
         self, subject: str, subjects: Collection[str], now: Millis
-    ) -> list[_Crash]:
-        """Return the recent crashes of a subject that no other one explains, by time.
+    ) -> list[Crash]:
+        """Return the crashes attributed to a subject, none if fewer than required."""
+        self._expire_attributed(now)
+        excluded = self._list_excluded(subject, subjects)
+        key = (is_part(subject), excluded)
+        if key not in self._attributed:
+            required = _get_required(subject)
+            suspects = self._list_suspects(is_part(subject), excluded, required, now)
+            self._attributed[key] = attribute_crashes(suspects, required)
+        return self._attributed[key].get(subject, [])
+
+    def _list_excluded(self, subject: str, subjects: Collection[str]) -> frozenset[str]:
+        """Return the other subjects of a request, which explain no crash for it."""
+        return frozenset(
+            other
+            for other in subjects
+            if other != subject
+            and len(self._lives.get(other, ())) >= CRASHES_BEFORE_REFUSAL
+        )
 
-        Crashes of a part at about the same time count once, and so do those of one
-        request that went from target to target.
-        """
-        found: list[_Crash] = []
-        lives = self._lives.get(subject, ())
-        for life in sorted(lives, key=self._get_crash_time):
-            crash = self._crashes[life]
-            if now - crash.at >= CRASH_RETENTION:
-                continue
-            if self._is_explained(subject, subjects, crash, now):
+    def _forget_attributed(self) -> None:
+        self._attributed.clear()
+        self._doubtful.clear()
+
+    def _expire_attributed(self, now: Millis) -> None:
+        """Forget what was attributed before the last crash was too old to count."""
+        if now >= self._attributed_until:
+            self._forget_attributed()
+        if not self._attributed and not self._doubtful:
+            self._attributed_until = self._find_next_expiry(now)
+
+    def _find_next_expiry(self, now: Millis) -> Millis:
+        """Return the time at which the next crash is older than ``CRASH_RETENTION``."""
+        ends = [Millis(crash.at + CRASH_RETENTION) for crash in self._crashes.values()]
+        return min(
+            (end for end in ends if end > now), default=Millis(now + CRASH_RETENTION)
+        )
+
+    def _list_suspects(
+        self, parts: bool, excluded: Collection[str], required: int, now: Millis
+    ) -> dict[str, list[Crash]]:
+        """Return the parts or the requests with their recent unexplained crashes."""
+        suspects = {}
+        for subject, lives in self._lives.items():
+            if is_part(subject) != parts or subject in excluded:
                 continue
-            if is_part(subject) and any(_is_one_event(crash, one) for one in found):
+            if len(lives) < required:
                 continue
-            found.append(crash)
-        return found
+            found = []
+            for life in sorted(lives, key=self._get_crash_time):
+                crash = self._crashes[life]
+                if now - crash.at >= CRASH_RETENTION:
+                    continue
+                if not self._is_explained(subject, excluded, crash, now):
+                    found.append(crash)
+            suspects[subject] = found
+        return suspects
 
     def is_settled(self, subject: str, now: Millis) -> bool:
         """Return whether all entries have had time to report a subject's crashes."""
@@ -320,47 +347,24 @@
         )
 
     def _is_explained(
-        self, subject: str, subjects: Collection[str], crash: _Crash, now: Millis
+        self, subject: str, excluded: Collection[str], crash: Crash, now: Millis
     ) -> bool:
-        """Return whether another subject is as likely to have caused a crash.
+        """Return whether a subject of the other kind explains a crash.
 
-        Such a subject was on the same target, has as many suspicions or more, and is
-        not one of the request's own ``subjects``. A part explains the crashes of a
-        request only if requests are refused for it: many requests share a part. A
-        request explains the crash of a part if it was at one without the part as well.
+        A part explains the crashes of a request if requests are refused for it: many
+        requests share a part. A request explains the crash of a part if it was at one
+        without the part as well.
         """
         for other in crash.suspects:
-            if other in subjects:
-                continue
-            if is_part(subject) and self._crashes_without(other, subject):
-                return True
-            if self._is_less_suspected(other, subject):
+            if other in excluded or is_part(other) == is_part(subject):
                 continue
-            if is_part(subject) or not is_part(other):
-                return True
-            if self.find_culprit((other,), now) is not None:
+            if is_part(subject):
+                if self._crashes_without(other, subject):
+                    return True
+            elif self.find_culprit((other,), now) is not None:
                 return True
         return False
 
-    def _is_less_suspected(self, other: str, subject: str) -> bool:
-        """Return whether a subject was at fewer crashes than another one.
-
-        Of two parts, each request counts once: one that crashes many targets by itself
-        would make all parts of its prompt the likelier causes of other crashes.
-        """
-        if is_part(other) and is_part(subject):
-            return self._count_events(other) < self._count_events(subject)
-        return len(self._lives[other]) < len(self._lives[subject])
-
-    def _count_events(self, part: str) -> int:
-        """Count the crashes of a part, those that show no more of it together once."""
-        found: list[_Crash] = []
-        for life in sorted(self._lives[part], key=self._get_crash_time):
-            crash = self._crashes[life]
-            if not any(_is_one_event(crash, one) for one in found):
-                found.append(crash)
-        return len(found)
-
     def _crashes_without(self, digest: str, part: str) -> bool:
         """Return whether a request was at several crashes, some without a part."""
         lives = self._lives[digest]
@@ -368,7 +372,7 @@
             return False
         return not lives <= self._lives[part]
 
-    def _count_unrelated(self, subject: str, own: list[_Crash]) -> int:
+    def _count_unrelated(self, subject: str, own: list[Crash]) -> int:
         """Count the crashes without a subject in the time span of its own crashes.
 
         A crash is left out if a subject with several suspicions was on the target:
@@ -442,6 +446,7 @@
         return self._crashes[life].at
 
     def _drop_suspicion(self, subject: str, life: str) -> None:
+        self._forget_attributed()
         del self._crashes[life].suspects[subject]
         lives = self._lives[subject]
         lives.discard(life)
--- a/figstep/gateway/culprits.py
+++ b/figstep/gateway/culprits.py
@@ -1,7 +1,7 @@
 """Decides which requests are refused or held back for crashes of targets."""
 
+from figstep.core.attribution import is_part
 from figstep.core.clock import Millis
-from figstep.core.crashes import is_part
 from figstep.gateway import shares
 from figstep.gateway.crashes import list_parts, name_request
 from figstep.gateway.events import RoutedRequest
