Let reports arrive before a part is refused that another nearly equals

For a second after its last crash a part now also counts as equally suspected when it has one crash fewer and no crash without the other one. Requests with parts in doubt wait for that second anyway.

--- a/figstep/core/attribution.py
+++ b/figstep/core/attribution.py
@@ -71,6 +71,7 @@
     suspects: Mapping[str, list[Crash]],
     lives: Mapping[str, Set[str]],
     required: int,
+    reported_until: Millis,
 ) -> dict[str, list[Crash]]:
     """Return the subjects that have caused crashes, with the crashes that show it.
 
@@ -85,8 +86,10 @@
             those that a subject of the other kind explains.
         lives: All lives of targets that each subject was on as they crashed.
         required: Number of crashes that are required of a subject.
+        reported_until: Time of the last crash that all entries have reported
+            (monotonic), in milliseconds.
     """
-    strongest = list_strongest(suspects, lives)
+    strongest = list_strongest(suspects, lives, reported_until)
     attributed = {}
     for subject, crashes in list_needed(suspects, required).items():
         shown = {id(crash) for crash in strongest[subject]}
@@ -97,14 +100,10 @@
     return attributed
 
 
-def list_doubtful(
-    suspects: Mapping[str, list[Crash]],
-    lives: Mapping[str, Set[str]],
-    required: int,
-) -> set[str]:
+def list_doubtful(suspects: Mapping[str, list[Crash]], required: int) -> set[str]:
     """Return the subjects that either condition of `attribute_crashes` leaves."""
     doubtful = set(list_needed(suspects, required))
-    for subject, crashes in list_strongest(suspects, lives, near_tie=0).items():
+    for subject, crashes in list_strongest(suspects).items():
         if len(list_events(subject, crashes)) >= required:
             doubtful.add(subject)
     return doubtful
@@ -112,23 +111,26 @@
 
 def list_strongest(
     suspects: Mapping[str, list[Crash]],
-    lives: Mapping[str, Set[str]],
-    near_tie: int = NEAR_TIE,
+    lives: Mapping[str, Set[str]] | None = None,
+    reported_until: Millis = Millis(0),
 ) -> dict[str, list[Crash]]:
     """Return the crashes of each subject at which no equally suspected one was.
 
-    Such a subject has as many crashes or more. A part with up to ``near_tie`` fewer is
-    as suspected as another one if it was at a crash without it.
+    Such a subject has as many crashes or more. If ``lives`` are given, a part with up
+    to ``NEAR_TIE`` fewer is as suspected as another one if it was at a crash without
+    it, and also while entries may still report that it was: a crash of the other one
+    is later than ``reported_until``.
     """
     totals = {one: len(list_events(one, found)) for one, found in suspects.items()}
     strongest = {}
     for subject, crashes in suspects.items():
         equals = set()
+        is_reported = all(crash.at <= reported_until for crash in crashes)
         for other, total in totals.items():
             if total >= totals[subject]:
                 equals.add(other)
-            elif is_part(subject) and total + near_tie >= totals[subject]:
-                if not lives[other] <= lives[subject]:
+            elif lives and is_part(subject) and total + NEAR_TIE >= totals[subject]:
+                if not is_reported or not lives[other] <= lives[subject]:
                     equals.add(other)
         equals.discard(subject)
         strongest[subject] = [
--- a/figstep/core/crashes.py
+++ b/figstep/core/crashes.py
@@ -267,9 +267,7 @@
             if excluded not in self._doubtful:
                 required = PART_CRASHES_BEFORE_CAUTION
                 suspects = self._list_suspects(True, excluded, now)
-                self._doubtful[excluded] = list_doubtful(
-                    suspects, self._lives, required
-                )
+                self._doubtful[excluded] = list_doubtful(suspects, required)
             if subject in self._doubtful[excluded]:
                 return subject
         return None
@@ -298,7 +296,9 @@
         if key not in self._attributed:
             required = _get_required(subject)
             suspects = self._list_suspects(is_part(subject), excluded, now)
-            self._attributed[key] = attribute_crashes(suspects, self._lives, required)
+            self._attributed[key] = attribute_crashes(
+                suspects, self._lives, required, Millis(now - SUSPICION_DELAY)
+            )
         return self._attributed[key].get(subject, [])
 
     def _list_excluded(self, subject: str, subjects: Collection[str]) -> frozenset[str]:
@@ -315,18 +315,22 @@
         self._doubtful.clear()
 
     def _expire_attributed(self, now: Millis) -> None:
-        """Forget what was attributed before the last crash was too old to count."""
+        """Forget what was attributed before a crash came to count differently."""
         if now >= self._attributed_until:
             self._forget_attributed()
         if not self._attributed and not self._doubtful:
             self._attributed_until = self._find_next_expiry(now)
 
     def _find_next_expiry(self, now: Millis) -> Millis:
-        """Return the time at which the next crash is older than ``CRASH_RETENTION``."""
-        ends = [Millis(crash.at + CRASH_RETENTION) for crash in self._crashes.values()]
-        return min(
-            (end for end in ends if end > now), default=Millis(now + CRASH_RETENTION)
-        )
+        """Return the time from which a crash counts differently.
+
+        That is so once all entries have reported it, and once it is too old to count.
+        """
+        ends = [Millis(now + CRASH_RETENTION)]
+        for crash in self._crashes.values():
+            ends.append(Millis(crash.at + SUSPICION_DELAY))
+            ends.append(Millis(crash.at + CRASH_RETENTION))
+        return min(end for end in ends if end > now)
 
     def _list_suspects(
         self, parts: bool, excluded: Collection[str], now: Millis
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -369,3 +369,36 @@
         now = Millis(now + 1_500)
         record_crash(table, f"e-{number}@2", guilty, documents[number], at=now)
     assert table.find_culprit(("new", guilty), now) == guilty
+
+
+def test_a_popular_part_waits_for_reports_about_a_guilty_one() -> None:
+    """Guards against refusing a document before others report the guilty part.
+
+    Seed 14866610: reports of the part's last crash came half a second later.
+    """
+    table = CrashTable()
+    guilty, document = name_part("crash-part"), name_part("document-2")
+    for number, at in enumerate((0, 1_300, 2_090)):
+        record_crash(table, f"e-{number}@1", guilty, document, at=NOW + at)
+    record_crash(table, "e-3@1", document, at=NOW + 2_240)
+    assert table.find_culprit(("new", document), Millis(NOW + 2_730)) is None
+    record_crash(table, "e-4@1", guilty, at=NOW + 2_800)
+    late = Millis(NOW + 2_240 + SUSPICION_DELAY)
+    assert table.find_culprit(("new", document), late) is None
+    assert table.find_culprit(("new", "other", guilty), late) is None
+    for number in (5, 6):
+        record_crash(table, f"e-{number}@1", guilty, at=NOW + 1_000 * number)
+    assert table.find_culprit(("new", "other", guilty), Millis(NOW + 6_000)) == guilty
+
+
+def test_a_guilty_part_waits_no_longer_than_reports_take() -> None:
+    """Guards against a guilty part that a near tie keeps from being refused."""
+    table = CrashTable()
+    for number in range(4):
+        shared = [SHARED] if number else []
+        at = NOW + 1_000 * number
+        record_crash(table, f"e-{number}@1", GUILTY, *shared, at=at)
+    last = NOW + 3_000
+    assert table.find_culprit(("new", GUILTY), Millis(last + 500)) is None
+    settled = Millis(last + SUSPICION_DELAY)
+    assert table.find_culprit(("new", GUILTY), settled) == GUILTY
