--- a/figstep/gateway/news.py
+++ b/figstep/gateway/news.py
@@ -19,12 +19,6 @@
 """Time, in milliseconds, between two messages with all loads. Small growth of runs, and
 the loads in a lost full message, stay unknown to other entries for about that long."""
 
-DEMAND_REPORT_INTERVAL = Millis(700)
-"""Time, in milliseconds, between two reports of demand in which the same number of
-requests wait. Decoding one takes as long as the rest of a short message. Messages are
-sent every 0.4 s under load and every second otherwise, so that counts are at most a
-second old."""
-
 
 @dataclass(slots=True)
 class LoadUpdates:
@@ -37,17 +31,12 @@
         last: Loads that the messages so far describe, by target.
         urgent_fields: Fields of the last message whose change cannot wait, as listed
             in `_read_urgent_fields`.
-        demand_at: Monotonic time in milliseconds of the last report of demand; None for
-            never.
-        demand: Waiting requests in that report.
     """
 
     full_report_at: Millis | None = None
     full_report: dict[str, PeerLoad] = field(default_factory=dict)
     last: dict[str, PeerLoad] = field(default_factory=dict)
     urgent_fields: Hashable = None
-    demand_at: Millis | None = None
-    demand: tuple[DemandReport, ...] = ()
 
     def has_urgent_changes(self, own: PeerHeard) -> bool:
         """Return whether a change since the last message cannot wait.
@@ -67,7 +56,6 @@
         and only suspicions that are younger than the interval.
         """
         self.urgent_fields = _read_urgent_fields(own)
-        own = self._select_demand(own, now)
         if (
             self.full_report_at is None
             or now - self.full_report_at >= FULL_REPORT_INTERVAL
@@ -85,21 +73,6 @@
         )
         return replace(own, loads=changed, suspicions=recent, partial=True)
 
-    def _select_demand(self, own: PeerHeard, now: Millis) -> PeerHeard:
-        """Return a message without the demand if a recent one reported it."""
-        waiting = _strip_past(own.demand)
-        is_recent = (
-            self.demand_at is not None
-            and now - self.demand_at < DEMAND_REPORT_INTERVAL
-            and waiting == self.demand
-        )
-        if not own.demand:
-            return own
-        if is_recent:
-            return replace(own, demand=())
-        self.demand_at, self.demand = now, waiting
-        return own
-
 
 def strip_ages(own: PeerHeard) -> PeerHeard:
     """Return a message with the ages of its reports set to zero.
