--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -349,10 +349,7 @@
 def test_documents_at_crashes_of_several_culprits_are_not_refused(
     burst: list[tuple[int, str]],
 ) -> None:
-    """Guards against refusing documents that add up the crashes of several culprits.
-
-    Once their engines have run on, the guilty part is refused at its next crashes.
-    """
+    """Guards against refusing documents that add up the crashes of several culprits."""
     table = CrashTable()
     documents = [name_part(f"document-{number}") for number in range(5)]
     guilty = name_part("crash-part")
@@ -372,10 +369,7 @@
 
 
 def test_a_popular_part_waits_for_reports_about_a_guilty_one() -> None:
-    """Guards against refusing a document before others report the guilty part.
-
-    Seed 14866610: reports of the part's last crash came half a second later.
-    """
+    """Guards against refusing a document before others report the guilty part."""
     table = CrashTable()
     guilty, document = name_part("crash-part"), name_part("document-2")
     for number, at in enumerate((0, 1_300, 2_090)):
--- a/tests/gateway/test_recovery.py
+++ b/tests/gateway/test_recovery.py
@@ -317,10 +317,7 @@
 
 
 def test_an_answer_that_has_begun_is_never_replaced_or_ended_by_its_deadline() -> None:
-    """Guards against two answers in one, and a slow reader that gets a part of one.
-
-    The request may run again, but its caller has the start of the first answer.
-    """
+    """Guards against two answers in one, and a slow reader that gets a part of one."""
     harness = build_harness()
     harness.receive_request("/lookup/a")
     first = harness.find_effect(OpenAttempt)
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -81,10 +81,7 @@
 
 @pytest.mark.parametrize("size", [8, 32, 88, 195])
 def test_one_of_24_customers_with_half_of_the_requests(size: int) -> None:
-    """Guards against customers refused because another one floods; overload of 1.3.
-
-    By arrival, 0.76 to 0.79 of the others' requests start, and as many of the flood's.
-    """
+    """Guards against customers refused because another one floods; overload of 1.3."""
     _, others, used = play(size, 0.5)
     assert others >= 0.88
     assert used >= 0.98
@@ -116,10 +113,7 @@
 
 @pytest.mark.parametrize("fair", [False, True])
 def test_a_customers_burst_does_not_fill_the_queue_for_others(fair: bool) -> None:
-    """Guards against a limit on waiting requests that one customer uses up.
-
-    With turns, the last request of the burst can't start in time and makes room.
-    """
+    """Guards against a limit on waiting requests that one customer uses up."""
     harness = build_full_entry(fair)
     for _ in range(3):
         ask(harness, FLOOD)
--- a/tests/platform/test_buffers.py
+++ b/tests/platform/test_buffers.py
@@ -118,10 +118,7 @@
 
 
 async def test_answers_to_slow_readers_are_whole(place: Place) -> None:
-    """Guards against callers whose answers are cut as they read slowly, or are late.
-
-    They read 2 MB in 2.5 s, after their deadline, beside others that do not read.
-    """
+    """Guards against callers whose answers are cut as they read slowly, or are late."""
     silent = await fill_buffers(place)
     slow = [
         await send(place, "/order/a", f"r-{number}", Deadline_Ms="1000")
@@ -138,10 +135,7 @@
 
 
 async def test_bodies_that_a_target_does_not_read_are_bounded(place: Place) -> None:
-    """Guards against bodies in transit that fill the memory.
-
-    The next body is rejected as not run, and accepted once there is room.
-    """
+    """Guards against bodies in transit that fill the memory."""
 
     async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         writer.transport.pause_reading()  # type: ignore[attr-defined]
