--- a/figstep/core/buffers.py
+++ b/figstep/core/buffers.py
@@ -34,8 +34,9 @@
 for 300 callers that do not read beside the answers that were read ahead."""
 
 UNPACED_FRACTION = 0.9
-"""The same fraction for an interface that can send a complete answer only once it was
-read in full. An answer that does not fit there fails."""
+"""Largest fraction of the budget that answers may fill at an interface that can send a
+complete answer only once it was read in full. An answer that does not fit there fails.
+"""
 
 STALL_TIMEOUT = Millis(10_000)
 """Time in milliseconds without a byte taken after which a caller counts as not reading.
