--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,127 +1,140 @@
-"""Requests on kept connections are passed on while their entry stops, and are cut."""
+"""Request bodies of a usual burst take more memory than an entry has: it is killed."""
 
 import asyncio
-import signal
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 import stage
 from stage import TROUBLE, Call, Client, Stage
 
-ORDER_SECONDS = 0.9
-"""Work of an order at a replica whose slots are taken: its run and its place in the
-queue. The order's route and client wait for three seconds."""
+MEMORY_MB = 150
+"""Memory of an edge machine of langar-by, in MiB."""
 
-REPLY_SECONDS = 1.1
-"""Time until the first event of a short stream; the objective is 1.5 seconds."""
+BODY_BYTES = 4_194_304
+"""`max_body_bytes` of the site's configuration."""
 
-REPLY_AFTER_SECONDS = 6.5
-ORDER_AFTER_SECONDS = 6.7
-"""Times from SIGTERM to the requests, in seconds. The grace time is 8 s."""
+UPLOADS = 20
+WAVES = 3
+UPLOAD_SECONDS = 1.5
+"""Time that one upload takes; `header_timeout_ms` is 3,000."""
 
+CHUNK_BYTES = 8_192
+READERS = 6
+READ_SECONDS = 0.8
+MAX_LOST = 3
+"""Closed connections that the rule still allows."""
 
-async def write_guide(call: Call) -> None:
-    await call.begin_stream()
-    for index in range(1, 131):
-        await call.send_event(index)
-        await asyncio.sleep(0.1)
-    await call.end_stream()
 
+async def serve(call: Call) -> None:
+    await asyncio.sleep(READ_SECONDS if "/read/" in call.request.path else 0.05)
+    await call.answer(b"done " + call.id.encode())
 
-async def write_reply(call: Call) -> None:
-    await call.begin_stream()
-    await asyncio.sleep(REPLY_SECONDS)
-    for index in range(1, 5):
-        await call.send_event(index)
-        await asyncio.sleep(0.03)
-    await call.end_stream()
 
-
-async def generate(call: Call) -> None:
-    if call.id.startswith("guide"):
-        await write_guide(call)
-    else:
-        await write_reply(call)
-
-
-async def place_order(call: Call) -> None:
-    await asyncio.sleep(0.09 if call.id.startswith("order-1") else ORDER_SECONDS)
-    await call.answer(b"booked " + call.id.encode())
-
-
-def describe_prompt(part: str) -> dict[str, str]:
-    return {
-        "Model": "m",
-        "Token_Count": "300,600",
-        "Prefix_Hash": f"a1:100,{part}:200",
-    }
+async def upload(place: Stage, name: str, seconds: float) -> int | None:
+    """Send one order with a body in chunks; return the status of its answer."""
+    client = Client(place.record, name)
+    try:
+        await client.connect(place.entries[0].front)
+    except OSError:
+        place.record.add(f"{name}: no connection, the entry has ended")
+        return None
+    head = client.encode_head("POST", "/order/1", name, 0, 6_000)
+    head = head.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    place.record.add(f"{name} begins to send {BODY_BYTES} bytes in chunks")
+    started = time.monotonic()
+    chunk = b"%x\r\n%s\r\n" % (CHUNK_BYTES, b"y" * CHUNK_BYTES)
+    steps, chunks = 32, BODY_BYTES // CHUNK_BYTES
+    try:
+        client.writer.write(head)
+        for step in range(steps):
+            client.writer.write(chunk * (chunks // steps))
+            await client.writer.drain()
+            pause = started + seconds * (step + 1) / steps - time.monotonic()
+            await asyncio.sleep(max(0.0, pause))
+        client.writer.write(b"0\r\n\r\n")
+    except ConnectionError:
+        place.record.add(f"{name}: the connection was closed while the body was sent")
+        return None
+    answer = await client.receive(name, 6)
+    client.close()
+    return None if answer is None else answer.status
+
+
+class Reader:
+    """A client that sends one read after another on one kept connection."""
+
+    def __init__(self, place: Stage, number: int) -> None:
+        self.lost: list[str] = []
+        self._place = place
+        self._number = number
+
+    async def run(self, done: asyncio.Event) -> None:
+        client = Client(self._place.record, f"reader-{self._number}")
+        await client.connect(self._place.entries[0].front)
+        count = 0
+        while not done.is_set():
+            count += 1
+            name = f"read-{self._number}-{count}"
+            client.send("GET", "/read/1", name)
+            if await client.receive(name, 4) is None:
+                self.lost.append(name)
+                return
 
 
 async def main(case: Path) -> bool:
+    stage.SETTINGS = stage.SETTINGS.replace(
+        "memory_mb = 300", f"memory_mb = {MEMORY_MB}"
+    )
     place = Stage(case)
+    watch = None
     try:
         await place.store.start()
-        pool = await place.add_replica("i-pool-1", "pool", generate)
-        app = await place.add_replica("i-app-1", "app", place_order)
+        replicas = [
+            await place.add_replica(f"i-app-{number}", "app", serve)
+            for number in range(3)
+        ]
         await place.start(stage.build_configuration())
-        entry = place.entries[0]
-        clients = [Client(place.record, f"client-{number}") for number in (1, 2, 3)]
-        for client in clients:
-            await client.connect(entry.front)
-        long_reader, second, third = clients
-        long_reader.send(
-            "POST", "/guide/1", "guide-1", b"guide", 39_000, **describe_prompt("b1")
-        )
-        # Both connections are in use before the stop; then they are kept open.
-        for client, name in ((second, "order-1"), (third, "order-1b")):
-            client.send("POST", "/order/1", name, b"one seat")
-            first = await client.receive(name, 3)
-            if first is None or first.status != 200:
-                raise stage.CannotRunError("an order was not answered before the stop")
-        if TROUBLE:
-            entry.signal(signal.SIGTERM)
-        reply = asyncio.create_task(
-            ask(
-                third,
-                REPLY_AFTER_SECONDS,
-                ("POST", "/reply/1", "reply-1", b"question", 6_000),
-                describe_prompt("b2"),
-            )
+        process = place.entries[0].process
+        assert process is not None
+        watch = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(Path(__file__).with_name("watch.py")),
+            str(process.pid),
+            str(MEMORY_MB * 1024),
+            stdout=asyncio.subprocess.PIPE,
         )
-        order = asyncio.create_task(
-            ask(
-                second,
-                ORDER_AFTER_SECONDS,
-                ("POST", "/order/1", "order-2", b"another seat", 3_000),
-                {},
-            )
+        done = asyncio.Event()
+        readers = [Reader(place, number) for number in range(READERS)]
+        reading = [asyncio.create_task(reader.run(done)) for reader in readers]
+        await asyncio.sleep(1)
+        for wave in range(WAVES):
+            if process.returncode is not None:
+                break
+            names = [f"order-{wave}-{number}" for number in range(UPLOADS)]
+            if TROUBLE:
+                await asyncio.gather(*[upload(place, name, UPLOAD_SECONDS) for name in names])
+            else:
+                for name in names:
+                    await upload(place, name, 0.3)
+        done.set()
+        await asyncio.gather(*reading)
+        ran = {run.get("Request-Id") for one in replicas for run in one.runs}
+        lost = [name for reader in readers for name in reader.lost if name in ran]
+        if process.returncode is None:
+            process.kill()
+        assert watch.stdout is not None
+        most = int((await watch.stdout.read()).split()[0])
+        place.record.add(
+            f"most anonymous memory {most} KiB, limit {MEMORY_MB * 1024} KiB; reads that"
+            f" were passed on and have no answer: {len(lost)} {lost}"
         )
-        answered = {"reply-1": await reply, "order-2": await order}
-        ran = {run.get("Request-Id") for run in [*pool.runs, *app.runs]}
-        held = True
-        for name, has_answer in answered.items():
-            if name in ran and not has_answer:
-                place.record.add(f"{name} was passed on to a replica and has no answer")
-                held = False
-        return held
+        return len(lost) <= MAX_LOST
     finally:
         await place.close()
-
-
-async def ask(
-    client: Client,
-    delay: float,
-    request: tuple[str, str, str, bytes, int],
-    headers: dict[str, str],
-) -> bool:
-    """Send a request after a delay; return whether it got a complete answer."""
-    await asyncio.sleep(delay)
-    try:
-        client.send(*request, **headers)
-    except ConnectionError:
-        return False
-    return await client.receive(request[2], 4) is not None
+        if watch is not None and watch.returncode is None:
+            await watch.wait()
 
 
 stage.run_case(main, Path(__file__).resolve().parent)
