--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -590,6 +590,7 @@
 
     def __init__(self, record: Record, name: str) -> None:
         self.name = name
+        self.ended_cleanly = False
         self._record = record
         self.reader: asyncio.StreamReader
         self.writer: asyncio.StreamWriter
@@ -645,6 +646,7 @@
             return None
         except (asyncio.IncompleteReadError, ConnectionError) as error:
             kind = type(error).__name__
+            self.ended_cleanly = isinstance(error, asyncio.IncompleteReadError)
             self._record.add(
                 f"{self.name}: the connection of {request_id} ended without a complete"
                 f" answer ({kind})"
