--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,65 +1,112 @@
-"""A request whose body arrives slowly is cut as its entry stops early."""
+"""A stream whose replica crashed is ended as complete by an entry that was frozen."""
 
 import asyncio
+import json
 import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 import stage
-from stage import TROUBLE, Call, Client, Stage
+from stage import TROUBLE, Client, Stage
 
-WORK_SECONDS = 0.09
-CONNECTED_AFTER_SECONDS = 1.5
-"""Time from SIGTERM to the connection and the first half of the request, in seconds.
-The platform sends new connections until two checks of readiness have failed."""
+EVENTS = 40
+INTERVAL = 0.1
+FREEZE_SECONDS = 3.0
+CRASH_AFTER_SECONDS = 0.5
+"""Time from the freeze of the entry to the crash of the replica, in seconds."""
 
-REST_AFTER_SECONDS = 1.6
-"""Time from the first to the second half; a client may take `header_timeout_ms`."""
+DOWN_SECONDS = 1.0
+"""Time that the replica is down, in seconds."""
 
-LOSS_SLACK_SECONDS = 0.2
-BODY = b"one seat, " * 100
+REPLICA = "i-pool-1"
 
 
-async def place_order(call: Call) -> None:
-    await asyncio.sleep(WORK_SECONDS)
-    await call.answer(b"booked " + call.id.encode())
+class ReplicaProcess:
+    """The replica's process, which keeps its id and its address."""
+
+    def __init__(self, place: Stage, port: int) -> None:
+        self.process: asyncio.subprocess.Process
+        self._place = place
+        self._port = port
+
+    async def start(self) -> None:
+        program = Path(stage.__file__).with_name("replica.py")
+        self.process = await asyncio.create_subprocess_exec(
+            "python3",
+            str(program),
+            REPLICA,
+            str(self._port),
+            str(EVENTS),
+            str(INTERVAL),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        assert self.process.stdout is not None
+        born = int((await self.process.stdout.readline()).split()[1])
+        self._place.record.add(f"{REPLICA} is up, born {born}")
+        entry = {
+            "service": "pool",
+            "addr": f"127.0.0.1:{self._port}",
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 64,
+            "state": "ready",
+            "warmup_left_ms": 0,
+            "seq": 1,
+            "born": born,
+        }
+        await self._place.store.put(
+            "keyed.servers", REPLICA, json.dumps(entry).encode()
+        )
+
+    async def kill(self) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
 
 
 async def main(case: Path) -> bool:
     place = Stage(case)
+    replica = ReplicaProcess(place, stage.find_ports(["127.0.0.1"], 1)[0])
     try:
         await place.store.start()
-        orders = await place.add_replica("i-app-1", "app", place_order)
+        await replica.start()
         await place.start(stage.build_configuration())
         entry = place.entries[0]
-        if TROUBLE:
-            entry.signal(signal.SIGTERM)
-        await asyncio.sleep(CONNECTED_AFTER_SECONDS)
         client = Client(place.record, "client-1")
         await client.connect(entry.front)
-        head = client.encode_head("POST", "/order/1", "order-1", len(BODY), 6_000)
-        half = len(BODY) // 2
-        place.record.add("client-1 sends the head and the first half of order-1")
-        client.writer.write(head + BODY[:half])
-        await asyncio.sleep(REST_AFTER_SECONDS)
-        place.record.add("client-1 sends the second half of order-1")
-        client.writer.write(BODY[half:])
-        sent = place.record.now()
-        answer = await client.receive("order-1", 4)
-        took = place.record.now() - sent
-        if answer is not None:
-            return answer.status == 200 or answer.get("Not-Executed") != ""
-        ran = any(run.get("Request-Id") == "order-1" for run in orders.runs)
-        # A connection that is closed with unread bytes is reset; a clean end shows that
-        # the entry has read the whole request.
-        was_read = client.ended_cleanly
+        client.send(
+            "POST",
+            "/guide/1",
+            "guide-1",
+            b"guide",
+            39_000,
+            Model="m",
+            Token_Count="300,160",
+            Prefix_Hash="a1:100,b2:200",
+        )
+        receiving = asyncio.create_task(client.receive("guide-1", 20))
+        await asyncio.sleep(1)
+        if TROUBLE:
+            entry.signal(signal.SIGSTOP)
+            await asyncio.sleep(CRASH_AFTER_SECONDS)
+            await replica.kill()
+            place.record.add(f"{REPLICA} has crashed")
+            await asyncio.sleep(DOWN_SECONDS)
+            await replica.start()
+            await asyncio.sleep(FREEZE_SECONDS - CRASH_AFTER_SECONDS - DOWN_SECONDS)
+            entry.signal(signal.SIGCONT)
+        answer = await receiving
+        if answer is None:
+            return True
+        events = answer.body.count(b"id: ")
         place.record.add(
-            f"order-1 ended {took * 1000:.0f} ms after its last byte without an answer;"
-            f" passed on: {ran}; read whole, as the connection was not reset: {was_read}"
+            f"the answer to guide-1 is complete for its client, with {events} of"
+            f" {EVENTS} events"
         )
-        return not ran and not (was_read and took > LOSS_SLACK_SECONDS)
+        return answer.status != 200 or events == EVENTS
     finally:
+        await replica.kill()
         await place.close()
 
 
