--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Request bodies of a usual burst take more memory than an entry has: it is killed."""
+"""After the store lost some answers, entries send to a replica that has drained."""
 
 import asyncio
 import sys
@@ -7,134 +7,121 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 import stage
-from stage import TROUBLE, Call, Client, Stage
-
-MEMORY_MB = 150
-"""Memory of an edge machine of langar-by, in MiB."""
-
-BODY_BYTES = 4_194_304
-"""`max_body_bytes` of the site's configuration."""
-
-UPLOADS = 20
-WAVES = 3
-UPLOAD_SECONDS = 1.5
-"""Time that one upload takes; `header_timeout_ms` is 3,000."""
-
-CHUNK_BYTES = 8_192
-READERS = 6
-READ_SECONDS = 0.8
-MAX_LOST = 3
-"""Closed connections that the rule still allows."""
-
-
-async def serve(call: Call) -> None:
-    await asyncio.sleep(READ_SECONDS if "/read/" in call.request.path else 0.05)
-    await call.answer(b"done " + call.id.encode())
-
-
-async def upload(place: Stage, name: str, seconds: float) -> int | None:
-    """Send one order with a body in chunks; return the status of its answer."""
-    client = Client(place.record, name)
-    try:
-        await client.connect(place.entries[0].front)
-    except OSError:
-        place.record.add(f"{name}: no connection, the entry has ended")
-        return None
-    head = client.encode_head("POST", "/order/1", name, 0, 6_000)
-    head = head.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
-    place.record.add(f"{name} begins to send {BODY_BYTES} bytes in chunks")
-    started = time.monotonic()
-    chunk = b"%x\r\n%s\r\n" % (CHUNK_BYTES, b"y" * CHUNK_BYTES)
-    steps, chunks = 32, BODY_BYTES // CHUNK_BYTES
-    try:
-        client.writer.write(head)
-        for step in range(steps):
-            client.writer.write(chunk * (chunks // steps))
-            await client.writer.drain()
-            pause = started + seconds * (step + 1) / steps - time.monotonic()
-            await asyncio.sleep(max(0.0, pause))
-        client.writer.write(b"0\r\n\r\n")
-    except ConnectionError:
-        place.record.add(f"{name}: the connection was closed while the body was sent")
-        return None
-    answer = await client.receive(name, 6)
-    client.close()
-    return None if answer is None else answer.status
+from stage import TROUBLE, Call, Client, Replica, Stage
+
+LOST_SHARE = 0.35
+LOST_SECONDS = 4.5
+CONTACT_SECONDS = 3.0
+DRAIN_SECONDS = 2.0
+LINGER_SECONDS = 3.0
+HEARTBEAT_SECONDS = 1.2
+ENTRIES = 3
+CLIENTS = 6
+
+
+async def work(call: Call) -> None:
+    await asyncio.sleep(0.3)
+    await call.answer(b"done")
+
+
+async def beat(place: Stage, replica: Replica, offset: float) -> None:
+    await asyncio.sleep(offset)
+    while True:
+        if replica.draining is not None and replica.gone:
+            return
+        await replica.register(
+            place.store, "ready" if replica.draining is None else "draining"
+        )
+        await asyncio.sleep(HEARTBEAT_SECONDS)
 
 
-class Reader:
-    """A client that sends one read after another on one kept connection."""
+class Load:
+    """Clients that send orders and reads in turn, on connections that they keep."""
 
-    def __init__(self, place: Stage, number: int) -> None:
-        self.lost: list[str] = []
-        self._place = place
-        self._number = number
+    def __init__(self, place: Stage) -> None:
+        self.place = place
+        self.stop = False
+        self.sent: dict[str, float] = {}
+        self.statuses: dict[str, int] = {}
 
-    async def run(self, done: asyncio.Event) -> None:
-        client = Client(self._place.record, f"reader-{self._number}")
-        await client.connect(self._place.entries[0].front)
+    async def run(self, number: int) -> None:
+        entry = self.place.entries[number % len(self.place.entries)]
         count = 0
-        while not done.is_set():
+        client: Client | None = None
+        while not self.stop:
+            if client is None:
+                client = Client(self.place.record, f"client-{number}")
+                await client.connect(entry.front)
             count += 1
-            name = f"read-{self._number}-{count}"
-            client.send("GET", "/read/1", name)
-            if await client.receive(name, 4) is None:
-                self.lost.append(name)
-                return
+            kind = "order" if count % 2 else "read"
+            name = f"{kind}-{number}-{count}"
+            method = "POST" if kind == "order" else "GET"
+            body = b"x" * 20 if kind == "order" else b""
+            self.sent[name] = time.monotonic()
+            client.send(method, f"/{kind}/1", name, body)
+            answer = await client.receive(name, 4)
+            self.statuses[name] = answer.status if answer is not None else 0
+            if answer is None or answer.get("Connection") == "close":
+                client.close()
+                client = None
+            await asyncio.sleep(0.1)
 
 
 async def main(case: Path) -> bool:
-    stage.SETTINGS = stage.SETTINGS.replace(
-        "memory_mb = 300", f"memory_mb = {MEMORY_MB}"
-    )
-    place = Stage(case)
-    watch = None
+    place = Stage(case, ENTRIES)
+    record = place.record
+    tasks: list[asyncio.Task[None]] = []
     try:
         await place.store.start()
-        replicas = [
-            await place.add_replica(f"i-app-{number}", "app", serve)
-            for number in range(3)
+        apps = [
+            await place.add_replica(f"i-app-{n}", "app", work) for n in range(1, 4)
         ]
+        for n in range(1, 4):
+            await place.add_replica(f"i-pool-{n}", "pool", work)
+        for index, replica in enumerate(place.replicas):
+            tasks.append(asyncio.ensure_future(beat(place, replica, index * 0.2)))
         await place.start(stage.build_configuration())
-        process = place.entries[0].process
-        assert process is not None
-        watch = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(Path(__file__).with_name("watch.py")),
-            str(process.pid),
-            str(MEMORY_MB * 1024),
-            stdout=asyncio.subprocess.PIPE,
+        load = Load(place)
+        tasks += [asyncio.ensure_future(load.run(n)) for n in range(CLIENTS)]
+        await asyncio.sleep(2)
+        if TROUBLE:
+            record.add(f"the store loses {LOST_SHARE} of its answers")
+            place.store.lost_share = LOST_SHARE
+        await asyncio.sleep(LOST_SECONDS)
+        place.store.lost_share = 0.0
+        record.add(
+            f"the store loses no more answers; {place.store.answers_lost} of"
+            f" {place.store.answers} were lost"
         )
-        done = asyncio.Event()
-        readers = [Reader(place, number) for number in range(READERS)]
-        reading = [asyncio.create_task(reader.run(done)) for reader in readers]
+        await asyncio.sleep(CONTACT_SECONDS + 1)
+        leaving = apps[0]
+        leaving.draining = time.monotonic()
+        await leaving.register(place.store, "draining")
+        acknowledged = time.monotonic()
+        record.add(f"the store accepts that {leaving.id} is draining")
+        await asyncio.sleep(DRAIN_SECONDS + LINGER_SECONDS)
+        begun = [at - acknowledged for at, _ in leaving.run_times]
+        late = [one for one in begun if one > DRAIN_SECONDS]
+        open_runs = await leaving.stop(place.store)
+        record.add(f"{leaving.id} ends; runs cut off there: {open_runs}")
+        await asyncio.sleep(2)
+        load.stop = True
         await asyncio.sleep(1)
-        for wave in range(WAVES):
-            if process.returncode is not None:
-                break
-            names = [f"order-{wave}-{number}" for number in range(UPLOADS)]
-            if TROUBLE:
-                await asyncio.gather(*[upload(place, name, UPLOAD_SECONDS) for name in names])
-            else:
-                for name in names:
-                    await upload(place, name, 0.3)
-        done.set()
-        await asyncio.gather(*reading)
-        ran = {run.get("Request-Id") for one in replicas for run in one.runs}
-        lost = [name for reader in readers for name in reader.lost if name in ran]
-        if process.returncode is None:
-            process.kill()
-        assert watch.stdout is not None
-        most = int((await watch.stdout.read()).split()[0])
-        place.record.add(
-            f"most anonymous memory {most} KiB, limit {MEMORY_MB * 1024} KiB; reads that"
-            f" were passed on and have no answer: {len(lost)} {lost}"
+        lost = [n for n, s in load.statuses.items() if s in (0, 502, 504)]
+        statuses: dict[int, int] = {}
+        for status in load.statuses.values():
+            statuses[status] = statuses.get(status, 0) + 1
+        record.add(f"answers by status (0: none): {statuses}; lost: {lost}")
+        record.add(
+            f"requests that reached {leaving.id} later than {DRAIN_SECONDS} s after"
+            f" the store's acknowledgement: {len(late)}"
+            + (f", the last {max(late):.2f} s after it" if late else "")
         )
-        return len(lost) <= MAX_LOST
+        return not late
     finally:
+        for task in tasks:
+            task.cancel()
         await place.close()
-        if watch is not None and watch.returncode is None:
-            await watch.wait()
 
 
 stage.run_case(main, Path(__file__).resolve().parent)
--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -131,6 +131,10 @@
     def __init__(self) -> None:
         self.records: dict[str, list[tuple[str, bytes]]] = {}
         self.address = ""
+        self.lost_share = 0.0  # of the answers, while answers are lost
+        self.answers = 0
+        self.answers_lost = 0
+        self._random = random.Random(int(os.environ.get("SEED", "1")))
         self._changed = asyncio.Condition()
         self._server: asyncio.Server | None = None
 
@@ -159,6 +163,14 @@
                     answer = await self._read(query)
                 else:
                     answer = encode_answer("404 Not Found", {}, b"")
+                if self.lost_share:
+                    self.answers += 1
+                    if self._random.random() < self.lost_share:
+                        # A connection on which an answer is lost returns nothing
+                        # further; it ends when its caller closes it.
+                        self.answers_lost += 1
+                        await reader.read()
+                        return
                 writer.write(answer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -211,6 +223,8 @@
 
     async def answer(self, body: bytes, status: str = "200 OK") -> None:
         headers = {**self.sign(), "Content-Type": "application/octet-stream"}
+        if self.replica.draining is not None:
+            headers["Connection"] = "close"
         self.writer.write(encode_answer(status, headers, body))
         await self.writer.drain()
 
@@ -244,8 +258,17 @@
         self.service = service
         self.address = ""
         self.zone = "zone-a"
+        self.slots = 6
+        self.limited = False  # whether it rejects requests beyond its slots
+        self.arrivals: list[tuple[float, str]] = []
         self.born = int(time.time() * 1000)
         self.runs: list[Message] = []
+        self.run_times: list[tuple[float, str]] = []
+        self.open_runs: set[str] = set()
+        self.ended: list[str] = []
+        self.draining: float | None = None
+        self.gone = False
+        self._writers: set[asyncio.StreamWriter] = set()
         self._record = record
         self._handler = handler
         self._server: asyncio.Server | None = None
@@ -264,7 +287,7 @@
             "addr": self.address,
             "zone": self.zone,
             "version": "v1",
-            "slots": 6,
+            "slots": self.slots,
             "state": state,
             "warmup_left_ms": 0,
             "seq": self._seq,
@@ -272,9 +295,26 @@
         }
         await store.put("keyed.servers", self.id, json.dumps(entry).encode())
 
+    async def stop_listening(self) -> None:
+        """Accept no further connection; open requests go on."""
+        assert self._server is not None
+        self._server.close()
+
+    async def stop(self, store: Store) -> list[str]:
+        """End the process; return the ids of the requests that it was running."""
+        self.gone = True
+        running = sorted(self.open_runs)
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        await store.put("keyed.servers", self.id, b"")
+        return running
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 request = await read_message(reader)
@@ -282,6 +322,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _handle(
@@ -301,7 +342,7 @@
                 "kv_used": 0,
                 "kv_total": 34_000,
                 "handles": 0,
-                "state": "ready",
+                "state": "ready" if self.draining is None else "draining",
                 "runs": [],
                 "born": self.born,
             }
@@ -316,13 +357,25 @@
             return
         self.runs.append(request)
         name = request.get("Request-Id")
+        self.arrivals.append((time.monotonic(), name))
+        if self.limited and len(self.open_runs) >= self.slots:
+            headers = {"Request-Id": name, "Not-Executed": "1"}
+            writer.write(encode_answer("503 Service Unavailable", headers, b"full"))
+            await writer.drain()
+            self._record.add(f"{self.id} is full and rejects {name}")
+            return
+        self.run_times.append((time.monotonic(), name))
+        self.open_runs.add(name)
         self._record.add(f"{self.id} begins to run {name} ({request.line})")
         run = asyncio.ensure_future(self._handler(Call(self, request, writer)))
         gone = asyncio.ensure_future(reader.read(1))
         done, _ = await asyncio.wait({run, gone}, return_when="FIRST_COMPLETED")
+        self.open_runs.discard(name)
         if run in done:
             gone.cancel()
             error = run.exception()
+            if error is None:
+                self.ended.append(name)
             word = "ended" if error is None else f"lost its caller of ({error!r})"
             self._record.add(f"{self.id} {word} {name}")
             raise ConnectionError("this replica serves one request a connection")
