--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -110,6 +110,8 @@
         if last:
             self._stopped.add(name)
         await asyncio.sleep(0.05)
+        if name not in self.open_runs:
+            return encode_answer("404 Not Found", {}, b"{}")
         handle = next((h for h, one in self.handles.items() if one == name), "")
         if not handle:
             handle = str(len(self.handles) + 1)
