--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -551,9 +551,7 @@
 
     async def start(self, configuration: dict[str, object]) -> None:
         """Write the first configuration, start the entries and wait for them."""
-        await self.store.put(
-            "keyed.op", "config", json.dumps(configuration).encode()
-        )
+        await self.store.put("keyed.op", "config", json.dumps(configuration).encode())
         for entry in self.entries:
             await entry.start()
         deadline = time.monotonic() + 20
