Name copies of runs by the incarnations of their engines

Cause: a copy was recorded with the id of the engine that made it. Id and address outlive a restart, and a restarted engine numbers its copies from the start. An entry that was frozen while the engine restarted resumed its stream from what the new incarnation calls by that number, and could free another request's copy in the same way.

Ruled out: comparing only registrations, as the lost connection is handled before the new registration is read.

Fix: copies hold the incarnations and the owner's address; one whose engine is known to have restarted is discarded on every path; the source is asked for its start before the copy is used or freed. That is enough as a later incarnation that could give the name again answers the query, or has registered by its end.

--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -10,9 +10,9 @@
     Note,
     OpenAttempt,
     RelayTo,
-    RunCopy,
 )
 from figstep.gateway.routes import RouteKind
+from figstep.gateway.runs import RunCopy
 from figstep.gateway.state import Attempt, Request, State
 from figstep.gateway.targets import Registration, Target
 
@@ -69,7 +69,7 @@
     The current attempt, if any, stays open. Returns no effects if the copy's holder is
     unknown.
     """
-    target = state.targets.find(copy.holder)
+    target = state.targets.find(copy.holder.target)
     if target is None:
         return []
     release_copy(request)
@@ -211,7 +211,7 @@
     release_copy(request)
     waiting.leave(state, request)
     copy = request.copy
-    if copy is not None and copy.owner != copy.holder:
+    if copy is not None and copy.on_order:
         # A copy made on order would hold memory for seconds; a running backup ends with
         # its run.
         effects.append(DropCopy(copy))
@@ -335,7 +335,7 @@
             "target": attempt.target.name,
             "version": attempt.target.info.version,
             "backup": _name_or_empty(attempt.holder),
-            "goes_on_from": attempt.source.owner if attempt.source else "",
+            "goes_on_from": attempt.source.owner.target if attempt.source else "",
             "after": request.delivered,
             "waited_ms": now - request.arrived,
             **(choice_fields or {}),
--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -14,12 +14,12 @@
     DropCopy,
     Effect,
     Note,
-    RunCopy,
 )
 from figstep.gateway.events import RunCopied, RunNotCopied
 from figstep.gateway.routes import RouteKind
+from figstep.gateway.runs import RunCopy, is_outdated
 from figstep.gateway.state import Attempt, Request, State
-from figstep.gateway.targets import Standing, Target
+from figstep.gateway.targets import Incarnation, Standing, Target
 
 SWITCH_WAIT_TIMEOUT = Millis(800)
 """Maximum time after the notice, in milliseconds, for which a switch is delayed.
@@ -71,10 +71,14 @@
 
     The copy is dropped if the run has ended or has resumed on another engine.
     """
-    copy = RunCopy(event.holder, event.source, event.handle)
+    copy = event.copy
     request = state.requests.get(event.number)
     current = None if request is None else request.current
-    if request is None or current is None or current.target.name != event.source:
+    if (
+        request is None
+        or current is None
+        or current.target.info.incarnation != copy.owner
+    ):
         return [DropCopy(copy)]
     request.copied_tokens = request.copy_memory
     attempts.end_copying(request)
@@ -84,8 +88,8 @@
         "copy made",
         {
             "request": request.spec.id,
-            "from": event.source,
-            "to": event.holder,
+            "from": copy.owner.target,
+            "to": copy.holder.target,
             "took_ms": now - request.copy_ordered_at,
         },
     )
@@ -169,7 +173,7 @@
     if request.copy is not None:
         if _should_delay_switch(state, request, now):
             return []
-        holder = state.targets.find(request.copy.holder)
+        holder = state.targets.find(request.copy.holder.target)
         if holder is not None and _should_refresh_copy(request, current, now):
             return _order_copy_to(state, request, current, holder, now)
         return switch_to_copy(state, request, now)
@@ -185,7 +189,7 @@
     """
     copy = request.copy
     left_at = current.target.left_at
-    if copy is None or copy.owner == copy.holder or left_at is None:
+    if copy is None or not copy.on_order or left_at is None:
         return False
     if request.copying or request.copy_ordered_at >= left_at:
         return False
@@ -207,9 +211,9 @@
         return False
     if now - current.target.left_at >= SWITCH_WAIT_TIMEOUT:
         return False
-    if copy.owner == copy.holder and _may_lack_backup(current, now):
+    if not copy.on_order and _may_lack_backup(current, now):
         return True
-    holder = state.targets.find(copy.holder)
+    holder = state.targets.find(copy.holder.target)
     return holder is not None and holder.reading_load > 0
 
 
@@ -231,12 +235,19 @@
 
 
 def discard_unusable_copy(state: State, request: Request) -> None:
-    """Discard the record of a copy whose holder accepts no more work of the run."""
-    if request.copy is None:
+    """Discard the record of a copy that the run can no longer resume from.
+
+    Its holder accepts no more work of the run or has restarted, or its owner has
+    restarted and may have given the copy's name to a copy of another run.
+    """
+    copy = request.copy
+    if copy is None:
         return
-    holder = state.targets.find(request.copy.holder)
+    holder = state.targets.find(copy.holder.target)
     if holder is None or not eligibility.is_eligible(state, request, holder):
         request.copy = None
+    elif is_outdated(copy, state.targets.find):
+        request.copy = None
 
 
 def switch_to_copy(state: State, request: Request, now: Millis) -> list[Effect]:
@@ -248,7 +259,7 @@
     copy = request.copy
     if copy is None:
         return []
-    holder = state.targets.find(copy.holder)
+    holder = state.targets.find(copy.holder.target)
     if holder is not None and not limits.may_send(state, holder, now):
         return []
     if not peers.spend_repeat(state, request.service, now, urgent=True):
@@ -336,18 +347,18 @@
     call, as other entries drop theirs as well.
     """
     effects: list[Effect] = []
-    relieved_holders: set[str] = set()
+    relieved_holders: set[Incarnation] = set()
     for request in sorted(
         state.requests.values(),
         key=lambda request: count_remaining_tokens(state, request),
     ):
         copy = request.copy
-        if copy is None or copy.owner == copy.holder or copy.holder in relieved_holders:
+        if copy is None or not copy.on_order or copy.holder in relieved_holders:
             continue
         current = request.current
         if current is None or current.target.standing is not Standing.READY:
             continue
-        holder = state.targets.find(copy.holder)
+        holder = state.targets.find(copy.holder.target)
         if holder is None or request.copying:
             continue
         if holder.memory_load <= placement.find_engine_memory(state, request.service):
@@ -405,7 +416,7 @@
         request.copy = None
     if request.copy is not None:
         if placement.was_refused_copy(
-            request, request.copy.holder, now, proactive=True
+            request, request.copy.holder.target, now, proactive=True
         ):
             return False
         return now - request.copied_at >= REFRESH_AGE_FRACTION * pool.copy_retention
@@ -425,7 +436,7 @@
     holder = None
     if request.copy is not None:
         # Only tokens that the holder's copy lacks are transferred.
-        holder = state.targets.find(request.copy.holder)
+        holder = state.targets.find(request.copy.holder.target)
     elif not state.queue:
         # A queued prompt matters more than a copy that may not be needed.
         holder = placement.choose_copy_holder(
--- a/figstep/gateway/edges.py
+++ b/figstep/gateway/edges.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 
 from figstep.core.problems import Problem
-from figstep.gateway.effects import CopyRun, OpenAttempt, RunCopy
+from figstep.gateway.effects import CopyRun, OpenAttempt
+from figstep.gateway.runs import RunCopy
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -4,22 +4,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.problems import Problem
-
-
-@dataclass(frozen=True, slots=True)
-class RunCopy:
-    """Copy of a run's memory at an engine other than the one that runs it.
-
-    Attributes:
-        holder: Target that holds the copy.
-        owner: Target whose address identifies the copy: the holder for a running
-            backup, the source for a copy made on order.
-        handle: Name of the copy at that address.
-    """
-
-    holder: str
-    owner: str
-    handle: str
+from figstep.gateway.runs import RunCopy
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +78,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DropCopy:
-    """Free a copy that is no longer needed."""
+    """Free a copy on order, unless the engine that made it has restarted."""
 
     copy: RunCopy
 
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -12,6 +12,7 @@
 from figstep.gateway.prompts import Prompt
 from figstep.gateway.refusals import Refusal
 from figstep.gateway.routes import RoutingTable
+from figstep.gateway.runs import RunCopy
 from figstep.gateway.starts import StreamStart
 from figstep.gateway.targets import Incarnation, Registration
 
@@ -73,6 +74,7 @@
     SILENT = "silent"  # timed out: nothing arrived for too long
     CUT = "cut"  # this entry closed it
     UNCONFIRMED = "unconfirmed"  # accepted by an unknown incarnation of the target
+    OUTDATED_COPY = "outdated_copy"  # not sent: the copy's name may be another copy's
 
 
 # Callers
@@ -217,13 +219,11 @@
 
     Attributes:
         number: Number of the request that the run belongs to.
-        handle: Name that the source gave the copy.
+        copy: The copy, with the incarnations that were registered when it was ordered.
     """
 
     number: int
-    source: str
-    holder: str
-    handle: str
+    copy: RunCopy
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -4,6 +4,7 @@
 from figstep.gateway import (
     attempts,
     brittleness,
+    copies,
     crashes,
     culprits,
     eligibility,
@@ -30,7 +31,9 @@
 refuse as well, at the cost of the caller's time.
 """
 
-NOT_RUN = frozenset({Loss.UNREACHED, Loss.REFUSED, Loss.MISDIRECTED})
+NOT_RUN = frozenset(
+    {Loss.UNREACHED, Loss.REFUSED, Loss.MISDIRECTED, Loss.OUTDATED_COPY}
+)
 """Losses that prove that the target did not run the request."""
 
 
@@ -129,7 +132,7 @@
                 # It is not full but faulty, and would refuse the next requests too.
                 target.record_loss(now, True)
             return brittleness.record_rejection(state, target, now)
-        case Loss.CUT:
+        case Loss.CUT | Loss.OUTDATED_COPY:
             return []
         case Loss.FAILED:
             target.record_failure()
@@ -209,17 +212,15 @@
 
 
 def _resume_from_copy(state: State, request: Request, now: Millis) -> list[Effect]:
+    copies.discard_unusable_copy(state, request)
     copy = request.copy
     if copy is None:
         return []
     if culprits.is_refused(state, request, now):
         request.copy = None
         return []
-    holder = state.targets.find(copy.holder)
-    if holder is None or not eligibility.is_eligible(state, request, holder):
-        request.copy = None
-        return []
-    if not limits.may_send(state, holder, now):
+    holder = state.targets.find(copy.holder.target)
+    if holder is None or not limits.may_send(state, holder, now):
         request.copy = None
         return []
     if not peers.spend_repeat(state, request.service, now, urgent=True):
@@ -341,6 +342,6 @@
             "detail": event.detail,
             "took_ms": now - attempt.opened,
             "events": request.pieces,
-            "copy_at": request.copy.holder if request.copy else "",
+            "copy_at": request.copy.holder.target if request.copy else "",
         },
     )
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -16,7 +16,7 @@
     FleetDemand,
     classify,
 )
-from figstep.gateway.effects import RelayTo, RunCopy
+from figstep.gateway.effects import RelayTo
 from figstep.gateway.events import (
     BrittlenessReport,
     PeerLoad,
@@ -27,6 +27,7 @@
 from figstep.gateway.places import NO_EVACUATIONS, Evacuations
 from figstep.gateway.refusals import RefusalTable
 from figstep.gateway.routes import Route, RoutingTable
+from figstep.gateway.runs import RunCopy
 from figstep.gateway.starts import StartTable, StreamStart
 from figstep.gateway.targets import (
     Incarnation,
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -10,7 +10,6 @@
     FinishStream,
     Note,
     Observe,
-    RunCopy,
 )
 from figstep.gateway.events import (
     PiecesArrived,
@@ -19,6 +18,7 @@
     StreamOpened,
 )
 from figstep.gateway.routes import RouteKind
+from figstep.gateway.runs import build_backup
 from figstep.gateway.state import Attempt, Request, State
 
 STALL_TIMEOUT = Millis(400)
@@ -164,7 +164,7 @@
     if holder is None or not holder.accepts_work:
         return
     if request.copy is None:
-        request.copy = RunCopy(holder.name, holder.name, request.spec.id)
+        request.copy = build_backup(holder, request.spec.id)
 
 
 def _promote_standby(
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -4,6 +4,7 @@
 import errno
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
+from enum import Enum
 from typing import Any
 
 import aiohttp
@@ -15,7 +16,7 @@
 from figstep.core.clock import Clock, Millis
 from figstep.errors import FrameError
 from figstep.gateway.edges import AnswerHead, TargetPort, WholeAnswer
-from figstep.gateway.effects import CopyRun, OpenAttempt, RunCopy
+from figstep.gateway.effects import CopyRun, OpenAttempt
 from figstep.gateway.events import (
     AnswerArrived,
     AnswerBegan,
@@ -38,6 +39,7 @@
     TargetLeaving,
     TargetRestarted,
 )
+from figstep.gateway.runs import RunCopy, build_ordered_copy, is_outdated
 from figstep.gateway.targets import Target, contradicts_registration
 from figstep.net.buffers import ExchangeBuffer, UnreadAnswerError, build_data
 from figstep.net.connectors import ResetAwareConnector
@@ -64,6 +66,10 @@
 stream. With the timeout of both, the caller's pause is shorter than the two seconds
 after which callers abandon a stream."""
 
+SOURCE_TIMEOUT_SECONDS = 0.05
+"""Timeout of a query of the source of a copy before the copy is used, in seconds. The
+caller's stream pauses meanwhile, and engines answer within milliseconds."""
+
 MAX_ANSWER_BYTES = 8_388_608
 """Largest complete answer that may be sent to a caller, in bytes. A larger one counts
 as a lost attempt."""
@@ -91,6 +97,14 @@
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
+class Start(Enum):
+    """What a target states of its start."""
+
+    REGISTERED = "registered"
+    LATER = "later"
+    UNKNOWN = "unknown"  # it gave no report
+
+
 class TargetEdge(Service, TargetPort):
     """HTTP client for targets that opens a new connection for each request.
 
@@ -245,6 +259,9 @@
         self, effect: OpenAttempt, exchange: CallerExchange, target: Target
     ) -> Event:
         assert self._session is not None
+        if effect.source is not None and await self._is_outdated(effect.source):
+            detail = "an engine of the copy has restarted"
+            return AttemptLost(effect.attempt, Loss.OUTDATED_COPY, detail=detail)
         url = URL(f"http://{target.info.address}{exchange.path}", encoded=True)
         requested_at = self._clock.now()
         async with self._session.request(
@@ -274,17 +291,52 @@
         The report is queried after the target has accepted a stream: if it states the
         registered start, no later incarnation writes that stream.
         """
-        info = target.info
         for _ in range(CONFIRM_TRIES):
-            report = await self._query_report(target)
-            if report is None:
-                continue
-            if not contradicts_registration(info, report.born):
-                return ""
-            self._dispatch(TargetRestarted(info.incarnation, report.born))
-            return f"registered {info.born}, reports {report.born}"
+            match await self._query_start(target):
+                case Start.REGISTERED:
+                    return ""
+                case Start.LATER:
+                    return "it has restarted since it registered"
         return "its start is not confirmed"
 
+    async def _query_start(self, target: Target) -> Start:
+        """Return whether a target states the start that it registered.
+
+        TargetRestarted is dispatched if it states another one.
+        """
+        info = target.info
+        report = await self._query_report(target)
+        if report is None:
+            return Start.UNKNOWN
+        if not contradicts_registration(info, report.born):
+            return Start.REGISTERED
+        self._dispatch(TargetRestarted(info.incarnation, report.born))
+        return Start.LATER
+
+    async def _is_outdated(self, copy: RunCopy) -> bool:
+        """Return whether an engine of a copy has restarted, as far as can be known.
+
+        The source of a copy on order is asked for its start, as its registration may
+        not be read yet: after a restart it gives the names of its copies again. If it
+        does not answer, what is registered by the end of the query decides.
+        """
+        owner = self._find_target(copy.owner.target)
+        if copy.on_order and owner is not None:
+            await self._query_source(owner)
+        return is_outdated(copy, self._find_target)
+
+    async def _query_source(self, owner: Target) -> None:
+        for _ in range(CONFIRM_TRIES):
+            asked_at = self._clock.now()
+            try:
+                async with asyncio.timeout(SOURCE_TIMEOUT_SECONDS):
+                    await self._query_start(owner)
+                return
+            except TimeoutError:
+                if self._clock.now() - asked_at < SOURCE_TIMEOUT_SECONDS * 2_000:
+                    return
+                # This process was held up, and the answer may have arrived.
+
     async def _pass_on(self, effect: OpenAttempt, exchange: CallerExchange) -> Event:
         """Send a request to another entry, and return what it answers."""
         assert self._relay_session is not None
@@ -344,17 +396,13 @@
         if effect.after is not None:
             headers.append((names.LAST_EVENT, str(effect.after)))
         if effect.source is not None:
-            headers.append((names.COPY_SOURCE, self._format_copy_source(effect.source)))
+            copy_source = f"{effect.source.address}/{effect.source.handle}"
+            headers.append((names.COPY_SOURCE, copy_source))
         headers += _state_length(exchange)
         if not exchange.body and exchange.method not in ("GET", "HEAD"):
             headers.append(("Content-Length", "0"))
         return headers
 
-    def _format_copy_source(self, copy: RunCopy) -> str:
-        owner = self._find_target(copy.owner)
-        address = "" if owner is None else owner.info.address
-        return f"{address}/{copy.handle}"
-
     async def _read_stream(
         self,
         effect: OpenAttempt,
@@ -486,9 +534,10 @@
         self._run_in_background(self._order_copy(effect))
 
     def drop_copy(self, copy: RunCopy) -> None:
-        """Free a copy of a run at the engine whose address identifies the copy.
+        """Free a copy of a run at the engine that made it on order.
 
-        A failure is only logged.
+        The copy is left to the engine, which frees unused ones by itself, if that does
+        not state that it has not restarted. A failure is only logged.
         """
         self._run_in_background(self._free_copy(copy))
 
@@ -586,9 +635,8 @@
             lambda answer: self._dispatch_target_signals(answer, source, requested_at),
         )
         if made.handle:
-            self._dispatch(
-                RunCopied(effect.number, effect.source, effect.holder, made.handle)
-            )
+            copy = build_ordered_copy(source, holder, made.handle)
+            self._dispatch(RunCopied(effect.number, copy))
             return
         self._dispatch(
             RunNotCopied(effect.number, effect.source, effect.holder, made.detail)
@@ -596,10 +644,11 @@
 
     async def _free_copy(self, copy: RunCopy) -> None:
         assert self._session is not None
-        owner = self._find_target(copy.owner)
-        if owner is None:
+        owner = self._find_target(copy.owner.target)
+        if owner is None or is_outdated(copy, self._find_target):
             return
-        await copies.free_copy(self._session, owner.info.address, copy.handle)
+        if await self._query_start(owner) is Start.REGISTERED:
+            await copies.free_copy(self._session, copy.address, copy.handle)
 
 
 def _state_length(exchange: CallerExchange) -> list[tuple[str, str]]:
--- a/tests/gateway/test_copies.py
+++ b/tests/gateway/test_copies.py
@@ -15,7 +15,6 @@
     Deliver,
     DropCopy,
     OpenAttempt,
-    RunCopy,
 )
 from figstep.gateway.events import (
     AttemptLost,
@@ -30,7 +29,12 @@
 )
 from figstep.gateway.streams import MAX_OVERLAP
 from figstep.gateway.targets import Registration
-from tests.gateway.worlds import ENGINES, EntryHarness, start_with_backup
+from tests.gateway.worlds import (
+    ENGINES,
+    EntryHarness,
+    build_copy,
+    start_with_backup,
+)
 
 
 def start_without_backup(output: int = 900) -> tuple[EntryHarness, OpenAttempt]:
@@ -58,7 +62,7 @@
     harness.depart(opened.target)
     standby = harness.find_effect(OpenAttempt)
     assert standby.target == opened.backup
-    assert standby.source == RunCopy(opened.backup, opened.backup, "id-1")
+    assert standby.source == build_copy(opened.backup, opened.backup, "id-1")
     assert standby.after == 10
     harness.send_pieces(opened.attempt, 11, 12)
     assert harness.find_effect(Deliver).data.endswith(b"id: 12\n\n")
@@ -81,7 +85,7 @@
     harness, opened = start_without_backup()
     harness.handle(Ticked())
     order = harness.find_effect(CopyRun)
-    harness.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
     harness.depart(opened.target)
     standby = harness.find_effect(OpenAttempt)
     harness.handle(AttemptLost(standby.attempt, Loss.REFUSED))
@@ -115,9 +119,9 @@
     harness.depart(opened.target)
     order = harness.find_effect(CopyRun)
     assert order.holder != opened.target
-    harness.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
     standby = harness.find_effect(OpenAttempt)
-    assert standby.source == RunCopy(order.holder, opened.target, "h-1")
+    assert standby.source == build_copy(opened.target, order.holder)
 
 
 def test_a_copy_that_fails_is_tried_at_another_engine() -> None:
@@ -137,7 +141,7 @@
     harness.depart(opened.target)
     order = harness.find_effect(CopyRun)
     harness.handle(StreamEnded(opened.attempt))
-    harness.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
     assert harness.find_effect(DropCopy).copy.handle == "h-1"
     assert all(t.memory == 0 for t in harness.state.targets.targets.values())
 
@@ -205,11 +209,11 @@
     harness.handle(Ticked())
     order = harness.find_effect(CopyRun)
     assert order.source == opened.target
-    harness.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
     assert harness.actions == []
     harness.depart(opened.target)
     standby = harness.find_effect(OpenAttempt)
-    assert standby.source == RunCopy(order.holder, opened.target, "h-1")
+    assert standby.source == build_copy(opened.target, order.holder)
 
 
 def test_one_run_of_an_engine_is_copied_at_a_time() -> None:
@@ -223,7 +227,7 @@
     first = harness.find_effect(CopyRun)
     harness.handle(Ticked())
     assert harness.find_effects(CopyRun) == []
-    harness.handle(RunCopied(first.number, first.source, first.holder, "h-1"))
+    harness.handle(RunCopied(first.number, build_copy(first.source, first.holder)))
     harness.handle(Ticked())
     assert harness.find_effect(CopyRun).number != first.number
 
@@ -232,7 +236,7 @@
     harness, opened = start_without_backup()
     harness.handle(Ticked())
     order = harness.find_effect(CopyRun)
-    harness.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
     for _ in range(29):
         harness.clock.advance(100)
         harness.state.requests[1].delivered_at = harness.clock.now()
@@ -282,7 +286,7 @@
     source = harness.state.targets.targets[order.source]
     holder = harness.state.targets.targets[order.holder]
     assert source.outgoing_load == holder.incoming_load > 3_000
-    harness.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
     assert source.outgoing_load == holder.incoming_load == 0
     harness.clock.advance(3_000)
     harness.state.requests[1].delivered_at = harness.clock.now()
@@ -326,7 +330,7 @@
     holder = harness.state.targets.find(order.holder)
     assert holder is not None
     taken = holder.memory
-    harness.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
     harness.clock.advance(Millis(3_000))
     harness.state.requests[1].delivered_at = harness.clock.now()
     harness.handle(Ticked())
@@ -377,12 +381,12 @@
     harness, _ = start_without_backup()
     harness.handle(Ticked())
     order = harness.find_effect(CopyRun)
-    harness.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
     harness.handle(Ticked())
     assert harness.find_effects(DropCopy) == []
     harness.handle(PeerHeard("entry-2", (PeerLoad(order.holder, 9, 34_000),)))
     harness.handle(Ticked())
-    assert harness.find_effect(DropCopy).copy.holder == order.holder
+    assert harness.find_effect(DropCopy).copy.holder.target == order.holder
     assert harness.state.targets.targets[order.holder].memory == 0
 
 
@@ -390,7 +394,7 @@
     harness, opened = start_without_backup()
     harness.handle(Ticked())
     order = harness.find_effect(CopyRun)
-    harness.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
     harness.handle(PeerHeard("entry-2", (PeerLoad(order.holder, 9, 34_000),)))
     harness.depart(opened.target)
     harness.handle(Ticked())
@@ -426,7 +430,7 @@
     harness.state.queue.clear()
     harness.handle(Ticked())
     order = harness.find_effect(CopyRun)
-    harness.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
     harness.state.queue.append(1)
     harness.clock.advance(3_000)
     request.delivered_at = harness.clock.now()
@@ -439,7 +443,7 @@
     harness, _ = start_without_backup()
     harness.handle(Ticked())
     order = harness.find_effect(CopyRun)
-    harness.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
     harness.clock.advance(STALE_COPY_AGE)
     harness.depart(order.source)
     return harness, order
@@ -450,7 +454,7 @@
     harness, order = start_with_stale_copy()
     assert harness.find_effect(CopyRun) == order
     assert harness.find_effects(OpenAttempt) == []
-    harness.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
     assert harness.find_effect(OpenAttempt).target == order.holder
 
 
@@ -458,8 +462,8 @@
     """Guards against runs lost although a stale copy exists."""
     harness, order = start_with_stale_copy()
     harness.handle(RunNotCopied(1, order.source, order.holder, "answered 503"))
-    assert harness.find_effect(OpenAttempt).source == RunCopy(
-        order.holder, order.source, "h-1"
+    assert harness.find_effect(OpenAttempt).source == build_copy(
+        order.source, order.holder
     )
 
 
@@ -468,8 +472,8 @@
     harness, order = start_with_stale_copy()
     harness.clock.advance(REFRESH_TIMEOUT)
     harness.handle(Ticked())
-    assert harness.find_effect(OpenAttempt).source == RunCopy(
-        order.holder, order.source, "h-1"
+    assert harness.find_effect(OpenAttempt).source == build_copy(
+        order.source, order.holder
     )
 
 
@@ -477,7 +481,7 @@
     harness, _ = start_without_backup()
     harness.handle(Ticked())
     order = harness.find_effect(CopyRun)
-    harness.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
     harness.depart(order.source)
     assert harness.find_effect(OpenAttempt).target == order.holder
 
@@ -500,7 +504,7 @@
     harness.handle(Ticked())
     order = harness.find_effect(CopyRun)
     assert order.holder == "e-far"
-    harness.handle(RunCopied(1, order.source, order.holder, "h-1"))
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
     harness.handle(AttemptLost(opened.attempt, Loss.BROKEN))
     assert harness.find_effect(OpenAttempt).target == "e-far"
 
@@ -510,3 +514,66 @@
     harness, opened = start_in_two_domains()
     harness.depart(opened.target)
     assert harness.find_effect(CopyRun).holder == "e-near"
+
+
+def start_with_ordered_copy() -> tuple[EntryHarness, OpenAttempt, CopyRun]:
+    """Return an entry with a plan, its attempt, and the order that made its copy."""
+    harness, opened = start_without_backup()
+    harness.handle(Ticked())
+    order = harness.find_effect(CopyRun)
+    harness.handle(RunCopied(1, build_copy(order.source, order.holder)))
+    return harness, opened, order
+
+
+def register_restarted(harness: EntryHarness, name: str) -> None:
+    """Register a later incarnation of an engine, at the same address."""
+    info = Registration(name, ENGINES, f"{name}:80", "muc-a", 64, born=2)
+    harness.handle(TargetRegistered(info))
+
+
+def test_no_run_resumes_from_a_copy_whose_source_has_restarted() -> None:
+    """Guards against a stream that goes on from a copy of another caller's run."""
+    harness, opened, order = start_with_ordered_copy()
+    register_restarted(harness, order.source)
+    harness.handle(AttemptLost(opened.attempt, Loss.BROKEN))
+    assert harness.find_effects(OpenAttempt) == []
+    assert harness.find_effects(BreakStream) != []
+
+
+def test_no_run_resumes_from_a_copy_whose_holder_has_restarted() -> None:
+    """Guards against a request to an engine that does not have the copy any more."""
+    harness, opened, order = start_with_ordered_copy()
+    register_restarted(harness, order.holder)
+    harness.handle(AttemptLost(opened.attempt, Loss.BROKEN))
+    assert harness.find_effects(OpenAttempt) == []
+
+
+def test_no_run_resumes_from_a_copy_whose_source_has_a_new_address() -> None:
+    """Guards against a mixed stream where registrations do not state the start."""
+    harness, opened, order = start_with_ordered_copy()
+    info = Registration(order.source, ENGINES, "other:80", "muc-a", 64)
+    harness.handle(TargetRegistered(info))
+    harness.handle(AttemptLost(opened.attempt, Loss.BROKEN))
+    assert harness.find_effects(OpenAttempt) == []
+
+
+def test_a_run_whose_source_ended_for_good_resumes_from_its_copy() -> None:
+    """Guards against streams that are cut off although their copy can't be mistaken."""
+    harness, opened, order = start_with_ordered_copy()
+    harness.depart(order.source)
+    standby = harness.find_effect(OpenAttempt)
+    assert standby.source == build_copy(order.source, order.holder)
+    harness.handle(AttemptLost(opened.attempt, Loss.BROKEN))
+    harness.send_pieces(standby.attempt, 11, 12)
+    assert harness.find_effect(Deliver).data == b"id: 11\n\nid: 12\n\n"
+
+
+def test_a_holder_is_not_blamed_for_an_outdated_copy() -> None:
+    """Guards against an engine that is avoided for what the copy's source did."""
+    harness, opened, order = start_with_ordered_copy()
+    harness.handle(AttemptLost(opened.attempt, Loss.BROKEN))
+    standby = harness.find_effect(OpenAttempt)
+    harness.handle(AttemptLost(standby.attempt, Loss.OUTDATED_COPY))
+    assert harness.find_effects(OpenAttempt) == []
+    holder = harness.state.targets.targets[order.holder]
+    assert (holder.consecutive_losses, holder.backoff_until) == (0, 0)
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -29,6 +29,7 @@
     BOOKINGS,
     ENGINES,
     EntryHarness,
+    build_copy,
     build_fleet,
     build_table,
 )
@@ -147,7 +148,7 @@
     opened = harness.open_plan()
     harness.send_pieces(opened.attempt, 1, 9)
     register(harness, "e-2", "muc-b")
-    harness.handle(RunCopied(opened.number, "e-1", "e-2", "handle"))
+    harness.handle(RunCopied(opened.number, build_copy("e-1", "e-2")))
     evacuate(harness, "muc-b")
     harness.handle(AttemptLost(opened.attempt, Loss.BROKEN))
     assert not harness.find_effects(OpenAttempt)
--- a/tests/gateway/test_fleet_properties.py
+++ b/tests/gateway/test_fleet_properties.py
@@ -69,6 +69,7 @@
     PLAN,
     QUESTION,
     EntryHarness,
+    build_copy,
     build_fleet,
 )
 
@@ -530,7 +531,7 @@
             number, source, holder = order.number, order.source, order.holder
             outcome: Event = RunNotCopied(number, source, holder, "gone")
             if source in self.up and holder in self.up:
-                outcome = RunCopied(number, source, holder, "handle")
+                outcome = RunCopied(number, build_copy(source, holder))
             self.pending.append(partial(self.handle, entry, outcome))
         self.copies.clear()
 
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -22,6 +22,7 @@
 from tests.gateway.worlds import (
     BOOKINGS,
     EntryHarness,
+    build_copy,
     build_fleet,
     exchange_messages,
     start_with_backup,
@@ -297,7 +298,7 @@
     limit = harness.state.targets.targets[order.holder].limit
     assert limit is not None
     limit.opens_at = Millis(harness.clock.now() + 300)
-    harness.handle(RunCopied(order.number, opened.target, order.holder, "h-1"))
+    harness.handle(RunCopied(order.number, build_copy(opened.target, order.holder)))
     assert not harness.find_effects(OpenAttempt)
     harness.clock.advance(320)
     harness.handle(Ticked())
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -25,7 +25,7 @@
 from figstep.gateway.prompts import Prompt
 from figstep.gateway.starts import StreamStart
 from figstep.gateway.targets import Incarnation, Registration
-from tests.gateway.worlds import ENGINES, EntryHarness
+from tests.gateway.worlds import ENGINES, EntryHarness, build_copy
 
 FIRST = "e-1"
 """Engine at which the streams of most tests begin."""
@@ -84,7 +84,7 @@
     harness.handle(TargetDeparted(FIRST))
     order = harness.find_effect(CopyRun)
     register(harness, "v2", "e-2", born=2)
-    harness.handle(RunCopied(order.number, FIRST, "e-2", "h-1"))
+    harness.handle(RunCopied(order.number, build_copy(FIRST, "e-2")))
     assert not harness.find_effects(OpenAttempt)
 
 
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -35,8 +35,9 @@
     Service,
     group_routes,
 )
+from figstep.gateway.runs import RunCopy
 from figstep.gateway.state import State
-from figstep.gateway.targets import Registration
+from figstep.gateway.targets import Incarnation, Registration
 
 EffectType = TypeVar("EffectType")
 
@@ -211,6 +212,13 @@
         return self.handle(PiecesArrived(attempt, pieces))
 
 
+def build_copy(source: str, holder: str, handle: str = "h-1") -> RunCopy:
+    """Return a copy between engines as ``EntryHarness.register`` registers them."""
+    return RunCopy(
+        Incarnation(holder, 1), Incarnation(source, 1), f"{source}:80", handle
+    )
+
+
 def start_with_backup() -> tuple[EntryHarness, OpenAttempt]:
     """Return an entry with a plan that has run for 500 ms and has a backup.
 
--- a/tests/platform/places.py
+++ b/tests/platform/places.py
@@ -25,6 +25,7 @@
         self.targets: dict[str, FakeTarget] = {}
         self.entries: list[Entry] = []
         self.session = aiohttp.ClientSession()
+        self.tasks: list[asyncio.Task[bytes]] = []
 
     async def add_target(self, name: str, service: str, **fields: object) -> FakeTarget:
         target = FakeTarget(name, service, **fields)  # type: ignore[arg-type]
@@ -71,6 +72,8 @@
     try:
         yield place
     finally:
+        for task in place.tasks:
+            task.cancel()
         await place.session.close()
         for entry in place.entries:
             await entry.stop()
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -285,6 +285,7 @@
         bodies: Bodies of received requests, oldest first.
         aborted: Ids of requests whose connection closed before their end.
         copies: Ids of runs that another engine has copied to this one.
+        freed: Handles of the copies that it was ordered to free.
         extra_headers: Headers added to all its answers.
         arrivals: Arrival times of requests in seconds, by the loop's clock.
         reports: Number of queries of its state.
@@ -305,6 +306,7 @@
     bodies: list[bytes] = field(default_factory=list)
     aborted: list[str] = field(default_factory=list)
     copies: set[str] = field(default_factory=set)
+    freed: list[str] = field(default_factory=list)
     extra_headers: dict[str, str] = field(default_factory=dict)
     arrivals: list[float] = field(default_factory=list)
     reports: int = 0
@@ -318,6 +320,7 @@
         """Start listening and register in the store."""
         app = web.Application()
         app.router.add_post("/figstep/kv-move", self._move)
+        app.router.add_delete("/figstep/kv-handle/{handle}", self._free)
         app.router.add_get("/figstep/report", self._report)
         app.router.add_route("*", "/{path:.*}", self._answer)
         self.runner, self.address = await start_app(app, port)
@@ -345,6 +348,16 @@
         assert self.runner is not None
         for site in list(self.runner.sites):
             await site.stop()
+        self._reset_connections()
+
+    def restart_unregistered(self, born: int) -> None:
+        """Start again under the id and address; the registration stays as it was."""
+        self.born = born
+        self.copies.clear()
+        self._reset_connections()
+
+    def _reset_connections(self) -> None:
+        assert self.runner is not None
         assert self.runner.server is not None
         for connection in list(self.runner.server.connections):
             transport = connection.transport
@@ -398,6 +411,10 @@
         report = {"state": "ready", "born": self.born}
         return web.Response(body=orjson.dumps(report))
 
+    async def _free(self, request: web.Request) -> web.Response:
+        self.freed.append(request.match_info["handle"])
+        return web.Response()
+
     async def _move(self, request: web.Request) -> web.Response:
         order = orjson.loads(await request.read())
         holder = self.peers.get(order["target"])
--- a/tests/platform/test_copies.py
+++ b/tests/platform/test_copies.py
@@ -1,11 +1,14 @@
-"""Tests of orders to engines to copy runs."""
+"""Tests of copies of runs: orders to engines, and their use."""
+
+import asyncio
 
 import aiohttp
 import pytest
 from aiohttp import web
 
 from figstep.platform.copies import order_copy
-from tests.platform.standins import start_app
+from tests.platform.places import Place, open_place, start_fleet
+from tests.platform.standins import FakeTarget, start_app
 
 
 @pytest.mark.parametrize(
@@ -35,3 +38,72 @@
         )
     await runner.cleanup()
     assert (made.handle, heard) == (handle, [status])
+
+
+async def begin_copied_plan(place: Place) -> tuple[FakeTarget, FakeTarget]:
+    """Start an entry and a long plan, and return its engine and its copy's holder."""
+    for name in ("i-e1", "i-e2"):
+        target = await place.add_target(name, "engines")
+        target.events = 150
+    await start_fleet(place, 1, 2)
+    task = asyncio.create_task(read_plan(place))
+    place.tasks.append(task)
+    async with asyncio.timeout(5):
+        while not any(target.copies for target in place.targets.values()):
+            await asyncio.sleep(0.01)
+    holder = next(target for target in place.targets.values() if target.copies)
+    source = next(target for target in place.targets.values() if target is not holder)
+    # The answer to the order takes a moment to reach the entry.
+    await asyncio.sleep(0.1)
+    return source, holder
+
+
+async def read_plan(place: Place) -> bytes:
+    """Read a long plan, and return its events until it ends or breaks."""
+    prompt = {"Token_Count": "300,600", "Length_Hint": "600"}
+    headers = place.headers("r-1", Model="m", **prompt)
+    received = b""
+    try:
+        url = place.url("/plan/a")
+        async with place.session.post(url, data=b"dal", headers=headers) as response:
+            async for chunk in response.content.iter_any():
+                received += chunk
+    except aiohttp.ClientError:
+        return received + b"broken"
+    return received
+
+
+async def test_a_copy_is_not_used_once_its_engine_has_restarted_unnoticed() -> None:
+    """Guards against a stream that goes on from the copy of another caller's run."""
+    async with open_place() as place:
+        source, holder = await begin_copied_plan(place)
+        source.restart_unregistered(born=2)
+        received = await place.tasks[0]
+        assert received.endswith(b"broken")
+        assert not any("Kv-From" in headers for headers in holder.received_headers)
+
+
+async def test_a_copy_is_used_once_its_engine_has_ended() -> None:
+    """Guards against streams lost because their engine can't be asked for its start."""
+    async with open_place() as place:
+        source, holder = await begin_copied_plan(place)
+        await source.crash()
+        received = await place.tasks[0]
+        assert received.endswith(b"id: 150\ndata: t150\n\n")
+        copy_source = holder.received_headers[-1]["Kv-From"]
+        assert copy_source == f"{source.address}/h-1"
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+async def test_only_the_engine_that_made_a_copy_is_ordered_to_free_it(
+    restarts: bool,
+) -> None:
+    """Guards against an order that frees a copy of another caller's run."""
+    async with open_place() as place:
+        source, _ = await begin_copied_plan(place)
+        if restarts:
+            # The stream goes on: only the start that the engine states shows it.
+            source.born = 2
+        await place.tasks[0]
+        await asyncio.sleep(0.2)
+        assert source.freed == ([] if restarts else ["h-1"])
