Stop runs that go on at another engine by an order

Cause: the entry ended a run by closing its connection, and took that for the run's end. Engines need not end a run with its connection. Nothing else told them.

Ruled out: a close that comes too late.

Fix: an engine whose run the request has left is ordered to stop it, 50 ms after the close, also after a lost connection, a standby that is given up, and a run that begins again at another engine. Engines that dropped the run reject the order without work.

Weighed: the last copy before the switch has no overlap, but each stream would pause for its place on the links behind other copies.

--- a/figstep/gateway/application.py
+++ b/figstep/gateway/application.py
@@ -30,6 +30,7 @@
     ProbeTarget,
     ReadReport,
     Refuse,
+    StopRun,
 )
 from figstep.gateway.events import Event, RequestArrived, Ticked
 from figstep.gateway.measures import GatewayMeasures
@@ -130,6 +131,8 @@
                 self.targets.copy_run(effect)
                 # Until the other entries know of the copy, they use the same links.
                 self.peers.announce()
+            case StopRun():
+                self.targets.stop_run(effect)
             case DropCopy(copy=copy):
                 self.targets.drop_copy(copy)
             case ReadReport(target=target, start_only=start_only):
--- a/figstep/gateway/edges.py
+++ b/figstep/gateway/edges.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from figstep.core.problems import Problem
-from figstep.gateway.effects import CopyRun, OpenAttempt
+from figstep.gateway.effects import CopyRun, OpenAttempt, StopRun
 from figstep.gateway.runs import RunCopy
 
 
@@ -49,6 +49,10 @@
     def copy_run(self, effect: CopyRun) -> None:
         """Order an engine to copy a run to another engine."""
 
+    @abstractmethod
+    def stop_run(self, effect: StopRun) -> None:
+        """Order an engine to stop a run whose connection is closed."""
+
     @abstractmethod
     def drop_copy(self, copy: RunCopy) -> None:
         """Free a copy of a run."""
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -5,6 +5,7 @@
 from figstep.core.clock import Millis
 from figstep.core.problems import Problem
 from figstep.gateway.runs import RunCopy
+from figstep.gateway.targets import Incarnation
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CloseAttempt:
-    """Close an attempt's connection, which ends its run."""
+    """Close an attempt's connection, which ends its run at most engines."""
 
     attempt: int
 
@@ -76,6 +77,23 @@
     holder: str
 
 
+@dataclass(frozen=True, slots=True)
+class StopRun:
+    """Order an engine to stop a run whose connection is closed, if it still runs.
+
+    Attributes:
+        number: Number of the request.
+        request: Id that the caller gave the request, by which the engine knows the run.
+        target: Engine that may still work on the run.
+        destination: Engine to which the order lets the run's memory be copied.
+    """
+
+    number: int
+    request: str
+    target: Incarnation
+    destination: str
+
+
 @dataclass(frozen=True, slots=True)
 class DropCopy:
     """Free a copy on order, unless the engine that made it has restarted."""
@@ -216,6 +234,7 @@
     OpenAttempt
     | CloseAttempt
     | CopyRun
+    | StopRun
     | DropCopy
     | ReadReport
     | ProbeTarget
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -15,6 +15,7 @@
     reach,
     relays,
     requests,
+    stops,
     warmups,
 )
 from figstep.gateway.effects import Announce, CloseAttempt, Count, Effect, Note
@@ -77,13 +78,22 @@
         # The standby was lost. The current attempt continues, but its running backup
         # was used up or never arrived.
         request.current.backup_unusable = True
-        return effects
+        return effects + _stop_lost_run(state, request, attempt, event)
     effects += origins.check_start(state, request)
     if request.standby is not None:
         request.current = request.standby
         request.standby = None
-        return effects
-    return effects + _continue_request(state, request, attempt, event, now)
+    else:
+        effects += _continue_request(state, request, attempt, event, now)
+    return effects + _stop_lost_run(state, request, attempt, event)
+
+
+def _stop_lost_run(
+    state: State, request: Request, attempt: Attempt, event: AttemptLost
+) -> list[Effect]:
+    if event.loss not in stops.MAY_CONTINUE:
+        return []
+    return stops.stop_run(state, request, attempt)
 
 
 def _recover_relayed(
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -1,7 +1,7 @@
 """Delivers streams in order, each event once, and detects stalls."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import attempts, copies, crashes, origins, pace, requests
+from figstep.gateway import attempts, copies, crashes, origins, pace, requests, stops
 from figstep.gateway.effects import (
     BeginStream,
     Count,
@@ -174,6 +174,8 @@
     effects = attempts.close_attempt(state, previous, now)
     request.current = standby
     request.standby = None
+    if previous is not None:
+        effects += stops.stop_run(state, request, previous)
     # The recorded copy belongs to the previous attempt. If it stayed, the backup of the
     # attempt that continues would not be recorded.
     request.copy = None
@@ -276,6 +278,13 @@
     if standby.answered or copies.is_too_late_to_copy(request.current.target, now):
         # The standby was accepted and will deliver, or no other copy could be made
         # before the engine ends: the run must not continue at both engines.
-        return attempts.close_attempt(state, request.current, now)
+        current = request.current
+        return [
+            *attempts.close_attempt(state, current, now),
+            *stops.stop_run(state, request, current),
+        ]
     request.current.backup_unusable = True
-    return attempts.close_attempt(state, standby, now)
+    return [
+        *attempts.close_attempt(state, standby, now),
+        *stops.stop_run(state, request, standby),
+    ]
--- a/figstep/platform/copies.py
+++ b/figstep/platform/copies.py
@@ -31,10 +31,12 @@
     Attributes:
         handle: Name of the copy at its source; empty if none was made.
         detail: Text for the log.
+        status: HTTP status of the answer; 0 if there was none.
     """
 
     handle: str
     detail: str
+    status: int = 0
 
 
 async def order_copy(
@@ -43,6 +45,7 @@
     holder: str,
     request_id: str,
     handle_answer: Callable[[aiohttp.ClientResponse], None],
+    stop: bool = False,
 ) -> MadeCopy:
     """Order an engine to copy a run to another engine, and wait for the copy.
 
@@ -52,8 +55,12 @@
         holder: Address of the engine that is to hold the copy.
         request_id: Id that the caller gave the request.
         handle_answer: Called with the engine's answer as its headers have arrived.
+        stop: Whether the run is stopped first. Its source then keeps its memory, and
+            names it even if no copy could be made.
     """
-    order = {"id": request_id, "target": holder}
+    order: dict[str, str | bool] = {"id": request_id, "target": holder}
+    if stop:
+        order["last"] = True
     try:
         async with (
             asyncio.timeout(COPY_TIMEOUT_SECONDS),
@@ -65,10 +72,11 @@
         ):
             handle_answer(response)
             body = await read_body(response, MAX_ORDER_ANSWER_BYTES)
-        handle = str(orjson.loads(body)["handle"]) if response.status == 200 else ""
+        named = response.status == 200 or (stop and response.status == 503)
+        handle = str(orjson.loads(body)["handle"]) if named else ""
     except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError) as error:
         return MadeCopy("", f"{type(error).__name__}: {error}"[:200])
-    return MadeCopy(handle, f"answered {response.status}")
+    return MadeCopy(handle, f"answered {response.status}", response.status)
 
 
 async def free_copy(session: aiohttp.ClientSession, owner: str, handle: str) -> None:
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
 from enum import Enum
+from functools import partial
 from typing import Any
 
 import aiohttp
@@ -16,7 +17,7 @@
 from figstep.core.clock import Clock, Millis
 from figstep.errors import FrameError
 from figstep.gateway.edges import AnswerHead, TargetPort, WholeAnswer
-from figstep.gateway.effects import CopyRun, OpenAttempt
+from figstep.gateway.effects import CopyRun, OpenAttempt, StopRun
 from figstep.gateway.events import (
     AnswerArrived,
     AnswerBegan,
@@ -70,6 +71,17 @@
 """Timeout of a query of the source of a copy before the copy is used, in seconds. The
 caller's stream pauses meanwhile, and engines answer within milliseconds."""
 
+STOP_DELAY_SECONDS = 0.05
+"""Time in seconds before an engine is ordered to stop a run, and between two orders.
+Most engines end a run with its connection, and reject the order then without work."""
+
+STOP_TRIES = 5
+"""Maximum number of orders to stop a run. Further ones are sent while the engine copies
+the run, which excludes an order, or does not answer."""
+
+CONFLICT = 409
+"""Status of the answer to an order on a run that another order is in progress for."""
+
 MAX_ANSWER_BYTES = 8_388_608
 """Largest complete answer that may be sent to a caller, in bytes. A larger one counts
 as a lost attempt."""
@@ -140,6 +152,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._attempt_tasks: dict[int, asyncio.Task[None]] = {}
         self._background: set[asyncio.Task[None]] = set()
+        self._open: dict[int, OpenAttempt] = {}
         self._heads: dict[int, AnswerHead] = {}
         self._answers: dict[int, WholeAnswer] = {}
 
@@ -198,6 +211,8 @@
             coroutine = self._run_attempt(effect, sending)
         task = asyncio.get_running_loop().create_task(coroutine)
         self._attempt_tasks[effect.attempt] = task
+        self._open[effect.attempt] = effect
+        task.add_done_callback(lambda _: self._open.pop(effect.attempt, None))
 
     def _schedule_loss(self, attempt: int, detail: str) -> None:
         event = AttemptLost(attempt, Loss.UNREACHED, detail=detail)
@@ -533,6 +548,14 @@
         """
         self._run_in_background(self._order_copy(effect))
 
+    def stop_run(self, effect: StopRun) -> None:
+        """Order an engine to stop a run whose connection is closed.
+
+        Nothing is ordered once the request is at that engine again. Failures are only
+        logged.
+        """
+        self._run_in_background(self._stop_run(effect))
+
     def drop_copy(self, copy: RunCopy) -> None:
         """Free a copy of a run at the engine that made it on order.
 
@@ -642,6 +665,46 @@
             RunNotCopied(effect.number, effect.source, effect.holder, made.detail)
         )
 
+    async def _stop_run(self, effect: StopRun) -> None:
+        assert self._session is not None
+        for _ in range(STOP_TRIES):
+            await asyncio.sleep(STOP_DELAY_SECONDS)
+            source = self._find_target(effect.target.target)
+            destination = self._find_target(effect.destination)
+            if source is None or source.info.incarnation != effect.target:
+                return
+            if destination is None or self._is_open_at(effect):
+                return
+            requested_at = self._clock.now()
+            stopped = await copies.order_copy(
+                self._session,
+                source.info.address,
+                destination.info.address,
+                effect.request,
+                partial(
+                    self._dispatch_target_signals,
+                    target=source,
+                    requested_at=requested_at,
+                ),
+                stop=True,
+            )
+            fields = {"request": effect.request, "target": source.name}
+            _log.info("run stopped", extra={**fields, "detail": stopped.detail})
+            if stopped.handle:
+                # The request goes on from an earlier copy.
+                await copies.free_copy(
+                    self._session, source.info.address, stopped.handle
+                )
+            if stopped.status not in (0, CONFLICT):
+                return
+
+    def _is_open_at(self, effect: StopRun) -> bool:
+        """Return whether a request has an open attempt at the engine of a stop."""
+        for opened in self._open.values():
+            if opened.number == effect.number and opened.target == effect.target.target:
+                return True
+        return False
+
     async def _free_copy(self, copy: RunCopy) -> None:
         assert self._session is not None
         owner = self._find_target(copy.owner.target)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -286,6 +286,10 @@
         aborted: Ids of requests whose connection closed before their end.
         copies: Ids of runs that another engine has copied to this one.
         freed: Handles of the copies that it was ordered to free.
+        drops: Whether it ends a run whose connection closes.
+        began: When it began to run requests in seconds, by id, by the loop's clock.
+        worked: When it last worked on requests, by id.
+        stopped: Ids of runs that it was ordered to stop.
         extra_headers: Headers added to all its answers.
         arrivals: Arrival times of requests in seconds, by the loop's clock.
         reports: Number of queries of its state.
@@ -307,6 +311,10 @@
     aborted: list[str] = field(default_factory=list)
     copies: set[str] = field(default_factory=set)
     freed: list[str] = field(default_factory=list)
+    drops: bool = True
+    began: dict[str, float] = field(default_factory=dict)
+    worked: dict[str, float] = field(default_factory=dict)
+    stopped: list[str] = field(default_factory=list)
     extra_headers: dict[str, str] = field(default_factory=dict)
     arrivals: list[float] = field(default_factory=list)
     reports: int = 0
@@ -348,15 +356,16 @@
         assert self.runner is not None
         for site in list(self.runner.sites):
             await site.stop()
-        self._reset_connections()
+        self.reset_connections()
 
     def restart_unregistered(self, born: int) -> None:
         """Start again under the id and address; the registration stays as it was."""
         self.born = born
         self.copies.clear()
-        self._reset_connections()
+        self.reset_connections()
 
-    def _reset_connections(self) -> None:
+    def reset_connections(self) -> None:
+        """Reset all connections; runs go on if they don't end with theirs."""
         assert self.runner is not None
         assert self.runner.server is not None
         for connection in list(self.runner.server.connections):
@@ -396,9 +405,18 @@
         response.content_type = "text/event-stream"
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        clock = asyncio.get_running_loop().time
+        self.began[number] = clock()
         try:
             for index in range(first, self.events + 1):
-                await response.write(f"id: {index}\ndata: t{index}\n\n".encode())
+                if number in self.stopped:
+                    raise ConnectionResetError
+                self.worked[number] = clock()
+                try:
+                    await response.write(f"id: {index}\ndata: t{index}\n\n".encode())
+                except ConnectionError:
+                    if self.drops:
+                        raise
                 await asyncio.sleep(self.event_interval)
         except (asyncio.CancelledError, ConnectionError):
             self.aborted.append(number)
@@ -417,6 +435,10 @@
 
     async def _move(self, request: web.Request) -> web.Response:
         order = orjson.loads(await request.read())
+        if order.get("last"):
+            if order["id"] in self.aborted:
+                return web.Response(status=404)
+            self.stopped.append(order["id"])
         holder = self.peers.get(order["target"])
         if holder is None:
             return web.Response(status=503)
--- a/tests/platform/test_copies.py
+++ b/tests/platform/test_copies.py
@@ -107,3 +107,24 @@
         await place.tasks[0]
         await asyncio.sleep(0.2)
         assert source.freed == ([] if restarts else ["h-1"])
+
+
+@pytest.mark.parametrize("drops", [True, False])
+@pytest.mark.parametrize("trouble", ["leaves", "breaks"])
+async def test_a_run_that_goes_on_elsewhere_is_stopped_at_its_engine(
+    drops: bool, trouble: str
+) -> None:
+    """Guards against a run that works on at two engines after its connection closed."""
+    async with open_place() as place:
+        source, holder = await begin_copied_plan(place)
+        source.drops = drops
+        if trouble == "leaves":
+            await source.register(place.store, "draining")
+        else:
+            source.reset_connections()
+        received = await place.tasks[0]
+        assert received.endswith(b"id: 150\ndata: t150\n\n")
+        assert source.worked["r-1"] - holder.began["r-1"] <= 0.4
+        # An engine that drops a run with its connection does nothing for the order.
+        assert (source.stopped == []) is drops
+        assert source.freed == ([] if drops else ["h-1"])
