Keep versions and starts of streams in the store

What callers saw: after all entries were killed at once, streams that were taken up went on at another software version than the one that began them, where the settings of the new processes still stated a first start; and where they did not, each stream was refused as version_unknown for two minutes, also with one version all along.

Cause: an entry took its settings' word for a first start, or that of an entry that had it from there, for the knowledge that there was no other version before. Where nobody could say so, nobody knew anything: nothing outlived the processes.

Fix: one entry writes to the store which versions targets have and when the last of one left, and once a second, while there are several, which version began each stream that can be taken up. A process that starts reads both. The settings count only if the store was read and entries never wrote there. Entries tell each other in a new field what the store has shown, and don't believe the old one. A version that may have begun a stream is known as long as a caller waits, so that no other is taken for the only one.

Ruled out: the history of registrations alone, as its records bear no time and a removal names no version; reports of engines, as runs end with their connections.

The harness of gateway tests now states that the store was read, which first_start stood for before; all earlier cases stay as strict.

--- a/figstep/gateway/application.py
+++ b/figstep/gateway/application.py
@@ -8,7 +8,7 @@
 
 from figstep.core.clock import Clock
 from figstep.core.problems import Problem, Ran
-from figstep.gateway.edges import CallerPort, PeerPort, TargetPort
+from figstep.gateway.edges import CallerPort, HistoryPort, PeerPort, TargetPort
 from figstep.gateway.effects import (
     Announce,
     AnnounceTarget,
@@ -31,6 +31,7 @@
     ReadReport,
     Refuse,
     StopRun,
+    WriteHistory,
 )
 from figstep.gateway.events import Event, RequestArrived, Ticked
 from figstep.gateway.measures import GatewayMeasures
@@ -67,6 +68,7 @@
     targets: TargetPort
     callers: CallerPort
     peers: PeerPort
+    history: HistoryPort
 
     def __init__(self, state: State, clock: Clock, measures: GatewayMeasures) -> None:
         super().__init__()
@@ -135,6 +137,8 @@
                 self.targets.stop_run(effect)
             case DropCopy(copy=copy):
                 self.targets.drop_copy(copy)
+            case WriteHistory():
+                self.history.write_history(effect)
             case ReadReport(target=target, start_only=start_only):
                 self.targets.read_report(target, start_only)
             case ProbeTarget(target=target):
--- a/figstep/gateway/edges.py
+++ b/figstep/gateway/edges.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from figstep.core.problems import Problem
-from figstep.gateway.effects import CopyRun, OpenAttempt, StopRun
+from figstep.gateway.effects import CopyRun, OpenAttempt, StopRun, WriteHistory
 from figstep.gateway.runs import RunCopy
 
 
@@ -127,3 +127,11 @@
     @abstractmethod
     def announce_target(self, target: str) -> None:
         """Send other failure domains this failure domain's load at one target."""
+
+
+class HistoryPort(ABC):
+    """Port to what entries write to the store."""
+
+    @abstractmethod
+    def write_history(self, effect: WriteHistory) -> None:
+        """Write versions and starts; HistoryWritten is dispatched at the end."""
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -5,6 +5,7 @@
 from figstep.core.clock import Millis
 from figstep.core.problems import Problem
 from figstep.gateway.runs import RunCopy
+from figstep.gateway.starts import RecordedVersion, StreamStart
 from figstep.gateway.targets import Incarnation
 
 
@@ -101,6 +102,17 @@
     copy: RunCopy
 
 
+@dataclass(frozen=True, slots=True)
+class WriteHistory:
+    """Write versions of targets and starts of streams to the store.
+
+    Records of versions replace those written before; starts are added to them.
+    """
+
+    versions: tuple[RecordedVersion, ...]
+    starts: tuple[StreamStart, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ReadReport:
     """Query an engine for its state.
@@ -236,6 +248,7 @@
     | CopyRun
     | StopRun
     | DropCopy
+    | WriteHistory
     | ReadReport
     | ProbeTarget
     | CheckTarget
--- a/figstep/gateway/eras.py
+++ b/figstep/gateway/eras.py
@@ -31,6 +31,9 @@
     if before == NO_POSITION or position.era == before.era:
         return []
     state.era_began_at = now
+    # The copy may lack what entries wrote: it is written again.
+    state.history.recorded.clear()
+    state.starts.mark_unrecorded()
     fields: dict[str, str | int | float | None] = {
         "era": position.era,
         "era_before": before.era,
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -13,7 +13,7 @@
 from figstep.gateway.refusals import Refusal
 from figstep.gateway.routes import RoutingTable
 from figstep.gateway.runs import RunCopy
-from figstep.gateway.starts import StreamStart
+from figstep.gateway.starts import RecordedVersion, StreamStart
 from figstep.gateway.targets import Incarnation, Registration
 
 
@@ -462,6 +462,32 @@
     age: Millis
 
 
+@dataclass(frozen=True, slots=True)
+class HistoryRead:
+    """The versions and starts that entries wrote to the store were read.
+
+    Attributes:
+        versions: Recorded versions; empty if none was ever written.
+        starts: Recorded starts of streams that may still be taken up, oldest first.
+    """
+
+    versions: tuple[RecordedVersion, ...]
+    starts: tuple[StreamStart, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryWritten:
+    """A write of versions and starts to the store has ended.
+
+    Attributes:
+        acknowledged: Whether the store confirmed it; if not, it may have been written.
+    """
+
+    versions: tuple[RecordedVersion, ...]
+    starts: tuple[StreamStart, ...]
+    acknowledged: bool
+
+
 @dataclass(frozen=True, slots=True)
 class PeerHeard:
     """A message of another entry arrived.
@@ -505,7 +531,8 @@
             recently began to deliver, while others can't know their software version.
         past_versions: Software versions that targets had until recently; only in the
             answer to an entry that has just started.
-        knows_versions: Whether `past_versions` is complete.
+        knows_versions: Whether `past_versions` is complete, as the store or an entry
+            that read it has shown.
         demand: Demand of the peer by class, or of the entries of its failure domain if
             `far` is set; empty if it does not report any.
     """
@@ -598,6 +625,8 @@
     | AnswerArrived
     | AttemptLost
     | TargetDown
+    | HistoryRead
+    | HistoryWritten
     | TargetChecked
     | RunCopied
     | RunNotCopied
--- a/figstep/gateway/origins.py
+++ b/figstep/gateway/origins.py
@@ -157,7 +157,8 @@
 def apply_starts(state: State, event: PeerHeard, now: Millis) -> None:
     """Apply what another entry tells of starts and of versions that targets had."""
     for start in event.starts:
-        state.starts.record_announced(start, now)
+        # Each failure domain of a large fleet writes its own streams.
+        state.starts.record_announced(start, now, recorded=event.far)
     if event.knows_versions:
         versions.apply_past_versions(state, event.past_versions, now)
         state.was_told_versions = True
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -10,6 +10,7 @@
     eligibility,
     eras,
     evacuations,
+    history,
     limits,
     origins,
     peers,
@@ -34,6 +35,8 @@
     EntriesCounted,
     EvacuationsRead,
     Event,
+    HistoryRead,
+    HistoryWritten,
     PeerHeard,
     PiecesArrived,
     PositionRead,
@@ -153,6 +156,10 @@
             state.read_failed = False
             sources.update_store_state(state, now)
             return []
+        case HistoryRead():
+            return history.apply_history(state, event, now)
+        case HistoryWritten():
+            return history.handle_written(state, event)
         case PeerHeard():
             origins.apply_starts(state, event, now)
             return [
@@ -346,6 +353,7 @@
     effects += sources.catch_up(state, now)
     for removed in state.targets.remove_departed(now, DEPARTED_RETENTION):
         versions.record_past_version(state, removed.info, now)
+    effects += history.write_history(state, now)
     departures.remove_expired(state, now)
     state.crashes.remove_expired(now)
     state.refused.remove_expired(now)
--- a/figstep/gateway/starts.py
+++ b/figstep/gateway/starts.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 from figstep.core.clock import Millis
@@ -48,6 +49,23 @@
     version: str
 
 
+@dataclass(frozen=True, slots=True)
+class RecordedVersion:
+    """Software version of a service's targets, as recorded in the store.
+
+    Attributes:
+        age: Milliseconds since the last target with this version was removed; None if
+            targets have it.
+        expired: Whether no caller waits any more for a stream that the version began,
+            so that its record can be deleted.
+    """
+
+    service: str
+    version: str
+    age: Millis | None = None
+    expired: bool = False
+
+
 @dataclass(slots=True)
 class _KnownStart:
     version: str
@@ -55,6 +73,7 @@
     service: str
     incarnation: Incarnation | None = None
     opened: Millis = Millis(0)
+    recorded: bool = False
 
 
 @dataclass(slots=True)
@@ -81,15 +100,19 @@
         )
         self._drop_oldest()
 
-    def record_announced(self, start: StreamStart, now: Millis) -> None:
+    def record_announced(
+        self, start: StreamStart, now: Millis, recorded: bool = False
+    ) -> None:
         """Record a stream that a peer delivers, unless it is known already.
 
-        A known version is replaced only by `UNKNOWN_VERSION`.
+        A known version is replaced only by `UNKNOWN_VERSION`. ``recorded`` states that
+        another entry writes it to the store, or has.
         """
-        known = _KnownStart(start.version, now, "")
+        known = _KnownStart(start.version, now, "", recorded=recorded)
         current = self._known.setdefault(start.stream, known)
-        if start.version == UNKNOWN_VERSION:
+        if start.version == UNKNOWN_VERSION and current.version != UNKNOWN_VERSION:
             current.version = UNKNOWN_VERSION
+            current.recorded = False
         self._drop_oldest()
 
     def forget_versions(
@@ -110,7 +133,7 @@
         for stream, known in forgotten:
             # The table is ordered by time; the newest are announced.
             del self._known[stream]
-            known.version, known.at = UNKNOWN_VERSION, now
+            known.version, known.at, known.recorded = UNKNOWN_VERSION, now, False
             self._known[stream] = known
         return len(forgotten)
 
@@ -152,6 +175,35 @@
         ]
         return tuple(own[-MAX_ANNOUNCED_STARTS:])
 
+    def list_unrecorded(
+        self, services: Container[str], most: int
+    ) -> tuple[StreamStart, ...]:
+        """Return the newest starts that this entry has not recorded in the store.
+
+        They are those of peers, and this entry's own of the given services; ``most`` is
+        their maximum number.
+        """
+        unrecorded: list[StreamStart] = []
+        for stream, known in reversed(self._known.items()):
+            if len(unrecorded) == most:
+                break
+            if known.recorded or (known.service and known.service not in services):
+                continue
+            unrecorded.append(StreamStart(stream, known.version))
+        return tuple(unrecorded)
+
+    def mark_recorded(self, starts: Iterable[StreamStart]) -> None:
+        """Mark starts that were written to the store or read from it."""
+        for start in starts:
+            known = self._known.get(start.stream)
+            if known is not None and known.version == start.version:
+                known.recorded = True
+
+    def mark_unrecorded(self) -> None:
+        """Mark all starts as missing in the store."""
+        for known in self._known.values():
+            known.recorded = False
+
     def remove_expired(self, now: Millis) -> None:
         """Remove starts whose callers do not return any more."""
         while self._known:
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -394,6 +394,28 @@
     until: Millis
 
 
+@dataclass(slots=True)
+class HistoryState:
+    """What this entry knows of the versions and starts that are in the store.
+
+    All times are monotonic, in milliseconds.
+
+    Attributes:
+        read: Whether they were read since the process started.
+        found: Whether there were any.
+        recorded: Recorded versions by service and version, and whether targets had them
+            as they were recorded.
+        writing: Whether a write is in progress.
+        checked_at: When this entry last checked whether the store lacks any.
+    """
+
+    read: bool = False
+    found: bool = False
+    recorded: dict[tuple[str, str], bool] = field(default_factory=dict)
+    writing: bool = False
+    checked_at: Millis = Millis(-1_000_000)
+
+
 @dataclass(slots=True)
 class State:
     """State of one gateway.
@@ -452,6 +474,7 @@
         unix_offset: Unix time minus monotonic time, in milliseconds.
         was_told_versions: Whether an entry that knows them told this one which versions
             targets had before it started.
+        history: What is known of the versions and starts in the store.
         avoided_relays: Until when entries are avoided that could not be reached, by
             the address at which they accept requests of other entries.
         spent_relays: Until when entries are not asked that had no share left for a
@@ -509,6 +532,7 @@
     past_versions: dict[tuple[str, str], Millis] = field(default_factory=dict)
     announced_since: dict[str, Millis] = field(default_factory=dict)
     was_told_versions: bool = False
+    history: HistoryState = field(default_factory=HistoryState)
     fleet_admission: bool = False
     customer_shares: dict[tuple[str, int], FairShares] = field(default_factory=dict)
     places_by_pace: bool = False
--- a/figstep/gateway/versions.py
+++ b/figstep/gateway/versions.py
@@ -39,10 +39,14 @@
 def is_history_known(state: State, now: Millis) -> bool:
     """Return whether this entry knows all versions that began streams still awaited.
 
-    A process that starts knows them from entries that do, or after as long as any
-    caller waits.
+    A process that starts knows them from entries that do, from the store, or after as
+    long as any caller waits. That the whole system starts for the first time counts
+    only if entries have never written to the store: the settings may still state it at
+    a later start.
     """
-    if state.budget.first_start or state.was_told_versions:
+    if state.was_told_versions or state.history.found:
+        return True
+    if state.history.read and state.budget.first_start:
         return True
     return now - state.budget.started >= START_RETENTION
 
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -109,6 +109,7 @@
         relays=list(own.relays),
         cutOff=own.cut_off,
         knowsVersions=own.knows_versions,
+        retired35=own.knows_versions,
     )
     if own.held_evacuations:
         # Only the answer to an entry that has just started holds any.
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -38,11 +38,12 @@
   rejected @32 :List(Rejection); # brittle targets that recently rejected a request
   starts @33 :List(Starts);  # streams that entries recently began to deliver
   pastVersions @34 :List(PastVersion); # software versions that targets had until recently
-  knowsVersions @35 :Bool;   # the past versions are complete
+  retired35 @35 :Bool;       # still sent to earlier builds: the past versions are complete
   era @36 :UInt64;           # era of the store that the position belongs to, 0 for none
   evacuatedEra @37 :UInt64;  # era that evacuatedAt belongs to
   heldEvacuations @38 :List(Text); # kept although an older copy of the store lacks them
   demand @39 :List(Demand);  # by class; of the failure domain if far is set
+  knowsVersions @40 :Bool;   # the past versions are complete, as the store has shown
 }
 
 struct Demand {
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -60,6 +60,7 @@
 )
 from figstep.platform.engines import TargetEdge
 from figstep.platform.followers import TopicFollower, TopicSink
+from figstep.platform.history import HistoryLog
 from figstep.platform.settings import (
     Address,
     EntrySettings,
@@ -211,6 +212,9 @@
             choose_first_read_delay(settings),
         )
 
+        self.history = HistoryLog(self._store, self.gateway.dispatch)
+        self.gateway.history = self.history
+
     def _build_relays(self, address: Address) -> RelayListener:
         return RelayListener(address, lambda host: self.link.is_entry(host))
 
@@ -220,6 +224,7 @@
             self.targets,
             self.configuration,
             self.registrations,
+            self.history,
             self.link,
             self.gateway,
         ):
@@ -232,7 +237,8 @@
         # the configuration is read, their requests would be refused.
         deadline = self._clock.now() + FIRST_READ_TIMEOUT
         while self._clock.now() < deadline:
-            if self.is_ready() and self._has_heard_peers():
+            read = self.is_ready() and self.gateway.known.history.read
+            if read and self._has_heard_peers():
                 return
             await asyncio.sleep(FIRST_READ_POLL_SECONDS)
 
--- a/figstep/platform/store.py
+++ b/figstep/platform/store.py
@@ -24,6 +24,9 @@
 OFFSETS_BYTES = 16
 """Length of the two offsets at the begin of the answer to a read, in bytes."""
 
+END_BYTES = 8
+"""Length of the first of these offsets, which is the end of the topic, in bytes."""
+
 LENGTH_BYTES = 4
 """Length of the field before each record that holds the record's length, in bytes."""
 
@@ -112,6 +115,26 @@
             LogUnavailableError: If the store gave no answer.
         """
 
+    @abstractmethod
+    async def read_log(self, topic: str) -> list[bytes]:
+        """Return all records that a topic without keys still holds, oldest first.
+
+        Raises:
+            LogUnavailableError: If the store gave no answer.
+        """
+
+    @abstractmethod
+    async def append(self, topic: str, records: list[bytes]) -> None:
+        """Append records to a topic, all or none of them.
+
+        A record of a keyed topic begins with the length of its key in one byte, and the
+        key.
+
+        Raises:
+            LogUnavailableError: If the store gave no answer; the records may have been
+                appended.
+        """
+
     @abstractmethod
     async def close(self) -> None:
         """Close the connections."""
@@ -174,15 +197,55 @@
         answer = await self._call("/figstep/log-read", query, wait)
         return RecordBatch(decode_records(answer.body), answer.era)
 
+    async def read_log(self, topic: str) -> list[bytes]:
+        """Return all records that a topic without keys still holds, oldest first.
+
+        Raises:
+            LogUnavailableError: If the store gave no answer.
+        """
+        contents: list[bytes] = []
+        position = 0
+        while True:
+            query = {"topic": topic, "part": "0", "from": str(position)}
+            query["wait_ms"] = "0"
+            try:
+                answer = await self._call("/figstep/log-read", query, 0.0)
+            except LogTruncatedError as error:
+                if error.earliest <= position:
+                    return contents
+                position = error.earliest
+                continue
+            read = split_records(answer.body)
+            contents += read
+            position += len(read)
+            if not read or position >= int.from_bytes(answer.body[:END_BYTES]):
+                return contents
+
+    async def append(self, topic: str, records: list[bytes]) -> None:
+        """Append records to a topic, all or none of them.
+
+        Raises:
+            LogUnavailableError: If the store gave no answer; the records may have been
+                appended.
+        """
+        body = b"".join(
+            len(record).to_bytes(LENGTH_BYTES) + record for record in records
+        )
+        query = {"topic": topic, "part": "0"}
+        await self._call("/figstep/log-append", query, 0.0, body)
+
     async def _call(
-        self, path: str, query: dict[str, str], wait: float
+        self, path: str, query: dict[str, str], wait: float, data: bytes | None = None
     ) -> _StoreAnswer:
         if self._session is None:
             self._session = _open_session()
+        method = "GET" if data is None else "POST"
         try:
             async with (
                 asyncio.timeout(wait + CALL_TIMEOUT_SECONDS),
-                self._session.get(self._base_url + path, params=query) as response,
+                self._session.request(
+                    method, self._base_url + path, params=query, data=data
+                ) as response,
             ):
                 body = await read_body(response, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
@@ -232,6 +295,15 @@
     4 bytes, big-endian, and its content: the length of the key in one byte, the key,
     and the value. An empty value means that the record deletes the key.
 
+    Raises:
+        ValueError: If the answer is cut short.
+    """
+    return [_decode_record(content) for content in split_records(raw)]
+
+
+def split_records(raw: bytes) -> list[bytes]:
+    """Return the contents of the records in the answer to a read.
+
     Raises:
         ValueError: If the answer is cut short.
     """
@@ -242,7 +314,7 @@
         end = begin + int.from_bytes(raw[position:begin])
         if begin > len(raw) or end > len(raw):
             break
-        records.append(_decode_record(raw[begin:end]))
+        records.append(raw[begin:end])
         position = end
     if position != len(raw):
         raise ValueError(f"answer of {len(raw)} bytes is cut short in a record")
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -129,6 +129,7 @@
     def __post_init__(self) -> None:
         budget = RetryBudget(0.2, 56.0, Millis(10_000))
         self.state = State("entry-1", "muc-a", random.Random(1), budget)
+        self.state.history.read = True
         self.handle(ConfigurationRead(build_table(moves=self.moves)))
 
     def handle(self, event: Event) -> list[Effect]:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -74,14 +74,14 @@
 
 
 class FakeStore:
-    """Fake of the platform's store, which holds keyed topics in memory.
+    """Fake of the platform's store, which holds topics in memory.
 
     Attributes:
         delay: Delay in seconds before it answers a read of the newest records.
         address: "ip:port" at which it listens.
         unavailable: Whether it answers 503 to all calls.
         page: Largest number of records in a page of the newest ones.
-        calls: Received calls, "newest" or "read".
+        calls: Received calls, "newest", "read" or "append".
         era: Number of its era, which all answers name; 0 to name none.
     """
 
@@ -112,6 +112,7 @@
         app[_TRANSLATE] = translate
         app.router.add_get("/figstep/log-newest", self._read_newest)
         app.router.add_get("/figstep/log-read", self._read)
+        app.router.add_post("/figstep/log-append", self._append)
         app.on_response_prepare.append(self._name_era)
         runner, address = await start_app(app)
         self._runners.append(runner)
@@ -208,6 +209,26 @@
         }
         return web.Response(body=orjson.dumps(body))
 
+    async def _append(self, request: web.Request) -> web.Response:
+        self.calls.append("append")
+        if self.unavailable:
+            return web.Response(status=503)
+        topic = request.query["topic"]
+        raw = await request.read()
+        contents = []
+        while raw:
+            size = int.from_bytes(raw[:4])
+            contents.append(raw[4 : 4 + size])
+            raw = raw[4 + size :]
+        for content in contents:
+            if topic.startswith("keyed."):
+                end = 1 + content[0]
+                await self.put(topic, content[1:end].decode(), content[end:])
+            else:
+                await self.put(topic, "", content)
+        end = len(self._records.get(topic, []))
+        return web.Response(body=orjson.dumps({"offset": end, "end": end}))
+
     async def _read(self, request: web.Request) -> web.Response:
         self.calls.append("read")
         if self.unavailable:
@@ -238,7 +259,9 @@
         raw = len(records).to_bytes(8) + self._first.get(topic, 0).to_bytes(8)
         for key, value in records[start:]:
             translated = await request.app[_TRANSLATE](value)
-            content = bytes([len(key)]) + key.encode() + translated
+            content = translated
+            if topic.startswith("keyed."):
+                content = bytes([len(key)]) + key.encode() + translated
             raw += len(content).to_bytes(4) + content
         return web.Response(body=raw)
 
