Let one entry read the store often

Cause: each entry had one read of 25 s open. A connection on which an answer was lost returns nothing further and passes keep-alive probes, so that only the timeout of the read, 27 s after its begin, showed the loss. The others were as far behind.

Ruled out: reads that fail, as the store answered all new calls.

Fix: the entry with the lowest name that the store answers lets it wait for two seconds; the others learn from its messages that they are behind and fetch the records, as before. That is enough, as a lost answer then shows after four seconds at most.

--- a/figstep/gateway/history.py
+++ b/figstep/gateway/history.py
@@ -5,7 +5,7 @@
 were lost at once. Then the store has which software versions targets had and, for the
 time in which they had several, which of them began each stream that can be taken up.
 
-One entry writes for all that tell it their streams.
+One entry writes for all that tell it their streams. What two of them write is the same.
 """
 
 from figstep.core.clock import Millis
@@ -58,7 +58,7 @@
     if history.writing or now - history.checked_at < WRITE_INTERVAL:
         return []
     history.checked_at = now
-    if state.position == NO_POSITION or not _is_writer(state, now):
+    if state.position == NO_POSITION or not sources.is_first_reader(state, now):
         return []
     changed = _list_changed_versions(state, now)
     starts: tuple[StreamStart, ...] = ()
@@ -86,20 +86,6 @@
     return []
 
 
-def _is_writer(state: State, now: Millis) -> bool:
-    """Return whether this entry writes for those that tell it their streams.
-
-    It is the one with the lowest name whose reads the store answers. For a moment two
-    may write, or none; what is written twice is the same.
-    """
-    if state.read_failed:
-        return False
-    for name, peer in sources.list_live_peers(state, now).items():
-        if name < state.node and peer.answered:
-            return False
-    return True
-
-
 def _list_changed_versions(state: State, now: Millis) -> tuple[RecordedVersion, ...]:
     """Return the versions whose records in the store are missing or outdated."""
     present = {
--- a/figstep/gateway/sources.py
+++ b/figstep/gateway/sources.py
@@ -104,6 +104,25 @@
     return False
 
 
+def is_first_reader(state: State, now: Millis, whole_fleet: bool = False) -> bool:
+    """Return whether this entry has the lowest name of those that the store answers.
+
+    For a moment several may be, or none. In a large fleet there is one in each failure
+    domain, or, if ``whole_fleet`` is set, about one in all of them.
+    """
+    if state.read_failed or not reads_store(state, now):
+        return False
+    known = [*state.peers.items()]
+    if whole_fleet:
+        known += state.remote_peers.items()
+    for name, peer in known:
+        if now - peer.last_received_at >= READER_TIMEOUT:
+            continue
+        if name < state.node and peer.answered:
+            return False
+    return True
+
+
 def is_store_unread(state: State, now: Millis) -> bool:
     """Return whether the store answers neither this entry nor any known reader."""
     return state.store_unreachable and not _has_live_reader(state, now)
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -44,7 +44,7 @@
 from figstep.gateway.newcomers import complete_message
 from figstep.gateway.peers import complete_eras, describe_entry
 from figstep.gateway.places import Evacuations
-from figstep.gateway.sources import reads_store
+from figstep.gateway.sources import is_first_reader, reads_store
 from figstep.gateway.state import State
 from figstep.gateway.targets import Registration
 from figstep.logs import install_bounded_logs
@@ -70,7 +70,9 @@
 from figstep.platform.store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
+    LONG_POLL_SECONDS,
     REGISTRATION_TOPIC,
+    SHORT_POLL_SECONDS,
     HttpStore,
     KeyedRecord,
     Store,
@@ -196,6 +198,7 @@
             self.reads_store,
             self._choose_read_delay,
             choose_first_read_delay(settings),
+            self._choose_wait,
         )
         self.registrations = TopicFollower(
             self._store,
@@ -210,6 +213,7 @@
             self.reads_store,
             self._choose_read_delay,
             choose_first_read_delay(settings),
+            self._choose_wait,
         )
 
         self.history = HistoryLog(self._store, self.gateway.dispatch)
@@ -360,6 +364,12 @@
     def _choose_read_delay(self) -> float:
         return LARGE_FLEET_READ_DELAY_SECONDS if self.gateway.known.is_large else 0.0
 
+    def _choose_wait(self) -> float:
+        now = self._clock.now()
+        if is_first_reader(self.gateway.known, now, whole_fleet=True):
+            return SHORT_POLL_SECONDS
+        return LONG_POLL_SECONDS
+
     def reads_store(self) -> bool:
         """Return whether this entry reads new records from the store itself.
 
--- a/figstep/platform/followers.py
+++ b/figstep/platform/followers.py
@@ -69,6 +69,7 @@
         should_read: Callable[[], bool] = lambda: True,
         choose_read_delay: Callable[[], float] = lambda: 0.0,
         first_read_delay: float = 0.0,
+        choose_wait: Callable[[], float] = lambda: LONG_POLL_SECONDS,
     ) -> None:
         """Follow a topic.
 
@@ -82,10 +83,12 @@
                 returned records.
             first_read_delay: Delay in seconds after the first read, in which an
                 entry finds out whether other entries read for it.
+            choose_wait: Returns how long the store waits for a new record, in seconds.
         """
         super().__init__()
         self._first_read_delay = first_read_delay
         self._choose_read_delay = choose_read_delay
+        self._choose_wait = choose_wait
         self._should_read = should_read
         self._store = store
         self._topic = topic
@@ -163,7 +166,7 @@
         """Read records; return None if the read was given up for a newer era."""
         # Whether the store is back must not be learned from the next record only, which
         # may be long in coming.
-        wait = 0.0 if self._store_lost else LONG_POLL_SECONDS
+        wait = 0.0 if self._store_lost else self._choose_wait()
         read = asyncio.create_task(
             self._store.read_records(self._topic, start.offset, wait)
         )
--- a/tests/gateway/test_sources.py
+++ b/tests/gateway/test_sources.py
@@ -281,3 +281,22 @@
         harness.handle(Ticked())
         queries += len(harness.find_effects(FetchRecords))
     assert queries <= 4
+
+
+def test_one_entry_of_a_fleet_reads_often() -> None:
+    """Guards against calls to the store that grow with the number of entries."""
+    fleet = build_fleet(3, ["muc-a"])
+    now = fleet[0].clock.now()
+    for harness in fleet:
+        for other in fleet:
+            if other is not harness:
+                harness.handle(PeerHeard(other.state.node, answered=True))
+    assert [sources.is_first_reader(one.state, now) for one in fleet] == [
+        True,
+        False,
+        False,
+    ]
+    fleet[0].handle(StoreLost())
+    fleet[1].handle(PeerHeard(fleet[0].state.node, answered=False))
+    assert not sources.is_first_reader(fleet[0].state, now)
+    assert sources.is_first_reader(fleet[1].state, now)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -93,6 +93,7 @@
         self.calls: list[str] = []
         self.era = 1
         self._reset_era = 0
+        self._losses = 0
         self._copied: dict[str, int] = {}
         self._records: dict[str, list[tuple[str, bytes]]] = {}
         self._first: dict[str, int] = {}
@@ -129,6 +130,10 @@
             self.unavailable = True
             self._changed.notify_all()
 
+    def lose_waiting_reads(self) -> None:
+        """Lose the answers to the reads that wait for a record now."""
+        self._losses += 1
+
     async def restore(
         self, lost: int, topic: str = "keyed.servers", resets: bool = True
     ) -> list[tuple[str, bytes]]:
@@ -239,7 +244,7 @@
         if not self._first.get(topic, 0) <= start <= len(self._records.get(topic, [])):
             body = orjson.dumps({"first": self._first.get(topic, 0)})
             return web.Response(status=410, body=body)
-        era = self.era
+        era, losses = self.era, self._losses
         try:
             async with asyncio.timeout(wait), self._changed:
                 await self._changed.wait_for(
@@ -251,6 +256,8 @@
                 )
         except TimeoutError:
             pass
+        if self._losses > losses:
+            await asyncio.Event().wait()
         if self._reset_era > era and request.transport is not None:
             request.transport.abort()
         if self.unavailable:
--- a/tests/platform/test_followers.py
+++ b/tests/platform/test_followers.py
@@ -8,8 +8,10 @@
 
 from figstep.core.positions import Position
 from figstep.errors import LogUnavailableError
+from figstep.gateway.targets import Standing
 from figstep.platform.followers import TopicFollower, TopicSink
 from figstep.platform.store import HttpStore, KeyedRecord
+from tests.platform.places import open_place, start_fleet
 from tests.platform.standins import FakeStore
 
 TOPIC = "keyed.servers"
@@ -278,3 +280,24 @@
     await topic.follower.stop()
     await store.close()
     await fake.stop()
+
+
+KNOWN_WITHIN_SECONDS = 5.0
+"""Time after an outage of the store in which entries must know of a departure: three
+seconds until they count as connected, and two in which a target still serves."""
+
+
+async def test_a_departure_is_known_soon_although_the_store_lost_answers() -> None:
+    """Guards against requests to a target that has drained, as long polls hang."""
+    async with open_place() as place:
+        target = await place.add_target("i-b1", "bookings")
+        await start_fleet(place, 3, 1)
+        # Entries that start for the first time read changes after two seconds.
+        await asyncio.sleep(3.0)
+        place.store.lose_waiting_reads()
+        await target.register(place.store, "draining")
+        async with asyncio.timeout(KNOWN_WITHIN_SECONDS):
+            for entry in place.entries:
+                known = entry.gateway.known.targets.targets["i-b1"]
+                while known.standing is Standing.READY:
+                    await asyncio.sleep(0.05)
