Compare incarnations at the end of a stream without a length

Cause: any process that listened at the address after the end of the connection was taken for the one that had written the answer.

Fix: the incarnation that is registered then, and the start that the engine of a stream states, are compared with that of the request. A later incarnation cannot have written the answer, so that its end is not known to be the whole one's.

Plain services state no start: open.

--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -296,6 +296,7 @@
         stream=request.route.kind is RouteKind.STREAM,
         relay=attempt.relay,
         confirm=_needs_confirmation(state, request, attempt),
+        born=attempt.target.info.born,
     )
 
 
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -37,6 +37,8 @@
         number: Number of the request.
         attempt: Number of the attempt, unique in this process.
         customer: Name of the request's customer, or "".
+        born: Start of the target as registered, as a Unix time in milliseconds; 0 if it
+            is not known.
         deadline: Monotonic time in milliseconds at which the target may stop work.
         priority: Urgency for the engine; 0 is the most urgent. None for plain services.
         backup: Target that is to keep a running backup of the run, or "".
@@ -60,6 +62,7 @@
     stream: bool = False
     relay: RelayTo | None = None
     confirm: bool = False
+    born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -445,7 +445,7 @@
                 is_delimited(response),
                 events,
                 len(splitter.incomplete),
-                await _has_outlived(response),
+                await self._has_outlived(effect, response, asks_start=True),
             )
         )
         if reason:
@@ -511,7 +511,7 @@
                 raise
             # The target gave up an answer that was not read: it has not failed.
             return AttemptLost(attempt, Loss.CUT, detail=_describe_error(error))
-        reason = await _explain_incomplete_body(response, size)
+        reason = await self._explain_incomplete_body(effect, response, size)
         if reason:
             return AttemptLost(attempt, Loss.BROKEN, detail=reason)
         return AnswerArrived(attempt, response.status)
@@ -521,7 +521,7 @@
     ) -> Event:
         body = b"".join(chunks.parts)
         chunks.parts.clear()
-        reason = await _explain_incomplete_body(response, len(body))
+        reason = await self._explain_incomplete_body(effect, response, len(body))
         if reason:
             return AttemptLost(effect.attempt, Loss.BROKEN, detail=reason)
         self._answers[effect.attempt] = WholeAnswer(answers.read_head(response), body)
@@ -540,6 +540,39 @@
             status=forwarded_status,
         )
 
+    async def _explain_incomplete_body(
+        self, effect: OpenAttempt, response: aiohttp.ClientResponse, size: int
+    ) -> str:
+        """Return why a body that has ended is not complete; empty if it is."""
+        if not response.ok:
+            return ""
+        outlived = await self._has_outlived(effect, response)
+        return explain_incomplete(Body(is_delimited(response), size, outlived))
+
+    async def _has_outlived(
+        self,
+        effect: OpenAttempt,
+        response: aiohttp.ClientResponse,
+        asks_start: bool = False,
+    ) -> bool:
+        """Return whether a target lives after its answer, as far as can be known.
+
+        It is not asked if the body is delimited, as the framing shows whether the
+        answer is complete. A target that listens may have restarted since it wrote the
+        answer; with ``asks_start`` it is asked for its start as well.
+        """
+        if is_delimited(response):
+            return True
+        host, port = response.url.host or "", response.url.port or 0
+        if not await outlives_answer(host, port, CONNECT_TIMEOUT_SECONDS):
+            return False
+        target = self._find_target(effect.target)
+        if target is None or effect.relay is not None:
+            return True
+        if target.restarted or target.info.born != effect.born:
+            return False
+        return not asks_start or await self._query_start(target) is not Start.LATER
+
     def copy_run(self, effect: CopyRun) -> None:
         """Order an engine to copy a run to another engine.
 
@@ -763,14 +796,6 @@
     return status < 500 and status not in (408, 429)
 
 
-async def _explain_incomplete_body(response: aiohttp.ClientResponse, size: int) -> str:
-    """Return why a body that has ended is not complete; empty if it is."""
-    if not response.ok:
-        return ""
-    outlived = await _has_outlived(response)
-    return explain_incomplete(Body(is_delimited(response), size, outlived))
-
-
 async def _listens(target: Target) -> bool | None:
     """Return whether a target accepts a connection; None if it was not reached."""
     host, _, port = target.info.address.rpartition(":")
@@ -795,17 +820,6 @@
     return True
 
 
-async def _has_outlived(response: aiohttp.ClientResponse) -> bool:
-    """Return whether a target listens after an answer; True if its body is delimited.
-
-    It is not asked then, as the framing shows whether the answer is complete.
-    """
-    if is_delimited(response):
-        return True
-    url = response.url
-    return await outlives_answer(url.host or "", url.port or 0, CONNECT_TIMEOUT_SECONDS)
-
-
 def _is_connection_refused(error: BaseException) -> bool:
     """Return whether a connection failed because no process listens at the address."""
     if not isinstance(error, aiohttp.ClientConnectorError):
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -1,5 +1,6 @@
 """Tests of the client for targets: which answers reach a caller as complete."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -162,3 +163,23 @@
     """Guards against half an order's answer that its caller gets as all of it."""
     place.targets["i-b1"].handler = crash_within(place, "i-b1", ANSWER[:5])
     assert await read_complete(place, "/order/a") is None
+
+
+@pytest.mark.parametrize("registered", [True, False])
+async def test_an_answer_is_not_completed_by_a_target_that_started_again(
+    place: Place, registered: bool
+) -> None:
+    """Guards against a part of a stream as a whole one after a crash and restart."""
+    target = place.targets["i-e1"]
+
+    async def restart(request: web.Request) -> web.StreamResponse:
+        raw = RawAnswer(request, Framing.CONNECTION, target.sign(request), 0)
+        raw.write(EVENTS)
+        target.born = 2
+        if registered:
+            await target.register(place.store)
+            await asyncio.sleep(0.2)
+        return raw.close()
+
+    target.handler = restart
+    assert await read_complete(place, "/plan/a", **PLAN) is None
