Forward bodies with a Content-Encoding as they were sent

Cause: the HTTP server decodes bodies unless it is told not to.

Fix: it is told not to where bodies are forwarded; the bytes, their length and the header then belong together. The stand-ins of targets don't decode either, so that tests see the bytes that arrive.

--- a/figstep/net/listener.py
+++ b/figstep/net/listener.py
@@ -100,15 +100,24 @@
 
 
 def build_runner(
-    app: web.Application, limits: Limits, bounded: bool = False
+    app: web.Application,
+    limits: Limits,
+    bounded: bool = False,
+    decompress: bool = True,
 ) -> CallerRunner:
     """Return the runner of ``app``, with limits on callers' requests.
 
-    The buffers of connections are bounded as well if ``bounded`` is set.
+    Args:
+        app: Application that handles the requests.
+        limits: Limits of requests and connections.
+        bounded: Whether the buffers of connections are bounded as well.
+        decompress: Whether bodies with a Content-Encoding are decoded. If not, they can
+            be forwarded as they were sent.
     """
     runner = CallerRunner(
         app,
         access_log=None,
+        auto_decompress=decompress,
         handler_cancellation=True,
         shutdown_timeout=SHUTDOWN_SECONDS,
         keepalive_timeout=limits.idle_seconds,
--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -212,7 +212,9 @@
         listener = self._listener
         if listener is None:
             listener = listen(self._callers.host, self._callers.port)
-        await self._listen(build_runner(app, LISTEN_LIMITS, bounded=True), listener)
+        await self._listen(
+            build_runner(app, LISTEN_LIMITS, bounded=True, decompress=False), listener
+        )
         if self._relays is not None:
             await self._listen_for_entries(self._relays.address)
         readiness_app = web.Application()
@@ -229,7 +231,7 @@
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_route("*", "/{path:.*}", self._serve_entry)
         app.on_response_prepare.append(self._prepare_response)
-        runner = build_runner(app, LISTEN_LIMITS, bounded=True)
+        runner = _build_request_runner(app)
         await self._listen(runner, listen(address.host, address.port))
 
     async def _listen(self, runner: web.BaseRunner, listener: socket.socket) -> None:
@@ -458,6 +460,11 @@
     return tuple(selected)
 
 
+def _build_request_runner(app: web.Application) -> web.BaseRunner:
+    # Bodies are forwarded as they were sent.
+    return build_runner(app, LISTEN_LIMITS, bounded=True, decompress=False)
+
+
 def read_request(number: int, request: web.Request, body: bytes) -> RoutedRequest:
     """Return a request in the form that the gateway's decisions use.
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -55,7 +55,9 @@
 
 async def start_app(app: web.Application, port: int = 0) -> tuple[web.AppRunner, str]:
     """Serve an application and return its runner and its "ip:port"."""
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    runner = web.AppRunner(
+        app, access_log=None, shutdown_timeout=0.1, auto_decompress=False
+    )
     await runner.setup()
     site = web.TCPSite(runner, HOST, port)
     await site.start()
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -1,6 +1,7 @@
 """End-to-end tests of an entry with a fake store and fake targets, with faults."""
 
 import asyncio
+import gzip
 import os
 import signal
 from collections.abc import AsyncIterator, Callable
@@ -428,3 +429,17 @@
     assert settings.callers.port == 48749
     assert settings.readiness.port == 38742
     assert settings.peers.port == 58740
+
+
+async def test_a_compressed_body_reaches_its_target_as_it_was_sent(
+    place: Place,
+) -> None:
+    """Guards against a target that gets other bytes than the caller sent."""
+    body = gzip.compress(b"two pallets of flour")
+    headers = place.headers("r-1", Content_Encoding="gzip")
+    url = place.url("/order/a")
+    async with place.session.post(url, data=body, headers=headers) as response:
+        assert response.status == 200
+    target = place.targets["i-b1"]
+    assert target.received_headers[0]["Content-Encoding"] == "gzip"
+    assert target.bodies == [body]
