Wait for bodies that are on their way as an entry stops

Cause: a stop waited for requests that were read whole, and not for those whose body was on its way.

Fix: a request is open once its head was read. It is then served or refused like others.

--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -199,6 +199,7 @@
         self.ready = True
         self.closing = False
         self.exchanges: dict[int, CallerExchange] = {}
+        self._open_requests = 0
 
     async def on_start(self) -> None:
         """Listen for callers and for readiness checks.
@@ -244,6 +245,11 @@
         for runner in self._runners:
             await runner.cleanup()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is open, also none whose body is on its way."""
+        return not self._open_requests
+
     async def _answer_readiness(self, request: web.Request) -> web.Response:
         ready = self.ready and self._is_ready()
         return web.Response(status=200 if ready else 503)
@@ -287,9 +293,11 @@
             )
         except RefusedError as error:
             return build_problem_response(error.problem)
+        self._open_requests += 1
         try:
             return await self._serve_buffered(number, request, relayed, buffer)
         finally:
+            self._open_requests -= 1
             buffer.close()
 
     def _abort(self, number: int, transport: asyncio.Transport | None) -> None:
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -515,7 +515,7 @@
         quiet_from = Millis(self._clock.now() + READINESS_NOTICE)
         while self._clock.now() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
-            if self._clock.now() >= quiet_from and not self.callers.exchanges:
+            if self._clock.now() >= quiet_from and self.callers.is_idle:
                 return
 
 
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -43,6 +43,9 @@
     )
 
 
+BODY_SECONDS = 4.0
+"""Time in which a body arrives, in seconds; entries that stop wait at least three."""
+
 PLAN = {"Model": "m", "Token_Count": "3000,2000", "Length_Hint": "80"}
 
 
@@ -443,3 +446,25 @@
     target = place.targets["i-b1"]
     assert target.received_headers[0]["Content-Encoding"] == "gzip"
     assert target.bodies == [body]
+
+
+async def test_a_request_whose_body_is_on_its_way_is_served_as_its_entry_stops(
+    place: Place,
+) -> None:
+    """Guards against an order that is read and dropped by an otherwise idle entry."""
+    entry = await place.add_entry(node="entry-2", grace=Millis(8_000))
+    await place.wait_ready(entry, 4)
+    address = entry.settings.callers
+    draining = asyncio.create_task(entry.drain())
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    headers = {**place.headers("r-1"), "Content-Length": "10"}
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    writer.write("\r\n".join(["POST /order/a HTTP/1.1", *lines, "", ""]).encode())
+    writer.write(b"flour")
+    await asyncio.sleep(BODY_SECONDS)
+    assert not draining.done()
+    writer.write(b"sugar")
+    async with asyncio.timeout(1):
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
+        await draining
+    writer.close()
