Refuse requests that may outlast an entry that stops

Cause: only streams that can't restart elsewhere were refused in a stop.

Fix: a request whose time limit ends later than the process is refused as not run, and can be sent to another entry at once. What is accepted can then not outlast the process.

--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -117,15 +117,15 @@
             culprits.choose_retry_after(state, culprit, now),
             culprit=culprit,
         )
-    if state.closes_at is not None and _must_finish_here(route):
-        return _reject_request(
-            spec.number, spec.id, 503, "entry_leaving", SHUTDOWN_RETRY_AFTER
-        )
     origin = origins.find_resumed_origin(state, spec, route, now)
     if origin is not None and origin.version is None:
         return _reject_request(
             spec.number, spec.id, 503, "version_unknown", UNKNOWN_VERSION_RETRY_AFTER
         )
+    if _may_outlast_process(state, route, spec, now):
+        return _reject_request(
+            spec.number, spec.id, 503, "entry_leaving", SHUTDOWN_RETRY_AFTER
+        )
     request = _build_request(state, event, route, customer, now)
     request.origin = origin
     request.on_trial = on_trial
@@ -144,9 +144,6 @@
     now: Millis,
 ) -> Request:
     spec = event.request
-    time_limit = route.timeout
-    if spec.max_wait is not None:
-        time_limit = Millis(min(time_limit, spec.max_wait))
     priority = route.priority
     if customer is not None and customer.priority is not None:
         priority = customer.priority
@@ -158,7 +155,7 @@
         priority,
         now,
         _find_first_arrival(state, spec, now),
-        Millis(now + time_limit),
+        _find_deadline(spec, route, now),
         delivered=spec.after or 0,
         lost_runs=spec.lost_runs,
         may_have_run=spec.lost_runs > 0,
@@ -167,6 +164,14 @@
     )
 
 
+def _find_deadline(spec: RoutedRequest, route: Route, now: Millis) -> Millis:
+    """Return when the caller's or the operator's time limit of a request ends."""
+    time_limit = route.timeout
+    if spec.max_wait is not None:
+        time_limit = Millis(min(time_limit, spec.max_wait))
+    return Millis(now + time_limit)
+
+
 def _find_first_arrival(state: State, spec: RoutedRequest, now: Millis) -> Millis:
     # A caller's wait begins with its first arrival, whichever entry refused it.
     refused = state.refused.pop_first_arrival(spec.digest)
@@ -174,9 +179,19 @@
     return arrived if refused is None else min(refused, arrived)
 
 
-def _must_finish_here(route: Route) -> bool:
-    # A stream that can't restart on another engine is cut when the process ends.
-    return route.kind is RouteKind.STREAM and not route.resumable
+def _may_outlast_process(
+    state: State, route: Route, spec: RoutedRequest, now: Millis
+) -> bool:
+    """Return whether a request may be cut off as this process ends.
+
+    A stream that can't restart on another engine is not accepted at all, as most of
+    them last for long.
+    """
+    if state.closes_at is None:
+        return False
+    if route.kind is RouteKind.STREAM and not route.resumable:
+        return True
+    return _find_deadline(spec, route, now) > state.closes_at
 
 
 def place_request(state: State, request: Request, now: Millis) -> list[Effect]:
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -174,6 +174,26 @@
     assert len(harness.find_effects(OpenAttempt)) == 1
 
 
+@pytest.mark.parametrize(("path", "wait"), [("/order/a", 800), ("/question/a", 3_000)])
+def test_a_request_that_may_outlast_its_entry_is_sent_elsewhere(
+    path: str, wait: int
+) -> None:
+    """Guards against a request that is passed on late in a stop, and then cut off."""
+    harness = EntryHarness()
+    harness.register("e-1")
+    harness.register("b-1", service=BOOKINGS)
+    until = Millis(harness.clock.now() + 7_000)
+    harness.handle(ShutdownRequested(until))
+    harness.clock.advance(7_000 - wait)
+    prompt = Prompt("m", 300, 200, 80) if path.startswith("/question") else None
+    for more, accepted in ((0, True), (1, False)):
+        max_wait = Millis(wait + more)
+        harness.clock.advance(more)
+        harness.receive_request(path, prompt, max_wait=max_wait)
+        assert (harness.find_effects(OpenAttempt) != []) is accepted
+    assert harness.find_effect(Refuse).problem.ran is Ran.NO
+
+
 def test_retry_times_of_refused_callers_are_spread() -> None:
     harness = EntryHarness()
     pauses = set()
