Keep the connections of a test's silent target open

Cause: the test's target kept no reference to its connections.

Fix: the test refers to the connections until its end. All that it asks for stays.

--- a/tests/platform/test_buffers.py
+++ b/tests/platform/test_buffers.py
@@ -137,7 +137,11 @@
 async def test_bodies_that_a_target_does_not_read_are_bounded(place: Place) -> None:
     """Guards against bodies in transit that fill the memory."""
 
+    held_open: list[asyncio.StreamWriter] = []
+
     async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # A writer that is not referenced closes its connection as it is collected.
+        held_open.append(writer)
         writer.transport.pause_reading()  # type: ignore[attr-defined]
 
     server = await asyncio.start_server(hold, "127.0.0.1", 0)
