--- a/tests/platform/test_buffers.py
+++ b/tests/platform/test_buffers.py
@@ -136,7 +136,6 @@
 
 async def test_bodies_that_a_target_does_not_read_are_bounded(place: Place) -> None:
     """Guards against bodies in transit that fill the memory."""
-
     held_open: list[asyncio.StreamWriter] = []
 
     async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
