--- a/figstep/gateway/sources.py
+++ b/figstep/gateway/sources.py
@@ -108,7 +108,8 @@
     """Return whether this entry has the lowest name of those that the store answers.
 
     For a moment several may be, or none. In a large fleet there is one in each failure
-    domain, or, if ``whole_fleet`` is set, about one in all of them.
+    domain. With ``whole_fleet`` there may be fewer: an entry also counts those of other
+    failure domains that it has heard recently, which it does now and then.
     """
     if state.read_failed or not reads_store(state, now):
         return False
