--- a/figstep/platform/store.py
+++ b/figstep/platform/store.py
@@ -36,9 +36,9 @@
 an answer that the store has lost."""
 
 SHORT_POLL_SECONDS = 2.0
-"""The same for the one entry whose reads have to show soon whether there are new
-records. The others learn of those that they miss from the positions that entries
-announce."""
+"""How long the store waits for a new record before it answers a read of the entry that
+reads often, in seconds. The others learn of records that they miss from the positions
+that entries announce."""
 
 MAX_ANSWER_BYTES = 33_554_432
 """Largest answer of the store, in bytes; it limits pages and reads to some MB."""
