Name a failure domain's entries to the other ones

Callers of a large fleet saw targets get more than three times the rate that they had named, and requests that cut entries passed on rejected by entries of other failure domains.

Cause: entries of other failure domains were named in messages within a domain only, by entries that had heard from them, which are few. An address that nobody names is dropped after 30 s. From then on an entry knew its own domain and three or four others, took its domain for most of the fleet, and split rates and the retry budget accordingly: with 18 of 24 known entries a domain of 74 has 0.75 of each rate in place of 0.24. Hops from addresses that had been dropped were rejected as not from an entry.

The new tests of links and of the simulated fleet fail on the code before; the simulation had never dropped an address.

Full messages to other failure domains, one every two seconds, now name eight entries of the sender's domain in turn. It costs 33 bytes for each address: 1 KB/s received at an entry of nine failure domains, 0.4 KB/s at 74 entries in four.

--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -314,8 +314,12 @@
     def _send_remotely(self, now: float) -> None:
         """Send the sums of this failure domain to one entry of each other domain."""
         domain = self._entry.describe_domain()
+        members: tuple[Member, ...] = ()
         if now - self._remote_full_report_at >= REMOTE_FULL_REPORT_SECONDS:
             self._remote_full_report_at = now
+            # Other failure domains hear of this one's entries in no other way, and
+            # forget addresses that nobody names.
+            members = self._neighbors.pick_local_members(now)
             self._remote_reported_loads.clear()
         else:
             changed = select_changed(self._remote_reported_loads, domain.loads)
@@ -329,7 +333,7 @@
             self._remote_reported_fields = reported_fields
         self._remote_sent_at = now
         self._remote_reported_loads.update((load.target, load) for load in domain.loads)
-        hello = Hello(domain, records=self._list_records())
+        hello = Hello(domain, members=members, records=self._list_records())
         self._send(hello, self._neighbors.pick_remote(now))
 
     def _list_records(self) -> tuple[tuple[str, bytes], ...]:
--- a/figstep/net/neighbors.py
+++ b/figstep/net/neighbors.py
@@ -21,6 +21,14 @@
 within some seconds.
 """
 
+MAX_LOCAL_MEMBERS_PER_MESSAGE = 8
+"""Maximum number of addresses in a message to another failure domain.
+
+With a message every two seconds, forty entries are named twice within
+``NEIGHBOR_EXPIRY_SECONDS``, so that a lost message does no harm. Each entry receives
+such messages from all other failure domains.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class Member:
@@ -66,6 +74,7 @@
         self._failure_domain = failure_domain
         self._neighbors: dict[str, Neighbor] = {}
         self._next_member = 0
+        self._next_local_member = 0
 
     def __len__(self) -> int:
         return len(self._neighbors)
@@ -146,12 +155,36 @@
         Only entries from which a message was received within ``RECENT_SECONDS`` are
         named; all of them if they are at most ``MAX_MEMBERS_PER_MESSAGE``.
         """
+        recent = self._list_recent(now)
+        first = self._next_member
+        self._next_member += MAX_MEMBERS_PER_MESSAGE
+        return _pick_group(recent, first, MAX_MEMBERS_PER_MESSAGE)
+
+    def pick_local_members(self, now: float) -> tuple[Member, ...]:
+        """Return the next entries of this failure domain to name to other ones.
+
+        They are chosen as in `pick_members`, up to ``MAX_LOCAL_MEMBERS_PER_MESSAGE``.
+        """
+        recent = [
+            member
+            for member in self._list_recent(now)
+            if member.failure_domain == self._failure_domain
+        ]
+        first = self._next_local_member
+        self._next_local_member += MAX_LOCAL_MEMBERS_PER_MESSAGE
+        return _pick_group(recent, first, MAX_LOCAL_MEMBERS_PER_MESSAGE)
+
+    def _list_recent(self, now: float) -> list[Member]:
         recent = []
         for address, neighbor in self._neighbors.items():
             if now - neighbor.last_received < RECENT_SECONDS:
                 recent.append(Member(address, neighbor.failure_domain))
-        if len(recent) <= MAX_MEMBERS_PER_MESSAGE:
-            return tuple(recent)
-        start = self._next_member % len(recent)
-        self._next_member += MAX_MEMBERS_PER_MESSAGE
-        return tuple((recent + recent)[start : start + MAX_MEMBERS_PER_MESSAGE])
+        return recent
+
+
+def _pick_group(members: list[Member], first: int, most: int) -> tuple[Member, ...]:
+    """Return up to ``most`` members from the position ``first`` on, in a ring."""
+    if len(members) <= most:
+        return tuple(members)
+    start = first % len(members)
+    return tuple((members + members)[start : start + most])
--- a/tests/gateway/limited_fleets.py
+++ b/tests/gateway/limited_fleets.py
@@ -27,7 +27,8 @@
 from figstep.gateway.news import LoadUpdates
 from figstep.gateway.peers import describe_entry
 from figstep.gateway.targets import Registration
-from figstep.net.neighbors import NeighborTable
+from figstep.net.links import REMOTE_FULL_REPORT_SECONDS
+from figstep.net.neighbors import Member, NeighborTable
 from tests.gateway.worlds import BOOKINGS, EntryHarness
 
 WINDOW = Millis(4_000)
@@ -101,6 +102,7 @@
         lag: Milliseconds by which it handles answers and messages late.
         session: Number of its process.
         sent_at: When it last sent a message to its failure domain.
+        named_at: When it last named entries of its failure domain to other ones.
     """
 
     harness: EntryHarness
@@ -111,6 +113,8 @@
     updates: LoadUpdates = field(default_factory=LoadUpdates)
     sent_at: Millis = Millis(-10_000)
     ticked_at: Millis = Millis(-10_000)
+    polled_at: Millis = Millis(-10_000)
+    named_at: Millis = Millis(-10_000)
     sessions: dict[str, int] = field(default_factory=dict)
 
     @property
@@ -324,10 +328,12 @@
             return
         entry.ticked_at = now
         self.handle(entry, Ticked())
-        if (now + 7 * int(entry.address.partition(":")[0])) % POLL < 2 * TICK:
+        if now - entry.polled_at >= POLL:
+            entry.polled_at = now
             self._poll(entry, now)
 
     def _poll(self, entry: SimulatedEntry, now: Millis) -> None:
+        entry.neighbors.remove_expired(now / 1_000)
         entries = 1 + len(entry.neighbors)
         if entries != entry.harness.state.entries:
             self.handle(entry, EntriesCounted(entries))
@@ -359,12 +365,18 @@
 
     def _send_remotely(self, entry: SimulatedEntry, now: Millis) -> None:
         message = describe_domain(entry.harness.state, now)
+        members: tuple[Member, ...] = ()
+        if now - entry.named_at >= REMOTE_FULL_REPORT_SECONDS * 1_000:
+            entry.named_at = now
+            members = entry.neighbors.pick_local_members(now / 1_000)
         for address in entry.neighbors.pick_remote(now / 1_000):
             receiver = self._find(address)
             for other in self.entries:
                 domain = receiver.harness.state.failure_domain
                 if other.harness.state.failure_domain == domain:
-                    self._send(entry, other.address, message, (), MAX_REMOTE_LATENCY)
+                    self._send(
+                        entry, other.address, message, members, MAX_REMOTE_LATENCY
+                    )
 
     def _find(self, address: str) -> SimulatedEntry:
         return self.entries[int(address.partition(":")[0])]
--- a/tests/gateway/test_limited_fleets.py
+++ b/tests/gateway/test_limited_fleets.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from figstep.net.neighbors import NEIGHBOR_EXPIRY_SECONDS
 from tests.gateway.limited_fleets import LimitedFleet
 
 RATE = 1.5
@@ -29,6 +30,19 @@
     assert fleet.find_excess() <= 0
 
 
+@pytest.mark.parametrize("seed", range(2))
+def test_a_fleet_that_has_run_for_a_while_keeps_to_the_rates(seed: int) -> None:
+    """Guards against shares drawn as if one failure domain were the whole fleet."""
+    fleet = LimitedFleet(seed, calls_per_second=5.0)
+    fleet.run(NEIGHBOR_EXPIRY_SECONDS + 2)
+    limit_all(fleet)
+    fleet.calls_per_second = BURST
+    fleet.run(9)
+    counted = {entry.harness.state.entries for entry in fleet.entries}
+    assert fleet.find_excess() <= 0
+    assert counted == {len(fleet.entries)}
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_entries_that_join_keep_to_the_rates_of_all_targets(seed: int) -> None:
     """Guards against shares that are too large at entries that know few others."""
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -122,6 +122,29 @@
         assert {m.node for m in host.received if m.far} == {representative}
 
 
+async def test_entries_of_other_failure_domains_stay_known(
+    unused_tcp_port_factory: object, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a failure domain that takes itself for the whole fleet."""
+    monkeypatch.setattr("figstep.net.neighbors.NEIGHBOR_EXPIRY_SECONDS", 5.0)
+    ports = [unused_tcp_port_factory() for _ in range(40)]  # type: ignore[operator]
+    hosts = [
+        FakeHost(f"entry-{n:02}", f"muc-{n % 2}", represents_domain=n in (0, 1))
+        for n in range(40)
+    ]
+    seeds = tuple(f"127.0.0.1:{port}" for port in ports[:2])
+    links = [open_link(port, seeds, hosts[n]) for n, port in enumerate(ports)]
+    for link in links:
+        await link.start()
+    async with asyncio.timeout(20):
+        while min(host.entries for host in hosts) < 40:
+            await asyncio.sleep(0.05)
+    await asyncio.sleep(8.0)
+    for link in links:
+        await link.stop()
+    assert {host.entries for host in hosts} == {40}
+
+
 async def test_an_entry_that_starts_is_answered_at_once(
     unused_tcp_port_factory: object,
 ) -> None:
--- a/tests/net/test_neighbors.py
+++ b/tests/net/test_neighbors.py
@@ -71,3 +71,19 @@
         assert len(members) == MAX_MEMBERS_PER_MESSAGE
         sent.update(member.address for member in members)
     assert sent == names
+
+
+def test_all_local_members_are_named_in_turn_to_other_failure_domains() -> None:
+    """Guards against a part of a failure domain that no other one hears of."""
+    table = NeighborTable(OWN, "muc-a")
+    names = {f"10.0.1.{number}:7200" for number in range(32)}
+    for name in names:
+        neighbor = table.add(name, 0.0)
+        neighbor.last_received, neighbor.failure_domain = 0.0, "muc-a"
+    remote = table.add("10.1.0.2:7200", 0.0)
+    remote.last_received, remote.failure_domain = 0.0, "muc-b"
+    sent: set[str] = set()
+    for _ in range(4):
+        table.pick_members(0.0)
+        sent.update(member.address for member in table.pick_local_members(0.0))
+    assert sent == names
