Judge an entry's links by service

Cause: whether an entry reaches targets was one fact of the entry. A connection to the other service ended each cut within a second, and with it all that the entry knew; until then its requests of the service that it did reach were passed on as well. It went on offering itself for requests that it could only refuse, and kept its share of rates that nobody could use.

What an entry knows of its links is now kept by service: failures, connections, the cut and its end, the ends of targets that refuse. Entries tell each other the services that they are cut off from, and failure domains which of their entries are; offers, shares of rates and of cold targets follow. As one service is lost, the others are checked at once, as all links are often lost together. The own interface judges engines and each plain service apart in the same way.

Before, 8 of 12 cases of the new test of the simulated fleet failed (0.17 to 0.61 of first tries at cut entries), 0 of 12 after. Streams that run through a silent cut are still broken off. The tests of entries without any link now lose the links to all services, which the code no longer takes for granted.

--- a/figstep/core/links.py
+++ b/figstep/core/links.py
@@ -1,13 +1,17 @@
-"""Refuses requests at once while this entry reaches no target.
+"""Refuses requests at once while this entry reaches no target that could run them.
 
-Its callers are then served by another entry. If they waited for attempts at one target
-after the other, they would learn only at their deadline that they have to go there.
+Their callers are then served by another entry. If they waited for attempts at one
+target after the other, they would learn only at their deadline that they have to go
+there. Engines and each plain service are judged by their own connections, as an entry
+may reach some and not the others.
 """
 
 from figstep.core.clock import Millis
 from figstep.core.effects import Count, Effect, Note
+from figstep.core.inventory import ServiceInfo, TargetInfo
 from figstep.core.problems import Problem, Ran
-from figstep.core.reach import MIN_FAILED_TARGETS
+from figstep.core.reach import MIN_FAILED_TARGETS, Reach
+from figstep.core.specs import RequestSpec, ServiceWork
 from figstep.core.state import AttemptState, State
 
 RETRY_INTERVAL = Millis(1_000)
@@ -19,12 +23,19 @@
 RETRY_AFTER = Millis(300)
 """Retry-After in milliseconds; another entry may accept the request at once."""
 
+ENGINES = ""
+"""Name under which the links to all engines are judged together."""
 
-def record_connection(state: State, now: Millis) -> list[Effect]:
+
+def record_connection(state: State, target: str, now: Millis) -> list[Effect]:
     """Record that a target answered over a connection of this entry."""
-    if not state.reach.record_connection(now):
+    known = state.targets.get(target)
+    if known is None:
+        return []
+    service = _name_service(known.info)
+    if not _find_reach(state, service).record_connection(now):
         return []
-    return [Note("targets reached again", {})]
+    return [Note("targets reached again", {"service": service})]
 
 
 def record_failure(state: State, attempt: AttemptState, now: Millis) -> list[Effect]:
@@ -33,24 +44,30 @@
     Fewer than ``MIN_FAILED_TARGETS`` targets never show a cut: they may all be down,
     and then requests wait for the first one that is back.
     """
-    reach = state.reach
+    known = state.targets.get(attempt.target)
+    if known is None:
+        return []
+    service = _name_service(known.info)
+    reach = _find_reach(state, service)
     if reach.record_failure(attempt.target, attempt.opened, MIN_FAILED_TARGETS, now):
         failed = " ".join(sorted(reach.failed))
         return [
             Count("entry.cut_off"),
-            Note("cut off from all targets", {"targets": failed}),
+            Note("cut off from all targets", {"service": service, "targets": failed}),
         ]
     if reach.cut_off:
         reach.cut_off_since = now
     return []
 
 
-def check_links(state: State, now: Millis) -> Problem | None:
+def check_links(state: State, spec: RequestSpec, now: Millis) -> Problem | None:
     """Return the problem of a request that would reach no target; None if it may.
 
     After ``RETRY_INTERVAL`` without a failure requests may be tried again.
     """
-    since = state.reach.cut_off_since
+    work = spec.work
+    service = work.service if isinstance(work, ServiceWork) else ENGINES
+    since = _find_reach(state, service).cut_off_since
     if since is None or now - since >= RETRY_INTERVAL:
         return None
     return Problem(
@@ -60,3 +77,11 @@
         Ran.NO,
         RETRY_AFTER,
     )
+
+
+def _find_reach(state: State, service: str) -> Reach:
+    return state.reaches.setdefault(service, Reach())
+
+
+def _name_service(info: TargetInfo) -> str:
+    return info.service if isinstance(info, ServiceInfo) else ENGINES
--- a/figstep/core/reach.py
+++ b/figstep/core/reach.py
@@ -1,6 +1,6 @@
-"""Detects that this entry reaches no target at all.
+"""Detects that this entry reaches none of a group of targets, those of one service.
 
-The case handled here is an entry that has lost the links to all targets, while callers
+The case handled here is an entry that has lost the links to all of them, while callers
 and other entries still reach it. To each request this looks like a target that is
 down, so the failures at different targets are added up. Only new connections count:
 open ones may live on while new ones fail.
@@ -26,14 +26,14 @@
 
 @dataclass(slots=True)
 class Reach:
-    """What this entry knows of its links to the targets.
+    """What this entry knows of its links to the targets of a service.
 
     All times are monotonic, in milliseconds.
 
     Attributes:
-        connected_at: When a new connection to any target was last established.
+        connected_at: When a new connection to any of them was last established.
         failed: Targets to which a connection failed since, and when it failed.
-        cut_off_since: Since when this entry counts as cut off from all targets; None
+        cut_off_since: Since when this entry counts as cut off from all of them; None
             if it does not.
         cut_ended_at: When this entry last reached targets again after a cut.
         checked_at: When a connection was last opened only to check a target.
@@ -47,7 +47,7 @@
 
     @property
     def cut_off(self) -> bool:
-        """Whether this entry counts as cut off from all targets."""
+        """Whether this entry counts as cut off from all of these targets."""
         return self.cut_off_since is not None
 
     def record_connection(self, now: Millis) -> bool:
@@ -70,7 +70,7 @@
         Args:
             target: Name of the target.
             opened: When the connection was opened.
-            known: Number of targets that could be tried.
+            known: Number of targets of the service that could be tried.
             now: Current time.
 
         Returns:
--- a/figstep/core/recovery.py
+++ b/figstep/core/recovery.py
@@ -143,7 +143,7 @@
         return [Count("attempts.late")]
     attempt.answered = True
     attempt.last_progress = now
-    effects = links.record_connection(state, now)
+    effects = links.record_connection(state, attempt.target, now)
     target = state.targets.get(attempt.target)
     if target is not None:
         target.dead = False
--- a/figstep/core/reducer.py
+++ b/figstep/core/reducer.py
@@ -93,7 +93,7 @@
         case TimerFired(timer=timer):
             return _handle_timer(state, timer, now)
         case LoadReported():
-            effects = links.record_connection(state, now)
+            effects = links.record_connection(state, event.target, now)
             effects += suspects.detect_restart(state, event, now)
             effects += targets.record_load(state, event, now)
             return effects + membership.broadcast_leaving(state, event.target, now)
--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -76,13 +76,13 @@
     """Start, queue or refuse a request, as the admission control decides.
 
     A request whose digest is quarantined, or whose claim is too old, is refused, and
-    any request while this entry reaches no target.
+    any request of a service while this entry reaches no target of it.
     """
     _expire_failed_targets(request, now)
     quarantined = quarantine.check_digest(state.quarantine, request.spec, now)
     if quarantined is not None:
         return end_request(state, request, quarantined)
-    unreachable = links.check_links(state, now)
+    unreachable = links.check_links(state, request.spec, now)
     if unreachable is not None:
         return end_request(state, request, unreachable)
     match admission.decide_admission(state, request, now):
@@ -218,13 +218,14 @@
     state: State, event: ServiceAnswered, now: Millis
 ) -> list[Effect]:
     """Complete a plain service request; record the answer if the request is claimed."""
+    attempt = state.attempts.get(event.attempt)
     request = _complete_request(state, event.attempt, now)
-    if request is None:
+    if attempt is None or request is None:
         return [Count("attempts.late")]
     return [
         Complete(request.spec.request, event.attempt),
         Count("requests.completed"),
-        *links.record_connection(state, now),
+        *links.record_connection(state, attempt.target, now),
         *ownership.record_answer(state, request, event),
         WakeAt(QueueTimer(), now),
     ]
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -241,7 +241,8 @@
     Attributes:
         node: Name of this entry instance.
         rng: Seeded random generator; the only source of randomness.
-        reach: What this entry knows of its links to the targets.
+        reaches: What this entry knows of its links to the targets of each service, and
+            to all engines under ``links.ENGINES``.
         inventory: Document in force, or None before the first.
         configuration_offset: Offset of the document in force; -1 for none.
         retention: Time for which the log keeps records, in milliseconds; a day by
@@ -259,7 +260,7 @@
     node: str
     failure_domain: str = ""
     rng: random.Random = field(default_factory=random.Random)
-    reach: Reach = field(default_factory=Reach)
+    reaches: dict[str, Reach] = field(default_factory=dict)
     inventory: Inventory | None = None
     configuration_offset: int = -1
     configuration: ConfigurationFold = field(default_factory=ConfigurationFold)
--- a/figstep/gateway/domains.py
+++ b/figstep/gateway/domains.py
@@ -3,7 +3,7 @@
 In a large fleet entries exchange all they know within their failure domain only.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
@@ -16,6 +16,7 @@
     PeerLoad,
     RateReport,
     RejectionReport,
+    ServiceCut,
 )
 from figstep.gateway.peers import describe_entry, list_loads
 from figstep.gateway.starts import MAX_ANNOUNCED_STARTS, StreamStart
@@ -57,6 +58,7 @@
     state: State, loads: tuple[PeerLoad, ...], now: Millis
 ) -> PeerHeard:
     own = describe_entry(state, now)
+    relays = _list_relays(state, own, now)
     leaving = {*own.leaving}
     for peer in state.peers.values():
         leaving.update(peer.leaving)
@@ -69,8 +71,9 @@
         far=True,
         leaving=tuple(sorted(leaving)),
         rates=_list_rates(state, own, now),
-        relays=_list_relays(state, own, now),
+        relays=relays,
         cut_off=False,
+        cuts=_list_cuts(state, own, relays),
         brittle=_list_brittle(state, own, now),
         rejected=_list_rejected(state, own, now),
         starts=_list_starts(state, own),
@@ -145,14 +148,47 @@
 def _list_relays(state: State, own: PeerHeard, now: Millis) -> tuple[str, ...]:
     """Return where some entries of this failure domain accept others' requests.
 
-    They change every `RELAY_ROTATION`, so that not only a few get these requests.
+    There are up to `MAX_DOMAIN_RELAYS` for each service from which an entry is cut off,
+    and for all others. They change every `RELAY_ROTATION`, so that not only a few get
+    these requests.
     """
-    addresses = {*own.relays}
+    cut: dict[str, set[str]] = {address: set() for address in own.relays}
     for peer in state.peers.values():
-        addresses.update(peer.relays)
+        cut.update((address, set()) for address in peer.relays)
+    for known in _iterate_cuts(state, own):
+        for address in known.relays:
+            cut.setdefault(address, set()).add(known.service)
     key = str(now // RELAY_ROTATION)
-    ranked = sorted(addresses, key=lambda address: shares.hash_rank(address, key))
-    return tuple(ranked[:MAX_DOMAIN_RELAYS])
+    ranked = sorted(
+        cut, key=lambda address: (len(cut[address]), shares.hash_rank(address, key))
+    )
+    picked = set(ranked[:MAX_DOMAIN_RELAYS])
+    for service in set().union(*cut.values()):
+        reaching = [address for address in ranked if service not in cut[address]]
+        picked.update(reaching[:MAX_DOMAIN_RELAYS])
+    return tuple(address for address in ranked if address in picked)
+
+
+def _list_cuts(
+    state: State, own: PeerHeard, relays: tuple[str, ...]
+) -> tuple[ServiceCut, ...]:
+    """Return which of the addresses belong to entries that are cut off from a service.
+
+    They are sorted: in another order they would look like a change that has to be sent.
+    """
+    cut: dict[str, set[str]] = {}
+    for known in _iterate_cuts(state, own):
+        cut.setdefault(known.service, set()).update(known.relays)
+    return tuple(
+        ServiceCut(service, tuple(one for one in relays if one in cut[service]))
+        for service in sorted(cut)
+    )
+
+
+def _iterate_cuts(state: State, own: PeerHeard) -> Iterator[ServiceCut]:
+    yield from own.cuts
+    for peer in state.peers.values():
+        yield from peer.cuts
 
 
 def is_domain_representative(state: State, now: Millis) -> bool:
--- a/figstep/gateway/eligibility.py
+++ b/figstep/gateway/eligibility.py
@@ -54,7 +54,7 @@
 
 def reaches_none(state: State, request: Request) -> bool:
     """Return whether this entry reaches none of the targets of a request."""
-    if state.reach.cut_off:
+    if state.find_reach(request.service).cut_off:
         return True
     eligible = list_eligible(state, request)
     return bool(eligible) and all(target.needs_check for target in eligible)
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -488,6 +488,19 @@
     acknowledged: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceCut:
+    """Entries that reach no target of a service.
+
+    Attributes:
+        relays: Where these entries accept requests of other entries, as "ip:port". They
+            serve no request of this service.
+    """
+
+    service: str
+    relays: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class PeerHeard:
     """A message of another entry arrived.
@@ -524,7 +537,9 @@
             its failure domain if `far` is set.
         relays: Where it accepts requests of other entries, as "ip:port", or where some
             entries of its failure domain do if `far` is set.
-        cut_off: Whether it reaches no target.
+        cut_off: Whether it reaches no target of any service.
+        cuts: Services from which it, or some of the entries in `relays` if `far` is
+            set, are cut off.
         brittle: Services whose targets recently named the rejections that they bear.
         rejected: Brittle targets that recently rejected a request.
         starts: Streams that it, or some entries of its failure domain if `far` is set,
@@ -561,6 +576,7 @@
     rates: tuple[RateReport, ...] = ()
     relays: tuple[str, ...] = ()
     cut_off: bool = False
+    cuts: tuple[ServiceCut, ...] = ()
     brittle: tuple[BrittlenessReport, ...] = ()
     rejected: tuple[RejectionReport, ...] = ()
     starts: tuple[StreamStart, ...] = ()
@@ -568,6 +584,12 @@
     knows_versions: bool = False
     demand: tuple[DemandReport, ...] = ()
 
+    def is_cut_off(self, service: str) -> bool:
+        """Return whether the entry itself reaches no target of a service."""
+        if self.far:
+            return False
+        return self.cut_off or any(cut.service == service for cut in self.cuts)
+
 
 @dataclass(frozen=True, slots=True)
 class EntriesCounted:
--- a/figstep/gateway/limits.py
+++ b/figstep/gateway/limits.py
@@ -114,7 +114,7 @@
         "rate": rate,
         "before": before,
         "told_by": source,
-        "sharing": shares.count_participants(state),
+        "sharing": shares.count_participants(state, target.info.service),
         "entries": state.entries,
     }
     return [Note(message, fields)]
@@ -162,7 +162,7 @@
     window, requests = split_rate(limit.rate)
     turns = _count_turns(limit, now)
     key = f"{target.name} {limit.turn + turns}"
-    share = shares.share_requests(state, key, requests, now)
+    share = shares.share_requests(state, target.info.service, key, requests, now)
     if share == 0:
         return Millis(
             max(limit.opens_at, limit.stated_at + (turns + 1) * TURN_DURATION)
--- a/figstep/gateway/news.py
+++ b/figstep/gateway/news.py
@@ -134,6 +134,7 @@
         own.unreached,
         own.relays,
         own.cut_off,
+        own.cuts,
         tuple((report.service, report.rejections) for report in own.brittle),
         tuple(report.target for report in own.rejected),
         tuple((use.service, use.repeats) for use in own.uses),
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -10,6 +10,7 @@
 from figstep.gateway.events import (
     PeerHeard,
     PeerLoad,
+    ServiceCut,
 )
 from figstep.gateway.state import (
     DomainLoads,
@@ -81,6 +82,7 @@
         failure_domain=event.failure_domain,
         relays=event.relays,
         cut_off=event.cut_off,
+        cuts=event.cuts,
         brittle=event.brittle,
         rejected=event.rejected,
         starts=event.starts,
@@ -310,6 +312,7 @@
 
     It holds all loads. Its address is empty; the peer port sets it on sending.
     """
+    own_relays = _list_own_relays(state)
     return PeerHeard(
         state.node,
         list_loads(state),
@@ -329,8 +332,11 @@
         evacuations=state.evacuations,
         unreached=tuple(state.list_unreached(now)),
         rates=tuple(state.list_rates(now)),
-        relays=_list_own_relays(state),
-        cut_off=state.reach.cut_off,
+        relays=own_relays,
+        cut_off=state.is_cut_off,
+        cuts=tuple(
+            ServiceCut(service, own_relays) for service in sorted(state.cut_services)
+        ),
         brittle=tuple(state.list_brittle(now)),
         rejected=tuple(state.list_rejected(now)),
         starts=state.starts.list_announced(state.announced_since, now),
@@ -341,9 +347,9 @@
 def _list_own_relays(state: State) -> tuple[str, ...]:
     """Return where this entry accepts requests of other entries; empty if it does not.
 
-    It accepts none if it is cut off itself or shuts down.
+    It accepts none if it is cut off from all services or shuts down.
     """
-    if not state.relay_address or state.reach.cut_off or state.closes_at is not None:
+    if not state.relay_address or state.is_cut_off or state.closes_at is not None:
         return ()
     return (state.relay_address,)
 
--- a/figstep/gateway/reach.py
+++ b/figstep/gateway/reach.py
@@ -1,10 +1,11 @@
-"""Reacts to lost and regained links between this entry and all targets.
+"""Reacts to lost and regained links between this entry and the targets of a service.
 
-An entry that is cut off passes its requests on to other entries (`relays`). Targets
-that look down only because this entry is cut off are not held to be down: otherwise
-innocent requests would be suspected of crashing them, and they would be avoided after
-the links are back. A refused connection therefore proves the end of its target only
-once another target has accepted one.
+An entry that is cut off from a service passes the service's requests on to other
+entries (`relays`). Each service is judged by its own connections, as an entry may reach
+one and not the other. Targets that look down only because this entry is cut off are not
+held to be down: otherwise innocent requests would be suspected of crashing them, and
+they would be avoided after the links are back. A refused connection therefore proves
+the end of its target only once another target of the service has accepted one.
 
 An entry may also lose the links to some targets only. Each request that it sent there
 would wait for a connection until a timeout, so these targets are checked without
@@ -40,53 +41,63 @@
     attempt.connected = True
     if attempt.relay is not None:
         return []
-    attempt.target.record_connection()
     return _record_connection(state, attempt.target, now)
 
 
 def handle_checked(state: State, event: TargetChecked, now: Millis) -> list[Effect]:
     """Record the result of a check of a target."""
     target = state.targets.find(event.target)
-    effects: list[Effect] = []
-    if target is not None:
-        effects = crashes.record_check(state, target, event.opened, event.reached, now)
-    if not event.reached:
-        return effects + record_unreached(state, event.target, event.opened, now)
-    if target is not None:
-        target.record_connection()
-    return effects + _record_connection(state, target, now)
+    if target is None:
+        return []
+    effects = crashes.record_check(state, target, event.opened, event.reached, now)
+    if event.reached:
+        return effects + _record_connection(state, target, now)
+    return effects + record_unreached(state, target, event.opened, now)
 
 
 def handle_peer(state: State, event: PeerHeard, now: Millis) -> list[Effect]:
-    """Check this entry's own links when another entry becomes cut off."""
+    """Check this entry's own links to a service from which another one is cut off."""
     known = state.peers.get(event.node)
-    if not event.cut_off or (known is not None and known.cut_off):
-        return []
-    if now - state.reach.connected_at < FRESH_CONNECTION:
+    effects: list[Effect] = []
+    for service in sorted(state.targets.list_services()):
+        if not event.is_cut_off(service):
+            continue
+        if known is None or not known.is_cut_off(service):
+            effects += _check_doubtful(state, service, now)
+    return effects
+
+
+def _check_doubtful(state: State, service: str, now: Millis) -> list[Effect]:
+    """Check the links to a service unless a recent connection shows that they work."""
+    if now - state.find_reach(service).connected_at < FRESH_CONNECTION:
         return []
-    return _check_targets(state, now)
+    return _check_targets(state, service, now)
 
 
 def check_links(state: State, now: Millis) -> list[Effect]:
     """Check whether targets are reached again to which connections timed out.
 
-    An entry that is cut off checks one of all targets at a time.
+    Of a service that this entry is cut off from, one target at a time is checked.
     """
-    if not state.reach.cut_off:
-        return _check_unverified(state, now)
-    if not state.reach.may_check(now):
-        return []
-    ready = _list_ready(state)
-    if not ready:
-        return []
-    state.reach.checked_at = now
-    return [CheckTarget(state.rng.choice(ready).name)]
+    effects = _check_unverified(state, now)
+    for service in sorted(state.cut_services):
+        reach = state.find_reach(service)
+        ready = state.targets.list_ready(service)
+        if not ready or not reach.may_check(now):
+            continue
+        reach.checked_at = now
+        effects.append(CheckTarget(state.rng.choice(ready).name))
+    return effects
 
 
 def _check_unverified(state: State, now: Millis) -> list[Effect]:
+    """Check each target to which a connection timed out, unless its service is cut."""
     effects: list[Effect] = []
-    for target in _list_ready(state):
-        if not target.needs_check or now < target.check_at:
+    cut_services = state.cut_services
+    for target in state.targets.targets.values():
+        if not target.needs_check or now < target.check_at or not target.accepts_work:
+            continue
+        if target.info.service in cut_services:
             continue
         target.schedule_check(now)
         effects.append(CheckTarget(target.name))
@@ -94,95 +105,104 @@
 
 
 def record_unreached(
-    state: State, target: str, opened: Millis, now: Millis
+    state: State, target: Target, opened: Millis, now: Millis
 ) -> list[Effect]:
     """Record that a connection to a target was not established.
 
-    Other targets are checked at once, until enough have failed or one is reached. A
-    target that is known to have ended says nothing of this entry's links.
+    Other targets of its service are checked at once, until enough have failed or one is
+    reached. A target that is known to have ended says nothing of this entry's links.
     """
-    known_target = state.targets.find(target)
-    if known_target is not None and known_target.ended_at is not None:
+    if target.ended_at is not None:
         return []
-    if opened <= state.reach.connected_at:
-        return _record_ends(state)
-    known = len(_list_ready(state))
-    if state.reach.record_failure(target, opened, known, now):
-        return _begin_cut(state, now)
-    if state.reach.cut_off or not state.reach.failed:
+    service = target.info.service
+    reach = state.find_reach(service)
+    if opened <= reach.connected_at:
+        return _record_ends(state, service)
+    known = len(state.targets.list_ready(service))
+    if reach.record_failure(target.name, opened, known, now):
+        return _begin_cut(state, service, now)
+    if reach.cut_off or not reach.failed:
         return []
-    return _check_targets(state, now)
+    return _check_targets(state, service, now)
 
 
-def _check_targets(state: State, now: Millis) -> list[Effect]:
-    if not state.reach.may_check(now):
+def _check_targets(state: State, service: str, now: Millis) -> list[Effect]:
+    reach = state.find_reach(service)
+    if not reach.may_check(now):
         return []
-    ready = _list_ready(state)
-    untried = [target for target in ready if target.name not in state.reach.failed]
-    missing = min(state.reach.count_missing(len(ready)), len(untried))
+    ready = state.targets.list_ready(service)
+    untried = [target for target in ready if target.name not in reach.failed]
+    missing = min(reach.count_missing(len(ready)), len(untried))
     if not missing:
         return []
-    state.reach.checked_at = now
+    reach.checked_at = now
     return [CheckTarget(one.name) for one in state.rng.sample(untried, missing)]
 
 
-def _list_ready(state: State) -> list[Target]:
-    targets = state.targets.targets.values()
-    return [target for target in targets if target.accepts_work]
-
-
-def _record_connection(
-    state: State, reached: Target | None, now: Millis
-) -> list[Effect]:
-    since = state.reach.cut_off_since
-    if not state.reach.record_connection(now) or since is None:
-        return _record_ends(state)
-    _forgive_targets(state)
-    for target in _list_ready(state):
+def _record_connection(state: State, reached: Target, now: Millis) -> list[Effect]:
+    reached.record_connection()
+    service = reached.info.service
+    reach = state.find_reach(service)
+    since = reach.cut_off_since
+    if not reach.record_connection(now) or since is None:
+        return _record_ends(state, service)
+    _forgive_targets(state, service)
+    for target in state.targets.list_ready(service):
         if target is not reached:
             target.require_check(now)
+    fields: dict[str, str | int | float | None] = {
+        "service": service,
+        "cut_off_ms": now - since,
+    }
     return [
         Announce(),
-        Note("targets reached again", {"cut_off_ms": now - since}),
+        Note("targets reached again", fields),
         *_check_unverified(state, now),
     ]
 
 
-def _record_ends(state: State) -> list[Effect]:
-    """Record the ends of targets that refused connections of this entry."""
+def _record_ends(state: State, service: str) -> list[Effect]:
+    """Record the ends of a service's targets that refused connections."""
     effects: list[Effect] = []
     for target in state.targets.targets.values():
-        if target.refused_at is None:
+        if target.refused_at is None or target.info.service != service:
             continue
         effects += crashes.record_end(state, target, target.refused_at)
         target.refused_at = None
     return effects
 
 
-def _begin_cut(state: State, now: Millis) -> list[Effect]:
-    failed = state.reach.failed
-    _forgive_targets(state)
+def _begin_cut(state: State, service: str, now: Millis) -> list[Effect]:
+    reach = state.find_reach(service)
+    _forgive_targets(state, service)
     effects: list[Effect] = [
         Announce(),
-        Count("cut_off"),
+        Count("cut_off", (service,)),
         Note(
             "cut off from all targets",
             {
-                "targets": " ".join(sorted(failed)),
-                "connected_ms_ago": now - state.reach.connected_at,
+                "service": service,
+                "targets": " ".join(sorted(reach.failed)),
+                "connected_ms_ago": now - reach.connected_at,
                 "entries": state.entries,
             },
         ),
     ]
     for request in list(state.requests.values()):
-        effects += _move_request(state, request, now)
+        if request.service == service:
+            effects += _move_request(state, request, now)
+    for other in sorted(state.targets.list_services() - {service}):
+        if not state.find_reach(other).cut_off:
+            # The links to all services are often lost together.
+            effects += _check_doubtful(state, other, now)
     return effects
 
 
-def _forgive_targets(state: State) -> None:
+def _forgive_targets(state: State, service: str) -> None:
     """Drop what this entry concluded from connections that failed for its own cut."""
     for target in state.targets.targets.values():
-        target.forgive_losses()
+        if target.info.service == service:
+            target.forgive_losses()
 
 
 def _move_request(state: State, request: Request, now: Millis) -> list[Effect]:
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -71,9 +71,7 @@
         if not was_unreached:
             # Until peers know, they also try this target, or copy runs to it.
             effects.append(Announce())
-        effects += reach.record_unreached(
-            state, attempt.target.name, attempt.opened, now
-        )
+        effects += reach.record_unreached(state, attempt.target, attempt.opened, now)
     if not was_current and request.current is not None:
         # The standby was lost. The current attempt continues, but its running backup
         # was used up or never arrived.
@@ -162,8 +160,8 @@
 def _record_unreached(
     state: State, target: Target, down: bool, now: Millis
 ) -> list[Effect]:
-    if state.reach.cut_off:
-        # The connection failed because this entry reaches no target at all.
+    if state.find_reach(target.info.service).cut_off:
+        # The connection failed because this entry reaches no target of the service.
         return []
     target.record_loss(now, False)
     # The target may restart before a new registration of it is read, and be cold.
@@ -187,7 +185,7 @@
     return [
         Announce(),
         *_record_unreached(state, target, True, now),
-        *reach.record_unreached(state, target.name, now, now),
+        *reach.record_unreached(state, target, now, now),
     ]
 
 
--- a/figstep/gateway/relays.py
+++ b/figstep/gateway/relays.py
@@ -1,7 +1,8 @@
 """Passes requests on to other entries that can send them to targets.
 
-An entry does so while it reaches no target, and where it has used up its share of what
-the targets accept of all entries: callers may be spread unevenly over the entries.
+An entry does so while it reaches no target of a request's service, and where it has
+used up its share of what the targets accept of all entries: callers may be spread
+unevenly over the entries.
 
 A request passes from one entry to one other, which treats it as its own or says at once
 that it did not run. At the entry that passes it on it is an attempt like those at
@@ -123,7 +124,7 @@
     for peer in [*state.peers.values(), *state.remote_peers.values()]:
         if not _is_allowed(state, request, peer):
             continue
-        for address in peer.relays:
+        for address in peer.list_relays(request.service):
             if address in request.tried_relays:
                 continue
             if state.avoided_relays.get(address, now) > now:
--- a/figstep/gateway/shares.py
+++ b/figstep/gateway/shares.py
@@ -20,20 +20,23 @@
 
 
 REACHED_SHARE_DELAY = Millis(4_100)
-"""How long, in milliseconds, an entry that was cut off from all targets has no share.
+"""How long, in milliseconds, an entry that was cut off from a service has no share of
+its targets.
 
 Meanwhile its share belonged to the others, and what they sent counts against limits for
 about as long."""
 
 
-def share_requests(state: State, key: str, requests: float, now: Millis) -> int:
+def share_requests(
+    state: State, service: str, key: str, requests: float, now: Millis
+) -> int:
     """Return how many of the fleet's requests this entry may send.
 
     The requests are split into whole requests of each entry. Those that do not divide
     evenly go to entries selected by a hash. Entries that know the same entries compute
     the same selection, so no two of them take the same request. A restarted process
-    gets 0 until ``RESTART_SHARE_DELAY`` has passed. An entry that is cut off from all
-    targets gets 0, also for ``REACHED_SHARE_DELAY`` afterwards; the others have its
+    gets 0 until ``RESTART_SHARE_DELAY`` has passed. An entry that is cut off from the
+    service gets 0, also for ``REACHED_SHARE_DELAY`` afterwards; the others have its
     share.
 
     ``key`` is the key of the hash; another key selects other entries. ``requests`` is
@@ -42,9 +45,10 @@
     budget = state.budget
     if not budget.first_start and now < budget.started + RESTART_SHARE_DELAY:
         return 0
-    if state.reach.cut_off or now < state.reach.cut_ended_at + REACHED_SHARE_DELAY:
+    reach = state.find_reach(service)
+    if reach.cut_off or now < reach.cut_ended_at + REACHED_SHARE_DELAY:
         return 0
-    others = _list_other_participants(state)
+    others = _list_other_participants(state, service)
     participants = 1 + len(others)
     known = 1 + len(state.peers.keys() | state.silent_peers.keys())
     part = min(1.0, known / max(1, state.entries))
@@ -56,16 +60,18 @@
     )
 
 
-def count_participants(state: State) -> int:
-    """Return how many entries this one shares limits with, itself included.
+def count_participants(state: State, service: str) -> int:
+    """Return how many entries share limits of a service's targets, with this one.
 
     Entries that recently fell silent count, as they may still send requests.
     """
-    return 1 + len(_list_other_participants(state))
+    return 1 + len(_list_other_participants(state, service))
 
 
-def _list_other_participants(state: State) -> set[str]:
-    reaching = {name for name, peer in state.peers.items() if not peer.cut_off}
+def _list_other_participants(state: State, service: str) -> set[str]:
+    reaching = {
+        name for name, peer in state.peers.items() if not peer.is_cut_off(service)
+    }
     return reaching | state.silent_peers.keys()
 
 
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -23,6 +23,7 @@
     RateReport,
     RejectionReport,
     RoutedRequest,
+    ServiceCut,
 )
 from figstep.gateway.places import NO_EVACUATIONS, Evacuations
 from figstep.gateway.refusals import RefusalTable
@@ -342,6 +343,8 @@
         relays: Where it, or some entries of its failure domain if `far` is set, accept
             requests of other entries, as "ip:port".
         cut_off: Whether it reaches no target.
+        cuts: Services from which it, or some entries of its failure domain if `far` is
+            set, are cut off.
         starts: Streams that it recently began to deliver.
     """
 
@@ -363,10 +366,27 @@
     failure_domain: str = ""
     relays: tuple[str, ...] = ()
     cut_off: bool = False
+    cuts: tuple[ServiceCut, ...] = ()
     brittle: tuple[BrittlenessReport, ...] = ()
     rejected: tuple[RejectionReport, ...] = ()
     starts: tuple[StreamStart, ...] = ()
 
+    def is_cut_off(self, service: str) -> bool:
+        """Return whether the entry itself reaches no target of a service."""
+        if self.far:
+            return False
+        return self.cut_off or any(cut.service == service for cut in self.cuts)
+
+    def list_relays(self, service: str) -> list[str]:
+        """Return where requests of a service are accepted, as "ip:port"."""
+        cut = {
+            address
+            for known in self.cuts
+            if known.service == service
+            for address in known.relays
+        }
+        return [address for address in self.relays if address not in cut]
+
 
 @dataclass(slots=True)
 class DomainLoads:
@@ -463,7 +483,7 @@
         streams_checked_at: When streams were last checked for stalls.
         departures: Announcements of targets that they leave, by incarnation.
         brittle: How many rejections a second targets bear, by service.
-        reach: What this entry knows of its links to the targets.
+        reaches: What this entry knows of its links to the targets, by service.
         relay_address: Where this entry accepts requests of other entries, as "ip:port";
             "" if nowhere.
         starts: Software versions that began recent streams, of all entries.
@@ -524,7 +544,7 @@
     streams_checked_at: Millis = Millis(0)
     departures: dict[Incarnation, Departure] = field(default_factory=dict)
     brittle: dict[str, Brittleness] = field(default_factory=dict)
-    reach: Reach = field(default_factory=Reach)
+    reaches: dict[str, Reach] = field(default_factory=dict)
     relay_address: str = ""
     avoided_relays: dict[str, Millis] = field(default_factory=dict)
     spent_relays: dict[str, Millis] = field(default_factory=dict)
@@ -544,6 +564,21 @@
         """Whether the fleet is too large for every entry to report to every other."""
         return self.entries > FULL_MESH_MAX_ENTRIES
 
+    @property
+    def cut_services(self) -> set[str]:
+        """Services of which this entry reaches no target."""
+        return {service for service, reach in self.reaches.items() if reach.cut_off}
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this entry reaches no target of any service."""
+        cut_services = self.cut_services
+        return bool(cut_services) and self.targets.list_services() <= cut_services
+
+    def find_reach(self, service: str) -> Reach:
+        """Return what this entry knows of its links to the targets of a service."""
+        return self.reaches.setdefault(service, Reach())
+
     @property
     def evacuated_domains(self) -> frozenset[str]:
         """Failure domains that get no new work."""
@@ -608,12 +643,12 @@
     def list_unreached(self, now: Millis) -> list[str]:
         """Return the names of targets that this entry recently could not connect to.
 
-        There are none if it is cut off from all: that says nothing of the targets.
+        Those of a service that it is cut off from are left out: that says nothing of
+        the targets.
         """
-        if self.reach.cut_off:
-            return []
+        cut_services = self.cut_services
         return [
             target.name
             for target in self.targets.targets.values()
-            if target.is_unreached(now)
+            if target.is_unreached(now) and target.info.service not in cut_services
         ]
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -512,6 +512,14 @@
                 found.append(target)
         return found
 
+    def list_services(self) -> set[str]:
+        """Return the services that have targets which accept new work."""
+        return {
+            target.info.service
+            for target in self.targets.values()
+            if target.accepts_work
+        }
+
     def has_evacuated(self, service: str) -> bool:
         """Return whether a service has targets in evacuated failure domains.
 
--- a/figstep/gateway/warmups.py
+++ b/figstep/gateway/warmups.py
@@ -28,7 +28,8 @@
     if rate <= 0:
         return True
     _drop_old_sends(target, now)
-    share = shares.share_requests(state, target.name, rate, now)
+    service = target.info.service
+    share = shares.share_requests(state, service, target.name, rate, now)
     return len(target.cold_sends) < share
 
 
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -20,6 +20,7 @@
     PeerLoad,
     RateReport,
     RejectionReport,
+    ServiceCut,
 )
 from figstep.gateway.places import Evacuations
 from figstep.gateway.refusals import Refusal
@@ -114,6 +115,10 @@
     if own.held_evacuations:
         # Only the answer to an entry that has just started holds any.
         message.heldEvacuations = list(own.held_evacuations)
+    if own.cuts:
+        cuts = message.init("cuts", len(own.cuts))
+        for slot, cut in zip(cuts, own.cuts, strict=True):
+            slot.service, slot.relays = cut.service, list(cut.relays)
     refused = message.init("refused", len(own.refused))
     for slot, refusal in zip(refused, own.refused, strict=True):
         slot.digest, slot.age = refusal.digest, refusal.age
@@ -267,6 +272,10 @@
             ),
             relays=tuple(str(address) for address in message.relays),
             cut_off=message.cutOff,
+            cuts=tuple(
+                ServiceCut(str(item.service), tuple(str(one) for one in item.relays))
+                for item in message.cuts
+            ),
             brittle=tuple(
                 BrittlenessReport(
                     str(item.service),
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -33,7 +33,7 @@
   cleared @27 :List(Clearance); # suspected requests that ran successfully recently
   unanswered @28 :Bool;      # the store does not answer the sender's reads
   relays @29 :List(Text);    # "ip:port" at which requests of other entries are accepted
-  cutOff @30 :Bool;          # the sender reaches no target
+  cutOff @30 :Bool;          # the sender reaches no target of any service
   brittle @31 :List(Brittle); # services whose targets bear few rejections
   rejected @32 :List(Rejection); # brittle targets that recently rejected a request
   starts @33 :List(Starts);  # streams that entries recently began to deliver
@@ -44,6 +44,12 @@
   heldEvacuations @38 :List(Text); # kept although an older copy of the store lacks them
   demand @39 :List(Demand);  # by class; of the failure domain if far is set
   knowsVersions @40 :Bool;   # the past versions are complete, as the store has shown
+  cuts @41 :List(Cut);       # services that the sender, or some of the relays, don't reach
+}
+
+struct Cut {
+  service @0 :Text;
+  relays @1 :List(Text);     # those of the relays that reach none of its targets
 }
 
 struct Demand {
--- a/tests/gateway/cut_fleets.py
+++ b/tests/gateway/cut_fleets.py
@@ -25,14 +25,16 @@
     RequestArrived,
     RoutedRequest,
     TargetChecked,
+    TargetRegistered,
 )
+from figstep.gateway.targets import Registration
 from tests.gateway.limited_fleets import (
     MAX_LATENCY,
     LimitedFleet,
     SimulatedEntry,
     SimulatedTarget,
 )
-from tests.gateway.worlds import KEY
+from tests.gateway.worlds import ENGINES, KEY
 
 CONNECT_TIMEOUT = Millis(500)
 """Milliseconds after which a connection that nobody answers is given up."""
@@ -40,6 +42,9 @@
 NOTICE_DURATION = Millis(4_000)
 """Milliseconds after the start of a cut from which callers' first tries count."""
 
+OTHER_TARGETS = 4
+"""Number of targets of the service that no cut touches."""
+
 CROWD_SHARE = 0.9
 """Share of the callers that come to a crowded entry."""
 
@@ -102,6 +107,7 @@
 
     def __init__(self, seed: int, **options: object) -> None:
         """Start all entries; see `LimitedFleet`."""
+        self._other_pause: Millis | None = None
         self.at_cut = Served()
         self.elsewhere = Served()
         self.crowded: SimulatedEntry | None = None
@@ -139,6 +145,26 @@
                 if kind is CutKind.RESET:
                     self.handle(entry, AttemptLost(attempt, Loss.BROKEN))
 
+    def reach_other_service(self, pause: Millis) -> None:
+        """Add targets of another service, which no cut touches.
+
+        From now on each entry opens a connection to one of them every ``pause``
+        milliseconds.
+        """
+        self._other_pause = pause
+        for number in range(OTHER_TARGETS):
+            info = Registration(f"e-{number}", ENGINES, f"e-{number}:80", "domain-0", 6)
+            for entry in self.entries:
+                self.handle(entry, TargetRegistered(info))
+        for entry in self.entries:
+            self._later(self.rng.randrange(pause), partial(self._connect_other, entry))
+
+    def _connect_other(self, entry: SimulatedEntry) -> None:
+        assert self._other_pause is not None
+        name = f"e-{self.rng.randrange(OTHER_TARGETS)}"
+        self.handle(entry, TargetChecked(name, self.clock.now(), reached=True))
+        self._later(self._other_pause, partial(self._connect_other, entry))
+
     def count_tries(self) -> None:
         """Count first tries from now on, apart from those during cuts."""
         self._counted = True
@@ -264,7 +290,7 @@
         self._open.pop((entry.node, attempt), None)
 
     def _check(self, entry: SimulatedEntry, target: str) -> None:
-        kind = self._is_cut(entry, target)
+        kind = self._is_cut(entry, target) if target in self.targets else None
         delay = CONNECT_TIMEOUT if kind is CutKind.HANG else Millis(2)
         checked = TargetChecked(target, self.clock.now(), kind is None)
         self._later(delay, partial(self.handle, entry, checked))
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -663,5 +663,5 @@
         opened = harness.clock.now()
         harness.clock.advance(2)
         harness.handle(TargetChecked(name, opened, reached=False))
-    assert not harness.state.reach.cut_off
+    assert not harness.state.is_cut_off
     assert start_prompt(harness).target == "e-4"
--- a/tests/gateway/test_cut_fleets.py
+++ b/tests/gateway/test_cut_fleets.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from figstep.core.clock import Millis
 from tests.gateway.cut_fleets import CutFleet, CutKind
 from tests.gateway.limited_fleets import SimulatedEntry
 
@@ -67,6 +68,20 @@
     assert not fleet.breaks_promise(), (fleet.at_cut, fleet.elsewhere)
 
 
+@EACH_KIND
+@pytest.mark.parametrize("share", [0.4, 0.8])
+@pytest.mark.parametrize("pause", [400, 2_000])
+def test_entries_without_targets_of_one_service_serve_its_callers(
+    kind: CutKind, share: float, pause: int
+) -> None:
+    """Guards against a service that is reached and hides that another one is not."""
+    fleet = build_fleet(0)
+    fleet.reach_other_service(Millis(pause))
+    fleet.cut(pick_share(fleet, share), kind)
+    fleet.run(10)
+    assert not fleet.breaks_promise(), (fleet.at_cut, fleet.elsewhere)
+
+
 @pytest.mark.parametrize("rate", [1.5, 20.0])
 @pytest.mark.parametrize("seed", SEEDS)
 def test_requests_that_are_passed_on_count_against_rates(
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -25,6 +25,7 @@
     CallerGone,
     Loss,
     PeerHeard,
+    ServiceCut,
     ShutdownRequested,
     StreamEnded,
     TargetChecked,
@@ -37,6 +38,7 @@
 from figstep.gateway.relays import MAX_RELAYS
 from tests.gateway.worlds import (
     BOOKINGS,
+    ENGINES,
     ORDER,
     EntryHarness,
     build_fleet,
@@ -65,12 +67,17 @@
 
 
 def cut_off(harness: EntryHarness) -> None:
-    """Let connections to three targets fail."""
+    """Let connections to three targets, and to those of other services, fail."""
+    harness.clock.advance(1)
     opened = harness.clock.now()
     harness.clock.advance(500)
     for name in TARGETS[:3]:
         harness.handle(TargetChecked(name, opened, reached=False))
-    assert harness.state.reach.cut_off
+    assert BOOKINGS in harness.state.cut_services
+    for name, target in harness.state.targets.targets.items():
+        if target.info.service != BOOKINGS:
+            harness.handle(TargetChecked(name, opened, reached=False))
+    assert harness.state.is_cut_off
 
 
 def find_relays(harness: EntryHarness) -> list[str]:
@@ -99,7 +106,7 @@
     harness.handle(TargetChecked("i-2", opened, reached=True))
     harness.handle(TargetChecked("i-3", opened, reached=False))
     harness.handle(TargetChecked("i-4", opened, reached=False))
-    assert not harness.state.reach.cut_off
+    assert not harness.state.is_cut_off
 
 
 def test_requests_that_come_in_are_passed_on() -> None:
@@ -246,6 +253,7 @@
 
 def test_a_stream_passes_through_in_order_and_ends_whole() -> None:
     harness = build_entry("peer:1")
+    harness.register("e-1")
     cut_off(harness)
     harness.receive_plan()
     opened = harness.find_effect(OpenAttempt)
@@ -261,6 +269,7 @@
 
 def test_a_stream_whose_hop_broke_is_cut() -> None:
     harness = build_entry("peer:1", "peer:2")
+    harness.register("e-1")
     cut_off(harness)
     harness.receive_plan()
     opened = harness.find_effect(OpenAttempt)
@@ -359,6 +368,83 @@
         assert harness.state.crashes.count(digest) == 0
 
 
+def lose_bookings(harness: EntryHarness) -> None:
+    """Let connections to targets of one service fail while the other is reached."""
+    for name in TARGETS[:3]:
+        opened = harness.clock.now()
+        harness.clock.advance(500)
+        harness.handle(TargetChecked(name, opened, reached=False))
+        harness.handle(TargetChecked("e-1", opened, reached=True))
+
+
+def test_a_service_that_is_reached_does_not_hide_that_another_is_not() -> None:
+    """Guards against cuts that each connection to another service ends."""
+    harness = build_entry("peer:1")
+    harness.register("e-1")
+    lose_bookings(harness)
+    assert harness.state.cut_services == {BOOKINGS}
+    harness.receive_request("/order/a")
+    assert find_relays(harness) == ["peer:1"]
+    harness.receive_plan()
+    assert harness.find_effect(OpenAttempt).relay is None
+
+
+def test_an_entry_takes_requests_of_the_services_that_it_reaches() -> None:
+    """Guards against requests passed on to an entry that is cut off from them too."""
+    harness = build_entry()
+    harness.register("e-1")
+    harness.state.relay_address = "own:1"
+    lose_bookings(harness)
+    message = describe_entry(harness.state, harness.clock.now())
+    other = build_entry()
+    other.register("e-1")
+    other.handle(message)
+    cut_off(other)
+    other.receive_request("/order/a")
+    assert other.find_effect(Refuse).problem.code == "cut_off"
+    other.receive_plan()
+    assert find_relays(other) == ["own:1"]
+
+
+def test_other_failure_domains_learn_which_entries_reach_a_service() -> None:
+    """Guards against hops to other failure domains that all end at cut entries."""
+    harness = build_entry()
+    harness.state.failure_domain = "muc-a"
+    for number in range(40):
+        address = f"peer:{number}"
+        cuts = (ServiceCut(BOOKINGS, (address,)),) if number < 38 else ()
+        peer = PeerHeard(f"entry-{number}", relays=(address,), cuts=cuts)
+        harness.handle(peer)
+    other = build_entry()
+    other.register("e-1")
+    now = harness.clock.now()
+    other.handle(replace(describe_domain(harness.state, now), failure_domain="nue-a"))
+    (peer,) = other.state.remote_peers.values()
+    assert sorted(peer.list_relays(BOOKINGS)) == ["peer:38", "peer:39"]
+    assert len(peer.list_relays(ENGINES)) == MAX_DOMAIN_RELAYS
+
+
+def test_refused_connections_to_one_service_suspect_no_request() -> None:
+    """Guards against a reset of one service's links that is taken for crashes."""
+    harness = build_entry()
+    harness.register("e-1")
+    attempts = []
+    for number in range(len(TARGETS)):
+        harness.receive_request("/order/a", digest=f"d-{number}")
+        opened = harness.find_effect(OpenAttempt)
+        harness.handle(AttemptConnected(opened.attempt))
+        attempts.append(opened)
+    for opened in attempts:
+        harness.clock.advance(1)
+        harness.handle(AttemptLost(opened.attempt, Loss.BROKEN))
+        target = harness.state.targets.targets[opened.target]
+        harness.handle(TargetDown(target.info.incarnation))
+        harness.handle(TargetChecked("e-1", harness.clock.now(), reached=True))
+    targets = harness.state.targets.targets
+    assert [name for name in TARGETS if targets[name].ended_at is not None] == []
+    assert [n for n in range(4) if harness.state.crashes.count(f"d-{n}")] == []
+
+
 def test_a_peers_cut_has_the_own_links_checked() -> None:
     """Guards against an idle entry that takes requests although it is cut off too."""
     harness = build_entry()
--- a/tests/gateway/test_shares.py
+++ b/tests/gateway/test_shares.py
@@ -2,6 +2,7 @@
 
 from figstep.gateway import shares
 from tests.gateway.test_warmups import DOMAINS, RATE, build_cold_fleet
+from tests.gateway.worlds import BOOKINGS
 
 
 def test_a_share_is_whole_and_shares_add_up() -> None:
@@ -10,6 +11,7 @@
     now = fleet[0].clock.now()
     for target in ("b-1", "b-2", "b-3"):
         split = [
-            shares.share_requests(harness.state, target, RATE, now) for harness in fleet
+            shares.share_requests(harness.state, BOOKINGS, target, RATE, now)
+            for harness in fleet
         ]
         assert RATE - len(DOMAINS) <= sum(split) <= RATE
--- a/tests/net/test_hellos.py
+++ b/tests/net/test_hellos.py
@@ -17,6 +17,7 @@
     PeerLoad,
     RateReport,
     RejectionReport,
+    ServiceCut,
 )
 from figstep.gateway.refusals import Refusal
 from figstep.gateway.starts import StreamStart
@@ -56,6 +57,7 @@
     ),
     relays=("10.1.0.19:7201",),
     cut_off=True,
+    cuts=(ServiceCut("bookings", ("10.1.0.19:7201",)), ServiceCut("engines")),
     brittle=(
         BrittlenessReport("bookings", 4.0, Millis(30)),
         BrittlenessReport("engines", None, Millis(0)),
@@ -101,6 +103,7 @@
     assert hello.content.rates == OWN.rates
     assert hello.content.relays == OWN.relays
     assert hello.content.cut_off
+    assert hello.content.cuts == OWN.cuts
     assert hello.content.brittle == OWN.brittle
     assert hello.content.rejected == OWN.rejected
     assert hello.content.demand == OWN.demand
--- a/tests/platform/test_relays.py
+++ b/tests/platform/test_relays.py
@@ -38,10 +38,14 @@
 
 
 class Cut:
-    """Cut between an entry and all targets, which others still reach."""
+    """Cut between an entry and all targets, or those of a service.
 
-    def __init__(self, entry: Entry, address: str) -> None:
+    Other entries still reach them.
+    """
+
+    def __init__(self, entry: Entry, address: str, service: str | None = None) -> None:
         self._edge = entry.targets
+        self._service = service
         self._address = address
         self._find = self._edge._find_target
         self._edge._find_target = self._find_unreachable
@@ -50,6 +54,8 @@
         target = self._find(name)
         if target is None:
             return None
+        if self._service not in (None, target.info.service):
+            return target
         unreachable = copy.copy(target)
         unreachable.info = replace(target.info, address=self._address)
         return unreachable
@@ -110,6 +116,24 @@
     assert await call_steadily(place, "later", 2.0) == [200] * 20
 
 
+@EACH_CUT
+@pytest.mark.parametrize("service", ["bookings", "engines"])
+async def test_callers_of_an_entry_that_reaches_one_service_are_served(
+    place: Place, cut: str, service: str, silent_address: str
+) -> None:
+    """Guards against a service that is reached and hides that another one is not."""
+    Cut(place.entries[0], choose_address(cut, silent_address), service)
+    for phase, seconds in (("early", DETECTION_SECONDS), ("later", 2.0)):
+        calls = asyncio.create_task(call_steadily(place, phase, seconds))
+        streams = []
+        for number in range(round(seconds * 2)):
+            plan = call(place, "/plan/a", f"{phase}-plan-{number}", **PLAN)
+            streams.append(asyncio.create_task(plan))
+            await asyncio.sleep(0.5)
+        statuses = [*await calls, *await asyncio.gather(*streams)]
+    assert set(statuses) == {200}
+
+
 @EACH_CUT
 async def test_streams_of_an_entry_that_reaches_no_target_arrive(
     place: Place, cut: str, silent_address: str
@@ -122,11 +146,11 @@
     place: Place,
 ) -> None:
     cut = await cut_first_entry(place, f"{HOST}:{find_free_port()}")
-    reach = place.entries[0].gateway.known.reach
-    assert reach.cut_off
+    known = place.entries[0].gateway.known
+    assert known.is_cut_off
     cut.heal()
     await asyncio.sleep(1.0)
-    assert not reach.cut_off
+    assert not known.cut_services
     assert await call(place, "/order/a", "r-back") == 200
 
 
