--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from figstep.standins.proxy import TcpProxy
+from figstep.standins.proxy import Direction, Lose, TcpProxy
 from tests.faults.targets import SoakTarget
 from tests.ports import find_free_port
 from tests.unreachable import Blackhole
@@ -20,6 +20,7 @@
     RESET = "reset"  # open ones are reset, new ones are refused
     SILENT = "silent"  # open ones fall silent, new ones are not answered
     NEW_ONLY = "new_only"  # open ones live on, new ones are refused
+    ONE_WAY = "one_way"  # as silent, but requests on open ones still get through
 
 
 class EntryLinks:
@@ -34,6 +35,8 @@
         self._holes: list[Blackhole] = []
         self._reserved: list[socket.socket] = []
         self._cut: CutKind | None = None
+        self._scope = ""
+        self._cut_addresses: set[str] = set()
         self._ended: dict[str, socket.socket] = {}
 
     async def translate(self, value: bytes) -> bytes:
@@ -59,8 +62,8 @@
         # It listens again at this port after a cut.
         await proxy.start(find_free_port())
         self._targets_by_address[proxy.address] = target
-        if self._cut is not None:
-            await self._cut_proxy(proxy, self._cut)
+        if self._cut is not None and self._is_in_scope(target):
+            await self._cut_proxy(target.address, self._cut)
         elif target.ended:
             await self.end(target)
         return proxy
@@ -75,38 +78,54 @@
                     found.add(match[1].decode())
         return found
 
-    async def cut(self, kind: CutKind) -> None:
-        """Cut the entry off from all targets."""
+    async def cut(self, kind: CutKind, scope: str = "") -> None:
+        """Cut the entry off from the targets of a scope.
+
+        ``scope`` is a service or the name of one target; "" stands for all targets.
+        """
         self._cut = kind
+        self._scope = scope
         for address, proxy in list(self._proxies.items()):
+            if not self._is_in_scope(self._targets_by_address[address]):
+                continue
             # One that does not listen yet is cut once it does.
             if proxy.address and address not in self._ended:
-                await self._cut_proxy(proxy, kind)
+                await self._cut_proxy(address, kind)
+
+    def _is_in_scope(self, target: SoakTarget) -> bool:
+        return self._scope in ("", target.service, target.name)
 
     async def end(self, target: SoakTarget) -> None:
         """Refuse connections to a target that has ended; in a cut, after it."""
-        proxy = self._proxies.get(target.address)
-        if proxy is None or not proxy.address or self._cut is not None:
+        address = target.address
+        proxy = self._proxies.get(address)
+        if proxy is None or not proxy.address or address in self._cut_addresses:
             return
-        if target.address in self._ended:
+        if address in self._ended:
             return
         await proxy.refuse()
         proxy.cut()
         host, _, port = proxy.address.rpartition(":")
-        self._ended[target.address] = _reserve_port(host, int(port))
+        self._ended[address] = _reserve_port(host, int(port))
 
-    async def _cut_proxy(self, proxy: TcpProxy, kind: CutKind) -> None:
+    async def _cut_proxy(self, address: str, kind: CutKind) -> None:
+        self._cut_addresses.add(address)
+        proxy = self._proxies[address]
         await proxy.refuse()
         host, _, port = proxy.address.rpartition(":")
-        if kind is CutKind.SILENT:
-            proxy.freeze()
-            hole = Blackhole(host, int(port))
-            self._holes.append(hole)
-            await hole.fill()
-            return
+        match kind:
+            case CutKind.SILENT | CutKind.ONE_WAY:
+                if kind is CutKind.SILENT:
+                    proxy.freeze()
+                else:
+                    proxy.set_fault(Lose(Direction.TO_CLIENT))
+                hole = Blackhole(host, int(port))
+                self._holes.append(hole)
+                await hole.fill()
+                return
+            case CutKind.RESET:
+                proxy.cut()
         self._reserved.append(_reserve_port(host, int(port)))
-        if kind is CutKind.RESET:
-            proxy.cut()
 
     async def heal(self) -> None:
         """End the cut; connections that fell silent are reset."""
@@ -117,9 +136,13 @@
             reserved.close()
         self._reserved.clear()
         kind, self._cut = self._cut, None
-        for address, proxy in list(self._proxies.items()):
-            if kind is CutKind.SILENT:
+        addresses = list(self._cut_addresses)
+        self._cut_addresses.clear()
+        for address in addresses:
+            proxy = self._proxies[address]
+            if kind in (CutKind.SILENT, CutKind.ONE_WAY):
                 proxy.cut()
+                proxy.clear_fault()
             target = self._targets_by_address[address]
             if target.ended:
                 await self.end(target)
--- a/tests/faults/plans.py
+++ b/tests/faults/plans.py
@@ -33,6 +33,13 @@
 """Intervals between requests with a part that crashes engines, in seconds."""
 
 
+WHOLE_CUTS = (CutKind.RESET, CutKind.SILENT, CutKind.NEW_ONLY)
+"""Kinds of cuts of entries from all targets."""
+
+CUT_SCOPES = ("engines", "bookings", "target")
+"""What a partial cut cuts an entry off from: a service, or one target."""
+
+
 class Extra(Enum):
     """Kind of extra fault.
 
@@ -51,6 +58,7 @@
     CROWDS = "crowds"
     ERAS = "eras"
     ENDLESS = "endless"
+    PARTIAL_CUTS = "partial_cuts"
 
 
 SIGNALS = (Extra.RATE, Extra.LEAVING, Extra.PAUSE)
@@ -235,17 +243,20 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryCut:
-    """Fault that cuts an entry off from all targets; others still reach them.
+    """Fault that cuts an entry off from targets; others still reach them.
 
     Attributes:
-        entry: Number of the entry, taken modulo the number of entries.
+        entry: Number of the entry, taken modulo the number of entries; also that of
+            the target of a cut from one, modulo the number of targets.
         kind: What becomes of its connections.
         seconds: Duration of the cut.
+        scope: One of ``CUT_SCOPES``; "" for all targets.
     """
 
     entry: int
     kind: CutKind
     seconds: float
+    scope: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -356,7 +367,10 @@
             case Extra.BROKEN | Extra.ENDLESS:
                 fault = TargetBehavior(extra, number, 0.0, duration)
             case Extra.CUTS:
-                fault = EntryCut(number, rng.choice(list(CutKind)), duration)
+                fault = EntryCut(number, rng.choice(WHOLE_CUTS), duration)
+            case Extra.PARTIAL_CUTS:
+                kind, scope = rng.choice(list(CutKind)), rng.choice(CUT_SCOPES)
+                fault = EntryCut(number, kind, duration, scope)
             case Extra.VERSIONS:
                 fault = Release(number, rng.random() < 0.3)
             case Extra.PARTS:
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -448,7 +448,10 @@
         span = self.record.begin_disturbance("cut off", host.number)
         self.record.cuts.append(span)
         spans = [span, *self._record_foreign_requests(host)]
-        await host.links.cut(fault.kind)
+        scope = fault.scope
+        if scope == "target":
+            scope = self._targets[fault.entry % len(self._targets)].name
+        await host.links.cut(fault.kind, scope)
         await asyncio.sleep(fault.seconds)
         await host.links.heal()
         for one in spans:
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -136,6 +136,20 @@
     assert record.cuts
 
 
+PARTIAL_CUT_SEEDS = [12030945, 12030947]
+"""Seeds with entries that lose the links to one service or one target."""
+
+
+@pytest.mark.parametrize("seed", PARTIAL_CUT_SEEDS)
+async def test_promises_hold_as_entries_lose_some_links(
+    seed: int, tmp_path: Path
+) -> None:
+    """Guards against callers who are served worse where one service is not reached."""
+    record, breaches = await run_seed(seed, tmp_path, extras=(Extra.PARTIAL_CUTS,))
+    assert breaches == [], describe_record(record)
+    assert record.cuts
+
+
 async def test_promises_hold_as_targets_break_off_answers(tmp_path: Path) -> None:
     """Guards against answers that were broken off and look complete."""
     record, breaches = await run_seed(57, tmp_path, extras=(Extra.BROKEN,))
