Write down what streams without a length do as targets crash or close early

The soak gets three kinds of extras, each with a generator of its own, so that recorded plans stay as they are: crashed targets whose address goes on to accept connections (silent, reset, closed in order, a gateway's 502; for one second or twenty), living targets that close streams without a length between two events, and engines that start again with their clock set.

--- a/tests/faults/plans.py
+++ b/tests/faults/plans.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from tests.afterlife import Afterlife
 from tests.faults.links import CutKind
 
 FIRST_FAULT_DELAY = 1.0
@@ -33,6 +34,12 @@
 """Intervals between requests with a part that crashes engines, in seconds."""
 
 
+AFTERLIFE_SECONDS = (1.0, 20.0)
+"""Times for which the address of a crashed target goes on to accept connections."""
+
+CLOCK_STEPS = (-60_000, -2_400, 2_400)
+"""Steps of the clock of a target that starts again, in milliseconds."""
+
 WHOLE_CUTS = (CutKind.RESET, CutKind.SILENT, CutKind.NEW_ONLY)
 """Kinds of cuts of entries from all targets."""
 
@@ -59,6 +66,9 @@
     ERAS = "eras"
     ENDLESS = "endless"
     PARTIAL_CUTS = "partial_cuts"
+    AFTERLIFE = "afterlife"
+    EARLY = "early"
+    CLOCKS = "clocks"
 
 
 SIGNALS = (Extra.RATE, Extra.LEAVING, Extra.PAUSE)
@@ -172,8 +182,9 @@
 
     Attributes:
         kind: ``RATE`` (all answers name a rate limit), ``PAUSE`` (requests are rejected
-            with Retry-After), ``BROKEN`` (half of the answers break off) or
-            ``ENDLESS`` (half of the answers never end).
+            with Retry-After), ``BROKEN`` (half of the answers break off), ``ENDLESS``
+            (half of them never end) or ``EARLY`` (half of the streams that end with
+            their connection end between two events).
         number: Number of the target, taken modulo the number of targets.
         value: Rate limit in requests per second, or Retry-After in seconds; else 0.
         seconds: Duration.
@@ -259,6 +270,20 @@
     scope: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class OutlivedCrash:
+    """Crash of a target whose address goes on to accept connections.
+
+    Attributes:
+        number: Number of the target, taken modulo the count of those that stay.
+        seconds: Time until the address refuses connections.
+    """
+
+    number: int
+    afterlife: Afterlife
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class Release:
     """Change of an engine's software version.
@@ -267,10 +292,12 @@
         number: Number of the engine, taken modulo the count of those that stay.
         same_id: Whether the engine starts again under its id; otherwise another one
             starts and this one drains.
+        clock_step: Milliseconds by which its clock was set in between.
     """
 
     number: int
     same_id: bool
+    clock_step: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -296,6 +323,7 @@
     | CrashingPart
     | Crowd
     | EntryCut
+    | OutlivedCrash
     | Release
     | ConfigurationChange
 )
@@ -364,7 +392,7 @@
                 fault = CrashingRequests(
                     stream, rng.choice(CRASHING_RETRY_INTERVALS), duration
                 )
-            case Extra.BROKEN | Extra.ENDLESS:
+            case Extra.BROKEN | Extra.ENDLESS | Extra.EARLY:
                 fault = TargetBehavior(extra, number, 0.0, duration)
             case Extra.CUTS:
                 fault = EntryCut(number, rng.choice(WHOLE_CUTS), duration)
@@ -373,6 +401,11 @@
                 fault = EntryCut(number, kind, duration, scope)
             case Extra.VERSIONS:
                 fault = Release(number, rng.random() < 0.3)
+            case Extra.AFTERLIFE:
+                seconds = rng.choice(AFTERLIFE_SECONDS)
+                fault = OutlivedCrash(number, rng.choice(list(Afterlife)), seconds)
+            case Extra.CLOCKS:
+                fault = Release(number, True, rng.choice(CLOCK_STEPS))
             case Extra.PARTS:
                 fault = CrashingPart(rng.choice(PART_INTERVALS), duration)
             case Extra.CROWDS:
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -26,6 +26,7 @@
     Fault,
     LeavingSignal,
     LinkFault,
+    OutlivedCrash,
     Release,
     Step,
     StoreFault,
@@ -410,6 +411,8 @@
                 await self._crowd_entry(fault)
             case EntryCut():
                 await self._cut_entry(fault)
+            case OutlivedCrash():
+                await self._crash_outlived(fault)
             case Release():
                 await self._release(fault)
             case ConfigurationChange(action=action):
@@ -629,10 +632,23 @@
         with self.record.disturb("release", None, target.name):
             if fault.same_id:
                 other = VERSIONS[target.version == VERSIONS[0]]
-                await target.restart(self._store, other)
+                await target.restart(self._store, other, fault.clock_step)
             else:
                 await self._replace(target, "drain")
 
+    async def _crash_outlived(self, fault: OutlivedCrash) -> None:
+        target = self._choose_remaining(fault.number)
+        self.record.begin_disturbance("crash", None, target.name)
+        self.record.departures[target.name] = float("inf")
+        await self._add_target(target.service)
+        target.crash_outlived(fault.afterlife)
+        await asyncio.sleep(1.0)
+        await self._store.put("keyed.servers", target.name, b"")
+        self.record.departures[target.name] = read_clock()
+        await asyncio.sleep(fault.seconds - 1.0)
+        await self._kill(target)
+        self._targets.remove(target)
+
     def _choose_remaining(self, number: int) -> SoakTarget:
         departing = self.record.departures | self.record.leaving_since
         remaining = [one for one in self._targets if one.name not in departing]
--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -12,9 +12,15 @@
 from aiohttp import web
 
 from figstep.standins.proxy import TcpProxy
+from tests.afterlife import Afterlife, answer_for_crashed
 from tests.faults.records import CRASHING, EVENTS, Kind, Record, Run, read_clock
-from tests.framing import RawAnswer, choose_framing
-from tests.platform.standins import FakeStore, build_registration, start_app
+from tests.framing import Framing, RawAnswer, choose_framing
+from tests.platform.standins import (
+    FakeStore,
+    Handler,
+    build_registration,
+    start_app,
+)
 
 FORGED = "forged"
 """Value with which callers forge headers that only the system may set."""
@@ -52,7 +58,9 @@
         faults: What is wrong with it: ``grey`` (half of its calls are answered with
             status 500), ``mute`` (it runs requests without answering), ``full`` (it
             rejects requests as not run unless they resume from a copy), ``broken``
-            (half of its answers break off) or ``endless`` (half of them never end).
+            (half of its answers break off), ``endless`` (half of them never end) or
+            ``early`` (half of its streams that end with their connection do so between
+            two events).
         rates: Rate limits of the active signals; answers name the lowest.
         pauses: Values of Retry-After of the active signals, in seconds. While there
             are any, requests are rejected with the longest; requests that resume
@@ -63,6 +71,8 @@
         runner: HTTP server of the target; None before the start.
         version: Version of its software.
         ended: Whether it was killed.
+        afterlife: What its address does with connections after its crash; None if it
+            refuses them.
         born: Start of its incarnation, which it registers and reports, as a Unix time
             in milliseconds.
     """
@@ -82,6 +92,8 @@
     runner: web.AppRunner | None = None
     version: str = "v1"
     ended: bool = False
+    afterlife: Afterlife | None = None
+    _open: set[asyncio.BaseTransport] = field(default_factory=set)
     born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
 
     @property
@@ -92,7 +104,7 @@
 
     async def start(self, store: FakeStore) -> None:
         """Start the server and its proxy, and register the target."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._serve])
         app.router.add_post("/figstep/kv-move", self._copy_run)
         app.router.add_get("/figstep/report", self._report)
         app.router.add_delete("/figstep/kv-handle/{handle}", self._drop_copy)
@@ -111,15 +123,42 @@
         )
         await store.put("keyed.servers", self.name, entry)
 
-    async def restart(self, store: FakeStore, version: str) -> None:
-        """Start again under the same id as another version, without its copies."""
+    async def restart(self, store: FakeStore, version: str, step: int = 0) -> None:
+        """Start again under the same id as another version, without its copies.
+
+        ``step`` is how far its clock was set meanwhile, in milliseconds.
+        """
         assert self.proxy is not None
         self.version = version
-        self.born = max(self.born + 1, time.time_ns() // 1_000_000)
+        self.born = max(self.born + 1, time.time_ns() // 1_000_000) + step
         self.copies.clear()
         self.proxy.cut()
         await self.register(store)
 
+    def crash_outlived(self, afterlife: Afterlife) -> None:
+        """End as a killed process does, while its address goes on to accept."""
+        self.ended = True
+        self.afterlife = afterlife
+        self.copies.clear()
+        for transport in self._open:
+            transport.close()
+        for run in self.running.values():
+            run.ended = run.ended or read_clock()
+
+    @web.middleware
+    async def _serve(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        if self.afterlife is not None:
+            return await answer_for_crashed(request, self.afterlife)
+        transport = request.transport
+        assert transport is not None
+        self._open.add(transport)
+        try:
+            return await handler(request)
+        finally:
+            self._open.discard(transport)
+
     async def kill(self) -> None:
         """Close all connections and end all runs."""
         self.ended = True
@@ -247,6 +286,14 @@
         run.broken_off = is_chosen and "broken" in self.faults
         return run.broken_off
 
+    def _ends_early(self, run: Run) -> bool:
+        if (
+            "early" not in self.faults
+            or zlib.crc32(f"early {run.request}".encode()) % 2
+        ):
+            return False
+        return choose_framing(f"{run.request} {self.name}") is Framing.CONNECTION
+
     async def _stream(self, request: web.Request, run: Run) -> web.StreamResponse:
         holder = self.targets_by_address.get(request.headers.get("Kv-Backup", ""))
         kind = Kind(request.path.split("/")[1])
@@ -257,10 +304,14 @@
         ]
         answer = self._open_answer(request, run, sum(map(len, events)))
         broken_at = len(events) // 2 if self._breaks_off(run) else None
+        early_at = len(events) // 2 if self._ends_early(run) else None
         for number, event in enumerate(events):
             await asyncio.sleep(EVENT_INTERVAL)
             if holder is not None:
                 holder.copies[run.request] = run.generation
+            if number and number == early_at:
+                run.broken_off = True
+                return answer.close()
             if number == broken_at:
                 answer.write(event[:5])
                 return answer.close()
