Log what a target answers once its answer ended with its connection

A stream that ends with its connection is complete if its target accepts a connection and does not state another start. The log showed neither that the question was asked nor the answer, so that a crashed target behind a living address and a living one that closed early looked the same. No logic changes.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -571,7 +571,14 @@
             return True
         if target.restarted or target.info.born != effect.born:
             return False
-        return not asks_start or await self._query_start(target) is not Start.LATER
+        if not asks_start:
+            return True
+        start = await self._query_start(target)
+        fields = {"target": target.name, "attempt": effect.attempt}
+        _log.info(
+            "answer ended with its connection", extra={**fields, "start": start.value}
+        )
+        return start is not Start.LATER
 
     def copy_run(self, effect: CopyRun) -> None:
         """Order an engine to copy a run to another engine.
