--- /dev/null
+++ b/tests/contracts/test_ends.py
@@ -0,0 +1,69 @@
+"""Tests of answers of plain services that have neither a length nor chunks."""
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from figstep.demo import KEY
+from figstep.standins.service import PlainService
+from tests.afterlife import Afterlife, answer_for_crashed
+from tests.contracts.test_targets import run_entry
+from tests.framing import Framing, RawAnswer
+
+ANSWER = b"two pallets of flour"
+
+
+class CrashingService(PlainService):
+    """Plain service that may crash within its first answer; its address lives on.
+
+    Attributes:
+        afterlife: What the address does after the crash; None if there is none.
+        crashed: Whether it has crashed.
+    """
+
+    def __init__(self, name: str, afterlife: Afterlife | None) -> None:
+        super().__init__(name)
+        self.afterlife = afterlife
+        self.crashed = False
+
+    def build_app(self) -> web.Application:
+        app = super().build_app()
+        app.middlewares.append(self._serve)
+        return app
+
+    @web.middleware
+    async def _serve(self, request: web.Request, handler: object) -> web.StreamResponse:
+        if self.crashed and self.afterlife is not None:
+            return await answer_for_crashed(request, self.afterlife)
+        if request.method == "OPTIONS":
+            return web.Response(status=404)
+        await self._execute(request)
+        raw = RawAnswer(request, Framing.CONNECTION, {}, 0)
+        self.crashed = self.afterlife is not None
+        raw.write(ANSWER[:7] if self.crashed else ANSWER)
+        return raw.close()
+
+
+async def order_once(*services: PlainService) -> tuple[int, bytes]:
+    """Place an order; return the status and body that its caller gets."""
+    headers = {"Authorization": f"Bearer {KEY}", "Idempotency-Key": "order-1"}
+    async with run_entry([], *services) as url, aiohttp.ClientSession() as session:
+        target = f"{url}/services/planning/order"
+        async with session.post(target, headers=headers, data=b"flour") as response:
+            return response.status, await response.read()
+
+
+@pytest.mark.parametrize("afterlife", list(Afterlife))
+async def test_an_answer_of_a_crashed_service_whose_address_lives_on_is_not_complete(
+    afterlife: Afterlife,
+) -> None:
+    """Guards against an accepted connection that is taken for a living service."""
+    status, body = await order_once(CrashingService("planning-1", afterlife))
+    assert status >= 500
+    assert not body.startswith(ANSWER[:7])
+
+
+async def test_an_answer_of_a_living_service_is_complete_by_its_close() -> None:
+    """Guards against a loss of whole answers that have neither length nor chunks."""
+    status, body = await order_once(CrashingService("planning-1", None))
+    assert (status, body) == (200, ANSWER)
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -7,6 +7,7 @@
 
 from figstep.core.clock import Millis
 from figstep.core.crashes import Suspicion, name_part
+from figstep.core.positions import Position
 from figstep.gateway import peers
 from figstep.gateway.crashes import (
     LOST_RETENTION,
@@ -36,6 +37,7 @@
     TargetDown,
     TargetLeaving,
     TargetRegistered,
+    TargetsListed,
     Ticked,
 )
 from figstep.gateway.news import LoadUpdates
@@ -665,3 +667,25 @@
         harness.handle(TargetChecked(name, opened, reached=False))
     assert not harness.state.is_cut_off
     assert start_prompt(harness).target == "e-4"
+
+
+@pytest.mark.parametrize("from_older_copy", [False, True])
+def test_a_restart_shows_by_the_order_of_records_if_clocks_were_set_back(
+    from_older_copy: bool,
+) -> None:
+    """Guards against a crash that a clock hides, and one taken from an older record."""
+    harness = EntryHarness()
+    harness.register("b-1", service=BOOKINGS, slots=6)
+    harness.handle(TargetsListed(tuple(list_registrations(harness)), Position(1, 9)))
+    harness.receive_request("/lookup/a", digest=KILLER)
+    harness.handle(AttemptLost(harness.find_effect(OpenAttempt).attempt, Loss.BROKEN))
+    info = Registration("b-1", BOOKINGS, "b-1:80", "muc-a", 6, born=-60_000)
+    if from_older_copy:
+        harness.handle(TargetsListed((info,), Position(2, 3)))
+    else:
+        harness.handle(TargetRegistered(info))
+    assert harness.state.crashes.is_suspected(KILLER) is not from_older_copy
+
+
+def list_registrations(harness: EntryHarness) -> list[Registration]:
+    return [target.info for target in harness.state.targets.targets.values()]
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -23,7 +23,7 @@
 )
 from figstep.gateway.origins import CLOCK_TOLERANCE
 from figstep.gateway.prompts import Prompt
-from figstep.gateway.starts import StreamStart
+from figstep.gateway.starts import UNKNOWN_VERSION, StreamStart
 from figstep.gateway.targets import Incarnation, Registration
 from tests.gateway.worlds import ENGINES, EntryHarness, build_copy
 
@@ -257,3 +257,34 @@
         taken_up = {"digest": "digest-1", "resumes": "id-1", "after": 9}
         entry.receive_request("/question/a", prompt, **taken_up)
         assert entry.find_effect(Refuse).problem.code == "version_unknown"
+
+
+@pytest.mark.parametrize("step", [-200_000, 60_000])
+def test_a_stream_is_cut_off_whatever_the_clock_of_its_restarted_target_says(
+    step: int,
+) -> None:
+    """Guards against joined versions as a target starts again with its clock set."""
+    harness = begin_stream("/question/a")
+    register(harness, "v1", "e-5")
+    harness.clock.advance(CLOCK_TOLERANCE + 10)
+    lose_current(harness)
+    restart_first(harness, harness.clock.now() + step)
+    assert harness.find_effects(BreakStream)
+
+
+@pytest.mark.parametrize("step", [-200_000, 60_000])
+def test_a_returning_caller_finds_no_version_by_a_clock_that_was_set(step: int) -> None:
+    """Guards against a stream taken up at the version of an earlier incarnation."""
+    harness = begin_stream("/question/a")
+    harness.handle(CallerGone(1))
+    register(harness, "v2", FIRST, born=harness.clock.now() + step)
+    (start,) = harness.state.starts.list_own()
+    assert start.version == UNKNOWN_VERSION
+
+
+def test_a_target_that_states_an_earlier_start_has_restarted() -> None:
+    """Guards against a restart that a clock set back hides."""
+    harness = EntryHarness()
+    register(harness, "v1", FIRST)
+    restart_first(harness, born=-60_000)
+    assert not harness.state.targets.list_ready(ENGINES)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -12,6 +12,7 @@
 
 from figstep.core.clock import Millis
 from figstep.platform.settings import Address, EntrySettings
+from tests.afterlife import Afterlife, answer_for_crashed
 from tests.ports import HOST, find_free_port
 
 ROUTE_HOST = "users.example"
@@ -330,6 +331,9 @@
         failure_domain: Failure domain of the target.
         version: Version of its software.
         born: Start that it registers and reports.
+        afterlife: What its address does with all further requests, as after a crash;
+            None while the target lives.
+        copies_runs: Whether it copies runs on order.
     """
 
     name: str
@@ -355,10 +359,12 @@
     failure_domain: str = "muc-a"
     version: str = "v1"
     born: int = 1
+    afterlife: Afterlife | None = None
+    copies_runs: bool = True
 
     async def start(self, store: FakeStore, port: int = 0) -> None:
         """Start listening and register in the store."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._serve])
         app.router.add_post("/figstep/kv-move", self._move)
         app.router.add_delete("/figstep/kv-handle/{handle}", self._free)
         app.router.add_get("/figstep/report", self._report)
@@ -378,6 +384,14 @@
         )
         await store.put("keyed.servers", self.name, registration)
 
+    @web.middleware
+    async def _serve(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        if self.afterlife is not None:
+            return await answer_for_crashed(request, self.afterlife)
+        return await handler(request)
+
     async def kill(self) -> None:
         """Stop the server and close all connections."""
         if self.runner is not None:
@@ -472,19 +486,14 @@
                 return web.Response(status=404)
             self.stopped.append(order["id"])
         holder = self.peers.get(order["target"])
-        if holder is None:
+        if holder is None or not self.copies_runs:
             return web.Response(status=503)
         holder.copies.add(order["id"])
         return web.Response(body=orjson.dumps({"handle": "h-1", "created": 3}))
 
 
-def build_configuration(version: int = 1, **fields: object) -> bytes:
-    """Return a configuration as the operator writes it.
-
-    Args:
-        version: Version of the configuration.
-        fields: Top-level fields to add or replace.
-    """
+def build_routes() -> list[dict[str, object]]:
+    """Return the routes of a configuration: one each of streams, orders and lookups."""
     routes: list[dict[str, object]] = [
         {"prefix": "/plan/", "type": "stream", "service": "engines"},
         {"prefix": "/order/", "type": "unsafe", "service": "bookings"},
@@ -501,9 +510,19 @@
                 "unknown": "field",
             }
         )
+    return routes
+
+
+def build_configuration(version: int = 1, **fields: object) -> bytes:
+    """Return a configuration as the operator writes it.
+
+    Args:
+        version: Version of the configuration.
+        fields: Top-level fields to add or replace.
+    """
     document: dict[str, object] = {
         "version": version,
-        "routes": routes,
+        "routes": build_routes(),
         "services": [
             {
                 "name": "engines",
--- /dev/null
+++ b/tests/platform/test_ends.py
@@ -0,0 +1,252 @@
+"""Tests of answers without a length: what shows that they are complete."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from tests.afterlife import Afterlife
+from tests.framing import Framing, RawAnswer
+from tests.platform.places import Place, open_place
+from tests.platform.standins import (
+    FakeTarget,
+    Handler,
+    build_configuration,
+    build_routes,
+)
+
+EVENTS = 20
+"""Number of events in a whole stream; the targets write events of four tokens."""
+
+EARLY = 12
+"""Event after which a stream is closed early; a backup of the run has arrived then."""
+
+EVENT_INTERVAL = 0.045
+"""Time between two events, in seconds."""
+
+PLAN = {"Model": "m", "Token_Count": "3000,2000", "Length_Hint": "80"}
+
+EACH_AFTERLIFE = pytest.mark.parametrize("afterlife", list(Afterlife))
+
+
+@pytest.fixture
+async def place() -> AsyncIterator[Place]:
+    async with open_place() as opened:
+        await opened.add_target("i-b1", "bookings")
+        await opened.add_target("i-e1", "engines")
+        entry = await opened.add_entry()
+        await opened.wait_ready(entry, 2)
+        yield opened
+
+
+async def configure(place: Place, resumable: bool, **engine: object) -> None:
+    """Change the route of streams and the engines, and wait until that is in force."""
+    routes = build_routes()
+    routes[0]["resumable"] = resumable
+    services = [{"name": "engines"}, {"name": "bookings"}]
+    if engine:
+        services[0]["engine"] = {"slots": 64, "stride": 4, **engine}
+    document = build_configuration(2, routes=routes, services=services)
+    await place.store.put("keyed.op", "config", document)
+    async with asyncio.timeout(5):
+        while True:
+            table = place.entries[0].gateway.known.table
+            if table is not None and table.version == 2:
+                return
+            await asyncio.sleep(0.01)
+
+
+def write_events(first: int, last: int) -> bytes:
+    """Return the events from one index to another, as the targets write them."""
+    return b"".join(b"id: %d\ndata: t%d\n\n" % (i, i) for i in range(first, last + 1))
+
+
+def stream_until(
+    target: FakeTarget, last: int, afterlife: Afterlife | None = None
+) -> Handler:
+    """Return a handler whose stream ends with its connection after one event.
+
+    Resumed streams go on after the event that they name. With ``afterlife`` the target
+    crashes then. A backup is kept only for a stream that is not whole.
+    """
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        number = request.headers["Request-Id"]
+        if "Kv-From" in request.headers and number not in target.copies:
+            return web.Response(status=503, headers={"Not-Executed": "1"})
+        raw = RawAnswer(request, Framing.CONNECTION, target.sign(request), 0)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        holder = target.peers.get(request.headers.get("Kv-Backup", ""))
+        if holder is not None and last < EVENTS:
+            holder.copies.add(number)
+        for index in range(first, last + 1):
+            raw.write(write_events(index, index))
+            await asyncio.sleep(EVENT_INTERVAL)
+        target.afterlife = afterlife
+        return raw.close()
+
+    return answer
+
+
+async def read_complete(place: Place, path: str, **headers: str) -> bytes | None:
+    """Return the body of a successful answer; None if it is not a complete one."""
+    async with place.session.post(
+        place.url(path), headers=place.headers("r-1", **headers)
+    ) as response:
+        try:
+            body = await response.read()
+        except aiohttp.ClientError:
+            return None
+        return body if response.status == 200 else None
+
+
+@EACH_AFTERLIFE
+async def test_a_stream_of_a_crashed_target_whose_address_lives_on_is_not_complete(
+    place: Place, afterlife: Afterlife
+) -> None:
+    """Guards against an accepted connection that is taken for a living target."""
+    target = place.targets["i-e1"]
+    target.handler = stream_until(target, EARLY, afterlife)
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+
+
+@EACH_AFTERLIFE
+async def test_an_answer_of_a_crashed_target_whose_address_lives_on_is_not_complete(
+    place: Place, afterlife: Afterlife
+) -> None:
+    """Guards against a part of a call's answer that its caller gets as all of it."""
+    target = place.targets["i-b1"]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        raw = RawAnswer(request, Framing.CONNECTION, target.sign(request), 0)
+        raw.write(b"two pal")
+        target.afterlife = afterlife
+        return raw.close()
+
+    target.handler = answer
+    assert await read_complete(place, "/order/a") is None
+
+
+@EACH_AFTERLIFE
+async def test_a_stream_that_reached_its_maximum_needs_no_living_target(
+    place: Place, afterlife: Afterlife
+) -> None:
+    """Guards against whole streams that are cut off with a crash after them."""
+    target = place.targets["i-e1"]
+    target.handler = stream_until(target, EVENTS, afterlife)
+    plan = {**PLAN, "Token_Count": f"3000,{4 * EVENTS}"}
+    assert await read_complete(place, "/plan/a", **plan) == write_events(1, EVENTS)
+
+
+@pytest.mark.parametrize("last", [EARLY, EVENTS])
+async def test_a_stream_that_a_living_target_closes_goes_on_from_its_backup(
+    place: Place, last: int
+) -> None:
+    """Guards against a stream closed between two events, and a loss of whole ones."""
+    await configure(place, False, backups=True)
+    engines = [place.targets["i-e1"], await place.add_target("i-e2", "engines")]
+    await place.wait_ready(place.entries[0], 3)
+
+    async def answer_first(request: web.Request) -> web.StreamResponse:
+        """End early at the engine that gets the stream; the other one goes on."""
+        target, holder = engines
+        if request.headers["Expect-Instance"] != target.name:
+            target, holder = holder, target
+        holder.handler = stream_until(holder, EVENTS)
+        return await stream_until(target, last)(request)
+
+    for engine in engines:
+        engine.handler = answer_first
+    assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
+
+
+async def test_a_stream_that_could_have_been_copied_is_not_complete_by_its_close(
+    place: Place,
+) -> None:
+    """Guards against an end between two events that nobody is asked to confirm."""
+    await configure(place, False, moves=True)
+    await place.add_target("i-e2", "engines")
+    await place.wait_ready(place.entries[0], 3)
+    for name in ("i-e1", "i-e2"):
+        target = place.targets[name]
+        target.copies_runs = False
+        target.handler = stream_until(target, EARLY)
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+
+
+async def test_a_stream_of_a_plain_service_is_complete_by_the_close_of_a_living_target(
+    place: Place,
+) -> None:
+    """Guards against a loss of all streams where nothing else can state the end."""
+    await configure(place, False)
+    target = place.targets["i-e1"]
+    target.handler = stream_until(target, EARLY)
+    assert await read_complete(place, "/plan/a") == write_events(1, EARLY)
+
+
+@pytest.mark.parametrize("last", [EARLY, EVENTS])
+async def test_a_resumable_stream_that_a_living_target_closes_is_asked_for_its_rest(
+    place: Place, last: int
+) -> None:
+    """Guards against a stream closed between two events, and a loss of whole ones."""
+    await configure(place, True, moves=True)
+    target = place.targets["i-e1"]
+    endings = iter([last, EVENTS])
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        return await stream_until(target, next(endings))(request)
+
+    target.handler = answer
+    assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
+    asked = [one.get("Last-Event-Id") for one in target.received_headers]
+    assert asked == [None, str(last)]
+
+
+async def test_a_stream_is_broken_off_if_the_question_for_its_rest_gets_no_answer(
+    place: Place,
+) -> None:
+    """Guards against an end that nobody confirmed, as the target crashed meanwhile."""
+    await configure(place, True, moves=True)
+    target = place.targets["i-e1"]
+    endings = iter([None, Afterlife.SILENT])
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        return await stream_until(target, EARLY, next(endings))(request)
+
+    target.handler = answer
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+
+
+@pytest.mark.parametrize("indexes", [(1, 3), (1, 1), (2, 1)])
+async def test_events_that_arrive_out_of_order_in_one_read_are_not_delivered(
+    place: Place, indexes: tuple[int, ...]
+) -> None:
+    """Guards against gaps and repeats in the first events of a stream."""
+    target = place.targets["i-e1"]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        raw = RawAnswer(request, Framing.CHUNKS, target.sign(request), 0)
+        raw.write(b"".join(write_events(index, index) for index in indexes))
+        return raw.end()
+
+    target.handler = answer
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+
+
+async def test_a_resumed_stream_begins_with_the_event_that_was_asked_for(
+    place: Place,
+) -> None:
+    """Guards against events that a caller misses as it takes a stream up again."""
+    await configure(place, True, moves=True)
+    target = place.targets["i-e1"]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        raw = RawAnswer(request, Framing.CHUNKS, target.sign(request), 0)
+        raw.write(write_events(7, EVENTS))
+        return raw.end()
+
+    target.handler = answer
+    resumed = {**PLAN, "Last_Event_Id": "5", "Resumes": "r-0"}
+    assert await read_complete(place, "/plan/a", **resumed) is None
