Tell incarnations apart by the order of records, not by their clocks

Cause: an engine that started again with its clock set back seemed not to have restarted. Its report of an earlier start was ignored, its new registration ended nothing, and the versions of the streams that it began were kept.

A report is queried after the registration that it is compared with was read, so that any other start in it shows a restart. Records are read in the order in which they were written; only for a recent older copy of the store the clocks decide, as before. A start that is earlier than the registered one or in the future tells no streams apart: all of that target are forgotten.

A clock set ahead by less than the time until the restart is noticed still misplaces the start.

--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -22,6 +22,7 @@
     Suspicion,
     name_part,
 )
+from figstep.gateway import eras
 from figstep.gateway.effects import (
     Announce,
     CheckTarget,
@@ -175,9 +176,11 @@
     effects: list[Effect] = []
     for target in state.targets.targets.values():
         known = target.info
-        if known.born >= info.born:
-            continue
-        if known.target == info.target or known.address == info.address:
+        if known.target == info.target:
+            is_earlier = eras.is_later(state, known, info, now)
+        else:
+            is_earlier = known.address == info.address and known.born < info.born
+        if is_earlier:
             effects += record_end(state, target, now)
     return effects
 
--- a/figstep/gateway/departures.py
+++ b/figstep/gateway/departures.py
@@ -34,16 +34,16 @@
 
 
 def handle_restarted(state: State, event: TargetRestarted, now: Millis) -> list[Effect]:
-    """Handle a target's report of a later start than the one it registered.
+    """Handle a target's report of another start than the one it registered.
 
     The registered incarnation has ended, and gets nothing more here or from other
     entries. The target serves again once its new registration, which names its version,
-    is read. An earlier start is ignored: clocks that were set back do not show which
-    of the two incarnations is the newer one.
+    is read. An earlier start shows that as well, as the target's clock may have been
+    set back: the query was sent after the registration was read.
     """
     incarnation = event.incarnation
     target = state.targets.find(incarnation.target)
-    if event.born <= incarnation.born or target is None:
+    if event.born in (0, incarnation.born) or target is None:
         return []
     if target.info.incarnation != incarnation or target.restarted:
         return []
--- a/figstep/gateway/eras.py
+++ b/figstep/gateway/eras.py
@@ -75,6 +75,19 @@
     return believed, effects
 
 
+def is_later(
+    state: State, known: Registration, info: Registration, now: Millis
+) -> bool:
+    """Return whether a registration is of a later incarnation than a known one.
+
+    Both have the same id. Records are read in the order in which they were written,
+    whatever the clocks of targets say, but for a recent older copy of the store.
+    """
+    if now < state.era_began_at + STALE_COPY_DURATION:
+        return info.born > known.born
+    return info.born != known.born
+
+
 def _has_departed(state: State, info: Registration) -> bool:
     target = state.targets.find(info.target)
     if target is None or target.standing is not Standing.LEAVING:
--- a/figstep/gateway/origins.py
+++ b/figstep/gateway/origins.py
@@ -60,6 +60,9 @@
 ) -> tuple[list[Request], list[Effect]]:
     """Forget the versions of streams that a later incarnation may have begun.
 
+    A start that is earlier than the registered one, or in the future, is of a clock
+    that was set. It does not tell streams apart, and all are forgotten.
+
     Args:
         state: State of the gateway.
         target: The target as it was registered.
@@ -71,6 +74,8 @@
     """
     incarnation = target.info.incarnation
     since = Millis(born - state.unix_offset - CLOCK_TOLERANCE)
+    if born < incarnation.born or since > now:
+        since = Millis(0)
     affected = []
     for request in state.requests.values():
         origin = request.origin
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -218,7 +218,12 @@
         crash_effects = crashes.record_successor(state, info, now)
     if before is not None and is_new_incarnation(before.info, info):
         origins.handle_restart(state, before, info)
-        if before.info.version != info.version and info.born > before.info.born > 0:
+        both_state_start = info.born and before.info.born
+        if (
+            before.info.version != info.version
+            and both_state_start
+            and eras.is_later(state, before.info, info, now)
+        ):
             crash_effects += departures.forget_uncertain(state, before, info.born, now)
         versions.record_past_version(state, before.info, now)
     target = state.targets.record_registration(info, now)
