Take an answer without a length as complete only if its target states that it lives

Callers saw streams that ended as complete after 8, 15, 16, 33, 40 or 66 of 80 events, and parts of calls' answers as whole ones. A target had crashed, and its address went on to accept connections: a proxy, a supervisor or the kernel for a stopped process does.

Cause: an accepted connection counted as a living target, and no answer to the question for its start as a yes; plain services were not asked at all. Class: silence was taken for proof of life.

A gateway's 502 states nothing. On the own interface the target is sent OPTIONS *, which runs nothing. A stream whose output has reached its maximum needs no such answer. The parts of short answers are cleared by such a statement, too, and no longer by an accepted connection.

--- a/figstep/core/answers.py
+++ b/figstep/core/answers.py
@@ -1,8 +1,9 @@
 """Decides whether the body of an answer is complete.
 
 An answer by length or in chunks that is cut short fails as it is read. One that ends
-with its connection does not: a target that crashes closes it like one that is done, so
-that the content decides, and whether the target still listens.
+with its connection does not: a target that crashes closes it like one that is done. It
+is complete only if its target states afterwards that it lives, as silence and accepted
+connections show nothing.
 """
 
 from dataclasses import dataclass
@@ -16,14 +17,19 @@
         delimited: Whether a length or chunks tell where the body ends.
         events: Number of complete events.
         remainder: Number of bytes after the last complete event.
-        outlived: Whether the target was found to listen after the end of the body. It
+        full: Whether the events hold the largest output that was asked for.
+        outlived: Whether the target stated after the end of the body that it lives. It
             matters only if the body is not delimited.
+        continues: Whether the events were asked for that follow a known one; there may
+            be none.
     """
 
     delimited: bool
     events: int
     remainder: int
+    full: bool = False
     outlived: bool = True
+    continues: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +51,7 @@
         delimited: Whether a length or chunks tell where the body ends, or the answer
             has no body by its status or method.
         length: Number of bytes received.
-        outlived: Whether the target was found to listen after the end of the body. It
+        outlived: Whether the target stated after the end of the body that it lives. It
             matters only if the body is not delimited.
     """
 
@@ -63,9 +69,9 @@
     match end:
         case NumberedStream(remainder=remainder) if remainder:
             return f"it ended inside an event, {remainder} bytes after the last one"
-        case NumberedStream(delimited=False, events=0):
+        case NumberedStream(delimited=False, events=0, continues=False):
             return "its connection ended before the first event"
-        case NumberedStream(delimited=False, outlived=False):
+        case NumberedStream(delimited=False, full=False, outlived=False):
             return "its target ended with the connection"
         case MarkedStream(marked=False):
             return "it ended before the end marker"
--- a/figstep/gateway/application.py
+++ b/figstep/gateway/application.py
@@ -143,8 +143,8 @@
                 self.targets.read_report(target, start_only)
             case ProbeTarget(target=target):
                 self.targets.probe_target(target)
-            case CheckTarget(target=target):
-                self.targets.check_target(target)
+            case CheckTarget(target=target, asks_life=asks_life):
+                self.targets.check_target(target, asks_life)
             case FetchRecords(address=address):
                 self.peers.fetch_records(address)
             case Announce():
--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -272,12 +272,12 @@
             state.short_answers.remove(answer)
         elif age >= WRITING_DURATION and not answer.checked:
             answer.checked = True
-            checked[answer.target] = CheckTarget(answer.target)
+            checked[answer.target] = CheckTarget(answer.target, True)
     return list(checked.values())
 
 
 def record_check(
-    state: State, target: Target, opened: Millis, reached: bool, now: Millis
+    state: State, target: Target, opened: Millis, lives: bool, now: Millis
 ) -> list[Effect]:
     """Clear the parts of short answers if the engine that wrote them still runs.
 
@@ -288,7 +288,7 @@
         if answer.target != target.name or not answer.checked:
             continue
         state.short_answers.remove(answer)
-        if reached:
+        if lives:
             effects += _clear(state, answer.request, answer.parts, answer.ended_at, now)
             continue
         for part in answer.parts:
--- a/figstep/gateway/edges.py
+++ b/figstep/gateway/edges.py
@@ -66,8 +66,11 @@
         """Probe whether a target still listens at its address."""
 
     @abstractmethod
-    def check_target(self, target: str) -> None:
-        """Check whether a connection to a target can be established."""
+    def check_target(self, target: str, asks_life: bool = False) -> None:
+        """Check whether a connection to a target can be established.
+
+        With ``asks_life`` the target also has to state that it lives.
+        """
 
     @abstractmethod
     def find_head(self, attempt: int) -> AnswerHead:
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -48,6 +48,8 @@
         relay: Entry that gets the request in place of a target, or None.
         confirm: Whether the stream is read only once the target has stated, after it
             accepted the attempt, that it has not restarted since it registered.
+        max_events: Number of events, from the start of the stream, with which its
+            output has reached its maximum; None if that is not known.
     """
 
     number: int
@@ -63,6 +65,7 @@
     relay: RelayTo | None = None
     confirm: bool = False
     born: int = 0
+    max_events: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,9 +141,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CheckTarget:
-    """Check whether a connection to a target can be established."""
+    """Check whether a connection to a target can be established.
+
+    Attributes:
+        asks_life: Whether the target also has to state that it lives.
+    """
 
     target: str
+    asks_life: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -106,9 +106,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamOpened:
-    """A target accepted the attempt of a stream: the headers of its answer arrived."""
+    """A target accepted the attempt of a stream: the headers of its answer arrived.
+
+    Attributes:
+        delimited: Whether a length or chunks tell where the stream ends.
+    """
 
     attempt: int
+    delimited: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,9 +139,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamEnded:
-    """A target ended its stream, and the answer was complete."""
+    """A target ended its stream after an event.
+
+    Attributes:
+        confirmed: Whether the stream is known to be complete. If not, its target lives
+            and closed the connection, which HTTP allows at any point of such an answer.
+    """
 
     attempt: int
+    confirmed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,11 +217,13 @@
     Attributes:
         opened: When the connection was opened, as a monotonic time in milliseconds.
         reached: Whether it was established.
+        lives: Whether the target stated that it lives; None if it was not asked.
     """
 
     target: str
     opened: Millis
     reached: bool
+    lives: bool | None = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/reach.py
+++ b/figstep/gateway/reach.py
@@ -49,7 +49,10 @@
     target = state.targets.find(event.target)
     if target is None:
         return []
-    effects = crashes.record_check(state, target, event.opened, event.reached, now)
+    effects: list[Effect] = []
+    if event.lives is not None:
+        lives = event.reached and event.lives
+        effects += crashes.record_check(state, target, event.opened, lives, now)
     if event.reached:
         return effects + _record_connection(state, target, now)
     return effects + record_unreached(state, target, event.opened, now)
--- a/figstep/net/probes.py
+++ b/figstep/net/probes.py
@@ -1,11 +1,15 @@
-"""Probes that detect whether a process listens at an address."""
+"""Probes that detect whether a process listens or answers at an address."""
 
 import asyncio
 
 import logbook
+from yarl import URL
 
 _log = logbook.Logger("figstep.probes")
 
+_GATEWAY_STATUSES = (502, 503, 504)
+"""Statuses with which a gateway answers for a target that it does not reach."""
+
 
 async def is_listening(host: str, port: int, seconds: float) -> bool:
     """Return whether a process accepts connections at an address.
@@ -28,15 +32,39 @@
     return True
 
 
-async def outlives_answer(host: str, port: int, seconds: float) -> bool:
-    """Return whether a target still accepts connections after it closed one.
+async def answers_requests(url: URL, seconds: float) -> bool:
+    """Return whether a target answers requests at its address.
 
-    It shows whether an answer that ended with its connection can be taken as complete:
-    a process that crashed closed all its sockets. The host is an IP address. A target
-    that cannot be reached within ``seconds`` counts as ended.
+    It is sent ``OPTIONS *``, which asks the server itself and runs nothing (RFC 9110,
+    section 9.3.7). An accepted connection would show nothing, as the address of a
+    target may outlive it. A target that cannot be reached within ``seconds``, or for
+    which a gateway answers, does not answer.
     """
     try:
-        return await is_listening(host, port, seconds)
-    except OSError as error:
-        _log.info("target not reached after its answer", extra={"error": repr(error)})
+        async with asyncio.timeout(seconds):
+            status = await _query_server(url)
+    except (OSError, ValueError) as error:
+        _log.info("target does not answer", extra={"error": repr(error)})
         return False
+    return status not in _GATEWAY_STATUSES
+
+
+async def _query_server(url: URL) -> int:
+    """Return the status of the answer to ``OPTIONS *``.
+
+    Raises:
+        OSError: If no connection is established.
+        ValueError: If what comes is no HTTP answer.
+    """
+    reader, writer = await asyncio.open_connection(
+        url.host, url.port, ssl=url.scheme == "https" or None
+    )
+    try:
+        request = f"OPTIONS * HTTP/1.1\r\nHost: {url.authority}\r\n"
+        writer.write(f"{request}Connection: close\r\n\r\n".encode())
+        version, _, rest = (await reader.readline()).partition(b" ")
+        if not version.startswith(b"HTTP/"):
+            raise ValueError(f"received {version[:40]!r} in place of an answer")
+        return int(rest[:3])
+    finally:
+        writer.close()
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -33,7 +33,7 @@
 from figstep.net.frames import FrameSplitter
 from figstep.net.framing import is_delimited
 from figstep.net.pools import PoolTable
-from figstep.net.probes import is_listening, outlives_answer
+from figstep.net.probes import answers_requests, is_listening
 from figstep.net.reading import read_body
 
 CANCEL_TIMEOUT = 2.0
@@ -271,8 +271,8 @@
             ) as response:
                 body = await read_body(response, MAX_ANSWER_BYTES, exchange.buffer)
         if response.ok:
-            outlived = is_delimited(response) or await outlives_answer(
-                response.url.host or "", response.url.port or 0, PROBE_TIMEOUT
+            outlived = is_delimited(response) or await answers_requests(
+                URL(target.address), PROBE_TIMEOUT
             )
             reason = explain_incomplete(
                 Body(is_delimited(response), len(body), outlived)
--- a/figstep/platform/answers.py
+++ b/figstep/platform/answers.py
@@ -105,6 +105,15 @@
         raise FrameError(f"received the answer to {echoed!r} for {request_id!r}")
 
 
+def rejects_query(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the expected target rejects a query, which it states as not run.
+
+    Status 421 comes from another target, and no gateway before a target states that a
+    request was not run.
+    """
+    return response.status != 421 and names.NOT_RUN in response.headers
+
+
 def read_retry_after(response: aiohttp.ClientResponse) -> Millis | None:
     """Return the time of a Retry-After header; None if it is missing or invalid."""
     text = response.headers.get(names.RETRY_AFTER)
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -46,7 +46,7 @@
 from figstep.net.connectors import ResetAwareConnector
 from figstep.net.frames import EventSplitter
 from figstep.net.framing import is_delimited
-from figstep.net.probes import is_listening, outlives_answer
+from figstep.net.probes import is_listening
 from figstep.net.reading import BodyTooLongError, read_body
 from figstep.net.sessions import open_target_session, trace_connections
 from figstep.platform import answers, copies, names, relays
@@ -112,9 +112,10 @@
 class Start(Enum):
     """What a target states of its start."""
 
-    REGISTERED = "registered"
-    LATER = "later"
-    UNKNOWN = "unknown"  # it gave no report
+    REGISTERED = "registered"  # or it contradicts nothing, as one side states none
+    OTHER = "other"
+    UNSTATED = "unstated"  # it answered, but gives no reports
+    UNKNOWN = "unknown"  # no answer came that only a target gives
 
 
 class TargetEdge(Service, TargetPort):
@@ -306,12 +307,11 @@
         The report is queried after the target has accepted a stream: if it states the
         registered start, no later incarnation writes that stream.
         """
-        for _ in range(CONFIRM_TRIES):
-            match await self._query_start(target):
-                case Start.REGISTERED:
-                    return ""
-                case Start.LATER:
-                    return "it has restarted since it registered"
+        match await self._confirm_start(target):
+            case Start.REGISTERED:
+                return ""
+            case Start.OTHER:
+                return "it has restarted since it registered"
         return "its start is not confirmed"
 
     async def _query_start(self, target: Target) -> Start:
@@ -320,13 +320,14 @@
         TargetRestarted is dispatched if it states another one.
         """
         info = target.info
-        report = await self._query_report(target)
+        reply = await self._query_state(target)
+        report = reply.report
         if report is None:
-            return Start.UNKNOWN
+            return Start.UNSTATED if reply.answered else Start.UNKNOWN
         if not contradicts_registration(info, report.born):
             return Start.REGISTERED
         self._dispatch(TargetRestarted(info.incarnation, report.born))
-        return Start.LATER
+        return Start.OTHER
 
     async def _is_outdated(self, copy: RunCopy) -> bool:
         """Return whether an engine of a copy has restarted, as far as can be known.
@@ -426,7 +427,8 @@
     ) -> Event:
         attempt = effect.attempt
         self._heads[attempt] = answers.read_head(response)
-        self._dispatch(StreamOpened(attempt))
+        delimited = is_delimited(response)
+        self._dispatch(StreamOpened(attempt, delimited))
         splitter = EventSplitter()
         events = 0
         async for chunk in response.content.iter_any():
@@ -440,17 +442,20 @@
                     self._dispatch(ReadingPaused(attempt, True))
                     await exchange.buffer.wait_for_room()
                     self._dispatch(ReadingPaused(attempt, False))
-        reason = explain_incomplete(
-            NumberedStream(
-                is_delimited(response),
-                events,
-                len(splitter.incomplete),
-                await self._has_outlived(effect, response, asks_start=True),
-            )
+        full = _is_full(effect, events)
+        outlived = full or await self._has_outlived(effect, response)
+        end = NumberedStream(
+            delimited,
+            events,
+            len(splitter.incomplete),
+            full,
+            outlived,
+            continues=effect.after is not None,
         )
+        reason = explain_incomplete(end)
         if reason:
             return AttemptLost(attempt, Loss.BROKEN, detail=reason)
-        return StreamEnded(attempt)
+        return StreamEnded(attempt, confirmed=delimited or full)
 
     async def _read_answer(
         self,
@@ -550,35 +555,38 @@
         return explain_incomplete(Body(is_delimited(response), size, outlived))
 
     async def _has_outlived(
-        self,
-        effect: OpenAttempt,
-        response: aiohttp.ClientResponse,
-        asks_start: bool = False,
+        self, effect: OpenAttempt, response: aiohttp.ClientResponse
     ) -> bool:
-        """Return whether a target lives after its answer, as far as can be known.
+        """Return whether a target states that it lives after its answer.
 
         It is not asked if the body is delimited, as the framing shows whether the
-        answer is complete. A target that listens may have restarted since it wrote the
-        answer; with ``asks_start`` it is asked for its start as well.
+        answer is complete. An accepted connection states nothing: a proxy, a
+        supervisor, or the kernel for a stopped process accepts for a target that has
+        crashed.
         """
         if is_delimited(response):
             return True
-        host, port = response.url.host or "", response.url.port or 0
-        if not await outlives_answer(host, port, CONNECT_TIMEOUT_SECONDS):
-            return False
         target = self._find_target(effect.target)
-        if target is None or effect.relay is not None:
-            return True
-        if target.restarted or target.info.born != effect.born:
+        if target is None or target.restarted or target.info.born != effect.born:
             return False
-        if not asks_start:
-            return True
-        start = await self._query_start(target)
+        lives = await self._states_life(target)
         fields = {"target": target.name, "attempt": effect.attempt}
-        _log.info(
-            "answer ended with its connection", extra={**fields, "start": start.value}
-        )
-        return start is not Start.LATER
+        _log.info("answer ended with its connection", extra={**fields, "lives": lives})
+        return lives
+
+    async def _states_life(self, target: Target) -> bool:
+        """Return whether a target answers, and does not state another start."""
+        start = await self._confirm_start(target)
+        return start in (Start.REGISTERED, Start.UNSTATED)
+
+    async def _confirm_start(self, target: Target) -> Start:
+        """Query a target for its start, again if no answer comes."""
+        start = Start.UNKNOWN
+        for _ in range(CONFIRM_TRIES):
+            start = await self._query_start(target)
+            if start is not Start.UNKNOWN:
+                break
+        return start
 
     def copy_run(self, effect: CopyRun) -> None:
         """Order an engine to copy a run to another engine.
@@ -619,20 +627,23 @@
         if await _listens(target) is False:
             self._dispatch(TargetDown(target.info.incarnation))
 
-    def check_target(self, target: str) -> None:
+    def check_target(self, target: str, asks_life: bool = False) -> None:
         """Check whether a connection to a target can be established.
 
         The result is dispatched as TargetChecked.
         """
-        self._run_in_background(self._check(target))
+        self._run_in_background(self._check(target, asks_life))
 
-    async def _check(self, name: str) -> None:
+    async def _check(self, name: str, asks_life: bool) -> None:
         target = self._find_target(name)
         if target is None:
             return
         opened = self._clock.now()
         reached = await _listens(target) is True
-        self._dispatch(TargetChecked(name, opened, reached))
+        lives = None
+        if asks_life:
+            lives = reached and await self._states_life(target)
+        self._dispatch(TargetChecked(name, opened, reached, lives))
 
     def read_report(self, target: str, start_only: bool = False) -> None:
         """Query an engine for its state.
@@ -647,7 +658,7 @@
         if target is None:
             return
         info = target.info
-        report = await self._query_report(target)
+        report = (await self._query_state(target)).report
         if report is None:
             return
         if contradicts_registration(info, report.born):
@@ -655,27 +666,35 @@
         elif not start_only:
             self._dispatch(report)
 
-    async def _query_report(self, target: Target) -> EngineReported | None:
-        """Return an engine's report; None if there is none, which is logged."""
+    async def _query_state(self, target: Target) -> "_Reply":
+        """Query a target for its state; a failure is logged.
+
+        Plain services give no report: they reject the query, which bears no id of a
+        request, as not run.
+        """
         assert self._session is not None
         url = f"http://{target.info.address}/figstep/report"
         requested_at = self._clock.now()
         try:
             async with (
                 asyncio.timeout(REPORT_TIMEOUT_SECONDS),
-                self._session.get(url) as response,
+                self._session.get(
+                    url, headers={names.EXPECTED_TARGET: target.name}
+                ) as response,
             ):
                 self._dispatch_target_signals(response, target, requested_at)
+                if answers.rejects_query(response):
+                    return _Reply(None, True)
                 body = await read_body(response, MAX_REPORT_BYTES)
             if response.status != 200:
                 raise ValueError(f"answered {response.status}")
-            return answers.parse_report(target.name, body)
+            return _Reply(answers.parse_report(target.name, body), True)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             _log.info(
                 "cannot read engine report",
                 extra={"target": target.name, "error": _describe_error(error)},
             )
-            return None
+            return _Reply(None, False)
 
     def _run_in_background(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -754,6 +773,13 @@
             await copies.free_copy(self._session, copy.address, copy.handle)
 
 
+def _is_full(effect: OpenAttempt, events: int) -> bool:
+    """Return whether a stream's output has reached its maximum with its last event."""
+    if effect.max_events is None:
+        return False
+    return (effect.after or 0) + events >= effect.max_events
+
+
 def _state_length(exchange: CallerExchange) -> list[tuple[str, str]]:
     """Return the header that states the length of a body, if there is one."""
     if not exchange.body:
@@ -761,6 +787,19 @@
     return [("Content-Length", str(len(exchange.body)))]
 
 
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """Reply to a query of a target's state.
+
+    Attributes:
+        report: Report of an engine; None if there is none.
+        answered: Whether an answer came that only a target gives.
+    """
+
+    report: EngineReported | None
+    answered: bool
+
+
 @dataclass(slots=True)
 class _Chunks:
     """Start of an answer, or all of it.
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -644,6 +644,18 @@
     assert name_part("guilty") in harness.state.targets.targets[opened.target].lost
 
 
+@pytest.mark.parametrize("lives", [False, None])
+def test_an_accepted_connection_clears_no_parts(lives: bool | None) -> None:
+    """Guards against a crashed engine whose address lives on and clears its parts."""
+    harness, opened = answer_shortly()
+    harness.reachable = False
+    harness.clock.advance(WRITING_DURATION)
+    harness.handle(Ticked())
+    asked = harness.clock.now()
+    harness.handle(TargetChecked(opened.target, asked, True, lives))
+    assert harness.state.crashes.is_suspected(name_part("guilty"))
+
+
 def test_short_answers_are_forgotten_if_their_engine_is_gone() -> None:
     """Guards against a list of answers that grows with each engine that goes."""
     harness, _opened = answer_shortly()
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -6,6 +6,7 @@
 import aiohttp
 import pytest
 from aiohttp import web
+from multidict import CIMultiDict
 
 from tests.afterlife import Afterlife
 from tests.framing import Framing, RawAnswer
@@ -20,7 +21,7 @@
 EVENTS = 20
 """Number of events in a whole stream; the targets write events of four tokens."""
 
-EARLY = 12
+EARLY = 10
 """Event after which a stream is closed early; a backup of the run has arrived then."""
 
 EVENT_INTERVAL = 0.045
@@ -193,15 +194,16 @@
     """Guards against a stream closed between two events, and a loss of whole ones."""
     await configure(place, True, moves=True)
     target = place.targets["i-e1"]
-    endings = iter([last, EVENTS])
+    endings = iter([last])
 
     async def answer(request: web.Request) -> web.StreamResponse:
-        return await stream_until(target, next(endings))(request)
+        return await stream_until(target, next(endings, EVENTS))(request)
 
     target.handler = answer
     assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
-    asked = [one.get("Last-Event-Id") for one in target.received_headers]
-    assert asked == [None, str(last)]
+    received = [CIMultiDict(headers) for headers in target.received_headers]
+    asked = [headers.get("Last-Event-Id") for headers in received]
+    assert asked == [None, *sorted({str(last), str(EVENTS)})]
 
 
 async def test_a_stream_is_broken_off_if_the_question_for_its_rest_gets_no_answer(
