Check the first events of a stream like the later ones

Found by reading: events were compared with their predecessors only once a stream had begun. A gap, a repeat or a step back within the first read went through to the caller, and so did a resumed stream that began later than the event that was asked for.

Now events have to follow each other from the first one on, and a stream that its caller takes up begins with the event after the last one. An attempt whose first events are out of order counts as garbled, and is recovered as such.

--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -1,9 +1,19 @@
 """Delivers streams in order, each event once, and detects stalls."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import attempts, copies, crashes, origins, pace, requests, stops
+from figstep.gateway import (
+    attempts,
+    copies,
+    crashes,
+    origins,
+    pace,
+    recovery,
+    requests,
+    stops,
+)
 from figstep.gateway.effects import (
     BeginStream,
+    CloseAttempt,
     Count,
     Deliver,
     Effect,
@@ -12,6 +22,8 @@
     Observe,
 )
 from figstep.gateway.events import (
+    AttemptLost,
+    Loss,
     PiecesArrived,
     ReadingPaused,
     StreamEnded,
@@ -93,7 +105,8 @@
     """Deliver events to the caller, each once and in order.
 
     The first events of a standby attempt complete the switch to it. A gap between the
-    ids of events breaks the stream.
+    ids of events breaks the stream. A stream may begin with any id, but one that its
+    caller takes up begins with the event after the last one.
     """
     attempt = state.attempts.get(event.attempt)
     if attempt is None:
@@ -103,14 +116,17 @@
     effects: list[Effect] = []
     if attempt is request.standby:
         effects += _promote_standby(state, request, attempt, now)
-    data = []
+    data: list[bytes] = []
     last = request.delivered
+    continued = request.stream_begun or request.spec.after is not None
     for piece in event.pieces:
-        if piece.index <= last and request.pieces + request.delivered:
+        if continued and piece.index <= last:
             # A resumed run repeats events that the other engine has sent meanwhile.
             continue
-        if request.stream_begun and piece.index != last + 1:
-            return effects + _break_out_of_order(state, request, piece.index, now)
+        if (continued or data) and piece.index != last + 1:
+            return effects + _break_out_of_order(
+                state, request, attempt, piece.index, now
+            )
         data.append(piece.data)
         last = piece.index
     if not data:
@@ -201,7 +217,7 @@
 
 
 def _break_out_of_order(
-    state: State, request: Request, index: int, now: Millis
+    state: State, request: Request, attempt: Attempt, index: int, now: Millis
 ) -> list[Effect]:
     note = Note(
         "events out of order",
@@ -211,7 +227,14 @@
             "came": index,
         },
     )
-    return [note, *requests.break_stream(state, request, "out_of_order", now)]
+    if request.stream_begun:
+        return [note, *requests.break_stream(state, request, "out_of_order", now)]
+    lost = AttemptLost(attempt.number, Loss.GARBLED, detail="events out of order")
+    return [
+        note,
+        CloseAttempt(attempt.number),
+        *recovery.recover_attempt(state, lost, now),
+    ]
 
 
 def finish_stream(state: State, event: StreamEnded, now: Millis) -> list[Effect]:
