Ask for the rest of a stream that its living target closed between two events

Callers saw plans that ended as complete after 40 of 80 events, and checks after 2 of 4. Their targets lived and had closed answers with neither a length nor chunks in order.

Cause: HTTP leaves open whether such an answer is complete, and the entry turned the close into its own end marker, which says more than it knows.

A stream is complete if its framing says so or its output has reached its maximum. Else its rest is asked for after the last event: of the holder of a copy of the run, or of the same target, which still has the prompt, where the route may be resumed. A continuation without an event, or a holder whose backup is gone, states that nothing follows; events that come go on to the caller. Runs of streams without a length are copied early, so that there is somebody to ask. If the question gets no answer, the stream is broken off (end_unconfirmed). Where nobody could be asked at all, the close of the living target counts: a plain service, or the only engine.

--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -211,13 +211,14 @@
         return False
     if now - current.target.left_at >= SWITCH_WAIT_TIMEOUT:
         return False
-    if not copy.on_order and _may_lack_backup(current, now):
+    if not copy.on_order and may_lack_backup(current, now):
         return True
     holder = state.targets.find(copy.holder.target)
     return holder is not None and holder.reading_load > 0
 
 
-def _may_lack_backup(attempt: Attempt, now: Millis) -> bool:
+def may_lack_backup(attempt: Attempt, now: Millis) -> bool:
+    """Return whether the running backup of an attempt may not have arrived yet."""
     since = attempt.first_delivery_at
     return since is None or now - since < BACKUP_ARRIVAL_DELAY
 
@@ -420,6 +421,9 @@
         ):
             return False
         return now - request.copied_at >= REFRESH_AGE_FRACTION * pool.copy_retention
+    if request.open_ended:
+        # Its holder is asked whether the stream is complete.
+        return True
     return count_remaining_tokens(state, request) >= MIN_REMAINING_TOKENS
 
 
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -8,6 +8,7 @@
     crashes,
     departures,
     eligibility,
+    ends,
     eras,
     evacuations,
     history,
@@ -103,7 +104,7 @@
         case RequestArrived():
             return requests.admit_request(state, event, now)
         case StreamEnded():
-            return streams.finish_stream(state, event, now)
+            return ends.finish_stream(state, event, now)
         case AnswerBegan():
             return requests.begin_answer(state, event, now)
         case ReadingPaused():
@@ -111,6 +112,9 @@
         case AnswerArrived():
             return requests.finish_answer(state, event, now)
         case AttemptLost():
+            confirmed = ends.confirm_by_refusal(state, event, now)
+            if confirmed is not None:
+                return confirmed
             return recovery.recover_attempt(state, event, now)
         case TargetDown():
             return recovery.handle_target_down(state, event, now)
@@ -346,6 +350,7 @@
     effects += reach.check_links(state, now)
     effects += copies.migrate_streams(state, now)
     effects += streams.check_streams(state, now)
+    effects += ends.end_unanswered(state, now)
     effects += crashes.clear_written(state, now)
     effects += reports.query_engines(state, now)
     effects += copies.drop_copies_for_memory(state, now)
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -77,6 +77,7 @@
     "no_room_in_time": "no target had room in time; come back after Retry-After",
     "retry_budget": "targets refused it; come back after Retry-After",
     "cut_off": "this entry reaches no target; send the request again, to another one",
+    "end_unconfirmed": "nothing states that the stream is complete",
     "deadline": "no answer came in time; it may have run if it was sent",
 }
 """Detail of a problem by reason: what the caller can do."""
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -168,6 +168,8 @@
             then stands for that entry, and is in no table.
         sample_began_at: When the measurement of its engine's pace began, or None.
         sample_events: Events that have arrived since then.
+        asks_end: Whether it was opened to learn whether a stream is complete.
+        refusal_confirms: Whether its target refuses it only if the stream is complete.
     """
 
     number: int
@@ -186,6 +188,8 @@
     relay: RelayTo | None = None
     sample_began_at: Millis | None = None
     sample_events: int = 0
+    asks_end: bool = False
+    refusal_confirms: bool = False
 
 
 @dataclass(slots=True)
@@ -208,6 +212,8 @@
         copy_ordered_at: When a copy was last ordered.
         copied_at: When its copy on order was made or last refreshed.
         copying: Whether a copy on order is being made.
+        open_ended: Whether its stream has neither a length nor chunks, so that its end
+            has to be confirmed.
         copy_destination: Target that holds a copy on order or is to hold it, or None.
         copy_memory: Tokens of memory that this copy takes there.
         copy_source: Target that is being copied from, or None.
@@ -261,6 +267,7 @@
     copy_ordered_at: Millis = Millis(0)
     copied_at: Millis = Millis(0)
     copying: bool = False
+    open_ended: bool = False
     copy_destination: Target | None = None
     copy_memory: int = 0
     copy_source: Target | None = None
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -17,7 +17,6 @@
     Count,
     Deliver,
     Effect,
-    FinishStream,
     Note,
     Observe,
 )
@@ -26,7 +25,6 @@
     Loss,
     PiecesArrived,
     ReadingPaused,
-    StreamEnded,
     StreamOpened,
 )
 from figstep.gateway.routes import RouteKind
@@ -81,8 +79,11 @@
 def handle_stream_opened(state: State, event: StreamOpened) -> list[Effect]:
     """Record that the headers of an attempt's stream arrived."""
     attempt = state.attempts.get(event.attempt)
-    if attempt is not None:
-        attempt.answered = True
+    if attempt is None:
+        return []
+    attempt.answered = True
+    if attempt.first_delivery_at is None:
+        state.requests[attempt.request].open_ended = not event.delimited
     return []
 
 
@@ -115,7 +116,7 @@
     attempts.record_prompt_read(attempt, now)
     effects: list[Effect] = []
     if attempt is request.standby:
-        effects += _promote_standby(state, request, attempt, now)
+        effects += promote_standby(state, request, attempt, now)
     data: list[bytes] = []
     last = request.delivered
     continued = request.stream_begun or request.spec.after is not None
@@ -138,7 +139,7 @@
         request.longest_pause = max(request.longest_pause, pause)
         request.smoothed_pause += PAUSE_SMOOTHING * (pause - request.smoothed_pause)
     else:
-        effects += _begin_stream(state, request, attempt, now)
+        effects += begin_stream(state, request, attempt, now)
     pace.record_events(state, request, attempt, len(data), now)
     request.delivered = last
     request.delivered_at = now
@@ -155,9 +156,10 @@
     return effects
 
 
-def _begin_stream(
+def begin_stream(
     state: State, request: Request, attempt: Attempt, now: Millis
 ) -> list[Effect]:
+    """Begin to send the caller a stream, with the head of an attempt's answer."""
     request.stream_begun = True
     if request.origin is None:
         request.origin = origins.find_origin(state, attempt)
@@ -183,9 +185,10 @@
         request.copy = build_backup(holder, request.spec.id)
 
 
-def _promote_standby(
+def promote_standby(
     state: State, request: Request, standby: Attempt, now: Millis
 ) -> list[Effect]:
+    """Complete the switch of a stream to its standby attempt."""
     previous = request.current
     effects = attempts.close_attempt(state, previous, now)
     request.current = standby
@@ -237,29 +240,6 @@
     ]
 
 
-def finish_stream(state: State, event: StreamEnded, now: Millis) -> list[Effect]:
-    """End the caller's stream as complete, after its target has done so."""
-    attempt = state.attempts.get(event.attempt)
-    if attempt is None:
-        return []
-    request = state.requests[attempt.request]
-    effects: list[Effect] = []
-    if attempt is request.standby:
-        effects += _promote_standby(state, request, attempt, now)
-    if not request.stream_begun:
-        effects += _begin_stream(state, request, attempt, now)
-    attempts.end_attempt(state, attempt)
-    effects += crashes.record_whole(state, request, attempt, now)
-    effects += attempts.close_request(state, request, now)
-    return [
-        *effects,
-        FinishStream(request.spec.number),
-        Count("answered", (request.route.name, "200")),
-        Observe("answer_time", now - request.arrived, request.route.name),
-        requests.describe_end(request, "whole stream", "", now),
-    ]
-
-
 def check_streams(state: State, now: Millis) -> list[Effect]:
     """Switch stalled streams to their copies, and end overlaps that last too long.
 
