--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -95,20 +95,12 @@
     seed: int, folder: Path, arguments: argparse.Namespace
 ) -> tuple[int, list[str]]:
     # Several sites on one event loop would delay each other.
+    options = f"--seed {seed} --folder {folder} --entries {arguments.entries}"
+    options += f" --engines {arguments.engines} --extras"
+    extras = [] if arguments.plain else arguments.extras
     process = await asyncio.create_subprocess_exec(
         sys.executable,
-        "-m",
-        "tests.faults",
-        "--seed",
-        str(seed),
-        "--folder",
-        str(folder),
-        "--entries",
-        str(arguments.entries),
-        "--engines",
-        str(arguments.engines),
-        "--extras",
-        *([] if arguments.plain else arguments.extras),
+        *("-m", "tests.faults", *options.split(), *extras),
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
     )
--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -42,9 +42,6 @@
 DOCUMENTS = 5
 """Number of documents that prompts share."""
 
-CONNECTIONS = 4
-"""Connections to each entry; not used, as the sessions do not limit them."""
-
 METHODS = ("POST", "POST", "GET", "PUT", "DELETE")
 """Methods of calls to plain services, POST twice as often.
 
@@ -62,14 +59,7 @@
 
 @dataclass(slots=True)
 class EntryEndpoint:
-    """Address and readiness of one entry, as callers know them.
-
-    Attributes:
-        entry: Number of the entry.
-        address: Address that callers connect to, as "ip:port".
-        incarnation: Number of restarts of the entry's process.
-        ready: Whether the last readiness check of the entry succeeded.
-    """
+    """Address, number of restarts and readiness of an entry, as callers know them."""
 
     entry: int
     address: str
@@ -82,9 +72,6 @@
     """Generator of random requests to all entries.
 
     Attributes:
-        record: Record to which each attempt is added.
-        rng: Source of all random choices except methods.
-        endpoints: Endpoints of all entries.
         list_paths: Returns paths that have, had or never had a route.
         list_keys: Returns keys that are, or were, in force.
         methods: Source of the methods of calls; separate, so that drawing them does
@@ -158,10 +145,7 @@
     async def send_crashing(self, kind: Kind, name: str) -> None:
         """Send a request that crashes each target that runs it, and await its end.
 
-        Args:
-            kind: Kind of the request.
-            name: Name of the request; requests with the same kind and name are
-                the same request to the entries.
+        Requests with the same kind and name are the same request to the entries.
         """
         endpoint = self._choose_endpoint()
         path = f"/{kind.value}/{CRASHING}{name}"
--- a/tests/faults/links.py
+++ b/tests/faults/links.py
@@ -40,10 +40,7 @@
         self._ended: dict[str, socket.socket] = {}
 
     async def translate(self, value: bytes) -> bytes:
-        """Return a registration with the address of the proxy before its target.
-
-        Other records are returned unchanged.
-        """
+        """Return a record; a registration gets the address of its target's proxy."""
         if not value:
             return value
         document = orjson.loads(value)
--- a/tests/faults/plans.py
+++ b/tests/faults/plans.py
@@ -1,4 +1,8 @@
-"""Plans of faults, drawn from a seed before a run starts."""
+"""Plans of faults, drawn from a seed before a run starts.
+
+In all faults, ``number`` is that of a target or entry, taken modulo the number of those
+that there are then, and ``seconds`` the duration.
+"""
 
 import random
 from dataclasses import dataclass
@@ -77,12 +81,7 @@
 SIGNALS_AND_CRASHES = (*SIGNALS, Extra.CRASHES)
 """Extras of the seeds that were recorded before there were others."""
 
-SIGNALS_TO_VERSIONS = (
-    *SIGNALS_AND_CRASHES,
-    Extra.BROKEN,
-    Extra.CUTS,
-    Extra.VERSIONS,
-)
+SIGNALS_TO_VERSIONS = (*SIGNALS_AND_CRASHES, Extra.BROKEN, Extra.CUTS, Extra.VERSIONS)
 """Extras of the seeds that were recorded before there were parts and crowds."""
 
 SIGNALS_TO_CROWDS = (*SIGNALS_TO_VERSIONS, Extra.PARTS, Extra.CROWDS)
@@ -96,31 +95,21 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryFault:
-    """Fault of the process of one entry.
-
-    Attributes:
-        action: ``kill``, ``stop``, ``freeze`` or ``reload``.
-        entry: Number of the entry; None for all at once.
-        seconds: Duration of a freeze.
-    """
+    """Fault of the process of one entry: one of ``ENTRY_ACTIONS``."""
 
     action: str
-    entry: int | None
+    entry: int | None  # None for all at once
     seconds: float
 
 
 @dataclass(frozen=True, slots=True)
 class LinkFault:
-    """Fault of a network link.
+    """Fault of a network link: one of ``LINK_ACTIONS``.
 
     Attributes:
-        action: ``delay``, ``stall``, ``lose_to``, ``lose_from``, ``cut``,
-            ``freeze``, ``half_open`` or ``lose_answers``.
         link: ``store`` for the link between an entry and the store, ``caller``
             for the link between callers and an entry, or ``target`` for the link
             between the entries and a target.
-        number: Number of the entry or target, taken modulo their count.
-        seconds: Duration; a ``cut`` has none.
     """
 
     action: str
@@ -131,13 +120,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreFault:
-    """Fault of the store that affects all entries.
-
-    Attributes:
-        action: ``away`` (the store answers 503 to all calls) or ``forget`` (it
-            deletes the records of all topics).
-        seconds: Duration of ``away``.
-    """
+    """Fault of the store: ``away`` (it answers 503) or ``forget`` (all records)."""
 
     action: str
     seconds: float
@@ -167,8 +150,6 @@
             registration says that it drains), ``grey`` (half of its calls fail),
             ``mute`` (it never answers) or ``full`` (it rejects requests as not
             run).
-        number: Number of the target, taken modulo the count of those that stay.
-        seconds: Duration of ``grey``, ``mute`` and ``full``.
     """
 
     action: str
@@ -185,9 +166,7 @@
             with Retry-After), ``BROKEN`` (half of the answers break off), ``ENDLESS``
             (half of them never end) or ``EARLY`` (half of the streams that end with
             their connection end between two events).
-        number: Number of the target, taken modulo the number of targets.
         value: Rate limit in requests per second, or Retry-After in seconds; else 0.
-        seconds: Duration.
     """
 
     kind: Extra
@@ -198,14 +177,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LeavingSignal:
-    """Signal of a target that announces in its answers that it leaves.
-
-    The registration in the store changes only later.
-
-    Attributes:
-        number: Number of the target, taken modulo the count of those that stay.
-        seconds: Time until the registration in the store changes.
-    """
+    """Target that announces in its answers, before the store knows, that it leaves."""
 
     number: int
     seconds: float
@@ -213,13 +185,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashingRequests:
-    """Caller that repeats a request that crashes each target that runs it.
-
-    Attributes:
-        stream: Whether the request is a stream; otherwise it is a read.
-        pause: Seconds between the end of a request and its repetition.
-        seconds: Time for which the caller repeats the request.
-    """
+    """Caller that repeats, after pauses, a stream or read that crashes each target."""
 
     stream: bool
     pause: float
@@ -228,12 +194,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashingPart:
-    """Callers whose prompts share one part, which crashes each engine that runs them.
-
-    Attributes:
-        pause: Seconds between the starts of two requests.
-        seconds: Time for which the requests come.
-    """
+    """Callers, at intervals, whose prompts share a part that crashes each engine."""
 
     pause: float
     seconds: float
@@ -241,12 +202,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Crowd:
-    """Time in which most callers come to one entry.
-
-    Attributes:
-        entry: Number of the entry, taken modulo the number of entries.
-        seconds: Duration.
-    """
+    """Time in which most callers come to one entry."""
 
     entry: int
     seconds: float
@@ -259,8 +215,6 @@
     Attributes:
         entry: Number of the entry, taken modulo the number of entries; also that of
             the target of a cut from one, modulo the number of targets.
-        kind: What becomes of its connections.
-        seconds: Duration of the cut.
         scope: One of ``CUT_SCOPES``; "" for all targets.
     """
 
@@ -272,12 +226,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OutlivedCrash:
-    """Crash of a target whose address goes on to accept connections.
-
-    Attributes:
-        number: Number of the target, taken modulo the count of those that stay.
-        seconds: Time until the address refuses connections.
-    """
+    """Crash of a target whose address goes on to accept connections."""
 
     number: int
     afterlife: Afterlife
@@ -289,7 +238,6 @@
     """Change of an engine's software version.
 
     Attributes:
-        number: Number of the engine, taken modulo the count of those that stay.
         same_id: Whether the engine starts again under its id; otherwise another one
             starts and this one drains.
         clock_step: Milliseconds by which its clock was set in between.
@@ -302,11 +250,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationChange:
-    """Change that publishes a new version of the configuration.
-
-    Attributes:
-        action: ``add_route``, ``drop_route``, ``add_key`` or ``drop_key``.
-    """
+    """Change that publishes a new version: one of ``CONFIGURATION_ACTIONS``."""
 
     action: str
 
@@ -331,12 +275,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """Fault with its time.
-
-    Attributes:
-        at: Seconds from the start of traffic.
-        fault: Fault to apply.
-    """
+    """Fault with its time, in seconds from the start of traffic."""
 
     at: float
     fault: Fault
@@ -345,18 +284,10 @@
 def draw_plan(
     seed: int, entries: int, seconds: float, extras: tuple[Extra, ...] = ALL_EXTRAS
 ) -> list[Step]:
-    """Return the steps of one run; the same seed gives the same plan.
-
-    A fault may be repeated shortly after it began, and all faults may overlap.
-
-    Args:
-        seed: Seed of the random choices.
-        entries: Number of entries.
-        seconds: Length of the part of the run in which faults are injected.
-        extras: Kinds of extra faults; each is drawn by its own random generator.
+    """Return the steps of one run by time; the same seed gives the same plan.
 
-    Returns:
-        The steps, sorted by time.
+    A fault may be repeated shortly after it began, and all faults may overlap. Those of
+    each extra are drawn by a random generator of their own.
     """
     rng = random.Random(seed)
     steps = []
--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -25,29 +25,22 @@
 """Crashes of targets by one request after which entries refuse the request."""
 
 PART_CRASHES_BEFORE_REFUSAL = 5
-"""Crashes of targets by one part of prompts after which entries refuse requests with
-it."""
+"""Crashes by one part of prompts after which entries refuse requests with it."""
 
 MAX_LATE_RUNS = 3
-"""Tolerated runs of requests with a cause that crashed so many targets.
-
-Runs count that begin more than STABILIZATION_SECONDS and TIMING_SLACK after the crash
-that reached this number.
-"""
+"""Tolerated runs, well after that, of requests with a cause that crashed so often."""
 
 MIN_CUT_SHARE = 2 / 3
-"""Smallest share of attempts that an entry without links to targets serves, as a
-fraction of the share that the others serve."""
+"""Smallest share that an entry without links serves, in shares of the others."""
 
 CUT_EXTRA = 10
 """Failed attempts that are tolerated at such an entry."""
 
 CUT_RATIO = 1 / 50
-"""Failed attempts that are tolerated there in addition, as a fraction of all."""
+"""Further failed attempts that are tolerated there, as a fraction of all."""
 
 MIN_CROWD_SHARE = 3 / 4
-"""Smallest share of attempts that are served while most callers come to one entry, as a
-fraction of the share in the seconds before."""
+"""Smallest share that is served in a crowd, in shares of the seconds before."""
 
 CROWD_COMPARISON_SECONDS = 5.0
 """Time before a crowd with which it is compared, in seconds."""
@@ -56,8 +49,7 @@
 """Attempts before and during a crowd that are needed to compare them."""
 
 PAUSE_START_DELAY = 0.5
-"""Time after a rejection with Retry-After from which requests of the same entry to
-the target are counted, in seconds."""
+"""Seconds after a rejection with Retry-After from which further requests count."""
 
 MAX_IN_PAUSE = 2
 """Upper bound of the requests of one entry to a target within its pause."""
@@ -72,34 +64,25 @@
 """Window of the fleet's retry budget in seconds, also written into the settings."""
 
 RETRY_RATIO = 0.2
-"""Repeats that the retry budget allows in a window, as a share of the requests of
-callers; also written into the settings."""
+"""Repeats in a window per request of callers; also written into the settings."""
 
 RETRY_EXTRA = 20
-"""Repeats that the retry budget allows in a window in addition to RETRY_RATIO; also
-written into the settings."""
+"""Repeats in a window besides RETRY_RATIO; also written into the settings."""
 
 RATE_WINDOW = 4.0
-"""Window in which the requests to a target that names a rate are counted, in seconds.
-"""
+"""Window of the requests to a target that names a rate, in seconds."""
 
 RATE_RATIO = 1.5
-"""Tolerated requests to a target in RATE_WINDOW, as a multiple of its named rate
-times the window."""
+"""Tolerated requests in RATE_WINDOW, in those that the named rate allows."""
 
 RATE_EXTRA = 5
-"""Tolerated requests to a target in RATE_WINDOW in addition to RATE_RATIO."""
+"""Tolerated requests in RATE_WINDOW besides RATE_RATIO."""
 
 RATE_START_DELAY = 0.5
-"""Time after the first answer that named a rate to an entry from which the requests
-of this entry count, in seconds."""
+"""Seconds from the first answer that names a rate until an entry's requests count."""
 
 TIMING_SLACK = 0.4
-"""Tolerance of all bounds on time, in seconds.
-
-Entries, callers and targets share one machine of eight cores, and on a busy machine
-timers fire late.
-"""
+"""Tolerance of bounds on time, in seconds: on a busy machine timers fire late."""
 
 REPEATABLE = (Kind.LOOKUP, Kind.RESUME)
 """Kinds of requests that may run more than once."""
@@ -108,8 +91,7 @@
 """Streams that have to be taken up before their share is judged."""
 
 MIN_RETURN_SHARE = 0.5
-"""Smallest share of the streams that go on as they are taken up, as a fraction of the
-share of new streams that begin."""
+"""Smallest share of streams taken up that go on, in shares of those that begin."""
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that tell a caller that its request did not run."""
@@ -119,12 +101,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Breach:
-    """Promise that a record shows to be broken.
-
-    Attributes:
-        promise: Name of the promise.
-        detail: Request, target or entry concerned, and what happened.
-    """
+    """Promise that a record shows to be broken, by name, and what happened."""
 
     promise: str
     detail: str
@@ -513,15 +490,7 @@
 ) -> dict[int, float]:
     """Return when each entry first received a complete answer of a target.
 
-    Args:
-        record: Record of a run.
-        target: Name of the target.
-        since: Time from which runs count, by their begin.
-        entries: Number of the entry of each request, by id of the request.
-
-    Returns:
-        Time of the first answer, by number of the entry; entries without one are
-        left out.
+    Only runs count that began at ``since`` or later; ``entries`` are those of requests.
     """
     first_answers: dict[int, float] = {}
     for run in record.runs:
@@ -560,10 +529,7 @@
 
 
 def _can_be_helped(record: Record, attempt: Attempt) -> bool:
-    """Return whether another entry was undisturbed while an attempt was open.
-
-    Otherwise no entry may have been there that could take the request.
-    """
+    """Return whether another entry was there that could take the request."""
     since = attempt.sent - STABILIZATION_SECONDS
     entries = {one.entry for one in record.attempts} - {attempt.entry}
     return any(record.is_undisturbed(one, since, attempt.ended) for one in entries)
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -35,20 +35,12 @@
     """One request that a target began to run.
 
     Attributes:
-        request: Id of the request.
-        target: Name of the target.
         generation: Name of the generation; a run that resumes from a copy has the
             name of the run that was copied.
-        began: Time at which the run began.
         ended: Time at which the run ended; None while it runs.
-        whole: Whether the run was completed.
-        status: HTTP status of the answer.
         customer: Customer named in the request that the target received.
         forged: System-only headers that reached the target with the caller's value.
         body: Body of the answer; empty for a stream.
-        crashed: Whether the run crashed the target.
-        broken_off: Whether the target broke its answer off.
-        version: Software version of the target.
     """
 
     request: str
@@ -71,13 +63,7 @@
     """One request of a caller with the answer that it received.
 
     Attributes:
-        id: Id of the request.
-        kind: Kind of the request.
-        entry: Number of the entry that it was sent to.
-        incarnation: Incarnation of that entry when the request was sent.
-        path: Path of the request.
-        key: Key of the caller.
-        sent: Time at which the request was sent.
+        incarnation: Incarnation of the entry when the request was sent.
         ended: Time at which the answer or the connection ended.
         status: HTTP status of the answer; 0 if none arrived.
         stamp: Value of the Server-Stamp header, which names the target.
@@ -123,14 +109,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Version:
-    """Version of the configuration.
-
-    Attributes:
-        number: Number of the version.
-        acknowledged: Time at which the store had acknowledged it.
-        paths: Paths that have a route.
-        keys: Keys that are in force.
-    """
+    """Version of the configuration, and when the store had acknowledged it."""
 
     number: int
     acknowledged: float
@@ -143,8 +122,6 @@
     """Graceful stop of an entry.
 
     Attributes:
-        entry: Number of the entry.
-        incarnation: Incarnation of the entry that was stopped.
         at: Time at which SIGTERM was sent.
         took: Seconds until the process ended; None if it was killed after its
             grace time.
@@ -161,10 +138,8 @@
     """Span of a fault, in which bounds on time are not checked.
 
     Attributes:
-        name: Name of the fault.
         entry: Number of the entry that is affected; None for all.
         target: Name of the target that is affected; "" for none.
-        start: Time at which the fault began.
         end: Time at which the fault ended; None while it lasts.
     """
 
@@ -181,14 +156,7 @@
 
 @dataclass(slots=True)
 class NamedRate:
-    """Span in which a target named a rate limit in its answers.
-
-    Attributes:
-        target: Name of the target.
-        rate: Rate limit in requests per second.
-        start: Time from which the target names it.
-        end: Time from which it is no longer named; None while it is.
-    """
+    """Span in which a target names a rate limit, in requests a second."""
 
     target: str
     rate: float
@@ -201,19 +169,13 @@
     """Observations of one run of the soak.
 
     Attributes:
-        runs: Runs of requests at targets.
-        attempts: Requests of callers.
-        versions: Versions of the configuration, oldest first.
         departures: Time at which the store acknowledged that a target leaves, by
             name of the target; infinity from the decision until then.
-        stops: Graceful stops of entries.
-        disturbances: Spans of the injected faults.
         arrivals: Requests that reached targets, including those that a target
             rejected as not run: time, service and id of each request. Requests
             that were meant for another instance (status 421) are left out.
         target_arrivals: Requests that reached targets, as in ``arrivals``, but
             with the target in place of its service: time, target and id.
-        rates: Spans in which targets named rate limits.
         leaving_since: Time from which a target announces in its answers that it
             leaves, by name of the target.
         pauses: Rejections with Retry-After: time, target, id of the request and
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -9,27 +9,9 @@
 
 from figstep.gateway.state import FULL_MESH_MAX_ENTRIES
 from figstep.standins.proxy import Delay, Direction, Lose, LoseAnswers, Stall, TcpProxy
+from tests.faults import plans
 from tests.faults.callers import EntryEndpoint, Traffic
 from tests.faults.links import EntryLinks
-from tests.faults.plans import (
-    ConfigurationChange,
-    CrashingPart,
-    CrashingRequests,
-    Crowd,
-    EntryCut,
-    EntryFault,
-    Extra,
-    Fault,
-    LeavingSignal,
-    LinkFault,
-    OutlivedCrash,
-    Release,
-    Step,
-    StoreFault,
-    StoreReturn,
-    TargetBehavior,
-    TargetFault,
-)
 from tests.faults.promises import RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW
 from tests.faults.records import (
     CRASHING,
@@ -42,12 +24,7 @@
     read_clock,
 )
 from tests.faults.targets import SoakTarget
-from tests.platform.processes import (
-    Network,
-    build_network,
-    query_ready,
-    start_entry,
-)
+from tests.platform.processes import Network, build_network, query_ready, start_entry
 from tests.platform.standins import FakeStore, build_configuration
 
 GRACE_SECONDS = 4.0
@@ -63,8 +40,7 @@
 """Pause between two readiness checks of all entries for the callers, in seconds."""
 
 SERVE_AFTER_NOTICE_SECONDS = 2.5
-"""Time for which a target still serves after its departure is in the store, in
-seconds."""
+"""Seconds for which a target serves after its departure is in the store."""
 
 RECOVERY_SECONDS = 4.0
 """Time after the last fault within which all must work again, in seconds."""
@@ -73,11 +49,7 @@
 """Interval of the timer that detects stalls of the event loop, in seconds."""
 
 LOOP_STALL_THRESHOLD = 0.2
-"""Delay of a timer of LOOP_CHECK_INTERVAL that is recorded as a stall, in seconds.
-
-The targets, callers, links and the store run on this loop, so that entries take them
-for silent during a stall.
-"""
+"""Delay of that timer which is recorded as a stall, in seconds."""
 
 FINAL_TRAFFIC_SECONDS = 2.0
 """Time of traffic after RECOVERY_SECONDS for the recovery check, in seconds."""
@@ -105,15 +77,6 @@
     """Entry instance with its process, its settings and the proxies around it.
 
     Attributes:
-        number: Number of the entry, from 0.
-        ready: Address of the readiness check, as "ip:port".
-        endpoint: Address and readiness as callers know them.
-        settings: Path of the settings file.
-        store: Proxy between the entry and the store.
-        front: Proxy between callers and the entry.
-        links: Links between the entry and the targets.
-        log: Path of the log file.
-        process: Current or last process; None before the first start.
         stopping: Whether the entry was stopped or killed and is not ready again.
         starting: Whether the entry has not been ready since its start.
     """
@@ -169,16 +132,13 @@
         self._has_cuts = False
         self._has_versions = False
 
-    async def run_plan(self, steps: list[Step], seconds: float) -> None:
-        """Run a plan, then a final phase without faults; fill the record.
-
-        Args:
-            steps: Faults with their times, sorted by time.
-            seconds: Length of the part of the run with faults.
-        """
+    async def run_plan(self, steps: list[plans.Step], seconds: float) -> None:
+        """Run a plan for some seconds, then without faults; fill the record."""
         # Without cuts, entries reach the targets with one proxy less in between.
-        self._has_cuts = any(isinstance(step.fault, EntryCut) for step in steps)
-        self._has_versions = any(isinstance(step.fault, Release) for step in steps)
+        self._has_cuts = any(isinstance(step.fault, plans.EntryCut) for step in steps)
+        self._has_versions = any(
+            isinstance(step.fault, plans.Release) for step in steps
+        )
         try:
             await self._start()
             self._traffic = self._build_traffic()
@@ -201,7 +161,7 @@
         finally:
             await self._shut_down()
 
-    async def _run_steps(self, steps: list[Step], seconds: float) -> None:
+    async def _run_steps(self, steps: list[plans.Step], seconds: float) -> None:
         start = read_clock()
         for step in steps:
             await asyncio.sleep(max(0.0, start + step.at - read_clock()))
@@ -317,52 +277,52 @@
             Version(number, read_clock(), paths, frozenset(self._keys))
         )
 
-    async def _apply_fault(self, fault: Fault) -> None:
+    async def _apply_fault(self, fault: plans.Fault) -> None:
         match fault:
-            case EntryFault(action=action, entry=number, seconds=seconds):
+            case plans.EntryFault(action=action, entry=number, seconds=seconds):
                 hosts = self._hosts if number is None else [self._hosts[number]]
                 await asyncio.gather(
                     *(self._apply_entry_fault(action, one, seconds) for one in hosts)
                 )
-            case LinkFault():
+            case plans.LinkFault():
                 await self._apply_link_fault(fault)
-            case StoreReturn():
+            case plans.StoreReturn():
                 await self._restore_store(fault)
-            case StoreFault(action=action, seconds=seconds):
+            case plans.StoreFault(action=action, seconds=seconds):
                 await self._apply_store_fault(action, seconds)
-            case TargetFault():
+            case plans.TargetFault():
                 await self._apply_target_fault(fault)
-            case TargetBehavior():
+            case plans.TargetBehavior():
                 await self._change_behavior(fault)
-            case LeavingSignal():
+            case plans.LeavingSignal():
                 await self._announce_leaving(fault)
-            case CrashingRequests():
+            case plans.CrashingRequests():
                 await self._send_crashing(fault)
-            case CrashingPart():
+            case plans.CrashingPart():
                 await self._send_crashing_part(fault)
-            case Crowd():
+            case plans.Crowd():
                 await self._crowd_entry(fault)
-            case EntryCut():
+            case plans.EntryCut():
                 await self._cut_entry(fault)
-            case OutlivedCrash():
+            case plans.OutlivedCrash():
                 await self._crash_outlived(fault)
-            case Release():
+            case plans.Release():
                 await self._release(fault)
-            case ConfigurationChange(action=action):
+            case plans.ConfigurationChange(action=action):
                 self._change_configuration(action)
                 await self._configure()
 
-    async def _change_behavior(self, fault: TargetBehavior) -> None:
+    async def _change_behavior(self, fault: plans.TargetBehavior) -> None:
         target = self._targets[fault.number % len(self._targets)]
         match fault.kind:
-            case Extra.RATE:
+            case plans.Extra.RATE:
                 span = NamedRate(target.name, fault.value, read_clock())
                 self.record.rates.append(span)
                 target.rates.append(fault.value)
                 await asyncio.sleep(fault.seconds)
                 target.rates.remove(fault.value)
                 span.end = read_clock()
-            case Extra.PAUSE:
+            case plans.Extra.PAUSE:
                 target.pauses.append(fault.value)
                 await asyncio.sleep(fault.seconds)
                 target.pauses.remove(fault.value)
@@ -375,7 +335,7 @@
             await asyncio.sleep(seconds)
             target.faults.remove(fault)
 
-    async def _cut_entry(self, fault: EntryCut) -> None:
+    async def _cut_entry(self, fault: plans.EntryCut) -> None:
         host = self._hosts[fault.entry % len(self._hosts)]
         if any(
             cut.entry == host.number and cut.end is None for cut in self.record.cuts
@@ -471,7 +431,7 @@
         host.starting = False
         host.stopping = False
 
-    async def _apply_link_fault(self, fault: LinkFault) -> None:
+    async def _apply_link_fault(self, fault: plans.LinkFault) -> None:
         if fault.link == "target":
             target = self._targets[fault.number % len(self._targets)]
             assert target.proxy is not None
@@ -493,7 +453,7 @@
             for topic in TOPICS:
                 self._store.delete_all(topic)
 
-    async def _restore_store(self, fault: StoreReturn) -> None:
+    async def _restore_store(self, fault: plans.StoreReturn) -> None:
         with self.record.disturb("store return"):
             await self._store.fail()
             await asyncio.sleep(fault.away)
@@ -505,7 +465,7 @@
             for topic, records in lost.items():
                 await self._store.write_again(topic, records)
 
-    async def _apply_target_fault(self, fault: TargetFault) -> None:
+    async def _apply_target_fault(self, fault: plans.TargetFault) -> None:
         target = self._choose_remaining(fault.number)
         if fault.action not in ("crash", "leave", "drain"):
             await self._misbehave(target, fault.action, fault.seconds)
@@ -513,7 +473,7 @@
         self.record.begin_disturbance(fault.action, None, target.name)
         await self._replace(target, fault.action)
 
-    async def _send_crashing(self, fault: CrashingRequests) -> None:
+    async def _send_crashing(self, fault: plans.CrashingRequests) -> None:
         assert self._traffic is not None
         self._name_count += 1
         name = str(self._name_count)
@@ -523,7 +483,7 @@
             await self._traffic.send_crashing(kind, name)
             await asyncio.sleep(fault.pause)
 
-    async def _send_crashing_part(self, fault: CrashingPart) -> None:
+    async def _send_crashing_part(self, fault: plans.CrashingPart) -> None:
         assert self._traffic is not None
         # All such callers share one part, also where they overlap.
         part = f"{CRASHING}part"
@@ -532,7 +492,7 @@
             self._start_task(self._traffic.send_crashing_part(part))
             await asyncio.sleep(fault.pause)
 
-    async def _crowd_entry(self, fault: Crowd) -> None:
+    async def _crowd_entry(self, fault: plans.Crowd) -> None:
         assert self._traffic is not None
         endpoints = self._traffic.endpoints
         endpoint = endpoints[fault.entry % len(endpoints)]
@@ -554,7 +514,7 @@
         self.record.departures[target.name] = float("inf")
         self._start_task(self._replace(target, "crash"))
 
-    async def _release(self, fault: Release) -> None:
+    async def _release(self, fault: plans.Release) -> None:
         departing = self.record.departures | self.record.leaving_since
         engines = [
             one
@@ -569,7 +529,7 @@
             else:
                 await self._replace(target, "drain")
 
-    async def _crash_outlived(self, fault: OutlivedCrash) -> None:
+    async def _crash_outlived(self, fault: plans.OutlivedCrash) -> None:
         target = self._choose_remaining(fault.number)
         self.record.begin_disturbance("crash", None, target.name)
         self.record.departures[target.name] = float("inf")
@@ -587,7 +547,7 @@
         remaining = [one for one in self._targets if one.name not in departing]
         return remaining[number % len(remaining)]
 
-    async def _announce_leaving(self, fault: LeavingSignal) -> None:
+    async def _announce_leaving(self, fault: plans.LeavingSignal) -> None:
         target = self._choose_remaining(fault.number)
         self.record.leaving_since[target.name] = read_clock()
         await self._add_target(target.service)
--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -15,12 +15,7 @@
 from tests.afterlife import Afterlife, answer_for_crashed
 from tests.faults.records import CRASHING, EVENTS, Kind, Record, Run, read_clock
 from tests.framing import Framing, RawAnswer, choose_framing
-from tests.platform.standins import (
-    FakeStore,
-    Handler,
-    build_registration,
-    start_app,
-)
+from tests.platform.standins import FakeStore, Handler, build_registration, start_app
 
 FORGED = "forged"
 """Value with which callers forge headers that only the system may set."""
@@ -48,11 +43,6 @@
     """Target behind a proxy of its own.
 
     Attributes:
-        name: Id of the target.
-        service: Name of the service.
-        record: Record to which arrivals and runs are added.
-        rng: Source of the durations of calls and of the choice of calls that fail.
-        targets_by_address: All targets, by their registered addresses.
         crash: Called with this target when a request crashes it; ends the target
             with all its runs.
         faults: What is wrong with it: ``grey`` (half of its calls are answered with
@@ -66,11 +56,6 @@
             are any, requests are rejected with the longest; requests that resume
             from a copy are accepted.
         copies: Generation of which the target holds a copy, by request.
-        running: Open run, by request.
-        proxy: Proxy before the target; None before the start.
-        runner: HTTP server of the target; None before the start.
-        version: Version of its software.
-        ended: Whether it was killed.
         afterlife: What its address does with connections after its crash; None if it
             refuses them.
         born: Start of its incarnation, which it registers and reports, as a Unix time
@@ -343,13 +328,7 @@
 
 
 async def _wait_for_close(request: web.Request) -> None:
-    """Wait until the peer closes the connection of a request.
-
-    The HTTP server does not cancel a handler as that happens.
-
-    Raises:
-        ConnectionResetError: If the peer has closed the connection.
-    """
+    """Raise ConnectionResetError once the peer has closed a request's connection."""
     async with asyncio.timeout(MAX_MUTE_SECONDS):
         while request.transport is not None and not request.transport.is_closing():
             await asyncio.sleep(EVENT_INTERVAL)
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -16,12 +16,7 @@
 from tests.faults.records import Record
 
 SEEDS = [11, 2398170]
-"""Seeds without extras; each seed that failed is added here with its cause.
-
-2398170: the proxy before the entry dropped 37 events of a stream and passed on the
-next ones over the same connection, which no network does; the entry had delivered
-all 80.
-"""
+"""Seeds without extras; each seed that failed is added here."""
 
 SIGNAL_SEEDS = [
     (8381831, (Extra.RATE,)),
@@ -30,17 +25,7 @@
     (3103866, SIGNALS),
     (3103878, SIGNALS),
 ]
-"""Seeds with targets that send signals about themselves, with the extras drawn.
-
-8381831, 8381837: the answer to a state query or to a copy order named no rate and
-thereby ended the rate limit that the engine had named in its answers to requests.
-
-3103866: the recovery check counted 404s of paths without a route as callers that were
-not served.
-
-3103878: of a grace time of 4 s too little was left to close an open answer and to end
-the process.
-"""
+"""Seeds with targets that send signals about themselves, with the extras drawn."""
 
 
 CRASHING_SEEDS = [
@@ -53,25 +38,7 @@
     (10987071, SIGNALS_TO_VERSIONS),
     (10987080, SIGNALS_TO_VERSIONS),
 ]
-"""Seeds with requests that crash the targets that run them, with the extras drawn.
-
-45: the HTTP client repeated calls by itself, so that orders ran twice and a read that
-crashed its targets was sent to one target after another as if it had not run.
-
-9130283: the soak replaced a target twice that crashed after it had announced that it
-leaves.
-
-15367845: the soak replaced a target twice that two requests crashed at the same time.
-
-15367847, 15367872: on a busy machine too little of the grace time was left for the
-process to end.
-
-10987071: lookups with the same path and body as ones that were at crashes were refused.
-10987080: a request was refused that crashes no target.
-
-1679473: the handover check counted a run that its entry had abandoned before the
-target began it.
-"""
+"""Seeds with requests that crash the targets that run them, with the extras drawn."""
 
 
 async def run_held(folder: Path, seed: int, *extras: Extra) -> Record:
@@ -83,12 +50,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_promises_hold_under_faults(seed: int, tmp_path: Path) -> None:
-    """Guards against incomplete, duplicate or wrong answers under faults.
-
-    Entries are killed, frozen and stopped, links delayed and cut, targets leave and
-    crash, and the store becomes unavailable, as drawn from the seed. All promises are
-    checked on the records of callers and targets.
-    """
+    """Guards against incomplete, duplicate or wrong answers under faults."""
     record = await run_held(tmp_path, seed)
     assert sum(attempt.status == 200 for attempt in record.attempts) > 50
 
@@ -118,17 +80,7 @@
     (1497160, (*SIGNALS_AND_CRASHES, Extra.BROKEN, Extra.CUTS)),
     (10987068, SIGNALS_TO_VERSIONS),
 ]
-"""Seeds with entries that lose the links to all targets, with the extras drawn.
-
-21, 1497160: entries rejected the requests that others passed on to them, as these did
-not come from the address by which an entry is known.
-
-10987068: while the entry was cut off, one of the two others was stopped and the other
-one killed, so that nobody could serve its callers.
-
-1497154: the soak could not listen again at the port of a cut link, which another
-socket had taken meanwhile.
-"""
+"""Seeds with entries that lose the links to all targets, with the extras drawn."""
 
 
 @pytest.mark.parametrize(("seed", "extras"), CUT_SEEDS)
@@ -168,14 +120,7 @@
     (10987060, SIGNALS_TO_VERSIONS),
     (10987075, SIGNALS_TO_VERSIONS),
 ]
-"""Seeds with engines that change their software version, with the extras drawn.
-
-61, 62: streams went on at another version, within an answer and as callers came back.
-
-10987054: streams were taken up at an engine that had started again under its id as
-another version, before its registration was read. 10987060, 10987075: streams of two
-versions; the plans have such restarts.
-"""
+"""Seeds with engines that change their software version, with the extras drawn."""
 
 
 @pytest.mark.parametrize(("seed", "extras"), VERSION_SEEDS)
@@ -227,15 +172,7 @@
     5323946: SIGNALS_TO_ENDLESS,
     5323954: SIGNALS_TO_ENDLESS,
 }
-"""Seeds with many extras, which failed, with the extras drawn.
-
-14514606, 14514616: sound streams were refused for what crashed beside them, as requests
-and a part crash engines at the same time. 14514612: besides, a part came to engines
-four times too late. 14514615: besides, an entry with most callers served worse.
-14514607, 5323954: a stream went on at another software version. 14866571, 14866610: a
-part, and in the first a request, came to engines too late. 5323946: sound streams were
-refused for a document.
-"""
+"""Seeds with many extras, which failed, with the extras drawn."""
 
 
 @pytest.mark.parametrize("seed", MIXED_SEEDS)
@@ -247,11 +184,7 @@
 
 
 OPEN_END_SEEDS = [(9, Extra.AFTERLIFE), (32, Extra.EARLY), (48, Extra.CLOCKS)]
-"""Seeds that broke the order of streams, with the extra drawn.
-
-9: crashed targets whose address went on to accept connections. 32: living targets that
-closed streams between two events. 48: an engine that started again, its clock set back.
-"""
+"""Seeds that broke the order of streams, with the extra drawn."""
 
 
 @pytest.mark.parametrize(("seed", "extra"), OPEN_END_SEEDS)
