Stop the run of a stream that is asked for elsewhere; tests of its decisions

A target that closed a stream between two events may go on with the run although its connection is closed. A request that goes on at the holder of a copy would then be generated twice, as after a lost attempt, where the order to stop has been sent before.

The tests pin what states the end of a stream, and what does not: a holder that is full, out of reach or silent, and a backup that may not have arrived. That of the order fails without this change.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -18,6 +18,7 @@
     peers,
     placement,
     requests,
+    stops,
     streams,
 )
 from figstep.gateway.effects import (
@@ -81,7 +82,8 @@
         attempts.end_attempt(state, attempt)
         request.current, request.standby = request.standby, None
         request.current.asks_end = True
-        return [_describe_question(request, attempt)]
+        stopped = stops.stop_run(state, request, attempt)
+        return [_describe_question(request, attempt), *stopped]
     if not _may_be_asked(state, request, attempt):
         return _complete(state, request, attempt, now)
     attempts.end_attempt(state, attempt)
@@ -91,6 +93,7 @@
     if request.current is None:
         return effects + _break_unconfirmed(state, request, now)
     request.current.asks_end = True
+    effects += stops.stop_run(state, request, attempt)
     return [_describe_question(request, attempt), *effects]
 
 
--- /dev/null
+++ b/tests/gateway/test_ends.py
@@ -0,0 +1,141 @@
+"""Tests of streams whose end their target leaves open."""
+
+import pytest
+
+from figstep.core.clock import Millis
+from figstep.gateway.copies import BACKUP_ARRIVAL_DELAY
+from figstep.gateway.effects import (
+    BreakStream,
+    CopyRun,
+    FinishStream,
+    OpenAttempt,
+    StopRun,
+)
+from figstep.gateway.ends import QUESTION_TIMEOUT
+from figstep.gateway.events import (
+    AttemptLost,
+    Loss,
+    PiecesArrived,
+    RunCopied,
+    StreamEnded,
+    StreamOpened,
+    StreamPiece,
+    Ticked,
+)
+from figstep.gateway.prompts import Prompt
+from tests.gateway.worlds import EntryHarness, build_copy, start_with_backup
+
+
+def ask_for_rest() -> tuple[EntryHarness, OpenAttempt]:
+    """Return an entry that asks the holder of a backup for a stream's rest."""
+    harness, opened = start_with_backup()
+    harness.handle(StreamEnded(opened.attempt, confirmed=False))
+    asked = harness.find_effect(OpenAttempt)
+    assert (asked.target, asked.after) == (opened.backup, 10)
+    return harness, asked
+
+
+def test_events_of_the_holder_go_on_to_the_caller() -> None:
+    """Guards against a part of a stream that ends as the whole."""
+    harness, asked = ask_for_rest()
+    harness.send_pieces(asked.attempt, 11, 12)
+    harness.handle(StreamEnded(asked.attempt))
+    assert harness.find_effects(FinishStream)
+
+
+def test_a_continuation_without_an_event_states_the_end() -> None:
+    """Guards against whole streams that are cut off."""
+    harness, asked = ask_for_rest()
+    harness.handle(StreamEnded(asked.attempt, confirmed=False))
+    assert harness.find_effects(FinishStream)
+
+
+@pytest.mark.parametrize(
+    ("loss", "retry_after", "ends"),
+    [
+        (Loss.REFUSED, None, True),
+        (Loss.REFUSED, Millis(100), False),
+        (Loss.UNREACHED, None, False),
+        (Loss.BROKEN, None, False),
+    ],
+)
+def test_only_a_backup_that_is_gone_states_the_end(
+    loss: Loss, retry_after: Millis | None, ends: bool
+) -> None:
+    """Guards against a holder that is full or lost and seems to confirm the end."""
+    harness, asked = ask_for_rest()
+    harness.handle(AttemptLost(asked.attempt, loss, retry_after))
+    assert bool(harness.find_effects(FinishStream)) is ends
+    assert bool(harness.find_effects(BreakStream)) is not ends
+
+
+def test_a_backup_that_may_not_have_arrived_states_nothing() -> None:
+    """Guards against a short stream whose missing backup seems to confirm the end."""
+    harness = EntryHarness(moves=False)
+    harness.register("e-1", "e-2", "e-3")
+    opened = harness.open_plan()
+    harness.send_pieces(opened.attempt, 1, 3)
+    harness.clock.advance(BACKUP_ARRIVAL_DELAY - 1)
+    harness.handle(StreamEnded(opened.attempt, confirmed=False))
+    asked = harness.find_effect(OpenAttempt)
+    harness.handle(AttemptLost(asked.attempt, Loss.REFUSED))
+    assert harness.find_effects(BreakStream)
+
+
+def test_a_question_without_an_answer_breaks_the_stream_in_time() -> None:
+    """Guards against callers who wait for a silent holder until they leave."""
+    harness, _asked = ask_for_rest()
+    harness.clock.advance(QUESTION_TIMEOUT)
+    harness.handle(Ticked())
+    assert harness.find_effects(BreakStream)
+    assert not harness.state.requests
+
+
+def test_a_run_that_its_engine_may_go_on_with_is_stopped() -> None:
+    """Guards against a run at two engines after the first one closed its stream."""
+    harness = EntryHarness()
+    harness.register("e-1", "e-2")
+    opened = harness.open_plan()
+    harness.send_pieces(opened.attempt, 1, 3)
+    holder = "e-2" if opened.target == "e-1" else "e-1"
+    request = harness.state.requests[opened.number]
+    request.copying = True
+    harness.handle(RunCopied(opened.number, build_copy(opened.target, holder)))
+    harness.handle(StreamEnded(opened.attempt, confirmed=False))
+    assert harness.find_effect(OpenAttempt).target == holder
+    assert harness.find_effect(StopRun).target.target == opened.target
+
+
+def test_a_stream_that_may_be_resumed_is_asked_for_at_its_target() -> None:
+    """Guards against a run at more targets than the route allows."""
+    harness = EntryHarness()
+    harness.register("e-1", "e-2", "e-3")
+    harness.receive_request("/question/a", Prompt("m", 3_000, 2_000, 900))
+    opened = harness.find_effect(OpenAttempt)
+    harness.send_pieces(opened.attempt, 1, 3)
+    harness.handle(StreamEnded(opened.attempt, confirmed=False))
+    asked = harness.find_effect(OpenAttempt)
+    assert (asked.target, asked.after) == (opened.target, 3)
+
+
+def test_the_close_of_the_only_engine_ends_its_stream() -> None:
+    """Guards against a loss of all streams where nobody could be asked."""
+    harness = EntryHarness()
+    harness.register("e-1")
+    opened = harness.open_plan()
+    harness.send_pieces(opened.attempt, 1, 3)
+    harness.handle(StreamEnded(opened.attempt, confirmed=False))
+    assert harness.find_effects(FinishStream)
+
+
+def test_a_short_stream_without_a_length_is_copied_early() -> None:
+    """Guards against a stream for which there is nobody to ask at its end."""
+    harness = EntryHarness()
+    harness.register("e-1", "e-2")
+    harness.receive_plan(output=20)
+    opened = harness.find_effect(OpenAttempt)
+    harness.handle(StreamOpened(opened.attempt, delimited=False))
+    piece = StreamPiece(1, b"id: 1\n\n")
+    harness.handle(PiecesArrived(opened.attempt, [piece]))
+    harness.handle(Ticked())
+    assert harness.find_effect(CopyRun).source == opened.target
