--- a/tests/platform/places.py
+++ b/tests/platform/places.py
@@ -82,6 +82,18 @@
         await place.store.stop()
 
 
+async def read_complete(place: Place, path: str, **headers: str) -> bytes | None:
+    """Return the body of a successful answer; None if it is not a complete one."""
+    async with place.session.post(
+        place.url(path), headers=place.headers("r-1", **headers)
+    ) as response:
+        try:
+            body = await response.read()
+        except aiohttp.ClientError:
+            return None
+        return body if response.status == 200 else None
+
+
 async def call_order_route(place: Place, entry: Entry, number: str) -> int:
     headers = place.headers(number)
     async with place.session.post(
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -3,14 +3,13 @@
 import asyncio
 from collections.abc import AsyncIterator
 
-import aiohttp
 import pytest
 from aiohttp import web
 from multidict import CIMultiDict
 
 from tests.afterlife import Afterlife
 from tests.framing import Framing, RawAnswer
-from tests.platform.places import Place, open_place
+from tests.platform.places import Place, open_place, read_complete
 from tests.platform.standins import (
     FakeTarget,
     Handler,
@@ -91,18 +90,6 @@
     return answer
 
 
-async def read_complete(place: Place, path: str, **headers: str) -> bytes | None:
-    """Return the body of a successful answer; None if it is not a complete one."""
-    async with place.session.post(
-        place.url(path), headers=place.headers("r-1", **headers)
-    ) as response:
-        try:
-            body = await response.read()
-        except aiohttp.ClientError:
-            return None
-        return body if response.status == 200 else None
-
-
 @EACH_AFTERLIFE
 async def test_a_stream_of_a_crashed_target_whose_address_lives_on_is_not_complete(
     place: Place, afterlife: Afterlife
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -3,12 +3,11 @@
 import asyncio
 from collections.abc import AsyncIterator
 
-import aiohttp
 import pytest
 from aiohttp import web
 
 from tests.framing import Framing, RawAnswer
-from tests.platform.places import Place, open_place
+from tests.platform.places import Place, open_place, read_complete
 from tests.platform.standins import Handler
 
 PLAN = {"Model": "m", "Token_Count": "3000,2000", "Length_Hint": "80"}
@@ -50,18 +49,6 @@
     return answer
 
 
-async def read_complete(place: Place, path: str, **headers: str) -> bytes | None:
-    """Return the body of a successful answer; None if it is not a complete one."""
-    async with place.session.post(
-        place.url(path), headers=place.headers("r-1", **headers)
-    ) as response:
-        try:
-            body = await response.read()
-        except aiohttp.ClientError:
-            return None
-        return body if response.status == 200 else None
-
-
 @EACH_FRAMING
 async def test_a_complete_stream_arrives_in_each_framing(
     place: Place, framing: Framing
