Take an empty continuation for the end only if a close came before it

An engine that rejected the query as not run, or reported no start, counted as living. Whole streams were cut off if they seemed to stall while their target was asked whether it lives, or if a standby met the backup that was gone. A stalled entry gave up its questions as it woke.

Now the edge says whether an attempt got any event at all, and an empty one is a lost attempt unless it was asked about an end. Only plain services may leave out their start. A closed stream does not stall. Targets that reset connections are asked again after a pause.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -17,6 +17,7 @@
     limits,
     peers,
     placement,
+    recovery,
     requests,
     stops,
     streams,
@@ -33,10 +34,11 @@
 from figstep.gateway.state import Attempt, Request, State
 from figstep.gateway.targets import Target
 
-QUESTION_TIMEOUT = Millis(1_500)
+QUESTION_TIMEOUT = Millis(1_000)
 """Longest time in milliseconds to the answer to whether a stream is complete.
 
-Callers abandon a stream after two seconds without an event.
+Callers abandon a stream after two seconds without an event, and part of this time has
+passed as the target was asked whether it lives.
 """
 
 
@@ -46,11 +48,15 @@
     if attempt is None:
         return []
     request = state.requests[attempt.request]
+    if event.empty and not event.confirmed and not attempt.asks_end:
+        # It does not go on from a close, so that nothing suggests an end.
+        detail = "its connection ended before the first event"
+        lost = AttemptLost(attempt.number, Loss.BROKEN, detail=detail)
+        return recovery.recover_attempt(state, lost, now)
     effects: list[Effect] = []
     if attempt is request.standby:
         effects += streams.promote_standby(state, request, attempt, now)
-    continued = request.stream_begun or request.spec.after is not None
-    if event.confirmed or (continued and attempt.first_delivery_at is None):
+    if event.confirmed or event.empty:
         return effects + _complete(state, request, attempt, now)
     return effects + _ask_for_rest(state, request, attempt, now)
 
@@ -81,22 +87,32 @@
         # It goes on after the last event, and shows whether more follow.
         attempts.end_attempt(state, attempt)
         request.current, request.standby = request.standby, None
-        request.current.asks_end = True
+        _record_question(request.current, attempt, now)
         stopped = stops.stop_run(state, request, attempt)
         return [_describe_question(request, attempt), *stopped]
     if not _may_be_asked(state, request, attempt):
         return _complete(state, request, attempt, now)
     attempts.end_attempt(state, attempt)
-    effects = _ask_holder(state, request, attempt, now)
+    effects = _ask_holder(state, request, now)
     if not effects:
         effects = _ask_target(state, request, attempt, now)
     if request.current is None:
         return effects + _break_unconfirmed(state, request, now)
-    request.current.asks_end = True
+    _record_question(request.current, attempt, now)
     effects += stops.stop_run(state, request, attempt)
     return [_describe_question(request, attempt), *effects]
 
 
+def _record_question(asked: Attempt, former: Attempt, now: Millis) -> None:
+    """Record that an attempt shows whether a stream ended with the former one."""
+    asked.asks_end = True
+    source = asked.source
+    if source is None or source.on_order:
+        return
+    # A backup that may not have arrived can be missing as well.
+    asked.refusal_confirms = not copies.may_lack_backup(former, now)
+
+
 def _may_be_asked(state: State, request: Request, attempt: Attempt) -> bool:
     """Return whether a stream's rest could be had from anyone.
 
@@ -110,9 +126,7 @@
     return bool(eligibility.list_holders(state, request, attempt.target.name))
 
 
-def _ask_holder(
-    state: State, request: Request, attempt: Attempt, now: Millis
-) -> list[Effect]:
+def _ask_holder(state: State, request: Request, now: Millis) -> list[Effect]:
     copies.discard_unusable_copy(state, request)
     copy = request.copy
     if copy is None:
@@ -122,13 +136,8 @@
         return []
     if not peers.spend_repeat(state, request.service, now, urgent=True):
         return peers.record_denied(state, request, now)
-    is_backup = not copy.on_order
     effects = attempts.start_standby(state, request, copy, now)
     request.current, request.standby = request.standby, None
-    if request.current is not None:
-        # A backup that may not have arrived can be missing as well.
-        arrived = not copies.may_lack_backup(attempt, now)
-        request.current.refusal_confirms = is_backup and arrived
     return effects
 
 
@@ -192,11 +201,19 @@
         return None
     if event.loss is not Loss.REFUSED or event.retry_after is not None:
         return None
+    if event.endless:
+        return None
     return _complete(state, state.requests[attempt.request], attempt, now)
 
 
 def end_unanswered(state: State, now: Millis) -> list[Effect]:
-    """Break off the streams whose rest was asked for without an answer in time."""
+    """Break off the streams whose rest was asked for without an answer in time.
+
+    None is broken off if this entry itself was stalled since the last check, as the
+    answers may wait in the sockets.
+    """
+    if now - state.streams_checked_at >= streams.LATE_TICK_INTERVAL:
+        return []
     effects: list[Effect] = []
     for attempt in list(state.attempts.values()):
         if not attempt.asks_end or attempt.first_delivery_at is not None:
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -144,10 +144,19 @@
     Attributes:
         confirmed: Whether the stream is known to be complete. If not, its target lives
             and closed the connection, which HTTP allows at any point of such an answer.
+        empty: Whether the attempt got no event.
     """
 
     attempt: int
     confirmed: bool = True
+    empty: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StreamClosed:
+    """The connection of a stream ended; its target is asked whether it lives."""
+
+    attempt: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -649,6 +658,7 @@
     | StreamOpened
     | PiecesArrived
     | StreamEnded
+    | StreamClosed
     | AnswerBegan
     | ReadingPaused
     | AnswerArrived
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -50,6 +50,7 @@
     ShutdownRequested,
     StoreLost,
     StoreRegained,
+    StreamClosed,
     StreamEnded,
     StreamOpened,
     TargetChecked,
@@ -103,6 +104,8 @@
             return streams.handle_stream_opened(state, event)
         case RequestArrived():
             return requests.admit_request(state, event, now)
+        case StreamClosed():
+            return streams.handle_stream_closed(state, event)
         case StreamEnded():
             return ends.finish_stream(state, event, now)
         case AnswerBegan():
@@ -349,8 +352,8 @@
     effects += requests.expire_requests(state, now)
     effects += reach.check_links(state, now)
     effects += copies.migrate_streams(state, now)
-    effects += streams.check_streams(state, now)
     effects += ends.end_unanswered(state, now)
+    effects += streams.check_streams(state, now)
     effects += crashes.clear_written(state, now)
     effects += reports.query_engines(state, now)
     effects += copies.drop_copies_for_memory(state, now)
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -168,6 +168,7 @@
             then stands for that entry, and is in no table.
         sample_began_at: When the measurement of its engine's pace began, or None.
         sample_events: Events that have arrived since then.
+        closed: Whether its connection has ended, and its target is asked if it lives.
         asks_end: Whether it was opened to learn whether a stream is complete.
         refusal_confirms: Whether its target refuses it only if the stream is complete.
     """
@@ -188,6 +189,7 @@
     relay: RelayTo | None = None
     sample_began_at: Millis | None = None
     sample_events: int = 0
+    closed: bool = False
     asks_end: bool = False
     refusal_confirms: bool = False
 
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -25,6 +25,7 @@
     Loss,
     PiecesArrived,
     ReadingPaused,
+    StreamClosed,
     StreamOpened,
 )
 from figstep.gateway.routes import RouteKind
@@ -87,6 +88,14 @@
     return []
 
 
+def handle_stream_closed(state: State, event: StreamClosed) -> list[Effect]:
+    """Record that a stream has ended and no more events come: it has not stalled."""
+    attempt = state.attempts.get(event.attempt)
+    if attempt is not None:
+        attempt.closed = True
+    return []
+
+
 def handle_reading_paused(
     state: State, event: ReadingPaused, now: Millis
 ) -> list[Effect]:
@@ -264,6 +273,8 @@
 def _is_stalled(request: Request, now: Millis) -> bool:
     if not request.stream_begun or request.reading_paused:
         return False
+    if request.current is not None and request.current.closed:
+        return False
     limit = float(STALL_TIMEOUT)
     if request.longest_pause <= request.route.longest_pause:
         on_time_limit = STALL_PAUSE_FRACTION * request.route.longest_pause
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -32,6 +32,7 @@
     ReadingPaused,
     RunCopied,
     RunNotCopied,
+    StreamClosed,
     StreamEnded,
     StreamOpened,
     StreamPiece,
@@ -62,10 +63,18 @@
 """Timeout of a query of an engine's state, in seconds; the query needs no slot of the
 engine."""
 
-CONFIRM_TRIES = 2
-"""Maximum number of queries for the start of an engine that has accepted a resumed
-stream. With the timeout of both, the caller's pause is shorter than the two seconds
-after which callers abandon a stream."""
+CONFIRM_TIMEOUT = Millis(500)
+"""Time in milliseconds after which a target is not queried for its start again.
+
+With the timeout of the last query, the caller's pause is shorter than the two seconds
+after which callers abandon a stream.
+"""
+
+CONFIRM_PAUSE_SECONDS = 0.1
+"""Pause before a target is queried for its start again, in seconds."""
+
+SOURCE_TRIES = 2
+"""Maximum number of queries of the source of a copy."""
 
 SOURCE_TIMEOUT_SECONDS = 0.05
 """Timeout of a query of the source of a copy before the copy is used, in seconds. The
@@ -112,9 +121,9 @@
 class Start(Enum):
     """What a target states of its start."""
 
-    REGISTERED = "registered"  # or it contradicts nothing, as one side states none
+    REGISTERED = "registered"  # or none is registered
     OTHER = "other"
-    UNSTATED = "unstated"  # it answered, but gives no reports
+    UNSTATED = "unstated"  # it answered, but states no start
     UNKNOWN = "unknown"  # no answer came that only a target gives
 
 
@@ -324,6 +333,8 @@
         report = reply.report
         if report is None:
             return Start.UNSTATED if reply.answered else Start.UNKNOWN
+        if info.born and not report.born:
+            return Start.UNSTATED
         if not contradicts_registration(info, report.born):
             return Start.REGISTERED
         self._dispatch(TargetRestarted(info.incarnation, report.born))
@@ -342,7 +353,7 @@
         return is_outdated(copy, self._find_target)
 
     async def _query_source(self, owner: Target) -> None:
-        for _ in range(CONFIRM_TRIES):
+        for _ in range(SOURCE_TRIES):
             asked_at = self._clock.now()
             try:
                 async with asyncio.timeout(SOURCE_TIMEOUT_SECONDS):
@@ -443,6 +454,8 @@
                     await exchange.buffer.wait_for_room()
                     self._dispatch(ReadingPaused(attempt, False))
         full = _is_full(effect, events)
+        if not full and not delimited:
+            self._dispatch(StreamClosed(attempt))
         outlived = full or await self._has_outlived(effect, response)
         end = NumberedStream(
             delimited,
@@ -455,7 +468,7 @@
         reason = explain_incomplete(end)
         if reason:
             return AttemptLost(attempt, Loss.BROKEN, detail=reason)
-        return StreamEnded(attempt, confirmed=delimited or full)
+        return StreamEnded(attempt, confirmed=delimited or full, empty=not events)
 
     async def _read_answer(
         self,
@@ -569,24 +582,31 @@
         target = self._find_target(effect.target)
         if target is None or target.restarted or target.info.born != effect.born:
             return False
-        lives = await self._states_life(target)
+        # Plain services get no priority, and give no reports.
+        lives = await self._states_life(target, effect.priority is None)
         fields = {"target": target.name, "attempt": effect.attempt}
         _log.info("answer ended with its connection", extra={**fields, "lives": lives})
         return lives
 
-    async def _states_life(self, target: Target) -> bool:
-        """Return whether a target answers, and does not state another start."""
+    async def _states_life(self, target: Target, is_plain: bool = False) -> bool:
+        """Return whether a target states that it has not restarted.
+
+        A plain service, which states no start, only has to answer.
+        """
         start = await self._confirm_start(target)
-        return start in (Start.REGISTERED, Start.UNSTATED)
+        return start is Start.REGISTERED or (is_plain and start is Start.UNSTATED)
 
     async def _confirm_start(self, target: Target) -> Start:
-        """Query a target for its start, again if no answer comes."""
-        start = Start.UNKNOWN
-        for _ in range(CONFIRM_TRIES):
+        """Query a target for its start, again if no answer comes.
+
+        One that has too many connections resets further ones for a moment.
+        """
+        until = self._clock.now() + CONFIRM_TIMEOUT
+        while True:
             start = await self._query_start(target)
-            if start is not Start.UNKNOWN:
-                break
-        return start
+            if start is not Start.UNKNOWN or self._clock.now() >= until:
+                return start
+            await asyncio.sleep(CONFIRM_PAUSE_SECONDS)
 
     def copy_run(self, effect: CopyRun) -> None:
         """Order an engine to copy a run to another engine.
@@ -775,7 +795,7 @@
 
 def _is_full(effect: OpenAttempt, events: int) -> bool:
     """Return whether a stream's output has reached its maximum with its last event."""
-    if effect.max_events is None:
+    if effect.max_events is None or not events:
         return False
     return (effect.after or 0) + events >= effect.max_events
 
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -7,6 +7,7 @@
 from figstep.gateway.effects import (
     BreakStream,
     CopyRun,
+    Deliver,
     FinishStream,
     OpenAttempt,
     StopRun,
@@ -17,6 +18,7 @@
     Loss,
     PiecesArrived,
     RunCopied,
+    StreamClosed,
     StreamEnded,
     StreamOpened,
     StreamPiece,
@@ -46,7 +48,76 @@
 def test_a_continuation_without_an_event_states_the_end() -> None:
     """Guards against whole streams that are cut off."""
     harness, asked = ask_for_rest()
-    harness.handle(StreamEnded(asked.attempt, confirmed=False))
+    harness.handle(StreamEnded(asked.attempt, confirmed=False, empty=True))
+    assert harness.find_effects(FinishStream)
+
+
+def test_a_continuation_that_nobody_asked_about_the_end_states_none() -> None:
+    """Guards against the empty answer of a holder after a crash that seems the end."""
+    harness, opened = start_with_backup()
+    harness.handle(AttemptLost(opened.attempt, Loss.BROKEN))
+    resumed = harness.find_effect(OpenAttempt)
+    harness.handle(StreamEnded(resumed.attempt, confirmed=False, empty=True))
+    assert not harness.find_effects(FinishStream)
+    assert harness.find_effects(BreakStream)
+
+
+def start_standby() -> tuple[EntryHarness, OpenAttempt, OpenAttempt]:
+    """Return an entry whose stream stalled, with its two attempts."""
+    harness, opened = start_with_backup()
+    standby: list[OpenAttempt] = []
+    while not standby:
+        harness.clock.advance(30)
+        harness.handle(Ticked())
+        standby = harness.find_effects(OpenAttempt)
+    return harness, opened, standby[0]
+
+
+def test_an_empty_standby_leaves_the_stream_that_goes_on_again() -> None:
+    """Guards against a standby that closes at once and ends a living stream."""
+    harness, opened, standby = start_standby()
+    harness.send_pieces(opened.attempt, 11, 14)
+    harness.handle(StreamEnded(standby.attempt, confirmed=False, empty=True))
+    assert not harness.find_effects(FinishStream)
+    harness.send_pieces(opened.attempt, 15, 15)
+    assert harness.find_effects(Deliver)
+
+
+def test_a_standby_that_closes_after_repeated_events_states_no_end() -> None:
+    """Guards against repeats that count as a continuation without events."""
+    harness, opened, standby = start_standby()
+    harness.send_pieces(opened.attempt, 11, 14)
+    harness.send_pieces(standby.attempt, 11, 12)
+    harness.handle(StreamEnded(standby.attempt, confirmed=False))
+    assert not harness.find_effects(FinishStream)
+
+
+def test_a_stream_whose_target_is_asked_if_it_lives_has_not_stalled() -> None:
+    """Guards against whole streams whose backup is tried while that is asked."""
+    harness, opened = start_with_backup()
+    harness.handle(StreamClosed(opened.attempt))
+    for _ in range(20):
+        harness.clock.advance(30)
+        harness.handle(Ticked())
+        assert not harness.find_effects(OpenAttempt)
+
+
+def test_a_backup_that_is_gone_as_its_standby_asks_states_the_end() -> None:
+    """Guards against whole streams that are cut off as they end in a switch."""
+    harness, opened, standby = start_standby()
+    harness.handle(StreamEnded(opened.attempt, confirmed=False))
+    harness.handle(AttemptLost(standby.attempt, Loss.REFUSED))
+    assert harness.find_effects(FinishStream)
+
+
+def test_a_stalled_entry_reads_waiting_answers_before_it_gives_up() -> None:
+    """Guards against questions that are all given up as the process wakes."""
+    harness, asked = ask_for_rest()
+    harness.handle(Ticked())
+    harness.clock.advance(5 * QUESTION_TIMEOUT)
+    harness.handle(Ticked())
+    assert not harness.find_effects(BreakStream)
+    harness.handle(StreamEnded(asked.attempt, confirmed=False, empty=True))
     assert harness.find_effects(FinishStream)
 
 
@@ -85,8 +156,10 @@
 def test_a_question_without_an_answer_breaks_the_stream_in_time() -> None:
     """Guards against callers who wait for a silent holder until they leave."""
     harness, _asked = ask_for_rest()
-    harness.clock.advance(QUESTION_TIMEOUT)
-    harness.handle(Ticked())
+    for _ in range(QUESTION_TIMEOUT // 100):
+        assert harness.state.requests
+        harness.clock.advance(100)
+        harness.handle(Ticked())
     assert harness.find_effects(BreakStream)
     assert not harness.state.requests
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -334,6 +334,7 @@
         afterlife: What its address does with all further requests, as after a crash;
             None while the target lives.
         copies_runs: Whether it copies runs on order.
+        report: Answer to one query of its state, in place of the usual one, if set.
     """
 
     name: str
@@ -361,6 +362,7 @@
     born: int = 1
     afterlife: Afterlife | None = None
     copies_runs: bool = True
+    report: web.Response | None = None
 
     async def start(self, store: FakeStore, port: int = 0) -> None:
         """Start listening and register in the store."""
@@ -472,6 +474,9 @@
 
     async def _report(self, request: web.Request) -> web.Response:
         self.reports += 1
+        if self.report is not None:
+            given, self.report = self.report, None
+            return given
         report = {"state": "ready", "born": self.born}
         return web.Response(body=orjson.dumps(report))
 
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -224,6 +224,34 @@
     assert await read_complete(place, "/plan/a", **PLAN) is None
 
 
+@pytest.mark.parametrize(
+    ("status", "body", "headers"),
+    [(503, b"", {"Not-Executed": "1"}), (200, b"{}", {})],
+)
+async def test_an_engine_that_states_no_start_does_not_confirm_its_stream(
+    place: Place, status: int, body: bytes, headers: dict[str, str]
+) -> None:
+    """Guards against the word of an engine that may have restarted, or of a proxy."""
+    target = place.targets["i-e1"]
+    target.handler = stream_until(target, EARLY)
+    target.report = web.Response(status=status, body=body, headers=headers)
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+
+
+async def test_a_plain_service_that_rejects_the_query_lives(place: Place) -> None:
+    """Guards against a loss of all answers without a length of plain services."""
+    target = place.targets["i-b1"]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        raw = RawAnswer(request, Framing.CONNECTION, target.sign(request), 0)
+        raw.write(b"two pallets")
+        return raw.close()
+
+    target.handler = answer
+    target.report = web.Response(status=400, headers={"Not-Executed": "1"})
+    assert await read_complete(place, "/order/a") == b"two pallets"
+
+
 async def test_a_resumed_stream_begins_with_the_event_that_was_asked_for(
     place: Place,
 ) -> None:
