Lose a stream at once if its target no longer listens or it ends inside an event

A refused connection is an answer that needs no second question, and what the content shows is decided before the target is asked.

Before: the new test takes over 0.5 s in both cases. After: it passes.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -124,6 +124,7 @@
     REGISTERED = "registered"  # or none is registered
     OTHER = "other"
     UNSTATED = "unstated"  # it answered, but states no start
+    DOWN = "down"  # nothing listens at its address
     UNKNOWN = "unknown"  # no answer came that only a target gives
 
 
@@ -332,7 +333,7 @@
         reply = await self._query_state(target)
         report = reply.report
         if report is None:
-            return Start.UNSTATED if reply.answered else Start.UNKNOWN
+            return reply.start
         if info.born and not report.born:
             return Start.UNSTATED
         if not contradicts_registration(info, report.born):
@@ -454,18 +455,18 @@
                     await exchange.buffer.wait_for_room()
                     self._dispatch(ReadingPaused(attempt, False))
         full = _is_full(effect, events)
-        if not full and not delimited:
-            self._dispatch(StreamClosed(attempt))
-        outlived = full or await self._has_outlived(effect, response)
         end = NumberedStream(
             delimited,
             events,
             len(splitter.incomplete),
             full,
-            outlived,
             continues=effect.after is not None,
         )
         reason = explain_incomplete(end)
+        if not reason and not delimited and not full:
+            self._dispatch(StreamClosed(attempt))
+            outlived = await self._has_outlived(effect, response)
+            reason = explain_incomplete(replace(end, outlived=outlived))
         if reason:
             return AttemptLost(attempt, Loss.BROKEN, detail=reason)
         return StreamEnded(attempt, confirmed=delimited or full, empty=not events)
@@ -704,17 +705,18 @@
             ):
                 self._dispatch_target_signals(response, target, requested_at)
                 if answers.rejects_query(response):
-                    return _Reply(None, True)
+                    return _Reply(None, Start.UNSTATED)
                 body = await read_body(response, MAX_REPORT_BYTES)
             if response.status != 200:
                 raise ValueError(f"answered {response.status}")
-            return _Reply(answers.parse_report(target.name, body), True)
+            return _Reply(answers.parse_report(target.name, body))
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             _log.info(
                 "cannot read engine report",
                 extra={"target": target.name, "error": _describe_error(error)},
             )
-            return _Reply(None, False)
+            is_down = _is_connection_refused(error)
+            return _Reply(None, Start.DOWN if is_down else Start.UNKNOWN)
 
     def _run_in_background(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -813,11 +815,11 @@
 
     Attributes:
         report: Report of an engine; None if there is none.
-        answered: Whether an answer came that only a target gives.
+        start: What is known of its start without a report.
     """
 
     report: EngineReported | None
-    answered: bool
+    start: Start = Start.UNKNOWN
 
 
 @dataclass(slots=True)
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -6,6 +6,7 @@
 import pytest
 from aiohttp import web
 
+from figstep.platform.engines import CONFIRM_TIMEOUT
 from tests.framing import Framing, RawAnswer
 from tests.platform.places import Place, open_place, read_complete
 from tests.platform.standins import Handler
@@ -144,6 +145,17 @@
     assert await read_complete(place, "/plan/a", **PLAN) is None
 
 
+@pytest.mark.parametrize("part", [EVENTS[:32], EVENTS[:25]])
+async def test_a_stream_is_lost_at_once_if_its_target_no_longer_listens(
+    place: Place, part: bytes
+) -> None:
+    """Guards against streams that pause before they go on from their copies."""
+    place.targets["i-e1"].handler = crash_within(place, "i-e1", part)
+    began = asyncio.get_running_loop().time()
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+    assert asyncio.get_running_loop().time() - began < CONFIRM_TIMEOUT / 1_000
+
+
 async def test_an_answer_whose_target_crashed_does_not_look_complete(
     place: Place,
 ) -> None:
