Break off an open end also if only engines of other versions are left to ask

Whether somebody could be asked is a matter of the deployment, not of what serves at the moment: another engine of the service is enough. Only the close of a service's one engine, or of a plain service, still counts.

Before: the new test fails. After: it passes.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -116,14 +116,16 @@
 def _may_be_asked(state: State, request: Request, attempt: Attempt) -> bool:
     """Return whether a stream's rest could be had from anyone.
 
-    Engines that copy runs could have copied this one, if there is another engine.
+    Engines that copy runs could have copied this one, if there is another engine, also
+    one of another version: what serves at the moment states nothing of the end.
     """
     if request.route.resumable or request.copy is not None:
         return True
     pool = placement.find_engine_pool(state, request.service)
     if pool is None or not (pool.moves or pool.backups):
         return False
-    return bool(eligibility.list_holders(state, request, attempt.target.name))
+    ready = state.targets.list_ready(request.service)
+    return any(target.name != attempt.target.name for target in ready)
 
 
 def _ask_holder(state: State, request: Request, now: Millis) -> list[Effect]:
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -22,10 +22,17 @@
     StreamEnded,
     StreamOpened,
     StreamPiece,
+    TargetRegistered,
     Ticked,
 )
 from figstep.gateway.prompts import Prompt
-from tests.gateway.worlds import EntryHarness, build_copy, start_with_backup
+from figstep.gateway.targets import Registration
+from tests.gateway.worlds import (
+    ENGINES,
+    EntryHarness,
+    build_copy,
+    start_with_backup,
+)
 
 
 def ask_for_rest() -> tuple[EntryHarness, OpenAttempt]:
@@ -201,6 +208,18 @@
     assert harness.find_effects(FinishStream)
 
 
+def test_an_engine_of_another_version_leaves_the_close_unconfirmed() -> None:
+    """Guards against a part that counts as whole as no engine of its version is left."""
+    harness = EntryHarness()
+    harness.register("e-1")
+    opened = harness.open_plan()
+    harness.send_pieces(opened.attempt, 1, 3)
+    info = Registration("e-2", ENGINES, "e-2:80", "muc-a", 64, born=1, version="v2")
+    harness.handle(TargetRegistered(info))
+    harness.handle(StreamEnded(opened.attempt, confirmed=False))
+    assert harness.find_effects(BreakStream)
+
+
 def test_a_short_stream_without_a_length_is_copied_early() -> None:
     """Guards against a stream for which there is nobody to ask at its end."""
     harness = EntryHarness()
