Believe no hop on a version that this entry knows to be forgotten

Entry 2, which had not heard of it, passed the caller's next try on at 19.594 with the version v1, and entry 0 took it up at 19.617 at an engine of v1.

An entry that knows that nobody knows the version now refuses such a hop as version_unknown, and the caller comes to another entry.

Before: the new test fails. After: it passes. A hop that goes to an entry which has not heard of the restart either goes on as before.

--- a/figstep/gateway/origins.py
+++ b/figstep/gateway/origins.py
@@ -122,18 +122,20 @@
 
     Returns:
         None if the request does not take a stream up. The origin is unknown if this
-        entry was not told the start of the stream and targets had several versions.
+        entry was not told the start of the stream and targets had several versions, or
+        if it knows that nobody knows it, whatever an entry says that passes it on.
     """
     if route.kind is not RouteKind.STREAM:
         return None
-    if spec.version is not None:
-        return Origin(spec.version)
-    if not spec.after and not spec.resumes:
-        return None
     stream = hash_stream(spec.resumes or spec.id, spec.digest)
     version = state.starts.find_version(stream)
-    if version == UNKNOWN_VERSION:
+    takes_up = spec.version is not None or spec.after or spec.resumes
+    if takes_up and version == UNKNOWN_VERSION:
         return Origin(None)
+    if spec.version is not None:
+        return Origin(spec.version)
+    if not takes_up:
+        return None
     if version is None:
         services = [service for service, _ in route.shares]
         version = versions.find_sole_version(state, services, now)
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -209,7 +209,7 @@
 
 
 def test_an_engine_of_another_version_leaves_the_close_unconfirmed() -> None:
-    """Guards against a part that counts as whole as no engine of its version is left."""
+    """Guards against a part that counts as whole as its version has one engine."""
     harness = EntryHarness()
     harness.register("e-1")
     opened = harness.open_plan()
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -183,6 +183,18 @@
     assert harness.find_effect(OpenAttempt).target == "e-1"
 
 
+def test_a_version_that_was_forgotten_is_not_taken_from_another_entry() -> None:
+    """Guards against a hop by an entry that has not heard of a restart yet."""
+    harness = begin_stream("/question/a")
+    harness.handle(CallerGone(1))
+    restart_first(harness)
+    register(harness, "v1", "e-5")
+    passed = {"digest": "digest-1", "resumes": "id-1", "after": 9, "version": "v1"}
+    prompt = Prompt("m", 3_000, 2_000, 900)
+    harness.receive_request("/question/a", prompt, relayed=True, **passed)
+    assert harness.find_effect(Refuse).problem.code == "version_unknown"
+
+
 def restart_first(harness: EntryHarness, born: int = 2) -> None:
     """Let `FIRST` report another start than the one it registered."""
     harness.handle(TargetRestarted(Incarnation(FIRST, 1), born))
