--- a/figstep/gateway/application.py
+++ b/figstep/gateway/application.py
@@ -139,8 +139,8 @@
                 self.targets.drop_copy(copy)
             case WriteHistory():
                 self.history.write_history(effect)
-            case ReadReport(target=target, start_only=start_only):
-                self.targets.read_report(target, start_only)
+            case ReadReport(target=target):
+                self.targets.read_report(target)
             case ProbeTarget(target=target):
                 self.targets.probe_target(target)
             case CheckTarget(target=target, asks_life=asks_life):
--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -1,10 +1,11 @@
 """Opens and closes attempts, and accounts for their load at targets."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import crashes, limits, placement, waiting, warmups
+from figstep.gateway import crashes, limits, origins, placement, waiting, warmups
 from figstep.gateway.effects import (
     AnnounceTarget,
     CloseAttempt,
+    Confirmation,
     DropCopy,
     Effect,
     Note,
@@ -283,6 +284,9 @@
         priority = min(LOWEST_PRIORITY, BASE_PRIORITY + request.priority)
         if attempt.source is not None:
             priority = RESUMED_PRIORITY
+    confirm = Confirmation.NONE
+    if attempt.relay is None:
+        confirm = origins.choose_confirmation(state, request, attempt.target)
     return OpenAttempt(
         request.spec.number,
         attempt.number,
@@ -295,7 +299,7 @@
         after=after,
         stream=request.route.kind is RouteKind.STREAM,
         relay=attempt.relay,
-        confirm=_needs_confirmation(state, request, attempt),
+        confirm=confirm,
         born=attempt.target.info.born,
         max_events=_count_max_events(state, request),
     )
@@ -310,24 +314,6 @@
     return -(-prompt.max_output // pool.event_tokens)
 
 
-def _needs_confirmation(state: State, request: Request, attempt: Attempt) -> bool:
-    """Return whether a target has to confirm that it is the registered incarnation.
-
-    A stream that has begun goes on only at the version that began it, and the target
-    may have restarted as another version before its registration is read. Only engines
-    report their start. Streams that have not begun may begin at any version.
-    """
-    if request.origin is None or attempt.relay is not None:
-        return False
-    if attempt.source is not None:
-        # The copy is in the engine's memory: a later incarnation does not have it, and
-        # rejects the attempt.
-        return False
-    if placement.find_engine_pool(state, request.service) is None:
-        return False
-    return attempt.target.info.born != 0
-
-
 def _name_or_empty(target: Target | None) -> str:
     return "" if target is None else target.name
 
--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -5,7 +5,6 @@
     attempts,
     eligibility,
     limits,
-    origins,
     peers,
     placement,
 )
@@ -265,10 +264,7 @@
         return []
     if not peers.spend_repeat(state, request.service, now, urgent=True):
         return peers.record_denied(state, request, now)
-    return [
-        *origins.check_start(state, request),
-        *attempts.start_standby(state, request, copy, now),
-    ]
+    return attempts.start_standby(state, request, copy, now)
 
 
 def _order_copy(state: State, request: Request, now: Millis) -> list[Effect]:
--- a/figstep/gateway/departures.py
+++ b/figstep/gateway/departures.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 
 from figstep.core.clock import Millis
-from figstep.gateway import copies, crashes, origins, requests
+from figstep.gateway import copies, crashes
 from figstep.gateway.effects import Announce, Effect, Note
 from figstep.gateway.events import TargetRestarted
 from figstep.gateway.state import LEAVING_RETENTION, Departure, State
@@ -49,8 +49,6 @@
         return []
     target.restarted = True
     effects = crashes.record_end(state, target, now)
-    origins.forget_open(state, target)
-    effects += forget_uncertain(state, target, event.born, now)
     fields: dict[str, str | int | float | None] = {
         "target": target.name,
         "registered": incarnation.born,
@@ -60,23 +58,6 @@
     return [note, *effects, *handle_leaving(state, incarnation, now)]
 
 
-def forget_uncertain(
-    state: State, target: Target, born: int, now: Millis
-) -> list[Effect]:
-    """Forget the versions of streams that a target began after a restart.
-
-    Streams that already go on elsewhere are cut off, as events of two versions may be
-    joined there.
-    """
-    affected, effects = origins.forget_uncertain(state, target, born, now)
-    for request in affected:
-        for attempt in (request.current, request.standby):
-            if attempt is not None and attempt.target is not target:
-                effects += requests.break_stream(state, request, "version_unknown", now)
-                break
-    return effects
-
-
 def apply_leaving_reports(
     state: State, leaving: Iterable[Incarnation], source: str, now: Millis
 ) -> list[Effect]:
--- a/figstep/gateway/edges.py
+++ b/figstep/gateway/edges.py
@@ -58,8 +58,8 @@
         """Free a copy of a run."""
 
     @abstractmethod
-    def read_report(self, target: str, start_only: bool = False) -> None:
-        """Query an engine for its state, or only for whether it has restarted."""
+    def read_report(self, target: str) -> None:
+        """Query an engine for its state."""
 
     @abstractmethod
     def probe_target(self, target: str) -> None:
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -1,6 +1,7 @@
 """Effects that the gateway's reducer requests from the edges."""
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 from figstep.core.clock import Millis
 from figstep.core.problems import Problem
@@ -29,6 +30,18 @@
     may_wait: bool = True
 
 
+class Confirmation(Enum):
+    """What rests on the start that a target states after it accepted a stream.
+
+    The target is queried once the headers of its answer have arrived. If it then states
+    the start that it registered, no later incarnation writes the stream.
+    """
+
+    NONE = "none"  # nothing: it is not queried
+    VERSION = "version"  # whether the version is known that begins the stream
+    STREAM = "stream"  # whether the stream is read
+
+
 @dataclass(frozen=True, slots=True)
 class OpenAttempt:
     """Send a request to a target, or to another entry.
@@ -46,8 +59,8 @@
         after: Id of the last event that the caller has received; None if it has none.
         stream: Whether the answer is a stream of events.
         relay: Entry that gets the request in place of a target, or None.
-        confirm: Whether the stream is read only once the target has stated, after it
-            accepted the attempt, that it has not restarted since it registered.
+        confirm: What rests on the start that the target states after it accepted the
+            attempt.
         max_events: Number of events, from the start of the stream, with which its
             output has reached its maximum; None if that is not known.
     """
@@ -63,7 +76,7 @@
     after: int | None = None
     stream: bool = False
     relay: RelayTo | None = None
-    confirm: bool = False
+    confirm: Confirmation = Confirmation.NONE
     born: int = 0
     max_events: int | None = None
 
@@ -121,15 +134,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadReport:
-    """Query an engine for its state.
-
-    Attributes:
-        start_only: Whether only its start matters: nothing is dispatched if it has not
-            restarted.
-    """
+    """Query an engine for its state."""
 
     target: str
-    start_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -110,10 +110,20 @@
 
     Attributes:
         delimited: Whether a length or chunks tell where the stream ends.
+        confirmed: Whether the target has stated since then that it is the incarnation
+            that it registered.
     """
 
     attempt: int
     delimited: bool = True
+    confirmed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StreamConfirmed:
+    """A target stated, after its stream was opened, the start that it registered."""
+
+    attempt: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -656,6 +666,7 @@
     | CallerGone
     | AttemptConnected
     | StreamOpened
+    | StreamConfirmed
     | PiecesArrived
     | StreamEnded
     | StreamClosed
--- a/figstep/gateway/origins.py
+++ b/figstep/gateway/origins.py
@@ -3,116 +3,66 @@
 What targets of two software versions write does not fit together, and no target checks
 what another one wrote: a stream goes on only at the version that began it.
 `eligibility` asks for that version wherever a target is chosen.
+
+A registration tells the version of the incarnation that wrote it. An engine may restart
+under its id as another version before that is read, and its answers name no version.
+The version of a stream is therefore known only if the engine states, after the stream
+was opened, the start that is registered with that version.
 """
 
 from figstep.core.clock import Millis
 from figstep.gateway import placement, versions
-from figstep.gateway.effects import Announce, Effect, Note, ReadReport
+from figstep.gateway.effects import Announce, Confirmation, Effect
 from figstep.gateway.events import PeerHeard, RoutedRequest
 from figstep.gateway.routes import Route, RouteKind
 from figstep.gateway.starts import UNKNOWN_VERSION, StreamStart, hash_stream
 from figstep.gateway.state import Attempt, Origin, Request, State
-from figstep.gateway.targets import Registration, Target
-
-CLOCK_TOLERANCE = Millis(250)
-"""Assumed bound, in milliseconds, of the difference between the clocks of an engine and
-of this entry. A stream that was opened this long before an engine's start, as the
-engine states it, was certainly begun by the incarnation before."""
-
-
-def find_origin(state: State, attempt: Attempt) -> Origin:
-    """Return the origin of a stream whose first event an attempt delivers now.
+from figstep.gateway.targets import Target
 
-    It is not known if another entry got the request, or if the target has restarted as
-    another version since the attempt was opened, or as one that is not known yet.
-    """
-    version = attempt.target.info.version
-    current = state.targets.find(attempt.target.name)
-    if attempt.relay is not None or current is None or current.restarted:
-        return Origin(None)
-    if current is not attempt.target and current.info.version != version:
-        return Origin(None)
-    return Origin(version, attempt.target.info.incarnation, attempt.opened)
+UNKNOWN = Origin(None)
+"""Origin of a stream whose version is not known, so that it goes on nowhere."""
 
 
-def check_start(state: State, request: Request) -> list[Effect]:
-    """Return a query for whether the engine that began a stream has restarted.
+def choose_confirmation(state: State, request: Request, target: Target) -> Confirmation:
+    """Return what rests on the start that a target states after it opened a stream.
 
-    It is sent where a stream may go on elsewhere, as its caller or its attempt is gone.
-    An engine that still has its registered start has begun the stream; one that gives
-    no report has ended, as far as this entry can tell, and not restarted.
+    A stream that has begun is not read if its version would be a guess. That holds for
+    copies as well: a holder may have restarted before it received the copy.
     """
-    origin = request.origin
-    if origin is None or origin.version is None or origin.incarnation is None:
-        return []
-    target = state.targets.find(origin.incarnation.target)
-    if target is None or target.info.incarnation != origin.incarnation:
-        return []
-    if not target.info.born or target.restarted:
-        return []
-    if placement.find_engine_pool(state, request.service) is None:
-        return []
-    return [ReadReport(target.name, start_only=True)]
-
-
-def forget_uncertain(
-    state: State, target: Target, born: int, now: Millis
-) -> tuple[list[Request], list[Effect]]:
-    """Forget the versions of streams that a later incarnation may have begun.
-
-    A start that is earlier than the registered one, or in the future, is of a clock
-    that was set. It does not tell streams apart, and all are forgotten.
-
-    Args:
-        state: State of the gateway.
-        target: The target as it was registered.
-        born: Start of the later incarnation, as a Unix time in milliseconds.
-        now: Monotonic time in milliseconds.
+    if request.route.kind is not RouteKind.STREAM:
+        return Confirmation.NONE
+    if not _states_start(state, target):
+        return Confirmation.NONE
+    if request.origin is not None:
+        return Confirmation.STREAM
+    pool = placement.find_engine_pool(state, request.service)
+    may_go_on = pool is not None and (pool.moves or pool.backups)
+    if request.route.resumable or may_go_on:
+        return Confirmation.VERSION
+    return Confirmation.NONE
+
+
+def _states_start(state: State, target: Target) -> bool:
+    """Return whether a target can state its start: plain services give no report."""
+    if placement.find_engine_pool(state, target.info.service) is None:
+        return False
+    return target.info.born != 0
+
+
+def find_origin(state: State, attempt: Attempt, now: Millis) -> Origin:
+    """Return the origin of a stream whose first event an attempt delivers now.
 
-    Returns:
-        The requests whose version was forgotten, and effects that tell other entries.
-    """
-    incarnation = target.info.incarnation
-    since = Millis(born - state.unix_offset - CLOCK_TOLERANCE)
-    if born < incarnation.born or since > now:
-        since = Millis(0)
-    affected = []
-    for request in state.requests.values():
-        origin = request.origin
-        if origin is None or origin.incarnation != incarnation:
-            continue
-        if origin.opened >= since:
-            request.origin = Origin(None)
-            affected.append(request)
-    starts = state.starts.forget_versions(incarnation, since, now)
-    if not affected and not starts:
-        return [], []
-    fields: dict[str, str | int | float | None] = {
-        "target": target.name,
-        "registered": incarnation.born,
-        "restarted": born,
-        "open": len(affected),
-        "starts": starts,
-    }
-    return affected, [Announce(), Note("versions of streams forgotten", fields)]
-
-
-def handle_restart(state: State, before: Target, info: Registration) -> None:
-    """Forget the origin of the streams at a target that restarted as another version.
-
-    A target may restart under its id before its new registration is read. It is then
-    not known which of the two versions began the streams that are open there.
+    It is not known if another entry got the request. For a target that cannot state its
+    start it is known only while its service has had no other version.
     """
-    if before.info.version != info.version:
-        forget_open(state, before)
-
-
-def forget_open(state: State, target: Target) -> None:
-    """Forget the origin of the streams that are open at a target."""
-    for request in state.requests.values():
-        current = request.current
-        if current is not None and current.target is target and request.origin:
-            request.origin = Origin(None)
+    if attempt.relay is not None:
+        return UNKNOWN
+    info = attempt.target.info
+    if attempt.confirmed:
+        return Origin(info.version)
+    if _states_start(state, attempt.target):
+        return UNKNOWN
+    return Origin(versions.find_sole_version(state, [info.service], now))
 
 
 def find_resumed_origin(
@@ -131,7 +81,7 @@
     version = state.starts.find_version(stream)
     takes_up = spec.version is not None or spec.after or spec.resumes
     if takes_up and version == UNKNOWN_VERSION:
-        return Origin(None)
+        return UNKNOWN
     if spec.version is not None:
         return Origin(spec.version)
     if not takes_up:
@@ -147,18 +97,23 @@
 ) -> list[Effect]:
     """Record the start of a stream that its caller may take up again at any entry.
 
-    Other entries are told at once if they could not know the version otherwise.
+    Other entries are told at once if they could not know the version otherwise, and if
+    they would take the only version of the service for one that is not known.
     """
     spec, origin = request.spec, request.origin
     if not request.route.resumable or spec.after or spec.resumes:
         return []
-    if origin is None or origin.version is None or attempt.relay is not None:
+    if origin is None or attempt.relay is not None:
+        return []
+    if origin == UNKNOWN and not _states_start(state, attempt.target):
         return []
-    start = StreamStart(hash_stream(spec.id, spec.digest), origin.version)
-    state.starts.record_own(
-        start, request.service, now, origin.incarnation, origin.opened
-    )
-    return [Announce()] if request.service in state.announced_since else []
+    stream = hash_stream(spec.id, spec.digest)
+    start = StreamStart(stream, origin.version or UNKNOWN_VERSION)
+    was_unknown = state.starts.find_version(stream) == UNKNOWN_VERSION
+    state.starts.record_own(start, request.service, now)
+    if was_unknown or origin == UNKNOWN or request.service in state.announced_since:
+        return [Announce()]
+    return []
 
 
 def apply_starts(state: State, event: PeerHeard, now: Millis) -> None:
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -9,7 +9,6 @@
     culprits,
     eligibility,
     limits,
-    origins,
     peers,
     placement,
     reach,
@@ -77,7 +76,6 @@
         # was used up or never arrived.
         request.current.backup_unusable = True
         return effects + _stop_lost_run(state, request, attempt, event)
-    effects += origins.check_start(state, request)
     if request.standby is not None:
         request.current = request.standby
         request.standby = None
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -51,6 +51,7 @@
     StoreLost,
     StoreRegained,
     StreamClosed,
+    StreamConfirmed,
     StreamEnded,
     StreamOpened,
     TargetChecked,
@@ -102,6 +103,8 @@
             return reach.handle_checked(state, event, now)
         case StreamOpened():
             return streams.handle_stream_opened(state, event)
+        case StreamConfirmed():
+            return streams.handle_stream_confirmed(state, event, now)
         case RequestArrived():
             return requests.admit_request(state, event, now)
         case StreamClosed():
@@ -224,14 +227,6 @@
     if before is None or is_new_incarnation(before.info, info):
         crash_effects = crashes.record_successor(state, info, now)
     if before is not None and is_new_incarnation(before.info, info):
-        origins.handle_restart(state, before, info)
-        both_state_start = info.born and before.info.born
-        if (
-            before.info.version != info.version
-            and both_state_start
-            and eras.is_later(state, before.info, info, now)
-        ):
-            crash_effects += departures.forget_uncertain(state, before, info.born, now)
         versions.record_past_version(state, before.info, now)
     target = state.targets.record_registration(info, now)
     target.evacuated = info.failure_domain in state.evacuated_domains
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -493,11 +493,8 @@
     request = state.requests.get(event.number)
     if request is None:
         return []
-    # The caller may take a stream up again at any entry.
-    checks = origins.check_start(state, request) if request.route.resumable else []
     return [
         *attempts.close_request(state, request, now),
-        *checks,
         Count("callers_gone", (request.route.name,)),
         describe_end(request, "caller gone", "", now),
     ]
--- a/figstep/gateway/starts.py
+++ b/figstep/gateway/starts.py
@@ -10,7 +10,6 @@
 from dataclasses import dataclass, field
 
 from figstep.core.clock import Millis
-from figstep.gateway.targets import Incarnation
 
 START_RETENTION = Millis(120_000)
 """Milliseconds for which a start is remembered; no caller waits longer for a stream."""
@@ -30,9 +29,9 @@
 
 
 UNKNOWN_VERSION = ""
-"""Version of a stream whose target may have restarted as another version before the
-stream began. No target registers it, so that entries of earlier builds, which know no
-such value, refuse the stream as well."""
+"""Version of a stream whose target has not stated the start that it registered. No
+target registers it, so that entries of earlier builds, which know no such value, refuse
+the stream as well."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,9 +70,8 @@
     version: str
     at: Millis
     service: str
-    incarnation: Incarnation | None = None
-    opened: Millis = Millis(0)
     recorded: bool = False
+    was_unknown: bool = False  # when peers were told
 
 
 @dataclass(slots=True)
@@ -82,61 +80,33 @@
 
     _known: dict[int, _KnownStart] = field(default_factory=dict)
 
-    def record_own(
-        self,
-        start: StreamStart,
-        service: str,
-        now: Millis,
-        incarnation: Incarnation | None = None,
-        opened: Millis = Millis(0),
-    ) -> None:
-        """Record a stream that this entry begins to deliver.
-
-        ``incarnation`` is the target that sends it, as registered, and ``opened`` when
-        its attempt was opened.
-        """
+    def record_own(self, start: StreamStart, service: str, now: Millis) -> None:
+        """Record a stream that this entry begins to deliver, or its version."""
+        # The table is ordered by time; the newest are announced.
+        former = self._known.pop(start.stream, None)
+        was_unknown = former is not None and former.version == UNKNOWN_VERSION
         self._known[start.stream] = _KnownStart(
-            start.version, now, service, incarnation, opened
+            start.version, now, service, was_unknown=was_unknown
         )
         self._drop_oldest()
 
     def record_announced(
         self, start: StreamStart, now: Millis, recorded: bool = False
     ) -> None:
-        """Record a stream that a peer delivers, unless it is known already.
+        """Record a stream that a peer delivers.
 
-        A known version is replaced only by `UNKNOWN_VERSION`. ``recorded`` states that
-        another entry writes it to the store, or has.
+        A known version is replaced only by `UNKNOWN_VERSION`, and that by a version.
+        ``recorded`` states that another entry writes it to the store, or has.
         """
         known = _KnownStart(start.version, now, "", recorded=recorded)
         current = self._known.setdefault(start.stream, known)
-        if start.version == UNKNOWN_VERSION and current.version != UNKNOWN_VERSION:
-            current.version = UNKNOWN_VERSION
-            current.recorded = False
+        if current.version == start.version:
+            return
+        if UNKNOWN_VERSION in (current.version, start.version):
+            current.version = start.version
+            current.recorded = recorded
         self._drop_oldest()
 
-    def forget_versions(
-        self, incarnation: Incarnation, since: Millis, now: Millis
-    ) -> int:
-        """Forget the versions of own streams of a target opened at ``since`` or later.
-
-        Returns:
-            The number of streams whose versions were forgotten.
-        """
-        forgotten = [
-            (stream, known)
-            for stream, known in self._known.items()
-            if known.incarnation == incarnation
-            and known.opened >= since
-            and known.version != UNKNOWN_VERSION
-        ]
-        for stream, known in forgotten:
-            # The table is ordered by time; the newest are announced.
-            del self._known[stream]
-            known.version, known.at, known.recorded = UNKNOWN_VERSION, now, False
-            self._known[stream] = known
-        return len(forgotten)
-
     def find_version(self, stream: int) -> str | None:
         """Return the software version that began a stream; None if it is unknown."""
         known = self._known.get(stream)
@@ -148,8 +118,8 @@
         """Return this entry's own starts for the next message to peers.
 
         ``announced_since`` holds, by service, since when starts are announced. Earlier
-        ones are announced as if they began then, those of other services only once
-        their version was forgotten: peers may hold it, or know only one.
+        ones are announced as if they began then, those of other services only if their
+        version is not known, or was not: peers may know only one.
         """
         announced: list[StreamStart] = []
         oldest = Millis(now - START_ANNOUNCE_DURATION)
@@ -160,7 +130,8 @@
             if known.at <= oldest and not includes_earlier:
                 break
             since = announced_since.get(known.service)
-            if since is None and known.service and known.version == UNKNOWN_VERSION:
+            is_unknown = known.version == UNKNOWN_VERSION
+            if since is None and known.service and (is_unknown or known.was_unknown):
                 since = known.at
             if since is not None and max(known.at, since) > oldest:
                 announced.append(StreamStart(stream, known.version))
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -132,14 +132,9 @@
     Attributes:
         version: The version; None if it is not known, so that the stream may go on at
             no target.
-        incarnation: Target that sent the first event, as it was registered then; None
-            if that was in an earlier attempt of the caller or at another entry.
-        opened: When the attempt was opened that brought the first event.
     """
 
     version: str | None
-    incarnation: Incarnation | None = None
-    opened: Millis = Millis(0)
 
 
 @dataclass(slots=True)
@@ -163,6 +158,8 @@
         source: Copy that it resumes from, or None for a run from the start.
         connected: Whether its connection was established.
         answered: Whether the headers of its stream have arrived.
+        confirmed: Whether its target has stated since then that it is the incarnation
+            that it registered.
         first_delivery_at: When its first event went to the caller, or None.
         relay: Entry that got the request in place of a target, or None. The target
             then stands for that entry, and is in no table.
@@ -185,6 +182,7 @@
     source: RunCopy | None = None
     connected: bool = False
     answered: bool = False
+    confirmed: bool = False
     first_delivery_at: Millis | None = None
     relay: RelayTo | None = None
     sample_began_at: Millis | None = None
@@ -500,7 +498,6 @@
             service and version.
         announced_since: Since when the starts of a service's streams are announced to
             other entries, by service.
-        unix_offset: Unix time minus monotonic time, in milliseconds.
         was_told_versions: Whether an entry that knows them told this one which versions
             targets had before it started.
         history: What is known of the versions and starts in the store.
@@ -566,7 +563,6 @@
     customer_shares: dict[tuple[str, int], FairShares] = field(default_factory=dict)
     places_by_pace: bool = False
     demand: DemandTable | None = None
-    unix_offset: int = 0
 
     @property
     def is_large(self) -> bool:
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -26,6 +26,7 @@
     PiecesArrived,
     ReadingPaused,
     StreamClosed,
+    StreamConfirmed,
     StreamOpened,
 )
 from figstep.gateway.routes import RouteKind
@@ -83,11 +84,30 @@
     if attempt is None:
         return []
     attempt.answered = True
+    attempt.confirmed = event.confirmed
     if attempt.first_delivery_at is None:
         state.requests[attempt.request].open_ended = not event.delimited
     return []
 
 
+def handle_stream_confirmed(
+    state: State, event: StreamConfirmed, now: Millis
+) -> list[Effect]:
+    """Record that the registered incarnation of a target writes a stream.
+
+    A stream that has begun meanwhile without a known version has one from now on.
+    """
+    attempt = state.attempts.get(event.attempt)
+    if attempt is None:
+        return []
+    attempt.confirmed = True
+    request = state.requests[attempt.request]
+    if request.origin != origins.UNKNOWN or request.current is not attempt:
+        return []
+    request.origin = origins.find_origin(state, attempt, now)
+    return origins.record_start(state, request, attempt, now)
+
+
 def handle_stream_closed(state: State, event: StreamClosed) -> list[Effect]:
     """Record that a stream has ended and no more events come: it has not stalled."""
     attempt = state.attempts.get(event.attempt)
@@ -171,7 +191,7 @@
     """Begin to send the caller a stream, with the head of an attempt's answer."""
     request.stream_begun = True
     if request.origin is None:
-        request.origin = origins.find_origin(state, attempt)
+        request.origin = origins.find_origin(state, attempt, now)
     request.time_to_first_event = Millis(now - request.arrived)
     attempt.target.record_success(now)
     crashes.record_answer(state, attempt.target, attempt.opened)
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from functools import partial
-from typing import Any
+from typing import Any, TypeVar
 
 import aiohttp
 import logbook
@@ -17,7 +17,7 @@
 from figstep.core.clock import Clock, Millis
 from figstep.errors import FrameError
 from figstep.gateway.edges import AnswerHead, TargetPort, WholeAnswer
-from figstep.gateway.effects import CopyRun, OpenAttempt, StopRun
+from figstep.gateway.effects import Confirmation, CopyRun, OpenAttempt, StopRun
 from figstep.gateway.events import (
     AnswerArrived,
     AnswerBegan,
@@ -33,6 +33,7 @@
     RunCopied,
     RunNotCopied,
     StreamClosed,
+    StreamConfirmed,
     StreamEnded,
     StreamOpened,
     StreamPiece,
@@ -70,6 +71,10 @@
 after which callers abandon a stream.
 """
 
+VERSION_TIMEOUT_SECONDS = 0.2
+"""Longest time for which a new stream waits until its target states its start, in
+seconds. Later it is delivered, and cannot be taken up until that has come."""
+
 CONFIRM_PAUSE_SECONDS = 0.1
 """Pause before a target is queried for its start again, in seconds."""
 
@@ -115,6 +120,8 @@
 
 _SUPPRESSED_CLIENT_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 
+_Result = TypeVar("_Result")
+
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
@@ -162,7 +169,7 @@
         self._find_target = find_target
         self._session: aiohttp.ClientSession | None = None
         self._attempt_tasks: dict[int, asyncio.Task[None]] = {}
-        self._background: set[asyncio.Task[None]] = set()
+        self._background: set[asyncio.Task[Any]] = set()
         self._open: dict[int, OpenAttempt] = {}
         self._heads: dict[int, AnswerHead] = {}
         self._answers: dict[int, WholeAnswer] = {}
@@ -305,24 +312,35 @@
                 refusal.whole = await _is_whole(response)
                 raise
             if effect.stream and response.status == 200:
-                reason = await self._refute(target) if effect.confirm else ""
-                if reason:
-                    return AttemptLost(effect.attempt, Loss.UNCONFIRMED, detail=reason)
-                return await self._read_stream(effect, exchange, response)
+                start = await self._await_start(effect, target)
+                confirmed = start is Start.REGISTERED
+                if effect.confirm is Confirmation.STREAM and not confirmed:
+                    detail = f"start {start.value}"
+                    return AttemptLost(effect.attempt, Loss.UNCONFIRMED, detail=detail)
+                return await self._read_stream(effect, exchange, response, confirmed)
             return await self._read_answer(effect, exchange, response)
 
-    async def _refute(self, target: Target) -> str:
-        """Return why a target may have restarted since it registered, or "".
+    async def _await_start(self, effect: OpenAttempt, target: Target) -> Start:
+        """Return what a target states of its start after it has accepted a stream.
 
-        The report is queried after the target has accepted a stream: if it states the
-        registered start, no later incarnation writes that stream.
+        If the registered start is stated, no later incarnation writes the stream. A new
+        stream waits only briefly; StreamConfirmed is dispatched if the answer is late.
         """
-        match await self._confirm_start(target):
-            case Start.REGISTERED:
-                return ""
-            case Start.OTHER:
-                return "it has restarted since it registered"
-        return "its start is not confirmed"
+        match effect.confirm:
+            case Confirmation.NONE:
+                return Start.UNSTATED
+            case Confirmation.STREAM:
+                return await self._confirm_start(target, effect.born)
+        query = self._run_in_background(self._confirm_start(target, effect.born))
+        await asyncio.wait({query}, timeout=VERSION_TIMEOUT_SECONDS)
+        if query.done():
+            return query.result()
+        query.add_done_callback(partial(self._handle_late_start, effect.attempt))
+        return Start.UNKNOWN
+
+    def _handle_late_start(self, attempt: int, query: asyncio.Task[Start]) -> None:
+        if not query.cancelled() and query.result() is Start.REGISTERED:
+            self._dispatch(StreamConfirmed(attempt))
 
     async def _query_start(self, target: Target) -> Start:
         """Return whether a target states the start that it registered.
@@ -436,11 +454,12 @@
         effect: OpenAttempt,
         exchange: CallerExchange,
         response: aiohttp.ClientResponse,
+        confirmed: bool = False,
     ) -> Event:
         attempt = effect.attempt
         self._heads[attempt] = answers.read_head(response)
         delimited = is_delimited(response)
-        self._dispatch(StreamOpened(attempt, delimited))
+        self._dispatch(StreamOpened(attempt, delimited, confirmed))
         splitter = EventSplitter()
         events = 0
         async for chunk in response.content.iter_any():
@@ -594,17 +613,20 @@
 
         A plain service, which states no start, only has to answer.
         """
-        start = await self._confirm_start(target)
+        start = await self._confirm_start(target, target.info.born)
         return start is Start.REGISTERED or (is_plain and start is Start.UNSTATED)
 
-    async def _confirm_start(self, target: Target) -> Start:
+    async def _confirm_start(self, target: Target, born: int) -> Start:
         """Query a target for its start, again if no answer comes.
 
-        One that has too many connections resets further ones for a moment.
+        One that has too many connections resets further ones for a moment. ``born`` is
+        the registered start in question: it may be registered anew meanwhile.
         """
         until = self._clock.now() + CONFIRM_TIMEOUT
         while True:
             start = await self._query_start(target)
+            if start is Start.REGISTERED and target.info.born != born:
+                return Start.OTHER
             if start is not Start.UNKNOWN or self._clock.now() >= until:
                 return start
             await asyncio.sleep(CONFIRM_PAUSE_SECONDS)
@@ -666,15 +688,15 @@
             lives = reached and await self._states_life(target)
         self._dispatch(TargetChecked(name, opened, reached, lives))
 
-    def read_report(self, target: str, start_only: bool = False) -> None:
+    def read_report(self, target: str) -> None:
         """Query an engine for its state.
 
-        The report is dispatched as EngineReported unless ``start_only`` is set, or as
-        TargetRestarted if the engine has restarted; a failure is only logged.
+        The report is dispatched as EngineReported, or as TargetRestarted if the engine
+        has restarted; a failure is only logged.
         """
-        self._run_in_background(self._read_report(target, start_only))
+        self._run_in_background(self._read_report(target))
 
-    async def _read_report(self, name: str, start_only: bool) -> None:
+    async def _read_report(self, name: str) -> None:
         target = self._find_target(name)
         if target is None:
             return
@@ -684,8 +706,8 @@
             return
         if contradicts_registration(info, report.born):
             self._dispatch(TargetRestarted(info.incarnation, report.born))
-        elif not start_only:
-            self._dispatch(report)
+            return
+        self._dispatch(report)
 
     async def _query_state(self, target: Target) -> "_Reply":
         """Query a target for its state; a failure is logged.
@@ -718,10 +740,13 @@
             is_down = _is_connection_refused(error)
             return _Reply(None, Start.DOWN if is_down else Start.UNKNOWN)
 
-    def _run_in_background(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _run_in_background(
+        self, coroutine: Coroutine[Any, Any, _Result]
+    ) -> asyncio.Task[_Result]:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._background.add(task)
         task.add_done_callback(self._background.discard)
+        return task
 
     async def _order_copy(self, effect: CopyRun) -> None:
         assert self._session is not None
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -6,7 +6,6 @@
 import random
 import signal
 import socket
-import time
 from collections import deque
 from pathlib import Path
 
@@ -549,7 +548,6 @@
         random.Random(seed),
         budget,
         regions=settings.regions,
-        unix_offset=time.time_ns() // 1_000_000 - now,
         relay_address="" if settings.relays is None else str(settings.relays),
         places_by_pace=settings.places_by_pace,
         fleet_admission=settings.fleet_admission,
--- a/tests/gateway/demand_fleets.py
+++ b/tests/gateway/demand_fleets.py
@@ -12,9 +12,7 @@
 from figstep.gateway.events import (
     ConfigurationRead,
     EntriesCounted,
-    PiecesArrived,
     StreamEnded,
-    StreamPiece,
     TargetRegistered,
     Ticked,
 )
@@ -190,7 +188,7 @@
             objective = (LONG if route == "long" else SHORT).objective
             late = self.clock.now() - arrived > objective
             self.outcomes[route]["in_time"] += first and not late
-            harness.handle(PiecesArrived(attempt, [StreamPiece(1, b"id: 1\n\n")]))
+            harness.send_pieces(attempt, 1, 1)
             self._later(DURATIONS[route], "end", number, attempt, harness)
         else:
             harness.handle(StreamEnded(attempt))
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -8,7 +8,7 @@
 from figstep.core.clock import Millis
 from figstep.gateway import admission
 from figstep.gateway.effects import OpenAttempt, Refuse
-from figstep.gateway.events import PiecesArrived, StreamEnded, StreamPiece, Ticked
+from figstep.gateway.events import StreamEnded, Ticked
 from figstep.gateway.prompts import Prompt
 from tests.gateway.worlds import PLAN, EntryHarness
 
@@ -79,8 +79,7 @@
                 case "caller":
                     self._arrive(*payload)  # type: ignore[misc]
                 case "first":
-                    piece = StreamPiece(1, b"id: 1\n\n")
-                    self.harness.handle(PiecesArrived(payload, [piece]))  # type: ignore[arg-type]
+                    self.harness.send_pieces(payload, 1, 1)  # type: ignore[arg-type]
                 case "end":
                     self.harness.handle(StreamEnded(payload))  # type: ignore[arg-type]
                 case _:
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -226,7 +226,7 @@
     harness.register("e-1", "e-2")
     harness.receive_plan(output=20)
     opened = harness.find_effect(OpenAttempt)
-    harness.handle(StreamOpened(opened.attempt, delimited=False))
+    harness.handle(StreamOpened(opened.attempt, delimited=False, confirmed=True))
     piece = StreamPiece(1, b"id: 1\n\n")
     harness.handle(PiecesArrived(opened.attempt, [piece]))
     harness.handle(Ticked())
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -10,9 +10,7 @@
     EntriesCounted,
     PeerHeard,
     PeerLoad,
-    PiecesArrived,
     StreamEnded,
-    StreamPiece,
     TargetRegistered,
 )
 from figstep.gateway.prompts import Prompt
@@ -148,7 +146,7 @@
         self.due = [item for item in self.due if item[0] > now]
         for _, harness, kind, attempt in sorted(due, key=lambda item: item[0]):
             if kind == "read":
-                harness.handle(PiecesArrived(attempt, [StreamPiece(1, b"id: 1\n\n")]))
+                harness.send_pieces(attempt, 1, 1)
             else:
                 harness.handle(StreamEnded(attempt))
 
--- a/tests/gateway/test_fleet_properties.py
+++ b/tests/gateway/test_fleet_properties.py
@@ -24,6 +24,7 @@
     BreakStream,
     CheckTarget,
     CloseAttempt,
+    Confirmation,
     CopyRun,
     Deliver,
     Effect,
@@ -105,6 +106,7 @@
         version: Software version of that target.
         opened: Time at which it was opened.
         resumed: Whether it resumes from a copy.
+        registered: Whether its entry had read that incarnation's registration.
         index: Index of the last event that it sent.
         connected: Whether its connection is established.
         open: Whether it has not ended.
@@ -117,6 +119,7 @@
     version: str
     opened: Millis
     resumed: bool
+    registered: bool
     index: int = 0
     connected: bool = False
     open: bool = True
@@ -176,6 +179,7 @@
             harness.reachable = False
             harness.state.relay_address = f"{entry}:1"
         self.received_by: dict[str, set[Incarnation]] = {}
+        self.unregistered: dict[str, Millis] = {}
         for service, letter in ((BOOKINGS, "b"), (ENGINES, "e")):
             for number in range(3):
                 name = f"{letter}-{number}"
@@ -256,7 +260,8 @@
             return
         info = self.up.get(opened.target)
         known = self.fleet[entry].state.targets.targets[opened.target].info
-        if info is None or info.incarnation != known.incarnation:
+        registered = info is not None and info.incarnation == known.incarnation
+        if info is None or not (registered or info.target in self.unregistered):
             loss = Loss.UNREACHED if info is None else Loss.MISDIRECTED
             lost = AttemptLost(opened.attempt, loss, down=info is None)
             self.pending.append(partial(self.handle, entry, lost))
@@ -266,11 +271,21 @@
                 assert not any(run.ran for run in call.runs), "runs twice"
         now = self.clock.now()
         resumed = opened.source is not None
-        run = Run(entry, opened.attempt, info.incarnation, info.version, now, resumed)
+        run = Run(
+            entry,
+            opened.attempt,
+            info.incarnation,
+            info.version,
+            now,
+            resumed,
+            registered,
+        )
         run.index = opened.after or 0
         call.runs.append(run)
         self.runs[entry, opened.attempt] = run
         self.pending.append(partial(self.connect, run))
+        if opened.confirm is Confirmation.STREAM and not registered:
+            self.pending.append(partial(self.refute, run))
         self.received_by.setdefault(call.digest, set()).add(info.incarnation)
         live_runs = [
             run for run in call.runs if run.ran and run.incarnation not in self.ended
@@ -286,6 +301,12 @@
             run.connected = True
             self.handle(run.entry, AttemptConnected(run.attempt))
 
+    def refute(self, run: Run) -> None:
+        """Lose an attempt whose target states another start than the registered one."""
+        if run.open:
+            self.close(run)
+            self.handle(run.entry, AttemptLost(run.attempt, Loss.UNCONFIRMED))
+
     def open_hop(self, entry: int, opened: OpenAttempt, call: Call) -> None:
         """Let another entry receive a request that an entry passes on."""
         assert opened.relay is not None
@@ -441,7 +462,7 @@
         indexes = range(run.index + 1, last + 1)
         pieces = [build_piece(index, run.version) for index in indexes]
         run.index = last
-        self.handle(entry, StreamOpened(attempt))
+        self.handle(entry, StreamOpened(attempt, confirmed=run.registered))
         self.handle(entry, PiecesArrived(attempt, pieces))
         if last == STREAM_EVENTS and run.open:
             self.close(run)
@@ -501,9 +522,30 @@
         self.handle(entry, TargetLeaving(info.incarnation))
         self.run_pending()
 
+    @rule(data=st.data())
+    def restart_unregistered(self, data: st.DataObject) -> None:
+        """Restart an engine at once as another version; that is not registered yet."""
+        engines = [info for info in self.up.values() if info.service == ENGINES]
+        if not engines:
+            return
+        info = data.draw(st.sampled_from(engines))
+        self.crash(info.target, info.incarnation)
+        del self.down[info.target]
+        now = self.clock.now()
+        version = VERSIONS[info.version == VERSIONS[0]]
+        later = replace(info, born=max(now, info.born + 1), version=version)
+        self.up[info.target] = later
+        self.unregistered[info.target] = Millis(now + RESTART_DELAY)
+        self.run_pending()
+
     def return_targets(self) -> None:
         """Restart targets as new incarnations once their restart delay is over."""
         now = self.clock.now()
+        for name, at in list(self.unregistered.items()):
+            if name not in self.up or now >= at:
+                del self.unregistered[name]
+                if name in self.up:
+                    self.register(self.up[name])
         for name, at in list(self.down.items()):
             if now - at >= RESTART_DELAY:
                 del self.down[name]
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -2,11 +2,13 @@
 
 import pytest
 
+from figstep.gateway import peers
 from figstep.gateway.effects import (
+    Announce,
     BreakStream,
+    Confirmation,
     CopyRun,
     OpenAttempt,
-    ReadReport,
     Refuse,
 )
 from figstep.gateway.events import (
@@ -15,17 +17,18 @@
     Loss,
     PeerHeard,
     RunCopied,
+    StreamConfirmed,
     TargetChecked,
     TargetDeparted,
     TargetRegistered,
     TargetRestarted,
     Ticked,
 )
-from figstep.gateway.origins import CLOCK_TOLERANCE
 from figstep.gateway.prompts import Prompt
-from figstep.gateway.starts import UNKNOWN_VERSION, StreamStart
+from figstep.gateway.starts import StreamStart
+from figstep.gateway.state import Origin
 from figstep.gateway.targets import Incarnation, Registration
-from tests.gateway.worlds import ENGINES, EntryHarness, build_copy
+from tests.gateway.worlds import BOOKINGS, ENGINES, EntryHarness, build_copy
 
 FIRST = "e-1"
 """Engine at which the streams of most tests begin."""
@@ -42,9 +45,14 @@
         harness.handle(TargetRegistered(info))
 
 
-def begin_stream(path: str = "/plan/a", moves: bool = True) -> EntryHarness:
-    """Return an entry whose first stream has begun at `FIRST`, of version v1."""
-    harness = EntryHarness(moves=moves)
+def begin_stream(
+    path: str = "/plan/a", moves: bool = True, confirmed: bool = True
+) -> EntryHarness:
+    """Return an entry whose first stream has begun at `FIRST`, registered as v1.
+
+    ``confirmed`` tells whether that has stated its registered start.
+    """
+    harness = EntryHarness(moves=moves, confirmed=confirmed)
     register(harness, "v1", FIRST)
     harness.receive_request(path, Prompt("m", 3_000, 2_000, 900))
     harness.send_pieces(harness.find_effect(OpenAttempt).attempt, 1, 9)
@@ -130,21 +138,23 @@
 
 def test_a_stream_goes_nowhere_after_its_target_restarted_as_another_version() -> None:
     """Guards against a stream that a restarted target began as another version."""
-    harness = begin_stream("/question/a")
+    harness = begin_stream("/question/a", confirmed=False)
     register(harness, "v1", "e-2")
     register(harness, "v2", FIRST, "e-3", born=2)
     lose_current(harness)
     assert not harness.find_effects(OpenAttempt)
 
 
-def test_a_stream_goes_on_after_its_target_restarted_as_the_same_version() -> None:
+@pytest.mark.parametrize("version", ["v1", "v2"])
+def test_a_stream_goes_on_after_its_target_restarted(version: str) -> None:
     """Guards against streams that are lost at each restart of a target."""
     harness = begin_stream("/question/a")
     register(harness, "v1", "e-2")
     register(harness, "v2", "e-3")
-    register(harness, "v1", FIRST, born=2)
+    register(harness, version, FIRST, born=2)
     lose_current(harness)
-    assert harness.find_effect(OpenAttempt).target in (FIRST, "e-2")
+    holders = ("e-2",) if version == "v2" else (FIRST, "e-2")
+    assert harness.find_effect(OpenAttempt).target in holders
 
 
 def cut_off(harness: EntryHarness, *names: str) -> None:
@@ -183,11 +193,10 @@
     assert harness.find_effect(OpenAttempt).target == "e-1"
 
 
-def test_a_version_that_was_forgotten_is_not_taken_from_another_entry() -> None:
-    """Guards against a hop by an entry that has not heard of a restart yet."""
-    harness = begin_stream("/question/a")
+def test_a_version_that_is_not_known_is_not_taken_from_another_entry() -> None:
+    """Guards against a hop by an entry that has not been told of the stream yet."""
+    harness = begin_stream("/question/a", confirmed=False)
     harness.handle(CallerGone(1))
-    restart_first(harness)
     register(harness, "v1", "e-5")
     passed = {"digest": "digest-1", "resumes": "id-1", "after": 9, "version": "v1"}
     prompt = Prompt("m", 3_000, 2_000, 900)
@@ -200,15 +209,35 @@
     harness.handle(TargetRestarted(Incarnation(FIRST, 1), born))
 
 
-def test_only_a_stream_that_has_begun_is_confirmed_where_it_goes_on() -> None:
-    """Guards against a restarted target, and against a query for each new stream."""
+def test_a_target_states_its_start_where_a_stream_begins_and_goes_on() -> None:
+    """Guards against the version of a target that restarted before it registered."""
     harness = EntryHarness()
     register(harness, "v1", FIRST, "e-2", "e-3")
     harness.receive_request("/question/a", Prompt("m", 3_000, 2_000, 900))
     opened = harness.find_effect(OpenAttempt)
     harness.send_pieces(opened.attempt, 1, 3)
     lose_current(harness)
-    assert (opened.confirm, harness.find_effect(OpenAttempt).confirm) == (False, True)
+    assert opened.confirm is Confirmation.VERSION
+    assert harness.find_effect(OpenAttempt).confirm is Confirmation.STREAM
+
+
+def test_the_holder_of_a_copy_states_its_start() -> None:
+    """Guards against a copy at an engine that had restarted as another version."""
+    harness = begin_stream()
+    register(harness, "v1", "e-2")
+    harness.handle(TargetDeparted(FIRST))
+    order = harness.find_effect(CopyRun)
+    harness.handle(RunCopied(order.number, build_copy(FIRST, "e-2")))
+    opened = harness.find_effect(OpenAttempt)
+    assert (opened.target, opened.confirm) == ("e-2", Confirmation.STREAM)
+
+
+def test_calls_and_streams_that_go_on_nowhere_need_no_statement() -> None:
+    """Guards against a query for each request of a plain service."""
+    harness = EntryHarness()
+    harness.register("b-1", service=BOOKINGS)
+    harness.receive_request("/lookup/a")
+    assert harness.find_effect(OpenAttempt).confirm is Confirmation.NONE
 
 
 def test_a_target_that_has_restarted_gets_nothing_until_it_registers() -> None:
@@ -225,73 +254,85 @@
     assert harness.state.targets.list_ready(ENGINES)
 
 
-@pytest.mark.parametrize("event", [CallerGone(1), AttemptLost(1, Loss.BROKEN)])
-def test_an_engine_is_asked_for_its_start_where_its_stream_may_go_on(
-    event: CallerGone | AttemptLost,
-) -> None:
-    """Guards against a stream that goes on at a version which did not begin it."""
-    harness = begin_stream("/question/a")
-    harness.handle(event)
-    assert harness.find_effect(ReadReport) == ReadReport(FIRST, start_only=True)
-
-
-@pytest.mark.parametrize(("later", "is_cut"), [(0, True), (CLOCK_TOLERANCE + 1, False)])
-def test_a_stream_is_cut_off_that_a_restarted_target_may_have_begun(
-    later: int, is_cut: bool
-) -> None:
-    """Guards against joined versions, and against the loss of all streams there."""
-    harness = begin_stream("/question/a")
+@pytest.mark.parametrize("path", ["/question/a", "/plan/a"])
+def test_a_stream_is_cut_off_that_a_restarted_target_may_have_begun(path: str) -> None:
+    """Guards against joined versions where nobody stated which one began a stream."""
+    harness = begin_stream(path, confirmed=False)
     register(harness, "v1", "e-5")
-    born = harness.clock.now() + later
-    harness.clock.advance(CLOCK_TOLERANCE + 10)
+    harness.handle(TargetDeparted(FIRST))
+    assert not harness.find_effects(CopyRun)
     lose_current(harness)
-    restart_first(harness, born)
-    assert bool(harness.find_effects(BreakStream)) is is_cut
+    assert not harness.find_effects(OpenAttempt)
+    assert harness.find_effects(BreakStream)
 
 
-@pytest.mark.parametrize("is_reported", [True, False])
-def test_a_returning_caller_finds_no_version_that_is_uncertain(
-    is_reported: bool,
-) -> None:
-    """Guards against a stream that is taken up, here or at another entry."""
-    harness, other = begin_stream("/question/a"), EntryHarness()
+@pytest.mark.parametrize("step", [-200_000, 1, 60_000])
+def test_a_returning_caller_finds_no_version_that_is_uncertain(step: int) -> None:
+    """Guards against a stream that is taken up, whatever clocks of targets say."""
+    harness, other = begin_stream("/question/a", confirmed=False), EntryHarness()
+    assert harness.find_effects(Announce)
     harness.handle(CallerGone(1))
-    if is_reported:
-        restart_first(harness)
-    else:
-        register(harness, "v2", FIRST, born=2)
+    register(harness, "v2", FIRST, born=harness.clock.now() + step)
     (start,) = harness.state.starts.list_announced({}, harness.clock.now())
     other.handle(PeerHeard("entry-2", starts=(StreamStart(start.stream, "v1"),)))
     other.handle(PeerHeard("entry-2", starts=(start,)))
     for entry in (harness, other):
         register(entry, "v1", "e-5")
-        prompt = Prompt("m", 3_000, 2_000, 900)
-        taken_up = {"digest": "digest-1", "resumes": "id-1", "after": 9}
-        entry.receive_request("/question/a", prompt, **taken_up)
+        take_up_first(entry)
         assert entry.find_effect(Refuse).problem.code == "version_unknown"
 
 
-@pytest.mark.parametrize("step", [-200_000, 60_000])
-def test_a_stream_is_cut_off_whatever_the_clock_of_its_restarted_target_says(
-    step: int,
+def take_up_first(entry: EntryHarness) -> None:
+    """Let the caller of the first stream take it up."""
+    prompt = Prompt("m", 3_000, 2_000, 900)
+    taken_up = {"digest": "digest-1", "resumes": "id-1", "after": 9}
+    entry.receive_request("/question/a", prompt, **taken_up)
+
+
+@pytest.mark.parametrize("versions", [("v1",), ("v1", "v2")])
+def test_a_stream_whose_target_states_its_start_late_is_taken_up(
+    versions: tuple[str, ...],
 ) -> None:
-    """Guards against joined versions as a target starts again with its clock set."""
+    """Guards against streams lost as a target answers a query late."""
+    harness, other = begin_stream("/question/a", confirmed=False), EntryHarness()
+    for entry in (harness, other):
+        for version in versions:
+            register(entry, version, f"e-{version}")
+    other.handle(peers.describe_entry(harness.state, harness.clock.now()))
+    (attempt,) = harness.state.attempts
+    harness.handle(StreamConfirmed(attempt))
+    assert harness.find_effects(Announce)
+    other.handle(peers.describe_entry(harness.state, harness.clock.now()))
+    harness.handle(CallerGone(1))
+    for entry in (harness, other):
+        take_up_first(entry)
+        assert entry.find_effect(OpenAttempt).target in (FIRST, "e-v1")
+
+
+def test_a_late_statement_does_not_change_the_version_of_a_stream() -> None:
+    """Guards against the version of the target at which a stream goes on."""
     harness = begin_stream("/question/a")
-    register(harness, "v1", "e-5")
-    harness.clock.advance(CLOCK_TOLERANCE + 10)
+    register(harness, "v1", "e-2")
     lose_current(harness)
-    restart_first(harness, harness.clock.now() + step)
-    assert harness.find_effects(BreakStream)
+    resumed = harness.find_effect(OpenAttempt)
+    harness.handle(StreamConfirmed(resumed.attempt))
+    (request,) = harness.state.requests.values()
+    assert request.origin == Origin("v1")
 
 
-@pytest.mark.parametrize("step", [-200_000, 60_000])
-def test_a_returning_caller_finds_no_version_by_a_clock_that_was_set(step: int) -> None:
-    """Guards against a stream taken up at the version of an earlier incarnation."""
-    harness = begin_stream("/question/a")
+@pytest.mark.parametrize("versions", [("v1",), ("v1", "v2")])
+def test_a_stream_of_a_target_without_a_start_needs_one_version(
+    versions: tuple[str, ...],
+) -> None:
+    """Guards against a guess where a target cannot state its start."""
+    harness = EntryHarness(confirmed=False)
+    for version in versions:
+        register(harness, version, f"e-{version}", born=0)
+    harness.receive_request("/question/a", Prompt("m", 3_000, 2_000, 900))
+    harness.send_pieces(harness.find_effect(OpenAttempt).attempt, 1, 9)
     harness.handle(CallerGone(1))
-    register(harness, "v2", FIRST, born=harness.clock.now() + step)
-    (start,) = harness.state.starts.list_own()
-    assert start.version == UNKNOWN_VERSION
+    take_up_first(harness)
+    assert bool(harness.find_effects(OpenAttempt)) is (len(versions) == 1)
 
 
 def test_a_target_that_states_an_earlier_start_has_restarted() -> None:
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -11,7 +11,6 @@
 from figstep.gateway.effects import Effect, OpenAttempt, Refuse
 from figstep.gateway.events import (
     ConfigurationRead,
-    PiecesArrived,
     StreamEnded,
     StreamPiece,
 )
@@ -58,7 +57,7 @@
         for opened in effects:
             if isinstance(opened, OpenAttempt):
                 started[opened.customer == FLOOD] += 1
-                entry.handle(PiecesArrived(opened.attempt, [FIRST]))
+                entry.send_pieces(opened.attempt, 1, 1)
                 runs.append((clock.now() + 1_000, entry, opened.attempt))
 
     for passed in range(4_000):
@@ -105,7 +104,7 @@
 def start_next(harness: EntryHarness) -> str:
     """End the run that is open and return the customer whose request starts."""
     (attempt,) = harness.state.attempts
-    harness.handle(PiecesArrived(attempt, [FIRST]))
+    harness.send_pieces(attempt, 1, 1)
     harness.handle(StreamEnded(attempt))
     harness.effects = requests.start_queued(harness.state, harness.clock.now())
     return harness.find_effect(OpenAttempt).customer
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -116,12 +116,15 @@
         clock: Clock that the tests advance.
         reachable: Whether connections to targets are established at once, for checks
             and attempts. If not, they stay open.
+        confirmed: Whether targets state their registered start after they accepted a
+            stream.
         effects: Effects of the last event, and of the connections that it led to.
         next_number: Number of the next request.
     """
 
     moves: bool = True
     reachable: bool = True
+    confirmed: bool = True
     clock: ManualClock = field(default_factory=lambda: ManualClock(100_000))
     effects: list[Effect] = field(default_factory=list)
     next_number: int = 1
@@ -205,7 +208,7 @@
 
     def send_pieces(self, attempt: int, first: int, last: int) -> list[Effect]:
         """Deliver the events ``first`` to ``last`` of an attempt's stream."""
-        self.handle(StreamOpened(attempt))
+        self.handle(StreamOpened(attempt, confirmed=self.confirmed))
         pieces = [
             StreamPiece(index, f"id: {index}\n\n".encode())
             for index in range(first, last + 1)
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -4,10 +4,12 @@
 from collections.abc import AsyncIterator
 
 import pytest
+from aiohttp import web
 
 from figstep.platform.entry import Entry
 from tests.platform.places import Place, open_place, start_fleet
 from tests.platform.standins import ROUTE_HOST, build_configuration
+from tests.platform.test_copies import read_plan
 
 QUESTION = {"Model": "m", "Token_Count": "300,200", "Length_Hint": "80"}
 
@@ -109,3 +111,96 @@
     async with place.session.post(url, data=b"dal", headers=headers) as response:
         assert (response.status == 200) is (restarted == 1)
         assert (b"data:" in await response.read()) is (restarted == 1)
+
+
+def restart_as(place: Place, name: str, version: str) -> None:
+    """Let an engine restart under its id; its registration stays as it was."""
+    target = place.targets[name]
+    target.version = version
+    target.restart_unregistered(born=2)
+
+
+async def refuse(request: web.Request) -> web.Response:
+    """Answer that a request was not run."""
+    headers = {"Request-Id": request.headers["Request-Id"], "Not-Executed": "1"}
+    return web.Response(status=503, headers=headers)
+
+
+async def begin_at(place: Place, entry: Entry, name: str) -> str:
+    """Begin a stream at an engine, which is full then; return the attempt's id."""
+    others = [target for target in place.targets.values() if target.name != name]
+    for target in others:
+        target.handler = refuse
+    headers = place.headers("r-1", **QUESTION)
+    url = place.url("/question/a", entry)
+    async with place.session.post(url, data=b"dal", headers=headers) as response:
+        assert response.headers["Server-Stamp"] == f"stamp-{name}"
+        await response.content.readany()
+        # Other entries are told of the stream before its caller leaves.
+        await asyncio.sleep(0.05)
+    for target in others:
+        target.handler = None
+    place.targets[name].handler = refuse
+    return "r-1"
+
+
+async def take_up(place: Place, entry: Entry, resumes: str) -> int:
+    """Take up a stream of which the first event was read, and return the status."""
+    resuming = {"Last_Event_Id": "1", "Resumes": resumes}
+    headers = place.headers(f"{resumes}-again", **QUESTION, **resuming)
+    url = place.url("/question/a", entry)
+    async with place.session.post(url, data=b"dal", headers=headers) as response:
+        return response.status
+
+
+@pytest.mark.parametrize("versions", [1, 2])
+async def test_a_stream_of_a_restarted_engine_is_not_taken_up_at_its_registered_version(
+    place: Place, versions: int
+) -> None:
+    """Guards against the version of a dead incarnation where the caller is back."""
+    first, second = place.entries
+    if versions == 1:
+        for target in place.targets.values():
+            target.version = "v1"
+            await target.register(place.store)
+        await asyncio.sleep(0.2)
+    restart_as(place, "i-e0", "v2")
+    resumes = await begin_at(place, first, "i-e0")
+    assert await take_up(place, second, resumes) == 503
+
+
+async def test_a_stream_of_an_engine_that_states_its_start_late_is_taken_up(
+    place: Place,
+) -> None:
+    """Guards against streams lost as a query for the start finds no room at first."""
+    first, second = place.entries
+    for target in place.targets.values():
+        target.report = web.Response(status=500)
+    headers = place.headers("r-1", **QUESTION)
+    url = place.url("/question/a", first)
+    async with place.session.post(url, data=b"dal", headers=headers) as response:
+        await response.content.readany()
+        await asyncio.sleep(0.4)
+    assert await take_up(place, second, "r-1") == 200
+
+
+async def test_a_copy_is_not_used_at_a_holder_that_had_restarted() -> None:
+    """Guards against a copy made at an incarnation whose version nobody read."""
+    async with open_place() as place:
+        for name in ("i-e1", "i-e2"):
+            target = await place.add_target(name, "engines")
+            target.events = 150
+        await start_fleet(place, 1, 2)
+        plan = asyncio.create_task(read_plan(place))
+        async with asyncio.timeout(5):
+            while not any(target.received_headers for target in place.targets.values()):
+                await asyncio.sleep(0.01)
+        (source,) = [one for one in place.targets.values() if one.received_headers]
+        (holder,) = [one for one in place.targets.values() if one is not source]
+        holder.version, holder.born = "v2", 2
+        async with asyncio.timeout(5):
+            while not holder.copies:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        await source.crash()
+        assert (await plan).endswith(b"broken")
