Write again all that two returns of the fake store have lost

Cause: the fake store, as it comes back from an older copy, left out of what is written again each key that had been written since its latest return, whatever had been written. With two returns that overlap, the first one's older record, written again, counted as newer than what the second one had lost: that was gone for good. The other way round, a record that the second copy had kept was replaced by the older one that the first return had lost.

In the first traced one the store lost versions 1 to 3 of the configuration, held version 4 at offset 0 of the next era, and lost it to the second return before any entry had read it. 0.38 s later the first return wrote version 3 again, and 1.6 s after that the second one left version 4 out. The store held version 3 alone at the end, and the entries had read what it held.

Records now keep the place at which they were first written. A lost record is written again unless the store holds a later one of its key, so older values still come first where a return writes them first.

Evidence: of the new tests of the fake store, the one with the older value first and the one with a newer record that was kept failed before; the others held before and now.

--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import NamedTuple
 
 import orjson
 from aiohttp import web
@@ -76,6 +77,18 @@
     return value
 
 
+class StoredRecord(NamedTuple):
+    """A record of a topic.
+
+    Attributes:
+        number: Place among all records in the order in which they were first written.
+    """
+
+    key: str
+    value: bytes
+    number: int
+
+
 class FakeStore:
     """Fake of the platform's store, which holds topics in memory.
 
@@ -97,8 +110,8 @@
         self.era = 1
         self._reset_era = 0
         self._losses = 0
-        self._copied: dict[str, int] = {}
-        self._records: dict[str, list[tuple[str, bytes]]] = {}
+        self._written = 0
+        self._records: dict[str, list[StoredRecord]] = {}
         self._first: dict[str, int] = {}
         self._changed = asyncio.Condition()
         self._runners: list[web.AppRunner] = []
@@ -139,7 +152,7 @@
 
     async def restore(
         self, lost: int, topic: str = "keyed.servers", resets: bool = True
-    ) -> list[tuple[str, bytes]]:
+    ) -> list[StoredRecord]:
         """Come back from a copy that lacks a topic's newest records, and return them.
 
         The connections of reads that wait are closed, unless ``resets`` is False.
@@ -149,19 +162,23 @@
             end = max(0, len(records) - lost)
             missing = records[end:]
             del records[end:]
-            self._copied[topic] = end
             self.era += 1
             if resets:
                 self._reset_era = self.era
             self._changed.notify_all()
         return missing
 
-    async def write_again(self, topic: str, lost: list[tuple[str, bytes]]) -> None:
-        """Write lost records again, but for keys that were written since the return."""
-        written = {key for key, _ in self._records[topic][self._copied[topic] :]}
-        for key, value in dict(lost).items():
-            if key not in written:
-                await self.put(topic, key, value)
+    async def write_again(self, topic: str, lost: list[StoredRecord]) -> None:
+        """Write the newest lost record of each key again.
+
+        It is left out if the store holds a record of the key that was first written
+        later. What another return lost may be written before, and so be older.
+        """
+        for record in {record.key: record for record in lost}.values():
+            held = self._records.get(topic, [])
+            numbers = [other.number for other in held if other.key == record.key]
+            if max(numbers, default=0) < record.number:
+                await self._add(topic, record)
 
     async def _name_era(
         self, request: web.Request, response: web.StreamResponse
@@ -171,8 +188,12 @@
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record; an empty value deletes the key."""
+        self._written += 1
+        await self._add(topic, StoredRecord(key, value, self._written))
+
+    async def _add(self, topic: str, record: StoredRecord) -> None:
         async with self._changed:
-            self._records.setdefault(topic, []).append((key, value))
+            self._records.setdefault(topic, []).append(record)
             self._changed.notify_all()
 
     def delete_before(self, topic: str, offset: int) -> None:
@@ -197,8 +218,8 @@
         topic = request.query["topic"]
         after = request.query.get("after", "")
         newest: dict[str, tuple[int, bytes]] = {}
-        for offset, (key, value) in enumerate(self._records.get(topic, [])):
-            newest[key] = (offset, value)
+        for offset, record in enumerate(self._records.get(topic, [])):
+            newest[record.key] = (offset, record.value)
         keys = sorted(key for key in newest if key > after and newest[key][1])
         items = [
             {
@@ -267,7 +288,7 @@
             return web.Response(status=503)
         records = self._records.get(topic, [])
         raw = len(records).to_bytes(8) + self._first.get(topic, 0).to_bytes(8)
-        for key, value in records[start:]:
+        for key, value, _ in records[start:]:
             translated = await request.app[_TRANSLATE](value)
             content = translated
             if topic.startswith("keyed."):
