Count only new events towards the maximum output of a stream

Cause: a stream without a length and chunks is complete once its events hold the largest output that was asked for. Events that a target sent again, though it was asked for those after the last one, counted as well: after=10 and the events 1 to 10 once more made 20.

What callers saw: 10 of 20 events of a stream that ended as complete.

Why it works: an event counts if its id is beyond the one that was asked for.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -442,19 +442,22 @@
         delimited = is_delimited(response)
         self._dispatch(StreamOpened(attempt, delimited))
         splitter = EventSplitter()
-        events = 0
+        after = effect.after or 0
+        events = new_events = 0
         async for chunk in response.content.iter_any():
             pieces = [
                 StreamPiece(event.index, event.data) for event in splitter.feed(chunk)
             ]
             events += len(pieces)
+            # A target that repeats earlier events comes no closer to the maximum.
+            new_events += sum(piece.index > after for piece in pieces)
             if pieces:
                 self._dispatch(PiecesArrived(attempt, pieces))
                 if not exchange.buffer.may_read():
                     self._dispatch(ReadingPaused(attempt, True))
                     await exchange.buffer.wait_for_room()
                     self._dispatch(ReadingPaused(attempt, False))
-        full = _is_full(effect, events)
+        full = _is_full(effect, new_events)
         end = NumberedStream(
             delimited,
             events,
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -193,6 +193,24 @@
     assert asked == [None, *sorted({str(last), str(EVENTS)})]
 
 
+async def test_repeated_events_do_not_count_for_the_maximum_output(
+    place: Place,
+) -> None:
+    """Guards against a part that, counted twice, seems to have reached its maximum."""
+    await configure(place, True, moves=True)
+    target = place.targets["i-e1"]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        """Begin with the first event, also where the rest is asked for."""
+        raw = RawAnswer(request, Framing.CONNECTION, target.sign(request), 0)
+        raw.write(write_events(1, EARLY))
+        return raw.close()
+
+    target.handler = answer
+    plan = {**PLAN, "Token_Count": f"3000,{8 * EARLY}"}
+    assert await read_complete(place, "/plan/a", **plan) is None
+
+
 async def test_a_stream_is_broken_off_if_the_question_for_its_rest_gets_no_answer(
     place: Place,
 ) -> None:
