Order the copy of a stream without a length with its first event

Cause: proactive copies are ordered at the next check of all runs, up to half a second later at an entry that was idle. A copy is needed to ask its holder whether the stream is complete, and a short one was over by then.

What callers saw: whole streams that were cut off.

Evidence: test_a_short_stream_without_a_length_is_copied_early, which is stricter now (no tick in between), failed before and passes.

--- a/figstep/gateway/copies.py
+++ b/figstep/gateway/copies.py
@@ -339,6 +339,21 @@
     return effects
 
 
+def copy_open_ended(state: State, request: Request, now: Millis) -> list[Effect]:
+    """Order a copy of a stream as it begins, if its holder may be asked for its end.
+
+    A short one is done before the next check of all runs.
+    """
+    current = request.current
+    if not request.open_ended or current is None:
+        return []
+    if current.target.name in _list_copy_sources(state):
+        return []
+    if not _needs_copy(state, request, now):
+        return []
+    return _order_proactive_copy(state, request, current, now)
+
+
 def drop_copies_for_memory(state: State, now: Millis) -> list[Effect]:
     """Drop proactive copies at engines that are expected to run out of memory.
 
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -162,6 +162,8 @@
     if request.standby is None:
         _record_backup(request, attempt)
     effects.append(Deliver(request.spec.number, b"".join(data)))
+    if request.pieces == len(data):
+        effects += copies.copy_open_ended(state, request, now)
     return effects
 
 
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -221,7 +221,7 @@
 
 
 def test_a_short_stream_without_a_length_is_copied_early() -> None:
-    """Guards against a stream for which there is nobody to ask at its end."""
+    """Guards against a short stream for which there is nobody to ask at its end."""
     harness = EntryHarness()
     harness.register("e-1", "e-2")
     harness.receive_plan(output=20)
@@ -229,5 +229,4 @@
     harness.handle(StreamOpened(opened.attempt, delimited=False))
     piece = StreamPiece(1, b"id: 1\n\n")
     harness.handle(PiecesArrived(opened.attempt, [piece]))
-    harness.handle(Ticked())
     assert harness.find_effect(CopyRun).source == opened.target
