Take no second close, refusal or lack of engines for the end of a stream

Cause: what nobody stated was taken for a statement, in three places. An open end (neither a length nor chunks) is confirmed by asking for the events after the last one, and - a continuation without an event completed the stream also where it had itself neither a length nor chunks, so that two closes of living targets were the end; - a refusal without a time to come back completed it, though a holder that never had room, lost the copy or has restarted refuses like one whose run is done; - if no other engine was ready at the moment, the close itself completed it.

What callers saw: streams that ended as complete before their last event.

Now: only a length or chunks, the maximum output, or a continuation that is itself delimited and empty states the end. After a continuation or a loss that states nothing, the next target is asked in what is left of QUESTION_TIMEOUT. A resumable stream is asked for at another engine first, within its attempts, as the framing of the same one would be the same; the same one is asked if no other may be, and once more only if events have come since. Engines whose last stream had neither a length nor chunks are the last choice as holders and as targets of the question. Whether a close can be the end depends on the route and the service only: it is if the route may not be resumed and the service is plain, or has engines that neither copy nor back up runs.

Tests before: 15 of tests/gateway/test_ends.py and 14 of tests/platform/test_ends.py failed on the commit before; three of the first set the new field of a target. All pass now.

Replaced tests, whose rule was wrong: - test_a_continuation_without_an_event_states_the_end: by one that needs a delimited one, and test_a_second_close_states_no_end; - test_a_backup_that_is_gone_as_its_standby_asks_states_the_end: by one that says it states nothing, and one of a standby that states the end; - test_only_a_backup_that_is_gone_states_the_end: by test_a_lost_question_states_nothing, for each kind of loss, with and without a time to come back; - test_the_close_of_the_only_engine_ends_its_stream: by test_the_close_of_a_stream_that_engines_could_copy_does_not_end_it, and test_the_close_ends_a_stream_that_nobody_could_ever_go_on_with; - test_a_stream_that_may_be_resumed_is_asked_for_at_its_target: by two, for routes of two attempts (another one) and of one (the same one, once); - tests/platform/test_ends.py: continuations are now answered in each framing, and a whole stream whose backup is gone is no longer complete. Tests of crashed targets configure engines that neither copy nor back up runs, as does tests/platform/test_engines.py: the close of a living target is the end there, so that they still turn on the word of the target and not on the question.

Cost: a whole stream without a length is broken off if its holder leaves the end open too, if its running backup is gone with its end, or if it is the only engine's and below its maximum.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -3,9 +3,16 @@
 A stream with neither a length nor chunks ends with its connection, and a living target
 that closes it between two events looks like one that is done. Such a stream is complete
 if its output has reached its maximum. Otherwise its rest is asked for after the last
-event: of the holder of a copy of the run, or of the target where the route allows a
-second run. A continuation that ends without an event, or a backup that is gone, states
-that nothing follows. Only where nobody could be asked, the close itself counts.
+event: of the holder of a copy of the run, or where the route allows further runs, of
+another target, or else of the same one. Only a continuation that is itself delimited
+and has no event states that nothing follows. One that is closed as well states nothing,
+nor does a refusal: a holder that never had the copy, lost it or has restarted refuses
+like one whose run is done. The next target is asked then, and what nothing confirms is
+broken off.
+
+The close of a living target is the end only where no other run could ever state it: on
+a route that may not be resumed, at a plain service or at engines that neither copy nor
+back up runs.
 """
 
 from figstep.core.clock import Millis
@@ -32,10 +39,10 @@
 )
 from figstep.gateway.events import AttemptLost, Loss, StreamEnded
 from figstep.gateway.state import Attempt, Request, State
-from figstep.gateway.targets import Target
 
 QUESTION_TIMEOUT = Millis(1_000)
-"""Longest time in milliseconds to the answer to whether a stream is complete.
+"""Longest time in milliseconds to the answer to whether a stream is complete, from
+the first target that is asked.
 
 Callers abandon a stream after two seconds without an event, and part of this time has
 passed as the target was asked whether it lives.
@@ -48,7 +55,7 @@
     if attempt is None:
         return []
     request = state.requests[attempt.request]
-    if event.empty and not event.confirmed and not attempt.asks_end:
+    if event.empty and not event.confirmed and attempt.asked_at is None:
         # It does not go on from a close, so that nothing suggests an end.
         detail = "its connection ended before the first event"
         lost = AttemptLost(attempt.number, Loss.BROKEN, detail=detail)
@@ -56,11 +63,22 @@
     effects: list[Effect] = []
     if attempt is request.standby:
         effects += streams.promote_standby(state, request, attempt, now)
-    if event.confirmed or event.empty:
+    if event.confirmed or not _is_open(state, request, attempt):
         return effects + _complete(state, request, attempt, now)
     return effects + _ask_for_rest(state, request, attempt, now)
 
 
+def _is_open(state: State, request: Request, attempt: Attempt) -> bool:
+    """Return whether another run could state the end that a target left open.
+
+    That depends on the route and the service, not on what serves at the moment.
+    """
+    if attempt.asked_at is not None or request.route.resumable:
+        return True
+    pool = placement.find_engine_pool(state, request.service)
+    return pool is not None and (pool.moves or pool.backups)
+
+
 def _complete(
     state: State, request: Request, attempt: Attempt, now: Millis
 ) -> list[Effect]:
@@ -82,52 +100,29 @@
 def _ask_for_rest(
     state: State, request: Request, attempt: Attempt, now: Millis
 ) -> list[Effect]:
-    """Ask for the events after the last one of a stream that its target closed."""
+    """Ask for the events after the last one of a stream that its target closed.
+
+    Where the target was asked itself and had none, the next one is asked in the time
+    that is left of the first question.
+    """
+    attempts.end_attempt(state, attempt)
+    asked_at = None if attempt.first_delivery_at is not None else attempt.asked_at
+    effects: list[Effect] = []
     if request.standby is not None:
         # It goes on after the last event, and shows whether more follow.
-        attempts.end_attempt(state, attempt)
         request.current, request.standby = request.standby, None
-        _record_question(request.current, attempt, now)
-        stopped = stops.stop_run(state, request, attempt)
-        return [_describe_question(request, attempt), *stopped]
-    if not _may_be_asked(state, request, attempt):
-        return _complete(state, request, attempt, now)
-    attempts.end_attempt(state, attempt)
-    effects = _ask_holder(state, request, now)
-    if not effects:
-        effects = _ask_target(state, request, attempt, now)
-    if request.current is None:
+    elif asked_at is None or now - asked_at < QUESTION_TIMEOUT:
+        effects = _ask_holder(state, request, now)
+        if not effects:
+            effects = _ask_target(state, request, attempt, now)
+    asked = request.current
+    if asked is None:
         return effects + _break_unconfirmed(state, request, now)
-    _record_question(request.current, attempt, now)
+    asked.asked_at = asked.opened if asked_at is None else asked_at
     effects += stops.stop_run(state, request, attempt)
     return [_describe_question(request, attempt), *effects]
 
 
-def _record_question(asked: Attempt, former: Attempt, now: Millis) -> None:
-    """Record that an attempt shows whether a stream ended with the former one."""
-    asked.asks_end = True
-    source = asked.source
-    if source is None or source.on_order:
-        return
-    # A backup that may not have arrived can be missing as well.
-    asked.refusal_confirms = not copies.may_lack_backup(former, now)
-
-
-def _may_be_asked(state: State, request: Request, attempt: Attempt) -> bool:
-    """Return whether a stream's rest could be had from anyone.
-
-    Engines that copy runs could have copied this one, if there is another engine, also
-    one of another version: what serves at the moment states nothing of the end.
-    """
-    if request.route.resumable or request.copy is not None:
-        return True
-    pool = placement.find_engine_pool(state, request.service)
-    if pool is None or not (pool.moves or pool.backups):
-        return False
-    ready = state.targets.list_ready(request.service)
-    return any(target.name != attempt.target.name for target in ready)
-
-
 def _ask_holder(state: State, request: Request, now: Millis) -> list[Effect]:
     copies.discard_unusable_copy(state, request)
     copy = request.copy
@@ -148,29 +143,34 @@
 ) -> list[Effect]:
     if not request.route.resumable:
         return []
-    target = _choose_target(state, request, attempt.target, now)
+    target = None
+    if request.lost_runs + 1 < request.route.attempts:
+        target = placement.choose_target(state, request, now)
+    is_further = target is not None
+    if target is None and _may_go_on(state, request, attempt, now):
+        target = attempt.target
     if target is None:
         return []
     if not peers.spend_repeat(state, request.service, now, urgent=True):
         return peers.record_denied(state, request, now)
+    if is_further:
+        request.lost_runs += 1
     return attempts.start_attempt(state, request, target, now)
 
 
-def _choose_target(
-    state: State, request: Request, former: Target, now: Millis
-) -> Target | None:
-    """Return the target to ask: the former one, which has read the prompt, if it may.
+def _may_go_on(state: State, request: Request, attempt: Attempt, now: Millis) -> bool:
+    """Return whether the target that closed a stream is asked for the rest itself.
 
-    A run at another one counts as a further run.
+    It may have more events, but would leave the end open again.
     """
-    target = state.targets.find(former.name)
-    if target is former and eligibility.is_eligible(state, request, former):
-        if limits.may_send(state, former, now):
-            return former
-    if request.lost_runs + 1 >= request.route.attempts:
-        return None
-    request.lost_runs += 1
-    return placement.choose_target(state, request, now)
+    if attempt.asked_at is not None and attempt.first_delivery_at is None:
+        return False
+    target = state.targets.find(attempt.target.name)
+    if target is not attempt.target:
+        return False
+    if not eligibility.is_eligible(state, request, target):
+        return False
+    return limits.may_send(state, target, now)
 
 
 def _break_unconfirmed(state: State, request: Request, now: Millis) -> list[Effect]:
@@ -190,22 +190,17 @@
     )
 
 
-def confirm_by_refusal(
-    state: State, event: AttemptLost, now: Millis
-) -> list[Effect] | None:
-    """End a stream as complete if a refusal states that its backup is gone.
-
-    A target that is full names a time to come back. Returns None if the loss states
-    nothing.
-    """
+def lose_attempt(state: State, event: AttemptLost, now: Millis) -> list[Effect]:
+    """Recover a lost attempt; one that was asked for a rest passes the question on."""
     attempt = state.attempts.get(event.attempt)
-    if attempt is None or not attempt.refusal_confirms:
-        return None
-    if event.loss is not Loss.REFUSED or event.retry_after is not None:
-        return None
-    if event.endless:
-        return None
-    return _complete(state, state.requests[attempt.request], attempt, now)
+    effects = recovery.recover_attempt(state, event, now)
+    if attempt is None or attempt.first_delivery_at is not None:
+        return effects
+    request = state.requests.get(attempt.request)
+    if request is not None and request.current is not None:
+        if request.current.asked_at is None:
+            request.current.asked_at = attempt.asked_at
+    return effects
 
 
 def end_unanswered(state: State, now: Millis) -> list[Effect]:
@@ -218,9 +213,9 @@
         return []
     effects: list[Effect] = []
     for attempt in list(state.attempts.values()):
-        if not attempt.asks_end or attempt.first_delivery_at is not None:
+        if attempt.asked_at is None or attempt.first_delivery_at is not None:
             continue
-        if now - attempt.opened < QUESTION_TIMEOUT:
+        if now - attempt.asked_at < QUESTION_TIMEOUT:
             continue
         request = state.requests[attempt.request]
         attempts.end_attempt(state, attempt)
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -162,6 +162,13 @@
 A large fleet has dozens.
 """
 
+OPEN_END_COST_MS = 2_000.0
+"""Cost of an engine that may leave the end of a stream open once more, in milliseconds
+of prompt reading."""
+
+OPEN_END_COPY_COST = 0.3
+"""Cost of such an engine as the holder of a copy, as a fraction of its memory."""
+
 TIE_BREAK_SPREAD_MS = 20.0
 """Upper bound of the random cost added to an engine, in milliseconds.
 
@@ -221,6 +228,8 @@
         cost += FAILURE_COST_MS * max(0.0, target.failures - TOLERATED_FAILURE_FRACTION)
         if target.info.failure_domain != state.failure_domain:
             cost += LARGE_FLEET_REMOTE_COST_MS if state.is_large else REMOTE_COST_MS
+        if request.open_ended and target.open_ended:
+            cost += OPEN_END_COST_MS
         cost += TIE_BREAK_SPREAD_MS * state.rng.random()
         if best is None or cost < best_cost:
             best, best_cost = target, cost
@@ -381,6 +390,9 @@
         if is_remote and not proactive:
             cost += LARGE_FLEET_REMOTE_COPY_COST if state.is_large else REMOTE_COPY_COST
         cost += waiting
+        if request.open_ended and target.open_ended:
+            # Its close would not state whether the stream is complete.
+            cost += OPEN_END_COPY_COST
         cost += SLOW_HOLDER_COST * (TYPICAL_READ_RATE / target.read_rate - 1.0)
         cost += 0.01 * state.rng.random()
         if best is None or cost < best_cost:
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -115,10 +115,7 @@
         case AnswerArrived():
             return requests.finish_answer(state, event, now)
         case AttemptLost():
-            confirmed = ends.confirm_by_refusal(state, event, now)
-            if confirmed is not None:
-                return confirmed
-            return recovery.recover_attempt(state, event, now)
+            return ends.lose_attempt(state, event, now)
         case TargetDown():
             return recovery.handle_target_down(state, event, now)
         case CallerGone():
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -169,8 +169,8 @@
         sample_began_at: When the measurement of its engine's pace began, or None.
         sample_events: Events that have arrived since then.
         closed: Whether its connection has ended, and its target is asked if it lives.
-        asks_end: Whether it was opened to learn whether a stream is complete.
-        refusal_confirms: Whether its target refuses it only if the stream is complete.
+        asked_at: When it was first asked whether a stream is complete, of its target or
+            of another one before; None if it goes on for another reason.
     """
 
     number: int
@@ -190,8 +190,7 @@
     sample_began_at: Millis | None = None
     sample_events: int = 0
     closed: bool = False
-    asks_end: bool = False
-    refusal_confirms: bool = False
+    asked_at: Millis | None = None
 
 
 @dataclass(slots=True)
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -83,6 +83,7 @@
     if attempt is None:
         return []
     attempt.answered = True
+    attempt.target.open_ended = not event.delimited
     if attempt.first_delivery_at is None:
         state.requests[attempt.request].open_ended = not event.delimited
     return []
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -216,6 +216,7 @@
         recent_sends: Times at which this entry recently sent it requests, oldest first.
         paused_until: End of the pause that it asked this entry for.
         announced_leaving: Whether it has announced to this entry that it leaves.
+        open_ended: Whether its last stream had neither a length nor chunks.
         restarted: Whether it has reported a later start than the one it registered.
         lost: What requests whose attempts there ended without an answer may be
             suspected for, and when they ended. An answer to a request sent after that
@@ -275,6 +276,7 @@
     recent_sends: deque[Millis] = field(default_factory=deque)
     paused_until: Millis = Millis(0)
     announced_leaving: bool = False
+    open_ended: bool = False
     restarted: bool = False
     lost: dict[str, Millis] = field(default_factory=dict)
     refused_at: Millis | None = None
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -1,5 +1,7 @@
 """Tests of streams whose end their target leaves open."""
 
+from dataclasses import replace
+
 import pytest
 
 from figstep.core.clock import Millis
@@ -15,6 +17,7 @@
 from figstep.gateway.ends import QUESTION_TIMEOUT
 from figstep.gateway.events import (
     AttemptLost,
+    ConfigurationRead,
     Loss,
     PiecesArrived,
     RunCopied,
@@ -26,11 +29,14 @@
     Ticked,
 )
 from figstep.gateway.prompts import Prompt
+from figstep.gateway.routes import EnginePool, Service
 from figstep.gateway.targets import Registration
 from tests.gateway.worlds import (
     ENGINES,
+    QUESTION,
     EntryHarness,
     build_copy,
+    build_table,
     start_with_backup,
 )
 
@@ -52,11 +58,44 @@
     assert harness.find_effects(FinishStream)
 
 
-def test_a_continuation_without_an_event_states_the_end() -> None:
+def test_a_delimited_continuation_without_an_event_states_the_end() -> None:
     """Guards against whole streams that are cut off."""
     harness, asked = ask_for_rest()
-    harness.handle(StreamEnded(asked.attempt, confirmed=False, empty=True))
+    harness.handle(StreamEnded(asked.attempt, confirmed=True, empty=True))
     assert harness.find_effects(FinishStream)
+    assert not harness.find_effects(BreakStream)
+
+
+def test_a_second_close_states_no_end() -> None:
+    """Guards against two closes of living targets that are taken for the end."""
+    harness, asked = ask_for_rest()
+    harness.handle(StreamEnded(asked.attempt, confirmed=False, empty=True))
+    assert not harness.find_effects(FinishStream)
+    assert harness.find_effects(BreakStream)
+
+
+def test_a_close_after_some_of_the_rest_states_no_end() -> None:
+    """Guards against a continuation that is closed too, and taken for whole."""
+    harness, asked = ask_for_rest()
+    harness.send_pieces(asked.attempt, 11, 12)
+    harness.handle(StreamEnded(asked.attempt, confirmed=False))
+    assert not harness.find_effects(FinishStream)
+
+
+def test_a_continuation_of_repeated_events_only_states_no_end() -> None:
+    """Guards against repeats for which one target is asked again without end."""
+    harness, opened = open_question()
+    asked = harness.find_effect(OpenAttempt)
+    for _ in range(3):
+        harness.send_pieces(asked.attempt, 1, 3)
+        harness.handle(StreamEnded(asked.attempt, confirmed=False))
+        assert not harness.find_effects(FinishStream)
+        found = harness.find_effects(OpenAttempt)
+        if not found:
+            break
+        asked = found[0]
+    assert harness.find_effects(BreakStream)
+    assert asked.target != opened.target
 
 
 def test_a_continuation_that_nobody_asked_about_the_end_states_none() -> None:
@@ -109,14 +148,24 @@
         assert not harness.find_effects(OpenAttempt)
 
 
-def test_a_backup_that_is_gone_as_its_standby_asks_states_the_end() -> None:
+def test_a_standby_that_states_the_end_completes_the_stream() -> None:
     """Guards against whole streams that are cut off as they end in a switch."""
     harness, opened, standby = start_standby()
     harness.handle(StreamEnded(opened.attempt, confirmed=False))
-    harness.handle(AttemptLost(standby.attempt, Loss.REFUSED))
+    assert not harness.find_effects(BreakStream)
+    harness.handle(StreamEnded(standby.attempt, confirmed=True, empty=True))
     assert harness.find_effects(FinishStream)
 
 
+def test_a_backup_that_is_gone_as_its_standby_asks_states_nothing() -> None:
+    """Guards against a part that ends as the whole in a switch."""
+    harness, opened, standby = start_standby()
+    harness.handle(StreamEnded(opened.attempt, confirmed=False))
+    harness.handle(AttemptLost(standby.attempt, Loss.REFUSED))
+    assert not harness.find_effects(FinishStream)
+    assert harness.find_effects(BreakStream)
+
+
 def test_a_stalled_entry_reads_waiting_answers_before_it_gives_up() -> None:
     """Guards against questions that are all given up as the process wakes."""
     harness, asked = ask_for_rest()
@@ -124,27 +173,18 @@
     harness.clock.advance(5 * QUESTION_TIMEOUT)
     harness.handle(Ticked())
     assert not harness.find_effects(BreakStream)
-    harness.handle(StreamEnded(asked.attempt, confirmed=False, empty=True))
+    harness.handle(StreamEnded(asked.attempt, confirmed=True, empty=True))
     assert harness.find_effects(FinishStream)
 
 
-@pytest.mark.parametrize(
-    ("loss", "retry_after", "ends"),
-    [
-        (Loss.REFUSED, None, True),
-        (Loss.REFUSED, Millis(100), False),
-        (Loss.UNREACHED, None, False),
-        (Loss.BROKEN, None, False),
-    ],
-)
-def test_only_a_backup_that_is_gone_states_the_end(
-    loss: Loss, retry_after: Millis | None, ends: bool
-) -> None:
-    """Guards against a holder that is full or lost and seems to confirm the end."""
+@pytest.mark.parametrize("retry_after", [None, Millis(100)])
+@pytest.mark.parametrize("loss", list(Loss))
+def test_a_lost_question_states_nothing(loss: Loss, retry_after: Millis | None) -> None:
+    """Guards against a holder without the copy that seems to confirm the end."""
     harness, asked = ask_for_rest()
     harness.handle(AttemptLost(asked.attempt, loss, retry_after))
-    assert bool(harness.find_effects(FinishStream)) is ends
-    assert bool(harness.find_effects(BreakStream)) is not ends
+    assert not harness.find_effects(FinishStream)
+    assert harness.find_effects(BreakStream)
 
 
 def test_a_backup_that_may_not_have_arrived_states_nothing() -> None:
@@ -186,23 +226,143 @@
     assert harness.find_effect(StopRun).target.target == opened.target
 
 
-def test_a_stream_that_may_be_resumed_is_asked_for_at_its_target() -> None:
-    """Guards against a run at more targets than the route allows."""
+def open_question(*more: str, attempts: int = 2) -> tuple[EntryHarness, OpenAttempt]:
+    """Return an entry whose resumable stream was closed, with its first attempt."""
     harness = EntryHarness()
-    harness.register("e-1", "e-2", "e-3")
+    route = replace(QUESTION, attempts=attempts)
+    harness.handle(ConfigurationRead(build_table(2, [route])))
+    harness.register("e-1", "e-2", *more)
     harness.receive_request("/question/a", Prompt("m", 3_000, 2_000, 900))
     opened = harness.find_effect(OpenAttempt)
     harness.send_pieces(opened.attempt, 1, 3)
     harness.handle(StreamEnded(opened.attempt, confirmed=False))
+    return harness, opened
+
+
+def test_a_stream_that_may_be_resumed_is_asked_for_at_another_target() -> None:
+    """Guards against a question to a target that leaves each end open."""
+    harness, opened = open_question()
+    asked = harness.find_effect(OpenAttempt)
+    assert asked.target != opened.target
+    assert asked.after == 3
+    harness.handle(StreamEnded(asked.attempt, confirmed=True, empty=True))
+    assert harness.find_effects(FinishStream)
+
+
+def test_a_question_goes_to_no_more_targets_than_the_route_allows() -> None:
+    """Guards against a run at more targets than the route allows."""
+    harness, opened = open_question("e-3", attempts=1)
     asked = harness.find_effect(OpenAttempt)
     assert (asked.target, asked.after) == (opened.target, 3)
+    harness.handle(StreamEnded(asked.attempt, confirmed=False, empty=True))
+    assert not harness.find_effects(FinishStream)
+    assert harness.find_effects(BreakStream)
+
+
+@pytest.mark.parametrize("loss", [None, Loss.BROKEN, Loss.REFUSED])
+def test_the_next_target_is_asked_within_the_time_of_the_first_question(
+    loss: Loss | None,
+) -> None:
+    """Guards against whole streams cut off beside targets that could state the end."""
+    harness, opened = open_question("e-3", attempts=3)
+    first = harness.find_effect(OpenAttempt)
+    harness.clock.advance(QUESTION_TIMEOUT - 200)
+    harness.handle(Ticked())
+    if loss is None:
+        harness.handle(StreamEnded(first.attempt, confirmed=False, empty=True))
+    else:
+        harness.handle(AttemptLost(first.attempt, loss))
+    second = harness.find_effect(OpenAttempt)
+    assert len({opened.target, first.target, second.target}) == 3
+    harness.clock.advance(100)
+    harness.handle(Ticked())
+    assert harness.state.requests
+    harness.clock.advance(100)
+    harness.handle(Ticked())
+    assert harness.find_effects(BreakStream)
+
+
+def test_no_further_target_is_asked_once_the_time_has_passed() -> None:
+    """Guards against callers who wait for one target after another."""
+    harness, _opened = open_question("e-3", attempts=3)
+    asked = harness.find_effect(OpenAttempt)
+    harness.clock.advance(QUESTION_TIMEOUT)
+    harness.handle(StreamEnded(asked.attempt, confirmed=False, empty=True))
+    assert not harness.find_effects(OpenAttempt)
+    assert harness.find_effects(BreakStream)
 
 
-def test_the_close_of_the_only_engine_ends_its_stream() -> None:
-    """Guards against a loss of all streams where nobody could be asked."""
+def test_targets_that_leave_their_streams_open_ended_are_asked_last() -> None:
+    """Guards against questions to targets whose close would state nothing."""
+    for _ in range(8):
+        harness = EntryHarness()
+        harness.register("e-1", "e-2", "e-3", "e-4")
+        for target in harness.state.targets.targets.values():
+            target.open_ended = target.name != "e-4"
+        harness.receive_request("/question/a", Prompt("m", 3_000, 2_000, 900))
+        opened = harness.find_effect(OpenAttempt)
+        harness.handle(StreamOpened(opened.attempt, delimited=False))
+        piece = StreamPiece(1, b"id: 1\n\n")
+        harness.handle(PiecesArrived(opened.attempt, [piece]))
+        harness.handle(StreamEnded(opened.attempt, confirmed=False))
+        asked = harness.find_effect(OpenAttempt)
+        assert (asked.target == "e-4") is (opened.target != "e-4")
+
+
+def test_a_copy_goes_to_an_engine_that_does_not_leave_its_streams_open_ended() -> None:
+    """Guards against a holder whose close would state nothing."""
     harness = EntryHarness()
     harness.register("e-1")
     opened = harness.open_plan()
+    harness.register("e-2", "e-3", "e-4")
+    for name in ("e-2", "e-3"):
+        target = harness.state.targets.find(name)
+        assert target is not None
+        target.open_ended = True
+    harness.handle(StreamOpened(opened.attempt, delimited=False))
+    piece = StreamPiece(1, b"id: 1\n\n")
+    harness.handle(PiecesArrived(opened.attempt, [piece]))
+    assert harness.find_effect(CopyRun).holder == "e-4"
+
+
+def test_a_target_is_known_by_the_framing_of_its_last_stream() -> None:
+    """Guards against a target that is asked although it leaves each end open."""
+    harness = EntryHarness()
+    harness.register("e-1")
+    target = harness.state.targets.find("e-1")
+    assert target is not None
+    for delimited in (False, True):
+        opened = harness.open_plan()
+        harness.handle(StreamOpened(opened.attempt, delimited))
+        assert target.open_ended is not delimited
+
+
+@pytest.mark.parametrize("others", [(), ("e-2",)])
+def test_the_close_of_a_stream_that_engines_could_copy_does_not_end_it(
+    others: tuple[str, ...],
+) -> None:
+    """Guards against a part that counts as whole as no other engine is ready."""
+    harness = EntryHarness()
+    harness.register("e-1")
+    opened = harness.open_plan()
+    harness.send_pieces(opened.attempt, 1, 3)
+    harness.register(*others)
+    for name in others:
+        harness.depart(name)
+    harness.handle(StreamEnded(opened.attempt, confirmed=False))
+    assert not harness.find_effects(FinishStream)
+    assert harness.find_effects(BreakStream)
+
+
+def test_the_close_ends_a_stream_that_nobody_could_ever_go_on_with() -> None:
+    """Guards against a loss of all streams where nobody can ever be asked."""
+    harness = EntryHarness()
+    table = build_table(2)
+    pool = EnginePool(64, 34_000, event_tokens=4)
+    table.services[ENGINES] = Service(ENGINES, engine=pool)
+    harness.handle(ConfigurationRead(table))
+    harness.register("e-1", "e-2")
+    opened = harness.open_plan()
     harness.send_pieces(opened.attempt, 1, 3)
     harness.handle(StreamEnded(opened.attempt, confirmed=False))
     assert harness.find_effects(FinishStream)
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -1,7 +1,7 @@
 """Tests of answers without a length: what shows that they are complete."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import pytest
 from aiohttp import web
@@ -41,10 +41,12 @@
         yield opened
 
 
-async def configure(place: Place, resumable: bool, **engine: object) -> None:
+async def configure(
+    place: Place, resumable: bool, attempts: int = 1, **engine: object
+) -> None:
     """Change the route of streams and the engines, and wait until that is in force."""
     routes = build_routes()
-    routes[0]["resumable"] = resumable
+    routes[0] |= {"resumable": resumable, "attempts": attempts}
     services = [{"name": "engines"}, {"name": "bookings"}]
     if engine:
         services[0]["engine"] = {"slots": 64, "stride": 4, **engine}
@@ -64,20 +66,27 @@
 
 
 def stream_until(
-    target: FakeTarget, last: int, afterlife: Afterlife | None = None
+    target: FakeTarget,
+    last: int,
+    afterlife: Afterlife | None = None,
+    rest: Framing = Framing.CONNECTION,
 ) -> Handler:
     """Return a handler whose stream ends with its connection after one event.
 
-    Resumed streams go on after the event that they name. With ``afterlife`` the target
-    crashes then. A backup is kept only for a stream that is not whole.
+    Resumed streams go on after the event that they name, in the framing ``rest``. With
+    ``afterlife`` the target crashes then. A backup is kept only for a stream that is
+    not whole.
     """
 
     async def answer(request: web.Request) -> web.StreamResponse:
         number = request.headers["Request-Id"]
         if "Kv-From" in request.headers and number not in target.copies:
             return web.Response(status=503, headers={"Not-Executed": "1"})
-        raw = RawAnswer(request, Framing.CONNECTION, target.sign(request), 0)
+        resumed = "Last-Event-Id" in request.headers
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        framing = rest if resumed else Framing.CONNECTION
+        length = len(write_events(first, last))
+        raw = RawAnswer(request, framing, target.sign(request), length)
         holder = target.peers.get(request.headers.get("Kv-Backup", ""))
         if holder is not None and last < EVENTS:
             holder.copies.add(number)
@@ -85,16 +94,41 @@
             raw.write(write_events(index, index))
             await asyncio.sleep(EVENT_INTERVAL)
         target.afterlife = afterlife
-        return raw.close()
+        return raw.end()
 
     return answer
 
 
+async def add_engine(place: Place) -> list[FakeTarget]:
+    """Add a second engine and return both."""
+    engines = [place.targets["i-e1"], await place.add_target("i-e2", "engines")]
+    await place.wait_ready(place.entries[0], 3)
+    return engines
+
+
+def end_first_early(
+    engines: list[FakeTarget], last: int, answer_rest: Callable[[FakeTarget], Handler]
+) -> None:
+    """Let the engine that gets a stream close it, and the other one answer the rest."""
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        target, holder = engines
+        if request.headers["Expect-Instance"] != target.name:
+            target, holder = holder, target
+        holder.handler = answer_rest(holder)
+        return await stream_until(target, last)(request)
+
+    for engine in engines:
+        engine.handler = answer
+
+
 @EACH_AFTERLIFE
 async def test_a_stream_of_a_crashed_target_whose_address_lives_on_is_not_complete(
     place: Place, afterlife: Afterlife
 ) -> None:
     """Guards against an accepted connection that is taken for a living target."""
+    # The close of a living target would be the end.
+    await configure(place, False, moves=False)
     target = place.targets["i-e1"]
     target.handler = stream_until(target, EARLY, afterlife)
     assert await read_complete(place, "/plan/a", **PLAN) is None
@@ -128,26 +162,93 @@
     assert await read_complete(place, "/plan/a", **plan) == write_events(1, EVENTS)
 
 
+@pytest.mark.parametrize("rest", list(Framing))
 @pytest.mark.parametrize("last", [EARLY, EVENTS])
-async def test_a_stream_that_a_living_target_closes_goes_on_from_its_backup(
-    place: Place, last: int
+async def test_a_stream_that_a_living_target_closes_goes_on_from_its_copy(
+    place: Place, last: int, rest: Framing
 ) -> None:
     """Guards against a stream closed between two events, and a loss of whole ones."""
+    await configure(place, False, moves=True)
+    engines = await add_engine(place)
+    end_first_early(
+        engines, last, lambda holder: stream_until(holder, EVENTS, rest=rest)
+    )
+    whole = None if rest is Framing.CONNECTION else write_events(1, EVENTS)
+    assert await read_complete(place, "/plan/a", **PLAN) == whole
+
+
+@pytest.mark.parametrize("rest", list(Framing))
+async def test_a_stream_that_a_living_target_closes_goes_on_from_its_backup(
+    place: Place, rest: Framing
+) -> None:
+    """Guards against a stream closed between two events that ends as the whole."""
     await configure(place, False, backups=True)
-    engines = [place.targets["i-e1"], await place.add_target("i-e2", "engines")]
-    await place.wait_ready(place.entries[0], 3)
+    engines = await add_engine(place)
+    end_first_early(
+        engines, EARLY, lambda holder: stream_until(holder, EVENTS, rest=rest)
+    )
+    whole = None if rest is Framing.CONNECTION else write_events(1, EVENTS)
+    assert await read_complete(place, "/plan/a", **PLAN) == whole
+
+
+@pytest.mark.parametrize("last", [EARLY, EARLY + 3])
+@pytest.mark.parametrize("engine", ["moves", "backups"])
+async def test_a_stream_that_its_holder_closes_as_well_is_not_complete(
+    place: Place, engine: str, last: int
+) -> None:
+    """Guards against two closes of living targets that are taken for the end."""
+    await configure(place, False, **{engine: True})
+    engines = await add_engine(place)
+    end_first_early(engines, EARLY, lambda holder: stream_until(holder, last))
+    assert await read_complete(place, "/plan/a", **PLAN) is None
 
-    async def answer_first(request: web.Request) -> web.StreamResponse:
-        """End early at the engine that gets the stream; the other one goes on."""
-        target, holder = engines
-        if request.headers["Expect-Instance"] != target.name:
-            target, holder = holder, target
-        holder.handler = stream_until(holder, EVENTS)
-        return await stream_until(target, last)(request)
 
-    for engine in engines:
-        engine.handler = answer_first
-    assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
+@pytest.mark.parametrize("had_copy", [True, False])
+@pytest.mark.parametrize("engine", ["moves", "backups"])
+async def test_a_holder_without_the_copy_states_no_end(
+    place: Place, engine: str, had_copy: bool
+) -> None:
+    """Guards against a holder that had no room or lost the copy and seems to confirm.
+
+    A holder of a backup answers the same once the run has ended well.
+    """
+    await configure(place, False, **{engine: True})
+    engines = await add_engine(place)
+    asked: list[bool] = []
+
+    def refuse(holder: FakeTarget) -> Handler:
+        async def answer(request: web.Request) -> web.StreamResponse:
+            asked.append(request.headers["Request-Id"] in holder.copies)
+            return web.Response(status=503, headers={"Not-Executed": "1"})
+
+        return answer
+
+    end_first_early(engines, EARLY if had_copy else EVENTS, refuse)
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+    assert len(asked) == 1
+
+
+@pytest.mark.parametrize("framing", list(Framing))
+async def test_the_close_of_the_last_engine_that_is_left_is_not_the_end(
+    place: Place, framing: Framing
+) -> None:
+    """Guards against a part that counts as whole as all other engines have crashed."""
+    await configure(place, False, moves=True)
+    await add_engine(place)
+    await place.targets["i-e2"].crash()
+    await place.store.put("keyed.servers", "i-e2", b"")
+    target = place.targets["i-e1"]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        length = len(write_events(1, EVENTS))
+        raw = RawAnswer(request, framing, target.sign(request), length)
+        for index in range(1, EARLY + 1):
+            raw.write(write_events(index, index))
+            await asyncio.sleep(EVENT_INTERVAL)
+        return raw.close()
+
+    target.handler = answer
+    assert await read_complete(place, "/plan/a", **PLAN) is None
 
 
 async def test_a_stream_that_could_have_been_copied_is_not_complete_by_its_close(
@@ -164,19 +265,22 @@
     assert await read_complete(place, "/plan/a", **PLAN) is None
 
 
-async def test_a_stream_of_a_plain_service_is_complete_by_the_close_of_a_living_target(
-    place: Place,
+@pytest.mark.parametrize("engine", [{}, {"moves": False, "backups": False}])
+async def test_a_stream_that_no_other_run_could_end_is_complete_by_the_close(
+    place: Place, engine: dict[str, object]
 ) -> None:
     """Guards against a loss of all streams where nothing else can state the end."""
-    await configure(place, False)
+    await configure(place, False, **engine)
     target = place.targets["i-e1"]
     target.handler = stream_until(target, EARLY)
-    assert await read_complete(place, "/plan/a") == write_events(1, EARLY)
+    prompt = PLAN if engine else {}
+    assert await read_complete(place, "/plan/a", **prompt) == write_events(1, EARLY)
 
 
+@pytest.mark.parametrize("rest", list(Framing))
 @pytest.mark.parametrize("last", [EARLY, EVENTS])
 async def test_a_resumable_stream_that_a_living_target_closes_is_asked_for_its_rest(
-    place: Place, last: int
+    place: Place, last: int, rest: Framing
 ) -> None:
     """Guards against a stream closed between two events, and a loss of whole ones."""
     await configure(place, True, moves=True)
@@ -184,13 +288,31 @@
     endings = iter([last])
 
     async def answer(request: web.Request) -> web.StreamResponse:
-        return await stream_until(target, next(endings, EVENTS))(request)
+        return await stream_until(target, next(endings, EVENTS), rest=rest)(request)
 
     target.handler = answer
-    assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
+    open_ended = rest is Framing.CONNECTION
+    whole = None if open_ended else write_events(1, EVENTS)
+    assert await read_complete(place, "/plan/a", **PLAN) == whole
     received = [CIMultiDict(headers) for headers in target.received_headers]
     asked = [headers.get("Last-Event-Id") for headers in received]
-    assert asked == [None, *sorted({str(last), str(EVENTS)})]
+    # The same target is asked again only if events have come since.
+    again = [str(EVENTS)] if open_ended and last != EVENTS else []
+    assert asked == [None, str(last), *again]
+
+
+@pytest.mark.parametrize("last", [EARLY, EVENTS])
+async def test_a_resumable_stream_is_asked_for_its_rest_at_another_target(
+    place: Place, last: int
+) -> None:
+    """Guards against a question to the one target that leaves each end open."""
+    await configure(place, True, moves=True, attempts=2)
+    engines = await add_engine(place)
+    end_first_early(
+        engines, last, lambda other: stream_until(other, EVENTS, rest=Framing.CHUNKS)
+    )
+    assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
+    assert [len(engine.received_headers) for engine in engines] == [1, 1]
 
 
 async def test_repeated_events_do_not_count_for_the_maximum_output(
@@ -250,6 +372,7 @@
     place: Place, status: int, body: bytes, headers: dict[str, str]
 ) -> None:
     """Guards against the word of an engine that may have restarted, or of a proxy."""
+    await configure(place, False, moves=False)
     target = place.targets["i-e1"]
     target.handler = stream_until(target, EARLY)
     target.report = web.Response(status=status, body=body, headers=headers)
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -9,7 +9,7 @@
 from figstep.platform.engines import CONFIRM_TIMEOUT
 from tests.framing import Framing, RawAnswer
 from tests.platform.places import Place, open_place, read_complete
-from tests.platform.standins import Handler
+from tests.platform.standins import Handler, build_configuration
 
 PLAN = {"Model": "m", "Token_Count": "3000,2000", "Length_Hint": "80"}
 EVENTS = b"id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n"
@@ -30,6 +30,11 @@
     async with open_place() as opened:
         await opened.add_target("i-b1", "bookings")
         await opened.add_target("i-e1", "engines")
+        # Only where no other run could state the end, that of the connection counts.
+        pool = {"slots": 64, "kv_capacity": 34_000, "stride": 4}
+        services = [{"name": "engines", "engine": pool}, {"name": "bookings"}]
+        document = build_configuration(2, services=services)
+        await opened.store.put("keyed.op", "config", document)
         entry = await opened.add_entry()
         await opened.wait_ready(entry, 2)
         yield opened
