Ask the holder of a copy that is still being made as a stream closes

Cause: a stream without a length that closed while its copy was being made was broken off, as there was no holder to ask.

What callers saw: short whole streams that were cut off.

Now: the question waits for the copy, in the time that it has in all, and the stream is broken off if the copy fails.

Evidence: 5 tests of tests/gateway/test_ends.py failed before; all 54 pass now.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -105,8 +105,12 @@
     Where the target was asked itself and had none, the next one is asked in the time
     that is left of the first question.
     """
+    if _awaits_copy(request, attempt):
+        attempt.awaits_copy = True
+        attempt.asked_at = now
+        return []
     attempts.end_attempt(state, attempt)
-    asked_at = None if attempt.first_delivery_at is not None else attempt.asked_at
+    asked_at = attempt.asked_at if _is_unanswered(attempt) else None
     effects: list[Effect] = []
     if request.standby is not None:
         # It goes on after the last event, and shows whether more follow.
@@ -123,6 +127,31 @@
     return [_describe_question(request, attempt), *effects]
 
 
+def _awaits_copy(request: Request, attempt: Attempt) -> bool:
+    """Return whether the only copy that could state the end is still being made."""
+    if request.copy is not None or request.standby is not None:
+        return False
+    return request.copying and request.copy_source is attempt.target
+
+
+def _is_unanswered(attempt: Attempt) -> bool:
+    """Return whether an attempt stands for a question that nothing answered yet."""
+    if attempt.asked_at is None:
+        return False
+    return attempt.awaits_copy or attempt.first_delivery_at is None
+
+
+def ask_new_holder(state: State, number: int, now: Millis) -> list[Effect]:
+    """Ask for the rest of a closed stream once its copy was made, or failed."""
+    request = state.requests.get(number)
+    attempt = None if request is None else request.current
+    if request is None or attempt is None:
+        return []
+    if not attempt.awaits_copy or _awaits_copy(request, attempt):
+        return []
+    return _ask_for_rest(state, request, attempt, now)
+
+
 def _ask_holder(state: State, request: Request, now: Millis) -> list[Effect]:
     copies.discard_unusable_copy(state, request)
     copy = request.copy
@@ -163,7 +192,7 @@
 
     It may have more events, but would leave the end open again.
     """
-    if attempt.asked_at is not None and attempt.first_delivery_at is None:
+    if _is_unanswered(attempt):
         return False
     target = state.targets.find(attempt.target.name)
     if target is not attempt.target:
@@ -194,7 +223,7 @@
     """Recover a lost attempt; one that was asked for a rest passes the question on."""
     attempt = state.attempts.get(event.attempt)
     effects = recovery.recover_attempt(state, event, now)
-    if attempt is None or attempt.first_delivery_at is not None:
+    if attempt is None or not _is_unanswered(attempt):
         return effects
     request = state.requests.get(attempt.request)
     if request is not None and request.current is not None:
@@ -213,7 +242,7 @@
         return []
     effects: list[Effect] = []
     for attempt in list(state.attempts.values()):
-        if attempt.asked_at is None or attempt.first_delivery_at is not None:
+        if attempt.asked_at is None or not _is_unanswered(attempt):
             continue
         if now - attempt.asked_at < QUESTION_TIMEOUT:
             continue
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -121,9 +121,11 @@
         case CallerGone():
             return requests.drop_caller(state, event, now)
         case RunCopied():
-            return copies.handle_copy_made(state, event, now)
+            effects = copies.handle_copy_made(state, event, now)
+            return effects + ends.ask_new_holder(state, event.number, now)
         case RunNotCopied():
-            return copies.handle_copy_failed(state, event, now)
+            effects = copies.handle_copy_failed(state, event, now)
+            return effects + ends.ask_new_holder(state, event.number, now)
         case EngineReported():
             return reports.handle_report(state, event, now)
         case TargetRestarted():
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -171,6 +171,8 @@
         closed: Whether its connection has ended, and its target is asked if it lives.
         asked_at: When it was first asked whether a stream is complete, of its target or
             of another one before; None if it goes on for another reason.
+        awaits_copy: Whether its target closed it, and the holder of a copy that is
+            still being made is asked for the rest.
     """
 
     number: int
@@ -191,6 +193,7 @@
     sample_events: int = 0
     closed: bool = False
     asked_at: Millis | None = None
+    awaits_copy: bool = False
 
 
 @dataclass(slots=True)
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -21,6 +21,7 @@
     Loss,
     PiecesArrived,
     RunCopied,
+    RunNotCopied,
     StreamClosed,
     StreamEnded,
     StreamOpened,
@@ -390,3 +391,67 @@
     piece = StreamPiece(1, b"id: 1\n\n")
     harness.handle(PiecesArrived(opened.attempt, [piece]))
     assert harness.find_effect(CopyRun).source == opened.target
+
+
+def close_while_copying() -> tuple[EntryHarness, OpenAttempt, CopyRun]:
+    """Return an entry whose stream was closed as its copy was being made."""
+    harness = EntryHarness()
+    harness.register("e-1", "e-2")
+    harness.receive_plan(output=20)
+    opened = harness.find_effect(OpenAttempt)
+    harness.handle(StreamOpened(opened.attempt, delimited=False))
+    piece = StreamPiece(1, b"id: 1\n\n")
+    harness.handle(PiecesArrived(opened.attempt, [piece]))
+    ordered = harness.find_effect(CopyRun)
+    harness.handle(StreamClosed(opened.attempt))
+    harness.handle(StreamEnded(opened.attempt, confirmed=False))
+    assert harness.actions == []
+    return harness, opened, ordered
+
+
+@pytest.mark.parametrize("confirmed", [True, False])
+def test_a_copy_that_is_being_made_is_asked_for_the_end(confirmed: bool) -> None:
+    """Guards against short whole streams that are cut off beside their copy."""
+    harness, opened, ordered = close_while_copying()
+    copy = build_copy(opened.target, ordered.holder)
+    harness.handle(RunCopied(opened.number, copy))
+    asked = harness.find_effect(OpenAttempt)
+    assert (asked.target, asked.after) == (ordered.holder, 1)
+    harness.handle(StreamEnded(asked.attempt, confirmed=confirmed, empty=True))
+    assert bool(harness.find_effects(FinishStream)) is confirmed
+    assert bool(harness.find_effects(BreakStream)) is not confirmed
+
+
+def test_a_copy_that_fails_states_no_end() -> None:
+    """Guards against callers who wait for a holder that has no copy."""
+    harness, opened, ordered = close_while_copying()
+    harness.handle(RunNotCopied(opened.number, opened.target, ordered.holder, "full"))
+    assert not harness.find_effects(FinishStream)
+    assert harness.find_effects(BreakStream)
+    assert not harness.state.requests
+
+
+def test_the_time_of_a_question_includes_that_of_the_copy() -> None:
+    """Guards against callers who wait for a copy, and then for its holder."""
+    harness, opened, ordered = close_while_copying()
+    for _ in range(QUESTION_TIMEOUT // 100 - 1):
+        harness.clock.advance(100)
+        harness.handle(Ticked())
+        assert harness.state.requests
+    harness.handle(RunCopied(opened.number, build_copy(opened.target, ordered.holder)))
+    assert harness.find_effects(OpenAttempt)
+    harness.clock.advance(100)
+    harness.handle(Ticked())
+    assert harness.find_effects(BreakStream)
+
+
+def test_a_copy_that_is_not_made_in_time_breaks_the_stream() -> None:
+    """Guards against callers who wait for a copy until they leave."""
+    harness, opened, ordered = close_while_copying()
+    for _ in range(QUESTION_TIMEOUT // 100):
+        harness.clock.advance(100)
+        harness.handle(Ticked())
+    assert harness.find_effects(BreakStream)
+    assert not harness.state.requests
+    harness.handle(RunCopied(opened.number, build_copy(opened.target, ordered.holder)))
+    assert not harness.find_effects(OpenAttempt)
