--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -118,18 +118,17 @@
         case AnswerArrived():
             return requests.finish_answer(state, event, now)
         case AttemptLost():
-            confirmed = ends.confirm_by_refusal(state, event, now)
-            if confirmed is not None:
-                return confirmed
-            return recovery.recover_attempt(state, event, now)
+            return ends.lose_attempt(state, event, now)
         case TargetDown():
             return recovery.handle_target_down(state, event, now)
         case CallerGone():
             return requests.drop_caller(state, event, now)
         case RunCopied():
-            return copies.handle_copy_made(state, event, now)
+            effects = copies.handle_copy_made(state, event, now)
+            return effects + ends.ask_new_holder(state, event.number, now)
         case RunNotCopied():
-            return copies.handle_copy_failed(state, event, now)
+            effects = copies.handle_copy_failed(state, event, now)
+            return effects + ends.ask_new_holder(state, event.number, now)
         case EngineReported():
             return reports.handle_report(state, event, now)
         case TargetRestarted():
--- a/figstep/gateway/starts.py
+++ b/figstep/gateway/starts.py
@@ -100,9 +100,8 @@
         """
         known = _KnownStart(start.version, now, "", recorded=recorded)
         current = self._known.setdefault(start.stream, known)
-        if current.version == start.version:
-            return
-        if UNKNOWN_VERSION in (current.version, start.version):
+        is_unknown = UNKNOWN_VERSION in (current.version, start.version)
+        if is_unknown and current.version != start.version:
             current.version = start.version
             current.recorded = recorded
         self._drop_oldest()
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -85,6 +85,7 @@
         return []
     attempt.answered = True
     attempt.confirmed = event.confirmed
+    attempt.target.open_ended = not event.delimited
     if attempt.first_delivery_at is None:
         state.requests[attempt.request].open_ended = not event.delimited
     return []
@@ -182,6 +183,8 @@
     if request.standby is None:
         _record_backup(request, attempt)
     effects.append(Deliver(request.spec.number, b"".join(data)))
+    if request.pieces == len(data):
+        effects += copies.copy_open_ended(state, request, now)
     return effects
 
 
