Test ends and restarts of engines on the own interface with real sockets

A second close, refusals of resumes and an engine that restarts at once under its address, as another version, were tested on the platform's interface only. On the own interface a stream ends with its end marker alone; a stream of a dead incarnation is not resumed by the next one, and what its report said is settled by the engine's refusal.

--- /dev/null
+++ b/tests/contracts/test_restarts.py
@@ -0,0 +1,198 @@
+"""Tests of engines whose streams close, and of what answers at their addresses then.
+
+A stream is complete by its end marker only. A close, a refusal, silence or an answer
+of something else at the address of its engine states nothing about the generation.
+"""
+
+import pytest
+from aiohttp import web
+
+from figstep.checker import ExecutedGeneration, History, check_history
+from figstep.core.problems import Ran
+from figstep.demo import MODEL
+from figstep.standins.engine import EngineServer
+from figstep.standins.engine_model import Token
+from figstep.standins.http import answer_json
+from figstep.standins.service import PlainService
+from tests.contracts.test_targets import Answer, FaultyEngine, Frames, run_entry
+from tests.fleet import Caller, wait_for
+
+TOKENS = 6
+
+PART = Frames((1, 2, 3), done=False)
+"""Events of an answer whose stream is closed before its end marker."""
+
+NOTHING = Frames((), done=False)
+"""A stream that is closed before its first event."""
+
+
+class ClosingEngine(FaultyEngine):
+    """Engine that closes streams, and whose address answers for it then.
+
+    Attributes:
+        resumes: What the next resumes get, in order; the others are served.
+    """
+
+    def __init__(self, name: str, resumes: list[Answer | Frames]) -> None:
+        super().__init__(name, [])
+        self.resumes = resumes
+
+    async def _start(self, request: web.Request) -> web.StreamResponse:
+        self.faults = [PART]
+        return await super()._start(request)
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        if not self.resumes:
+            return await super()._resume(request)
+        match self.resumes.pop(0):
+            case Answer(status=status, headers=headers):
+                return web.Response(status=status, headers=dict(headers))
+            case Frames() as frames:
+                self.faults = [frames]
+        return await super()._resume(request)
+
+
+def check_caller(caller: Caller, *engines: EngineServer) -> None:
+    """Check what a caller received against what engines executed."""
+    generations = []
+    for engine in engines:
+        for name, prompt in engine.prompts.items():
+            tag = prompt.split()[-1]
+            generations.append(ExecutedGeneration(engine.name, name, tag))
+    assert check_history(History([caller.history], generations)) == []
+
+
+@pytest.mark.parametrize("stream", [True, False], ids=["stream", "one piece"])
+@pytest.mark.parametrize(
+    "resumes",
+    [[NOTHING], [NOTHING, NOTHING, NOTHING], [Answer(503), NOTHING, Answer(429)]],
+    ids=["second close", "four closes", "refusals and a close"],
+)
+async def test_no_close_and_no_refusal_is_the_end_of_a_stream(
+    resumes: list[Answer | Frames], stream: bool
+) -> None:
+    """Guards against a close or a refusal of a resume that is taken for the end."""
+    engine = ClosingEngine("engine-1", list(resumes))
+    async with run_entry([engine], PlainService("planning-1")) as url:
+        caller = Caller("tag", TOKENS, stream)
+        await caller.stream_to_end(url)
+    assert caller.last.ended
+    assert len(engine.executed) == 1
+    check_caller(caller, engine)
+
+
+@pytest.mark.parametrize("resume", [NOTHING, Answer(503)], ids=["closed", "refused"])
+async def test_a_stream_whose_end_nothing_states_is_broken_off(
+    resume: Answer | Frames,
+) -> None:
+    """Guards against the last close or refusal that is taken for the end."""
+    engine = ClosingEngine("engine-1", [resume] * 20)
+    async with run_entry([engine], PlainService("planning-1")) as url:
+        caller = Caller("tag", TOKENS)
+        await caller.stream_to_end(url)
+    assert (caller.last.problem, caller.last.ran) == ("generation_lost", Ran.YES)
+    check_caller(caller, engine)
+
+
+class RestartingEngine(EngineServer):
+    """Engine that restarts at once, under its address, as another version.
+
+    Attributes:
+        at_event: Index of the event after which it restarts, once.
+        version: Version that its events name, from the second one on.
+    """
+
+    def __init__(self, name: str, at_event: int) -> None:
+        super().__init__(name, gap=0.01)
+        self.at_event = at_event
+        self.version = 1
+
+    def _handle_token(self, token: Token) -> None:
+        super()._handle_token(token)
+        generation = self._generations.get(token.name)
+        if generation is None or token.index == 1:
+            return
+        frame = generation.frames[-1]
+        generation.frames[-1] = frame.replace(b' "', b'-v%d "' % self.version)
+        if self.version == 1 and token.index == self.at_event:
+            self.version = 2
+            self.crash()
+            self.restart()
+
+
+def list_versions(text: str) -> set[str]:
+    """Return the versions that the tokens of a text name."""
+    return {word.rpartition("-")[2] for word in text.split()[1:]}
+
+
+async def test_a_stream_is_not_joined_with_that_of_the_next_incarnation() -> None:
+    """Guards against events of two versions, as an engine restarts under its name."""
+    engine = RestartingEngine("engine-1", at_event=20)
+    async with run_entry([engine], PlainService("planning-1")) as url:
+        caller = Caller("tag", 40)
+        await caller.stream_to_end(url)
+        text = "".join(event.text for event in caller.history.events)
+        assert list_versions(text) == {"v1"}
+        assert (caller.last.problem, caller.last.ran) == ("generation_lost", Ran.YES)
+        again = Caller("tag", 40)
+        again.history.events = list(caller.history.events)
+        await again.stream_to_end(url)
+        assert (again.last.status, again.last.problem) == (410, "generation_gone")
+
+
+async def test_an_answer_in_one_piece_is_of_one_incarnation() -> None:
+    """Guards against an answer that is gathered from two incarnations."""
+    engine = RestartingEngine("engine-1", at_event=20)
+    async with run_entry([engine], PlainService("planning-1")) as url:
+        caller = Caller("tag", 40, stream=False)
+        await caller.stream_to_end(url)
+    assert caller.last.ended
+    assert len(engine.executed) == 2
+    assert list_versions(caller.history.text) == {"v2"}
+    assert len(caller.history.text.split()) == 40
+
+
+class ForgetfulEngine(EngineServer):
+    """Engine that loses its models as it restarts, and whose report lags behind.
+
+    Attributes:
+        reported: Whether its report was read.
+        refused: Number of requests for a model that it does not serve any more.
+    """
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name, gap=0.0)
+        self.models = [f"{MODEL}@1"]
+        self.reported = False
+        self.refused = 0
+
+    async def _report_load(self, request: web.Request) -> web.Response:
+        self.reported = True
+        document = {"incarnation": 1, "models": [f"{MODEL}@1"], "memory_total": 9_999}
+        return answer_json(document)
+
+    def restart(self) -> None:
+        """Serve again, with another model."""
+        super().restart()
+        self.models = ["other@1"]
+
+    def _serves(self, model: str) -> bool:
+        serves = super()._serves(model)
+        self.refused += not serves
+        return serves
+
+
+async def test_what_a_dead_incarnation_served_is_not_taken_for_served() -> None:
+    """Guards against text of a model by the report of an engine before its restart."""
+    engines = [ForgetfulEngine(f"engine-{number}") for number in (1, 2)]
+    async with run_entry(engines, PlainService("planning-1")) as url:
+        await wait_for(lambda: engines[0].reported, "the engine reports its models")
+        engines[0].crash()
+        engines[0].restart()
+        for number in range(16):
+            caller = Caller(f"tag-{number}", TOKENS)
+            await caller.stream_to_end(url)
+            assert caller.last.ended
+            check_caller(caller, *engines)
+    assert engines[0].refused
+    assert engines[0].executed == []
