Go on with a generation whose resume something else answers

Callers saw "400 rejected_by_target: mend the request" inside streams that had begun, and for answers in one piece, though their generation ran on: the connection to the engine had broken, and the resume was answered with 400, 401, 403, 408, 421 or a redirect, as a proxy, or another server at the address, does for a moment. The entry also cancelled the generation then. A start that was answered with 408 or 421, which a server sends that has not handed the request on, was rejected as well.

Cause: any status below 500 counted as the engine's rejection of the request. An engine that has accepted a generation can't reject its request any more, so such a status to a resume states nothing about it; 408 and 421 state that the request was not handled there. Both count as failures now: a resume is tried again, a start goes to another engine, and what may have run is told as unknown.

Before: 14 tests of tests/contracts/test_restarts.py fail on (six statuses to the resume of a stream and of an answer in one piece, two to a start). After: they pass.

--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -62,6 +62,9 @@
 ``ServiceInfo.refusals_not_run`` holds whether this is certain for a plain service.
 """
 
+_STRANGER_STATUSES = (408, 421)
+"""HTTP statuses of a server that has not handed the request to the target."""
+
 _DROPPED_HEADERS = {"transfer-encoding", "connection", "content-length", "date"}
 """Headers of a plain service's answer that are not passed on to the caller."""
 
@@ -236,10 +239,13 @@
             event = AttemptLost(attempt, Loss.REFUSED, retry_after, detail)
             self._dispatch(event)
             return
-        if response.status == 404 and response.method == "GET":
+        resuming = response.method == "GET"
+        if response.status == 404 and resuming:
             self._dispatch(AttemptLost(attempt, Loss.NOT_FOUND, detail=detail))
             return
-        if response.status >= 500:
+        # The target has accepted a request that is resumed, so that no other status
+        # says anything about the request.
+        if resuming or response.status >= 500 or response.status in _STRANGER_STATUSES:
             self._dispatch(AttemptLost(attempt, Loss.FAILED, detail=detail))
             return
         problem = Problem(
--- a/tests/contracts/test_restarts.py
+++ b/tests/contracts/test_restarts.py
@@ -94,6 +94,35 @@
     check_caller(caller, engine)
 
 
+@pytest.mark.parametrize("stream", [True, False], ids=["stream", "one piece"])
+@pytest.mark.parametrize("status", [301, 400, 401, 403, 408, 421])
+async def test_no_answer_to_a_resume_rejects_the_request(
+    status: int, stream: bool
+) -> None:
+    """Guards against "mend the request" for one whose generation runs."""
+    engine = ClosingEngine("engine-1", [Answer(status)])
+    async with run_entry([engine], PlainService("planning-1")) as url:
+        caller = Caller("tag", TOKENS, stream)
+        await caller.stream_to_end(url)
+    assert caller.last.ended
+    assert len(engine.executed) == 1
+    check_caller(caller, engine)
+
+
+@pytest.mark.parametrize("status", [408, 421])
+async def test_what_does_not_come_from_the_engine_does_not_reject_a_request(
+    status: int,
+) -> None:
+    """Guards against "mend the request" from a proxy that has not asked the engine."""
+    faults: list[Answer | Frames] = [Answer(status)]
+    engines = [FaultyEngine(f"engine-{number}", faults) for number in (1, 2)]
+    async with run_entry(engines, PlainService("planning-1")) as url:
+        caller = Caller("tag", TOKENS)
+        await caller.stream_to_end(url)
+    assert caller.last.ended
+    check_caller(caller, *engines)
+
+
 class RestartingEngine(EngineServer):
     """Engine that restarts at once, under its address, as another version.
 
