Call a generation gone only if its target says so

A caller that came back with Last-Event-ID got 410 generation_gone also where the target had said nothing: after four refused, closed or silent resumes within about a third of a second. Its generation went on at the engine, and the entry cancelled it, so that the caller, told to send the request again, had lost an answer that was being written.

Cause: the problem of a returned caller depended on the number of its events alone, not on the loss. Only a 404 of the target, or its removal from the inventory, states that a generation is gone. After any other loss the caller gets 503 generation_unreachable with Retry-After, and the generation is not cancelled.

Before: two tests of test_restarts.py (resumes closed, resumes refused) and one of test_recovery.py fail, each with "generation_gone". After: they pass, and the caller that comes back reads the generation to its end.

--- a/figstep/core/recovery.py
+++ b/figstep/core/recovery.py
@@ -231,7 +231,7 @@
         case retries.Recovery.RESTART:
             effects += _restart_request(state, request, attempt, event, now)
         case _:
-            effects += _give_up(state, request, now)
+            effects += _give_up(state, request, event.loss)
     return effects
 
 
@@ -319,7 +319,7 @@
         return []
     target = state.targets.get(request.target)
     if target is None:
-        return _give_up(state, request, now)
+        return _give_up(state, request, Loss.NOT_FOUND)
     return attempts.resume_attempt(state, request, target, now)
 
 
@@ -345,14 +345,18 @@
     request.resumes = 0
     request.accepted = False
     if request.caller_gone or suspects.reached_death_limit(state, request):
-        return effects + _give_up(state, request, now)
+        return effects + _give_up(state, request, event.loss)
     # An attempt that did not run cost no target anything, so a restart after it is
     # not charged to the retry budget.
     if (
         retries.classify_ran(event.loss) is not Ran.NO
         and not state.retry_budget.spend()
     ):
-        return [*effects, Count("retries.denied"), *_give_up(state, request, now)]
+        return [
+            *effects,
+            Count("retries.denied"),
+            *_give_up(state, request, event.loss),
+        ]
     return effects + requests.start_request(state, request, now)
 
 
@@ -362,9 +366,28 @@
     return [CancelGeneration(attempt.target, attempt.generation)]
 
 
-def _give_up(state: State, request: RequestState, now: Millis) -> list[Effect]:
-    problem = _build_lost_problem(state, request)
-    return [*requests.end_request(state, request, problem), Count("requests.lost")]
+def _give_up(state: State, request: RequestState, loss: Loss) -> list[Effect]:
+    if request.returned_index == request.delivered and loss is not Loss.NOT_FOUND:
+        # Only its target can state that a generation is gone. It may go on until its
+        # caller comes back.
+        problem = _build_unreachable_problem(state, request)
+        effects = requests.end_request(state, request, problem, cancel=False)
+    else:
+        problem = _build_lost_problem(state, request)
+        effects = requests.end_request(state, request, problem)
+    return [*effects, Count("requests.lost")]
+
+
+def _build_unreachable_problem(state: State, request: RequestState) -> Problem:
+    return Problem(
+        503,
+        "generation_unreachable",
+        "the target of this generation does not hand out its events now; come back"
+        " with Last-Event-ID after Retry-After, or send the request again without it"
+        " for a whole new answer",
+        ran=request.ran,
+        retry_after=retries.jitter_pause(1_000, state.rng),
+    )
 
 
 def _build_lost_problem(state: State, request: RequestState) -> Problem:
--- a/tests/contracts/test_restarts.py
+++ b/tests/contracts/test_restarts.py
@@ -9,6 +9,7 @@
 
 from figstep.checker import ExecutedGeneration, History, check_history
 from figstep.core.problems import Ran
+from figstep.core.retries import MAX_RESUMES
 from figstep.demo import MODEL
 from figstep.standins.engine import EngineServer
 from figstep.standins.engine_model import Token
@@ -52,6 +53,17 @@
         return await super()._resume(request)
 
 
+class LongEngine(ClosingEngine):
+    """Engine that closes no stream, only resumes."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name, [])
+        self.gap = 0.03
+
+    async def _start(self, request: web.Request) -> web.StreamResponse:
+        return await EngineServer._start(self, request)
+
+
 def check_caller(caller: Caller, *engines: EngineServer) -> None:
     """Check what a caller received against what engines executed."""
     generations = []
@@ -225,3 +237,28 @@
             check_caller(caller, *engines)
     assert engines[0].refused
     assert engines[0].executed == []
+
+
+@pytest.mark.parametrize("resume", [NOTHING, Answer(503)], ids=["closed", "refused"])
+async def test_a_returned_caller_is_not_told_that_a_running_generation_is_gone(
+    resume: Answer | Frames,
+) -> None:
+    """Guards against 410, and a cancellation, where nobody said that it is gone."""
+    engine = LongEngine("engine-1")
+    async with run_entry([engine], PlainService("planning-1")) as url:
+        first = Caller("tag", 100)
+        first.start_generation(url)
+        await first.wait_for_events(3)
+        engine.resumes = [resume] * (MAX_RESUMES + 1)
+        again = Caller("tag", 100)
+        again.history.events = first.history.events[:3]
+        await again.stream_to_end(url)
+        assert again.last.problem == "generation_unreachable"
+        assert (again.last.status, again.last.ran) == (503, Ran.YES)
+        assert again.retry_after
+        await again.stream_to_end(url)
+        assert again.last.ended
+        await first.finish()
+    assert first.last.ended
+    assert engine.cancelled == []
+    check_caller(again, engine)
--- a/tests/core/test_recovery.py
+++ b/tests/core/test_recovery.py
@@ -235,3 +235,16 @@
     entry.feed(AttemptLost(resumed.attempt, Loss.NOT_FOUND))
     problem = entry.find_effect(Refuse).problem
     assert (problem.code, problem.ran) == ("generation_gone", Ran.YES)
+
+
+def test_a_returned_caller_whose_target_is_out_of_reach_may_come_back() -> None:
+    """Guards against 410, and a cancellation, for a generation that may go on."""
+    entry = Entry()
+    generation = entry.state.attempts[entry.start()].generation
+    spec = RequestSpec("r2", "demo", GenerationWork("m"))
+    entry.feed(CallerReturned(spec, generation, 4))
+    lose_for_good(entry, "r2")
+    problem = entry.find_effect(Refuse).problem
+    assert (problem.code, problem.ran) == ("generation_unreachable", Ran.YES)
+    assert problem.retry_after
+    assert entry.find_effects(CancelGeneration) == []
