Ask a service on a connection that was opened before its answer ended

Callers got the first 7 of 20 bytes with status 200: a plain service had crashed within an answer that has neither a length nor chunks, and its next process listened at the same address when the entry asked whether the service lives.

Cause: the question was sent on a new connection, so that whoever listens there then stated the end for the process that had written the body. An answer with 408, 421 or 429, with which a server answers that has not asked the target, counted as well.

The connection is now opened as the head arrives, and the question is sent on it after the body: a process that has started again has no such connection. Nothing is sent before the body has ended, so that a service with one worker is not held up. It costs no more connections than before. Not told apart is a service that crashes and listens again within the time in which the entry reads the head and opens the connection.

Whole answers of living services arrive as before, also of one that serves one connection at a time (test_targets.py, with http.server of Python).

--- a/figstep/net/probes.py
+++ b/figstep/net/probes.py
@@ -1,14 +1,16 @@
 """Probes that detect whether a process listens or answers at an address."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import logbook
 from yarl import URL
 
 _log = logbook.Logger("figstep.probes")
 
-_GATEWAY_STATUSES = (502, 503, 504)
-"""Statuses with which a gateway answers for a target that it does not reach."""
+_STRANGER_STATUSES = (408, 421, 429, 502, 503, 504)
+"""Statuses with which a server answers that has not asked the target."""
 
 
 async def is_listening(host: str, port: int, seconds: float) -> bool:
@@ -32,39 +34,65 @@
     return True
 
 
-async def answers_requests(url: URL, seconds: float) -> bool:
-    """Return whether a target answers requests at its address.
+class Witness:
+    """Connection that shows whether a target outlives its answer.
 
-    It is sent ``OPTIONS *``, which asks the server itself and runs nothing (RFC 9110,
-    section 9.3.7). An accepted connection would show nothing, as the address of a
-    target may outlive it. A target that cannot be reached within ``seconds``, or for
-    which a gateway answers, does not answer.
+    It is opened while the answer arrives. A target that has crashed and started again
+    accepts new connections, and answers on none that was opened before.
     """
-    try:
-        async with asyncio.timeout(seconds):
-            status = await _query_server(url)
-    except (OSError, ValueError) as error:
-        _log.info("target does not answer", extra={"error": repr(error)})
-        return False
-    return status not in _GATEWAY_STATUSES
 
+    def __init__(
+        self, url: URL, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._url = url
+        self._reader = reader
+        self._writer = writer
 
-async def _query_server(url: URL) -> int:
-    """Return the status of the answer to ``OPTIONS *``.
+    async def answers(self, seconds: float) -> bool:
+        """Return whether the target answers a request within ``seconds``.
 
-    Raises:
-        OSError: If no connection is established.
-        ValueError: If what comes is no HTTP answer.
-    """
-    reader, writer = await asyncio.open_connection(
-        url.host, url.port, ssl=url.scheme == "https" or None
-    )
-    try:
-        request = f"OPTIONS * HTTP/1.1\r\nHost: {url.authority}\r\n"
-        writer.write(f"{request}Connection: close\r\n\r\n".encode())
-        version, _, rest = (await reader.readline()).partition(b" ")
+        It is sent ``OPTIONS *``, which asks the server itself and runs nothing (RFC
+        9110, section 9.3.7). What another server answers for the target states nothing.
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                status = await self._query_server()
+        except (OSError, ValueError) as error:
+            _log.info("target does not answer", extra={"error": repr(error)})
+            return False
+        return status not in _STRANGER_STATUSES
+
+    async def _query_server(self) -> int:
+        """Return the status of the answer to ``OPTIONS *``.
+
+        Raises:
+            OSError: If the connection is lost.
+            ValueError: If what comes is no HTTP answer, or came unasked.
+        """
+        request = f"OPTIONS * HTTP/1.1\r\nHost: {self._url.authority}\r\n"
+        self._writer.write(f"{request}Connection: close\r\n\r\n".encode())
+        version, _, rest = (await self._reader.readline()).partition(b" ")
         if not version.startswith(b"HTTP/"):
             raise ValueError(f"received {version[:40]!r} in place of an answer")
         return int(rest[:3])
+
+
+@asynccontextmanager
+async def open_witness(url: URL, seconds: float) -> AsyncIterator[Witness | None]:
+    """Open a connection to a target whose answer is about to be read.
+
+    None is returned if it is not established within ``seconds``.
+    """
+    try:
+        async with asyncio.timeout(seconds):
+            reader, writer = await asyncio.open_connection(
+                url.host, url.port, ssl=url.scheme == "https" or None
+            )
+    except OSError as error:
+        _log.info("target accepts no connection", extra={"error": repr(error)})
+        yield None
+        return
+    try:
+        yield Witness(url, reader, writer)
     finally:
         writer.close()
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -28,12 +28,12 @@
 from figstep.core.problems import Problem
 from figstep.core.specs import GenerationWork
 from figstep.errors import FrameError
-from figstep.net.buffers import build_data
+from figstep.net.buffers import ExchangeBuffer, build_data
 from figstep.net.exchanges import Exchange, ServiceAnswer
 from figstep.net.frames import FrameSplitter
 from figstep.net.framing import is_delimited
 from figstep.net.pools import PoolTable
-from figstep.net.probes import answers_requests, is_listening
+from figstep.net.probes import is_listening, open_witness
 from figstep.net.reading import read_body
 
 CANCEL_TIMEOUT = 2.0
@@ -275,19 +275,13 @@
                 headers=headers,
                 allow_redirects=False,
             ) as response:
-                body = await read_body(response, MAX_ANSWER_BYTES, exchange.buffer)
-        if response.ok:
-            outlived = is_delimited(response) or await answers_requests(
-                URL(target.address), PROBE_TIMEOUT
-            )
-            reason = explain_incomplete(
-                Body(is_delimited(response), len(body), outlived)
-            )
-            if reason:
-                self._dispatch(
-                    AttemptLost(effect.attempt, Loss.TRUNCATED, detail=reason)
+                body, reason = await _read_service_body(
+                    target, response, exchange.buffer
                 )
-                return
+        if reason:
+            lost = AttemptLost(effect.attempt, Loss.TRUNCATED, detail=reason)
+            self._dispatch(lost)
+            return
         # If a 429 or 503 were passed on as the answer to a call that may run only
         # once, it would be recorded and replayed to every later request with the
         # same key.
@@ -326,6 +320,21 @@
                 _log.info("cancellation not delivered", extra=fields)
 
 
+async def _read_service_body(
+    target: ServiceInfo, response: aiohttp.ClientResponse, buffer: ExchangeBuffer | None
+) -> tuple[bytes, str]:
+    """Return the body of an answer, and why it is incomplete, or "".
+
+    A body of an unsuccessful answer is passed on as it is.
+    """
+    if is_delimited(response) or not response.ok:
+        return await read_body(response, MAX_ANSWER_BYTES, buffer), ""
+    async with open_witness(URL(target.address), PROBE_TIMEOUT) as witness:
+        body = await read_body(response, MAX_ANSWER_BYTES, buffer)
+        outlived = witness is not None and await witness.answers(PROBE_TIMEOUT)
+    return body, explain_incomplete(Body(False, len(body), outlived))
+
+
 def _read_retry_after(response: aiohttp.ClientResponse) -> Millis | None:
     after = response.headers.get("Retry-After", "")
     return Millis(int(after) * 1000) if after.isdigit() else None
--- a/tests/contracts/test_ends.py
+++ b/tests/contracts/test_ends.py
@@ -1,12 +1,15 @@
 """Tests of answers of plain services that have neither a length nor chunks."""
 
+import asyncio
+
 import aiohttp
 import pytest
 from aiohttp import web
 
 from figstep.demo import KEY
-from figstep.standins.service import PlainService
+from figstep.standins.service import ExecutedCall, PlainService
 from tests.afterlife import Afterlife, answer_for_crashed
+from tests.contracts import test_targets
 from tests.contracts.test_targets import run_entry
 from tests.framing import Framing, RawAnswer
 
@@ -44,6 +47,28 @@
         return raw.close()
 
 
+class RestartingService(test_targets.CrashingService):
+    """Plain service that crashes within its first answer and starts again at once."""
+
+    async def _execute(self, request: web.Request) -> web.StreamResponse:
+        if self.executed:
+            return web.Response(body=ANSWER)
+        self.executed.append(ExecutedCall(request.method, request.path, ""))
+        raw = RawAnswer(request, Framing.CONNECTION, {}, 0)
+        raw.write(ANSWER[:7])
+        await asyncio.sleep(0.1)
+        host, port = self.runner.addresses[0]
+        for site in list(self.runner.sites):
+            await site.stop()
+        assert self.runner.server is not None
+        for connection in self.runner.server.connections:
+            if connection.transport not in (None, request.transport):
+                connection.transport.abort()
+        raw.close()
+        await web.TCPSite(self.runner, host, port).start()
+        return web.Response()
+
+
 async def order_once(*services: PlainService) -> tuple[int, bytes]:
     """Place an order; return the status and body that its caller gets."""
     headers = {"Authorization": f"Bearer {KEY}", "Idempotency-Key": "order-1"}
@@ -63,6 +88,12 @@
     assert not body.startswith(ANSWER[:7])
 
 
+async def test_an_answer_of_a_service_that_started_again_is_not_complete() -> None:
+    """Guards against the next incarnation that is taken for the one that answered."""
+    status, body = await order_once(RestartingService("planning-1"))
+    assert (status, body) == (200, ANSWER)
+
+
 async def test_an_answer_of_a_living_service_is_complete_by_its_close() -> None:
     """Guards against a loss of whole answers that have neither length nor chunks."""
     status, body = await order_once(CrashingService("planning-1", None))
--- a/tests/net/test_targets.py
+++ b/tests/net/test_targets.py
@@ -1,13 +1,22 @@
 """Tests of the edge to targets."""
 
 import asyncio
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, HTTPServer
 
 from aiohttp import web
 
 from figstep.core.effects import CancelGeneration, OpenAttempt
-from figstep.core.events import AttemptEnded, Event, TargetDown, TokensArrived
+from figstep.core.events import (
+    AttemptEnded,
+    Event,
+    ServiceAnswered,
+    TargetDown,
+    TokensArrived,
+)
 from figstep.core.inventory import EngineInfo, ServiceInfo
-from figstep.core.specs import GenerationWork, RequestSpec
+from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork
 from figstep.net.exchanges import Exchange
 from figstep.net.targets import TargetEdge
 from figstep.standins.http import start_app
@@ -129,3 +138,43 @@
     await edge.stop()
     await runner.cleanup()
     assert cancellations == ["/v1/generations/e1~0~1"] * 2
+
+
+class OneByOne(BaseHTTPRequestHandler):
+    """Handler of a server that ends each body with its connection, one at a time."""
+
+    def do_GET(self) -> None:
+        self.send_response(200)
+        self.end_headers()
+        for _ in range(3):
+            self.wfile.write(b"flour ")
+            time.sleep(0.05)
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Log nothing."""
+
+
+async def test_a_service_that_serves_one_connection_at_a_time_is_read_whole() -> None:
+    """Guards against a second connection for which such a service lets the first wait.
+
+    It answers nothing on a connection that it has not yet accepted.
+    """
+    with HTTPServer(("127.0.0.1", 0), OneByOne) as server:
+        thread = threading.Thread(target=server.serve_forever)
+        thread.start()
+        service = ServiceInfo("s1", "x", f"http://127.0.0.1:{server.server_port}", "a")
+        events: asyncio.Queue[Event] = asyncio.Queue()
+        edge = TargetEdge(events.put_nowait, lambda _: service)
+        spec = RequestSpec("r1", "c", ServiceWork("x", "GET", "/stock"))
+        try:
+            for attempt in (1, 2, 3):
+                exchange = Exchange(spec, "GET", "/stock", {}, b"")
+                edge.open_attempt(OpenAttempt("r1", attempt, "s1", ""), exchange)
+                async with asyncio.timeout(20):
+                    event = await events.get()
+                assert isinstance(event, ServiceAnswered), event
+                assert event.body == b"flour flour flour "
+        finally:
+            await edge.stop()
+            await asyncio.to_thread(server.shutdown)
+            thread.join()
