Look at the last event of a returned caller before its answer ends

A caller that came back after 3 of 50 events got the end marker, and took 3 events for the whole answer: the engine had closed the resumed stream with its end marker and no event, as one that fails may do.

Cause: an end marker counts only if the event before it has a finish reason. An entry that has none of the events, as the caller had read them elsewhere, took the lack of an event for one that is complete. The last event that the caller has is now read again, and not delivered, before the answer ends; this takes a resume, only for callers that come back with all events.

Before: test_restarts.py::test_an_end_marker_alone_does_not_end_the_rest_of_a_returned_caller fails in both cases, with Truncated(events=3) and with a complete answer in place of a problem. After: the stream goes on to event 50, or is broken off if the engine repeats itself. A caller that lacks the end marker only gets it, as before.

--- a/figstep/core/attempts.py
+++ b/figstep/core/attempts.py
@@ -52,7 +52,13 @@
 def resume_attempt(
     state: State, request: RequestState, target: TargetState, now: Millis
 ) -> list[Effect]:
-    """Open an attempt that resumes the request's generation after its last event."""
+    """Open an attempt that resumes the request's generation after its last event.
+
+    If nothing came after the last event of a returned caller, that one is read again.
+    """
+    after = request.delivered
+    if after and request.resumes and not request.last_frame:
+        after -= 1
     attempt = _add_attempt(state, request, target, request.generation, now)
     attempt.resuming = True
     effects: list[Effect] = [
@@ -61,7 +67,7 @@
             attempt.attempt,
             target.info.name,
             request.generation,
-            request.delivered,
+            after,
         ),
         _log_attempt("attempt resumed", request, attempt),
     ]
--- a/figstep/core/recovery.py
+++ b/figstep/core/recovery.py
@@ -77,6 +77,8 @@
             Count("tokens.repeated", min(already_delivered, len(event.frames)))
         )
     if not frames:
+        if event.first + len(event.frames) > request.delivered:
+            request.last_frame = event.frames[-1]
         return effects
     request.ran = Ran.YES
     request.accepted = True
@@ -184,7 +186,8 @@
     An engine that fails may still close its stream with the end marker, and the
     caller would take a truncated answer for a whole one. An answer whose last event
     has no finish reason is therefore handled as truncated, and an answer without
-    events as empty.
+    events as empty. The last event of a returned caller that got none since is read
+    again.
     """
     attempt = state.attempts.get(event.attempt)
     if attempt is None:
@@ -192,12 +195,26 @@
     request = state.requests[attempt.request]
     if not request.delivered:
         return recover_attempt(state, AttemptLost(event.attempt, Loss.EMPTY), now)
-    if finishes.is_unfinished(request.last_frame):
+    if not request.last_frame and not request.resumes:
+        return _read_last_event(state, request, now)
+    if not request.last_frame or finishes.is_unfinished(request.last_frame):
         lost = AttemptLost(event.attempt, Loss.TRUNCATED, detail="no finish reason")
         return recover_attempt(state, lost, now)
     return requests.complete_attempt(state, event, now)
 
 
+def _read_last_event(state: State, request: RequestState, now: Millis) -> list[Effect]:
+    attempt = attempts.remove_attempt(state, request.attempt)
+    target = state.targets.get(request.target)
+    if target is None:
+        return _give_up(state, request, Loss.NOT_FOUND)
+    request.resumes += 1
+    effects = attempts.resume_attempt(state, request, target, now)
+    if attempt is not None:
+        effects.append(CloseAttempt(attempt.attempt))
+    return effects
+
+
 def recover_attempt(state: State, event: AttemptLost, now: Millis) -> list[Effect]:
     """Handle a lost attempt: resume, restart or refuse its request.
 
--- a/tests/contracts/test_restarts.py
+++ b/tests/contracts/test_restarts.py
@@ -262,3 +262,34 @@
     assert first.last.ended
     assert engine.cancelled == []
     check_caller(again, engine)
+
+
+@pytest.mark.parametrize("ends", [1, 20], ids=["once", "each time"])
+async def test_an_end_marker_alone_does_not_end_the_rest_of_a_returned_caller(
+    ends: int,
+) -> None:
+    """Guards against an end after an event that nobody has looked at."""
+    engine = LongEngine("engine-1")
+    async with run_entry([engine], PlainService("planning-1")) as url:
+        first = Caller("tag", 50)
+        first.start_generation(url)
+        await first.wait_for_events(3)
+        engine.resumes = [Frames(())] * ends
+        again = Caller("tag", 50)
+        again.history.events = first.history.events[:3]
+        await again.stream_to_end(url)
+        await first.finish()
+    assert first.last.ended
+    assert again.last.ended is (ends == 1)
+    check_caller(again, engine)
+
+
+async def test_a_caller_that_lacks_the_end_marker_only_gets_it() -> None:
+    """Guards against a loss for a caller that has all events."""
+    engine = EngineServer("engine-1", gap=0.0)
+    async with run_entry([engine], PlainService("planning-1")) as url:
+        caller = Caller("tag", TOKENS)
+        await caller.stream_to_end(url)
+        events = list(caller.history.events)
+        await caller.stream_to_end(url)
+    assert (caller.last.ended, caller.history.events) == (True, events)
