Record no answer of a proxy as the outcome of an order

An order through a proxy that answered 408, 421, 502 or 504 ended with that status, and the status was recorded as its outcome, "ran: yes", and replayed to each later request with the same key for 15 minutes, though nobody had stated whether the order ran.

Cause: of the answers to a call that may run only once, 429 and 503 alone were not taken for the service's own. The four others come from a server that has no answer of the service to pass on. They now count as a failure: the caller gets 409 outcome_unknown with ran unknown, and the order is not sent again. Calls that may run again get these answers as before.

Before: test_targets.py::test_what_a_proxy_answers_is_not_the_outcome_of_an_order fails for each of the four statuses. After: it passes.

--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -62,8 +62,8 @@
 ``ServiceInfo.refusals_not_run`` holds whether this is certain for a plain service.
 """
 
-_STRANGER_STATUSES = (408, 421)
-"""HTTP statuses of a server that has not handed the request to the target."""
+_STRANGER_STATUSES = (408, 421, 502, 504)
+"""HTTP statuses of a server that has no answer of the target to pass on."""
 
 _DROPPED_HEADERS = {"transfer-encoding", "connection", "content-length", "date"}
 """Headers of a plain service's answer that are not passed on to the caller."""
@@ -282,9 +282,11 @@
             lost = AttemptLost(effect.attempt, Loss.TRUNCATED, detail=reason)
             self._dispatch(lost)
             return
-        # If a 429 or 503 were passed on as the answer to a call that may run only
-        # once, it would be recorded and replayed to every later request with the
-        # same key.
+        # An answer to a call that may run only once is recorded and replayed to every
+        # later request with the same key, so that it has to be the target's own.
+        if effect.once and response.status in _STRANGER_STATUSES:
+            self._dispatch(AttemptLost(effect.attempt, Loss.FAILED))
+            return
         if response.status in (_REFUSED_STATUSES if effect.once else (503,)):
             # A proxy in front of the service may return these statuses after the
             # call has run; sending the call again would then run it twice.
--- a/tests/contracts/test_targets.py
+++ b/tests/contracts/test_targets.py
@@ -235,6 +235,20 @@
     assert len(calls) <= 1
 
 
+@pytest.mark.parametrize("status", [408, 421, 502, 504])
+async def test_what_a_proxy_answers_is_not_the_outcome_of_an_order(status: int) -> None:
+    """Guards against "it ran" on the word of a proxy that had no answer to pass on."""
+    service = FaultyService(str(status))
+    async with run_entry([], service) as url:
+        for _ in range(2):
+            caller = Caller("tag")
+            caller.order(url)
+            await caller.finish()
+            assert (caller.last.status, caller.last.problem) == (409, "outcome_unknown")
+            assert caller.last.ran is Ran.UNKNOWN
+    assert service.executed == []
+
+
 async def test_a_call_that_crashes_services_is_kept_away_from_the_rest() -> None:
     """Guards against a read that repeatedly crashes all targets of a service."""
     services = [CrashingService(f"planning-{number}") for number in range(6)]
