--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -45,8 +45,8 @@
         attempt: Number of the current attempt, or None.
         delivered: Index of the last event delivered to the caller, or gathered for
             the caller, from 1; 0 for none.
-        last_frame: The last event that this entry delivered or gathered; empty
-            before the first.
+        last_frame: The last event that this entry delivered, gathered or read again;
+            empty before the first.
         attempts: Number of starts, not counting resumes.
         resumes: Number of resumes in a row without a new event.
         returned_index: Index of the last event that a returned caller had received,
