Let a generation go on whose returned caller waited in vain

A caller that came back with Last-Event-ID and got no event before its deadline was told to come back after Retry-After, and the entry cancelled its generation: the next return found a stream that had ended early.

Cause: the silence of the target towards one entry ended the generation, as for a request that has not begun. A generation that a caller returned to has begun, may be read through another entry, and is now left to its target, which ends it if nobody reads it.

Before: test_recovery.py::test_a_returned_caller_that_waited_in_vain_does_not_end_its_generation fails with a CancelGeneration. After: it passes.

--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -340,7 +340,9 @@
         ran=ran,
         retry_after=retries.jitter_pause(2_000, state.rng),
     )
-    return [*end_request(state, request, problem), Count("requests.expired")]
+    # A returned caller may come back for a generation that goes on meanwhile.
+    cancel = request.returned_index is None
+    return [*end_request(state, request, problem, cancel), Count("requests.expired")]
 
 
 def abort_requests(state: State) -> list[Effect]:
--- a/tests/core/test_recovery.py
+++ b/tests/core/test_recovery.py
@@ -248,3 +248,18 @@
     assert (problem.code, problem.ran) == ("generation_unreachable", Ran.YES)
     assert problem.retry_after
     assert entry.find_effects(CancelGeneration) == []
+
+
+def test_a_returned_caller_that_waited_in_vain_does_not_end_its_generation() -> None:
+    """Guards against a cancellation by an entry at which nothing arrived in time."""
+    entry = Entry()
+    generation = entry.state.attempts[entry.start()].generation
+    spec = RequestSpec("r2", "demo", GenerationWork("m"))
+    entry.feed(CallerReturned(spec, generation, 4))
+    timers = entry.find_effects(WakeAt)
+    deadline = next(wake for wake in timers if wake.timer == RequestTimer("r2"))
+    entry.now = deadline.at
+    entry.feed(TimerFired(deadline.timer))
+    problem = entry.find_effect(Refuse).problem
+    assert (problem.code, problem.ran) == ("no_answer_in_time", Ran.YES)
+    assert entry.find_effects(CancelGeneration) == []
