Take no refused resume for the death of its target

A request whose engines were only busy got 422 request_quarantined for 15 minutes, at all entries, and what ran beside it became a suspect: its stream had broken, and the engine had refused four resumes with 429 or 503; the same at a second engine was enough.

Cause: any loss that ended the resumes counted as the death of the target, also a refusal, by which a target states that it lives. An engine that has crashed and is starting again refuses as well, so that the refusal alone shows neither. The request is now recorded at the target until its next report: a new incarnation makes it a suspect of that death, the same incarnation after the refusal clears it. An engine that gives no reports has no suspects by refusals. Silent and unreachable targets count as dead as before.

Before: test_quarantine.py::test_a_target_that_refuses_resumes_has_not_died fails with the harmless request in quarantine. After: it passes. That a request which does crash its targets is still found, where they refuse after the restart, held before and holds now (test_a_refused_resume_is_part_of_a_crash_that_shows_later).

--- a/figstep/core/recovery.py
+++ b/figstep/core/recovery.py
@@ -240,6 +240,8 @@
         effects += links.record_failure(state, attempt, now)
     if _proves_death(request, attempt, event, recovery):
         effects += suspects.record_death(state, attempt, now)
+    elif _was_refused_for_good(request, attempt, event, recovery):
+        suspects.record_refused_resume(state, request, attempt, now)
     if event.loss is Loss.BROKEN and isinstance(request.spec.work, ServiceWork):
         effects += suspects.record_broken_call(state, request, attempt, now)
     match recovery:
@@ -304,10 +306,21 @@
     if recovery is retries.Recovery.RESUME or not request.accepted:
         return False
     if attempt.resuming:
-        return event.loss is not Loss.SHUTDOWN
+        return event.loss not in (Loss.SHUTDOWN, Loss.REFUSED)
     return event.loss is Loss.BROKEN
 
 
+def _was_refused_for_good(
+    request: RequestState,
+    attempt: AttemptState,
+    event: AttemptLost,
+    recovery: retries.Recovery,
+) -> bool:
+    if recovery is retries.Recovery.RESUME or not request.accepted:
+        return False
+    return attempt.resuming and event.loss is Loss.REFUSED
+
+
 def _schedule_resume(
     state: State,
     request: RequestState,
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -156,8 +156,9 @@
             milliseconds; a time in the past before the first death.
         deaths: Number of times that the target was found dead.
         death_incarnation: Incarnation at the last death; -1 for none.
-        lost: Digests of service calls whose connection to the target broke, with
-            the time (monotonic) of each break, in milliseconds.
+        lost: Digests of service calls whose connection to the target broke, and of
+            generations that it refused to resume, with the time (monotonic) of each
+            loss, in milliseconds.
         probed_at: Time of the last probe (monotonic), in milliseconds; a time in the
             past before the first probe.
     """
--- a/figstep/core/suspects.py
+++ b/figstep/core/suspects.py
@@ -38,22 +38,50 @@
 def detect_restart(state: State, event: LoadReported, now: Millis) -> list[Effect]:
     """Count a newer incarnation in a load report as the death of the previous one.
 
-    Nothing is counted unless the target has accepted a request that is still open.
+    Nothing is counted unless the target has accepted a request that is still open, or
+    has refused to resume one since.
     """
     target = state.targets.get(event.target)
     if target is None or target.incarnation == 0:
         return []
     if event.incarnation <= target.incarnation:
+        if event.incarnation == target.incarnation:
+            _clear_refused(target, Millis(now - event.age))
         return []
+    refused = list(target.lost)
+    target.lost.clear()
     if target.death_incarnation == target.incarnation:
         # Lost streams have reported this death already. The requests that run on the
         # target now were started on the new incarnation and cannot have caused it.
-        return []
+        return _suspect(state, target, refused, now)
     affected = []
     for request in state.requests.values():
         if request.target == event.target and request.accepted:
             affected.append(request)
-    return _count_affected(state, target, affected, now) if affected else []
+    effects = _count_affected(state, target, affected, now) if affected else []
+    return effects + (_count_death(state, target, refused, now) if refused else [])
+
+
+def record_refused_resume(
+    state: State, request: RequestState, attempt: AttemptState, now: Millis
+) -> None:
+    """Record a request that its target refuses to resume, until its next report.
+
+    A target that is busy refuses, and one that has died and started again may as well.
+    Its incarnation distinguishes the two.
+    """
+    target = state.targets.get(attempt.target)
+    if target is None or target.incarnation == 0:
+        return
+    if request.died_with != request.generation:
+        target.lost[request.spec.digest] = now
+
+
+def _clear_refused(target: TargetState, reported: Millis) -> None:
+    """Clear what a target refused to resume before a report of the same incarnation."""
+    for digest, lost_at in list(target.lost.items()):
+        if lost_at < reported:
+            del target.lost[digest]
 
 
 def record_broken_call(
@@ -142,10 +170,17 @@
         target.died_at = now
         target.deaths += 1
         target.death_incarnation = target.incarnation
+    return [Count("targets.deaths"), *_suspect(state, target, digests, now)]
+
+
+def _suspect(
+    state: State, target: TargetState, digests: list[str], now: Millis
+) -> list[Effect]:
+    """Make requests suspects of a target's last death; quarantine them if due."""
     life = f"{target.info.name}#{target.deaths}"
     for digest in digests:
-        crashes.record_suspicion(Suspicion(digest, life), now)
-    effects: list[Effect] = [Count("targets.deaths")]
+        state.quarantine.crashes.record_suspicion(Suspicion(digest, life), now)
+    effects: list[Effect] = []
     for digest in digests:
         effects += _quarantine_if_refused(state, digest, now)
     return effects
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -13,9 +13,11 @@
     Loss,
     QueueTimer,
     RequestArrived,
+    RetryTimer,
     TimerFired,
 )
 from figstep.core.quarantine import Quarantine
+from figstep.core.retries import MAX_RESUMES
 from figstep.core.specs import GenerationWork, RequestSpec
 from figstep.core.suspects import blocks_target
 from figstep.core.targets import MAX_AVOIDANCE
@@ -178,3 +180,45 @@
                 )
     assert first.until["d"] == 60_000
     assert second.until["d"] == 60_500
+
+
+def refuse_resumes(entry: Entry, request: str) -> str:
+    """Break a request's stream and refuse all its resumes; return the target."""
+    answer_attempt(entry, request)
+    target = entry.state.requests[request].target
+    entry.feed(AttemptLost(entry.find_attempt(request), Loss.BROKEN))
+    for _ in range(MAX_RESUMES - 1):
+        entry.feed(AttemptLost(entry.find_attempt(request), Loss.REFUSED))
+        entry.feed(TimerFired(RetryTimer(request)), after=200)
+    entry.feed(AttemptLost(entry.find_attempt(request), Loss.REFUSED))
+    return target
+
+
+def test_a_target_that_refuses_resumes_has_not_died() -> None:
+    """Guards against 422 for a request whose targets are only busy."""
+    entry = Entry(inventory=make_inventory(engines=3))
+    for name in ("e1", "e2", "e3"):
+        entry.feed(LoadReported(name, incarnation=1))
+    entry.start("r1", digest="harmless", stream=False)
+    for _ in range(2):
+        target = refuse_resumes(entry, "r1")
+        entry.feed(LoadReported(target, incarnation=1), after=500)
+        entry.feed(LoadReported(target, incarnation=2), after=500)
+    assert entry.state.quarantine.until == {}
+    assert list_suspected(entry) == set()
+    assert entry.find_attempt("r1")
+
+
+def test_a_refused_resume_is_part_of_a_crash_that_shows_later() -> None:
+    """Guards against a killer that is sent on as its targets refuse after a restart."""
+    entry = Entry(inventory=make_inventory(engines=3))
+    for name in ("e1", "e2", "e3"):
+        entry.feed(LoadReported(name, incarnation=1))
+    entry.start("r1", digest="killer", stream=False)
+    targets = []
+    for _ in range(2):
+        targets.append(refuse_resumes(entry, "r1"))
+        entry.start(f"beside-{len(targets)}", digest="beside")
+        entry.feed(LoadReported(targets[-1], incarnation=2), after=500)
+    assert len(set(targets)) == 2
+    assert list(entry.state.quarantine.until) == ["killer"]
