Take no answered resume for the death of its target

As with refused resumes: a request whose resumes two engines had answered, with an end marker but no finish reason, with events of another generation, or with a close before any event, was refused for 15 minutes as one that kills targets, though both engines lived.

The loss of a resume that was answered is now decided by the next report of the engine, like a refusal: a new incarnation makes the request a suspect, the same one clears it.

Before: test_quarantine.py::test_a_target_that_answers_resumes_has_not_died fails for truncated and crossed answers. After: it passes; a request that does crash its targets is found as before (three cases, which held before).

--- a/figstep/core/recovery.py
+++ b/figstep/core/recovery.py
@@ -44,6 +44,11 @@
     TargetState,
 )
 
+_ANSWERED_LOSSES = frozenset(
+    {Loss.REFUSED, Loss.TRUNCATED, Loss.EMPTY, Loss.WRONG_GENERATION}
+)
+"""Losses by which a target answers: it lives, unless it has started again."""
+
 
 def forward_tokens(state: State, event: TokensArrived, now: Millis) -> list[Effect]:
     """Deliver the events that the caller has not received yet, in order.
@@ -240,8 +245,8 @@
         effects += links.record_failure(state, attempt, now)
     if _proves_death(request, attempt, event, recovery):
         effects += suspects.record_death(state, attempt, now)
-    elif _was_refused_for_good(request, attempt, event, recovery):
-        suspects.record_refused_resume(state, request, attempt, now)
+    elif _was_answered_in_vain(request, attempt, event, recovery):
+        suspects.record_failed_resume(state, request, attempt, now)
     if event.loss is Loss.BROKEN and isinstance(request.spec.work, ServiceWork):
         effects += suspects.record_broken_call(state, request, attempt, now)
     match recovery:
@@ -306,11 +311,11 @@
     if recovery is retries.Recovery.RESUME or not request.accepted:
         return False
     if attempt.resuming:
-        return event.loss not in (Loss.SHUTDOWN, Loss.REFUSED)
+        return event.loss is not Loss.SHUTDOWN and event.loss not in _ANSWERED_LOSSES
     return event.loss is Loss.BROKEN
 
 
-def _was_refused_for_good(
+def _was_answered_in_vain(
     request: RequestState,
     attempt: AttemptState,
     event: AttemptLost,
@@ -318,7 +323,7 @@
 ) -> bool:
     if recovery is retries.Recovery.RESUME or not request.accepted:
         return False
-    return attempt.resuming and event.loss is Loss.REFUSED
+    return attempt.resuming and event.loss in _ANSWERED_LOSSES
 
 
 def _schedule_resume(
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -157,7 +157,7 @@
         deaths: Number of times that the target was found dead.
         death_incarnation: Incarnation at the last death; -1 for none.
         lost: Digests of service calls whose connection to the target broke, and of
-            generations that it refused to resume, with the time (monotonic) of each
+            generations that it failed to resume, with the time (monotonic) of each
             loss, in milliseconds.
         probed_at: Time of the last probe (monotonic), in milliseconds; a time in the
             past before the first probe.
--- a/figstep/core/suspects.py
+++ b/figstep/core/suspects.py
@@ -39,33 +39,33 @@
     """Count a newer incarnation in a load report as the death of the previous one.
 
     Nothing is counted unless the target has accepted a request that is still open, or
-    has refused to resume one since.
+    has failed to resume one since.
     """
     target = state.targets.get(event.target)
     if target is None or target.incarnation == 0:
         return []
     if event.incarnation <= target.incarnation:
         if event.incarnation == target.incarnation:
-            _clear_refused(target, Millis(now - event.age))
+            _clear_failed(target, Millis(now - event.age))
         return []
-    refused = list(target.lost)
+    failed = list(target.lost)
     target.lost.clear()
     if target.death_incarnation == target.incarnation:
         # Lost streams have reported this death already. The requests that run on the
         # target now were started on the new incarnation and cannot have caused it.
-        return _suspect(state, target, refused, now)
+        return _suspect(state, target, failed, now)
     affected = []
     for request in state.requests.values():
         if request.target == event.target and request.accepted:
             affected.append(request)
     effects = _count_affected(state, target, affected, now) if affected else []
-    return effects + (_count_death(state, target, refused, now) if refused else [])
+    return effects + (_count_death(state, target, failed, now) if failed else [])
 
 
-def record_refused_resume(
+def record_failed_resume(
     state: State, request: RequestState, attempt: AttemptState, now: Millis
 ) -> None:
-    """Record a request that its target refuses to resume, until its next report.
+    """Record a request that its target fails to resume, until its next report.
 
     A target that is busy refuses, and one that has died and started again may as well.
     Its incarnation distinguishes the two.
@@ -77,8 +77,8 @@
         target.lost[request.spec.digest] = now
 
 
-def _clear_refused(target: TargetState, reported: Millis) -> None:
-    """Clear what a target refused to resume before a report of the same incarnation."""
+def _clear_failed(target: TargetState, reported: Millis) -> None:
+    """Clear what a target failed to resume before a report of the same incarnation."""
     for digest, lost_at in list(target.lost.items()):
         if lost_at < reported:
             del target.lost[digest]
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -1,5 +1,7 @@
 """Tests of quarantining requests that crash targets, and of clearing others."""
 
+import pytest
+
 from figstep.core import quarantine
 from figstep.core.clock import Millis
 from figstep.core.crashes import Suspicion
@@ -182,26 +184,31 @@
     assert second.until["d"] == 60_500
 
 
-def refuse_resumes(entry: Entry, request: str) -> str:
-    """Break a request's stream and refuse all its resumes; return the target."""
+ANSWERED = [Loss.REFUSED, Loss.TRUNCATED, Loss.WRONG_GENERATION]
+"""Losses of resumes that somebody at the address of the target has answered."""
+
+
+def fail_resumes(entry: Entry, request: str, loss: Loss) -> str:
+    """Break a request's stream and fail all its resumes; return the target."""
     answer_attempt(entry, request)
     target = entry.state.requests[request].target
     entry.feed(AttemptLost(entry.find_attempt(request), Loss.BROKEN))
     for _ in range(MAX_RESUMES - 1):
-        entry.feed(AttemptLost(entry.find_attempt(request), Loss.REFUSED))
+        entry.feed(AttemptLost(entry.find_attempt(request), loss))
         entry.feed(TimerFired(RetryTimer(request)), after=200)
-    entry.feed(AttemptLost(entry.find_attempt(request), Loss.REFUSED))
+    entry.feed(AttemptLost(entry.find_attempt(request), loss))
     return target
 
 
-def test_a_target_that_refuses_resumes_has_not_died() -> None:
-    """Guards against 422 for a request whose targets are only busy."""
+@pytest.mark.parametrize("loss", ANSWERED)
+def test_a_target_that_answers_resumes_has_not_died(loss: Loss) -> None:
+    """Guards against 422 for a request whose targets are only busy, or fail it."""
     entry = Entry(inventory=make_inventory(engines=3))
     for name in ("e1", "e2", "e3"):
         entry.feed(LoadReported(name, incarnation=1))
     entry.start("r1", digest="harmless", stream=False)
     for _ in range(2):
-        target = refuse_resumes(entry, "r1")
+        target = fail_resumes(entry, "r1", loss)
         entry.feed(LoadReported(target, incarnation=1), after=500)
         entry.feed(LoadReported(target, incarnation=2), after=500)
     assert entry.state.quarantine.until == {}
@@ -209,15 +216,16 @@
     assert entry.find_attempt("r1")
 
 
-def test_a_refused_resume_is_part_of_a_crash_that_shows_later() -> None:
-    """Guards against a killer that is sent on as its targets refuse after a restart."""
+@pytest.mark.parametrize("loss", ANSWERED)
+def test_a_failed_resume_is_part_of_a_crash_that_shows_later(loss: Loss) -> None:
+    """Guards against a killer that is sent on as its targets answer after a restart."""
     entry = Entry(inventory=make_inventory(engines=3))
     for name in ("e1", "e2", "e3"):
         entry.feed(LoadReported(name, incarnation=1))
     entry.start("r1", digest="killer", stream=False)
     targets = []
     for _ in range(2):
-        targets.append(refuse_resumes(entry, "r1"))
+        targets.append(fail_resumes(entry, "r1", loss))
         entry.start(f"beside-{len(targets)}", digest="beside")
         entry.feed(LoadReported(targets[-1], incarnation=2), after=500)
     assert len(set(targets)) == 2
