Take no event that states an error for the end of a whole answer

An engine that failed within an answer wrote an event with an error in place of a token, and its end marker. The stream ended as complete after 3 of 6 tokens, and the caller of an answer in one piece got 500 internal_error, as the error could not be gathered.

Cause: before the end marker only a token event without a finish reason counted as unfinished; any other event was taken for a last one. An event with an error states that the answer is not whole. A stream ends with generation_lost now, and an answer in one piece is started again elsewhere, or told as lost.

Before: two tests of test_restarts.py fail ("data: [DONE]" after the error; 500), and a new case of test_finishes.py. After: they pass.

--- a/figstep/core/finishes.py
+++ b/figstep/core/finishes.py
@@ -6,11 +6,11 @@
 
 
 def is_unfinished(frame: bytes) -> bool:
-    """Return whether an event is a token event without a finish reason.
+    """Return whether an event is a token event without a finish reason, or an error.
 
     It is called once for each answer, on its last event. False is returned for an
-    event whose data is not the JSON of a token event, and for one with a usage
-    report, as neither shows that the answer lacks its end.
+    event whose data is not the JSON of either, and for one with a usage report, as
+    neither shows that the answer lacks its end.
 
     Args:
         frame: A server-sent event with its ``id`` and ``data`` lines.
@@ -22,6 +22,8 @@
         return False
     if not isinstance(document, dict) or document.get("usage"):
         return False
+    if document.get("error"):
+        return True
     choices = document.get("choices")
     if not isinstance(choices, list) or not choices:
         return False
--- a/tests/contracts/test_restarts.py
+++ b/tests/contracts/test_restarts.py
@@ -4,13 +4,15 @@
 of something else at the address of its engine states nothing about the generation.
 """
 
+import aiohttp
+import orjson
 import pytest
 from aiohttp import web
 
 from figstep.checker import ExecutedGeneration, History, check_history
 from figstep.core.problems import Ran
 from figstep.core.retries import MAX_RESUMES
-from figstep.demo import MODEL
+from figstep.demo import KEY, MODEL
 from figstep.standins.engine import EngineServer
 from figstep.standins.engine_model import Token
 from figstep.standins.http import answer_json
@@ -293,3 +295,65 @@
         events = list(caller.history.events)
         await caller.stream_to_end(url)
     assert (caller.last.ended, caller.history.events) == (True, events)
+
+
+class FailingEngine(EngineServer):
+    """Engine that states an error in place of the fourth event of its answers.
+
+    Attributes:
+        fails: Whether it does so.
+    """
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name, gap=0.0)
+        self.fails = True
+
+    def _handle_token(self, token: Token) -> None:
+        if self.fails and token.index > 4:
+            return
+        super()._handle_token(token)
+        generation = self._generations[token.name]
+        if self.fails and token.index == 4:
+            error = b'{"error":{"message":"out of memory"}}'
+            generation.frames[-1] = b"id: %b:4\ndata: %b\n\n" % (
+                token.name.encode(),
+                error,
+            )
+            generation.ended = True
+            self.model.cancel(token.name, 0.0)
+
+
+async def request_completion(url: str, stream: bool) -> tuple[int, str]:
+    """Return the status and text of an answer."""
+    body = {"model": MODEL, "prompt": "menu", "stream": stream}
+    headers = {"Authorization": f"Bearer {KEY}"}
+    async with (
+        aiohttp.ClientSession(headers=headers) as session,
+        session.post(
+            url + "/v1/completions", json={**body, "standin_length": TOKENS}
+        ) as response,
+    ):
+        return response.status, await response.text()
+
+
+async def test_an_error_before_the_end_marker_does_not_end_a_stream_as_whole() -> None:
+    """Guards against an end by an event that states a failure."""
+    engine = FailingEngine("engine-1")
+    async with run_entry([engine], PlainService("planning-1")) as url:
+        _, text = await request_completion(url, stream=True)
+    assert "generation_lost" in text
+    assert "[DONE]" not in text
+
+
+async def test_an_answer_in_one_piece_is_not_gathered_from_an_error() -> None:
+    """Guards against a failure of the entry at an event that is no token."""
+    engines = [FailingEngine("engine-1"), FailingEngine("engine-2")]
+    async with run_entry(engines, PlainService("planning-1")) as url:
+        status, text = await request_completion(url, stream=False)
+        assert (status, "generation_lost" in text) == (502, True)
+        engines[0].fails = False
+        status, text = await request_completion(url, stream=False)
+        assert (status, len(orjson.loads(text)["choices"][0]["text"].split())) == (
+            200,
+            TOKENS,
+        )
--- a/tests/core/test_finishes.py
+++ b/tests/core/test_finishes.py
@@ -13,6 +13,7 @@
         (b'{"choices":[{"text":"a","finish_reason":"stop"}]}', False),
         (b'{"choices":[{"text":"a","finish_reason":"length"}]}', False),
         (b'{"choices":[],"usage":{"total_tokens":3}}', False),
+        (b'{"error":{"message":"out of memory"}}', True),
         (b"not JSON", False),
         (b"[1]", False),
     ],
