--- a/figstep/net/probes.py
+++ b/figstep/net/probes.py
@@ -67,7 +67,7 @@
 
         Raises:
             OSError: If the connection is lost.
-            ValueError: If what comes is no HTTP answer, or came unasked.
+            ValueError: If what comes is no HTTP answer.
         """
         request = f"OPTIONS * HTTP/1.1\r\nHost: {self._url.authority}\r\n"
         self._writer.write(f"{request}Connection: close\r\n\r\n".encode())
