--- a/figstep/core/recovery.py
+++ b/figstep/core/recovery.py
@@ -44,6 +44,11 @@
     TargetState,
 )
 
+_ANSWERED_LOSSES = frozenset(
+    {Loss.REFUSED, Loss.TRUNCATED, Loss.EMPTY, Loss.WRONG_GENERATION}
+)
+"""Losses by which a target answers: it lives, unless it has started again."""
+
 
 def forward_tokens(state: State, event: TokensArrived, now: Millis) -> list[Effect]:
     """Deliver the events that the caller has not received yet, in order.
@@ -77,6 +82,8 @@
             Count("tokens.repeated", min(already_delivered, len(event.frames)))
         )
     if not frames:
+        if event.first + len(event.frames) > request.delivered:
+            request.last_frame = event.frames[-1]
         return effects
     request.ran = Ran.YES
     request.accepted = True
@@ -184,7 +191,8 @@
     An engine that fails may still close its stream with the end marker, and the
     caller would take a truncated answer for a whole one. An answer whose last event
     has no finish reason is therefore handled as truncated, and an answer without
-    events as empty.
+    events as empty. The last event of a returned caller that got none since is read
+    again.
     """
     attempt = state.attempts.get(event.attempt)
     if attempt is None:
@@ -192,12 +200,26 @@
     request = state.requests[attempt.request]
     if not request.delivered:
         return recover_attempt(state, AttemptLost(event.attempt, Loss.EMPTY), now)
-    if finishes.is_unfinished(request.last_frame):
+    if not request.last_frame and not request.resumes:
+        return _read_last_event(state, request, now)
+    if not request.last_frame or finishes.is_unfinished(request.last_frame):
         lost = AttemptLost(event.attempt, Loss.TRUNCATED, detail="no finish reason")
         return recover_attempt(state, lost, now)
     return requests.complete_attempt(state, event, now)
 
 
+def _read_last_event(state: State, request: RequestState, now: Millis) -> list[Effect]:
+    attempt = attempts.remove_attempt(state, request.attempt)
+    target = state.targets.get(request.target)
+    if target is None:
+        return _give_up(state, request, Loss.NOT_FOUND)
+    request.resumes += 1
+    effects = attempts.resume_attempt(state, request, target, now)
+    if attempt is not None:
+        effects.append(CloseAttempt(attempt.attempt))
+    return effects
+
+
 def recover_attempt(state: State, event: AttemptLost, now: Millis) -> list[Effect]:
     """Handle a lost attempt: resume, restart or refuse its request.
 
@@ -223,6 +245,8 @@
         effects += links.record_failure(state, attempt, now)
     if _proves_death(request, attempt, event, recovery):
         effects += suspects.record_death(state, attempt, now)
+    elif _was_answered_in_vain(request, attempt, event, recovery):
+        suspects.record_failed_resume(state, request, attempt, now)
     if event.loss is Loss.BROKEN and isinstance(request.spec.work, ServiceWork):
         effects += suspects.record_broken_call(state, request, attempt, now)
     match recovery:
@@ -231,7 +255,7 @@
         case retries.Recovery.RESTART:
             effects += _restart_request(state, request, attempt, event, now)
         case _:
-            effects += _give_up(state, request, now)
+            effects += _give_up(state, request, event.loss)
     return effects
 
 
@@ -287,10 +311,21 @@
     if recovery is retries.Recovery.RESUME or not request.accepted:
         return False
     if attempt.resuming:
-        return event.loss is not Loss.SHUTDOWN
+        return event.loss is not Loss.SHUTDOWN and event.loss not in _ANSWERED_LOSSES
     return event.loss is Loss.BROKEN
 
 
+def _was_answered_in_vain(
+    request: RequestState,
+    attempt: AttemptState,
+    event: AttemptLost,
+    recovery: retries.Recovery,
+) -> bool:
+    if recovery is retries.Recovery.RESUME or not request.accepted:
+        return False
+    return attempt.resuming and event.loss in _ANSWERED_LOSSES
+
+
 def _schedule_resume(
     state: State,
     request: RequestState,
@@ -319,7 +354,7 @@
         return []
     target = state.targets.get(request.target)
     if target is None:
-        return _give_up(state, request, now)
+        return _give_up(state, request, Loss.NOT_FOUND)
     return attempts.resume_attempt(state, request, target, now)
 
 
@@ -345,14 +380,18 @@
     request.resumes = 0
     request.accepted = False
     if request.caller_gone or suspects.reached_death_limit(state, request):
-        return effects + _give_up(state, request, now)
+        return effects + _give_up(state, request, event.loss)
     # An attempt that did not run cost no target anything, so a restart after it is
     # not charged to the retry budget.
     if (
         retries.classify_ran(event.loss) is not Ran.NO
         and not state.retry_budget.spend()
     ):
-        return [*effects, Count("retries.denied"), *_give_up(state, request, now)]
+        return [
+            *effects,
+            Count("retries.denied"),
+            *_give_up(state, request, event.loss),
+        ]
     return effects + requests.start_request(state, request, now)
 
 
@@ -362,9 +401,28 @@
     return [CancelGeneration(attempt.target, attempt.generation)]
 
 
-def _give_up(state: State, request: RequestState, now: Millis) -> list[Effect]:
-    problem = _build_lost_problem(state, request)
-    return [*requests.end_request(state, request, problem), Count("requests.lost")]
+def _give_up(state: State, request: RequestState, loss: Loss) -> list[Effect]:
+    if request.returned_index == request.delivered and loss is not Loss.NOT_FOUND:
+        # Only its target can state that a generation is gone. It may go on until its
+        # caller comes back.
+        problem = _build_unreachable_problem(state, request)
+        effects = requests.end_request(state, request, problem, cancel=False)
+    else:
+        problem = _build_lost_problem(state, request)
+        effects = requests.end_request(state, request, problem)
+    return [*effects, Count("requests.lost")]
+
+
+def _build_unreachable_problem(state: State, request: RequestState) -> Problem:
+    return Problem(
+        503,
+        "generation_unreachable",
+        "the target of this generation does not hand out its events now; come back"
+        " with Last-Event-ID after Retry-After, or send the request again without it"
+        " for a whole new answer",
+        ran=request.ran,
+        retry_after=retries.jitter_pause(1_000, state.rng),
+    )
 
 
 def _build_lost_problem(state: State, request: RequestState) -> Problem:
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -45,8 +45,8 @@
         attempt: Number of the current attempt, or None.
         delivered: Index of the last event delivered to the caller, or gathered for
             the caller, from 1; 0 for none.
-        last_frame: The last event that this entry delivered or gathered; empty
-            before the first.
+        last_frame: The last event that this entry delivered, gathered or read again;
+            empty before the first.
         attempts: Number of starts, not counting resumes.
         resumes: Number of resumes in a row without a new event.
         returned_index: Index of the last event that a returned caller had received,
@@ -156,8 +156,9 @@
             milliseconds; a time in the past before the first death.
         deaths: Number of times that the target was found dead.
         death_incarnation: Incarnation at the last death; -1 for none.
-        lost: Digests of service calls whose connection to the target broke, with
-            the time (monotonic) of each break, in milliseconds.
+        lost: Digests of service calls whose connection to the target broke, and of
+            generations that it failed to resume, with the time (monotonic) of each
+            loss, in milliseconds.
         probed_at: Time of the last probe (monotonic), in milliseconds; a time in the
             past before the first probe.
     """
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -28,12 +28,12 @@
 from figstep.core.problems import Problem
 from figstep.core.specs import GenerationWork
 from figstep.errors import FrameError
-from figstep.net.buffers import build_data
+from figstep.net.buffers import ExchangeBuffer, build_data
 from figstep.net.exchanges import Exchange, ServiceAnswer
 from figstep.net.frames import FrameSplitter
 from figstep.net.framing import is_delimited
 from figstep.net.pools import PoolTable
-from figstep.net.probes import answers_requests, is_listening
+from figstep.net.probes import is_listening, open_witness
 from figstep.net.reading import read_body
 
 CANCEL_TIMEOUT = 2.0
@@ -62,6 +62,9 @@
 ``ServiceInfo.refusals_not_run`` holds whether this is certain for a plain service.
 """
 
+_STRANGER_STATUSES = (408, 421, 502, 504)
+"""HTTP statuses of a server that has no answer of the target to pass on."""
+
 _DROPPED_HEADERS = {"transfer-encoding", "connection", "content-length", "date"}
 """Headers of a plain service's answer that are not passed on to the caller."""
 
@@ -236,10 +239,13 @@
             event = AttemptLost(attempt, Loss.REFUSED, retry_after, detail)
             self._dispatch(event)
             return
-        if response.status == 404 and response.method == "GET":
+        resuming = response.method == "GET"
+        if response.status == 404 and resuming:
             self._dispatch(AttemptLost(attempt, Loss.NOT_FOUND, detail=detail))
             return
-        if response.status >= 500:
+        # The target has accepted a request that is resumed, so that no other status
+        # says anything about the request.
+        if resuming or response.status >= 500 or response.status in _STRANGER_STATUSES:
             self._dispatch(AttemptLost(attempt, Loss.FAILED, detail=detail))
             return
         problem = Problem(
@@ -269,22 +275,18 @@
                 headers=headers,
                 allow_redirects=False,
             ) as response:
-                body = await read_body(response, MAX_ANSWER_BYTES, exchange.buffer)
-        if response.ok:
-            outlived = is_delimited(response) or await answers_requests(
-                URL(target.address), PROBE_TIMEOUT
-            )
-            reason = explain_incomplete(
-                Body(is_delimited(response), len(body), outlived)
-            )
-            if reason:
-                self._dispatch(
-                    AttemptLost(effect.attempt, Loss.TRUNCATED, detail=reason)
+                body, reason = await _read_service_body(
+                    target, response, exchange.buffer
                 )
-                return
-        # If a 429 or 503 were passed on as the answer to a call that may run only
-        # once, it would be recorded and replayed to every later request with the
-        # same key.
+        if reason:
+            lost = AttemptLost(effect.attempt, Loss.TRUNCATED, detail=reason)
+            self._dispatch(lost)
+            return
+        # An answer to a call that may run only once is recorded and replayed to every
+        # later request with the same key, so that it has to be the target's own.
+        if effect.once and response.status in _STRANGER_STATUSES:
+            self._dispatch(AttemptLost(effect.attempt, Loss.FAILED))
+            return
         if response.status in (_REFUSED_STATUSES if effect.once else (503,)):
             # A proxy in front of the service may return these statuses after the
             # call has run; sending the call again would then run it twice.
@@ -320,6 +322,21 @@
                 _log.info("cancellation not delivered", extra=fields)
 
 
+async def _read_service_body(
+    target: ServiceInfo, response: aiohttp.ClientResponse, buffer: ExchangeBuffer | None
+) -> tuple[bytes, str]:
+    """Return the body of an answer, and why it is incomplete, or "".
+
+    A body of an unsuccessful answer is passed on as it is.
+    """
+    if is_delimited(response) or not response.ok:
+        return await read_body(response, MAX_ANSWER_BYTES, buffer), ""
+    async with open_witness(URL(target.address), PROBE_TIMEOUT) as witness:
+        body = await read_body(response, MAX_ANSWER_BYTES, buffer)
+        outlived = witness is not None and await witness.answers(PROBE_TIMEOUT)
+    return body, explain_incomplete(Body(False, len(body), outlived))
+
+
 def _read_retry_after(response: aiohttp.ClientResponse) -> Millis | None:
     after = response.headers.get("Retry-After", "")
     return Millis(int(after) * 1000) if after.isdigit() else None
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -1,5 +1,7 @@
 """Tests of quarantining requests that crash targets, and of clearing others."""
 
+import pytest
+
 from figstep.core import quarantine
 from figstep.core.clock import Millis
 from figstep.core.crashes import Suspicion
@@ -13,9 +15,11 @@
     Loss,
     QueueTimer,
     RequestArrived,
+    RetryTimer,
     TimerFired,
 )
 from figstep.core.quarantine import Quarantine
+from figstep.core.retries import MAX_RESUMES
 from figstep.core.specs import GenerationWork, RequestSpec
 from figstep.core.suspects import blocks_target
 from figstep.core.targets import MAX_AVOIDANCE
@@ -178,3 +182,51 @@
                 )
     assert first.until["d"] == 60_000
     assert second.until["d"] == 60_500
+
+
+ANSWERED = [Loss.REFUSED, Loss.TRUNCATED, Loss.WRONG_GENERATION]
+"""Losses of resumes that somebody at the address of the target has answered."""
+
+
+def fail_resumes(entry: Entry, request: str, loss: Loss) -> str:
+    """Break a request's stream and fail all its resumes; return the target."""
+    answer_attempt(entry, request)
+    target = entry.state.requests[request].target
+    entry.feed(AttemptLost(entry.find_attempt(request), Loss.BROKEN))
+    for _ in range(MAX_RESUMES - 1):
+        entry.feed(AttemptLost(entry.find_attempt(request), loss))
+        entry.feed(TimerFired(RetryTimer(request)), after=200)
+    entry.feed(AttemptLost(entry.find_attempt(request), loss))
+    return target
+
+
+@pytest.mark.parametrize("loss", ANSWERED)
+def test_a_target_that_answers_resumes_has_not_died(loss: Loss) -> None:
+    """Guards against 422 for a request whose targets are only busy, or fail it."""
+    entry = Entry(inventory=make_inventory(engines=3))
+    for name in ("e1", "e2", "e3"):
+        entry.feed(LoadReported(name, incarnation=1))
+    entry.start("r1", digest="harmless", stream=False)
+    for _ in range(2):
+        target = fail_resumes(entry, "r1", loss)
+        entry.feed(LoadReported(target, incarnation=1), after=500)
+        entry.feed(LoadReported(target, incarnation=2), after=500)
+    assert entry.state.quarantine.until == {}
+    assert list_suspected(entry) == set()
+    assert entry.find_attempt("r1")
+
+
+@pytest.mark.parametrize("loss", ANSWERED)
+def test_a_failed_resume_is_part_of_a_crash_that_shows_later(loss: Loss) -> None:
+    """Guards against a killer that is sent on as its targets answer after a restart."""
+    entry = Entry(inventory=make_inventory(engines=3))
+    for name in ("e1", "e2", "e3"):
+        entry.feed(LoadReported(name, incarnation=1))
+    entry.start("r1", digest="killer", stream=False)
+    targets = []
+    for _ in range(2):
+        targets.append(fail_resumes(entry, "r1", loss))
+        entry.start(f"beside-{len(targets)}", digest="beside")
+        entry.feed(LoadReported(targets[-1], incarnation=2), after=500)
+    assert len(set(targets)) == 2
+    assert list(entry.state.quarantine.until) == ["killer"]
