Share the protocol of the soak's targets with other stand-ins

What a target does by the platform's protocol moves from SoakTarget to a base in tests/platform, so that targets that are processes of their own can use it. Each event now names the version that made it. The check of versions read it from the last run of a generation, which hid events of two versions where a copy was used at an engine of another version.

--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -16,10 +16,10 @@
     Attempt,
     Kind,
     Record,
-    read_clock,
 )
-from tests.faults.targets import FORGED, SYSTEM_ONLY_HEADERS
+from tests.platform.runs import read_clock
 from tests.platform.standins import ROUTE_HOST
+from tests.platform.targets import FORGED, SYSTEM_ONLY_HEADERS
 
 MEAN_REQUEST_INTERVAL = 0.07
 """Mean time in seconds between two requests of all callers together."""
--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tests.faults.records import EVENTS, STREAMS, Attempt, Kind, Record, Run, Version
+from tests.faults.records import EVENTS, STREAMS, Attempt, Kind, Record, Version
+from tests.platform.runs import Run
 
 STABILIZATION_SECONDS = 3.0
 """Time without a fault after which bounds on time are checked again, in seconds."""
@@ -96,7 +97,7 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that tell a caller that its request did not run."""
 
-_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+)\n\n")
+_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) (\S+)\n\n")
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,7 +151,7 @@
     if attempt.status != 200 or attempt.kind not in STREAMS:
         return []
     events = [match.groups() for match in _EVENT.finditer(attempt.body)]
-    indexes = [int(index) for index, _, _ in events]
+    indexes = [int(index) for index, _, _, _ in events]
     first = attempt.after + 1
     if indexes != list(range(first, first + len(indexes))):
         return [Breach("order", f"{attempt.id} got events {indexes}")]
@@ -158,9 +159,9 @@
         return [Breach("order", f"{attempt.id} ended normally at event {len(events)}")]
     if attempt.kind is Kind.RESUME:
         return []
-    if len({generation for _, generation, _ in events}) > 1:
+    if len({generation for _, generation, _, _ in events}) > 1:
         return [Breach("order", f"{attempt.id} got two generations")]
-    if any(owner != attempt.id.encode() for _, _, owner in events):
+    if any(owner != attempt.id.encode() for _, _, owner, _ in events):
         return [Breach("answer", f"{attempt.id} got another request's events")]
     return []
 
@@ -378,14 +379,12 @@
 
 def _check_versions(record: Record) -> list[Breach]:
     """Check that a stream has events of one software version, over all its tries."""
-    versions = {run.generation: run.version for run in record.runs}
     seen: dict[str, set[str]] = defaultdict(set)
     for attempt in record.attempts:
         if attempt.kind not in STREAMS or attempt.status != 200:
             continue
-        for _, generation, _ in _EVENT.findall(attempt.body):
-            version = versions.get(generation.decode(), "no version")
-            seen[attempt.resumes or attempt.id].add(version)
+        for _, _, _, version in _EVENT.findall(attempt.body):
+            seen[attempt.resumes or attempt.id].add(version.decode())
     return [
         Breach("version", f"{stream} has events of {sorted(found)}")
         for stream, found in seen.items()
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from tests.platform.runs import Run, read_clock
+
 
 class Kind(Enum):
     """Kind of a request; it decides the route and whether a repetition is allowed."""
@@ -30,34 +32,6 @@
 """Number of events in a complete stream, by kind."""
 
 
-@dataclass(slots=True)
-class Run:
-    """One request that a target began to run.
-
-    Attributes:
-        generation: Name of the generation; a run that resumes from a copy has the
-            name of the run that was copied.
-        ended: Time at which the run ended; None while it runs.
-        customer: Customer named in the request that the target received.
-        forged: System-only headers that reached the target with the caller's value.
-        body: Body of the answer; empty for a stream.
-    """
-
-    request: str
-    target: str
-    generation: str
-    began: float
-    ended: float | None = None
-    whole: bool = False
-    status: int = 200
-    customer: str = ""
-    forged: tuple[str, ...] = ()
-    body: bytes = b""
-    crashed: bool = False
-    broken_off: bool = False
-    version: str = "v1"
-
-
 @dataclass(slots=True)
 class Attempt:
     """One request of a caller with the answer that it received.
@@ -251,8 +225,3 @@
 
     def _list_overlapping(self, start: float, end: float) -> list[Disturbance]:
         return [one for one in self.disturbances if one.overlaps(start, end)]
-
-
-def read_clock() -> float:
-    """Return the monotonic time that all records use, in seconds."""
-    return time.monotonic()
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -21,10 +21,10 @@
     Record,
     Stop,
     Version,
-    read_clock,
 )
 from tests.faults.targets import SoakTarget
 from tests.platform.processes import Network, build_network, query_ready, start_entry
+from tests.platform.runs import read_clock
 from tests.platform.standins import FakeStore, build_configuration
 
 GRACE_SECONDS = 4.0
--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -6,22 +6,15 @@
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from itertools import count
 
-import orjson
 from aiohttp import web
 
 from figstep.standins.proxy import TcpProxy
 from tests.afterlife import Afterlife, answer_for_crashed
-from tests.faults.records import CRASHING, EVENTS, Kind, Record, Run, read_clock
-from tests.framing import Framing, RawAnswer, choose_framing
+from tests.faults.records import CRASHING, EVENTS, Kind, Record
+from tests.platform.runs import Run, read_clock
 from tests.platform.standins import FakeStore, Handler, build_registration, start_app
-
-FORGED = "forged"
-"""Value with which callers forge headers that only the system may set."""
-
-SYSTEM_ONLY_HEADERS = ("Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Tenant")
-"""Headers that only the system may set on requests to targets."""
+from tests.platform.targets import SigningTarget
 
 CRASH_DELAY = 0.05
 """Time from the begin of a run that crashes its target to the crash, in seconds."""
@@ -35,11 +28,9 @@
 MAX_MUTE_SECONDS = 60.0
 """Longest time for which a mute target keeps a request open, in seconds."""
 
-_generations = count(1)
-
 
 @dataclass(slots=True)
-class SoakTarget:
+class SoakTarget(SigningTarget):
     """Target behind a proxy of its own.
 
     Attributes:
@@ -89,12 +80,7 @@
 
     async def start(self, store: FakeStore) -> None:
         """Start the server and its proxy, and register the target."""
-        app = web.Application(middlewares=[self._serve])
-        app.router.add_post("/figstep/kv-move", self._copy_run)
-        app.router.add_get("/figstep/report", self._report)
-        app.router.add_delete("/figstep/kv-handle/{handle}", self._drop_copy)
-        app.router.add_route("*", "/{path:.*}", self._answer)
-        self.runner, address = await start_app(app)
+        self.runner, address = await start_app(self.build_app())
         host, _, port = address.rpartition(":")
         self.proxy = TcpProxy(host, int(port))
         await self.proxy.start()
@@ -131,9 +117,8 @@
             run.ended = run.ended or read_clock()
 
     @web.middleware
-    async def _serve(
-        self, request: web.Request, handler: Handler
-    ) -> web.StreamResponse:
+    async def serve(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        """Handle a request, also for a target that has crashed."""
         if self.afterlife is not None:
             return await answer_for_crashed(request, self.afterlife)
         transport = request.transport
@@ -154,52 +139,33 @@
         for run in self.running.values():
             run.ended = run.ended or read_clock()
 
-    async def _answer(self, request: web.Request) -> web.StreamResponse:
-        request_id = request.headers.get("Request-Id", "")
-        if request.headers.get("Expect-Instance") != self.name:
-            return web.Response(status=421)
-        body = await request.read()
+    def note_arrival(self, request_id: str) -> None:
+        """Record that a request for this target arrived."""
         self.record.arrivals.append((read_clock(), self.service, request_id))
         self.record.target_arrivals.append((read_clock(), self.name, request_id))
-        copy = None
-        if "Kv-From" in request.headers:
-            copy = self.copies.pop(request_id, None)
-            if copy is None:
-                return self._refuse(request_id)
+
+    def note_begin(self, run: Run) -> None:
+        """Record a run."""
+        self.record.runs.append(run)
+
+    async def turn_away(
+        self, request: web.Request, copy: str | None
+    ) -> web.StreamResponse | None:
+        """Refuse a request that is not run; None if it is to run."""
+        request_id = request.headers.get("Request-Id", "")
         if self.pauses and copy is None:
             pause = max(self.pauses)
             self.record.pauses.append((read_clock(), self.name, request_id, pause))
-            return self._refuse(request_id, pause)
+            return self.refuse(request_id, pause)
         if "full" in self.faults and copy is None:
-            return self._refuse(request_id)
+            return self.refuse(request_id)
         if "endless" in self.faults and zlib.crc32(request_id.encode()) % 2:
             return await self._send_endless(request)
-        run = self._begin_run(request, copy)
-        try:
-            crashes = CRASHING in request.headers.get("Prefix-Hash", "")
-            if crashes or CRASHING in request.path:
-                await asyncio.sleep(CRASH_DELAY)
-                run.crashed = True
-                self.crash(self)
-            if "mute" in self.faults or run.crashed:
-                await _wait_for_close(request)
-            if "Token-Count" in request.headers:
-                return await self._stream(request, run)
-            return await self._call(request, run, body)
-        finally:
-            run.ended = read_clock()
-            if self.running.get(request_id) is run:
-                del self.running[request_id]
-
-    def _refuse(self, request_id: str, pause: float = 0.1) -> web.Response:
-        headers = {"Request-Id": request_id, "Not-Executed": "1"}
-        headers["Retry-After"] = str(pause)
-        headers.update(self._build_signal_headers())
-        return web.Response(status=503, headers=headers)
+        return None
 
     async def _send_endless(self, request: web.Request) -> web.StreamResponse:
         """Answer "not run", with a body that ends with its connection only."""
-        refusal = self._refuse(request.headers.get("Request-Id", ""))
+        refusal = self.refuse(request.headers.get("Request-Id", ""))
         answer = web.StreamResponse(status=503, headers=refusal.headers)
         del answer.headers["Content-Type"]
         await answer.prepare(request)
@@ -207,124 +173,58 @@
             await answer.write(bytes(4_096))
             await asyncio.sleep(EVENT_INTERVAL)
 
-    def _begin_run(self, request: web.Request, copy: str | None) -> Run:
-        headers = request.headers
-        request_id = headers.get("Request-Id", "")
-        forged = tuple(
-            name for name in SYSTEM_ONLY_HEADERS if headers.get(name) == FORGED
-        )
-        run = Run(
-            request_id,
-            self.name,
-            copy or f"g{next(_generations)}",
-            read_clock(),
-            customer=headers.get("Tenant", ""),
-            forged=forged,
-            version=self.version,
-        )
-        self.record.runs.append(run)
-        self.running[request_id] = run
-        return run
-
-    def _build_answer_headers(self, request_id: str, status: int) -> dict[str, str]:
-        stamp = f"stamp-{self.name}"
-        return {
-            "Request-Id": request_id,
-            "Server-Stamp": stamp,
-            **({} if status >= 500 else self._build_signal_headers()),
-        }
-
-    def _build_signal_headers(self) -> dict[str, str]:
+    async def begin_work(self, request: web.Request, run: Run) -> None:
+        """Crash if the request says so; wait as long as the target is mute."""
+        crashes = CRASHING in request.headers.get("Prefix-Hash", "")
+        if crashes or CRASHING in request.path:
+            await asyncio.sleep(CRASH_DELAY)
+            run.crashed = True
+            self.crash(self)
+        if "mute" in self.faults or run.crashed:
+            await _wait_for_close(request)
+
+    def build_signal_headers(self) -> dict[str, str]:
+        """Return the signals of the target about itself."""
         signal_headers = {"Server-Limit": str(min(self.rates))} if self.rates else {}
         if self.name in self.record.leaving_since:
             signal_headers["Server-Leaving"] = "1"
         return signal_headers
 
-    async def _call(
-        self, request: web.Request, run: Run, body: bytes
-    ) -> web.StreamResponse:
+    async def work(self) -> None:
+        """Wait as long as a call takes."""
         await asyncio.sleep(MIN_CALL_SECONDS * (1 + self.rng.random()))
-        if self.rng.random() < 0.5 and "grey" in self.faults:
-            run.status = 500
-        run.body = f"{run.request} at {self.name} of {len(body)}".encode()
-        answer = self._open_answer(request, run, len(run.body), run.status)
-        if self._breaks_off(run):
-            answer.write(run.body[: len(run.body) // 2])
-            await asyncio.sleep(EVENT_INTERVAL)
-            # Without a length and chunks, the close by a target that lives on would
-            # be the end of the answer.
-            return answer.reset()
-        run.whole = True
-        answer.write(run.body)
-        return answer.end()
-
-    def _open_answer(
-        self, request: web.Request, run: Run, length: int, status: int = 200
-    ) -> RawAnswer:
-        headers = self._build_answer_headers(run.request, status)
-        framing = choose_framing(f"{run.request} {self.name}")
-        return RawAnswer(request, framing, headers, length, status)
-
-    def _breaks_off(self, run: Run) -> bool:
-        # The choice needs no random number, which would change those of other runs.
-        is_chosen = zlib.crc32(run.request.encode()) % 2 == 0
-        run.broken_off = is_chosen and "broken" in self.faults
-        return run.broken_off
-
-    def _ends_early(self, run: Run) -> bool:
-        if (
-            "early" not in self.faults
-            or zlib.crc32(f"early {run.request}".encode()) % 2
-        ):
-            return False
-        return choose_framing(f"{run.request} {self.name}") is Framing.CONNECTION
-
-    async def _stream(self, request: web.Request, run: Run) -> web.StreamResponse:
-        holder = self.targets_by_address.get(request.headers.get("Kv-Backup", ""))
-        kind = Kind(request.path.split("/")[1])
-        first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        events = [
-            f"id: {index}\ndata: {run.generation} {run.request}\n\n".encode()
-            for index in range(first, EVENTS[kind] + 1)
-        ]
-        answer = self._open_answer(request, run, sum(map(len, events)))
-        broken_at = len(events) // 2 if self._breaks_off(run) else None
-        early_at = len(events) // 2 if self._ends_early(run) else None
-        for number, event in enumerate(events):
-            await asyncio.sleep(EVENT_INTERVAL)
-            if holder is not None:
-                holder.copies[run.request] = run.generation
-            if number and number == early_at:
-                run.broken_off = True
-                return answer.close()
-            if number == broken_at:
-                answer.write(event[:5])
-                return answer.close()
-            answer.write(event)
-        run.whole = True
-        if holder is not None:
-            holder.copies.pop(run.request, None)
-        return answer.end()
-
-    async def _copy_run(self, request: web.Request) -> web.Response:
-        order = orjson.loads(await request.read())
-        run = self.running.get(order["id"])
-        holder = self.targets_by_address.get(order["target"])
-        if run is None:
-            return web.Response(status=404)
-        if holder is None:
-            return web.Response(status=503)
-        await asyncio.sleep(0.1)
-        holder.copies[run.request] = run.generation
-        return web.Response(body=orjson.dumps({"handle": "h", "created": 1}))
-
-    async def _drop_copy(self, request: web.Request) -> web.Response:
-        return web.Response()
-
-    async def _report(self, request: web.Request) -> web.Response:
+
+    def draw_grey(self) -> bool:
+        """Return whether the next call fails."""
+        return self.rng.random() < 0.5 and "grey" in self.faults
+
+    def count_events(self, request: web.Request) -> int:
+        """Return the number of events of a complete stream."""
+        return EVENTS[Kind(request.path.split("/")[1])]
+
+    def find_interval(self, run: Run) -> float:
+        """Return the time before each event of a stream, in seconds."""
+        return EVENT_INTERVAL
+
+    async def give_copy(self, holder: str, run: Run) -> bool:
+        """Copy a run to the target at an address, and return whether it holds it."""
+        self.back_up(holder, run)
+        return holder in self.targets_by_address
+
+    def back_up(self, holder: str, run: Run) -> None:
+        """Let the target at an address hold a copy."""
+        if holder in self.targets_by_address:
+            self.targets_by_address[holder].copies[run.request] = run.generation
+
+    def drop_backup(self, holder: str, run: Run) -> None:
+        """Free the backup of a run that is complete."""
+        if holder in self.targets_by_address:
+            self.targets_by_address[holder].copies.pop(run.request, None)
+
+    def find_state(self) -> str:
+        """Return the state that the report names."""
         leaving = self.name in self.record.departures | self.record.leaving_since
-        state = "draining" if leaving else "ready"
-        return web.Response(body=orjson.dumps({"state": state, "born": self.born}))
+        return "draining" if leaving else "ready"
 
 
 async def _wait_for_close(request: web.Request) -> None:
--- a/tests/faults/test_promises.py
+++ b/tests/faults/test_promises.py
@@ -35,7 +35,7 @@
 
 
 def list_events(count: int, generation: str = "g1") -> bytes:
-    lines = [f"id: {i}\ndata: {generation} r1\n\n" for i in range(1, count + 1)]
+    lines = [f"id: {i}\ndata: {generation} r1 v1\n\n" for i in range(1, count + 1)]
     return "".join(lines).encode()
 
 
@@ -321,7 +321,7 @@
         run.customer = "gurdwara"
         record.runs.append(run)
         index = attempt.after + 1
-        attempt.body = f"id: {index}\ndata: h{number} {name}\n\n".encode()
+        attempt.body = f"id: {index}\ndata: h{number} {name} {version}\n\n".encode()
     record.attempts.append(attempt)
 
 
--- /dev/null
+++ b/tests/platform/runs.py
@@ -0,0 +1,47 @@
+"""Records of the requests that stand-ins for targets ran.
+
+All times are in seconds of the clock that ``read_clock`` returns, which all processes
+of a machine share.
+"""
+
+import time
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Run:
+    """One request that a target began to run.
+
+    Attributes:
+        generation: Name of the generation; a run that resumes from a copy has the
+            name of the run that was copied.
+        ended: Time at which the run ended; None while it runs.
+        customer: Customer named in the request that the target received.
+        forged: System-only headers that reached the target with the caller's value.
+        body: Body of the answer; empty for a stream.
+        framing: How its answer told where the body ends.
+        events: Number of events that were sent.
+        stopped: Whether the run was ordered to stop, as it was moved.
+    """
+
+    request: str
+    target: str
+    generation: str
+    began: float
+    ended: float | None = None
+    whole: bool = False
+    status: int = 200
+    customer: str = ""
+    forged: tuple[str, ...] = ()
+    body: bytes = b""
+    crashed: bool = False
+    broken_off: bool = False
+    version: str = "v1"
+    framing: str = ""
+    events: int = 0
+    stopped: bool = False
+
+
+def read_clock() -> float:
+    """Return the monotonic time that all records use, in seconds."""
+    return time.monotonic()
--- /dev/null
+++ b/tests/platform/targets.py
@@ -0,0 +1,268 @@
+"""What stand-ins for targets have in common that sign answers and record their runs."""
+
+import asyncio
+import zlib
+from itertools import count
+
+import orjson
+from aiohttp import web
+
+from tests.framing import Framing, RawAnswer, choose_framing
+from tests.platform.runs import Run, read_clock
+from tests.platform.standins import Handler
+
+FORGED = "forged"
+"""Value with which callers forge headers that only the system may set."""
+
+SYSTEM_ONLY_HEADERS = ("Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Tenant")
+"""Headers that only the system may set on requests to targets."""
+
+COPY_SECONDS = 0.1
+"""Time that a copy on order takes, in seconds."""
+
+_numbers = count(1)
+
+
+class SigningTarget:
+    """Base of targets: the platform's protocol, without the process that speaks it.
+
+    Attributes:
+        name: Id under which it registers.
+        service: Service to which it belongs.
+        version: Version of its software.
+        born: Start of its incarnation, as a Unix time in milliseconds.
+        faults: What is wrong with it: ``grey`` (half of its calls are answered with
+            status 500), ``broken`` (half of its answers break off), ``early`` (half
+            of its streams that end with their connection do so between two events)
+            or ``empty`` (half of the continuations among them before the first one).
+        copies: Generation of which the target holds a copy, by request.
+        running: Runs that have not ended, by request.
+    """
+
+    name: str
+    service: str
+    version: str
+    born: int
+    faults: list[str]
+    copies: dict[str, str]
+    running: dict[str, Run]
+
+    def build_app(self) -> web.Application:
+        """Return the server of the target's protocol."""
+        app = web.Application(middlewares=[self.serve])
+        app.router.add_post("/figstep/kv-move", self._move_run)
+        app.router.add_get("/figstep/report", self._report)
+        app.router.add_delete("/figstep/kv-handle/{handle}", self._free_copy)
+        self.add_routes(app)
+        app.router.add_route("*", "/{path:.*}", self._answer)
+        return app
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add routes besides those of the protocol."""
+
+    @web.middleware
+    async def serve(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        """Handle a request."""
+        return await handler(request)
+
+    def note_arrival(self, request_id: str) -> None:
+        """Record that a request for this target arrived."""
+
+    def note_begin(self, run: Run) -> None:
+        """Record that a run begins."""
+
+    def note_end(self, run: Run) -> None:
+        """Record that a run has ended."""
+
+    def name_generation(self) -> str:
+        """Return the name of a new generation."""
+        return f"g{next(_numbers)}"
+
+    async def turn_away(
+        self, request: web.Request, copy: str | None
+    ) -> web.StreamResponse | None:
+        """Answer a request that is not run; None if it is to run."""
+
+    async def begin_work(self, request: web.Request, run: Run) -> None:
+        """Do what precedes the answer to a request."""
+
+    def count_events(self, request: web.Request) -> int:
+        """Return the number of events of a complete stream."""
+        raise NotImplementedError
+
+    def find_interval(self, run: Run) -> float:
+        """Return the time before each event of a stream, in seconds."""
+        raise NotImplementedError
+
+    async def work(self) -> None:
+        """Wait as long as a call takes."""
+        raise NotImplementedError
+
+    def draw_grey(self) -> bool:
+        """Return whether the next call fails."""
+        raise NotImplementedError
+
+    async def give_copy(self, holder: str, run: Run) -> bool:
+        """Copy a run to the engine at an address, and return whether it holds it."""
+        raise NotImplementedError
+
+    def back_up(self, holder: str, run: Run) -> None:
+        """Send what is new of a run to the engine at an address."""
+        raise NotImplementedError
+
+    def drop_backup(self, holder: str, run: Run) -> None:
+        """Free the backup of a run that is complete."""
+        raise NotImplementedError
+
+    def find_state(self) -> str:
+        """Return the state that the report names."""
+        return "ready"
+
+    def build_signal_headers(self) -> dict[str, str]:
+        """Return the headers with which the target says something of itself."""
+        return {}
+
+    def refuse(self, request_id: str, pause: float = 0.1) -> web.Response:
+        """Return the answer to a request that is not run."""
+        headers = {"Request-Id": request_id, "Not-Executed": "1"}
+        headers["Retry-After"] = str(pause)
+        headers.update(self.build_signal_headers())
+        return web.Response(status=503, headers=headers)
+
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
+        request_id = request.headers.get("Request-Id", "")
+        if request.headers.get("Expect-Instance") != self.name:
+            return web.Response(status=421)
+        body = await request.read()
+        self.note_arrival(request_id)
+        copy = None
+        if "Kv-From" in request.headers:
+            copy = self.copies.pop(request_id, None)
+            if copy is None:
+                return self.refuse(request_id)
+        refusal = await self.turn_away(request, copy)
+        if refusal is not None:
+            return refusal
+        run = self._begin_run(request, copy)
+        try:
+            await self.begin_work(request, run)
+            if "Token-Count" in request.headers:
+                return await self._stream(request, run)
+            return await self._call(request, run, body)
+        finally:
+            run.ended = read_clock()
+            if self.running.get(request_id) is run:
+                del self.running[request_id]
+            self.note_end(run)
+
+    def _begin_run(self, request: web.Request, copy: str | None) -> Run:
+        headers = request.headers
+        request_id = headers.get("Request-Id", "")
+        run = Run(
+            request_id,
+            self.name,
+            copy or self.name_generation(),
+            read_clock(),
+            customer=headers.get("Tenant", ""),
+            forged=tuple(
+                name for name in SYSTEM_ONLY_HEADERS if headers.get(name) == FORGED
+            ),
+            version=self.version,
+            framing=choose_framing(f"{request_id} {self.name}").value,
+        )
+        self.running[request_id] = run
+        self.note_begin(run)
+        return run
+
+    async def _call(
+        self, request: web.Request, run: Run, body: bytes
+    ) -> web.StreamResponse:
+        await self.work()
+        if self.draw_grey():
+            run.status = 500
+        run.body = f"{run.request} at {self.name} of {len(body)}".encode()
+        answer = self._open_answer(request, run, len(run.body))
+        if self._breaks_off(run):
+            answer.write(run.body[: len(run.body) // 2])
+            await asyncio.sleep(self.find_interval(run))
+            # Without a length and chunks, the close by a target that lives on would
+            # be the end of the answer.
+            return answer.reset()
+        run.whole = True
+        answer.write(run.body)
+        return answer.end()
+
+    def _open_answer(self, request: web.Request, run: Run, length: int) -> RawAnswer:
+        headers = {
+            "Request-Id": run.request,
+            "Server-Stamp": f"stamp-{self.name}",
+            **({} if run.status >= 500 else self.build_signal_headers()),
+        }
+        return RawAnswer(request, Framing(run.framing), headers, length, run.status)
+
+    def _breaks_off(self, run: Run) -> bool:
+        # The choice needs no random number, which would change those of other runs.
+        is_chosen = zlib.crc32(run.request.encode()) % 2 == 0
+        run.broken_off = is_chosen and "broken" in self.faults
+        return run.broken_off
+
+    def _find_early_end(self, run: Run, first: int, count: int) -> int | None:
+        """Return before which of the events a stream is closed; None for none."""
+        if run.framing != Framing.CONNECTION.value:
+            return None
+        if first > 1 and "empty" in self.faults:
+            return 0 if zlib.crc32(f"empty {run.request}".encode()) % 2 == 0 else None
+        if "early" in self.faults:
+            is_chosen = zlib.crc32(f"early {run.request}".encode()) % 2 == 0
+            return (count // 2 or None) if is_chosen else None
+        return None
+
+    async def _stream(self, request: web.Request, run: Run) -> web.StreamResponse:
+        holder = request.headers.get("Kv-Backup", "")
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        events = [
+            f"id: {index}\ndata: {run.generation} {run.request} {self.version}\n\n"
+            for index in range(first, self.count_events(request) + 1)
+        ]
+        answer = self._open_answer(request, run, sum(map(len, events)))
+        broken_at = len(events) // 2 if self._breaks_off(run) else None
+        early_at = self._find_early_end(run, first, len(events))
+        for number, event in enumerate(events):
+            await asyncio.sleep(self.find_interval(run))
+            if holder:
+                self.back_up(holder, run)
+            if number == early_at:
+                run.broken_off = True
+                return answer.close()
+            if number == broken_at:
+                answer.write(event[:5].encode())
+                return answer.close()
+            if run.stopped:
+                return answer.close()
+            answer.write(event.encode())
+            run.events += 1
+        run.whole = True
+        if holder:
+            self.drop_backup(holder, run)
+        return answer.end()
+
+    async def _move_run(self, request: web.Request) -> web.Response:
+        order = orjson.loads(await request.read())
+        run = self.running.get(order["id"])
+        if run is None:
+            return web.Response(status=404)
+        self.begin_move(run, bool(order.get("last")))
+        await asyncio.sleep(COPY_SECONDS)
+        if not await self.give_copy(order["target"], run):
+            return web.Response(status=503)
+        return web.Response(body=orjson.dumps({"handle": "h", "created": 1}))
+
+    def begin_move(self, run: Run, stops: bool) -> None:
+        """Begin to copy a run, which may be ordered to stop."""
+
+    async def _free_copy(self, request: web.Request) -> web.Response:
+        return web.Response()
+
+    async def _report(self, request: web.Request) -> web.Response:
+        report = {"state": self.find_state(), "born": self.born}
+        return web.Response(body=orjson.dumps(report))
