--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -67,9 +67,6 @@
 RETRY_RATIO = 0.2
 """Repeats in a window per request of callers; also written into the settings."""
 
-RETRY_EXTRA = 20
-"""Repeats in a window besides RETRY_RATIO; also written into the settings."""
-
 RATE_WINDOW = 4.0
 """Window of the requests to a target that names a rate, in seconds."""
 
@@ -97,7 +94,7 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that tell a caller that its request did not run."""
 
-_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) (\S+)\n\n")
+_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) (\S+) \1\n\n")
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,8 +152,11 @@
     first = attempt.after + 1
     if indexes != list(range(first, first + len(indexes))):
         return [Breach("order", f"{attempt.id} got events {indexes}")]
-    if attempt.whole and attempt.after + len(events) != EVENTS[attempt.kind]:
+    length = attempt.length or EVENTS[attempt.kind]
+    if attempt.whole and attempt.after + len(events) != length:
         return [Breach("order", f"{attempt.id} ended normally at event {len(events)}")]
+    if attempt.whole and _EVENT.sub(b"", attempt.body):
+        return [Breach("order", f"{attempt.id} got bytes of no event")]
     if attempt.kind is Kind.RESUME:
         return []
     if len({generation for _, generation, _, _ in events}) > 1:
@@ -321,7 +321,7 @@
         )
         kinds = STREAMS if service == "engines" else (Kind.ORDER, Kind.LOOKUP)
         sent = sorted(one.sent for one in record.attempts if one.kind in kinds)
-        largest_excess = _find_largest_excess(arrivals, sent)
+        largest_excess = _find_largest_excess(record, arrivals, sent)
         if largest_excess > 0:
             breaches.append(
                 Breach("budget", f"{service}: {largest_excess:.1f} too many")
@@ -329,7 +329,9 @@
     return breaches
 
 
-def _find_largest_excess(arrivals: list[tuple[float, str]], sent: list[float]) -> float:
+def _find_largest_excess(
+    record: Record, arrivals: list[tuple[float, str]], sent: list[float]
+) -> float:
     known_requests: set[str] = set()
     repeats = []
     for at, request in arrivals:
@@ -343,7 +345,7 @@
         windows = []
         for shift in (0.0, RETRY_WINDOW / 2, RETRY_WINDOW):
             windows.append(sum(start - shift < at <= end - shift for at in sent))
-        bound = RETRY_RATIO * max(windows) + RETRY_EXTRA
+        bound = RETRY_RATIO * max(windows) + record.retry_extra
         largest_excess = max(largest_excess, count - bound)
     return largest_excess
 
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -28,6 +28,9 @@
 STREAMS = (Kind.PLAN, Kind.CHECK, Kind.RESUME)
 """Kinds that are generations and are answered with a stream of events."""
 
+RETRY_EXTRA = 20
+"""Repeats in a window besides a share of requests; also written into the settings."""
+
 EVENTS = {Kind.PLAN: 80, Kind.CHECK: 4, Kind.RESUME: 24}
 """Number of events in a complete stream, by kind."""
 
@@ -49,6 +52,7 @@
         after: Id of the last event that the caller had received before.
         part: Part of its prompt that crashes engines, or "".
         crowded: Whether most callers came to that entry.
+        length: Number of events of a complete stream; 0 if its kind decides that.
     """
 
     id: str
@@ -69,6 +73,7 @@
     after: int = 0
     part: str = ""
     crowded: bool = False
+    length: int = 0
 
     @property
     def crash_cause(self) -> str:
@@ -158,6 +163,7 @@
         crowds: Spans in which most callers came to one entry; no disturbances.
         loop_stalls: Spans in which the event loop of this process, and with it all
             stand-ins, was blocked. They are reported, but excuse no breach.
+        retry_extra: Repeats in a window that all entries may make besides a share.
         final_phase_start: Time from which all must work again, after the last
             fault and the time to recover from it.
     """
@@ -176,6 +182,7 @@
     cuts: list[Disturbance] = field(default_factory=list)
     crowds: list[Disturbance] = field(default_factory=list)
     loop_stalls: list[tuple[float, float]] = field(default_factory=list)
+    retry_extra: float = RETRY_EXTRA
     final_phase_start: float = 0.0
 
     def begin_disturbance(
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -12,9 +12,10 @@
 from tests.faults import plans
 from tests.faults.callers import EntryEndpoint, Traffic
 from tests.faults.links import EntryLinks
-from tests.faults.promises import RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW
+from tests.faults.promises import RETRY_RATIO, RETRY_WINDOW
 from tests.faults.records import (
     CRASHING,
+    RETRY_EXTRA,
     Disturbance,
     Kind,
     NamedRate,
--- a/tests/faults/test_promises.py
+++ b/tests/faults/test_promises.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from tests.faults.promises import RETRY_EXTRA, Breach, check_promises
+from tests.faults.promises import Breach, check_promises
 from tests.faults.records import (
     EVENTS,
+    RETRY_EXTRA,
     STREAMS,
     Attempt,
     Disturbance,
@@ -35,7 +36,7 @@
 
 
 def list_events(count: int, generation: str = "g1") -> bytes:
-    lines = [f"id: {i}\ndata: {generation} r1 v1\n\n" for i in range(1, count + 1)]
+    lines = [f"id: {i}\ndata: {generation} r1 v1 {i}\n\n" for i in range(1, count + 1)]
     return "".join(lines).encode()
 
 
@@ -81,6 +82,8 @@
         list_events(3) + list_events(80)[10:],
         list_events(2) + list_events(80, "g2")[len(list_events(2)) :],
         list_events(79),
+        list_events(40) + b"id: 40\n" + list_events(80)[len(list_events(40)) :],
+        list_events(80).replace(b" 7\n", b" 8\n"),
     ],
 )
 def test_a_stream_that_lacks_or_mixes_events_is_found(body: bytes) -> None:
@@ -321,7 +324,9 @@
         run.customer = "gurdwara"
         record.runs.append(run)
         index = attempt.after + 1
-        attempt.body = f"id: {index}\ndata: h{number} {name} {version}\n\n".encode()
+        attempt.body = (
+            f"id: {index}\ndata: h{number} {name} {version} {index}\n\n".encode()
+        )
     record.attempts.append(attempt)
 
 
--- /dev/null
+++ b/tests/platform/target.py
@@ -0,0 +1,252 @@
+"""Target as a process of its own: ``python -m tests.platform.target``.
+
+It imports what it needs, then waits for one line with its identity as JSON.
+"""
+
+import asyncio
+import dataclasses
+import os
+import random
+import signal
+import sys
+import time
+import zlib
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+
+import aiohttp
+import orjson
+from aiohttp import web
+
+from tests.platform.runs import Run, read_clock
+from tests.platform.standins import build_registration, start_app
+from tests.platform.targets import SigningTarget
+
+BACKUP_INTERVAL = 0.2
+"""Time between two parts of a running backup, in seconds."""
+
+REGISTER_TIMEOUT_SECONDS = 30.0
+"""Time for which it tries to write its registration, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """What a process is told to be.
+
+    Attributes:
+        journal: File to which it appends what it ran.
+        late: Time from the start to the registration, in seconds.
+        drain: Time for which it serves after the store knows that it leaves.
+        interval: Shortest time before an event, in seconds; the longest is twice it.
+        work: Mean duration of a call, in seconds.
+    """
+
+    name: str
+    service: str
+    address: str
+    failure_domain: str
+    version: str
+    store: str
+    journal: str
+    late: float = 0.0
+    drain: float = 2.0
+    interval: float = 0.02
+    work: float = 0.045
+    faults: tuple[str, ...] = ()
+
+
+@dataclass
+class ProcessTarget(SigningTarget):
+    """Target that writes what it runs to a file, which outlives a kill."""
+
+    identity: Identity
+    session: aiohttp.ClientSession
+    journal: int
+    born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
+    copies: dict[str, str] = field(default_factory=dict)
+    running: dict[str, Run] = field(default_factory=dict)
+    state: str = "ready"
+
+    def __post_init__(self) -> None:
+        self.name = self.identity.name
+        self.service = self.identity.service
+        self.version = self.identity.version
+        self.faults = list(self.identity.faults)
+        self._rng = random.Random(f"{self.name} {self.born}")
+        self._runs = 0
+        self._backed_up: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def write(self, kind: str, **fields: object) -> None:
+        """Append a line to the journal."""
+        line = orjson.dumps({"kind": kind, "at": read_clock(), **fields})
+        os.write(self.journal, line + b"\n")
+
+    async def register(self) -> None:
+        """Write the registration, or delete it once the target has left."""
+        value = b""
+        if self.state != "left":
+            value = build_registration(
+                self.service,
+                self.identity.address,
+                self.state,
+                self.identity.failure_domain,
+                self.version,
+                self.born,
+            )
+        key = self.name.encode()
+        record = bytes([len(key)]) + key + value
+        data = len(record).to_bytes(4) + record
+        url = f"http://{self.identity.store}/figstep/log-append"
+        where = {"topic": "keyed.servers", "part": "0"}
+        async with asyncio.timeout(REGISTER_TIMEOUT_SECONDS):
+            while not await self._append(url, where, data):
+                await asyncio.sleep(0.1)
+        self.write("registered", state=self.state, version=self.version, born=self.born)
+
+    async def _append(self, url: str, where: dict[str, str], data: bytes) -> bool:
+        try:
+            async with self.session.post(url, params=where, data=data) as answer:
+                return answer.status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
+    async def leave(self) -> None:
+        """Say that it leaves, serve on for a while and exit."""
+        self.state = "draining"
+        await self.register()
+        await asyncio.sleep(self.identity.drain)
+        self.state = "left"
+        await self.register()
+        os._exit(0)
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the transfer of copies between targets."""
+        app.router.add_post("/copies/{request}", self._receive_copy)
+        app.router.add_delete("/copies/{request}", self._lose_copy)
+
+    async def _receive_copy(self, request: web.Request) -> web.Response:
+        name = request.match_info["request"]
+        if "forgetful" in self.faults and zlib.crc32(f"lost {name}".encode()) % 2:
+            return web.Response()
+        self.copies[name] = (await request.read()).decode()
+        return web.Response()
+
+    async def _lose_copy(self, request: web.Request) -> web.Response:
+        self.copies.pop(request.match_info["request"], None)
+        return web.Response()
+
+    def note_arrival(self, request_id: str) -> None:
+        """Write that a request for this target arrived."""
+        self.write("arrived", request=request_id)
+
+    def note_begin(self, run: Run) -> None:
+        """Write that a run begins."""
+        self._write_run(run)
+
+    def note_end(self, run: Run) -> None:
+        """Write how a run ended."""
+        self._backed_up.pop(run.request, None)
+        self._write_run(run)
+
+    def _write_run(self, run: Run) -> None:
+        fields = dataclasses.asdict(run)
+        fields["body"] = run.body.decode()
+        self.write("run", run=fields)
+
+    def name_generation(self) -> str:
+        """Return the name of a new generation, which names the incarnation."""
+        self._runs += 1
+        return f"{self.name}.{self.born % 1_000_000}.{self._runs}"
+
+    def count_events(self, request: web.Request) -> int:
+        """Return the number of events, which the path names."""
+        return int(request.path.rpartition("/")[2])
+
+    def find_interval(self, run: Run) -> float:
+        """Return the time before the next event, in seconds."""
+        return self.identity.interval * (1 + self._rng.random())
+
+    async def work(self) -> None:
+        """Wait as long as a call takes."""
+        await asyncio.sleep(self.identity.work * (0.5 + self._rng.random()))
+
+    def draw_grey(self) -> bool:
+        """Return that no call fails."""
+        return False
+
+    def find_state(self) -> str:
+        """Return the state that the report names."""
+        return self.state
+
+    def begin_move(self, run: Run, stops: bool) -> None:
+        """Begin to copy a run, which may be ordered to stop."""
+        run.stopped = run.stopped or stops
+
+    async def give_copy(self, holder: str, run: Run) -> bool:
+        """Copy a run to the engine at an address, and return whether it holds it."""
+        url = f"http://{holder}/copies/{run.request}"
+        try:
+            async with self.session.post(url, data=run.generation) as answer:
+                return answer.status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
+    def back_up(self, holder: str, run: Run) -> None:
+        """Send what is new of a run to the engine at an address, now and then."""
+        sent = self._backed_up.get(run.request, 0.0)
+        if read_clock() < sent + BACKUP_INTERVAL:
+            return
+        self._backed_up[run.request] = read_clock()
+        self._start(self._send_backup(holder, run))
+
+    async def _send_backup(self, holder: str, run: Run) -> None:
+        await self.give_copy(holder, run)
+        if run.whole:
+            await self._end_backup(holder, run)
+
+    def drop_backup(self, holder: str, run: Run) -> None:
+        """Free the backup of a run that is complete."""
+        self._start(self._end_backup(holder, run))
+
+    async def _end_backup(self, holder: str, run: Run) -> None:
+        url = f"http://{holder}/copies/{run.request}"
+        try:
+            async with self.session.delete(url):
+                return
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def serve(identity: Identity) -> None:
+    """Serve as a target until the process is ended."""
+    flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+    journal = os.open(identity.journal, flags, 0o644)
+    timeout = aiohttp.ClientTimeout(total=1.0)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        target = ProcessTarget(identity, session, journal)
+        leaving = asyncio.Event()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, leaving.set)
+        port = int(identity.address.rpartition(":")[2])
+        await start_app(target.build_app(), port)
+        target.write("born", version=target.version, born=target.born)
+        await asyncio.sleep(identity.late)
+        await target.register()
+        await leaving.wait()
+        await target.leave()
+
+
+def main() -> None:
+    """Wait for an identity, and serve under it."""
+    line = sys.stdin.readline()
+    if line:
+        asyncio.run(serve(Identity(**orjson.loads(line))))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/platform/targets.py
+++ b/tests/platform/targets.py
@@ -220,8 +220,9 @@
     async def _stream(self, request: web.Request, run: Run) -> web.StreamResponse:
         holder = request.headers.get("Kv-Backup", "")
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        prefix = f"{run.generation} {run.request} {self.version}"
         events = [
-            f"id: {index}\ndata: {run.generation} {run.request} {self.version}\n\n"
+            f"id: {index}\ndata: {prefix} {index}\n\n"
             for index in range(first, self.count_events(request) + 1)
         ]
         answer = self._open_answer(request, run, sum(map(len, events)))
