--- /dev/null
+++ b/tests/deployments/__init__.py
@@ -0,0 +1,1 @@
+"""Runs of whole deployments, each part a process of its own."""
--- /dev/null
+++ b/tests/deployments/__main__.py
@@ -0,0 +1,158 @@
+"""Run of a deployment as processes: ``python -m tests.deployments langar-by``."""
+
+import argparse
+import asyncio
+import dataclasses
+import gc
+import logging
+import random
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+import orjson
+
+from tests.deployments.plans import draw_plan
+from tests.deployments.shapes import SHAPES
+from tests.deployments.sites import Site
+from tests.faults.__main__ import describe_record
+from tests.faults.promises import Breach, check_promises
+from tests.faults.records import STREAMS, Attempt, Record
+from tests.platform.runs import Run, read_clock
+
+FAULT_SECONDS = 30.0
+"""Time in which faults are injected, in seconds."""
+
+PATIENCE_SECONDS = 20.0
+"""Time for which answers are awaited after the last request, in seconds."""
+
+
+async def run_deployment(
+    name: str,
+    seed: int,
+    folder: Path,
+    seconds: float = FAULT_SECONDS,
+    patience: float = PATIENCE_SECONDS,
+    returns: float = 1.0,
+) -> tuple[Record, list[Breach]]:
+    """Run a deployment with the faults of a seed and check its record.
+
+    Args:
+        name: Name of the deployment.
+        seed: Seed of the plan and of the traffic.
+        folder: Directory of settings, logs and journals.
+        seconds: Time in which faults are injected.
+        patience: Time for which answers are awaited after the last request.
+        returns: Factor of the rate of streams that may be resumed.
+
+    Returns:
+        The record of the run and the breaches of promises that it shows.
+    """
+    shape = SHAPES[name]
+    site = Site(seed, folder, shape, returns)
+    offset = time.time() - read_clock()
+    gc.collect()
+    gc.freeze()
+    try:
+        plan = draw_plan(seed, seconds, shape.engines)
+        await site.run_plan(plan, seconds, patience)
+    finally:
+        gc.unfreeze()
+    write_record(folder / "record.jsonl", site.record, offset)
+    return site.record, check_promises(site.record)
+
+
+def write_record(path: Path, record: Record, offset: float) -> None:
+    """Write attempts, runs and faults in the order of time, which is Unix time."""
+    lines: list[tuple[float, str, object]] = []
+    for attempt in record.attempts:
+        lines.append((attempt.sent, "attempt", attempt))
+    for run in record.runs:
+        lines.append((run.began, "run", run))
+    for fault in record.disturbances:
+        lines.append((fault.start, "fault", fault))
+    with path.open("wb") as out:
+        for at, kind, found in sorted(lines, key=lambda line: line[0]):
+            fields = dataclasses.asdict(found)  # type: ignore[call-overload]
+            head = {"unix": round(at + offset, 3), "record": kind}
+            out.write(orjson.dumps({**head, **fields}, default=_write_other) + b"\n")
+
+
+def _write_other(value: object) -> str:
+    if isinstance(value, bytes):
+        return value.decode(errors="replace")
+    return str(getattr(value, "value", value))
+
+
+def describe_streams(record: Record) -> list[str]:
+    """Return lines that count streams by the framing of their targets."""
+    runs: dict[str, Run] = {run.request: run for run in record.runs}
+    counts: Counter[tuple[str, str]] = Counter()
+    for attempt in record.attempts:
+        run = runs.get(attempt.id)
+        if attempt.kind not in STREAMS or run is None or attempt.disconnected:
+            continue
+        if run.whole or run.broken_off or attempt.whole:
+            counts[(run.framing, _describe_end(attempt, run))] += 1
+    lines = [f"{framing}: {count} {end}" for (framing, end), count in counts.items()]
+    taken_up = [one for one in record.attempts if one.resumes]
+    served = sum(one.status == 200 for one in taken_up)
+    return [*sorted(lines), f"streams taken up: {served} of {len(taken_up)} served"]
+
+
+def _describe_end(attempt: Attempt, run: Run) -> str:
+    target = "target closed early" if run.broken_off else "target cut off"
+    if run.whole:
+        target = "target made all"
+    kind = "resumable" if attempt.kind.value == "resume" else "not resumable"
+    return f"{kind}, {target}, {'served whole' if attempt.whole else 'broken off'}"
+
+
+async def _run_all(arguments: argparse.Namespace) -> int:
+    """Run several seeds in turn and return the number of those that failed."""
+    failed = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.runs):
+        root = arguments.folder or Path(tempfile.mkdtemp(prefix="deployment-"))
+        folder = root / f"{arguments.name}-{seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        record, breaches = await run_deployment(
+            arguments.name,
+            seed,
+            folder,
+            arguments.seconds,
+            returns=arguments.returns,
+        )
+        failed += bool(breaches)
+        outcome = f"{len(breaches)} breaches" if breaches else "held"
+        report = [f"{arguments.name} seed {seed}: {outcome}, logs in {folder}"]
+        report += [f"  {breach.promise}: {breach.detail}" for breach in breaches]
+        report.append(f"  {describe_record(record)}")
+        report += [f"  {line}" for line in describe_streams(record)]
+        (folder / "report.txt").write_text("\n".join(report) + "\n")
+        print("\n".join(report), flush=True)
+    return failed
+
+
+def main() -> None:
+    """Run one seed, or several in turn."""
+    parser = argparse.ArgumentParser(prog="python -m tests.deployments")
+    parser.add_argument("name", choices=SHAPES)
+    parser.add_argument("--seed", type=int, default=None)
+    parser.add_argument("--runs", type=int, default=1, help="run this many seeds")
+    parser.add_argument("--seconds", type=float, default=FAULT_SECONDS)
+    parser.add_argument(
+        "--returns", type=float, default=1.0, help="streams that may be resumed, times"
+    )
+    parser.add_argument("--folder", type=Path, default=None, help="for the logs")
+    arguments = parser.parse_args()
+    # aiohttp logs an error for each handler that ends as its peer has gone.
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
+    if arguments.seed is None:
+        arguments.seed = random.SystemRandom().getrandbits(24)
+    sys.exit(1 if asyncio.run(_run_all(arguments)) else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/deployments/shapes.py
@@ -0,0 +1,80 @@
+"""Sizes and traffic of the deployments that are run."""
+
+import math
+import random
+from dataclasses import dataclass
+
+from tests.faults.records import Kind
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """Size and traffic of a deployment.
+
+    Attributes:
+        domains: Number of entries, by failure domain.
+        rates: Requests a second, by kind.
+        retry_extra: Repeats in a window of the fleet's retry budget besides a share.
+        work: Mean duration of a call, in seconds.
+        memory: Tokens that the memory of an engine holds.
+    """
+
+    domains: dict[str, int]
+    engines: int
+    services: int
+    rates: dict[Kind, float]
+    retry_extra: int
+    work: float
+    memory: int
+
+    def list_domains(self) -> list[str]:
+        """Return the failure domain of each entry."""
+        return [name for name, count in self.domains.items() for _ in range(count)]
+
+
+RATES = {Kind.PLAN: 1.75, Kind.RESUME: 2.4, Kind.ORDER: 15.0, Kind.LOOKUP: 6.0}
+
+SHAPES = {
+    "langar-by": Shape(
+        {"muc-a": 3, "muc-b": 3, "nue-a": 1, "aug-a": 1},
+        engines=5,
+        services=4,
+        rates=RATES,
+        retry_extra=56,
+        work=0.045,
+        memory=34_364,
+    ),
+    "rmia-figstep": Shape(
+        {"ie-a": 3, "ie-b": 3, "ie-c": 1},
+        engines=5,
+        services=3,
+        rates=RATES,
+        retry_extra=54,
+        work=0.09,
+        memory=34_447,
+    ),
+}
+"""Deployments, by name."""
+
+MAX_EVENTS = {Kind.PLAN: 549, Kind.RESUME: 13}
+"""Largest number of events in a complete stream, by kind."""
+
+MEAN_EVENTS = 232
+"""Mean number of events in a long stream."""
+
+SPREAD = 0.84
+"""Standard deviation of that number, in means."""
+
+MIN_SHORT_EVENTS = 3
+"""Smallest number of events in a short stream."""
+
+
+def draw_length(rng: random.Random, kind: Kind) -> int:
+    """Return the number of events of a stream."""
+    if kind is Kind.RESUME:
+        return rng.randint(MIN_SHORT_EVENTS, MAX_EVENTS[kind])
+    variance = math.log(1 + SPREAD**2)
+    drawn = rng.lognormvariate(
+        math.log(MEAN_EVENTS) - variance / 2, math.sqrt(variance)
+    )
+    return max(1, min(MAX_EVENTS[kind], round(drawn)))
--- /dev/null
+++ b/tests/deployments/sites.py
@@ -0,0 +1,321 @@
+"""A deployment with its store, entries, targets and callers."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Coroutine
+from dataclasses import replace
+from pathlib import Path
+
+import orjson
+
+from tests.deployments import plans
+from tests.deployments.callers import Callers
+from tests.deployments.hosts import SPARES, Spares, TargetHost, read_journal
+from tests.deployments.shapes import Shape
+from tests.faults.promises import RETRY_RATIO, RETRY_WINDOW
+from tests.faults.records import Kind, Record, Version
+from tests.platform.entries import EntryEndpoint, EntryHost
+from tests.platform.processes import build_network, query_ready
+from tests.platform.runs import read_clock
+from tests.platform.standins import KEY, ROUTE_HOST, FakeStore, build_configuration
+from tests.platform.target import Identity
+from tests.ports import HOST, find_free_port
+
+GRACE_SECONDS = 8.0
+"""Grace time of a stop in seconds, after which an entry is killed."""
+
+EXPIRY_RANGE = (1.0, 3.0)
+"""Time until the store removes the registration of a crashed target, in seconds."""
+
+RECOVERY_SECONDS = 4.0
+"""Time after the last fault within which all must work again, in seconds."""
+
+FINAL_TRAFFIC_SECONDS = 2.0
+"""Time of traffic after that, in seconds."""
+
+READY_POLL_INTERVAL = 0.5
+"""Pause between two readiness checks of all entries for the callers, in seconds."""
+
+REGISTRATION_SECONDS = 1.0
+"""Time until a target that has started is taken for registered, in seconds."""
+
+VERSIONS = ("v1", "v2")
+"""Software versions of the engines, which run side by side."""
+
+ROUTES = {
+    Kind.PLAN: ("stream", 39_000, 1),
+    Kind.RESUME: ("stream", 6_000, 2),
+    Kind.ORDER: ("unsafe", 800, 1),
+    Kind.LOOKUP: ("safe", 800, 2),
+}
+"""Type, time limit in milliseconds and number of attempts of each kind's route."""
+
+
+class Site:
+    """Processes and callers of one run.
+
+    The seed determines the traffic and the plan; the processes differ in each run.
+    """
+
+    def __init__(self, seed: int, folder: Path, shape: Shape, returns: float) -> None:
+        self.record = Record(retry_extra=shape.retry_extra)
+        self._rng = random.Random(f"{seed} site")
+        self._folder = folder
+        self._shape = shape
+        self._returns = returns
+        self._store = FakeStore()
+        self._spares = Spares(folder / "targets.log")
+        self._entries: list[EntryHost] = []
+        self._targets: list[TargetHost] = []
+        self._gone: list[TargetHost] = []
+        self._names = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run_plan(
+        self, steps: list[plans.Step], seconds: float, patience: float
+    ) -> None:
+        """Run a plan, then without faults, and fill the record."""
+        stop_event = asyncio.Event()
+        try:
+            await self._start()
+            callers = Callers(
+                self.record,
+                self._rng,
+                [host.endpoint for host in self._entries],
+                self._shape,
+                self._returns,
+            )
+            traffic = asyncio.create_task(callers.run(stop_event, patience))
+            watch = asyncio.create_task(self._watch_readiness())
+            start = read_clock()
+            for step in steps:
+                await asyncio.sleep(max(0.0, start + step.at - read_clock()))
+                self._start_task(self._apply(step.fault))
+            await asyncio.sleep(max(0.0, start + seconds - read_clock()))
+            await asyncio.gather(*self._tasks)
+            self.record.final_phase_start = read_clock() + RECOVERY_SECONDS
+            await asyncio.sleep(RECOVERY_SECONDS + FINAL_TRAFFIC_SECONDS)
+            stop_event.set()
+            await traffic
+            watch.cancel()
+        finally:
+            await self._shut_down()
+        self._read_journals()
+
+    def _start_task(self, work: Coroutine[None, None, None]) -> None:
+        self._tasks.add(asyncio.create_task(work))
+
+    async def _start(self) -> None:
+        await self._store.start()
+        await self._configure()
+        await self._spares.start(self._shape.engines + self._shape.services + SPARES)
+        for _ in range(self._shape.engines):
+            await self._add_target("engines")
+        for _ in range(self._shape.services):
+            await self._add_target("bookings")
+        network = build_network()
+        for number, domain in enumerate(self._shape.list_domains()):
+            ip = network.find_ip(number)
+            path = self._folder / f"entry-{number}.toml"
+            bounds = (
+                f"grace_s = {GRACE_SECONDS}\nretry_ratio = {RETRY_RATIO}\n"
+                f"retry_extra = {self._shape.retry_extra}\n"
+                f"retry_window_s = {RETRY_WINDOW}\n"
+            )
+            network.write_settings(
+                path, number, self._store.address, domain, bounds=bounds
+            )
+            host = EntryHost(
+                number=number,
+                ready=f"{ip}:{network.ready}",
+                endpoint=EntryEndpoint(number, f"{ip}:{network.front}"),
+                settings=path,
+                log=self._folder / f"entry-{number}.log",
+                grace=GRACE_SECONDS,
+                stops=self.record.stops,
+            )
+            self._entries.append(host)
+            await host.start()
+        for host in self._entries:
+            await host.wait_until_ready(launch=False)
+
+    async def _configure(self) -> None:
+        routes = [
+            {
+                "name": kind.value,
+                "host": ROUTE_HOST,
+                "prefix": f"/{kind.value}/",
+                "type": type_name,
+                "service": "engines" if type_name == "stream" else "bookings",
+                "attempts": attempts,
+                "resumable": kind is Kind.RESUME,
+                "timeout_ms": timeout,
+                "slo_ms": 1_500 if type_name == "stream" else 200,
+                "gap_slo_ms": 180,
+                "priority": 1,
+            }
+            for kind, (type_name, timeout, attempts) in ROUTES.items()
+        ]
+        engine = {
+            "slots": 64,
+            "kv_capacity": self._shape.memory,
+            "moves": True,
+            "backups": True,
+            "stride": 4,
+        }
+        services = [{"name": "engines", "engine": engine}, {"name": "bookings"}]
+        value = build_configuration(1, routes=routes, services=services)
+        await self._store.put("keyed.op", "config", value)
+        paths = frozenset(f"/{kind.value}/" for kind in ROUTES)
+        self.record.versions.append(Version(1, read_clock(), paths, frozenset({KEY})))
+
+    async def _add_target(
+        self, service: str, behaviors: tuple[str, ...] | None = None
+    ) -> None:
+        self._names += 1
+        name = f"i-{service}-{self._names}"
+        domains = list(self._shape.domains)
+        if behaviors is None:
+            behaviors = plans.draw_behaviors(self._rng)
+        identity = Identity(
+            name,
+            service,
+            f"{HOST}:{find_free_port()}",
+            domains[self._names % len(domains)],
+            VERSIONS[self._names % 2] if service == "engines" else VERSIONS[0],
+            self._store.address,
+            str(self._folder / f"{name}.jsonl"),
+            work=self._shape.work,
+            faults=behaviors if service == "engines" else (),
+        )
+        host = TargetHost(identity, self._spares)
+        self._targets.append(host)
+        await host.start()
+
+    async def _watch_readiness(self) -> None:
+        while True:
+            for host in self._entries:
+                host.endpoint.ready = await query_ready(host.ready)
+            await asyncio.sleep(READY_POLL_INTERVAL)
+
+    async def _apply(self, fault: plans.Fault) -> None:
+        match fault:
+            case plans.DisturbEntry(action=action, number=number, seconds=seconds):
+                entry = self._entries[number % len(self._entries)]
+                with self.record.disturb(action, entry.number):
+                    await entry.disturb(action, seconds)
+            case plans.LoseStore(seconds=seconds):
+                with self.record.disturb("store away"):
+                    self._store.unavailable = True
+                    await asyncio.sleep(seconds)
+                    self._store.unavailable = False
+            case _:
+                idle = [one for one in self._targets if not one.busy]
+                if not idle:
+                    return
+                target = idle[fault.number % len(idle)]
+                target.busy = True
+                name = describe_fault(fault)
+                with self.record.disturb(name, None, target.name):
+                    await self._apply_target_fault(target, fault)
+                target.busy = False
+
+    async def _apply_target_fault(
+        self,
+        target: TargetHost,
+        fault: plans.Restart | plans.Replace | plans.FreezeTarget,
+    ) -> None:
+        match fault:
+            case plans.FreezeTarget(seconds=seconds):
+                target.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(seconds)
+                target.send_signal(signal.SIGCONT)
+            case plans.Restart():
+                await self._restart(target, fault)
+            case plans.Replace():
+                await self._replace(target, fault)
+
+    async def _restart(self, target: TargetHost, fault: plans.Restart) -> None:
+        if fault.graceful:
+            target.send_signal(signal.SIGTERM)
+            await target.wait()
+        else:
+            await target.kill()
+        if fault.gap:
+            await target.hold(fault.held)
+            await asyncio.sleep(fault.gap)
+        identity = replace(target.identity, late=fault.late)
+        if target.identity.service == "engines":
+            identity = replace(identity, faults=fault.behaviors)
+            if fault.upgrade:
+                other = VERSIONS[identity.version == VERSIONS[0]]
+                identity = replace(identity, version=other)
+        target.identity = identity
+        await target.start()
+        await asyncio.sleep(fault.late + REGISTRATION_SECONDS)
+
+    async def _replace(self, target: TargetHost, fault: plans.Replace) -> None:
+        self._targets.remove(target)
+        self._gone.append(target)
+        await self._add_target(target.identity.service, fault.behaviors)
+        self.record.departures[target.name] = float("inf")
+        if fault.graceful:
+            target.send_signal(signal.SIGTERM)
+            await target.wait()
+            return
+        await target.kill()
+        await target.hold(fault.held)
+        await asyncio.sleep(self._rng.uniform(*EXPIRY_RANGE))
+        await self._store.put("keyed.servers", target.name, b"")
+        self.record.departures[target.name] = read_clock()
+        await asyncio.sleep(fault.seconds)
+        await target.release()
+
+    async def _shut_down(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for host in self._entries:
+            await host.end()
+        for target in [*self._targets, *self._gone]:
+            await target.release()
+            target.send_signal(signal.SIGCONT)
+            if target.process is not None:
+                await target.kill()
+        await self._spares.stop()
+        await self._store.stop()
+
+    def _read_journals(self) -> None:
+        for target in [*self._targets, *self._gone]:
+            path = Path(target.identity.journal)
+            service, name = target.identity.service, target.name
+
+            def note(
+                at: float, request: str, service: str = service, name: str = name
+            ) -> None:
+                self.record.arrivals.append((at, service, request))
+                self.record.target_arrivals.append((at, name, request))
+
+            self.record.runs += read_journal(path, note)
+            for line in path.read_bytes().splitlines():
+                entry = orjson.loads(line)
+                if entry.get("state") == "draining" and name in self.record.departures:
+                    self.record.departures[name] = entry["at"]
+        self.record.runs.sort(key=lambda run: run.began)
+
+
+def describe_fault(fault: plans.Fault) -> str:
+    """Return the kind of a fault with what distinguishes it."""
+    name = type(fault).__name__.lower()
+    match fault:
+        case plans.Restart(graceful=graceful, late=late, upgrade=upgrade, held=held):
+            how = "term" if graceful else "kill"
+            kept = held.value if held and fault.gap else "refused"
+            return f"{name} {how}, {kept} {fault.gap:.1f} s, late {late:.1f} s" + (
+                ", other version" if upgrade else ""
+            )
+        case plans.Replace(graceful=graceful, held=held):
+            kept = held.value if held and not graceful else "refused"
+            return f"{name} {'term' if graceful else 'kill'}, {kept}"
+    return name
--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -17,6 +17,7 @@
     Kind,
     Record,
 )
+from tests.platform.entries import EntryEndpoint
 from tests.platform.runs import read_clock
 from tests.platform.standins import ROUTE_HOST
 from tests.platform.targets import FORGED, SYSTEM_ONLY_HEADERS
@@ -57,16 +58,6 @@
 _KIND_SHARES = {Kind.PLAN: 0.25, Kind.CHECK: 0.2, Kind.ORDER: 0.3, Kind.LOOKUP: 0.25}
 
 
-@dataclass(slots=True)
-class EntryEndpoint:
-    """Address, number of restarts and readiness of an entry, as callers know them."""
-
-    entry: int
-    address: str
-    incarnation: int = 0
-    ready: bool = True
-
-
 @dataclass(slots=True)
 class Traffic:
     """Generator of random requests to all entries.
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from tests.platform.entries import Stop
 from tests.platform.runs import Run, read_clock
 
 
@@ -96,22 +97,6 @@
     keys: frozenset[str]
 
 
-@dataclass(frozen=True, slots=True)
-class Stop:
-    """Graceful stop of an entry.
-
-    Attributes:
-        at: Time at which SIGTERM was sent.
-        took: Seconds until the process ended; None if it was killed after its
-            grace time.
-    """
-
-    entry: int
-    incarnation: int
-    at: float
-    took: float | None
-
-
 @dataclass(slots=True)
 class Disturbance:
     """Span of a fault, in which bounds on time are not checked.
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import signal
 from collections.abc import Awaitable
 from dataclasses import dataclass
 from pathlib import Path
@@ -10,7 +9,7 @@
 from figstep.gateway.state import FULL_MESH_MAX_ENTRIES
 from figstep.standins.proxy import Delay, Direction, Lose, LoseAnswers, Stall, TcpProxy
 from tests.faults import plans
-from tests.faults.callers import EntryEndpoint, Traffic
+from tests.faults.callers import Traffic
 from tests.faults.links import EntryLinks
 from tests.faults.promises import RETRY_RATIO, RETRY_WINDOW
 from tests.faults.records import (
@@ -20,23 +19,17 @@
     Kind,
     NamedRate,
     Record,
-    Stop,
     Version,
 )
 from tests.faults.targets import SoakTarget
-from tests.platform.processes import Network, build_network, query_ready, start_entry
+from tests.platform.entries import EntryEndpoint, EntryHost
+from tests.platform.processes import Network, build_network, query_ready
 from tests.platform.runs import read_clock
 from tests.platform.standins import FakeStore, build_configuration
 
 GRACE_SECONDS = 4.0
 """Grace time of a stop in seconds, after which an entry is killed."""
 
-RESTART_DELAY = 0.3
-"""Time between the end of an entry and its next start, in seconds."""
-
-READY_TIMEOUT_SECONDS = 20.0
-"""Time limit of the start of an entry, also while the store is unavailable."""
-
 READY_POLL_INTERVAL = 0.5
 """Pause between two readiness checks of all entries for the callers, in seconds."""
 
@@ -73,35 +66,13 @@
 """Bounds in the settings of the entries."""
 
 
-@dataclass(slots=True)
-class EntryHost:
-    """Entry instance with its process, its settings and the proxies around it.
+@dataclass(slots=True, kw_only=True)
+class ProxiedEntry(EntryHost):
+    """Entry with the proxies around it."""
 
-    Attributes:
-        stopping: Whether the entry was stopped or killed and is not ready again.
-        starting: Whether the entry has not been ready since its start.
-    """
-
-    number: int
-    ready: str
-    endpoint: EntryEndpoint
-    settings: Path
     store: TcpProxy
     front: TcpProxy
     links: EntryLinks
-    log: Path
-    process: asyncio.subprocess.Process | None = None
-    stopping: bool = False
-    starting: bool = True
-
-    async def start(self) -> None:
-        """Start the process and append its output to the log."""
-        self.process = await start_entry(self.settings, self.log)
-
-    def send_signal(self, number: int) -> None:
-        """Send a signal to the process if it still runs."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
 
 
 class Site:
@@ -120,7 +91,7 @@
         self._store = FakeStore()
         self._targets_by_address: dict[str, SoakTarget] = {}
         self._targets: list[SoakTarget] = []
-        self._hosts: list[EntryHost] = []
+        self._hosts: list[ProxiedEntry] = []
         self._entry_count = entries
         self._stop_traffic = asyncio.Event()
         self._stop_returning = asyncio.Event()
@@ -185,9 +156,9 @@
         for host in self._hosts:
             await host.start()
         for host in self._hosts:
-            await self._wait_until_ready(host, launch=False)
+            await host.wait_until_ready(launch=False)
 
-    async def _build_host(self, number: int, network: Network) -> EntryHost:
+    async def _build_host(self, number: int, network: Network) -> ProxiedEntry:
         ip = network.find_ip(number)
         links = EntryLinks(self._targets_by_address)
         address = self._store.address
@@ -201,15 +172,17 @@
         path = self._folder / f"entry-{number}.toml"
         zone = choose_domain(number, self._entry_count)
         network.write_settings(path, number, store.address, zone, bounds=BOUNDS)
-        return EntryHost(
-            number,
-            f"{ip}:{network.ready}",
-            EntryEndpoint(number, front.address),
-            path,
-            store,
-            front,
-            links,
-            self._folder / f"entry-{number}.log",
+        return ProxiedEntry(
+            number=number,
+            ready=f"{ip}:{network.ready}",
+            endpoint=EntryEndpoint(number, front.address),
+            settings=path,
+            log=self._folder / f"entry-{number}.log",
+            grace=GRACE_SECONDS,
+            stops=self.record.stops,
+            store=store,
+            front=front,
+            links=links,
         )
 
     def _build_traffic(self) -> Traffic:
@@ -354,7 +327,7 @@
         for one in spans:
             one.end = read_clock()
 
-    def _record_foreign_requests(self, host: EntryHost) -> list[Disturbance]:
+    def _record_foreign_requests(self, host: ProxiedEntry) -> list[Disturbance]:
         """Record a disturbance of each other entry whose requests use these links.
 
         An entry that has fetched registrations from another one uses its addresses.
@@ -365,72 +338,10 @@
         return [self.record.begin_disturbance("cut off", entry) for entry in entries]
 
     async def _apply_entry_fault(
-        self, action: str, host: EntryHost, seconds: float
+        self, action: str, host: ProxiedEntry, seconds: float
     ) -> None:
         with self.record.disturb(action, host.number):
-            await self._signal_entry(action, host, seconds)
-
-    async def _signal_entry(self, action: str, host: EntryHost, seconds: float) -> None:
-        match action:
-            case "kill" if host.stopping:
-                # The task that stops or restarts the entry handles the end.
-                host.send_signal(signal.SIGKILL)
-            case "stop" if host.stopping:
-                host.send_signal(signal.SIGTERM)
-            case "kill":
-                host.stopping = True
-                host.send_signal(signal.SIGKILL)
-                await self._restart(host)
-            case "stop":
-                await self._stop_entry(host)
-            case "freeze":
-                host.send_signal(signal.SIGSTOP)
-                await asyncio.sleep(seconds)
-                host.send_signal(signal.SIGCONT)
-            case "reload":
-                text = host.settings.read_text()
-                host.settings.write_text(text + f"# {read_clock()}\n")
-                if not host.starting:
-                    # SIGHUP ends a process that has not installed its handlers yet.
-                    host.send_signal(signal.SIGHUP)
-
-    async def _stop_entry(self, host: EntryHost) -> None:
-        assert host.process is not None
-        host.stopping = True
-        asked = read_clock()
-        incarnation = host.endpoint.incarnation
-        host.send_signal(signal.SIGTERM)
-        took: float | None = None
-        try:
-            async with asyncio.timeout(GRACE_SECONDS):
-                await host.process.wait()
-            took = read_clock() - asked
-        except TimeoutError:
-            host.send_signal(signal.SIGKILL)
-        self.record.stops.append(Stop(host.number, incarnation, asked, took))
-        await self._restart(host)
-
-    async def _restart(self, host: EntryHost) -> None:
-        assert host.process is not None
-        await host.process.wait()
-        await asyncio.sleep(RESTART_DELAY)
-        text = host.settings.read_text()
-        host.settings.write_text(text.replace("bootstrap = true", "bootstrap = false"))
-        await self._wait_until_ready(host, launch=True)
-
-    async def _wait_until_ready(self, host: EntryHost, launch: bool) -> None:
-        host.starting = True
-        async with asyncio.timeout(READY_TIMEOUT_SECONDS):
-            if launch:
-                host.endpoint.incarnation += 1
-                await host.start()
-            while not await query_ready(host.ready):
-                if host.process is not None and host.process.returncode is not None:
-                    host.endpoint.incarnation += 1
-                    await host.start()
-                await asyncio.sleep(0.1)
-        host.starting = False
-        host.stopping = False
+            await host.disturb(action, seconds)
 
     async def _apply_link_fault(self, fault: plans.LinkFault) -> None:
         if fault.link == "target":
@@ -599,10 +510,7 @@
 
     async def _shut_down(self) -> None:
         for host in self._hosts:
-            host.send_signal(signal.SIGCONT)
-            host.send_signal(signal.SIGKILL)
-            if host.process is not None:
-                await host.process.wait()
+            await host.end()
             await host.store.stop()
             await host.front.stop()
             await host.links.stop()
