--- /dev/null
+++ b/tests/deployments/test_deployments.py
@@ -0,0 +1,50 @@
+"""Tests of deployments whose targets are processes of their own."""
+
+import asyncio
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from tests.deployments.hosts import Spares, TargetHost, read_journal
+from tests.platform.standins import FakeStore
+from tests.platform.target import Identity
+from tests.ports import HOST, find_free_port
+
+
+async def test_a_journal_outlives_the_kill_of_its_target(tmp_path: Path) -> None:
+    """Guards against runs of a killed target that are missing in the record."""
+    store = FakeStore()
+    await store.start()
+    spares = Spares(tmp_path / "targets.log")
+    await spares.start(1)
+    address = f"{HOST}:{find_free_port()}"
+    journal = tmp_path / "e-1.jsonl"
+    target = TargetHost(
+        Identity("e-1", "engines", address, "muc-a", "v2", store.address, str(journal)),
+        spares,
+    )
+    headers = {"Expect-Instance": "e-1", "Request-Id": "r-1", "Token-Count": "1,400"}
+    received = b""
+    try:
+        await target.start()
+        while not journal.exists() or b"registered" not in journal.read_bytes():
+            await asyncio.sleep(0.02)
+        with pytest.raises(aiohttp.ClientError):
+            async with (
+                aiohttp.ClientSession() as session,
+                session.post(f"http://{address}/plan/100", headers=headers) as response,
+            ):
+                received = await response.content.readuntil(b"\n\n")
+                await target.kill()
+                await response.read()
+    finally:
+        await target.kill()
+        await spares.stop()
+        await store.stop()
+    arrivals: list[str] = []
+    [run] = read_journal(journal, lambda _at, request: arrivals.append(request))
+    assert arrivals == ["r-1"]
+    assert received == f"id: 1\ndata: {run.generation} r-1 v2 1\n\n".encode()
+    assert run.ended is not None
+    assert not run.whole
