--- a/tests/deployments/__main__.py
+++ b/tests/deployments/__main__.py
@@ -61,6 +61,9 @@
     finally:
         gc.unfreeze()
     write_record(folder / "record.jsonl", site.record, offset)
+    # Stalls of targets are no excuse, but a hint at an overloaded machine.
+    stalls = [orjson.dumps(stall) for stall in site.target_stalls]
+    (folder / "stalls.jsonl").write_bytes(b"\n".join(stalls))
     return site.record, check_promises(site.record)
 
 
--- a/tests/deployments/hosts.py
+++ b/tests/deployments/hosts.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
+from typing import Any
 
 import orjson
 from aiohttp import web
@@ -17,6 +18,9 @@
 from tests.platform.target import Identity
 from tests.processes import ROOT
 
+START_TIMEOUT_SECONDS = 30.0
+"""Time limit of the start of a target and of its registration, in seconds."""
+
 SPARES = 3
 """Number of processes that wait for an identity."""
 
@@ -43,7 +47,7 @@
                 sys.executable,
                 *("-m", "tests.platform.target"),
                 stdin=asyncio.subprocess.PIPE,
-                stdout=lines,
+                stdout=asyncio.subprocess.PIPE,
                 stderr=lines,
                 env={**os.environ, "PYTHONPATH": str(ROOT)},
             )
@@ -88,9 +92,20 @@
         return self.identity.name
 
     async def start(self) -> None:
-        """Start the process."""
+        """Start the process, and wait until it listens."""
         await self.release()
         self.process = await self.spares.take(self.identity)
+        await self._wait_for_line()
+
+    async def wait_until_registered(self) -> None:
+        """Wait until the process that has just started is registered."""
+        await self._wait_for_line()
+
+    async def _wait_for_line(self) -> None:
+        assert self.process is not None
+        assert self.process.stdout is not None
+        async with asyncio.timeout(START_TIMEOUT_SECONDS):
+            await self.process.stdout.readline()
 
     def send_signal(self, number: int) -> None:
         """Send a signal to the process if it still runs."""
@@ -132,18 +147,13 @@
             self._holder = None
 
 
-def read_journal(path: Path, note: Callable[[float, str], None]) -> list[Run]:
-    """Return the runs in the journal of a target.
-
-    ``note`` is called with the time and the id of each request that arrived.
-    """
+def read_journal(path: Path, note: Callable[[dict[str, Any]], None]) -> list[Run]:
+    """Return the runs in the journal of a target; call ``note`` with other lines."""
     runs: dict[tuple[str, str, float], Run] = {}
     running: list[Run] = []
     for line in path.read_bytes().splitlines():
         entry = orjson.loads(line)
         match entry["kind"]:
-            case "arrived":
-                note(entry["at"], entry["request"])
             case "run":
                 fields = entry["run"]
                 fields["body"] = fields["body"].encode()
@@ -159,4 +169,6 @@
                 for run in running:
                     run.ended = entry["at"]
                 running.clear()
+            case _:
+                note(entry)
     return list(runs.values())
--- a/tests/deployments/sites.py
+++ b/tests/deployments/sites.py
@@ -5,9 +5,9 @@
 import signal
 from collections.abc import Coroutine
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
-
-import orjson
+from typing import Any
 
 from tests.deployments import plans
 from tests.deployments.callers import Callers
@@ -15,6 +15,7 @@
 from tests.deployments.shapes import Shape
 from tests.faults.promises import RETRY_RATIO, RETRY_WINDOW
 from tests.faults.records import Kind, Record, Version
+from tests.faults.sites import record_loop_stalls
 from tests.platform.entries import EntryEndpoint, EntryHost
 from tests.platform.processes import build_network, query_ready
 from tests.platform.runs import read_clock
@@ -37,9 +38,6 @@
 READY_POLL_INTERVAL = 0.5
 """Pause between two readiness checks of all entries for the callers, in seconds."""
 
-REGISTRATION_SECONDS = 1.0
-"""Time until a target that has started is taken for registered, in seconds."""
-
 VERSIONS = ("v1", "v2")
 """Software versions of the engines, which run side by side."""
 
@@ -70,6 +68,8 @@
         self._targets: list[TargetHost] = []
         self._gone: list[TargetHost] = []
         self._names = 0
+        self._left_at: dict[str, float] = {}
+        self.target_stalls: list[tuple[str, float, float]] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run_plan(
@@ -87,7 +87,10 @@
                 self._returns,
             )
             traffic = asyncio.create_task(callers.run(stop_event, patience))
-            watch = asyncio.create_task(self._watch_readiness())
+            watches = [
+                asyncio.create_task(self._watch_readiness()),
+                asyncio.create_task(record_loop_stalls(self.record)),
+            ]
             start = read_clock()
             for step in steps:
                 await asyncio.sleep(max(0.0, start + step.at - read_clock()))
@@ -98,7 +101,8 @@
             await asyncio.sleep(RECOVERY_SECONDS + FINAL_TRAFFIC_SECONDS)
             stop_event.set()
             await traffic
-            watch.cancel()
+            for watch in watches:
+                watch.cancel()
         finally:
             await self._shut_down()
         self._read_journals()
@@ -110,10 +114,9 @@
         await self._store.start()
         await self._configure()
         await self._spares.start(self._shape.engines + self._shape.services + SPARES)
-        for _ in range(self._shape.engines):
-            await self._add_target("engines")
-        for _ in range(self._shape.services):
-            await self._add_target("bookings")
+        services = ["engines"] * self._shape.engines
+        services += ["bookings"] * self._shape.services
+        await asyncio.gather(*map(self._add_target, services))
         network = build_network()
         for number, domain in enumerate(self._shape.list_domains()):
             ip = network.find_ip(number)
@@ -192,6 +195,7 @@
         host = TargetHost(identity, self._spares)
         self._targets.append(host)
         await host.start()
+        await host.wait_until_registered()
 
     async def _watch_readiness(self) -> None:
         while True:
@@ -253,13 +257,15 @@
                 identity = replace(identity, version=other)
         target.identity = identity
         await target.start()
-        await asyncio.sleep(fault.late + REGISTRATION_SECONDS)
+        await target.wait_until_registered()
 
     async def _replace(self, target: TargetHost, fault: plans.Replace) -> None:
         self._targets.remove(target)
         self._gone.append(target)
         await self._add_target(target.identity.service, fault.behaviors)
+        # A departure that the journal names later than this is the last one.
         self.record.departures[target.name] = float("inf")
+        self._left_at[target.name] = read_clock()
         if fault.graceful:
             target.send_signal(signal.SIGTERM)
             await target.wait()
@@ -288,22 +294,23 @@
 
     def _read_journals(self) -> None:
         for target in [*self._targets, *self._gone]:
-            path = Path(target.identity.journal)
-            service, name = target.identity.service, target.name
-
-            def note(
-                at: float, request: str, service: str = service, name: str = name
-            ) -> None:
-                self.record.arrivals.append((at, service, request))
-                self.record.target_arrivals.append((at, name, request))
-
-            self.record.runs += read_journal(path, note)
-            for line in path.read_bytes().splitlines():
-                entry = orjson.loads(line)
-                if entry.get("state") == "draining" and name in self.record.departures:
-                    self.record.departures[name] = entry["at"]
+            note = partial(self._note_line, target)
+            self.record.runs += read_journal(Path(target.identity.journal), note)
         self.record.runs.sort(key=lambda run: run.began)
 
+    def _note_line(self, target: TargetHost, line: dict[str, Any]) -> None:
+        name = target.name
+        match line["kind"]:
+            case "arrived":
+                service, request = target.identity.service, line["request"]
+                self.record.arrivals.append((line["at"], service, request))
+                self.record.target_arrivals.append((line["at"], name, request))
+            case "stall":
+                self.target_stalls.append((name, line["start"], line["end"]))
+            case "registered" if line["state"] == "draining":
+                if line["at"] > self._left_at.get(name, float("inf")):
+                    self.record.departures[name] = line["at"]
+
 
 def describe_fault(fault: plans.Fault) -> str:
     """Return the kind of a fault with what distinguishes it."""
--- a/tests/deployments/test_deployments.py
+++ b/tests/deployments/test_deployments.py
@@ -1,7 +1,7 @@
 """Tests of deployments whose targets are processes of their own."""
 
-import asyncio
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 import pytest
@@ -28,8 +28,6 @@
     received = b""
     try:
         await target.start()
-        while not journal.exists() or b"registered" not in journal.read_bytes():
-            await asyncio.sleep(0.02)
         with pytest.raises(aiohttp.ClientError):
             async with (
                 aiohttp.ClientSession() as session,
@@ -42,9 +40,9 @@
         await target.kill()
         await spares.stop()
         await store.stop()
-    arrivals: list[str] = []
-    [run] = read_journal(journal, lambda _at, request: arrivals.append(request))
-    assert arrivals == ["r-1"]
+    lines: list[dict[str, Any]] = []
+    [run] = read_journal(journal, lines.append)
+    assert [line["request"] for line in lines if line["kind"] == "arrived"] == ["r-1"]
     assert received == f"id: 1\ndata: {run.generation} r-1 v2 1\n\n".encode()
     assert run.ended is not None
     assert not run.whole
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -24,7 +24,7 @@
 from tests.faults.targets import SoakTarget
 from tests.platform.entries import EntryEndpoint, EntryHost
 from tests.platform.processes import Network, build_network, query_ready
-from tests.platform.runs import read_clock
+from tests.platform.runs import read_clock, watch_loop
 from tests.platform.standins import FakeStore, build_configuration
 
 GRACE_SECONDS = 4.0
@@ -39,12 +39,6 @@
 RECOVERY_SECONDS = 4.0
 """Time after the last fault within which all must work again, in seconds."""
 
-LOOP_CHECK_INTERVAL = 0.05
-"""Interval of the timer that detects stalls of the event loop, in seconds."""
-
-LOOP_STALL_THRESHOLD = 0.2
-"""Delay of that timer which is recorded as a stall, in seconds."""
-
 FINAL_TRAFFIC_SECONDS = 2.0
 """Time of traffic after RECOVERY_SECONDS for the recovery check, in seconds."""
 
@@ -528,12 +522,7 @@
 
 async def record_loop_stalls(record: Record) -> None:
     """Record each span in which the event loop was blocked, until cancelled."""
-    while True:
-        due = read_clock() + LOOP_CHECK_INTERVAL
-        await asyncio.sleep(LOOP_CHECK_INTERVAL)
-        woke_at = read_clock()
-        if woke_at - due > LOOP_STALL_THRESHOLD:
-            record.loop_stalls.append((due, woke_at))
+    await watch_loop(lambda start, end: record.loop_stalls.append((start, end)))
 
 
 async def _disturb_proxy(proxy: TcpProxy, action: str, seconds: float) -> None:
--- a/tests/faults/test_sites.py
+++ b/tests/faults/test_sites.py
@@ -4,11 +4,8 @@
 import time
 
 from tests.faults.records import Record
-from tests.faults.sites import (
-    LOOP_CHECK_INTERVAL,
-    LOOP_STALL_THRESHOLD,
-    record_loop_stalls,
-)
+from tests.faults.sites import record_loop_stalls
+from tests.platform.runs import LOOP_CHECK_INTERVAL, LOOP_STALL_THRESHOLD
 
 
 async def test_a_blocked_event_loop_is_recorded() -> None:
--- a/tests/platform/runs.py
+++ b/tests/platform/runs.py
@@ -4,9 +4,17 @@
 of a machine share.
 """
 
+import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
+LOOP_CHECK_INTERVAL = 0.05
+"""Interval of the timer that detects stalls of an event loop, in seconds."""
+
+LOOP_STALL_THRESHOLD = 0.2
+"""Delay of that timer which counts as a stall, in seconds."""
+
 
 @dataclass(slots=True)
 class Run:
@@ -45,3 +53,13 @@
 def read_clock() -> float:
     """Return the monotonic time that all records use, in seconds."""
     return time.monotonic()
+
+
+async def watch_loop(note: Callable[[float, float], None]) -> None:
+    """Call ``note`` with each span in which the event loop was blocked."""
+    while True:
+        due = read_clock() + LOOP_CHECK_INTERVAL
+        await asyncio.sleep(LOOP_CHECK_INTERVAL)
+        woke_at = read_clock()
+        if woke_at - due > LOOP_STALL_THRESHOLD:
+            note(due, woke_at)
--- a/tests/platform/target.py
+++ b/tests/platform/target.py
@@ -1,6 +1,7 @@
 """Target as a process of its own: ``python -m tests.platform.target``.
 
-It imports what it needs, then waits for one line with its identity as JSON.
+It imports what it needs, then waits for one line with its identity as JSON. It prints
+a line once it listens, and one once it is registered.
 """
 
 import asyncio
@@ -18,7 +19,7 @@
 import orjson
 from aiohttp import web
 
-from tests.platform.runs import Run, read_clock
+from tests.platform.runs import Run, read_clock, watch_loop
 from tests.platform.standins import build_registration, start_app
 from tests.platform.targets import SigningTarget
 
@@ -82,6 +83,10 @@
         line = orjson.dumps({"kind": kind, "at": read_clock(), **fields})
         os.write(self.journal, line + b"\n")
 
+    def note_stall(self, start: float, end: float) -> None:
+        """Write that the process could not work for a while."""
+        self.write("stall", start=start, end=end)
+
     async def register(self) -> None:
         """Write the registration, or delete it once the target has left."""
         value = b""
@@ -235,9 +240,13 @@
         port = int(identity.address.rpartition(":")[2])
         await start_app(target.build_app(), port)
         target.write("born", version=target.version, born=target.born)
+        print("listening", flush=True)
+        stalls = asyncio.create_task(watch_loop(target.note_stall))
         await asyncio.sleep(identity.late)
         await target.register()
+        print("registered", flush=True)
         await leaving.wait()
+        stalls.cancel()
         await target.leave()
 
 
