--- a/tests/deployments/__main__.py
+++ b/tests/deployments/__main__.py
@@ -14,7 +14,7 @@
 
 import orjson
 
-from tests.deployments.plans import draw_plan
+from tests.deployments.plans import BEHAVIORS, draw_plan
 from tests.deployments.shapes import SHAPES
 from tests.deployments.sites import Site
 from tests.faults.__main__ import describe_record
@@ -36,6 +36,7 @@
     seconds: float = FAULT_SECONDS,
     patience: float = PATIENCE_SECONDS,
     returns: float = 1.0,
+    without: tuple[str, ...] = (),
 ) -> tuple[Record, list[Breach]]:
     """Run a deployment with the faults of a seed and check its record.
 
@@ -46,12 +47,13 @@
         seconds: Time in which faults are injected.
         patience: Time for which answers are awaited after the last request.
         returns: Factor of the rate of streams that may be resumed.
+        without: Behaviors of engines that the run leaves out.
 
     Returns:
         The record of the run and the breaches of promises that it shows.
     """
     shape = SHAPES[name]
-    site = Site(seed, folder, shape, returns)
+    site = Site(seed, folder, shape, returns, without)
     offset = time.time() - read_clock()
     gc.collect()
     gc.freeze()
@@ -126,6 +128,7 @@
             folder,
             arguments.seconds,
             returns=arguments.returns,
+            without=tuple(arguments.without),
         )
         failed += bool(breaches)
         outcome = f"{len(breaches)} breaches" if breaches else "held"
@@ -148,6 +151,9 @@
     parser.add_argument(
         "--returns", type=float, default=1.0, help="streams that may be resumed, times"
     )
+    parser.add_argument(
+        "--without", nargs="*", choices=BEHAVIORS, default=[], help="behaviors"
+    )
     parser.add_argument("--folder", type=Path, default=None, help="for the logs")
     arguments = parser.parse_args()
     # aiohttp logs an error for each handler that ends as its peer has gone.
--- a/tests/deployments/sites.py
+++ b/tests/deployments/sites.py
@@ -56,12 +56,20 @@
     The seed determines the traffic and the plan; the processes differ in each run.
     """
 
-    def __init__(self, seed: int, folder: Path, shape: Shape, returns: float) -> None:
+    def __init__(
+        self,
+        seed: int,
+        folder: Path,
+        shape: Shape,
+        returns: float = 1.0,
+        without: tuple[str, ...] = (),
+    ) -> None:
         self.record = Record(retry_extra=shape.retry_extra)
         self._rng = random.Random(f"{seed} site")
         self._folder = folder
         self._shape = shape
         self._returns = returns
+        self._without = without
         self._store = FakeStore()
         self._spares = Spares(folder / "targets.log")
         self._entries: list[EntryHost] = []
@@ -190,7 +198,7 @@
             self._store.address,
             str(self._folder / f"{name}.jsonl"),
             work=self._shape.work,
-            faults=behaviors if service == "engines" else (),
+            faults=self._list_faults(service, behaviors),
         )
         host = TargetHost(identity, self._spares)
         self._targets.append(host)
@@ -250,15 +258,20 @@
             await target.hold(fault.held)
             await asyncio.sleep(fault.gap)
         identity = replace(target.identity, late=fault.late)
-        if target.identity.service == "engines":
-            identity = replace(identity, faults=fault.behaviors)
-            if fault.upgrade:
-                other = VERSIONS[identity.version == VERSIONS[0]]
-                identity = replace(identity, version=other)
+        service = identity.service
+        identity = replace(identity, faults=self._list_faults(service, fault.behaviors))
+        if fault.upgrade and service == "engines":
+            other = VERSIONS[identity.version == VERSIONS[0]]
+            identity = replace(identity, version=other)
         target.identity = identity
         await target.start()
         await target.wait_until_registered()
 
+    def _list_faults(self, service: str, behaviors: tuple[str, ...]) -> tuple[str, ...]:
+        if service != "engines":
+            return ()
+        return tuple(name for name in behaviors if name not in self._without)
+
     async def _replace(self, target: TargetHost, fault: plans.Replace) -> None:
         self._targets.remove(target)
         self._gone.append(target)
--- a/tests/platform/target.py
+++ b/tests/platform/target.py
@@ -73,6 +73,7 @@
         self.service = self.identity.service
         self.version = self.identity.version
         self.faults = list(self.identity.faults)
+        self.missing_copy_pause = None
         self._rng = random.Random(f"{self.name} {self.born}")
         self._runs = 0
         self._backed_up: dict[str, float] = {}
--- a/tests/platform/targets.py
+++ b/tests/platform/targets.py
@@ -37,6 +37,8 @@
             or ``empty`` (half of the continuations among them before the first one).
         copies: Generation of which the target holds a copy, by request.
         running: Runs that have not ended, by request.
+        missing_copy_pause: Value of Retry-After, in seconds, where it has no copy of
+            the run that is to go on; None to send none.
     """
 
     name: str
@@ -46,6 +48,7 @@
     faults: list[str]
     copies: dict[str, str]
     running: dict[str, Run]
+    missing_copy_pause: float | None = 0.1
 
     def build_app(self) -> web.Application:
         """Return the server of the target's protocol."""
@@ -122,10 +125,11 @@
         """Return the headers with which the target says something of itself."""
         return {}
 
-    def refuse(self, request_id: str, pause: float = 0.1) -> web.Response:
+    def refuse(self, request_id: str, pause: float | None = 0.1) -> web.Response:
         """Return the answer to a request that is not run."""
         headers = {"Request-Id": request_id, "Not-Executed": "1"}
-        headers["Retry-After"] = str(pause)
+        if pause is not None:
+            headers["Retry-After"] = str(pause)
         headers.update(self.build_signal_headers())
         return web.Response(status=503, headers=headers)
 
@@ -139,7 +143,7 @@
         if "Kv-From" in request.headers:
             copy = self.copies.pop(request_id, None)
             if copy is None:
-                return self.refuse(request_id)
+                return self.refuse(request_id, self.missing_copy_pause)
         refusal = await self.turn_away(request, copy)
         if refusal is not None:
             return refusal
