--- a/tests/deployments/__main__.py
+++ b/tests/deployments/__main__.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -117,6 +118,10 @@
 
 async def _run_all(arguments: argparse.Namespace) -> int:
     """Run several seeds in turn and return the number of those that failed."""
+    task = asyncio.current_task()
+    assert task is not None
+    # The processes of a run end with it.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
         root = arguments.folder or Path(tempfile.mkdtemp(prefix="deployment-"))
