--- a/tests/platform/target.py
+++ b/tests/platform/target.py
@@ -26,6 +26,9 @@
 BACKUP_INTERVAL = 0.2
 """Time between two parts of a running backup, in seconds."""
 
+CALL_BYTES = 800
+"""Length of the answers to calls, in bytes."""
+
 REGISTER_TIMEOUT_SECONDS = 30.0
 """Time for which it tries to write its registration, in seconds."""
 
@@ -74,6 +77,7 @@
         self.version = self.identity.version
         self.faults = list(self.identity.faults)
         self.missing_copy_pause = None
+        self.call_bytes = CALL_BYTES
         self._rng = random.Random(f"{self.name} {self.born}")
         self._runs = 0
         self._backed_up: dict[str, float] = {}
--- a/tests/platform/targets.py
+++ b/tests/platform/targets.py
@@ -39,6 +39,8 @@
         running: Runs that have not ended, by request.
         missing_copy_pause: Value of Retry-After, in seconds, where it has no copy of
             the run that is to go on; None to send none.
+        call_bytes: Smallest length of the answers to calls, which then come in two
+            parts; 0 for short ones in one part.
     """
 
     name: str
@@ -49,6 +51,7 @@
     copies: dict[str, str]
     running: dict[str, Run]
     missing_copy_pause: float | None = 0.1
+    call_bytes: int = 0
 
     def build_app(self) -> web.Application:
         """Return the server of the target's protocol."""
@@ -185,6 +188,7 @@
         if self.draw_grey():
             run.status = 500
         run.body = f"{run.request} at {self.name} of {len(body)}".encode()
+        run.body = run.body.ljust(self.call_bytes, b".")
         answer = self._open_answer(request, run, len(run.body))
         if self._breaks_off(run):
             answer.write(run.body[: len(run.body) // 2])
@@ -192,8 +196,13 @@
             # Without a length and chunks, the close by a target that lives on would
             # be the end of the answer.
             return answer.reset()
+        rest = run.body
+        if self.call_bytes:
+            answer.write(rest[: len(rest) // 2])
+            await asyncio.sleep(self.find_interval(run))
+            rest = rest[len(rest) // 2 :]
         run.whole = True
-        answer.write(run.body)
+        answer.write(rest)
         return answer.end()
 
     def _open_answer(self, request: web.Request, run: Run, length: int) -> RawAnswer:
