--- a/tests/deployments/__main__.py
+++ b/tests/deployments/__main__.py
@@ -38,6 +38,7 @@
     patience: float = PATIENCE_SECONDS,
     returns: float = 1.0,
     without: tuple[str, ...] = (),
+    moves: bool = True,
 ) -> tuple[Record, list[Breach]]:
     """Run a deployment with the faults of a seed and check its record.
 
@@ -49,11 +50,12 @@
         patience: Time for which answers are awaited after the last request.
         returns: Factor of the rate of streams that may be resumed.
         without: Behaviors of engines that the run leaves out.
+        moves: Whether engines copy runs on order; else they only keep backups.
 
     Returns:
         The record of the run and the breaches of promises that it shows.
     """
-    shape = SHAPES[name]
+    shape = dataclasses.replace(SHAPES[name], moves=moves)
     site = Site(seed, folder, shape, returns, without)
     offset = time.time() - read_clock()
     gc.collect()
@@ -134,6 +136,7 @@
             arguments.seconds,
             returns=arguments.returns,
             without=tuple(arguments.without),
+            moves=not arguments.backups_only,
         )
         failed += bool(breaches)
         outcome = f"{len(breaches)} breaches" if breaches else "held"
@@ -159,6 +162,9 @@
     parser.add_argument(
         "--without", nargs="*", choices=BEHAVIORS, default=[], help="behaviors"
     )
+    parser.add_argument(
+        "--backups-only", action="store_true", help="no copies of runs on order"
+    )
     parser.add_argument("--folder", type=Path, default=None, help="for the logs")
     arguments = parser.parse_args()
     # aiohttp logs an error for each handler that ends as its peer has gone.
--- a/tests/deployments/shapes.py
+++ b/tests/deployments/shapes.py
@@ -17,6 +17,7 @@
         retry_extra: Repeats in a window of the fleet's retry budget besides a share.
         work: Mean duration of a call, in seconds.
         memory: Tokens that the memory of an engine holds.
+        moves: Whether engines copy runs on order; else they only keep backups.
     """
 
     domains: dict[str, int]
@@ -26,6 +27,7 @@
     retry_extra: int
     work: float
     memory: int
+    moves: bool = True
 
     def list_domains(self) -> list[str]:
         """Return the failure domain of each entry."""
--- a/tests/deployments/sites.py
+++ b/tests/deployments/sites.py
@@ -171,7 +171,7 @@
         engine = {
             "slots": 64,
             "kv_capacity": self._shape.memory,
-            "moves": True,
+            "moves": self._shape.moves,
             "backups": True,
             "stride": 4,
         }
