--- a/tests/platform/target.py
+++ b/tests/platform/target.py
@@ -154,6 +154,10 @@
         """Write that a run begins."""
         self._write_run(run)
 
+    def note_body(self, run: Run) -> None:
+        """Write what a call answers, as the process may be killed once it is sent."""
+        self._write_run(run)
+
     def note_end(self, run: Run) -> None:
         """Write how a run ended."""
         self._backed_up.pop(run.request, None)
--- a/tests/platform/targets.py
+++ b/tests/platform/targets.py
@@ -77,6 +77,9 @@
     def note_begin(self, run: Run) -> None:
         """Record that a run begins."""
 
+    def note_body(self, run: Run) -> None:
+        """Record the body of a call before its last part is sent."""
+
     def note_end(self, run: Run) -> None:
         """Record that a run has ended."""
 
@@ -202,6 +205,7 @@
             await asyncio.sleep(self.find_interval(run))
             rest = rest[len(rest) // 2 :]
         run.whole = True
+        self.note_body(run)
         answer.write(rest)
         return answer.end()
 
