--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -16,10 +16,11 @@
     Attempt,
     Kind,
     Record,
-    read_clock,
 )
-from tests.faults.targets import FORGED, SYSTEM_ONLY_HEADERS
+from tests.platform.entries import EntryEndpoint
+from tests.platform.runs import read_clock
 from tests.platform.standins import ROUTE_HOST
+from tests.platform.targets import FORGED, SYSTEM_ONLY_HEADERS
 
 MEAN_REQUEST_INTERVAL = 0.07
 """Mean time in seconds between two requests of all callers together."""
@@ -57,16 +58,6 @@
 _KIND_SHARES = {Kind.PLAN: 0.25, Kind.CHECK: 0.2, Kind.ORDER: 0.3, Kind.LOOKUP: 0.25}
 
 
-@dataclass(slots=True)
-class EntryEndpoint:
-    """Address, number of restarts and readiness of an entry, as callers know them."""
-
-    entry: int
-    address: str
-    incarnation: int = 0
-    ready: bool = True
-
-
 @dataclass(slots=True)
 class Traffic:
     """Generator of random requests to all entries.
--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tests.faults.records import EVENTS, STREAMS, Attempt, Kind, Record, Run, Version
+from tests.faults.records import EVENTS, STREAMS, Attempt, Kind, Record, Version
+from tests.platform.runs import Run
 
 STABILIZATION_SECONDS = 3.0
 """Time without a fault after which bounds on time are checked again, in seconds."""
@@ -66,9 +67,6 @@
 RETRY_RATIO = 0.2
 """Repeats in a window per request of callers; also written into the settings."""
 
-RETRY_EXTRA = 20
-"""Repeats in a window besides RETRY_RATIO; also written into the settings."""
-
 RATE_WINDOW = 4.0
 """Window of the requests to a target that names a rate, in seconds."""
 
@@ -96,7 +94,7 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that tell a caller that its request did not run."""
 
-_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+)\n\n")
+_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) (\S+) \1\n\n")
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,17 +148,20 @@
     if attempt.status != 200 or attempt.kind not in STREAMS:
         return []
     events = [match.groups() for match in _EVENT.finditer(attempt.body)]
-    indexes = [int(index) for index, _, _ in events]
+    indexes = [int(index) for index, _, _, _ in events]
     first = attempt.after + 1
     if indexes != list(range(first, first + len(indexes))):
         return [Breach("order", f"{attempt.id} got events {indexes}")]
-    if attempt.whole and attempt.after + len(events) != EVENTS[attempt.kind]:
+    length = attempt.length or EVENTS[attempt.kind]
+    if attempt.whole and attempt.after + len(events) != length:
         return [Breach("order", f"{attempt.id} ended normally at event {len(events)}")]
+    if attempt.whole and _EVENT.sub(b"", attempt.body):
+        return [Breach("order", f"{attempt.id} got bytes of no event")]
     if attempt.kind is Kind.RESUME:
         return []
-    if len({generation for _, generation, _ in events}) > 1:
+    if len({generation for _, generation, _, _ in events}) > 1:
         return [Breach("order", f"{attempt.id} got two generations")]
-    if any(owner != attempt.id.encode() for _, _, owner in events):
+    if any(owner != attempt.id.encode() for _, _, owner, _ in events):
         return [Breach("answer", f"{attempt.id} got another request's events")]
     return []
 
@@ -320,7 +321,7 @@
         )
         kinds = STREAMS if service == "engines" else (Kind.ORDER, Kind.LOOKUP)
         sent = sorted(one.sent for one in record.attempts if one.kind in kinds)
-        largest_excess = _find_largest_excess(arrivals, sent)
+        largest_excess = _find_largest_excess(record, arrivals, sent)
         if largest_excess > 0:
             breaches.append(
                 Breach("budget", f"{service}: {largest_excess:.1f} too many")
@@ -328,7 +329,9 @@
     return breaches
 
 
-def _find_largest_excess(arrivals: list[tuple[float, str]], sent: list[float]) -> float:
+def _find_largest_excess(
+    record: Record, arrivals: list[tuple[float, str]], sent: list[float]
+) -> float:
     known_requests: set[str] = set()
     repeats = []
     for at, request in arrivals:
@@ -342,7 +345,7 @@
         windows = []
         for shift in (0.0, RETRY_WINDOW / 2, RETRY_WINDOW):
             windows.append(sum(start - shift < at <= end - shift for at in sent))
-        bound = RETRY_RATIO * max(windows) + RETRY_EXTRA
+        bound = RETRY_RATIO * max(windows) + record.retry_extra
         largest_excess = max(largest_excess, count - bound)
     return largest_excess
 
@@ -378,14 +381,12 @@
 
 def _check_versions(record: Record) -> list[Breach]:
     """Check that a stream has events of one software version, over all its tries."""
-    versions = {run.generation: run.version for run in record.runs}
     seen: dict[str, set[str]] = defaultdict(set)
     for attempt in record.attempts:
         if attempt.kind not in STREAMS or attempt.status != 200:
             continue
-        for _, generation, _ in _EVENT.findall(attempt.body):
-            version = versions.get(generation.decode(), "no version")
-            seen[attempt.resumes or attempt.id].add(version)
+        for _, _, _, version in _EVENT.findall(attempt.body):
+            seen[attempt.resumes or attempt.id].add(version.decode())
     return [
         Breach("version", f"{stream} has events of {sorted(found)}")
         for stream, found in seen.items()
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -9,6 +9,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from tests.platform.entries import Stop
+from tests.platform.runs import Run, read_clock
+
 
 class Kind(Enum):
     """Kind of a request; it decides the route and whether a repetition is allowed."""
@@ -26,38 +29,13 @@
 STREAMS = (Kind.PLAN, Kind.CHECK, Kind.RESUME)
 """Kinds that are generations and are answered with a stream of events."""
 
+RETRY_EXTRA = 20
+"""Repeats in a window besides a share of requests; also written into the settings."""
+
 EVENTS = {Kind.PLAN: 80, Kind.CHECK: 4, Kind.RESUME: 24}
 """Number of events in a complete stream, by kind."""
 
 
-@dataclass(slots=True)
-class Run:
-    """One request that a target began to run.
-
-    Attributes:
-        generation: Name of the generation; a run that resumes from a copy has the
-            name of the run that was copied.
-        ended: Time at which the run ended; None while it runs.
-        customer: Customer named in the request that the target received.
-        forged: System-only headers that reached the target with the caller's value.
-        body: Body of the answer; empty for a stream.
-    """
-
-    request: str
-    target: str
-    generation: str
-    began: float
-    ended: float | None = None
-    whole: bool = False
-    status: int = 200
-    customer: str = ""
-    forged: tuple[str, ...] = ()
-    body: bytes = b""
-    crashed: bool = False
-    broken_off: bool = False
-    version: str = "v1"
-
-
 @dataclass(slots=True)
 class Attempt:
     """One request of a caller with the answer that it received.
@@ -75,6 +53,7 @@
         after: Id of the last event that the caller had received before.
         part: Part of its prompt that crashes engines, or "".
         crowded: Whether most callers came to that entry.
+        length: Number of events of a complete stream; 0 if its kind decides that.
     """
 
     id: str
@@ -95,6 +74,7 @@
     after: int = 0
     part: str = ""
     crowded: bool = False
+    length: int = 0
 
     @property
     def crash_cause(self) -> str:
@@ -117,22 +97,6 @@
     keys: frozenset[str]
 
 
-@dataclass(frozen=True, slots=True)
-class Stop:
-    """Graceful stop of an entry.
-
-    Attributes:
-        at: Time at which SIGTERM was sent.
-        took: Seconds until the process ended; None if it was killed after its
-            grace time.
-    """
-
-    entry: int
-    incarnation: int
-    at: float
-    took: float | None
-
-
 @dataclass(slots=True)
 class Disturbance:
     """Span of a fault, in which bounds on time are not checked.
@@ -184,6 +148,7 @@
         crowds: Spans in which most callers came to one entry; no disturbances.
         loop_stalls: Spans in which the event loop of this process, and with it all
             stand-ins, was blocked. They are reported, but excuse no breach.
+        retry_extra: Repeats in a window that all entries may make besides a share.
         final_phase_start: Time from which all must work again, after the last
             fault and the time to recover from it.
     """
@@ -202,6 +167,7 @@
     cuts: list[Disturbance] = field(default_factory=list)
     crowds: list[Disturbance] = field(default_factory=list)
     loop_stalls: list[tuple[float, float]] = field(default_factory=list)
+    retry_extra: float = RETRY_EXTRA
     final_phase_start: float = 0.0
 
     def begin_disturbance(
@@ -251,8 +217,3 @@
 
     def _list_overlapping(self, start: float, end: float) -> list[Disturbance]:
         return [one for one in self.disturbances if one.overlaps(start, end)]
-
-
-def read_clock() -> float:
-    """Return the monotonic time that all records use, in seconds."""
-    return time.monotonic()
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import signal
 from collections.abc import Awaitable
 from dataclasses import dataclass
 from pathlib import Path
@@ -10,32 +9,27 @@
 from figstep.gateway.state import FULL_MESH_MAX_ENTRIES
 from figstep.standins.proxy import Delay, Direction, Lose, LoseAnswers, Stall, TcpProxy
 from tests.faults import plans
-from tests.faults.callers import EntryEndpoint, Traffic
+from tests.faults.callers import Traffic
 from tests.faults.links import EntryLinks
-from tests.faults.promises import RETRY_EXTRA, RETRY_RATIO, RETRY_WINDOW
+from tests.faults.promises import RETRY_RATIO, RETRY_WINDOW
 from tests.faults.records import (
     CRASHING,
+    RETRY_EXTRA,
     Disturbance,
     Kind,
     NamedRate,
     Record,
-    Stop,
     Version,
-    read_clock,
 )
 from tests.faults.targets import SoakTarget
-from tests.platform.processes import Network, build_network, query_ready, start_entry
+from tests.platform.entries import EntryEndpoint, EntryHost
+from tests.platform.processes import Network, build_network, query_ready
+from tests.platform.runs import read_clock, watch_loop
 from tests.platform.standins import FakeStore, build_configuration
 
 GRACE_SECONDS = 4.0
 """Grace time of a stop in seconds, after which an entry is killed."""
 
-RESTART_DELAY = 0.3
-"""Time between the end of an entry and its next start, in seconds."""
-
-READY_TIMEOUT_SECONDS = 20.0
-"""Time limit of the start of an entry, also while the store is unavailable."""
-
 READY_POLL_INTERVAL = 0.5
 """Pause between two readiness checks of all entries for the callers, in seconds."""
 
@@ -45,12 +39,6 @@
 RECOVERY_SECONDS = 4.0
 """Time after the last fault within which all must work again, in seconds."""
 
-LOOP_CHECK_INTERVAL = 0.05
-"""Interval of the timer that detects stalls of the event loop, in seconds."""
-
-LOOP_STALL_THRESHOLD = 0.2
-"""Delay of that timer which is recorded as a stall, in seconds."""
-
 FINAL_TRAFFIC_SECONDS = 2.0
 """Time of traffic after RECOVERY_SECONDS for the recovery check, in seconds."""
 
@@ -72,35 +60,13 @@
 """Bounds in the settings of the entries."""
 
 
-@dataclass(slots=True)
-class EntryHost:
-    """Entry instance with its process, its settings and the proxies around it.
-
-    Attributes:
-        stopping: Whether the entry was stopped or killed and is not ready again.
-        starting: Whether the entry has not been ready since its start.
-    """
+@dataclass(slots=True, kw_only=True)
+class ProxiedEntry(EntryHost):
+    """Entry with the proxies around it."""
 
-    number: int
-    ready: str
-    endpoint: EntryEndpoint
-    settings: Path
     store: TcpProxy
     front: TcpProxy
     links: EntryLinks
-    log: Path
-    process: asyncio.subprocess.Process | None = None
-    stopping: bool = False
-    starting: bool = True
-
-    async def start(self) -> None:
-        """Start the process and append its output to the log."""
-        self.process = await start_entry(self.settings, self.log)
-
-    def send_signal(self, number: int) -> None:
-        """Send a signal to the process if it still runs."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
 
 
 class Site:
@@ -119,7 +85,7 @@
         self._store = FakeStore()
         self._targets_by_address: dict[str, SoakTarget] = {}
         self._targets: list[SoakTarget] = []
-        self._hosts: list[EntryHost] = []
+        self._hosts: list[ProxiedEntry] = []
         self._entry_count = entries
         self._stop_traffic = asyncio.Event()
         self._stop_returning = asyncio.Event()
@@ -184,9 +150,9 @@
         for host in self._hosts:
             await host.start()
         for host in self._hosts:
-            await self._wait_until_ready(host, launch=False)
+            await host.wait_until_ready(launch=False)
 
-    async def _build_host(self, number: int, network: Network) -> EntryHost:
+    async def _build_host(self, number: int, network: Network) -> ProxiedEntry:
         ip = network.find_ip(number)
         links = EntryLinks(self._targets_by_address)
         address = self._store.address
@@ -200,15 +166,17 @@
         path = self._folder / f"entry-{number}.toml"
         zone = choose_domain(number, self._entry_count)
         network.write_settings(path, number, store.address, zone, bounds=BOUNDS)
-        return EntryHost(
-            number,
-            f"{ip}:{network.ready}",
-            EntryEndpoint(number, front.address),
-            path,
-            store,
-            front,
-            links,
-            self._folder / f"entry-{number}.log",
+        return ProxiedEntry(
+            number=number,
+            ready=f"{ip}:{network.ready}",
+            endpoint=EntryEndpoint(number, front.address),
+            settings=path,
+            log=self._folder / f"entry-{number}.log",
+            grace=GRACE_SECONDS,
+            stops=self.record.stops,
+            store=store,
+            front=front,
+            links=links,
         )
 
     def _build_traffic(self) -> Traffic:
@@ -353,7 +321,7 @@
         for one in spans:
             one.end = read_clock()
 
-    def _record_foreign_requests(self, host: EntryHost) -> list[Disturbance]:
+    def _record_foreign_requests(self, host: ProxiedEntry) -> list[Disturbance]:
         """Record a disturbance of each other entry whose requests use these links.
 
         An entry that has fetched registrations from another one uses its addresses.
@@ -364,72 +332,10 @@
         return [self.record.begin_disturbance("cut off", entry) for entry in entries]
 
     async def _apply_entry_fault(
-        self, action: str, host: EntryHost, seconds: float
+        self, action: str, host: ProxiedEntry, seconds: float
     ) -> None:
         with self.record.disturb(action, host.number):
-            await self._signal_entry(action, host, seconds)
-
-    async def _signal_entry(self, action: str, host: EntryHost, seconds: float) -> None:
-        match action:
-            case "kill" if host.stopping:
-                # The task that stops or restarts the entry handles the end.
-                host.send_signal(signal.SIGKILL)
-            case "stop" if host.stopping:
-                host.send_signal(signal.SIGTERM)
-            case "kill":
-                host.stopping = True
-                host.send_signal(signal.SIGKILL)
-                await self._restart(host)
-            case "stop":
-                await self._stop_entry(host)
-            case "freeze":
-                host.send_signal(signal.SIGSTOP)
-                await asyncio.sleep(seconds)
-                host.send_signal(signal.SIGCONT)
-            case "reload":
-                text = host.settings.read_text()
-                host.settings.write_text(text + f"# {read_clock()}\n")
-                if not host.starting:
-                    # SIGHUP ends a process that has not installed its handlers yet.
-                    host.send_signal(signal.SIGHUP)
-
-    async def _stop_entry(self, host: EntryHost) -> None:
-        assert host.process is not None
-        host.stopping = True
-        asked = read_clock()
-        incarnation = host.endpoint.incarnation
-        host.send_signal(signal.SIGTERM)
-        took: float | None = None
-        try:
-            async with asyncio.timeout(GRACE_SECONDS):
-                await host.process.wait()
-            took = read_clock() - asked
-        except TimeoutError:
-            host.send_signal(signal.SIGKILL)
-        self.record.stops.append(Stop(host.number, incarnation, asked, took))
-        await self._restart(host)
-
-    async def _restart(self, host: EntryHost) -> None:
-        assert host.process is not None
-        await host.process.wait()
-        await asyncio.sleep(RESTART_DELAY)
-        text = host.settings.read_text()
-        host.settings.write_text(text.replace("bootstrap = true", "bootstrap = false"))
-        await self._wait_until_ready(host, launch=True)
-
-    async def _wait_until_ready(self, host: EntryHost, launch: bool) -> None:
-        host.starting = True
-        async with asyncio.timeout(READY_TIMEOUT_SECONDS):
-            if launch:
-                host.endpoint.incarnation += 1
-                await host.start()
-            while not await query_ready(host.ready):
-                if host.process is not None and host.process.returncode is not None:
-                    host.endpoint.incarnation += 1
-                    await host.start()
-                await asyncio.sleep(0.1)
-        host.starting = False
-        host.stopping = False
+            await host.disturb(action, seconds)
 
     async def _apply_link_fault(self, fault: plans.LinkFault) -> None:
         if fault.link == "target":
@@ -598,10 +504,7 @@
 
     async def _shut_down(self) -> None:
         for host in self._hosts:
-            host.send_signal(signal.SIGCONT)
-            host.send_signal(signal.SIGKILL)
-            if host.process is not None:
-                await host.process.wait()
+            await host.end()
             await host.store.stop()
             await host.front.stop()
             await host.links.stop()
@@ -619,12 +522,7 @@
 
 async def record_loop_stalls(record: Record) -> None:
     """Record each span in which the event loop was blocked, until cancelled."""
-    while True:
-        due = read_clock() + LOOP_CHECK_INTERVAL
-        await asyncio.sleep(LOOP_CHECK_INTERVAL)
-        woke_at = read_clock()
-        if woke_at - due > LOOP_STALL_THRESHOLD:
-            record.loop_stalls.append((due, woke_at))
+    await watch_loop(lambda start, end: record.loop_stalls.append((start, end)))
 
 
 async def _disturb_proxy(proxy: TcpProxy, action: str, seconds: float) -> None:
