Write streams whose version is not known to the store while there is one version

While a service has one version, starts of streams are neither told nor written, as that version began them all. One whose engine has not stated its start is told as unknown to the others since the last change, but was not written: after the loss of all entries the next process took the only version for it, and a caller's try went on at an engine of another version than the one that began it.

Such starts are written at any time, and again once their version is known. test_a_stream_without_a_known_version_is_written_while_there_is_one failed before (nothing was written) and passes.

--- a/figstep/gateway/history.py
+++ b/figstep/gateway/history.py
@@ -4,6 +4,7 @@
 entry whose process knows nothing of that attempt. Other entries tell it, unless all
 were lost at once. Then the store has which software versions targets had and, for the
 time in which they had several, which of them began each stream that can be taken up.
+Streams whose version is not known are written at any time.
 
 One entry writes for all that tell it their streams. What two of them write is the same.
 """
@@ -13,7 +14,7 @@
 from figstep.gateway import sources, versions
 from figstep.gateway.effects import Effect, Note, WriteHistory
 from figstep.gateway.events import HistoryRead, HistoryWritten
-from figstep.gateway.starts import RecordedVersion, StreamStart
+from figstep.gateway.starts import RecordedVersion
 from figstep.gateway.state import State
 
 WRITE_INTERVAL = Millis(1_000)
@@ -61,9 +62,7 @@
     if state.position == NO_POSITION or not sources.is_first_reader(state, now):
         return []
     changed = _list_changed_versions(state, now)
-    starts: tuple[StreamStart, ...] = ()
-    if state.announced_since:
-        starts = state.starts.list_unrecorded(state.announced_since, MAX_WRITTEN_STARTS)
+    starts = state.starts.list_unrecorded(state.announced_since, MAX_WRITTEN_STARTS)
     if not changed and not starts:
         return []
     history.writing = True
--- a/figstep/gateway/starts.py
+++ b/figstep/gateway/starts.py
@@ -6,7 +6,7 @@
 """
 
 import hashlib
-from collections.abc import Container, Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from figstep.core.clock import Millis
@@ -146,18 +146,22 @@
         return tuple(own[-MAX_ANNOUNCED_STARTS:])
 
     def list_unrecorded(
-        self, services: Container[str], most: int
+        self, services: Collection[str], most: int
     ) -> tuple[StreamStart, ...]:
         """Return the newest starts that this entry has not recorded in the store.
 
-        They are those of peers, and this entry's own of the given services; ``most`` is
-        their maximum number.
+        They are those of peers and this entry's own of the given services, if there
+        are any, and those whose version is not known; ``most`` is their maximum number.
         """
         unrecorded: list[StreamStart] = []
         for stream, known in reversed(self._known.items()):
             if len(unrecorded) == most:
                 break
-            if known.recorded or (known.service and known.service not in services):
+            if known.recorded:
+                continue
+            is_unknown = known.version == UNKNOWN_VERSION or known.was_unknown
+            is_due = known.service in services if known.service else bool(services)
+            if not is_due and not is_unknown:
                 continue
             unrecorded.append(StreamStart(stream, known.version))
         return tuple(unrecorded)
--- a/tests/gateway/test_history.py
+++ b/tests/gateway/test_history.py
@@ -1,5 +1,7 @@
 """Tests of versions and starts that are kept in the store."""
 
+from dataclasses import replace
+
 import pytest
 
 from figstep.core.clock import Millis
@@ -12,6 +14,7 @@
     PeerHeard,
     PositionRead,
     StoreLost,
+    StreamConfirmed,
     TargetDeparted,
     TargetRegistered,
     TargetsListed,
@@ -23,6 +26,7 @@
 from figstep.gateway.reducer import DEPARTED_RETENTION
 from figstep.gateway.starts import (
     START_RETENTION,
+    UNKNOWN_VERSION,
     RecordedVersion,
     StreamStart,
     hash_stream,
@@ -184,6 +188,21 @@
     assert tick(harness) == []
 
 
+def test_a_stream_without_a_known_version_is_written_while_there_is_one() -> None:
+    """Guards against the only version where all entries are lost after a restart."""
+    harness = start_entry("v1")
+    harness.handle(HistoryRead((RecordedVersion(ENGINES, "v1"),), ()))
+    harness.confirmed = False
+    start = replace(begin_question(harness), version=UNKNOWN_VERSION)
+    (write,) = tick(harness)
+    assert write.starts == (start,)
+    acknowledge(harness, write)
+    (attempt,) = harness.state.attempts
+    harness.handle(StreamConfirmed(attempt))
+    (write,) = tick(harness)
+    assert write.starts == (replace(start, version="v1"),)
+
+
 def test_one_entry_writes_for_all() -> None:
     """Guards against calls to the store that grow with the number of entries."""
     writer, other = start_entry("v1", "v2"), start_entry("v1", "v2")
