Tell what versions are not known to new processes; ask a standby without giving it up

- An entry that starts after the one that began a stream was told only the starts of who answers it, not that others' versions are not known, and took the only version: the caller went on at an engine of another one.
It is told all starts whose version is not known.
- An entry that knows of a restart, and has not read the new registration, still believed that its service has one version.
- A configuration that takes copies away made the close of a running stream its end.
Whether its run could be copied is recorded as it opens.
- A stalled stream lost its copy if the holder stated its start later than 300 ms after its answer: the answer counted only with the statement.
It counts as it arrives now, and the statement is an event of its own.

The check of versions of the soak looks again for generations that no run has, which the check by event had left out.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -63,20 +63,17 @@
     effects: list[Effect] = []
     if attempt is request.standby:
         effects += streams.promote_standby(state, request, attempt, now)
-    if event.confirmed or not _is_open(state, request, attempt):
+    if event.confirmed or not _is_open(request, attempt):
         return effects + _complete(state, request, attempt, now)
     return effects + _ask_for_rest(state, request, attempt, now)
 
 
-def _is_open(state: State, request: Request, attempt: Attempt) -> bool:
+def _is_open(request: Request, attempt: Attempt) -> bool:
     """Return whether another run could state the end that a target left open.
 
     That depends on the route and the service, not on what serves at the moment.
     """
-    if attempt.asked_at is not None or request.route.resumable:
-        return True
-    pool = placement.find_engine_pool(state, request.service)
-    return pool is not None and (pool.moves or pool.backups)
+    return attempt.asked_at is not None or request.route.resumable or request.copyable
 
 
 def _complete(
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -110,13 +110,10 @@
 
     Attributes:
         delimited: Whether a length or chunks tell where the stream ends.
-        confirmed: Whether the target has stated since then that it is the incarnation
-            that it registered.
     """
 
     attempt: int
     delimited: bool = True
-    confirmed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/newcomers.py
+++ b/figstep/gateway/newcomers.py
@@ -21,8 +21,9 @@
     """Return a message with what a new process can't learn from later messages.
 
     These are all rates in force, whoever was told them, the starts of this entry's
-    streams, the software versions that targets had until recently, and the departures
-    and evacuations that an older copy of the store may lack.
+    streams and of all whose version is not known, the software versions that targets
+    had until recently, and the departures and evacuations that an older copy of the
+    store may lack.
     """
     known = {report.incarnation: report for report in message.rates}
     for report in _list_rates_in_force(state, now):
@@ -30,7 +31,7 @@
     return replace(
         message,
         rates=tuple(known.values()),
-        starts=state.starts.list_own(),
+        starts=state.starts.list_for_newcomer(),
         past_versions=versions.list_past_versions(state, now),
         knows_versions=versions.is_history_known(state, now),
         leaving=tuple(sorted({*message.leaving, *_list_departures(state, now)})),
--- a/figstep/gateway/origins.py
+++ b/figstep/gateway/origins.py
@@ -35,9 +35,7 @@
         return Confirmation.NONE
     if request.origin is not None:
         return Confirmation.STREAM
-    pool = placement.find_engine_pool(state, request.service)
-    may_go_on = pool is not None and (pool.moves or pool.backups)
-    if request.route.resumable or may_go_on:
+    if request.route.resumable or placement.copies_runs(state, request.service):
         return Confirmation.VERSION
     return Confirmation.NONE
 
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -433,6 +433,12 @@
     return None if found is None else found.engine
 
 
+def copies_runs(state: State, service: str) -> bool:
+    """Return whether the targets of a service are engines that copy or back up runs."""
+    pool = find_engine_pool(state, service)
+    return pool is not None and (pool.moves or pool.backups)
+
+
 def find_engine_memory(state: State, service: str) -> int:
     """Return the memory of one engine of a service, in tokens; 2**30 if unknown."""
     pool = find_engine_pool(state, service)
--- a/figstep/gateway/starts.py
+++ b/figstep/gateway/starts.py
@@ -145,6 +145,18 @@
         ]
         return tuple(own[-MAX_ANNOUNCED_STARTS:])
 
+    def list_for_newcomer(self) -> tuple[StreamStart, ...]:
+        """Return what a process that starts can't learn from later messages.
+
+        These are the newest own starts and the newest whose version is not known.
+        """
+        unknown = [
+            StreamStart(stream, known.version)
+            for stream, known in self._known.items()
+            if known.version == UNKNOWN_VERSION and not known.service
+        ]
+        return (*unknown[-MAX_ANNOUNCED_STARTS:], *self.list_own())
+
     def list_unrecorded(
         self, services: Collection[str], most: int
     ) -> tuple[StreamStart, ...]:
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -216,6 +216,7 @@
         copying: Whether a copy on order is being made.
         open_ended: Whether its stream has neither a length nor chunks, so that its end
             has to be confirmed.
+        copyable: Whether engines that ran it copy or back up runs.
         copy_destination: Target that holds a copy on order or is to hold it, or None.
         copy_memory: Tokens of memory that this copy takes there.
         copy_source: Target that is being copied from, or None.
@@ -270,6 +271,7 @@
     copied_at: Millis = Millis(0)
     copying: bool = False
     open_ended: bool = False
+    copyable: bool = False
     copy_destination: Target | None = None
     copy_memory: int = 0
     copy_source: Target | None = None
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -7,6 +7,7 @@
     crashes,
     origins,
     pace,
+    placement,
     recovery,
     requests,
     stops,
@@ -79,15 +80,20 @@
 
 
 def handle_stream_opened(state: State, event: StreamOpened) -> list[Effect]:
-    """Record that the headers of an attempt's stream arrived."""
+    """Record that the headers of an attempt's stream arrived.
+
+    That its run could be copied holds whatever a later configuration says.
+    """
     attempt = state.attempts.get(event.attempt)
     if attempt is None:
         return []
     attempt.answered = True
-    attempt.confirmed = event.confirmed
     attempt.target.open_ended = not event.delimited
+    request = state.requests[attempt.request]
     if attempt.first_delivery_at is None:
-        state.requests[attempt.request].open_ended = not event.delimited
+        request.open_ended = not event.delimited
+    if placement.copies_runs(state, request.service):
+        request.copyable = True
     return []
 
 
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -587,6 +587,13 @@
             target.left_at = None
         return target
 
+    def has_restarted(self, service: str) -> bool:
+        """Return whether a target of a service runs as an unregistered incarnation."""
+        return any(
+            target.restarted and target.info.service == service
+            for target in self.targets.values()
+        )
+
     def is_mass_departure(self, name: str, now: Millis) -> bool:
         """Record a departure and return whether registrations appear to have lapsed.
 
--- a/figstep/gateway/versions.py
+++ b/figstep/gateway/versions.py
@@ -64,11 +64,16 @@
 
 
 def find_sole_version(state: State, services: Iterable[str], now: Millis) -> str | None:
-    """Return the only version of some services; None if there were more, or unknown."""
+    """Return the only version of some services; None if there were more, or unknown.
+
+    It is unknown while a target has restarted and not registered its version.
+    """
     if not is_history_known(state, now):
         return None
     versions: set[str] = set()
     for service in services:
+        if state.targets.has_restarted(service):
+            return None
         versions |= list_versions(state, service, now)
     return versions.pop() if len(versions) == 1 else None
 
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -312,12 +312,14 @@
                 refusal.whole = await _is_whole(response)
                 raise
             if effect.stream and response.status == 200:
+                self._open_stream(effect, response)
                 start = await self._await_start(effect, target)
-                confirmed = start is Start.REGISTERED
-                if effect.confirm is Confirmation.STREAM and not confirmed:
+                if start is Start.REGISTERED:
+                    self._dispatch(StreamConfirmed(effect.attempt))
+                elif effect.confirm is Confirmation.STREAM:
                     detail = f"start {start.value}"
                     return AttemptLost(effect.attempt, Loss.UNCONFIRMED, detail=detail)
-                return await self._read_stream(effect, exchange, response, confirmed)
+                return await self._read_stream(effect, exchange, response)
             return await self._read_answer(effect, exchange, response)
 
     async def _await_start(self, effect: OpenAttempt, target: Target) -> Start:
@@ -402,9 +404,16 @@
         ) as response:
             answers.check_answer(response, exchange.request_id)
             if effect.stream and response.status == 200:
+                self._open_stream(effect, response)
                 return await self._read_stream(effect, exchange, response)
             return await self._read_answer(effect, exchange, response)
 
+    def _open_stream(
+        self, effect: OpenAttempt, response: aiohttp.ClientResponse
+    ) -> None:
+        self._heads[effect.attempt] = answers.read_head(response)
+        self._dispatch(StreamOpened(effect.attempt, is_delimited(response)))
+
     def _dispatch_target_signals(
         self, response: aiohttp.ClientResponse, target: Target, requested_at: Millis
     ) -> None:
@@ -454,12 +463,9 @@
         effect: OpenAttempt,
         exchange: CallerExchange,
         response: aiohttp.ClientResponse,
-        confirmed: bool = False,
     ) -> Event:
         attempt = effect.attempt
-        self._heads[attempt] = answers.read_head(response)
         delimited = is_delimited(response)
-        self._dispatch(StreamOpened(attempt, delimited, confirmed))
         splitter = EventSplitter()
         after = effect.after or 0
         events = new_events = 0
--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -381,12 +381,16 @@
 
 def _check_versions(record: Record) -> list[Breach]:
     """Check that a stream has events of one software version, over all its tries."""
+    generations = {run.generation for run in record.runs}
     seen: dict[str, set[str]] = defaultdict(set)
     for attempt in record.attempts:
         if attempt.kind not in STREAMS or attempt.status != 200:
             continue
-        for _, _, _, version in _EVENT.findall(attempt.body):
-            seen[attempt.resumes or attempt.id].add(version.decode())
+        for _, generation, _, version in _EVENT.findall(attempt.body):
+            found = seen[attempt.resumes or attempt.id]
+            found.add(version.decode())
+            if generation.decode() not in generations:
+                found.add("no run")
     return [
         Breach("version", f"{stream} has events of {sorted(found)}")
         for stream, found in seen.items()
--- a/tests/gateway/crash_fleets.py
+++ b/tests/gateway/crash_fleets.py
@@ -22,6 +22,7 @@
     Event,
     Loss,
     PiecesArrived,
+    StreamConfirmed,
     StreamEnded,
     StreamOpened,
     StreamPiece,
@@ -289,7 +290,8 @@
             self._later(CRASH_DELAY, partial(self._crash, engine, info))
             if not self._crash_after_event:
                 return
-        self.handle(entry, StreamOpened(opened.attempt, confirmed=True))
+        self.handle(entry, StreamOpened(opened.attempt))
+        self.handle(entry, StreamConfirmed(opened.attempt))
         self._write(entry, engine, info, opened, (opened.after or 0) + 1)
 
     def _write(
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -24,7 +24,6 @@
     RunNotCopied,
     StreamClosed,
     StreamEnded,
-    StreamOpened,
     StreamPiece,
     TargetRegistered,
     Ticked,
@@ -302,7 +301,7 @@
             target.open_ended = target.name != "e-4"
         harness.receive_request("/question/a", Prompt("m", 3_000, 2_000, 900))
         opened = harness.find_effect(OpenAttempt)
-        harness.handle(StreamOpened(opened.attempt, delimited=False, confirmed=True))
+        harness.open_stream(opened.attempt, delimited=False)
         piece = StreamPiece(1, b"id: 1\n\n")
         harness.handle(PiecesArrived(opened.attempt, [piece]))
         harness.handle(StreamEnded(opened.attempt, confirmed=False))
@@ -320,7 +319,7 @@
         target = harness.state.targets.find(name)
         assert target is not None
         target.open_ended = True
-    harness.handle(StreamOpened(opened.attempt, delimited=False, confirmed=True))
+    harness.open_stream(opened.attempt, delimited=False)
     piece = StreamPiece(1, b"id: 1\n\n")
     harness.handle(PiecesArrived(opened.attempt, [piece]))
     assert harness.find_effect(CopyRun).holder == "e-4"
@@ -334,7 +333,7 @@
     assert target is not None
     for delimited in (False, True):
         opened = harness.open_plan()
-        harness.handle(StreamOpened(opened.attempt, delimited))
+        harness.open_stream(opened.attempt, delimited)
         assert target.open_ended is not delimited
 
 
@@ -387,7 +386,7 @@
     harness.register("e-1", "e-2")
     harness.receive_plan(output=20)
     opened = harness.find_effect(OpenAttempt)
-    harness.handle(StreamOpened(opened.attempt, delimited=False, confirmed=True))
+    harness.open_stream(opened.attempt, delimited=False)
     piece = StreamPiece(1, b"id: 1\n\n")
     harness.handle(PiecesArrived(opened.attempt, [piece]))
     assert harness.find_effect(CopyRun).source == opened.target
@@ -399,7 +398,7 @@
     harness.register("e-1", "e-2")
     harness.receive_plan(output=20)
     opened = harness.find_effect(OpenAttempt)
-    harness.handle(StreamOpened(opened.attempt, delimited=False, confirmed=True))
+    harness.open_stream(opened.attempt, delimited=False)
     piece = StreamPiece(1, b"id: 1\n\n")
     harness.handle(PiecesArrived(opened.attempt, [piece]))
     ordered = harness.find_effect(CopyRun)
@@ -455,3 +454,20 @@
     assert not harness.state.requests
     harness.handle(RunCopied(opened.number, build_copy(opened.target, ordered.holder)))
     assert not harness.find_effects(OpenAttempt)
+
+
+@pytest.mark.parametrize("engine", [None, EnginePool(64, 34_000, event_tokens=4)])
+def test_a_configuration_that_takes_copies_away_does_not_end_a_stream(
+    engine: EnginePool | None,
+) -> None:
+    """Guards against a close that a change of the settings turns into the end."""
+    harness = EntryHarness()
+    harness.register("e-1", "e-2")
+    opened = harness.open_plan()
+    harness.send_pieces(opened.attempt, 1, 3)
+    table = build_table(2)
+    services = {**table.services, ENGINES: Service(ENGINES, engine=engine)}
+    harness.handle(ConfigurationRead(replace(table, services=services)))
+    harness.handle(StreamEnded(opened.attempt, confirmed=False))
+    assert not harness.find_effects(FinishStream)
+    assert harness.find_effects(BreakStream)
--- a/tests/gateway/test_fleet_properties.py
+++ b/tests/gateway/test_fleet_properties.py
@@ -49,6 +49,7 @@
     RunNotCopied,
     StoreLost,
     StoreRegained,
+    StreamConfirmed,
     StreamEnded,
     StreamOpened,
     StreamPiece,
@@ -462,7 +463,9 @@
         indexes = range(run.index + 1, last + 1)
         pieces = [build_piece(index, run.version) for index in indexes]
         run.index = last
-        self.handle(entry, StreamOpened(attempt, confirmed=run.registered))
+        self.handle(entry, StreamOpened(attempt))
+        if run.registered:
+            self.handle(entry, StreamConfirmed(attempt))
         self.handle(entry, PiecesArrived(attempt, pieces))
         if last == STREAM_EVENTS and run.open:
             self.close(run)
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -13,6 +13,7 @@
     AttemptLost,
     Loss,
     StreamEnded,
+    StreamOpened,
     Ticked,
 )
 from tests.gateway.worlds import EntryHarness, start_with_backup
@@ -170,3 +171,22 @@
     assert standby.backup
     harness.handle(AttemptLost(standby.attempt, Loss.BROKEN))
     assert harness.find_effect(OpenAttempt).target == standby.backup
+
+
+def test_a_standby_whose_engine_states_its_start_late_is_not_given_up() -> None:
+    """Guards against a copy that is lost while its holder is asked for its start."""
+    harness, opened = start_with_backup()
+    for _ in range(5):
+        harness.clock.advance(100)
+        harness.handle(Ticked())
+    (standby,) = set(harness.state.attempts) - {opened.attempt}
+    harness.handle(StreamOpened(standby))
+    closed = []
+    for _ in range(8):
+        harness.clock.advance(100)
+        closed += [
+            effect.attempt
+            for effect in harness.handle(Ticked())
+            if isinstance(effect, CloseAttempt)
+        ]
+    assert closed == [opened.attempt]
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -24,6 +24,7 @@
     TargetRestarted,
     Ticked,
 )
+from figstep.gateway.newcomers import complete_message
 from figstep.gateway.prompts import Prompt
 from figstep.gateway.starts import StreamStart
 from figstep.gateway.state import Origin
@@ -341,3 +342,32 @@
     register(harness, "v1", FIRST)
     restart_first(harness, born=-60_000)
     assert not harness.state.targets.list_ready(ENGINES)
+
+
+def test_a_process_that_starts_is_told_what_versions_are_not_known() -> None:
+    """Guards against the only version where the entry that began a stream restarts."""
+    harness, other = begin_stream("/question/a", confirmed=False), EntryHarness()
+    for entry in (harness, other):
+        register(entry, "v1", "e-5")
+    now = other.clock.now()
+    other.handle(peers.describe_entry(harness.state, now))
+    started = EntryHarness()
+    register(started, "v1", FIRST, "e-5")
+    message = peers.describe_entry(other.state, now)
+    started.handle(complete_message(other.state, message, now))
+    take_up_first(started)
+    assert started.find_effect(Refuse).problem.code == "version_unknown"
+
+
+def test_no_version_is_the_only_one_while_that_of_a_restarted_target_is_not_read() -> (
+    None
+):
+    """Guards against a guess at an entry that nobody told of the stream."""
+    harness = EntryHarness()
+    register(harness, "v1", FIRST, "e-5")
+    restart_first(harness)
+    take_up_first(harness)
+    assert harness.find_effect(Refuse).problem.code == "version_unknown"
+    register(harness, "v1", FIRST, born=2)
+    take_up_first(harness)
+    assert harness.find_effects(OpenAttempt)
--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -18,6 +18,7 @@
     PiecesArrived,
     RequestArrived,
     RoutedRequest,
+    StreamConfirmed,
     StreamOpened,
     StreamPiece,
     TargetChecked,
@@ -206,9 +207,15 @@
         self.receive_plan()
         return self.find_effect(OpenAttempt)
 
+    def open_stream(self, attempt: int, delimited: bool = True) -> None:
+        """Let a target accept a stream and state its registered start."""
+        self.handle(StreamOpened(attempt, delimited))
+        if self.confirmed:
+            self.handle(StreamConfirmed(attempt))
+
     def send_pieces(self, attempt: int, first: int, last: int) -> list[Effect]:
         """Deliver the events ``first`` to ``last`` of an attempt's stream."""
-        self.handle(StreamOpened(attempt, confirmed=self.confirmed))
+        self.open_stream(attempt)
         pieces = [
             StreamPiece(index, f"id: {index}\n\n".encode())
             for index in range(first, last + 1)
