Test that the successor of a plain service does not state the end of an answer

Callers get the first 7 of 11 bytes as a whole answer: a plain service that crashes within an answer without a length and listens again at once is asked on a new connection, and its next process answers.

--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -393,6 +393,29 @@
     assert await read_complete(place, "/order/a") == b"two pallets"
 
 
+async def test_an_answer_of_a_plain_service_that_started_again_is_not_complete(
+    place: Place,
+) -> None:
+    """Guards against a successor at the address that states the end of an answer."""
+    target = place.targets["i-b1"]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        raw = RawAnswer(request, Framing.CONNECTION, target.sign(request), 0)
+        raw.write(b"two pal")
+        await asyncio.sleep(0.1)
+        assert target.runner is not None
+        host, port = target.runner.addresses[0]
+        for site in list(target.runner.sites):
+            await site.stop()
+        raw.close()
+        await web.TCPSite(target.runner, host, port).start()
+        return web.Response()
+
+    target.handler = answer
+    target.report = web.Response(status=400, headers={"Not-Executed": "1"})
+    assert await read_complete(place, "/order/a") is None
+
+
 async def test_a_resumed_stream_begins_with_the_event_that_was_asked_for(
     place: Place,
 ) -> None:
