Read the last event again only if there was none, not if it is empty

The experiment lost every request: its engines send events without content, and an entry that had delivered one took it for none, read it again, and never ended the answer.

--- a/figstep/core/attempts.py
+++ b/figstep/core/attempts.py
@@ -57,7 +57,7 @@
     If nothing came after the last event of a returned caller, that one is read again.
     """
     after = request.delivered
-    if after and request.resumes and not request.last_frame:
+    if after and request.resumes and request.last_frame is None:
         after -= 1
     attempt = _add_attempt(state, request, target, request.generation, now)
     attempt.resuming = True
--- a/figstep/core/recovery.py
+++ b/figstep/core/recovery.py
@@ -200,9 +200,9 @@
     request = state.requests[attempt.request]
     if not request.delivered:
         return recover_attempt(state, AttemptLost(event.attempt, Loss.EMPTY), now)
-    if not request.last_frame and not request.resumes:
+    if request.last_frame is None and not request.resumes:
         return _read_last_event(state, request, now)
-    if not request.last_frame or finishes.is_unfinished(request.last_frame):
+    if request.last_frame is None or finishes.is_unfinished(request.last_frame):
         lost = AttemptLost(event.attempt, Loss.TRUNCATED, detail="no finish reason")
         return recover_attempt(state, lost, now)
     return requests.complete_attempt(state, event, now)
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -46,7 +46,7 @@
         delivered: Index of the last event delivered to the caller, or gathered for
             the caller, from 1; 0 for none.
         last_frame: The last event that this entry delivered, gathered or read again;
-            empty before the first.
+            None before the first.
         attempts: Number of starts, not counting resumes.
         resumes: Number of resumes in a row without a new event.
         returned_index: Index of the last event that a returned caller had received,
@@ -72,7 +72,7 @@
     target: str = ""
     attempt: int | None = None
     delivered: int = 0
-    last_frame: bytes = b""
+    last_frame: bytes | None = None
     attempts: int = 0
     resumes: int = 0
     returned_index: int | None = None
