--- a/tests/deployments/__main__.py
+++ b/tests/deployments/__main__.py
@@ -95,8 +95,11 @@
 
 
 def describe_streams(record: Record) -> list[str]:
-    """Return lines that count streams by the framing of their targets."""
-    runs: dict[str, Run] = {run.request: run for run in record.runs}
+    """Return lines that count streams by the framing of their last events."""
+    runs: dict[str, Run] = {}
+    for run in record.runs:
+        if run.events or run.request not in runs:
+            runs[run.request] = run
     counts: Counter[tuple[str, str]] = Counter()
     for attempt in record.attempts:
         run = runs.get(attempt.id)
