Let stand-ins for engines pin, list and report what they keep

Cause: the protocol states when a run was complete, how much it generated and how far it has come (Pin-Ms, kv-list, the report's runs, pinned, handles). The stand-ins said none of it, so nothing that relies on it could be tested.

Before: a report of state and start; each handle of a copy was "h", and freeing it did nothing.

After: complete runs with Pin-Ms keep their last part with what was generated, until its time, its next use or DELETE; runs that were cut, closed early, stopped or left do not. A report of a process is up to 0.3 s old. Copies are freed by their handle and expire. Events hold 1 to 4 tokens, 4 unless told. Engines that are "pinless" ignore Pin-Ms and answer 404.

--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -12,6 +12,7 @@
 from figstep.standins.proxy import TcpProxy
 from tests.afterlife import Afterlife, answer_for_crashed
 from tests.faults.records import CRASHING, EVENTS, Kind, Record
+from tests.platform.memory import Memory
 from tests.platform.runs import Run, read_clock
 from tests.platform.standins import FakeStore, Handler, build_registration, start_app
 from tests.platform.targets import SigningTarget
@@ -64,6 +65,7 @@
     pauses: list[float] = field(default_factory=list)
     copies: dict[str, str] = field(default_factory=dict)
     running: dict[str, Run] = field(default_factory=dict)
+    memory: Memory = field(default_factory=Memory)
     proxy: TcpProxy | None = None
     runner: web.AppRunner | None = None
     version: str = "v1"
@@ -103,6 +105,7 @@
         self.version = version
         self.born = max(self.born + 1, time.time_ns() // 1_000_000) + step
         self.copies.clear()
+        self.memory.clear()
         self.proxy.cut()
         await self.register(store)
 
@@ -111,6 +114,7 @@
         self.ended = True
         self.afterlife = afterlife
         self.copies.clear()
+        self.memory.clear()
         for transport in self._open:
             transport.close()
         for run in self.running.values():
--- a/tests/platform/runs.py
+++ b/tests/platform/runs.py
@@ -15,6 +15,9 @@
 LOOP_STALL_THRESHOLD = 0.2
 """Delay of that timer which counts as a stall, in seconds."""
 
+DEFAULT_PRIORITY = 5
+"""Priority of a request that names none."""
+
 
 @dataclass(slots=True)
 class Run:
@@ -29,6 +32,8 @@
         body: Body of the answer; empty for a stream.
         framing: How its answer told where the body ends.
         events: Number of events that were sent.
+        after: Id of the last event before the first that it sent.
+        tokens: Tokens of its prompt and of all events up to the last that it sent.
         stopped: Whether the run was ordered to stop, as it was moved.
     """
 
@@ -48,6 +53,9 @@
     framing: str = ""
     events: int = 0
     stopped: bool = False
+    after: int = 0
+    tokens: int = 0
+    priority: int = DEFAULT_PRIORITY
 
 
 def read_clock() -> float:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -14,6 +14,12 @@
 from figstep.core.clock import Millis
 from figstep.platform.settings import Address, EntrySettings
 from tests.afterlife import Afterlife, answer_for_crashed
+from tests.platform.memory import (
+    STRIDE,
+    Memory,
+    read_priority,
+    read_prompt_tokens,
+)
 from tests.ports import HOST, find_free_port
 
 ROUTE_HOST = "users.example"
@@ -355,7 +361,10 @@
         afterlife: What its address does with all further requests, as after a crash;
             None while the target lives.
         copies_runs: Whether it copies runs on order.
-        report: Answer to one query of its state, in place of the usual one, if set.
+        memory: What it keeps of prompts and of complete runs.
+    pins: Whether it pins parts of prompts and lists what it keeps.
+    runs: Runs that have not ended, by id, as the report lists them.
+    report: Answer to one query of its state, in place of the usual one, if set.
     """
 
     name: str
@@ -383,14 +392,20 @@
     born: int = 1
     afterlife: Afterlife | None = None
     copies_runs: bool = True
+    memory: Memory = field(default_factory=Memory)
+    pins: bool = True
+    runs: dict[str, list[str | int]] = field(default_factory=dict)
     report: web.Response | None = None
 
     async def start(self, store: FakeStore, port: int = 0) -> None:
         """Start listening and register in the store."""
+        self.memory.clear()
         app = web.Application(middlewares=[self._serve])
         app.router.add_post("/figstep/kv-move", self._move)
         app.router.add_delete("/figstep/kv-handle/{handle}", self._free)
         app.router.add_get("/figstep/report", self._report)
+        app.router.add_get("/figstep/kv-list", self._list_kept)
+        app.router.add_delete("/figstep/kv-pin/{part}", self._unpin)
         app.router.add_route("*", "/{path:.*}", self._answer)
         self.runner, self.address = await start_app(app, port)
         await self.register(store)
@@ -431,6 +446,7 @@
         """Start again under the id and address; the registration stays as it was."""
         self.born = born
         self.copies.clear()
+        self.memory.clear()
         self.reset_connections()
 
     def reset_connections(self) -> None:
@@ -476,6 +492,11 @@
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         clock = asyncio.get_running_loop().time
         self.began[number] = clock()
+        self.memory.begin(request.headers)
+        prompt = read_prompt_tokens(request.headers)
+        tokens = prompt + STRIDE * (first - 1)
+        priority = read_priority(request.headers)
+        row = self.runs[number] = [number, tokens, first - 1, priority]
         try:
             for index in range(first, self.events + 1):
                 if number in self.stopped:
@@ -486,10 +507,16 @@
                 except ConnectionError:
                     if self.drops:
                         raise
+                row[1:3] = prompt + STRIDE * index, index
                 await asyncio.sleep(self.event_interval)
         except (asyncio.CancelledError, ConnectionError):
             self.aborted.append(number)
             raise
+        finally:
+            if self.runs.get(number) is row:
+                del self.runs[number]
+        if self.pins and request.transport is not None:
+            self.memory.complete(request.headers, STRIDE * self.events)
         await response.write_eof()
         return response
 
@@ -498,9 +525,25 @@
         if self.report is not None:
             given, self.report = self.report, None
             return given
-        report = {"state": "ready", "born": self.born}
+        report = {
+            "state": "ready",
+            "born": self.born,
+            "runs": list(self.runs.values()),
+            "handles": len(self.copies),
+        }
+        if self.pins:
+            report["pinned"] = self.memory.count_pinned()
         return web.Response(body=orjson.dumps(report))
 
+    async def _list_kept(self, request: web.Request) -> web.Response:
+        if not self.pins:
+            return web.Response(status=404)
+        return web.Response(body=orjson.dumps(self.memory.describe(self.born)))
+
+    async def _unpin(self, request: web.Request) -> web.Response:
+        found = self.memory.unpin(request.match_info["part"])
+        return web.Response(status=200 if found else 404)
+
     async def _free(self, request: web.Request) -> web.Response:
         self.freed.append(request.match_info["handle"])
         return web.Response()
--- a/tests/platform/target.py
+++ b/tests/platform/target.py
@@ -19,6 +19,8 @@
 import orjson
 from aiohttp import web
 
+from tests.framing import Framing
+from tests.platform.memory import STRIDE, Memory
 from tests.platform.runs import Run, read_clock, watch_loop
 from tests.platform.standins import build_registration, start_app
 from tests.platform.targets import SigningTarget
@@ -29,6 +31,12 @@
 CALL_BYTES = 800
 """Length of the answers to calls, in bytes."""
 
+REPORT_INTERVAL = 0.3
+"""Time between two changes of what the report says of runs, pins and copies."""
+
+COPY_LIFETIME = 10.0
+"""Time after its last part for which an unused copy is kept, in seconds."""
+
 REGISTER_TIMEOUT_SECONDS = 30.0
 """Time for which it tries to write its registration, in seconds."""
 
@@ -43,6 +51,9 @@
         drain: Time for which it serves after the store knows that it leaves.
         interval: Shortest time before an event, in seconds; the longest is twice it.
         work: Mean duration of a call, in seconds.
+        port: Port at which it listens, if another than that of its address.
+        framing: Framing of all streams; "" to draw one for each.
+        event_tokens: Mean number of tokens in an event.
     """
 
     name: str
@@ -57,6 +68,13 @@
     interval: float = 0.02
     work: float = 0.045
     faults: tuple[str, ...] = ()
+    port: int = 0
+    framing: str = ""
+    event_tokens: float = STRIDE
+
+    def find_port(self) -> int:
+        """Return the port at which it listens."""
+        return self.port or int(self.address.rpartition(":")[2])
 
 
 @dataclass
@@ -69,6 +87,7 @@
     born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     copies: dict[str, str] = field(default_factory=dict)
     running: dict[str, Run] = field(default_factory=dict)
+    memory: Memory = field(default_factory=Memory)
     state: str = "ready"
 
     def __post_init__(self) -> None:
@@ -80,6 +99,12 @@
         self.call_bytes = CALL_BYTES
         self._rng = random.Random(f"{self.name} {self.born}")
         self._runs = 0
+        if self.identity.framing:
+            self.framing = Framing(self.identity.framing)
+        self.event_tokens = self.identity.event_tokens
+        self._reported = super().describe_load()
+        self._given: dict[str, str] = {}
+        self._expiries: dict[str, asyncio.TimerHandle] = {}
         self._backed_up: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -140,6 +165,12 @@
         if "forgetful" in self.faults and zlib.crc32(f"lost {name}".encode()) % 2:
             return web.Response()
         self.copies[name] = (await request.read()).decode()
+        if name in self._expiries:
+            self._expiries[name].cancel()
+        loop = asyncio.get_running_loop()
+        self._expiries[name] = loop.call_later(
+            COPY_LIFETIME, self.copies.pop, name, None
+        )
         return web.Response()
 
     async def _lose_copy(self, request: web.Request) -> web.Response:
@@ -197,8 +228,25 @@
         """Begin to copy a run, which may be ordered to stop."""
         run.stopped = run.stopped or stops
 
+    def describe_load(self) -> dict[str, object]:
+        """Return what the report says, which is up to REPORT_INTERVAL old."""
+        return self._reported
+
+    async def renew_report(self) -> None:
+        """Renew what the report says, now and then."""
+        while True:
+            self._reported = super().describe_load()
+            await asyncio.sleep(REPORT_INTERVAL)
+
+    async def free_copy(self, handle: str) -> None:
+        """Free a copy, here and where it was made."""
+        self.copies.pop(handle, None)
+        if handle in self._given:
+            await self._end_copy(self._given.pop(handle), handle)
+
     async def give_copy(self, holder: str, run: Run) -> bool:
         """Copy a run to the engine at an address, and return whether it holds it."""
+        self._given[run.request] = holder
         url = f"http://{holder}/copies/{run.request}"
         try:
             async with self.session.post(url, data=run.generation) as answer:
@@ -217,14 +265,14 @@
     async def _send_backup(self, holder: str, run: Run) -> None:
         await self.give_copy(holder, run)
         if run.whole:
-            await self._end_backup(holder, run)
+            await self._end_copy(holder, run.request)
 
     def drop_backup(self, holder: str, run: Run) -> None:
         """Free the backup of a run that is complete."""
-        self._start(self._end_backup(holder, run))
+        self._start(self._end_copy(holder, run.request))
 
-    async def _end_backup(self, holder: str, run: Run) -> None:
-        url = f"http://{holder}/copies/{run.request}"
+    async def _end_copy(self, holder: str, request_id: str) -> None:
+        url = f"http://{holder}/copies/{request_id}"
         try:
             async with self.session.delete(url):
                 return
@@ -246,8 +294,8 @@
         target = ProcessTarget(identity, session, journal)
         leaving = asyncio.Event()
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, leaving.set)
-        port = int(identity.address.rpartition(":")[2])
-        await start_app(target.build_app(), port)
+        await start_app(target.build_app(), identity.find_port())
+        report = asyncio.create_task(target.renew_report())
         target.write("born", version=target.version, born=target.born)
         print("listening", flush=True)
         stalls = asyncio.create_task(watch_loop(target.note_stall))
@@ -256,6 +304,7 @@
         print("registered", flush=True)
         await leaving.wait()
         stalls.cancel()
+        report.cancel()
         await target.leave()
 
 
--- a/tests/platform/targets.py
+++ b/tests/platform/targets.py
@@ -8,6 +8,13 @@
 from aiohttp import web
 
 from tests.framing import Framing, RawAnswer, choose_framing
+from tests.platform.memory import (
+    STRIDE,
+    Memory,
+    draw_sizes,
+    read_priority,
+    read_prompt_tokens,
+)
 from tests.platform.runs import Run, read_clock
 from tests.platform.standins import Handler
 
@@ -33,10 +40,14 @@
         born: Start of its incarnation, as a Unix time in milliseconds.
         faults: What is wrong with it: ``grey`` (half of its calls are answered with
             status 500), ``broken`` (half of its answers break off), ``early`` (half
-            of its streams that end with their connection do so between two events)
-            or ``empty`` (half of the continuations among them before the first one).
+            of its streams that end with their connection do so between two events),
+            ``empty`` (half of the continuations among them before the first one) or
+            ``pinless`` (it pins nothing and does not list what it keeps).
         copies: Generation of which the target holds a copy, by request.
         running: Runs that have not ended, by request.
+        memory: What it keeps of prompts and of complete runs.
+        framing: Framing of all its streams; None to draw one for each.
+        event_tokens: Mean number of tokens in an event.
         missing_copy_pause: Value of Retry-After, in seconds, where it has no copy of
             the run that is to go on; None to send none.
         call_bytes: Smallest length of the answers to calls, which then come in two
@@ -50,6 +61,9 @@
     faults: list[str]
     copies: dict[str, str]
     running: dict[str, Run]
+    memory: Memory
+    framing: Framing | None = None
+    event_tokens: float = STRIDE
     missing_copy_pause: float | None = 0.1
     call_bytes: int = 0
 
@@ -58,6 +72,8 @@
         app = web.Application(middlewares=[self.serve])
         app.router.add_post("/figstep/kv-move", self._move_run)
         app.router.add_get("/figstep/report", self._report)
+        app.router.add_get("/figstep/kv-list", self._list_kept)
+        app.router.add_delete("/figstep/kv-pin/{part}", self._unpin)
         app.router.add_delete("/figstep/kv-handle/{handle}", self._free_copy)
         self.add_routes(app)
         app.router.add_route("*", "/{path:.*}", self._answer)
@@ -180,6 +196,10 @@
             version=self.version,
             framing=choose_framing(f"{request_id} {self.name}").value,
         )
+        if "Token-Count" in headers:
+            run.framing = self.framing.value if self.framing else run.framing
+            run.priority = read_priority(headers)
+            self.memory.begin(headers)
         self.running[request_id] = run
         self.note_begin(run)
         return run
@@ -236,11 +256,16 @@
 
     async def _stream(self, request: web.Request, run: Run) -> web.StreamResponse:
         holder = request.headers.get("Kv-Backup", "")
-        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        run.after = int(request.headers.get("Last-Event-Id", "0"))
+        first = run.after + 1
+        total = self.count_events(request)
+        sizes = draw_sizes(request.path, total, self.event_tokens)
+        prompt = read_prompt_tokens(request.headers)
+        run.tokens = prompt + sum(sizes[: run.after])
         prefix = f"{run.generation} {run.request} {self.version}"
         events = [
             f"id: {index}\ndata: {prefix} {index}\n\n"
-            for index in range(first, self.count_events(request) + 1)
+            for index in range(first, total + 1)
         ]
         answer = self._open_answer(request, run, sum(map(len, events)))
         broken_at = len(events) // 2 if self._breaks_off(run) else None
@@ -259,7 +284,10 @@
                 return answer.close()
             answer.write(event.encode())
             run.events += 1
+            run.tokens += sizes[run.after + run.events - 1]
         run.whole = True
+        if "pinless" not in self.faults:
+            self.memory.complete(request.headers, run.tokens - prompt)
         if holder:
             self.drop_backup(holder, run)
         return answer.end()
@@ -273,14 +301,45 @@
         await asyncio.sleep(COPY_SECONDS)
         if not await self.give_copy(order["target"], run):
             return web.Response(status=503)
-        return web.Response(body=orjson.dumps({"handle": "h", "created": 1}))
+        handle = {"handle": run.request, "created": 1}
+        return web.Response(body=orjson.dumps(handle))
 
     def begin_move(self, run: Run, stops: bool) -> None:
         """Begin to copy a run, which may be ordered to stop."""
 
     async def _free_copy(self, request: web.Request) -> web.Response:
+        await self.free_copy(request.match_info["handle"])
         return web.Response()
 
+    async def free_copy(self, handle: str) -> None:
+        """Free the copy of a run, whose request is its handle."""
+
     async def _report(self, request: web.Request) -> web.Response:
         report = {"state": self.find_state(), "born": self.born}
-        return web.Response(body=orjson.dumps(report))
+        return web.Response(body=orjson.dumps({**report, **self.describe_load()}))
+
+    def describe_load(self) -> dict[str, object]:
+        """Return what the report says of runs, pins and copies.
+
+        A run has made the events up to its last one, also those before it began here.
+        """
+        load: dict[str, object] = {
+            "runs": [
+                [run.request, run.tokens, run.after + run.events, run.priority]
+                for run in self.running.values()
+                if run.tokens
+            ],
+            "handles": len(self.copies),
+        }
+        if "pinless" not in self.faults:
+            load["pinned"] = self.memory.count_pinned()
+        return load
+
+    async def _list_kept(self, request: web.Request) -> web.Response:
+        if "pinless" in self.faults:
+            return web.Response(status=404)
+        return web.Response(body=orjson.dumps(self.memory.describe(self.born)))
+
+    async def _unpin(self, request: web.Request) -> web.Response:
+        found = self.memory.unpin(request.match_info["part"])
+        return web.Response(status=200 if found else 404)
--- a/tests/platform/test_standins.py
+++ b/tests/platform/test_standins.py
@@ -1,12 +1,23 @@
-"""Tests of the fake store's return from older copies."""
+"""Tests of the fake store's return from older copies, and of what engines state."""
 
+import asyncio
+import os
 from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from typing import Any
 
+import aiohttp
+import orjson
 import pytest
 
 from figstep.platform.store import CONFIGURATION_TOPIC as TOPIC
 from figstep.platform.store import HttpStore
-from tests.platform.standins import FakeStore
+from tests.framing import Framing
+from tests.platform.memory import draw_sizes
+from tests.platform.standins import FakeStore, FakeTarget, start_app
+from tests.platform.target import REPORT_INTERVAL, Identity, ProcessTarget
+from tests.ports import HOST, find_free_port
 
 
 @pytest.fixture
@@ -80,3 +91,167 @@
     await fake.put(TOPIC, "evacuate/muc-a", b"")
     await fake.write_again(TOPIC, lost)
     assert await read_values(fake) == {}
+
+
+PIN = {"Pin-Ms": "60000"}
+"""Headers of a request whose last part is to be kept."""
+
+PART = 2_000
+"""Tokens of the last part of a prompt."""
+
+
+@asynccontextmanager
+async def open_engine(folder: Path, *faults: str) -> AsyncIterator[ProcessTarget]:
+    """Serve as an engine whose streams have 40 events, within this process."""
+    journal = os.open(folder / "journal", os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+    address = f"{HOST}:{find_free_port()}"
+    identity = Identity(
+        "e-1", "engines", address, "muc-a", "v1", "", "", interval=0.005, faults=faults
+    )
+    async with aiohttp.ClientSession() as session:
+        target = ProcessTarget(identity, session, journal)
+        target.framing = Framing.CONNECTION
+        runner, _ = await start_app(target.build_app(), identity.find_port())
+        report = asyncio.create_task(target.renew_report())
+        try:
+            yield target
+        finally:
+            report.cancel()
+            await runner.cleanup()
+            os.close(journal)
+
+
+@asynccontextmanager
+async def open_fake() -> AsyncIterator[FakeTarget]:
+    """Serve as a fake target whose streams have 40 events."""
+    target = FakeTarget("e-1", "engines", events=40)
+    store = FakeStore()
+    await store.start()
+    await target.start(store)
+    try:
+        yield target
+    finally:
+        await target.kill()
+        await store.stop()
+
+
+async def stream(
+    address: str, extra: dict[str, str], seconds: float = 10.0, part: str = "c"
+) -> None:
+    """Read a stream for a time, and close its connection."""
+    headers = {
+        "Expect-Instance": "e-1",
+        "Request-Id": "r-2",
+        "Token-Count": "2079,160",
+        "Prefix-Hash": f"a:79,{part}:{PART}",
+        "Model": "m",
+        **extra,
+    }
+    timeout = aiohttp.ClientTimeout(total=seconds)
+    with suppress(TimeoutError):
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            url = f"http://{address}/plan/40"
+            async with session.post(url, headers=headers) as response:
+                await response.read()
+
+
+async def ask(address: str, path: str, method: str = "GET") -> tuple[int, Any]:
+    """Call an engine, and return the status and the document of its answer."""
+    async with aiohttp.ClientSession() as session:
+        url = f"http://{address}/figstep/{path}"
+        async with session.request(method, url) as response:
+            body = await response.read()
+            return response.status, orjson.loads(body or b"null")
+
+
+async def list_tokens(address: str) -> dict[str, int]:
+    """Return the tokens that an engine keeps, by part."""
+    status, kept = await ask(address, "kv-list")
+    assert status == 200
+    assert all((name, model) == ("", "m") for name, _, _, model in kept["held"])
+    return {part: tokens for _, part, tokens, _ in kept["held"]}
+
+
+async def test_a_complete_run_is_pinned_until_its_part_is_named(tmp_path: Path) -> None:
+    """Guards against engines whose pins state another count than was generated."""
+    async with open_engine(tmp_path) as engine, open_fake() as fake:
+        for address in (engine.identity.address, fake.address):
+            await stream(address, PIN)
+            await asyncio.sleep(REPORT_INTERVAL + 0.1)
+            assert await list_tokens(address) == {"a": 79, "c": PART + 160}
+            _, report = await ask(address, "report")
+            assert (report["pinned"], report["runs"]) == (PART + 160, [])
+            assert (await ask(address, "kv-pin/c", "DELETE"))[0] == 200
+            assert (await ask(address, "kv-pin/c", "DELETE"))[0] == 404
+            assert await list_tokens(address) == {"a": 79, "c": PART}
+
+
+async def test_a_pin_ends_in_time_or_as_its_part_is_used(tmp_path: Path) -> None:
+    """Guards against pins that outlive their time or the next run of their session."""
+    async with open_engine(tmp_path) as engine:
+        address = engine.identity.address
+        await stream(address, PIN)
+        await stream(address, {"Pin-Ms": "100"}, part="d")
+        expected = {"a": 79, "c": PART + 160, "d": PART + 160}
+        assert await list_tokens(address) == expected
+        await asyncio.sleep(0.15)
+        await stream(address, PIN, 0.1)
+        assert await list_tokens(address) == {"a": 79, "d": PART, "c": PART}
+
+
+@pytest.mark.parametrize("extra", [{}, PIN, {"Pin-Ms": "forged"}])
+async def test_a_run_that_is_not_complete_is_not_pinned(
+    extra: dict[str, str], tmp_path: Path
+) -> None:
+    """Guards against pins that state the end of a stream which was cut."""
+    async with open_engine(tmp_path, *(["early"] if extra is PIN else [])) as engine:
+        address = engine.identity.address
+        # Half of the streams are closed early: which of them, the id decides.
+        await stream(address, {**extra, "Request-Id": "r-2"})
+        await stream(address, PIN, 0.1, part="d")
+        await asyncio.sleep(0.1)
+        assert await list_tokens(address) == {"a": 79, "c": PART, "d": PART}
+        assert [run.request for run in engine.running.values()] == []
+
+
+async def test_reports_list_runs(tmp_path: Path) -> None:
+    """Guards against engines that don't state how far a run has come."""
+    async with open_engine(tmp_path) as engine, open_fake() as fake:
+        extra = {"Last-Event-Id": "3", "Request-Priority": "2"}
+        for address in (engine.identity.address, fake.address):
+            call = asyncio.create_task(stream(address, extra))
+            await asyncio.sleep(REPORT_INTERVAL + 0.01)
+            _, report = await ask(address, "report")
+            [[request, tokens, made, priority]] = report["runs"]
+            assert (request, priority) == ("r-2", 2)
+            assert 3 < made < 40
+            assert tokens == 2079 + 4 * made
+            assert report["handles"] == 0
+            await call
+
+
+async def test_older_engines_pin_nothing(tmp_path: Path) -> None:
+    """Guards against older engines that are asked for what they never state."""
+    async with open_engine(tmp_path, "pinless") as engine, open_fake() as fake:
+        fake.pins = False
+        for address in (engine.identity.address, fake.address):
+            await stream(address, PIN)
+            assert (await ask(address, "kv-list"))[0] == 404
+            assert "pinned" not in (await ask(address, "report"))[1]
+
+
+async def test_a_restart_forgets_pins() -> None:
+    """Guards against a pin that is stated by a process which did not run it."""
+    async with open_fake() as fake:
+        await stream(fake.address, PIN)
+        fake.restart_unregistered(born=2)
+        assert await list_tokens(fake.address) == {}
+
+
+@pytest.mark.parametrize("mean", [1, 2.5, 3, 4])
+def test_events_have_as_many_tokens_as_asked_for(mean: float) -> None:
+    """Guards against continuations whose events differ from those of the run."""
+    sizes = draw_sizes("/plan/2000", 2_000, mean)
+    assert sizes == draw_sizes("/plan/2000", 2_000, mean)
+    assert {1, 2, 3, 4} >= set(sizes)
+    assert abs(sum(sizes) / 2_000 - mean) < 0.1
