Run deployments with one framing, honest engines, proxies; count whole streams

Events always had as many tokens as the stride, and no maximum was reached.

The report counts, beside the breaches and in report.json, the streams that an engine made whole and ended with its connection, and those of them that were delivered, by route; streams taken up, requests with 502, repeats at engines. Streams whose entry was killed, or whose caller left, are counted apart; those whose caller left a second or more after the engine's end are named, as a deadline that ran out is such a case.

The configuration of a deployment states pin_ms by default, which the product does not read yet.

--- a/tests/deployments/__main__.py
+++ b/tests/deployments/__main__.py
@@ -15,12 +15,15 @@
 
 import orjson
 
+from tests.deployments.counts import count_outcomes, describe_counts
 from tests.deployments.plans import BEHAVIORS, draw_plan
-from tests.deployments.shapes import SHAPES
+from tests.deployments.shapes import SHAPES, USUAL, Options
 from tests.deployments.sites import Site
 from tests.faults.__main__ import describe_record
 from tests.faults.promises import Breach, check_promises
 from tests.faults.records import STREAMS, Attempt, Record
+from tests.framing import Framing
+from tests.platform.memory import STRIDE
 from tests.platform.runs import Run, read_clock
 
 FAULT_SECONDS = 30.0
@@ -39,6 +42,7 @@
     returns: float = 1.0,
     without: tuple[str, ...] = (),
     moves: bool = True,
+    options: Options = USUAL,
 ) -> tuple[Record, list[Breach]]:
     """Run a deployment with the faults of a seed and check its record.
 
@@ -51,12 +55,13 @@
         returns: Factor of the rate of streams that may be resumed.
         without: Behaviors of engines that the run leaves out.
         moves: Whether engines copy runs on order; else they only keep backups.
+        options: How the run differs from the usual one.
 
     Returns:
         The record of the run and the breaches of promises that it shows.
     """
     shape = dataclasses.replace(SHAPES[name], moves=moves)
-    site = Site(seed, folder, shape, returns, without)
+    site = Site(seed, folder, shape, returns, without, options)
     offset = time.time() - read_clock()
     gc.collect()
     gc.freeze()
@@ -69,6 +74,8 @@
     # Stalls of targets are no excuse, but a hint at an overloaded machine.
     stalls = [orjson.dumps(stall) for stall in site.target_stalls]
     (folder / "stalls.jsonl").write_bytes(b"\n".join(stalls))
+    faults = sum((proxy.counts for proxy in site.proxies), Counter())
+    (folder / "proxies.json").write_bytes(orjson.dumps(faults))
     return site.record, check_promises(site.record)
 
 
@@ -108,9 +115,7 @@
         if run.whole or run.broken_off or attempt.whole:
             counts[(run.framing, _describe_end(attempt, run))] += 1
     lines = [f"{framing}: {count} {end}" for (framing, end), count in counts.items()]
-    taken_up = [one for one in record.attempts if one.resumes]
-    served = sum(one.status == 200 for one in taken_up)
-    return [*sorted(lines), f"streams taken up: {served} of {len(taken_up)} served"]
+    return sorted(lines)
 
 
 def _describe_end(attempt: Attempt, run: Run) -> str:
@@ -128,6 +133,7 @@
     # The processes of a run end with it.
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     failed = 0
+    options = _read_options(arguments)
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
         root = arguments.folder or Path(tempfile.mkdtemp(prefix="deployment-"))
         folder = root / f"{arguments.name}-{seed}"
@@ -138,20 +144,50 @@
             folder,
             arguments.seconds,
             returns=arguments.returns,
-            without=tuple(arguments.without),
+            without=BEHAVIORS if arguments.honest else tuple(arguments.without),
             moves=not arguments.backups_only,
+            options=options,
         )
+        counts = count_outcomes(record)
         failed += bool(breaches)
         outcome = f"{len(breaches)} breaches" if breaches else "held"
         report = [f"{arguments.name} seed {seed}: {outcome}, logs in {folder}"]
         report += [f"  {breach.promise}: {breach.detail}" for breach in breaches]
         report.append(f"  {describe_record(record)}")
         report += [f"  {line}" for line in describe_streams(record)]
+        report += [f"  {line}" for line in describe_counts(counts)]
         (folder / "report.txt").write_text("\n".join(report) + "\n")
+        document = {
+            "name": arguments.name,
+            "seed": seed,
+            "honest": arguments.honest,
+            "options": options,
+            "breaches": Counter(breach.promise for breach in breaches),
+            "counts": counts,
+        }
+        (folder / "report.json").write_bytes(orjson.dumps(document) + b"\n")
         print("\n".join(report), flush=True)
     return failed
 
 
+def _read_options(arguments: argparse.Namespace) -> Options:
+    return Options(
+        framing="" if arguments.framing == "drawn" else arguments.framing,
+        event_tokens=arguments.events,
+        true_maximum=arguments.true_maximum,
+        proxies=arguments.proxies,
+        pinless=arguments.pinless,
+        pins=not arguments.without_pins,
+    )
+
+
+def _read_event_tokens(text: str) -> float:
+    tokens = float(text)
+    if not 1 <= tokens <= STRIDE:
+        raise argparse.ArgumentTypeError(f"not from 1 to {STRIDE}")
+    return tokens
+
+
 def main() -> None:
     """Run one seed, or several in turn."""
     parser = argparse.ArgumentParser(prog="python -m tests.deployments")
@@ -168,6 +204,28 @@
     parser.add_argument(
         "--backups-only", action="store_true", help="no copies of runs on order"
     )
+    parser.add_argument(
+        "--honest", action="store_true", help="engines without any of the behaviors"
+    )
+    framings = ["drawn", *(framing.value for framing in Framing)]
+    parser.add_argument(
+        "--framing", choices=framings, default="drawn", help="of all streams"
+    )
+    parser.add_argument(
+        "--events", type=_read_event_tokens, default=STRIDE, help="tokens an event"
+    )
+    parser.add_argument(
+        "--true-maximum", action="store_true", help="callers name what streams have"
+    )
+    parser.add_argument(
+        "--proxies", action="store_true", help="faulty proxies before targets"
+    )
+    parser.add_argument(
+        "--pinless", action="store_true", help="engines that pin nothing"
+    )
+    parser.add_argument(
+        "--without-pins", action="store_true", help="no pin_ms in the configuration"
+    )
     parser.add_argument("--folder", type=Path, default=None, help="for the logs")
     arguments = parser.parse_args()
     # aiohttp logs an error for each handler that ends as its peer has gone.
--- a/tests/deployments/callers.py
+++ b/tests/deployments/callers.py
@@ -7,9 +7,10 @@
 import aiohttp
 
 from figstep.net.sessions import send_once
-from tests.deployments.shapes import MAX_EVENTS, Shape, draw_length
+from tests.deployments.shapes import MAX_EVENTS, USUAL, Options, Shape, draw_length
 from tests.faults.records import STREAMS, Attempt, Kind, Record
 from tests.platform.entries import EntryEndpoint
+from tests.platform.memory import draw_sizes
 from tests.platform.runs import read_clock
 from tests.platform.standins import KEY, ROUTE_HOST
 
@@ -61,6 +62,7 @@
     endpoints: list[EntryEndpoint]
     shape: Shape
     returns: float = 1.0
+    options: Options = USUAL
     _sessions: dict[int, aiohttp.ClientSession] = field(default_factory=dict)
     _calls: set[asyncio.Task[None]] = field(default_factory=set)
     _count: int = 0
@@ -194,8 +196,12 @@
         if chain.kind in STREAMS:
             headers["Model"] = "m"
             prompt, output = PROMPT_TOKENS[chain.kind], 4 * MAX_EVENTS[chain.kind]
+            mean = self.options.event_tokens
+            tokens = sum(draw_sizes(chain.path, chain.length, mean))
+            if self.options.true_maximum:
+                output = tokens
             headers["Token-Count"] = f"{prompt},{output}"
-            hint = 4 * chain.length * rng.lognormvariate(0.0, 0.6)
+            hint = tokens * rng.lognormvariate(0.0, 0.6)
             headers["Length-Hint"] = str(max(1, min(output, round(hint))))
             headers["Prefix-Hash"] = chain.parts
         if chain.kind is not Kind.LOOKUP:
--- a/tests/deployments/hosts.py
+++ b/tests/deployments/hosts.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from tests.afterlife import Afterlife, answer_for_crashed
+from tests.deployments.proxies import FaultyProxy
 from tests.platform.runs import Run, read_clock
 from tests.platform.standins import start_app
 from tests.platform.target import Identity
@@ -78,12 +79,14 @@
 
     Attributes:
         busy: Whether something is being done to it.
+        proxy: Faulty proxy before it; None if there is none.
     """
 
     identity: Identity
     spares: Spares
     process: asyncio.subprocess.Process | None = None
     busy: bool = False
+    proxy: FaultyProxy | None = None
     _holder: web.AppRunner | None = field(default=None)
 
     @property
@@ -137,8 +140,7 @@
 
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", answer)
-        port = int(self.identity.address.rpartition(":")[2])
-        self._holder, _ = await start_app(app, port)
+        self._holder, _ = await start_app(app, self.identity.find_port())
 
     async def release(self) -> None:
         """Stop accepting connections for it."""
--- a/tests/deployments/shapes.py
+++ b/tests/deployments/shapes.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from tests.faults.records import Kind
+from tests.platform.memory import STRIDE
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,30 @@
         return [name for name, count in self.domains.items() for _ in range(count)]
 
 
+@dataclass(frozen=True, slots=True)
+class Options:
+    """How the engines, callers and links of a run differ from the usual ones.
+
+    Attributes:
+        framing: Framing of all streams; "" to draw one for each.
+        event_tokens: Mean number of tokens in an event of a stream.
+        true_maximum: Whether callers name as maximum what their stream has.
+        proxies: Whether a faulty proxy is before each target.
+        pinless: Whether engines pin nothing, as older ones.
+        pins: Whether the configuration states how long engines pin.
+    """
+
+    framing: str = ""
+    event_tokens: float = STRIDE
+    true_maximum: bool = False
+    proxies: bool = False
+    pinless: bool = False
+    pins: bool = True
+
+
+USUAL = Options()
+"""Options of a run that states none."""
+
 RATES = {Kind.PLAN: 1.75, Kind.RESUME: 2.4, Kind.ORDER: 15.0, Kind.LOOKUP: 6.0}
 
 SHAPES = {
--- a/tests/deployments/sites.py
+++ b/tests/deployments/sites.py
@@ -12,7 +12,8 @@
 from tests.deployments import plans
 from tests.deployments.callers import Callers
 from tests.deployments.hosts import SPARES, Spares, TargetHost, read_journal
-from tests.deployments.shapes import Shape
+from tests.deployments.proxies import FaultyProxy
+from tests.deployments.shapes import USUAL, Options, Shape
 from tests.faults.promises import RETRY_RATIO, RETRY_WINDOW
 from tests.faults.records import Kind, Record, Version
 from tests.faults.sites import record_loop_stalls
@@ -35,6 +36,9 @@
 FINAL_TRAFFIC_SECONDS = 2.0
 """Time of traffic after that, in seconds."""
 
+PIN_MS = 4_000
+"""Longest time for which engines pin, in milliseconds."""
+
 READY_POLL_INTERVAL = 0.5
 """Pause between two readiness checks of all entries for the callers, in seconds."""
 
@@ -63,6 +67,7 @@
         shape: Shape,
         returns: float = 1.0,
         without: tuple[str, ...] = (),
+        options: Options = USUAL,
     ) -> None:
         self.record = Record(retry_extra=shape.retry_extra)
         self._rng = random.Random(f"{seed} site")
@@ -70,11 +75,13 @@
         self._shape = shape
         self._returns = returns
         self._without = without
+        self._options = options
         self._store = FakeStore()
         self._spares = Spares(folder / "targets.log")
         self._entries: list[EntryHost] = []
         self._targets: list[TargetHost] = []
         self._gone: list[TargetHost] = []
+        self.proxies: list[FaultyProxy] = []
         self._names = 0
         self._left_at: dict[str, float] = {}
         self.target_stalls: list[tuple[str, float, float]] = []
@@ -93,6 +100,7 @@
                 [host.endpoint for host in self._entries],
                 self._shape,
                 self._returns,
+                self._options,
             )
             traffic = asyncio.create_task(callers.run(stop_event, patience))
             watches = [
@@ -105,6 +113,8 @@
                 self._start_task(self._apply(step.fault))
             await asyncio.sleep(max(0.0, start + seconds - read_clock()))
             await asyncio.gather(*self._tasks)
+            for proxy in self.proxies:
+                proxy.calm = True
             self.record.final_phase_start = read_clock() + RECOVERY_SECONDS
             await asyncio.sleep(RECOVERY_SECONDS + FINAL_TRAFFIC_SECONDS)
             stop_event.set()
@@ -174,6 +184,7 @@
             "moves": self._shape.moves,
             "backups": True,
             "stride": 4,
+            **({"pin_ms": PIN_MS} if self._options.pins else {}),
         }
         services = [{"name": "engines", "engine": engine}, {"name": "bookings"}]
         value = build_configuration(1, routes=routes, services=services)
@@ -189,22 +200,33 @@
         domains = list(self._shape.domains)
         if behaviors is None:
             behaviors = plans.draw_behaviors(self._rng)
+        port = find_free_port()
+        proxy = await self._add_proxy(name, port) if self._options.proxies else None
         identity = Identity(
             name,
             service,
-            f"{HOST}:{find_free_port()}",
+            proxy.address if proxy else f"{HOST}:{port}",
             domains[self._names % len(domains)],
             VERSIONS[self._names % 2] if service == "engines" else VERSIONS[0],
             self._store.address,
             str(self._folder / f"{name}.jsonl"),
             work=self._shape.work,
             faults=self._list_faults(service, behaviors),
+            port=port,
+            framing=self._options.framing,
+            event_tokens=self._options.event_tokens,
         )
-        host = TargetHost(identity, self._spares)
+        host = TargetHost(identity, self._spares, proxy=proxy)
         self._targets.append(host)
         await host.start()
         await host.wait_until_registered()
 
+    async def _add_proxy(self, name: str, port: int) -> FaultyProxy:
+        proxy = FaultyProxy(port, random.Random(f"{name} proxy"))
+        self.proxies.append(proxy)
+        await proxy.start()
+        return proxy
+
     async def _watch_readiness(self) -> None:
         while True:
             for host in self._entries:
@@ -270,7 +292,8 @@
     def _list_faults(self, service: str, behaviors: tuple[str, ...]) -> tuple[str, ...]:
         if service != "engines":
             return ()
-        return tuple(name for name in behaviors if name not in self._without)
+        kept = tuple(name for name in behaviors if name not in self._without)
+        return (*kept, "pinless") if self._options.pinless else kept
 
     async def _replace(self, target: TargetHost, fault: plans.Replace) -> None:
         self._targets.remove(target)
@@ -290,6 +313,8 @@
         self.record.departures[target.name] = read_clock()
         await asyncio.sleep(fault.seconds)
         await target.release()
+        if target.proxy is not None:
+            await target.proxy.stop()
 
     async def _shut_down(self) -> None:
         for task in self._tasks:
@@ -302,6 +327,8 @@
             target.send_signal(signal.SIGCONT)
             if target.process is not None:
                 await target.kill()
+        for proxy in self.proxies:
+            await proxy.stop()
         await self._spares.stop()
         await self._store.stop()
 
