Count no answer of 502 as a stream that was served whole

Cause: the lines by framing took each answer that was received to its end for a whole stream, also one of status 502.

After: such a stream is "refused with 502". The share of streams that were delivered (counts.py) asked for status 200 from the start.

--- a/tests/deployments/__main__.py
+++ b/tests/deployments/__main__.py
@@ -123,6 +123,8 @@
     if run.whole:
         target = "target made all"
     kind = "resumable" if attempt.kind.value == "resume" else "not resumable"
+    if attempt.status != 200:
+        return f"{kind}, {target}, refused with {attempt.status or 'no status'}"
     return f"{kind}, {target}, {'served whole' if attempt.whole else 'broken off'}"
 
 
--- a/tests/deployments/test_deployments.py
+++ b/tests/deployments/test_deployments.py
@@ -147,7 +147,7 @@
         (build_stream(Kind.PLAN, 7, entry=2, whole=False), connection),
         (build_stream(Kind.PLAN, 8, entry=2, ended=6.0), connection),
         (build_stream(Kind.RESUME, 9, resumes="r-0"), connection),
-        (build_stream(Kind.RESUME, 10, resumes="r-0", status=502), {}),
+        (build_stream(Kind.RESUME, 10, resumes="r-0", status=502), connection),
     ]
     record = Record()
     for attempt, fields in streams:
@@ -157,8 +157,10 @@
     record.arrivals += [(2.0, "engines", "r-3"), (2.0, "bookings", "r-4")]
     record.disturbances.append(Disturbance("kill", 2, "", 7.0, 8.0))
     record.disturbances.append(Disturbance("freeze", 1, "", 1.0, 2.0))
+    lines = describe_streams(record)
+    assert "connection: 1 resumable, target made all, served whole" in lines
     counts = count_outcomes(record)
     assert counts.whole["long, not resumable"] == WholeStreams(2, 3, 1, 2, 1)
-    assert counts.whole["short, resumable"] == WholeStreams(1, 1)
+    assert counts.whole["short, resumable"] == WholeStreams(1, 2)
     assert counts.taken_up == (1, 2)
     assert (counts.bad_gateways, counts.repeats) == (1, 1)
