Take no end of a stream from its maximum output

Callers whose Token-Count is the true maximum got a part of a stream as the whole: events x stride at or over the maximum output counted as a stated end, without any question to the engine. An event holds up to a stride of tokens, so that engines that write smaller events reach that bound before their end, and an engine that is killed at that event looks the same.

Now such a close is one like any other: the engine is asked whether it lives, and the rest is asked for. The test that a stream which reached its maximum needs no living target held the fault to be right; in its place, a stream of a target that crashed at its maximum has to be broken off, in the same four ways in which its address may live on.

--- a/figstep/core/answers.py
+++ b/figstep/core/answers.py
@@ -17,7 +17,6 @@
         delimited: Whether a length or chunks tell where the body ends.
         events: Number of complete events.
         remainder: Number of bytes after the last complete event.
-        full: Whether the events hold the largest output that was asked for.
         outlived: Whether the target stated after the end of the body that it lives. It
             matters only if the body is not delimited.
         continues: Whether the events were asked for that follow a known one; there may
@@ -27,7 +26,6 @@
     delimited: bool
     events: int
     remainder: int
-    full: bool = False
     outlived: bool = True
     continues: bool = False
 
@@ -71,7 +69,7 @@
             return f"it ended inside an event, {remainder} bytes after the last one"
         case NumberedStream(delimited=False, events=0, continues=False):
             return "its connection ended before the first event"
-        case NumberedStream(delimited=False, full=False, outlived=False):
+        case NumberedStream(delimited=False, outlived=False):
             return "its target ended with the connection"
         case MarkedStream(marked=False):
             return "it ended before the end marker"
--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -301,19 +301,9 @@
         relay=attempt.relay,
         confirm=confirm,
         born=attempt.target.info.born,
-        max_events=_count_max_events(state, request),
     )
 
 
-def _count_max_events(state: State, request: Request) -> int | None:
-    """Return how many events hold the maximum output of a request, if it is known."""
-    prompt = request.spec.prompt
-    pool = placement.find_engine_pool(state, request.service)
-    if prompt is None or pool is None or not prompt.max_output:
-        return None
-    return -(-prompt.max_output // pool.event_tokens)
-
-
 def _name_or_empty(target: Target | None) -> str:
     return "" if target is None else target.name
 
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -61,8 +61,6 @@
         relay: Entry that gets the request in place of a target, or None.
         confirm: What rests on the start that the target states after it accepted the
             attempt.
-        max_events: Number of events, from the start of the stream, with which its
-            output has reached its maximum; None if that is not known.
     """
 
     number: int
@@ -78,7 +76,6 @@
     relay: RelayTo | None = None
     confirm: Confirmation = Confirmation.NONE
     born: int = 0
-    max_events: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -1,14 +1,14 @@
 """Ends of streams: complete only if something states so.
 
 A stream with neither a length nor chunks ends with its connection, and a living target
-that closes it between two events looks like one that is done. Such a stream is complete
-if its output has reached its maximum. Otherwise its rest is asked for after the last
-event: of the holder of a copy of the run, or where the route allows further runs, of
-another target, or else of the same one. Only a continuation that is itself delimited
-and has no event states that nothing follows. One that is closed as well states nothing,
-nor does a refusal: a holder that never had the copy, lost it or has restarted refuses
-like one whose run is done. The next target is asked then, and what nothing confirms is
-broken off.
+that closes it between two events looks like one that is done. Its rest is asked for
+that closes it between two events looks like one that is done. Its rest is asked for
+after the last event: of the holder of a copy of the run, or where the route allows
+further runs, of another target, or else of the same one. Only a continuation that is
+itself delimited and has no event states that nothing follows. One that is closed as
+well states nothing, nor does a refusal: a holder that never had the copy, lost it or
+has restarted refuses like one whose run is done. The next target is asked then, and
+what nothing confirms is broken off.
 
 The close of a living target is the end only where no other run could ever state it: on
 a route that may not be resumed, at a plain service or at engines that neither copy nor
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -467,37 +467,32 @@
         attempt = effect.attempt
         delimited = is_delimited(response)
         splitter = EventSplitter()
-        after = effect.after or 0
-        events = new_events = 0
+        events = 0
         async for chunk in response.content.iter_any():
             pieces = [
                 StreamPiece(event.index, event.data) for event in splitter.feed(chunk)
             ]
             events += len(pieces)
-            # A target that repeats earlier events comes no closer to the maximum.
-            new_events += sum(piece.index > after for piece in pieces)
             if pieces:
                 self._dispatch(PiecesArrived(attempt, pieces))
                 if not exchange.buffer.may_read():
                     self._dispatch(ReadingPaused(attempt, True))
                     await exchange.buffer.wait_for_room()
                     self._dispatch(ReadingPaused(attempt, False))
-        full = _is_full(effect, new_events)
         end = NumberedStream(
             delimited,
             events,
             len(splitter.incomplete),
-            full,
             continues=effect.after is not None,
         )
         reason = explain_incomplete(end)
-        if not reason and not delimited and not full:
+        if not reason and not delimited:
             self._dispatch(StreamClosed(attempt))
             outlived = await self._has_outlived(effect, response)
             reason = explain_incomplete(replace(end, outlived=outlived))
         if reason:
             return AttemptLost(attempt, Loss.BROKEN, detail=reason)
-        return StreamEnded(attempt, confirmed=delimited or full, empty=not events)
+        return StreamEnded(attempt, confirmed=delimited, empty=not events)
 
     async def _read_answer(
         self,
@@ -829,13 +824,6 @@
             await copies.free_copy(self._session, copy.address, copy.handle)
 
 
-def _is_full(effect: OpenAttempt, events: int) -> bool:
-    """Return whether a stream's output has reached its maximum with its last event."""
-    if effect.max_events is None or not events:
-        return False
-    return (effect.after or 0) + events >= effect.max_events
-
-
 def _state_length(exchange: CallerExchange) -> list[tuple[str, str]]:
     """Return the header that states the length of a body, if there is one."""
     if not exchange.body:
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -9,6 +9,7 @@
 
 from tests.afterlife import Afterlife
 from tests.framing import Framing, RawAnswer
+from tests.platform.memory import STRIDE
 from tests.platform.places import Place, open_place, read_complete
 from tests.platform.standins import (
     FakeTarget,
@@ -152,13 +153,26 @@
 
 
 @EACH_AFTERLIFE
-async def test_a_stream_that_reached_its_maximum_needs_no_living_target(
+async def test_a_stream_of_a_crashed_target_that_reached_its_maximum_is_not_complete(
     place: Place, afterlife: Afterlife
 ) -> None:
-    """Guards against whole streams that are cut off with a crash after them."""
+    """Guards against an end by arithmetic, as events may hold fewer tokens."""
     target = place.targets["i-e1"]
-    target.handler = stream_until(target, EVENTS, afterlife)
-    plan = {**PLAN, "Token_Count": f"3000,{4 * EVENTS}"}
+    target.handler = stream_until(target, EARLY, afterlife)
+    plan = {**PLAN, "Token_Count": f"3000,{STRIDE * EARLY}"}
+    assert await read_complete(place, "/plan/a", **plan) is None
+
+
+async def test_a_stream_that_is_closed_at_its_maximum_is_asked_for_its_rest(
+    place: Place,
+) -> None:
+    """Guards against an end by arithmetic, as events may hold fewer tokens."""
+    await configure(place, False, moves=True)
+    engines = await add_engine(place)
+    end_first_early(
+        engines, EARLY, lambda holder: stream_until(holder, EVENTS, rest=Framing.CHUNKS)
+    )
+    plan = {**PLAN, "Token_Count": f"3000,{STRIDE * EARLY}"}
     assert await read_complete(place, "/plan/a", **plan) == write_events(1, EVENTS)
 
 
