Refuse no call for kills that it met by chance

What callers saw. Calls of 200 different kinds, each sent again and again.

A supervisor held the port of the killed target and reset connections for 1.9 s. Entries recorded each call that was reset as lost there, and suspected all of them once the successor registered 2 s after the kill. The call had never run: it came 0.38 s after the kill. - The end of a target is found up to 6 s after the loss, and the suspicion is dated then. An answer in between, to the same call, cleared nothing. An answer at an entry that had not heard of the crash was not told. - Two crashes refuse for 15 minutes. Nobody may send the call again, so that nothing can clear it, and that it was served well before counts for nothing.

Now: - Of the runs lost at a target, those whose attempt was opened after the first broken connection that no answer followed are no suspects. An answer whose end shows only later to be a loss states when its connection ended. - An answer since the loss clears, whenever the end is found; an entry that hears of a crash before its own answer tells that answer. - Answers of the last 15 minutes are kept, 8,192 at most. A request that was answered before its crashes, at any entry, takes four of them.

An answer is the only thing that ends the suspicion, and a deadly request gets none.

--- a/figstep/core/crashes.py
+++ b/figstep/core/crashes.py
@@ -5,6 +5,9 @@
 here. A request is refused for one of its subjects once neither another subject nor
 chance explains the crashes of targets that it was on. A subject of the request itself
 explains nothing: a request that lacks the guilty part is not refused for its company.
+
+A request that is sent often is at targets that end for other reasons, again and again.
+One that was answered before takes more crashes than one that never was.
 """
 
 import hashlib
@@ -24,6 +27,21 @@
 """Number of crashes after which a request is refused. One crash may be chance; at two,
 the same request was on the target both times."""
 
+MAX_SPARED_CRASHES = 2
+"""Number of crashes that a request takes more if it was answered before them. It runs
+on probation meanwhile."""
+
+MAX_TRIED_CRASHES = CRASHES_BEFORE_REFUSAL + 2
+"""Number of crashes from which a refused request is not tried again until they are too
+old to count."""
+
+MAX_ANSWERED = 8_192
+"""Maximum number of requests whose last answer is kept."""
+
+REPORT_MARGIN = Millis(5_000)
+"""Least time, in milliseconds, from an answer that is announced as one before all
+crashes to the first of these. A message that is delayed by less thus clears nothing."""
+
 PART_CRASHES_BEFORE_REFUSAL = 3
 """Number of crashes after which requests with a part are refused. It is higher than
 that of requests, as many requests share a part."""
@@ -111,6 +129,8 @@
 class Clearance:
     """Report that a suspected subject ran and its target did not crash.
 
+    One from before the crashes shows that the subject does not crash each target.
+
     Attributes:
         age: Time since the answer, in milliseconds.
     """
@@ -141,6 +161,7 @@
     _crashes: dict[str, Crash] = field(default_factory=dict)
     _lives: dict[str, set[str]] = field(default_factory=dict)
     _cleared: dict[str, _Cleared] = field(default_factory=dict)
+    _answered: dict[str, Millis] = field(default_factory=dict)
     _trials: dict[str, Millis] = field(default_factory=dict)
     _attributed: dict[tuple[bool, frozenset[str]], dict[str, list[Crash]]] = field(
         default_factory=dict
@@ -152,7 +173,7 @@
         """Record a suspicion, and return whether it was added.
 
         A suspicion is ignored if it is known, or if its crash is not later than the
-        last recorded answer to its subject.
+        last recorded answer to its subject. That answer is announced.
         """
         subject, life = suspicion.subject, suspicion.life
         at = Millis(now - suspicion.age)
@@ -161,6 +182,10 @@
         cleared = self._cleared.get(subject)
         if cleared is not None and at <= cleared.at:
             return False
+        answered_at = self._answered.get(subject)
+        if answered_at is not None and at <= answered_at:
+            self._cleared[subject] = _Cleared(answered_at, now)
+            return False
         self.record_crash(life, at)
         self._forget_attributed()
         self._crashes[life].suspects[subject] = now
@@ -194,6 +219,24 @@
         """Return the monotonic time in milliseconds of a suspect's last crash."""
         return max(self._get_crash_time(life) for life in self._lives[subject])
 
+    def record_answer(self, subject: str, at: Millis) -> None:
+        """Record an answer to a request (monotonic time, in milliseconds)."""
+        self._answered[subject] = max(at, self._answered.pop(subject, at))
+        if len(self._answered) > MAX_ANSWERED:
+            del self._answered[next(iter(self._answered))]
+
+    def record_clearance(self, clearance: Clearance, now: Millis) -> None:
+        """Apply the report of another entry that a subject ran."""
+        subject, at = clearance.subject, Millis(now - clearance.age)
+        if not is_part(subject) and subject not in self._answered:
+            self.record_answer(subject, at)
+        self.clear(subject, at, now)
+
+    def has_answered_since(self, subject: str, since: Millis) -> bool:
+        """Return whether a request was answered at a monotonic time or later."""
+        answered_at = self._answered.get(subject)
+        return answered_at is not None and answered_at >= since
+
     def clear(self, subject: str, at: Millis, now: Millis) -> bool:
         """Drop the suspicions of a subject from crashes up to an answer to it.
 
@@ -234,24 +277,47 @@
         The crashes of the last ``CRASH_RETENTION`` that are attributed to one of its
         subjects count. The request is refused if there are as many as the subject's
         kind takes, and one more for each crash without the subject in the same time
-        span, up to ``MAX_UNRELATED_CRASHES`` more.
+        span, up to ``MAX_UNRELATED_CRASHES`` more. A request that was answered before
+        takes ``MAX_SPARED_CRASHES`` more.
 
         Args:
             subjects: Digest of the request and the parts of its prompt.
             now: Monotonic time, in milliseconds.
         """
         for subject in subjects:
-            required = _get_required(subject)
-            if len(self._lives.get(subject, ())) < required:
-                continue
-            own = self._list_attributed(subject, subjects, now)
-            if not own:
+            spared = MAX_SPARED_CRASHES if subject in self._answered else 0
+            if self._count_excess(subject, subjects, now) >= spared:
+                return subject
+        return None
+
+    def find_probationer(self, subjects: Collection[str], now: Millis) -> str | None:
+        """Return the request that would be refused if it had not been answered before.
+
+        Such a request may run, but one at a time. Returns None for any other.
+        """
+        for subject in subjects:
+            if subject not in self._answered:
                 continue
-            unrelated = self._count_unrelated(subject, own)
-            if len(own) >= required + min(MAX_UNRELATED_CRASHES, unrelated):
+            if self._count_excess(subject, subjects, now) >= 0:
                 return subject
         return None
 
+    def _count_excess(
+        self, subject: str, subjects: Collection[str], now: Millis
+    ) -> int:
+        """Return how many crashes a subject has over those that it takes to refuse it.
+
+        The number is negative if it has too few.
+        """
+        required = _get_required(subject)
+        if len(self._lives.get(subject, ())) < required:
+            return -required
+        own = self._list_attributed(subject, subjects, now)
+        if not own:
+            return -required
+        unrelated = self._count_unrelated(subject, own)
+        return len(own) - required - min(MAX_UNRELATED_CRASHES, unrelated)
+
     def find_doubtful_part(self, subjects: Collection[str], now: Millis) -> str | None:
         """Return a part that may crash targets although too few crashes show it.
 
@@ -273,11 +339,14 @@
         return None
 
     def may_try(self, subject: str, delay: Millis, now: Millis) -> bool:
-        """Return whether one request may show that a refused part is sound again.
+        """Return whether one request may show that a refused subject is sound.
 
         That is so once ``delay`` milliseconds have passed since the last crash and
-        since the last such request of this entry, which is recorded.
+        since the last such request of this entry, which is recorded. A request with
+        ``MAX_TRIED_CRASHES`` is not tried.
         """
+        if not is_part(subject) and self.count(subject) >= MAX_TRIED_CRASHES:
+            return False
         last = max(
             self.find_last_crash(subject), self._trials.get(subject, now - delay)
         )
@@ -432,19 +501,40 @@
         )
 
     def list_clearances(self, now: Millis) -> tuple[Clearance, ...]:
-        """Return the clearances to announce, the newest first.
+        """Return the clearances to announce, at most ``MAX_ANNOUNCED_SUSPICIONS``.
 
-        There are at most ``MAX_ANNOUNCED_SUSPICIONS``.
+        The newest come first, then answers from before the crashes.
         """
-        recent = []
+        recent: list[tuple[int, str, Millis]] = []
         for subject, cleared in self._cleared.items():
             if now - cleared.dropped_at < SUSPICION_ANNOUNCE_DURATION:
                 recent.append((cleared.dropped_at, subject, cleared.at))
         recent.sort(reverse=True)
-        return tuple(
-            Clearance(subject, Millis(now - at))
-            for _, subject, at in recent[:MAX_ANNOUNCED_SUSPICIONS]
-        )
+        del recent[MAX_ANNOUNCED_SUSPICIONS:]
+        if self._lives:
+            room = MAX_ANNOUNCED_SUSPICIONS - len(recent)
+            recent += self._list_answered_before(now)[:room]
+        return tuple(Clearance(subject, Millis(now - at)) for _, subject, at in recent)
+
+    def _list_answered_before(self, now: Millis) -> list[tuple[int, str, Millis]]:
+        """Return the suspected requests that were answered before all their crashes.
+
+        Each comes with the number of its crashes, those with most first, and with a
+        time that precedes them by ``REPORT_MARGIN`` or more.
+        """
+        found = []
+        for subject, lives in self._lives.items():
+            answered_at = self._answered.get(subject)
+            if answered_at is None:
+                continue
+            known_at = max(self._crashes[life].suspects[subject] for life in lives)
+            if len(lives) == 1 and now - known_at >= SUSPICION_ANNOUNCE_DURATION:
+                continue
+            first = min(self._get_crash_time(life) for life in lives)
+            at = min(answered_at, Millis(first - REPORT_MARGIN))
+            found.append((len(lives), subject, at))
+        found.sort(reverse=True)
+        return found
 
     def remove_expired(self, now: Millis) -> None:
         """Remove crashes and clearances that are older than ``CRASH_RETENTION``."""
@@ -454,6 +544,11 @@
         for subject, cleared in list(self._cleared.items()):
             if now - cleared.at >= CRASH_RETENTION:
                 del self._cleared[subject]
+        while self._answered:
+            subject, answered_at = next(iter(self._answered.items()))
+            if now - answered_at < CRASH_RETENTION:
+                break
+            del self._answered[subject]
         for subject in list(self._trials):
             if subject not in self._lives:
                 del self._trials[subject]
--- a/figstep/core/suspects.py
+++ b/figstep/core/suspects.py
@@ -221,7 +221,8 @@
 
 
 def clear_suspect(state: State, digest: str, now: Millis) -> None:
-    """Drop the suspicions of a request that was answered."""
+    """Drop the suspicions of a request that was answered, and record the answer."""
+    state.quarantine.crashes.record_answer(digest, now)
     state.quarantine.crashes.clear(digest, now, now)
 
 
--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -32,7 +32,7 @@
 )
 from figstep.gateway.events import Loss, RoutedRequest
 from figstep.gateway.state import Attempt, Request, ShortAnswer, State
-from figstep.gateway.targets import Registration, Standing, Target
+from figstep.gateway.targets import LostRun, Registration, Standing, Target
 
 LOST_RETENTION = Millis(6_000)
 """Maximum time, in milliseconds, from the loss of a request to the discovery that its
@@ -66,6 +66,7 @@
     attempt: Attempt,
     loss: Loss | None,
     now: Millis,
+    ended: Millis | None = None,
 ) -> list[Effect]:
     """Record that an attempt which may have run ended without an answer.
 
@@ -76,7 +77,7 @@
 
     Parts are recorded until the answer was written for ``WRITING_DURATION``, and only
     for losses that a crash causes at once: ``loss`` is None if this entry closed the
-    attempt.
+    attempt. ``ended`` is when its connection ended, if that was before ``now``.
     """
     target = attempt.target
     request.on_trial = False
@@ -87,8 +88,16 @@
         subjects += list_parts(request.spec)
     if target.ended_at is not None and attempt.opened <= target.ended_at:
         return _suspect(state, target, subjects, target.ended_at, now)
+    if loss in _CRASH_LOSSES:
+        broken_at = now if ended is None else ended
+        known_at = target.broken_at
+        if known_at is None or now - known_at >= LOST_RETENTION:
+            known_at = broken_at
+        target.broken_at = min(broken_at, known_at)
     for subject in subjects:
-        target.lost[subject] = now
+        known = target.lost.get(subject)
+        opened = attempt.opened if known is None else known.opened
+        target.lost[subject] = LostRun(min(attempt.opened, opened), now)
     return []
 
 
@@ -137,9 +146,11 @@
     An end recorded less than ``MIN_RESTART_TIME`` before that is discarded as wrong.
     """
     if target.lost:
-        for subject, lost_at in list(target.lost.items()):
-            if lost_at <= asked:
+        for subject, lost in list(target.lost.items()):
+            if lost.at <= asked:
                 del target.lost[subject]
+    if target.broken_at is not None and target.broken_at <= asked:
+        target.broken_at = None
     ended_at = target.ended_at
     if ended_at is None or asked < ended_at:
         return
@@ -219,12 +230,14 @@
 ) -> None:
     """Apply the clearances of suspected requests that ran at other entries."""
     for clearance in clearances:
-        state.crashes.clear(clearance.subject, Millis(now - clearance.age), now)
+        state.crashes.record_clearance(clearance, now)
 
 
 def clear_request(state: State, request: Request, now: Millis) -> list[Effect]:
     """Drop the suspicions of a request that was answered or whose stream has begun."""
-    return _clear(state, request.spec.id, [name_request(request.spec)], now, now)
+    subject = name_request(request.spec)
+    state.crashes.record_answer(subject, now)
+    return _clear(state, request.spec.id, [subject], now, now)
 
 
 def record_whole(
@@ -292,7 +305,7 @@
             effects += _clear(state, answer.request, answer.parts, answer.ended_at, now)
             continue
         for part in answer.parts:
-            target.lost[part] = opened
+            target.lost[part] = LostRun(answer.ended_at, opened)
     return effects
 
 
@@ -316,13 +329,23 @@
 
 
 def _suspect_lost(state: State, target: Target, now: Millis) -> list[Effect]:
-    recent = [
-        subject
-        for subject, lost_at in target.lost.items()
-        if now - lost_at < LOST_RETENTION
-    ]
+    broken_at = target.broken_at
+    if broken_at is None or now - broken_at >= LOST_RETENTION:
+        broken_at = now
+    subjects = []
+    for subject, lost in target.lost.items():
+        if now - lost.at >= LOST_RETENTION:
+            continue
+        if lost.opened > broken_at:
+            # The target had ended: something else accepts connections at its address.
+            continue
+        if state.crashes.has_answered_since(subject, lost.at):
+            # The end is found long after the loss, and it has run elsewhere meanwhile.
+            continue
+        subjects.append(subject)
     target.lost.clear()
-    return _suspect(state, target, recent, now, now)
+    target.broken_at = None
+    return _suspect(state, target, subjects, now, now)
 
 
 def _suspect(
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -212,6 +212,8 @@
         down: Whether the target's address refused the connection, as nothing listens
             there.
         endless: Whether the target's answer did not end.
+        ended: Monotonic time in milliseconds at which its connection ended, if that
+            was found to be a loss only later; None if it was known at once.
     """
 
     attempt: int
@@ -221,6 +223,7 @@
     status: int | None = None
     down: bool = False
     endless: bool = False
+    ended: Millis | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -543,7 +546,8 @@
         loads: What the peer has open, one item for each target.
         uses: Requests and repeats that it recently sent to each service.
         suspicions: Requests that were at targets which crashed.
-        clearances: Suspected requests that recently ran to an answer.
+        clearances: Suspected requests that recently ran to an answer, and those that
+            were answered before their crashes.
         closing: Whether the peer is shutting down.
         address: Where it listens for peers, as "ip:port"; "" in a message that this
             entry has yet to send.
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -58,7 +58,9 @@
         request.lost_runs += 1
         if event.loss is not Loss.FAILED:
             request.lost_domains.add(attempt.target.info.failure_domain)
-        target_effects += crashes.record_lost(state, request, attempt, event.loss, now)
+        target_effects += crashes.record_lost(
+            state, request, attempt, event.loss, now, event.ended
+        )
         target_effects += crashes.probe_target(attempt.target, event.loss, now)
     if event.loss is Loss.UNREACHED:
         request.unreached += 1
--- a/figstep/gateway/shares.py
+++ b/figstep/gateway/shares.py
@@ -10,9 +10,6 @@
 from figstep.core.clock import Millis
 from figstep.gateway.state import State
 
-HASH_RANGE = 1 << 32
-"""Upper bound of the number in a rank; all ranks are below it."""
-
 RESTART_SHARE_DELAY = Millis(1_500)
 """How long, in milliseconds, a restarted process has no share. It first has to receive
 messages of the other entries, and requests that its earlier process sent still count
@@ -75,6 +72,21 @@
     return reaching | state.silent_peers.keys()
 
 
+def find_turn(state: State, key: str) -> int:
+    """Return this entry's place in an order of all entries, from 0.
+
+    Entries that know the same entries compute the same order, which depends on ``key``.
+    In a large fleet, the failure domains take turns.
+    """
+    known = state.peers.keys() | state.silent_peers.keys()
+    own = hash_rank(state.node, key)
+    before = sum(1 for name in known if hash_rank(name, key) < own)
+    domain = hash_rank(state.failure_domain, key)
+    remote = state.remote_loads
+    domains_before = sum(1 for name in remote if hash_rank(name, key) < domain)
+    return before * (1 + len(remote)) + domains_before
+
+
 def _share_domain(state: State, key: str, part: float) -> int:
     """Return the whole requests of this failure domain.
 
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -158,6 +158,19 @@
     turn: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that ended at a target without an answer.
+
+    Attributes:
+        opened: When its attempt was opened (monotonic), in milliseconds.
+        at: When it ended (monotonic), in milliseconds.
+    """
+
+    opened: Millis
+    at: Millis
+
+
 @dataclass(slots=True)
 class CloseCount:
     """How often streams were closed in order, and how often that was not their end.
@@ -245,8 +258,10 @@
         closes: How often it has closed streams early.
         restarted: Whether it has reported a later start than the one it registered.
         lost: What requests whose attempts there ended without an answer may be
-            suspected for, and when they ended. An answer to a request sent after that
-            time removes the entry.
+            suspected for. An answer to a request sent after the end of a run removes
+            its entry.
+        broken_at: When the first connection broke after which it gave no answer; None
+            if none did. If it has ended, it ended then or earlier.
         refused_at: When it refused a connection of this entry, until another target
             accepts one; None if it did not. Before that the entry may be cut off.
         needs_check: Whether a connection to it timed out and none was established
@@ -305,7 +320,8 @@
     open_ended: bool = False
     closes: CloseCount = field(default_factory=CloseCount)
     restarted: bool = False
-    lost: dict[str, Millis] = field(default_factory=dict)
+    lost: dict[str, LostRun] = field(default_factory=dict)
+    broken_at: Millis | None = None
     refused_at: Millis | None = None
     needs_check: bool = False
     check_at: Millis = Millis(0)
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -30,7 +30,7 @@
   unreached @24 :List(Text); # targets to which connections failed recently
   rates @25 :List(Rate);     # rates recently reported in answers of targets
   leaving @26 :List(Incarnation); # targets that announced that they leave
-  cleared @27 :List(Clearance); # suspected requests that ran successfully recently
+  cleared @27 :List(Clearance); # suspected requests that ran, lately or before
   unanswered @28 :Bool;      # the store does not answer the sender's reads
   relays @29 :List(Text);    # "ip:port" at which requests of other entries are accepted
   cutOff @30 :Bool;          # the sender reaches no target of any service
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -579,9 +579,10 @@
                 raise
             # The target gave up an answer that was not read: it has not failed.
             return AttemptLost(attempt, Loss.CUT, detail=_describe_error(error))
+        ended = self._clock.now()
         reason = await self._explain_incomplete_body(effect, response, size)
         if reason:
-            return AttemptLost(attempt, Loss.BROKEN, detail=reason)
+            return AttemptLost(attempt, Loss.BROKEN, detail=reason, ended=ended)
         return AnswerArrived(attempt, response.status)
 
     async def _finish_answer(
@@ -589,9 +590,10 @@
     ) -> Event:
         body = b"".join(chunks.parts)
         chunks.parts.clear()
+        ended = self._clock.now()
         reason = await self._explain_incomplete_body(effect, response, len(body))
         if reason:
-            return AttemptLost(effect.attempt, Loss.BROKEN, detail=reason)
+            return AttemptLost(effect.attempt, Loss.BROKEN, detail=reason, ended=ended)
         self._answers[effect.attempt] = WholeAnswer(answers.read_head(response), body)
         if _is_final(response.status):
             return AnswerArrived(effect.attempt, response.status)
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -6,7 +6,9 @@
 from figstep.core.crashes import (
     CRASH_RETENTION,
     MAX_ANNOUNCED_SUSPICIONS,
+    MAX_ANSWERED,
     MAX_SUBJECTS,
+    REPORT_MARGIN,
     SUSPICION_ANNOUNCE_DURATION,
     SUSPICION_DELAY,
     CrashTable,
@@ -396,3 +398,77 @@
     assert table.find_culprit(("new", GUILTY), Millis(last + 500)) is None
     settled = Millis(last + SUSPICION_DELAY)
     assert table.find_culprit(("new", GUILTY), settled) == GUILTY
+
+
+def test_a_request_that_was_answered_before_takes_more_crashes() -> None:
+    """Guards against refusing a frequent request for targets that others killed."""
+    table = CrashTable()
+    table.record_answer("frequent", Millis(NOW - 10))
+    record_crash(table, "b-1@1", "frequent", "rare")
+    record_crash(table, "b-2@1", "frequent", at=NOW + 1_000)
+    record_crash(table, "b-3@1", "rare", at=NOW + 1_000)
+    now = Millis(NOW + 2_000)
+    assert list_refused(table, "frequent", "rare", at=now) == []
+    table.clear("rare", now, now)
+    record_crash(table, "b-4@1", "frequent", at=NOW + 3_000)
+    later = Millis(NOW + 3_000)
+    assert list_refused(table, "frequent", at=later) == []
+    assert table.find_probationer(("frequent",), later) == "frequent"
+
+
+def test_a_request_that_became_deadly_is_refused_after_four_crashes() -> None:
+    """Guards against a deadly request that is borne as it was answered long ago."""
+    table = CrashTable()
+    for number in range(50):
+        table.record_answer("killer", Millis(NOW - 100 + number))
+    for number in range(4):
+        assert list_refused(table, "killer", at=NOW + 1_000 * number) == []
+        at = NOW + 1_000 * number
+        record_crash(table, f"b-{number}@1", "killer", at=at)
+    assert list_refused(table, "killer", at=NOW + 4_000) == ["killer"]
+
+
+def test_an_answer_before_all_crashes_is_announced_and_clears_nothing() -> None:
+    """Guards against echoes of an old answer that clear later crashes."""
+    own, other = CrashTable(), CrashTable()
+    own.record_answer("frequent", Millis(NOW - 1))
+    for table in (own, other):
+        record_crash(table, "b-1@1", "frequent")
+        record_crash(table, "b-2@1", "frequent", at=NOW + 100)
+    assert list_refused(other, "frequent", at=NOW + 200) == ["frequent"]
+    for number in range(20):
+        late = Millis(NOW + 4_000 + 1_000 * number)
+        [told] = own.list_clearances(Millis(late - REPORT_MARGIN + 1_000))
+        other.record_clearance(told, late)
+        own, other = other, own
+    assert own.count("frequent") == other.count("frequent") == 2
+    assert list_refused(other, "frequent", at=NOW + 200) == []
+
+
+def test_a_report_of_a_crash_before_an_answer_is_answered_with_a_clearance() -> None:
+    """Guards against a request that stays suspected as its answer came too early."""
+    table = CrashTable()
+    table.record_answer("good", Millis(NOW - 10))
+    assert not table.record_suspicion(Suspicion("good", "b-1@1", Millis(20)), NOW)
+    assert [told.subject for told in table.list_clearances(NOW)] == ["good"]
+
+
+def test_answers_are_kept_for_a_limited_time_and_number() -> None:
+    """Guards against memory that grows with each request that was ever answered."""
+    table = CrashTable()
+    for number in range(MAX_ANSWERED + 1):
+        table.record_answer(f"good {number}", NOW)
+    assert not table.has_answered_since("good 0", NOW)
+    assert table.has_answered_since("good 1", NOW)
+    table.remove_expired(Millis(NOW + CRASH_RETENTION))
+    assert not table.has_answered_since("good 1", NOW)
+
+
+def test_a_refused_request_is_not_tried_after_four_crashes() -> None:
+    """Guards against a deadly request that is tried again and again."""
+    table = CrashTable()
+    for number in range(4):
+        at = NOW + 1_000 * number
+        record_crash(table, f"b-{number}@1", "killer", at=at)
+        tried = table.may_try("killer", Millis(9), Millis(at + 9))
+        assert tried == (number < 3)
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -62,6 +62,22 @@
     assert problem.retry_after == entry.state.quarantine.until["killer"] - entry.now
 
 
+def test_a_request_that_was_answered_before_takes_more_deaths() -> None:
+    """Guards against quarantining a frequent request for engines that others killed."""
+    entry = Entry(inventory=make_inventory(engines=3))
+    entry.start("r1", digest="frequent", stream=False)
+    entry.deliver(entry.find_attempt("r1"), 1)
+    entry.feed(AttemptEnded(entry.find_attempt("r1")))
+    for number in range(4):
+        assert not entry.state.quarantine.until
+        name = f"again-{number}"
+        entry.start(name, digest="frequent", stream=False)
+        answer_attempt(entry, name)
+        lose_for_good(entry, name)
+        entry.feed(CallerGone(name))
+    assert list(entry.state.quarantine.until) == ["frequent"]
+
+
 def test_neighbours_of_a_killer_go_on_and_are_cleared() -> None:
     """Guards against quarantining an innocent request that shared an engine.
 
