Renew the report of an engine that leaves

Cause: found on reading the change: an engine as a process stopped to renew what it reports as it began to drain, so that its runs stood still for two seconds. Before: the new test fails. After: it passes; the report is renewed until the end.

--- a/tests/platform/target.py
+++ b/tests/platform/target.py
@@ -304,8 +304,8 @@
         print("registered", flush=True)
         await leaving.wait()
         stalls.cancel()
-        report.cancel()
         await target.leave()
+        report.cancel()
 
 
 def main() -> None:
--- a/tests/platform/test_standins.py
+++ b/tests/platform/test_standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
@@ -13,6 +14,7 @@
 
 from figstep.platform.store import CONFIGURATION_TOPIC as TOPIC
 from figstep.platform.store import HttpStore
+from tests.deployments.hosts import Spares, TargetHost
 from tests.framing import Framing
 from tests.platform.memory import draw_sizes
 from tests.platform.standins import FakeStore, FakeTarget, start_app
@@ -255,3 +257,34 @@
     assert sizes == draw_sizes("/plan/2000", 2_000, mean)
     assert {1, 2, 3, 4} >= set(sizes)
     assert abs(sum(sizes) / 2_000 - mean) < 0.1
+
+
+async def test_an_engine_that_leaves_still_reports_its_runs(tmp_path: Path) -> None:
+    """Guards against reports that state runs of before a drain until its end."""
+    store = FakeStore()
+    await store.start()
+    spares = Spares(tmp_path / "targets.log")
+    await spares.start(1)
+    address = f"{HOST}:{find_free_port()}"
+    journal = str(tmp_path / "journal")
+    identity = Identity(
+        "e-1", "engines", address, "muc-a", "v1", store.address, journal
+    )
+    target = TargetHost(identity, spares)
+    try:
+        await target.start()
+        await target.wait_until_registered()
+        call = asyncio.create_task(stream(address, {}, 2.0))
+        await asyncio.sleep(REPORT_INTERVAL + 0.1)
+        target.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        _, before = await ask(address, "report")
+        await asyncio.sleep(REPORT_INTERVAL + 0.1)
+        _, after = await ask(address, "report")
+        assert after["state"] == "draining"
+        assert 0 < before["runs"][0][2] < after["runs"][0][2]
+        await call
+    finally:
+        await target.kill()
+        await spares.stop()
+        await store.stop()
