Believe an engine that lists a complete run whatever its registration says

The start that was registered as the stream began was no longer the registered one at its end.

A target that lists the complete run has run it and has not restarted since, as nothing is kept over a restart, so that its start needs not be asked for. The test failed before.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -492,9 +492,10 @@
         if not reason and not delimited:
             self._dispatch(StreamClosed(attempt))
             kept = await self._query_kept(effect)
-            # Asked after the list, so that no later incarnation gave that.
-            outlived = await self._has_outlived(effect, response)
-            reason = explain_incomplete(replace(end, outlived=outlived))
+            if kept is None or kept <= 0:
+                # A target that lists the run has not restarted.
+                outlived = await self._has_outlived(effect, response)
+                reason = explain_incomplete(replace(end, outlived=outlived))
         if reason:
             return AttemptLost(attempt, Loss.BROKEN, detail=reason)
         self._release_kept(effect)
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -515,3 +515,19 @@
     target.kept = web.Response(body=body)
     target.handler = stream_until(target, EVENTS)
     assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
+
+
+async def test_a_whole_stream_of_an_engine_that_registers_late_is_complete(
+    place: Place,
+) -> None:
+    """Guards against whole streams lost as a registration was read late."""
+    await configure(place, False, **PINS)
+    target = place.targets["i-e1"]
+    target.restart_unregistered(born=2)
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        await target.register(place.store)
+        return await stream_until(target, EVENTS)(request)
+
+    target.handler = answer
+    assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
