Take no close for the end once bytes of what follows have come

Where no list states the end, callers got a part of a stream as the whole: an engine closed between two events, the one that was asked for the rest was cut or fell silent inside its first event, and the first close was believed, as only complete events counted against it.

Now the first bytes of a continuation contradict the close, also those of a standby that was opened before it. The six cases of the platform's test failed before; the test of the standby needs the new event.

--- a/figstep/gateway/closes.py
+++ b/figstep/gateway/closes.py
@@ -100,7 +100,7 @@
 def is_believed(state: State, request: Request) -> bool:
     """Return whether the close of a stream is its end, as nothing contradicts that."""
     target = request.closed_by
-    if target is None:
+    if target is None or request.rest_begun:
         return False
     count = target.closes
     if not count.early and count.checked < MIN_CHECKED_CLOSES:
--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -75,6 +75,7 @@
         closes.record_close(state, request, attempt.target, is_early)
     if attempt.first_delivery_at is not None:
         request.closed_by = attempt.target
+        request.rest_begun = False
     elif event.empty and request.closed_by is not None:
         closes.record_close(state, request, request.closed_by, early=False)
     elif not event.empty:
@@ -133,6 +134,7 @@
     if request.standby is not None:
         # It goes on after the last event, and shows whether more follow.
         request.current, request.standby = request.standby, None
+        request.rest_begun = request.current.rest_begun
     elif asked_at is None or now - asked_at < QUESTION_TIMEOUT:
         effects = _ask_holder(state, request, now)
         if not effects:
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -163,6 +163,13 @@
     kept: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RestBegun:
+    """The first bytes arrived of a stream that goes on after a known event."""
+
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class StreamClosed:
     """The connection of a stream ended; its target is asked whether it lives."""
@@ -674,6 +681,7 @@
     | StreamConfirmed
     | PiecesArrived
     | StreamEnded
+    | RestBegun
     | StreamClosed
     | AnswerBegan
     | ReadingPaused
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -44,6 +44,7 @@
     RateNamed,
     ReadingPaused,
     RequestArrived,
+    RestBegun,
     RunCopied,
     RunNotCopied,
     SettingsRead,
@@ -107,6 +108,8 @@
             return streams.handle_stream_confirmed(state, event, now)
         case RequestArrived():
             return requests.admit_request(state, event, now)
+        case RestBegun():
+            return streams.handle_rest_begun(state, event)
         case StreamClosed():
             return streams.handle_stream_closed(state, event)
         case StreamEnded():
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -171,6 +171,8 @@
             of another one before; None if it goes on for another reason.
         awaits_copy: Whether its target closed it, and the holder of a copy that is
             still being made is asked for the rest.
+        rest_begun: Whether bytes have arrived, of a stream that goes on after a known
+            event.
     """
 
     number: int
@@ -193,6 +195,7 @@
     closed: bool = False
     asked_at: Millis | None = None
     awaits_copy: bool = False
+    rest_begun: bool = False
 
 
 @dataclass(slots=True)
@@ -220,6 +223,8 @@
         copyable: Whether engines that ran it copy or back up runs.
         closed_by: Target that closed its stream in order, while nothing contradicts
             that this was its end; None otherwise.
+        rest_begun: Whether bytes have arrived after that close of what follows; a part
+            of an event contradicts the end as well.
         copy_destination: Target that holds a copy on order or is to hold it, or None.
         copy_memory: Tokens of memory that this copy takes there.
         copy_source: Target that is being copied from, or None.
@@ -276,6 +281,7 @@
     open_ended: bool = False
     copyable: bool = False
     closed_by: Target | None = None
+    rest_begun: bool = False
     copy_destination: Target | None = None
     copy_memory: int = 0
     copy_source: Target | None = None
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -27,6 +27,7 @@
     Loss,
     PiecesArrived,
     ReadingPaused,
+    RestBegun,
     StreamClosed,
     StreamConfirmed,
     StreamOpened,
@@ -117,6 +118,18 @@
     return origins.record_start(state, request, attempt, now)
 
 
+def handle_rest_begun(state: State, event: RestBegun) -> list[Effect]:
+    """Record that something follows a known event, be it a part of an event."""
+    attempt = state.attempts.get(event.attempt)
+    if attempt is None:
+        return []
+    attempt.rest_begun = True
+    request = state.requests[attempt.request]
+    if attempt is request.current:
+        request.rest_begun = True
+    return []
+
+
 def handle_stream_closed(state: State, event: StreamClosed) -> list[Effect]:
     """Record that a stream has ended and no more events come: it has not stalled."""
     attempt = state.attempts.get(event.attempt)
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -30,6 +30,7 @@
     PiecesArrived,
     RateNamed,
     ReadingPaused,
+    RestBegun,
     RunCopied,
     RunNotCopied,
     StreamClosed,
@@ -470,7 +471,11 @@
         delimited = is_delimited(response)
         splitter = EventSplitter()
         events = 0
+        has_begun = False
         async for chunk in response.content.iter_any():
+            if effect.after is not None and not has_begun:
+                has_begun = True
+                self._dispatch(RestBegun(attempt))
             pieces = [
                 StreamPiece(event.index, event.data) for event in splitter.feed(chunk)
             ]
--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -7,11 +7,23 @@
 from figstep.core.clock import Millis
 from figstep.gateway.closes import MIN_CHECKED_CLOSES, MIN_DELIMITED_STREAMS
 from figstep.gateway.effects import BreakStream, FinishStream, KeptRun, OpenAttempt
-from figstep.gateway.events import AttemptLost, ConfigurationRead, Loss, StreamEnded
+from figstep.gateway.events import (
+    AttemptLost,
+    ConfigurationRead,
+    Loss,
+    RestBegun,
+    StreamEnded,
+    Ticked,
+)
 from figstep.gateway.prompts import Prompt
 from figstep.gateway.routes import EnginePool, Service
 from figstep.gateway.targets import CloseCount
-from tests.gateway.worlds import ENGINES, EntryHarness, build_table
+from tests.gateway.worlds import (
+    ENGINES,
+    EntryHarness,
+    build_table,
+    start_with_backup,
+)
 
 RETENTION = Millis(4_000)
 """Time for which the engines keep complete runs."""
@@ -144,3 +156,18 @@
     harness.send_pieces(asked.attempt, 4, 5)
     assert target.closes == CloseCount(1, 1)
     assert harness.state.closes[ENGINES].count == CloseCount(1, 1)
+
+
+def test_a_standby_that_began_an_event_contradicts_the_close_of_its_source() -> None:
+    """Guards against a part as the whole, as the standby is cut inside an event."""
+    harness, opened = start_with_backup()
+    standby: list[OpenAttempt] = []
+    while not standby:
+        harness.clock.advance(30)
+        harness.handle(Ticked())
+        standby = harness.find_effects(OpenAttempt)
+    harness.handle(RestBegun(standby[0].attempt))
+    harness.handle(StreamEnded(opened.attempt, confirmed=False))
+    harness.handle(AttemptLost(standby[0].attempt, Loss.BROKEN))
+    assert not harness.find_effects(FinishStream)
+    assert harness.find_effects(BreakStream)
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -531,3 +531,28 @@
 
     target.handler = answer
     assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
+
+
+@pytest.mark.parametrize("ends", ["closed", "reset", "silent"])
+@pytest.mark.parametrize("resumable", [True, False])
+async def test_a_continuation_that_is_cut_inside_its_first_event_contradicts_the_end(
+    place: Place, resumable: bool, ends: str
+) -> None:
+    """Guards against a part as the whole, though the next event had begun to come."""
+    await configure(place, resumable, attempts=2, moves=True)
+    engines = await add_engine(place)
+
+    def cut(holder: FakeTarget) -> Handler:
+        async def answer(request: web.Request) -> web.StreamResponse:
+            raw = RawAnswer(request, Framing.CONNECTION, holder.sign(request), 0)
+            raw.write(write_events(EARLY + 1, EARLY + 1)[:-2])
+            await asyncio.sleep(2 if ends == "silent" else 0.05)
+            if ends == "reset":
+                assert request.transport is not None
+                request.transport.abort()
+            return raw.close()
+
+        return answer
+
+    end_first_early(engines, EARLY, cut)
+    assert await read_complete(place, "/plan/a", **PLAN) is None
