Believe no engine known to close early whose list of kept runs is lost

Where engines neither copy nor back up runs, on a route that may not be resumed, callers got a part as the whole if the list that states the end did not come in time, from an engine whose closes are known to be early: the close counted without a look at that, as nobody else could be asked. An engine that was asked to keep the run has to be believed now. The case with early closes failed before.

--- a/figstep/gateway/attempts.py
+++ b/figstep/gateway/attempts.py
@@ -295,6 +295,8 @@
     confirm = Confirmation.NONE
     if attempt.relay is None:
         confirm = origins.choose_confirmation(state, request, attempt.target)
+    keep = closes.choose_kept_run(state, request, attempt)
+    attempt.keeps_run = keep is not None
     return OpenAttempt(
         request.spec.number,
         attempt.number,
@@ -309,7 +311,7 @@
         relay=attempt.relay,
         confirm=confirm,
         born=attempt.target.info.born,
-        keep=closes.choose_kept_run(state, request, attempt),
+        keep=keep,
     )
 
 
--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -13,7 +13,8 @@
 
 The close of a living target is the end without a question where no other run could ever
 state it: on a route that may not be resumed, at a plain service or at engines that
-neither copy nor back up runs.
+neither copy nor back up runs. One that was asked to keep the run could have stated it,
+and has to be believed.
 """
 
 from figstep.core.clock import Millis
@@ -94,7 +95,9 @@
             return False
     if _is_unanswered(attempt):
         return closes.is_believed(state, request)
-    return not _is_open(request, attempt)
+    if _is_open(request, attempt):
+        return False
+    return not attempt.keeps_run or closes.is_believed(state, request)
 
 
 def _is_open(request: Request, attempt: Attempt) -> bool:
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -173,6 +173,7 @@
             still being made is asked for the rest.
         rest_begun: Whether bytes have arrived, of a stream that goes on after a known
             event.
+        keeps_run: Whether its engine was asked to keep the run if it is complete.
     """
 
     number: int
@@ -196,6 +197,7 @@
     asked_at: Millis | None = None
     awaits_copy: bool = False
     rest_begun: bool = False
+    keeps_run: bool = False
 
 
 @dataclass(slots=True)
--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -171,3 +171,21 @@
     harness.handle(AttemptLost(standby[0].attempt, Loss.BROKEN))
     assert not harness.find_effects(FinishStream)
     assert harness.find_effects(BreakStream)
+
+
+@pytest.mark.parametrize("early", [0, 1])
+def test_the_close_of_an_engine_known_to_close_early_counts_only_if_it_is_kept(
+    early: int,
+) -> None:
+    """Guards against a part as the whole where the list of a faulty engine is lost."""
+    harness = start_entry()
+    pool = EnginePool(64, 34_000, event_tokens=4, run_retention=RETENTION)
+    table = build_table(3)
+    services = {**table.services, ENGINES: Service(ENGINES, engine=pool)}
+    harness.handle(ConfigurationRead(replace(table, services=services)))
+    opened = open_stream(harness)
+    harness.open_stream(opened.attempt, delimited=False)
+    harness.state.closes[ENGINES].count = CloseCount(10, 5 * early)
+    harness.send_pieces(opened.attempt, 1, 3)
+    harness.handle(StreamEnded(opened.attempt, confirmed=False, kept=None))
+    assert len(harness.find_effects(FinishStream)) == 1 - early
