Compare the model of what an engine keeps

An engine lists a part once for each model that has read it. The first entry of the part was taken: one for another model, with generated tokens, stated the end of a part of a stream, and one with the prompt alone contradicted a whole one. The case of the part failed before.

--- a/figstep/gateway/closes.py
+++ b/figstep/gateway/closes.py
@@ -51,7 +51,7 @@
     if _find_closes(state, request.service).delimited >= MIN_DELIMITED_STREAMS:
         return None
     part, tokens = prompt.parts[-1]
-    return KeptRun(part, tokens, pool.run_retention)
+    return KeptRun(prompt.model, part, tokens, pool.run_retention)
 
 
 def record_framing(
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -47,11 +47,13 @@
     """What an engine keeps of a run, which states afterwards that it is complete.
 
     Attributes:
+        model: Model of the run; the same part may be kept for others as well.
         part: Id of the last part of the prompt, by which the engine lists it.
         tokens: Number of tokens of this part in the prompt.
         duration: How long it is kept after the end, in milliseconds.
     """
 
+    model: str
     part: str
     tokens: int
     duration: Millis
--- a/figstep/platform/retention.py
+++ b/figstep/platform/retention.py
@@ -84,8 +84,8 @@
         fields = {"target": target.name, "error": f"{type(error).__name__}: {error}"}
         _log.info("cannot read what an engine keeps", extra=fields)
         return None
-    for _, part, tokens, _ in listed.held:
-        if part == run.part:
+    for _, part, tokens, model in listed.held:
+        if (part, model) == (run.part, run.model):
             return tokens - run.tokens
     return -run.tokens
 
--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -50,7 +50,7 @@
 def test_a_run_is_kept_under_the_last_part_of_its_prompt() -> None:
     """Guards against streams whose engine has nothing to state at their end."""
     opened = open_stream(start_entry())
-    assert opened.keep == KeptRun("b2", 200, RETENTION)
+    assert opened.keep == KeptRun("m", "b2", 200, RETENTION)
 
 
 def test_engines_that_keep_no_runs_are_not_asked_to() -> None:
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 
+import orjson
 import pytest
 from aiohttp import web
 from multidict import CIMultiDict
@@ -556,3 +557,26 @@
 
     end_first_early(engines, EARLY, cut)
     assert await read_complete(place, "/plan/a", **PLAN) is None
+
+
+@pytest.mark.parametrize("last", [EARLY, EVENTS])
+async def test_a_part_that_is_kept_for_another_model_states_nothing(
+    place: Place, last: int
+) -> None:
+    """Guards against the memory of another model taken for that of the run."""
+    await configure(place, False, **PINS)
+    target = place.targets["i-e1"]
+    whole = last == EVENTS
+    # The other model keeps the prompt alone where the run is whole, and the reverse.
+    other = 2_000 if whole else 2_000 + STRIDE * EARLY
+    own = 2_000 + STRIDE * EVENTS if whole else 2_000
+    held = [["", "b2", other, "other"], ["", "b2", own, "m"]]
+    write = stream_until(target, last)
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        target.kept = web.Response(body=orjson.dumps({"held": held}))
+        return await write(request)
+
+    target.handler = answer
+    expected = write_events(1, EVENTS) if whole else None
+    assert await read_complete(place, "/plan/a", **PLAN) == expected
