Take no run for cut whose close was read after its engine kept it

An entry that is frozen, or whose caller reads slowly, reads the end of a stream late. If its engine had kept the complete run no longer by then, the list showed the prompt alone, which counted as a contradiction: the whole stream was broken off, and the engine counted as one that closes early. A list without the run states nothing now if the time since a read last waited for bytes is as long as the run is kept. The test failed before.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -86,6 +86,10 @@
 """Timeout of a query of the source of a copy before the copy is used, in seconds. The
 caller's stream pauses meanwhile, and engines answer within milliseconds."""
 
+MIN_SILENCE = Millis(5)
+"""Shortest time in milliseconds without a byte of a stream that shows that its target
+had not ended it before; bytes that have arrived are read at once."""
+
 STOP_DELAY_SECONDS = 0.05
 """Time in seconds before an engine is ordered to stop a run, and between two orders.
 Most engines end a run with its connection, and reject the order then without work."""
@@ -472,7 +476,11 @@
         splitter = EventSplitter()
         events = 0
         has_begun = False
+        # The target may have ended the stream at any time after that.
+        going_at = read_at = self._clock.now()
         async for chunk in response.content.iter_any():
+            if self._clock.now() - read_at >= MIN_SILENCE:
+                going_at = read_at
             if effect.after is not None and not has_begun:
                 has_begun = True
                 self._dispatch(RestBegun(attempt))
@@ -486,6 +494,9 @@
                     self._dispatch(ReadingPaused(attempt, True))
                     await exchange.buffer.wait_for_room()
                     self._dispatch(ReadingPaused(attempt, False))
+            read_at = self._clock.now()
+        if self._clock.now() - read_at >= MIN_SILENCE:
+            going_at = read_at
         end = NumberedStream(
             delimited,
             events,
@@ -496,7 +507,7 @@
         kept = None
         if not reason and not delimited:
             self._dispatch(StreamClosed(attempt))
-            kept = await self._query_kept(effect)
+            kept = await self._query_kept(effect, going_at)
             if kept is None or kept <= 0:
                 # A target that lists the run has not restarted.
                 outlived = await self._has_outlived(effect, response)
@@ -506,16 +517,21 @@
         self._release_kept(effect)
         return StreamEnded(attempt, confirmed=delimited, empty=not events, kept=kept)
 
-    async def _query_kept(self, effect: OpenAttempt) -> int | None:
+    async def _query_kept(self, effect: OpenAttempt, going_at: Millis) -> int | None:
         """Return how many generated tokens of a run its engine keeps.
 
-        Returns None if the engine was not asked to keep the run, or does not answer.
+        Returns None if the engine was not asked to keep the run, does not answer, or
+        may have kept it no longer, as the run's end was read late.
         """
         target = self._find_target(effect.target)
         if effect.keep is None or target is None:
             return None
         assert self._session is not None
-        return await retention.query_kept(self._session, target, effect.keep)
+        kept = await retention.query_kept(self._session, target, effect.keep)
+        if kept is None or kept > 0:
+            return kept
+        is_late = self._clock.now() - going_at >= effect.keep.duration
+        return None if is_late else kept
 
     def _release_kept(self, effect: OpenAttempt) -> None:
         target = self._find_target(effect.target)
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -1,6 +1,7 @@
 """Tests of answers without a length: what shows that they are complete."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator, Callable
 
 import orjson
@@ -580,3 +581,25 @@
     target.handler = answer
     expected = write_events(1, EVENTS) if whole else None
     assert await read_complete(place, "/plan/a", **PLAN) == expected
+
+
+def freeze(seconds: float) -> None:
+    """Stop the entry; its sockets hold what its targets have sent."""
+    time.sleep(seconds)
+
+
+async def test_a_close_that_a_frozen_entry_reads_late_is_not_contradicted(
+    place: Place,
+) -> None:
+    """Guards against whole streams lost as the pin had ended before the query."""
+    await configure(place, False, pin_ms=300)
+    target = place.targets["i-e1"]
+    write_whole = stream_until(target, EVENTS)
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = await write_whole(request)
+        freeze(0.4)
+        return response
+
+    target.handler = answer
+    assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
