Release a kept run also if its caller leaves as its end is looked up

A caller that knows its last event leaves before the entry has read the list and the start, which ended the attempt without the order to keep the run no longer: engines kept it for seconds. So did streams that were lost as their engine did not state its start.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -203,10 +203,12 @@
 
     async def on_stop(self) -> None:
         """Cancel all attempts and background tasks, and close the sessions."""
-        tasks = [*self._attempt_tasks.values(), *self._background]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        # Attempts that end may leave background tasks.
+        for tasks in (self._attempt_tasks.values(), self._background):
+            ending = list(tasks)
+            for task in ending:
+                task.cancel()
+            await asyncio.gather(*ending, return_exceptions=True)
         for session in (self._session, self._relay_session):
             if session is not None:
                 await session.close()
@@ -505,16 +507,19 @@
         )
         reason = explain_incomplete(end)
         kept = None
-        if not reason and not delimited:
-            self._dispatch(StreamClosed(attempt))
-            kept = await self._query_kept(effect, going_at)
-            if kept is None or kept <= 0:
-                # A target that lists the run has not restarted.
-                outlived = await self._has_outlived(effect, response)
-                reason = explain_incomplete(replace(end, outlived=outlived))
+        try:
+            if not reason and not delimited:
+                self._dispatch(StreamClosed(attempt))
+                kept = await self._query_kept(effect, going_at)
+                if kept is None or kept <= 0:
+                    # A target that lists the run has not restarted.
+                    outlived = await self._has_outlived(effect, response)
+                    reason = explain_incomplete(replace(end, outlived=outlived))
+        finally:
+            # Also if the caller has left meanwhile: it may know its last event.
+            self._release_kept(effect)
         if reason:
             return AttemptLost(attempt, Loss.BROKEN, detail=reason)
-        self._release_kept(effect)
         return StreamEnded(attempt, confirmed=delimited, empty=not events, kept=kept)
 
     async def _query_kept(self, effect: OpenAttempt, going_at: Millis) -> int | None:
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -603,3 +603,26 @@
 
     target.handler = answer
     assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
+
+
+async def test_a_run_of_a_caller_who_leaves_at_its_end_is_not_kept(
+    place: Place,
+) -> None:
+    """Guards against memory of engines left behind by callers who leave at the end."""
+    await configure(place, False, **PINS)
+    target = place.targets["i-e1"]
+    target.handler = stream_until(target, EVENTS)
+    last = b"t%d\n\n" % EVENTS
+    async with place.session.post(
+        place.url("/plan/a"), headers=place.headers("r-1", **PLAN)
+    ) as response:
+        async for chunk in response.content.iter_any():
+            if chunk.endswith(last):
+                break
+        async with asyncio.timeout(2):
+            while not target.memory.count_pinned():
+                await asyncio.sleep(0)
+        response.close()
+    async with asyncio.timeout(2):
+        while target.memory.count_pinned():
+            await asyncio.sleep(0.01)
