Add failing tests of requests that share the last part of their prompt

The last part of a prompt may belong to a session. An engine lists what it keeps by that part alone: a complete run of another request states the end of a stream that was closed early, if its tokens fit the events that were delivered; and a request that begins with the same part after a complete run ends its pin, which counts as a contradiction. Neither is mended: the list names no request.

--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -626,3 +626,42 @@
     async with asyncio.timeout(2):
         while target.memory.count_pinned():
             await asyncio.sleep(0.01)
+
+
+async def test_a_kept_run_of_another_request_does_not_state_the_end(
+    place: Place,
+) -> None:
+    """Guards against a part as the whole, as its prompt ran to its end beside it."""
+    await configure(place, False, **PINS)
+    target = place.targets["i-e1"]
+    target.memory.begin({"Prefix-Hash": "a1:1000,b2:2000", "Model": "m"})
+    whole = {"Prefix-Hash": "a1:1000,b2:2000", "Model": "m", "Pin-Ms": "4000"}
+    cut = stream_until(target, EARLY)
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        # Another entry's run of all events, of which each holds two tokens.
+        asyncio.get_running_loop().call_later(
+            0.2, target.memory.complete, whole, 2 * EVENTS
+        )
+        return await cut(request)
+
+    target.handler = answer
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+
+
+async def test_a_whole_stream_whose_prompt_begins_to_run_again_is_not_contradicted(
+    place: Place,
+) -> None:
+    """Guards against whole streams lost as a request of the same session follows."""
+    await configure(place, False, **PINS)
+    target = place.targets["i-e1"]
+    write_whole = stream_until(target, EVENTS)
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = await write_whole(request)
+        # Another entry's request with the same last part.
+        target.memory.begin(request.headers)
+        return response
+
+    target.handler = answer
+    assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
