Bear two more crashes of a document that was written on before

What callers saw: sound streams refused for a document that had been at the crashes of several guilty parts and requests, some of which other entries had not reported yet.

Three crashes refuse all prompts with a document, and that prompts with it had been answered before counts for nothing.

It is refused from five crashes on, and from three on it runs on probation. A part that was never answered is refused after three, as before.

--- a/figstep/core/crashes.py
+++ b/figstep/core/crashes.py
@@ -6,8 +6,9 @@
 chance explains the crashes of targets that it was on. A subject of the request itself
 explains nothing: a request that lacks the guilty part is not refused for its company.
 
-A request that is sent often is at targets that end for other reasons, again and again.
-One that was answered before takes more crashes than one that never was.
+A request that is sent often is at targets that end for other reasons, again and again,
+and a popular part is at the crashes of others. A subject that was answered before takes
+more crashes than one that never was.
 """
 
 import hashlib
@@ -28,15 +29,15 @@
 the same request was on the target both times."""
 
 MAX_SPARED_CRASHES = 2
-"""Number of crashes that a request takes more if it was answered before them. It runs
-on probation meanwhile."""
+"""Number of crashes that a subject takes more if it was answered before them. Requests
+with it run on probation meanwhile."""
 
 MAX_TRIED_CRASHES = CRASHES_BEFORE_REFUSAL + 2
 """Number of crashes from which a refused request is not tried again until they are too
 old to count."""
 
 MAX_ANSWERED = 8_192
-"""Maximum number of requests whose last answer is kept."""
+"""Maximum number of requests, and of parts, whose last answer is kept."""
 
 REPORT_MARGIN = Millis(5_000)
 """Least time, in milliseconds, from an answer that is announced as one before all
@@ -162,6 +163,7 @@
     _lives: dict[str, set[str]] = field(default_factory=dict)
     _cleared: dict[str, _Cleared] = field(default_factory=dict)
     _answered: dict[str, Millis] = field(default_factory=dict)
+    _answered_parts: dict[str, Millis] = field(default_factory=dict)
     _trials: dict[str, Millis] = field(default_factory=dict)
     _attributed: dict[tuple[bool, frozenset[str]], dict[str, list[Crash]]] = field(
         default_factory=dict
@@ -182,7 +184,7 @@
         cleared = self._cleared.get(subject)
         if cleared is not None and at <= cleared.at:
             return False
-        answered_at = self._answered.get(subject)
+        answered_at = self._get_answers(subject).get(subject)
         if answered_at is not None and at <= answered_at:
             self._cleared[subject] = _Cleared(answered_at, now)
             return False
@@ -220,21 +222,29 @@
         return max(self._get_crash_time(life) for life in self._lives[subject])
 
     def record_answer(self, subject: str, at: Millis) -> None:
-        """Record an answer to a request (monotonic time, in milliseconds)."""
-        self._answered[subject] = max(at, self._answered.pop(subject, at))
-        if len(self._answered) > MAX_ANSWERED:
-            del self._answered[next(iter(self._answered))]
+        """Record an answer to a subject (monotonic time, in milliseconds)."""
+        answers = self._get_answers(subject)
+        answers[subject] = max(at, answers.pop(subject, at))
+        if len(answers) > MAX_ANSWERED:
+            del answers[next(iter(answers))]
+
+    def _get_answers(self, subject: str) -> dict[str, Millis]:
+        """Return the answers to subjects of one kind, the oldest first.
+
+        They are kept apart, as a prompt has many parts.
+        """
+        return self._answered_parts if is_part(subject) else self._answered
 
     def record_clearance(self, clearance: Clearance, now: Millis) -> None:
         """Apply the report of another entry that a subject ran."""
         subject, at = clearance.subject, Millis(now - clearance.age)
-        if not is_part(subject) and subject not in self._answered:
+        if subject not in self._get_answers(subject):
             self.record_answer(subject, at)
         self.clear(subject, at, now)
 
     def has_answered_since(self, subject: str, since: Millis) -> bool:
-        """Return whether a request was answered at a monotonic time or later."""
-        answered_at = self._answered.get(subject)
+        """Return whether a subject was answered at a monotonic time or later."""
+        answered_at = self._get_answers(subject).get(subject)
         return answered_at is not None and answered_at >= since
 
     def clear(self, subject: str, at: Millis, now: Millis) -> bool:
@@ -277,7 +287,7 @@
         The crashes of the last ``CRASH_RETENTION`` that are attributed to one of its
         subjects count. The request is refused if there are as many as the subject's
         kind takes, and one more for each crash without the subject in the same time
-        span, up to ``MAX_UNRELATED_CRASHES`` more. A request that was answered before
+        span, up to ``MAX_UNRELATED_CRASHES`` more. A subject that was answered before
         takes ``MAX_SPARED_CRASHES`` more.
 
         Args:
@@ -285,18 +295,19 @@
             now: Monotonic time, in milliseconds.
         """
         for subject in subjects:
-            spared = MAX_SPARED_CRASHES if subject in self._answered else 0
+            is_spared = subject in self._get_answers(subject)
+            spared = MAX_SPARED_CRASHES if is_spared else 0
             if self._count_excess(subject, subjects, now) >= spared:
                 return subject
         return None
 
     def find_probationer(self, subjects: Collection[str], now: Millis) -> str | None:
-        """Return the request that would be refused if it had not been answered before.
+        """Return the subject to refuse a request for if it had not been answered.
 
         Such a request may run, but one at a time. Returns None for any other.
         """
         for subject in subjects:
-            if subject not in self._answered:
+            if subject not in self._get_answers(subject):
                 continue
             if self._count_excess(subject, subjects, now) >= 0:
                 return subject
@@ -517,14 +528,14 @@
         return tuple(Clearance(subject, Millis(now - at)) for _, subject, at in recent)
 
     def _list_answered_before(self, now: Millis) -> list[tuple[int, str, Millis]]:
-        """Return the suspected requests that were answered before all their crashes.
+        """Return the suspects that were answered before all their crashes.
 
         Each comes with the number of its crashes, those with most first, and with a
         time that precedes them by ``REPORT_MARGIN`` or more.
         """
         found = []
         for subject, lives in self._lives.items():
-            answered_at = self._answered.get(subject)
+            answered_at = self._get_answers(subject).get(subject)
             if answered_at is None:
                 continue
             known_at = max(self._crashes[life].suspects[subject] for life in lives)
@@ -544,11 +555,12 @@
         for subject, cleared in list(self._cleared.items()):
             if now - cleared.at >= CRASH_RETENTION:
                 del self._cleared[subject]
-        while self._answered:
-            subject, answered_at = next(iter(self._answered.items()))
-            if now - answered_at < CRASH_RETENTION:
-                break
-            del self._answered[subject]
+        for answers in (self._answered, self._answered_parts):
+            while answers:
+                subject, answered_at = next(iter(answers.items()))
+                if now - answered_at < CRASH_RETENTION:
+                    break
+                del answers[subject]
         for subject in list(self._trials):
             if subject not in self._lives:
                 del self._trials[subject]
--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -251,6 +251,8 @@
     request_id = request.spec.id
     parts = list_parts(request.spec)
     if _was_written(attempt, now):
+        for part in parts:
+            state.crashes.record_answer(part, now)
         return _clear(state, request_id, parts, now, now)
     doubtful = tuple(part for part in parts if state.crashes.is_suspected(part))
     if doubtful and attempt.relay is None:
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -472,3 +472,27 @@
         record_crash(table, f"b-{number}@1", "killer", at=at)
         tried = table.may_try("killer", Millis(9), Millis(at + 9))
         assert tried == (number < 3)
+
+
+def test_a_part_that_was_answered_before_takes_more_crashes() -> None:
+    """Guards against refusing a document before others report the guilty parts."""
+    table = CrashTable()
+    table.record_answer(SHARED, Millis(NOW - 10))
+    now = NOW
+    for number in range(4):
+        now = Millis(NOW + 1_000 * number)
+        record_crash(table, f"e-{number}@1", f"digest {number}", SHARED, at=now)
+    assert table.find_culprit(("new", SHARED), Millis(now + SUSPICION_DELAY)) is None
+    record_crash(table, "e-4@1", "digest 4", SHARED, at=now + 1_000)
+    settled = Millis(now + 1_000 + SUSPICION_DELAY)
+    assert table.find_culprit(("new", SHARED), settled) == SHARED
+
+
+def test_answers_to_parts_push_out_none_to_requests() -> None:
+    """Guards against prompts with many parts that make a frequent request unknown."""
+    table = CrashTable()
+    table.record_answer("frequent", NOW)
+    for number in range(MAX_ANSWERED + 1):
+        table.record_answer(name_part(f"{number}"), NOW)
+    assert table.has_answered_since("frequent", NOW)
+    assert not table.has_answered_since(name_part("0"), NOW)
--- a/tests/gateway/test_coincidences.py
+++ b/tests/gateway/test_coincidences.py
@@ -5,19 +5,26 @@
 import pytest
 
 from figstep.core.clock import Millis
+from figstep.core.crashes import Suspicion, name_part
+from figstep.gateway.crashes import WRITING_DURATION
 from figstep.gateway.culprits import (
+    CAUTION_DURATION,
     PROBATION_SPACING,
     REQUEST_TRIAL_DELAY,
     TRIAL_SPACING,
 )
-from figstep.gateway.effects import OpenAttempt
+from figstep.gateway.effects import OpenAttempt, Refuse
 from figstep.gateway.events import (
     AnswerArrived,
     AttemptLost,
     CallerGone,
     Loss,
+    PeerHeard,
+    StreamEnded,
     TargetRegistered,
+    Ticked,
 )
+from figstep.gateway.prompts import Prompt
 from figstep.gateway.targets import Registration
 from tests.gateway.test_crashes import (
     DOMAINS,
@@ -185,7 +192,7 @@
         calls.send(number % 8)
         calls.run(20 * RUN_TIME)
         replay.wait(RETRY_DELAY - 20 * RUN_TIME)
-    assert len(replay.runs) <= 5
+    assert len(replay.runs) <= 4
     assert replay.count_late_runs() <= MAX_LATE_RUNS
     assert rejects_request(replay.fleet[5], POPULAR)
 
@@ -316,3 +323,27 @@
     harness.depart("b-1")
     assert harness.state.crashes.is_suspected(KILLER)
     assert not harness.state.crashes.is_suspected("reset")
+
+
+def test_a_document_that_was_written_on_is_not_refused_at_three_crashes() -> None:
+    """Guards against refusing a document before others report the guilty parts."""
+    harness = EntryHarness()
+    harness.register("e-1", "e-2")
+    parts = (("first", 100), ("document", 100), ("own", 100))
+    harness.receive_request("/question/a", Prompt("m", 300, 50, 50, parts))
+    opened = harness.find_effect(OpenAttempt)
+    harness.send_pieces(opened.attempt, 1, 2)
+    harness.clock.advance(WRITING_DURATION)
+    harness.send_pieces(opened.attempt, 3, 4)
+    harness.handle(StreamEnded(opened.attempt))
+    for number in range(3):
+        harness.clock.advance(CAUTION_DURATION)
+        told = Suspicion(name_part("document"), f"e-{number + 7}@1")
+        harness.handle(PeerHeard("entry-2", suspicions=(told,)))
+    parts = (("first", 100), ("document", 100), ("new", 100))
+    harness.receive_request("/question/a", Prompt("m", 300, 50, 50, parts))
+    assert harness.find_effects(Refuse) == []
+    for _ in range(4):
+        harness.clock.advance(CAUTION_DURATION)
+        harness.handle(Ticked())
+    assert len(harness.state.attempts) == 1
