Test with an entry that calls after a crash are no suspects

A target answers in one piece that ends with its connection and is dead then; its address resets what comes, and its successor registers. On the call that was reset was suspected beside the one that ran: 2 in place of 1.

--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -9,7 +9,9 @@
 from aiohttp import web
 
 from figstep.platform.entry import Entry
-from tests.platform.places import Place, open_place, start_fleet
+from tests.afterlife import Afterlife
+from tests.framing import Framing, RawAnswer
+from tests.platform.places import Place, open_place, read_complete, start_fleet
 from tests.platform.standins import FakeTarget
 
 ENTRIES = 4
@@ -178,3 +180,35 @@
     assert {status for at, status in statuses if at > last} == {200}
     assert len(set(suspected)) == 1
     assert len(crashes.crash_times) <= 4
+
+
+async def test_a_call_after_the_crash_that_an_answer_showed_is_no_suspect() -> None:
+    """Guards against suspecting calls that the address of a dead target resets."""
+    async with open_place() as place:
+        target = await place.add_target("i-b1", "bookings")
+        entry = await place.add_entry()
+        await place.wait_ready(entry, 1)
+
+        async def answer(request: web.Request) -> web.StreamResponse:
+            raw = RawAnswer(request, Framing.CONNECTION, target.sign(request), 0)
+            raw.write(b"two pal")
+            target.afterlife = Afterlife.RESET
+            return raw.close()
+
+        target.handler = answer
+        running = asyncio.create_task(read_complete(place, "/order/running"))
+        async with asyncio.timeout(5):
+            while target.afterlife is None:
+                await asyncio.sleep(0.001)
+        # The entry asks whether the target lives before it takes the answer for lost.
+        await asyncio.sleep(0.05)
+        assert not running.done()
+        assert await read_complete(place, "/order/late") is None
+        assert await running is None
+        target.born = 2
+        await target.register(place.store)
+        crashes = entry.gateway.known.crashes
+        async with asyncio.timeout(5):
+            while not crashes.has_suspects:
+                await asyncio.sleep(0.01)
+        assert len(crashes.list_suspected()) == 1
