Add failing tests of open ends among delimited streams

Callers see a part of a stream end as the whole where its engine closes it early, the eight streams before it were delimited, and the question for the rest is reset or refused. The engine was not asked to keep the run then, so that nothing states its end. The same happens if the list of what an engine keeps is lost once.

--- a/tests/contracts/test_ends.py
+++ b/tests/contracts/test_ends.py
@@ -10,7 +10,8 @@
 from figstep.standins.service import ExecutedCall, PlainService
 from tests.afterlife import Afterlife, answer_for_crashed
 from tests.contracts import test_targets
-from tests.contracts.test_targets import run_entry
+from tests.contracts.test_targets import TOKENS, FaultyEngine, run_entry
+from tests.fleet import Caller, wait_for
 from tests.framing import Framing, RawAnswer
 
 ANSWER = b"two pallets of flour"
@@ -98,3 +99,52 @@
     """Guards against a loss of whole answers that have neither length nor chunks."""
     status, body = await order_once(CrashingService("planning-1", None))
     assert (status, body) == (200, ANSWER)
+
+
+class OpenEndedEngine(FaultyEngine):
+    """Engine that closes one stream after three events and resets the next two.
+
+    Attributes:
+        left: Number of streams that are whole before that, for all engines together.
+    """
+
+    def __init__(self, name: str, left: list[int]) -> None:
+        super().__init__(name, [])
+        self.left = left
+
+    async def _stream(
+        self, request: web.Request, name: str, after: int
+    ) -> web.StreamResponse:
+        self.left[0] -= 1
+        if self.left[0] >= 0 or self.left[0] < -3:
+            return await super()._stream(request, name, after)
+        generation = self._generations[name]
+        await wait_for(lambda: generation.ended, "the generation ended")
+        raw = RawAnswer(request, Framing.CONNECTION, {}, 0)
+        if self.left[0] < -1:
+            return raw.reset()
+        for frame in generation.frames[:3]:
+            raw.write(frame)
+        return raw.close()
+
+
+@pytest.mark.parametrize("stream", [True, False], ids=["stream", "one piece"])
+async def test_an_open_end_after_many_whole_streams_is_not_the_end(
+    stream: bool,
+) -> None:
+    """Guards against a part as the whole where open ends are rare among streams."""
+    left = [8]
+    engines = [OpenEndedEngine(f"engine-{number}", left) for number in (1, 2)]
+    async with run_entry(list(engines), PlainService("planning-1")) as url:
+        for number in range(8):
+            caller = Caller(f"tag-{number}", TOKENS, stream)
+            await caller.stream_to_end(url)
+            assert caller.last.ended
+        caller = Caller("tag", TOKENS, stream)
+        await caller.stream_to_end(url)
+    assert left[0] < -3
+    assert caller.last.ended
+    if stream:
+        assert [event.index for event in caller.history.events] == [1, 2, 3, 4, 5, 6]
+    else:
+        assert len(caller.history.text.split()) == TOKENS
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -366,6 +366,7 @@
         runs: Runs that have not ended, by id, as the report lists them.
         report: Answer to one query of its state, in place of the usual one, if set.
         kept: Answer to one query of what it keeps, in place of the usual one, if set.
+        lists_lost: Number of queries of what it keeps whose connection it resets.
     """
 
     name: str
@@ -398,6 +399,7 @@
     runs: dict[str, list[str | int]] = field(default_factory=dict)
     report: web.Response | None = None
     kept: web.Response | None = None
+    lists_lost: int = 0
 
     async def start(self, store: FakeStore, port: int = 0) -> None:
         """Start listening and register in the store."""
@@ -538,6 +540,10 @@
         return web.Response(body=orjson.dumps(report))
 
     async def _list_kept(self, request: web.Request) -> web.Response:
+        if self.lists_lost:
+            self.lists_lost -= 1
+            assert request.transport is not None
+            request.transport.abort()
         if self.kept is not None:
             given, self.kept = self.kept, None
             return given
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -665,3 +665,87 @@
 
     target.handler = answer
     assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
+
+
+async def serve_delimited(place: Place, engines: list[FakeTarget]) -> None:
+    """Let engines serve eight streams in chunks, one after the other."""
+
+    def answer_whole(target: FakeTarget) -> Handler:
+        async def answer(request: web.Request) -> web.StreamResponse:
+            raw = RawAnswer(request, Framing.CHUNKS, target.sign(request), 0)
+            raw.write(write_events(1, 3))
+            return raw.end()
+
+        return answer
+
+    for engine in engines:
+        engine.handler = answer_whole(engine)
+    for number in range(8):
+        prompt = {"Token_Count": "300,2000", "Prefix_Hash": f"a1:100,c{number}:200"}
+        plan = {**PLAN, **prompt}
+        found = await read_complete(place, "/plan/a", f"r-c{number}", **plan)
+        assert found == write_events(1, 3)
+
+
+def reset_rest(target: FakeTarget, count: int = 100) -> Handler:
+    """Return a handler that resets its first connections, and then has the rest."""
+    left = iter(range(count))
+    write_rest = stream_until(target, EVENTS)
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        if next(left, None) is None:
+            return await write_rest(request)
+        raw = RawAnswer(request, Framing.CONNECTION, target.sign(request), 0)
+        return raw.reset()
+
+    return answer
+
+
+def refuse_rest(target: FakeTarget) -> Handler:
+    """Return a handler that refuses each request as not run."""
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        return web.Response(status=503, headers={"Not-Executed": "1"})
+
+    return answer
+
+
+@pytest.mark.parametrize("last", [EARLY, EVENTS])
+@pytest.mark.parametrize(
+    ("resumable", "answer_rest"), [(True, reset_rest), (False, refuse_rest)]
+)
+async def test_an_open_end_after_many_delimited_streams_is_stated(
+    place: Place,
+    resumable: bool,
+    answer_rest: Callable[[FakeTarget], Handler],
+    last: int,
+) -> None:
+    """Guards against a part as the whole where open ends are rare among streams."""
+    await configure(place, resumable, attempts=2, moves=True, **PINS)
+    engines = await add_engine(place)
+    await serve_delimited(place, engines)
+    end_first_early(engines, last, answer_rest)
+    whole = write_events(1, EVENTS) if last == EVENTS else None
+    assert await read_complete(place, "/plan/a", **PLAN) == whole
+
+
+async def test_a_question_whose_answer_is_lost_is_asked_again(place: Place) -> None:
+    """Guards against streams broken off for one reset beside a living engine."""
+    await configure(place, True, attempts=2, moves=True, **PINS)
+    engines = await add_engine(place)
+    end_first_early(engines, EARLY, lambda other: reset_rest(other, 1))
+    assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
+
+
+@pytest.mark.parametrize("last", [EARLY, EVENTS])
+async def test_a_list_whose_answer_is_lost_is_read_again(
+    place: Place, last: int
+) -> None:
+    """Guards against a lost list that is taken for an engine that states nothing."""
+    await configure(place, False, **PINS)
+    target = place.targets["i-e1"]
+    target.lists_lost = 1
+    target.handler = stream_until(target, last)
+    whole = write_events(1, EVENTS) if last == EVENTS else None
+    assert await read_complete(place, "/plan/a", **PLAN) == whole
+    assert target.lists_lost == 0
