Ask each engine to keep its complete runs, for half a second

Callers saw a part of a stream as the whole: its engine, which lives, closed it early, and the one that was asked for the rest refused or was reset. The engine had not been asked to keep the run, as the eight streams before it were delimited, so that nothing stated the end, and the close was believed.

The framing of a stream is known only after the request was sent, when it is too late to ask.

Before: 2 of 4 cases of the test of open ends after delimited streams failed, with a reset and with a refusal. After: all pass, and the whole streams of the same test still do. The test that engines of delimited streams are not asked is replaced by one that they are, and one that memory is taken for half a second at most.

--- a/figstep/gateway/closes.py
+++ b/figstep/gateway/closes.py
@@ -2,8 +2,8 @@
 
 An engine that is asked to keep a run in its memory does so only if the run is
 complete. It lists what it keeps, so that a list after the close shows whether the
-stream is whole. Engines are asked for it unless their streams have been delimited for a
-while.
+stream is whole. Each run is sent with that request, as the framing of its stream is not
+known before.
 
 Where an engine keeps no runs, the close of one that lives is the end, as long as
 nothing contradicts it and the engine has seldom closed streams early.
@@ -11,16 +11,20 @@
 
 from enum import Enum
 
+from figstep.core.clock import Millis
 from figstep.gateway import placement
 from figstep.gateway.effects import KeptRun
 from figstep.gateway.events import StreamEnded
 from figstep.gateway.routes import RouteKind
 from figstep.gateway.state import Attempt, Request, State
-from figstep.gateway.targets import CloseCount, ServiceCloses, Target
+from figstep.gateway.targets import CloseCount, Target
 
-MIN_DELIMITED_STREAMS = 8
-"""Number of delimited streams in a row after which a service's engines are not asked to
-keep complete runs."""
+MAX_RETENTION = Millis(500)
+"""Longest time in milliseconds for which an engine is asked to keep a complete run.
+
+It takes memory for so long also where the framing states the end. What an engine keeps
+is queried as its stream ends, and once more if the answer is lost.
+"""
 
 MAX_EARLY_CLOSES = 0.05
 """Largest fraction of an engine's closes that may have been early if further ones are
@@ -48,19 +52,9 @@
     pool = placement.find_engine_pool(state, request.service)
     if pool is None or not pool.run_retention:
         return None
-    if _find_closes(state, request.service).delimited >= MIN_DELIMITED_STREAMS:
-        return None
     part, tokens = prompt.parts[-1]
-    return KeptRun(prompt.model, part, tokens, pool.run_retention)
-
-
-def record_framing(
-    state: State, request: Request, target: Target, delimited: bool
-) -> None:
-    """Record whether the framing of a target's stream tells where it ends."""
-    target.open_ended = not delimited
-    closes = _find_closes(state, request.service)
-    closes.delimited = closes.delimited + 1 if delimited else 0
+    duration = min(pool.run_retention, MAX_RETENTION)
+    return KeptRun(prompt.model, part, tokens, duration)
 
 
 def judge_end(state: State, request: Request, event: StreamEnded) -> End:
@@ -84,7 +78,7 @@
 
 def record_close(state: State, request: Request, target: Target, early: bool) -> None:
     """Record whether more followed after a target closed a stream in order."""
-    for count in (target.closes, _find_closes(state, request.service).count):
+    for count in (target.closes, _find_closes(state, request.service)):
         count.checked += 1
         count.early += early
 
@@ -104,7 +98,7 @@
         return False
     count = target.closes
     if not count.early and count.checked < MIN_CHECKED_CLOSES:
-        count = _find_closes(state, request.service).count
+        count = _find_closes(state, request.service)
     return _is_reliable(count)
 
 
@@ -112,5 +106,5 @@
     return count.early <= MAX_EARLY_CLOSES * count.checked
 
 
-def _find_closes(state: State, service: str) -> ServiceCloses:
-    return state.closes.setdefault(service, ServiceCloses())
+def _find_closes(state: State, service: str) -> CloseCount:
+    return state.closes.setdefault(service, CloseCount())
