Read the list of what an engine keeps again if its answer is lost

Callers saw a part as the whole where the connection was reset on which the engine, which had been asked to keep the run, was to list it: the lost answer counted like one of an engine that keeps no runs, and the close was believed.

The list is now read up to three times while the run may still be kept; two answers without the run state that it is not complete, and a lost one states nothing. What was read too late is judged for each answer by itself.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -528,11 +528,10 @@
         if effect.keep is None or target is None:
             return None
         assert self._session is not None
-        kept = await retention.query_kept(self._session, target, effect.keep)
-        if kept is None or kept > 0:
-            return kept
-        is_late = self._clock.now() - going_at >= effect.keep.duration
-        return None if is_late else kept
+        until = Millis(going_at + effect.keep.duration)
+        return await retention.query_kept(
+            self._session, self._clock, target, effect.keep, until
+        )
 
     async def _read_answer(
         self,
--- a/figstep/platform/retention.py
+++ b/figstep/platform/retention.py
@@ -12,6 +12,7 @@
 import orjson
 from pydantic import BaseModel, ConfigDict, ValidationError
 
+from figstep.core.clock import Clock, Millis
 from figstep.gateway.effects import KeptRun
 from figstep.gateway.targets import Target
 from figstep.net.reading import BodyTooLongError, read_body
@@ -22,8 +23,9 @@
 LIST_TIMEOUT_SECONDS = 0.25
 """Timeout of a query of what an engine keeps, in seconds; its caller's stream waits."""
 
-LIST_TRIES = 2
-"""Maximum number of queries while a run is not listed; a list may be a moment old."""
+LIST_TRIES = 3
+"""Maximum number of queries: two while a run is not listed, as a list may be a moment
+old, and a further one for an answer that is lost."""
 
 LIST_PAUSE_SECONDS = 0.1
 """Pause between these queries, in seconds."""
@@ -39,20 +41,40 @@
 
 
 async def query_kept(
-    session: aiohttp.ClientSession, target: Target, run: KeptRun
+    session: aiohttp.ClientSession,
+    clock: Clock,
+    target: Target,
+    run: KeptRun,
+    until: Millis,
 ) -> int | None:
     """Return how many generated tokens an engine keeps of a run that has ended.
 
+    Args:
+        session: Session of the queries.
+        clock: Clock of ``until``.
+        target: The engine.
+        run: What it was asked to keep.
+        until: Monotonic time in milliseconds from which it may keep a complete run no
+            longer.
+
     Returns:
         The number of tokens, 0 or less if it keeps at most the prompt; None if it does
-        not answer.
+        not answer in time.
     """
-    kept = await _read_kept(session, target, run)
-    for _ in range(LIST_TRIES - 1):
-        if kept is None or kept > 0:
+    kept = None
+    for number in range(LIST_TRIES):
+        if number:
+            await asyncio.sleep(LIST_PAUSE_SECONDS)
+        found = await _read_kept(session, target, run)
+        if found is not None and found > 0:
+            return found
+        if clock.now() >= until:
+            break
+        if found is None:
+            continue
+        if kept is not None:
             break
-        await asyncio.sleep(LIST_PAUSE_SECONDS)
-        kept = await _read_kept(session, target, run)
+        kept = found
     return kept
 
 
