Ask again for the rest of a stream if the answer is lost or refused

Callers lost a stream, or got a part of it as the whole, where the connection was reset on which its rest was asked for, or the question was refused: a lost answer ended the matter, as the route allows no further target. A lost answer states nothing.

Within the time of the first question the next one is asked: a holder to which nothing was sent, another target if the route allows a further run, else one that the stream was at before, which needs no further target. Two lost answers are asked again at most.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -8,8 +8,9 @@
 the last event: of the holder of a copy of the run, or where the route allows further
 runs, of another target, or else of the same one. Events that follow contradict the
 close. A delimited continuation without an event states the end. One that is closed as
-well, a refusal and silence state nothing, and do not contradict either: the close is
-the end then, if its target is believed, and the stream is broken off otherwise.
+well, a refusal and silence state nothing, and do not contradict either. The next one is
+asked within `QUESTION_TIMEOUT`. If nobody is left the close is the end, if its target
+is believed, and the stream is broken off otherwise.
 
 The close of a living target is the end without a question where no other run could ever
 state it: on a route that may not be resumed, at a plain service or at engines that
@@ -23,6 +24,7 @@
     closes,
     copies,
     crashes,
+    culprits,
     eligibility,
     limits,
     peers,
@@ -45,6 +47,10 @@
 passed as the target was asked whether it lives.
 """
 
+MAX_LOST_QUESTIONS = 2
+"""Number of lost answers after which nobody is asked about the end of a stream again.
+"""
+
 
 def finish_stream(state: State, event: StreamEnded, now: Millis) -> list[Effect]:
     """End the caller's stream as complete, or ask whether it is."""
@@ -248,16 +254,76 @@
 def lose_attempt(state: State, event: AttemptLost, now: Millis) -> list[Effect]:
     """Recover a lost attempt; one that was asked for a rest passes the question on."""
     attempt = state.attempts.get(event.attempt)
-    effects = recovery.recover_attempt(state, event, now)
     if attempt is None or not _is_unanswered(attempt):
-        return effects
-    request = state.requests.get(attempt.request)
-    if request is not None and request.current is not None:
-        if request.current.asked_at is None:
-            request.current.asked_at = attempt.asked_at
+        return recovery.recover_attempt(state, event, now)
+    request = state.requests[attempt.request]
+    effects = recovery.record_loss(state, request, attempt, event, now)
+    if request.current is None:
+        effects += _ask_again(state, request, attempt, event, now)
+    if request.current is not None and request.current.asked_at is None:
+        request.current.asked_at = attempt.asked_at
+        request.current.lost_questions = attempt.lost_questions + 1
+    return effects + recovery.stop_lost_run(state, request, attempt, event)
+
+
+def _ask_again(
+    state: State, request: Request, attempt: Attempt, event: AttemptLost, now: Millis
+) -> list[Effect]:
+    """Ask for a rest once more, as a lost answer states nothing.
+
+    Another target is asked if the route allows a further run, else one that the stream
+    was at before.
+    """
+    effects: list[Effect] = []
+    if _may_ask_again(state, request, attempt, now):
+        if event.loss is Loss.UNREACHED and request.copy is None:
+            # Nothing was sent, and the copy is as it was.
+            request.copy = attempt.source
+        effects += _ask_holder(state, request, now)
+        if request.current is None and recovery.may_run_again(request):
+            effects += recovery.run_again(state, request, event, now)
+        if request.current is None and request.route.resumable:
+            effects += _ask_known_target(state, request, attempt, event, now)
+    is_open = request.spec.number in state.requests and not request.queued
+    if is_open and request.current is None:
+        effects += _settle_end(state, request, now)
     return effects
 
 
+def _may_ask_again(
+    state: State, request: Request, attempt: Attempt, now: Millis
+) -> bool:
+    if attempt.asked_at is None or now - attempt.asked_at >= QUESTION_TIMEOUT:
+        return False
+    if attempt.lost_questions >= MAX_LOST_QUESTIONS:
+        return False
+    return not culprits.is_refused(state, request, now)
+
+
+def _ask_known_target(
+    state: State, request: Request, attempt: Attempt, event: AttemptLost, now: Millis
+) -> list[Effect]:
+    """Ask a target that the stream was at before, first the one that was just asked.
+
+    One that has refused the question is not asked again.
+    """
+    if request.spec.number not in state.requests or request.queued:
+        return []
+    names = sorted(request.tried_targets, key=lambda name: name != attempt.target.name)
+    for name in names:
+        if name == attempt.target.name and event.loss in recovery.NOT_RUN:
+            continue
+        target = state.targets.find(name)
+        if target is None or not eligibility.is_eligible(state, request, target):
+            continue
+        if not limits.may_send(state, target, now):
+            continue
+        if not peers.spend_repeat(state, request.service, now, urgent=True):
+            return peers.record_denied(state, request, now)
+        return attempts.start_attempt(state, request, target, now)
+    return []
+
+
 def end_unanswered(state: State, now: Millis) -> list[Effect]:
     """End the streams whose rest was asked for without an answer in time.
 
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -49,6 +49,19 @@
     request = state.requests[attempt.request]
     if attempt.relay is not None:
         return _recover_relayed(state, request, attempt, event, now)
+    effects = record_loss(state, request, attempt, event, now)
+    if request.current is None:
+        effects += _continue_request(state, request, attempt, event, now)
+    return effects + stop_lost_run(state, request, attempt, event)
+
+
+def record_loss(
+    state: State, request: Request, attempt: Attempt, event: AttemptLost, now: Millis
+) -> list[Effect]:
+    """Record the loss of an attempt at a target, and go on with its standby, if any.
+
+    The request is left without a current attempt if it has no other one.
+    """
     was_current = request.current is attempt
     was_unreached = attempt.target.is_unreached(now)
     attempts.end_attempt(state, attempt)
@@ -78,18 +91,16 @@
         # The standby was lost. The current attempt continues, but its running backup
         # was used up or never arrived.
         request.current.backup_unusable = True
-        return effects + _stop_lost_run(state, request, attempt, event)
-    if request.standby is not None:
+    elif request.standby is not None:
         request.current = request.standby
         request.standby = None
-    else:
-        effects += _continue_request(state, request, attempt, event, now)
-    return effects + _stop_lost_run(state, request, attempt, event)
+    return effects
 
 
-def _stop_lost_run(
+def stop_lost_run(
     state: State, request: Request, attempt: Attempt, event: AttemptLost
 ) -> list[Effect]:
+    """Return the order to stop a run that may continue after its attempt was lost."""
     if event.loss not in stops.MAY_CONTINUE:
         return []
     return stops.stop_run(state, request, attempt)
@@ -209,8 +220,8 @@
         return requests.refuse_request(state, request, f"lost_{event.loss.value}", now)
     if event.loss in NOT_RUN and not request.stream_begun:
         return _try_elsewhere(state, request, attempt.target, event, now)
-    if request.route.idempotent and _may_run_again(request):
-        effects = _run_again(state, request, event, now)
+    if may_run_again(request):
+        effects = run_again(state, request, event, now)
         if effects:
             return effects
     if event.status is not None and not request.begun:
@@ -218,7 +229,7 @@
             state, request, attempt.number, event.status, now
         )
     if closes.is_believed(state, request):
-        # The attempt only asked whether more events follow.
+        # It went on from the close of a stream, after it had waited.
         return requests.complete_stream(state, request, now)
     return requests.refuse_request(state, request, f"lost_{event.loss.value}", now)
 
@@ -263,11 +274,12 @@
     return requests.place_request(state, request, now)
 
 
-def _may_run_again(request: Request) -> bool:
-    return request.lost_runs < request.route.attempts
+def may_run_again(request: Request) -> bool:
+    """Return whether the route of a request allows one more run of it."""
+    return request.route.idempotent and request.lost_runs < request.route.attempts
 
 
-def _run_again(
+def run_again(
     state: State, request: Request, event: AttemptLost, now: Millis
 ) -> list[Effect]:
     """Run an idempotent request again, if budget, deadline and free capacity permit.
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -169,6 +169,7 @@
         closed: Whether its connection has ended, and its target is asked if it lives.
         asked_at: When it was first asked whether a stream is complete, of its target or
             of another one before; None if it goes on for another reason.
+        lost_questions: How often the answer to that was lost or refused before.
         awaits_copy: Whether its target closed it, and the holder of a copy that is
             still being made is asked for the rest.
         rest_begun: Whether bytes have arrived, of a stream that goes on after a known
@@ -195,6 +196,7 @@
     sample_events: int = 0
     closed: bool = False
     asked_at: Millis | None = None
+    lost_questions: int = 0
     awaits_copy: bool = False
     rest_begun: bool = False
     keeps_run: bool = False
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -14,7 +14,7 @@
     OpenAttempt,
     StopRun,
 )
-from figstep.gateway.ends import QUESTION_TIMEOUT
+from figstep.gateway.ends import MAX_LOST_QUESTIONS, QUESTION_TIMEOUT
 from figstep.gateway.events import (
     AttemptLost,
     ConfigurationRead,
@@ -206,10 +206,59 @@
 ) -> None:
     """Guards against a holder without the copy that seems to confirm the end."""
     harness, asked = ask_for_rest(believed)
-    harness.handle(AttemptLost(asked.attempt, loss, retry_after))
+    lose_questions(harness, asked, loss, retry_after)
     check_settled(harness, believed)
 
 
+def lose_questions(
+    harness: EntryHarness,
+    asked: OpenAttempt,
+    loss: Loss,
+    retry_after: Millis | None = None,
+) -> list[str]:
+    """Lose a question and those that follow; return the targets that were asked."""
+    names = []
+    found = [asked]
+    while found:
+        names.append(found[0].target)
+        assert len(names) <= 1 + MAX_LOST_QUESTIONS
+        harness.handle(AttemptLost(found[0].attempt, loss, retry_after))
+        found = harness.find_effects(OpenAttempt)
+    return names
+
+
+def test_a_holder_that_was_not_reached_is_asked_again() -> None:
+    """Guards against whole streams lost for one connection that was not opened."""
+    harness, asked = ask_for_rest()
+    harness.handle(AttemptLost(asked.attempt, Loss.UNREACHED))
+    again = harness.find_effect(OpenAttempt)
+    assert (again.target, again.source) == (asked.target, asked.source)
+    harness.handle(StreamEnded(again.attempt, confirmed=True, empty=True))
+    assert harness.find_effects(FinishStream)
+
+
+@EACH_BELIEF
+@pytest.mark.parametrize("loss", [Loss.BROKEN, Loss.REFUSED])
+def test_questions_whose_answers_are_lost_end_soon(loss: Loss, believed: bool) -> None:
+    """Guards against one target after another asked without end."""
+    harness, _opened = open_question(attempts=2, believed=believed)
+    asked = harness.find_effect(OpenAttempt)
+    names = lose_questions(harness, asked, loss)
+    assert len(names) > 1
+    assert set(names) == {"e-1", "e-2"} if loss is Loss.REFUSED else {asked.target}
+    check_settled(harness, believed)
+
+
+def test_no_lost_question_is_asked_again_once_the_time_has_passed() -> None:
+    """Guards against callers who wait for one lost answer after another."""
+    harness, _opened = open_question()
+    asked = harness.find_effect(OpenAttempt)
+    harness.clock.advance(QUESTION_TIMEOUT)
+    harness.handle(AttemptLost(asked.attempt, Loss.BROKEN))
+    assert not harness.find_effects(OpenAttempt)
+    assert harness.find_effects(BreakStream)
+
+
 @EACH_BELIEF
 def test_a_backup_that_may_not_have_arrived_states_nothing(believed: bool) -> None:
     """Guards against a short stream whose missing backup seems to confirm the end."""
