Deployments with rare open ends, late events, slow callers and deadlines

What callers saw: where one stream in twelve ends with its connection, a part ended as the whole. No option of tests.deployments played that mix, nor late events, callers that read slowly, deadlines that engines keep, or starts that are set back; what became of streams that an engine closed early could only be read out of the logs.

A stream that its engine closes at its deadline is no early close. The report counts open-ended streams that an engine closed early by what became of them, and breaches by promise.

Slow callers ask for events of 4 kB: an entry buffers 256 KiB for a caller, so that whole streams of usual events would never block it.

--- a/tests/deployments/__main__.py
+++ b/tests/deployments/__main__.py
@@ -112,7 +112,7 @@
         run = runs.get(attempt.id)
         if attempt.kind not in STREAMS or run is None or attempt.disconnected:
             continue
-        if run.whole or run.broken_off or attempt.whole:
+        if run.whole or run.broken_off or run.expired or attempt.whole:
             counts[(run.framing, _describe_end(attempt, run))] += 1
     lines = [f"{framing}: {count} {end}" for (framing, end), count in counts.items()]
     return sorted(lines)
@@ -122,6 +122,8 @@
     target = "target closed early" if run.broken_off else "target cut off"
     if run.whole:
         target = "target made all"
+    elif run.expired:
+        target = "target closed at the deadline"
     kind = "resumable" if attempt.kind.value == "resume" else "not resumable"
     if attempt.status != 200:
         return f"{kind}, {target}, refused with {attempt.status or 'no status'}"
@@ -155,6 +157,9 @@
         outcome = f"{len(breaches)} breaches" if breaches else "held"
         report = [f"{arguments.name} seed {seed}: {outcome}, logs in {folder}"]
         report += [f"  {breach.promise}: {breach.detail}" for breach in breaches]
+        broken = Counter(breach.promise for breach in breaches)
+        found = ", ".join(f"{name} {count}" for name, count in sorted(broken.items()))
+        report.append(f"  breaches by promise: {found or 'none'}")
         report.append(f"  {describe_record(record)}")
         report += [f"  {line}" for line in describe_streams(record)]
         report += [f"  {line}" for line in describe_counts(counts)]
@@ -164,7 +169,7 @@
             "seed": seed,
             "honest": arguments.honest,
             "options": options,
-            "breaches": Counter(breach.promise for breach in breaches),
+            "breaches": broken,
             "counts": counts,
         }
         (folder / "report.json").write_bytes(orjson.dumps(document) + b"\n")
@@ -175,6 +180,11 @@
 def _read_options(arguments: argparse.Namespace) -> Options:
     return Options(
         framing="" if arguments.framing == "drawn" else arguments.framing,
+        open_share=arguments.open_share,
+        late_share=arguments.pauses,
+        slow_share=arguments.slow_callers,
+        deadlines=arguments.deadlines,
+        clock_back=arguments.clock_back,
         event_tokens=arguments.events,
         true_maximum=arguments.true_maximum,
         proxies=arguments.proxies,
@@ -183,6 +193,13 @@
     )
 
 
+def _read_share(text: str) -> float:
+    share = float(text)
+    if not 0 <= share <= 1:
+        raise argparse.ArgumentTypeError("not from 0 to 1")
+    return share
+
+
 def _read_event_tokens(text: str) -> float:
     tokens = float(text)
     if not 1 <= tokens <= STRIDE:
@@ -210,9 +227,31 @@
         "--honest", action="store_true", help="engines without any of the behaviors"
     )
     framings = ["drawn", *(framing.value for framing in Framing)]
-    parser.add_argument(
+    ends = parser.add_mutually_exclusive_group()
+    ends.add_argument(
         "--framing", choices=framings, default="drawn", help="of all streams"
     )
+    ends.add_argument(
+        "--open-share",
+        type=_read_share,
+        default=None,
+        help="share of streams that end with the connection, the rest in chunks",
+    )
+    parser.add_argument(
+        "--pauses", type=_read_share, default=0.0, help="share of events that are late"
+    )
+    parser.add_argument(
+        "--slow-callers",
+        type=_read_share,
+        default=0.0,
+        help="share of callers of streams that read slowly",
+    )
+    parser.add_argument(
+        "--deadlines", action="store_true", help="short deadlines, which engines keep"
+    )
+    parser.add_argument(
+        "--clock-back", action="store_true", help="restarts set targets' starts back"
+    )
     parser.add_argument(
         "--events", type=_read_event_tokens, default=STRIDE, help="tokens an event"
     )
--- a/tests/deployments/callers.py
+++ b/tests/deployments/callers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+import socket
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -9,10 +11,12 @@
 from figstep.net.sessions import send_once
 from tests.deployments.shapes import MAX_EVENTS, USUAL, Options, Shape, draw_length
 from tests.faults.records import STREAMS, Attempt, Kind, Record
+from tests.framing import draw_share
 from tests.platform.entries import EntryEndpoint
 from tests.platform.memory import draw_sizes
 from tests.platform.runs import read_clock
 from tests.platform.standins import KEY, ROUTE_HOST
+from tests.platform.targets import EVENT_BYTES
 
 TIME_LIMITS = {Kind.PLAN: 39.0, Kind.RESUME: 6.0, Kind.ORDER: 3.0, Kind.LOOKUP: 3.0}
 """Time for which a caller waits in seconds, also sent as Deadline-Ms."""
@@ -39,6 +43,22 @@
 PROMPT_TOKENS = {Kind.PLAN: 3_079, Kind.RESUME: 2_550}
 """Tokens of prompts."""
 
+DEADLINE_RANGE = (0.3, 4.0)
+"""Shortest and longest Deadline-Ms of streams with short deadlines, in seconds."""
+
+SLOW_PIECE_BYTES = 4_096
+"""Largest number of bytes that a slow caller reads at once."""
+
+SLOW_PAUSE = 0.06
+"""Mean pause of a slow caller between two of these, in seconds."""
+
+SLOW_BUFFER_BYTES = 4_096
+"""Receive buffer of a slow caller, which the system doubles."""
+
+SLOW_EVENT_BYTES = 4_000
+"""Smallest size of events for slow callers, as whole streams of small ones would fit
+into the buffers of an entry."""
+
 
 @dataclass(slots=True)
 class Chain:
@@ -63,19 +83,17 @@
     shape: Shape
     returns: float = 1.0
     options: Options = USUAL
-    _sessions: dict[int, aiohttp.ClientSession] = field(default_factory=dict)
+    _sessions: dict[tuple[int, bool], aiohttp.ClientSession] = field(
+        default_factory=dict
+    )
     _calls: set[asyncio.Task[None]] = field(default_factory=set)
     _count: int = 0
 
     async def run(self, stop_event: asyncio.Event, patience: float) -> None:
         """Send requests until an event is set, and wait a while for the answers."""
         for endpoint in self.endpoints:
-            self._sessions[endpoint.entry] = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
-                timeout=aiohttp.ClientTimeout(total=None, sock_connect=1.0),
-                auto_decompress=False,
-                middlewares=(send_once,),
-            )
+            for is_slow in (False, True):
+                self._sessions[endpoint.entry, is_slow] = open_session(is_slow)
         senders = [
             asyncio.create_task(self._send(kind, rate, stop_event))
             for kind, rate in self.shape.rates.items()
@@ -190,7 +208,7 @@
             "Host": ROUTE_HOST,
             "Request-Id": attempt.id,
             "Credential": KEY,
-            "Deadline-Ms": str(max(1, int((chain.due - read_clock()) * 1000))),
+            "Deadline-Ms": str(self._find_deadline(attempt, chain)),
         }
         method, body = "GET", None
         if chain.kind in STREAMS:
@@ -204,6 +222,9 @@
             hint = tokens * rng.lognormvariate(0.0, 0.6)
             headers["Length-Hint"] = str(max(1, min(output, round(hint))))
             headers["Prefix-Hash"] = chain.parts
+        is_slow = self._is_slow(chain)
+        if is_slow:
+            headers[EVENT_BYTES] = str(SLOW_EVENT_BYTES)
         if chain.kind is not Kind.LOOKUP:
             method, body = "POST", b"flour" * 120
         if chain.first:
@@ -211,15 +232,59 @@
             headers["Last-Event-Id"] = str(chain.received)
         url = f"http://{endpoint.address}{chain.path}"
         try:
-            async with self._sessions[endpoint.entry].request(
+            async with self._sessions[endpoint.entry, is_slow].request(
                 method, url, data=body, headers=headers
             ) as response:
                 attempt.status = response.status
                 attempt.stamp = response.headers.get("Server-Stamp", "")
-                async for chunk in response.content.iter_any():
-                    attempt.body += chunk
+                pieces = response.content.iter_any()
+                if is_slow:
+                    pieces = read_slowly(response.content)
+                async for piece in pieces:
+                    attempt.body += piece
                 attempt.whole = True
                 return float(response.headers.get("Retry-After", "0"))
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             attempt.error = type(error).__name__
         return 0.0
+
+    def _find_deadline(self, attempt: Attempt, chain: Chain) -> int:
+        left = chain.due - read_clock()
+        if self.options.deadlines and chain.kind in STREAMS:
+            shortest, longest = DEADLINE_RANGE
+            share = draw_share(f"{attempt.id} deadline")
+            left = min(left, shortest + share * (longest - shortest))
+        return max(1, int(left * 1000))
+
+    def _is_slow(self, chain: Chain) -> bool:
+        share = self.options.slow_share if chain.kind in STREAMS else 0.0
+        return draw_share(f"{chain.parts} slow") < share
+
+
+def open_session(is_slow: bool) -> aiohttp.ClientSession:
+    """Return a session of callers; those of slow ones buffer little."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=30,
+            socket_factory=_open_small_socket if is_slow else None,
+        ),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=1.0),
+        auto_decompress=False,
+        middlewares=(send_once,),
+        read_bufsize=SLOW_PIECE_BYTES if is_slow else 1 << 16,
+    )
+
+
+def _open_small_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    family, kind, protocol, _, _ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES)
+    return opened
+
+
+async def read_slowly(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
+    """Read a body in small pieces, with pauses between them."""
+    while piece := await content.read(SLOW_PIECE_BYTES):
+        yield piece
+        await asyncio.sleep(random.uniform(0, 2 * SLOW_PAUSE))
--- a/tests/deployments/shapes.py
+++ b/tests/deployments/shapes.py
@@ -41,6 +41,12 @@
 
     Attributes:
         framing: Framing of all streams; "" to draw one for each.
+        open_share: Share of the streams that end with the connection, while the others
+            come in chunks; None to draw a framing for each.
+        late_share: Share of the events of streams that come late.
+        slow_share: Share of the callers of streams that read slowly.
+        deadlines: Whether streams are given short deadlines, which engines keep.
+        clock_back: Whether each restart of a target sets its start back.
         event_tokens: Mean number of tokens in an event of a stream.
         true_maximum: Whether callers name as maximum what their stream has.
         proxies: Whether a faulty proxy is before each target.
@@ -49,6 +55,11 @@
     """
 
     framing: str = ""
+    open_share: float | None = None
+    late_share: float = 0.0
+    slow_share: float = 0.0
+    deadlines: bool = False
+    clock_back: bool = False
     event_tokens: float = STRIDE
     true_maximum: bool = False
     proxies: bool = False
--- a/tests/deployments/sites.py
+++ b/tests/deployments/sites.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+import time
 from collections.abc import Coroutine
 from dataclasses import replace
 from functools import partial
@@ -39,6 +40,9 @@
 PIN_MS = 4_000
 """Longest time for which engines pin, in milliseconds."""
 
+STEP_RANGE = (1_000, 10_000)
+"""Shortest and longest time by which a restart sets a clock back, in milliseconds."""
+
 READY_POLL_INTERVAL = 0.5
 """Pause between two readiness checks of all entries for the callers, in seconds."""
 
@@ -214,8 +218,13 @@
             faults=self._list_faults(service, behaviors),
             port=port,
             framing=self._options.framing,
+            open_share=self._options.open_share,
+            late_share=self._options.late_share,
+            deadlines=self._options.deadlines,
             event_tokens=self._options.event_tokens,
         )
+        if self._options.clock_back:
+            identity = replace(identity, born=time.time_ns() // 1_000_000)
         host = TargetHost(identity, self._spares, proxy=proxy)
         self._targets.append(host)
         await host.start()
@@ -285,6 +294,8 @@
         if fault.upgrade and service == "engines":
             other = VERSIONS[identity.version == VERSIONS[0]]
             identity = replace(identity, version=other)
+        if self._options.clock_back:
+            identity = set_back(identity)
         target.identity = identity
         await target.start()
         await target.wait_until_registered()
@@ -352,6 +363,12 @@
                     self.record.departures[name] = line["at"]
 
 
+def set_back(identity: Identity) -> Identity:
+    """Return what a process is told to be whose clock was set back meanwhile."""
+    rng = random.Random(f"{identity.name} {identity.born}")
+    return replace(identity, born=identity.born - rng.randint(*STEP_RANGE))
+
+
 def describe_fault(fault: plans.Fault) -> str:
     """Return the kind of a fault with what distinguishes it."""
     name = type(fault).__name__.lower()
--- /dev/null
+++ b/tests/deployments/test_options.py
@@ -0,0 +1,253 @@
+"""Tests of what the options of a deployment's run change."""
+
+import asyncio
+import itertools
+import random
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from figstep.net.sockets import CALLER_BUFFER_BYTES, bound_buffers
+from tests.deployments.__main__ import describe_streams
+from tests.deployments.callers import DEADLINE_RANGE, SLOW_EVENT_BYTES, Callers
+from tests.deployments.counts import EarlyCloses, count_outcomes, describe_counts
+from tests.deployments.hosts import read_journal
+from tests.deployments.plans import Restart
+from tests.deployments.shapes import SHAPES, Options
+from tests.deployments.sites import STEP_RANGE, Site
+from tests.faults.records import Attempt, Disturbance, Kind, Record
+from tests.framing import draw_share
+from tests.platform import target
+from tests.platform.entries import EntryEndpoint
+from tests.platform.runs import Run, read_clock
+from tests.platform.standins import start_app
+from tests.platform.target import DELAY_RANGE, ProcessTarget
+from tests.platform.targets import EVENT_BYTES
+from tests.platform.test_standins import PIN, list_tokens, open_engine
+
+IDS = [f"r{number}" for number in range(1, 3_001)]
+"""Ids of requests, as callers give them."""
+
+
+async def read_stream(
+    engine: ProcessTarget, number: str, events: int, **extra: str
+) -> tuple[bool, bytes]:
+    """Return whether a stream comes in chunks, and its body if it ends in order."""
+    headers = {
+        "Expect-Instance": engine.name,
+        "Request-Id": number,
+        "Token-Count": "2079,160",
+        "Prefix-Hash": "a:79,c:2000",
+        "Model": "m",
+        **{name.replace("_", "-"): value for name, value in extra.items()},
+    }
+    url = f"http://{engine.identity.address}/plan/{events}"
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(url, headers=headers) as response,
+    ):
+        return "Transfer-Encoding" in response.headers, await response.read()
+
+
+async def test_a_share_of_the_streams_ends_with_the_connection(tmp_path: Path) -> None:
+    """Guards against runs that are said to have few open ends and have others."""
+    async with open_engine(tmp_path, open_share=0.25) as engine:
+        engine.framing = None
+        for number in IDS[:40]:
+            in_chunks, body = await read_stream(engine, number, 1)
+            assert in_chunks == (draw_share(f"{number} open") >= 0.25)
+            assert body.startswith(b"id: 1\n")
+
+
+def test_shares_by_request_are_as_large_as_asked_for() -> None:
+    """Guards against open ends that are rarer, or only of engines that are sound."""
+    chosen = [number for number in IDS if draw_share(f"{number} open") < 1 / 12]
+    assert 200 <= len(chosen) <= 300
+    early = [draw_share(f"early {number}") * 2**32 % 2 == 0 for number in chosen]
+    assert 0.35 < sum(early) / len(early) < 0.65
+
+
+async def test_a_late_event_is_late(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against pauses between events that do not happen."""
+    async with open_engine(tmp_path, late_share=0.01) as engine:
+        delays = [engine.draw_delay() for _ in range(10_000)]
+        assert 50 <= sum(delay > 0 for delay in delays) <= 150
+        low, high = DELAY_RANGE
+        assert all(delay == 0 or low <= delay <= high for delay in delays)
+        engine.identity = replace(engine.identity, late_share=1.0)
+        monkeypatch.setattr(target, "DELAY_RANGE", (0.2, 0.2))
+        began = read_clock()
+        await read_stream(engine, "r1", 2)
+        assert read_clock() - began >= 0.4
+
+
+@pytest.mark.parametrize("interval", [0.005, 30.0])
+async def test_an_engine_closes_a_stream_at_its_deadline(
+    interval: float, tmp_path: Path
+) -> None:
+    """Guards against deadlines that no engine keeps, or only at its next event."""
+    async with open_engine(tmp_path, deadlines=True, interval=interval) as engine:
+        ended: list[Run] = []
+        engine.note_end = ended.append  # type: ignore[method-assign]
+        began = read_clock()
+        _, body = await read_stream(engine, "r2", 4_000, Deadline_Ms="200", **PIN)
+        assert 0.2 <= read_clock() - began < 5
+        [run] = ended
+        assert body.count(b"\n\n") == run.events < 4_000
+        assert (run.expired, run.whole, run.broken_off) == (True, False, False)
+        assert await list_tokens(engine.identity.address) == {"a": 79, "c": 2_000}
+
+
+async def test_an_engine_closes_no_stream_that_is_complete_before_its_deadline(
+    tmp_path: Path,
+) -> None:
+    """Guards against sound streams that count as closed at their deadline."""
+    async with open_engine(tmp_path, deadlines=True) as engine:
+        ended: list[Run] = []
+        engine.note_end = ended.append  # type: ignore[method-assign]
+        _, body = await read_stream(engine, "r2", 20, Deadline_Ms="4000")
+        assert body.count(b"\n\n") == 20
+        assert [(run.expired, run.whole) for run in ended] == [(False, True)]
+
+
+async def send_streams(options: Options) -> tuple[list[dict[str, str]], int]:
+    """Send streams of 800 kB; return their headers, and how many are blocked."""
+    received: list[dict[str, str]] = []
+    written: list[int] = []
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        number = len(received)
+        received.append(dict(request.headers))
+        written.append(0)
+        assert request.transport is not None
+        connection = request.transport.get_extra_info("socket")
+        bound_buffers(connection, CALLER_BUFFER_BYTES)
+        response = web.StreamResponse()
+        await response.prepare(request)
+        for _ in range(200):
+            await response.write(bytes(4_000))
+            written[number] += 1
+        return response
+
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", answer)
+    runner, address = await start_app(app)
+    shape = replace(SHAPES["langar-by"], rates={Kind.PLAN: 30.0})
+    endpoints = [EntryEndpoint(0, address)]
+    callers = Callers(Record(), random.Random(1), endpoints, shape, options=options)
+    stop_event = asyncio.Event()
+    asyncio.get_running_loop().call_later(0.3, stop_event.set)
+    try:
+        await callers.run(stop_event, 0.7)
+    finally:
+        await runner.cleanup()
+    return received, sum(count < 200 for count in written)
+
+
+@pytest.mark.parametrize("share", [0.0, 1.0])
+async def test_slow_callers_block_who_writes_to_them(share: float) -> None:
+    """Guards against slow callers whose streams fit into the buffers of entries."""
+    received, blocked = await send_streams(Options(slow_share=share))
+    asked = [headers.get(EVENT_BYTES, "0") for headers in received]
+    assert set(asked) == {str(SLOW_EVENT_BYTES) if share else "0"}
+    # A few callers leave.
+    if share:
+        assert blocked == len(received)
+    else:
+        assert blocked <= len(received) / 2
+
+
+async def test_engines_send_events_of_the_size_that_callers_want(
+    tmp_path: Path,
+) -> None:
+    """Guards against slow callers whose streams are too small to block an entry."""
+    async with open_engine(tmp_path) as engine:
+        _, body = await read_stream(engine, "r1", 5, Event_Bytes="4000")
+        assert 5 * 4_000 < len(body) < 5 * 4_100
+
+
+@pytest.mark.parametrize("deadlines", [True, False])
+async def test_callers_give_streams_short_deadlines(deadlines: bool) -> None:
+    """Guards against deadlines that no stream reaches."""
+    received, _ = await send_streams(Options(deadlines=deadlines))
+    given = {int(headers["Deadline-Ms"]) / 1000 for headers in received}
+    low, high = DEADLINE_RANGE
+    if deadlines:
+        assert len(given) > 1
+        assert all(low - 0.01 <= one <= high for one in given)
+    else:
+        assert min(given) > 38
+
+
+@pytest.mark.parametrize("clock_back", [True, False])
+async def test_a_restart_sets_the_start_of_a_target_back(
+    clock_back: bool, tmp_path: Path
+) -> None:
+    """Guards against clocks that are said to be set back and go on."""
+    options = Options(clock_back=clock_back)
+    site = Site(1, tmp_path, SHAPES["langar-by"], options=options)
+    await site._store.start()
+    await site._spares.start(3)
+    try:
+        await site._add_target("bookings")
+        [host] = site._targets
+        for _ in range(2):
+            await site._restart(host, Restart(0, None, 0.0, 0.0, False, False, ()))
+    finally:
+        await site._shut_down()
+    entries: list[dict[str, Any]] = []
+    read_journal(Path(host.identity.journal), entries.append)
+    born = [entry["born"] for entry in entries if entry["kind"] == "registered"]
+    steps = [earlier - later for earlier, later in itertools.pairwise(born)]
+    assert len(steps) == 2
+    low, high = STEP_RANGE
+    assert all(low <= step <= high for step in steps) == clock_back
+
+
+def build_streams() -> Record:
+    """Return streams of 9 events that an engine closed after the third."""
+    record = Record()
+    cases: list[tuple[dict[str, Any], dict[str, Any]]] = [
+        ({"whole": True, "body": b"\n\n" * 3}, {}),
+        ({"whole": True, "body": b"\n\n" * 9}, {}),
+        ({"body": b"\n\n" * 4}, {}),
+        ({"body": b"\n\n" * 3}, {}),
+        ({"status": 502}, {}),
+        ({"body": b"\n\n" * 3, "disconnected": True}, {}),
+        ({"body": b"\n\n" * 3, "entry": 2}, {}),
+        ({"whole": True, "body": b"\n\n", "after": 2}, {}),
+        ({"whole": True, "body": b"\n\n" * 3}, {"framing": "chunks"}),
+        ({"whole": True, "body": b"\n\n" * 3}, {"broken_off": False}),
+        ({"body": b"\n\n" * 3}, {"broken_off": False, "expired": True}),
+    ]
+    for number, (fields, differing) in enumerate(cases, 1):
+        attempt = Attempt(f"r{number}", Kind.PLAN, 1, 1, "/", "", 0.0, 9.0, 200)
+        attempt.length = 9
+        for name, value in fields.items():
+            setattr(attempt, name, value)
+        made = {"framing": "connection", "broken_off": True, "events": 3, **differing}
+        made["after"], made["events"] = attempt.after, 3 - attempt.after
+        run = Run(attempt.id, "e-1", "g", 1.0, ended=2.0, **made)
+        record.attempts.append(attempt)
+        record.runs.append(run)
+    record.disturbances.append(Disturbance("kill", 2, "", 2.0, 3.0))
+    return record
+
+
+def test_early_closes_are_counted_by_what_became_of_them() -> None:
+    """Guards against parts that end as the whole and are not counted, or sound ones."""
+    record = build_streams()
+    counts = count_outcomes(record)
+    assert counts.early == EarlyCloses(whole=2, went_on=2, broken_off=2, left=2)
+    assert counts.expired == EarlyCloses(broken_off=1)
+    [line] = [one for one in describe_counts(counts) if "early" in one]
+    assert "2 ended as whole, 2 went on, 2 broken off" in line
+    lines = describe_streams(record)
+    expected = "connection: 1 not resumable, target closed at the deadline, broken off"
+    assert expected in lines
--- a/tests/framing.py
+++ b/tests/framing.py
@@ -23,6 +23,11 @@
     return list(Framing)[zlib.crc32(text.encode()) % len(Framing)]
 
 
+def draw_share(text: str) -> float:
+    """Return a number from 0 to below 1 that depends on nothing but a text."""
+    return zlib.crc32(text.encode()) / 2**32
+
+
 class RawAnswer:
     """Answer to a request, written to the transport without the HTTP server."""
 
--- a/tests/platform/runs.py
+++ b/tests/platform/runs.py
@@ -35,6 +35,7 @@
         after: Id of the last event before the first that it sent.
         tokens: Tokens of its prompt and of all events up to the last that it sent.
         stopped: Whether the run was ordered to stop, as it was moved.
+        expired: Whether the target ended the run as its deadline had passed.
     """
 
     request: str
@@ -53,6 +54,7 @@
     framing: str = ""
     events: int = 0
     stopped: bool = False
+    expired: bool = False
     after: int = 0
     tokens: int = 0
     priority: int = DEFAULT_PRIORITY
--- a/tests/platform/target.py
+++ b/tests/platform/target.py
@@ -40,6 +40,9 @@
 REGISTER_TIMEOUT_SECONDS = 30.0
 """Time for which it tries to write its registration, in seconds."""
 
+DELAY_RANGE = (0.8, 3.0)
+"""Shortest and longest delay of an event that comes late, in seconds."""
+
 
 @dataclass(frozen=True, slots=True)
 class Identity:
@@ -53,6 +56,11 @@
         work: Mean duration of a call, in seconds.
         port: Port at which it listens, if another than that of its address.
         framing: Framing of all streams; "" to draw one for each.
+        open_share: Share of the streams that end with the connection, while the others
+            come in chunks; None to draw a framing for each.
+        late_share: Share of the events that come late by DELAY_RANGE.
+        deadlines: Whether it closes streams as their deadline passes.
+        born: Start of its incarnation, as a Unix time in milliseconds; 0 for now.
         event_tokens: Mean number of tokens in an event.
     """
 
@@ -70,6 +78,10 @@
     faults: tuple[str, ...] = ()
     port: int = 0
     framing: str = ""
+    open_share: float | None = None
+    late_share: float = 0.0
+    deadlines: bool = False
+    born: int = 0
     event_tokens: float = STRIDE
 
     def find_port(self) -> int:
@@ -84,7 +96,7 @@
     identity: Identity
     session: aiohttp.ClientSession
     journal: int
-    born: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
+    born: int = field(init=False)
     copies: dict[str, str] = field(default_factory=dict)
     running: dict[str, Run] = field(default_factory=dict)
     memory: Memory = field(default_factory=Memory)
@@ -94,6 +106,7 @@
         self.name = self.identity.name
         self.service = self.identity.service
         self.version = self.identity.version
+        self.born = self.identity.born or time.time_ns() // 1_000_000
         self.faults = list(self.identity.faults)
         self.missing_copy_pause = None
         self.call_bytes = CALL_BYTES
@@ -101,6 +114,8 @@
         self._runs = 0
         if self.identity.framing:
             self.framing = Framing(self.identity.framing)
+        self.open_share = self.identity.open_share
+        self.keeps_deadlines = self.identity.deadlines
         self.event_tokens = self.identity.event_tokens
         self._reported = super().describe_load()
         self._given: dict[str, str] = {}
@@ -212,6 +227,13 @@
         """Return the time before the next event, in seconds."""
         return self.identity.interval * (1 + self._rng.random())
 
+    def draw_delay(self) -> float:
+        """Return by how much the next event of a stream is late, in seconds."""
+        share = self.identity.late_share
+        if not share or self._rng.random() >= share:
+            return 0.0
+        return self._rng.uniform(*DELAY_RANGE)
+
     async def work(self) -> None:
         """Wait as long as a call takes."""
         await asyncio.sleep(self.identity.work * (0.5 + self._rng.random()))
--- a/tests/platform/targets.py
+++ b/tests/platform/targets.py
@@ -1,13 +1,15 @@
 """What stand-ins for targets have in common that sign answers and record their runs."""
 
 import asyncio
+import math
 import zlib
+from collections.abc import Mapping
 from itertools import count
 
 import orjson
 from aiohttp import web
 
-from tests.framing import Framing, RawAnswer, choose_framing
+from tests.framing import Framing, RawAnswer, choose_framing, draw_share
 from tests.platform.memory import (
     STRIDE,
     Memory,
@@ -24,12 +26,20 @@
 SYSTEM_ONLY_HEADERS = ("Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Tenant")
 """Headers that only the system may set on requests to targets."""
 
+EVENT_BYTES = "Event-Bytes"
+"""Header with which callers ask for large events."""
+
 COPY_SECONDS = 0.1
 """Time that a copy on order takes, in seconds."""
 
 _numbers = count(1)
 
 
+def read_event_bytes(headers: Mapping[str, str]) -> int:
+    """Return the smallest size of an event that a caller wants, in bytes."""
+    return int(headers.get(EVENT_BYTES, "0"))
+
+
 class SigningTarget:
     """Base of targets: the platform's protocol, without the process that speaks it.
 
@@ -47,6 +57,9 @@
         running: Runs that have not ended, by request.
         memory: What it keeps of prompts and of complete runs.
         framing: Framing of all its streams; None to draw one for each.
+        open_share: Share of its streams that end with the connection, while the others
+            come in chunks; None to draw a framing for each.
+        keeps_deadlines: Whether it closes streams as their deadline passes.
         event_tokens: Mean number of tokens in an event.
         missing_copy_pause: Value of Retry-After, in seconds, where it has no copy of
             the run that is to go on; None to send none.
@@ -63,6 +76,8 @@
     running: dict[str, Run]
     memory: Memory
     framing: Framing | None = None
+    open_share: float | None = None
+    keeps_deadlines: bool = False
     event_tokens: float = STRIDE
     missing_copy_pause: float | None = 0.1
     call_bytes: int = 0
@@ -119,6 +134,10 @@
         """Return the time before each event of a stream, in seconds."""
         raise NotImplementedError
 
+    def draw_delay(self) -> float:
+        """Return by how much the next event of a stream is late, in seconds."""
+        return 0.0
+
     async def work(self) -> None:
         """Wait as long as a call takes."""
         raise NotImplementedError
@@ -187,7 +206,7 @@
         run = Run(
             request_id,
             self.name,
-            copy or self.name_generation(),
+            copy or self.name_generation().ljust(read_event_bytes(headers), "."),
             read_clock(),
             customer=headers.get("Tenant", ""),
             forged=tuple(
@@ -197,13 +216,21 @@
             framing=choose_framing(f"{request_id} {self.name}").value,
         )
         if "Token-Count" in headers:
-            run.framing = self.framing.value if self.framing else run.framing
+            run.framing = self._choose_framing(run).value
             run.priority = read_priority(headers)
             self.memory.begin(headers)
         self.running[request_id] = run
         self.note_begin(run)
         return run
 
+    def _choose_framing(self, run: Run) -> Framing:
+        if self.framing is not None:
+            return self.framing
+        if self.open_share is None:
+            return Framing(run.framing)
+        is_open = draw_share(f"{run.request} open") < self.open_share
+        return Framing.CONNECTION if is_open else Framing.CHUNKS
+
     async def _call(
         self, request: web.Request, run: Run, body: bytes
     ) -> web.StreamResponse:
@@ -270,8 +297,14 @@
         answer = self._open_answer(request, run, sum(map(len, events)))
         broken_at = len(events) // 2 if self._breaks_off(run) else None
         early_at = self._find_early_end(run, first, len(events))
+        due = self._find_due(request)
         for number, event in enumerate(events):
-            await asyncio.sleep(self.find_interval(run))
+            pause = self.find_interval(run) + self.draw_delay()
+            left = due - read_clock()
+            await asyncio.sleep(max(0.0, min(pause, left)))
+            if left <= pause:
+                run.expired = True
+                return answer.close()
             if holder:
                 self.back_up(holder, run)
             if number == early_at:
@@ -292,6 +325,13 @@
             self.drop_backup(holder, run)
         return answer.end()
 
+    def _find_due(self, request: web.Request) -> float:
+        """Return when a stream is closed that is not complete, in seconds."""
+        given = request.headers.get("Deadline-Ms", "")
+        if not self.keeps_deadlines or not given.isdigit():
+            return math.inf
+        return read_clock() + int(given) / 1000
+
     async def _move_run(self, request: web.Request) -> web.Response:
         order = orjson.loads(await request.read())
         run = self.running.get(order["id"])
--- a/tests/platform/test_standins.py
+++ b/tests/platform/test_standins.py
@@ -5,6 +5,7 @@
 import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -103,13 +104,19 @@
 
 
 @asynccontextmanager
-async def open_engine(folder: Path, *faults: str) -> AsyncIterator[ProcessTarget]:
-    """Serve as an engine whose streams have 40 events, within this process."""
+async def open_engine(
+    folder: Path, *faults: str, **fields: Any
+) -> AsyncIterator[ProcessTarget]:
+    """Serve as an engine whose streams are open-ended, within this process.
+
+    ``fields`` are those of its identity that differ.
+    """
     journal = os.open(folder / "journal", os.O_WRONLY | os.O_APPEND | os.O_CREAT)
     address = f"{HOST}:{find_free_port()}"
     identity = Identity(
         "e-1", "engines", address, "muc-a", "v1", "", "", interval=0.005, faults=faults
     )
+    identity = replace(identity, **fields)
     async with aiohttp.ClientSession() as session:
         target = ProcessTarget(identity, session, journal)
         target.framing = Framing.CONNECTION
@@ -201,6 +208,26 @@
         assert await list_tokens(address) == {"a": 79, "d": PART, "c": PART}
 
 
+@pytest.mark.parametrize("end", ["time", "request", "order"])
+async def test_a_short_pin_lasts_until_its_end(end: str, tmp_path: Path) -> None:
+    """Guards against short pins that end before a list is read, or outlive that."""
+    async with open_engine(tmp_path) as engine, open_fake() as fake:
+        for address in (engine.identity.address, fake.address):
+            await stream(address, {"Pin-Ms": "600"})
+            assert await list_tokens(address) == {"a": 79, "c": PART + 160}
+            if end == "request":
+                call = asyncio.create_task(stream(address, {"Request-Id": "r-3"}))
+                await asyncio.sleep(0.1)
+            elif end == "order":
+                assert (await ask(address, "kv-pin/c", "DELETE"))[0] == 200
+            else:
+                await asyncio.sleep(0.65)
+            assert await list_tokens(address) == {"a": 79, "c": PART}
+            if end == "request":
+                await call
+                assert await list_tokens(address) == {"a": 79, "c": PART}
+
+
 @pytest.mark.parametrize("extra", [{}, PIN, {"Pin-Ms": "forged"}])
 async def test_a_run_that_is_not_complete_is_not_pinned(
     extra: dict[str, str], tmp_path: Path
