Release a kept run as soon as its end is known, and keep it for two seconds at most

An entry that was stalled for longer read the list too late.

Each run is released again by an order as its end is known, and may be kept for two seconds, for which callers wait.

--- a/figstep/gateway/closes.py
+++ b/figstep/gateway/closes.py
@@ -19,13 +19,12 @@
 from figstep.gateway.state import Attempt, Request, State
 from figstep.gateway.targets import CloseCount, Target
 
-MAX_RETENTION = Millis(500)
+MAX_RETENTION = Millis(2_000)
 """Longest time in milliseconds for which an engine is asked to keep a complete run.
 
-It takes memory for so long also where the framing states the end. What an engine keeps
-is queried as its stream ends, and once more if the answer is lost.
+The run is released as soon as its end is known, also where the framing states it.
+Callers abandon a stream after two seconds without an event.
 """
-
 MAX_EARLY_CLOSES = 0.05
 """Largest fraction of an engine's closes that may have been early if further ones are
 believed."""
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -507,13 +507,17 @@
         )
         reason = explain_incomplete(end)
         kept = None
-        if not reason and not delimited:
-            self._dispatch(StreamClosed(attempt))
-            kept = await self._query_kept(effect, going_at)
-            if kept is None or kept <= 0:
-                # A target that lists the run has not restarted.
-                outlived = await self._has_outlived(effect, response)
-                reason = explain_incomplete(replace(end, outlived=outlived))
+        try:
+            if not reason and not delimited:
+                self._dispatch(StreamClosed(attempt))
+                kept = await self._query_kept(effect, going_at)
+                if kept is None or kept <= 0:
+                    # A target that lists the run has not restarted.
+                    outlived = await self._has_outlived(effect, response)
+                    reason = explain_incomplete(replace(end, outlived=outlived))
+        finally:
+            # Also if the caller has left meanwhile: it may know its last event.
+            self._release_kept(effect)
         if reason:
             return AttemptLost(attempt, Loss.BROKEN, detail=reason)
         return StreamEnded(attempt, confirmed=delimited, empty=not events, kept=kept)
@@ -533,6 +537,15 @@
             self._session, self._clock, target, effect.keep, until
         )
 
+    def _release_kept(self, effect: OpenAttempt) -> None:
+        target = self._find_target(effect.target)
+        if effect.keep is None or target is None:
+            return
+        assert self._session is not None
+        self._run_in_background(
+            retention.release(self._session, target, effect.keep.part)
+        )
+
     async def _read_answer(
         self,
         effect: OpenAttempt,
--- a/figstep/platform/retention.py
+++ b/figstep/platform/retention.py
@@ -30,6 +30,10 @@
 LIST_PAUSE_SECONDS = 0.1
 """Pause between these queries, in seconds."""
 
+RELEASE_TIMEOUT_SECONDS = 0.5
+"""Timeout of an order to keep a run no longer, in seconds. Without it the engine does
+so by itself after the time that the run was sent with."""
+
 MAX_LIST_BYTES = 4_194_304
 """Largest list of what an engine keeps, in bytes."""
 
@@ -106,3 +110,18 @@
         if (part, model) == (run.part, run.model):
             return tokens - run.tokens
     return -run.tokens
+
+
+async def release(session: aiohttp.ClientSession, target: Target, part: str) -> None:
+    """Order an engine to keep a run no longer; a failure is only logged."""
+    url = f"http://{target.info.address}/figstep/kv-pin/{part}"
+    headers = {names.EXPECTED_TARGET: target.name}
+    try:
+        async with (
+            asyncio.timeout(RELEASE_TIMEOUT_SECONDS),
+            session.delete(url, headers=headers),
+        ):
+            return
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        fields = {"target": target.name, "error": f"{type(error).__name__}: {error}"}
+        _log.info("run not released", extra=fields)
