Ask plain services on a connection that a successor does not have

Callers of a plain service got the first 7 bytes of an answer without a length as the whole answer, if the service crashed within it and started again at once.

Cause: whether the service lives was asked on a new connection after the end of the answer, and the successor at the address answered. Plain services state no start, so that nothing told the two apart.

Fix: as the head of a successful answer without length and chunks arrives, a connection is opened beside it, and the question goes over that one. A process that takes over the address has no such connection. If it is refused or lost, a new one counts only if the target states its registered start there. If the answer had ended before the connection was there, a new one decides as before. One connection is opened for such an answer, as before; none for others, and none for answers of engines, which state their start.

A service that has stopped listening and finishes its answers is recognized as well. Such a process may also close what it has not finished, as it exits, and live for a moment longer: a target that leaves is asked 0.1 s after the close.

The test of the restart ended the listener only, and its process went on to answer on connections that were opened before, which no process does that has crashed.

Before, on: the test of the restart and test_an_answer_that_is_finished_after_the_listener_has_closed_is_complete fail. Without the 0.1 s test_an_answer_that_is_closed_as_its_target_exits_is_not_complete fails. After: all pass.

--- a/figstep/net/connectors.py
+++ b/figstep/net/connectors.py
@@ -1,5 +1,6 @@
-"""Connector of the HTTP client that recognizes answers that broke or never end."""
+"""Connectors of the HTTP client: broken and endless answers, early connections."""
 
+import asyncio
 import functools
 from typing import Any
 
@@ -67,3 +68,37 @@
         factory = open_bounded_socket if bounded else open_keepalive_socket
         super().__init__(socket_factory=factory, **options)
         self._factory: Any = functools.partial(_ResetAwareHandler, loop=self._loop)
+
+
+class OpenedConnector(aiohttp.BaseConnector):
+    """Hands out one connection that was opened beforehand, and opens no other.
+
+    What is answered on it comes from the process that listened when it was opened, and
+    from no successor at the address.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(limit=1, force_close=True)
+        self._opened: ResponseHandler | None = None
+
+    async def open(self, host: str, port: int, seconds: float) -> None:
+        """Open the connection; the host is an IP address.
+
+        Raises:
+            OSError: If it is refused, or not established within ``seconds``.
+        """
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(seconds):
+            _, self._opened = await loop.create_connection(self._factory, host, port)
+
+    def abandon(self) -> None:
+        """Close the connection if no request has used it."""
+        if self._opened is not None:
+            self._opened.close()
+            self._opened = None
+
+    async def _create_connection(self, *args: Any, **options: Any) -> ResponseHandler:
+        opened, self._opened = self._opened, None
+        if opened is None or not opened.is_connected():
+            raise aiohttp.ClientConnectionError("the connection has ended")
+        return opened
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -44,9 +44,9 @@
     TargetRestarted,
 )
 from figstep.gateway.runs import RunCopy, build_ordered_copy, is_outdated
-from figstep.gateway.targets import Target, contradicts_registration
+from figstep.gateway.targets import Standing, Target, contradicts_registration
 from figstep.net.buffers import ExchangeBuffer, UnreadAnswerError, build_data
-from figstep.net.connectors import ResetAwareConnector
+from figstep.net.connectors import OpenedConnector, ResetAwareConnector
 from figstep.net.frames import EventSplitter
 from figstep.net.framing import is_delimited
 from figstep.net.probes import is_listening
@@ -79,6 +79,10 @@
 CONFIRM_PAUSE_SECONDS = 0.1
 """Pause before a target is queried for its start again, in seconds."""
 
+EXIT_SECONDS = 0.1
+"""Time in seconds within which a target that leaves has ended if it closed an answer as
+it exits. It is asked after that whether it lives."""
+
 SOURCE_TRIES = 2
 """Maximum number of queries of the source of a copy."""
 
@@ -178,6 +182,7 @@
         self._open: dict[int, OpenAttempt] = {}
         self._heads: dict[int, AnswerHead] = {}
         self._answers: dict[int, WholeAnswer] = {}
+        self._witnesses: dict[int, asyncio.Task[_Witness | None]] = {}
 
     async def on_start(self) -> None:
         """Open the HTTP sessions."""
@@ -287,6 +292,7 @@
             event = AttemptLost(number, Loss.BROKEN, detail=_describe_error(error))
         finally:
             self._attempt_tasks.pop(number, None)
+            self._drop_witness(number)
             # The event loop calls this after the event is dispatched below.
             asyncio.get_running_loop().call_soon(self._discard_answer, number)
         self._dispatch(event)
@@ -318,6 +324,7 @@
             except answers.RefusedError as refusal:
                 refusal.whole = await _is_whole(response)
                 raise
+            self._call_witness(effect, target, response)
             if effect.stream and response.status == 200:
                 self._open_stream(effect, response)
                 start = await self._await_start(effect, target)
@@ -351,13 +358,15 @@
         if not query.cancelled() and query.result() is Start.REGISTERED:
             self._dispatch(StreamConfirmed(attempt))
 
-    async def _query_start(self, target: Target) -> Start:
+    async def _query_start(
+        self, target: Target, session: aiohttp.ClientSession | None = None
+    ) -> Start:
         """Return whether a target states the start that it registered.
 
         TargetRestarted is dispatched if it states another one.
         """
         info = target.info
-        reply = await self._query_state(target)
+        reply = await self._query_state(target, session)
         report = reply.report
         if report is None:
             return reply.start
@@ -661,19 +670,70 @@
         target = self._find_target(effect.target)
         if target is None or target.restarted or target.info.born != effect.born:
             return False
-        # Plain services get no priority, and give no reports.
-        lives = await self._states_life(target, effect.priority is None)
+        # Plain services get no priority, and need not state their start.
+        needs_start = effect.priority is not None
+        start = await self._query_witness(effect, target)
+        if start in (None, Start.UNKNOWN):
+            # A successor accepts new connections too.
+            needs_start |= start is Start.UNKNOWN
+            start = await self._confirm_start(target, effect.born)
+        is_unstated = start is Start.UNSTATED and not needs_start
+        lives = start is Start.REGISTERED or is_unstated
         fields = {"target": target.name, "attempt": effect.attempt}
         _log.info("answer ended with its connection", extra={**fields, "lives": lives})
         return lives
 
-    async def _states_life(self, target: Target, is_plain: bool = False) -> bool:
-        """Return whether a target states that it has not restarted.
+    def _call_witness(
+        self, effect: OpenAttempt, target: Target, response: aiohttp.ClientResponse
+    ) -> None:
+        """Begin to open a connection on which a target is asked whether it lives.
+
+        Only a successful answer that ends with its connection needs it, of a target
+        that may not state its start.
+        """
+        if effect.priority is not None or not response.ok or is_delimited(response):
+            return
+        if effect.stream:
+            return
+        self._witnesses[effect.attempt] = self._run_in_background(
+            _open_witness(target, response)
+        )
+
+    def _drop_witness(self, attempt: int) -> None:
+        opening = self._witnesses.pop(attempt, None)
+        if opening is not None:
+            opening.cancel()
+            opening.add_done_callback(_abandon_witness)
 
-        A plain service, which states no start, only has to answer.
+    async def _query_witness(self, effect: OpenAttempt, target: Target) -> Start | None:
+        """Query a target for its start on the connection opened during its answer.
+
+        A target that shuts down in order refuses new connections while it finishes its
+        answers, and answers on this one.
+
+        Returns:
+            The start, UNKNOWN if the connection was refused or is lost; None if there
+            was none before the end of the answer.
         """
+        opening = self._witnesses.get(effect.attempt)
+        witness = None if opening is None else await opening
+        if witness is None:
+            return None
+        if target.standing is not Standing.READY:
+            # Also a process that exits may close what it has not finished in order.
+            await asyncio.sleep(EXIT_SECONDS)
+        async with open_target_session(
+            witness.connector, CONNECT_TIMEOUT_SECONDS, _SUPPRESSED_CLIENT_HEADERS
+        ) as session:
+            start = await self._query_start(target, session)
+        if start is Start.REGISTERED and target.info.born != effect.born:
+            return Start.OTHER
+        return start if witness.is_early or start is not Start.UNKNOWN else None
+
+    async def _states_life(self, target: Target) -> bool:
+        """Return whether a target states that it has not restarted."""
         start = await self._confirm_start(target, target.info.born)
-        return start is Start.REGISTERED or (is_plain and start is Start.UNSTATED)
+        return start is Start.REGISTERED
 
     async def _confirm_start(self, target: Target, born: int) -> Start:
         """Query a target for its start, again if no answer comes.
@@ -768,19 +828,22 @@
             return
         self._dispatch(report)
 
-    async def _query_state(self, target: Target) -> "_Reply":
+    async def _query_state(
+        self, target: Target, session: aiohttp.ClientSession | None = None
+    ) -> "_Reply":
         """Query a target for its state; a failure is logged.
 
         Plain services give no report: they reject the query, which bears no id of a
-        request, as not run.
+        request, as not run. A new connection is opened if no session is given.
         """
-        assert self._session is not None
+        session = session or self._session
+        assert session is not None
         url = f"http://{target.info.address}/figstep/report"
         requested_at = self._clock.now()
         try:
             async with (
                 asyncio.timeout(REPORT_TIMEOUT_SECONDS),
-                self._session.get(
+                session.get(
                     url, headers={names.EXPECTED_TARGET: target.name}
                 ) as response,
             ):
@@ -899,6 +962,19 @@
     start: Start = Start.UNKNOWN
 
 
+@dataclass(frozen=True, slots=True)
+class _Witness:
+    """Connection to a target beside that of its answer.
+
+    Attributes:
+        connector: Connector of the connection; it has none if it was refused.
+        is_early: Whether the answer had not ended by then.
+    """
+
+    connector: OpenedConnector
+    is_early: bool
+
+
 @dataclass(slots=True)
 class _Chunks:
     """Start of an answer, or all of it.
@@ -947,13 +1023,41 @@
     try:
         return await is_listening(host, int(port), CONNECT_TIMEOUT_SECONDS)
     except OSError as error:
-        _log.info(
-            "target not reached",
-            extra={"target": target.name, "error": _describe_error(error)},
-        )
+        _log_unreached(target, error)
         return None
 
 
+def _log_unreached(target: Target, error: OSError) -> None:
+    fields = {"target": target.name, "error": _describe_error(error)}
+    _log.info("target not reached", extra=fields)
+
+
+async def _open_witness(
+    target: Target, response: aiohttp.ClientResponse
+) -> _Witness | None:
+    """Open a connection while an answer arrives; None if there is no time or none."""
+    if response.content.is_eof():
+        return None
+    connector = OpenedConnector()
+    host, _, port = target.info.address.rpartition(":")
+    try:
+        await connector.open(host, int(port), CONNECT_TIMEOUT_SECONDS)
+    except ConnectionRefusedError as error:
+        _log_unreached(target, error)
+    except OSError as error:
+        _log_unreached(target, error)
+        return None
+    return _Witness(connector, is_early=not response.content.is_eof())
+
+
+def _abandon_witness(opening: asyncio.Task[_Witness | None]) -> None:
+    if opening.cancelled():
+        return
+    witness = opening.result()
+    if witness is not None:
+        witness.connector.abandon()
+
+
 async def _is_whole(response: aiohttp.ClientResponse) -> bool:
     """Return whether the body of a refusal ends, and soon."""
     try:
--- a/tests/net/test_connectors.py
+++ b/tests/net/test_connectors.py
@@ -7,7 +7,11 @@
 import aiohttp
 import pytest
 
-from figstep.net.connectors import MAX_BYTES_WITHOUT_BODY, ResetAwareConnector
+from figstep.net.connectors import (
+    MAX_BYTES_WITHOUT_BODY,
+    OpenedConnector,
+    ResetAwareConnector,
+)
 from tests.platform.endless import EndlessTarget, Form
 
 HALF_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf an ans"
@@ -72,3 +76,68 @@
             await asyncio.sleep(0.02)
     assert target.most_sent <= 4 * MAX_BYTES_WITHOUT_BODY
     await target.stop()
+
+
+async def count_connections(requests: int, ends: bool) -> tuple[int, int]:
+    """Send requests by a connector of one opened connection.
+
+    With ``ends`` the server closes that before the first one.
+
+    Returns:
+        Number of connections that the server accepted, and of answers.
+    """
+    accepted = []
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        accepted.append(writer)
+        if not ends:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HALF_ANSWER)
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connector = OpenedConnector()
+    await connector.open(host, port, 5.0)
+    await asyncio.sleep(0.05)
+    answers = 0
+    async with server, aiohttp.ClientSession(connector=connector) as session:
+        for _ in range(requests):
+            try:
+                async with session.get(f"http://{host}:{port}/") as response:
+                    await response.read()
+                    answers += 1
+            except aiohttp.ClientConnectionError:
+                continue
+    return len(accepted), answers
+
+
+@pytest.mark.parametrize(("ends", "answers"), [(False, 1), (True, 0)])
+async def test_only_the_connection_that_was_opened_is_used(
+    ends: bool, answers: int
+) -> None:
+    """Guards against a successor at the address that answers on a new connection."""
+    assert await count_connections(2, ends) == (1, answers)
+
+
+async def test_an_opened_connection_that_is_not_used_is_closed() -> None:
+    """Guards against connections of targets that stay open for nothing."""
+    closed = asyncio.Event()
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read()
+        closed.set()
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connector = OpenedConnector()
+    async with server:
+        await connector.open(host, port, 5.0)
+        connector.abandon()
+        async with asyncio.timeout(2):
+            await closed.wait()
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -437,11 +437,24 @@
         if self.runner is not None:
             await self.runner.cleanup()
 
-    async def crash(self) -> None:
-        """Stop listening and reset all connections; the registration stays."""
+    async def stop_listening(self) -> None:
+        """Accept no further connections; those that are open go on."""
         assert self.runner is not None
         for site in list(self.runner.sites):
             await site.stop()
+
+    def close_connections(self, kept: asyncio.BaseTransport | None) -> None:
+        """Close all connections in order but one."""
+        assert self.runner is not None
+        assert self.runner.server is not None
+        for connection in list(self.runner.server.connections):
+            transport = connection.transport
+            if transport is not None and transport is not kept:
+                transport.close()
+
+    async def crash(self) -> None:
+        """Stop listening and reset all connections; the registration stays."""
+        await self.stop_listening()
         self.reset_connections()
 
     def restart_unregistered(self, born: int) -> None:
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -455,8 +455,8 @@
         await asyncio.sleep(0.1)
         assert target.runner is not None
         host, port = target.runner.addresses[0]
-        for site in list(target.runner.sites):
-            await site.stop()
+        await target.stop_listening()
+        target.close_connections(request.transport)
         raw.close()
         await web.TCPSite(target.runner, host, port).start()
         return web.Response()
@@ -466,6 +466,49 @@
     assert await read_complete(place, "/order/a") is None
 
 
+@pytest.mark.parametrize("path", ["/order/a"])
+async def test_an_answer_that_is_finished_after_the_listener_has_closed_is_complete(
+    place: Place, path: str
+) -> None:
+    """Guards against whole answers lost as their target shuts down in order."""
+    target = place.targets["i-b1" if path == "/order/a" else "i-e1"]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        raw = RawAnswer(request, Framing.CONNECTION, target.sign(request), 0)
+        raw.write(write_events(1, EARLY))
+        await target.register(place.store, "draining")
+        await asyncio.sleep(0.2)
+        await target.stop_listening()
+        raw.write(write_events(EARLY + 1, EVENTS))
+        return raw.close()
+
+    target.handler = answer
+    assert await read_complete(place, path) == write_events(1, EVENTS)
+
+
+@pytest.mark.parametrize("seconds", [0.0, 0.03])
+@pytest.mark.parametrize("path", ["/order/a"])
+async def test_an_answer_that_is_closed_as_its_target_exits_is_not_complete(
+    place: Place, path: str, seconds: float
+) -> None:
+    """Guards against a part as the whole, as the process lives for a moment longer."""
+    target = place.targets["i-b1" if path == "/order/a" else "i-e1"]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        raw = RawAnswer(request, Framing.CONNECTION, target.sign(request), 0)
+        raw.write(write_events(1, EARLY))
+        await target.register(place.store, "draining")
+        await asyncio.sleep(0.2)
+        await target.stop_listening()
+        response = raw.close()
+        await asyncio.sleep(seconds)
+        target.close_connections(request.transport)
+        return response
+
+    target.handler = answer
+    assert await read_complete(place, path) is None
+
+
 async def test_a_resumed_stream_begins_with_the_event_that_was_asked_for(
     place: Place,
 ) -> None:
