Ask targets of streams without a prompt on an earlier connection too

Callers lost whole streams that have neither a length nor chunks if their target had stopped listening to shut down: it finishes its streams, but refuses the new connection on which it is asked whether it lives, and that was taken for a crash.

What states the end: a target that answers, after the close, on a connection that was opened as the head arrived has not been killed, whatever its address does. A killed process loses this connection with the others, and what the store or the target says of its leaving beforehand would not tell the two apart. A target that leaves is asked 0.1 s after the close, as a process that exits may close unfinished streams in order. Where the connection is lost, a new one decides as before: targets close idle ones, and a stream may last longer than that takes.

This holds for streams without a prompt. Engines state their start on a new connection, and are not held a second one for each stream; where they refuse it, their streams go on from copies or are broken off as before.

The test of idle connections fails if a stream is treated like a call.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -674,8 +674,9 @@
         needs_start = effect.priority is not None
         start = await self._query_witness(effect, target)
         if start in (None, Start.UNKNOWN):
-            # A successor accepts new connections too.
-            needs_start |= start is Start.UNKNOWN
+            # A successor accepts new connections too. Streams may outlast the time
+            # after which targets close idle ones.
+            needs_start |= start is Start.UNKNOWN and not effect.stream
             start = await self._confirm_start(target, effect.born)
         is_unstated = start is Start.UNSTATED and not needs_start
         lives = start is Start.REGISTERED or is_unstated
@@ -693,8 +694,6 @@
         """
         if effect.priority is not None or not response.ok or is_delimited(response):
             return
-        if effect.stream:
-            return
         self._witnesses[effect.attempt] = self._run_in_background(
             _open_witness(target, response)
         )
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -466,7 +466,7 @@
     assert await read_complete(place, "/order/a") is None
 
 
-@pytest.mark.parametrize("path", ["/order/a"])
+@pytest.mark.parametrize("path", ["/order/a", "/plan/a"])
 async def test_an_answer_that_is_finished_after_the_listener_has_closed_is_complete(
     place: Place, path: str
 ) -> None:
@@ -487,7 +487,7 @@
 
 
 @pytest.mark.parametrize("seconds", [0.0, 0.03])
-@pytest.mark.parametrize("path", ["/order/a"])
+@pytest.mark.parametrize("path", ["/order/a", "/plan/a"])
 async def test_an_answer_that_is_closed_as_its_target_exits_is_not_complete(
     place: Place, path: str, seconds: float
 ) -> None:
@@ -509,6 +509,25 @@
     assert await read_complete(place, path) is None
 
 
+async def test_a_whole_stream_outlasts_the_idle_connections_of_its_target(
+    place: Place,
+) -> None:
+    """Guards against whole streams lost as their target closes what is idle."""
+    target = place.targets["i-e1"]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        raw = RawAnswer(request, Framing.CONNECTION, target.sign(request), 0)
+        raw.write(write_events(1, EARLY))
+        await asyncio.sleep(0.2)
+        target.close_connections(request.transport)
+        target.report = web.Response(status=400, headers={"Not-Executed": "1"})
+        raw.write(write_events(EARLY + 1, EVENTS))
+        return raw.close()
+
+    target.handler = answer
+    assert await read_complete(place, "/plan/a") == write_events(1, EVENTS)
+
+
 async def test_a_resumed_stream_begins_with_the_event_that_was_asked_for(
     place: Place,
 ) -> None:
