--- a/tests/deployments/test_options.py
+++ b/tests/deployments/test_options.py
@@ -28,6 +28,7 @@
 from tests.platform.target import DELAY_RANGE, ProcessTarget
 from tests.platform.targets import EVENT_BYTES
 from tests.platform.test_standins import PIN, list_tokens, open_engine
+from tests.ports import HOST
 
 IDS = [f"r{number}" for number in range(1, 3_001)]
 """Ids of requests, as callers give them."""
@@ -104,6 +105,28 @@
         assert await list_tokens(engine.identity.address) == {"a": 79, "c": 2_000}
 
 
+@pytest.mark.parametrize("order", [False, True])
+async def test_a_run_ends_at_once_while_its_next_event_is_late(
+    order: bool, tmp_path: Path
+) -> None:
+    """Guards against runs at two engines, as the first waits for an event."""
+    async with open_engine(tmp_path, deadlines=True, interval=30.0) as engine:
+        ended: list[Run] = []
+        engine.note_end = ended.append  # type: ignore[method-assign]
+        call = asyncio.create_task(read_stream(engine, "r2", 9, Deadline_Ms="4000"))
+        await asyncio.sleep(0.2)
+        if order:
+            move = {"id": "r2", "target": f"{HOST}:1", "last": True}
+            url = f"http://{engine.identity.address}/figstep/kv-move"
+            async with engine.session.post(url, json=move) as answer:
+                assert answer.status == 503
+            await call
+        else:
+            call.cancel()
+            await asyncio.sleep(0.2)
+        assert [(run.expired, run.whole) for run in ended] == [(False, False)]
+
+
 async def test_an_engine_closes_no_stream_that_is_complete_before_its_deadline(
     tmp_path: Path,
 ) -> None:
--- a/tests/framing.py
+++ b/tests/framing.py
@@ -62,14 +62,18 @@
                 lines.append("Connection: close")
         self._transport.write("\r\n".join([*lines, "", ""]).encode())
 
+    def check_peer(self) -> None:
+        """Raise ConnectionResetError if the peer has closed the connection."""
+        if self._transport.is_closing():
+            raise ConnectionResetError("the peer closed the connection")
+
     def write(self, data: bytes) -> None:
         """Write a part of the body.
 
         Raises:
             ConnectionResetError: If the peer has closed the connection.
         """
-        if self._transport.is_closing():
-            raise ConnectionResetError("the peer closed the connection")
+        self.check_peer()
         if not data:
             return
         if self._framing is Framing.CHUNKS:
--- a/tests/platform/targets.py
+++ b/tests/platform/targets.py
@@ -29,6 +29,9 @@
 EVENT_BYTES = "Event-Bytes"
 """Header with which callers ask for large events."""
 
+END_CHECK_INTERVAL = 0.05
+"""Time after which a run that waits for an event notices its end, in seconds."""
+
 COPY_SECONDS = 0.1
 """Time that a copy on order takes, in seconds."""
 
@@ -299,11 +302,8 @@
         early_at = self._find_early_end(run, first, len(events))
         due = self._find_due(request)
         for number, event in enumerate(events):
-            pause = self.find_interval(run) + self.draw_delay()
-            left = due - read_clock()
-            await asyncio.sleep(max(0.0, min(pause, left)))
-            if left <= pause:
-                run.expired = True
+            await self._wait_for_event(run, answer, due)
+            if run.expired:
                 return answer.close()
             if holder:
                 self.back_up(holder, run)
@@ -325,6 +325,18 @@
             self.drop_backup(holder, run)
         return answer.end()
 
+    async def _wait_for_event(self, run: Run, answer: RawAnswer, due: float) -> None:
+        """Wait for the next event of a stream, or until the run ends before it.
+
+        Raises:
+            ConnectionResetError: If the peer has closed the connection.
+        """
+        until = read_clock() + self.find_interval(run) + self.draw_delay()
+        while (left := min(until, due) - read_clock()) > 0 and not run.stopped:
+            answer.check_peer()
+            await asyncio.sleep(min(left, END_CHECK_INTERVAL))
+        run.expired = due <= until and not run.stopped
+
     def _find_due(self, request: web.Request) -> float:
         """Return when a stream is closed that is not complete, in seconds."""
         given = request.headers.get("Deadline-Ms", "")
