Judge by its list also a stream whose last event came late

Callers got a part as the whole where the last event before an early close came after a pause: the list that showed no run was taken for one that was read too late, as the engine might have ended the stream at any time in the pause.

The event loop waits for bytes all the time, unless it is stalled. What the loop knows of its own stalls now tells a pause of the engine from one of this entry. The test with a part failed before; a whole stream that a frozen entry reads late is still delivered.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -15,6 +15,7 @@
 
 from figstep.core.answers import Body, NumberedStream, explain_incomplete
 from figstep.core.clock import Clock, Millis
+from figstep.core.stalls import STALL_SLACK, StallWatch
 from figstep.errors import FrameError
 from figstep.gateway.edges import AnswerHead, TargetPort, WholeAnswer
 from figstep.gateway.effects import Confirmation, CopyRun, OpenAttempt, StopRun
@@ -159,6 +160,7 @@
         find_exchange: Callable[[int], CallerExchange | None],
         find_target: Callable[[str], Target | None],
         own_host: str,
+        stalls: StallWatch,
     ) -> None:
         """Prepare the client; no connection is opened before it starts.
 
@@ -168,9 +170,11 @@
             find_exchange: Returns the exchange of an open request, by number.
             find_target: Returns a target, by name.
             own_host: IP address by which other entries know this one.
+            stalls: Tells since when the event loop is stalled.
         """
         super().__init__()
         self._own_host = own_host
+        self._stalls = stalls
         self._relay_session: aiohttp.ClientSession | None = None
         self._clock = clock
         self._dispatch = dispatch
@@ -487,11 +491,9 @@
         splitter = EventSplitter()
         events = 0
         has_begun = False
-        # The target may have ended the stream at any time after that.
         going_at = read_at = self._clock.now()
         async for chunk in response.content.iter_any():
-            if self._clock.now() - read_at >= MIN_SILENCE:
-                going_at = read_at
+            going_at = self._find_last_going(going_at, read_at)
             if effect.after is not None and not has_begun:
                 has_begun = True
                 self._dispatch(RestBegun(attempt))
@@ -506,8 +508,7 @@
                     await exchange.buffer.wait_for_room()
                     self._dispatch(ReadingPaused(attempt, False))
             read_at = self._clock.now()
-        if self._clock.now() - read_at >= MIN_SILENCE:
-            going_at = read_at
+        going_at = self._find_last_going(going_at, read_at)
         end = NumberedStream(
             delimited,
             events,
@@ -531,6 +532,19 @@
             return AttemptLost(attempt, Loss.BROKEN, detail=reason)
         return StreamEnded(attempt, confirmed=delimited, empty=not events, kept=kept)
 
+    def _find_last_going(self, going_at: Millis, read_at: Millis) -> Millis:
+        """Return when a target certainly had not ended its stream, as bytes are read.
+
+        Args:
+            going_at: What was found as the bytes before were read.
+            read_at: When the entry began to wait for these bytes.
+        """
+        now = self._clock.now()
+        if now - read_at < MIN_SILENCE:
+            # They may have waited in the socket.
+            return going_at
+        return max(read_at, Millis(self._stalls.find_earliest(now) - STALL_SLACK))
+
     async def _query_kept(self, effect: OpenAttempt, going_at: Millis) -> int | None:
         """Return how many generated tokens of a run its engine keeps.
 
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -164,6 +164,7 @@
             self.find_exchange,
             self.gateway.known.targets.find,
             settings.peers.host,
+            self.gateway.stalls,
         )
         self.gateway.callers = self.callers
         self.gateway.targets = self.targets
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -667,6 +667,28 @@
     assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
 
 
+@pytest.mark.parametrize("last", [EARLY, EVENTS])
+async def test_a_close_after_a_late_event_is_judged_by_the_list(
+    place: Place, last: int
+) -> None:
+    """Guards against a part as the whole, as its last event came after a pause."""
+    await configure(place, False, pin_ms=300)
+    target = place.targets["i-e1"]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        raw = RawAnswer(request, Framing.CONNECTION, target.sign(request), 0)
+        raw.write(write_events(1, last - 1))
+        await asyncio.sleep(0.5)
+        raw.write(write_events(last, last))
+        if last == EVENTS:
+            target.memory.complete(request.headers, STRIDE * EVENTS)
+        return raw.close()
+
+    target.handler = answer
+    whole = write_events(1, EVENTS) if last == EVENTS else None
+    assert await read_complete(place, "/plan/a", **PLAN) == whole
+
+
 async def test_a_run_of_a_caller_who_leaves_at_its_end_is_not_kept(
     place: Place,
 ) -> None:
