Count what an entry has repeated until its window has passed

What callers saw: nothing at first; a service whose entries are stopped in turn got 104 arrivals beyond the first of each request in ten seconds, with a bound of 82.

Cause: an entry that closes is taken off the peers at its first message that says so, and its uses with it, although it goes on to repeat while it drains. One that falls silent, or whose process is replaced, lost its uses as well. So each entry that the callers came to could spend the fleet's budget again, and a new process did not know what the one before it had spent.

Fix: the last report of a process counts until a window has passed since. That goes for processes that close, fall silent, or are followed by another process of the entry, which messages tell apart by their session. Repeats count in full; requests, which raise the bound and whose callers go elsewhere, fade. An entry that does not hear all others keeps to its share, and also to the bound with what all are known to have spent. A new process is told the past uses by each entry that answers it, at most 64 of them; the answer is now written after the message has been handled, as that ends the process before. What is kept is gone after a window, so it is bounded by the processes that ended in it. Entries that ended within the window count towards the known part of the fleet, as nothing more comes from them.

--- a/figstep/gateway/budgets.py
+++ b/figstep/gateway/budgets.py
@@ -4,10 +4,12 @@
 allowance, summed over all entries. Entries report their use to each other, so that
 one that has many streams on a leaving engine may use what the others don't need. An
 entry that does not receive the reports of some others keeps to the ratio of its own
-requests plus an equal share of the allowance.
+requests plus an equal share of the allowance. What an entry last reported before it
+ended or fell silent counts until the window has passed.
 """
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from figstep.core.clock import Millis
@@ -49,6 +51,9 @@
 repeated with the reserve instead.
 """
 
+MAX_REPORTED_PAST_USES = 64
+"""Maximum number of past processes in a message to a new one; bounds its size."""
+
 
 @dataclass(slots=True)
 class ServiceUse:
@@ -80,8 +85,9 @@
 
     Attributes:
         repeats: Number of their arrivals beyond the first of each request.
-        entries: Number of entries that share the budget, this one included.
-        complete: Whether all of these entries report now.
+        entries: Number of entries that share the budget, this one included, or that
+            have shared it within the window.
+        complete: Whether all of these entries report now, or have ended.
         fleet_fraction: These entries as a fraction of the whole fleet, 0 to 1.
     """
 
@@ -92,6 +98,96 @@
     fleet_fraction: float = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class PastUse:
+    """What a process of an entry last reported before it ended or fell silent.
+
+    Attributes:
+        node: Name of the entry.
+        process: Random number of the process.
+        uses: Its requests and repeats within one window, by service.
+        age: Time in milliseconds since the report.
+    """
+
+    node: str
+    process: int
+    uses: tuple[UseReport, ...]
+    age: Millis
+
+
+@dataclass(frozen=True, slots=True)
+class _LastUse:
+    uses: tuple[UseReport, ...]
+    reported_at: Millis
+
+
+class PastUseTable:
+    """Uses of processes that ended or fell silent, for one window after their report.
+
+    An entry that starts again has another process, whose reports lack what the one
+    before it has used.
+    """
+
+    def __init__(self) -> None:
+        self._last_uses: dict[tuple[str, int], _LastUse] = {}
+
+    def record(
+        self,
+        node: str,
+        process: int,
+        uses: Iterable[UseReport],
+        reported_at: Millis,
+    ) -> None:
+        """Record the last report of a process; an older one than known is ignored."""
+        known = self._last_uses.get((node, process))
+        if known is None or known.reported_at <= reported_at:
+            self._last_uses[node, process] = _LastUse(tuple(uses), reported_at)
+
+    def remove(self, node: str, process: int) -> None:
+        """Forget the reports of a process, which reports to this entry again."""
+        self._last_uses.pop((node, process), None)
+
+    def remove_expired(self, window: Millis, now: Millis) -> None:
+        """Forget what was reported a window ago or earlier."""
+        for key, last in list(self._last_uses.items()):
+            if now - last.reported_at >= window:
+                del self._last_uses[key]
+
+    def list_nodes(self) -> set[str]:
+        """Return the names of the entries of these processes."""
+        return {node for node, _ in self._last_uses}
+
+    def sum_uses(self, service: str, window: Millis, now: Millis) -> UseReport:
+        """Return the requests and repeats that these processes sent to a service.
+
+        Repeats count in full for a window after the report. Requests raise the bound,
+        and their callers go to other entries: they count as if sent evenly.
+        """
+        requests = repeats = 0
+        for last in self._last_uses.values():
+            left = window - (now - last.reported_at)
+            if left <= 0:
+                continue
+            for use in last.uses:
+                if use.service == service:
+                    requests += use.requests * left // window
+                    repeats += use.repeats
+        return UseReport(service, requests, repeats)
+
+    def report(self, window: Millis, now: Millis) -> tuple[PastUse, ...]:
+        """Return what a new process has to know, at most ``MAX_REPORTED_PAST_USES``.
+
+        Processes with the most repeats come first; those without any are left out.
+        """
+        known = [
+            PastUse(node, process, last.uses, Millis(now - last.reported_at))
+            for (node, process), last in self._last_uses.items()
+            if now - last.reported_at < window and any(use.repeats for use in last.uses)
+        ]
+        known.sort(key=lambda past: sum(use.repeats for use in past.uses), reverse=True)
+        return tuple(known[:MAX_REPORTED_PAST_USES])
+
+
 @dataclass(slots=True)
 class RetryBudget:
     """Repeats that this entry may send beyond the first arrival of each request.
@@ -134,11 +230,14 @@
         use = self._trim(service, now)
         usable_fraction = 1.0 if urgent else 1.0 - URGENT_RESERVE_FRACTION
         safety_fraction = URGENT_FRACTION if urgent else SHARED_FRACTION
+        requests = len(use.requests) + fleet.requests
+        repeats = len(use.repeats) + fleet.repeats
+        fleet_bound = self.ratio * requests + self.allowance * fleet.fleet_fraction
         if fleet.complete and fleet.entries > 1:
-            requests = len(use.requests) + fleet.requests
-            allowance = self.allowance * fleet.fleet_fraction
-            bound = safety_fraction * (self.ratio * requests + allowance)
-            return len(use.repeats) + fleet.repeats + 1 <= usable_fraction * bound
+            return repeats + 1 <= usable_fraction * safety_fraction * fleet_bound
+        # What others have used before reports went missing still counts.
+        if repeats + 1 > usable_fraction * URGENT_FRACTION * fleet_bound:
+            return False
         entries = fleet.entries / fleet.fleet_fraction
         allowance_share = self.allowance / (entries + UNKNOWN_ENTRIES)
         if not self.first_start and now < self.started + self.window:
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -6,7 +6,7 @@
 from figstep.core.clock import Millis
 from figstep.core.crashes import Clearance, Suspicion
 from figstep.core.positions import NO_POSITION, Position
-from figstep.gateway.budgets import UseReport
+from figstep.gateway.budgets import PastUse, UseReport
 from figstep.gateway.demand import DemandReport
 from figstep.gateway.places import NO_EVACUATIONS, Evacuations
 from figstep.gateway.prompts import Prompt
@@ -594,6 +594,10 @@
             that read it has shown.
         demand: Demand of the peer by class, or of the entries of its failure domain if
             `far` is set; empty if it does not report any.
+        process: Random number of the peer's process; 0 in a message that this entry has
+            yet to send.
+        past_uses: What processes used that ended or fell silent within the window of
+            the retry budget; only in the answer to an entry that has just started.
     """
 
     node: str
@@ -627,6 +631,8 @@
     past_versions: tuple[PastVersion, ...] = ()
     knows_versions: bool = False
     demand: tuple[DemandReport, ...] = ()
+    process: int = 0
+    past_uses: tuple[PastUse, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/limits.py
+++ b/figstep/gateway/limits.py
@@ -123,7 +123,7 @@
 def _estimate_request_rate(state: State, target: Target, now: Millis) -> float:
     """Return a target's requests per second, assumed equal for all ready targets."""
     service = target.info.service
-    fleet = peers.sum_uses(state, service)
+    fleet = peers.sum_uses(state, service, now)
     requests = state.budget.count_requests(service, now) + fleet.requests
     ready = max(1, len(state.targets.list_ready(service)))
     return requests / fleet.fleet_fraction / ready * 1_000 / state.budget.window
--- a/figstep/gateway/newcomers.py
+++ b/figstep/gateway/newcomers.py
@@ -23,8 +23,10 @@
     These are all rates in force, whoever was told them, the starts of this entry's
     streams and of all whose version is not known, the software versions that targets
     had until recently, and the departures and evacuations that an older copy of the
-    store may lack.
+    store may lack. An entry of the same failure domain, or of a small fleet, is told
+    what past processes have used of the retry budget, its own among them.
     """
+    past_uses = state.past_uses.report(state.budget.window, now)
     known = {report.incarnation: report for report in message.rates}
     for report in _list_rates_in_force(state, now):
         known.setdefault(report.incarnation, report)
@@ -36,6 +38,7 @@
         knows_versions=versions.is_history_known(state, now),
         leaving=tuple(sorted({*message.leaving, *_list_departures(state, now)})),
         held_evacuations=tuple(sorted(state.held_evacuations)),
+        past_uses=() if message.far else past_uses,
     )
 
 
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -86,12 +86,15 @@
         brittle=event.brittle,
         rejected=event.rejected,
         starts=event.starts,
+        process=event.process,
     )
     if event.far and event.failure_domain == state.failure_domain:
         # The peer sent these sums before it knew that this entry is in its failure
         # domain; its own loads come with its next message.
         return
     _record_demand(state, event, now)
+    if not event.far:
+        _record_past_uses(state, event, now)
     if event.far:
         state.remote_peers[event.node] = peer
         _apply_domain_loads(state, event, now)
@@ -109,6 +112,23 @@
         state.silent_peers.pop(event.node, None)
 
 
+def _record_past_uses(state: State, event: PeerHeard, now: Millis) -> None:
+    """Keep what processes have used that end, or are followed by a new one."""
+    past = state.past_uses
+    known = state.peers.get(event.node)
+    if known is not None and known.process != event.process:
+        past.record(event.node, known.process, known.uses, known.last_received_at)
+    if event.closing:
+        past.record(event.node, event.process, event.uses, now)
+    else:
+        past.remove(event.node, event.process)
+    for told in event.past_uses:
+        live = state.peers.get(told.node)
+        if live is not None and live.process == told.process:
+            continue
+        past.record(told.node, told.process, told.uses, Millis(now - told.age))
+
+
 def _record_demand(state: State, event: PeerHeard, now: Millis) -> None:
     if state.demand is None:
         return
@@ -177,11 +197,15 @@
 
     Peers of this failure domain, or of a small fleet, count as silent from then on, for
     ``MISSING_PEER_DURATION``. The sums of another failure domain are removed after
-    ``REMOTE_LOADS_TIMEOUT``.
+    ``REMOTE_LOADS_TIMEOUT``. What a peer has used of the retry budget counts until the
+    window has passed since its last message.
     """
     for name in _list_expired(state.peers, now):
-        _replace_loads(state, state.peers.pop(name).loads.values(), ())
+        peer = state.peers.pop(name)
+        _replace_loads(state, peer.loads.values(), ())
+        state.past_uses.record(name, peer.process, peer.uses, peer.last_received_at)
         state.silent_peers[name] = now
+    state.past_uses.remove_expired(state.budget.window, now)
     for name in _list_expired(state.remote_peers, now):
         del state.remote_peers[name]
     for domain, far in list(state.remote_loads.items()):
@@ -260,17 +284,26 @@
     return tuple(loads)
 
 
-def sum_uses(state: State, service: str) -> FleetUse:
-    """Return the other entries' recent use of a service, and how complete it is."""
-    requests = repeats = 0
+def sum_uses(state: State, service: str, now: Millis) -> FleetUse:
+    """Return the other entries' recent use of a service, and how complete it is.
+
+    It includes that of entries which ended, or started again, within the window.
+    """
+    past = state.past_uses.sum_uses(service, state.budget.window, now)
+    requests, repeats = past.requests, past.repeats
     for peer in state.peers.values():
         for use in peer.uses:
             if use.service == service:
                 requests += use.requests
                 repeats += use.repeats
-    sharing = 1 + len(state.peers) + len(state.silent_peers)
+    others = state.peers.keys() | state.silent_peers.keys()
+    others |= state.past_uses.list_nodes()
+    sharing = 1 + len(others - {state.node})
     known_fraction = min(1.0, sharing / max(1, state.entries))
-    return FleetUse(requests, repeats, sharing, not state.silent_peers, known_fraction)
+    # Without peers, this entry can't tell whether others have started that it does not
+    # hear.
+    complete = not state.silent_peers and (bool(state.peers) or state.entries <= 1)
+    return FleetUse(requests, repeats, sharing, complete, known_fraction)
 
 
 def spend_repeat(state: State, service: str, now: Millis, urgent: bool = False) -> bool:
@@ -279,7 +312,7 @@
     An urgent repeat may use the part of the budget that is reserved for streams whose
     engine leaves or failed.
     """
-    if not state.budget.can_repeat(service, sum_uses(state, service), now, urgent):
+    if not state.budget.can_repeat(service, sum_uses(state, service, now), now, urgent):
         return False
     state.budget.record_repeat(service, now)
     return True
@@ -291,7 +324,7 @@
     if request.retry_denied:
         return counted
     request.retry_denied = True
-    fleet = sum_uses(state, request.service)
+    fleet = sum_uses(state, request.service, now)
     note = Note(
         "repeat denied by the fleet's budget",
         {
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -315,7 +315,7 @@
             continue
         if now - attempt.opened < choose_silence_timeout(request):
             continue
-        fleet = peers.sum_uses(state, request.service)
+        fleet = peers.sum_uses(state, request.service, now)
         if not state.budget.can_repeat(request.service, fleet, now):
             continue
         event = AttemptLost(attempt.number, Loss.SILENT, detail="nothing came")
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -8,7 +8,7 @@
 from figstep.core.fairness import FairShares
 from figstep.core.positions import NO_POSITION, Position
 from figstep.core.reach import Reach
-from figstep.gateway.budgets import RetryBudget, UseReport
+from figstep.gateway.budgets import PastUseTable, RetryBudget, UseReport
 from figstep.gateway.demand import (
     DemandClass,
     DemandReport,
@@ -369,6 +369,7 @@
         cuts: Services from which it, or some of the entries in `relays` if `far` is
             set, are cut off.
         starts: Streams that it recently began to deliver.
+        process: Random number of its process.
     """
 
     last_received_at: Millis
@@ -393,6 +394,7 @@
     brittle: tuple[BrittlenessReport, ...] = ()
     rejected: tuple[RejectionReport, ...] = ()
     starts: tuple[StreamStart, ...] = ()
+    process: int = 0
 
     def is_cut_off(self, service: str) -> bool:
         """Return whether the entry itself reaches no target of a service."""
@@ -485,6 +487,8 @@
         entries: Number of entries in the fleet, this one included.
         silent_peers: Peers whose messages stopped although they announced no shutdown,
             and when this entry removed each.
+        past_uses: Use of the retry budget by processes of peers that ended or fell
+            silent.
         crashes: Crashes of targets, and what was on these targets.
         short_answers: Answers whose engines are checked before the parts of their
             prompts count as harmless.
@@ -551,6 +555,7 @@
     remote_loads: dict[str, DomainLoads] = field(default_factory=dict)
     entries: int = 1
     silent_peers: dict[str, Millis] = field(default_factory=dict)
+    past_uses: PastUseTable = field(default_factory=PastUseTable)
     crashes: CrashTable = field(default_factory=CrashTable)
     short_answers: list[ShortAnswer] = field(default_factory=list)
     next_attempt: int = 1
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -11,7 +11,7 @@
 from figstep.core.crashes import Clearance, Suspicion
 from figstep.core.positions import NO_POSITION, Position
 from figstep.errors import PeerMessageError
-from figstep.gateway.budgets import UseReport
+from figstep.gateway.budgets import PastUse, UseReport
 from figstep.gateway.demand import DemandClass, DemandReport
 from figstep.gateway.events import (
     BrittlenessReport,
@@ -134,13 +134,9 @@
         slot.reading, slot.readRate = load.reading, load.read_rate or 0.0
         slot.incoming, slot.outgoing = load.incoming, load.outgoing
         slot.pace = load.pace or 0.0
-    uses = message.init("uses", len(own.uses))
-    for slot, use in zip(uses, own.uses, strict=True):
-        slot.service, slot.requests, slot.repeats = (
-            use.service,
-            use.requests,
-            use.repeats,
-        )
+    _write_uses(message.init("uses", len(own.uses)), own.uses)
+    if own.past_uses:
+        _write_past_uses(message.init("pastUses", len(own.past_uses)), own.past_uses)
     leaving = message.init("leaving", len(own.leaving))
     for slot, incarnation in zip(leaving, own.leaving, strict=True):
         slot.target, slot.born = incarnation.target, incarnation.born
@@ -177,6 +173,25 @@
     return bytes(message.to_bytes_packed())
 
 
+def _write_uses(slots: Any, uses: tuple[UseReport, ...]) -> None:
+    for slot, use in zip(slots, uses, strict=True):
+        slot.service, slot.requests, slot.repeats = (
+            use.service,
+            use.requests,
+            use.repeats,
+        )
+
+
+def _read_uses(uses: Any) -> tuple[UseReport, ...]:
+    return tuple(UseReport(str(use.service), use.requests, use.repeats) for use in uses)
+
+
+def _write_past_uses(slots: Any, past_uses: tuple[PastUse, ...]) -> None:
+    for slot, past in zip(slots, past_uses, strict=True):
+        slot.node, slot.process, slot.age = past.node, past.process, past.age
+        _write_uses(slot.init("uses", len(past.uses)), past.uses)
+
+
 def _write_demand(slots: Any, demand: tuple[DemandReport, ...]) -> None:
     for slot, report in zip(slots, demand, strict=True):
         known = report.demand_class
@@ -223,9 +238,7 @@
             )
             for load in message.loads
         )
-        uses = tuple(
-            UseReport(use.service, use.requests, use.repeats) for use in message.uses
-        )
+        uses = _read_uses(message.uses)
         content = PeerHeard(
             message.node,
             loads,
@@ -312,6 +325,16 @@
                 )
                 for item in message.demand
             ),
+            process=message.session,
+            past_uses=tuple(
+                PastUse(
+                    str(item.node),
+                    item.process,
+                    _read_uses(item.uses),
+                    Millis(item.age),
+                )
+                for item in message.pastUses
+            ),
         )
         records = tuple(
             (str(entry.key), bytes(entry.value)) for entry in message.records
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -45,6 +45,14 @@
   demand @39 :List(Demand);  # by class; of the failure domain if far is set
   knowsVersions @40 :Bool;   # the past versions are complete, as the store has shown
   cuts @41 :List(Cut);       # services that the sender, or some of the relays, don't reach
+  pastUses @42 :List(PastUse); # of processes that ended lately, to a new process only
+}
+
+struct PastUse {
+  node @0 :Text;
+  process @1 :UInt64;        # session of the process
+  uses @2 :List(Use);
+  age @3 :UInt32;            # milliseconds since the process reported them
 }
 
 struct Cut {
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -390,15 +390,17 @@
         neighbor.last_received = now
         neighbor.failure_domain = content.failure_domain
         self._neighbors.record_members(hello.members, now)
-        if hello.requests_failure_domain:
-            self._send(Hello(self._entry.describe_domain()), [content.address])
-        elif is_new and not content.far:
-            self._answer_new_session(content.address, content.failure_domain, now)
         # A message that another entry forwarded comes from that entry's address and
         # is not forwarded again.
         if content.far and content.address == sender:
             self._forward(data, content.failure_domain)
+        # The answer to a new process describes what the one before it has used, which
+        # the message has ended.
         self._entry.handle_message(content, hello.records)
+        if hello.requests_failure_domain:
+            self._send(Hello(self._entry.describe_domain()), [content.address])
+        elif is_new and not content.far:
+            self._answer_new_session(content.address, content.failure_domain, now)
 
     def _answer_new_session(
         self, address: str, failure_domain: str, now: float
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -81,3 +81,12 @@
     assert not budget.can_repeat("engines", fleet, Millis(100_000))
     spent = FleetUse(0, 37, 18, True, fleet_fraction=0.25)
     assert not budget.can_repeat("engines", spent, Millis(100_000), urgent=True)
+
+
+def test_an_entry_without_reports_counts_what_others_have_used() -> None:
+    """Guards against shares that come on top of a budget that is used up."""
+    budget = RetryBudget(0.2, 56.0, WINDOW)
+    spent = FleetUse(0, 45, 8, complete=False)
+    assert not budget.can_repeat("engines", spent, NOW, urgent=True)
+    some = FleetUse(0, 20, 8, complete=False)
+    assert budget.can_repeat("engines", some, NOW, urgent=True)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,13 +1,16 @@
 """Tests of the state that entries exchange."""
 
 import random
+from collections.abc import Iterable
+from dataclasses import replace
 
 from figstep.core.clock import Millis
-from figstep.gateway import domains, peers, sources
-from figstep.gateway.budgets import UseReport
+from figstep.gateway import domains, newcomers, peers, sources
+from figstep.gateway.budgets import MAX_REPORTED_PAST_USES, FleetUse, UseReport
 from figstep.gateway.effects import Announce, CopyRun, OpenAttempt
 from figstep.gateway.events import (
     AttemptLost,
+    EntriesCounted,
     Loss,
     PeerHeard,
     PeerLoad,
@@ -16,6 +19,7 @@
 )
 from figstep.gateway.targets import UNREACHED_DURATION, Registration
 from figstep.net.hellos import Hello, decode_hello, encode_hello
+from figstep.net.links import MAX_DATAGRAM_BYTES
 from tests.gateway.worlds import (
     BOOKINGS,
     ENGINES,
@@ -23,6 +27,186 @@
     build_large_fleet_entry,
 )
 
+ALLOWANCE = 56
+"""Repeats that the fleet may make in a window without requests."""
+
+
+def sum_uses(harness: EntryHarness, service: str = BOOKINGS) -> FleetUse:
+    """Return what an entry counts as the others' use of a service now."""
+    return peers.sum_uses(harness.state, service, harness.clock.now())
+
+
+def build_fleet(size: int) -> list[EntryHarness]:
+    """Return entries that have heard each other and have spent nothing."""
+    fleet = [EntryHarness() for _ in range(size)]
+    for number, entry in enumerate(fleet, 1):
+        entry.state.node = f"entry-{number}"
+        entry.handle(EntriesCounted(size))
+    for entry in fleet:
+        tell(entry, fleet)
+    return fleet
+
+
+def tell(
+    sender: EntryHarness,
+    receivers: Iterable[EntryHarness],
+    process: int = 1,
+    closing: bool = False,
+    to_new_process: bool = False,
+) -> None:
+    """Deliver an entry's message to others, as the link does."""
+    now = sender.clock.now()
+    message = replace(peers.describe_entry(sender.state, now), closing=closing)
+    if to_new_process:
+        message = newcomers.complete_message(sender.state, message, now)
+    data = encode_hello(Hello(message, session=process))
+    for receiver in receivers:
+        if receiver is not sender:
+            receiver.handle(decode_hello(data, "10.0.0.1:7000").content)
+
+
+def spend(entry: EntryHarness) -> int:
+    """Make urgent repeats until the budget denies one; return their number."""
+    spent = 0
+    while peers.spend_repeat(entry.state, BOOKINGS, entry.clock.now(), urgent=True):
+        spent += 1
+    return spent
+
+
+def test_entries_that_close_in_turn_spend_the_budget_once() -> None:
+    """Guards against repeats that are forgotten as their entry says goodbye."""
+    fleet = build_fleet(8)
+    spent = 0
+    while fleet:
+        closing = fleet.pop()
+        spent += spend(closing)
+        tell(closing, fleet, closing=True)
+    assert 0 < spent <= ALLOWANCE
+
+
+def test_repeats_of_a_closing_entry_count_while_it_drains() -> None:
+    """Guards against an entry whose repeats after its goodbye nobody counts."""
+    closing, other = build_fleet(2)
+    tell(closing, [other], closing=True)
+    spent = spend(closing)
+    assert spent > 0
+    tell(closing, [other], closing=True)
+    assert spent + spend(other) <= ALLOWANCE
+
+
+def test_entries_do_not_spend_again_what_one_spent_that_vanished() -> None:
+    """Guards against repeats that are forgotten as their entry is killed."""
+    fleet = build_fleet(8)
+    killed = fleet.pop()
+    spent = spend(killed)
+    tell(killed, fleet)
+    for _ in range(4):
+        for entry in fleet:
+            entry.clock.advance(1_000)
+            tell(entry, fleet)
+    for entry in fleet:
+        entry.handle(Ticked())
+        assert entry.state.silent_peers
+    for entry in fleet:
+        spent += spend(entry)
+        tell(entry, fleet)
+    assert spent <= ALLOWANCE
+
+
+def test_a_new_process_does_not_make_the_repeats_of_the_one_before_vanish() -> None:
+    """Guards against repeats that are forgotten as their entry starts again."""
+    killed, other = build_fleet(2)
+    spent = spend(killed)
+    tell(killed, [other], process=1)
+    started = EntryHarness()
+    started.state.node = killed.state.node
+    tell(started, [other], process=2)
+    assert spent > 0
+    assert sum_uses(other).repeats == spent
+    assert spent + spend(other) <= ALLOWANCE
+
+
+def test_a_new_process_counts_what_the_one_before_has_spent() -> None:
+    """Guards against a restarted entry that spends the budget once more."""
+    killed, other = build_fleet(2)
+    spent = spend(killed)
+    tell(killed, [other], process=1)
+    started = EntryHarness()
+    started.state.node = killed.state.node
+    tell(started, [other], process=2)
+    tell(other, [started], to_new_process=True)
+    assert spent > 0
+    assert spent + spend(started) <= ALLOWANCE
+
+
+def test_repeats_of_an_entry_that_ended_count_for_one_window() -> None:
+    """Guards against requests that are lost as old repeats fill the budget."""
+    closing, other = build_fleet(2)
+    spent = spend(closing)
+    tell(closing, [other], closing=True)
+    window = other.state.budget.window
+    other.clock.advance(window - 1)
+    other.handle(Ticked())
+    assert sum_uses(other).repeats == spent
+    other.clock.advance(1)
+    assert sum_uses(other).repeats == 0
+    other.handle(Ticked())
+    assert not other.state.past_uses.list_nodes()
+
+
+def test_an_entry_that_is_heard_again_is_counted_once() -> None:
+    """Guards against repeats that count twice after messages were lost."""
+    silent, other = build_fleet(2)
+    spent = spend(silent)
+    tell(silent, [other])
+    other.clock.advance(peers.PEER_TIMEOUT)
+    other.handle(Ticked())
+    assert sum_uses(other).repeats == spent
+    tell(silent, [other])
+    assert sum_uses(other).repeats == spent
+
+
+def test_a_live_entry_that_another_does_not_hear_is_counted_once() -> None:
+    """Guards against repeats that count twice in an entry that has just started."""
+    silent, other, started = build_fleet(3)
+    spent = spend(silent)
+    tell(silent, [other, started])
+    other.clock.advance(peers.PEER_TIMEOUT)
+    other.handle(Ticked())
+    tell(other, [started], to_new_process=True)
+    assert sum_uses(started).repeats == spent
+
+
+def test_requests_of_an_entry_that_ended_fade_within_the_window() -> None:
+    """Guards against a bound raised twice by requests that went to other entries."""
+    harness = EntryHarness()
+    uses = (UseReport(BOOKINGS, 100, 0),)
+    harness.handle(PeerHeard("entry-2", uses=uses, closing=True))
+    assert sum_uses(harness).requests == 100
+    harness.clock.advance(harness.state.budget.window // 2)
+    assert sum_uses(harness).requests == 50
+
+
+def test_uses_of_past_processes_are_bounded() -> None:
+    """Guards against memory and messages that grow as 370 entries start again."""
+    harness = EntryHarness()
+    services = [f"service-{number}" for number in range(8)]
+    uses = tuple(UseReport(service, 900, 9) for service in services)
+    for process in range(1, 6):
+        for number in range(370):
+            node = f"entry-of-failure-domain-{number}"
+            harness.handle(PeerHeard(node, uses=uses, process=process))
+    now = harness.clock.now()
+    message = peers.describe_entry(harness.state, now)
+    message = newcomers.complete_message(harness.state, message, now)
+    assert len(message.past_uses) == MAX_REPORTED_PAST_USES
+    assert len(encode_hello(Hello(message))) < MAX_DATAGRAM_BYTES
+    harness.clock.advance(harness.state.budget.window)
+    harness.handle(Ticked())
+    harness.clock.advance(harness.state.budget.window)
+    harness.handle(Ticked())
+    assert not harness.state.past_uses.list_nodes()
+
 
 def test_loads_of_all_peers_are_summed() -> None:
     harness = EntryHarness()
@@ -45,20 +229,20 @@
     harness = EntryHarness()
     harness.register("e-1")
     harness.handle(PeerHeard("entry-2", (PeerLoad("e-1", 2, 8_000),)))
-    assert peers.sum_uses(harness.state, "engines").complete
+    assert sum_uses(harness, "engines").complete
     harness.clock.advance(peers.PEER_TIMEOUT)
     harness.handle(Ticked())
     engine = harness.state.targets.find("e-1")
     assert engine is not None
     assert engine.peer_calls == 0
-    assert not peers.sum_uses(harness.state, "engines").complete
+    assert not sum_uses(harness, "engines").complete
 
 
 def test_a_peer_that_announces_its_end_frees_its_budget_share() -> None:
     harness = EntryHarness()
     harness.handle(PeerHeard("entry-2"))
     harness.handle(PeerHeard("entry-2", closing=True))
-    assert peers.sum_uses(harness.state, "engines").complete
+    assert sum_uses(harness, "engines").complete
     assert harness.state.peers == {}
 
 
@@ -67,7 +251,7 @@
     uses = (UseReport("engines", 10, 2), UseReport("bookings", 50, 9))
     harness.handle(PeerHeard("entry-2", uses=uses))
     harness.handle(PeerHeard("entry-3", uses=uses))
-    fleet = peers.sum_uses(harness.state, "engines")
+    fleet = sum_uses(harness, "engines")
     assert (fleet.requests, fleet.repeats, fleet.entries) == (20, 4, 3)
 
 
@@ -101,7 +285,7 @@
 
 def test_a_failure_domain_shares_its_part_of_the_retry_budget() -> None:
     harness = build_large_fleet_entry()
-    fleet = peers.sum_uses(harness.state, "engines")
+    fleet = sum_uses(harness, "engines")
     assert fleet.entries == 19
     assert fleet.fleet_fraction == 19 / 73
 
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -237,7 +237,7 @@
     second.receive_request("/order/a", relayed=True)
     now = first.clock.now()
     second.handle(describe_entry(first.state, now))
-    fleet = sum_uses(second.state, BOOKINGS).requests
+    fleet = sum_uses(second.state, BOOKINGS, now).requests
     assert fleet + second.state.budget.count_requests(BOOKINGS, now) == 1
 
 
--- a/tests/net/test_hellos.py
+++ b/tests/net/test_hellos.py
@@ -8,7 +8,7 @@
 from figstep.core.crashes import Clearance, Suspicion
 from figstep.core.positions import Position
 from figstep.errors import PeerMessageError
-from figstep.gateway.budgets import UseReport
+from figstep.gateway.budgets import PastUse, UseReport
 from figstep.gateway.demand import DemandClass, DemandReport
 from figstep.gateway.events import (
     BrittlenessReport,
@@ -76,6 +76,10 @@
         ),
         DemandReport(DemandClass("engines", -1, False), 2**32 - 1),
     ),
+    past_uses=(
+        PastUse("entry-1", 2**64 - 1, (UseReport("engines", 9, 4),), Millis(700)),
+        PastUse("entry-2", 7, (), Millis(0)),
+    ),
 )
 
 
@@ -107,6 +111,8 @@
     assert hello.content.brittle == OWN.brittle
     assert hello.content.rejected == OWN.rejected
     assert hello.content.demand == OWN.demand
+    assert hello.content.past_uses == OWN.past_uses
+    assert hello.content.process == 5
 
 
 def test_a_forwarded_message_keeps_the_address_of_its_author() -> None:
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -187,3 +187,30 @@
     assert all(message.far for message in hosts[1].received)
     await second.stop()
     await first.stop()
+
+
+class CountingHost(FakeHost):
+    """An entry that tells new processes how many messages it has handled."""
+
+    def describe_to_new_process(self, remote: bool) -> PeerHeard:
+        return replace(self.own, configuration=len(self.received))
+
+
+async def test_a_new_process_is_answered_after_its_message_was_handled(
+    unused_tcp_port_factory: object,
+) -> None:
+    """Guards against an answer that lacks what the process before has used."""
+    ports = [unused_tcp_port_factory() for _ in range(2)]  # type: ignore[operator]
+    hosts = [CountingHost(f"entry-{port}", "muc-a") for port in ports]
+    links = [
+        open_link(ports[0], (), hosts[0]),
+        open_link(ports[1], (f"127.0.0.1:{ports[0]}",), hosts[1]),
+    ]
+    for link in links:
+        await link.start()
+    async with asyncio.timeout(5):
+        while not hosts[1].received:
+            await asyncio.sleep(0.02)
+    for link in links:
+        await link.stop()
+    assert hosts[1].received[0].configuration >= 1
