Hold a request's body once, in parts of one size

What callers saw: an entry of 150 MiB was killed as 14 bodies of 4 MiB that were sent in chunks ended at once; requests that it had passed on to targets ended without an answer.

Cause: the chunks of a body were kept and joined at its end. The joined body took its size once more, and the chunks' memory, which lies between that of other bodies, can't hold it. The budget counted the body once. A body with a stated length was copied as well, from a growing buffer. Bodies in tiny chunks took far more, as each chunk is an object of its own. On the own interface, the body of a generation was also kept beside the one that is sent, as long as the answer lasted, and a decoded body was not counted beyond its stated length.

Fix: whatever its framing, a body is held in parts of 32 KiB, the size in which it is sent; they are hashed and sent one after another, behind a stated length. Parts of equal size fill the gaps that others leave. Both interfaces read bodies in this way, and count each byte beyond the stated length. The own interface joins the body of a generation only to parse it, and drops it then.

--- a/figstep/core/buffers.py
+++ b/figstep/core/buffers.py
@@ -14,8 +14,8 @@
 source peaks at 64.3 MiB; the rest is for routing state and log lines."""
 
 ALLOCATOR_FACTOR = 1.4
-"""Memory that the process takes per buffered byte. Joining the parts of a body, and
-fragmentation of the allocator, cost up to two fifths on top."""
+"""Memory that the process takes per buffered byte. Bytes that have arrived and are not
+yet part of a body, and fragmentation of the allocator, cost up to two fifths on top."""
 
 MIN_BUDGET_BYTES = 8_388_608
 """Smallest budget, in bytes: one largest body still fits in."""
--- a/figstep/net/arrivals.py
+++ b/figstep/net/arrivals.py
@@ -15,7 +15,12 @@
 from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork, Work
 from figstep.errors import RefusedError
 from figstep.net.bodies import ChatBody, CompletionBody, count_prompt_tokens
-from figstep.net.buffers import BufferTable, ExchangeBuffer, read_request_body
+from figstep.net.buffers import (
+    BufferTable,
+    ExchangeBuffer,
+    RequestBody,
+    read_request_body,
+)
 from figstep.net.exchanges import Exchange
 from figstep.net.headers import CallerHeaders
 from figstep.settings import Limits, describe_errors
@@ -39,12 +44,11 @@
 
     async def read_body(
         self, request: web.Request, buffer: ExchangeBuffer, table: BufferTable
-    ) -> bytes:
+    ) -> RequestBody:
         """Return the body of a request, whose bytes are counted in ``buffer``.
 
-        aiohttp rejects a body that is longer than ``body_bytes``.
-
         Raises:
+            HTTPRequestEntityTooLarge: If the body is longer than ``body_bytes``.
             RefusedError: If the body takes longer than ``body_seconds``, or outgrows
                 the budget of buffered bytes.
         """
@@ -63,7 +67,7 @@
     def read_generation(
         self,
         request: web.Request,
-        raw: bytes,
+        raw: RequestBody,
         headers: CallerHeaders,
         customer: CustomerInfo,
         inventory: Inventory,
@@ -75,7 +79,7 @@
                 served.
         """
         chat = request.path == CHAT_PATH
-        document, body = _parse_body(raw, chat)
+        document, body = _parse_body(raw.join(), chat)
         if body.model not in {model.name for model in inventory.models}:
             detail = f"model {body.model!r} is not served; see GET /v1/models"
             raise RefusedError(Problem(404, "unknown_model", detail))
@@ -91,13 +95,13 @@
         stream = bool(body.stream)
         spec = self._build_spec(request, raw, headers, customer, work, stream)
         document["stream"] = True
-        sent = orjson.dumps(document)
+        sent = RequestBody(orjson.dumps(document))
         return Exchange(spec, "POST", request.path, {}, sent, self._limits.answer_bytes)
 
     def read_call(
         self,
         request: web.Request,
-        raw: bytes,
+        raw: RequestBody,
         headers: CallerHeaders,
         customer: CustomerInfo,
         inventory: Inventory,
@@ -125,7 +129,7 @@
     def _build_spec(
         self,
         request: web.Request,
-        raw: bytes,
+        raw: RequestBody,
         headers: CallerHeaders,
         customer: CustomerInfo,
         work: Work,
@@ -165,11 +169,12 @@
     return document, body
 
 
-def digest_request(method: str, path: str, body: bytes) -> str:
+def digest_request(method: str, path: str, body: RequestBody) -> str:
     """Return the SHA-256 of method, path and body of a request, in hexadecimal.
 
     The path includes its query; the body is the one that the caller sent.
     """
     digest = hashlib.sha256(f"{method} {path}\n".encode())
-    digest.update(body)
+    for part in body:
+        digest.update(part)
     return digest.hexdigest()
--- a/figstep/net/buffers.py
+++ b/figstep/net/buffers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import sys
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import logbook
 from aiohttp import web
@@ -24,7 +24,9 @@
 known after each piece."""
 
 MAX_COPIED_BYTES = 32_768
-"""Largest part of a request's body that is copied to the write buffer at once."""
+"""Largest part of a request's body that is copied to the write buffer at once. A body
+is held in parts of this size, so that parts of one fill the gaps that those of another
+have left in the memory."""
 
 ROOM_POLL_SECONDS = 0.25
 """Interval in seconds at which a paused answer checks whether other requests have made
@@ -35,6 +37,43 @@
     """An answer was terminated as its caller has stopped reading."""
 
 
+class RequestBody:
+    """A request's body, held once, in parts of at most ``MAX_COPIED_BYTES``.
+
+    However small the pieces in which it arrives, all parts but the last have the same
+    size.
+    """
+
+    def __init__(self, data: bytes = b"") -> None:
+        self._parts: list[bytes] = []
+        self._last = bytearray()
+        self.append(data)
+
+    def append(self, data: bytes) -> None:
+        """Add bytes that have arrived."""
+        rest = memoryview(data)
+        while rest:
+            room = MAX_COPIED_BYTES - len(self._last)
+            self._last += rest[:room]
+            rest = rest[room:]
+            if len(self._last) == MAX_COPIED_BYTES:
+                self._parts.append(bytes(self._last))
+                self._last = bytearray()
+
+    def __len__(self) -> int:
+        return len(self._parts) * MAX_COPIED_BYTES + len(self._last)
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Iterate over the parts, none of which is empty."""
+        yield from self._parts
+        if self._last:
+            yield bytes(self._last)
+
+    def join(self) -> bytes:
+        """Return the whole body, which takes its size in memory once more."""
+        return b"".join(self)
+
+
 class ExchangeBuffer:
     """Account of one request, and the termination of its answer.
 
@@ -110,9 +149,13 @@
         """Release all bytes of the request."""
         self._table.close(self._account)
 
-    def grow_body(self, size: int) -> bool:
-        """Count further bytes of the request's body; return whether they fit."""
-        return self._table.budget.grow_body(self._account, size)
+    def cover_body(self, size: int) -> bool:
+        """Count so many bytes of the request's body at least; return whether they fit.
+
+        Bytes that were announced are counted from the beginning.
+        """
+        missing = size - self._account.body
+        return missing <= 0 or self._table.budget.grow_body(self._account, missing)
 
 
 class BufferTable:
@@ -226,43 +269,42 @@
         self._open.pop(account, None)
 
 
-def build_data(body: bytes) -> bytes | AsyncIterator[bytes] | None:
+def build_data(body: RequestBody) -> bytes | AsyncIterator[bytes] | None:
     """Return the form in which aiohttp sends a body to a target.
 
     A large one is sent in pieces, as aiohttp would copy it whole to the write buffer
     of a target that does not read. Its length has to be stated in a header.
     """
     if len(body) <= MAX_COPIED_BYTES:
-        return body or None
-    return _split(body)
+        return body.join() or None
+    return _send_parts(body)
 
 
-async def _split(body: bytes) -> AsyncIterator[bytes]:
-    for start in range(0, len(body), MAX_COPIED_BYTES):
-        yield body[start : start + MAX_COPIED_BYTES]
+async def _send_parts(body: RequestBody) -> AsyncIterator[bytes]:
+    for part in body:
+        yield part
 
 
 async def read_request_body(
     request: web.Request, buffer: ExchangeBuffer, table: BufferTable, max_bytes: int
-) -> bytes:
+) -> RequestBody:
     """Return the body of a request, whose bytes are counted as they arrive.
 
     Raises:
-        RefusedError: If a body without an announced length outgrows the budget.
+        RefusedError: If a body outgrows its announced length and the budget.
         HTTPRequestEntityTooLarge: If the body is longer than ``max_bytes``.
     """
-    if request.content_length is not None or not request.can_read_body:
-        return await request.read()
-    chunks = []
-    size = 0
+    body = RequestBody()
+    if not request.can_read_body:
+        return body
     async for chunk in request.content.iter_any():
-        size += len(chunk)
+        size = len(body) + len(chunk)
         if size > max_bytes:
             raise web.HTTPRequestEntityTooLarge(max_bytes, size)
-        if not buffer.grow_body(len(chunk)):
+        if not buffer.cover_body(size):
             raise table.refuse(size)
-        chunks.append(chunk)
-    return b"".join(chunks)
+        body.append(chunk)
+    return body
 
 
 async def write_answer(
--- a/figstep/net/callers.py
+++ b/figstep/net/callers.py
@@ -211,6 +211,8 @@
         exchange = self._reader.read_generation(
             request, raw, headers, customer, inventory
         )
+        # The exchange holds the body that is sent; this one would be held beside it.
+        del raw
         exchange.buffer = buffer
         if exchange.spec.stream:
             return await self._stream_answer(request, headers, exchange)
--- a/figstep/net/exchanges.py
+++ b/figstep/net/exchanges.py
@@ -7,7 +7,7 @@
 from figstep.core.clock import Millis
 from figstep.core.problems import Problem, Ran
 from figstep.core.specs import RequestSpec
-from figstep.net.buffers import ExchangeBuffer
+from figstep.net.buffers import ExchangeBuffer, RequestBody
 
 REPLAYED_HEADER = "Idempotent-Replayed"
 """Header of an answer that was recorded for an earlier request with the same key."""
@@ -61,7 +61,7 @@
     method: str
     path: str
     headers: dict[str, str]
-    body: bytes
+    body: RequestBody
     max_bytes: int = 1 << 23
     frames: list[bytes] = field(default_factory=list)
     frames_bytes: int = 0
--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -22,6 +22,7 @@
     PIECE_BYTES,
     BufferTable,
     ExchangeBuffer,
+    RequestBody,
     read_request_body,
     write_answer,
 )
@@ -83,7 +84,7 @@
         method: str,
         path: str,
         headers: tuple[tuple[str, str], ...],
-        body: bytes,
+        body: RequestBody,
         buffer: ExchangeBuffer,
         credential: str | None = None,
     ) -> None:
@@ -473,7 +474,7 @@
     return build_runner(app, LISTEN_LIMITS, bounded=True, decompress=False)
 
 
-def read_request(number: int, request: web.Request, body: bytes) -> RoutedRequest:
+def read_request(number: int, request: web.Request, body: RequestBody) -> RoutedRequest:
     """Return a request in the form that the gateway's decisions use.
 
     ``number`` identifies the request at this entry.
@@ -481,7 +482,8 @@
     headers = request.headers
     key = headers.get(names.CREDENTIAL)
     digest = hashlib.sha256(f"{key} {request.method} {request.raw_path}\n".encode())
-    digest.update(body)
+    for part in body:
+        digest.update(part)
     return RoutedRequest(
         number=number,
         id=headers.get(names.REQUEST_ID, ""),
--- a/tests/net/test_targets.py
+++ b/tests/net/test_targets.py
@@ -17,6 +17,7 @@
 )
 from figstep.core.inventory import EngineInfo, ServiceInfo
 from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork
+from figstep.net.buffers import RequestBody
 from figstep.net.exchanges import Exchange
 from figstep.net.targets import TargetEdge
 from figstep.standins.http import start_app
@@ -46,7 +47,7 @@
     engine = EngineInfo("e1", url, "muc-a", ("m",))
     edge = TargetEdge(events.put_nowait, lambda _: engine)
     spec = RequestSpec("r1", "c", GenerationWork("m"))
-    exchange = Exchange(spec, "POST", "/v1/completions", {}, b"{}")
+    exchange = Exchange(spec, "POST", "/v1/completions", {}, RequestBody(b"{}"))
     for attempt in (1, 2, 3):
         edge.open_attempt(OpenAttempt("r1", attempt, "e1", "e1~0~1"), exchange)
         async with asyncio.timeout(20):
@@ -105,7 +106,7 @@
     engine = EngineInfo("e1", url, "muc-a", ("m",))
     edge = TargetEdge(handle_event, lambda _: engine)
     spec = RequestSpec("r1", "c", GenerationWork("m"))
-    exchange = Exchange(spec, "POST", "/v1/completions", {}, b"{}")
+    exchange = Exchange(spec, "POST", "/v1/completions", {}, RequestBody(b"{}"))
     edge.open_attempt(OpenAttempt("r1", 1, "e1", "e1~0~1"), exchange)
     async with asyncio.timeout(5):
         await connection_closed.wait()
@@ -168,7 +169,7 @@
         spec = RequestSpec("r1", "c", ServiceWork("x", "GET", "/stock"))
         try:
             for attempt in (1, 2, 3):
-                exchange = Exchange(spec, "GET", "/stock", {}, b"")
+                exchange = Exchange(spec, "GET", "/stock", {}, RequestBody())
                 edge.open_attempt(OpenAttempt("r1", attempt, "s1", ""), exchange)
                 async with asyncio.timeout(20):
                     event = await events.get()
--- a/tests/platform/test_buffers.py
+++ b/tests/platform/test_buffers.py
@@ -211,3 +211,25 @@
     assert sent == 1
     for waiting in silent:
         waiting.close()
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+async def test_a_large_body_reaches_its_target_whole(
+    place: Place, chunked: bool
+) -> None:
+    """Guards against bytes that are lost or change, as a body is held in parts."""
+    body = bytes(number * number % 251 for number in range(1_000_001))
+    target = place.targets["i-b1"]
+
+    async def send_pieces() -> AsyncIterator[bytes]:
+        for start in range(0, len(body), 8_191):
+            yield body[start : start + 8_191]
+
+    headers = place.headers("r-1")
+    data = send_pieces() if chunked else body
+    url = place.url("/order/short")
+    async with place.session.post(url, data=data, headers=headers) as response:
+        assert (response.status, await response.read()) == (200, b"short")
+    assert target.bodies == [body]
+    assert target.received_headers[0]["Content-Length"] == str(len(body))
+    assert place.entries[0].buffers.budget.used == 0
