Cut streams off at the end of the drain, not by the end of the process

What callers saw: a stream that was open as its entry stopped went on until the process ended, 0.45 s after the time that the drain allows. A caller that reads neither a length nor chunks then saw its connection close in order, so a part of the stream looked whole. The process ended half a second before it would be killed, whatever it waited for.

Cause: nothing cut streams off at the end of the drain. The stop of the HTTP listener waited for their handlers until the timeout of 0.4 s, and the handlers were cancelled as the event loop ended, which closes connections without the reset that a broken stream gets.

Evidence: two tests on an entry process that failed before (no reset; with 2 s of grace time the process had not ended after 1.7 s).

Why it works: open streams are broken like any other that ends early, so their handlers end at once, with a reset where the framing does not show the loss, and the listener has nothing to wait for. Answers that have not begun still have the 0.4 s. A stream that would have ended in these 0.4 s is cut now.

--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -417,6 +417,17 @@
             exchange.broken = True
             exchange.wake_handler()
 
+    def break_all_streams(self) -> int:
+        """Cut all open streams off, as ``break_stream`` does; return their number."""
+        streams = [
+            number
+            for number, exchange in self.exchanges.items()
+            if exchange.head is not None and not exchange.ended
+        ]
+        for number in streams:
+            self.break_stream(number)
+        return len(streams)
+
     def answer(self, number: int, answer: WholeAnswer) -> None:
         """Send a target's complete answer; ignored if the request is not open."""
         exchange = self.exchanges.get(number)
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -504,7 +504,8 @@
 
         New callers are still served, as the platform sends some for up to
         ``READINESS_NOTICE``, and each connection is closed after its answer. The wait
-        ends at the latest after the time that ``choose_drain_time`` returns.
+        ends at the latest after the time that ``choose_drain_time`` returns; streams
+        that are still open then are cut off.
         """
         self.callers.ready = False
         self.callers.closing = True
@@ -516,6 +517,10 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
             if self._clock.now() >= quiet_from and self.callers.is_idle:
                 return
+        # The end of the process would close the connections in order: a stream without
+        # a length or chunks would look complete.
+        count = self.callers.break_all_streams()
+        _log.info("streams cut off at the end of the drain", extra={"streams": count})
 
 
 READINESS_NOTICE = Millis(3_000)
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -5,7 +5,8 @@
 import os
 import signal
 from collections.abc import AsyncIterator, Callable
-from dataclasses import replace
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 import aiohttp
@@ -13,10 +14,16 @@
 from aiohttp import web
 
 from figstep.core.clock import Millis
-from figstep.platform.entry import Entry, choose_drain_time, serve_until_signal
+from figstep.platform.entry import (
+    STOP_RESERVE,
+    Entry,
+    choose_drain_time,
+    serve_until_signal,
+)
 from figstep.platform.settings import load_settings
 from tests.framing import Framing, RawAnswer
 from tests.platform.places import Place, call_order_route, open_place
+from tests.platform.processes import build_network, query_ready, start_entry
 from tests.platform.standins import (
     KEY,
     FakeStore,
@@ -43,6 +50,14 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class Process:
+    """Process of an entry, and its address for callers as "ip:port"."""
+
+    process: asyncio.subprocess.Process
+    callers: str
+
+
 BODY_SECONDS = 4.0
 """Time in which a body arrives, in seconds; entries that stop wait at least three."""
 
@@ -110,18 +125,27 @@
         await killing
 
 
+async def open_stream_by_http_1_0(
+    place: Place, address: str
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Request a stream at "ip:port" as a caller that understands no chunks."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    headers = place.headers("r-1", **PLAN)
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    request = "\r\n".join(["POST /plan/a HTTP/1.0", *lines, "", ""])
+    writer.write(request.encode())
+    return reader, writer
+
+
 async def read_stream_by_http_1_0(place: Place) -> bytes:
     """Read a stream as a caller that understands no chunks.
 
     Raises:
         ConnectionResetError: If the connection is reset within the stream.
     """
-    callers = place.entries[0].settings.callers
-    reader, writer = await asyncio.open_connection(callers.host, callers.port)
-    headers = place.headers("r-1", **PLAN)
-    lines = [f"{name}: {value}" for name, value in headers.items()]
-    request = "\r\n".join(["POST /plan/a HTTP/1.0", *lines, "", ""])
-    writer.write(request.encode())
+    address = str(place.entries[0].settings.callers)
+    reader, writer = await open_stream_by_http_1_0(place, address)
     answer = await reader.read()
     writer.close()
     head, _, body = answer.partition(b"\r\n\r\n")
@@ -424,6 +448,63 @@
         await asyncio.gather(call, return_exceptions=True)
 
 
+@asynccontextmanager
+async def start_process(
+    place: Place, folder: Path, grace: float
+) -> AsyncIterator[Process]:
+    """Run an entry as a process with some grace time, in seconds, until it is ready."""
+    network = build_network()
+    path = folder / "entry.toml"
+    bounds = f"grace_s = {grace}\n"
+    network.write_settings(path, 0, place.store.address, bounds=bounds)
+    ip = network.find_ip(0)
+    process = await start_entry(path, folder / "entry.log")
+    try:
+        async with asyncio.timeout(20):
+            while not await query_ready(f"{ip}:{network.ready}"):
+                await asyncio.sleep(0.05)
+        yield Process(process, f"{ip}:{network.front}")
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+async def test_a_stream_that_a_stop_cuts_off_is_reset(tmp_path: Path) -> None:
+    """Guards against a part of a stream that looks whole as its entry ends."""
+    async with open_place() as place:
+        engine = await place.add_target("i-e1", "engines")
+        engine.events, engine.event_interval = 2_000, 0.02
+        async with start_process(place, tmp_path, 1.0) as entry:
+            reader, writer = await open_stream_by_http_1_0(place, entry.callers)
+            await reader.readuntil(b"id: 3\n")
+            entry.process.terminate()
+            with pytest.raises(ConnectionResetError):
+                while await reader.read(65_536):
+                    pass
+            writer.close()
+
+
+async def test_an_entry_with_an_open_stream_ends_well_within_its_grace_time(
+    tmp_path: Path,
+) -> None:
+    """Guards against a process that is killed as it waits for streams it has to cut.
+
+    Half of what is kept of the grace time for the end of the process has to be left, as
+    it may run late on a busy machine.
+    """
+    async with open_place() as place:
+        engine = await place.add_target("i-e1", "engines")
+        engine.events, engine.event_interval = 2_000, 0.02
+        async with start_process(place, tmp_path, 2.0) as entry:
+            reader, writer = await open_stream_by_http_1_0(place, entry.callers)
+            await reader.readuntil(b"id: 3\n")
+            entry.process.terminate()
+            async with asyncio.timeout(2.0 - STOP_RESERVE / 1_000 / 2):
+                await entry.process.wait()
+            writer.close()
+
+
 def test_written_settings_hold_each_port_whatever_its_digits(tmp_path: Path) -> None:
     """Guards against a port whose digits are taken for the place of another one."""
     path = tmp_path / "boot.toml"
