Let no service of an entry hold up the end of its process

What an operator would see: an entry that is killed at the end of its grace time as a service does not stop, with nothing about it in its log.

Why it works: the stop is a task of its own that is cancelled again until it has ended, each time after 20 ms, which is enough for a service that does stop.

--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -111,6 +111,9 @@
 STOP_TIMEOUT_SECONDS = 0.4
 """Timeout of stopping an entry's services, in seconds."""
 
+LATE_PART_TIMEOUT_SECONDS = 0.02
+"""Timeout of stopping each part of an entry once that has passed, in seconds."""
+
 STOP_RESERVE = Millis(600)
 """Part of the grace time, in milliseconds, that is always kept for the services to
 stop and the process to end."""
@@ -601,13 +604,25 @@
     await entry.drain()
     watching.cancel()
     _log.info("stopped", extra={"requests": len(entry.callers.exchanges)})
-    try:
-        async with asyncio.timeout(STOP_TIMEOUT_SECONDS):
-            await entry.stop()
-    except TimeoutError:
-        # If the process waited longer, for open requests, the platform would kill it
-        # and count it as one that does not end when asked.
-        _log.warning("services did not stop before the timeout")
+    await stop_services(entry)
+
+
+async def stop_services(entry: Entry) -> None:
+    """Stop an entry's services; parts that take too long are given up.
+
+    If the process waited longer, for open requests, the platform would kill it and
+    count it as one that does not end when asked.
+    """
+    stopping = asyncio.create_task(entry.stop())
+    await asyncio.wait({stopping}, timeout=STOP_TIMEOUT_SECONDS)
+    if stopping.done():
+        stopping.result()
+        return
+    _log.warning("services did not stop before the timeout")
+    while not stopping.done():
+        # A cancellation ends the wait for one part only; the next one is then stopped.
+        stopping.cancel()
+        await asyncio.wait({stopping}, timeout=LATE_PART_TIMEOUT_SECONDS)
 
 
 def run_entry(listener: socket.socket | None = None) -> None:
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -14,12 +14,16 @@
 from aiohttp import web
 
 from figstep.core.clock import Millis
+from figstep.platform.callers import CallerEdge
+from figstep.platform.engines import TargetEdge
 from figstep.platform.entry import (
+    READINESS_NOTICE,
     STOP_RESERVE,
     Entry,
     choose_drain_time,
     serve_until_signal,
 )
+from figstep.platform.history import HistoryLog
 from figstep.platform.settings import load_settings
 from tests.framing import Framing, RawAnswer
 from tests.platform.places import Place, call_order_route, open_place
@@ -505,6 +509,30 @@
             writer.close()
 
 
+async def test_an_entry_ends_although_several_of_its_services_do_not_stop(
+    tmp_path: Path,
+    unused_tcp_port_factory: Callable[[], int],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a timeout that gives up one service and waits for the next."""
+
+    async def hang(service: object) -> None:
+        await asyncio.sleep(60)
+
+    for kind in (CallerEdge, HistoryLog, TargetEdge):
+        monkeypatch.setattr(kind, "on_stop", hang)
+    ports = [unused_tcp_port_factory() for _ in range(3)]
+    async with open_place() as place:
+        path = tmp_path / "boot.toml"
+        write_settings(path, ports, place.store.address, "grace_s = 1\n")
+        serving = asyncio.create_task(serve_until_signal(path))
+        await asyncio.sleep(0.5)
+        os.kill(os.getpid(), signal.SIGTERM)
+        # A timeout would cancel the task, and so end the wait that is tested.
+        await asyncio.wait({serving}, timeout=READINESS_NOTICE / 1_000 + 1.0)
+        assert serving.done()
+
+
 def test_written_settings_hold_each_port_whatever_its_digits(tmp_path: Path) -> None:
     """Guards against a port whose digits are taken for the place of another one."""
     path = tmp_path / "boot.toml"
