Count the grace time from a freeze on, not from its end

What callers would see: an entry that is frozen as it gets SIGTERM took the signal for new when it ran again, and accepted requests and went on with streams for a time that the platform does not give it: they were cut off by SIGKILL.

Cause: a signal does not tell when it was sent; the drain began when the event loop handled it.

Evidence: the test freezes an entry process for 1.5 s with SIGTERM pending and a stream open; with a grace time of 3 s it had not ended in time before.

Why it works: the check of timeouts, which runs every 30 ms (idle 500 ms), notes when the loop runs and is due again. A signal that is handled after a stall may be as old as the stall; the drain then counts from its begin.

--- a/figstep/gateway/application.py
+++ b/figstep/gateway/application.py
@@ -6,8 +6,9 @@
 import logbook
 from mode import Service
 
-from figstep.core.clock import Clock
+from figstep.core.clock import Clock, Millis
 from figstep.core.problems import Problem, Ran
+from figstep.core.stalls import StallWatch
 from figstep.gateway.edges import CallerPort, HistoryPort, PeerPort, TargetPort
 from figstep.gateway.effects import (
     Announce,
@@ -63,6 +64,7 @@
 
     Attributes:
         known: State of the gateway; changed by its reducer only.
+        stalls: Tells since when the event loop is stalled.
     """
 
     targets: TargetPort
@@ -74,6 +76,7 @@
         super().__init__()
         self.known = state
         self.measures = measures
+        self.stalls = StallWatch(clock.now())
         self._clock = clock
         self._events: deque[Event] = deque()
         self._reducing = False
@@ -162,5 +165,7 @@
     async def _tick(self) -> None:
         while not self.should_stop:
             busy = bool(self.known.requests)
-            await asyncio.sleep(BUSY_TICK_SECONDS if busy else IDLE_TICK_SECONDS)
+            wait = BUSY_TICK_SECONDS if busy else IDLE_TICK_SECONDS
+            self.stalls.expect(self._clock.now(), Millis(round(wait * 1_000)))
+            await asyncio.sleep(wait)
             self.dispatch(Ticked())
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -269,6 +269,13 @@
         """Return whether the configuration and the registrations have been read."""
         return self.gateway.known.table is not None and self._registrations_read
 
+    def find_signal_time(self) -> Millis:
+        """Return when a signal that is handled now may have been sent, at the earliest.
+
+        A process that is frozen handles its signals only once it runs again.
+        """
+        return self.gateway.stalls.find_earliest(self._clock.now())
+
     def find_exchange(self, number: int) -> CallerExchange | None:
         """Return the exchange of an open request; None if the request has ended."""
         return self.callers.exchanges.get(number)
@@ -502,17 +509,22 @@
         )
         _log.info("settings read again", extra={"node": settings.node})
 
-    async def drain(self) -> None:
+    async def drain(self, asked_at: Millis | None = None) -> None:
         """Fail readiness checks and wait until open answers have ended.
 
         New callers are still served, as the platform sends some for up to
         ``READINESS_NOTICE``, and each connection is closed after its answer. The wait
         ends at the latest after the time that ``choose_drain_time`` returns; streams
         that are still open then are cut off.
+
+        Args:
+            asked_at: When the platform may have sent SIGTERM, at the earliest; now if
+                it is None.
         """
         self.callers.ready = False
         self.callers.closing = True
-        deadline = Millis(self._clock.now() + choose_drain_time(self.settings.grace))
+        begin = self._clock.now() if asked_at is None else asked_at
+        deadline = Millis(begin + choose_drain_time(self.settings.grace))
         self.gateway.dispatch(ShutdownRequested(deadline))
         # The platform sends callers to this entry until two readiness checks failed.
         quiet_from = Millis(self._clock.now() + READINESS_NOTICE)
@@ -589,19 +601,25 @@
         SettingsError: If the settings file is not valid.
     """
     loop = asyncio.get_running_loop()
-    stopping = asyncio.Event()
+    stopping: asyncio.Future[Millis] = loop.create_future()
+
+    def request_stop() -> None:
+        if not stopping.done():
+            stopping.set_result(entry.find_signal_time())
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(number, request_stop)
     settings = load_settings(path)
+    # No signal is handled before the entry is built, as nothing is awaited until then.
     entry = Entry(settings, listener=listener)
     watch = SettingsWatch(path, entry.apply_settings)
     loop.add_signal_handler(signal.SIGHUP, watch.reload)
     await entry.start()
     watching = asyncio.create_task(watch.run())
     _log.info("started", extra={"node": settings.node})
-    await stopping.wait()
+    asked_at = await stopping
     _log.info("draining", extra={"requests": len(entry.callers.exchanges)})
-    await entry.drain()
+    await entry.drain(asked_at)
     watching.cancel()
     _log.info("stopped", extra={"requests": len(entry.callers.exchanges)})
     await stop_services(entry)
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -509,6 +509,25 @@
             writer.close()
 
 
+async def test_an_entry_that_is_frozen_as_it_is_asked_to_stop_ends_in_time(
+    tmp_path: Path,
+) -> None:
+    """Guards against a grace time that is counted from the end of a freeze."""
+    async with open_place() as place:
+        engine = await place.add_target("i-e1", "engines")
+        engine.events, engine.event_interval = 2_000, 0.02
+        async with start_process(place, tmp_path, 3.0) as entry:
+            reader, writer = await open_stream_by_http_1_0(place, entry.callers)
+            await reader.readuntil(b"id: 3\n")
+            entry.process.send_signal(signal.SIGSTOP)
+            entry.process.terminate()
+            async with asyncio.timeout(3.0):
+                await asyncio.sleep(1.5)
+                entry.process.send_signal(signal.SIGCONT)
+                await entry.process.wait()
+            writer.close()
+
+
 async def test_an_entry_ends_although_several_of_its_services_do_not_stop(
     tmp_path: Path,
     unused_tcp_port_factory: Callable[[], int],
