Keep runs briefly, without a release, where streams are mostly delimited

Where the last eight streams of a service were delimited, an engine is asked to keep a run for 400 ms, which ends by itself. Where streams are left open, it is asked for up to two seconds and released at the end, as before.

--- a/figstep/gateway/closes.py
+++ b/figstep/gateway/closes.py
@@ -17,14 +17,23 @@
 from figstep.gateway.events import StreamEnded
 from figstep.gateway.routes import RouteKind
 from figstep.gateway.state import Attempt, Request, State
-from figstep.gateway.targets import CloseCount, Target
+from figstep.gateway.targets import CloseCount, ServiceCloses, Target
 
-MAX_RETENTION = Millis(2_000)
-"""Longest time in milliseconds for which an engine is asked to keep a complete run.
+DELIMITED_STREAMS = 8
+"""Number of delimited streams in a row after which those of a service mostly are."""
 
-The run is released as soon as its end is known, also where the framing states it.
-Callers abandon a stream after two seconds without an event.
+BRIEF_RETENTION = Millis(400)
+"""Time in milliseconds for which an engine keeps a complete run where streams are
+mostly delimited. That takes memory for a moment, and no order to release the run. What
+is kept can be queried twice, also if the first query times out.
 """
+
+LONG_RETENTION = Millis(2_000)
+"""Longest time in milliseconds for which an engine keeps a complete run where streams
+are left open. Callers abandon a stream after two seconds without an event. The run is
+released as soon as its end is known.
+"""
+
 MAX_EARLY_CLOSES = 0.05
 """Largest fraction of an engine's closes that may have been early if further ones are
 believed."""
@@ -52,8 +61,19 @@
     if pool is None or not pool.run_retention:
         return None
     part, tokens = prompt.parts[-1]
-    duration = min(pool.run_retention, MAX_RETENTION)
-    return KeptRun(prompt.model, part, tokens, duration)
+    is_brief = _find_closes(state, request.service).delimited >= DELIMITED_STREAMS
+    longest = BRIEF_RETENTION if is_brief else LONG_RETENTION
+    duration = min(pool.run_retention, longest)
+    return KeptRun(prompt.model, part, tokens, duration, released=not is_brief)
+
+
+def record_framing(
+    state: State, request: Request, target: Target, delimited: bool
+) -> None:
+    """Record whether the framing of a target's stream tells where it ends."""
+    target.open_ended = not delimited
+    closes = _find_closes(state, request.service)
+    closes.delimited = closes.delimited + 1 if delimited else 0
 
 
 def judge_end(state: State, request: Request, event: StreamEnded) -> End:
@@ -77,7 +97,7 @@
 
 def record_close(state: State, request: Request, target: Target, early: bool) -> None:
     """Record whether more followed after a target closed a stream in order."""
-    for count in (target.closes, _find_closes(state, request.service)):
+    for count in (target.closes, _find_closes(state, request.service).count):
         count.checked += 1
         count.early += early
 
@@ -97,7 +117,7 @@
         return False
     count = target.closes
     if not count.early and count.checked < MIN_CHECKED_CLOSES:
-        count = _find_closes(state, request.service)
+        count = _find_closes(state, request.service).count
     return _is_reliable(count)
 
 
@@ -105,5 +125,5 @@
     return count.early <= MAX_EARLY_CLOSES * count.checked
 
 
-def _find_closes(state: State, service: str) -> CloseCount:
-    return state.closes.setdefault(service, CloseCount())
+def _find_closes(state: State, service: str) -> ServiceCloses:
+    return state.closes.setdefault(service, ServiceCloses())
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -51,12 +51,15 @@
         part: Id of the last part of the prompt, by which the engine lists it.
         tokens: Number of tokens of this part in the prompt.
         duration: How long it is kept after the end, in milliseconds.
+        released: Whether the engine is ordered to keep it no longer once its end is
+            known.
     """
 
     model: str
     part: str
     tokens: int
     duration: Millis
+    released: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -31,9 +31,9 @@
 from figstep.gateway.runs import RunCopy
 from figstep.gateway.starts import StartTable, StreamStart
 from figstep.gateway.targets import (
-    CloseCount,
     Incarnation,
     Registration,
+    ServiceCloses,
     Target,
     TargetTable,
 )
@@ -587,7 +587,7 @@
     customer_shares: dict[tuple[str, int], FairShares] = field(default_factory=dict)
     places_by_pace: bool = False
     demand: DemandTable | None = None
-    closes: dict[str, CloseCount] = field(default_factory=dict)
+    closes: dict[str, ServiceCloses] = field(default_factory=dict)
 
     @property
     def is_large(self) -> bool:
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -92,7 +92,7 @@
     attempt.answered = True
     request = state.requests[attempt.request]
     if attempt.relay is None:
-        attempt.target.open_ended = not event.delimited
+        closes.record_framing(state, request, attempt.target, event.delimited)
     if attempt.first_delivery_at is None:
         request.open_ended = not event.delimited
     if placement.copies_runs(state, request.service):
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -184,6 +184,19 @@
     early: int = 0
 
 
+@dataclass(slots=True)
+class ServiceCloses:
+    """How the engines of a service end their streams.
+
+    Attributes:
+        count: Closes of all its engines.
+        delimited: Number of its last streams in a row that had a length or chunks.
+    """
+
+    count: CloseCount = field(default_factory=CloseCount)
+    delimited: int = 0
+
+
 @dataclass(slots=True)
 class Target:
     """A target and what this entry knows of it.
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -562,7 +562,7 @@
 
     def _release_kept(self, effect: OpenAttempt) -> None:
         target = self._find_target(effect.target)
-        if effect.keep is None or target is None:
+        if effect.keep is None or not effect.keep.released or target is None:
             return
         assert self._session is not None
         self._run_in_background(
--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -5,7 +5,12 @@
 import pytest
 
 from figstep.core.clock import Millis
-from figstep.gateway.closes import MAX_RETENTION, MIN_CHECKED_CLOSES
+from figstep.gateway.closes import (
+    BRIEF_RETENTION,
+    DELIMITED_STREAMS,
+    LONG_RETENTION,
+    MIN_CHECKED_CLOSES,
+)
 from figstep.gateway.effects import BreakStream, FinishStream, KeptRun, OpenAttempt
 from figstep.gateway.events import (
     AttemptLost,
@@ -50,7 +55,7 @@
 def test_a_run_is_kept_under_the_last_part_of_its_prompt() -> None:
     """Guards against streams whose engine has nothing to state at their end."""
     opened = open_stream(start_entry())
-    assert opened.keep == KeptRun("m", "b2", 200, MAX_RETENTION)
+    assert opened.keep == KeptRun("m", "b2", 200, LONG_RETENTION)
 
 
 def test_engines_that_keep_no_runs_are_not_asked_to() -> None:
@@ -61,18 +66,31 @@
 def test_engines_whose_streams_were_delimited_are_asked_to_keep_the_next_run() -> None:
     """Guards against an end that nothing states where open ends are rare."""
     harness = start_entry()
-    for _ in range(20):
+    for _ in range(3 * DELIMITED_STREAMS):
         opened = open_stream(harness)
         harness.open_stream(opened.attempt, delimited=True)
         assert opened.keep is not None
 
 
+def test_runs_are_kept_briefly_while_streams_are_delimited() -> None:
+    """Guards against memory or an order for each stream that states its own end."""
+    harness = start_entry()
+    for _ in range(DELIMITED_STREAMS):
+        opened = open_stream(harness)
+        assert opened.keep == KeptRun("m", "b2", 200, LONG_RETENTION, released=True)
+        harness.open_stream(opened.attempt, delimited=True)
+    opened = open_stream(harness)
+    assert opened.keep == KeptRun("m", "b2", 200, BRIEF_RETENTION, released=False)
+    harness.open_stream(opened.attempt, delimited=False)
+    assert open_stream(harness).keep == KeptRun("m", "b2", 200, LONG_RETENTION)
+
+
 @pytest.mark.parametrize("retention", [Millis(200), Millis(4_000)])
 def test_a_run_is_not_kept_longer_than_its_caller_waits(retention: Millis) -> None:
     """Guards against memory that the runs of an entry which was killed take on."""
     keep = open_stream(start_entry(retention)).keep
     assert keep is not None
-    assert keep.duration == min(retention, MAX_RETENTION)
+    assert keep.duration == min(retention, LONG_RETENTION)
     assert keep.duration <= 2_000
 
 
@@ -143,7 +161,7 @@
     assert target is not None
     harness.open_stream(opened.attempt, delimited=False)
     target.closes = own
-    harness.state.closes[ENGINES] = service
+    harness.state.closes[ENGINES].count = service
     harness.send_pieces(opened.attempt, 1, 3)
     harness.handle(StreamEnded(opened.attempt, confirmed=False))
     assert bool(harness.find_effects(FinishStream)) is believed
@@ -160,7 +178,7 @@
     asked = harness.find_effect(OpenAttempt)
     harness.send_pieces(asked.attempt, 4, 5)
     assert target.closes == CloseCount(1, 1)
-    assert harness.state.closes[ENGINES] == CloseCount(1, 1)
+    assert harness.state.closes[ENGINES].count == CloseCount(1, 1)
 
 
 def test_a_standby_that_began_an_event_contradicts_the_close_of_its_source() -> None:
@@ -190,7 +208,7 @@
     harness.handle(ConfigurationRead(replace(table, services=services)))
     opened = open_stream(harness)
     harness.open_stream(opened.attempt, delimited=False)
-    harness.state.closes[ENGINES] = CloseCount(10, 5 * early)
+    harness.state.closes[ENGINES].count = CloseCount(10, 5 * early)
     harness.send_pieces(opened.attempt, 1, 3)
     harness.handle(StreamEnded(opened.attempt, confirmed=False, kept=None))
     assert len(harness.find_effects(FinishStream)) == 1 - early
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -30,7 +30,7 @@
 )
 from figstep.gateway.prompts import Prompt
 from figstep.gateway.routes import EnginePool, Service
-from figstep.gateway.targets import CloseCount, Registration
+from figstep.gateway.targets import CloseCount, Registration, ServiceCloses
 from tests.gateway.worlds import (
     ENGINES,
     QUESTION,
@@ -47,7 +47,7 @@
 def set_belief(harness: EntryHarness, believed: bool) -> None:
     """Let all closes of engines that were checked have been early, or none."""
     count = CloseCount(checked=1, early=0 if believed else 1)
-    harness.state.closes[ENGINES] = count
+    harness.state.closes[ENGINES] = ServiceCloses(count)
 
 
 def check_settled(harness: EntryHarness, believed: bool) -> None:
