Let two faults of a run end the same target, and wait for a spare process

The server is cleaned up once, a target that is gone is not removed again, and a target waits for a new process if no spare one is left. Faults, their order and the checks are the same.

--- a/tests/deployments/hosts.py
+++ b/tests/deployments/hosts.py
@@ -56,6 +56,8 @@
 
     async def take(self, identity: Identity) -> asyncio.subprocess.Process:
         """Return the process of a target that starts now."""
+        if not self._waiting:
+            await self._add()
         process = self._waiting.pop(0)
         assert process.stdin is not None
         process.stdin.write(orjson.dumps(asdict(identity)) + b"\n")
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -461,7 +461,7 @@
         self.record.departures[target.name] = read_clock()
         await asyncio.sleep(fault.seconds - 1.0)
         await self._kill(target)
-        self._targets.remove(target)
+        self._forget(target)
 
     def _choose_remaining(self, number: int) -> SoakTarget:
         departing = self.record.departures | self.record.leaving_since
@@ -495,7 +495,12 @@
         if action != "crash":
             await asyncio.sleep(SERVE_AFTER_NOTICE_SECONDS)
             await self._kill(target)
-        self._targets.remove(target)
+        self._forget(target)
+
+    def _forget(self, target: SoakTarget) -> None:
+        # Another fault may have ended it as well.
+        if target in self._targets:
+            self._targets.remove(target)
 
     async def _kill(self, target: SoakTarget) -> None:
         await target.kill()
--- a/tests/faults/targets.py
+++ b/tests/faults/targets.py
@@ -138,8 +138,10 @@
         self.ended = True
         if self.proxy is not None:
             await self.proxy.stop()
-        if self.runner is not None:
-            await self.runner.cleanup()
+        # Another fault may end the target meanwhile.
+        runner, self.runner = self.runner, None
+        if runner is not None:
+            await runner.cleanup()
         for run in self.running.values():
             run.ended = run.ended or read_clock()
 
