Ask the next one also where the close of a stream is believed

A caller could get a part as the whole: a second target that was asked for the rest closed as well before its first event, with nothing listed, and as the first one was believed the stream ended at once, although the route allowed a third target to be asked in time. Such a close states nothing; the next one is now asked whoever is believed, and belief counts only once nobody is left. The test failed before.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -99,9 +99,7 @@
             return True
         case End.CONTRADICTED:
             return False
-    if _is_unanswered(attempt):
-        return closes.is_believed(state, request)
-    if _is_open(request, attempt):
+    if _is_unanswered(attempt) or _is_open(request, attempt):
         return False
     return not attempt.keeps_run or closes.is_believed(state, request)
 
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -562,3 +562,15 @@
     harness.handle(ConfigurationRead(replace(table, services=services)))
     harness.handle(StreamEnded(opened.attempt, confirmed=False))
     check_settled(harness, believed)
+
+
+def test_an_empty_close_of_one_that_was_asked_states_nothing_beside_others() -> None:
+    """Guards against two early closes as the end beside a third target to ask."""
+    harness, opened = open_question("e-3", attempts=3, believed=True)
+    first = harness.find_effect(OpenAttempt)
+    harness.handle(StreamEnded(first.attempt, confirmed=False, empty=True))
+    assert not harness.find_effects(FinishStream)
+    second = harness.find_effect(OpenAttempt)
+    assert len({opened.target, first.target, second.target}) == 3
+    harness.handle(StreamEnded(second.attempt, confirmed=True, empty=True))
+    assert harness.find_effects(FinishStream)
