Count no close as good for a continuation that its engine contradicts

A continuation without events whose engine lists no complete run was counted as proof that the close before it was in order, so that engines that close early stayed believed. It counts for neither side now. The test failed before.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -84,7 +84,8 @@
         request.closed_by = attempt.target
         request.rest_begun = False
     elif event.empty and request.closed_by is not None:
-        closes.record_close(state, request, request.closed_by, early=False)
+        if end is not End.CONTRADICTED:
+            closes.record_close(state, request, request.closed_by, early=False)
     elif not event.empty:
         # It only repeated earlier events, and goes on from nothing.
         request.closed_by = None
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -574,3 +574,15 @@
     assert len({opened.target, first.target, second.target}) == 3
     harness.handle(StreamEnded(second.attempt, confirmed=True, empty=True))
     assert harness.find_effects(FinishStream)
+
+
+def test_a_continuation_that_is_cut_before_its_first_event_shows_no_good_close() -> (
+    None
+):
+    """Guards against early closes that make up for others, as no one stated an end."""
+    harness, opened = open_question()
+    asked = harness.find_effect(OpenAttempt)
+    closed = harness.state.targets.find(opened.target)
+    assert closed is not None
+    harness.handle(StreamEnded(asked.attempt, confirmed=False, empty=True, kept=0))
+    assert closed.closes.checked == 0
