Recover a question that another entry loses as one that was passed on

Since lost questions are asked again, the loss of a question that was passed on to another entry was recorded as that of a target: the entry was not avoided, and the run there, of which nothing is known here, counted as none. It is recovered as before, and the time of the question goes on. The test failed before.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -256,13 +256,21 @@
     if attempt is None or not _is_unanswered(attempt):
         return recovery.recover_attempt(state, event, now)
     request = state.requests[attempt.request]
+    if attempt.relay is not None:
+        effects = recovery.recover_attempt(state, event, now)
+        _pass_question_on(request, attempt)
+        return effects
     effects = recovery.record_loss(state, request, attempt, event, now)
     if request.current is None:
         effects += _ask_again(state, request, attempt, event, now)
+    _pass_question_on(request, attempt)
+    return effects + recovery.stop_lost_run(state, request, attempt, event)
+
+
+def _pass_question_on(request: Request, attempt: Attempt) -> None:
     if request.current is not None and request.current.asked_at is None:
         request.current.asked_at = attempt.asked_at
         request.current.lost_questions = attempt.lost_questions + 1
-    return effects + recovery.stop_lost_run(state, request, attempt, event)
 
 
 def _ask_again(
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -19,6 +19,7 @@
     AttemptLost,
     ConfigurationRead,
     Loss,
+    PeerHeard,
     PiecesArrived,
     RunCopied,
     RunNotCopied,
@@ -586,3 +587,16 @@
     assert closed is not None
     harness.handle(StreamEnded(asked.attempt, confirmed=False, empty=True, kept=0))
     assert closed.closes.checked == 0
+
+
+def test_a_question_that_another_entry_loses_is_recovered_as_passed_on() -> None:
+    """Guards against an entry taken for a target whose loss is recorded and stopped."""
+    harness, _opened = open_question(attempts=3)
+    asked = harness.find_effect(OpenAttempt)
+    harness.handle(PeerHeard("entry-2", relays=("peer:1",)))
+    harness.state.find_reach(ENGINES).cut_off_since = harness.clock.now()
+    harness.handle(AttemptLost(asked.attempt, Loss.BROKEN))
+    relayed = harness.find_effect(OpenAttempt)
+    assert relayed.relay is not None
+    harness.handle(AttemptLost(relayed.attempt, Loss.UNREACHED))
+    assert "peer:1" in harness.state.avoided_relays
