Ask no target for a rest that has only refused the request

With two runs allowed, a stream could run at three targets: the targets it was sent to counted as known, also one that had refused it, which ran it as a question after another loss. Only those that may have run it are known now. The test failed before.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -290,7 +290,7 @@
         if request.current is None and recovery.may_run_again(request):
             effects += recovery.run_again(state, request, event, now)
         if request.current is None and request.route.resumable:
-            effects += _ask_known_target(state, request, attempt, event, now)
+            effects += _ask_known_target(state, request, attempt, now)
     is_open = request.spec.number in state.requests and not request.queued
     if is_open and request.current is None:
         effects += _settle_end(state, request, now)
@@ -308,18 +308,16 @@
 
 
 def _ask_known_target(
-    state: State, request: Request, attempt: Attempt, event: AttemptLost, now: Millis
+    state: State, request: Request, attempt: Attempt, now: Millis
 ) -> list[Effect]:
     """Ask a target that the stream was at before, first the one that was just asked.
 
-    One that has refused the question is not asked again.
+    One that has refused the request is not asked: it may not have run it before.
     """
     if request.spec.number not in state.requests or request.queued:
         return []
-    names = sorted(request.tried_targets, key=lambda name: name != attempt.target.name)
-    for name in names:
-        if name == attempt.target.name and event.loss in recovery.NOT_RUN:
-            continue
+    known = request.tried_targets - request.refused_by
+    for name in sorted(known, key=lambda name: name != attempt.target.name):
         target = state.targets.find(name)
         if target is None or not eligibility.is_eligible(state, request, target):
             continue
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -66,7 +66,9 @@
     was_unreached = attempt.target.is_unreached(now)
     attempts.end_attempt(state, attempt)
     target_effects = _update_target(state, attempt, event, now)
-    if event.loss not in NOT_RUN:
+    if event.loss in NOT_RUN:
+        request.refused_by.add(attempt.target.name)
+    else:
         request.may_have_run = True
         request.lost_runs += 1
         if event.loss is not Loss.FAILED:
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -250,6 +250,7 @@
         lost_runs: Number of lost attempts that may have run.
         may_have_run: Whether a target may have begun to run it.
         tried_targets: Names of the targets that it was sent to.
+        refused_by: Names of those that have not run it when it was last lost there.
         lost_domains: Failure domains of targets that lost an attempt which may have
             run, other than by a failure that the target itself answered.
         copy_refused_at: When targets last failed to take a copy of its run, or it was
@@ -305,6 +306,7 @@
     lost_runs: int = 0
     may_have_run: bool = False
     tried_targets: set[str] = field(default_factory=set)
+    refused_by: set[str] = field(default_factory=set)
     lost_domains: set[str] = field(default_factory=set)
     copy_refused_at: dict[str, Millis] = field(default_factory=dict)
     queued: bool = False
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -600,3 +600,16 @@
     assert relayed.relay is not None
     harness.handle(AttemptLost(relayed.attempt, Loss.UNREACHED))
     assert "peer:1" in harness.state.avoided_relays
+
+
+def test_a_lost_question_goes_to_no_target_that_has_only_refused() -> None:
+    """Guards against a run at more targets than the route allows."""
+    harness, opened = open_question("e-3", attempts=2)
+    refused = harness.find_effect(OpenAttempt)
+    harness.handle(AttemptLost(refused.attempt, Loss.REFUSED))
+    asked = harness.find_effect(OpenAttempt)
+    assert len({opened.target, refused.target, asked.target}) == 3
+    harness.depart(asked.target)
+    harness.depart(opened.target)
+    harness.handle(AttemptLost(asked.attempt, Loss.BROKEN))
+    assert not harness.find_effects(OpenAttempt)
