Hold no question for a request that has to wait for others

A lost question of a request in doubt was put in the queue without the time limit of questions, and its caller left. Its stream is settled at once. The test failed before.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -304,6 +304,9 @@
         return False
     if attempt.lost_questions >= MAX_LOST_QUESTIONS:
         return False
+    if culprits.must_wait(state, request, now):
+        # Its caller, who has got no event for a while, would leave meanwhile.
+        return False
     return not culprits.is_refused(state, request, now)
 
 
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -5,6 +5,7 @@
 import pytest
 
 from figstep.core.clock import Millis
+from figstep.gateway import culprits
 from figstep.gateway.copies import BACKUP_ARRIVAL_DELAY
 from figstep.gateway.effects import (
     BreakStream,
@@ -613,3 +614,20 @@
     harness.depart(opened.target)
     harness.handle(AttemptLost(asked.attempt, Loss.BROKEN))
     assert not harness.find_effects(OpenAttempt)
+
+
+@EACH_BELIEF
+def test_a_lost_question_does_not_wait_without_end(
+    believed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against whole streams whose callers leave while nobody is asked."""
+    harness, _opened = open_question("e-3", attempts=3, believed=believed)
+    asked = harness.find_effect(OpenAttempt)
+    monkeypatch.setattr(culprits, "must_wait", lambda *_args: True)
+    harness.handle(AttemptLost(asked.attempt, Loss.BROKEN))
+    ended = list(harness.effects)
+    for _ in range(QUESTION_TIMEOUT // 100):
+        harness.clock.advance(100)
+        ended += harness.handle(Ticked())
+    assert not harness.state.requests
+    assert any(isinstance(one, FinishStream) for one in ended) is believed
