Release no part that another open run of this entry keeps

The order to keep a run no longer names its last part. Since all runs are kept, the end of one, also a delimited one, released a complete run of the same session beside it before its list was read; the list then contradicted the end and the whole stream was broken off. The order is left to the end of the last such run. Runs of other entries are still released. The test failed before.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -564,6 +564,13 @@
         target = self._find_target(effect.target)
         if effect.keep is None or target is None:
             return
+        for other in self._open.values():
+            if other.attempt == effect.attempt or other.keep is None:
+                continue
+            if (other.target, other.keep.part) == (effect.target, effect.keep.part):
+                # The order names the part, and would release that run too. It is given
+                # at the end of that one.
+                return
         assert self._session is not None
         self._run_in_background(
             retention.release(self._session, target, effect.keep.part)
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -833,3 +833,34 @@
     whole = write_events(1, EVENTS) if last == EVENTS else None
     assert await read_complete(place, "/plan/a", **PLAN) == whole
     assert target.lists_lost == 0
+
+
+async def test_the_end_of_a_run_releases_no_other_run_of_the_same_part(
+    place: Place,
+) -> None:
+    """Guards against whole streams lost as another of their session ends beside."""
+    await configure(place, False, **PINS)
+    target = place.targets["i-e1"]
+    other_ended = asyncio.Event()
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        number = request.headers["Request-Id"]
+        framing = Framing.CHUNKS if number == "r-other" else Framing.CONNECTION
+        raw = RawAnswer(request, framing, target.sign(request), 0)
+        raw.write(write_events(1, 1))
+        if number == "r-other":
+            await asyncio.sleep(0.3)
+            other_ended.set()
+            return raw.end()
+        raw.write(write_events(2, EVENTS))
+        await other_ended.wait()
+        target.memory.complete(request.headers, STRIDE * EVENTS)
+        # The last packet is on its way.
+        await asyncio.sleep(0.05)
+        return raw.end()
+
+    target.handler = answer
+    other = asyncio.create_task(read_complete(place, "/plan/a", "r-other", **PLAN))
+    found = await read_complete(place, "/plan/a", **PLAN)
+    assert await other == write_events(1, 1)
+    assert found == write_events(1, EVENTS)
