Reset streams without chunks unless they are complete

A caller by HTTP/1.0 reads to the close of its connection, and an entry that stopped or crashed within the stream closed it in order: a part looked whole. The connection is set to be reset from the start of such a stream, and closes in order only after its end. The test failed before.

--- a/figstep/net/sockets.py
+++ b/figstep/net/sockets.py
@@ -87,14 +87,23 @@
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
 
-def reset_on_close(transport: asyncio.BaseTransport) -> None:
+def reset_on_close(transport: asyncio.BaseTransport | None) -> None:
     """Make the close of a connection a reset, which its peer sees as an error.
 
-    Bytes that are not sent yet are dropped. Does nothing for a transport without a
-    socket, or whose socket is closed already.
+    Bytes that are not sent yet are dropped. Does nothing for None, a transport without
+    a socket, or one whose socket is closed already.
     """
-    connection = transport.get_extra_info("socket")
+    _set_linger(transport, True)
+
+
+def close_in_order(transport: asyncio.BaseTransport | None) -> None:
+    """Undo `reset_on_close`."""
+    _set_linger(transport, False)
+
+
+def _set_linger(transport: asyncio.BaseTransport | None, reset: bool) -> None:
+    connection = None if transport is None else transport.get_extra_info("socket")
     if connection is None or connection.fileno() < 0:
         return
-    linger = struct.pack("ii", 1, 0)
+    linger = struct.pack("ii", reset, 0)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -26,7 +26,7 @@
     write_answer,
 )
 from figstep.net.listener import build_runner
-from figstep.net.sockets import reset_on_close
+from figstep.net.sockets import close_in_order, reset_on_close
 from figstep.platform import names
 from figstep.platform.listeners import BACKLOG, listen
 from figstep.platform.relays import mark_relayed
@@ -369,6 +369,10 @@
         if head.length is None and request.version >= HttpVersion11:
             response.enable_chunked_encoding()
         await response.prepare(request)
+        if head.length is None and not response.chunked:
+            # The close is the end of the body. It has to differ from that of an entry
+            # that stops or crashes before.
+            reset_on_close(request.transport)
         while True:
             data = exchange.pop_data()
             if data:
@@ -378,6 +382,7 @@
                 break
             await exchange.wait()
         if exchange.finished:
+            close_in_order(request.transport)
             await response.write_eof()
             return response
         # The connection is closed without the terminating chunk, so that the caller
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -864,3 +864,26 @@
     found = await read_complete(place, "/plan/a", **PLAN)
     assert await other == write_events(1, 1)
     assert found == write_events(1, EVENTS)
+
+
+async def test_a_stopping_entry_resets_a_stream_that_its_caller_reads_to_the_close(
+    place: Place,
+) -> None:
+    """Guards against a part that looks whole to a caller without chunks."""
+    await configure(place, False)
+    target = place.targets["i-e1"]
+    target.handler = stream_until(target, 100)
+    entry = place.entries[0]
+    address = entry.settings.callers
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    lines = [f"{name}: {text}" for name, text in place.headers("r-1", **PLAN).items()]
+    request = "\r\n".join(["POST /plan/a HTTP/1.0", *lines, "", ""])
+    writer.write(request.encode())
+    await reader.readuntil(b"t3\n\n")
+    stopping = asyncio.create_task(entry.callers.stop())
+    try:
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+    finally:
+        writer.close()
+        await stopping
