--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -84,7 +84,8 @@
         request.closed_by = attempt.target
         request.rest_begun = False
     elif event.empty and request.closed_by is not None:
-        closes.record_close(state, request, request.closed_by, early=False)
+        if end is not End.CONTRADICTED:
+            closes.record_close(state, request, request.closed_by, early=False)
     elif not event.empty:
         # It only repeated earlier events, and goes on from nothing.
         request.closed_by = None
@@ -99,9 +100,7 @@
             return True
         case End.CONTRADICTED:
             return False
-    if _is_unanswered(attempt):
-        return closes.is_believed(state, request)
-    if _is_open(request, attempt):
+    if _is_unanswered(attempt) or _is_open(request, attempt):
         return False
     return not attempt.keeps_run or closes.is_believed(state, request)
 
@@ -257,13 +256,21 @@
     if attempt is None or not _is_unanswered(attempt):
         return recovery.recover_attempt(state, event, now)
     request = state.requests[attempt.request]
+    if attempt.relay is not None:
+        effects = recovery.recover_attempt(state, event, now)
+        _pass_question_on(request, attempt)
+        return effects
     effects = recovery.record_loss(state, request, attempt, event, now)
     if request.current is None:
         effects += _ask_again(state, request, attempt, event, now)
+    _pass_question_on(request, attempt)
+    return effects + recovery.stop_lost_run(state, request, attempt, event)
+
+
+def _pass_question_on(request: Request, attempt: Attempt) -> None:
     if request.current is not None and request.current.asked_at is None:
         request.current.asked_at = attempt.asked_at
         request.current.lost_questions = attempt.lost_questions + 1
-    return effects + recovery.stop_lost_run(state, request, attempt, event)
 
 
 def _ask_again(
@@ -283,7 +290,7 @@
         if request.current is None and recovery.may_run_again(request):
             effects += recovery.run_again(state, request, event, now)
         if request.current is None and request.route.resumable:
-            effects += _ask_known_target(state, request, attempt, event, now)
+            effects += _ask_known_target(state, request, attempt, now)
     is_open = request.spec.number in state.requests and not request.queued
     if is_open and request.current is None:
         effects += _settle_end(state, request, now)
@@ -297,22 +304,23 @@
         return False
     if attempt.lost_questions >= MAX_LOST_QUESTIONS:
         return False
+    if culprits.must_wait(state, request, now):
+        # Its caller, who has got no event for a while, would leave meanwhile.
+        return False
     return not culprits.is_refused(state, request, now)
 
 
 def _ask_known_target(
-    state: State, request: Request, attempt: Attempt, event: AttemptLost, now: Millis
+    state: State, request: Request, attempt: Attempt, now: Millis
 ) -> list[Effect]:
     """Ask a target that the stream was at before, first the one that was just asked.
 
-    One that has refused the question is not asked again.
+    One that has refused the request is not asked: it may not have run it before.
     """
     if request.spec.number not in state.requests or request.queued:
         return []
-    names = sorted(request.tried_targets, key=lambda name: name != attempt.target.name)
-    for name in names:
-        if name == attempt.target.name and event.loss in recovery.NOT_RUN:
-            continue
+    known = request.tried_targets - request.refused_by
+    for name in sorted(known, key=lambda name: name != attempt.target.name):
         target = state.targets.find(name)
         if target is None or not eligibility.is_eligible(state, request, target):
             continue
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -5,6 +5,7 @@
 import pytest
 
 from figstep.core.clock import Millis
+from figstep.gateway import culprits
 from figstep.gateway.copies import BACKUP_ARRIVAL_DELAY
 from figstep.gateway.effects import (
     BreakStream,
@@ -19,6 +20,7 @@
     AttemptLost,
     ConfigurationRead,
     Loss,
+    PeerHeard,
     PiecesArrived,
     RunCopied,
     RunNotCopied,
@@ -562,3 +564,70 @@
     harness.handle(ConfigurationRead(replace(table, services=services)))
     harness.handle(StreamEnded(opened.attempt, confirmed=False))
     check_settled(harness, believed)
+
+
+def test_an_empty_close_of_one_that_was_asked_states_nothing_beside_others() -> None:
+    """Guards against two early closes as the end beside a third target to ask."""
+    harness, opened = open_question("e-3", attempts=3, believed=True)
+    first = harness.find_effect(OpenAttempt)
+    harness.handle(StreamEnded(first.attempt, confirmed=False, empty=True))
+    assert not harness.find_effects(FinishStream)
+    second = harness.find_effect(OpenAttempt)
+    assert len({opened.target, first.target, second.target}) == 3
+    harness.handle(StreamEnded(second.attempt, confirmed=True, empty=True))
+    assert harness.find_effects(FinishStream)
+
+
+def test_a_continuation_that_is_cut_before_its_first_event_shows_no_good_close() -> (
+    None
+):
+    """Guards against early closes that make up for others, as no one stated an end."""
+    harness, opened = open_question()
+    asked = harness.find_effect(OpenAttempt)
+    closed = harness.state.targets.find(opened.target)
+    assert closed is not None
+    harness.handle(StreamEnded(asked.attempt, confirmed=False, empty=True, kept=0))
+    assert closed.closes.checked == 0
+
+
+def test_a_question_that_another_entry_loses_is_recovered_as_passed_on() -> None:
+    """Guards against an entry taken for a target whose loss is recorded and stopped."""
+    harness, _opened = open_question(attempts=3)
+    asked = harness.find_effect(OpenAttempt)
+    harness.handle(PeerHeard("entry-2", relays=("peer:1",)))
+    harness.state.find_reach(ENGINES).cut_off_since = harness.clock.now()
+    harness.handle(AttemptLost(asked.attempt, Loss.BROKEN))
+    relayed = harness.find_effect(OpenAttempt)
+    assert relayed.relay is not None
+    harness.handle(AttemptLost(relayed.attempt, Loss.UNREACHED))
+    assert "peer:1" in harness.state.avoided_relays
+
+
+def test_a_lost_question_goes_to_no_target_that_has_only_refused() -> None:
+    """Guards against a run at more targets than the route allows."""
+    harness, opened = open_question("e-3", attempts=2)
+    refused = harness.find_effect(OpenAttempt)
+    harness.handle(AttemptLost(refused.attempt, Loss.REFUSED))
+    asked = harness.find_effect(OpenAttempt)
+    assert len({opened.target, refused.target, asked.target}) == 3
+    harness.depart(asked.target)
+    harness.depart(opened.target)
+    harness.handle(AttemptLost(asked.attempt, Loss.BROKEN))
+    assert not harness.find_effects(OpenAttempt)
+
+
+@EACH_BELIEF
+def test_a_lost_question_does_not_wait_without_end(
+    believed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against whole streams whose callers leave while nobody is asked."""
+    harness, _opened = open_question("e-3", attempts=3, believed=believed)
+    asked = harness.find_effect(OpenAttempt)
+    monkeypatch.setattr(culprits, "must_wait", lambda *_args: True)
+    harness.handle(AttemptLost(asked.attempt, Loss.BROKEN))
+    ended = list(harness.effects)
+    for _ in range(QUESTION_TIMEOUT // 100):
+        harness.clock.advance(100)
+        ended += harness.handle(Ticked())
+    assert not harness.state.requests
+    assert any(isinstance(one, FinishStream) for one in ended) is believed
