Take no run with fewer tokens than events for the one that was delivered

A part could end as the whole where the engine lists a shorter complete run with the same last part: any token that it keeps stated the end. An event has a token at least, so that a run from its first attempt with fewer tokens than delivered events is another one, and states nothing. The test failed before.

--- a/figstep/gateway/closes.py
+++ b/figstep/gateway/closes.py
@@ -80,7 +80,8 @@
     """Return what is known of the end of a stream.
 
     A run that is not complete is not kept. A list that still shows an earlier run of
-    the same prompt is recognized if it holds more tokens than the delivered events.
+    the same prompt is recognized if it holds more tokens than the delivered events can
+    hold, or fewer than these have.
     """
     if event.confirmed:
         return End.STATED
@@ -92,6 +93,9 @@
     if pool is not None and request.spec.after is None:
         if event.kept > request.pieces * pool.event_tokens:
             return End.CONTRADICTED
+    if request.attempts_sent == 1 and event.kept + 1 < request.pieces:
+        # It is a shorter run of the same prompt. The last token may not be kept.
+        return End.OPEN
     return End.STATED
 
 
--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -115,6 +115,18 @@
     assert harness.find_effects(BreakStream)
 
 
+@pytest.mark.parametrize("kept", [1, 8])
+def test_fewer_kept_tokens_than_events_are_those_of_another_run(kept: int) -> None:
+    """Guards against a shorter run of the same prompt that seems to state the end."""
+    harness = start_entry()
+    opened = open_stream(harness)
+    harness.open_stream(opened.attempt, delimited=False)
+    harness.state.closes[ENGINES].count = CloseCount(10, 5)
+    harness.send_pieces(opened.attempt, 1, 10)
+    harness.handle(StreamEnded(opened.attempt, confirmed=False, kept=kept))
+    assert not harness.find_effects(FinishStream)
+
+
 @pytest.mark.parametrize("kept", [None, 0, 12])
 def test_a_continuation_that_its_engine_does_not_keep_states_no_end(
     kept: int | None,
