--- a/tests/deployments/test_deployments.py
+++ b/tests/deployments/test_deployments.py
@@ -13,6 +13,7 @@
 from tests.deployments.counts import WholeStreams, count_outcomes
 from tests.deployments.hosts import Spares, TargetHost, read_journal
 from tests.deployments.proxies import FaultyProxy
+from tests.deployments.shapes import Options
 from tests.faults.__main__ import describe_record
 from tests.faults.records import Attempt, Disturbance, Kind, Record
 from tests.platform.runs import Run
@@ -73,6 +74,18 @@
     assert sum(attempt.status == 200 for attempt in record.attempts) > 100
 
 
+async def test_promises_hold_as_few_streams_end_with_their_connection(
+    tmp_path: Path,
+) -> None:
+    """Guards against a part as the whole where open ends are rare among streams."""
+    options = Options(open_share=1 / 12, late_share=0.01, clock_back=True)
+    record, breaches = await run_deployment(
+        "langar-by", 53, tmp_path, 10.0, patience=3.0, returns=3.0, options=options
+    )
+    assert breaches == [], [describe_record(record), *describe_streams(record)]
+    assert sum(attempt.status == 200 for attempt in record.attempts) > 100
+
+
 async def read_through_proxy(calm: bool) -> tuple[bytes, str]:
     """Return what arrives of 2,000 bytes behind a proxy, and how they end."""
 
