--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -459,6 +459,10 @@
         await self.stop_listening()
         self.reset_connections()
 
+    def go_on(self) -> None:
+        """Answer again after it was stopped, as the same process."""
+        self.afterlife = None
+
     def restart_unregistered(self, born: int) -> None:
         """Start again under the id and address; the registration stays as it was."""
         self.born = born
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from figstep.platform.retention import LIST_TRIES
 from tests.afterlife import Afterlife
 from tests.framing import Framing, RawAnswer
 from tests.platform.memory import STRIDE
@@ -835,6 +836,69 @@
     assert target.lists_lost == 0
 
 
+@pytest.mark.parametrize(
+    ("lists_lost", "whole"), [(LIST_TRIES, True), (100, False)], ids=["first", "all"]
+)
+@pytest.mark.parametrize("resumable", [True, False])
+async def test_an_early_close_whose_list_is_lost_is_not_the_end(
+    place: Place, resumable: bool, lists_lost: int, whole: bool
+) -> None:
+    """Guards against a part as the whole, as a lost list contradicts nothing."""
+    await configure(place, resumable, **PINS)
+    target = place.targets["i-e1"]
+    target.lists_lost = lists_lost
+    endings = iter([EARLY])
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        return await stream_until(target, next(endings, EVENTS))(request)
+
+    target.handler = answer
+    delivered = write_events(1, EVENTS) if resumable and whole else None
+    assert await read_complete(place, "/plan/a", **PLAN) == delivered
+
+
+@EACH_AFTERLIFE
+async def test_an_early_close_of_an_engine_that_then_stops_is_not_the_end(
+    place: Place, afterlife: Afterlife
+) -> None:
+    """Guards against a part as the whole, as a stopped engine lives once it goes on."""
+    await configure(place, False, **PINS)
+    target = place.targets["i-e1"]
+    write_part = stream_until(target, EARLY)
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = await write_part(request)
+        # Nothing it is asked gets an answer, until after the last query of its list.
+        target.afterlife = afterlife
+        asyncio.get_running_loop().call_later(1.05, target.go_on)
+        return response
+
+    target.handler = answer
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+
+
+@pytest.mark.parametrize("lists_lost", [LIST_TRIES, 100])
+async def test_a_continuation_that_closes_without_an_event_states_no_end(
+    place: Place, lists_lost: int
+) -> None:
+    """Guards against a part as the whole, as a second engine had nothing to add."""
+    await configure(place, True, attempts=2, **PINS)
+    engines = await add_engine(place)
+
+    def close_at_once(other: FakeTarget) -> Handler:
+        async def answer(request: web.Request) -> web.StreamResponse:
+            return RawAnswer(
+                request, Framing.CONNECTION, other.sign(request), 0
+            ).close()
+
+        return answer
+
+    for engine in engines:
+        engine.lists_lost = lists_lost
+    end_first_early(engines, EARLY, close_at_once)
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+
+
 async def test_the_end_of_a_run_releases_no_other_run_of_the_same_part(
     place: Place,
 ) -> None:
