Take no close for the end whose engine keeps runs and did not list this one

What callers saw: a part of a stream as the whole, where an engine closed it early and its answers were lost for a second: its process was not scheduled, stopped or asleep, or a link was faulty.

Cause: a question without an answer counted as no objection. A lost list, one read too late and one of a shorter run gave `End.OPEN`, like an engine that keeps no runs, and `is_believed` made that the end once nobody was left to ask. In each trace there are three lines `cannot read what an engine keeps`, then the engine's start, then "whole stream". The second and third hypotheses are ruled out: no list was read in any of them, and no event came out of order.

Now there are two cases. An engine that was asked to keep a complete run and did not state that it does leaves the end unstated: the rest is asked for, and if nobody states the end the stream is broken off, so that its caller can take it up. An engine that answers the query, but with no list, keeps no runs; its close is believed as before, unless an engine of the service has listed runs.

The price is whole streams whose list is lost and which nobody else can state: they are broken off beside load.

--- a/figstep/gateway/closes.py
+++ b/figstep/gateway/closes.py
@@ -5,7 +5,8 @@
 stream is whole. Each run is sent with that request, as the framing of its stream is not
 known before.
 
-Where an engine keeps no runs, the close of one that lives is the end, as long as
+An engine that was asked and whose answer is lost states nothing: its close is not the
+end. Where engines keep no runs, the close of one that lives is the end, as long as
 nothing contradicts it and the engine has seldom closed streams early.
 """
 
@@ -47,7 +48,8 @@
 
     STATED = "stated"  # it is complete
     CONTRADICTED = "contradicted"  # more events follow
-    OPEN = "open"  # nothing states or contradicts that it is complete
+    UNSTATED = "unstated"  # its engine keeps complete runs, and does not state it
+    OPEN = "open"  # nothing could state it, and nothing contradicts it
 
 
 def choose_kept_run(state: State, request: Request, attempt: Attempt) -> KeptRun | None:
@@ -76,7 +78,9 @@
     closes.delimited = closes.delimited + 1 if delimited else 0
 
 
-def judge_end(state: State, request: Request, event: StreamEnded) -> End:
+def judge_end(
+    state: State, request: Request, attempt: Attempt, event: StreamEnded
+) -> End:
     """Return what is known of the end of a stream.
 
     A run that is not complete is not kept. A list that still shows an earlier run of
@@ -86,7 +90,10 @@
     if event.confirmed:
         return End.STATED
     if event.kept is None:
-        return End.OPEN
+        if not attempt.keeps_run:
+            return End.OPEN
+        is_listed = _find_closes(state, request.service).listed
+        return End.OPEN if event.lists_none and not is_listed else End.UNSTATED
     if event.kept <= 0:
         return End.CONTRADICTED
     pool = placement.find_engine_pool(state, request.service)
@@ -95,10 +102,15 @@
             return End.CONTRADICTED
     if request.attempts_sent == 1 and event.kept + 1 < request.pieces:
         # It is a shorter run of the same prompt. The last token may not be kept.
-        return End.OPEN
+        return End.UNSTATED
     return End.STATED
 
 
+def record_list(state: State, request: Request) -> None:
+    """Record that an engine of a service has listed what it keeps."""
+    _find_closes(state, request.service).listed = True
+
+
 def record_close(state: State, request: Request, target: Target, early: bool) -> None:
     """Record whether more followed after a target closed a stream in order."""
     for count in (target.closes, _find_closes(state, request.service).count):
@@ -115,9 +127,12 @@
 
 
 def is_believed(state: State, request: Request) -> bool:
-    """Return whether the close of a stream is its end, as nothing contradicts that."""
+    """Return whether the close of a stream is its end, as nothing contradicts that.
+
+    That is only for engines that keep no runs, so that nothing could have stated it.
+    """
     target = request.closed_by
-    if target is None or request.rest_begun:
+    if target is None or request.rest_begun or request.end_unstated:
         return False
     count = target.closes
     if not count.early and count.checked < MIN_CHECKED_CLOSES:
--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -9,13 +9,13 @@
 runs, of another target, or else of the same one. Events that follow contradict the
 close. A delimited continuation without an event states the end. One that is closed as
 well, a refusal and silence state nothing, and do not contradict either. The next one is
-asked within `QUESTION_TIMEOUT`. If nobody is left the close is the end, if its target
-is believed, and the stream is broken off otherwise.
+asked within `QUESTION_TIMEOUT`. If nobody is left the stream is broken off, unless its
+engine keeps no runs and is believed: then nothing could have stated the end, and the
+close is taken for it.
 
 The close of a living target is the end without a question where no other run could ever
 state it: on a route that may not be resumed, at a plain service or at engines that
-neither copy nor back up runs. One that was asked to keep the run could have stated it,
-and has to be believed.
+neither copy nor back up nor keep runs.
 """
 
 from figstep.core.clock import Millis
@@ -58,7 +58,7 @@
     if attempt is None:
         return []
     request = state.requests[attempt.request]
-    end = closes.judge_end(state, request, event)
+    end = closes.judge_end(state, request, attempt, event)
     if event.empty and end is not End.STATED and attempt.asked_at is None:
         # It does not go on from a close, so that nothing suggests an end.
         detail = "its connection ended before the first event"
@@ -78,19 +78,24 @@
 ) -> None:
     """Record what the end of a stream shows of this close and of the one before it."""
     if event.kept is not None:
+        closes.record_list(state, request)
         is_early = end is End.CONTRADICTED
         closes.record_close(state, request, attempt.target, is_early)
     if attempt.first_delivery_at is not None:
         request.closed_by = attempt.target
         request.rest_begun = False
+        request.end_unstated = False
     elif event.empty and request.closed_by is not None:
         if end is not End.CONTRADICTED:
             closes.record_close(state, request, request.closed_by, early=False)
     elif not event.empty:
         # It only repeated earlier events, and goes on from nothing.
         request.closed_by = None
-    if end is End.CONTRADICTED:
-        request.closed_by = None
+    match end:
+        case End.CONTRADICTED:
+            request.closed_by = None
+        case End.UNSTATED:
+            request.end_unstated = True
 
 
 def _is_end(state: State, request: Request, attempt: Attempt, end: End) -> bool:
@@ -98,7 +103,7 @@
     match end:
         case End.STATED:
             return True
-        case End.CONTRADICTED:
+        case End.CONTRADICTED | End.UNSTATED:
             return False
     if _is_unanswered(attempt) or _is_open(request, attempt):
         return False
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -155,12 +155,15 @@
         empty: Whether the attempt got no event.
         kept: Number of generated tokens that its engine keeps of the run, which was
             asked to keep them if it is complete; None if that is not known.
+        lists_none: Whether its engine answered that query with no list of what it
+            keeps.
     """
 
     attempt: int
     confirmed: bool = True
     empty: bool = False
     kept: int | None = None
+    lists_none: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -229,6 +229,8 @@
             that this was its end; None otherwise.
         rest_begun: Whether bytes have arrived after that close of what follows; a part
             of an event contradicts the end as well.
+        end_unstated: Whether an engine that keeps complete runs did not state whether
+            that close was the end.
         copy_destination: Target that holds a copy on order or is to hold it, or None.
         copy_memory: Tokens of memory that this copy takes there.
         copy_source: Target that is being copied from, or None.
@@ -287,6 +289,7 @@
     copyable: bool = False
     closed_by: Target | None = None
     rest_begun: bool = False
+    end_unstated: bool = False
     copy_destination: Target | None = None
     copy_memory: int = 0
     copy_source: Target | None = None
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -191,10 +191,12 @@
     Attributes:
         count: Closes of all its engines.
         delimited: Number of its last streams in a row that had a length or chunks.
+        listed: Whether one of them has listed what it keeps.
     """
 
     count: CloseCount = field(default_factory=CloseCount)
     delimited: int = 0
+    listed: bool = False
 
 
 @dataclass(slots=True)
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -516,12 +516,12 @@
             continues=effect.after is not None,
         )
         reason = explain_incomplete(end)
-        kept = None
+        statement = retention.Statement()
         try:
             if not reason and not delimited:
                 self._dispatch(StreamClosed(attempt))
-                kept = await self._query_kept(effect, going_at)
-                if kept is None or kept <= 0:
+                statement = await self._query_kept(effect, going_at)
+                if statement.kept is None or statement.kept <= 0:
                     # A target that lists the run has not restarted.
                     outlived = await self._has_outlived(effect, response)
                     reason = explain_incomplete(replace(end, outlived=outlived))
@@ -530,7 +530,13 @@
             self._release_kept(effect)
         if reason:
             return AttemptLost(attempt, Loss.BROKEN, detail=reason)
-        return StreamEnded(attempt, confirmed=delimited, empty=not events, kept=kept)
+        return StreamEnded(
+            attempt,
+            confirmed=delimited,
+            empty=not events,
+            kept=statement.kept,
+            lists_none=statement.lists_none,
+        )
 
     def _find_last_going(self, going_at: Millis, read_at: Millis) -> Millis:
         """Return when a target certainly had not ended its stream, as bytes are read.
@@ -545,15 +551,17 @@
             return going_at
         return max(read_at, Millis(self._stalls.find_earliest(now) - STALL_SLACK))
 
-    async def _query_kept(self, effect: OpenAttempt, going_at: Millis) -> int | None:
-        """Return how many generated tokens of a run its engine keeps.
+    async def _query_kept(
+        self, effect: OpenAttempt, going_at: Millis
+    ) -> retention.Statement:
+        """Return what the engine of a run states of it.
 
-        Returns None if the engine was not asked to keep the run, does not answer, or
+        That is nothing if the engine was not asked to keep the run, does not answer, or
         may have kept it no longer, as the run's end was read late.
         """
         target = self._find_target(effect.target)
         if effect.keep is None or target is None:
-            return None
+            return retention.Statement()
         assert self._session is not None
         until = Millis(going_at + effect.keep.duration)
         return await retention.query_kept(
--- a/figstep/platform/retention.py
+++ b/figstep/platform/retention.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from dataclasses import dataclass
 
 import aiohttp
 import logbook
@@ -38,6 +39,28 @@
 """Largest list of what an engine keeps, in bytes."""
 
 
+NO_LIST_STATUSES = (404, 405, 501)
+"""Statuses with which an engine that keeps no runs answers a query of what it keeps."""
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """What an engine states of a run that it was asked to keep if it is complete.
+
+    Attributes:
+        kept: Number of generated tokens that it keeps of the run, 0 or less if at most
+            the prompt; None if no answer was read in time.
+        lists_none: Whether it answered, but with no list: it keeps no runs.
+    """
+
+    kept: int | None = None
+    lists_none: bool = False
+
+
+class _NoListError(ValueError):
+    """An engine answered a query of what it keeps with no list."""
+
+
 class _List(BaseModel):
     model_config = ConfigDict(extra="ignore")
 
@@ -50,8 +73,8 @@
     target: Target,
     run: KeptRun,
     until: Millis,
-) -> int | None:
-    """Return how many generated tokens an engine keeps of a run that has ended.
+) -> Statement:
+    """Query an engine for what it keeps of a run that has ended.
 
     Args:
         session: Session of the queries.
@@ -60,18 +83,18 @@
         run: What it was asked to keep.
         until: Monotonic time in milliseconds from which it may keep a complete run no
             longer.
-
-    Returns:
-        The number of tokens, 0 or less if it keeps at most the prompt; None if it does
-        not answer in time.
     """
     kept = None
     for number in range(LIST_TRIES):
         if number:
             await asyncio.sleep(LIST_PAUSE_SECONDS)
-        found = await _read_kept(session, target, run)
+        try:
+            found = await _read_kept(session, target, run)
+        except _NoListError as error:
+            _log_failure(target, error)
+            return Statement(lists_none=True)
         if found is not None and found > 0:
-            return found
+            return Statement(found)
         if clock.now() >= until:
             break
         if found is None:
@@ -79,39 +102,46 @@
         if kept is not None:
             break
         kept = found
-    return kept
+    return Statement(kept)
 
 
 async def _read_kept(
     session: aiohttp.ClientSession, target: Target, run: KeptRun
 ) -> int | None:
+    """Read once what an engine keeps of a run; None if the answer is lost.
+
+    Raises:
+        _NoListError: If it answers with no list.
+    """
     url = f"http://{target.info.address}/figstep/kv-list"
     try:
         async with (
             asyncio.timeout(LIST_TIMEOUT_SECONDS),
             session.get(url, headers={names.EXPECTED_TARGET: target.name}) as response,
         ):
+            if response.status in NO_LIST_STATUSES:
+                raise _NoListError(f"answered {response.status}")
             if response.status != 200:
-                raise ValueError(f"answered {response.status}")
+                raise aiohttp.ClientError(f"answered {response.status}")
             body = await read_body(response, MAX_LIST_BYTES)
-        listed = _List.model_validate(orjson.loads(body))
-    except (
-        aiohttp.ClientError,
-        BodyTooLongError,
-        OSError,
-        TimeoutError,
-        ValidationError,
-        ValueError,
-    ) as error:
-        fields = {"target": target.name, "error": f"{type(error).__name__}: {error}"}
-        _log.info("cannot read what an engine keeps", extra=fields)
+    except (aiohttp.ClientError, BodyTooLongError, OSError, TimeoutError) as error:
+        _log_failure(target, error)
         return None
+    try:
+        listed = _List.model_validate(orjson.loads(body))
+    except (ValidationError, ValueError) as error:
+        raise _NoListError(f"answered no list: {error}") from error
     for _, part, tokens, model in listed.held:
         if (part, model) == (run.part, run.model):
             return tokens - run.tokens
     return -run.tokens
 
 
+def _log_failure(target: Target, error: Exception) -> None:
+    fields = {"target": target.name, "error": f"{type(error).__name__}: {error}"[:300]}
+    _log.info("cannot read what an engine keeps", extra=fields)
+
+
 async def release(session: aiohttp.ClientSession, target: Target, part: str) -> None:
     """Order an engine to keep a run no longer; a failure is only logged."""
     url = f"http://{target.info.address}/figstep/kv-pin/{part}"
