Ask an engine that is slow to list runs for its start meanwhile

What callers saw: their stream waited up to 0.95 s for three lists and then up to 0.9 s for the engine's start before anybody else was asked for the rest. Callers leave a stream after two seconds without an event, so that the answer of the other engine came too late for many.

Cause: the two queries were sent one after the other, also where the first had no answer. The order matters only for a list that was read and does not show the run, as a later incarnation may have given it. Now the start is asked for as soon as the first list is late, and its answer counts if no list comes.

Evidence: the test asks a silent engine; its queries were list, list, list, start and are list, start, list, list. A closed stream goes on as before.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -520,10 +520,10 @@
         try:
             if not reason and not delimited:
                 self._dispatch(StreamClosed(attempt))
-                statement = await self._query_kept(effect, going_at)
+                statement, start = await self._query_kept(effect, going_at)
                 if statement.kept is None or statement.kept <= 0:
                     # A target that lists the run has not restarted.
-                    outlived = await self._has_outlived(effect, response)
+                    outlived = await self._has_outlived(effect, response, start)
                     reason = explain_incomplete(replace(end, outlived=outlived))
         finally:
             # Also if the caller has left meanwhile: it may know its last event.
@@ -553,20 +553,30 @@
 
     async def _query_kept(
         self, effect: OpenAttempt, going_at: Millis
-    ) -> retention.Statement:
+    ) -> "tuple[retention.Statement, asyncio.Task[Start] | None]":
         """Return what the engine of a run states of it.
 
         That is nothing if the engine was not asked to keep the run, does not answer, or
         may have kept it no longer, as the run's end was read late.
+
+        An engine that is slow to answer is asked for its start meanwhile, as its
+        caller's stream waits. This query is returned as well if no list came.
         """
         target = self._find_target(effect.target)
         if effect.keep is None or target is None:
-            return retention.Statement()
+            return retention.Statement(), None
         assert self._session is not None
         until = Millis(going_at + effect.keep.duration)
-        return await retention.query_kept(
-            self._session, self._clock, target, effect.keep, until
+        listing = self._run_in_background(
+            retention.query_kept(self._session, self._clock, target, effect.keep, until)
         )
+        await asyncio.wait({listing}, timeout=retention.LIST_TIMEOUT_SECONDS)
+        if listing.done():
+            return listing.result(), None
+        start = self._run_in_background(self._confirm_start(target, effect.born))
+        statement = await listing
+        # A later incarnation may have given a list that does not show the run.
+        return statement, start if statement.kept is None else None
 
     def _release_kept(self, effect: OpenAttempt) -> None:
         target = self._find_target(effect.target)
@@ -684,7 +694,10 @@
         return explain_incomplete(Body(is_delimited(response), size, outlived))
 
     async def _has_outlived(
-        self, effect: OpenAttempt, response: aiohttp.ClientResponse
+        self,
+        effect: OpenAttempt,
+        response: aiohttp.ClientResponse,
+        asked: asyncio.Task[Start] | None = None,
     ) -> bool:
         """Return whether a target states that it lives after its answer.
 
@@ -692,6 +705,8 @@
         answer is complete. An accepted connection states nothing: a proxy, a
         supervisor, or the kernel for a stopped process accepts for a target that has
         crashed.
+
+        ``asked`` is the query of an engine's start that was begun already, if any.
         """
         if is_delimited(response):
             return True
@@ -700,12 +715,15 @@
             return False
         # Plain services get no priority, and need not state their start.
         needs_start = effect.priority is not None
-        start = await self._query_witness(effect, target)
-        if start in (None, Start.UNKNOWN):
-            # A successor accepts new connections too. Streams may outlast the time
-            # after which targets close idle ones.
-            needs_start |= start is Start.UNKNOWN and not effect.stream
-            start = await self._confirm_start(target, effect.born)
+        if asked is not None:
+            start: Start | None = await asked
+        else:
+            start = await self._query_witness(effect, target)
+            if start in (None, Start.UNKNOWN):
+                # A successor accepts new connections too. Streams may outlast the time
+                # after which targets close idle ones.
+                needs_start |= start is Start.UNKNOWN and not effect.stream
+                start = await self._confirm_start(target, effect.born)
         is_unstated = start is Start.UNSTATED and not needs_start
         lives = start is Start.REGISTERED or is_unstated
         fields = {"target": target.name, "attempt": effect.attempt}
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -367,6 +367,7 @@
         report: Answer to one query of its state, in place of the usual one, if set.
         kept: Answer to one query of what it keeps, in place of the usual one, if set.
         lists_lost: Number of queries of what it keeps whose connection it resets.
+        paths: Paths of all that it was asked, oldest first.
     """
 
     name: str
@@ -400,6 +401,7 @@
     report: web.Response | None = None
     kept: web.Response | None = None
     lists_lost: int = 0
+    paths: list[str] = field(default_factory=list)
 
     async def start(self, store: FakeStore, port: int = 0) -> None:
         """Start listening and register in the store."""
@@ -430,6 +432,7 @@
     async def _serve(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
+        self.paths.append(request.path)
         if self.afterlife is not None:
             return await answer_for_crashed(request, self.afterlife)
         return await handler(request)
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -881,6 +881,36 @@
     assert await read_complete(place, "/plan/a", **PLAN) is None
 
 
+async def test_an_engine_that_is_slow_to_list_is_asked_for_its_start_meanwhile(
+    place: Place,
+) -> None:
+    """Guards against callers who leave as one lost answer is awaited after another."""
+    await configure(place, True, attempts=2, **PINS)
+    engines = await add_engine(place)
+    end_first_early(
+        engines, EARLY, lambda other: stream_until(other, EVENTS, rest=Framing.CHUNKS)
+    )
+    for engine in engines:
+        handler = engine.handler
+        assert handler is not None
+
+        async def answer(
+            request: web.Request, handler: Handler = handler
+        ) -> web.StreamResponse:
+            response = await handler(request)
+            if "Last-Event-Id" not in request.headers:
+                name = request.headers["Expect-Instance"]
+                place.targets[name].afterlife = Afterlife.SILENT
+            return response
+
+        engine.handler = answer
+    assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
+    silent = next(engine for engine in engines if engine.afterlife)
+    paths = silent.paths[silent.paths.index("/figstep/kv-list") :]
+    assert paths.index("/figstep/report") < LIST_TRIES
+    assert paths.count("/figstep/kv-list") == LIST_TRIES
+
+
 @pytest.mark.parametrize("lists_lost", [LIST_TRIES, 100])
 async def test_a_continuation_that_closes_without_an_event_states_no_end(
     place: Place, lists_lost: int
