Count no close as good for a continuation that nothing states

Cause: a continuation without an event counted as a good close of the engine before it, also where it was only closed itself and the list of its engine was lost. Such closes let an engine that closes early be believed again. Nobody contradicting is no statement there either.

An engine that answers without a list keeps no runs; there the rule of belief is as it was.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -86,7 +86,7 @@
         request.rest_begun = False
         request.end_unstated = False
     elif event.empty and request.closed_by is not None:
-        if end is not End.CONTRADICTED:
+        if end in (End.STATED, End.OPEN):
             closes.record_close(state, request, request.closed_by, early=False)
     elif not event.empty:
         # It only repeated earlier events, and goes on from nothing.
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -590,6 +590,21 @@
     assert closed.closes.checked == 0
 
 
+@pytest.mark.parametrize("lists_none", [False, True])
+def test_an_empty_continuation_whose_list_is_lost_shows_no_good_close(
+    lists_none: bool,
+) -> None:
+    """Guards against an engine whose early closes count as good, as lists are lost."""
+    harness, opened = open_question()
+    asked = harness.find_effect(OpenAttempt)
+    harness.state.attempts[asked.attempt].keeps_run = True
+    target = harness.state.targets.find(opened.target)
+    assert target is not None
+    event = StreamEnded(asked.attempt, False, empty=True, lists_none=lists_none)
+    harness.handle(event)
+    assert target.closes.checked == lists_none
+
+
 def test_a_question_that_another_entry_loses_is_recovered_as_passed_on() -> None:
     """Guards against an entry taken for a target whose loss is recorded and stopped."""
     harness, _opened = open_question(attempts=3)
