Give runs of deployments a load of their own

Ends were believed too soon only where the machine was busy, and runs had no way to make it so: they needed other runs beside them.

`--busy N` has N processes keep a core busy each while callers are at work. They are children of the run and are ended by their ids when it returns, fails or is cancelled; if it is killed they notice and end by themselves. The load begins once the deployment has started, as the time limits of the start are those of a usual machine. The number is among the options in report.json.

--- a/tests/deployments/__main__.py
+++ b/tests/deployments/__main__.py
@@ -190,6 +190,7 @@
         proxies=arguments.proxies,
         pinless=arguments.pinless,
         pins=not arguments.without_pins,
+        busy=arguments.busy,
     )
 
 
@@ -200,6 +201,13 @@
     return share
 
 
+def _read_count(text: str) -> int:
+    count = int(text)
+    if count < 0:
+        raise argparse.ArgumentTypeError("below 0")
+    return count
+
+
 def _read_event_tokens(text: str) -> float:
     tokens = float(text)
     if not 1 <= tokens <= STRIDE:
@@ -267,6 +275,13 @@
     parser.add_argument(
         "--without-pins", action="store_true", help="no pin_ms in the configuration"
     )
+    parser.add_argument(
+        "--busy",
+        type=_read_count,
+        default=0,
+        metavar="N",
+        help="processes beside the run that keep a core busy each",
+    )
     parser.add_argument("--folder", type=Path, default=None, help="for the logs")
     arguments = parser.parse_args()
     # aiohttp logs an error for each handler that ends as its peer has gone.
--- a/tests/deployments/shapes.py
+++ b/tests/deployments/shapes.py
@@ -52,6 +52,7 @@
         proxies: Whether a faulty proxy is before each target.
         pinless: Whether engines pin nothing, as older ones.
         pins: Whether the configuration states how long engines pin.
+        busy: Number of processes beside the run that keep a core busy each.
     """
 
     framing: str = ""
@@ -65,6 +66,7 @@
     proxies: bool = False
     pinless: bool = False
     pins: bool = True
+    busy: int = 0
 
 
 USUAL = Options()
--- a/tests/deployments/sites.py
+++ b/tests/deployments/sites.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from tests.deployments import plans
+from tests.deployments.busy import keep_busy
 from tests.deployments.callers import Callers
 from tests.deployments.hosts import SPARES, Spares, TargetHost, read_journal
 from tests.deployments.proxies import FaultyProxy
@@ -95,40 +96,47 @@
         self, steps: list[plans.Step], seconds: float, patience: float
     ) -> None:
         """Run a plan, then without faults, and fill the record."""
-        stop_event = asyncio.Event()
         try:
             await self._start()
-            callers = Callers(
-                self.record,
-                self._rng,
-                [host.endpoint for host in self._entries],
-                self._shape,
-                self._returns,
-                self._options,
-            )
-            traffic = asyncio.create_task(callers.run(stop_event, patience))
-            watches = [
-                asyncio.create_task(self._watch_readiness()),
-                asyncio.create_task(record_loop_stalls(self.record)),
-            ]
-            start = read_clock()
-            for step in steps:
-                await asyncio.sleep(max(0.0, start + step.at - read_clock()))
-                self._start_task(self._apply(step.fault))
-            await asyncio.sleep(max(0.0, start + seconds - read_clock()))
-            await asyncio.gather(*self._tasks)
-            for proxy in self.proxies:
-                proxy.calm = True
-            self.record.final_phase_start = read_clock() + RECOVERY_SECONDS
-            await asyncio.sleep(RECOVERY_SECONDS + FINAL_TRAFFIC_SECONDS)
-            stop_event.set()
-            await traffic
-            for watch in watches:
-                watch.cancel()
+            # Not before, as the time limits of the start are for a usual machine.
+            with keep_busy(self._options.busy):
+                await self._play(steps, seconds, patience)
         finally:
             await self._shut_down()
         self._read_journals()
 
+    async def _play(
+        self, steps: list[plans.Step], seconds: float, patience: float
+    ) -> None:
+        stop_event = asyncio.Event()
+        callers = Callers(
+            self.record,
+            self._rng,
+            [host.endpoint for host in self._entries],
+            self._shape,
+            self._returns,
+            self._options,
+        )
+        traffic = asyncio.create_task(callers.run(stop_event, patience))
+        watches = [
+            asyncio.create_task(self._watch_readiness()),
+            asyncio.create_task(record_loop_stalls(self.record)),
+        ]
+        start = read_clock()
+        for step in steps:
+            await asyncio.sleep(max(0.0, start + step.at - read_clock()))
+            self._start_task(self._apply(step.fault))
+        await asyncio.sleep(max(0.0, start + seconds - read_clock()))
+        await asyncio.gather(*self._tasks)
+        for proxy in self.proxies:
+            proxy.calm = True
+        self.record.final_phase_start = read_clock() + RECOVERY_SECONDS
+        await asyncio.sleep(RECOVERY_SECONDS + FINAL_TRAFFIC_SECONDS)
+        stop_event.set()
+        await traffic
+        for watch in watches:
+            watch.cancel()
+
     def _start_task(self, work: Coroutine[None, None, None]) -> None:
         self._tasks.add(asyncio.create_task(work))
 
--- a/tests/deployments/test_options.py
+++ b/tests/deployments/test_options.py
@@ -3,15 +3,20 @@
 import asyncio
 import itertools
 import random
+import sys
+from collections.abc import Iterable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import aiohttp
+import orjson
+import psutil
 import pytest
 from aiohttp import web
 
 from figstep.net.sockets import CALLER_BUFFER_BYTES, bound_buffers
+from tests.deployments import __main__ as deployments
 from tests.deployments.__main__ import describe_streams
 from tests.deployments.callers import DEADLINE_RANGE, SLOW_EVENT_BYTES, Callers
 from tests.deployments.counts import EarlyCloses, count_outcomes, describe_counts
@@ -29,6 +34,7 @@
 from tests.platform.targets import EVENT_BYTES
 from tests.platform.test_standins import PIN, list_tokens, open_engine
 from tests.ports import HOST
+from tests.processes import ROOT
 
 IDS = [f"r{number}" for number in range(1, 3_001)]
 """Ids of requests, as callers give them."""
@@ -274,3 +280,104 @@
     lines = describe_streams(record)
     expected = "connection: 1 not resumable, target closed at the deadline, broken off"
     assert expected in lines
+
+
+def list_busy() -> list[psutil.Process]:
+    """Return the processes that keep a core busy for this one."""
+    found = []
+    for process in psutil.Process().children():
+        if "tests.deployments.busy" in process.cmdline():
+            found.append(process)
+    return found
+
+
+async def wait_until_busy(processes: Iterable[psutil.Process]) -> None:
+    """Wait until each process has used a tenth of a second of a core."""
+    async with asyncio.timeout(30):
+        for process in processes:
+            while process.cpu_times().user < 0.1:
+                await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("end", ["return", "failure", "cancellation"])
+async def test_busy_processes_end_with_their_run(
+    end: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against processes that keep cores busy after the run that wants them."""
+    seen: list[psutil.Process] = []
+
+    async def start(site: Site) -> None:
+        assert list_busy() == []
+
+    async def play(site: Site, *arguments: object) -> None:
+        seen.extend(list_busy())
+        await wait_until_busy(seen)
+        if end == "failure":
+            raise ConnectionError("no port")
+        if end == "cancellation":
+            task.cancel()
+            await asyncio.sleep(30)
+
+    monkeypatch.setattr(Site, "_start", start)
+    monkeypatch.setattr(Site, "_play", play)
+    site = Site(1, tmp_path, SHAPES["langar-by"], options=Options(busy=3))
+    task = asyncio.create_task(site.run_plan([], 0.0, 0.0))
+    await asyncio.wait({task})
+    assert task.cancelled() == (end == "cancellation")
+    if not task.cancelled():
+        assert isinstance(task.exception(), ConnectionError) == (end == "failure")
+    assert len(seen) == 3
+    assert [process for process in seen if process.is_running()] == []
+
+
+async def test_busy_processes_end_if_their_run_is_killed() -> None:
+    """Guards against processes without an owner that keep cores busy for ever."""
+    code = (
+        "import time; from tests.deployments.busy import keep_busy\n"
+        "with keep_busy(2) as found: print(*found, flush=True); time.sleep(60)"
+    )
+    parent = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-c", code), cwd=ROOT, stdout=asyncio.subprocess.PIPE
+    )
+    try:
+        assert parent.stdout is not None
+        line = await parent.stdout.readline()
+        processes = [psutil.Process(int(number)) for number in line.split()]
+        assert len(processes) == 2
+        await wait_until_busy(processes)
+    finally:
+        parent.kill()
+        await parent.wait()
+    async with asyncio.timeout(30):
+        while any(is_alive(process) for process in processes):
+            await asyncio.sleep(0.05)
+
+
+def is_alive(process: psutil.Process) -> bool:
+    """Return whether a process runs; one that nobody has waited for does not."""
+    try:
+        return bool(process.status() != psutil.STATUS_ZOMBIE)
+    except psutil.NoSuchProcess:
+        return False
+
+
+def test_the_report_names_the_load_of_a_run(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against figures of which nobody knows whether the machine was busy."""
+    given: list[Options] = []
+
+    async def run(*arguments: Any, options: Options, **fields: Any) -> Any:
+        given.append(options)
+        return Record(), []
+
+    monkeypatch.setattr(deployments, "run_deployment", run)
+    words = ["tests.deployments", "langar-by", "--seed", "7", "--busy", "12"]
+    words += ["--folder", str(tmp_path)]
+    monkeypatch.setattr(sys, "argv", words)
+    with pytest.raises(SystemExit) as ended:
+        deployments.main()
+    assert ended.value.code == 0
+    report = orjson.loads((tmp_path / "langar-by-7" / "report.json").read_bytes())
+    assert report["options"]["busy"] == 12
+    assert given == [Options(busy=12)]
