Play engines that seldom close early and stand still after it

Engines that close half of their streams early are soon not believed, which hides what happens where a close is rare and the process that made it answers nothing for a second.

With `--sleeping` each engine closes one open-ended stream in thirty before its middle event, in order, and its process sleeps for 1.2 to 1.45 s right after. The sleep is in the record as a fault of that engine, as a freeze is: it excuses a run that another engine took over meanwhile, and no event that is missing.

--- a/tests/deployments/__main__.py
+++ b/tests/deployments/__main__.py
@@ -190,6 +190,7 @@
         proxies=arguments.proxies,
         pinless=arguments.pinless,
         pins=not arguments.without_pins,
+        sleeping=arguments.sleeping,
         busy=arguments.busy,
     )
 
@@ -275,6 +276,11 @@
     parser.add_argument(
         "--without-pins", action="store_true", help="no pin_ms in the configuration"
     )
+    parser.add_argument(
+        "--sleeping",
+        action="store_true",
+        help="engines close one stream in thirty early and stand still after it",
+    )
     parser.add_argument(
         "--busy",
         type=_read_count,
--- a/tests/deployments/shapes.py
+++ b/tests/deployments/shapes.py
@@ -52,6 +52,8 @@
         proxies: Whether a faulty proxy is before each target.
         pinless: Whether engines pin nothing, as older ones.
         pins: Whether the configuration states how long engines pin.
+        sleeping: Whether engines close one stream in thirty early and stand still
+            right after.
         busy: Number of processes beside the run that keep a core busy each.
     """
 
@@ -66,6 +68,7 @@
     proxies: bool = False
     pinless: bool = False
     pins: bool = True
+    sleeping: bool = False
     busy: int = 0
 
 
--- a/tests/deployments/sites.py
+++ b/tests/deployments/sites.py
@@ -17,7 +17,7 @@
 from tests.deployments.proxies import FaultyProxy
 from tests.deployments.shapes import USUAL, Options, Shape
 from tests.faults.promises import RETRY_RATIO, RETRY_WINDOW
-from tests.faults.records import Kind, Record, Version
+from tests.faults.records import Disturbance, Kind, Record, Version
 from tests.faults.sites import record_loop_stalls
 from tests.platform.entries import EntryEndpoint, EntryHost
 from tests.platform.processes import build_network, query_ready
@@ -311,8 +311,10 @@
     def _list_faults(self, service: str, behaviors: tuple[str, ...]) -> tuple[str, ...]:
         if service != "engines":
             return ()
-        kept = tuple(name for name in behaviors if name not in self._without)
-        return (*kept, "pinless") if self._options.pinless else kept
+        kept = [name for name in behaviors if name not in self._without]
+        kept += ["pinless"] if self._options.pinless else []
+        kept += ["sleep"] if self._options.sleeping else []
+        return tuple(kept)
 
     async def _replace(self, target: TargetHost, fault: plans.Replace) -> None:
         self._targets.remove(target)
@@ -366,6 +368,9 @@
                 self.record.target_arrivals.append((line["at"], name, request))
             case "stall":
                 self.target_stalls.append((name, line["start"], line["end"]))
+            case "asleep":
+                span = Disturbance("asleep", None, name, line["start"], line["end"])
+                self.record.disturbances.append(span)
             case "registered" if line["state"] == "draining":
                 if line["at"] > self._left_at.get(name, float("inf")):
                     self.record.departures[name] = line["at"]
--- a/tests/deployments/test_options.py
+++ b/tests/deployments/test_options.py
@@ -20,8 +20,8 @@
 from tests.deployments.__main__ import describe_streams
 from tests.deployments.callers import DEADLINE_RANGE, SLOW_EVENT_BYTES, Callers
 from tests.deployments.counts import EarlyCloses, count_outcomes, describe_counts
-from tests.deployments.hosts import read_journal
-from tests.deployments.plans import Restart
+from tests.deployments.hosts import Spares, TargetHost, read_journal
+from tests.deployments.plans import BEHAVIORS, Restart
 from tests.deployments.shapes import SHAPES, Options
 from tests.deployments.sites import STEP_RANGE, Site
 from tests.faults.records import Attempt, Disturbance, Kind, Record
@@ -30,10 +30,10 @@
 from tests.platform.entries import EntryEndpoint
 from tests.platform.runs import Run, read_clock
 from tests.platform.standins import start_app
-from tests.platform.target import DELAY_RANGE, ProcessTarget
+from tests.platform.target import DELAY_RANGE, SLEEP_RANGE, Identity, ProcessTarget
 from tests.platform.targets import EVENT_BYTES
 from tests.platform.test_standins import PIN, list_tokens, open_engine
-from tests.ports import HOST
+from tests.ports import HOST, find_free_port
 from tests.processes import ROOT
 
 IDS = [f"r{number}" for number in range(1, 3_001)]
@@ -282,6 +282,74 @@
     assert expected in lines
 
 
+def draws_sleep(number: str, name: str = "e-1") -> bool:
+    """Return whether an engine sleeps after the stream of a request."""
+    return draw_share(f"sleep {number} {name}") < 1 / 30
+
+
+def test_sleeping_engines_seldom_close_early() -> None:
+    """Guards against engines that close early so often that nobody believes them."""
+    chosen = [number for number in IDS if draws_sleep(number)]
+    assert 70 <= len(chosen) <= 130
+    both = [number for number in chosen if draws_sleep(number, "e-2")]
+    assert len(both) <= 12
+
+
+async def test_a_sleeping_engine_closes_in_order_and_stands_still(
+    tmp_path: Path,
+) -> None:
+    """Guards against engines that say to sleep and answer, or close when they wake."""
+    journal = tmp_path / "e-1.jsonl"
+    address = f"{HOST}:{find_free_port()}"
+    identity = Identity(
+        "e-1", "engines", address, "muc-a", "v1", f"{HOST}:1", str(journal)
+    )
+    identity = replace(identity, framing="connection", faults=("sleep",))
+    spares = Spares(tmp_path / "targets.log")
+    host = TargetHost(identity, spares)
+    chosen = next(number for number in IDS if draws_sleep(number))
+    sound = next(number for number in IDS if not draws_sleep(number))
+    headers = {"Expect-Instance": "e-1", "Token-Count": "1,400"}
+    bodies = {}
+    try:
+        await host.start()
+        async with aiohttp.ClientSession() as session:
+            for number in (sound, chosen):
+                async with session.post(
+                    f"http://{address}/plan/9",
+                    headers={**headers, "Request-Id": number},
+                ) as response:
+                    bodies[number] = await response.read()
+            closed = read_clock()
+            async with session.get(f"http://{address}/figstep/report") as answer:
+                assert answer.status == 200
+        answered = read_clock()
+    finally:
+        await host.kill()
+        await spares.stop()
+    assert bodies[sound].count(b"\n\n") == 9
+    assert bodies[chosen].count(b"\n\n") == 4
+    lines: list[dict[str, Any]] = []
+    runs = read_journal(journal, lines.append)
+    assert [run.broken_off for run in runs] == [False, True]
+    [asleep] = [line for line in lines if line["kind"] == "asleep"]
+    assert asleep["end"] - asleep["start"] >= SLEEP_RANGE[0]
+    assert closed < asleep["end"] <= answered
+
+
+@pytest.mark.parametrize("sleeping", [True, False])
+def test_only_engines_that_are_told_to_fall_asleep(
+    sleeping: bool, tmp_path: Path
+) -> None:
+    """Guards against usual runs in which engines sleep, and others in which none do."""
+    options = Options(sleeping=sleeping)
+    site = Site(1, tmp_path, SHAPES["langar-by"], without=BEHAVIORS, options=options)
+    assert site._list_faults("engines", BEHAVIORS) == (("sleep",) if sleeping else ())
+    assert site._list_faults("bookings", BEHAVIORS) == ()
+    usual = Site(1, tmp_path, SHAPES["langar-by"], options=options)
+    assert usual._list_faults("engines", BEHAVIORS)[:3] == BEHAVIORS
+
+
 def list_busy() -> list[psutil.Process]:
     """Return the processes that keep a core busy for this one."""
     found = []
@@ -373,11 +441,11 @@
 
     monkeypatch.setattr(deployments, "run_deployment", run)
     words = ["tests.deployments", "langar-by", "--seed", "7", "--busy", "12"]
-    words += ["--folder", str(tmp_path)]
+    words += ["--sleeping", "--folder", str(tmp_path)]
     monkeypatch.setattr(sys, "argv", words)
     with pytest.raises(SystemExit) as ended:
         deployments.main()
     assert ended.value.code == 0
     report = orjson.loads((tmp_path / "langar-by-7" / "report.json").read_bytes())
-    assert report["options"]["busy"] == 12
-    assert given == [Options(busy=12)]
+    assert (report["options"]["busy"], report["options"]["sleeping"]) == (12, True)
+    assert given == [Options(busy=12, sleeping=True)]
--- a/tests/platform/target.py
+++ b/tests/platform/target.py
@@ -40,6 +40,9 @@
 REGISTER_TIMEOUT_SECONDS = 30.0
 """Time for which it tries to write its registration, in seconds."""
 
+SLEEP_RANGE = (1.2, 1.45)
+"""Shortest and longest time for which a process stands still, in seconds."""
+
 DELAY_RANGE = (0.8, 3.0)
 """Shortest and longest delay of an event that comes late, in seconds."""
 
@@ -209,6 +212,16 @@
         self._backed_up.pop(run.request, None)
         self._write_run(run)
 
+    def fall_asleep(self) -> None:
+        """Stand still once the connection that has just been closed is."""
+        # The transport closes its socket by the same queue, before this.
+        asyncio.get_running_loop().call_soon(self._sleep)
+
+    def _sleep(self) -> None:
+        began = read_clock()
+        time.sleep(self._rng.uniform(*SLEEP_RANGE))
+        self.write("asleep", start=began, end=read_clock())
+
     def _write_run(self, run: Run) -> None:
         fields = dataclasses.asdict(run)
         fields["body"] = run.body.decode()
--- a/tests/platform/targets.py
+++ b/tests/platform/targets.py
@@ -32,6 +32,9 @@
 END_CHECK_INTERVAL = 0.05
 """Time after which a run that waits for an event notices its end, in seconds."""
 
+SLEEP_SHARE = 1 / 30
+"""Share of its open-ended streams after which a sleeping engine stands still."""
+
 COPY_SECONDS = 0.1
 """Time that a copy on order takes, in seconds."""
 
@@ -54,8 +57,10 @@
         faults: What is wrong with it: ``grey`` (half of its calls are answered with
             status 500), ``broken`` (half of its answers break off), ``early`` (half
             of its streams that end with their connection do so between two events),
-            ``empty`` (half of the continuations among them before the first one) or
-            ``pinless`` (it pins nothing and does not list what it keeps).
+            ``empty`` (half of the continuations among them before the first one),
+            ``sleep`` (SLEEP_SHARE of them between two events, and it stands still
+            right after) or ``pinless`` (it pins nothing and does not list what it
+            keeps).
         copies: Generation of which the target holds a copy, by request.
         running: Runs that have not ended, by request.
         memory: What it keeps of prompts and of complete runs.
@@ -117,6 +122,9 @@
     def note_end(self, run: Run) -> None:
         """Record that a run has ended."""
 
+    def fall_asleep(self) -> None:
+        """Stand still once the connection that has just been closed is."""
+
     def name_generation(self) -> str:
         """Return the name of a new generation."""
         return f"g{next(_numbers)}"
@@ -273,10 +281,17 @@
         run.broken_off = is_chosen and "broken" in self.faults
         return run.broken_off
 
+    def _sleeps_after(self, run: Run) -> bool:
+        # Engines differ, so that the rest may be had at another one.
+        share = draw_share(f"sleep {run.request} {self.name}")
+        return "sleep" in self.faults and share < SLEEP_SHARE
+
     def _find_early_end(self, run: Run, first: int, count: int) -> int | None:
         """Return before which of the events a stream is closed; None for none."""
         if run.framing != Framing.CONNECTION.value:
             return None
+        if self._sleeps_after(run):
+            return count // 2 or None
         if first > 1 and "empty" in self.faults:
             return 0 if zlib.crc32(f"empty {run.request}".encode()) % 2 == 0 else None
         if "early" in self.faults:
@@ -309,7 +324,10 @@
                 self.back_up(holder, run)
             if number == early_at:
                 run.broken_off = True
-                return answer.close()
+                closed = answer.close()
+                if self._sleeps_after(run):
+                    self.fall_asleep()
+                return closed
             if number == broken_at:
                 answer.write(event[:5].encode())
                 return answer.close()
