--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from tests.platform import entries
 from tests.platform.entries import EntryEndpoint, EntryHost
 
 GRACE = 1.0
@@ -121,3 +122,63 @@
         block_loop(GRACE + 0.5)
         await stopping
     assert (host.stops[0].took is not None) is in_time
+
+
+async def restart_host(
+    host: EntryHost, monkeypatch: pytest.MonkeyPatch, asked: bool
+) -> None:
+    """Wait until an entry is ready that ends as it starts and needs most of two limits.
+
+    Args:
+        host: The entry.
+        monkeypatch: Sets the time limit of a start to 1.5 s.
+        asked: Whether it is stopped again; else it ends by itself.
+    """
+    began = asyncio.get_running_loop().time()
+    starts = []
+
+    async def start(host: EntryHost) -> None:
+        starts.append(asyncio.get_running_loop().time() - began)
+        program = PROGRAM.format(tenths=0) if len(starts) == 1 else "input()"
+        host.process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-c", program),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        assert host.process.stdout is not None
+        if len(starts) == 1:
+            await host.process.stdout.readline()
+
+    async def query_ready(address: str) -> bool:
+        return len(starts) == 2 and asyncio.get_running_loop().time() >= began + 2.2
+
+    monkeypatch.setattr(entries, "READY_TIMEOUT_SECONDS", 1.5)
+    monkeypatch.setattr(entries, "query_ready", query_ready)
+    monkeypatch.setattr(EntryHost, "start", start)
+    await host.end()
+    host.stopping = True
+    waiting = asyncio.create_task(host.wait_until_ready(launch=True))
+    await asyncio.sleep(1.0)
+    if asked:
+        await host.disturb("stop", 0.0)
+    else:
+        host.send_signal(signal.SIGTERM)
+    await waiting
+
+
+async def test_an_entry_that_is_stopped_as_it_starts_is_given_a_further_start(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against runs that fail as a plan stops an entry that is not ready yet."""
+    async with open_host(0) as host:
+        await restart_host(host, monkeypatch, asked=True)
+        assert not host.stopping
+
+
+async def test_an_entry_that_ends_by_itself_as_it_starts_is_late(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against entries that crash as they start, again and again, unnoticed."""
+    async with open_host(0) as host:
+        with pytest.raises(TimeoutError):
+            await restart_host(host, monkeypatch, asked=False)
