--- a/tests/deployments/test_options.py
+++ b/tests/deployments/test_options.py
@@ -3,20 +3,25 @@
 import asyncio
 import itertools
 import random
+import sys
+from collections.abc import Iterable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import aiohttp
+import orjson
+import psutil
 import pytest
 from aiohttp import web
 
 from figstep.net.sockets import CALLER_BUFFER_BYTES, bound_buffers
+from tests.deployments import __main__ as deployments
 from tests.deployments.__main__ import describe_streams
 from tests.deployments.callers import DEADLINE_RANGE, SLOW_EVENT_BYTES, Callers
 from tests.deployments.counts import EarlyCloses, count_outcomes, describe_counts
-from tests.deployments.hosts import read_journal
-from tests.deployments.plans import Restart
+from tests.deployments.hosts import Spares, TargetHost, read_journal
+from tests.deployments.plans import BEHAVIORS, Restart
 from tests.deployments.shapes import SHAPES, Options
 from tests.deployments.sites import STEP_RANGE, Site
 from tests.faults.records import Attempt, Disturbance, Kind, Record
@@ -25,10 +30,11 @@
 from tests.platform.entries import EntryEndpoint
 from tests.platform.runs import Run, read_clock
 from tests.platform.standins import start_app
-from tests.platform.target import DELAY_RANGE, ProcessTarget
+from tests.platform.target import DELAY_RANGE, SLEEP_RANGE, Identity, ProcessTarget
 from tests.platform.targets import EVENT_BYTES
 from tests.platform.test_standins import PIN, list_tokens, open_engine
-from tests.ports import HOST
+from tests.ports import HOST, find_free_port
+from tests.processes import ROOT
 
 IDS = [f"r{number}" for number in range(1, 3_001)]
 """Ids of requests, as callers give them."""
@@ -274,3 +280,172 @@
     lines = describe_streams(record)
     expected = "connection: 1 not resumable, target closed at the deadline, broken off"
     assert expected in lines
+
+
+def draws_sleep(number: str, name: str = "e-1", after: int = 0) -> bool:
+    """Return whether an engine sleeps after its part of the stream of a request."""
+    return random.Random(f"sleep {number} {name} {after}").random() < 1 / 30
+
+
+def test_sleeping_engines_seldom_close_early() -> None:
+    """Guards against engines that close early so often that nobody believes them."""
+    chosen = [number for number in IDS if draws_sleep(number)]
+    assert 70 <= len(chosen) <= 130
+    assert sum(draws_sleep(number, "e-2") for number in chosen) <= 12
+    assert sum(draws_sleep(number, after=4) for number in chosen) <= 12
+
+
+async def test_a_sleeping_engine_closes_in_order_and_stands_still(
+    tmp_path: Path,
+) -> None:
+    """Guards against engines that say to sleep and answer, or close when they wake."""
+    journal = tmp_path / "e-1.jsonl"
+    address = f"{HOST}:{find_free_port()}"
+    identity = Identity(
+        "e-1", "engines", address, "muc-a", "v1", f"{HOST}:1", str(journal)
+    )
+    identity = replace(identity, framing="connection", faults=("sleep",))
+    spares = Spares(tmp_path / "targets.log")
+    host = TargetHost(identity, spares)
+    chosen = next(number for number in IDS if draws_sleep(number))
+    sound = next(number for number in IDS if not draws_sleep(number))
+    headers = {"Expect-Instance": "e-1", "Token-Count": "1,400"}
+    bodies = {}
+    try:
+        await host.start()
+        async with aiohttp.ClientSession() as session:
+            for number in (sound, chosen):
+                async with session.post(
+                    f"http://{address}/plan/9",
+                    headers={**headers, "Request-Id": number},
+                ) as response:
+                    bodies[number] = await response.read()
+            closed = read_clock()
+            async with session.get(f"http://{address}/figstep/report") as answer:
+                assert answer.status == 200
+        answered = read_clock()
+    finally:
+        await host.kill()
+        await spares.stop()
+    assert bodies[sound].count(b"\n\n") == 9
+    assert bodies[chosen].count(b"\n\n") == 4
+    lines: list[dict[str, Any]] = []
+    runs = read_journal(journal, lines.append)
+    assert [run.broken_off for run in runs] == [False, True]
+    [asleep] = [line for line in lines if line["kind"] == "asleep"]
+    assert asleep["end"] - asleep["start"] >= SLEEP_RANGE[0]
+    assert closed < asleep["end"] <= answered
+
+
+@pytest.mark.parametrize("sleeping", [True, False])
+def test_only_engines_that_are_told_to_fall_asleep(
+    sleeping: bool, tmp_path: Path
+) -> None:
+    """Guards against usual runs in which engines sleep, and others in which none do."""
+    options = Options(sleeping=sleeping)
+    site = Site(1, tmp_path, SHAPES["langar-by"], without=BEHAVIORS, options=options)
+    assert site._list_faults("engines", BEHAVIORS) == (("sleep",) if sleeping else ())
+    assert site._list_faults("bookings", BEHAVIORS) == ()
+    usual = Site(1, tmp_path, SHAPES["langar-by"], options=options)
+    assert usual._list_faults("engines", BEHAVIORS)[:3] == BEHAVIORS
+
+
+def list_busy() -> list[psutil.Process]:
+    """Return the processes that keep a core busy for this one."""
+    found = []
+    for process in psutil.Process().children():
+        if "tests.deployments.busy" in process.cmdline():
+            found.append(process)
+    return found
+
+
+async def wait_until_busy(processes: Iterable[psutil.Process]) -> None:
+    """Wait until each process has used a tenth of a second of a core."""
+    async with asyncio.timeout(30):
+        for process in processes:
+            while process.cpu_times().user < 0.1:
+                await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("end", ["return", "failure", "cancellation"])
+async def test_busy_processes_end_with_their_run(
+    end: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against processes that keep cores busy after the run that wants them."""
+    seen: list[psutil.Process] = []
+
+    async def start(site: Site) -> None:
+        assert list_busy() == []
+
+    async def play(site: Site, *arguments: object) -> None:
+        seen.extend(list_busy())
+        await wait_until_busy(seen)
+        if end == "failure":
+            raise ConnectionError("no port")
+        if end == "cancellation":
+            task.cancel()
+            await asyncio.sleep(30)
+
+    monkeypatch.setattr(Site, "_start", start)
+    monkeypatch.setattr(Site, "_play", play)
+    site = Site(1, tmp_path, SHAPES["langar-by"], options=Options(busy=3))
+    task = asyncio.create_task(site.run_plan([], 0.0, 0.0))
+    await asyncio.wait({task})
+    assert task.cancelled() == (end == "cancellation")
+    if not task.cancelled():
+        assert isinstance(task.exception(), ConnectionError) == (end == "failure")
+    assert len(seen) == 3
+    assert [process for process in seen if process.is_running()] == []
+
+
+async def test_busy_processes_end_if_their_run_is_killed() -> None:
+    """Guards against processes without an owner that keep cores busy for ever."""
+    code = (
+        "import time; from tests.deployments.busy import keep_busy\n"
+        "with keep_busy(2) as found: print(*found, flush=True); time.sleep(60)"
+    )
+    parent = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-c", code), cwd=ROOT, stdout=asyncio.subprocess.PIPE
+    )
+    try:
+        assert parent.stdout is not None
+        line = await parent.stdout.readline()
+        processes = [psutil.Process(int(number)) for number in line.split()]
+        assert len(processes) == 2
+        await wait_until_busy(processes)
+    finally:
+        parent.kill()
+        await parent.wait()
+    async with asyncio.timeout(30):
+        while any(is_alive(process) for process in processes):
+            await asyncio.sleep(0.05)
+
+
+def is_alive(process: psutil.Process) -> bool:
+    """Return whether a process runs; one that nobody has waited for does not."""
+    try:
+        return bool(process.status() != psutil.STATUS_ZOMBIE)
+    except psutil.NoSuchProcess:
+        return False
+
+
+def test_the_report_names_the_load_of_a_run(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against figures of which nobody knows whether the machine was busy."""
+    given: list[Options] = []
+
+    async def run(*arguments: Any, options: Options, **fields: Any) -> Any:
+        given.append(options)
+        return Record(), []
+
+    monkeypatch.setattr(deployments, "run_deployment", run)
+    words = ["tests.deployments", "langar-by", "--seed", "7", "--busy", "12"]
+    words += ["--sleeping", "--folder", str(tmp_path)]
+    monkeypatch.setattr(sys, "argv", words)
+    with pytest.raises(SystemExit) as ended:
+        deployments.main()
+    assert ended.value.code == 0
+    report = orjson.loads((tmp_path / "langar-by-7" / "report.json").read_bytes())
+    assert (report["options"]["busy"], report["options"]["sleeping"]) == (12, True)
+    assert given == [Options(busy=12, sleeping=True)]
