Order a run to stop until its engine confirms it

Cause: an order to stop a run was given five times at most, 50 ms apart, and the matter then ended as if the run had stopped. Five resets of an engine with too many connections, or a copy in progress (409), take a quarter of a second. Any other status counted as a confirmation too, also 500 or 502 of a gateway and 429 of an engine that was full. Nothing more was ordered once the engine that the order names for the run's memory had left.

Now an order counts as carried out if its answer names the memory of the run, or if the engine rejects it for a run that it does not have. Else it is repeated, from the sixth on four times a second, until the request's deadline, after which no engine works on it, or until the engine has ended. The address that the order names is looked up once: the run stops also if nothing can be copied there.

The test of the order's content now checks its deadline as well.

Price: an engine that answers no order at all gets up to four a second for each such run until the deadline, or until it is known to have ended, in place of five.

--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -125,12 +125,15 @@
         request: Id that the caller gave the request, by which the engine knows the run.
         target: Engine that may still work on the run.
         destination: Engine to which the order lets the run's memory be copied.
+        until: Deadline of the request (monotonic), in milliseconds; no engine works on
+            the run after that.
     """
 
     number: int
     request: str
     target: Incarnation
     destination: str
+    until: Millis
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/stops.py
+++ b/figstep/gateway/stops.py
@@ -41,6 +41,7 @@
             request.spec.id,
             attempt.target.info.incarnation,
             destination.name,
+            request.deadline,
         )
     ]
 
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -99,12 +99,16 @@
 """Time in seconds before an engine is ordered to stop a run, and between two orders.
 Most engines end a run with its connection, and reject the order then without work."""
 
-STOP_TRIES = 5
-"""Maximum number of orders to stop a run. Further ones are sent while the engine copies
-the run, which excludes an order, or does not answer."""
+QUICK_STOPS = 5
+"""Number of orders to stop a run after which further ones are sent less often."""
 
-CONFLICT = 409
-"""Status of the answer to an order on a run that another order is in progress for."""
+STOP_PAUSE_SECONDS = 0.25
+"""Time in seconds between these further orders."""
+
+UNMET_STATUSES = (408, 409, 429)
+"""Statuses below 500 with which an order to stop a run is not carried out yet, as
+another order on the run is in progress or the engine is too busy. One that engines
+reject in another way is not repeated."""
 
 MAX_ANSWER_BYTES = 8_388_608
 """Largest complete answer that may be sent to a caller, in bytes. A larger one counts
@@ -780,10 +784,14 @@
     def stop_run(self, effect: StopRun) -> None:
         """Order an engine to stop a run whose connection is closed.
 
-        Nothing is ordered once the request is at that engine again. Failures are only
-        logged.
+        The order is repeated until the engine confirms it, the engine has ended or the
+        request's deadline has passed. Nothing is ordered once the request is at that
+        engine again. Failures are only logged.
         """
-        self._run_in_background(self._stop_run(effect))
+        destination = self._find_target(effect.destination)
+        if destination is not None:
+            address = destination.info.address
+            self._run_in_background(self._stop_run(effect, address))
 
     def drop_copy(self, copy: RunCopy) -> None:
         """Free a copy of a run at the engine that made it on order.
@@ -912,21 +920,23 @@
             RunNotCopied(effect.number, effect.source, effect.holder, made.detail)
         )
 
-    async def _stop_run(self, effect: StopRun) -> None:
+    async def _stop_run(self, effect: StopRun, destination: str) -> None:
         assert self._session is not None
-        for _ in range(STOP_TRIES):
-            await asyncio.sleep(STOP_DELAY_SECONDS)
+        orders = 0
+        while self._clock.now() < effect.until:
+            is_quick = orders < QUICK_STOPS
+            await asyncio.sleep(STOP_DELAY_SECONDS if is_quick else STOP_PAUSE_SECONDS)
             source = self._find_target(effect.target.target)
-            destination = self._find_target(effect.destination)
             if source is None or source.info.incarnation != effect.target:
                 return
-            if destination is None or self._is_open_at(effect):
+            if source.ended_at is not None or self._is_open_at(effect):
                 return
+            orders += 1
             requested_at = self._clock.now()
             stopped = await copies.order_copy(
                 self._session,
                 source.info.address,
-                destination.info.address,
+                destination,
                 effect.request,
                 partial(
                     self._dispatch_target_signals,
@@ -936,13 +946,13 @@
                 stop=True,
             )
             fields = {"request": effect.request, "target": source.name}
-            _log.info("run stopped", extra={**fields, "detail": stopped.detail})
+            _log.info("run ordered to stop", extra={**fields, "detail": stopped.detail})
             if stopped.handle:
                 # The request goes on from an earlier copy.
                 await copies.free_copy(
                     self._session, source.info.address, stopped.handle
                 )
-            if stopped.status not in (0, CONFLICT):
+            if _confirms_stop(stopped):
                 return
 
     def _is_open_at(self, effect: StopRun) -> bool:
@@ -961,6 +971,17 @@
             await copies.free_copy(self._session, copy.address, copy.handle)
 
 
+def _confirms_stop(stopped: copies.MadeCopy) -> bool:
+    """Return whether a run that was ordered to stop does not go on.
+
+    The engine names the memory of a run that it has stopped, and rejects an order on
+    one that it does not have. A gateway may answer for it with any status from 500 on.
+    """
+    if stopped.handle:
+        return True
+    return 400 <= stopped.status < 500 and stopped.status not in UNMET_STATUSES
+
+
 def _state_length(exchange: CallerExchange) -> list[tuple[str, str]]:
     """Return the header that states the length of a body, if there is one."""
     if not exchange.body:
--- a/tests/gateway/test_stops.py
+++ b/tests/gateway/test_stops.py
@@ -30,7 +30,8 @@
 
 
 def build_stop(left: OpenAttempt, continued: OpenAttempt) -> StopRun:
-    return StopRun(1, "id-1", Incarnation(left.target, 1), continued.target)
+    source = Incarnation(left.target, 1)
+    return StopRun(1, "id-1", source, continued.target, left.deadline)
 
 
 def list_ends(harness: EntryHarness) -> list[Effect]:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -350,6 +350,8 @@
         began: When it began to run requests in seconds, by id, by the loop's clock.
         worked: When it last worked on requests, by id.
         stopped: Ids of runs that it was ordered to stop.
+        stops_unmet: Number of orders to stop a run that it does not carry out.
+        answer_unmet: Answers these; their connections are reset if it is None.
         extra_headers: Headers added to all its answers.
         arrivals: Arrival times of requests in seconds, by the loop's clock.
         reports: Number of queries of its state.
@@ -384,6 +386,8 @@
     began: dict[str, float] = field(default_factory=dict)
     worked: dict[str, float] = field(default_factory=dict)
     stopped: list[str] = field(default_factory=list)
+    stops_unmet: int = 0
+    answer_unmet: Handler | None = None
     extra_headers: dict[str, str] = field(default_factory=dict)
     arrivals: list[float] = field(default_factory=list)
     reports: int = 0
@@ -572,11 +576,21 @@
         self.freed.append(request.match_info["handle"])
         return web.Response()
 
-    async def _move(self, request: web.Request) -> web.Response:
+    async def _leave_unmet(self, request: web.Request) -> web.StreamResponse:
+        if self.answer_unmet is not None:
+            return await self.answer_unmet(request)
+        assert request.transport is not None
+        request.transport.abort()
+        return web.Response()
+
+    async def _move(self, request: web.Request) -> web.StreamResponse:
         order = orjson.loads(await request.read())
         if order.get("last"):
             if order["id"] in self.aborted:
                 return web.Response(status=404)
+            if self.stops_unmet:
+                self.stops_unmet -= 1
+                return await self._leave_unmet(request)
             self.stopped.append(order["id"])
         holder = self.peers.get(order["target"])
         if holder is None or not self.copies_runs:
--- a/tests/platform/test_copies.py
+++ b/tests/platform/test_copies.py
@@ -40,11 +40,13 @@
     assert (made.handle, heard) == (handle, [status])
 
 
-async def begin_copied_plan(place: Place) -> tuple[FakeTarget, FakeTarget]:
+async def begin_copied_plan(
+    place: Place, events: int = 150
+) -> tuple[FakeTarget, FakeTarget]:
     """Start an entry and a long plan, and return its engine and its copy's holder."""
     for name in ("i-e1", "i-e2"):
         target = await place.add_target(name, "engines")
-        target.events = 150
+        target.events = events
     await start_fleet(place, 1, 2)
     task = asyncio.create_task(read_plan(place))
     place.tasks.append(task)
@@ -128,3 +130,45 @@
         # An engine that drops a run with its connection does nothing for the order.
         assert (source.stopped == []) is drops
         assert source.freed == ([] if drops else ["h-1"])
+
+
+async def wait_for_stop(source: FakeTarget) -> None:
+    """Wait until an engine has been ordered to stop its run, and has done so."""
+    async with asyncio.timeout(3):
+        while source.stopped != ["r-1"] or "r-1" not in source.aborted:
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("status", [0, 409, 429, 500, 502])
+async def test_a_stop_that_its_engine_does_not_confirm_is_ordered_again(
+    status: int,
+) -> None:
+    """Guards against two runs where a lost or foreign answer counts as confirmation."""
+
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(status=status)
+
+    async with open_place() as place:
+        source, holder = await begin_copied_plan(place, events=800)
+        source.drops = False
+        holder.events = 150
+        source.stops_unmet = 8
+        source.answer_unmet = answer if status else None
+        source.reset_connections()
+        received = await place.tasks[0]
+        assert received.endswith(b"id: 150\ndata: t150\n\n")
+        await wait_for_stop(source)
+
+
+async def test_a_stop_is_ordered_although_the_engine_gone_on_at_has_left() -> None:
+    """Guards against two runs as the engine named in the order leaves meanwhile."""
+    async with open_place() as place:
+        source, holder = await begin_copied_plan(place, events=800)
+        source.drops = False
+        holder.events = 150
+        source.stops_unmet = 3
+        source.reset_connections()
+        await asyncio.sleep(0.06)
+        targets = place.entries[0].gateway.known.targets.targets
+        del targets[holder.name]
+        await wait_for_stop(source)
