Take an answer without an object for none to an order on a run

An engine, or what answers for it, may send JSON that is no object. The error was not caught: the task of the order ended without a result. A run whose copy was ordered then counted as being copied for good, so that no copy of it was ordered again and its stream was lost with its engine; an order to stop a run was not repeated.

Before: 2 of 2 new cases (`[]`, `null`) fail with TypeError. After: 6 of 6 of the test pass.

--- a/figstep/platform/copies.py
+++ b/figstep/platform/copies.py
@@ -23,6 +23,9 @@
 """Timeout of an order to free a copy, in seconds. An engine that does not answer frees
 an unused copy by itself."""
 
+_MALFORMED = (ValueError, KeyError, TypeError)
+"""Errors of reading a handle from an answer that is not one to an order."""
+
 
 @dataclass(frozen=True, slots=True)
 class MadeCopy:
@@ -74,7 +77,7 @@
             body = await read_body(response, MAX_ORDER_ANSWER_BYTES)
         named = response.status == 200 or (stop and response.status == 503)
         handle = str(orjson.loads(body)["handle"]) if named else ""
-    except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError) as error:
+    except (aiohttp.ClientError, OSError, TimeoutError, *_MALFORMED) as error:
         return MadeCopy("", f"{type(error).__name__}: {error}"[:200])
     return MadeCopy(handle, f"answered {response.status}", response.status)
 
--- a/tests/platform/test_copies.py
+++ b/tests/platform/test_copies.py
@@ -17,6 +17,8 @@
         (200, b'{"handle": "h-1", "created": 3}', "h-1"),
         (200, b"{}", ""),
         (200, b'{"handle"', ""),
+        (200, b"[]", ""),
+        (200, b"null", ""),
         (503, b'{"handle": "h-1"}', ""),
     ],
 )
