Take no stream of a moved route up at another service's version

Cause: an entry that was told nothing of a stream takes the only version of the services that its path leads to now. Nothing is told while each service has one version, so that silence stands for consent; but these services did not begin the stream. It holds for a route that is moved, for a longer prefix that splits paths off, and for one that is dropped, so that a wider route gets its paths.

Now the services to which a configuration moves a path of resumable streams count for two minutes as if they had had the versions of the services before. Where these differ, a stream of which nobody told is refused as not run, and starts are told and written as while a service has several versions, so that streams which begin after the move are taken up at each entry.

--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -143,7 +143,7 @@
         case BrittlenessNamed():
             return brittleness.handle_brittleness(state, event, now)
         case ConfigurationRead():
-            return _apply_configuration(state, event)
+            return _apply_configuration(state, event, now)
         case TargetRegistered(info=info):
             eras.drop_held(state, info.target)
             return [
@@ -205,12 +205,16 @@
             return []
 
 
-def _apply_configuration(state: State, event: ConfigurationRead) -> list[Effect]:
+def _apply_configuration(
+    state: State, event: ConfigurationRead, now: Millis
+) -> list[Effect]:
     table = event.table
     if state.table is not None and table.version <= state.table.version:
         # A peer may already have sent this version or a newer one. An older version
         # would let a dropped route or key work again.
         return []
+    if state.table is not None:
+        versions.record_moved_routes(state, state.table, table, now)
     state.table = table
     for request in state.requests.values():
         eligibility.update_allowed_regions(table, request)
--- a/figstep/gateway/versions.py
+++ b/figstep/gateway/versions.py
@@ -8,6 +8,7 @@
 
 from figstep.core.clock import Millis
 from figstep.gateway.events import PastVersion
+from figstep.gateway.routes import RouteKind, RoutingTable
 from figstep.gateway.starts import START_RETENTION
 from figstep.gateway.state import State
 from figstep.gateway.targets import Registration
@@ -18,6 +19,45 @@
     state.past_versions[info.service, info.version] = now
 
 
+def record_moved_routes(
+    state: State, before: RoutingTable, after: RoutingTable, now: Millis
+) -> None:
+    """Record the versions that began streams of routes that a configuration moves.
+
+    A caller takes such a stream up at the services that its path leads to now. These
+    count as if they had had the versions of the services before.
+    """
+    changed = _list_shares(before) ^ _list_shares(after)
+    for host, prefix in {(host, prefix) for host, prefix, _ in changed}:
+        old, new = before.find_route(host, prefix), after.find_route(host, prefix)
+        if old is None or new is None:
+            continue
+        if new.kind is not RouteKind.STREAM or not new.resumable:
+            continue
+        services = {service for service, _ in new.shares}
+        left = {service for service, _ in old.shares} - services
+        known = {
+            version
+            for service in left
+            for version in list_versions(state, service, now)
+        }
+        for service in services:
+            for version in known:
+                state.past_versions[service, version] = now
+    update_announced_services(state, now)
+
+
+def _list_shares(
+    table: RoutingTable,
+) -> set[tuple[str, str, tuple[tuple[str, float], ...]]]:
+    """Return host, prefix and services of each route."""
+    return {
+        (host, route.prefix, route.shares)
+        for host, routes in table.routes.items()
+        for route in routes
+    }
+
+
 def apply_past_versions(
     state: State, reports: Iterable[PastVersion], now: Millis
 ) -> None:
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -1,5 +1,7 @@
 """Tests of streams at targets of several software versions."""
 
+from dataclasses import replace
+
 import pytest
 
 from figstep.gateway import peers
@@ -14,6 +16,7 @@
 from figstep.gateway.events import (
     AttemptLost,
     CallerGone,
+    ConfigurationRead,
     Loss,
     PeerHeard,
     RunCopied,
@@ -26,10 +29,17 @@
 )
 from figstep.gateway.newcomers import complete_message
 from figstep.gateway.prompts import Prompt
-from figstep.gateway.starts import StreamStart
+from figstep.gateway.starts import START_RETENTION, StreamStart
 from figstep.gateway.state import Origin
 from figstep.gateway.targets import Incarnation, Registration
-from tests.gateway.worlds import BOOKINGS, ENGINES, EntryHarness, build_copy
+from tests.gateway.worlds import (
+    BOOKINGS,
+    ENGINES,
+    QUESTION,
+    EntryHarness,
+    build_copy,
+    build_table,
+)
 
 FIRST = "e-1"
 """Engine at which the streams of most tests begin."""
@@ -371,3 +381,81 @@
     register(harness, "v1", FIRST, born=2)
     take_up_first(harness)
     assert harness.find_effects(OpenAttempt)
+
+
+OTHER_ENGINES = "other-engines"
+"""Service to which a later configuration moves a route."""
+
+
+def move_questions(harness: EntryHarness, prefix: str = "/question/") -> None:
+    """Let a configuration send questions, or some of them, to another service."""
+    shares = ((OTHER_ENGINES, 1.0),)
+    moved = replace(QUESTION, name="moved", prefix=prefix, shares=shares)
+    routes = [moved] if prefix == QUESTION.prefix else [QUESTION, moved]
+    table = build_table(2, routes)
+    pool = table.services[ENGINES]
+    services = {**table.services, OTHER_ENGINES: replace(pool, name=OTHER_ENGINES)}
+    harness.handle(ConfigurationRead(replace(table, services=services)))
+
+
+def register_other(harness: EntryHarness, version: str) -> None:
+    """Register an engine of the service that a route is moved to."""
+    info = Registration(
+        "e-9", OTHER_ENGINES, "e-9:80", "muc-a", 64, born=1, version=version
+    )
+    harness.handle(TargetRegistered(info))
+
+
+@pytest.mark.parametrize("version", ["v1", "v2"])
+@pytest.mark.parametrize("prefix", ["/question/", "/question/a"])
+def test_a_stream_of_a_moved_route_is_taken_up_at_its_version_only(
+    prefix: str, version: str
+) -> None:
+    """Guards against a guess by the versions of a service that began no stream yet."""
+    harness = EntryHarness()
+    register(harness, "v1", FIRST)
+    register_other(harness, version)
+    move_questions(harness, prefix)
+    take_up_first(harness)
+    if version == "v1":
+        assert harness.find_effect(OpenAttempt).target == "e-9"
+    else:
+        assert harness.find_effect(Refuse).problem.code == "version_unknown"
+
+
+def test_a_stream_of_a_dropped_route_is_taken_up_at_its_version_only() -> None:
+    """Guards against a guess as requests fall back to the service of a wider route."""
+    harness = EntryHarness()
+    move_questions(harness, "/question/a")
+    register(harness, "v1", FIRST)
+    register_other(harness, "v2")
+    harness.handle(ConfigurationRead(build_table(3)))
+    take_up_first(harness)
+    assert harness.find_effect(Refuse).problem.code == "version_unknown"
+
+
+def test_streams_that_begin_after_a_route_was_moved_are_taken_up() -> None:
+    """Guards against streams lost at entries that were not told where they began."""
+    harness, other = EntryHarness(), EntryHarness()
+    for entry in (harness, other):
+        register(entry, "v1", FIRST)
+        register_other(entry, "v2")
+        move_questions(entry)
+    harness.receive_request("/question/a", Prompt("m", 3_000, 2_000, 900))
+    harness.send_pieces(harness.find_effect(OpenAttempt).attempt, 1, 9)
+    assert harness.find_effects(Announce)
+    other.handle(peers.describe_entry(harness.state, harness.clock.now()))
+    take_up_first(other)
+    assert other.find_effect(OpenAttempt).target == "e-9"
+
+
+def test_the_versions_of_the_service_before_are_forgotten_after_a_move() -> None:
+    """Guards against streams refused for good after a route was moved."""
+    harness = EntryHarness()
+    register(harness, "v1", FIRST)
+    register_other(harness, "v2")
+    move_questions(harness)
+    harness.clock.advance(START_RETENTION)
+    harness.handle(Ticked())
+    take_up_first(harness)
+    assert harness.find_effect(OpenAttempt).target == "e-9"
