Query the source of a copy again if it resets the query

Cause: one reset of that query, as engines do with connections beyond their number, ended the matter, and the registration decided, which a restart may have outdated. Now a reset query is sent again, three times in all, 20 ms apart; the first answer decides. One that is silent for 50 ms still lets the registration decide, and so does a refused connection: copies are for streams whose engine is silent or has ended, and refusing them there would lose these streams.

Price: a stream whose engine is unreachable at once waits 40 ms longer.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -84,8 +84,12 @@
 """Time in seconds within which a target that leaves has ended if it closed an answer as
 it exits. It is asked after that whether it lives."""
 
-SOURCE_TRIES = 2
-"""Maximum number of queries of the source of a copy."""
+SOURCE_TRIES = 3
+"""Maximum number of queries of the source of a copy, if it resets them or this process
+is held up."""
+
+SOURCE_PAUSE_SECONDS = 0.02
+"""Pause before the source of a copy is queried again, in seconds."""
 
 SOURCE_TIMEOUT_SECONDS = 0.05
 """Timeout of a query of the source of a copy before the copy is used, in seconds. The
@@ -390,7 +394,8 @@
 
         The source of a copy on order is asked for its start, as its registration may
         not be read yet: after a restart it gives the names of its copies again. If it
-        does not answer, what is registered by the end of the query decides.
+        is silent, what is registered by the end of the query decides: copies are for
+        streams whose engine is.
         """
         owner = self._find_target(copy.owner.target)
         if copy.on_order and owner is not None:
@@ -398,16 +403,20 @@
         return is_outdated(copy, self._find_target)
 
     async def _query_source(self, owner: Target) -> None:
-        for _ in range(SOURCE_TRIES):
+        for number in range(SOURCE_TRIES):
+            if number:
+                await asyncio.sleep(SOURCE_PAUSE_SECONDS)
             asked_at = self._clock.now()
             try:
                 async with asyncio.timeout(SOURCE_TIMEOUT_SECONDS):
-                    await self._query_start(owner)
-                return
+                    start = await self._query_start(owner)
             except TimeoutError:
                 if self._clock.now() - asked_at < SOURCE_TIMEOUT_SECONDS * 2_000:
                     return
                 # This process was held up, and the answer may have arrived.
+                continue
+            if start is not Start.UNKNOWN:
+                return
 
     async def _pass_on(self, effect: OpenAttempt, exchange: CallerExchange) -> Event:
         """Send a request to another entry, and return what it answers."""
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -369,6 +369,7 @@
         report: Answer to one query of its state, in place of the usual one, if set.
         kept: Answer to one query of what it keeps, in place of the usual one, if set.
         lists_lost: Number of queries of what it keeps whose connection it resets.
+        reports_lost: Number of queries of its state whose connection it resets.
     """
 
     name: str
@@ -404,6 +405,7 @@
     report: web.Response | None = None
     kept: web.Response | None = None
     lists_lost: int = 0
+    reports_lost: int = 0
 
     async def start(self, store: FakeStore, port: int = 0) -> None:
         """Start listening and register in the store."""
@@ -543,6 +545,10 @@
 
     async def _report(self, request: web.Request) -> web.Response:
         self.reports += 1
+        if self.reports_lost:
+            self.reports_lost -= 1
+            assert request.transport is not None
+            request.transport.abort()
         if self.report is not None:
             given, self.report = self.report, None
             return given
--- a/tests/platform/test_copies.py
+++ b/tests/platform/test_copies.py
@@ -87,6 +87,17 @@
         assert not any("Kv-From" in headers for headers in holder.received_headers)
 
 
+async def test_a_copy_is_not_used_although_its_engine_resets_the_first_query() -> None:
+    """Guards against a lost answer that counts as the start that is registered."""
+    async with open_place() as place:
+        source, holder = await begin_copied_plan(place)
+        source.reports_lost = 1
+        source.restart_unregistered(born=2)
+        received = await place.tasks[0]
+        assert received.endswith(b"broken")
+        assert not any("Kv-From" in headers for headers in holder.received_headers)
+
+
 async def test_a_copy_is_used_once_its_engine_has_ended() -> None:
     """Guards against streams lost because their engine can't be asked for its start."""
     async with open_place() as place:
