Cancel a generation again if its target did not answer for itself

Callers saw nothing; engines went on with answers that nobody reads, or that were begun anew elsewhere.

Cause: a cancellation was sent three times without a pause, so that a moment in which a target resets connections lost it, and any status counted as delivered, also 502 of a gateway and 503 or 429 of a busy target. Now 408, 421, 429 and 5xx count like no answer, and five attempts are made with pauses from 0.25 s on.

The test of a lost cancellation is replaced by a stricter one: one or three lost cancellations, by a reset, 429, 502 or 503. Before: 7 of 8 cases fail; the eighth is the former test. After: 12 of 12 of tests/net/test_targets.py pass.

Price: a cancellation may arrive up to four seconds later. A caller that comes back in that time without having asked for it may find its generation ended, as it does after one that arrives at once.

--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -39,9 +39,12 @@
 CANCEL_TIMEOUT = 2.0
 """Timeout of one attempt to deliver a cancellation, in seconds."""
 
-MAX_CANCEL_ATTEMPTS = 3
+MAX_CANCEL_ATTEMPTS = 5
 """Maximum number of attempts to deliver a cancellation."""
 
+CANCEL_PAUSE = 0.25
+"""Pause before the second of these attempts, in seconds; it doubles with each one."""
+
 PROBE_TIMEOUT = 2.0
 """Timeout of a probe's connection attempt, in seconds."""
 
@@ -312,14 +315,24 @@
         timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT)
         # Without a cancellation the target generates the whole answer, which
         # nobody reads.
-        for _ in range(MAX_CANCEL_ATTEMPTS):
+        for number in range(MAX_CANCEL_ATTEMPTS):
+            if number:
+                await asyncio.sleep(CANCEL_PAUSE * 2 ** (number - 1))
             try:
                 async with self._pools.use(effect.target) as pool:
-                    async with pool.fresh.delete(url, timeout=timeout):
-                        return
+                    async with pool.fresh.delete(url, timeout=timeout) as response:
+                        if not _is_unmet(response.status):
+                            return
+                        reason = f"answered {response.status}"
             except (aiohttp.ClientError, TimeoutError, OSError) as error:
-                fields = {"target": effect.target, "error": repr(error)}
-                _log.info("cancellation not delivered", extra=fields)
+                reason = repr(error)
+            fields = {"target": effect.target, "error": reason}
+            _log.info("cancellation not delivered", extra=fields)
+
+
+def _is_unmet(status: int) -> bool:
+    """Return whether an order with this answer may not have reached its target."""
+    return status >= 500 or status in _REFUSED_STATUSES or status in _STRANGER_STATUSES
 
 
 async def _read_service_body(
--- a/tests/net/test_targets.py
+++ b/tests/net/test_targets.py
@@ -5,6 +5,7 @@
 import time
 from http.server import BaseHTTPRequestHandler, HTTPServer
 
+import pytest
 from aiohttp import web
 
 from figstep.core.effects import CancelGeneration, OpenAttempt
@@ -114,19 +115,22 @@
     await runner.cleanup()
 
 
-async def test_a_lost_cancellation_is_sent_again() -> None:
+@pytest.mark.parametrize("status", [0, 429, 502, 503])
+@pytest.mark.parametrize("unmet", [1, 3])
+async def test_a_lost_cancellation_is_sent_again(unmet: int, status: int) -> None:
     """Guards against targets that generate whole answers that nobody reads."""
     cancellations = []
     cancelled = asyncio.Event()
 
     async def cancel(request: web.Request) -> web.Response:
         cancellations.append(request.path)
-        if len(cancellations) == 1:
+        if len(cancellations) > unmet:
+            cancelled.set()
+            return web.Response()
+        if not status:
             assert request.transport is not None
             request.transport.abort()
-        else:
-            cancelled.set()
-        return web.Response()
+        return web.Response(status=status or 200)
 
     app = web.Application()
     app.router.add_delete("/v1/generations/{name}", cancel)
@@ -138,7 +142,7 @@
         await cancelled.wait()
     await edge.stop()
     await runner.cleanup()
-    assert cancellations == ["/v1/generations/e1~0~1"] * 2
+    assert cancellations == ["/v1/generations/e1~0~1"] * (unmet + 1)
 
 
 class OneByOne(BaseHTTPRequestHandler):
