Order a run to stop less and less often at an engine that confirms nothing

An engine that resets or refuses each order got four a second for each stream that had left it, until the deadlines of these. The pause doubles now, up to a second; the first five orders, within 0.25 s, are as they were. All tests of stops and copies hold.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -107,7 +107,11 @@
 """Number of orders to stop a run after which further ones are sent less often."""
 
 STOP_PAUSE_SECONDS = 0.25
-"""Time in seconds between these further orders."""
+"""Time in seconds before the first of these further orders; it doubles with each."""
+
+MAX_STOP_PAUSE_SECONDS = 1.0
+"""Longest time in seconds between two orders to stop a run. Many streams may have left
+one engine, and each has its own orders."""
 
 UNMET_STATUSES = (408, 409, 429)
 """Statuses below 500 with which an order to stop a run is not carried out yet, as
@@ -958,9 +962,13 @@
     async def _stop_run(self, effect: StopRun, destination: str) -> None:
         assert self._session is not None
         orders = 0
+        pause = STOP_PAUSE_SECONDS
         while self._clock.now() < effect.until:
-            is_quick = orders < QUICK_STOPS
-            await asyncio.sleep(STOP_DELAY_SECONDS if is_quick else STOP_PAUSE_SECONDS)
+            if orders < QUICK_STOPS:
+                await asyncio.sleep(STOP_DELAY_SECONDS)
+            else:
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, MAX_STOP_PAUSE_SECONDS)
             source = self._find_target(effect.target.target)
             if source is None or source.info.incarnation != effect.target:
                 return
