Take one answer without a list for lost, and read the list again

What callers saw: a part of a stream as the whole, 10 of 20 events, where an engine closed early and one list was cut, or a proxy answered 404 for the engine once, before this entry had read any list of the service: its first open-ended streams after a start. A first list that did not show the run did not prevent that.

Cause: one answer that was no list stated that the engine keeps no runs, whatever the other answers were. A list whose body ends with its connection is cut without an error of the transport. Now all queries need such an answer, also those of an entry that was frozen and reads late; a whole list that follows one counts.

Ruled out: a list with a length that is cut, and other failures (502, 503, 421), counted as lost before. Engines were not asked too few times: they have answered.

Before: 5 of 5 cases (200 or 404, as the first or second answer, and read late) ended as the whole. After: broken off, 5 of 5. Price: at engines that never list though asked to keep runs, an open end comes 0.2 s later, and a lost answer beside two such breaks the stream off; whole streams of engines that answer all three so are delivered as before.

The end of a stream that was broken off was checked as well: a caller that takes it up after the last event gets an empty whole in each framing, before and after this change.

--- a/figstep/platform/retention.py
+++ b/figstep/platform/retention.py
@@ -26,7 +26,7 @@
 
 LIST_TRIES = 3
 """Maximum number of queries: two while a run is not listed, as a list may be a moment
-old, and a further one for an answer that is lost."""
+old, and a further one for an answer that is lost or is no list."""
 
 LIST_PAUSE_SECONDS = 0.1
 """Pause between these queries, in seconds."""
@@ -50,7 +50,7 @@
     Attributes:
         kept: Number of generated tokens that it keeps of the run, 0 or less if at most
             the prompt; None if no answer was read in time.
-        lists_none: Whether it answered, but with no list: it keeps no runs.
+        lists_none: Whether it answered each query, but with no list: it keeps no runs.
     """
 
     kept: int | None = None
@@ -85,24 +85,27 @@
             longer.
     """
     kept = None
+    lists_none = True
     for number in range(LIST_TRIES):
         if number:
             await asyncio.sleep(LIST_PAUSE_SECONDS)
         try:
             found = await _read_kept(session, target, run)
+            lists_none = False
         except _NoListError as error:
+            # A list may be cut, and a proxy may answer for an engine.
             _log_failure(target, error)
-            return Statement(lists_none=True)
+            found = None
         if found is not None and found > 0:
             return Statement(found)
-        if clock.now() >= until:
+        if clock.now() >= until and not lists_none:
             break
         if found is None:
             continue
         if kept is not None:
             break
         kept = found
-    return Statement(kept)
+    return Statement(kept, lists_none)
 
 
 async def _read_kept(
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -985,3 +985,70 @@
     finally:
         writer.close()
         await stopping
+
+
+@pytest.mark.parametrize("seconds", [0.0, 0.05], ids=["first", "second"])
+@pytest.mark.parametrize("status", [200, 404])
+async def test_one_answer_without_a_list_does_not_state_the_end(
+    place: Place, status: int, seconds: float
+) -> None:
+    """Guards against a part as the whole, as one list is cut or another answers."""
+    await configure(place, False, **PINS)
+    target = place.targets["i-e1"]
+    write_part = stream_until(target, EARLY)
+
+    def answer_no_list() -> None:
+        target.kept = web.Response(status=status, body=b'{"held": [["", "b2", 2')
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = await write_part(request)
+        # The second list is read a tenth of a second after the first one.
+        asyncio.get_running_loop().call_later(seconds, answer_no_list)
+        return response
+
+    target.handler = answer
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+
+
+async def test_an_answer_without_a_list_that_is_read_late_does_not_state_the_end(
+    place: Place,
+) -> None:
+    """Guards against a part as the whole, as a frozen entry reads one cut list."""
+    await configure(place, False, pin_ms=300)
+    target = place.targets["i-e1"]
+    write_part = stream_until(target, EARLY)
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = await write_part(request)
+        target.kept = web.Response(body=b'{"held": [["", "b2", 2')
+        freeze(0.4)
+        return response
+
+    target.handler = answer
+    assert await read_complete(place, "/plan/a", **PLAN) is None
+
+
+async def test_engines_that_never_list_are_believed(place: Place) -> None:
+    """Guards against a loss of all whole streams of engines that keep no runs."""
+    await configure(place, False, **PINS)
+    target = place.targets["i-e1"]
+    target.pins = False
+    target.handler = stream_until(target, EVENTS)
+    assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
+
+
+@pytest.mark.parametrize("rest", list(Framing))
+async def test_the_end_of_a_stream_that_was_broken_off_is_stated_as_it_is_taken_up(
+    place: Place, rest: Framing
+) -> None:
+    """Guards against callers who have the last event and can never learn that."""
+    await configure(place, True, **PINS)
+    target = place.targets["i-e1"]
+    target.lists_lost = LIST_TRIES * 2
+    target.handler = stream_until(target, EVENTS)
+    first = await read_complete(place, "/plan/a", **PLAN)
+    target.lists_lost = 0
+    target.handler = stream_until(target, EVENTS, rest=rest)
+    resumed = {**PLAN, "Last_Event_Id": str(EVENTS), "Resumes": "r-1"}
+    found = await read_complete(place, "/plan/a", "r-2", **resumed)
+    assert (first, found) == (None, b"")
