Take no close at the deadline for the end

What callers saw: a part of a stream as the whole at their deadline, where engines keep no runs: 10 events of a stream that the engine stopped at the Deadline-Ms that it was sent, closing in order. Where engines keep runs, the rest was asked for after the deadline, of a target that could not answer in time.

Cause: an entry ends requests at its next check after the deadline, up to 30 ms later. The engine's close comes within a few milliseconds after the deadline, and the engine lives, so that the close counted before the check.

Ruled out: closes that are judged before the deadline. Engines count the time that is left from when they get the request, so that they stop no earlier than the entry does.

A run that brought no new event by then is reported as one that may have run. Price: a whole open-ended stream whose end nothing states within its deadline is broken off, as it is at the next check anyway. One that is stated still ends as the whole.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -64,6 +64,10 @@
         detail = "its connection ended before the first event"
         lost = AttemptLost(attempt.number, Loss.BROKEN, detail=detail)
         return recovery.recover_attempt(state, lost, now)
+    if end is not End.STATED and now >= request.deadline:
+        # An engine stops work at the deadline, and may close its stream in order.
+        request.may_have_run = True
+        return requests.refuse_request(state, request, "deadline", now)
     effects: list[Effect] = []
     if attempt is request.standby:
         effects += streams.promote_standby(state, request, attempt, now)
--- a/tests/gateway/test_ends.py
+++ b/tests/gateway/test_ends.py
@@ -5,6 +5,7 @@
 import pytest
 
 from figstep.core.clock import Millis
+from figstep.core.problems import Ran
 from figstep.gateway import culprits
 from figstep.gateway.copies import BACKUP_ARRIVAL_DELAY
 from figstep.gateway.effects import (
@@ -13,6 +14,7 @@
     Deliver,
     FinishStream,
     OpenAttempt,
+    Refuse,
     StopRun,
 )
 from figstep.gateway.ends import MAX_LOST_QUESTIONS, QUESTION_TIMEOUT
@@ -646,3 +648,45 @@
         ended += harness.handle(Ticked())
     assert not harness.state.requests
     assert any(isinstance(one, FinishStream) for one in ended) is believed
+
+
+@pytest.mark.parametrize("confirmed", [False, True])
+def test_a_close_at_the_deadline_states_no_end(confirmed: bool) -> None:
+    """Guards against a part as the whole, as its engine stops work at the deadline."""
+    harness = EntryHarness()
+    table = build_table(2)
+    pool = EnginePool(64, 34_000, event_tokens=4)
+    table.services[ENGINES] = Service(ENGINES, engine=pool)
+    harness.handle(ConfigurationRead(table))
+    harness.register("e-1", "e-2")
+    opened = harness.open_plan()
+    harness.send_pieces(opened.attempt, 1, 3)
+    harness.clock.advance(opened.deadline - harness.clock.now())
+    harness.handle(StreamEnded(opened.attempt, confirmed=confirmed))
+    assert bool(harness.find_effects(FinishStream)) is confirmed
+    assert bool(harness.find_effects(BreakStream)) is not confirmed
+
+
+def test_nobody_is_asked_for_a_rest_after_the_deadline() -> None:
+    """Guards against runs whose answers no caller waits for."""
+    harness, opened = start_with_backup()
+    harness.clock.advance(opened.deadline - harness.clock.now())
+    harness.handle(StreamEnded(opened.attempt, confirmed=False, kept=0))
+    assert not harness.find_effects(OpenAttempt)
+    assert harness.find_effects(BreakStream)
+
+
+@pytest.mark.parametrize("last", [0, 6])
+def test_a_run_without_a_new_event_by_the_deadline_is_not_called_not_run(
+    last: int,
+) -> None:
+    """Guards against requests that are refused as not run after they have run."""
+    harness = EntryHarness()
+    harness.register("e-1", "e-2")
+    harness.receive_request("/question/a", Prompt("m", 300, 2_000), after=6)
+    opened = harness.find_effect(OpenAttempt)
+    harness.open_stream(opened.attempt, delimited=False)
+    harness.send_pieces(opened.attempt, 1, last)
+    harness.clock.advance(opened.deadline - harness.clock.now())
+    harness.handle(StreamEnded(opened.attempt, confirmed=False, empty=not last))
+    assert harness.find_effect(Refuse).problem.ran is Ran.UNKNOWN
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -1052,3 +1052,24 @@
     resumed = {**PLAN, "Last_Event_Id": str(EVENTS), "Resumes": "r-1"}
     found = await read_complete(place, "/plan/a", "r-2", **resumed)
     assert (first, found) == (None, b"")
+
+
+async def test_the_close_at_the_deadline_is_not_the_end(place: Place) -> None:
+    """Guards against a part as the whole, as its engine stops work at the deadline."""
+    await configure(place, False, moves=False, backups=False)
+    target = place.targets["i-e1"]
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        deadline = int(request.headers["Deadline-Ms"]) / 1000
+        raw = RawAnswer(request, Framing.CONNECTION, target.sign(request), 0)
+        raw.write(write_events(1, EARLY))
+        await asyncio.sleep(deadline)
+        return raw.close()
+
+    target.handler = answer
+    plan = {**PLAN, "Token_Count": "300,2000", "Prefix_Hash": "a1:100,b2:200"}
+    streams = [
+        read_complete(place, "/plan/a", f"r-{wait}", **plan, Deadline_Ms=str(wait))
+        for wait in range(1_500, 1_580, 8)
+    ]
+    assert await asyncio.gather(*streams) == [None] * len(streams)
