Compare what is kept with the events of the attempt, however often it was sent

What callers saw: a part as the whole where a shorter run of the same prompt was listed under its last part, if their request had been refused by another target first, or went on after a loss.

Cause: a run that holds fewer tokens than the delivered events have was recognized as another one only for requests that were sent once, as it is not known whether a run that goes on keeps what another engine generated. What it generated itself it does keep, so that the events which came of this attempt are compared.

Ruled out: a pin of an earlier run at the same engine; it ends as the request begins there. A run beside it, of another request with the same last part, may still be complete.

Before: with 10 events of the attempt and 8 kept tokens the stream ended as whole, after a refusal and after a loss. After: it does not. With 9 and 16 it does, before and after.

--- a/figstep/gateway/closes.py
+++ b/figstep/gateway/closes.py
@@ -100,7 +100,7 @@
     if pool is not None and request.spec.after is None:
         if event.kept > request.pieces * pool.event_tokens:
             return End.CONTRADICTED
-    if request.attempts_sent == 1 and event.kept + 1 < request.pieces:
+    if event.kept + 1 < attempt.pieces:
         # It is a shorter run of the same prompt. The last token may not be kept.
         return End.UNSTATED
     return End.STATED
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -162,6 +162,7 @@
         confirmed: Whether its target has stated since then that it is the incarnation
             that it registered.
         first_delivery_at: When its first event went to the caller, or None.
+        pieces: Number of its events that went to the caller.
         relay: Entry that got the request in place of a target, or None. The target
             then stands for that entry, and is in no table.
         sample_began_at: When the measurement of its engine's pace began, or None.
@@ -191,6 +192,7 @@
     answered: bool = False
     confirmed: bool = False
     first_delivery_at: Millis | None = None
+    pieces: int = 0
     relay: RelayTo | None = None
     sample_began_at: Millis | None = None
     sample_events: int = 0
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -196,6 +196,7 @@
     request.delivered = last
     request.delivered_at = now
     request.pieces += len(data)
+    attempt.pieces += len(data)
     request.may_have_run = True
     if (
         request.pieces // MEMORY_UPDATE_EVENTS
--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -239,3 +239,30 @@
     harness.handle(StreamEnded(opened.attempt, confirmed=False, lists_none=lists_none))
     assert bool(harness.find_effects(FinishStream)) is believed
     assert bool(harness.find_effects(BreakStream)) is not believed
+
+
+def test_a_shorter_run_states_no_end_though_another_target_refused() -> None:
+    """Guards against a part as the whole, as the run was sent twice before it ran."""
+    harness = start_entry()
+    refused = open_stream(harness)
+    harness.handle(AttemptLost(refused.attempt, Loss.REFUSED))
+    opened = harness.find_effect(OpenAttempt)
+    assert opened.target != refused.target
+    harness.send_pieces(opened.attempt, 1, 10)
+    harness.handle(StreamEnded(opened.attempt, confirmed=False, kept=8))
+    assert not harness.find_effects(FinishStream)
+
+
+@pytest.mark.parametrize(("kept", "whole"), [(8, False), (9, True), (16, True)])
+def test_a_run_that_goes_on_is_kept_with_its_own_tokens_at_least(
+    kept: int, whole: bool
+) -> None:
+    """Guards against a part as the whole, as a shorter run of its prompt is listed."""
+    harness = start_entry()
+    opened = open_stream(harness, "/question/a")
+    harness.send_pieces(opened.attempt, 1, 3)
+    harness.handle(AttemptLost(opened.attempt, Loss.BROKEN))
+    resumed = harness.find_effect(OpenAttempt)
+    harness.send_pieces(resumed.attempt, 2, 13)
+    harness.handle(StreamEnded(resumed.attempt, confirmed=False, kept=kept))
+    assert bool(harness.find_effects(FinishStream)) is whole
