Compare what is kept of a stream that its caller took up with its events

What callers saw: they took a stream up after an event, its engine closed early again, and the part ended as the whole if a longer run of the same prompt was listed there.

Cause: what a list may hold was bounded by the events that came, but not for callers who had got the first ones before. The ids of events follow one another, so that the id of the last one says how many there are at most.

Ruled out: a first id that is larger than the count; then the bound is wider, not stricter.

Before: after event 6, with events 7 to 10 of up to four tokens, 90 kept tokens ended the stream as whole. After: the rest is asked for. With 24, 40 and 41 it ends, before and after. No whole stream is broken off for it.

--- a/figstep/gateway/closes.py
+++ b/figstep/gateway/closes.py
@@ -97,9 +97,11 @@
     if event.kept <= 0:
         return End.CONTRADICTED
     pool = placement.find_engine_pool(state, request.service)
-    if pool is not None and request.spec.after is None:
-        if event.kept > request.pieces * pool.event_tokens:
-            return End.CONTRADICTED
+    # The ids of a stream that its caller took up count the events before; the first may
+    # be 0.
+    pieces = request.pieces if request.spec.after is None else request.delivered + 1
+    if pool is not None and event.kept > pieces * pool.event_tokens:
+        return End.CONTRADICTED
     if event.kept + 1 < attempt.pieces:
         # It is a shorter run of the same prompt. The last token may not be kept.
         return End.UNSTATED
--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -266,3 +266,18 @@
     harness.send_pieces(resumed.attempt, 2, 13)
     harness.handle(StreamEnded(resumed.attempt, confirmed=False, kept=kept))
     assert bool(harness.find_effects(FinishStream)) is whole
+
+
+@pytest.mark.parametrize(
+    ("kept", "whole"), [(24, True), (40, True), (41, True), (90, False)]
+)
+def test_a_stream_that_is_taken_up_is_complete_by_no_longer_run(
+    kept: int, whole: bool
+) -> None:
+    """Guards against a part as the whole, as a longer run of its prompt is listed."""
+    harness = start_entry()
+    harness.receive_request("/question/a", PROMPT, after=6)
+    opened = harness.find_effect(OpenAttempt)
+    harness.send_pieces(opened.attempt, 7, 10)
+    harness.handle(StreamEnded(opened.attempt, confirmed=False, kept=kept))
+    assert bool(harness.find_effects(FinishStream)) is whole
