Count no close as good whose engine listed another run

Cause: a list that shows a shorter run of the same prompt states nothing of the run in question. Its close was counted as a good one of the engine all the same, and good closes let an engine be believed where nothing states an end: streams without a prompt, and those that were sent while the configuration kept no runs.

Ruled out: a list without the run, or with more than its events can hold; these count as early closes, as before.

Before: the engine and its service had one checked close without an early one. What callers saw of it alone was not measured.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -83,8 +83,9 @@
     """Record what the end of a stream shows of this close and of the one before it."""
     if event.kept is not None:
         closes.record_list(state, request)
-        is_early = end is End.CONTRADICTED
-        closes.record_close(state, request, attempt.target, is_early)
+        if end is not End.UNSTATED:
+            is_early = end is End.CONTRADICTED
+            closes.record_close(state, request, attempt.target, is_early)
     if attempt.first_delivery_at is not None:
         request.closed_by = attempt.target
         request.rest_begun = False
--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -281,3 +281,15 @@
     harness.send_pieces(opened.attempt, 7, 10)
     harness.handle(StreamEnded(opened.attempt, confirmed=False, kept=kept))
     assert bool(harness.find_effects(FinishStream)) is whole
+
+
+def test_the_list_of_a_shorter_run_shows_no_good_close() -> None:
+    """Guards against early closes that count as good, as another run is listed."""
+    harness = start_entry()
+    opened = open_stream(harness)
+    target = harness.state.targets.find(opened.target)
+    assert target is not None
+    harness.send_pieces(opened.attempt, 1, 10)
+    harness.handle(StreamEnded(opened.attempt, confirmed=False, kept=3))
+    assert target.closes == CloseCount()
+    assert harness.state.closes[ENGINES].count == CloseCount()
