--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -64,6 +64,10 @@
         detail = "its connection ended before the first event"
         lost = AttemptLost(attempt.number, Loss.BROKEN, detail=detail)
         return recovery.recover_attempt(state, lost, now)
+    if end is not End.STATED and now >= request.deadline:
+        # An engine stops work at the deadline, and may close its stream in order.
+        request.may_have_run = True
+        return requests.refuse_request(state, request, "deadline", now)
     effects: list[Effect] = []
     if attempt is request.standby:
         effects += streams.promote_standby(state, request, attempt, now)
@@ -79,8 +83,9 @@
     """Record what the end of a stream shows of this close and of the one before it."""
     if event.kept is not None:
         closes.record_list(state, request)
-        is_early = end is End.CONTRADICTED
-        closes.record_close(state, request, attempt.target, is_early)
+        if end is not End.UNSTATED:
+            is_early = end is End.CONTRADICTED
+            closes.record_close(state, request, attempt.target, is_early)
     if attempt.first_delivery_at is not None:
         request.closed_by = attempt.target
         request.rest_begun = False
