--- a/tests/deployments/test_options.py
+++ b/tests/deployments/test_options.py
@@ -4,7 +4,8 @@
 import itertools
 import random
 import sys
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -295,48 +296,76 @@
     assert sum(draws_sleep(number, after=4) for number in chosen) <= 12
 
 
-async def test_a_sleeping_engine_closes_in_order_and_stands_still(
-    tmp_path: Path,
-) -> None:
-    """Guards against engines that say to sleep and answer, or close when they wake."""
-    journal = tmp_path / "e-1.jsonl"
+@asynccontextmanager
+async def open_sleepy_host(folder: Path) -> AsyncIterator[TargetHost]:
+    """Run a sleeping engine as a process."""
     address = f"{HOST}:{find_free_port()}"
-    identity = Identity(
-        "e-1", "engines", address, "muc-a", "v1", f"{HOST}:1", str(journal)
-    )
+    journal = str(folder / "e-1.jsonl")
+    store = f"{HOST}:1"
+    identity = Identity("e-1", "engines", address, "muc-a", "v1", store, journal)
     identity = replace(identity, framing="connection", faults=("sleep",))
-    spares = Spares(tmp_path / "targets.log")
+    spares = Spares(folder / "targets.log")
     host = TargetHost(identity, spares)
-    chosen = next(number for number in IDS if draws_sleep(number))
-    sound = next(number for number in IDS if not draws_sleep(number))
-    headers = {"Expect-Instance": "e-1", "Token-Count": "1,400"}
-    bodies = {}
     try:
         await host.start()
-        async with aiohttp.ClientSession() as session:
-            for number in (sound, chosen):
-                async with session.post(
-                    f"http://{address}/plan/9",
-                    headers={**headers, "Request-Id": number},
-                ) as response:
-                    bodies[number] = await response.read()
-            closed = read_clock()
-            async with session.get(f"http://{address}/figstep/report") as answer:
-                assert answer.status == 200
-        answered = read_clock()
+        yield host
     finally:
         await host.kill()
         await spares.stop()
-    assert bodies[sound].count(b"\n\n") == 9
-    assert bodies[chosen].count(b"\n\n") == 4
+
+
+async def read_events(host: TargetHost, sleepy: bool) -> int:
+    """Return how many of nine events come before the end of a stream in order."""
+    number = next(number for number in IDS if draws_sleep(number) == sleepy)
+    headers = {"Expect-Instance": "e-1", "Token-Count": "1,400", "Request-Id": number}
+    url = f"http://{host.identity.address}/plan/9"
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(url, headers=headers) as response,
+    ):
+        return (await response.read()).count(b"\n\n")
+
+
+def read_sleeps(host: TargetHost) -> list[dict[str, Any]]:
+    """Return the lines of a journal that say when the engine slept."""
     lines: list[dict[str, Any]] = []
-    runs = read_journal(journal, lines.append)
+    read_journal(Path(host.identity.journal), lines.append)
+    return [line for line in lines if line["kind"] == "asleep"]
+
+
+async def test_a_sleeping_engine_closes_in_order_and_stands_still(
+    tmp_path: Path,
+) -> None:
+    """Guards against engines that say to sleep and answer, or close when they wake."""
+    async with open_sleepy_host(tmp_path) as host:
+        assert await read_events(host, sleepy=False) == 9
+        assert await read_events(host, sleepy=True) == 4
+        closed = read_clock()
+        url = f"http://{host.identity.address}/figstep/report"
+        async with aiohttp.ClientSession() as session, session.get(url) as answer:
+            assert answer.status == 200
+        answered = read_clock()
+    runs = read_journal(Path(host.identity.journal), lambda line: None)
     assert [run.broken_off for run in runs] == [False, True]
-    [asleep] = [line for line in lines if line["kind"] == "asleep"]
+    [asleep] = read_sleeps(host)
     assert asleep["end"] - asleep["start"] >= SLEEP_RANGE[0]
     assert closed < asleep["end"] <= answered
 
 
+async def test_an_engine_that_is_killed_in_its_sleep_has_slept(tmp_path: Path) -> None:
+    """Guards against breaches where an engine slept and its record says that it ran."""
+    async with open_sleepy_host(tmp_path) as host:
+        assert await read_events(host, sleepy=True) == 4
+        # The line is written after the connection is closed.
+        async with asyncio.timeout(30):
+            while not read_sleeps(host):
+                await asyncio.sleep(0.01)
+        killed = read_clock()
+        await host.kill()
+    [asleep] = read_sleeps(host)
+    assert asleep["start"] < killed < asleep["end"]
+
+
 @pytest.mark.parametrize("sleeping", [True, False])
 def test_only_engines_that_are_told_to_fall_asleep(
     sleeping: bool, tmp_path: Path
--- a/tests/platform/target.py
+++ b/tests/platform/target.py
@@ -218,9 +218,11 @@
         asyncio.get_running_loop().call_soon(self._sleep)
 
     def _sleep(self) -> None:
+        seconds = self._rng.uniform(*SLEEP_RANGE)
         began = read_clock()
-        time.sleep(self._rng.uniform(*SLEEP_RANGE))
-        self.write("asleep", start=began, end=read_clock())
+        # Before it, as the process may be killed meanwhile.
+        self.write("asleep", start=began, end=began + seconds)
+        time.sleep(seconds)
 
     def _write_run(self, run: Run) -> None:
         fields = dataclasses.asdict(run)
