--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -84,8 +84,12 @@
 """Time in seconds within which a target that leaves has ended if it closed an answer as
 it exits. It is asked after that whether it lives."""
 
-SOURCE_TRIES = 2
-"""Maximum number of queries of the source of a copy."""
+SOURCE_TRIES = 3
+"""Maximum number of queries of the source of a copy, if it resets them or this process
+is held up."""
+
+SOURCE_PAUSE_SECONDS = 0.02
+"""Pause before the source of a copy is queried again, in seconds."""
 
 SOURCE_TIMEOUT_SECONDS = 0.05
 """Timeout of a query of the source of a copy before the copy is used, in seconds. The
@@ -99,12 +103,20 @@
 """Time in seconds before an engine is ordered to stop a run, and between two orders.
 Most engines end a run with its connection, and reject the order then without work."""
 
-STOP_TRIES = 5
-"""Maximum number of orders to stop a run. Further ones are sent while the engine copies
-the run, which excludes an order, or does not answer."""
+QUICK_STOPS = 5
+"""Number of orders to stop a run after which further ones are sent less often."""
+
+STOP_PAUSE_SECONDS = 0.25
+"""Time in seconds before the first of these further orders; it doubles with each."""
+
+MAX_STOP_PAUSE_SECONDS = 1.0
+"""Longest time in seconds between two orders to stop a run. Many streams may have left
+one engine, and each has its own orders."""
 
-CONFLICT = 409
-"""Status of the answer to an order on a run that another order is in progress for."""
+UNMET_STATUSES = (408, 409, 429)
+"""Statuses below 500 with which an order to stop a run is not carried out yet, as
+another order on the run is in progress or the engine is too busy. One that engines
+reject in another way is not repeated."""
 
 MAX_ANSWER_BYTES = 8_388_608
 """Largest complete answer that may be sent to a caller, in bytes. A larger one counts
@@ -386,7 +398,8 @@
 
         The source of a copy on order is asked for its start, as its registration may
         not be read yet: after a restart it gives the names of its copies again. If it
-        does not answer, what is registered by the end of the query decides.
+        is silent, what is registered by the end of the query decides: copies are for
+        streams whose engine is.
         """
         owner = self._find_target(copy.owner.target)
         if copy.on_order and owner is not None:
@@ -394,16 +407,20 @@
         return is_outdated(copy, self._find_target)
 
     async def _query_source(self, owner: Target) -> None:
-        for _ in range(SOURCE_TRIES):
+        for number in range(SOURCE_TRIES):
+            if number:
+                await asyncio.sleep(SOURCE_PAUSE_SECONDS)
             asked_at = self._clock.now()
             try:
                 async with asyncio.timeout(SOURCE_TIMEOUT_SECONDS):
-                    await self._query_start(owner)
-                return
+                    start = await self._query_start(owner)
             except TimeoutError:
                 if self._clock.now() - asked_at < SOURCE_TIMEOUT_SECONDS * 2_000:
                     return
                 # This process was held up, and the answer may have arrived.
+                continue
+            if start is not Start.UNKNOWN:
+                return
 
     async def _pass_on(self, effect: OpenAttempt, exchange: CallerExchange) -> Event:
         """Send a request to another entry, and return what it answers."""
@@ -520,10 +537,10 @@
         try:
             if not reason and not delimited:
                 self._dispatch(StreamClosed(attempt))
-                statement = await self._query_kept(effect, going_at)
+                statement, start = await self._query_kept(effect, going_at)
                 if statement.kept is None or statement.kept <= 0:
                     # A target that lists the run has not restarted.
-                    outlived = await self._has_outlived(effect, response)
+                    outlived = await self._has_outlived(effect, response, start)
                     reason = explain_incomplete(replace(end, outlived=outlived))
         finally:
             # Also if the caller has left meanwhile: it may know its last event.
@@ -553,20 +570,30 @@
 
     async def _query_kept(
         self, effect: OpenAttempt, going_at: Millis
-    ) -> retention.Statement:
+    ) -> "tuple[retention.Statement, asyncio.Task[Start] | None]":
         """Return what the engine of a run states of it.
 
         That is nothing if the engine was not asked to keep the run, does not answer, or
         may have kept it no longer, as the run's end was read late.
+
+        An engine that is slow to answer is asked for its start meanwhile, as its
+        caller's stream waits. This query is returned as well if no list came.
         """
         target = self._find_target(effect.target)
         if effect.keep is None or target is None:
-            return retention.Statement()
+            return retention.Statement(), None
         assert self._session is not None
         until = Millis(going_at + effect.keep.duration)
-        return await retention.query_kept(
-            self._session, self._clock, target, effect.keep, until
+        listing = self._run_in_background(
+            retention.query_kept(self._session, self._clock, target, effect.keep, until)
         )
+        await asyncio.wait({listing}, timeout=retention.LIST_TIMEOUT_SECONDS)
+        if listing.done():
+            return listing.result(), None
+        start = self._run_in_background(self._confirm_start(target, effect.born))
+        statement = await listing
+        # A later incarnation may have given a list that does not show the run.
+        return statement, start if statement.kept is None else None
 
     def _release_kept(self, effect: OpenAttempt) -> None:
         target = self._find_target(effect.target)
@@ -684,7 +711,10 @@
         return explain_incomplete(Body(is_delimited(response), size, outlived))
 
     async def _has_outlived(
-        self, effect: OpenAttempt, response: aiohttp.ClientResponse
+        self,
+        effect: OpenAttempt,
+        response: aiohttp.ClientResponse,
+        asked: asyncio.Task[Start] | None = None,
     ) -> bool:
         """Return whether a target states that it lives after its answer.
 
@@ -692,6 +722,8 @@
         answer is complete. An accepted connection states nothing: a proxy, a
         supervisor, or the kernel for a stopped process accepts for a target that has
         crashed.
+
+        ``asked`` is the query of an engine's start that was begun already, if any.
         """
         if is_delimited(response):
             return True
@@ -700,12 +732,15 @@
             return False
         # Plain services get no priority, and need not state their start.
         needs_start = effect.priority is not None
-        start = await self._query_witness(effect, target)
-        if start in (None, Start.UNKNOWN):
-            # A successor accepts new connections too. Streams may outlast the time
-            # after which targets close idle ones.
-            needs_start |= start is Start.UNKNOWN and not effect.stream
-            start = await self._confirm_start(target, effect.born)
+        if asked is not None:
+            start: Start | None = await asked
+        else:
+            start = await self._query_witness(effect, target)
+            if start in (None, Start.UNKNOWN):
+                # A successor accepts new connections too. Streams may outlast the time
+                # after which targets close idle ones.
+                needs_start |= start is Start.UNKNOWN and not effect.stream
+                start = await self._confirm_start(target, effect.born)
         is_unstated = start is Start.UNSTATED and not needs_start
         lives = start is Start.REGISTERED or is_unstated
         fields = {"target": target.name, "attempt": effect.attempt}
@@ -788,10 +823,14 @@
     def stop_run(self, effect: StopRun) -> None:
         """Order an engine to stop a run whose connection is closed.
 
-        Nothing is ordered once the request is at that engine again. Failures are only
-        logged.
+        The order is repeated until the engine confirms it, the engine has ended or the
+        request's deadline has passed. Nothing is ordered once the request is at that
+        engine again. Failures are only logged.
         """
-        self._run_in_background(self._stop_run(effect))
+        destination = self._find_target(effect.destination)
+        if destination is not None:
+            address = destination.info.address
+            self._run_in_background(self._stop_run(effect, address))
 
     def drop_copy(self, copy: RunCopy) -> None:
         """Free a copy of a run at the engine that made it on order.
@@ -920,21 +959,27 @@
             RunNotCopied(effect.number, effect.source, effect.holder, made.detail)
         )
 
-    async def _stop_run(self, effect: StopRun) -> None:
+    async def _stop_run(self, effect: StopRun, destination: str) -> None:
         assert self._session is not None
-        for _ in range(STOP_TRIES):
-            await asyncio.sleep(STOP_DELAY_SECONDS)
+        orders = 0
+        pause = STOP_PAUSE_SECONDS
+        while self._clock.now() < effect.until:
+            if orders < QUICK_STOPS:
+                await asyncio.sleep(STOP_DELAY_SECONDS)
+            else:
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, MAX_STOP_PAUSE_SECONDS)
             source = self._find_target(effect.target.target)
-            destination = self._find_target(effect.destination)
             if source is None or source.info.incarnation != effect.target:
                 return
-            if destination is None or self._is_open_at(effect):
+            if source.ended_at is not None or self._is_open_at(effect):
                 return
+            orders += 1
             requested_at = self._clock.now()
             stopped = await copies.order_copy(
                 self._session,
                 source.info.address,
-                destination.info.address,
+                destination,
                 effect.request,
                 partial(
                     self._dispatch_target_signals,
@@ -944,13 +989,13 @@
                 stop=True,
             )
             fields = {"request": effect.request, "target": source.name}
-            _log.info("run stopped", extra={**fields, "detail": stopped.detail})
+            _log.info("run ordered to stop", extra={**fields, "detail": stopped.detail})
             if stopped.handle:
                 # The request goes on from an earlier copy.
                 await copies.free_copy(
                     self._session, source.info.address, stopped.handle
                 )
-            if stopped.status not in (0, CONFLICT):
+            if _confirms_stop(stopped):
                 return
 
     def _is_open_at(self, effect: StopRun) -> bool:
@@ -969,6 +1014,17 @@
             await copies.free_copy(self._session, copy.address, copy.handle)
 
 
+def _confirms_stop(stopped: copies.MadeCopy) -> bool:
+    """Return whether a run that was ordered to stop does not go on.
+
+    The engine names the memory of a run that it has stopped, and rejects an order on
+    one that it does not have. A gateway may answer for it with any status from 500 on.
+    """
+    if stopped.handle:
+        return True
+    return 400 <= stopped.status < 500 and stopped.status not in UNMET_STATUSES
+
+
 def _state_length(exchange: CallerExchange) -> list[tuple[str, str]]:
     """Return the header that states the length of a body, if there is one."""
     if not exchange.body:
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -350,6 +350,8 @@
         began: When it began to run requests in seconds, by id, by the loop's clock.
         worked: When it last worked on requests, by id.
         stopped: Ids of runs that it was ordered to stop.
+        stops_unmet: Number of orders to stop a run that it does not carry out.
+        answer_unmet: Answers these; their connections are reset if it is None.
         extra_headers: Headers added to all its answers.
         arrivals: Arrival times of requests in seconds, by the loop's clock.
         reports: Number of queries of its state.
@@ -367,6 +369,8 @@
         report: Answer to one query of its state, in place of the usual one, if set.
         kept: Answer to one query of what it keeps, in place of the usual one, if set.
         lists_lost: Number of queries of what it keeps whose connection it resets.
+        paths: Paths of all that it was asked, oldest first.
+        reports_lost: Number of queries of its state whose connection it resets.
     """
 
     name: str
@@ -384,6 +388,8 @@
     began: dict[str, float] = field(default_factory=dict)
     worked: dict[str, float] = field(default_factory=dict)
     stopped: list[str] = field(default_factory=list)
+    stops_unmet: int = 0
+    answer_unmet: Handler | None = None
     extra_headers: dict[str, str] = field(default_factory=dict)
     arrivals: list[float] = field(default_factory=list)
     reports: int = 0
@@ -400,6 +406,8 @@
     report: web.Response | None = None
     kept: web.Response | None = None
     lists_lost: int = 0
+    paths: list[str] = field(default_factory=list)
+    reports_lost: int = 0
 
     async def start(self, store: FakeStore, port: int = 0) -> None:
         """Start listening and register in the store."""
@@ -430,6 +438,7 @@
     async def _serve(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
+        self.paths.append(request.path)
         if self.afterlife is not None:
             return await answer_for_crashed(request, self.afterlife)
         return await handler(request)
@@ -543,6 +552,10 @@
 
     async def _report(self, request: web.Request) -> web.Response:
         self.reports += 1
+        if self.reports_lost:
+            self.reports_lost -= 1
+            assert request.transport is not None
+            request.transport.abort()
         if self.report is not None:
             given, self.report = self.report, None
             return given
@@ -576,11 +589,21 @@
         self.freed.append(request.match_info["handle"])
         return web.Response()
 
-    async def _move(self, request: web.Request) -> web.Response:
+    async def _leave_unmet(self, request: web.Request) -> web.StreamResponse:
+        if self.answer_unmet is not None:
+            return await self.answer_unmet(request)
+        assert request.transport is not None
+        request.transport.abort()
+        return web.Response()
+
+    async def _move(self, request: web.Request) -> web.StreamResponse:
         order = orjson.loads(await request.read())
         if order.get("last"):
             if order["id"] in self.aborted:
                 return web.Response(status=404)
+            if self.stops_unmet:
+                self.stops_unmet -= 1
+                return await self._leave_unmet(request)
             self.stopped.append(order["id"])
         holder = self.peers.get(order["target"])
         if holder is None or not self.copies_runs:
