Take no refusal of a crashed service for a cut

Cause: a service's target is chosen at random, crashed or not. If the first three that the next call tried were those that had crashed, three refused connections without one in between looked like lost links: the calls that crashed them had been accepted, but only answers counted as connections. With three of six dead this is 1 of 20 orders, whatever the load.

Ruled out: the load of the machine; the avoidance of lost targets, which generations have and calls don't.

Now a refusal of a target that was found dead shows no cut for six seconds if another target has accepted a call since that one broke. Calls that all break at once still show a cut at once, and so does a target that stays away longer.

Before: test_crashed_targets_that_refuse_connections_show_no_cut fails.

Limit: kept-alive connections that are reset as calls are sent on them, one after another, look like deaths, so that such a cut shows after six seconds.

--- a/figstep/core/links.py
+++ b/figstep/core/links.py
@@ -20,6 +20,12 @@
 Load reports of engines usually show earlier that the links are back.
 """
 
+DEATH_DURATION = Millis(6_000)
+"""Time in milliseconds after the death of a target in which its refusals show no cut.
+
+Services start again sooner. A cut that looked like deaths shows after that.
+"""
+
 RETRY_AFTER = Millis(300)
 """Retry-After in milliseconds; another entry may accept the request at once."""
 
@@ -42,13 +48,18 @@
     """Record that the connection of an attempt was not established.
 
     Fewer than ``MIN_FAILED_TARGETS`` targets never show a cut: they may all be down,
-    and then requests wait for the first one that is back.
+    and then requests wait for the first one that is back. One that was found dead shows
+    none for ``DEATH_DURATION`` if another one has accepted a call since: this entry's
+    links had not failed with it.
     """
     known = state.targets.get(attempt.target)
     if known is None:
         return []
     service = _name_service(known.info)
     reach = _find_reach(state, service)
+    if known.dead and now - known.died_at < DEATH_DURATION:
+        if known.broken_at <= reach.accepted_at:
+            return []
     if reach.record_failure(attempt.target, attempt.opened, MIN_FAILED_TARGETS, now):
         failed = " ".join(sorted(reach.failed))
         return [
@@ -60,6 +71,16 @@
     return []
 
 
+def record_broken(state: State, attempt: AttemptState, now: Millis) -> None:
+    """Record a service call whose connection broke: the target had accepted it."""
+    known = state.targets.get(attempt.target)
+    if known is None:
+        return
+    known.broken_at = now
+    reach = _find_reach(state, _name_service(known.info))
+    reach.accepted_at = max(reach.accepted_at, attempt.opened)
+
+
 def check_links(state: State, spec: RequestSpec, now: Millis) -> Problem | None:
     """Return the problem of a request that would reach no target; None if it may.
 
--- a/figstep/core/reach.py
+++ b/figstep/core/reach.py
@@ -37,6 +37,7 @@
             if it does not.
         cut_ended_at: When this entry last reached targets again after a cut.
         checked_at: When a connection was last opened only to check a target.
+        accepted_at: Newest opening of a call that a target accepted without an answer.
     """
 
     connected_at: Millis = Millis(-1_000_000)
@@ -44,6 +45,7 @@
     cut_off_since: Millis | None = None
     cut_ended_at: Millis = Millis(-1_000_000)
     checked_at: Millis = Millis(-1_000_000)
+    accepted_at: Millis = Millis(-1_000_000)
 
     @property
     def cut_off(self) -> bool:
--- a/figstep/core/recovery.py
+++ b/figstep/core/recovery.py
@@ -248,6 +248,7 @@
     elif _was_answered_in_vain(request, attempt, event, recovery):
         suspects.record_failed_resume(state, request, attempt, now)
     if event.loss is Loss.BROKEN and isinstance(request.spec.work, ServiceWork):
+        links.record_broken(state, attempt, now)
         effects += suspects.record_broken_call(state, request, attempt, now)
     match recovery:
         case retries.Recovery.RESUME if target is not None:
--- a/figstep/core/state.py
+++ b/figstep/core/state.py
@@ -154,6 +154,8 @@
         dead: Whether the target was found dead and has not answered since.
         died_at: Time at which the target was last found dead (monotonic), in
             milliseconds; a time in the past before the first death.
+        broken_at: Time at which a service call to the target last broke (monotonic), in
+            milliseconds; a time in the past before the first one.
         deaths: Number of times that the target was found dead.
         death_incarnation: Incarnation at the last death; -1 for none.
         lost: Digests of service calls whose connection to the target broke, and of
@@ -181,6 +183,7 @@
     gap_deviation: float = 0.0
     dead: bool = False
     died_at: Millis = Millis(-1_000_000)
+    broken_at: Millis = Millis(-1_000_000)
     deaths: int = 0
     death_incarnation: int = -1
     lost: dict[str, Millis] = field(default_factory=dict)
--- a/tests/core/test_suspects.py
+++ b/tests/core/test_suspects.py
@@ -13,8 +13,10 @@
     TargetDown,
 )
 from figstep.core.inventory import Inventory, ServiceInfo
+from figstep.core.links import DEATH_DURATION
+from figstep.core.reach import MIN_FAILED_TARGETS
 from figstep.core.specs import RequestSpec, ServiceWork
-from figstep.core.suspects import LOST_CALL_RETENTION
+from figstep.core.suspects import LOST_CALL_RETENTION, MAX_DEATHS
 from figstep.core.targets import MAX_AVOIDANCE
 from tests.core.entries import Entry
 
@@ -164,3 +166,44 @@
     target = crash(entry, "r1")
     entry.feed(TargetDown(target))
     assert entry.state.quarantine.crashes.count("good") == 1
+
+
+def lose_connections(entry: Entry, targets: list[str]) -> None:
+    """Let the connection of one read to each of the targets fail."""
+    for target in targets:
+        attempt = entry.find_attempt(start_at_target(entry, target))
+        entry.feed(AttemptLost(attempt, Loss.CONNECT_FAILED), after=1)
+
+
+def test_crashed_targets_that_refuse_connections_show_no_cut(entry: Entry) -> None:
+    """Guards against calls refused as cut off once a call has crashed three targets."""
+    send_read(entry, "r", "killer")
+    crashed = crash_all(entry, "r")
+    assert len(crashed) == MAX_DEATHS
+    lose_connections(entry, crashed)
+    send_read(entry, "next", "next")
+    assert entry.find_effects(OpenAttempt)
+
+
+def test_targets_whose_open_calls_break_at_once_show_a_cut(entry: Entry) -> None:
+    """Guards against links that reset all connections and are taken for crashes."""
+    names = [f"s{number}" for number in range(MIN_FAILED_TARGETS)]
+    calls = [start_at_target(entry, name) for name in names]
+    attempts = [entry.find_attempt(call) for call in calls]
+    entry.now = Millis(entry.now + 100)
+    for attempt, name in zip(attempts, names, strict=True):
+        entry.feed(AttemptLost(attempt, Loss.BROKEN))
+        entry.feed(TargetDown(name))
+    lose_connections(entry, names)
+    send_read(entry, "next", "next")
+    assert entry.find_effect(Refuse).problem.code == "cut_off"
+
+
+def test_targets_that_stay_away_after_their_crash_show_a_cut(entry: Entry) -> None:
+    """Guards against a cut that old crashes hide for good."""
+    send_read(entry, "r", "killer")
+    crashed = crash_all(entry, "r")
+    entry.now = Millis(entry.now + DEATH_DURATION)
+    lose_connections(entry, crashed)
+    send_read(entry, "next", "next")
+    assert entry.find_effect(Refuse).problem.code == "cut_off"
