Count documents as answered by streams that break, and by short answers

What callers saw: sound streams refused with crashes_targets for a document that they share with deadly prompts, in the first seconds of a run or beside many crashes.

What counts for a document that was answered takes five crashes.

Now a part counts as answered once an engine has written on it for 400 ms, whatever ends the stream, and once an engine has outlived a shorter answer by as much, as shown by a stream or a report that was asked for then; a refusal or a failure shows it not, and neither does an engine that has ended. And crashes count for the refusal of such a part from a second after them: no run with it begins meanwhile, while those in flight may clear it. What was never answered is refused after three crashes at once, as before.

Limit: a document that is deadly after more than 400 ms, or that turns deadly, takes five engines in place of three, as after whole answers.

--- a/figstep/core/crashes.py
+++ b/figstep/core/crashes.py
@@ -288,7 +288,9 @@
         subjects count. The request is refused if there are as many as the subject's
         kind takes, and one more for each crash without the subject in the same time
         span, up to ``MAX_UNRELATED_CRASHES`` more. A subject that was answered before
-        takes ``MAX_SPARED_CRASHES`` more.
+        takes ``MAX_SPARED_CRASHES`` more. For such a part only crashes count for which
+        its other runs have had ``SUSPICION_DELAY`` to show that it is harmless; it is
+        doubtful meanwhile, so that no further run begins.
 
         Args:
             subjects: Digest of the request and the parts of its prompt.
@@ -297,7 +299,10 @@
         for subject in subjects:
             is_spared = subject in self._get_answers(subject)
             spared = MAX_SPARED_CRASHES if is_spared else 0
-            if self._count_excess(subject, subjects, now) >= spared:
+            until = now
+            if is_spared and is_part(subject):
+                until = Millis(now - SUSPICION_DELAY)
+            if self._count_excess(subject, subjects, now, until) >= spared:
                 return subject
         return None
 
@@ -309,21 +314,23 @@
         for subject in subjects:
             if subject not in self._get_answers(subject):
                 continue
-            if self._count_excess(subject, subjects, now) >= 0:
+            if self._count_excess(subject, subjects, now, now) >= 0:
                 return subject
         return None
 
     def _count_excess(
-        self, subject: str, subjects: Collection[str], now: Millis
+        self, subject: str, subjects: Collection[str], now: Millis, until: Millis
     ) -> int:
         """Return how many crashes a subject has over those that it takes to refuse it.
 
-        The number is negative if it has too few.
+        The number is negative if it has too few. Crashes later than ``until``
+        (monotonic time) don't count.
         """
         required = _get_required(subject)
         if len(self._lives.get(subject, ())) < required:
             return -required
         own = self._list_attributed(subject, subjects, now)
+        own = [crash for crash in own if crash.at <= until]
         if not own:
             return -required
         unrelated = self._count_unrelated(subject, own)
--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -52,6 +52,10 @@
 """Time, in milliseconds, for which an engine has to write an answer until the request
 and its parts count as harmless. A crash follows the first event within less."""
 
+MAX_UNPROVEN = 64
+"""Maximum number of parts of short answers, for each target, of which it is not known
+yet whether the target lived on."""
+
 SHORT_ANSWER_RETENTION = Millis(3_000)
 """Time, in milliseconds, after which the check of an engine that wrote a short answer
 is given up. The engine may be known no longer."""
@@ -77,14 +81,18 @@
 
     Parts are recorded until the answer was written for ``WRITING_DURATION``, and only
     for losses that a crash causes at once: ``loss`` is None if this entry closed the
-    attempt. ``ended`` is when its connection ended, if that was before ``now``.
+    attempt. ``ended`` is when its connection ended, if that was before ``now``. Parts
+    that were written on for longer count as answered.
     """
     target = attempt.target
     request.on_trial = False
+    was_written = _was_written(attempt, request.delivered_at)
+    if was_written:
+        _record_written(state, request)
     if target.standing is not Standing.READY:
         return []
     subjects = [] if request.begun else [name_request(request.spec)]
-    if loss in _CRASH_LOSSES and not _was_written(attempt, request.delivered_at):
+    if loss in _CRASH_LOSSES and not was_written:
         subjects += list_parts(request.spec)
     if target.ended_at is not None and attempt.opened <= target.ended_at:
         return _suspect(state, target, subjects, target.ended_at, now)
@@ -107,6 +115,15 @@
     return first is not None and until - first >= WRITING_DURATION
 
 
+def _record_written(state: State, request: Request) -> None:
+    """Record that an engine has written on the parts of a request until its last event.
+
+    Whether the rest of the answer comes says nothing about them.
+    """
+    for part in list_parts(request.spec):
+        state.crashes.record_answer(part, request.delivered_at)
+
+
 def name_request(spec: RoutedRequest) -> str:
     """Return the subject for a request, which is the same when it is sent again.
 
@@ -140,11 +157,17 @@
     return [ProbeTarget(target.name)]
 
 
-def record_answer(state: State, target: Target, asked: Millis) -> None:
+def record_answer(
+    state: State, target: Target, asked: Millis, ran: bool = True
+) -> None:
     """Record that a target answered a request sent at ``asked``: it was running then.
 
     An end recorded less than ``MIN_RESTART_TIME`` before that is discarded as wrong.
+    ``ran`` is False for a refusal or a failure, which something else at the address of
+    a target that has ended may send as well.
     """
+    if ran:
+        _prove_short_answers(state, target, asked)
     if target.lost:
         for subject, lost in list(target.lost.items()):
             if lost.at <= asked:
@@ -159,6 +182,15 @@
         state.crashes.discard_crash(_format_incarnation(target))
 
 
+def _prove_short_answers(state: State, target: Target, asked: Millis) -> None:
+    """Record the parts of short answers as answered that a target has outlived."""
+    for part, ended_at in list(target.unproven.items()):
+        if asked - ended_at < WRITING_DURATION:
+            break
+        state.crashes.record_answer(part, ended_at)
+        del target.unproven[part]
+
+
 def record_end(state: State, target: Target, now: Millis) -> list[Effect]:
     """Record that an incarnation of a target ended; suspect requests lost there.
 
@@ -167,6 +199,7 @@
     if target.standing is not Standing.READY or target.ended_at is not None:
         return []
     target.ended_at = now
+    target.unproven.clear()
     state.crashes.record_crash(_format_incarnation(target), now)
     return _suspect_lost(state, target, now)
 
@@ -221,6 +254,7 @@
     if target.standing is not Standing.READY or target.ended_at is not None:
         return []
     target.ended_at = Millis(now - suspicion.age)
+    target.unproven.clear()
     target.require_check(now)
     return _suspect_lost(state, target, now)
 
@@ -246,7 +280,7 @@
     """Drop the suspicions of the parts of an answered prompt, as far as that shows.
 
     A short answer may be whole before its parts crash the engine. They are cleared once
-    the engine is found to run ``WRITING_DURATION`` later.
+    the engine is found to run ``WRITING_DURATION`` later, and count as answered then.
     """
     request_id = request.spec.id
     parts = list_parts(request.spec)
@@ -254,6 +288,11 @@
         for part in parts:
             state.crashes.record_answer(part, now)
         return _clear(state, request_id, parts, now, now)
+    if attempt.relay is None and attempt.target.ended_at is None:
+        unproven = attempt.target.unproven
+        for part in parts:
+            if len(unproven) < MAX_UNPROVEN:
+                unproven.setdefault(part, now)
     doubtful = tuple(part for part in parts if state.crashes.is_suspected(part))
     if doubtful and attempt.relay is None:
         answer = ShortAnswer(request_id, attempt.target.name, doubtful, now)
@@ -274,6 +313,7 @@
         attempt = request.current
         if attempt is None or not _was_written(attempt, request.delivered_at):
             continue
+        _record_written(state, request)
         parts = list_parts(request.spec)
         effects += _clear(state, request.spec.id, parts, request.delivered_at, now)
     return effects + _check_short_answers(state, now)
@@ -304,6 +344,8 @@
             continue
         state.short_answers.remove(answer)
         if lives:
+            for part in answer.parts:
+                state.crashes.record_answer(part, answer.ended_at)
             effects += _clear(state, answer.request, answer.parts, answer.ended_at, now)
             continue
         for part in answer.parts:
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -149,7 +149,7 @@
         limits.record_pause(target, event.retry_after, now)
     match event.loss:
         case Loss.REFUSED:
-            crashes.record_answer(state, target, attempt.opened)
+            crashes.record_answer(state, target, attempt.opened, ran=False)
             if event.endless:
                 # It is not full but faulty, and would refuse the next requests too.
                 target.record_loss(now, True)
@@ -158,7 +158,7 @@
             return []
         case Loss.FAILED:
             target.record_failure()
-            crashes.record_answer(state, target, attempt.opened)
+            crashes.record_answer(state, target, attempt.opened, ran=False)
         case Loss.MISDIRECTED:
             # Another target has the address, so the intended target has ended.
             target_effects = crashes.record_end(state, target, now)
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -261,6 +261,8 @@
         lost: What requests whose attempts there ended without an answer may be
             suspected for. An answer to a request sent after the end of a run removes
             its entry.
+        unproven: Parts of short answers that it gave, with the times at which these
+            ended, the oldest first. They are removed once it is known to have lived on.
         broken_at: When the first connection broke after which it gave no answer; None
             if none did. If it has ended, it ended then or earlier.
         refused_at: When it refused a connection of this entry, until another target
@@ -322,6 +324,7 @@
     closes: CloseCount = field(default_factory=CloseCount)
     restarted: bool = False
     lost: dict[str, LostRun] = field(default_factory=dict)
+    unproven: dict[str, Millis] = field(default_factory=dict)
     broken_at: Millis | None = None
     refused_at: Millis | None = None
     needs_check: bool = False
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -488,6 +488,21 @@
     assert table.find_culprit(("new", SHARED), settled) == SHARED
 
 
+def test_runs_in_flight_have_a_second_to_clear_a_part_that_was_answered() -> None:
+    """Guards against refusing a document while its other runs may show it harmless."""
+    table = CrashTable()
+    table.record_answer(SHARED, Millis(NOW - 10))
+    now = NOW
+    for number in range(5):
+        now = Millis(NOW + 100 * number)
+        record_crash(table, f"e-{number}@1", f"digest {number}", SHARED, at=now)
+    early = Millis(now + SUSPICION_DELAY - 1)
+    assert table.find_culprit(("new", SHARED), early) is None
+    assert table.find_doubtful_part(("new", SHARED), early) == SHARED
+    settled = Millis(now + SUSPICION_DELAY)
+    assert table.find_culprit(("new", SHARED), settled) == SHARED
+
+
 def test_answers_to_parts_push_out_none_to_requests() -> None:
     """Guards against prompts with many parts that make a frequent request unknown."""
     table = CrashTable()
--- a/tests/gateway/crash_fleets.py
+++ b/tests/gateway/crash_fleets.py
@@ -106,6 +106,8 @@
         engines: int = 8,
         path: str = "/question/a",
         crash_after_event: bool = False,
+        documents: int = 40,
+        restart_delay: Millis = RESTART_DELAY,
         **options: object,
     ) -> None:
         """Start all entries and engines.
@@ -116,6 +118,9 @@
             path: Path of all requests.
             crash_after_event: Whether the first event of a run is delivered before the
                 guilty part crashes its engine.
+            documents: Number of documents that prompts share.
+            restart_delay: Milliseconds from a crash until another engine starts at the
+                same address.
             options: See `LimitedFleet`.
         """
         self.engines: list[Engine] = []
@@ -125,6 +130,8 @@
         self.refusals: list[str] = []
         self._path = path
         self._crash_after_event = crash_after_event
+        self._documents = documents
+        self._restart_delay = restart_delay
         self._lives: Iterator[int] = count(1)
         self._sound: dict[tuple[str, int, int], Caller] = {}
         self._guilty_numbers: set[tuple[str, int, int]] = set()
@@ -163,6 +170,28 @@
         self._next_guilty = float(self.clock.now())
         self._later(0, self._send_guilty)
 
+    def send_deadly(self, number: int, pause: int) -> None:
+        """Let one deadly prompt with a document come while guilty ones do.
+
+        It is sent again every ``pause`` milliseconds, to any entry.
+        """
+        if self.clock.now() >= self._guilty_until:
+            return
+        entry = self.rng.choice(self.entries)
+        self._add_guilty(entry)
+        document = f"document {number % self._documents}"
+        self._send_prompt(entry, ["first", document], f"deadly {number}")
+        self._later(pause, partial(self.send_deadly, number, pause))
+
+    def kill_engines(self, per_second: float) -> None:
+        """Kill engines at random while guilty prompts come."""
+        if self.clock.now() >= self._guilty_until:
+            return
+        engine = self.rng.choice(self.engines)
+        self._crash(engine, engine.info)
+        pause = max(1, round(self.rng.expovariate(per_second / 1_000)))
+        self._later(pause, partial(self.kill_engines, per_second))
+
     def count_late_arrivals(self) -> int:
         """Return how many requests with the part came to engines too late."""
         if len(self.crashes) < MANY_CRASHES:
@@ -183,7 +212,7 @@
     # Callers
 
     def _call(self, entry: SimulatedEntry) -> None:
-        parts = ["first", f"document {self.rng.randrange(40)}"]
+        parts = ["first", self._draw_document()]
         caller = Caller(self.clock.now())
         self.callers.append(caller)
         harness = entry.harness
@@ -195,15 +224,23 @@
         if now >= self._guilty_until:
             return
         entry = self.rng.choice(self.entries)
-        number = entry.harness.next_number
-        self._guilty_numbers.add((entry.node, entry.session, number))
-        document = f"document {self.rng.randrange(40)}"
-        self._send_prompt(entry, ["first", document, GUILTY])
+        self._add_guilty(entry)
+        self._send_prompt(entry, ["first", self._draw_document(), GUILTY])
         pause = self.rng.expovariate(self.guilty_per_second / 1_000)
         self._later(max(1, round(pause)), self._send_guilty)
 
-    def _send_prompt(self, entry: SimulatedEntry, parts: list[str]) -> None:
-        own = f"own {self.rng.random()}"
+    def _draw_document(self) -> str:
+        return f"document {self.rng.randrange(self._documents)}"
+
+    def _add_guilty(self, entry: SimulatedEntry) -> None:
+        """Let the next request to an entry crash the engines that run it."""
+        number = entry.harness.next_number
+        self._guilty_numbers.add((entry.node, entry.session, number))
+
+    def _send_prompt(
+        self, entry: SimulatedEntry, parts: list[str], own: str = ""
+    ) -> None:
+        own = own or f"own {self.rng.random()}"
         prompt = Prompt(
             "m", 2_600, 900, 50, tuple((part, 600) for part in [*parts, own])
         )
@@ -325,7 +362,7 @@
                 if entry.node == node:
                     lost = AttemptLost(attempt, Loss.BROKEN)
                     self._later(1, partial(self._lose, entry, lost))
-        self._later(RESTART_DELAY, partial(self._restart, engine))
+        self._later(self._restart_delay, partial(self._restart, engine))
 
     def _lose(self, entry: SimulatedEntry, lost: Event) -> None:
         self.handle(entry, lost)
--- a/tests/gateway/test_crash_fleets.py
+++ b/tests/gateway/test_crash_fleets.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from figstep.core.clock import Millis
 from tests.gateway.crash_fleets import (
+    MANY_CRASHES,
     MAX_LATE_ARRIVALS,
     MIN_SHARE,
     PATHS,
@@ -60,3 +62,30 @@
     fleet.restart(fleet.rng.sample(fleet.entries, 8))
     fleet.run(8)
     check_fleet(fleet)
+
+
+@pytest.mark.parametrize("lag", [0, 500])
+@pytest.mark.parametrize("seed", range(8))
+def test_no_document_is_refused_beside_deadly_prompts_and_kills(
+    seed: int, lag: int
+) -> None:
+    """Guards against refusing popular documents that were written on before."""
+    fleet = CrashFleet(
+        seed,
+        engines=5,
+        documents=5,
+        restart_delay=Millis(300),
+        domain_sizes=(3,),
+        targets=0,
+        calls_per_second=12.0,
+    )
+    fleet.guilty_per_second = 2.0
+    fleet.entries[0].lag = lag
+    fleet.run(4)
+    fleet.send_guilty(10)
+    fleet.send_deadly(0, 20)
+    fleet.send_deadly(1, 400)
+    fleet.kill_engines(1.0)
+    fleet.run(10)
+    assert len(fleet.crashes) >= MANY_CRASHES
+    assert "crashes_targets" not in fleet.refusals
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -6,7 +6,7 @@
 import pytest
 
 from figstep.core.clock import Millis
-from figstep.core.crashes import Suspicion, name_part
+from figstep.core.crashes import SUSPICION_DELAY, Suspicion, name_part
 from figstep.core.positions import Position
 from figstep.gateway import peers
 from figstep.gateway.crashes import (
@@ -656,6 +656,86 @@
     assert harness.state.crashes.is_suspected(name_part("guilty"))
 
 
+def start_unsuspected() -> tuple[EntryHarness, OpenAttempt]:
+    """Return an entry with engines that knows of no crash, and an open prompt."""
+    harness = EntryHarness(reachable=False)
+    harness.register("e-1")
+    return harness, start_prompt(harness)
+
+
+def crash_with_part(harness: EntryHarness, count: int) -> bool:
+    """Report crashes with the part, a second apart; return whether it is refused."""
+    for number in range(count):
+        harness.clock.advance(1_000)
+        for subject in (f"digest {number}", name_part("guilty")):
+            told = Suspicion(subject, f"e-{number + 10}@1")
+            harness.handle(PeerHeard("entry-2", suspicions=(told,)))
+    harness.clock.advance(SUSPICION_DELAY)
+    harness.receive_request("/question/a", Prompt("m", 300, 50, 50, GUILTY_PARTS))
+    return was_rejected(harness)
+
+
+@pytest.mark.parametrize("count", [4, 5])
+@pytest.mark.parametrize("gone", [False, True], ids=["lost", "caller gone"])
+def test_a_part_that_was_written_on_until_a_loss_counts_as_answered(
+    gone: bool, count: int
+) -> None:
+    """Guards against a document refused as its long streams are never whole."""
+    harness, opened = start_unsuspected()
+    harness.send_pieces(opened.attempt, 1, 1)
+    harness.clock.advance(WRITING_DURATION)
+    harness.send_pieces(opened.attempt, 2, 2)
+    if gone:
+        harness.handle(CallerGone(opened.number))
+    else:
+        harness.handle(AttemptLost(opened.attempt, Loss.BROKEN))
+    assert crash_with_part(harness, count) == (count == 5)
+
+
+@pytest.mark.parametrize("count", [4, 5])
+def test_the_part_of_a_running_stream_counts_as_answered(count: int) -> None:
+    """Guards against a document refused though its stream goes on after the crashes."""
+    harness, opened = start_unsuspected()
+    told = Suspicion(name_part("guilty"), "e-9@1")
+    harness.handle(PeerHeard("entry-2", suspicions=(told,)))
+    harness.send_pieces(opened.attempt, 1, 1)
+    harness.clock.advance(WRITING_DURATION)
+    harness.send_pieces(opened.attempt, 2, 2)
+    harness.handle(Ticked())
+    assert crash_with_part(harness, count) == (count == 5)
+
+
+class Outlived(Enum):
+    """What comes from the engine of a short answer after that."""
+
+    STREAM = "a stream that was asked for later"
+    EARLY = "a stream that was asked for too early"
+    REFUSAL = "a refusal, which may come from another process at its address"
+    END = "its end, and a stream at its address"
+
+
+@pytest.mark.parametrize("outlived", list(Outlived))
+def test_a_short_answer_counts_only_if_its_engine_outlives_it(
+    outlived: Outlived,
+) -> None:
+    """Guards against documents of short answers refused, and deadly ones that count."""
+    harness, opened = start_unsuspected()
+    harness.send_pieces(opened.attempt, 1, 2)
+    harness.handle(StreamEnded(opened.attempt))
+    early = outlived is Outlived.EARLY
+    harness.clock.advance(WRITING_DURATION - early)
+    harness.receive_request("/question/a", Prompt("m", 300, 50, 50))
+    later = harness.find_effect(OpenAttempt)
+    assert later.target == opened.target
+    if outlived is Outlived.END:
+        harness.handle(TargetDown(Incarnation(opened.target, 1)))
+    if outlived is Outlived.REFUSAL:
+        harness.handle(AttemptLost(later.attempt, Loss.REFUSED))
+    else:
+        harness.send_pieces(later.attempt, 1, 1)
+    assert crash_with_part(harness, 3) == (outlived is not Outlived.STREAM)
+
+
 def test_short_answers_are_forgotten_if_their_engine_is_gone() -> None:
     """Guards against a list of answers that grows with each engine that goes."""
     harness, _opened = answer_shortly()
