Refuse messages that name an entry by no IP address and port

A message of another process that named an entry 'nowhere' or 'host' without a number ended the task that sends an entry's messages: int() or the name look-up failed in it, and mode doesn't start it again. The entry went on to serve its callers, but the others took it for dead from then on, and it forgot no address any more. An address on which requests are passed on, if it was none, would have ended an attempt without its event.

Such a message is refused as malformed now.

--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -1,6 +1,8 @@
 """Codec of the messages and copies of records that entries exchange."""
 
+import ipaddress
 import zlib
+from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -37,6 +39,9 @@
 and targets take a few MB.
 """
 
+MAX_PORT = 65_535
+"""Largest number of a port."""
+
 COPY_COMPRESSION_LEVEL = 1
 """zlib compression level of record copies.
 
@@ -221,7 +226,8 @@
     address of the entry that wrote it.
 
     Raises:
-        PeerMessageError: If the datagram cannot be decoded.
+        PeerMessageError: If the datagram cannot be decoded, or names an entry by
+            anything but an IP address and a port.
     """
     try:
         message = _schema.Hello.from_bytes_packed(data)
@@ -347,6 +353,8 @@
         raise PeerMessageError(
             "malformed message; check which process sends to this port"
         ) from error
+    _check_addresses([content.address, *content.relays])
+    _check_addresses(member.address for member in members)
     return Hello(
         content,
         message.session,
@@ -357,6 +365,23 @@
     )
 
 
+def _check_addresses(addresses: Iterable[str]) -> None:
+    """Check that messages can be sent to some addresses of entries.
+
+    Raises:
+        PeerMessageError: If one is not "ip:port".
+    """
+    for address in addresses:
+        host, _, port = address.rpartition(":")
+        try:
+            ipaddress.ip_address(host)
+            is_port = port.isascii() and 0 < int(port) <= MAX_PORT
+        except ValueError as error:
+            raise PeerMessageError(f"{address[:40]!r} names no entry") from error
+        if not is_port:
+            raise PeerMessageError(f"{address[:40]!r} names no port of an entry")
+
+
 def encode_copy(copy: RecordCopy) -> bytes:
     """Return a copy of records in its encoded and compressed form."""
     message = _schema.Copy.new_message(
--- a/tests/net/test_hellos.py
+++ b/tests/net/test_hellos.py
@@ -127,6 +127,29 @@
         decode_hello(data, "10.0.0.1:7200")
 
 
+@pytest.mark.parametrize(
+    "address",
+    [
+        "nowhere",
+        "host:1",
+        "10.0.0.1:x",
+        "10.0.0.1:0",
+        "10.0.0.1:65536",
+        "10.0.0.1:\u0663",
+    ],
+)
+def test_a_message_that_names_no_address_of_an_entry_is_refused(address: str) -> None:
+    """Guards against an address to which no message or request can be sent."""
+    own = replace(OWN, address="10.0.0.2:7200", relays=())
+    for hello in (
+        Hello(replace(own, address=address)),
+        Hello(replace(own, relays=(address,))),
+        Hello(own, members=(Member(address, ""),)),
+    ):
+        with pytest.raises(PeerMessageError):
+            decode_hello(encode_hello(hello), "10.0.0.1:7200")
+
+
 def test_record_copies_round_trip() -> None:
     copy = RecordCopy(b"{}", Position(2, 9), (("i-1", b"\x00\xff"),))
     assert decode_copy(encode_copy(copy)) == copy
