Bound what messages and copies of records unpack to

A packed message holds 256 empty words in 2 bytes, and up to 64 MiB of them were unpacked. Five datagrams of 16 kB that name two million streams kept the loop busy for over 8 s and took 367 MiB; 61 kB of nothing took 122 MiB. A copy of records from another entry could have 32 MiB and was copied once more.

Messages unpack to 512 KiB at most, four times that of 300 targets; copies of records have 8 MiB at most, packed or not.

--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -32,13 +32,22 @@
 
 _schema: Any = capnp.load(str(Path(__file__).with_name("links.capnp")))
 
-MAX_COPY_BYTES = 32 * 1024 * 1024
+MAX_COPY_BYTES = 8 * 1024 * 1024
 """Maximum size of a copy of records that is accepted, in bytes.
 
-The limit applies before and after decompression. The records of thousands of routes
-and targets take a few MB.
+The limit applies before and after decompression and unpacking. The records of
+thousands of routes and targets take a few MB.
 """
 
+MAX_MESSAGE_WORDS = 65_536
+"""Largest size of an unpacked message, in words of 8 bytes.
+
+A packed message holds a run of up to 256 empty words in 2 bytes.
+"""
+
+MAX_COPY_WORDS = MAX_COPY_BYTES // 8
+"""Largest size of an unpacked copy of records, in words of 8 bytes."""
+
 MAX_PORT = 65_535
 """Largest number of a port."""
 
@@ -230,7 +239,7 @@
             anything but an IP address and a port.
     """
     try:
-        message = _schema.Hello.from_bytes_packed(data)
+        message = _schema.Hello.from_bytes_packed(data, MAX_MESSAGE_WORDS)
         loads = tuple(
             PeerLoad(
                 load.target,
@@ -395,7 +404,7 @@
     return zlib.compress(message.to_bytes_packed(), COPY_COMPRESSION_LEVEL)
 
 
-def decode_copy(data: bytes) -> RecordCopy:
+def decode_copy(data: bytes | bytearray) -> RecordCopy:
     """Return the copy of records that a peer sent.
 
     Raises:
@@ -403,7 +412,7 @@
             ``MAX_COPY_BYTES`` after decompression.
     """
     try:
-        message = _schema.Copy.from_bytes_packed(_decompress(data))
+        message = _schema.Copy.from_bytes_packed(_decompress(data), MAX_COPY_WORDS)
         entries = tuple(
             (str(entry.key), bytes(entry.value)) for entry in message.registrations
         )
@@ -413,7 +422,7 @@
         raise PeerMessageError("malformed copy of records; try another peer") from error
 
 
-def _decompress(data: bytes) -> bytes:
+def _decompress(data: bytes | bytearray) -> bytes:
     decoder = zlib.decompressobj()
     expanded = decoder.decompress(data, MAX_COPY_BYTES)
     if not decoder.eof:
--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -461,7 +461,7 @@
             writer.close()
 
 
-async def _read_to_end(reader: asyncio.StreamReader, max_bytes: int) -> bytes:
+async def _read_to_end(reader: asyncio.StreamReader, max_bytes: int) -> bytearray:
     """Read until the connection ends; stop once there are more than ``max_bytes``."""
     data = bytearray()
     while len(data) <= max_bytes:
@@ -469,7 +469,7 @@
         if not chunk:
             break
         data += chunk
-    return bytes(data)
+    return data
 
 
 def loop_time() -> float:
--- a/tests/net/test_hellos.py
+++ b/tests/net/test_hellos.py
@@ -1,5 +1,6 @@
 """Tests of the codec of messages and record copies between gateways."""
 
+from contextlib import suppress
 from dataclasses import replace
 
 import pytest
@@ -31,6 +32,7 @@
     encode_copy,
     encode_hello,
 )
+from figstep.net.links import MAX_DATAGRAM_BYTES
 from figstep.net.neighbors import Member
 
 OWN = PeerHeard(
@@ -150,6 +152,27 @@
             decode_hello(encode_hello(hello), "10.0.0.1:7200")
 
 
+def test_a_message_with_any_bit_flipped_is_read_or_refused() -> None:
+    """Guards against a damaged message that fails in no way its reader knows."""
+    sound = encode_hello(Hello(OWN, members=(Member("10.0.0.2:7200", "muc-b"),)))
+    for bit in range(8 * len(sound)):
+        damaged = bytearray(sound)
+        damaged[bit // 8] ^= 1 << bit % 8
+        with suppress(PeerMessageError):
+            decode_hello(bytes(damaged), "10.0.0.1:7200")
+
+
+def test_a_message_about_hundreds_of_targets_is_read() -> None:
+    """Guards against a bound of messages that refuses those of a large fleet."""
+    loads = tuple(
+        PeerLoad(f"i-engines-{number}", number, 34_000, 0, None, 0, 0, None)
+        for number in range(1_000)
+    )
+    data = encode_hello(Hello(replace(OWN, loads=loads)))
+    assert len(data) < MAX_DATAGRAM_BYTES
+    assert decode_hello(data, "10.0.0.1:7200").content.loads == loads
+
+
 def test_record_copies_round_trip() -> None:
     copy = RecordCopy(b"{}", Position(2, 9), (("i-1", b"\x00\xff"),))
     assert decode_copy(encode_copy(copy)) == copy
