Bound the numbers that targets and other entries name

A refusal with 'Retry-After: 1e308' ended its attempt with an OverflowError, and no event told the gateway of it: the caller waited until its deadline and got 504 in place of an answer at once. 'Server-Limit: 1e308' was worse: each further request to the service, at every entry that heard of the rate, failed with 500. NaN in a message of another entry would have done the same.

--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -51,6 +51,9 @@
 MAX_PORT = 65_535
 """Largest number of a port."""
 
+MAX_NUMBER = 1e12
+"""Largest number with a fraction in a message, in its unit."""
+
 COPY_COMPRESSION_LEVEL = 1
 """zlib compression level of record copies.
 
@@ -362,6 +365,7 @@
         raise PeerMessageError(
             "malformed message; check which process sends to this port"
         ) from error
+    _check_numbers(content)
     _check_addresses([content.address, *content.relays])
     _check_addresses(member.address for member in members)
     return Hello(
@@ -374,6 +378,21 @@
     )
 
 
+def _check_numbers(content: PeerHeard) -> None:
+    """Check that all numbers with a fraction are those that entries reckon with.
+
+    Raises:
+        PeerMessageError: If one is negative, not a number or too large.
+    """
+    numbers = [report.rate for report in content.rates]
+    numbers += [report.rejections for report in content.brittle]
+    for load in content.loads:
+        numbers += load.read_rate, load.pace
+    for number in numbers:
+        if number is not None and not 0 <= number <= MAX_NUMBER:
+            raise PeerMessageError(f"{number} is no number that an entry sends")
+
+
 def _check_addresses(addresses: Iterable[str]) -> None:
     """Check that messages can be sent to some addresses of entries.
 
--- a/figstep/net/targets.py
+++ b/figstep/net/targets.py
@@ -54,6 +54,9 @@
 MAX_RECORDED_BODY = 1_024
 """Maximum size of a service's answer that is recorded for replay, in bytes."""
 
+MAX_PAUSE_DIGITS = 6
+"""Most digits of the seconds of a pause that a target asks for."""
+
 _log = logbook.Logger("figstep.targets")
 
 _REFUSED_STATUSES = (429, 503)
@@ -339,7 +342,9 @@
 
 def _read_retry_after(response: aiohttp.ClientResponse) -> Millis | None:
     after = response.headers.get("Retry-After", "")
-    return Millis(int(after) * 1000) if after.isdigit() else None
+    if not after.isdecimal() or len(after) > MAX_PAUSE_DIGITS:
+        return None
+    return Millis(int(after) * 1000)
 
 
 def _pick_headers(response: aiohttp.ClientResponse) -> dict[str, str]:
--- a/figstep/platform/answers.py
+++ b/figstep/platform/answers.py
@@ -16,6 +16,13 @@
 
 _log = logbook.Logger("figstep.answers")
 
+MAX_RATE = 1e9
+"""Largest rate that a target may name, in requests or rejections a second; a larger one
+counts as this."""
+
+MAX_PAUSE_SECONDS = 86_400.0
+"""Longest pause that a target may ask for, in seconds; a longer one counts as this."""
+
 
 class RefusedError(Exception):
     """An answer proves that the request did not run.
@@ -138,19 +145,24 @@
 def parse_rate(text: str) -> float:
     """Return the rate that a target accepts, in requests a second.
 
+    It is ``MAX_RATE`` at most.
+
     Raises:
         ValueError: If the text is not a finite number of at least zero.
     """
-    return _parse_number(text)
+    return min(_parse_number(text), MAX_RATE)
 
 
 def parse_retry_after(text: str) -> Millis:
     """Return the milliseconds of a Retry-After header, which is given in seconds.
 
+    They are those of ``MAX_PAUSE_SECONDS`` at most.
+
     Raises:
         ValueError: If the text is not a finite number of at least zero.
     """
-    return Millis(round(_parse_number(text) * 1_000))
+    seconds = min(_parse_number(text), MAX_PAUSE_SECONDS)
+    return Millis(round(seconds * 1_000))
 
 
 def _parse_number(text: str) -> float:
