Go on sending messages after one that cannot be written

A store whose answers named an era of thirty digits silenced each entry that read them: the era fits into no message, the task that sends them ended with an OverflowError, and mode doesn't start it again. Other entries took the entry for dead while it served its callers.

An era that no message holds is no answer of the store now, and an error as a message is written or sent is logged, and the next one is tried.

--- a/figstep/net/links.py
+++ b/figstep/net/links.py
@@ -241,7 +241,7 @@
             self._entry.update_entry_count(1 + len(self._neighbors))
             own = self._entry.describe_entry()
             if self._is_due(own, now):
-                self._send_locally(now)
+                self._send_or_log(self._send_locally, now)
             await self.sleep(
                 LARGE_FLEET_POLL_SECONDS if self.is_large else POLL_SECONDS
             )
@@ -259,7 +259,15 @@
         while not self.should_stop:
             await self.sleep(REMOTE_UPDATE_SECONDS)
             if self.is_large and self._entry.is_domain_representative():
-                self._send_remotely(loop_time())
+                self._send_or_log(self._send_remotely, loop_time())
+
+    def _send_or_log(self, send: Callable[[float], None], now: float) -> None:
+        try:
+            send(now)
+        except Exception:
+            # If the task ended here, the other entries would take this one for dead
+            # while it serves its callers.
+            _log.exception("message not sent")
 
     def announce(self) -> None:
         """Schedule a message to the entries that exchange all loads.
--- a/figstep/platform/store.py
+++ b/figstep/platform/store.py
@@ -40,6 +40,12 @@
 reads often, in seconds. The others learn of records that they miss from the positions
 that entries announce."""
 
+MAX_ERA = (1 << 63) - 1
+"""Largest number of an era that messages between entries hold."""
+
+MAX_ERA_DIGITS = 19
+"""Most digits of such a number."""
+
 MAX_ANSWER_BYTES = 33_554_432
 """Largest answer of the store, in bytes; it limits pages and reads to some MB."""
 
@@ -284,11 +290,12 @@
     """Return the era that an answer's header names; 0 if it has none.
 
     Raises:
-        LogUnavailableError: If the header is no number.
+        LogUnavailableError: If the header is no number, or one above ``MAX_ERA``.
     """
     if value is None:
         return 0
-    if not (value.isascii() and value.isdigit()):
+    is_number = value.isascii() and value.isdigit() and len(value) <= MAX_ERA_DIGITS
+    if not is_number or int(value) > MAX_ERA:
         raise LogUnavailableError(f"{ERA_HEADER} is {value[:40]!r}, not a number")
     return int(value)
 
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from dataclasses import replace
 
 import pytest
@@ -82,6 +83,27 @@
         await link.stop()
 
 
+async def test_an_entry_sends_again_after_what_fits_into_no_message(
+    unused_tcp_port_factory: Callable[[], int],
+) -> None:
+    """Guards against an entry that is never heard again after a failure to send."""
+    ports = [unused_tcp_port_factory() for _ in range(2)]
+    hosts = [FakeHost(f"entry-{number}", "muc-a") for number in range(2)]
+    sound = hosts[0].own
+    hosts[0].own = replace(sound, configuration=1 << 70)
+    seed = f"127.0.0.1:{ports[1]}"
+    links = [open_link(port, (seed,), hosts[n]) for n, port in enumerate(ports)]
+    for link in links:
+        await link.start()
+    await asyncio.sleep(0.3)
+    hosts[0].own = sound
+    async with asyncio.timeout(5):
+        while not hosts[1].received:
+            await asyncio.sleep(0.02)
+    for link in links:
+        await link.stop()
+
+
 async def test_fetching_from_an_address_without_a_peer_fails(
     unused_tcp_port: int,
 ) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -33,6 +33,17 @@
     await fake.stop()
 
 
+async def test_an_answer_of_an_era_without_measure_is_none() -> None:
+    """Guards against the number of an era that fits into no message."""
+    fake, store = await open_store()
+    for era in (1 << 63, 10**30, 10**4_000):
+        fake.era = era
+        with pytest.raises(LogUnavailableError):
+            await store.read_newest(TOPIC)
+    await store.close()
+    await fake.stop()
+
+
 async def test_a_read_waits_for_a_record() -> None:
     fake, store = await open_store()
     reading = asyncio.create_task(store.read_records(TOPIC, 0))
