Bound the framing of answers before it is parsed

What arrives is parsed in slices; of an answer, 64 KiB and sixteen bytes for each of its body may be no part of its body, and sixteen heads may wait. More is an answer that cannot be read, which may have run. The connector of one opened connection has the same bound, and reads as little ahead as that of requests. The endless chunk extensions end.

A test of the connectors counted in the former limit; its bound of 1 MiB is the same.

--- a/figstep/net/connectors.py
+++ b/figstep/net/connectors.py
@@ -6,47 +6,87 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
 
+from figstep.core.clock import Millis
+from figstep.net.allowances import FramingAllowance
 from figstep.net.sockets import open_bounded_socket, open_keepalive_socket
 
-MAX_BYTES_WITHOUT_BODY = 262_144
-"""Largest number of bytes that may arrive in a row without any byte of a body.
+MAX_FRAMING_BYTES = 65_536
+"""Largest number of bytes of an answer that are no part of its body.
 
-These are heads, and the sizes, extensions and trailers of chunks. A head of usual size
-is a few hundred bytes.
+These are its head, those of interim answers before it, and the sizes, extensions and
+trailers of chunks. A head of usual size is a few hundred bytes.
 """
 
+FRAMING_PER_BODY_BYTE = 16
+"""Further bytes that are no part of a body, for each byte of the body. A chunk of one
+byte comes with five others."""
 
-class _ResetAwareHandler(ResponseHandler):
-    """Reports an error for a body whose connection is reset, or that makes no progress.
+MAX_WAITING_HEADS = 16
+"""Largest number of heads that wait to be read: interim answers, and the last one."""
+
+HEAD_SLICE_BYTES = 4_096
+"""Number of bytes that are parsed at once before a body begins."""
+
+BODY_SLICE_BYTES = 16_384
+"""Number of bytes that are parsed at once as a body arrives."""
+
+
+class _BoundedHandler(ResponseHandler):
+    """Reports an error for an answer whose framing exceeds its bound, or for a reset.
 
     An answer without a length ends with its connection. aiohttp treats a reset as
     such an end too, so that a part of an answer would be forwarded as a complete one.
 
-    The size of a chunk may go on without end, and then nothing else shows that the
-    answer does not.
+    What arrives at once is parsed in slices: thousands of interim answers or trailers
+    fit into it, and each takes more memory than on the connection.
     """
 
-    _body_bytes = 0
-    _bytes_without_body = 0
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._framing = FramingAllowance(MAX_FRAMING_BYTES)
+
+    def set_response_params(self, **params: Any) -> None:
+        """Begin to count anew, as the next answer belongs to another request."""
+        self._framing = FramingAllowance(MAX_FRAMING_BYTES)
+        super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
-        """Parse bytes, and close the connection if too many were no part of a body."""
+        """Parse bytes, and close the connection if the framing exceeds its bound."""
+        if not data:
+            # Parsing of what has been received before goes on.
+            self._parse(data)
+        position = 0
+        while position < len(data):
+            in_body = self._payload is not None and not self._payload.is_eof()
+            size = BODY_SLICE_BYTES if in_body else HEAD_SLICE_BYTES
+            self._parse(data[position : position + size])
+            position += size
+            if self.transport is None or self.transport.is_closing():
+                return
+
+    def _parse(self, data: bytes) -> None:
+        payload = self._payload
+        before = 0 if payload is None else payload.total_bytes
         super().data_received(data)
-        body_bytes = 0 if self._payload is None else self._payload.total_bytes
-        if body_bytes != self._body_bytes:
-            self._body_bytes = body_bytes
-            self._bytes_without_body = 0
-            return
-        self._bytes_without_body += len(data)
-        if self._bytes_without_body <= MAX_BYTES_WITHOUT_BODY:
-            return
-        error = aiohttp.ClientPayloadError(
-            f"{self._bytes_without_body} bytes came without any of a body"
-        )
-        if self._payload is not None:
-            self._payload.set_exception(error)
-        self.set_exception(error)
+        if self._payload is not None and self._payload is not payload:
+            payload, before = self._payload, 0
+        received = 0 if payload is None else payload.total_bytes - before
+        self._framing.count(max(0, len(data) - received), Millis(0))
+        self._framing.limit += FRAMING_PER_BODY_BYTE * received
+        if self._framing.is_used_up:
+            self._refuse(f"{self._framing.used} bytes came beside those of a body")
+        elif len(self._buffer) > MAX_WAITING_HEADS:
+            self._refuse(f"{len(self._buffer)} heads came at once")
+
+    def _refuse(self, reason: str) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(reason))
+        # The client takes this for a head that it cannot read.
+        self.set_exception(HttpProcessingError(code=400, message=reason))
+        self._buffer.clear()
         if self.transport is not None:
             self.transport.abort()
 
@@ -67,7 +107,7 @@
     def __init__(self, bounded: bool = False, **options: Any) -> None:
         factory = open_bounded_socket if bounded else open_keepalive_socket
         super().__init__(socket_factory=factory, **options)
-        self._factory: Any = functools.partial(_ResetAwareHandler, loop=self._loop)
+        self._factory: Any = functools.partial(_BoundedHandler, loop=self._loop)
 
 
 class OpenedConnector(aiohttp.BaseConnector):
@@ -79,6 +119,7 @@
 
     def __init__(self) -> None:
         super().__init__(limit=1, force_close=True)
+        self._factory: Any = functools.partial(_BoundedHandler, loop=self._loop)
         self._opened: ResponseHandler | None = None
 
     async def open(self, host: str, port: int, seconds: float) -> None:
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -742,7 +742,10 @@
             # Also a process that exits may close what it has not finished in order.
             await asyncio.sleep(EXIT_SECONDS)
         async with open_target_session(
-            witness.connector, CONNECT_TIMEOUT_SECONDS, _SUPPRESSED_CLIENT_HEADERS
+            witness.connector,
+            CONNECT_TIMEOUT_SECONDS,
+            _SUPPRESSED_CLIENT_HEADERS,
+            read_bytes=READ_BYTES,
         ) as session:
             start = await self._query_start(target, session)
         if start is Start.REGISTERED and target.info.born != effect.born:
--- a/tests/net/test_connectors.py
+++ b/tests/net/test_connectors.py
@@ -8,13 +8,16 @@
 import pytest
 
 from figstep.net.connectors import (
-    MAX_BYTES_WITHOUT_BODY,
+    MAX_FRAMING_BYTES,
     OpenedConnector,
     ResetAwareConnector,
 )
 from tests.platform.endless import EndlessTarget, Form
+from tests.platform.rude import Answer, RudeServer
 
 HALF_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf an ans"
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -74,10 +77,63 @@
     async with asyncio.timeout(3):
         while target.open:
             await asyncio.sleep(0.02)
-    assert target.most_sent <= 4 * MAX_BYTES_WITHOUT_BODY
+    assert target.most_sent <= 16 * MAX_FRAMING_BYTES
     await target.stop()
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [Answer.INTERIM_ANSWERS, Answer.INTERIM_HEADERS, Answer.LARGE_HEADERS],
+)
+async def test_a_head_above_the_bound_is_no_lost_connection(answer: Answer) -> None:
+    """Guards against an answer that may have run and counts as not received."""
+    target = RudeServer(answer)
+    await target.start()
+    with pytest.raises(aiohttp.ClientResponseError):
+        await read(f"http://{target.address}/")
+    await target.stop()
+
+
+@pytest.mark.parametrize("answer", [Answer.CHUNK_EXTENSIONS, Answer.TRAILERS])
+async def test_framing_without_measure_beside_a_body_is_given_up(
+    answer: Answer,
+) -> None:
+    """Guards against a byte of a body now and then that keeps endless framing going."""
+    target = RudeServer(answer)
+    await target.start()
+    async with asyncio.timeout(3):
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await read(f"http://{target.address}/")
+    await target.stop()
+
+
+@pytest.mark.parametrize(
+    ("start", "unit", "end", "body"),
+    [
+        (CHUNKED, b"1\r\nx\r\n", b"0\r\n\r\n", b"x"),
+        (CHUNKED, b"1;s=abcd\r\nx\r\n", b"0\r\nX-Sum: 1\r\n\r\n", b"x"),
+        (OK + b"Content-Length: 100000\r\n\r\n", b"x", b"", b"x"),
+    ],
+)
+async def test_a_body_of_small_pieces_is_whole(
+    start: bytes, unit: bytes, end: bytes, body: bytes
+) -> None:
+    """Guards against a bound of the framing that cuts sound answers."""
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        early = b"HTTP/1.1 102 Processing\r\n\r\n" * 10
+        writer.write(early + start + unit * 100_000 + end)
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    async with server:
+        assert await read(f"http://{host}:{port}/") == body * 100_000
+
+
 async def count_connections(requests: int, ends: bool) -> tuple[int, int]:
     """Send requests by a connector of one opened connection.
 
