Bound the framing of the log, engines, orders and the instance list

The clients of the own interface's log, load reports, orders and instance list used aiohttp's own handler: chunk extensions and interim answers without end were read at full speed until a timeout. They use the connector of the targets now.

--- a/figstep/net/instances.py
+++ b/figstep/net/instances.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from figstep.core.events import Event, InstanceInfo, InstancesListed
+from figstep.net.connectors import ResetAwareConnector
 from figstep.net.reading import read_body
 
 MIN_POLL_SECONDS = 1.0
@@ -44,7 +45,9 @@
     @Service.task
     async def _poll(self) -> None:
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with aiohttp.ClientSession(
+            connector=ResetAwareConnector(), timeout=timeout
+        ) as session:
             while not self.should_stop:
                 try:
                     async with session.get(self._url) as response:
--- a/figstep/net/log.py
+++ b/figstep/net/log.py
@@ -11,6 +11,7 @@
 
 from figstep.core.records import LogRecord
 from figstep.errors import LogTruncatedError, LogUnavailableError
+from figstep.net.connectors import ResetAwareConnector
 from figstep.net.reading import read_body
 
 ERA_HEADER = "Log-Era"
@@ -150,7 +151,7 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(connector=ResetAwareConnector())
         return self._session
 
     async def append(self, stream: str, records: list[dict[str, Any]]) -> int:
--- a/figstep/net/orders.py
+++ b/figstep/net/orders.py
@@ -19,6 +19,7 @@
     OrderOutcome,
     UnloadModel,
 )
+from figstep.net.connectors import ResetAwareConnector
 
 
 def build_order(order: Order, fencing: int) -> dict[str, Any]:
@@ -55,7 +56,9 @@
     async def on_start(self) -> None:
         """Open the client session."""
         timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT / 1000)
-        self._session = aiohttp.ClientSession(timeout=timeout)
+        self._session = aiohttp.ClientSession(
+            connector=ResetAwareConnector(), timeout=timeout
+        )
 
     async def on_stop(self) -> None:
         """Cancel the orders that are being sent."""
--- a/figstep/net/reports.py
+++ b/figstep/net/reports.py
@@ -11,6 +11,7 @@
 from figstep.core.clock import Millis
 from figstep.core.events import Event, LoadReported
 from figstep.core.inventory import EngineInfo
+from figstep.net.connectors import ResetAwareConnector
 from figstep.net.reading import read_body
 
 TIMEOUT_SECONDS = 2.0
@@ -50,7 +51,9 @@
     async def on_start(self) -> None:
         """Open the client session."""
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
-        self._session = aiohttp.ClientSession(timeout=timeout)
+        self._session = aiohttp.ClientSession(
+            connector=ResetAwareConnector(), timeout=timeout
+        )
 
     async def on_shutdown(self) -> None:
         """Cancel running reads and close the session."""
--- a/tests/net/test_reading.py
+++ b/tests/net/test_reading.py
@@ -7,10 +7,14 @@
 import aiohttp
 import pytest
 
+from figstep.core.clock import Millis
+from figstep.core.effects import SendOrder
 from figstep.core.events import Event
 from figstep.core.inventory import EngineInfo
+from figstep.core.orders import UnloadModel
 from figstep.errors import LogUnavailableError, PeerMessageError
-from figstep.net import instances, links, log, reports
+from figstep.net import instances, links, log, orders, reports
+from figstep.net.clock import SystemClock
 from figstep.net.log import HttpLog
 from figstep.net.reading import BodyTooLongError, read_body
 from figstep.platform import copies, store
@@ -117,6 +121,74 @@
     assert events == []
 
 
+EACH_FRAMING = pytest.mark.parametrize(
+    "form", [Form.CHUNK_EXTENSION, Form.TRAILERS, Form.INTERIM_ANSWERS]
+)
+
+
+@EACH_FRAMING
+async def test_the_log_s_framing_may_not_go_on_without_end(form: Form) -> None:
+    """Guards against an entry that reads the framing of the log until a timeout."""
+    async with open_endless(form) as target:
+        client = HttpLog(f"http://{target.address}", timeout=30.0)
+        async with asyncio.timeout(3):
+            with pytest.raises(LogUnavailableError):
+                await client.read("claims", 0)
+            with pytest.raises(LogUnavailableError):
+                await client.append("claims", [{}])
+        await client.close()
+
+
+@EACH_FRAMING
+async def test_an_engine_s_framing_may_not_go_on_without_end(
+    monkeypatch: pytest.MonkeyPatch, form: Form
+) -> None:
+    """Guards against an entry that reads the framing of an engine until a timeout."""
+    monkeypatch.setattr(reports, "TIMEOUT_SECONDS", 30.0)
+    async with open_endless(form) as target:
+        engine = EngineInfo("e-1", f"http://{target.address}", "a", ("m",))
+        edge = reports.ReportEdge(lambda event: None, lambda: [engine])
+        await edge.start()
+        async with asyncio.timeout(3):
+            while not target.most_sent:
+                await asyncio.sleep(0.02)
+        await edge.stop()
+
+
+async def test_an_order_s_interim_answers_may_not_go_on_without_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an order that is not sent again while its answer goes on."""
+    monkeypatch.setattr(orders, "ORDER_TIMEOUT", Millis(30_000))
+    events: list[Event] = []
+    async with open_endless(Form.INTERIM_ANSWERS) as target:
+        engine = EngineInfo("e-1", f"http://{target.address}", "a", ("m",))
+        clock = SystemClock()
+        edge = orders.OrderEdge(events.append, lambda name: engine, clock)
+        await edge.start()
+        until = Millis(clock.now() + 60_000)
+        edge.send_order(SendOrder(1, "e-1", UnloadModel("m", "v1"), 1, until))
+        async with asyncio.timeout(3):
+            while not events:
+                await asyncio.sleep(0.02)
+        await edge.stop()
+
+
+@EACH_FRAMING
+async def test_the_instance_list_s_framing_may_not_go_on_without_end(
+    monkeypatch: pytest.MonkeyPatch, form: Form
+) -> None:
+    """Guards against an entry that reads the list's framing until a timeout."""
+    monkeypatch.setattr(instances, "TIMEOUT_SECONDS", 30.0)
+    async with open_endless(form) as target:
+        edge = instances.InstanceEdge(f"http://{target.address}", lambda event: None)
+        await edge.start()
+        async with asyncio.timeout(3):
+            while not target.most_sent:
+                await asyncio.sleep(0.02)
+        await edge.stop()
+
+
 async def test_a_peer_s_copy_may_not_go_on_without_end(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
