Bound what signed messages unpack to before their signature is checked

A datagram of any sender at the own interface's port was unpacked to as much as 64 MiB before its authentication code was looked at.

--- a/figstep/net/messages.py
+++ b/figstep/net/messages.py
@@ -30,6 +30,12 @@
 MAX_RECORD_BYTES = 64 * 1024 * 1024
 """Maximum size of a checkpoint answer and of a decompressed record, in bytes."""
 
+MAX_MESSAGE_WORDS = 65_536
+"""Largest size of an unpacked datagram or request, in words of 8 bytes.
+
+A packed message holds a run of up to 256 empty words in 2 bytes.
+"""
+
 _schema: Any = capnp.load(str(Path(__file__).with_name("peers.capnp")))
 
 
@@ -67,8 +73,10 @@
             PeerMessageError: If the message is malformed or was not signed as this kind
                 with an accepted key.
         """
+        is_answer = kind is MessageKind.ANSWER
+        limit = MAX_RECORD_BYTES // 8 if is_answer else MAX_MESSAGE_WORDS
         try:
-            message = _schema.Signed.from_bytes_packed(data)
+            message = _schema.Signed.from_bytes_packed(data, limit)
             mac, body = bytes(message.mac), bytes(message.body)
         except (capnp.KjException, ValueError) as error:
             raise PeerMessageError(
