--- a/figstep/net/connectors.py
+++ b/figstep/net/connectors.py
@@ -29,7 +29,7 @@
 HEAD_SLICE_BYTES = 4_096
 """Number of bytes that are parsed at once before a body begins."""
 
-BODY_SLICE_BYTES = 16_384
+BODY_SLICE_BYTES = 65_536
 """Number of bytes that are parsed at once as a body arrives."""
 
 
