--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -1,6 +1,8 @@
 """Codec of the messages and copies of records that entries exchange."""
 
+import ipaddress
 import zlib
+from collections.abc import Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -30,13 +32,28 @@
 
 _schema: Any = capnp.load(str(Path(__file__).with_name("links.capnp")))
 
-MAX_COPY_BYTES = 32 * 1024 * 1024
+MAX_COPY_BYTES = 8 * 1024 * 1024
 """Maximum size of a copy of records that is accepted, in bytes.
 
-The limit applies before and after decompression. The records of thousands of routes
-and targets take a few MB.
+The limit applies before and after decompression and unpacking. The records of
+thousands of routes and targets take a few MB.
 """
 
+MAX_MESSAGE_WORDS = 65_536
+"""Largest size of an unpacked message, in words of 8 bytes.
+
+A packed message holds a run of up to 256 empty words in 2 bytes.
+"""
+
+MAX_COPY_WORDS = MAX_COPY_BYTES // 8
+"""Largest size of an unpacked copy of records, in words of 8 bytes."""
+
+MAX_PORT = 65_535
+"""Largest number of a port."""
+
+MAX_NUMBER = 1e12
+"""Largest number with a fraction in a message, in its unit."""
+
 COPY_COMPRESSION_LEVEL = 1
 """zlib compression level of record copies.
 
@@ -221,10 +238,11 @@
     address of the entry that wrote it.
 
     Raises:
-        PeerMessageError: If the datagram cannot be decoded.
+        PeerMessageError: If the datagram cannot be decoded, or names an entry by
+            anything but an IP address and a port.
     """
     try:
-        message = _schema.Hello.from_bytes_packed(data)
+        message = _schema.Hello.from_bytes_packed(data, MAX_MESSAGE_WORDS)
         loads = tuple(
             PeerLoad(
                 load.target,
@@ -347,6 +365,9 @@
         raise PeerMessageError(
             "malformed message; check which process sends to this port"
         ) from error
+    _check_numbers(content)
+    _check_addresses([content.address, *content.relays])
+    _check_addresses(member.address for member in members)
     return Hello(
         content,
         message.session,
@@ -357,6 +378,38 @@
     )
 
 
+def _check_numbers(content: PeerHeard) -> None:
+    """Check that all numbers with a fraction are those that entries reckon with.
+
+    Raises:
+        PeerMessageError: If one is negative, not a number or too large.
+    """
+    numbers = [report.rate for report in content.rates]
+    numbers += [report.rejections for report in content.brittle]
+    for load in content.loads:
+        numbers += load.read_rate, load.pace
+    for number in numbers:
+        if number is not None and not 0 <= number <= MAX_NUMBER:
+            raise PeerMessageError(f"{number} is no number that an entry sends")
+
+
+def _check_addresses(addresses: Iterable[str]) -> None:
+    """Check that messages can be sent to some addresses of entries.
+
+    Raises:
+        PeerMessageError: If one is not "ip:port".
+    """
+    for address in addresses:
+        host, _, port = address.rpartition(":")
+        try:
+            ipaddress.ip_address(host)
+            is_port = port.isascii() and 0 < int(port) <= MAX_PORT
+        except ValueError as error:
+            raise PeerMessageError(f"{address[:40]!r} names no entry") from error
+        if not is_port:
+            raise PeerMessageError(f"{address[:40]!r} names no port of an entry")
+
+
 def encode_copy(copy: RecordCopy) -> bytes:
     """Return a copy of records in its encoded and compressed form."""
     message = _schema.Copy.new_message(
@@ -370,7 +423,7 @@
     return zlib.compress(message.to_bytes_packed(), COPY_COMPRESSION_LEVEL)
 
 
-def decode_copy(data: bytes) -> RecordCopy:
+def decode_copy(data: bytes | bytearray) -> RecordCopy:
     """Return the copy of records that a peer sent.
 
     Raises:
@@ -378,7 +431,7 @@
             ``MAX_COPY_BYTES`` after decompression.
     """
     try:
-        message = _schema.Copy.from_bytes_packed(_decompress(data))
+        message = _schema.Copy.from_bytes_packed(_decompress(data), MAX_COPY_WORDS)
         entries = tuple(
             (str(entry.key), bytes(entry.value)) for entry in message.registrations
         )
@@ -388,7 +441,7 @@
         raise PeerMessageError("malformed copy of records; try another peer") from error
 
 
-def _decompress(data: bytes) -> bytes:
+def _decompress(data: bytes | bytearray) -> bytes:
     decoder = zlib.decompressobj()
     expanded = decoder.decompress(data, MAX_COPY_BYTES)
     if not decoder.eof:
