--- a/tests/net/test_connectors.py
+++ b/tests/net/test_connectors.py
@@ -13,7 +13,7 @@
     ResetAwareConnector,
 )
 from tests.platform.endless import EndlessTarget, Form
-from tests.platform.rude import Answer, RudeServer
+from tests.platform.rude_servers import Answer, RudeServer
 
 HALF_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf an ans"
 OK = b"HTTP/1.1 200 OK\r\n"
--- a/tests/platform/test_rude_peers.py
+++ b/tests/platform/test_rude_peers.py
@@ -27,7 +27,7 @@
     query_ready,
     start_entry,
 )
-from tests.platform.rude import Answer, RudeServer
+from tests.platform.rude_servers import Answer, RudeServer
 from tests.platform.standins import (
     KEY,
     ROUTE_HOST,
