Send with sockets of a bounded buffer in the tests of rude callers

A stream of asyncio drops an answer that has come once it cannot send any more, so that a refusal looked lost; and the system's buffers took four megabytes of what the entry had not read, so that a cut connection looked like one that is read on. With a send buffer of 64 KiB, what was sent is what the entry took.

Added: a body that breaks as it comes is not run, crowds that wait are closed for a caller that asks, and a body in chunks of all sizes is served.

--- a/tests/platform/rude.py
+++ b/tests/platform/rude.py
@@ -6,6 +6,7 @@
 import re
 import resource
 import signal
+import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
@@ -135,7 +136,7 @@
     sent: int = 0
     received: bytes = b""
     ended: bool = False
-    _writer: asyncio.StreamWriter | None = field(default=None, repr=False)
+    _socket: socket.socket | None = field(default=None, repr=False)
 
     async def send(self, pieces: AsyncIterator[bytes], reads: bool = False) -> None:
         """Send until the connection ends or ``MAX_SENT_BYTES`` are sent.
@@ -144,44 +145,53 @@
             pieces: What is sent.
             reads: Whether answers are read until the listener closes the connection.
         """
+        # A stream of asyncio drops what was received once it cannot send any more.
+        self._socket = socket.socket()
+        self._socket.setblocking(False)
+        # What is sent is then what the entry has taken, but for little.
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BYTES)
+        loop = asyncio.get_running_loop()
         try:
-            reader, self._writer = await asyncio.open_connection(self.host, self.port)
-        except ConnectionError:
+            await loop.sock_connect(self._socket, (self.host, self.port))
+        except OSError:
             self.ended = True
             return
-        reading = asyncio.create_task(self._read(reader)) if reads else None
+        reading = asyncio.create_task(self._read(self._socket)) if reads else None
         try:
-            await self._write(pieces)
+            await self._write(self._socket, pieces)
             if reading is not None:
                 await reading
         finally:
             if reading is not None:
                 reading.cancel()
 
-    async def _write(self, pieces: AsyncIterator[bytes]) -> None:
-        assert self._writer is not None
+    async def _write(
+        self, connection: socket.socket, pieces: AsyncIterator[bytes]
+    ) -> None:
+        loop = asyncio.get_running_loop()
         try:
             async for piece in pieces:
                 for start in range(0, len(piece), SEND_BYTES):
                     part = piece[start : start + SEND_BYTES]
-                    self._writer.write(part)
-                    await self._writer.drain()
+                    await loop.sock_sendall(connection, part)
                     self.sent += len(part)
+                    await asyncio.sleep(0)
                 if self.sent >= MAX_SENT_BYTES:
                     return
-        except ConnectionError:
+        except OSError:
             self.ended = True
 
-    async def _read(self, reader: asyncio.StreamReader) -> None:
-        with suppress(ConnectionError):
-            while data := await reader.read(65_536):
+    async def _read(self, connection: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with suppress(OSError):
+            while data := await loop.sock_recv(connection, 65_536):
                 self.received += data
         self.ended = True
 
     def close(self) -> None:
-        """Close the connection at once."""
-        if self._writer is not None:
-            self._writer.transport.abort()
+        """Close the connection."""
+        if self._socket is not None:
+            self._socket.close()
 
     @property
     def statuses(self) -> list[int]:
--- a/tests/platform/test_rude_callers.py
+++ b/tests/platform/test_rude_callers.py
@@ -95,6 +95,27 @@
     await check_health(entry)
 
 
+@pytest.mark.parametrize(
+    "more",
+    [b"zz\r\n", b"0\r\n" + b"a: b\r\n" * 200, b"3\r\nabc\r\nzz\r\n", b"0" * 21_000],
+    ids=["length", "trailers", "second", "zeros"],
+)
+async def test_a_body_that_breaks_as_it_comes_is_not_run(
+    entry: Entry, more: bytes
+) -> None:
+    """Guards against a refused body that is taken for a complete, shorter one."""
+
+    async def read_pieces() -> AsyncIterator[bytes]:
+        yield HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + more
+
+    sender = entry.open_sender()
+    async with asyncio.timeout(8):
+        await sender.send(read_pieces(), reads=True)
+    assert sender.statuses and set(sender.statuses) <= {400, 431}
+    assert entry.rude_requests == []
+    await check_health(entry)
+
+
 @pytest.mark.parametrize("form", [Form.HEADERS, Form.SMALL_TRAILERS, Form.EMPTY_LINES])
 @pytest.mark.parametrize("listener", ["relays", "readiness"])
 async def test_other_listeners_cut_off_what_never_ends(
@@ -163,6 +184,24 @@
     assert entry.target.bodies[-1:] == [b"x" * 20_000]
 
 
+async def test_a_body_in_chunks_of_all_sizes_is_served(entry: Entry) -> None:
+    """Guards against a connection that is not read on after small and large chunks."""
+    small = b"1\r\nx\r\n" * 20_000
+    large = b"10000\r\n" + b"y" * 65_536 + b"\r\n"
+
+    async def read_pieces() -> AsyncIterator[bytes]:
+        yield HEAD + b"Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+        for _ in range(3):
+            yield small + large * 4
+        yield b"0\r\n\r\n"
+
+    sender = entry.open_sender()
+    async with asyncio.timeout(20):
+        await sender.send(read_pieces(), reads=True)
+    assert sender.statuses == [200]
+    assert [len(body) for body in entry.target.bodies[-1:]] == [846_432]
+
+
 async def test_heads_inside_the_limit_are_served(entry: Entry) -> None:
     """Guards against a bound that refuses heads, or many of them in a row."""
     sender = entry.open_sender()
@@ -212,6 +251,24 @@
     await check_health(entry)
 
 
+@pytest.mark.parametrize("start", [b"", HEAD + b"Content-Length: 9\r\n\r\n"])
+async def test_a_crowd_that_waits_is_closed_for_one_that_asks(
+    entry: Entry, start: bytes
+) -> None:
+    """Guards against connections without a request that shut out those with one."""
+    writers = await open_silent(entry, SILENT)
+    try:
+        for writer in writers:
+            with suppress(ConnectionError):
+                writer.write(start)
+        await asyncio.sleep(0.2)
+        await check_health(entry)
+        assert entry.rude_requests == []
+    finally:
+        for writer in writers:
+            writer.transport.abort()
+
+
 async def test_a_crowd_that_sends_bytes_now_and_then_leaves_room_for_others(
     entry: Entry,
 ) -> None:
