Bound what a connection sends beside bodies, in one place

Callers that sent heads near the limit of each header, trailers, or anything without end filled the memory of an entry, or were read at full speed for ever. The limits of aiohttp's parser hold for one header and for their number; nothing bounded their sum, trailers, extensions and zeros of a chunk length, or empty lines. After an error the parser got what followed, and raised again with all that it held. Bytes behind a request that asks to upgrade were kept, and up to 32 requests that wait, each with its head. Small chunks were parsed for all connections in one turn of the event loop.

The parser of each listener (callers, requests of other entries, readiness and metrics, the interface of figstep's own) now gets small pieces, and is dropped once more has come without progress than the configured max_header_bytes, or head_bytes in figstep's own settings. The refusal is 431, or 400 where no line began; a body that was being read fails with it, so that nothing runs.

Ruled out: lower limits of the parser for each header alone, which refuse heads that the pages allow, and do not bound trailers.

--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -18,6 +18,7 @@
 from figstep.gateway.edges import AnswerHead, CallerPort, WholeAnswer
 from figstep.gateway.events import CallerGone, Event, RequestArrived, RoutedRequest
 from figstep.gateway.prompts import Prompt
+from figstep.gateway.routes import CallerLimits
 from figstep.net.buffers import (
     PIECE_BYTES,
     BufferTable,
@@ -26,6 +27,7 @@
     read_request_body,
     write_answer,
 )
+from figstep.net.connections import ConnectionLimits
 from figstep.net.listener import build_runner
 from figstep.net.sockets import close_in_order, reset_on_close
 from figstep.platform import names
@@ -63,6 +65,10 @@
     idle_seconds=75.0,
 )
 
+RELAY_HEAD_BYTES = 4_096
+"""Bytes by which the head of a request that another entry passes on may be larger than
+that of its caller."""
+
 
 class CallerExchange:
     """A caller's request, and the parts of its answer as they arrive.
@@ -187,6 +193,10 @@
             buffers: Buffers of all open requests.
         """
         super().__init__()
+        self._caller_limits = _build_limits()
+        self._relay_limits = _build_limits()
+        self._readiness_limits = _build_limits()
+        self.set_limits(CallerLimits())
         self._buffers = buffers
         self._relays = relays
         self._callers = callers
@@ -214,18 +224,18 @@
         listener = self._listener
         if listener is None:
             listener = listen(self._callers.host, self._callers.port)
-        await self._listen(
-            build_runner(app, LISTEN_LIMITS, bounded=True, decompress=False), listener
-        )
+        await self._listen(_build_request_runner(app, self._caller_limits), listener)
         if self._relays is not None:
             await self._listen_for_entries(self._relays.address)
         readiness_app = web.Application()
         readiness_app.router.add_get(READY_PATH, self._answer_readiness)
         readiness_app.router.add_get(METRICS_PATH, self._answer_metrics)
-        runner = web.AppRunner(
+        runner = build_runner(
             readiness_app,
-            access_log=None,
-            shutdown_timeout=READINESS_STOP_TIMEOUT_SECONDS,
+            LISTEN_LIMITS,
+            bounded=True,
+            connections=self._readiness_limits,
+            shutdown_seconds=READINESS_STOP_TIMEOUT_SECONDS,
         )
         await self._listen(runner, listen(self._readiness.host, self._readiness.port))
 
@@ -233,7 +243,7 @@
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_route("*", "/{path:.*}", self._serve_entry)
         app.on_response_prepare.append(self._prepare_response)
-        runner = _build_request_runner(app)
+        runner = _build_request_runner(app, self._relay_limits)
         await self._listen(runner, listen(address.host, address.port))
 
     async def _listen(self, runner: web.BaseRunner, listener: socket.socket) -> None:
@@ -246,6 +256,16 @@
         for runner in self._runners:
             await runner.cleanup()
 
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Apply the configured limits, also to connections that are open."""
+        for connections in (
+            self._caller_limits,
+            self._relay_limits,
+            self._readiness_limits,
+        ):
+            connections.head_bytes = limits.header_bytes
+        self._relay_limits.head_bytes += RELAY_HEAD_BYTES
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is open, also none whose body is on its way."""
@@ -485,9 +505,18 @@
     return tuple(selected)
 
 
-def _build_request_runner(app: web.Application) -> web.BaseRunner:
+def _build_limits() -> ConnectionLimits:
+    limits = CallerLimits()
+    return ConnectionLimits(limits.header_bytes)
+
+
+def _build_request_runner(
+    app: web.Application, limits: ConnectionLimits
+) -> web.BaseRunner:
     # Bodies are forwarded as they were sent.
-    return build_runner(app, LISTEN_LIMITS, bounded=True, decompress=False)
+    return build_runner(
+        app, LISTEN_LIMITS, bounded=True, decompress=False, connections=limits
+    )
 
 
 def read_request(number: int, request: web.Request, body: RequestBody) -> RoutedRequest:
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -327,6 +327,7 @@
         known = self.gateway.known.table
         if known is not None and known.version == table.version:
             self._configuration = value
+            self.callers.set_limits(known.limits)
 
     def _apply_registration_list(
         self, records: tuple[KeyedRecord, ...] | list[KeyedRecord], position: Position
--- a/figstep/settings.py
+++ b/figstep/settings.py
@@ -65,6 +65,8 @@
         body_bytes: Maximum size of a request body, in bytes.
         header_bytes: Maximum size of the request line, and of each header, in bytes.
         headers: Maximum number of headers in a request.
+        head_bytes: Maximum size of a request's line and headers together, in bytes,
+            and of what comes between two pieces of a body, and after it.
         body_seconds: Maximum time for receiving a request body, in seconds.
         idle_seconds: Maximum time that a connection may be idle, and maximum time
             for receiving the headers of a request, in seconds.
@@ -84,6 +86,7 @@
     body_bytes: int = Field(default=1_048_576, gt=0)
     header_bytes: int = Field(default=16_384, gt=0)
     headers: int = Field(default=64, gt=0)
+    head_bytes: int = Field(default=65_536, gt=0)
     body_seconds: float = Field(default=10.0, gt=0)
     idle_seconds: float = Field(default=75.0, gt=0)
     deadline_ms: int = Field(default=3_600_000, gt=0)
--- a/tests/net/test_callers.py
+++ b/tests/net/test_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -20,6 +21,7 @@
     body_bytes=2_000,
     header_bytes=1_000,
     headers=30,
+    head_bytes=8_000,
     body_seconds=0.3,
     idle_seconds=0.3,
     keep_alive_seconds=0.1,
@@ -171,6 +173,30 @@
         assert (await client.post(GOOD))[0] == 200
 
 
+@pytest.mark.parametrize(
+    ("more", "status"),
+    [
+        ("X-A: {0}\r\n" * 25, 431),
+        ("Transfer-Encoding: chunked\r\n\r\n0\r\n" + "X-A: {0}\r\n" * 25, 431),
+        ("Transfer-Encoding: chunked\r\n\r\n5;" + "{0}" * 25, 431),
+        ("Transfer-Encoding: chunked\r\n\r\n" + "0" * 25_000, 431),
+    ],
+    ids=["headers", "trailers", "extension", "zeros"],
+)
+async def test_requests_that_are_too_large_together_are_refused(
+    more: str, status: int
+) -> None:
+    """Guards against headers and trailers whose number times size fills the memory."""
+    head = f"POST {PATH} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
+    async with open_entry_client() as client:
+        reader, writer = await open_raw(client.url)
+        writer.write((head + more.format("a" * 900)).encode())
+        received = await asyncio.wait_for(reader.read(), 20)
+        assert re.findall(rb"HTTP/1\.[01] (\d{3}) ", received) == [b"%d" % status]
+        writer.close()
+        assert (await client.post(GOOD))[0] == 200
+
+
 async def test_generation_of_a_vanished_caller_is_cancelled() -> None:
     """Guards against generations that hold cache memory after their caller has left.
 
