Close connections by the configured times

The configuration's header_timeout_ms and idle_timeout_ms were read and used nowhere; connections closed after 75 s, and a byte now and then kept them open. The server of a listener now checks all its connections four times a second: one whose head has begun is closed after header_timeout_ms, one without a request after idle_timeout_ms, each as the configuration in force says. Empty lines begin no head and do not renew the time. Connections of other entries keep 75 s, as entries use them again. After a stall of the process the first check closes nothing, since requests may wait in the system that were sent in time.

On figstep's own interface idle_seconds bounds both, as before.

--- a/figstep/net/connections.py
+++ b/figstep/net/connections.py
@@ -1,4 +1,4 @@
-"""Connections with callers, and what each may send."""
+"""Connections with callers: what each may send, and how long it may wait."""
 
 import asyncio
 from collections import deque
@@ -10,7 +10,7 @@
 import logbook
 from aiohttp import web
 
-from figstep.core.clock import Clock
+from figstep.core.clock import Clock, Millis
 from figstep.core.problems import Problem
 from figstep.net.clock import SystemClock
 from figstep.net.parsers import (
@@ -24,6 +24,13 @@
 
 _log = logbook.Logger("figstep.callers")
 
+CHECK_SECONDS = 0.25
+"""Interval in seconds at which the times of a listener's connections are checked."""
+
+MAX_CHECK_INTERVAL = Millis(500)
+"""Longest time in milliseconds between two checks after which the second one closes
+connections."""
+
 LINGER_SECONDS = 1.0
 """How long a refused connection stays open for its caller to read the refusal, in
 seconds."""
@@ -44,15 +51,24 @@
     Attributes:
         head_bytes: Largest head of a request, in bytes. As much may come in trailers,
             in the framing between two pieces of content, and in empty lines.
+        head_timeout: Longest time for a head in milliseconds, from its first byte.
+        idle_timeout: Longest time without a request in milliseconds.
     """
 
     head_bytes: int
+    head_timeout: Millis
+    idle_timeout: Millis
 
 
 class CallerConnection(web.RequestHandler):
-    """Connection that bounds what it takes outside of bodies."""
+    """Connection that bounds what it takes outside of bodies.
+
+    Attributes:
+        idle_since: When the last request ended, or the connection was opened, in
+            milliseconds.
+    """
 
-    __slots__ = ("_aborted", "_linger_waiter")
+    __slots__ = ("_aborted", "_linger_waiter", "idle_since")
 
     def __init__(self, manager: "CallerServer", **options: Any) -> None:
         super().__init__(manager, **options)
@@ -65,6 +81,7 @@
         self._msg_queue_resume_size = MAX_WAITING_REQUESTS - 1
         self._linger_waiter: asyncio.Future[None] | None = None
         self._aborted = False
+        self.idle_since = manager.clock.now()
 
     @property
     def _bounded(self) -> BoundedParser | None:
@@ -74,11 +91,22 @@
     def _server(self) -> "CallerServer | None":
         return cast("CallerServer | None", self._manager)
 
+    @property
+    def serves(self) -> bool:
+        """Whether a request is being served, or waits for that."""
+        return self._waiter is None or self._waiter.done()
+
     @property
     def closes(self) -> bool:
         """Whether the connection is being closed."""
         return self._aborted or self._force_close or self._close
 
+    @property
+    def has_begun_head(self) -> bool:
+        """Whether a part of a head has come."""
+        parser = self._bounded
+        return parser is not None and parser.allowance.begun_at is not None
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget what the connection holds."""
         server = self._server
@@ -131,6 +159,18 @@
         self._stop_lingering()
         return super().shutdown(timeout)
 
+    def check_times(self, limits: ConnectionLimits, now: Millis) -> None:
+        """Close the connection if a head takes too long, or if it is idle."""
+        parser = self._bounded
+        if parser is None or self.serves:
+            return
+        if self.has_begun_head:
+            expired = parser.allowance.is_late(now, limits.head_timeout)
+        else:
+            expired = now - self.idle_since >= limits.idle_timeout
+        if expired:
+            self.force_close()
+
     def abort(self) -> None:
         """Close the connection at once."""
         self._aborted = True
@@ -170,6 +210,9 @@
         if last:
             resp.force_close()
         finished = await super().finish_response(request, resp, start_time)
+        server = self._server
+        if server is not None:
+            self.idle_since = server.clock.now()
         if parser is not None and last:
             parser.end_body()
             await self._linger()
@@ -245,7 +288,7 @@
 
     Attributes:
         limits: Limits of the connections, which may be replaced at any time.
-        clock: Clock of the time that heads take.
+        clock: Clock of the connections' times.
         turns: Connections that hold bytes to be parsed.
     """
 
@@ -273,11 +316,37 @@
         self._kind = BufferedConnection if bounded else CallerConnection
         self._held: dict[CallerConnection, int] = {}
         self._held_bytes = 0
+        self._check: asyncio.TimerHandle | None = None
+        self._checked_at = self.clock.now()
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
         return self._kind(self, loop=self._loop, **self._kwargs)
 
+    def connection_made(
+        self, handler: web.RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """Check the times of connections from now on."""
+        super().connection_made(handler, transport)
+        if self._check is None:
+            self._checked_at = self.clock.now()
+            self._check = self._loop.call_later(CHECK_SECONDS, self._check_times)
+
+    def _list_connections(self) -> list[CallerConnection]:
+        return cast(list[CallerConnection], list(self._connections))
+
+    def _check_times(self) -> None:
+        self._check = None
+        now = self.clock.now()
+        # After a stall, requests may wait in the system that were sent in time.
+        stalled = now - self._checked_at > MAX_CHECK_INTERVAL
+        self._checked_at = now
+        for connection in self._list_connections():
+            if not stalled:
+                connection.check_times(self.limits, now)
+        if self._connections:
+            self._check = self._loop.call_later(CHECK_SECONDS, self._check_times)
+
     def set_held(self, connection: CallerConnection, size: int) -> None:
         """Set what a connection holds of requests that are not served yet, in bytes.
 
--- a/figstep/net/listener.py
+++ b/figstep/net/listener.py
@@ -7,11 +7,16 @@
 
 from aiohttp import web
 
+from figstep.core.clock import Millis
 from figstep.errors import ListenError
 from figstep.net.connections import CallerServer, ConnectionLimits
 from figstep.net.refusals import answer_errors
 from figstep.settings import Limits, Tls
 
+UNLIMITED_SECONDS = 1e9
+"""Time without a request after which aiohttp would close a connection, in seconds. The
+server closes idle connections itself, as their limit may change."""
+
 SHUTDOWN_SECONDS = 1.0
 """Maximum time that a closing listener waits for open requests, in seconds."""
 
@@ -49,7 +54,8 @@
 
 def build_connection_limits(limits: Limits) -> ConnectionLimits:
     """Return the limits of connections."""
-    return ConnectionLimits(limits.head_bytes)
+    idle = Millis(round(limits.idle_seconds * 1000))
+    return ConnectionLimits(limits.head_bytes, idle, idle)
 
 
 def build_runner(
@@ -79,7 +85,7 @@
         auto_decompress=decompress,
         handler_cancellation=True,
         shutdown_timeout=shutdown_seconds,
-        keepalive_timeout=limits.idle_seconds,
+        keepalive_timeout=UNLIMITED_SECONDS,
         lingering_time=limits.body_seconds,
         max_line_size=limits.header_bytes,
         max_field_size=limits.header_bytes,
--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -62,13 +62,16 @@
     header_bytes=32_768,
     headers=128,
     body_seconds=BODY_TIMEOUT_SECONDS,
-    idle_seconds=75.0,
 )
 
 RELAY_HEAD_BYTES = 4_096
 """Bytes by which the head of a request that another entry passes on may be larger than
 that of its caller."""
 
+RELAY_IDLE_TIMEOUT = Millis(75_000)
+"""How long a connection of another entry may stay without a request, in milliseconds.
+It has to be longer than entries keep such connections to use them again."""
+
 
 class CallerExchange:
     """A caller's request, and the parts of its answer as they arrive.
@@ -264,7 +267,10 @@
             self._readiness_limits,
         ):
             connections.head_bytes = limits.header_bytes
+            connections.head_timeout = limits.header_timeout
+            connections.idle_timeout = limits.idle_timeout
         self._relay_limits.head_bytes += RELAY_HEAD_BYTES
+        self._relay_limits.idle_timeout = RELAY_IDLE_TIMEOUT
 
     @property
     def is_idle(self) -> bool:
@@ -507,7 +513,9 @@
 
 def _build_limits() -> ConnectionLimits:
     limits = CallerLimits()
-    return ConnectionLimits(limits.header_bytes)
+    return ConnectionLimits(
+        limits.header_bytes, limits.header_timeout, limits.idle_timeout
+    )
 
 
 def _build_request_runner(
--- a/tests/net/test_parsers.py
+++ b/tests/net/test_parsers.py
@@ -8,6 +8,7 @@
 import pytest
 from aiohttp import web
 
+from figstep.core.clock import Millis
 from figstep.net import connections
 from figstep.net.connections import ConnectionLimits
 from figstep.net.listener import build_runner
@@ -38,7 +39,7 @@
 
 
 def build_limits() -> ConnectionLimits:
-    return ConnectionLimits(16_384)
+    return ConnectionLimits(16_384, Millis(60_000), Millis(60_000))
 
 
 async def exchange(address: tuple[str, int], data: bytes) -> bytes:
