Keep descriptors for those that are served

Connections were not counted: 300 that send nothing, or a byte of a head now and then, used up the 256 descriptors of an entry, and an ordinary request got no answer. Each listener now has a share: callers half of the descriptors, other entries an eighth, readiness and metrics a thirty-second; the rest is for targets, peers and the store. Above it the connection that has been idle for longest is closed, then one with a part of a head, then one with a part of a body, of which nothing has run; the newest only if all others are served.

--- a/figstep/net/connections.py
+++ b/figstep/net/connections.py
@@ -1,4 +1,4 @@
-"""Connections with callers: what each may send, and how long it may wait."""
+"""Connections with callers: what each may send, and how many there may be."""
 
 import asyncio
 from collections import deque
@@ -53,11 +53,13 @@
             in the framing between two pieces of content, and in empty lines.
         head_timeout: Longest time for a head in milliseconds, from its first byte.
         idle_timeout: Longest time without a request in milliseconds.
+        connections: Largest number of open connections.
     """
 
     head_bytes: int
     head_timeout: Millis
     idle_timeout: Millis
+    connections: int
 
 
 class CallerConnection(web.RequestHandler):
@@ -96,6 +98,14 @@
         """Whether a request is being served, or waits for that."""
         return self._waiter is None or self._waiter.done()
 
+    @property
+    def reads_body(self) -> bool:
+        """Whether all that it serves is a request whose body has not come yet."""
+        parser, request = self._bounded, self._current_request
+        if parser is None or self._messages or not parser.reads_body:
+            return False
+        return request is None or request.content is parser.body
+
     @property
     def closes(self) -> bool:
         """Whether the connection is being closed."""
@@ -107,6 +117,13 @@
         parser = self._bounded
         return parser is not None and parser.allowance.begun_at is not None
 
+    @property
+    def stage(self) -> int:
+        """How far a request has come: 0 for none, 1 for its head, 2 for its body."""
+        if self.serves:
+            return 2
+        return int(self.has_begun_head)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget what the connection holds."""
         server = self._server
@@ -326,12 +343,32 @@
     def connection_made(
         self, handler: web.RequestHandler, transport: asyncio.Transport
     ) -> None:
-        """Check the times of connections from now on."""
+        """Count a new connection, and close another one if there are too many."""
         super().connection_made(handler, transport)
+        if len(self._connections) > self.limits.connections:
+            self._make_room(cast(CallerConnection, handler))
         if self._check is None:
             self._checked_at = self.clock.now()
             self._check = self._loop.call_later(CHECK_SECONDS, self._check_times)
 
+    def _make_room(self, newest: CallerConnection) -> None:
+        """Close the connection that has been idle for longest.
+
+        Those with a part of a head follow, then those with a part of a body, and the
+        newest if all others serve requests.
+        """
+        chosen = newest
+        least = (3, newest.idle_since)
+        for one in self._list_connections():
+            if one.closes or one is newest or (one.serves and not one.reads_body):
+                continue
+            place = (one.stage, one.idle_since)
+            if place < least:
+                chosen, least = one, place
+        if chosen is newest:
+            _log.info("connection closed, all others serve requests")
+        chosen.abort()
+
     def _list_connections(self) -> list[CallerConnection]:
         return cast(list[CallerConnection], list(self._connections))
 
--- a/figstep/net/listener.py
+++ b/figstep/net/listener.py
@@ -1,6 +1,7 @@
 """HTTP listener for callers that answers malformed HTTP with problem documents."""
 
 import asyncio
+import resource
 import ssl
 from functools import partial
 from typing import Any
@@ -53,9 +54,10 @@
 
 
 def build_connection_limits(limits: Limits) -> ConnectionLimits:
-    """Return the limits of connections."""
+    """Return the limits of connections; callers may open half of the descriptors."""
     idle = Millis(round(limits.idle_seconds * 1000))
-    return ConnectionLimits(limits.head_bytes, idle, idle)
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return ConnectionLimits(limits.head_bytes, idle, idle, descriptors // 2)
 
 
 def build_runner(
--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import resource
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -72,6 +73,18 @@
 """How long a connection of another entry may stay without a request, in milliseconds.
 It has to be longer than entries keep such connections to use them again."""
 
+CALLER_SHARE = 1 / 2
+"""Share of an entry's descriptors that connections with callers may take."""
+
+RELAY_SHARE = 1 / 8
+"""Share of the descriptors that connections for requests of other entries may take."""
+
+MIN_CONNECTIONS = 8
+"""Connections that each listener may have however few descriptors there are."""
+
+READINESS_SHARE = 1 / 32
+"""Share of the descriptors that connections for readiness checks may take."""
+
 
 class CallerExchange:
     """A caller's request, and the parts of its answer as they arrive.
@@ -182,6 +195,7 @@
         relays: RelayListener | None = None,
         *,
         buffers: BufferTable,
+        descriptors: int,
     ) -> None:
         """Prepare the server; nothing listens before it starts.
 
@@ -194,11 +208,13 @@
             listener: Socket that already listens for callers, or None to open one.
             relays: Where other entries pass requests on to this one, or None.
             buffers: Buffers of all open requests.
+            descriptors: Largest number of open files and sockets.
         """
         super().__init__()
-        self._caller_limits = _build_limits()
-        self._relay_limits = _build_limits()
-        self._readiness_limits = _build_limits()
+        allowed = min(descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        self._caller_limits = _build_limits(allowed * CALLER_SHARE)
+        self._relay_limits = _build_limits(allowed * RELAY_SHARE)
+        self._readiness_limits = _build_limits(allowed * READINESS_SHARE)
         self.set_limits(CallerLimits())
         self._buffers = buffers
         self._relays = relays
@@ -511,10 +527,13 @@
     return tuple(selected)
 
 
-def _build_limits() -> ConnectionLimits:
+def _build_limits(connections: float) -> ConnectionLimits:
     limits = CallerLimits()
     return ConnectionLimits(
-        limits.header_bytes, limits.header_timeout, limits.idle_timeout
+        limits.header_bytes,
+        limits.header_timeout,
+        limits.idle_timeout,
+        max(MIN_CONNECTIONS, round(connections)),
     )
 
 
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -160,6 +160,7 @@
             listener,
             None if settings.relays is None else self._build_relays(settings.relays),
             buffers=self.buffers,
+            descriptors=settings.descriptors,
         )
         self.targets = TargetEdge(
             self._clock,
--- a/tests/net/test_parsers.py
+++ b/tests/net/test_parsers.py
@@ -38,8 +38,8 @@
         await runner.cleanup()
 
 
-def build_limits() -> ConnectionLimits:
-    return ConnectionLimits(16_384, Millis(60_000), Millis(60_000))
+def build_limits(connections: int = 100) -> ConnectionLimits:
+    return ConnectionLimits(16_384, Millis(60_000), Millis(60_000), connections)
 
 
 async def exchange(address: tuple[str, int], data: bytes) -> bytes:
@@ -113,6 +113,26 @@
     assert received.endswith(b"end")
 
 
+async def test_the_oldest_idle_connection_makes_room() -> None:
+    """Guards against a limit that closes those that were used last, or new ones."""
+    async with serve(build_limits(connections=3)) as address:
+        opened = [await asyncio.open_connection(*address) for _ in range(3)]
+        request = HEAD + b"Content-Length: 3\r\n\r\nabc"
+        opened[0][1].write(request)
+        assert b" 200 " in await opened[0][0].readline()
+        await asyncio.sleep(0.05)
+        received = await exchange(address, HEAD + b"Connection: close\r\n\r\n")
+        assert b" 200 " in received
+        assert await opened[1][0].read() == b""
+        opened[0][1].write(request)
+        opened[2][1].write(request)
+        assert b" 200 " in await opened[2][0].readline()
+        await opened[0][0].readuntil(b"abc")
+        await opened[0][0].readuntil(b"abc")
+        for _, writer in opened:
+            writer.close()
+
+
 async def test_many_heads_that_never_end_leave_room_for_a_whole_one(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
