--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import resource
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -18,6 +19,7 @@
 from figstep.gateway.edges import AnswerHead, CallerPort, WholeAnswer
 from figstep.gateway.events import CallerGone, Event, RequestArrived, RoutedRequest
 from figstep.gateway.prompts import Prompt
+from figstep.gateway.routes import CallerLimits
 from figstep.net.buffers import (
     PIECE_BYTES,
     BufferTable,
@@ -26,6 +28,7 @@
     read_request_body,
     write_answer,
 )
+from figstep.net.connections import ConnectionLimits
 from figstep.net.listener import build_runner
 from figstep.net.sockets import close_in_order, reset_on_close
 from figstep.platform import names
@@ -60,9 +63,28 @@
     header_bytes=32_768,
     headers=128,
     body_seconds=BODY_TIMEOUT_SECONDS,
-    idle_seconds=75.0,
 )
 
+RELAY_HEAD_BYTES = 4_096
+"""Bytes by which the head of a request that another entry passes on may be larger than
+that of its caller."""
+
+RELAY_IDLE_TIMEOUT = Millis(75_000)
+"""How long a connection of another entry may stay without a request, in milliseconds.
+It has to be longer than entries keep such connections to use them again."""
+
+CALLER_SHARE = 1 / 2
+"""Share of an entry's descriptors that connections with callers may take."""
+
+RELAY_SHARE = 1 / 8
+"""Share of the descriptors that connections for requests of other entries may take."""
+
+MIN_CONNECTIONS = 8
+"""Connections that each listener may have however few descriptors there are."""
+
+READINESS_SHARE = 1 / 32
+"""Share of the descriptors that connections for readiness checks may take."""
+
 
 class CallerExchange:
     """A caller's request, and the parts of its answer as they arrive.
@@ -173,6 +195,7 @@
         relays: RelayListener | None = None,
         *,
         buffers: BufferTable,
+        descriptors: int,
     ) -> None:
         """Prepare the server; nothing listens before it starts.
 
@@ -185,8 +208,14 @@
             listener: Socket that already listens for callers, or None to open one.
             relays: Where other entries pass requests on to this one, or None.
             buffers: Buffers of all open requests.
+            descriptors: Largest number of open files and sockets.
         """
         super().__init__()
+        allowed = min(descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        self._caller_limits = _build_limits(allowed * CALLER_SHARE)
+        self._relay_limits = _build_limits(allowed * RELAY_SHARE)
+        self._readiness_limits = _build_limits(allowed * READINESS_SHARE)
+        self.set_limits(CallerLimits())
         self._buffers = buffers
         self._relays = relays
         self._callers = callers
@@ -214,18 +243,18 @@
         listener = self._listener
         if listener is None:
             listener = listen(self._callers.host, self._callers.port)
-        await self._listen(
-            build_runner(app, LISTEN_LIMITS, bounded=True, decompress=False), listener
-        )
+        await self._listen(_build_request_runner(app, self._caller_limits), listener)
         if self._relays is not None:
             await self._listen_for_entries(self._relays.address)
         readiness_app = web.Application()
         readiness_app.router.add_get(READY_PATH, self._answer_readiness)
         readiness_app.router.add_get(METRICS_PATH, self._answer_metrics)
-        runner = web.AppRunner(
+        runner = build_runner(
             readiness_app,
-            access_log=None,
-            shutdown_timeout=READINESS_STOP_TIMEOUT_SECONDS,
+            LISTEN_LIMITS,
+            bounded=True,
+            connections=self._readiness_limits,
+            shutdown_seconds=READINESS_STOP_TIMEOUT_SECONDS,
         )
         await self._listen(runner, listen(self._readiness.host, self._readiness.port))
 
@@ -233,7 +262,7 @@
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_route("*", "/{path:.*}", self._serve_entry)
         app.on_response_prepare.append(self._prepare_response)
-        runner = _build_request_runner(app)
+        runner = _build_request_runner(app, self._relay_limits)
         await self._listen(runner, listen(address.host, address.port))
 
     async def _listen(self, runner: web.BaseRunner, listener: socket.socket) -> None:
@@ -246,6 +275,19 @@
         for runner in self._runners:
             await runner.cleanup()
 
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Apply the configured limits, also to connections that are open."""
+        for connections in (
+            self._caller_limits,
+            self._relay_limits,
+            self._readiness_limits,
+        ):
+            connections.head_bytes = limits.header_bytes
+            connections.head_timeout = limits.header_timeout
+            connections.idle_timeout = limits.idle_timeout
+        self._relay_limits.head_bytes += RELAY_HEAD_BYTES
+        self._relay_limits.idle_timeout = RELAY_IDLE_TIMEOUT
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is open, also none whose body is on its way."""
@@ -485,9 +527,23 @@
     return tuple(selected)
 
 
-def _build_request_runner(app: web.Application) -> web.BaseRunner:
+def _build_limits(connections: float) -> ConnectionLimits:
+    limits = CallerLimits()
+    return ConnectionLimits(
+        limits.header_bytes,
+        limits.header_timeout,
+        limits.idle_timeout,
+        max(MIN_CONNECTIONS, round(connections)),
+    )
+
+
+def _build_request_runner(
+    app: web.Application, limits: ConnectionLimits
+) -> web.BaseRunner:
     # Bodies are forwarded as they were sent.
-    return build_runner(app, LISTEN_LIMITS, bounded=True, decompress=False)
+    return build_runner(
+        app, LISTEN_LIMITS, bounded=True, decompress=False, connections=limits
+    )
 
 
 def read_request(number: int, request: web.Request, body: RequestBody) -> RoutedRequest:
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -160,6 +160,7 @@
             listener,
             None if settings.relays is None else self._build_relays(settings.relays),
             buffers=self.buffers,
+            descriptors=settings.descriptors,
         )
         self.targets = TargetEdge(
             self._clock,
@@ -327,6 +328,7 @@
         known = self.gateway.known.table
         if known is not None and known.version == table.version:
             self._configuration = value
+            self.callers.set_limits(known.limits)
 
     def _apply_registration_list(
         self, records: tuple[KeyedRecord, ...] | list[KeyedRecord], position: Position
