Blame a request that was never answered before one that was

What callers would see: a frequent call refused with crashes_targets, beside a deadly one, as targets also end for other reasons.

Cause: what was answered before takes four crashes. A frequent call that was at three crashes of a deadly one and at a target that was killed has four, the deadly one three, and so the frequent one was held to explain all of them.

Now a subject that was never answered, with up to one crash fewer, counts as equally suspected as one that was. A deadly call that was answered before takes at most one crash more where another one was at all of its crashes but one: five targets, two of them after the third.

Three tests in tests/core/test_crashes.py fail before.

--- a/figstep/core/attribution.py
+++ b/figstep/core/attribution.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Collection, Iterable, Mapping, Set
 from dataclasses import dataclass, field
 
 from figstep.core.clock import Millis
@@ -72,6 +72,7 @@
     lives: Mapping[str, Set[str]],
     required: int,
     reported_until: Millis,
+    answered: Collection[str] = (),
 ) -> dict[str, list[Crash]]:
     """Return the subjects that have caused crashes, with the crashes that show it.
 
@@ -88,8 +89,9 @@
         required: Number of crashes that are required of a subject.
         reported_until: Time of the last crash that all entries have reported
             (monotonic), in milliseconds.
+        answered: Subjects that were answered before.
     """
-    strongest = list_strongest(suspects, lives, reported_until)
+    strongest = list_strongest(suspects, lives, reported_until, answered)
     attributed = {}
     for subject, crashes in list_needed(suspects, required).items():
         shown = {id(crash) for crash in strongest[subject]}
@@ -113,13 +115,15 @@
     suspects: Mapping[str, list[Crash]],
     lives: Mapping[str, Set[str]] | None = None,
     reported_until: Millis = Millis(0),
+    answered: Collection[str] = (),
 ) -> dict[str, list[Crash]]:
     """Return the crashes of each subject at which no equally suspected one was.
 
     Such a subject has as many crashes or more. If ``lives`` are given, a part with up
     to ``NEAR_TIE`` fewer is as suspected as another one if it was at a crash without
     it, and also while entries may still report that it was: a crash of the other one
-    is later than ``reported_until``.
+    is later than ``reported_until``. One that was never answered, with up to
+    ``NEAR_TIE`` fewer, is as suspected as one of those in ``answered``.
     """
     totals = {one: len(list_events(one, found)) for one, found in suspects.items()}
     strongest = {}
@@ -129,7 +133,11 @@
         for other, total in totals.items():
             if total >= totals[subject]:
                 equals.add(other)
-            elif lives and is_part(subject) and total + NEAR_TIE >= totals[subject]:
+                continue
+            is_near = total + NEAR_TIE >= totals[subject]
+            if is_near and subject in answered and other not in answered:
+                equals.add(other)
+            elif is_near and lives and is_part(subject):
                 if not is_reported or not lives[other] <= lives[subject]:
                     equals.add(other)
         equals.discard(subject)
--- a/figstep/core/crashes.py
+++ b/figstep/core/crashes.py
@@ -224,6 +224,8 @@
     def record_answer(self, subject: str, at: Millis) -> None:
         """Record an answer to a subject (monotonic time, in milliseconds)."""
         answers = self._get_answers(subject)
+        if subject in self._lives and subject not in answers:
+            self._forget_attributed()
         answers[subject] = max(at, answers.pop(subject, at))
         if len(answers) > MAX_ANSWERED:
             del answers[next(iter(answers))]
@@ -383,8 +385,10 @@
         if key not in self._attributed:
             required = _get_required(subject)
             suspects = self._list_suspects(is_part(subject), excluded, now)
+            answered = [one for one in suspects if one in self._get_answers(one)]
+            reported_until = Millis(now - SUSPICION_DELAY)
             self._attributed[key] = attribute_crashes(
-                suspects, self._lives, required, Millis(now - SUSPICION_DELAY)
+                suspects, self._lives, required, reported_until, answered
             )
         return self._attributed[key].get(subject, [])
 
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -428,6 +428,49 @@
     assert list_refused(table, "killer", at=NOW + 4_000) == ["killer"]
 
 
+def test_a_request_never_answered_explains_crashes_of_one_that_was() -> None:
+    """Guards against refusing a frequent request that a chance kill adds a crash to."""
+    table = CrashTable()
+    table.record_answer("frequent", Millis(NOW - 10))
+    record_crash(table, "b-0@1", "frequent")
+    for number in range(1, 4):
+        at = NOW + 100 * number
+        record_crash(table, f"b-{number}@1", "frequent", "killer", at=at)
+    assert list_refused(table, "frequent", at=NOW + 400) == []
+    for number in range(4, 6):
+        record_crash(table, f"b-{number}@1", "killer", at=NOW + 100 * number)
+    now = NOW + 600
+    assert list_refused(table, "frequent", "killer", at=now) == ["killer"]
+
+
+def test_an_answer_to_the_other_request_counts_at_once() -> None:
+    """Guards against a verdict that is kept although an answer has changed it."""
+    table = CrashTable()
+    table.record_answer("deadly", Millis(NOW - 10))
+    for number in range(4):
+        beside = ["beside"] if number else []
+        at = NOW + 100 * number
+        record_crash(table, f"b-{number}@1", "deadly", *beside, at=at)
+    now = NOW + 400
+    assert list_refused(table, "deadly", at=now) == []
+    table.record_answer("beside", Millis(NOW - 10))
+    assert list_refused(table, "deadly", at=now) == ["deadly"]
+
+
+def test_a_deadly_request_that_was_answered_takes_one_more_crash_beside_another() -> (
+    None
+):
+    """Guards against a request that a harmless one beside it hides for good."""
+    table = CrashTable()
+    table.record_answer("killer", Millis(NOW - 10))
+    for number in range(5):
+        beside = ["beside"] if number < 3 else []
+        at = NOW + 100 * number
+        record_crash(table, f"b-{number}@1", "killer", *beside, at=at)
+        refused = list_refused(table, "killer", at=at)
+        assert refused == (["killer"] if number == 4 else [])
+
+
 def test_an_answer_before_all_crashes_is_announced_and_clears_nothing() -> None:
     """Guards against echoes of an old answer that clear later crashes."""
     own, other = CrashTable(), CrashTable()
