Go on with a body only where it had no room before

aiohttp resumes reading for each piece that is taken from a body, whether reading was paused or not, and parses what is held each time.

--- a/figstep/net/connections.py
+++ b/figstep/net/connections.py
@@ -157,6 +157,12 @@
         if parser is not None and server is not None and not self._aborted:
             server.set_held(self, parser.occupied_bytes)
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Read on, if reading was paused as a body had no room."""
+        # aiohttp calls this for each piece of a body that is taken, and parses then.
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
     def _resume_reading_for_buffer(self) -> None:
         parser = self._bounded
         if parser is not None and parser.held_bytes:
