Let time pass in a test before a connection is used again

The clock counts milliseconds. Where a connection was used within the millisecond in which all were opened, it counted as old as they are and was closed first: once in some ten runs. The order that the test checks stays.

--- a/tests/net/test_parsers.py
+++ b/tests/net/test_parsers.py
@@ -117,6 +117,8 @@
     """Guards against a limit that closes those that were used last, or new ones."""
     async with serve(build_limits(connections=3)) as address:
         opened = [await asyncio.open_connection(*address) for _ in range(3)]
+        # The clock counts milliseconds.
+        await asyncio.sleep(0.05)
         request = HEAD + b"Content-Length: 3\r\n\r\nabc"
         opened[0][1].write(request)
         assert b" 200 " in await opened[0][0].readline()
