Close one in 32 idle connections at once where there are too many

Each search for the oldest goes through all connections. With thousands of them and as many new ones a second, a search for each would take the whole processor; by reading, not measured. Of connections with a part of a body only one is closed.

--- a/figstep/net/connections.py
+++ b/figstep/net/connections.py
@@ -1,6 +1,7 @@
 """Connections with callers: what each may send, and how many there may be."""
 
 import asyncio
+import heapq
 from collections import deque
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
@@ -31,6 +32,12 @@
 """Longest time in milliseconds between two checks after which the second one closes
 connections."""
 
+CLOSED_AT_ONCE = 32
+"""One in so many connections is closed at once where there are too many."""
+
+READS_BODY = 2
+"""Stage of a connection whose request has a body that has not come yet."""
+
 LINGER_SECONDS = 1.0
 """How long a refused connection stays open for its caller to read the refusal, in
 seconds."""
@@ -121,7 +128,7 @@
     def stage(self) -> int:
         """How far a request has come: 0 for none, 1 for its head, 2 for its body."""
         if self.serves:
-            return 2
+            return READS_BODY
         return int(self.has_begun_head)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -358,22 +365,25 @@
             self._check = self._loop.call_later(CHECK_SECONDS, self._check_times)
 
     def _make_room(self, newest: CallerConnection) -> None:
-        """Close the connection that has been idle for longest.
+        """Close the connections that have been idle for longest.
 
-        Those with a part of a head follow, then those with a part of a body, and the
-        newest if all others serve requests.
+        Those with a part of a head follow, then one with a part of a body, and the
+        newest if all others serve requests. Some are closed at once, as each search
+        goes through all.
         """
-        chosen = newest
-        least = (3, newest.idle_since)
+        waiting = []
         for one in self._list_connections():
             if one.closes or one is newest or (one.serves and not one.reads_body):
                 continue
-            place = (one.stage, one.idle_since)
-            if place < least:
-                chosen, least = one, place
-        if chosen is newest:
+            waiting.append((one.stage, one.idle_since, one))
+        count = max(1, self.limits.connections // CLOSED_AT_ONCE)
+        chosen = heapq.nsmallest(count, waiting, key=lambda place: place[:2])
+        if not chosen:
             _log.info("connection closed, all others serve requests")
-        chosen.abort()
+            newest.abort()
+        for position, (stage, _, one) in enumerate(chosen):
+            if position == 0 or stage < READS_BODY:
+                one.abort()
 
     def _list_connections(self) -> list[CallerConnection]:
         return cast(list[CallerConnection], list(self._connections))
