Bound the buffers of connections to the store

All that a connection has received is parsed in one turn of the loop.

The sockets have the buffers of those to targets, 32 KiB. A read of 1 MB takes the longer the farther the store is: a round trip of 20 ms still allows some 3 MB a second.

--- a/figstep/platform/store.py
+++ b/figstep/platform/store.py
@@ -278,7 +278,7 @@
     # when a call on it times out.
     # If aiohttp repeated a read that waits, as its connection broke, an outage would go
     # unnoticed until the next record.
-    connector = ResetAwareConnector(limit=8)
+    connector = ResetAwareConnector(bounded=True, limit=8)
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
