--- a/tests/deployments/test_deployments.py
+++ b/tests/deployments/test_deployments.py
@@ -12,6 +12,7 @@
 from tests.deployments.__main__ import describe_streams, run_deployment
 from tests.deployments.counts import WholeStreams, count_outcomes
 from tests.deployments.hosts import Spares, TargetHost, read_journal
+from tests.deployments.plans import BEHAVIORS
 from tests.deployments.proxies import FaultyProxy
 from tests.deployments.shapes import Options
 from tests.faults.__main__ import describe_record
@@ -86,6 +87,29 @@
     assert sum(attempt.status == 200 for attempt in record.attempts) > 100
 
 
+async def test_no_part_is_the_whole_as_engines_sleep_after_an_early_close_beside_load(
+    tmp_path: Path,
+) -> None:
+    """Guards against a part as the whole whose engine answers nothing after it."""
+    options = Options(framing="connection", sleeping=True, busy=4)
+    record, breaches = await run_deployment(
+        "rmia-figstep",
+        816,
+        tmp_path,
+        12.0,
+        patience=3.0,
+        returns=3.0,
+        without=BEHAVIORS,
+        moves=False,
+        options=options,
+    )
+    # Beside load, bounds on time may be broken by the machine; what is whole may not.
+    order = [breach for breach in breaches if breach.promise == "order"]
+    assert order == [], [describe_record(record), *describe_streams(record)]
+    assert any(fault.name == "asleep" for fault in record.disturbances)
+    assert sum(attempt.status == 200 for attempt in record.attempts) > 100
+
+
 async def read_through_proxy(calm: bool) -> tuple[bytes, str]:
     """Return what arrives of 2,000 bytes behind a proxy, and how they end."""
 
