Count the end of a run in time in which its target ran

What was seen: in the soak and in the runs of deployments, runs were reported that went on after their caller had left (gone), or after another target had taken them over (handover), on machines at load 25 to 40.

Cause: the check. It bounds how soon a run ends by the clock on the wall, while a run is ended, and its end recorded, by the event loop of its target. Nothing that an entry does can end a run at a process that does not run. Ruled out: clocks that differ, as both records and the plan read CLOCK_MONOTONIC (targets that the plan froze recorded it over the same span); and ends that are recorded late, as they are read in the loop of the target as it notices them.

The check is replaced by one as strict: the limit moves later by exactly the time in which the target of that run did not run by its own record, from the moment the check counts from (the caller left, the later run began) up to the limit that results. All bounds stay. A stall before that, one that begins after the limit, one of another target, and in deployments one of the loop of the callers move nothing. No stall excuses a run, so that one that never ends is still found. What counts as disturbed is judged over the same spans as before: each breach that is not reported any more ended within the bound of running time. A freeze by the plan within these spans exempts the target as before, so its time is not added to anything; one after them is counted once, as a stall. Not moved either: the time by which a later run must have been given up for a handover not to count. Given up: an entry that ends a run late while its target stands still can't be told from one in time.

Tests: thirteen cases in tests/faults/test_promises.py, of the loop of the soak and of targets that are processes, for both checks, and one of two stalls. Runs of deployments check that frozen targets record it.

--- a/tests/deployments/test_deployments.py
+++ b/tests/deployments/test_deployments.py
@@ -73,6 +73,18 @@
     )
     assert breaches == [], [describe_record(record), *describe_streams(record)]
     assert sum(attempt.status == 200 for attempt in record.attempts) > 100
+    check_freezes(record)
+
+
+def check_freezes(record: Record) -> None:
+    """Check that targets that were frozen recorded it, in the clock of the plan."""
+    frozen = [one for one in record.disturbances if one.name == "freezetarget"]
+    assert frozen
+    for fault in frozen:
+        stalls = [
+            span for span in record.target_stalls or () if span[0] == fault.target
+        ]
+        assert any(fault.overlaps(start, end) for _, start, end in stalls)
 
 
 async def test_promises_hold_as_few_streams_end_with_their_connection(
--- a/tests/faults/test_promises.py
+++ b/tests/faults/test_promises.py
@@ -177,6 +177,59 @@
     assert list_promises(record) == {"handover"}
 
 
+def add_stall(record: Record, place: str, start: float, end: float) -> None:
+    """Record that a target, or with "loop" all of them, stood still."""
+    if place == "loop":
+        record.loop_stalls.append((START + start, START + end))
+        return
+    record.loop_stalls.append((START, START + 9))  # of the callers
+    record.target_stalls = [(place, START + start, START + end)]
+
+
+STALLS = [
+    ("loop", 0.2, 1.2, 1.3, False),
+    ("i-1", 0.2, 1.2, 1.3, False),
+    ("i-1", 0.2, 1.2, 1.9, False),
+    ("loop", 0.2, 1.2, 2.2, True),
+    ("i-1", 0.2, 1.2, 2.2, True),
+    ("i-1", 0.2, 1.2, None, True),
+    ("i-1", -1.0, 0.0, 1.3, True),
+    ("i-1", -1.0, 0.4, 1.15, False),
+    ("i-1", -1.0, 0.4, 1.35, True),
+    ("i-1", 0.8, 2.8, 2.9, False),
+    ("i-1", 1.2, 2.2, 1.1, True),
+    ("i-1", 1.2, 2.2, 2.3, True),
+    ("i-3", 0.2, 1.2, 1.3, True),
+]
+"""Where and when a target stood still, when its run ended, and if that is a breach."""
+
+
+@pytest.mark.parametrize(("place", "start", "end", "ended", "found"), STALLS)
+def test_time_in_which_its_target_stood_still_does_not_count_for_a_run(
+    place: str, start: float, end: float, ended: float | None, found: bool
+) -> None:
+    """Guards against reports of runs that nothing could end, and against excuses."""
+    record, attempt, run = build_record(Kind.PLAN)
+    attempt.disconnected, attempt.whole = True, False
+    attempt.status, attempt.ended = 0, START + 0.1
+    run.ended = None if ended is None else START + ended
+    add_stall(record, place, start, end)
+    assert list_promises(record) == ({"gone"} if found else set())
+    attempt.disconnected, later = False, START + 0.2
+    record.runs.append(Run("r1", "i-2", "g1", later, START + 9, customer="gurdwara"))
+    assert list_promises(record) == ({"handover"} if found else set())
+
+
+def test_two_stalls_of_a_target_are_added_up() -> None:
+    record, attempt, run = build_record(Kind.PLAN)
+    attempt.disconnected, attempt.whole, attempt.status = True, False, 0
+    attempt.ended, run.ended = START, START + 2.3
+    record.loop_stalls += [(START + 1.3, START + 2.2), (START + 0.2, START + 1.2)]
+    assert list_promises(record) == set()
+    run.ended = START + 2.9
+    assert list_promises(record) == {"gone"}
+
+
 @pytest.mark.parametrize("took", [None, 1.0])
 def test_a_stop_that_cuts_or_takes_too_long_is_found(took: float | None) -> None:
     record, attempt, _ = build_record()
