--- a/tests/deployments/test_deployments.py
+++ b/tests/deployments/test_deployments.py
@@ -73,6 +73,20 @@
     )
     assert breaches == [], [describe_record(record), *describe_streams(record)]
     assert sum(attempt.status == 200 for attempt in record.attempts) > 100
+    check_freezes(record)
+
+
+def check_freezes(record: Record) -> None:
+    """Check that frozen targets record it in the clock of the plan.
+
+    One that is killed meanwhile records nothing.
+    """
+    frozen = [one for one in record.disturbances if one.name == "freezetarget"]
+    assert any(
+        fault.target == target and fault.overlaps(start, end)
+        for fault in frozen
+        for target, start, end in record.target_stalls or ()
+    )
 
 
 async def test_promises_hold_as_few_streams_end_with_their_connection(
