Ask again whether a target has ended, and believe each refused connection

What callers saw: prompts that crash engines reached up to sixteen of them, and what ran beside them was lost and suspected at each, as entries knew of an end only once the registration was gone, a second after it.

Cause: a target is probed once as a connection breaks. Where its address still accepts then, for the moments until its listener is closed, the probe shows nothing, and it was not repeated: no answer to the question counted as "it lives".

Ruled out: that the probes are refused and not believed, as no service was cut off in most of these cases; and the departure itself, which came a second later.

Now targets at which requests were lost are probed again after 200, 400, 800 ms and so on, until they answer, refuse, or six seconds have passed, and a refused connection counts in checks and queries for reports as it does in probes. A refused connection of a target that is known to have ended changes nothing.

Tests: a crash whose address accepts for a moment, an end that the second probe finds and a refused check fail before. A target that goes on is probed six times at most. The own interface probes once as before.

--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -46,7 +46,8 @@
 connections for a moment."""
 
 PROBE_INTERVAL = Millis(200)
-"""Shortest time, in milliseconds, between two probes of a target."""
+"""Shortest time, in milliseconds, between two probes of a target. It doubles with each
+probe until a request is lost there again."""
 
 WRITING_DURATION = Millis(400)
 """Time, in milliseconds, for which an engine has to write an answer until the request
@@ -147,20 +148,52 @@
     return [name_part(part) for part, _ in spec.prompt.parts[1:-1][:MAX_PARTS]]
 
 
-def probe_target(target: Target, loss: Loss, now: Millis) -> list[Effect]:
+def probe_target(state: State, target: Target, loss: Loss, now: Millis) -> list[Effect]:
     """Return a probe of whether a target ended, after a loss that suggests it.
 
     Returns nothing if the end is known or no lost request is recorded at the target, or
-    within ``PROBE_INTERVAL`` of the last probe.
+    within ``PROBE_INTERVAL`` of the last probe. A probe may reach something at the
+    address for a moment after the end, so that `probe_again` repeats it.
     """
     if loss not in _CRASH_LOSSES or not target.lost or target.ended_at is not None:
         return []
+    state.probed.add(target.name)
+    target.probe_pause = PROBE_INTERVAL
     if now - target.probed_at < PROBE_INTERVAL:
         return []
     target.probed_at = now
     return [ProbeTarget(target.name)]
 
 
+def probe_again(state: State, now: Millis) -> list[Effect]:
+    """Probe targets again at which requests were lost, until it is known if they ended.
+
+    Nothing is learned of the targets of a service that this entry is cut off from.
+    """
+    effects: list[Effect] = []
+    for name in sorted(state.probed):
+        target = state.targets.find(name)
+        if target is None or not _may_have_ended(target, now):
+            state.probed.discard(name)
+            continue
+        if now - target.probed_at < target.probe_pause:
+            continue
+        if state.find_reach(target.info.service).cut_off:
+            continue
+        target.probed_at = now
+        target.probe_pause = Millis(2 * target.probe_pause)
+        effects.append(ProbeTarget(name))
+    return effects
+
+
+def _may_have_ended(target: Target, now: Millis) -> bool:
+    if not target.lost or target.broken_at is None or target.ended_at is not None:
+        return False
+    if target.standing is not Standing.READY:
+        return False
+    return now - target.broken_at < LOST_RETENTION
+
+
 def record_answer(
     state: State, target: Target, asked: Millis, ran: bool = True
 ) -> None:
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -251,12 +251,14 @@
         opened: When the connection was opened, as a monotonic time in milliseconds.
         reached: Whether it was established.
         lives: Whether the target stated that it lives; None if it was not asked.
+        refused: Whether no process listens at its address.
     """
 
     target: str
     opened: Millis
     reached: bool
     lives: bool | None = True
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/reach.py
+++ b/figstep/gateway/reach.py
@@ -55,6 +55,8 @@
         effects += crashes.record_check(state, target, event.opened, lives, now)
     if event.reached:
         return effects + _record_connection(state, target, now)
+    if event.refused and not state.find_reach(target.info.service).cut_off:
+        target.refused_at = now
     return effects + record_unreached(state, target, event.opened, now)
 
 
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -76,7 +76,7 @@
         target_effects += crashes.record_lost(
             state, request, attempt, event.loss, now, event.ended
         )
-        target_effects += crashes.probe_target(attempt.target, event.loss, now)
+        target_effects += crashes.probe_target(state, attempt.target, event.loss, now)
     if event.loss is Loss.UNREACHED:
         request.unreached += 1
     effects: list[Effect] = [
@@ -190,11 +190,13 @@
 def handle_target_down(state: State, event: TargetDown, now: Millis) -> list[Effect]:
     """Record that a probe found no listener at a target's address, and tell peers.
 
-    A probe of an earlier incarnation is ignored.
+    A probe of an earlier incarnation is ignored, and one of a known end.
     """
     target = state.targets.find(event.incarnation.target)
     if target is None or target.info.incarnation != event.incarnation:
         return []
+    if target.ended_at is not None:
+        return []
     # Until peers know, they also try this target.
     return [
         Announce(),
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -357,6 +357,7 @@
     effects += streams.check_streams(state, now)
     crashes.update_knowledge(state, now)
     effects += crashes.clear_written(state, now)
+    effects += crashes.probe_again(state, now)
     effects += reports.query_engines(state, now)
     effects += copies.drop_copies_for_memory(state, now)
     effects += copies.order_proactive_copies(state, now)
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -502,6 +502,8 @@
         past_uses: Use of the retry budget by processes of peers that ended or fell
             silent.
         crashes: Crashes of targets, and what was on these targets.
+        probed: Names of the targets that are probed until it is known whether they
+            ended.
         short_answers: Answers whose engines are checked before the parts of their
             prompts count as harmless.
         position: Position up to which the registrations were read.
@@ -569,6 +571,7 @@
     silent_peers: dict[str, Millis] = field(default_factory=dict)
     past_uses: PastUseTable = field(default_factory=PastUseTable)
     crashes: CrashTable = field(default_factory=CrashTable)
+    probed: set[str] = field(default_factory=set)
     short_answers: list[ShortAnswer] = field(default_factory=list)
     next_attempt: int = 1
     position: Position = NO_POSITION
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -275,6 +275,7 @@
         check_pause: Time in milliseconds from that check to the one after it.
         ended_at: When its incarnation was found to have ended; None if it was not.
         probed_at: When this entry last probed whether it listens at its address.
+        probe_pause: Time in milliseconds from that probe to the one after it.
         named_brittle: Whether its last answer named the rejections that it bears.
         rejected_at: When it last rejected a request of this entry while brittle.
         full_until: Until when it is held to have no room while brittle.
@@ -334,6 +335,7 @@
     check_pause: Millis = MIN_CHECK_PAUSE
     ended_at: Millis | None = None
     probed_at: Millis = Millis(-1_000_000)
+    probe_pause: Millis = Millis(0)
     named_brittle: bool = False
     rejected_at: Millis = Millis(-1_000_000)
     full_until: Millis = Millis(0)
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -870,11 +870,13 @@
         if target is None:
             return
         opened = self._clock.now()
-        reached = await _listens(target) is True
+        listens = await _listens(target)
+        reached = listens is True
         lives = None
         if asks_life:
             lives = reached and await self._states_life(target)
-        self._dispatch(TargetChecked(name, opened, reached, lives))
+        refused = listens is False
+        self._dispatch(TargetChecked(name, opened, reached, lives, refused))
 
     def read_report(self, target: str) -> None:
         """Query an engine for its state.
@@ -889,7 +891,10 @@
         if target is None:
             return
         info = target.info
-        report = (await self._query_state(target)).report
+        reply = await self._query_state(target)
+        if reply.start is Start.DOWN:
+            self._dispatch(TargetDown(info.incarnation))
+        report = reply.report
         if report is None:
             return
         if contradicts_registration(info, report.born):
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -513,6 +513,60 @@
     assert not harness.state.crashes.is_suspected("good")
 
 
+def lose_read() -> tuple[EntryHarness, str]:
+    """Return an entry that has lost a read at the returned target, and probed that."""
+    harness = EntryHarness()
+    harness.register("b-1", "b-2", service=BOOKINGS)
+    harness.receive_request("/order/a", digest="good")
+    opened = harness.find_effect(OpenAttempt)
+    harness.handle(AttemptLost(opened.attempt, Loss.BROKEN))
+    assert harness.find_effects(ProbeTarget) == [ProbeTarget(opened.target)]
+    return harness, opened.target
+
+
+def count_probes(harness: EntryHarness, millis: int) -> int:
+    """Return how many probes begin within some time in which nothing else happens."""
+    probes = 0
+    for _ in range(millis // 10):
+        harness.clock.advance(Millis(10))
+        harness.handle(Ticked())
+        probes += len(harness.find_effects(ProbeTarget))
+    return probes
+
+
+def test_a_target_is_probed_again_until_it_is_known_to_have_ended() -> None:
+    """Guards against an end that one early probe does not find."""
+    harness, lost_at = lose_read()
+    assert count_probes(harness, 190) == 0
+    assert count_probes(harness, 10) == 1
+    assert count_probes(harness, 400) == 1
+    harness.handle(TargetDown(Incarnation(lost_at, 1)))
+    assert harness.state.crashes.is_suspected("good")
+    assert count_probes(harness, 10_000) == 0
+
+
+def test_a_target_that_goes_on_is_probed_a_few_times_only() -> None:
+    """Guards against probes without end of a target that breaks off one answer."""
+    harness, _lost_at = lose_read()
+    assert 3 <= count_probes(harness, 60_000) <= 6
+
+
+def test_a_target_that_answers_is_probed_no_more() -> None:
+    """Guards against probes of targets that are known to live."""
+    harness, lost_at = lose_read()
+    harness.clock.advance(Millis(10))
+    answer_from(harness, lost_at)
+    assert count_probes(harness, 10_000) == 0
+
+
+@pytest.mark.parametrize("refused", [False, True])
+def test_a_refused_check_shows_that_a_target_ended(refused: bool) -> None:
+    """Guards against ends that are found only once a request is sent there."""
+    harness, lost_at = lose_read()
+    harness.handle(TargetChecked(lost_at, harness.clock.now(), False, None, refused))
+    assert harness.state.crashes.is_suspected("good") is refused
+
+
 def test_a_target_that_rejects_connections_has_not_crashed() -> None:
     """Guards against reads refused for targets that have too many connections."""
     harness = EntryHarness()
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -212,3 +212,31 @@
             while not crashes.has_suspects:
                 await asyncio.sleep(0.01)
         assert len(crashes.list_suspected()) == 1
+
+
+async def test_a_crash_is_found_although_its_address_accepts_for_a_moment() -> None:
+    """Guards against ends that stay unknown as long as the registration stays."""
+    async with open_place() as place:
+        targets = [await place.add_target(f"i-b{one}", "bookings") for one in (1, 2)]
+        entry = await place.add_entry()
+        await place.wait_ready(entry, 2)
+
+        async def answer(request: web.Request) -> web.StreamResponse:
+            assert request.transport is not None
+            host, port = request.transport.get_extra_info("sockname")
+            address = f"{host}:{port}"
+            [target] = [one for one in targets if one.address == address]
+            target.afterlife = Afterlife.RESET
+            asyncio.get_running_loop().call_later(
+                0.1, asyncio.create_task, target.stop_listening()
+            )
+            target.reset_connections()
+            return web.Response()
+
+        for target in targets:
+            target.handler = answer
+        assert await read_complete(place, "/order/killer") is None
+        crashes = entry.gateway.known.crashes
+        async with asyncio.timeout(5):
+            while not crashes.has_suspects:
+                await asyncio.sleep(0.01)
