--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -46,7 +46,8 @@
 connections for a moment."""
 
 PROBE_INTERVAL = Millis(200)
-"""Shortest time, in milliseconds, between two probes of a target."""
+"""Shortest time, in milliseconds, between two probes of a target. It doubles with each
+probe until a request is lost there again."""
 
 WRITING_DURATION = Millis(400)
 """Time, in milliseconds, for which an engine has to write an answer until the request
@@ -56,6 +57,10 @@
 """Maximum number of parts of short answers, for each target, of which it is not known
 yet whether the target lived on."""
 
+LEARNING_TIME = Millis(60_000)
+"""Time, in milliseconds, after which a process knows by itself which parts of prompts
+were answered. What is asked for often was answered by then, also between crashes."""
+
 SHORT_ANSWER_RETENTION = Millis(3_000)
 """Time, in milliseconds, after which the check of an engine that wrote a short answer
 is given up. The engine may be known no longer."""
@@ -143,20 +148,52 @@
     return [name_part(part) for part, _ in spec.prompt.parts[1:-1][:MAX_PARTS]]
 
 
-def probe_target(target: Target, loss: Loss, now: Millis) -> list[Effect]:
+def probe_target(state: State, target: Target, loss: Loss, now: Millis) -> list[Effect]:
     """Return a probe of whether a target ended, after a loss that suggests it.
 
     Returns nothing if the end is known or no lost request is recorded at the target, or
-    within ``PROBE_INTERVAL`` of the last probe.
+    within ``PROBE_INTERVAL`` of the last probe. A probe may reach something at the
+    address for a moment after the end, so that `probe_again` repeats it.
     """
     if loss not in _CRASH_LOSSES or not target.lost or target.ended_at is not None:
         return []
+    state.probed.add(target.name)
+    target.probe_pause = PROBE_INTERVAL
     if now - target.probed_at < PROBE_INTERVAL:
         return []
     target.probed_at = now
     return [ProbeTarget(target.name)]
 
 
+def probe_again(state: State, now: Millis) -> list[Effect]:
+    """Probe targets again at which requests were lost, until it is known if they ended.
+
+    Nothing is learned of the targets of a service that this entry is cut off from.
+    """
+    effects: list[Effect] = []
+    for name in sorted(state.probed):
+        target = state.targets.find(name)
+        if target is None or not _may_have_ended(target, now):
+            state.probed.discard(name)
+            continue
+        if now - target.probed_at < target.probe_pause:
+            continue
+        if state.find_reach(target.info.service).cut_off:
+            continue
+        target.probed_at = now
+        target.probe_pause = Millis(2 * target.probe_pause)
+        effects.append(ProbeTarget(name))
+    return effects
+
+
+def _may_have_ended(target: Target, now: Millis) -> bool:
+    if not target.lost or target.broken_at is None or target.ended_at is not None:
+        return False
+    if target.standing is not Standing.READY:
+        return False
+    return now - target.broken_at < LOST_RETENTION
+
+
 def record_answer(
     state: State, target: Target, asked: Millis, ran: bool = True
 ) -> None:
@@ -259,6 +296,26 @@
     return _suspect_lost(state, target, now)
 
 
+def has_learned_answers(state: State, now: Millis) -> bool:
+    """Return whether this process knows by itself which parts were answered before.
+
+    That the whole system starts for the first time counts only if entries have never
+    written to the store: the settings may still state it at a later start.
+    """
+    if now - state.budget.started >= LEARNING_TIME:
+        return True
+    history = state.history
+    return state.budget.first_start and history.read and not history.found
+
+
+def update_knowledge(state: State, now: Millis) -> None:
+    """Update whether this process or a peer knows which parts were answered before."""
+    knows = has_learned_answers(state, now)
+    for peer in state.peers.values():
+        knows = knows or peer.knows_answers
+    state.crashes.update_knowledge(knows)
+
+
 def apply_clearances(
     state: State, clearances: Iterable[Clearance], now: Millis
 ) -> None:
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -251,12 +251,14 @@
         opened: When the connection was opened, as a monotonic time in milliseconds.
         reached: Whether it was established.
         lives: Whether the target stated that it lives; None if it was not asked.
+        refused: Whether no process listens at its address.
     """
 
     target: str
     opened: Millis
     reached: bool
     lives: bool | None = True
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -601,6 +603,8 @@
             yet to send.
         past_uses: What processes used that ended or fell silent within the window of
             the retry budget; only in the answer to an entry that has just started.
+        knows_answers: Whether the peer's process knows which parts of prompts were
+            answered before, and tells those that are suspected.
     """
 
     node: str
@@ -636,6 +640,7 @@
     demand: tuple[DemandReport, ...] = ()
     process: int = 0
     past_uses: tuple[PastUse, ...] = ()
+    knows_answers: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -379,6 +379,8 @@
             set, are cut off.
         starts: Streams that it recently began to deliver.
         process: Random number of its process.
+        knows_answers: Whether its process knows which parts of prompts were answered
+            before.
     """
 
     last_received_at: Millis
@@ -404,6 +406,7 @@
     rejected: tuple[RejectionReport, ...] = ()
     starts: tuple[StreamStart, ...] = ()
     process: int = 0
+    knows_answers: bool = False
 
     def is_cut_off(self, service: str) -> bool:
         """Return whether the entry itself reaches no target of a service."""
@@ -499,6 +502,8 @@
         past_uses: Use of the retry budget by processes of peers that ended or fell
             silent.
         crashes: Crashes of targets, and what was on these targets.
+        probed: Names of the targets that are probed until it is known whether they
+            ended.
         short_answers: Answers whose engines are checked before the parts of their
             prompts count as harmless.
         position: Position up to which the registrations were read.
@@ -566,6 +571,7 @@
     silent_peers: dict[str, Millis] = field(default_factory=dict)
     past_uses: PastUseTable = field(default_factory=PastUseTable)
     crashes: CrashTable = field(default_factory=CrashTable)
+    probed: set[str] = field(default_factory=set)
     short_answers: list[ShortAnswer] = field(default_factory=list)
     next_attempt: int = 1
     position: Position = NO_POSITION
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -10,6 +10,7 @@
 from figstep.core.positions import Position
 from figstep.gateway import peers
 from figstep.gateway.crashes import (
+    LEARNING_TIME,
     LOST_RETENTION,
     MIN_RESTART_TIME,
     SHORT_ANSWER_RETENTION,
@@ -512,6 +513,60 @@
     assert not harness.state.crashes.is_suspected("good")
 
 
+def lose_read() -> tuple[EntryHarness, str]:
+    """Return an entry that has lost a read at the returned target, and probed that."""
+    harness = EntryHarness()
+    harness.register("b-1", "b-2", service=BOOKINGS)
+    harness.receive_request("/order/a", digest="good")
+    opened = harness.find_effect(OpenAttempt)
+    harness.handle(AttemptLost(opened.attempt, Loss.BROKEN))
+    assert harness.find_effects(ProbeTarget) == [ProbeTarget(opened.target)]
+    return harness, opened.target
+
+
+def count_probes(harness: EntryHarness, millis: int) -> int:
+    """Return how many probes begin within some time in which nothing else happens."""
+    probes = 0
+    for _ in range(millis // 10):
+        harness.clock.advance(Millis(10))
+        harness.handle(Ticked())
+        probes += len(harness.find_effects(ProbeTarget))
+    return probes
+
+
+def test_a_target_is_probed_again_until_it_is_known_to_have_ended() -> None:
+    """Guards against an end that one early probe does not find."""
+    harness, lost_at = lose_read()
+    assert count_probes(harness, 190) == 0
+    assert count_probes(harness, 10) == 1
+    assert count_probes(harness, 400) == 1
+    harness.handle(TargetDown(Incarnation(lost_at, 1)))
+    assert harness.state.crashes.is_suspected("good")
+    assert count_probes(harness, 10_000) == 0
+
+
+def test_a_target_that_goes_on_is_probed_a_few_times_only() -> None:
+    """Guards against probes without end of a target that breaks off one answer."""
+    harness, _lost_at = lose_read()
+    assert 3 <= count_probes(harness, 60_000) <= 6
+
+
+def test_a_target_that_answers_is_probed_no_more() -> None:
+    """Guards against probes of targets that are known to live."""
+    harness, lost_at = lose_read()
+    harness.clock.advance(Millis(10))
+    answer_from(harness, lost_at)
+    assert count_probes(harness, 10_000) == 0
+
+
+@pytest.mark.parametrize("refused", [False, True])
+def test_a_refused_check_shows_that_a_target_ended(refused: bool) -> None:
+    """Guards against ends that are found only once a request is sent there."""
+    harness, lost_at = lose_read()
+    harness.handle(TargetChecked(lost_at, harness.clock.now(), False, None, refused))
+    assert harness.state.crashes.is_suspected("good") is refused
+
+
 def test_a_target_that_rejects_connections_has_not_crashed() -> None:
     """Guards against reads refused for targets that have too many connections."""
     harness = EntryHarness()
@@ -781,3 +836,43 @@
 
 def list_registrations(harness: EntryHarness) -> list[Registration]:
     return [target.info for target in harness.state.targets.targets.values()]
+
+
+def test_a_new_process_learns_from_an_older_one_what_was_answered() -> None:
+    """Guards against new processes that bear deadly parts beside ones that know."""
+    older, newer = EntryHarness(), EntryHarness()
+    newer.state.node = "entry-2"
+    newer.state.budget.started = newer.clock.now()
+    newer.state.budget.first_start = False
+    newer.handle(Ticked())
+    assert not newer.state.crashes.knows_answers
+    newer.handle(peers.describe_entry(older.state, older.clock.now()))
+    assert newer.state.crashes.knows_answers
+    newer.handle(replace(peers.describe_entry(older.state, Millis(0)), closing=True))
+    newer.handle(Ticked())
+    assert not newer.state.crashes.knows_answers
+    newer.clock.advance(LEARNING_TIME)
+    newer.handle(Ticked())
+    assert newer.state.crashes.knows_answers
+
+
+def test_processes_that_started_together_teach_each_other_nothing() -> None:
+    """Guards against a fleet that takes its restart for knowledge of the past."""
+    fleet = [EntryHarness(), EntryHarness()]
+    for number, entry in enumerate(fleet):
+        entry.state.node = f"entry-{number}"
+        entry.state.budget.started = entry.clock.now()
+        entry.state.budget.first_start = False
+    for entry, other in zip(fleet, reversed(fleet), strict=True):
+        entry.handle(peers.describe_entry(other.state, other.clock.now()))
+        assert not entry.state.crashes.knows_answers
+
+
+@pytest.mark.parametrize("found", [False, True])
+def test_answers_of_the_past_are_known_where_there_is_no_past(found: bool) -> None:
+    """Guards against settings that state a first start at a later one."""
+    entry = EntryHarness()
+    entry.state.budget.started = entry.clock.now()
+    entry.state.history.found = found
+    entry.handle(Ticked())
+    assert entry.state.crashes.knows_answers is not found
