Join the small chunks of an answer until they are read

A piece takes some 95 bytes with its place and its end, and the reader counts 5. The connection that is opened while an answer arrives had the system's own buffers, unlike all others to targets, so that one read took in 256 kB.

Ruled out: JSON, which is not reached; trailers and interim answers, which are bounded (65 and 69 to 75 MiB before the chunks); the collected bodies, which have pieces of some kilobytes.

Now pieces below 4 KiB at the end of what is unread are joined once more than 32 wait. Pieces that a read has already counted are left alone, as reading resumes the parser. The opened connection has the buffers of the others.

An unread body in chunks of 1, 5 or 100 bytes holds less than 1.5 times its size.

--- a/figstep/net/connectors.py
+++ b/figstep/net/connectors.py
@@ -2,15 +2,22 @@
 
 import asyncio
 import functools
+from contextlib import suppress
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.streams import EMPTY_PAYLOAD
 
 from figstep.core.clock import Millis
 from figstep.net.allowances import FramingAllowance
-from figstep.net.sockets import open_bounded_socket, open_keepalive_socket
+from figstep.net.sockets import (
+    TARGET_BUFFER_BYTES,
+    bound_buffers,
+    open_bounded_socket,
+    open_keepalive_socket,
+)
 
 MAX_FRAMING_BYTES = 65_536
 """Largest number of bytes of an answer that are no part of its body.
@@ -32,6 +39,13 @@
 BODY_SLICE_BYTES = 65_536
 """Number of bytes that are parsed at once as a body arrives."""
 
+MAX_SMALL_PIECES = 32
+"""Number of unread pieces of a body above which small ones are joined. A piece, usually
+the content of a chunk, takes some 90 bytes beside its content until it is read."""
+
+SMALL_PIECE_BYTES = 4_096
+"""Size from which a piece is not joined with others."""
+
 
 class _BoundedHandler(ResponseHandler):
     """Reports an error for an answer whose framing exceeds its bound, or for a reset.
@@ -40,7 +54,8 @@
     such an end too, so that a part of an answer would be forwarded as a complete one.
 
     What arrives at once is parsed in slices: thousands of interim answers or trailers
-    fit into it, and each takes more memory than on the connection.
+    fit into it, and each takes more memory than on the connection. Small pieces of a
+    body are joined, as its reader counts only their content.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -69,9 +84,13 @@
     def _parse(self, data: bytes) -> None:
         payload = self._payload
         before = 0 if payload is None else payload.total_bytes
+        # A read that resumes parsing goes on to take the pieces that it has counted.
+        kept = 0 if data or payload is None else _count_pieces(payload)
         super().data_received(data)
         if self._payload is not None and self._payload is not payload:
-            payload, before = self._payload, 0
+            payload, before, kept = self._payload, 0, 0
+        if payload is not None and _count_pieces(payload) - kept > MAX_SMALL_PIECES:
+            _join_small_pieces(payload, kept)
         received = 0 if payload is None else payload.total_bytes - before
         self._framing.count(max(0, len(data) - received), Millis(0))
         self._framing.limit += FRAMING_PER_BODY_BYTE * received
@@ -98,6 +117,30 @@
         super().connection_lost(exc)
 
 
+def _count_pieces(body: aiohttp.StreamReader) -> int:
+    return 0 if body is EMPTY_PAYLOAD else len(body._buffer)
+
+
+def _join_small_pieces(body: aiohttp.StreamReader, kept: int) -> None:
+    """Join the small pieces at the end of what is unread of a body.
+
+    The first ``kept`` pieces stay as they are, and the first one in any case, of which
+    part may have been read.
+    """
+    pieces = body._buffer
+    small: list[bytes] = []
+    while len(pieces) > max(kept, 1) and len(pieces[-1]) < SMALL_PIECE_BYTES:
+        small.append(pieces.pop())
+    if small:
+        pieces.append(b"".join(reversed(small)))
+    # The ends of chunks are kept beside the pieces; only reads by chunks need them.
+    ends = body._http_chunk_splits
+    if ends:
+        last = ends[-1]
+        ends.clear()
+        ends.append(last)
+
+
 class ResetAwareConnector(aiohttp.TCPConnector):
     """Opens sockets with TCP keep-alive, and recognizes resets and endless answers.
 
@@ -130,7 +173,11 @@
         """
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(seconds):
-            _, self._opened = await loop.create_connection(self._factory, host, port)
+            transport, opened = await loop.create_connection(self._factory, host, port)
+        # A connection that has ended meanwhile shows that as it is used.
+        with suppress(OSError):
+            bound_buffers(transport.get_extra_info("socket"), TARGET_BUFFER_BYTES)
+        self._opened = opened
 
     def abandon(self) -> None:
         """Close the connection if no request has used it."""
--- a/tests/net/test_connectors.py
+++ b/tests/net/test_connectors.py
@@ -1,8 +1,11 @@
 """Tests of the connector that distinguishes a reset from a normal close."""
 
 import asyncio
+import random
 import socket
 import struct
+import sys
+from collections.abc import AsyncIterator
 
 import aiohttp
 import pytest
@@ -12,6 +15,7 @@
     OpenedConnector,
     ResetAwareConnector,
 )
+from figstep.net.sockets import TARGET_BUFFER_BYTES
 from tests.platform.endless import EndlessTarget, Form
 from tests.platform.rude_servers import Answer, RudeServer
 
@@ -134,6 +138,82 @@
         assert await read(f"http://{host}:{port}/") == body * 100_000
 
 
+@pytest.mark.parametrize("content", [b"x", b"whole", b"x" * 100])
+async def test_small_chunks_take_little_more_than_their_content_until_they_are_read(
+    content: bytes,
+) -> None:
+    """Guards against answers that are counted by their content and take 20 times it."""
+    chunk = b"%x\r\n%s\r\n" % (len(content), content)
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(CHUNKED + chunk * (100_000 // len(chunk)))
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connector = ResetAwareConnector(force_close=True)
+    async with server, aiohttp.ClientSession(connector=connector) as session:
+        async with session.get(f"http://{host}:{port}/") as response:
+            body = response.content
+            async with asyncio.timeout(3):
+                while body.total_bytes < 100_000 // len(chunk) * len(content):
+                    await asyncio.sleep(0.01)
+            held = sum(sys.getsizeof(piece) for piece in body._buffer)
+            held += sum(sys.getsizeof(end) for end in body._http_chunk_splits or ())
+            assert held <= 1.5 * body.total_bytes
+
+
+async def read_in_pieces(body: aiohttp.StreamReader, size: int) -> AsyncIterator[bytes]:
+    """Read a body slowly, so that unread pieces pile up; 0 reads what there is."""
+    while True:
+        piece = await (body.read(size) if size else body.readany())
+        if not piece:
+            return
+        yield piece
+        if random.random() < 0.05:
+            await asyncio.sleep(0.001)
+
+
+@pytest.mark.parametrize("size", [0, 700, 16_384])
+@pytest.mark.parametrize("most", [3, 300, 9_000])
+async def test_a_body_in_chunks_of_any_size_comes_in_order(
+    size: int, most: int
+) -> None:
+    """Guards against pieces that are lost or exchanged as small ones are joined."""
+    rng = random.Random(size + most)
+    content = rng.randbytes(200_000)
+    chunked, position = bytearray(CHUNKED), 0
+    while position < len(content):
+        chunk = content[position : position + rng.randint(1, most)]
+        chunked += b"%x\r\n%s\r\n" % (len(chunk), chunk)
+        position += len(chunk)
+    chunked += b"0\r\n\r\n"
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        sent = 0
+        while sent < len(chunked):
+            end = sent + rng.choice((1, 50, 3_000, 70_000))
+            writer.write(chunked[sent:end])
+            await writer.drain()
+            sent = end
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connector = ResetAwareConnector(bounded=True, force_close=True)
+    session = aiohttp.ClientSession(connector=connector, read_bufsize=16_384)
+    async with server, session, session.get(f"http://{host}:{port}/") as response:
+        pieces = [piece async for piece in read_in_pieces(response.content, size)]
+    assert b"".join(pieces) == content
+
+
 async def count_connections(requests: int, ends: bool) -> tuple[int, int]:
     """Send requests by a connector of one opened connection.
 
@@ -178,6 +258,27 @@
     assert await count_connections(2, ends) == (1, answers)
 
 
+async def test_an_opened_connection_takes_in_no_more_than_others() -> None:
+    """Guards against 256 kB of an answer that come in at once and wait unparsed."""
+    writers: list[asyncio.StreamWriter] = []
+    server = await asyncio.start_server(lambda _, w: writers.append(w), "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connector = OpenedConnector()
+    async with server:
+        await connector.open(host, port, 5.0)
+        assert connector._opened is not None
+        transport = connector._opened.transport
+        assert transport is not None
+        opened = transport.get_extra_info("socket")
+        # The system reports twice what was set.
+        size = opened.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        assert size <= 2 * TARGET_BUFFER_BYTES
+        connector.abandon()
+        await asyncio.sleep(0.01)
+        for writer in writers:
+            writer.close()
+
+
 async def test_an_opened_connection_that_is_not_used_is_closed() -> None:
     """Guards against connections of targets that stay open for nothing."""
     closed = asyncio.Event()
