Count no bytes as framing that wait for the parser

A sound answer in chunks of one to three bytes failed as "115558 bytes came beside those of a body" if much of it came at once and nobody read it yet.

Cause: aiohttp stops to parse as 1,024 chunks wait to be read, and keeps the rest. What was handed to the parser and brought no body counted as framing, so that the rest of all slices did, while the bound grows by what is parsed. It takes over 64 KiB at once, which connections with bounded buffers don't bring: the open gateway without a memory limit, and its lists, reports and orders, have none.

Ruled out: a body with a length, which is handed on whole; chunks of up to 300 and up to 9,000 bytes, of which the same test passed before: they bring enough of the bound.

Now what is received waits in front of the parser while reading pauses, so that at most one slice is counted before its time, and that is no larger than the bound. A connection that is lost meanwhile is an error of the body.

The test of 45,000 chunks of one byte fails before and passes now.

--- a/figstep/net/connectors.py
+++ b/figstep/net/connectors.py
@@ -55,12 +55,14 @@
 
     What arrives at once is parsed in slices: thousands of interim answers or trailers
     fit into it, and each takes more memory than on the connection. Small pieces of a
-    body are joined, as its reader counts only their content.
+    body are joined, as its reader counts only their content. While reading pauses
+    nothing is parsed, as what the parser holds back would count as framing.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._framing = FramingAllowance(MAX_FRAMING_BYTES)
+        self._unparsed = b""
 
     def set_response_params(self, **params: Any) -> None:
         """Begin to count anew, as the next answer belongs to another request."""
@@ -69,23 +71,22 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes, and close the connection if the framing exceeds its bound."""
-        if not data:
+        resumed = not data
+        if resumed:
             # Parsing of what has been received before goes on.
-            self._parse(data)
-        position = 0
-        while position < len(data):
+            self._parse(data, resumed)
+        self._unparsed += data
+        while self._unparsed and not self._reading_paused:
             in_body = self._payload is not None and not self._payload.is_eof()
             size = BODY_SLICE_BYTES if in_body else HEAD_SLICE_BYTES
-            self._parse(data[position : position + size])
-            position += size
-            if self.transport is None or self.transport.is_closing():
-                return
+            piece, self._unparsed = self._unparsed[:size], self._unparsed[size:]
+            self._parse(piece, resumed)
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, data: bytes, resumed: bool) -> None:
         payload = self._payload
         before = 0 if payload is None else payload.total_bytes
         # A read that resumes parsing goes on to take the pieces that it has counted.
-        kept = 0 if data or payload is None else _count_pieces(payload)
+        kept = _count_pieces(payload) if resumed and payload is not None else 0
         super().data_received(data)
         if self._payload is not None and self._payload is not payload:
             payload, before, kept = self._payload, 0, 0
@@ -98,6 +99,8 @@
             self._refuse(f"{self._framing.used} bytes came beside those of a body")
         elif len(self._buffer) > MAX_WAITING_HEADS:
             self._refuse(f"{len(self._buffer)} heads came at once")
+        if self.transport is None or self.transport.is_closing():
+            self._unparsed = b""
 
     def _refuse(self, reason: str) -> None:
         payload = self._payload
@@ -112,8 +115,12 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Set an error on the body being read if the connection was reset."""
         payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc}"))
+        is_cut = exc is not None or self._unparsed
+        if is_cut and payload is not None and not payload.is_eof():
+            reason = (
+                f"reset: {exc}" if exc is not None else "ended before it was parsed"
+            )
+            payload.set_exception(aiohttp.ClientPayloadError(reason))
         super().connection_lost(exc)
 
 
--- a/tests/net/test_connectors.py
+++ b/tests/net/test_connectors.py
@@ -214,6 +214,27 @@
     assert b"".join(pieces) == content
 
 
+async def test_small_chunks_that_wait_for_their_reader_are_no_framing() -> None:
+    """Guards against a sound answer that is cut as much of it came at once."""
+    chunks = 45_000
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(CHUNKED + b"1\r\nx\r\n" * chunks + b"0\r\n\r\n")
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    session = aiohttp.ClientSession(
+        connector=ResetAwareConnector(force_close=True), read_bufsize=16_384
+    )
+    async with server, session, session.get(f"http://{host}:{port}/") as response:
+        await asyncio.sleep(0.1)
+        assert await response.read() == b"x" * chunks
+
+
 async def count_connections(requests: int, ends: bool) -> tuple[int, int]:
     """Send requests by a connector of one opened connection.
 
