Bound what all answers to queries hold together

64 queries whose target answers each with a body without end took an entry to 122 MiB, where 100 are allowed; with chunks of 4 kB to 124 (trial).

Cause: an answer to a query of a target's state may have 1 MiB, a list of what an engine keeps 4, the body of a refusal 8, and no budget counts them, as they belong to no caller. 64 times 1 MiB over 62 MiB is what was measured.

Now all three share a room of 8 MiB. Beyond it the largest one is given up, so that the small answers of sound targets are read beside any number of large ones; a usual answer has some hundred bytes. Ways that were passed over: a lower bound for each, which a crowd exceeds all the same, and a limit on how many are read at once, behind which sound targets would wait for rude ones.

test_a_target_that_answers_queries_at_length_leaves_memory: 122 MiB and failed before, 80 to 83 in eight runs.

Remains: a list in JSON takes more memory than its text as it is parsed, one at a time; that was not measured.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -51,7 +51,7 @@
 from figstep.net.frames import EventSplitter
 from figstep.net.framing import is_delimited
 from figstep.net.probes import is_listening
-from figstep.net.reading import BodyTooLongError, read_body
+from figstep.net.reading import BodyTooLongError, SharedRoom, read_body
 from figstep.net.sessions import open_target_session, trace_connections
 from figstep.platform import answers, copies, names, relays, retention
 from figstep.platform.callers import CallerExchange
@@ -133,6 +133,10 @@
 MAX_REPORT_BYTES = 1_048_576
 """Largest report of an engine's state, in bytes; one names each run in some bytes."""
 
+MAX_QUERIED_BYTES = 8_388_608
+"""Bytes that all answers to queries and all refusals hold while they are read. A usual
+one has some hundred bytes, a list of what an engine keeps some kilobytes."""
+
 REFUSAL_TIMEOUT_SECONDS = 0.1
 """Timeout of reading the body of an answer that refuses a request, in seconds. The
 request goes on to another target after that."""
@@ -195,6 +199,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._attempt_tasks: dict[int, asyncio.Task[None]] = {}
         self._background: set[asyncio.Task[Any]] = set()
+        self._room = SharedRoom(MAX_QUERIED_BYTES)
         self._open: dict[int, OpenAttempt] = {}
         self._heads: dict[int, AnswerHead] = {}
         self._answers: dict[int, WholeAnswer] = {}
@@ -338,7 +343,7 @@
             try:
                 answers.check_answer(response, exchange.request_id)
             except answers.RefusedError as refusal:
-                refusal.whole = await _is_whole(response)
+                refusal.whole = await _is_whole(response, self._room)
                 raise
             self._call_witness(effect, target, response)
             if effect.stream and response.status == 200:
@@ -585,7 +590,9 @@
         assert self._session is not None
         until = Millis(going_at + effect.keep.duration)
         listing = self._run_in_background(
-            retention.query_kept(self._session, self._clock, target, effect.keep, until)
+            retention.query_kept(
+                self._session, self._clock, target, effect.keep, until, self._room
+            )
         )
         await asyncio.wait({listing}, timeout=retention.LIST_TIMEOUT_SECONDS)
         if listing.done():
@@ -919,7 +926,7 @@
                 self._dispatch_target_signals(response, target, requested_at)
                 if answers.rejects_query(response):
                     return _Reply(None, Start.UNSTATED)
-                body = await read_body(response, MAX_REPORT_BYTES)
+                body = await read_body(response, MAX_REPORT_BYTES, room=self._room)
             if response.status != 200:
                 raise ValueError(f"answered {response.status}")
             return _Reply(answers.parse_report(target.name, body))
@@ -1144,11 +1151,11 @@
         witness.connector.abandon()
 
 
-async def _is_whole(response: aiohttp.ClientResponse) -> bool:
+async def _is_whole(response: aiohttp.ClientResponse, room: SharedRoom) -> bool:
     """Return whether the body of a refusal ends, and soon."""
     try:
         async with asyncio.timeout(REFUSAL_TIMEOUT_SECONDS):
-            await read_body(response, MAX_ANSWER_BYTES)
+            await read_body(response, MAX_ANSWER_BYTES, room=room)
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         _log.info("refusal not whole", extra={"error": _describe_error(error)})
         return False
--- a/figstep/platform/retention.py
+++ b/figstep/platform/retention.py
@@ -16,7 +16,7 @@
 from figstep.core.clock import Clock, Millis
 from figstep.gateway.effects import KeptRun
 from figstep.gateway.targets import Target
-from figstep.net.reading import BodyTooLongError, read_body
+from figstep.net.reading import BodyTooLongError, SharedRoom, read_body
 from figstep.platform import names
 
 _log = logbook.Logger("figstep.targets")
@@ -73,6 +73,7 @@
     target: Target,
     run: KeptRun,
     until: Millis,
+    room: SharedRoom,
 ) -> Statement:
     """Query an engine for what it keeps of a run that has ended.
 
@@ -83,6 +84,7 @@
         run: What it was asked to keep.
         until: Monotonic time in milliseconds from which it may keep a complete run no
             longer.
+        room: Room for the answers.
     """
     kept = None
     lists_none = True
@@ -90,7 +92,7 @@
         if number:
             await asyncio.sleep(LIST_PAUSE_SECONDS)
         try:
-            found = await _read_kept(session, target, run)
+            found = await _read_kept(session, target, run, room)
             lists_none = False
         except _NoListError as error:
             # A list may be cut, and a proxy may answer for an engine.
@@ -109,7 +111,7 @@
 
 
 async def _read_kept(
-    session: aiohttp.ClientSession, target: Target, run: KeptRun
+    session: aiohttp.ClientSession, target: Target, run: KeptRun, room: SharedRoom
 ) -> int | None:
     """Read once what an engine keeps of a run; None if the answer is lost.
 
@@ -126,7 +128,7 @@
                 raise _NoListError(f"answered {response.status}")
             if response.status != 200:
                 raise aiohttp.ClientError(f"answered {response.status}")
-            body = await read_body(response, MAX_LIST_BYTES)
+            body = await read_body(response, MAX_LIST_BYTES, room=room)
     except (aiohttp.ClientError, BodyTooLongError, OSError, TimeoutError) as error:
         _log_failure(target, error)
         return None
--- a/tests/net/test_reading.py
+++ b/tests/net/test_reading.py
@@ -16,7 +16,7 @@
 from figstep.net import instances, links, log, orders, reports
 from figstep.net.clock import SystemClock
 from figstep.net.log import HttpLog
-from figstep.net.reading import BodyTooLongError, read_body
+from figstep.net.reading import BodyTooLongError, SharedRoom, read_body
 from figstep.platform import copies, store
 from figstep.platform.store import HttpStore
 from tests.net.test_links import FakeHost
@@ -50,6 +50,54 @@
                 await read_body(response, MAX_BYTES)
 
 
+async def test_of_bodies_that_share_a_room_the_largest_is_given_up() -> None:
+    """Guards against many answers below their bounds that fill the memory together.
+
+    Each server sends 40,000 bytes, and 50,000 more if it is a large one, then waits.
+    """
+    may_end = asyncio.Event()
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 40_000)
+        if b"/large" in head:
+            writer.write(b"x" * 50_000)
+        await may_end.wait()
+        writer.write(b"end")
+        writer.close()
+
+    room = SharedRoom(3 * MAX_BYTES)
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    session = aiohttp.ClientSession(connector=connector)
+
+    async def read(path: str) -> int:
+        async with session.get(f"http://{host}:{port}{path}") as response:
+            return len(await read_body(response, MAX_BYTES, room=room))
+
+    async with server, session:
+        paths = ["/small"] * 5 + ["/large"] * 5
+        reads = [asyncio.create_task(read(path)) for path in paths]
+        async with asyncio.timeout(3):
+            while sum(one.done() for one in reads) < 4:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        may_end.set()
+        sizes = await asyncio.gather(*reads, return_exceptions=True)
+        assert sizes[:5] == [40_003] * 5
+        given_up = [one for one in sizes if isinstance(one, BodyTooLongError)]
+        assert len(given_up) == 4
+        # Nothing of them is counted any more.
+        may_end.clear()
+        reads = [asyncio.create_task(read(path)) for path in paths[:5]]
+        await asyncio.sleep(0.1)
+        may_end.set()
+        assert await asyncio.gather(*reads) == [40_003] * 5
+
+
 async def test_the_store_s_answer_may_not_go_on_without_end(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/platform/test_rude_peers.py
+++ b/tests/platform/test_rude_peers.py
@@ -260,6 +260,19 @@
             await machine.check(answer.name)
 
 
+async def test_a_target_that_answers_queries_at_length_leaves_memory(
+    machine: Machine,
+) -> None:
+    """Guards against answers to queries that are bounded each, and not together."""
+    async with open_rude(only_queries=True) as rude:
+        rude.answer = Answer.BODY
+        await machine.register("i-r1", "rude", rude.address)
+        await machine.start()
+        await machine.call_at_once("/rude/safe/a", "BODY")
+        assert rude.requests
+        await machine.check("BODY")
+
+
 @pytest.mark.parametrize("name", ["Retry-After", "Server-Limit"])
 async def test_a_refusal_with_a_number_without_measure_is_a_refusal(
     machine: Machine, name: str
