Ask an engine once more that states no end of a stream taken up

In a test: a caller has each event of a stream, its connection breaks as the stream ends, it takes the stream up at another entry after the last event, and gets 502 (lost_broken), though the engine has run the empty continuation to its end. Where the route allows two runs and a second engine is free, the stream goes to that one: whole, but later, with one of the two runs spent and a loss counted against a sound engine.

Hypotheses, before any change: 1. The first entry's order to keep the part no longer arrives after the continuation is complete. It names the part, not the run, so that it ends the continuation's pin, and the second entry's list shows none. Then a held order gives the failure each time, and in runs as processes the order comes between the end of the continuation and the list. 2. The order ends the pin of a continuation that still runs. Ruled out by the stand-in's model: a pin begins only as a run is complete, and the earlier one has ended as the run began. 3. The list is old, or the pin's time was over. Ruled out for the case below: the list is made as it is asked for, 2 s had not passed. 4. A continuation with events is lost as well. Not so: the rest is asked for then, and that run states the end; 2 of 2 cases held before.

Evidence: with the order held until the continuation was complete, two entries and one engine, a caller with all 20 events got 502, 2 of 2 cases (one or two runs allowed); with 10 of 20 events the whole, 2 of 2.

Cause: an empty continuation that its engine closes and does not list was a loss at once. Nothing else is asked where no event came.

Ways left: no order where the caller has left (the entry does not know it, as above, and the memory of such runs would be kept for two seconds); a later order (it may meet a continuation too, and keeps the memory longer).

After: the engine that closed it, lists what it keeps and does not list this run is asked once more. That run is kept, listed and states the end; nothing is believed that was not stated. One that is not listed either is lost as before: another engine, or 502. The test with the order held: 4 of 4 cases. Without the change 7 cases of the new tests fail, two of them there.

Price: one repeat of the retry budget and one more run at an engine that does close a continuation before its first event, before another one is asked; a tenth of a second for the lists. A stream of whose continuation the lists are lost is not asked for again: it is lost as before.

--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -59,7 +59,12 @@
         return []
     request = state.requests[attempt.request]
     end = closes.judge_end(state, request, attempt, event)
+    effects: list[Effect] = []
     if event.empty and end is not End.STATED and attempt.asked_at is None:
+        if _may_be_released(state, request, attempt, end, now):
+            effects = _ask_anew(state, request, attempt, now)
+            if effects:
+                return effects
         # It does not go on from a close, so that nothing suggests an end.
         detail = "its connection ended before the first event"
         lost = AttemptLost(attempt.number, Loss.BROKEN, detail=detail)
@@ -68,7 +73,6 @@
         # An engine stops work at the deadline, and may close its stream in order.
         request.may_have_run = True
         return requests.refuse_request(state, request, "deadline", now)
-    effects: list[Effect] = []
     if attempt is request.standby:
         effects += streams.promote_standby(state, request, attempt, now)
     _record_close(state, request, attempt, event, end)
@@ -77,6 +81,41 @@
     return effects + _ask_for_rest(state, request, attempt, now)
 
 
+def _may_be_released(
+    state: State, request: Request, attempt: Attempt, end: End, now: Millis
+) -> bool:
+    """Return whether a stream may be whole that its engine closed and does not list.
+
+    Its caller took it up, and it brought no event. The entry where the caller was
+    before orders the engine to keep the part of the prompt no longer, as the run there
+    has ended. A late order releases this run too.
+    """
+    if request.spec.after is None or request.asked_anew:
+        return False
+    if request.standby is not None or request.copy is not None:
+        return False
+    if end is not End.CONTRADICTED or now >= request.deadline:
+        return False
+    return request.route.resumable and _may_go_on(state, request, attempt, now)
+
+
+def _ask_anew(
+    state: State, request: Request, attempt: Attempt, now: Millis
+) -> list[Effect]:
+    """Ask the engine of a stream that was taken up once more for the rest.
+
+    Returns no effects if the retry budget has no repeat left.
+    """
+    if not peers.spend_repeat(state, request.service, now, urgent=True):
+        return []
+    request.asked_anew = True
+    request.may_have_run = True
+    attempts.end_attempt(state, attempt)
+    effects = attempts.start_attempt(state, request, attempt.target, now)
+    effects += stops.stop_run(state, request, attempt)
+    return [_describe_question(request, attempt), *effects]
+
+
 def _record_close(
     state: State, request: Request, attempt: Attempt, event: StreamEnded, end: End
 ) -> None:
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -233,6 +233,8 @@
             of an event contradicts the end as well.
         end_unstated: Whether an engine that keeps complete runs did not state whether
             that close was the end.
+        asked_anew: Whether the engine that had nothing to add to a stream that was
+            taken up was asked once more.
         copy_destination: Target that holds a copy on order or is to hold it, or None.
         copy_memory: Tokens of memory that this copy takes there.
         copy_source: Target that is being copied from, or None.
@@ -292,6 +294,7 @@
     closed_by: Target | None = None
     rest_begun: bool = False
     end_unstated: bool = False
+    asked_anew: bool = False
     copy_destination: Target | None = None
     copy_memory: int = 0
     copy_source: Target | None = None
--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -5,13 +5,20 @@
 import pytest
 
 from figstep.core.clock import Millis
+from figstep.core.problems import Ran
 from figstep.gateway.closes import (
     BRIEF_RETENTION,
     DELIMITED_STREAMS,
     LONG_RETENTION,
     MIN_CHECKED_CLOSES,
 )
-from figstep.gateway.effects import BreakStream, FinishStream, KeptRun, OpenAttempt
+from figstep.gateway.effects import (
+    BreakStream,
+    FinishStream,
+    KeptRun,
+    OpenAttempt,
+    Refuse,
+)
 from figstep.gateway.events import (
     AttemptLost,
     ConfigurationRead,
@@ -155,6 +162,62 @@
     assert harness.find_effects(FinishStream)
 
 
+def take_up(engines: int) -> tuple[EntryHarness, OpenAttempt]:
+    """Let a stream be taken up after its sixth event, and its engine not list it."""
+    harness = start_entry()
+    for number in range(engines, 2):
+        harness.depart(f"e-{number + 1}")
+    harness.receive_request("/question/a", PROMPT, after=6)
+    opened = harness.find_effect(OpenAttempt)
+    harness.open_stream(opened.attempt, delimited=False)
+    harness.handle(StreamEnded(opened.attempt, confirmed=False, empty=True, kept=0))
+    asked = harness.find_effect(OpenAttempt)
+    assert (asked.target, asked.after) == (opened.target, 6)
+    harness.open_stream(asked.attempt, delimited=False)
+    return harness, asked
+
+
+@pytest.mark.parametrize("engines", [1, 2])
+def test_an_empty_stream_that_was_taken_up_is_asked_for_anew(engines: int) -> None:
+    """Guards against 502 for a whole stream, as what stated its end was released."""
+    harness, asked = take_up(engines)
+    target = harness.state.targets.find(asked.target)
+    assert target is not None
+    assert target.failures == 0
+    harness.handle(StreamEnded(asked.attempt, confirmed=False, empty=True, kept=20))
+    assert harness.find_effects(FinishStream)
+
+
+@pytest.mark.parametrize("kept", [None, 0])
+def test_an_empty_stream_that_was_taken_up_is_asked_for_anew_once(
+    kept: int | None,
+) -> None:
+    """Guards against runs without end at an engine that closes each one early."""
+    harness, asked = take_up(engines=1)
+    harness.handle(StreamEnded(asked.attempt, confirmed=False, empty=True, kept=kept))
+    assert not harness.find_effects(OpenAttempt)
+    problem = harness.find_effect(Refuse).problem
+    assert (problem.status, problem.ran) == (502, Ran.UNKNOWN)
+
+
+def test_an_empty_stream_that_nothing_states_twice_goes_on_at_another_engine() -> None:
+    """Guards against 502 as an engine closes each continuation early."""
+    harness, asked = take_up(engines=2)
+    harness.handle(StreamEnded(asked.attempt, confirmed=False, empty=True, kept=0))
+    assert harness.find_effect(OpenAttempt).target != asked.target
+
+
+def test_nobody_is_asked_anew_after_the_deadline() -> None:
+    """Guards against runs whose answers no caller waits for."""
+    harness = start_entry()
+    harness.receive_request("/question/a", PROMPT, after=6)
+    opened = harness.find_effect(OpenAttempt)
+    harness.clock.advance(opened.deadline - harness.clock.now())
+    harness.handle(StreamEnded(opened.attempt, confirmed=False, empty=True, kept=0))
+    assert not harness.find_effects(OpenAttempt)
+    assert harness.find_effects(Refuse)
+
+
 @pytest.mark.parametrize(
     ("own", "service", "believed"),
     [
--- a/tests/platform/places.py
+++ b/tests/platform/places.py
@@ -83,11 +83,15 @@
 
 
 async def read_complete(
-    place: Place, path: str, number: str = "r-1", **headers: str
+    place: Place,
+    path: str,
+    number: str = "r-1",
+    entry: Entry | None = None,
+    **headers: str,
 ) -> bytes | None:
     """Return the body of a successful answer; None if it is not a complete one."""
     async with place.session.post(
-        place.url(path), headers=place.headers(number, **headers)
+        place.url(path, entry), headers=place.headers(number, **headers)
     ) as response:
         try:
             body = await response.read()
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -371,6 +371,7 @@
         lists_lost: Number of queries of what it keeps whose connection it resets.
         paths: Paths of all that it was asked, oldest first.
         reports_lost: Number of queries of its state whose connection it resets.
+        unpins_held: Holds the orders to end a pin until it is set, if given.
     """
 
     name: str
@@ -408,6 +409,7 @@
     lists_lost: int = 0
     paths: list[str] = field(default_factory=list)
     reports_lost: int = 0
+    unpins_held: asyncio.Event | None = None
 
     async def start(self, store: FakeStore, port: int = 0) -> None:
         """Start listening and register in the store."""
@@ -582,6 +584,8 @@
         return web.Response(body=orjson.dumps(self.memory.describe(self.born)))
 
     async def _unpin(self, request: web.Request) -> web.Response:
+        if self.unpins_held is not None:
+            await self.unpins_held.wait()
         found = self.memory.unpin(request.match_info["part"])
         return web.Response(status=200 if found else 404)
 
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -1054,6 +1054,45 @@
     assert (first, found) == (None, b"")
 
 
+@pytest.mark.parametrize("attempts", [1, 2])
+@pytest.mark.parametrize("last", [EARLY, EVENTS])
+async def test_a_stream_that_is_taken_up_outlives_the_release_of_the_run_before(
+    place: Place, last: int, attempts: int
+) -> None:
+    """Guards against 502 as the order of another entry releases this run as well."""
+    second = await place.add_entry(node="entry-2")
+    await place.wait_ready(second, 2)
+    await configure(place, True, attempts, **PINS)
+    target = place.targets["i-e1"]
+    arrives = target.unpins_held = asyncio.Event()
+    write = stream_until(target, EVENTS)
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        response = await write(request)
+        if "Last-Event-Id" in request.headers and not arrives.is_set():
+            arrives.set()
+            while target.memory.count_pinned():
+                await asyncio.sleep(0)
+        return response
+
+    target.handler = answer
+    async with place.session.post(
+        place.url("/plan/a"), headers=place.headers("r-1", **PLAN)
+    ) as response:
+        await response.content.readuntil(b"t%d\n\n" % EVENTS)
+        async with asyncio.timeout(2):
+            while not target.memory.count_pinned():
+                await asyncio.sleep(0)
+        response.close()
+    async with asyncio.timeout(2):
+        while "/figstep/kv-pin/b2" not in target.paths:
+            await asyncio.sleep(0.01)
+    resumed = {**PLAN, "Last_Event_Id": str(last), "Resumes": "r-1"}
+    found = await read_complete(place, "/plan/a", "r-2", second, **resumed)
+    assert arrives.is_set()
+    assert found == write_events(last + 1, EVENTS)
+
+
 async def test_the_close_at_the_deadline_is_not_the_end(place: Place) -> None:
     """Guards against a part as the whole, as its engine stops work at the deadline."""
     await configure(place, False, moves=False, backups=False)
