Give no order to release a run that its engine does not keep

What callers saw: nothing yet.

Cause: the order was given at each end of a stream that was to be kept, also where a list had just stated that nothing of the run is kept. The check for other open runs of the part can't see one that opens a moment later.

Now no order is given where a list shows nothing of the run. Where no list came it is given as before, also to the engine of a caller that has left.

Ruled out: to wait for the order's answer before the engine is asked anew, as its caller would wait too.

--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -548,8 +548,10 @@
                     outlived = await self._has_outlived(effect, response, start)
                     reason = explain_incomplete(replace(end, outlived=outlived))
         finally:
-            # Also if the caller has left meanwhile: it may know its last event.
-            self._release_kept(effect)
+            # Also if the caller has left meanwhile: it may know its last event. Given
+            # for a run that is not kept, the order may meet the next one of its part.
+            if statement.kept is None or statement.kept > 0:
+                self._release_kept(effect)
         if reason:
             return AttemptLost(attempt, Loss.BROKEN, detail=reason)
         return StreamEnded(
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -1091,6 +1091,11 @@
     found = await read_complete(place, "/plan/a", "r-2", second, **resumed)
     assert arrives.is_set()
     assert found == write_events(last + 1, EVENTS)
+    async with asyncio.timeout(2):
+        while target.memory.count_pinned():
+            await asyncio.sleep(0.01)
+    # One order by each entry: none for the run that is not kept.
+    assert target.paths.count("/figstep/kv-pin/b2") == 2
 
 
 async def test_the_close_at_the_deadline_is_not_the_end(place: Place) -> None:
