Take no refusal during a cut, or of an earlier process, for an end

Cause: the time of the result counted, not that at which the connection was opened, and the result of a check named no process.

Now both name the incarnation and when the connection was opened, and what was opened before the end of the last cut shows nothing. During a cut nothing is announced for it either. In answers-lost terms: an answer to an earlier question is none to this one.

The refused check that shows an end still does.

--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -238,9 +238,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetDown:
-    """A probe found that nothing listens at a target's address."""
+    """A probe found that nothing listens at a target's address.
+
+    Attributes:
+        opened: When the connection was opened, as a monotonic time in milliseconds;
+            None if that is now.
+    """
 
     incarnation: Incarnation
+    opened: Millis | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -251,14 +257,14 @@
         opened: When the connection was opened, as a monotonic time in milliseconds.
         reached: Whether it was established.
         lives: Whether the target stated that it lives; None if it was not asked.
-        refused: Whether no process listens at its address.
+        refused: Incarnation at whose address no process listens, if any.
     """
 
     target: str
     opened: Millis
     reached: bool
     lives: bool | None = True
-    refused: bool = False
+    refused: Incarnation | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/reach.py
+++ b/figstep/gateway/reach.py
@@ -55,11 +55,22 @@
         effects += crashes.record_check(state, target, event.opened, lives, now)
     if event.reached:
         return effects + _record_connection(state, target, now)
-    if event.refused and not state.find_reach(target.info.service).cut_off:
+    if event.refused == target.info.incarnation and may_show_end(
+        state, target, event.opened
+    ):
         target.refused_at = now
     return effects + record_unreached(state, target, event.opened, now)
 
 
+def may_show_end(state: State, target: Target, opened: Millis) -> bool:
+    """Return whether a refusal of a connection may show that a target has ended.
+
+    It does not if this entry was cut off from the service as it opened the connection.
+    """
+    reach = state.find_reach(target.info.service)
+    return not reach.cut_off and opened > reach.cut_ended_at
+
+
 def handle_peer(state: State, event: PeerHeard, now: Millis) -> list[Effect]:
     """Check this entry's own links to a service from which another one is cut off."""
     if event.far or not (event.cut_off or event.cuts):
--- a/figstep/gateway/recovery.py
+++ b/figstep/gateway/recovery.py
@@ -190,18 +190,20 @@
 def handle_target_down(state: State, event: TargetDown, now: Millis) -> list[Effect]:
     """Record that a probe found no listener at a target's address, and tell peers.
 
-    A probe of an earlier incarnation is ignored, and one of a known end.
+    A probe of an earlier incarnation is ignored, and so is
+    one of a known end, or that began while this entry was cut off.
     """
     target = state.targets.find(event.incarnation.target)
     if target is None or target.info.incarnation != event.incarnation:
         return []
-    if target.ended_at is not None:
+    opened = now if event.opened is None else event.opened
+    if target.ended_at is not None or not reach.may_show_end(state, target, opened):
         return []
     # Until peers know, they also try this target.
     return [
         Announce(),
         *_record_unreached(state, target, True, now),
-        *reach.record_unreached(state, target, now, now),
+        *reach.record_unreached(state, target, opened, now),
     ]
 
 
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -863,9 +863,10 @@
         target = self._find_target(name)
         if target is None:
             return
+        incarnation, opened = target.info.incarnation, self._clock.now()
         # A network failure does not prove that the target is down.
         if await _listens(target) is False:
-            self._dispatch(TargetDown(target.info.incarnation))
+            self._dispatch(TargetDown(incarnation, opened))
 
     def check_target(self, target: str, asks_life: bool = False) -> None:
         """Check whether a connection to a target can be established.
@@ -879,12 +880,13 @@
         if target is None:
             return
         opened = self._clock.now()
+        incarnation = target.info.incarnation
         listens = await _listens(target)
         reached = listens is True
         lives = None
         if asks_life:
             lives = reached and await self._states_life(target)
-        refused = listens is False
+        refused = incarnation if listens is False else None
         self._dispatch(TargetChecked(name, opened, reached, lives, refused))
 
     def read_report(self, target: str) -> None:
@@ -900,9 +902,10 @@
         if target is None:
             return
         info = target.info
+        opened = self._clock.now()
         reply = await self._query_state(target)
         if reply.start is Start.DOWN:
-            self._dispatch(TargetDown(info.incarnation))
+            self._dispatch(TargetDown(info.incarnation, opened))
         report = reply.report
         if report is None:
             return
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -563,10 +563,65 @@
 def test_a_refused_check_shows_that_a_target_ended(refused: bool) -> None:
     """Guards against ends that are found only once a request is sent there."""
     harness, lost_at = lose_read()
-    harness.handle(TargetChecked(lost_at, harness.clock.now(), False, None, refused))
+    harness.clock.advance(Millis(1))
+    check_refused(harness, lost_at, harness.clock.now(), refused)
     assert harness.state.crashes.is_suspected("good") is refused
 
 
+def check_refused(
+    harness: EntryHarness, name: str, opened: Millis, refused: bool = True
+) -> None:
+    """Let a check of the first incarnation of a target fail."""
+    refusing = Incarnation(name, 1) if refused else None
+    harness.handle(TargetChecked(name, opened, False, None, refusing))
+
+
+class LateResult(Enum):
+    """What refuses a connection while the entry is cut off, and is known later."""
+
+    CHECK = "check"
+    PROBE = "probe"
+
+
+@pytest.mark.parametrize("result", list(LateResult))
+def test_a_refusal_during_a_cut_shows_no_end(result: LateResult) -> None:
+    """Guards against suspecting what an entry lost as it was cut off."""
+    harness, lost_at = lose_read()
+    [other] = {"b-1", "b-2"} - {lost_at}
+    harness.reachable = False
+    harness.clock.advance(Millis(10))
+    for name in (lost_at, other):
+        check_refused(harness, name, harness.clock.now(), refused=False)
+    assert harness.state.is_cut_off
+    harness.clock.advance(Millis(500))
+    opened = harness.clock.now()
+    harness.clock.advance(Millis(2))
+    harness.handle(TargetChecked(other, harness.clock.now(), True, None))
+    harness.clock.advance(Millis(1))
+    if result is LateResult.CHECK:
+        check_refused(harness, lost_at, opened)
+    else:
+        harness.handle(TargetDown(Incarnation(lost_at, 1), opened))
+    harness.clock.advance(Millis(5))
+    harness.handle(TargetChecked(other, harness.clock.now(), True, None))
+    assert not harness.state.crashes.is_suspected("good")
+
+
+def test_a_refused_check_of_an_earlier_incarnation_shows_no_end() -> None:
+    """Guards against an end recorded for a process that started meanwhile."""
+    harness = EntryHarness()
+    harness.register("b-1", "b-2", service=BOOKINGS)
+    opened = harness.clock.now()
+    harness.clock.advance(Millis(3))
+    info = Registration("b-1", BOOKINGS, "b-1:9999", "muc-a", 6, born=5_000)
+    harness.handle(TargetRegistered(info))
+    harness.handle(TargetChecked("b-2", harness.clock.now(), True, None))
+    check_refused(harness, "b-1", opened)
+    target = harness.state.targets.find("b-1")
+    assert target is not None
+    assert target.ended_at is None
+
+
 def test_a_target_that_rejects_connections_has_not_crashed() -> None:
     """Guards against reads refused for targets that have too many connections."""
     harness = EntryHarness()
