--- a/tests/gateway/test_crash_fleets.py
+++ b/tests/gateway/test_crash_fleets.py
@@ -64,13 +64,9 @@
     check_fleet(fleet)
 
 
-@pytest.mark.parametrize("lag", [0, 500])
-@pytest.mark.parametrize("seed", range(8))
-def test_no_document_is_refused_beside_deadly_prompts_and_kills(
-    seed: int, lag: int
-) -> None:
-    """Guards against refusing popular documents that were written on before."""
-    fleet = CrashFleet(
+def build_small_fleet(seed: int) -> CrashFleet:
+    """Return three entries and five engines that prompts with five documents run on."""
+    return CrashFleet(
         seed,
         engines=5,
         documents=5,
@@ -79,6 +75,15 @@
         targets=0,
         calls_per_second=12.0,
     )
+
+
+@pytest.mark.parametrize("lag", [0, 500])
+@pytest.mark.parametrize("seed", range(8))
+def test_no_document_is_refused_beside_deadly_prompts_and_kills(
+    seed: int, lag: int
+) -> None:
+    """Guards against refusing popular documents that were written on before."""
+    fleet = build_small_fleet(seed)
     fleet.guilty_per_second = 2.0
     fleet.entries[0].lag = lag
     fleet.run(4)
@@ -94,15 +99,7 @@
 @pytest.mark.parametrize("seed", range(8))
 def test_no_document_is_refused_after_all_entries_restart(seed: int) -> None:
     """Guards against refusing documents whose answers new processes don't know."""
-    fleet = CrashFleet(
-        seed,
-        engines=5,
-        documents=5,
-        restart_delay=Millis(300),
-        domain_sizes=(3,),
-        targets=0,
-        calls_per_second=12.0,
-    )
+    fleet = build_small_fleet(seed)
     fleet.run(4)
     fleet.send_guilty(10)
     fleet.send_deadly(0, 20)
