Play what the protocol allows and no run of deployments had

The users count breaches of ORDER in two deployments that no run here shows. The protocol allows more than the runs play: truncated answers of runs that are complete and kept, answers in chunks that are cut in order, lists in blocks of tokens, ids that begin at 0, further lines in events and events in pieces, last parts of prompts that are those of sessions, all entries killed at once, callers that name no first attempt, and callers that come back beside their first attempt. Each is an option; a run without them is as before.

The check of streams takes the first id from the record, and accepts the lines that odd events have before their id. It compares ids, events and lengths as before.

--- a/tests/deployments/__main__.py
+++ b/tests/deployments/__main__.py
@@ -191,6 +191,15 @@
         pins=not arguments.without_pins,
         sleeping=arguments.sleeping,
         busy=arguments.busy,
+        truncated=arguments.truncated,
+        shortened=arguments.shortened,
+        block=arguments.block,
+        first_id=arguments.first_id,
+        odd_events=arguments.odd_events,
+        sessions=arguments.sessions,
+        kills=arguments.kill_all,
+        named_returns=not arguments.unnamed_returns,
+        overlaps=arguments.overlaps,
     )
 
 
@@ -287,6 +296,45 @@
         metavar="N",
         help="processes beside the run that keep a core busy each",
     )
+    parser.add_argument(
+        "--truncated",
+        action="store_true",
+        help="engines cut one open-ended stream in twelve whose run they keep",
+    )
+    parser.add_argument(
+        "--shortened",
+        action="store_true",
+        help="engines end one stream in twelve in order with its last chunk, early",
+    )
+    parser.add_argument(
+        "--block", type=int, default=1, help="tokens of a block in lists of engines"
+    )
+    parser.add_argument(
+        "--first-id", type=int, default=1, help="id of the first event of a stream"
+    )
+    parser.add_argument(
+        "--odd-events", action="store_true", help="events with further lines, in pieces"
+    )
+    parser.add_argument(
+        "--sessions",
+        type=_read_count,
+        default=0,
+        metavar="N",
+        help="the last part of each prompt is that of one of N sessions",
+    )
+    parser.add_argument(
+        "--kill-all", type=float, default=0.0, help="interval of kills of all entries"
+    )
+    parser.add_argument(
+        "--unnamed-returns",
+        action="store_true",
+        help="callers that take a stream up name no first attempt",
+    )
+    parser.add_argument(
+        "--overlaps",
+        action="store_true",
+        help="callers that come back leave their first attempt open for a while",
+    )
     parser.add_argument("--folder", type=Path, default=None, help="for the logs")
     arguments = parser.parse_args()
     # aiohttp logs an error for each handler that ends as its peer has gone.
--- a/tests/deployments/callers.py
+++ b/tests/deployments/callers.py
@@ -34,6 +34,10 @@
 """Shortest and longest of these times, in seconds; calls have those of short streams.
 """
 
+OVERLAP_SECONDS = 1.0
+"""Time for which an attempt stays open beside the one that takes its stream up, at
+most, in seconds."""
+
 MAX_PAUSE_SHARE = 1 / 3
 """Longest pause before a refused request is sent again, as a share of what is left."""
 
@@ -123,7 +127,10 @@
     def _draw(self, rng: random.Random, kind: Kind) -> Chain:
         length = draw_length(rng, kind) if kind in STREAMS else 0
         shared = f"a{rng.randrange(8):x}:79,b{rng.randrange(120):x}:150"
-        parts = f"{shared},{rng.getrandbits(32):x}:2000"
+        last = rng.getrandbits(32)
+        if self.options.sessions:
+            last %= self.options.sessions
+        parts = f"{shared},{last:x}:2000"
         due = read_clock() + TIME_LIMITS[kind]
         name = length or rng.randrange(THINGS)
         return Chain(kind, length, f"/{kind.value}/{name}", parts, due)
@@ -189,14 +196,31 @@
             timeout = left if leaves is None else min(leaves, left)
             await asyncio.wait({call}, timeout=timeout)
         finally:
-            if not call.done():
-                call.cancel()
-                await asyncio.wait({call})
-                attempt.disconnected = not attempt.whole
-            attempt.ended = read_clock()
-        pause = 0.0 if call.cancelled() else call.result()
+            if not call.done() and self.options.overlaps and leaves is not None:
+                self._calls.add(call)
+                call.add_done_callback(self._calls.discard)
+                later = asyncio.create_task(self._end_later(call, attempt))
+                self._calls.add(later)
+                later.add_done_callback(self._calls.discard)
+            else:
+                await self._end_call(call, attempt)
+        pause = call.result() if call.done() and not call.cancelled() else 0.0
         return min(pause, MAX_PAUSE_SHARE * max(0.0, chain.due - read_clock()))
 
+    async def _end_call(self, call: asyncio.Task[float], attempt: Attempt) -> None:
+        if not call.done():
+            call.cancel()
+            await asyncio.wait({call})
+            attempt.disconnected = not attempt.whole
+        attempt.ended = read_clock()
+
+    async def _end_later(self, call: asyncio.Task[float], attempt: Attempt) -> None:
+        """Leave an attempt open beside the one that takes its stream up."""
+        try:
+            await asyncio.wait({call}, timeout=OVERLAP_SECONDS)
+        finally:
+            await self._end_call(call, attempt)
+
     async def _call(
         self,
         endpoint: EntryEndpoint,
@@ -228,8 +252,10 @@
         if chain.kind is not Kind.LOOKUP:
             method, body = "POST", b"flour" * 120
         if chain.first:
-            headers["Resumes"] = chain.first
-            headers["Last-Event-Id"] = str(chain.received)
+            if self.options.named_returns:
+                headers["Resumes"] = chain.first
+            after = chain.received + self.options.first_id - 1
+            headers["Last-Event-Id"] = str(after)
         url = f"http://{endpoint.address}{chain.path}"
         try:
             async with self._sessions[endpoint.entry, is_slow].request(
--- a/tests/deployments/plans.py
+++ b/tests/deployments/plans.py
@@ -83,7 +83,12 @@
     seconds: float
 
 
-Fault = Restart | Replace | FreezeTarget | DisturbEntry | LoseStore
+@dataclass(frozen=True, slots=True)
+class KillEntries:
+    """All entries are killed at once, and start again."""
+
+
+Fault = Restart | Replace | FreezeTarget | DisturbEntry | LoseStore | KillEntries
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +110,15 @@
     return sorted(steps, key=lambda step: step.at)
 
 
+def add_kills(steps: list[Step], interval: float, seconds: float) -> list[Step]:
+    """Return a plan in which all entries are killed at each interval, if not 0."""
+    if not interval:
+        return steps
+    count = int(seconds / interval)
+    kills = [Step(interval * number, KillEntries()) for number in range(1, count + 1)]
+    return sorted([*steps, *kills], key=lambda step: step.at)
+
+
 def draw_behaviors(rng: random.Random) -> tuple[str, ...]:
     """Return what is wrong with an engine that starts."""
     return tuple(name for name in BEHAVIORS if rng.random() < BEHAVIOR_SHARE)
--- a/tests/deployments/shapes.py
+++ b/tests/deployments/shapes.py
@@ -55,6 +55,18 @@
         sleeping: Whether engines close one stream in thirty early and stand still
             right after.
         busy: Number of processes beside the run that keep a core busy each.
+        truncated: Whether engines cut some open-ended streams whose run they complete
+            and keep.
+        shortened: Whether engines end some streams in chunks in order, though their
+            run is not complete.
+        block: Tokens of a block of an engine's memory, of which it lists whole ones.
+        first_id: Id of the first event of each stream.
+        odd_events: Whether events have further lines, and come in pieces.
+        sessions: Number of sessions, one of which the last part of each prompt is of; 0
+            for a last part of its own.
+        kills: Interval in seconds at which all entries are killed at once; 0 for never.
+        named_returns: Whether callers that take a stream up name their first attempt.
+        overlaps: Whether callers that take a stream up do not end their first attempt.
     """
 
     framing: str = ""
@@ -70,6 +82,15 @@
     pins: bool = True
     sleeping: bool = False
     busy: int = 0
+    truncated: bool = False
+    shortened: bool = False
+    block: int = 1
+    first_id: int = 1
+    odd_events: bool = False
+    sessions: int = 0
+    kills: float = 0.0
+    named_returns: bool = True
+    overlaps: bool = False
 
 
 USUAL = Options()
--- a/tests/deployments/sites.py
+++ b/tests/deployments/sites.py
@@ -74,7 +74,11 @@
         without: tuple[str, ...] = (),
         options: Options = USUAL,
     ) -> None:
-        self.record = Record(retry_extra=shape.retry_extra, target_stalls=[])
+        self.record = Record(
+            retry_extra=shape.retry_extra,
+            first_id=options.first_id,
+            target_stalls=[],
+        )
         self._rng = random.Random(f"{seed} site")
         self._folder = folder
         self._shape = shape
@@ -122,7 +126,7 @@
             asyncio.create_task(record_loop_stalls(self.record)),
         ]
         start = read_clock()
-        for step in steps:
+        for step in plans.add_kills(steps, self._options.kills, seconds):
             await asyncio.sleep(max(0.0, start + step.at - read_clock()))
             self._start_task(self._apply(step.fault))
         await asyncio.sleep(max(0.0, start + seconds - read_clock()))
@@ -229,6 +233,9 @@
             late_share=self._options.late_share,
             deadlines=self._options.deadlines,
             event_tokens=self._options.event_tokens,
+            block=self._options.block,
+            first_id=self._options.first_id,
+            odd_events=self._options.odd_events,
         )
         if self._options.clock_back:
             identity = replace(identity, born=time.time_ns() // 1_000_000)
@@ -255,6 +262,8 @@
                 entry = self._entries[number % len(self._entries)]
                 with self.record.disturb(action, entry.number):
                     await entry.disturb(action, seconds)
+            case plans.KillEntries():
+                await asyncio.gather(*map(self._kill_entry, self._entries))
             case plans.LoseStore(seconds=seconds):
                 with self.record.disturb("store away"):
                     self._store.unavailable = True
@@ -271,6 +280,10 @@
                     await self._apply_target_fault(target, fault)
                 target.busy = False
 
+    async def _kill_entry(self, entry: EntryHost) -> None:
+        with self.record.disturb("kill", entry.number):
+            await entry.disturb("kill", 0.0)
+
     async def _apply_target_fault(
         self,
         target: TargetHost,
@@ -313,6 +326,8 @@
         kept = [name for name in behaviors if name not in self._without]
         kept += ["pinless"] if self._options.pinless else []
         kept += ["sleep"] if self._options.sleeping else []
+        kept += ["truncated"] if self._options.truncated else []
+        kept += ["shortened"] if self._options.shortened else []
         return tuple(kept)
 
     async def _replace(self, target: TargetHost, fault: plans.Replace) -> None:
--- a/tests/faults/promises.py
+++ b/tests/faults/promises.py
@@ -95,7 +95,7 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that tell a caller that its request did not run."""
 
-_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) (\S+) \1\n\n")
+_EVENT = re.compile(rb"(?:: \S+\nlater: 1\n)?id: (\d+)\ndata: (\S+) (\S+) (\S+) \1\n\n")
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,7 +150,7 @@
         return []
     events = [match.groups() for match in _EVENT.finditer(attempt.body)]
     indexes = [int(index) for index, _, _, _ in events]
-    first = attempt.after + 1
+    first = attempt.after + record.first_id
     if indexes != list(range(first, first + len(indexes))):
         return [Breach("order", f"{attempt.id} got events {indexes}")]
     length = attempt.length or EVENTS[attempt.kind]
--- a/tests/faults/records.py
+++ b/tests/faults/records.py
@@ -151,6 +151,7 @@
             did not run; None if all targets live in the loop of this process. Such
             time is not counted for the end of a run there; it excuses nothing else.
         retry_extra: Repeats in a window that all entries may make besides a share.
+        first_id: Id of the first event of each stream.
         final_phase_start: Time from which all must work again, after the last
             fault and the time to recover from it.
     """
@@ -171,6 +172,7 @@
     loop_stalls: list[tuple[float, float]] = field(default_factory=list)
     target_stalls: list[tuple[str, float, float]] | None = None
     retry_extra: float = RETRY_EXTRA
+    first_id: int = 1
     final_phase_start: float = 0.0
 
     def begin_disturbance(
--- a/tests/platform/memory.py
+++ b/tests/platform/memory.py
@@ -41,15 +41,22 @@
 
     Attributes:
         tokens: Tokens of the part in a prompt.
+        before: Tokens of the parts before it there.
         generated: Tokens that a complete run generated after it, while it is pinned.
         until: Time at which its pin ends; 0 if it is merely cached.
     """
 
     tokens: int
     model: str
+    before: int = 0
     generated: int = 0
     until: float = 0.0
 
+    def count_listed(self, block: int) -> int:
+        """Return its tokens as a list names them, in whole blocks of its prompt."""
+        total = self.before + self.tokens + self.generated
+        return total // block * block - self.before
+
 
 @dataclass(slots=True)
 class Memory:
@@ -57,18 +64,25 @@
 
     What a pin keeps is stated as the tokens of the last part and all tokens generated
     after it, also those that another engine generated before the run went on here.
+
+    Attributes:
+        block: Tokens of a block: only whole ones are listed of a prompt and what was
+            generated after it.
     """
 
     parts: dict[str, Part] = field(default_factory=dict)
     changes: int = 0
+    block: int = 1
 
     def begin(self, headers: Mapping[str, str]) -> None:
         """Cache the parts of a prompt; end the pin of its last part."""
         name = ""
+        before = 0
         for name, tokens in _list_parts(headers):
             kept = self.parts.pop(name, None)
-            self.parts[name] = kept or Part(tokens, headers.get("Model", ""))
+            self.parts[name] = kept or Part(tokens, headers.get("Model", ""), before)
             self.changes += kept is None
+            before += tokens
         if name:
             self.unpin(name)
         self._yield()
@@ -81,7 +95,8 @@
             return
         name, tokens = parts[-1]
         until = read_clock() + int(asked) / 1000
-        part = Part(tokens, headers.get("Model", ""), generated, until)
+        before = sum(tokens for _, tokens in parts[:-1])
+        part = Part(tokens, headers.get("Model", ""), before, generated, until)
         self.parts.pop(name, None)
         self.parts[name] = part
         self.changes += 1
@@ -111,7 +126,7 @@
         """Return the list of all that is kept."""
         self._expire()
         held = [
-            ["", name, part.tokens + part.generated, part.model]
+            ["", name, part.count_listed(self.block), part.model]
             for name, part in self.parts.items()
         ]
         return {"epoch": born, "next": self.changes, "held": held, "born": born}
--- a/tests/platform/runs.py
+++ b/tests/platform/runs.py
@@ -32,7 +32,7 @@
         body: Body of the answer; empty for a stream.
         framing: How its answer told where the body ends.
         events: Number of events that were sent.
-        after: Id of the last event before the first that it sent.
+        after: Number of events before the first that it sent.
         tokens: Tokens of its prompt and of all events up to the last that it sent.
         stopped: Whether the run was ordered to stop, as it was moved.
         expired: Whether the target ended the run as its deadline had passed.
--- a/tests/platform/target.py
+++ b/tests/platform/target.py
@@ -65,6 +65,9 @@
         deadlines: Whether it closes streams as their deadline passes.
         born: Start of its incarnation, as a Unix time in milliseconds; 0 for now.
         event_tokens: Mean number of tokens in an event.
+        block: Tokens of a block of its memory, of which it lists whole ones.
+        first_id: Id of the first event of each stream.
+        odd_events: Whether events have further lines, and come in pieces.
     """
 
     name: str
@@ -86,6 +89,9 @@
     deadlines: bool = False
     born: int = 0
     event_tokens: float = STRIDE
+    block: int = 1
+    first_id: int = 1
+    odd_events: bool = False
 
     def find_port(self) -> int:
         """Return the port at which it listens."""
@@ -120,6 +126,9 @@
         self.open_share = self.identity.open_share
         self.keeps_deadlines = self.identity.deadlines
         self.event_tokens = self.identity.event_tokens
+        self.memory.block = self.identity.block
+        self.first_id = self.identity.first_id
+        self.is_odd = self.identity.odd_events
         self._reported = super().describe_load()
         self._given: dict[str, str] = {}
         self._expiries: dict[str, asyncio.TimerHandle] = {}
--- a/tests/platform/targets.py
+++ b/tests/platform/targets.py
@@ -33,6 +33,9 @@
 END_CHECK_INTERVAL = 0.05
 """Time after which a run that waits for an event notices its end, in seconds."""
 
+CUT_SHARE = 1 / 12
+"""Share of the streams that ``truncated`` and ``shortened`` engines cut."""
+
 SLEEP_SHARE = 1 / 30
 """Share of its open-ended streams after which a sleeping engine stands still."""
 
@@ -60,8 +63,10 @@
             of its streams that end with their connection do so between two events),
             ``empty`` (half of the continuations among them before the first one),
             ``sleep`` (SLEEP_SHARE of them between two events, and it stands still
-            right after) or ``pinless`` (it pins nothing and does not list what it
-            keeps).
+            right after), ``pinless`` (it pins nothing and does not list what it
+            keeps), ``truncated`` (CUT_SHARE of its streams that end with their
+            connection are cut, though their run is complete and kept) or ``shortened``
+            (CUT_SHARE of those in chunks end in order before their run is complete).
         copies: Generation of which the target holds a copy, by request.
         running: Runs that have not ended, by request.
         memory: What it keeps of prompts and of complete runs.
@@ -70,6 +75,9 @@
             come in chunks; None to draw a framing for each.
         keeps_deadlines: Whether it closes streams as their deadline passes.
         event_tokens: Mean number of tokens in an event.
+        first_id: Id of the first event of each stream.
+        is_odd: Whether events have lines besides their id and data, which come in two
+            writes, and a comment line comes before the first one.
         missing_copy_pause: Value of Retry-After, in seconds, where it has no copy of
             the run that is to go on; None to send none.
         call_bytes: Smallest length of the answers to calls, which then come in two
@@ -88,6 +96,8 @@
     open_share: float | None = None
     keeps_deadlines: bool = False
     event_tokens: float = STRIDE
+    first_id: int = 1
+    is_odd: bool = False
     missing_copy_pause: float | None = 0.1
     call_bytes: int = 0
 
@@ -290,8 +300,19 @@
         text = f"sleep {run.request} {self.name} {run.after}"
         return random.Random(text).random() < SLEEP_SHARE
 
+    def _is_cut(self, run: Run, fault: str) -> bool:
+        """Return whether an engine with a fault cuts the stream of a request."""
+        framing = Framing.CONNECTION if fault == "truncated" else Framing.CHUNKS
+        if fault not in self.faults or run.framing != framing.value:
+            return False
+        return draw_share(f"{run.request} {fault}") < CUT_SHARE
+
     def _find_early_end(self, run: Run, first: int, count: int) -> int | None:
         """Return before which of the events a stream is closed; None for none."""
+        if self._is_cut(run, "truncated"):
+            return (count - 1 - zlib.crc32(run.request.encode()) % 3) or None
+        if self._is_cut(run, "shortened"):
+            return count // 2 or None
         if run.framing != Framing.CONNECTION.value:
             return None
         if self._sleeps_after(run):
@@ -305,7 +326,9 @@
 
     async def _stream(self, request: web.Request, run: Run) -> web.StreamResponse:
         holder = request.headers.get("Kv-Backup", "")
-        run.after = int(request.headers.get("Last-Event-Id", "0"))
+        begin = self.first_id
+        last_id = int(request.headers.get("Last-Event-Id", begin - 1))
+        run.after = last_id + 1 - begin
         first = run.after + 1
         total = self.count_events(request)
         sizes = draw_sizes(request.path, total, self.event_tokens)
@@ -314,8 +337,10 @@
         prefix = f"{run.generation} {run.request} {self.version}"
         events = [
             f"id: {index}\ndata: {prefix} {index}\n\n"
-            for index in range(first, total + 1)
+            for index in range(last_id + 1, total + begin)
         ]
+        if self.is_odd:
+            events = [f": {run.version}\nlater: 1\n{event}" for event in events]
         answer = self._open_answer(request, run, sum(map(len, events)))
         broken_at = len(events) // 2 if self._breaks_off(run) else None
         early_at = self._find_early_end(run, first, len(events))
@@ -328,6 +353,10 @@
                 self.back_up(holder, run)
             if number == early_at:
                 run.broken_off = True
+                if self._is_cut(run, "truncated"):
+                    self.memory.complete(request.headers, sum(sizes))
+                if self._is_cut(run, "shortened"):
+                    return answer.end()
                 closed = answer.close()
                 if self._sleeps_after(run):
                     self.fall_asleep()
@@ -337,7 +366,7 @@
                 return answer.close()
             if run.stopped:
                 return answer.close()
-            answer.write(event.encode())
+            await self._write_event(answer, event.encode())
             run.events += 1
             run.tokens += sizes[run.after + run.events - 1]
         run.whole = True
@@ -347,6 +376,15 @@
             self.drop_backup(holder, run)
         return answer.end()
 
+    async def _write_event(self, answer: RawAnswer, event: bytes) -> None:
+        if not self.is_odd:
+            answer.write(event)
+            return
+        split = len(event) // 2
+        answer.write(event[:split])
+        await asyncio.sleep(0)
+        answer.write(event[split:])
+
     async def _wait_for_event(self, run: Run, answer: RawAnswer, due: float) -> None:
         """Wait for the next event of a stream, or until the run ends before it.
 
