Show that the list of a kept run ends parts of streams as whole

What callers see: a stream that ends as complete before its last event. The engine keeps runs that are complete, and a faulty one may truncate the answer of such a run. The list then states that the run is whole; that is taken for the answer unless it has more tokens than the delivered events can hold.

--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -756,6 +756,84 @@
     assert await read_complete(place, "/plan/a", **PLAN) == write_events(1, EVENTS)
 
 
+def stream_kept_part(
+    target: FakeTarget, sent: int, events: int, event_tokens: int
+) -> Handler:
+    """Return a handler that completes and keeps each run, but sends a part of it.
+
+    Resumed streams have all events after the one that they name, in chunks.
+    """
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        target.memory.begin(request.headers)
+        resumed = "Last-Event-Id" in request.headers
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        framing = Framing.CHUNKS if resumed else Framing.CONNECTION
+        raw = RawAnswer(request, framing, target.sign(request), 0)
+        for index in range(first, (events if resumed else sent) + 1):
+            raw.write(write_events(index, index))
+            await asyncio.sleep(EVENT_INTERVAL)
+        target.memory.complete(request.headers, event_tokens * events)
+        return raw.end()
+
+    return answer
+
+
+@pytest.mark.parametrize("resumable", [True, False])
+@pytest.mark.parametrize(
+    ("sent", "event_tokens"), [(8, 2), (5, 2), (9, 3), (9, STRIDE)]
+)
+async def test_a_part_of_a_stream_whose_run_is_kept_is_not_the_whole(
+    place: Place, sent: int, event_tokens: int, resumable: bool
+) -> None:
+    """Guards against a truncated answer that ends as complete, as its run is whole."""
+    await configure(place, resumable, **PINS)
+    target = place.targets["i-e1"]
+    target.handler = stream_kept_part(target, sent, 10, event_tokens)
+    whole = write_events(1, 10) if resumable else None
+    assert await read_complete(place, "/plan/a", **PLAN) == whole
+
+
+@pytest.mark.parametrize("resumable", [True, False])
+async def test_a_part_of_a_stream_is_not_the_whole_where_blocks_are_listed(
+    place: Place, resumable: bool
+) -> None:
+    """Guards against a truncated answer that a list in blocks of tokens states."""
+    await configure(place, resumable, **PINS)
+    target = place.targets["i-e1"]
+    target.memory.block = 16
+    target.handler = stream_kept_part(target, 9, 10, STRIDE)
+    whole = write_events(1, 10) if resumable else None
+    plan = {**PLAN, "Token_Count": "3006,2000", "Prefix_Hash": "a1:1000,b2:2006"}
+    assert await read_complete(place, "/plan/a", **plan) == whole
+
+
+async def test_the_run_of_a_first_attempt_does_not_state_the_end_of_a_second(
+    place: Place,
+) -> None:
+    """Guards against a stream taken up that ends one event early."""
+    await configure(place, True, **PINS)
+    target = place.targets["i-e1"]
+    asked = iter([5])
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        last = next(asked, 6)
+        first = int(request.headers["Last-Event-Id"]) + 1
+        framing = Framing.CONNECTION if last == 5 else Framing.CHUNKS
+        raw = RawAnswer(request, framing, target.sign(request), 0)
+        for index in range(first, last + 1):
+            raw.write(write_events(index, index))
+            await asyncio.sleep(EVENT_INTERVAL)
+        # The first attempt's run, which has come to its end meanwhile.
+        target.memory.complete(request.headers, STRIDE * 6)
+        return raw.end()
+
+    target.handler = answer
+    resumed = {**PLAN, "Last_Event_Id": "4", "Resumes": "r-0"}
+    found = await read_complete(place, "/plan/a", **resumed)
+    assert found == write_events(5, 6)
+
+
 async def serve_delimited(place: Place, engines: list[FakeTarget]) -> None:
     """Let engines serve eight streams in chunks, one after the other."""
 
