State the end of a stream by an exact count of its events

What callers saw: parts of streams that ended as complete.

Cause: the list of what an engine keeps states that a run is whole. Whether the answer is whole was judged by the most tokens that the delivered events can hold, and the ids of a stream that its caller took up were given one event of slack, as they may begin at 0.

Now a list states the end only if its tokens fill exactly the delivered events of an engine whose counts are known. Two reports of a run show what the events between them held: 32 in a row have to be full, for each software version, and a short one ends that for its engine until it has made as many again. A list that is read while a prompt runs shows whether it names each token. The first id is that of streams seen to begin. Anything else states nothing: the rest is asked for, and what can't be told is broken off. More tokens than the events can hold still contradict the end.

Each end that no framing states is logged with the kept tokens, the events, the stride and what is known of both.

Checks that change: 2 tokens for 3 events no longer state the end, as the protocol keeps all that was generated; 24 and 41 tokens no longer state that of ten events.

--- a/figstep/gateway/closes.py
+++ b/figstep/gateway/closes.py
@@ -1,20 +1,22 @@
 """Streams that end with their connection: what states that they are complete.
 
 An engine that is asked to keep a run in its memory does so only if the run is
-complete. It lists what it keeps, so that a list after the close shows whether the
-stream is whole. Each run is sent with that request, as the framing of its stream is not
-known before.
+complete. It lists what it keeps, so that a list after the close shows whether the run
+is whole. The answer is whole if it has as many events as the kept tokens fill, which
+can be told of engines whose `token_counts` are exact. Each run is sent with that
+request, as the framing of its stream is not known before.
 
 An engine that was asked and whose answer is lost states nothing: its close is not the
 end. Where engines keep no runs, the close of one that lives is the end, as long as
 nothing contradicts it and the engine has seldom closed streams early.
 """
 
+import math
 from enum import Enum
 
 from figstep.core.clock import Millis
-from figstep.gateway import placement
-from figstep.gateway.effects import KeptRun
+from figstep.gateway import placement, token_counts
+from figstep.gateway.effects import KeptRun, Note
 from figstep.gateway.events import StreamEnded
 from figstep.gateway.routes import RouteKind
 from figstep.gateway.state import Attempt, Request, State
@@ -65,8 +67,14 @@
     part, tokens = prompt.parts[-1]
     is_brief = _find_closes(state, request.service).delimited >= DELIMITED_STREAMS
     longest = BRIEF_RETENTION if is_brief else LONG_RETENTION
-    duration = min(pool.run_retention, longest)
-    return KeptRun(prompt.model, part, tokens, duration, released=not is_brief)
+    return KeptRun(
+        prompt.model,
+        part,
+        tokens,
+        duration=min(pool.run_retention, longest),
+        released=not is_brief,
+        listed=token_counts.wants_list(state, attempt.target),
+    )
 
 
 def record_framing(
@@ -83,9 +91,9 @@
 ) -> End:
     """Return what is known of the end of a stream.
 
-    A run that is not complete is not kept. A list that still shows an earlier run of
-    the same prompt is recognized if it holds more tokens than the delivered events can
-    hold, or fewer than these have.
+    A run that is not complete is not kept. One that is kept states the end of the
+    stream only if its tokens fill exactly the delivered events: the answer may have
+    been cut, and the list may show another run of the same prompt.
     """
     if event.confirmed:
         return End.STATED
@@ -97,17 +105,43 @@
     if event.kept <= 0:
         return End.CONTRADICTED
     pool = placement.find_engine_pool(state, request.service)
-    # The ids of a stream that its caller took up count the events before; the first may
-    # be 0.
-    pieces = request.pieces if request.spec.after is None else request.delivered + 1
-    if pool is not None and event.kept > pieces * pool.event_tokens:
+    if pool is None:
+        return End.UNSTATED
+    events = token_counts.count_events(state, request, attempt.target)
+    # The first id may be 0.
+    most = request.delivered + 1 if events is None else events
+    if event.kept > most * pool.event_tokens:
         return End.CONTRADICTED
-    if event.kept + 1 < attempt.pieces:
-        # It is a shorter run of the same prompt. The last token may not be kept.
+    filled = math.ceil(event.kept / pool.event_tokens)
+    if filled != events or not token_counts.is_exact(state, attempt.target):
         return End.UNSTATED
     return End.STATED
 
 
+def describe_end(
+    state: State, request: Request, attempt: Attempt, event: StreamEnded, end: End
+) -> Note:
+    """Return the log line of the end of a stream that its framing does not state."""
+    pool = placement.find_engine_pool(state, request.service)
+    counts = token_counts.find_counts(state, attempt.target)
+    return Note(
+        "end of a stream judged",
+        {
+            "request": request.spec.id,
+            "attempt": attempt.number,
+            "target": attempt.target.name,
+            "end": end.value,
+            "kept": event.kept,
+            "events": token_counts.count_events(state, request, attempt.target),
+            "last": request.delivered,
+            "event_tokens": pool.event_tokens if pool else 0,
+            "full_events": counts.full_events,
+            "short_events": attempt.target.has_short_events,
+            "exact_lists": counts.exact_lists,
+        },
+    )
+
+
 def record_list(state: State, request: Request) -> None:
     """Record that an engine of a service has listed what it keeps."""
     _find_closes(state, request.service).listed = True
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -53,6 +53,7 @@
         duration: How long it is kept after the end, in milliseconds.
         released: Whether the engine is ordered to keep it no longer once its end is
             known.
+        listed: Whether the engine is asked, while it runs, what it lists of the prompt.
     """
 
     model: str
@@ -60,6 +61,7 @@
     tokens: int
     duration: Millis
     released: bool = True
+    listed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/ends.py
+++ b/figstep/gateway/ends.py
@@ -60,19 +60,21 @@
     request = state.requests[attempt.request]
     end = closes.judge_end(state, request, attempt, event)
     effects: list[Effect] = []
+    if not event.confirmed:
+        effects.append(closes.describe_end(state, request, attempt, event, end))
     if event.empty and end is not End.STATED and attempt.asked_at is None:
         if _may_be_released(state, request, attempt, end, now):
-            effects = _ask_anew(state, request, attempt, now)
-            if effects:
-                return effects
+            asked = _ask_anew(state, request, attempt, now)
+            if asked:
+                return effects + asked
         # It does not go on from a close, so that nothing suggests an end.
         detail = "its connection ended before the first event"
         lost = AttemptLost(attempt.number, Loss.BROKEN, detail=detail)
-        return recovery.recover_attempt(state, lost, now)
+        return effects + recovery.recover_attempt(state, lost, now)
     if end is not End.STATED and now >= request.deadline:
         # An engine stops work at the deadline, and may close its stream in order.
         request.may_have_run = True
-        return requests.refuse_request(state, request, "deadline", now)
+        return effects + requests.refuse_request(state, request, "deadline", now)
     if attempt is request.standby:
         effects += streams.promote_standby(state, request, attempt, now)
     _record_close(state, request, attempt, event, end)
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -14,7 +14,7 @@
 from figstep.gateway.routes import RoutingTable
 from figstep.gateway.runs import RunCopy
 from figstep.gateway.starts import RecordedVersion, StreamStart
-from figstep.gateway.targets import Incarnation, Registration
+from figstep.gateway.targets import Incarnation, Registration, ReportedRun
 
 
 @dataclass(frozen=True, slots=True)
@@ -295,6 +295,18 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class PromptListed:
+    """An engine listed what it keeps of a prompt that it runs.
+
+    Attributes:
+        missing: Number of tokens of the prompt that the list lacks.
+    """
+
+    incarnation: Incarnation
+    missing: int
+
+
 @dataclass(frozen=True, slots=True)
 class EngineReported:
     """An engine answered a query for its state.
@@ -306,6 +318,7 @@
         ending: Whether it also reports when it will end.
         born: Start of the incarnation that answered, as a Unix time in milliseconds; 0
             if it does not report it.
+        runs: Runs that it reports, as of some hundred milliseconds ago.
     """
 
     target: str
@@ -313,6 +326,7 @@
     memory: int | None = None
     ending: bool = True
     born: int = 0
+    runs: tuple[ReportedRun, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -713,6 +727,7 @@
     | TargetChecked
     | RunCopied
     | RunNotCopied
+    | PromptListed
     | EngineReported
     | TargetRestarted
     | TargetLeaving
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -21,6 +21,7 @@
     requests,
     sources,
     streams,
+    token_counts,
     versions,
 )
 from figstep.gateway.effects import Effect, Note
@@ -41,6 +42,7 @@
     PeerHeard,
     PiecesArrived,
     PositionRead,
+    PromptListed,
     RateNamed,
     ReadingPaused,
     RequestArrived,
@@ -132,6 +134,9 @@
         case RunNotCopied():
             effects = copies.handle_copy_failed(state, event, now)
             return effects + ends.ask_new_holder(state, event.number, now)
+        case PromptListed():
+            token_counts.record_listed_prompt(state, event)
+            return []
         case EngineReported():
             return reports.handle_report(state, event, now)
         case TargetRestarted():
--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -1,7 +1,14 @@
 """Queries of engines for their state, and the engines' reports."""
 
 from figstep.core.clock import Millis
-from figstep.gateway import crashes, departures, placement, shares, sources
+from figstep.gateway import (
+    crashes,
+    departures,
+    placement,
+    shares,
+    sources,
+    token_counts,
+)
 from figstep.gateway.effects import Effect, ReadReport
 from figstep.gateway.events import EngineReported
 from figstep.gateway.state import State
@@ -41,7 +48,10 @@
         needed = state.store_unreachable and _is_querier(
             state, target, live_entries, now
         )
-        if not needed and not _may_hold_unclaimed(state, target, now):
+        needed = needed or _may_hold_unclaimed(state, target, now)
+        if token_counts.needs_query(state, target, now):
+            token_counts.record_query(state, target)
+        elif not needed:
             continue
         _record_query(target, now)
         effects.append(ReadReport(target.name))
@@ -109,6 +119,7 @@
     if target is None:
         return []
     crashes.record_answer(state, target, target.queried_at)
+    token_counts.record_runs(state, target, event.runs)
     if event.memory is not None:
         _update_unclaimed(target, event.memory, now)
     if not event.leaving:
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -36,6 +36,7 @@
     ServiceCloses,
     Target,
     TargetTable,
+    TokenCounts,
 )
 
 LEAVING_ANNOUNCE_DURATION = Millis(10_000)
@@ -550,6 +551,7 @@
         demand: Demand of this entry and the fleet; None if admission depends on this
             entry's own counts only.
         closes: How engines have ended their streams, by service.
+        token_counts: How engines count tokens, by service and software version.
     """
 
     node: str
@@ -604,6 +606,7 @@
     places_by_pace: bool = False
     demand: DemandTable | None = None
     closes: dict[str, ServiceCloses] = field(default_factory=dict)
+    token_counts: dict[tuple[str, str], TokenCounts] = field(default_factory=dict)
 
     @property
     def is_large(self) -> bool:
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -12,6 +12,7 @@
     recovery,
     requests,
     stops,
+    token_counts,
 )
 from figstep.gateway.effects import (
     BeginStream,
@@ -171,6 +172,8 @@
     data: list[bytes] = []
     last = request.delivered
     continued = request.stream_begun or request.spec.after is not None
+    if not continued and event.pieces:
+        token_counts.record_first_id(state, attempt.target, event.pieces[0].index)
     for piece in event.pieces:
         if continued and piece.index <= last:
             # A resumed run repeats events that the other engine has sent meanwhile.
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -19,6 +19,22 @@
     born: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReportedRun:
+    """A run as its engine reports it.
+
+    Attributes:
+        id: Id of its request.
+        tokens: Tokens that the engine's memory holds of it, those of its prompt
+            included.
+        events: Number of events that it has made.
+    """
+
+    id: str
+    tokens: int
+    events: int
+
+
 @dataclass(frozen=True, slots=True)
 class Registration:
     """A target's description of itself.
@@ -199,6 +215,29 @@
     listed: bool = False
 
 
+@dataclass(slots=True)
+class TokenCounts:
+    """How the engines of one software version of a service count tokens.
+
+    Attributes:
+        full_events: Number of events in a row that held the largest number of tokens.
+        exact_lists: Number of lists in a row that named each token of a prompt.
+        lists_vary: Whether a list has lacked tokens of a prompt.
+        list_reads: Number of lists that were read to learn this.
+        queried: Number of its engines that were queried to learn what events hold.
+        first_id: Id of the first event of a stream; None if none was seen.
+        ids_vary: Whether streams have begun with different ids.
+    """
+
+    full_events: int = 0
+    exact_lists: int = 0
+    lists_vary: bool = False
+    list_reads: int = 0
+    queried: int = 0
+    first_id: int | None = None
+    ids_vary: bool = False
+
+
 @dataclass(slots=True)
 class Target:
     """A target and what this entry knows of it.
@@ -259,6 +298,11 @@
         announced_leaving: Whether it has announced to this entry that it leaves.
         open_ended: Whether its last stream had neither a length nor chunks.
         closes: How often it has closed streams early.
+        reported_runs: Runs that its last report listed, by id.
+        full_events: Number of its events in a row that held the largest number of
+            tokens.
+        has_short_events: Whether an event held fewer since then.
+        token_queries: How often it was queried for the tokens in its events.
         restarted: Whether it has reported a later start than the one it registered.
         lost: What requests whose attempts there ended without an answer may be
             suspected for. An answer to a request sent after the end of a run removes
@@ -325,6 +369,10 @@
     announced_leaving: bool = False
     open_ended: bool = False
     closes: CloseCount = field(default_factory=CloseCount)
+    reported_runs: dict[str, ReportedRun] = field(default_factory=dict)
+    full_events: int = 0
+    has_short_events: bool = False
+    token_queries: int = 0
     restarted: bool = False
     lost: dict[str, LostRun] = field(default_factory=dict)
     unproven: dict[str, Millis] = field(default_factory=dict)
--- /dev/null
+++ b/figstep/gateway/token_counts.py
@@ -0,0 +1,149 @@
+"""Tokens that engines put into an event, and how exactly they list what they keep.
+
+An engine lists what it keeps of a complete run in tokens, while a stream has events. A
+list states the number of events only if each event but the last holds the largest
+number of tokens, and if the list names each token. Both are observed, for the engines
+of each software version of a service:
+
+- Two reports of a run show how many tokens its events between them held.
+- A list that is read while a prompt runs shows whether it names all its tokens. Some
+  engines list whole blocks of tokens.
+"""
+
+from figstep.core.clock import Millis
+from figstep.gateway import placement
+from figstep.gateway.events import PromptListed
+from figstep.gateway.state import Request, State
+from figstep.gateway.targets import ReportedRun, Target, TokenCounts
+
+MIN_FULL_EVENTS = 32
+"""Number of events in a row that must have been full before further ones count so."""
+
+MIN_EXACT_LISTS = 4
+"""Number of exact lists in a row after which no further one is read, and which are
+needed after a list that was not exact."""
+
+MAX_LIST_READS = 16
+"""Maximum number of lists that are read for this, for each software version."""
+
+MAX_QUERIES = 20
+"""Maximum number of queries for this of each incarnation of an engine."""
+
+MAX_QUERIED_AT_ONCE = 4
+"""Maximum number of engines of a large fleet that are queried for this."""
+
+
+def needs_query(state: State, target: Target, now: Millis) -> bool:
+    """Return whether an engine is queried for the tokens in its events.
+
+    In a large fleet a few engines stand for all those of their software version.
+    """
+    pool = placement.find_engine_pool(state, target.info.service)
+    if pool is None or not pool.run_retention or not target.load:
+        return False
+    if target.token_queries >= MAX_QUERIES:
+        return False
+    if not state.is_large:
+        return target.full_events < MIN_FULL_EVENTS
+    counts = find_counts(state, target)
+    if counts.full_events >= MIN_FULL_EVENTS:
+        return False
+    return target.token_queries > 0 or counts.queried < MAX_QUERIED_AT_ONCE
+
+
+def record_query(state: State, target: Target) -> None:
+    """Record that an engine is queried for the tokens in its events."""
+    find_counts(state, target).queried += not target.token_queries
+    target.token_queries += 1
+
+
+def record_runs(state: State, target: Target, runs: tuple[ReportedRun, ...]) -> None:
+    """Record what two reports of an engine in a row show of its events.
+
+    Tokens that became fewer, or more than the events can hold, are those of a run that
+    was preempted and read in again.
+    """
+    pool = placement.find_engine_pool(state, target.info.service)
+    if pool is None:
+        return
+    before, target.reported_runs = target.reported_runs, {run.id: run for run in runs}
+    counts = find_counts(state, target)
+    for run in runs:
+        earlier = before.get(run.id)
+        if earlier is None or not earlier.events:
+            continue
+        events = run.events - earlier.events
+        tokens = run.tokens - earlier.tokens
+        if events <= 0 or tokens <= 0 or tokens > events * pool.event_tokens:
+            continue
+        if tokens < events * pool.event_tokens:
+            target.full_events = counts.full_events = 0
+            target.has_short_events = True
+            return
+        target.full_events += events
+        counts.full_events += events
+    if target.full_events >= MIN_FULL_EVENTS:
+        target.has_short_events = False
+
+
+def wants_list(state: State, target: Target) -> bool:
+    """Return whether the list of an engine is read while a prompt runs there."""
+    counts = find_counts(state, target)
+    if counts.exact_lists >= MIN_EXACT_LISTS or counts.list_reads >= MAX_LIST_READS:
+        return False
+    counts.list_reads += 1
+    return True
+
+
+def record_listed_prompt(state: State, event: PromptListed) -> None:
+    """Record whether an engine listed each token of a prompt that it runs."""
+    target = state.targets.find(event.incarnation.target)
+    if target is None or target.info.incarnation != event.incarnation:
+        return
+    record_list(state, target, event.missing)
+
+
+def record_list(state: State, target: Target, missing: int) -> None:
+    """Record how many tokens of a prompt were missing in a list."""
+    counts = find_counts(state, target)
+    if missing:
+        counts.exact_lists = 0
+        counts.lists_vary = True
+    else:
+        counts.exact_lists += 1
+
+
+def record_first_id(state: State, target: Target, first: int) -> None:
+    """Record the id of the first event of a stream that began at an engine."""
+    counts = find_counts(state, target)
+    counts.ids_vary |= counts.first_id not in (None, first)
+    counts.first_id = first
+
+
+def is_exact(state: State, target: Target) -> bool:
+    """Return whether the list of an engine states a number of events."""
+    counts = find_counts(state, target)
+    needed = MIN_EXACT_LISTS if counts.lists_vary else 1
+    if target.has_short_events or counts.exact_lists < needed:
+        return False
+    return counts.full_events >= MIN_FULL_EVENTS
+
+
+def count_events(state: State, request: Request, target: Target) -> int | None:
+    """Return the number of events up to the last delivered one; None if unknown.
+
+    Those that the caller of a stream received in an earlier attempt are counted by
+    their ids.
+    """
+    if request.spec.after is None:
+        return request.pieces
+    counts = find_counts(state, target)
+    if counts.first_id is None or counts.ids_vary:
+        return None
+    return request.delivered - counts.first_id + 1
+
+
+def find_counts(state: State, target: Target) -> TokenCounts:
+    """Return what is known of the engines of a target's software version."""
+    key = (target.info.service, target.info.version)
+    return state.token_counts.setdefault(key, TokenCounts())
--- a/figstep/platform/answers.py
+++ b/figstep/platform/answers.py
@@ -1,17 +1,20 @@
 """Headers and reports in which targets describe their own state."""
 
 import math
+from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Any, NamedTuple
 
 import aiohttp
 import logbook
 import orjson
-from pydantic import BaseModel, ConfigDict
+from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
 
 from figstep.core.clock import Millis
 from figstep.errors import FrameError
 from figstep.gateway.edges import AnswerHead
 from figstep.gateway.events import EngineReported, Loss
+from figstep.gateway.targets import ReportedRun
 from figstep.platform import names
 
 _log = logbook.Logger("figstep.answers")
@@ -180,6 +183,7 @@
     leaves_ms: float | None = None
     kv_used: int | None = None  # tokens in memory that cannot be evicted
     born: int = 0  # start of the engine, in ms since the Unix epoch
+    runs: Any = None  # rows of id, tokens, events and priority
 
 
 def parse_report(target: str, body: bytes) -> EngineReported:
@@ -191,4 +195,27 @@
     report = _Report.model_validate(orjson.loads(body))
     ending = report.leaves_ms is not None
     leaving = ending or report.state != "ready"
-    return EngineReported(target, leaving, report.kv_used, ending, report.born)
+    runs = tuple(_read_runs(report.runs))
+    return EngineReported(target, leaving, report.kv_used, ending, report.born, runs)
+
+
+class _RunRow(NamedTuple):
+    id: str
+    tokens: int
+    events: int
+    priority: int
+
+
+_RUN_ROW = TypeAdapter(_RunRow)
+
+
+def _read_runs(rows: object) -> Iterator[ReportedRun]:
+    """Yield the runs in a report; rows of another form are left out."""
+    if not isinstance(rows, list):
+        return
+    for row in rows:
+        try:
+            read = _RUN_ROW.validate_python(row)
+        except ValidationError:
+            continue
+        yield ReportedRun(read.id, read.tokens, read.events)
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -29,6 +29,7 @@
     Event,
     Loss,
     PiecesArrived,
+    PromptListed,
     RateNamed,
     ReadingPaused,
     RestBegun,
@@ -512,6 +513,7 @@
         delimited = is_delimited(response)
         splitter = EventSplitter()
         events = 0
+        listing: asyncio.Task[None] | None = None
         has_begun = False
         going_at = read_at = self._clock.now()
         async for chunk in response.content.iter_any():
@@ -523,6 +525,8 @@
                 StreamPiece(event.index, event.data) for event in splitter.feed(chunk)
             ]
             events += len(pieces)
+            if pieces and listing is None:
+                listing = self._run_in_background(self._list_prompt(effect))
             if pieces:
                 self._dispatch(PiecesArrived(attempt, pieces))
                 if not exchange.buffer.may_read():
@@ -542,6 +546,8 @@
         try:
             if not reason and not delimited:
                 self._dispatch(StreamClosed(attempt))
+                if listing is not None:
+                    await asyncio.wait({listing})
                 statement, start = await self._query_kept(effect, going_at)
                 if statement.kept is None or statement.kept <= 0:
                     # A target that lists the run has not restarted.
@@ -575,6 +581,18 @@
             return going_at
         return max(read_at, Millis(self._stalls.find_earliest(now) - STALL_SLACK))
 
+    async def _list_prompt(self, effect: OpenAttempt) -> None:
+        """Learn how exactly an engine lists the prompt that it has begun to run."""
+        target = self._find_target(effect.target)
+        if effect.keep is None or not effect.keep.listed or target is None:
+            return
+        assert self._session is not None
+        missing = await retention.query_prompt(
+            self._session, target, effect.keep, self._room
+        )
+        if missing is not None:
+            self._dispatch(PromptListed(target.info.incarnation, missing))
+
     async def _query_kept(
         self, effect: OpenAttempt, going_at: Millis
     ) -> "tuple[retention.Statement, asyncio.Task[Start] | None]":
--- a/figstep/platform/retention.py
+++ b/figstep/platform/retention.py
@@ -28,6 +28,9 @@
 """Maximum number of queries: two while a run is not listed, as a list may be a moment
 old, and a further one for an answer that is lost or is no list."""
 
+PROMPT_TRIES = 2
+"""Maximum number of queries while a prompt runs, as a list may be a moment old."""
+
 LIST_PAUSE_SECONDS = 0.1
 """Pause between these queries, in seconds."""
 
@@ -110,6 +113,28 @@
     return Statement(kept, lists_none)
 
 
+async def query_prompt(
+    session: aiohttp.ClientSession, target: Target, run: KeptRun, room: SharedRoom
+) -> int | None:
+    """Query an engine for the last part of a prompt that it runs.
+
+    Returns:
+        The number of its tokens that the list lacks; None if the part is not listed, or
+        with more than its tokens, or if no list was read.
+    """
+    for number in range(PROMPT_TRIES):
+        if number:
+            await asyncio.sleep(LIST_PAUSE_SECONDS)
+        try:
+            kept = await _read_kept(session, target, run, room)
+        except _NoListError as error:
+            _log_failure(target, error)
+            return None
+        if kept is not None and -run.tokens < kept <= 0:
+            return -kept
+    return None
+
+
 async def _read_kept(
     session: aiohttp.ClientSession, target: Target, run: KeptRun, room: SharedRoom
 ) -> int | None:
