Learn what events hold from one report of a run of this entry

Now one report shows the events of a run whose prompt this entry knows, and the first id is learned for a service. Reports that are read for this do not change what is known of an engine's memory: that is for restarts and outages, as before.

--- a/figstep/gateway/closes.py
+++ b/figstep/gateway/closes.py
@@ -107,7 +107,7 @@
     pool = placement.find_engine_pool(state, request.service)
     if pool is None:
         return End.UNSTATED
-    events = token_counts.count_events(state, request, attempt.target)
+    events = _count_events(state, request)
     # The first id may be 0.
     most = request.delivered + 1 if events is None else events
     if event.kept > most * pool.event_tokens:
@@ -132,7 +132,7 @@
             "target": attempt.target.name,
             "end": end.value,
             "kept": event.kept,
-            "events": token_counts.count_events(state, request, attempt.target),
+            "events": _count_events(state, request),
             "last": request.delivered,
             "event_tokens": pool.event_tokens if pool else 0,
             "full_events": counts.full_events,
@@ -142,6 +142,27 @@
     )
 
 
+def _count_events(state: State, request: Request) -> int | None:
+    """Return the number of events up to the last delivered one; None if unknown.
+
+    Those that the caller of a stream received in an earlier attempt are counted by
+    their ids.
+    """
+    if request.spec.after is None:
+        return request.pieces
+    closes = _find_closes(state, request.service)
+    if closes.first_id is None or closes.ids_vary:
+        return None
+    return request.delivered - closes.first_id + 1
+
+
+def record_first_id(state: State, request: Request, first: int) -> None:
+    """Record the id of the first event of a stream that begins."""
+    closes = _find_closes(state, request.service)
+    closes.ids_vary |= closes.first_id not in (None, first)
+    closes.first_id = first
+
+
 def record_list(state: State, request: Request) -> None:
     """Record that an engine of a service has listed what it keeps."""
     _find_closes(state, request.service).listed = True
--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -48,7 +48,7 @@
         needed = state.store_unreachable and _is_querier(
             state, target, live_entries, now
         )
-        needed = needed or _may_hold_unclaimed(state, target, now)
+        needed |= _may_hold_unclaimed(state, target, now)
         if token_counts.needs_query(state, target, now):
             token_counts.record_query(state, target)
         elif not needed:
@@ -120,7 +120,7 @@
         return []
     crashes.record_answer(state, target, target.queried_at)
     token_counts.record_runs(state, target, event.runs)
-    if event.memory is not None:
+    if event.memory is not None and _counts_memory(state, target, now):
         _update_unclaimed(target, event.memory, now)
     if not event.leaving:
         return []
@@ -131,6 +131,11 @@
     return departures.handle_leaving(state, target.info.incarnation, now)
 
 
+def _counts_memory(state: State, target: Target, now: Millis) -> bool:
+    """Return whether an engine may use memory that no known run or copy claims."""
+    return state.store_unreachable or _may_hold_unclaimed(state, target, now)
+
+
 def _update_unclaimed(target: Target, used: int, now: Millis) -> None:
     target.unclaimed = max(0, used - target.claimed_baseline)
     target.reported_at = now
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -12,7 +12,6 @@
     recovery,
     requests,
     stops,
-    token_counts,
 )
 from figstep.gateway.effects import (
     BeginStream,
@@ -173,7 +172,7 @@
     last = request.delivered
     continued = request.stream_begun or request.spec.after is not None
     if not continued and event.pieces:
-        token_counts.record_first_id(state, attempt.target, event.pieces[0].index)
+        closes.record_first_id(state, request, event.pieces[0].index)
     for piece in event.pieces:
         if continued and piece.index <= last:
             # A resumed run repeats events that the other engine has sent meanwhile.
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -208,11 +208,15 @@
         count: Closes of all its engines.
         delimited: Number of its last streams in a row that had a length or chunks.
         listed: Whether one of them has listed what it keeps.
+        first_id: Id of the first event of their streams; None if none was seen.
+        ids_vary: Whether streams have begun with different ids.
     """
 
     count: CloseCount = field(default_factory=CloseCount)
     delimited: int = 0
     listed: bool = False
+    first_id: int | None = None
+    ids_vary: bool = False
 
 
 @dataclass(slots=True)
@@ -225,8 +229,6 @@
         lists_vary: Whether a list has lacked tokens of a prompt.
         list_reads: Number of lists that were read to learn this.
         queried: Number of its engines that were queried to learn what events hold.
-        first_id: Id of the first event of a stream; None if none was seen.
-        ids_vary: Whether streams have begun with different ids.
     """
 
     full_events: int = 0
@@ -234,8 +236,6 @@
     lists_vary: bool = False
     list_reads: int = 0
     queried: int = 0
-    first_id: int | None = None
-    ids_vary: bool = False
 
 
 @dataclass(slots=True)
--- a/figstep/gateway/token_counts.py
+++ b/figstep/gateway/token_counts.py
@@ -5,7 +5,8 @@
 number of tokens, and if the list names each token. Both are observed, for the engines
 of each software version of a service:
 
-- Two reports of a run show how many tokens its events between them held.
+- Two reports of a run show how many tokens its events between them held, and one does
+  so of a run whose prompt is known.
 - A list that is read while a prompt runs shows whether it names all its tokens. Some
   engines list whole blocks of tokens.
 """
@@ -13,7 +14,7 @@
 from figstep.core.clock import Millis
 from figstep.gateway import placement
 from figstep.gateway.events import PromptListed
-from figstep.gateway.state import Request, State
+from figstep.gateway.state import State
 from figstep.gateway.targets import ReportedRun, Target, TokenCounts
 
 MIN_FULL_EVENTS = 32
@@ -58,7 +59,7 @@
 
 
 def record_runs(state: State, target: Target, runs: tuple[ReportedRun, ...]) -> None:
-    """Record what two reports of an engine in a row show of its events.
+    """Record what a report of an engine, and the one before, show of its events.
 
     Tokens that became fewer, or more than the events can hold, are those of a run that
     was preempted and read in again.
@@ -66,11 +67,12 @@
     pool = placement.find_engine_pool(state, target.info.service)
     if pool is None:
         return
-    before, target.reported_runs = target.reported_runs, {run.id: run for run in runs}
+    before = {run.id: run for run in target.reported_runs.values() if run.events}
+    target.reported_runs = {run.id: run for run in runs}
     counts = find_counts(state, target)
     for run in runs:
-        earlier = before.get(run.id)
-        if earlier is None or not earlier.events:
+        earlier = before.get(run.id) or _find_begin(state, target, run.id)
+        if earlier is None:
             continue
         events = run.events - earlier.events
         tokens = run.tokens - earlier.tokens
@@ -86,6 +88,18 @@
         target.has_short_events = False
 
 
+def _find_begin(state: State, target: Target, name: str) -> ReportedRun | None:
+    """Return a run of this entry as it began; None if that is not known."""
+    for attempt in state.attempts.values():
+        request = state.requests[attempt.request]
+        if attempt.target is not target or request.spec.id != name:
+            continue
+        if request.spec.after is None and request.attempts_sent == 1:
+            assert request.spec.prompt is not None
+            return ReportedRun(name, request.spec.prompt.tokens, 0)
+    return None
+
+
 def wants_list(state: State, target: Target) -> bool:
     """Return whether the list of an engine is read while a prompt runs there."""
     counts = find_counts(state, target)
@@ -113,13 +127,6 @@
         counts.exact_lists += 1
 
 
-def record_first_id(state: State, target: Target, first: int) -> None:
-    """Record the id of the first event of a stream that began at an engine."""
-    counts = find_counts(state, target)
-    counts.ids_vary |= counts.first_id not in (None, first)
-    counts.first_id = first
-
-
 def is_exact(state: State, target: Target) -> bool:
     """Return whether the list of an engine states a number of events."""
     counts = find_counts(state, target)
@@ -129,20 +136,6 @@
     return counts.full_events >= MIN_FULL_EVENTS
 
 
-def count_events(state: State, request: Request, target: Target) -> int | None:
-    """Return the number of events up to the last delivered one; None if unknown.
-
-    Those that the caller of a stream received in an earlier attempt are counted by
-    their ids.
-    """
-    if request.spec.after is None:
-        return request.pieces
-    counts = find_counts(state, target)
-    if counts.first_id is None or counts.ids_vary:
-        return None
-    return request.delivered - counts.first_id + 1
-
-
 def find_counts(state: State, target: Target) -> TokenCounts:
     """Return what is known of the engines of a target's software version."""
     key = (target.info.service, target.info.version)
--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -69,7 +69,7 @@
     opened = open_stream(harness)
     harness.send_pieces(opened.attempt, 1, 1)
     harness.handle(StreamEnded(opened.attempt, confirmed=True))
-    harness.state.closes.clear()
+    harness.state.closes[ENGINES].delimited = 0
 
 
 def start_entry(retention: Millis = RETENTION, is_exact: bool = True) -> EntryHarness:
@@ -233,6 +233,19 @@
     assert end_with_full_count(harness)
 
 
+@pytest.mark.parametrize("tokens", [300 + 4 * 40, 300 + 4 * 40 - 1])
+def test_one_report_of_a_run_shows_its_events_if_its_prompt_is_known(
+    tokens: int,
+) -> None:
+    """Guards against whole streams lost until an engine has reported a run twice."""
+    harness = start_entry(is_exact=False)
+    opened = open_stream(harness)
+    list_prompt(harness, opened.target)
+    request = next(iter(harness.state.requests.values()))
+    report_runs(harness, opened.target, (request.spec.id, tokens, 40))
+    assert end_with_full_count(harness) == (tokens % 4 == 0)
+
+
 def test_a_restarted_engine_has_shown_no_short_event() -> None:
     """Guards against whole streams lost for what an earlier incarnation showed."""
     harness = start_entry()
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -112,7 +112,8 @@
     async with asyncio.timeout(5):
         while len(target.aborted) < len(calls):
             await asyncio.sleep(0.01)
-    known.closes.clear()
+    for closes in known.closes.values():
+        closes.delimited = 0
     for records in (target.received_headers, target.paths, target.aborted):
         records.clear()
 
