Learn how engines count tokens for a service, not for each version

The largest number of tokens in an event is configured for a service. What a report of an engine shows of short events still counts against that engine, and each engine is queried until it has shown its own.

--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -551,7 +551,7 @@
         demand: Demand of this entry and the fleet; None if admission depends on this
             entry's own counts only.
         closes: How engines have ended their streams, by service.
-        token_counts: How engines count tokens, by service and software version.
+        token_counts: How engines count tokens, by service.
     """
 
     node: str
@@ -606,7 +606,7 @@
     places_by_pace: bool = False
     demand: DemandTable | None = None
     closes: dict[str, ServiceCloses] = field(default_factory=dict)
-    token_counts: dict[tuple[str, str], TokenCounts] = field(default_factory=dict)
+    token_counts: dict[str, TokenCounts] = field(default_factory=dict)
 
     @property
     def is_large(self) -> bool:
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -221,7 +221,7 @@
 
 @dataclass(slots=True)
 class TokenCounts:
-    """How the engines of one software version of a service count tokens.
+    """How the engines of a service count tokens.
 
     Attributes:
         full_events: Number of events in a row that held the largest number of tokens.
--- a/figstep/gateway/token_counts.py
+++ b/figstep/gateway/token_counts.py
@@ -3,7 +3,7 @@
 An engine lists what it keeps of a complete run in tokens, while a stream has events. A
 list states the number of events only if each event but the last holds the largest
 number of tokens, and if the list names each token. Both are observed, for the engines
-of each software version of a service:
+of each service:
 
 - Two reports of a run show how many tokens its events between them held, and one does
   so of a run whose prompt is known.
@@ -25,7 +25,7 @@
 needed after a list that was not exact."""
 
 MAX_LIST_READS = 16
-"""Maximum number of lists that are read for this, for each software version."""
+"""Maximum number of lists that are read for this, for each service."""
 
 MAX_QUERIES = 20
 """Maximum number of queries for this of each incarnation of an engine."""
@@ -37,7 +37,7 @@
 def needs_query(state: State, target: Target, now: Millis) -> bool:
     """Return whether an engine is queried for the tokens in its events.
 
-    In a large fleet a few engines stand for all those of their software version.
+    In a large fleet a few engines stand for all those of their service.
     """
     pool = placement.find_engine_pool(state, target.info.service)
     if pool is None or not pool.run_retention or not target.load:
@@ -137,6 +137,5 @@
 
 
 def find_counts(state: State, target: Target) -> TokenCounts:
-    """Return what is known of the engines of a target's software version."""
-    key = (target.info.service, target.info.version)
-    return state.token_counts.setdefault(key, TokenCounts())
+    """Return what is known of the engines of a target's service."""
+    return state.token_counts.setdefault(target.info.service, TokenCounts())
--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -193,7 +193,7 @@
     report_runs(harness, "e-1", ("r-3", 500 + 4 * 50 - 1, 60))
     report_runs(harness, "e-2", ("r-4", 500, 10))
     assert not end_with_full_count(harness)
-    # Another engine of this version shows that its own events are full.
+    # Another engine shows that its own events are full.
     report_runs(harness, "e-2", ("r-4", 500 + 4 * 50, 60))
     ends = {end_with_full_count(harness) for _ in range(8)}
     assert ends == {True, False}
