Query engines sooner for what their events hold

Entries that have just started, and all at the start of a run, waited 400 ms between two reports, and for 32 full events. Reports for this purpose are now read each 200 ms, apart from those of an engine's memory, whose base is taken at each query, and 16 full events in a row suffice.

What is left: the first 1.9 s after the start of all entries, and the first second of an entry that was killed.

--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -43,15 +43,15 @@
             target.unclaimed = 0
         if not target.accepts_work:
             continue
+        if token_counts.needs_query(state, target, now):
+            token_counts.record_query(state, target, now)
+            effects.append(ReadReport(target.name))
         if now - target.queried_at < QUERY_INTERVAL:
             continue
         needed = state.store_unreachable and _is_querier(
             state, target, live_entries, now
         )
-        needed |= _may_hold_unclaimed(state, target, now)
-        if token_counts.needs_query(state, target, now):
-            token_counts.record_query(state, target)
-        elif not needed:
+        if not needed and not _may_hold_unclaimed(state, target, now):
             continue
         _record_query(target, now)
         effects.append(ReadReport(target.name))
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -303,6 +303,7 @@
             tokens.
         has_short_events: Whether an event held fewer since then.
         token_queries: How often it was queried for the tokens in its events.
+        tokens_queried_at: When it was last queried for them.
         restarted: Whether it has reported a later start than the one it registered.
         lost: What requests whose attempts there ended without an answer may be
             suspected for. An answer to a request sent after the end of a run removes
@@ -373,6 +374,7 @@
     full_events: int = 0
     has_short_events: bool = False
     token_queries: int = 0
+    tokens_queried_at: Millis = Millis(-1_000_000)
     restarted: bool = False
     lost: dict[str, LostRun] = field(default_factory=dict)
     unproven: dict[str, Millis] = field(default_factory=dict)
--- a/figstep/gateway/token_counts.py
+++ b/figstep/gateway/token_counts.py
@@ -17,7 +17,7 @@
 from figstep.gateway.state import State
 from figstep.gateway.targets import ReportedRun, Target, TokenCounts
 
-MIN_FULL_EVENTS = 32
+MIN_FULL_EVENTS = 16
 """Number of events in a row that must have been full before further ones count so."""
 
 MIN_EXACT_LISTS = 4
@@ -27,7 +27,10 @@
 MAX_LIST_READS = 16
 """Maximum number of lists that are read for this, for each service."""
 
-MAX_QUERIES = 20
+QUERY_INTERVAL = Millis(200)
+"""Shortest time, in milliseconds, between two queries for this of an engine."""
+
+MAX_QUERIES = 30
 """Maximum number of queries for this of each incarnation of an engine."""
 
 MAX_QUERIED_AT_ONCE = 4
@@ -44,6 +47,8 @@
         return False
     if target.token_queries >= MAX_QUERIES:
         return False
+    if now - target.tokens_queried_at < QUERY_INTERVAL:
+        return False
     if not state.is_large:
         return target.full_events < MIN_FULL_EVENTS
     counts = find_counts(state, target)
@@ -52,8 +57,9 @@
     return target.token_queries > 0 or counts.queried < MAX_QUERIED_AT_ONCE
 
 
-def record_query(state: State, target: Target) -> None:
+def record_query(state: State, target: Target, now: Millis) -> None:
     """Record that an engine is queried for the tokens in its events."""
+    target.tokens_queried_at = now
     find_counts(state, target).queried += not target.token_queries
     target.token_queries += 1
 
