--- a/figstep/gateway/closes.py
+++ b/figstep/gateway/closes.py
@@ -77,6 +77,14 @@
     )
 
 
+def leaves_open(state: State, service: str) -> bool:
+    """Return whether one of the last streams of a service had no length or chunks."""
+    closes = state.closes.get(service)
+    if closes is None or not closes.has_open:
+        return False
+    return closes.delimited < DELIMITED_STREAMS
+
+
 def record_framing(
     state: State, request: Request, target: Target, delimited: bool
 ) -> None:
@@ -84,6 +92,7 @@
     target.open_ended = not delimited
     closes = _find_closes(state, request.service)
     closes.delimited = closes.delimited + 1 if delimited else 0
+    closes.has_open |= not delimited
 
 
 def judge_end(
--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -2,6 +2,7 @@
 
 from figstep.core.clock import Millis
 from figstep.gateway import (
+    closes,
     crashes,
     departures,
     placement,
@@ -43,7 +44,8 @@
             target.unclaimed = 0
         if not target.accepts_work:
             continue
-        if token_counts.needs_query(state, target, now):
+        is_open = closes.leaves_open(state, target.info.service)
+        if token_counts.needs_query(state, target, now, is_open):
             token_counts.record_query(state, target, now)
             effects.append(ReadReport(target.name))
         if now - target.queried_at < QUERY_INTERVAL:
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -207,6 +207,7 @@
     Attributes:
         count: Closes of all its engines.
         delimited: Number of its last streams in a row that had a length or chunks.
+        has_open: Whether one of their streams had neither a length nor chunks.
         listed: Whether one of them has listed what it keeps.
         first_id: Id of the first event of their streams; None if none was seen.
         ids_vary: Whether streams have begun with different ids.
@@ -214,6 +215,7 @@
 
     count: CloseCount = field(default_factory=CloseCount)
     delimited: int = 0
+    has_open: bool = False
     listed: bool = False
     first_id: int | None = None
     ids_vary: bool = False
--- a/figstep/gateway/token_counts.py
+++ b/figstep/gateway/token_counts.py
@@ -24,37 +24,43 @@
 """Number of exact lists in a row after which no further one is read, and which are
 needed after a list that was not exact."""
 
-MAX_LIST_READS = 16
+MAX_LIST_READS = 8
 """Maximum number of lists that are read for this, for each service."""
 
 QUERY_INTERVAL = Millis(200)
 """Shortest time, in milliseconds, between two queries for this of an engine."""
 
-MAX_QUERIES = 30
+MAX_PAUSE = Millis(3_200)
+"""Longest time, in milliseconds, between them: it doubles while they show nothing."""
+
+MAX_QUERIES = 12
 """Maximum number of queries for this of each incarnation of an engine."""
 
-MAX_QUERIED_AT_ONCE = 4
-"""Maximum number of engines of a large fleet that are queried for this."""
+SAMPLED_ENGINES = 4
+"""Number of engines of a service that are queried for this while its streams are
+delimited, or in a large fleet."""
 
 
-def needs_query(state: State, target: Target, now: Millis) -> bool:
+def needs_query(state: State, target: Target, now: Millis, is_open: bool) -> bool:
     """Return whether an engine is queried for the tokens in its events.
 
-    In a large fleet a few engines stand for all those of their service.
+    A few engines stand for all those of their service in a large fleet, and while none
+    of its last streams was left open (``is_open``).
     """
     pool = placement.find_engine_pool(state, target.info.service)
     if pool is None or not pool.run_retention or not target.load:
         return False
     if target.token_queries >= MAX_QUERIES:
         return False
-    if now - target.tokens_queried_at < QUERY_INTERVAL:
+    pause = min(QUERY_INTERVAL << target.token_queries // 2, MAX_PAUSE)
+    if now - target.tokens_queried_at < pause:
         return False
-    if not state.is_large:
+    if is_open and not state.is_large:
         return target.full_events < MIN_FULL_EVENTS
     counts = find_counts(state, target)
     if counts.full_events >= MIN_FULL_EVENTS:
         return False
-    return target.token_queries > 0 or counts.queried < MAX_QUERIED_AT_ONCE
+    return target.token_queries > 0 or counts.queried < SAMPLED_ENGINES
 
 
 def record_query(state: State, target: Target, now: Millis) -> None:
--- a/tests/gateway/test_closes.py
+++ b/tests/gateway/test_closes.py
@@ -17,6 +17,7 @@
     FinishStream,
     KeptRun,
     OpenAttempt,
+    ReadReport,
     Refuse,
 )
 from figstep.gateway.events import (
@@ -520,3 +521,39 @@
     harness.handle(StreamEnded(opened.attempt, confirmed=False, kept=3))
     assert target.closes == CloseCount()
     assert harness.state.closes[ENGINES].count == CloseCount()
+
+
+def count_queries(harness: EntryHarness, seconds: int) -> int:
+    """Return how often engines are queried for their state in some seconds."""
+    count = 0
+    for _ in range(seconds * 10):
+        harness.clock.advance(Millis(100))
+        harness.handle(Ticked())
+        count += len(harness.find_effects(ReadReport))
+    return count
+
+
+def test_queries_that_show_no_events_become_fewer_and_end() -> None:
+    """Guards against queries without end of engines that report no runs."""
+    harness = start_entry(is_exact=False)
+    opened = open_stream(harness, "/plan/a")
+    harness.open_stream(opened.attempt, delimited=False)
+    harness.state.budget.first_start = True
+    assert 4 <= count_queries(harness, 2) <= 8
+    assert count_queries(harness, 8) <= 6
+    count_queries(harness, 20)
+    assert count_queries(harness, 5) == 0
+
+
+@pytest.mark.parametrize("delimited", [0, DELIMITED_STREAMS])
+def test_engines_of_delimited_streams_are_not_each_queried(delimited: int) -> None:
+    """Guards against a price for engines whose streams state their own end."""
+    harness = start_entry()
+    opened = open_stream(harness)
+    harness.open_stream(opened.attempt, delimited=False)
+    harness.state.budget.first_start = True
+    target = harness.state.targets.find(opened.target)
+    assert target is not None
+    target.full_events = 0
+    harness.state.closes[ENGINES].delimited = delimited
+    assert (count_queries(harness, 2) > 0) is (not delimited)
