Show for each engine and software version how tokens are counted

A reader who had not seen the work showed, each by a test, how what is known of the counting of engines could be wrong or lost for good:

- Lists in blocks of 16 tokens seemed exact where a prompt fills its blocks, and a part ended as the whole.
Lists are now read only for prompts that are no multiple of four tokens, and for each software version, as an update may list otherwise.
- A short event of one engine ended what all others had shown, and nobody asked them again.
Now each engine's own events count; once one of a service was short, no engine is believed for what others have shown, nor one that started again.
Engines that are known are asked again each 12.8 s, and a change of the largest number of tokens ends what was known.
- Attempts that no engine ran used up the lists, so that no open stream was whole until the entry restarted; queries ended for good.
Only lists that were read count, one stream in 16 is read a list for after that, and queries go on at 12.8 s.
- A report that named a run without a prompt failed, and its notice that the engine leaves was lost.
- A report that was read for its events set the memory in use of an engine against no base while the store was away.
- A report of an earlier incarnation counted for the next one.

Not changed: one stream decides the first id of a service; an engine whose list lacks the last generated token; a delimited end at the deadline, which a test takes for the end. MAX_QUERIES is gone, and a test that counted lists as attempts were opened now counts those that were read.

--- a/figstep/gateway/closes.py
+++ b/figstep/gateway/closes.py
@@ -73,7 +73,7 @@
         tokens,
         duration=min(pool.run_retention, longest),
         released=not is_brief,
-        listed=token_counts.wants_list(state, attempt.target),
+        listed=token_counts.wants_list(state, attempt.target, prompt),
     )
 
 
@@ -132,7 +132,6 @@
 ) -> Note:
     """Return the log line of the end of a stream that its framing does not state."""
     pool = placement.find_engine_pool(state, request.service)
-    counts = token_counts.find_counts(state, attempt.target)
     return Note(
         "end of a stream judged",
         {
@@ -144,9 +143,7 @@
             "events": _count_events(state, request),
             "last": request.delivered,
             "event_tokens": pool.event_tokens if pool else 0,
-            "full_events": counts.full_events,
-            "short_events": attempt.target.has_short_events,
-            "exact_lists": counts.exact_lists,
+            **token_counts.describe(state, attempt.target),
         },
     )
 
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -300,11 +300,12 @@
     """An engine listed what it keeps of a prompt that it runs.
 
     Attributes:
-        missing: Number of tokens of the prompt that the list lacks.
+        missing: Number of tokens of the prompt that the list lacks; None if it does not
+            tell.
     """
 
     incarnation: Incarnation
-    missing: int
+    missing: int | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/figstep/gateway/reports.py
+++ b/figstep/gateway/reports.py
@@ -13,7 +13,7 @@
 from figstep.gateway.effects import Effect, ReadReport
 from figstep.gateway.events import EngineReported
 from figstep.gateway.state import State
-from figstep.gateway.targets import Target
+from figstep.gateway.targets import Target, contradicts_registration
 
 QUERY_INTERVAL = Millis(400)
 """Shortest time, in milliseconds, between two queries of an engine. The reported state
@@ -121,7 +121,8 @@
     if target is None:
         return []
     crashes.record_answer(state, target, target.queried_at)
-    token_counts.record_runs(state, target, event.runs)
+    if not contradicts_registration(target.info, event.born):
+        token_counts.record_runs(state, target, event.runs)
     if event.memory is not None and _counts_memory(state, target, now):
         _update_unclaimed(target, event.memory, now)
     if not event.leaving:
@@ -134,7 +135,9 @@
 
 
 def _counts_memory(state: State, target: Target, now: Millis) -> bool:
-    """Return whether an engine may use memory that no known run or copy claims."""
+    """Return whether an engine was queried for memory that no run or copy claims."""
+    if now - target.queried_at >= UNCLAIMED_TIMEOUT:
+        return False
     return state.store_unreachable or _may_hold_unclaimed(state, target, now)
 
 
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -31,12 +31,13 @@
 from figstep.gateway.runs import RunCopy
 from figstep.gateway.starts import StartTable, StreamStart
 from figstep.gateway.targets import (
+    EventCounts,
     Incarnation,
+    ListCounts,
     Registration,
     ServiceCloses,
     Target,
     TargetTable,
-    TokenCounts,
 )
 
 LEAVING_ANNOUNCE_DURATION = Millis(10_000)
@@ -551,7 +552,8 @@
         demand: Demand of this entry and the fleet; None if admission depends on this
             entry's own counts only.
         closes: How engines have ended their streams, by service.
-        token_counts: How engines count tokens, by service.
+        event_counts: How many tokens events hold, by service.
+        list_counts: How engines list prompts, by service and software version.
     """
 
     node: str
@@ -606,7 +608,8 @@
     places_by_pace: bool = False
     demand: DemandTable | None = None
     closes: dict[str, ServiceCloses] = field(default_factory=dict)
-    token_counts: dict[str, TokenCounts] = field(default_factory=dict)
+    event_counts: dict[str, EventCounts] = field(default_factory=dict)
+    list_counts: dict[tuple[str, str], ListCounts] = field(default_factory=dict)
 
     @property
     def is_large(self) -> bool:
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -222,22 +222,38 @@
 
 
 @dataclass(slots=True)
-class TokenCounts:
-    """How the engines of a service count tokens.
+class EventCounts:
+    """How many tokens the engines of a service put into an event.
 
     Attributes:
-        full_events: Number of events in a row that held the largest number of tokens.
-        exact_lists: Number of lists in a row that named each token of a prompt.
-        lists_vary: Whether a list has lacked tokens of a prompt.
-        list_reads: Number of lists that were read to learn this.
-        queried: Number of its engines that were queried to learn what events hold.
+        event_tokens: Largest number of tokens in an event that the service was
+            configured with.
+        full_events: Number of events in a row that held that number.
+        has_short_events: Whether one of its engines has made an event with fewer.
+        sampled: When engines were last queried to learn this, by name.
     """
 
+    event_tokens: int = 0
     full_events: int = 0
-    exact_lists: int = 0
-    lists_vary: bool = False
-    list_reads: int = 0
-    queried: int = 0
+    has_short_events: bool = False
+    sampled: dict[str, Millis] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class ListCounts:
+    """How the engines of a software version list the prompts that they run.
+
+    Attributes:
+        exact: Number of lists in a row that named each token.
+        has_varied: Whether a list has lacked tokens.
+        reads: Number of lists that were read to learn this.
+        skipped: Number of streams since then for which none was read at once.
+    """
+
+    exact: int = 0
+    has_varied: bool = False
+    reads: int = 0
+    skipped: int = 0
 
 
 @dataclass(slots=True)
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -590,8 +590,7 @@
         missing = await retention.query_prompt(
             self._session, target, effect.keep, self._room
         )
-        if missing is not None:
-            self._dispatch(PromptListed(target.info.incarnation, missing))
+        self._dispatch(PromptListed(target.info.incarnation, missing))
 
     async def _query_kept(
         self, effect: OpenAttempt, going_at: Millis
