List reads that count as in crashes of targets that had ended before

Three tests fail on each run, and each has a case beside it that passes. Calls whose answer has begun are counted as well; whether that is a fault is a choice, and no test is added.

--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -931,3 +931,98 @@
     entry.state.history.found = found
     entry.handle(Ticked())
     assert entry.state.crashes.knows_answers is not found
+
+
+def send_to(harness: EntryHarness, name: str, path: str, digest: str) -> OpenAttempt:
+    """Send a request to an entry, which sends it to the named target."""
+    harness.receive_request(path, digest=digest)
+    return send_on(harness, name)
+
+
+def send_on(harness: EntryHarness, name: str) -> OpenAttempt:
+    """Let the attempt that was just opened be at the named target."""
+    opened = harness.find_effect(OpenAttempt)
+    attempt = harness.state.attempts[opened.attempt]
+    attempt.target = harness.state.targets.targets[name]
+    return opened
+
+
+def end_targets(replay: Replay, *names: str) -> None:
+    """End targets on which the first entry has an order each, half a second ago.
+
+    Their addresses go on to accept connections, and reset them.
+    """
+    first = replay.fleet[0]
+    for name in names:
+        opened = send_to(first, name, f"/order/{name}", f"order-{name}")
+        first.handle(AttemptLost(opened.attempt, Loss.BROKEN))
+    exchange_messages(replay.fleet)
+    replay.wait(500)
+
+
+def restart_targets(replay: Replay, *names: str) -> None:
+    """Register the targets again, a second later, which shows that they ended."""
+    exchange_messages(replay.fleet)
+    replay.wait(1_000)
+    for name in names:
+        born = replay.clock.now()
+        replay.register(replace(replay.registrations[name], born=born))
+    replay.wait(SUSPICION_DELAY)
+
+
+@pytest.mark.parametrize("number", [0, 1])
+def test_a_read_that_met_only_addresses_of_ended_targets_is_served(number: int) -> None:
+    """Guards against a read refused for targets that ended before it was sent.
+
+    It comes to the entry that has lost requests there, or to another one.
+    """
+    replay = Replay(2, domains=DOMAINS[:1])
+    end_targets(replay, "b-0", "b-1")
+    harness = replay.fleet[number]
+    late = send_to(harness, "b-0", "/lookup/a", "late")
+    harness.handle(AttemptLost(late.attempt, Loss.BROKEN))
+    late = send_on(harness, "b-1")
+    harness.handle(AttemptLost(late.attempt, Loss.BROKEN))
+    restart_targets(replay, "b-0", "b-1")
+    assert replay.fleet[0].state.crashes.is_suspected("order-b-0")
+    assert not any(rejects_request(entry, "late") for entry in replay.fleet)
+
+
+@pytest.mark.parametrize("number", [0, 1])
+def test_a_read_that_was_at_one_end_and_one_dead_address_is_served(number: int) -> None:
+    """Guards against a dead address that counts as the second crash of a read."""
+    replay = Replay(2, domains=DOMAINS[:1])
+    end_targets(replay, "b-0")
+    harness = replay.fleet[number]
+    late = send_to(harness, "b-0", "/lookup/a", "late")
+    harness.handle(AttemptLost(late.attempt, Loss.BROKEN))
+    late = send_on(harness, "b-1")
+    replay.clock.advance(100)
+    harness.handle(AttemptLost(late.attempt, Loss.BROKEN))
+    restart_targets(replay, "b-0", "b-1")
+    assert replay.fleet[0].state.crashes.is_suspected("late")
+    assert not any(rejects_request(entry, "late") for entry in replay.fleet)
+
+
+@pytest.mark.parametrize("is_lost_first", [True, False])
+def test_a_read_at_a_dead_address_is_no_suspect_once_the_end_is_found(
+    is_lost_first: bool,
+) -> None:
+    """Guards against a read suspected as its end is dated by when that was found.
+
+    The entry itself had lost an order there before it sent the read. The address keeps
+    the read open until the end is found, or for longer.
+    """
+    replay = Replay(1)
+    [harness] = replay.fleet
+    end_targets(replay, "b-0")
+    late = send_to(harness, "b-0", "/lookup/a", "late")
+    if is_lost_first:
+        harness.handle(AttemptLost(late.attempt, Loss.BROKEN))
+    replay.wait(300)
+    harness.handle(TargetDown(replay.registrations["b-0"].incarnation))
+    replay.wait(100)
+    if not is_lost_first:
+        harness.handle(AttemptLost(late.attempt, Loss.BROKEN))
+    assert harness.state.crashes.is_suspected("order-b-0")
+    assert not harness.state.crashes.is_suspected("late")
