Log for each stream that is taken up what its version rests on

Callers got a stream that began at one version and went on at another. The log of the entry that took it up says nothing of the stream: it cannot tell an entry that had heard of one version only from one that was told a wrong start, or from a path that a configuration had moved.

Each take-up now has a line with the version, how it is known (begun here, told by an entry, read from the store, named by the entry that passed it on, only version), the time since registrations last reached the entry, whether the store had a history, whether an entry told this one of versions, and for how long the process runs.

--- a/figstep/gateway/history.py
+++ b/figstep/gateway/history.py
@@ -14,7 +14,7 @@
 from figstep.gateway import sources, versions
 from figstep.gateway.effects import Effect, Note, WriteHistory
 from figstep.gateway.events import HistoryRead, HistoryWritten
-from figstep.gateway.starts import RecordedVersion
+from figstep.gateway.starts import RecordedVersion, StartSource
 from figstep.gateway.state import State
 
 WRITE_INTERVAL = Millis(1_000)
@@ -43,7 +43,9 @@
         at = Millis(now - (recorded.age or 0))
         state.past_versions[key] = max(at, state.past_versions.get(key, at))
     for start in event.starts:
-        state.starts.record_announced(start, now, recorded=True)
+        state.starts.record_announced(
+            start, now, recorded=True, source=StartSource.STORE
+        )
     state.starts.mark_recorded(event.starts)
     versions.update_announced_services(state, now)
     fields: dict[str, str | int | float | None] = {
--- a/figstep/gateway/origins.py
+++ b/figstep/gateway/origins.py
@@ -125,6 +125,37 @@
     return [Note("version of a stream not known", fields)]
 
 
+def describe_taken_up(
+    state: State, spec: RoutedRequest, origin: Origin | None, now: Millis
+) -> list[Effect]:
+    """Return a log line for a stream that is taken up: its version, and how known.
+
+    ``view_ms`` is the time since registrations last reached this entry.
+    """
+    if origin is None:
+        return []
+    fields: dict[str, str | int | float | None] = {
+        "request": spec.id,
+        "resumes": spec.resumes,
+        "version": origin.version,
+        "known": _describe_source(state, spec, origin),
+        "view_ms": now - state.records_read_at,
+        "history_found": state.history.found,
+        "told_versions": state.was_told_versions,
+        "running_ms": now - state.budget.started,
+    }
+    return [Note("stream taken up", fields)]
+
+
+def _describe_source(state: State, spec: RoutedRequest, origin: Origin) -> str:
+    source = state.starts.find_source(hash_stream(spec.resumes or spec.id, spec.digest))
+    if origin.version is None:
+        return "not known" if source is None else f"not known, {source.value}"
+    if spec.version is not None:
+        return "named by the entry that passed it on"
+    return "only version" if source is None else source.value
+
+
 def apply_starts(state: State, event: PeerHeard, now: Millis) -> None:
     """Apply what another entry tells of starts and of versions that targets had."""
     for start in event.starts:
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -162,6 +162,7 @@
             return _apply_target_list(state, event, now)
         case PositionRead(position=position):
             state.position = max(state.position, position)
+            state.records_read_at = now
             return []
         case EvacuationsRead(evacuations=received):
             return evacuations.apply_evacuations(state, received, "store", now)
@@ -312,6 +313,7 @@
     if event.position < state.position:
         # The list is a peer's copy, older than what this entry has read since.
         return []
+    state.records_read_at = now
     effects = eras.record_list_position(state, event.position, now)
     listed = {info.target for info in event.registrations}
     effects.append(
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -119,8 +119,9 @@
             culprit=culprit,
         )
     origin = origins.find_resumed_origin(state, spec, route, now)
+    taken_up = origins.describe_taken_up(state, spec, origin, now)
     if origin is not None and origin.version is None:
-        return _reject_request(
+        return taken_up + _reject_request(
             spec.number, spec.id, 503, "version_unknown", UNKNOWN_VERSION_RETRY_AFTER
         )
     if _may_outlast_process(state, route, spec, now):
@@ -134,7 +135,11 @@
     if not spec.relayed:
         # The entry that passed the request on has counted it.
         state.budget.record_request(request.service, now)
-    return [Count("arrived", (route.name,)), *place_request(state, request, now)]
+    return [
+        *taken_up,
+        Count("arrived", (route.name,)),
+        *place_request(state, request, now),
+    ]
 
 
 def _build_request(
--- a/figstep/gateway/starts.py
+++ b/figstep/gateway/starts.py
@@ -8,6 +8,7 @@
 import hashlib
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
+from enum import Enum
 
 from figstep.core.clock import Millis
 
@@ -48,6 +49,14 @@
     version: str
 
 
+class StartSource(Enum):
+    """How this entry knows the software version that began a stream."""
+
+    OWN = "begun here"
+    PEER = "told by an entry"
+    STORE = "read from the store"
+
+
 @dataclass(frozen=True, slots=True)
 class RecordedVersion:
     """Software version of a service's targets, as recorded in the store.
@@ -72,6 +81,7 @@
     service: str
     recorded: bool = False
     was_unknown: bool = False  # when peers were told
+    source: StartSource = StartSource.OWN
 
 
 @dataclass(slots=True)
@@ -91,19 +101,24 @@
         self._drop_oldest()
 
     def record_announced(
-        self, start: StreamStart, now: Millis, recorded: bool = False
+        self,
+        start: StreamStart,
+        now: Millis,
+        recorded: bool = False,
+        source: StartSource = StartSource.PEER,
     ) -> None:
         """Record a stream that a peer delivers.
 
         A known version is replaced only by `UNKNOWN_VERSION`, and that by a version.
         ``recorded`` states that another entry writes it to the store, or has.
         """
-        known = _KnownStart(start.version, now, "", recorded=recorded)
+        known = _KnownStart(start.version, now, "", recorded=recorded, source=source)
         current = self._known.setdefault(start.stream, known)
         is_unknown = UNKNOWN_VERSION in (current.version, start.version)
         if is_unknown and current.version != start.version:
             current.version = start.version
             current.recorded = recorded
+            current.source = source
         self._drop_oldest()
 
     def find_version(self, stream: int) -> str | None:
@@ -111,6 +126,11 @@
         known = self._known.get(stream)
         return None if known is None else known.version
 
+    def find_source(self, stream: int) -> StartSource | None:
+        """Return how the version of a stream is known; None if it is unknown."""
+        known = self._known.get(stream)
+        return None if known is None else known.source
+
     def list_announced(
         self, announced_since: dict[str, Millis], now: Millis
     ) -> tuple[StreamStart, ...]:
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -512,6 +512,8 @@
         short_answers: Answers whose engines are checked before the parts of their
             prompts count as harmless.
         position: Position up to which the registrations were read.
+        records_read_at: When registrations last reached this entry, from the store or
+            from a peer.
         era_began_at: When this entry first read registrations of the store's era, if it
             had read those of an earlier one.
         held_registrations: Registrations of departed targets that an older copy of the
@@ -582,6 +584,7 @@
     short_answers: list[ShortAnswer] = field(default_factory=list)
     next_attempt: int = 1
     position: Position = NO_POSITION
+    records_read_at: Millis = Millis(-1_000_000)
     era_began_at: Millis = Millis(-1_000_000)
     held_registrations: dict[str, HeldRegistration] = field(default_factory=dict)
     held_evacuations: dict[str, Millis] = field(default_factory=dict)
--- a/tests/gateway/test_origins.py
+++ b/tests/gateway/test_origins.py
@@ -4,7 +4,7 @@
 
 from figstep.core.clock import Millis
 from figstep.gateway import domains, peers
-from figstep.gateway.effects import Announce, OpenAttempt, Refuse
+from figstep.gateway.effects import Announce, Note, OpenAttempt, Refuse
 from figstep.gateway.events import (
     AttemptLost,
     Loss,
@@ -245,3 +245,24 @@
     exchange_messages(fleet)
     now = Millis(fleet[0].clock.now())
     assert len(domains.describe_domain(fleet[0].state, now).starts) == 1
+
+
+def test_each_take_up_is_logged_with_what_its_version_rests_on() -> None:
+    """Guards against joined text whose log does not tell a guess from a known start."""
+    fleet = build_mixed_fleet(2)
+    resumes = begin_question(fleet[0])
+    exchange_messages(fleet)
+    known = {}
+    for harness, first in ((fleet[0], resumes), (fleet[1], resumes), (fleet[1], "?")):
+        take_up(harness, first)
+        (note,) = [
+            note
+            for note in harness.find_effects(Note)
+            if note.message == "stream taken up"
+        ]
+        fields = dict(note.fields)
+        assert fields["view_ms"] is not None
+        known[harness.state.node, first] = (fields["known"], fields["version"])
+    assert known["entry-000", resumes][0] == "begun here"
+    assert known["entry-001", resumes][0] == "told by an entry"
+    assert known["entry-001", "?"] == ("not known", None)
