Show eight ways in which a stream goes on at a version taken for the only one

A service has one version; an engine of another one comes, begins a stream and leaves. The caller returns to an entry that did not hear of it: cut off from the store and the others, not yet told of the registration, started a moment later, or after all entries were lost before the next write of versions, or with a store that takes no writes. On the code as it is the stream goes on at the other version. Those that hold must stay: one version, in touch or not, also after a restart, and in an outage of the store.

Timeline of the users' record, from it alone: the first piece came in an earlier attempt of the caller, and edge-ie-a-2, which has no line before, took the stream up. Hypotheses: it had one version in view; it was told a wrong start; its path had moved to another service by a configuration that it did not know.

--- a/tests/gateway/worlds.py
+++ b/tests/gateway/worlds.py
@@ -8,16 +8,25 @@
 from figstep.core.clock import ManualClock, Millis
 from figstep.gateway import domains, peers
 from figstep.gateway.budgets import RetryBudget
-from figstep.gateway.effects import CheckTarget, Effect, Note, OpenAttempt
+from figstep.gateway.effects import (
+    CheckTarget,
+    Effect,
+    Note,
+    OpenAttempt,
+    WriteHistory,
+)
 from figstep.gateway.events import (
     AttemptConnected,
     ConfigurationRead,
     EntriesCounted,
     Event,
+    HistoryRead,
+    HistoryWritten,
     PeerHeard,
     PiecesArrived,
     RequestArrived,
     RoutedRequest,
+    StoreLost,
     StreamConfirmed,
     StreamOpened,
     StreamPiece,
@@ -37,6 +46,7 @@
     group_routes,
 )
 from figstep.gateway.runs import RunCopy
+from figstep.gateway.starts import RecordedVersion, StreamStart
 from figstep.gateway.state import State
 from figstep.gateway.targets import Incarnation, Registration
 
@@ -108,6 +118,55 @@
     )
 
 
+@dataclass
+class RecordStore:
+    """Store of what entries write of versions and starts.
+
+    Attributes:
+        takes_writes: Whether writes take effect and are confirmed; if not, they fail.
+        unreachable: Names of the entries that it does not answer.
+        versions: Recorded versions by service and version, with the time at which each
+            left, or None.
+        starts: Recorded starts.
+    """
+
+    takes_writes: bool = True
+    unreachable: set[str] = field(default_factory=set)
+    versions: dict[tuple[str, str], Millis | None] = field(default_factory=dict)
+    starts: list[StreamStart] = field(default_factory=list)
+
+    def lose(self, entries: "Sequence[EntryHarness]") -> None:
+        """Answer none of some entries any more; they notice at once."""
+        for harness in entries:
+            self.unreachable.add(harness.state.node)
+            harness.handle(StoreLost())
+
+    def write(self, effect: WriteHistory, node: str, now: Millis) -> HistoryWritten:
+        """Return the end of an entry's write."""
+        confirmed = self.takes_writes and node not in self.unreachable
+        for version in effect.versions if confirmed else ():
+            key = (version.service, version.version)
+            left = None if version.age is None else Millis(now - version.age)
+            self.versions[key] = left
+            if version.expired:
+                del self.versions[key]
+        if confirmed:
+            self.starts += effect.starts
+        return HistoryWritten(effect.versions, effect.starts, confirmed)
+
+    def list_versions(self, now: Millis) -> tuple[RecordedVersion, ...]:
+        """Return the records of versions."""
+        return tuple(
+            RecordedVersion(*key, None if left is None else Millis(now - left))
+            for key, left in self.versions.items()
+        )
+
+    def read_history(self, now: Millis) -> HistoryRead:
+        """Return what a process reads as it starts."""
+        versions = self.list_versions(now)
+        return HistoryRead(versions, tuple(self.starts) if versions else ())
+
+
 @dataclass
 class EntryHarness:
     """An entry's gateway state, driven by events on a manual clock.
@@ -121,6 +180,7 @@
             stream.
         effects: Effects of the last event, and of the connections that it led to.
         next_number: Number of the next request.
+        store: Store that answers the entry; if None, writes are left without an answer.
     """
 
     moves: bool = True
@@ -129,6 +189,7 @@
     clock: ManualClock = field(default_factory=lambda: ManualClock(100_000))
     effects: list[Effect] = field(default_factory=list)
     next_number: int = 1
+    store: RecordStore | None = None
 
     def __post_init__(self) -> None:
         budget = RetryBudget(0.2, 56.0, Millis(10_000))
@@ -143,8 +204,19 @@
         if self.reachable:
             for connection in self._list_connections():
                 self.effects += reduce(self.state, connection, now)
+        for answer in self._list_store_answers():
+            self.effects += reduce(self.state, answer, now)
         return self.effects
 
+    def _list_store_answers(self) -> list[Event]:
+        if self.store is None:
+            return []
+        node, now = self.state.node, self.clock.now()
+        return [
+            self.store.write(effect, node, now)
+            for effect in self.find_effects(WriteHistory)
+        ]
+
     def _list_connections(self) -> list[Event]:
         connections: list[Event] = []
         for check in self.find_effects(CheckTarget):
