Take no version for the only one because no other was heard of

What callers saw: a stream begun at v2 went on at v1 as its caller returned.

Cause: an entry that was not told the start of a stream took the only version that it knew for the one that began it. It knew one as it was cut off, as it had just started, as all entries were lost before the next write of versions, or as the store took no writes: an absence in its own view was taken for a fact. Ruled out: a wrong start that was told (starts are confirmed by the engine), and, for these scenes, a path that had moved.

Two rules now, which hold without regard to who is in touch:

- A version begins no stream that can be taken up before the store has confirmed its record; other versions serve meanwhile.
The entry that writes does so at its next tick and tells the others; one that is not told reads it.
Where no version of a service is on record none can be guessed, and all begin streams; after five seconds without a confirmed write they do as well.
A stream whose engine does not state its start in time waits until the store has recorded that the service has streams of unknown version, 0.3 s at most; else another engine begins it.
- The only version counts only if it is the one on record in a read that began after the caller had returned.
One read is shared by all that wait, at most ten a second; without an answer within half a second the caller is refused at once, to another entry.
While the store does not answer an entry, all tell their starts, so that streams go on in an outage as before.

--- a/figstep/gateway/application.py
+++ b/figstep/gateway/application.py
@@ -11,6 +11,7 @@
 from figstep.core.stalls import StallWatch
 from figstep.gateway.edges import CallerPort, HistoryPort, PeerPort, TargetPort
 from figstep.gateway.effects import (
+    AcceptUnconfirmed,
     Announce,
     AnnounceTarget,
     Answer,
@@ -30,6 +31,7 @@
     OpenAttempt,
     ProbeTarget,
     ReadReport,
+    ReadVersions,
     Refuse,
     StopRun,
     WriteHistory,
@@ -122,6 +124,8 @@
                     self.peers.announce()
             case CloseAttempt(attempt=attempt):
                 self.targets.close_attempt(attempt)
+            case AcceptUnconfirmed(attempt=attempt):
+                self.targets.accept_unconfirmed(attempt)
             case BeginStream(number=number, attempt=attempt):
                 self.callers.begin_stream(number, self.targets.find_head(attempt))
             case FinishStream(number=number):
@@ -142,6 +146,8 @@
                 self.targets.drop_copy(copy)
             case WriteHistory():
                 self.history.write_history(effect)
+            case ReadVersions():
+                self.history.read_versions()
             case ReadReport(target=target):
                 self.targets.read_report(target)
             case ProbeTarget(target=target):
@@ -164,7 +170,8 @@
     @Service.task
     async def _tick(self) -> None:
         while not self.should_stop:
-            busy = bool(self.known.requests)
+            known = self.known
+            busy = bool(known.requests or known.returns or known.history.awaited)
             wait = BUSY_TICK_SECONDS if busy else IDLE_TICK_SECONDS
             self.stalls.expect(self._clock.now(), Millis(round(wait * 1_000)))
             await asyncio.sleep(wait)
--- a/figstep/gateway/edges.py
+++ b/figstep/gateway/edges.py
@@ -45,6 +45,10 @@
     def close_attempt(self, attempt: int) -> None:
         """Close an attempt's connection."""
 
+    @abstractmethod
+    def accept_unconfirmed(self, attempt: int) -> None:
+        """Read a new stream whose target has not stated its registered start."""
+
     @abstractmethod
     def copy_run(self, effect: CopyRun) -> None:
         """Order an engine to copy a run to another engine."""
@@ -138,3 +142,10 @@
     @abstractmethod
     def write_history(self, effect: WriteHistory) -> None:
         """Write versions and starts; HistoryWritten is dispatched at the end."""
+
+    @abstractmethod
+    def read_versions(self) -> None:
+        """Read the versions; VersionsRead or VersionsUnread is dispatched at the end.
+
+        All versions are read that were confirmed as written before the call.
+        """
--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -38,7 +38,9 @@
     """
 
     NONE = "none"  # nothing: it is not queried
-    VERSION = "version"  # whether the version is known that begins the stream
+    VERSION = "version"  # whether the version is known that begins the stream; if it
+    # is not, `AcceptUnconfirmed` is waited for
+    COPY = "copy"  # whether a copy of the run may be used
     STREAM = "stream"  # whether the stream is read
 
 
@@ -109,6 +111,13 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptUnconfirmed:
+    """Read a new stream although its target has not stated its registered start."""
+
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class CopyRun:
     """Order the engine that runs a request to copy the run to another engine."""
@@ -156,6 +165,11 @@
     starts: tuple[StreamStart, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ReadVersions:
+    """Read the versions that entries wrote to the store."""
+
+
 @dataclass(frozen=True, slots=True)
 class ReadReport:
     """Query an engine for its state."""
@@ -287,10 +301,12 @@
 Effect = (
     OpenAttempt
     | CloseAttempt
+    | AcceptUnconfirmed
     | CopyRun
     | StopRun
     | DropCopy
     | WriteHistory
+    | ReadVersions
     | ReadReport
     | ProbeTarget
     | CheckTarget
--- a/figstep/gateway/eligibility.py
+++ b/figstep/gateway/eligibility.py
@@ -1,6 +1,7 @@
 """Selection of the targets that a request may be sent to, whatever their load."""
 
-from figstep.gateway.routes import Customer, Route, RoutingTable
+from figstep.gateway import versions
+from figstep.gateway.routes import Customer, Route, RouteKind, RoutingTable
 from figstep.gateway.state import Request, State
 from figstep.gateway.targets import Target
 
@@ -39,17 +40,40 @@
 
 def is_eligible(state: State, request: Request, target: Target) -> bool:
     """Return whether a request, or a copy of its run, may be sent to a target now."""
-    if not target.accepts_work or not _has_origin_version(request, target):
-        return False
-    return _is_in_allowed_region(state, request, target)
+    return _is_possible(state, request, target) and _may_begin(state, request, target)
 
 
 def list_eligible(state: State, request: Request) -> list[Target]:
     """Return the targets of a request's service that it may be sent to now."""
+    return [
+        target
+        for target in list_possible(state, request)
+        if _may_begin(state, request, target)
+    ]
+
+
+def list_possible(state: State, request: Request) -> list[Target]:
+    """Return the targets that it may be sent to once their versions are on record."""
     ready = state.targets.list_ready(request.service)
     if request.allowed_regions is None and request.origin is None:
         return ready
-    return [target for target in ready if is_eligible(state, request, target)]
+    return [target for target in ready if _is_possible(state, request, target)]
+
+
+def _is_possible(state: State, request: Request, target: Target) -> bool:
+    if not target.accepts_work or not _has_origin_version(request, target):
+        return False
+    return _is_in_allowed_region(state, request, target)
+
+
+def _may_begin(state: State, request: Request, target: Target) -> bool:
+    """Return whether a request's stream, if it is one, may begin at a target."""
+    route = request.route
+    if request.origin is not None or not route.resumable:
+        return True
+    if route.kind is not RouteKind.STREAM:
+        return True
+    return versions.may_begin(state, request.service, target.info.version)
 
 
 def reaches_none(state: State, request: Request) -> bool:
@@ -85,7 +109,7 @@
         "evacuated" if the only targets are in evacuated failure domains, or else
         "no_room".
     """
-    if list_eligible(state, request):
+    if list_possible(state, request):
         return "no_room"
     ready = state.targets.list_ready(request.service)
     if ready and not any(_has_origin_version(request, target) for target in ready):
--- a/figstep/gateway/eras.py
+++ b/figstep/gateway/eras.py
@@ -33,6 +33,7 @@
     state.era_began_at = now
     # The copy may lack what entries wrote: it is written again.
     state.history.recorded.clear()
+    state.history.confirmed.clear()
     state.starts.mark_unrecorded()
     fields: dict[str, str | int | float | None] = {
         "era": position.era,
--- a/figstep/gateway/events.py
+++ b/figstep/gateway/events.py
@@ -13,7 +13,7 @@
 from figstep.gateway.refusals import Refusal
 from figstep.gateway.routes import RoutingTable
 from figstep.gateway.runs import RunCopy
-from figstep.gateway.starts import RecordedVersion, StreamStart
+from figstep.gateway.starts import RecordedVersion, ServiceVersion, StreamStart
 from figstep.gateway.targets import Incarnation, Registration, ReportedRun
 
 
@@ -123,6 +123,16 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class StreamUnconfirmed:
+    """A target did not state in time the start that it registered.
+
+    Its new stream is not read until `AcceptUnconfirmed`.
+    """
+
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class StreamPiece:
     """One event of a target's stream, as received.
@@ -557,6 +567,22 @@
     acknowledged: bool
 
 
+@dataclass(frozen=True, slots=True)
+class VersionsRead:
+    """The versions that entries wrote to the store were read again.
+
+    Attributes:
+        versions: Recorded versions.
+    """
+
+    versions: tuple[RecordedVersion, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class VersionsUnread:
+    """The store gave no answer to a read of the versions."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceCut:
     """Entries that reach no target of a service.
@@ -618,6 +644,8 @@
             answer to an entry that has just started.
         knows_versions: Whether `past_versions` is complete, as the store or an entry
             that read it has shown.
+        recorded: Versions in service whose records the store has confirmed recently, or
+            at any time in the answer to an entry that has just started.
         demand: Demand of the peer by class, or of the entries of its failure domain if
             `far` is set; empty if it does not report any.
         process: Random number of the peer's process; 0 in a message that this entry has
@@ -658,6 +686,7 @@
     starts: tuple[StreamStart, ...] = ()
     past_versions: tuple[PastVersion, ...] = ()
     knows_versions: bool = False
+    recorded: tuple[ServiceVersion, ...] = ()
     demand: tuple[DemandReport, ...] = ()
     process: int = 0
     past_uses: tuple[PastUse, ...] = ()
@@ -714,6 +743,7 @@
     | AttemptConnected
     | StreamOpened
     | StreamConfirmed
+    | StreamUnconfirmed
     | PiecesArrived
     | StreamEnded
     | RestBegun
@@ -725,6 +755,8 @@
     | TargetDown
     | HistoryRead
     | HistoryWritten
+    | VersionsRead
+    | VersionsUnread
     | TargetChecked
     | RunCopied
     | RunNotCopied
--- a/figstep/gateway/newcomers.py
+++ b/figstep/gateway/newcomers.py
@@ -22,9 +22,10 @@
 
     These are all rates in force, whoever was told them, the starts of this entry's
     streams and of all whose version is not known, the software versions that targets
-    had until recently, and the departures and evacuations that an older copy of the
-    store may lack. An entry of the same failure domain, or of a small fleet, is told
-    what past processes have used of the retry budget, its own among them.
+    had until recently and those on record, and the departures and evacuations that an
+    older copy of the store may lack. An entry of the same failure domain, or of a small
+    fleet, is told what past processes have used of the retry budget, its own among
+    them.
     """
     past_uses = state.past_uses.report(state.budget.window, now)
     known = {report.incarnation: report for report in message.rates}
@@ -36,6 +37,7 @@
         starts=state.starts.list_for_newcomer(),
         past_versions=versions.list_past_versions(state, now),
         knows_versions=versions.is_history_known(state, now),
+        recorded=tuple(sorted(state.history.confirmed)),
         leaving=tuple(sorted({*message.leaving, *_list_departures(state, now)})),
         held_evacuations=tuple(sorted(state.held_evacuations)),
         past_uses=() if message.far else past_uses,
--- a/figstep/gateway/news.py
+++ b/figstep/gateway/news.py
@@ -141,5 +141,6 @@
         tuple(refusal.digest for refusal in own.refused),
         tuple((report.incarnation, report.rate) for report in own.rates),
         own.starts,
+        own.recorded,
         _strip_past(own.demand),
     )
--- a/figstep/gateway/origins.py
+++ b/figstep/gateway/origins.py
@@ -11,7 +11,7 @@
 """
 
 from figstep.core.clock import Millis
-from figstep.gateway import placement, versions
+from figstep.gateway import history, placement, versions
 from figstep.gateway.effects import Announce, Confirmation, Effect, Note
 from figstep.gateway.events import PeerHeard, RoutedRequest
 from figstep.gateway.routes import Route, RouteKind
@@ -35,8 +35,10 @@
         return Confirmation.NONE
     if request.origin is not None:
         return Confirmation.STREAM
-    if request.route.resumable or placement.copies_runs(state, request.service):
+    if request.route.resumable:
         return Confirmation.VERSION
+    if placement.copies_runs(state, request.service):
+        return Confirmation.COPY
     return Confirmation.NONE
 
 
@@ -63,15 +65,36 @@
     return Origin(versions.find_sole_version(state, [info.service], now))
 
 
-def find_resumed_origin(
+def rests_on_only_version(
     state: State, spec: RoutedRequest, route: Route, now: Millis
+) -> bool:
+    """Return whether a stream that is taken up was begun by the only version, if any.
+
+    This entry was not told its start, and knows one version of the service.
+    """
+    if route.kind is not RouteKind.STREAM or spec.version is not None:
+        return False
+    if not (spec.after or spec.resumes):
+        return False
+    stream = hash_stream(spec.resumes or spec.id, spec.digest)
+    if state.starts.find_version(stream) is not None:
+        return False
+    services = [service for service, _ in route.shares]
+    return versions.find_sole_version(state, services, now) is not None
+
+
+def find_resumed_origin(
+    state: State, spec: RoutedRequest, route: Route, now: Millis, versions_read: bool
 ) -> Origin | None:
     """Return the origin of a stream that a caller or another entry takes up again.
 
+    ``versions_read`` states that the versions on record were read after it arrived.
+
     Returns:
         None if the request does not take a stream up. The origin is unknown if this
-        entry was not told the start of the stream and targets had several versions, or
-        if it knows that nobody knows it, whatever an entry says that passes it on.
+        entry was not told the start of the stream and cannot tell that targets had one
+        version only, or if it knows that nobody knows it, whatever an entry says that
+        passes it on.
     """
     if route.kind is not RouteKind.STREAM:
         return None
@@ -84,9 +107,9 @@
         return Origin(spec.version)
     if not takes_up:
         return None
-    if version is None:
+    if version is None and versions_read:
         services = [service for service, _ in route.shares]
-        version = versions.find_sole_version(state, services, now)
+        version = versions.find_begun_version(state, services, now)
     return Origin(version)
 
 
@@ -126,11 +149,16 @@
 
 
 def describe_taken_up(
-    state: State, spec: RoutedRequest, origin: Origin | None, now: Millis
+    state: State,
+    spec: RoutedRequest,
+    origin: Origin | None,
+    arrived: Millis,
+    now: Millis,
 ) -> list[Effect]:
     """Return a log line for a stream that is taken up: its version, and how known.
 
-    ``view_ms`` is the time since registrations last reached this entry.
+    ``view_ms`` is the time since registrations last reached this entry, ``read_ms``
+    since it last began to read the versions on record.
     """
     if origin is None:
         return []
@@ -139,7 +167,9 @@
         "resumes": spec.resumes,
         "version": origin.version,
         "known": _describe_source(state, spec, origin),
+        "waited_ms": now - arrived,
         "view_ms": now - state.records_read_at,
+        "read_ms": now - state.history.read_begun_at,
         "history_found": state.history.found,
         "told_versions": state.was_told_versions,
         "running_ms": now - state.budget.started,
@@ -158,6 +188,7 @@
 
 def apply_starts(state: State, event: PeerHeard, now: Millis) -> None:
     """Apply what another entry tells of starts and of versions that targets had."""
+    history.apply_recorded(state, event, now)
     for start in event.starts:
         # Each failure domain of a large fleet writes its own streams.
         state.starts.record_announced(start, now, recorded=event.far)
--- a/figstep/gateway/peers.py
+++ b/figstep/gateway/peers.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from figstep.core.clock import Millis
-from figstep.gateway import crashes, sources
+from figstep.gateway import crashes, history, sources
 from figstep.gateway.budgets import FleetUse
 from figstep.gateway.effects import Count, Effect, Note
 from figstep.gateway.events import (
@@ -360,7 +360,7 @@
         failure_domain=state.failure_domain,
         entries=state.entries,
         receives_records=not state.store_unreachable,
-        answered=not state.read_failed,
+        answered=history.may_read(state, now),
         reading=sources.reads_store(state, now),
         leaving=tuple(state.list_leaving(now)),
         refused=state.refused.list_announced(now),
@@ -375,6 +375,7 @@
         brittle=tuple(state.list_brittle(now)),
         rejected=tuple(state.list_rejected(now)),
         starts=state.starts.list_announced(state.announced_since, now),
+        recorded=history.list_announced_versions(state, now),
         demand=state.list_demand(now),
         knows_answers=crashes.has_learned_answers(state, now),
     )
--- a/figstep/gateway/placement.py
+++ b/figstep/gateway/placement.py
@@ -446,11 +446,11 @@
 
 
 def has_untried_target(state: State, request: Request) -> bool:
-    """Return whether an eligible target is left that the request was not sent to.
+    """Return whether a target is left that the request may be sent to, now or soon.
 
     Without one, queueing the request would only keep its caller waiting.
     """
-    for target in eligibility.list_eligible(state, request):
+    for target in eligibility.list_possible(state, request):
         if target.name not in request.tried_targets:
             return True
     return False
--- a/figstep/gateway/reducer.py
+++ b/figstep/gateway/reducer.py
@@ -19,6 +19,7 @@
     recovery,
     reports,
     requests,
+    returns,
     sources,
     streams,
     token_counts,
@@ -57,6 +58,7 @@
     StreamConfirmed,
     StreamEnded,
     StreamOpened,
+    StreamUnconfirmed,
     TargetChecked,
     TargetDeparted,
     TargetDown,
@@ -65,8 +67,10 @@
     TargetRestarted,
     TargetsListed,
     Ticked,
+    VersionsRead,
+    VersionsUnread,
 )
-from figstep.gateway.state import State
+from figstep.gateway.state import State, WaitingReturn
 from figstep.gateway.targets import (
     Registration,
     Standing,
@@ -108,6 +112,8 @@
             return streams.handle_stream_opened(state, event)
         case StreamConfirmed():
             return streams.handle_stream_confirmed(state, event, now)
+        case StreamUnconfirmed():
+            return streams.handle_stream_unconfirmed(state, event, now)
         case RequestArrived():
             return requests.admit_request(state, event, now)
         case RestBegun():
@@ -177,7 +183,17 @@
         case HistoryRead():
             return history.apply_history(state, event, now)
         case HistoryWritten():
-            return history.handle_written(state, event)
+            effects = history.handle_written(state, event, now)
+            return effects + streams.accept_recorded(state, now)
+        case VersionsRead():
+            history.apply_versions(state, event, now)
+            effects = requests.admit_returns(
+                state, returns.pop_answered(state), now, versions_read=True
+            )
+            return effects + returns.begin_read(state, now)
+        case VersionsUnread():
+            state.history.reading = False
+            return _give_up_view(state, returns.pop_all(state), now)
         case PeerHeard():
             origins.apply_starts(state, event, now)
             return [
@@ -211,6 +227,14 @@
             return []
 
 
+def _give_up_view(
+    state: State, waiting: list[WaitingReturn], now: Millis
+) -> list[Effect]:
+    """Refuse the requests that have waited in vain for a read of the versions."""
+    history.record_unread(state, now)
+    return requests.admit_returns(state, waiting, now, versions_read=False)
+
+
 def _apply_configuration(
     state: State, event: ConfigurationRead, now: Millis
 ) -> list[Effect]:
@@ -356,12 +380,17 @@
         effects += _apply_departure(state, name, now)
     for info in eras.pop_due(state, now):
         effects += _apply_registration(state, info, now)
+    expired = returns.pop_expired(state, now)
+    if expired:
+        effects += _give_up_view(state, expired, now)
+    effects += returns.begin_read(state, now)
     effects += evacuations.drop_expired(state, now)
     effects += requests.expire_requests(state, now)
     effects += reach.check_links(state, now)
     effects += copies.migrate_streams(state, now)
     effects += ends.end_unanswered(state, now)
     effects += streams.check_streams(state, now)
+    effects += streams.drop_unrecorded(state, now)
     crashes.update_knowledge(state, now)
     effects += crashes.clear_written(state, now)
     effects += crashes.probe_again(state, now)
@@ -373,9 +402,14 @@
     effects += admission.describe_fleet(state, now)
     peers.expire_peers(state, now)
     sources.update_store_state(state, now)
+    tells_starts = sources.lacks_store(state, now)
+    if tells_starts != state.tells_starts:
+        state.tells_starts = tells_starts
+        versions.update_announced_services(state, now)
     effects += sources.catch_up(state, now)
     for removed in state.targets.remove_departed(now, DEPARTED_RETENTION):
         versions.record_past_version(state, removed.info, now)
+    effects += history.check_awaited(state, now)
     effects += history.write_history(state, now)
     departures.remove_expired(state, now)
     state.crashes.remove_expired(now)
--- a/figstep/gateway/requests.py
+++ b/figstep/gateway/requests.py
@@ -1,5 +1,6 @@
 """Handles a request from its arrival to its end: queue, answer, refusal, deadline."""
 
+from collections.abc import Iterable
 from http import HTTPStatus
 
 from figstep.core.clock import Millis
@@ -10,9 +11,11 @@
     crashes,
     culprits,
     eligibility,
+    history,
     origins,
     placement,
     relays,
+    returns,
     waiting,
 )
 from figstep.gateway.effects import (
@@ -34,7 +37,7 @@
     RoutedRequest,
 )
 from figstep.gateway.routes import Customer, Route, RouteKind
-from figstep.gateway.state import Attempt, Origin, Request, State
+from figstep.gateway.state import Attempt, Origin, Request, State, WaitingReturn
 from figstep.gateway.targets import Target
 
 SHUTDOWN_RETRY_AFTER = Millis(50)
@@ -86,7 +89,31 @@
 
 
 def admit_request(state: State, event: RequestArrived, now: Millis) -> list[Effect]:
-    """Find the route and customer of a request, then start, queue or refuse it."""
+    """Find the route and customer of a request, then start, queue or refuse it.
+
+    A request that takes a stream up may first have to wait for a read of the store.
+    """
+    return _admit(state, event, now, now, None)
+
+
+def admit_returns(
+    state: State, waiting: Iterable[WaitingReturn], now: Millis, versions_read: bool
+) -> list[Effect]:
+    """Admit requests that have waited for a read of the versions, or refuse them."""
+    effects: list[Effect] = []
+    for one in waiting:
+        effects += _admit(state, one.event, one.at, now, versions_read)
+    return effects
+
+
+def _admit(
+    state: State,
+    event: RequestArrived,
+    arrived: Millis,
+    now: Millis,
+    versions_read: bool | None,
+) -> list[Effect]:
+    """Admit a request; ``versions_read`` is None if it has not waited for that."""
     spec = event.request
     table = state.table
     if table is None:
@@ -107,6 +134,9 @@
             )
     if spec.body_bytes > table.limits.body_bytes:
         return _reject_request(spec.number, spec.id, 413, "body_too_large")
+    if versions_read is None and origins.rests_on_only_version(state, spec, route, now):
+        if history.may_read(state, now):
+            return returns.wait_for_versions(state, event, now)
     culprit = culprits.find_culprit(state, spec, now)
     on_trial = culprit is not None and culprits.begin_trial(state, culprit, now)
     if culprit is not None and not on_trial:
@@ -118,8 +148,8 @@
             culprits.choose_retry_after(state, culprit, now),
             culprit=culprit,
         )
-    origin = origins.find_resumed_origin(state, spec, route, now)
-    taken_up = origins.describe_taken_up(state, spec, origin, now)
+    origin = origins.find_resumed_origin(state, spec, route, now, bool(versions_read))
+    taken_up = origins.describe_taken_up(state, spec, origin, arrived, now)
     if origin is not None and origin.version is None:
         return taken_up + _reject_request(
             spec.number, spec.id, 503, "version_unknown", UNKNOWN_VERSION_RETRY_AFTER
@@ -128,7 +158,7 @@
         return _reject_request(
             spec.number, spec.id, 503, "entry_leaving", SHUTDOWN_RETRY_AFTER
         )
-    request = _build_request(state, event, route, customer, now)
+    request = _build_request(state, event, route, customer, arrived)
     request.origin = origin
     request.on_trial = on_trial
     state.requests[spec.number] = request
@@ -147,7 +177,7 @@
     event: RequestArrived,
     route: Route,
     customer: Customer | None,
-    now: Millis,
+    arrived: Millis,
 ) -> Request:
     spec = event.request
     priority = route.priority
@@ -159,9 +189,9 @@
         route.choose_service(state.rng),
         "" if customer is None else customer.name,
         priority,
-        now,
-        _find_first_arrival(state, spec, now),
-        _find_deadline(spec, route, now),
+        arrived,
+        _find_first_arrival(state, spec, arrived),
+        _find_deadline(spec, route, arrived),
         delivered=spec.after or 0,
         lost_runs=spec.lost_runs,
         may_have_run=spec.lost_runs > 0,
@@ -330,7 +360,7 @@
             continue
         effects += _start_request(state, request, target, now)
     for request in queued:
-        if request.queued and not eligibility.list_eligible(state, request):
+        if request.queued and not eligibility.list_possible(state, request):
             reason = eligibility.explain_no_target(state, request)
             if reason != "no_room":
                 effects += refuse_request(state, request, reason, now)
@@ -506,6 +536,7 @@
 
 def drop_caller(state: State, event: CallerGone, now: Millis) -> list[Effect]:
     """End all work for a caller that has closed its connection."""
+    state.returns.pop(event.number, None)
     request = state.requests.get(event.number)
     if request is None:
         return []
--- a/figstep/gateway/sources.py
+++ b/figstep/gateway/sources.py
@@ -30,6 +30,11 @@
 from it. Entries that read the store themselves receive a record within some
 milliseconds of each other; a store that rejects this entry may never send it."""
 
+VIEW_LOST_DURATION = Millis(3_000)
+"""How long, in milliseconds, an entry counts as one that the store does not answer
+after a read of the versions got no answer. Reads that wait for new records show an
+outage much later if the store is silent."""
+
 MAX_CONCURRENT_FETCHES = 2
 """Number of entries that may at first fetch records from one peer at the same time."""
 
@@ -129,6 +134,23 @@
     return state.store_unreachable and not _has_live_reader(state, now)
 
 
+def is_view_lost(state: State, now: Millis) -> bool:
+    """Return whether the store has just given no answer to a read of the versions."""
+    return now - state.history.unread_at < VIEW_LOST_DURATION
+
+
+def lacks_store(state: State, now: Millis) -> bool:
+    """Return whether the store does not answer this entry, or one that it hears."""
+    if state.read_failed or state.store_unreachable or is_view_lost(state, now):
+        return True
+    for peer in [*state.peers.values(), *state.remote_peers.values()]:
+        if now - peer.last_received_at >= READER_TIMEOUT:
+            continue
+        if not (peer.answered and peer.receives_records):
+            return True
+    return False
+
+
 def find_healthy_since(state: State, event: PeerHeard, now: Millis) -> Millis | None:
     """Return since when a peer has reported that it reads the store successfully.
 
--- a/figstep/gateway/starts.py
+++ b/figstep/gateway/starts.py
@@ -9,6 +9,7 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 from figstep.core.clock import Millis
 
@@ -49,6 +50,13 @@
     version: str
 
 
+class ServiceVersion(NamedTuple):
+    """Software version of a service's targets."""
+
+    service: str
+    version: str
+
+
 class StartSource(Enum):
     """How this entry knows the software version that began a stream."""
 
@@ -61,6 +69,9 @@
 class RecordedVersion:
     """Software version of a service's targets, as recorded in the store.
 
+    A record of `UNKNOWN_VERSION` states that the service has begun streams whose
+    version nobody knows.
+
     Attributes:
         age: Milliseconds since the last target with this version was removed; None if
             targets have it.
@@ -73,6 +84,11 @@
     age: Millis | None = None
     expired: bool = False
 
+    @property
+    def key(self) -> ServiceVersion:
+        """Service and version."""
+        return ServiceVersion(self.service, self.version)
+
 
 @dataclass(slots=True)
 class _KnownStart:
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -22,6 +22,7 @@
     PeerLoad,
     RateReport,
     RejectionReport,
+    RequestArrived,
     RoutedRequest,
     ServiceCut,
 )
@@ -29,7 +30,7 @@
 from figstep.gateway.refusals import RefusalTable
 from figstep.gateway.routes import Route, RoutingTable
 from figstep.gateway.runs import RunCopy
-from figstep.gateway.starts import StartTable, StreamStart
+from figstep.gateway.starts import ServiceVersion, StartTable, StreamStart
 from figstep.gateway.targets import (
     EventCounts,
     Incarnation,
@@ -178,6 +179,8 @@
         rest_begun: Whether bytes have arrived, of a stream that goes on after a known
             event.
         keeps_run: Whether its engine was asked to keep the run if it is complete.
+        unconfirmed_at: Since when its stream waits until the store has recorded that
+            nobody knows its version; None if it does not.
     """
 
     number: int
@@ -204,6 +207,7 @@
     awaits_copy: bool = False
     rest_begun: bool = False
     keeps_run: bool = False
+    unconfirmed_at: Millis | None = None
 
 
 @dataclass(slots=True)
@@ -467,15 +471,53 @@
         found: Whether there were any.
         recorded: Recorded versions by service and version, and whether targets had them
             as they were recorded.
+        confirmed: Versions whose records as in service the store has confirmed, to any
+            entry, and when this entry learned it.
+        awaited: Versions of registered targets whose records are not confirmed, and
+            since when.
+        overdue: Those that begin streams all the same, as the store takes no writes.
+        unknown_due: Services of which a record of `UNKNOWN_VERSION` is to be written.
+        unknown_at: When the last one was confirmed, by service.
+        has_news: Whether something is to be written without delay.
         writing: Whether a write is in progress.
         checked_at: When this entry last checked whether the store lacks any.
+        reading: Whether a read of the versions is in progress.
+        reads_begun: Number of reads of the versions that this process has begun.
+        read_begun_at: When the last of them began.
+        unread_at: When the store last gave no answer to one.
+        listed: Versions that the last read has shown.
     """
 
     read: bool = False
     found: bool = False
     recorded: dict[tuple[str, str], bool] = field(default_factory=dict)
+    confirmed: dict[ServiceVersion, Millis] = field(default_factory=dict)
+    awaited: dict[ServiceVersion, Millis] = field(default_factory=dict)
+    overdue: set[ServiceVersion] = field(default_factory=set)
+    unknown_due: set[str] = field(default_factory=set)
+    unknown_at: dict[str, Millis] = field(default_factory=dict)
+    has_news: bool = False
     writing: bool = False
     checked_at: Millis = Millis(-1_000_000)
+    reading: bool = False
+    reads_begun: int = 0
+    read_begun_at: Millis = Millis(-1_000_000)
+    unread_at: Millis = Millis(-1_000_000)
+    listed: frozenset[ServiceVersion] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingReturn:
+    """A returning caller's request that waits for a read of the versions.
+
+    Attributes:
+        at: Monotonic time in milliseconds at which it arrived.
+        read: Number of the first read of the versions that begins after that.
+    """
+
+    event: RequestArrived
+    at: Millis
+    read: int
 
 
 @dataclass(slots=True)
@@ -542,6 +584,9 @@
         was_told_versions: Whether an entry that knows them told this one which versions
             targets had before it started.
         history: What is known of the versions and starts in the store.
+        returns: Requests that wait for a read of the versions, by number.
+        tells_starts: Whether all starts are announced to other entries, as the store
+            does not answer this entry or one that it hears.
         avoided_relays: Until when entries are avoided that could not be reached, by
             the address at which they accept requests of other entries.
         spent_relays: Until when entries are not asked that had no share left for a
@@ -606,6 +651,8 @@
     announced_since: dict[str, Millis] = field(default_factory=dict)
     was_told_versions: bool = False
     history: HistoryState = field(default_factory=HistoryState)
+    returns: dict[int, WaitingReturn] = field(default_factory=dict)
+    tells_starts: bool = False
     fleet_admission: bool = False
     customer_shares: dict[tuple[str, int], FairShares] = field(default_factory=dict)
     places_by_pace: bool = False
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -6,14 +6,17 @@
     closes,
     copies,
     crashes,
+    history,
     origins,
     pace,
     placement,
     recovery,
     requests,
+    sources,
     stops,
 )
 from figstep.gateway.effects import (
+    AcceptUnconfirmed,
     BeginStream,
     CloseAttempt,
     Count,
@@ -31,6 +34,7 @@
     StreamClosed,
     StreamConfirmed,
     StreamOpened,
+    StreamUnconfirmed,
 )
 from figstep.gateway.routes import RouteKind
 from figstep.gateway.runs import build_backup
@@ -73,6 +77,10 @@
 A change of loads is sent to peers, so an update per event would cost a message each.
 """
 
+RECORD_TIMEOUT = Millis(300)
+"""Longest time in milliseconds for which a new stream waits for a record that nobody
+knows its version. Another target may begin it within its objective then."""
+
 MAX_OVERLAP = Millis(300)
 """Longest time in milliseconds that a run is open at two engines during a switch.
 
@@ -112,12 +120,66 @@
         return []
     attempt.confirmed = True
     request = state.requests[attempt.request]
+    if attempt.unconfirmed_at is not None:
+        attempt.unconfirmed_at = None
+        return [AcceptUnconfirmed(attempt.number)]
     if request.origin != origins.UNKNOWN or request.current is not attempt:
         return []
     request.origin = origins.find_origin(state, attempt, now)
     return origins.record_start(state, request, attempt, now)
 
 
+def handle_stream_unconfirmed(
+    state: State, event: StreamUnconfirmed, now: Millis
+) -> list[Effect]:
+    """Let a new stream whose version is not known wait until that is on record.
+
+    Otherwise an entry that was not told of it would take the only version on record for
+    the one that began it. While the store answers no entry, nobody reads it.
+    """
+    attempt = state.attempts.get(event.attempt)
+    if attempt is None:
+        return []
+    service = state.requests[attempt.request].service
+    if history.is_unknown_recorded(state, service, now):
+        return [AcceptUnconfirmed(attempt.number)]
+    history.record_unknown(state, service, now)
+    effects = history.write_history(state, now)
+    if sources.is_store_unread(state, now):
+        return [*effects, AcceptUnconfirmed(attempt.number)]
+    attempt.unconfirmed_at = now
+    return effects
+
+
+def accept_recorded(state: State, now: Millis) -> list[Effect]:
+    """Read the streams that have waited for a record of their unknown version."""
+    effects: list[Effect] = []
+    for attempt in state.attempts.values():
+        if attempt.unconfirmed_at is None:
+            continue
+        service = state.requests[attempt.request].service
+        if not history.is_unknown_recorded(state, service, now):
+            continue
+        attempt.unconfirmed_at = None
+        effects.append(AcceptUnconfirmed(attempt.number))
+    return effects
+
+
+def drop_unrecorded(state: State, now: Millis) -> list[Effect]:
+    """Give up the streams that have waited too long for such a record."""
+    effects: list[Effect] = []
+    for attempt in list(state.attempts.values()):
+        if attempt.unconfirmed_at is None:
+            continue
+        if now - attempt.unconfirmed_at < RECORD_TIMEOUT:
+            continue
+        detail = "neither its start nor a record of its version is confirmed"
+        lost = AttemptLost(attempt.number, Loss.UNCONFIRMED, detail=detail)
+        effects.append(CloseAttempt(attempt.number))
+        effects += recovery.recover_attempt(state, lost, now)
+    return effects
+
+
 def handle_rest_begun(state: State, event: RestBegun) -> list[Effect]:
     """Record that something follows a known event, be it a part of an event."""
     attempt = state.attempts.get(event.attempt)
--- a/figstep/gateway/versions.py
+++ b/figstep/gateway/versions.py
@@ -9,10 +9,14 @@
 from figstep.core.clock import Millis
 from figstep.gateway.events import PastVersion
 from figstep.gateway.routes import RouteKind, RoutingTable
-from figstep.gateway.starts import START_RETENTION
+from figstep.gateway.starts import START_RETENTION, ServiceVersion
 from figstep.gateway.state import State
 from figstep.gateway.targets import Registration
 
+ABSENT_CONFIRMED_RETENTION = Millis(60_000)
+"""Milliseconds for which a record counts as confirmed while no target is known that has
+the version. Its registration may be read later than the record."""
+
 
 def record_past_version(state: State, info: Registration, now: Millis) -> None:
     """Record the version of a target that was removed or started again."""
@@ -118,20 +122,73 @@
     return versions.pop() if len(versions) == 1 else None
 
 
+def find_begun_version(
+    state: State, services: Iterable[str], now: Millis
+) -> str | None:
+    """Return the version that has begun all streams of some services; None if unknown.
+
+    That is the only one on record. The records have to be read after the question has
+    come up: what this entry has not heard of may exist.
+    """
+    services = list(services)
+    version = find_sole_version(state, services, now)
+    for service in services:
+        if (service, version) in state.history.listed:
+            return version
+    return None
+
+
+def may_begin(state: State, service: str, version: str) -> bool:
+    """Return whether a version may begin streams that can be taken up.
+
+    Another entry may take a version on record for the only one, so that any other one
+    begins no streams before its own record is confirmed. It does while none is.
+    """
+    history = state.history
+    key = ServiceVersion(service, version)
+    if key in history.confirmed or key in history.overdue:
+        return True
+    return not any(known.service == service for known in history.confirmed)
+
+
+def _update_awaited(state: State, now: Millis) -> None:
+    """Record which versions of registered targets have no confirmed record."""
+    history = state.history
+    present = {
+        ServiceVersion(target.info.service, target.info.version)
+        for target in state.targets.targets.values()
+    }
+    for key, at in list(history.confirmed.items()):
+        # The record of a version that has left is deleted later than this.
+        if key not in present and now - at >= ABSENT_CONFIRMED_RETENTION:
+            del history.confirmed[key]
+    awaited = {
+        key: history.awaited.get(key, now)
+        for key in present
+        if key not in history.confirmed
+    }
+    if not awaited.keys() <= history.awaited.keys():
+        history.has_news = True
+    history.awaited = awaited
+    history.overdue &= awaited.keys()
+
+
 def update_announced_services(state: State, now: Millis) -> None:
     """Record the services whose starts of streams entries have to tell each other.
 
     These are the services whose targets have, or recently had, several versions, and
     all of them while this entry does not know which they had: after all processes have
-    restarted, no entry does.
+    restarted, no entry does. All are told as well while the store can't be asked.
     """
+    _update_awaited(state, now)
     for key, at in list(state.past_versions.items()):
         if now - at >= START_RETENTION:
             del state.past_versions[key]
     is_known = is_history_known(state, now)
     services = {target.info.service for target in state.targets.targets.values()}
     for service in services:
-        if is_known and len(list_versions(state, service, now)) < 2:
+        has_several = len(list_versions(state, service, now)) > 1
+        if is_known and not has_several and not state.tells_starts:
             state.announced_since.pop(service, None)
         else:
             state.announced_since.setdefault(service, now)
--- a/figstep/net/hellos.py
+++ b/figstep/net/hellos.py
@@ -26,7 +26,7 @@
 )
 from figstep.gateway.places import Evacuations
 from figstep.gateway.refusals import Refusal
-from figstep.gateway.starts import StreamStart
+from figstep.gateway.starts import ServiceVersion, StreamStart
 from figstep.gateway.targets import Incarnation
 from figstep.net.neighbors import Member
 
@@ -186,6 +186,10 @@
     past_versions = message.init("pastVersions", len(own.past_versions))
     for slot, past in zip(past_versions, own.past_versions, strict=True):
         slot.service, slot.version, slot.age = past.service, past.version, past.age
+    if own.recorded:
+        recorded = message.init("recordedVersions", len(own.recorded))
+        for slot, known in zip(recorded, own.recorded, strict=True):
+            slot.service, slot.version = known.service, known.version
     if own.demand:
         _write_demand(message.init("demand", len(own.demand)), own.demand)
     return bytes(message.to_bytes_packed())
@@ -330,6 +334,10 @@
                 for item in message.pastVersions
             ),
             knows_versions=message.knowsVersions,
+            recorded=tuple(
+                ServiceVersion(str(item.service), str(item.version))
+                for item in message.recordedVersions
+            ),
             knows_answers=message.knowsAnswers,
             demand=tuple(
                 DemandReport(
--- a/figstep/net/links.capnp
+++ b/figstep/net/links.capnp
@@ -47,6 +47,7 @@
   cuts @41 :List(Cut);       # services that the sender, or some of the relays, don't reach
   pastUses @42 :List(PastUse); # of processes that ended lately, to a new process only
   knowsAnswers @43 :Bool;    # all parts of prompts that were answered before are known
+  recordedVersions @44 :List(PastVersion); # on record in the store, without an age
 }
 
 struct PastUse {
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -40,6 +40,7 @@
     StreamEnded,
     StreamOpened,
     StreamPiece,
+    StreamUnconfirmed,
     TargetChecked,
     TargetDown,
     TargetLeaving,
@@ -199,6 +200,7 @@
         self._find_target = find_target
         self._session: aiohttp.ClientSession | None = None
         self._attempt_tasks: dict[int, asyncio.Task[None]] = {}
+        self._accepted: dict[int, asyncio.Event] = {}
         self._background: set[asyncio.Task[Any]] = set()
         self._room = SharedRoom(MAX_QUERIED_BYTES)
         self._open: dict[int, OpenAttempt] = {}
@@ -352,6 +354,8 @@
                 start = await self._await_start(effect, target)
                 if start is Start.REGISTERED:
                     self._dispatch(StreamConfirmed(effect.attempt))
+                elif effect.confirm is Confirmation.VERSION:
+                    await self._wait_accepted(effect.attempt)
                 elif effect.confirm is Confirmation.STREAM:
                     detail = f"start {start.value}"
                     return AttemptLost(effect.attempt, Loss.UNCONFIRMED, detail=detail)
@@ -376,6 +380,21 @@
         query.add_done_callback(partial(self._handle_late_start, effect.attempt))
         return Start.UNKNOWN
 
+    async def _wait_accepted(self, attempt: int) -> None:
+        """Wait until a stream may be read whose target has not stated its start."""
+        accepted = self._accepted[attempt] = asyncio.Event()
+        try:
+            self._dispatch(StreamUnconfirmed(attempt))
+            await accepted.wait()
+        finally:
+            del self._accepted[attempt]
+
+    def accept_unconfirmed(self, attempt: int) -> None:
+        """Read a new stream whose target has not stated its registered start."""
+        accepted = self._accepted.get(attempt)
+        if accepted is not None:
+            accepted.set()
+
     def _handle_late_start(self, attempt: int, query: asyncio.Task[Start]) -> None:
         if not query.cancelled() and query.result() is Start.REGISTERED:
             self._dispatch(StreamConfirmed(attempt))
--- a/figstep/platform/history.py
+++ b/figstep/platform/history.py
@@ -19,7 +19,13 @@
 from figstep.errors import LogUnavailableError
 from figstep.gateway.edges import HistoryPort
 from figstep.gateway.effects import WriteHistory
-from figstep.gateway.events import Event, HistoryRead, HistoryWritten
+from figstep.gateway.events import (
+    Event,
+    HistoryRead,
+    HistoryWritten,
+    VersionsRead,
+    VersionsUnread,
+)
 from figstep.gateway.starts import START_RETENTION, RecordedVersion, StreamStart
 from figstep.platform.store import Store
 
@@ -62,13 +68,14 @@
 
         Args:
             store: Store that holds the history.
-            dispatch: Called with HistoryRead once, and with HistoryWritten after each
-                write.
+            dispatch: Called with HistoryRead once, with HistoryWritten after each
+                write, and with VersionsRead or VersionsUnread after each further read.
         """
         super().__init__()
         self._store = store
         self._dispatch = dispatch
         self._write_task: asyncio.Task[None] | None = None
+        self._read_task: asyncio.Task[None] | None = None
 
     @Service.task
     async def _read(self) -> None:
@@ -82,30 +89,52 @@
                 await self.sleep(backoff)
                 backoff = min(MAX_BACKOFF_SECONDS, 2 * backoff)
 
-    async def _read_history(self) -> HistoryRead:
+    async def _read_versions(self) -> tuple[RecordedVersion, ...]:
         snapshot = await self._store.read_newest(VERSION_TOPIC)
         now = _read_unix_time()
         versions = []
         for record in snapshot.records:
             if record.value is not None:
                 versions += parse_version(record.value, now)
+        return tuple(versions)
+
+    async def _read_history(self) -> HistoryRead:
+        versions = await self._read_versions()
         if not versions:
             return HistoryRead((), ())
+        now = _read_unix_time()
         starts: list[StreamStart] = []
         for content in await self._store.read_log(START_TOPIC):
             starts += parse_starts(content, now)
-        return HistoryRead(tuple(versions), tuple(starts))
+        return HistoryRead(versions, tuple(starts))
 
     async def on_stop(self) -> None:
-        """Cancel a write in progress."""
-        if self._write_task is not None:
-            self._write_task.cancel()
+        """Cancel a write and a read in progress."""
+        for task in (self._write_task, self._read_task):
+            if task is not None:
+                task.cancel()
 
     def write_history(self, effect: WriteHistory) -> None:
         """Write versions and starts; HistoryWritten is dispatched at the end."""
         coroutine = self._write(effect)
         self._write_task = asyncio.get_running_loop().create_task(coroutine)
 
+    def read_versions(self) -> None:
+        """Read the versions; VersionsRead or VersionsUnread is dispatched at the end.
+
+        All versions are read that were confirmed as written before the call.
+        """
+        self._read_task = asyncio.get_running_loop().create_task(self._read_again())
+
+    async def _read_again(self) -> None:
+        try:
+            versions = await self._read_versions()
+        except (LogUnavailableError, ValueError, KeyError) as error:
+            _log.info("versions not read", extra={"error": str(error)[:200]})
+            self._dispatch(VersionsUnread())
+            return
+        self._dispatch(VersionsRead(versions))
+
     async def _write(self, effect: WriteHistory) -> None:
         now = _read_unix_time()
         acknowledged = True
