Let the next entry write a version that the first one does not

Cause: the entry with the lowest name writes the record of a new version. Frozen, or cut off from the store without notice, it writes none for seconds, and engines of the new version begin no streams until the wait for a record is over.

Now each further entry, in the order of names, writes what nobody has reported as recorded, 0.6 s after the one before it.

--- a/figstep/gateway/history.py
+++ b/figstep/gateway/history.py
@@ -38,6 +38,13 @@
 """Shortest time, in milliseconds, between the begins of two reads of the versions. All
 callers that have returned meanwhile share the next one."""
 
+WRITER_DELAY = Millis(600)
+"""Time, in milliseconds, for which each entry that is to write a new version may be
+silent before the next one writes it: it may be frozen, or cut off without notice."""
+
+MAX_WRITERS_BEFORE = 6
+"""Largest number of entries whose turn comes before another one writes a version."""
+
 AWAITED_READ_DELAY = Millis(500)
 """Time, in milliseconds, after which an entry reads whether a version is recorded, if
 the entry that writes has not told it."""
@@ -155,7 +162,7 @@
 
 
 def check_awaited(state: State, now: Millis) -> list[Effect]:
-    """Read or begin to do without the records that nobody has reported."""
+    """Read, write, or begin to do without the records that nobody has reported."""
     history = state.history
     if not history.awaited or state.position == NO_POSITION:
         return []
@@ -165,11 +172,20 @@
     oldest = min(history.awaited.values())
     if now - oldest < AWAITED_READ_DELAY or not may_read(state, now):
         return []
-    if now - history.read_begun_at < WRITE_INTERVAL:
-        return []
     if sources.is_first_reader(state, now):
         return []
-    return read_versions(state, now)
+    effects: list[Effect] = []
+    if now - history.read_begun_at >= WRITE_INTERVAL:
+        effects += read_versions(state, now)
+    turns = min(sources.count_writers_before(state, now), MAX_WRITERS_BEFORE)
+    if now - oldest < AWAITED_READ_DELAY + WRITER_DELAY * turns or history.writing:
+        return effects
+    if now - history.awaited_written_at < WRITE_INTERVAL:
+        return effects
+    history.awaited_written_at = now
+    history.writing = True
+    awaited = tuple(RecordedVersion(*key) for key in sorted(history.awaited))
+    return [*effects, WriteHistory(awaited, ())]
 
 
 def record_unknown(state: State, service: str, now: Millis) -> None:
--- a/figstep/gateway/sources.py
+++ b/figstep/gateway/sources.py
@@ -129,6 +129,14 @@
     return True
 
 
+def count_writers_before(state: State, now: Millis) -> int:
+    """Return the number of entries with lower names that the store answers."""
+    return sum(
+        peer.answered and name < state.node
+        for name, peer in list_live_peers(state, now).items()
+    )
+
+
 def is_store_unread(state: State, now: Millis) -> bool:
     """Return whether the store answers neither this entry nor any known reader."""
     return state.store_unreachable and not _has_live_reader(state, now)
--- a/figstep/gateway/state.py
+++ b/figstep/gateway/state.py
@@ -475,6 +475,7 @@
             entry, and when this entry learned it.
         awaited: Versions of registered targets whose records are not confirmed, and
             since when.
+        awaited_written_at: When this entry last wrote them in place of another one.
         overdue: Those that begin streams all the same, as the store takes no writes.
         unknown_due: Services of which a record of `UNKNOWN_VERSION` is to be written.
         unknown_at: When the last one was confirmed, by service.
@@ -493,6 +494,7 @@
     recorded: dict[tuple[str, str], bool] = field(default_factory=dict)
     confirmed: dict[ServiceVersion, Millis] = field(default_factory=dict)
     awaited: dict[ServiceVersion, Millis] = field(default_factory=dict)
+    awaited_written_at: Millis = Millis(-1_000_000)
     overdue: set[ServiceVersion] = field(default_factory=set)
     unknown_due: set[str] = field(default_factory=set)
     unknown_at: dict[str, Millis] = field(default_factory=dict)
--- a/tests/gateway/test_only_version.py
+++ b/tests/gateway/test_only_version.py
@@ -265,3 +265,22 @@
     fleet.store.lose(fleet.entries)
     fleet.pass_time(fleet.entries, 2_000)
     assert fleet.take_up(last) == "v1"
+
+
+@SIZES
+def test_a_version_is_recorded_although_the_entry_that_writes_is_silent(
+    size: int,
+) -> None:
+    """Guards against engines that begin no streams as one entry is cut off silently."""
+    fleet = ReleasedFleet(size, first=False)
+    silent = {one.state.failure_domain: one for one in reversed(fleet.entries)}
+    if size == 2:
+        silent = {DOMAINS[0]: fleet.entries[0]}
+    for harness in silent.values():
+        fleet.store.unreachable.add(harness.state.node)
+    fleet.register(fleet.entries, "v2", "e-3")
+    fleet.pass_time(fleet.entries, 2_500)
+    assert (ENGINES, "v2") in fleet.store.versions
+    for harness in fleet.entries:
+        if harness not in silent.values():
+            assert (ENGINES, "v2") in harness.state.history.confirmed
