Take an answer whose status is not final for a broken one

What callers saw: a target in trouble answered whole and signed with status 000, 099 or 101, and that was their answer. With 000 the entry wrote the status line "HTTP/1.1 0", which is no HTTP at all; after 101 the connection speaks no HTTP any more.

Cause: aiohttp's parser accepts any three digits, and nothing between it and the caller asked whether they begin an answer.

The connection of all clients, to targets on both interfaces, the store and other entries, now reports a head without a status from 100 to 599, or with 101, as one that it cannot read; interim answers stay as they are. Statuses from 600 on are invalid too (RFC 9110, section 15): whoever gets one may take it for anything. The fate of the run is unknown then: an unsafe call is not repeated and gets 502, a safe one may be repeated, and it counts against the target. A probe that reads heads by itself asks the same question.

Sound statuses, also behind an interim answer, pass unchanged.

--- a/figstep/net/connectors.py
+++ b/figstep/net/connectors.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD
 
@@ -18,6 +19,7 @@
     open_bounded_socket,
     open_keepalive_socket,
 )
+from figstep.net.statuses import begins_answer
 
 MAX_FRAMING_BYTES = 65_536
 """Largest number of bytes of an answer that are no part of its body.
@@ -69,6 +71,18 @@
         self._framing = FramingAllowance(MAX_FRAMING_BYTES)
         super().set_response_params(**params)
 
+    async def read(self) -> tuple[RawResponseMessage, aiohttp.StreamReader]:
+        """Return the next head and body.
+
+        Raises:
+            HttpProcessingError: If what came is no head, or has no valid status.
+        """
+        message, payload = await super().read()
+        if not begins_answer(message.code):
+            # The client takes this for a head that it cannot read.
+            raise HttpProcessingError(message=f"answered {message.code:03}")
+        return message, payload
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes, and close the connection if the framing exceeds its bound."""
         resumed = not data
--- a/figstep/net/probes.py
+++ b/figstep/net/probes.py
@@ -7,6 +7,8 @@
 import logbook
 from yarl import URL
 
+from figstep.net.statuses import begins_answer
+
 _log = logbook.Logger("figstep.probes")
 
 _STRANGER_STATUSES = (408, 421, 429, 502, 503, 504)
@@ -74,7 +76,10 @@
         version, _, rest = (await self._reader.readline()).partition(b" ")
         if not version.startswith(b"HTTP/"):
             raise ValueError(f"received {version[:40]!r} in place of an answer")
-        return int(rest[:3])
+        status = int(rest[:3])
+        if not begins_answer(status):
+            raise ValueError(f"received status {status:03} in place of an answer")
+        return status
 
 
 @asynccontextmanager
--- a/tests/net/test_targets.py
+++ b/tests/net/test_targets.py
@@ -7,11 +7,14 @@
 
 import pytest
 from aiohttp import web
+from yarl import URL
 
 from figstep.core.effects import CancelGeneration, OpenAttempt
 from figstep.core.events import (
     AttemptEnded,
+    AttemptLost,
     Event,
+    Loss,
     ServiceAnswered,
     TargetDown,
     TokensArrived,
@@ -20,6 +23,7 @@
 from figstep.core.specs import GenerationWork, RequestSpec, ServiceWork
 from figstep.net.buffers import RequestBody
 from figstep.net.exchanges import Exchange
+from figstep.net.probes import open_witness
 from figstep.net.targets import TargetEdge
 from figstep.standins.http import start_app
 
@@ -183,3 +187,63 @@
             await edge.stop()
             await asyncio.to_thread(server.shutdown)
             thread.join()
+
+
+class RawService:
+    """Plain service that answers each call whole, with a status line of its own."""
+
+    def __init__(self, status_line: bytes) -> None:
+        self.calls = 0
+        self._status_line = status_line
+
+    async def answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        self.calls += 1
+        writer.write(self._status_line + b"\r\nContent-Length: 5\r\n\r\nwhole")
+        await writer.drain()
+        writer.close()
+
+
+@pytest.mark.parametrize("once", [False, True])
+@pytest.mark.parametrize(
+    "status_line", [b"HTTP/1.1 000 OK", b"HTTP/1.1 099 X", b"HTTP/1.1 101 X"]
+)
+async def test_a_status_that_is_not_final_is_no_answer_of_a_service(
+    status_line: bytes, once: bool
+) -> None:
+    """Guards against callers that get a status unknown to HTTP as their answer."""
+    service = RawService(status_line)
+    server = await asyncio.start_server(service.answer, "127.0.0.1", 0)
+    address = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    events: asyncio.Queue[Event] = asyncio.Queue()
+    edge = TargetEdge(
+        events.put_nowait, lambda _: ServiceInfo("s1", "x", address, "muc-a")
+    )
+    spec = RequestSpec("r1", "c", ServiceWork("x", "POST", "/a"))
+    exchange = Exchange(spec, "POST", "/a", {}, RequestBody(b""))
+    edge.open_attempt(OpenAttempt("r1", 1, "s1", "", once=once), exchange)
+    async with asyncio.timeout(20):
+        event = await events.get()
+        while not isinstance(event, AttemptLost | ServiceAnswered):
+            event = await events.get()
+    await edge.stop()
+    server.close()
+    assert isinstance(event, AttemptLost)
+    assert event.loss in (Loss.BROKEN, Loss.FAILED, Loss.TRUNCATED)
+    assert service.calls == 1
+
+
+@pytest.mark.parametrize("status_line", [b"HTTP/1.1 000 OK", b"HTTP/1.1 x", b"nothing"])
+async def test_a_witness_without_a_valid_status_states_no_life(
+    status_line: bytes,
+) -> None:
+    """Guards against a target that counts as alive for an answer that is none."""
+    service = RawService(status_line)
+    server = await asyncio.start_server(service.answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with open_witness(URL(f"http://127.0.0.1:{port}"), 1.0) as witness:
+        assert witness is not None
+        assert not await witness.answers(1.0)
+    server.close()
