Play releases that are rolled back while entries are cut off

No run of deployments could show a stream that goes on at a version taken for the only one: both versions served from the start. Seven in ten returning callers come to an entry that is cut off.

--- a/tests/deployments/__main__.py
+++ b/tests/deployments/__main__.py
@@ -16,7 +16,7 @@
 import orjson
 
 from tests.deployments.counts import count_outcomes, describe_counts
-from tests.deployments.plans import BEHAVIORS, draw_plan
+from tests.deployments.plans import BEHAVIORS, draw_plan, draw_releases
 from tests.deployments.shapes import SHAPES, USUAL, Options
 from tests.deployments.sites import Site
 from tests.faults.__main__ import describe_record
@@ -67,6 +67,8 @@
     gc.freeze()
     try:
         plan = draw_plan(seed, seconds, shape.engines)
+        if options.releases:
+            plan = draw_releases(seed, seconds)
         await site.run_plan(plan, seconds, patience)
     finally:
         gc.unfreeze()
@@ -200,6 +202,7 @@
         kills=arguments.kill_all,
         named_returns=not arguments.unnamed_returns,
         overlaps=arguments.overlaps,
+        releases=arguments.releases,
     )
 
 
@@ -335,6 +338,11 @@
         action="store_true",
         help="callers that come back leave their first attempt open for a while",
     )
+    parser.add_argument(
+        "--releases",
+        action="store_true",
+        help="one version, releases that are rolled back, entries that are cut off",
+    )
     parser.add_argument("--folder", type=Path, default=None, help="for the logs")
     arguments = parser.parse_args()
     # aiohttp logs an error for each handler that ends as its peer has gone.
--- a/tests/deployments/callers.py
+++ b/tests/deployments/callers.py
@@ -34,6 +34,9 @@
 """Shortest and longest of these times, in seconds; calls have those of short streams.
 """
 
+SOUGHT_SHARE = 0.7
+"""Probability that a returning caller comes to a sought entry, if there is one."""
+
 OVERLAP_SECONDS = 1.0
 """Time for which an attempt stays open beside the one that takes its stream up, at
 most, in seconds."""
@@ -163,6 +166,9 @@
 
     def _choose_endpoint(self, rng: random.Random, before: int) -> EntryEndpoint:
         others = [one for one in self.endpoints if one.entry != before]
+        sought = [one for one in others if one.sought]
+        if sought and before >= 0 and rng.random() < SOUGHT_SHARE:
+            return rng.choice(sought)
         return rng.choice([one for one in others if one.ready] or others)
 
     def _add_attempt(self, endpoint: EntryEndpoint, chain: Chain) -> Attempt:
--- a/tests/deployments/plans.py
+++ b/tests/deployments/plans.py
@@ -17,6 +17,12 @@
 LATE_RANGE = (0.2, 3.0)
 """Shortest and longest time to the registration of a restarted target."""
 
+RELEASE_RANGE = (0.4, 2.0)
+"""Shortest and longest time for which a release lasts until it is rolled back."""
+
+RELEASE_PAUSE_RANGE = (2.0, 4.0)
+"""Shortest and longest time between two releases, in seconds."""
+
 BEHAVIORS = ("early", "empty", "forgetful")
 """What may be wrong with an engine from its start on."""
 
@@ -88,7 +94,45 @@
     """All entries are killed at once, and start again."""
 
 
-Fault = Restart | Replace | FreezeTarget | DisturbEntry | LoseStore | KillEntries
+@dataclass(frozen=True, slots=True)
+class CutEntry:
+    """An entry reaches neither of the named sides, ``store`` and ``peers``.
+
+    Most callers that return come to it meanwhile.
+    """
+
+    number: int
+    sides: tuple[str, ...]
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Engines get another software version in place, and then the one before.
+
+    Attributes:
+        number: Number of the first engine, modulo those there are.
+        count: Number of engines.
+        seconds: Time until they are rolled back.
+        late: Time from each start to the registration.
+    """
+
+    number: int
+    count: int
+    seconds: float
+    late: float
+
+
+Fault = (
+    Restart
+    | Replace
+    | FreezeTarget
+    | DisturbEntry
+    | LoseStore
+    | KillEntries
+    | CutEntry
+    | Release
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +154,40 @@
     return sorted(steps, key=lambda step: step.at)
 
 
+def draw_releases(seed: int, seconds: float) -> list[Step]:
+    """Return a plan of releases in which single entries are killed, frozen or cut off.
+
+    What is done to an entry begins before the release, and mostly ends after it.
+    """
+    rng = random.Random(f"{seed} releases")
+    steps: list[Step] = []
+    at = FIRST_FAULT_DELAY
+    while at < seconds:
+        span = rng.uniform(*RELEASE_RANGE)
+        late = rng.choice([0.0, 0.0, rng.uniform(*LATE_RANGE)])
+        count = rng.randint(1, 3)
+        release = Release(rng.randrange(1_000), count, span, late)
+        steps.append(Step(at, release))
+        for number in rng.sample(range(1_000), rng.randint(2, 3)):
+            fault = _draw_release_fault(rng, number, span)
+            steps.append(Step(max(0.0, at + rng.uniform(-1.0, 0.4)), fault))
+        at += span + rng.uniform(*RELEASE_PAUSE_RANGE)
+    return sorted(steps, key=lambda step: step.at)
+
+
+def _draw_release_fault(rng: random.Random, number: int, span: float) -> Fault:
+    seconds = span + rng.uniform(0.5, 3.0)
+    match rng.choice(["kill", "freeze", "cut", "cut", "cut", "store"]):
+        case "kill":
+            return DisturbEntry("kill", number, 0.0)
+        case "freeze":
+            return DisturbEntry("freeze", number, seconds)
+        case "cut":
+            sides = rng.choice([("store", "peers"), ("store", "peers"), ("peers",)])
+            return CutEntry(number, sides, seconds)
+    return CutEntry(number, ("store",), seconds)
+
+
 def add_kills(steps: list[Step], interval: float, seconds: float) -> list[Step]:
     """Return a plan in which all entries are killed at each interval, if not 0."""
     if not interval:
--- a/tests/deployments/shapes.py
+++ b/tests/deployments/shapes.py
@@ -67,6 +67,8 @@
         kills: Interval in seconds at which all entries are killed at once; 0 for never.
         named_returns: Whether callers that take a stream up name their first attempt.
         overlaps: Whether callers that take a stream up do not end their first attempt.
+        releases: Whether all engines begin with one version, and the plan is one of
+            releases that are rolled back, beside entries that are cut off.
     """
 
     framing: str = ""
@@ -91,6 +93,7 @@
     kills: float = 0.0
     named_returns: bool = True
     overlaps: bool = False
+    releases: bool = False
 
 
 USUAL = Options()
--- a/tests/deployments/sites.py
+++ b/tests/deployments/sites.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from tests.deployments import plans
+from tests.deployments import cut_entry, plans
 from tests.deployments.busy import keep_busy
 from tests.deployments.callers import Callers
 from tests.deployments.hosts import SPARES, Spares, TargetHost, read_journal
@@ -170,6 +170,7 @@
                 log=self._folder / f"entry-{number}.log",
                 grace=GRACE_SECONDS,
                 stops=self.record.stops,
+                program=self._choose_program(),
             )
             self._entries.append(host)
             await host.start()
@@ -222,7 +223,7 @@
             service,
             proxy.address if proxy else f"{HOST}:{port}",
             domains[self._names % len(domains)],
-            VERSIONS[self._names % 2] if service == "engines" else VERSIONS[0],
+            self._choose_version(service),
             self._store.address,
             str(self._folder / f"{name}.jsonl"),
             work=self._shape.work,
@@ -244,6 +245,14 @@
         await host.start()
         await host.wait_until_registered()
 
+    def _choose_program(self) -> str:
+        return cut_entry.__name__ if self._options.releases else "figstep.platform"
+
+    def _choose_version(self, service: str) -> str:
+        if service != "engines" or self._options.releases:
+            return VERSIONS[0]
+        return VERSIONS[self._names % 2]
+
     async def _add_proxy(self, name: str, port: int) -> FaultyProxy:
         proxy = FaultyProxy(port, random.Random(f"{name} proxy"))
         self.proxies.append(proxy)
@@ -262,6 +271,13 @@
                 entry = self._entries[number % len(self._entries)]
                 with self.record.disturb(action, entry.number):
                     await entry.disturb(action, seconds)
+            case plans.CutEntry(number=number, sides=sides, seconds=seconds):
+                entry = self._entries[number % len(self._entries)]
+                name = f"cut off from {' and '.join(sides)}"
+                with self.record.disturb(name, entry.number):
+                    await self._cut_entry(entry, sides, seconds)
+            case plans.Release():
+                await self._release(fault)
             case plans.KillEntries():
                 await asyncio.gather(*map(self._kill_entry, self._entries))
             case plans.LoseStore(seconds=seconds):
@@ -280,6 +296,35 @@
                     await self._apply_target_fault(target, fault)
                 target.busy = False
 
+    async def _cut_entry(
+        self, entry: EntryHost, sides: tuple[str, ...], seconds: float
+    ) -> None:
+        flag = entry.settings.with_suffix(cut_entry.CUT_SUFFIX)
+        flag.write_text(" ".join(sides))
+        entry.endpoint.sought = True
+        await asyncio.sleep(seconds)
+        entry.endpoint.sought = False
+        flag.unlink(missing_ok=True)
+
+    async def _release(self, release: plans.Release) -> None:
+        engines = [one for one in self._targets if one.identity.service == "engines"]
+        chosen = [
+            engines[(release.number + index) % len(engines)]
+            for index in range(release.count)
+        ]
+        for _ in VERSIONS:
+            restart = plans.Restart(0, None, 0.0, release.late, True, False, ())
+            await asyncio.gather(
+                *(self._restart_released(target, restart) for target in chosen)
+            )
+            await asyncio.sleep(release.seconds)
+
+    async def _restart_released(
+        self, target: TargetHost, restart: plans.Restart
+    ) -> None:
+        with self.record.disturb(describe_fault(restart), None, target.name):
+            await self._restart(target, restart)
+
     async def _kill_entry(self, entry: EntryHost) -> None:
         with self.record.disturb("kill", entry.number):
             await entry.disturb("kill", 0.0)
--- a/tests/platform/entries.py
+++ b/tests/platform/entries.py
@@ -23,12 +23,17 @@
 
 @dataclass(slots=True)
 class EntryEndpoint:
-    """Address, number of restarts and readiness of an entry, as callers know them."""
+    """Address, number of restarts and readiness of an entry, as callers know them.
+
+    Attributes:
+        sought: Whether returning callers mostly come to it.
+    """
 
     entry: int
     address: str
     incarnation: int = 0
     ready: bool = True
+    sought: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +61,7 @@
         grace: Time from SIGTERM until it is killed, in seconds, without the time for
             which it is frozen meanwhile.
         stops: Graceful stops of all entries.
+        program: Module that runs as its process.
         stopping: Whether the entry was stopped or killed and is not ready again.
         starting: Whether the entry has not been ready since its start.
     """
@@ -67,6 +73,7 @@
     log: Path
     grace: float
     stops: list[Stop]
+    program: str = "figstep.platform"
     process: asyncio.subprocess.Process | None = None
     stopping: bool = False
     starting: bool = True
@@ -76,7 +83,7 @@
 
     async def start(self) -> None:
         """Start the process and append its output to the log."""
-        self.process = await start_entry(self.settings, self.log)
+        self.process = await start_entry(self.settings, self.log, self.program)
         self._note_continued()
 
     def send_signal(self, number: int) -> None:
--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -87,13 +87,15 @@
     return Network(f"127.{os.getpid() % 250 + 1}.{front % 250}", front, ready, peers)
 
 
-async def start_entry(settings: Path, log: Path) -> asyncio.subprocess.Process:
+async def start_entry(
+    settings: Path, log: Path, program: str = "figstep.platform"
+) -> asyncio.subprocess.Process:
     """Start the process of an entry, and append its output to a file."""
     with log.open("ab") as lines:
         return await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "figstep.platform",
+            program,
             stdout=lines,
             stderr=lines,
             env={
