Read the store as soon as an entry that has just started has callers

What was seen: an entry that starts for the first time and is linked reads a registration that is written 0.5 to 1.5 s after its start up to a second later; others have it within 6 ms. Departures, evacuations and configurations come the same way.

Cause: a follower waits for two seconds after its first read, so that the entries of a large fleet find out who reads for whom. That there are no callers yet was assumed.

Now the wait ends 0.3 s after the first read once a caller has come. Without callers, and at later starts, nothing changes, so that no further calls to the store are made. The test failed before for a first start.

--- a/figstep/platform/callers.py
+++ b/figstep/platform/callers.py
@@ -437,6 +437,11 @@
             request.transport.close()
         raise ConnectionError("the stream was cut off")
 
+    @property
+    def has_served(self) -> bool:
+        """Whether a caller has sent a request."""
+        return self._next_number > 1
+
     def begin_stream(self, number: int, head: AnswerHead) -> None:
         """Start a stream to a caller; ignored if the request is not open."""
         exchange = self.exchanges.get(number)
--- a/figstep/platform/entry.py
+++ b/figstep/platform/entry.py
@@ -93,9 +93,9 @@
 another reader may relay the record earlier."""
 
 FIRST_START_READ_DELAY_SECONDS = 2.0
-"""Delay after an entry's first read of the store when the whole system starts for the
-first time, in seconds. All entries start at once and have to find each other, and there
-are no callers yet."""
+"""Longest delay after an entry's first read of the store when the whole system starts
+for the first time, in seconds. All entries start at once and have to find each other.
+It ends with the first caller, who must not meet targets that have left meanwhile."""
 
 RESTART_READ_DELAY_SECONDS = 0.3
 """Delay after the first read of the store by an entry that restarts, in seconds. The
@@ -201,7 +201,7 @@
             ),
             self.reads_store,
             self._choose_read_delay,
-            choose_first_read_delay(settings),
+            self._waits_after_first_read,
             self._choose_wait,
         )
         self.registrations = TopicFollower(
@@ -216,7 +216,7 @@
             ),
             self.reads_store,
             self._choose_read_delay,
-            choose_first_read_delay(settings),
+            self._waits_after_first_read,
             self._choose_wait,
         )
 
@@ -376,6 +376,21 @@
     def _choose_read_delay(self) -> float:
         return LARGE_FLEET_READ_DELAY_SECONDS if self.gateway.known.is_large else 0.0
 
+    def _waits_after_first_read(self, seconds: float) -> bool:
+        """Return whether to wait still, that many seconds after the first read.
+
+        Without the wait, each entry of a large fleet would read each target's
+        registration from the store, although one reader can relay them. An entry
+        without seeds does not wait.
+        """
+        if not self.settings.seeds:
+            return False
+        if seconds < RESTART_READ_DELAY_SECONDS:
+            return True
+        if not self.settings.first_start or self.callers.has_served:
+            return False
+        return seconds < FIRST_START_READ_DELAY_SECONDS
+
     def _choose_wait(self) -> float:
         now = self._clock.now()
         if is_first_reader(self.gateway.known, now, whole_fleet=True):
@@ -578,22 +593,6 @@
     )
 
 
-def choose_first_read_delay(settings: EntrySettings) -> float:
-    """Return how long an entry waits after its first read of the store, in seconds.
-
-    Without the wait, each entry of a large fleet would read each target's registration
-    from the store, although one reader can relay them. An entry without seeds does not
-    wait.
-    """
-    if not settings.seeds:
-        return 0.0
-    return (
-        FIRST_START_READ_DELAY_SECONDS
-        if settings.first_start
-        else RESTART_READ_DELAY_SECONDS
-    )
-
-
 async def serve_until_signal(path: Path, listener: socket.socket | None = None) -> None:
     """Serve callers until SIGTERM or SIGINT, then drain and stop.
 
--- a/figstep/platform/followers.py
+++ b/figstep/platform/followers.py
@@ -27,6 +27,9 @@
 """Interval in seconds at which an entry that relies on other readers of the store
 checks whether it has to read the store itself."""
 
+FIRST_READ_POLL_SECONDS = 0.02
+"""Interval in seconds at which is checked whether to wait after the first read."""
+
 INITIAL_BACKOFF_SECONDS = 0.1
 """Backoff after the first failed read, in seconds; each further failure doubles it."""
 
@@ -68,7 +71,7 @@
         sink: TopicSink,
         should_read: Callable[[], bool] = lambda: True,
         choose_read_delay: Callable[[], float] = lambda: 0.0,
-        first_read_delay: float = 0.0,
+        waits_after_first_read: Callable[[float], bool] = lambda seconds: False,
         choose_wait: Callable[[], float] = lambda: LONG_POLL_SECONDS,
     ) -> None:
         """Follow a topic.
@@ -81,12 +84,14 @@
                 first snapshot is read in any case.
             choose_read_delay: Returns the delay in seconds after a read that
                 returned records.
-            first_read_delay: Delay in seconds after the first read, in which an
-                entry finds out whether other entries read for it.
+            waits_after_first_read: Returns whether to wait still, that many seconds
+                after the first read. An entry finds out meanwhile whether other
+                entries read for it.
             choose_wait: Returns how long the store waits for a new record, in seconds.
         """
         super().__init__()
-        self._first_read_delay = first_read_delay
+        self._waits_after_first_read = waits_after_first_read
+        self._first_read_at: float | None = None
         self._choose_read_delay = choose_read_delay
         self._choose_wait = choose_wait
         self._should_read = should_read
@@ -159,8 +164,14 @@
         self._report_store_regained()
         self._next = snapshot.end
         self._sink.apply_snapshot(snapshot.records, snapshot.end)
-        await self.sleep(self._first_read_delay)
-        self._first_read_delay = 0.0
+        if self._first_read_at is None:
+            await self._wait_after_first_read()
+
+    async def _wait_after_first_read(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._first_read_at = loop.time()
+        while self._waits_after_first_read(loop.time() - self._first_read_at):
+            await self.sleep(FIRST_READ_POLL_SECONDS)
 
     async def _read_batch(self, start: Position) -> RecordBatch | None:
         """Read records; return None if the read was given up for a newer era."""
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -596,3 +596,21 @@
         assert (await reader.readline()).startswith(b"HTTP/1.1 200 ")
         await draining
     writer.close()
+
+
+@pytest.mark.parametrize("first", [True, False])
+async def test_an_entry_that_serves_soon_after_its_start_reads_what_changes(
+    first: bool,
+) -> None:
+    """Guards against targets that come or leave unnoticed for two seconds."""
+    async with open_place() as place:
+        await place.add_target("i-b1", "bookings")
+        seed = build_settings("").peers  # nobody listens there
+        entry = await place.add_entry(seeds=(seed,), first_start=first)
+        await place.wait_ready(entry, 1)
+        assert await call_order_route(place, entry, "r-1") == 200
+        await asyncio.sleep(0.4)
+        await place.add_target("i-b2", "bookings")
+        async with asyncio.timeout(0.4):
+            while "i-b2" not in entry.gateway.known.targets.targets:
+                await asyncio.sleep(0.01)
