Play one version that is updated and taken back in the soak, and engines beside

The soak gets an extra, updates: all engines have one version at first; one to three are updated in place, or others start beside them and leave, while entries are cut off from the store, from other entries or from both, and callers that return mostly come to these. Releases of the deployments get engines beside as well.

--- a/tests/deployments/plans.py
+++ b/tests/deployments/plans.py
@@ -108,19 +108,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Release:
-    """Engines get another software version in place, and then the one before.
+    """Engines of another software version serve for a while.
 
     Attributes:
         number: Number of the first engine, modulo those there are.
         count: Number of engines.
         seconds: Time until they are rolled back.
         late: Time from each start to the registration.
+        in_place: Whether engines start again under their ids; else other ones start
+            beside them, and leave.
     """
 
     number: int
     count: int
     seconds: float
     late: float
+    in_place: bool
 
 
 Fault = (
@@ -166,7 +169,8 @@
         span = rng.uniform(*RELEASE_RANGE)
         late = rng.choice([0.0, 0.0, rng.uniform(*LATE_RANGE)])
         count = rng.randint(1, 3)
-        release = Release(rng.randrange(1_000), count, span, late)
+        in_place = rng.random() < 0.5
+        release = Release(rng.randrange(1_000), count, span, late, in_place)
         steps.append(Step(at, release))
         for number in rng.sample(range(1_000), rng.randint(2, 3)):
             fault = _draw_release_fault(rng, number, span)
--- a/tests/deployments/sites.py
+++ b/tests/deployments/sites.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from tests.deployments import cut_entry, plans
+from tests.deployments import plans
 from tests.deployments.busy import keep_busy
 from tests.deployments.callers import Callers
 from tests.deployments.hosts import SPARES, Spares, TargetHost, read_journal
@@ -19,6 +19,7 @@
 from tests.faults.promises import RETRY_RATIO, RETRY_WINDOW
 from tests.faults.records import Disturbance, Kind, Record, Version
 from tests.faults.sites import record_loop_stalls
+from tests.platform import cut_entry
 from tests.platform.entries import EntryEndpoint, EntryHost
 from tests.platform.processes import build_network, query_ready
 from tests.platform.runs import read_clock
@@ -209,8 +210,11 @@
         self.record.versions.append(Version(1, read_clock(), paths, frozenset({KEY})))
 
     async def _add_target(
-        self, service: str, behaviors: tuple[str, ...] | None = None
-    ) -> None:
+        self,
+        service: str,
+        behaviors: tuple[str, ...] | None = None,
+        version: str = "",
+    ) -> TargetHost:
         self._names += 1
         name = f"i-{service}-{self._names}"
         domains = list(self._shape.domains)
@@ -223,7 +227,7 @@
             service,
             proxy.address if proxy else f"{HOST}:{port}",
             domains[self._names % len(domains)],
-            self._choose_version(service),
+            version or self._choose_version(service),
             self._store.address,
             str(self._folder / f"{name}.jsonl"),
             work=self._shape.work,
@@ -244,6 +248,7 @@
         self._targets.append(host)
         await host.start()
         await host.wait_until_registered()
+        return host
 
     def _choose_program(self) -> str:
         return cut_entry.__name__ if self._options.releases else "figstep.platform"
@@ -299,14 +304,16 @@
     async def _cut_entry(
         self, entry: EntryHost, sides: tuple[str, ...], seconds: float
     ) -> None:
-        flag = entry.settings.with_suffix(cut_entry.CUT_SUFFIX)
-        flag.write_text(" ".join(sides))
+        cut_entry.write_cut(entry.settings, sides)
         entry.endpoint.sought = True
         await asyncio.sleep(seconds)
         entry.endpoint.sought = False
-        flag.unlink(missing_ok=True)
+        cut_entry.write_cut(entry.settings, ())
 
     async def _release(self, release: plans.Release) -> None:
+        if not release.in_place:
+            await self._release_beside(release)
+            return
         engines = [one for one in self._targets if one.identity.service == "engines"]
         chosen = [
             engines[(release.number + index) % len(engines)]
@@ -319,6 +326,21 @@
             )
             await asyncio.sleep(release.seconds)
 
+    async def _release_beside(self, release: plans.Release) -> None:
+        added = [
+            await self._add_target("engines", (), VERSIONS[1])
+            for _ in range(release.count)
+        ]
+        await asyncio.sleep(release.seconds)
+        for target in added:
+            self._targets.remove(target)
+            self._gone.append(target)
+            self.record.departures[target.name] = float("inf")
+            self._left_at[target.name] = read_clock()
+            target.send_signal(signal.SIGTERM)
+        for target in added:
+            await target.wait()
+
     async def _restart_released(
         self, target: TargetHost, restart: plans.Restart
     ) -> None:
--- a/tests/deployments/test_deployments.py
+++ b/tests/deployments/test_deployments.py
@@ -215,3 +215,21 @@
     assert counts.whole["short, resumable"] == WholeStreams(1, 2)
     assert counts.taken_up == (1, 2)
     assert (counts.bad_gateways, counts.repeats) == (1, 1)
+
+
+async def test_no_stream_goes_on_at_another_version_as_releases_are_rolled_back(
+    tmp_path: Path,
+) -> None:
+    """Guards against a version that is taken for the only one where an entry is cut."""
+    record, breaches = await run_deployment(
+        "langar-by",
+        1003,
+        tmp_path,
+        10.0,
+        patience=3.0,
+        returns=8.0,
+        without=BEHAVIORS,
+        options=Options(releases=True),
+    )
+    assert breaches == [], [describe_record(record), *describe_streams(record)]
+    assert sum(attempt.status == 200 for attempt in record.attempts) > 100
--- a/tests/faults/callers.py
+++ b/tests/faults/callers.py
@@ -49,6 +49,12 @@
 Whether a call may be repeated depends on its route, not on its method.
 """
 
+SOUGHT_SHARE = 0.7
+"""Probability that a caller takes a stream up at a sought entry, if there is one."""
+
+MORE_RETURNING = 4
+"""Factor by which there are more such callers while engines are updated."""
+
 RETURN_INTERVAL = 0.2
 """Time in seconds between two streams whose callers leave and take them up again."""
 
@@ -162,10 +168,24 @@
             task.add_done_callback(self._calls.discard)
             await asyncio.sleep(RETURN_INTERVAL)
 
+    async def send_returning(self, seconds: float) -> None:
+        """Begin more of them for a time."""
+        stop_event = asyncio.Event()
+        senders = [
+            asyncio.create_task(self.run_returning(stop_event))
+            for _ in range(MORE_RETURNING)
+        ]
+        await asyncio.sleep(seconds)
+        stop_event.set()
+        await asyncio.gather(*senders)
+
     async def _return_to_stream(self, rng: random.Random) -> None:
         first, received = "", 0
         for _ in range(MAX_TRIES):
             ready = [one for one in self.endpoints if one.ready] or self.endpoints
+            sought = [one for one in ready if one.sought]
+            if received and sought and rng.random() < SOUGHT_SHARE:
+                ready = sought
             endpoint = rng.choice(ready)
             attempt = self._add_attempt(endpoint, Kind.RESUME, "/resume/x", "key-1")
             attempt.resumes, attempt.after = first, received
--- a/tests/faults/plans.py
+++ b/tests/faults/plans.py
@@ -51,6 +51,13 @@
 """What a partial cut cuts an entry off from: a service, or one target."""
 
 
+UPDATE_RANGE = (0.4, 2.0)
+"""Shortest and longest time until an update is taken back, in seconds."""
+
+ISOLATIONS = (("store", "peers"), ("store", "peers"), ("store",), ("peers",))
+"""What isolated entries do not reach."""
+
+
 class Extra(Enum):
     """Kind of extra fault.
 
@@ -73,6 +80,7 @@
     AFTERLIFE = "afterlife"
     EARLY = "early"
     CLOCKS = "clocks"
+    UPDATES = "updates"
 
 
 SIGNALS = (Extra.RATE, Extra.LEAVING, Extra.PAUSE)
@@ -248,6 +256,38 @@
     clock_step: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Update:
+    """Change of the version of some engines, which is taken back.
+
+    In a plan with one, all engines have the same version at first.
+
+    Attributes:
+        count: Number of engines.
+        seconds: Time until it is taken back.
+        in_place: Whether they start again under their ids; else other ones start
+            beside them, and leave.
+    """
+
+    number: int
+    count: int
+    seconds: float
+    in_place: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Isolation:
+    """Fault that cuts an entry off from the store, or from other entries.
+
+    Attributes:
+        sides: ``store``, ``peers`` or both.
+    """
+
+    entry: int
+    sides: tuple[str, ...]
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationChange:
     """Change that publishes a new version: one of ``CONFIGURATION_ACTIONS``."""
@@ -269,6 +309,8 @@
     | EntryCut
     | OutlivedCrash
     | Release
+    | Update
+    | Isolation
     | ConfigurationChange
 )
 
@@ -337,6 +379,9 @@
                 fault = OutlivedCrash(number, rng.choice(list(Afterlife)), seconds)
             case Extra.CLOCKS:
                 fault = Release(number, True, rng.choice(CLOCK_STEPS))
+            case Extra.UPDATES:
+                steps += _draw_update(rng, number, seconds)
+                continue
             case Extra.PARTS:
                 fault = CrashingPart(rng.choice(PART_INTERVALS), duration)
             case Extra.CROWDS:
@@ -348,6 +393,20 @@
     return steps
 
 
+def _draw_update(rng: random.Random, number: int, seconds: float) -> list[Step]:
+    """Return an update, and cuts of one or two entries that begin before it."""
+    at = rng.uniform(FIRST_FAULT_DELAY, seconds - UPDATE_RANGE[1])
+    span, in_place = rng.uniform(*UPDATE_RANGE), rng.random() < 0.5
+    update = Update(number, rng.randint(1, 3), span, in_place)
+    steps = [Step(at, update)]
+    for entry in rng.sample(range(100), rng.randint(1, 2)):
+        sides = rng.choice(ISOLATIONS)
+        duration = update.seconds + rng.uniform(0.5, 3.0)
+        begin = max(0.0, at + rng.uniform(-1.0, 0.3))
+        steps.append(Step(begin, Isolation(entry, sides, duration)))
+    return steps
+
+
 def _draw_fault(rng: random.Random, entries: int) -> Fault:
     duration = round(rng.uniform(*FAULT_DURATION_RANGE), 2)
     draw = rng.random()
--- a/tests/faults/sites.py
+++ b/tests/faults/sites.py
@@ -22,6 +22,7 @@
     Version,
 )
 from tests.faults.targets import SoakTarget
+from tests.platform import cut_entry
 from tests.platform.entries import EntryEndpoint, EntryHost
 from tests.platform.processes import Network, build_network, query_ready
 from tests.platform.runs import read_clock, watch_loop
@@ -100,13 +101,15 @@
         self._dropped_keys: list[str] = []
         self._has_cuts = False
         self._has_versions = False
+        self._has_updates = False
         self._has_early_ends = False
 
     async def run_plan(self, steps: list[plans.Step], seconds: float) -> None:
         """Run a plan for some seconds, then without faults; fill the record."""
         # Without cuts, entries reach the targets with one proxy less in between.
         self._has_cuts = any(isinstance(step.fault, plans.EntryCut) for step in steps)
-        self._has_versions = any(
+        self._has_updates = any(isinstance(step.fault, plans.Update) for step in steps)
+        self._has_versions = self._has_updates or any(
             isinstance(step.fault, plans.Release) for step in steps
         )
         # Only what an engine keeps of a run shows there that it was cut.
@@ -187,6 +190,7 @@
             store=store,
             front=front,
             links=links,
+            program=cut_entry.__name__ if self._has_updates else "figstep.platform",
         )
 
     def _build_traffic(self) -> Traffic:
@@ -205,7 +209,7 @@
                 host.endpoint.ready = await query_ready(host.ready)
             await asyncio.sleep(READY_POLL_INTERVAL)
 
-    async def _add_target(self, service: str) -> None:
+    async def _add_target(self, service: str, version: str = "") -> SoakTarget:
         self._name_count += 1
         target = SoakTarget(
             f"i-{service}-{self._name_count}",
@@ -215,10 +219,12 @@
             self._targets_by_address,
             self._crash,
         )
-        if self._has_versions and service == "engines":
-            target.version = VERSIONS[self._name_count % 2]
+        is_first = self._has_updates and not self._hosts
+        if self._has_versions and service == "engines" and not is_first:
+            target.version = version or VERSIONS[self._name_count % 2]
         await target.start(self._store)
         self._targets.append(target)
+        return target
 
     async def _configure(self) -> None:
         number = len(self.record.versions) + 1
@@ -291,6 +297,10 @@
                 await self._crash_outlived(fault)
             case plans.Release():
                 await self._release(fault)
+            case plans.Update():
+                await self._update(fault)
+            case plans.Isolation():
+                await self._isolate(fault)
             case plans.ConfigurationChange(action=action):
                 self._change_configuration(action)
                 await self._configure()
@@ -450,6 +460,47 @@
             else:
                 await self._replace(target, "drain")
 
+    async def _update(self, fault: plans.Update) -> None:
+        assert self._traffic is not None
+        self._start_task(self._traffic.send_returning(fault.seconds + 1.0))
+        if not fault.in_place:
+            await self._update_beside(fault)
+            return
+        departing = self.record.departures | self.record.leaving_since
+        engines = [
+            one
+            for one in self._targets
+            if one.service == "engines" and one.name not in departing
+        ]
+        chosen = [
+            engines[(fault.number + index) % len(engines)]
+            for index in range(min(fault.count, len(engines)))
+        ]
+        for pause in (fault.seconds, 0.0):
+            for target in chosen:
+                with self.record.disturb("release", None, target.name):
+                    other = VERSIONS[target.version == VERSIONS[0]]
+                    await target.restart(self._store, other)
+            await asyncio.sleep(pause)
+
+    async def _update_beside(self, fault: plans.Update) -> None:
+        added = [
+            await self._add_target("engines", VERSIONS[1]) for _ in range(fault.count)
+        ]
+        await asyncio.sleep(fault.seconds)
+        leaving = (self._replace(one, "drain", replaced=False) for one in added)
+        await asyncio.gather(*leaving)
+
+    async def _isolate(self, fault: plans.Isolation) -> None:
+        host = self._hosts[fault.entry % len(self._hosts)]
+        name = f"cut off from {' and '.join(fault.sides)}"
+        with self.record.disturb(name, host.number):
+            cut_entry.write_cut(host.settings, fault.sides)
+            host.endpoint.sought = True
+            await asyncio.sleep(fault.seconds)
+            host.endpoint.sought = False
+            cut_entry.write_cut(host.settings, ())
+
     async def _crash_outlived(self, fault: plans.OutlivedCrash) -> None:
         target = self._choose_remaining(fault.number)
         self.record.begin_disturbance("crash", None, target.name)
@@ -479,9 +530,11 @@
         self.record.begin_disturbance("drain", None, target.name)
         await self._replace(target, "drain")
 
-    async def _replace(self, target: SoakTarget, action: str) -> None:
+    async def _replace(
+        self, target: SoakTarget, action: str, replaced: bool = True
+    ) -> None:
         self.record.departures[target.name] = float("inf")
-        if target.name not in self.record.leaving_since:
+        if replaced and target.name not in self.record.leaving_since:
             await self._add_target(target.service)
         if action == "crash":
             await self._kill(target)
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -195,3 +195,16 @@
     extras = (extra, Extra.VERSIONS) if extra is Extra.CLOCKS else (extra,)
     record = await run_held(tmp_path, seed, *extras)
     assert sum(attempt.status == 200 for attempt in record.attempts) > 50
+
+
+UPDATE_SEEDS = [513, 522]
+"""Seeds of services with one version, which is updated and taken back."""
+
+
+@pytest.mark.parametrize("seed", UPDATE_SEEDS)
+async def test_promises_hold_as_the_only_version_is_updated(
+    seed: int, tmp_path: Path
+) -> None:
+    """Guards against a version that is taken for the only one where an entry is cut."""
+    record = await run_held(tmp_path, seed, Extra.UPDATES)
+    assert any(attempt.resumes for attempt in record.attempts)
--- a/tests/deployments/cut_entry.py
+++ b/tests/platform/cut_entry.py
@@ -1,4 +1,4 @@
-"""Entry process that can be cut off: ``python -m tests.deployments.cut_entry``.
+"""Entry process that can be cut off: ``python -m tests.platform.cut_entry``.
 
 It is an entry as it is deployed, but for calls to the store and messages of other
 entries, which get lost while a file beside its settings names them.
@@ -30,6 +30,11 @@
         return False
 
 
+def write_cut(settings: Path, sides: tuple[str, ...]) -> None:
+    """Cut the entry with some settings off from some sides, or from none."""
+    settings.with_suffix(CUT_SUFFIX).write_text(" ".join(sides))
+
+
 def install_cuts() -> None:
     """Let calls and messages get lost while this entry is cut off."""
     call, send = HttpStore._call, PeerLink._send_bytes
