Date the end of a target by its first broken connection, also once it is found

What callers saw: a read that came to the address of a target that had ended, while that still accepted connections, was suspected of the crash, and refused after a second one.

Cause: what is lost before the end is found is compared with the first connection that broke; what is lost afterwards was compared with when the end was found, as the first break was forgotten then. Now the first break is kept with the end.

--- a/figstep/gateway/crashes.py
+++ b/figstep/gateway/crashes.py
@@ -100,6 +100,9 @@
     if loss in _CRASH_LOSSES and not was_written:
         subjects += list_parts(request.spec)
     if target.ended_at is not None and attempt.opened <= target.ended_at:
+        if target.dead_since is not None and attempt.opened > target.dead_since:
+            # Only the address was there still.
+            return []
         return _suspect(state, target, subjects, target.ended_at, now)
     if loss in _CRASH_LOSSES:
         broken_at = now if ended is None else ended
@@ -214,7 +217,7 @@
     ended_at = target.ended_at
     if ended_at is None or asked < ended_at:
         return
-    target.ended_at = None
+    target.ended_at = target.dead_since = None
     if asked - ended_at < MIN_RESTART_TIME:
         state.crashes.discard_crash(_format_incarnation(target))
 
@@ -446,6 +449,8 @@
         subjects.append(subject)
     target.lost.clear()
     target.broken_at = None
+    if target.ended_at is not None:
+        target.dead_since = min(broken_at, target.ended_at)
     return _suspect(state, target, subjects, now, now)
 
 
--- a/figstep/gateway/targets.py
+++ b/figstep/gateway/targets.py
@@ -337,6 +337,8 @@
         check_at: When it is checked next, if it needs that.
         check_pause: Time in milliseconds from that check to the one after it.
         ended_at: When its incarnation was found to have ended; None if it was not.
+        dead_since: When a connection first broke by that end, as far as this entry can
+            tell; None if the end was not found.
         probed_at: When this entry last probed whether it listens at its address.
         probe_pause: Time in milliseconds from that probe to the one after it.
         named_brittle: Whether its last answer named the rejections that it bears.
@@ -402,6 +404,7 @@
     check_at: Millis = Millis(0)
     check_pause: Millis = MIN_CHECK_PAUSE
     ended_at: Millis | None = None
+    dead_since: Millis | None = None
     probed_at: Millis = Millis(-1_000_000)
     probe_pause: Millis = Millis(0)
     named_brittle: bool = False
