Keep on record which versions a path that moved has brought along

What callers could see: a path moves to another service, all entries restart, and a stream that the old service began goes on at the new one.

Cause: entries take the versions of the old service for versions of the new one for two minutes, but only those that saw the move; a process that starts reads the newest configuration only. That a path has always led to its service was taken for a fact.

Now such versions are written to the store like those that have left, at the next tick.

The log of a take-up names the configuration in force.

--- a/figstep/gateway/history.py
+++ b/figstep/gateway/history.py
@@ -19,6 +19,7 @@
 from figstep.gateway.effects import Effect, Note, ReadVersions, WriteHistory
 from figstep.gateway.events import HistoryRead, HistoryWritten, PeerHeard, VersionsRead
 from figstep.gateway.starts import (
+    START_RETENTION,
     UNKNOWN_VERSION,
     RecordedVersion,
     ServiceVersion,
@@ -254,7 +255,11 @@
 
 
 def _list_changed_versions(state: State, now: Millis) -> tuple[RecordedVersion, ...]:
-    """Return the versions whose records in the store are missing or outdated."""
+    """Return the versions whose records in the store are missing or outdated.
+
+    Among them are those that have left, or that a path has brought along which leads to
+    another service now.
+    """
     present = {
         (target.info.service, target.info.version)
         for target in state.targets.targets.values()
@@ -272,4 +277,8 @@
             changed.append(RecordedVersion(*key, expired=True))
         elif had_targets:
             changed.append(RecordedVersion(*key, age=Millis(now - left_at)))
+    for key, left_at in sorted(state.past_versions.items()):
+        if key in present or key in recorded or now - left_at >= START_RETENTION:
+            continue
+        changed.append(RecordedVersion(*key, age=Millis(now - left_at)))
     return tuple(changed)
--- a/figstep/gateway/origins.py
+++ b/figstep/gateway/origins.py
@@ -11,7 +11,7 @@
 """
 
 from figstep.core.clock import Millis
-from figstep.gateway import history, placement, versions
+from figstep.gateway import history, placement, sources, versions
 from figstep.gateway.effects import Announce, Confirmation, Effect, Note
 from figstep.gateway.events import PeerHeard, RoutedRequest
 from figstep.gateway.routes import Route, RouteKind
@@ -167,6 +167,7 @@
         "resumes": spec.resumes,
         "version": origin.version,
         "known": _describe_source(state, spec, origin),
+        "configuration": sources.get_configuration_version(state),
         "waited_ms": now - arrived,
         "view_ms": now - state.records_read_at,
         "read_ms": now - state.history.read_begun_at,
--- a/figstep/gateway/versions.py
+++ b/figstep/gateway/versions.py
@@ -48,6 +48,7 @@
         for service in services:
             for version in known:
                 state.past_versions[service, version] = now
+                state.history.has_news = True
     update_announced_services(state, now)
 
 
--- a/tests/gateway/test_only_version.py
+++ b/tests/gateway/test_only_version.py
@@ -1,6 +1,7 @@
 """Tests of callers that return to an entry that knows only one version of a service."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 import pytest
 
@@ -9,6 +10,7 @@
 from figstep.gateway import peers
 from figstep.gateway.effects import OpenAttempt, Refuse
 from figstep.gateway.events import (
+    ConfigurationRead,
     EntriesCounted,
     PositionRead,
     TargetDeparted,
@@ -19,10 +21,13 @@
 from figstep.gateway.prompts import Prompt
 from figstep.gateway.targets import Registration
 from tests.gateway.worlds import (
+    BOOKINGS,
     ENGINES,
+    QUESTION,
     EntryHarness,
     RecordStore,
     build_fleet,
+    build_table,
     exchange_messages,
 )
 
@@ -42,6 +47,7 @@
         store: Store of all entries.
         resumes: Id of the attempt that began the stream; "" if it was not begun.
         begun: Software version that began it.
+        table: Configuration that processes read as they start.
     """
 
     def __init__(self, size: int, first: bool, takes_writes: bool = True) -> None:
@@ -51,6 +57,7 @@
         self.entries = build_fleet(size, DOMAINS)
         self.clock = self.entries[0].clock
         self.resumes = self.begun = ""
+        self.table = build_table()
         for number, harness in enumerate(self.entries):
             harness.next_number = 1_000 * number + 1
             self._start(harness, first=True)
@@ -63,6 +70,7 @@
 
     def _start(self, harness: EntryHarness, first: bool) -> None:
         harness.store = self.store
+        harness.handle(ConfigurationRead(self.table))
         harness.state.budget.first_start = first
         harness.state.budget.started = self.clock.now()
         harness.state.history.read = False
@@ -284,3 +292,30 @@
     for harness in fleet.entries:
         if harness not in silent.values():
             assert (ENGINES, "v2") in harness.state.history.confirmed
+
+
+@SIZES
+@FIRST_STARTS
+@NAMED
+def test_a_path_that_moved_takes_its_versions_along_over_restarts(
+    size: int, first: bool, named: bool
+) -> None:
+    """Guards against text of two services as all entries restart after a move."""
+    fleet = ReleasedFleet(size, first)
+    other = Registration("s-1", BOOKINGS, "s-1:80", "muc-a", 64, born=1, version="v3")
+    for harness in fleet.entries:
+        harness.handle(TargetRegistered(other))
+    fleet.pass_time(fleet.entries, 1_500)
+    teller = fleet.entries[0]
+    number = teller.receive_request("/question/a", PROMPT, digest=DIGEST)
+    teller.send_pieces(teller.find_effect(OpenAttempt).attempt, 1, 2)
+    fleet.resumes = f"id-{number}"
+    moved = replace(QUESTION, shares=((BOOKINGS, 1.0),))
+    fleet.table = build_table(2, [moved])
+    for harness in fleet.entries:
+        harness.handle(ConfigurationRead(fleet.table))
+    fleet.pass_time(fleet.entries, 100)
+    started = [fleet.restart(harness) for harness in fleet.entries]
+    for harness in started:
+        harness.handle(TargetRegistered(other))
+    assert fleet.take_up(started[-1], named) is None
