End each read of the versions, whatever the store answers

A page of another form, which raises neither of the errors that the client names, left callers waiting for half a second each, for as long as the process ran: no further read was begun. Found by reading; one of the three cases of the test failed before.

--- a/figstep/platform/history.py
+++ b/figstep/platform/history.py
@@ -133,6 +133,11 @@
             _log.info("versions not read", extra={"error": str(error)[:200]})
             self._dispatch(VersionsUnread())
             return
+        except Exception:
+            # Callers wait for the end of each read.
+            _log.exception("versions not taken in")
+            self._dispatch(VersionsUnread())
+            return
         self._dispatch(VersionsRead(versions))
 
     async def _write(self, effect: WriteHistory) -> None:
--- a/tests/platform/test_history.py
+++ b/tests/platform/test_history.py
@@ -1,19 +1,22 @@
 """Tests of versions and starts as records of the store."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import pytest
 
 from figstep.core.clock import Millis
+from figstep.gateway.events import Event, VersionsUnread
 from figstep.gateway.starts import START_RETENTION, RecordedVersion, StreamStart
 from figstep.platform.history import (
     VERSION_TOPIC,
+    HistoryLog,
     encode_starts,
     encode_version,
     parse_starts,
     parse_version,
 )
-from figstep.platform.store import HttpStore
+from figstep.platform.store import HttpStore, _StoreAnswer
 from tests.platform.standins import FakeStore
 
 NOW = 1_800_000_000_000
@@ -95,3 +98,24 @@
     snapshot = await client.read_newest(VERSION_TOPIC)
     assert [one.value for one in snapshot.records] == [read_value(record)]
     await client.close()
+
+
+@pytest.mark.parametrize("page", [b"[]", b'{"items": [{"key": 1}]}', b"no JSON"])
+async def test_a_page_that_cannot_be_read_ends_the_read_of_versions(
+    store: FakeStore, page: bytes
+) -> None:
+    """Guards against callers that wait for a read which does not end."""
+    events: list[Event] = []
+    client = HttpStore(store.address)
+    log = HistoryLog(client, events.append)
+
+    async def answer(*args: object) -> _StoreAnswer:
+        return _StoreAnswer(page, 1)
+
+    client._call = answer  # type: ignore[method-assign]
+    log.read_versions()
+    async with asyncio.timeout(5):
+        while not events:
+            await asyncio.sleep(0.01)
+    assert events == [VersionsUnread()]
+    await client.close()
