Call no generation gone because its target is unknown here

What callers saw, on the own interface: a caller that returns to an entry which has not read the newest inventory, cut off or just started, is told 410, for good, while the engine of its generation runs on.

Now it answers 503 with a Retry-After, as for a target that it does not reach; a caller of an engine that was removed learns from it that a new request gives a whole answer.

--- a/figstep/core/recovery.py
+++ b/figstep/core/recovery.py
@@ -415,15 +415,8 @@
 
 
 def _build_unreachable_problem(state: State, request: RequestState) -> Problem:
-    return Problem(
-        503,
-        "generation_unreachable",
-        "the target of this generation does not hand out its events now; come back"
-        " with Last-Event-ID after Retry-After, or send the request again without it"
-        " for a whole new answer",
-        ran=request.ran,
-        retry_after=retries.jitter_pause(1_000, state.rng),
-    )
+    pause = retries.jitter_pause(1_000, state.rng)
+    return requests.build_unreachable_problem(request.ran, pause)
 
 
 def _build_lost_problem(state: State, request: RequestState) -> Problem:
--- a/figstep/core/requests.py
+++ b/figstep/core/requests.py
@@ -265,8 +265,9 @@
 
     The generation id names the target and a digest of the customer, so the entry
     needs no state of the first request. The request is refused if the id is
-    malformed or names another customer or a target that this entry does not know,
-    or if the entry is shutting down or has no configuration.
+    malformed or names another customer, or if the entry is shutting down or has no
+    configuration. A target that this entry does not know may be in a later one: that
+    says nothing of the generation.
     """
     spec = event.spec
     if state.shutting_down:
@@ -276,9 +277,11 @@
     generation = generations.parse_generation(event.generation)
     owner = generations.digest_owner(spec.customer)
     target = state.targets.get(generation.target) if generation else None
-    known = generation is not None and generation.owner == owner
-    if not known or target is None:
+    if generation is None or generation.owner != owner:
         return [Refuse(spec.request, build_gone_problem())]
+    if target is None:
+        pause = retries.jitter_pause(1_000, state.rng)
+        return [Refuse(spec.request, build_unreachable_problem(Ran.YES, pause))]
     deadline = spec.deadline or Millis(now + state.inventory.rules.deadline)
     request = RequestState(
         spec,
@@ -386,6 +389,19 @@
     )
 
 
+def build_unreachable_problem(ran: Ran, retry_after: Millis) -> Problem:
+    """Build the 503 problem for a caller whose generation may go on, but not here."""
+    return Problem(
+        503,
+        "generation_unreachable",
+        "the target of this generation does not hand out its events now; come back"
+        " with Last-Event-ID after Retry-After, or send the request again without it"
+        " for a whole new answer",
+        ran=ran,
+        retry_after=retry_after,
+    )
+
+
 def build_gone_problem() -> Problem:
     """Build the 410 problem for a caller whose generation cannot be resumed."""
     return Problem(
--- a/tests/core/test_recovery.py
+++ b/tests/core/test_recovery.py
@@ -237,6 +237,19 @@
     assert (problem.code, problem.ran) == ("generation_gone", Ran.YES)
 
 
+def test_a_caller_is_not_told_gone_by_an_entry_that_does_not_know_the_target() -> None:
+    """Guards against 410 of an entry that has not heard of a new engine."""
+    entry = Entry()
+    attempt = entry.start()
+    generation = entry.state.attempts[attempt].generation
+    del entry.state.targets[entry.state.attempts[attempt].target]
+    spec = RequestSpec("r2", "demo", GenerationWork("m"))
+    entry.feed(CallerReturned(spec, generation, 4))
+    problem = entry.find_effect(Refuse).problem
+    assert (problem.status, problem.code) == (503, "generation_unreachable")
+    assert problem.retry_after is not None
+
+
 def test_a_returned_caller_whose_target_is_out_of_reach_may_come_back() -> None:
     """Guards against 410, and a cancellation, for a generation that may go on."""
     entry = Entry()
