Tell entries that are heard again the starts that they have missed

Cause: a start is in the messages of two seconds. An entry that hears nobody for as long is not told it later, and refuses the stream for two minutes while several versions are on record; only new processes are told all.

Now an entry that hears another one again, after as long or for the first time, tells its starts for two seconds as if they began then.

--- a/figstep/gateway/origins.py
+++ b/figstep/gateway/origins.py
@@ -15,7 +15,12 @@
 from figstep.gateway.effects import Announce, Confirmation, Effect, Note
 from figstep.gateway.events import PeerHeard, RoutedRequest
 from figstep.gateway.routes import Route, RouteKind
-from figstep.gateway.starts import UNKNOWN_VERSION, StreamStart, hash_stream
+from figstep.gateway.starts import (
+    START_ANNOUNCE_DURATION,
+    UNKNOWN_VERSION,
+    StreamStart,
+    hash_stream,
+)
 from figstep.gateway.state import Attempt, Origin, Request, State
 from figstep.gateway.targets import Target
 
@@ -190,6 +195,11 @@
 def apply_starts(state: State, event: PeerHeard, now: Millis) -> None:
     """Apply what another entry tells of starts and of versions that targets had."""
     history.apply_recorded(state, event, now)
+    known = state.peers.get(event.node)
+    is_back = known is None or now - known.last_received_at >= START_ANNOUNCE_DURATION
+    if is_back and not event.far:
+        # It has heard none of the messages in which this entry has told its starts.
+        state.announced_since = dict.fromkeys(state.announced_since, now)
     for start in event.starts:
         # Each failure domain of a large fleet writes its own streams.
         state.starts.record_announced(start, now, recorded=event.far)
--- a/tests/gateway/test_origins.py
+++ b/tests/gateway/test_origins.py
@@ -266,3 +266,22 @@
     assert known["entry-000", resumes][0] == "begun here"
     assert known["entry-001", resumes][0] == "told by an entry"
     assert known["entry-001", "?"] == ("not known", None)
+
+
+@pytest.mark.parametrize("size", [2, 8])
+@pytest.mark.parametrize("seconds", [2, 5])
+def test_entries_that_hear_each_other_again_tell_what_they_have_begun(
+    size: int, seconds: int
+) -> None:
+    """Guards against streams refused for as long as callers wait after a short cut."""
+    fleet = build_mixed_fleet(size)
+    resumes = begin_question(fleet[0])
+    for _ in range(2 * seconds):
+        fleet[0].clock.advance(500)
+        for harness in fleet:
+            harness.handle(Ticked())
+        exchange_messages(fleet[:-1])
+    for _ in range(2):
+        exchange_messages(fleet)
+    take_up(fleet[-1], resumes)
+    assert fleet[-1].find_effect(OpenAttempt)
