Play invalid statuses behind a relay, and write them up

The seven cases hold: 502, 503 or 504, one run at most, and the promise of no run only where there was none. Ruled out by that: an entry that passes such an answer on.

Three comments no longer tell how a bound came about.

--- a/figstep/gateway/history.py
+++ b/figstep/gateway/history.py
@@ -52,8 +52,7 @@
 
 RECORD_PATIENCE = Millis(5_000)
 """Time, in milliseconds, for which a version begins no streams while its record is not
-confirmed. Engines of other versions serve meanwhile, if there are any. A write whose
-answer is lost is repeated within half of it."""
+confirmed. Engines of other versions serve meanwhile, if there are any."""
 
 CONFIRMED_ANNOUNCE_DURATION = Millis(2_000)
 """Milliseconds for which a confirmed record is included in messages to peers."""
--- a/figstep/gateway/returns.py
+++ b/figstep/gateway/returns.py
@@ -14,8 +14,8 @@
 from figstep.gateway.state import State, WaitingReturn
 
 VIEW_TIMEOUT = Millis(500)
-"""Longest time, in milliseconds, for which a caller waits for a read of the versions.
-The shortest objective of a first event is a few times as long."""
+"""Longest time for which a caller waits for a read of the versions, in milliseconds.
+"""
 
 
 def wait_for_versions(state: State, event: RequestArrived, now: Millis) -> list[Effect]:
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -79,7 +79,7 @@
 
 RECORD_TIMEOUT = Millis(300)
 """Longest time in milliseconds for which a new stream waits for a record that nobody
-knows its version. Another target may begin it within its objective then."""
+knows its version. Another target may begin it then."""
 
 MAX_OVERLAP = Millis(300)
 """Longest time in milliseconds that a run is open at two engines during a switch.
--- a/tests/platform/test_statuses.py
+++ b/tests/platform/test_statuses.py
@@ -9,7 +9,8 @@
 from tests.platform.endless import find_request_id
 from tests.platform.places import Place, open_place
 from tests.platform.standins import KEY, ROUTE_HOST, build_registration
-from tests.ports import HOST
+from tests.platform.test_relays import Cut
+from tests.ports import HOST, find_free_port
 
 INVALID = (
     b"HTTP/1.1 000 OK",
@@ -139,3 +140,23 @@
         assert not known.restarted
         assert not known.announced_leaving
     assert target.requests == 1
+
+
+@pytest.mark.parametrize("status_line", INVALID)
+async def test_a_status_that_is_not_final_reaches_no_caller_behind_a_relay(
+    status_line: bytes,
+) -> None:
+    """Guards against an entry that passes such an answer on to another one."""
+    async with open_answers(status_line, "/order/a") as (place, target):
+        first = place.entries[0]
+        seeds = (first.settings.peers,)
+        second = await place.add_entry(node="entry-2", seeds=seeds)
+        await place.wait_ready(second, 1)
+        async with asyncio.timeout(5):
+            while any(entry.gateway.known.entries < 2 for entry in place.entries):
+                await asyncio.sleep(0.01)
+        Cut(first, f"{HOST}:{find_free_port()}")
+        answer = await send(place, "/order/a")
+    assert answer.startswith((b"HTTP/1.1 502 ", b"HTTP/1.1 503 ", b"HTTP/1.1 504 "))
+    assert (b"Not-Executed" in answer) is (target.requests == 0)
+    assert target.requests <= 1
