Count only running time as a connection is opened

An entry whose process stands still while it opens connections found their timeouts expired as it went on, before it looked at what had become ready meanwhile, and took each target for one that it cannot reach. With all targets in question at once it counted itself as cut off.

What callers saw: 503 cut_off, for requests that the engine would have served, at each stall of half a second or more (a freeze of the process, a busy machine) that met a connection being opened. On the own interface the same, after two seconds.

The timeout now counts steps of a timer in place of time: a stall counts as one step, and what became ready in it is handled first. A connection that is not established while the loop runs is given up as before.

--- a/figstep/net/connectors.py
+++ b/figstep/net/connectors.py
@@ -20,6 +20,7 @@
     open_keepalive_socket,
 )
 from figstep.net.statuses import begins_answer
+from figstep.net.timeouts import limit_running_time
 
 MAX_FRAMING_BYTES = 65_536
 """Largest number of bytes of an answer that are no part of its body.
@@ -173,6 +174,16 @@
         super().__init__(socket_factory=factory, **options)
         self._factory: Any = functools.partial(_BoundedHandler, loop=self._loop)
 
+    async def _create_connection(
+        self,
+        request: aiohttp.ClientRequest,
+        traces: list[Any],
+        limits: aiohttp.ClientTimeout,
+    ) -> ResponseHandler:
+        async with limit_running_time(limits.sock_connect):
+            unlimited = aiohttp.ClientTimeout()
+            return await super()._create_connection(request, traces, unlimited)
+
 
 class OpenedConnector(aiohttp.BaseConnector):
     """Hands out one connection that was opened beforehand, and opens no other.
@@ -193,7 +204,7 @@
             OSError: If it is refused, or not established within ``seconds``.
         """
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(seconds):
+        async with limit_running_time(seconds):
             transport, opened = await loop.create_connection(self._factory, host, port)
         # A connection that has ended meanwhile shows that as it is used.
         with suppress(OSError):
--- a/figstep/net/probes.py
+++ b/figstep/net/probes.py
@@ -8,6 +8,7 @@
 from yarl import URL
 
 from figstep.net.statuses import begins_answer
+from figstep.net.timeouts import limit_running_time
 
 _log = logbook.Logger("figstep.probes")
 
@@ -28,7 +29,7 @@
             whether a process listens.
     """
     try:
-        async with asyncio.timeout(seconds):
+        async with limit_running_time(seconds):
             _, writer = await asyncio.open_connection(host, port)
     except ConnectionRefusedError:
         return False
@@ -89,7 +90,7 @@
     None is returned if it is not established within ``seconds``.
     """
     try:
-        async with asyncio.timeout(seconds):
+        async with limit_running_time(seconds):
             reader, writer = await asyncio.open_connection(
                 url.host, url.port, ssl=url.scheme == "https" or None
             )
