Take no version for the only one where a target states no start

Cause: the last place that took the version which an entry had heard of for the only one. A target that registers no start, such as a plain service, cannot state after a stream was opened which incarnation writes it, and the stream counted as of the only version known. The target may have restarted as another version before any entry reads of it.

What callers saw: a stream begun at v2 goes on at v1, at the entry that began it and, as its caller returns, at any other one.

Now the version of such a stream is not known, as that of an engine that does not answer in time: that is put on record before the first event is delivered, and told. The special cases of targets without a start in find_origin and record_start are gone.

The price: such streams are served and go on nowhere.

--- a/figstep/gateway/effects.py
+++ b/figstep/gateway/effects.py
@@ -40,6 +40,7 @@
     NONE = "none"  # nothing: it is not queried
     VERSION = "version"  # whether the version is known that begins the stream; if it
     # is not, `AcceptUnconfirmed` is waited for
+    RECORD = "record"  # the same, for a target that cannot state its start
     COPY = "copy"  # whether a copy of the run may be used
     STREAM = "stream"  # whether the stream is read
 
--- a/figstep/gateway/origins.py
+++ b/figstep/gateway/origins.py
@@ -37,7 +37,8 @@
     if request.route.kind is not RouteKind.STREAM:
         return Confirmation.NONE
     if not _states_start(state, target):
-        return Confirmation.NONE
+        begins = request.route.resumable and request.origin is None
+        return Confirmation.RECORD if begins else Confirmation.NONE
     if request.origin is not None:
         return Confirmation.STREAM
     if request.route.resumable:
@@ -54,20 +55,15 @@
     return target.info.born != 0
 
 
-def find_origin(state: State, attempt: Attempt, now: Millis) -> Origin:
+def find_origin(attempt: Attempt) -> Origin:
     """Return the origin of a stream whose first event an attempt delivers now.
 
-    It is not known if another entry got the request. For a target that cannot state its
-    start it is known only while its service has had no other version.
+    It is not known if another entry got the request, nor if the target did not state
+    the start that it registered.
     """
-    if attempt.relay is not None:
-        return UNKNOWN
-    info = attempt.target.info
-    if attempt.confirmed:
-        return Origin(info.version)
-    if _states_start(state, attempt.target):
+    if attempt.relay is not None or not attempt.confirmed:
         return UNKNOWN
-    return Origin(versions.find_sole_version(state, [info.service], now))
+    return Origin(attempt.target.info.version)
 
 
 def rests_on_only_version(
@@ -131,8 +127,6 @@
         return []
     if origin is None or attempt.relay is not None:
         return []
-    if origin == UNKNOWN and not _states_start(state, attempt.target):
-        return []
     stream = hash_stream(spec.id, spec.digest)
     start = StreamStart(stream, origin.version or UNKNOWN_VERSION)
     was_unknown = state.starts.find_version(stream) == UNKNOWN_VERSION
--- a/figstep/gateway/streams.py
+++ b/figstep/gateway/streams.py
@@ -125,7 +125,7 @@
         return [AcceptUnconfirmed(attempt.number)]
     if request.origin != origins.UNKNOWN or request.current is not attempt:
         return []
-    request.origin = origins.find_origin(state, attempt, now)
+    request.origin = origins.find_origin(attempt)
     return origins.record_start(state, request, attempt, now)
 
 
@@ -281,7 +281,7 @@
     """Begin to send the caller a stream, with the head of an attempt's answer."""
     request.stream_begun = True
     if request.origin is None:
-        request.origin = origins.find_origin(state, attempt, now)
+        request.origin = origins.find_origin(attempt)
     request.time_to_first_event = Millis(now - request.arrived)
     attempt.target.record_success(now)
     crashes.record_answer(state, attempt.target, attempt.opened)
--- a/figstep/platform/engines.py
+++ b/figstep/platform/engines.py
@@ -354,7 +354,7 @@
                 start = await self._await_start(effect, target)
                 if start is Start.REGISTERED:
                     self._dispatch(StreamConfirmed(effect.attempt))
-                elif effect.confirm is Confirmation.VERSION:
+                elif effect.confirm in (Confirmation.VERSION, Confirmation.RECORD):
                     await self._wait_accepted(effect.attempt)
                 elif effect.confirm is Confirmation.STREAM:
                     detail = f"start {start.value}"
@@ -369,7 +369,7 @@
         stream waits only briefly; StreamConfirmed is dispatched if the answer is late.
         """
         match effect.confirm:
-            case Confirmation.NONE:
+            case Confirmation.NONE | Confirmation.RECORD:
                 return Start.UNSTATED
             case Confirmation.STREAM:
                 return await self._confirm_start(target, effect.born)
--- a/tests/gateway/test_only_version.py
+++ b/tests/gateway/test_only_version.py
@@ -8,11 +8,17 @@
 from figstep.core.clock import Millis
 from figstep.core.positions import Position
 from figstep.gateway import peers
-from figstep.gateway.effects import OpenAttempt, Refuse
+from figstep.gateway.effects import (
+    AcceptUnconfirmed,
+    Confirmation,
+    OpenAttempt,
+    Refuse,
+)
 from figstep.gateway.events import (
     ConfigurationRead,
     EntriesCounted,
     PositionRead,
+    StreamUnconfirmed,
     TargetDeparted,
     TargetRegistered,
     Ticked,
@@ -47,12 +53,16 @@
         store: Store of all entries.
         resumes: Id of the attempt that began the stream; "" if it was not begun.
         begun: Software version that began it.
+        born: Start that engines register; 0 if they state none.
         table: Configuration that processes read as they start.
     """
 
-    def __init__(self, size: int, first: bool, takes_writes: bool = True) -> None:
+    def __init__(
+        self, size: int, first: bool, takes_writes: bool = True, born: int = 1
+    ) -> None:
         """Start the entries, and let engines of v1 register."""
         self.first = first
+        self.born = born
         self.store = RecordStore(takes_writes=takes_writes)
         self.entries = build_fleet(size, DOMAINS)
         self.clock = self.entries[0].clock
@@ -82,9 +92,8 @@
         """Let entries read the registrations of engines."""
         for harness in entries:
             for name in names:
-                info = Registration(
-                    name, ENGINES, f"{name}:80", "muc-a", 64, born=1, version=version
-                )
+                info = Registration(name, ENGINES, f"{name}:80", "muc-a", 64)
+                info = replace(info, born=self.born, version=version)
                 harness.handle(TargetRegistered(info))
             harness.handle(PositionRead(Position(0, 1)))
 
@@ -223,6 +232,31 @@
     assert fleet.take_up(started[-1], named) in (None, fleet.begun)
 
 
+@SIZES
+@FIRST_STARTS
+@NAMED
+def test_a_version_that_no_target_states_is_not_known_anywhere(
+    size: int, first: bool, named: bool
+) -> None:
+    """Guards against a target that restarts as another version before that is read."""
+    fleet = ReleasedFleet(size, first, born=0)
+    *others, cut = fleet.entries
+    teller = others[0]
+    # It writes text of v2 already, though all entries still know it as v1.
+    number = teller.receive_request("/question/a", PROMPT, digest=DIGEST)
+    opened = teller.find_effect(OpenAttempt)
+    teller.confirmed = False
+    if opened.confirm is not Confirmation.NONE:
+        teller.handle(StreamUnconfirmed(opened.attempt))
+        assert teller.find_effects(AcceptUnconfirmed)
+    teller.send_pieces(opened.attempt, 1, 2)
+    fleet.resumes = f"id-{number}"
+    assert fleet.take_up(cut, named) is None
+    fleet.pass_time(fleet.entries, 3_000)
+    for harness in (cut, others[-1]):
+        assert fleet.take_up(harness, named) is None
+
+
 @SIZES
 @FIRST_STARTS
 def test_a_version_whose_record_is_held_back_begins_no_stream_that_is_guessed(
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -332,7 +332,7 @@
 
 
 @pytest.mark.parametrize("versions", [("v1",), ("v1", "v2")])
-def test_a_stream_of_a_target_without_a_start_needs_one_version(
+def test_a_stream_of_a_target_without_a_start_goes_on_nowhere(
     versions: tuple[str, ...],
 ) -> None:
     """Guards against a guess where a target cannot state its start."""
@@ -340,10 +340,13 @@
     for version in versions:
         register(harness, version, f"e-{version}", born=0)
     harness.receive_request("/question/a", Prompt("m", 3_000, 2_000, 900))
-    harness.send_pieces(harness.find_effect(OpenAttempt).attempt, 1, 9)
+    opened = harness.find_effect(OpenAttempt)
+    assert opened.confirm is Confirmation.RECORD
+    harness.send_pieces(opened.attempt, 1, 9)
+    assert harness.find_effects(Announce)
     harness.handle(CallerGone(1))
     take_up_first(harness)
-    assert bool(harness.find_effects(OpenAttempt)) is (len(versions) == 1)
+    assert harness.find_effect(Refuse).problem.code == "version_unknown"
 
 
 def test_a_target_that_states_an_earlier_start_has_restarted() -> None:
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -169,6 +169,25 @@
     assert await take_up(place, second, resumes) == 503
 
 
+async def test_a_stream_of_engines_that_register_no_start_is_not_taken_up() -> None:
+    """Guards against the only version that an entry has heard of as the one that began.
+
+    The stream itself is served, once it is on record that its version is not known.
+    """
+    async with open_place() as place:
+        document = build_configuration(2, routes=[ROUTE])
+        await place.store.put("keyed.op", "config", document)
+        for name in ("i-e0", "i-e1"):
+            await place.add_target(name, "engines", born=0, events=60)
+        await start_fleet(place, 2, 2)
+        first, second = place.entries
+        async with asyncio.timeout(5):
+            while not all(e.gateway.known.history.confirmed for e in place.entries):
+                await asyncio.sleep(0.01)
+        await read_some(place, first, "r-1")
+        assert await take_up(place, second, "r-1") == 503
+
+
 async def test_a_stream_of_an_engine_that_states_its_start_late_is_taken_up(
     place: Place,
 ) -> None:
