--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -170,10 +170,7 @@
 
 
 async def test_a_stream_of_engines_that_register_no_start_is_not_taken_up() -> None:
-    """Guards against the only version that an entry has heard of as the one that began.
-
-    The stream itself is served, once it is on record that its version is not known.
-    """
+    """Guards against a guess that the only version an entry has heard of began it."""
     async with open_place() as place:
         document = build_configuration(2, routes=[ROUTE])
         await place.store.put("keyed.op", "config", document)
@@ -184,6 +181,7 @@
         async with asyncio.timeout(5):
             while not all(e.gateway.known.history.confirmed for e in place.entries):
                 await asyncio.sleep(0.01)
+        # It is served once it is on record that its version is not known.
         await read_some(place, first, "r-1")
         assert await take_up(place, second, "r-1") == 503
 
